Read the configuration again at SIGHUP and move the watch to its discovery

At fault: src/net/lifecycle.rs (go), which registers no handler for SIGHUP, and src/net/discovery.rs, whose watch could not change its address. Now Reloading is a phase: a good file moves the watch at once, without the rest that a failed watch calls for (measured in the new test: under 200 ms), a bad one changes nothing and is logged in one line, and what a running proxy cannot change is named. An ask for a watch that was answered by the one that ends no longer starts a second one.

The new test fails without the change: the program ends at the signal.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -81,7 +81,7 @@
 }
 
 /// What the process may use.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub struct Limits {
     /// Open sockets at the most.
     #[serde(default = "sockets")]
@@ -203,6 +203,8 @@
     pub names: Names,
     /// How long a connection may take to come up.
     pub connect_timeout: Duration,
+    /// The settings as they came.
+    given: serde_json::Value,
 }
 
 impl Config {
@@ -217,7 +219,7 @@
     pub fn from_json(text: &[u8]) -> Result<Config, ConfigError> {
         let file: File = serde_json::from_slice(text)?;
         let words: Words = serde_json::from_value(file.settings.clone())?;
-        let settings: Settings = serde_json::from_value(file.settings)?;
+        let settings: Settings = serde_json::from_value(file.settings.clone())?;
         let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect();
         let timeout = words.permissions.connect_timeout;
         if !(timeout.is_finite() && timeout >= 1.0) {
@@ -243,8 +245,20 @@
                 zones: words.zones,
             },
             connect_timeout: Duration::from_secs_f64(timeout / 1000.0),
+            given: file.settings,
         })
     }
+
+    /// What a newer configuration has otherwise that a running proxy cannot change.
+    pub fn fixed_since(&self, newer: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("limits", self.limits != newer.limits),
+            ("settings", self.given != newer.given),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+    }
 }
 
 const MIN_SOCKETS: usize = 32;
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -86,6 +86,10 @@
     watches_failed,
     /// Lists and changes received from discovery.
     lists,
+    /// Configurations read again at SIGHUP.
+    reloads,
+    /// Configurations that were bad at SIGHUP; the old one stayed.
+    reloads_failed,
     /// Panics caught in a coroutine or the module.
     panics,
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,4 +1,5 @@
-//! Discovery: the cached list at the start, then a watch whenever the module asks for one.
+//! Discovery: the cached list at the start, then a watch whenever the module asks for one, at the address
+//! that the newest configuration names.
 
 use super::codec::Parsed;
 use super::config::{Catalog, Instance, Names};
@@ -8,9 +9,9 @@
 use super::link::Link;
 use super::log::log;
 use crate::interface::{ListForm, Member, State};
-use may::sync::mpsc::Receiver;
+use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A call that waits longer than this for its connection has failed.
@@ -27,37 +28,97 @@
 pub struct Discovery {
     exchange: Arc<Exchange>,
     counters: Arc<Counters>,
-    address: SocketAddr,
+    target: Arc<Target>,
     generation: u64,
 }
 
+/// Where discovery is. It may be moved while a watch is on.
+pub struct Target {
+    state: Mutex<Watched>,
+    subscribe: Sender<()>,
+}
+
+struct Watched {
+    address: SocketAddr,
+    /// How often it has moved.
+    moves: u64,
+    /// The connection of the watch that is on, to be ended by a move.
+    link: Option<Link>,
+}
+
+impl Target {
+    /// Moves the watch: the one that is on ends, and another begins at once at the new address.
+    pub fn move_to(&self, address: SocketAddr) {
+        let link = self.with(|watched| {
+            watched.address = address;
+            watched.moves += 1;
+            watched.link.take()
+        });
+        link.iter().for_each(Link::end);
+        // The receiver is only gone when the program stops.
+        let _ = self.subscribe.send(());
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Watched) -> T) -> T {
+        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 impl Discovery {
-    /// Tells the exchange the cached list, then watches as often as asked.
+    /// Tells the exchange the cached list, then watches as often as asked; `subscribe` is the sending end
+    /// of `subscriptions`.
     pub fn start(
         exchange: Arc<Exchange>,
         counters: Arc<Counters>,
         address: SocketAddr,
         known: Catalog,
-        subscribe: Receiver<()>,
-    ) {
-        let mut discovery = Discovery { exchange, counters, address, generation: known.generation };
+        (subscribe, subscriptions): (Sender<()>, Receiver<()>),
+    ) -> Arc<Target> {
+        let state = Mutex::new(Watched { address, moves: 0, link: None });
+        let target = Arc::new(Target { state, subscribe });
+        let generation = known.generation;
+        let mut discovery = Discovery { exchange, counters, target: Arc::clone(&target), generation };
         discovery.tell(ListForm::Cached, known.instances);
         may::go!(move || {
-            for () in subscribe.iter() {
-                discovery.counters.watches.add();
-                let Err(why) = discovery.watch();
-                discovery.counters.watches_failed.add();
-                log(&format!("watch: {why}"));
+            for () in subscriptions.iter() {
+                discovery.watch_on(&subscriptions);
                 discovery.tell(ListForm::Failed, Vec::new());
             }
         });
+        target
+    }
+
+    /// Watches until that fails or ends, starting anew as often as discovery moves.
+    fn watch_on(&mut self, subscriptions: &Receiver<()>) {
+        loop {
+            let (address, moves) = self.target.with(|watched| (watched.address, watched.moves));
+            self.counters.watches.add();
+            let Err(why) = self.watch(&address, moves);
+            // What was asked for until now, this watch has answered: no other is to follow it for that.
+            while subscriptions.try_recv().is_ok() {}
+            let moved = self.target.with(|watched| {
+                watched.link = None;
+                watched.moves != moves
+            });
+            if !moved {
+                self.counters.watches_failed.add();
+                return log(&format!("watch: {why}"));
+            }
+        }
     }
 
     /// Watches until that fails or ends.
-    fn watch(&mut self) -> Result<std::convert::Infallible, Ended> {
-        let link = Link::connect(&self.address, CONNECT_TIMEOUT).map_err(|_| "no connection")?;
+    fn watch(&mut self, address: &SocketAddr, moves: u64) -> Result<std::convert::Infallible, Ended> {
+        let link = Link::connect(address, CONNECT_TIMEOUT).map_err(|_| "no connection")?;
+        let current = self.target.with(|watched| {
+            watched.link = Some(link.clone());
+            watched.moves == moves
+        });
+        if !current {
+            return Err("moved");
+        }
         let path = format!("/catalog/members?watch=1&after={}", self.generation);
-        let words = http::request(&path, &self.address.to_string(), &[], None);
+        let words = http::request(&path, &address.to_string(), &[], None);
         link.write(&words, Instant::now() + SILENCE).map_err(|_| "the request was not written")?;
         let mut bytes = Vec::new();
         let head = loop {
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -3,13 +3,13 @@
 use super::config::Config;
 use super::consumer::ConsumerSide;
 use super::counters::Counters;
-use super::discovery::Discovery;
+use super::discovery::{Discovery, Target};
 use super::exchange::Exchange;
 use super::log::{log, print};
 use super::provider::ProviderSide;
 use may::coroutine::sleep;
 use may::sync::mpsc::channel;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use std::error::Error;
 use std::process::ExitCode;
@@ -39,6 +39,8 @@
     Starting,
     /// Accepts and serves.
     Serving,
+    /// Asked to read its configuration again, and goes on serving meanwhile.
+    Reloading,
     /// Asked to stop: finishes what it has taken.
     Draining,
     /// All is answered.
@@ -51,6 +53,13 @@
     counters: Arc<Counters>,
 }
 
+/// The sides of a running proxy, as far as signals reach them.
+struct Sides {
+    exchange: Arc<Exchange>,
+    consumers: Arc<ConsumerSide>,
+    discovery: Arc<Target>,
+}
+
 /// Runs the program from start to exit.
 pub fn run() -> ExitCode {
     let mut lifecycle = Lifecycle { phase: Phase::Starting, counters: Arc::default() };
@@ -71,26 +80,51 @@
 
     fn go(&mut self) -> Result<(), Box<dyn Error>> {
         // Before anything listens: a signal is never answered by death.
-        let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1])?;
-        let config = Config::from_env()?;
-        let name = config.name.clone();
-        let (exchange, consumers) = self.start(config)?;
-        log(&format!("{name} listens on {}", consumers.address()?));
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
+        let mut config = Config::from_env()?;
+        let sides = self.start(&config)?;
+        log(&format!("{} listens on {}", config.name, sides.consumers.address()?));
         self.enter(Phase::Serving);
         for signal in signals.forever() {
-            if signal != SIGUSR1 {
-                break;
+            match signal {
+                SIGUSR1 => print(&self.counters.line()),
+                SIGHUP => self.reload(&mut config, &sides.discovery),
+                _ => break,
             }
-            print(&self.counters.line());
         }
         self.enter(Phase::Draining);
-        drain(&exchange, &consumers);
+        drain(&sides.exchange, &sides.consumers);
         self.enter(Phase::Stopped);
         print(&self.counters.line());
         Ok(())
     }
 
-    fn start(&self, config: Config) -> Result<(Arc<Exchange>, Arc<ConsumerSide>), Box<dyn Error>> {
+    /// Reads the configuration again. Discovery moves at once; the rest of a running proxy stays as it
+    /// was started. A bad file changes nothing: a slip in it must not end a proxy that serves.
+    fn reload(&mut self, config: &mut Config, discovery: &Target) {
+        self.enter(Phase::Reloading);
+        match Config::from_env() {
+            Ok(new) => {
+                self.counters.reloads.add();
+                if new.discovery != config.discovery {
+                    log(&format!("reload: discovery moves from {} to {}", config.discovery, new.discovery));
+                    discovery.move_to(new.discovery);
+                }
+                let waiting = config.fixed_since(&new);
+                if !waiting.is_empty() {
+                    log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
+                }
+                config.discovery = new.discovery;
+            }
+            Err(error) => {
+                self.counters.reloads_failed.add();
+                log(&format!("reload: the old configuration stays: {error}"));
+            }
+        }
+        self.enter(Phase::Serving);
+    }
+
+    fn start(&self, config: &Config) -> Result<Sides, Box<dyn Error>> {
         // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
         may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(READY_COROUTINES);
         may::config().set_worker_pin(false);
@@ -100,12 +134,12 @@
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
         let counters = &self.counters;
         let exchange = Exchange::new(
-            config.settings,
+            config.settings.clone(),
             config.seed,
-            config.names,
+            config.names.clone(),
             Arc::clone(counters),
             orders,
-            subscribe,
+            subscribe.clone(),
         );
         ProviderSide::start(
             Arc::clone(&exchange),
@@ -115,18 +149,18 @@
             config.connect_timeout,
             conn_idle,
         );
-        Discovery::start(
+        let discovery = Discovery::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
             config.discovery,
-            config.known,
-            subscriptions,
+            config.known.clone(),
+            (subscribe, subscriptions),
         );
         let for_consumers = free - for_providers;
         let consumers =
             ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), config.listen, for_consumers)
                 .map_err(|error| format!("listen on {}: {error}", config.listen))?;
-        Ok((exchange, consumers))
+        Ok(Sides { exchange, consumers, discovery })
     }
 }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -276,6 +276,30 @@
     assert!(begun.elapsed() > ms(2700 + 2000), "not before a heartbeat was missed");
 }
 
+/// Guards against an end at SIGHUP, a watch that stays at the old address, and a bad file taken for good.
+#[test]
+fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
+    let (old, new) = (Party::full_node("old"), Party::full_node("new"));
+    let scene = Scene::new(&[old.entry("s-0", "c6", "ready")]);
+    let (_, told_no_more) = scene.discovery.watch();
+    let moved = Discovery::new();
+    scene.reload(&scene.discovery.place.to_string(), &moved.place.to_string());
+    let begun = Instant::now();
+    let (line, tell) = moved.watch();
+    assert!(begun.elapsed() < ms(200), "at once, not after the rest that a failed watch calls for");
+    assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
+    tell.send(catalog(2, false, &[old.entry("s-0", "c6", "gone"), new.entry("s-1", "c6", "ready")])).unwrap();
+    scene.until("the change is known", || scene.count("lists") == 1);
+    assert_eq!(scene.client().read("k", "1", 900).1, "new\r\n");
+    drop(told_no_more);
+    scene.reload("{", "");
+    scene.until("the bad file is noticed", || scene.count("reloads_failed") == 1);
+    tell.send(catalog(3, false, &[old.entry("s-2", "c6", "ready"), new.entry("s-1", "c6", "gone")])).unwrap();
+    scene.until("the watch goes on", || scene.count("lists") == 2);
+    assert_eq!(scene.client().read("k", "2", 900).1, "old\r\n");
+    assert_eq!((scene.count("reloads"), scene.count("watches")), (1, 2));
+}
+
 #[test]
 fn connections_between_commands_make_room_for_others() {
     let (node, origin) = (Party::full_node("v"), idle_origin());
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -125,12 +125,12 @@
 /// Discovery: each watch asked for comes out of `asked`, to be told lines through its sender. A watch
 /// ends with its sender.
 pub struct Discovery {
-    place: SocketAddr,
+    pub place: SocketAddr,
     asked: Receiver<(String, Sender<String>)>,
 }
 
 impl Discovery {
-    fn new() -> Discovery {
+    pub fn new() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let place = listener.local_addr().unwrap();
         let (ask, asked) = channel();
@@ -179,13 +179,22 @@
     )
 }
 
-/// Starts the proxy on a configuration.
-pub fn start(config: &str) -> Child {
+/// Writes a configuration to a file of its own.
+fn written(config: &str) -> PathBuf {
     let number = SCENES.fetch_add(1, Ordering::SeqCst);
-    let path: PathBuf = std::env::temp_dir().join(format!("pinetrail-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("pinetrail-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
+    path
+}
+
+/// Starts the proxy on a configuration.
+pub fn start(config: &str) -> Child {
+    start_on(&written(config))
+}
+
+fn start_on(path: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail"));
-    command.env("LB_CONFIG", &path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.env("LB_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
     command.spawn().expect("the proxy starts")
 }
 
@@ -204,6 +213,7 @@
     pub discovery: Discovery,
     pub place: SocketAddr,
     child: Option<Child>,
+    config: PathBuf,
 }
 
 impl Scene {
@@ -215,7 +225,8 @@
     pub fn with_sockets(entries: &[String], sockets: usize) -> Scene {
         let discovery = Discovery::new();
         let known = catalog(1, true, entries);
-        let mut child = start(&config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known));
+        let config = written(&config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known));
+        let mut child = start_on(&config);
         let log = BufReader::new(child.stderr.take().unwrap());
         let (found, place) = channel();
         // Nobody reads the log any further: a proxy must not end for that.
@@ -227,7 +238,7 @@
             }
         });
         let place = place.recv_timeout(WAIT).expect("the proxy says where it listens");
-        let scene = Scene { discovery, place, child: Some(child) };
+        let scene = Scene { discovery, place, child: Some(child), config };
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
         scene
     }
@@ -275,6 +286,13 @@
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
     }
 
+    /// Replaces the configuration by what it is with some text replaced, and has it read again.
+    pub fn reload(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn end(mut self) -> Output {
         end(self.child.take().unwrap())
     }
