Bound consumers' waits, turns and memory, and end calls at once on spoilt answers

Examined by reading and by tests that failed before: half a command kept its connection (src/net/consumer.rs, serve: no time limit), a connection was read as long as bytes came (same place: the worker never got to others), 64 pending answers of 64 KiB a connection were bounded by nothing, each invocation kept two sleeping stacks until its deadline (src/net/exchange, take and Timer), an id open elsewhere was taken. On the provider side an answer cut short was waited for until the deadline, 1xx heads were read as answers, an unreadable X-Pressure lost a good answer, gone providers were never forgotten and the pool went by address. Excluded by a probe in understand_http: that any unreadable header may be passed over. Now only load reports may be unreadable.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -150,9 +150,10 @@
         let open = Open { request, class, deadline, work, stage: Stage::ForServer, attempts: Vec::new() };
         self.requests.insert(request.id, open);
         self.retries = (self.retries + 0.2).min(10.0);
-        out.push(Action::Timer((budget - self.settings.tick).max(0.0), DEADLINE | request.id));
+        let id = request.id;
+        out.push(Action::TimerFor(id, (budget - self.settings.tick).max(0.0), DEADLINE | id));
         // Held requests are shed well before their aim: failing later costs more and serves nobody.
-        out.push(Action::Timer(class.aim.min(budget) * 0.5, PATIENCE | request.id));
+        out.push(Action::TimerFor(id, class.aim.min(budget) * 0.5, PATIENCE | id));
         self.mean_worth += 0.05 * (class.worth - self.mean_worth);
         if request.write && self.origin().is_some() {
             self.ask_origin(request.id, out);
@@ -572,6 +573,10 @@
         }
         let fleet = self.servers.values().filter(|s| self.in_fleet(s)).map(|s| s.member.weight());
         self.mean_size = fleet.clone().sum::<f64>() / fleet.count().max(1) as f64;
+        // Servers are replaced for as long as a balancer runs: who is gone and owes nothing is forgotten.
+        let attempts = self.requests.values().flat_map(|open| &open.attempts);
+        let used: BTreeSet<ServerId> = attempts.map(|attempt| attempt.server).collect();
+        self.servers.retain(|id, s| s.member.state != State::Gone || s.in_flight > 0 || used.contains(id));
         // Drained, gone, or empty after a restart: no set may lead there.
         if !left.is_empty() {
             self.table.values_mut().for_each(|entry| entry.members.retain(|id| !left.contains(id)));
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! What the proxy is told at its start: the JSON object that `LB_CONFIG` names.
 
-use crate::settings::Settings;
+use crate::settings::{Effect, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -86,15 +86,22 @@
     /// Open sockets at the most.
     #[serde(default = "sockets")]
     pub sockets: usize,
+    /// Memory at the most, in MB.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: usize,
 }
 
 fn sockets() -> usize {
     1024
 }
 
+fn memory_mb() -> usize {
+    192
+}
+
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: sockets() }
+        Limits { sockets: sockets(), memory_mb: memory_mb() }
     }
 }
 
@@ -148,6 +155,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     classes: Vec<String>,
+    keyed: Vec<bool>,
     tenants: Vec<String>,
     kinds: Vec<String>,
     zones: Vec<String>,
@@ -163,6 +171,11 @@
         place(&self.classes, name).and_then(|at| u8::try_from(at).ok())
     }
 
+    /// Whether the writes of a class carry a key by which repeats are dropped.
+    pub fn is_keyed(&self, class: u8) -> bool {
+        self.keyed.get(usize::from(class)).copied().unwrap_or(false)
+    }
+
     /// The tenant of a name; the first where the site has none.
     pub fn tenant(&self, name: &str) -> Option<u32> {
         match self.tenants.is_empty() {
@@ -230,6 +243,10 @@
             let value = file.limits.sockets.to_string();
             return Err(ConfigError::Field { field: "limits.sockets", value, wanted: "at least 32" });
         }
+        if file.limits.memory_mb < MIN_MEMORY_MB {
+            let value = file.limits.memory_mb.to_string();
+            return Err(ConfigError::Field { field: "limits.memory_mb", value, wanted: "at least 16" });
+        }
         Ok(Config {
             listen: address("listen", file.listen)?,
             discovery: address("discovery", file.discovery)?,
@@ -237,13 +254,14 @@
             name: file.name,
             limits: file.limits,
             known: file.known,
-            settings,
             names: Names {
+                keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
                 classes: name_of(words.grades),
                 tenants: name_of(words.orgs),
                 kinds: words.kinds,
                 zones: words.zones,
             },
+            settings,
             connect_timeout: Duration::from_secs_f64(timeout / 1000.0),
             given: file.settings,
         })
@@ -262,6 +280,7 @@
 }
 
 const MIN_SOCKETS: usize = 32;
+const MIN_MEMORY_MB: usize = 16;
 
 fn address(field: &'static str, value: String) -> Result<SocketAddr, ConfigError> {
     value.parse().map_err(|_| ConfigError::Field { field, value, wanted: "an IP address and port" })
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -42,12 +42,16 @@
     consumers_accepted,
     /// Consumer connections closed while idle to make room for others.
     consumers_evicted,
+    /// Consumer connections closed since they kept a wait beyond its time.
+    consumers_late,
     /// Reads taken in.
     taken_reads,
     /// Writes taken in.
     taken_writes,
     /// Commands answered as unknown, malformed or too large.
     taken_malformed,
+    /// Commands turned away since there was no memory for their answers.
+    rejected_for_memory,
     /// Invocations served.
     answered_served,
     /// Invocations answered with a rejection.
@@ -78,6 +82,8 @@
     calls_cancelled,
     /// Invoker calls never sent.
     calls_moot,
+    /// Answers of providers that could not be understood or never came to their end.
+    answers_spoilt,
     /// Connections opened to providers.
     provider_connections,
     /// Watches started at discovery.
--- a/src/net/exchange/ids.rs
+++ b/src/net/exchange/ids.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Forgets the names whose numbers are of no more use.
+    pub fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
+        self.by_name.retain(|_, id| keep(*id));
+        self.taken.retain(|id| keep(*id));
+    }
+
     /// The number of a name.
     pub fn number(&mut self, name: &str) -> ServerId {
         if let Some(id) = self.by_name.get(name) {
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -7,6 +7,7 @@
 
 use super::config::Names;
 use super::counters::Counters;
+use super::guard::Guarded;
 use super::link::whole_ms;
 use super::log::log;
 use crate::interface::{
@@ -17,7 +18,7 @@
 use clock::Clock;
 use ids::{key_number, ProviderIds};
 use may::sync::mpsc::Sender;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -82,6 +83,8 @@
 pub struct Call {
     /// Its name.
     pub id: CallId,
+    /// The provider.
+    pub provider: ServerId,
     /// Where the provider is reached.
     pub place: Arc<str>,
     /// Whether the provider is the origin.
@@ -99,6 +102,8 @@
     Call(Call),
     /// Call one off, if it is still out.
     Cancel(CallId),
+    /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
+    Forget(ServerId),
 }
 
 /// One provider as discovery tells of it.
@@ -116,23 +121,50 @@
 /// and wake whoever writes it, but never wait nor call the exchange.
 pub type Reply = Box<dyn FnOnce(Answer) + Send>;
 
+/// No two invocations may be open under one id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IdInUse;
+
 /// An invocation, until its answer is given and all its calls have ended.
 struct Record {
     invocation: Arc<Invocation>,
-    reply: Option<Reply>,
+    /// Until it is answered.
+    open: Option<Open>,
     sends: u8,
     out: BTreeMap<u8, (ServerId, Time)>,
 }
 
+/// Who takes the answer, and what ends with it.
+struct Open {
+    reply: Reply,
+    waits: Guarded,
+}
+
+impl Open {
+    /// Gives the answer, and only then has the waits end: it goes out before they wake.
+    fn answer(self, answer: Answer) {
+        (self.reply)(answer);
+        drop(self.waits);
+    }
+}
+
 struct Known {
     place: Arc<str>,
-    ready: bool,
+    state: State,
+    started: Time,
     origin: bool,
 }
 
+impl Known {
+    fn is_ready(&self) -> bool {
+        self.state == State::Ready
+    }
+}
+
 struct Inner {
     balancer: Balancer,
     records: BTreeMap<RequestId, Record>,
+    open_ids: BTreeSet<String>,
     last_id: RequestId,
     providers: BTreeMap<ServerId, Known>,
     ids: ProviderIds,
@@ -140,12 +172,29 @@
 
 /// What is to be done once the exchange's lock is released.
 enum Effect {
-    Answer(Reply, Answer),
+    Answer(Open, Answer),
     Order(Order),
     Timer(Duration, u64),
     Subscribe,
 }
 
+impl Inner {
+    /// Providers are replaced for as long as the program runs: who is gone and has no call out is forgotten.
+    fn forget_gone(&mut self) {
+        let records = self.records.values();
+        let busy: BTreeSet<ServerId> = records.flat_map(|r| r.out.values().map(|out| out.0)).collect();
+        let (providers, ids) = (&mut self.providers, &mut self.ids);
+        providers.retain(|server, known| known.state != State::Gone || busy.contains(server));
+        ids.retain(|server| providers.contains_key(&server));
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(record) = self.records.remove(&id) {
+            self.open_ids.remove(&record.invocation.opaque);
+        }
+    }
+}
+
 /// The meeting point of consumers, providers and discovery.
 pub struct Exchange {
     clock: Clock,
@@ -171,6 +220,7 @@
         let state = Inner {
             balancer: Balancer::new(settings, seed),
             records: BTreeMap::new(),
+            open_ids: BTreeSet::new(),
             last_id: 0,
             providers: BTreeMap::new(),
             ids: ProviderIds::default(),
@@ -191,15 +241,18 @@
 
     /// Invocations that are not yet answered.
     pub fn unanswered(&self) -> usize {
-        self.lock().records.values().filter(|record| record.reply.is_some()).count()
+        self.lock().records.values().filter(|record| record.open.is_some()).count()
     }
 
     /// Takes an invocation in. Its one answer goes to `reply`, unless the consumer leaves first.
-    pub fn take(self: &Arc<Self>, invocation: Invocation, reply: Reply) -> RequestId {
+    pub fn take(self: &Arc<Self>, invocation: Invocation, reply: Reply) -> Result<RequestId, IdInUse> {
         let write = invocation.value.is_some();
-        if write { &self.counters.taken_writes } else { &self.counters.taken_reads }.add();
-        let overdue = Duration::from_secs_f64(invocation.budget.clamp(0.0, MAX_WAIT_MS) / 1000.0) + OVERDUE;
+        let overdue = span(invocation.budget) + OVERDUE;
         let mut state = self.lock();
+        if !state.open_ids.insert(invocation.opaque.clone()) {
+            return Err(IdInUse);
+        }
+        if write { &self.counters.taken_writes } else { &self.counters.taken_reads }.add();
         state.last_id += 1;
         let id = state.last_id;
         let request = Request {
@@ -213,22 +266,24 @@
             write,
         };
         let invocation = Arc::new(invocation);
-        let record = Record { invocation, reply: Some(reply), sends: 0, out: BTreeMap::new() };
-        state.records.insert(id, record);
-        self.step(state, Event::Request(request));
+        let waits = Guarded::default();
         // The module sets a timer for each deadline. Should it ever lose one, no consumer waits for good.
         let exchange = Arc::clone(self);
-        may::go!(move || {
-            may::coroutine::sleep(whole_ms(overdue));
-            exchange.end_overdue(id);
+        waits.by(move |guard| {
+            if guard.sleep(overdue) {
+                exchange.end_overdue(id);
+            }
         });
-        id
+        let record = Record { invocation, open: Some(Open { reply, waits }), sends: 0, out: BTreeMap::new() };
+        state.records.insert(id, record);
+        self.step(state, Event::Request(request));
+        Ok(id)
     }
 
     /// The consumer of an invocation has left.
     pub fn leave(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
-        if state.records.get_mut(&id).is_some_and(|record| record.reply.take().is_some()) {
+        if state.records.get_mut(&id).is_some_and(|record| record.open.take().is_some()) {
             self.counters.consumers_gone.add();
             self.step(state, Event::ClientGone(id));
         }
@@ -236,11 +291,11 @@
 
     fn end_overdue(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
-        if let Some(reply) = state.records.get_mut(&id).and_then(|record| record.reply.take()) {
+        if let Some(open) = state.records.get_mut(&id).and_then(|record| record.open.take()) {
             self.counters.overdue.add();
             self.counters.answered_failed.add();
             self.step(state, Event::ClientGone(id));
-            reply(Answer::Failed);
+            open.answer(Answer::Failed);
         }
     }
 
@@ -249,7 +304,7 @@
         let state = self.lock();
         let Some(record) = state.records.get(&call.invocation) else { return false };
         let Some((server, _)) = record.out.get(&call.attempt) else { return false };
-        record.reply.is_some() && state.providers.get(server).is_some_and(|known| known.ready)
+        record.open.is_some() && state.providers.get(server).is_some_and(Known::is_ready)
     }
 
     /// An invoker call has ended. Only the first report of a call counts.
@@ -260,7 +315,9 @@
         let Some((server, sent)) = record.out.remove(&call.attempt) else { return };
         self.counters.outcome(outcome).add();
         let answer = match (outcome, payload) {
-            (Outcome::Ok, Some(payload)) => record.reply.take().map(|reply| (reply, Answer::Served(payload))),
+            (Outcome::Ok, Some(payload)) => {
+                record.open.take().map(|open| (open.reply, Answer::Served(payload)))
+            }
             _ => None,
         };
         let end = AttemptEnd {
@@ -268,14 +325,14 @@
             attempt: call.attempt,
             server,
             latency: now - sent,
-            last: record.reply.is_none(),
+            last: record.open.is_none(),
             outcome,
             report: Vec::new(),
         };
         // The consumer need not wait for what the module makes of it.
-        if let Some((reply, answer)) = answer {
+        if let Some((open, answer)) = answer {
             self.counters.answered_served.add();
-            reply(answer);
+            open.answer(answer);
         }
         self.step(state, Event::AttemptEnd(end));
     }
@@ -284,25 +341,34 @@
     pub fn providers(self: &Arc<Self>, form: ListForm, list: Vec<Provider>) {
         let mut state = self.lock();
         state.ids.learn(list.iter().map(|provider| provider.name.as_str()));
+        let mut stale = Vec::new();
         if matches!(form, ListForm::Cached | ListForm::Full) {
-            state.providers.values_mut().for_each(|known| known.ready = false);
+            let named: BTreeSet<ServerId> = list.iter().map(|p| state.ids.number(&p.name)).collect();
+            for (server, known) in state.providers.iter_mut().filter(|(server, _)| !named.contains(server)) {
+                known.state = State::Gone;
+                stale.push(*server);
+            }
         }
         let mut members = Vec::with_capacity(list.len());
         for provider in list {
             let server = state.ids.number(&provider.name);
             let member = Member { server, ..provider.member };
-            let ready = member.state == State::Ready;
             let origin = i64::from(member.kind) == self.origin_kind;
-            state.providers.insert(server, Known { place: provider.place.into(), ready, origin });
+            let place = provider.place.into();
+            let known = Known { place, state: member.state, started: member.started, origin };
+            let before = state.providers.get(&server);
+            let is_same = |old: &Known| old.place == known.place && old.started == known.started;
+            if !known.is_ready() || !before.map_or(true, is_same) {
+                stale.push(server);
+            }
+            state.providers.insert(server, known);
             members.push(member);
         }
+        state.forget_gone();
+        stale.into_iter().for_each(|server| drop(self.orders.send(Order::Forget(server))));
         self.step(state, Event::Members(form, members));
     }
 
-    fn timer(self: &Arc<Self>, token: u64) {
-        self.step(self.lock(), Event::Timer(token));
-    }
-
     /// Shows the module an event and carries out what it wants, the last of it with the lock released.
     fn step(self: &Arc<Self>, mut state: MutexGuard<Inner>, event: Event) {
         let now = self.clock.now();
@@ -333,18 +399,26 @@
                     Action::Cancel(invocation, attempt) => {
                         effects.push(Effect::Order(Order::Cancel(CallId { invocation, attempt })));
                     }
-                    Action::Timer(delay, token) => {
-                        let delay = Duration::from_secs_f64(delay.clamp(0.0, MAX_WAIT_MS) / 1000.0);
-                        effects.push(Effect::Timer(delay, token));
+                    Action::Timer(delay, token) => effects.push(Effect::Timer(span(delay), token)),
+                    Action::TimerFor(id, delay, token) => {
+                        // It ends with its invocation: else the timers of what is long answered pile up.
+                        if let Some(open) = state.records.get(&id).and_then(|record| record.open.as_ref()) {
+                            let exchange = Arc::clone(self);
+                            open.waits.by(move |guard| {
+                                if guard.sleep(span(delay)) {
+                                    exchange.step(exchange.lock(), Event::Timer(token));
+                                }
+                            });
+                        }
                     }
                     Action::Subscribe => effects.push(Effect::Subscribe),
                     Action::Log(text) => log(&text),
                 }
             }
             if let Some(id) = about {
-                let over = |record: &Record| record.reply.is_none() && record.out.is_empty();
+                let over = |record: &Record| record.open.is_none() && record.out.is_empty();
                 if state.records.get(&id).is_some_and(over) {
-                    state.records.remove(&id);
+                    state.forget(id);
                 }
             }
         }
@@ -375,38 +449,39 @@
         let Some(record) = record else { return Err(moot(true)) };
         record.sends = record.sends.saturating_add(1);
         self.counters.calls_ordered.add();
-        let Some(known) = known.filter(|known| known.ready && record.reply.is_some()) else {
+        let Some(known) = known.filter(|known| known.is_ready() && record.open.is_some()) else {
             self.counters.calls_moot.add();
-            return Err(moot(record.reply.is_none()));
+            return Err(moot(record.open.is_none()));
         };
         record.out.insert(attempt, (server, now));
         let limit = if limit > 0.0 { limit } else { record.invocation.budget };
         Ok(Call {
             id: CallId { invocation: id, attempt },
+            provider: server,
             place: Arc::clone(&known.place),
             at_origin: known.origin,
             invocation: Arc::clone(&record.invocation),
-            until: Instant::now() + Duration::from_secs_f64(limit.clamp(0.0, MAX_WAIT_MS) / 1000.0),
+            until: Instant::now() + span(limit),
         })
     }
 
     /// Ends an invocation with an answer that no provider gave.
     fn finish(&self, state: &mut Inner, id: RequestId, answer: Answer) -> Option<Effect> {
         let record = state.records.get_mut(&id)?;
-        let reply = record.reply.take()?;
+        let open = record.open.take()?;
         if record.out.is_empty() {
-            state.records.remove(&id);
+            state.forget(id);
         }
         match answer {
             Answer::Rejected(_) => self.counters.answered_rejected.add(),
             _ => self.counters.answered_failed.add(),
         }
-        Some(Effect::Answer(reply, answer))
+        Some(Effect::Answer(open, answer))
     }
 
     fn carry_out(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Answer(reply, answer) => reply(answer),
+            Effect::Answer(open, answer) => open.answer(answer),
             // Either side is only gone when the program stops.
             Effect::Order(order) => drop(self.orders.send(order)),
             Effect::Subscribe => drop(self.subscribe.send(())),
@@ -414,7 +489,7 @@
                 let exchange = Arc::clone(self);
                 may::go!(move || {
                     may::coroutine::sleep(whole_ms(delay));
-                    exchange.timer(token);
+                    exchange.step(exchange.lock(), Event::Timer(token));
                 });
             }
         }
@@ -425,6 +500,11 @@
     }
 }
 
+/// A time of the module's.
+fn span(time: Time) -> Duration {
+    Duration::from_secs_f64(time.clamp(0.0, MAX_WAIT_MS) / 1000.0)
+}
+
 /// No wait is longer than this: more than the module may ask for.
 const MAX_WAIT_MS: f64 = 4_260_000.0;
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -6,7 +6,9 @@
 /// The longest head of a response.
 pub const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
+const REPORT: &[u8] = b"x-pressure:";
 const MAX_CHUNK_LINE: usize = 128;
+const MAX_INTERIM: usize = 8;
 
 /// How a response's body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,7 +17,7 @@
     Length(usize),
     /// With the last chunk.
     Chunked,
-    /// With the connection.
+    /// With the connection: nothing tells whether it is whole.
     UntilClose,
 }
 
@@ -28,12 +30,39 @@
     pub body: Body,
     /// Whether it says that the request never ran.
     pub turned_away: bool,
+    /// The id of the request that it answers, where it tells that.
+    pub id: Option<String>,
     /// Whether the connection ends with it.
     pub closes: bool,
 }
 
-/// Reads the head of a response.
+/// Reads the head of a response. A load report there may be as bad as it likes; any other line that is no
+/// header makes the whole answer suspect.
 pub fn head(bytes: &[u8]) -> Parsed<Head> {
+    match strict_head(bytes) {
+        Malformed(why, skip) => match without_report(bytes) {
+            Some((rest, left_out)) => match strict_head(&rest) {
+                Whole(head, used) => Whole(head, used + left_out),
+                _ => Malformed(why, skip),
+            },
+            None => Malformed(why, skip),
+        },
+        read => read,
+    }
+}
+
+/// A whole head without its load reports, and how many bytes these took; none if there is none.
+fn without_report(bytes: &[u8]) -> Option<(Vec<u8>, usize)> {
+    let end = bytes.windows(4).take(MAX_HEAD).position(|window| window == b"\r\n\r\n")? + 4;
+    let is_report =
+        |line: &&[u8]| line.get(..REPORT.len()).is_some_and(|name| name.eq_ignore_ascii_case(REPORT));
+    let lines = bytes[..end].split_inclusive(|byte| *byte == b'\n');
+    let rest: Vec<u8> = lines.filter(|line| !is_report(line)).flatten().copied().collect();
+    let left_out = end - rest.len();
+    (left_out > 0).then_some((rest, left_out))
+}
+
+fn strict_head(bytes: &[u8]) -> Parsed<Head> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let used = match response.parse(bytes) {
@@ -42,13 +71,12 @@
         _ => return Malformed("no head of a response", None),
     };
     let status = response.code.unwrap_or(0);
-    let mut head =
-        Head { status, body: Body::UntilClose, turned_away: false, closes: response.version == Some(0) };
+    let closes = response.version == Some(0);
+    let mut head = Head { status, body: Body::UntilClose, turned_away: false, id: None, closes };
     let mut length = None;
     for header in response.headers.iter() {
-        let Ok(value) = std::str::from_utf8(header.value).map(str::trim) else {
-            return Malformed("a header that is no text", None);
-        };
+        // What is no text is no value that is looked for below.
+        let value = std::str::from_utf8(header.value).map_or("?", str::trim);
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("content-length") {
             let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
@@ -58,7 +86,7 @@
             }
             length = this;
         } else if is("transfer-encoding") {
-            if !value.eq_ignore_ascii_case("chunked") {
+            if !value.eq_ignore_ascii_case("chunked") || head.body == Body::Chunked {
                 return Malformed("an unknown transfer encoding", None);
             }
             head.body = Body::Chunked;
@@ -66,18 +94,33 @@
             head.closes |= value.eq_ignore_ascii_case("close");
         } else if is("x-turned-away") {
             head.turned_away = value == "1";
+        } else if is("x-txn") {
+            head.id = Some(value.to_owned());
         }
     }
     head.body = match (head.body, length) {
         (Body::Chunked, Some(_)) => return Malformed("both a length and chunks", None),
         (Body::Chunked, None) => Body::Chunked,
         (_, Some(length)) => Body::Length(length),
-        (_, None) if status == 204 || status == 304 => Body::Length(0),
+        (_, None) if status < 200 || status == 204 || status == 304 => Body::Length(0),
         (_, None) => Body::UntilClose,
     };
     Whole(head, used)
 }
 
+/// Reads the head of the final response: what only says that it is to come (1xx) is passed over.
+pub fn final_head(bytes: &[u8]) -> Parsed<Head> {
+    let mut from = 0;
+    for _ in 0..MAX_INTERIM {
+        match head(&bytes[from..]) {
+            Whole(head, used) if (100..200).contains(&head.status) && head.status != 101 => from += used,
+            Whole(head, used) => return Whole(head, from + used),
+            other => return other,
+        }
+    }
+    Malformed("too many interim responses", None)
+}
+
 /// Reads one chunk of a chunked body; an empty one is the last.
 pub fn chunk(bytes: &[u8], max: usize) -> Parsed<&[u8]> {
     match httparse::parse_chunk_size(bytes) {
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -6,6 +6,7 @@
 use super::discovery::{Discovery, Target};
 use super::exchange::Exchange;
 use super::log::{log, print};
+use super::memory::Memory;
 use super::provider::ProviderSide;
 use may::coroutine::sleep;
 use may::sync::mpsc::channel;
@@ -157,9 +158,15 @@
             (subscribe, subscriptions),
         );
         let for_consumers = free - for_providers;
-        let consumers =
-            ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), config.listen, for_consumers)
-                .map_err(|error| format!("listen on {}: {error}", config.listen))?;
+        let memory = Memory::of(config.limits.memory_mb);
+        let consumers = ConsumerSide::start(
+            Arc::clone(&exchange),
+            Arc::clone(counters),
+            memory,
+            config.listen,
+            for_consumers,
+        )
+        .map_err(|error| format!("listen on {}: {error}", config.listen))?;
         Ok(Sides { exchange, consumers, discovery })
     }
 }
--- a/src/net/memcache.rs
+++ b/src/net/memcache.rs
@@ -154,6 +154,9 @@
     }
 }
 
+/// The words that a cache node's answer may begin with.
+const REPLIES: [&str; 6] = ["VA ", "HD ", "EN ", "SERVER_ERROR ", "CLIENT_ERROR ", "ERROR\r\n"];
+
 /// What a cache node answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -163,14 +166,19 @@
     Miss,
     /// Turned away; never ran.
     Busy,
-    /// Any other line.
+    /// It failed; the call may have run.
     Failed,
 }
 
 /// Reads a cache node's answer to the call with this opaque id. An answer that is not for this call
 /// counts as malformed: it must never reach a consumer.
 pub fn reply(bytes: &[u8], opaque: &str) -> Parsed<Reply> {
-    const WRONG: Parsed<Reply> = Malformed("an answer that is not this call's", None);
+    const WRONG: Parsed<Reply> = Malformed("no answer to this call", None);
+    // Noise is known as such by its first bytes: its line may never end.
+    let could_be = |word: &[u8]| bytes.starts_with(word) || word.starts_with(bytes);
+    if !REPLIES.iter().any(|word| could_be(word.as_bytes())) {
+        return WRONG;
+    }
     let (text, used) = match line(bytes) {
         Whole(text, used) => (text, used),
         Incomplete => return Incomplete,
@@ -189,13 +197,18 @@
             },
             _ => WRONG,
         },
-        Some("HD") if ours(&mut words) => match words.find_map(|word| word.strip_prefix('c')) {
-            Some(receipt) => Whole(Reply::Served(Payload::Receipt(receipt.to_owned())), used),
-            None => WRONG,
-        },
+        Some("HD") if ours(&mut words) => {
+            let mut receipts = words.filter_map(|word| word.strip_prefix('c'));
+            match (receipts.next(), receipts.next()) {
+                (Some(receipt), None) => Whole(Reply::Served(Payload::Receipt(receipt.to_owned())), used),
+                _ => WRONG,
+            }
+        }
         Some("EN") if ours(&mut words) => Whole(Reply::Miss, used),
-        Some("SERVER_ERROR") if words.next() == Some("busy") => Whole(Reply::Busy, used),
-        Some("HD" | "EN") => WRONG,
-        _ => Whole(Reply::Failed, used),
+        // Only these words as they stand say that the call never ran.
+        _ if text == "SERVER_ERROR busy" => Whole(Reply::Busy, used),
+        _ if text == "SERVER_ERROR failed" => Whole(Reply::Failed, used),
+        // What else it may be, the connection is of no further use.
+        _ => WRONG,
     }
 }
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -18,6 +18,8 @@
 use std::time::{Duration, Instant};
 
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
+/// An answer is written at a stretch: when the rest of one that has begun does not follow, it is spoilt.
+const STALL: Duration = Duration::from_millis(100);
 
 /// The provider side of one proxy.
 pub struct ProviderSide {
@@ -82,6 +84,7 @@
                     debt.end = Some(side.make(&call));
                 });
             }
+            Order::Forget(provider) => self.pool.forget(provider),
             Order::Cancel(id) => self.with(|running| {
                 if let Some(running) = running.get_mut(&id) {
                     running.cancelled = true;
@@ -95,7 +98,7 @@
     /// the invocation never finds this one still out.
     fn make(&self, call: &Call) -> End {
         loop {
-            let warm = self.pool.warm(&call.place);
+            let warm = self.pool.warm(call.provider, &call.place);
             let fresh = warm.is_none();
             let connection = match warm {
                 Some(connection) => connection,
@@ -105,7 +108,7 @@
                 },
             };
             if !self.exchange.is_wanted(call.id) {
-                self.pool.keep(&call.place, connection);
+                self.pool.keep(call.provider, connection);
                 return Outcome::Moot.into();
             }
             let called_off = self.with(|running| {
@@ -147,21 +150,31 @@
     fn await_reply(&self, call: &Call, connection: Connection) -> End {
         let mut bytes = Vec::new();
         loop {
-            let read = connection.link.read(&mut bytes, call.until);
+            let stalled = Instant::now() + STALL;
+            let patience = if bytes.is_empty() { call.until } else { call.until.min(stalled) };
+            let read = connection.link.read(&mut bytes, patience);
             let cancelled = || self.with(|running| running.get(&call.id).map_or(true, |r| r.cancelled));
             let at_end = match read {
                 Ok(count) => count == 0,
+                Err(error) if error.kind() == ErrorKind::TimedOut && patience < call.until => {
+                    self.counters.answers_spoilt.add();
+                    return Outcome::Error.into();
+                }
                 Err(error) if error.kind() == ErrorKind::TimedOut => return Outcome::Timeout.into(),
                 Err(_) => true,
             };
-            match understand(call, &bytes, at_end) {
+            match understand(call, &bytes) {
                 Understood::Partly if at_end && cancelled() => return Outcome::Cancelled.into(),
                 Understood::Partly if at_end => return Outcome::Reset.into(),
                 Understood::Partly => {}
+                Understood::Spoilt => {
+                    self.counters.answers_spoilt.add();
+                    return Outcome::Error.into();
+                }
                 Understood::Whole(end, keep) => {
                     if keep && !at_end {
                         self.with(|running| running.remove(&call.id));
-                        self.pool.keep(&call.place, connection);
+                        self.pool.keep(call.provider, connection);
                     }
                     return end;
                 }
@@ -213,14 +226,16 @@
 
 enum Understood {
     Partly,
+    /// It ran, as far as anyone can tell, and the connection is of no further use.
+    Spoilt,
     /// How the call ended, and whether the connection can take another.
     Whole(End, bool),
 }
 
 /// Reads a provider's answer in its protocol.
-fn understand(call: &Call, bytes: &[u8], at_end: bool) -> Understood {
+fn understand(call: &Call, bytes: &[u8]) -> Understood {
     if call.at_origin {
-        return understand_http(call, bytes, at_end);
+        return understand_http(call, bytes);
     }
     match memcache::reply(bytes, &call.invocation.opaque) {
         Parsed::Incomplete => Understood::Partly,
@@ -233,28 +248,29 @@
             };
             Understood::Whole(end, used == bytes.len())
         }
-        Parsed::Malformed(..) => Understood::Whole(Outcome::Error.into(), false),
+        Parsed::Malformed(..) => Understood::Spoilt,
     }
 }
 
-fn understand_http(call: &Call, bytes: &[u8], at_end: bool) -> Understood {
-    let failed = || Understood::Whole(Outcome::Error.into(), false);
-    let (head, from) = match http::head(bytes) {
+fn understand_http(call: &Call, bytes: &[u8]) -> Understood {
+    let (head, from) = match http::final_head(bytes) {
         Parsed::Incomplete => return Understood::Partly,
-        Parsed::Malformed(..) => return failed(),
+        Parsed::Malformed(..) => return Understood::Spoilt,
         Parsed::Whole(head, used) => (head, used),
     };
+    if head.id.as_ref().is_some_and(|id| *id != call.invocation.opaque) {
+        return Understood::Spoilt;
+    }
     let rest = &bytes[from..];
     let (body, used) = match head.body {
-        Body::Length(length) if length > MAX_VALUE => return failed(),
+        Body::Length(length) if length > MAX_VALUE => return Understood::Spoilt,
         Body::Length(length) if rest.len() < length => return Understood::Partly,
         Body::Length(length) => (rest[..length].to_vec(), from + length),
-        Body::UntilClose if rest.len() > MAX_VALUE => return failed(),
-        Body::UntilClose if at_end => (rest.to_vec(), bytes.len()),
-        Body::UntilClose => return Understood::Partly,
+        // A value that was cut short would pass for a whole one.
+        Body::UntilClose => return Understood::Spoilt,
         Body::Chunked => match http::chunks(rest, MAX_VALUE) {
             Parsed::Incomplete => return Understood::Partly,
-            Parsed::Malformed(..) => return failed(),
+            Parsed::Malformed(..) => return Understood::Spoilt,
             Parsed::Whole(body, used) => (body, from + used),
         },
     };
@@ -262,12 +278,12 @@
         200 if call.invocation.value.is_none() => served(call, Payload::Value(body)),
         200 => match String::from_utf8(body) {
             Ok(receipt) => served(call, Payload::Receipt(receipt)),
-            Err(_) => Outcome::Error.into(),
+            Err(_) => return Understood::Spoilt,
         },
         503 | 504 if head.turned_away => Outcome::Full.into(),
         _ => Outcome::Error.into(),
     };
-    Understood::Whole(end, used == bytes.len() && !head.closes && head.body != Body::UntilClose)
+    Understood::Whole(end, used == bytes.len() && !head.closes)
 }
 
 /// What was given counts if it is what the invocation asked for: a value for a read, a receipt of one
--- a/src/net/provider/pool.rs
+++ b/src/net/provider/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to providers: kept warm between calls, one call at a time on each, bounded in number.
 
+use crate::interface::ServerId;
 use crate::net::link::Link;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -11,12 +12,16 @@
 /// A provider closes what has stood idle for the time in the settings, and a call written from then on
 /// is lost. This share of that time is safe.
 const IDLE_SHARE: f64 = 0.6;
+/// What a provider sends beyond its answer follows closely. A connection that has rested this long shows it.
+const RESTED: Duration = Duration::from_millis(5);
 
 /// A connection and its place in the pool's count.
 #[derive(Debug)]
 pub struct Connection {
     /// The connection itself.
     pub link: Link,
+    /// Where it leads.
+    to: Arc<str>,
     _place: Place,
 }
 
@@ -38,7 +43,8 @@
     Failed(io::Error),
 }
 
-type Idle = BTreeMap<Arc<str>, VecDeque<(Instant, Connection)>>;
+/// By provider, not by address: one that takes over another's address takes over no connection.
+type Idle = BTreeMap<ServerId, VecDeque<(Instant, Connection)>>;
 
 /// All connections of this proxy to providers.
 #[derive(Debug)]
@@ -56,18 +62,24 @@
         Pool { idle: Mutex::default(), open: Arc::default(), most, idle_limit }
     }
 
-    /// A warm connection, the one used last: those beyond need then grow old and close.
-    pub fn warm(&self, place: &str) -> Option<Connection> {
+    /// A warm connection, the one used last of those that have rested: those beyond need then grow old and
+    /// close.
+    pub fn warm(&self, provider: ServerId, place: &str) -> Option<Connection> {
         loop {
-            let (since, connection) = self.with(|idle| idle.get_mut(place)?.pop_back())?;
-            if since.elapsed() < self.idle_limit && connection.link.is_quiet() {
+            let (since, connection) = self.with(|idle| {
+                let queue = idle.get_mut(&provider)?;
+                let rested = queue.iter().rposition(|(since, _)| since.elapsed() >= RESTED);
+                queue.remove(rested.or_else(|| queue.len().checked_sub(1))?)
+            })?;
+            let fits = &*connection.to == place && connection.link.is_quiet();
+            if fits && since.elapsed() < self.idle_limit {
                 return Some(connection);
             }
         }
     }
 
     /// A new connection. A full pool first closes the one that has been idle longest.
-    pub fn open(&self, place: &str, timeout: Duration) -> Result<Connection, NoConnection> {
+    pub fn open(&self, place: &Arc<str>, timeout: Duration) -> Result<Connection, NoConnection> {
         let address: SocketAddr =
             place.parse().map_err(|_| NoConnection::Failed(io::ErrorKind::InvalidInput.into()))?;
         while self.open.load(Ordering::Acquire) >= self.most {
@@ -81,16 +93,19 @@
             drop(oldest.ok_or(NoConnection::Full)?);
         }
         self.open.fetch_add(1, Ordering::AcqRel);
-        let place = Place(Arc::clone(&self.open));
+        let in_count = Place(Arc::clone(&self.open));
         let link = Link::connect(&address, timeout).map_err(NoConnection::Failed)?;
-        Ok(Connection { link, _place: place })
+        Ok(Connection { link, to: Arc::clone(place), _place: in_count })
     }
 
     /// Keeps a connection for the next call.
-    pub fn keep(&self, place: &Arc<str>, connection: Connection) {
-        self.with(|idle| {
-            idle.entry(Arc::clone(place)).or_default().push_back((Instant::now(), connection));
-        });
+    pub fn keep(&self, provider: ServerId, connection: Connection) {
+        self.with(|idle| idle.entry(provider).or_default().push_back((Instant::now(), connection)));
+    }
+
+    /// Closes the idle connections to a provider that has left or started anew.
+    pub fn forget(&self, provider: ServerId) {
+        drop(self.with(|idle| idle.remove(&provider)));
     }
 
     /// Closes what has been idle for too long, or has been ended from the other side.
@@ -102,13 +117,13 @@
             });
         }
         self.with(|idle| {
-            for (place, mut queue) in all {
+            for (provider, mut queue) in all {
                 if queue.is_empty() {
                     continue;
                 }
-                let newer = idle.remove(&place).unwrap_or_default();
+                let newer = idle.remove(&provider).unwrap_or_default();
                 queue.extend(newer);
-                idle.insert(place, queue);
+                idle.insert(provider, queue);
             }
         });
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -310,7 +310,7 @@
                 self.body.extend(id.to_be_bytes());
                 self.body.push(*attempt);
             }
-            Action::Timer(delay, token) => {
+            Action::Timer(delay, token) | Action::TimerFor(_, delay, token) => {
                 self.record(11, instance);
                 self.body.extend(delay.to_be_bytes());
                 self.body.extend(token.to_be_bytes());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -127,7 +127,10 @@
     pub fn deadline(&mut self, arrival: &[Action]) -> Vec<Action> {
         let longest = arrival
             .iter()
-            .filter_map(|a| if let Action::Timer(delay, token) = a { Some((*delay, *token)) } else { None })
+            .filter_map(|a| match a {
+                Action::Timer(delay, token) | Action::TimerFor(_, delay, token) => Some((*delay, *token)),
+                _ => None,
+            })
             .max_by(|a, b| a.0.total_cmp(&b.0));
         let (delay, token) = longest.expect("a request sets its deadline timer");
         self.now += delay;
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -80,7 +80,8 @@
     let mut overdue = vec![];
     for id in 1..=15 {
         let actions = world.request(read(id, id));
-        let patience = |a: &Action| if let Action::Timer(200.0, token) = a { Some(*token) } else { None };
+        let patience =
+            |a: &Action| if let Action::TimerFor(_, 200.0, token) = a { Some(*token) } else { None };
         overdue.extend(actions.iter().find_map(patience));
     }
     assert_eq!(overdue.len(), 15);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -106,7 +106,9 @@
                         assert!([SAFE, KEYED_ALL].contains(&request.class), "a refusal promises");
                     }
                 }
-                Action::Timer(delay, token) => self.timers.push((now + delay.max(0.0), *token)),
+                Action::Timer(delay, token) | Action::TimerFor(_, delay, token) => {
+                    self.timers.push((now + delay.max(0.0), *token))
+                }
                 _ => {}
             }
         }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -129,6 +129,10 @@
         "mg k v O1 Pc=nothing,t=acme,d=9\r\n",
         "mg k v O1 Pc=read,t=nobody,d=9\r\n",
         "mg k v O1 Pc=read,t=acme,d=-1\r\n",
+        "mg k v O1 Pc=read,t=acme,d=inf\r\n",
+        "mg k v O1 Pc=read,t=acme,d=1e3\r\n",
+        "mg k v O1 Pc=read,t=acme,d=9,d=8\r\n",
+        "ms k 2 O1 Pc=put,t=acme,d=9\r\nab\r\n",
         "mg k v t O1 Pc=read,t=acme,d=9\r\n",
         "ms k 2 v O1 Pc=put,t=acme,d=9\r\nab\r\n",
         "mn\n",
@@ -300,6 +304,201 @@
     assert_eq!((scene.count("reloads"), scene.count("watches")), (1, 2));
 }
 
+/// Guards against places held by consumers that have nothing whole to say.
+#[test]
+fn half_a_command_is_answered_with_an_error_and_silence_with_a_close() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    let begun = Instant::now();
+    let (mut half, mut silent, mut value) = (scene.client(), scene.client(), scene.client());
+    half.say("mg k v O1");
+    value.say("ms k 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhel");
+    for client in [&mut half, &mut value] {
+        assert_eq!(
+            (client.line().as_str(), client.line().as_str()),
+            ("CLIENT_ERROR no whole command in time\r\n", "")
+        );
+    }
+    assert_eq!(silent.line(), "");
+    assert!(begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
+    assert_eq!((scene.count("consumers_late"), node.heard().len()), (1, 0));
+}
+
+/// Guards against an error lost: a connection that closes on unread input is reset.
+#[test]
+fn an_error_arrives_though_more_is_being_sent() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    client.say("ms k 60000000 O1 Pc=put,t=acme,d=900,k=5c\r\n");
+    client.say(&"x".repeat(700_000));
+    assert_eq!((client.line().as_str(), client.line().as_str()), ("CLIENT_ERROR value too large\r\n", ""));
+    let begun = Instant::now();
+    while client.try_say(&"x".repeat(100_000)) {
+        assert!(begun.elapsed() < ms(3000), "it is listened to for ever");
+    }
+}
+
+/// Guards against two answers under one id, of which the wrong one may be taken.
+#[test]
+fn an_id_that_is_open_elsewhere_is_an_error() {
+    let node = Party::node(|line| {
+        sleep(ms(300));
+        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let (mut first, mut other) = (scene.client(), scene.client());
+    first.say("mg k v O1 Pc=read,t=acme,d=900\r\n");
+    scene.until("the node is asked", || node.heard().len() == 1);
+    assert_eq!(other.ask("mg j v O1 Pc=read,t=acme,d=900\r\n"), "CLIENT_ERROR the id is in use\r\n");
+    assert_eq!((first.line().as_str(), first.line().as_str()), ("VA 1 O1\r\n", "v\r\n"));
+    assert_eq!(node.heard().len(), 1);
+    assert_eq!(other.read("j", "1", 900).1, "v\r\n", "it may be used again");
+}
+
+/// Guards against a worker kept by one consumer: others are served while some send errors at full speed.
+#[test]
+fn consumers_that_send_rubbish_do_not_keep_the_worker() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    let rubbish = "no such command\r\n".repeat(2000) + &"mn\r\n".repeat(20_000);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            let (mut bad, rubbish) = (scene.client(), &rubbish);
+            scope.spawn(move || {
+                bad.say(rubbish);
+                assert_eq!(bad.line(), "ERROR\r\n");
+            });
+        }
+        let mut good = scene.client();
+        for n in 0..50 {
+            let begun = Instant::now();
+            assert_eq!(good.read("k", &n.to_string(), 900).1, "v\r\n");
+            assert!(begun.elapsed() < ms(300), "{:?}", begun.elapsed());
+        }
+    });
+}
+
+/// Guards against memory that grows with what consumers ask for and do not read.
+#[test]
+fn memory_stays_within_its_limit() {
+    let value = "v".repeat(65_536);
+    let node = Party::node(move |line| Does::Says(format!("VA 65536 {}\r\n{value}\r\n", opaque(line))));
+    let entries = [node.entry("s-0", "c6", "ready")];
+    let scene = Scene::with_limits(&entries, 256, 32);
+    let mut clients: Vec<Client> = (0..100).map(|_| scene.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let ask = |n| format!("mg k v O{number}.{n} Pc=read,t=acme,d=2000\r\n");
+        client.say(&(0..60).map(ask).collect::<String>());
+    }
+    sleep(ms(2500));
+    assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
+    for client in &mut clients {
+        let line = client.line();
+        assert!(line.starts_with("VA 65536 ") || line.starts_with("SERVER_ERROR busy"), "{line:?}");
+    }
+}
+
+/// Guards against waits that outlive what they guard: each held a stack until its deadline.
+#[test]
+fn an_answered_invocation_leaves_no_timer_behind() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    let ask = |client: &mut Client, from: u32| {
+        (from..from + 1000).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 50_000).1, "v\r\n"));
+    };
+    ask(&mut client, 0);
+    let before = scene.memory_mb();
+    ask(&mut client, 1000);
+    ask(&mut client, 2000);
+    assert!(scene.memory_mb() <= before + 2, "from {before} to {} MB", scene.memory_mb());
+}
+
+/// Guards against a spoilt answer passed on, waited for, or taken for proof that nothing ran.
+#[test]
+fn spoilt_answers_of_a_node_fail_at_once() {
+    for spoilt in [
+        "\u{1}\u{2}noise without an end",
+        "VA 3000000000 O1\r\nvvvv",
+        "VA 9 O1\r\nshort\r\n",
+        "VA 2 O1\r\nlonger\r\n",
+        "VA -1 O1\r\n\r\n",
+        "VA 1 O1",
+        "SERVER_ERROR busy or not\r\n",
+        "HD O1 c1 c2\r\n",
+    ] {
+        let (node, origin) = (Party::node(move |_| Does::Says(spoilt.into())), idle_origin());
+        let scene = Scene::of(&[&node], &origin);
+        let begun = Instant::now();
+        let line = scene.client().read("k", "1", 2000).0;
+        assert!(line.starts_with("SERVER_ERROR busy "), "{spoilt:?} -> {line:?}");
+        assert!(begun.elapsed() < ms(1000), "{spoilt:?}: {:?}", begun.elapsed());
+        let calls = node.heard().len() as u64;
+        assert_eq!((scene.count("calls_error"), scene.count("answers_spoilt")), (calls, calls), "{spoilt:?}");
+        assert_eq!(node.connected() as u64, calls, "the connection is of no further use");
+    }
+}
+
+/// Guards against a good answer lost for what comes along with it, and against that read as the next one.
+#[test]
+fn a_good_answer_with_more_behind_it_is_used_and_its_connection_is_not() {
+    let node = Party::node(|line| {
+        let answer = format!("VA 1 {}\r\nv\r\n", opaque(line));
+        Does::Says(answer.clone() + &answer)
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    (0..10).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
+    assert_eq!((node.connected(), scene.count("calls_error")), (10, 0));
+}
+
+#[test]
+fn odd_answers_of_the_origin_are_used_if_they_are_whole() {
+    let good = [
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
+        "HTTP/1.1 200 OK\r\nX-Pressure: \u{1}\u{7f}=?\r\nContent-Length: 1\r\nX-Txn: 1\r\n\r\nv",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nv",
+    ];
+    let bad = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nvv",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Txn: 2\r\n\r\nv",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nv",
+        "HTTP/1.1 200 OK\r\n\r\nno telling whether it is whole",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nv",
+        "HTTP/9 what\r\n",
+    ];
+    for (answers, served) in [(&good[..], true), (&bad[..], false)] {
+        for answer in answers.iter().copied() {
+            let (node, origin) = (Party::empty_node(), Party::origin(move |_| Does::Says(answer.into())));
+            let scene = Scene::of(&[&node], &origin);
+            let begun = Instant::now();
+            let (line, value) = scene.client().read("k", "1", 2000);
+            assert_eq!(line == "VA 1 O1\r\n" && value == "v\r\n", served, "{answer:?} -> {line:?}");
+            assert!(begun.elapsed() < ms(1000), "{answer:?}: {:?}", begun.elapsed());
+        }
+    }
+}
+
+/// Guards against a connection to a machine that has gone, used for the one that has its address now.
+#[test]
+fn a_new_node_at_an_old_address_inherits_no_connection() {
+    let node = Party::full_node("v");
+    let scene = Scene::new(&[node.entry("s-0", "c6", "ready")]);
+    let (_, tell) = scene.discovery.watch();
+    let mut client = scene.client();
+    assert_eq!(client.read("k", "1", 900).1, "v\r\n");
+    let change = [node.entry("s-0", "c6", "gone"), node.entry("s-1", "c6", "ready")];
+    tell.send(catalog(2, false, &change)).unwrap();
+    scene.until("the change is known", || scene.count("lists") == 1);
+    scene.until("the old connection ends", || node.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(client.read("k", "2", 900).1, "v\r\n");
+    assert_eq!(node.connected(), 2);
+}
+
 #[test]
 fn connections_between_commands_make_room_for_others() {
     let (node, origin) = (Party::full_node("v"), idle_origin());
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -223,9 +223,14 @@
     }
 
     pub fn with_sockets(entries: &[String], sockets: usize) -> Scene {
+        Scene::with_limits(entries, sockets, 192)
+    }
+
+    pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> Scene {
         let discovery = Discovery::new();
         let known = catalog(1, true, entries);
-        let config = written(&config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known));
+        let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
+        let config = written(&config.replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#)));
         let mut child = start_on(&config);
         let log = BufReader::new(child.stderr.take().unwrap());
         let (found, place) = channel();
@@ -281,6 +286,14 @@
         }
     }
 
+    /// The most memory that the proxy has had so far, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.as_ref().unwrap().id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let kb = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+        kb.unwrap().parse::<u64>().unwrap() / 1024
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
@@ -315,6 +328,11 @@
         self.0.get_mut().write_all(words.as_bytes()).unwrap();
     }
 
+    /// Says it as far as the proxy lets it.
+    pub fn try_say(&mut self, words: &str) -> bool {
+        self.0.get_mut().write_all(words.as_bytes()).is_ok()
+    }
+
     /// The next line; empty at the end of the connection.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
