Give an answer before the waits of its invocation wake

At fault: src/net/exchange (call_ended, step), which dropped the waits before the reply ran. Open::answer now does both in order.

--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -315,9 +315,7 @@
         let Some((server, sent)) = record.out.remove(&call.attempt) else { return };
         self.counters.outcome(outcome).add();
         let answer = match (outcome, payload) {
-            (Outcome::Ok, Some(payload)) => {
-                record.open.take().map(|open| (open.reply, Answer::Served(payload)))
-            }
+            (Outcome::Ok, Some(payload)) => record.open.take().map(|open| (open, Answer::Served(payload))),
             _ => None,
         };
         let end = AttemptEnd {
