Let the origin take what it can: cut its limit on a share of slow answers; M is 4

A second probe at each call's end: the origin's latency does not change from 3 to 16 fetches at once (p50 70 ms, p90 140 ms), yet the limit stood at 8 to 10. So the origin was not full, the limit was wrong. Excluded: sockets (no Moot, 0 to 6 failed connects), CPU (0.06 of a core), rejections by the origin (2 to 7 Full). At fault: src/logic.rs (judge), which cut the limit by 0.7 for each single slow answer: with one long fetch in 20 that settles near 8 whatever the origin can take. It is now cut once a quarter of its answers is slow. Beside it M, which the design leaves open: at 2 the sets grow by chance (27 in 100 reads missed).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,13 +6,14 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
-const M: f64 = 2.0; // paper: a set grows when its best member is this much busier than the fleet's
+const M: f64 = 4.0; // paper: a set grows when its best member is this much busier than the fleet's
 const Q: Time = 60_000.0; // paper: a set unchanged for this long drops a member
 const LARGE_SHARE: f64 = 0.16; // paper: the share of keys that are large
 const TABLE_MAX: usize = 1 << 16; // keys remembered; the least recently used go
 const SUSPECT: f64 = 0.5; // share of failures, lately, from which on a server is a suspect
 const TRIAL: Time = 1000.0; // a suspect is tried again after about this long
 const SPREAD: f64 = 2.0; // a key's places in the rendezvous order, over its due share of the fleet
+const CROWDED: f64 = 0.25; // share of slow answers, lately, from which on the origin has too much to do
 const FIRST: f64 = 32.0; // in flight at a server at first, by all proxies together
 const DEADLINE: u64 = 1 << 60; // timer tokens: kind in the top bits, request id below
 const PATIENCE: u64 = 2 << 60;
@@ -46,6 +47,7 @@
     in_flight: u32,
     limit: f64,
     cut_at: Time,
+    slow: f64,
     failing: f64,
     trial_at: Time,
     shut: Time,
@@ -530,7 +532,11 @@
             server.trial_at = now + TRIAL * jitter;
         }
         let slow = end.latency > slow_from || matches!(end.outcome, Full | Timeout);
-        if slow && now - end.latency >= server.cut_at {
+        // Danger: fetches differ in length. A limit cut for each long one stays far under what the origin can
+        // take, and misses wait for nothing: it is cut once a share of them is slow.
+        server.slow += 0.1 * (f64::from(u8::from(slow)) - server.slow);
+        let crowded = slow && (!at_origin || server.slow > CROWDED || end.outcome == Full);
+        if crowded && now - end.latency >= server.cut_at {
             server.limit = (server.limit * 0.7).max(1.0);
             server.cut_at = now;
         } else if !slow && end.outcome == Ok && f64::from(server.in_flight + 1) * 2.0 > server.limit {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -16,37 +16,37 @@
 fn a_set_grows_on_a_gap_of_m_and_then_uses_its_least_loaded_member() {
     let mut world = World::new(false, 6);
     let mut hosts = vec![];
-    for id in 1..=3 {
+    for id in 1..=5 {
         hosts.push(sent(&world.request(read(id, 5))).unwrap().1);
     }
-    assert_eq!(hosts[0], hosts[1], "one in flight is no gap of two");
-    assert_ne!(hosts[2], hosts[0], "two in flight are");
-    // Home has two in flight, the second member one: under M apart, so home again, then the second.
-    assert_eq!(sent(&world.request(read(4, 5))).unwrap().1, hosts[0]);
-    assert_eq!(sent(&world.request(read(5, 5))).unwrap().1, hosts[2], "the set's least loaded member");
+    assert_eq!(hosts[..4], [hosts[0]; 4], "three in flight are no gap of four");
+    assert_ne!(hosts[4], hosts[0], "four in flight are");
+    // Home has four in flight, the second member one: under M apart, so home again, then the second.
+    assert_eq!(sent(&world.request(read(6, 5))).unwrap().1, hosts[0]);
+    assert_eq!(sent(&world.request(read(7, 5))).unwrap().1, hosts[4], "the set's least loaded member");
 }
 
 /// Lets a key's set grow to two members; the home and the second.
 fn grown(world: &mut World, key: Key) -> (ServerId, ServerId) {
     let hosts: Vec<ServerId> =
-        (1..=3).map(|n| sent(&world.request(read(key * 10 + n, key))).unwrap().1).collect();
+        (1..=5).map(|n| sent(&world.request(read(key * 10 + n, key))).unwrap().1).collect();
     hosts.iter().zip(1..).for_each(|(host, n)| drop(world.end(key * 10 + n, 0, *host, Outcome::Ok)));
-    assert_ne!(hosts[0], hosts[2]);
-    (hosts[0], hosts[2])
+    assert_ne!(hosts[0], hosts[4]);
+    (hosts[0], hosts[4])
 }
 
 /// Whether the second member of a key's set is still known: then one request in flight there keeps
-/// the third of three at home, since the set's least loaded member is no gap of M above the fleet's.
+/// the fifth of five at home, since the set's least loaded member is no gap of M above the fleet's.
 fn second_is_known(world: &mut World, key: Key, (home, second): (ServerId, ServerId), from: u64) -> bool {
     let other = (1..).find(|n| world.served(from + n, from + n) == second).unwrap();
     let taken = sent(&world.request(read(from, from + other))).unwrap().1;
     assert_eq!(taken, second);
     let hosts: Vec<ServerId> =
-        (1..=3).map(|n| sent(&world.request(read(from + 500_000 + n, key))).unwrap().1).collect();
+        (1..=5).map(|n| sent(&world.request(read(from + 500_000 + n, key))).unwrap().1).collect();
     hosts.iter().zip(1..).for_each(|(host, n)| drop(world.end(from + 500_000 + n, 0, *host, Outcome::Ok)));
     world.end(from, 0, second, Outcome::Ok);
-    assert_eq!(hosts[..2], [home, home]);
-    hosts[2] == home
+    assert_eq!(hosts[..4], [home; 4]);
+    hosts[4] == home
 }
 
 #[test]
@@ -89,8 +89,8 @@
     for hint in [None, Some(f64::NAN), Some(-1.0), Some(0.0), Some(f64::INFINITY)] {
         let mut world = World::new(false, 6);
         let odd = |id| Request { hint, ..read(id, 5) };
-        let hosts: Vec<ServerId> = (1..=3).map(|id| sent(&world.request(odd(id))).unwrap().1).collect();
-        assert_ne!(hosts[0], hosts[2], "{hint:?}: a small key's set grows");
+        let hosts: Vec<ServerId> = (1..=5).map(|id| sent(&world.request(odd(id))).unwrap().1).collect();
+        assert_ne!(hosts[0], hosts[4], "{hint:?}: a small key's set grows");
     }
 }
 
@@ -110,6 +110,37 @@
     assert!((240..360).contains(&at_first), "{at_first} of 600, half expected");
 }
 
+/// Danger: a limit cut for each long fetch stays far under what the origin can take.
+#[test]
+fn the_origin_takes_more_at_once_until_a_quarter_of_its_answers_is_slow() {
+    let room = |slow_every: u64| {
+        let mut world = World::new(true, 4);
+        let (mut most, mut fetched) = (0, 0);
+        for round in 1..200 {
+            world.now += 1000.0;
+            let mut out = vec![];
+            for id in round * 100..round * 100 + 30 {
+                let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
+                let fetches = !sends(&world.end(id, 0, server, Outcome::Miss)).is_empty();
+                if fetches {
+                    out.push(id)
+                } else {
+                    drop(world.event(Event::ClientGone(id)))
+                }
+            }
+            most = out.len();
+            for id in out {
+                fetched += 1;
+                let latency = if fetched % slow_every == 0 { 290.0 } else { 20.0 };
+                world.end_after(id, 1, ORIGIN, Outcome::Ok, latency);
+            }
+        }
+        most
+    };
+    let (seldom, often) = (room(10), room(2));
+    assert!(seldom > 2 * often && often >= 1, "{seldom} and {often} at once");
+}
+
 #[test]
 fn misses_of_one_key_share_a_fetch_and_find_the_value_where_it_missed() {
     let mut world = World::new(true, 4);
