Keep timers to a few hundred lengths: more of them crash the timers of the library

Counters at SIGUSR1: one of two proxies took in nothing from 24 s on, though all it had taken was answered and its watch went on; consumers that stood idle were no longer closed. Excluded: full places (a probe in the accepting loop), panics (none logged), a lost answer (taken 8440 = served 8207 + rejected 149 + gone 84), the worker (the watch is its work). What had stopped were all waits of the library's timer thread. Cause: may keeps a list of timers per length of time and frees an empty one beyond 1024 lengths, while timers that were ended may still point into it (timeout_list.rs, mpsc_list_v1.rs). Waits now go in steps of at most six significant bits. Beside it an invocation that its consumer left ends its waits outside the exchange's lock.

--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -7,8 +7,7 @@
 
 use super::config::Names;
 use super::counters::Counters;
-use super::guard::Guarded;
-use super::link::whole_ms;
+use super::guard::{self, Guarded};
 use super::log::log;
 use crate::interface::{
     Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, State, Time,
@@ -283,7 +282,9 @@
     /// The consumer of an invocation has left.
     pub fn leave(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
-        if state.records.get_mut(&id).is_some_and(|record| record.open.take().is_some()) {
+        // What waits on it ends with the lock released.
+        let open = state.records.get_mut(&id).and_then(|record| record.open.take());
+        if open.is_some() {
             self.counters.consumers_gone.add();
             self.step(state, Event::ClientGone(id));
         }
@@ -486,7 +487,7 @@
             Effect::Timer(delay, token) => {
                 let exchange = Arc::clone(self);
                 may::go!(move || {
-                    may::coroutine::sleep(whole_ms(delay));
+                    guard::sleep(delay);
                     exchange.step(exchange.lock(), Event::Timer(token));
                 });
             }
--- a/src/net/guard.rs
+++ b/src/net/guard.rs
@@ -56,7 +56,29 @@
             if left.is_zero() {
                 return true;
             }
-            coroutine::park_timeout(whole_ms(left));
+            coroutine::park_timeout(step(left));
         }
     }
 }
+
+/// The longest part of a wait that has one of a few hundred lengths: whole milliseconds of at most six
+/// significant bits. may keeps a list of timers for each length, and drops an empty one as soon as there are
+/// more than 1024, while timers that were ended may still point into it: it crashed, or lost all timers.
+pub fn step(wait: Duration) -> Duration {
+    const SIGNIFICANT_BITS: u32 = 6;
+    let ms = u64::try_from(whole_ms(wait).as_millis()).unwrap_or(u64::MAX);
+    let beyond = (u64::BITS - ms.leading_zeros()).saturating_sub(SIGNIFICANT_BITS);
+    Duration::from_millis(ms >> beyond << beyond)
+}
+
+/// Sleeps for a time, in such steps.
+pub fn sleep(time: Duration) {
+    let until = Instant::now() + time;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        coroutine::sleep(step(left));
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -552,3 +552,27 @@
         assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{said}");
     }
 }
+
+/// Guards against timers lost: the timer lists of the library, one for each length of time, are unsafe to use
+/// in more than 1024 lengths.
+#[test]
+fn waits_of_many_lengths_all_end() {
+    let (node, origin) = (Party::node(|_| Does::Nothing), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    for round in 0..2 {
+        let mut clients: Vec<(Client, usize)> = (0..48).map(|number| (scene.client(), number)).collect();
+        for (client, number) in &mut clients {
+            let ask = |n: usize| {
+                format!(
+                    "mg k{number}.{n} v O{round}.{number}.{n} Pc=read,t=acme,d={}\r\n",
+                    20 + n * 48 + *number
+                )
+            };
+            client.say(&(0..60).map(ask).collect::<String>());
+        }
+        for (client, _) in &mut clients {
+            (0..60).for_each(|_| assert!(client.line().starts_with("SERVER_ERROR ")));
+        }
+    }
+    assert_eq!(scene.count("overdue"), 0);
+}
