--- a/crates/places/src/places.rs
+++ b/crates/places/src/places.rs
@@ -139,6 +139,7 @@
     crossings: BTreeSet<(Ms, Id)>,
     tables: [Returns; KINDS],
     flow: Flow,
+    shut: bool,
 }
 
 impl Places {
@@ -152,6 +153,7 @@
             crossings: BTreeSet::new(),
             tables: Default::default(),
             flow: Flow::default(),
+            shut: false,
         }
     }
 
@@ -160,6 +162,12 @@
         self.most = most.max(1);
     }
 
+    /// From now on nobody comes any more, so that nobody's place is wanted: limits are generous again. Who is
+    /// closed by a server that stops has nowhere to go.
+    pub fn shut(&mut self) {
+        self.shut = true;
+    }
+
     /// Places held.
     pub fn open(&self) -> usize {
         self.entries.len()
@@ -237,6 +245,9 @@
 
     /// The share of the places that is held, or will be if they fill on as they do.
     pub fn pressure(&self, now: Ms) -> f64 {
+        if self.shut {
+            return 0.0;
+        }
         (self.open() as f64 + self.flow.growth(now, self.limits.ahead)) / self.most as f64
     }
 
--- a/crates/places/tests/crowds.rs
+++ b/crates/places/tests/crowds.rs
@@ -1,6 +1,6 @@
 //! Crowds played against the core in virtual time: scripted clients, no socket, no clock, the same each time.
 
-use pinetrail_places::{Id, Limits, Ms, Phase, Places, Reason};
+use pinetrail_places::{Id, Limits, Ms, Phase, Places, Reason, Split};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a client does with its connection.
@@ -10,6 +10,10 @@
     Silent,
     /// Sends one byte each 500 ms.
     Drips,
+    /// Says a word of courtesy and then keeps the connection for good.
+    Greets,
+    /// Asks once and closes the connection when it has the answer.
+    AsksAndLeaves,
     /// Asks once and then keeps the connection for good.
     AsksOnce,
     /// Asks again at each such interval, on the connection that it has or on a new one.
@@ -61,7 +65,7 @@
 
     /// One client connects.
     fn come(&mut self, manner: Manner) {
-        let honest = matches!(manner, Manner::AsksOnce | Manner::AsksEvery(_));
+        let honest = matches!(manner, Manner::AsksOnce | Manner::AsksAndLeaves | Manner::AsksEvery(_));
         self.asked += usize::from(honest);
         if self.places.is_full() {
             let orders = self.places.make_room(self.now, 8);
@@ -79,7 +83,11 @@
         match manner {
             Manner::Silent => {}
             Manner::Drips => drop(self.events.insert((self.now, id, BYTE))),
-            Manner::AsksOnce | Manner::AsksEvery(_) => {
+            Manner::Greets => {
+                self.places.enter(self.now, id, Phase::AtWork);
+                self.places.enter(self.now, id, Phase::Idle);
+            }
+            Manner::AsksOnce | Manner::AsksAndLeaves | Manner::AsksEvery(_) => {
                 self.honest.insert(id);
                 self.events.insert((self.now + 1, id, ASK));
             }
@@ -128,6 +136,12 @@
                         self.places.enter(self.now, id, Phase::Idle);
                         self.events.insert((self.now + gap, id, ASK));
                     }
+                    (_, Manner::AsksAndLeaves) => {
+                        self.places.enter(self.now, id, Phase::Idle);
+                        self.manners.remove(&id);
+                        self.honest.remove(&id);
+                        self.places.left(self.now, id);
+                    }
                     _ => drop(self.places.enter(self.now, id, Phase::Idle)),
                 }
             }
@@ -181,6 +195,54 @@
     assert!(half <= 100 * 7 / 10, "{half} places are held by those with half a command");
 }
 
+#[test]
+fn a_connection_for_each_request_finds_its_place_beside_a_silent_crowd() {
+    let mut crowd = Crowd::on(80, 80);
+    // 25 at work at a time; the silent alone would hold 100 for 2 s each.
+    crowd.play(1000, &[(Manner::AsksAndLeaves, 250), (Manner::Silent, 50)]);
+    crowd.turned_away_in_1000();
+    crowd.play(5000, &[(Manner::AsksAndLeaves, 250), (Manner::Silent, 50)]);
+    assert_eq!(crowd.turned_away_in_1000(), 0);
+    assert_eq!(crowd.closed.keys().filter(|reason| **reason == Reason::NoRoom).count(), 0);
+}
+
+/// As recorded: for 1.5 s of the second life 576 a second greet and stay, beside the silent and the honest.
+#[test]
+fn a_crowd_that_comes_with_the_start_is_past_within_seconds() {
+    let mut crowd = Crowd::on(225, 128);
+    let always = [(Manner::Silent, 45), (Manner::AsksOnce, 250)];
+    let crowded = [(Manner::Silent, 45), (Manner::AsksOnce, 250), (Manner::Greets, 576)];
+    crowd.play(1500, &crowded);
+    crowd.turned_away_in_1000();
+    crowd.play(1500, &crowded);
+    assert!(crowd.turned_away_in_1000() <= 20);
+    crowd.play(5000, &always);
+    assert!(crowd.turned_away_in_1000() <= 2);
+}
+
+/// Guards against a crowd that finds all descriptors with providers, and against one given twice.
+#[test]
+fn a_crowd_gets_its_share_while_providers_hold_all_they_may_and_more_after() {
+    let mut split = Split::new(360, 0.5, 0.25);
+    split.providers_need(0, 500);
+    let mut providers = split.for_providers(0);
+    let mut crowd = Crowd::on(split.for_consumers(0), 180);
+    assert_eq!((providers, split.for_consumers(0)), (180, 180));
+    let mut served_share = Vec::new();
+    for second in 0..30u64 {
+        for _ in 0..100 {
+            crowd.places.set_most(split.for_consumers(crowd.now));
+            crowd.play(10, &[(Manner::Silent, 50), (Manner::AsksOnce, 250)]);
+            assert!(crowd.places.open() + providers <= 360, "a descriptor given twice");
+        }
+        served_share.push(1000 - crowd.turned_away_in_1000());
+        // Their calls end, and idle connections are retired.
+        providers = (180 - 4 * second as usize).max(60);
+    }
+    assert!(served_share[3..].iter().all(|share| *share >= 990), "{served_share:?}");
+    assert!(split.for_consumers(crowd.now) > 260);
+}
+
 #[test]
 fn those_that_ask_again_after_long_keep_their_places_from_those_that_never_do() {
     let mut crowd = Crowd::on(225, 200);
@@ -219,3 +281,20 @@
     };
     assert_eq!(play(), play());
 }
+
+/// Guards against connections closed at a planned restart, by clients that could open no other.
+#[test]
+fn a_server_that_stops_takes_no_place_from_those_that_still_ask() {
+    let close_at_stop = |shut: bool| {
+        let mut crowd = Crowd::on(150, 140);
+        crowd.play(4000, &[(Manner::AsksOnce, 250), (Manner::Silent, 50)]);
+        if shut {
+            crowd.places.shut();
+        }
+        let before = crowd.closed.get(&Reason::Hopeless).map_or(0, Vec::len);
+        crowd.play(400, &[]);
+        crowd.closed.get(&Reason::Hopeless).map_or(0, Vec::len) - before
+    };
+    assert!(close_at_stop(false) > 10);
+    assert_eq!(close_at_stop(true), 0);
+}
--- a/src/net/consumer/mod.rs
+++ b/src/net/consumer/mod.rs
@@ -100,11 +100,20 @@
         Ok(side)
     }
 
-    /// From now on none is accepted, and connections close as soon as they stand between commands.
-    pub fn close_when_idle(&self) {
+    /// From now on none is accepted; those held are served on.
+    pub fn stop_listening(&self) {
         self.listening.store(false, Ordering::Release);
         // Wakes the coroutine that accepts. An error says that it listens no more.
         let _ = SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
+    }
+
+    /// From now on connections are no longer closed to make room for others.
+    pub fn keep_all(&self) {
+        self.with(|held| held.places.shut());
+    }
+
+    /// From now on connections close as soon as they stand between commands.
+    pub fn close_when_idle(&self) {
         self.closing.store(true, Ordering::Release);
         self.with(|held| held.connections.values().for_each(|shared| shared.waker.wakeup()));
     }
--- /dev/null
+++ b/src/net/drain.rs
@@ -0,0 +1,55 @@
+//! When what happens after SIGTERM. The platform kills no sooner than the longest time that a client waits
+//! plus 0.7 s later, and counts waits of over 3 s as 3 s.
+
+use std::time::Duration;
+
+/// New connections still come for up to 0.4 s, and are served.
+const STILL_OPEN: Duration = Duration::from_millis(500);
+/// How much later than the longest wait the kill comes at the earliest.
+const GRACE: Duration = Duration::from_millis(700);
+const LONGEST_WAIT: Duration = Duration::from_millis(3000);
+/// Before the kill, so long for what was taken last: most calls end within it.
+const LAST_CALLS: Duration = Duration::from_millis(400);
+/// And so long for answers to go out.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
+/// The times of a drain, each since SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// Until then connections are accepted.
+    pub accepts: Duration,
+    /// Until then invocations are taken in on those that are held. Clients use what they have for as long as it
+    /// is open, and where one proxy serves alone nobody else would answer them.
+    pub serves: Duration,
+    /// Then all that is not answered is. Danger: what the kill finds unanswered is lost.
+    pub ends: Duration,
+}
+
+impl Drain {
+    /// A drain where clients wait for so long at the most, if that is known.
+    pub fn for_wait(longest: Option<Duration>) -> Drain {
+        let kill = longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT) + GRACE;
+        let serves = match longest {
+            Some(_) => kill.saturating_sub(LAST_CALLS).max(STILL_OPEN),
+            None => STILL_OPEN,
+        };
+        Drain { accepts: STILL_OPEN, serves, ends: kill.saturating_sub(LAST_WORDS).max(STILL_OPEN) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_drain_ends_before_the_earliest_kill() {
+        let ms = Duration::from_millis;
+        let drain = |wait| Drain::for_wait(Some(ms(wait)));
+        assert_eq!(drain(1000), Drain { accepts: ms(500), serves: ms(1300), ends: ms(1600) });
+        // Waits beyond 3 s count as 3 s.
+        assert_eq!(drain(9000), Drain { accepts: ms(500), serves: ms(3300), ends: ms(3600) });
+        assert_eq!(drain(1), Drain { accepts: ms(500), serves: ms(500), ends: ms(601) });
+        // How long clients wait is not told: nothing is taken that might be found unanswered.
+        assert_eq!(Drain::for_wait(None), Drain { accepts: ms(500), serves: ms(500), ends: ms(3600) });
+    }
+}
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -290,6 +290,15 @@
         }
     }
 
+    /// Ends whatever is unanswered, as failed: the program stops.
+    pub fn end_all(self: &Arc<Self>) {
+        let open: Vec<RequestId> = {
+            let state = self.lock();
+            state.records.iter().filter(|(_, record)| record.open.is_some()).map(|(id, _)| *id).collect()
+        };
+        open.into_iter().for_each(|id| self.end_overdue(id));
+    }
+
     fn end_overdue(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
         if let Some(open) = state.records.get_mut(&id).and_then(|record| record.open.take()) {
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -5,10 +5,12 @@
 use super::counters::Counters;
 use super::descriptors::Descriptors;
 use super::discovery::{Discovery, Target};
+use super::drain::Drain;
 use super::exchange::Exchange;
 use super::log::{log, print};
 use super::memory::Memory;
 use super::provider::ProviderSide;
+use crate::settings::Settings;
 use may::coroutine::sleep;
 use may::sync::mpsc::channel;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -22,11 +24,9 @@
 const STACK_WORDS: usize = 16 * 1024;
 /// Coroutines kept ready: invocations' timers come and go in hundreds.
 const READY_COROUTINES: usize = 512;
-/// After SIGTERM new connections still come for up to 0.4 s, and are served.
-const STILL_OPEN: Duration = Duration::from_millis(500);
-/// SIGKILL may come 3.7 s after SIGTERM, or sooner where deadlines are shorter, as is then the drain.
-const LONGEST_DRAIN: Duration = Duration::from_millis(3600);
 const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// At the end of a drain answers that nobody waited for longer have so long to go out.
+const LAST_WRITES: Duration = Duration::from_millis(50);
 /// Descriptors that are neither a consumer's nor a provider's: files, pollers, discovery, the listener.
 const OWN_SOCKETS: usize = 24;
 
@@ -91,7 +91,7 @@
             }
         }
         self.enter(Phase::Draining);
-        drain(&sides.exchange, &sides.consumers);
+        drain(&sides, Drain::for_wait(longest_wait(&config.settings)));
         self.enter(Phase::Stopped);
         print(&self.counters.line());
         Ok(())
@@ -166,12 +166,31 @@
     }
 }
 
-/// Serves on while new connections may come, then until everything taken is answered.
-fn drain(exchange: &Exchange, consumers: &ConsumerSide) {
+/// How long a client waits at the most, over all classes; none where that is not told.
+fn longest_wait(settings: &Settings) -> Option<Duration> {
+    let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+    (longest > 0.0).then(|| Duration::from_secs_f64(longest.min(60_000.0) / 1000.0))
+}
+
+/// Serves on while new connections may come, then those that are held, then until everything taken is
+/// answered.
+fn drain(sides: &Sides, drain: Drain) {
     let begun = Instant::now();
-    sleep(STILL_OPEN);
-    consumers.close_when_idle();
-    while exchange.unanswered() + consumers.open() > 0 && begun.elapsed() < LONGEST_DRAIN {
+    let until = |time: Duration| sleep(time.saturating_sub(begun.elapsed()));
+    let held = || sides.exchange.unanswered() + sides.consumers.open();
+    sides.consumers.keep_all();
+    until(drain.accepts);
+    sides.consumers.stop_listening();
+    while begun.elapsed() < drain.serves && held() > 0 {
+        sleep(LOOK_EVERY);
+    }
+    sides.consumers.close_when_idle();
+    while held() > 0 && begun.elapsed() < drain.ends {
+        sleep(LOOK_EVERY);
+    }
+    sides.exchange.end_all();
+    // Then the answers go out; a consumer that does not read cannot hold the exit up for long.
+    while held() > 0 && begun.elapsed() < drain.ends + LAST_WRITES {
         sleep(LOOK_EVERY);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod counters;
 pub mod descriptors;
 pub mod discovery;
+pub mod drain;
 pub mod exchange;
 pub mod guard;
 pub mod http;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,6 +32,9 @@
 pub struct Class {
     /// An answer within this time earns the full worth, in ms.
     pub aim: f64,
+    /// A client waits for so long across all its tries, in ms; 0 where not told.
+    #[serde(default)]
+    pub give_up: f64,
     /// Its kind of effect.
     #[serde(rename = "Semantics")]
     pub effect: Effect,
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -540,6 +540,37 @@
     assert!(closed >= 60 - 30, "{closed}");
 }
 
+/// Guards against clients that are short of connections, since the proxy keeps those that nobody will use.
+/// They may hold a third of the descriptors, ask once on each and keep it; beside them a crowd says nothing.
+#[test]
+fn clients_that_ask_once_and_stay_are_let_go_in_time() {
+    const SOCKETS: usize = 96;
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let scene = Scene::with_sockets(&entries, SOCKETS);
+    let (mut honest, mut silent): (Vec<Client>, Vec<Client>) = (Vec::new(), Vec::new());
+    let (mut asked, mut served) = (0, 0);
+    let begun = Instant::now();
+    for round in 0..200u64 {
+        sleep((begun + ms(round * 20)).saturating_duration_since(Instant::now()));
+        silent.push(scene.client());
+        silent.retain(|client| !client.is_closed());
+        honest.retain(|client| !client.is_closed());
+        // What is learnt of them in the first second and a half is not held against it.
+        let counts = usize::from(round >= 75);
+        asked += counts;
+        if honest.len() < SOCKETS / 3 {
+            let mut client = scene.client();
+            let served_now = client.read(&format!("k{round}"), &round.to_string(), 900).1 == "v\r\n";
+            served += counts * usize::from(served_now);
+            honest.push(client);
+        }
+    }
+    // Each kept for 2.2 s, 32 connections would carry 15 requests a second of the 50.
+    assert!(served * 10 >= asked * 9, "{served} of {asked}");
+    assert!(scene.count("consumers_hopeless") > 0);
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken() {
     let node = Party::node(|line| {
@@ -565,6 +596,31 @@
     assert!(said.contains("taken_reads=2") && said.contains("answered_served=2"), "{said}");
 }
 
+/// Guards against clients of a proxy that serves alone, left without an answer for as long as its stop takes:
+/// they use the connections that they have.
+#[test]
+fn held_connections_are_served_on_until_shortly_before_the_kill() {
+    let node = Party::node(|line| match line.contains("slow") {
+        true => Does::Nothing,
+        false => Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let (mut kept, mut slow) = (scene.client(), scene.client());
+    assert_eq!((kept.ask("mn\r\n"), slow.ask("mn\r\n")), ("MN\r\n".into(), "MN\r\n".into()));
+    scene.signal("TERM");
+    let begun = Instant::now();
+    sleep(ms(800));
+    assert!(std::net::TcpStream::connect(scene.place).is_err(), "it still listens");
+    assert_eq!(kept.read("k", "1", 900).1, "v\r\n");
+    // Clients wait for 1 s at the most, so that the kill may come 1.7 s after SIGTERM: this one is answered first.
+    slow.say("mg slow v O2 Pc=read,t=acme,d=1000\r\n");
+    assert!(slow.line().starts_with("SERVER_ERROR "));
+    assert_eq!((kept.line(), slow.line()), (String::new(), String::new()));
+    let output = scene.end();
+    assert!(output.status.success() && begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn a_start_that_cannot_go_on_ends_with_one_line() {
     let good = config("127.0.0.1:0", "127.0.0.1:1", 256, "{}");
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -337,6 +337,18 @@
         self.0.get_mut().write_all(words.as_bytes()).is_ok()
     }
 
+    /// Whether the proxy has closed it.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let seen = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        match seen {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// The next line; empty at the end of the connection.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
