--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -33,10 +33,13 @@
 /// How long a connection rests after commands that were no good, lest sending them again at once pay.
 const AFTER_ERRORS: Duration = Duration::from_millis(20);
 
+/// An answer in the consumer's protocol, and what it holds of the memory if it is long.
+type Said = (Vec<u8>, Option<Held>);
+
 /// A command whose answer has not been written.
 struct Pending {
     id: Option<RequestId>,
-    words: Arc<Mutex<Option<Vec<u8>>>>,
+    words: Arc<Mutex<Option<Said>>>,
     held: Option<Held>,
 }
 
@@ -305,7 +308,7 @@
     }
 
     fn say(&mut self, words: String) {
-        let words = Arc::new(Mutex::new(Some(words.into_bytes())));
+        let words = Arc::new(Mutex::new(Some((words.into_bytes(), None))));
         self.pending.push_back(Pending { id: None, words, held: None });
     }
 
@@ -313,9 +316,9 @@
         let words = Arc::new(Mutex::new(None));
         let (slot, shared) = (Arc::clone(&words), Arc::clone(&self.shared));
         let opaque = invocation.opaque.clone();
-        let reply = move |answer: Answer| {
+        let reply = move |answer: Answer, held: Option<Held>| {
             let said = memcache::answer(&opaque, &answer);
-            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(said);
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, held));
             shared.waker.wakeup();
         };
         self.side.asked(self.number);
@@ -331,8 +334,12 @@
     fn write(&mut self) -> io::Result<bool> {
         while let Some(first) = self.pending.front() {
             let words = first.words.lock().unwrap_or_else(PoisonError::into_inner).take();
-            let Some(words) = words else { break };
-            self.output.extend(words);
+            let Some((words, held)) = words else { break };
+            match self.output.is_empty() {
+                true => self.output = words,
+                false => self.output.extend(words),
+            }
+            self.output_held.extend(held);
             self.output_held.extend(self.pending.pop_front().and_then(|pending| pending.held));
         }
         let mut progress = false;
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -88,6 +88,8 @@
     calls_moot,
     /// Answers of providers that could not be understood or never came to their end.
     answers_spoilt,
+    /// Long answers of providers given up since there was no memory for them.
+    answers_without_memory,
     /// Connections opened to providers.
     provider_connections,
     /// Watches started at discovery.
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -9,6 +9,7 @@
 use super::counters::Counters;
 use super::guard::{self, Guarded};
 use super::log::log;
+use super::memory::Held;
 use crate::interface::{
     Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, State, Time,
 };
@@ -118,7 +119,7 @@
 
 /// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
 /// and wake whoever writes it, but never wait nor call the exchange.
-pub type Reply = Box<dyn FnOnce(Answer) + Send>;
+pub type Reply = Box<dyn FnOnce(Answer, Option<Held>) + Send>;
 
 /// No two invocations may be open under one id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,8 +142,8 @@
 
 impl Open {
     /// Gives the answer, and only then has the waits end: it goes out before they wake.
-    fn answer(self, answer: Answer) {
-        (self.reply)(answer);
+    fn answer(self, answer: Answer, held: Option<Held>) {
+        (self.reply)(answer, held);
         drop(self.waits);
     }
 }
@@ -305,7 +306,7 @@
             self.counters.overdue.add();
             self.counters.answered_failed.add();
             self.step(state, Event::ClientGone(id));
-            open.answer(Answer::Failed);
+            open.answer(Answer::Failed, None);
         }
     }
 
@@ -318,7 +319,14 @@
     }
 
     /// An invoker call has ended. Only the first report of a call counts.
-    pub fn call_ended(self: &Arc<Self>, call: CallId, outcome: Outcome, payload: Option<Payload>) {
+    /// `held` is what a long payload holds of the memory; it goes with the answer.
+    pub fn call_ended(
+        self: &Arc<Self>,
+        call: CallId,
+        outcome: Outcome,
+        payload: Option<Payload>,
+        held: Option<Held>,
+    ) {
         let mut state = self.lock();
         let now = self.clock.now();
         let Some(record) = state.records.get_mut(&call.invocation) else { return };
@@ -340,7 +348,7 @@
         // The consumer need not wait for what the module makes of it.
         if let Some((open, answer)) = answer {
             self.counters.answered_served.add();
-            open.answer(answer);
+            open.answer(answer, held);
         }
         self.step(state, Event::AttemptEnd(end));
     }
@@ -489,7 +497,7 @@
 
     fn carry_out(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Answer(open, answer) => open.answer(answer),
+            Effect::Answer(open, answer) => open.answer(answer, None),
             // Either side is only gone when the program stops.
             Effect::Order(order) => drop(self.orders.send(order)),
             Effect::Subscribe => drop(self.subscribe.send(())),
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -138,9 +138,11 @@
             orders,
             subscribe.clone(),
         );
+        let memory = Memory::of(config.limits.memory_mb);
         ProviderSide::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
+            Arc::clone(&memory),
             ordered,
             Arc::clone(&descriptors),
             config.connect_timeout,
@@ -153,7 +155,6 @@
             config.known.clone(),
             (subscribe, subscriptions),
         );
-        let memory = Memory::of(config.limits.memory_mb);
         let consumers = ConsumerSide::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
--- a/src/net/memcache.rs
+++ b/src/net/memcache.rs
@@ -1,7 +1,7 @@
 //! The meta commands of the memcache text protocol, as consumers and cache nodes speak them: bytes in,
 //! commands and replies out. Strict and bounded; it never waits and never panics on input.
 
-use super::codec::{Parsed, Parsed::*, MAX_VALUE};
+use super::codec::{Parsed, Parsed::*, MAX_ANSWER, MAX_VALUE};
 use super::exchange::{Answer, Payload};
 
 /// The longest line, its end included.
@@ -141,6 +141,14 @@
     }
 }
 
+/// How long the value is that an answer of a cache node announces, as far as it is one.
+pub fn announced(bytes: &[u8]) -> Option<usize> {
+    match line(bytes) {
+        Whole(text, _) => text.strip_prefix("VA ")?.split(' ').next().and_then(number),
+        _ => None,
+    }
+}
+
 /// The words of an invoker call to a cache node; `labels` are joined already.
 pub fn call(key: &str, opaque: &str, labels: &str, value: Option<&[u8]>) -> Vec<u8> {
     match value {
@@ -189,7 +197,7 @@
         words.clone().filter_map(|word| word.strip_prefix('O')).eq(std::iter::once(opaque))
     };
     match words.next() {
-        Some("VA") => match words.next().and_then(number).filter(|length| *length <= MAX_VALUE) {
+        Some("VA") => match words.next().and_then(number).filter(|length| *length <= MAX_ANSWER) {
             Some(length) if ours(&mut words) => match block(bytes, used, length) {
                 Whole(value, used) => Whole(Reply::Served(Payload::Value(value)), used),
                 Incomplete => Incomplete,
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -3,13 +3,14 @@
 
 mod pool;
 
-use super::codec::{Parsed, MAX_VALUE};
+use super::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
 use super::counters::Counters;
 use super::descriptors::Descriptors;
 use super::exchange::{Call, CallId, Exchange, Order, Payload};
 use super::http::{self, Body};
 use super::link::{sleep, Link};
 use super::memcache::{self, Reply};
+use super::memory::{Held, Memory};
 use crate::interface::Outcome;
 use may::sync::mpsc::Receiver;
 use pool::{Connection, NoConnection, Pool};
@@ -26,6 +27,7 @@
 pub struct ProviderSide {
     exchange: Arc<Exchange>,
     counters: Arc<Counters>,
+    memory: Arc<Memory>,
     pool: Pool,
     connect_timeout: Duration,
     running: Mutex<BTreeMap<CallId, Running>>,
@@ -42,11 +44,13 @@
 struct End {
     outcome: Outcome,
     payload: Option<Payload>,
+    /// What a long payload holds of the memory, beyond what is set aside for each.
+    held: Option<Held>,
 }
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> End {
-        End { outcome, payload: None }
+        End { outcome, payload: None, held: None }
     }
 }
 
@@ -55,14 +59,21 @@
     pub fn start(
         exchange: Arc<Exchange>,
         counters: Arc<Counters>,
+        memory: Arc<Memory>,
         orders: Receiver<Order>,
         descriptors: Arc<Descriptors>,
         connect_timeout: Duration,
         conn_idle: Duration,
     ) {
         let pool = Pool::new(descriptors, conn_idle);
-        let side =
-            Arc::new(ProviderSide { exchange, counters, pool, connect_timeout, running: Mutex::default() });
+        let side = Arc::new(ProviderSide {
+            exchange,
+            counters,
+            memory,
+            pool,
+            connect_timeout,
+            running: Mutex::default(),
+        });
         let retiring = Arc::clone(&side);
         may::go!(move || loop {
             sleep(RETIRE_EVERY);
@@ -150,6 +161,7 @@
 
     fn await_reply(&self, call: &Call, connection: Connection) -> End {
         let mut bytes = Vec::new();
+        let mut held = None;
         loop {
             let stalled = Instant::now() + STALL;
             let patience = if bytes.is_empty() { call.until } else { call.until.min(stalled) };
@@ -164,6 +176,13 @@
                 Err(error) if error.kind() == ErrorKind::TimedOut => return Outcome::Timeout.into(),
                 Err(_) => true,
             };
+            if bytes.len() > MAX_VALUE && held.is_none() {
+                held = self.memory.hold(beyond_set_aside(call, &bytes));
+                if held.is_none() {
+                    self.counters.answers_without_memory.add();
+                    return Outcome::Error.into();
+                }
+            }
             match understand(call, &bytes) {
                 Understood::Partly if at_end && cancelled() => return Outcome::Cancelled.into(),
                 Understood::Partly if at_end => return Outcome::Reset.into(),
@@ -172,7 +191,8 @@
                     self.counters.answers_spoilt.add();
                     return Outcome::Error.into();
                 }
-                Understood::Whole(end, keep) => {
+                Understood::Whole(mut end, keep) => {
+                    end.held = held;
                     if keep && !at_end {
                         self.with(|running| running.remove(&call.id));
                         self.pool.keep(call.provider, connection);
@@ -202,7 +222,7 @@
             Outcome::Reset.into()
         });
         self.side.with(|running| running.remove(&self.id));
-        self.side.exchange.call_ended(self.id, end.outcome, end.payload);
+        self.side.exchange.call_ended(self.id, end.outcome, end.payload, end.held);
     }
 }
 
@@ -225,6 +245,21 @@
     }
 }
 
+/// What a long answer takes of the memory beyond what is set aside for each: as it is read, and as it is said.
+fn beyond_set_aside(call: &Call, bytes: &[u8]) -> usize {
+    let announced = match call.at_origin {
+        false => memcache::announced(bytes),
+        true => match http::final_head(bytes) {
+            Parsed::Whole(head, _) => match head.body {
+                Body::Length(length) => Some(length),
+                _ => None,
+            },
+            _ => None,
+        },
+    };
+    announced.unwrap_or(MAX_ANSWER).clamp(MAX_VALUE, MAX_ANSWER) * 2 - MAX_VALUE
+}
+
 enum Understood {
     Partly,
     /// It ran, as far as anyone can tell, and the connection is of no further use.
@@ -264,12 +299,12 @@
     }
     let rest = &bytes[from..];
     let (body, used) = match head.body {
-        Body::Length(length) if length > MAX_VALUE => return Understood::Spoilt,
+        Body::Length(length) if length > MAX_ANSWER => return Understood::Spoilt,
         Body::Length(length) if rest.len() < length => return Understood::Partly,
         Body::Length(length) => (rest[..length].to_vec(), from + length),
         // A value that was cut short would pass for a whole one.
         Body::UntilClose => return Understood::Spoilt,
-        Body::Chunked => match http::chunks(rest, MAX_VALUE) {
+        Body::Chunked => match http::chunks(rest, MAX_ANSWER) {
             Parsed::Incomplete => return Understood::Partly,
             Parsed::Malformed(..) => return Understood::Spoilt,
             Parsed::Whole(body, used) => (body, from + used),
@@ -299,7 +334,7 @@
         }
     };
     match fits {
-        true => End { outcome: Outcome::Ok, payload: Some(payload) },
+        true => End { outcome: Outcome::Ok, payload: Some(payload), held: None },
         false => Outcome::Error.into(),
     }
 }
