--- a/src/logic.rs
+++ b/src/logic.rs
@@ -535,7 +535,15 @@
         // Danger: fetches differ in length. A limit cut for each long one stays far under what the origin can
         // take, and misses wait for nothing: it is cut once a share of them is slow.
         server.slow += 0.1 * (f64::from(u8::from(slow)) - server.slow);
-        let crowded = slow && (!at_origin || server.slow > CROWDED || end.outcome == Full);
+        // Danger: a node that stands still turns away who has waited there, however few. A limit cut for that
+        // sends its keys to nodes that lack them, and the misses to the origin.
+        let few = f64::from(server.in_flight + 1) * 2.0 < server.limit;
+        let busy = if at_origin {
+            server.slow > CROWDED || end.outcome == Full
+        } else {
+            !few || end.outcome != Full
+        };
+        let crowded = slow && busy;
         if crowded && now - end.latency >= server.cut_at {
             server.limit = (server.limit * 0.7).max(1.0);
             server.cut_at = now;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -345,3 +345,22 @@
     share(&mut world, 2_000, 10.0);
     assert!(share(&mut world, 3_000, 10.0) > 290);
 }
+
+/// Guards against a limit cut for what this proxy is not the cause of: a node that stands still turns away
+/// whoever has waited there, however few they are.
+#[test]
+fn a_node_that_turns_away_one_of_few_keeps_its_keys() {
+    let mut world = World::new(false, 6);
+    world.learns_that_keys_are_many();
+    let home = world.served(1, 5);
+    for id in 10..20 {
+        world.now += 200.0;
+        assert_eq!(sent(&world.request(read(id, 5))).unwrap().1, home);
+        let retry = sent(&world.end_after(id, 0, home, Outcome::Full, 98.0)).unwrap().1;
+        assert_ne!(retry, home);
+        world.end(id, 1, retry, Outcome::Ok);
+    }
+    // Two at a time still go there; a limit cut ten times would let in one.
+    let hosts = [30, 31].map(|id| sent(&world.request(read(id, 5))).unwrap().1);
+    assert_eq!(hosts, [home; 2]);
+}
