--- a/crates/places/tests/crowds.rs
+++ b/crates/places/tests/crowds.rs
@@ -298,3 +298,20 @@
     assert!(close_at_stop(false) > 10);
     assert_eq!(close_at_stop(true), 0);
 }
+
+/// The recorded crowd on other numbers of descriptors; the figures are quoted in docs/places.md.
+#[test]
+fn the_recorded_crowd_is_served_on_few_descriptors_and_on_many() {
+    let rates = [(Manner::AsksOnce, 250), (Manner::Silent, 45)];
+    let figures = [256, 384, 1024].map(|descriptors: usize| {
+        let split = Split::new(descriptors - 24, 0.5, 0.25);
+        let mut crowd = Crowd::on(split.for_consumers(0), descriptors / 3);
+        crowd.play(3000, &rates);
+        let learning = crowd.turned_away_in_1000();
+        crowd.play(20_000, &rates);
+        let tally = crowd.places.tally(crowd.now);
+        (descriptors, learning, crowd.turned_away_in_1000(), tally.open, tally.limits[1])
+    });
+    println!("descriptors, turned away of 1000 in 3 s and after, places held, limit after one request: {figures:?}");
+    assert!(figures.iter().all(|(_, learning, after, ..)| *learning <= 350 && *after <= 5), "{figures:?}");
+}
