--- /dev/null
+++ b/src/net/admin/codec.rs
@@ -0,0 +1,154 @@
+//! What operators ask, as HTTP/1.1 requests, and what they are answered: bytes in, calls out; text in, bytes out.
+
+use percent_encoding::percent_decode_str;
+
+/// The longest head of a request.
+pub const MAX_HEAD: usize = 8 * 1024;
+const MAX_HEADERS: usize = 64;
+const NODES: &str = "/control/cache-nodes/";
+
+/// A call of the operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// Nothing more to the cache node of this id.
+    Offline(String),
+    /// The cache node of this id may serve again.
+    Online(String),
+    /// Send clients away.
+    OutOfService,
+    /// Take them again.
+    InService,
+}
+
+/// What a call is answered: a status, the methods to use instead if the one used is wrong, and a line of text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// The status: 2xx means yes.
+    pub status: u16,
+    /// The methods that the path knows.
+    pub allow: Option<&'static str>,
+    /// What was done, or what was wrong.
+    pub text: String,
+}
+
+impl Said {
+    /// An answer with this status.
+    pub fn new(status: u16, text: impl Into<String>) -> Said {
+        Said { status, allow: None, text: text.into() }
+    }
+
+    /// The answer as it is written.
+    pub fn words(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            409 => "Conflict",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "Error",
+        };
+        let allow = self.allow.map_or(String::new(), |methods| format!("Allow: {methods}\r\n"));
+        let length = self.text.len() + 1;
+        format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+             {allow}Connection: close\r\n\r\n{}\n",
+            self.status, self.text
+        )
+        .into_bytes()
+    }
+}
+
+/// Reads a request's head; none while it is not whole. What follows the head is no concern of any call.
+pub fn call(bytes: &[u8]) -> Option<Result<Call, Said>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(&bytes[..bytes.len().min(MAX_HEAD)]) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => return None,
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Some(Err(Said::new(
+                431,
+                format!("the head has over {MAX_HEAD} bytes or {MAX_HEADERS} lines"),
+            )));
+        }
+        Err(error) => return Some(Err(Said::new(400, format!("no HTTP request: {error}")))),
+    }
+    Some(asked(request.method.unwrap_or_default(), request.path.unwrap_or_default()))
+}
+
+fn asked(method: &str, target: &str) -> Result<Call, Said> {
+    let path = target.split('?').next().unwrap_or_default();
+    let (wanted, call) = match path {
+        "/control/ready" => ("GET", Call::Ready),
+        "/control/out-of-service" => ("POST", Call::OutOfService),
+        "/control/in-service" => ("POST", Call::InService),
+        _ => {
+            let node = path.strip_prefix(NODES).and_then(|rest| rest.split_once('/'));
+            match node {
+                Some((id, "offline")) => ("POST", Call::Offline(decoded(id)?)),
+                Some((id, "online")) => ("POST", Call::Online(decoded(id)?)),
+                _ => return Err(Said::new(404, format!("no such call: {path:?}"))),
+            }
+        }
+    };
+    if method != wanted {
+        let text = format!("{path} is called by {wanted}, not {method}");
+        return Err(Said { allow: Some(wanted), ..Said::new(405, text) });
+    }
+    Ok(call)
+}
+
+/// An id in a path, its escapes resolved.
+fn decoded(id: &str) -> Result<String, Said> {
+    let bad = || Said::new(400, format!("{id:?} is no id: empty, or badly escaped"));
+    let escapes = id.split('%').skip(1);
+    let whole = |rest: &str| rest.len() >= 2 && rest.bytes().take(2).all(|byte| byte.is_ascii_hexdigit());
+    if id.is_empty() || !escapes.clone().all(whole) {
+        return Err(bad());
+    }
+    percent_decode_str(id).decode_utf8().map(|id| id.into_owned()).map_err(|_| bad())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(request: &str) -> u16 {
+        match call(request.as_bytes()) {
+            Some(Err(said)) => said.status,
+            other => panic!("{request:?}: {other:?}"),
+        }
+    }
+
+    #[test]
+    fn calls_are_read_by_their_exact_names_and_methods() {
+        let read = |line: &str| call(format!("{line} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes());
+        assert_eq!(read("GET /control/ready"), Some(Ok(Call::Ready)));
+        assert_eq!(read("GET /control/ready?x=1"), Some(Ok(Call::Ready)));
+        let offline = Call::Offline("a/b %".into());
+        assert_eq!(read("POST /control/cache-nodes/a%2fb%20%25/offline"), Some(Ok(offline)));
+        assert_eq!(read("POST /control/cache-nodes/s-1/online"), Some(Ok(Call::Online("s-1".into()))));
+        assert_eq!(read("POST /control/out-of-service"), Some(Ok(Call::OutOfService)));
+        let Some(Err(wrong)) = read("GET /control/in-service") else { panic!("a wrong method") };
+        assert_eq!((wrong.status, wrong.allow), (405, Some("POST")));
+        assert!(String::from_utf8_lossy(&wrong.words()).contains("\r\nAllow: POST\r\n"));
+    }
+
+    #[test]
+    fn what_is_no_call_is_told_apart() {
+        assert_eq!(call(b"GET /control/ready HTTP/1.1\r\nHost"), None);
+        assert_eq!(status("GET /control HTTP/1.1\r\n\r\n"), 404);
+        assert_eq!(status("POST /control/cache-nodes/a/b/offline HTTP/1.1\r\n\r\n"), 404);
+        for id in ["", "%", "%2", "%zz", "%ff"] {
+            assert_eq!(status(&format!("POST /control/cache-nodes/{id}/offline HTTP/1.1\r\n\r\n")), 400);
+        }
+        assert_eq!(status("mn\r\n"), 400);
+        assert_eq!(status(&format!("GET / HTTP/1.1\r\nA: {}\r\n", "x".repeat(MAX_HEAD))), 431);
+        assert_eq!(status(&format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(65))), 431);
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! What the proxy is told at its start: the JSON object that `LB_CONFIG` names.
 
+use super::admin::DESCRIPTORS as DOOR_SOCKETS;
 use crate::settings::{Effect, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -36,7 +37,7 @@
 }
 
 /// One entry of the list of providers, in discovery's form.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
     /// Its name, the same at every proxy.
@@ -117,6 +118,7 @@
     limits: Limits,
     #[serde(default)]
     known: Catalog,
+    admin: Option<String>,
     settings: serde_json::Value,
 }
 
@@ -204,6 +206,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What the process may use.
@@ -225,11 +229,13 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
         let text = std::fs::read(&path).map_err(|error| ConfigError::Read { path, error })?;
-        Config::from_json(&text)
+        // The variable belongs to this process alone; the file may name the door of the next one already.
+        let admin = std::env::var("LB_ADMIN").ok().filter(|admin| !admin.is_empty());
+        Config::from_json(&text, admin)
     }
 
-    /// Reads the object; the error names what is wrong.
-    pub fn from_json(text: &[u8]) -> Result<Config, ConfigError> {
+    /// Reads the object; `admin`, if any, stands for the address that it names. The error names what is wrong.
+    pub fn from_json(text: &[u8], admin: Option<String>) -> Result<Config, ConfigError> {
         let file: File = serde_json::from_slice(text)?;
         let words: Words = serde_json::from_value(file.settings.clone())?;
         let settings: Settings = serde_json::from_value(file.settings.clone())?;
@@ -239,15 +245,25 @@
             let value = timeout.to_string();
             return Err(ConfigError::Field { field: "ConnectTimeout", value, wanted: "a time in ms" });
         }
-        if file.limits.sockets < MIN_SOCKETS {
-            let value = file.limits.sockets.to_string();
-            return Err(ConfigError::Field { field: "limits.sockets", value, wanted: "at least 32" });
-        }
         if file.limits.memory_mb < MIN_MEMORY_MB {
             let value = file.limits.memory_mb.to_string();
             return Err(ConfigError::Field { field: "limits.memory_mb", value, wanted: "at least 16" });
         }
+        let named = file.admin.filter(|admin| !admin.is_empty());
+        let admin = match admin.or(named) {
+            Some(admin) => Some(address("admin (or LB_ADMIN)", admin)?),
+            None => None,
+        };
+        let (least, wanted) = match admin {
+            None => (MIN_SOCKETS, "at least 32"),
+            Some(_) => (MIN_SOCKETS + DOOR_SOCKETS, "at least 50 with a door for operators"),
+        };
+        if file.limits.sockets < least {
+            let value = file.limits.sockets.to_string();
+            return Err(ConfigError::Field { field: "limits.sockets", value, wanted });
+        }
         Ok(Config {
+            admin,
             listen: address("listen", file.listen)?,
             discovery: address("discovery", file.discovery)?,
             seed: seed(file.seed)?,
@@ -272,6 +288,7 @@
         let differs = [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
+            ("admin", self.admin != newer.admin),
             ("limits", self.limits != newer.limits),
             ("settings", self.given != newer.given),
         ];
--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -2,15 +2,15 @@
 //! commands.
 
 use super::invocation::invocation;
-use super::{ConsumerSide, Shared};
+use super::{Away, ConsumerSide, Shared};
 use crate::interface::RequestId;
 use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::exchange::{Answer, IdInUse, Invocation};
 use crate::net::link::{read_now, sleep};
+use crate::net::listen::Stream;
 use crate::net::memcache::{self, Command};
 use crate::net::memory::Held;
 use may::io::WaitIo;
-use may::net::TcpStream;
 use pinetrail_places::{Id, Phase, Seq};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Write};
@@ -58,7 +58,7 @@
     side: &'a Arc<ConsumerSide>,
     number: Id,
     shared: Arc<Shared>,
-    stream: TcpStream,
+    stream: Stream,
     input: Vec<u8>,
     /// Whether anything came, and whether a whole command did.
     heard: bool,
@@ -78,10 +78,12 @@
     short: bool,
     /// Whether a command was no good since the last rest.
     errors: bool,
+    /// When the last answer had gone out, by the clock of the places.
+    answered: u64,
 }
 
 impl<'a> Connection<'a> {
-    pub fn new(side: &'a Arc<ConsumerSide>, number: Id, shared: Arc<Shared>, stream: TcpStream) -> Self {
+    pub fn new(side: &'a Arc<ConsumerSide>, number: Id, shared: Arc<Shared>, stream: Stream) -> Self {
         Connection {
             side,
             number,
@@ -99,6 +101,7 @@
             lingered: 0,
             short: false,
             errors: false,
+            answered: 0,
         }
     }
 
@@ -163,15 +166,30 @@
         if self.is_idle() && self.side.is_closing() {
             return true;
         }
+        if self.is_idle() && self.is_to_go() {
+            return true;
+        }
         if self.is_idle() && self.stage == Stage::Ending {
             // An error says that the consumer has gone.
-            let _ = self.stream.shutdown(Shutdown::Write);
+            let _ = self.stream.inner().shutdown(Shutdown::Write);
             self.stage = Stage::Lingering;
         }
         self.settle(false);
         false
     }
 
+    /// Whether clients are sent away and it is this one's turn.
+    fn is_to_go(&self) -> bool {
+        let Some(away) = *self.side.away() else { return false };
+        let now = self.side.descriptors.now();
+        let Away { since, plan } = away;
+        // Danger: what has begun to come would cross the close.
+        if !self.input.is_empty() && now.saturating_sub(since) < plan.half_until {
+            return false;
+        }
+        self.answered >= since.max(1) || away.is_due(self.number, self.shared.arrived, now)
+    }
+
     /// Says what it holds its place for. `active` tells whether anything came or went.
     fn settle(&mut self, active: bool) {
         let phase = self.phase();
@@ -198,12 +216,16 @@
     }
 
     fn must_close(&self) -> bool {
-        self.side.is_closing() || self.shared.order_about(self.stay.1).is_some()
+        self.side.is_closing() || self.is_to_go() || self.shared.order_about(self.stay.1).is_some()
     }
 
     /// Whether reading rests until answers have been written.
     fn is_full(&self) -> bool {
-        self.pending.len() >= MAX_PENDING || self.output.len() >= MAX_OUTPUT
+        let late = |away: &Away| away.plan.is_late(self.side.descriptors.now().saturating_sub(away.since));
+        self.pending.len() >= MAX_PENDING
+            || self.output.len() >= MAX_OUTPUT
+            // Danger: who always has a command open would never stand between two.
+            || (!self.pending.is_empty() && self.side.away().as_ref().is_some_and(late))
     }
 
     /// Reads what is there; whether there may be more.
@@ -280,6 +302,9 @@
     /// Does what a command says; false if there is no memory for it now.
     fn obey(&mut self, command: Command) -> bool {
         match command {
+            Command::Noop if self.side.away().is_some() => {
+                self.say("SERVER_ERROR out of service\r\n".to_owned())
+            }
             Command::Noop => self.say("MN\r\n".to_owned()),
             Command::Version => self.say(format!("VERSION pinetrail {}\r\n", env!("CARGO_PKG_VERSION"))),
             Command::Stats => {
@@ -356,6 +381,9 @@
             }
         }
         self.output_held.clear();
+        if progress {
+            self.answered = self.side.descriptors.now();
+        }
         if self.output.capacity() > INVOCATION_SIZE {
             self.output = Vec::new();
         }
--- a/src/net/consumer/mod.rs
+++ b/src/net/consumer/mod.rs
@@ -7,20 +7,20 @@
 
 use super::counters::Counters;
 use super::descriptors::Descriptors;
+use super::drain::SendAway;
 use super::exchange::Exchange;
 use super::link::sleep;
+use super::listen::{Listener, Stream};
 use super::log::log;
 use super::memory::Memory;
 use connection::Connection;
 use may::io::{WaitIo, WaitIoWaker};
-use may::net::{TcpListener, TcpStream};
 use pinetrail_places::{Id, Limits, Order, Phase, Places, Reason, Seq, Tally};
-use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// How long accepting rests when it fails or every place is taken.
@@ -36,10 +36,19 @@
     counters: Arc<Counters>,
     memory: Arc<Memory>,
     descriptors: Arc<Descriptors>,
-    listener: TcpListener,
+    /// Until it listens no more.
+    listener: Mutex<Option<Arc<Listener>>>,
+    address: SocketAddr,
     held: Mutex<HeldPlaces>,
-    listening: AtomicBool,
     closing: AtomicBool,
+    away: Mutex<Option<Away>>,
+}
+
+/// Clients are sent away by a plan, since a time.
+#[derive(Clone, Copy)]
+struct Away {
+    since: u64,
+    plan: SendAway,
 }
 
 /// Who holds a place, and how to reach it.
@@ -51,6 +60,7 @@
 /// What others may do of a connection.
 struct Shared {
     waker: WaitIoWaker,
+    arrived: u64,
     /// The last order to close: the stay that it is about and its reason, as [`encode`] puts them; 0 for none.
     order: AtomicU64,
 }
@@ -64,20 +74,28 @@
     }
 }
 
+impl Away {
+    /// Whether a connection is to go by now if it is idle.
+    fn is_due(&self, number: Id, arrived: u64, now: u64) -> bool {
+        let passed = now.saturating_sub(self.since);
+        passed >= self.plan.idle_at(number, arrived.saturating_sub(self.since))
+    }
+}
+
 fn encode(stay: Seq, reason: Reason) -> u64 {
     u64::from(stay) << 8 | (reason as u64 + 1)
 }
 
 impl ConsumerSide {
-    /// Listens, and holds as many connections as the descriptors allow.
+    /// Accepts on a listening socket, and holds as many connections as the descriptors allow.
     pub fn start(
         exchange: Arc<Exchange>,
         counters: Arc<Counters>,
         memory: Arc<Memory>,
         descriptors: Arc<Descriptors>,
-        listen: SocketAddr,
+        socket: TcpListener,
     ) -> io::Result<Arc<ConsumerSide>> {
-        let listener = TcpListener::bind(listen)?;
+        let listener = Arc::new(Listener::new(socket)?);
         let (most, _) = descriptors.consumers_hold(0);
         let places = Places::new(Limits::default(), most);
         let side = Arc::new(ConsumerSide {
@@ -85,13 +103,14 @@
             counters,
             memory,
             descriptors,
-            listener,
+            address: listener.address()?,
+            listener: Mutex::new(Some(Arc::clone(&listener))),
             held: Mutex::new(HeldPlaces { places, connections: BTreeMap::new() }),
-            listening: AtomicBool::new(true),
             closing: AtomicBool::new(false),
+            away: Mutex::new(None),
         });
         let accepting = Arc::clone(&side);
-        may::go!(move || accepting.accept());
+        may::go!(move || accepting.accept(&listener));
         let looking = Arc::clone(&side);
         may::go!(move || loop {
             sleep(LOOK_EVERY);
@@ -102,9 +121,34 @@
 
     /// From now on none is accepted; those held are served on.
     pub fn stop_listening(&self) {
-        self.listening.store(false, Ordering::Release);
-        // Wakes the coroutine that accepts. An error says that it listens no more.
-        let _ = SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
+        // Its socket is closed once all that wait are accepted.
+        listener.iter().for_each(|listener| listener.stop());
+    }
+
+    /// From now on `mn` says no, and connections are let go of by this plan.
+    pub fn send_away(&self, plan: SendAway) {
+        let since = self.descriptors.now();
+        self.away().get_or_insert(Away { since, plan });
+    }
+
+    /// Clients are welcome again.
+    pub fn welcome(&self) {
+        *self.away() = None;
+    }
+
+    /// Connections that are to go, if they are idle now.
+    fn let_go(&self) {
+        let Some(away) = *self.away() else { return };
+        let now = self.descriptors.now();
+        self.with(|held| {
+            let due = held.connections.iter().filter(|(id, shared)| away.is_due(**id, shared.arrived, now));
+            due.for_each(|(_, shared)| shared.waker.wakeup());
+        });
+    }
+
+    fn away(&self) -> MutexGuard<'_, Option<Away>> {
+        self.away.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// From now on connections are no longer closed to make room for others.
@@ -119,8 +163,8 @@
     }
 
     /// Where it listens.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Connections held.
@@ -134,22 +178,22 @@
         self.with(|held| held.places.tally(now))
     }
 
-    fn accept(self: &Arc<Self>) {
+    fn accept(self: &Arc<Self>, listener: &Listener) {
         let mut number = 0;
-        while self.listening.load(Ordering::Acquire) {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
+        loop {
+            match listener.accept() {
+                Ok(Some(stream)) => {
                     number += 1;
                     self.counters.consumers_accepted.add();
                     self.hold(number, stream);
                 }
-                Err(_) if !self.listening.load(Ordering::Acquire) => {}
+                Ok(None) => return,
                 Err(error) => {
                     log(&format!("accept: {error}"));
                     sleep(REST);
                 }
             }
-            while !self.has_room() && self.listening.load(Ordering::Acquire) {
+            while !self.has_room() && !listener.is_stopped() {
                 self.make_room();
                 sleep(REST);
             }
@@ -173,6 +217,7 @@
         let now = self.descriptors.now();
         self.has_room();
         self.give(|held| held.places.overdue(now));
+        self.let_go();
     }
 
     /// Passes orders on to the connections that they are for.
@@ -189,11 +234,11 @@
         }
     }
 
-    fn hold(self: &Arc<Self>, number: Id, stream: TcpStream) {
+    fn hold(self: &Arc<Self>, number: Id, stream: Stream) {
         // A consumer that has gone already is noticed when it is read from.
-        let _ = stream.set_nodelay(true);
-        let shared = Arc::new(Shared { waker: stream.waker(), order: AtomicU64::new(0) });
+        let _ = stream.inner().set_nodelay(true);
         let now = self.descriptors.now();
+        let shared = Arc::new(Shared { waker: stream.waker(), arrived: now, order: AtomicU64::new(0) });
         self.with(|held| {
             held.places.arrive(now, number);
             held.connections.insert(number, Arc::clone(&shared));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,13 +2,13 @@
 //! that the newest configuration names.
 
 use super::codec::Parsed;
-use super::config::{Catalog, Instance, Names};
+use super::config::{Catalog, Instance};
 use super::counters::Counters;
-use super::exchange::{Exchange, Provider};
+use super::exchange::Exchange;
 use super::http::{self, Body};
 use super::link::Link;
 use super::log::log;
-use crate::interface::{ListForm, Member, State};
+use crate::interface::ListForm;
 use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -178,9 +178,7 @@
     }
 
     fn tell(&self, form: ListForm, instances: Vec<Instance>) {
-        let names = self.exchange.names();
-        let list = instances.into_iter().filter_map(|instance| provider(names, instance)).collect();
-        self.exchange.providers(form, list);
+        self.exchange.providers(form, instances);
     }
 }
 
@@ -192,26 +190,3 @@
         Err(_) => Err("the connection broke"),
     }
 }
-
-/// An entry in the module's terms; one in an unknown state is left out.
-fn provider(names: &Names, instance: Instance) -> Option<Provider> {
-    let state = match instance.lifecycle.as_str() {
-        "ready" => State::Ready,
-        "draining" => State::Draining,
-        "gone" => State::Gone,
-        other => {
-            log(&format!("{} is in the unknown state {other:?}", instance.instance_id));
-            return None;
-        }
-    };
-    let member = Member {
-        server: 0,
-        zone: names.zone(&instance.zone),
-        kind: names.kind(&instance.machine_type),
-        cell: instance.cell,
-        state,
-        size: instance.weight,
-        started: instance.started_at_ms,
-    };
-    Some(Provider { name: instance.instance_id, place: instance.host_port, member })
-}
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -1,4 +1,4 @@
-//! When what happens after SIGTERM. The platform kills no sooner than the longest time that a client waits
+//! When what happens after SIGTERM, and while clients are sent away. The platform kills no sooner than the longest time that a client waits
 //! plus 0.7 s later, and counts waits of over 3 s as 3 s.
 
 use std::time::Duration;
@@ -37,10 +37,54 @@
     }
 }
 
+/// How connections are let go of while clients are sent away: each right after an answer, when its client has
+/// nothing under way; what stands idle spread over a time, lest all connect elsewhere at once. In ms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendAway {
+    /// Until then idle connections stay.
+    pub idle_from: u64,
+    /// By then none is left.
+    pub idle_until: u64,
+    /// From then on half a command keeps no connection.
+    pub half_until: u64,
+}
+
+/// One that comes while clients are sent away is closed no sooner if it says nothing, in ms.
+const NEWCOMER: u64 = 500;
+/// Steps over which the closes of idle connections are spread.
+const STEPS: u64 = 64;
+
+impl SendAway {
+    /// A proxy is put out of service. By 4 s none may be idle, nor have a request of the last 2 s open.
+    pub const OUT_OF_SERVICE: SendAway = SendAway { idle_from: 400, idle_until: 1800, half_until: 3400 };
+
+    /// When a connection, numbered in the order of arrival, is to close if it stands idle; in ms since the
+    /// sending away began, as is its arrival.
+    pub fn idle_at(&self, number: u64, arrived: u64) -> u64 {
+        let step = self.idle_until.saturating_sub(self.idle_from) * (number % STEPS) / STEPS;
+        (self.idle_from + step).max(if arrived > 0 { arrived + NEWCOMER } else { 0 })
+    }
+
+    /// Whether nothing more is read on a connection that has commands open.
+    pub fn is_late(&self, passed: u64) -> bool {
+        passed >= self.idle_until
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn idle_connections_are_let_go_of_one_after_the_other() {
+        let plan = SendAway::OUT_OF_SERVICE;
+        let mut times: Vec<u64> = (0..64).map(|number| plan.idle_at(number, 0)).collect();
+        assert!(times.iter().all(|at| (400..1800).contains(at)));
+        times.dedup();
+        assert!(times.len() > 60, "spread");
+        assert_eq!(plan.idle_at(0, 3000), 3500, "who comes late has time to speak");
+    }
+
     #[test]
     fn a_drain_ends_before_the_earliest_kill() {
         let ms = Duration::from_millis;
--- /dev/null
+++ b/src/net/exchange/held_out.rs
@@ -0,0 +1,192 @@
+//! The nodes that operators hold out. What discovery told last and what is held out are kept apart; what the
+//! module hears is derived from both, so that neither overwrites the other, in whatever order they come.
+
+use crate::interface::{ListForm, Time};
+use crate::net::config::Instance;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use thiserror::Error;
+
+/// Names remembered of nodes that are no longer listed, the oldest forgotten first.
+const MOST_GONE: usize = 4096;
+/// Nodes that may be held out at once.
+const MOST_OUT: usize = 4096;
+
+/// Why a call about a node is answered with no.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum NotHeld {
+    /// Discovery has never told of it.
+    #[error("{0} was never listed")]
+    NeverListed(String),
+    /// The origin is no cache node: without it every miss and every write would fail.
+    #[error("{0} is the origin, which is no cache node")]
+    Origin(String),
+    /// More are held out than are remembered.
+    #[error("{MOST_OUT} nodes are held out already")]
+    TooMany,
+}
+
+/// What discovery told of each node, and which are held out.
+#[derive(Debug, Default)]
+pub struct HeldOut {
+    told: BTreeMap<String, Instance>,
+    gone: BTreeSet<String>,
+    gone_in_order: VecDeque<String>,
+    /// Since when each is held out.
+    out: BTreeMap<String, Time>,
+    /// When each that came back was taken out, and when it came back.
+    back: BTreeMap<String, (Time, Time)>,
+}
+
+impl HeldOut {
+    /// Discovery tells of nodes; the same as the module is to hear it.
+    pub fn told(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
+        if matches!(form, ListForm::Cached | ListForm::Full) {
+            let before = std::mem::take(&mut self.told);
+            let left = before.into_keys().filter(|name| !list.iter().any(|new| new.instance_id == *name));
+            left.collect::<Vec<_>>().into_iter().for_each(|name| self.remember(name));
+        }
+        for node in &list {
+            let name = &node.instance_id;
+            match node.lifecycle == "gone" {
+                true => {
+                    self.told.remove(name);
+                    self.remember(name.clone());
+                }
+                false => drop(self.told.insert(name.clone(), node.clone())),
+            }
+        }
+        list.into_iter().map(|node| self.heard(node)).collect()
+    }
+
+    /// What discovery told last of a node, if it is listed.
+    pub fn listed(&self, name: &str) -> Option<&Instance> {
+        self.told.get(name)
+    }
+
+    /// Holds a node out; what the module is to hear of it, if it is listed. To do so twice changes nothing.
+    pub fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, NotHeld> {
+        self.known(name)?;
+        if !self.out.contains_key(name) && self.out.len() >= MOST_OUT {
+            return Err(NotHeld::TooMany);
+        }
+        self.out.entry(name.to_owned()).or_insert(now);
+        Ok(self.hear(name))
+    }
+
+    /// Lets a node serve again, however often it was held out.
+    pub fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, NotHeld> {
+        self.known(name)?;
+        if let Some(since) = self.out.remove(name) {
+            self.back.insert(name.to_owned(), (since, now));
+        }
+        Ok(self.hear(name))
+    }
+
+    fn known(&self, name: &str) -> Result<(), NotHeld> {
+        match self.told.contains_key(name) || self.gone.contains(name) || self.out.contains_key(name) {
+            true => Ok(()),
+            false => Err(NotHeld::NeverListed(name.to_owned())),
+        }
+    }
+
+    fn hear(&self, name: &str) -> Option<Instance> {
+        self.told.get(name).map(|node| self.heard(node.clone()))
+    }
+
+    /// A node as the module is to hear of it.
+    fn heard(&self, mut node: Instance) -> Instance {
+        if self.out.contains_key(&node.instance_id) && node.lifecycle == "ready" {
+            node.lifecycle = "draining".to_owned();
+        }
+        // Danger: discovery is seconds late. A node that was restarted while it was out comes back cold before
+        // its start is told of, and falls over if it is taken for warm.
+        if let Some((out, back)) = self.back.get(&node.instance_id) {
+            if node.started_at_ms < *out {
+                node.started_at_ms = *back;
+            }
+        }
+        node
+    }
+
+    fn remember(&mut self, name: String) {
+        if self.gone.insert(name.clone()) {
+            self.gone_in_order.push_back(name);
+        }
+        while self.gone_in_order.len() > MOST_GONE {
+            let Some(oldest) = self.gone_in_order.pop_front() else { break };
+            self.gone.remove(&oldest);
+            if !self.told.contains_key(&oldest) {
+                self.back.remove(&oldest);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn node(name: &str, lifecycle: &str, started_at_ms: Time) -> Instance {
+        let text = format!(
+            r#"{{"instanceId":"{name}","hostPort":"h","lifecycle":"{lifecycle}","startedAtMs":{started_at_ms}}}"#
+        );
+        serde_json::from_str(&text).unwrap()
+    }
+
+    fn states(heard: &[Instance]) -> Vec<(&str, Time)> {
+        heard.iter().map(|node| (node.lifecycle.as_str(), node.started_at_ms)).collect()
+    }
+
+    #[test]
+    fn a_node_held_out_stays_out_whatever_discovery_lists() {
+        let mut held = HeldOut::default();
+        assert_eq!(held.hold("a", 5.0), Err(NotHeld::NeverListed("a".into())));
+        held.told(ListForm::Full, vec![node("a", "ready", 1.0), node("b", "ready", 1.0)]);
+        assert_eq!(
+            states(&held.hold("a", 10.0).unwrap().into_iter().collect::<Vec<_>>()),
+            [("draining", 1.0)]
+        );
+        held.hold("a", 11.0).unwrap();
+        let full = held.told(ListForm::Full, vec![node("a", "ready", 1.0), node("b", "ready", 1.0)]);
+        assert_eq!(states(&full), [("draining", 1.0), ("ready", 1.0)]);
+        assert_eq!(states(&held.told(ListForm::Delta, vec![node("a", "gone", 1.0)])), [("gone", 1.0)]);
+        assert_eq!(held.release("b", 12.0).unwrap().unwrap().lifecycle, "ready", "never held out");
+        // It returns, restarted, and is still held out; one call back is enough.
+        assert_eq!(states(&held.told(ListForm::Delta, vec![node("a", "ready", 20.0)])), [("draining", 20.0)]);
+        assert_eq!(
+            states(&held.release("a", 30.0).unwrap().into_iter().collect::<Vec<_>>()),
+            [("ready", 20.0)]
+        );
+        assert_eq!(
+            states(&held.told(ListForm::Delta, vec![node("a", "draining", 20.0)])),
+            [("draining", 20.0)]
+        );
+    }
+
+    #[test]
+    fn a_node_that_comes_back_counts_as_cold_until_its_start_is_told() {
+        let mut held = HeldOut::default();
+        held.told(ListForm::Cached, vec![node("a", "ready", 1.0)]);
+        held.hold("a", 10.0).unwrap();
+        assert_eq!(
+            states(&held.release("a", 30.0).unwrap().into_iter().collect::<Vec<_>>()),
+            [("ready", 30.0)]
+        );
+        assert_eq!(states(&held.told(ListForm::Delta, vec![node("a", "ready", 1.0)])), [("ready", 30.0)]);
+        assert_eq!(states(&held.told(ListForm::Delta, vec![node("a", "ready", 15.0)])), [("ready", 15.0)]);
+    }
+
+    #[test]
+    fn a_node_listed_once_may_be_held_out_before_it_returns_and_memory_is_bounded() {
+        let mut held = HeldOut::default();
+        held.told(ListForm::Full, vec![node("a", "ready", 1.0)]);
+        held.told(ListForm::Full, Vec::new());
+        assert_eq!(held.hold("a", 5.0), Ok(None));
+        for n in 0..3 * MOST_GONE {
+            held.told(ListForm::Full, vec![node(&format!("n{n}"), "ready", 1.0)]);
+        }
+        assert!(held.gone.len() <= MOST_GONE && held.gone_in_order.len() <= MOST_GONE);
+        assert_eq!(states(&held.told(ListForm::Full, vec![node("a", "ready", 9.0)])), [("draining", 9.0)]);
+        assert_eq!(held.hold("n0", 5.0), Err(NotHeld::NeverListed("n0".into())));
+    }
+}
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -3,9 +3,11 @@
 //! socket and no protocol; payloads pass through it as they came.
 
 mod clock;
+mod held_out;
 mod ids;
+mod listed;
 
-use super::config::Names;
+use super::config::{Instance, Names};
 use super::counters::Counters;
 use super::guard::{self, Guarded};
 use super::log::log;
@@ -16,7 +18,10 @@
 use crate::logic::Balancer;
 use crate::settings::Settings;
 use clock::Clock;
+use held_out::HeldOut;
+pub use held_out::NotHeld;
 use ids::{key_number, ProviderIds};
+use listed::{provider, Provider};
 use may::sync::mpsc::Sender;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -106,17 +111,6 @@
     Forget(ServerId),
 }
 
-/// One provider as discovery tells of it.
-#[derive(Clone, Debug)]
-pub struct Provider {
-    /// Its name, the same at every proxy.
-    pub name: String,
-    /// Where it is reached from here.
-    pub place: String,
-    /// What the module hears of it; its number is put in here.
-    pub member: Member,
-}
-
 /// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
 /// and wake whoever writes it, but never wait nor call the exchange.
 pub type Reply = Box<dyn FnOnce(Answer, Option<Held>) + Send>;
@@ -168,6 +162,7 @@
     last_id: RequestId,
     providers: BTreeMap<ServerId, Known>,
     ids: ProviderIds,
+    held_out: HeldOut,
 }
 
 /// What is to be done once the exchange's lock is released.
@@ -224,6 +219,7 @@
             last_id: 0,
             providers: BTreeMap::new(),
             ids: ProviderIds::default(),
+            held_out: HeldOut::default(),
         };
         let state = Mutex::new(state);
         Arc::new(Exchange { clock: Clock::start(), names, origin_kind, counters, state, orders, subscribe })
@@ -354,8 +350,37 @@
     }
 
     /// Discovery tells of providers, or that a watch failed.
-    pub fn providers(self: &Arc<Self>, form: ListForm, list: Vec<Provider>) {
+    pub fn providers(self: &Arc<Self>, form: ListForm, list: Vec<Instance>) {
+        let mut state = self.lock();
+        let heard = state.held_out.told(form, list);
+        self.hear(state, form, heard);
+    }
+
+    /// Operators hold a cache node out: once this returns, nothing new goes there until it is brought back.
+    pub fn hold_out(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
         let mut state = self.lock();
+        let is_origin = |node: &Instance| i64::from(self.names.kind(&node.machine_type)) == self.origin_kind;
+        if state.held_out.listed(name).is_some_and(is_origin) {
+            return Err(NotHeld::Origin(name.to_owned()));
+        }
+        let heard = state.held_out.hold(name, self.clock.now())?;
+        log(&format!("{name} is held out"));
+        self.hear(state, ListForm::Delta, heard.into_iter().collect());
+        Ok(())
+    }
+
+    /// Operators let a cache node serve again.
+    pub fn bring_back(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
+        let mut state = self.lock();
+        let heard = state.held_out.release(name, self.clock.now())?;
+        log(&format!("{name} is no longer held out"));
+        self.hear(state, ListForm::Delta, heard.into_iter().collect());
+        Ok(())
+    }
+
+    /// Has the module hear of nodes, and forgets what leads to those that take nothing new.
+    fn hear(self: &Arc<Self>, mut state: MutexGuard<Inner>, form: ListForm, list: Vec<Instance>) {
+        let list: Vec<Provider> = list.into_iter().filter_map(|node| provider(&self.names, node)).collect();
         state.ids.learn(list.iter().map(|provider| provider.name.as_str()));
         let mut stale = Vec::new();
         if matches!(form, ListForm::Cached | ListForm::Full) {
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -1,12 +1,14 @@
 //! The program from start to exit, as the named phases of one object.
 
+use super::admin::{self, Door};
 use super::config::Config;
 use super::consumer::ConsumerSide;
 use super::counters::Counters;
 use super::descriptors::Descriptors;
 use super::discovery::{Discovery, Target};
-use super::drain::Drain;
+use super::drain::{Drain, SendAway};
 use super::exchange::Exchange;
+use super::listen;
 use super::log::{log, print};
 use super::memory::Memory;
 use super::provider::ProviderSide;
@@ -17,7 +19,7 @@
 use signal_hook::iterator::Signals;
 use std::error::Error;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Words, not bytes: 128 KiB a coroutine, of which only what is touched counts.
@@ -37,6 +39,8 @@
     Starting,
     /// Accepts and serves.
     Serving,
+    /// Accepts and serves, but sends clients away: operators asked for it.
+    OutOfService,
     /// Asked to read its configuration again, and goes on serving meanwhile.
     Reloading,
     /// Asked to stop: finishes what it has taken.
@@ -45,10 +49,21 @@
     Stopped,
 }
 
-/// The program's phase and what it stands on.
-struct Lifecycle {
+/// The program stops: it cannot be put in or out of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stopping;
+
+/// The phase, and the one to return to from `Reloading`.
+struct Stand {
     phase: Phase,
+    back_to: Phase,
+}
+
+/// The program's phase and what it stands on.
+pub struct Lifecycle {
+    stand: Mutex<Stand>,
     counters: Arc<Counters>,
+    consumers: OnceLock<Arc<ConsumerSide>>,
 }
 
 /// The sides of a running proxy, as far as signals reach them.
@@ -60,7 +75,11 @@
 
 /// Runs the program from start to exit.
 pub fn run() -> ExitCode {
-    let mut lifecycle = Lifecycle { phase: Phase::Starting, counters: Arc::default() };
+    let lifecycle = Arc::new(Lifecycle {
+        stand: Mutex::new(Stand { phase: Phase::Starting, back_to: Phase::Serving }),
+        counters: Arc::default(),
+        consumers: OnceLock::new(),
+    });
     match lifecycle.go() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -70,18 +89,52 @@
     }
 }
 
-impl Lifecycle {
+impl Stand {
     fn enter(&mut self, phase: Phase) {
         log(&format!("{:?} -> {phase:?}", self.phase));
         self.phase = phase;
     }
+}
+
+impl Lifecycle {
+    /// Whether this process takes clients, be it to send them on.
+    pub fn is_ready(&self) -> bool {
+        matches!(self.stand().phase, Phase::Serving | Phase::OutOfService | Phase::Reloading)
+    }
 
-    fn go(&mut self) -> Result<(), Box<dyn Error>> {
+    /// Puts the proxy in service or out of it; to do so twice changes nothing.
+    pub fn serve(&self, in_service: bool) -> Result<(), Stopping> {
+        let mut stand = self.stand();
+        let to = if in_service { Phase::Serving } else { Phase::OutOfService };
+        match stand.phase {
+            Phase::Starting | Phase::Draining | Phase::Stopped => return Err(Stopping),
+            Phase::Reloading => stand.back_to = to,
+            phase if phase == to => return Ok(()),
+            _ => stand.enter(to),
+        }
+        if let Some(consumers) = self.consumers.get() {
+            match in_service {
+                true => consumers.welcome(),
+                false => consumers.send_away(SendAway::OUT_OF_SERVICE),
+            }
+        }
+        Ok(())
+    }
+
+    fn stand(&self) -> MutexGuard<'_, Stand> {
+        self.stand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn enter(&self, phase: Phase) {
+        self.stand().enter(phase);
+    }
+
+    fn go(self: &Arc<Self>) -> Result<(), Box<dyn Error>> {
         // Before anything listens: a signal is never answered by death.
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
         let mut config = Config::from_env()?;
         let sides = self.start(&config)?;
-        log(&format!("{} listens on {}", config.name, sides.consumers.address()?));
+        log(&format!("{} listens on {}", config.name, sides.consumers.address()));
         self.enter(Phase::Serving);
         for signal in signals.forever() {
             match signal {
@@ -99,8 +152,12 @@
 
     /// Reads the configuration again. Discovery moves at once; the rest of a running proxy stays as it
     /// was started. A bad file changes nothing: a slip in it must not end a proxy that serves.
-    fn reload(&mut self, config: &mut Config, discovery: &Target) {
-        self.enter(Phase::Reloading);
+    fn reload(&self, config: &mut Config, discovery: &Target) {
+        {
+            let mut stand = self.stand();
+            stand.back_to = stand.phase;
+            stand.enter(Phase::Reloading);
+        }
         match Config::from_env() {
             Ok(new) => {
                 self.counters.reloads.add();
@@ -119,14 +176,23 @@
                 log(&format!("reload: the old configuration stays: {error}"));
             }
         }
-        self.enter(Phase::Serving);
+        let mut stand = self.stand();
+        let back_to = stand.back_to;
+        stand.enter(back_to);
     }
 
-    fn start(&self, config: &Config) -> Result<Sides, Box<dyn Error>> {
+    fn start(self: &Arc<Self>, config: &Config) -> Result<Sides, Box<dyn Error>> {
         // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
         may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(READY_COROUTINES);
         may::config().set_worker_pin(false);
-        let descriptors = Descriptors::new(config.limits.sockets - OWN_SOCKETS);
+        let door = match config.admin {
+            Some(address) => {
+                Some(Door::open(address).map_err(|error| format!("door at {address}: {error}"))?)
+            }
+            None => None,
+        };
+        let own = OWN_SOCKETS + door.as_ref().map_or(0, |_| admin::DESCRIPTORS);
+        let descriptors = Descriptors::new(config.limits.sockets - own);
         let conn_idle = Duration::from_secs_f64(config.settings.limits.conn_idle.max(1000.0) / 1000.0);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
         let counters = &self.counters;
@@ -160,9 +226,14 @@
             Arc::clone(counters),
             memory,
             descriptors,
-            config.listen,
-        )
-        .map_err(|error| format!("listen on {}: {error}", config.listen))?;
+            listen::open(config.listen).map_err(|error| format!("listen on {}: {error}", config.listen))?,
+        )?;
+        // Set once: a process has one consumer side.
+        let _ = self.consumers.set(Arc::clone(&consumers));
+        if let Some(door) = door {
+            log(&format!("operators call {}", door.address()?));
+            door.serve(Arc::clone(&exchange), Arc::clone(self));
+        }
         Ok(Sides { exchange, consumers, discovery })
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,17 +1,65 @@
 //! A TCP connection that one coroutine uses and another may end.
 
+use may::io::CoIo;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::net::{self, Shutdown, SocketAddr};
+use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const READ_SIZE: usize = 4 * 1024;
 const WRITE_RETRY: Duration = Duration::from_millis(1);
 
+/// A socket of the coroutine library, as far as a [`Link`] uses it.
+pub trait Socket {
+    /// Reads what is there at this moment.
+    fn read_now(&self, into: &mut [u8]) -> io::Result<usize>;
+    /// Writes as much as goes at this moment.
+    fn write_now(&self, bytes: &[u8]) -> io::Result<usize>;
+    /// Waits until there is something to read.
+    fn await_bytes(&self, timeout: Duration) -> io::Result<()>;
+    /// Ends it; whoever waits on it wakes.
+    fn end(&self, how: Shutdown) -> io::Result<()>;
+}
+
+macro_rules! socket {
+    ($kind:ty) => {
+        impl Socket for $kind {
+            fn read_now(&self, into: &mut [u8]) -> io::Result<usize> {
+                self.inner().read(into)
+            }
+
+            fn write_now(&self, bytes: &[u8]) -> io::Result<usize> {
+                self.inner().write(bytes)
+            }
+
+            fn await_bytes(&self, timeout: Duration) -> io::Result<()> {
+                // may keeps one list of timers a length of time: whole milliseconds keep these few.
+                self.set_read_timeout(Some(whole_ms(timeout)))?;
+                self.peek(&mut [0]).map(drop)
+            }
+
+            fn end(&self, how: Shutdown) -> io::Result<()> {
+                self.inner().shutdown(how)
+            }
+        }
+    };
+}
+
+socket!(TcpStream);
+socket!(CoIo<net::TcpStream>);
+socket!(CoIo<UnixStream>);
+
 /// A connection.
-#[derive(Clone, Debug)]
-pub struct Link(Arc<TcpStream>);
+#[derive(Debug)]
+pub struct Link<S = TcpStream>(Arc<S>);
+
+impl<S> Clone for Link<S> {
+    fn clone(&self) -> Link<S> {
+        Link(Arc::clone(&self.0))
+    }
+}
 
 impl Link {
     /// Connects within a time.
@@ -22,18 +70,28 @@
         Ok(Link(Arc::new(stream)))
     }
 
+    /// Whether it is open with nothing to read: fit for another call.
+    pub fn is_quiet(&self) -> bool {
+        matches!(self.0.inner().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl<S: Socket> Link<S> {
+    /// A link of a socket that is connected.
+    pub fn of(socket: S) -> Link<S> {
+        Link(Arc::new(socket))
+    }
+
     /// Reads what is there, waiting until a point in time; 0 bytes mean the end.
     pub fn read(&self, into: &mut Vec<u8>, until: Instant) -> io::Result<usize> {
         loop {
-            match read_now(self.0.inner(), into) {
+            match read_some(into, |room| self.0.read_now(room)) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     let left = until.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         return Err(ErrorKind::TimedOut.into());
                     }
-                    // may keeps one list of timers a length of time: whole milliseconds keep these few.
-                    self.0.set_read_timeout(Some(whole_ms(left)))?;
-                    self.0.peek(&mut [0])?;
+                    self.0.await_bytes(left)?;
                 }
                 done => return done,
             }
@@ -43,7 +101,7 @@
     /// Writes all, or says that it could not before a point in time.
     pub fn write(&self, mut bytes: &[u8], until: Instant) -> io::Result<()> {
         while !bytes.is_empty() {
-            match self.0.inner().write(bytes) {
+            match self.0.write_now(bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => bytes = &bytes[count..],
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -59,31 +117,35 @@
         Ok(())
     }
 
-    /// Whether it is open with nothing to read: fit for another call.
-    pub fn is_quiet(&self) -> bool {
-        matches!(self.0.inner().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
-    }
-
     /// Ends it in both directions; whoever waits on it wakes.
     pub fn end(&self) {
         // An error says that it has ended already.
-        let _ = self.0.shutdown(Shutdown::Both);
+        let _ = self.0.end(Shutdown::Both);
+    }
+
+    /// Says that nothing more is written.
+    pub fn end_writing(&self) {
+        let _ = self.0.end(Shutdown::Write);
     }
 }
 
 /// Reads what is there at this moment. The room for it is on the heap: a coroutine's stack is used again
 /// and again and keeps every page that was ever touched.
-pub fn read_now(mut stream: &std::net::TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+pub fn read_now(mut stream: &net::TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+    read_some(into, |room| stream.read(room))
+}
+
+fn read_some(into: &mut Vec<u8>, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
     let before = into.len();
     into.resize(before + READ_SIZE, 0);
-    let read = loop {
-        match stream.read(&mut into[before..]) {
+    let done = loop {
+        match read(&mut into[before..]) {
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             done => break done,
         }
     };
-    into.truncate(before + *read.as_ref().unwrap_or(&0));
-    read
+    into.truncate(before + *done.as_ref().unwrap_or(&0));
+    done
 }
 
 /// A time in whole milliseconds, rounded up.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 //! Terms: a *consumer* is a client, a *provider* a cache node or the origin, an *invocation* a client's
 //! request, an *invoker call* one attempt at a provider, a *rejection* a refusal.
 
+pub mod admin;
 pub mod codec;
 pub mod config;
 pub mod consumer;
@@ -17,6 +18,7 @@
 pub mod http;
 pub mod lifecycle;
 pub mod link;
+pub mod listen;
 pub mod log;
 pub mod memcache;
 pub mod memory;
--- /dev/null
+++ b/tests/sockets/operations.rs
@@ -0,0 +1,127 @@
+//! What operators do day by day: the door, nodes taken out, the proxy drained.
+
+use crate::rig::*;
+use crate::{idle_origin, ms};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Instant;
+
+/// Guards against a door that does something else than it was asked, or says nothing of why it does not.
+#[test]
+fn the_door_says_yes_or_no_and_why() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let scene = Scene::of(&[&node], &origin);
+    let call = |method, path| call(scene.door, method, path);
+    assert_eq!(call("GET", "/control/ready"), (200, "ready\n".into()));
+    assert_eq!(call("POST", "/control/ready").0, 405);
+    assert_eq!(call("GET", "/control/nothing").0, 404);
+    assert_eq!(call("POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!(call("POST", "/control/cache-nodes/s%2D0/online").0, 200);
+    let (status, why) = call("POST", "/control/cache-nodes/nobody/offline");
+    assert!(status == 404 && why.contains("never listed"), "{why}");
+    assert_eq!(call("POST", "/control/cache-nodes/nobody/online").0, 404);
+    assert_eq!(call("POST", "/control/cache-nodes/o/offline").0, 409, "the origin is no cache node");
+    assert_eq!(say_to_door(scene.door, "mn\r\n\r\n").0, 400);
+    let long = format!("GET /control/ready HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(9000));
+    assert_eq!(say_to_door(scene.door, &long).0, 431);
+    let body =
+        format!("POST /control/in-service HTTP/1.1\r\nContent-Length: 30000\r\n\r\n{}", "x".repeat(30_000));
+    assert_eq!(say_to_door(scene.door, &body).0, 200, "a body is thrown away");
+    assert_eq!(scene.count("panics"), 0);
+}
+
+/// Guards against a door kept shut by callers that say nothing, or half a call.
+#[test]
+fn callers_that_say_nothing_keep_no_call_out() {
+    let origin = idle_origin();
+    let scene = Scene::of(&[], &origin);
+    let crowd: Vec<TcpStream> = (0..60)
+        .map(|n| {
+            let mut stream = TcpStream::connect(scene.door).unwrap();
+            let half: &[u8] = if n % 2 == 0 { b"" } else { b"GET /control/re" };
+            std::io::Write::write_all(&mut stream, half).unwrap();
+            stream
+        })
+        .collect();
+    assert_eq!(call(scene.door, "GET", "/control/ready").0, 200);
+    drop(crowd);
+}
+
+#[test]
+fn a_node_held_out_gets_nothing_until_it_is_called_back() {
+    let (out, other, origin) = (Party::full_node("out"), Party::full_node("other"), idle_origin());
+    let scene = Scene::of(&[&out, &other], &origin);
+    let mut client = scene.client();
+    let mut number = 0;
+    let mut ask = |times: usize| {
+        (0..times).for_each(|_| {
+            number += 1;
+            assert!(client.read(&format!("k{number}"), &number.to_string(), 900).0.starts_with("VA "));
+        });
+    };
+    ask(20);
+    assert!(!out.heard().is_empty());
+    let (_, tell) = scene.discovery.watch();
+    let of = |lifecycle| [out.entry("s-0", "c6", lifecycle), other.entry("s-1", "c6", "ready")];
+    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    let before = out.heard().len();
+    ask(20);
+    // Whatever discovery lists in between.
+    let lists =
+        [catalog(2, true, &of("ready")), catalog(3, false, &of("gone")), catalog(4, false, &of("ready"))];
+    for (n, list) in lists.into_iter().enumerate() {
+        let heard = scene.count("lists");
+        tell.send(list).unwrap();
+        scene.until("the list is heard", || scene.count("lists") > heard);
+        ask(10 + n);
+    }
+    assert_eq!(out.heard().len(), before, "nothing new went there");
+    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/online").0, 200);
+    ask(60);
+    assert!(out.heard().len() > before, "it serves again");
+}
+
+/// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
+/// between commands, and the proxy lives on.
+#[test]
+fn a_proxy_out_of_service_lets_its_clients_go_and_takes_them_again() {
+    let node = Party::node(|line| {
+        if line.contains("slow") {
+            sleep(ms(900));
+        }
+        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let (mut busy, mut used) = (scene.client(), scene.client());
+    let mut idle: Vec<Client> = (0..20).map(|_| scene.client()).collect();
+    idle.iter_mut().for_each(|client| assert_eq!(client.ask("mn\r\n"), "MN\r\n"));
+    assert_eq!(used.read("k", "1", 900).1, "v\r\n");
+    busy.say("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
+    scene.until("the node is asked", || node.heard().len() == 2);
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    let begun = Instant::now();
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200, "twice is once");
+    assert_eq!(call(scene.door, "GET", "/control/ready").0, 200, "it still takes who comes");
+    assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
+    // Who has a connection is served on it once more, and it closes with the answer; so does a new one.
+    for mut client in [used, scene.client()] {
+        assert_eq!(client.read("k", "3", 900).1, "v\r\n");
+        assert_eq!(client.line(), "");
+    }
+    assert_eq!(
+        (busy.line(), busy.line(), busy.line()),
+        ("VA 1 O2\r\n".into(), "v\r\n".into(), String::new())
+    );
+    let closed = |idle: &[Client]| idle.iter().filter(|client| client.is_closed()).count();
+    let early = closed(&idle);
+    scene.until("idle connections close", || closed(&idle) == idle.len());
+    assert!(early < idle.len(), "not all at once");
+    assert!(begun.elapsed() < ms(4000));
+    assert_eq!(call(scene.door, "POST", "/control/in-service").0, 200);
+    let mut back = scene.client();
+    assert_eq!(back.ask("mn\r\n"), "MN\r\n");
+    assert_eq!((back.read("k", "4", 900).1, back.read("k", "5", 900).1), ("v\r\n".into(), "v\r\n".into()));
+    scene.signal("TERM");
+    assert!(scene.end().status.success());
+}
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -198,6 +198,25 @@
     command.spawn().expect("the proxy starts")
 }
 
+/// Starts the proxy and reads in its log where it listens and where its door is.
+fn started(config: &Path) -> (Child, SocketAddr, SocketAddr) {
+    let mut child = start_on(config);
+    let log = BufReader::new(child.stderr.take().unwrap());
+    let (found, places) = channel::<SocketAddr>();
+    // Nobody reads the log any further: a proxy must not end for that.
+    thread::spawn(move || {
+        let lines = log.lines().map_while(Result::ok);
+        let named = |line: String| {
+            let at = line.split_once(" call ").or_else(|| line.split_once(" listens on "))?;
+            at.1.parse().ok()
+        };
+        lines.filter_map(named).take(2).for_each(|place| found.send(place).unwrap_or(()));
+    });
+    let next = || places.recv_timeout(WAIT).expect("the proxy says where it listens");
+    let (door, place) = (next(), next());
+    (child, place, door)
+}
+
 /// Waits for the program's end.
 pub fn end(mut child: Child) -> Output {
     let until = Instant::now() + WAIT;
@@ -212,6 +231,8 @@
 pub struct Scene {
     pub discovery: Discovery,
     pub place: SocketAddr,
+    /// The operators' door.
+    pub door: SocketAddr,
     child: Option<Child>,
     config: PathBuf,
 }
@@ -230,20 +251,10 @@
         let discovery = Discovery::new();
         let known = catalog(1, true, entries);
         let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
-        let config = written(&config.replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#)));
-        let mut child = start_on(&config);
-        let log = BufReader::new(child.stderr.take().unwrap());
-        let (found, place) = channel();
-        // Nobody reads the log any further: a proxy must not end for that.
-        thread::spawn(move || {
-            let mut lines = log.lines().map_while(Result::ok);
-            let place = lines.find_map(|line| line.split_once(" listens on ")?.1.parse().ok());
-            if let Some(place) = place {
-                found.send(place).unwrap_or(());
-            }
-        });
-        let place = place.recv_timeout(WAIT).expect("the proxy says where it listens");
-        let scene = Scene { discovery, place, child: Some(child), config };
+        let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
+        let config = written(&config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits));
+        let (child, place, door) = started(&config);
+        let scene = Scene { discovery, place, door, child: Some(child), config };
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
         scene
     }
@@ -371,3 +382,18 @@
         (line, value)
     }
 }
+
+/// One call at the operators' door: its status and its text.
+pub fn call(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    say_to_door(door, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
+}
+
+/// What the door answers to these bytes.
+pub fn say_to_door(door: SocketAddr, words: &str) -> (u16, String) {
+    let mut client = Client::to(door);
+    client.say(words);
+    let status = client.line().split(' ').nth(1).map_or(0, |status| status.parse().unwrap());
+    let mut rest = String::new();
+    std::io::Read::read_to_string(&mut client.0, &mut rest).unwrap();
+    (status, rest.split_once("\r\n\r\n").map_or(String::new(), |(_, text)| text.to_owned()))
+}
