Upgrades: a second process is given the listening socket and shares one budget

Cause: the operators start run beside the running program; the two knew nothing of each other, and the second ended with 2.

Change: net/takeover (a Unix socket in TMPDIR, the listening socket passed by SCM_RIGHTS through rustix, a link that lasts as long as both processes do), lifecycle split into phases (stand.rs, now with TakingOver and HandingOver), budget and host. Descriptors and memory for values are divided while there are two. Calls about nodes and service bind both before their yes.

--- a/crates/places/src/split.rs
+++ b/crates/places/src/split.rs
@@ -9,6 +9,7 @@
 #[derive(Clone, Debug)]
 pub struct Split {
     total: usize,
+    shares: [f64; 2],
     consumers_least: usize,
     providers_least: usize,
     peak: f64,
@@ -19,18 +20,20 @@
     /// A division of `total` descriptors, of which each side is sure of these parts. Every side has at least
     /// one.
     pub fn new(total: usize, consumers_least: f64, providers_least: f64) -> Split {
-        let least = |share: f64| ((total as f64 * share) as usize).max(1);
-        let split = Split {
-            total: total.max(2),
-            consumers_least: least(consumers_least),
-            providers_least: least(providers_least),
-            peak: 0.0,
-            at: 0,
-        };
-        debug_assert!(split.consumers_least + split.providers_least <= split.total);
+        let shares = [consumers_least, providers_least];
+        debug_assert!(shares[0] + shares[1] <= 1.0);
+        let mut split = Split { total, shares, consumers_least: 1, providers_least: 1, peak: 0.0, at: 0 };
+        split.resize(total);
         split
     }
 
+    /// From now on there are so many, divided by the same shares. Who holds more gives them back in time.
+    pub fn resize(&mut self, total: usize) {
+        let least = |share: f64| ((total as f64 * share) as usize).max(1);
+        (self.consumers_least, self.providers_least) = (least(self.shares[0]), least(self.shares[1]));
+        self.total = total.max(2);
+    }
+
     /// Providers hold so many, or would if they could.
     pub fn providers_need(&mut self, now: u64, need: usize) {
         self.peak = self.peak_at(now).max(need as f64);
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -8,6 +8,7 @@
 use super::link::{sleep, Link};
 use super::listen::{Listener, Stream};
 use super::log::log;
+use super::takeover::Ordered;
 use codec::{Call, Said};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -141,30 +142,32 @@
     }
 }
 
-/// Puts a call to whom it concerns.
+/// Puts a call to whom it concerns: this process, then the other one, if there are two.
 fn carry_out(call: Call, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> Result<Said, Said> {
-    let text = match call {
-        Call::Ready => match lifecycle.is_ready() {
-            true => "ready".to_owned(),
-            false => return Err(Said::new(503, "not ready: starting or stopping")),
-        },
-        Call::Offline(id) => exchange
-            .hold_out(&id)
-            .map(|()| format!("{id} is out: nothing more goes there until it is called back"))
-            .map_err(|error| refused(&error))?,
-        Call::Online(id) => exchange
-            .bring_back(&id)
-            .map(|()| format!("{id} may serve as far as discovery lists it as ready"))
-            .map_err(|error| refused(&error))?,
-        Call::OutOfService => lifecycle
-            .serve(false)
-            .map(|()| "out of service: clients are sent away".to_owned())
-            .map_err(|Stopping| Said::new(409, "this process stops already"))?,
-        Call::InService => lifecycle
-            .serve(true)
-            .map(|()| "in service".to_owned())
-            .map_err(|Stopping| Said::new(409, "this process stops"))?,
+    let (order, text) = match call {
+        Call::Ready => {
+            return match lifecycle.is_ready() {
+                true => Ok(Said::new(200, "ready")),
+                false => Err(Said::new(503, "not ready: starting or stopping")),
+            };
+        }
+        Call::Offline(id) => {
+            exchange.hold_out(&id).map_err(|error| refused(&error))?;
+            let text = format!("{id} is out: nothing more goes there until it is called back");
+            (Ordered::Offline(id), text)
+        }
+        Call::Online(id) => {
+            exchange.bring_back(&id).map_err(|error| refused(&error))?;
+            let text = format!("{id} may serve as far as discovery lists it as ready");
+            (Ordered::Online(id), text)
+        }
+        Call::OutOfService => (Ordered::Service(false), "out of service: clients are sent away".to_owned()),
+        Call::InService => (Ordered::Service(true), "in service".to_owned()),
     };
+    if let Ordered::Service(into) = order {
+        lifecycle.serve(into).map_err(|Stopping| Said::new(409, "this process stops"))?;
+    }
+    lifecycle.takeover().relay(order).map_err(|why| Said::new(503, format!("done here only: {why}")))?;
     Ok(Said::new(200, text))
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use super::admin::DESCRIPTORS as DOOR_SOCKETS;
 use crate::settings::{Effect, Settings};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -37,7 +37,7 @@
 }
 
 /// One entry of the list of providers, in discovery's form.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
     /// Its name, the same at every proxy.
--- a/src/net/consumer/mod.rs
+++ b/src/net/consumer/mod.rs
@@ -119,11 +119,25 @@
         Ok(side)
     }
 
-    /// From now on none is accepted; those held are served on.
-    pub fn stop_listening(&self) {
+    /// From now on none is accepted but who waits already; those held are served on. If another process holds
+    /// the socket too, also those are left to it.
+    pub fn stop_listening(&self, to_other: bool) {
         let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
-        // Its socket is closed once all that wait are accepted.
-        listener.iter().for_each(|listener| listener.stop());
+        // Here its socket is closed once that is done.
+        listener.iter().for_each(|listener| match to_other {
+            true => listener.leave(),
+            false => listener.close(),
+        });
+    }
+
+    /// Leaves accepting to another process that holds the socket too, or accepts again.
+    pub fn rest_listening(&self, rests: bool) {
+        self.listener().iter().for_each(|listener| listener.rest(rests));
+    }
+
+    /// The listening socket, while it listens.
+    pub fn listener(&self) -> Option<Arc<Listener>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// From now on `mn` says no, and connections are let go of by this plan.
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -40,6 +40,20 @@
         })
     }
 
+    /// Makes do with `least`, or with what is held if that is more and `spare` on top; how many that is.
+    pub fn shrink(&self, least: usize, spare: usize) -> usize {
+        let mut split = self.split();
+        let held = self.consumers.load(Ordering::Acquire) + self.providers.load(Ordering::Acquire);
+        let total = least.max(held + spare);
+        split.resize(total);
+        total
+    }
+
+    /// From now on so many.
+    pub fn resize(&self, total: usize) {
+        self.split().resize(total);
+    }
+
     /// Milliseconds since the start.
     pub fn now(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -58,6 +58,13 @@
     /// A proxy is put out of service. By 4 s none may be idle, nor have a request of the last 2 s open.
     pub const OUT_OF_SERVICE: SendAway = SendAway { idle_from: 400, idle_until: 1800, half_until: 3400 };
 
+    /// Another process accepts clients by now, and this one is to end by then. Idle connections are kept for long:
+    /// the longer one has been idle, the less likely is a command that crosses its close.
+    pub fn for_drain(drain: &Drain) -> SendAway {
+        let until = u64::try_from(drain.serves.as_millis()).unwrap_or(u64::MAX);
+        SendAway { idle_from: until / 2, idle_until: until, half_until: until }
+    }
+
     /// When a connection, numbered in the order of arrival, is to close if it stands idle; in ms since the
     /// sending away began, as is its arrival.
     pub fn idle_at(&self, number: u64, arrived: u64) -> u64 {
--- a/src/net/exchange/held_out.rs
+++ b/src/net/exchange/held_out.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::{ListForm, Time};
 use crate::net::config::Instance;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use thiserror::Error;
 
@@ -25,6 +26,16 @@
     TooMany,
 }
 
+/// All of it, as one process tells another.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Nodes {
+    /// What discovery told last of each that is listed.
+    pub told: Vec<Instance>,
+    gone: Vec<String>,
+    out: BTreeMap<String, Time>,
+    back: BTreeMap<String, (Time, Time)>,
+}
+
 /// What discovery told of each node, and which are held out.
 #[derive(Debug, Default)]
 pub struct HeldOut {
@@ -38,6 +49,22 @@
 }
 
 impl HeldOut {
+    /// What another process is to know.
+    pub fn nodes(&self) -> Nodes {
+        Nodes {
+            told: self.told.values().cloned().collect(),
+            gone: self.gone_in_order.iter().cloned().collect(),
+            out: self.out.clone(),
+            back: self.back.clone(),
+        }
+    }
+
+    /// Takes over what another process knew, but for what is listed: that is told like any list.
+    pub fn inherit(&mut self, nodes: Nodes) {
+        nodes.gone.into_iter().for_each(|name| self.remember(name));
+        (self.out, self.back) = (nodes.out, nodes.back);
+    }
+
     /// Discovery tells of nodes; the same as the module is to hear it.
     pub fn told(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
         if matches!(form, ListForm::Cached | ListForm::Full) {
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -19,7 +19,7 @@
 use crate::settings::Settings;
 use clock::Clock;
 use held_out::HeldOut;
-pub use held_out::NotHeld;
+pub use held_out::{Nodes, NotHeld};
 use ids::{key_number, ProviderIds};
 use listed::{provider, Provider};
 use may::sync::mpsc::Sender;
@@ -356,6 +356,16 @@
         self.hear(state, form, heard);
     }
 
+    /// What another process of this proxy is to know of nodes.
+    pub fn nodes(&self) -> Nodes {
+        self.lock().held_out.nodes()
+    }
+
+    /// Takes over what another process knew of nodes, before discovery's list is told.
+    pub fn inherit(&self, nodes: Nodes) {
+        self.lock().held_out.inherit(nodes);
+    }
+
     /// Operators hold a cache node out: once this returns, nothing new goes there until it is brought back.
     pub fn hold_out(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
         let mut state = self.lock();
--- /dev/null
+++ b/src/net/lifecycle/host.rs
@@ -0,0 +1,47 @@
+//! What the other process of this proxy may ask of this one, and is told of it.
+
+use super::Lifecycle;
+use crate::net::exchange::Nodes;
+use crate::net::listen::Listener;
+use crate::net::log::log;
+use crate::net::takeover::{Host, Ordered, Partner, Share};
+use std::sync::Arc;
+
+impl Host for Lifecycle {
+    fn give(&self) -> Option<(Arc<Listener>, Nodes)> {
+        let sides = self.sides.get().filter(|_| self.is_ready())?;
+        Some((sides.consumers.listener()?, sides.exchange.nodes()))
+    }
+
+    fn share(&self, leaving: bool) -> Share {
+        self.sides.get().map_or(Share::default(), |sides| sides.budget.divide(leaving))
+    }
+
+    fn allow(&self, share: Option<Share>) {
+        self.sides.get().into_iter().for_each(|sides| sides.budget.allow(share));
+    }
+
+    fn carry_out(&self, order: &Ordered) -> Result<(), String> {
+        let sides = self.sides.get().ok_or("it starts")?;
+        match order {
+            Ordered::Offline(id) => sides.exchange.hold_out(id).map_err(|error| error.to_string()),
+            Ordered::Online(id) => sides.exchange.bring_back(id).map_err(|error| error.to_string()),
+            // One that stops sends its clients away as it is.
+            Ordered::Service(into) => {
+                let _ = self.serve(*into);
+                Ok(())
+            }
+        }
+    }
+
+    fn partner(&self, partner: Partner) {
+        log(&format!("the other process: {partner:?}"));
+        let leaves_accepting = self.change(|stand| {
+            stand.partner = partner;
+            // Who has outlived the older process is the older one for the next.
+            stand.is_newcomer &= partner != Partner::None;
+            stand.leaves_accepting()
+        });
+        self.sides.get().into_iter().for_each(|sides| sides.consumers.rest_listening(leaves_accepting));
+    }
+}
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle/mod.rs
@@ -1,5 +1,9 @@
 //! The program from start to exit, as the named phases of one object.
 
+mod budget;
+mod host;
+mod stand;
+
 use super::admin::{self, Door};
 use super::config::Config;
 use super::consumer::ConsumerSide;
@@ -12,11 +16,15 @@
 use super::log::{log, print};
 use super::memory::Memory;
 use super::provider::ProviderSide;
+use super::takeover::{self, Given, Host, Partner, Share, Takeover};
 use crate::settings::Settings;
+use budget::Budget;
 use may::coroutine::sleep;
 use may::sync::mpsc::channel;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+pub use stand::Phase;
+use stand::Stand;
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -32,53 +40,33 @@
 /// Descriptors that are neither a consumer's nor a provider's: files, pollers, discovery, the listener.
 const OWN_SOCKETS: usize = 24;
 
-/// Where the program stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Reads its configuration, knows the cached list, does not listen yet.
-    Starting,
-    /// Accepts and serves.
-    Serving,
-    /// Accepts and serves, but sends clients away: operators asked for it.
-    OutOfService,
-    /// Asked to read its configuration again, and goes on serving meanwhile.
-    Reloading,
-    /// Asked to stop: finishes what it has taken.
-    Draining,
-    /// All is answered.
-    Stopped,
-}
-
 /// The program stops: it cannot be put in or out of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stopping;
 
-/// The phase, and the one to return to from `Reloading`.
-struct Stand {
-    phase: Phase,
-    back_to: Phase,
-}
-
 /// The program's phase and what it stands on.
 pub struct Lifecycle {
     stand: Mutex<Stand>,
     counters: Arc<Counters>,
-    consumers: OnceLock<Arc<ConsumerSide>>,
+    sides: OnceLock<Sides>,
+    takeover: Arc<Takeover>,
 }
 
-/// The sides of a running proxy, as far as signals reach them.
+/// The sides of a running proxy, as far as signals, operators and the other process reach them.
 struct Sides {
     exchange: Arc<Exchange>,
     consumers: Arc<ConsumerSide>,
     discovery: Arc<Target>,
+    budget: Budget,
 }
 
 /// Runs the program from start to exit.
 pub fn run() -> ExitCode {
     let lifecycle = Arc::new(Lifecycle {
-        stand: Mutex::new(Stand { phase: Phase::Starting, back_to: Phase::Serving }),
+        stand: Mutex::default(),
         counters: Arc::default(),
-        consumers: OnceLock::new(),
+        sides: OnceLock::new(),
+        takeover: Takeover::new(),
     });
     match lifecycle.go() {
         Ok(()) => ExitCode::SUCCESS,
@@ -89,38 +77,40 @@
     }
 }
 
-impl Stand {
-    fn enter(&mut self, phase: Phase) {
-        log(&format!("{:?} -> {phase:?}", self.phase));
-        self.phase = phase;
-    }
-}
-
 impl Lifecycle {
     /// Whether this process takes clients, be it to send them on.
     pub fn is_ready(&self) -> bool {
-        matches!(self.stand().phase, Phase::Serving | Phase::OutOfService | Phase::Reloading)
+        self.stand().serves()
     }
 
     /// Puts the proxy in service or out of it; to do so twice changes nothing.
     pub fn serve(&self, in_service: bool) -> Result<(), Stopping> {
-        let mut stand = self.stand();
-        let to = if in_service { Phase::Serving } else { Phase::OutOfService };
-        match stand.phase {
-            Phase::Starting | Phase::Draining | Phase::Stopped => return Err(Stopping),
-            Phase::Reloading => stand.back_to = to,
-            phase if phase == to => return Ok(()),
-            _ => stand.enter(to),
-        }
-        if let Some(consumers) = self.consumers.get() {
+        self.change(|stand| {
+            stand.away = !in_service;
+            stand.serves().then_some(()).ok_or(Stopping)
+        })?;
+        if let Some(sides) = self.sides.get() {
             match in_service {
-                true => consumers.welcome(),
-                false => consumers.send_away(SendAway::OUT_OF_SERVICE),
+                true => sides.consumers.welcome(),
+                false => sides.consumers.send_away(SendAway::OUT_OF_SERVICE),
             }
         }
         Ok(())
     }
 
+    /// All that the other process of this proxy is told.
+    pub fn takeover(&self) -> &Takeover {
+        &self.takeover
+    }
+
+    /// Changes what the phase follows from.
+    fn change<T>(&self, change: impl FnOnce(&mut Stand) -> T) -> T {
+        let mut stand = self.stand();
+        let done = change(&mut stand);
+        stand.settle();
+        done
+    }
+
     fn stand(&self) -> MutexGuard<'_, Stand> {
         self.stand.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -133,9 +123,9 @@
         // Before anything listens: a signal is never answered by death.
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
         let mut config = Config::from_env()?;
-        let sides = self.start(&config)?;
+        let given = takeover::ask(config.listen)?;
+        let sides = self.start(&config, given)?;
         log(&format!("{} listens on {}", config.name, sides.consumers.address()));
-        self.enter(Phase::Serving);
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => print(&self.counters.line()),
@@ -144,7 +134,8 @@
             }
         }
         self.enter(Phase::Draining);
-        drain(&sides, Drain::for_wait(longest_wait(&config.settings)));
+        drain(sides, Drain::for_wait(longest_wait(&config.settings)), self.takeover.leave());
+        self.takeover.end();
         self.enter(Phase::Stopped);
         print(&self.counters.line());
         Ok(())
@@ -153,11 +144,7 @@
     /// Reads the configuration again. Discovery moves at once; the rest of a running proxy stays as it
     /// was started. A bad file changes nothing: a slip in it must not end a proxy that serves.
     fn reload(&self, config: &mut Config, discovery: &Target) {
-        {
-            let mut stand = self.stand();
-            stand.back_to = stand.phase;
-            stand.enter(Phase::Reloading);
-        }
+        self.change(|stand| stand.reloading = true);
         match Config::from_env() {
             Ok(new) => {
                 self.counters.reloads.add();
@@ -176,12 +163,10 @@
                 log(&format!("reload: the old configuration stays: {error}"));
             }
         }
-        let mut stand = self.stand();
-        let back_to = stand.back_to;
-        stand.enter(back_to);
+        self.change(|stand| stand.reloading = false);
     }
 
-    fn start(self: &Arc<Self>, config: &Config) -> Result<Sides, Box<dyn Error>> {
+    fn start(self: &Arc<Self>, config: &Config, given: Option<Given>) -> Result<&Sides, Box<dyn Error>> {
         // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
         may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(READY_COROUTINES);
         may::config().set_worker_pin(false);
@@ -192,7 +177,8 @@
             None => None,
         };
         let own = OWN_SOCKETS + door.as_ref().map_or(0, |_| admin::DESCRIPTORS);
-        let descriptors = Descriptors::new(config.limits.sockets - own);
+        let alone = config.limits.sockets - own;
+        let descriptors = Descriptors::new(alone);
         let conn_idle = Duration::from_secs_f64(config.settings.limits.conn_idle.max(1000.0) / 1000.0);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
         let counters = &self.counters;
@@ -205,6 +191,20 @@
             subscribe.clone(),
         );
         let memory = Memory::of(config.limits.memory_mb);
+        let all = Share { sockets: alone, memory: Memory::bound_of(config.limits.memory_mb) };
+        let both = Share { sockets: alone.saturating_sub(own), ..all };
+        let (memory_of, descriptors_of) = (Arc::clone(&memory), Arc::clone(&descriptors));
+        let budget = Budget { both, alone: all, descriptors: descriptors_of, memory: memory_of };
+        let mut known = config.known.clone();
+        if let Some(given) = &given {
+            self.change(|stand| (stand.is_newcomer, stand.partner) = (true, Partner::Serving));
+            budget.allow(Some(given.share));
+            exchange.inherit(given.nodes.clone());
+            // What the older process heard last is newer than what the file knows.
+            if !given.nodes.told.is_empty() {
+                known.instances.clone_from(&given.nodes.told);
+            }
+        }
         ProviderSide::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
@@ -218,23 +218,29 @@
             Arc::clone(&exchange),
             Arc::clone(counters),
             config.discovery,
-            config.known.clone(),
+            known,
             (subscribe, subscriptions),
         );
-        let consumers = ConsumerSide::start(
-            Arc::clone(&exchange),
-            Arc::clone(counters),
-            memory,
-            descriptors,
-            listen::open(config.listen).map_err(|error| format!("listen on {}: {error}", config.listen))?,
-        )?;
-        // Set once: a process has one consumer side.
-        let _ = self.consumers.set(Arc::clone(&consumers));
+        let socket = match &given {
+            Some(given) => given.socket.try_clone()?,
+            None => listen::open(config.listen)
+                .map_err(|error| format!("listen on {}: {error}", config.listen))?,
+        };
+        let consumers =
+            ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
+        let address = consumers.address();
+        let sides = self.sides.get_or_init(|| Sides { exchange, consumers, discovery, budget });
         if let Some(door) = door {
             log(&format!("operators call {}", door.address()?));
-            door.serve(Arc::clone(&exchange), Arc::clone(self));
+            door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
+        }
+        let host: Arc<dyn Host> = Arc::clone(self) as Arc<dyn Host>;
+        if let Some(given) = given {
+            self.takeover.join(given, Arc::clone(&host))?;
         }
-        Ok(Sides { exchange, consumers, discovery })
+        self.change(|stand| stand.enter(Phase::Serving));
+        self.takeover.listen(address, host);
+        Ok(sides)
     }
 }
 
@@ -244,15 +250,18 @@
     (longest > 0.0).then(|| Duration::from_secs_f64(longest.min(60_000.0) / 1000.0))
 }
 
-/// Serves on while new connections may come, then those that are held, then until everything taken is
-/// answered.
-fn drain(sides: &Sides, drain: Drain) {
+/// Serves on while new connections may come, unless another process accepts them; then those that are held, then
+/// until everything taken is answered.
+fn drain(sides: &Sides, drain: Drain, other_accepts: bool) {
     let begun = Instant::now();
     let until = |time: Duration| sleep(time.saturating_sub(begun.elapsed()));
     let held = || sides.exchange.unanswered() + sides.consumers.open();
     // Danger: clients are short of connections until the last may come. Who is idle gives way to them till then.
-    until(drain.accepts);
-    sides.consumers.stop_listening();
+    match other_accepts {
+        true => sides.consumers.send_away(SendAway::for_drain(&drain)),
+        false => until(drain.accepts),
+    }
+    sides.consumers.stop_listening(other_accepts);
     sides.consumers.keep_all();
     while begun.elapsed() < drain.serves && held() > 0 {
         sleep(LOOK_EVERY);
--- /dev/null
+++ b/src/net/lifecycle/stand.rs
@@ -0,0 +1,113 @@
+//! The phases of the program, as named states of one object. It decides which holds; it does nothing.
+
+use crate::net::log::log;
+use crate::net::takeover::Partner;
+
+/// Where the program stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Reads its configuration, knows the cached list, does not listen yet.
+    Starting,
+    /// Accepts and serves, and so does the older process for what it holds.
+    TakingOver,
+    /// Accepts and serves.
+    Serving,
+    /// Accepts and serves, but sends clients away: operators asked for it.
+    OutOfService,
+    /// Another process accepts; this one serves what it holds until it is asked to stop.
+    HandingOver,
+    /// Asked to read its configuration again, and goes on serving meanwhile.
+    Reloading,
+    /// Asked to stop: finishes what it has taken.
+    Draining,
+    /// All is answered.
+    Stopped,
+}
+
+/// The phase, and what it follows from while the program serves.
+#[derive(Debug)]
+pub struct Stand {
+    phase: Phase,
+    /// Whether clients are sent away.
+    pub away: bool,
+    /// Whether the configuration is being read again.
+    pub reloading: bool,
+    /// Where the other process of this proxy stands.
+    pub partner: Partner,
+    /// Whether the other process was there first.
+    pub is_newcomer: bool,
+}
+
+impl Default for Stand {
+    fn default() -> Stand {
+        Stand {
+            phase: Phase::Starting,
+            away: false,
+            reloading: false,
+            partner: Partner::None,
+            is_newcomer: false,
+        }
+    }
+}
+
+impl Stand {
+    /// Whether clients are served, be it to send them on.
+    pub fn serves(&self) -> bool {
+        !matches!(self.phase, Phase::Starting | Phase::Draining | Phase::Stopped)
+    }
+
+    /// Whether accepting is left to the other process. Danger: with nobody to accept, clients would wait in
+    /// the queue. Whoever is alone accepts.
+    pub fn leaves_accepting(&self) -> bool {
+        !self.is_newcomer && self.partner == Partner::Serving
+    }
+
+    /// Moves on to a phase.
+    pub fn enter(&mut self, phase: Phase) {
+        if phase != self.phase {
+            log(&format!("{:?} -> {phase:?}", self.phase));
+            self.phase = phase;
+        }
+    }
+
+    /// Moves on to the phase that follows from what has changed.
+    pub fn settle(&mut self) {
+        if self.serves() {
+            self.enter(match self.partner {
+                _ if self.reloading => Phase::Reloading,
+                _ if self.leaves_accepting() => Phase::HandingOver,
+                Partner::Serving | Partner::Leaving if self.is_newcomer => Phase::TakingOver,
+                _ if self.away => Phase::OutOfService,
+                _ => Phase::Serving,
+            });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_phase_follows_from_what_holds() {
+        let mut stand = Stand::default();
+        let mut after = |change: fn(&mut Stand)| {
+            change(&mut stand);
+            stand.settle();
+            (stand.phase, stand.leaves_accepting())
+        };
+        assert_eq!(after(|stand| stand.away = true), (Phase::Starting, false), "not before it serves");
+        assert_eq!(after(|stand| stand.enter(Phase::Serving)), (Phase::OutOfService, false));
+        assert_eq!(after(|stand| stand.reloading = true), (Phase::Reloading, false));
+        assert_eq!(after(|stand| stand.partner = Partner::Serving), (Phase::Reloading, true));
+        assert_eq!(after(|stand| stand.reloading = false), (Phase::HandingOver, true));
+        assert_eq!(after(|stand| stand.partner = Partner::None), (Phase::OutOfService, false));
+        assert_eq!(after(|stand| (stand.away, stand.is_newcomer) = (false, true)), (Phase::Serving, false));
+        assert_eq!(after(|stand| stand.partner = Partner::Leaving), (Phase::TakingOver, false));
+        assert_eq!(
+            after(|stand| stand.enter(Phase::Draining)),
+            (Phase::Draining, false),
+            "it ends once begun"
+        );
+    }
+}
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -76,6 +76,12 @@
     }
 }
 
+impl<S> From<Arc<S>> for Link<S> {
+    fn from(socket: Arc<S>) -> Link<S> {
+        Link(socket)
+    }
+}
+
 impl<S: Socket> Link<S> {
     /// A link of a socket that is connected.
     pub fn of(socket: S) -> Link<S> {
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -8,9 +8,12 @@
 /// its stacks': measured at up to 16 MB with 384 descriptors.
 const SHARE: f64 = 0.22;
 
-/// What is left of the bound.
+/// The bound, and how much of it is drawn.
 #[derive(Debug)]
-pub struct Memory(AtomicUsize);
+pub struct Memory {
+    bound: AtomicUsize,
+    drawn: AtomicUsize,
+}
 
 /// A part drawn from the bound, given back when dropped.
 #[derive(Debug)]
@@ -22,19 +25,37 @@
 impl Memory {
     /// The bound of a program that may use so many MB in all.
     pub fn of(limit_mb: usize) -> Arc<Memory> {
-        Arc::new(Memory(AtomicUsize::new((limit_mb as f64 * SHARE * f64::from(1 << 20)) as usize)))
+        Arc::new(Memory { bound: AtomicUsize::new(Memory::bound_of(limit_mb)), drawn: AtomicUsize::new(0) })
+    }
+
+    /// How many bytes of values a program may hold that may use so many MB in all.
+    pub fn bound_of(limit_mb: usize) -> usize {
+        (limit_mb as f64 * SHARE * f64::from(1 << 20)) as usize
     }
 
     /// Draws so many bytes, if there are as many left.
     pub fn hold(self: &Arc<Self>, bytes: usize) -> Option<Held> {
-        let less = |left: usize| left.checked_sub(bytes);
-        self.0.fetch_update(Ordering::AcqRel, Ordering::Acquire, less).ok()?;
+        let bound = self.bound.load(Ordering::Acquire);
+        let more = |drawn: usize| drawn.checked_add(bytes).filter(|drawn| *drawn <= bound);
+        self.drawn.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).ok()?;
         Some(Held { from: Arc::clone(self), bytes })
     }
+
+    /// Makes do with `least`, or with what is drawn if that is more; how many bytes that is.
+    pub fn shrink(&self, least: usize) -> usize {
+        let bound = least.max(self.drawn.load(Ordering::Acquire));
+        self.resize(bound);
+        bound
+    }
+
+    /// From now on so many bytes.
+    pub fn resize(&self, bound: usize) {
+        self.bound.store(bound, Ordering::Release);
+    }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.from.0.fetch_add(self.bytes, Ordering::AcqRel);
+        self.from.drawn.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,3 +23,4 @@
 pub mod memcache;
 pub mod memory;
 pub mod provider;
+pub mod takeover;
--- /dev/null
+++ b/src/net/takeover/messages.rs
@@ -0,0 +1,99 @@
+//! What two processes of one proxy tell each other: JSON objects, one a line.
+
+use crate::net::exchange::Nodes;
+use serde::{Deserialize, Serialize};
+
+/// Processes of other versions are not understood.
+pub const VERSION: u32 = 1;
+/// The longest line.
+const MAX_LINE: usize = 16 << 20;
+
+/// What a process may use for consumers and providers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Bytes of values.
+    pub memory: usize,
+}
+
+/// A call of the operators that binds both processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ordered {
+    /// Nothing more to this cache node.
+    Offline(String),
+    /// This cache node may serve again.
+    Online(String),
+    /// In service, or out of it.
+    Service(bool),
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The newcomer asks to take over.
+    Ask(u32),
+    /// It may: what is known of nodes, and what it may use. The listening socket comes just before.
+    Give(Nodes, Share),
+    /// It may not.
+    Refuse(String),
+    /// The newcomer accepts clients.
+    Serving,
+    /// Whoever says this has been asked to stop.
+    Leaving,
+    /// What the newcomer may use from now on.
+    Share(Share),
+    /// A call to carry out, with its number.
+    Order(u64, Ordered),
+    /// It is carried out; or why not.
+    Done(u64, Option<String>),
+}
+
+impl Message {
+    /// The message as it is written.
+    pub fn line(&self) -> Vec<u8> {
+        // The types above are all representable.
+        let mut line = serde_json::to_vec(self).unwrap_or_default();
+        line.push(b'\n');
+        line
+    }
+}
+
+/// Bytes that come in, as messages.
+#[derive(Debug, Default)]
+pub struct Inbox(pub Vec<u8>);
+
+impl Inbox {
+    /// The next message, if it is whole.
+    pub fn next(&mut self) -> Result<Option<Message>, &'static str> {
+        let Some(end) = self.0.iter().position(|byte| *byte == b'\n') else {
+            return if self.0.len() > MAX_LINE { Err("a message too long") } else { Ok(None) };
+        };
+        let message = serde_json::from_slice(&self.0[..end]).map_err(|_| "a message that is none")?;
+        self.0.drain(..=end);
+        Ok(Some(message))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_arrive_as_they_were_sent_however_they_are_cut() {
+        let sent = [
+            Message::Ask(VERSION),
+            Message::Give(Nodes::default(), Share { sockets: 7, memory: 9 }),
+            Message::Order(3, Ordered::Offline("a\n\"b".into())),
+            Message::Done(3, Some("no".into())),
+        ];
+        let bytes: Vec<u8> = sent.iter().flat_map(Message::line).collect();
+        let (mut inbox, mut came) = (Inbox::default(), Vec::new());
+        for byte in bytes {
+            inbox.0.push(byte);
+            came.extend(inbox.next().unwrap());
+        }
+        assert_eq!(came, sent);
+        assert!(Inbox(b"{}\n".to_vec()).next().is_err());
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod operations;
 mod rig;
+mod upgrades;
 
 use rig::*;
 use std::sync::atomic::Ordering;
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -193,14 +193,18 @@
 }
 
 fn start_on(path: &Path) -> Child {
+    start_in(path, &std::env::temp_dir())
+}
+
+fn start_in(path: &Path, tmp: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail"));
-    command.env("LB_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.env("LB_CONFIG", path).env("TMPDIR", tmp).stdout(Stdio::piped()).stderr(Stdio::piped());
     command.spawn().expect("the proxy starts")
 }
 
 /// Starts the proxy and reads in its log where it listens and where its door is.
-fn started(config: &Path) -> (Child, SocketAddr, SocketAddr) {
-    let mut child = start_on(config);
+fn started(config: &Path, tmp: &Path) -> (Child, SocketAddr, SocketAddr) {
+    let mut child = start_in(config, tmp);
     let log = BufReader::new(child.stderr.take().unwrap());
     let (found, places) = channel::<SocketAddr>();
     // Nobody reads the log any further: a proxy must not end for that.
@@ -217,6 +221,10 @@
     (child, place, door)
 }
 
+pub fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args(["-s", name, &child.id().to_string()]).status().unwrap().success());
+}
+
 /// Waits for the program's end.
 pub fn end(mut child: Child) -> Output {
     let until = Instant::now() + WAIT;
@@ -235,6 +243,8 @@
     pub door: SocketAddr,
     child: Option<Child>,
     config: PathBuf,
+    /// What the proxy has for `$TMPDIR`.
+    tmp: PathBuf,
 }
 
 impl Scene {
@@ -253,8 +263,10 @@
         let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
         let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
         let config = written(&config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits));
-        let (child, place, door) = started(&config);
-        let scene = Scene { discovery, place, door, child: Some(child), config };
+        let tmp = config.with_extension("tmp");
+        std::fs::create_dir_all(&tmp).unwrap();
+        let (child, place, door) = started(&config, &tmp);
+        let scene = Scene { discovery, place, door, child: Some(child), config, tmp };
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
         scene
     }
@@ -304,8 +316,47 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+        signal(self.child.as_ref().unwrap(), name);
+    }
+
+    /// Writes a configuration for a second process of this proxy.
+    fn second(&self) -> PathBuf {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.place)))
+    }
+
+    /// Starts a second process of this proxy, which is ready when this returns: it and its door.
+    pub fn beside(&self) -> (Child, SocketAddr) {
+        let (child, place, door) = started(&self.second(), &self.tmp);
+        assert_eq!(place, self.place);
+        self.until("the second process is ready", || call(door, "GET", "/control/ready").0 == 200);
+        (child, door)
+    }
+
+    /// From now on `$TMPDIR` is a folder whose path is too long for the address of a Unix socket.
+    pub fn lengthen_tmp(&mut self) {
+        self.tmp = self.tmp.join("long".repeat(40));
+        std::fs::create_dir_all(&self.tmp).unwrap();
+    }
+
+    /// Kills the proxy and starts it anew at the same addresses.
+    pub fn restart(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().and_then(|()| child.wait()).unwrap();
+        let (child, door) = self.beside();
+        (self.child, self.door) = (Some(child), door);
+    }
+
+    /// A second process on a configuration with some text replaced.
+    pub fn beside_with(&self, from: &str, to: &str) -> Child {
+        let text = std::fs::read_to_string(self.second()).unwrap();
+        start_in(&written(&text.replace(from, to)), &self.tmp)
+    }
+
+    /// Puts a second process in the first one's place; the first.
+    pub fn succeed(&mut self, (child, door): (Child, SocketAddr)) -> Child {
+        self.door = door;
+        self.child.replace(child).unwrap()
     }
 
     /// Replaces the configuration by what it is with some text replaced, and has it read again.
@@ -326,6 +377,7 @@
             // It may have ended by itself.
             let _ = child.kill().and_then(|()| child.wait());
         }
+        let _ = std::fs::remove_dir_all(&self.tmp);
     }
 }
 
@@ -375,6 +427,15 @@
         self.line()
     }
 
+    /// Reads a key; the value's line, or none if the connection ended first.
+    pub fn try_read(&mut self, id: &str) -> Option<String> {
+        if !self.try_say(&format!("mg {id} v O{id} Pc=read,t=acme,d=2000\r\n")) {
+            return None;
+        }
+        let line = self.line();
+        (!line.is_empty()).then(|| if line.starts_with("VA ") { self.line() } else { line })
+    }
+
     /// Reads a key; the line of the answer, and the value's line if there is one.
     pub fn read(&mut self, key: &str, id: &str, ms: u32) -> (String, String) {
         let line = self.ask(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"));
--- /dev/null
+++ b/tests/sockets/upgrades.rs
@@ -0,0 +1,158 @@
+//! A second process takes over from the first while it serves.
+
+use crate::rig::*;
+use crate::{idle_origin, ms};
+use std::process::Child;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+
+fn kill(mut child: Child) {
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
+/// Clients that ask all the time, on a new connection whenever theirs is closed between commands.
+struct Load {
+    stop: Arc<AtomicBool>,
+    asked: Arc<AtomicUsize>,
+    clients: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn on(scene: &Scene, clients: usize) -> Load {
+        let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let place = scene.place;
+        let run = |number: usize| {
+            let (stop, asked) = (Arc::clone(&stop), Arc::clone(&asked));
+            spawn(move || {
+                let mut client = Client::to(place);
+                for n in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("{number}.{n}");
+                    // A close that crosses a command leaves it unread, and it is sent once more.
+                    let mut answer = client.try_read(&id);
+                    if answer.is_none() {
+                        client = Client::to(place);
+                        answer = client.try_read(&format!("{id}r"));
+                    }
+                    assert_eq!(answer.as_deref(), Some("v\r\n"), "{id}");
+                    asked.fetch_add(1, Ordering::SeqCst);
+                    sleep(ms(3));
+                }
+            })
+        };
+        let clients = (0..clients).map(run).collect();
+        Load { stop, asked, clients }
+    }
+
+    fn end(self) -> usize {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.into_iter().for_each(|client| client.join().expect("every command is answered"));
+        self.asked.load(Ordering::SeqCst)
+    }
+}
+
+/// Guards against commands lost or run twice while one process follows another, and against bans forgotten.
+#[test]
+fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
+    let (node, out, origin) = (Party::full_node("v"), Party::full_node("out"), idle_origin());
+    let mut scene = Scene::of(&[&node, &out], &origin);
+    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+    let load = Load::on(&scene, 8);
+    for _ in 0..3 {
+        let second = scene.beside();
+        // Both doors bind both processes.
+        assert_eq!(call(second.1, "POST", "/control/cache-nodes/s-0/online").0, 200);
+        assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+        assert_eq!(call(scene.door, "GET", "/control/ready").0, 200, "the old one serves on");
+        sleep(ms(100));
+        let first = scene.succeed(second);
+        signal(&first, "TERM");
+        assert!(end(first).status.success());
+        sleep(ms(100));
+    }
+    let asked = load.end();
+    let ids: std::collections::BTreeSet<String> =
+        node.heard().iter().map(|line| opaque(line).to_owned()).collect();
+    assert_eq!(node.heard().len(), ids.len(), "nothing runs twice");
+    assert!(ids.len() >= asked && asked > 100, "{asked} of {}", ids.len());
+    assert!(out.heard().is_empty(), "held out before, during and after");
+    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/online").0, 200);
+    let mut client = scene.client();
+    (0..40).for_each(|n| assert!(client.read(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
+    assert!(!out.heard().is_empty(), "it serves again");
+}
+
+/// Guards against clients left waiting by a newcomer that dies, and against a proxy that cannot be upgraded
+/// any more after that.
+#[test]
+fn a_newcomer_that_dies_or_cannot_start_leaves_the_old_one_as_it_was() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let mut scene = Scene::of(&[&node], &origin);
+    let taken = format!(r#""admin":"{}""#, scene.door);
+    for (from, to, names) in
+        [(r#""admin":"127.0.0.1:0""#, taken.as_str(), "door"), (r#""Grades""#, r#""Grates""#, "Grades")]
+    {
+        let output = end(scene.beside_with(from, to));
+        assert_eq!(output.status.code(), Some(2));
+        assert!(String::from_utf8_lossy(&output.stderr).contains(names));
+        assert_eq!(scene.client().read("k", names, 900).1, "v\r\n");
+    }
+    // Dead before it is ready, whenever that is, and after.
+    for wait in [0, 5, 20, 60] {
+        let child = scene.beside_with("n0", "n0");
+        sleep(ms(wait));
+        kill(child);
+        assert_eq!(scene.client().read("k", &wait.to_string(), 900).1, "v\r\n");
+    }
+    let (second, _) = scene.beside();
+    let third = end(scene.beside_with("n0", "n0"));
+    assert_eq!(third.status.code(), Some(2), "one upgrade at a time");
+    assert!(String::from_utf8_lossy(&third.stderr).contains("refuses"));
+    kill(second);
+    scene.until("the old one accepts again", || scene.client().read("k", "a", 900).1 == "v\r\n");
+    let second = scene.beside();
+    let first = scene.succeed(second);
+    kill(first);
+    assert_eq!(scene.client().read("k", "b", 900).1, "v\r\n", "also if the old one is killed");
+    let second = scene.beside();
+    let first = scene.succeed(second);
+    signal(&first, "TERM");
+    assert!(end(first).status.success());
+    assert_eq!(scene.client().read("k", "c", 900).1, "v\r\n");
+}
+
+/// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
+#[test]
+fn a_drain_binds_both_processes_and_is_not_inherited() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let mut scene = Scene::of(&[&node], &origin);
+    let second = scene.beside();
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
+    assert_eq!(call(second.1, "POST", "/control/in-service").0, 200);
+    assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+    kill(scene.succeed(second));
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    let second = scene.beside();
+    kill(scene.succeed(second));
+    assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+}
+
+/// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
+#[test]
+fn an_upgrade_needs_no_short_path_and_no_clean_folder() {
+    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let mut scene = Scene::of(&[&node], &origin);
+    scene.lengthen_tmp();
+    // The one that is killed leaves its name behind.
+    (0..2).for_each(|_| scene.restart());
+    let second = scene.beside();
+    let first = scene.succeed(second);
+    signal(&first, "TERM");
+    assert!(end(first).status.success());
+    assert_eq!(scene.client().read("k", "1", 900).1, "v\r\n");
+}
