SIGHUP puts new settings in force, whole or not at all

Change: the file is read, checked (config/check.rs) and put in force under the exchange's lock with the meaning of names as one version; a command read by an older version is read once more. Open requests copy class and limits when they are taken, so that no later version reaches them.

Ruled out: stable class numbers (see the design): nothing is kept by number after a command is taken.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,7 @@
 //! HyLARD decides the ordinary path (docs/design.md); each exception names the danger it answers.
 
 use crate::interface::*;
-use crate::settings::{Class, Effect, Scope, Settings};
+use crate::settings::{Class, Effect, Limits, Scope, Settings};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -80,7 +80,8 @@
 
 struct Open {
     request: Request,
-    class: Class,
+    class: Class, // with the limits: as they were when it was taken, whatever settings come
+    limits: Limits,
     deadline: Time,
     work: f64,
     stage: Stage,
@@ -118,6 +119,11 @@
         }
     }
 
+    /// From now on these settings; open requests keep what they were taken with.
+    pub fn retune(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -149,7 +155,8 @@
         let work = request.hint.unwrap_or(self.mean_work.max(1.0));
         self.mean_work += if self.mean_work == 0.0 { work } else { 0.02 * (work - self.mean_work) };
         let deadline = self.now + budget;
-        let open = Open { request, class, deadline, work, stage: Stage::ForServer, attempts: Vec::new() };
+        let (limits, stage) = (self.settings.limits, Stage::ForServer);
+        let open = Open { request, class, limits, deadline, work, stage, attempts: Vec::new() };
         self.requests.insert(request.id, open);
         self.retries = (self.retries + 0.2).min(10.0);
         let id = request.id;
@@ -368,9 +375,9 @@
         });
         harmless
             && target.state == State::Ready
-            && open.attempts.len() < self.settings.limits.max_attempts as usize
+            && open.attempts.len() < open.limits.max_attempts as usize
             && self.now < open.deadline
-            && (!out || self.settings.limits.second_copies)
+            && (!out || open.limits.second_copies)
     }
 
     /// Danger: a refusal invites a repeat. Whether the client may repeat it anywhere.
@@ -385,7 +392,7 @@
     /// The final answer that is no success: a refusal where that is true, else a failure.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
-        let wait = self.settings.limits.max_retry_after / 4.0;
+        let wait = open.limits.max_retry_after / 4.0;
         out.push(if self.may_refuse(open) { Action::Refuse(id, wait) } else { Action::Fail(id) });
         self.close(id, out);
     }
--- /dev/null
+++ b/src/net/config/check.rs
@@ -0,0 +1,115 @@
+//! What must hold of settings beyond their form, and what a newer configuration may not leave out.
+
+use super::ConfigError;
+use crate::settings::{Class, Effect, Settings};
+use serde_json::Value;
+
+/// The most classes: their number is one byte.
+const MOST_CLASSES: usize = 255;
+/// Not compared: it is replaced as discovery tells more.
+const KNOWN: &str = "known";
+
+/// Whether settings, with the names of their classes and tenants, make sense.
+pub fn check(settings: &Settings, classes: &[String], tenants: &[String]) -> Result<(), ConfigError> {
+    if settings.classes.is_empty() || settings.classes.len() > MOST_CLASSES {
+        return Err(bad("Grades", settings.classes.len(), "a list of 1 to 255 classes"));
+    }
+    named_once("Grades[].Name", classes)?;
+    named_once("Orgs[].Name", tenants)?;
+    for (class, name) in settings.classes.iter().zip(classes) {
+        check_class(class, name)?;
+    }
+    if settings.limits.max_attempts == 0 {
+        return Err(bad("Permissions.MaxAttempts", 0, "above 0"));
+    }
+    if settings.group_size == 0 {
+        return Err(bad("GroupSize", 0, "above 0"));
+    }
+    let (limits, safety) = (&settings.limits, &settings.safety);
+    let above_0 = [
+        ("Tick", settings.tick),
+        ("Safety.StartCapacity", safety.start_capacity),
+        ("Safety.FallMultiple", safety.fall_multiple),
+        ("Safety.TipAfter", safety.tip_after),
+    ];
+    let not_below_0 = [
+        ("Permissions.ConnIdle", limits.conn_idle),
+        ("Permissions.MaxRetryAfter", limits.max_retry_after),
+        ("Safety.Cold", safety.cold),
+        ("Safety.MustAskIn", safety.must_ask_in),
+    ];
+    above_0.into_iter().try_for_each(|(field, figure)| above(field, figure))?;
+    not_below_0.into_iter().try_for_each(|(field, figure)| match figure.is_finite() && figure >= 0.0 {
+        true => Ok(()),
+        false => Err(bad(field, figure, "0 or above")),
+    })
+}
+
+fn check_class(class: &Class, name: &str) -> Result<(), ConfigError> {
+    let field = |key: &str| format!("Grades[{name}].{key}");
+    above(&field("Aim"), class.aim)?;
+    above(&field("GiveUp"), class.give_up)?;
+    if class.effect == Effect::Keyed {
+        above(&field("RepeatWindow"), class.repeat_window)?;
+    }
+    match class.worth.is_finite() && class.worth >= 0.0 {
+        true => Ok(()),
+        false => Err(bad(&field("Worth"), class.worth, "0 or above")),
+    }
+}
+
+fn above(field: &str, figure: f64) -> Result<(), ConfigError> {
+    match figure.is_finite() && figure > 0.0 {
+        true => Ok(()),
+        false => Err(bad(field, figure, "given and above 0")),
+    }
+}
+
+fn named_once(field: &str, names: &[String]) -> Result<(), ConfigError> {
+    let twice = names.iter().enumerate().find(|(at, name)| name.is_empty() || names[..*at].contains(name));
+    twice.map_or(Ok(()), |(_, name)| Err(bad(field, name, "a name given once")))
+}
+
+fn bad(field: &str, value: impl ToString, wanted: &'static str) -> ConfigError {
+    ConfigError::Field { field: field.to_owned(), value: value.to_string(), wanted }
+}
+
+/// The first key that was told before and is missing now, as a path. Danger: what is left out by a slip would
+/// silently fall back to a default. Of a list of objects, each must have the keys that all had before.
+pub fn missing(before: &Value, now: &Value) -> Option<String> {
+    match (before, now) {
+        (Value::Object(before), Value::Object(now)) => {
+            before.iter().filter(|(key, _)| *key != KNOWN).find_map(|(key, value)| match now.get(key) {
+                None => Some(key.clone()),
+                Some(newer) => missing(value, newer).map(|path| format!("{key}.{path}")),
+            })
+        }
+        (Value::Array(before), Value::Array(now)) => {
+            let mut objects = before.iter().filter_map(Value::as_object);
+            let first = objects.next()?;
+            let common: Vec<&String> =
+                first.keys().filter(|key| objects.clone().all(|other| other.contains_key(*key))).collect();
+            now.iter().enumerate().find_map(|(at, item)| {
+                let key = common.iter().find(|key| item.get(key.as_str()).is_none())?;
+                Some(format!("[{at}].{key}"))
+            })
+        }
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_key_that_was_told_before_is_missed() {
+        let value = |text: &str| serde_json::from_str::<Value>(text).unwrap();
+        let before = value(r#"{"a":{"b":1},"known":{"x":1},"list":[{"n":1,"m":2},{"n":2}],"plain":[1]}"#);
+        let of = |text| missing(&before, &value(text));
+        assert_eq!(of(r#"{"a":{"b":2,"c":3},"list":[{"n":1}],"plain":[],"new":0}"#), None);
+        assert_eq!(of(r#"{"a":{},"list":[],"plain":[]}"#).as_deref(), Some("a.b"));
+        assert_eq!(of(r#"{"a":{"b":1},"list":[{"n":1},{"m":1}],"plain":[]}"#).as_deref(), Some("list.[1].n"));
+        assert_eq!(of(r#"{"a":{"b":1},"list":[]}"#).as_deref(), Some("plain"));
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config/mod.rs
@@ -1,4 +1,6 @@
-//! What the proxy is told at its start: the JSON object that `LB_CONFIG` names.
+//! What the proxy is told at its start and at SIGHUP: the JSON object that `LB_CONFIG` names.
+
+mod check;
 
 use super::admin::DESCRIPTORS as DOOR_SOCKETS;
 use crate::settings::{Effect, Settings};
@@ -24,11 +26,14 @@
     /// The file is not the object expected.
     #[error("configuration: {0}")]
     Form(#[from] serde_json::Error),
+    /// What was told before is left out.
+    #[error("configuration: the key {0} is missing")]
+    Missing(String),
     /// A field holds no legal value.
     #[error("configuration: {field} {value:?} is not {wanted}")]
     Field {
         /// The field.
-        field: &'static str,
+        field: String,
         /// Its value.
         value: String,
         /// What it should be.
@@ -156,6 +161,8 @@
 /// What names on the sockets mean to the module: each is its place in the settings.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
+    /// Which version of the settings they belong to: set when that is put in force.
+    pub version: u64,
     classes: Vec<String>,
     keyed: Vec<bool>,
     tenants: Vec<String>,
@@ -168,6 +175,11 @@
 }
 
 impl Names {
+    /// The names of the classes, for the log.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The class of a name.
     pub fn class(&self, name: &str) -> Option<u8> {
         place(&self.classes, name).and_then(|at| u8::try_from(at).ok())
@@ -220,7 +232,7 @@
     pub names: Names,
     /// How long a connection may take to come up.
     pub connect_timeout: Duration,
-    /// The settings as they came.
+    /// The file as it came.
     given: serde_json::Value,
 }
 
@@ -236,18 +248,29 @@
 
     /// Reads the object; `admin`, if any, stands for the address that it names. The error names what is wrong.
     pub fn from_json(text: &[u8], admin: Option<String>) -> Result<Config, ConfigError> {
+        let given: serde_json::Value = serde_json::from_slice(text)?;
         let file: File = serde_json::from_slice(text)?;
         let words: Words = serde_json::from_value(file.settings.clone())?;
         let settings: Settings = serde_json::from_value(file.settings.clone())?;
-        let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect();
+        let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect::<Vec<String>>();
+        let (classes, tenants) = (name_of(words.grades), name_of(words.orgs));
+        check::check(&settings, &classes, &tenants)?;
         let timeout = words.permissions.connect_timeout;
         if !(timeout.is_finite() && timeout >= 1.0) {
             let value = timeout.to_string();
-            return Err(ConfigError::Field { field: "ConnectTimeout", value, wanted: "a time in ms" });
+            return Err(ConfigError::Field {
+                field: "ConnectTimeout".to_owned(),
+                value,
+                wanted: "a time in ms",
+            });
         }
         if file.limits.memory_mb < MIN_MEMORY_MB {
             let value = file.limits.memory_mb.to_string();
-            return Err(ConfigError::Field { field: "limits.memory_mb", value, wanted: "at least 16" });
+            return Err(ConfigError::Field {
+                field: "limits.memory_mb".to_owned(),
+                value,
+                wanted: "at least 16",
+            });
         }
         let named = file.admin.filter(|admin| !admin.is_empty());
         let admin = match admin.or(named) {
@@ -260,7 +283,7 @@
         };
         if file.limits.sockets < least {
             let value = file.limits.sockets.to_string();
-            return Err(ConfigError::Field { field: "limits.sockets", value, wanted });
+            return Err(ConfigError::Field { field: "limits.sockets".to_owned(), value, wanted });
         }
         Ok(Config {
             admin,
@@ -272,17 +295,34 @@
             known: file.known,
             names: Names {
                 keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
-                classes: name_of(words.grades),
-                tenants: name_of(words.orgs),
+                version: 0,
+                classes,
+                tenants,
                 kinds: words.kinds,
                 zones: words.zones,
             },
             settings,
             connect_timeout: Duration::from_secs_f64(timeout / 1000.0),
-            given: file.settings,
+            given,
         })
     }
 
+    /// Reads the file again. An error says why the newer configuration must not be put in force.
+    pub fn newer(&self) -> Result<Config, ConfigError> {
+        let newer = Config::from_env()?;
+        match check::missing(&self.given, &newer.given) {
+            Some(key) => Err(ConfigError::Missing(key)),
+            None => Ok(newer),
+        }
+    }
+
+    /// Becomes a newer configuration, but for what waits for the next start: that stays as it runs.
+    pub fn adopt(&mut self, mut newer: Config) {
+        newer.name = std::mem::take(&mut self.name);
+        (newer.listen, newer.admin, newer.limits) = (self.listen, self.admin, self.limits);
+        *self = newer;
+    }
+
     /// What a newer configuration has otherwise that a running proxy cannot change.
     pub fn fixed_since(&self, newer: &Config) -> Vec<&'static str> {
         let differs = [
@@ -290,7 +330,6 @@
             ("listen", self.listen != newer.listen),
             ("admin", self.admin != newer.admin),
             ("limits", self.limits != newer.limits),
-            ("settings", self.given != newer.given),
         ];
         differs.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
     }
@@ -300,14 +339,18 @@
 const MIN_MEMORY_MB: usize = 16;
 
 fn address(field: &'static str, value: String) -> Result<SocketAddr, ConfigError> {
-    value.parse().map_err(|_| ConfigError::Field { field, value, wanted: "an IP address and port" })
+    value.parse().map_err(|_| ConfigError::Field {
+        field: field.to_owned(),
+        value,
+        wanted: "an IP address and port",
+    })
 }
 
 fn seed(value: String) -> Result<u64, ConfigError> {
     match value.is_empty() {
         true => Ok(0),
         false => u64::from_str_radix(&value, 16).map_err(|_| ConfigError::Field {
-            field: "seed",
+            field: "seed".to_owned(),
             value,
             wanted: "a number of at most 16 hexadecimal digits",
         }),
--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -5,7 +5,7 @@
 use super::{Away, ConsumerSide, Shared};
 use crate::interface::RequestId;
 use crate::net::codec::{Parsed, MAX_VALUE};
-use crate::net::exchange::{Answer, IdInUse, Invocation};
+use crate::net::exchange::{Answer, Invocation, NotTaken, Reply};
 use crate::net::link::{read_now, sleep};
 use crate::net::listen::Stream;
 use crate::net::memcache::{self, Command};
@@ -347,10 +347,25 @@
             shared.waker.wakeup();
         };
         self.side.asked(self.number);
-        match self.side.exchange.take(invocation, Box::new(reply)) {
+        match self.take(invocation, Box::new(reply)) {
             Ok(id) => self.pending.push_back(Pending { id: Some(id), words, held: Some(held) }),
-            // Two answers under one id could not be told apart.
-            Err(IdInUse) => self.refuse("CLIENT_ERROR the id is in use"),
+            Err(why) => self.refuse(&format!("CLIENT_ERROR {why}")),
+        }
+    }
+
+    /// Hands an invocation in, read once more as often as other settings come into force meanwhile.
+    fn take(&self, mut given: Invocation, mut reply: Reply) -> Result<RequestId, &'static str> {
+        loop {
+            match self.side.exchange.take(given, reply) {
+                Ok(id) => return Ok(id),
+                // Two answers under one id could not be told apart.
+                Err(NotTaken::IdInUse) => return Err("the id is in use"),
+                Err(NotTaken::Outdated(old, same)) => {
+                    let Invocation { key, opaque, labels, value, .. } = *old;
+                    given = invocation(&self.side.exchange, key, opaque, labels, value)?;
+                    reply = same;
+                }
+            }
         }
     }
 
--- a/src/net/consumer/invocation.rs
+++ b/src/net/consumer/invocation.rs
@@ -19,6 +19,7 @@
         return Err("a name given twice");
     }
     let names = exchange.names();
+    let version = names.version;
     let class = of("c").and_then(|name| names.class(name)).ok_or("unknown class")?;
     // Without its key no provider can tell a repeat from a second write.
     if value.is_some() && names.is_keyed(class) && of("k").map_or(true, str::is_empty) {
@@ -39,5 +40,5 @@
         None => None,
     };
     let repeat = of("r") == Some("1");
-    Ok(Invocation { opaque, key, class, tenant, budget, hint, repeat, labels, value })
+    Ok(Invocation { opaque, key, class, tenant, version, budget, hint, repeat, labels, value })
 }
--- a/src/net/exchange/held_out.rs
+++ b/src/net/exchange/held_out.rs
@@ -85,6 +85,11 @@
         list.into_iter().map(|node| self.heard(node)).collect()
     }
 
+    /// All that is listed now, as the module is to hear it.
+    pub fn all(&self) -> Vec<Instance> {
+        self.told.values().map(|node| self.heard(node.clone())).collect()
+    }
+
     /// What discovery told last of a node, if it is listed.
     pub fn listed(&self, name: &str) -> Option<&Instance> {
         self.told.get(name)
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -38,10 +38,12 @@
     pub opaque: String,
     /// Its key as the consumer gave it.
     pub key: String,
-    /// Place of its class in the settings.
+    /// Place of its class in the settings of `version`.
     pub class: u8,
-    /// Place of its tenant in the settings.
+    /// Place of its tenant there.
     pub tenant: u32,
+    /// By which version of the settings it was read.
+    pub version: u64,
     /// How long the consumer waits, in ms.
     pub budget: Time,
     /// Expected work in ms.
@@ -115,9 +117,13 @@
 /// and wake whoever writes it, but never wait nor call the exchange.
 pub type Reply = Box<dyn FnOnce(Answer, Option<Held>) + Send>;
 
-/// No two invocations may be open under one id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct IdInUse;
+/// Why an invocation is not taken in.
+pub enum NotTaken {
+    /// No two invocations may be open under one id.
+    IdInUse,
+    /// Other settings have come into force since it was read: it must be read by those.
+    Outdated(Box<Invocation>, Reply),
+}
 
 /// An invocation, until its answer is given and all its calls have ended.
 struct Record {
@@ -157,6 +163,8 @@
 
 struct Inner {
     balancer: Balancer,
+    names: Arc<Names>,
+    origin_kind: i64,
     records: BTreeMap<RequestId, Record>,
     open_ids: BTreeSet<String>,
     last_id: RequestId,
@@ -193,8 +201,6 @@
 /// The meeting point of consumers, providers and discovery.
 pub struct Exchange {
     clock: Clock,
-    names: Names,
-    origin_kind: i64,
     counters: Arc<Counters>,
     state: Mutex<Inner>,
     orders: Sender<Order>,
@@ -213,6 +219,8 @@
     ) -> Arc<Exchange> {
         let origin_kind = settings.family.origin_kind;
         let state = Inner {
+            names: Arc::new(names),
+            origin_kind,
             balancer: Balancer::new(settings, seed),
             records: BTreeMap::new(),
             open_ids: BTreeSet::new(),
@@ -222,12 +230,25 @@
             held_out: HeldOut::default(),
         };
         let state = Mutex::new(state);
-        Arc::new(Exchange { clock: Clock::start(), names, origin_kind, counters, state, orders, subscribe })
+        Arc::new(Exchange { clock: Clock::start(), counters, state, orders, subscribe })
     }
 
-    /// What names mean to the module.
-    pub fn names(&self) -> &Names {
-        &self.names
+    /// What names mean to the module now.
+    pub fn names(&self) -> Arc<Names> {
+        Arc::clone(&self.lock().names)
+    }
+
+    /// Puts other settings in force, and what names mean by them, in one step. Open invocations keep what they
+    /// were taken with.
+    pub fn retune(self: &Arc<Self>, settings: Settings, mut names: Names) {
+        let mut state = self.lock();
+        state.origin_kind = settings.family.origin_kind;
+        state.balancer.retune(settings);
+        names.version = state.names.version + 1;
+        state.names = Arc::new(names);
+        // Kinds and zones may have other numbers now.
+        let listed = state.held_out.all();
+        self.hear(state, ListForm::Delta, listed);
     }
 
     /// The proxy's counters.
@@ -241,12 +262,15 @@
     }
 
     /// Takes an invocation in. Its one answer goes to `reply`, unless the consumer leaves first.
-    pub fn take(self: &Arc<Self>, invocation: Invocation, reply: Reply) -> Result<RequestId, IdInUse> {
+    pub fn take(self: &Arc<Self>, invocation: Invocation, reply: Reply) -> Result<RequestId, NotTaken> {
         let write = invocation.value.is_some();
         let overdue = span(invocation.budget) + OVERDUE;
         let mut state = self.lock();
+        if invocation.version != state.names.version {
+            return Err(NotTaken::Outdated(Box::new(invocation), reply));
+        }
         if !state.open_ids.insert(invocation.opaque.clone()) {
-            return Err(IdInUse);
+            return Err(NotTaken::IdInUse);
         }
         if write { &self.counters.taken_writes } else { &self.counters.taken_reads }.add();
         state.last_id += 1;
@@ -369,7 +393,8 @@
     /// Operators hold a cache node out: once this returns, nothing new goes there until it is brought back.
     pub fn hold_out(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
         let mut state = self.lock();
-        let is_origin = |node: &Instance| i64::from(self.names.kind(&node.machine_type)) == self.origin_kind;
+        let is_origin =
+            |node: &Instance| i64::from(state.names.kind(&node.machine_type)) == state.origin_kind;
         if state.held_out.listed(name).is_some_and(is_origin) {
             return Err(NotHeld::Origin(name.to_owned()));
         }
@@ -390,7 +415,7 @@
 
     /// Has the module hear of nodes, and forgets what leads to those that take nothing new.
     fn hear(self: &Arc<Self>, mut state: MutexGuard<Inner>, form: ListForm, list: Vec<Instance>) {
-        let list: Vec<Provider> = list.into_iter().filter_map(|node| provider(&self.names, node)).collect();
+        let list: Vec<Provider> = list.into_iter().filter_map(|node| provider(&state.names, node)).collect();
         state.ids.learn(list.iter().map(|provider| provider.name.as_str()));
         let mut stale = Vec::new();
         if matches!(form, ListForm::Cached | ListForm::Full) {
@@ -404,7 +429,7 @@
         for provider in list {
             let server = state.ids.number(&provider.name);
             let member = Member { server, ..provider.member };
-            let origin = i64::from(member.kind) == self.origin_kind;
+            let origin = i64::from(member.kind) == state.origin_kind;
             let place = provider.place.into();
             let known = Known { place, state: member.state, started: member.started, origin };
             let before = state.providers.get(&server);
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -56,6 +56,7 @@
 struct Sides {
     exchange: Arc<Exchange>,
     consumers: Arc<ConsumerSide>,
+    providers: Arc<ProviderSide>,
     discovery: Arc<Target>,
     budget: Budget,
 }
@@ -129,7 +130,7 @@
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => print(&self.counters.line()),
-                SIGHUP => self.reload(&mut config, &sides.discovery),
+                SIGHUP => self.reload(&mut config, sides),
                 _ => break,
             }
         }
@@ -141,22 +142,26 @@
         Ok(())
     }
 
-    /// Reads the configuration again. Discovery moves at once; the rest of a running proxy stays as it
-    /// was started. A bad file changes nothing: a slip in it must not end a proxy that serves.
-    fn reload(&self, config: &mut Config, discovery: &Target) {
+    /// Reads the configuration again: settings and discovery are put in force at once. A bad file changes
+    /// nothing: a slip in it must not end a proxy that serves.
+    fn reload(&self, config: &mut Config, sides: &Sides) {
         self.change(|stand| stand.reloading = true);
-        match Config::from_env() {
-            Ok(new) => {
+        match config.newer() {
+            Ok(newer) => {
                 self.counters.reloads.add();
-                if new.discovery != config.discovery {
-                    log(&format!("reload: discovery moves from {} to {}", config.discovery, new.discovery));
-                    discovery.move_to(new.discovery);
+                let classes = newer.names.classes().join(", ");
+                log(&format!("reload: new settings are in force, with the classes {classes}"));
+                sides.exchange.retune(newer.settings.clone(), newer.names.clone());
+                sides.providers.retune(newer.connect_timeout, conn_idle(&newer.settings));
+                if newer.discovery != config.discovery {
+                    log(&format!("reload: discovery moves from {} to {}", config.discovery, newer.discovery));
+                    sides.discovery.move_to(newer.discovery);
                 }
-                let waiting = config.fixed_since(&new);
+                let waiting = config.fixed_since(&newer);
                 if !waiting.is_empty() {
                     log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
                 }
-                config.discovery = new.discovery;
+                config.adopt(newer);
             }
             Err(error) => {
                 self.counters.reloads_failed.add();
@@ -179,7 +184,6 @@
         let own = OWN_SOCKETS + door.as_ref().map_or(0, |_| admin::DESCRIPTORS);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
-        let conn_idle = Duration::from_secs_f64(config.settings.limits.conn_idle.max(1000.0) / 1000.0);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
         let counters = &self.counters;
         let exchange = Exchange::new(
@@ -205,14 +209,14 @@
                 known.instances.clone_from(&given.nodes.told);
             }
         }
-        ProviderSide::start(
+        let providers = ProviderSide::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
             Arc::clone(&memory),
             ordered,
             Arc::clone(&descriptors),
             config.connect_timeout,
-            conn_idle,
+            conn_idle(&config.settings),
         );
         let discovery = Discovery::start(
             Arc::clone(&exchange),
@@ -229,7 +233,7 @@
         let consumers =
             ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
         let address = consumers.address();
-        let sides = self.sides.get_or_init(|| Sides { exchange, consumers, discovery, budget });
+        let sides = self.sides.get_or_init(|| Sides { exchange, consumers, providers, discovery, budget });
         if let Some(door) = door {
             log(&format!("operators call {}", door.address()?));
             door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
@@ -244,6 +248,11 @@
     }
 }
 
+/// When providers close idle connections.
+fn conn_idle(settings: &Settings) -> Duration {
+    Duration::from_secs_f64(settings.limits.conn_idle.clamp(1000.0, 86_400_000.0) / 1000.0)
+}
+
 /// How long a client waits at the most, over all classes; none where that is not told.
 fn longest_wait(settings: &Settings) -> Option<Duration> {
     let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -29,7 +29,7 @@
     counters: Arc<Counters>,
     memory: Arc<Memory>,
     pool: Pool,
-    connect_timeout: Duration,
+    connect_timeout: Mutex<Duration>,
     running: Mutex<BTreeMap<CallId, Running>>,
 }
 
@@ -64,14 +64,14 @@
         descriptors: Arc<Descriptors>,
         connect_timeout: Duration,
         conn_idle: Duration,
-    ) {
+    ) -> Arc<ProviderSide> {
         let pool = Pool::new(descriptors, conn_idle);
         let side = Arc::new(ProviderSide {
             exchange,
             counters,
             memory,
             pool,
-            connect_timeout,
+            connect_timeout: Mutex::new(connect_timeout),
             running: Mutex::default(),
         });
         let retiring = Arc::clone(&side);
@@ -79,11 +79,19 @@
             sleep(RETIRE_EVERY);
             retiring.pool.retire();
         });
+        let obeying = Arc::clone(&side);
         may::go!(move || {
             for order in orders.iter() {
-                side.carry_out(order);
+                obeying.carry_out(order);
             }
         });
+        side
+    }
+
+    /// From now on connections come up within this time, and idle ones are closed by providers after that.
+    pub fn retune(&self, connect_timeout: Duration, conn_idle: Duration) {
+        *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner) = connect_timeout;
+        self.pool.retune(conn_idle);
     }
 
     fn carry_out(self: &Arc<Self>, order: Order) {
@@ -145,7 +153,8 @@
 
     fn connect(&self, call: &Call) -> Result<Connection, Outcome> {
         let left = call.until.saturating_duration_since(Instant::now());
-        match self.pool.open(&call.place, self.connect_timeout.min(left.max(Duration::from_millis(1)))) {
+        let timeout = *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.pool.open(&call.place, timeout.min(left.max(Duration::from_millis(1)))) {
             Ok(connection) => {
                 self.counters.provider_connections.add();
                 Ok(connection)
@@ -153,7 +162,7 @@
             // No fault of the provider: the limit on sockets is this proxy's own.
             Err(NoConnection::Full) => Err(Outcome::Moot),
             Err(NoConnection::Failed(error)) => match error.kind() {
-                ErrorKind::TimedOut if left < self.connect_timeout => Err(Outcome::Timeout),
+                ErrorKind::TimedOut if left < timeout => Err(Outcome::Timeout),
                 _ => Err(Outcome::ConnectFailed),
             },
         }
--- a/src/net/provider/pool.rs
+++ b/src/net/provider/pool.rs
@@ -42,17 +42,26 @@
 pub struct Pool {
     idle: Mutex<Idle>,
     descriptors: Arc<Descriptors>,
-    idle_limit: Duration,
+    idle_limit: Mutex<Duration>,
 }
 
 impl Pool {
     /// A pool of as many connections as the descriptors allow, to providers that close idle ones after
     /// `conn_idle`.
     pub fn new(descriptors: Arc<Descriptors>, conn_idle: Duration) -> Pool {
-        let idle_limit = conn_idle.mul_f64(IDLE_SHARE);
+        let idle_limit = Mutex::new(conn_idle.mul_f64(IDLE_SHARE));
         Pool { idle: Mutex::default(), descriptors, idle_limit }
     }
 
+    /// Providers close idle connections after this time from now on.
+    pub fn retune(&self, conn_idle: Duration) {
+        *self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner) = conn_idle.mul_f64(IDLE_SHARE);
+    }
+
+    fn idle_limit(&self) -> Duration {
+        *self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A warm connection, the one used last of those that have rested: those beyond need then grow old and
     /// close.
     pub fn warm(&self, provider: ServerId, place: &str) -> Option<Connection> {
@@ -63,7 +72,7 @@
                 queue.remove(rested.or_else(|| queue.len().checked_sub(1))?)
             })?;
             let fits = &*connection.to == place && connection.link.is_quiet();
-            if fits && since.elapsed() < self.idle_limit {
+            if fits && since.elapsed() < self.idle_limit() {
                 return Some(connection);
             }
         }
@@ -102,11 +111,9 @@
 
     /// Closes what has been idle for too long, or has been ended from the other side.
     pub fn retire(&self) {
-        let mut all = self.with(std::mem::take);
+        let (mut all, idle_limit) = (self.with(std::mem::take), self.idle_limit());
         for queue in all.values_mut() {
-            queue.retain(|(since, connection)| {
-                since.elapsed() < self.idle_limit && connection.link.is_quiet()
-            });
+            queue.retain(|(since, connection)| since.elapsed() < idle_limit && connection.link.is_quiet());
         }
         self.with(|idle| {
             for (provider, mut queue) in all {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,7 +62,7 @@
 }
 
 /// What the deployment allows.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Limits {
     /// Most attempts for one request.
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -125,3 +125,56 @@
     scene.signal("TERM");
     assert!(scene.end().status.success());
 }
+
+/// Guards against settings put in force in part, and against an open invocation that a reload reaches.
+#[test]
+fn new_settings_bind_at_once_and_spare_what_is_open() {
+    let node = Party::node(|line| match line.contains("slow") {
+        true => Does::Nothing,
+        false => Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    let ask = |client: &mut Client, class: &str, id: &str| {
+        client.ask(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
+    };
+    let reload = |from: &str, to: &str| {
+        let seen = scene.count("reloads") + scene.count("reloads_failed");
+        scene.reload(from, to);
+        scene.until("it is read", || scene.count("reloads") + scene.count("reloads_failed") > seen);
+    };
+    let class =
+        r#"{"Name":"peek","Aim":300.0,"GiveUp":900.0,"Semantics":"safe","DedupScope":"all"},{"Name":"read""#;
+    assert_eq!(ask(&mut client, "peek", "1"), "CLIENT_ERROR unknown class\r\n");
+    reload(r#"{"Name":"read""#, class);
+    assert!(ask(&mut client, "peek", "2").starts_with("VA 1 O2"));
+    client.line();
+    // Each is refused whole, though it also names a class that would be new.
+    for (from, to) in [
+        (r#""Name":"peek","Aim":300.0"#, r#""Name":"new","Aim":0"#),
+        (r#""Name":"peek","Aim":300.0,"GiveUp":900.0"#, r#""Name":"new","Aim":300.0"#),
+        (r#""Name":"peek","Aim":300.0,"GiveUp":900.0"#, r#""Name":"new","Aim":300.0,"GiveUp":-1"#),
+        (r#""MaxAttempts":3"#, r#""MaxAttempts":0"#),
+        (r#""Name":"peek","Aim":300.0"#, r#""Name":"read","Aim":300.0"#),
+        (r#""GiveUp":900.0,"Semantics":"safe""#, r#""GiveUp":900.0,"Semantics":"sage""#),
+        (r#""safe","DedupScope":"all"},{"Name":"read""#, r#""safe"},{"Name":"read""#),
+        (r#""Orgs""#, r#""Organisations""#),
+        (r#""Cold""#, r#""Chilly""#),
+    ] {
+        let before = (scene.count("reloads"), scene.count("reloads_failed"));
+        reload(from, to);
+        assert_eq!((scene.count("reloads"), scene.count("reloads_failed")), (before.0, before.1 + 1), "{to}");
+        reload(to, from);
+        assert!(ask(&mut client, "peek", &before.1.to_string()).starts_with("VA 1 O"));
+        client.line();
+    }
+    // What is open keeps its class and its deadline, though the class goes.
+    let mut slow = scene.client();
+    slow.say("mg slow v Oslow Pc=peek,t=acme,d=700\r\n");
+    scene.until("the node is asked", || node.heard().iter().any(|line| line.contains("slow")));
+    reload(class, r#"{"Name":"read""#);
+    assert_eq!(ask(&mut client, "peek", "z"), "CLIENT_ERROR unknown class\r\n");
+    assert!(slow.line().starts_with("SERVER_ERROR "));
+    assert_eq!(scene.count("overdue"), 0);
+}
