--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -6,6 +6,7 @@
 use crate::interface::RequestId;
 use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::exchange::{Answer, Invocation, NotTaken, Reply};
+use crate::net::flow::{Sink, Taken, WINDOW};
 use crate::net::link::{read_now, sleep};
 use crate::net::listen::Stream;
 use crate::net::memcache::{self, Command};
@@ -33,8 +34,8 @@
 /// How long a connection rests after commands that were no good, lest sending them again at once pay.
 const AFTER_ERRORS: Duration = Duration::from_millis(20);
 
-/// An answer in the consumer's protocol, and what it holds of the memory if it is long.
-type Said = (Vec<u8>, Option<Held>);
+/// An answer in the consumer's protocol, and the value behind it if that flows.
+type Said = (Vec<u8>, Option<Sink>);
 
 /// A command whose answer has not been written.
 struct Pending {
@@ -66,6 +67,10 @@
     /// What such a command holds of the memory, if it is large.
     input_held: Option<Held>,
     output: Vec<u8>,
+    /// The value of the first that is pending, while it flows.
+    flowing: Option<Sink>,
+    /// Whether that broke off: the connection ends once what was said before has gone out.
+    broken: bool,
     /// What the answers in `output` hold of the memory.
     output_held: Vec<Held>,
     pending: VecDeque<Pending>,
@@ -94,6 +99,8 @@
             proven: false,
             input_held: None,
             output: Vec::new(),
+            flowing: None,
+            broken: false,
             output_held: Vec::new(),
             pending: VecDeque::new(),
             stage: Stage::Open,
@@ -341,9 +348,10 @@
         let words = Arc::new(Mutex::new(None));
         let (slot, shared) = (Arc::clone(&words), Arc::clone(&self.shared));
         let opaque = invocation.opaque.clone();
-        let reply = move |answer: Answer, held: Option<Held>| {
+        let reply = move |answer: Answer| {
             let said = memcache::answer(&opaque, &answer);
-            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, held));
+            let value = if let Answer::Flows(_, sink) = answer { Some(sink) } else { None };
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, value));
             shared.waker.wakeup();
         };
         self.side.asked(self.number);
@@ -372,29 +380,29 @@
     /// Writes the answers that are due, in the order of their commands, as far as that goes at once;
     /// whether anything went out.
     fn write(&mut self) -> io::Result<bool> {
-        while let Some(first) = self.pending.front() {
-            let words = first.words.lock().unwrap_or_else(PoisonError::into_inner).take();
-            let Some((words, held)) = words else { break };
-            match self.output.is_empty() {
-                true => self.output = words,
-                false => self.output.extend(words),
-            }
-            self.output_held.extend(held);
-            self.output_held.extend(self.pending.pop_front().and_then(|pending| pending.held));
-        }
         let mut progress = false;
-        while !self.output.is_empty() {
-            match self.stream.inner().write(&self.output) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => {
-                    self.output.drain(..count);
-                    progress = true;
+        loop {
+            self.fill();
+            if self.output.is_empty() {
+                break;
+            }
+            while !self.output.is_empty() {
+                match self.stream.inner().write(&self.output) {
+                    Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                    Ok(count) => {
+                        self.output.drain(..count);
+                        progress = true;
+                    }
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(progress),
+                    Err(error) => return Err(error),
                 }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(progress),
-                Err(error) => return Err(error),
             }
         }
+        // The rest of a value will never come: only the end of the connection can tell.
+        if self.broken {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
         self.output_held.clear();
         if progress {
             self.answered = self.side.descriptors.now();
@@ -404,6 +412,46 @@
         }
         Ok(progress)
     }
+
+    /// Puts what is to be written next into `output`: a window full of a value that flows, else all answers that
+    /// are there, up to the next such value.
+    fn fill(&mut self) {
+        while self.output.len() < WINDOW && !self.broken {
+            if let Some(value) = &self.flowing {
+                match value.take() {
+                    Taken::Some(bytes) => self.output.extend(bytes),
+                    Taken::Nothing => return,
+                    Taken::Broken => self.broken = true,
+                    Taken::End => {
+                        self.output.extend_from_slice(memcache::END);
+                        self.flowing = None;
+                        self.end_first();
+                    }
+                }
+                continue;
+            }
+            let Some(first) = self.pending.front() else { return };
+            let words = first.words.lock().unwrap_or_else(PoisonError::into_inner).take();
+            let Some((words, value)) = words else { return };
+            match self.output.is_empty() {
+                true => self.output = words,
+                false => self.output.extend(words),
+            }
+            match value {
+                Some(value) => {
+                    let shared = Arc::clone(&self.shared);
+                    value.wake_by(Box::new(move || shared.waker.wakeup()));
+                    self.flowing = Some(value);
+                }
+                None => self.end_first(),
+            }
+        }
+    }
+
+    /// The first that is pending is answered; what it holds of the memory is free once it has gone out.
+    fn end_first(&mut self) {
+        self.output_held.extend(self.pending.pop_front().and_then(|pending| pending.held));
+    }
 }
 
 impl Drop for Connection<'_> {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -88,8 +88,10 @@
     calls_moot,
     /// Answers of providers that could not be understood or never came to their end.
     answers_spoilt,
-    /// Long answers of providers given up since there was no memory for them.
-    answers_without_memory,
+    /// Long values passed on in pieces, to their end.
+    values_flowed,
+    /// Long values that broke off on the way.
+    values_broken,
     /// Connections opened to providers.
     provider_connections,
     /// Watches started at discovery.
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -9,9 +9,9 @@
 
 use super::config::{Instance, Names};
 use super::counters::Counters;
+use super::flow::Sink;
 use super::guard::{self, Guarded};
 use super::log::log;
-use super::memory::Held;
 use crate::interface::{
     Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, State, Time,
 };
@@ -66,10 +66,12 @@
 }
 
 /// The one final answer of an invocation.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
     /// Served.
     Served(Payload),
+    /// Served with a value of this length, which flows from here on.
+    Flows(usize, Sink),
     /// A rejection, with the time in ms after which to come back, if any is advised.
     Rejected(Option<u64>),
     /// Failed; nothing is promised.
@@ -115,7 +117,7 @@
 
 /// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
 /// and wake whoever writes it, but never wait nor call the exchange.
-pub type Reply = Box<dyn FnOnce(Answer, Option<Held>) + Send>;
+pub type Reply = Box<dyn FnOnce(Answer) + Send>;
 
 /// Why an invocation is not taken in.
 pub enum NotTaken {
@@ -132,6 +134,8 @@
     open: Option<Open>,
     sends: u8,
     out: BTreeMap<u8, (ServerId, Time)>,
+    /// When its answer began to flow.
+    began: Option<Time>,
 }
 
 /// Who takes the answer, and what ends with it.
@@ -142,8 +146,8 @@
 
 impl Open {
     /// Gives the answer, and only then has the waits end: it goes out before they wake.
-    fn answer(self, answer: Answer, held: Option<Held>) {
-        (self.reply)(answer, held);
+    fn answer(self, answer: Answer) {
+        (self.reply)(answer);
         drop(self.waits);
     }
 }
@@ -294,7 +298,13 @@
                 exchange.end_overdue(id);
             }
         });
-        let record = Record { invocation, open: Some(Open { reply, waits }), sends: 0, out: BTreeMap::new() };
+        let record = Record {
+            invocation,
+            open: Some(Open { reply, waits }),
+            sends: 0,
+            out: BTreeMap::new(),
+            began: None,
+        };
         state.records.insert(id, record);
         self.step(state, Event::Request(request));
         Ok(id)
@@ -326,7 +336,7 @@
             self.counters.overdue.add();
             self.counters.answered_failed.add();
             self.step(state, Event::ClientGone(id));
-            open.answer(Answer::Failed, None);
+            open.answer(Answer::Failed);
         }
     }
 
@@ -338,15 +348,22 @@
         record.open.is_some() && state.providers.get(server).is_some_and(Known::is_ready)
     }
 
+    /// The value that a call brings is too long to be read whole: the answer begins here, and the call goes on.
+    /// False if nobody waits for it any more.
+    pub fn call_flows(self: &Arc<Self>, call: CallId, length: usize, sink: Sink) -> bool {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        let Some(record) = state.records.get_mut(&call.invocation) else { return false };
+        let Some(open) = record.open.take() else { return false };
+        record.began = Some(now);
+        self.counters.answered_served.add();
+        open.answer(Answer::Flows(length, sink));
+        self.step(state, Event::StreamBegan(call.invocation));
+        true
+    }
+
     /// An invoker call has ended. Only the first report of a call counts.
-    /// `held` is what a long payload holds of the memory; it goes with the answer.
-    pub fn call_ended(
-        self: &Arc<Self>,
-        call: CallId,
-        outcome: Outcome,
-        payload: Option<Payload>,
-        held: Option<Held>,
-    ) {
+    pub fn call_ended(self: &Arc<Self>, call: CallId, outcome: Outcome, payload: Option<Payload>) {
         let mut state = self.lock();
         let now = self.clock.now();
         let Some(record) = state.records.get_mut(&call.invocation) else { return };
@@ -360,7 +377,8 @@
             id: call.invocation,
             attempt: call.attempt,
             server,
-            latency: now - sent,
+            // Of a value that flows only the beginning tells of the provider; the rest is the consumer's pace.
+            latency: record.began.unwrap_or(now) - sent,
             last: record.open.is_none(),
             outcome,
             report: Vec::new(),
@@ -368,7 +386,7 @@
         // The consumer need not wait for what the module makes of it.
         if let Some((open, answer)) = answer {
             self.counters.answered_served.add();
-            open.answer(answer, held);
+            open.answer(answer);
         }
         self.step(state, Event::AttemptEnd(end));
     }
@@ -557,7 +575,7 @@
 
     fn carry_out(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Answer(open, answer) => open.answer(answer, None),
+            Effect::Answer(open, answer) => open.answer(answer),
             // Either side is only gone when the program stops.
             Effect::Order(order) => drop(self.orders.send(order)),
             Effect::Subscribe => drop(self.subscribe.send(())),
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -212,7 +212,6 @@
         let providers = ProviderSide::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
-            Arc::clone(&memory),
             ordered,
             Arc::clone(&descriptors),
             config.connect_timeout,
--- a/src/net/memcache.rs
+++ b/src/net/memcache.rs
@@ -6,6 +6,8 @@
 
 /// The longest line, its end included.
 pub const MAX_LINE: usize = 2048;
+/// What ends a line, and a value.
+pub const END: &[u8] = b"\r\n";
 const MAX_KEY: usize = 250;
 const MAX_OPAQUE: usize = 32;
 
@@ -125,15 +127,16 @@
     list.split(',').map(pair).collect()
 }
 
-/// The words of an answer to a consumer.
+/// The words of an answer to a consumer, up to the value if that flows.
 pub fn answer(opaque: &str, answer: &Answer) -> Vec<u8> {
     match answer {
         Answer::Served(Payload::Value(value)) => {
-            let mut out = format!("VA {} O{opaque}\r\n", value.len()).into_bytes();
+            let mut out = value_head(opaque, value.len());
             out.extend_from_slice(value);
-            out.extend_from_slice(b"\r\n");
+            out.extend_from_slice(END);
             out
         }
+        Answer::Flows(length, _) => value_head(opaque, *length),
         Answer::Served(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
         Answer::Rejected(Some(ms)) => format!("SERVER_ERROR busy {ms}\r\n").into_bytes(),
         Answer::Rejected(None) => b"SERVER_ERROR busy\r\n".to_vec(),
@@ -141,12 +144,8 @@
     }
 }
 
-/// How long the value is that an answer of a cache node announces, as far as it is one.
-pub fn announced(bytes: &[u8]) -> Option<usize> {
-    match line(bytes) {
-        Whole(text, _) => text.strip_prefix("VA ")?.split(' ').next().and_then(number),
-        _ => None,
-    }
+fn value_head(opaque: &str, length: usize) -> Vec<u8> {
+    format!("VA {length} O{opaque}\r\n").into_bytes()
 }
 
 /// The words of an invoker call to a cache node; `labels` are joined already.
@@ -170,6 +169,8 @@
 pub enum Reply {
     /// The value or the receipt.
     Served(Payload),
+    /// A value of this length, too long to be read whole, begins here.
+    Long(usize),
     /// It does not hold the key.
     Miss,
     /// Turned away; never ran.
@@ -198,6 +199,7 @@
     };
     match words.next() {
         Some("VA") => match words.next().and_then(number).filter(|length| *length <= MAX_ANSWER) {
+            Some(length) if ours(&mut words) && length > MAX_VALUE => Whole(Reply::Long(length), used),
             Some(length) if ours(&mut words) => match block(bytes, used, length) {
                 Whole(value, used) => Whole(Reply::Served(Payload::Value(value)), used),
                 Incomplete => Incomplete,
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -7,10 +7,10 @@
 use super::counters::Counters;
 use super::descriptors::Descriptors;
 use super::exchange::{Call, CallId, Exchange, Order, Payload};
+use super::flow;
 use super::http::{self, Body};
 use super::link::{sleep, Link};
 use super::memcache::{self, Reply};
-use super::memory::{Held, Memory};
 use crate::interface::Outcome;
 use may::sync::mpsc::Receiver;
 use pool::{Connection, NoConnection, Pool};
@@ -22,12 +22,15 @@
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 /// An answer is written at a stretch: when the rest of one that has begun does not follow, it is spoilt.
 const STALL: Duration = Duration::from_millis(100);
+/// Of a long value that flows, the next piece must come within this time.
+const FLOW_STALL: Duration = Duration::from_millis(5000);
+/// A long value flows once so many bytes of it have come.
+const FLOWS_FROM: usize = 4 * 1024;
 
 /// The provider side of one proxy.
 pub struct ProviderSide {
     exchange: Arc<Exchange>,
     counters: Arc<Counters>,
-    memory: Arc<Memory>,
     pool: Pool,
     connect_timeout: Mutex<Duration>,
     running: Mutex<BTreeMap<CallId, Running>>,
@@ -44,13 +47,11 @@
 struct End {
     outcome: Outcome,
     payload: Option<Payload>,
-    /// What a long payload holds of the memory, beyond what is set aside for each.
-    held: Option<Held>,
 }
 
 impl From<Outcome> for End {
     fn from(outcome: Outcome) -> End {
-        End { outcome, payload: None, held: None }
+        End { outcome, payload: None }
     }
 }
 
@@ -59,7 +60,6 @@
     pub fn start(
         exchange: Arc<Exchange>,
         counters: Arc<Counters>,
-        memory: Arc<Memory>,
         orders: Receiver<Order>,
         descriptors: Arc<Descriptors>,
         connect_timeout: Duration,
@@ -69,7 +69,6 @@
         let side = Arc::new(ProviderSide {
             exchange,
             counters,
-            memory,
             pool,
             connect_timeout: Mutex::new(connect_timeout),
             running: Mutex::default(),
@@ -170,7 +169,6 @@
 
     fn await_reply(&self, call: &Call, connection: Connection) -> End {
         let mut bytes = Vec::new();
-        let mut held = None;
         loop {
             let stalled = Instant::now() + STALL;
             let patience = if bytes.is_empty() { call.until } else { call.until.min(stalled) };
@@ -185,13 +183,6 @@
                 Err(error) if error.kind() == ErrorKind::TimedOut => return Outcome::Timeout.into(),
                 Err(_) => true,
             };
-            if bytes.len() > MAX_VALUE && held.is_none() {
-                held = self.memory.hold(beyond_set_aside(call, &bytes));
-                if held.is_none() {
-                    self.counters.answers_without_memory.add();
-                    return Outcome::Error.into();
-                }
-            }
             match understand(call, &bytes) {
                 Understood::Partly if at_end && cancelled() => return Outcome::Cancelled.into(),
                 Understood::Partly if at_end => return Outcome::Reset.into(),
@@ -200,8 +191,8 @@
                     self.counters.answers_spoilt.add();
                     return Outcome::Error.into();
                 }
-                Understood::Whole(mut end, keep) => {
-                    end.held = held;
+                Understood::Long(long) => return self.flow(call, connection, bytes, &long),
+                Understood::Whole(end, keep) => {
                     if keep && !at_end {
                         self.with(|running| running.remove(&call.id));
                         self.pool.keep(call.provider, connection);
@@ -212,6 +203,46 @@
         }
     }
 
+    /// Passes a long value on as it comes; `bytes` has its head and its beginning.
+    fn flow(&self, call: &Call, connection: Connection, mut bytes: Vec<u8>, long: &Long) -> End {
+        let (source, sink) = flow::window();
+        if !self.exchange.call_flows(call.id, long.length, sink) {
+            return Outcome::Cancelled.into();
+        }
+        bytes.drain(..long.from);
+        let mut left = long.length;
+        loop {
+            let part = bytes.len().min(left);
+            if source.put(&bytes[..part]).is_err() {
+                return Outcome::Cancelled.into();
+            }
+            left -= part;
+            bytes.drain(..part);
+            if left == 0 && bytes.len() >= long.tail.len() {
+                break;
+            }
+            match connection.link.read(&mut bytes, Instant::now() + FLOW_STALL) {
+                Ok(count) if count > 0 => {}
+                _ => {
+                    self.counters.values_broken.add();
+                    return Outcome::Reset.into();
+                }
+            }
+        }
+        if !bytes.starts_with(long.tail) {
+            self.counters.values_broken.add();
+            self.counters.answers_spoilt.add();
+            return Outcome::Error.into();
+        }
+        source.end();
+        self.counters.values_flowed.add();
+        if long.keep && bytes.len() == long.tail.len() {
+            self.with(|running| running.remove(&call.id));
+            self.pool.keep(call.provider, connection);
+        }
+        Outcome::Ok.into()
+    }
+
     fn with<T>(&self, act: impl FnOnce(&mut BTreeMap<CallId, Running>) -> T) -> T {
         act(&mut self.running.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -231,7 +262,7 @@
             Outcome::Reset.into()
         });
         self.side.with(|running| running.remove(&self.id));
-        self.side.exchange.call_ended(self.id, end.outcome, end.payload, end.held);
+        self.side.exchange.call_ended(self.id, end.outcome, end.payload);
     }
 }
 
@@ -254,29 +285,35 @@
     }
 }
 
-/// What a long answer takes of the memory beyond what is set aside for each: as it is read, and as it is said.
-fn beyond_set_aside(call: &Call, bytes: &[u8]) -> usize {
-    let announced = match call.at_origin {
-        false => memcache::announced(bytes),
-        true => match http::final_head(bytes) {
-            Parsed::Whole(head, _) => match head.body {
-                Body::Length(length) => Some(length),
-                _ => None,
-            },
-            _ => None,
-        },
-    };
-    announced.unwrap_or(MAX_ANSWER).clamp(MAX_VALUE, MAX_ANSWER) * 2 - MAX_VALUE
+/// A value too long to be read whole: where it begins in the answer, and what follows it.
+struct Long {
+    from: usize,
+    length: usize,
+    tail: &'static [u8],
+    /// Whether the connection can take another call then.
+    keep: bool,
 }
 
 enum Understood {
     Partly,
     /// It ran, as far as anyone can tell, and the connection is of no further use.
     Spoilt,
+    /// A long value has begun to come.
+    Long(Long),
     /// How the call ended, and whether the connection can take another.
     Whole(End, bool),
 }
 
+impl Long {
+    /// It has begun once so much of it has come. Danger: one that only announces a length, and is spoilt, is retried.
+    fn begun(self, bytes: &[u8]) -> Understood {
+        match bytes.len() >= self.from + FLOWS_FROM {
+            true => Understood::Long(self),
+            false => Understood::Partly,
+        }
+    }
+}
+
 /// Reads a provider's answer in its protocol.
 fn understand(call: &Call, bytes: &[u8]) -> Understood {
     if call.at_origin {
@@ -286,6 +323,10 @@
         Parsed::Incomplete => Understood::Partly,
         Parsed::Whole(reply, used) => {
             let end = match reply {
+                Reply::Long(_) if call.invocation.value.is_some() => return Understood::Spoilt,
+                Reply::Long(length) => {
+                    return Long { from: used, length, tail: memcache::END, keep: true }.begun(bytes);
+                }
                 Reply::Served(payload) => served(call, payload),
                 Reply::Miss => Outcome::Miss.into(),
                 Reply::Busy => Outcome::Full.into(),
@@ -309,11 +350,20 @@
     let rest = &bytes[from..];
     let (body, used) = match head.body {
         Body::Length(length) if length > MAX_ANSWER => return Understood::Spoilt,
+        Body::Length(length) if length > MAX_VALUE => {
+            return match (head.status, call.invocation.value.is_some()) {
+                (200, false) => Long { from, length, tail: b"", keep: !head.closes }.begun(bytes),
+                (200, true) => Understood::Spoilt,
+                // What a failure has to say is not read.
+                _ => Understood::Whole(Outcome::Error.into(), false),
+            };
+        }
         Body::Length(length) if rest.len() < length => return Understood::Partly,
         Body::Length(length) => (rest[..length].to_vec(), from + length),
         // A value that was cut short would pass for a whole one.
         Body::UntilClose => return Understood::Spoilt,
-        Body::Chunked => match http::chunks(rest, MAX_ANSWER) {
+        // How long it is must be told to the consumer before its first byte.
+        Body::Chunked => match http::chunks(rest, MAX_VALUE) {
             Parsed::Incomplete => return Understood::Partly,
             Parsed::Malformed(..) => return Understood::Spoilt,
             Parsed::Whole(body, used) => (body, from + used),
@@ -343,7 +393,7 @@
         }
     };
     match fits {
-        true => End { outcome: Outcome::Ok, payload: Some(payload), held: None },
+        true => End { outcome: Outcome::Ok, payload: Some(payload) },
         false => Outcome::Error.into(),
     }
 }
--- /dev/null
+++ b/tests/sockets/large.rs
@@ -0,0 +1,124 @@
+//! Values that are too long to be held whole.
+
+use crate::rig::*;
+use crate::{idle_origin, ms};
+use std::io::{Read, Write};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+
+const LONG: usize = 4 * 1024 * 1024;
+
+/// Guards against memory that grows with what is announced: together these values are far beyond the limit, and
+/// their consumers read slowly.
+#[test]
+fn values_beyond_the_memory_flow_to_slow_readers_whole() {
+    let value = "x".repeat(LONG);
+    let node = Party::node(move |line| Does::Says(format!("VA {LONG} {}\r\n{value}\r\n", opaque(line))));
+    let origin = idle_origin();
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let scene = Scene::with_limits(&entries, 256, 32);
+    let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.say(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
+    }
+    let mut room = vec![0; LONG / 8];
+    let lines: Vec<String> = clients.iter_mut().map(Client::line).collect();
+    assert!(lines.iter().all(|line| line.starts_with("VA 4194304 O")), "{lines:?}");
+    for _ in 0..8 {
+        // Longer than any deadline in all: progress alone counts.
+        sleep(ms(150));
+        for client in &mut clients {
+            client.reader().read_exact(&mut room).unwrap();
+            assert!(room.iter().all(|byte| *byte == b'x'));
+        }
+    }
+    clients.iter_mut().for_each(|client| assert_eq!(client.line(), "\r\n"));
+    assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
+    assert_eq!((scene.count("values_flowed"), node.heard().len()), (12, 12), "none is asked for twice");
+}
+
+/// Guards against bytes held back, and against a deadline that cuts off what a node is still giving: this one gives
+/// the second half only once the consumer has the first.
+#[test]
+fn the_first_bytes_arrive_before_the_node_has_given_the_last() {
+    let (go, gone) = channel::<()>();
+    let gone = Arc::new(Mutex::new(gone));
+    let node = Party::node(move |line| {
+        let (gone, head) = (Arc::clone(&gone), format!("VA 100000 {}\r\n", opaque(line)));
+        Does::Writes(Box::new(move |stream| {
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&[b'a'; 50_000]).unwrap();
+            gone.lock().unwrap().recv_timeout(WAIT).unwrap();
+            stream.write_all(&[b'b'; 50_000]).unwrap();
+            stream.write_all(b"\r").unwrap();
+            sleep(ms(50));
+            stream.write_all(b"\n").unwrap();
+        }))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    // Behind a long value answers keep their order.
+    client.say("mg k v O1 Pc=read,t=acme,d=500\r\nmn\r\n");
+    assert_eq!(client.line(), "VA 100000 O1\r\n");
+    let mut half = vec![0; 50_000];
+    client.reader().read_exact(&mut half).unwrap();
+    assert!(half.iter().all(|byte| *byte == b'a'));
+    sleep(ms(600));
+    go.send(()).unwrap();
+    client.reader().read_exact(&mut half).unwrap();
+    assert!(half.iter().all(|byte| *byte == b'b'));
+    assert_eq!((client.line(), client.line()), ("\r\n".into(), "MN\r\n".into()));
+    assert_eq!((scene.count("answered_served"), scene.count("calls_ok")), (1, 1));
+}
+
+/// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
+#[test]
+fn a_value_that_breaks_off_ends_the_connection_and_is_not_asked_for_again() {
+    for ending in [&b""[..], b"no end"] {
+        let length = if ending.is_empty() { 100_001 } else { 100_000 };
+        let node = Party::node(move |line| {
+            let head = format!("VA {length} {}\r\n", opaque(line));
+            Does::Writes(Box::new(move |stream| {
+                stream.write_all(head.as_bytes()).unwrap();
+                stream.write_all(&[b'x'; 100_000]).unwrap();
+                stream.write_all(ending).unwrap();
+                stream.shutdown(std::net::Shutdown::Both).unwrap();
+            }))
+        });
+        let origin = idle_origin();
+        let scene = Scene::of(&[&node], &origin);
+        let mut client = scene.client();
+        assert!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n").starts_with("VA 10000"));
+        let mut rest = Vec::new();
+        // A reset tells as well.
+        let _ = client.reader().read_to_end(&mut rest);
+        assert!(rest.len() <= 100_000, "{}", rest.len());
+        scene.until("it is counted", || scene.count("values_broken") == 1);
+        assert_eq!(node.heard().len(), 1);
+        assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+    }
+}
+
+/// Guards against a call that goes on for a consumer that has left.
+#[test]
+fn a_consumer_that_leaves_ends_the_flow() {
+    let (written, seen): (Sender<bool>, _) = channel();
+    let written = Arc::new(Mutex::new(written));
+    let node = Party::node(move |line| {
+        let (written, head) = (Arc::clone(&written), format!("VA {LONG} {}\r\n", opaque(line)));
+        Does::Writes(Box::new(move |stream| {
+            stream.write_all(head.as_bytes()).unwrap();
+            let whole = stream.write_all(&vec![b'x'; LONG]).and_then(|()| stream.write_all(b"\r\n"));
+            written.lock().unwrap().send(whole.is_ok()).unwrap();
+        }))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    assert_eq!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
+    drop(client);
+    assert!(!seen.recv_timeout(WAIT).unwrap(), "the node's connection is closed");
+    scene.until("the call ends", || scene.count("calls_cancelled") == 1);
+}
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -17,6 +17,8 @@
 /// What a party does with a request it was sent: answer, say nothing, or break the connection.
 pub enum Does {
     Says(String),
+    /// Writes in its own time.
+    Writes(Box<dyn FnOnce(&mut TcpStream)>),
     Nothing,
     Breaks,
 }
@@ -52,6 +54,7 @@
                         heard.lock().unwrap().push(request.clone());
                         match act(&request) {
                             Does::Says(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
+                            Does::Writes(write) => write(&mut stream),
                             Does::Nothing => {}
                             Does::Breaks => break,
                         }
@@ -427,6 +430,11 @@
         self.line()
     }
 
+    /// Where its answers are read.
+    pub fn reader(&mut self) -> &mut BufReader<TcpStream> {
+        &mut self.0
+    }
+
     /// Reads a key; the value's line, or none if the connection ended first.
     pub fn try_read(&mut self, id: &str) -> Option<String> {
         if !self.try_say(&format!("mg {id} v O{id} Pc=read,t=acme,d=2000\r\n")) {
