--- a/crates/places/src/limits.rs
+++ b/crates/places/src/limits.rs
@@ -40,7 +40,7 @@
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
-            whole_command: 2000,
+            whole_command: 2500,
             idle: 2200,
             idle_with_room: 11_000,
             unread: 5000,
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -21,7 +21,7 @@
 
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 /// An answer is written at a stretch: when the rest of one that has begun does not follow, it is spoilt.
-const STALL: Duration = Duration::from_millis(100);
+const STALL: Duration = Duration::from_millis(300);
 /// Of a long value that flows, the next piece must come within this time.
 const FLOW_STALL: Duration = Duration::from_millis(5000);
 /// A long value flows once so many bytes of it have come.
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -73,6 +73,27 @@
     assert_eq!((scene.count("answered_served"), scene.count("calls_ok")), (1, 1));
 }
 
+/// Guards against an honest answer taken for spoilt because it comes in pieces, cut at any point.
+#[test]
+fn a_short_value_may_come_in_pieces() {
+    let node = Party::node(move |line| {
+        let words = format!("VA 5 {} h1\r\nhello\r\n", opaque(line));
+        Does::Writes(Box::new(move |stream| {
+            let cuts = [1, words.len() - 9, words.len() - 3, words.len() - 1, words.len()];
+            let mut from = 0;
+            for to in cuts {
+                stream.write_all(&words.as_bytes()[from..to]).unwrap();
+                sleep(ms(150));
+                from = to;
+            }
+        }))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    assert_eq!(scene.client().read("k", "1", 2000).1, "hello\r\n");
+    assert_eq!((scene.count("answers_spoilt"), node.heard().len()), (0, 1));
+}
+
 /// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
 #[test]
 fn a_value_that_breaks_off_ends_the_connection_and_is_not_asked_for_again() {
