--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -81,6 +81,8 @@
     lingered: usize,
     /// Whether a command waits for memory.
     short: bool,
+    /// Whether whole commands that have come may still have to be obeyed.
+    behind: bool,
     /// Whether a command was no good since the last rest.
     errors: bool,
     /// When the last answer had gone out, by the clock of the places.
@@ -107,6 +109,7 @@
             stay: (Phase::Silent, 0),
             lingered: 0,
             short: false,
+            behind: false,
             errors: false,
             answered: 0,
         }
@@ -240,6 +243,10 @@
         if self.stage == Stage::Ending || self.is_full() || self.short || self.lingered > MAX_LINGER {
             return Ok(false);
         }
+        // Danger: to read on while commands wait would keep all that a pipeline of small ones can send.
+        if self.behind {
+            return Ok(true);
+        }
         match read_now(self.stream.inner(), &mut self.input) {
             Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
             Ok(count) if self.stage == Stage::Lingering => {
@@ -280,6 +287,7 @@
             }
         }
         self.input.drain(..at);
+        self.behind = self.stage == Stage::Open && self.is_full() && !self.input.is_empty();
         if self.stage != Stage::Open {
             self.input = Vec::new();
         }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -122,6 +122,27 @@
     assert_eq!((scene.count("answers_spoilt"), scene.count("answered_served")), (0, 3));
 }
 
+/// Guards against a pipeline of small commands that is read faster than it is obeyed, and kept in memory.
+#[test]
+fn a_pipeline_without_end_takes_no_memory() {
+    let origin = idle_origin();
+    let scene = Scene::of(&[], &origin);
+    let before = scene.memory_mb();
+    let flood = std::net::TcpStream::connect(scene.place).unwrap();
+    let mut answers = flood.try_clone().unwrap();
+    let reading = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+    flood.set_write_timeout(Some(ms(100))).unwrap();
+    let (until, words) = (Instant::now() + ms(2000), "mn\r\n".repeat(4000));
+    while Instant::now() < until {
+        // It may well be slower than this.
+        let _ = std::io::Write::write(&mut &flood, words.as_bytes());
+    }
+    let taken = scene.memory_mb() - before;
+    assert!(taken < 6, "{taken} MB");
+    flood.shutdown(std::net::Shutdown::Both).unwrap();
+    let _ = reading.join();
+}
+
 /// Guards against a stall: commands beyond those that may wait are in the proxy's hands already, so the
 /// poller tells of them no more.
 #[test]
