--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::*;
 use crate::{idle_origin, ms};
+use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Instant;
@@ -178,3 +179,15 @@
     assert!(slow.line().starts_with("SERVER_ERROR "));
     assert_eq!(scene.count("overdue"), 0);
 }
+
+/// Guards against an example that does not start.
+#[test]
+fn the_example_configuration_is_accepted() {
+    let example = include_str!("../../deploy/example.json");
+    let own = example.replace("127.0.0.1:11211", "127.0.0.1:0").replace("127.0.0.1:9901", "127.0.0.1:0");
+    let mut child = start(&own);
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("n0 listens on 127.0.0.1:")), "it starts");
+    signal(&child, "TERM");
+    assert!(end(child).status.success());
+}
