--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -1,28 +1,25 @@
 //! The operators' door: a second address where they ask by HTTP/1.1, one call a connection. It decides nothing:
 //! calls are put to the exchange and the lifecycle.
-//!
-//! It has threads of its own: a worker that has much to do looks for new calls too late (docs/daily-operation.md).
 
 mod codec;
 
 use super::exchange::{Exchange, NotHeld};
 use super::lifecycle::{Lifecycle, Stopping};
+use super::link::{sleep, Link};
+use super::listen::{Listener, Stream};
 use super::log::log;
 use super::takeover::Ordered;
 use codec::{Call, Said};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
 use std::time::{Duration, Instant};
 
-/// Calls that may be open at once, each a descriptor and a thread.
+/// Calls that may be open at once, each a descriptor.
 const CALLS: usize = 16;
 /// Descriptors that the door takes in all.
 pub const DESCRIPTORS: usize = CALLS + 2;
-/// Of the stack of a call's thread only what is touched counts.
-const STACK: usize = 256 * 1024;
 /// A call must be whole within this time, unless it gives way to others sooner.
 const WHOLE_CALL: Duration = Duration::from_secs(5);
 /// An answer must be taken within this time.
@@ -36,63 +33,49 @@
 
 /// The door of one process.
 pub struct Door {
-    listener: TcpListener,
+    listener: Listener,
     /// Calls that are not whole yet, in the order of their arrival.
-    waiting: Mutex<BTreeMap<u64, Arc<TcpStream>>>,
+    waiting: Mutex<BTreeMap<u64, Link<Stream>>>,
     open: Mutex<usize>,
 }
 
 impl Door {
     /// Opens the door; callers wait until it is served.
     pub fn open(address: SocketAddr) -> io::Result<Arc<Door>> {
-        let listener = super::listen::open(address)?;
+        let listener = Listener::new(super::listen::open(address)?)?;
         Ok(Arc::new(Door { listener, waiting: Mutex::default(), open: Mutex::new(0) }))
     }
 
     /// Where it is.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.address()
     }
 
     /// Answers callers from now on.
-    pub fn serve(self: Arc<Self>, exchange: Arc<Exchange>, lifecycle: Arc<Lifecycle>) -> io::Result<()> {
-        let accepting = thread::Builder::new().name("door".to_owned()).stack_size(STACK);
-        accepting.spawn(move || {
+    pub fn serve(self: Arc<Self>, exchange: Arc<Exchange>, lifecycle: Arc<Lifecycle>) {
+        may::go!(move || {
             for number in 0.. {
-                match self.listener.accept() {
-                    Ok((stream, _)) => self.admit(number, stream, &exchange, &lifecycle),
+                let stream = match self.listener.accept() {
+                    Ok(Some(stream)) => Link::of(stream),
+                    Ok(None) => return,
                     Err(error) => {
                         log(&format!("door: accept: {error}"));
-                        thread::sleep(REST);
+                        sleep(REST);
+                        continue;
                     }
+                };
+                while !self.has_room() {
+                    sleep(REST);
                 }
+                with(&self.waiting, |waiting| waiting.insert(number, stream.clone()));
+                let place = Place::take(&self, number);
+                let (exchange, lifecycle) = (Arc::clone(&exchange), Arc::clone(&lifecycle));
+                may::go!(move || {
+                    // An error says that the caller has gone.
+                    let _ = place.answer(&stream, &exchange, &lifecycle);
+                });
             }
-        })?;
-        Ok(())
-    }
-
-    /// Has a call answered, once there is room for it.
-    fn admit(
-        self: &Arc<Self>,
-        number: u64,
-        stream: TcpStream,
-        exchange: &Arc<Exchange>,
-        lifecycle: &Arc<Lifecycle>,
-    ) {
-        while !self.has_room() {
-            thread::sleep(REST);
-        }
-        let stream = Arc::new(stream);
-        let place = Place::take(self, number, &stream);
-        let (exchange, lifecycle) = (Arc::clone(exchange), Arc::clone(lifecycle));
-        let answering = thread::Builder::new().name("call".to_owned()).stack_size(STACK);
-        let answered = answering.spawn(move || {
-            // An error says that the caller has gone.
-            let _ = place.answer(&stream, &exchange, &lifecycle);
         });
-        if let Err(error) = answered {
-            log(&format!("door: a call is not answered: {error}"));
-        }
     }
 
     /// Whether there is room for one more call. If not, who has been silent for longest gives way.
@@ -101,8 +84,7 @@
             return true;
         }
         if let Some((_, oldest)) = with(&self.waiting, BTreeMap::pop_first) {
-            // Its thread reads the end. An error says that it has ended already.
-            let _ = oldest.shutdown(Shutdown::Both);
+            oldest.end();
         }
         false
     }
@@ -115,20 +97,19 @@
 }
 
 impl Place {
-    fn take(door: &Arc<Door>, number: u64, stream: &Arc<TcpStream>) -> Place {
+    fn take(door: &Arc<Door>, number: u64) -> Place {
         with(&door.open, |open| *open += 1);
-        with(&door.waiting, |waiting| waiting.insert(number, Arc::clone(stream)));
         Place { door: Arc::clone(door), number }
     }
 
-    fn answer(&self, stream: &TcpStream, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> io::Result<()> {
+    fn answer(&self, link: &Link<Stream>, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> io::Result<()> {
         let until = Instant::now() + WHOLE_CALL;
         let mut bytes = Vec::new();
         let asked = loop {
-            match read(stream, &mut bytes, until) {
+            match link.read(&mut bytes, until) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(_) => {}
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
                     break Err(Said::new(408, format!("no whole call within {} s", WHOLE_CALL.as_secs())));
                 }
                 Err(error) => return Err(error),
@@ -140,14 +121,12 @@
         // It is being answered: it gives way to nobody any more.
         with(&self.door.waiting, |waiting| waiting.remove(&self.number));
         let said = asked.and_then(|call| carry_out(call, exchange, lifecycle)).unwrap_or_else(|said| said);
-        stream.set_write_timeout(Some(ANSWER))?;
-        let mut writer = stream;
-        writer.write_all(&said.words())?;
-        stream.shutdown(Shutdown::Write)?;
+        link.write(&said.words(), Instant::now() + ANSWER)?;
+        link.end_writing();
         let (until, mut lingered) = (Instant::now() + LINGER, 0);
         while lingered < MAX_LINGER {
             bytes.clear();
-            match read(stream, &mut bytes, until)? {
+            match link.read(&mut bytes, until)? {
                 0 => break,
                 count => lingered += count,
             }
@@ -163,16 +142,6 @@
     }
 }
 
-/// Reads what is there, waiting until a point in time; 0 bytes mean the end.
-fn read(mut stream: &TcpStream, into: &mut Vec<u8>, until: Instant) -> io::Result<usize> {
-    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    stream.set_read_timeout(Some(left))?;
-    let mut room = [0; 4096];
-    let count = stream.read(&mut room)?;
-    into.extend_from_slice(&room[..count]);
-    Ok(count)
-}
-
 /// Puts a call to whom it concerns: this process, then the other one, if there are two.
 fn carry_out(call: Call, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> Result<Said, Said> {
     let (order, text) = match call {
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -235,7 +235,7 @@
         let sides = self.sides.get_or_init(|| Sides { exchange, consumers, providers, discovery, budget });
         if let Some(door) = door {
             log(&format!("operators call {}", door.address()?));
-            door.serve(Arc::clone(&sides.exchange), Arc::clone(self))?;
+            door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
         }
         let host: Arc<dyn Host> = Arc::clone(self) as Arc<dyn Host>;
         if let Some(given) = given {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -20,7 +20,7 @@
     /// Waits until there is something to read.
     fn await_bytes(&self, timeout: Duration) -> io::Result<()>;
     /// Ends it; whoever waits on it wakes.
-    fn end(&self) -> io::Result<()>;
+    fn end(&self, how: Shutdown) -> io::Result<()>;
 }
 
 macro_rules! socket {
@@ -40,14 +40,15 @@
                 self.peek(&mut [0]).map(drop)
             }
 
-            fn end(&self) -> io::Result<()> {
-                self.inner().shutdown(Shutdown::Both)
+            fn end(&self, how: Shutdown) -> io::Result<()> {
+                self.inner().shutdown(how)
             }
         }
     };
 }
 
 socket!(TcpStream);
+socket!(CoIo<net::TcpStream>);
 socket!(CoIo<UnixStream>);
 
 /// A connection.
@@ -125,7 +126,12 @@
     /// Ends it in both directions; whoever waits on it wakes.
     pub fn end(&self) {
         // An error says that it has ended already.
-        let _ = self.0.end();
+        let _ = self.0.end(Shutdown::Both);
+    }
+
+    /// Says that nothing more is written.
+    pub fn end_writing(&self) {
+        let _ = self.0.end(Shutdown::Write);
     }
 }
 
