--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -348,6 +348,11 @@
         record.open.is_some() && state.providers.get(server).is_some_and(Known::is_ready)
     }
 
+    /// Whether a provider takes new calls.
+    pub fn takes_calls(&self, provider: ServerId) -> bool {
+        self.lock().providers.get(&provider).is_some_and(Known::is_ready)
+    }
+
     /// The value that a call brings is too long to be read whole: the answer begins here, and the call goes on.
     /// False if nobody waits for it any more.
     pub fn call_flows(self: &Arc<Self>, call: CallId, length: usize, sink: Sink) -> bool {
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -11,7 +11,7 @@
 use super::http::{self, Body};
 use super::link::{sleep, Link};
 use super::memcache::{self, Reply};
-use crate::interface::Outcome;
+use crate::interface::{Outcome, ServerId};
 use may::sync::mpsc::Receiver;
 use pool::{Connection, NoConnection, Pool};
 use std::collections::BTreeMap;
@@ -127,7 +127,7 @@
                 },
             };
             if !self.exchange.is_wanted(call.id) {
-                self.pool.keep(call.provider, connection);
+                self.keep(call.provider, connection);
                 return Outcome::Moot.into();
             }
             let called_off = self.with(|running| {
@@ -195,7 +195,7 @@
                 Understood::Whole(end, keep) => {
                     if keep && !at_end {
                         self.with(|running| running.remove(&call.id));
-                        self.pool.keep(call.provider, connection);
+                        self.keep(call.provider, connection);
                     }
                     return end;
                 }
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Keeps a connection for the next call, if there may be one.
+    fn keep(&self, provider: ServerId, connection: Connection) {
+        if self.exchange.takes_calls(provider) {
+            self.pool.keep(provider, connection);
+        }
+    }
+
     /// Passes a long value on as it comes; `bytes` has its head and its beginning.
     fn flow(&self, call: &Call, connection: Connection, mut bytes: Vec<u8>, long: &Long) -> End {
         let (source, sink) = flow::window();
@@ -238,7 +245,7 @@
         self.counters.values_flowed.add();
         if long.keep && bytes.len() == long.tail.len() {
             self.with(|running| running.remove(&call.id));
-            self.pool.keep(call.provider, connection);
+            self.keep(call.provider, connection);
         }
         Outcome::Ok.into()
     }
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -82,6 +82,26 @@
     assert!(out.heard().len() > before, "it serves again");
 }
 
+/// Guards against a connection that a call brings back after its node was held out.
+#[test]
+fn a_call_that_is_out_ends_and_leaves_no_connection_to_a_node_held_out() {
+    let node = Party::node(|line| {
+        sleep(ms(400));
+        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+    });
+    let origin = idle_origin();
+    let scene = Scene::of(&[&node], &origin);
+    // Age alone closes none within this test.
+    scene.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
+    scene.until("it is read", || scene.count("reloads") == 1);
+    let mut client = scene.client();
+    client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
+    scene.until("the node is asked", || node.heard().len() == 1);
+    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    scene.until("its connection is closed", || node.ended.load(std::sync::atomic::Ordering::SeqCst) == 1);
+}
+
 /// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
 /// between commands, and the proxy lives on.
 #[test]
