--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A small hand-driven world for one balancer.
 #![allow(dead_code)]
 
+pub mod fleet;
+pub mod tape;
+
 use pinetrail::interface::*;
 use pinetrail::logic::Balancer;
 use pinetrail::settings::Settings;
@@ -11,6 +14,8 @@
 pub const KEYED_ZONE: u8 = 2;
 pub const KEYED_CELL: u8 = 3;
 pub const UNSAFE: u8 = 4;
+/// Their names, by their numbers.
+pub const CLASSES: [&str; 5] = ["safe", "keyed all", "keyed zone", "keyed cell", "unsafe"];
 
 pub fn settings_json(aside: bool) -> String {
     let class = |effect: &str, scope: &str| {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use common::tape::{self, Tape};
 use common::*;
 use pinetrail::interface::*;
 use pinetrail::settings::Settings;
+use pinetrail_histories::{judge, Answer, Figures, NotJudged, Seen};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -36,94 +38,77 @@
     ]
 }
 
-struct Tracked {
-    /// As the settings had it when it arrived, and how many attempts they allowed.
-    class: u8,
-    most: u32,
-    deadline: Time,
-    attempts: Vec<(ServerId, Time, Option<Outcome>)>,
-}
-
-/// Plays steps and checks every action against what has been told so far.
-struct Checker {
+/// Plays steps and writes down what could be seen of them.
+struct Player {
     world: World,
-    open: BTreeMap<RequestId, Tracked>,
-    over: BTreeSet<RequestId>,
-    out: Vec<(RequestId, u8, ServerId, Time)>,
-    states: BTreeMap<ServerId, State>,
+    tape: Tape,
+    /// The open ones, and how many calls they have had.
+    open: BTreeMap<RequestId, u8>,
+    out: Vec<(RequestId, u8, ServerId, Time, u64)>,
     timers: Vec<(Time, u64)>,
     next: RequestId,
-    /// By how many places the classes have moved in the settings in force, and how many attempts these allow.
+    /// By how many places the classes have moved in the settings in force.
     shift: u8,
-    most: u32,
 }
 
-fn never_ran(outcome: Option<Outcome>) -> bool {
-    matches!(outcome, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss))
-}
+const PROXY: &str = "p";
 
-impl Checker {
+impl Player {
     fn new() -> Self {
-        let states = (1..=4).chain([ORIGIN]).map(|id| (id, State::Ready)).collect();
-        Checker {
+        let mut player = Player {
             world: World::new(true, 4),
+            tape: Tape::default(),
             open: BTreeMap::new(),
-            over: BTreeSet::new(),
             out: vec![],
-            states,
             timers: vec![],
             next: 1,
             shift: 0,
-            most: 4,
-        }
+        };
+        player.put_in_force(4);
+        let list: Vec<Member> = (1..=4).chain([ORIGIN]).map(member).collect();
+        player.tape.tell(player.world.now, PROXY, true, &list);
+        player
     }
 
-    fn feed(&mut self, event: Event) {
-        let actions = self.world.event(event);
-        self.check(&actions);
+    fn put_in_force(&mut self, attempts: usize) {
+        // A proxy that is told of a drain sends nothing more there; the time that rules allow is the network's.
+        let figures = Figures { attempts, stop_within: 0.0, ..tape::figures() };
+        self.tape.write(self.world.now, Seen::InForce { proxy: PROXY.into(), figures });
     }
 
-    fn check(&mut self, actions: &[Action]) {
-        let now = self.world.now;
+    fn feed(&mut self, event: Event) {
+        let actions = self.world.event(event);
         for action in actions {
             match action {
                 Action::Send(id, server, timeout) => {
-                    assert_eq!(self.states.get(server), Some(&State::Ready), "drains are kept");
-                    assert!(*timeout > 0.0);
-                    let request = self.open.get_mut(id).expect("nothing is sent for a request that is over");
-                    assert!(now < request.deadline && request.attempts.len() < request.most as usize);
-                    let ran = request.attempts.iter().find(|a| !never_ran(a.2));
-                    if let Some((first, sent, _)) = ran {
-                        let (a, b) = (member(*first), member(*server));
-                        let harmless = match request.class {
-                            SAFE => true,
-                            KEYED_ALL => now - sent < 300.0,
-                            KEYED_ZONE => now - sent < 300.0 && a.zone == b.zone,
-                            KEYED_CELL => now - sent < 300.0 && a.cell == b.cell,
-                            _ => false,
-                        };
-                        assert!(harmless, "no effect twice: class {}", request.class);
-                    }
-                    self.out.push((*id, request.attempts.len() as u8, *server, now));
-                    request.attempts.push((*server, now, None));
-                }
-                Action::Refuse(id, _) | Action::Fail(id) => {
-                    let request = self.open.remove(id).expect("one final answer only");
-                    assert!(self.over.insert(*id));
-                    assert!(now <= request.deadline + 20.0, "in time");
-                    let ran = request.attempts.iter().any(|a| !never_ran(a.2));
-                    if matches!(action, Action::Refuse(..)) && ran {
-                        assert!([SAFE, KEYED_ALL].contains(&request.class), "a refusal promises");
-                    }
+                    assert!(timeout > 0.0);
+                    let call = self.tape.call(self.world.now, PROXY, &id.to_string(), server, 10.0);
+                    let number = self.open.get_mut(&id).expect("nothing is sent for a request that is over");
+                    self.out.push((id, *number, server, self.world.now, call));
+                    *number += 1;
                 }
+                Action::Refuse(id, _) => self.answer(id, Answer::Refused),
+                Action::Fail(id) => self.answer(id, Answer::Failed),
                 Action::Timer(delay, token) | Action::TimerFor(_, delay, token) => {
-                    self.timers.push((now + delay.max(0.0), *token))
+                    self.timers.push((self.world.now + delay.max(0.0), token));
                 }
                 _ => {}
             }
         }
     }
 
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        self.open.remove(&id);
+        self.tape.answer(self.world.now, &id.to_string(), answer);
+    }
+
+    fn tell(&mut self, form: ListForm, list: Vec<Member>) {
+        self.tape.tell(self.world.now, PROXY, form != ListForm::Delta, &list);
+        self.feed(Event::Members(form, list));
+        // What is sent from now on is sent later.
+        self.world.now += 0.01;
+    }
+
     fn wait(&mut self, time: Time) {
         let end = self.world.now + time;
         // A timer comes in the first batch at or after its time, never in the one that set it.
@@ -142,9 +127,11 @@
             Step::Arrive { class, key, budget, write } => {
                 let id = self.next;
                 self.next += 1;
-                let deadline = self.world.now + budget;
-                let tracked = (class + self.shift) % 5;
-                self.open.insert(id, Tracked { class: tracked, most: self.most, deadline, attempts: vec![] });
+                self.open.insert(id, 0);
+                let name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
+                let request = id.to_string();
+                self.tape
+                    .write(self.world.now, Seen::Asked { proxy: PROXY.into(), request, class: name, budget });
                 let hint = (key % 3 != 0).then_some(10.0 * key as f64);
                 self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
             }
@@ -153,17 +140,16 @@
                 if self.out.is_empty() {
                     return;
                 }
-                let (id, attempt, server, sent) = self.out.remove(pick % self.out.len());
+                let (id, attempt, server, sent, call) = self.out.remove(pick % self.out.len());
                 let outcome =
                     [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Miss][outcome as usize];
-                if let Some(request) = self.open.get_mut(&id) {
-                    request.attempts[usize::from(attempt)].2 = Some(outcome);
-                }
-                let served = outcome == Ok && self.open.remove(&id).is_some();
-                let last = served || self.over.contains(&id);
+                let value = format!("{id} {attempt}");
+                self.tape.close(self.world.now, call, outcome, &value);
+                let served = outcome == Ok && self.open.contains_key(&id);
                 if served {
-                    self.over.insert(id);
+                    self.answer(id, Answer::Served(value));
                 }
+                let last = !self.open.contains_key(&id);
                 let latency = self.world.now - sent;
                 self.feed(Event::AttemptEnd(AttemptEnd {
                     id,
@@ -179,23 +165,22 @@
                 let ids: Vec<RequestId> = self.open.keys().copied().collect();
                 if let Some(id) = ids.get(pick % ids.len().max(1)) {
                     self.open.remove(id);
-                    self.over.insert(*id);
+                    self.tape.write(self.world.now, Seen::Left { request: id.to_string() });
                     self.feed(Event::ClientGone(*id));
                 }
             }
             Step::Change { server, state, restart } => {
                 let state = [State::Gone, State::Ready, State::Draining][usize::from(state)];
-                self.states.insert(server, state);
                 let started = if restart { self.world.now } else { 0.0 };
-                self.feed(Event::Members(ListForm::Delta, vec![Member { state, started, ..member(server) }]));
+                self.tell(ListForm::Delta, vec![Member { state, started, ..member(server) }]);
             }
             Step::Whole { mask, form } => {
                 let list: Vec<Member> = (1..6).filter(|id| mask >> id & 1 == 1).map(member).collect();
-                self.states = list.iter().map(|m| (m.server, State::Ready)).collect();
-                self.feed(Event::Members([ListForm::Full, ListForm::Cached][usize::from(form)], list));
+                self.tell([ListForm::Full, ListForm::Cached][usize::from(form)], list);
             }
             Step::Retune { shift, most } => {
-                (self.shift, self.most) = (shift, most);
+                self.shift = shift;
+                self.put_in_force(most as usize);
                 let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
                 settings.classes.rotate_left(usize::from(shift));
                 settings.limits.max_attempts = most;
@@ -213,10 +198,14 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = prop::collection::vec(step(), 1..150);
     let result = runner.run(&steps, |steps| {
-        let mut checker = Checker::new();
-        steps.iter().for_each(|step| checker.play(step));
-        checker.wait(1000.0);
-        prop_assert!(checker.open.is_empty(), "every request ended: {:?}", checker.open.keys());
+        let mut player = Player::new();
+        steps.iter().for_each(|step| player.play(step));
+        player.wait(1000.0);
+        let history = player.tape.history();
+        match judge(&history) {
+            Ok(breaches) => prop_assert!(breaches.is_empty(), "{}", breaches[0]),
+            Err(error) => prop_assert_eq!(error, NotJudged::NoRequest, "it is whole"),
+        }
         Ok(())
     });
     result.unwrap();
