Hold what a node did against the process that did it; six more faults of the module

Calls now belong to one process, by request and attempt; an end that is not among them is booked on nobody. A time of sending would have done as well but for ends in the same tick. F2 a node that was gone and returned with the same start kept its shut-off if a call was out; a list that was behind made a cold node warm. Who was gone is new; a start of a listed node only moves forward. F5 choose took a node that the effect's group forbids, and the request was given up; waiters of a fetch were sent where they had failed. Only what may be sent to is chosen from. F6 retune left limits and the share let in as the old group size had them; let_in would never have raised it again. F7 a key's set was changed before it was known whether anything may be sent: that is now asked first. F8 a write went to a cache node when no origin was ready (on_request, retry): it waits for the origin, or is given up. F18 a request with no call left was held for the origin until its deadline instead of given up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,7 +44,7 @@
 #[derive(Default)]
 struct Server {
     member: Member,
-    in_flight: u32,
+    calls: BTreeSet<(RequestId, u8)>, // out at this process of it; by request and attempt
     limit: f64,
     cut_at: Time,
     slow: f64,
@@ -121,7 +121,14 @@
 
     /// From now on these settings; open requests keep what they were taken with.
     pub fn retune(&mut self, settings: Settings) {
+        let regrouped = settings.group_size != self.settings.group_size;
         self.settings = settings;
+        if regrouped {
+            // What was learnt was this proxy's part of what others were more, or fewer, to share.
+            let firsts: Vec<f64> = self.servers.values().map(|s| self.first_limit(&s.member)).collect();
+            self.servers.values_mut().zip(firsts).for_each(|(server, limit)| server.limit = limit);
+            self.admit = [1.0; 2];
+        }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -164,7 +171,7 @@
         // Held requests are shed well before their aim: failing later costs more and serves nobody.
         out.push(Action::TimerFor(id, class.aim.min(budget) * 0.5, PATIENCE | id));
         self.mean_worth += 0.05 * (class.worth - self.mean_worth);
-        if request.write && self.origin().is_some() {
+        if request.write && self.has_origin() {
             self.ask_origin(request.id, out);
         } else if self.rng.gen::<f64>() >= self.admit[0].powf(self.mean_worth / class.worth.max(0.01)) {
             self.give_up(request.id, out);
@@ -175,10 +182,11 @@
 
     fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
-        let key = open.request.key;
-        let failed = open.attempts.iter().filter(|a| a.outcome != Some(Outcome::Miss));
-        let tried: Vec<ServerId> = failed.map(|a| a.server).collect();
-        let Some(server) = self.choose(key, open.request.hint, &tried) else {
+        if !self.may_try(open) {
+            return self.give_up(id, out);
+        }
+        let (key, hint, usable) = (open.request.key, open.request.hint, self.usable(open));
+        let Some(server) = self.choose(key, hint, &usable) else {
             return self.hold(id, Stage::ForServer);
         };
         // One fetch a key: whoever comes while it is out would only miss as well.
@@ -204,10 +212,9 @@
         self.waiting.push((stage, open.class.worth, id));
     }
 
-    /// HyLARD's choice of a server for a key.
-    fn choose(&mut self, key: Key, hint: Option<f64>, tried: &[ServerId]) -> Option<ServerId> {
-        let usable = self.usable(key, tried);
-        let (idlest, least, places) = self.least_loaded(key, &usable)?;
+    /// HyLARD's choice of a server for a key, among those that may be asked.
+    fn choose(&mut self, key: Key, hint: Option<f64>, usable: &[ServerId]) -> Option<ServerId> {
+        let (idlest, least, places) = self.least_loaded(key, usable)?;
         if key == 0 {
             return Some(idlest);
         }
@@ -288,22 +295,25 @@
     fn load(&self, id: ServerId) -> f64 {
         let Some(server) = self.servers.get(&id) else { return f64::MAX };
         let crosses = f64::from(u8::from(server.member.zone != self.settings.zone));
-        f64::from(server.in_flight) * self.mean_size / server.member.weight()
+        server.calls.len() as f64 * self.mean_size / server.member.weight()
             + crosses * (self.settings.prices.cross_zone * 16.0).ceil()
     }
 
-    fn usable(&self, key: Key, tried: &[ServerId]) -> Vec<ServerId> {
+    /// Where a request may go now; where it has failed only if nothing else is left.
+    fn usable(&self, open: &Open) -> Vec<ServerId> {
         let fleet: Vec<&Server> = self.servers.values().filter(|s| self.in_fleet(s)).collect();
         // Never eject most of the fleet: then the fault is rather on the way, or everywhere.
         let eject = fleet.iter().filter(|s| s.failing > SUSPECT).count() * 2 <= fleet.len();
         let fit = |s: &Server| {
-            let healthy = s.failing <= SUSPECT || (s.in_flight == 0 && self.now >= s.trial_at);
+            let healthy = s.failing <= SUSPECT || (s.calls.is_empty() && self.now >= s.trial_at);
             // Danger: a full connection table fails whoever is new, again and again. Who is in stays.
-            let open = self.now >= s.shut_until && (healthy || !eject) && self.has_room(s);
-            open && self.warm_enough(s, key)
+            let is_open = self.now >= s.shut_until && (healthy || !eject) && self.has_room(s);
+            is_open && self.warm_enough(s, open.request.key) && self.is_harmless_at(open, &s.member)
         };
         let usable: Vec<ServerId> = fleet.iter().filter(|s| fit(s)).map(|s| s.member.server).collect();
-        let fresh: Vec<ServerId> = usable.iter().copied().filter(|id| !tried.contains(id)).collect();
+        let failed =
+            |id: &ServerId| open.attempts.iter().any(|a| a.server == *id && a.outcome != Some(Outcome::Miss));
+        let fresh: Vec<ServerId> = usable.iter().copied().filter(|id| !failed(id)).collect();
         Some(fresh).filter(|fresh| !fresh.is_empty()).unwrap_or(usable)
     }
 
@@ -312,6 +322,12 @@
         FIRST < M * f64::from(self.settings.group_size)
     }
 
+    /// In flight at a server at first: this proxy's part of what all together may have there.
+    fn first_limit(&self, member: &Member) -> f64 {
+        let (all, least) = if self.is_origin(member) { (8.0, 2.0) } else { (FIRST, 1.0) };
+        f64::max(all / f64::from(self.settings.group_size.max(1)), least)
+    }
+
     fn in_fleet(&self, server: &Server) -> bool {
         server.member.state == State::Ready && !self.is_origin(&server.member)
     }
@@ -320,6 +336,11 @@
         i64::from(member.kind) == self.settings.family.origin_kind
     }
 
+    /// Danger: a write that a cache node takes is lost. Where there is an origin at all, it waits for that.
+    fn has_origin(&self) -> bool {
+        self.settings.family.origin_kind >= 0
+    }
+
     fn origin(&self) -> Option<ServerId> {
         let mut members = self.servers.values().map(|s| &s.member);
         members.find(|m| self.is_origin(m) && m.state == State::Ready).map(|m| m.server)
@@ -332,7 +353,7 @@
     /// Danger: quick rejections become a hammer. At its last place a server rests after a cut.
     fn has_room(&self, server: &Server) -> bool {
         let rested = server.limit >= 2.0 || self.now - server.cut_at > 100.0;
-        rested && f64::from(server.in_flight) < server.limit.floor()
+        rested && (server.calls.len() as f64) < server.limit.floor()
     }
 
     /// Danger: a server just started collapses under its usual load. Each proxy draws by hash the share
@@ -354,30 +375,37 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(target) = self.servers.get_mut(&server) else { return };
         open.stage = Stage::Out;
+        let attempt = open.attempts.len() as u8;
         open.attempts.push(Attempt { server, sent: self.now, outcome: None });
-        target.in_flight += 1;
+        target.calls.insert((id, attempt));
         out.push(Action::Send(id, server, (open.deadline - self.now).max(1.0)));
     }
 
-    /// Danger: an effect twice. Whether one more attempt at this server can do no harm.
     fn may_send(&self, id: RequestId, server: ServerId) -> bool {
         let Some(open) = self.requests.get(&id) else { return false };
         let Some(target) = self.servers.get(&server).map(|s| s.member) else { return false };
+        target.state == State::Ready && self.may_try(open) && self.is_harmless_at(open, &target)
+    }
+
+    /// Whether one more attempt may be made, wherever that does no harm.
+    fn may_try(&self, open: &Open) -> bool {
         let out = open.attempts.iter().any(|a| a.outcome.is_none());
-        let harmless = repeat_is_harmless(open, |first| {
+        repeat_is_harmless(open, |first| self.still_recalled(open, first))
+            && open.attempts.len() < open.limits.max_attempts as usize
+            && self.now < open.deadline
+            && (!out || open.limits.second_copies)
+    }
+
+    /// Danger: an effect twice. Whether one more attempt at this server can do no harm.
+    fn is_harmless_at(&self, open: &Open, target: &Member) -> bool {
+        repeat_is_harmless(open, |first| {
             let Some(ran) = self.servers.get(&first.server).map(|s| s.member) else { return false };
-            let together = match open.class.scope {
+            match open.class.scope {
                 Scope::All => true,
                 Scope::Zone => ran.zone == target.zone,
                 Scope::Cell => ran.cell == target.cell,
-            };
-            together && self.still_recalled(open, first)
-        });
-        harmless
-            && target.state == State::Ready
-            && open.attempts.len() < open.limits.max_attempts as usize
-            && self.now < open.deadline
-            && (!out || open.limits.second_copies)
+            }
+        })
     }
 
     /// Danger: a refusal invites a repeat. Whether the client may repeat it anywhere.
@@ -437,7 +465,8 @@
             let Some(fetch) = self.fetches.remove(&key) else { return };
             for id in fetch.waiters {
                 // The value is now where it missed: those who waited find it there, room permitting.
-                match self.usable(key, &[]).contains(&fetch.server) {
+                let open = self.requests.get(&id);
+                match open.is_some_and(|open| self.usable(open).contains(&fetch.server)) {
                     true => self.send(id, fetch.server, out),
                     false => self.route(id, out),
                 }
@@ -463,10 +492,9 @@
     fn retry(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
         let missed = open.attempts.iter().any(|a| a.outcome == Some(Outcome::Miss));
-        let at_origin = self.origin().is_some() && (missed || open.request.write);
+        let at_origin = open.request.write && self.has_origin() || missed && self.origin().is_some();
         let free = open.attempts.last().is_some_and(|a| a.outcome == Some(Outcome::ConnectFailed));
-        let harmless = repeat_is_harmless(open, |first| self.still_recalled(open, first));
-        if !harmless || !free && self.retries < 1.0 {
+        if !self.may_try(open) || !free && self.retries < 1.0 {
             return self.give_up(id, out);
         }
         self.retries -= if free { 0.0 } else { 1.0 };
@@ -477,10 +505,11 @@
     }
 
     fn ask_origin(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(origin) = self.origin_room() {
-            return self.send(id, origin, out);
+        match self.origin_room() {
+            Some(origin) => self.send(id, origin, out),
+            None if self.requests.get(&id).is_some_and(|open| !self.may_try(open)) => self.give_up(id, out),
+            None => self.hold(id, Stage::ForOrigin),
         }
-        self.hold(id, Stage::ForOrigin);
     }
 
     /// Lets held requests go while there is room, the most worthy first.
@@ -521,7 +550,10 @@
         let slow_from = |o: &Open| if at_origin { shortest / 2.0 } else { o.class.aim / 4.0 } + o.work;
         let slow_from = self.requests.get(&end.id).map_or(f64::MAX, slow_from);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
-        server.in_flight = server.in_flight.saturating_sub(1);
+        // Danger: how a call to the process before this one ended says nothing of this one.
+        if !server.calls.remove(&(end.id, end.attempt)) {
+            return;
+        }
         let (fault, weight) = match end.outcome {
             Ok | Miss => (0.0, 0.5),
             Error | Timeout => (1.0, 0.2),
@@ -544,7 +576,8 @@
         server.slow += 0.1 * (f64::from(u8::from(slow)) - server.slow);
         // Danger: a node that stands still turns away who has waited there, however few. A limit cut for that
         // sends its keys to nodes that lack them, and the misses to the origin.
-        let few = f64::from(server.in_flight + 1) * 2.0 < server.limit;
+        let in_flight = server.calls.len() as f64 + 1.0;
+        let few = in_flight * 2.0 < server.limit;
         let busy = if at_origin {
             server.slow > CROWDED || end.outcome == Full
         } else {
@@ -554,7 +587,7 @@
         if crowded && now - end.latency >= server.cut_at {
             server.limit = (server.limit * 0.7).max(1.0);
             server.cut_at = now;
-        } else if !slow && end.outcome == Ok && f64::from(server.in_flight + 1) * 2.0 > server.limit {
+        } else if !slow && end.outcome == Ok && in_flight * 2.0 > server.limit {
             server.limit += 1.0 / server.limit;
         }
         if !slow || server.limit <= 1.0 {
@@ -580,24 +613,27 @@
         let gone: Vec<Member> = unnamed.map(|m| Member { state: State::Gone, ..m }).collect();
         let mut left = BTreeSet::new();
         for member in gone.into_iter().chain(members) {
-            let (first, least) = if self.is_origin(&member) { (8.0, 2.0) } else { (FIRST, 1.0) };
-            let limit = f64::max(first / f64::from(self.settings.group_size.max(1)), least);
+            let limit = self.first_limit(&member);
             let server = self.servers.entry(member.server).or_default();
-            let restarted = server.limit == 0.0 || member.started > server.member.started;
-            if restarted {
-                *server = Server { limit, in_flight: server.in_flight, ..Server::default() };
+            // Knowledge belongs to one process: who was gone, or started later, is another. Danger: a list that
+            // is behind tells an older start; a cold node would pass for warm.
+            let is_new = server.member.state == State::Gone || member.started > server.member.started;
+            if is_new {
+                *server = Server { limit, ..Server::default() };
             }
-            server.member = member;
-            if restarted || member.state != State::Ready {
+            let started = member.started.max(server.member.started);
+            server.member = Member { started, ..member };
+            if is_new || member.state != State::Ready {
                 left.insert(member.server);
             }
         }
         let fleet = self.servers.values().filter(|s| self.in_fleet(s)).map(|s| s.member.weight());
         self.mean_size = fleet.clone().sum::<f64>() / fleet.count().max(1) as f64;
-        // Servers are replaced for as long as a balancer runs: who is gone and owes nothing is forgotten.
+        // Servers are replaced for as long as a balancer runs: who is gone is forgotten, once no request
+        // has been there.
         let attempts = self.requests.values().flat_map(|open| &open.attempts);
         let used: BTreeSet<ServerId> = attempts.map(|attempt| attempt.server).collect();
-        self.servers.retain(|id, s| s.member.state != State::Gone || s.in_flight > 0 || used.contains(id));
+        self.servers.retain(|id, s| s.member.state != State::Gone || used.contains(id));
         // Drained, gone, or empty after a restart: no set may lead there.
         if !left.is_empty() {
             self.table.values_mut().for_each(|entry| entry.members.retain(|id| !left.contains(id)));
--- /dev/null
+++ b/tests/beliefs.rs
@@ -0,0 +1,169 @@
+//! What the module believes of a node, how long, and what a new process of it is charged with.
+
+mod common;
+
+use common::*;
+use pinetrail::interface::*;
+use pinetrail::settings::Settings;
+
+/// Sends reads of many keys until one is held; the ids of those that were sent.
+fn fill(world: &mut World, from: RequestId) -> Vec<RequestId> {
+    (from..from + 100).take_while(|id| sent(&world.request(read(*id, *id))).is_some()).collect()
+}
+
+/// The only node, with a new process that is warm by now.
+fn renewed(world: &mut World) {
+    world.event(Event::Members(ListForm::Delta, vec![Member { started: world.now - 20_000.0, ..member(1) }]));
+}
+
+/// Guards against a new process that is charged with what the one before it was sent.
+#[test]
+fn calls_to_an_old_process_take_no_room_at_the_new_one() {
+    let mut world = World::new(false, 1);
+    let before = fill(&mut world, 1);
+    renewed(&mut world);
+    let after = fill(&mut world, 1000);
+    // The one that was held goes first.
+    assert_eq!(after.len() + 1, before.len());
+    before.iter().for_each(|id| drop(world.end(*id, 0, 1, Outcome::Ok)));
+    assert!(sent(&world.request(read(2000, 2000))).is_none(), "nor do their ends make room there");
+}
+
+/// Guards against a new process that is shut, suspect or slow because the one before it broke.
+#[test]
+fn late_ends_of_an_old_process_are_not_booked_on_the_new_one() {
+    for outcome in [Outcome::ConnectFailed, Outcome::Reset, Outcome::Error, Outcome::Timeout, Outcome::Full] {
+        let mut world = World::new(false, 1);
+        let before = fill(&mut world, 1);
+        renewed(&mut world);
+        world.now += 200.0;
+        before.iter().for_each(|id| {
+            world.event(Event::ClientGone(*id));
+            world.end_after(*id, 0, 1, outcome, 200.0);
+        });
+        let after = fill(&mut world, 1000);
+        assert!(after.len() + 1 >= before.len(), "{outcome:?}: {} of {}", after.len(), before.len());
+    }
+}
+
+/// Guards against a node that returns under its old name and keeps what was held against it.
+#[test]
+fn who_returns_after_it_was_gone_is_met_as_new_whatever_its_start() {
+    for call_out in [false, true] {
+        let mut world = World::new(false, 1);
+        if call_out {
+            assert!(sent(&world.request(read(1, 1))).is_some());
+        }
+        world.request(read(2, 2));
+        world.end(2, 0, 1, Outcome::ConnectFailed);
+        assert!(sent(&world.request(read(3, 3))).is_none(), "it is shut");
+        world.event(Event::Members(ListForm::Delta, vec![Member { state: State::Gone, ..member(1) }]));
+        world.event(Event::Members(ListForm::Delta, vec![member(1)]));
+        assert!(sent(&world.request(read(4, 4))).is_some(), "call out: {call_out}");
+    }
+}
+
+/// Guards against a cold node that passes for warm since a list is behind.
+#[test]
+fn an_older_start_of_a_listed_node_does_not_make_it_warm() {
+    let mut world = World::new(false, 3);
+    let cold = |world: &World, id| Member { started: world.now, ..member(id) };
+    let list: Vec<Member> = (1..=3).map(|id| cold(&world, id)).collect();
+    world.event(Event::Members(ListForm::Full, list));
+    world.event(Event::Members(ListForm::Full, (1..=3).map(member).collect()));
+    let sent: usize = (1..50).map(|id| sends(&world.request(read(id, id))).len()).sum();
+    assert!((1..=24).contains(&sent), "{sent} of 49, about 15 expected");
+}
+
+/// Guards against a write that a cache node takes, so that the origin never hears of it.
+#[test]
+fn a_write_goes_to_no_cache_node_when_the_origin_is_not_there() {
+    let mut world = World::new(true, 4);
+    let write = |id| Request { write: true, ..read(id, id) };
+    assert_eq!(sent(&world.request(write(1))), Some((1, ORIGIN)));
+    world.event(Event::Members(ListForm::Delta, vec![Member { state: State::Draining, ..member(ORIGIN) }]));
+    assert!(sends(&world.end(1, 0, ORIGIN, Outcome::Full)).is_empty());
+    let arrival = world.request(write(2));
+    assert!(sends(&arrival).is_empty());
+    assert_eq!(finals(&world.deadline(&arrival)), [&Action::Refuse(2, 250.0)]);
+}
+
+/// Guards against a request given up though a node of its group could still take it.
+#[test]
+fn a_repeat_goes_to_a_node_of_the_group_that_drops_it() {
+    for key in 1..40 {
+        let mut world = World::new(false, 6);
+        let request = Request { class: KEYED_ZONE, ..read(1, key) };
+        let (_, first) = sent(&world.request(request)).unwrap();
+        let again = sent(&world.end(1, 0, first, Outcome::Error)).map(|sent| member(sent.1).zone);
+        assert_eq!(again, Some(member(first).zone), "key {key}");
+    }
+}
+
+/// Guards against a waiter sent where it failed a moment ago, though the value is there.
+#[test]
+fn a_waiter_is_not_sent_where_it_has_failed() {
+    let mut world = World::new(true, 3);
+    (100..110).for_each(|id| assert_ne!(world.served(id, id), 0)); // enough for a few retries
+    let (_, home) = sent(&world.request(read(1, 5))).unwrap();
+    assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
+    let (_, other) = sent(&world.end(2, 0, home, Outcome::Error)).unwrap();
+    assert_ne!(other, home);
+    world.end(1, 0, home, Outcome::Miss);
+    assert!(sends(&world.end(2, 1, other, Outcome::Miss)).is_empty(), "it waits for the fetch");
+    let after = sends(&world.end(1, 1, ORIGIN, Outcome::Ok));
+    assert!(after.iter().all(|to| *to != (2, home)) && !after.is_empty(), "{after:?}");
+}
+
+/// Guards against a request that is held for the origin though no call of it is left.
+#[test]
+fn a_request_without_a_call_left_is_given_up_at_once() {
+    let mut world = World::new(true, 2);
+    let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
+    settings.limits.max_attempts = 1;
+    world.balancer.retune(settings);
+    world.event(Event::Members(ListForm::Delta, vec![Member { state: State::Ready, ..member(ORIGIN) }]));
+    let (_, server) = sent(&world.request(read(1, 5))).unwrap();
+    // The origin has no room.
+    (10..20).for_each(|id| drop(world.request(Request { write: true, ..read(id, id) })));
+    assert_eq!(finals(&world.end(1, 0, server, Outcome::Miss)), [&Action::Refuse(1, 250.0)]);
+}
+
+/// Guards against figures that were derived from settings which hold no longer.
+#[test]
+fn another_group_size_gives_each_proxy_another_part_of_a_node() {
+    let sized = |size: u32| {
+        let json = settings_json(false).replace(r#""GroupSize":3"#, &format!(r#""GroupSize":{size}"#));
+        Settings::from_json(json.as_bytes()).unwrap()
+    };
+    let mut world = World::new(false, 1);
+    assert_eq!(fill(&mut world, 1).len(), 10);
+    world.balancer.retune(sized(2));
+    assert_eq!(fill(&mut world, 1000).len(), 6, "16 in all");
+    world.balancer.retune(sized(30));
+    (1..=10).for_each(|id| drop(world.end(id, 0, 1, Outcome::Ok)));
+    assert!(fill(&mut world, 2000).is_empty());
+}
+
+/// Guards against a share let in that nothing raises again: it is only adjusted while the group is large.
+#[test]
+fn a_group_that_shrinks_lets_everybody_in_again() {
+    let mut world = World::numbered(1, 1);
+    for id in 1..200 {
+        world.now += 1000.0;
+        if sent(&world.request(read(id, id))).is_some() {
+            world.end_after(id, 0, 1, Outcome::Ok, 390.0);
+        }
+    }
+    let let_in = |world: &mut World, from: RequestId| {
+        let ids = from..from + 20;
+        ids.filter(|id| {
+            sent(&world.request(read(*id, *id))).map(|_| world.end(*id, 0, 1, Outcome::Ok)).is_some()
+        })
+        .count()
+    };
+    world.now += 1000.0;
+    assert!(let_in(&mut world, 1000) < 20);
+    world.balancer.retune(Settings::from_json(settings_json(false).as_bytes()).unwrap());
+    assert_eq!(let_in(&mut world, 2000), 20);
+}
