--- a/src/net/config/check.rs
+++ b/src/net/config/check.rs
@@ -1,11 +1,14 @@
 //! What must hold of settings beyond their form, and what a newer configuration may not leave out.
 
-use super::ConfigError;
+use super::{Catalog, ConfigError, Instance, Names};
 use crate::settings::{Class, Effect, Settings};
 use serde_json::Value;
+use std::net::SocketAddr;
 
 /// The most classes: their number is one byte.
 const MOST_CLASSES: usize = 255;
+/// The most calls of an invocation: they are numbered by one byte.
+const MOST_ATTEMPTS: u32 = 255;
 /// Not compared: it is replaced as discovery tells more.
 const KNOWN: &str = "known";
 
@@ -19,8 +22,8 @@
     for (class, name) in settings.classes.iter().zip(classes) {
         check_class(class, name)?;
     }
-    if settings.limits.max_attempts == 0 {
-        return Err(bad("Permissions.MaxAttempts", 0, "above 0"));
+    if !(1..=MOST_ATTEMPTS).contains(&settings.limits.max_attempts) {
+        return Err(bad("Permissions.MaxAttempts", settings.limits.max_attempts, "1 to 255"));
     }
     if settings.group_size == 0 {
         return Err(bad("GroupSize", 0, "above 0"));
@@ -32,17 +35,38 @@
         ("Safety.FallMultiple", safety.fall_multiple),
         ("Safety.TipAfter", safety.tip_after),
     ];
-    let not_below_0 = [
+    let others = [
         ("Permissions.ConnIdle", limits.conn_idle),
         ("Permissions.MaxRetryAfter", limits.max_retry_after),
         ("Safety.Cold", safety.cold),
         ("Safety.MustAskIn", safety.must_ask_in),
     ];
     above_0.into_iter().try_for_each(|(field, figure)| above(field, figure))?;
-    not_below_0.into_iter().try_for_each(|(field, figure)| match figure.is_finite() && figure >= 0.0 {
-        true => Ok(()),
-        false => Err(bad(field, figure, "0 or above")),
-    })
+    others.into_iter().try_for_each(|(field, figure)| not_below_0(field, figure))
+}
+
+/// Whether a list of providers can be true: what contradicts itself would only be found out by requests.
+pub fn check_known(known: &Catalog, names: &Names, origin_kind: i64) -> Result<(), ConfigError> {
+    let is_origin = |node: &Instance| i64::from(names.kind(&node.machine_type)) == origin_kind;
+    for (at, node) in known.instances.iter().enumerate() {
+        let field = |key: &str| format!("known.instances[{at}].{key}");
+        let id = &node.instance_id;
+        if id.is_empty() || known.instances[..at].iter().any(|other| other.instance_id == *id) {
+            return Err(bad(&field("instanceId"), id, "a name given once"));
+        }
+        if node.host_port.parse::<SocketAddr>().is_err() {
+            return Err(bad(&field("hostPort"), &node.host_port, "an IP address and port"));
+        }
+        if !["ready", "draining", "gone"].contains(&node.lifecycle.as_str()) {
+            return Err(bad(&field("lifecycle"), &node.lifecycle, "ready, draining or gone"));
+        }
+        not_below_0(&field("weight"), f64::from(node.weight))?;
+        not_below_0(&field("startedAtMs"), node.started_at_ms)?;
+    }
+    match origin_kind >= 0 && !known.instances.is_empty() && !known.instances.iter().any(is_origin) {
+        true => Err(bad("known.instances", known.instances.len(), "a list with the origin in it")),
+        false => Ok(()),
+    }
 }
 
 fn check_class(class: &Class, name: &str) -> Result<(), ConfigError> {
@@ -52,9 +76,13 @@
     if class.effect == Effect::Keyed {
         above(&field("RepeatWindow"), class.repeat_window)?;
     }
-    match class.worth.is_finite() && class.worth >= 0.0 {
+    not_below_0(&field("Worth"), class.worth)
+}
+
+fn not_below_0(field: &str, figure: f64) -> Result<(), ConfigError> {
+    match figure.is_finite() && figure >= 0.0 {
         true => Ok(()),
-        false => Err(bad(&field("Worth"), class.worth, "0 or above")),
+        false => Err(bad(field, figure, "0 or above")),
     }
 }
 
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -256,12 +256,12 @@
         let (classes, tenants) = (name_of(words.grades), name_of(words.orgs));
         check::check(&settings, &classes, &tenants)?;
         let timeout = words.permissions.connect_timeout;
-        if !(timeout.is_finite() && timeout >= 1.0) {
+        if !(1.0..=MAX_CONNECT_TIMEOUT_MS).contains(&timeout) {
             let value = timeout.to_string();
             return Err(ConfigError::Field {
                 field: "ConnectTimeout".to_owned(),
                 value,
-                wanted: "a time in ms",
+                wanted: "1 to 60000, in ms",
             });
         }
         if file.limits.memory_mb < MIN_MEMORY_MB {
@@ -285,6 +285,15 @@
             let value = file.limits.sockets.to_string();
             return Err(ConfigError::Field { field: "limits.sockets".to_owned(), value, wanted });
         }
+        let names = Names {
+            keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
+            version: 0,
+            classes,
+            tenants,
+            kinds: words.kinds,
+            zones: words.zones,
+        };
+        check::check_known(&file.known, &names, settings.family.origin_kind)?;
         Ok(Config {
             admin,
             listen: address("listen", file.listen)?,
@@ -293,14 +302,7 @@
             name: file.name,
             limits: file.limits,
             known: file.known,
-            names: Names {
-                keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
-                version: 0,
-                classes,
-                tenants,
-                kinds: words.kinds,
-                zones: words.zones,
-            },
+            names,
             settings,
             connect_timeout: Duration::from_secs_f64(timeout / 1000.0),
             given,
@@ -335,6 +337,8 @@
     }
 }
 
+/// Danger: a time beyond what the clock can hold would end a proxy that serves, at SIGHUP.
+const MAX_CONNECT_TIMEOUT_MS: f64 = 60_000.0;
 const MIN_SOCKETS: usize = 32;
 const MIN_MEMORY_MB: usize = 16;
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -166,14 +166,16 @@
             return Ok(());
         }
         let catalog: Catalog = serde_json::from_slice(line).map_err(|_| "a line that is no list")?;
-        // Changes that are older than what is known would undo it.
-        let stale = !catalog.reset && catalog.generation < self.generation;
-        let form = if catalog.reset { ListForm::Full } else { ListForm::Delta };
-        if !stale {
-            self.generation = catalog.generation;
+        // Danger: changes that are older than what is known would undo it, and a discovery that has begun again
+        // counts from below: all its news would go unheard. It is asked for the whole list.
+        if !catalog.reset && catalog.generation < self.generation {
+            self.generation = 0;
+            return Err("its generation is older than the one known");
         }
+        let form = if catalog.reset { ListForm::Full } else { ListForm::Delta };
+        self.generation = catalog.generation;
         self.counters.lists.add();
-        self.tell(form, if stale { Vec::new() } else { catalog.instances });
+        self.tell(form, catalog.instances);
         Ok(())
     }
 
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -140,10 +140,10 @@
             }
             // Broken before the last byte went out: the call never ran. That a warm connection broke while
             // it stood idle says nothing of the provider, so a new one is tried; nothing is sent twice.
-            if connection.link.write(&words(call), call.until).is_err() {
-                match fresh || Instant::now() >= call.until {
-                    true => return Outcome::ConnectFailed.into(),
-                    false => continue,
+            if let Err(error) = connection.link.write(&words(call), call.until) {
+                match unwritten(error.kind()) {
+                    Outcome::ConnectFailed if !fresh && Instant::now() < call.until => continue,
+                    outcome => return outcome.into(),
                 }
             }
             return self.await_reply(call, connection);
@@ -273,6 +273,15 @@
     }
 }
 
+/// How a call ended whose last byte did not go out. Danger: a provider that reads nothing is up; to tell it as one
+/// that cannot be connected to would keep everybody away, and have the next call cost nothing.
+fn unwritten(error: ErrorKind) -> Outcome {
+    match error {
+        ErrorKind::TimedOut => Outcome::Timeout,
+        _ => Outcome::ConnectFailed,
+    }
+}
+
 /// A call in the protocol of its provider.
 fn words(call: &Call) -> Vec<u8> {
     let left = call.until.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
--- /dev/null
+++ b/tests/sockets/faults.rs
@@ -0,0 +1,229 @@
+//! Error paths, each judged by what the rig saw of the real process from outside.
+
+use crate::ms;
+use crate::rig::*;
+use crate::witness::Witness;
+use pinetrail_histories::{judge, Reason, Seen, State};
+use std::io::Write;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{self, sleep};
+use std::time::Instant;
+
+/// Fails in the way that a key names; a key that names none is served.
+fn fails_by_key(http: bool) -> impl Fn(&str) -> Does + Send + Sync + 'static {
+    move |words| {
+        let id = opaque(words).to_owned();
+        let served = match (http, words.starts_with("mg ")) {
+            (true, _) => "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv".to_owned(),
+            (false, true) => format!("VA 1 {id}\r\nv\r\n"),
+            (false, false) => format!("HD {id} cv\r\n"),
+        };
+        let path = words.split([' ', '/']).find(|word| word.contains('.')).unwrap_or_default();
+        match path.split('.').next() {
+            Some("breaks") => Does::Breaks,
+            Some("half") => Does::Writes(Box::new(move |stream| {
+                // It may have gone by now.
+                let _ = stream.write_all(&served.as_bytes()[..served.len() - 2]);
+            })),
+            Some("silent") => Does::Nothing,
+            Some("fails") if http => Does::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
+            Some("fails") => Does::Says("SERVER_ERROR failed\r\n".into()),
+            Some("full") if http => {
+                Does::Says("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".into())
+            }
+            Some("full") => Does::Says("SERVER_ERROR busy\r\n".into()),
+            Some("missing") if !http => Does::Says(format!("EN {id}\r\n")),
+            _ => Does::Says(served),
+        }
+    }
+}
+
+/// Guards against calls that fail half way, on a new and on a warm connection, for each kind of effect: nothing is
+/// run twice, refused in vain, answered twice or late, and the proxy serves on.
+#[test]
+fn calls_that_fail_half_way_keep_the_rules_for_every_effect() {
+    let (one, other) = (Party::node(fails_by_key(false)), Party::node(fails_by_key(false)));
+    let origin = Party::origin(fails_by_key(true));
+    let scene = Scene::of(&[&one, &other], &origin);
+    let mut number = 0;
+    for warm in [false, true] {
+        for how in ["breaks", "half", "silent", "fails", "full"] {
+            for class in ["read", "put", "confirm"] {
+                number += 1;
+                let mut client = scene.client();
+                if warm {
+                    assert!(client
+                        .write("put", &format!("good.{number}"), &format!("w{number}"), 900)
+                        .starts_with("HD "));
+                }
+                let (key, id) = (format!("{how}.{number}"), number.to_string());
+                let line = match class {
+                    "read" => client.read(&key, &id, 500).0,
+                    _ => client.write(class, &key, &id, 500),
+                };
+                assert!(line.starts_with("SERVER_ERROR "), "{how} {class}: {line}");
+                let may_repeat = line.starts_with("SERVER_ERROR busy");
+                assert!(class != "confirm" || may_repeat == (how == "full"), "{how} {class}: {line}");
+            }
+        }
+    }
+    assert!(scene.client().read("good.z", "z", 900).0.starts_with("VA "), "it serves on");
+    Witness::own().judge();
+    assert_eq!((scene.count("overdue"), scene.count("panics")), (0, 0));
+}
+
+/// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no origin.
+#[test]
+fn misses_that_wait_for_a_fetch_are_answered_whatever_becomes_of_it() {
+    let node = Party::empty_node();
+    let asked = AtomicUsize::new(0);
+    let origin = Party::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+        // The leader's: it has gone by the time that this is known.
+        0 => Does::Writes(Box::new(|stream| {
+            sleep(ms(300));
+            let _ = stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+        })),
+        1 => Does::Breaks,
+        _ => http_200("v"),
+    });
+    let scene = Scene::of(&[&node], &origin);
+    let leader = scene.client();
+    let leading = thread::spawn(move || leader.ask_and_leave("k", "lead", ms(100)));
+    scene.until("the fetch is out", || origin.heard().len() == 1);
+    let waiters: Vec<_> = (0..4)
+        .map(|n| {
+            let mut client = scene.client();
+            thread::spawn(move || client.read("k", &format!("w{n}"), 1500).0)
+        })
+        .collect();
+    leading.join().unwrap();
+    for waiter in waiters {
+        let line = waiter.join().unwrap();
+        assert!(line.starts_with("VA ") || line.starts_with("SERVER_ERROR busy "), "{line}");
+    }
+    assert!(origin.heard().len() >= 2, "somebody else led a fetch");
+    Witness::own().judge();
+}
+
+/// Guards against a proxy that keeps clients waiting when nothing is left to ask: each is told at once, or when
+/// half of its aim is over, to come back.
+#[test]
+fn with_every_node_and_the_origin_gone_all_are_told_to_come_back() {
+    let (node, origin) = (Party::full_node("v"), Party::origin(|_| http_200("v")));
+    let scene = Scene::of(&[&node], &origin);
+    let (_, tell) = scene.discovery.watch();
+    let gone = [node.entry("s-0", "c6", "draining"), origin.entry("o", "origin", "gone")];
+    tell.send(catalog(2, false, &gone)).unwrap();
+    scene.until("it is heard", || scene.count("lists") == 1);
+    for (n, class) in ["read", "put", "confirm"].into_iter().enumerate() {
+        let (mut client, begun, id) = (scene.client(), Instant::now(), n.to_string());
+        let line = match class {
+            "read" => client.read("k", &id, 2000).0,
+            _ => client.write(class, "k", &id, 2000),
+        };
+        assert!(line.starts_with("SERVER_ERROR busy "), "{class}: {line}");
+        assert!(begun.elapsed() < ms(1500), "not kept until its deadline");
+    }
+    assert_eq!((node.heard().len(), origin.heard().len()), (0, 0));
+    Witness::own().judge();
+}
+
+/// Guards against a stop that another signal disturbs, and against a reload while a reload or a stop is under way.
+#[test]
+fn signals_at_awkward_times_lose_nothing() {
+    let node = Party::node(|line| {
+        sleep(ms(300));
+        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+    });
+    let origin = Party::origin(|_| http_200("v"));
+    let scene = Scene::of(&[&node], &origin);
+    let clients: Vec<_> = (0..8)
+        .map(|n| {
+            let mut client = scene.client();
+            thread::spawn(move || client.read(&format!("k{n}"), &n.to_string(), 900).0)
+        })
+        .collect();
+    scene.until("all are out", || node.heard().len() == 8);
+    ["HUP", "HUP", "TERM", "HUP", "USR1", "TERM", "HUP"].iter().for_each(|name| scene.signal(name));
+    assert!(clients.into_iter().all(|client| client.join().unwrap().starts_with("VA ")));
+    let output = scene.end();
+    assert!(output.status.success(), "{output:?}");
+    Witness::own().ended();
+    Witness::own().judge();
+}
+
+/// A recorded day on the real process: faults of every kind, a node that drains, one that is removed and returns,
+/// settings read again. The rules hold; the recording less one answer, or with a call too late, is refused.
+#[test]
+fn a_day_of_faults_on_sockets_keeps_the_rules() {
+    let moody = || {
+        let calls = AtomicUsize::new(0);
+        let good = fails_by_key(false);
+        Party::node(move |line| match calls.fetch_add(1, Ordering::SeqCst) % 23 {
+            3 => Does::Breaks,
+            7 => Does::Nothing,
+            11 => Does::Says("SERVER_ERROR busy\r\n".into()),
+            17 => Does::Says("SERVER_ERROR failed\r\n".into()),
+            _ => good(line),
+        })
+    };
+    let nodes = [moody(), moody(), moody()];
+    let calls = AtomicUsize::new(0);
+    let origin = Party::origin(move |_| match calls.fetch_add(1, Ordering::SeqCst) % 19 {
+        5 => Does::Breaks,
+        9 => Does::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
+        _ => http_200("v"),
+    });
+    let scene = Scene::of(&nodes.iter().collect::<Vec<_>>(), &origin);
+    let (_, tell) = scene.discovery.watch();
+    let clients: Vec<_> = (0..8)
+        .map(|c| {
+            let mut client = scene.client();
+            thread::spawn(move || {
+                for n in 0..60 {
+                    let (id, kind) = (format!("{c}x{n}"), if n % 5 == 0 { "missing" } else { "good" });
+                    match n % 10 {
+                        4 => drop(client.write("put", &format!("w.{id}"), &id, 400)),
+                        9 => drop(client.write("confirm", &format!("w.{id}"), &id, 400)),
+                        _ => drop(client.read(&format!("{kind}.{}", n % 30), &id, 400)),
+                    }
+                }
+            })
+        })
+        .collect();
+    let entry = |n: usize, lifecycle| nodes[n].entry(&format!("s-{n}"), "c6", lifecycle);
+    for (generation, changes) in [(2, entry(0, "draining")), (3, entry(1, "gone")), (4, entry(1, "ready"))] {
+        sleep(ms(400));
+        tell.send(catalog(generation, false, &[changes])).unwrap();
+        scene.signal("HUP");
+    }
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    Witness::own().judge();
+    let history = Witness::own().history();
+    let last = history.events.iter().rposition(|event| matches!(event.1, Seen::Answered { .. })).unwrap();
+    let Seen::Answered { request, .. } = history.events[last].1.clone() else { unreachable!() };
+    // The recording goes on until everybody's time is over.
+    let mut lost = history.clone();
+    lost.events.remove(last);
+    lost.events.push((history.events[last].0 + 5000.0, Seen::Left { request: request.clone() }));
+    let found = judge(&lost).unwrap();
+    assert_eq!(
+        found.iter().map(|b| (b.reason, b.about.clone())).collect::<Vec<_>>(),
+        [(Reason::Lost, request)]
+    );
+    // The same calls, had the first node been told to drain from the beginning on, with no time to stop.
+    let (mut drained, drains) = (history, nodes[0].place.to_string());
+    drained.events.iter_mut().for_each(|event| match &mut event.1 {
+        Seen::InForce { figures, .. } => figures.stop_within = 0.0,
+        Seen::Told { nodes, .. } => {
+            nodes
+                .iter_mut()
+                .filter(|node| node.place == drains)
+                .for_each(|node| node.state = State::Draining);
+        }
+        _ => {}
+    });
+    let found = judge(&drained).unwrap();
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|b| (b.reason, &b.about) == (Reason::Draining, &drains)), "{}", found[0]);
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,9 +1,11 @@
 //! The real program as a process, spoken to as consumers, cache nodes, the origin and discovery speak.
 
+mod faults;
 mod large;
 mod operations;
 mod rig;
 mod upgrades;
+mod witness;
 
 use rig::*;
 use std::sync::atomic::Ordering;
@@ -306,10 +308,16 @@
     drop(tell);
     let (line, tell) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=2 HTTP/1.1");
-    // Guards against a change undone: older news than what is known are no news.
+    // Guards against a change undone: older news than what is known are no news. The whole list is.
     tell.send(catalog(1, false, &[old.entry("s-0", "c6", "ready")])).unwrap();
-    scene.until("it has come", || scene.count("lists") == 2);
+    let (line, tell) = scene.discovery.watch();
+    assert_eq!(line, "GET /catalog/members?watch=1&after=0 HTTP/1.1");
     (20..30).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n"));
+    // Guards against drains that go unheard after a discovery that began again.
+    let begun_again = [old.entry("s-0", "c6", "ready"), new.entry("s-1", "c6", "draining")];
+    tell.send(catalog(1, true, &begun_again)).unwrap();
+    scene.until("it has come", || scene.count("lists") == 2);
+    (30..40).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
 }
 
 /// Guards against a cut-off discovery, whose watch stays open and says nothing.
@@ -687,12 +695,34 @@
 #[test]
 fn a_start_that_cannot_go_on_ends_with_one_line() {
     let good = config("127.0.0.1:0", "127.0.0.1:1", 256, "{}");
+    let node = |name: &str, lifecycle: &str, weight: &str, started: &str| {
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"127.0.0.1:1","machineType":"c6","lifecycle":"{lifecycle}","weight":{weight},"startedAtMs":{started}}}"#
+        )
+    };
+    let origin = || node("o", "ready", "1.0", "0").replace("c6", "origin");
+    let known = |entries: &[String]| config("127.0.0.1:0", "127.0.0.1:1", 256, &catalog(1, true, entries));
     let bad = [
         ("{".to_owned(), "EOF"),
         (good.replace(r#""listen":"127.0.0.1:0""#, r#""listen":"here""#), "listen"),
         (good.replace("8c1f30d27a5be964", "seed"), "seed"),
         (good.replace(r#""sockets":256"#, r#""sockets":3"#), "sockets"),
         (good.replace(r#""Grades""#, r#""Grates""#), "Grades"),
+        (good.replace(r#""Aim":400.0"#, r#""Aim":"soon""#), "invalid type"),
+        (good.replace(r#""MaxAttempts":3"#, r#""MaxAttempts":256"#), "MaxAttempts"),
+        // Danger: no duration holds it, so that it ended the process, a start and one that serves alike.
+        (good.replace(r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":1e300"#), "ConnectTimeout"),
+        (
+            known(&[node("s-0", "ready", "1.0", "0"), node("s-0", "ready", "1.0", "0"), origin()]),
+            "given once",
+        ),
+        (known(&[node("s-0", "ready", "1.0", "0")]), "with the origin"),
+        (known(&[node("s-0", "asleep", "1.0", "0"), origin()]), "known.instances[0].lifecycle"),
+        (known(&[origin(), node("s-0", "ready", "-1.0", "0")]), "known.instances[1].weight"),
+        (known(&[origin(), node("s-0", "ready", "1e300", "0")]), "known.instances[1].weight"),
+        (known(&[origin(), node("s-0", "ready", "1.0", "-5")]), "known.instances[1].startedAtMs"),
+        (known(&[origin(), node("s-0", "ready", "1.0", "0").replace("127.0.0.1:1", "there")]), "hostPort"),
+        (known(&[r#"{"instanceId":"s-0","lifecycle":"ready"}"#.to_owned()]), "hostPort"),
     ];
     for (text, names) in bad {
         let output = end(start(&text));
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -1,6 +1,7 @@
 //! The proxy as a process, and round it the parts that it talks to: cache nodes, origin and discovery
 //! on ephemeral loopback ports. Every wait is bounded.
 
+use crate::witness::Witness;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -43,22 +44,31 @@
         };
         let (heard, connected) = (Arc::clone(&party.heard), Arc::clone(&party.connected));
         let (ended, act) = (Arc::clone(&party.ended), Arc::new(act));
+        let (witness, place) = (Witness::own(), party.place.to_string());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 connected.fetch_add(1, Ordering::SeqCst);
                 let (heard, ended, act) = (Arc::clone(&heard), Arc::clone(&ended), Arc::clone(&act));
+                let (witness, place) = (witness.clone(), place.clone());
                 thread::spawn(move || {
                     let mut stream = stream.unwrap();
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    let mut call = None;
                     while let Some(request) = request(&mut reader, http) {
                         heard.lock().unwrap().push(request.clone());
+                        let number = *call.insert(witness.received(&place, &request));
                         match act(&request) {
-                            Does::Says(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
+                            Does::Says(words) => {
+                                witness.closed(number, Some(&words));
+                                stream.write_all(words.as_bytes()).unwrap_or(());
+                            }
                             Does::Writes(write) => write(&mut stream),
                             Does::Nothing => {}
                             Does::Breaks => break,
                         }
                     }
+                    // Of those that were answered the first end counts.
+                    call.into_iter().for_each(|call| witness.closed(call, None));
                     ended.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -137,15 +147,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let place = listener.local_addr().unwrap();
         let (ask, asked) = channel();
+        let witness = Witness::own();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let (mut stream, ask) = (stream.unwrap(), ask.clone());
+                let (mut stream, ask, witness) = (stream.unwrap(), ask.clone(), witness.clone());
                 thread::spawn(move || {
                     let head = request(&mut BufReader::new(stream.try_clone().unwrap()), true).unwrap();
                     let (tell, told) = channel::<String>();
                     ask.send((head.lines().next().unwrap().to_owned(), tell)).unwrap_or(());
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap_or(());
                     for line in told {
+                        witness.told(&line);
                         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
                         stream.write_all(chunk.as_bytes()).unwrap_or(());
                     }
@@ -169,7 +181,8 @@
 const SETTINGS: &str = r#"{"GroupSize":1,"MyNumber":0,"Discovery":"ask","Zones":["a"],"Zone":0,"Tick":1.0,
     "Kinds":["c6","origin"],"FamilyInfo":{"OriginKind":1},"Orgs":[{"Name":"acme"}],
     "Grades":[{"Name":"read","Aim":400.0,"GiveUp":1000.0,"Semantics":"safe","DedupScope":"all"},
-              {"Name":"put","Aim":400.0,"GiveUp":1000.0,"Semantics":"keyed","DedupScope":"all","RepeatWindow":5000.0}],
+              {"Name":"put","Aim":400.0,"GiveUp":1000.0,"Semantics":"keyed","DedupScope":"all","RepeatWindow":5000.0},
+              {"Name":"confirm","Aim":400.0,"GiveUp":1000.0,"Semantics":"unsafe","DedupScope":"all"}],
     "Permissions":{"MaxAttempts":3,"SecondCopies":false,"Cancel":true,"MaxRetryAfter":2000.0,
                    "ConnIdle":1500.0,"ConnectTimeout":250.0},
     "Safety":{"StartCapacity":0.2,"Cold":9000.0,"FallMultiple":3.0,"TipAfter":1500.0,"MustAskIn":10000.0}}"#;
@@ -262,10 +275,18 @@
 
     pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> Scene {
         let discovery = Discovery::new();
-        let known = catalog(1, true, entries);
+        let mut entries = entries.to_vec();
+        // A list without the origin is none; where a test has none of its own, nobody answers for it.
+        if !entries.is_empty() && !entries.iter().any(|entry| entry.contains(r#""origin""#)) {
+            let nobody = Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
+            entries.push(nobody.entry("o", "origin", "ready"));
+        }
+        let known = catalog(1, true, &entries);
         let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
         let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
-        let config = written(&config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits));
+        let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
+        Witness::own().in_force(&config);
+        let config = written(&config);
         let tmp = config.with_extension("tmp");
         std::fs::create_dir_all(&tmp).unwrap();
         let (child, place, door) = started(&config, &tmp);
@@ -385,13 +406,13 @@
 }
 
 /// A consumer's connection.
-pub struct Client(BufReader<TcpStream>);
+pub struct Client(BufReader<TcpStream>, Witness);
 
 impl Client {
     pub fn to(place: SocketAddr) -> Client {
         let stream = TcpStream::connect(place).unwrap();
         stream.set_read_timeout(Some(WAIT)).unwrap();
-        Client(BufReader::new(stream))
+        Client(BufReader::new(stream), Witness::own())
     }
 
     pub fn say(&mut self, words: &str) {
@@ -446,10 +467,30 @@
 
     /// Reads a key; the line of the answer, and the value's line if there is one.
     pub fn read(&mut self, key: &str, id: &str, ms: u32) -> (String, String) {
-        let line = self.ask(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"));
+        self.invoke(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"))
+    }
+
+    /// Writes to a key; the line of the answer.
+    pub fn write(&mut self, class: &str, key: &str, id: &str, ms: u32) -> String {
+        self.invoke(&format!("ms {key} 5 O{id} Pc={class},t=acme,d={ms},k={id}\r\nhello\r\n")).0
+    }
+
+    fn invoke(&mut self, command: &str) -> (String, String) {
+        self.1.asked(command);
+        let line = self.ask(command);
         let value = if line.starts_with("VA ") { self.line() } else { String::new() };
+        self.1.answered(command, &line, &value);
         (line, value)
     }
+
+    /// Asks for a key and leaves after a time, with no answer.
+    pub fn ask_and_leave(mut self, key: &str, id: &str, after: Duration) {
+        let command = format!("mg {key} v O{id} Pc=read,t=acme,d=2000\r\n");
+        self.1.asked(&command);
+        self.say(&command);
+        thread::sleep(after);
+        self.1.left(&command);
+    }
 }
 
 /// One call at the operators' door: its status and its text.
--- /dev/null
+++ b/tests/sockets/witness.rs
@@ -0,0 +1,193 @@
+//! Writes down what the rig sees of a proxy from outside: what consumers, cache nodes, the origin and discovery
+//! sent and got. Each test has its own; all that it makes writes to it.
+
+use pinetrail_histories::{
+    judge, Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time,
+};
+use serde_json::Value;
+use std::sync::{Arc, Mutex};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Each time limit is longer by so much on sockets, as the protocol has it; and threads notice late.
+const BLUR: Time = 100.0;
+/// Of two processes of one proxy none is told apart: for the rules they are one.
+const PROXY: &str = "p";
+
+/// What was seen so far. Clones write to the same.
+#[derive(Clone)]
+pub struct Witness(Arc<Mutex<Notes>>);
+
+struct Notes {
+    begun: Instant,
+    begun_ms: f64,
+    events: Vec<(Time, Seen)>,
+    calls: u64,
+}
+
+thread_local! {
+    static OWN: Witness = Witness(Arc::new(Mutex::new(Notes {
+        begun: Instant::now(),
+        begun_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1000.0,
+        events: Vec::new(),
+        calls: 0,
+    })));
+}
+
+impl Witness {
+    /// That of the test which this thread runs.
+    pub fn own() -> Witness {
+        OWN.with(Witness::clone)
+    }
+
+    fn note<T>(&self, seen: impl FnOnce(&mut Notes) -> (Seen, T)) -> T {
+        let mut notes = self.0.lock().unwrap();
+        let (seen, more) = seen(&mut notes);
+        let at = notes.begun.elapsed().as_secs_f64() * 1000.0;
+        notes.events.push((at, seen));
+        more
+    }
+
+    /// The settings of a configuration came into force, and its list is known.
+    pub fn in_force(&self, config: &str) {
+        let config: Value = serde_json::from_str(config).unwrap();
+        let figures = figures(&config["settings"]);
+        self.note(|_| (Seen::InForce { proxy: PROXY.into(), figures }, ()));
+        self.told(&config["known"].to_string());
+    }
+
+    /// Discovery told a list or changes.
+    pub fn told(&self, list: &str) {
+        let Ok(list) = serde_json::from_str::<Value>(list) else { return };
+        self.note(|notes| {
+            let entries = list["instances"].as_array().into_iter().flatten();
+            let nodes = entries.map(|entry| node(entry, notes.begun_ms)).collect();
+            let whole = list["reset"].as_bool().unwrap_or(false);
+            (Seen::Told { proxy: PROXY.into(), whole, nodes }, ())
+        });
+    }
+
+    /// A consumer's command is about to go out.
+    pub fn asked(&self, command: &str) {
+        let word = |name: &str| label(command, name).unwrap_or_default().to_owned();
+        let request = super::rig::opaque(command).to_owned();
+        let budget = word("d").parse().unwrap();
+        self.note(|_| (Seen::Asked { proxy: PROXY.into(), request, class: word("c"), budget }, ()));
+    }
+
+    /// A consumer has its answer: the line of it, and the line of the value.
+    pub fn answered(&self, command: &str, line: &str, value: &str) {
+        let request = super::rig::opaque(command).to_owned();
+        let answer = match line.split(' ').next() {
+            Some("VA") => Answer::Served(value.trim_end().to_owned()),
+            Some("HD") => Answer::Served(line.trim_end().rsplit_once(" c").unwrap().1.to_owned()),
+            _ if line.starts_with("SERVER_ERROR busy") => Answer::Refused,
+            _ => Answer::Failed,
+        };
+        self.note(|_| (Seen::Answered { request, answer }, ()));
+    }
+
+    /// A consumer closes its connection.
+    pub fn left(&self, command: &str) {
+        let request = super::rig::opaque(command).to_owned();
+        self.note(|_| (Seen::Left { request }, ()));
+    }
+
+    /// The process has ended by itself.
+    pub fn ended(&self) {
+        self.note(|_| (Seen::Ended { proxy: PROXY.into(), how: Process::Left }, ()));
+    }
+
+    /// A provider has read a call; its number.
+    pub fn received(&self, place: &str, words: &str) -> u64 {
+        let id = words.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(|id| format!("O{id}")));
+        let request = id.unwrap_or_else(|| super::rig::opaque(words).to_owned());
+        self.note(|notes| {
+            notes.calls += 1;
+            let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
+            let (proxy, place, call) = (PROXY.to_owned(), place.to_owned(), notes.calls);
+            (Seen::Received { proxy, request, call, place, first, work: 1.0 }, call)
+        })
+    }
+
+    /// A provider is about to answer a call with these words; none if its connection has ended.
+    pub fn closed(&self, call: u64, words: Option<&str>) {
+        let end = match words {
+            None => End::Broken,
+            Some(words) if words.starts_with("VA ") => {
+                End::Served(words.lines().nth(1).unwrap_or_default().to_owned())
+            }
+            Some(words) if words.starts_with("EN ") => End::Missed,
+            Some(words) if words.starts_with("SERVER_ERROR busy") => End::TurnedAway,
+            Some(words) if words.starts_with("HTTP/1.1 200") => {
+                End::Served(words.split_once("\r\n\r\n").unwrap().1.to_owned())
+            }
+            Some(words) if words.contains("X-Turned-Away: 1") => End::TurnedAway,
+            Some(_) => End::Failed,
+        };
+        self.note(|_| (Seen::Closed { call, end }, ()));
+    }
+
+    /// What was seen.
+    pub fn history(&self) -> History {
+        History { blur: BLUR, events: self.0.lock().unwrap().events.clone() }
+    }
+
+    /// Judges it: nothing may be broken.
+    pub fn judge(&self) {
+        let breaches = judge(&self.history()).expect("the history is whole");
+        assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
+    }
+}
+
+/// A label of a command's list, such as `c` in `Pc=read,t=acme`.
+fn label<'a>(command: &'a str, name: &str) -> Option<&'a str> {
+    let labels = command.split_whitespace().find_map(|word| word.strip_prefix('P'))?;
+    labels.split(',').find_map(|label| label.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn node(entry: &Value, begun_ms: f64) -> Node {
+    let text = |key: &str| entry[key].as_str().unwrap().to_owned();
+    Node {
+        name: text("instanceId"),
+        place: text("hostPort"),
+        zone: u16::from(text("zone") != "a"),
+        cell: entry["cell"].as_u64().unwrap() as u16,
+        state: match &*text("lifecycle") {
+            "ready" => State::Ready,
+            "draining" => State::Draining,
+            _ => State::Gone,
+        },
+        started: entry["startedAtMs"].as_f64().unwrap() - begun_ms,
+    }
+}
+
+fn figures(settings: &Value) -> Figures {
+    let class = |class: &Value| {
+        let of = |key: &str| class[key].as_str().unwrap_or_default();
+        let effect = match of("Semantics") {
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed,
+            _ => Effect::Unsafe,
+        };
+        let scope = match of("DedupScope") {
+            "all" => Scope::All,
+            "zone" => Scope::Zone,
+            _ => Scope::Cell,
+        };
+        let window = class["RepeatWindow"].as_f64().unwrap_or(0.0);
+        (of("Name").to_owned(), Class { effect, scope, window })
+    };
+    let (allowed, safety) = (&settings["Permissions"], &settings["Safety"]);
+    let figure = |name: &str| safety[name].as_f64().unwrap();
+    Figures {
+        classes: settings["Grades"].as_array().unwrap().iter().map(class).collect(),
+        attempts: allowed["MaxAttempts"].as_u64().unwrap() as usize,
+        second_copies: allowed["SecondCopies"].as_bool().unwrap(),
+        answer_slack: 20.0,
+        stop_within: 1000.0,
+        start_capacity: figure("StartCapacity"),
+        cold: figure("Cold"),
+        fall_multiple: figure("FallMultiple"),
+        tip_after: figure("TipAfter"),
+    }
+}
