--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -59,7 +59,7 @@
         Seen::Asked { request, class: of, .. } if of == class => Some((at, request)),
         _ => None,
     });
-    let found = of_class.filter_map(|(asked, id)| {
+    let mut found = of_class.filter_map(|(asked, id)| {
         let calls: Vec<(usize, u64)> = events()
             .filter_map(|(at, (_, seen))| match seen {
                 Seen::Received { request, call, .. } if request == id => Some((at, *call)),
