--- a/src/interface.rs
+++ b/src/interface.rs
@@ -153,14 +153,10 @@
     Refuse(RequestId, Time),
     /// Final answer: failed, nothing promised.
     Fail(RequestId),
-    /// Stop waiting for an attempt.
-    Cancel(RequestId, u8),
     /// Set a timer: delay and token.
     Timer(Time, u64),
     /// Set a timer that is of no more use once a request is over: the request, delay and token.
     TimerFor(RequestId, Time, u64),
     /// Subscribe to changes of the list of servers.
     Subscribe,
-    /// A line for the operators.
-    Log(String),
 }
--- a/src/net/consumer/mod.rs
+++ b/src/net/consumer/mod.rs
@@ -15,7 +15,7 @@
 use super::memory::Memory;
 use connection::Connection;
 use may::io::{WaitIo, WaitIoWaker};
-use pinetrail_places::{Id, Limits, Order, Phase, Places, Reason, Seq, Tally};
+use pinetrail_places::{Id, Limits, Order, Phase, Places, Reason, Seq};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -186,12 +186,6 @@
         self.with(|held| held.places.open())
     }
 
-    /// What holds the places now.
-    pub fn tally(&self) -> Tally {
-        let now = self.descriptors.now();
-        self.with(|held| held.places.tally(now))
-    }
-
     fn accept(self: &Arc<Self>, listener: &Listener) {
         let mut number = 0;
         loop {
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -79,7 +79,7 @@
 }
 
 /// Names one invoker call: its invocation, and its number there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallId {
     /// The invocation's number at this proxy.
     pub invocation: RequestId,
@@ -109,8 +109,6 @@
 pub enum Order {
     /// Make an invoker call; its end is owed to [`Exchange::call_ended`].
     Call(Call),
-    /// Call one off, if it is still out.
-    Cancel(CallId),
     /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
     Forget(ServerId),
 }
@@ -255,11 +253,6 @@
         self.hear(state, ListForm::Delta, listed);
     }
 
-    /// The proxy's counters.
-    pub fn counters(&self) -> &Counters {
-        &self.counters
-    }
-
     /// Invocations that are not yet answered.
     pub fn unanswered(&self) -> usize {
         self.lock().records.values().filter(|record| record.open.is_some()).count()
@@ -495,9 +488,6 @@
                         effects.extend(self.finish(state, id, Answer::Rejected(advice)));
                     }
                     Action::Fail(id) => effects.extend(self.finish(state, id, Answer::Failed)),
-                    Action::Cancel(invocation, attempt) => {
-                        effects.push(Effect::Order(Order::Cancel(CallId { invocation, attempt })));
-                    }
                     Action::Timer(delay, token) => effects.push(Effect::Timer(span(delay), token)),
                     Action::TimerFor(id, delay, token) => {
                         // It ends with its invocation: else the timers of what is long answered pile up.
@@ -511,7 +501,6 @@
                         }
                     }
                     Action::Subscribe => effects.push(Effect::Subscribe),
-                    Action::Log(text) => log(&text),
                 }
             }
             if let Some(id) = about {
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -9,12 +9,11 @@
 use super::exchange::{Call, CallId, Exchange, Order, Payload};
 use super::flow;
 use super::http::{self, Body};
-use super::link::{sleep, Link};
+use super::link::sleep;
 use super::memcache::{self, Reply};
 use crate::interface::{Outcome, ServerId};
 use may::sync::mpsc::Receiver;
 use pool::{Connection, NoConnection, Pool};
-use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -33,14 +32,6 @@
     counters: Arc<Counters>,
     pool: Pool,
     connect_timeout: Mutex<Duration>,
-    running: Mutex<BTreeMap<CallId, Running>>,
-}
-
-/// A call that is out: whether it has been called off, and the connection to end for that.
-#[derive(Default)]
-struct Running {
-    cancelled: bool,
-    link: Option<Link>,
 }
 
 /// How a call ended, and what it brought.
@@ -66,13 +57,8 @@
         conn_idle: Duration,
     ) -> Arc<ProviderSide> {
         let pool = Pool::new(descriptors, conn_idle);
-        let side = Arc::new(ProviderSide {
-            exchange,
-            counters,
-            pool,
-            connect_timeout: Mutex::new(connect_timeout),
-            running: Mutex::default(),
-        });
+        let side =
+            Arc::new(ProviderSide { exchange, counters, pool, connect_timeout: Mutex::new(connect_timeout) });
         let retiring = Arc::clone(&side);
         may::go!(move || loop {
             sleep(RETIRE_EVERY);
@@ -96,7 +82,6 @@
     fn carry_out(self: &Arc<Self>, order: Order) {
         match order {
             Order::Call(call) => {
-                self.with(|running| running.insert(call.id, Running::default()));
                 let side = Arc::clone(self);
                 may::go!(move || {
                     let mut debt = Debt { side: &side, id: call.id, end: None };
@@ -104,12 +89,6 @@
                 });
             }
             Order::Forget(provider) => self.pool.forget(provider),
-            Order::Cancel(id) => self.with(|running| {
-                if let Some(running) = running.get_mut(&id) {
-                    running.cancelled = true;
-                    running.link.iter().for_each(Link::end);
-                }
-            }),
         }
     }
 
@@ -130,14 +109,6 @@
                 self.keep(call.provider, connection);
                 return Outcome::Moot.into();
             }
-            let called_off = self.with(|running| {
-                let Some(running) = running.get_mut(&call.id) else { return true };
-                running.link = Some(connection.link.clone());
-                running.cancelled
-            });
-            if called_off {
-                return Outcome::Cancelled.into();
-            }
             // Broken before the last byte went out: the call never ran. That a warm connection broke while
             // it stood idle says nothing of the provider, so a new one is tried; nothing is sent twice.
             if let Err(error) = connection.link.write(&words(call), call.until) {
@@ -173,7 +144,6 @@
             let stalled = Instant::now() + STALL;
             let patience = if bytes.is_empty() { call.until } else { call.until.min(stalled) };
             let read = connection.link.read(&mut bytes, patience);
-            let cancelled = || self.with(|running| running.get(&call.id).map_or(true, |r| r.cancelled));
             let at_end = match read {
                 Ok(count) => count == 0,
                 Err(error) if error.kind() == ErrorKind::TimedOut && patience < call.until => {
@@ -184,7 +154,6 @@
                 Err(_) => true,
             };
             match understand(call, &bytes) {
-                Understood::Partly if at_end && cancelled() => return Outcome::Cancelled.into(),
                 Understood::Partly if at_end => return Outcome::Reset.into(),
                 Understood::Partly => {}
                 Understood::Spoilt => {
@@ -194,7 +163,6 @@
                 Understood::Long(long) => return self.flow(call, connection, bytes, &long),
                 Understood::Whole(end, keep) => {
                     if keep && !at_end {
-                        self.with(|running| running.remove(&call.id));
                         self.keep(call.provider, connection);
                     }
                     return end;
@@ -244,15 +212,10 @@
         source.end();
         self.counters.values_flowed.add();
         if long.keep && bytes.len() == long.tail.len() {
-            self.with(|running| running.remove(&call.id));
             self.keep(call.provider, connection);
         }
         Outcome::Ok.into()
     }
-
-    fn with<T>(&self, act: impl FnOnce(&mut BTreeMap<CallId, Running>) -> T) -> T {
-        act(&mut self.running.lock().unwrap_or_else(PoisonError::into_inner))
-    }
 }
 
 /// The end that is owed for a call, paid also when its coroutine panics.
@@ -268,7 +231,6 @@
             self.side.counters.panics.add();
             Outcome::Reset.into()
         });
-        self.side.with(|running| running.remove(&self.id));
         self.side.exchange.call_ended(self.id, end.outcome, end.payload);
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,23 +44,11 @@
     /// For how long they do, in ms.
     #[serde(default)]
     pub repeat_window: f64,
-    /// Share of the worth that a late answer earns.
-    #[serde(default)]
-    pub late_worth: f64,
     /// Worth of a request.
     #[serde(default = "one")]
     pub worth: f64,
 }
 
-/// A tenant.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct Tenant {
-    /// Requests per second within its share, over all proxies; 0 where not told.
-    #[serde(default)]
-    pub allowance_per_s: f64,
-}
-
 /// What the deployment allows.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -69,9 +57,6 @@
     pub max_attempts: u32,
     /// Whether a request may have two attempts out.
     pub second_copies: bool,
-    /// Whether attempts may be cancelled.
-    #[serde(default)]
-    pub cancel: bool,
     /// Idle connections close after this, in ms.
     #[serde(default)]
     pub conn_idle: f64,
@@ -132,12 +117,6 @@
     /// The classes of requests.
     #[serde(rename = "Grades")]
     pub classes: Vec<Class>,
-    /// The tenants, if any.
-    #[serde(rename = "Orgs", default)]
-    pub tenants: Vec<Tenant>,
-    /// What a request beyond its tenant's share is worth.
-    #[serde(default = "one")]
-    pub over_share_worth: f64,
     /// What the deployment allows.
     #[serde(rename = "Permissions")]
     pub limits: Limits,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -305,11 +305,6 @@
                 self.record(6, instance);
                 self.body.extend(id.to_be_bytes());
             }
-            Action::Cancel(id, attempt) => {
-                self.record(2, instance);
-                self.body.extend(id.to_be_bytes());
-                self.body.push(*attempt);
-            }
             Action::Timer(delay, token) | Action::TimerFor(_, delay, token) => {
                 self.record(11, instance);
                 self.body.extend(delay.to_be_bytes());
@@ -319,18 +314,13 @@
                 self.record(10, instance);
                 self.body.push(1);
             }
-            Action::Log(text) => self.text(3, instance, text),
         }
     }
 
     /// Adds the report that an instance cannot go on, with the reason.
     pub fn fault(&mut self, instance: u32, reason: &str) {
-        self.text(1, instance, reason);
-    }
-
-    fn text(&mut self, code: u8, instance: u32, text: &str) {
-        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
-        self.record(code, instance);
+        let bytes = &reason.as_bytes()[..reason.len().min(usize::from(u16::MAX))];
+        self.record(1, instance);
         self.body.extend((bytes.len() as u16).to_be_bytes());
         self.body.extend(bytes);
     }
