Try a shut fleet one call at a time, and count connects that fail together once

While over half of the fleet is shut each shut node is tried by one call a second at the most, as a suspect is. Ruled out: to drop the shut-off altogether, which a full connection table needs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -303,12 +303,20 @@
     fn usable(&self, open: &Open) -> Vec<ServerId> {
         let fleet: Vec<&Server> = self.servers.values().filter(|s| self.in_fleet(s)).collect();
         // Never eject most of the fleet: then the fault is rather on the way, or everywhere.
-        let eject = fleet.iter().filter(|s| s.failing > SUSPECT).count() * 2 <= fleet.len();
+        let few = |held: fn(&Server, Time) -> bool| {
+            fleet.iter().filter(|s| held(s, self.now)).count() * 2 <= fleet.len()
+        };
+        let (eject, keep_shut) = (few(|s, _| s.failing > SUSPECT), few(|s, now| now < s.shut_until));
         let fit = |s: &Server| {
-            let healthy = s.failing <= SUSPECT || (s.calls.is_empty() && self.now >= s.trial_at);
+            let trial = s.calls.is_empty() && self.now >= s.trial_at;
+            let healthy = s.failing <= SUSPECT || trial;
             // Danger: a full connection table fails whoever is new, again and again. Who is in stays.
-            let is_open = self.now >= s.shut_until && (healthy || !eject) && self.has_room(s);
-            is_open && self.warm_enough(s, open.request.key) && self.is_harmless_at(open, &s.member)
+            let is_shut = self.now < s.shut_until && (keep_shut || !trial);
+            !is_shut
+                && (healthy || !eject)
+                && self.has_room(s)
+                && self.warm_enough(s, open.request.key)
+                && self.is_harmless_at(open, &s.member)
         };
         let usable: Vec<ServerId> = fleet.iter().filter(|s| fit(s)).map(|s| s.member.server).collect();
         let failed =
@@ -561,8 +569,12 @@
             _ => (0.0, 0.0),
         };
         if end.outcome == ConnectFailed {
-            server.shut = (server.shut * 4.0).min(self.settings.limits.conn_idle).max(4.0 * TRIAL);
-            server.shut_until = now + server.shut * jitter;
+            // Those that fail together, or while it is shut, say no more than the first of them.
+            if now >= server.shut_until {
+                server.shut = (server.shut * 4.0).min(self.settings.limits.conn_idle).max(4.0 * TRIAL);
+                server.shut_until = now + server.shut * jitter;
+            }
+            server.trial_at = now + TRIAL * jitter;
         } else if matches!(end.outcome, Ok | Miss | Full | Error) {
             (server.shut, server.shut_until) = (0.0, 0.0);
         }
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -46,6 +46,47 @@
     }
 }
 
+/// Guards against one moment that counts as many: each of several connects that fail together made the time longer.
+#[test]
+fn connects_that_fail_together_shut_a_node_no_longer_than_one() {
+    let mut world = World::new(false, 2);
+    let ids = fill(&mut world, 1);
+    ids.iter().for_each(|id| drop(world.event(Event::ClientGone(*id))));
+    ids.iter()
+        .for_each(|id| (1..=2).for_each(|server| drop(world.end(*id, 0, server, Outcome::ConnectFailed))));
+    world.now += 5001.0;
+    assert!(fill(&mut world, 1000).len() > 10, "both are tried after 5 s at the latest");
+}
+
+/// Guards against a proxy that is cut off for a moment and then asks nobody for 4 s.
+#[test]
+fn when_most_of_the_fleet_is_shut_each_node_is_tried_by_one_call_at_a_time() {
+    let mut world = World::new(false, 3);
+    let fail = |world: &mut World, id| {
+        let mut actions = world.request(read(id, id));
+        let mut tried = vec![];
+        while let Some((_, server)) = sent(&actions) {
+            actions = world.end(id, tried.len() as u8, server, Outcome::ConnectFailed);
+            tried.push(server);
+        }
+        tried.len()
+    };
+    assert_eq!(fail(&mut world, 1), 3);
+    world.now += 700.0;
+    assert!(fill(&mut world, 50).is_empty(), "not at once");
+    world.now += 600.0;
+    let trials = fill(&mut world, 100);
+    assert_eq!(trials.len(), 3, "one for each");
+    trials.iter().for_each(|id| (1..=3).for_each(|server| drop(world.end(*id, 0, server, Outcome::Ok))));
+    assert!(fill(&mut world, 200).len() > 20, "all serve again");
+    // One of three that is shut is left alone.
+    let mut world = World::new(false, 3);
+    world.request(read(1, 1));
+    let (_, shut) = sent(&world.request(read(2, 2))).unwrap();
+    world.end(2, 0, shut, Outcome::ConnectFailed);
+    assert!((100..120).all(|id| sent(&world.request(read(id, id))).map_or(true, |sent| sent.1 != shut)));
+}
+
 /// Guards against a node that returns under its old name and keeps what was held against it.
 #[test]
 fn who_returns_after_it_was_gone_is_met_as_new_whatever_its_start() {
