--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -201,6 +201,8 @@
         let mut player = Player::new();
         steps.iter().for_each(|step| player.play(step));
         player.wait(1000.0);
+        // The recording goes on until everybody's time is over.
+        player.tape.tell(player.world.now, PROXY, false, &[]);
         let history = player.tape.history();
         match judge(&history) {
             Ok(breaches) => prop_assert!(breaches.is_empty(), "{}", breaches[0]),
