--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -32,7 +32,7 @@
     Refuses(ServerId, Time),
     /// It fails every other call for a time.
     Fails(ServerId, Time),
-    /// A proxy is killed, and starts anew with the list it had.
+    /// A proxy is killed, and starts anew with the whole list as it is then.
     Kill(usize),
     /// A proxy hears nothing of discovery for a time.
     Deaf(usize, Time),
