--- a/crates/histories/src/calls.rs
+++ b/crates/histories/src/calls.rs
@@ -18,7 +18,7 @@
                 broken(Reason::TooMany, call.first, vec![request.asked.0, call.event]);
             }
             let is_out =
-                |earlier: &&Call| earlier.end.map_or(true, |(ended, _)| ended > call.first + history.blur);
+                |earlier: &&Call| earlier.end.is_none_or(|(ended, _)| ended > call.first + history.blur);
             if let Some(earlier) = before.iter().find(is_out).filter(|_| !request.figures.second_copies) {
                 broken(Reason::TwoAtOnce, call.first, vec![earlier.event, call.event]);
             }
--- /dev/null
+++ b/crates/lab/src/demo/load.rs
@@ -0,0 +1,218 @@
+//! Clients that ask at a rate of their own, whatever the answers do: what is late counts from when it was due.
+
+use pinetrail_rig::witness::Witness;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// So many requests may be open at once; more wait, and are late.
+const CLIENTS: u64 = 48;
+/// How long a client waits.
+const BUDGET: Duration = Duration::from_millis(900);
+/// A request that its proxy's death left without an answer is asked again, so often at the most.
+const TRIES: usize = 20;
+const KEYS: u64 = 200;
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Done {
+    /// Requests that were due.
+    pub requests: u64,
+    /// Final answers by kind.
+    pub answers: BTreeMap<&'static str, u64>,
+    /// Requests asked again since the connection broke.
+    pub asked_again: u64,
+    /// Requests that had none.
+    pub without_answer: u64,
+    /// Requests that had another after the first.
+    pub answered_twice: u64,
+    /// From when each was due, in microseconds.
+    pub latencies: Vec<u64>,
+}
+
+impl Done {
+    /// Whether each request had exactly one final answer.
+    pub fn is_sound(&self) -> bool {
+        self.requests > 0
+            && self.answers.values().sum::<u64>() == self.requests
+            && self.without_answer == 0
+            && self.answered_twice == 0
+    }
+}
+
+struct Shared {
+    places: Vec<SocketAddr>,
+    rate: u64,
+    total: u64,
+    seed: u64,
+    begun: Instant,
+    next: AtomicU64,
+    witness: Witness,
+    done: Mutex<Done>,
+}
+
+/// Clients at work.
+pub struct Load {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Clients of these proxies ask from now on, for a time.
+    pub fn begin(places: Vec<SocketAddr>, rate: u64, lasts: Duration, seed: u64) -> Load {
+        let total = rate * lasts.as_secs();
+        let shared = Arc::new(Shared {
+            places,
+            rate,
+            total,
+            seed,
+            begun: Instant::now(),
+            next: AtomicU64::new(0),
+            witness: Witness::own(),
+            done: Mutex::default(),
+        });
+        let client = |_| {
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || Client { shared: &shared, open: BTreeMap::new() }.work())
+        };
+        let threads = (0..CLIENTS).map(client).collect();
+        Load { shared, threads }
+    }
+
+    /// Waits until all that were due are answered; what came of it.
+    pub fn end(self) -> Done {
+        self.threads.into_iter().for_each(|thread| drop(thread.join()));
+        std::mem::take(&mut *self.shared.done.lock().expect("no client panicked"))
+    }
+}
+
+struct Client<'a> {
+    shared: &'a Shared,
+    open: BTreeMap<usize, BufReader<TcpStream>>,
+}
+
+enum Said {
+    Final(&'static str),
+    Broken,
+}
+
+impl Client<'_> {
+    fn work(mut self) {
+        loop {
+            let n = self.shared.next.fetch_add(1, Ordering::Relaxed);
+            if n >= self.shared.total {
+                return;
+            }
+            let due = self.shared.begun + Duration::from_micros(n * 1_000_000 / self.shared.rate);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let mixed = (n ^ self.shared.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+            let key = format!("k{}", mixed % KEYS);
+            let writes = mixed.is_multiple_of(20);
+            let mut said = None;
+            for attempt in 0..TRIES {
+                let proxy = (n as usize + attempt) % self.shared.places.len();
+                match self.ask(proxy, &key, writes, n, attempt) {
+                    Said::Final(kind) => {
+                        said = Some(kind);
+                        break;
+                    }
+                    Said::Broken => {
+                        self.open.remove(&proxy);
+                        self.note(|done| done.asked_again += 1);
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            }
+            let late = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+            self.note(|done| {
+                done.requests += 1;
+                match said {
+                    Some(kind) => {
+                        *done.answers.entry(kind).or_default() += 1;
+                        done.latencies.push(late);
+                    }
+                    None => done.without_answer += 1,
+                }
+            });
+        }
+    }
+
+    fn note(&self, note: impl FnOnce(&mut Done)) {
+        note(&mut self.shared.done.lock().expect("no client panicked"));
+    }
+
+    /// Asks one proxy. What breaks has no answer: the client has left, and may ask again.
+    fn ask(&mut self, proxy: usize, key: &str, writes: bool, n: u64, attempt: usize) -> Said {
+        let (id, repeat) = (format!("{n}x{attempt}"), if attempt > 0 { ",r=1" } else { "" });
+        let ms = BUDGET.as_millis();
+        let command = match writes {
+            // The same key each time: the origin drops what it has run already.
+            true => format!("ms {key} 5 O{id} Pc=put,t=acme,d={ms},k=w{n}{repeat}\r\nhello\r\n"),
+            false => format!("mg {key} v O{id} Pc=read,t=acme,d={ms}{repeat}\r\n"),
+        };
+        let Some(stream) = self.connection(proxy) else { return Said::Broken };
+        // Something that nobody asked for any more lies there: an answer too many.
+        let is_quiet = stream.buffer().is_empty();
+        self.shared.witness.asked(&command);
+        let Some(stream) = self.open.get_mut(&proxy) else { return Said::Broken };
+        let answer = stream.get_mut().write_all(command.as_bytes()).and_then(|()| read(stream));
+        if !is_quiet {
+            self.note(|done| done.answered_twice += 1);
+        }
+        match answer {
+            Ok((line, value)) => {
+                self.shared.witness.answered(&command, &line, &value);
+                if line.contains(&format!(" O{id}")) {
+                    Said::Final("served")
+                } else if line.starts_with("SERVER_ERROR busy") {
+                    Said::Final("refused")
+                } else if line.starts_with("SERVER_ERROR") {
+                    Said::Final("failed")
+                } else {
+                    Said::Final("unknown")
+                }
+            }
+            Err(_) => {
+                self.shared.witness.left(&command);
+                Said::Broken
+            }
+        }
+    }
+
+    fn connection(&mut self, proxy: usize) -> Option<&mut BufReader<TcpStream>> {
+        if !self.open.contains_key(&proxy) {
+            let stream =
+                TcpStream::connect_timeout(&self.shared.places[proxy], Duration::from_millis(200)).ok()?;
+            stream.set_read_timeout(Some(BUDGET * 2)).ok()?;
+            stream.set_nodelay(true).ok()?;
+            self.open.insert(proxy, BufReader::new(stream));
+        }
+        // A proxy closes what stands idle: that is seen before it is used.
+        let stream = self.open.get_mut(&proxy)?;
+        stream.get_ref().set_nonblocking(true).ok()?;
+        let seen = stream.get_ref().peek(&mut [0]);
+        stream.get_ref().set_nonblocking(false).ok()?;
+        if matches!(seen, Ok(0)) {
+            self.open.remove(&proxy);
+            return self.connection(proxy);
+        }
+        self.open.get_mut(&proxy)
+    }
+}
+
+/// The line of an answer, and its value if it has one.
+fn read(stream: &mut BufReader<TcpStream>) -> std::io::Result<(String, String)> {
+    let mut line = String::new();
+    if stream.read_line(&mut line)? == 0 {
+        return Err(std::io::ErrorKind::UnexpectedEof.into());
+    }
+    let length =
+        line.strip_prefix("VA ").and_then(|rest| rest.split(' ').next()).and_then(|word| word.parse().ok());
+    let mut value = vec![0; length.map_or(0, |length: usize| length + 2)];
+    stream.read_exact(&mut value)?;
+    Ok((line, String::from_utf8_lossy(&value).into_owned()))
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,47 @@
+//! Experiments with pinetrail. `pinetrail-lab --help` lists them.
+
+mod demo;
+mod members;
+mod table;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Experiments with pinetrail: real processes on loopback, and models in simulated time.
+#[derive(Parser)]
+#[command(version)]
+struct Lab {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Subcommand)]
+enum Experiment {
+    /// Three proxies that know each other, with what they talk to, under load and faults: real processes on loopback.
+    Demo(demo::Options),
+    /// The membership of 3 to 1,000 proxies in simulated time, beside heartbeats from everybody to everybody.
+    Members(members::Options),
+    /// One proxy, as the program `pinetrail` is: how the demo starts its processes.
+    #[command(hide = true)]
+    Proxy,
+}
+
+fn main() -> ExitCode {
+    let done = match Lab::parse().experiment {
+        Experiment::Demo(options) => demo::run(&options),
+        Experiment::Members(options) => members::run(&options),
+        Experiment::Proxy => {
+            // Danger: an end of the demo that nothing can be done about would leave its processes behind.
+            let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+            return pinetrail::net::lifecycle::run();
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("pinetrail-lab: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/members/mod.rs
@@ -0,0 +1,132 @@
+//! `pinetrail-lab members`: the membership as it runs in service, in simulated time over a modelled network.
+
+mod plots;
+mod trials;
+
+use crate::table;
+use clap::Args;
+use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
+use rayon::prelude::*;
+use serde::Serialize;
+use std::path::PathBuf;
+use trials::{Kind, Outcome, Trial};
+
+/// What to measure.
+#[derive(Args)]
+pub struct Options {
+    /// Random numbers begin with this: the same seed gives the same digest.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Sizes of fleets.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 30, 300], value_parser = clap::value_parser!(u16).range(2..=1024))]
+    members: Vec<u16>,
+    /// Deaths watched at each size, one after the other.
+    #[arg(long, default_value_t = 20)]
+    deaths: usize,
+    /// Shares of datagrams lost while false alarms are counted, in percent.
+    #[arg(long, value_delimiter = ',', default_values_t = [0, 5, 20], value_parser = clap::value_parser!(u8).range(0..=90))]
+    loss: Vec<u8>,
+    /// Simulated minutes in which false alarms are counted, for each size and loss; every member stands still for 200 to
+    /// 450 ms every 1.7 to 6 s meanwhile.
+    #[arg(long, default_value_t = 10)]
+    minutes: u64,
+    /// Threads; as many as there are cores if not given.
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Where to write all figures as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// A folder for the plots (SVG).
+    #[arg(long)]
+    plots: Option<PathBuf>,
+}
+
+/// All figures of a run.
+#[derive(Serialize)]
+struct Figures {
+    seed: u64,
+    digest: String,
+    outcomes: Vec<Outcome>,
+}
+
+/// Measures, prints and writes; an error says what could not be.
+pub fn run(options: &Options) -> Result<bool, String> {
+    let trials = plan(options);
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(options.threads.unwrap_or(0)).build();
+    let pool = pool.map_err(|error| error.to_string())?;
+    let bar = ProgressBar::new(trials.len() as u64);
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} trials, {elapsed}");
+    bar.set_style(style.map_err(|error| error.to_string())?);
+    let outcomes: Vec<Outcome> =
+        pool.install(|| trials.par_iter().progress_with(bar.clone()).map(Trial::play).collect());
+    bar.finish_and_clear();
+    let all: Vec<u8> = outcomes.iter().flat_map(|outcome| outcome.digest.to_be_bytes()).collect();
+    let outcomes = trials::merged(outcomes);
+    let figures = Figures { seed: options.seed, digest: format!("{:08x}", crc32c::crc32c(&all)), outcomes };
+    show(&figures);
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&figures).map_err(|error| error.to_string())?;
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    if let Some(folder) = &options.plots {
+        plots::draw(folder, &figures.outcomes).map_err(|error| format!("{}: {error}", folder.display()))?;
+    }
+    Ok(true)
+}
+
+/// The trials, in a fixed order. Long ones are cut into pieces that run side by side.
+fn plan(options: &Options) -> Vec<Trial> {
+    const PIECE: u64 = 30;
+    let mut trials = Vec::new();
+    let mut seed = options.seed.wrapping_mul(1_000_003);
+    let mut add = |members: u16, kind: Kind| {
+        seed = seed.wrapping_add(1);
+        trials.push(Trial { members: usize::from(members), kind, seed });
+    };
+    for members in &options.members {
+        for heartbeats in [false, true] {
+            add(*members, Kind::Deaths { heartbeats, deaths: options.deaths });
+            for loss in &options.loss {
+                let mut left = options.minutes;
+                while left > 0 {
+                    add(*members, Kind::Alarms { heartbeats, loss: *loss, minutes: left.min(PIECE) });
+                    left -= left.min(PIECE);
+                }
+            }
+        }
+    }
+    trials
+}
+
+fn show(figures: &Figures) {
+    let by = |heartbeats: bool| if heartbeats { "heartbeats" } else { "swim" };
+    let rows = figures.outcomes.iter().filter_map(|outcome| {
+        let known = outcome.known.as_ref()?;
+        let of = |times: &trials::Times| format!("{} {} {}", times.p50, times.p99, times.worst);
+        Some(vec![
+            format!("{} {}", outcome.members, by(outcome.heartbeats)),
+            of(&known.first),
+            of(&known.last),
+            format!("{:.0}", outcome.bytes_per_s),
+            format!("{:.1}", outcome.datagrams_per_s),
+        ])
+    });
+    println!("After a death, ms until the first and until the last knows (p50, p99, worst); quiet, sent by each member");
+    table::print(
+        &["members", "first knows", "last knows", "bytes/s", "datagrams/s"],
+        &rows.collect::<Vec<_>>(),
+    );
+    let rows = figures.outcomes.iter().filter_map(|outcome| {
+        let alarms = outcome.alarms.as_ref()?;
+        Some(vec![
+            format!("{} {}", outcome.members, by(outcome.heartbeats)),
+            format!("{}%", alarms.loss),
+            format!("{:.1}", alarms.hours),
+            alarms.members_failed.to_string(),
+            format!("{:.2}", alarms.members_failed as f64 / alarms.hours),
+        ])
+    });
+    println!("\nMembers taken for failed that were alive, with pauses of 200 to 450 ms every 1.7 to 6 s");
+    table::print(&["members", "loss", "hours", "false", "false/h"], &rows.collect::<Vec<_>>());
+    println!("\nseed {}, digest {}", figures.seed, figures.digest);
+}
--- /dev/null
+++ b/crates/lab/src/members/trials.rs
@@ -0,0 +1,285 @@
+//! One trial: a fleet in simulated time, what happens to it, and what is seen.
+
+use hdrhistogram::Histogram;
+use pinetrail_members::{Members, News, State, Time};
+use pinetrail_world::fleet::{settings, Fleet, Heard, Member, BRIEF};
+use pinetrail_world::heartbeats::Heartbeats;
+use serde::Serialize;
+
+/// What a trial is about.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// Members die, one after the other.
+    Deaths { heartbeats: bool, deaths: usize },
+    /// Nobody dies; datagrams are lost and members stand still.
+    Alarms { heartbeats: bool, loss: u8, minutes: u64 },
+}
+
+/// A trial.
+#[derive(Clone, Copy, Debug)]
+pub struct Trial {
+    pub members: usize,
+    pub kind: Kind,
+    pub seed: u64,
+}
+
+/// Times in ms.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Times {
+    pub p50: u64,
+    pub p99: u64,
+    pub worst: u64,
+    pub count: u64,
+}
+
+/// When the others knew of deaths.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Known {
+    pub first: Times,
+    pub last: Times,
+    /// Deaths of which not all the others knew within a minute.
+    pub missed: usize,
+}
+
+/// Who was taken for failed without being so.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Alarms {
+    pub loss: u8,
+    pub hours: f64,
+    /// Members that somebody took for failed, counted once for each time that it began.
+    pub members_failed: usize,
+}
+
+/// What a trial showed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    pub members: usize,
+    pub heartbeats: bool,
+    pub known: Option<Known>,
+    pub alarms: Option<Alarms>,
+    /// Bytes and datagrams that each member sent, on average.
+    pub bytes_per_s: f64,
+    pub datagrams_per_s: f64,
+    #[serde(skip)]
+    pub digest: u32,
+}
+
+/// Members by way of which the others join.
+const SEEDS: [usize; 3] = [0, 1, 2];
+/// Until a fleet has met, in ms; it is looked after, whether it has.
+const MEETING: Time = 30_000;
+/// Times of the baseline, chosen so that it notices a death about as fast at five members.
+const BEAT: Time = 500;
+const SILENCE: Time = 2_000;
+
+impl Trial {
+    /// Plays it.
+    pub fn play(&self) -> Outcome {
+        let heartbeats = match self.kind {
+            Kind::Deaths { heartbeats, .. } | Kind::Alarms { heartbeats, .. } => heartbeats,
+        };
+        let (members, seed) = (self.members, self.seed);
+        match heartbeats {
+            true => {
+                let mut fleet = Fleet::new(members, seed);
+                for host in 0..members {
+                    fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
+                }
+                fleet.run(5_000);
+                self.watch(fleet, true, |host, fleet| {
+                    fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
+                })
+            }
+            false => {
+                let peers = &SEEDS[..SEEDS.len().min(members)];
+                let mut fleet: Fleet<Members> = Fleet::new(members, seed);
+                for host in 0..members {
+                    fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
+                    // A release starts them one after the other.
+                    fleet.run(10);
+                }
+                let all: Vec<usize> = (0..members).collect();
+                assert!(fleet.until(MEETING * 4, |fleet| fleet.agree(&all)), "{members} members do not meet");
+                self.watch(fleet, false, |host, fleet| {
+                    fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
+                })
+            }
+        }
+    }
+
+    fn watch<M: Member>(
+        &self,
+        mut fleet: Fleet<M>,
+        heartbeats: bool,
+        restart: impl Fn(usize, &mut Fleet<M>),
+    ) -> Outcome {
+        fleet.run(15_000);
+        fleet.heard.clear();
+        let mut digest = 0;
+        let (mut known, mut alarms) = (None, None);
+        let sent =
+            |fleet: &Fleet<M>| fleet.received.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let (before, from) = (sent(&fleet), fleet.now());
+        match self.kind {
+            Kind::Deaths { deaths, .. } => {
+                // What a quiet fleet sends, before anybody dies.
+                fleet.run(30_000);
+                let quiet = (sent(&fleet), fleet.now());
+                known = Some(self.deaths(&mut fleet, deaths, &mut digest, &restart));
+                let seconds = (quiet.1 - from) as f64 / 1000.0 * self.members as f64;
+                return Outcome {
+                    members: self.members,
+                    heartbeats,
+                    known,
+                    alarms,
+                    bytes_per_s: (quiet.0 .1 - before.1) as f64 / seconds,
+                    datagrams_per_s: (quiet.0 .0 - before.0) as f64 / seconds,
+                    digest,
+                };
+            }
+            Kind::Alarms { loss, minutes, .. } => {
+                fleet.network.loss = f64::from(loss) / 100.0;
+                fleet.pauses = Some(BRIEF);
+                fleet.begin_pauses();
+                let mut members_failed = 0;
+                let mut failed_at = vec![None; self.members];
+                for _ in 0..minutes * 6 {
+                    fleet.run(10_000);
+                    digest = fold(digest, &fleet.heard);
+                    for heard in std::mem::take(&mut fleet.heard) {
+                        let Some(of) = failed(&heard) else { continue };
+                        // Of one false alarm all the others hear: it counts once.
+                        let is_new = failed_at[of].is_none_or(|at| at + 20_000 < heard.at);
+                        members_failed += usize::from(is_new);
+                        failed_at[of] = Some(heard.at);
+                    }
+                }
+                alarms = Some(Alarms { loss, hours: minutes as f64 / 60.0, members_failed });
+            }
+        }
+        let after = sent(&fleet);
+        let seconds = (fleet.now() - from) as f64 / 1000.0 * self.members as f64;
+        Outcome {
+            members: self.members,
+            heartbeats,
+            known,
+            alarms,
+            bytes_per_s: (after.1 - before.1) as f64 / seconds,
+            datagrams_per_s: (after.0 - before.0) as f64 / seconds,
+            digest,
+        }
+    }
+
+    fn deaths<M: Member>(
+        &self,
+        fleet: &mut Fleet<M>,
+        deaths: usize,
+        digest: &mut u32,
+        restart: &impl Fn(usize, &mut Fleet<M>),
+    ) -> Known {
+        let (mut first, mut last) = (Vec::new(), Vec::new());
+        let mut missed = 0;
+        for n in 0..deaths {
+            // Everybody's turn comes, those by whom the others joined among them.
+            let dead = (n * 7 + 1) % self.members;
+            fleet.heard.clear();
+            let died = fleet.now();
+            fleet.kill(dead);
+            let mut knows = vec![None; self.members];
+            for _ in 0..600 {
+                fleet.run(100);
+                *digest = fold(*digest, &fleet.heard);
+                for heard in std::mem::take(&mut fleet.heard) {
+                    if failed(&heard) == Some(dead) {
+                        knows[heard.host].get_or_insert(heard.at - died);
+                    }
+                }
+                if knows.iter().flatten().count() == self.members - 1 {
+                    break;
+                }
+            }
+            let times: Vec<u64> = knows.iter().flatten().copied().collect();
+            missed += usize::from(times.len() < self.members - 1);
+            first.extend(times.iter().min());
+            last.extend(times.iter().max());
+            restart(dead, fleet);
+            // Differently long, so that deaths fall anywhere in a period.
+            fleet.run(15_000 + n as u64 * 37);
+        }
+        Known { first: summary(&first), last: summary(&last), missed }
+    }
+}
+
+/// Whom somebody took for failed.
+fn failed(heard: &Heard) -> Option<usize> {
+    match &heard.news {
+        News::Member { entry, .. } if entry.state == State::Failed => {
+            entry.name.trim_start_matches('n').parse().ok()
+        }
+        _ => None,
+    }
+}
+
+fn fold(digest: u32, heard: &[Heard]) -> u32 {
+    heard.iter().fold(digest, |digest, heard| crc32c::crc32c_append(digest, format!("{heard:?}").as_bytes()))
+}
+
+fn summary(times: &[u64]) -> Times {
+    let mut histogram = Histogram::<u64>::new(3).expect("three digits are possible");
+    times.iter().for_each(|time| histogram.saturating_record(*time));
+    Times {
+        p50: histogram.value_at_quantile(0.5),
+        p99: histogram.value_at_quantile(0.99),
+        worst: times.iter().copied().max().unwrap_or(0),
+        count: times.len() as u64,
+    }
+}
+
+/// Puts the pieces of long trials together.
+pub fn merged(outcomes: Vec<Outcome>) -> Vec<Outcome> {
+    let mut merged: Vec<Outcome> = Vec::new();
+    for outcome in outcomes {
+        let same = |other: &&mut Outcome| {
+            (other.members, other.heartbeats) == (outcome.members, outcome.heartbeats)
+                && other.alarms.zip(outcome.alarms).is_some_and(|(a, b)| a.loss == b.loss)
+        };
+        match (merged.iter_mut().find(same), outcome.alarms) {
+            (Some(Outcome { alarms: Some(before), .. }), Some(piece)) => {
+                before.hours += piece.hours;
+                before.members_failed += piece.members_failed;
+            }
+            _ => merged.push(outcome),
+        }
+    }
+    merged
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_trial_is_the_same_each_time_and_sees_what_happened() {
+        for heartbeats in [false, true] {
+            let trial = Trial { members: 8, kind: Kind::Deaths { heartbeats, deaths: 4 }, seed: 3 };
+            let (one, two) = (trial.play(), trial.play());
+            assert_eq!(one.digest, two.digest);
+            let known = one.known.unwrap();
+            assert_eq!((known.last.count, known.missed), (4, 0));
+            assert!(known.first.worst <= known.last.worst && known.first.p50 > 0);
+            assert_ne!(one.digest, Trial { seed: 4, ..trial }.play().digest);
+        }
+    }
+
+    #[test]
+    fn false_alarms_are_counted_and_pieces_put_together() {
+        let trial =
+            |loss| Trial { members: 5, kind: Kind::Alarms { heartbeats: true, loss, minutes: 2 }, seed: 1 };
+        let (calm, lossy) = (trial(0).play(), trial(60).play());
+        assert_eq!(calm.alarms.unwrap().members_failed, 0);
+        assert!(lossy.alarms.unwrap().members_failed > 0);
+        let all = merged(vec![calm.clone(), lossy.clone(), calm]);
+        assert_eq!(all.len(), 2);
+        assert!((all[0].alarms.unwrap().hours - 4.0 / 60.0).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/members/src/gate.rs
@@ -0,0 +1,80 @@
+//! Who is let in: the bound on members, and what bears this member's own name. The codec asks it of each member that a
+//! datagram names, before SWIM hears of it.
+
+use crate::identity::Id;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What the gate knows.
+#[derive(Debug)]
+pub struct State {
+    /// This member.
+    pub me: Id,
+    /// The most members, this one included.
+    pub size: usize,
+    /// Names that SWIM remembers, and the latest process of each.
+    pub known: BTreeMap<Arc<str>, Id>,
+    /// A process of this member's name that is not this one, named since this was last looked at.
+    pub rival: Option<Id>,
+    /// Where a process still speaks that a later one of its name has followed, and that one.
+    pub followed: Option<(SocketAddr, Id)>,
+    /// Members turned away for want of room.
+    pub no_room: u64,
+    /// Members that datagrams named.
+    pub heard: u64,
+    /// Bytes of the head that was written last.
+    pub head: usize,
+}
+
+/// The gate; clones are the same one.
+#[derive(Clone, Debug)]
+pub struct Gate(Arc<Mutex<State>>);
+
+impl Gate {
+    /// A gate that knows only this member.
+    pub fn new(me: Id, size: usize) -> Gate {
+        let known = BTreeMap::new();
+        let (rival, followed) = (None, None);
+        Gate(Arc::new(Mutex::new(State { me, size, known, rival, followed, no_room: 0, heard: 0, head: 0 })))
+    }
+
+    /// Its state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Whether SWIM may hear of this process.
+    pub fn admits(&mut self, id: &Id) -> bool {
+        if id.name == self.me.name {
+            return true;
+        }
+        if let Some(known) = self.known.get_mut(&id.name) {
+            if id.outlives(known) {
+                *known = id.clone();
+            }
+            return true;
+        }
+        // Danger: whoever can send datagrams could fill the memory with names.
+        if self.known.len() + 1 >= self.size {
+            self.no_room += 1;
+            return false;
+        }
+        self.known.insert(Arc::clone(&id.name), id.clone());
+        true
+    }
+
+    /// Who speaks is told if a later process of its name is known: nobody else would tell it.
+    pub fn speaks(&mut self, id: &Id) {
+        if let Some(later) = self.known.get(&id.name).filter(|known| known.start > id.start) {
+            self.followed = Some((id.address, later.clone()));
+        }
+    }
+
+    /// Whether it bears this member's name and is not this process.
+    pub fn is_rival(&self, id: &Id) -> bool {
+        id.name == self.me.name && id.start != self.me.start
+    }
+}
--- /dev/null
+++ b/crates/members/src/health.rs
@@ -0,0 +1,43 @@
+//! Local health, after Lifeguard (Dadgar, Phillips, Currey, 2018): a member that is slow itself takes longer before it
+//! suspects others.
+
+/// The worst score.
+const WORST: u64 = 8;
+
+/// How far this member may be believed to be on time itself; 0 is well.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health(u64);
+
+impl Health {
+    /// It was late, or had to object to a suspicion: both say that it is slow.
+    pub fn worsen(&mut self, by: u64) {
+        self.0 = self.0.saturating_add(by).min(WORST);
+    }
+
+    /// A period went well.
+    pub fn mend(&mut self) {
+        self.0 = self.0.saturating_sub(1);
+    }
+
+    /// A wait for others, as long as this member's health asks for.
+    pub fn stretch(self, wait: u64) -> u64 {
+        wait.saturating_mul(self.0 + 1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_is_slow_waits_for_longer_and_mends() {
+        let mut health = Health::default();
+        assert_eq!(health.stretch(200), 200);
+        health.worsen(2);
+        assert_eq!(health.stretch(200), 600);
+        health.worsen(100);
+        assert_eq!(health.stretch(1), WORST + 1);
+        (0..20).for_each(|_| health.mend());
+        assert_eq!(health.stretch(200), 200);
+    }
+}
--- /dev/null
+++ b/crates/members/src/members.rs
@@ -0,0 +1,486 @@
+//! One member: what comes in, what goes out, and what is believed in between.
+
+use crate::gate::Gate;
+use crate::health::Health;
+use crate::identity::Id;
+use crate::roster::{Entry, News, Roster, Side, State, LAST_LIFE};
+use crate::settings::{Bad, Settings};
+use crate::swim::{Counts, Note, Swim};
+use crate::timers::Timers;
+use crate::wire::{self, Dropped, Kind};
+use crate::Time;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Who is called later than this after something was due has not been running, and from this on that counts as a stop.
+const LATE: Time = 20;
+const STOP: Time = 200;
+/// What has come meanwhile is read within this.
+const READ: Time = 50;
+/// What is believed is looked at so often when nothing says that it has changed: suspicions that others tell of.
+const LOOK: Time = 1000;
+/// Two processes of one name tell each other so often, and each is believed for so long.
+const RIVAL_TOLD: Time = 1000;
+const RIVAL_BELIEVED: Time = 3500;
+/// A member that has just joined asks one member more each time it asks peers, for so long.
+const NEW: Time = 10_000;
+/// Who leaves says so to so many directly; the others hear it from them.
+const BYES: usize = 16;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// Hear something.
+    News(News),
+}
+
+enum Due {
+    /// SWIM's.
+    Swim(foca::Timer<Id>),
+    /// Ask peers that are not heard.
+    Ask,
+    /// Look what is believed.
+    Look,
+    /// Tell the rival.
+    Rival,
+}
+
+/// Where this member stands among those of its name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Standing {
+    /// It is the only process of its name.
+    Only,
+    /// An earlier one is still there.
+    Followed { earlier: Id, heard: Time },
+    /// A later one is there: that one counts, and this one is out of the fleet until it is gone.
+    Displaced { later: Id, heard: Time },
+    /// It has said that it leaves.
+    Gone,
+}
+
+/// The membership of a fleet as one of its members sees it.
+pub struct Members {
+    settings: Settings,
+    me: Id,
+    seed: u64,
+    gate: Gate,
+    swim: Swim,
+    timers: Timers<Due>,
+    health: Health,
+    roster: Roster,
+    side: Side,
+    standing: Standing,
+    began: Time,
+    now: Time,
+    /// Peers that were never heard.
+    unheard: Vec<SocketAddr>,
+    counts: Counts,
+}
+
+impl Members {
+    /// A member that knows nobody yet. `start` is when its process started, in Unix microseconds; equal seeds and
+    /// inputs give equal outputs. It is to be called at [`Members::next_due`] from now on.
+    pub fn new(settings: Settings, start: u64, seed: u64, now: Time) -> Result<Members, Bad> {
+        settings.check()?;
+        let me = Id { name: settings.name.as_str().into(), start, life: 0, address: settings.advertise };
+        let gate = Gate::new(me.clone(), settings.size);
+        let swim = Swim::new(me.clone(), gate.clone(), settings.times, wire::room(&settings.fleet), seed);
+        let mut timers = Timers::new();
+        timers.set(now, Due::Ask);
+        timers.set(now + LOOK, Due::Look);
+        let unheard = settings.peers.clone();
+        let (roster, counts, health) = (Roster::default(), Counts::default(), Health::default());
+        let side = roster.side(unheard.len());
+        let standing = Standing::Only;
+        Ok(Members {
+            settings,
+            me,
+            seed,
+            gate,
+            swim,
+            timers,
+            health,
+            roster,
+            side,
+            standing,
+            began: now,
+            now,
+            unheard,
+            counts,
+        })
+    }
+
+    /// When [`Members::due`] is to be called at the latest.
+    pub fn next_due(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// Time has passed.
+    pub fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.arrive(now, out);
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Swim(timer) => {
+                    let forgets = matches!(timer, foca::Timer::RemoveDown(_));
+                    self.swim.timer(timer);
+                    self.carry_out(out);
+                    if forgets {
+                        self.swim.prune();
+                        let names = self.gate.state().known.keys().cloned().collect();
+                        out.extend(self.roster.keep(&names).into_iter().map(Output::News));
+                    }
+                }
+                Due::Ask => self.ask(out),
+                Due::Look => {
+                    self.look(out);
+                    self.timers.set(now + LOOK, Due::Look);
+                }
+                Due::Rival => self.tell_rival(out),
+            }
+        }
+    }
+
+    /// A datagram has come.
+    pub fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        self.arrive(now, out);
+        self.counts.datagrams_heard += 1;
+        self.counts.bytes_heard += bytes.len() as u64;
+        if self.standing == Standing::Gone {
+            return;
+        }
+        let done = wire::open(&self.settings.fleet, bytes)
+            .and_then(|(kind, body)| self.understand(kind, body, from, out));
+        if let Err(why) = done {
+            match why {
+                Dropped::Foreign => self.counts.dropped_foreign += 1,
+                Dropped::TooNew => self.counts.dropped_too_new += 1,
+                Dropped::Spoilt => self.counts.dropped_spoilt += 1,
+                Dropped::OtherFleet => self.counts.dropped_other_fleet += 1,
+                Dropped::NoRoom => {
+                    self.counts.dropped_no_room += 1;
+                    let size = self.settings.size as u64;
+                    self.send(Kind::NoRoom, from, &wire::words(&size), out);
+                }
+            }
+        }
+    }
+
+    /// Other peers are to be asked from now on.
+    pub fn set_peers(&mut self, now: Time, peers: Vec<SocketAddr>, out: &mut Vec<Output>) -> Result<(), Bad> {
+        let newer = Settings { peers, ..self.settings.clone() };
+        newer.check()?;
+        self.settings = newer;
+        self.unheard = self.settings.peers.clone();
+        self.arrive(now, out);
+        self.timers.retain(|due| !matches!(due, Due::Ask));
+        self.ask(out);
+        self.look(out);
+        Ok(())
+    }
+
+    /// This member leaves on purpose.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.arrive(now, out);
+        if matches!(self.standing, Standing::Only | Standing::Followed { .. }) {
+            let last = Id { life: LAST_LIFE, ..self.me.clone() };
+            let active: Vec<SocketAddr> = self.active().take(BYES).map(|id| id.address).collect();
+            let words = wire::words(&last);
+            active.into_iter().for_each(|to| self.send(Kind::Bye, to, &words, out));
+            self.swim.leave(last);
+            self.carry_out(out);
+        }
+        self.standing = Standing::Gone;
+        self.timers.retain(|_| false);
+    }
+
+    /// This process, as others know it.
+    pub fn me(&self) -> &Id {
+        &self.me
+    }
+
+    /// On which side this member is.
+    pub fn side(&self) -> Side {
+        self.side
+    }
+
+    /// Where a process runs that bears this member's name too, and whether that one counts in the fleet.
+    pub fn rival(&self) -> Option<(SocketAddr, bool)> {
+        match &self.standing {
+            Standing::Followed { earlier, .. } => Some((earlier.address, false)),
+            Standing::Displaced { later, .. } => Some((later.address, true)),
+            Standing::Only | Standing::Gone => None,
+        }
+    }
+
+    /// All members, this one included, in the order of their names.
+    pub fn roster(&self) -> Vec<Entry> {
+        let own = Entry {
+            name: Arc::clone(&self.me.name),
+            start: self.me.start,
+            address: self.me.address,
+            state: if self.standing == Standing::Gone { State::Left } else { State::Alive },
+            incarnation: self.swim.incarnation(),
+            since: self.began,
+        };
+        let mut all: Vec<Entry> = self.roster.entries().cloned().collect();
+        let at = all.partition_point(|entry| entry.name < own.name);
+        all.insert(at, own);
+        all
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> Counts {
+        let swim = self.swim.wants.counts;
+        let (no_room, heard) = {
+            let gate = self.gate.state();
+            (gate.no_room, gate.heard)
+        };
+        Counts {
+            probes: self.counts.probes + swim.probes,
+            probes_indirect: self.counts.probes_indirect + swim.probes_indirect,
+            probes_failed: self.counts.probes_failed + swim.probes_failed,
+            news_sent: self.counts.news_sent + swim.news_sent,
+            news_heard: heard,
+            dropped_no_room: self.counts.dropped_no_room.max(no_room),
+            ..self.counts
+        }
+    }
+
+    /// It is this time now. Danger: what was due while this process was stopped would be taken for the silence of
+    /// others: their answers lie unread. What did not pass here is added to every wait.
+    fn arrive(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let Some(due) = self.timers.next().filter(|due| due + LATE < now) else { return };
+        let gap = now - due;
+        self.timers.put_off(gap + READ);
+        if gap < STOP {
+            return;
+        }
+        self.health.worsen(1 + (gap / 1000).min(2));
+        self.counts.stops += 1;
+        out.push(Output::News(News::Stopped(gap)));
+    }
+
+    fn understand(
+        &mut self,
+        kind: Kind,
+        body: &[u8],
+        from: SocketAddr,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Dropped> {
+        match kind {
+            Kind::Swim => return self.swim_said(body, out),
+            Kind::NoRoom => {
+                let room: u64 = wire::read(body)?;
+                out.push(Output::News(News::NoRoom(from, room as usize)));
+            }
+            Kind::Hello | Kind::Here | Kind::Rival | Kind::Bye => {
+                let id = wire::read_id(body)?;
+                if id.name == self.me.name {
+                    if id.start != self.me.start && kind != Kind::Bye {
+                        self.meet_rival(id, out);
+                    }
+                    return Ok(());
+                }
+                if matches!(self.standing, Standing::Displaced { .. }) {
+                    return Ok(());
+                }
+                if !self.gate.state().admits(&id) {
+                    return Err(Dropped::NoRoom);
+                }
+                match kind {
+                    Kind::Hello => {
+                        let me = wire::words(&self.me);
+                        self.send(Kind::Here, id.address, &me, out);
+                    }
+                    Kind::Here => self.swim.announce(id),
+                    Kind::Bye if id.life == LAST_LIFE => self.swim.hear(foca::Member::down(id)),
+                    _ => return Err(Dropped::Spoilt),
+                }
+                self.carry_out(out);
+            }
+        }
+        Ok(())
+    }
+
+    fn swim_said(&mut self, body: &[u8], out: &mut Vec<Output>) -> Result<(), Dropped> {
+        if matches!(self.standing, Standing::Displaced { .. }) {
+            return Ok(());
+        }
+        let turned_away = self.gate.state().no_room;
+        let done = self.swim.data(body);
+        self.carry_out(out);
+        let (rival, followed, no_room) = {
+            let mut gate = self.gate.state();
+            (gate.rival.take(), gate.followed.take(), gate.no_room > turned_away)
+        };
+        if let Some((earlier, later)) = followed {
+            self.send(Kind::Rival, earlier, &wire::words(&later), out);
+        }
+        if let Some(rival) = rival {
+            self.meet_rival(rival, out);
+            return Ok(());
+        }
+        match done {
+            Ok(()) => Ok(()),
+            Err(_) if no_room => Err(Dropped::NoRoom),
+            Err(foca::Error::Decode(_) | foca::Error::MalformedPacket | foca::Error::DataTooBig) => {
+                Err(Dropped::Spoilt)
+            }
+            // What was said to another, or by itself, is no fault of the datagram.
+            Err(_) => Ok(()),
+        }
+    }
+
+    /// Does what SWIM wants.
+    fn carry_out(&mut self, out: &mut Vec<Output>) {
+        for (to, words) in std::mem::take(&mut self.swim.wants.sends) {
+            self.send(Kind::Swim, to.address, &words, out);
+        }
+        let mut changed = false;
+        let (mut probed, mut failed) = (false, false);
+        for note in std::mem::take(&mut self.swim.wants.notes) {
+            match note {
+                Note::Changed => changed = true,
+                Note::ProbeFailed => failed = true,
+                Note::Probed => probed = true,
+                Note::Refuted(_) => {
+                    self.counts.refuted += 1;
+                    self.health.worsen(1);
+                }
+                Note::Returned(id) => {
+                    self.me = id;
+                    self.gate.state().me = self.me.clone();
+                    self.counts.returned += 1;
+                    out.push(Output::News(News::Returned));
+                }
+            }
+        }
+        for (timer, after) in std::mem::take(&mut self.swim.wants.timers) {
+            use foca::Timer::{ChangeSuspectToDown, ProbeRandomMember, SendIndirectProbe};
+            let waits_for_others =
+                matches!(timer, ProbeRandomMember(_) | SendIndirectProbe { .. } | ChangeSuspectToDown { .. });
+            let after = if waits_for_others { self.health.stretch(after) } else { after };
+            self.timers.set(self.now + after, Due::Swim(timer));
+        }
+        if probed && !failed {
+            self.health.mend();
+        }
+        if changed {
+            self.look(out);
+        }
+    }
+
+    /// What SWIM believes by now.
+    fn look(&mut self, out: &mut Vec<Output>) {
+        let news = self.roster.take(self.now, self.swim.members());
+        let changed = !news.is_empty();
+        for news in news {
+            if let News::Member { entry, .. } = &news {
+                match entry.state {
+                    State::Failed => self.counts.failed += 1,
+                    State::Left => self.counts.left += 1,
+                    State::Alive | State::Suspect => {}
+                }
+                self.unheard.retain(|peer| *peer != entry.address);
+            }
+            out.push(Output::News(news));
+        }
+        if changed {
+            self.swim.fit();
+        }
+        let side = match self.standing {
+            Standing::Displaced { .. } => Side::Alone,
+            _ => self.roster.side(self.unheard.len()),
+        };
+        if side != self.side {
+            self.side = side;
+            out.push(Output::News(News::Side(side)));
+        }
+    }
+
+    fn active(&self) -> impl Iterator<Item = &Id> {
+        self.swim.members().filter(|member| member.state() != foca::State::Down).map(foca::Member::id)
+    }
+
+    /// Asks the peers that are not among those alive. A new member asks one of those as well, for whom it knows.
+    fn ask(&mut self, out: &mut Vec<Output>) {
+        if matches!(self.standing, Standing::Only | Standing::Followed { .. }) {
+            let here: Vec<SocketAddr> = self.active().map(|id| id.address).collect();
+            let me = wire::words(&self.me);
+            for peer in self.settings.peers.clone() {
+                if !here.contains(&peer) {
+                    self.send(Kind::Hello, peer, &me, out);
+                }
+            }
+            if self.now < self.began + NEW {
+                let nth = (self.now / self.settings.times.rejoin.max(1)) as usize;
+                let one = self.active().nth(nth % self.swim.active().max(1)).cloned();
+                one.into_iter().for_each(|id| self.swim.announce(id));
+                self.carry_out(out);
+            }
+        }
+        self.timers.set(self.now + self.settings.times.rejoin, Due::Ask);
+    }
+
+    /// Another process bears this member's name. None of them wins in silence: both say so for as long as both are
+    /// there, and the later start is who counts.
+    fn meet_rival(&mut self, rival: Id, out: &mut Vec<Output>) {
+        let later = rival.start > self.me.start;
+        let is_new = self.rival() != Some((rival.address, later));
+        let was_displaced = matches!(self.standing, Standing::Displaced { .. });
+        if is_new {
+            out.push(Output::News(News::Rival(rival.address, later)));
+            self.timers.retain(|due| !matches!(due, Due::Rival));
+            self.timers.set(self.now, Due::Rival);
+        }
+        if later {
+            if !was_displaced {
+                self.timers.retain(|due| !matches!(due, Due::Swim(_)));
+            }
+            self.standing = Standing::Displaced { later: rival, heard: self.now };
+        } else {
+            self.standing = Standing::Followed { earlier: rival, heard: self.now };
+        }
+        if is_new {
+            self.look(out);
+        }
+    }
+
+    fn tell_rival(&mut self, out: &mut Vec<Output>) {
+        let (rival, heard, later) = match &self.standing {
+            Standing::Followed { earlier, heard } => (earlier.clone(), *heard, false),
+            Standing::Displaced { later, heard } => (later.clone(), *heard, true),
+            Standing::Only | Standing::Gone => return,
+        };
+        if heard + RIVAL_BELIEVED > self.now {
+            let me = wire::words(&self.me);
+            self.send(Kind::Rival, rival.address, &me, out);
+            return self.timers.set(self.now + RIVAL_TOLD, Due::Rival);
+        }
+        out.push(Output::News(News::RivalGone));
+        self.standing = Standing::Only;
+        if later {
+            // It comes back as the process after that one: who heard of that one would hear of no earlier one.
+            self.me = Id { start: rival.start + 1, life: 0, ..self.me.clone() };
+            self.gate.state().me = self.me.clone();
+            let counts = self.counts();
+            let room = wire::room(&self.settings.fleet);
+            self.seed = self.seed.wrapping_add(1);
+            self.swim = Swim::new(self.me.clone(), self.gate.clone(), self.settings.times, room, self.seed);
+            self.counts = counts;
+            self.timers.retain(|due| !matches!(due, Due::Ask));
+            self.ask(out);
+        }
+        self.look(out);
+    }
+
+    fn send(&mut self, kind: Kind, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+        let datagram = wire::seal(kind, &self.settings.fleet, body);
+        self.counts.datagrams_sent += 1;
+        self.counts.bytes_sent += datagram.len() as u64;
+        out.push(Output::Send(to, datagram));
+    }
+}
--- /dev/null
+++ b/crates/members/src/roster.rs
@@ -0,0 +1,174 @@
+//! What is believed of each member, since when, and what it adds up to.
+
+use crate::identity::Id;
+use crate::Time;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What is believed of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It has not answered one member and those that this one asked; it may still object.
+    Suspect,
+    /// It did not object in time.
+    Failed,
+    /// It said that it goes.
+    Left,
+}
+
+/// Whether most of the fleet is on this side of whatever lies between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// All members are alive, as far as this one knows.
+    Whole,
+    /// More than half of them are.
+    Majority,
+    /// Half of them or fewer are.
+    Minority,
+    /// This one alone is.
+    Alone,
+}
+
+/// One member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Which process it is: its start, in Unix microseconds.
+    pub start: u64,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// What is believed of it.
+    pub state: State,
+    /// How often it had to object to a suspicion in this life.
+    pub incarnation: u16,
+    /// Since when this is believed.
+    pub since: Time,
+}
+
+/// What the rest of the program hears.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Something else is believed of a member.
+    Member {
+        /// The member, as it is believed now.
+        entry: Entry,
+        /// What was believed of it before, and of which process; none if it is new.
+        before: Option<(u64, State)>,
+    },
+    /// A member is remembered no longer.
+    Forgotten(Arc<str>),
+    /// The fleet falls into other sides.
+    Side(Side),
+    /// Another process runs under this member's name, here. The later start of both counts in the fleet.
+    Rival(SocketAddr, bool),
+    /// It is gone.
+    RivalGone,
+    /// That member has room for so many only, and not for this one.
+    NoRoom(SocketAddr, usize),
+    /// Others had taken this one for failed; it has come back.
+    Returned,
+    /// This process did not run for so long, in ms.
+    Stopped(Time),
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            State::Alive => "alive",
+            State::Suspect => "suspect",
+            State::Failed => "failed",
+            State::Left => "left",
+        })
+    }
+}
+
+impl fmt::Display for Side {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Side::Whole => "whole",
+            Side::Majority => "majority",
+            Side::Minority => "minority",
+            Side::Alone => "alone",
+        })
+    }
+}
+
+/// The life that a member takes to say that it leaves: nobody else can say that of it, and no life comes after.
+pub(crate) const LAST_LIFE: u32 = u32::MAX;
+
+/// All members but this one.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    entries: BTreeMap<Arc<str>, Entry>,
+}
+
+impl Roster {
+    /// Takes what SWIM believes now; what has changed.
+    pub(crate) fn take<'a>(
+        &mut self,
+        now: Time,
+        members: impl Iterator<Item = &'a foca::Member<Id>>,
+    ) -> Vec<News> {
+        let mut news = Vec::new();
+        for member in members {
+            let id = member.id();
+            let state = match member.state() {
+                foca::State::Alive => State::Alive,
+                foca::State::Suspect => State::Suspect,
+                foca::State::Down if id.life == LAST_LIFE => State::Left,
+                foca::State::Down => State::Failed,
+            };
+            let known = self.entries.get_mut(&id.name);
+            let before = known.as_ref().map(|entry| (entry.start, entry.state));
+            if let Some(entry) = known.filter(|entry| (entry.start, entry.state) == (id.start, state)) {
+                (entry.incarnation, entry.address) = (member.incarnation(), id.address);
+                continue;
+            }
+            let entry = Entry {
+                name: Arc::clone(&id.name),
+                start: id.start,
+                address: id.address,
+                state,
+                incarnation: member.incarnation(),
+                since: now,
+            };
+            self.entries.insert(Arc::clone(&id.name), entry.clone());
+            news.push(News::Member { entry, before });
+        }
+        news
+    }
+
+    /// Forgets all names but these.
+    pub(crate) fn keep(&mut self, names: &std::collections::BTreeSet<Arc<str>>) -> Vec<News> {
+        let gone: Vec<Arc<str>> =
+            self.entries.keys().filter(|name| !names.contains(*name)).cloned().collect();
+        gone.iter().for_each(|name| drop(self.entries.remove(name)));
+        gone.into_iter().map(News::Forgotten).collect()
+    }
+
+    /// The members, in the order of their names.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// The sides into which the fleet falls, if so many peers that were never heard belong to it as well.
+    ///
+    /// The membership is who is remembered and has not left, this member, and each of those peers: a process that has just started and reaches nobody must not pass for a whole fleet. Exactly half is no
+    /// majority: of two that lose each other both are alone.
+    pub(crate) fn side(&self, unheard: usize) -> Side {
+        let here = self.entries().filter(|entry| entry.state <= State::Suspect).count() + 1;
+        let belong = self.entries().filter(|entry| entry.state != State::Left).count() + 1;
+        let all = belong + unheard;
+        match here {
+            _ if here == all => Side::Whole,
+            1 => Side::Alone,
+            _ if here * 2 > all => Side::Majority,
+            _ => Side::Minority,
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/settings.rs
@@ -0,0 +1,188 @@
+//! What a member is told at its start, and what must hold of it.
+
+use crate::identity::MAX_NAME;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// The most members that a fleet may be told to have.
+const MOST: usize = 1024;
+
+/// What a member is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The fleet's name: datagrams of others are dropped.
+    pub fleet: String,
+    /// This member's name.
+    pub name: String,
+    /// Where others reach it.
+    pub advertise: SocketAddr,
+    /// Whom to ask at first, and again while they are not heard.
+    pub peers: Vec<SocketAddr>,
+    /// The most members, this one included, that are remembered.
+    pub size: usize,
+    /// How long things take.
+    pub times: Times,
+}
+
+/// How long things take, in ms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// One member is probed each period.
+    pub period: u64,
+    /// A probe without an answer for so long is repeated by way of others.
+    pub answer: u64,
+    /// Who is suspected, and does not object for so long, has failed; longer in a fleet of over ten.
+    pub suspicion: u64,
+    /// News that wait go out so often.
+    pub gossip: u64,
+    /// Some of those that failed are asked again so often: this heals a cut.
+    pub reunion: u64,
+    /// Peers that are not heard are asked so often.
+    pub rejoin: u64,
+    /// Who has failed or left is forgotten after this.
+    pub forget: u64,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times {
+            period: 500,
+            answer: 200,
+            suspicion: 1000,
+            gossip: 100,
+            reunion: 1000,
+            rejoin: 1000,
+            forget: 600_000,
+        }
+    }
+}
+
+/// Why a member cannot be.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Bad {
+    /// A name is empty, too long, or has characters that would confuse whoever reads it.
+    #[error("{field} {value:?} is not 1 to {MAX_NAME} of letters, digits, '.', '_' and '-'")]
+    Name {
+        /// Which.
+        field: &'static str,
+        /// What it is.
+        value: String,
+    },
+    /// Nobody could reach it there.
+    #[error("advertise {0} is no address that others reach (set advertise where bind is unspecified)")]
+    Unreachable(SocketAddr),
+    /// It is told to ask itself.
+    #[error("peers: {0} is this member itself")]
+    Itself(SocketAddr),
+    /// A peer has no address that can be reached.
+    #[error("peers: {0} is no address that can be asked")]
+    Peer(SocketAddr),
+    /// One peer is named twice.
+    #[error("peers: {0} is named twice")]
+    Twice(SocketAddr),
+    /// The size does not hold those that are named.
+    #[error("size {0} is not {1} to {MOST}: itself and its peers")]
+    Size(usize, usize),
+    /// A time is out of its range.
+    #[error("{field} {value} is not {least} to {most}, in ms")]
+    Time {
+        /// Which.
+        field: &'static str,
+        /// What it is.
+        value: u64,
+        /// The least.
+        least: u64,
+        /// The most.
+        most: u64,
+    },
+}
+
+impl Settings {
+    /// Whether a member can be as it is told to.
+    pub fn check(&self) -> Result<(), Bad> {
+        name("fleet.name", &self.fleet)?;
+        name("name", &self.name)?;
+        if self.advertise.ip().is_unspecified() {
+            return Err(Bad::Unreachable(self.advertise));
+        }
+        for (at, peer) in self.peers.iter().enumerate() {
+            if *peer == self.advertise {
+                return Err(Bad::Itself(*peer));
+            }
+            if peer.ip().is_unspecified() || peer.port() == 0 {
+                return Err(Bad::Peer(*peer));
+            }
+            if self.peers[..at].contains(peer) {
+                return Err(Bad::Twice(*peer));
+            }
+        }
+        let least = (self.peers.len() + 1).max(2);
+        if !(least..=MOST).contains(&self.size) {
+            return Err(Bad::Size(self.size, least));
+        }
+        self.times.check()
+    }
+}
+
+impl Times {
+    fn check(&self) -> Result<(), Bad> {
+        let within = |field, value, least, most| match (least..=most).contains(&value) {
+            true => Ok(()),
+            false => Err(Bad::Time { field, value, least, most }),
+        };
+        within("period_ms", self.period, 50, 60_000)?;
+        // A probe by way of others needs its time within the period.
+        within("answer_ms", self.answer, 10, self.period * 4 / 5)?;
+        within("suspicion_ms", self.suspicion, self.period, 600_000)?;
+        within("gossip_ms", self.gossip, 20, 60_000)?;
+        within("reunion_ms", self.reunion, 100, 600_000)?;
+        within("rejoin_ms", self.rejoin, 100, 600_000)?;
+        within("forget_ms", self.forget, self.suspicion.saturating_mul(2), 86_400_000)
+    }
+}
+
+fn name(field: &'static str, value: &str) -> Result<(), Bad> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    match (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(plain) {
+        true => Ok(()),
+        false => Err(Bad::Name { field, value: value.to_owned() }),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    #[test]
+    fn what_could_not_be_is_told_at_the_start() {
+        let good = Settings {
+            fleet: "gdynia".into(),
+            name: "n0".into(),
+            advertise: at(1),
+            peers: vec![at(2), at(3)],
+            size: 3,
+            times: Times::default(),
+        };
+        assert_eq!(good.check(), Ok(()));
+        let bad = |change: fn(&mut Settings)| {
+            let mut settings = good.clone();
+            change(&mut settings);
+            settings.check().expect_err("it is bad").to_string()
+        };
+        assert!(bad(|s| s.fleet.clear()).contains("fleet.name"));
+        assert!(bad(|s| s.name = "a b".into()).contains("name"));
+        assert!(bad(|s| s.name = "x".repeat(65)).contains("1 to 64"));
+        assert!(bad(|s| s.advertise = "0.0.0.0:1".parse().unwrap()).contains("advertise"));
+        assert!(bad(|s| s.peers[0] = s.advertise).contains("itself"));
+        assert!(bad(|s| s.peers[1] = s.peers[0]).contains("twice"));
+        assert!(bad(|s| s.peers[1].set_port(0)).contains("peers"));
+        assert!(bad(|s| s.size = 2).contains("size 2 is not 3 to 1024"));
+        assert!(bad(|s| s.size = 1025).contains("size"));
+        assert!(bad(|s| s.times.answer = 450).contains("answer_ms 450 is not 10 to 400"));
+        assert!(bad(|s| s.times.suspicion = 1).contains("suspicion_ms"));
+    }
+}
--- /dev/null
+++ b/crates/members/src/swim.rs
@@ -0,0 +1,325 @@
+//! SWIM by the library `foca`, with what it wants done kept for the caller: what is sent, set and noticed.
+
+use crate::gate::Gate;
+use crate::identity::Id;
+use crate::settings::Times;
+use crate::wire;
+use foca::{
+    Codec, Config, Foca, Header, Message, NoCustomBroadcast, Notification, PeriodicParams, Runtime, Timer,
+};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Members by way of which one is probed that does not answer.
+const BY_WAY_OF: usize = 3;
+/// Members that are told of news at a time.
+const TOLD_AT_ONCE: usize = 3;
+/// All that one member knows is asked of another so often: it mends what no news brought.
+const ANTI_ENTROPY: Duration = Duration::from_secs(10);
+
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Members probed.
+    pub probes: u64,
+    /// Probes asked of other members.
+    pub probes_indirect: u64,
+    /// Probes that nobody answered.
+    pub probes_failed: u64,
+    /// Members found failed.
+    pub failed: u64,
+    /// Members that said that they leave.
+    pub left: u64,
+    /// Times that others took this member for failed.
+    pub returned: u64,
+    /// Suspicions that this member objected to.
+    pub refuted: u64,
+    /// Times that this process did not run when it had something to do.
+    pub stops: u64,
+    /// Members named in datagrams sent.
+    pub news_sent: u64,
+    /// Members named in datagrams heard.
+    pub news_heard: u64,
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Their bytes.
+    pub bytes_sent: u64,
+    /// Datagrams heard.
+    pub datagrams_heard: u64,
+    /// Their bytes.
+    pub bytes_heard: u64,
+    /// Datagrams dropped: none of ours.
+    pub dropped_foreign: u64,
+    /// Datagrams dropped: of a newer format.
+    pub dropped_too_new: u64,
+    /// Datagrams dropped: damaged.
+    pub dropped_spoilt: u64,
+    /// Datagrams dropped: another fleet's.
+    pub dropped_other_fleet: u64,
+    /// Members not taken for want of room.
+    pub dropped_no_room: u64,
+}
+
+/// What SWIM noticed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// Who belongs, or what is believed of it, has changed.
+    Changed,
+    /// Others had taken this member for failed: it goes on under this identity.
+    Returned(Id),
+    /// A probe failed.
+    ProbeFailed,
+    /// This member has been probing.
+    Probed,
+    /// It objected to a suspicion.
+    Refuted(u16),
+}
+
+/// What SWIM wants done.
+#[derive(Default)]
+pub struct Wants {
+    pub sends: Vec<(Id, Vec<u8>)>,
+    pub timers: Vec<(Timer<Id>, u64)>,
+    pub notes: Vec<Note>,
+    incarnation: u16,
+    gate: Option<Gate>,
+    pub counts: Counts,
+}
+
+impl Runtime<Id> for Wants {
+    fn notify(&mut self, notification: Notification<'_, Id>) {
+        match notification {
+            Notification::Rejoin(id) => {
+                self.incarnation = 0;
+                self.notes.push(Note::Returned(id.clone()));
+            }
+            Notification::ProbeFailed(..) => {
+                self.counts.probes_failed += 1;
+                self.notes.push(Note::ProbeFailed);
+                self.notes.push(Note::Changed);
+            }
+            Notification::DataSent(header) => {
+                match header.message {
+                    Message::Ping(_) => {
+                        self.counts.probes += 1;
+                        self.notes.push(Note::Probed);
+                    }
+                    Message::PingReq { .. } => self.counts.probes_indirect += 1,
+                    _ => {}
+                }
+                if header.src_incarnation > self.incarnation {
+                    self.incarnation = header.src_incarnation;
+                    self.notes.push(Note::Refuted(self.incarnation));
+                }
+            }
+            Notification::DataReceived(_) => {}
+            _ => self.notes.push(Note::Changed),
+        }
+    }
+
+    fn send_to(&mut self, to: Id, data: &[u8]) {
+        let head = self.gate.as_ref().map_or(0, |gate| gate.state().head);
+        if let Some([high, low]) = data.get(head..head + 2) {
+            self.counts.news_sent += u64::from(u16::from_be_bytes([*high, *low]));
+        }
+        self.sends.push((to, data.to_vec()));
+    }
+
+    fn submit_after(&mut self, event: Timer<Id>, after: Duration) {
+        self.timers.push((event, u64::try_from(after.as_millis()).unwrap_or(u64::MAX)));
+    }
+}
+
+/// Why words of SWIM are not taken.
+#[derive(Debug, Error)]
+pub enum BadWords {
+    /// They are none.
+    #[error("no words of SWIM")]
+    None,
+    /// They do not fit.
+    #[error("too long")]
+    TooLong,
+    /// The gate keeps the sender out.
+    #[error("not admitted")]
+    NotAdmitted,
+}
+
+/// The words of SWIM by `postcard`; whom a datagram names passes the gate.
+struct Words(Gate);
+
+impl Words {
+    fn put(said: &impl serde::Serialize, mut buf: impl bytes::BufMut) -> Result<usize, BadWords> {
+        let words = wire::words(said);
+        if buf.remaining_mut() < words.len() {
+            return Err(BadWords::TooLong);
+        }
+        buf.put_slice(&words);
+        Ok(words.len())
+    }
+
+    fn take<T: serde::de::DeserializeOwned>(mut buf: impl bytes::Buf) -> Result<T, BadWords> {
+        let (said, rest) = postcard::take_from_bytes(buf.chunk()).map_err(|_| BadWords::None)?;
+        let used = buf.remaining() - rest.len();
+        buf.advance(used);
+        Ok(said)
+    }
+}
+
+impl Codec<Id> for Words {
+    type Error = BadWords;
+
+    fn encode_header(&mut self, header: &Header<Id>, buf: impl bytes::BufMut) -> Result<(), BadWords> {
+        let head = Words::put(header, buf)?;
+        self.0.state().head = head;
+        Ok(())
+    }
+
+    fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<Header<Id>, BadWords> {
+        let header: Header<Id> = Words::take(buf)?;
+        if !header.src.is_sound() {
+            return Err(BadWords::None);
+        }
+        let mut gate = self.0.state();
+        if gate.is_rival(&header.src) {
+            gate.rival = Some(header.src);
+            return Err(BadWords::NotAdmitted);
+        }
+        gate.speaks(&header.src);
+        match gate.admits(&header.src) {
+            true => Ok(header),
+            false => Err(BadWords::NotAdmitted),
+        }
+    }
+
+    fn encode_member(&mut self, member: &foca::Member<Id>, buf: impl bytes::BufMut) -> Result<(), BadWords> {
+        Words::put(member, buf).map(drop)
+    }
+
+    fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<Id>, BadWords> {
+        let member: foca::Member<Id> = Words::take(buf)?;
+        if !member.id().is_sound() {
+            return Err(BadWords::None);
+        }
+        let mut gate = self.0.state();
+        gate.heard += 1;
+        // That this member is alive says nothing to it: it stands for what is not to be heard.
+        let unheard = foca::Member::alive(gate.me.clone());
+        if gate.is_rival(member.id()) {
+            // What ended before this process began is old news; a later process of its name is not.
+            if member.id().start > gate.me.start {
+                if member.state() != foca::State::Down {
+                    gate.rival = Some(member.id().clone());
+                }
+                return Ok(unheard);
+            }
+            return Ok(member);
+        }
+        match gate.admits(member.id()) {
+            true => Ok(member),
+            false => Ok(unheard),
+        }
+    }
+}
+
+/// SWIM for one member.
+pub struct Swim {
+    foca: Foca<Id, Words, StdRng, NoCustomBroadcast>,
+    gate: Gate,
+    times: Times,
+    room: usize,
+    pub wants: Wants,
+}
+
+impl Swim {
+    /// A member that knows nobody.
+    pub fn new(me: Id, gate: Gate, times: Times, room: usize, seed: u64) -> Swim {
+        let config = config(&times, room, 1);
+        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), Words(gate.clone()));
+        let wants = Wants { gate: Some(gate.clone()), ..Wants::default() };
+        Swim { foca, gate, times, room, wants }
+    }
+
+    /// Takes words of another member.
+    pub fn data(&mut self, words: &[u8]) -> Result<(), foca::Error> {
+        self.foca.handle_data(words, &mut self.wants)
+    }
+
+    /// A timer is due.
+    pub fn timer(&mut self, timer: Timer<Id>) {
+        // A probe that could not run its course is begun anew by the library itself; it says so, and that is all.
+        let _ = self.foca.handle_timer(timer, &mut self.wants);
+    }
+
+    /// Asks a member to be let in, and whom it knows.
+    pub fn announce(&mut self, to: Id) {
+        let _ = self.foca.announce(to, &mut self.wants);
+    }
+
+    /// Hears what a member says of itself.
+    pub fn hear(&mut self, member: foca::Member<Id>) {
+        let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.wants);
+    }
+
+    /// Says that this member leaves.
+    pub fn leave(&mut self, last: Id) {
+        let _ = self.foca.change_identity(last, &mut self.wants);
+        let _ = self.foca.leave_cluster(&mut self.wants);
+    }
+
+    /// All that are remembered.
+    pub fn members(&self) -> impl Iterator<Item = &foca::Member<Id>> {
+        self.foca.iter_membership_state()
+    }
+
+    /// Those that are alive or suspected.
+    pub fn active(&self) -> usize {
+        self.foca.num_members()
+    }
+
+    /// How often this member objected in this life.
+    pub fn incarnation(&self) -> u16 {
+        self.wants.incarnation
+    }
+
+    /// Has the times fit a fleet of this size.
+    pub fn fit(&mut self) {
+        let config = config(&self.times, self.room, self.active() + 1);
+        // What may not change is as it was.
+        let _ = self.foca.set_config(config);
+    }
+
+    /// The gate keeps those that are remembered, and no others.
+    pub fn prune(&self) {
+        let ids = self.members().map(|member| member.id().clone());
+        self.gate.state().known = ids.map(|id| (std::sync::Arc::clone(&id.name), id)).collect();
+    }
+}
+
+fn config(times: &Times, room: usize, members: usize) -> Config {
+    let params = |frequency, members| {
+        Some(PeriodicParams {
+            frequency,
+            num_members: NonZeroUsize::new(members).unwrap_or(NonZeroUsize::MIN),
+        })
+    };
+    let digits = ((members + 1) as f64).log10();
+    // News reach all in a number of tellings that grows with the logarithm (SWIM, section 4.1).
+    let tellings = (digits * 6.0).ceil().clamp(12.0, 30.0) as u8;
+    let suspicion = times.suspicion as f64 * (members as f64).log10().max(1.0);
+    Config {
+        probe_period: Duration::from_millis(times.period),
+        probe_rtt: Duration::from_millis(times.answer),
+        num_indirect_probes: NonZeroUsize::new(BY_WAY_OF).unwrap_or(NonZeroUsize::MIN),
+        max_transmissions: NonZeroU8::new(tellings).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: Duration::from_millis(suspicion as u64),
+        remove_down_after: Some(Duration::from_millis(times.forget)),
+        max_packet_size: NonZeroUsize::new(room).unwrap_or(NonZeroUsize::MIN),
+        notify_down_members: true,
+        periodic_announce: params(ANTI_ENTROPY, 1),
+        periodic_announce_to_down_members: params(Duration::from_millis(times.reunion), 2),
+        periodic_gossip: params(Duration::from_millis(times.gossip), TOLD_AT_ONCE),
+    }
+}
--- /dev/null
+++ b/crates/members/src/timers.rs
@@ -0,0 +1,62 @@
+//! What is due when, in the order of time and then of setting.
+
+use crate::Time;
+use std::collections::BTreeMap;
+
+/// Timers that are set.
+#[derive(Debug)]
+pub struct Timers<T> {
+    set: BTreeMap<(Time, u64), T>,
+    count: u64,
+}
+
+impl<T> Timers<T> {
+    /// None is set.
+    pub fn new() -> Timers<T> {
+        Timers { set: BTreeMap::new(), count: 0 }
+    }
+
+    /// Sets one.
+    pub fn set(&mut self, at: Time, what: T) {
+        self.count += 1;
+        self.set.insert((at, self.count), what);
+    }
+
+    /// When the next is due.
+    pub fn next(&self) -> Option<Time> {
+        self.set.keys().next().map(|(at, _)| *at)
+    }
+
+    /// Takes one that is due.
+    pub fn due(&mut self, now: Time) -> Option<T> {
+        let first = self.set.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+
+    /// Puts all off.
+    pub fn put_off(&mut self, by: Time) {
+        let before = std::mem::take(&mut self.set);
+        self.set = before.into_iter().map(|((at, count), what)| ((at + by, count), what)).collect();
+    }
+
+    /// Forgets those that are not to stay.
+    pub fn retain(&mut self, stays: impl Fn(&T) -> bool) {
+        self.set.retain(|_, what| stays(what));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn they_come_in_order_and_may_be_put_off() {
+        let mut timers = Timers::new();
+        for (at, what) in [(30, 'c'), (10, 'a'), (10, 'b')] {
+            timers.set(at, what);
+        }
+        assert_eq!((timers.next(), timers.due(9), timers.due(10)), (Some(10), None, Some('a')));
+        timers.put_off(100);
+        assert_eq!((timers.due(109), timers.due(110), timers.due(200)), (None, Some('b'), Some('c')));
+    }
+}
--- /dev/null
+++ b/crates/members/src/wire.rs
@@ -0,0 +1,146 @@
+//! Datagrams: what is round the words of SWIM, and the few words that are not SWIM's. Strict and bounded; nothing that
+//! comes in can cause a panic.
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 2 | `pt` |
+//! | 1 | version of this format |
+//! | 1 | kind |
+//! | 4 | CRC-32C of all that follows and of the two bytes before, big-endian |
+//! | 1, then as many | the fleet's name |
+//! | the rest | what the kind says, by `postcard` |
+
+use crate::identity::Id;
+use serde::{Deserialize, Serialize};
+
+/// The longest datagram: it passes every usual link in one piece.
+pub const MAX_DATAGRAM: usize = 1200;
+const MAGIC: [u8; 2] = *b"pt";
+const VERSION: u8 = 1;
+const HEAD: usize = 9;
+
+/// What a datagram is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// SWIM.
+    Swim,
+    /// "Who is there? I am this one": an [`Id`].
+    Hello,
+    /// "It is me": an [`Id`], to who said hello.
+    Here,
+    /// "I bear your name": an [`Id`].
+    Rival,
+    /// "I have no room for you": how many I have room for.
+    NoRoom,
+    /// "I go": an [`Id`].
+    Bye,
+}
+
+const KINDS: [Kind; 6] = [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye];
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// It is none of ours at all.
+    Foreign,
+    /// Its format is newer than this program.
+    TooNew,
+    /// It is damaged, or says what cannot be.
+    Spoilt,
+    /// It is another fleet's.
+    OtherFleet,
+    /// It is of a member for which there is no room.
+    NoRoom,
+}
+
+/// How many bytes of a datagram are left for what a kind says.
+pub(crate) fn room(fleet: &str) -> usize {
+    MAX_DATAGRAM - HEAD - fleet.len()
+}
+
+/// A datagram of a fleet.
+pub(crate) fn seal(kind: Kind, fleet: &str, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(HEAD + fleet.len() + body.len());
+    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&[VERSION, kind as u8, 0, 0, 0, 0, fleet.len() as u8]);
+    out.extend_from_slice(fleet.as_bytes());
+    out.extend_from_slice(body);
+    let sum = checksum(&out);
+    out[4..8].copy_from_slice(&sum.to_be_bytes());
+    out
+}
+
+fn checksum(datagram: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(&datagram[2..4]), &datagram[8..])
+}
+
+/// What a datagram of this fleet is about, and what it says.
+pub fn open<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(Kind, &'a [u8]), Dropped> {
+    if datagram.len() < HEAD || datagram[..2] != MAGIC {
+        return Err(Dropped::Foreign);
+    }
+    if datagram[2] > VERSION {
+        return Err(Dropped::TooNew);
+    }
+    let sum = u32::from_be_bytes([datagram[4], datagram[5], datagram[6], datagram[7]]);
+    if datagram.len() > MAX_DATAGRAM || checksum(datagram) != sum {
+        return Err(Dropped::Spoilt);
+    }
+    let length = usize::from(datagram[8]);
+    let name = datagram.get(HEAD..HEAD + length).ok_or(Dropped::Spoilt)?;
+    if name != fleet.as_bytes() {
+        return Err(Dropped::OtherFleet);
+    }
+    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(Dropped::TooNew)?;
+    Ok((kind, &datagram[HEAD + length..]))
+}
+
+/// The words of a kind that is not SWIM's.
+pub(crate) fn words(said: &impl Serialize) -> Vec<u8> {
+    // Ids and numbers have a form in postcard: nothing here fails.
+    postcard::to_allocvec(said).unwrap_or_default()
+}
+
+/// Reads them.
+pub(crate) fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Dropped> {
+    match postcard::take_from_bytes(body) {
+        Ok((said, [])) => Ok(said),
+        _ => Err(Dropped::Spoilt),
+    }
+}
+
+/// Reads who says it.
+pub(crate) fn read_id(body: &[u8]) -> Result<Id, Dropped> {
+    read(body).and_then(|id: Id| if id.is_sound() { Ok(id) } else { Err(Dropped::Spoilt) })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_not_ours_is_told_apart_and_dropped() {
+        let good = seal(Kind::Hello, "gdynia", b"body");
+        assert_eq!(open("gdynia", &good), Ok((Kind::Hello, &b"body"[..])));
+        assert_eq!(open("hel", &good), Err(Dropped::OtherFleet));
+        let changed = |at: usize, to: u8| {
+            let mut bytes = good.clone();
+            bytes[at] = to;
+            open("gdynia", &bytes).expect_err("it is changed")
+        };
+        assert_eq!((changed(0, b'x'), changed(2, 9)), (Dropped::Foreign, Dropped::TooNew));
+        // Every other byte is held by the checksum.
+        (3..good.len()).for_each(|at| assert_eq!(changed(at, good[at] ^ 0x10), Dropped::Spoilt, "{at}"));
+        (0..good.len()).for_each(|end| assert!(open("gdynia", &good[..end]).is_err(), "{end}"));
+        let unknown = {
+            let mut bytes = good.clone();
+            bytes[3] = 200;
+            let sum = checksum(&bytes);
+            bytes[4..8].copy_from_slice(&sum.to_be_bytes());
+            bytes
+        };
+        assert_eq!(open("gdynia", &unknown), Err(Dropped::TooNew));
+        assert_eq!(open("g", &seal(Kind::Swim, "g", &[0; MAX_DATAGRAM])), Err(Dropped::Spoilt), "too long");
+        assert_eq!(read_id(&words(&7u32)), Err(Dropped::Spoilt));
+    }
+}
--- /dev/null
+++ b/crates/members/tests/hard_cases.rs
@@ -0,0 +1,385 @@
+//! What is hard for a membership, each in simulated time with fixed seeds.
+
+use pinetrail_members::{Members, News, Output, Side, State};
+use pinetrail_world::fleet::{place, settings, Fleet, BRIEF};
+
+const ALL: [usize; 5] = [0, 1, 2, 3, 4];
+
+/// Five members that know each other.
+fn five(seed: u64) -> Fleet<Members> {
+    let mut fleet = Fleet::of(5, seed, &ALL);
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "they meet");
+    assert!(ALL.iter().all(|host| fleet.side(*host) == Some(Side::Whole)));
+    fleet.heard.clear();
+    fleet
+}
+
+/// The times at which all the others knew that a host has failed, counted from now.
+fn known_to_all_within(fleet: &mut Fleet<Members>, dead: usize, at_most: u64) -> Option<u64> {
+    let begun = fleet.now();
+    let others: Vec<usize> = ALL.into_iter().filter(|host| *host != dead).collect();
+    let known =
+        |fleet: &Fleet<Members>| others.iter().all(|host| fleet.believes(*host, dead) == Some(State::Failed));
+    fleet.until(at_most, known).then(|| fleet.now() - begun)
+}
+
+#[test]
+fn a_death_is_known_to_all_in_time_and_a_return_as_well() {
+    for seed in 0..20 {
+        let mut fleet = five(seed);
+        fleet.kill(2);
+        let took = known_to_all_within(&mut fleet, 2, 10_000).expect("all know");
+        assert!(took <= 3_000, "seed {seed}: {took} ms");
+        assert_eq!(fleet.side(0), Some(Side::Majority));
+        // It returns with only the list of its peers, under its name.
+        fleet.begin(2, 5, &ALL);
+        assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
+        assert_eq!(fleet.side(0), Some(Side::Whole));
+    }
+}
+
+/// Guards against a member whose process stands still a little, taken for failed.
+#[test]
+fn a_member_that_is_stopped_for_450_ms_again_and_again_never_fails() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        for _ in 0..60 {
+            fleet.stop(1);
+            fleet.run(450);
+            fleet.go_on(1);
+            fleet.run(100 + seed * 30);
+        }
+        assert_eq!(fleet.failures_heard(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against a process that wakes, finds every wait of its own over and takes all the others for failed.
+#[test]
+fn a_member_that_was_stopped_for_10_s_takes_nobody_for_failed_and_comes_back() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        // It has just begun to suspect somebody: the wait for the objection passes while it is stopped.
+        fleet.network.cut_into(&[&[1], &[0, 2, 3, 4]]);
+        assert!(
+            fleet.until(4_000, |fleet| ALL.iter().any(|of| fleet.believes(1, *of) == Some(State::Suspect)))
+        );
+        fleet.stop(1);
+        fleet.network.heal();
+        assert!(fleet.until(10_000, |fleet| fleet.believes(0, 1) == Some(State::Failed)));
+        fleet.run(10_000);
+        fleet.heard.clear();
+        fleet.go_on(1);
+        assert!(fleet.until(6_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
+        assert!(fleet.heard.iter().any(|heard| heard.host == 1 && matches!(heard.news, News::Stopped(_))));
+        let wrong = |heard: &&pinetrail_world::fleet::Heard| {
+            heard.host == 1
+                && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed)
+        };
+        assert_eq!(fleet.heard.iter().filter(wrong).count(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_way_that_is_cut_in_one_direction_fails_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        fleet.network.cut(0, 1);
+        fleet.run(60_000);
+        assert_eq!(fleet.failures_heard(), 0, "seed {seed}");
+        assert!(fleet.agree(&ALL) || fleet.until(3_000, |fleet| fleet.agree(&ALL)));
+    }
+}
+
+/// Guards against two sides that never find each other again, and against lists that differ after the heal.
+#[test]
+fn a_cut_into_three_and_two_is_seen_on_both_sides_and_heals_without_a_restart() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        fleet.network.cut_into(&[&[0, 1, 2], &[3, 4]]);
+        assert!(fleet.until(8_000, |fleet| fleet.agree(&[0, 1, 2]) && fleet.agree(&[3, 4])), "seed {seed}");
+        let sides: Vec<Option<Side>> = ALL.iter().map(|host| fleet.side(*host)).collect();
+        let (majority, minority) = (Some(Side::Majority), Some(Side::Minority));
+        assert_eq!(sides, [majority, majority, majority, minority, minority]);
+        // One of each side restarts meanwhile, and knows its peers only.
+        for host in [0, 4] {
+            fleet.kill(host);
+            fleet.run(500);
+            fleet.begin(host, 5, &ALL);
+        }
+        fleet.run(20_000);
+        // Its list begins with the addresses that it was told: it must not pass for a whole fleet.
+        assert_eq!((fleet.side(0), fleet.side(4)), (majority, minority), "seed {seed}");
+        fleet.network.heal();
+        assert!(fleet.until(10_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
+        assert!(ALL.iter().all(|host| fleet.side(*host) == Some(Side::Whole)));
+    }
+}
+
+/// Guards against a cut that lasts until both sides have forgotten each other.
+#[test]
+fn a_cut_that_outlasts_all_memory_heals_by_the_peers() {
+    let mut fleet: Fleet<Members> = Fleet::new(4, 7);
+    for host in 0..4 {
+        let mut settings = settings(host, 4, &[0, 1, 2, 3]);
+        settings.times.forget = 5_000;
+        fleet.begin_with(host, settings);
+    }
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
+    fleet.network.cut_into(&[&[0, 1], &[2, 3]]);
+    fleet.run(30_000);
+    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, News::Forgotten(_))));
+    assert_eq!(fleet.entry(0, "n0003"), None);
+    fleet.network.heal();
+    assert!(fleet.until(10_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
+}
+
+#[test]
+fn all_that_restart_at_once_find_each_other_by_their_peers_alone() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        ALL.iter().for_each(|host| fleet.kill(*host));
+        fleet.run(100);
+        ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
+        assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
+    }
+}
+
+/// Guards against a fleet that hangs on the one member that everybody was told of.
+#[test]
+fn the_one_peer_that_all_join_by_may_be_dead() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::of(5, seed, &[0]);
+        assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
+        fleet.kill(0);
+        fleet.run(10_000);
+        assert!(fleet.agree(&[1, 2, 3, 4]), "seed {seed}");
+        // One that starts now reaches nobody by itself: those that took it for failed ask it again.
+        fleet.kill(4);
+        fleet.run(6_000);
+        fleet.begin(4, 5, &[0]);
+        assert!(fleet.until(8_000, |fleet| fleet.agree(&[1, 2, 3, 4])), "seed {seed}");
+        assert_eq!(fleet.side(4), Some(Side::Majority), "its peer is missing");
+        fleet.begin(0, 5, &[1]);
+        assert!(fleet.until(8_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_loss_of_five_in_a_hundred_fails_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        fleet.network.loss = 0.05;
+        fleet.pauses = Some(BRIEF);
+        fleet.run(300_000);
+        assert_eq!(fleet.failures_heard(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn duplicates_damage_and_disorder_fail_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five(seed);
+        fleet.network.twice = 0.2;
+        fleet.network.spoilt = 0.02;
+        fleet.network.delay = (1, 80);
+        fleet.run(120_000);
+        assert_eq!(fleet.failures_heard(), 0, "seed {seed}");
+        assert!(fleet.counts(0).dropped_spoilt > 0);
+    }
+}
+
+/// Guards against a member that is reached no more since its list has the address that it had before.
+#[test]
+fn a_name_may_return_at_another_address() {
+    let mut fleet: Fleet<Members> = Fleet::new(6, 3);
+    ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
+    fleet.kill(2);
+    let moved = pinetrail_members::Settings { advertise: place(5), ..settings(2, 5, &[0, 1]) };
+    fleet.begin_with(5, moved);
+    let there = |fleet: &Fleet<Members>| {
+        [0, 1, 3, 4].iter().all(|host| {
+            fleet
+                .entry(*host, "n0002")
+                .is_some_and(|entry| entry.address == place(5) && entry.state == State::Alive)
+        })
+    };
+    assert!(fleet.until(5_000, there));
+    fleet.run(20_000);
+    assert!(there(&fleet));
+    assert_eq!(fleet.side(0), Some(Side::Whole), "the address that it had is owed nothing");
+}
+
+/// Guards against words of a process that is no more, which bear its name still.
+#[test]
+fn a_late_datagram_of_the_process_before_changes_nothing() {
+    let mut fleet = five(11);
+    let mut late = Vec::new();
+    fleet.act(2, |member, now, out| {
+        let mut said = Vec::new();
+        (0..60).for_each(|step| member.due(now + step * 10, &mut said));
+        late.extend(said.iter().filter_map(|output| match output {
+            Output::Send(to, bytes) => Some((*to, bytes.clone())),
+            Output::News(_) => None,
+        }));
+        out.extend(said);
+    });
+    assert!(!late.is_empty());
+    fleet.kill(2);
+    fleet.run(500);
+    fleet.begin(2, 5, &ALL);
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
+    let start = fleet.entry(0, "n0002").unwrap().start;
+    fleet.heard.clear();
+    for host in [0, 1, 3, 4] {
+        for (_, bytes) in &late {
+            fleet.act(host, |member, now, out| member.datagram(now, place(2), bytes, out));
+        }
+    }
+    fleet.run(10_000);
+    assert!(fleet.agree(&ALL));
+    assert_eq!(fleet.entry(0, "n0002").unwrap().start, start);
+    assert!(fleet.heard.is_empty(), "{:?}", fleet.heard);
+}
+
+#[test]
+fn who_leaves_on_purpose_has_left_and_not_failed() {
+    for seed in 0..20 {
+        let mut fleet = five(seed);
+        fleet.network.loss = 0.05;
+        fleet.act(3, |member, now, out| member.leave(now, out));
+        fleet.kill(3);
+        let left = |fleet: &Fleet<Members>| {
+            [0, 1, 2, 4].iter().all(|host| fleet.believes(*host, 3) == Some(State::Left))
+        };
+        assert!(fleet.until(3_000, left), "seed {seed}");
+        assert_eq!(fleet.failures_heard(), 0);
+        assert_eq!(fleet.side(0), Some(Side::Whole), "a fleet of four now");
+        fleet.network.loss = 0.0;
+        fleet.begin(3, 5, &ALL);
+        assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}: it may come again");
+    }
+}
+
+/// Guards against two processes that fight over a name, and against one that wins it in silence.
+#[test]
+fn two_processes_of_one_name_are_both_told_and_the_fleet_stays_calm() {
+    let mut fleet: Fleet<Members> = Fleet::new(6, 5);
+    ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
+    let twin = pinetrail_members::Settings { advertise: place(5), ..settings(2, 6, &[0, 1]) };
+    fleet.begin_with(5, twin);
+    fleet.run(10_000);
+    assert_eq!(fleet.member(2).unwrap().rival(), Some((place(5), true)), "the earlier one knows");
+    assert_eq!(fleet.member(5).unwrap().rival(), Some((place(2), false)), "so does the later one");
+    assert_eq!(fleet.side(2), Some(Side::Alone));
+    fleet.heard.clear();
+    fleet.run(60_000);
+    let about_members = |heard: &&pinetrail_world::fleet::Heard| matches!(heard.news, News::Member { .. });
+    assert_eq!(fleet.heard.iter().filter(about_members).count(), 0, "{:?}", fleet.heard);
+    // Once the later one is gone the earlier one is back.
+    fleet.kill(5);
+    let back = |fleet: &Fleet<Members>| {
+        fleet.member(2).unwrap().rival().is_none()
+            && [0, 1, 3, 4].iter().all(|host| fleet.entry(*host, "n0002").unwrap().address == place(2))
+            && fleet.agree(&ALL)
+    };
+    assert!(fleet.until(20_000, back));
+}
+
+/// Guards against memory that whoever can send datagrams fills with names.
+#[test]
+fn a_member_beyond_the_size_is_refused_and_told_why() {
+    let mut fleet: Fleet<Members> = Fleet::new(5, 9);
+    (0..5).for_each(|host| fleet.begin(host, 4, &[0]));
+    fleet.run(20_000);
+    let known: Vec<usize> =
+        (0..4).map(|host| fleet.member(host).map_or(0, |member| member.roster().len())).collect();
+    assert!(known.iter().all(|known| *known <= 4), "{known:?}");
+    assert!(fleet.counts(0).dropped_no_room > 0);
+    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, News::NoRoom(_, 4))));
+    assert!(fleet.failures_heard() == 0, "those that fit are not harmed");
+}
+
+/// Guards against panics and beliefs that spoilt words cause.
+#[test]
+fn a_flood_of_spoilt_datagrams_changes_nothing() {
+    use rand::{rngs::StdRng, RngExt, SeedableRng};
+    let mut fleet = five(4);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut real = Vec::new();
+    fleet.act(1, |member, now, out| {
+        (0..60).for_each(|step| member.due(now + step * 10, out));
+        real.extend(out.iter().filter_map(|output| match output {
+            Output::Send(_, bytes) => Some(bytes.clone()),
+            Output::News(_) => None,
+        }));
+    });
+    for round in 0..20_000 {
+        let mut bytes: Vec<u8> = real[round % real.len()].clone();
+        match round % 3 {
+            0 => bytes = (0..rng.random_range(0..1500)).map(|_| rng.random()).collect(),
+            1 => bytes.truncate(rng.random_range(0..bytes.len())),
+            _ => {
+                let at = rng.random_range(0..bytes.len());
+                bytes[at] ^= 1 << rng.random_range(0..8);
+            }
+        }
+        fleet.act(0, |member, now, out| member.datagram(now, place(3), &bytes, out));
+    }
+    fleet.run(10_000);
+    let counts = fleet.counts(0);
+    let dropped =
+        counts.dropped_foreign + counts.dropped_spoilt + counts.dropped_too_new + counts.dropped_other_fleet;
+    assert_eq!(dropped, 20_000);
+    assert!(fleet.agree(&ALL));
+    assert_eq!(fleet.failures_heard(), 0);
+}
+
+/// Guards against peers that come late: a join that began with the wrong ones goes on with the right ones.
+#[test]
+fn new_peers_in_the_middle_of_a_join_are_asked_at_once() {
+    let mut fleet: Fleet<Members> = Fleet::new(6, 2);
+    ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
+    let nobody = "10.9.9.9:1".parse().unwrap();
+    fleet.begin_with(5, pinetrail_members::Settings { peers: vec![nobody], ..settings(5, 6, &[]) });
+    fleet.run(1_500);
+    assert_eq!(fleet.side(5), Some(Side::Alone));
+    fleet.act(5, |member, now, out| member.set_peers(now, vec![place(1)], out).unwrap());
+    assert!(fleet.until(3_000, |fleet| fleet.agree(&[0, 1, 2, 3, 4, 5])));
+    let (before, mut out) = (fleet.now(), Vec::new());
+    assert!(!fleet.entry(5, "n0001").unwrap().name.is_empty());
+    fleet.act(5, |member, _, _| {
+        assert!(member.set_peers(before, vec![place(5)], &mut out).is_err(), "itself");
+    });
+    assert!(out.is_empty(), "bad peers change nothing");
+}
+
+#[test]
+fn equal_seeds_give_equal_runs() {
+    let run = |seed| {
+        let mut fleet = five(seed);
+        fleet.network.loss = 0.1;
+        fleet.pauses = Some(BRIEF);
+        fleet.kill(3);
+        fleet.run(30_000);
+        (fleet.heard.clone(), fleet.received.clone())
+    };
+    assert_eq!(run(5), run(5));
+    assert_ne!(run(5).1, run(6).1);
+}
+
+/// Guards against two that lose each other and both believe that they are the fleet.
+#[test]
+fn of_a_fleet_of_two_that_lose_each_other_neither_is_a_majority() {
+    let mut fleet = Fleet::of(2, 1, &[0, 1]);
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1])));
+    fleet.network.cut_into(&[&[0], &[1]]);
+    assert!(fleet
+        .until(10_000, |fleet| { (fleet.side(0), fleet.side(1)) == (Some(Side::Alone), Some(Side::Alone)) }));
+    fleet.network.heal();
+    assert!(
+        fleet.until(10_000, |fleet| fleet.side(0) == Some(Side::Whole) && fleet.side(1) == Some(Side::Whole))
+    );
+}
--- a/crates/places/src/places.rs
+++ b/crates/places/src/places.rs
@@ -396,7 +396,7 @@
     fn place(&mut self, id: Id) {
         let Some(entry) = self.entries.get(&id) else { return };
         let sample = &self.queues[Queue::Sample as usize];
-        let sampled = id % self.limits.sample.max(1) == 0 && sample.len() < self.budget();
+        let sampled = id.is_multiple_of(self.limits.sample.max(1)) && sample.len() < self.budget();
         let queue = match entry.phase {
             Phase::AtWork => None,
             Phase::FirstHalf => Some(Queue::FirstHalf),
--- a/crates/places/tests/crowds.rs
+++ b/crates/places/tests/crowds.rs
@@ -145,7 +145,7 @@
                     _ => drop(self.places.enter(self.now, id, Phase::Idle)),
                 }
             }
-            if self.now % 10 == 0 {
+            if self.now.is_multiple_of(10) {
                 let orders = self.places.overdue(self.now);
                 orders.into_iter().for_each(|order| self.close(order.id, order.reason));
             }
--- /dev/null
+++ b/crates/rig/src/client.rs
@@ -0,0 +1,111 @@
+//! Who talks to a proxy: consumers, and operators at the door.
+
+use crate::witness::Witness;
+use crate::WAIT;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+/// A consumer's connection.
+pub struct Client(BufReader<TcpStream>, Witness);
+
+impl Client {
+    pub fn to(place: SocketAddr) -> Client {
+        let stream = TcpStream::connect(place).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Client(BufReader::new(stream), Witness::own())
+    }
+
+    pub fn say(&mut self, words: &str) {
+        self.0.get_mut().write_all(words.as_bytes()).unwrap();
+    }
+
+    /// Says it as far as the proxy lets it.
+    pub fn try_say(&mut self, words: &str) -> bool {
+        self.0.get_mut().write_all(words.as_bytes()).is_ok()
+    }
+
+    /// Whether the proxy has closed it.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let seen = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        match seen {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// The next line; empty at the end of the connection.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(_) => line,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => String::new(),
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    pub fn ask(&mut self, words: &str) -> String {
+        self.say(words);
+        self.line()
+    }
+
+    /// Where its answers are read.
+    pub fn reader(&mut self) -> &mut BufReader<TcpStream> {
+        &mut self.0
+    }
+
+    /// Reads a key; the value's line, or none if the connection ended first.
+    pub fn try_read(&mut self, id: &str) -> Option<String> {
+        if !self.try_say(&format!("mg {id} v O{id} Pc=read,t=acme,d=2000\r\n")) {
+            return None;
+        }
+        let line = self.line();
+        (!line.is_empty()).then(|| if line.starts_with("VA ") { self.line() } else { line })
+    }
+
+    /// Reads a key; the line of the answer, and the value's line if there is one.
+    pub fn read(&mut self, key: &str, id: &str, ms: u32) -> (String, String) {
+        self.invoke(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"))
+    }
+
+    /// Writes to a key; the line of the answer.
+    pub fn write(&mut self, class: &str, key: &str, id: &str, ms: u32) -> String {
+        self.invoke(&format!("ms {key} 5 O{id} Pc={class},t=acme,d={ms},k={id}\r\nhello\r\n")).0
+    }
+
+    fn invoke(&mut self, command: &str) -> (String, String) {
+        self.1.asked(command);
+        let line = self.ask(command);
+        let value = if line.starts_with("VA ") { self.line() } else { String::new() };
+        self.1.answered(command, &line, &value);
+        (line, value)
+    }
+
+    /// Asks for a key and leaves after a time, with no answer.
+    pub fn ask_and_leave(mut self, key: &str, id: &str, after: Duration) {
+        let command = format!("mg {key} v O{id} Pc=read,t=acme,d=2000\r\n");
+        self.1.asked(&command);
+        self.say(&command);
+        thread::sleep(after);
+        self.1.left(&command);
+    }
+}
+
+/// One call at the operators' door: its status and its text.
+pub fn call(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    say_to_door(door, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
+}
+
+/// What the door answers to these bytes.
+pub fn say_to_door(door: SocketAddr, words: &str) -> (u16, String) {
+    let mut client = Client::to(door);
+    client.say(words);
+    let status = client.line().split(' ').nth(1).map_or(0, |status| status.parse().unwrap());
+    let mut rest = String::new();
+    std::io::Read::read_to_string(&mut client.0, &mut rest).unwrap();
+    (status, rest.split_once("\r\n\r\n").map_or(String::new(), |(_, text)| text.to_owned()))
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,30 @@
+//! Real processes of the program, and round them all that they talk to: cache nodes, origin, discovery, clients and
+//! operators, on loopback. Every wait is bounded; every process that was started is ended, also after a panic.
+//!
+//! For one proxy see [`Scene`], for several that know each other, with faults between them, [`fleet::Fleet`].
+
+mod client;
+mod config;
+mod discovery;
+pub mod fleet;
+mod parties;
+mod process;
+pub mod relays;
+mod scene;
+pub mod script;
+mod streams;
+mod timeline;
+pub mod witness;
+
+pub use client::{call, say_to_door, Client};
+pub use config::config;
+pub use discovery::{catalog, Discovery, Steady};
+pub use parties::{http_200, opaque, Does, Party};
+pub use process::{end, program, signal, start};
+pub use scene::Scene;
+pub use timeline::Timeline;
+
+use std::time::Duration;
+
+/// What must come comes within this.
+pub const WAIT: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/rig/src/scene.rs
@@ -0,0 +1,168 @@
+//! One proxy with all that it talks to.
+
+use crate::client::Client;
+use crate::config::config;
+use crate::discovery::{catalog, Discovery};
+use crate::parties::Party;
+use crate::process::{end, signal, start_in, started, written};
+use crate::witness::Witness;
+use crate::{call, WAIT};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Output};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A running proxy and discovery.
+pub struct Scene {
+    pub discovery: Discovery,
+    pub place: SocketAddr,
+    /// The operators' door.
+    pub door: SocketAddr,
+    child: Option<Child>,
+    config: PathBuf,
+    /// What the proxy has for `$TMPDIR`.
+    tmp: PathBuf,
+}
+
+impl Scene {
+    /// A proxy whose cached list has these entries; it has answered `mn`.
+    pub fn new(entries: &[String]) -> Scene {
+        Scene::with_sockets(entries, 256)
+    }
+
+    pub fn with_sockets(entries: &[String], sockets: usize) -> Scene {
+        Scene::with_limits(entries, sockets, 192)
+    }
+
+    pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> Scene {
+        let discovery = Discovery::new();
+        let mut entries = entries.to_vec();
+        // A list without the origin is none; where a test has none of its own, nobody answers for it.
+        if !entries.is_empty() && !entries.iter().any(|entry| entry.contains(r#""origin""#)) {
+            let nobody = Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
+            entries.push(nobody.entry("o", "origin", "ready"));
+        }
+        let known = catalog(1, true, &entries);
+        let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
+        let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
+        let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
+        Witness::own().in_force(&config);
+        let config = written(&config);
+        let tmp = config.with_extension("tmp");
+        std::fs::create_dir_all(&tmp).unwrap();
+        let (child, place, door) = started(&config, &tmp);
+        let scene = Scene { discovery, place, door, child: Some(child), config, tmp };
+        assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+        scene
+    }
+
+    /// A proxy for these cache nodes, `s-0` on, and this origin.
+    pub fn of(nodes: &[&Party], origin: &Party) -> Scene {
+        let mut entries: Vec<String> =
+            nodes.iter().enumerate().map(|(n, node)| node.entry(&format!("s-{n}"), "c6", "ready")).collect();
+        entries.push(origin.entry("o", "origin", "ready"));
+        Scene::new(&entries)
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.place)
+    }
+
+    /// One of the proxy's counters.
+    pub fn count(&self, name: &str) -> u64 {
+        let mut client = self.client();
+        client.say("stats\r\n");
+        let prefix = format!("STAT {name} ");
+        let mut found = None;
+        loop {
+            let line = client.line();
+            if line == "END\r\n" {
+                return found.expect("the counter exists");
+            }
+            found = line.strip_prefix(&prefix).map(|n| n.trim().parse().unwrap()).or(found);
+        }
+    }
+
+    /// Waits until something holds.
+    pub fn until(&self, what: &str, holds: impl Fn() -> bool) {
+        let until = Instant::now() + WAIT;
+        while !holds() {
+            assert!(Instant::now() < until, "in vain: {what}");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// The most memory that the proxy has had so far, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.as_ref().unwrap().id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let kb = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+        kb.unwrap().parse::<u64>().unwrap() / 1024
+    }
+
+    pub fn signal(&self, name: &str) {
+        signal(self.child.as_ref().unwrap(), name);
+    }
+
+    /// Writes a configuration for a second process of this proxy.
+    fn second(&self) -> PathBuf {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.place)))
+    }
+
+    /// Starts a second process of this proxy, which is ready when this returns: it and its door.
+    pub fn beside(&self) -> (Child, SocketAddr) {
+        let (child, place, door) = started(&self.second(), &self.tmp);
+        assert_eq!(place, self.place);
+        self.until("the second process is ready", || call(door, "GET", "/control/ready").0 == 200);
+        (child, door)
+    }
+
+    /// From now on `$TMPDIR` is a folder whose path is too long for the address of a Unix socket.
+    pub fn lengthen_tmp(&mut self) {
+        self.tmp = self.tmp.join("long".repeat(40));
+        std::fs::create_dir_all(&self.tmp).unwrap();
+    }
+
+    /// Kills the proxy and starts it anew at the same addresses.
+    pub fn restart(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().and_then(|()| child.wait()).unwrap();
+        let (child, door) = self.beside();
+        (self.child, self.door) = (Some(child), door);
+    }
+
+    /// A second process on a configuration with some text replaced.
+    pub fn beside_with(&self, from: &str, to: &str) -> Child {
+        let text = std::fs::read_to_string(self.second()).unwrap();
+        start_in(&written(&text.replace(from, to)), &self.tmp)
+    }
+
+    /// Puts a second process in the first one's place; the first.
+    pub fn succeed(&mut self, (child, door): (Child, SocketAddr)) -> Child {
+        self.door = door;
+        self.child.replace(child).unwrap()
+    }
+
+    /// Replaces the configuration by what it is with some text replaced, and has it read again.
+    pub fn reload(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn end(mut self) -> Output {
+        end(self.child.take().unwrap())
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill().and_then(|()| child.wait());
+        }
+        let _ = std::fs::remove_dir_all(&self.tmp);
+    }
+}
--- a/tests/sockets/witness.rs
+++ b/crates/rig/src/witness.rs
@@ -70,14 +70,14 @@
     /// A consumer's command is about to go out.
     pub fn asked(&self, command: &str) {
         let word = |name: &str| label(command, name).unwrap_or_default().to_owned();
-        let request = super::rig::opaque(command).to_owned();
+        let request = crate::opaque(command).to_owned();
         let budget = word("d").parse().unwrap();
         self.note(|_| (Seen::Asked { proxy: PROXY.into(), request, class: word("c"), budget }, ()));
     }
 
     /// A consumer has its answer: the line of it, and the line of the value.
     pub fn answered(&self, command: &str, line: &str, value: &str) {
-        let request = super::rig::opaque(command).to_owned();
+        let request = crate::opaque(command).to_owned();
         let answer = match line.split(' ').next() {
             Some("VA") => Answer::Served(value.trim_end().to_owned()),
             Some("HD") => Answer::Served(line.trim_end().rsplit_once(" c").unwrap().1.to_owned()),
@@ -89,7 +89,7 @@
 
     /// A consumer closes its connection.
     pub fn left(&self, command: &str) {
-        let request = super::rig::opaque(command).to_owned();
+        let request = crate::opaque(command).to_owned();
         self.note(|_| (Seen::Left { request }, ()));
     }
 
@@ -101,7 +101,7 @@
     /// A provider has read a call; its number.
     pub fn received(&self, place: &str, words: &str) -> u64 {
         let id = words.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(|id| format!("O{id}")));
-        let request = id.unwrap_or_else(|| super::rig::opaque(words).to_owned());
+        let request = id.unwrap_or_else(|| crate::opaque(words).to_owned());
         self.note(|notes| {
             notes.calls += 1;
             let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
--- /dev/null
+++ b/crates/world/src/fleet.rs
@@ -0,0 +1,338 @@
+//! A fleet of members in simulated time: processes that start, die, stop and go on, and the network between them.
+
+use crate::network::Network;
+use pinetrail_members::{Counts, Entry, Members, News, Output, Settings, Side, State, Time, Times};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What one process does about its fleet: the real thing, or a baseline beside it.
+pub trait Member {
+    /// When [`Member::due`] is to be called.
+    fn next_due(&self) -> Option<Time>;
+    /// Time has passed.
+    fn due(&mut self, now: Time, out: &mut Vec<Output>);
+    /// A datagram has come.
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>);
+}
+
+impl Member for Members {
+    fn next_due(&self) -> Option<Time> {
+        Members::next_due(self)
+    }
+
+    fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+        Members::due(self, now, out);
+    }
+
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        Members::datagram(self, now, from, bytes, out);
+    }
+}
+
+/// Datagrams that the socket of a stopped process keeps; the others are lost.
+const KEPT: usize = 256;
+
+/// What somebody heard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard {
+    /// When.
+    pub at: Time,
+    /// Which host.
+    pub host: usize,
+    /// What.
+    pub news: News,
+}
+
+struct Host<M> {
+    member: Option<M>,
+    stopped: bool,
+    inbox: VecDeque<(SocketAddr, Vec<u8>)>,
+    /// The wake that counts: others are of an earlier state.
+    wake: u64,
+    starts: u64,
+}
+
+enum Event {
+    Datagram { from: usize, to: usize, bytes: Vec<u8> },
+    Wake { host: usize, number: u64 },
+    Pause { host: usize },
+    GoOn { host: usize },
+}
+
+/// Pauses of every process by itself, as BRIEF 2.1 has them: how long, and how long apart, in ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    /// How long one lasts.
+    pub lasts: (Time, Time),
+    /// How long there is none.
+    pub apart: (Time, Time),
+}
+
+/// 200 to 450 ms each 1.7 to 6 s.
+pub const BRIEF: Pauses = Pauses { lasts: (200, 450), apart: (1700, 6000) };
+
+/// The fleet and the time.
+pub struct Fleet<M> {
+    hosts: Vec<Host<M>>,
+    places: BTreeMap<SocketAddr, usize>,
+    /// The network between the hosts.
+    pub network: Network,
+    /// Who stands still now and then.
+    pub pauses: Option<Pauses>,
+    now: Time,
+    queue: BTreeMap<(Time, u64), Event>,
+    count: u64,
+    rng: StdRng,
+    /// What was heard, in order; the caller may take it.
+    pub heard: Vec<Heard>,
+    /// Datagrams that arrived, by host; and bytes.
+    pub received: Vec<(u64, u64)>,
+}
+
+/// The address of a host by its number.
+pub fn place(host: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (host >> 8) as u8, host as u8], 7946))
+}
+
+/// The settings of a host in a fleet of so many, whose peers are these hosts.
+pub fn settings(host: usize, size: usize, peers: &[usize]) -> Settings {
+    Settings {
+        fleet: "gdynia".into(),
+        name: format!("n{host:04}"),
+        advertise: place(host),
+        peers: peers.iter().filter(|peer| **peer != host).map(|peer| place(*peer)).collect(),
+        size,
+        times: Times::default(),
+    }
+}
+
+impl<M: Member> Fleet<M> {
+    /// Hosts on which nothing runs.
+    pub fn new(hosts: usize, seed: u64) -> Fleet<M> {
+        let host = || Host { member: None, stopped: false, inbox: VecDeque::new(), wake: 0, starts: 0 };
+        Fleet {
+            hosts: (0..hosts).map(|_| host()).collect(),
+            places: (0..hosts).map(|host| (place(host), host)).collect(),
+            network: Network::default(),
+            pauses: None,
+            now: 1000,
+            queue: BTreeMap::new(),
+            count: 0,
+            rng: StdRng::seed_from_u64(seed),
+            heard: Vec::new(),
+            received: vec![(0, 0); hosts],
+        }
+    }
+
+    /// The time now, in ms.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Starts a process on a host: `make` is given its start in Unix microseconds, a seed and the time.
+    pub fn start(&mut self, host: usize, make: impl FnOnce(u64, u64, Time) -> M) {
+        let seed = self.rng.random();
+        let member = make(self.now * 1000 + 1, seed, self.now);
+        let this = &mut self.hosts[host];
+        this.starts += 1;
+        this.member = Some(member);
+        this.stopped = false;
+        this.inbox.clear();
+        self.rouse(host);
+        self.pause_later(host);
+    }
+
+    /// Kills the process on a host.
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].member = None;
+        self.hosts[host].starts += 1;
+        self.hosts[host].inbox.clear();
+    }
+
+    /// Stops the process on a host: it does nothing, and its socket keeps some of what comes.
+    pub fn stop(&mut self, host: usize) {
+        self.hosts[host].stopped = true;
+    }
+
+    /// Has it go on.
+    pub fn go_on(&mut self, host: usize) {
+        self.hosts[host].stopped = false;
+        // What is due is handled before what has come, which is the worse order of the two.
+        self.act(host, |member, now, out| member.due(now, out));
+        while let Some((from, bytes)) = self.hosts[host].inbox.pop_front() {
+            self.act(host, |member, now, out| member.datagram(now, from, &bytes, out));
+        }
+    }
+
+    /// The process on a host, if one runs.
+    pub fn member(&self, host: usize) -> Option<&M> {
+        self.hosts[host].member.as_ref()
+    }
+
+    /// Has the process on a host do something now.
+    pub fn act(&mut self, host: usize, act: impl FnOnce(&mut M, Time, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        let now = self.now;
+        if let Some(member) = self.hosts[host].member.as_mut() {
+            act(member, now, &mut out);
+        }
+        for output in out {
+            match output {
+                Output::News(news) => self.heard.push(Heard { at: now, host, news }),
+                Output::Send(to, bytes) => {
+                    let Some(to) = self.places.get(&to).copied() else { continue };
+                    for (delay, damaged) in self.network.carry(&mut self.rng, host, to, bytes.len()) {
+                        let mut bytes = bytes.clone();
+                        if let Some(at) = damaged {
+                            bytes[at] ^= 1 << (delay % 8);
+                        }
+                        self.later(delay, Event::Datagram { from: host, to, bytes });
+                    }
+                }
+            }
+        }
+        self.rouse(host);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: Time) {
+        let end = self.now + for_ms;
+        while let Some(first) = self.queue.first_entry().filter(|first| first.key().0 <= end) {
+            let ((at, _), event) = first.remove_entry();
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something holds, for so long at the most; whether it does.
+    pub fn until(&mut self, at_most: Time, holds: impl Fn(&Fleet<M>) -> bool) -> bool {
+        let end = self.now + at_most;
+        while self.now < end && !holds(self) {
+            self.run(10);
+        }
+        holds(self)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Datagram { from, to, bytes } => {
+                self.received[to].0 += 1;
+                self.received[to].1 += bytes.len() as u64;
+                let host = &mut self.hosts[to];
+                let from = place(from);
+                match host.stopped {
+                    true if host.inbox.len() < KEPT => host.inbox.push_back((from, bytes)),
+                    true => {}
+                    false => self.act(to, |member, now, out| member.datagram(now, from, &bytes, out)),
+                }
+            }
+            Event::Wake { host, number } => {
+                if self.hosts[host].wake == number && !self.hosts[host].stopped {
+                    self.act(host, |member, now, out| member.due(now, out));
+                }
+            }
+            Event::Pause { host } => {
+                if let Some(pauses) = self.pauses.filter(|_| self.hosts[host].member.is_some()) {
+                    self.stop(host);
+                    let lasts = self.rng.random_range(pauses.lasts.0..=pauses.lasts.1);
+                    self.later(lasts, Event::GoOn { host });
+                }
+            }
+            Event::GoOn { host } => {
+                self.go_on(host);
+                self.pause_later(host);
+            }
+        }
+    }
+
+    /// Pauses of those that run begin.
+    pub fn begin_pauses(&mut self) {
+        (0..self.hosts.len()).for_each(|host| self.pause_later(host));
+    }
+
+    fn pause_later(&mut self, host: usize) {
+        if let Some(pauses) = self.pauses {
+            let apart = self.rng.random_range(pauses.apart.0..=pauses.apart.1);
+            self.later(apart, Event::Pause { host });
+        }
+    }
+
+    /// Has a host wake when its process wants to.
+    fn rouse(&mut self, host: usize) {
+        let this = &mut self.hosts[host];
+        let Some(at) = this.member.as_ref().and_then(Member::next_due) else { return };
+        this.wake = self.count + 1;
+        let number = this.wake;
+        self.later(at.saturating_sub(self.now), Event::Wake { host, number });
+    }
+
+    fn later(&mut self, after: Time, event: Event) {
+        self.count += 1;
+        self.queue.insert((self.now + after, self.count), event);
+    }
+}
+
+impl Fleet<Members> {
+    /// A fleet of so many, all started at once, of which each knows only these peers.
+    pub fn of(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Members> {
+        let mut fleet = Fleet::new(hosts, seed);
+        (0..hosts).for_each(|host| fleet.begin(host, hosts.max(2), peers));
+        fleet
+    }
+
+    /// Starts a member on a host.
+    pub fn begin(&mut self, host: usize, size: usize, peers: &[usize]) {
+        self.begin_with(host, settings(host, size, peers));
+    }
+
+    /// Starts a member on a host with these settings.
+    pub fn begin_with(&mut self, host: usize, settings: Settings) {
+        self.start(host, |start, seed, now| {
+            Members::new(settings, start, seed, now).expect("settings that can be")
+        });
+    }
+
+    /// What a host believes of another; none if it knows nothing of it.
+    pub fn believes(&self, host: usize, of: usize) -> Option<State> {
+        let name = settings(of, 2, &[]).name;
+        self.entry(host, &name).map(|entry| entry.state)
+    }
+
+    /// What a host knows of a name.
+    pub fn entry(&self, host: usize, name: &str) -> Option<Entry> {
+        self.member(host)?.roster().into_iter().find(|entry| &*entry.name == name)
+    }
+
+    /// Whether all of these believe that all of these are alive, and that nobody else is or may be.
+    pub fn agree(&self, hosts: &[usize]) -> bool {
+        let names: Vec<String> = hosts.iter().map(|host| settings(*host, 2, &[]).name).collect();
+        let agrees = |member: &Members| {
+            let there: Vec<Entry> =
+                member.roster().into_iter().filter(|entry| entry.state <= State::Suspect).collect();
+            there.len() == names.len()
+                && there
+                    .iter()
+                    .all(|entry| entry.state == State::Alive && names.iter().any(|n| **n == *entry.name))
+        };
+        hosts.iter().all(|host| self.member(*host).is_some_and(agrees))
+    }
+
+    /// On which side a host is.
+    pub fn side(&self, host: usize) -> Option<Side> {
+        self.member(host).map(Members::side)
+    }
+
+    /// What a host counted.
+    pub fn counts(&self, host: usize) -> Counts {
+        self.member(host).map_or_else(Counts::default, Members::counts)
+    }
+
+    /// Times that somebody took somebody else for failed who was not dead then.
+    pub fn failures_heard(&self) -> usize {
+        let failed = |heard: &&Heard| matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed);
+        self.heard.iter().filter(failed).count()
+    }
+}
--- a/src/net/admin/codec.rs
+++ b/src/net/admin/codec.rs
@@ -12,6 +12,8 @@
 pub enum Call {
     /// Whether this process takes clients.
     Ready,
+    /// What this process knows of its fleet.
+    Fleet,
     /// Nothing more to the cache node of this id.
     Offline(String),
     /// The cache node of this id may serve again.
@@ -31,12 +33,19 @@
     pub allow: Option<&'static str>,
     /// What was done, or what was wrong.
     pub text: String,
+    /// Whether the text is JSON.
+    pub json: bool,
 }
 
 impl Said {
     /// An answer with this status.
     pub fn new(status: u16, text: impl Into<String>) -> Said {
-        Said { status, allow: None, text: text.into() }
+        Said { status, allow: None, text: text.into(), json: false }
+    }
+
+    /// Yes, in JSON.
+    pub fn json(text: String) -> Said {
+        Said { status: 200, allow: None, text, json: true }
     }
 
     /// The answer as it is written.
@@ -54,8 +63,9 @@
         };
         let allow = self.allow.map_or(String::new(), |methods| format!("Allow: {methods}\r\n"));
         let length = self.text.len() + 1;
+        let kind = if self.json { "application/json" } else { "text/plain; charset=utf-8" };
         format!(
-            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\
              {allow}Connection: close\r\n\r\n{}\n",
             self.status, self.text
         )
@@ -85,6 +95,7 @@
     let path = target.split('?').next().unwrap_or_default();
     let (wanted, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
+        "/control/fleet" => ("GET", Call::Fleet),
         "/control/out-of-service" => ("POST", Call::OutOfService),
         "/control/in-service" => ("POST", Call::InService),
         _ => {
@@ -130,6 +141,7 @@
         let read = |line: &str| call(format!("{line} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes());
         assert_eq!(read("GET /control/ready"), Some(Ok(Call::Ready)));
         assert_eq!(read("GET /control/ready?x=1"), Some(Ok(Call::Ready)));
+        assert_eq!(read("GET /control/fleet"), Some(Ok(Call::Fleet)));
         let offline = Call::Offline("a/b %".into());
         assert_eq!(read("POST /control/cache-nodes/a%2fb%20%25/offline"), Some(Ok(offline)));
         assert_eq!(read("POST /control/cache-nodes/s-1/online"), Some(Ok(Call::Online("s-1".into()))));
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -3,6 +3,7 @@
 
 mod codec;
 
+use super::descriptors::DOOR_CALLS;
 use super::exchange::{Exchange, NotHeld};
 use super::lifecycle::{Lifecycle, Stopping};
 use super::link::{sleep, Link};
@@ -16,10 +17,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Calls that may be open at once, each a descriptor.
-const CALLS: usize = 16;
-/// Descriptors that the door takes in all.
-pub const DESCRIPTORS: usize = CALLS + 2;
 /// A call must be whole within this time, unless it gives way to others sooner.
 const WHOLE_CALL: Duration = Duration::from_secs(5);
 /// An answer must be taken within this time.
@@ -80,7 +77,7 @@
 
     /// Whether there is room for one more call. If not, who has been silent for longest gives way.
     fn has_room(&self) -> bool {
-        if with(&self.open, |open| *open < CALLS) {
+        if with(&self.open, |open| *open < DOOR_CALLS) {
             return true;
         }
         if let Some((_, oldest)) = with(&self.waiting, BTreeMap::pop_first) {
@@ -151,6 +148,7 @@
                 false => Err(Said::new(503, "not ready: starting or stopping")),
             };
         }
+        Call::Fleet => return report(lifecycle),
         Call::Offline(id) => {
             exchange.hold_out(&id).map_err(|error| refused(&error))?;
             let text = format!("{id} is out: nothing more goes there until it is called back");
@@ -171,6 +169,12 @@
     Ok(Said::new(200, text))
 }
 
+fn report(lifecycle: &Lifecycle) -> Result<Said, Said> {
+    let fleet = lifecycle.fleet().ok_or_else(|| Said::new(404, "no fleet is configured"))?;
+    let report = fleet.report();
+    report.map(Said::json).ok_or_else(|| Said::new(503, "this process does not speak in the fleet: it starts or stops, or the other process of this proxy speaks"))
+}
+
 fn refused(error: &NotHeld) -> Said {
     let status = match error {
         NotHeld::NeverListed(_) => 404,
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -1,8 +1,10 @@
 //! What the proxy is told at its start and at SIGHUP: the JSON object that `LB_CONFIG` names.
 
 mod check;
+mod fleet;
 
-use super::admin::DESCRIPTORS as DOOR_SOCKETS;
+use super::descriptors::{DOOR as DOOR_SOCKETS, FLEET as FLEET_SOCKETS};
+use super::fleet::FleetConfig;
 use crate::settings::{Effect, Settings};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -29,6 +31,9 @@
     /// What was told before is left out.
     #[error("configuration: the key {0} is missing")]
     Missing(String),
+    /// The fleet cannot be as it is told to.
+    #[error("configuration: fleet: {0}")]
+    Fleet(String),
     /// A field holds no legal value.
     #[error("configuration: {field} {value:?} is not {wanted}")]
     Field {
@@ -124,6 +129,7 @@
     #[serde(default)]
     known: Catalog,
     admin: Option<String>,
+    fleet: Option<fleet::FleetFile>,
     settings: serde_json::Value,
 }
 
@@ -220,6 +226,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if they may.
     pub admin: Option<SocketAddr>,
+    /// The fleet that it belongs to, if any.
+    pub fleet: Option<FleetConfig>,
     /// For random numbers.
     pub seed: u64,
     /// What the process may use.
@@ -277,9 +285,14 @@
             Some(admin) => Some(address("admin (or LB_ADMIN)", admin)?),
             None => None,
         };
-        let (least, wanted) = match admin {
-            None => (MIN_SOCKETS, "at least 32"),
-            Some(_) => (MIN_SOCKETS + DOOR_SOCKETS, "at least 50 with a door for operators"),
+        let fleet = file.fleet.map(|fleet| fleet::fleet(fleet, &file.name)).transpose()?;
+        let (least, wanted) = match (&admin, &fleet) {
+            (None, None) => (MIN_SOCKETS, "at least 32"),
+            (Some(_), None) => (MIN_SOCKETS + DOOR_SOCKETS, "at least 50 with a door for operators"),
+            (None, Some(_)) => (MIN_SOCKETS + FLEET_SOCKETS, "at least 33 in a fleet"),
+            (Some(_), Some(_)) => {
+                (MIN_SOCKETS + DOOR_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
+            }
         };
         if file.limits.sockets < least {
             let value = file.limits.sockets.to_string();
@@ -296,6 +309,7 @@
         check::check_known(&file.known, &names, settings.family.origin_kind)?;
         Ok(Config {
             admin,
+            fleet,
             listen: address("listen", file.listen)?,
             discovery: address("discovery", file.discovery)?,
             seed: seed(file.seed)?,
@@ -321,6 +335,7 @@
     /// Becomes a newer configuration, but for what waits for the next start: that stays as it runs.
     pub fn adopt(&mut self, mut newer: Config) {
         newer.name = std::mem::take(&mut self.name);
+        newer.fleet = self.fleet.take().map(|fleet| fleet.with_peers_of(newer.fleet));
         (newer.listen, newer.admin, newer.limits) = (self.listen, self.admin, self.limits);
         *self = newer;
     }
@@ -332,6 +347,10 @@
             ("listen", self.listen != newer.listen),
             ("admin", self.admin != newer.admin),
             ("limits", self.limits != newer.limits),
+            (
+                "fleet (but for its peers)",
+                self.fleet.clone().map(|fleet| fleet.with_peers_of(newer.fleet.clone())) != newer.fleet,
+            ),
         ];
         differs.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
     }
--- a/src/net/consumer/invocation.rs
+++ b/src/net/consumer/invocation.rs
@@ -22,7 +22,7 @@
     let version = names.version;
     let class = of("c").and_then(|name| names.class(name)).ok_or("unknown class")?;
     // Without its key no provider can tell a repeat from a second write.
-    if value.is_some() && names.is_keyed(class) && of("k").map_or(true, str::is_empty) {
+    if value.is_some() && names.is_keyed(class) && of("k").is_none_or(str::is_empty) {
         return Err("no key for a keyed write");
     }
     let tenant = match of("t") {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -3,6 +3,7 @@
 use crate::interface::Outcome;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::OnceLock;
 
 /// One count.
 #[derive(Debug, Default)]
@@ -20,18 +21,43 @@
     }
 }
 
+/// Names and values.
+type List = Vec<(&'static str, u64)>;
+
+/// Counts that somebody else keeps.
+#[derive(Default)]
+pub struct Others(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
+
+impl Others {
+    /// From now on these are counted too.
+    pub fn are(&self, list: impl Fn() -> List + Send + Sync + 'static) {
+        // Set once, at the start.
+        let _ = self.0.set(Box::new(list));
+    }
+}
+
+impl std::fmt::Debug for Others {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Others")
+    }
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// All counts of one proxy since its start.
         #[derive(Debug, Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
+            /// What else is counted.
+            pub others: Others,
         }
 
         impl Counters {
             /// Names and values, in a fixed order.
             pub fn list(&self) -> Vec<(&'static str, u64)> {
-                vec![$((stringify!($name), self.$name.get()),)*]
+                let mut list = vec![$((stringify!($name), self.$name.get()),)*];
+                list.extend(self.others.0.get().into_iter().flat_map(|others| others()));
+                list
             }
         }
     };
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -6,6 +6,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+/// What the operators' door takes: the calls that may be open at once, its listener, and one that is being accepted.
+pub const DOOR: usize = DOOR_CALLS + 2;
+/// Calls at the door that may be open at once.
+pub const DOOR_CALLS: usize = 16;
+/// What a fleet takes: its socket.
+pub const FLEET: usize = 1;
+
 /// Nobody can take this share from consumers, nor the other from providers.
 const CONSUMERS_LEAST: f64 = 0.5;
 const PROVIDERS_LEAST: f64 = 0.25;
--- a/src/net/exchange/ids.rs
+++ b/src/net/exchange/ids.rs
@@ -28,7 +28,7 @@
 
 fn provider_number(name: &str, extra: usize) -> ServerId {
     let told = name.rsplit_once('-').filter(|_| extra == 0).and_then(|(_, end)| stated(end, 8));
-    let hash = || fnv1a(name.bytes().chain(std::iter::repeat(0).take(extra)));
+    let hash = || fnv1a(name.bytes().chain(std::iter::repeat_n(0, extra)));
     told.map_or_else(|| (hash() >> 32) as ServerId ^ hash() as ServerId, |number| number as ServerId)
 }
 
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -450,7 +450,7 @@
             let known = Known { place, state: member.state, started: member.started, origin };
             let before = state.providers.get(&server);
             let is_same = |old: &Known| old.place == known.place && old.started == known.started;
-            if !known.is_ready() || !before.map_or(true, is_same) {
+            if !known.is_ready() || !before.is_none_or(is_same) {
                 stale.push(server);
             }
             state.providers.insert(server, known);
--- /dev/null
+++ b/src/net/fleet/mod.rs
@@ -0,0 +1,286 @@
+//! What proxies of a fleet tell each other: the driver of `pinetrail-members`. It owns one UDP socket and the wait for
+//! what is due next; what is said and believed is decided by the core. Without `fleet` in the configuration there is none.
+
+mod report;
+
+use super::link::sleep;
+use super::log::log;
+use super::{counters, guard};
+use may::io::{CoIo, WaitIo};
+use pinetrail_members::{Counts, Members, Output, Settings, Time, MAX_DATAGRAM};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The longest sleep: what is due sooner than was known when it began waits for so long at the most.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+/// Datagrams taken at a stretch. Danger: a flood of them must not keep the worker from clients.
+const TURN: usize = 32;
+const BETWEEN_TURNS: Duration = Duration::from_millis(1);
+/// Between attempts to open a socket that the other process of this proxy may still have.
+const OPEN_EVERY: Duration = Duration::from_millis(20);
+/// After so many of them the log says that it is not open.
+const OPEN_TRIES: usize = 250;
+
+/// What a fleet's member is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetConfig {
+    /// Where its socket is.
+    pub bind: SocketAddr,
+    /// What others are told instead, if anything.
+    pub advertise: Option<SocketAddr>,
+    /// The rest; its `advertise` counts once the socket is open.
+    pub settings: Settings,
+}
+
+impl FleetConfig {
+    /// The same with the peers of a newer one, if there is one.
+    pub fn with_peers_of(mut self, newer: Option<FleetConfig>) -> FleetConfig {
+        if let Some(newer) = newer {
+            self.settings.peers = newer.settings.peers;
+        }
+        self
+    }
+
+    /// The settings of a member whose socket is here.
+    fn at(&self, bound: SocketAddr) -> Settings {
+        Settings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
+    }
+}
+
+/// A member that speaks: its socket and what it believes.
+struct Speaking {
+    /// Which one it is: each time that this process begins to speak is another.
+    number: u64,
+    socket: Arc<CoIo<UdpSocket>>,
+    members: Members,
+}
+
+/// Where this process stands in its fleet.
+enum Stand {
+    /// It is to speak as soon as the socket can be opened.
+    Opening,
+    /// It speaks.
+    Speaks(Box<Speaking>),
+    /// The other process of this proxy speaks for both, or it has said that it leaves.
+    Silent,
+}
+
+/// This process's part in a fleet.
+pub struct Fleet {
+    config: Mutex<FleetConfig>,
+    seed: u64,
+    began: Instant,
+    began_unix_ms: u64,
+    stand: Mutex<Stand>,
+    spoken: AtomicU64,
+    /// What the members that spoke before counted.
+    counts: Mutex<Counts>,
+    send_failures: counters::Count,
+}
+
+impl Fleet {
+    /// A part that is silent.
+    pub fn new(config: FleetConfig, seed: u64) -> Arc<Fleet> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Arc::new(Fleet {
+            config: Mutex::new(config),
+            seed,
+            began: Instant::now(),
+            began_unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX),
+            stand: Mutex::new(Stand::Silent),
+            spoken: AtomicU64::new(0),
+            counts: Mutex::default(),
+            send_failures: counters::Count::default(),
+        })
+    }
+
+    /// Speaks from now on; an error says that the socket cannot be opened.
+    pub fn speak(self: &Arc<Self>) -> Result<(), String> {
+        *self.stand() = Stand::Opening;
+        let config = self.config().clone();
+        self.open().map_err(|error| {
+            *self.stand() = Stand::Silent;
+            format!("fleet at {}: {error}", config.bind)
+        })
+    }
+
+    /// Speaks as soon as the other process of this proxy has let go of the socket.
+    pub fn speak_soon(self: &Arc<Self>) {
+        *self.stand() = Stand::Opening;
+        let fleet = Arc::clone(self);
+        may::go!(move || {
+            for tries in 0.. {
+                if !matches!(*fleet.stand(), Stand::Opening) {
+                    return;
+                }
+                match fleet.open() {
+                    Ok(()) => return,
+                    Err(error) if tries == OPEN_TRIES => log(&format!("fleet: still not open: {error}")),
+                    Err(_) => {}
+                }
+                sleep(OPEN_EVERY);
+            }
+        });
+    }
+
+    /// Leaves speaking to the other process of this proxy.
+    pub fn rest(&self) {
+        self.become_silent(|_, _| {});
+    }
+
+    /// Says that this member leaves, if it speaks, and is silent from then on.
+    pub fn leave(&self) {
+        let now = self.now();
+        self.become_silent(|members, out| members.leave(now, out));
+    }
+
+    /// Other peers are to be asked from now on. An error changes nothing.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) -> Result<(), String> {
+        let now = self.now();
+        let mut config = self.config();
+        let done = self.with(|members, out| members.set_peers(now, peers.clone(), out));
+        match done {
+            Some(Err(error)) => return Err(error.to_string()),
+            Some(Ok(())) | None => config.settings.peers = peers,
+        }
+        Ok(())
+    }
+
+    /// Where its socket is; none while it is silent.
+    pub fn address(&self) -> Option<SocketAddr> {
+        match &*self.stand() {
+            Stand::Speaks(speaking) => speaking.socket.inner().local_addr().ok(),
+            Stand::Opening | Stand::Silent => None,
+        }
+    }
+
+    /// What operators are told, as JSON; none while the other process of this proxy speaks.
+    pub fn report(&self) -> Option<String> {
+        let unix = self.began_unix_ms;
+        match &*self.stand() {
+            Stand::Speaks(speaking) => Some(report::report(&speaking.members, unix)),
+            Stand::Opening | Stand::Silent => None,
+        }
+    }
+
+    /// What was counted, by name.
+    pub fn list(&self) -> Vec<(&'static str, u64)> {
+        let now = self.with(|members, _| members.counts()).unwrap_or_default();
+        let counts = report::sum(*self.earlier(), now);
+        report::names(&counts, self.send_failures.get())
+    }
+
+    fn open(self: &Arc<Self>) -> io::Result<()> {
+        let config = self.config().clone();
+        let socket = UdpSocket::bind(config.bind)?;
+        let bound = socket.local_addr()?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
+        let members = Members::new(config.at(bound), start, self.seed ^ start, self.now())
+            .map_err(|error| io::Error::new(ErrorKind::InvalidInput, error.to_string()))?;
+        let socket = Arc::new(CoIo::new(socket).map_err(io::Error::from)?);
+        let settings = &config.settings;
+        log(&format!("fleet {}: {} is at {bound}", settings.fleet, settings.name));
+        let number = self.spoken.fetch_add(1, Ordering::AcqRel);
+        *self.stand() = Stand::Speaks(Box::new(Speaking { number, socket: Arc::clone(&socket), members }));
+        let (hearing, waiting) = (Arc::clone(self), Arc::clone(self));
+        may::go!(move || hearing.hear(number, &socket));
+        may::go!(move || waiting.wait(number));
+        Ok(())
+    }
+
+    /// Takes datagrams until this process speaks no longer, or anew.
+    fn hear(&self, number: u64, socket: &CoIo<UdpSocket>) {
+        let mut room = vec![0; MAX_DATAGRAM + 1];
+        let mut turn = 0;
+        while self.is_on(number) {
+            match socket.inner().recv_from(&mut room) {
+                Ok((count, from)) => {
+                    let now = self.now();
+                    self.with(|members, out| members.datagram(now, from, &room[..count], out));
+                    turn += 1;
+                    if turn % TURN == 0 {
+                        sleep(BETWEEN_TURNS);
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    socket.wait_io();
+                }
+                // One that could not be reached says so here; it says nothing of the socket.
+                Err(_) => sleep(BETWEEN_TURNS),
+            }
+        }
+    }
+
+    /// Has what is due done in time, as long as that.
+    fn wait(&self, number: u64) {
+        while self.is_on(number) {
+            let now = self.now();
+            self.with(|members, out| members.due(now, out));
+            let next = self.with(|members, _| members.next_due()).flatten();
+            let wait = Duration::from_millis(next.map_or(u64::MAX, |next| next.saturating_sub(self.now())));
+            guard::sleep(wait.clamp(Duration::from_millis(1), LONGEST_SLEEP));
+        }
+    }
+
+    fn is_on(&self, number: u64) -> bool {
+        matches!(&*self.stand(), Stand::Speaks(speaking) if speaking.number == number)
+    }
+
+    /// Has the member do something, and does what it wants; none if this process does not speak.
+    fn with<T>(&self, act: impl FnOnce(&mut Members, &mut Vec<Output>) -> T) -> Option<T> {
+        let mut out = Vec::new();
+        let (done, socket) = match &mut *self.stand() {
+            Stand::Speaks(speaking) => (act(&mut speaking.members, &mut out), Arc::clone(&speaking.socket)),
+            Stand::Opening | Stand::Silent => return None,
+        };
+        self.carry_out(out, &socket);
+        Some(done)
+    }
+
+    fn become_silent(&self, last: impl FnOnce(&mut Members, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        let before = std::mem::replace(&mut *self.stand(), Stand::Silent);
+        if let Stand::Speaks(mut speaking) = before {
+            last(&mut speaking.members, &mut out);
+            let counts = report::sum(*self.earlier(), speaking.members.counts());
+            *self.earlier() = counts;
+            self.carry_out(out, &speaking.socket);
+            // Who waits on it wakes, and lets go of it: it closes with the last of them.
+            speaking.socket.waker().wakeup();
+        }
+    }
+
+    fn carry_out(&self, out: Vec<Output>, socket: &CoIo<UdpSocket>) {
+        for output in out {
+            match output {
+                // What does not go out is lost like any datagram.
+                Output::Send(to, datagram) => {
+                    if socket.inner().send_to(&datagram, to).is_err() {
+                        self.send_failures.add();
+                    }
+                }
+                Output::News(news) => log(&format!("fleet: {}", report::words(&news))),
+            }
+        }
+    }
+
+    fn now(&self) -> Time {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn stand(&self) -> MutexGuard<'_, Stand> {
+        self.stand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn config(&self) -> MutexGuard<'_, FleetConfig> {
+        self.config.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn earlier(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -36,12 +36,19 @@
 
     fn partner(&self, partner: Partner) {
         log(&format!("the other process: {partner:?}"));
-        let leaves_accepting = self.change(|stand| {
+        let (left_it, leaves_accepting) = self.change(|stand| {
+            let left_it = stand.leaves_accepting();
             stand.partner = partner;
             // Who has outlived the older process is the older one for the next.
             stand.is_newcomer &= partner != Partner::None;
-            stand.leaves_accepting()
+            (left_it, stand.leaves_accepting())
         });
+        // Who accepts speaks in the fleet, for both.
+        match (self.fleet(), left_it, leaves_accepting) {
+            (Some(fleet), false, true) => fleet.rest(),
+            (Some(fleet), true, false) => fleet.speak_soon(),
+            _ => {}
+        }
         self.sides.get().into_iter().for_each(|sides| sides.consumers.rest_listening(leaves_accepting));
     }
 }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -4,14 +4,15 @@
 mod host;
 mod stand;
 
-use super::admin::{self, Door};
+use super::admin::Door;
 use super::config::Config;
 use super::consumer::ConsumerSide;
 use super::counters::Counters;
-use super::descriptors::Descriptors;
+use super::descriptors::{self, Descriptors};
 use super::discovery::{Discovery, Target};
 use super::drain::{Drain, SendAway};
 use super::exchange::Exchange;
+use super::fleet::Fleet;
 use super::listen;
 use super::log::{log, print};
 use super::memory::Memory;
@@ -50,6 +51,8 @@
     counters: Arc<Counters>,
     sides: OnceLock<Sides>,
     takeover: Arc<Takeover>,
+    /// Only if one is configured.
+    fleet: OnceLock<Arc<Fleet>>,
 }
 
 /// The sides of a running proxy, as far as signals, operators and the other process reach them.
@@ -68,6 +71,7 @@
         counters: Arc::default(),
         sides: OnceLock::new(),
         takeover: Takeover::new(),
+        fleet: OnceLock::new(),
     });
     match lifecycle.go() {
         Ok(()) => ExitCode::SUCCESS,
@@ -104,6 +108,11 @@
         &self.takeover
     }
 
+    /// This process's part in its fleet, if it belongs to one.
+    pub fn fleet(&self) -> Option<&Arc<Fleet>> {
+        self.fleet.get()
+    }
+
     /// Changes what the phase follows from.
     fn change<T>(&self, change: impl FnOnce(&mut Stand) -> T) -> T {
         let mut stand = self.stand();
@@ -137,6 +146,7 @@
         self.enter(Phase::Draining);
         drain(sides, Drain::for_wait(longest_wait(&config.settings)), self.takeover.leave());
         self.takeover.end();
+        self.fleet().into_iter().for_each(|fleet| fleet.leave());
         self.enter(Phase::Stopped);
         print(&self.counters.line());
         Ok(())
@@ -157,6 +167,11 @@
                     log(&format!("reload: discovery moves from {} to {}", config.discovery, newer.discovery));
                     sides.discovery.move_to(newer.discovery);
                 }
+                if let (Some(fleet), Some(new)) = (self.fleet(), &newer.fleet) {
+                    if let Err(error) = fleet.set_peers(new.settings.peers.clone()) {
+                        log(&format!("reload: the fleet's peers stay: {error}"));
+                    }
+                }
                 let waiting = config.fixed_since(&newer);
                 if !waiting.is_empty() {
                     log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
@@ -181,7 +196,9 @@
             }
             None => None,
         };
-        let own = OWN_SOCKETS + door.as_ref().map_or(0, |_| admin::DESCRIPTORS);
+        let own = OWN_SOCKETS
+            + door.as_ref().map_or(0, |_| descriptors::DOOR)
+            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
@@ -238,9 +255,20 @@
             door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
         }
         let host: Arc<dyn Host> = Arc::clone(self) as Arc<dyn Host>;
+        let is_newcomer = given.is_some();
         if let Some(given) = given {
             self.takeover.join(given, Arc::clone(&host))?;
         }
+        if let Some(config_of_fleet) = &config.fleet {
+            let fleet = self.fleet.get_or_init(|| Fleet::new(config_of_fleet.clone(), config.seed));
+            let counted = Arc::clone(fleet);
+            self.counters.others.are(move || counted.list());
+            match is_newcomer {
+                // The older process has the socket until it has heard that this one serves.
+                true => fleet.speak_soon(),
+                false => fleet.speak()?,
+            }
+        }
         self.change(|stand| stand.enter(Phase::Serving));
         self.takeover.listen(address, host);
         Ok(sides)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod drain;
 pub mod exchange;
+pub mod fleet;
 pub mod flow;
 pub mod guard;
 pub mod http;
--- a/tests/beliefs.rs
+++ b/tests/beliefs.rs
@@ -84,7 +84,7 @@
     world.request(read(1, 1));
     let (_, shut) = sent(&world.request(read(2, 2))).unwrap();
     world.end(2, 0, shut, Outcome::ConnectFailed);
-    assert!((100..120).all(|id| sent(&world.request(read(id, id))).map_or(true, |sent| sent.1 != shut)));
+    assert!((100..120).all(|id| sent(&world.request(read(id, id))).is_none_or(|sent| sent.1 != shut)));
 }
 
 /// Guards against a node that returns under its old name and keeps what was held against it.
--- /dev/null
+++ b/tests/fleet/faults.rs
@@ -0,0 +1,238 @@
+//! The hard cases of a membership, with real processes. The same in simulated time, over many seeds, are in
+//! `crates/members/tests/hard_cases.rs`.
+
+use crate::{failures, met, ms, nodes, origin, ALL};
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::script::Script;
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::thread::sleep;
+
+#[test]
+fn a_death_is_known_to_all_and_so_is_the_return() {
+    let mut fleet = met(Options::of(5));
+    assert!(ALL.iter().all(|member| fleet.report(*member).unwrap().side == "whole"));
+    fleet.kill(3);
+    let knows = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n3"];
+    fleet.until("all know", |fleet| [0, 1, 2, 4].iter().all(|member| knows(fleet, *member)));
+    assert_eq!(fleet.report(0).unwrap().side, "majority");
+    fleet.start(3);
+    fleet.until("it is back", |fleet| fleet.agree(&ALL));
+    fleet.until("all of them", |fleet| fleet.report(0).unwrap().side == "whole");
+}
+
+/// Guards against a cut that is none: what is sent on a way that is cut must arrive by no other.
+#[test]
+fn a_way_that_is_cut_carries_nothing() {
+    let fleet = met(Options::of(3));
+    fleet.cut_into(&[&[0], &[1, 2]]);
+    // What was on its way is swallowed as well.
+    let ways = [(0, 1), (0, 2), (1, 0), (2, 0)];
+    let passed = || ways.map(|(from, to)| fleet.relays.carried(from, to).passed);
+    let before = passed();
+    let heard = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
+    fleet.until("it is alone", heard);
+    assert_eq!(passed(), before);
+    assert!(ways.iter().all(|(from, to)| fleet.relays.carried(*from, *to).lost > 0), "they went on asking");
+    // Every address that a member knows of another leads through a relay.
+    let hubs: BTreeSet<String> = (0..3).map(|member| fleet.hub(member).to_string()).collect();
+    for member in 0..3 {
+        let report = fleet.report(member).unwrap();
+        assert!(report.members.values().all(|(_, address)| hubs.contains(address)), "{}", report.json);
+    }
+}
+
+#[test]
+fn a_member_stopped_for_450_ms_again_and_again_never_fails() {
+    let fleet = met(Options::of(5));
+    for _ in 0..12 {
+        fleet.process(1).signal("STOP");
+        sleep(ms(450));
+        fleet.process(1).signal("CONT");
+        sleep(ms(150));
+    }
+    fleet.until("nobody suspects it any more", |fleet| fleet.agree(&ALL));
+    assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
+}
+
+/// Guards against a process that wakes and takes its own absence for the death of all others.
+#[test]
+fn a_member_stopped_for_10_s_comes_back_and_takes_nobody_for_failed() {
+    let fleet = met(Options::of(5));
+    fleet.process(2).signal("STOP");
+    let knows = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n2"];
+    fleet.until("the others know", |fleet| [0, 1, 3, 4].iter().all(|member| knows(fleet, *member)));
+    sleep(ms(7_500));
+    let woke = fleet.timeline.now();
+    fleet.process(2).signal("CONT");
+    fleet.until("it is back", |fleet| fleet.agree(&ALL));
+    assert!(fleet.timeline.said("n2", "did not run for", woke).is_some());
+    assert!(fleet.timeline.said("n2", "-> failed", woke).is_none(), "{}", fleet.timeline);
+}
+
+#[test]
+fn a_way_cut_in_one_direction_fails_nobody() {
+    let fleet = met(Options::of(5));
+    fleet.relays.way(0, 1, |way| way.cut = true);
+    sleep(ms(8_000));
+    assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
+    assert!(fleet.relays.carried(0, 1).lost > 0);
+}
+
+/// Guards against sides that never meet again, and against a restart while cut that passes for a whole fleet.
+#[test]
+fn cut_into_three_and_two_both_sides_say_so_and_the_heal_needs_no_restart() {
+    let mut fleet = met(Options::of(5));
+    fleet.cut_into(&[&[0, 1, 2], &[3, 4]]);
+    let sides = |fleet: &Fleet| ALL.map(|member| fleet.report(member).unwrap().side);
+    let split = ["majority", "majority", "majority", "minority", "minority"];
+    fleet.until("both sides know", |fleet| sides(fleet) == split);
+    assert_eq!(fleet.report(0).unwrap().names("failed"), ["n3", "n4"]);
+    assert_eq!(fleet.report(4).unwrap().names("failed"), ["n0", "n1", "n2"]);
+    for member in [0, 4] {
+        fleet.kill(member);
+        fleet.start(member);
+    }
+    fleet.until("both sides are as before", |fleet| sides(fleet) == split);
+    let healed = fleet.timeline.now();
+    fleet.relays.all(|way| way.cut = false);
+    fleet.until("they are one again", |fleet| fleet.agree(&ALL) && sides(fleet) == ["whole"; 5]);
+    assert!(fleet.timeline.said("rig", "start", healed).is_none(), "nobody was started for that");
+}
+
+#[test]
+fn all_that_restart_at_once_find_each_other_by_their_peers() {
+    let mut fleet = met(Options::of(5));
+    ALL.iter().for_each(|member| fleet.kill(*member));
+    ALL.iter().for_each(|member| fleet.start(*member));
+    fleet.until("they meet", |fleet| fleet.agree(&ALL));
+}
+
+#[test]
+fn the_one_peer_that_everybody_joins_by_may_be_dead() {
+    let mut fleet = met(Options { peers: vec![0], ..Options::of(4) });
+    fleet.kill(0);
+    fleet.until("the others stay together", |fleet| fleet.agree(&[1, 2, 3]));
+    fleet.kill(3);
+    fleet.start(3);
+    fleet.until("one that restarts is asked by them", |fleet| fleet.agree(&[1, 2, 3]));
+    fleet.start(0);
+    fleet.until("so is that peer", |fleet| fleet.agree(&[0, 1, 2, 3]));
+}
+
+#[test]
+fn a_loss_of_five_in_a_hundred_and_disorder_fail_nobody() {
+    let fleet = met(Options::of(5));
+    fleet.relays.all(|way| {
+        (way.loss, way.twice, way.spoilt, way.delay) = (0.05, 0.1, 0.01, (0, 40));
+    });
+    sleep(ms(12_000));
+    assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
+}
+
+#[test]
+fn a_name_may_return_at_another_address() {
+    // The last place is kept for it.
+    let mut fleet = Fleet::new(Options { peers: vec![0, 1, 2], ..Options::of(4) }, nodes(), origin());
+    (0..3).for_each(|member| fleet.start(member));
+    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.kill(2);
+    let mut moved = fleet.config(3, &[0, 1]);
+    moved["name"] = "n2".into();
+    fleet.set_config(3, &moved);
+    fleet.start(3);
+    let there = |fleet: &Fleet| {
+        [0, 1, 3].iter().all(|member| {
+            let report = fleet.report(*member).unwrap();
+            report.members["n2"] == ("alive".into(), fleet.hub(3).to_string()) && report.members.len() == 3
+        })
+    };
+    fleet.until("it is known where it is", there);
+    sleep(ms(3_000));
+    assert!(there(&fleet));
+    assert_eq!(fleet.report(0).unwrap().side, "whole");
+}
+
+/// Guards against a flood that keeps the worker from clients, or that changes what is believed.
+#[test]
+fn a_flood_of_spoilt_datagrams_keeps_no_client_waiting() {
+    let fleet = met(Options::of(3));
+    let (to, begun) = (fleet.real(0), fleet.timeline.now());
+    let flood = std::thread::spawn(move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        for n in 0..60_000u32 {
+            let mut bytes = [0x70, 0x74, 1, (n % 7) as u8, 1, 2, 3, 4, 6].to_vec();
+            bytes.extend_from_slice(b"gdynia");
+            bytes.extend((0..n % 900).map(|at| (at * n) as u8));
+            // Its buffer may be full.
+            let _ = socket.send_to(&bytes, to);
+        }
+    });
+    let mut client = fleet.client(0);
+    for n in 0..300 {
+        assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n");
+    }
+    flood.join().unwrap();
+    fleet.until("nobody suspects anybody", |fleet| fleet.agree(&[0, 1, 2]));
+    assert!(fleet.timeline.said("n0", "-> failed", begun).is_none());
+    let mut stats = fleet.client(0);
+    stats.say("stats\r\n");
+    let lines: Vec<String> =
+        std::iter::from_fn(|| Some(stats.line()).filter(|line| line != "END\r\n")).collect();
+    let of = |name: &str| {
+        let line = lines.iter().find_map(|line| line.strip_prefix(&format!("STAT {name} "))).unwrap();
+        line.trim().parse::<u64>().unwrap()
+    };
+    assert!(of("fleet_dropped_spoilt") > 1_000);
+    assert_eq!(of("panics"), 0);
+}
+
+#[test]
+fn a_hangup_with_other_peers_in_the_middle_of_a_join_leads_to_them() {
+    let mut fleet = Fleet::new(Options::of(4), nodes(), origin());
+    (0..3).for_each(|member| fleet.start(member));
+    // It is told only of one that is not there.
+    let lost = fleet.config(3, &[]);
+    let mut wrong = lost.clone();
+    wrong["fleet"]["peers"] = serde_json::json!(["127.0.0.1:9"]);
+    fleet.set_config(3, &wrong);
+    fleet.start(3);
+    assert_eq!(fleet.report(3).unwrap().side, "alone");
+    // Bad peers change nothing; good ones are asked at once.
+    let mut newer = fleet.config(3, &[1]);
+    for (peers, side) in
+        [(serde_json::json!([fleet.hub(3).to_string()]), "alone"), (newer["fleet"]["peers"].clone(), "whole")]
+    {
+        newer["fleet"]["peers"] = peers;
+        fleet.set_config(3, &newer);
+        fleet.process(3).signal("HUP");
+        fleet.until("the reload shows", |fleet| {
+            let said = fleet.timeline.to_string();
+            said.contains("reload: the old configuration stays") && fleet.report(3).unwrap().side == side
+        });
+    }
+    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2, 3]));
+}
+
+/// Discovery has no say in who belongs to the fleet.
+#[test]
+fn a_fleet_meets_and_notices_a_death_while_discovery_is_down() {
+    let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
+    fleet.discovery.be_down(true);
+    (0..3).for_each(|member| fleet.start(member));
+    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.kill(1);
+    fleet.until("the others know", |fleet| fleet.agree(&[0, 2]));
+    assert_eq!(fleet.client(0).read("k", "1", 900).1, "v\r\n", "by the list that it had");
+}
+
+/// Faults of every kind from a seed: whatever they were, in the end all agree.
+#[test]
+fn whatever_a_seed_brings_all_agree_after_it() {
+    for seed in [1, 2] {
+        let mut fleet = met(Options { seed, ..Options::of(5) });
+        let script = Script::from_seed(seed, 5, 6, 12_000);
+        fleet.play(&script);
+        fleet.until("all agree", |fleet| fleet.agree(&ALL));
+    }
+}
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,37 @@
+//! Several real processes that know each other, and faults between them.
+
+mod faults;
+mod off;
+mod operators;
+mod upgrades;
+
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::{http_200, Party};
+use std::time::Duration;
+
+const ALL: [usize; 5] = [0, 1, 2, 3, 4];
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn nodes() -> Vec<Party> {
+    vec![Party::full_node("v"), Party::full_node("v")]
+}
+
+fn origin() -> Party {
+    Party::origin(|_| http_200("v"))
+}
+
+/// Members that run and know each other.
+fn met(options: Options) -> Fleet {
+    let all: Vec<usize> = (0..options.members).collect();
+    let fleet = Fleet::start_all(options, nodes(), origin());
+    fleet.until("they meet", |fleet| fleet.agree(&all));
+    fleet
+}
+
+/// How often members said that others have failed.
+fn failures(fleet: &Fleet) -> usize {
+    fleet.timeline.to_string().lines().filter(|line| line.contains("-> failed")).count()
+}
--- /dev/null
+++ b/tests/fleet/off.rs
@@ -0,0 +1,124 @@
+//! Without `fleet` there is none.
+
+use crate::{nodes, origin};
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::{call, end, start};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+
+/// The open descriptors of a process, by what they are.
+fn descriptors(id: u32) -> Vec<String> {
+    let links = std::fs::read_dir(format!("/proc/{id}/fd")).unwrap();
+    links.filter_map(|link| Some(std::fs::read_link(link.ok()?.path()).ok()?.display().to_string())).collect()
+}
+
+/// How many of them are UDP sockets.
+fn datagram_sockets(id: u32) -> usize {
+    let table = std::fs::read_to_string("/proc/net/udp").unwrap();
+    let inodes: BTreeSet<String> = table
+        .lines()
+        .skip(1)
+        .filter_map(|line| Some(format!("socket:[{}]", line.split_whitespace().nth(9)?)))
+        .collect();
+    descriptors(id).iter().filter(|descriptor| inodes.contains(*descriptor)).count()
+}
+
+fn threads(id: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{id}/task")).unwrap().count()
+}
+
+/// Guards against anything that a proxy without a fleet would have because there can be one.
+#[test]
+fn without_fleet_there_is_no_socket_no_thread_and_no_counter() {
+    let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
+    let mut without = fleet.config(0, &[]);
+    without.as_object_mut().unwrap().remove("fleet");
+    fleet.set_config(0, &without);
+    (0..2).for_each(|member| fleet.start(member));
+    let (off, on) = (fleet.process(0).id(), fleet.process(1).id());
+    let settled = |fleet: &Fleet| {
+        let counts = [off, on].map(|id| descriptors(id).len());
+        std::thread::sleep(crate::ms(100));
+        fleet.runs(0) && counts == [off, on].map(|id| descriptors(id).len())
+    };
+    fleet.until("connections to discovery and the door have settled", settled);
+    assert_eq!((datagram_sockets(off), datagram_sockets(on)), (0, 1));
+    assert_eq!(descriptors(on).len(), descriptors(off).len() + 1);
+    assert_eq!(threads(on), threads(off));
+    assert_eq!(call(fleet.process(0).door, "GET", "/control/fleet").0, 404);
+    let stats = |member: usize| {
+        let mut client = fleet.client(member);
+        client.say("stats\r\n");
+        std::iter::from_fn(|| Some(client.line()).filter(|line| line != "END\r\n")).collect::<Vec<String>>()
+    };
+    assert!(stats(1).iter().any(|line| line.starts_with("STAT fleet_probes ")));
+    assert!(stats(0).iter().all(|line| !line.contains("fleet")));
+}
+
+/// Guards against a fleet that cannot be, found out only when it is needed.
+#[test]
+fn a_fleet_that_cannot_be_ends_the_start_with_one_line() {
+    let fleet = Fleet::new(Options::of(2), nodes(), origin());
+    let good = fleet.config(0, &[1]);
+    let with = |change: &dyn Fn(&mut Value)| {
+        let mut config = good.clone();
+        change(&mut config["fleet"]);
+        config
+    };
+    let own = fleet.hub(0).to_string();
+    let bad: [(Value, &str); 10] = [
+        (with(&|fleet| fleet["bind"] = json!("nowhere")), "fleet.bind"),
+        (with(&|fleet| fleet["peers"] = json!(["n1"])), "fleet.peers"),
+        (with(&|fleet| fleet["peers"] = json!([own])), "itself"),
+        (with(&|fleet| fleet["size"] = json!(1)), "size 1"),
+        (with(&|fleet| fleet["size"] = json!(5000)), "size 5000"),
+        (with(&|fleet| fleet["name"] = json!("")), "fleet.name"),
+        (with(&|fleet| fleet["period_ms"] = json!(1)), "period_ms 1"),
+        (with(&|fleet| fleet["perio_ms"] = json!(500)), "unknown field"),
+        (
+            with(&|fleet| {
+                fleet["bind"] = json!("0.0.0.0:7946");
+                fleet.as_object_mut().unwrap().remove("advertise");
+            }),
+            "advertise",
+        ),
+        (with(&|fleet| drop(fleet.as_object_mut().unwrap().remove("size"))), "size"),
+    ];
+    for (config, names) in bad {
+        let output = end(start(&config.to_string()));
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{names}: {said}");
+    }
+    // An address that is taken.
+    let taken = std::net::UdpSocket::bind(fleet.real(0)).unwrap();
+    let output = end(start(&good.to_string()));
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("fleet at "));
+    drop(taken);
+}
+
+/// Guards against an example that does not start.
+#[test]
+fn the_example_of_three_proxies_starts_and_meets() {
+    let examples = [
+        include_str!("../../deploy/fleet/n0.json"),
+        include_str!("../../deploy/fleet/n1.json"),
+        include_str!("../../deploy/fleet/n2.json"),
+    ];
+    let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
+    for (member, text) in examples.into_iter().enumerate() {
+        let example: Value = serde_json::from_str(text).expect("it is JSON");
+        assert_eq!(example["fleet"]["peers"].as_array().unwrap().len(), 2);
+        // Only its addresses are others here.
+        let mut config = fleet.config(member, &[0, 1, 2]);
+        for key in ["name", "settings", "limits", "seed"] {
+            config[key] = example[key].clone();
+        }
+        config["known"]["instances"] = json!([]);
+        config["fleet"]["size"] = example["fleet"]["size"].clone();
+        fleet.set_config(member, &config);
+        fleet.start(member);
+    }
+    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+}
--- /dev/null
+++ b/tests/fleet/upgrades.rs
@@ -0,0 +1,54 @@
+//! Two processes of one member in an upgrade are one member.
+
+use crate::met;
+use pinetrail_rig::call;
+use pinetrail_rig::fleet::{Fleet, Options};
+
+/// Guards against an upgrade that looks like a failure to the others, and against two processes that both speak.
+#[test]
+fn in_an_upgrade_the_name_passes_to_the_newcomer_and_nobody_fails() {
+    let mut fleet = met(Options::of(3));
+    let begun = fleet.timeline.now();
+    for _ in 0..2 {
+        let second = fleet.beside(1);
+        let first = fleet.replace(1, second);
+        fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some());
+        assert_eq!(call(first.door, "GET", "/control/fleet").0, 503, "the other one speaks");
+        fleet.until("they agree", |fleet| fleet.agree(&[0, 1, 2]));
+        first.signal("TERM");
+        assert!(first.end().success());
+        // The old one's end is no goodbye.
+        fleet.until("they still agree", |fleet| fleet.agree(&[0, 1, 2]));
+        assert!(fleet.report(1).unwrap().json.get("rival").is_none());
+    }
+    for member in ["n0", "n2"] {
+        assert!(fleet.timeline.said(member, "-> failed", begun).is_none(), "{}", fleet.timeline);
+        assert!(fleet.timeline.said(member, "left", begun).is_none());
+        assert!(fleet.timeline.said(member, "n1 is a new process", begun).is_some());
+    }
+}
+
+#[test]
+fn a_newcomer_that_dies_leaves_the_name_to_the_old_one() {
+    let fleet = met(Options::of(3));
+    let second = fleet.beside(1);
+    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_none());
+    drop(second);
+    fleet.until("the old one speaks again", |fleet| fleet.report(1).is_some() && fleet.agree(&[0, 1, 2]));
+}
+
+/// Guards against a name that is lost since the cut hides the upgrade.
+#[test]
+fn an_upgrade_while_cut_is_known_after_the_heal() {
+    let mut fleet = met(Options::of(3));
+    fleet.cut_into(&[&[1], &[0, 2]]);
+    let failed = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n1"];
+    fleet.until("the others know", |fleet| failed(fleet, 0) && failed(fleet, 2));
+    let second = fleet.beside(1);
+    let first = fleet.replace(1, second);
+    first.signal("TERM");
+    assert!(first.end().success());
+    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some_and(|report| report.side == "alone"));
+    fleet.relays.all(|way| way.cut = false);
+    fleet.until("they agree", |fleet| fleet.agree(&[0, 1, 2]));
+}
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,8 +1,8 @@
 //! Error paths, each judged by what the rig saw of the real process from outside.
 
 use crate::ms;
+use crate::rig::witness::Witness;
 use crate::rig::*;
-use crate::witness::Witness;
 use pinetrail_histories::{judge, History, Reason, Seen, State};
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -3,10 +3,9 @@
 mod faults;
 mod large;
 mod operations;
-mod rig;
 mod upgrades;
-mod witness;
 
+use pinetrail_rig as rig;
 use rig::*;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
