--- a/crates/lab/src/cost.rs
+++ b/crates/lab/src/cost.rs
@@ -1,5 +1,7 @@
 //! `pinetrail-lab cost`: what a fleet costs real processes and their clients, with it and without it in turn.
 
+mod core;
+
 use crate::load::{Done, Load};
 use crate::table;
 use clap::Args;
@@ -21,6 +23,9 @@
     /// Seconds of quiet, and of load, in each round.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(2..=60))]
     seconds: u64,
+    /// Members of the fleet in simulated time of which one is timed.
+    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u16).range(2..=1024))]
+    model: u16,
     /// Requests a second while there is load.
     #[arg(long, default_value_t = 400)]
     rate: u64,
@@ -55,6 +60,7 @@
         }
     }
     rows.sort_by(|a, b| a[0].cmp(&b[0]));
+    core::print(options.model);
     println!(
         "{} proxies, {} requests a second; each line a round, with and without in turn",
         options.members, options.rate
--- a/crates/lab/src/members/mod.rs
+++ b/crates/lab/src/members/mod.rs
@@ -1,6 +1,7 @@
 //! `pinetrail-lab members`: the membership as it runs in service, in simulated time over a modelled network.
 
 mod plots;
+mod script;
 mod trials;
 
 use crate::table;
@@ -30,6 +31,10 @@
     /// 450 ms every 1.7 to 6 s meanwhile.
     #[arg(long, default_value_t = 10)]
     minutes: u64,
+    /// Instead of measuring, plays a script of faults on the first of the sizes and prints what each member hears. A line of it is
+    /// a time in ms and a fault: kill N, start N, stop N, go-on N, upgrade N, cut N N, sides N,N|N,N, heal, loss PERCENT.
+    #[arg(long)]
+    script: Option<PathBuf>,
     /// Threads; as many as there are cores if not given.
     #[arg(long)]
     threads: Option<usize>,
@@ -51,6 +56,16 @@
 
 /// Measures, prints and writes; an error says what could not be.
 pub fn run(options: &Options) -> Result<bool, String> {
+    if let Some(path) = &options.script {
+        let told = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|error| told(&error))?;
+        let faults = pinetrail_rig::script::Script::parse(&text).map_err(|error| told(&error))?;
+        let members = options.members.first().copied().unwrap_or(5);
+        let lines =
+            script::play(&faults, usize::from(members), options.seed).map_err(|error| told(&error))?;
+        lines.iter().for_each(|line| println!("{line}"));
+        return Ok(true);
+    }
     let trials = plan(options);
     let pool = rayon::ThreadPoolBuilder::new().num_threads(options.threads.unwrap_or(0)).build();
     let pool = pool.map_err(|error| error.to_string())?;
--- /dev/null
+++ b/crates/lab/src/members/script.rs
@@ -0,0 +1,81 @@
+//! A script of faults, played on a fleet in simulated time; what is heard of it.
+
+use crate::members::trials::words;
+use pinetrail_members::Members;
+use pinetrail_rig::script::{Fault, Script};
+use pinetrail_world::fleet::Fleet;
+
+/// After the last fault it is listened for so long, in ms.
+const AFTER: u64 = 15_000;
+
+/// Plays it on a fleet of so many that know each other; the lines of what happened.
+pub fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, String> {
+    let peers: Vec<usize> = (0..members.min(3)).collect();
+    let size = members.max(peers.len() + 1);
+    let mut fleet = Fleet::of(members, seed, &peers);
+    fleet.run(30_000);
+    fleet.heard.clear();
+    let (begun, mut lines) = (fleet.now(), Vec::new());
+    let tell = |fleet: &mut Fleet<Members>, lines: &mut Vec<String>| {
+        for heard in std::mem::take(&mut fleet.heard) {
+            lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.news)));
+        }
+    };
+    for (at, fault) in &script.0 {
+        fleet.run((begun + at).saturating_sub(fleet.now()));
+        tell(&mut fleet, &mut lines);
+        lines.push(format!("{at:>7} ms  fault  {fault}"));
+        cause(&mut fleet, fault, members, size, &peers)?;
+    }
+    fleet.run(AFTER);
+    tell(&mut fleet, &mut lines);
+    Ok(lines)
+}
+
+fn cause(
+    fleet: &mut Fleet<Members>,
+    fault: &Fault,
+    members: usize,
+    size: usize,
+    peers: &[usize],
+) -> Result<(), String> {
+    let known = |member: &usize| match *member < members {
+        true => Ok(*member),
+        false => Err(format!("{fault}: there are {members} members only, from 0 on")),
+    };
+    match fault {
+        Fault::Kill(member) => fleet.kill(known(member)?),
+        Fault::Start(member) => fleet.begin(known(member)?, size, peers),
+        Fault::Stop(member) => fleet.stop(known(member)?),
+        Fault::GoOn(member) => fleet.go_on(known(member)?),
+        Fault::Cut(from, to) => fleet.network.cut(known(from)?, known(to)?),
+        Fault::Sides(sides) => {
+            sides.iter().flatten().try_for_each(|member| known(member).map(drop))?;
+            fleet.network.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
+        }
+        Fault::Heal => fleet.network.heal(),
+        Fault::Loss(percent) => fleet.network.loss = f64::from(*percent) / 100.0,
+        Fault::Upgrade(member) => {
+            // Who accepts speaks, as a later start of the name.
+            fleet.kill(known(member)?);
+            fleet.begin(*member, size, peers);
+        }
+        Fault::Node(..) => return Err(format!("{fault}: there are no cache nodes here")),
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_script_shows_what_the_members_heard_and_refuses_what_is_not_there() {
+        let script = Script::parse("100 kill 2\n9000 start 2\n").unwrap();
+        let lines = play(&script, 5, 1).unwrap();
+        let heard = |words: &str| lines.iter().filter(|line| line.contains(words)).count();
+        assert_eq!((heard("fault  kill 2"), heard("n0002 failed")), (1, 4), "{lines:?}");
+        assert_eq!(play(&script, 5, 1), Ok(lines.clone()));
+        assert!(play(&Script::parse("1 kill 7").unwrap(), 5, 1).unwrap_err().contains("5 members only"));
+    }
+}
--- a/crates/lab/src/members/trials.rs
+++ b/crates/lab/src/members/trials.rs
@@ -222,6 +222,17 @@
     }
 }
 
+/// What was heard, in words.
+pub fn words(news: &News) -> String {
+    match news {
+        News::Member { entry, .. } => {
+            format!("{} {} (incarnation {})", entry.name, entry.state, entry.incarnation)
+        }
+        News::Side(side) => format!("side {side}"),
+        other => format!("{other:?}"),
+    }
+}
+
 /// Whom somebody took for failed.
 fn failed(heard: &Heard) -> Option<usize> {
     match &heard.news {
