--- a/crates/members/tests/hard_cases.rs
+++ b/crates/members/tests/hard_cases.rs
@@ -79,6 +79,25 @@
     }
 }
 
+/// Guards against a process that wakes and takes its own absence for the silence of others.
+#[test]
+fn a_member_that_was_stopped_suspects_nobody_for_what_it_slept_through() {
+    for after in 0..100 {
+        let mut fleet = five(after);
+        fleet.run(after * 7);
+        fleet.stop(1);
+        fleet.run(1_500);
+        fleet.heard.clear();
+        fleet.go_on(1);
+        fleet.run(1_500);
+        let suspected = |heard: &&pinetrail_world::fleet::Heard| {
+            heard.host == 1
+                && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Suspect)
+        };
+        assert_eq!(fleet.heard.iter().find(suspected), None, "stopped after {after}");
+    }
+}
+
 /// Guards against a suspicion that ends in the moment in which its holder wakes: nobody could have objected.
 #[test]
 fn whenever_a_member_is_stopped_its_suspicions_leave_time_to_object() {
@@ -337,16 +356,38 @@
     let mut fleet: Fleet<Members> = Fleet::new(4, 9);
     (0..2).for_each(|host| fleet.begin(host, 4, &[0, 1]));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1])));
-    for n in 0..200u64 {
-        // Each greets once, and once it speaks as a member, but of another fleet's list.
-        let mut stranger = Members::new(settings(100 + n as usize, 4, &[0]), 5, n, 0).unwrap();
+    let sent = |out: &[Output]| {
+        let bytes = out.iter().filter_map(|output| match output {
+            Output::Send(_, bytes) => Some(bytes.clone()),
+            Output::News(_) => None,
+        });
+        bytes.collect::<Vec<_>>()
+    };
+    let mut strangers: Vec<Members> =
+        (0..200).map(|n| Members::new(settings(100 + n, 4, &[1]), 5, n as u64, 0).unwrap()).collect();
+    let mut to_another = Vec::new();
+    for stranger in &mut strangers {
         let mut said = Vec::new();
         stranger.due(0, &mut said);
-        for output in said {
-            let Output::Send(_, bytes) = output else { continue };
-            fleet.act(0, |member, now, out| member.datagram(now, place(3), &bytes, out));
+        for greeting in sent(&said) {
+            fleet.act(0, |member, now, out| member.datagram(now, place(3), &greeting, out));
+            let mut answer = Vec::new();
+            fleet.act(1, |member, now, out| {
+                member.datagram(now, place(3), &greeting, out);
+                answer.append(out);
+            });
+            said.clear();
+            sent(&answer).iter().for_each(|here| stranger.datagram(0, place(1), here, &mut said));
+            to_another.extend(sent(&said));
         }
     }
+    assert_eq!(fleet.counts(0).dropped_no_room, 0, "a greeting takes none");
+    // Words of SWIM that are for another member: this one's SWIM does not take them.
+    assert_eq!(to_another.len(), 200);
+    for bytes in &to_another {
+        fleet.act(0, |member, now, out| member.datagram(now, place(3), bytes, out));
+    }
+    assert!(fleet.counts(0).dropped_no_room > 0, "for a moment");
     fleet.run(2_000);
     [2, 3].iter().for_each(|host| fleet.begin(*host, 4, &[0, 1]));
     assert!(fleet.until(8_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
@@ -398,6 +439,8 @@
     fleet.run(1_500);
     assert_eq!(fleet.side(5), Some(Side::Alone));
     fleet.act(5, |member, now, out| member.set_peers(now, vec![place(1)], out).unwrap());
+    // Its usual time to ask would come in half a second.
+    assert!(fleet.until(300, |fleet| fleet.believes(5, 1) == Some(State::Alive)));
     assert!(fleet.until(3_000, |fleet| fleet.agree(&[0, 1, 2, 3, 4, 5])));
     let (before, mut out) = (fleet.now(), Vec::new());
     assert!(!fleet.entry(5, "n0001").unwrap().name.is_empty());
@@ -421,6 +464,16 @@
     assert_ne!(run(5).1, run(6).1);
 }
 
+/// Guards against two halves that both believe that they are the fleet.
+#[test]
+fn of_a_fleet_of_four_cut_in_half_neither_half_is_a_majority() {
+    let mut fleet = Fleet::of(4, 1, &[0, 1, 2, 3]);
+    assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
+    fleet.network.cut_into(&[&[0, 1], &[2, 3]]);
+    let minority = |fleet: &Fleet<Members>| (0..4).all(|host| fleet.side(host) == Some(Side::Minority));
+    assert!(fleet.until(10_000, minority));
+}
+
 /// Guards against two that lose each other and both believe that they are the fleet.
 #[test]
 fn of_a_fleet_of_two_that_lose_each_other_neither_is_a_majority() {
