--- a/crates/lab/src/members/mod.rs
+++ b/crates/lab/src/members/mod.rs
@@ -133,11 +133,10 @@
             format!("{:.1}", outcome.datagrams_per_s),
         ])
     });
-    println!("After a death, ms until the first and until the last knows (p50, p99, worst); quiet, sent by each member");
-    table::print(
-        &["members", "first knows", "last knows", "bytes/s", "datagrams/s"],
-        &rows.collect::<Vec<_>>(),
-    );
+    println!("ms from the last start until all know all; after a death, until the first and until the last knows (p50, p99,");
+    println!("worst); what each member sends while nothing happens");
+    let heading = ["members", "met", "first knows", "last knows", "bytes/s", "datagrams/s"];
+    table::print(&heading, &rows.collect::<Vec<_>>());
     let rows = figures.outcomes.iter().filter_map(|outcome| {
         let alarms = outcome.alarms.as_ref()?;
         Some(vec![
