--- a/crates/histories/src/breach.rs
+++ b/crates/histories/src/breach.rs
@@ -14,6 +14,8 @@
     Drains,
     /// A cold node gets no more than it bears.
     Cold,
+    /// What all use together is no more than there is.
+    Shares,
 }
 
 /// Why a rule is broken.
@@ -51,6 +53,10 @@
     NeverListed,
     /// A cold node was sent more than it bears.
     Overloaded,
+    /// Shares added up to more than one.
+    OverTheWhole,
+    /// A provider had more calls before it at once than all may have there.
+    TooManyAtOnce,
 }
 
 impl Reason {
@@ -62,6 +68,7 @@
             Effect | Scope | Window | Refused | TwoAtOnce | TooMany => Rule::NoRepeat,
             Draining | Gone | NeverListed => Rule::Drains,
             Overloaded => Rule::Cold,
+            OverTheWhole | TooManyAtOnce => Rule::Shares,
         }
     }
 }
--- a/crates/histories/src/history.rs
+++ b/crates/histories/src/history.rs
@@ -90,6 +90,22 @@
         /// The work that it is.
         work: f64,
     },
+    /// A proxy said what its share of the whole is, which is 1. What it gives up is in use for as long as its calls run.
+    Share {
+        /// The proxy; each process of one is a proxy of its own here.
+        proxy: String,
+        /// Its part.
+        part: f64,
+        /// How long calls may run.
+        calls: Time,
+    },
+    /// All proxies together may have so many calls at once before a provider.
+    Bound {
+        /// Where it is reached.
+        place: String,
+        /// How many.
+        calls: usize,
+    },
     /// A call ended, at the provider or by its connection.
     Closed {
         /// The call.
--- a/crates/histories/src/ledger.rs
+++ b/crates/histories/src/ledger.rs
@@ -118,7 +118,7 @@
                         }
                     }
                 }
-                Seen::Told { .. } | Seen::Started { .. } => {}
+                Seen::Told { .. } | Seen::Started { .. } | Seen::Share { .. } | Seen::Bound { .. } => {}
             }
         }
         match ledger.requests.is_empty() {
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -15,9 +15,11 @@
 mod drains;
 mod history;
 mod ledger;
+mod shares;
 
 pub use breach::{Breach, NotJudged, Reason, Rule};
 pub use history::{Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time};
+pub use shares::judge_shares;
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
 pub fn judge(history: &History) -> Result<Vec<Breach>, NotJudged> {
@@ -26,6 +28,7 @@
     breaches.extend(calls::judge(history, &ledger));
     breaches.extend(drains::judge(history));
     breaches.extend(cold::judge(history));
+    breaches.extend(shares::judge(history));
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(breaches)
 }
--- /dev/null
+++ b/crates/histories/src/shares.rs
@@ -0,0 +1,110 @@
+//! Shares add up to one at the most, and calls in flight to what all may have together.
+
+use crate::breach::{Breach, NotJudged, Reason};
+use crate::history::{History, Seen, Time};
+use std::collections::BTreeMap;
+
+/// Rounding of what is said as a decimal number.
+const ROUNDING: f64 = 1e-6;
+
+/// What proxies said of their shares, and what nodes had before them at once. It needs no requests, but something must have
+/// been seen of one or the other.
+pub fn judge_shares(history: &History) -> Result<Vec<Breach>, NotJudged> {
+    let is_seen = |(_, seen): &(Time, Seen)| matches!(seen, Seen::Share { .. } | Seen::Bound { .. });
+    match history.events.iter().any(is_seen) {
+        true => Ok(judge(history)),
+        false => Err(NotJudged::Empty),
+    }
+}
+
+pub(crate) fn judge(history: &History) -> Vec<Breach> {
+    let mut breaches = sums(history);
+    breaches.extend(in_flight(history));
+    breaches
+}
+
+/// Doors are not asked at one moment. What one proxy gives up another may have only once calls that began under it have
+/// ended: within that time the most that each said must add up.
+fn sums(history: &History) -> Vec<Breach> {
+    let mut said: BTreeMap<&str, Vec<(Time, f64, usize)>> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for (event, (at, seen)) in history.events.iter().enumerate() {
+        let Seen::Share { proxy, part, calls } = seen else { continue };
+        said.entry(proxy).or_default().push((*at, *part, event));
+        said.values_mut().for_each(|all| all.retain(|(then, ..)| then + calls - history.blur > *at));
+        let most = said.values().filter_map(|all| all.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1)));
+        let most: Vec<(Time, f64, usize)> = most.collect();
+        if most.iter().map(|one| one.1).sum::<f64>() > 1.0 + ROUNDING {
+            let mut events: Vec<usize> = most.iter().map(|one| one.2).collect();
+            events.sort_unstable();
+            breaches.push(Breach { reason: Reason::OverTheWhole, about: proxy.clone(), at: *at, events });
+        }
+    }
+    breaches
+}
+
+fn in_flight(history: &History) -> Vec<Breach> {
+    let mut bounds: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut calls: BTreeMap<u64, (&str, usize)> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for (event, (at, seen)) in history.events.iter().enumerate() {
+        match seen {
+            Seen::Bound { place, calls } => drop(bounds.insert(place, *calls)),
+            Seen::Closed { call, .. } => drop(calls.remove(call)),
+            Seen::Received { call, place, .. } => {
+                calls.insert(*call, (place, event));
+                let here = calls.values().filter(|(there, _)| *there == place).map(|(_, event)| *event);
+                let mut events: Vec<usize> = here.collect();
+                if bounds.get(place.as_str()).is_some_and(|bound| events.len() > *bound) {
+                    events.sort_unstable();
+                    breaches.push(Breach {
+                        reason: Reason::TooManyAtOnce,
+                        about: place.clone(),
+                        at: *at,
+                        events,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::history::End;
+
+    fn share(at: Time, proxy: &str, part: f64) -> (Time, Seen) {
+        (at, Seen::Share { proxy: proxy.into(), part, calls: 1000.0 })
+    }
+
+    fn reasons(events: Vec<(Time, Seen)>) -> Vec<Reason> {
+        let breaches = judge_shares(&History { blur: 0.0, events }).unwrap();
+        breaches.iter().map(|breach| breach.reason).collect()
+    }
+
+    #[test]
+    fn shares_over_the_whole_are_refused_also_while_calls_of_before_run() {
+        let whole = vec![share(0.0, "a", 0.5), share(1.0, "b", 0.5), share(500.0, "a", 0.25)];
+        assert_eq!(reasons(whole.clone()), []);
+        // What "a" gave up at 500 was last seen in use at 0.
+        let early = share(900.0, "b", 0.75);
+        assert_eq!(reasons([whole.clone(), vec![early]].concat()), [Reason::OverTheWhole]);
+        assert_eq!(reasons([whole, vec![share(1001.0, "b", 0.75)]].concat()), []);
+        assert_eq!(judge_shares(&History::default()), Err(NotJudged::Empty));
+    }
+
+    #[test]
+    fn more_calls_at_once_than_all_may_have_are_refused() {
+        let received = |call: u64| {
+            let (proxy, request, place) = ("p".into(), format!("O{call}"), "n".into());
+            (call as f64, Seen::Received { proxy, request, call, place, first: call as f64, work: 1.0 })
+        };
+        let bound = (0.0, Seen::Bound { place: "n".into(), calls: 2 });
+        let closed = (2.5, Seen::Closed { call: 1, end: End::Missed });
+        assert_eq!(reasons(vec![bound.clone(), received(1), received(2), closed, received(3)]), []);
+        assert_eq!(reasons(vec![bound, received(1), received(2), received(3)]), [Reason::TooManyAtOnce]);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,11 @@
 //! Experiments with pinetrail. `pinetrail-lab --help` lists them.
 
+mod chart;
 mod cost;
 mod demo;
 mod load;
 mod members;
+mod shares;
 mod table;
 
 use clap::{Parser, Subcommand};
@@ -23,6 +25,8 @@
     Demo(demo::Options),
     /// The membership of 3 to 1,000 proxies in simulated time, beside heartbeats from everybody to everybody.
     Members(members::Options),
+    /// Shares of an origin by three rules, in simulated time: static, divided by the living, leased.
+    Shares(shares::Options),
     /// What a fleet costs real processes and their clients: with it and without it, in turn.
     Cost(cost::Options),
     /// One proxy, as the program `pinetrail` is: how the demo starts its processes.
@@ -35,6 +39,7 @@
         Experiment::Demo(options) => demo::run(&options),
         Experiment::Cost(options) => cost::run(&options),
         Experiment::Members(options) => members::run(&options),
+        Experiment::Shares(options) => shares::run(&options),
         Experiment::Proxy => {
             // Danger: an end of the demo that nothing can be done about would leave its processes behind.
             let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
--- /dev/null
+++ b/crates/lab/src/shares/mod.rs
@@ -0,0 +1,79 @@
+//! `pinetrail-lab shares`: proxies that fetch from one origin, by three rules of what each may use, side by side.
+
+mod day;
+
+use crate::{chart, table};
+use clap::Args;
+use day::{Day, Event, Outcome, Rule};
+use rayon::prelude::*;
+use std::path::PathBuf;
+
+/// What to compare.
+#[derive(Args)]
+pub struct Options {
+    /// Random numbers begin with this.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Sizes of fleets.
+    #[arg(long, value_delimiter = ',', default_values_t = [30, 300], value_parser = clap::value_parser!(u16).range(10..=500))]
+    members: Vec<u16>,
+    /// Where to write all figures as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// A folder for the plots (SVG).
+    #[arg(long)]
+    plots: Option<PathBuf>,
+}
+
+/// Compares, prints and writes; an error says what could not be. False if what is leased was ever over the whole.
+pub fn run(options: &Options) -> Result<bool, String> {
+    let rules = [Rule::Static, Rule::Live, Rule::Leased];
+    let events = [Event::Release, Event::Deaths, Event::Crash, Event::Cut, Event::Zone];
+    let days: Vec<Day> = options
+        .members
+        .iter()
+        .flat_map(|members| events.map(|event| (usize::from(*members), event)))
+        .flat_map(|(proxies, event)| rules.map(|rule| Day { proxies, event, rule, seed: options.seed }))
+        .collect();
+    let outcomes: Vec<Outcome> = days.par_iter().map(Day::play).collect();
+    show(&outcomes);
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&outcomes).map_err(|error| error.to_string())?;
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    if let Some(folder) = &options.plots {
+        draw(folder, &outcomes).map_err(|error| format!("{}: {error}", folder.display()))?;
+    }
+    Ok(outcomes.iter().all(|outcome| outcome.rule != Rule::Leased || outcome.sum <= 1.0 + 1e-9))
+}
+
+fn show(outcomes: &[Outcome]) {
+    let rows = outcomes.iter().map(|outcome| {
+        vec![
+            format!("{} {:?} {:?}", outcome.proxies, outcome.event, outcome.rule).to_lowercase(),
+            format!("{:.1}", outcome.served_percent),
+            format!("{:.2}", outcome.most),
+            format!("{:.2}", outcome.fetches),
+            outcome.over_ms.to_string(),
+            outcome.falls.to_string(),
+            format!("{:.3}", outcome.sum),
+            outcome.grown_ms.map_or("-".to_owned(), |ms| ms.to_string()),
+        ]
+    });
+    println!("Served in time, in percent, from the event to its end; the most calls at once and fetches begun in a second, over what the");
+    println!("origin bears; how long it had more, in ms; falls; the most that shares added up to; ms after the last death until the");
+    println!("survivors had what is theirs");
+    let heading = ["proxies, event, rule", "served", "calls", "fetches", "over", "falls", "sum", "grown"];
+    table::print(&heading, &rows.collect::<Vec<_>>());
+}
+
+fn draw(folder: &std::path::Path, outcomes: &[Outcome]) -> Result<(), Box<dyn std::error::Error>> {
+    std::fs::create_dir_all(folder)?;
+    for days in outcomes.chunks(3) {
+        let name = format!("shares-{}-{:?}", days[0].proxies, days[0].event).to_lowercase();
+        let lines = [("static", &days[0]), ("divided by the living", &days[1]), ("leased", &days[2])];
+        let lines = lines.map(|(name, day)| (name, day.shares.clone()));
+        chart::lines(&folder.join(format!("{name}.svg")), "shares in force, added up", "s", &lines)?;
+    }
+    Ok(())
+}
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -32,6 +32,8 @@
     Send(SocketAddr, Vec<u8>),
     /// Hear something.
     News(News),
+    /// What another member says about shares.
+    Shares(Vec<u8>),
 }
 
 enum Due {
@@ -167,6 +169,13 @@
         }
     }
 
+    /// Says something about shares to a member, unless this process is out of the fleet.
+    pub fn say_of_shares(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+        if self.counts_here() {
+            self.send(Kind::Shares, to, body, out);
+        }
+    }
+
     /// Other peers are to be asked from now on.
     pub fn set_peers(&mut self, now: Time, peers: Vec<SocketAddr>, out: &mut Vec<Output>) -> Result<(), Bad> {
         let newer = Settings { peers, ..self.settings.clone() };
@@ -183,7 +192,7 @@
     /// This member leaves on purpose.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
         self.arrive(now, out);
-        if matches!(self.standing, Standing::Only | Standing::Followed { .. }) {
+        if self.counts_here() {
             let last = self.me.in_life(self.me.start, LAST_LIFE);
             let active: Vec<SocketAddr> = self.active().take(BYES).map(|id| id.address).collect();
             let words = wire::words(&last);
@@ -276,6 +285,8 @@
     ) -> Result<(), Dropped> {
         match kind {
             Kind::Swim => return self.swim_said(body, out),
+            Kind::Shares if self.counts_here() => out.push(Output::Shares(body.to_vec())),
+            Kind::Shares => {}
             Kind::NoRoom => {
                 let room: u64 = wire::read(body)?;
                 out.push(Output::News(News::NoRoom(from, room as usize)));
@@ -405,13 +416,23 @@
         }
     }
 
+    /// Whether this process is who bears its name in the fleet.
+    pub fn counts_here(&self) -> bool {
+        matches!(self.standing, Standing::Only | Standing::Followed { .. })
+    }
+
+    /// The others that are alive or suspected: where they are reached, and when they started.
+    pub fn there(&self) -> impl Iterator<Item = (SocketAddr, u64)> + '_ {
+        self.active().map(|id| (id.address, id.start))
+    }
+
     fn active(&self) -> impl Iterator<Item = &Id> {
         self.swim.members().filter(|member| member.state() != foca::State::Down).map(foca::Member::id)
     }
 
     /// Asks the peers that are not among those alive. A new member asks one of those as well, for whom it knows.
     fn ask(&mut self, out: &mut Vec<Output>) {
-        if matches!(self.standing, Standing::Only | Standing::Followed { .. }) {
+        if self.counts_here() {
             let here: Vec<SocketAddr> = self.active().map(|id| id.address).collect();
             let me = wire::words(&self.me);
             for peer in self.settings.peers.clone() {
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -34,9 +34,12 @@
     NoRoom,
     /// "I go": an [`Id`].
     Bye,
+    /// What the floor of shares says.
+    Shares,
 }
 
-const KINDS: [Kind; 6] = [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye];
+const KINDS: [Kind; 7] =
+    [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye, Kind::Shares];
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -2,11 +2,14 @@
 
 use crate::witness::Witness;
 use crate::WAIT;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
+/// Nothing more comes, or not in time.
+const GONE: [ErrorKind; 2] = [ErrorKind::ConnectionReset, ErrorKind::WouldBlock];
+
 /// A consumer's connection.
 pub struct Client(BufReader<TcpStream>, Witness);
 
@@ -17,6 +20,13 @@
         Client(BufReader::new(stream), Witness::own())
     }
 
+    /// The same where nobody may listen, or nobody answer within a second.
+    pub fn try_to(place: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(place).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        Some(Client(BufReader::new(stream), Witness::own()))
+    }
+
     pub fn say(&mut self, words: &str) {
         self.0.get_mut().write_all(words.as_bytes()).unwrap();
     }
@@ -43,7 +53,7 @@
         let mut line = String::new();
         match self.0.read_line(&mut line) {
             Ok(_) => line,
-            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => String::new(),
+            Err(error) if GONE.contains(&error.kind()) => String::new(),
             Err(error) => panic!("{error}"),
         }
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -61,12 +61,17 @@
     pub size: usize,
     /// For the faults on the ways.
     pub seed: u64,
+    /// Who founds; they share only if there are any.
+    pub founders: Vec<usize>,
+    /// Calls in flight of all together at one node, if they share.
+    pub node_calls: Option<usize>,
 }
 
 impl Options {
     /// So many members that are told of all.
     pub fn of(members: usize) -> Options {
-        Options { members, peers: (0..members).collect(), size: 16, seed: 1 }
+        let (founders, node_calls) = (Vec::new(), None);
+        Options { members, peers: (0..members).collect(), size: 16, seed: 1, founders, node_calls }
     }
 }
 
@@ -248,6 +253,18 @@
             "peers": peers,
             "size": self.options.size,
         });
+        if !self.options.founders.is_empty() {
+            let founders = self.options.founders.iter().map(|founder| self.hub(*founder).to_string());
+            let fleet = &mut config["fleet"];
+            fleet["founders"] = founders.collect();
+            // Shorter than usual, so that tests need not wait long.
+            for (field, ms) in [("ask_ms", 200), ("vote_ms", 900), ("lease_ms", 2000), ("call_ms", 1000)] {
+                fleet[field] = json!(ms);
+            }
+            if let Some(calls) = self.options.node_calls {
+                fleet["node_calls"] = json!(calls);
+            }
+        }
         config
     }
 
--- a/crates/rig/src/parties.rs
+++ b/crates/rig/src/parties.rs
@@ -22,6 +22,8 @@
     pub heard: Arc<Mutex<Vec<String>>>,
     pub connected: Arc<AtomicUsize>,
     pub ended: Arc<AtomicUsize>,
+    pub busy: Arc<AtomicUsize>,
+    pub most: Arc<AtomicUsize>,
 }
 
 impl Party {
@@ -33,15 +35,19 @@
             heard: Arc::default(),
             connected: Arc::default(),
             ended: Arc::default(),
+            busy: Arc::default(),
+            most: Arc::default(),
         };
         let (heard, connected) = (Arc::clone(&party.heard), Arc::clone(&party.connected));
         let (ended, act) = (Arc::clone(&party.ended), Arc::new(act));
+        let (busy, most) = (Arc::clone(&party.busy), Arc::clone(&party.most));
         let (witness, place) = (Witness::own(), party.place.to_string());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 connected.fetch_add(1, Ordering::SeqCst);
                 let (heard, ended, act) = (Arc::clone(&heard), Arc::clone(&ended), Arc::clone(&act));
                 let (witness, place) = (witness.clone(), place.clone());
+                let (busy, most) = (Arc::clone(&busy), Arc::clone(&most));
                 thread::spawn(move || {
                     let mut stream = stream.unwrap();
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
@@ -49,7 +55,10 @@
                     while let Some(request) = request(&mut reader, http) {
                         heard.lock().unwrap().push(request.clone());
                         let number = *call.insert(witness.received(&place, &request));
-                        match act(&request) {
+                        most.fetch_max(busy.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+                        let does = act(&request);
+                        busy.fetch_sub(1, Ordering::SeqCst);
+                        match does {
                             Does::Says(words) => {
                                 witness.closed(number, Some(&words));
                                 stream.write_all(words.as_bytes()).unwrap_or(());
@@ -90,6 +99,11 @@
         self.heard.lock().unwrap().clone()
     }
 
+    /// The most requests that it had before it at once.
+    pub fn most_at_once(&self) -> usize {
+        self.most.load(Ordering::SeqCst)
+    }
+
     pub fn connected(&self) -> usize {
         self.connected.load(Ordering::SeqCst)
     }
--- a/crates/rig/src/witness.rs
+++ b/crates/rig/src/witness.rs
@@ -2,7 +2,8 @@
 //! sent and got. Each test has its own; all that it makes writes to it.
 
 use pinetrail_histories::{
-    judge, Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time,
+    judge, judge_shares, Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State,
+    Time,
 };
 use serde_json::Value;
 use std::sync::{Arc, Mutex};
@@ -128,6 +129,22 @@
         self.note(|_| (Seen::Closed { call, end }, ()));
     }
 
+    /// A process said at its door what its share is; its calls run for so long at the most.
+    pub fn share(&self, proxy: &str, part: f64, calls: Time) {
+        self.note(|_| (Seen::Share { proxy: proxy.to_owned(), part, calls }, ()));
+    }
+
+    /// All together may have so many calls at once at a provider.
+    pub fn bound(&self, place: &str, calls: usize) {
+        self.note(|_| (Seen::Bound { place: place.to_owned(), calls }, ()));
+    }
+
+    /// Judges what was seen of shares alone.
+    pub fn judge_shares(&self) {
+        let breaches = judge_shares(&self.history()).expect("shares were seen");
+        assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
+    }
+
     /// What was seen.
     pub fn history(&self) -> History {
         History { blur: BLUR, events: self.0.lock().unwrap().events.clone() }
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -16,12 +16,14 @@
 mod shares;
 mod standing;
 mod view;
+mod wire;
 
 pub use holder::Lease;
 pub use message::Message;
-pub use settings::{Bad, Settings};
+pub use settings::{Bad, Settings, MOST_FOUNDERS};
 pub use shares::{Counts, News, Output, Shares};
 pub use view::{Ballot, Process, View};
+pub use wire::{read, words, Unheard};
 
 /// A time or duration, in milliseconds of one process's clock.
 pub type Time = u64;
--- a/crates/shares/src/message.rs
+++ b/crates/shares/src/message.rs
@@ -53,6 +53,8 @@
     pub newer: Option<View>,
     /// The highest number of a view that it has heard of.
     pub number: u64,
+    /// Whether it ends soon: it is to be in no council any more.
+    pub leaves: bool,
     /// What it holds, and wants to go on holding.
     pub want: Want,
 }
--- a/crates/shares/src/seat.rs
+++ b/crates/shares/src/seat.rs
@@ -23,6 +23,8 @@
     pub(crate) number: u64,
     /// When it last heard of a steward in office.
     pub(crate) heard: Time,
+    /// Whether this process ends soon.
+    pub(crate) leaves: bool,
 }
 
 impl Seat {
@@ -39,6 +41,7 @@
             seen: none,
             number: 0,
             heard: now,
+            leaves: false,
         }
     }
 
@@ -112,6 +115,7 @@
             promised: self.seen,
             newer: self.view.as_ref().filter(later).cloned(),
             number: self.number,
+            leaves: self.leaves,
             want,
         }
     }
--- a/crates/shares/src/settings.rs
+++ b/crates/shares/src/settings.rs
@@ -20,7 +20,7 @@
     pub vote: Time,
     /// A lease lasts so long.
     pub lease: Time,
-    /// The longest time that a call may run which began under a lease.
+    /// The longest time that a call may run: what was leased is in use that much longer.
     pub calls: Time,
     /// How much faster one clock may run than another, in percent.
     pub skew: u64,
@@ -43,10 +43,10 @@
 }
 
 impl Settings {
-    /// The usual ones: a lease of 3 s, votes of 1.2 s, calls of a second.
+    /// The usual ones: a lease of 3 s, votes of 1.2 s, calls of 2.5 s.
     pub fn usual(mut founders: Vec<SocketAddr>, size: usize) -> Settings {
         founders.sort();
-        Settings { founders, size, period: 300, vote: 1200, lease: 3000, calls: 1000, skew: 2, steps: 4 }
+        Settings { founders, size, period: 300, vote: 1200, lease: 3000, calls: 2500, skew: 2, steps: 4 }
     }
 
     /// Says what cannot be.
@@ -65,10 +65,20 @@
         within("period", self.period, 50, 10_000)?;
         within("vote", self.vote, self.period * 2, 60_000)?;
         within("lease", self.lease, self.vote, 120_000)?;
+        within("calls", self.calls, 0, 120_000)?;
         within("skew", self.skew, 0, 50)?;
         within("steps", self.steps, 1, 100)
     }
 
+    /// Stands for all that must be the same at every process.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
+        self.founders.iter().for_each(|place| hash.update(place.to_string().as_bytes()));
+        let numbers = [self.size as u64, self.vote, self.lease, self.calls, self.skew];
+        numbers.iter().for_each(|number| hash.update(&number.to_be_bytes()));
+        hash.digest()
+    }
+
     /// What is always this process's own.
     pub fn base(&self) -> Part {
         LEASED / self.size as Part
--- a/crates/shares/src/shares.rs
+++ b/crates/shares/src/shares.rs
@@ -127,6 +127,11 @@
         self.alive = alive.into_iter().filter(|process| process.place != self.me.place).collect();
     }
 
+    /// This process ends soon. It holds what it holds for as long as it is there, but votes in no view after this one.
+    pub fn leave(&mut self) {
+        self.seat.leaves = true;
+    }
+
     /// Time has passed.
     pub fn due(&mut self, now: Time, out: &mut Vec<Output>) {
         self.look(now, out);
--- a/crates/shares/src/standing.rs
+++ b/crates/shares/src/standing.rs
@@ -31,11 +31,15 @@
     found: Option<(Ballot, View)>,
     next: Option<View>,
     takes: BTreeSet<Process>,
+    /// Who said that it ends soon.
+    leaving: BTreeSet<Process>,
     pub(crate) phase: Phase,
     /// Until when it has the votes that it needs. Danger: looked at before anything else is done in its office. Between two looks
     /// another may have been in office.
     valid_until: Time,
     pub(crate) began: Time,
+    /// When it came into office, or had its latest view decided: from then on those who sit in it may vote.
+    decided: Time,
 }
 
 impl Standing {
@@ -49,9 +53,11 @@
             found: None,
             next: None,
             takes: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             phase: Phase::Asking,
             valid_until: 0,
             began: now,
+            decided: now,
         };
         standing.raise(seat);
         standing
@@ -104,6 +110,9 @@
 
     /// Takes an answer to what it asked in this ballot.
     pub(crate) fn hear(&mut self, now: Time, answer: &Answer, seat: &mut Seat, settings: &Settings) {
+        if answer.leaves {
+            self.leaving.insert(answer.from);
+        }
         let counts = match &self.view {
             Some(view) => view.seats(&answer.from),
             None => settings.founders.binary_search(&answer.from.place).is_ok(),
@@ -149,12 +158,13 @@
         let seats: BTreeSet<SocketAddr> = self.takes.iter().map(|process| process.place).collect();
         if let Some(next) = self.next.take_if(|_| seats.len() >= quorum(&self.view, settings)) {
             seat.adopt(&next);
-            self.view = Some(next);
+            (self.view, self.decided) = (Some(next), now);
             self.raise(seat);
             self.count(settings);
         }
         let decided = self.next.is_none() && self.view.is_some();
         if self.phase == Phase::Deciding && decided && now < self.valid_until {
+            self.decided = now;
             self.phase = Phase::Serving { began: now, ledger: Ledger::new(now, settings) };
         }
     }
@@ -186,6 +196,11 @@
         seat: &mut Seat,
         settings: &Settings,
     ) {
+        // A process that does not answer is out before anybody else has noticed.
+        if let Some(view) = self.view.as_ref().filter(|_| now >= self.decided + settings.period * 2) {
+            council.retain(|one| !view.seats(one) || self.votes.get(one).is_some_and(|until| now < *until));
+        }
+        council.retain(|one| !self.leaving.contains(one));
         council.sort();
         let is_other = |view: &View| council != view.council && council.len() >= settings.least();
         if self.serves(now) && self.next.is_none() && self.view.as_ref().is_some_and(is_other) {
--- /dev/null
+++ b/crates/shares/src/wire.rs
@@ -0,0 +1,75 @@
+//! Words about shares in bytes. What is said under other settings is not heard: two that divide differently must
+//! neither vote for nor lease to each other.
+
+use crate::message::Message;
+use crate::settings::Settings;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Why words are not heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Unheard {
+    /// They are none.
+    #[error("no words about shares")]
+    Spoilt,
+    /// Founders, size or times there are others than here.
+    #[error("other founders, size or times")]
+    OtherSettings,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Said<T> {
+    settings: u64,
+    message: T,
+}
+
+/// A message in bytes.
+pub fn words(settings: &Settings, message: &Message) -> Vec<u8> {
+    let said = Said { settings: settings.digest(), message };
+    // Numbers, addresses and lists have a form in postcard: nothing here fails.
+    postcard::to_allocvec(&said).unwrap_or_default()
+}
+
+/// Reads one.
+pub fn read(settings: &Settings, bytes: &[u8]) -> Result<Message, Unheard> {
+    let (said, rest): (Said<Message>, _) = postcard::take_from_bytes(bytes).map_err(|_| Unheard::Spoilt)?;
+    match (rest, said.settings == settings.digest()) {
+        ([], true) => Ok(said.message),
+        ([], false) => Err(Unheard::OtherSettings),
+        _ => Err(Unheard::Spoilt),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::message::Ask;
+    use crate::settings::MOST_FOUNDERS;
+    use crate::view::{Ballot, Process, View};
+    use std::net::SocketAddr;
+
+    #[test]
+    fn the_longest_words_fit_a_datagram_and_only_like_settings_hear_them() {
+        let place = |n: usize| SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, n as u16], 65_535));
+        let settings = Settings::usual((0..MOST_FOUNDERS).map(place).collect(), 40);
+        assert_eq!(settings.check(), Ok(()));
+        let process = |n| Process { place: place(n), start: u64::MAX / 2 };
+        let ballot = Ballot { round: u64::MAX, who: process(1) };
+        let council = (0..MOST_FOUNDERS).map(process).collect();
+        let view = Some(View { ballot, number: u64::MAX, council });
+        let at = u64::MAX;
+        let ask = Ask { ballot, at, founds: false, in_office: true, view: view.clone(), next: view };
+        let bytes = words(&settings, &Message::Ask(Box::new(ask.clone())));
+        assert!(bytes.len() <= 1_100, "{}", bytes.len());
+        assert_eq!(read(&settings, &bytes), Ok(Message::Ask(Box::new(ask))));
+        let others = [
+            Settings { size: 41, ..settings.clone() },
+            Settings { lease: 3001, ..settings.clone() },
+            Settings { founders: settings.founders[1..].to_vec(), ..settings.clone() },
+        ];
+        assert!(others.iter().all(|other| read(other, &bytes) == Err(Unheard::OtherSettings)));
+        (0..bytes.len())
+            .for_each(|end| assert_eq!(read(&settings, &bytes[..end]), Err(Unheard::Spoilt), "{end}"));
+        assert_eq!(read(&settings, &[bytes, vec![0]].concat()), Err(Unheard::Spoilt));
+    }
+}
--- a/crates/shares/tests/seeds.rs
+++ b/crates/shares/tests/seeds.rs
@@ -1,7 +1,7 @@
 //! Shares under faults drawn from seeds: what all may use together, with what calls of before still use, is never over the
 //! whole; and once the faults end everybody has the same share.
 
-use pinetrail_shares::{News, LEASED, WHOLE};
+use pinetrail_shares::{News, Process, LEASED, WHOLE};
 use pinetrail_world::shares::{Clock, Sharing};
 use rand::RngExt;
 
@@ -11,9 +11,8 @@
 fn play(seed: u64) -> Result<(), String> {
     let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
     for host in 0..HOSTS {
-        let clock =
-            Clock { from: sharing.rng.random_range(0..1 << 20), rate: sharing.rng.random_range(990..=1009) };
-        sharing.set_clock(host, clock);
+        let rate = sharing.rng.random_range(990..=1009);
+        sharing.set_clock(host, Clock::new(0, rate));
         sharing.start(host);
     }
     sharing.know_all();
@@ -36,7 +35,13 @@
                 let side = |bit: u32| -> Vec<usize> {
                     (0..HOSTS).filter(|host| (sides >> host) & 1 == bit).collect()
                 };
-                sharing.network.cut_into(&[&side(0), &side(1)]);
+                let sides = [side(0), side(1)];
+                sharing.network.cut_into(&[&sides[0], &sides[1]]);
+                // Each side may notice at once.
+                for side in sides.iter().filter(|_| host % 2 == 0) {
+                    let there: Vec<Process> = side.iter().map(|one| sharing.process(*one)).collect();
+                    side.iter().for_each(|one| sharing.know(*one, there.clone()));
+                }
             }
             5 => {
                 let to = sharing.rng.random_range(0..HOSTS);
@@ -60,8 +65,9 @@
                 sharing.go_on(host);
             }
         }
-        if sharing.most > WHOLE {
-            return Err(format!("{} of {WHOLE} in use at {} ms", sharing.most, sharing.now()));
+        if sharing.most > WHOLE || sharing.stewards > 1 {
+            let (most, stewards, now) = (sharing.most, sharing.stewards, sharing.now());
+            return Err(format!("{most} of {WHOLE} in use, {stewards} stewards at {now} ms"));
         }
     }
     sharing.network.heal();
@@ -191,3 +197,28 @@
     assert!((0..9).all(|host| sharing.share(host) == sharing.settings.base() + LEASED / 9));
     assert!(sharing.most <= WHOLE);
 }
+
+/// Danger: the process before this one at its seat may have voted for a steward that is still in office.
+#[test]
+fn who_has_just_started_founds_nothing_while_a_vote_of_before_may_be_out() {
+    for seed in 0..40 {
+        let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
+        (0..HOSTS).for_each(|host| sharing.start(host));
+        sharing.know_all();
+        sharing.run(20_000);
+        // A council of two is left, and one of those hears the three that start anew, which the steward does not.
+        for host in [2, 3, 4] {
+            sharing.kill(host);
+            sharing.know_all();
+            sharing.run(3_000);
+        }
+        let steward = if sharing.at(0).is_some_and(|(shares, now)| shares.is_steward(now)) { 0 } else { 1 };
+        sharing.network.cut_into(&[&[steward], &[2, 3, 4]]);
+        (2..HOSTS).for_each(|host| sharing.start(host));
+        sharing.run(8_000 + seed * 61);
+        sharing.start(1 - steward);
+        sharing.network.cut_into(&[&[steward], &[1 - steward]]);
+        sharing.run(10_000);
+        assert!(sharing.stewards == 1 && sharing.most <= WHOLE, "seed {seed}: {} stewards", sharing.stewards);
+    }
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod fleet;
 pub mod heartbeats;
 pub mod network;
+pub mod origin;
 pub mod shares;
--- a/crates/world/src/shares.rs
+++ b/crates/world/src/shares.rs
@@ -4,28 +4,35 @@
 use crate::network::Network;
 use pinetrail_shares::{Message, News, Output, Part, Process, Settings, Shares, Time};
 use rand::rngs::StdRng;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// A clock that runs at a rate of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    /// What it shows at the beginning.
+    /// What it shows when the process starts.
     pub from: Time,
     /// How fast it runs, in thousandths.
     pub rate: u64,
+    /// When that is.
+    since: Time,
 }
 
 impl Clock {
+    /// One that shows this when the process starts.
+    pub fn new(from: Time, rate: u64) -> Clock {
+        Clock { from, rate, since: 0 }
+    }
+
     /// What it shows at a time.
     pub fn at(&self, time: Time) -> Time {
-        self.from + time * self.rate / 1000
+        self.from + (time - self.since) * self.rate / 1000
     }
 
     /// When it shows this, at the earliest.
     fn when(&self, shown: Time) -> Time {
-        (shown.saturating_sub(self.from) * 1000).div_ceil(self.rate)
+        self.since + (shown.saturating_sub(self.from) * 1000).div_ceil(self.rate)
     }
 }
 
@@ -63,6 +70,8 @@
     pub heard: Vec<(Time, usize, News)>,
     /// The most that all used together, with what calls of before still use.
     pub most: Part,
+    /// The most that took themselves for stewards at once.
+    pub stewards: usize,
     /// Messages carried.
     pub messages: u64,
 }
@@ -75,7 +84,7 @@
 impl Sharing {
     /// So many hosts on which nothing runs, of which the first are the founders.
     pub fn new(hosts: usize, founders: usize, size: usize, seed: u64) -> Sharing {
-        let clock = Clock { from: 1_000_000, rate: 1000 };
+        let clock = Clock::new(1_000_000, 1000);
         let host = |_| Host {
             shares: None,
             stopped: false,
@@ -96,6 +105,7 @@
             rng: StdRng::seed_from_u64(seed),
             heard: Vec::new(),
             most: 0,
+            stewards: 0,
             messages: 0,
         }
     }
@@ -119,6 +129,10 @@
     pub fn start(&mut self, host: usize) {
         self.kill(host);
         self.hosts[host].starts += 1;
+        // A process counts from its own beginning, which is another each time.
+        let from = self.rng.random_range(0..1 << 30);
+        let clock = &mut self.hosts[host].clock;
+        *clock = Clock { from, since: self.now, ..*clock };
         let (me, now) = (self.process(host), self.hosts[host].clock.at(self.now));
         let shares = Shares::new(self.settings.clone(), me, now).expect("settings that can be");
         self.hosts[host].shares = Some(shares);
@@ -136,6 +150,11 @@
         this.inbox.clear();
     }
 
+    /// Asks the process on a host to end: it is killed later.
+    pub fn leave(&mut self, host: usize) {
+        self.hosts[host].shares.iter_mut().for_each(Shares::leave);
+    }
+
     /// Stops the process on a host.
     pub fn stop(&mut self, host: usize) {
         self.hosts[host].stopped = true;
@@ -237,16 +256,19 @@
     /// Adds up what all use. A process that is stopped uses nothing, but what it would use once it goes on counts.
     fn watch(&mut self) {
         let (now, calls) = (self.now, self.settings.calls);
-        let mut in_use = 0;
+        let (mut in_use, mut stewards) = (0, 0);
         for host in &mut self.hosts {
             let share = host.shares.as_ref().map_or(0, |shares| shares.share(host.clock.at(now)));
             if share < host.share {
                 host.calls.push((host.share, now + calls));
             }
             host.share = share;
+            let serves = |shares: &Shares| shares.is_steward(host.clock.at(now));
+            stewards += usize::from(host.shares.as_ref().is_some_and(serves));
             host.calls.retain(|(_, until)| now < *until);
             in_use += host.calls.iter().map(|(part, _)| *part).chain([share]).max().unwrap_or(0);
         }
+        self.stewards = self.stewards.max(stewards);
         self.most = self.most.max(in_use);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -123,6 +123,19 @@
     pub report: Vec<f32>,
 }
 
+/// This proxy's part of what all proxies may have together, which is 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Its part until `until`.
+    pub part: f64,
+    /// When what it holds beyond its base ends.
+    pub until: Time,
+    /// Its part from then on.
+    pub base: f64,
+    /// Calls that all together may have in flight at one server, and at the origin; infinite where that is not told.
+    pub whole: [f64; 2],
+}
+
 /// What happens to a balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -142,6 +155,8 @@
     Probed(ServerId, bool, Vec<f32>),
     /// A message from a peer.
     Peer(u32, Vec<u8>),
+    /// Another share; until the first one comes it is one of `group_size`.
+    Share(Share),
 }
 
 /// What a balancer wants done, in this order.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,8 @@
     retries: f64,
     ask_failures: i32,
     admit: [f64; 2], // at the fleet, at the origin
+    share: Option<Share>,
+    learnt: f64, // the parts that made the whole when limits were learnt
 }
 
 #[derive(Default)]
@@ -116,12 +118,14 @@
             retries: 1.0,
             ask_failures: 0,
             admit: [1.0; 2],
+            share: None,
+            learnt: 1.0,
         }
     }
 
     /// From now on these settings; open requests keep what they were taken with.
     pub fn retune(&mut self, settings: Settings) {
-        let regrouped = settings.group_size != self.settings.group_size;
+        let regrouped = self.share.is_none() && settings.group_size != self.settings.group_size;
         self.settings = settings;
         if regrouped {
             // What was learnt was this proxy's part of what others were more, or fewer, to share.
@@ -142,6 +146,7 @@
             Event::AttemptEnd(end) => self.on_attempt_end(end, out),
             Event::ClientGone(id) => self.close(id, out),
             Event::Timer(token) => self.on_timer(token, out),
+            Event::Share(share) => self.on_share(share),
             Event::Probed(..) | Event::Peer(..) => {}
         }
         if wakes {
@@ -327,13 +332,29 @@
 
     /// Whether this proxy's share of a server is under M: then it can see no gap of M, nor cut a limit.
     fn is_one_of_many(&self) -> bool {
-        FIRST < M * f64::from(self.settings.group_size)
+        FIRST < M * self.parts()
     }
 
     /// In flight at a server at first: this proxy's part of what all together may have there.
     fn first_limit(&self, member: &Member) -> f64 {
         let (all, least) = if self.is_origin(member) { (8.0, 2.0) } else { (FIRST, 1.0) };
-        f64::max(all / f64::from(self.settings.group_size.max(1)), least)
+        f64::max(all / self.parts(), least)
+    }
+
+    /// How many parts like this proxy's make the whole. Danger: to be asked at every use. What is held beyond the
+    /// base ends by itself, and others have it then.
+    fn parts(&self) -> f64 {
+        let now = |share: &Share| if self.now < share.until { share.part } else { share.base };
+        self.share.as_ref().map_or(f64::from(self.settings.group_size.max(1)), |share| 1.0 / now(share))
+    }
+
+    /// Limits were learnt by the part of before.
+    fn on_share(&mut self, share: Share) {
+        let before = if self.share.is_some() { self.learnt } else { self.parts() };
+        self.share = Some(share);
+        self.learnt = self.parts();
+        let scale = before / self.learnt;
+        self.servers.values_mut().for_each(|server| server.limit = (server.limit * scale).max(1.0));
     }
 
     fn in_fleet(&self, server: &Server) -> bool {
@@ -361,7 +382,11 @@
     /// Danger: quick rejections become a hammer. At its last place a server rests after a cut.
     fn has_room(&self, server: &Server) -> bool {
         let rested = server.limit >= 2.0 || self.now - server.cut_at > 100.0;
-        rested && (server.calls.len() as f64) < server.limit.floor()
+        let room = self.share.map_or(server.limit, |share| {
+            let whole = share.whole[usize::from(self.is_origin(&server.member))];
+            (server.limit * self.learnt / self.parts()).max(1.0).min(whole / self.parts())
+        });
+        rested && (server.calls.len() as f64) < room.floor()
     }
 
     /// Danger: a server just started collapses under its usual load. Each proxy draws by hash the share
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -1,9 +1,11 @@
 //! What the `fleet` object of the configuration says, in the form of the core.
 
 use super::{address, ConfigError};
-use crate::net::fleet::FleetConfig;
+use crate::net::fleet::{FleetConfig, SharesConfig};
 use pinetrail_members::{Settings, Times};
+use pinetrail_shares as shares;
 use serde::Deserialize;
+use std::net::SocketAddr;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,10 +23,19 @@
     reunion_ms: Option<u64>,
     rejoin_ms: Option<u64>,
     forget_ms: Option<u64>,
+    founders: Option<Vec<String>>,
+    node_calls: Option<u64>,
+    origin_calls: Option<u64>,
+    ask_ms: Option<u64>,
+    vote_ms: Option<u64>,
+    lease_ms: Option<u64>,
+    call_ms: Option<u64>,
 }
 
 /// Reads the object for the proxy of this name.
-pub fn fleet(file: FleetFile, own: &str) -> Result<FleetConfig, ConfigError> {
+pub fn fleet(mut file: FleetFile, own: &str) -> Result<FleetConfig, ConfigError> {
+    let founders = file.founders.take();
+    let shares = founders.map(|founders| shares(&file, founders)).transpose()?;
     let bind = address("fleet.bind", file.bind)?;
     let advertise = file.advertise.map(|at| address("fleet.advertise", at)).transpose()?;
     let peers = file.peers.into_iter().map(|at| address("fleet.peers", at)).collect::<Result<_, _>>()?;
@@ -47,5 +58,31 @@
         times,
     };
     settings.check().map_err(|error| ConfigError::Fleet(error.to_string()))?;
-    Ok(FleetConfig { bind, advertise, settings })
+    Ok(FleetConfig { bind, advertise, settings, shares })
+}
+
+/// What it says of shares, which it does by naming the founders.
+fn shares(file: &FleetFile, founders: Vec<String>) -> Result<SharesConfig, ConfigError> {
+    let bad = |error: String| ConfigError::Fleet(error);
+    let founders: Vec<SocketAddr> =
+        founders.into_iter().map(|at| address("fleet.founders", at)).collect::<Result<_, _>>()?;
+    let usual = shares::Settings::usual(founders, file.size);
+    let settings = shares::Settings {
+        period: file.ask_ms.unwrap_or(usual.period),
+        vote: file.vote_ms.unwrap_or(usual.vote),
+        lease: file.lease_ms.unwrap_or(usual.lease),
+        calls: file.call_ms.unwrap_or(usual.calls),
+        ..usual
+    };
+    settings.check().map_err(|error| bad(error.to_string()))?;
+    // Danger: a base under one call would be none, or the bases together more than the whole.
+    let least = 2 * file.size as u64;
+    for (field, calls) in [("node_calls", file.node_calls), ("origin_calls", file.origin_calls)] {
+        if let Some(calls) = calls.filter(|calls| *calls < least) {
+            return Err(bad(format!("{field} {calls} is below 2 for each of size, {least}")));
+        }
+    }
+    let whole =
+        [file.node_calls, file.origin_calls].map(|calls| calls.map_or(f64::INFINITY, |calls| calls as f64));
+    Ok(SharesConfig { settings, whole })
 }
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -286,6 +286,15 @@
             None => None,
         };
         let fleet = file.fleet.map(|fleet| fleet::fleet(fleet, &file.name)).transpose()?;
+        let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+        if let Some(shares) = fleet.as_ref().and_then(|fleet| fleet.shares.as_ref()) {
+            // Danger: calls that run longer would be in use by two.
+            if (shares.settings.calls as f64) < longest {
+                let error =
+                    format!("call_ms {} is below the longest GiveUp, {longest}", shares.settings.calls);
+                return Err(ConfigError::Fleet(error));
+            }
+        }
         let (least, wanted) = match (&admin, &fleet) {
             (None, None) => (MIN_SOCKETS, "at least 32"),
             (Some(_), None) => (MIN_SOCKETS + DOOR_SOCKETS, "at least 50 with a door for operators"),
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -13,7 +13,7 @@
 use super::guard::{self, Guarded};
 use super::log::log;
 use crate::interface::{
-    Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, State, Time,
+    Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, Share, State, Time,
 };
 use crate::logic::Balancer;
 use crate::settings::Settings;
@@ -253,6 +253,12 @@
         self.hear(state, ListForm::Delta, listed);
     }
 
+    /// From now on this is the proxy's share of what all may have together; what it has beyond its base lasts so long.
+    pub fn share(self: &Arc<Self>, share: Share, lasts: Duration) {
+        let until = self.clock.now() + lasts.as_secs_f64() * 1000.0;
+        self.step(self.lock(), Event::Share(Share { until, ..share }));
+    }
+
     /// Invocations that are not yet answered.
     pub fn unanswered(&self) -> usize {
         self.lock().records.values().filter(|record| record.open.is_some()).count()
@@ -601,6 +607,6 @@
         Event::Request(request) => Some(request.id),
         Event::AttemptEnd(end) => Some(end.id),
         Event::ClientGone(id) | Event::StreamBegan(id) => Some(*id),
-        Event::Members(..) | Event::Timer(_) | Event::Probed(..) | Event::Peer(..) => None,
+        Event::Members(..) | Event::Timer(_) | Event::Probed(..) | Event::Peer(..) | Event::Share(_) => None,
     }
 }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -2,15 +2,18 @@
 //! what is due next; what is said and believed is decided by the core. Without `fleet` in the configuration there is none.
 
 mod report;
+mod sharing;
 
 use super::link::sleep;
 use super::log::log;
 use super::{counters, guard};
 use may::io::{CoIo, WaitIo};
 use pinetrail_members::{Counts, Members, Output, Settings, Time, MAX_DATAGRAM};
+pub use sharing::Share;
+use sharing::Sharing;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -24,8 +27,17 @@
 /// After so many of them the log says that it is not open.
 const OPEN_TRIES: usize = 250;
 
+/// What it is told of shares, if anything.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SharesConfig {
+    /// For the core.
+    pub settings: pinetrail_shares::Settings,
+    /// Calls in flight of all together, at one node and at the origin; infinite if not told.
+    pub whole: [f64; 2],
+}
+
 /// What a fleet's member is told at its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FleetConfig {
     /// Where its socket is.
     pub bind: SocketAddr,
@@ -33,6 +45,8 @@
     pub advertise: Option<SocketAddr>,
     /// The rest; its `advertise` counts once the socket is open.
     pub settings: Settings,
+    /// Of shares; without it the share is one of `GroupSize`.
+    pub shares: Option<SharesConfig>,
 }
 
 impl FleetConfig {
@@ -56,8 +70,33 @@
     number: u64,
     socket: Arc<CoIo<UdpSocket>>,
     members: Members,
+    sharing: Option<Sharing>,
 }
 
+impl Speaking {
+    /// Does what is due about shares, and hears what was said of them; what the decision module is to be told.
+    fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<Share> {
+        let sharing = self.sharing.as_mut()?;
+        let mut told = None;
+        let (said, others) =
+            std::mem::take(out).into_iter().partition(|one| matches!(one, Output::Shares(_)));
+        *out = others;
+        let said: Vec<Output> = said;
+        for one in said {
+            if let Output::Shares(bytes) = one {
+                told = sharing.heard(now, &bytes, &mut self.members, out).or(told);
+            }
+        }
+        if now >= sharing.next_due() {
+            told = sharing.due(now, &mut self.members, out).or(told);
+        }
+        told
+    }
+}
+
+/// Who is told of each new share.
+pub type Tell = Box<dyn Fn(Share) + Send + Sync>;
+
 /// Where this process stands in its fleet.
 enum Stand {
     /// It is to speak as soon as the socket can be opened.
@@ -79,13 +118,16 @@
     /// What the members that spoke before counted.
     counts: Mutex<Counts>,
     send_failures: counters::Count,
+    tell: Tell,
+    /// Whether the other process of this proxy serves as well: they have one base between them.
+    beside: AtomicBool,
 }
 
 impl Fleet {
     /// A part that is silent.
-    pub fn new(config: FleetConfig, seed: u64) -> Arc<Fleet> {
+    pub fn new(config: FleetConfig, seed: u64, beside: bool, tell: Tell) -> Arc<Fleet> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Arc::new(Fleet {
+        let fleet = Arc::new(Fleet {
             config: Mutex::new(config),
             seed,
             began: Instant::now(),
@@ -94,7 +136,37 @@
             spoken: AtomicU64::new(0),
             counts: Mutex::default(),
             send_failures: counters::Count::default(),
-        })
+            tell,
+            beside: AtomicBool::new(beside),
+        });
+        fleet.tell_base();
+        fleet
+    }
+
+    /// Whether the other process of this proxy serves as well from now on.
+    pub fn set_beside(&self, beside: bool) {
+        self.beside.store(beside, Ordering::Release);
+        let now = self.now();
+        match &*self.stand() {
+            Stand::Speaks(speaking) => {
+                speaking.sharing.iter().for_each(|sharing| self.say(sharing.share(now)));
+            }
+            Stand::Opening | Stand::Silent => {}
+        }
+    }
+
+    /// Until it is granted more a process has its base.
+    fn tell_base(&self) {
+        if let Some(shares) = &self.config().shares {
+            let base = shares.settings.base() as f64 / pinetrail_shares::WHOLE as f64;
+            self.say(Share { part: base, lasts: Duration::ZERO, base, whole: shares.whole });
+        }
+    }
+
+    /// Danger: said with the stand locked, so that an older share is never told after a newer one.
+    fn say(&self, share: Share) {
+        let others = if self.beside.load(Ordering::Acquire) { share.base / 2.0 } else { 0.0 };
+        (self.tell)(Share { part: share.part - others, base: share.base - others, ..share });
     }
 
     /// Speaks from now on; an error says that the socket cannot be opened.
@@ -131,6 +203,13 @@
         self.become_silent(|_, _| {});
     }
 
+    /// This process ends soon: no council is to count on it.
+    pub fn begin_to_leave(&self) {
+        if let Stand::Speaks(speaking) = &mut *self.stand() {
+            speaking.sharing.iter_mut().for_each(Sharing::leave);
+        }
+    }
+
     /// Says that this member leaves, if it speaks, and is silent from then on.
     pub fn leave(&self) {
         let now = self.now();
@@ -159,9 +238,12 @@
 
     /// What operators are told, as JSON; none while the other process of this proxy speaks.
     pub fn report(&self) -> Option<String> {
-        let unix = self.began_unix_ms;
+        let (unix, now) = (self.began_unix_ms, self.now());
         match &*self.stand() {
-            Stand::Speaks(speaking) => Some(report::report(&speaking.members, unix)),
+            Stand::Speaks(speaking) => {
+                let seen = speaking.sharing.as_ref().map(|sharing| sharing.seen(now));
+                Some(report::report(&speaking.members, unix, seen))
+            }
             Stand::Opening | Stand::Silent => None,
         }
     }
@@ -170,7 +252,11 @@
     pub fn list(&self) -> Vec<(&'static str, u64)> {
         let now = self.with(|members, _| members.counts()).unwrap_or_default();
         let counts = report::sum(*self.earlier(), now);
-        report::names(&counts, self.send_failures.get())
+        let mut all = report::names(&counts, self.send_failures.get());
+        if let Stand::Speaks(speaking) = &*self.stand() {
+            all.extend(speaking.sharing.iter().flat_map(Sharing::list));
+        }
+        all
     }
 
     fn open(self: &Arc<Self>) -> io::Result<()> {
@@ -185,7 +271,13 @@
         let settings = &config.settings;
         log(&format!("fleet {}: {} is at {bound}", settings.fleet, settings.name));
         let number = self.spoken.fetch_add(1, Ordering::AcqRel);
-        *self.stand() = Stand::Speaks(Box::new(Speaking { number, socket: Arc::clone(&socket), members }));
+        let now = self.now();
+        let sharing = config.shares.clone().map(|shares| Sharing::new(shares, &members, now));
+        let mut stand = self.stand();
+        // It knows nothing of what it held before.
+        sharing.iter().for_each(|sharing| self.say(sharing.share(now)));
+        *stand = Stand::Speaks(Box::new(Speaking { number, socket: Arc::clone(&socket), members, sharing }));
+        drop(stand);
         let (hearing, waiting) = (Arc::clone(self), Arc::clone(self));
         may::go!(move || hearing.hear(number, &socket));
         may::go!(move || waiting.wait(number));
@@ -220,12 +312,22 @@
         while self.is_on(number) {
             let now = self.now();
             self.with(|members, out| members.due(now, out));
-            let next = self.with(|members, _| members.next_due()).flatten();
+            let next = self.next_due();
             let wait = Duration::from_millis(next.map_or(u64::MAX, |next| next.saturating_sub(self.now())));
             guard::sleep(wait.clamp(Duration::from_millis(1), LONGEST_SLEEP));
         }
     }
 
+    fn next_due(&self) -> Option<Time> {
+        match &*self.stand() {
+            Stand::Speaks(speaking) => {
+                let shares = speaking.sharing.as_ref().map(Sharing::next_due);
+                speaking.members.next_due().into_iter().chain(shares).min()
+            }
+            Stand::Opening | Stand::Silent => None,
+        }
+    }
+
     fn is_on(&self, number: u64) -> bool {
         matches!(&*self.stand(), Stand::Speaks(speaking) if speaking.number == number)
     }
@@ -234,7 +336,11 @@
     fn with<T>(&self, act: impl FnOnce(&mut Members, &mut Vec<Output>) -> T) -> Option<T> {
         let mut out = Vec::new();
         let (done, socket) = match &mut *self.stand() {
-            Stand::Speaks(speaking) => (act(&mut speaking.members, &mut out), Arc::clone(&speaking.socket)),
+            Stand::Speaks(speaking) => {
+                let done = act(&mut speaking.members, &mut out);
+                speaking.share(self.now(), &mut out).into_iter().for_each(|share| self.say(share));
+                (done, Arc::clone(&speaking.socket))
+            }
             Stand::Opening | Stand::Silent => return None,
         };
         self.carry_out(out, &socket);
@@ -263,6 +369,7 @@
                         self.send_failures.add();
                     }
                 }
+                Output::Shares(_) => {}
                 Output::News(news) => log(&format!("fleet: {}", report::words(&news))),
             }
         }
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -1,5 +1,6 @@
 //! What operators see of a fleet: JSON at the door, lines of the log, counters.
 
+use super::sharing::Seen;
 use pinetrail_members::{Counts, Entry, Members, News, State};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -10,6 +11,8 @@
     own: &'a str,
     side: String,
     members: Vec<Member>,
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    seen: Option<Seen>,
     #[serde(skip_serializing_if = "Option::is_none")]
     rival: Option<Rival>,
 }
@@ -31,7 +34,7 @@
 }
 
 /// What the door says. Times of the member are counted from `began`, in Unix milliseconds.
-pub fn report(members: &Members, began: u64) -> String {
+pub fn report(members: &Members, began: u64, seen: Option<Seen>) -> String {
     let member = |entry: Entry| Member {
         name: entry.name.to_string(),
         address: entry.address,
@@ -43,6 +46,7 @@
         own: &members.me().name,
         side: members.side().to_string(),
         members: members.roster().into_iter().map(member).collect(),
+        seen,
         rival: members.rival().map(|(address, counts)| Rival { address, counts }),
     };
     // Names and numbers have a form in JSON: nothing here fails.
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -43,6 +43,7 @@
             stand.is_newcomer &= partner != Partner::None;
             (left_it, stand.leaves_accepting())
         });
+        self.fleet().into_iter().for_each(|fleet| fleet.set_beside(partner != Partner::None));
         // Who accepts speaks in the fleet, for both.
         match (self.fleet(), left_it, leaves_accepting) {
             (Some(fleet), false, true) => fleet.rest(),
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -12,12 +12,13 @@
 use super::discovery::{Discovery, Target};
 use super::drain::{Drain, SendAway};
 use super::exchange::Exchange;
-use super::fleet::Fleet;
+use super::fleet::{self, Fleet};
 use super::listen;
 use super::log::{log, print};
 use super::memory::Memory;
 use super::provider::ProviderSide;
 use super::takeover::{self, Given, Host, Partner, Share, Takeover};
+use crate::interface;
 use crate::settings::Settings;
 use budget::Budget;
 use may::coroutine::sleep;
@@ -144,6 +145,7 @@
             }
         }
         self.enter(Phase::Draining);
+        self.fleet().into_iter().for_each(|fleet| fleet.begin_to_leave());
         drain(sides, Drain::for_wait(longest_wait(&config.settings)), self.takeover.leave());
         self.takeover.end();
         self.fleet().into_iter().for_each(|fleet| fleet.leave());
@@ -242,7 +244,13 @@
             (subscribe, subscriptions),
         );
         if let Some(told) = &config.fleet {
-            let fleet = self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed));
+            let sharer = Arc::clone(&exchange);
+            let tell = Box::new(move |told: fleet::Share| {
+                let (part, base, whole) = (told.part, told.base, told.whole);
+                sharer.share(interface::Share { part, base, whole, until: 0.0 }, told.lasts);
+            });
+            let fleet =
+                self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
             let counted = Arc::clone(fleet);
             self.counters.others.are(move || counted.list());
             if given.is_none() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod off;
 mod operators;
+mod shares;
 mod upgrades;
 
 use pinetrail_rig::fleet::{Fleet, Options};
--- /dev/null
+++ b/tests/fleet/shares.rs
@@ -0,0 +1,200 @@
+//! Shares of several real processes under faults between them: what their doors say, and what the stand-in nodes count.
+
+use crate::{met, ms, nodes, origin, ALL};
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::script::Script;
+use pinetrail_rig::witness::Witness;
+use pinetrail_rig::{Does, Party};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, sleep};
+
+/// Calls in flight of all together at one node.
+const NODE_CALLS: usize = 24;
+/// How long calls run at the most, as the rig configures it.
+const CALL_MS: f64 = 1000.0;
+const EPSILON: f64 = 1e-6;
+
+/// Members that share, each of which founds.
+fn sharing(members: usize) -> Options {
+    Options { founders: (0..members).collect(), size: members + 1, ..Options::of(members) }
+}
+
+fn seen(fleet: &Fleet, member: usize, field: &str) -> f64 {
+    fleet.report(member).map_or(0.0, |report| report.json[field].as_f64().unwrap_or(f64::NAN))
+}
+
+fn shares(fleet: &Fleet, members: &[usize]) -> Vec<f64> {
+    members.iter().map(|member| seen(fleet, *member, "share")).collect()
+}
+
+/// Whether each of these has an equal part of what is leased, beside its base.
+fn have(fleet: &Fleet, members: &[usize], of: usize) -> bool {
+    let base = 0.5 / fleet.options.size as f64;
+    shares(fleet, members).iter().all(|share| (share - base - 0.5 / of as f64).abs() < EPSILON)
+}
+
+/// Waits until something holds. Meanwhile all shares are read, again and again, and written down for the judge.
+fn until(fleet: &Fleet, members: &[usize], what: &str, holds: impl Fn(&Fleet) -> bool) {
+    let witness = Witness::own();
+    fleet.until(what, |fleet| {
+        for (member, share) in members.iter().zip(shares(fleet, members)) {
+            witness.share(&Fleet::name(*member), share, CALL_MS);
+        }
+        holds(fleet)
+    });
+    witness.judge_shares();
+}
+
+fn all_share(members: usize) -> Fleet {
+    let fleet = met(sharing(members));
+    let all: Vec<usize> = (0..members).collect();
+    until(&fleet, &all, "all have theirs", |fleet| have(fleet, &all, members));
+    fleet
+}
+
+#[test]
+fn cut_into_three_and_two_the_minority_has_its_base_and_the_majority_its_part() {
+    let fleet = all_share(5);
+    assert!(seen(&fleet, 0, "view") >= 1.0 && seen(&fleet, 0, "lease_ms") > 0.0);
+    fleet.cut_into(&[&[0, 1], &[2, 3, 4]]);
+    let base = seen(&fleet, 0, "base");
+    let is_base = |fleet: &Fleet| shares(fleet, &[0, 1]).iter().all(|share| (share - base).abs() < EPSILON);
+    until(&fleet, &ALL, "a majority takes over", |fleet| have(fleet, &[2, 3, 4], 3));
+    assert!(is_base(&fleet), "the minority had its base before that");
+    for member in ["n0", "n1"] {
+        assert!(fleet.timeline.said(member, "its lease has ended", 0).is_some(), "{}", fleet.timeline);
+    }
+    fleet.relays.all(|way| way.cut = false);
+    until(&fleet, &ALL, "all have theirs again", |fleet| have(fleet, &ALL, 5));
+}
+
+#[test]
+fn cut_from_each_other_all_have_their_bases_and_come_back() {
+    let fleet = all_share(3);
+    fleet.cut_into(&[&[0], &[1], &[2]]);
+    let all = [0, 1, 2];
+    until(&fleet, &all, "all have their bases", |fleet| {
+        all.iter().all(|member| seen(fleet, *member, "share") == seen(fleet, *member, "base"))
+    });
+    fleet.relays.all(|way| way.cut = false);
+    until(&fleet, &all, "all have theirs again", |fleet| have(fleet, &all, 3));
+}
+
+#[test]
+fn a_holder_that_was_stopped_wakes_with_its_base() {
+    let fleet = all_share(5);
+    fleet.process(4).signal("STOP");
+    let others = [0, 1, 2, 3];
+    until(&fleet, &others, "the others have its part", |fleet| have(fleet, &others, 4));
+    fleet.process(4).signal("CONT");
+    // Whatever it says first, it says with a lease that ended long ago.
+    let share = seen(&fleet, 4, "share");
+    assert!((share - seen(&fleet, 4, "base")).abs() < 0.5 / 5.0 / 2.0, "{share}");
+    until(&fleet, &ALL, "all have theirs again", |fleet| have(fleet, &ALL, 5));
+}
+
+#[test]
+fn all_that_restart_found_the_fleet_anew_though_one_stays_away() {
+    let mut fleet = all_share(5);
+    ALL.iter().for_each(|member| fleet.kill(*member));
+    let back = [0, 1, 2, 4];
+    back.iter().for_each(|member| fleet.start(*member));
+    assert!(
+        shares(&fleet, &back).iter().all(|share| *share <= 0.5 / 6.0 + EPSILON),
+        "no lease outlives its process"
+    );
+    until(&fleet, &back, "they share", |fleet| have(fleet, &back, 4));
+    fleet.start(3);
+    until(&fleet, &ALL, "so does the last", |fleet| have(fleet, &ALL, 5));
+}
+
+#[test]
+fn two_processes_in_an_upgrade_have_one_base_and_the_newcomer_no_lease() {
+    let mut fleet = all_share(3);
+    let second = fleet.beside(1);
+    let first = fleet.replace(1, second);
+    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some());
+    until(&fleet, &[0, 1, 2], "it is leased its part", |fleet| have(fleet, &[0, 1, 2], 3));
+    first.signal("TERM");
+    assert!(first.end().success());
+    until(&fleet, &[0, 1, 2], "nothing has changed", |fleet| have(fleet, &[0, 1, 2], 3));
+}
+
+#[test]
+fn who_is_told_of_other_founders_shares_with_nobody() {
+    let mut fleet = Fleet::new(sharing(4), nodes(), origin());
+    let mut wrong = fleet.config(3, &[0, 1, 2]);
+    wrong["fleet"]["founders"] = serde_json::json!([fleet.hub(3).to_string()]);
+    fleet.set_config(3, &wrong);
+    (0..4).for_each(|member| fleet.start(member));
+    until(&fleet, &[0, 1, 2], "the others share", |fleet| have(fleet, &[0, 1, 2], 3));
+    fleet.until("it is said", |fleet| {
+        fleet.timeline.said("n3", "ERROR: a member has other founders", 0).is_some()
+    });
+}
+
+/// What the nodes count, whatever the doors say: through a cut, a stop and a death.
+#[test]
+fn calls_in_flight_at_a_node_are_never_over_the_whole() {
+    let node = || {
+        Party::node(|line| {
+            sleep(ms(40));
+            Does::Says(format!("VA 1 {} h1\r\nv\r\n", pinetrail_rig::opaque(line)))
+        })
+    };
+    let options = Options { node_calls: Some(NODE_CALLS), ..sharing(5) };
+    let mut fleet = Fleet::start_all(options, vec![node()], origin());
+    Witness::own().bound(&fleet.nodes[0].place.to_string(), NODE_CALLS);
+    fleet.until("they share", |fleet| have(fleet, &ALL, 5));
+    let done = AtomicBool::new(false);
+    let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).place).collect();
+    thread::scope(|scope| {
+        for place in &places {
+            for number in 0..12 {
+                let done = &done;
+                scope.spawn(move || {
+                    let mut count = 0;
+                    while !done.load(Ordering::Relaxed) {
+                        // The proxy may be dead or stopped: what counts is what reaches the node.
+                        let Some(mut client) = pinetrail_rig::Client::try_to(*place) else {
+                            sleep(ms(50));
+                            continue;
+                        };
+                        while !done.load(Ordering::Relaxed) {
+                            count += 1;
+                            if client.try_read(&format!("r{number}-{count}")).is_none() {
+                                break;
+                            }
+                        }
+                    }
+                });
+            }
+        }
+        sleep(ms(1_000));
+        fleet.cut_into(&[&[0, 1], &[2, 3, 4]]);
+        fleet.until("a majority takes over", |fleet| have(fleet, &[2, 3, 4], 3));
+        fleet.process(4).signal("STOP");
+        sleep(ms(3_000));
+        fleet.process(4).signal("CONT");
+        fleet.kill(3);
+        fleet.relays.all(|way| way.cut = false);
+        fleet.start(3);
+        fleet.until("all have theirs again", |fleet| have(fleet, &ALL, 5));
+        sleep(ms(500));
+        done.store(true, Ordering::Relaxed);
+    });
+    Witness::own().judge_shares();
+    let most = fleet.nodes[0].most_at_once();
+    assert!(most <= NODE_CALLS, "{most} calls in flight\n{}", fleet.timeline);
+    assert!(most > NODE_CALLS / 2, "{most}: it was put to the test");
+}
+
+#[test]
+fn whatever_a_seed_brings_shares_add_up_and_come_back() {
+    for seed in [11, 12] {
+        let mut fleet = met(Options { seed, ..sharing(5) });
+        let script = Script::from_seed(seed, 5, 5, 10_000);
+        fleet.play(&script);
+        until(&fleet, &ALL, "all have theirs", |fleet| have(fleet, &ALL, 5));
+    }
+}
--- /dev/null
+++ b/tests/shares.rs
@@ -0,0 +1,117 @@
+//! This proxy's share of what all may have together: what it divides, and that it is looked at whenever it is used.
+
+mod common;
+
+use common::*;
+use pinetrail::interface::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const WHOLE: [f64; 2] = [24.0, 12.0];
+
+fn share(world: &World, part: f64, lasts: Time) -> Event {
+    Event::Share(Share { part, until: world.now + lasts, base: 1.0 / 12.0, whole: WHOLE })
+}
+
+/// How many of 40 reads of one key are sent at once; they are ended again.
+fn sent_at_once(world: &mut World, from: RequestId) -> usize {
+    let sends: Vec<(RequestId, ServerId)> =
+        (from..from + 40).filter_map(|id| sent(&world.request(read(id, 7)))).collect();
+    let count = sends.len();
+    (from..from + 40).for_each(|id| drop(world.event(Event::ClientGone(id))));
+    for (id, server) in sends {
+        world.end(id, 0, server, Outcome::Moot);
+    }
+    count
+}
+
+#[test]
+fn calls_in_flight_follow_the_share_and_never_exceed_its_part_of_the_whole() {
+    let mut world = World::new(false, 1);
+    let event = share(&world, 1.0 / 4.0, 3_000.0);
+    world.event(event);
+    assert_eq!(sent_at_once(&mut world, 100), 6, "a quarter of 24");
+    let event = share(&world, 1.0 / 2.0, 3_000.0);
+    world.event(event);
+    assert_eq!(sent_at_once(&mut world, 200), 12);
+}
+
+/// Danger: nothing tells a process that was stopped that its lease has ended.
+#[test]
+fn a_lease_that_has_ended_is_not_used_by_one_call_though_nothing_said_so() {
+    let mut world = World::new(false, 1);
+    let event = share(&world, 1.0 / 2.0, 3_000.0);
+    world.event(event);
+    world.now += 3_000.0;
+    assert_eq!(sent_at_once(&mut world, 100), 2, "a twelfth of 24");
+    // Given anew it is as it was.
+    let event = share(&world, 1.0 / 2.0, 3_000.0);
+    world.event(event);
+    assert_eq!(sent_at_once(&mut world, 200), 12);
+}
+
+#[test]
+fn the_origin_has_a_whole_of_its_own() {
+    let mut world = World::new(true, 3);
+    let event = share(&world, 1.0 / 4.0, 3_000.0);
+    world.event(event);
+    let writes = (1..=20).filter(|id| {
+        let write = Request { class: KEYED_ALL, write: true, ..read(*id, *id) };
+        sent(&world.request(write)).is_some()
+    });
+    // The learnt limit begins at 8 for all together, and at two at the least: below a quarter of 12.
+    assert_eq!(writes.count(), 2);
+}
+
+/// All that is decided in a long run of events from a seed, as a checksum.
+fn decided(aside: bool, seed: u64) -> u32 {
+    let mut world = World::new(aside, 6);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut out, mut timers, mut sum) = (Vec::new(), Vec::new(), 0);
+    for id in 1..4_000 {
+        world.now += rng.gen_range(0.0..8.0);
+        let event = match rng.gen_range(0..10) {
+            0..=3 => Event::Request(Request {
+                class: rng.gen_range(0..5),
+                write: aside && rng.gen_bool(0.1),
+                ..read(id, rng.gen_range(0..200))
+            }),
+            4 if !timers.is_empty() => Event::Timer(timers.swap_remove(rng.gen_range(0..timers.len()))),
+            5 if rng.gen_bool(0.02) => Event::Members(
+                ListForm::Delta,
+                vec![Member { started: world.now, ..member(rng.gen_range(1..7)) }],
+            ),
+            _ if !out.is_empty() => {
+                let (id, server, attempt) = out.swap_remove(rng.gen_range(0..out.len()));
+                let outcomes =
+                    [Outcome::Ok, Outcome::Ok, Outcome::Ok, Outcome::Miss, Outcome::Full, Outcome::Timeout];
+                let outcome = outcomes[rng.gen_range(0..outcomes.len())];
+                let (latency, last) = (rng.gen_range(1.0..300.0), outcome == Outcome::Ok);
+                let report = Vec::new();
+                Event::AttemptEnd(AttemptEnd { id, attempt, server, latency, last, outcome, report })
+            }
+            _ => continue,
+        };
+        let actions = world.event(event);
+        for action in &actions {
+            match action {
+                Action::Send(id, server, _) => {
+                    let attempt = out.iter().filter(|one: &&(u64, u32, u8)| one.0 == *id).count() as u8;
+                    out.push((*id, *server, attempt));
+                }
+                Action::Timer(_, token) | Action::TimerFor(_, _, token) => timers.push(*token),
+                _ => {}
+            }
+        }
+        sum = crc32c::crc32c_append(sum, format!("{actions:?}").as_bytes());
+    }
+    sum
+}
+
+/// Without a share all is decided as before there were any: the sums are those of the module before them. Whoever
+/// changes decisions on purpose puts the new sums here and says so.
+#[test]
+fn without_a_share_every_decision_is_what_it_was() {
+    let sums = [(false, 1), (false, 2), (true, 1), (true, 2)].map(|(aside, seed)| decided(aside, seed));
+    assert_eq!(sums, [2631605345, 3570526615, 3084695260, 3267658796]);
+}
