Show at the door what is in force in an upgrade; share in the example of three proxies

The door said the whole base while both processes of an upgrade have half of it each; a process that another of its name has displaced looked a thousand times a second whether something was due. deploy/fleet shares now. Bad founders, calls and times end the start with one line (five more cases).

--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -10,7 +10,7 @@
 use may::io::{CoIo, WaitIo};
 use pinetrail_members::{Counts, Members, Output, Settings, Time, MAX_DATAGRAM};
 pub use sharing::Share;
-use sharing::Sharing;
+use sharing::{Seen, Sharing};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -87,7 +87,7 @@
                 told = sharing.heard(now, &bytes, &mut self.members, out).or(told);
             }
         }
-        if now >= sharing.next_due() {
+        if self.members.counts_here() && now >= sharing.next_due() {
             told = sharing.due(now, &mut self.members, out).or(told);
         }
         told
@@ -163,9 +163,18 @@
         }
     }
 
+    /// What the other process of this proxy has of a base.
+    fn others(&self, base: f64) -> f64 {
+        if self.beside.load(Ordering::Acquire) {
+            base / 2.0
+        } else {
+            0.0
+        }
+    }
+
     /// Danger: said with the stand locked, so that an older share is never told after a newer one.
     fn say(&self, share: Share) {
-        let others = if self.beside.load(Ordering::Acquire) { share.base / 2.0 } else { 0.0 };
+        let others = self.others(share.base);
         (self.tell)(Share { part: share.part - others, base: share.base - others, ..share });
     }
 
@@ -241,7 +250,11 @@
         let (unix, now) = (self.began_unix_ms, self.now());
         match &*self.stand() {
             Stand::Speaks(speaking) => {
-                let seen = speaking.sharing.as_ref().map(|sharing| sharing.seen(now));
+                let seen = speaking.sharing.as_ref().map(|sharing| {
+                    let seen = sharing.seen(now);
+                    let others = self.others(seen.base);
+                    Seen { share: seen.share - others, base: seen.base - others, ..seen }
+                });
                 Some(report::report(&speaking.members, unix, seen))
             }
             Stand::Opening | Stand::Silent => None,
@@ -321,7 +334,8 @@
     fn next_due(&self) -> Option<Time> {
         match &*self.stand() {
             Stand::Speaks(speaking) => {
-                let shares = speaking.sharing.as_ref().map(Sharing::next_due);
+                let sharing = speaking.sharing.as_ref().filter(|_| speaking.members.counts_here());
+                let shares = sharing.map(Sharing::next_due);
                 speaking.members.next_due().into_iter().chain(shares).min()
             }
             Stand::Opening | Stand::Silent => None,
--- a/src/net/fleet/sharing.rs
+++ b/src/net/fleet/sharing.rs
@@ -73,9 +73,7 @@
         }
         self.shares.know(members.there().map(|(place, start)| Process { place, start }));
         let mut said = Vec::new();
-        if members.counts_here() {
-            self.shares.due(now, &mut said);
-        }
+        self.shares.due(now, &mut said);
         self.carry_out(now, said, members, out)
     }
 
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -96,9 +96,13 @@
     fleet.cut_into(&[&[0, 1, 2], &[3, 4]]);
     let sides = |fleet: &Fleet| ALL.map(|member| fleet.report(member).unwrap().side);
     let split = ["majority", "majority", "majority", "minority", "minority"];
-    fleet.until("both sides know", |fleet| sides(fleet) == split);
-    assert_eq!(fleet.report(0).unwrap().names("failed"), ["n3", "n4"]);
-    assert_eq!(fleet.report(4).unwrap().names("failed"), ["n0", "n1", "n2"]);
+    let failed = |fleet: &Fleet, member: usize, names: &[&str]| {
+        fleet.report(member).is_some_and(|report| report.names("failed") == names)
+    };
+    // With one of two failed it is a majority already.
+    fleet.until("both sides know", |fleet| {
+        sides(fleet) == split && failed(fleet, 0, &["n3", "n4"]) && failed(fleet, 4, &["n0", "n1", "n2"])
+    });
     for member in [0, 4] {
         fleet.kill(member);
         fleet.start(member);
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -66,8 +66,16 @@
         config
     };
     let own = fleet.hub(0).to_string();
-    let bad: [(Value, &str); 10] = [
+    let bad: [(Value, &str); 15] = [
         (with(&|fleet| fleet["bind"] = json!("nowhere")), "fleet.bind"),
+        (with(&|fleet| fleet["founders"] = json!([])), "founders: 0 seats"),
+        (with(&|fleet| fleet["founders"] = json!([own, own])), "founders: 2 seats"),
+        (
+            with(&|fleet| (fleet["founders"], fleet["node_calls"]) = (json!([own]), json!(31))),
+            "node_calls 31",
+        ),
+        (with(&|fleet| (fleet["founders"], fleet["call_ms"]) = (json!([own]), json!(900))), "call_ms 900"),
+        (with(&|fleet| (fleet["founders"], fleet["vote_ms"]) = (json!([own]), json!(100))), "vote 100"),
         (with(&|fleet| fleet["peers"] = json!(["n1"])), "fleet.peers"),
         (with(&|fleet| fleet["peers"] = json!([own])), "itself"),
         (with(&|fleet| fleet["size"] = json!(1)), "size 1"),
@@ -116,9 +124,17 @@
             config[key] = example[key].clone();
         }
         config["known"]["instances"] = json!([]);
-        config["fleet"]["size"] = example["fleet"]["size"].clone();
+        assert_eq!(example["fleet"]["founders"].as_array().unwrap().len(), 3);
+        for key in ["size", "node_calls", "origin_calls"] {
+            config["fleet"][key] = example["fleet"][key].clone();
+        }
+        let founders = [0, 1, 2].map(|founder| fleet.hub(founder).to_string());
+        config["fleet"]["founders"] = json!(founders);
         fleet.set_config(member, &config);
         fleet.start(member);
     }
     fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    let shares =
+        |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json["share"].as_f64().unwrap() > 0.2;
+    fleet.until("they share", |fleet| [0, 1, 2].iter().all(|member| shares(fleet, *member)));
 }
--- a/tests/fleet/shares.rs
+++ b/tests/fleet/shares.rs
@@ -114,10 +114,13 @@
     let second = fleet.beside(1);
     let first = fleet.replace(1, second);
     fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some());
-    until(&fleet, &[0, 1, 2], "it is leased its part", |fleet| have(fleet, &[0, 1, 2], 3));
+    let base = 0.5 / fleet.options.size as f64;
+    until(&fleet, &[0, 1, 2], "it is leased its part, and has half of the base", |fleet| {
+        (seen(fleet, 1, "share") - base / 2.0 - 0.5 / 3.0).abs() < EPSILON && have(fleet, &[0, 2], 3)
+    });
     first.signal("TERM");
     assert!(first.end().success());
-    until(&fleet, &[0, 1, 2], "nothing has changed", |fleet| have(fleet, &[0, 1, 2], 3));
+    until(&fleet, &[0, 1, 2], "it has the other half", |fleet| have(fleet, &[0, 1, 2], 3));
 }
 
 #[test]
