--- a/crates/shares/tests/promises.rs
+++ b/crates/shares/tests/promises.rs
@@ -190,3 +190,20 @@
     }
     assert!(tried > 5, "{tried} of 20 came so far");
 }
+
+/// A release: who is asked to end says so, and is in no council any more when it goes, however many go at a time.
+#[test]
+fn who_leaves_on_purpose_is_in_no_council_when_it_goes() {
+    let mut sharing = Sharing::new(10, 10, 10, 5);
+    (0..10).for_each(|host| sharing.start(host));
+    sharing.know_all();
+    sharing.run(20_000);
+    (0..7).for_each(|host| sharing.leave(host));
+    sharing.run(1_500);
+    (0..7).for_each(|host| sharing.kill(host));
+    sharing.know_all();
+    sharing.run(4 * sharing.settings.lease);
+    let theirs = sharing.settings.base() + LEASED / 3;
+    assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
+    assert!(sharing.most <= WHOLE);
+}
