Tell the module when a lease ends, not how long it lasts; bound what is said of shares

Mended: - The module was told how long a lease lasts and counted that from when it heard: a process stopped between both would have woken with its whole lease (src/net/fleet, src/net/exchange).

--- a/crates/shares/src/message.rs
+++ b/crates/shares/src/message.rs
@@ -45,7 +45,7 @@
     pub yes: bool,
     /// Whether it takes the view that was proposed in this ballot.
     pub takes: Option<Ballot>,
-    /// A proposal that it took, and in which ballot.
+    /// A proposal that it took, and in which ballot; not beside `newer`.
     pub pending: Option<(Ballot, View)>,
     /// The latest ballot that it heard of.
     pub promised: Ballot,
--- a/crates/shares/src/seat.rs
+++ b/crates/shares/src/seat.rs
@@ -105,15 +105,19 @@
             }
         }
         let later = |view: &&View| ask.view.as_ref().is_none_or(|asked| view.ballot > asked.ballot);
+        let newer = self.view.as_ref().filter(later).cloned();
+        // Danger: two councils of the most founders do not fit a datagram beside all else. Who is behind has no use for what was
+        // proposed since: it learns of the view first.
+        let pending = self.pending.clone().filter(|_| newer.is_none());
         Answer {
             from: self.me,
             ballot: ask.ballot,
             asked_at: ask.at,
             yes,
             takes,
-            pending: self.pending.clone(),
+            pending,
             promised: self.seen,
-            newer: self.view.as_ref().filter(later).cloned(),
+            newer,
             number: self.number,
             leaves: self.leaves,
             want,
--- a/crates/shares/src/wire.rs
+++ b/crates/shares/src/wire.rs
@@ -43,7 +43,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::message::Ask;
+    use crate::message::{Answer, Ask, Want};
     use crate::settings::MOST_FOUNDERS;
     use crate::view::{Ballot, Process, View};
     use std::net::SocketAddr;
@@ -58,10 +58,26 @@
         let council = (0..MOST_FOUNDERS).map(process).collect();
         let view = Some(View { ballot, number: u64::MAX, council });
         let at = u64::MAX;
-        let ask = Ask { ballot, at, founds: false, in_office: true, view: view.clone(), next: view };
+        let ask = Ask { ballot, at, founds: false, in_office: true, view: view.clone(), next: view.clone() };
         let bytes = words(&settings, &Message::Ask(Box::new(ask.clone())));
         assert!(bytes.len() <= 1_100, "{}", bytes.len());
         assert_eq!(read(&settings, &bytes), Ok(Message::Ask(Box::new(ask))));
+        // The longest answer: it has taken a view.
+        let answer = Answer {
+            from: process(1),
+            ballot,
+            asked_at: at,
+            yes: true,
+            takes: Some(ballot),
+            pending: view.map(|view| (ballot, view)),
+            promised: ballot,
+            newer: None,
+            number: at,
+            leaves: true,
+            want: Want { at, holds: at, since: at },
+        };
+        let long = words(&settings, &Message::Answer(Box::new(answer)));
+        assert!(long.len() <= 1_100, "{}", long.len());
         let others = [
             Settings { size: 41, ..settings.clone() },
             Settings { lease: 3001, ..settings.clone() },
--- a/crates/shares/tests/promises.rs
+++ b/crates/shares/tests/promises.rs
@@ -126,21 +126,27 @@
     assert!(sharing.most <= WHOLE);
 }
 
+/// A fleet of which the first two are left as its council, and which of them is the steward.
+fn council_of_two(seed: u64) -> (Sharing, usize) {
+    let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
+    (0..HOSTS).for_each(|host| sharing.start(host));
+    sharing.know_all();
+    sharing.run(20_000);
+    for host in [2, 3, 4] {
+        sharing.kill(host);
+        sharing.know_all();
+        sharing.run(3_000);
+    }
+    let steward =
+        [0, 1].into_iter().find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_steward(now)));
+    (sharing, steward.expect("one of both is"))
+}
+
 /// Danger: the process before this one at its seat may have voted for a steward that is still in office.
 #[test]
 fn who_has_just_started_founds_nothing_while_a_vote_of_before_may_be_out() {
     for seed in 0..40 {
-        let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
-        (0..HOSTS).for_each(|host| sharing.start(host));
-        sharing.know_all();
-        sharing.run(20_000);
-        // A council of two is left, and one of those hears the three that start anew, which the steward does not.
-        for host in [2, 3, 4] {
-            sharing.kill(host);
-            sharing.know_all();
-            sharing.run(3_000);
-        }
-        let steward = if sharing.at(0).is_some_and(|(shares, now)| shares.is_steward(now)) { 0 } else { 1 };
+        let (mut sharing, steward) = council_of_two(seed);
         sharing.network.cut_into(&[&[steward], &[2, 3, 4]]);
         (2..HOSTS).for_each(|host| sharing.start(host));
         sharing.run(8_000 + seed * 61);
@@ -156,16 +162,7 @@
 fn who_has_helped_to_found_a_fleet_does_not_go_back_to_its_old_council() {
     let mut tried = 0;
     for seed in 0..20 {
-        let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
-        (0..HOSTS).for_each(|host| sharing.start(host));
-        sharing.know_all();
-        sharing.run(20_000);
-        for host in [2, 3, 4] {
-            sharing.kill(host);
-            sharing.know_all();
-            sharing.run(3_000);
-        }
-        let steward = if sharing.at(0).is_some_and(|(shares, now)| shares.is_steward(now)) { 0 } else { 1 };
+        let (mut sharing, steward) = council_of_two(seed);
         let other = 1 - steward;
         sharing.network.cut_into(&[&[steward], &[other, 2, 3, 4]]);
         (2..HOSTS).for_each(|host| sharing.start(host));
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -86,3 +86,18 @@
         [file.node_calls, file.origin_calls].map(|calls| calls.map_or(f64::INFINITY, |calls| calls as f64));
     Ok(SharesConfig { settings, whole })
 }
+
+/// Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
+pub fn check_calls(
+    fleet: Option<&FleetConfig>,
+    settings: &crate::settings::Settings,
+) -> Result<(), ConfigError> {
+    let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+    let calls = fleet.and_then(|fleet| fleet.shares.as_ref()).map(|shares| shares.settings.calls);
+    match calls.filter(|calls| (*calls as f64) < longest) {
+        Some(calls) => {
+            Err(ConfigError::Fleet(format!("call_ms {calls} is below the longest GiveUp, {longest}")))
+        }
+        None => Ok(()),
+    }
+}
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -286,15 +286,7 @@
             None => None,
         };
         let fleet = file.fleet.map(|fleet| fleet::fleet(fleet, &file.name)).transpose()?;
-        let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-        if let Some(shares) = fleet.as_ref().and_then(|fleet| fleet.shares.as_ref()) {
-            // Danger: calls that run longer would be in use by two.
-            if (shares.settings.calls as f64) < longest {
-                let error =
-                    format!("call_ms {} is below the longest GiveUp, {longest}", shares.settings.calls);
-                return Err(ConfigError::Fleet(error));
-            }
-        }
+        fleet::check_calls(fleet.as_ref(), &settings)?;
         let (least, wanted) = match (&admin, &fleet) {
             (None, None) => (MIN_SOCKETS, "at least 32"),
             (Some(_), None) => (MIN_SOCKETS + DOOR_SOCKETS, "at least 50 with a door for operators"),
@@ -335,10 +327,12 @@
     /// Reads the file again. An error says why the newer configuration must not be put in force.
     pub fn newer(&self) -> Result<Config, ConfigError> {
         let newer = Config::from_env()?;
-        match check::missing(&self.given, &newer.given) {
-            Some(key) => Err(ConfigError::Missing(key)),
-            None => Ok(newer),
+        if let Some(key) = check::missing(&self.given, &newer.given) {
+            return Err(ConfigError::Missing(key));
         }
+        // What runs is what counts: the newer `call_ms` waits for the next start.
+        fleet::check_calls(self.fleet.as_ref(), &newer.settings)?;
+        Ok(newer)
     }
 
     /// Becomes a newer configuration, but for what waits for the next start: that stays as it runs.
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -253,9 +253,10 @@
         self.hear(state, ListForm::Delta, listed);
     }
 
-    /// From now on this is the proxy's share of what all may have together; what it has beyond its base lasts so long.
-    pub fn share(self: &Arc<Self>, share: Share, lasts: Duration) {
-        let until = self.clock.now() + lasts.as_secs_f64() * 1000.0;
+    /// From now on this is the proxy's share of what all may have together; what it has beyond its base ends at that moment.
+    /// Danger: a moment, not a duration. A process that is stopped before it comes here would count that from its waking.
+    pub fn share(self: &Arc<Self>, share: Share, ends: Instant) {
+        let until = self.clock.at(ends);
         self.step(self.lock(), Event::Share(Share { until, ..share }));
     }
 
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -9,7 +9,6 @@
 use super::{counters, guard};
 use may::io::{CoIo, WaitIo};
 use pinetrail_members::{Counts, Members, Output, Settings, Time, MAX_DATAGRAM};
-pub use sharing::Share;
 use sharing::{Seen, Sharing};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
@@ -75,9 +74,13 @@
 
 impl Speaking {
     /// Does what is due about shares, and hears what was said of them; what the decision module is to be told.
-    fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<Share> {
+    fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<sharing::Share> {
         let sharing = self.sharing.as_mut()?;
         let mut told = None;
+        // Most datagrams are not about shares.
+        if !out.iter().any(|one| matches!(one, Output::Shares(_))) && now < sharing.next_due() {
+            return None;
+        }
         let (said, others) =
             std::mem::take(out).into_iter().partition(|one| matches!(one, Output::Shares(_)));
         *out = others;
@@ -94,6 +97,19 @@
     }
 }
 
+/// What the decision module is told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// This process's part of the whole, until `ends`.
+    pub part: f64,
+    /// When what it has beyond its base ends.
+    pub ends: Instant,
+    /// Its part from then on.
+    pub base: f64,
+    /// Calls in flight of all together, at one node and at the origin.
+    pub whole: [f64; 2],
+}
+
 /// Who is told of each new share.
 pub type Tell = Box<dyn Fn(Share) + Send + Sync>;
 
@@ -159,7 +175,7 @@
     fn tell_base(&self) {
         if let Some(shares) = &self.config().shares {
             let base = shares.settings.base() as f64 / pinetrail_shares::WHOLE as f64;
-            self.say(Share { part: base, lasts: Duration::ZERO, base, whole: shares.whole });
+            self.say(sharing::Share { part: base, until: 0, base, whole: shares.whole });
         }
     }
 
@@ -173,9 +189,11 @@
     }
 
     /// Danger: said with the stand locked, so that an older share is never told after a newer one.
-    fn say(&self, share: Share) {
+    fn say(&self, share: sharing::Share) {
         let others = self.others(share.base);
-        (self.tell)(Share { part: share.part - others, base: share.base - others, ..share });
+        let sharing::Share { part, until, base, whole } = share;
+        let ends = self.began + Duration::from_millis(until);
+        (self.tell)(Share { part: part - others, ends, base: base - others, whole });
     }
 
     /// Speaks from now on; an error says that the socket cannot be opened.
--- a/src/net/fleet/sharing.rs
+++ b/src/net/fleet/sharing.rs
@@ -6,15 +6,14 @@
 use pinetrail_members::{Members, Output as Told, Time};
 use pinetrail_shares::{read, words, Counts, News, Output, Process, Shares, Unheard, WHOLE};
 use serde::Serialize;
-use std::time::Duration;
 
-/// What the decision module is told.
+/// This process's share, by the fleet's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
-    /// This process's part of the whole, for so long.
+    /// Its part of the whole.
     pub part: f64,
-    /// How long.
-    pub lasts: Duration,
+    /// Until then.
+    pub until: Time,
     /// Its part from then on.
     pub base: f64,
     /// Calls in flight of all together, at one node and at the origin.
@@ -115,7 +114,7 @@
         let lease = self.shares.lease();
         Share {
             part: part(self.shares.base() + lease.at(now)),
-            lasts: Duration::from_millis(lease.until.saturating_sub(now)),
+            until: lease.until,
             base: part(self.shares.base()),
             whole: self.config.whole,
         }
--- a/tests/fleet/shares.rs
+++ b/tests/fleet/shares.rs
@@ -201,3 +201,19 @@
         until(&fleet, &ALL, "all have theirs", |fleet| have(fleet, &ALL, 5));
     }
 }
+
+/// Guards against calls that run longer than what is leased is kept free after them.
+#[test]
+fn a_hangup_with_longer_deadlines_than_calls_may_run_changes_nothing() {
+    let mut fleet = all_share(3);
+    let mut longer = fleet.config(1, &[0, 2]);
+    longer["settings"]["Grades"][0]["GiveUp"] = serde_json::json!(5000.0);
+    // The newer bound would count only from the next start on.
+    longer["fleet"]["call_ms"] = serde_json::json!(5000);
+    fleet.set_config(1, &longer);
+    fleet.process(1).signal("HUP");
+    fleet.until("it is refused", |fleet| {
+        fleet.timeline.said("n1", "call_ms 1000 is below the longest GiveUp, 5000", 0).is_some()
+    });
+    assert!(have(&fleet, &[0, 1, 2], 3));
+}
