Read discovery's lists as a stream of JSON, indented or cut; watch where lists are pushed

Cause: src/net/discovery.rs cut what came at each line end and read each line as a whole list, so that an indented one ended the watch again and again. Where the settings say that lists are pushed the module asks for no watch (on_members), and nobody else did: such a proxy heard of no change for as long as it lived.

A list of which half has come must be whole within the time of silence, empty lines or not, and so must the head of the answer. Where lists are pushed the watch is opened at the start.

--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -42,6 +42,9 @@
 /// Descriptors that are neither a consumer's nor a provider's: files, pollers, discovery, the listener.
 const OWN_SOCKETS: usize = 24;
 
+/// Where the settings say this of discovery, lists come without being asked for.
+const PUSHED: &str = "push";
+
 /// The program stops: it cannot be put in or out of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stopping;
@@ -239,7 +242,7 @@
         let discovery = Discovery::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
-            config.discovery,
+            (config.discovery, config.settings.discovery == PUSHED),
             known,
             (subscribe, subscriptions),
         );
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -319,6 +319,48 @@
     (30..40).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
 }
 
+/// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against half of one that keeps the watch alive.
+#[test]
+fn an_indented_list_is_a_list() {
+    let node = Party::full_node("s");
+    let scene = Scene::of(&[&node, &node], &idle_origin());
+    let (_, tell) = scene.discovery.watch();
+    let drains = catalog(2, false, &[node.entry("s-0", "c6", "draining")]);
+    let list: serde_json::Value = serde_json::from_str(&drains).unwrap();
+    tell.send(serde_json::to_string_pretty(&list).unwrap()).unwrap();
+    scene.until("it is heard", || scene.count("lists") == 1);
+    let later = catalog(3, false, &[]);
+    let (first, rest) = later.split_at(later.find(',').unwrap());
+    tell.send(first.to_owned()).unwrap();
+    tell.send(rest.to_owned()).unwrap();
+    scene.until("so is one in two parts", || scene.count("lists") == 2);
+    assert_eq!(scene.count("watches_failed"), 0);
+    // Empty lines come, but the rest of this one never does.
+    tell.send("{\n".to_owned()).unwrap();
+    for _ in 0..40 {
+        std::thread::sleep(ms(100));
+        tell.send(String::new()).unwrap_or(());
+    }
+    assert!(scene.count("watches_failed") > 0, "half a list does not keep a watch");
+    let (line, _) = scene.discovery.watch();
+    assert_eq!(line, "GET /catalog/members?watch=1&after=3 HTTP/1.1");
+}
+
+/// Guards against a proxy that hears of no change at all where lists are pushed: there nobody asks for a watch.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_again_after_an_outage() {
+    let node = Party::full_node("s");
+    let entries = [node.entry("s-0", "c6", "ready")];
+    let scene = Scene::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
+    let (line, tell) = scene.discovery.watch();
+    assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
+    tell.send(catalog(2, false, &[node.entry("s-0", "c6", "draining")])).unwrap();
+    scene.until("it is heard", || scene.count("lists") == 1);
+    drop(tell);
+    let (line, _) = scene.discovery.watch();
+    assert_eq!(line, "GET /catalog/members?watch=1&after=2 HTTP/1.1");
+}
+
 /// Guards against a cut-off discovery, whose watch stays open and says nothing.
 #[test]
 fn a_silent_watch_is_dead() {
