--- a/crates/histories/src/breach.rs
+++ b/crates/histories/src/breach.rs
@@ -16,6 +16,8 @@
     Cold,
     /// What all use together is no more than there is.
     Shares,
+    /// Each version of a policy is in force from one moment on everywhere.
+    OneMoment,
 }
 
 /// Why a rule is broken.
@@ -57,6 +59,8 @@
     OverTheWhole,
     /// A provider had more calls before it at once than all may have there.
     TooManyAtOnce,
+    /// A request was decided by a version after another one was by a later version.
+    TwoVersions,
 }
 
 impl Reason {
@@ -69,6 +73,7 @@
             Draining | Gone | NeverListed => Rule::Drains,
             Overloaded => Rule::Cold,
             OverTheWhole | TooManyAtOnce => Rule::Shares,
+            TwoVersions => Rule::OneMoment,
         }
     }
 }
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -15,10 +15,12 @@
 mod drains;
 mod history;
 mod ledger;
+mod policies;
 mod shares;
 
 pub use breach::{Breach, NotJudged, Reason, Rule};
 pub use history::{Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time};
+pub use policies::{judge_policies, Decided};
 pub use shares::judge_shares;
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
--- /dev/null
+++ b/crates/histories/src/policies.rs
@@ -0,0 +1,78 @@
+//! One moment for each version: before it nobody admits a request under it, after it nobody does under the one before. From
+//! what clients asked and were answered alone: which version decided a request must show in its answer.
+
+use crate::breach::{Breach, NotJudged, Reason};
+use crate::history::Time;
+
+/// A request whose answer shows the version by which it was decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decided {
+    /// When its last byte was sent.
+    pub sent: Time,
+    /// When its answer was whole.
+    pub answered: Time,
+    /// The version.
+    pub version: u64,
+    /// By which proxy.
+    pub proxy: String,
+}
+
+/// Whether there is one moment for each version. A request was admitted at some time between its sending and its answer: the moment of a
+/// version lies after the sending of each request under the one before, and before the answer of each under it. `blur` is how far two
+/// readings of the clock may be apart.
+pub fn judge_policies(decided: &[Decided], blur: Time) -> Result<Vec<Breach>, NotJudged> {
+    if decided.is_empty() {
+        return Err(NotJudged::Empty);
+    }
+    if let Some(at) = decided.iter().position(|one| one.answered < one.sent) {
+        return Err(NotJudged::OutOfOrder(at));
+    }
+    let mut breaches = Vec::new();
+    for (event, late) in decided.iter().enumerate() {
+        let newer = decided.iter().enumerate().filter(|(_, one)| one.version > late.version);
+        let first = newer.min_by(|a, b| a.1.answered.total_cmp(&b.1.answered));
+        if let Some((other, first)) = first.filter(|(_, first)| first.answered + blur < late.sent) {
+            breaches.push(Breach {
+                reason: Reason::TwoVersions,
+                about: format!(
+                    "version {} at {}, {} at {}",
+                    late.version, late.proxy, first.version, first.proxy
+                ),
+                at: late.sent,
+                events: vec![other, event],
+            });
+        }
+    }
+    Ok(breaches)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn one(sent: Time, answered: Time, version: u64, proxy: &str) -> Decided {
+        Decided { sent, answered, version, proxy: proxy.into() }
+    }
+
+    fn wrong(decided: &[Decided]) -> usize {
+        judge_policies(decided, 0.0).unwrap().len()
+    }
+
+    #[test]
+    fn a_moment_is_one_for_all() {
+        let good =
+            [one(0.0, 5.0, 1, "a"), one(3.0, 6.0, 2, "b"), one(4.0, 9.0, 1, "a"), one(7.0, 8.0, 2, "a")];
+        assert_eq!(wrong(&good), 0, "all may have been admitted at one side of 5");
+        let late = [one(0.0, 5.0, 2, "b"), one(6.0, 7.0, 1, "a")];
+        assert_eq!(wrong(&late), 1);
+        assert_eq!(wrong(&[one(0.0, 5.0, 2, "a"), one(6.0, 7.0, 1, "a")]), 1, "nor does one proxy go back");
+        assert_eq!(wrong(&[one(0.0, 5.0, 3, "a"), one(6.0, 7.0, 1, "b"), one(8.0, 9.0, 2, "b")]), 2);
+        assert_eq!(judge_policies(&late, 2.0), Ok(vec![]), "clocks are read one after the other");
+    }
+
+    #[test]
+    fn what_shows_nothing_is_not_judged() {
+        assert_eq!(judge_policies(&[], 0.0), Err(NotJudged::Empty));
+        assert_eq!(judge_policies(&[one(5.0, 4.0, 1, "a")], 0.0), Err(NotJudged::OutOfOrder(0)));
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod load;
 mod members;
+mod policy;
 mod shares;
 mod table;
 
@@ -29,6 +30,8 @@
     Shares(shares::Options),
     /// What shares promise, under many seeds of faults and in every order of some.
     Proof(shares::proof::Options),
+    /// Changes of policy under faults from seeds, in simulated time, and how long they take.
+    Policy(policy::Options),
     /// What a fleet costs real processes and their clients: with it and without it, in turn.
     Cost(cost::Options),
     /// One proxy, as the program `pinetrail` is: how the demo starts its processes.
@@ -41,6 +44,7 @@
         Experiment::Demo(options) => demo::run(&options),
         Experiment::Cost(options) => cost::run(&options),
         Experiment::Members(options) => members::run(&options),
+        Experiment::Policy(options) => policy::run(&options),
         Experiment::Proof(options) => shares::proof::run(&options),
         Experiment::Shares(options) => shares::run(&options),
         Experiment::Proxy => {
--- /dev/null
+++ b/crates/lab/src/policy/mod.rs
@@ -0,0 +1,141 @@
+//! `pinetrail-lab policy`: the rulebook's own tasks under faults from many seeds, and how long a change takes without any.
+
+use crate::table;
+use clap::Args;
+use hdrhistogram::Histogram;
+use pinetrail_world::rulebook::{play, play_seed, Fault, Plan, Run, Verdict};
+use rayon::prelude::*;
+use serde::Serialize;
+use std::path::PathBuf;
+
+/// What to play.
+#[derive(Args)]
+pub struct Options {
+    /// The first seed.
+    #[arg(long, default_value_t = 0)]
+    seed: u64,
+    /// Seeds of faults to play.
+    #[arg(long, default_value_t = 200)]
+    seeds: u64,
+    /// Sizes of fleets in which changes are timed.
+    #[arg(long, value_delimiter = ',', default_values_t = [5, 30], value_parser = clap::value_parser!(u16).range(3..=60))]
+    members: Vec<u16>,
+    /// Changes timed at each size.
+    #[arg(long, default_value_t = 20)]
+    changes: u64,
+    /// Print what was logged in the run of the first seed.
+    #[arg(long)]
+    log: bool,
+    /// Where to write all figures as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// What many seeds showed.
+#[derive(Serialize)]
+struct Seeds {
+    first: u64,
+    seeds: u64,
+    /// Each seed in which something was wrong, and what.
+    wrong: Vec<(u64, String)>,
+    taken: u32,
+    refused: u32,
+    abandoned: u32,
+    unknown: u32,
+}
+
+/// How long changes took from the proposal to the first request under them, in ms.
+#[derive(Serialize)]
+struct Took {
+    members: usize,
+    what: &'static str,
+    changes: usize,
+    p50: u64,
+    p99: u64,
+    worst: u64,
+    /// The longest that a member admitted nothing.
+    longest_gap: u64,
+}
+
+#[derive(Serialize)]
+struct All {
+    seeds: Seeds,
+    took: Vec<Took>,
+}
+
+/// Plays, prints and writes; an error says what could not be. False if anything was wrong.
+pub fn run(options: &Options) -> Result<bool, String> {
+    if options.log {
+        play_seed(options.seed).log.iter().for_each(|line| println!("{line}"));
+    }
+    let runs: Vec<Run> =
+        (options.seed..options.seed + options.seeds).into_par_iter().map(play_seed).collect();
+    let wrong = runs.iter().filter(|run| run.verdict != Verdict::Good);
+    let sum = |of: usize| runs.iter().map(|run| run.outcomes[of]).sum();
+    let seeds = Seeds {
+        first: options.seed,
+        seeds: options.seeds,
+        wrong: wrong.map(|run| (run.plan.seed, format!("{:?}", run.verdict))).collect(),
+        taken: sum(0),
+        refused: sum(1),
+        abandoned: sum(2),
+        unknown: sum(3),
+    };
+    println!(
+        "{} seeds from {}: {} wrong; changes taken {}, refused {}, abandoned {}, never begun {}",
+        seeds.seeds,
+        seeds.first,
+        seeds.wrong.len(),
+        seeds.taken,
+        seeds.refused,
+        seeds.abandoned,
+        seeds.unknown
+    );
+    seeds.wrong.iter().take(20).for_each(|(seed, why)| println!("seed {seed}: {why}"));
+    let took: Vec<Took> = options
+        .members
+        .iter()
+        .flat_map(|members| {
+            [false, true].map(|dead| timed(usize::from(*members), dead, options.seed, options.changes))
+        })
+        .collect();
+    let rows = took.iter().map(|took| {
+        let figures = [took.changes as u64, took.p50, took.p99, took.worst, took.longest_gap];
+        let first = format!("{} {}", took.members, took.what);
+        [first].into_iter().chain(figures.map(|figure| figure.to_string())).collect::<Vec<_>>()
+    });
+    println!("ms of simulated time from a proposal to the first request under it (permits of 800 ms), ways of 1 to 3 ms");
+    let heading = ["members", "changes", "p50", "p99", "worst", "longest gap"];
+    table::print(&heading, &rows.collect::<Vec<_>>());
+    let good = seeds.wrong.is_empty();
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&All { seeds, took }).map_err(|error| error.to_string())?;
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    Ok(good)
+}
+
+/// Changes of quiet fleets, or of such in which a member that does not found dies just before.
+fn timed(members: usize, dead: bool, seed: u64, changes: u64) -> Took {
+    let runs: Vec<Run> = (seed..seed + changes)
+        .into_par_iter()
+        .map(|seed| {
+            let plan = Plan::quiet(seed, members, 5.min(members)).with(4000, Fault::Propose(members - 2));
+            play(match dead {
+                true => plan.with(3950, Fault::Crash(members - 1)),
+                false => plan,
+            })
+        })
+        .collect();
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    runs.iter().flat_map(|run| &run.took).for_each(|ms| times.saturating_record(*ms));
+    Took {
+        members,
+        what: if dead { "one dead" } else { "quiet" },
+        changes: runs.iter().map(|run| run.took.len()).sum(),
+        p50: times.value_at_quantile(0.5),
+        p99: times.value_at_quantile(0.99),
+        worst: times.max(),
+        longest_gap: runs.iter().map(|run| run.longest_gap).max().unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/links/src/dial.rs
@@ -0,0 +1,37 @@
+//! Dials one peer, again and again, for as long as it is to be dialled.
+
+use crate::link;
+use crate::links::{Links, Peer};
+use crate::net::Net;
+use rand::RngExt;
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const FIRST_REST: Duration = Duration::from_millis(50);
+const LONGEST_REST: Duration = Duration::from_millis(1000);
+
+/// Keeps a link with a peer: dial, greet, carry; on failure wait and dial again.
+pub(crate) async fn dial<N: Net>(links: Arc<Links<N>>, peer: Peer) {
+    let mut rest = FIRST_REST;
+    while links.wants(&peer) {
+        if !links.is_up(&peer.process) {
+            let connected = timeout(links.times.greeting, links.net.connect(links.from, peer.place)).await;
+            let why = match connected {
+                Ok(Ok(stream)) => {
+                    rest = FIRST_REST;
+                    link::run(&links, stream).await
+                }
+                Ok(Err(error)) => error,
+                Err(_) => ErrorKind::TimedOut.into(),
+            };
+            links.heard().failed(&peer.process, &why);
+        }
+        // Not all at once, where one that many dial was away.
+        let jitter = links.with_rng(|rng| rng.random_range(0.5..1.5));
+        sleep(rest.mul_f64(jitter)).await;
+        rest = (rest * 2).min(LONGEST_REST);
+    }
+    links.dials_no_more(&peer);
+}
--- /dev/null
+++ b/crates/links/src/links.rs
@@ -0,0 +1,270 @@
+//! All links of one process.
+
+use crate::frame::{Frame, Hello, VERSION};
+use crate::mailbox::Mailbox;
+use crate::net::Net;
+use crate::process::Process;
+use crate::{accept, dial};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Within which times links do what they do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// A connection and its greeting.
+    pub greeting: Duration,
+    /// Something is written at least so often.
+    pub beat: Duration,
+    /// A link on which nothing comes, or nothing can be written, for so long ends.
+    pub silence: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times {
+            greeting: Duration::from_millis(1000),
+            beat: Duration::from_millis(400),
+            silence: Duration::from_millis(1600),
+        }
+    }
+}
+
+/// A process that is to be dialled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Which.
+    pub process: Process,
+    /// Where its links are.
+    pub place: SocketAddr,
+}
+
+/// Who hears what others say. It is called on the thread of the links, and must not wait.
+pub trait Heard: Send + Sync + 'static {
+    /// A peer has said something; what it is answered, if it asked.
+    fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>>;
+    /// There is a link with a peer that holds this seat, if any.
+    fn up(&self, peer: &Process, seat: Option<u8>);
+    /// There is no link with it any more.
+    fn down(&self, peer: &Process);
+    /// A peer dropped something that it had to say: ask it for what counts.
+    fn behind(&self, peer: &Process);
+    /// A link that was dialled ended, or never came to be.
+    fn failed(&self, peer: &Process, why: &io::Error);
+}
+
+/// Who waits for an answer.
+type Answer = oneshot::Sender<Option<Vec<u8>>>;
+
+/// One link that is up.
+pub(crate) struct Live {
+    pub hello: Hello,
+    pub mailbox: Mailbox,
+    asked: Mutex<(u64, BTreeMap<u64, Answer>)>,
+    end: Notify,
+}
+
+impl Live {
+    pub fn new(hello: Hello) -> Live {
+        Live { hello, mailbox: Mailbox::default(), asked: Mutex::default(), end: Notify::new() }
+    }
+
+    pub fn answered(&self, number: u64, body: Option<Vec<u8>>) {
+        if let Some(answer) = lock(&self.asked).1.remove(&number) {
+            // Who asked may not wait any longer.
+            let _ = answer.send(body);
+        }
+    }
+
+    pub fn end(&self) {
+        self.mailbox.close();
+        lock(&self.asked).1.clear();
+        self.end.notify_one();
+    }
+
+    pub async fn ended(&self) {
+        self.end.notified().await;
+    }
+
+    fn ask(&self, body: Vec<u8>) -> (u64, oneshot::Receiver<Option<Vec<u8>>>) {
+        let (answer, answered) = oneshot::channel();
+        let number = {
+            let mut asked = lock(&self.asked);
+            asked.0 += 1;
+            let number = asked.0;
+            asked.1.insert(number, answer);
+            number
+        };
+        if !self.mailbox.put(&Frame::Ask(number, body)) {
+            lock(&self.asked).1.remove(&number);
+        }
+        (number, answered)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    seat: Option<u8>,
+    live: BTreeMap<Process, Arc<Live>>,
+    wanted: BTreeMap<Process, SocketAddr>,
+    dialling: BTreeSet<(Process, SocketAddr)>,
+}
+
+/// The links of one process.
+pub struct Links<N: Net> {
+    pub(crate) net: N,
+    pub(crate) fleet: String,
+    pub(crate) me: Process,
+    pub(crate) times: Times,
+    pub(crate) from: IpAddr,
+    heard: OnceLock<Arc<dyn Heard>>,
+    state: Mutex<State>,
+    rng: Mutex<StdRng>,
+}
+
+impl<N: Net> Links<N> {
+    /// Links of a process whose own end is at this address; nobody is known yet. [`Links::listen`] and [`Links::know`] begin.
+    pub fn new(net: N, fleet: &str, me: Process, at: IpAddr, times: Times, seed: u64) -> Arc<Links<N>> {
+        Arc::new(Links {
+            net,
+            fleet: fleet.to_owned(),
+            me,
+            times,
+            from: at,
+            heard: OnceLock::new(),
+            state: Mutex::default(),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Who hears what others say, from now on; the first that is told counts.
+    pub fn heard_by(&self, heard: Arc<dyn Heard>) {
+        let _ = self.heard.set(heard);
+    }
+
+    /// Takes connections in at this address, until what this returns is aborted.
+    pub async fn listen(self: &Arc<Self>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+        let listener = self.net.bind(at).await?;
+        Ok(tokio::spawn(accept::accept(Arc::clone(self), listener)))
+    }
+
+    /// These are to be dialled from now on, and no others.
+    pub fn know(self: &Arc<Self>, peers: Vec<Peer>) {
+        let mut state = self.state();
+        state.wanted = peers.iter().map(|peer| (peer.process.clone(), peer.place)).collect();
+        for peer in peers.into_iter().filter(|peer| peer.process != self.me) {
+            if state.dialling.insert((peer.process.clone(), peer.place)) {
+                tokio::spawn(dial::dial(Arc::clone(self), peer));
+            }
+        }
+    }
+
+    /// From now on this process holds this seat: links that are up end, and say so when they are up again.
+    pub fn take_seat(&self, seat: Option<u8>) {
+        let live: Vec<Arc<Live>> = {
+            let mut state = self.state();
+            if std::mem::replace(&mut state.seat, seat) == seat {
+                return;
+            }
+            state.live.values().cloned().collect()
+        };
+        live.iter().for_each(|live| live.end());
+    }
+
+    /// Says something to a process; false if that is dropped, or there is no link.
+    pub fn tell(&self, to: &Process, body: Vec<u8>) -> bool {
+        let live = self.state().live.get(to).cloned();
+        live.is_some_and(|live| live.mailbox.put(&Frame::Tell(body)))
+    }
+
+    /// Says something to all that are linked.
+    pub fn tell_all(&self, body: &[u8]) {
+        let live: Vec<Arc<Live>> = self.state().live.values().cloned().collect();
+        for live in live {
+            // What does not fit is made up for.
+            live.mailbox.put(&Frame::Tell(body.to_vec()));
+        }
+    }
+
+    /// Asks a process; none if it has not answered in time, or has no answer.
+    pub async fn ask(&self, to: &Process, body: Vec<u8>, within: Duration) -> Option<Vec<u8>> {
+        let live = self.state().live.get(to).cloned()?;
+        let (number, answered) = live.ask(body);
+        let answer = timeout(within, answered).await;
+        if answer.is_err() {
+            live.answered(number, None);
+        }
+        answer.ok()?.ok()?
+    }
+
+    /// Who holds this seat: of several, who started last.
+    pub fn holder(&self, seat: u8) -> Option<Process> {
+        let state = self.state();
+        let holds = state.live.values().filter(|live| live.hello.seat == Some(seat));
+        holds.map(|live| &live.hello.from).max_by_key(|process| process.start).cloned()
+    }
+
+    /// All that are linked.
+    pub fn all(&self) -> Vec<Process> {
+        self.state().live.keys().cloned().collect()
+    }
+
+    /// Whether there is a link with a process.
+    pub fn is_up(&self, process: &Process) -> bool {
+        self.state().live.contains_key(process)
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        let seat = self.state().seat;
+        Hello { version: VERSION, fleet: self.fleet.clone(), from: self.me.clone(), seat }
+    }
+
+    pub(crate) fn heard(&self) -> &dyn Heard {
+        &**self.heard.get().expect("links begin after heard_by")
+    }
+
+    pub(crate) fn arrived(&self, live: &Arc<Live>) {
+        let hello = &live.hello;
+        let before = self.state().live.insert(hello.from.clone(), Arc::clone(live));
+        before.iter().for_each(|before| before.end());
+        self.heard().up(&hello.from, hello.seat);
+    }
+
+    pub(crate) fn left(&self, live: &Arc<Live>) {
+        let gone = {
+            let mut state = self.state();
+            let is_this = state.live.get(&live.hello.from).is_some_and(|now| Arc::ptr_eq(now, live));
+            is_this.then(|| state.live.remove(&live.hello.from)).is_some()
+        };
+        if gone {
+            self.heard().down(&live.hello.from);
+        }
+    }
+
+    pub(crate) fn wants(&self, peer: &Peer) -> bool {
+        self.state().wanted.get(&peer.process) == Some(&peer.place)
+    }
+
+    pub(crate) fn dials_no_more(&self, peer: &Peer) {
+        self.state().dialling.remove(&(peer.process.clone(), peer.place));
+    }
+
+    pub(crate) fn with_rng<T>(&self, act: impl FnOnce(&mut StdRng) -> T) -> T {
+        act(&mut lock(&self.rng))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/links/src/mailbox.rs
@@ -0,0 +1,95 @@
+//! What is to be written to one peer. Bounded: a peer that is slow costs only itself.
+
+use crate::frame::{self, Frame};
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// Frames and bytes that may wait for one peer.
+const MOST: usize = 512;
+const MOST_BYTES: usize = 4 << 20;
+
+#[derive(Default)]
+struct Waiting {
+    frames: VecDeque<Bytes>,
+    bytes: usize,
+    /// Whether something was dropped since the last word of that.
+    behind: bool,
+    closed: bool,
+}
+
+/// The queue to one peer.
+#[derive(Default)]
+pub(crate) struct Mailbox {
+    waiting: Mutex<Waiting>,
+    more: Notify,
+}
+
+impl Mailbox {
+    /// Puts a frame in; false if it is dropped.
+    pub fn put(&self, frame: &Frame) -> bool {
+        let Some(sealed) = frame::seal(frame) else { return false };
+        let mut waiting = self.waiting();
+        let fits = waiting.frames.len() < MOST && waiting.bytes + sealed.len() <= MOST_BYTES;
+        if fits && !waiting.closed {
+            waiting.bytes += sealed.len();
+            waiting.frames.push_back(sealed);
+        } else {
+            waiting.behind = true;
+        }
+        drop(waiting);
+        self.more.notify_one();
+        fits
+    }
+
+    /// The next frame, once there is one; none once it is closed.
+    pub async fn next(&self) -> Option<Bytes> {
+        loop {
+            {
+                let mut waiting = self.waiting();
+                if waiting.closed {
+                    return None;
+                }
+                if let Some(frame) = waiting.frames.pop_front() {
+                    waiting.bytes -= frame.len();
+                    return Some(frame);
+                }
+                if std::mem::take(&mut waiting.behind) {
+                    return frame::seal(&Frame::Behind);
+                }
+            }
+            self.more.notified().await;
+        }
+    }
+
+    /// Nothing more is written.
+    pub fn close(&self) {
+        self.waiting().closed = true;
+        self.more.notify_one();
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn what_does_not_fit_is_made_up_for_by_one_word() {
+        let mailbox = Mailbox::default();
+        let long = Frame::Tell(vec![1; 900_000]);
+        let taken = (0..10).filter(|_| mailbox.put(&long)).count();
+        assert_eq!(taken, MOST_BYTES / 900_000);
+        for _ in 0..taken {
+            assert_eq!(mailbox.next().await, frame::seal(&long));
+        }
+        assert_eq!(mailbox.next().await, frame::seal(&Frame::Behind));
+        assert!(mailbox.put(&Frame::Beat), "there is room again");
+        mailbox.close();
+        assert_eq!(mailbox.next().await, None);
+    }
+}
--- /dev/null
+++ b/crates/links/src/process.rs
@@ -0,0 +1,20 @@
+//! Who is at the other end.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// A process of a fleet. A name is not a process: name and start together are.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Process {
+    /// The proxy's name.
+    pub name: Arc<str>,
+    /// When this process of it started, in Unix microseconds.
+    pub start: u64,
+}
+
+impl fmt::Display for Process {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.name)
+    }
+}
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -34,6 +34,8 @@
     News(News),
     /// What another member says about shares.
     Shares(Vec<u8>),
+    /// What the member at this address says about its links.
+    Links(SocketAddr, Vec<u8>),
 }
 
 enum Due {
@@ -176,6 +178,13 @@
         }
     }
 
+    /// Says something about this process's links to a member, unless this process is out of the fleet.
+    pub fn say_of_links(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+        if self.counts_here() {
+            self.send(Kind::Links, to, body, out);
+        }
+    }
+
     /// Other peers are to be asked from now on.
     pub fn set_peers(&mut self, now: Time, peers: Vec<SocketAddr>, out: &mut Vec<Output>) -> Result<(), Bad> {
         let newer = Settings { peers, ..self.settings.clone() };
@@ -285,6 +294,8 @@
     ) -> Result<(), Dropped> {
         match kind {
             Kind::Swim => return self.swim_said(body, out),
+            Kind::Links if self.counts_here() => out.push(Output::Links(from, body.to_vec())),
+            Kind::Links => {}
             Kind::Shares if self.counts_here() => out.push(Output::Shares(body.to_vec())),
             Kind::Shares => {}
             Kind::NoRoom => {
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -36,10 +36,12 @@
     Bye,
     /// What the floor of shares says.
     Shares,
+    /// Where a process's links are.
+    Links,
 }
 
-const KINDS: [Kind; 7] =
-    [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye, Kind::Shares];
+const KINDS: [Kind; 8] =
+    [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye, Kind::Shares, Kind::Links];
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::client::{call, Client};
 use crate::config::config;
 use crate::discovery::{catalog, Steady};
+use crate::links::LinkRelays;
 use crate::parties::Party;
 use crate::process::{signal, start_in, written};
 use crate::relays::Relays;
@@ -23,6 +24,7 @@
 
 /// The port of members and relays, each at an address of its own.
 const PORT: u16 = 7946;
+const LINK_PORT: u16 = 7947;
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 /// So many fleets at once: more would only wait for the processor, and look slow to each other.
 const AT_ONCE: usize = 3;
@@ -65,13 +67,16 @@
     pub founders: Vec<usize>,
     /// Calls in flight of all together at one node, if they share.
     pub node_calls: Option<usize>,
+    /// Whether they have one policy.
+    pub policy: bool,
 }
 
 impl Options {
     /// So many members that are told of all.
     pub fn of(members: usize) -> Options {
         let (founders, node_calls) = (Vec::new(), None);
-        Options { members, peers: (0..members).collect(), size: 16, seed: 1, founders, node_calls }
+        let policy = false;
+        Options { members, peers: (0..members).collect(), size: 16, seed: 1, founders, node_calls, policy }
     }
 }
 
@@ -137,6 +142,33 @@
     }
 }
 
+/// A process that may not be ready yet.
+pub struct Begun {
+    child: Option<Child>,
+    lines: Receiver<String>,
+}
+
+impl Begun {
+    /// Where its door is.
+    pub fn door(&self) -> SocketAddr {
+        loop {
+            let line = self.lines.recv_timeout(WAIT).expect("the proxy says where its door is");
+            if let Some(at) = line.split_once(" call ").and_then(|(_, at)| at.parse().ok()) {
+                return at;
+            }
+        }
+    }
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill().and_then(|()| child.wait());
+        }
+    }
+}
+
 /// The fleet.
 pub struct Fleet {
     /// Its options.
@@ -147,6 +179,8 @@
     configs: Vec<PathBuf>,
     /// The relays between the members.
     pub relays: Relays,
+    /// The relays of their links.
+    pub links: LinkRelays,
     /// The relays from each member to each cache node, the origin and discovery, in this order.
     pub streams: Vec<Vec<Stream>>,
     /// The cache nodes.
@@ -172,6 +206,11 @@
         let at = |last: usize| SocketAddr::from(([127, base[0], base[1], last as u8], PORT));
         let (hubs, real): (Vec<_>, Vec<_>) = (0..options.members).map(|n| (at(101 + n), at(1 + n))).unzip();
         let relays = Relays::new(&hubs, &real, options.seed);
+        let on_links = |all: &[SocketAddr]| -> Vec<SocketAddr> {
+            all.iter().map(|place| SocketAddr::new(place.ip(), LINK_PORT)).collect()
+        };
+        let linked = if options.policy { (on_links(&hubs), on_links(&real)) } else { Default::default() };
+        let links = LinkRelays::new(&linked.0, &linked.1, &relays.look());
         let entry = |n: usize, party: &Party| party.entry(&format!("s-{n}"), "c6", "ready");
         let mut entries: Vec<String> = nodes.iter().enumerate().map(|(n, party)| entry(n, party)).collect();
         entries.push(origin.entry("o", "origin", "ready"));
@@ -190,6 +229,7 @@
             places: vec![None; members],
             configs: Vec::new(),
             relays,
+            links,
             streams,
             nodes,
             origin,
@@ -205,7 +245,12 @@
     /// A fleet whose members all run, with these cache nodes.
     pub fn start_all(options: Options, nodes: Vec<Party>, origin: Party) -> Fleet {
         let mut fleet = Fleet::new(options, nodes, origin);
-        (0..fleet.options.members).for_each(|member| fleet.start(member));
+        let all: Vec<usize> = (0..fleet.options.members).collect();
+        match fleet.options.policy {
+            // None is ready before enough are there.
+            true => fleet.start_together(&all),
+            false => all.into_iter().for_each(|member| fleet.start(member)),
+        }
         fleet
     }
 
@@ -264,10 +309,23 @@
             if let Some(calls) = self.options.node_calls {
                 fleet["node_calls"] = json!(calls);
             }
+            if self.options.policy {
+                fleet["policy"] = json!({
+                    "bind": SocketAddr::new(self.real(member).ip(), LINK_PORT).to_string(),
+                    "advertise": SocketAddr::new(self.hub(member).ip(), LINK_PORT).to_string(),
+                    "state_dir": self.state_dir(member),
+                    "permit_ms": 1000, "renew_ms": 250, "ready_ms": 1500, "change_ms": 8000,
+                });
+            }
         }
         config
     }
 
+    /// Where a member that founds keeps what it votes for.
+    pub fn state_dir(&self, member: usize) -> PathBuf {
+        self.tmp.join(format!("state-{member}"))
+    }
+
     fn written(&self, member: usize, peers: &[usize]) -> PathBuf {
         written(&self.config(member, peers).to_string())
     }
@@ -290,10 +348,39 @@
         self.processes[member] = Some(process);
     }
 
-    /// Starts a process on the configuration of a member; it is ready when this returns.
-    fn launch(&self, member: usize) -> Process {
+    /// Starts members that are not ready before the others run.
+    pub fn start_together(&mut self, members: &[usize]) {
+        let begun: Vec<(usize, Begun)> =
+            members.iter().map(|member| (*member, self.begin(*member))).collect();
+        for (member, begun) in begun {
+            self.timeline.note("rig", &format!("start {member}"));
+            let process = self.ready(member, begun);
+            self.places[member] = Some(process.place);
+            self.processes[member] = Some(process);
+            let text = std::fs::read_to_string(&self.configs[member]).unwrap();
+            let mut config: Value = serde_json::from_str(&text).unwrap();
+            config["listen"] = json!(self.places[member].map(|place| place.to_string()));
+            self.set_config(member, &config);
+        }
+    }
+
+    /// Starts a process of a member, which need not get ready; it is given what it says.
+    pub fn begin(&self, member: usize) -> Begun {
         let mut child = start_in(&self.configs[member], &self.tmp);
         let lines = self.follow(&mut child, member);
+        Begun { child: Some(child), lines }
+    }
+
+    /// Starts a process on the configuration of a member; it is ready when this returns.
+    fn launch(&self, member: usize) -> Process {
+        let begun = self.begin(member);
+        self.ready(member, begun)
+    }
+
+    /// Waits until a process is ready.
+    pub fn ready(&self, member: usize, mut begun: Begun) -> Process {
+        let child = begun.child.take().expect("it is waited for once");
+        let lines = &begun.lines;
         let mut process = Process { child, place: self.hub(member), door: self.hub(member), ended: false };
         let (mut door, mut place) = (None, None);
         while door.is_none() || place.is_none() {
--- /dev/null
+++ b/crates/rig/src/policy.rs
@@ -0,0 +1,162 @@
+//! A fleet with one policy: what its doors say, and clients that see by which version each request was decided.
+//!
+//! Two policies take turns: the class `read` of one is called `scan` by the other. So an odd version serves `read` and knows no
+//! `scan`, and an even one the other way round.
+
+use crate::client::{call, say_to_door, Client};
+use crate::fleet::Fleet;
+use pinetrail_histories::{judge_policies, Decided};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+static ASKED: AtomicU64 = AtomicU64::new(0);
+
+/// The settings of a version.
+pub fn settings(fleet: &Fleet, version: u64) -> Value {
+    let mut settings = fleet.config(0, &[])["settings"].clone();
+    if version.is_multiple_of(2) {
+        settings["Grades"][0]["Name"] = json!("scan");
+    }
+    settings
+}
+
+/// What a door answers to a proposal.
+pub fn propose(door: SocketAddr, id: &str, after: u64, settings: &Value) -> (u16, Value) {
+    let body = json!({"id": id, "after": after, "settings": settings}).to_string();
+    let words = format!(
+        "POST /control/policy HTTP/1.1\r\nHost: door\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let (status, text) = say_to_door(door, &words);
+    (status, serde_json::from_str(&text).unwrap_or(Value::Null))
+}
+
+/// What a door says of the policy, or of a change.
+pub fn ask(door: SocketAddr, path: &str) -> Value {
+    serde_json::from_str(&call(door, "GET", path).1).unwrap_or(Value::Null)
+}
+
+/// The version in force at a member, and its state.
+pub fn standing(fleet: &Fleet, member: usize) -> (u64, String) {
+    let said = ask(fleet.process(member).door, "/control/policy");
+    (said["version"].as_u64().unwrap_or(0), said["state"].as_str().unwrap_or_default().to_owned())
+}
+
+/// How a change ended, by what a member says; empty while it is open or not known.
+pub fn outcome(fleet: &Fleet, member: usize, id: &str) -> String {
+    let said = ask(fleet.process(member).door, &format!("/control/policy/changes/{id}"));
+    let outcome = said["outcome"].as_str().unwrap_or_default();
+    if outcome == "open" {
+        String::new()
+    } else {
+        outcome.to_owned()
+    }
+}
+
+/// Clients that ask members all the time, and remember what they were answered.
+pub struct Watch {
+    seen: Arc<Mutex<Vec<Decided>>>,
+    refused: Arc<AtomicU64>,
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Watch {
+    /// Two clients for each of these places.
+    pub fn of(places: &[(String, SocketAddr)]) -> Watch {
+        let (seen, refused, over) = (Arc::default(), Arc::default(), Arc::default());
+        let mut watch = Watch { seen, refused, over, threads: Vec::new() };
+        for (name, place) in places.iter().flat_map(|place| [place, place]) {
+            let (name, place) = (name.clone(), *place);
+            let (seen, refused, over) =
+                (Arc::clone(&watch.seen), Arc::clone(&watch.refused), Arc::clone(&watch.over));
+            watch.threads.push(thread::spawn(move || {
+                let mut client = None;
+                while !over.load(Ordering::Acquire) {
+                    thread::sleep(Duration::from_millis(2));
+                    if client.is_none() {
+                        client = Client::try_to(place);
+                    }
+                    let Some(asking) = client.as_mut() else { continue };
+                    match ask_once(asking, &name) {
+                        Some(Some(decided)) => seen.lock().unwrap().push(decided),
+                        Some(None) => drop(refused.fetch_add(1, Ordering::AcqRel)),
+                        None => client = None,
+                    }
+                }
+            }));
+        }
+        watch
+    }
+
+    /// Clients of all members that run.
+    pub fn all(fleet: &Fleet) -> Watch {
+        let running = (0..fleet.options.members).filter(|member| fleet.runs(*member));
+        let places: Vec<_> =
+            running.map(|member| (Fleet::name(member), fleet.process(member).place)).collect();
+        Watch::of(&places)
+    }
+
+    /// How many requests were refused so far.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    /// The last request of a proxy that was decided by a version: whether there was one since a time.
+    pub fn decided_since(&self, proxy: &str, version: u64, since: f64) -> bool {
+        let seen = self.seen.lock().unwrap();
+        seen.iter().any(|one| one.proxy == proxy && one.version == version && one.sent > since)
+    }
+
+    /// Ends them, and judges what they saw: all of it, and how many requests each version decided.
+    pub fn judged(mut self) -> Vec<(u64, usize)> {
+        self.over.store(true, Ordering::Release);
+        self.threads.drain(..).for_each(|thread| thread.join().expect("a client does not panic"));
+        let seen = self.seen.lock().unwrap();
+        let breaches = judge_policies(&seen, 0.0).expect("something was decided");
+        assert!(breaches.is_empty(), "{} breaches; the first: {}", breaches.len(), breaches[0]);
+        let count = |version| seen.iter().filter(|one| one.version == version).count();
+        [1, 2, 3].map(|version| (version, count(version))).to_vec()
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+    }
+}
+
+/// A time of the clock that all clients read, in ms.
+pub fn now() -> f64 {
+    static BEGUN: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    BEGUN.get_or_init(Instant::now).elapsed().as_secs_f64() * 1000.0
+}
+
+/// Asks once; none if the connection is over, none within if it was refused. Versions are told apart by being odd or even: the first
+/// two are what a history holds.
+fn ask_once(client: &mut Client, proxy: &str) -> Option<Option<Decided>> {
+    let number = ASKED.fetch_add(1, Ordering::AcqRel);
+    let class = if number.is_multiple_of(2) { "read" } else { "scan" };
+    let sent = now();
+    if !client.try_say(&format!("mg k{} v Op{number} Pc={class},t=acme,d=3000\r\n", number % 8)) {
+        return None;
+    }
+    let line = client.line();
+    if line.starts_with("VA ") {
+        client.line();
+    }
+    let answered = now();
+    let served = line.starts_with("VA ");
+    if line.is_empty() {
+        return None;
+    }
+    if !served && !line.starts_with("CLIENT_ERROR") {
+        return Some(None);
+    }
+    let version = if served == (class == "read") { 1 } else { 2 };
+    Some(Some(Decided { sent, answered, version, proxy: proxy.to_owned() }))
+}
--- a/crates/rig/src/relays.rs
+++ b/crates/rig/src/relays.rs
@@ -24,9 +24,11 @@
     pub spoilt: f64,
     /// How long it takes, in ms: at least and at the most. What takes differently long is reordered.
     pub delay: (u64, u64),
+    /// So many bytes a second pass on a connection; none for as many as come.
+    pub throttle: Option<u64>,
 }
 
-const WHOLE: Way = Way { cut: false, loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (0, 0) };
+const WHOLE: Way = Way { cut: false, loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (0, 0), throttle: None };
 
 /// How many datagrams a way has carried and swallowed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -112,12 +114,33 @@
         (0..members).for_each(|from| (0..members).for_each(|to| self.way(from, to, &change)));
     }
 
+    /// How ways are, for connections that take them too.
+    pub(crate) fn look(&self) -> Look {
+        Look(Arc::clone(&self.shared))
+    }
+
     /// What a way has carried.
     pub fn carried(&self, from: usize, to: usize) -> Carried {
         self.shared.state.lock().unwrap().carried.get(&(from, to)).copied().unwrap_or_default()
     }
 }
 
+/// Looks at ways.
+#[derive(Clone)]
+pub(crate) struct Look(Arc<Shared>);
+
+impl Look {
+    /// How a way is now.
+    pub fn way(&self, from: usize, to: usize) -> Way {
+        self.0.state.lock().unwrap().ways.get(&(from, to)).copied().unwrap_or(WHOLE)
+    }
+
+    /// Whether the relays are gone.
+    pub fn is_over(&self) -> bool {
+        self.0.stop.load(Ordering::Acquire)
+    }
+}
+
 impl Drop for Relays {
     fn drop(&mut self) {
         self.shared.stop.store(true, Ordering::Release);
--- /dev/null
+++ b/crates/rulebook/src/messages.rs
@@ -0,0 +1,56 @@
+//! What processes of a fleet say to each other about the book.
+
+use crate::grants::Asked;
+use crate::{Ballot, Book, Head, Registered, Vote};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A word; those that are questions are answered by a [`Reply`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// To a founder: promise.
+    Promise(Ballot),
+    /// To a founder: vote.
+    Accept(Ballot, Box<Book>, BTreeMap<u8, u64>),
+    /// To a founder, by one that has no memory of before: this seat's memory.
+    Register(u8, u64),
+    /// To a founder: may this process admit?
+    Permit(Asked),
+    /// To a founder: who may admit, and is not ready for this change?
+    Holders(String),
+    /// To anybody: the whole book, if it is at this step at the least.
+    Whole(u64),
+    /// This is agreed.
+    Agreed(Head),
+    /// For whom an open change waits, as its steward sees it.
+    Waits(String, Vec<String>),
+}
+
+/// What a question is answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// To a ballot.
+    Vote(Vote),
+    /// To a memory.
+    Registered(Registered),
+    /// Whether it may, and what is agreed.
+    Permitted(bool, Head),
+    /// Those who may admit: who, whether it is ready, and for how many ms at the most it may.
+    Holders(Vec<(String, bool, u64)>),
+    /// The book.
+    Whole(Box<Book>),
+}
+
+/// As bytes.
+pub fn words<T: Serialize>(said: &T) -> Vec<u8> {
+    // The types above are all representable.
+    postcard::to_allocvec(said).unwrap_or_default()
+}
+
+/// What the bytes say; none if they are none.
+pub fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    match postcard::take_from_bytes(bytes) {
+        Ok((said, [])) => Some(said),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/node/cas.rs
@@ -0,0 +1,133 @@
+//! One step of the book, compared and set: a majority promises, the book that comes of what they voted for last is made, and
+//! a majority votes for it.
+
+use super::Node;
+use crate::messages::{Message, Reply};
+use crate::{Ballot, Book, Conflict, Vote};
+use pinetrail_links::Net;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
+
+/// What is to become of the book.
+pub(super) enum Step {
+    /// It stays, and is agreed once more.
+    Stay,
+    /// This one follows.
+    Next(Book),
+    /// It stays; who wanted something else is told why not.
+    Not(Conflict),
+}
+
+/// Why no step was made, as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Failed {
+    /// What was wanted does not follow from what is agreed.
+    Conflict(Conflict),
+    /// Permits of before are out: whose, and for how many ms.
+    Blocked(Vec<(String, u64)>),
+    /// No majority answered in time.
+    NoMajority,
+}
+
+const REST: Duration = Duration::from_millis(8);
+
+impl<N: Net> Node<N> {
+    /// Makes a step, by as many ballots as fit into the time.
+    pub(super) async fn step(
+        self: &Arc<Self>,
+        within: Duration,
+        make: impl Fn(Option<&Book>) -> Step,
+    ) -> Result<Book, Failed> {
+        let until = Instant::now() + within;
+        let mut rest = REST;
+        loop {
+            match self.ballot(&make).await {
+                Err(Failed::NoMajority) if Instant::now() + rest < until => {}
+                done => return done,
+            }
+            sleep(self.about(rest)).await;
+            rest = (rest * 2).min(Duration::from_millis(200));
+        }
+    }
+
+    async fn ballot(self: &Arc<Self>, make: impl Fn(Option<&Book>) -> Step) -> Result<Book, Failed> {
+        let ballot = {
+            let mut known = self.known();
+            known.ballot = Ballot::beyond(known.ballot, self.by);
+            known.ballot
+        };
+        let majority = self.settings.seats.majority();
+        let (mut last, mut memories) = (None, BTreeMap::new());
+        let mut votes = self.all(&Message::Promise(ballot));
+        while memories.len() < majority {
+            match votes.recv().await {
+                Some((seat, Vote::Promised(accepted, memory))) => {
+                    memories.insert(seat, memory);
+                    last = last.max_by_ballot(accepted);
+                }
+                Some((_, Vote::Late(later))) => self.known_ballot(later),
+                Some(_) => {}
+                None => return Err(Failed::NoMajority),
+            }
+        }
+        let before: Option<Book> = last.map(|(_, book)| book);
+        let (book, conflict) = match (make(before.as_ref()), before) {
+            (Step::Next(book), _) => (book, None),
+            (Step::Stay, Some(book)) => (book, None),
+            // Danger: what a few voted for may never be agreed; who is refused by it is refused by what is.
+            (Step::Not(why), Some(book)) => (book, Some(why)),
+            (Step::Not(why), None) => return Err(Failed::Conflict(why)),
+            (Step::Stay, None) => return Err(Failed::NoMajority),
+        };
+        let mut votes = self.all(&Message::Accept(ballot, Box::new(book.clone()), memories));
+        let (mut yes, mut blocked) = (0, Vec::new());
+        while yes < majority {
+            match votes.recv().await {
+                Some((_, Vote::Accepted)) => yes += 1,
+                Some((_, Vote::Late(later))) => self.known_ballot(later),
+                Some((_, Vote::Blocked(by))) => blocked.extend(by),
+                Some(_) => {}
+                None if blocked.is_empty() => return Err(Failed::NoMajority),
+                None => return Err(Failed::Blocked(blocked)),
+            }
+        }
+        self.agreed(book.clone());
+        conflict.map_or(Ok(book), |why| Err(Failed::Conflict(why)))
+    }
+
+    /// Asks all seats; what they vote, as it comes.
+    fn all(self: &Arc<Self>, message: &Message) -> mpsc::UnboundedReceiver<(u8, Vote)> {
+        let (say, said) = mpsc::unbounded_channel();
+        for seat in 0..self.settings.seats.0 {
+            let (node, message, say) = (Arc::clone(self), message.clone(), say.clone());
+            tokio::spawn(async move {
+                if let Some(Reply::Vote(vote)) = node.ask(seat, &message).await {
+                    // A majority may have answered already.
+                    let _ = say.send((seat, vote));
+                }
+            });
+        }
+        said
+    }
+
+    fn known_ballot(&self, later: Ballot) {
+        let mut known = self.known();
+        known.ballot = known.ballot.max(later);
+    }
+}
+
+trait Later {
+    fn max_by_ballot(self, other: Self) -> Self;
+}
+
+impl Later for Option<(Ballot, Book)> {
+    fn max_by_ballot(self, other: Self) -> Self {
+        match (self, other) {
+            (Some(a), Some(b)) => Some(if b.0 > a.0 { b } else { a }),
+            (a, b) => a.or(b),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/node/mod.rs
@@ -0,0 +1,202 @@
+//! A process of the fleet, as far as the book is concerned: what it knows, and the tasks that keep it true.
+
+mod cas;
+mod door;
+mod follow;
+mod join;
+mod renew;
+mod serve;
+mod steward;
+
+pub use door::{Refused, Seen, State};
+
+use crate::grants::{Grants, Word};
+use crate::messages::{words, Message, Reply};
+use crate::news::News;
+use crate::store::{self, Disk, Loaded};
+use crate::{Acceptor, Ballot, Book, Digest, Durable, Head, InForce, Permit, Registered, Settings};
+use pinetrail_links::{Links, Net, Process};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The vote of this process.
+struct Seat {
+    number: u8,
+    acceptor: Acceptor,
+    grants: Grants,
+    disk: Box<dyn Disk>,
+    told: BTreeMap<u8, Registered>,
+}
+
+#[derive(Default)]
+struct Known {
+    /// What is agreed, as far as it was heard.
+    head: Head,
+    /// The book, perhaps of an earlier step.
+    book: Option<Book>,
+    /// Who told of it last.
+    source: Option<Process>,
+    /// The version in force here.
+    in_force: u64,
+    /// Why the version that is agreed is not in force here.
+    unfit: Option<(u64, String)>,
+    /// What this process makes of the open change.
+    word: Option<(String, Word)>,
+    /// For whom the open change waits.
+    waits: (String, Vec<String>),
+    /// The latest ballot heard of.
+    ballot: Ballot,
+    seat: Option<Seat>,
+    /// Whether it was ever permitted.
+    admitted: bool,
+}
+
+impl Known {
+    /// The text of a digest, if it is at hand.
+    fn text(&self, digest: Digest) -> Option<Arc<str>> {
+        let own = self.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.as_ref()).map(|a| &a.1);
+        let books = self.book.iter().chain(own);
+        let texts = books.flat_map(|book| {
+            [Some(&book.text), book.change.as_ref().map(|change| &change.text)].into_iter().flatten()
+        });
+        texts.into_iter().find(|text| Digest::of(text) == digest).cloned()
+    }
+}
+
+/// A process of the fleet.
+pub struct Node<N: Net> {
+    settings: Settings,
+    fleet: String,
+    by: u64,
+    links: Arc<Links<N>>,
+    app: Arc<dyn InForce>,
+    permit: Arc<Permit>,
+    known: Mutex<Known>,
+    /// Counts what became known, for those who wait for that.
+    news: News,
+    rng: Mutex<StdRng>,
+}
+
+impl<N: Net> Node<N> {
+    /// A process that knows nothing; its links bring it what there is. It is to be given its seat, if it has one, and started.
+    pub fn new(
+        settings: Settings,
+        fleet: &str,
+        links: Arc<Links<N>>,
+        app: Arc<dyn InForce>,
+        permit: Arc<Permit>,
+    ) -> Arc<Node<N>> {
+        let me = format!("{}/{}", settings.me.name, settings.me.start);
+        let node = Arc::new(Node {
+            by: xxh3_64(me.as_bytes()),
+            rng: Mutex::new(StdRng::seed_from_u64(settings.seed)),
+            settings,
+            fleet: fleet.to_owned(),
+            links: Arc::clone(&links),
+            app,
+            permit,
+            known: Mutex::default(),
+            news: News::default(),
+        });
+        links.heard_by(Arc::clone(&node) as Arc<dyn pinetrail_links::Heard>);
+        node
+    }
+
+    /// Begins its tasks, on the runtime that it is called in.
+    pub fn start(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).follow());
+        for seat in 0..self.settings.seats.0 {
+            tokio::spawn(Arc::clone(self).renew(seat));
+        }
+        tokio::spawn(Arc::clone(self).join());
+        tokio::spawn(Arc::clone(self).steward());
+    }
+
+    /// From now on it holds this founder's seat, with what that has on its disk.
+    pub fn take_seat(&self, number: u8, mut disk: Box<dyn Disk>) -> io::Result<()> {
+        let durable = match store::load(&mut *disk, &self.fleet, number)? {
+            Loaded::Kept(durable) => *durable,
+            found => {
+                if let Loaded::Aside(why) = found {
+                    self.app.log(&format!("ERROR: what this founder's disk had is {why}; it was put aside"));
+                }
+                let memory = self.with_rng(|rng| rng.random());
+                let durable = Durable { memory, ..Durable::default() };
+                store::keep(&mut *disk, &self.fleet, number, &durable)?;
+                durable
+            }
+        };
+        let acceptor = Acceptor::new(number, durable);
+        let grants = Grants::new(self.settings.times, Instant::now());
+        self.known().seat = Some(Seat { number, acceptor, grants, disk, told: BTreeMap::new() });
+        self.links.take_seat(Some(number));
+        self.news();
+        Ok(())
+    }
+
+    /// It holds no seat from now on: another process of this proxy does.
+    pub fn leave_seat(&self) {
+        self.known().seat = None;
+        self.links.take_seat(None);
+    }
+
+    /// The permit under which this process admits.
+    pub fn permit(&self) -> &Arc<Permit> {
+        &self.permit
+    }
+
+    /// The links to others.
+    pub fn links(&self) -> &Arc<Links<N>> {
+        &self.links
+    }
+
+    /// Asks who holds a seat, be it this process; none without an answer in time.
+    async fn ask(&self, seat: u8, message: &Message) -> Option<Reply> {
+        let own = self.known().seat.as_ref().is_some_and(|own| own.number == seat);
+        if own {
+            return self.answer(&self.settings.me, message.clone());
+        }
+        let holder = self.links.holder(seat)?;
+        let answer = self.links.ask(&holder, words(message), self.settings.times.answer).await?;
+        crate::messages::read(&answer)
+    }
+
+    /// Something is agreed.
+    fn agreed(&self, book: Book) {
+        let head = book.head();
+        {
+            let mut known = self.known();
+            if head.serial >= known.head.serial {
+                known.head = head.clone();
+            }
+            if known.book.as_ref().is_none_or(|before| before.serial < book.serial) {
+                known.book = Some(book);
+            }
+        }
+        self.links.tell_all(&words(&Message::Agreed(head)));
+        self.news();
+    }
+
+    fn news(&self) {
+        self.news.tell();
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn with_rng<T>(&self, act: impl FnOnce(&mut StdRng) -> T) -> T {
+        act(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A time of about this, never the same at all processes.
+    fn about(&self, time: Duration) -> Duration {
+        time.mul_f64(self.with_rng(|rng| rng.random_range(0.5..1.5)))
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/node/serve.rs
@@ -0,0 +1,170 @@
+//! What a process answers others.
+
+use super::{Known, Node, Seat};
+use crate::grants::Word;
+use crate::messages::{read, words, Message, Reply};
+use crate::{store, Ballot, Book, Durable, Head, Vote};
+use pinetrail_links::{Heard, Net, Process};
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Who holds no permit and was not heard for so long is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+impl<N: Net> Heard for Node<N> {
+    fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
+        let message = read(body)?;
+        self.answer(from, message).map(|reply| words(&reply))
+    }
+
+    fn up(&self, peer: &Process, _seat: Option<u8>) {
+        let head = self.known().head.clone();
+        if head.serial > 0 {
+            self.links.tell(peer, words(&Message::Agreed(head)));
+        }
+        self.news();
+    }
+
+    fn down(&self, _peer: &Process) {
+        self.news();
+    }
+
+    fn behind(&self, _peer: &Process) {
+        // What counts comes with the answer to the next question.
+        self.news();
+    }
+
+    fn failed(&self, _peer: &Process, _why: &io::Error) {}
+}
+
+impl<N: Net> Node<N> {
+    /// What a message is answered, if it asks.
+    pub(super) fn answer(&self, from: &Process, message: Message) -> Option<Reply> {
+        match message {
+            Message::Promise(ballot) => self.promise(ballot).map(Reply::Vote),
+            Message::Accept(ballot, book, memories) => self.accept(ballot, &book, &memories).map(Reply::Vote),
+            Message::Register(seat, memory) => self.register(seat, memory),
+            Message::Permit(asked) => self.permits(from, asked),
+            Message::Holders(id) => {
+                let known = self.known();
+                Some(Reply::Holders(known.seat.as_ref()?.grants.holders(Instant::now(), &id)))
+            }
+            Message::Whole(serial) => {
+                let known = self.known();
+                let book = known.book.as_ref().filter(|book| book.serial >= serial)?;
+                Some(Reply::Whole(Box::new(book.clone())))
+            }
+            Message::Agreed(head) => {
+                self.heard_of(from, head);
+                None
+            }
+            Message::Waits(id, names) => {
+                self.known().waits = (id, names);
+                None
+            }
+        }
+    }
+
+    /// Another process knows of this.
+    pub(super) fn heard_of(&self, from: &Process, head: Head) {
+        let mut known = self.known();
+        if head.serial <= known.head.serial {
+            return;
+        }
+        // A founder has at hand what it voted for.
+        let voted = known.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.clone());
+        if let Some((_, book)) = voted.filter(|(_, book)| book.head() == head) {
+            known.book = Some(book);
+        }
+        let is_founder = known.seat.is_some();
+        known.head = head.clone();
+        known.source = Some(from.clone());
+        drop(known);
+        // Who proposed it may be cut off from some that this one reaches.
+        if is_founder {
+            self.links.tell_all(&words(&Message::Agreed(head)));
+        }
+        self.news();
+    }
+
+    fn promise(&self, ballot: Ballot) -> Option<Vote> {
+        let mut known = self.known();
+        known.ballot = known.ballot.max(ballot);
+        let seat = known.seat.as_mut()?;
+        let (vote, owed) = seat.acceptor.promise(ballot);
+        Some(self.say(seat, vote, owed))
+    }
+
+    fn accept(&self, ballot: Ballot, book: &Book, memories: &BTreeMap<u8, u64>) -> Option<Vote> {
+        let mut known = self.known();
+        known.ballot = known.ballot.max(ballot);
+        let voted = voted(&known);
+        let seat = known.seat.as_mut()?;
+        let (vote, owed) = seat.acceptor.accept(ballot, book, memories);
+        // Danger: looked at when the vote is given, not before: a founder that was stopped wakes believing the past.
+        let blocks = seat.grants.block(Instant::now(), book, voted);
+        if vote == Vote::Accepted && !blocks.is_empty() {
+            return Some(Vote::Blocked(blocks));
+        }
+        Some(self.say(seat, vote, owed))
+    }
+
+    fn register(&self, of: u8, memory: u64) -> Option<Reply> {
+        let mut known = self.known();
+        let seat = known.seat.as_mut()?;
+        let (told, owed) = seat.acceptor.register(of, memory);
+        match self.say(seat, Vote::Accepted, owed) {
+            Vote::Accepted => Some(Reply::Registered(told)),
+            _ => None,
+        }
+    }
+
+    /// A vote that may be said once the disk has what it owes to it.
+    fn say(&self, seat: &mut Seat, vote: Vote, owed: Option<Durable>) -> Vote {
+        let Some(durable) = owed else { return vote };
+        match store::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
+            Ok(()) => {
+                seat.acceptor.synced(durable);
+                vote
+            }
+            Err(error) => {
+                self.app.log(&format!("ERROR: this founder cannot vote: its disk: {error}"));
+                Vote::Unable
+            }
+        }
+    }
+
+    /// Gives what a disk owes; whether it has it.
+    pub(super) fn keep(&self, durable: Durable) -> bool {
+        let mut known = self.known();
+        let Some(seat) = known.seat.as_mut() else { return false };
+        self.say(seat, Vote::Accepted, Some(durable)) == Vote::Accepted
+    }
+
+    fn permits(&self, from: &Process, asked: crate::Asked) -> Option<Reply> {
+        let (reply, no) = {
+            let mut known = self.known();
+            let (head, voted) = (known.head.clone(), voted(&known));
+            let seat = known.seat.as_mut()?;
+            let no = matches!(&asked.word, Some((_, Word::No(_))));
+            let now = Instant::now();
+            // Danger: who has no vote may have lost what it voted for, and would permit what is over.
+            let head_here = if seat.acceptor.durable().votes { head.clone() } else { Head::default() };
+            let permitted = seat.grants.ask(now, from, asked, &head_here, voted);
+            seat.grants.forget(now, FORGET);
+            (Reply::Permitted(permitted, head), no)
+        };
+        if no {
+            self.news();
+        }
+        Some(reply)
+    }
+}
+
+/// The version that this founder voted for last.
+fn voted(known: &Known) -> u64 {
+    let accepted = known.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.as_ref());
+    accepted.map_or(0, |(_, book)| book.version)
+}
--- /dev/null
+++ b/crates/rulebook/src/permit.rs
@@ -0,0 +1,212 @@
+//! The permit of a process: under it alone requests are admitted. It is looked at whenever it is used, and never by a
+//! timer: a process that was stopped finds it ended when it wakes.
+
+use crate::Seats;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What a process does once its permit has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhenCut {
+    /// It refuses.
+    #[default]
+    Refuse,
+    /// It goes on with the last version.
+    Serve,
+}
+
+/// Whether a request is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is, under the version that was asked about.
+    Yes,
+    /// A change is about to be decided: it is to be asked again within moments.
+    Soon,
+    /// It is not; when to come back.
+    No(Duration),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    /// Until when each founder's part of it lasts.
+    parts: BTreeMap<u8, Instant>,
+    /// Whether it was ever held for this version since it was last given up.
+    held: bool,
+    /// When it was given up for a change, until it is held again.
+    given_up: Option<Instant>,
+    /// Words about permits of before that count no longer.
+    epoch: u64,
+    /// Whether it may be gone on without.
+    serves: bool,
+}
+
+/// The permit of one process.
+#[derive(Debug)]
+pub struct Permit {
+    seats: Seats,
+    when_cut: WhenCut,
+    /// For so long requests wait for a change's moment; then they are refused.
+    hold: Duration,
+    /// When who is refused is to come back.
+    back: Duration,
+    state: Mutex<State>,
+    refused: AtomicU64,
+}
+
+impl Permit {
+    /// None is held.
+    pub fn new(seats: Seats, when_cut: WhenCut, hold: Duration, back: Duration) -> Permit {
+        Permit { seats, when_cut, hold, back, state: Mutex::default(), refused: AtomicU64::new(0) }
+    }
+
+    /// Whether a request is admitted at this moment by who has this version in force.
+    pub fn admits(&self, version: u64, now: Instant) -> Admission {
+        let state = self.state();
+        if state.version == version && self.until(&state).is_some_and(|until| now < until) {
+            return Admission::Yes;
+        }
+        match state.given_up {
+            Some(since) if now < since + self.hold => return Admission::Soon,
+            Some(_) => return Admission::No(self.back),
+            None => {}
+        }
+        if self.when_cut == WhenCut::Serve && state.serves && state.version == version {
+            return Admission::Yes;
+        }
+        Admission::No(self.back)
+    }
+
+    /// A request was refused for want of it.
+    pub fn count_refusal(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests refused for want of it.
+    pub fn refusals(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Whether it lasts at this moment, and until when.
+    pub fn lasts(&self, now: Instant) -> Option<Instant> {
+        let state = self.state();
+        self.until(&state).filter(|until| now < *until)
+    }
+
+    /// From now on permits are asked for this version. What was permitted before has been given up, or has ended.
+    pub fn begin(&self, version: u64) -> u64 {
+        let mut state = self.state();
+        if state.version != version {
+            let State { serves, given_up, .. } = *state;
+            *state = State { version, epoch: state.epoch + 1, serves, given_up, ..State::default() };
+        }
+        state.epoch
+    }
+
+    /// A founder permits, by a question that was asked in this epoch: until then.
+    pub fn granted(&self, seat: u8, epoch: u64, until: Instant) {
+        let mut state = self.state();
+        // Danger: the answer to a question of before it was given up speaks of what is given up.
+        if epoch != state.epoch {
+            return;
+        }
+        let part = state.parts.entry(seat).or_insert(until);
+        *part = until.max(*part);
+        let held = state.held || state.parts.values().count() >= self.seats.majority();
+        if held {
+            (state.held, state.serves, state.given_up) = (true, true, None);
+        }
+    }
+
+    /// Gives it up, for a change; nothing is admitted from now on. The epoch of what is asked next.
+    pub fn give_up(&self, now: Instant) -> u64 {
+        let mut state = self.state();
+        state.parts.clear();
+        state.held = false;
+        state.epoch += 1;
+        state.given_up.get_or_insert(now);
+        state.epoch
+    }
+
+    /// Which questions count.
+    pub fn epoch(&self) -> u64 {
+        self.state().epoch
+    }
+
+    /// Whether it was given up and is not held again.
+    pub fn is_given_up(&self) -> bool {
+        self.state().given_up.is_some()
+    }
+
+    /// A later version is in force elsewhere: this process does not go on with its own, whatever it was told.
+    pub fn is_behind(&self) {
+        self.state().serves = false;
+    }
+
+    fn until(&self, state: &State) -> Option<Instant> {
+        let needed = if state.held { self.seats.blocking() } else { self.seats.majority() };
+        let mut parts: Vec<Instant> = state.parts.values().copied().collect();
+        parts.sort_unstable_by(|a, b| b.cmp(a));
+        parts.get(needed - 1).copied()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    fn permit(seats: u8, when_cut: WhenCut) -> Permit {
+        Permit::new(Seats(seats), when_cut, 100 * MS, 500 * MS)
+    }
+
+    #[test]
+    fn it_lasts_as_long_as_no_majority_can_be_without_it() {
+        let (now, permit) = (Instant::now(), permit(4, WhenCut::Refuse));
+        let epoch = permit.begin(1);
+        permit.granted(0, epoch, now + 10 * MS);
+        permit.granted(1, epoch, now + 30 * MS);
+        assert_eq!(permit.admits(1, now), Admission::No(500 * MS), "the first one needs a majority");
+        permit.granted(2, epoch, now + 20 * MS);
+        assert_eq!(permit.admits(1, now), Admission::Yes);
+        assert_eq!(permit.admits(2, now), Admission::No(500 * MS));
+        assert_eq!(permit.lasts(now), Some(now + 20 * MS), "two of four are in every majority's way");
+        assert_eq!(permit.admits(1, now + 20 * MS), Admission::No(500 * MS));
+    }
+
+    #[test]
+    fn what_was_permitted_before_it_was_given_up_counts_no_longer() {
+        let (now, permit) = (Instant::now(), permit(1, WhenCut::Serve));
+        let epoch = permit.begin(1);
+        permit.granted(0, epoch, now + 50 * MS);
+        permit.give_up(now);
+        permit.granted(0, epoch, now + 90 * MS);
+        assert_eq!(permit.admits(1, now), Admission::Soon);
+        assert_eq!(permit.admits(1, now + 100 * MS), Admission::No(500 * MS));
+        let epoch = permit.begin(2);
+        assert_eq!(permit.admits(2, now), Admission::Soon, "its moment is near");
+        permit.granted(0, epoch, now + 90 * MS);
+        assert_eq!(permit.admits(2, now), Admission::Yes);
+    }
+
+    #[test]
+    fn who_serves_on_needs_to_have_been_permitted_once_and_not_to_know_better() {
+        let (now, permit) = (Instant::now(), permit(1, WhenCut::Serve));
+        let epoch = permit.begin(1);
+        assert_eq!(permit.admits(1, now), Admission::No(500 * MS));
+        permit.granted(0, epoch, now + 50 * MS);
+        assert_eq!(permit.admits(1, now + 60 * MS), Admission::Yes);
+        permit.is_behind();
+        assert_eq!(permit.admits(1, now + 60 * MS), Admission::No(500 * MS));
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/settings.rs
@@ -0,0 +1,120 @@
+//! What a process is told.
+
+use pinetrail_links::Process;
+use std::time::Duration;
+use thiserror::Error;
+
+/// No clock of two processes runs faster than the other's by more than this, in thousandths.
+pub const CLOCKS: u32 = 20;
+
+/// The seats of the founders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seats(pub u8);
+
+impl Seats {
+    /// So many are a majority.
+    pub fn majority(self) -> usize {
+        usize::from(self.0) / 2 + 1
+    }
+
+    /// So many at the least are in every majority's way: without them no majority exists.
+    pub fn blocking(self) -> usize {
+        usize::from(self.0) + 1 - self.majority()
+    }
+}
+
+/// Within which times what is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// A permit ends so long after it was asked for, unless renewed.
+    pub permit: Duration,
+    /// Permits are asked for anew so often.
+    pub renew: Duration,
+    /// Who is not ready for a change by then gets no further permit for the version before.
+    pub ready: Duration,
+    /// If a change is not taken so long after all have been asked to stop admitting, they may again.
+    pub close: Duration,
+    /// A change that is open for longer is abandoned.
+    pub change: Duration,
+    /// One question to a founder is answered within this, or not at all.
+    pub answer: Duration,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        let ms = Duration::from_millis;
+        Times {
+            permit: ms(2000),
+            renew: ms(500),
+            ready: ms(4000),
+            close: ms(300),
+            change: ms(20_000),
+            answer: ms(400),
+        }
+    }
+}
+
+/// What is wrong with what it is told.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Bad {
+    /// A time is too short.
+    #[error("{0} is too short: {1}")]
+    Short(&'static str, &'static str),
+    /// There are no seats, or too many.
+    #[error("1 to 15 founders are needed")]
+    Seats,
+}
+
+impl Times {
+    /// Whether they can be kept.
+    pub fn check(&self) -> Result<(), Bad> {
+        let least = Duration::from_millis(10);
+        let wanted = [
+            ("permit_ms", self.permit >= 3 * self.renew, "at least three of renew_ms"),
+            ("renew_ms", self.renew >= least, "at least 10 ms"),
+            ("close_ms", self.close >= least, "at least 10 ms"),
+            ("answer_ms", self.answer >= least, "at least 10 ms"),
+            ("ready_ms", self.ready >= self.renew, "at least renew_ms"),
+            ("change_ms", self.change >= self.permit + self.ready, "at least permit_ms and ready_ms"),
+        ];
+        let short = wanted.into_iter().find(|(_, holds, _)| !holds);
+        short.map_or(Ok(()), |(name, _, wanted)| Err(Bad::Short(name, wanted)))
+    }
+
+    /// How long a permit counts at who gave it: longer than at its holder, by the bound on clocks.
+    pub fn counted(&self) -> Duration {
+        self.permit * (1000 + CLOCKS) / 1000 + Duration::from_millis(1)
+    }
+}
+
+/// All that a process is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This process.
+    pub me: Process,
+    /// Founders in all.
+    pub seats: Seats,
+    /// The times.
+    pub times: Times,
+    /// Whether it serves on with the last version once its permit has ended.
+    pub when_cut: crate::WhenCut,
+    /// What its own file says: the first version, if there is none yet.
+    pub first: String,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whoever_blocks_is_in_every_majority() {
+        for seats in 1..=15 {
+            let (all, seats) = (usize::from(seats), Seats(seats));
+            assert!(seats.majority() * 2 > all, "two majorities meet");
+            assert!(seats.blocking() + seats.majority() > all, "a majority meets who blocks");
+            assert!(seats.blocking() - 1 + seats.majority() <= all, "and no fewer do");
+        }
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/store/file.rs
@@ -0,0 +1,90 @@
+//! A folder of the file system as a founder's disk: written aside, synced, renamed, the folder synced too.
+
+use super::Disk;
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Read, Write};
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const NAME: &str = "rulebook";
+const ASIDE: &str = "rulebook.new";
+const LOCK: &str = "rulebook.lock";
+/// No file of a founder is longer.
+const LONGEST: u64 = 64 << 20;
+
+/// A folder, held by one process at a time.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    _lock: File,
+}
+
+impl Folder {
+    /// Takes a folder, which is made if it is not there. [`ErrorKind::WouldBlock`] says that another process has it.
+    pub fn take(path: PathBuf) -> io::Result<Folder> {
+        fs::create_dir_all(&path)?;
+        let lock = File::options().create(true).append(true).open(path.join(LOCK))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Folder { path, _lock: lock }),
+            Err(fs::TryLockError::WouldBlock) => Err(ErrorKind::WouldBlock.into()),
+            Err(fs::TryLockError::Error(error)) => Err(error),
+        }
+    }
+}
+
+impl Disk for Folder {
+    fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
+        match File::open(self.path.join(NAME)) {
+            Ok(file) => {
+                let mut bytes = Vec::new();
+                file.take(LONGEST).read_to_end(&mut bytes)?;
+                Ok(Some(bytes))
+            }
+            Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let aside = self.path.join(ASIDE);
+        let mut file = File::create(&aside)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        drop(file);
+        // Danger: what a full disk has taken of it must not take the place of what was said.
+        if fs::metadata(&aside)?.len() != bytes.len() as u64 {
+            return Err(ErrorKind::WriteZero.into());
+        }
+        fs::rename(&aside, self.path.join(NAME))?;
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn put_aside(&mut self, why: &str) -> io::Result<()> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        fs::rename(self.path.join(NAME), self.path.join(format!("{NAME}.{why}-{now}")))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_folder_keeps_what_it_was_given_and_belongs_to_one_process() {
+        let path = std::env::temp_dir().join(format!("pinetrail-rulebook-{}", std::process::id()));
+        let mut folder = Folder::take(path.clone()).unwrap();
+        assert_eq!(folder.read().unwrap(), None);
+        folder.replace(b"one").unwrap();
+        folder.replace(b"two").unwrap();
+        assert_eq!(Folder::take(path.clone()).unwrap_err().kind(), ErrorKind::WouldBlock);
+        drop(folder);
+        let mut folder = Folder::take(path.clone()).unwrap();
+        assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
+        folder.put_aside("torn").unwrap();
+        assert_eq!(folder.read().unwrap(), None);
+        assert!(fs::read_dir(&path)
+            .unwrap()
+            .any(|file| { file.unwrap().file_name().to_string_lossy().starts_with("rulebook.torn-") }));
+        fs::remove_dir_all(path).unwrap();
+    }
+}
--- /dev/null
+++ b/crates/rulebook/src/store/format.rs
@@ -0,0 +1,79 @@
+//! The file of a founder: 8 bytes `ptrbook` and the version of the format, the length of the rest (8 bytes, big-endian), its CRC-32C (4
+//! bytes, big-endian), and a postcard value with the fleet's name, the seat, and what is kept.
+
+use crate::Durable;
+use serde::{Deserialize, Serialize};
+
+const MAGIC: &[u8; 7] = b"ptrbook";
+const VERSION: u8 = 1;
+const HEAD: usize = 20;
+
+#[derive(Serialize, Deserialize)]
+struct Body {
+    fleet: String,
+    seat: u8,
+    durable: Durable,
+}
+
+/// The file.
+pub fn seal(durable: &Durable, fleet: &str, seat: u8) -> Vec<u8> {
+    let body = Body { fleet: fleet.to_owned(), seat, durable: durable.clone() };
+    // The types above are all representable.
+    let body = postcard::to_allocvec(&body).unwrap_or_default();
+    let mut out = Vec::with_capacity(HEAD + body.len());
+    out.extend_from_slice(MAGIC);
+    out.push(VERSION);
+    out.extend_from_slice(&(body.len() as u64).to_be_bytes());
+    out.extend_from_slice(&crc32c::crc32c(&body).to_be_bytes());
+    out.extend_from_slice(&body);
+    out
+}
+
+/// What the file says; or what it is.
+pub fn open(bytes: &[u8], fleet: &str, seat: u8) -> Result<Durable, &'static str> {
+    let Some((head, body)) = bytes.split_first_chunk::<HEAD>() else { return Err("torn") };
+    if &head[..7] != MAGIC {
+        return Err("foreign");
+    }
+    if head[7] > VERSION {
+        return Err("future");
+    }
+    let length = u64::from_be_bytes(head[8..16].try_into().map_err(|_| "torn")?);
+    let sum = u32::from_be_bytes(head[16..20].try_into().map_err(|_| "torn")?);
+    if length != body.len() as u64 || sum != crc32c::crc32c(body) {
+        return Err("torn");
+    }
+    match postcard::from_bytes::<Body>(body) {
+        Ok(body) if body.fleet == fleet && body.seat == seat => Ok(body.durable),
+        Ok(_) => Err("foreign"),
+        Err(_) => Err("torn"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Ballot, Book};
+
+    #[test]
+    fn a_file_is_read_as_it_was_written_or_told_for_what_it_is() {
+        let accepted = Some((Ballot { round: 3, by: 4 }, Book::first("a")));
+        let durable = Durable { memory: 5, votes: true, accepted, ..Durable::default() };
+        let sealed = seal(&durable, "f", 1);
+        assert_eq!(open(&sealed, "f", 1), Ok(durable));
+        assert_eq!(open(&sealed, "g", 1), Err("foreign"));
+        assert_eq!(open(&sealed, "f", 2), Err("foreign"));
+        for length in 0..sealed.len() {
+            assert_eq!(open(&sealed[..length], "f", 1), Err("torn"), "{length}");
+        }
+        for at in 8..sealed.len() {
+            let mut spoilt = sealed.clone();
+            spoilt[at] ^= 1;
+            assert_eq!(open(&spoilt, "f", 1), Err("torn"), "{at}");
+        }
+        let mut future = sealed.clone();
+        future[7] = 2;
+        assert_eq!(open(&future, "f", 1), Err("future"));
+        assert_eq!(open(b"something that is longer than a head", "f", 1), Err("foreign"));
+    }
+}
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -181,7 +181,7 @@
         for output in out {
             match output {
                 // Shares have a world of their own.
-                Output::Shares(_) => {}
+                Output::Shares(_) | Output::Links(..) => {}
                 Output::News(news) => self.heard.push(Heard { at: now, host, news }),
                 Output::Send(to, bytes) => {
                     let Some(to) = self.places.get(&to).copied() else { continue };
--- /dev/null
+++ b/crates/world/src/rulebook/net.rs
@@ -0,0 +1,26 @@
+//! The simulated network.
+
+use pinetrail_links::Net;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use turmoil::net::{TcpListener, TcpStream};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Simulated;
+
+impl Net for Simulated {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    async fn bind(&self, at: SocketAddr) -> io::Result<TcpListener> {
+        TcpListener::bind(at).await
+    }
+
+    async fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+        Ok(listener.accept().await?.0)
+    }
+
+    async fn connect(&self, _from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+        TcpStream::connect(to).await
+    }
+}
--- a/src/net/admin/codec.rs
+++ b/src/net/admin/codec.rs
@@ -5,7 +5,11 @@
 /// The longest head of a request.
 pub const MAX_HEAD: usize = 8 * 1024;
 const MAX_HEADERS: usize = 64;
+/// The longest body.
+pub const MAX_BODY: usize = 512 * 1024;
 const NODES: &str = "/control/cache-nodes/";
+const POLICY: &str = "/control/policy";
+const CHANGES: &str = "/control/policy/changes/";
 
 /// A call of the operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +18,12 @@
     Ready,
     /// What this process knows of its fleet.
     Fleet,
+    /// Where this process stands with the fleet's policy.
+    Policy,
+    /// A change of it is proposed: the body.
+    Propose(Vec<u8>),
+    /// How the change of this name stands.
+    Change(String),
     /// Nothing more to the cache node of this id.
     Offline(String),
     /// The cache node of this id may serve again.
@@ -43,6 +53,11 @@
         Said { status, allow: None, text: text.into(), json: false }
     }
 
+    /// A status and a JSON text.
+    pub fn answer((status, text): (u16, String)) -> Said {
+        Said { status, allow: None, text, json: true }
+    }
+
     /// Yes, in JSON.
     pub fn json(text: String) -> Said {
         Said { status: 200, allow: None, text, json: true }
@@ -52,11 +67,14 @@
     pub fn words(&self) -> Vec<u8> {
         let reason = match self.status {
             200 => "OK",
+            202 => "Accepted",
             400 => "Bad Request",
             404 => "Not Found",
             405 => "Method Not Allowed",
             408 => "Request Timeout",
             409 => "Conflict",
+            411 => "Length Required",
+            413 => "Content Too Large",
             431 => "Request Header Fields Too Large",
             503 => "Service Unavailable",
             _ => "Error",
@@ -73,22 +91,41 @@
     }
 }
 
-/// Reads a request's head; none while it is not whole. What follows the head is no concern of any call.
+/// Reads a request; none while it is not whole. What follows the head is a concern of those calls only that have a body.
 pub fn call(bytes: &[u8]) -> Option<Result<Call, Said>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(&bytes[..bytes.len().min(MAX_HEAD)]) {
-        Ok(httparse::Status::Complete(_)) => {}
-        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => return None,
+        Ok(httparse::Status::Complete(head)) => {
+            let asked = asked(request.method.unwrap_or_default(), request.path.unwrap_or_default());
+            match asked {
+                Ok(Call::Propose(_)) => match body(request.headers, &bytes[head..]) {
+                    Ok(body) => body.map(|body| Ok(Call::Propose(body))),
+                    Err(said) => Some(Err(said)),
+                },
+                asked => Some(asked),
+            }
+        }
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => None,
         Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-            return Some(Err(Said::new(
-                431,
-                format!("the head has over {MAX_HEAD} bytes or {MAX_HEADERS} lines"),
-            )));
+            Some(Err(Said::new(431, format!("the head has over {MAX_HEAD} bytes or {MAX_HEADERS} lines"))))
+        }
+        Err(error) => Some(Err(Said::new(400, format!("no HTTP request: {error}")))),
+    }
+}
+
+/// The body of a request whose head has these headers; none while it is not whole.
+fn body(headers: &[httparse::Header], bytes: &[u8]) -> Result<Option<Vec<u8>>, Said> {
+    let length = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let length =
+        length.and_then(|length| std::str::from_utf8(length.value).ok()?.trim().parse::<usize>().ok());
+    match length {
+        None => Err(Said::new(411, "the call needs a body and its Content-Length")),
+        Some(length) if length > MAX_BODY => {
+            Err(Said::new(413, format!("the body has over {MAX_BODY} bytes")))
         }
-        Err(error) => return Some(Err(Said::new(400, format!("no HTTP request: {error}")))),
+        Some(length) => Ok(bytes.get(..length).map(<[u8]>::to_vec)),
     }
-    Some(asked(request.method.unwrap_or_default(), request.path.unwrap_or_default()))
 }
 
 fn asked(method: &str, target: &str) -> Result<Call, Said> {
@@ -96,6 +133,9 @@
     let (wanted, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
         "/control/fleet" => ("GET", Call::Fleet),
+        POLICY if method == "POST" => ("POST", Call::Propose(Vec::new())),
+        POLICY => ("GET", Call::Policy),
+        _ if path.starts_with(CHANGES) => ("GET", Call::Change(decoded(&path[CHANGES.len()..])?)),
         "/control/out-of-service" => ("POST", Call::OutOfService),
         "/control/in-service" => ("POST", Call::InService),
         _ => {
@@ -108,6 +148,7 @@
         }
     };
     if method != wanted {
+        let wanted = if path == POLICY { "GET, POST" } else { wanted };
         let text = format!("{path} is called by {wanted}, not {method}");
         return Err(Said { allow: Some(wanted), ..Said::new(405, text) });
     }
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -9,6 +9,7 @@
 use super::link::{sleep, Link};
 use super::listen::{Listener, Stream};
 use super::log::log;
+use super::policy::Policy;
 use super::takeover::Ordered;
 use codec::{Call, Said};
 use std::collections::BTreeMap;
@@ -145,10 +146,13 @@
         Call::Ready => {
             return match lifecycle.is_ready() {
                 true => Ok(Said::new(200, "ready")),
-                false => Err(Said::new(503, "not ready: starting or stopping")),
+                false => Err(Said::new(503, lifecycle.why_not_ready())),
             };
         }
         Call::Fleet => return report(lifecycle),
+        Call::Policy => return policy(lifecycle).map(|policy| Said::answer(policy.standing())),
+        Call::Propose(body) => return policy(lifecycle).map(|policy| Said::answer(policy.propose(&body))),
+        Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change(&id))),
         Call::Offline(id) => {
             exchange.hold_out(&id).map_err(|error| refused(&error))?;
             let text = format!("{id} is out: nothing more goes there until it is called back");
@@ -169,6 +173,10 @@
     Ok(Said::new(200, text))
 }
 
+fn policy(lifecycle: &Lifecycle) -> Result<&Arc<Policy>, Said> {
+    lifecycle.policy().ok_or_else(|| Said::new(404, "no common policy is configured, or it starts"))
+}
+
 fn report(lifecycle: &Lifecycle) -> Result<Said, Said> {
     let fleet = lifecycle.fleet().ok_or_else(|| Said::new(404, "no fleet is configured"))?;
     let report = fleet.report();
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -30,6 +30,7 @@
     vote_ms: Option<u64>,
     lease_ms: Option<u64>,
     call_ms: Option<u64>,
+    policy: Option<serde_json::Value>,
 }
 
 /// Reads the object for the proxy of this name.
@@ -38,6 +39,11 @@
     let shares = founders.map(|founders| shares(&file, founders)).transpose()?;
     let bind = address("fleet.bind", file.bind)?;
     let advertise = file.advertise.map(|at| address("fleet.advertise", at)).transpose()?;
+    let founders = shares.as_ref().map(|shares| &shares.settings.founders[..]);
+    let policy = file
+        .policy
+        .map(|policy| super::policy::policy(policy, founders, advertise.unwrap_or(bind), file.size))
+        .transpose()?;
     let peers = file.peers.into_iter().map(|at| address("fleet.peers", at)).collect::<Result<_, _>>()?;
     let usual = Times::default();
     let times = Times {
@@ -58,7 +64,7 @@
         times,
     };
     settings.check().map_err(|error| ConfigError::Fleet(error.to_string()))?;
-    Ok(FleetConfig { bind, advertise, settings, shares })
+    Ok(FleetConfig { bind, advertise, settings, shares, policy })
 }
 
 /// What it says of shares, which it does by naming the founders.
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -2,10 +2,14 @@
 
 mod check;
 mod fleet;
+mod policy;
+mod rules;
 
 use super::descriptors::{DOOR as DOOR_SOCKETS, FLEET as FLEET_SOCKETS};
 use super::fleet::FleetConfig;
-use crate::settings::{Effect, Settings};
+use crate::settings::Settings;
+pub use policy::nearest;
+pub use rules::Rules;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -133,37 +137,6 @@
     settings: serde_json::Value,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Named {
-    name: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Connecting {
-    #[serde(default = "connect_timeout")]
-    connect_timeout: f64,
-}
-
-fn connect_timeout() -> f64 {
-    250.0
-}
-
-/// Those of the settings that the module has no use for.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Words {
-    grades: Vec<Named>,
-    #[serde(default)]
-    orgs: Vec<Named>,
-    #[serde(default)]
-    kinds: Vec<String>,
-    #[serde(default)]
-    zones: Vec<String>,
-    permissions: Connecting,
-}
-
 /// What names on the sockets mean to the module: each is its place in the settings.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -258,20 +231,8 @@
     pub fn from_json(text: &[u8], admin: Option<String>) -> Result<Config, ConfigError> {
         let given: serde_json::Value = serde_json::from_slice(text)?;
         let file: File = serde_json::from_slice(text)?;
-        let words: Words = serde_json::from_value(file.settings.clone())?;
-        let settings: Settings = serde_json::from_value(file.settings.clone())?;
-        let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect::<Vec<String>>();
-        let (classes, tenants) = (name_of(words.grades), name_of(words.orgs));
-        check::check(&settings, &classes, &tenants)?;
-        let timeout = words.permissions.connect_timeout;
-        if !(1.0..=MAX_CONNECT_TIMEOUT_MS).contains(&timeout) {
-            let value = timeout.to_string();
-            return Err(ConfigError::Field {
-                field: "ConnectTimeout".to_owned(),
-                value,
-                wanted: "1 to 60000, in ms",
-            });
-        }
+        let rules = Rules::of(&file.settings)?;
+        let (settings, names) = (rules.settings, rules.names);
         if file.limits.memory_mb < MIN_MEMORY_MB {
             let value = file.limits.memory_mb.to_string();
             return Err(ConfigError::Field {
@@ -295,18 +256,16 @@
                 (MIN_SOCKETS + DOOR_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
             }
         };
+        let links =
+            fleet.as_ref().map_or(0, |fleet| fleet.policy.as_ref().map_or(0, |policy| policy.sockets()));
+        let (least, wanted) = match links {
+            0 => (least, wanted),
+            links => (least + links, "enough beside two for each of fleet.size, for links"),
+        };
         if file.limits.sockets < least {
             let value = file.limits.sockets.to_string();
             return Err(ConfigError::Field { field: "limits.sockets".to_owned(), value, wanted });
         }
-        let names = Names {
-            keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
-            version: 0,
-            classes,
-            tenants,
-            kinds: words.kinds,
-            zones: words.zones,
-        };
         check::check_known(&file.known, &names, settings.family.origin_kind)?;
         Ok(Config {
             admin,
@@ -319,7 +278,7 @@
             known: file.known,
             names,
             settings,
-            connect_timeout: Duration::from_secs_f64(timeout / 1000.0),
+            connect_timeout: rules.connect_timeout,
             given,
         })
     }
@@ -335,6 +294,16 @@
         Ok(newer)
     }
 
+    /// What it says of the fleet's common policy, if anything.
+    pub fn policy(&self) -> Option<&super::policy::PolicyConfig> {
+        self.fleet.as_ref()?.policy.as_ref()
+    }
+
+    /// The settings as they came.
+    pub fn given_settings(&self) -> &serde_json::Value {
+        &self.given["settings"]
+    }
+
     /// Becomes a newer configuration, but for what waits for the next start: that stays as it runs.
     pub fn adopt(&mut self, mut newer: Config) {
         newer.name = std::mem::take(&mut self.name);
@@ -359,8 +328,6 @@
     }
 }
 
-/// Danger: a time beyond what the clock can hold would end a proxy that serves, at SIGHUP.
-const MAX_CONNECT_TIMEOUT_MS: f64 = 60_000.0;
 const MIN_SOCKETS: usize = 32;
 const MIN_MEMORY_MB: usize = 16;
 
--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -17,7 +17,7 @@
 use std::io::{self, ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Commands that may wait for their answers on one connection; beyond, reading stops.
 const MAX_PENDING: usize = 64;
@@ -34,6 +34,17 @@
 /// How long a connection rests after commands that were no good, lest sending them again at once pay.
 const AFTER_ERRORS: Duration = Duration::from_millis(20);
 
+/// While a change of the fleet's policy is decided an invocation is handed in again so often.
+const UNTIL_SOON: Duration = Duration::from_millis(1);
+
+/// Why an invocation is not taken in.
+enum Refused {
+    /// It is no good.
+    Bad(&'static str),
+    /// This process may not admit requests now; in how many ms to come back.
+    Fenced(u64),
+}
+
 /// An answer in the consumer's protocol, and the value behind it if that flows.
 type Said = (Vec<u8>, Option<Sink>);
 
@@ -317,7 +328,7 @@
     /// Does what a command says; false if there is no memory for it now.
     fn obey(&mut self, command: Command) -> bool {
         match command {
-            Command::Noop if self.side.away().is_some() => {
+            Command::Noop if self.side.away().is_some() || self.side.exchange.is_fenced() => {
                 self.say("SERVER_ERROR out of service\r\n".to_owned())
             }
             Command::Noop => self.say("MN\r\n".to_owned()),
@@ -365,20 +376,34 @@
         self.side.asked(self.number);
         match self.take(invocation, Box::new(reply)) {
             Ok(id) => self.pending.push_back(Pending { id: Some(id), words, held: Some(held) }),
-            Err(why) => self.refuse(&format!("CLIENT_ERROR {why}")),
+            Err(Refused::Bad(why)) => self.refuse(&format!("CLIENT_ERROR {why}")),
+            Err(Refused::Fenced(ms)) => {
+                self.say(format!("SERVER_ERROR busy {ms}\r\n"));
+            }
         }
     }
 
     /// Hands an invocation in, read once more as often as other settings come into force meanwhile.
-    fn take(&self, mut given: Invocation, mut reply: Reply) -> Result<RequestId, &'static str> {
+    fn take(&self, mut given: Invocation, mut reply: Reply) -> Result<RequestId, Refused> {
         loop {
             match self.side.exchange.take(given, reply) {
                 Ok(id) => return Ok(id),
                 // Two answers under one id could not be told apart.
-                Err(NotTaken::IdInUse) => return Err("the id is in use"),
+                Err(NotTaken::IdInUse) => return Err(Refused::Bad("the id is in use")),
+                Err(NotTaken::Fenced(ms)) => return Err(Refused::Fenced(ms)),
+                Err(NotTaken::Soon(same, same_reply)) => {
+                    let begun = Instant::now();
+                    sleep(UNTIL_SOON);
+                    (given, reply) = (*same, same_reply);
+                    // Its consumer's time passes meanwhile.
+                    given.budget = (given.budget - begun.elapsed().as_secs_f64() * 1000.0).max(0.0);
+                }
                 Err(NotTaken::Outdated(old, same)) => {
-                    let Invocation { key, opaque, labels, value, .. } = *old;
-                    given = invocation(&self.side.exchange, key, opaque, labels, value)?;
+                    let Invocation { key, opaque, labels, value, budget, .. } = *old;
+                    let read = invocation(&self.side.exchange, key, opaque, labels, value);
+                    given = read.map_err(Refused::Bad)?;
+                    // It may have waited.
+                    given.budget = given.budget.min(budget);
                     reply = same;
                 }
             }
--- a/src/net/exchange/held_out.rs
+++ b/src/net/exchange/held_out.rs
@@ -5,6 +5,7 @@
 use crate::net::config::Instance;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use thiserror::Error;
 
 /// Names remembered of nodes that are no longer listed, the oldest forgotten first.
@@ -34,6 +35,20 @@
     gone: Vec<String>,
     out: BTreeMap<String, Time>,
     back: BTreeMap<String, (Time, Time)>,
+    /// Where processes of the fleet are linked, if they are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub links: Vec<Neighbour>,
+}
+
+/// A process of the fleet, and where its links are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Neighbour {
+    /// Its proxy's name.
+    pub name: String,
+    /// When it started, in Unix microseconds.
+    pub start: u64,
+    /// Where its links are.
+    pub place: SocketAddr,
 }
 
 /// What discovery told of each node, and which are held out.
@@ -56,6 +71,7 @@
             gone: self.gone_in_order.iter().cloned().collect(),
             out: self.out.clone(),
             back: self.back.clone(),
+            links: Vec::new(),
         }
     }
 
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -19,13 +19,14 @@
 use crate::settings::Settings;
 use clock::Clock;
 use held_out::HeldOut;
-pub use held_out::{Nodes, NotHeld};
+pub use held_out::{Neighbour, Nodes, NotHeld};
 use ids::{key_number, ProviderIds};
 use listed::{provider, Provider};
 use may::sync::mpsc::Sender;
+use pinetrail_rulebook::{Admission, Permit};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The module must have answered this long after the deadline, or the exchange ends the invocation.
@@ -123,6 +124,10 @@
     IdInUse,
     /// Other settings have come into force since it was read: it must be read by those.
     Outdated(Box<Invocation>, Reply),
+    /// A change of the fleet's policy is being decided: it is to be handed in again within moments.
+    Soon(Box<Invocation>, Reply),
+    /// This process may not admit requests; in how many ms to come back.
+    Fenced(u64),
 }
 
 /// An invocation, until its answer is given and all its calls have ended.
@@ -173,6 +178,8 @@
     providers: BTreeMap<ServerId, Known>,
     ids: ProviderIds,
     held_out: HeldOut,
+    /// Which version of the fleet's policy the settings are; 0 for this proxy's own.
+    policy: u64,
 }
 
 /// What is to be done once the exchange's lock is released.
@@ -207,6 +214,8 @@
     state: Mutex<Inner>,
     orders: Sender<Order>,
     subscribe: Sender<()>,
+    /// Under which alone invocations are taken in, where a fleet has one policy.
+    permit: OnceLock<Arc<Permit>>,
 }
 
 impl Exchange {
@@ -230,9 +239,17 @@
             providers: BTreeMap::new(),
             ids: ProviderIds::default(),
             held_out: HeldOut::default(),
+            policy: 0,
         };
         let state = Mutex::new(state);
-        Arc::new(Exchange { clock: Clock::start(), counters, state, orders, subscribe })
+        Arc::new(Exchange {
+            clock: Clock::start(),
+            counters,
+            state,
+            orders,
+            subscribe,
+            permit: OnceLock::new(),
+        })
     }
 
     /// What names mean to the module now.
@@ -240,10 +257,36 @@
         Arc::clone(&self.lock().names)
     }
 
+    /// From now on invocations are taken in under this permit only; the first that is told counts.
+    pub fn permitted_by(&self, permit: Arc<Permit>) {
+        let _ = self.permit.set(permit);
+    }
+
+    /// Whether this process may take nothing in, and is not about to.
+    pub fn is_fenced(&self) -> bool {
+        let policy = self.lock().policy;
+        matches!(self.admission(policy), Admission::No(_))
+    }
+
+    /// Danger: looked at when an invocation is taken in, with what is in force locked.
+    fn admission(&self, policy: u64) -> Admission {
+        self.permit.get().map_or(Admission::Yes, |permit| permit.admits(policy, tokio::time::Instant::now()))
+    }
+
+    /// Puts a version of the fleet's policy in force, as [`Exchange::retune`] does.
+    pub fn govern(self: &Arc<Self>, version: u64, settings: Settings, names: Names) {
+        let mut state = self.lock();
+        state.policy = version;
+        self.put_in_force(state, settings, names);
+    }
+
     /// Puts other settings in force, and what names mean by them, in one step. Open invocations keep what they
     /// were taken with.
-    pub fn retune(self: &Arc<Self>, settings: Settings, mut names: Names) {
-        let mut state = self.lock();
+    pub fn retune(self: &Arc<Self>, settings: Settings, names: Names) {
+        self.put_in_force(self.lock(), settings, names);
+    }
+
+    fn put_in_force(self: &Arc<Self>, mut state: MutexGuard<Inner>, settings: Settings, mut names: Names) {
         state.origin_kind = settings.family.origin_kind;
         state.balancer.retune(settings);
         names.version = state.names.version + 1;
@@ -270,6 +313,14 @@
         let write = invocation.value.is_some();
         let overdue = span(invocation.budget) + OVERDUE;
         let mut state = self.lock();
+        match self.admission(state.policy) {
+            Admission::Yes => {}
+            Admission::Soon => return Err(NotTaken::Soon(Box::new(invocation), reply)),
+            Admission::No(back) => {
+                self.permit.get().into_iter().for_each(|permit| permit.count_refusal());
+                return Err(NotTaken::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
+            }
+        }
         if invocation.version != state.names.version {
             return Err(NotTaken::Outdated(Box::new(invocation), reply));
         }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -6,14 +6,15 @@
 
 use super::link::sleep;
 use super::log::log;
+use super::policy::PolicyConfig;
 use super::{counters, guard};
 use may::io::{CoIo, WaitIo};
-use pinetrail_members::{Counts, Members, Output, Settings, Time, MAX_DATAGRAM};
+use pinetrail_members::{Counts, Members, Output, Settings, State, Time, MAX_DATAGRAM};
 use sharing::{Seen, Sharing};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The longest sleep: what is due sooner than was known when it began waits for so long at the most.
@@ -46,6 +47,8 @@
     pub settings: Settings,
     /// Of shares; without it the share is one of `GroupSize`.
     pub shares: Option<SharesConfig>,
+    /// Of the common policy, if there is one.
+    pub policy: Option<PolicyConfig>,
 }
 
 impl FleetConfig {
@@ -113,6 +116,12 @@
 /// Who is told of each new share.
 pub type Tell = Box<dyn Fn(Share) + Send + Sync>;
 
+/// Who hears what a member at an address says of its links.
+pub type HearLinks = Box<dyn Fn(SocketAddr, &[u8]) + Send + Sync>;
+
+/// A member that is alive, as links need to know it: its name, its start, and where its datagrams go.
+pub type There = (Arc<str>, u64, SocketAddr);
+
 /// Where this process stands in its fleet.
 enum Stand {
     /// It is to speak as soon as the socket can be opened.
@@ -137,6 +146,8 @@
     tell: Tell,
     /// Whether the other process of this proxy serves as well: they have one base between them.
     beside: AtomicBool,
+    /// Who hears what members say of their links, if anybody.
+    hear_links: OnceLock<HearLinks>,
 }
 
 impl Fleet {
@@ -154,6 +165,7 @@
             send_failures: counters::Count::default(),
             tell,
             beside: AtomicBool::new(beside),
+            hear_links: OnceLock::new(),
         });
         fleet.tell_base();
         fleet
@@ -255,6 +267,36 @@
         Ok(())
     }
 
+    /// The names of this member and of the fleet.
+    pub fn names(&self) -> (String, String) {
+        let config = self.config();
+        (config.settings.name.clone(), config.settings.fleet.clone())
+    }
+
+    /// Who hears of links from now on; the first that is told counts.
+    pub fn links_heard_by(&self, hear: HearLinks) {
+        let _ = self.hear_links.set(hear);
+    }
+
+    /// Says something of this process's links to the member at an address.
+    pub fn say_of_links(&self, to: SocketAddr, body: &[u8]) {
+        self.with(|members, out| members.say_of_links(to, body, out));
+    }
+
+    /// The other members that are alive; none while this process is silent.
+    pub fn there(&self) -> Option<Vec<There>> {
+        match &*self.stand() {
+            Stand::Speaks(speaking) => {
+                let own = &speaking.members.me().name;
+                let all = speaking.members.roster().into_iter();
+                let others = all.filter(|entry| entry.name != *own);
+                let there = others.filter(|entry| matches!(entry.state, State::Alive | State::Suspect));
+                Some(there.map(|entry| (entry.name, entry.start, entry.address)).collect())
+            }
+            Stand::Opening | Stand::Silent => None,
+        }
+    }
+
     /// Where its socket is; none while it is silent.
     pub fn address(&self) -> Option<SocketAddr> {
         match &*self.stand() {
@@ -402,6 +444,9 @@
                     }
                 }
                 Output::Shares(_) => {}
+                Output::Links(from, body) => {
+                    self.hear_links.get().into_iter().for_each(|hear| hear(from, &body));
+                }
                 Output::News(news) => log(&format!("fleet: {}", report::words(&news))),
             }
         }
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -10,7 +10,9 @@
 impl Host for Lifecycle {
     fn give(&self) -> Option<(Arc<Listener>, Nodes)> {
         let sides = self.sides.get().filter(|_| self.is_ready())?;
-        Some((sides.consumers.listener()?, sides.exchange.nodes()))
+        let mut nodes = sides.exchange.nodes();
+        nodes.links = self.policy().map_or(Vec::new(), |policy| policy.neighbours());
+        Some((sides.consumers.listener()?, nodes))
     }
 
     fn share(&self, leaving: bool) -> Share {
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -16,6 +16,7 @@
 use super::listen;
 use super::log::{log, print};
 use super::memory::Memory;
+use super::policy::{Policy, PolicyConfig};
 use super::provider::ProviderSide;
 use super::takeover::{self, Given, Host, Partner, Share, Takeover};
 use crate::interface;
@@ -57,6 +58,8 @@
     takeover: Arc<Takeover>,
     /// Only if one is configured.
     fleet: OnceLock<Arc<Fleet>>,
+    /// Only if one is configured.
+    policy: OnceLock<Arc<Policy>>,
 }
 
 /// The sides of a running proxy, as far as signals, operators and the other process reach them.
@@ -76,6 +79,7 @@
         sides: OnceLock::new(),
         takeover: Takeover::new(),
         fleet: OnceLock::new(),
+        policy: OnceLock::new(),
     });
     match lifecycle.go() {
         Ok(()) => ExitCode::SUCCESS,
@@ -89,7 +93,17 @@
 impl Lifecycle {
     /// Whether this process takes clients, be it to send them on.
     pub fn is_ready(&self) -> bool {
-        self.stand().serves()
+        self.stand().serves() && self.policy().is_none_or(|policy| policy.admits())
+    }
+
+    /// Why this process does not take clients.
+    pub fn why_not_ready(&self) -> String {
+        let serves = self.stand().serves();
+        match self.policy().filter(|policy| !policy.admits()) {
+            Some(policy) if serves => format!("not ready: fenced: {}", policy.why_not()),
+            Some(policy) => format!("not ready: it catches up: {}", policy.why_not()),
+            None => "not ready: starting or stopping".to_owned(),
+        }
     }
 
     /// Puts the proxy in service or out of it; to do so twice changes nothing.
@@ -117,6 +131,11 @@
         self.fleet.get()
     }
 
+    /// This process's part in the fleet's common policy, if there is one.
+    pub fn policy(&self) -> Option<&Arc<Policy>> {
+        self.policy.get()
+    }
+
     /// Changes what the phase follows from.
     fn change<T>(&self, change: impl FnOnce(&mut Stand) -> T) -> T {
         let mut stand = self.stand();
@@ -138,7 +157,11 @@
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
         let mut config = Config::from_env()?;
         let given = takeover::ask(config.listen)?;
-        let sides = self.start(&config, given)?;
+        let Some(sides) = self.start(&config, given, &mut signals)? else {
+            log("asked to stop before it was ready");
+            self.fleet().into_iter().for_each(|fleet| fleet.leave());
+            return Ok(());
+        };
         log(&format!("{} listens on {}", config.name, sides.consumers.address()));
         for signal in signals.forever() {
             match signal {
@@ -149,7 +172,9 @@
         }
         self.enter(Phase::Draining);
         self.fleet().into_iter().for_each(|fleet| fleet.begin_to_leave());
-        drain(sides, Drain::for_wait(longest_wait(&config.settings)), self.takeover.leave());
+        let governed = self.policy().and_then(|policy| policy.longest_wait());
+        let longest = longest_wait(governed.unwrap_or_else(|| longest_give_up(&config.settings)));
+        drain(sides, Drain::for_wait(longest), self.takeover.leave());
         self.takeover.end();
         self.fleet().into_iter().for_each(|fleet| fleet.leave());
         self.enter(Phase::Stopped);
@@ -165,9 +190,19 @@
             Ok(newer) => {
                 self.counters.reloads.add();
                 let classes = newer.names.classes().join(", ");
-                log(&format!("reload: new settings are in force, with the classes {classes}"));
-                sides.exchange.retune(newer.settings.clone(), newer.names.clone());
-                sides.providers.retune(newer.connect_timeout, conn_idle(&newer.settings));
+                match self.policy().filter(|policy| !policy.lets_in_local_settings()) {
+                    Some(policy) if policy.is_in_force(newer.given_settings()) => {
+                        log("reload: the settings are those of the fleet's policy in force");
+                    }
+                    Some(_) => log(
+                        "reload: the settings are not put in force: the fleet has one policy; propose them by POST /control/policy",
+                    ),
+                    None => {
+                        log(&format!("reload: new settings are in force, with the classes {classes}"));
+                        sides.exchange.retune(newer.settings.clone(), newer.names.clone());
+                        sides.providers.retune(newer.connect_timeout, conn_idle(&newer.settings));
+                    }
+                }
                 if newer.discovery != config.discovery {
                     log(&format!("reload: discovery moves from {} to {}", config.discovery, newer.discovery));
                     sides.discovery.move_to(newer.discovery);
@@ -191,7 +226,13 @@
         self.change(|stand| stand.reloading = false);
     }
 
-    fn start(self: &Arc<Self>, config: &Config, given: Option<Given>) -> Result<&Sides, Box<dyn Error>> {
+    /// Starts all sides; none if the process was asked to stop before it was ready.
+    fn start(
+        self: &Arc<Self>,
+        config: &Config,
+        given: Option<Given>,
+        signals: &mut Signals,
+    ) -> Result<Option<&Sides>, Box<dyn Error>> {
         // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
         may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(READY_COROUTINES);
         may::config().set_worker_pin(false);
@@ -203,7 +244,8 @@
         };
         let own = OWN_SOCKETS
             + door.as_ref().map_or(0, |_| descriptors::DOOR)
-            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET);
+            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET)
+            + config.policy().map_or(0, PolicyConfig::sockets);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
@@ -254,12 +296,32 @@
             });
             let fleet =
                 self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
-            let counted = Arc::clone(fleet);
-            self.counters.others.are(move || counted.list());
+            let (counted, policy) = (Arc::clone(fleet), Arc::clone(self));
+            self.counters.others.are(move || {
+                let policy = policy.policy().map_or(Vec::new(), |policy| policy.list());
+                counted.list().into_iter().chain(policy).collect()
+            });
             if given.is_none() {
                 fleet.speak()?;
             }
         }
+        if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
+            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.links.clone());
+            let sides = (&exchange, &providers);
+            let policy =
+                Policy::start(told.clone(), fleet, sides, config.given_settings(), links, config.seed)
+                    .map_err(|error| format!("policy: {error}"))?;
+            let policy = self.policy.get_or_init(|| policy);
+            // Operators are answered while it catches up.
+            if let Some(door) = &door {
+                log(&format!("operators call {}", door.address()?));
+                Arc::clone(door).serve(Arc::clone(&exchange), Arc::clone(self));
+            }
+            let mut is_asked_to_stop = || signals.pending().any(|signal| [SIGTERM, SIGINT].contains(&signal));
+            if !policy.catch_up(&mut is_asked_to_stop) {
+                return Ok(None);
+            }
+        }
         let socket = match &given {
             Some(given) => given.socket.try_clone()?,
             None => listen::open(config.listen)
@@ -269,7 +331,7 @@
             ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
         let address = consumers.address();
         let sides = self.sides.get_or_init(|| Sides { exchange, consumers, providers, discovery, budget });
-        if let Some(door) = door {
+        if let Some(door) = door.filter(|_| self.policy().is_none()) {
             log(&format!("operators call {}", door.address()?));
             door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
         }
@@ -282,7 +344,7 @@
         self.fleet().filter(|_| is_newcomer).into_iter().for_each(|fleet| fleet.speak_soon());
         self.change(|stand| stand.enter(Phase::Serving));
         self.takeover.listen(address, host);
-        Ok(sides)
+        Ok(Some(sides))
     }
 }
 
@@ -291,9 +353,12 @@
     Duration::from_secs_f64(settings.limits.conn_idle.clamp(1000.0, 86_400_000.0) / 1000.0)
 }
 
+fn longest_give_up(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max)
+}
+
 /// How long a client waits at the most, over all classes; none where that is not told.
-fn longest_wait(settings: &Settings) -> Option<Duration> {
-    let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+fn longest_wait(longest: f64) -> Option<Duration> {
     (longest > 0.0).then(|| Duration::from_secs_f64(longest.min(60_000.0) / 1000.0))
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,5 +24,6 @@
 pub mod log;
 pub mod memcache;
 pub mod memory;
+pub mod policy;
 pub mod provider;
 pub mod takeover;
--- /dev/null
+++ b/src/net/policy/app.rs
@@ -0,0 +1,107 @@
+//! Puts versions of the policy in force at this proxy, and says of each proposal whether it could.
+
+use super::text;
+use crate::net::config::{nearest, Rules};
+use crate::net::exchange::Exchange;
+use crate::net::log::log;
+use crate::net::provider::ProviderSide;
+use pinetrail_rulebook::InForce;
+use serde_json::Value;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// This proxy, as far as policies are concerned.
+pub struct App {
+    exchange: Arc<Exchange>,
+    providers: Arc<ProviderSide>,
+    /// What its own file says at the start.
+    own: Value,
+    /// The text of the version in force.
+    text: Mutex<Option<String>>,
+    /// The longest that a class in force waits, in ms.
+    longest_wait: Mutex<Option<f64>>,
+}
+
+impl App {
+    /// A proxy whose file says this.
+    pub fn new(exchange: Arc<Exchange>, providers: Arc<ProviderSide>, settings: &Value) -> App {
+        App {
+            exchange,
+            providers,
+            own: settings.clone(),
+            text: Mutex::new(None),
+            longest_wait: Mutex::new(None),
+        }
+    }
+
+    /// Whether what its own file says could be a policy: it may have to be the first one.
+    pub fn first_is_good(&self) -> Result<(), String> {
+        known_keys(&self.own).map_err(|why| format!("settings cannot be the fleet's policy: {why}"))
+    }
+
+    /// Whether these settings are those in force.
+    pub fn is_in_force(&self, settings: &Value) -> bool {
+        self.text.lock().unwrap_or_else(PoisonError::into_inner).as_deref() == Some(&text::common(settings))
+    }
+
+    /// The longest that a class in force waits, in ms; none before any is.
+    pub fn longest_wait(&self) -> Option<f64> {
+        *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn rules(&self, text: &str) -> Result<Rules, String> {
+        let given: Value = serde_json::from_str(text).map_err(|error| format!("settings: {error}"))?;
+        if !given.is_object() {
+            return Err("settings: no object".to_owned());
+        }
+        known_keys(&given)?;
+        let given = text::with_own(&given, &self.own);
+        let before = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = before.as_deref().and_then(|text| serde_json::from_str::<Value>(text).ok());
+        let rules = match before {
+            Some(before) => Rules::after(&given, &before),
+            None => Rules::of(&given),
+        };
+        rules.map_err(|error| error.to_string())
+    }
+}
+
+fn known_keys(given: &Value) -> Result<(), String> {
+    let mut keys = given.as_object().into_iter().flat_map(|given| given.keys());
+    match keys.find(|key| !text::KNOWN.contains(&key.as_str())) {
+        Some(unknown) => {
+            let near = nearest(unknown, &text::KNOWN);
+            Err(format!(
+                "settings.{unknown}: this program does not know it; the nearest known one is {near:?}"
+            ))
+        }
+        None => Ok(()),
+    }
+}
+
+impl InForce for App {
+    fn check(&self, text: &str) -> Result<(), String> {
+        self.rules(text).map(drop)
+    }
+
+    fn put(&self, version: u64, text: &str) {
+        match self.rules(text) {
+            Ok(rules) => {
+                let idle = Duration::from_secs_f64(
+                    rules.settings.limits.conn_idle.clamp(1000.0, 86_400_000.0) / 1000.0,
+                );
+                self.providers.retune(rules.connect_timeout, idle);
+                let longest = rules.settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+                *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner) = Some(longest);
+                self.exchange.govern(version, rules.settings, rules.names);
+                *self.text.lock().unwrap_or_else(PoisonError::into_inner) = Some(text.to_owned());
+            }
+            // It was checked before.
+            Err(why) => log(&format!("ERROR: policy: version {version} is not in force: {why}")),
+        }
+    }
+
+    fn log(&self, line: &str) {
+        log(&format!("policy: {line}"));
+    }
+}
--- /dev/null
+++ b/src/net/policy/door.rs
@@ -0,0 +1,109 @@
+//! What operators ask about the fleet's policy, and how they are answered. They are answered within a second, whatever is cut.
+
+use super::{text, Policy};
+use crate::net::link::sleep;
+use pinetrail_rulebook::{Conflict, Outcome, Refused, Seen, State};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::future::Future;
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Founders answer within this, or the operator is told that they do not. The door owes an answer within 1 s.
+const WITHIN: Duration = Duration::from_millis(700);
+const ANSWERED_WITHIN: Duration = Duration::from_millis(900);
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+/// A status and a JSON text.
+pub type Answer = (u16, String);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Proposal {
+    id: String,
+    after: u64,
+    settings: Value,
+}
+
+#[derive(Serialize)]
+struct Standing {
+    version: u64,
+    digest: String,
+    state: &'static str,
+    change: Option<String>,
+}
+
+fn no(status: u16, why: impl ToString) -> Answer {
+    (status, json!({"error": why.to_string()}).to_string())
+}
+
+impl Policy {
+    /// `GET /control/policy`.
+    pub fn standing(&self) -> Answer {
+        let (version, digest, state, change) = self.node.standing();
+        let state = match state {
+            State::Steady => "steady",
+            State::Changing => "changing",
+            State::CatchingUp => "catching-up",
+            State::Fenced => "fenced",
+        };
+        let digest = digest.to_string();
+        let standing = Standing { version, digest, state, change };
+        (200, serde_json::to_string(&standing).unwrap_or_default())
+    }
+
+    /// `POST /control/policy`.
+    pub fn propose(&self, body: &[u8]) -> Answer {
+        let proposal: Proposal = match serde_json::from_slice(body) {
+            Ok(proposal) => proposal,
+            Err(error) => return no(400, format!("the body is no proposal: {error}")),
+        };
+        let (node, id) = (Arc::clone(&self.node), proposal.id.clone());
+        let text = text::common(&proposal.settings);
+        let done = self.wait(async move { node.propose(&proposal.id, proposal.after, &text, WITHIN).await });
+        match done {
+            Some(Ok(version)) => (202, json!({"id": id, "version": version}).to_string()),
+            Some(Err(Refused::Check(why))) => no(400, why),
+            Some(Err(Refused::Conflict(why @ Conflict::Form(_)))) => no(400, why),
+            Some(Err(Refused::Conflict(why))) => no(409, why),
+            Some(Err(why @ Refused::NoMajority)) => no(503, why),
+            None => no(503, Refused::NoMajority),
+        }
+    }
+
+    /// `GET /control/policy/changes/ID`.
+    pub fn change(&self, id: &str) -> Answer {
+        let (node, id) = (Arc::clone(&self.node), id.to_owned());
+        let seen = self.wait(async move { node.change(&id, WITHIN / 3).await });
+        match seen.flatten() {
+            Some(Seen { outcome, why, waiting_for }) => {
+                let outcome = match outcome {
+                    None => "open",
+                    Some(Outcome::Taken) => "taken",
+                    Some(Outcome::Refused) => "refused",
+                    Some(Outcome::Abandoned) => "abandoned",
+                };
+                (200, json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}).to_string())
+            }
+            None => no(404, "no change of this name is known here"),
+        }
+    }
+
+    /// Waits for something that is done on the thread of the links; none if it takes too long.
+    fn wait<T: Send + 'static>(&self, done: impl Future<Output = T> + Send + 'static) -> Option<T> {
+        let (say, said) = channel();
+        self.runtime.spawn(async move {
+            // Who asked may have been answered by then.
+            let _ = say.send(done.await);
+        });
+        let until = Instant::now() + ANSWERED_WITHIN;
+        while Instant::now() < until {
+            if let Ok(done) = said.try_recv() {
+                return Some(done);
+            }
+            sleep(LOOK_EVERY);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/net/policy/mod.rs
@@ -0,0 +1,193 @@
+//! One policy for the fleet: the driver of `pinetrail-rulebook`. It owns a thread on which the links and the book run (tokio),
+//! and says who is linked where; what is agreed is put in force at the exchange. Without `fleet.policy` there is none of it.
+
+mod app;
+mod directory;
+pub mod door;
+mod text;
+
+use super::exchange::{Exchange, Neighbour};
+use super::fleet::Fleet;
+use super::log::log;
+use super::provider::ProviderSide;
+use app::App;
+use directory::Directory;
+use pinetrail_links::{Links, Process, Sockets, Times as LinkTimes};
+use pinetrail_rulebook::{InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::runtime::{Builder, Handle};
+
+/// When who is refused for want of a permit is to come back.
+const BACK: Duration = Duration::from_millis(500);
+/// While a process catches up it looks so often whether it has.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// What it is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PolicyConfig {
+    /// Where links come in.
+    pub bind: SocketAddr,
+    /// Where others reach that.
+    pub advertise: SocketAddr,
+    /// Where a founder keeps what it votes for.
+    pub state_dir: Option<PathBuf>,
+    /// Within which times what is done.
+    pub times: Times,
+    /// How long a request waits for a change's moment at the most.
+    pub hold: Duration,
+    /// After so long without a permit the log says why this process is not ready.
+    pub catch_up: Duration,
+    /// What is done once the permit has ended.
+    pub when_cut: WhenCut,
+    /// Whether SIGHUP puts settings of the file in force.
+    pub local: bool,
+    /// How many found.
+    pub seats: Seats,
+    /// The seat of this proxy, if it founds.
+    pub seat: Option<u8>,
+    /// The most processes that are linked.
+    pub links: usize,
+}
+
+impl PolicyConfig {
+    /// How many descriptors it takes: links each way while one takes another's place, the listener, the poller, files.
+    pub fn sockets(&self) -> usize {
+        2 * self.links + 8
+    }
+}
+
+/// This process's part in the fleet's policy.
+pub struct Policy {
+    config: PolicyConfig,
+    node: Arc<Node<Sockets>>,
+    app: Arc<App>,
+    directory: Arc<Directory>,
+    runtime: Handle,
+    /// The thread ends with it.
+    _end: Sender<()>,
+}
+
+impl Policy {
+    /// Begins: links with those of whom another process of this proxy told, and with all that the fleet knows.
+    pub fn start(
+        config: PolicyConfig,
+        fleet: &Arc<Fleet>,
+        (exchange, providers): (&Arc<Exchange>, &Arc<ProviderSide>),
+        settings: &Value,
+        given: Vec<Neighbour>,
+        seed: u64,
+    ) -> Result<Arc<Policy>, String> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
+        let (name, fleet_name) = fleet.names();
+        let me = Process { name: name.as_str().into(), start };
+        let links = Links::new(
+            Sockets,
+            &fleet_name,
+            me.clone(),
+            config.bind.ip(),
+            LinkTimes::default(),
+            seed ^ start,
+        );
+        let permit = Arc::new(Permit::new(config.seats, config.when_cut, config.hold, BACK));
+        exchange.permitted_by(Arc::clone(&permit));
+        let app = Arc::new(App::new(Arc::clone(exchange), Arc::clone(providers), settings));
+        let node = Node::new(
+            Settings {
+                me: me.clone(),
+                seats: config.seats,
+                times: config.times,
+                when_cut: config.when_cut,
+                first: text::common(settings),
+                seed: seed ^ start,
+            },
+            &fleet_name,
+            links,
+            Arc::clone(&app) as Arc<dyn InForce>,
+            permit,
+        );
+        app.first_is_good()?;
+        let directory =
+            Arc::new(Directory::new(config.clone(), Arc::clone(fleet), Arc::clone(&node), me, given));
+        let (end, ended) = channel::<()>();
+        let (say, said) = channel();
+        let (starting, keeping) = (Arc::clone(&node), Arc::clone(&directory));
+        let run = move || {
+            let built = Builder::new_current_thread().enable_all().build();
+            let runtime = match built {
+                Ok(runtime) => runtime,
+                Err(error) => return drop(say.send(Err(error.to_string()))),
+            };
+            runtime.block_on(async move {
+                // Whoever started it waits for this.
+                let _ = say.send(Ok(Handle::current()));
+                starting.start();
+                keeping.keep(&ended).await;
+            });
+        };
+        thread::Builder::new().name("policy".to_owned()).spawn(run).map_err(|error| error.to_string())?;
+        let runtime = said.recv().map_err(|error| error.to_string())??;
+        Ok(Arc::new(Policy { config, node, app, directory, runtime, _end: end }))
+    }
+
+    /// Waits until this process may take clients. False if it was asked to stop before. It blocks the thread that calls.
+    pub fn catch_up(&self, mut is_asked_to_stop: impl FnMut() -> bool) -> bool {
+        let begun = std::time::Instant::now();
+        let mut said = false;
+        while !self.admits() {
+            if is_asked_to_stop() {
+                return false;
+            }
+            if begun.elapsed() > self.config.catch_up && !std::mem::replace(&mut said, true) {
+                log(&format!("ERROR: policy: not ready after {:?}: {}", begun.elapsed(), self.why_not()));
+            }
+            thread::sleep(LOOK_EVERY);
+        }
+        true
+    }
+
+    /// Whether this process admits requests.
+    pub fn admits(&self) -> bool {
+        matches!(self.node.standing().2, State::Steady | State::Changing)
+    }
+
+    /// Why it does not.
+    pub fn why_not(&self) -> String {
+        self.node.why_not()
+    }
+
+    /// Whether SIGHUP puts settings of the file in force.
+    pub fn lets_in_local_settings(&self) -> bool {
+        self.config.local
+    }
+
+    /// Whether the settings of a file are those in force.
+    pub fn is_in_force(&self, settings: &Value) -> bool {
+        self.app.is_in_force(settings)
+    }
+
+    /// The longest that a class in force waits, in ms; none before any is.
+    pub fn longest_wait(&self) -> Option<f64> {
+        self.app.longest_wait()
+    }
+
+    /// The other processes of the fleet, for a newcomer of this proxy.
+    pub fn neighbours(&self) -> Vec<Neighbour> {
+        self.directory.neighbours()
+    }
+
+    /// What was counted, by name.
+    pub fn list(&self) -> Vec<(&'static str, u64)> {
+        vec![
+            ("policy_version", self.node.standing().0),
+            ("policy_links", self.node.links().all().len() as u64),
+            ("policy_refused", self.node.permit().refusals()),
+        ]
+    }
+}
--- /dev/null
+++ b/src/net/policy/text.rs
@@ -0,0 +1,71 @@
+//! The policy as a text that all proxies have alike: the settings but for what belongs to one proxy alone.
+
+use serde_json::Value;
+
+/// What belongs to one proxy: each keeps its own.
+const OWN: [&str; 2] = ["MyNumber", "Zone"];
+/// All that this program knows of settings. Danger: a slip in a policy would take hold everywhere at once.
+pub const KNOWN: [&str; 22] = [
+    "Callers",
+    "Discovery",
+    "Family",
+    "FamilyInfo",
+    "Goal",
+    "Grades",
+    "GroupSize",
+    "Kinds",
+    "MyNumber",
+    "Orgs",
+    "OverShareWorth",
+    "Permissions",
+    "Prices",
+    "Report",
+    "Safety",
+    "Stage",
+    "Stages",
+    "Tick",
+    "ValueBy",
+    "Weights",
+    "Zone",
+    "Zones",
+];
+
+/// What all have alike, in one form: its keys are in order.
+pub fn common(settings: &Value) -> String {
+    let mut common = settings.clone();
+    if let Some(object) = common.as_object_mut() {
+        OWN.iter().for_each(|key| drop(object.remove(*key)));
+    }
+    common.to_string()
+}
+
+/// The same with what is this proxy's own.
+pub fn with_own(common: &Value, own: &Value) -> Value {
+    let mut all = common.clone();
+    if let Some(object) = all.as_object_mut() {
+        for key in OWN {
+            object.remove(key);
+            if let Some(value) = own.get(key) {
+                object.insert(key.to_owned(), value.clone());
+            }
+        }
+    }
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn what_is_a_proxys_own_is_no_part_of_the_policy() {
+        let one = json!({"Zone": 1, "MyNumber": 4, "b": 2, "a": {"z": 1, "y": 2}});
+        let other = json!({"a": {"y": 2, "z": 1}, "b": 2, "MyNumber": 5});
+        assert_eq!(common(&one), common(&other));
+        assert_eq!(common(&one), r#"{"a":{"y":2,"z":1},"b":2}"#);
+        let all = with_own(&json!({"b": 3, "Zone": 9}), &one);
+        assert_eq!(all, json!({"b": 3, "Zone": 1, "MyNumber": 4}));
+        assert_eq!(with_own(&json!({"Zone": 9}), &other), json!({"MyNumber": 5}));
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod off;
 mod operators;
+mod policy;
 mod shares;
 mod upgrades;
 
