--- a/crates/members/tests/hard_cases.rs
+++ b/crates/members/tests/hard_cases.rs
@@ -269,7 +269,7 @@
         (0..60).for_each(|step| member.due(now + step * 10, &mut said));
         late.extend(said.iter().filter_map(|output| match output {
             Output::Send(to, bytes) => Some((*to, bytes.clone())),
-            Output::News(_) | Output::Shares(_) => None,
+            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
         }));
         out.extend(said);
     });
@@ -359,7 +359,7 @@
     let sent = |out: &[Output]| {
         let bytes = out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::News(_) | Output::Shares(_) => None,
+            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
         });
         bytes.collect::<Vec<_>>()
     };
@@ -404,7 +404,7 @@
         (0..60).for_each(|step| member.due(now + step * 10, out));
         real.extend(out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::News(_) | Output::Shares(_) => None,
+            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
         }));
     });
     for round in 0..20_000 {
