Test the fleet's policy with real processes: kills, cuts, stops, slow peers, lost and full disks

Seen: the tests of a cut and of a stopped process found answers decided by the old version after the moment: a fenced proxy said CLIENT_ERROR unknown class by the old names before it looked at its permit (Connection::obey). Now also that a command is no good is said under a permit only; without fleet.policy nothing is copied or looked at more.

--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -13,6 +13,7 @@
 use crate::net::memory::Held;
 use may::io::WaitIo;
 use pinetrail_places::{Id, Phase, Seq};
+use pinetrail_rulebook::Admission;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Write};
 use std::net::Shutdown;
@@ -345,8 +346,8 @@
                 if held.is_none() && !self.is_idle() {
                     return false;
                 }
-                match (invocation(&self.side.exchange, key, opaque, labels, value), held) {
-                    (Err(why), _) => self.refuse(&format!("CLIENT_ERROR {why}")),
+                match (self.read_in(key, opaque, labels, value), held) {
+                    (Err(why), _) => self.turn_down(why),
                     (Ok(_), None) => {
                         self.side.counters.rejected_for_memory.add();
                         self.say("SERVER_ERROR busy\r\n".to_owned());
@@ -376,9 +377,43 @@
         self.side.asked(self.number);
         match self.take(invocation, Box::new(reply)) {
             Ok(id) => self.pending.push_back(Pending { id: Some(id), words, held: Some(held) }),
-            Err(Refused::Bad(why)) => self.refuse(&format!("CLIENT_ERROR {why}")),
-            Err(Refused::Fenced(ms)) => {
-                self.say(format!("SERVER_ERROR busy {ms}\r\n"));
+            Err(why) => self.turn_down(why),
+        }
+    }
+
+    fn turn_down(&mut self, why: Refused) {
+        match why {
+            Refused::Bad(why) => self.refuse(&format!("CLIENT_ERROR {why}")),
+            Refused::Fenced(ms) => self.say(format!("SERVER_ERROR busy {ms}\r\n")),
+        }
+    }
+
+    /// Reads what a command asks. Danger: also that it is no good is said by a policy, which must be in force at that moment.
+    fn read_in(
+        &self,
+        key: String,
+        opaque: String,
+        labels: Vec<(String, String)>,
+        value: Option<Vec<u8>>,
+    ) -> Result<Invocation, Refused> {
+        let exchange = &self.side.exchange;
+        if !exchange.is_governed() {
+            return invocation(exchange, key, opaque, labels, value).map_err(Refused::Bad);
+        }
+        loop {
+            let version = exchange.names().version;
+            let (key, opaque, labels, value) = (key.clone(), opaque.clone(), labels.clone(), value.clone());
+            let why = match invocation(exchange, key, opaque, labels, value) {
+                Ok(invocation) => return Ok(invocation),
+                Err(why) => why,
+            };
+            match exchange.judges_by(version) {
+                Some(Admission::Yes) => return Err(Refused::Bad(why)),
+                Some(Admission::No(back)) => {
+                    return Err(Refused::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
+                }
+                Some(Admission::Soon) => sleep(UNTIL_SOON),
+                None => {}
             }
         }
     }
@@ -400,8 +435,7 @@
                 }
                 Err(NotTaken::Outdated(old, same)) => {
                     let Invocation { key, opaque, labels, value, budget, .. } = *old;
-                    let read = invocation(&self.side.exchange, key, opaque, labels, value);
-                    given = read.map_err(Refused::Bad)?;
+                    given = self.read_in(key, opaque, labels, value)?;
                     // It may have waited.
                     given.budget = given.budget.min(budget);
                     reply = same;
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -262,10 +262,20 @@
         let _ = self.permit.set(permit);
     }
 
+    /// Whether invocations are taken in under a permit only.
+    pub fn is_governed(&self) -> bool {
+        self.permit.get().is_some()
+    }
+
     /// Whether this process may take nothing in, and is not about to.
     pub fn is_fenced(&self) -> bool {
-        let policy = self.lock().policy;
-        matches!(self.admission(policy), Admission::No(_))
+        self.is_governed() && matches!(self.admission(self.lock().policy), Admission::No(_))
+    }
+
+    /// Whether what was read by this version of the names may be judged by it at this moment; none if it is to be read again.
+    pub fn judges_by(&self, version: u64) -> Option<Admission> {
+        let state = self.lock();
+        (state.names.version == version).then(|| self.admission(state.policy))
     }
 
     /// Danger: looked at when an invocation is taken in, with what is in force locked.
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -1,8 +1,10 @@
 //! One policy for a fleet of real processes, with faults between them: judged by what clients were answered.
 
 use crate::{ms, nodes, origin};
+use pinetrail_rig::call;
 use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::policy::{outcome, propose, settings, standing, Watch};
+use pinetrail_rig::policy::{ask, now, outcome, propose, settings, standing, Watch};
+use serde_json::json;
 use std::time::Instant;
 
 /// Members with one policy, of which the first ones found.
@@ -40,3 +42,241 @@
     let counts = watch.judged();
     assert!(counts[0].1 > 50 && counts[1].1 > 50, "{counts:?}");
 }
+
+/// A fleet in which all have the first version, and clients of it.
+fn under_load(members: usize, founders: usize) -> (Fleet, Watch) {
+    let fleet = governed(members, founders);
+    let all: Vec<usize> = (0..members).collect();
+    fleet.until("all have the first version", |fleet| has(fleet, &all, 1));
+    let watch = Watch::all(&fleet);
+    std::thread::sleep(ms(150));
+    (fleet, watch)
+}
+
+fn ends(fleet: &Fleet, member: usize, how: &str) {
+    fleet.until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
+    assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
+}
+
+#[test]
+fn one_that_was_down_throughout_comes_back_with_what_was_taken_and_not_with_its_file() {
+    let (mut fleet, watch) = under_load(4, 3);
+    fleet.kill(3);
+    propose_second(&fleet, 0);
+    ends(&fleet, 0, "taken");
+    fleet.start(3);
+    assert_eq!(standing(&fleet, 3).0, 2, "it was not ready before it had it");
+    let again = Watch::of(&[(Fleet::name(3), fleet.process(3).place)]);
+    fleet.until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
+    assert_eq!(again.judged()[0].1, 0, "none by the old one");
+    watch.judged();
+}
+
+#[test]
+fn who_is_cut_off_is_fenced_and_catches_up() {
+    let (fleet, watch) = under_load(5, 3);
+    fleet.cut_into(&[&[3, 4], &[0, 1, 2]]);
+    propose_second(&fleet, 1);
+    ends(&fleet, 1, "taken");
+    let taken = now();
+    assert_eq!(standing(&fleet, 0), (2, "steady".to_owned()));
+    for member in [3, 4] {
+        assert_eq!(standing(&fleet, member), (1, "fenced".to_owned()), "its permit has ended before");
+        assert_eq!(call(fleet.process(member).door, "GET", "/control/ready").0, 503);
+        assert_eq!(fleet.client(member).ask("mn\r\n"), "SERVER_ERROR out of service\r\n");
+        let refused = fleet.client(member).read("k", &format!("f{member}"), 1000).0;
+        assert_eq!(refused, "SERVER_ERROR busy 500\r\n", "at once, and with when to come back");
+        assert_eq!(propose(fleet.process(member).door, "z", 1, &settings(&fleet, 2)).0, 503);
+    }
+    fleet.relays.all(|way| way.cut = false);
+    fleet.until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
+    fleet.until("they serve by it", |_| ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken)));
+    watch.judged();
+}
+
+#[test]
+fn a_process_that_was_stopped_across_the_moment_admits_nothing_by_the_old_version() {
+    let (fleet, watch) = under_load(4, 3);
+    fleet.process(3).signal("STOP");
+    propose_second(&fleet, 0);
+    ends(&fleet, 0, "taken");
+    // Its clients go on asking; what they asked meanwhile lies unread.
+    std::thread::sleep(ms(600));
+    let woken = now();
+    fleet.process(3).signal("CONT");
+    fleet.until("it serves by the second", |_| watch.decided_since("n3", 2, woken));
+    watch.judged();
+}
+
+#[test]
+fn one_no_is_a_no_for_all_and_is_told_with_its_path() {
+    let (mut fleet, watch) = under_load(4, 3);
+    // What one has in force tells a key more: to leave that out is a slip, there alone.
+    let mut own = fleet.config(3, &[0, 1, 2]);
+    own["settings"]["Zone"] = json!(0);
+    own["fleet"]["policy"]["local"] = json!(true);
+    fleet.set_config(3, &own);
+    let mut bad = settings(&fleet, 2);
+    bad["Grades"][0]["Aim"] = json!(0.0);
+    let (status, said) = propose(fleet.process(1).door, "bad", 1, &bad);
+    assert!(status == 400 && said["error"].as_str().unwrap().contains("Grades[scan].Aim"), "{said}");
+    bad = settings(&fleet, 2);
+    bad["Gradse"] = json!(1);
+    let (status, said) = propose(fleet.process(1).door, "bad", 1, &bad);
+    assert!(status == 400 && said["error"].as_str().unwrap().contains("\"Grades\""), "{said}");
+    assert_eq!(call(fleet.process(1).door, "GET", "/control/policy/changes/bad").0, 404);
+    fleet.until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    assert_eq!(watch.judged()[1].1, 0);
+}
+
+#[test]
+fn of_two_changes_at_two_doors_one_is_taken() {
+    let (fleet, watch) = under_load(4, 3);
+    let doors = [0, 3].map(|member| fleet.process(member).door);
+    let second = settings(&fleet, 2);
+    let said: Vec<u16> = std::thread::scope(|scope| {
+        let asking: Vec<_> = ["a", "b"]
+            .iter()
+            .zip(doors)
+            .map(|(id, door)| (id, door, &second))
+            .map(|(id, door, second)| scope.spawn(move || propose(door, id, 1, second).0))
+            .collect();
+        asking.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    assert!(said.iter().filter(|status| **status == 202).count() == 1, "{said:?}");
+    assert!(said.iter().all(|status| [202, 409].contains(status)), "{said:?}");
+    fleet.until("one is taken", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    watch.judged();
+}
+
+#[test]
+fn a_slow_peer_costs_only_itself() {
+    let (fleet, watch) = under_load(4, 3);
+    for other in 0..3 {
+        fleet.relays.way(3, other, |way| way.throttle = Some(1000));
+        fleet.relays.way(other, 3, |way| way.throttle = Some(1000));
+    }
+    propose_second(&fleet, 0);
+    ends(&fleet, 0, "taken");
+    let taken = now();
+    fleet.until("the others serve", |_| {
+        ["n0", "n1", "n2"].iter().all(|name| watch.decided_since(name, 2, taken))
+    });
+    fleet.relays.all(|way| way.throttle = None);
+    fleet.until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
+    watch.judged();
+}
+
+#[test]
+fn the_proposer_or_the_steward_may_be_killed_at_any_step() {
+    // The steward is the founder of the lowest seat that is there: n0. Steps are told by what happens after so many ms.
+    for (victim, door, after) in
+        [(3, 3, 0), (3, 3, 15), (0, 3, 0), (0, 3, 10), (0, 0, 25), (0, 3, 40), (0, 0, 70)]
+    {
+        let (mut fleet, watch) = under_load(4, 3);
+        let (place, second) = (fleet.process(door).door, settings(&fleet, 2));
+        // Its door may not be there any more to answer.
+        let proposing = std::thread::spawn(move || {
+            let _ = std::panic::catch_unwind(|| propose(place, "x", 1, &second));
+        });
+        std::thread::sleep(ms(after));
+        fleet.kill(victim);
+        proposing.join().unwrap();
+        let rest: Vec<usize> = (0..4).filter(|member| *member != victim).collect();
+        // It was never heard of, or it is taken: nobody said no, and nobody is away for long enough.
+        fleet.until("those that are left are steady", |fleet| {
+            [1, 2].iter().any(|version| has(fleet, &rest, *version))
+        });
+        let version = standing(&fleet, 1).0;
+        fleet.start(victim);
+        fleet.until("all agree", |fleet| has(fleet, &[0, 1, 2, 3], version));
+        watch.judged();
+    }
+}
+
+#[test]
+fn all_killed_after_the_yes_come_back_with_it() {
+    let (mut fleet, watch) = under_load(4, 3);
+    propose_second(&fleet, 3);
+    ends(&fleet, 3, "taken");
+    watch.judged();
+    (0..4).for_each(|member| fleet.kill(member));
+    fleet.start_together(&[0, 1, 2, 3]);
+    fleet.until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+}
+
+#[test]
+fn a_founder_that_lost_its_disk_or_finds_it_torn_votes_again_and_knows_what_was_taken() {
+    let (mut fleet, watch) = under_load(4, 3);
+    propose_second(&fleet, 3);
+    ends(&fleet, 3, "taken");
+    for lost in [true, false] {
+        fleet.kill(1);
+        let file = fleet.state_dir(1).join("rulebook");
+        match lost {
+            true => std::fs::remove_dir_all(fleet.state_dir(1)).unwrap(),
+            false => std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap(),
+        }
+        fleet.start(1);
+        fleet.until("it votes", |fleet| fleet.timeline.said("n1", "this founder votes", 0).is_some());
+        fleet.until("it has it", |fleet| has(fleet, &[1], 2));
+    }
+    let aside = std::fs::read_dir(fleet.state_dir(1)).unwrap();
+    assert!(aside.flatten().any(|file| file.file_name().to_string_lossy().starts_with("rulebook.torn-")));
+    // What follows is a third version, which these clients cannot tell from the first.
+    watch.judged();
+    // Without the other one its vote is needed.
+    fleet.kill(0);
+    let (status, said) = propose(fleet.process(3).door, "y", 2, &settings(&fleet, 1));
+    assert_eq!(status, 202, "{said}");
+    fleet.until("it is taken", |fleet| has(fleet, &[1, 2, 3], 3));
+}
+
+#[test]
+fn a_founder_whose_disk_is_full_does_not_vote_and_two_others_do() {
+    let (fleet, watch) = under_load(4, 3);
+    // What is written aside cannot be: a folder is in its place.
+    std::fs::create_dir(fleet.state_dir(2).join("rulebook.new")).unwrap();
+    propose_second(&fleet, 3);
+    ends(&fleet, 3, "taken");
+    assert!(fleet.timeline.said("n2", "this founder cannot vote", 0).is_some());
+    fleet.until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    watch.judged();
+}
+
+#[test]
+fn an_upgrade_across_the_moment_keeps_the_promise() {
+    let (mut fleet, watch) = under_load(4, 3);
+    for member in [3, 0] {
+        let version = standing(&fleet, member).0;
+        let second = fleet.beside(member);
+        let id = format!("u{member}");
+        let next = settings(&fleet, version + 1);
+        assert_eq!(propose(fleet.process(1).door, &id, version, &next).0, 202);
+        let first = fleet.replace(member, second);
+        first.signal("TERM");
+        first.end();
+        fleet.until("all have it", |fleet| has(fleet, &[0, 1, 2, 3], version + 1));
+        if member == 3 {
+            // Clients that were there tell only two versions apart.
+            continue;
+        }
+    }
+    drop(watch);
+}
+
+#[test]
+fn sighup_compares_and_puts_nothing_in_force() {
+    let (mut fleet, watch) = under_load(4, 3);
+    let mut other = fleet.config(2, &[0, 1, 3]);
+    other["settings"] = settings(&fleet, 2);
+    other["listen"] = json!(fleet.process(2).place.to_string());
+    fleet.set_config(2, &other);
+    fleet.process(2).signal("HUP");
+    fleet.until("it says where to propose it", |fleet| {
+        fleet.timeline.said("n2", "propose them by POST /control/policy", 0).is_some()
+    });
+    std::thread::sleep(ms(100));
+    assert_eq!(watch.judged()[1].1, 0, "all by the first version");
+    assert_eq!(ask(fleet.process(2).door, "/control/policy")["version"], 1);
+}
