Show at every door what each process has in force against what was approved; one alarm

Need: nobody could ask whether what a proxy has in force is what was approved.

Change: crates/drift (reports, states, alarms; no I/O) and src/net/policy/drift.rs. Digests are made anew for each report from the module's own settings, the meaning of names and the providers' times, part by part. The alarm is raised by the steward of shares, whose office ends by itself; an alarm stays due until one was raised, and reports carry which were, so that neither a gap between two stewards nor a steward that has just started makes none or two of it. GET /control/drift, POST /control/policy/restore, fleet.policy.restore_after_ms.

--- /dev/null
+++ b/crates/drift/src/table.rs
@@ -0,0 +1,272 @@
+//! How each process stands, by its last report and by how long ago that was.
+
+use crate::{Report, Stands, Time};
+use std::collections::BTreeMap;
+
+/// How a process stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It has what was approved in force.
+    Same,
+    /// A change is under way, or was just taken.
+    Changing,
+    /// It has an earlier version.
+    Behind,
+    /// It has a later version than is known here.
+    Ahead,
+    /// It has something else under the number that was approved.
+    Differs,
+    /// It admits nothing.
+    Fenced,
+    /// It was not heard lately: what it has in force is not known.
+    Silent,
+}
+
+impl State {
+    /// The word for it.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Same => "same",
+            State::Changing => "changing",
+            State::Behind => "behind",
+            State::Ahead => "ahead",
+            State::Differs => "differs",
+            State::Fenced => "fenced",
+            State::Silent => "silent",
+        }
+    }
+
+    /// Whether it is drift.
+    pub fn is_drift(self) -> bool {
+        matches!(self, State::Behind | State::Ahead | State::Differs)
+    }
+}
+
+/// Within which times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// Who was not heard for so long is silent.
+    pub silent: Time,
+    /// A version that was approved must be in force everywhere so much later; until then that is a change under way.
+    pub settle: Time,
+    /// Drift that lasts for so long is an alarm.
+    pub alarm: Time,
+    /// After an alarm a process must be well for so long before it can be the cause of another.
+    pub calm: Time,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times { silent: 1600, settle: 1000, alarm: 500, calm: 5000 }
+    }
+}
+
+/// What was approved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Approved {
+    /// Its number.
+    pub version: u64,
+    /// A digest for each of its parts, as this process would have it in force.
+    pub parts: BTreeMap<String, u64>,
+}
+
+/// A process as the table has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node {
+    /// How it stands.
+    pub state: State,
+    /// The version that it said.
+    pub version: u64,
+    /// What it said of the parts.
+    pub report: Report,
+    /// The parts that differ from what was approved.
+    pub parts: Vec<String>,
+    /// Since when it stands so.
+    pub since: Time,
+    /// When it was heard last.
+    pub heard: Time,
+}
+
+struct Entry {
+    report: Report,
+    heard: Time,
+    state: State,
+    since: Time,
+}
+
+/// How all stand. A process is known by its name and its start.
+#[derive(Default)]
+pub struct Table {
+    times: Times,
+    approved: Approved,
+    approved_at: Time,
+    nodes: BTreeMap<(String, u64), Entry>,
+}
+
+impl Table {
+    /// Nobody is known.
+    pub fn new(times: Times) -> Table {
+        Table { times, ..Table::default() }
+    }
+
+    /// This is approved, as far as is known here.
+    pub fn approve(&mut self, now: Time, approved: Approved) {
+        if approved != self.approved {
+            (self.approved, self.approved_at) = (approved, now);
+        }
+        self.look(now);
+    }
+
+    /// What is approved.
+    pub fn approved(&self) -> &Approved {
+        &self.approved
+    }
+
+    /// A process says how it stands. What comes late or twice changes nothing.
+    pub fn hear(&mut self, now: Time, name: &str, start: u64, report: Report) {
+        let key = (name.to_owned(), start);
+        match self.nodes.get_mut(&key) {
+            Some(entry) if entry.report.number >= report.number => return,
+            Some(entry) => (entry.report, entry.heard) = (report, now),
+            None => {
+                let entry = Entry { report, heard: now, state: State::Changing, since: now };
+                self.nodes.insert(key, entry);
+            }
+        }
+        self.look(now);
+    }
+
+    /// Time has passed.
+    pub fn look(&mut self, now: Time) {
+        let (times, approved, at) = (self.times, &self.approved, self.approved_at);
+        for entry in self.nodes.values_mut() {
+            let state = stands(entry, now, times, approved, at);
+            if state != entry.state {
+                (entry.state, entry.since) = (state, now);
+            }
+        }
+    }
+
+    /// Processes that nobody speaks of any more are forgotten: `there` says who is.
+    pub fn keep(&mut self, there: impl Fn(&str, u64) -> bool) {
+        self.nodes.retain(|(name, start), _| there(name, *start));
+    }
+
+    /// How each process stands.
+    pub fn nodes(&self) -> impl Iterator<Item = (&str, u64, Node)> {
+        self.nodes.iter().map(|((name, start), entry)| {
+            let node = Node {
+                state: entry.state,
+                version: entry.report.version,
+                report: entry.report.clone(),
+                parts: differing(&entry.report, &self.approved),
+                since: entry.since,
+                heard: entry.heard,
+            };
+            (name.as_str(), *start, node)
+        })
+    }
+}
+
+fn stands(entry: &Entry, now: Time, times: Times, approved: &Approved, at: Time) -> State {
+    let report = &entry.report;
+    // Danger: what was heard of old must not pass for what is.
+    if now.saturating_sub(entry.heard) >= times.silent {
+        return State::Silent;
+    }
+    match report.stands {
+        Stands::Fenced => return State::Fenced,
+        Stands::CatchesUp => return State::Changing,
+        Stands::Admits => {}
+    }
+    let settles = now.saturating_sub(at) < times.settle;
+    match report.version.cmp(&approved.version) {
+        // Word of a version may come before word that it was approved.
+        std::cmp::Ordering::Greater if now.saturating_sub(entry.since) < times.settle => State::Changing,
+        std::cmp::Ordering::Greater if entry.state == State::Changing => State::Ahead,
+        std::cmp::Ordering::Greater if entry.state == State::Ahead => State::Ahead,
+        std::cmp::Ordering::Greater => State::Changing,
+        std::cmp::Ordering::Less if settles => State::Changing,
+        std::cmp::Ordering::Less => State::Behind,
+        std::cmp::Ordering::Equal if differing(report, approved).is_empty() => State::Same,
+        std::cmp::Ordering::Equal if settles => State::Changing,
+        std::cmp::Ordering::Equal => State::Differs,
+    }
+}
+
+fn differing(report: &Report, approved: &Approved) -> Vec<String> {
+    let names = report.parts.keys().chain(approved.parts.keys());
+    let mut differ: Vec<String> =
+        names.filter(|name| report.parts.get(*name) != approved.parts.get(*name)).cloned().collect();
+    differ.sort();
+    differ.dedup();
+    differ
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parts(digest: u64) -> BTreeMap<String, u64> {
+        BTreeMap::from([("Grades".to_owned(), digest), ("Safety".to_owned(), 7)])
+    }
+
+    fn report(number: u64, version: u64, digest: u64) -> Report {
+        Report { number, version, stands: Stands::Admits, parts: parts(digest), raised: vec![] }
+    }
+
+    fn table() -> Table {
+        let mut table = Table::new(Times::default());
+        table.approve(0, Approved { version: 1, parts: parts(5) });
+        table
+    }
+
+    fn state(table: &Table) -> (State, Vec<String>) {
+        let node = table.nodes().next().unwrap().2;
+        (node.state, node.parts)
+    }
+
+    #[test]
+    fn what_is_in_force_is_compared_part_by_part() {
+        let mut table = table();
+        table.hear(2000, "a", 1, report(1, 1, 5));
+        assert_eq!(state(&table), (State::Same, vec![]));
+        table.hear(2500, "a", 1, report(2, 1, 6));
+        assert_eq!(state(&table), (State::Differs, vec!["Grades".to_owned()]));
+        table.hear(2600, "a", 1, report(1, 1, 5));
+        assert_eq!(state(&table).0, State::Differs, "a late report changes nothing");
+    }
+
+    #[test]
+    fn who_is_not_heard_is_silent_and_never_the_same() {
+        let mut table = table();
+        table.hear(2000, "a", 1, report(1, 1, 5));
+        table.look(3599);
+        assert_eq!(state(&table).0, State::Same);
+        table.look(3600);
+        assert_eq!(state(&table).0, State::Silent);
+        table.hear(9000, "a", 1, report(2, 1, 5));
+        assert_eq!(state(&table).0, State::Same);
+    }
+
+    #[test]
+    fn a_change_is_under_way_until_it_must_be_over() {
+        let mut table = table();
+        table.hear(2000, "a", 1, report(1, 1, 5));
+        table.approve(2100, Approved { version: 2, parts: parts(6) });
+        assert_eq!(state(&table).0, State::Changing);
+        table.hear(3000, "a", 1, report(2, 1, 5));
+        table.look(3099);
+        assert_eq!(state(&table).0, State::Changing);
+        table.look(3100);
+        assert_eq!(state(&table).0, State::Behind);
+        table.hear(3200, "a", 1, report(3, 3, 9));
+        assert_eq!(state(&table).0, State::Changing, "word of it may be under way");
+        table.hear(4300, "a", 1, report(4, 3, 9));
+        assert_eq!(state(&table).0, State::Ahead);
+        table.look(4800);
+        assert_eq!(state(&table).0, State::Ahead, "and stays so");
+        table.hear(5000, "a", 1, Report { stands: Stands::Fenced, ..report(5, 1, 5) });
+        assert_eq!(state(&table).0, State::Fenced);
+    }
+}
--- a/crates/rulebook/src/lib.rs
+++ b/crates/rulebook/src/lib.rs
@@ -32,6 +32,8 @@
     fn check(&self, text: &str) -> Result<(), String>;
     /// Puts it in force; it was checked before.
     fn put(&self, version: u64, text: &str);
+    /// Another process says something that is no concern of the book, to the floor of this number.
+    fn heard(&self, _from: &pinetrail_links::Process, _floor: u8, _body: &[u8]) {}
     /// A line for the log.
     fn log(&self, line: &str);
 }
--- a/crates/rulebook/src/messages.rs
+++ b/crates/rulebook/src/messages.rs
@@ -22,6 +22,8 @@
     Whole(u64),
     /// This is agreed.
     Agreed(Head),
+    /// Of another floor, by its number: what it says is no concern of the book.
+    Other(u8, Vec<u8>),
     /// For whom an open change waits, as its steward sees it.
     Waits(String, Vec<String>),
 }
--- a/crates/rulebook/src/node/door.rs
+++ b/crates/rulebook/src/node/door.rs
@@ -90,6 +90,17 @@
         own
     }
 
+    /// Says something to all that are linked, for the floor of this number.
+    pub fn say(&self, floor: u8, body: &[u8]) {
+        self.links.tell_all(&words(&Message::Other(floor, body.to_vec())));
+    }
+
+    /// The version that is agreed and its text, if that is at hand.
+    pub fn approved(&self) -> Option<(u64, Arc<str>)> {
+        let known = self.known();
+        Some((known.head.version, known.text(known.head.digest)?))
+    }
+
     /// How a change ended, as far as this process knows by itself.
     pub fn ended(&self, id: &str) -> Option<Outcome> {
         self.seen(id)?.outcome
--- a/crates/rulebook/src/node/mod.rs
+++ b/crates/rulebook/src/node/mod.rs
@@ -146,6 +146,11 @@
         self.links.take_seat(None);
     }
 
+    /// This process.
+    pub fn me(&self) -> &Process {
+        &self.settings.me
+    }
+
     /// The permit under which this process admits.
     pub fn permit(&self) -> &Arc<Permit> {
         &self.permit
--- a/crates/rulebook/src/node/serve.rs
+++ b/crates/rulebook/src/node/serve.rs
@@ -60,6 +60,10 @@
                 self.heard_of(from, head);
                 None
             }
+            Message::Other(floor, body) => {
+                self.app.heard(from, floor, &body);
+                None
+            }
             Message::Waits(id, names) => {
                 self.known().waits = (id, names);
                 None
@@ -94,7 +98,7 @@
         known.ballot = known.ballot.max(ballot);
         let seat = known.seat.as_mut()?;
         let (vote, owed) = seat.acceptor.promise(ballot);
-        Some(self.say(seat, vote, owed))
+        Some(self.once_kept(seat, vote, owed))
     }
 
     fn accept(&self, ballot: Ballot, book: &Book, memories: &BTreeMap<u8, u64>) -> Option<Vote> {
@@ -108,21 +112,21 @@
         if vote == Vote::Accepted && !blocks.is_empty() {
             return Some(Vote::Blocked(blocks));
         }
-        Some(self.say(seat, vote, owed))
+        Some(self.once_kept(seat, vote, owed))
     }
 
     fn register(&self, of: u8, memory: u64) -> Option<Reply> {
         let mut known = self.known();
         let seat = known.seat.as_mut()?;
         let (told, owed) = seat.acceptor.register(of, memory);
-        match self.say(seat, Vote::Accepted, owed) {
+        match self.once_kept(seat, Vote::Accepted, owed) {
             Vote::Accepted => Some(Reply::Registered(told)),
             _ => None,
         }
     }
 
     /// A vote that may be said once the disk has what it owes to it.
-    fn say(&self, seat: &mut Seat, vote: Vote, owed: Option<Durable>) -> Vote {
+    fn once_kept(&self, seat: &mut Seat, vote: Vote, owed: Option<Durable>) -> Vote {
         let Some(durable) = owed else { return vote };
         match store::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
             Ok(()) => {
@@ -140,7 +144,7 @@
     pub(super) fn keep(&self, durable: Durable) -> bool {
         let mut known = self.known();
         let Some(seat) = known.seat.as_mut() else { return false };
-        self.say(seat, Vote::Accepted, Some(durable)) == Vote::Accepted
+        self.once_kept(seat, Vote::Accepted, Some(durable)) == Vote::Accepted
     }
 
     fn permits(&self, from: &Process, asked: crate::Asked) -> Option<Reply> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// What it decides by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// From now on these settings; open requests keep what they were taken with.
     pub fn retune(&mut self, settings: Settings) {
         let regrouped = self.share.is_none() && settings.group_size != self.settings.group_size;
--- a/src/net/admin/codec.rs
+++ b/src/net/admin/codec.rs
@@ -22,6 +22,10 @@
     Policy,
     /// A change of it is proposed: the body.
     Propose(Vec<u8>),
+    /// What each process has in force against what was approved.
+    Drift,
+    /// Put what was approved in force again.
+    Restore,
     /// How the change of this name stands.
     Change(String),
     /// Nothing more to the cache node of this id.
@@ -135,6 +139,8 @@
         "/control/fleet" => ("GET", Call::Fleet),
         POLICY if method == "POST" => ("POST", Call::Propose(Vec::new())),
         POLICY => ("GET", Call::Policy),
+        "/control/drift" => ("GET", Call::Drift),
+        "/control/policy/restore" => ("POST", Call::Restore),
         _ if path.starts_with(CHANGES) => ("GET", Call::Change(decoded(&path[CHANGES.len()..])?)),
         "/control/out-of-service" => ("POST", Call::OutOfService),
         "/control/in-service" => ("POST", Call::InService),
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -151,6 +151,8 @@
         }
         Call::Fleet => return report(lifecycle),
         Call::Policy => return policy(lifecycle).map(|policy| Said::answer(policy.standing())),
+        Call::Drift => return policy(lifecycle).map(|policy| Said::answer(policy.drift())),
+        Call::Restore => return policy(lifecycle).map(|policy| Said::answer(policy.restore())),
         Call::Propose(body) => return policy(lifecycle).map(|policy| Said::answer(policy.propose(&body))),
         Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change(&id))),
         Call::Offline(id) => {
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -154,6 +154,16 @@
 }
 
 impl Names {
+    /// What counts of them in each part of the settings, as text.
+    pub fn in_words(&self) -> [(&'static str, String); 4] {
+        [
+            ("Grades", format!("{:?} {:?}", self.classes, self.keyed)),
+            ("Orgs", format!("{:?}", self.tenants)),
+            ("Kinds", format!("{:?}", self.kinds)),
+            ("Zones", format!("{:?}", self.zones)),
+        ]
+    }
+
     /// The names of the classes, for the log.
     pub fn classes(&self) -> &[String] {
         &self.classes
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-const KEYS: [&str; 13] = [
+const KEYS: [&str; 14] = [
     "bind",
     "advertise",
     "state_dir",
@@ -23,6 +23,7 @@
     "catch_up_ms",
     "when_cut",
     "local",
+    "restore_after_ms",
 ];
 /// A request that comes while a change is decided waits for so long at the most.
 const HOLD_MS: u64 = 150;
@@ -46,6 +47,7 @@
     when_cut: WhenCut,
     #[serde(default)]
     local: bool,
+    restore_after_ms: Option<u64>,
 }
 
 /// The known name that is nearest to one that is not known, as a hint.
@@ -102,6 +104,7 @@
         catch_up: Duration::from_millis(file.catch_up_ms.unwrap_or(CATCH_UP_MS)),
         when_cut: file.when_cut,
         local: file.local,
+        restore_after: file.restore_after_ms.map(Duration::from_millis),
         seats: Seats(u8::try_from(founders.len()).unwrap_or(u8::MAX)),
         seat,
         links: size,
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -257,6 +257,12 @@
         Arc::clone(&self.lock().names)
     }
 
+    /// Looks at what is in force: the module's own settings, and what names mean.
+    pub fn in_force<T>(&self, look: impl FnOnce(&Settings, &Names) -> T) -> T {
+        let state = self.lock();
+        look(state.balancer.settings(), &state.names)
+    }
+
     /// From now on invocations are taken in under this permit only; the first that is told counts.
     pub fn permitted_by(&self, permit: Arc<Permit>) {
         let _ = self.permit.set(permit);
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -267,6 +267,17 @@
         Ok(())
     }
 
+    /// Whether this process is the steward of shares at this moment: at most one of the fleet is.
+    pub fn is_steward(&self) -> bool {
+        let now = self.now();
+        match &*self.stand() {
+            Stand::Speaks(speaking) => {
+                speaking.sharing.as_ref().is_some_and(|sharing| sharing.seen(now).steward)
+            }
+            Stand::Opening | Stand::Silent => false,
+        }
+    }
+
     /// The names of this member and of the fleet.
     pub fn names(&self) -> (String, String) {
         let config = self.config();
--- a/src/net/policy/app.rs
+++ b/src/net/policy/app.rs
@@ -1,13 +1,16 @@
 //! Puts versions of the policy in force at this proxy, and says of each proposal whether it could.
 
-use super::text;
+use super::{digest, text};
 use crate::net::config::{nearest, Rules};
 use crate::net::exchange::Exchange;
 use crate::net::log::log;
 use crate::net::provider::ProviderSide;
+use pinetrail_drift::Approved;
+use pinetrail_links::Process;
 use pinetrail_rulebook::InForce;
 use serde_json::Value;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// This proxy, as far as policies are concerned.
@@ -20,8 +23,13 @@
     text: Mutex<Option<String>>,
     /// The longest that a class in force waits, in ms.
     longest_wait: Mutex<Option<f64>>,
+    /// Who hears what other processes say of drift.
+    hears: OnceLock<Hears>,
 }
 
+/// Takes what a process of the fleet says of drift.
+pub type Hears = Box<dyn Fn(&Process, &[u8]) + Send + Sync>;
+
 impl App {
     /// A proxy whose file says this.
     pub fn new(exchange: Arc<Exchange>, providers: Arc<ProviderSide>, settings: &Value) -> App {
@@ -31,6 +39,7 @@
             own: settings.clone(),
             text: Mutex::new(None),
             longest_wait: Mutex::new(None),
+            hears: OnceLock::new(),
         }
     }
 
@@ -49,6 +58,25 @@
         *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Who hears of drift from now on; the first that is told counts.
+    pub fn heard_by(&self, hears: Hears) {
+        let _ = self.hears.set(hears);
+    }
+
+    /// Digests of what is in force, made anew from the objects that decide.
+    pub fn in_force(&self) -> BTreeMap<String, u64> {
+        let timeout = self.providers.connect_timeout();
+        self.exchange.in_force(|settings, names| digest::parts(settings, names, timeout))
+    }
+
+    /// A version as it would be in force here.
+    pub fn approved(&self, version: u64, text: &str) -> Option<Approved> {
+        let given = text::with_own(&serde_json::from_str(text).ok()?, &self.own);
+        let rules = Rules::of(&given).ok()?;
+        let parts = digest::parts(&rules.settings, &rules.names, rules.connect_timeout);
+        Some(Approved { version, parts })
+    }
+
     fn rules(&self, text: &str) -> Result<Rules, String> {
         let given: Value = serde_json::from_str(text).map_err(|error| format!("settings: {error}"))?;
         if !given.is_object() {
@@ -101,6 +129,12 @@
         }
     }
 
+    fn heard(&self, from: &Process, floor: u8, body: &[u8]) {
+        if let Some(hears) = self.hears.get().filter(|_| floor == super::drift::FLOOR) {
+            hears(from, body);
+        }
+    }
+
     fn log(&self, line: &str) {
         log(&format!("policy: {line}"));
     }
--- a/src/net/policy/door.rs
+++ b/src/net/policy/door.rs
@@ -72,6 +72,19 @@
         }
     }
 
+    /// `GET /control/drift`.
+    pub fn drift(&self) -> Answer {
+        (200, self.drift.report().to_string())
+    }
+
+    /// `POST /control/policy/restore`.
+    pub fn restore(&self) -> Answer {
+        match self.drift.restore() {
+            Ok(version) => (200, json!({"version": version}).to_string()),
+            Err(why) => no(409, why),
+        }
+    }
+
     /// `GET /control/policy/changes/ID`.
     pub fn change(&self, id: &str) -> Answer {
         let (node, id) = (Arc::clone(&self.node), id.to_owned());
--- /dev/null
+++ b/src/net/policy/drift.rs
@@ -0,0 +1,210 @@
+//! What each process of the fleet has in force against what was approved: each tells all others, and each can answer. The alarm is
+//! raised by the steward of shares, an office by votes that end by themselves: at most one process holds it.
+
+use super::app::App;
+use super::digest;
+use crate::net::fleet::Fleet;
+use crate::net::log::log;
+use pinetrail_drift::{Alarm, Alarms, Report, Stands, State as Stand, Table, Times, Word};
+use pinetrail_links::Sockets;
+use pinetrail_rulebook::{InForce, Node, State};
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::sleep;
+
+/// The number under which its words travel on the links.
+pub const FLOOR: u8 = 1;
+/// Each process tells the others so often.
+const TELL_EVERY: Duration = Duration::from_millis(400);
+
+struct Known {
+    table: Table,
+    alarms: Alarms,
+    number: u64,
+    drifts_since: Option<Instant>,
+}
+
+/// The detector at one process.
+pub struct Drift {
+    fleet: Arc<Fleet>,
+    node: Arc<Node<Sockets>>,
+    app: Arc<App>,
+    began: Instant,
+    restore_after: Option<Duration>,
+    known: Mutex<Known>,
+    raised: AtomicU64,
+}
+
+impl Drift {
+    /// Nobody has told anything yet.
+    pub fn new(
+        fleet: Arc<Fleet>,
+        node: Arc<Node<Sockets>>,
+        app: Arc<App>,
+        restore_after: Option<Duration>,
+    ) -> Arc<Drift> {
+        let times = Times::default();
+        let known =
+            Known { table: Table::new(times), alarms: Alarms::new(times), number: 0, drifts_since: None };
+        let drift = Arc::new(Drift {
+            fleet,
+            node,
+            app: Arc::clone(&app),
+            began: Instant::now(),
+            restore_after,
+            known: Mutex::new(known),
+            raised: AtomicU64::new(0),
+        });
+        let hearing = Arc::clone(&drift);
+        app.heard_by(Box::new(move |from, body| {
+            let now = hearing.now();
+            match Word::read(body) {
+                Some(Word::Report(report)) => {
+                    let mut known = hearing.known();
+                    report.raised.iter().for_each(|(name, start)| known.alarms.raised(name, *start));
+                    known.table.hear(now, &from.name, from.start, report);
+                }
+                Some(Word::Raised(name, start)) => hearing.known().alarms.raised(&name, start),
+                None => {}
+            }
+        }));
+        drift
+    }
+
+    /// Tells the others, and looks how all stand, until the process ends.
+    pub async fn keep(self: Arc<Self>) {
+        loop {
+            let report = self.look();
+            self.node.say(FLOOR, &Word::Report(report).words());
+            self.raise();
+            self.restore_if_due();
+            sleep(TELL_EVERY).await;
+        }
+    }
+
+    /// What this process has in force now.
+    fn look(&self) -> Report {
+        let (version, _, state, _) = self.node.standing();
+        let stands = match state {
+            State::Steady | State::Changing => Stands::Admits,
+            State::Fenced => Stands::Fenced,
+            State::CatchingUp => Stands::CatchesUp,
+        };
+        let (parts, now) = (self.app.in_force(), self.now());
+        let approved = self.node.approved().and_then(|(version, text)| self.app.approved(version, &text));
+        let me = self.node.me().clone();
+        let linked = self.node.links().all();
+        let mut known = self.known();
+        known.number += 1;
+        let raised = known.alarms.all_raised();
+        let report = Report { number: known.number, version, stands, parts, raised };
+        known.table.keep(|name, start| {
+            // Danger: of a name the latest process counts, linked or not: who is cut off stays in the table, as silent.
+            let later = linked.iter().any(|other| *other.name == *name && other.start > start);
+            !later && !(*me.name == *name && start != me.start)
+        });
+        approved.into_iter().for_each(|approved| known.table.approve(now, approved));
+        known.table.hear(now, &me.name, me.start, report.clone());
+        report
+    }
+
+    fn raise(&self) {
+        let now = self.now();
+        let due = {
+            let mut known = self.known();
+            let Known { table, alarms, .. } = &mut *known;
+            alarms.due(now, table)
+        };
+        // Danger: the office is looked at when it is used.
+        if due.is_empty() || !self.fleet.is_steward() {
+            return;
+        }
+        for Alarm { name, start, state, parts } in due {
+            self.raised.fetch_add(1, Ordering::Relaxed);
+            self.known().alarms.raised(&name, start);
+            self.node.say(FLOOR, &Word::Raised(name.clone(), start).words());
+            let parts = if parts.is_empty() { String::new() } else { format!(" in {}", parts.join(", ")) };
+            log(&format!(
+                "ALARM: policy: {name} {}{parts}: it does not have in force what was approved",
+                state.word()
+            ));
+        }
+    }
+
+    /// Puts the approved version in force again, if this process has drifted for long enough and is to do so by itself.
+    fn restore_if_due(&self) {
+        let Some(after) = self.restore_after else { return };
+        let is_due = {
+            let mut known = self.known();
+            let me = self.node.me();
+            let drifts = known.table.nodes().any(|(name, start, node)| {
+                *name == *me.name && start == me.start && node.state == Stand::Differs
+            });
+            known.drifts_since = drifts.then(|| known.drifts_since.unwrap_or_else(Instant::now));
+            known.drifts_since.is_some_and(|since| since.elapsed() >= after)
+        };
+        if is_due {
+            // It says so in the log.
+            let _ = self.restore();
+        }
+    }
+
+    /// Puts the approved version in force again; which.
+    pub fn restore(&self) -> Result<u64, &'static str> {
+        let (version, text) = self.node.approved().ok_or("what was approved is not known here")?;
+        if self.node.standing().0 != version {
+            return Err("this process does not have the approved version: it catches up by itself");
+        }
+        self.app.put(version, &text);
+        log(&format!("policy: version {version} is in force again, as it was approved"));
+        self.known().drifts_since = None;
+        Ok(version)
+    }
+
+    /// `GET /control/drift`.
+    pub fn report(&self) -> Value {
+        // What is in force here is looked at now.
+        self.look();
+        let (now, unix) = (self.now(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
+        let began = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX).saturating_sub(now);
+        let known = self.known();
+        let hex = |digest: u64| format!("{digest:016x}");
+        let nodes: Vec<Value> = known
+            .table
+            .nodes()
+            .map(|(name, start, node)| {
+                json!({
+                    "name": name,
+                    "start": start,
+                    "state": node.state.word(),
+                    "version": node.version,
+                    "digest": hex(digest::whole(&node.report.parts)),
+                    "parts": node.parts,
+                    "since_ms": began + node.since,
+                    "heard_ms": began + node.heard,
+                })
+            })
+            .collect();
+        let approved = known.table.approved();
+        json!({
+            "approved": {"version": approved.version, "digest": hex(digest::whole(&approved.parts))},
+            "seen_by": &*self.node.me().name,
+            "nodes": nodes,
+        })
+    }
+
+    /// Alarms that this process raised.
+    pub fn alarms(&self) -> u64 {
+        self.raised.load(Ordering::Relaxed)
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -2,8 +2,10 @@
 //! and says who is linked where; what is agreed is put in force at the exchange. Without `fleet.policy` there is none of it.
 
 mod app;
+mod digest;
 mod directory;
 pub mod door;
+mod drift;
 mod text;
 
 use super::exchange::{Exchange, Neighbour};
@@ -12,6 +14,7 @@
 use super::provider::ProviderSide;
 use app::App;
 use directory::Directory;
+use drift::Drift;
 use pinetrail_links::{Links, Process, Sockets, Times as LinkTimes};
 use pinetrail_rulebook::{InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
 use serde_json::Value;
@@ -47,6 +50,8 @@
     pub when_cut: WhenCut,
     /// Whether SIGHUP puts settings of the file in force.
     pub local: bool,
+    /// After so long a process that drifted puts the approved version in force again by itself, if it is to.
+    pub restore_after: Option<Duration>,
     /// How many found.
     pub seats: Seats,
     /// The seat of this proxy, if it founds.
@@ -68,6 +73,7 @@
     node: Arc<Node<Sockets>>,
     app: Arc<App>,
     directory: Arc<Directory>,
+    drift: Arc<Drift>,
     runtime: Handle,
     /// The thread ends with it.
     _end: Sender<()>,
@@ -115,6 +121,9 @@
         app.first_is_good()?;
         let directory =
             Arc::new(Directory::new(config.clone(), Arc::clone(fleet), Arc::clone(&node), me, given));
+        let restore = config.restore_after;
+        let drift = Drift::new(Arc::clone(fleet), Arc::clone(&node), Arc::clone(&app), restore);
+        let looking = Arc::clone(&drift);
         let (end, ended) = channel::<()>();
         let (say, said) = channel();
         let (starting, keeping) = (Arc::clone(&node), Arc::clone(&directory));
@@ -128,12 +137,13 @@
                 // Whoever started it waits for this.
                 let _ = say.send(Ok(Handle::current()));
                 starting.start();
+                tokio::spawn(looking.keep());
                 keeping.keep(&ended).await;
             });
         };
         thread::Builder::new().name("policy".to_owned()).spawn(run).map_err(|error| error.to_string())?;
         let runtime = said.recv().map_err(|error| error.to_string())??;
-        Ok(Arc::new(Policy { config, node, app, directory, runtime, _end: end }))
+        Ok(Arc::new(Policy { config, node, app, directory, drift, runtime, _end: end }))
     }
 
     /// Waits until this process may take clients. False if it was asked to stop before. It blocks the thread that calls.
@@ -188,6 +198,7 @@
             ("policy_version", self.node.standing().0),
             ("policy_links", self.node.links().all().len() as u64),
             ("policy_refused", self.node.permit().refusals()),
+            ("policy_drift_alarms", self.drift.alarms()),
         ]
     }
 }
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -73,6 +73,11 @@
         side
     }
 
+    /// Within which time connections come up.
+    pub fn connect_timeout(&self) -> Duration {
+        *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// From now on connections come up within this time, and idle ones are closed by providers after that.
     pub fn retune(&self, connect_timeout: Duration, conn_idle: Duration) {
         *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner) = connect_timeout;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several real processes that know each other, and faults between them.
 
+mod drift;
 mod faults;
 mod off;
 mod operators;
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -8,12 +8,12 @@
 use std::time::Instant;
 
 /// Members with one policy, of which the first ones found.
-fn governed(members: usize, founders: usize) -> Fleet {
+pub fn governed(members: usize, founders: usize) -> Fleet {
     let options = Options { founders: (0..founders).collect(), policy: true, ..Options::of(members) };
     Fleet::start_all(options, nodes(), origin())
 }
 
-fn has(fleet: &Fleet, members: &[usize], version: u64) -> bool {
+pub fn has(fleet: &Fleet, members: &[usize], version: u64) -> bool {
     members.iter().all(|member| standing(fleet, *member) == (version, "steady".to_owned()))
 }
 
