Name proxies that serve on without a permit however long they were cut off

Seen by reading: a change's answer named every proxy with when_cut serve that had just given its permit up, and none that was cut off for over 30 s; such a proxy said at /control/ready that it takes no clients though it does. A test with four processes; the rule is in Grants::serving_on.

--- a/crates/rulebook/src/grants.rs
+++ b/crates/rulebook/src/grants.rs
@@ -135,17 +135,21 @@
         })
     }
 
-    /// Who goes on without a permit, as far as it was heard lately.
+    /// Who goes on without a permit: its own has ended, and it did not give it up.
     pub fn serving_on(&self, now: Instant) -> Vec<String> {
-        let on = |holder: &Holder| holder.serves_on && holder.until.is_none_or(|until| until <= now);
+        let on = |holder: &Holder| holder.serves_on && holder.until.is_some_and(|until| until <= now);
         self.holders.iter().filter(|(_, holder)| on(holder)).map(|(who, _)| who.to_string()).collect()
     }
 
-    /// Forgets who was not heard for so long and holds nothing.
+    /// Forgets who was not heard for so long and holds nothing, and of each name all but the latest process. Who goes on without a permit is
+    /// remembered: a change's answer names it, however long it has been cut off.
     pub fn forget(&mut self, now: Instant, after: Duration) {
-        self.holders.retain(|_, holder| {
-            now.saturating_duration_since(holder.heard) < after
-                || holder.until.is_some_and(|until| until > now)
+        let latest: BTreeMap<_, _> = self.holders.keys().map(|who| (who.name.clone(), who.start)).collect();
+        self.holders.retain(|who, holder| {
+            let holds = holder.until.is_some_and(|until| until > now);
+            let serves =
+                holder.serves_on && holder.until.is_some() && latest.get(&who.name) == Some(&who.start);
+            holds || serves || now.saturating_duration_since(holder.heard) < after
         });
     }
 }
@@ -210,6 +214,20 @@
         assert_eq!(grants.holders(now, "x")[0], ("n1".to_owned(), true, 2041), "what it has still counts");
     }
 
+    #[test]
+    fn who_goes_on_without_a_permit_is_named_unless_it_gave_it_up() {
+        let now = Instant::now();
+        let mut grants = Grants::new(Times::default(), now);
+        let head = Book::first("a").head();
+        assert!(grants.ask(now, &who(), Asked { serves_on: true, ..asked(1, 1) }, &head, 1));
+        assert_eq!(grants.serving_on(now), Vec::<String>::new());
+        let later = now + later(60_000);
+        grants.forget(later, Duration::from_secs(30));
+        assert_eq!(grants.serving_on(later), ["n1"]);
+        grants.ask(later, &who(), Asked { admits: false, serves_on: true, ..asked(2, 1) }, &head, 1);
+        assert_eq!(grants.serving_on(later), Vec::<String>::new());
+    }
+
     #[test]
     fn a_founder_that_has_just_started_keeps_its_vote_for_a_permits_time() {
         let now = Instant::now();
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -93,13 +93,13 @@
 impl Lifecycle {
     /// Whether this process takes clients, be it to send them on.
     pub fn is_ready(&self) -> bool {
-        self.stand().serves() && self.policy().is_none_or(|policy| policy.admits())
+        self.stand().serves() && self.sides.get().is_none_or(|sides| !sides.exchange.is_fenced())
     }
 
     /// Why this process does not take clients.
     pub fn why_not_ready(&self) -> String {
         let serves = self.stand().serves();
-        match self.policy().filter(|policy| !policy.admits()) {
+        match self.policy().filter(|_| !self.is_ready()) {
             Some(policy) if serves => format!("not ready: fenced: {}", policy.why_not()),
             Some(policy) => format!("not ready: it catches up: {}", policy.why_not()),
             None => "not ready: starting or stopping".to_owned(),
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -108,6 +108,27 @@
     watch.judged();
 }
 
+#[test]
+fn who_is_to_serve_on_does_so_when_cut_off_and_is_named_in_the_answer() {
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(4) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    let mut config = fleet.config(3, &[0, 1, 2]);
+    config["fleet"]["policy"]["when_cut"] = json!("serve");
+    fleet.set_config(3, &config);
+    fleet.start_together(&[0, 1, 2, 3]);
+    fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    fleet.cut_into(&[&[3], &[0, 1, 2]]);
+    propose_second(&fleet, 0);
+    ends(&fleet, 0, "taken");
+    let said = ask(fleet.process(0).door, "/control/policy/changes/x");
+    assert!(said["why"].as_str().unwrap().contains("n3"), "{said}");
+    assert!(fleet.client(3).read("k", "s1", 1000).0.starts_with("VA "), "by the first version");
+    assert_eq!(standing(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
+    assert_eq!(call(fleet.process(3).door, "GET", "/control/ready").0, 200, "it takes clients");
+    fleet.relays.all(|way| way.cut = false);
+    fleet.until("it catches up", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+}
+
 #[test]
 fn one_no_is_a_no_for_all_and_is_told_with_its_path() {
     let (mut fleet, watch) = under_load(4, 3);
