Keep a process that is ahead of the approved version shown as ahead

Seen: a unit test of crates/drift that had not been run alone: ahead fell back to changing for a second after each look, since the time of the state was taken for the time since which the version was beyond. That time is kept by itself now.

--- a/crates/drift/src/table.rs
+++ b/crates/drift/src/table.rs
@@ -92,6 +92,8 @@
     heard: Time,
     state: State,
     since: Time,
+    /// Since when it says a later version than is approved.
+    beyond: Option<Time>,
 }
 
 /// How all stand. A process is known by its name and its start.
@@ -129,7 +131,7 @@
             Some(entry) if entry.report.number >= report.number => return,
             Some(entry) => (entry.report, entry.heard) = (report, now),
             None => {
-                let entry = Entry { report, heard: now, state: State::Changing, since: now };
+                let entry = Entry { report, heard: now, state: State::Changing, since: now, beyond: None };
                 self.nodes.insert(key, entry);
             }
         }
@@ -140,6 +142,8 @@
     pub fn look(&mut self, now: Time) {
         let (times, approved, at) = (self.times, &self.approved, self.approved_at);
         for entry in self.nodes.values_mut() {
+            let is_beyond = entry.report.version > approved.version;
+            entry.beyond = is_beyond.then(|| entry.beyond.unwrap_or(now));
             let state = stands(entry, now, times, approved, at);
             if state != entry.state {
                 (entry.state, entry.since) = (state, now);
@@ -182,10 +186,14 @@
     let settles = now.saturating_sub(at) < times.settle;
     match report.version.cmp(&approved.version) {
         // Word of a version may come before word that it was approved.
-        std::cmp::Ordering::Greater if now.saturating_sub(entry.since) < times.settle => State::Changing,
-        std::cmp::Ordering::Greater if entry.state == State::Changing => State::Ahead,
-        std::cmp::Ordering::Greater if entry.state == State::Ahead => State::Ahead,
-        std::cmp::Ordering::Greater => State::Changing,
+        std::cmp::Ordering::Greater => {
+            let since = entry.beyond.unwrap_or(now);
+            if now.saturating_sub(since) < times.settle {
+                State::Changing
+            } else {
+                State::Ahead
+            }
+        }
         std::cmp::Ordering::Less if settles => State::Changing,
         std::cmp::Ordering::Less => State::Behind,
         std::cmp::Ordering::Equal if differing(report, approved).is_empty() => State::Same,
