--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -148,18 +148,6 @@
     lines: Receiver<String>,
 }
 
-impl Begun {
-    /// Where its door is.
-    pub fn door(&self) -> SocketAddr {
-        loop {
-            let line = self.lines.recv_timeout(WAIT).expect("the proxy says where its door is");
-            if let Some(at) = line.split_once(" call ").and_then(|(_, at)| at.parse().ok()) {
-                return at;
-            }
-        }
-    }
-}
-
 impl Drop for Begun {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -58,6 +58,21 @@
     assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
 }
 
+#[test]
+fn links_that_are_reset_in_the_middle_of_a_change_are_made_again() {
+    let (fleet, watch) = under_load(4, 3);
+    for turn in 0..3 {
+        (1..4).for_each(|other| fleet.links.reset(0, other));
+        if turn == 1 {
+            propose_second(&fleet, 3);
+        }
+        std::thread::sleep(ms(20));
+    }
+    ends(&fleet, 3, "taken");
+    fleet.until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    watch.judged();
+}
+
 #[test]
 fn one_that_was_down_throughout_comes_back_with_what_was_taken_and_not_with_its_file() {
     let (mut fleet, watch) = under_load(4, 3);
