--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod script;
 mod streams;
 mod timeline;
+mod turnstile;
 pub mod witness;
 
 pub use client::{call, say_to_door, Client};
@@ -25,6 +26,7 @@
 pub use process::{end, program, signal, start};
 pub use scene::Scene;
 pub use timeline::Timeline;
+pub use turnstile::{Caller, Turnstile};
 
 use std::time::Duration;
 
--- a/crates/rig/src/scene.rs
+++ b/crates/rig/src/scene.rs
@@ -36,15 +36,20 @@
     }
 
     pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> Scene {
-        Scene::made(entries, sockets, memory_mb, ("", ""))
+        Scene::made(entries, sockets, memory_mb, &[])
     }
 
     /// A proxy whose configuration has some text replaced.
     pub fn with(entries: &[String], from: &str, to: &str) -> Scene {
-        Scene::made(entries, 256, 192, (from, to))
+        Scene::with_all(entries, &[(from, to)])
     }
 
-    fn made(entries: &[String], sockets: usize, memory_mb: usize, (from, to): (&str, &str)) -> Scene {
+    /// The same for several texts.
+    pub fn with_all(entries: &[String], changes: &[(&str, &str)]) -> Scene {
+        Scene::made(entries, 256, 192, changes)
+    }
+
+    fn made(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> Scene {
         let discovery = Discovery::new();
         let mut entries = entries.to_vec();
         // A list without the origin is none; where a test has none of its own, nobody answers for it.
@@ -56,7 +61,7 @@
         let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
         let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
         let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
-        let config = if from.is_empty() { config } else { config.replace(from, to) };
+        let config = changes.iter().fold(config, |config, (from, to)| config.replace(from, to));
         Witness::own().in_force(&config);
         let config = written(&config);
         let tmp = config.with_extension("tmp");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,8 +162,9 @@
 /// What a balancer wants done, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt of a request at a server, to time out after the given time.
-    Send(RequestId, ServerId, Time),
+    /// Start an attempt of a request at a server: to time out after the first of these times, and not to be sent any more
+    /// after the second, which ends with what allows it. A connection may come up long after this was decided.
+    Send(RequestId, ServerId, Time, Time),
     /// Final answer: turned away, a retry does no harm; stay away for the given time.
     Refuse(RequestId, Time),
     /// Final answer: failed, nothing promised.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod interface;
 pub mod logic;
 pub mod net;
+pub mod recent;
+pub mod rendezvous;
 pub mod settings;
 pub mod wire;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,14 +2,16 @@
 //! HyLARD decides the ordinary path (docs/design.md); each exception names the danger it answers.
 
 use crate::interface::*;
+use crate::recent::Recent;
+use crate::rendezvous::unit;
 use crate::settings::{Class, Effect, Limits, Scope, Settings};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, BTreeSet};
 
 const M: f64 = 4.0; // paper: a set grows when its best member is this much busier than the fleet's
 const Q: Time = 60_000.0; // paper: a set unchanged for this long drops a member
 const LARGE_SHARE: f64 = 0.16; // paper: the share of keys that are large
-const TABLE_MAX: usize = 1 << 16; // keys remembered; the least recently used go
 const SUSPECT: f64 = 0.5; // share of failures, lately, from which on a server is a suspect
 const TRIAL: Time = 1000.0; // a suspect is tried again after about this long
 const SPREAD: f64 = 2.0; // a key's places in the rendezvous order, over its due share of the fleet
@@ -27,8 +29,7 @@
     now: Time,
     servers: BTreeMap<ServerId, Server>,
     requests: BTreeMap<RequestId, Open>,
-    table: BTreeMap<Key, Entry>,
-    uses: u64,
+    table: Recent<Entry>,
     threshold: f64,
     mean_work: f64,
     mean_worth: f64,
@@ -61,7 +62,6 @@
     large: bool,
     members: Vec<ServerId>,
     changed: Time,
-    used: u64,
     count: f64,
 }
 
@@ -106,8 +106,7 @@
             now: 0.0,
             servers: BTreeMap::new(),
             requests: BTreeMap::new(),
-            table: BTreeMap::new(),
-            uses: 0,
+            table: Recent::new(1 << 16),
             threshold: 0.0,
             mean_work: 0.0,
             mean_worth: 1.0,
@@ -196,9 +195,7 @@
             return self.give_up(id, out);
         }
         let (key, hint, usable) = (open.request.key, open.request.hint, self.usable(open));
-        let Some(server) = self.choose(key, hint, &usable) else {
-            return self.hold(id, Stage::ForServer);
-        };
+        let Some(server) = self.choose(key, hint, &usable) else { return self.hold(id, Stage::ForServer) };
         // One fetch a key: whoever comes while it is out would only miss as well.
         match self.fetches.get(&key).filter(|fetch| fetch.server == server) {
             Some(_) => self.join_fetch(id, key),
@@ -229,7 +226,7 @@
             return Some(idlest);
         }
         let origin_busy = self.origin().is_some() && self.origin_room().is_none();
-        let known = self.table.get(&key);
+        let known = self.table.get(key);
         let large = known.map(|entry| entry.large);
         let members = known.map_or(&[][..], |entry| &entry.members);
         let open_members: Vec<ServerId> = members.iter().copied().filter(|id| usable.contains(id)).collect();
@@ -246,17 +243,13 @@
         let by_load = |a: &ServerId, b: &ServerId| self.load(*a).total_cmp(&self.load(*b));
         let dropped = quiet.and_then(|_| members.iter().copied().filter(|id| *id != chosen).max_by(by_load));
         let large = large.unwrap_or_else(|| hint.is_some_and(|hint| self.is_large(hint)));
-        self.uses += 1;
-        let entry = self.table.entry(key).or_default();
-        (entry.large, entry.used, entry.count) = (large, self.uses, entry.count + 1.0);
+        let entry = self.table.touch(key);
+        (entry.large, entry.count) = (large, entry.count + 1.0);
         if dropped.is_some() || !entry.members.contains(&chosen) {
             entry.members.retain(|id| Some(*id) != dropped && *id != chosen);
             entry.members.push(chosen);
             entry.changed = self.now;
         }
-        if self.table.len() > TABLE_MAX {
-            self.table.retain(|_, entry| entry.used + TABLE_MAX as u64 / 2 > self.uses);
-        }
         Some(chosen)
     }
 
@@ -269,8 +262,8 @@
         near.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Danger: of many proxies that share a hot key none sees a gap of M. They differ over as many
         // places as the key is due by its share of requests.
-        let seen = self.table.get(&key).map_or(0.0, |entry| entry.count) + 1.0;
-        let due = SPREAD * seen / (self.uses as f64 + 2.0) * near.len() as f64;
+        let seen = self.table.get(key).map_or(0.0, |entry| entry.count) + 1.0;
+        let due = SPREAD * seen / (self.table.uses() as f64 + 2.0) * near.len() as f64;
         let places = if self.is_one_of_many() { (due as usize).max(1) } else { 1 };
         near.truncate(places);
         let own = self.own(key);
@@ -285,12 +278,7 @@
 
     /// Weighted rendezvous: the same for every proxy, so that tables agree unaided. Lowest wins.
     fn place(&self, key: Key, server: ServerId) -> f64 {
-        let mut x = key ^ u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^= x >> 31;
-        let unit = ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-        -unit.ln() / self.servers.get(&server).map_or(1.0, |s| s.member.weight())
+        -unit(key, server).ln() / self.servers.get(&server).map_or(1.0, |s| s.member.weight())
     }
 
     /// Whether a hint is among the largest share; the quantile runs along with the keys seen.
@@ -317,6 +305,19 @@
             fleet.iter().filter(|s| held(s, self.now)).count() * 2 <= fleet.len()
         };
         let (eject, keep_shut) = (few(|s, _| s.failing > SUSPECT), few(|s, now| now < s.shut_until));
+        // Danger: a cold server collapses under its usual load, and one that is idle draws whoever looks for the least
+        // loaded. It gets only of what lives there while loads are alike: a share that each proxy draws for itself, by key,
+        // and for a key that comes again by request. All together send half of what tips it, however many they are.
+        let (id, key) = (open.request.id, open.request.key);
+        let salt = if key == 0 || self.table.get(key).is_some() { id << 1 | 1 } else { 0 };
+        let drawn = unit(self.own(key) ^ salt, ServerId::MAX);
+        let crosses = self.settings.prices.cross_zone * 16.0 > M - 1.0;
+        let far = |s: &Server| crosses && s.member.zone != self.settings.zone;
+        let rank = |s: &Server| (far(s), self.place(if key == 0 { id } else { key }, s.member.server));
+        let cold = fleet.iter().any(|s| self.warmth(s) < 1.0);
+        let home =
+            fleet.iter().filter(|_| cold).min_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(Equal));
+        let lives_at = |s: &Server| home.is_some_and(|home| home.member.server == s.member.server);
         let fit = |s: &Server| {
             let trial = s.calls.is_empty() && self.now >= s.trial_at;
             let healthy = s.failing <= SUSPECT || trial;
@@ -325,7 +326,7 @@
             !is_shut
                 && (healthy || !eject)
                 && self.has_room(s)
-                && self.warm_enough(s, open.request.key)
+                && (self.warmth(s) >= 1.0 || lives_at(s) && drawn < self.warmth(s))
                 && self.is_harmless_at(open, &s.member)
         };
         let usable: Vec<ServerId> = fleet.iter().filter(|s| fit(s)).map(|s| s.member.server).collect();
@@ -394,36 +395,37 @@
         rested && (server.calls.len() as f64) < room.floor()
     }
 
-    /// Danger: a server just started collapses under its usual load. Each proxy draws by hash the share
-    /// of its own keys that may go there: all together stay at half of what tips it, without counting.
-    fn warm_enough(&self, server: &Server, key: Key) -> bool {
+    /// The share of what lives at a server that may go there; 1 once it is warm.
+    fn warmth(&self, server: &Server) -> f64 {
         let safety = &self.settings.safety;
         let started = Some(server.member.started).filter(|at| *at > 0.0).unwrap_or(f64::MIN);
         let age = (self.now - started) / safety.cold.max(1.0);
         let capacity = safety.start_capacity + (1.0 - safety.start_capacity) * age.clamp(0.0, 1.0);
-        let drawn = (-self.place(self.own(key), ServerId::MAX)).exp();
-        age >= 1.0 || drawn < 0.5 * safety.fall_multiple * capacity
+        // Danger: while it is cold it is never given all, whatever tips it.
+        if age >= 1.0 {
+            1.0
+        } else {
+            (0.5 * safety.fall_multiple * capacity).min(0.99)
+        }
     }
 
-    /// Starts an attempt. The one place that sends; `may_send` guards it.
+    /// Starts an attempt. The one place that sends. That the server is ready is known: `usable` and `origin` name no other.
     fn send(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
-        if !self.may_send(id, server) {
+        let parties = self.requests.get(&id).zip(self.servers.get(&server));
+        if !parties.is_some_and(|(open, to)| self.may_try(open) && self.is_harmless_at(open, &to.member)) {
             return self.give_up(id, out);
         }
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(target) = self.servers.get_mut(&server) else { return };
         open.stage = Stage::Out;
         let attempt = open.attempts.len() as u8;
+        let left = open.deadline - self.now;
+        // Danger: a connection may come up only when repeats are no longer dropped.
+        let keyed = may_have_run(open).filter(|_| open.class.effect == Effect::Keyed);
+        let recalled = keyed.map_or(left, |first| first.sent + open.class.repeat_window - self.now);
         open.attempts.push(Attempt { server, sent: self.now, outcome: None });
         target.calls.insert((id, attempt));
-        out.push(Action::Send(id, server, (open.deadline - self.now).max(1.0)));
-    }
-
-    fn may_send(&self, id: RequestId, server: ServerId) -> bool {
-        let Some(open) = self.requests.get(&id) else { return false };
-        let Some(target) = self.servers.get(&server).map(|s| s.member) else { return false };
-        // That it is ready is known here: `usable` and `origin` name no other.
-        self.may_try(open) && self.is_harmless_at(open, &target)
+        out.push(Action::Send(id, server, left.max(1.0), left.min(recalled - self.settings.tick).max(1.0)));
     }
 
     /// Whether one more attempt may be made, wherever that does no harm. None is out: `on_attempt_end` sees to that.
@@ -621,11 +623,8 @@
         // sends its keys to nodes that lack them, and the misses to the origin.
         let in_flight = server.calls.len() as f64 + 1.0;
         let few = in_flight * 2.0 < server.limit;
-        let busy = if at_origin {
-            server.slow > CROWDED || end.outcome == Full
-        } else {
-            !few || end.outcome != Full
-        };
+        let full = end.outcome == Full;
+        let busy = if at_origin { server.slow > CROWDED || full } else { !few || !full };
         let crowded = slow && busy;
         if crowded && now - end.latency >= server.cut_at {
             server.limit = (server.limit * 0.7).max(1.0);
@@ -642,7 +641,7 @@
     fn on_members(&mut self, form: ListForm, members: Vec<Member>, out: &mut Vec<Action>) {
         if form == ListForm::Failed {
             // Danger: a list service that fails is asked again by everyone at once.
-            let wait = 500.0 * 2f64.powi(self.ask_failures.min(4)) * self.rng.gen_range(0.5..1.5);
+            let wait = 500.0 * 2f64.powi(self.ask_failures.min(2)) * self.rng.gen_range(0.5..1.5);
             self.ask_failures += 1;
             return out.push(Action::Timer(wait, RESUBSCRIBE));
         }
@@ -687,14 +686,16 @@
 
 /// Whether a repeat does no harm: nothing ran, or the class allows it, or repeats are dropped.
 fn repeat_is_harmless(open: &Open, dropped: impl Fn(&Attempt) -> bool) -> bool {
+    may_have_run(open).is_none_or(|first| match open.class.effect {
+        Effect::Safe => true,
+        Effect::Keyed => dropped(first),
+        Effect::Unsafe => false,
+    })
+}
+
+/// The first attempt that may have run, if any.
+fn may_have_run(open: &Open) -> Option<&Attempt> {
     use Outcome::*;
     let unrun = |a: &&Attempt| matches!(a.outcome, Some(Full | ConnectFailed | Moot | Miss));
-    match open.attempts.iter().find(|attempt| !unrun(attempt)) {
-        Some(first) => match open.class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => dropped(first),
-            Effect::Unsafe => false,
-        },
-        None => true,
-    }
+    open.attempts.iter().find(|attempt| !unrun(attempt))
 }
--- a/src/net/consumer/connection.rs
+++ b/src/net/consumer/connection.rs
@@ -7,12 +7,12 @@
 use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::exchange::{Answer, Invocation, NotTaken, Reply};
 use crate::net::flow::{Sink, Taken, WINDOW};
-use crate::net::link::{read_now, sleep};
+use crate::net::link::{has_hung_up, read_now, sleep};
 use crate::net::listen::Stream;
 use crate::net::memcache::{self, Command};
 use crate::net::memory::Held;
 use may::io::WaitIo;
-use pinetrail_places::{Id, Phase, Seq};
+use pinetrail_places::{Id, Phase, Reason, Seq};
 use pinetrail_rulebook::Admission;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Write};
@@ -44,6 +44,8 @@
     Bad(&'static str),
     /// This process may not admit requests now; in how many ms to come back.
     Fenced(u64),
+    /// Its consumer has gone.
+    Gone,
 }
 
 /// An answer in the consumer's protocol, and the value behind it if that flows.
@@ -142,11 +144,13 @@
                 turn += 1;
                 if std::mem::take(&mut self.errors) {
                     sleep(AFTER_ERRORS);
+                    self.must_be_there()?;
                 } else if !more && !has_room_again {
                     self.settle(active);
                     break;
                 } else if turn % TURN == 0 {
                     sleep(BETWEEN_TURNS);
+                    self.must_be_there()?;
                 }
                 // Who never stops sending would never give its place up.
                 self.settle(active);
@@ -178,6 +182,13 @@
                     self.stage = Stage::Ending;
                 }
                 Phase::AtWork => {}
+                // Danger: what crosses the order would be lost by it, and the close would be a reset. It is heard first.
+                Phase::Silent | Phase::Idle if self.stage == Stage::Open && self.has_unread() => {}
+                // Nobody waits for the descriptor.
+                Phase::Silent | Phase::Idle if self.stage == Stage::Open && reason == Reason::Overdue => {
+                    self.side.count(reason);
+                    self.stage = Stage::Ending;
+                }
                 _ => {
                     self.side.count(reason);
                     return true;
@@ -185,12 +196,11 @@
             }
         }
         // Half a command has not been taken: it does not keep a connection of a proxy that stops.
-        if self.is_idle() && self.side.is_closing() {
-            return true;
-        }
-        if self.is_idle() && self.is_to_go() {
-            return true;
+        if self.stage == Stage::Open && self.is_idle() && (self.side.is_closing() || self.is_to_go()) {
+            self.stage = Stage::Ending;
         }
+        // Danger: a close over bytes that are not read resets the connection, and the last answer may go with it. Its end
+        // is told, and what still comes is thrown away until the consumer has ended it too.
         if self.is_idle() && self.stage == Stage::Ending {
             // An error says that the consumer has gone.
             let _ = self.stream.inner().shutdown(Shutdown::Write);
@@ -250,13 +260,29 @@
             || (!self.pending.is_empty() && self.side.away().as_ref().is_some_and(late))
     }
 
+    /// Danger: while reading rests nobody reads the end that tells that the consumer has gone, and after a rest there may
+    /// be much to read before it. What waits for such a consumer must not be sent on.
+    fn must_be_there(&self) -> io::Result<()> {
+        match has_hung_up(self.stream.inner()) {
+            true => Err(ErrorKind::UnexpectedEof.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Whether something has come that is not read.
+    fn has_unread(&self) -> bool {
+        self.stream.inner().peek(&mut [0]).is_ok_and(|count| count > 0)
+    }
+
     /// Reads what is there; whether there may be more.
     fn read(&mut self) -> io::Result<bool> {
         if self.stage == Stage::Ending || self.is_full() || self.short || self.lingered > MAX_LINGER {
+            self.must_be_there()?;
             return Ok(false);
         }
         // Danger: to read on while commands wait would keep all that a pipeline of small ones can send.
         if self.behind {
+            self.must_be_there()?;
             return Ok(true);
         }
         match read_now(self.stream.inner(), &mut self.input) {
@@ -385,6 +411,7 @@
         match why {
             Refused::Bad(why) => self.refuse(&format!("CLIENT_ERROR {why}")),
             Refused::Fenced(ms) => self.say(format!("SERVER_ERROR busy {ms}\r\n")),
+            Refused::Gone => {}
         }
     }
 
@@ -412,12 +439,18 @@
                 Some(Admission::No(back)) => {
                     return Err(Refused::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
                 }
-                Some(Admission::Soon) => sleep(UNTIL_SOON),
+                Some(Admission::Soon) => self.wait_for_policy()?,
                 None => {}
             }
         }
     }
 
+    /// A change of policy is being decided: waits a little for it.
+    fn wait_for_policy(&self) -> Result<(), Refused> {
+        sleep(UNTIL_SOON);
+        self.must_be_there().map_err(|_| Refused::Gone)
+    }
+
     /// Hands an invocation in, read once more as often as other settings come into force meanwhile.
     fn take(&self, mut given: Invocation, mut reply: Reply) -> Result<RequestId, Refused> {
         loop {
@@ -428,7 +461,7 @@
                 Err(NotTaken::Fenced(ms)) => return Err(Refused::Fenced(ms)),
                 Err(NotTaken::Soon(same, same_reply)) => {
                     let begun = Instant::now();
-                    sleep(UNTIL_SOON);
+                    self.wait_for_policy()?;
                     (given, reply) = (*same, same_reply);
                     // Its consumer's time passes meanwhile.
                     given.budget = (given.budget - begun.elapsed().as_secs_f64() * 1000.0).max(0.0);
--- /dev/null
+++ b/src/net/discovery/budget.rs
@@ -0,0 +1,74 @@
+//! By when a change of the list is known, whatever call failed: one budget, from which each wait of a watch is taken.
+
+use super::Ended;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::ops::Range;
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_AFTER: Duration = ms(6000);
+/// A line, if only an empty one, comes every 2 s: a watch that is silent for longer is dead.
+pub const SILENCE: Duration = ms(2500);
+/// While what changed since the last word is not yet counted as told, a call is given up after this time if its watch has
+/// not begun: another can still come in time.
+const BRIEF: Duration = ms(1400);
+/// After that, a call is waited for. Discovery takes calls in turn, and many may wait before this one.
+const PATIENT: Duration = ms(2600);
+/// A connection that has not come up by then never will.
+const CONNECT: Duration = ms(750);
+/// What ran out of time is followed by another call within such a time at the latest.
+const SOON: Range<Duration> = ms(100)..ms(300);
+/// What was ended or refused, so long after it began at the latest. Danger: a discovery that fails is asked again by
+/// hundreds: the sooner it fails, the longer each waits, and no two equally long.
+const LATER: Range<Duration> = ms(2000)..ms(2700);
+/// And no sooner than this after it: a discovery that goes ends all its watches in one moment.
+const SPREAD: Range<Duration> = ms(300)..ms(1200);
+
+// A watch falls silent in the moment of a change, and the next call hangs.
+const _: () = in_time(&[SILENCE, SOON.end, BRIEF, SOON.end, BRIEF]);
+// The next call is refused at once.
+const _: () = in_time(&[SILENCE, SOON.end, LATER.end]);
+// A call begins in the moment in which discovery is back, and hangs all the same; or is refused.
+const _: () = in_time(&[PATIENT, SOON.end, PATIENT]);
+const _: () = in_time(&[LATER.end, PATIENT]);
+
+const fn in_time(waits: &[Duration]) {
+    let (mut sum, mut at) = (0, 0);
+    while at < waits.len() {
+        sum += waits[at].as_millis();
+        at += 1;
+    }
+    assert!(sum <= TOLD_AFTER.as_millis());
+}
+
+/// How long a call may take until its watch has begun, and its connection to come up; nothing was heard for so long.
+pub fn call_within(silent_for: Duration) -> (Duration, Duration) {
+    let call = if silent_for < TOLD_AFTER { BRIEF } else { PATIENT };
+    (call, CONNECT)
+}
+
+/// Draws how long to wait.
+#[derive(Debug)]
+pub struct Waits(SmallRng);
+
+impl Waits {
+    /// Those of one proxy: each has a seed of its own.
+    pub fn new(seed: u64) -> Waits {
+        Waits(SmallRng::seed_from_u64(seed))
+    }
+
+    /// How long after the end of a call, or of the watch that came of it, the next one begins at the latest; it lasted so long.
+    pub fn next_within(&mut self, ended: Ended, lasted: Duration) -> Duration {
+        match ended {
+            Ended::TimedOut(_) => self.0.gen_range(SOON),
+            Ended::Broke(_) => {
+                let (spread, later) = (self.0.gen_range(SPREAD), self.0.gen_range(LATER));
+                spread.max(later.saturating_sub(lasted))
+            }
+        }
+    }
+}
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -1,5 +1,6 @@
 //! One watch: from its connection to its end.
 
+use super::budget::{call_within, SILENCE};
 use super::lists::Lists;
 use super::{Discovery, Ended};
 use crate::interface::ListForm;
@@ -7,13 +8,10 @@
 use crate::net::config::Catalog;
 use crate::net::http::{self, Body, Head};
 use crate::net::link::Link;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// A call that waits longer than this for its connection has failed.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// A line, if only an empty one, comes every 2 s: a watch that is silent for longer is dead.
-const SILENCE: Duration = Duration::from_millis(3000);
 /// The longest list of a watch.
 const MAX_LIST: usize = 1 << 20;
 
@@ -24,22 +22,29 @@
         address: &SocketAddr,
         moves: u64,
     ) -> Result<std::convert::Infallible, Ended> {
-        let link = Link::connect(address, CONNECT_TIMEOUT).map_err(|_| "no connection")?;
+        let silent_for = self.heard.map_or(Duration::MAX, |heard| heard.elapsed());
+        let (call, connect) = call_within(silent_for);
+        let begins_by = Instant::now() + call;
+        let link = Link::connect(address, connect).map_err(|error| match error.kind() {
+            ErrorKind::TimedOut => Ended::TimedOut("no connection in time"),
+            _ => Ended::Broke("no connection"),
+        })?;
         let current = self.target.with(|watched| {
             watched.link = Some(link.clone());
             watched.moves == moves
         });
         if !current {
-            return Err("moved");
+            return Err("moved".into());
         }
         let path = format!("/catalog/members?watch=1&after={}", self.generation);
         let words = http::request(&path, &address.to_string(), &[], None);
-        link.write(&words, Instant::now() + SILENCE).map_err(|_| "the request was not written")?;
+        link.write(&words, begins_by).map_err(|_| "the request was not written")?;
         let mut bytes = Vec::new();
-        let head = head(&link, &mut bytes)?;
+        let head = head(&link, &mut bytes, begins_by)?;
         if head.status != 200 || head.body != Body::Chunked {
-            return Err("turned away");
+            return Err("turned away".into());
         }
+        self.heard = Some(Instant::now());
         let mut lists = Lists::new(MAX_LIST);
         // When what lies there, not whole, began to come.
         let mut begun = None;
@@ -47,8 +52,8 @@
             loop {
                 let used = match http::chunk(&bytes, MAX_LIST) {
                     Parsed::Incomplete => break,
-                    Parsed::Malformed(why, _) => return Err(why),
-                    Parsed::Whole([], _) => return Err("ended"),
+                    Parsed::Malformed(why, _) => return Err(why.into()),
+                    Parsed::Whole([], _) => return Err("ended".into()),
                     Parsed::Whole(part, used) => {
                         lists.push(part)?;
                         used
@@ -61,7 +66,7 @@
                 self.hear(list)?;
             }
             if bytes.len() > 2 * MAX_LIST {
-                return Err("a list too long");
+                return Err("a list too long".into());
             }
             // Danger: a list that trickles in keeps the watch from silence, and is never told.
             if lists.is_empty() && bytes.is_empty() {
@@ -70,6 +75,7 @@
                 begun.get_or_insert_with(Instant::now);
             }
             read(&link, &mut bytes, begun.unwrap_or_else(Instant::now) + SILENCE)?;
+            self.heard = Some(Instant::now());
         }
     }
 
@@ -78,7 +84,7 @@
         // counts from below: all its news would go unheard. It is asked for the whole list.
         if !catalog.reset && catalog.generation < self.generation {
             self.generation = 0;
-            return Err("its generation is older than the one known");
+            return Err("its generation is older than the one known".into());
         }
         let form = if catalog.reset { ListForm::Full } else { ListForm::Delta };
         self.generation = catalog.generation;
@@ -89,13 +95,12 @@
 }
 
 /// The head of discovery's answer, which has to be whole in time.
-fn head(link: &Link, bytes: &mut Vec<u8>) -> Result<Head, Ended> {
-    let until = Instant::now() + SILENCE;
+fn head(link: &Link, bytes: &mut Vec<u8>, until: Instant) -> Result<Head, Ended> {
     loop {
         read(link, bytes, until)?;
         match http::head(bytes) {
             Parsed::Incomplete => {}
-            Parsed::Malformed(why, _) => return Err(why),
+            Parsed::Malformed(why, _) => return Err(why.into()),
             Parsed::Whole(head, used) => {
                 bytes.drain(..used);
                 return Ok(head);
@@ -106,9 +111,9 @@
 
 fn read(link: &Link, bytes: &mut Vec<u8>, until: Instant) -> Result<(), Ended> {
     match link.read(bytes, until) {
-        Ok(0) => Err("the connection ended"),
+        Ok(0) => Err(Ended::Broke("the connection ended")),
         Ok(_) => Ok(()),
-        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Err("silent for too long"),
-        Err(_) => Err("the connection broke"),
+        Err(error) if error.kind() == ErrorKind::TimedOut => Err(Ended::TimedOut("silent for too long")),
+        Err(_) => Err(Ended::Broke("the connection broke")),
     }
 }
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -101,8 +101,12 @@
     pub at_origin: bool,
     /// What to ask.
     pub invocation: Arc<Invocation>,
+    /// The start of the provider's process that is meant.
+    pub started: Time,
     /// When to stop waiting.
     pub until: Instant,
+    /// Its last byte goes out by then or never.
+    pub send_by: Instant,
 }
 
 /// What the provider side is to do.
@@ -407,17 +411,23 @@
         }
     }
 
-    /// Whether a call may still be sent: its invocation is open and its provider takes work.
-    pub fn is_wanted(&self, call: CallId) -> bool {
+    /// Whether a call may still be sent: it is not too late, its invocation is open, and its provider takes work and is the
+    /// process that was meant. Danger: asked before the first byte, and again before each that had to wait.
+    pub fn is_wanted(&self, call: &Call) -> bool {
         let state = self.lock();
-        let Some(record) = state.records.get(&call.invocation) else { return false };
-        let Some((server, _)) = record.out.get(&call.attempt) else { return false };
-        record.open.is_some() && state.providers.get(server).is_some_and(Known::is_ready)
+        if Instant::now() >= call.send_by {
+            return false;
+        }
+        let Some(record) = state.records.get(&call.id.invocation) else { return false };
+        let Some((server, _)) = record.out.get(&call.id.attempt) else { return false };
+        let known = state.providers.get(server);
+        record.open.is_some() && known.is_some_and(|known| known.is_ready() && known.started == call.started)
     }
 
-    /// Whether a provider takes new calls.
-    pub fn takes_calls(&self, provider: ServerId) -> bool {
-        self.lock().providers.get(&provider).is_some_and(Known::is_ready)
+    /// Whether a provider takes new calls, and is still the process that started then.
+    pub fn takes_calls(&self, provider: ServerId, started: Time) -> bool {
+        let same = |known: &Known| known.is_ready() && known.started == started;
+        self.lock().providers.get(&provider).is_some_and(same)
     }
 
     /// The value that a call brings is too long to be read whole: the answer begins here, and the call goes on.
@@ -553,10 +563,12 @@
             }
             for action in actions.drain(..) {
                 match action {
-                    Action::Send(id, server, limit) => match self.send(state, now, id, server, limit) {
-                        Ok(call) => effects.push(Effect::Order(Order::Call(call))),
-                        Err(end) => events.push_back(Event::AttemptEnd(end)),
-                    },
+                    Action::Send(id, server, limit, within) => {
+                        match self.send(state, now, (id, server), (limit, within)) {
+                            Ok(call) => effects.push(Effect::Order(Order::Call(call))),
+                            Err(end) => events.push_back(Event::AttemptEnd(end)),
+                        }
+                    }
                     Action::Refuse(id, wait) => {
                         let advice = (wait > 0.0).then(|| wait.ceil() as u64);
                         effects.extend(self.finish(state, id, Answer::Rejected(advice)));
@@ -592,9 +604,8 @@
         &self,
         state: &mut Inner,
         now: Time,
-        id: RequestId,
-        server: ServerId,
-        limit: Time,
+        (id, server): (RequestId, ServerId),
+        (limit, within): (Time, Time),
     ) -> Result<Call, AttemptEnd> {
         let known = state.providers.get(&server);
         let record = state.records.get_mut(&id);
@@ -622,13 +633,16 @@
         };
         record.out.insert(attempt, (server, now));
         let limit = if limit > 0.0 { limit } else { record.invocation.budget };
+        let decided = Instant::now();
         Ok(Call {
             id: CallId { invocation: id, attempt },
             provider: server,
             place: Arc::clone(&known.place),
             at_origin: known.origin,
             invocation: Arc::clone(&record.invocation),
-            until: Instant::now() + span(limit),
+            started: known.started,
+            until: decided + span(limit),
+            send_by: decided + span(within),
         })
     }
 
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -286,6 +286,7 @@
             Arc::clone(counters),
             (config.discovery, config.settings.discovery == PUSHED),
             known,
+            config.seed,
             (subscribe, subscriptions),
         );
         if let Some(told) = &config.fleet {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -2,6 +2,7 @@
 
 use may::io::CoIo;
 use may::net::TcpStream;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{self, Shutdown, SocketAddr};
 use std::os::unix::net::UnixStream;
@@ -105,7 +106,12 @@
     }
 
     /// Writes all, or says that it could not before a point in time.
-    pub fn write(&self, mut bytes: &[u8], until: Instant) -> io::Result<()> {
+    pub fn write(&self, bytes: &[u8], until: Instant) -> io::Result<()> {
+        self.write_while(bytes, until, || true)
+    }
+
+    /// The same while something holds, which is looked at before each part that had to wait.
+    pub fn write_while(&self, mut bytes: &[u8], until: Instant, holds: impl Fn() -> bool) -> io::Result<()> {
         while !bytes.is_empty() {
             match self.0.write_now(bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
@@ -116,6 +122,9 @@
                         return Err(ErrorKind::TimedOut.into());
                     }
                     sleep(WRITE_RETRY);
+                    if !holds() {
+                        return Err(ErrorKind::ConnectionAborted.into());
+                    }
                 }
                 Err(error) => return Err(error),
             }
@@ -141,6 +150,15 @@
     read_some(into, |room| stream.read(room))
 }
 
+/// Whether the other side has ended its sending, or the connection, however much of what it sent lies unread before that.
+pub fn has_hung_up(stream: &net::TcpStream) -> bool {
+    let mut seen = [PollFd::new(stream, PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    // Where nothing can be seen, the end is read after what came before it.
+    poll(&mut seen, Some(&now)).is_ok() && seen[0].revents().intersects(ended)
+}
+
 fn read_some(into: &mut Vec<u8>, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
     let before = into.len();
     into.resize(before + READ_SIZE, 0);
@@ -165,3 +183,7 @@
     may::coroutine::sleep(time);
     may::coroutine::yield_now();
 }
+
+#[cfg(test)]
+#[path = "link_tests.rs"]
+mod tests;
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -11,9 +11,9 @@
 use super::http::{self, Body};
 use super::link::sleep;
 use super::memcache::{self, Reply};
-use crate::interface::{Outcome, ServerId};
+use crate::interface::Outcome;
 use may::sync::mpsc::Receiver;
-use pool::{Connection, NoConnection, Pool};
+use pool::{Connection, NoConnection, Pool, Rest};
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -110,26 +110,31 @@
                     Err(outcome) => return outcome.into(),
                 },
             };
-            if !self.exchange.is_wanted(call.id) {
-                self.keep(call.provider, connection);
+            if !self.exchange.is_wanted(call) {
+                self.keep(call, connection, Answered::Named);
                 return Outcome::Moot.into();
             }
-            // Broken before the last byte went out: the call never ran. That a warm connection broke while
-            // it stood idle says nothing of the provider, so a new one is tried; nothing is sent twice.
-            if let Err(error) = connection.link.write(&words(call), call.until) {
-                match unwritten(error.kind()) {
-                    Outcome::ConnectFailed if !fresh && Instant::now() < call.until => continue,
-                    outcome => return outcome.into(),
-                }
+            let (until, wanted) = (call.until.min(call.send_by), || self.exchange.is_wanted(call));
+            let Err(error) = connection.link.write_while(&words(call), until, wanted) else {
+                return self.await_reply(call, connection);
+            };
+            // Its last byte did not go out, and with the connection closed it never will: the call never ran. That a warm
+            // connection broke while it stood idle says nothing of the provider, so a new one is tried; nothing is sent twice.
+            match unwritten(error.kind()) {
+                Outcome::ConnectFailed if !fresh && wanted() => continue,
+                _ if Instant::now() < call.until && !wanted() => return Outcome::Moot.into(),
+                outcome => return outcome.into(),
             }
-            return self.await_reply(call, connection);
         }
     }
 
     fn connect(&self, call: &Call) -> Result<Connection, Outcome> {
-        let left = call.until.saturating_duration_since(Instant::now());
-        let timeout = *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner);
-        match self.pool.open(&call.place, timeout.min(left.max(Duration::from_millis(1)))) {
+        let left = call.until.min(call.send_by).saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Outcome::Moot);
+        }
+        let timeout = self.connect_timeout();
+        match self.pool.open(&call.place, timeout.min(left)) {
             Ok(connection) => {
                 self.counters.provider_connections.add();
                 Ok(connection)
@@ -137,6 +142,8 @@
             // No fault of the provider: the limit on sockets is this proxy's own.
             Err(NoConnection::Full) => Err(Outcome::Moot),
             Err(NoConnection::Failed(error)) => match error.kind() {
+                // Too late for this call, whatever comes of the connection.
+                ErrorKind::TimedOut if left < timeout && call.send_by < call.until => Err(Outcome::Moot),
                 ErrorKind::TimedOut if left < timeout => Err(Outcome::Timeout),
                 _ => Err(Outcome::ConnectFailed),
             },
@@ -166,9 +173,9 @@
                     return Outcome::Error.into();
                 }
                 Understood::Long(long) => return self.flow(call, connection, bytes, &long),
-                Understood::Whole(end, keep) => {
-                    if keep && !at_end {
-                        self.keep(call.provider, connection);
+                Understood::Whole(end, answered) => {
+                    if !at_end {
+                        self.keep(call, connection, answered);
                     }
                     return end;
                 }
@@ -176,11 +183,16 @@
         }
     }
 
-    /// Keeps a connection for the next call, if there may be one.
-    fn keep(&self, provider: ServerId, connection: Connection) {
-        if self.exchange.takes_calls(provider) {
-            self.pool.keep(provider, connection);
-        }
+    /// Keeps a connection for the next call, if there may be one. Danger: its provider may leave, or start anew, in this
+    /// moment. That is looked up with the pool locked, and what is forgotten of it is forgotten after that.
+    fn keep(&self, call: &Call, connection: Connection, answered: Answered) {
+        let rest = match answered {
+            Answered::Named => Rest::SHORT,
+            Answered::Unnamed => Rest::LONG,
+            Answered::Last => return,
+        };
+        self.pool
+            .keep(call.provider, connection, rest, || self.exchange.takes_calls(call.provider, call.started));
     }
 
     /// Passes a long value on as it comes; `bytes` has its head and its beginning.
@@ -216,8 +228,8 @@
         }
         source.end();
         self.counters.values_flowed.add();
-        if long.keep && bytes.len() == long.tail.len() {
-            self.keep(call.provider, connection);
+        if bytes.len() == long.tail.len() {
+            self.keep(call, connection, long.answered);
         }
         Outcome::Ok.into()
     }
@@ -273,8 +285,28 @@
     from: usize,
     length: usize,
     tail: &'static [u8],
-    /// Whether the connection can take another call then.
-    keep: bool,
+    answered: Answered,
+}
+
+/// What an answer means for its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answered {
+    /// It names its call: should a copy of it follow, that cannot pass for the answer to the next one.
+    Named,
+    /// It does not.
+    Unnamed,
+    /// The connection takes no other call.
+    Last,
+}
+
+impl Answered {
+    fn by(names_it: bool, takes_more: bool) -> Answered {
+        match (takes_more, names_it) {
+            (false, _) => Answered::Last,
+            (true, true) => Answered::Named,
+            (true, false) => Answered::Unnamed,
+        }
+    }
 }
 
 enum Understood {
@@ -283,8 +315,8 @@
     Spoilt,
     /// A long value has begun to come.
     Long(Long),
-    /// How the call ended, and whether the connection can take another.
-    Whole(End, bool),
+    /// How the call ended, and what that means for the connection.
+    Whole(End, Answered),
 }
 
 impl Long {
@@ -305,17 +337,20 @@
     match memcache::reply(bytes, &call.invocation.opaque) {
         Parsed::Incomplete => Understood::Partly,
         Parsed::Whole(reply, used) => {
+            // Only values, receipts and misses carry the id.
+            let is_named = !matches!(reply, Reply::Busy | Reply::Failed);
             let end = match reply {
                 Reply::Long(_) if call.invocation.value.is_some() => return Understood::Spoilt,
                 Reply::Long(length) => {
-                    return Long { from: used, length, tail: memcache::END, keep: true }.begun(bytes);
+                    let answered = Answered::Named;
+                    return Long { from: used, length, tail: memcache::END, answered }.begun(bytes);
                 }
                 Reply::Served(payload) => served(call, payload),
                 Reply::Miss => Outcome::Miss.into(),
                 Reply::Busy => Outcome::Full.into(),
                 Reply::Failed => Outcome::Error.into(),
             };
-            Understood::Whole(end, used == bytes.len())
+            Understood::Whole(end, Answered::by(is_named, used == bytes.len()))
         }
         Parsed::Malformed(..) => Understood::Spoilt,
     }
@@ -335,10 +370,13 @@
         Body::Length(length) if length > MAX_ANSWER => return Understood::Spoilt,
         Body::Length(length) if length > MAX_VALUE => {
             return match (head.status, call.invocation.value.is_some()) {
-                (200, false) => Long { from, length, tail: b"", keep: !head.closes }.begun(bytes),
+                (200, false) => {
+                    let answered = Answered::by(head.id.is_some(), !head.closes);
+                    Long { from, length, tail: b"", answered }.begun(bytes)
+                }
                 (200, true) => Understood::Spoilt,
                 // What a failure has to say is not read.
-                _ => Understood::Whole(Outcome::Error.into(), false),
+                _ => Understood::Whole(Outcome::Error.into(), Answered::Last),
             };
         }
         Body::Length(length) if rest.len() < length => return Understood::Partly,
@@ -361,7 +399,7 @@
         503 | 504 if head.turned_away => Outcome::Full.into(),
         _ => Outcome::Error.into(),
     };
-    Understood::Whole(end, used == bytes.len() && !head.closes)
+    Understood::Whole(end, Answered::by(head.id.is_some(), used == bytes.len() && !head.closes))
 }
 
 /// What was given counts if it is what the invocation asked for: a value for a read, a receipt of one
--- a/src/net/provider/pool.rs
+++ b/src/net/provider/pool.rs
@@ -12,8 +12,6 @@
 /// A provider closes what has stood idle for the time in the settings, and a call written from then on
 /// is lost. This share of that time is safe.
 const IDLE_SHARE: f64 = 0.6;
-/// What a provider sends beyond its answer follows closely. A connection that has rested this long shows it.
-const RESTED: Duration = Duration::from_millis(5);
 
 /// A connection and its place in the pool's count.
 #[derive(Debug)]
@@ -35,7 +33,37 @@
 }
 
 /// By provider, not by address: one that takes over another's address takes over no connection.
-type Idle = BTreeMap<ServerId, VecDeque<(Instant, Connection)>>;
+type Idle = BTreeMap<ServerId, VecDeque<Kept>>;
+
+/// A connection that stands idle.
+#[derive(Debug)]
+struct Kept {
+    since: Instant,
+    rest: Rest,
+    connection: Connection,
+}
+
+/// How long a connection rests before it takes another call. What a provider sends beyond its answer follows within
+/// milliseconds: a connection that has rested shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    at_least: Duration,
+    /// It may take one before if no other is there.
+    hurries: bool,
+}
+
+impl Rest {
+    /// The last answer named its call: a copy of it cannot pass for the answer to the next one.
+    pub const SHORT: Rest = Rest { at_least: Duration::from_millis(5), hurries: true };
+    /// Danger: it did not.
+    pub const LONG: Rest = Rest { at_least: Duration::from_millis(100), hurries: false };
+}
+
+impl Kept {
+    fn has_rested(&self) -> bool {
+        self.since.elapsed() >= self.rest.at_least
+    }
+}
 
 /// All connections of this proxy to providers.
 #[derive(Debug)]
@@ -66,14 +94,14 @@
     /// close.
     pub fn warm(&self, provider: ServerId, place: &str) -> Option<Connection> {
         loop {
-            let (since, connection) = self.with(|idle| {
+            let kept = self.with(|idle| {
                 let queue = idle.get_mut(&provider)?;
-                let rested = queue.iter().rposition(|(since, _)| since.elapsed() >= RESTED);
-                queue.remove(rested.or_else(|| queue.len().checked_sub(1))?)
+                let rested = queue.iter().rposition(Kept::has_rested);
+                queue.remove(rested.or_else(|| queue.iter().rposition(|kept| kept.rest.hurries))?)
             })?;
-            let fits = &*connection.to == place && connection.link.is_quiet();
-            if fits && since.elapsed() < self.idle_limit() {
-                return Some(connection);
+            let fits = &*kept.connection.to == place && kept.connection.link.is_quiet();
+            if fits && kept.since.elapsed() < self.idle_limit() {
+                return Some(kept.connection);
             }
         }
     }
@@ -90,7 +118,7 @@
                 let (_, queue) = idle
                     .iter_mut()
                     .filter(|(_, queue)| !queue.is_empty())
-                    .min_by_key(|(_, queue)| queue.front().map(|(since, _)| *since))?;
+                    .min_by_key(|(_, queue)| queue.front().map(|kept| kept.since))?;
                 queue.pop_front()
             });
             drop(oldest.ok_or(NoConnection::Full)?);
@@ -99,9 +127,20 @@
         Ok(Connection { link, to: Arc::clone(place), _place: place_held })
     }
 
-    /// Keeps a connection for the next call.
-    pub fn keep(&self, provider: ServerId, connection: Connection) {
-        self.with(|idle| idle.entry(provider).or_default().push_back((Instant::now(), connection)));
+    /// Keeps a connection for the next call if there may be one, which is asked with the pool locked.
+    pub fn keep(
+        &self,
+        provider: ServerId,
+        connection: Connection,
+        rest: Rest,
+        may_be: impl FnOnce() -> bool,
+    ) {
+        let kept = Kept { since: Instant::now(), rest, connection };
+        self.with(|idle| {
+            if may_be() {
+                idle.entry(provider).or_default().push_back(kept);
+            }
+        });
     }
 
     /// Closes the idle connections to a provider that has left or started anew.
@@ -111,19 +150,13 @@
 
     /// Closes what has been idle for too long, or has been ended from the other side.
     pub fn retire(&self) {
-        let (mut all, idle_limit) = (self.with(std::mem::take), self.idle_limit());
-        for queue in all.values_mut() {
-            queue.retain(|(since, connection)| since.elapsed() < idle_limit && connection.link.is_quiet());
-        }
+        let idle_limit = self.idle_limit();
+        // Danger: what lay elsewhere meanwhile could not be forgotten.
         self.with(|idle| {
-            for (provider, mut queue) in all {
-                if queue.is_empty() {
-                    continue;
-                }
-                let newer = idle.remove(&provider).unwrap_or_default();
-                queue.extend(newer);
-                idle.insert(provider, queue);
-            }
+            idle.retain(|_, queue| {
+                queue.retain(|kept| kept.since.elapsed() < idle_limit && kept.connection.link.is_quiet());
+                !queue.is_empty()
+            });
         });
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -290,7 +290,7 @@
     /// Adds an action of an instance.
     pub fn push(&mut self, instance: u32, action: &Action) {
         match action {
-            Action::Send(id, server, timeout) => {
+            Action::Send(id, server, timeout, _) => {
                 self.record(9, instance);
                 self.body.extend(id.to_be_bytes());
                 self.body.extend(server.to_be_bytes());
--- /dev/null
+++ b/tests/sockets/crossings/late.rs
@@ -0,0 +1,68 @@
+//! A call is decided; its connection comes up, or its bytes go out, when what allowed it is over.
+
+use super::*;
+use std::time::Instant;
+
+const SLOW_CONNECT: (&str, &str) = (r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":5000.0"#);
+/// A connection that was held back comes up within this time of being let in: the system tries again each second.
+const COMES_UP: u64 = 2500;
+
+/// Guards against an effect twice: a repeat is decided within the window of its key, and its connection comes up after it.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+    let mut origin = Turnstile::new();
+    let window = (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":700.0"#);
+    let entries = [origin.entry("o", "origin", "ready", 0)];
+    let scene = Scene::with_all(&entries, &[SLOW_CONNECT, window]);
+    let mut client = scene.client();
+    client.say("ms k 5 O1 Pc=put,t=acme,d=4000,k=1\r\nhello\r\n");
+    let mut first = origin.accept().expect("the write is sent");
+    assert!(first.request(true).expect("whole").starts_with("PUT /k "));
+    let begun = Instant::now();
+    origin.shut();
+    drop(first);
+    scene.until("it is tried again", || scene.count("calls_ordered") == 2);
+    assert!(client.line().starts_with("SERVER_ERROR "), "it cannot be served any more");
+    assert!(begun.elapsed() < ms(2000), "told when its window is over: {:?}", begun.elapsed());
+    origin.open();
+    if let Some(mut late) = origin.accept_within(ms(COMES_UP)) {
+        assert_eq!(late.all_within(ms(500)).0, b"", "nothing is sent on it");
+    }
+}
+
+/// Guards against a call that is sent to a node after it began to drain, after it started anew, or for nobody: each
+/// happens while its connection comes up.
+#[test]
+fn a_connection_that_comes_up_too_late_takes_no_call() {
+    for happens in ["drains", "starts anew", "the client leaves"] {
+        let mut node = Turnstile::new();
+        node.shut();
+        let origin = Party::origin(|_| Does::Nothing);
+        let entries = [node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")];
+        let scene = Scene::with_all(&entries, &[SLOW_CONNECT]);
+        let (_, tell) = scene.discovery.watch();
+        let mut client = scene.client();
+        client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+        scene.until("the call is decided", || scene.count("calls_ordered") == 1);
+        let change = |lifecycle, started| catalog(2, false, &[node.entry("s-0", "c6", lifecycle, started)]);
+        let told = match happens {
+            "drains" => Some(change("draining", 0)),
+            "starts anew" => Some(change("ready", 1_000_000)),
+            _ => None,
+        };
+        match told {
+            Some(list) => {
+                tell.send(list).unwrap();
+                scene.until("it is heard", || scene.count("lists") == 1);
+            }
+            None => {
+                drop(client);
+                scene.until("it is noticed", || scene.count("consumers_gone") == 1);
+            }
+        }
+        node.open();
+        let mut late = node.accept_within(ms(COMES_UP)).expect("the connection comes up");
+        assert_eq!(late.all_within(ms(300)).0, b"", "{happens}");
+        scene.until("the call has ended", || scene.count("calls_moot") >= 1);
+    }
+}
--- /dev/null
+++ b/tests/sockets/crossings/leavers.rs
@@ -0,0 +1,144 @@
+//! A client goes while what it asked for waits.
+
+use super::*;
+use socket2::SockRef;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// A node that answers nothing until it is told to.
+fn holding() -> (Party, Arc<AtomicBool>) {
+    let lets_go = Arc::new(AtomicBool::new(false));
+    let told = Arc::clone(&lets_go);
+    let node = Party::node(move |line| {
+        while !told.load(Ordering::SeqCst) {
+            sleep(ms(2));
+        }
+        Does::Says(value(line, "v"))
+    });
+    (node, lets_go)
+}
+
+fn reads(from: usize, to: usize) -> String {
+    (from..to).map(|n| format!("mg k{n} v O{n} Pc=read,t=acme,d=20000\r\n")).collect()
+}
+
+/// Long enough for what is sent on to arrive.
+const ARRIVES: Duration = Duration::from_millis(400);
+
+/// Guards against requests that are sent on for a client that has gone: its connection is full, so that nobody reads the
+/// end that tells it, or nobody gets to it for what lies before.
+#[test]
+fn nothing_that_waits_is_sent_on_for_a_client_that_has_gone_with_its_connection_full() {
+    for how in ["close", "close over unread answers", "half close", "reset", "quit"] {
+        let (node, lets_go) = holding();
+        let origin = Party::origin(|_| Does::Nothing);
+        let scene = Scene::with_all(
+            &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
+            // Nothing is given up before the client goes.
+            &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
+        );
+        let mut client = scene.client();
+        if how == "close over unread answers" {
+            client.say("mn\r\nversion\r\n");
+        }
+        // 64 commands may wait, so that of these some lie unread.
+        client.say(&reads(0, 400));
+        if how == "quit" {
+            client.say("quit\r\n");
+        }
+        scene.until("its commands are taken", || scene.count("taken_reads") == 64);
+        scene.until("the node has what it may have", || {
+            node.heard().len() as u64 == scene.count("calls_ordered")
+        });
+        let before = node.heard().len();
+        assert!((1..64).contains(&before), "some of them wait: {before} sent");
+        let stream: TcpStream = client.reader().get_ref().try_clone().unwrap();
+        match how {
+            "half close" => stream.shutdown(Shutdown::Write).unwrap(),
+            "reset" => SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
+            _ => {}
+        }
+        if how != "half close" {
+            drop((client, stream));
+        }
+        scene.until("it is noticed", || scene.count("consumers_gone") == 64);
+        lets_go.store(true, Ordering::SeqCst);
+        sleep(ARRIVES);
+        assert_eq!(node.heard().len(), before, "{how}");
+        assert_eq!(scene.count("taken_reads"), 64, "{how}");
+    }
+}
+
+/// Guards against the same while clients are sent away: then a connection with a command open is read no more.
+#[test]
+fn a_client_that_goes_late_in_a_drain_is_noticed() {
+    let (node, lets_go) = holding();
+    let origin = Party::origin(|_| Does::Nothing);
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let scene = Scene::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
+    let mut client = scene.client();
+    client.say(&reads(0, 40));
+    scene.until("its commands are taken", || scene.count("taken_reads") == 40);
+    scene
+        .until("the node has what it may have", || node.heard().len() as u64 == scene.count("calls_ordered"));
+    let before = node.heard().len();
+    assert!((1..40).contains(&before), "some of them wait: {before} sent");
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    // From then on nothing more is read on a connection that has commands open.
+    sleep(ms(2000));
+    drop(client);
+    scene.until("it is noticed", || scene.count("consumers_gone") == 40);
+    lets_go.store(true, Ordering::SeqCst);
+    sleep(ARRIVES);
+    assert_eq!(node.heard().len(), before);
+}
+
+/// Guards against a request obeyed long after its client ended its side: much that is no good, and is read with rests, lies
+/// before it. (A client that is wholly gone shows at the first answer to that.)
+#[test]
+fn a_request_behind_rubbish_is_not_sent_on_once_its_client_has_gone() {
+    let (node, _) = holding();
+    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    // 64 of these cost a rest of 20 ms: 900 ms in all.
+    let rubbish = "no such command\r\n".repeat(45 * 64);
+    let mut client = scene.client();
+    client.say(&format!("{rubbish}mg k v O1 Pc=read,t=acme,d=20000\r\n"));
+    client.reader().get_ref().shutdown(Shutdown::Write).unwrap();
+    scene.until("some of it is read", || scene.count("taken_malformed") > 0);
+    while !client.line().is_empty() {}
+    // It was not obeyed before the connection ended, and nobody obeys it after.
+    assert_eq!((node.heard(), scene.count("taken_reads")), (Vec::new(), 0));
+}
+
+/// Guards against a fetch at the origin for nobody: those that wait for room there, and for another's fetch, have gone.
+#[test]
+fn misses_that_wait_are_not_sent_on_for_clients_that_have_gone() {
+    let lets_go = Arc::new(AtomicBool::new(false));
+    let told = Arc::clone(&lets_go);
+    let node = Party::empty_node();
+    let origin = Party::origin(move |_| {
+        while !told.load(Ordering::SeqCst) {
+            sleep(ms(2));
+        }
+        http_200("v")
+    });
+    let scene = Scene::with_all(
+        &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
+        &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
+    );
+    // One key is asked for twice: the second waits for the fetch of the first.
+    let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.say(&format!("mg k{} v O{n} Pc=read,t=acme,d=20000\r\n", n.min(10)));
+    }
+    scene.until("all that may are at the origin", || origin.heard().len() == 8);
+    scene.until("all are taken", || scene.count("taken_reads") == 12);
+    drop(clients);
+    scene.until("it is noticed", || scene.count("consumers_gone") == 12);
+    lets_go.store(true, Ordering::SeqCst);
+    sleep(ARRIVES);
+    assert_eq!(origin.heard().len(), 8, "the others wait for nobody");
+}
--- /dev/null
+++ b/tests/sockets/crossings/lists.rs
@@ -0,0 +1,90 @@
+//! Discovery fails in one way after another, and something changes meanwhile.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD: Duration = Duration::from_millis(6000);
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(words: &str) -> String {
+    format!("{:x}\r\n{words}\n\r\n", words.len() + 1)
+}
+
+/// A proxy whose discovery is played by the test, and its first call there.
+fn moved() -> (Scene, Turnstile, Caller, Party) {
+    let node = Party::full_node("v");
+    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    let discovery = Turnstile::new();
+    scene.reload(&scene.discovery.place.to_string(), &discovery.place.to_string());
+    let mut call = discovery.accept().expect("the watch moves");
+    assert!(call.request(true).is_some());
+    (scene, discovery, call, node)
+}
+
+/// Guards against a change that counts as told before it is known: the watch falls silent just before it, and the next
+/// call hangs, is refused, or breaks; the one after that would tell it.
+#[test]
+fn what_a_silent_watch_missed_is_asked_for_in_time_whatever_the_next_call_meets() {
+    for next in ["hangs", "is refused", "ends", "trickles"] {
+        let (scene, discovery, mut watch, node) = moved();
+        assert!(watch.say(HEAD) && watch.say(&chunk("")));
+        let silent_since = Instant::now();
+        let mut call = discovery.accept().expect("a silent watch is dead");
+        assert!(call.request(true).is_some());
+        match next {
+            "is refused" => drop(call.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
+            // A head that never ends.
+            "trickles" => drop(call.say("HTTP/1.1 200 OK\r\nTransfer-")),
+            _ => {}
+        }
+        let held = (next != "ends").then_some(call);
+        let mut call = discovery.accept().expect("discovery is asked again");
+        assert!(call.request(true).is_some());
+        assert!(
+            call.say(HEAD) && call.say(&chunk(&catalog(2, false, &[node.entry("s-0", "c6", "draining")])))
+        );
+        scene.until("it is heard", || scene.count("lists") == 1);
+        assert!(silent_since.elapsed() < TOLD, "{next}: {:?}", silent_since.elapsed());
+        let line = scene.client().read("k", "1", 300).0;
+        assert!(line.starts_with("SERVER_ERROR busy"), "the only node drains: {line}");
+        assert_eq!(node.heard(), Vec::<String>::new(), "{next}");
+        drop(held);
+    }
+}
+
+/// Guards against a proxy that is still waiting when discovery has long been back: it is asked again before a change of that
+/// moment counts as told, however often it failed before, and not so often that hundreds would bring it down.
+#[test]
+fn a_discovery_that_fails_again_and_again_is_asked_often_enough_and_not_too_often() {
+    let (_scene, discovery, mut call, _) = moved();
+    let mut begun = Vec::new();
+    for _ in 0..7 {
+        call.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        begun.push(Instant::now());
+        call = discovery.accept().expect("discovery is asked again");
+        assert!(call.request(true).is_some());
+    }
+    let gaps: Vec<Duration> = begun.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    // What hangs for as long as it may after such a wait is still followed by another in time.
+    assert!(gaps.iter().all(|gap| *gap < ms(3400)), "{gaps:?}");
+    assert!(gaps[3..].iter().all(|gap| *gap > ms(900)), "{gaps:?}");
+}
+
+/// Guards against an old address that holds the new one up: its connection does not come up while the watch moves on.
+#[test]
+fn a_move_does_not_wait_for_a_connection_to_the_old_address() {
+    let node = Party::full_node("v");
+    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    let (mut old, new) = (Turnstile::new(), Turnstile::new());
+    old.shut();
+    let places = [scene.discovery.place, old.place, new.place].map(|place| place.to_string());
+    scene.reload(&places[0], &places[1]);
+    scene.until("it has moved", || scene.count("watches") == 2);
+    let begun = Instant::now();
+    scene.reload(&places[1], &places[2]);
+    let mut call = new.accept().expect("it moves on");
+    assert!(call.request(true).is_some());
+    // News of the new address count 4 s after SIGHUP; a call may take 1.4 s of them.
+    assert!(begun.elapsed() < ms(2000), "{:?}", begun.elapsed());
+}
--- /dev/null
+++ b/tests/sockets/crossings/mod.rs
@@ -0,0 +1,15 @@
+//! Two events that cross, each in the order that does harm, every time: the parties hold back what the test lets go.
+
+mod closes;
+mod kept;
+mod late;
+mod leavers;
+mod lists;
+
+use crate::ms;
+use crate::rig::*;
+
+/// What a party within a test says of a key that it holds.
+fn value(command: &str, value: &str) -> String {
+    format!("VA {} {}\r\n{value}\r\n", value.len(), opaque(command))
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The real program as a process, spoken to as consumers, cache nodes, the origin and discovery speak.
 
+mod crossings;
 mod faults;
 mod large;
 mod operations;
