Test what many modules send a cold node together: beyond N only chance is left

Seeded play of 1 to 300 modules over 17 settings: budgets of a few requests, six and nine in ten nodes replaced, three keys that make up to nine tenths of requests, fetch waiters, retries, overload. The growth of a cold node's capacity between start and warm is not told; it is reckoned as even, as the module does.

--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,267 @@
+//! What many proxies that do not talk send a cold node together: beyond the budget of N requests only chance is left, which
+//! is 2 x root of N + 2.
+
+mod common;
+
+use common::*;
+use pinetrail::interface::*;
+use pinetrail::logic::Balancer;
+use pinetrail::settings::Settings;
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a warm node takes in a second, all proxies together.
+const CAPACITY: f64 = 25.0;
+const NODES: u32 = 10;
+
+#[derive(Clone, Copy, Debug)]
+struct Day {
+    proxies: u32,
+    /// Settings of the site.
+    fall_multiple: f64,
+    start_capacity: f64,
+    cold: Time,
+    tip_after: Time,
+    /// How many of ten nodes are replaced, one after the other, within how long.
+    replaced: u32,
+    within: Time,
+    /// The share of the fleet's capacity that is asked for.
+    busy: f64,
+    /// The share of requests that name one of three keys.
+    hot: f64,
+    /// How long a node takes for an answer at most.
+    latency: Time,
+    /// Whether nodes lack what they were not asked for before, and an origin has it.
+    aside: bool,
+    /// The share of calls that fail.
+    fails: f64,
+}
+
+const DAY: Day = Day {
+    proxies: 30,
+    fall_multiple: 3.0,
+    start_capacity: 0.13,
+    cold: 24_000.0,
+    tip_after: 3_000.0,
+    replaced: 6,
+    within: 7_000.0,
+    busy: 0.8,
+    hot: 0.3,
+    latency: 60.0,
+    aside: false,
+    fails: 0.02,
+};
+
+enum Happens {
+    Asked,
+    Ends(usize, RequestId, u8, ServerId, Time),
+    Due(usize, u64),
+    Replaced(u32),
+}
+
+/// A fleet of modules; when each cold node started, and what it was sent since.
+struct Play {
+    day: Day,
+    now: Time,
+    rng: SmallRng,
+    agenda: BTreeMap<(u64, u64), Happens>,
+    order: u64,
+    modules: Vec<Balancer>,
+    attempts: BTreeMap<(usize, RequestId), u8>,
+    /// The keys of those asked for, where each missed, and what each node holds.
+    keys: BTreeMap<RequestId, Key>,
+    missed: BTreeMap<RequestId, Vec<ServerId>>,
+    holds: BTreeSet<(ServerId, Key)>,
+    cold: BTreeMap<ServerId, (Time, Vec<Time>)>,
+}
+
+impl Play {
+    fn of(day: Day, seed: u64) -> Play {
+        let json = settings_json(day.aside)
+            .replace(r#""GroupSize":3"#, &format!(r#""GroupSize":{}"#, day.proxies))
+            .replace(r#""StartCapacity":0.2"#, &format!(r#""StartCapacity":{}"#, day.start_capacity))
+            .replace(r#""Cold":9000.0"#, &format!(r#""Cold":{}"#, day.cold))
+            .replace(r#""FallMultiple":3.0"#, &format!(r#""FallMultiple":{}"#, day.fall_multiple))
+            .replace(r#""TipAfter":1500.0"#, &format!(r#""TipAfter":{}"#, day.tip_after));
+        let module = |number| {
+            let settings = Settings::from_json(json.as_bytes()).expect("the settings are legal");
+            Balancer::new(Settings { my_number: number, ..settings }, seed ^ u64::from(number) << 32)
+        };
+        let mut play = Play {
+            day,
+            now: 100_000.0,
+            rng: SmallRng::seed_from_u64(seed),
+            agenda: BTreeMap::new(),
+            order: 0,
+            modules: (0..day.proxies).map(module).collect(),
+            attempts: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            missed: BTreeMap::new(),
+            holds: BTreeSet::new(),
+            cold: BTreeMap::new(),
+        };
+        let mut list: Vec<Member> = (1..=NODES).map(member).collect();
+        list.extend(day.aside.then(|| member(ORIGIN)));
+        (0..play.modules.len()).for_each(|at| play.feed(at, Event::Members(ListForm::Full, list.clone())));
+        // Tables are full by then.
+        for number in 0..day.replaced {
+            let after = 8_000.0 + day.within * f64::from(number) / f64::from(day.replaced);
+            play.at(after, Happens::Replaced(number + 1));
+        }
+        play.at(0.0, Happens::Asked);
+        play.run(8_000.0 + day.within + day.cold);
+        play
+    }
+
+    fn at(&mut self, after: Time, happens: Happens) {
+        self.order += 1;
+        self.agenda.insert((((self.now + after) * 1000.0) as u64, self.order), happens);
+    }
+
+    fn run(&mut self, time: Time) {
+        let until = self.now + time;
+        while let Some(((at, _), happens)) = self.agenda.pop_first() {
+            self.now = self.now.max(at as f64 / 1000.0);
+            if self.now > until {
+                return;
+            }
+            match happens {
+                Happens::Asked => self.ask(),
+                Happens::Due(at, token) => self.feed(at, Event::Timer(token)),
+                Happens::Ends(at, id, attempt, server, sent) => {
+                    let (outcome, latency, report) = (self.outcome(id, server), self.now - sent, Vec::new());
+                    let last = outcome == Outcome::Ok;
+                    let end = AttemptEnd { id, attempt, server, latency, last, outcome, report };
+                    self.feed(at, Event::AttemptEnd(end));
+                }
+                Happens::Replaced(old) => {
+                    let (new, started) = (NODES + old, self.now);
+                    self.cold.insert(new, (started, Vec::new()));
+                    let gone = Member { state: State::Gone, ..member(old) };
+                    let change = vec![gone, Member { started, ..member(new) }];
+                    (0..self.modules.len())
+                        .for_each(|at| self.feed(at, Event::Members(ListForm::Delta, change.clone())));
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self) {
+        let rate = CAPACITY * f64::from(NODES) * self.day.busy / 1000.0;
+        let wait = -(1.0 - self.rng.gen::<f64>()).ln() / rate;
+        self.at(wait, Happens::Asked);
+        let key = match self.rng.gen_bool(self.day.hot) {
+            true => self.rng.gen_range(1..=3),
+            false => 10 + (3000.0 * self.rng.gen::<f64>().powi(3)) as Key,
+        };
+        let at = self.rng.gen_range(0..self.modules.len());
+        let id = self.order;
+        self.keys.insert(id, key);
+        self.feed(at, Event::Request(read(id, key)));
+    }
+
+    fn outcome(&mut self, id: RequestId, server: ServerId) -> Outcome {
+        let key = self.keys[&id];
+        if server == ORIGIN {
+            // The value is stored where it missed.
+            self.holds.extend(self.missed.remove(&id).into_iter().flatten().map(|node| (node, key)));
+        } else if self.day.aside && !self.holds.contains(&(server, key)) {
+            self.missed.entry(id).or_default().push(server);
+            return Outcome::Miss;
+        }
+        if self.rng.gen_bool(self.day.fails) {
+            Outcome::Error
+        } else {
+            Outcome::Ok
+        }
+    }
+
+    fn feed(&mut self, at: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.modules[at].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send(id, server, ..) => {
+                    let attempt = self.attempts.entry((at, id)).or_default();
+                    let number = *attempt;
+                    *attempt += 1;
+                    if let Some((_, sent)) = self.cold.get_mut(&server) {
+                        sent.push(self.now);
+                    }
+                    let latency = self.rng.gen_range(5.0..self.day.latency);
+                    self.at(latency, Happens::Ends(at, id, number, server, self.now));
+                }
+                Action::Timer(wait, token) | Action::TimerFor(_, wait, token) => {
+                    self.at(wait.max(0.001), Happens::Due(at, token));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The most that any cold node was sent beyond its budget in any span, over what chance may add: above 1 is too much.
+    fn worst(&self) -> f64 {
+        let day = &self.day;
+        let mut worst = 0.0f64;
+        for (started, sent) in self.cold.values() {
+            let mut from = 0;
+            for (at, now) in sent.iter().enumerate() {
+                let age = (now - started) / day.cold;
+                if age >= 1.0 {
+                    break;
+                }
+                while sent[from] <= now - day.tip_after {
+                    from += 1;
+                }
+                let capacity = day.start_capacity + (1.0 - day.start_capacity) * age;
+                let budget = day.fall_multiple * capacity * CAPACITY * day.tip_after / 1000.0;
+                let count = (at - from + 1) as f64;
+                worst = worst.max((count - budget) / (2.0 * budget.sqrt() + 2.0));
+            }
+        }
+        worst
+    }
+
+    fn sent(&self) -> usize {
+        self.cold.values().map(|(_, sent)| sent.len()).sum()
+    }
+}
+
+/// Days over the range of the settings, each of which once sent a cold node too much or might.
+fn days() -> Vec<Day> {
+    vec![
+        DAY,
+        Day { proxies: 20, ..DAY },
+        Day { proxies: 300, ..DAY },
+        // Few proxies see gaps between loads, and send all that looks for the least loaded to who is idle.
+        Day { proxies: 1, latency: 300.0, ..DAY },
+        Day { proxies: 3, latency: 300.0, ..DAY },
+        Day { proxies: 3, replaced: 1, latency: 300.0, busy: 0.95, ..DAY },
+        // Budgets of a few requests.
+        Day { tip_after: 500.0, start_capacity: 0.05, ..DAY },
+        Day { fall_multiple: 2.0, start_capacity: 0.05, tip_after: 1_000.0, ..DAY },
+        // Fast to warm, slow to warm, and all of the fleet but one.
+        Day { cold: 6_000.0, ..DAY },
+        Day { cold: 60_000.0, ..DAY },
+        Day { replaced: 9, within: 20_000.0, ..DAY },
+        // Nearly all requests name a few keys.
+        Day { hot: 0.9, ..DAY },
+        Day { proxies: 1, hot: 0.9, ..DAY },
+        // More than all can take, and misses that wait for another's fetch.
+        Day { busy: 1.2, ..DAY },
+        Day { proxies: 3, busy: 1.2, fails: 0.2, latency: 300.0, ..DAY },
+        Day { aside: true, ..DAY },
+        Day { aside: true, proxies: 3, hot: 0.6, latency: 200.0, ..DAY },
+    ]
+}
+
+#[test]
+fn beyond_its_budget_a_cold_node_gets_only_what_chance_adds() {
+    for (at, day) in days().into_iter().enumerate() {
+        for seed in 0..3 {
+            let play = Play::of(day, seed + 10 * at as u64);
+            assert!(play.sent() > 10, "they get something: {} {day:?}", play.sent());
+            assert!(play.worst() <= 1.0, "seed {seed}: {:.2} {day:?}", play.worst());
+        }
+    }
+}
