--- a/src/logic.rs
+++ b/src/logic.rs
@@ -401,11 +401,10 @@
         let started = Some(server.member.started).filter(|at| *at > 0.0).unwrap_or(f64::MIN);
         let age = (self.now - started) / safety.cold.max(1.0);
         let capacity = safety.start_capacity + (1.0 - safety.start_capacity) * age.clamp(0.0, 1.0);
-        // Danger: while it is cold it is never given all, whatever tips it.
         if age >= 1.0 {
             1.0
         } else {
-            (0.5 * safety.fall_multiple * capacity).min(0.99)
+            0.5 * safety.fall_multiple * capacity
         }
     }
 
