--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -32,6 +32,14 @@
     /// The file is not the object expected.
     #[error("configuration: {0}")]
     Form(#[from] serde_json::Error),
+    /// A part of it is not what is expected there.
+    #[error("configuration: {path}: {error}")]
+    At {
+        /// Where.
+        path: String,
+        /// What is there, and what should be.
+        error: serde_json::Error,
+    },
     /// What was told before is left out.
     #[error("configuration: the key {0} is missing")]
     Missing(String),
@@ -50,6 +58,28 @@
     },
 }
 
+impl ConfigError {
+    /// The same of what lies at this place.
+    fn below(self, place: &str) -> ConfigError {
+        match self {
+            ConfigError::At { path, error } if path == "." => {
+                ConfigError::At { path: place.to_owned(), error }
+            }
+            ConfigError::At { path, error } => ConfigError::At { path: format!("{place}.{path}"), error },
+            ConfigError::Field { field, value, wanted } => {
+                ConfigError::Field { field: format!("{place}.{field}"), value, wanted }
+            }
+            other => other,
+        }
+    }
+}
+
+impl From<serde_path_to_error::Error<serde_json::Error>> for ConfigError {
+    fn from(error: serde_path_to_error::Error<serde_json::Error>) -> ConfigError {
+        ConfigError::At { path: error.path().to_string(), error: error.into_inner() }
+    }
+}
+
 /// One entry of the list of providers, in discovery's form.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -240,8 +270,8 @@
     /// Reads the object; `admin`, if any, stands for the address that it names. The error names what is wrong.
     pub fn from_json(text: &[u8], admin: Option<String>) -> Result<Config, ConfigError> {
         let given: serde_json::Value = serde_json::from_slice(text)?;
-        let file: File = serde_json::from_slice(text)?;
-        let rules = Rules::of(&file.settings)?;
+        let file: File = serde_path_to_error::deserialize(&given)?;
+        let rules = Rules::of(&file.settings).map_err(|error| error.below("settings"))?;
         let (settings, names) = (rules.settings, rules.names);
         if file.limits.memory_mb < MIN_MEMORY_MB {
             let value = file.limits.memory_mb.to_string();
--- a/src/net/config/rules.rs
+++ b/src/net/config/rules.rs
@@ -54,8 +54,8 @@
 impl Rules {
     /// Reads the object. The error names what is wrong.
     pub fn of(given: &Value) -> Result<Rules, ConfigError> {
-        let words = Words::deserialize(given)?;
-        let settings = Settings::deserialize(given)?;
+        let words: Words = serde_path_to_error::deserialize(given)?;
+        let settings: Settings = serde_path_to_error::deserialize(given)?;
         let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect::<Vec<String>>();
         let (classes, tenants) = (name_of(words.grades), name_of(words.orgs));
         check::check(&settings, &classes, &tenants)?;
@@ -63,7 +63,7 @@
         if !(1.0..=MAX_CONNECT_TIMEOUT_MS).contains(&timeout) {
             let value = timeout.to_string();
             return Err(ConfigError::Field {
-                field: "ConnectTimeout".to_owned(),
+                field: "Permissions.ConnectTimeout".to_owned(),
                 value,
                 wanted: "1 to 60000, in ms",
             });
--- a/src/net/memcache.rs
+++ b/src/net/memcache.rs
@@ -37,7 +37,8 @@
         };
     };
     let text = window[..end].strip_suffix(b"\r").and_then(|text| std::str::from_utf8(text).ok());
-    match text.filter(|text| text.bytes().all(|byte| (b' '..0x7f).contains(&byte))) {
+    // Names of classes and tenants may be in any language.
+    match text.filter(|text| text.bytes().all(|byte| byte >= b' ' && byte != 0x7f)) {
         Some(text) => Whole(text, end + 1),
         None => Malformed("CLIENT_ERROR bad line", Some(end + 1)),
     }
@@ -105,12 +106,14 @@
 
 /// The key and flags of `mg` or `ms`. Only what providers know may pass: `v` (reads), `O` and `P`.
 fn invoke<'a>(mut words: impl Iterator<Item = &'a str>, write: bool) -> Option<Invoke> {
-    let key = words.next().filter(|key| !key.is_empty() && key.len() <= MAX_KEY)?;
+    let key = words.next().filter(|key| !key.is_empty() && key.len() <= MAX_KEY && key.is_ascii())?;
     let (mut value, mut opaque, mut labels) = (false, None, None);
     for word in words {
         match (word.get(..1)?, word.get(1..)?) {
             ("v", "") if !write && !value => value = true,
-            ("O", id) if opaque.is_none() && !id.is_empty() && id.len() <= MAX_OPAQUE => opaque = Some(id),
+            ("O", id) if opaque.is_none() && (1..=MAX_OPAQUE).contains(&id.len()) && id.is_ascii() => {
+                opaque = Some(id);
+            }
             ("P", list) if labels.is_none() => labels = Some(label_list(list)?),
             _ => return None,
         }
@@ -189,7 +192,8 @@
         return WRONG;
     }
     let (text, used) = match line(bytes) {
-        Whole(text, used) => (text, used),
+        Whole(text, used) if text.is_ascii() => (text, used),
+        Whole(..) => return WRONG,
         Incomplete => return Incomplete,
         Malformed(why, _) => return Malformed(why, None),
     };
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,8 @@
 mod faults;
 mod large;
 mod operations;
+mod settings;
+mod starts;
 mod upgrades;
 
 use pinetrail_rig as rig;
@@ -755,8 +757,20 @@
         (good.replace("8c1f30d27a5be964", "seed"), "seed"),
         (good.replace(r#""sockets":256"#, r#""sockets":3"#), "sockets"),
         (good.replace(r#""Grades""#, r#""Grates""#), "Grades"),
-        (good.replace(r#""Aim":400.0"#, r#""Aim":"soon""#), "invalid type"),
-        (good.replace(r#""MaxAttempts":3"#, r#""MaxAttempts":256"#), "MaxAttempts"),
+        (
+            good.replacen(r#""Aim":400.0"#, r#""Aim":"soon""#, 1),
+            r#"settings.Grades[0].Aim: invalid type: string "soon", expected"#,
+        ),
+        (good.replacen(r#""Aim":400.0,"#, "", 1), "settings.Grades[0]: missing field `Aim`"),
+        (good.replace(r#""Tick":1.0"#, r#""Tick":0"#), r#"settings.Tick "0" is not given and above 0"#),
+        (
+            good.replace(r#""memory_mb":192"#, r#""memory_mb":-1"#),
+            "limits.memory_mb: invalid value: integer `-1`",
+        ),
+        (
+            good.replace(r#""MaxAttempts":3"#, r#""MaxAttempts":256"#),
+            r#"settings.Permissions.MaxAttempts "256""#,
+        ),
         // Danger: no duration holds it, so that it ended the process, a start and one that serves alike.
         (good.replace(r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":1e300"#), "ConnectTimeout"),
         (
--- /dev/null
+++ b/tests/sockets/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of other customers: what may be absent, what may be one, what may have any name.
+
+use crate::ms;
+use crate::rig::*;
+use std::time::Instant;
+
+/// Serves a read and a write by settings with these texts replaced.
+fn serves(changes: &[(&str, &str)], read: &str, write: &str, tenant: &str) {
+    let node = Party::full_node("v");
+    let origin = Party::origin(|_| http_200("r1"));
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let scene = Scene::with_all(&entries, changes);
+    let mut client = scene.client();
+    let line = client.ask(&format!("mg k v O1 Pc={read}{tenant},d=900\r\n"));
+    assert_eq!((line.as_str(), client.line().as_str()), ("VA 1 O1\r\n", "v\r\n"), "{changes:?}");
+    let line = client.ask(&format!("ms k 2 O2 Pc={write}{tenant},d=900,k=5\r\nhi\r\n"));
+    assert_eq!(line, "HD O2 cr1\r\n", "{changes:?}");
+    let passed = origin.heard().concat();
+    assert!(passed.contains(&format!("X-Labels: c={write}{tenant},d=")), "unchanged: {passed}");
+}
+
+/// Guards against a program that knows one deployment.
+#[test]
+fn other_names_limits_of_one_and_absent_fields_are_served() {
+    serves(&[], "read", "put", ",t=acme");
+    serves(
+        &[
+            (r#""Name":"read""#, r#""Name":"zapytań=1""#),
+            (r#""Name":"put""#, r#""Name":"書く""#),
+            ("acme", "ł#/%"),
+        ],
+        "zapytań=1",
+        "書く",
+        ",t=ł#/%",
+    );
+    // No tenants, zones or kinds of machines but the origin's; a zone and kinds that no setting names.
+    serves(
+        &[
+            (r#""Orgs":[{"Name":"acme"}],"#, ""),
+            (r#""Zones":["a"],"#, ""),
+            (r#""Kinds":["c6","origin"]"#, r#""Kinds":["origin"]"#),
+            (r#""OriginKind":1"#, r#""OriginKind":0"#),
+            (r#","MustAskIn":10000.0"#, ""),
+            (r#","Zone":0,"Tick":1.0"#, ""),
+        ],
+        "read",
+        "put",
+        "",
+    );
+    serves(
+        &[
+            (r#""MaxAttempts":3"#, r#""MaxAttempts":1"#),
+            (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":1.0"#),
+            (r#""MaxRetryAfter":2000.0"#, r#""MaxRetryAfter":0.0"#),
+            (r#""ConnIdle":1500.0"#, r#""ConnIdle":1.0"#),
+            (r#""GiveUp":1000.0"#, r#""GiveUp":150.0"#),
+            (r#""Aim":400.0"#, r#""Aim":1.0"#),
+            (r#""sockets":256"#, r#""sockets":64"#),
+            (r#""memory_mb":192"#, r#""memory_mb":16"#),
+            (r#""Zones":["a"]"#, r#""Zones":["b","c","a"]"#),
+        ],
+        "read",
+        "put",
+        ",t=acme",
+    );
+}
+
+/// Guards against a request that hangs since its time is shorter than any timer: it is answered when that is over.
+#[test]
+fn a_deadline_of_a_few_milliseconds_is_kept() {
+    let node = Party::node(|_| Does::Nothing);
+    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    for (n, d) in [0, 1, 5, 30, 150].into_iter().enumerate() {
+        let begun = Instant::now();
+        let line = scene.client().ask(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
+        assert!(line.starts_with("SERVER_ERROR "), "{d}: {line}");
+        assert!(begun.elapsed() < ms(d + 400), "{d}: {:?}", begun.elapsed());
+    }
+}
