Let the discovery side alone say when the next call begins

Found by ten runs of the process tests beside eight busy cores: nine good, one failed (a_discovery_that_fails_again_and_again...: calls 4, 564, 84, 1191, 528 and 1172 ms apart). Cause: two owners of one wait. The module's timers and the budget of the watch both led to calls, and a timer of an earlier failure could come right after the next one. Now the module says when watching begins, and the watch's budget when it goes on; the test holds each wait after the first to 1.9 s at the least.

--- a/src/net/discovery/budget.rs
+++ b/src/net/discovery/budget.rs
@@ -20,12 +20,12 @@
 const PATIENT: Duration = ms(2600);
 /// A connection that has not come up by then never will.
 const CONNECT: Duration = ms(750);
-/// What ran out of time is followed by another call within such a time at the latest.
+/// What ran out of time is followed by another call after such a time.
 const SOON: Range<Duration> = ms(100)..ms(300);
-/// What was ended or refused, so long after it began at the latest. Danger: a discovery that fails is asked again by
+/// What was ended or refused again, so long after it began. Danger: a discovery that fails is asked again by
 /// hundreds: the sooner it fails, the longer each waits, and no two equally long.
 const LATER: Range<Duration> = ms(2000)..ms(2700);
-/// And no sooner than this after it, as the first time: a discovery that goes ends all its watches in one moment.
+/// The first time, and no sooner ever: a discovery that goes ends all its watches in one moment.
 const SPREAD: Range<Duration> = ms(300)..ms(1200);
 /// Where an agent pushes lists, what it has counts as told at once. Nobody else calls that agent.
 const PUSHED: Range<Duration> = ms(200)..ms(400);
@@ -82,8 +82,8 @@
         self.failed = false;
     }
 
-    /// How long after the end of a call, or of the watch that came of it, the next one begins at the latest; it lasted so long.
-    pub fn next_within(&mut self, ended: Ended, lasted: Duration) -> Duration {
+    /// How long after the end of a call, or of the watch that came of it, the next one begins; it lasted so long.
+    pub fn before_next(&mut self, ended: Ended, lasted: Duration) -> Duration {
         let failed_before = std::mem::replace(&mut self.failed, lasted < LATER.end);
         let (spread, later) = (self.rng.gen_range(SPREAD), self.rng.gen_range(LATER));
         match ended {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,5 +1,5 @@
-//! Discovery: the cached list at the start, then a watch whenever the module asks for one, at the address
-//! that the newest configuration names.
+//! Discovery: the cached list at the start, then a watch from the moment on in which the module asks for one, at the
+//! address that the newest configuration names.
 
 mod budget;
 mod lists;
@@ -8,8 +8,7 @@
 use super::config::{Catalog, Instance};
 use super::counters::Counters;
 use super::exchange::Exchange;
-use super::guard::Guarded;
-use super::link::Link;
+use super::link::{sleep, Link};
 use super::log::log;
 use crate::interface::ListForm;
 use budget::Waits;
@@ -18,6 +17,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// While a wait lasts it is looked so often whether discovery has moved.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
 /// How a call or its watch ended, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -77,7 +79,7 @@
 }
 
 impl Discovery {
-    /// Tells the exchange the cached list, then watches as often as asked; `subscribe` is the sending end
+    /// Tells the exchange the cached list, then watches from when it is asked to; `subscribe` is the sending end
     /// of `subscriptions`. Danger: where lists are pushed the module asks for nothing, and what the agent has counts
     /// as told from the first moment on: the watch is opened here.
     pub fn start(
@@ -99,38 +101,43 @@
             let _ = target.subscribe.send(());
         }
         may::go!(move || {
-            let mut latest = None;
-            for () in subscriptions.iter() {
-                drop(latest.take());
-                let within = discovery.watch_on(&subscriptions);
+            // The first is waited for. From then on lists are watched for as long as the program runs.
+            let _ = subscriptions.recv();
+            loop {
+                let (wait, moves) = discovery.watch_on();
                 discovery.tell(ListForm::Failed, Vec::new());
-                latest = Some(discovery.ask_within(within));
+                if discovery.moves_within(wait, moves) {
+                    discovery.waits.begin_anew();
+                }
+                // What was asked for until now, the next call answers.
+                while subscriptions.try_recv().is_ok() {}
             }
         });
         target
     }
 
-    /// Danger: the module asks for a watch again when it thinks fit, and what changes meanwhile counts as told all the same:
-    /// the next call begins within this time, unless it does before. The wait ends with what is returned.
-    fn ask_within(&self, time: Duration) -> Guarded {
-        let (guarded, target) = (Guarded::default(), Arc::clone(&self.target));
-        guarded.by(move |guard| {
-            if guard.sleep(time) {
-                let _ = target.subscribe.send(());
+    /// Danger: how long a proxy may go without a watch is said by when changes count as told, not by what else it has to
+    /// do: this side alone says when the next call begins. Waits so long, or until discovery has moved since; whether it has.
+    fn moves_within(&self, time: Duration, moves: u64) -> bool {
+        let until = Instant::now() + time;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let moved = self.target.with(|watched| watched.moves != moves);
+            if moved || left.is_zero() {
+                return moved;
             }
-        });
-        guarded
+            sleep(left.min(LOOK_EVERY));
+        }
     }
 
-    /// Watches until that fails or ends, starting anew as often as discovery moves; within which time to go on.
-    fn watch_on(&mut self, subscriptions: &Receiver<()>) -> Duration {
+    /// Watches until that fails or ends, starting anew as often as discovery moves; how long to wait then, and the move that
+    /// this was about.
+    fn watch_on(&mut self) -> (Duration, u64) {
         loop {
             let begun = Instant::now();
             let (address, moves) = self.target.with(|watched| (watched.address, watched.moves));
             self.counters.watches.add();
             let Err(why) = self.watch(&address, moves);
-            // What was asked for until now, this watch has answered: no other is to follow it for that.
-            while subscriptions.try_recv().is_ok() {}
             let moved = self.target.with(|watched| {
                 watched.link = None;
                 watched.moves != moves
@@ -139,7 +146,7 @@
                 self.counters.watches_failed.add();
                 let (Ended::TimedOut(words) | Ended::Broke(words)) = why;
                 log(&format!("watch: {words}"));
-                return self.waits.next_within(why, begun.elapsed());
+                return (self.waits.before_next(why, begun.elapsed()), moves);
             }
             self.waits.begin_anew();
         }
--- a/tests/sockets/crossings/lists.rs
+++ b/tests/sockets/crossings/lists.rs
@@ -59,7 +59,7 @@
 fn a_discovery_that_fails_again_and_again_is_asked_often_enough_and_not_too_often() {
     let (_scene, discovery, mut call, _) = moved();
     let mut begun = Vec::new();
-    for _ in 0..7 {
+    for _ in 0..6 {
         call.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         begun.push(Instant::now());
         call = discovery.accept().expect("discovery is asked again");
@@ -70,7 +70,7 @@
     assert!(gaps[0] < ms(1500), "{gaps:?}");
     // What hangs for as long as it may after such a wait is still followed by another in time.
     assert!(gaps.iter().all(|gap| *gap < ms(3400)), "{gaps:?}");
-    assert!(gaps[3..].iter().all(|gap| *gap > ms(900)), "{gaps:?}");
+    assert!(gaps[1..].iter().all(|gap| *gap > ms(1900)), "{gaps:?}");
 }
 
 /// Guards against changes that count as told at once where lists are pushed: the agent is asked again soon, however often it
