--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod held_out;
 mod ids;
 mod listed;
+mod messages;
 
 use super::config::{Instance, Names};
 use super::counters::Counters;
@@ -23,6 +24,7 @@
 use ids::{key_number, ProviderIds};
 use listed::{provider, Provider};
 use may::sync::mpsc::Sender;
+pub use messages::{Answer, Call, CallId, Invocation, NotTaken, Order, Payload, Reply};
 use pinetrail_rulebook::{Admission, Permit};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -32,108 +34,6 @@
 /// The module must have answered this long after the deadline, or the exchange ends the invocation.
 const OVERDUE: Duration = Duration::from_millis(10);
 
-/// A consumer's request, in no protocol's form.
-#[derive(Clone, Debug)]
-pub struct Invocation {
-    /// Its id as the consumer gave it.
-    pub opaque: String,
-    /// Its key as the consumer gave it.
-    pub key: String,
-    /// Place of its class in the settings of `version`.
-    pub class: u8,
-    /// Place of its tenant there.
-    pub tenant: u32,
-    /// By which version of the settings it was read.
-    pub version: u64,
-    /// How long the consumer waits, in ms.
-    pub budget: Time,
-    /// Expected work in ms.
-    pub hint: Option<f64>,
-    /// Whether the consumer marked it as a repeat.
-    pub repeat: bool,
-    /// Names and values that came along, in their order.
-    pub labels: Vec<(String, String)>,
-    /// The value of a write.
-    pub value: Option<Vec<u8>>,
-}
-
-/// What a provider gave for an invocation.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Payload {
-    /// The value of a read.
-    Value(Vec<u8>),
-    /// The receipt of a write.
-    Receipt(String),
-}
-
-/// The one final answer of an invocation.
-#[derive(Debug)]
-pub enum Answer {
-    /// Served.
-    Served(Payload),
-    /// Served with a value of this length, which flows from here on.
-    Flows(usize, Sink),
-    /// A rejection, with the time in ms after which to come back, if any is advised.
-    Rejected(Option<u64>),
-    /// Failed; nothing is promised.
-    Failed,
-}
-
-/// Names one invoker call: its invocation, and its number there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallId {
-    /// The invocation's number at this proxy.
-    pub invocation: RequestId,
-    /// Counted from 0 in the order of the module's sends.
-    pub attempt: u8,
-}
-
-/// An invoker call to make.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Its name.
-    pub id: CallId,
-    /// The provider.
-    pub provider: ServerId,
-    /// Where the provider is reached.
-    pub place: Arc<str>,
-    /// Whether the provider is the origin.
-    pub at_origin: bool,
-    /// What to ask.
-    pub invocation: Arc<Invocation>,
-    /// The start of the provider's process that is meant.
-    pub started: Time,
-    /// When to stop waiting.
-    pub until: Instant,
-    /// Its last byte goes out by then or never.
-    pub send_by: Instant,
-}
-
-/// What the provider side is to do.
-#[derive(Clone, Debug)]
-pub enum Order {
-    /// Make an invoker call; its end is owed to [`Exchange::call_ended`].
-    Call(Call),
-    /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
-    Forget(ServerId),
-}
-
-/// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
-/// and wake whoever writes it, but never wait nor call the exchange.
-pub type Reply = Box<dyn FnOnce(Answer) + Send>;
-
-/// Why an invocation is not taken in.
-pub enum NotTaken {
-    /// No two invocations may be open under one id.
-    IdInUse,
-    /// Other settings have come into force since it was read: it must be read by those.
-    Outdated(Box<Invocation>, Reply),
-    /// A change of the fleet's policy is being decided: it is to be handed in again within moments.
-    Soon(Box<Invocation>, Reply),
-    /// This process may not admit requests; in how many ms to come back.
-    Fenced(u64),
-}
-
 /// An invocation, until its answer is given and all its calls have ended.
 struct Record {
     invocation: Arc<Invocation>,
