--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -28,9 +28,9 @@
 
 /// A provider's descriptor; given back when it is dropped.
 #[derive(Debug)]
-pub struct ProviderPlace(Arc<Descriptors>);
+pub struct ProviderDescriptor(Arc<Descriptors>);
 
-impl Drop for ProviderPlace {
+impl Drop for ProviderDescriptor {
     fn drop(&mut self) {
         self.0.providers.fetch_sub(1, Ordering::AcqRel);
     }
@@ -66,14 +66,14 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// A place for a connection to a provider, or none now; that it was wanted is remembered.
-    pub fn provider_place(self: &Arc<Self>) -> Option<ProviderPlace> {
+    /// A descriptor for a connection to a provider, or none now; that it was wanted is remembered.
+    pub fn provider_descriptor(self: &Arc<Self>) -> Option<ProviderDescriptor> {
         let mut split = self.split();
         let open = self.providers.load(Ordering::Acquire);
         split.providers_need(self.now(), open + 1);
         (open < split.for_providers(self.consumers.load(Ordering::Acquire))).then(|| {
             self.providers.fetch_add(1, Ordering::AcqRel);
-            ProviderPlace(Arc::clone(self))
+            ProviderDescriptor(Arc::clone(self))
         })
     }
 
--- a/src/net/exchange/listed.rs
+++ b/src/net/exchange/listed.rs
@@ -10,7 +10,7 @@
     /// Its name, the same at every proxy.
     pub name: String,
     /// Where it is reached from here.
-    pub place: String,
+    pub address: String,
     /// What the module hears of it; its number is put in by the exchange.
     pub member: Member,
 }
@@ -35,5 +35,5 @@
         size: instance.weight,
         started: instance.started_at_ms,
     };
-    Some(Provider { name: instance.instance_id, place: instance.host_port, member })
+    Some(Provider { name: instance.instance_id, address: instance.host_port, member })
 }
--- a/src/net/exchange/messages.rs
+++ b/src/net/exchange/messages.rs
@@ -69,7 +69,7 @@
     /// The provider.
     pub provider: ServerId,
     /// Where the provider is reached.
-    pub place: Arc<str>,
+    pub address: Arc<str>,
     /// Whether the provider is the origin.
     pub at_origin: bool,
     /// What to ask.
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -60,7 +60,7 @@
 }
 
 struct Known {
-    place: Arc<str>,
+    address: Arc<str>,
     state: State,
     started: Time,
     origin: bool,
@@ -430,10 +430,10 @@
             let server = state.ids.number(&provider.name);
             let member = Member { server, ..provider.member };
             let origin = i64::from(member.kind) == state.origin_kind;
-            let place = provider.place.into();
-            let known = Known { place, state: member.state, started: member.started, origin };
+            let address = provider.address.into();
+            let known = Known { address, state: member.state, started: member.started, origin };
             let before = state.providers.get(&server);
-            let is_same = |old: &Known| old.place == known.place && old.started == known.started;
+            let is_same = |old: &Known| old.address == known.address && old.started == known.started;
             if !known.is_ready() || !before.is_none_or(is_same) {
                 stale.push(server);
             }
@@ -537,7 +537,7 @@
         Ok(Call {
             id: CallId { invocation: id, attempt },
             provider: server,
-            place: Arc::clone(&known.place),
+            address: Arc::clone(&known.address),
             at_origin: known.origin,
             invocation: Arc::clone(&record.invocation),
             started: known.started,
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -60,11 +60,11 @@
         assert_eq!(budget.divide(false), Share { sockets: 50, memory: all - all / 2 });
         assert!(memory.hold(all / 2 + 1).is_none(), "half is the other's");
         budget.allow(None);
-        let places: Vec<_> = (0..60).map(|_| budget.descriptors.provider_place()).collect();
+        let taken: Vec<_> = (0..60).map(|_| budget.descriptors.provider_descriptor()).collect();
         let held = memory.hold(all / 4 * 3);
         // What is in use is not taken away; it goes over as it is given back.
         assert_eq!(budget.divide(false), Share { sockets: 40, memory: all - all / 4 * 3 });
-        drop((places, held));
+        drop((taken, held));
         assert_eq!(budget.divide(true), Share { sockets: 92, memory: all - all / 4 });
     }
 }
--- a/src/net/provider/mod.rs
+++ b/src/net/provider/mod.rs
@@ -88,7 +88,7 @@
     /// the invocation never finds this one still out.
     fn make(&self, call: &Call) -> End {
         loop {
-            let warm = self.pool.warm(call.provider, &call.place);
+            let warm = self.pool.warm(call.provider, &call.address);
             let fresh = warm.is_none();
             let connection = match warm {
                 Some(connection) => connection,
@@ -121,7 +121,7 @@
             return Err(Outcome::Moot);
         }
         let timeout = self.connect_timeout();
-        match self.pool.open(&call.place, timeout.min(left)) {
+        match self.pool.open(&call.address, timeout.min(left)) {
             Ok(connection) => {
                 self.counters.provider_connections.add();
                 Ok(connection)
@@ -262,7 +262,7 @@
         false => memcache::call(&invocation.key, &invocation.opaque, &labels, value),
         true => {
             let headers = [("X-Txn", invocation.opaque.as_str()), ("X-Labels", labels.as_str())];
-            http::request(&http::path_of(&invocation.key), &call.place, &headers, value)
+            http::request(&http::path_of(&invocation.key), &call.address, &headers, value)
         }
     }
 }
--- a/src/net/provider/pool.rs
+++ b/src/net/provider/pool.rs
@@ -1,7 +1,7 @@
 //! Connections to providers: kept warm between calls, one call at a time on each, bounded in number.
 
 use crate::interface::ServerId;
-use crate::net::descriptors::{Descriptors, ProviderPlace};
+use crate::net::descriptors::{Descriptors, ProviderDescriptor};
 use crate::net::link::Link;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -13,14 +13,14 @@
 /// is lost. This share of that time is safe.
 const IDLE_SHARE: f64 = 0.6;
 
-/// A connection and its place in the pool's count.
+/// A connection and the descriptor that it holds.
 #[derive(Debug)]
 pub struct Connection {
     /// The connection itself.
     pub link: Link,
     /// Where it leads.
     to: Arc<str>,
-    _place: ProviderPlace,
+    _descriptor: ProviderDescriptor,
 }
 
 /// Why there is no connection.
@@ -92,14 +92,14 @@
 
     /// A warm connection, the one used last of those that have rested: those beyond need then grow old and
     /// close.
-    pub fn warm(&self, provider: ServerId, place: &str) -> Option<Connection> {
+    pub fn warm(&self, provider: ServerId, address: &str) -> Option<Connection> {
         loop {
             let kept = self.with(|idle| {
                 let queue = idle.get_mut(&provider)?;
                 let rested = queue.iter().rposition(Kept::has_rested);
                 queue.remove(rested.or_else(|| queue.iter().rposition(|kept| kept.rest.hurries))?)
             })?;
-            let fits = &*kept.connection.to == place && kept.connection.link.is_quiet();
+            let fits = &*kept.connection.to == address && kept.connection.link.is_quiet();
             if fits && kept.since.elapsed() < self.idle_limit() {
                 return Some(kept.connection);
             }
@@ -107,12 +107,12 @@
     }
 
     /// A new connection. A full pool first closes the one that has been idle longest.
-    pub fn open(&self, place: &Arc<str>, timeout: Duration) -> Result<Connection, NoConnection> {
-        let address: SocketAddr =
-            place.parse().map_err(|_| NoConnection::Failed(io::ErrorKind::InvalidInput.into()))?;
-        let place_held = loop {
-            if let Some(place) = self.descriptors.provider_place() {
-                break place;
+    pub fn open(&self, address: &Arc<str>, timeout: Duration) -> Result<Connection, NoConnection> {
+        let socket_address: SocketAddr =
+            address.parse().map_err(|_| NoConnection::Failed(io::ErrorKind::InvalidInput.into()))?;
+        let descriptor = loop {
+            if let Some(descriptor) = self.descriptors.provider_descriptor() {
+                break descriptor;
             }
             let oldest = self.with(|idle| {
                 let (_, queue) = idle
@@ -123,8 +123,8 @@
             });
             drop(oldest.ok_or(NoConnection::Full)?);
         };
-        let link = Link::connect(&address, timeout).map_err(NoConnection::Failed)?;
-        Ok(Connection { link, to: Arc::clone(place), _place: place_held })
+        let link = Link::connect(&socket_address, timeout).map_err(NoConnection::Failed)?;
+        Ok(Connection { link, to: Arc::clone(address), _descriptor: descriptor })
     }
 
     /// Keeps a connection for the next call if there may be one, which is asked with the pool locked.
