--- a/tests/sockets/crossings/closes.rs
+++ b/tests/sockets/crossings/closes.rs
@@ -63,3 +63,75 @@
     // The longest wait is 1 s, and the kill comes 0.7 s after that.
     assert!(begun.elapsed() < ms(1700), "{:?}", begun.elapsed());
 }
+
+/// What one client saw of a drain.
+#[derive(Clone, Copy, Debug, Default)]
+struct Drained {
+    asked: usize,
+    answered: usize,
+    /// Sent on a connection that had an answer before, and ended without one: sent again elsewhere.
+    crossed: usize,
+    /// The same on a new connection.
+    unanswered: usize,
+}
+
+/// Asks again and again, on the connection that it has for as long as that is open; on new ones until `connects`.
+fn asks_through_a_drain(
+    place: std::net::SocketAddr,
+    name: usize,
+    connects: Instant,
+    until: Instant,
+) -> Drained {
+    let mut seen = Drained::default();
+    while Instant::now() < connects {
+        let Some(mut client) = Client::try_to(place) else { break };
+        let before = seen.answered;
+        while Instant::now() < until {
+            let id = format!("{name}.{}", seen.asked);
+            seen.asked += 1;
+            let is_new = seen.answered == before;
+            let said = client.try_say(&format!("mg {id} v O{id} Pc=read,t=acme,d=600\r\n"));
+            let line = if said { client.line() } else { String::new() };
+            match line.as_str() {
+                "" if is_new => seen.unanswered += 1,
+                "" => seen.crossed += 1,
+                line => {
+                    assert!(line.starts_with("VA ") || line.starts_with("SERVER_ERROR "), "{line}");
+                    seen.answered += 1;
+                    if line.starts_with("VA ") {
+                        assert_eq!(client.line(), "v\r\n", "a value that began is whole");
+                    }
+                }
+            }
+            if line.is_empty() {
+                break;
+            }
+        }
+    }
+    seen
+}
+
+/// Guards against requests lost by a drain while half of the nodes hang: clients go on asking on every open connection up
+/// to the exit, and new ones come for 0.3 s. All are answered, but for what crosses the end of a connection.
+#[test]
+fn a_drain_under_load_with_half_of_the_nodes_hanging_answers_all() {
+    let (node, hangs) = (Party::full_node("v"), Party::node(|_| Does::Nothing));
+    let scene = Scene::of(&[&node, &hangs], &Party::origin(|_| Does::Nothing));
+    let begun = Instant::now();
+    let clients: Vec<_> = (0..40)
+        .map(|name| {
+            let place = scene.place;
+            std::thread::spawn(move || asks_through_a_drain(place, name, begun + ms(800), begun + ms(5000)))
+        })
+        .collect();
+    std::thread::sleep(ms(500));
+    scene.signal("TERM");
+    let seen: Vec<Drained> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let sum = |of: fn(&Drained) -> usize| seen.iter().map(of).sum::<usize>();
+    let (asked, answered) = (sum(|s| s.asked), sum(|s| s.answered));
+    assert!(asked > 400, "there is load: {asked}");
+    assert_eq!(sum(|s| s.unanswered), 0, "of {asked}");
+    // Each connection ends once.
+    assert!(sum(|s| s.crossed) <= 40 && answered + sum(|s| s.crossed) == asked, "{seen:?}");
+    assert!(scene.end().status.success());
+}
