Let a cold node have of each proxy's own share of what lives there; a hot key lives nowhere

Cause, followed by a log line for each call to a cold node (a scratch copy): 289 of its 322 requests in three seconds were for one key. Now a key lives, for each proxy, where that proxy would send it if loads were alike: one of the places that the key is due by its share (at least two), so that no node is home to a hot key for all; the draw is by key again where proxies are many; and what is hot to a few proxies has a home for each request. At p = 1 and from warmth on all may come, as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,6 @@
 use crate::rendezvous::unit;
 use crate::settings::{Class, Effect, Limits, Scope, Settings};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
-use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, BTreeSet};
 
 const M: f64 = 4.0; // paper: a set grows when its best member is this much busier than the fleet's
@@ -258,17 +257,27 @@
     fn least_loaded(&self, key: Key, ids: &[ServerId]) -> Option<(ServerId, f64, usize)> {
         let least = ids.iter().map(|id| self.load(*id)).min_by(f64::total_cmp)?;
         let near = ids.iter().copied().filter(|id| self.load(*id) - least < M);
-        let mut near: Vec<(f64, ServerId)> = near.map(|id| (self.place(key, id), id)).collect();
+        self.lives_at(key, near, 1).map(|(server, places)| (server, least, places))
+    }
+
+    /// Where a key lives among servers that are alike, and how many places it is due there.
+    fn lives_at(
+        &self,
+        key: Key,
+        ids: impl Iterator<Item = ServerId>,
+        least: usize,
+    ) -> Option<(ServerId, usize)> {
+        let mut near: Vec<(f64, ServerId)> = ids.map(|id| (self.place(key, id), id)).collect();
         near.sort_by(|a, b| a.0.total_cmp(&b.0));
         // Danger: of many proxies that share a hot key none sees a gap of M. They differ over as many
         // places as the key is due by its share of requests.
         let seen = self.table.get(key).map_or(0.0, |entry| entry.count) + 1.0;
         let due = SPREAD * seen / (self.table.uses() as f64 + 2.0) * near.len() as f64;
-        let places = if self.is_one_of_many() { (due as usize).max(1) } else { 1 };
+        let places = if self.is_one_of_many() { (due as usize).max(least) } else { 1 };
         near.truncate(places);
         let own = self.own(key);
         near.sort_by(|a, b| self.place(own, a.1).total_cmp(&self.place(own, b.1)));
-        near.first().map(|best| (best.1, least, places))
+        near.first().map(|best| (best.1, places))
     }
 
     /// A key of this proxy's own: what is drawn by it differs between proxies, but not in time.
@@ -306,18 +315,18 @@
         };
         let (eject, keep_shut) = (few(|s, _| s.failing > SUSPECT), few(|s, now| now < s.shut_until));
         // Danger: a cold server collapses under its usual load, and one that is idle draws whoever looks for the least
-        // loaded. It gets only of what lives there while loads are alike: a share that each proxy draws for itself, by key,
-        // and for a key that comes again by request. All together send half of what tips it, however many they are.
-        let (id, key) = (open.request.id, open.request.key);
-        let salt = if key == 0 || self.table.get(key).is_some() { id << 1 | 1 } else { 0 };
-        let drawn = unit(self.own(key) ^ salt, ServerId::MAX);
+        // loaded. It gets only of what lives there while loads are alike, and of that a share that each proxy draws for
+        // itself: all together send half of what tips it, without counting. What is hot to a few proxies lives nowhere.
+        let (key, many) = (open.request.key, self.is_one_of_many());
+        let seen = self.table.get(key).map_or(0.0, |entry| entry.count) / (self.table.uses() as f64 + 2.0);
+        let hot = key == 0 || !many && seen * fleet.len() as f64 > 0.25;
+        let by = if hot { key ^ (open.request.id << 1 | 1) } else { key };
+        let drawn = unit(self.own(by), ServerId::MAX);
         let crosses = self.settings.prices.cross_zone * 16.0 > M - 1.0;
-        let far = |s: &Server| crosses && s.member.zone != self.settings.zone;
-        let rank = |s: &Server| (far(s), self.place(if key == 0 { id } else { key }, s.member.server));
+        let own = fleet.iter().filter(|s| s.member.zone == self.settings.zone || !crosses);
         let cold = fleet.iter().any(|s| self.warmth(s) < 1.0);
-        let home =
-            fleet.iter().filter(|_| cold).min_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(Equal));
-        let lives_at = |s: &Server| home.is_some_and(|home| home.member.server == s.member.server);
+        let home = cold.then(|| self.lives_at(by, own.map(|s| s.member.server), 2)).flatten();
+        let lives_at = |s: &Server| home.is_some_and(|home| home.0 == s.member.server);
         let fit = |s: &Server| {
             let trial = s.calls.is_empty() && self.now >= s.trial_at;
             let healthy = s.failing <= SUSPECT || trial;
@@ -401,11 +410,7 @@
         let started = Some(server.member.started).filter(|at| *at > 0.0).unwrap_or(f64::MIN);
         let age = (self.now - started) / safety.cold.max(1.0);
         let capacity = safety.start_capacity + (1.0 - safety.start_capacity) * age.clamp(0.0, 1.0);
-        if age >= 1.0 {
-            1.0
-        } else {
-            0.5 * safety.fall_multiple * capacity
-        }
+        (0.5 * safety.fall_multiple * capacity).max(f64::from(u8::from(age >= 1.0)))
     }
 
     /// Starts an attempt. The one place that sends. That the server is ready is known: `usable` and `origin` name no other.
@@ -624,15 +629,13 @@
         let few = in_flight * 2.0 < server.limit;
         let full = end.outcome == Full;
         let busy = if at_origin { server.slow > CROWDED || full } else { !few || !full };
-        let crowded = slow && busy;
-        if crowded && now - end.latency >= server.cut_at {
+        if slow && busy && now - end.latency >= server.cut_at {
             server.limit = (server.limit * 0.7).max(1.0);
             server.cut_at = now;
         } else if !slow && end.outcome == Ok && in_flight * 2.0 > server.limit {
             server.limit += 1.0 / server.limit;
         }
-        let reached = !matches!(end.outcome, ConnectFailed | Moot | Cancelled);
-        if reached && (!slow || server.limit <= 1.0) {
+        if !matches!(end.outcome, ConnectFailed | Moot | Cancelled) && (!slow || server.limit <= 1.0) {
             self.let_in(usize::from(at_origin), slow);
         }
     }
