--- a/src/net/discovery/lists.rs
+++ b/src/net/discovery/lists.rs
@@ -56,5 +56,4 @@
 }
 
 #[cfg(test)]
-#[path = "lists_tests.rs"]
 mod tests;
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -140,46 +140,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::thread;
-
-    #[test]
-    fn a_full_window_stops_whoever_fills_it_and_all_arrives() {
-        let (source, sink) = window();
-        let filler = thread::spawn(move || {
-            for n in 0..1000u32 {
-                source.put(&n.to_be_bytes().repeat(256)).unwrap();
-            }
-            source.end();
-        });
-        let (mut got, mut most) = (Vec::new(), 0);
-        loop {
-            match sink.take() {
-                Taken::Some(bytes) => {
-                    most = most.max(bytes.len());
-                    got.extend(bytes);
-                }
-                Taken::Nothing => thread::yield_now(),
-                Taken::End => break,
-                Taken::Broken => panic!("it is whole"),
-            }
-        }
-        filler.join().unwrap();
-        assert!(most < WINDOW + 1024);
-        assert_eq!(got, (0..1000u32).flat_map(|n| n.to_be_bytes().repeat(256)).collect::<Vec<u8>>());
-    }
-
-    #[test]
-    fn either_end_learns_that_the_other_has_gone() {
-        let (source, sink) = window();
-        source.put(b"half").unwrap();
-        drop(source);
-        assert_eq!((sink.take(), sink.take()), (Taken::Some(b"half".to_vec()), Taken::Broken));
-        let (source, sink) = window();
-        source.put(&[0; WINDOW]).unwrap();
-        let filler = thread::spawn(move || source.put(b"more"));
-        drop(sink);
-        assert_eq!(filler.join().unwrap(), Err(Left));
-    }
-}
+mod tests;
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -185,5 +185,4 @@
 }
 
 #[cfg(test)]
-#[path = "link_tests.rs"]
 mod tests;
