Record the bytes of drift's messages before the renaming

Processes of different versions tell each other of drift, so a renaming must leave the bytes as they are. Recorded from the untouched program: a report for each state of admission, an empty one, a raised alarm; each is written as recorded and read back.

--- /dev/null
+++ b/crates/drift/tests/golden_bytes.rs
@@ -0,0 +1,86 @@
+//! The bytes in which processes tell each other of drift, recorded from the program before names in
+//! it were changed. They must not change: processes of different versions talk to each other, so a
+//! new version must write what an old one reads, and read what an old one writes. A test that fails
+//! here says that the program has changed its format; the recorded bytes are not to be adapted.
+
+use pinetrail_drift::{Report, Stands, Word};
+use std::collections::BTreeMap;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("two hex digits");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+/// The value is written as the recorded bytes, and the recorded bytes are read as the value.
+fn assert_recorded(value: &Word, recorded: &str) {
+    assert_eq!(hex(&value.words()), recorded, "encoding of {value:?}");
+    assert_eq!(Word::read(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
+}
+
+/// A report in which every field has a value that appears nowhere else in it.
+fn report(stands: Stands) -> Report {
+    Report {
+        number: 300,
+        version: 7,
+        stands,
+        parts: BTreeMap::from([
+            ("Grades".to_owned(), 0x0123_4567_89ab_cdef),
+            ("Safety".to_owned(), u64::MAX),
+        ]),
+        raised: vec![("n1".to_owned(), 1_700_000_000_000_000), ("n2".to_owned(), 5)],
+    }
+}
+
+/// The recorded bytes of a report for each variant. A new variant does not compile until it has some.
+fn recorded_report(stands: Stands) -> &'static str {
+    match stands {
+        Stands::Admits => {
+            "00ac0207000206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
+         0102026e318080f9c0c1c48203026e3205"
+        }
+        Stands::Fenced => {
+            "00ac0207010206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
+         0102026e318080f9c0c1c48203026e3205"
+        }
+        Stands::CatchesUp => {
+            "00ac0207020206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
+         0102026e318080f9c0c1c48203026e3205"
+        }
+    }
+}
+
+#[test]
+fn a_report_has_the_recorded_bytes_for_each_state_of_admission() {
+    for stands in [Stands::Admits, Stands::Fenced, Stands::CatchesUp] {
+        assert_recorded(&Word::Report(report(stands)), recorded_report(stands));
+    }
+}
+
+#[test]
+fn an_empty_report_has_the_recorded_bytes() {
+    let empty = Report {
+        number: 0,
+        version: 0,
+        stands: Stands::CatchesUp,
+        parts: BTreeMap::new(),
+        raised: Vec::new(),
+    };
+    assert_recorded(&Word::Report(empty), "000000020000");
+}
+
+/// Does not compile when a kind of message is added, until its bytes are recorded as well.
+#[test]
+fn every_kind_of_message_has_recorded_bytes() {
+    let recorded = |word: &Word| match word {
+        Word::Report(report) => recorded_report(report.stands),
+        Word::Raised(..) => "01026e318080f9c0c1c48203",
+    };
+    let raised = Word::Raised("n1".to_owned(), 1_700_000_000_000_000);
+    for word in [Word::Report(report(Stands::Fenced)), raised] {
+        assert_recorded(&word, recorded(&word));
+    }
+}
