--- a/crates/drift/tests/golden_bytes.rs
+++ b/crates/drift/tests/golden_bytes.rs
@@ -35,20 +35,20 @@
     }
 }
 
-/// The recorded bytes of a report for each variant. A new variant does not compile until it has some.
+/// The recorded bytes for each variant. A new variant does not compile until it has some.
 fn recorded_report(stands: Stands) -> &'static str {
     match stands {
         Stands::Admits => {
             "00ac0207000206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
-         0102026e318080f9c0c1c48203026e3205"
+             0102026e318080f9c0c1c48203026e3205"
         }
         Stands::Fenced => {
             "00ac0207010206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
-         0102026e318080f9c0c1c48203026e3205"
+             0102026e318080f9c0c1c48203026e3205"
         }
         Stands::CatchesUp => {
             "00ac0207020206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
-         0102026e318080f9c0c1c48203026e3205"
+             0102026e318080f9c0c1c48203026e3205"
         }
     }
 }
