Record the bytes of messages about shares before the renaming

Processes of different versions vote for and lease to each other, so a renaming must leave the bytes as they are, and the digest of the settings too: who has another one is not heard. Recorded from the untouched program: all three messages, with every optional field absent and present, and the digest of fixed settings. The messages' structs are private to the crate, so the tests are in it.

Seen to fail, each undone: with Grant's fields from and to swapped in message.rs one test failed; with lease and calls swapped in Settings::digest all four failed.

--- /dev/null
+++ b/crates/shares/src/golden_tests.rs
@@ -0,0 +1,199 @@
+//! The bytes in which processes tell each other of shares, recorded from the program before names
+//! in it were changed. They must not change: processes of different versions talk to each other, so
+//! a new version must write what an old one reads, and read what an old one writes. Each message
+//! begins with a digest of the settings, which must not change either: who has another one is not
+//! heard. A test that fails here says that the program has changed its format; the recorded bytes
+//! are not to be adapted.
+
+use crate::message::{Answer, Ask, Grant, Want};
+use crate::{read, words, Ballot, Message, Process, Settings, View};
+use std::net::SocketAddr;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("two hex digits");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+/// The value is written as the recorded bytes, and the recorded bytes are read as the value.
+fn assert_recorded(value: &Message, recorded: &str) {
+    let written = hex(&words(&settings(), value));
+    assert_eq!(written, recorded, "encoding of {value:?}");
+    assert_eq!(read(&settings(), &bytes(recorded)).as_ref(), Ok(value), "decoding of {recorded}");
+}
+
+fn place(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7946))
+}
+
+fn place_v6() -> SocketAddr {
+    SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535))
+}
+
+/// Every field has a value of its own, so that an exchange of two fields changes the digest.
+fn settings() -> Settings {
+    Settings {
+        founders: vec![place(1), place(2), place_v6()],
+        size: 40,
+        period: 300,
+        vote: 1200,
+        lease: 3000,
+        calls: 2500,
+        skew: 2,
+        steps: 4,
+    }
+}
+
+fn process(host: u8) -> Process {
+    Process { place: place(host), start: 1_700_000_000_000_000 + u64::from(host) }
+}
+
+fn ballot(round: u64, host: u8) -> Ballot {
+    Ballot { round, who: process(host) }
+}
+
+fn view(number: u64) -> View {
+    let v6 = Process { place: place_v6(), start: 9 };
+    View { ballot: ballot(number + 100, 1), number, council: vec![process(1), process(2), v6] }
+}
+
+fn ask(view: Option<View>, next: Option<View>) -> Message {
+    let (founds, in_office) = (view.is_none(), view.is_some());
+    let ask = Ask { ballot: ballot(3, 1), at: 123_456, founds, in_office, view, next };
+    Message::Ask(Box::new(ask))
+}
+
+fn bare_answer() -> Answer {
+    Answer {
+        from: process(2),
+        ballot: ballot(3, 1),
+        asked_at: 123_456,
+        yes: false,
+        takes: None,
+        pending: None,
+        promised: ballot(4, 2),
+        newer: None,
+        number: 17,
+        leaves: false,
+        want: Want { at: 234_567, holds: 55_000_000, since: 345 },
+    }
+}
+
+fn answer(change: impl FnOnce(&mut Answer)) -> Message {
+    let mut answer = bare_answer();
+    change(&mut answer);
+    Message::Answer(Box::new(answer))
+}
+
+fn grant() -> Message {
+    let (want_at, part, lasts, view) = (234_567, 12_500_000, 3000, 17);
+    Message::Grant(Grant { from: process(1), to: process(2), want_at, part, lasts, view })
+}
+
+/// Does not compile when a kind of message is added, until its bytes are recorded as well.
+fn recorded_plain(message: &Message) -> &'static str {
+    match message {
+        Message::Ask(_) => "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40701000000",
+        Message::Answer(_) => {
+            "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+             c48203c0c40700000004000a0000028a3e8280f9c0c1c48203001100c7a80ec0f79c1ad902"
+        }
+        Message::Grant(_) => {
+            "b2c683eaf08f9ff43502000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4\
+             8203c7a80ea0f8fa05b81711"
+        }
+    }
+}
+
+#[test]
+fn every_kind_of_message_has_recorded_bytes() {
+    for message in [ask(None, None), answer(|_| {}), grant()] {
+        assert_recorded(&message, recorded_plain(&message));
+    }
+}
+
+#[test]
+fn a_request_for_votes_with_its_optional_views_has_recorded_bytes() {
+    assert_recorded(
+        &ask(Some(view(17)), None),
+        "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40700010175000a000001\
+         8a3e8180f9c0c1c482031103000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0\
+         c1c4820301fd000001000200030004000500060007ffff030900",
+    );
+    assert_recorded(
+        &ask(None, Some(view(18))),
+        "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c4070100000176000a0000\
+         018a3e8180f9c0c1c482031203000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9\
+         c0c1c4820301fd000001000200030004000500060007ffff0309",
+    );
+    assert_recorded(
+        &ask(Some(view(17)), Some(view(18))),
+        "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40700010175000a000001\
+         8a3e8180f9c0c1c482031103000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0\
+         c1c4820301fd000001000200030004000500060007ffff03090176000a0000018a3e8180f9c0\
+         c1c482031203000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd\
+         000001000200030004000500060007ffff0309",
+    );
+}
+
+#[test]
+fn an_answer_with_each_optional_field_has_recorded_bytes() {
+    let accepts = |answer: &mut Answer| (answer.yes, answer.takes) = (true, Some(ballot(3, 1)));
+    let holds = |answer: &mut Answer| answer.pending = Some((ballot(2, 2), view(18)));
+    let knows = |answer: &mut Answer| answer.newer = Some(view(19));
+    assert_recorded(
+        &answer(accepts),
+        "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+         c48203c0c407010103000a0000018a3e8180f9c0c1c482030004000a0000028a3e8280f9c0c1\
+         c48203001100c7a80ec0f79c1ad902",
+    );
+    assert_recorded(
+        &answer(holds),
+        "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+         c48203c0c40700000102000a0000028a3e8280f9c0c1c4820376000a0000018a3e8180f9c0c1\
+         c482031203000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd00\
+         0001000200030004000500060007ffff030904000a0000028a3e8280f9c0c1c48203001100c7\
+         a80ec0f79c1ad902",
+    );
+    assert_recorded(
+        &answer(knows),
+        "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+         c48203c0c40700000004000a0000028a3e8280f9c0c1c482030177000a0000018a3e8180f9c0\
+         c1c482031303000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd\
+         000001000200030004000500060007ffff03091100c7a80ec0f79c1ad902",
+    );
+    assert_recorded(
+        &answer(|answer| answer.leaves = true),
+        "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+         c48203c0c40700000004000a0000028a3e8280f9c0c1c48203001101c7a80ec0f79c1ad902",
+    );
+    let all = |answer: &mut Answer| {
+        accepts(answer);
+        holds(answer);
+        knows(answer);
+        answer.leaves = true;
+    };
+    assert_recorded(
+        &answer(all),
+        "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
+         c48203c0c407010103000a0000018a3e8180f9c0c1c482030102000a0000028a3e8280f9c0c1\
+         c4820376000a0000018a3e8180f9c0c1c482031203000a0000018a3e8180f9c0c1c48203000a\
+         0000028a3e8280f9c0c1c4820301fd000001000200030004000500060007ffff030904000a00\
+         00028a3e8280f9c0c1c482030177000a0000018a3e8180f9c0c1c482031303000a0000018a3e\
+         8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd00000100020003000400050006\
+         0007ffff03091101c7a80ec0f79c1ad902",
+    );
+}
+
+/// Only processes with equal digests hear each other.
+#[test]
+fn the_digest_of_settings_is_the_recorded_one() {
+    assert_eq!(settings().check(), Ok(()));
+    assert_eq!(hex(&settings().digest().to_be_bytes()), "35e87c7f0d40e332");
+    // How often a steward asks, and in how many steps a lease rises, is each process's own matter.
+    let other = Settings { period: 250, steps: 9, ..settings() };
+    assert_eq!(other.digest(), settings().digest());
+}
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -8,6 +8,8 @@
 //! by themselves, without a disk, PaxosLease (Trencseni, Gazso, Reinhardt 2012); a council that agrees on the next one, Lamport
 //! 1998, section 3.2 and Paxos.
 
+#[cfg(test)]
+mod golden_tests;
 mod holder;
 mod ledger;
 mod message;
