Record the bytes of links before the renaming: greeting and frames

Processes of different versions have links with each other, so a renaming must leave what goes over TCP as it is. Recorded from the untouched program: the greeting of a process and of a founder, each kind of frame with its length and sum; a real link is run on a connection held in memory, sends the recorded greeting first and hears what the recorded bytes say. Frames are private to the crate, so the tests are in it.

--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -11,6 +11,8 @@
 mod accept;
 mod dial;
 mod frame;
+#[cfg(test)]
+mod golden_tests;
 mod link;
 mod links;
 mod mailbox;
