Record the bytes of the rulebook before the renaming: messages and a founder's file

Processes of different versions agree on one book, and a new version reads the file that an old one wrote, so a renaming must leave both as they are. Recorded from the untouched program: every message and reply with every variant in them (votes, stages, outcomes, opinions), heads, the file full and empty, the names of the file, of its lock and of one put aside. Messages and the file's format are private to the crate, so the tests are in it.

Found: Head's last digest is of how Debug prints Ended. The names of that struct, of its fields and of Outcome's variants are thereby part of what processes compare; a test holds this digest.

--- /dev/null
+++ b/crates/rulebook/src/golden_tests.rs
@@ -0,0 +1,239 @@
+//! The bytes in which processes tell and ask each other about the book, recorded from
+//! the program before names in it were changed. They must not change: processes of different
+//! versions talk to each other, so a new version must write what an old one reads, and read what
+//! an old one writes. A test that fails here says that the program has changed its format; the
+//! recorded bytes are not to be adapted.
+
+use crate::messages::{read, words, Message, Reply};
+use crate::{Asked, Ballot, Book, Change, Digest, Ended, Head, Open, Outcome};
+use crate::{Registered, Stage, Vote, Word};
+use serde::{de::DeserializeOwned, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("two hex digits");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+/// The value is written as the recorded bytes, and the recorded bytes are read as the value.
+fn assert_recorded<T>(value: &T, recorded: &str)
+where
+    T: Serialize + DeserializeOwned + PartialEq + Debug,
+{
+    assert_eq!(hex(&words(value)), recorded, "encoding of {value:?}");
+    assert_eq!(read(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, by: 0x0123_4567_89ab_cdef }
+}
+
+fn change(stage: Stage) -> Change {
+    let (id, by) = ("c4".to_owned(), "n1".to_owned());
+    Change { id, text: "grades: 3".into(), stage, attempt: 2, by }
+}
+
+fn ended(outcome: Outcome) -> Ended {
+    let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
+    Ended { id, version: 8, digest: Digest(0xfeed_f00d), outcome, why }
+}
+
+fn book(change: Option<Change>, ended: Vec<Ended>) -> Book {
+    Book { serial: 300, version: 7, text: "grades: 2".into(), change, ended }
+}
+
+/// A book with each outcome and an open change.
+fn full_book() -> Book {
+    let outcomes = [Outcome::Taken, Outcome::Refused, Outcome::Abandoned];
+    book(Some(change(Stage::Closing)), outcomes.map(ended).to_vec())
+}
+
+fn plain_book() -> Book {
+    book(None, Vec::new())
+}
+
+fn head(change: Option<Open>) -> Head {
+    Head { serial: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
+}
+
+fn open(stage: Stage) -> Open {
+    Open { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
+}
+
+fn asked(word: Option<Word>) -> Asked {
+    let word = word.map(|word| ("c4".to_owned(), word));
+    Asked { number: 300, version: 7, admits: true, word, serves_on: false }
+}
+
+fn memories() -> BTreeMap<u8, u64> {
+    BTreeMap::from([(0, 99), (2, u64::MAX)])
+}
+
+/// Does not compile when a kind of message is added, until its bytes are recorded as well.
+fn recorded_message(message: &Message) -> &'static str {
+    match message {
+        Message::Promise(_) => "00ac02ef9bafcdf8acd19101",
+        Message::Accept(..) => {
+            "01ac02ef9bafcdf8acd19101ac0207096772616465733a203201026334096772616465733a20\
+             330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e323a\
+             206e6f026333088de0b7f70f02066e323a206e6f02006302ffffffffffffffffff01"
+        }
+        Message::Register(..) => "020263",
+        Message::Permit(_) => "03ac0207010000",
+        Message::Holders(_) => "04026334",
+        Message::Whole(_) => "05ac02",
+        Message::Agreed(_) => "06ac0207cdd70200b424",
+        Message::Other(..) => "0704056f74686572",
+        Message::Waits(..) => "0802633402026e31026e32",
+    }
+}
+
+#[test]
+fn every_kind_of_message_has_recorded_bytes() {
+    let messages = [
+        Message::Promise(ballot(300)),
+        Message::Accept(ballot(300), Box::new(full_book()), memories()),
+        Message::Register(2, 99),
+        Message::Permit(asked(None)),
+        Message::Holders("c4".to_owned()),
+        Message::Whole(300),
+        Message::Agreed(head(None)),
+        Message::Other(4, b"other".to_vec()),
+        Message::Waits("c4".to_owned(), vec!["n1".to_owned(), "n2".to_owned()]),
+    ];
+    for message in messages {
+        assert_recorded(&message, recorded_message(&message));
+    }
+}
+
+/// Does not compile when a kind of reply or vote is added, until its bytes are recorded as well.
+fn recorded_reply(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Vote(vote) => match vote {
+            Vote::Promised(None, _) => "00000063",
+            Vote::Promised(Some(_), _) => {
+                "000001ab02ef9bafcdf8acd19101ac0207096772616465733a20320102633409677261646573\
+                 3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
+                 323a206e6f026333088de0b7f70f02066e323a206e6f63"
+            }
+            Vote::Accepted => "0001",
+            Vote::Late(_) => "0002ad02ef9bafcdf8acd19101",
+            Vote::OtherMemory => "0003",
+            Vote::Blocked(_) => "000402026e31dc0b026e3203",
+            Vote::Unable => "0005",
+        },
+        Reply::Registered(Registered { accepted: None, .. }) => "010100ac02ef9bafcdf8acd19101",
+        Reply::Registered(Registered { accepted: Some(_), .. }) => {
+            "010101ab02ef9bafcdf8acd19101ac0207096772616465733a20320102633409677261646573\
+             3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
+             323a206e6f026333088de0b7f70f02066e323a206e6fac02ef9bafcdf8acd19101"
+        }
+        Reply::Permitted(..) => "0201ac0207cdd70201026334edfd030102b424",
+        Reply::Holders(_) => "0302026e3101dc0b026e320003",
+        Reply::Whole(_) => "04ac0207096772616465733a20320000",
+    }
+}
+
+#[test]
+fn every_kind_of_reply_has_recorded_bytes() {
+    let accepted = || Some((ballot(299), full_book()));
+    let registered = |accepted| Registered { votes: true, accepted, promised: ballot(300) };
+    let replies = [
+        Reply::Vote(Vote::Promised(None, 99)),
+        Reply::Vote(Vote::Promised(accepted(), 99)),
+        Reply::Vote(Vote::Accepted),
+        Reply::Vote(Vote::Late(ballot(301))),
+        Reply::Vote(Vote::OtherMemory),
+        Reply::Vote(Vote::Blocked(vec![("n1".to_owned(), 1500), ("n2".to_owned(), 3)])),
+        Reply::Vote(Vote::Unable),
+        Reply::Registered(registered(None)),
+        Reply::Registered(registered(accepted())),
+        Reply::Permitted(true, head(Some(open(Stage::Closing)))),
+        Reply::Holders(vec![("n1".to_owned(), true, 1500), ("n2".to_owned(), false, 3)]),
+        Reply::Whole(Box::new(plain_book())),
+    ];
+    for reply in replies {
+        assert_recorded(&reply, recorded_reply(&reply));
+    }
+}
+
+#[test]
+fn each_stage_of_a_change_has_recorded_bytes() {
+    // Does not compile when a stage is added.
+    let recorded = |stage: Stage| match stage {
+        Stage::Preparing { strict: false } => (
+            "ac0207096772616465733a203201026334096772616465733a2033000002026e3100",
+            "06ac0207cdd70201026334edfd03000002b424",
+        ),
+        Stage::Preparing { strict: true } => (
+            "ac0207096772616465733a203201026334096772616465733a2033000102026e3100",
+            "06ac0207cdd70201026334edfd03000102b424",
+        ),
+        Stage::Closing => (
+            "ac0207096772616465733a203201026334096772616465733a20330102026e3100",
+            "06ac0207cdd70201026334edfd030102b424",
+        ),
+    };
+    let preparing = |strict| Stage::Preparing { strict };
+    for stage in [preparing(false), preparing(true), Stage::Closing] {
+        let (in_book, in_head) = recorded(stage);
+        assert_recorded(&book(Some(change(stage)), Vec::new()), in_book);
+        assert_recorded(&Message::Agreed(head(Some(open(stage)))), in_head);
+    }
+}
+
+#[test]
+fn each_outcome_of_a_change_has_recorded_bytes() {
+    // Does not compile when an outcome is added.
+    let recorded = |outcome: Outcome| match outcome {
+        Outcome::Taken => "ac0207096772616465733a20320001026333088de0b7f70f00066e323a206e6f",
+        Outcome::Refused => "ac0207096772616465733a20320001026333088de0b7f70f01066e323a206e6f",
+        Outcome::Abandoned => "ac0207096772616465733a20320001026333088de0b7f70f02066e323a206e6f",
+    };
+    for outcome in [Outcome::Taken, Outcome::Refused, Outcome::Abandoned] {
+        assert_recorded(&book(None, vec![ended(outcome)]), recorded(outcome));
+    }
+}
+
+#[test]
+fn each_opinion_of_a_process_about_a_change_has_recorded_bytes() {
+    // Does not compile when an opinion is added.
+    let recorded = |word: &Word| match word {
+        Word::Ready => "03ac020701010263340000",
+        Word::No(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
+    };
+    for word in [Word::Ready, Word::No("grades: too many".to_owned())] {
+        let recorded = recorded(&word);
+        assert_recorded(&Message::Permit(asked(Some(word))), recorded);
+    }
+}
+
+/// Processes compare heads. Danger: its last field is a digest of how `Debug` prints [`Ended`], so
+/// the names of that struct, of its fields and of [`Outcome`]'s variants are part of the format.
+#[test]
+fn the_head_of_a_book_has_the_recorded_digests() {
+    let recorded = |outcome: Outcome| match outcome {
+        Outcome::Taken => {
+            "ac0207a29ecf84fdc4899def01010263349ce6c0\
+             ffd0dcd49f8401010296e1b2b59cb6858e7f"
+        }
+        Outcome::Refused => {
+            "ac0207a29ecf84fdc4899def01010263349ce6c0\
+             ffd0dcd49f84010102edcdea9bc2b1e7eb3a"
+        }
+        Outcome::Abandoned => {
+            "ac0207a29ecf84fdc4899def01010263349ce6c0\
+             ffd0dcd49f84010102cef3b9d6fb819ddb4f"
+        }
+    };
+    for outcome in [Outcome::Taken, Outcome::Refused, Outcome::Abandoned] {
+        let book = book(Some(change(Stage::Closing)), vec![ended(outcome)]);
+        assert_recorded(&book.head(), recorded(outcome));
+    }
+    assert_recorded(&Book::first("grades: 1").head(), "0101a2f2c8f8bff6efc13c0000");
+}
--- a/crates/rulebook/src/lib.rs
+++ b/crates/rulebook/src/lib.rs
@@ -9,6 +9,10 @@
 mod acceptor;
 mod ballot;
 mod book;
+#[cfg(test)]
+mod golden_disk_tests;
+#[cfg(test)]
+mod golden_tests;
 mod grants;
 mod messages;
 mod news;
