Record the bytes of members' datagrams before the renaming

Processes of different versions are members of one fleet, so a renaming must leave their datagrams as they are. Recorded from the untouched program: each of the eight kinds, who a member is (IPv4, IPv6, a later life), the body about missing room, and all that two members say to each other from their first hello through probes to a leave, with fixed seeds and times; they hear the recorded bytes. seal and the body's words are private to the crate, so the tests are in it. The bytes of SWIM hold as long as foca and rand are those of Cargo.lock.

--- /dev/null
+++ b/crates/members/src/golden_tests.rs
@@ -0,0 +1,196 @@
+//! The datagrams of members, recorded from the program before names in it were changed: each kind,
+//! who a member is, and SWIM as the library writes it. They must not change: processes of different
+//! versions talk to each other, so a new version must write what an old one reads, and read what
+//! an old one writes. A test that fails here says that the program has changed its format; the
+//! recorded bytes are not to be adapted.
+
+use crate::wire::{open, read, read_id, seal, words, Kind};
+use crate::{Id, Members, Output, Settings, State, Times};
+use std::net::SocketAddr;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let byte = |at| u8::from_str_radix(&hex[at..at + 2], 16).expect("two hex digits");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+fn check(written: &[u8], recorded: &str) {
+    assert_eq!(hex(written), recorded);
+}
+
+fn place(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7946))
+}
+
+/// The recorded datagram of each kind. A new kind does not compile until it has some.
+fn recorded(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Swim => "70740100d6503d43066764796e6961626f6479",
+        Kind::Hello => "70740101e721e973066764796e6961626f6479",
+        Kind::Here => "70740102b4b39523066764796e6961626f6479",
+        Kind::Rival => "7074010385c24113066764796e6961626f6479",
+        Kind::NoRoom => "7074010413976d83066764796e6961626f6479",
+        Kind::Bye => "7074010522e6b9b3066764796e6961626f6479",
+        Kind::Shares => "707401067174c5e3066764796e6961626f6479",
+        Kind::Links => "70740107400511d3066764796e6961626f6479",
+    }
+}
+
+#[test]
+fn every_kind_of_datagram_has_the_recorded_bytes() {
+    let kinds = [
+        Kind::Swim,
+        Kind::Hello,
+        Kind::Here,
+        Kind::Rival,
+        Kind::NoRoom,
+        Kind::Bye,
+        Kind::Shares,
+        Kind::Links,
+    ];
+    for kind in kinds {
+        check(&seal(kind, "gdynia", b"body"), recorded(kind));
+        assert_eq!(open("gdynia", &bytes(recorded(kind))), Ok((kind, &b"body"[..])));
+    }
+}
+
+#[test]
+fn the_identity_of_a_member_has_the_recorded_bytes() {
+    let v6 = SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535));
+    let first = Id::new("n0".into(), 1_700_000_000_000_000, place(1));
+    let recorded = [
+        (first.in_life(first.start, 300), "026e308080f9c0c1c48203ac02000a0000018a3e"),
+        (first, "026e308080f9c0c1c4820300000a0000018a3e"),
+        (Id::new("n1".into(), 5, v6), "026e31050001fd000001000200030004000500060007ffff03"),
+    ];
+    for (id, recorded) in recorded {
+        check(&words(&id), recorded);
+        assert_eq!(read_id(&bytes(recorded)), Ok(id));
+    }
+}
+
+#[test]
+fn the_body_about_missing_room_has_the_recorded_bytes() {
+    check(&words(&300_u64), "ac02");
+    assert_eq!(read(&bytes("ac02")), Ok(300_u64));
+}
+
+fn member(host: u8) -> Members {
+    let settings = Settings {
+        fleet: "gdynia".into(),
+        name: format!("n{host}"),
+        advertise: place(host),
+        peers: [1, 2, 3].into_iter().filter(|peer| *peer != host).map(place).collect(),
+        size: 5,
+        times: Times::default(),
+    };
+    let (start, seed) = (1_700_000_000_000_000 + u64::from(host), u64::from(host));
+    Members::new(settings, start, seed, 0).expect("good settings")
+}
+
+const LEAVES_AT: u64 = 450;
+
+/// What two members say to each other until both have probed and one has left. Their third peer is
+/// never there; what goes to it is not recorded.
+const CONVERSATION: &[&str] = &[
+    "707401017db6f863066764796e6961026e318180f9c0c1c4820300000a0000018a3e",
+    "70740101644d3c02066764796e6961026e328280f9c0c1c4820300000a0000028a3e",
+    "70740102860e8be2066764796e6961026e328280f9c0c1c4820300000a0000028a3e",
+    "707401029ff54f83066764796e6961026e318180f9c0c1c4820300000a0000018a3e",
+    "707401009c5621f9066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e06",
+    "70740100040dff48066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e06",
+    "707401009b5eb74c066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e070000",
+    "707401004cda0196066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e070000",
+    "7074010017e14cb7066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e080001026e328280f9c0c1c4820300000a0000028a3e\
+     0000",
+    "70740100dda33247066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e080001026e318180f9c0c1c4820300000a0000018a3e\
+     0000",
+    "7074010017e14cb7066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e080001026e328280f9c0c1c4820300000a0000028a3e\
+     0000",
+    "70740100dda33247066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e080001026e318180f9c0c1c4820300000a0000018a3e\
+     0000",
+    "7074010017e14cb7066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e080001026e328280f9c0c1c4820300000a0000028a3e\
+     0000",
+    "70740100dda33247066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e080001026e318180f9c0c1c4820300000a0000018a3e\
+     0000",
+    "7074010010d782ee066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e00010001026e328280f9c0c1c4820300000a0000028a\
+     3e0000",
+    "7074010017e14cb7066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e080001026e328280f9c0c1c4820300000a0000028a3e\
+     0000",
+    "70740100d783ca71066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e00010001026e318180f9c0c1c4820300000a0000018a\
+     3e0000",
+    "70740100dda33247066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e080001026e318180f9c0c1c4820300000a0000018a3e\
+     0000",
+    "70740100f9b701ec066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c4820300000a0000018a3e01010001026e318180f9c0c1c4820300000a0000018a\
+     3e0000",
+    "707401003ee34973066764796e6961026e318180f9c0c1c4820300000a0000018a3e00026e32\
+     8280f9c0c1c4820300000a0000028a3e01010001026e328280f9c0c1c4820300000a0000028a\
+     3e0000",
+    "707401053c1efa6d066764796e6961026e318180f9c0c1c48203ffffffff0f000a0000018a3e",
+    "70740100d555a91d066764796e6961026e318180f9c0c1c48203ffffffff0f000a0000018a3e\
+     00026e328280f9c0c1c4820300000a0000028a3e080002026e318180f9c0c1c4820300000a00\
+     00018a3e0002026e328280f9c0c1c4820300000a0000028a3e0000",
+    "70740100c2ba7335066764796e6961026e318180f9c0c1c48203ffffffff0f000a0000018a3e\
+     00026e328280f9c0c1c4820300000a0000028a3e080002026e318180f9c0c1c48203ffffffff\
+     0f000a0000018a3e0002026e328280f9c0c1c4820300000a0000028a3e0000",
+    "70740100a639c96a066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c48203ffffffff0f000a0000018a3e0a",
+    "70740100a639c96a066764796e6961026e328280f9c0c1c4820300000a0000028a3e00026e31\
+     8180f9c0c1c48203ffffffff0f000a0000018a3e0a",
+];
+
+/// The datagrams of SWIM among them are as the library writes them: a request to be let in and its
+/// answer, probes and their answers, news, the word that a member is gone.
+#[test]
+fn two_members_meet_probe_and_part_by_the_recorded_datagrams() {
+    let mut members = [member(1), member(2)];
+    let mut recorded = CONVERSATION.iter();
+    let mut under_way: Vec<(usize, Vec<u8>)> = Vec::new();
+    for now in 0..=LEAVES_AT + 1 {
+        let mut out = Vec::new();
+        for (to, datagram) in std::mem::take(&mut under_way) {
+            members[to].datagram(now, place(2 - to as u8), &datagram, &mut out);
+        }
+        for member in &mut members {
+            if member.next_due().is_some_and(|due| due <= now) {
+                member.due(now, &mut out);
+            }
+        }
+        if now == LEAVES_AT {
+            let roster = members[1].roster();
+            let believed: Vec<_> = roster.iter().map(|entry| (&*entry.name, entry.state)).collect();
+            assert_eq!(believed, [("n1", State::Alive), ("n2", State::Alive)]);
+            members[0].leave(now, &mut out);
+        }
+        for output in out {
+            let Output::Send(to, datagram) = output else { continue };
+            let to = [place(1), place(2)].iter().position(|place| *place == to);
+            let Some(to) = to else { continue };
+            let recorded = recorded.next().expect("no more is said than was recorded");
+            assert_eq!(hex(&datagram), *recorded, "to n{} at {now} ms", to + 1);
+            // What the other one hears is what was recorded.
+            under_way.push((to, bytes(recorded)));
+        }
+    }
+    assert_eq!(recorded.next(), None, "no less is said than was recorded");
+    let left = members[1].roster().into_iter().find(|entry| &*entry.name == "n1");
+    assert_eq!(left.map(|entry| entry.state), Some(State::Left));
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -8,6 +8,8 @@
 //! Nothing safe may hang on what this says: it is fast and may be wrong.
 
 mod gate;
+#[cfg(test)]
+mod golden_tests;
 mod health;
 mod identity;
 mod members;
