Golden tests of what two processes of one proxy tell each other in an upgrade

The older process of an upgrade runs the released program, the newer one this source: names of variants and fields are keys of their JSON lines. A large renaming comes; texts recorded from the program as it is hold it to what is said now. No source changes but the two lines that name the test files.

--- /dev/null
+++ b/src/net/exchange/golden_tests.rs
@@ -0,0 +1,121 @@
+//! What leaves the process: all that is known of nodes, as JSON, for the newer process of an
+//! upgrade. The older process runs the released program: a key that changes here ends upgrades
+//! without a break, or loses what is held out. All texts were recorded before any renaming.
+
+use super::held_out::{HeldOut, Neighbour, Nodes, NotHeld};
+use crate::interface::ListForm;
+use crate::net::config::Instance;
+
+const INSTANCE: &str = concat!(
+    r#"{"instanceId":"a","hostPort":"127.0.0.1:7001","zone":"east","machineType":"small","#,
+    r#""cell":3,"lifecycle":"ready","weight":1.5,"startedAtMs":1000.0}"#,
+);
+const OTHER: &str = concat!(
+    r#"{"instanceId":"b","hostPort":"127.0.0.1:7002","zone":"west","machineType":"large","#,
+    r#""cell":4,"lifecycle":"draining","weight":2.0,"startedAtMs":0.0}"#,
+);
+const NEIGHBOUR: &str = r#"{"name":"p1","start":1700000000000001,"place":"127.0.0.1:8001"}"#;
+
+fn instance() -> Instance {
+    Instance {
+        instance_id: "a".into(),
+        host_port: "127.0.0.1:7001".into(),
+        zone: "east".into(),
+        machine_type: "small".into(),
+        cell: 3,
+        lifecycle: "ready".into(),
+        weight: 1.5,
+        started_at_ms: 1000.0,
+    }
+}
+
+fn other() -> Instance {
+    Instance {
+        instance_id: "b".into(),
+        host_port: "127.0.0.1:7002".into(),
+        zone: "west".into(),
+        machine_type: "large".into(),
+        cell: 4,
+        lifecycle: "draining".into(),
+        weight: 2.0,
+        started_at_ms: 0.0,
+    }
+}
+
+fn neighbour() -> Neighbour {
+    let place = "127.0.0.1:8001".parse().unwrap();
+    Neighbour { name: "p1".into(), start: 1_700_000_000_000_001, place }
+}
+
+/// Two nodes are listed, one was; `a` is held out, `b` was and is back.
+fn held_out() -> HeldOut {
+    let mut held_out = HeldOut::default();
+    let gone = Instance { instance_id: "old".into(), ..instance() };
+    held_out.told(ListForm::Full, vec![gone]);
+    held_out.told(ListForm::Full, vec![instance(), other()]);
+    held_out.hold("a", 10.0).unwrap();
+    held_out.hold("b", 5.0).unwrap();
+    held_out.release("b", 6.5).unwrap();
+    held_out
+}
+
+fn recorded_nodes() -> String {
+    let told = format!(r#""told":[{INSTANCE},{OTHER}]"#);
+    let held = r#""gone":["old"],"out":{"a":10.0},"back":{"b":[5.0,6.5]}"#;
+    format!(r#"{{{told},{held},"links":[{NEIGHBOUR}]}}"#)
+}
+
+#[test]
+fn an_instance_is_the_recorded_text() {
+    assert_eq!(serde_json::to_string(&instance()).unwrap(), INSTANCE);
+    assert_eq!(serde_json::from_str::<Instance>(INSTANCE).unwrap(), instance());
+}
+
+#[test]
+fn an_instance_without_optional_keys_has_the_recorded_defaults() {
+    let text = r#"{"instanceId":"a","hostPort":"h","lifecycle":"ready"}"#;
+    let recorded = concat!(
+        r#"{"instanceId":"a","hostPort":"h","zone":"","machineType":"","#,
+        r#""cell":0,"lifecycle":"ready","weight":1.0,"startedAtMs":0.0}"#,
+    );
+    let instance: Instance = serde_json::from_str(text).unwrap();
+    assert_eq!(serde_json::to_string(&instance).unwrap(), recorded);
+}
+
+#[test]
+fn a_neighbour_is_the_recorded_text() {
+    assert_eq!(serde_json::to_string(&neighbour()).unwrap(), NEIGHBOUR);
+    assert_eq!(serde_json::from_str::<Neighbour>(NEIGHBOUR).unwrap(), neighbour());
+}
+
+#[test]
+fn nodes_with_every_field_filled_are_the_recorded_text() {
+    let mut nodes = held_out().nodes();
+    nodes.links = vec![neighbour()];
+    assert_eq!(serde_json::to_string(&nodes).unwrap(), recorded_nodes());
+    assert_eq!(serde_json::from_str::<Nodes>(&recorded_nodes()).unwrap(), nodes);
+}
+
+#[test]
+fn empty_nodes_are_the_recorded_text_without_links() {
+    let recorded = r#"{"told":[],"gone":[],"out":{},"back":{}}"#;
+    assert_eq!(serde_json::to_string(&Nodes::default()).unwrap(), recorded);
+    assert_eq!(serde_json::from_str::<Nodes>(recorded).unwrap(), Nodes::default());
+}
+
+#[test]
+fn a_newer_process_holds_out_what_the_recorded_text_says() {
+    let nodes: Nodes = serde_json::from_str(&recorded_nodes()).unwrap();
+    let mut newer = HeldOut::default();
+    newer.told(ListForm::Full, nodes.told.clone());
+    newer.inherit(nodes);
+    assert_eq!(newer.nodes(), held_out().nodes());
+}
+
+#[test]
+fn refusals_of_calls_about_nodes_are_the_recorded_texts() {
+    let text = |refusal: NotHeld| refusal.to_string();
+    assert_eq!(text(NotHeld::NeverListed("a".into())), "a was never listed");
+    assert_eq!(text(NotHeld::Origin("o".into())), "o is the origin, which is no cache node");
+    assert_eq!(text(NotHeld::TooMany), "4096 nodes are held out already");
+}
--- a/src/net/exchange/mod.rs
+++ b/src/net/exchange/mod.rs
@@ -3,6 +3,8 @@
 //! socket and no protocol; payloads pass through it as they came.
 
 mod clock;
+#[cfg(test)]
+mod golden_tests;
 mod held_out;
 mod ids;
 mod listed;
--- a/src/net/takeover/mod.rs
+++ b/src/net/takeover/mod.rs
@@ -1,6 +1,8 @@
 //! An upgrade: all that two processes of one proxy tell each other. The older one passes its listening socket
 //! on; the link between them then lasts as long as both do, and its end tells either that it is alone.
 
+#[cfg(test)]
+mod golden_tests;
 mod messages;
 mod place;
 
