Golden tests of the bytes by which members tell each other of their links

Members of other versions read these bytes, so the order and kinds of the fields of Said must stay through the renaming to come. Recorded from the program as it is; one line of source names the file.

Seen failing, each changed on purpose and undone: name before asks; place before start.

--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -185,3 +185,7 @@
 fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+#[path = "directory_golden_tests.rs"]
+mod golden_tests;
