Record what the running program says to consumers, cache nodes, origin and discovery

Before the code gets other names, what crosses its sockets is written down byte for byte from the untouched program: each command of the consumers' protocol and each refusal of one, calls to a cache node and the origin, and the watches asked of discovery. Only the time that is left (d=), the time to come back after (busy N) and ephemeral addresses are not compared.

--- /dev/null
+++ b/tests/golden/consumers.rs
@@ -0,0 +1,143 @@
+//! Answers on a consumer's connection to each form of the protocol, and to what is none.
+
+use crate::{compare, escaped, origin, silent_origin, without_number};
+use pinetrail_rig::{call, opaque, Client, Does, Party, Scene};
+
+/// A cache node that holds the keys that do not begin with `absent`.
+fn node() -> Party {
+    Party::node(|line| match line.starts_with("mg absent") {
+        true => Does::Says(format!("EN {}\r\n", opaque(line))),
+        false => Does::Says(format!("VA 5 {} h1\r\nhello\r\n", opaque(line))),
+    })
+}
+
+/// Asks on a connection: what was asked, the whole answer, and whether the connection serves on.
+fn exchange(client: &mut Client, words: &str) -> String {
+    client.say(words);
+    let mut answer = client.line();
+    if answer.starts_with("VA ") {
+        answer += &client.line();
+    }
+    let shown = if words.len() < 200 { escaped(words) } else { escaped(&words[..40]) + "..." };
+    let next = match client.try_say("mn\r\n").then(|| client.line()).unwrap_or_default() {
+        line if line == "MN\r\n" => "serves on",
+        line if line.is_empty() => "closes",
+        line => panic!("more was said: {line:?}"),
+    };
+    format!("> {shown}\n< {}\n= {next}\n", escaped(&answer))
+}
+
+fn recorded_of(scene: &Scene, asked: &[&str]) -> String {
+    asked.iter().map(|words| exchange(&mut scene.client(), words)).collect()
+}
+
+#[test]
+fn each_command_is_answered_as_recorded() {
+    let (node, origin) = (node(), origin());
+    let scene = Scene::of(&[&node], &origin);
+    let asked = [
+        "mn\r\n",
+        "version\r\n",
+        "quit\r\n",
+        "mg hit v O1 Pc=read,t=acme,d=9000\r\n",
+        "mg hit Pc=read,t=acme,d=9000 O9b1f v\r\n",
+        "mg absent/1 v O2 Pc=read,t=acme,d=9000\r\n",
+        "ms w 5 O3 Pc=put,t=acme,d=9000,k=5c\r\nhello\r\n",
+        "ms w 0 O4 Pc=confirm,t=acme,d=9000\r\n\r\n",
+    ];
+    compare("commands", include_str!("recorded/commands.txt"), &recorded_of(&scene, &asked));
+}
+
+#[test]
+fn each_malformed_command_is_refused_as_recorded() {
+    let (node, origin) = (node(), origin());
+    let scene = Scene::of(&[&node], &origin);
+    let (long, long_key) = ("x".repeat(3000), format!("mg {} v O1 Pc=read\r\n", "k".repeat(251)));
+    let asked = [
+        "get k\r\n",
+        "gets k\r\n",
+        "set k 0 0 1\r\n",
+        "md k\r\n",
+        "ma k\r\n",
+        "me k\r\n",
+        "MN\r\n",
+        "\r\n",
+        "mn 1\r\n",
+        "stats items\r\n",
+        "version 1\r\n",
+        "quit 1\r\n",
+        "mn\n",
+        "mn\u{1}\r\n",
+        &long,
+        &long_key,
+        "mg\r\n",
+        "mg k\r\n",
+        "mg k v\r\n",
+        "mg k O1 Pc=read,t=acme,d=900\r\n",
+        "mg k v Pc=read,t=acme,d=900\r\n",
+        "mg k v O1\r\n",
+        "mg k v v O1 Pc=read,t=acme,d=900\r\n",
+        "mg k v q O1 Pc=read,t=acme,d=900\r\n",
+        "mg k v O1 Pread\r\n",
+        "mg k v O1 P=read\r\n",
+        "ms k\r\n",
+        "ms k x O1 Pc=put\r\n",
+        "ms k 4194305 O1 Pc=put\r\n",
+        "ms k 1 O1 Pc=put,t=acme,d=900,k=5c\r\nxyz",
+        "ms k 1 v O1 Pc=put,t=acme,d=900,k=5c\r\nx\r\n",
+        "mg k v O1 Pc=absent,t=acme,d=900\r\n",
+        "mg k v O1 Pc=read,t=absent,d=900\r\n",
+        "mg k v O1 Pc=read,t=acme,d=0\r\n",
+        "mg k v O1 Pc=read,t=acme,d=soon\r\n",
+        "mg k v O1 Pc=read,t=acme\r\n",
+        "mg k v O1 Pt=acme,d=900\r\n",
+        "mg k v O1 Pc=read,d=900\r\n",
+        "mg k v O1 Pc=read,c=read,t=acme,d=900\r\n",
+        "mg k v O1 Pc=read,t=acme,d=900,x=1\r\n",
+        "mg k v O1 Pc=put,t=acme,d=900,k=5c\r\n",
+        "ms k 1 O1 Pc=read,t=acme,d=900\r\nx\r\n",
+        "ms k 1 O1 Pc=put,t=acme,d=900\r\nx\r\n",
+    ];
+    compare("malformed", include_str!("recorded/malformed.txt"), &recorded_of(&scene, &asked));
+}
+
+#[test]
+fn an_opaque_id_in_use_is_refused_as_recorded() {
+    let origin = silent_origin();
+    let scene = Scene::of(&[], &origin);
+    let mut client = scene.client();
+    let ask = "mg k v O1 Pc=read,t=acme,d=900\r\n";
+    client.say(&format!("{ask}{ask}"));
+    let said = format!("{}\n{}\n", escaped(&client.line()), escaped(&client.line()));
+    let said = without_number(&said, "busy ", "MS");
+    compare("id in use", include_str!("recorded/id_in_use.txt"), &said);
+}
+
+#[test]
+fn a_failed_or_rejected_invocation_is_answered_as_recorded() {
+    let fails = |words: &'static str| Party::origin(move |_| Does::Says(words.into()));
+    let error = fails("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+    let busy = fails("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
+    let mut said = String::new();
+    for (name, origin) in [("error", error), ("busy", busy), ("silent", silent_origin())] {
+        let scene = Scene::of(&[], &origin);
+        let asked = [
+            "mg k v O1 Pc=read,t=acme,d=300\r\n",
+            "ms w 1 O2 Pc=put,t=acme,d=300,k=5c\r\nx\r\n",
+            "ms w 1 O3 Pc=confirm,t=acme,d=300\r\nx\r\n",
+        ];
+        let answers = recorded_of(&scene, &asked);
+        said += &format!("# origin: {name}\n{}", without_number(&answers, "busy ", "MS"));
+    }
+    compare("failures", include_str!("recorded/failures.txt"), &said);
+}
+
+#[test]
+fn a_proxy_out_of_service_answers_as_recorded() {
+    let (node, origin) = (node(), origin());
+    let scene = Scene::of(&[&node], &origin);
+    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    let asked = ["mn\r\n", "version\r\n", "mg hit v O1 Pc=read,t=acme,d=9000\r\n"];
+    let said = recorded_of(&scene, &asked);
+    compare("out of service", include_str!("recorded/out_of_service.txt"), &said);
+}
--- /dev/null
+++ b/tests/golden/main.rs
@@ -0,0 +1,49 @@
+//! What the running program says, byte for byte, as it was recorded from it: whoever renames or
+//! moves its code must leave all of this as it is. A difference is shown line by line.
+
+mod consumers;
+mod providers;
+
+use pinetrail_rig::{http_200, Does, Party};
+
+/// Compares what was said with what was recorded.
+fn compare(name: &str, recorded: &str, said: &str) {
+    if recorded == said {
+        return;
+    }
+    let lines = recorded.lines().count().max(said.lines().count());
+    let mut differences = String::new();
+    for number in 0..lines {
+        let (was, is) = (recorded.lines().nth(number), said.lines().nth(number));
+        if was != is {
+            let (was, is) = (was.unwrap_or("(no line)"), is.unwrap_or("(no line)"));
+            differences += &format!("{}\n  recorded {was}\n  said     {is}\n", number + 1);
+        }
+    }
+    panic!("{name} differs from what was recorded:\n{differences}\nall that was said:\n{said}");
+}
+
+/// Bytes as one line of a recording.
+fn escaped(bytes: &str) -> String {
+    bytes.escape_debug().to_string()
+}
+
+/// Replaces the digits that follow these words, each time, by a mark.
+fn without_number(text: &str, before: &str, mark: &str) -> String {
+    let mut parts = text.split(before);
+    let mut out = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let rest = part.trim_start_matches(|letter: char| letter.is_ascii_digit());
+        assert!(rest.len() < part.len(), "a number follows {before:?}: {part:?}");
+        out += &format!("{before}{mark}{rest}");
+    }
+    out
+}
+
+fn origin() -> Party {
+    Party::origin(|_| http_200("r7"))
+}
+
+fn silent_origin() -> Party {
+    Party::origin(|_| Does::Nothing)
+}
--- /dev/null
+++ b/tests/golden/providers.rs
@@ -0,0 +1,81 @@
+//! What the proxy sends to cache nodes, to the origin and to discovery.
+
+use crate::{compare, escaped, origin, without_number};
+use pinetrail_rig::{catalog, config, opaque, start, Does, Party, Scene};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+/// What must come comes within this.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Requests as lines of a recording; the time that is left and addresses vary.
+fn shown(heard: &[String], at: &Party) -> String {
+    let shown: String = heard.iter().map(|request| escaped(request) + "\n").collect();
+    without_number(&shown, ",d=", "LEFT").replace(&at.place.to_string(), "ADDRESS")
+}
+
+#[test]
+fn calls_to_a_cache_node_and_the_origin_are_as_recorded() {
+    let node = Party::node(|line| match line.starts_with("mg absent") {
+        true => Does::Says(format!("EN {}\r\n", opaque(line))),
+        false => Does::Says(format!("VA 1 {} h1\r\nv\r\n", opaque(line))),
+    });
+    let origin = origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    let reads = [
+        "mg hit v O1 Pc=read,t=acme,d=9000\r\n",
+        // What is special in a path, and labels in another order.
+        "mg absent/a?b%c:@~ v O9b1f Pt=acme,d=9000,c=read\r\n",
+    ];
+    for words in reads {
+        assert!(client.ask(words).starts_with("VA "), "{words:?}");
+        client.line();
+    }
+    let writes = [
+        "ms w/1 5 O3 Pc=put,t=acme,d=9000,k=5c\r\nhello\r\n",
+        // Without a key, and empty.
+        "ms w 0 O4 Pc=confirm,t=acme,d=9000\r\n\r\n",
+    ];
+    for words in writes {
+        assert!(client.ask(words).starts_with("HD "), "{words:?}");
+    }
+    let (to_node, to_origin) = (shown(&node.heard(), &node), shown(&origin.heard(), &origin));
+    let said = format!("# to the cache node\n{to_node}# to the origin\n{to_origin}");
+    compare("calls", include_str!("recorded/calls.txt"), &said);
+}
+
+#[test]
+fn watches_asked_of_discovery_are_as_recorded() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let place = listener.local_addr().unwrap();
+    let origin = origin();
+    let list = catalog(7, true, &[origin.entry("o", "origin", "ready")]);
+    let (say, said) = channel();
+    thread::spawn(move || {
+        // Each watch is told one list, and its connection ends.
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).unwrap() > 0 {}
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n",
+                list.len() + 1
+            );
+            // Who asked may be gone, and the test at its end.
+            let _ = stream.write_all(answer.as_bytes());
+            let _ = say.send(head);
+        }
+    });
+    let known = catalog(3, true, &[origin.entry("o", "origin", "ready")]);
+    let mut child = start(&config("127.0.0.1:0", &place.to_string(), 256, &known));
+    let heads: Vec<_> = (0..2).map(|_| said.recv_timeout(WAIT)).collect();
+    child.kill().and_then(|()| child.wait()).unwrap();
+    let heads: String = heads.into_iter().map(|head| escaped(&head.unwrap()) + "\n").collect();
+    let heads = heads.replace(&place.to_string(), "ADDRESS");
+    compare("watches", include_str!("recorded/watches.txt"), &heads);
+}
