Record the names that stats tells, with and without a fleet, founders and a policy

A rename in the code must not reach the counters that operators collect: their names and their order are written down from the untouched program in each of four configurations.

Each test was seen to fail when a name was changed on purpose, and the change undone: consumers_tardy for consumers_late (all four), fleet_stopps for fleet_stops (those with a fleet), fleet_steward for fleet_stewardships (founders and policy), policy_alarms for policy_drift_alarms (policy).

--- /dev/null
+++ b/tests/golden/counters.rs
@@ -0,0 +1,57 @@
+//! The names of the counters that `stats` tells, in their order.
+
+use crate::{compare, origin};
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::{Client, Party};
+
+/// The names that `stats` tells; each line has a name and a number.
+fn names(mut client: Client) -> String {
+    client.say("stats\r\n");
+    let mut names = String::new();
+    loop {
+        let line = client.line();
+        if line == "END\r\n" {
+            return names;
+        }
+        let words: Vec<&str> = line.trim_end_matches("\r\n").split(' ').collect();
+        let [stat, name, number] = words[..] else { panic!("{line:?}") };
+        assert!(stat == "STAT" && number.parse::<u64>().is_ok(), "{line:?}");
+        names += &format!("{name}\n");
+    }
+}
+
+/// The names that a member tells whose configuration was changed.
+fn of_member(options: Options, has_fleet: bool) -> String {
+    let mut fleet = Fleet::new(options, vec![Party::full_node("v")], origin());
+    if !has_fleet {
+        let mut config = fleet.config(0, &[]);
+        config.as_object_mut().unwrap().remove("fleet");
+        fleet.set_config(0, &config);
+    }
+    fleet.start(0);
+    names(fleet.client(0))
+}
+
+#[test]
+fn stats_without_a_fleet_are_as_recorded() {
+    let said = of_member(Options::of(1), false);
+    compare("stats", include_str!("recorded/stats.txt"), &said);
+}
+
+#[test]
+fn stats_with_a_fleet_are_as_recorded() {
+    let said = of_member(Options::of(2), true);
+    compare("stats of a fleet", include_str!("recorded/stats_fleet.txt"), &said);
+}
+
+#[test]
+fn stats_with_founders_are_as_recorded() {
+    let said = of_member(Options { founders: vec![0], ..Options::of(2) }, true);
+    compare("stats with founders", include_str!("recorded/stats_founders.txt"), &said);
+}
+
+#[test]
+fn stats_with_a_policy_are_as_recorded() {
+    let said = of_member(Options { founders: vec![0], policy: true, ..Options::of(1) }, true);
+    compare("stats with a policy", include_str!("recorded/stats_policy.txt"), &said);
+}
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -2,6 +2,7 @@
 //! moves its code must leave all of this as it is. A difference is shown line by line.
 
 mod consumers;
+mod counters;
 mod providers;
 
 use pinetrail_rig::{http_200, Does, Party};
