Golden tests of the names in stats and of what operators see of a fleet

Operators' tools read counters by name and /control/fleet by key. Names and order of the counters, of those of members and of shares, the report in each state that members reach on a simulated net (alone, whole, suspect, failed, left, both sides of a rival, with shares) and the lines of the log are recorded from the program as it is. Two lines of source name the files.

Seen failing, each changed on purpose and undone: - a counter renamed (overdue), another moved (watches), an outcome counted under another name, the counts of others put first - fleet_stops and fleet_stewardships renamed; probes and leases reordered - keys self, side, since_ms, counts, lease_ms renamed - words of State::Suspect and Side::Alone, two lines of the log

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -159,3 +159,7 @@
         out
     }
 }
+
+#[cfg(test)]
+#[path = "counters_golden_tests.rs"]
+mod golden_tests;
--- /dev/null
+++ b/src/net/fleet/golden_tests.rs
@@ -0,0 +1,277 @@
+//! What leaves the process: what operators see of a fleet, as JSON of `/control/fleet`, as names
+//! in `stats` and as lines of the log. Operators' tools read them by key, name and word. All texts
+//! were recorded before any renaming.
+
+use super::report::{names, report, sum, words};
+use super::sharing::{Seen, Sharing};
+use super::SharesConfig;
+use pinetrail_members::{Counts, Entry, Members, News, Output, Settings, Side, State, Times};
+use std::net::SocketAddr;
+
+/// Unix milliseconds.
+const BEGAN: u64 = 1_700_000_000_000;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn member(name: &str, port: u16, peers: &[u16], start: u64) -> Members {
+    let settings = Settings {
+        fleet: "golden".into(),
+        name: name.into(),
+        advertise: address(port),
+        peers: peers.iter().map(|port| address(*port)).collect(),
+        size: 4,
+        times: Times::default(),
+    };
+    Members::new(settings, start, u64::from(port), 0).unwrap()
+}
+
+/// Time passes for these members; datagrams arrive at once.
+fn run(members: &mut [Members], from: u64, until: u64) {
+    for now in from..until {
+        let mut sent: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
+        for member in &mut *members {
+            if member.next_due().is_some_and(|due| due <= now) {
+                let mut out = Vec::new();
+                member.due(now, &mut out);
+                sent.extend(datagrams(member, out));
+            }
+        }
+        while let Some((source, to, bytes)) = sent.pop() {
+            for member in members.iter_mut().filter(|member| member.me().address == to) {
+                let mut out = Vec::new();
+                member.datagram(now, source, &bytes, &mut out);
+                sent.extend(datagrams(member, out));
+            }
+        }
+    }
+}
+
+fn datagrams(member: &Members, out: Vec<Output>) -> Vec<(SocketAddr, SocketAddr, Vec<u8>)> {
+    let source = member.me().address;
+    let sent = out.into_iter().filter_map(|output| match output {
+        Output::Send(to, bytes) => Some((source, to, bytes.to_vec())),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn shares() -> SharesConfig {
+    let founders = vec![address(7101), address(7102), address(7103)];
+    let settings = pinetrail_shares::Settings::usual(founders, 4);
+    SharesConfig { settings, whole: [100.0, 50.0] }
+}
+
+/// A member as the report has it; its time counts from `BEGAN`.
+fn shown(name: &str, port: u16, state: &str, incarnation: u16, since: u64) -> String {
+    let since = BEGAN + since;
+    format!(
+        concat!(
+            r#"{{"name":"{}","address":"127.0.0.1:{}","state":"{}","#,
+            r#""incarnation":{},"since_ms":{}}}"#
+        ),
+        name, port, state, incarnation, since
+    )
+}
+
+fn shown_report(side: &str, members: &[String], rest: &str) -> String {
+    let members = members.join(",");
+    format!(r#"{{"self":"a","side":"{side}","members":[{members}]{rest}}}"#)
+}
+
+fn shown_alone(side: &str, state: &str) -> String {
+    shown_report(side, &[shown("a", 7101, state, 0, 0)], "")
+}
+
+fn told(member: &Members) -> String {
+    report(member, BEGAN, None)
+}
+
+#[test]
+fn the_report_of_a_member_alone_is_the_recorded_text() {
+    let alone = member("a", 7101, &[], 1);
+    assert_eq!(told(&alone), shown_alone("whole", "alive"));
+    let cut = member("a", 7101, &[7102], 1);
+    assert_eq!(told(&cut), shown_alone("alone", "alive"));
+}
+
+#[test]
+fn the_report_of_a_member_that_has_left_is_the_recorded_text() {
+    let mut left = member("a", 7101, &[], 1);
+    left.leave(5, &mut Vec::new());
+    assert_eq!(told(&left), shown_alone("whole", "left"));
+}
+
+#[test]
+fn the_report_of_three_members_is_the_recorded_text_in_each_state() {
+    let mut all = vec![
+        member("a", 7101, &[7102, 7103], 1),
+        member("b", 7102, &[7101], 2),
+        member("c", 7103, &[7101], 3),
+    ];
+    run(&mut all, 0, 1000);
+    let three = |side: &str, b: (&str, u64), c: (&str, u64)| {
+        let (a, b) = (shown("a", 7101, "alive", 0, 0), shown("b", 7102, b.0, 0, b.1));
+        shown_report(side, &[a, b, shown("c", 7103, c.0, 0, c.1)], "")
+    };
+    let (alive, left) = (("alive", 0), ("left", 1000));
+    assert_eq!(told(&all[0]), three("whole", alive, alive));
+    let mut leaver = all.pop().unwrap();
+    let mut out = Vec::new();
+    leaver.leave(1000, &mut out);
+    for (source, to, bytes) in datagrams(&leaver, out) {
+        for member in all.iter_mut().filter(|member| member.me().address == to) {
+            member.datagram(1000, source, &bytes, &mut Vec::new());
+        }
+    }
+    assert_eq!(told(&all[0]), three("whole", alive, left));
+    all.truncate(1);
+    let mut now = 1000;
+    let mut until = |word: &str, all: &mut [Members]| {
+        while !told(&all[0]).contains(word) {
+            run(all, now, now + 1);
+            now += 1;
+            assert!(now < 10_000, "{word}");
+        }
+        told(&all[0])
+    };
+    assert_eq!(until("suspect", &mut all), three("whole", ("suspect", 1600), left));
+    assert_eq!(until("failed", &mut all), three("alone", ("failed", 2600), left));
+}
+
+#[test]
+fn the_report_of_rivals_is_the_recorded_text_at_both() {
+    let (earlier, later) = (member("a", 7101, &[7102], 1), member("a", 7103, &[7102], 3));
+    let mut all = vec![earlier, member("b", 7102, &[7101], 2), later];
+    run(&mut all, 0, 3000);
+    let both = |port| [shown("a", port, "alive", 0, 0), shown("b", 7102, "alive", 0, 0)];
+    let earlier = r#","rival":{"address":"127.0.0.1:7103","counts":true}"#;
+    assert_eq!(told(&all[0]), shown_report("alone", &both(7101), earlier));
+    let later = r#","rival":{"address":"127.0.0.1:7101","counts":false}"#;
+    assert_eq!(told(&all[2]), shown_report("whole", &both(7103), later));
+}
+
+#[test]
+fn the_report_with_shares_is_the_recorded_text() {
+    let alone = member("a", 7101, &[], 1);
+    let seen = Seen { share: 0.5, base: 0.125, lease_ms: 1234, view: 7, steward: true };
+    let rest = r#","share":0.5,"base":0.125,"lease_ms":1234,"view":7,"steward":true"#;
+    let recorded = shown_report("whole", &[shown("a", 7101, "alive", 0, 0)], rest);
+    assert_eq!(report(&alone, BEGAN, Some(seen)), recorded);
+}
+
+#[test]
+fn shares_of_a_process_that_has_just_started_are_the_recorded_text() {
+    let alone = member("a", 7101, &[], 1);
+    let sharing = Sharing::new(shares(), &alone, 0);
+    let recorded = r#"{"share":0.125,"base":0.125,"lease_ms":0,"view":0,"steward":false}"#;
+    assert_eq!(serde_json::to_string(&sharing.seen(0)).unwrap(), recorded);
+}
+
+#[test]
+fn names_of_counts_of_shares_are_the_recorded_list_in_its_order() {
+    let alone = member("a", 7101, &[], 1);
+    let recorded = [
+        ("fleet_leases_granted", 0),
+        ("fleet_leases_refused", 0),
+        ("fleet_leases_ended", 0),
+        ("fleet_stewardships", 0),
+        ("fleet_shares_unheard", 0),
+    ];
+    assert_eq!(Sharing::new(shares(), &alone, 0).list(), recorded);
+}
+
+fn counts() -> Counts {
+    Counts {
+        probes: 1,
+        probes_indirect: 2,
+        probes_failed: 3,
+        failed: 4,
+        left: 5,
+        returned: 6,
+        refuted: 7,
+        stops: 8,
+        news_sent: 9,
+        news_heard: 10,
+        datagrams_sent: 11,
+        bytes_sent: 12,
+        datagrams_heard: 13,
+        bytes_heard: 14,
+        dropped_foreign: 15,
+        dropped_too_new: 16,
+        dropped_spoilt: 17,
+        dropped_other_fleet: 18,
+        dropped_no_room: 19,
+    }
+}
+
+#[test]
+fn names_of_counts_of_members_are_the_recorded_list_in_its_order() {
+    let recorded = [
+        ("fleet_probes", 1),
+        ("fleet_probes_indirect", 2),
+        ("fleet_probes_failed", 3),
+        ("fleet_members_failed", 4),
+        ("fleet_members_left", 5),
+        ("fleet_returned", 6),
+        ("fleet_suspicions_refuted", 7),
+        ("fleet_stops", 8),
+        ("fleet_news_sent", 9),
+        ("fleet_news_heard", 10),
+        ("fleet_datagrams_sent", 11),
+        ("fleet_bytes_sent", 12),
+        ("fleet_datagrams_heard", 13),
+        ("fleet_bytes_heard", 14),
+        ("fleet_dropped_foreign", 15),
+        ("fleet_dropped_too_new", 16),
+        ("fleet_dropped_spoilt", 17),
+        ("fleet_dropped_other_fleet", 18),
+        ("fleet_dropped_no_room", 19),
+        ("fleet_send_failures", 20),
+    ];
+    assert_eq!(names(&counts(), 20), recorded);
+    let doubled: Vec<_> = recorded.map(|(name, count)| (name, count * 2)).into();
+    assert_eq!(names(&sum(counts(), counts()), 40), doubled);
+}
+
+fn entry(state: State, start: u64) -> Entry {
+    Entry { name: "b".into(), start, address: address(7102), state, incarnation: 0, since: 0 }
+}
+
+#[test]
+fn lines_about_a_member_are_the_recorded_texts() {
+    let line = |state, before| words(&News::Member { entry: entry(state, 2), before });
+    let same = |state| line(state, Some((2, State::Alive)));
+    assert_eq!(line(State::Alive, None), "b at 127.0.0.1:7102 is alive");
+    assert_eq!(same(State::Suspect), "b at 127.0.0.1:7102: alive -> suspect, no answer");
+    assert_eq!(same(State::Failed), "b at 127.0.0.1:7102: alive -> failed, no objection in time");
+    assert_eq!(same(State::Left), "b at 127.0.0.1:7102: alive -> left");
+    let anew = "b is a new process, at 127.0.0.1:7102: alive; the one before was failed";
+    assert_eq!(line(State::Alive, Some((1, State::Failed))), anew);
+    assert_eq!(words(&News::Forgotten("b".into())), "b is remembered no longer");
+}
+
+#[test]
+fn lines_about_the_fleet_are_the_recorded_texts() {
+    let side = |side| words(&News::Side(side));
+    assert_eq!(side(Side::Whole), "this is the side: whole");
+    assert_eq!(side(Side::Majority), "this is the side: majority");
+    assert_eq!(side(Side::Minority), "this is the side: minority");
+    assert_eq!(side(Side::Alone), "this is the side: alone");
+    let later = concat!(
+        "ERROR: another process at 127.0.0.1:7102 has this one's name and started later: ",
+        "that one counts in the fleet, this one is out of it",
+    );
+    let earlier = concat!(
+        "ERROR: another process at 127.0.0.1:7102 has this one's name and started earlier: ",
+        "this one counts in the fleet",
+    );
+    assert_eq!(words(&News::Rival(address(7102), true)), later);
+    assert_eq!(words(&News::Rival(address(7102), false)), earlier);
+    assert_eq!(words(&News::RivalGone), "the other process of this one's name is gone");
+    let full = "ERROR: 127.0.0.1:7102 has no room for this member: its fleet.size is 4";
+    assert_eq!(words(&News::NoRoom(address(7102), 4)), full);
+    assert_eq!(words(&News::Returned), "others had taken this member for failed; it is back");
+    assert_eq!(words(&News::Stopped(9)), "this process did not run for 9 ms");
+}
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! What proxies of a fleet tell each other: the driver of `pinetrail-members`. It owns one UDP socket and the wait for
 //! what is due next; what is said and believed is decided by the core. Without `fleet` in the configuration there is none.
 
+#[cfg(test)]
+mod golden_tests;
 mod report;
 mod sharing;
 
