Golden tests of answers at the operators' door, byte by byte

Scripts and probes read status, headers and words. What pure functions make of an answer, how calls are read, and the JSON of the policy's standing, proposals and refusals are recorded from the program as it is. Two lines of source name the files. Bodies made only by a running policy (changes, drift, restore) are not in here.

--- /dev/null
+++ b/src/net/admin/golden_tests.rs
@@ -0,0 +1,122 @@
+//! What leaves the process: answers of the operators' door, byte by byte. Operators' scripts and
+//! probes read status, headers and words. All texts were recorded before any renaming.
+
+use super::codec::{call, Call, Said, MAX_BODY, MAX_HEAD};
+use super::refused;
+use crate::net::exchange::NotHeld;
+
+fn written(said: &Said) -> String {
+    String::from_utf8(said.words()).unwrap()
+}
+
+fn read(request: &str) -> Result<Call, Said> {
+    call(request.as_bytes()).unwrap()
+}
+
+/// The status and the text of an answer to what is no call.
+fn wrong(request: &str) -> (u16, String) {
+    let said = read(request).unwrap_err();
+    (said.status, said.text)
+}
+
+#[test]
+fn a_text_answer_is_the_recorded_bytes() {
+    let recorded = concat!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; charset=utf-8\r\n",
+        "Content-Length: 6\r\nConnection: close\r\n\r\nready\n",
+    );
+    assert_eq!(written(&Said::new(200, "ready")), recorded);
+}
+
+#[test]
+fn a_json_answer_is_the_recorded_bytes() {
+    let recorded = concat!(
+        "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\n",
+        "Content-Length: 3\r\nConnection: close\r\n\r\n{}\n",
+    );
+    assert_eq!(written(&Said::answer((202, "{}".into()))), recorded);
+    let recorded = recorded.replace("202 Accepted", "200 OK");
+    assert_eq!(written(&Said::json("{}".into())), recorded);
+}
+
+#[test]
+fn an_answer_to_a_wrong_method_is_the_recorded_bytes() {
+    let recorded = concat!(
+        "HTTP/1.1 405 Method Not Allowed\r\nContent-Type: text/plain; charset=utf-8\r\n",
+        "Content-Length: 44\r\nAllow: GET\r\nConnection: close\r\n\r\n",
+        "/control/ready is called by GET, not DELETE\n",
+    );
+    assert_eq!(written(&read("DELETE /control/ready HTTP/1.1\r\n\r\n").unwrap_err()), recorded);
+    let policy = read("PUT /control/policy HTTP/1.1\r\n\r\n").unwrap_err();
+    assert_eq!(policy.allow, Some("GET, POST"));
+    assert_eq!(policy.text, "/control/policy is called by GET, POST, not PUT");
+}
+
+#[test]
+fn reasons_of_all_statuses_are_the_recorded_words() {
+    let recorded = [
+        (200, "OK"),
+        (202, "Accepted"),
+        (400, "Bad Request"),
+        (404, "Not Found"),
+        (405, "Method Not Allowed"),
+        (408, "Request Timeout"),
+        (409, "Conflict"),
+        (411, "Length Required"),
+        (413, "Content Too Large"),
+        (431, "Request Header Fields Too Large"),
+        (503, "Service Unavailable"),
+        (500, "Error"),
+    ];
+    for (status, reason) in recorded {
+        let first = format!("HTTP/1.1 {status} {reason}\r\n");
+        assert!(written(&Said::new(status, "")).starts_with(&first), "{status}");
+    }
+}
+
+#[test]
+fn calls_are_read_by_the_recorded_methods_and_paths() {
+    let recorded = [
+        ("GET /control/ready", Call::Ready),
+        ("GET /control/fleet", Call::Fleet),
+        ("GET /control/policy", Call::Policy),
+        ("GET /control/drift", Call::Drift),
+        ("POST /control/policy/restore", Call::Restore),
+        ("GET /control/policy/changes/c%201", Call::Change("c 1".into())),
+        ("POST /control/cache-nodes/a/offline", Call::Offline("a".into())),
+        ("POST /control/cache-nodes/a/online", Call::Online("a".into())),
+        ("POST /control/out-of-service", Call::OutOfService),
+        ("POST /control/in-service", Call::InService),
+    ];
+    for (line, recorded) in recorded {
+        assert_eq!(read(&format!("{line} HTTP/1.1\r\n\r\n")), Ok(recorded), "{line}");
+    }
+    let propose = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+    assert_eq!(read(propose), Ok(Call::Propose(b"{}".to_vec())));
+}
+
+#[test]
+fn answers_to_what_is_no_call_are_the_recorded_texts() {
+    let no_call = wrong("GET /control HTTP/1.1\r\n\r\n");
+    assert_eq!(no_call, (404, "no such call: \"/control\"".into()));
+    let no_id = wrong("POST /control/cache-nodes/%zz/offline HTTP/1.1\r\n\r\n");
+    assert_eq!(no_id, (400, "\"%zz\" is no id: empty, or badly escaped".into()));
+    let no_length = wrong("POST /control/policy HTTP/1.1\r\n\r\n");
+    assert_eq!(no_length, (411, "the call needs a body and its Content-Length".into()));
+    let length = MAX_BODY + 1;
+    let long = wrong(&format!("POST /control/policy HTTP/1.1\r\nContent-Length: {length}\r\n\r\n"));
+    assert_eq!(long, (413, "the body has over 524288 bytes".into()));
+    let no_http = wrong("mn\r\n");
+    assert_eq!(no_http, (400, "no HTTP request: invalid token".into()));
+    let head = wrong(&format!("GET / HTTP/1.1\r\nA: {}\r\n", "x".repeat(MAX_HEAD)));
+    assert_eq!(head, (431, "the head has over 8192 bytes or 64 lines".into()));
+}
+
+#[test]
+fn refused_calls_about_nodes_have_the_recorded_statuses() {
+    let status = |refusal: NotHeld| refused(&refusal).status;
+    assert_eq!(status(NotHeld::NeverListed("a".into())), 404);
+    assert_eq!(status(NotHeld::Origin("a".into())), 409);
+    assert_eq!(status(NotHeld::TooMany), 409);
+    assert_eq!(refused(&NotHeld::NeverListed("a".into())).text, "a was never listed");
+}
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -2,6 +2,8 @@
 //! calls are put to the exchange and the lifecycle.
 
 mod codec;
+#[cfg(test)]
+mod golden_tests;
 
 use super::descriptors::DOOR_CALLS;
 use super::exchange::{Exchange, NotHeld};
--- a/src/net/policy/door.rs
+++ b/src/net/policy/door.rs
@@ -120,3 +120,7 @@
         None
     }
 }
+
+#[cfg(test)]
+#[path = "door_golden_tests.rs"]
+mod golden_tests;
--- /dev/null
+++ b/src/net/policy/door_golden_tests.rs
@@ -0,0 +1,38 @@
+//! What leaves the process: JSON by which operators propose a policy and are told how it stands.
+//! Their tools read it by key and word. All texts were recorded before any renaming.
+
+use super::{no, Proposal, Standing};
+use serde_json::json;
+
+#[test]
+fn a_refusal_is_the_recorded_text() {
+    assert_eq!(no(409, "why \"not\""), (409, r#"{"error":"why \"not\""}"#.to_owned()));
+}
+
+#[test]
+fn a_standing_is_the_recorded_text_with_and_without_a_change() {
+    let standing = |change: Option<&str>| {
+        let (state, change) = ("steady", change.map(str::to_owned));
+        let standing = Standing { version: 7, digest: "d".into(), state, change };
+        serde_json::to_string(&standing).unwrap()
+    };
+    let recorded = r#"{"version":7,"digest":"d","state":"steady","change":null}"#;
+    assert_eq!(standing(None), recorded);
+    assert_eq!(standing(Some("c")), recorded.replace("null", "\"c\""));
+}
+
+#[test]
+fn a_proposal_is_read_by_the_recorded_keys() {
+    let recorded = r#"{"id":"c","after":6,"settings":{"Tick":1}}"#;
+    let proposal: Proposal = serde_json::from_str(recorded).unwrap();
+    assert_eq!((&*proposal.id, proposal.after), ("c", 6));
+    assert_eq!(proposal.settings, json!({"Tick": 1}));
+}
+
+#[test]
+fn a_proposal_with_another_key_is_refused_by_the_recorded_words() {
+    let error = serde_json::from_str::<Proposal>(r#"{"name":"c"}"#).err().unwrap();
+    let recorded = "unknown field `name`, expected one of `id`, `after`, `settings`";
+    let place = " at line 1 column 7";
+    assert_eq!(error.to_string(), format!("{recorded}{place}"));
+}
