Golden test of a complete configuration: every key read, each with its value

Files of operators outlive the names in the program. One text holds every key that the program reads (103 with those of lists), none with its default; fields are compared one by one, and a test takes each key away in turn: what is read must then be refused or differ.

--- /dev/null
+++ b/src/net/config/golden_tests.rs
@@ -0,0 +1,262 @@
+//! What enters the process: the configuration file of operators, which outlives every version of
+//! the program. A key that is read under another name is refused, or worse, silently taken for its
+//! default. The text holds every key that the program read before any renaming, each with a value
+//! that is not its default.
+
+use super::{Config, Limits};
+use crate::settings::{Effect, Scope};
+use pinetrail_rulebook::WhenCut;
+use serde_json::Value;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const COMPLETE: &str = r#"{
+    "name": "p1",
+    "listen": "127.0.0.1:7001",
+    "discovery": "127.0.0.1:7002",
+    "admin": "127.0.0.1:7003",
+    "seed": "1f",
+    "limits": {"sockets": 2048, "memory_mb": 256},
+    "known": {
+        "generation": 9,
+        "reset": true,
+        "instances": [
+            {"instanceId": "o", "hostPort": "127.0.0.1:7011", "zone": "east",
+             "machineType": "origin", "cell": 3, "lifecycle": "ready", "weight": 1.5,
+             "startedAtMs": 1000}
+        ]
+    },
+    "fleet": {
+        "name": "f1",
+        "bind": "127.0.0.1:7101",
+        "advertise": "127.0.0.2:7101",
+        "peers": ["127.0.0.3:7101", "127.0.0.4:7101"],
+        "size": 5,
+        "period_ms": 500,
+        "answer_ms": 170,
+        "suspicion_ms": 1100,
+        "gossip_ms": 110,
+        "reunion_ms": 1200,
+        "rejoin_ms": 1300,
+        "forget_ms": 500000,
+        "founders": ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"],
+        "node_calls": 100,
+        "origin_calls": 50,
+        "ask_ms": 310,
+        "vote_ms": 1210,
+        "lease_ms": 3010,
+        "call_ms": 2510,
+        "policy": {
+            "bind": "127.0.0.1:7201",
+            "advertise": "127.0.0.2:7201",
+            "state_dir": "state",
+            "permit_ms": 2100,
+            "renew_ms": 510,
+            "ready_ms": 1510,
+            "close_ms": 310,
+            "change_ms": 60010,
+            "answer_ms": 210,
+            "hold_ms": 160,
+            "catch_up_ms": 10010,
+            "when_cut": "serve",
+            "local": true,
+            "restore_after_ms": 5000
+        }
+    },
+    "settings": {
+        "GroupSize": 5,
+        "MyNumber": 2,
+        "Zone": 1,
+        "Discovery": "push",
+        "Tick": 2.5,
+        "Grades": [
+            {"Name": "read", "Aim": 10, "GiveUp": 100, "Semantics": "safe",
+             "DedupScope": "all", "RepeatWindow": 1, "Worth": 1.5},
+            {"Name": "write", "Aim": 20, "GiveUp": 200.5, "Semantics": "keyed",
+             "DedupScope": "zone", "RepeatWindow": 3000, "Worth": 2.5},
+            {"Name": "once", "Aim": 30, "GiveUp": 300, "Semantics": "unsafe",
+             "DedupScope": "all", "RepeatWindow": 2, "Worth": 0.5}
+        ],
+        "Orgs": [{"Name": "first"}, {"Name": "second"}],
+        "Kinds": ["origin", "small"],
+        "Zones": ["east", "west"],
+        "Permissions": {"MaxAttempts": 3, "ConnIdle": 60000, "MaxRetryAfter": 5000,
+                        "ConnectTimeout": 125},
+        "Safety": {"StartCapacity": 0.25, "Cold": 30000, "FallMultiple": 1.75,
+                   "TipAfter": 500, "MustAskIn": 2000},
+        "Prices": {"CrossZone": 0.125},
+        "FamilyInfo": {"OriginKind": 0}
+    }
+}"#;
+
+fn complete() -> Config {
+    Config::from_json(COMPLETE.as_bytes(), None).unwrap()
+}
+
+fn at(address: &str) -> SocketAddr {
+    address.parse().unwrap()
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn same<T: PartialEq + Debug>(read: T, recorded: T) {
+    assert_eq!(read, recorded);
+}
+
+#[test]
+fn the_outermost_keys_are_read() {
+    let config = complete();
+    same(&*config.name, "p1");
+    same(config.listen, at("127.0.0.1:7001"));
+    same(config.discovery, at("127.0.0.1:7002"));
+    same(config.admin, Some(at("127.0.0.1:7003")));
+    same(config.seed, 0x1f);
+    same(config.limits, Limits { sockets: 2048, memory_mb: 256 });
+    same(config.connect_timeout, ms(125));
+}
+
+#[test]
+fn the_address_of_the_door_gives_way_to_the_one_of_the_environment() {
+    let config = Config::from_json(COMPLETE.as_bytes(), Some("127.0.0.1:7004".into())).unwrap();
+    same(config.admin, Some(at("127.0.0.1:7004")));
+}
+
+#[test]
+fn the_keys_of_known_nodes_are_read() {
+    let known = complete().known;
+    same((known.generation, known.reset, known.instances.len()), (9, true, 1));
+    let node = &known.instances[0];
+    same((&*node.instance_id, &*node.host_port), ("o", "127.0.0.1:7011"));
+    same((&*node.zone, &*node.machine_type, node.cell), ("east", "origin", 3));
+    same((&*node.lifecycle, node.weight, node.started_at_ms), ("ready", 1.5, 1000.0));
+}
+
+#[test]
+fn the_keys_of_the_fleet_are_read() {
+    let fleet = complete().fleet.unwrap();
+    same((fleet.bind, fleet.advertise), (at("127.0.0.1:7101"), Some(at("127.0.0.2:7101"))));
+    let settings = fleet.settings;
+    same((&*settings.fleet, &*settings.name), ("f1", "p1"));
+    same(settings.advertise, at("127.0.0.2:7101"));
+    same(settings.peers, vec![at("127.0.0.3:7101"), at("127.0.0.4:7101")]);
+    same(settings.size, 5);
+    let times = settings.times;
+    same((times.period, times.answer, times.suspicion), (500, 170, 1100));
+    same((times.gossip, times.reunion, times.rejoin), (110, 1200, 1300));
+    same(times.forget, 500_000);
+}
+
+#[test]
+fn the_keys_of_shares_are_read() {
+    let shares = complete().fleet.unwrap().shares.unwrap();
+    same(shares.whole, [100.0, 50.0]);
+    let settings = shares.settings;
+    let founders = ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"];
+    same(settings.founders, founders.map(at).to_vec());
+    same((settings.size, settings.period, settings.vote), (5, 310, 1210));
+    same((settings.lease, settings.calls), (3010, 2510));
+}
+
+#[test]
+fn the_keys_of_the_policy_are_read() {
+    let config = complete();
+    let policy = config.policy().unwrap();
+    same((policy.bind, policy.advertise), (at("127.0.0.1:7201"), at("127.0.0.2:7201")));
+    same(policy.state_dir.clone(), Some("state".into()));
+    let times = &policy.times;
+    same((times.permit, times.renew, times.ready), (ms(2100), ms(510), ms(1510)));
+    same((times.close, times.change, times.answer), (ms(310), ms(60_010), ms(210)));
+    same((policy.hold, policy.catch_up), (ms(160), ms(10_010)));
+    same((policy.when_cut, policy.local), (WhenCut::Serve, true));
+    same(policy.restore_after, Some(ms(5000)));
+    same((policy.seats.0, policy.seat, policy.links), (3, Some(0), 5));
+}
+
+#[test]
+fn words_of_choices_that_are_defaults_are_read() {
+    let with = |word: &str, other: &str| {
+        let text = COMPLETE.replace(word, other);
+        Config::from_json(text.as_bytes(), None).unwrap()
+    };
+    let refuses = with(r#""when_cut": "serve""#, r#""when_cut": "refuse""#);
+    same(refuses.policy().unwrap().when_cut, WhenCut::Refuse);
+    let cell = with(r#""DedupScope": "zone""#, r#""DedupScope": "cell""#);
+    same(cell.settings.classes[1].scope, Scope::Cell);
+}
+
+#[test]
+fn the_keys_of_the_classes_are_read() {
+    let config = complete();
+    let classes = &config.settings.classes;
+    same(config.names.classes().join(" "), "read write once".into());
+    same(classes.len(), 3);
+    let effects: Vec<Effect> = classes.iter().map(|class| class.effect).collect();
+    same(effects, vec![Effect::Safe, Effect::Keyed, Effect::Unsafe]);
+    let scopes: Vec<Scope> = classes.iter().map(|class| class.scope).collect();
+    same(scopes, vec![Scope::All, Scope::Zone, Scope::All]);
+    let write = &classes[1];
+    same((write.aim, write.give_up, write.worth), (20.0, 200.5, 2.5));
+    same(write.repeat_window, 3000.0);
+}
+
+#[test]
+fn the_keys_of_the_settings_are_read() {
+    let config = complete();
+    let settings = &config.settings;
+    same((settings.group_size, settings.my_number, settings.zone), (5, 2, 1));
+    same((&*settings.discovery, settings.tick), ("push", 2.5));
+    let limits = settings.limits;
+    same((limits.max_attempts, limits.conn_idle), (3, 60_000.0));
+    same(limits.max_retry_after, 5000.0);
+    let safety = &settings.safety;
+    same((safety.start_capacity, safety.cold), (0.25, 30_000.0));
+    same((safety.fall_multiple, safety.tip_after), (1.75, 500.0));
+    same(safety.must_ask_in, 2000.0);
+    same((settings.prices.cross_zone, settings.family.origin_kind), (0.125, 0));
+    let names = &config.names;
+    same((names.class("once"), names.is_keyed(1)), (Some(2), true));
+    same((names.tenant("second"), names.kind("small"), names.zone("west")), (Some(1), 1, 1));
+}
+
+/// All that was read, as text; without the file as it came.
+fn read(given: &Value) -> Option<String> {
+    let mut config = Config::from_json(given.to_string().as_bytes(), None).ok()?;
+    config.given = Value::Null;
+    Some(format!("{config:?}"))
+}
+
+/// The paths of all keys, as JSON pointers of what holds them.
+fn keys(value: &Value, path: &str, found: &mut Vec<(String, String)>) {
+    match value {
+        Value::Object(object) => {
+            for (key, inner) in object {
+                found.push((path.to_owned(), key.clone()));
+                keys(inner, &format!("{path}/{key}"), found);
+            }
+        }
+        Value::Array(array) => {
+            for (place, inner) in array.iter().enumerate() {
+                keys(inner, &format!("{path}/{place}"), found);
+            }
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn each_key_matters_what_is_read_without_it_is_something_else() {
+    let given: Value = serde_json::from_str(COMPLETE).unwrap();
+    let whole = read(&given).unwrap();
+    let mut found = Vec::new();
+    keys(&given, "", &mut found);
+    assert_eq!(found.len(), 103);
+    for (path, key) in found {
+        let mut without = given.clone();
+        let object = without.pointer_mut(&path).unwrap().as_object_mut().unwrap();
+        object.remove(&key).unwrap();
+        assert_ne!(read(&without).as_ref(), Some(&whole), "{path}/{key} is not read");
+    }
+}
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -2,6 +2,8 @@
 
 mod check;
 mod fleet;
+#[cfg(test)]
+mod golden_tests;
 mod policy;
 mod rules;
 
