Golden test of the name at which two processes of one proxy meet

The newer process of an upgrade looks for the older one's socket by this name; a renaming of the program would let it find nobody and fail to listen. Recorded from the program as it is.

Seen failing with the name begun by proxy- instead, and undone.

--- a/src/net/takeover/golden_tests.rs
+++ b/src/net/takeover/golden_tests.rs
@@ -3,6 +3,7 @@
 //! changes here ends upgrades without a break. All texts were recorded before any renaming.
 
 use super::messages::{Inbox, Message, Ordered, Share, VERSION};
+use super::place::Place;
 use crate::net::exchange::Nodes;
 
 const NODES: &str = concat!(
@@ -83,3 +84,11 @@
     assert_line(Message::Done(3, None), r#"{"Done":[3,null]}"#);
     assert_line(Message::Done(4, Some("no".into())), r#"{"Done":[4,"no"]}"#);
 }
+
+/// Both processes look for this name in `$TMPDIR`.
+#[test]
+fn the_meeting_place_has_the_recorded_name() {
+    let shown = |clients: &str| format!("{:?}", Place::of(clients.parse().unwrap()).unwrap());
+    assert!(shown("127.0.0.1:7001").contains(r#""pinetrail-127.0.0.1_7001.sock""#));
+    assert!(shown("[::1]:7001").contains(r#""pinetrail-___1__7001.sock""#));
+}
