--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -2,7 +2,7 @@
 
 use crate::flow::Flow;
 use crate::limits::Limits;
-use crate::returns::{interval, Returns, EDGES};
+use crate::reuse_estimator::{interval, Returns, EDGES};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A time in milliseconds since a beginning of the driver's choice.
--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -13,12 +13,12 @@
 
 mod flow;
 mod limits;
-mod places;
-mod returns;
-mod split;
+mod connection_table;
+mod reuse_estimator;
+mod descriptor_budget;
 
 pub use flow::Flow;
 pub use limits::Limits;
-pub use places::{Id, Ms, Order, Phase, Places, Reason, Seq, Tally};
-pub use returns::{Returns, EDGES};
-pub use split::Split;
+pub use connection_table::{Id, Ms, Order, Phase, Places, Reason, Seq, Tally};
+pub use reuse_estimator::{Returns, EDGES};
+pub use descriptor_budget::Split;
--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -1,6 +1,6 @@
 //! Crowds played against the core in virtual time: scripted clients, no socket, no clock, the same each time.
 
-use pinetrail_places::{Id, Limits, Ms, Phase, Places, Reason, Split};
+use pinetrail_connection_limits::{Id, Limits, Ms, Phase, Places, Reason, Split};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a client does with its connection.
@@ -299,7 +299,7 @@
     assert_eq!(close_at_stop(true), 0);
 }
 
-/// The recorded crowd on other numbers of descriptors; the figures are quoted in docs/places.md.
+/// The recorded crowd on other numbers of descriptors; the figures are quoted in docs/connection-limits.md.
 #[test]
 fn the_recorded_crowd_is_served_on_few_descriptors_and_on_many() {
     let rates = [(Manner::AsksOnce, 250), (Manner::Silent, 45)];
--- a/crates/connection-limits/tests/orders.rs
+++ b/crates/connection-limits/tests/orders.rs
@@ -1,8 +1,8 @@
 //! Who is named to close, when, and in which order.
 
-use pinetrail_places::{Flow, Limits, Phase, Places, Reason, Returns, Split, EDGES};
+use pinetrail_connection_limits::{Flow, Limits, Phase, Places, Reason, Returns, Split, EDGES};
 
-fn named(orders: Vec<pinetrail_places::Order>) -> Vec<(u64, Reason)> {
+fn named(orders: Vec<pinetrail_connection_limits::Order>) -> Vec<(u64, Reason)> {
     orders.into_iter().map(|order| (order.id, order.reason)).collect()
 }
 
--- a/crates/drift/src/lib.rs
+++ b/crates/drift/src/lib.rs
@@ -6,11 +6,11 @@
 
 mod alarm;
 mod report;
-mod table;
+mod detector;
 
 pub use alarm::{Alarm, Alarms};
 pub use report::{Report, Stands, Word};
-pub use table::{Approved, Node, State, Table, Times};
+pub use detector::{Approved, Node, State, Table, Times};
 
 /// Milliseconds of a clock that only goes forward.
 pub type Time = u64;
--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -1,4 +1,4 @@
-//! `pinetrail-lab cost`: what a fleet costs real processes and their clients, with it and without it in turn.
+//! `pinetrail-experiments cost`: what a fleet costs real processes and their clients, with it and without it in turn.
 
 mod core;
 
@@ -6,8 +6,8 @@
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
-use pinetrail_rig::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_rig::{http_200, opaque, program, Does, Party};
+use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
+use pinetrail_test_harness::{http_200, opaque, program, Does, Party};
 use std::thread::sleep;
 use std::time::Duration;
 
--- a/crates/experiments/src/cost/core.rs
+++ b/crates/experiments/src/cost/core.rs
@@ -1,7 +1,7 @@
 //! What the core costs, in simulated time: one process has a whole fleet, and times each call.
 
-use pinetrail_members::{Members, Output, Time};
-use pinetrail_world::fleet::{settings, Fleet, Member};
+use pinetrail_membership::{Members, Output, Time};
+use pinetrail_simulation::fleet::{settings, Fleet, Member};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -1,4 +1,4 @@
-//! `pinetrail-lab demo`: three real proxies that know each other, what they talk to, clients, and faults.
+//! `pinetrail-experiments demo`: three real proxies that know each other, what they talk to, clients, and faults.
 
 use crate::load::{Done, Load};
 use crate::table;
@@ -6,11 +6,11 @@
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
 
-use pinetrail_histories::judge;
-use pinetrail_rig::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_rig::script::{Fault, Script};
-use pinetrail_rig::witness::Witness;
-use pinetrail_rig::{http_200, opaque, program, Does, Party};
+use pinetrail_history_checker::judge;
+use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
+use pinetrail_test_harness::script::{Fault, Script};
+use pinetrail_test_harness::recorder::Witness;
+use pinetrail_test_harness::{http_200, opaque, program, Does, Party};
 use serde_json::{json, Value};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::BTreeMap;
--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -1,6 +1,6 @@
 //! Clients that ask at a rate of their own, whatever the answers do: what is late counts from when it was due.
 
-use pinetrail_rig::witness::Witness;
+use pinetrail_test_harness::recorder::Witness;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -1,12 +1,12 @@
-//! Experiments with pinetrail. `pinetrail-lab --help` lists them.
+//! Experiments with pinetrail. `pinetrail-experiments --help` lists them.
 
 mod chart;
 mod cost;
 mod demo;
 mod load;
-mod members;
+mod membership;
 mod policy;
-mod shares;
+mod quota;
 mod table;
 
 use clap::{Parser, Subcommand};
@@ -25,11 +25,11 @@
     /// Three proxies that know each other, with what they talk to, under load and faults: real processes on loopback.
     Demo(demo::Options),
     /// The membership of 3 to 1,000 proxies in simulated time, beside heartbeats from everybody to everybody.
-    Members(members::Options),
+    Members(membership::Options),
     /// Shares of an origin by three rules, in simulated time: static, divided by the living, leased.
-    Shares(shares::Options),
+    Shares(quota::Options),
     /// What shares promise, under many seeds of faults and in every order of some.
-    Proof(shares::proof::Options),
+    Proof(quota::proof::Options),
     /// Changes of policy under faults from seeds, in simulated time, and how long they take.
     Policy(policy::Options),
     /// What a fleet costs real processes and their clients: with it and without it, in turn.
@@ -43,10 +43,10 @@
     let done = match Lab::parse().experiment {
         Experiment::Demo(options) => demo::run(&options),
         Experiment::Cost(options) => cost::run(&options),
-        Experiment::Members(options) => members::run(&options),
+        Experiment::Members(options) => membership::run(&options),
         Experiment::Policy(options) => policy::run(&options),
-        Experiment::Proof(options) => shares::proof::run(&options),
-        Experiment::Shares(options) => shares::run(&options),
+        Experiment::Proof(options) => quota::proof::run(&options),
+        Experiment::Shares(options) => quota::run(&options),
         Experiment::Proxy => {
             // Danger: an end of the demo that nothing can be done about would leave its processes behind.
             let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
@@ -57,7 +57,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(error) => {
-            eprintln!("pinetrail-lab: {error}");
+            eprintln!("pinetrail-experiments: {error}");
             ExitCode::from(2)
         }
     }
--- a/crates/experiments/src/membership/mod.rs
+++ b/crates/experiments/src/membership/mod.rs
@@ -1,4 +1,4 @@
-//! `pinetrail-lab members`: the membership as it runs in service, in simulated time over a modelled network.
+//! `pinetrail-experiments members`: the membership as it runs in service, in simulated time over a modelled network.
 
 mod plots;
 mod script;
@@ -62,7 +62,7 @@
     if let Some(path) = &options.script {
         let told = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
         let text = std::fs::read_to_string(path).map_err(|error| told(&error))?;
-        let faults = pinetrail_rig::script::Script::parse(&text).map_err(|error| told(&error))?;
+        let faults = pinetrail_test_harness::script::Script::parse(&text).map_err(|error| told(&error))?;
         let members = options.members.first().copied().unwrap_or(5);
         let lines =
             script::play(&faults, usize::from(members), options.seed).map_err(|error| told(&error))?;
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -1,9 +1,9 @@
 //! A script of faults, played on a fleet in simulated time; what is heard of it.
 
-use crate::members::trials::words;
-use pinetrail_members::Members;
-use pinetrail_rig::script::{Fault, Script};
-use pinetrail_world::fleet::Fleet;
+use crate::membership::trials::words;
+use pinetrail_membership::Members;
+use pinetrail_test_harness::script::{Fault, Script};
+use pinetrail_simulation::fleet::Fleet;
 
 /// After the last fault it is listened for so long, in ms.
 const AFTER: u64 = 15_000;
--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -1,9 +1,9 @@
 //! One trial: a fleet in simulated time, what happens to it, and what is seen.
 
 use hdrhistogram::Histogram;
-use pinetrail_members::{Members, News, State, Time};
-use pinetrail_world::fleet::{settings, Fleet, Heard, Member, BRIEF};
-use pinetrail_world::heartbeats::Heartbeats;
+use pinetrail_membership::{Members, News, State, Time};
+use pinetrail_simulation::fleet::{settings, Fleet, Heard, Member, BRIEF};
+use pinetrail_simulation::heartbeats::Heartbeats;
 use serde::Serialize;
 
 /// What a trial is about.
--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -1,12 +1,12 @@
-//! `pinetrail-lab policy`: the rulebook's own tasks under faults from many seeds, and how long a change takes without any.
+//! `pinetrail-experiments policy`: the rulebook's own tasks under faults from many seeds, and how long a change takes without any.
 
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
-use pinetrail_rig::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_rig::policy::{play_hangups, play_seed as play_processes, Played};
-use pinetrail_rig::{http_200, program, Party};
-use pinetrail_world::rulebook::{play, play_seed, Fault, Plan, Run, Verdict};
+use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
+use pinetrail_test_harness::policy::{play_hangups, play_seed as play_processes, Played};
+use pinetrail_test_harness::{http_200, program, Party};
+use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, Plan, Run, Verdict};
 use rayon::prelude::*;
 use serde::Serialize;
 use std::path::PathBuf;
--- a/crates/experiments/src/quota/day.rs
+++ b/crates/experiments/src/quota/day.rs
@@ -1,8 +1,8 @@
 //! One day in simulated time: proxies that fetch from one origin, each within its share, and what befalls them.
 
-use pinetrail_shares::WHOLE;
-use pinetrail_world::origin::Origin;
-use pinetrail_world::shares::Sharing;
+use pinetrail_quota::WHOLE;
+use pinetrail_simulation::origin::Origin;
+use pinetrail_simulation::quota::Sharing;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
--- a/crates/experiments/src/quota/mod.rs
+++ b/crates/experiments/src/quota/mod.rs
@@ -1,4 +1,4 @@
-//! `pinetrail-lab shares`: proxies that fetch from one origin, by three rules of what each may use, side by side.
+//! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each may use, side by side.
 
 mod day;
 pub mod proof;
--- a/crates/experiments/src/quota/proof.rs
+++ b/crates/experiments/src/quota/proof.rs
@@ -1,9 +1,9 @@
-//! `pinetrail-lab proof`: what shares promise, under many seeds of faults and in every order of some.
+//! `pinetrail-experiments proof`: what shares promise, under many seeds of faults and in every order of some.
 
 use clap::Args;
 use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
-use pinetrail_world::model::Scope;
-use pinetrail_world::seeds;
+use pinetrail_simulation::model::Scope;
+use pinetrail_simulation::seeds;
 use rayon::prelude::*;
 use std::time::Instant;
 
--- a/crates/experiments/tests/demo.rs
+++ b/crates/experiments/tests/demo.rs
@@ -8,7 +8,7 @@
 const WAIT: Duration = Duration::from_secs(60);
 
 fn demo(arguments: &[&str]) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail-lab"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail-experiments"));
     command.arg("demo").args(arguments).stdout(Stdio::null()).stderr(Stdio::null());
     command.spawn().expect("the demo starts")
 }
--- a/crates/history-checker/src/answers.rs
+++ b/crates/history-checker/src/answers.rs
@@ -1,6 +1,6 @@
 //! One final answer for each request, in time, and given by a provider.
 
-use crate::breach::{Breach, NotJudged, Reason};
+use crate::violation::{Breach, NotJudged, Reason};
 use crate::history::{Answer, End, History};
 use crate::ledger::{Ledger, Request};
 
--- a/crates/history-checker/src/calls.rs
+++ b/crates/history-checker/src/calls.rs
@@ -1,6 +1,6 @@
 //! No effect twice: which calls and which refusals a request may have after the calls before them.
 
-use crate::breach::{Breach, Reason};
+use crate::violation::{Breach, Reason};
 use crate::history::{Answer, Effect, History, Node, Scope, Seen, Time};
 use crate::ledger::{Call, Ledger, Request};
 use std::collections::BTreeMap;
--- a/crates/history-checker/src/cold.rs
+++ b/crates/history-checker/src/cold.rs
@@ -1,6 +1,6 @@
 //! A cold node is sent no more than it bears, by all proxies together, over any span of the stated length.
 
-use crate::breach::{Breach, Reason};
+use crate::violation::{Breach, Reason};
 use crate::history::{Figures, History, Seen, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/history-checker/src/drains.rs
+++ b/crates/history-checker/src/drains.rs
@@ -1,6 +1,6 @@
 //! Nothing new to a node that drains, is gone, or was never listed.
 
-use crate::breach::{Breach, Reason};
+use crate::violation::{Breach, Reason};
 use crate::history::{Figures, History, Node, Seen, State, Time};
 use std::collections::BTreeMap;
 
--- a/crates/history-checker/src/ledger.rs
+++ b/crates/history-checker/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The requests of a history, each with its calls and answers.
 
-use crate::breach::NotJudged;
+use crate::violation::NotJudged;
 use crate::history::{Answer, Class, End, Figures, History, Process, Seen, Time};
 use std::collections::BTreeMap;
 
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -9,19 +9,19 @@
 #![warn(missing_docs)]
 
 mod answers;
-mod breach;
+mod violation;
 mod calls;
 mod cold;
 mod drains;
 mod history;
 mod ledger;
 mod policies;
-mod shares;
+mod quota;
 
-pub use breach::{Breach, NotJudged, Reason, Rule};
+pub use violation::{Breach, NotJudged, Reason, Rule};
 pub use history::{Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time};
 pub use policies::{judge_policies, Decided};
-pub use shares::judge_shares;
+pub use quota::judge_shares;
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
 pub fn judge(history: &History) -> Result<Vec<Breach>, NotJudged> {
@@ -30,7 +30,7 @@
     breaches.extend(calls::judge(history, &ledger));
     breaches.extend(drains::judge(history));
     breaches.extend(cold::judge(history));
-    breaches.extend(shares::judge(history));
+    breaches.extend(quota::judge(history));
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(breaches)
 }
--- a/crates/history-checker/src/policies.rs
+++ b/crates/history-checker/src/policies.rs
@@ -1,7 +1,7 @@
 //! One moment for each version: before it nobody admits a request under it, after it nobody does under the one before. From
 //! what clients asked and were answered alone: which version decided a request must show in its answer.
 
-use crate::breach::{Breach, NotJudged, Reason};
+use crate::violation::{Breach, NotJudged, Reason};
 use crate::history::Time;
 
 /// A request whose answer shows the version by which it was decided.
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -1,6 +1,6 @@
 //! Shares add up to one at the most, and calls in flight to what all may have together.
 
-use crate::breach::{Breach, NotJudged, Reason};
+use crate::violation::{Breach, NotJudged, Reason};
 use crate::history::{History, Seen, Time};
 use std::collections::BTreeMap;
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,12 +7,12 @@
 //!
 //! Nothing safe may hang on what this says: it is fast and may be wrong.
 
-mod gate;
+mod join_admission;
 #[cfg(test)]
 mod golden_tests;
 mod health;
 mod identity;
-mod members;
+mod membership;
 mod roster;
 mod settings;
 mod swim;
@@ -20,7 +20,7 @@
 mod wire;
 
 pub use identity::{Id, MAX_NAME};
-pub use members::{Members, Output};
+pub use membership::{Members, Output};
 pub use roster::{Entry, News, Side, State};
 pub use settings::{Bad, Settings, Times};
 pub use swim::Counts;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,6 +1,6 @@
 //! One member: what comes in, what goes out, and what is believed in between.
 
-use crate::gate::Gate;
+use crate::join_admission::Gate;
 use crate::health::Health;
 use crate::identity::Id;
 use crate::roster::{Entry, News, Roster, Side, State, LAST_LIFE};
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -1,6 +1,6 @@
 //! SWIM by the library `foca`, with what it wants done kept for the caller: what is sent, set and noticed.
 
-use crate::gate::Gate;
+use crate::join_admission::Gate;
 use crate::identity::Id;
 use crate::settings::Times;
 use crate::wire;
--- a/crates/membership/tests/hard_cases.rs
+++ b/crates/membership/tests/hard_cases.rs
@@ -1,7 +1,7 @@
 //! What is hard for a membership, each in simulated time with fixed seeds.
 
-use pinetrail_members::{Members, News, Output, Side, State};
-use pinetrail_world::fleet::{place, settings, Fleet, BRIEF};
+use pinetrail_membership::{Members, News, Output, Side, State};
+use pinetrail_simulation::fleet::{place, settings, Fleet, BRIEF};
 
 const ALL: [usize; 5] = [0, 1, 2, 3, 4];
 
@@ -71,7 +71,7 @@
         fleet.go_on(1);
         assert!(fleet.until(6_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
         assert!(fleet.heard.iter().any(|heard| heard.host == 1 && matches!(heard.news, News::Stopped(_))));
-        let wrong = |heard: &&pinetrail_world::fleet::Heard| {
+        let wrong = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
                 && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed)
         };
@@ -90,7 +90,7 @@
         fleet.heard.clear();
         fleet.go_on(1);
         fleet.run(1_500);
-        let suspected = |heard: &&pinetrail_world::fleet::Heard| {
+        let suspected = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
                 && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Suspect)
         };
@@ -119,7 +119,7 @@
         fleet.heard.clear();
         fleet.go_on(1);
         fleet.run(4_000);
-        let failed = |heard: &&pinetrail_world::fleet::Heard| {
+        let failed = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
                 && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed)
         };
@@ -244,7 +244,7 @@
     ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     fleet.kill(2);
-    let moved = pinetrail_members::Settings { advertise: place(5), ..settings(2, 5, &[0, 1]) };
+    let moved = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 5, &[0, 1]) };
     fleet.begin_with(5, moved);
     let there = |fleet: &Fleet<Members>| {
         [0, 1, 3, 4].iter().all(|host| {
@@ -316,7 +316,7 @@
     let mut fleet: Fleet<Members> = Fleet::new(6, 5);
     ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
-    let twin = pinetrail_members::Settings { advertise: place(5), ..settings(2, 6, &[0, 1]) };
+    let twin = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 6, &[0, 1]) };
     fleet.begin_with(5, twin);
     fleet.run(10_000);
     assert_eq!(fleet.member(2).unwrap().rival(), Some((place(5), true)), "the earlier one knows");
@@ -324,7 +324,7 @@
     assert_eq!(fleet.side(2), Some(Side::Alone));
     fleet.heard.clear();
     fleet.run(60_000);
-    let about_members = |heard: &&pinetrail_world::fleet::Heard| matches!(heard.news, News::Member { .. });
+    let about_members = |heard: &&pinetrail_simulation::fleet::Heard| matches!(heard.news, News::Member { .. });
     assert_eq!(fleet.heard.iter().filter(about_members).count(), 0, "{:?}", fleet.heard);
     // Once the later one is gone the earlier one is back.
     fleet.kill(5);
@@ -435,7 +435,7 @@
     ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     let nobody = "10.9.9.9:1".parse().unwrap();
-    fleet.begin_with(5, pinetrail_members::Settings { peers: vec![nobody], ..settings(5, 6, &[]) });
+    fleet.begin_with(5, pinetrail_membership::Settings { peers: vec![nobody], ..settings(5, 6, &[]) });
     fleet.run(1_500);
     assert_eq!(fleet.side(5), Some(Side::Alone));
     fleet.act(5, |member, now, out| member.set_peers(now, vec![place(1)], out).unwrap());
--- a/crates/peer-transport/src/accept.rs
+++ b/crates/peer-transport/src/accept.rs
@@ -1,8 +1,8 @@
 //! Takes connections of peers in.
 
-use crate::link;
-use crate::links::Links;
-use crate::net::Net;
+use crate::connection;
+use crate::transport::Links;
+use crate::network::Net;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -18,7 +18,7 @@
                 let links = Arc::clone(&links);
                 tokio::spawn(async move {
                     // Why it ended is said by who dialled.
-                    let _ = link::run(&links, stream).await;
+                    let _ = connection::run(&links, stream).await;
                 });
             }
             Err(_) => sleep(REST).await,
--- a/crates/peer-transport/src/connection.rs
+++ b/crates/peer-transport/src/connection.rs
@@ -1,8 +1,8 @@
 //! One link, from its greeting to its end.
 
 use crate::frame::{self, Frame, Hello, VERSION};
-use crate::links::{Links, Live};
-use crate::net::Net;
+use crate::transport::{Links, Live};
+use crate::network::Net;
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
--- a/crates/peer-transport/src/dial.rs
+++ b/crates/peer-transport/src/dial.rs
@@ -1,8 +1,8 @@
 //! Dials one peer, again and again, for as long as it is to be dialled.
 
-use crate::link;
-use crate::links::{Links, Peer};
-use crate::net::Net;
+use crate::connection;
+use crate::transport::{Links, Peer};
+use crate::network::Net;
 use rand::RngExt;
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
             let why = match connected {
                 Ok(Ok(stream)) => {
                     rest = FIRST_REST;
-                    link::run(&links, stream).await
+                    connection::run(&links, stream).await
                 }
                 Ok(Err(error)) => error,
                 Err(_) => ErrorKind::TimedOut.into(),
--- a/crates/peer-transport/src/golden_tests.rs
+++ b/crates/peer-transport/src/golden_tests.rs
@@ -5,7 +5,7 @@
 //! its format; the recorded bytes are not to be adapted.
 
 use crate::frame::{self, Frame, VERSION};
-use crate::link;
+use crate::connection;
 use crate::{Heard, Hello, Links, Net, Process, Times};
 use bytes::BytesMut;
 use std::io;
@@ -140,7 +140,7 @@
     links.heard_by(Arc::clone(&recorder) as Arc<dyn Heard>);
     links.take_seat(Some(2));
     let (mut ours, theirs) = tokio::io::duplex(4096);
-    let running = tokio::spawn(async move { link::run(&links, theirs).await });
+    let running = tokio::spawn(async move { connection::run(&links, theirs).await });
 
     let mut greeting = vec![0; bytes(GREETING_OF_FOUNDER).len()];
     ours.read_exact(&mut greeting).await.expect("a greeting");
--- a/crates/peer-transport/src/lib.rs
+++ b/crates/peer-transport/src/lib.rs
@@ -13,13 +13,13 @@
 mod frame;
 #[cfg(test)]
 mod golden_tests;
-mod link;
-mod links;
-mod mailbox;
-mod net;
+mod connection;
+mod transport;
+mod send_queue;
+mod network;
 mod process;
 
 pub use frame::{Hello, MAX_FRAME};
-pub use links::{Heard, Links, Peer, Times};
-pub use net::{Net, Sockets};
+pub use transport::{Heard, Links, Peer, Times};
+pub use network::{Net, Sockets};
 pub use process::Process;
--- a/crates/peer-transport/src/transport.rs
+++ b/crates/peer-transport/src/transport.rs
@@ -1,8 +1,8 @@
 //! All links of one process.
 
 use crate::frame::{Frame, Hello, VERSION};
-use crate::mailbox::Mailbox;
-use crate::net::Net;
+use crate::send_queue::Mailbox;
+use crate::network::Net;
 use crate::process::Process;
 use crate::{accept, dial};
 use rand::rngs::StdRng;
--- a/crates/policy-consensus/src/golden_disk_tests.rs
+++ b/crates/policy-consensus/src/golden_disk_tests.rs
@@ -3,7 +3,7 @@
 //! and the other way about, and the two must not run on one folder at once. A test that fails here
 //! says that the program has changed its format; the recorded bytes are not to be adapted.
 
-use crate::store::{keep, load};
+use crate::storage::{keep, load};
 use crate::{Ballot, Book, Change, Digest, Disk, Durable, Ended, Folder, Loaded, Outcome, Stage};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -2,7 +2,7 @@
 //! Nothing here waits.
 
 use crate::{Book, Head, Stage, Times};
-use pinetrail_links::Process;
+use pinetrail_peer_transport::Process;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/policy-consensus/src/lib.rs
+++ b/crates/policy-consensus/src/lib.rs
@@ -8,27 +8,27 @@
 
 mod acceptor;
 mod ballot;
-mod book;
+mod replicated_state;
 #[cfg(test)]
 mod golden_disk_tests;
 #[cfg(test)]
 mod golden_tests;
-mod grants;
+mod lease_table;
 mod messages;
-mod news;
+mod change_notifier;
 mod node;
-mod permit;
+mod admission_lease;
 mod settings;
-mod store;
+mod storage;
 
 pub use acceptor::{Acceptor, Durable, Registered, Vote};
 pub use ballot::Ballot;
-pub use book::{Book, Change, Conflict, Digest, Ended, Head, Open, Outcome, Stage};
-pub use grants::{Asked, Grants, Word};
+pub use replicated_state::{Book, Change, Conflict, Digest, Ended, Head, Open, Outcome, Stage};
+pub use lease_table::{Asked, Grants, Word};
 pub use node::{Node, Refused, Seen, State};
-pub use permit::{Admission, Permit, WhenCut};
+pub use admission_lease::{Admission, Permit, WhenCut};
 pub use settings::{Bad, Seats, Settings, Times};
-pub use store::{Disk, Folder, Loaded};
+pub use storage::{Disk, Folder, Loaded};
 
 /// What the process that this is part of does about versions. It is called on the thread of the links, and must not wait.
 pub trait InForce: Send + Sync + 'static {
@@ -37,7 +37,7 @@
     /// Puts it in force; it was checked before.
     fn put(&self, version: u64, text: &str);
     /// Another process says something that is no concern of the book, to the floor of this number.
-    fn heard(&self, _from: &pinetrail_links::Process, _floor: u8, _body: &[u8]) {}
+    fn heard(&self, _from: &pinetrail_peer_transport::Process, _floor: u8, _body: &[u8]) {}
     /// A line for the log.
     fn log(&self, line: &str);
 }
--- a/crates/policy-consensus/src/messages.rs
+++ b/crates/policy-consensus/src/messages.rs
@@ -1,6 +1,6 @@
 //! What processes of a fleet say to each other about the book.
 
-use crate::grants::Asked;
+use crate::lease_table::Asked;
 use crate::{Ballot, Book, Head, Registered, Vote};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/policy-consensus/src/node/admin.rs
+++ b/crates/policy-consensus/src/node/admin.rs
@@ -1,10 +1,10 @@
 //! What operators ask.
 
-use super::cas::{Failed, Step};
+use super::proposer::{Failed, Step};
 use super::Node;
 use crate::messages::{words, Message, Reply};
 use crate::{Book, Conflict, Digest, Outcome};
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
--- a/crates/policy-consensus/src/node/catch_up.rs
+++ b/crates/policy-consensus/src/node/catch_up.rs
@@ -1,10 +1,10 @@
 //! Follows what is agreed: fetches the texts that are not at hand, looks at what is proposed, and puts in force what was taken.
 
 use super::{Known, Node};
-use crate::grants::Word;
+use crate::lease_table::Word;
 use crate::messages::{words, Message, Reply};
 use crate::Stage;
-use pinetrail_links::{Net, Process};
+use pinetrail_peer_transport::{Net, Process};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout, Instant};
--- a/crates/policy-consensus/src/node/join.rs
+++ b/crates/policy-consensus/src/node/join.rs
@@ -1,11 +1,11 @@
 //! A founder that has no vote yet asks the others what they know; one that knows of nothing agreed, or voted for something and
 //! never heard that it was, has it agreed once more.
 
-use super::cas::Step;
+use super::proposer::Step;
 use super::Node;
 use crate::messages::{Message, Reply};
 use crate::{Ballot, Book};
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -1,11 +1,11 @@
 //! Brings an open change to its end. Of the founders that are there the one with the lowest seat does so; if two take
 //! themselves for it that costs time and nothing else, since each step is agreed.
 
-use super::cas::{Failed, Step};
+use super::proposer::{Failed, Step};
 use super::Node;
 use crate::messages::{words, Message, Reply};
 use crate::{Book, Open, Outcome, Stage};
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
--- a/crates/policy-consensus/src/node/lease_renewal.rs
+++ b/crates/policy-consensus/src/node/lease_renewal.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::messages::{Message, Reply};
 use crate::{Asked, Stage, WhenCut};
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::sync::Arc;
 use tokio::time::{sleep, timeout, Instant};
 
--- a/crates/policy-consensus/src/node/mod.rs
+++ b/crates/policy-consensus/src/node/mod.rs
@@ -1,21 +1,21 @@
 //! A process of the fleet, as far as the book is concerned: what it knows, and the tasks that keep it true.
 
-mod cas;
-mod door;
-mod follow;
+mod proposer;
+mod admin;
+mod catch_up;
 mod join;
-mod renew;
+mod lease_renewal;
 mod serve;
-mod steward;
+mod leader;
 
-pub use door::{Refused, Seen, State};
+pub use admin::{Refused, Seen, State};
 
-use crate::grants::{Grants, Word};
+use crate::lease_table::{Grants, Word};
 use crate::messages::{words, Message, Reply};
-use crate::news::News;
-use crate::store::{self, Disk, Loaded};
+use crate::change_notifier::News;
+use crate::storage::{self, Disk, Loaded};
 use crate::{Acceptor, Ballot, Book, Digest, Durable, Head, InForce, Permit, Registered, Settings};
-use pinetrail_links::{Links, Net, Process};
+use pinetrail_peer_transport::{Links, Net, Process};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -104,7 +104,7 @@
             known: Mutex::default(),
             news: News::default(),
         });
-        links.heard_by(Arc::clone(&node) as Arc<dyn pinetrail_links::Heard>);
+        links.heard_by(Arc::clone(&node) as Arc<dyn pinetrail_peer_transport::Heard>);
         node
     }
 
@@ -120,7 +120,7 @@
 
     /// From now on it holds this founder's seat, with what that has on its disk.
     pub fn take_seat(&self, number: u8, mut disk: Box<dyn Disk>) -> io::Result<()> {
-        let durable = match store::load(&mut *disk, &self.fleet, number)? {
+        let durable = match storage::load(&mut *disk, &self.fleet, number)? {
             Loaded::Kept(durable) => *durable,
             found => {
                 if let Loaded::Aside(why) = found {
@@ -128,7 +128,7 @@
                 }
                 let memory = self.with_rng(|rng| rng.random());
                 let durable = Durable { memory, ..Durable::default() };
-                store::keep(&mut *disk, &self.fleet, number, &durable)?;
+                storage::keep(&mut *disk, &self.fleet, number, &durable)?;
                 durable
             }
         };
--- a/crates/policy-consensus/src/node/proposer.rs
+++ b/crates/policy-consensus/src/node/proposer.rs
@@ -4,7 +4,7 @@
 use super::Node;
 use crate::messages::{Message, Reply};
 use crate::{Ballot, Book, Conflict, Vote};
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -1,10 +1,10 @@
 //! What a process answers others.
 
 use super::{Known, Node, Seat};
-use crate::grants::Word;
+use crate::lease_table::Word;
 use crate::messages::{read, words, Message, Reply};
-use crate::{store, Ballot, Book, Durable, Head, Vote};
-use pinetrail_links::{Heard, Net, Process};
+use crate::{storage, Ballot, Book, Durable, Head, Vote};
+use pinetrail_peer_transport::{Heard, Net, Process};
 use std::collections::BTreeMap;
 use std::io;
 use std::time::Duration;
@@ -128,7 +128,7 @@
     /// A vote that may be said once the disk has what it owes to it.
     fn once_kept(&self, seat: &mut Seat, vote: Vote, owed: Option<Durable>) -> Vote {
         let Some(durable) = owed else { return vote };
-        match store::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
+        match storage::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
             Ok(()) => {
                 seat.acceptor.synced(durable);
                 vote
--- a/crates/policy-consensus/src/settings.rs
+++ b/crates/policy-consensus/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a process is told.
 
-use pinetrail_links::Process;
+use pinetrail_peer_transport::Process;
 use std::time::Duration;
 use thiserror::Error;
 
--- a/crates/policy-consensus/src/storage/file/tests.rs
+++ b/crates/policy-consensus/src/storage/file/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn a_folder_keeps_what_it_was_given_and_belongs_to_one_process() {
-    let path = std::env::temp_dir().join(format!("pinetrail-rulebook-{}", std::process::id()));
+    let path = std::env::temp_dir().join(format!("pinetrail-policy-consensus-{}", std::process::id()));
     let mut folder = Folder::take(path.clone()).unwrap();
     assert_eq!(folder.read().unwrap(), None);
     folder.replace(b"one").unwrap();
--- a/crates/policy-consensus/tests/simulated.rs
+++ b/crates/policy-consensus/tests/simulated.rs
@@ -1,8 +1,8 @@
 //! The tasks as they run in service, on simulated hosts and time.
 
-use pinetrail_world::rulebook::{play, play_seed, Fault, Plan, Verdict};
+use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, Plan, Verdict};
 
-fn good(plan: Plan) -> pinetrail_world::rulebook::Run {
+fn good(plan: Plan) -> pinetrail_simulation::policy_consensus::Run {
     let run = play(plan);
     assert_eq!(run.verdict, Verdict::Good, "{}", run.log.join("\n"));
     run
--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::Ledger;
 use crate::message::{Answer, Ask};
-use crate::seat::Seat;
+use crate::voter::Seat;
 use crate::settings::Settings;
 use crate::view::{Ballot, Process, View};
 use crate::Time;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -10,20 +10,20 @@
 
 #[cfg(test)]
 mod golden_tests;
-mod holder;
+mod lease;
 mod ledger;
 mod message;
-mod seat;
+mod voter;
 mod settings;
-mod shares;
-mod standing;
+mod quota_leases;
+mod leader_term;
 mod view;
 mod wire;
 
-pub use holder::Lease;
+pub use lease::Lease;
 pub use message::Message;
 pub use settings::{Bad, Settings, MOST_FOUNDERS};
-pub use shares::{Counts, News, Output, Shares};
+pub use quota_leases::{Counts, News, Output, Shares};
 pub use view::{Ballot, Process, View};
 pub use wire::{read, words, Unheard};
 
--- a/crates/quota/src/quota_leases.rs
+++ b/crates/quota/src/quota_leases.rs
@@ -1,10 +1,10 @@
 //! One process's shares: what comes in, what goes out, and what it may use now.
 
-use crate::holder::Lease;
+use crate::lease::Lease;
 use crate::message::{Answer, Ask, Grant, Message};
-use crate::seat::Seat;
+use crate::voter::Seat;
 use crate::settings::{Bad, Settings};
-use crate::standing::{Phase, Standing};
+use crate::leader_term::{Phase, Standing};
 use crate::view::Process;
 use crate::{Part, Time};
 use std::collections::BTreeSet;
--- a/crates/quota/tests/promises.rs
+++ b/crates/quota/tests/promises.rs
@@ -1,20 +1,20 @@
 //! What shares promise, by seeds of faults, by a model of every order of faults, and by hand.
 
-use pinetrail_shares::{News, LEASED, WHOLE};
-use pinetrail_world::model::Scope;
-use pinetrail_world::seeds;
-use pinetrail_world::shares::Sharing;
+use pinetrail_quota::{News, LEASED, WHOLE};
+use pinetrail_simulation::model::Scope;
+use pinetrail_simulation::seeds;
+use pinetrail_simulation::quota::Sharing;
 
 const HOSTS: usize = 5;
 
-/// Whatever a seed brings: see `pinetrail_world::seeds`. The lab plays more of them.
+/// Whatever a seed brings: see `pinetrail_simulation::seeds`. The lab plays more of them.
 #[test]
 fn under_faults_from_seeds_shares_add_up_to_one_at_the_most_and_all_have_theirs_in_the_end() {
     let wrong: Vec<String> = (0..200).filter_map(|seed| seeds::play(seed).err()).take(5).collect();
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
-/// In every order of faults, up to a bound: see `pinetrail_world::model`. The lab explores more.
+/// In every order of faults, up to a bound: see `pinetrail_simulation::model`. The lab explores more.
 #[test]
 fn in_every_order_of_faults_shares_add_up_and_come_back() {
     let found = Scope::new(2, 5, [1000, 1010, 990]).explore(2);
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of members in simulated time: processes that start, die, stop and go on, and the network between them.
 
 use crate::network::Network;
-use pinetrail_members::{Counts, Entry, Members, News, Output, Settings, Side, State, Time, Times};
+use pinetrail_membership::{Counts, Entry, Members, News, Output, Settings, Side, State, Time, Times};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/simulation/src/heartbeats.rs
+++ b/crates/simulation/src/heartbeats.rs
@@ -1,7 +1,7 @@
 //! The baseline: everybody sends a heartbeat to everybody, and has failed who is silent for a time.
 
 use crate::fleet::{place, Member};
-use pinetrail_members::{Entry, News, Output, State, Time};
+use pinetrail_membership::{Entry, News, Output, State, Time};
 use std::net::SocketAddr;
 
 /// One member of the baseline.
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod model;
 pub mod network;
 pub mod origin;
-pub mod rulebook;
+pub mod policy_consensus;
 pub mod seeds;
-pub mod shares;
+pub mod quota;
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -2,7 +2,7 @@
 //! bound. Three founders share, from the moment on at which all have their leases. What is sent arrives at once unless a
 //! fault has it lost, held back, or arrive twice.
 
-use pinetrail_shares::{Message, Output, Part, Process, Settings, Shares, Time, LEASED, WHOLE};
+use pinetrail_quota::{Message, Output, Part, Process, Settings, Shares, Time, LEASED, WHOLE};
 use stateright::{Checker, Expectation, Model, Property};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -1,6 +1,6 @@
 //! A network for datagrams: what is lost, how long the rest takes, and which ways are cut.
 
-use pinetrail_members::Time;
+use pinetrail_membership::Time;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use std::collections::BTreeSet;
--- a/crates/simulation/src/policy_consensus/judge.rs
+++ b/crates/simulation/src/policy_consensus/judge.rs
@@ -3,7 +3,7 @@
 use super::host::lock;
 use super::plan::Plan;
 use super::Run;
-use pinetrail_rulebook::Outcome;
+use pinetrail_policy_consensus::Outcome;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
--- a/crates/simulation/src/policy_consensus/net.rs
+++ b/crates/simulation/src/policy_consensus/net.rs
@@ -1,6 +1,6 @@
 //! The simulated network.
 
-use pinetrail_links::Net;
+use pinetrail_peer_transport::Net;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use turmoil::net::{TcpListener, TcpStream};
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -2,7 +2,7 @@
 //! and an eye on what they use together.
 
 use crate::network::Network;
-use pinetrail_shares::{Message, News, Output, Part, Process, Settings, Shares, Time};
+use pinetrail_quota::{Message, News, Output, Part, Process, Settings, Shares, Time};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -1,7 +1,7 @@
 //! Shares under faults drawn from a seed, and what must hold of them.
 
-use crate::shares::{Clock, Sharing};
-use pinetrail_shares::{Process, LEASED, WHOLE};
+use crate::quota::{Clock, Sharing};
+use pinetrail_quota::{Process, LEASED, WHOLE};
 use rand::RngExt;
 
 const HOSTS: usize = 5;
--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -1,6 +1,6 @@
 //! A party whose every step the test takes itself: when a connection comes up, what is read on it, and what is said.
 
-use crate::parties::request;
+use crate::stub_server::request;
 use crate::WAIT;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, ErrorKind, Read, Write};
--- a/crates/test-harness/src/client.rs
+++ b/crates/test-harness/src/client.rs
@@ -1,6 +1,6 @@
 //! Who talks to a proxy: consumers, and operators at the door.
 
-use crate::witness::Witness;
+use crate::recorder::Witness;
 use crate::WAIT;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for discovery.
 
-use crate::parties::request;
-use crate::witness::Witness;
+use crate::stub_server::request;
+use crate::recorder::Witness;
 use crate::WAIT;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/test-harness/src/fleet.rs
+++ b/crates/test-harness/src/fleet.rs
@@ -3,10 +3,10 @@
 use crate::client::{call, Client};
 use crate::config::config;
 use crate::discovery::{catalog, Steady};
-use crate::links::LinkRelays;
-use crate::parties::Party;
+use crate::peer_fault_proxy::LinkRelays;
+use crate::stub_server::Party;
 use crate::process::{signal, start_in, written};
-use crate::relays::Relays;
+use crate::fault_proxy::Relays;
 use crate::script::{Fault, Script};
 use crate::streams::Stream;
 use crate::{Timeline, WAIT};
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -7,26 +7,26 @@
 mod config;
 mod discovery;
 pub mod fleet;
-mod links;
-mod parties;
+mod peer_fault_proxy;
+mod stub_server;
 pub mod policy;
 mod process;
-pub mod relays;
-mod scene;
+pub mod fault_proxy;
+mod proxy_fixture;
 pub mod script;
 mod streams;
 mod timeline;
-mod turnstile;
-pub mod witness;
+mod barrier;
+pub mod recorder;
 
 pub use client::{call, say_to_door, Client};
 pub use config::config;
 pub use discovery::{catalog, Discovery, Steady};
-pub use parties::{http_200, opaque, Does, Party};
+pub use stub_server::{http_200, opaque, Does, Party};
 pub use process::{end, program, signal, start};
-pub use scene::Scene;
+pub use proxy_fixture::Scene;
 pub use timeline::Timeline;
-pub use turnstile::{Caller, Turnstile};
+pub use barrier::{Caller, Turnstile};
 
 use std::time::Duration;
 
--- a/crates/test-harness/src/peer_fault_proxy.rs
+++ b/crates/test-harness/src/peer_fault_proxy.rs
@@ -1,7 +1,7 @@
 //! Relays for connections between the members of a fleet, on the same ways as their datagrams: by the sender's own address
 //! it is known whose way a connection takes.
 
-use crate::relays::Look;
+use crate::fault_proxy::Look;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
--- a/crates/test-harness/src/policy.rs
+++ b/crates/test-harness/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::client::{call, say_to_door, Client};
 use crate::fleet::Fleet;
 use crate::script::Script;
-use pinetrail_histories::{judge_policies, Decided};
+use pinetrail_history_checker::{judge_policies, Decided};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -3,9 +3,9 @@
 use crate::client::Client;
 use crate::config::config;
 use crate::discovery::{catalog, Discovery};
-use crate::parties::Party;
+use crate::stub_server::Party;
 use crate::process::{end, signal, start_in, started, written};
-use crate::witness::Witness;
+use crate::recorder::Witness;
 use crate::{call, WAIT};
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -1,7 +1,7 @@
 //! Writes down what the rig sees of a proxy from outside: what consumers, cache nodes, the origin and discovery
 //! sent and got. Each test has its own; all that it makes writes to it.
 
-use pinetrail_histories::{
+use pinetrail_history_checker::{
     judge, judge_shares, Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State,
     Time,
 };
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -1,6 +1,6 @@
 //! What a proxy calls: stand-ins for cache nodes and the origin, on ephemeral loopback ports.
 
-use crate::witness::Witness;
+use crate::recorder::Witness;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -3,7 +3,7 @@
 
 use super::codec::{call, Call, Said, MAX_BODY, MAX_HEAD};
 use super::refused;
-use crate::net::exchange::NotHeld;
+use crate::net::dispatcher::NotHeld;
 
 fn written(said: &Said) -> String {
     String::from_utf8(said.words()).unwrap()
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -6,13 +6,13 @@
 mod golden_tests;
 
 use super::descriptors::DOOR_CALLS;
-use super::exchange::{Exchange, NotHeld};
+use super::dispatcher::{Exchange, NotHeld};
 use super::lifecycle::{Lifecycle, Stopping};
-use super::link::{sleep, Link};
-use super::listen::{Listener, Stream};
+use super::deadline_stream::{sleep, Link};
+use super::listener::{Listener, Stream};
 use super::log::log;
 use super::policy::Policy;
-use super::takeover::Ordered;
+use super::hot_restart::Ordered;
 use codec::{Call, Said};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -42,7 +42,7 @@
 impl Door {
     /// Opens the door; callers wait until it is served.
     pub fn open(address: SocketAddr) -> io::Result<Arc<Door>> {
-        let listener = Listener::new(super::listen::open(address)?)?;
+        let listener = Listener::new(super::listener::open(address)?)?;
         Ok(Arc::new(Door { listener, waiting: Mutex::default(), open: Mutex::new(0) }))
     }
 
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -1,18 +1,18 @@
 //! The provider side: makes the invoker calls that the exchange orders, one coroutine each, and reports
 //! how each ended. It decides nothing; it sends nothing twice.
 
-mod answer;
+mod response;
 mod pool;
 
 use super::counters::Counters;
 use super::descriptors::Descriptors;
-use super::exchange::{Call, CallId, Exchange, Order};
-use super::flow;
-use super::http;
-use super::link::sleep;
-use super::memcache;
+use super::dispatcher::{Call, CallId, Exchange, Order};
+use super::body_stream;
+use super::codec::http;
+use super::deadline_stream::sleep;
+use super::codec::memcache;
 use crate::interface::Outcome;
-use answer::{understand, Answered, End, Long, Understood};
+use response::{understand, Answered, End, Long, Understood};
 use may::sync::mpsc::Receiver;
 use pool::{Connection, NoConnection, Pool, Rest};
 use std::io::ErrorKind;
@@ -184,7 +184,7 @@
 
     /// Passes a long value on as it comes; `bytes` has its head and its beginning.
     fn flow(&self, call: &Call, connection: Connection, mut bytes: Vec<u8>, long: &Long) -> End {
-        let (source, sink) = flow::window();
+        let (source, sink) = body_stream::window();
         if !self.exchange.call_flows(call.id, long.length, sink) {
             return Outcome::Cancelled.into();
         }
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::ServerId;
 use crate::net::descriptors::{Descriptors, ProviderDescriptor};
-use crate::net::link::Link;
+use crate::net::deadline_stream::Link;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -2,9 +2,9 @@
 
 use crate::interface::Outcome;
 use crate::net::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
-use crate::net::exchange::{Call, Payload};
-use crate::net::http::{self, Body};
-use crate::net::memcache::{self, Reply};
+use crate::net::dispatcher::{Call, Payload};
+use crate::net::codec::http::{self, Body};
+use crate::net::codec::memcache::{self, Reply};
 
 /// A long value flows once so many bytes of it have come.
 const FLOWS_FROM: usize = 4 * 1024;
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -3,12 +3,12 @@
 use super::{Connection, Pending, Stage, INVOCATION_SIZE};
 use crate::interface::RequestId;
 use crate::net::codec::{Parsed, MAX_VALUE};
-use crate::net::consumer::invocation::invocation;
-use crate::net::exchange::{Answer, Invocation, NotTaken, Reply};
-use crate::net::link::{has_hung_up, read_now, sleep};
-use crate::net::memcache::{self, Command};
+use crate::net::client::request::invocation;
+use crate::net::dispatcher::{Answer, Invocation, NotTaken, Reply};
+use crate::net::deadline_stream::{has_hung_up, read_now, sleep};
+use crate::net::codec::memcache::{self, Command};
 use crate::net::memory::Held;
-use pinetrail_rulebook::Admission;
+use pinetrail_policy_consensus::Admission;
 use std::io::{self, ErrorKind};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -1,8 +1,8 @@
 //! What goes out on a consumer connection: answers, in the order of their commands.
 
 use super::{Connection, INVOCATION_SIZE};
-use crate::net::flow::{Taken, WINDOW};
-use crate::net::memcache;
+use crate::net::body_stream::{Taken, WINDOW};
+use crate::net::codec::memcache;
 use std::io::{self, ErrorKind, Write};
 use std::sync::{Arc, PoisonError};
 
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -1,21 +1,21 @@
 //! The consumer side: accepts connections, takes invocations in and answers them, in the order of each
 //! connection's commands. One coroutine a connection both reads and writes. Who keeps its place, and for how
-//! long, is decided by [`pinetrail_places::Places`].
+//! long, is decided by [`pinetrail_connection_limits::Places`].
 
 mod connection;
-mod invocation;
+mod request;
 
 use super::counters::Counters;
 use super::descriptors::Descriptors;
 use super::drain::SendAway;
-use super::exchange::Exchange;
-use super::link::sleep;
-use super::listen::{Listener, Stream};
+use super::dispatcher::Exchange;
+use super::deadline_stream::sleep;
+use super::listener::{Listener, Stream};
 use super::log::log;
 use super::memory::Memory;
 use connection::Connection;
 use may::io::{WaitIo, WaitIoWaker};
-use pinetrail_places::{Id, Limits, Order, Phase, Places, Reason, Seq};
+use pinetrail_connection_limits::{Id, Limits, Order, Phase, Places, Reason, Seq};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -1,6 +1,6 @@
 //! A command of the memcache side in the exchange's terms.
 
-use crate::net::exchange::{Exchange, Invocation};
+use crate::net::dispatcher::{Exchange, Invocation};
 
 /// A consumer that would wait for longer is answered within this time all the same.
 const LONGEST_WAIT_MS: f64 = 60_000.0;
--- a/src/net/codec/http.rs
+++ b/src/net/codec/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 as the origin and discovery speak it: requests out, responses in. Strict and bounded.
 
-use super::codec::{Parsed, Parsed::*};
+use super::{Parsed, Parsed::*};
 use std::fmt::Write;
 
 /// The longest head of a response.
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -1,8 +1,8 @@
 //! The meta commands of the memcache text protocol, as consumers and cache nodes speak them: bytes in,
 //! commands and replies out. Strict and bounded; it never waits and never panics on input.
 
-use super::codec::{Parsed, Parsed::*, MAX_ANSWER, MAX_VALUE};
-use super::exchange::{Answer, Payload};
+use super::{Parsed, Parsed::*, MAX_ANSWER, MAX_VALUE};
+use crate::net::dispatcher::{Answer, Payload};
 
 /// The longest line, its end included.
 pub const MAX_LINE: usize = 2048;
--- a/src/net/codec/mod.rs
+++ b/src/net/codec/mod.rs
@@ -16,3 +16,6 @@
     /// What is wrong, and how many bytes to skip; none if the connection cannot go on.
     Malformed(&'static str, Option<usize>),
 }
+
+pub mod http;
+pub mod memcache;
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -2,8 +2,8 @@
 
 use super::{address, ConfigError};
 use crate::net::fleet::{FleetConfig, SharesConfig};
-use pinetrail_members::{Settings, Times};
-use pinetrail_shares as shares;
+use pinetrail_membership::{Settings, Times};
+use pinetrail_quota as shares;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Config, Limits};
 use crate::settings::{Effect, Scope};
-use pinetrail_rulebook::WhenCut;
+use pinetrail_policy_consensus::WhenCut;
 use serde_json::Value;
 use std::fmt::Debug;
 use std::net::SocketAddr;
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -2,7 +2,7 @@
 
 use super::{address, ConfigError};
 use crate::net::policy::PolicyConfig;
-use pinetrail_rulebook::{Seats, Times, WhenCut};
+use pinetrail_policy_consensus::{Seats, Times, WhenCut};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,7 +1,7 @@
 //! The descriptors that consumers and providers share, counted as they are taken. What each side may take is
-//! decided by [`pinetrail_places::Split`].
+//! decided by [`pinetrail_connection_limits::Split`].
 
-use pinetrail_places::Split;
+use pinetrail_connection_limits::Split;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -7,8 +7,8 @@
 
 use super::config::{Catalog, Instance};
 use super::counters::Counters;
-use super::exchange::Exchange;
-use super::link::{sleep, Link};
+use super::dispatcher::Exchange;
+use super::deadline_stream::{sleep, Link};
 use super::log::log;
 use crate::interface::ListForm;
 use budget::Waits;
--- a/src/net/dispatcher/golden_tests.rs
+++ b/src/net/dispatcher/golden_tests.rs
@@ -2,7 +2,7 @@
 //! upgrade. The older process runs the released program: a key that changes here ends upgrades
 //! without a break, or loses what is held out. All texts were recorded before any renaming.
 
-use super::held_out::{HeldOut, Neighbour, Nodes, NotHeld};
+use super::maintenance::{HeldOut, Neighbour, Nodes, NotHeld};
 use crate::interface::ListForm;
 use crate::net::config::Instance;
 
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -1,7 +1,7 @@
 //! What the sides of the proxy hand to the exchange and get from it, in no protocol's form.
 
 use crate::interface::{RequestId, ServerId, Time};
-use crate::net::flow::Sink;
+use crate::net::body_stream::Sink;
 use std::sync::Arc;
 use std::time::Instant;
 
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -5,15 +5,15 @@
 mod clock;
 #[cfg(test)]
 mod golden_tests;
-mod held_out;
+mod maintenance;
 mod ids;
-mod listed;
+mod endpoint;
 mod messages;
 
 use super::config::{Instance, Names};
 use super::counters::Counters;
-use super::flow::Sink;
-use super::guard::{self, Guarded};
+use super::body_stream::Sink;
+use super::timer::{self, Guarded};
 use super::log::log;
 use crate::interface::{
     Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, Share, State, Time,
@@ -21,13 +21,13 @@
 use crate::logic::Balancer;
 use crate::settings::Settings;
 use clock::Clock;
-use held_out::HeldOut;
-pub use held_out::{Neighbour, Nodes, NotHeld};
+use maintenance::HeldOut;
+pub use maintenance::{Neighbour, Nodes, NotHeld};
 use ids::{key_number, ProviderIds};
-use listed::{provider, Provider};
+use endpoint::{provider, Provider};
 use may::sync::mpsc::Sender;
 pub use messages::{Answer, Call, CallId, Invocation, NotTaken, Order, Payload, Reply};
-use pinetrail_rulebook::{Admission, Permit};
+use pinetrail_policy_consensus::{Admission, Permit};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -571,7 +571,7 @@
             Effect::Timer(delay, token) => {
                 let exchange = Arc::clone(self);
                 may::go!(move || {
-                    guard::sleep(delay);
+                    timer::sleep(delay);
                     exchange.step(exchange.lock(), Event::Timer(token));
                 });
             }
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -3,9 +3,9 @@
 //! were recorded before any renaming.
 
 use super::report::{names, report, sum, words};
-use super::sharing::{Seen, Sharing};
+use super::quota::{Seen, Sharing};
 use super::SharesConfig;
-use pinetrail_members::{Counts, Entry, Members, News, Output, Settings, Side, State, Times};
+use pinetrail_membership::{Counts, Entry, Members, News, Output, Settings, Side, State, Times};
 use std::net::SocketAddr;
 
 /// Unix milliseconds.
@@ -59,7 +59,7 @@
 
 fn shares() -> SharesConfig {
     let founders = vec![address(7101), address(7102), address(7103)];
-    let settings = pinetrail_shares::Settings::usual(founders, 4);
+    let settings = pinetrail_quota::Settings::usual(founders, 4);
     SharesConfig { settings, whole: [100.0, 50.0] }
 }
 
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -1,18 +1,18 @@
-//! What proxies of a fleet tell each other: the driver of `pinetrail-members`. It owns one UDP socket and the wait for
+//! What proxies of a fleet tell each other: the driver of `pinetrail-membership`. It owns one UDP socket and the wait for
 //! what is due next; what is said and believed is decided by the core. Without `fleet` in the configuration there is none.
 
 #[cfg(test)]
 mod golden_tests;
 mod report;
-mod sharing;
+mod quota;
 
-use super::link::sleep;
+use super::deadline_stream::sleep;
 use super::log::log;
 use super::policy::PolicyConfig;
-use super::{counters, guard};
+use super::{counters, timer};
 use may::io::{CoIo, WaitIo};
-use pinetrail_members::{Counts, Members, Output, Settings, State, Time, MAX_DATAGRAM};
-use sharing::{Seen, Sharing};
+use pinetrail_membership::{Counts, Members, Output, Settings, State, Time, MAX_DATAGRAM};
+use quota::{Seen, Sharing};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct SharesConfig {
     /// For the core.
-    pub settings: pinetrail_shares::Settings,
+    pub settings: pinetrail_quota::Settings,
     /// Calls in flight of all together, at one node and at the origin; infinite if not told.
     pub whole: [f64; 2],
 }
@@ -79,7 +79,7 @@
 
 impl Speaking {
     /// Does what is due about shares, and hears what was said of them; what the decision module is to be told.
-    fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<sharing::Share> {
+    fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<quota::Share> {
         let sharing = self.sharing.as_mut()?;
         let mut told = None;
         // Most datagrams are not about shares.
@@ -188,8 +188,8 @@
     /// Until it is granted more a process has its base.
     fn tell_base(&self) {
         if let Some(shares) = &self.config().shares {
-            let base = shares.settings.base() as f64 / pinetrail_shares::WHOLE as f64;
-            self.say(sharing::Share { part: base, until: 0, base, whole: shares.whole });
+            let base = shares.settings.base() as f64 / pinetrail_quota::WHOLE as f64;
+            self.say(quota::Share { part: base, until: 0, base, whole: shares.whole });
         }
     }
 
@@ -203,9 +203,9 @@
     }
 
     /// Danger: said with the stand locked, so that an older share is never told after a newer one.
-    fn say(&self, share: sharing::Share) {
+    fn say(&self, share: quota::Share) {
         let others = self.others(share.base);
-        let sharing::Share { part, until, base, whole } = share;
+        let quota::Share { part, until, base, whole } = share;
         let ends = self.began + Duration::from_millis(until);
         (self.tell)(Share { part: part - others, ends, base: base - others, whole });
     }
@@ -405,7 +405,7 @@
             self.with(|members, out| members.due(now, out));
             let next = self.next_due();
             let wait = Duration::from_millis(next.map_or(u64::MAX, |next| next.saturating_sub(self.now())));
-            guard::sleep(wait.clamp(Duration::from_millis(1), LONGEST_SLEEP));
+            timer::sleep(wait.clamp(Duration::from_millis(1), LONGEST_SLEEP));
         }
     }
 
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -3,8 +3,8 @@
 
 use super::SharesConfig;
 use crate::net::log::log;
-use pinetrail_members::{Members, Output as Told, Time};
-use pinetrail_shares::{read, words, Counts, News, Output, Process, Shares, Unheard, WHOLE};
+use pinetrail_membership::{Members, Output as Told, Time};
+use pinetrail_quota::{read, words, Counts, News, Output, Process, Shares, Unheard, WHOLE};
 use serde::Serialize;
 
 /// This process's share, by the fleet's clock.
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -1,7 +1,7 @@
 //! What operators see of a fleet: JSON at the door, lines of the log, counters.
 
-use super::sharing::Seen;
-use pinetrail_members::{Counts, Entry, Members, News, State};
+use super::quota::Seen;
+use pinetrail_membership::{Counts, Entry, Members, News, State};
 use serde::Serialize;
 use std::net::SocketAddr;
 
--- a/src/net/hot_restart/golden_tests.rs
+++ b/src/net/hot_restart/golden_tests.rs
@@ -3,8 +3,8 @@
 //! changes here ends upgrades without a break. All texts were recorded before any renaming.
 
 use super::messages::{Inbox, Message, Ordered, Share, VERSION};
-use super::place::Place;
-use crate::net::exchange::Nodes;
+use super::socket::Place;
+use crate::net::dispatcher::Nodes;
 
 const NODES: &str = concat!(
     r#"{"told":[{"instanceId":"a","hostPort":"127.0.0.1:7001","zone":"east","#,
--- a/src/net/hot_restart/messages.rs
+++ b/src/net/hot_restart/messages.rs
@@ -1,6 +1,6 @@
 //! What two processes of one proxy tell each other: JSON objects, one a line.
 
-use crate::net::exchange::Nodes;
+use crate::net::dispatcher::Nodes;
 use serde::{Deserialize, Serialize};
 
 /// Processes of other versions are not understood.
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -4,17 +4,17 @@
 #[cfg(test)]
 mod golden_tests;
 mod messages;
-mod place;
+mod socket;
 
 pub use messages::{Ordered, Share};
 
-use super::exchange::Nodes;
-use super::link::{sleep, Link};
-use super::listen::Listener;
+use super::dispatcher::Nodes;
+use super::deadline_stream::{sleep, Link};
+use super::listener::Listener;
 use super::log::log;
 use may::io::{CoIo, WaitIo};
 use messages::{Inbox, Message, VERSION};
-use place::Place;
+use socket::Place;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -107,12 +107,12 @@
     let Some(mut stream) = Place::of(clients).and_then(|place| place.connect()).map_err(failed)? else {
         return Ok(None);
     };
-    if !place::is_trusted(&stream) {
+    if !socket::is_trusted(&stream) {
         return Err("take over: the running process is another user's".to_owned());
     }
     stream.set_read_timeout(Some(GIVEN_WITHIN)).map_err(failed)?;
     stream.write_all(&Message::Ask(VERSION).line()).map_err(failed)?;
-    let (first, socket) = place::take(&stream).map_err(failed)?;
+    let (first, socket) = socket::take(&stream).map_err(failed)?;
     // Nothing is passed with a refusal, whose first byte this then is.
     let mut inbox = Inbox(if socket.is_some() { Vec::new() } else { vec![first] });
     let mut room = [0; 4096];
@@ -225,7 +225,7 @@
     fn accept(self: &Arc<Self>, listener: &CoIo<UnixListener>, host: &Arc<dyn Host>) {
         loop {
             match listener.inner().accept() {
-                Ok((stream, _)) if place::is_trusted(&stream) => {
+                Ok((stream, _)) if socket::is_trusted(&stream) => {
                     let Ok(socket) = CoIo::new(stream) else { continue };
                     let (side, host) = (Arc::clone(self), Arc::clone(host));
                     may::go!(move || side.meet(&Arc::new(socket), &host));
@@ -270,7 +270,7 @@
         match host.give() {
             Some((listener, nodes)) => {
                 let given = Message::Give(nodes, host.share(false)).line();
-                let passed = place::pass(socket.inner(), listener.socket());
+                let passed = socket::pass(socket.inner(), listener.socket());
                 host.partner(Partner::Starting);
                 if passed.and_then(|()| wire.write(&given, Instant::now() + GIVEN_WITHIN)).is_ok() {
                     let (side, sharing) = (Arc::clone(self), Arc::clone(host));
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -3,7 +3,7 @@
 
 use crate::net::descriptors::Descriptors;
 use crate::net::memory::Memory;
-use crate::net::takeover::Share;
+use crate::net::hot_restart::Share;
 use std::sync::Arc;
 
 /// So many descriptors and bytes are left to a newcomer at the least. Danger: with none it could serve nobody.
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -1,10 +1,10 @@
 //! What the other process of this proxy may ask of this one, and is told of it.
 
 use super::Lifecycle;
-use crate::net::exchange::Nodes;
-use crate::net::listen::Listener;
+use crate::net::dispatcher::Nodes;
+use crate::net::listener::Listener;
 use crate::net::log::log;
-use crate::net::takeover::{Host, Ordered, Partner, Share};
+use crate::net::hot_restart::{Host, Ordered, Partner, Share};
 use std::sync::Arc;
 
 impl Host for Lifecycle {
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -2,23 +2,23 @@
 
 mod budget;
 mod host;
-mod stand;
+mod state;
 
 use super::admin::Door;
 use super::config::Config;
-use super::consumer::ConsumerSide;
+use super::client::ConsumerSide;
 use super::counters::Counters;
 use super::descriptors::{self, Descriptors};
 use super::discovery::{Discovery, Target};
 use super::drain::{Drain, SendAway};
-use super::exchange::Exchange;
+use super::dispatcher::Exchange;
 use super::fleet::{self, Fleet};
-use super::listen;
+use super::listener;
 use super::log::{log, print};
 use super::memory::Memory;
 use super::policy::{Policy, PolicyConfig};
-use super::provider::ProviderSide;
-use super::takeover::{self, Given, Host, Partner, Share, Takeover};
+use super::backend::ProviderSide;
+use super::hot_restart::{self, Given, Host, Partner, Share, Takeover};
 use crate::interface;
 use crate::settings::Settings;
 use budget::Budget;
@@ -26,8 +26,8 @@
 use may::sync::mpsc::channel;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
-pub use stand::Phase;
-use stand::Stand;
+pub use state::Phase;
+use state::Stand;
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -156,7 +156,7 @@
         // Before anything listens: a signal is never answered by death.
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
         let mut config = Config::from_env()?;
-        let given = takeover::ask(config.listen)?;
+        let given = hot_restart::ask(config.listen)?;
         let Some(sides) = self.start(&config, given, &mut signals)? else {
             log("asked to stop before it was ready");
             self.fleet().into_iter().for_each(|fleet| fleet.leave());
@@ -325,7 +325,7 @@
         }
         let socket = match &given {
             Some(given) => given.socket.try_clone()?,
-            None => listen::open(config.listen)
+            None => listener::open(config.listen)
                 .map_err(|error| format!("listen on {}: {error}", config.listen))?,
         };
         let consumers =
--- a/src/net/lifecycle/state.rs
+++ b/src/net/lifecycle/state.rs
@@ -1,7 +1,7 @@
 //! The phases of the program, as named states of one object. It decides which holds; it does nothing.
 
 use crate::net::log::log;
-use crate::net::takeover::Partner;
+use crate::net::hot_restart::Partner;
 
 /// Where the program stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -1,8 +1,8 @@
 //! What operators ask about the fleet's policy, and how they are answered. They are answered within a second, whatever is cut.
 
 use super::{text, Policy};
-use crate::net::link::sleep;
-use pinetrail_rulebook::{Conflict, Outcome, Refused, Seen, State};
+use crate::net::deadline_stream::sleep;
+use pinetrail_policy_consensus::{Conflict, Outcome, Refused, Seen, State};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::future::Future;
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -2,12 +2,12 @@
 
 use super::{digest, text};
 use crate::net::config::{nearest, Rules};
-use crate::net::exchange::Exchange;
+use crate::net::dispatcher::Exchange;
 use crate::net::log::log;
-use crate::net::provider::ProviderSide;
+use crate::net::backend::ProviderSide;
 use pinetrail_drift::Approved;
-use pinetrail_links::Process;
-use pinetrail_rulebook::InForce;
+use pinetrail_peer_transport::Process;
+use pinetrail_policy_consensus::InForce;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -2,11 +2,11 @@
 //! process that does not speak in the fleet (it is being upgraded, or is the newcomer) dials all that it knows, and holds no seat.
 
 use super::PolicyConfig;
-use crate::net::exchange::Neighbour;
+use crate::net::dispatcher::Neighbour;
 use crate::net::fleet::{Fleet, There};
 use crate::net::log::log;
-use pinetrail_links::{Peer, Process, Sockets};
-use pinetrail_rulebook::{Folder, Node};
+use pinetrail_peer_transport::{Peer, Process, Sockets};
+use pinetrail_policy_consensus::{Folder, Node};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
--- a/src/net/policy/drift.rs
+++ b/src/net/policy/drift.rs
@@ -1,13 +1,13 @@
 //! What each process of the fleet has in force against what was approved: each tells all others, and each can answer. The alarm is
 //! raised by the steward of shares, an office by votes that end by themselves: at most one process holds it.
 
-use super::app::App;
+use super::applier::App;
 use super::digest;
 use crate::net::fleet::Fleet;
 use crate::net::log::log;
 use pinetrail_drift::{Alarm, Alarms, Report, Stands, State as Stand, Table, Times, Word};
-use pinetrail_links::Sockets;
-use pinetrail_rulebook::{InForce, Node, State};
+use pinetrail_peer_transport::Sockets;
+use pinetrail_policy_consensus::{InForce, Node, State};
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -1,24 +1,24 @@
-//! One policy for the fleet: the driver of `pinetrail-rulebook`. It owns a thread on which the links and the book run (tokio),
+//! One policy for the fleet: the driver of `pinetrail-policy-consensus`. It owns a thread on which the links and the book run (tokio),
 //! and says who is linked where; what is agreed is put in force at the exchange. Without `fleet.policy` there is none of it.
 
-mod app;
+mod applier;
 mod digest;
 mod directory;
-pub mod door;
+pub mod admin;
 mod drift;
 #[cfg(test)]
 mod golden_tests;
 mod text;
 
-use super::exchange::{Exchange, Neighbour};
+use super::dispatcher::{Exchange, Neighbour};
 use super::fleet::Fleet;
 use super::log::log;
-use super::provider::ProviderSide;
-use app::App;
+use super::backend::ProviderSide;
+use applier::App;
 use directory::Directory;
 use drift::Drift;
-use pinetrail_links::{Links, Process, Sockets, Times as LinkTimes};
-use pinetrail_rulebook::{InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
+use pinetrail_peer_transport::{Links, Process, Sockets, Times as LinkTimes};
+use pinetrail_policy_consensus::{InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -1,6 +1,6 @@
 //! Time limits on waits that something else may end first: no timer long outlives what it guards.
 
-use super::link::whole_ms;
+use super::deadline_stream::whole_ms;
 use may::coroutine;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,9 +1,9 @@
 //! A fleet on a clock of its own: several decision modules that share nothing, cache nodes, an origin, consumers,
 //! and faults from a seed. What can be seen of it from outside goes onto a tape.
 
-use super::tape::Tape;
+use super::recorded_events::Tape;
 use super::*;
-use pinetrail_histories::{Answer, History, Process, Seen};
+use pinetrail_history_checker::{Answer, History, Process, Seen};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -347,7 +347,7 @@
             Fault::Gone(server) => self.change(Member { state: State::Gone, ..member(server) }),
             Fault::Restart(server) => {
                 *self.here(server) = Station::default();
-                let place = tape::place(server);
+                let place = recorded_events::place(server);
                 self.tape.write(now, Seen::Started { place, capacity: CAPACITY });
                 self.change(Member { started: now, ..member(server) });
             }
@@ -378,7 +378,7 @@
     fn start(&mut self, proxy: usize, list: Vec<Member>) {
         let state = &mut self.proxies[proxy];
         (state.balancer, state.alive) = (balancer(proxy, state.life), true);
-        let (life, figures) = (state.life, tape::figures());
+        let (life, figures) = (state.life, recorded_events::figures());
         self.tape.write(self.now, Seen::InForce { proxy: name(proxy), figures });
         self.tape.tell(self.now, &name(proxy), true, &list);
         self.feed(proxy, life, Event::Members(ListForm::Full, list));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
-pub mod tape;
+pub mod recorded_events;
 
 use pinetrail::interface::*;
 use pinetrail::logic::Balancer;
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -2,8 +2,8 @@
 
 use super::{settings_json, CLASSES};
 use pinetrail::interface::{Member, Outcome, ServerId, State, Time};
-use pinetrail_histories as seen;
-use pinetrail_histories::{Class, Effect, End, Figures, History, Node, Scope, Seen};
+use pinetrail_history_checker as seen;
+use pinetrail_history_checker::{Class, Effect, End, Figures, History, Node, Scope, Seen};
 
 /// Events, in the order in which they were seen. Of a call nothing is seen where no connection came about: its
 /// place is kept until its end is known.
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -1,9 +1,9 @@
 //! What each of several real processes has in force against what was approved, under faults between them.
 
 use crate::policy::{governed, has};
-use pinetrail_rig::fleet::Fleet;
-use pinetrail_rig::policy::{ask, settings};
-use pinetrail_rig::say_to_door;
+use pinetrail_test_harness::fleet::Fleet;
+use pinetrail_test_harness::policy::{ask, settings};
+use pinetrail_test_harness::say_to_door;
 use serde_json::json;
 
 /// How a member's door sees another, and the parts that differ.
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -1,9 +1,9 @@
 //! The hard cases of a membership, with real processes. The same in simulated time, over many seeds, are in
-//! `crates/members/tests/hard_cases.rs`.
+//! `crates/membership/tests/hard_cases.rs`.
 
 use crate::{failures, met, ms, nodes, origin, ALL};
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::script::Script;
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::script::Script;
 use std::collections::BTreeSet;
 use std::net::UdpSocket;
 use std::thread::sleep;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,11 +5,11 @@
 mod off;
 mod operators;
 mod policy;
-mod shares;
+mod quota;
 mod upgrades;
 
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::{http_200, Party};
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::{http_200, Party};
 use std::time::Duration;
 
 const ALL: [usize; 5] = [0, 1, 2, 3, 4];
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -1,8 +1,8 @@
 //! Without `fleet` there is none.
 
 use crate::{nodes, origin};
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::{call, end, start};
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::{call, end, start};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -1,7 +1,7 @@
 //! What operators see of a fleet, and order.
 
 use crate::{met, nodes, origin};
-use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_test_harness::fleet::{Fleet, Options};
 
 #[test]
 fn the_door_tells_of_every_member_in_the_order_of_names() {
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -1,9 +1,9 @@
 //! One policy for a fleet of real processes, with faults between them: judged by what clients were answered.
 
 use crate::{ms, nodes, origin};
-use pinetrail_rig::call;
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::policy::{ask, now, outcome, play_hangups, play_seed, propose, settings, standing, Watch};
+use pinetrail_test_harness::call;
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::policy::{ask, now, outcome, play_hangups, play_seed, propose, settings, standing, Watch};
 use serde_json::json;
 use std::time::Instant;
 
@@ -363,7 +363,7 @@
         (with(&|fleet| fleet["size"] = json!(200)), "limits.sockets"),
     ];
     for (config, names) in bad {
-        let output = pinetrail_rig::end(pinetrail_rig::start(&config.to_string()));
+        let output = pinetrail_test_harness::end(pinetrail_test_harness::start(&config.to_string()));
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
         assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
         assert!(said.contains(names), "{names}: {said}");
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -1,10 +1,10 @@
 //! Shares of several real processes under faults between them: what their doors say, and what the stand-in nodes count.
 
 use crate::{met, ms, nodes, origin, ALL};
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::script::Script;
-use pinetrail_rig::witness::Witness;
-use pinetrail_rig::{Does, Party};
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::script::Script;
+use pinetrail_test_harness::recorder::Witness;
+use pinetrail_test_harness::{Does, Party};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, sleep};
 
@@ -142,7 +142,7 @@
     let node = || {
         Party::node(|line| {
             sleep(ms(40));
-            Does::Says(format!("VA 1 {} h1\r\nv\r\n", pinetrail_rig::opaque(line)))
+            Does::Says(format!("VA 1 {} h1\r\nv\r\n", pinetrail_test_harness::opaque(line)))
         })
     };
     let options = Options { node_calls: Some(NODE_CALLS), ..sharing(5) };
@@ -159,7 +159,7 @@
                     let mut count = 0;
                     while !done.load(Ordering::Relaxed) {
                         // The proxy may be dead or stopped: what counts is what reaches the node.
-                        let Some(mut client) = pinetrail_rig::Client::try_to(*place) else {
+                        let Some(mut client) = pinetrail_test_harness::Client::try_to(*place) else {
                             sleep(ms(50));
                             continue;
                         };
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -1,8 +1,8 @@
 //! Two processes of one member in an upgrade are one member.
 
 use crate::met;
-use pinetrail_rig::call;
-use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_test_harness::call;
+use pinetrail_test_harness::fleet::{Fleet, Options};
 
 /// Guards against an upgrade that looks like a failure to the others, and against two processes that both speak.
 #[test]
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -1,7 +1,7 @@
 //! Answers on a consumer's connection to each form of the protocol, and to what is none.
 
 use crate::{compare, escaped, origin, silent_origin, without_number};
-use pinetrail_rig::{call, opaque, Client, Does, Party, Scene};
+use pinetrail_test_harness::{call, opaque, Client, Does, Party, Scene};
 
 /// A cache node that holds the keys that do not begin with `absent`.
 fn node() -> Party {
--- a/tests/golden/counters.rs
+++ b/tests/golden/counters.rs
@@ -1,8 +1,8 @@
 //! The names of the counters that `stats` tells, in their order.
 
 use crate::{compare, origin};
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::{Client, Party};
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::{Client, Party};
 
 /// The names that `stats` tells; each line has a name and a number.
 fn names(mut client: Client) -> String {
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -5,7 +5,7 @@
 mod counters;
 mod providers;
 
-use pinetrail_rig::{http_200, Does, Party};
+use pinetrail_test_harness::{http_200, Does, Party};
 
 /// Compares what was said with what was recorded.
 fn compare(name: &str, recorded: &str, said: &str) {
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -1,7 +1,7 @@
 //! What the proxy sends to cache nodes, to the origin and to discovery.
 
 use crate::{compare, escaped, origin, without_number};
-use pinetrail_rig::{catalog, config, opaque, start, Does, Party, Scene};
+use pinetrail_test_harness::{catalog, config, opaque, start, Does, Party, Scene};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::channel;
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::fleet::{play, script, Fault};
-use common::tape::figures;
-use pinetrail_histories::{
+use common::recorded_events::figures;
+use pinetrail_history_checker::{
     judge, Answer, End, Figures, History, Node, NotJudged, Process, Reason, Seen, State, Time,
 };
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::tape::{self, Tape};
+use common::recorded_events::{self, Tape};
 use common::*;
 use pinetrail::interface::*;
 use pinetrail::settings::Settings;
-use pinetrail_histories::{judge, Answer, Figures, NotJudged, Seen};
+use pinetrail_history_checker::{judge, Answer, Figures, NotJudged, Seen};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
 
     fn put_in_force(&mut self, attempts: usize) {
         // A proxy that is told of a drain sends nothing more there; the time that rules allow is the network's.
-        let figures = Figures { attempts, stop_within: 0.0, ..tape::figures() };
+        let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
         self.tape.write(self.world.now, Seen::InForce { proxy: PROXY.into(), figures });
     }
 
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,9 +1,9 @@
 //! Error paths, each judged by what the rig saw of the real process from outside.
 
 use crate::ms;
-use crate::rig::witness::Witness;
+use crate::rig::recorder::Witness;
 use crate::rig::*;
-use pinetrail_histories::{judge, History, Reason, Seen, State};
+use pinetrail_history_checker::{judge, History, Reason, Seen, State};
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, sleep};
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,6 @@
 //! The real program as a process, spoken to as consumers, cache nodes, the origin and discovery speak.
 
-mod crossings;
+mod races;
 mod faults;
 mod large;
 mod operations;
@@ -8,7 +8,7 @@
 mod starts;
 mod upgrades;
 
-use pinetrail_rig as rig;
+use pinetrail_test_harness as rig;
 use rig::*;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -3,7 +3,7 @@
 mod closes;
 mod kept;
 mod late;
-mod leavers;
+mod cancelled_requests;
 mod lists;
 
 use crate::ms;
