Record what the operators' door answers, alone, in a fleet and under one policy

Operators' tools read these answers: status, head and text of each call are written down from the untouched program, in the states that are reached quickly. Of a fleet's answers only the numbers of since_ms, heard_ms, start, incarnation, lease_ms and view, the members' own addresses and the length of a text with such numbers are not compared; the length is checked against the text.

--- /dev/null
+++ b/tests/golden/door.rs
@@ -0,0 +1,164 @@
+//! Answers of the operators' door of one proxy without a fleet: whole, head and text.
+
+use crate::{compare, escaped, origin, silent_origin};
+use pinetrail_rig::{opaque, Client, Does, Party, Scene};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+
+/// The whole answer of a door to these bytes.
+pub fn whole_answer(door: SocketAddr, words: &str) -> String {
+    let mut client = Client::to(door);
+    client.say(words);
+    let mut answer = String::new();
+    client.reader().read_to_string(&mut answer).expect("the door answers, and closes");
+    answer
+}
+
+/// A request of this line, without a body.
+pub fn request(line: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n")
+}
+
+fn all(door: SocketAddr, lines: &[&str]) -> String {
+    let exchange = |line: &&str| {
+        let answer = whole_answer(door, &request(line));
+        format!("> {line}\n< {}\n", escaped(&answer))
+    };
+    lines.iter().map(exchange).collect()
+}
+
+#[test]
+fn readiness_and_service_are_answered_as_recorded() {
+    let (node, origin) = (Party::full_node("v"), origin());
+    let scene = Scene::of(&[&node], &origin);
+    let lines = [
+        "GET /control/ready",
+        "GET /control/ready?verbose=1",
+        "POST /control/out-of-service",
+        "POST /control/out-of-service",
+        "GET /control/ready",
+        "POST /control/in-service",
+        "POST /control/in-service",
+        "GET /control/ready",
+    ];
+    compare("service", include_str!("recorded/service.txt"), &all(scene.door, &lines));
+}
+
+#[test]
+fn cache_nodes_are_taken_out_and_back_as_recorded() {
+    let (node, origin) = (Party::full_node("v"), origin());
+    let scene = Scene::of(&[&node], &origin);
+    let lines = [
+        "POST /control/cache-nodes/s-0/offline",
+        "POST /control/cache-nodes/s-0/offline",
+        "POST /control/cache-nodes/s%2D0/online",
+        "POST /control/cache-nodes/s-0/online",
+        "POST /control/cache-nodes/nobody/offline",
+        "POST /control/cache-nodes/nobody/online",
+        "POST /control/cache-nodes/o/offline",
+        "POST /control/cache-nodes/o/online",
+        "POST /control/cache-nodes/%zz/online",
+        "POST /control/cache-nodes//offline",
+        "POST /control/cache-nodes/s-0/away",
+        "GET /control/cache-nodes/s-0/offline",
+        "GET /control/cache-nodes/s-0",
+    ];
+    compare("nodes", include_str!("recorded/nodes.txt"), &all(scene.door, &lines));
+}
+
+#[test]
+fn wrong_calls_are_refused_as_recorded() {
+    let origin = origin();
+    let scene = Scene::of(&[], &origin);
+    let lines = [
+        "GET /",
+        "GET /control",
+        "GET /control/nothing",
+        "GET /control/ready/",
+        "POST /control/ready",
+        "POST /control/fleet",
+        "PUT /control/policy",
+        "POST /control/drift",
+        "GET /control/policy/restore",
+        "POST /control/policy/changes/x",
+        "GET /control/policy/changes/",
+        "GET /control/out-of-service",
+        "GET /control/in-service",
+        // Without a fleet there is none of these.
+        "GET /control/fleet",
+        "GET /control/policy",
+        "GET /control/policy/changes/x",
+        "GET /control/drift",
+        "POST /control/policy/restore",
+        "POST /control/policy",
+    ];
+    compare("wrong calls", include_str!("recorded/wrong_calls.txt"), &all(scene.door, &lines));
+}
+
+#[test]
+fn what_is_no_call_is_refused_as_recorded() {
+    let origin = origin();
+    let scene = Scene::of(&[], &origin);
+    let propose = "POST /control/policy HTTP/1.1\r\n";
+    let asked = [
+        "mn\r\n\r\n".to_owned(),
+        "GET /control/ready HTTP/3\r\n\r\n".to_owned(),
+        "GET /control/ready HTTP/1.1\r\nno colon\r\n\r\n".to_owned(),
+        format!("GET /control/ready HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(9000)),
+        format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(65)),
+        format!("{propose}Content-Length: soon\r\n\r\n"),
+        format!("{propose}Content-Length: 524289\r\n\r\n"),
+        format!("{propose}Content-Length: 2\r\n\r\n{{}}"),
+    ];
+    let exchanges = asked.map(|words| {
+        let shown = if words.len() < 200 { escaped(&words) } else { escaped(&words[..40]) + "..." };
+        format!("> {shown}\n< {}\n", escaped(&whole_answer(scene.door, &words)))
+    });
+    compare("no calls", include_str!("recorded/no_calls.txt"), &exchanges.concat());
+}
+
+#[test]
+fn a_process_that_stops_answers_as_recorded() {
+    // What it is asked stays open for as long as the test wants.
+    let (go_on, may_go_on) = channel::<()>();
+    let may_go_on = Mutex::new(may_go_on);
+    let node = Party::node(move |line| {
+        // The sender's end lets it go on as well.
+        let _ = may_go_on.lock().unwrap().recv();
+        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+    });
+    let origin = silent_origin();
+    let scene = Scene::of(&[&node], &origin);
+    let mut client = scene.client();
+    client.say("mg k v O1 Pc=read,t=acme,d=9000\r\n");
+    scene.until("the node is asked", || node.heard().len() == 1);
+    scene.signal("TERM");
+    let ready = request("GET /control/ready");
+    scene.until("it stops", || !whole_answer(scene.door, &ready).starts_with("HTTP/1.1 200"));
+    let lines = ["GET /control/ready", "POST /control/out-of-service", "POST /control/in-service"];
+    let said = all(scene.door, &lines);
+    drop(go_on);
+    compare("stopping", include_str!("recorded/stopping.txt"), &said);
+    assert!(scene.end().status.success());
+}
+
+#[test]
+fn half_a_call_is_refused_in_time_as_recorded() {
+    let origin = silent_origin();
+    let scene = Scene::of(&[], &origin);
+    let body = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{";
+    let asked = ["GET /control/re", body];
+    let door = scene.door;
+    let answers = std::thread::scope(|scope| {
+        let asking = asked.map(|words| scope.spawn(move || whole_answer(door, words)));
+        asking.map(|asked| asked.join().expect("it is answered"))
+    });
+    let shown = |(words, answer): (&str, String)| {
+        let (words, answer) = (escaped(words), escaped(&answer));
+        format!("> {words}\n< {answer}\n")
+    };
+    let said: String = asked.into_iter().zip(answers).map(shown).collect();
+    compare("half a call", include_str!("recorded/half_calls.txt"), &said);
+}
--- /dev/null
+++ b/tests/golden/fleet.rs
@@ -0,0 +1,193 @@
+//! Answers of the doors of a fleet: its members, its shares, its policy, and drift from that.
+
+use crate::door::{request, whole_answer};
+use crate::{compare, escaped, origin, without_number};
+use pinetrail_rig::fleet::{Fleet, Options};
+use pinetrail_rig::policy::{outcome, settings, standing};
+use pinetrail_rig::{call, Party};
+use serde_json::{json, Value};
+
+/// Numbers that differ from run to run, by their keys.
+const VARYING: [&str; 6] = ["since_ms", "heard_ms", "start", "incarnation", "lease_ms", "view"];
+
+fn nodes() -> Vec<Party> {
+    vec![Party::full_node("v")]
+}
+
+fn member_door(fleet: &Fleet, member: usize) -> std::net::SocketAddr {
+    fleet.process(member).door
+}
+
+/// An answer without what varies: numbers of these keys, and addresses. The length that the head
+/// tells is that of the text, and is not recorded where the text varies.
+fn recordable(fleet: &Fleet, answer: &str) -> String {
+    let (head, text) = answer.split_once("\r\n\r\n").expect("a head and a text");
+    let length = format!("\r\nContent-Length: {}\r\n", text.len());
+    assert!(head.contains(&length), "{answer}");
+    let mut steady = text.to_owned();
+    for key in VARYING {
+        steady = without_number(&steady, &format!("\"{key}\":"), "N");
+    }
+    for member in 0..fleet.options.members {
+        steady = steady.replace(&fleet.hub(member).to_string(), &format!("ADDRESS-{member}"));
+    }
+    let head = match steady == text {
+        true => head.to_owned(),
+        false => without_number(head, "Content-Length: ", "N"),
+    };
+    escaped(&format!("{head}\r\n\r\n{steady}"))
+}
+
+fn asked(fleet: &Fleet, member: usize, line: &str) -> String {
+    let answer = whole_answer(member_door(fleet, member), &request(line));
+    format!("> {line}\n< {}\n", recordable(fleet, &answer))
+}
+
+/// A member's answer to a body that is to be a proposal.
+fn posted(fleet: &Fleet, member: usize, title: &str, body: &str) -> String {
+    let words = format!(
+        "POST /control/policy HTTP/1.1\r\nHost: door\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let answer = whole_answer(member_door(fleet, member), &words);
+    format!("> POST /control/policy, {title}\n< {}\n", recordable(fleet, &answer))
+}
+
+fn proposal(id: &str, after: u64, settings: &Value) -> String {
+    json!({"id": id, "after": after, "settings": settings}).to_string()
+}
+
+#[test]
+fn a_fleet_of_one_and_of_two_is_told_as_recorded() {
+    let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
+    fleet.start(0);
+    let mut said = asked(&fleet, 0, "GET /control/fleet");
+    fleet.start(1);
+    fleet.until("they meet", |fleet| fleet.agree(&[0, 1]));
+    said += &asked(&fleet, 0, "GET /control/fleet");
+    said += &asked(&fleet, 1, "GET /control/fleet");
+    said += &asked(&fleet, 0, "GET /control/policy");
+    let leaving = fleet.take(1);
+    leaving.signal("TERM");
+    assert!(leaving.end().success());
+    let has_left = |fleet: &Fleet| fleet.report(0).unwrap().names("left") == ["n1"];
+    fleet.until("it has left", has_left);
+    said += &asked(&fleet, 0, "GET /control/fleet");
+    compare("fleet", include_str!("recorded/fleet.txt"), &said);
+}
+
+#[test]
+fn shares_of_a_fleet_with_founders_are_told_as_recorded() {
+    let options = Options { founders: vec![0], ..Options::of(2) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    let told = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json;
+    fleet.start(0);
+    fleet.until("the first is the steward", |fleet| told(fleet, 0)["steward"] == true);
+    fleet.start(1);
+    // Of 32 parts one is always its own, and half of what 16 members leave over.
+    let part = |fleet: &Fleet, member: usize| told(fleet, member)["share"] == json!(9.0 / 32.0);
+    let all = |fleet: &Fleet| fleet.agree(&[0, 1]) && (0..2).all(|member| part(fleet, member));
+    fleet.until("each has its part", all);
+    let said = [0, 1].map(|member| asked(&fleet, member, "GET /control/fleet")).concat();
+    compare("founders", include_str!("recorded/founders.txt"), &said);
+}
+
+/// Three members with one policy, of which all found.
+fn governed() -> Fleet {
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
+    let fleet = Fleet::start_all(options, nodes(), origin());
+    has(&fleet, 1);
+    fleet
+}
+
+/// Waits until all have a version, and see each other have it.
+fn has(fleet: &Fleet, version: u64) {
+    let same = |said: &Value| {
+        let nodes = said["nodes"].as_array().map_or(&[][..], |nodes| nodes);
+        nodes.len() == 3 && nodes.iter().all(|node| node["state"] == "same")
+    };
+    let seen = |member| call(member_door(fleet, member), "GET", "/control/drift").1;
+    fleet.until("all have the version", |fleet| {
+        let steady = (version, "steady".to_owned());
+        (0..3).all(|member| standing(fleet, member) == steady)
+            && (0..3).all(|member| same(&serde_json::from_str(&seen(member)).unwrap()))
+    });
+}
+
+#[test]
+fn a_policy_and_a_change_of_it_are_told_as_recorded() {
+    let fleet = governed();
+    let ask = |line: &str| asked(&fleet, 1, line);
+    let mut said = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
+    said += &posted(&fleet, 1, "a change", &proposal("x", 1, &settings(&fleet, 2)));
+    fleet.until("the change ends", |fleet| !outcome(fleet, 1, "x").is_empty());
+    has(&fleet, 2);
+    said += &(ask("GET /control/policy") + &ask("GET /control/policy/changes/x"));
+    said += &posted(&fleet, 1, "the same", &proposal("x", 1, &settings(&fleet, 2)));
+    said += &posted(&fleet, 1, "another of its name", &proposal("x", 2, &settings(&fleet, 1)));
+    compare("policy", include_str!("recorded/policy.txt"), &said);
+}
+
+#[test]
+fn proposals_that_cannot_be_are_refused_as_recorded() {
+    let fleet = governed();
+    let good = settings(&fleet, 2);
+    let mut unknown = good.clone();
+    unknown["Gradse"] = json!(1);
+    let mut no_aim = good.clone();
+    no_aim["Grades"][0]["Aim"] = json!(0.0);
+    let bodies = [
+        ("no JSON", "{".to_owned()),
+        ("nothing in it", "{}".to_owned()),
+        ("a field too many", r#"{"id":"x","after":1,"settings":{},"by":"me"}"#.to_owned()),
+        ("no number", r#"{"id":"x","after":"1","settings":{}}"#.to_owned()),
+        ("no id", proposal("", 1, &good)),
+        ("after a version that is not in force", proposal("x", 7, &good)),
+        ("an unknown key", proposal("x", 1, &unknown)),
+        ("a bad value", proposal("x", 1, &no_aim)),
+        ("empty settings", proposal("x", 1, &json!({}))),
+    ];
+    let said: String = bodies.iter().map(|(title, body)| posted(&fleet, 0, title, body)).collect();
+    compare("proposals", include_str!("recorded/proposals.txt"), &said);
+}
+
+#[test]
+fn a_member_that_is_cut_off_tells_that_it_is_fenced_as_recorded() {
+    let fleet = governed();
+    fleet.cut_into(&[&[2], &[0, 1]]);
+    fleet.until("it is fenced", |fleet| standing(fleet, 2) == (1, "fenced".to_owned()));
+    let mut said = asked(&fleet, 2, "GET /control/policy");
+    said += &asked(&fleet, 2, "GET /control/ready");
+    said += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
+    let mut client = fleet.client(2);
+    said += &format!("> mn\n< {}\n", escaped(&client.ask("mn\r\n")));
+    let refused = fleet.client(2).read("k", "1", 1000).0;
+    said += &format!("> mg\n< {}\n", escaped(&refused));
+    compare("fenced", include_str!("recorded/fenced.txt"), &said);
+}
+
+#[test]
+fn drift_and_its_end_are_told_as_recorded() {
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    // One lets settings of its own file in, for emergencies.
+    let mut loose = fleet.config(2, &[0, 1]);
+    loose["fleet"]["policy"]["local"] = json!(true);
+    fleet.set_config(2, &loose);
+    fleet.start_together(&[0, 1, 2]);
+    has(&fleet, 1);
+    let mut said = asked(&fleet, 0, "GET /control/drift");
+    said += &asked(&fleet, 0, "POST /control/policy/restore");
+    loose["listen"] = json!(fleet.process(2).place.to_string());
+    loose["settings"] = settings(&fleet, 2);
+    fleet.set_config(2, &loose);
+    fleet.process(2).signal("HUP");
+    fleet.until("the other sees it", |fleet| {
+        call(member_door(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
+    });
+    said += &asked(&fleet, 0, "GET /control/drift");
+    said += &asked(&fleet, 2, "POST /control/policy/restore");
+    has(&fleet, 1);
+    said += &asked(&fleet, 0, "GET /control/drift");
+    compare("drift", include_str!("recorded/drift.txt"), &said);
+}
