Record why a start cannot go on: one line and exit code 2 for each bad configuration

What an operator reads after a slip in a file is written down from the untouched program: files that are none, wrong keys and values, wrong lists, wrong fleets and policies. A start that goes on by mistake is ended by the test, which then fails.

--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -6,6 +6,7 @@
 mod door;
 mod fleet;
 mod providers;
+mod starts;
 
 use pinetrail_rig::{http_200, Does, Party};
 
--- /dev/null
+++ b/tests/golden/starts.rs
@@ -0,0 +1,144 @@
+//! Starts that cannot go on: one line that says why, and exit code 2.
+
+use crate::compare;
+use pinetrail_rig::{catalog, config, start, Party, WAIT};
+use serde_json::{json, Value};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// What the program says before it ends by itself.
+fn shown(title: &str, mut child: Child) -> String {
+    let until = Instant::now() + WAIT;
+    while child.try_wait().expect("it is a child").is_none() {
+        if Instant::now() >= until {
+            child.kill().and_then(|()| child.wait()).expect("it is a child");
+            panic!("{title}: the program does not end");
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let output = child.wait_with_output().expect("it has ended");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{title}: {said}");
+    assert!(output.stdout.is_empty() && said.ends_with('\n'), "{title}: {said}");
+    format!("# {title}\n{said}")
+}
+
+fn started(title: &str, config: &str) -> String {
+    shown(title, start(config))
+}
+
+fn good() -> String {
+    config("127.0.0.1:0", "127.0.0.1:1", 256, "{}")
+}
+
+/// What is said of good configurations in which some text is replaced.
+fn replaced(changes: &[(&str, &str)]) -> String {
+    let good = good();
+    let said = |(from, to): &(&str, &str)| {
+        let bad = good.replacen(from, to, 1);
+        assert_ne!(bad, good, "{from}");
+        started(&format!("{from} -> {to}"), &bad)
+    };
+    changes.iter().map(said).collect()
+}
+
+#[test]
+fn a_file_that_is_none_ends_the_start_as_recorded() {
+    let run = |path: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail"));
+        command.env_remove("LB_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
+        path.into_iter().for_each(|path| _ = command.env("LB_CONFIG", path));
+        command.spawn().expect("the program starts")
+    };
+    let mut said = shown("LB_CONFIG unset", run(None));
+    said += &shown("no such file", run(Some("absent/none.json")));
+    said += &started("an empty file", "");
+    said += &started("half an object", "{");
+    said += &started("an array", "[]");
+    said += &started("an empty object", "{}");
+    compare("files", include_str!("recorded/start_files.txt"), &said);
+}
+
+#[test]
+fn a_wrong_key_or_value_ends_the_start_as_recorded() {
+    let said = replaced(&[
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#),
+        (r#""discovery":"127.0.0.1:1""#, r#""discovery":"there""#),
+        ("8c1f30d27a5be964", "seed"),
+        (r#""sockets":256"#, r#""sockets":3"#),
+        (r#""memory_mb":192"#, r#""memory_mb":-1"#),
+        (r#""memory_mb":192"#, r#""memory_mb":1"#),
+        (r#""Grades""#, r#""Grates""#),
+        (r#""Aim":400.0"#, r#""Aim":"soon""#),
+        (r#""Aim":400.0,"#, ""),
+        (r#""Aim":400.0"#, r#""Aim":0"#),
+        (r#""GiveUp":1000.0"#, r#""GiveUp":-1"#),
+        (r#""Semantics":"safe""#, r#""Semantics":"sage""#),
+        (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":-1"#),
+        (r#""Name":"put""#, r#""Name":"read""#),
+        (r#""Tick":1.0"#, r#""Tick":0"#),
+        (r#""MaxAttempts":3"#, r#""MaxAttempts":0"#),
+        (r#""MaxAttempts":3"#, r#""MaxAttempts":256"#),
+        (r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":1e300"#),
+        (r#""Cold":9000.0"#, r#""Chilly":9000.0"#),
+    ]);
+    compare("values", include_str!("recorded/start_values.txt"), &said);
+}
+
+#[test]
+fn a_wrong_list_ends_the_start_as_recorded() {
+    let nobody = || Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
+    let origin = nobody().entry("o", "origin", "ready");
+    let node = nobody().entry("s-0", "c6", "ready");
+    let bad = [
+        ("given twice", vec![node.clone(), node.clone(), origin.clone()]),
+        ("without the origin", vec![node.clone()]),
+        ("unknown lifecycle", vec![node.replace("ready", "asleep"), origin.clone()]),
+        ("bad weight", vec![origin.clone(), node.replace(":1.0", ":-1.0")]),
+        ("bad start", vec![origin.clone(), node.replace("Ms\":0", "Ms\":-5")]),
+        ("bad address", vec![origin, node.replace("127.0.0.1:1", "there")]),
+        ("no address", vec![r#"{"instanceId":"s-0","lifecycle":"ready"}"#.to_owned()]),
+    ];
+    let said = bad.map(|(title, entries)| {
+        let known = catalog(1, true, &entries);
+        started(title, &config("127.0.0.1:0", "127.0.0.1:1", 256, &known))
+    });
+    compare("lists", include_str!("recorded/start_lists.txt"), &said.concat());
+}
+
+#[test]
+fn a_wrong_fleet_or_policy_ends_the_start_as_recorded() {
+    let mut good: Value = serde_json::from_str(&good()).unwrap();
+    good["fleet"] = json!({
+        "name": "gdynia",
+        "bind": "127.0.0.1:7946",
+        "peers": ["127.0.0.2:7946"],
+        "size": 16,
+        "founders": ["127.0.0.1:7946", "127.0.0.2:7946", "127.0.0.3:7946"],
+        "policy": {"bind": "127.0.0.1:7947", "state_dir": "absent"},
+    });
+    type Change = fn(&mut Value);
+    let bad: [(&str, Change); 15] = [
+        ("bind", |fleet| fleet["bind"] = json!("nowhere")),
+        ("no size", |fleet| drop(fleet.as_object_mut().unwrap().remove("size"))),
+        ("size 1", |fleet| fleet["size"] = json!(1)),
+        ("size 5000", |fleet| fleet["size"] = json!(5000)),
+        ("no name", |fleet| fleet["name"] = json!("")),
+        ("a peer by name", |fleet| fleet["peers"] = json!(["n1"])),
+        ("itself a peer", |fleet| fleet["peers"] = json!(["127.0.0.1:7946"])),
+        ("unknown field", |fleet| fleet["perio_ms"] = json!(500)),
+        ("period", |fleet| fleet["period_ms"] = json!(1)),
+        ("a founder twice", |fleet| fleet["founders"][2] = json!("127.0.0.1:7946")),
+        ("policy alone", |fleet| drop(fleet.as_object_mut().unwrap().remove("founders"))),
+        ("no folder", |fleet| drop(fleet["policy"].as_object_mut().unwrap().remove("state_dir"))),
+        ("a slip", |fleet| fleet["policy"]["permitms"] = json!(5)),
+        ("a short permit", |fleet| fleet["policy"]["permit_ms"] = json!(100)),
+        ("cut", |fleet| fleet["policy"]["when_cut"] = json!("hope")),
+    ];
+    let said = bad.map(|(title, change)| {
+        let mut config = good.clone();
+        change(&mut config["fleet"]);
+        started(title, &config.to_string())
+    });
+    compare("fleets", include_str!("recorded/start_fleets.txt"), &said.concat());
+}
