--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -1,7 +1,7 @@
 //! Answers of the operators' door of one proxy without a fleet: whole, head and text.
 
 use crate::{compare, escaped, origin, silent_origin};
-use pinetrail_rig::{opaque, Client, Does, Party, Scene};
+use pinetrail_test_harness::{opaque, Client, Does, Party, Scene};
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -2,9 +2,9 @@
 
 use crate::door::{request, whole_answer};
 use crate::{compare, escaped, origin, without_number};
-use pinetrail_rig::fleet::{Fleet, Options};
-use pinetrail_rig::policy::{outcome, settings, standing};
-use pinetrail_rig::{call, Party};
+use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::policy::{outcome, settings, standing};
+use pinetrail_test_harness::{call, Party};
 use serde_json::{json, Value};
 
 /// Numbers that differ from run to run, by their keys.
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -1,7 +1,7 @@
 //! Starts that cannot go on: one line that says why, and exit code 2.
 
 use crate::compare;
-use pinetrail_rig::{catalog, config, start, Party, WAIT};
+use pinetrail_test_harness::{catalog, config, start, Party, WAIT};
 use serde_json::{json, Value};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
