--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -1,14 +1,14 @@
 //! The places and who holds them.
 
-use crate::flow::Flow;
+use crate::flow::GrowthEstimator;
 use crate::limits::Limits;
-use crate::reuse_estimator::{interval, Returns, EDGES};
+use crate::reuse_estimator::{interval, ReuseEstimator, EDGES};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A time in milliseconds since a beginning of the driver's choice.
-pub type Ms = u64;
+pub type Millis = u64;
 /// A connection, numbered by the driver in the order of arrival.
-pub type Id = u64;
+pub type ConnectionId = u64;
 /// Which stay in a phase an order is about: a connection that has moved on meanwhile is past it.
 pub type Seq = u32;
 
@@ -37,7 +37,7 @@
     /// It held its place beyond what anyone is granted.
     Overdue,
     /// Idle, and hardly any of its kind come back, while others want the place.
-    Hopeless,
+    UnlikelyToReturn,
     /// Too many places are held by those that owe what it owes.
     OverBudget,
     /// All places were taken.
@@ -46,9 +46,9 @@
 
 /// A connection that is to close.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Order {
+pub struct CloseOrder {
     /// Which one.
-    pub id: Id,
+    pub id: ConnectionId,
     /// Unless it has moved on since.
     pub seq: Seq,
     /// What it held its place for.
@@ -82,8 +82,8 @@
 struct Entry {
     phase: Phase,
     queue: Option<Queue>,
-    since: Ms,
-    arrived: Ms,
+    since: Millis,
+    arrived: Millis,
     seq: Seq,
     requests: u32,
     /// The interval of its life table that it is in.
@@ -106,11 +106,11 @@
 
 /// What is held, and what holds now.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tally {
+pub struct Counts {
     /// Places held, and how many there are.
     pub open: usize,
     /// See `open`.
-    pub most: usize,
+    pub capacity: usize,
     /// Held by those that have said nothing.
     pub silent: usize,
     /// Held by those with half a command.
@@ -122,49 +122,49 @@
     /// The share of the places that is or soon will be held.
     pub pressure: f64,
     /// How long those with nothing said, one request, and more than one may now be idle, in ms.
-    pub limits: [Ms; 3],
+    pub limits: [Millis; 3],
 }
 
 /// The places of one server.
 ///
-/// The driver says what each connection does: [`Places::arrive`], [`Places::enter`], [`Places::asked`],
-/// [`Places::left`]. Every few milliseconds it asks [`Places::overdue`] who is to close, and when all places
-/// are taken [`Places::make_room`].
-pub struct Places {
+/// The driver says what each connection does: [`ConnectionTable::arrive`], [`ConnectionTable::enter`], [`ConnectionTable::asked`],
+/// [`ConnectionTable::left`]. Every few milliseconds it asks [`ConnectionTable::overdue`] who is to close, and when all places
+/// are taken [`ConnectionTable::make_room`].
+pub struct ConnectionTable {
     limits: Limits,
-    most: usize,
-    entries: BTreeMap<Id, Entry>,
-    queues: [BTreeSet<(Ms, Id)>; QUEUES],
+    capacity: usize,
+    entries: BTreeMap<ConnectionId, Entry>,
+    queues: [BTreeSet<(Millis, ConnectionId)>; QUEUES],
     /// When those with a life table reach its next interval.
-    crossings: BTreeSet<(Ms, Id)>,
-    tables: [Returns; KINDS],
-    flow: Flow,
+    crossings: BTreeSet<(Millis, ConnectionId)>,
+    tables: [ReuseEstimator; KINDS],
+    flow: GrowthEstimator,
     shut: bool,
 }
 
-impl Places {
+impl ConnectionTable {
     /// So many places, all free.
-    pub fn new(limits: Limits, most: usize) -> Places {
-        Places {
+    pub fn new(limits: Limits, most: usize) -> ConnectionTable {
+        ConnectionTable {
             limits,
-            most: most.max(1),
+            capacity: most.max(1),
             entries: BTreeMap::new(),
             queues: Default::default(),
             crossings: BTreeSet::new(),
             tables: Default::default(),
-            flow: Flow::default(),
+            flow: GrowthEstimator::default(),
             shut: false,
         }
     }
 
     /// From now on there are so many. Who holds a place keeps it for the time being.
-    pub fn set_most(&mut self, most: usize) {
-        self.most = most.max(1);
+    pub fn set_capacity(&mut self, most: usize) {
+        self.capacity = most.max(1);
     }
 
     /// From now on nobody comes any more, so that nobody's place is wanted: limits are generous again. Who is
     /// closed by a server that stops has nowhere to go.
-    pub fn shut(&mut self) {
+    pub fn stop_accepting(&mut self) {
         self.shut = true;
     }
 
@@ -175,11 +175,11 @@
 
     /// Whether all places are held.
     pub fn is_full(&self) -> bool {
-        self.open() >= self.most
+        self.open() >= self.capacity
     }
 
     /// A connection has come and holds a place; it has said nothing yet.
-    pub fn arrive(&mut self, now: Ms, id: Id) {
+    pub fn insert(&mut self, now: Millis, id: ConnectionId) {
         self.flow.arrive(now);
         let entry = Entry {
             phase: Phase::Silent,
@@ -196,7 +196,7 @@
     }
 
     /// A connection has brought a request.
-    pub fn asked(&mut self, id: Id) {
+    pub fn record_request(&mut self, id: ConnectionId) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.requests = entry.requests.saturating_add(1);
         }
@@ -204,7 +204,7 @@
 
     /// A connection is in this phase now; the stay's number. To enter the phase that it is in changes nothing,
     /// but for `Unread`.
-    pub fn enter(&mut self, now: Ms, id: Id, phase: Phase) -> Seq {
+    pub fn set_phase(&mut self, now: Millis, id: ConnectionId, phase: Phase) -> Seq {
         let Some(entry) = self.entries.get(&id) else { return 0 };
         if entry.phase == phase && phase != Phase::Unread {
             return entry.seq;
@@ -229,7 +229,7 @@
     }
 
     /// A connection has ended, whoever ended it.
-    pub fn left(&mut self, now: Ms, id: Id) {
+    pub fn remove(&mut self, now: Millis, id: ConnectionId) {
         let by_itself = self.entries.get(&id).is_some_and(|entry| !entry.ordered);
         // What the server ended says nothing of what the client would have done.
         self.learn(now, id, |table, interval| {
@@ -244,15 +244,15 @@
     }
 
     /// The share of the places that is held, or will be if they fill on as they do.
-    pub fn pressure(&self, now: Ms) -> f64 {
+    pub fn pressure(&self, now: Millis) -> f64 {
         if self.shut {
             return 0.0;
         }
-        (self.open() as f64 + self.flow.growth(now, self.limits.ahead)) / self.most as f64
+        (self.open() as f64 + self.flow.growth(now, self.limits.ahead)) / self.capacity as f64
     }
 
     /// Who has held a place for too long as things stand. Each is named once for each stay in a phase.
-    pub fn overdue(&mut self, now: Ms) -> Vec<Order> {
+    pub fn expired(&mut self, now: Millis) -> Vec<CloseOrder> {
         self.cross(now);
         let pressure = self.pressure(now);
         let limits = self.limits;
@@ -272,8 +272,9 @@
             self.order_older(now, queue, limit, Reason::Overdue, &mut orders);
         }
         // The silent among the sample are owed no more than others.
-        let silent = |id: &Id| self.entries.get(id).is_some_and(|entry| entry.phase == Phase::Silent);
-        let too_old = |since: Ms| now.saturating_sub(since) >= limits.whole_command;
+        let silent =
+            |id: &ConnectionId| self.entries.get(id).is_some_and(|entry| entry.phase == Phase::Silent);
+        let too_old = |since: Millis| now.saturating_sub(since) >= limits.whole_command;
         let sampled =
             self.queues[Queue::Sample as usize].iter().filter(|(since, id)| too_old(*since) && silent(id));
         for id in sampled.map(|(_, id)| *id).collect::<Vec<_>>() {
@@ -284,7 +285,7 @@
         }
         for (queue, kind) in [(Queue::Silent, 0), (Queue::Greeted, 1), (Queue::Once, 2), (Queue::Again, 3)] {
             let limit = self.limit_of(kind, pressure);
-            self.order_older(now, queue, limit, Reason::Hopeless, &mut orders);
+            self.order_older(now, queue, limit, Reason::UnlikelyToReturn, &mut orders);
         }
         let budgets = [
             (Queue::Silent, limits.silent_floor),
@@ -304,7 +305,7 @@
 
     /// Up to `count` connections that may go for others: first those that owe a word or an end, oldest first,
     /// then idle ones, first those that are least likely to come back. Never one at work.
-    pub fn make_room(&mut self, now: Ms, count: usize) -> Vec<Order> {
+    pub fn make_room(&mut self, now: Millis, count: usize) -> Vec<CloseOrder> {
         self.cross(now);
         let limits = self.limits;
         let mut orders = Vec::new();
@@ -332,12 +333,12 @@
     }
 
     /// What is held now, and which limits hold.
-    pub fn tally(&self, now: Ms) -> Tally {
+    pub fn counts(&self, now: Millis) -> Counts {
         let held = |phases: &[Phase]| self.entries.values().filter(|e| phases.contains(&e.phase)).count();
         let pressure = self.pressure(now);
-        Tally {
+        Counts {
             open: self.open(),
-            most: self.most,
+            capacity: self.capacity,
             silent: held(&[Phase::Silent]),
             half: held(&[Phase::FirstHalf, Phase::Half]),
             idle: held(&[Phase::Idle]),
@@ -349,11 +350,11 @@
 
     /// How many places the silent, the half said and the ending may each take under pressure.
     fn budget(&self) -> usize {
-        ((self.most as f64 * self.limits.budget) as usize).max(1)
+        ((self.capacity as f64 * self.limits.budget) as usize).max(1)
     }
 
     /// How long a connection of a kind may now be idle.
-    fn limit_of(&self, kind: usize, pressure: f64) -> Ms {
+    fn limit_of(&self, kind: usize, pressure: f64) -> Millis {
         let limits = &self.limits;
         let (most, least) = match kind {
             0 => (limits.whole_command, limits.silent_floor),
@@ -362,38 +363,45 @@
         let stake = limits.stake_at(pressure);
         // Who comes back later than the shorter limit is nobody to keep a place for while others want it.
         let soon = most.min(limits.idle);
-        match self.tables[kind].hopeless_from(stake, soon) {
+        match self.tables[kind].unlikely_to_return_from(stake, soon) {
             hopeless if stake > 0.0 && hopeless < soon => hopeless.max(least),
             _ => most,
         }
     }
 
-    fn chance(&self, id: Id) -> f64 {
+    fn chance(&self, id: ConnectionId) -> f64 {
         let Some(entry) = self.entries.get(&id) else { return 0.0 };
         entry.kind().map_or(0.0, |kind| self.tables[kind].chance(entry.interval, self.limits.idle))
     }
 
-    fn order_older(&mut self, now: Ms, queue: Queue, age: Ms, reason: Reason, orders: &mut Vec<Order>) {
+    fn order_older(
+        &mut self,
+        now: Millis,
+        queue: Queue,
+        age: Millis,
+        reason: Reason,
+        orders: &mut Vec<CloseOrder>,
+    ) {
         while let Some(order) = self.order_oldest(now, queue, age, reason) {
             orders.push(order);
         }
     }
 
     /// The oldest of a queue, if it has reached this age.
-    fn order_oldest(&mut self, now: Ms, queue: Queue, age: Ms, reason: Reason) -> Option<Order> {
+    fn order_oldest(&mut self, now: Millis, queue: Queue, age: Millis, reason: Reason) -> Option<CloseOrder> {
         let (since, id) = self.queues[queue as usize].first().copied()?;
         (now.saturating_sub(since) >= age).then(|| self.order(id, reason)).flatten()
     }
 
-    fn order(&mut self, id: Id, reason: Reason) -> Option<Order> {
+    fn order(&mut self, id: ConnectionId, reason: Reason) -> Option<CloseOrder> {
         self.displace(id);
         let entry = self.entries.get_mut(&id)?;
         entry.ordered = true;
-        Some(Order { id, seq: entry.seq, phase: entry.phase, reason })
+        Some(CloseOrder { id, seq: entry.seq, phase: entry.phase, reason })
     }
 
     /// Puts a connection into the queue of its phase.
-    fn place(&mut self, id: Id) {
+    fn place(&mut self, id: ConnectionId) {
         let Some(entry) = self.entries.get(&id) else { return };
         let sample = &self.queues[Queue::Sample as usize];
         let sampled = id.is_multiple_of(self.limits.sample.max(1)) && sample.len() < self.budget();
@@ -421,7 +429,7 @@
     }
 
     /// Takes a connection out of its queues.
-    fn displace(&mut self, id: Id) {
+    fn displace(&mut self, id: ConnectionId) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         if let Some(queue) = entry.queue.take() {
             self.queues[queue as usize].remove(&(entry.since, id));
@@ -432,7 +440,7 @@
     }
 
     /// Tells the life table of a connection's kind, if it has one, in which interval it is.
-    fn learn(&mut self, now: Ms, id: Id, tell: impl FnOnce(&mut Returns, usize)) {
+    fn learn(&mut self, now: Millis, id: ConnectionId, tell: impl FnOnce(&mut ReuseEstimator, usize)) {
         let Some(entry) = self.entries.get(&id) else { return };
         if let Some(kind) = entry.kind() {
             tell(&mut self.tables[kind], interval(now.saturating_sub(entry.since)).max(entry.interval));
@@ -440,7 +448,7 @@
     }
 
     /// Counts who has lived through an interval since the last look.
-    fn cross(&mut self, now: Ms) {
+    fn cross(&mut self, now: Millis) {
         while let Some((at, id)) = self.crossings.first().copied().filter(|(at, _)| *at <= now) {
             self.crossings.remove(&(at, id));
             let Some(entry) = self.entries.get_mut(&id) else { continue };
--- a/crates/connection-limits/src/flow.rs
+++ b/crates/connection-limits/src/flow.rs
@@ -5,13 +5,13 @@
 
 /// Rates of arrivals and departures a millisecond, each an exponentially weighted mean.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Flow {
+pub struct GrowthEstimator {
     at: u64,
     arrivals: f64,
     departures: f64,
 }
 
-impl Flow {
+impl GrowthEstimator {
     /// One connection has come.
     pub fn arrive(&mut self, now: u64) {
         self.decay(now);
--- a/crates/connection-limits/src/limits.rs
+++ b/crates/connection-limits/src/limits.rs
@@ -1,6 +1,6 @@
 //! How long a place may be held, in milliseconds, and what share of the places each need may take.
 
-/// The limits of one [`crate::Places`].
+/// The limits of one [`crate::ConnectionTable`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// A first whole command is owed this long after connecting, and each later one after its first byte.
--- a/crates/connection-limits/src/reuse_estimator.rs
+++ b/crates/connection-limits/src/reuse_estimator.rs
@@ -17,17 +17,17 @@
 
 /// A life table of idle connections of one kind.
 #[derive(Clone, Debug)]
-pub struct Returns {
+pub struct ReuseEstimator {
     at: u64,
     entered: [f64; EDGES.len()],
     spoke: [f64; EDGES.len()],
     left: [f64; EDGES.len()],
 }
 
-impl Default for Returns {
-    fn default() -> Returns {
+impl Default for ReuseEstimator {
+    fn default() -> ReuseEstimator {
         let none = [0.0; EDGES.len()];
-        Returns { at: 0, entered: none, spoke: none, left: none }
+        ReuseEstimator { at: 0, entered: none, spoke: none, left: none }
     }
 }
 
@@ -41,7 +41,7 @@
     EDGES.iter().skip(1).take_while(|end| **end <= until).count()
 }
 
-impl Returns {
+impl ReuseEstimator {
     /// A connection has lived through an interval.
     pub fn lived_through(&mut self, now: u64, interval: usize) {
         self.decay(now);
@@ -78,7 +78,7 @@
 
     /// The age from which on a connection is less likely than `stake` to speak again before the age of
     /// `until`, which is the answer if there is none.
-    pub fn hopeless_from(&self, stake: f64, until: u64) -> u64 {
+    pub fn unlikely_to_return_from(&self, stake: f64, until: u64) -> u64 {
         // The chance may rise with the age: a client may ask every 1.9 s. Only what stays low is hopeless.
         let hopeful = (0..intervals_before(until)).rev().find(|at| self.chance(*at, until) >= stake);
         hopeful.map_or(0, |last| if last + 1 < intervals_before(until) { EDGES[last + 1] } else { until })
--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -1,6 +1,8 @@
 //! Crowds played against the core in virtual time: scripted clients, no socket, no clock, the same each time.
 
-use pinetrail_connection_limits::{Id, Limits, Ms, Phase, Places, Reason, Split};
+use pinetrail_connection_limits::{
+    ConnectionId, ConnectionTable, DescriptorBudget, Limits, Millis, Phase, Reason,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a client does with its connection.
@@ -17,37 +19,37 @@
     /// Asks once and then keeps the connection for good.
     AsksOnce,
     /// Asks again at each such interval, on the connection that it has or on a new one.
-    AsksEvery(Ms),
+    AsksEvery(Millis),
 }
 
 /// A server with the core, and its clients. A client that finds no place is turned away.
 struct Crowd {
-    places: Places,
-    now: Ms,
-    next: Id,
-    events: BTreeSet<(Ms, Id, u8)>,
-    manners: BTreeMap<Id, Manner>,
+    places: ConnectionTable,
+    now: Millis,
+    next: ConnectionId,
+    events: BTreeSet<(Millis, ConnectionId, u8)>,
+    manners: BTreeMap<ConnectionId, Manner>,
     /// Connections that a client may hold at the same time; more are never opened.
     honest_most: usize,
-    honest: BTreeSet<Id>,
+    honest: BTreeSet<ConnectionId>,
     asked: usize,
     turned_away: usize,
     /// Connections closed that would have asked again.
     reopened: usize,
     closed: BTreeMap<Reason, Vec<Manner>>,
-    held_longest: BTreeMap<Manner, Ms>,
-    arrived: BTreeMap<Id, Ms>,
+    held_longest: BTreeMap<Manner, Millis>,
+    arrived: BTreeMap<ConnectionId, Millis>,
 }
 
 const BYTE: u8 = 0;
 const ASK: u8 = 1;
 const ANSWERED: u8 = 2;
-const ANSWER_TIME: Ms = 100;
+const ANSWER_TIME: Millis = 100;
 
 impl Crowd {
     fn on(most: usize, honest_most: usize) -> Crowd {
         Crowd {
-            places: Places::new(Limits::default(), most),
+            places: ConnectionTable::new(Limits::default(), most),
             now: 0,
             next: 0,
             events: BTreeSet::new(),
@@ -79,13 +81,13 @@
         let id = self.next;
         self.manners.insert(id, manner);
         self.arrived.insert(id, self.now);
-        self.places.arrive(self.now, id);
+        self.places.insert(self.now, id);
         match manner {
             Manner::Silent => {}
             Manner::Drips => drop(self.events.insert((self.now, id, BYTE))),
             Manner::Greets => {
-                self.places.enter(self.now, id, Phase::AtWork);
-                self.places.enter(self.now, id, Phase::Idle);
+                self.places.set_phase(self.now, id, Phase::AtWork);
+                self.places.set_phase(self.now, id, Phase::Idle);
             }
             Manner::AsksOnce | Manner::AsksAndLeaves | Manner::AsksEvery(_) => {
                 self.honest.insert(id);
@@ -94,14 +96,14 @@
         }
     }
 
-    fn close(&mut self, id: Id, reason: Reason) {
+    fn close(&mut self, id: ConnectionId, reason: Reason) {
         let manner = self.manners.remove(&id).expect("closed once");
         let held = self.now - self.arrived[&id];
         let longest = self.held_longest.entry(manner).or_default();
         *longest = held.max(*longest);
         self.closed.entry(reason).or_default().push(manner);
         self.honest.remove(&id);
-        self.places.left(self.now, id);
+        self.places.remove(self.now, id);
         if let Manner::AsksEvery(_) = manner {
             // It asks when it would have, on a new connection.
             self.reopened += 1;
@@ -109,7 +111,7 @@
     }
 
     /// Lets time pass; each rate is in connections a second.
-    fn play(&mut self, ms: Ms, rates: &[(Manner, u64)]) {
+    fn play(&mut self, ms: Millis, rates: &[(Manner, u64)]) {
         let until = self.now + ms;
         while self.now < until {
             self.now += 1;
@@ -124,29 +126,29 @@
                 let Some(manner) = self.manners.get(&id).copied() else { continue };
                 match (what, manner) {
                     (BYTE, _) => {
-                        self.places.enter(self.now, id, Phase::FirstHalf);
+                        self.places.set_phase(self.now, id, Phase::FirstHalf);
                         self.events.insert((self.now + 500, id, BYTE));
                     }
                     (ASK, _) => {
-                        self.places.asked(id);
-                        self.places.enter(self.now, id, Phase::AtWork);
+                        self.places.record_request(id);
+                        self.places.set_phase(self.now, id, Phase::AtWork);
                         self.events.insert((self.now + ANSWER_TIME, id, ANSWERED));
                     }
                     (_, Manner::AsksEvery(gap)) => {
-                        self.places.enter(self.now, id, Phase::Idle);
+                        self.places.set_phase(self.now, id, Phase::Idle);
                         self.events.insert((self.now + gap, id, ASK));
                     }
                     (_, Manner::AsksAndLeaves) => {
-                        self.places.enter(self.now, id, Phase::Idle);
+                        self.places.set_phase(self.now, id, Phase::Idle);
                         self.manners.remove(&id);
                         self.honest.remove(&id);
-                        self.places.left(self.now, id);
+                        self.places.remove(self.now, id);
                     }
-                    _ => drop(self.places.enter(self.now, id, Phase::Idle)),
+                    _ => drop(self.places.set_phase(self.now, id, Phase::Idle)),
                 }
             }
             if self.now.is_multiple_of(10) {
-                let orders = self.places.overdue(self.now);
+                let orders = self.places.expired(self.now);
                 orders.into_iter().for_each(|order| self.close(order.id, order.reason));
             }
         }
@@ -169,7 +171,7 @@
     crowd.play(20_000, &rates);
     // Each held for 2 s, the idle alone would take 500 places of the 128 that clients may hold.
     assert!(crowd.turned_away_in_1000() <= 5);
-    let silent = crowd.places.tally(crowd.now).silent;
+    let silent = crowd.places.counts(crowd.now).silent;
     assert!(silent <= 50 / 2, "{silent} places are held by those that say nothing");
 }
 
@@ -191,7 +193,7 @@
     crowd.play(10_000, &rates);
     assert!(crowd.turned_away_in_1000() <= 10);
     assert!(crowd.held_longest[&Manner::Drips] <= 2500);
-    let half = crowd.places.tally(crowd.now).half;
+    let half = crowd.places.counts(crowd.now).half;
     assert!(half <= 100 * 7 / 10, "{half} places are held by those with half a command");
 }
 
@@ -223,15 +225,15 @@
 /// Guards against a crowd that finds all descriptors with providers, and against one given twice.
 #[test]
 fn a_crowd_gets_its_share_while_providers_hold_all_they_may_and_more_after() {
-    let mut split = Split::new(360, 0.5, 0.25);
-    split.providers_need(0, 500);
-    let mut providers = split.for_providers(0);
-    let mut crowd = Crowd::on(split.for_consumers(0), 180);
-    assert_eq!((providers, split.for_consumers(0)), (180, 180));
+    let mut split = DescriptorBudget::new(360, 0.5, 0.25);
+    split.record_backend_need(0, 500);
+    let mut providers = split.backend_limit(0);
+    let mut crowd = Crowd::on(split.client_limit(0), 180);
+    assert_eq!((providers, split.client_limit(0)), (180, 180));
     let mut served_share = Vec::new();
     for second in 0..30u64 {
         for _ in 0..100 {
-            crowd.places.set_most(split.for_consumers(crowd.now));
+            crowd.places.set_capacity(split.client_limit(crowd.now));
             crowd.play(10, &[(Manner::Silent, 50), (Manner::AsksOnce, 250)]);
             assert!(crowd.places.open() + providers <= 360, "a descriptor given twice");
         }
@@ -240,7 +242,7 @@
         providers = (180 - 4 * second as usize).max(60);
     }
     assert!(served_share[3..].iter().all(|share| *share >= 990), "{served_share:?}");
-    assert!(split.for_consumers(crowd.now) > 260);
+    assert!(split.client_limit(crowd.now) > 260);
 }
 
 #[test]
@@ -289,11 +291,11 @@
         let mut crowd = Crowd::on(150, 140);
         crowd.play(4000, &[(Manner::AsksOnce, 250), (Manner::Silent, 50)]);
         if shut {
-            crowd.places.shut();
+            crowd.places.stop_accepting();
         }
-        let before = crowd.closed.get(&Reason::Hopeless).map_or(0, Vec::len);
+        let before = crowd.closed.get(&Reason::UnlikelyToReturn).map_or(0, Vec::len);
         crowd.play(400, &[]);
-        crowd.closed.get(&Reason::Hopeless).map_or(0, Vec::len) - before
+        crowd.closed.get(&Reason::UnlikelyToReturn).map_or(0, Vec::len) - before
     };
     assert!(close_at_stop(false) > 10);
     assert_eq!(close_at_stop(true), 0);
@@ -304,12 +306,12 @@
 fn the_recorded_crowd_is_served_on_few_descriptors_and_on_many() {
     let rates = [(Manner::AsksOnce, 250), (Manner::Silent, 45)];
     let figures = [256, 384, 1024].map(|descriptors: usize| {
-        let split = Split::new(descriptors - 24, 0.5, 0.25);
-        let mut crowd = Crowd::on(split.for_consumers(0), descriptors / 3);
+        let split = DescriptorBudget::new(descriptors - 24, 0.5, 0.25);
+        let mut crowd = Crowd::on(split.client_limit(0), descriptors / 3);
         crowd.play(3000, &rates);
         let learning = crowd.turned_away_in_1000();
         crowd.play(20_000, &rates);
-        let tally = crowd.places.tally(crowd.now);
+        let tally = crowd.places.counts(crowd.now);
         (descriptors, learning, crowd.turned_away_in_1000(), tally.open, tally.limits[1])
     });
     println!("descriptors, turned away of 1000 in 3 s and after, places held, limit after one request: {figures:?}");
--- a/crates/drift/src/alarm.rs
+++ b/crates/drift/src/alarm.rs
@@ -1,6 +1,6 @@
 //! When drift is an alarm: once it has lasted, and once until the process was well for long enough.
 
-use crate::{State, Table, Time, Times};
+use crate::{DriftDetector, DriftState, Time, Timing};
 use std::collections::BTreeMap;
 
 /// A process that does not have in force what was approved.
@@ -11,7 +11,7 @@
     /// When it started.
     pub start: u64,
     /// How it stands.
-    pub state: State,
+    pub state: DriftState,
     /// The parts that differ.
     pub parts: Vec<String>,
 }
@@ -26,18 +26,18 @@
 /// The alarms that were raised. Every process keeps them, so that whoever takes the office over knows which were.
 #[derive(Default)]
 pub struct Alarms {
-    times: Times,
+    times: Timing,
     watched: BTreeMap<(String, u64), Watched>,
 }
 
 impl Alarms {
     /// None was raised.
-    pub fn new(times: Times) -> Alarms {
+    pub fn new(times: Timing) -> Alarms {
         Alarms { times, ..Alarms::default() }
     }
 
     /// This alarm was raised, here or elsewhere.
-    pub fn raised(&mut self, name: &str, start: u64) {
+    pub fn mark_raised(&mut self, name: &str, start: u64) {
         self.watched.entry((name.to_owned(), start)).or_default().raised = true;
     }
 
@@ -48,7 +48,7 @@
 
     /// Looks at a table; the alarms that are due. Danger: they stay due until one was raised: whoever takes the office over from a holder
     /// that died raises what that one did not.
-    pub fn due(&mut self, now: Time, table: &Table) -> Vec<Alarm> {
+    pub fn due(&mut self, now: Time, table: &DriftDetector) -> Vec<Alarm> {
         let mut due = Vec::new();
         let nodes: Vec<_> = table.nodes().collect();
         self.watched.retain(|(name, start), _| nodes.iter().any(|(of, at, _)| of == name && at == start));
@@ -63,7 +63,7 @@
                 continue;
             }
             watched.drifts_since = None;
-            if node.state != State::Same {
+            if node.state != DriftState::Same {
                 // Neither drift nor known to be well.
                 continue;
             }
--- a/crates/drift/src/alarm/tests.rs
+++ b/crates/drift/src/alarm/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::{Approved, Report, Stands};
+use crate::{Approved, NodeStatus, Report};
 
 fn parts(digest: u64) -> BTreeMap<String, u64> {
     BTreeMap::from([("Orgs".to_owned(), digest)])
@@ -7,19 +7,24 @@
 
 #[test]
 fn drift_that_lasts_is_one_alarm_and_a_flap_no_second_one() {
-    let mut table = Table::new(Times::default());
-    let mut alarms = Alarms::new(Times::default());
-    table.approve(0, Approved { version: 1, parts: parts(1) });
+    let mut table = DriftDetector::new(Timing::default());
+    let mut alarms = Alarms::new(Timing::default());
+    table.set_approved(0, Approved { version: 1, parts: parts(1) });
     let (mut raised, mut number) = (Vec::new(), 0);
     let mut play = |from: Time, until: Time, digest: u64| {
         for now in (from..until).step_by(100) {
             number += 1;
-            let report =
-                Report { number, version: 1, stands: Stands::Admits, parts: parts(digest), raised: vec![] };
-            table.hear(now, "a", 1, report);
+            let report = Report {
+                number,
+                version: 1,
+                status: NodeStatus::Admits,
+                parts: parts(digest),
+                raised: vec![],
+            };
+            table.record_report(now, "a", 1, report);
             for alarm in alarms.due(now, &table) {
                 assert_eq!(alarms.due(now, &table).len(), 1, "it stays due until it was raised");
-                alarms.raised(&alarm.name, alarm.start);
+                alarms.mark_raised(&alarm.name, alarm.start);
                 raised.push(now);
             }
         }
--- a/crates/drift/src/detector.rs
+++ b/crates/drift/src/detector.rs
@@ -1,11 +1,11 @@
 //! How each process stands, by its last report and by how long ago that was.
 
-use crate::{Report, Stands, Time};
+use crate::{NodeStatus, Report, Time};
 use std::collections::BTreeMap;
 
 /// How a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum State {
+pub enum DriftState {
     /// It has what was approved in force.
     Same,
     /// A change is under way, or was just taken.
@@ -22,29 +22,29 @@
     Silent,
 }
 
-impl State {
+impl DriftState {
     /// The word for it.
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
-            State::Same => "same",
-            State::Changing => "changing",
-            State::Behind => "behind",
-            State::Ahead => "ahead",
-            State::Differs => "differs",
-            State::Fenced => "fenced",
-            State::Silent => "silent",
+            DriftState::Same => "same",
+            DriftState::Changing => "changing",
+            DriftState::Behind => "behind",
+            DriftState::Ahead => "ahead",
+            DriftState::Differs => "differs",
+            DriftState::Fenced => "fenced",
+            DriftState::Silent => "silent",
         }
     }
 
     /// Whether it is drift.
     pub fn is_drift(self) -> bool {
-        matches!(self, State::Behind | State::Ahead | State::Differs)
+        matches!(self, DriftState::Behind | DriftState::Ahead | DriftState::Differs)
     }
 }
 
 /// Within which times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Times {
+pub struct Timing {
     /// Who was not heard for so long is silent.
     pub silent: Time,
     /// A version that was approved must be in force everywhere so much later; until then that is a change under way.
@@ -55,9 +55,9 @@
     pub calm: Time,
 }
 
-impl Default for Times {
-    fn default() -> Times {
-        Times { silent: 1600, settle: 1000, alarm: 500, calm: 5000 }
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing { silent: 1600, settle: 1000, alarm: 500, calm: 5000 }
     }
 }
 
@@ -72,9 +72,9 @@
 
 /// A process as the table has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Node {
+pub struct TrackedNode {
     /// How it stands.
-    pub state: State,
+    pub state: DriftState,
     /// The version that it said.
     pub version: u64,
     /// What it said of the parts.
@@ -90,7 +90,7 @@
 struct Entry {
     report: Report,
     heard: Time,
-    state: State,
+    state: DriftState,
     since: Time,
     /// Since when it says a later version than is approved.
     beyond: Option<Time>,
@@ -98,25 +98,25 @@
 
 /// How all stand. A process is known by its name and its start.
 #[derive(Default)]
-pub struct Table {
-    times: Times,
+pub struct DriftDetector {
+    times: Timing,
     approved: Approved,
     approved_at: Time,
     nodes: BTreeMap<(String, u64), Entry>,
 }
 
-impl Table {
+impl DriftDetector {
     /// Nobody is known.
-    pub fn new(times: Times) -> Table {
-        Table { times, ..Table::default() }
+    pub fn new(times: Timing) -> DriftDetector {
+        DriftDetector { times, ..DriftDetector::default() }
     }
 
     /// This is approved, as far as is known here.
-    pub fn approve(&mut self, now: Time, approved: Approved) {
+    pub fn set_approved(&mut self, now: Time, approved: Approved) {
         if approved != self.approved {
             (self.approved, self.approved_at) = (approved, now);
         }
-        self.look(now);
+        self.refresh(now);
     }
 
     /// What is approved.
@@ -125,21 +125,22 @@
     }
 
     /// A process says how it stands. What comes late or twice changes nothing.
-    pub fn hear(&mut self, now: Time, name: &str, start: u64, report: Report) {
+    pub fn record_report(&mut self, now: Time, name: &str, start: u64, report: Report) {
         let key = (name.to_owned(), start);
         match self.nodes.get_mut(&key) {
             Some(entry) if entry.report.number >= report.number => return,
             Some(entry) => (entry.report, entry.heard) = (report, now),
             None => {
-                let entry = Entry { report, heard: now, state: State::Changing, since: now, beyond: None };
+                let entry =
+                    Entry { report, heard: now, state: DriftState::Changing, since: now, beyond: None };
                 self.nodes.insert(key, entry);
             }
         }
-        self.look(now);
+        self.refresh(now);
     }
 
     /// Time has passed.
-    pub fn look(&mut self, now: Time) {
+    pub fn refresh(&mut self, now: Time) {
         let (times, approved, at) = (self.times, &self.approved, self.approved_at);
         for entry in self.nodes.values_mut() {
             let is_beyond = entry.report.version > approved.version;
@@ -152,14 +153,14 @@
     }
 
     /// Processes that nobody speaks of any more are forgotten: `there` says who is.
-    pub fn keep(&mut self, there: impl Fn(&str, u64) -> bool) {
+    pub fn retain(&mut self, there: impl Fn(&str, u64) -> bool) {
         self.nodes.retain(|(name, start), _| there(name, *start));
     }
 
     /// How each process stands.
-    pub fn nodes(&self) -> impl Iterator<Item = (&str, u64, Node)> {
+    pub fn nodes(&self) -> impl Iterator<Item = (&str, u64, TrackedNode)> {
         self.nodes.iter().map(|((name, start), entry)| {
-            let node = Node {
+            let node = TrackedNode {
                 state: entry.state,
                 version: entry.report.version,
                 report: entry.report.clone(),
@@ -172,16 +173,16 @@
     }
 }
 
-fn stands(entry: &Entry, now: Time, times: Times, approved: &Approved, at: Time) -> State {
+fn stands(entry: &Entry, now: Time, times: Timing, approved: &Approved, at: Time) -> DriftState {
     let report = &entry.report;
     // Danger: what was heard of old must not pass for what is.
     if now.saturating_sub(entry.heard) >= times.silent {
-        return State::Silent;
+        return DriftState::Silent;
     }
-    match report.stands {
-        Stands::Fenced => return State::Fenced,
-        Stands::CatchesUp => return State::Changing,
-        Stands::Admits => {}
+    match report.status {
+        NodeStatus::Fenced => return DriftState::Fenced,
+        NodeStatus::CatchesUp => return DriftState::Changing,
+        NodeStatus::Admits => {}
     }
     let settles = now.saturating_sub(at) < times.settle;
     match report.version.cmp(&approved.version) {
@@ -189,16 +190,16 @@
         std::cmp::Ordering::Greater => {
             let since = entry.beyond.unwrap_or(now);
             if now.saturating_sub(since) < times.settle {
-                State::Changing
+                DriftState::Changing
             } else {
-                State::Ahead
+                DriftState::Ahead
             }
         }
-        std::cmp::Ordering::Less if settles => State::Changing,
-        std::cmp::Ordering::Less => State::Behind,
-        std::cmp::Ordering::Equal if differing(report, approved).is_empty() => State::Same,
-        std::cmp::Ordering::Equal if settles => State::Changing,
-        std::cmp::Ordering::Equal => State::Differs,
+        std::cmp::Ordering::Less if settles => DriftState::Changing,
+        std::cmp::Ordering::Less => DriftState::Behind,
+        std::cmp::Ordering::Equal if differing(report, approved).is_empty() => DriftState::Same,
+        std::cmp::Ordering::Equal if settles => DriftState::Changing,
+        std::cmp::Ordering::Equal => DriftState::Differs,
     }
 }
 
--- a/crates/drift/src/report.rs
+++ b/crates/drift/src/report.rs
@@ -5,7 +5,7 @@
 
 /// Whether a process admits requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Stands {
+pub enum NodeStatus {
     /// It does, by what it has in force.
     Admits,
     /// It does not: its permit has ended.
@@ -23,7 +23,7 @@
     /// The version that it takes for the one in force.
     pub version: u64,
     /// Whether it admits requests.
-    pub stands: Stands,
+    pub status: NodeStatus,
     /// A digest for each part of what it has in force.
     pub parts: BTreeMap<String, u64>,
     /// Processes about which the alarm was raised, as far as it knows: one that starts anew learns it from the others.
@@ -32,22 +32,22 @@
 
 /// What processes tell each other of drift.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum DriftMessage {
     /// How the sender stands.
     Report(Report),
     /// The sender raised the alarm about this process.
     Raised(String, u64),
 }
 
-impl Word {
+impl DriftMessage {
     /// As bytes.
-    pub fn words(&self) -> Vec<u8> {
+    pub fn encode(&self) -> Vec<u8> {
         // The types above are all representable.
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
     /// What the bytes say; none if they are none.
-    pub fn read(bytes: &[u8]) -> Option<Word> {
+    pub fn decode(bytes: &[u8]) -> Option<DriftMessage> {
         match postcard::take_from_bytes(bytes) {
             Ok((word, [])) => Some(word),
             _ => None,
--- a/crates/drift/tests/golden_bytes.rs
+++ b/crates/drift/tests/golden_bytes.rs
@@ -3,7 +3,7 @@
 //! new version must write what an old one reads, and read what an old one writes. A test that fails
 //! here says that the program has changed its format; the recorded bytes are not to be adapted.
 
-use pinetrail_drift::{Report, Stands, Word};
+use pinetrail_drift::{DriftMessage, NodeStatus, Report};
 use std::collections::BTreeMap;
 
 fn hex(bytes: &[u8]) -> String {
@@ -16,17 +16,17 @@
 }
 
 /// The value is written as the recorded bytes, and the recorded bytes are read as the value.
-fn assert_recorded(value: &Word, recorded: &str) {
-    assert_eq!(hex(&value.words()), recorded, "encoding of {value:?}");
-    assert_eq!(Word::read(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
+fn assert_recorded(value: &DriftMessage, recorded: &str) {
+    assert_eq!(hex(&value.encode()), recorded, "encoding of {value:?}");
+    assert_eq!(DriftMessage::decode(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
 }
 
 /// A report in which every field has a value that appears nowhere else in it.
-fn report(stands: Stands) -> Report {
+fn report(stands: NodeStatus) -> Report {
     Report {
         number: 300,
         version: 7,
-        stands,
+        status: stands,
         parts: BTreeMap::from([
             ("Grades".to_owned(), 0x0123_4567_89ab_cdef),
             ("Safety".to_owned(), u64::MAX),
@@ -36,17 +36,17 @@
 }
 
 /// The recorded bytes for each variant. A new variant does not compile until it has some.
-fn recorded_report(stands: Stands) -> &'static str {
+fn recorded_report(stands: NodeStatus) -> &'static str {
     match stands {
-        Stands::Admits => {
+        NodeStatus::Admits => {
             "00ac0207000206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
-        Stands::Fenced => {
+        NodeStatus::Fenced => {
             "00ac0207010206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
-        Stands::CatchesUp => {
+        NodeStatus::CatchesUp => {
             "00ac0207020206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
@@ -55,8 +55,8 @@
 
 #[test]
 fn a_report_has_the_recorded_bytes_for_each_state_of_admission() {
-    for stands in [Stands::Admits, Stands::Fenced, Stands::CatchesUp] {
-        assert_recorded(&Word::Report(report(stands)), recorded_report(stands));
+    for stands in [NodeStatus::Admits, NodeStatus::Fenced, NodeStatus::CatchesUp] {
+        assert_recorded(&DriftMessage::Report(report(stands)), recorded_report(stands));
     }
 }
 
@@ -65,22 +65,22 @@
     let empty = Report {
         number: 0,
         version: 0,
-        stands: Stands::CatchesUp,
+        status: NodeStatus::CatchesUp,
         parts: BTreeMap::new(),
         raised: Vec::new(),
     };
-    assert_recorded(&Word::Report(empty), "000000020000");
+    assert_recorded(&DriftMessage::Report(empty), "000000020000");
 }
 
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
 #[test]
 fn every_kind_of_message_has_recorded_bytes() {
-    let recorded = |word: &Word| match word {
-        Word::Report(report) => recorded_report(report.stands),
-        Word::Raised(..) => "01026e318080f9c0c1c48203",
+    let recorded = |word: &DriftMessage| match word {
+        DriftMessage::Report(report) => recorded_report(report.status),
+        DriftMessage::Raised(..) => "01026e318080f9c0c1c48203",
     };
-    let raised = Word::Raised("n1".to_owned(), 1_700_000_000_000_000);
-    for word in [Word::Report(report(Stands::Fenced)), raised] {
+    let raised = DriftMessage::Raised("n1".to_owned(), 1_700_000_000_000_000);
+    for word in [DriftMessage::Report(report(NodeStatus::Fenced)), raised] {
         assert_recorded(&word, recorded(&word));
     }
 }
--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -7,7 +7,7 @@
 use clap::Args;
 use hdrhistogram::Histogram;
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_test_harness::{http_200, opaque, program, Does, Party};
+use pinetrail_test_harness::{http_200, opaque, program, StubAction, StubServer};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -73,13 +73,13 @@
 }
 
 fn measure(options: &Options, with: bool, seed: u64) -> Result<Round, String> {
-    let node = || Party::node(|line| Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))));
+    let node = || StubServer::node(|line| StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))));
     let members = usize::from(options.members);
     let all: Vec<usize> = (0..members).collect();
     let mut fleet = Fleet::new(
         FleetOptions { seed, ..FleetOptions::of(members) },
         vec![node(), node()],
-        Party::origin(|_| http_200("v")),
+        StubServer::origin(|_| http_200("v")),
     );
     for member in &all {
         if !with {
--- a/crates/experiments/src/cost/core.rs
+++ b/crates/experiments/src/cost/core.rs
@@ -1,13 +1,13 @@
 //! What the core costs, in simulated time: one process has a whole fleet, and times each call.
 
-use pinetrail_membership::{Members, Output, Time};
+use pinetrail_membership::{Membership, Output, Time};
 use pinetrail_simulation::fleet::{settings, Fleet, Member};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// A member that is timed.
 struct Timed {
-    members: Members,
+    members: Membership,
     spent: Duration,
     datagrams: u32,
     dues: u32,
@@ -15,20 +15,20 @@
 }
 
 impl Member for Timed {
-    fn next_due(&self) -> Option<Time> {
-        self.members.next_due()
+    fn next_timeout(&self) -> Option<Time> {
+        self.members.next_timeout()
     }
 
-    fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+    fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
         let begun = Instant::now();
-        self.members.due(now, out);
+        self.members.handle_timeout(now, out);
         self.spent_due += begun.elapsed();
         self.dues += 1;
     }
 
-    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+    fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
         let begun = Instant::now();
-        self.members.datagram(now, from, bytes, out);
+        self.members.handle_datagram(now, from, bytes, out);
         self.spent += begun.elapsed();
         self.datagrams += 1;
     }
@@ -42,7 +42,7 @@
     let mut fleet: Fleet<Timed> = Fleet::new(members, 1);
     for host in 0..members {
         fleet.start(host, |start, seed, now| {
-            let members = Members::new(settings(host, members.max(4), &[0, 1, 2]), start, seed, now);
+            let members = Membership::new(settings(host, members.max(4), &[0, 1, 2]), start, seed, now);
             let members = members.expect("settings that can be");
             Timed { members, spent: Duration::ZERO, datagrams: 0, dues: 0, spent_due: Duration::ZERO }
         });
@@ -51,7 +51,7 @@
     fleet.run(60_000);
     fleet.heard.clear();
     let known: usize =
-        (0..members).filter_map(|host| fleet.member(host)).map(|one| one.members.roster().len()).sum();
+        (0..members).filter_map(|host| fleet.member(host)).map(|one| one.members.members().len()).sum();
     let full = resident();
     let sum = |fleet: &Fleet<Timed>| {
         (0..members).filter_map(|host| fleet.member(host)).fold((0u64, 0u64, 0.0, 0.0), |sum, one| {
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -6,11 +6,11 @@
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
 
-use pinetrail_history_checker::judge;
+use pinetrail_history_checker::check;
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
+use pinetrail_test_harness::recorder::Recorder;
 use pinetrail_test_harness::script::{Fault, Script};
-use pinetrail_test_harness::recorder::Witness;
-use pinetrail_test_harness::{http_200, opaque, program, Does, Party};
+use pinetrail_test_harness::{http_200, opaque, program, StubAction, StubServer};
 use serde_json::{json, Value};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::BTreeMap;
@@ -57,7 +57,7 @@
         options.seconds
     );
     let nodes = (0..NODES).map(|_| node()).collect();
-    let origin = Party::origin(|head| {
+    let origin = StubServer::origin(|head| {
         // The origin is slow, and names the request that it answers.
         sleep(Duration::from_millis(8));
         http_200(&format!("o.{}", head.split_whitespace().nth(1).unwrap_or("/").trim_start_matches('/')))
@@ -92,15 +92,15 @@
 }
 
 /// A cache node that lacks some keys at first and takes a moment for each call.
-fn node() -> Party {
+fn node() -> StubServer {
     let had = std::sync::Mutex::new(std::collections::BTreeSet::new());
-    Party::node(move |line| {
+    StubServer::node(move |line| {
         sleep(Duration::from_millis(2));
         let key = line.split(' ').nth(1).unwrap_or_default().to_owned();
         // It has a key from the second time on: after a miss the origin's value is put there.
         match had.lock().is_ok_and(|mut had| !had.insert(key.clone())) {
-            true => Does::Says(format!("VA {} {}\r\nc.{key}\r\n", key.len() + 2, opaque(line))),
-            false => Does::Says(format!("EN {}\r\n", opaque(line))),
+            true => StubAction::Says(format!("VA {} {}\r\nc.{key}\r\n", key.len() + 2, opaque(line))),
+            false => StubAction::Says(format!("EN {}\r\n", opaque(line))),
         }
     })
 }
@@ -113,7 +113,7 @@
             entry["hostPort"] = json!(node.place.to_string());
         }
     }
-    Witness::own().in_force(&config.to_string());
+    Recorder::own().record_active_config(&config.to_string());
 }
 
 /// One proxy dies and returns, one way is cut and heals, one cache node is gone for a moment.
@@ -178,7 +178,7 @@
 }
 
 fn figures(options: &Options, done: &Done, knew: &[(String, String, &'static str, Option<u128>)]) -> Value {
-    let broken: Vec<String> = match judge(&Witness::own().history()) {
+    let broken: Vec<String> = match check(&Recorder::own().history()) {
         Ok(breaches) => breaches.iter().map(ToString::to_string).collect(),
         Err(error) => vec![format!("not judged: {error:?}")],
     };
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -1,9 +1,9 @@
 //! A script of faults, played on a fleet in simulated time; what is heard of it.
 
 use crate::membership::trials::words;
-use pinetrail_membership::Members;
-use pinetrail_test_harness::script::{Fault, Script};
+use pinetrail_membership::Membership;
 use pinetrail_simulation::fleet::Fleet;
+use pinetrail_test_harness::script::{Fault, Script};
 
 /// After the last fault it is listened for so long, in ms.
 const AFTER: u64 = 15_000;
@@ -16,7 +16,7 @@
     fleet.run(30_000);
     fleet.heard.clear();
     let (begun, mut lines) = (fleet.now(), Vec::new());
-    let tell = |fleet: &mut Fleet<Members>, lines: &mut Vec<String>| {
+    let tell = |fleet: &mut Fleet<Membership>, lines: &mut Vec<String>| {
         for heard in std::mem::take(&mut fleet.heard) {
             lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.news)));
         }
@@ -33,7 +33,7 @@
 }
 
 fn cause(
-    fleet: &mut Fleet<Members>,
+    fleet: &mut Fleet<Membership>,
     fault: &Fault,
     members: usize,
     size: usize,
--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -1,7 +1,7 @@
 //! One trial: a fleet in simulated time, what happens to it, and what is seen.
 
 use hdrhistogram::Histogram;
-use pinetrail_membership::{Members, News, State, Time};
+use pinetrail_membership::{Membership, MembershipEvent, State, Time};
 use pinetrail_simulation::fleet::{settings, Fleet, Heard, Member, BRIEF};
 use pinetrail_simulation::heartbeats::Heartbeats;
 use serde::Serialize;
@@ -94,7 +94,7 @@
             }
             false => {
                 let peers = &SEEDS[..SEEDS.len().min(members)];
-                let mut fleet: Fleet<Members> = Fleet::new(members, seed);
+                let mut fleet: Fleet<Membership> = Fleet::new(members, seed);
                 for host in 0..members {
                     fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
                     // A release starts them one after the other.
@@ -223,12 +223,12 @@
 }
 
 /// What was heard, in words.
-pub fn words(news: &News) -> String {
+pub fn words(news: &MembershipEvent) -> String {
     match news {
-        News::Member { entry, .. } => {
+        MembershipEvent::Member { entry, .. } => {
             format!("{} {} (incarnation {})", entry.name, entry.state, entry.incarnation)
         }
-        News::Side(side) => format!("side {side}"),
+        MembershipEvent::PartitionSide(side) => format!("side {side}"),
         other => format!("{other:?}"),
     }
 }
@@ -236,7 +236,7 @@
 /// Whom somebody took for failed.
 fn failed(heard: &Heard) -> Option<usize> {
     match &heard.news {
-        News::Member { entry, .. } if entry.state == State::Failed => {
+        MembershipEvent::Member { entry, .. } if entry.state == State::Failed => {
             entry.name.trim_start_matches('n').parse().ok()
         }
         _ => None,
--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -3,10 +3,10 @@
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
-use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_test_harness::policy::{play_hangups, play_seed as play_processes, Played};
-use pinetrail_test_harness::{http_200, program, Party};
 use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, Plan, Run, Verdict};
+use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
+use pinetrail_test_harness::policy::{play_hangups, play_seed as play_processes, PolicyRun};
+use pinetrail_test_harness::{http_200, program, StubServer};
 use rayon::prelude::*;
 use serde::Serialize;
 use std::path::PathBuf;
@@ -129,7 +129,9 @@
     }
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     program(own, &["proxy"]);
-    let parties = || (vec![Party::full_node("v"), Party::full_node("v")], Party::origin(|_| http_200("v")));
+    let parties = || {
+        (vec![StubServer::full_node("v"), StubServer::full_node("v")], StubServer::origin(|_| http_200("v")))
+    };
     let mut all = Vec::new();
     for seed in first..first + seeds {
         let (nodes, origin) = parties();
@@ -137,7 +139,7 @@
         all.push(play_processes(Fleet::start_all(options, nodes, origin), seed));
     }
     let wrong: Vec<u64> = all.iter().filter(|one| one.breaches > 0).map(|one| one.seed).collect();
-    let sum = |of: fn(&Played) -> u64| all.iter().map(of).sum::<u64>();
+    let sum = |of: fn(&PolicyRun) -> u64| all.iter().map(of).sum::<u64>();
     println!(
         "real processes: {seeds} seeds from {first}, wrong {wrong:?}; {} requests decided, {} refused; the change taken in {}",
         sum(|one| one.decided as u64),
--- a/crates/experiments/src/quota/day.rs
+++ b/crates/experiments/src/quota/day.rs
@@ -1,6 +1,6 @@
 //! One day in simulated time: proxies that fetch from one origin, each within its share, and what befalls them.
 
-use pinetrail_quota::WHOLE;
+use pinetrail_quota::WHOLE_PARTS;
 use pinetrail_simulation::origin::Origin;
 use pinetrail_simulation::quota::Sharing;
 use rand::rngs::StdRng;
@@ -232,7 +232,7 @@
                 grown = (all >= 0.99 * (0.5 + 0.5 * left)).then(|| self.now - last_death.unwrap_or(0));
             }
         }
-        let most = self.sharing.as_ref().map_or(sum, |sharing| sharing.most as f64 / WHOLE as f64);
+        let most = self.sharing.as_ref().map_or(sum, |sharing| sharing.most as f64 / WHOLE_PARTS as f64);
         let second = self.origin.bears as f64 * 1000.0 / TAKES as f64;
         Outcome {
             proxies: day.proxies,
@@ -299,7 +299,7 @@
                     .filter(|other| *other != one && alive[*other] && side[*other] == side[one]);
                 1.0 / (there.count() + 1) as f64
             }
-            Rule::Leased => self.sharing.as_ref().map_or(0.0, |s| s.share(one) as f64 / WHOLE as f64),
+            Rule::Leased => self.sharing.as_ref().map_or(0.0, |s| s.share(one) as f64 / WHOLE_PARTS as f64),
         }
     }
 
--- a/crates/history-checker/src/answers.rs
+++ b/crates/history-checker/src/answers.rs
@@ -1,23 +1,23 @@
 //! One final answer for each request, in time, and given by a provider.
 
-use crate::violation::{Breach, NotJudged, Reason};
 use crate::history::{Answer, End, History};
 use crate::ledger::{Ledger, Request};
+use crate::violation::{CheckError, Reason, Violation};
 
-pub fn judge(history: &History, ledger: &Ledger) -> Result<Vec<Breach>, NotJudged> {
+pub fn check(history: &History, ledger: &Ledger) -> Result<Vec<Violation>, CheckError> {
     let end = history.events.last().map_or(0.0, |event| event.0);
     let mut breaches = Vec::new();
     for (id, request) in &ledger.requests {
         let mut broken = |reason, at, events| {
-            breaches.push(Breach { reason, about: (*id).to_owned(), at, events });
+            breaches.push(Violation { reason, about: (*id).to_owned(), at, events });
         };
         let (asked, from) = request.asked;
-        let due = from + request.budget + request.figures.answer_slack + history.blur;
+        let due = from + request.budget + request.figures.answer_slack + history.clock_error;
         match request.answers.as_slice() {
             [] if request.began.is_some() || request.excused.is_some_and(|at| at <= due) => {}
             [] => match request.proxy_left {
                 Some((left, at)) => broken(Reason::Lost, at, vec![asked, left]),
-                None if end <= due => return Err(NotJudged::Unfinished((*id).to_owned())),
+                None if end <= due => return Err(CheckError::Unfinished((*id).to_owned())),
                 None => broken(Reason::Lost, due, vec![asked]),
             },
             [(event, at, answer), more @ ..] => {
@@ -30,7 +30,7 @@
                 for (again, at, _) in more {
                     broken(Reason::Twice, *at, vec![*event, *again]);
                 }
-                for call in request.calls.iter().filter(|call| call.first > *at + history.blur) {
+                for call in request.calls.iter().filter(|call| call.first > *at + history.clock_error) {
                     broken(Reason::AfterTheEnd, call.first, vec![*event, call.event]);
                 }
             }
@@ -38,7 +38,7 @@
     }
     for (event, at, request) in &ledger.unasked {
         let about = (*request).to_owned();
-        breaches.push(Breach { reason: Reason::Unasked, about, at: *at, events: vec![*event] });
+        breaches.push(Violation { reason: Reason::Unasked, about, at: *at, events: vec![*event] });
     }
     Ok(breaches)
 }
--- a/crates/history-checker/src/calls.rs
+++ b/crates/history-checker/src/calls.rs
@@ -1,29 +1,30 @@
 //! No effect twice: which calls and which refusals a request may have after the calls before them.
 
-use crate::violation::{Breach, Reason};
-use crate::history::{Answer, Effect, History, Node, Scope, Seen, Time};
+use crate::history::{Answer, Effect, History, HistoryEvent, Node, Scope, Time};
 use crate::ledger::{Call, Ledger, Request};
+use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
-pub fn judge(history: &History, ledger: &Ledger) -> Vec<Breach> {
+pub fn check(history: &History, ledger: &Ledger) -> Vec<Violation> {
     let nodes = places(history);
     let mut breaches = Vec::new();
     for (id, request) in &ledger.requests {
         let mut broken = |reason, at, events| {
-            breaches.push(Breach { reason, about: (*id).to_owned(), at, events });
+            breaches.push(Violation { reason, about: (*id).to_owned(), at, events });
         };
         for (number, call) in request.calls.iter().enumerate() {
             let before = &request.calls[..number];
             if number >= request.figures.attempts {
                 broken(Reason::TooMany, call.first, vec![request.asked.0, call.event]);
             }
-            let is_out =
-                |earlier: &&Call| earlier.end.is_none_or(|(ended, _)| ended > call.first + history.blur);
+            let is_out = |earlier: &&Call| {
+                earlier.end.is_none_or(|(ended, _)| ended > call.first + history.clock_error)
+            };
             if let Some(earlier) = before.iter().find(is_out).filter(|_| !request.figures.second_copies) {
                 broken(Reason::TwoAtOnce, call.first, vec![earlier.event, call.event]);
             }
             // Each one that may have run binds: the group and the window are those of every earlier call.
-            let ran = before.iter().filter(|earlier| earlier.may_have_run(call.first + history.blur));
+            let ran = before.iter().filter(|earlier| earlier.may_have_run(call.first + history.clock_error));
             let harms = ran.map(|ran| (ran, harm(history, request, ran, call, &nodes)));
             if let Some((ran, reason)) = harms.filter_map(|(ran, harm)| Some((ran, harm?))).next() {
                 broken(reason, call.first, vec![ran.event, call.event]);
@@ -45,7 +46,7 @@
         Effect::Safe => true,
         Effect::Unsafe => false,
         Effect::Keyed => {
-            request.class.scope == Scope::All && at - ran.first <= request.class.window + history.blur
+            request.class.scope == Scope::All && at - ran.first <= request.class.window + history.clock_error
         }
     }
 }
@@ -69,7 +70,9 @@
         Effect::Safe => None,
         Effect::Unsafe => Some(Reason::Effect),
         Effect::Keyed if !together => Some(Reason::Scope),
-        Effect::Keyed if call.first - ran.first > request.class.window + history.blur => Some(Reason::Window),
+        Effect::Keyed if call.first - ran.first > request.class.window + history.clock_error => {
+            Some(Reason::Window)
+        }
         Effect::Keyed => None,
     }
 }
@@ -77,7 +80,7 @@
 /// The nodes by the places at which they were last told of.
 fn places(history: &History) -> BTreeMap<&str, &Node> {
     let told = history.events.iter().filter_map(|(_, seen)| match seen {
-        Seen::Told { nodes, .. } => Some(nodes),
+        HistoryEvent::Told { nodes, .. } => Some(nodes),
         _ => None,
     });
     told.flatten().map(|node| (node.place.as_str(), node)).collect()
--- a/crates/history-checker/src/cold.rs
+++ b/crates/history-checker/src/cold.rs
@@ -1,7 +1,7 @@
 //! A cold node is sent no more than it bears, by all proxies together, over any span of the stated length.
 
-use crate::violation::{Breach, Reason};
-use crate::history::{Figures, History, Seen, Time};
+use crate::history::{Figures, History, HistoryEvent, Time};
+use crate::violation::{Reason, Violation};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Of what a node is sent beyond its budget, so much must come from proxies that were told of its start.
@@ -15,35 +15,35 @@
     sent: VecDeque<(usize, Time, f64, bool)>,
 }
 
-pub fn judge(history: &History) -> Vec<Breach> {
+pub fn check(history: &History) -> Vec<Violation> {
     let mut figures: Option<&Figures> = None;
     let mut processes: BTreeMap<&str, Process> = BTreeMap::new();
     let mut knows: BTreeSet<(&str, &str)> = BTreeSet::new();
     let mut breaches = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            Seen::InForce { figures: newer, .. } => figures = Some(newer),
-            Seen::Started { place, capacity } => {
+            HistoryEvent::InForce { figures: newer, .. } => figures = Some(newer),
+            HistoryEvent::Started { place, capacity } => {
                 knows.retain(|(_, known)| known != place);
                 let process = Process { started: *at, capacity: *capacity, sent: VecDeque::new() };
                 processes.insert(place, process);
             }
-            Seen::Told { proxy, nodes, .. } => {
+            HistoryEvent::Told { proxy, nodes, .. } => {
                 let new = nodes.iter().filter(|node| {
                     processes
                         .get(node.place.as_str())
-                        .is_some_and(|of| node.started >= of.started - history.blur)
+                        .is_some_and(|of| node.started >= of.started - history.clock_error)
                 });
                 knows.extend(new.map(|node| (proxy.as_str(), node.place.as_str())));
             }
-            Seen::Received { proxy, place, work, .. } => {
+            HistoryEvent::Received { proxy, place, work, .. } => {
                 let (Some(figures), Some(process)) = (figures, processes.get_mut(place.as_str())) else {
                     continue;
                 };
                 let told = knows.contains(&(proxy.as_str(), place.as_str()));
                 process.sent.push_back((event, *at, *work, told));
                 if let Some(events) = process.overloaded(*at, figures) {
-                    breaches.push(Breach {
+                    breaches.push(Violation {
                         reason: Reason::Overloaded,
                         about: place.clone(),
                         at: *at,
--- a/crates/history-checker/src/drains.rs
+++ b/crates/history-checker/src/drains.rs
@@ -1,7 +1,7 @@
 //! Nothing new to a node that drains, is gone, or was never listed.
 
-use crate::violation::{Breach, Reason};
-use crate::history::{Figures, History, Node, Seen, State, Time};
+use crate::history::{Figures, History, HistoryEvent, Node, State, Time};
+use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
 /// What one proxy was told, by the names of nodes: where each is, its state, and since when.
@@ -11,24 +11,24 @@
     stop_within: Time,
 }
 
-pub fn judge(history: &History) -> Vec<Breach> {
+pub fn check(history: &History) -> Vec<Violation> {
     let mut proxies: BTreeMap<&str, Told> = BTreeMap::new();
     let mut breaches = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            Seen::InForce { proxy, figures: Figures { stop_within, .. } } => {
+            HistoryEvent::InForce { proxy, figures: Figures { stop_within, .. } } => {
                 proxies.entry(proxy).or_default().stop_within = *stop_within;
             }
-            Seen::Told { proxy, whole, nodes } => {
+            HistoryEvent::Told { proxy, whole, nodes } => {
                 proxies.entry(proxy).or_default().tell(*at, event, *whole, nodes);
             }
             // A process that starts anew knows its list alone.
-            Seen::Ended { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
-            Seen::Received { proxy, place, first, .. } => {
+            HistoryEvent::Ended { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
+            HistoryEvent::Received { proxy, place, first, .. } => {
                 let told = proxies.entry(proxy).or_default();
-                if let Some((reason, why)) = told.forbids(place, *first, history.blur) {
+                if let Some((reason, why)) = told.forbids(place, *first, history.clock_error) {
                     let events = why.into_iter().chain([event]).collect();
-                    breaches.push(Breach { reason, about: place.clone(), at: *first, events });
+                    breaches.push(Violation { reason, about: place.clone(), at: *first, events });
                 }
             }
             _ => {}
@@ -58,9 +58,9 @@
     }
 
     /// Why nothing new may go to a place at a time, and the event that said so.
-    fn forbids(&self, place: &str, at: Time, blur: Time) -> Option<(Reason, Option<usize>)> {
+    fn forbids(&self, place: &str, at: Time, clock_error: Time) -> Option<(Reason, Option<usize>)> {
         let here: Vec<_> = self.nodes.values().filter(|told| told.0.place == place).collect();
-        if here.iter().any(|told| told.1 == State::Ready || at <= told.2 + self.stop_within + blur) {
+        if here.iter().any(|told| told.1 == State::Ready || at <= told.2 + self.stop_within + clock_error) {
             return None;
         }
         match here.first() {
--- a/crates/history-checker/src/history.rs
+++ b/crates/history-checker/src/history.rs
@@ -9,14 +9,14 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
     /// How far a recorder's times may be off: so much is added to each limit. 0 on a clock of the history's own.
-    pub blur: Time,
+    pub clock_error: Time,
     /// When each thing was seen, and what.
-    pub events: Vec<(Time, Seen)>,
+    pub events: Vec<(Time, HistoryEvent)>,
 }
 
 /// One thing that was seen.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Seen {
+pub enum HistoryEvent {
     /// A configuration was put in force at a proxy.
     InForce {
         /// The proxy.
--- a/crates/history-checker/src/ledger.rs
+++ b/crates/history-checker/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The requests of a history, each with its calls and answers.
 
-use crate::violation::NotJudged;
-use crate::history::{Answer, Class, End, Figures, History, Process, Seen, Time};
+use crate::history::{Answer, Class, End, Figures, History, HistoryEvent, Process, Time};
+use crate::violation::CheckError;
 use std::collections::BTreeMap;
 
 /// A request, and under which figures it was taken.
@@ -44,21 +44,21 @@
 
 impl<'a> Ledger<'a> {
     /// Reads a history.
-    pub fn read(history: &'a History) -> Result<Ledger<'a>, NotJudged> {
+    pub fn read(history: &'a History) -> Result<Ledger<'a>, CheckError> {
         if history.events.is_empty() {
-            return Err(NotJudged::Empty);
+            return Err(CheckError::Empty);
         }
         if let Some(at) = history.events.windows(2).position(|pair| pair[1].0 < pair[0].0) {
-            return Err(NotJudged::OutOfOrder(at + 1));
+            return Err(CheckError::OutOfOrder(at + 1));
         }
         let mut ledger = Ledger::default();
         let mut in_force: BTreeMap<&str, &Figures> = BTreeMap::new();
         let mut calls: BTreeMap<u64, Option<(&str, usize)>> = BTreeMap::new();
         for (event, (at, seen)) in history.events.iter().enumerate() {
-            let (at, unknown) = (*at, NotJudged::Unknown(event));
+            let (at, unknown) = (*at, CheckError::Unknown(event));
             match seen {
-                Seen::InForce { proxy, figures } => drop(in_force.insert(proxy, figures)),
-                Seen::Asked { proxy, request, class, budget } => {
+                HistoryEvent::InForce { proxy, figures } => drop(in_force.insert(proxy, figures)),
+                HistoryEvent::Asked { proxy, request, class, budget } => {
                     let figures = *in_force.get(proxy.as_str()).ok_or(unknown.clone())?;
                     let class = *figures.classes.get(class).ok_or(unknown)?;
                     let request_of = Request {
@@ -74,19 +74,19 @@
                         calls: Vec::new(),
                     };
                     if ledger.requests.insert(request, request_of).is_some() {
-                        return Err(NotJudged::Again(event));
+                        return Err(CheckError::Again(event));
                     }
                 }
-                Seen::Began { request } => {
+                HistoryEvent::Began { request } => {
                     ledger.find(request).ok_or(unknown)?.began.get_or_insert(at);
                 }
-                Seen::Answered { request, answer } => {
+                HistoryEvent::Answered { request, answer } => {
                     ledger.find(request).ok_or(unknown)?.answers.push((event, at, answer));
                 }
-                Seen::Left { request } => {
+                HistoryEvent::Left { request } => {
                     ledger.find(request).ok_or(unknown)?.excused.get_or_insert(at);
                 }
-                Seen::Ended { proxy, how } => {
+                HistoryEvent::Ended { proxy, how } => {
                     let held = ledger.requests.values_mut().filter(|r| r.proxy == proxy);
                     for held in held.filter(|r| r.answers.is_empty()) {
                         match how {
@@ -95,7 +95,7 @@
                         }
                     }
                 }
-                Seen::Received { request, call, place, first, .. } => {
+                HistoryEvent::Received { request, call, place, first, .. } => {
                     let of = match ledger.find(request) {
                         Some(of) => {
                             of.calls.push(Call { event, place, first: *first, end: None });
@@ -107,10 +107,10 @@
                         }
                     };
                     if calls.insert(*call, of).is_some() {
-                        return Err(NotJudged::Again(event));
+                        return Err(CheckError::Again(event));
                     }
                 }
-                Seen::Closed { call, end } => {
+                HistoryEvent::Closed { call, end } => {
                     if let Some((request, number)) = calls.get(call).ok_or(unknown)? {
                         let closed = ledger.find(request).and_then(|of| of.calls.get_mut(*number));
                         if let Some(call) = closed {
@@ -118,11 +118,14 @@
                         }
                     }
                 }
-                Seen::Told { .. } | Seen::Started { .. } | Seen::Share { .. } | Seen::Bound { .. } => {}
+                HistoryEvent::Told { .. }
+                | HistoryEvent::Started { .. }
+                | HistoryEvent::Share { .. }
+                | HistoryEvent::Bound { .. } => {}
             }
         }
         match ledger.requests.is_empty() {
-            true => Err(NotJudged::NoRequest),
+            true => Err(CheckError::NoRequest),
             false => Ok(ledger),
         }
     }
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -3,13 +3,12 @@
 //!
 //! A [`History`] holds what consumers sent and received, what providers received and how they answered, what
 //! discovery told, which figures were in force, and which processes started and ended. Of a proxy's state, actions,
-//! counters and log it knows nothing. [`judge`] names each [`Breach`] with its [`Reason`], whom it is about, when it
+//! counters and log it knows nothing. [`check`] names each [`Violation`] with its [`Reason`], whom it is about, when it
 //! happened and the events at fault. A history that shows no request is an error: nothing was looked at.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod answers;
-mod violation;
 mod calls;
 mod cold;
 mod drains;
@@ -17,20 +16,23 @@
 mod ledger;
 mod policies;
 mod quota;
+mod violation;
 
-pub use violation::{Breach, NotJudged, Reason, Rule};
-pub use history::{Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State, Time};
-pub use policies::{judge_policies, Decided};
-pub use quota::judge_shares;
+pub use history::{
+    Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, Process, Scope, State, Time,
+};
+pub use policies::{check_policies, PolicyDecision};
+pub use quota::check_quota;
+pub use violation::{CheckError, Reason, Rule, Violation};
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
-pub fn judge(history: &History) -> Result<Vec<Breach>, NotJudged> {
+pub fn check(history: &History) -> Result<Vec<Violation>, CheckError> {
     let ledger = ledger::Ledger::read(history)?;
-    let mut breaches = answers::judge(history, &ledger)?;
-    breaches.extend(calls::judge(history, &ledger));
-    breaches.extend(drains::judge(history));
-    breaches.extend(cold::judge(history));
-    breaches.extend(quota::judge(history));
+    let mut breaches = answers::check(history, &ledger)?;
+    breaches.extend(calls::check(history, &ledger));
+    breaches.extend(drains::check(history));
+    breaches.extend(cold::check(history));
+    breaches.extend(quota::check(history));
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(breaches)
 }
--- a/crates/history-checker/src/policies/tests.rs
+++ b/crates/history-checker/src/policies/tests.rs
@@ -1,11 +1,11 @@
 use super::*;
 
-fn one(sent: Time, answered: Time, version: u64, proxy: &str) -> Decided {
-    Decided { sent, answered, version, proxy: proxy.into() }
+fn one(sent: Time, answered: Time, version: u64, proxy: &str) -> PolicyDecision {
+    PolicyDecision { sent, answered, version, proxy: proxy.into() }
 }
 
-fn wrong(decided: &[Decided]) -> usize {
-    judge_policies(decided, 0.0).unwrap().len()
+fn wrong(decided: &[PolicyDecision]) -> usize {
+    check_policies(decided, 0.0).unwrap().len()
 }
 
 #[test]
@@ -16,11 +16,11 @@
     assert_eq!(wrong(&late), 1);
     assert_eq!(wrong(&[one(0.0, 5.0, 2, "a"), one(6.0, 7.0, 1, "a")]), 1, "nor does one proxy go back");
     assert_eq!(wrong(&[one(0.0, 5.0, 3, "a"), one(6.0, 7.0, 1, "b"), one(8.0, 9.0, 2, "b")]), 2);
-    assert_eq!(judge_policies(&late, 2.0), Ok(vec![]), "clocks are read one after the other");
+    assert_eq!(check_policies(&late, 2.0), Ok(vec![]), "clocks are read one after the other");
 }
 
 #[test]
 fn what_shows_nothing_is_not_judged() {
-    assert_eq!(judge_policies(&[], 0.0), Err(NotJudged::Empty));
-    assert_eq!(judge_policies(&[one(5.0, 4.0, 1, "a")], 0.0), Err(NotJudged::OutOfOrder(0)));
+    assert_eq!(check_policies(&[], 0.0), Err(CheckError::Empty));
+    assert_eq!(check_policies(&[one(5.0, 4.0, 1, "a")], 0.0), Err(CheckError::OutOfOrder(0)));
 }
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -1,7 +1,7 @@
 //! Shares add up to one at the most, and calls in flight to what all may have together.
 
-use crate::violation::{Breach, NotJudged, Reason};
-use crate::history::{History, Seen, Time};
+use crate::history::{History, HistoryEvent, Time};
+use crate::violation::{CheckError, Reason, Violation};
 use std::collections::BTreeMap;
 
 /// Rounding of what is said as a decimal number.
@@ -9,15 +9,17 @@
 
 /// What proxies said of their shares, and what nodes had before them at once. It needs no requests, but something must have
 /// been seen of one or the other.
-pub fn judge_shares(history: &History) -> Result<Vec<Breach>, NotJudged> {
-    let is_seen = |(_, seen): &(Time, Seen)| matches!(seen, Seen::Share { .. } | Seen::Bound { .. });
+pub fn check_quota(history: &History) -> Result<Vec<Violation>, CheckError> {
+    let is_seen = |(_, seen): &(Time, HistoryEvent)| {
+        matches!(seen, HistoryEvent::Share { .. } | HistoryEvent::Bound { .. })
+    };
     match history.events.iter().any(is_seen) {
-        true => Ok(judge(history)),
-        false => Err(NotJudged::Empty),
+        true => Ok(check(history)),
+        false => Err(CheckError::Empty),
     }
 }
 
-pub(crate) fn judge(history: &History) -> Vec<Breach> {
+pub(crate) fn check(history: &History) -> Vec<Violation> {
     let mut breaches = sums(history);
     breaches.extend(in_flight(history));
     breaches
@@ -25,39 +27,39 @@
 
 /// Doors are not asked at one moment. What one proxy gives up another may have only once calls that began under it have
 /// ended: within that time the most that each said must add up.
-fn sums(history: &History) -> Vec<Breach> {
+fn sums(history: &History) -> Vec<Violation> {
     let mut said: BTreeMap<&str, Vec<(Time, f64, usize)>> = BTreeMap::new();
     let mut breaches = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
-        let Seen::Share { proxy, part, calls } = seen else { continue };
+        let HistoryEvent::Share { proxy, part, calls } = seen else { continue };
         said.entry(proxy).or_default().push((*at, *part, event));
-        said.values_mut().for_each(|all| all.retain(|(then, ..)| then + calls - history.blur > *at));
+        said.values_mut().for_each(|all| all.retain(|(then, ..)| then + calls - history.clock_error > *at));
         let most = said.values().filter_map(|all| all.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1)));
         let most: Vec<(Time, f64, usize)> = most.collect();
         if most.iter().map(|one| one.1).sum::<f64>() > 1.0 + ROUNDING {
             let mut events: Vec<usize> = most.iter().map(|one| one.2).collect();
             events.sort_unstable();
-            breaches.push(Breach { reason: Reason::OverTheWhole, about: proxy.clone(), at: *at, events });
+            breaches.push(Violation { reason: Reason::OverTheWhole, about: proxy.clone(), at: *at, events });
         }
     }
     breaches
 }
 
-fn in_flight(history: &History) -> Vec<Breach> {
+fn in_flight(history: &History) -> Vec<Violation> {
     let mut bounds: BTreeMap<&str, usize> = BTreeMap::new();
     let mut calls: BTreeMap<u64, (&str, usize)> = BTreeMap::new();
     let mut breaches = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            Seen::Bound { place, calls } => drop(bounds.insert(place, *calls)),
-            Seen::Closed { call, .. } => drop(calls.remove(call)),
-            Seen::Received { call, place, .. } => {
+            HistoryEvent::Bound { place, calls } => drop(bounds.insert(place, *calls)),
+            HistoryEvent::Closed { call, .. } => drop(calls.remove(call)),
+            HistoryEvent::Received { call, place, .. } => {
                 calls.insert(*call, (place, event));
                 let here = calls.values().filter(|(there, _)| *there == place).map(|(_, event)| *event);
                 let mut events: Vec<usize> = here.collect();
                 if bounds.get(place.as_str()).is_some_and(|bound| events.len() > *bound) {
                     events.sort_unstable();
-                    breaches.push(Breach {
+                    breaches.push(Violation {
                         reason: Reason::TooManyAtOnce,
                         about: place.clone(),
                         at: *at,
--- a/crates/history-checker/src/violation.rs
+++ b/crates/history-checker/src/violation.rs
@@ -80,7 +80,7 @@
 
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Breach {
+pub struct Violation {
     /// Why.
     pub reason: Reason,
     /// The request or the node that it is about.
@@ -91,16 +91,16 @@
     pub events: Vec<usize>,
 }
 
-impl fmt::Display for Breach {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Breach { reason, about, at, events } = self;
+        let Violation { reason, about, at, events } = self;
         write!(f, "{:?}, {reason:?}: {about} at {at:.1} ms, events {events:?}", reason.rule())
     }
 }
 
 /// Why a history cannot be judged.
 #[derive(Clone, Debug, PartialEq)]
-pub enum NotJudged {
+pub enum CheckError {
     /// Nothing was seen.
     Empty,
     /// No request was asked.
--- a/crates/membership/src/golden_tests.rs
+++ b/crates/membership/src/golden_tests.rs
@@ -4,8 +4,8 @@
 //! an old one writes. A test that fails here says that the program has changed its format; the
 //! recorded bytes are not to be adapted.
 
-use crate::wire::{open, read, read_id, seal, words, Kind};
-use crate::{Id, Members, Output, Settings, State, Times};
+use crate::wire::{open, read, read_id, seal, words, DatagramKind};
+use crate::{MemberId, Membership, Output, Settings, State, Timing};
 use std::net::SocketAddr;
 
 fn hex(bytes: &[u8]) -> String {
@@ -26,30 +26,30 @@
 }
 
 /// The recorded datagram of each kind. A new kind does not compile until it has some.
-fn recorded(kind: Kind) -> &'static str {
+fn recorded(kind: DatagramKind) -> &'static str {
     match kind {
-        Kind::Swim => "70740100d6503d43066764796e6961626f6479",
-        Kind::Hello => "70740101e721e973066764796e6961626f6479",
-        Kind::Here => "70740102b4b39523066764796e6961626f6479",
-        Kind::Rival => "7074010385c24113066764796e6961626f6479",
-        Kind::NoRoom => "7074010413976d83066764796e6961626f6479",
-        Kind::Bye => "7074010522e6b9b3066764796e6961626f6479",
-        Kind::Shares => "707401067174c5e3066764796e6961626f6479",
-        Kind::Links => "70740107400511d3066764796e6961626f6479",
+        DatagramKind::Swim => "70740100d6503d43066764796e6961626f6479",
+        DatagramKind::Hello => "70740101e721e973066764796e6961626f6479",
+        DatagramKind::Here => "70740102b4b39523066764796e6961626f6479",
+        DatagramKind::Rival => "7074010385c24113066764796e6961626f6479",
+        DatagramKind::NoRoom => "7074010413976d83066764796e6961626f6479",
+        DatagramKind::Bye => "7074010522e6b9b3066764796e6961626f6479",
+        DatagramKind::Shares => "707401067174c5e3066764796e6961626f6479",
+        DatagramKind::Links => "70740107400511d3066764796e6961626f6479",
     }
 }
 
 #[test]
 fn every_kind_of_datagram_has_the_recorded_bytes() {
     let kinds = [
-        Kind::Swim,
-        Kind::Hello,
-        Kind::Here,
-        Kind::Rival,
-        Kind::NoRoom,
-        Kind::Bye,
-        Kind::Shares,
-        Kind::Links,
+        DatagramKind::Swim,
+        DatagramKind::Hello,
+        DatagramKind::Here,
+        DatagramKind::Rival,
+        DatagramKind::NoRoom,
+        DatagramKind::Bye,
+        DatagramKind::Shares,
+        DatagramKind::Links,
     ];
     for kind in kinds {
         check(&seal(kind, "gdynia", b"body"), recorded(kind));
@@ -60,11 +60,11 @@
 #[test]
 fn the_identity_of_a_member_has_the_recorded_bytes() {
     let v6 = SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535));
-    let first = Id::new("n0".into(), 1_700_000_000_000_000, place(1));
+    let first = MemberId::new("n0".into(), 1_700_000_000_000_000, place(1));
     let recorded = [
         (first.in_life(first.start, 300), "026e308080f9c0c1c48203ac02000a0000018a3e"),
         (first, "026e308080f9c0c1c4820300000a0000018a3e"),
-        (Id::new("n1".into(), 5, v6), "026e31050001fd000001000200030004000500060007ffff03"),
+        (MemberId::new("n1".into(), 5, v6), "026e31050001fd000001000200030004000500060007ffff03"),
     ];
     for (id, recorded) in recorded {
         check(&words(&id), recorded);
@@ -78,17 +78,17 @@
     assert_eq!(read(&bytes("ac02")), Ok(300_u64));
 }
 
-fn member(host: u8) -> Members {
+fn member(host: u8) -> Membership {
     let settings = Settings {
         fleet: "gdynia".into(),
         name: format!("n{host}"),
         advertise: place(host),
         peers: [1, 2, 3].into_iter().filter(|peer| *peer != host).map(place).collect(),
         size: 5,
-        times: Times::default(),
+        times: Timing::default(),
     };
     let (start, seed) = (1_700_000_000_000_000 + u64::from(host), u64::from(host));
-    Members::new(settings, start, seed, 0).expect("good settings")
+    Membership::new(settings, start, seed, 0).expect("good settings")
 }
 
 const LEAVES_AT: u64 = 450;
@@ -167,15 +167,15 @@
     for now in 0..=LEAVES_AT + 1 {
         let mut out = Vec::new();
         for (to, datagram) in std::mem::take(&mut under_way) {
-            members[to].datagram(now, place(2 - to as u8), &datagram, &mut out);
+            members[to].handle_datagram(now, place(2 - to as u8), &datagram, &mut out);
         }
         for member in &mut members {
-            if member.next_due().is_some_and(|due| due <= now) {
-                member.due(now, &mut out);
+            if member.next_timeout().is_some_and(|due| due <= now) {
+                member.handle_timeout(now, &mut out);
             }
         }
         if now == LEAVES_AT {
-            let roster = members[1].roster();
+            let roster = members[1].members();
             let believed: Vec<_> = roster.iter().map(|entry| (&*entry.name, entry.state)).collect();
             assert_eq!(believed, [("n1", State::Alive), ("n2", State::Alive)]);
             members[0].leave(now, &mut out);
@@ -191,6 +191,6 @@
         }
     }
     assert_eq!(recorded.next(), None, "no less is said than was recorded");
-    let left = members[1].roster().into_iter().find(|entry| &*entry.name == "n1");
+    let left = members[1].members().into_iter().find(|entry| &*entry.name == "n1");
     assert_eq!(left.map(|entry| entry.state), Some(State::Left));
 }
--- a/crates/membership/src/identity.rs
+++ b/crates/membership/src/identity.rs
@@ -9,8 +9,8 @@
 
 /// One process of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Told")]
-pub struct Id {
+#[serde(from = "RawMemberId")]
+pub struct MemberId {
     /// Stands for the name where members are compared: SWIM looks for one by going through all of them.
     #[serde(skip)]
     mark: u128,
@@ -26,23 +26,23 @@
 
 /// What a datagram says of a process.
 #[derive(Deserialize)]
-struct Told {
+struct RawMemberId {
     name: Arc<str>,
     start: u64,
     life: u32,
     address: SocketAddr,
 }
 
-impl From<Told> for Id {
-    fn from(told: Told) -> Id {
-        Id { life: told.life, ..Id::new(told.name, told.start, told.address) }
+impl From<RawMemberId> for MemberId {
+    fn from(told: RawMemberId) -> MemberId {
+        MemberId { life: told.life, ..MemberId::new(told.name, told.start, told.address) }
     }
 }
 
-impl Id {
+impl MemberId {
     /// A process in its first life.
-    pub fn new(name: Arc<str>, start: u64, address: SocketAddr) -> Id {
-        Id { mark: xxhash_rust::xxh3::xxh3_128(name.as_bytes()), name, start, life: 0, address }
+    pub fn new(name: Arc<str>, start: u64, address: SocketAddr) -> MemberId {
+        MemberId { mark: xxhash_rust::xxh3::xxh3_128(name.as_bytes()), name, start, life: 0, address }
     }
 
     /// What stands for its name where members are compared.
@@ -51,12 +51,12 @@
     }
 
     /// The same name and place in another life.
-    pub(crate) fn in_life(&self, start: u64, life: u32) -> Id {
-        Id { start, life, ..self.clone() }
+    pub(crate) fn in_life(&self, start: u64, life: u32) -> MemberId {
+        MemberId { start, life, ..self.clone() }
     }
 
     /// Whether this is the same process, or a later one of its name.
-    pub fn outlives(&self, other: &Id) -> bool {
+    pub fn outlives(&self, other: &MemberId) -> bool {
         (self.start, self.life) > (other.start, other.life)
     }
 
@@ -69,10 +69,10 @@
     }
 }
 
-impl foca::Identity for Id {
+impl foca::Identity for MemberId {
     type Addr = u128;
 
-    fn renew(&self) -> Option<Id> {
+    fn renew(&self) -> Option<MemberId> {
         Some(self.in_life(self.start, self.life.saturating_add(1)))
     }
 
@@ -80,7 +80,7 @@
         self.mark
     }
 
-    fn win_addr_conflict(&self, other: &Id) -> bool {
+    fn win_addr_conflict(&self, other: &MemberId) -> bool {
         self.outlives(other)
     }
 }
--- a/crates/membership/src/join_admission.rs
+++ b/crates/membership/src/join_admission.rs
@@ -1,7 +1,7 @@
 //! Who is let in: the bound on members, and what bears this member's own name. The codec asks it of each member that a
 //! datagram names, before SWIM hears of it.
 
-use crate::identity::Id;
+use crate::identity::MemberId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,15 +10,15 @@
 #[derive(Debug)]
 pub struct State {
     /// This member.
-    pub me: Id,
+    pub me: MemberId,
     /// The most members, this one included.
     pub size: usize,
     /// Names that SWIM remembers, by their marks, and the latest process of each.
-    pub known: BTreeMap<u128, Id>,
+    pub known: BTreeMap<u128, MemberId>,
     /// A process of this member's name that is not this one, named since this was last looked at.
-    pub rival: Option<Id>,
+    pub rival: Option<MemberId>,
     /// Where a process still speaks that a later one of its name has followed, and that one.
-    pub followed: Option<(SocketAddr, Id)>,
+    pub followed: Option<(SocketAddr, MemberId)>,
     /// Members turned away for want of room.
     pub no_room: u64,
     /// Members that datagrams named.
@@ -29,14 +29,23 @@
 
 /// The gate; clones are the same one.
 #[derive(Clone, Debug)]
-pub struct Gate(Arc<Mutex<State>>);
+pub struct JoinAdmission(Arc<Mutex<State>>);
 
-impl Gate {
+impl JoinAdmission {
     /// A gate that knows only this member.
-    pub fn new(me: Id, size: usize) -> Gate {
+    pub fn new(me: MemberId, size: usize) -> JoinAdmission {
         let known = BTreeMap::new();
         let (rival, followed) = (None, None);
-        Gate(Arc::new(Mutex::new(State { me, size, known, rival, followed, no_room: 0, heard: 0, head: 0 })))
+        JoinAdmission(Arc::new(Mutex::new(State {
+            me,
+            size,
+            known,
+            rival,
+            followed,
+            no_room: 0,
+            heard: 0,
+            head: 0,
+        })))
     }
 
     /// Its state.
@@ -47,7 +56,7 @@
 
 impl State {
     /// Whether SWIM may hear of this process.
-    pub fn admits(&mut self, id: &Id) -> bool {
+    pub fn admits(&mut self, id: &MemberId) -> bool {
         if id.name == self.me.name {
             return true;
         }
@@ -65,21 +74,21 @@
     }
 
     /// Whether there is room for it. Danger: whoever can send datagrams could fill the memory with names.
-    pub fn has_room(&mut self, id: &Id) -> bool {
+    pub fn has_room(&mut self, id: &MemberId) -> bool {
         let has_room = self.known.contains_key(&id.mark()) || self.known.len() + 1 < self.size;
         self.no_room += u64::from(!has_room);
         has_room
     }
 
     /// Who speaks is told if a later process of its name is known: nobody else would tell it.
-    pub fn speaks(&mut self, id: &Id) {
+    pub fn speaks(&mut self, id: &MemberId) {
         if let Some(later) = self.known.get(&id.mark()).filter(|known| known.start > id.start) {
             self.followed = Some((id.address, later.clone()));
         }
     }
 
     /// Whether it bears this member's name and is not this process.
-    pub fn is_rival(&self, id: &Id) -> bool {
+    pub fn is_rival(&self, id: &MemberId) -> bool {
         id.name == self.me.name && id.start != self.me.start
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,13 +1,13 @@
 //! One member: what comes in, what goes out, and what is believed in between.
 
-use crate::join_admission::Gate;
 use crate::health::Health;
-use crate::identity::Id;
-use crate::roster::{Entry, News, Roster, Side, State, LAST_LIFE};
-use crate::settings::{Bad, Settings};
-use crate::swim::{Counts, Note, Swim};
+use crate::identity::MemberId;
+use crate::join_admission::JoinAdmission;
+use crate::roster::{MemberRecord, MembershipEvent, PartitionSide, Roster, State, LAST_LIFE};
+use crate::settings::{Settings, SettingsError};
+use crate::swim::{MembershipCounters, Swim, SwimEvent};
 use crate::timers::Timers;
-use crate::wire::{self, Dropped, Kind};
+use crate::wire::{self, DatagramKind, DropReason};
 use crate::Time;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,7 +31,7 @@
     /// Send a datagram.
     Send(SocketAddr, Vec<u8>),
     /// Hear something.
-    News(News),
+    MembershipEvent(MembershipEvent),
     /// What another member says about shares.
     Shares(Vec<u8>),
     /// What the member at this address says about its links.
@@ -40,7 +40,7 @@
 
 enum Due {
     /// SWIM's.
-    Swim(foca::Timer<Id>),
+    Swim(foca::Timer<MemberId>),
     /// Ask peers that are not heard.
     Ask,
     /// Look what is believed.
@@ -51,76 +51,76 @@
 
 /// Where this member stands among those of its name.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum Standing {
+enum LocalState {
     /// It is the only process of its name.
     Only,
     /// An earlier one is still there.
-    Followed { earlier: Id, heard: Time },
+    Followed { earlier: MemberId, heard: Time },
     /// A later one is there: that one counts, and this one is out of the fleet until it is gone.
-    Displaced { later: Id, heard: Time },
+    Displaced { later: MemberId, heard: Time },
     /// It has said that it leaves.
     Gone,
 }
 
 /// The membership of a fleet as one of its members sees it.
-pub struct Members {
+pub struct Membership {
     settings: Settings,
-    me: Id,
+    local_id: MemberId,
     seed: u64,
-    gate: Gate,
+    gate: JoinAdmission,
     swim: Swim,
     timers: Timers<Due>,
     health: Health,
-    roster: Roster,
-    side: Side,
-    standing: Standing,
+    members: Roster,
+    side: PartitionSide,
+    standing: LocalState,
     began: Time,
     now: Time,
     /// Peers that were never heard.
     unheard: Vec<SocketAddr>,
-    counts: Counts,
+    counters: MembershipCounters,
 }
 
-impl Members {
+impl Membership {
     /// A member that knows nobody yet. `start` is when its process started, in Unix microseconds; equal seeds and
-    /// inputs give equal outputs. It is to be called at [`Members::next_due`] from now on.
-    pub fn new(settings: Settings, start: u64, seed: u64, now: Time) -> Result<Members, Bad> {
+    /// inputs give equal outputs. It is to be called at [`Membership::next_due`] from now on.
+    pub fn new(settings: Settings, start: u64, seed: u64, now: Time) -> Result<Membership, SettingsError> {
         settings.check()?;
-        let me = Id::new(settings.name.as_str().into(), start, settings.advertise);
-        let gate = Gate::new(me.clone(), settings.size);
+        let me = MemberId::new(settings.name.as_str().into(), start, settings.advertise);
+        let gate = JoinAdmission::new(me.clone(), settings.size);
         let swim = Swim::new(me.clone(), gate.clone(), settings.times, wire::room(&settings.fleet), seed);
         let mut timers = Timers::new();
         timers.set(now, Due::Ask);
         timers.set(now + LOOK, Due::Look);
         let unheard = settings.peers.clone();
-        let (roster, counts, health) = (Roster::default(), Counts::default(), Health::default());
+        let (roster, counts, health) = (Roster::default(), MembershipCounters::default(), Health::default());
         let side = roster.side(unheard.len());
-        let standing = Standing::Only;
-        Ok(Members {
+        let standing = LocalState::Only;
+        Ok(Membership {
             settings,
-            me,
+            local_id: me,
             seed,
             gate,
             swim,
             timers,
             health,
-            roster,
+            members: roster,
             side,
             standing,
             began: now,
             now,
             unheard,
-            counts,
+            counters: counts,
         })
     }
 
-    /// When [`Members::due`] is to be called at the latest.
-    pub fn next_due(&self) -> Option<Time> {
+    /// When [`Membership::due`] is to be called at the latest.
+    pub fn next_timeout(&self) -> Option<Time> {
         self.timers.next()
     }
 
     /// Time has passed.
-    pub fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+    pub fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
         self.arrive(now, out);
         while let Some(due) = self.timers.due(now) {
             match due {
@@ -131,7 +131,7 @@
                     if forgets {
                         self.swim.prune();
                         let marks = self.swim.members().map(|member| member.id().mark()).collect();
-                        out.extend(self.roster.keep(&marks).into_iter().map(Output::News));
+                        out.extend(self.members.keep(&marks).into_iter().map(Output::MembershipEvent));
                     }
                 }
                 Due::Ask => self.ask(out),
@@ -147,46 +147,51 @@
     }
 
     /// A datagram has come.
-    pub fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+    pub fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
         self.arrive(now, out);
-        self.counts.datagrams_heard += 1;
-        self.counts.bytes_heard += bytes.len() as u64;
-        if self.standing == Standing::Gone {
+        self.counters.datagrams_heard += 1;
+        self.counters.bytes_heard += bytes.len() as u64;
+        if self.standing == LocalState::Gone {
             return;
         }
         let done = wire::open(&self.settings.fleet, bytes)
             .and_then(|(kind, body)| self.understand(kind, body, from, out));
         if let Err(why) = done {
             match why {
-                Dropped::Foreign => self.counts.dropped_foreign += 1,
-                Dropped::TooNew => self.counts.dropped_too_new += 1,
-                Dropped::Spoilt => self.counts.dropped_spoilt += 1,
-                Dropped::OtherFleet => self.counts.dropped_other_fleet += 1,
-                Dropped::NoRoom => {
-                    self.counts.dropped_no_room += 1;
+                DropReason::Foreign => self.counters.dropped_foreign += 1,
+                DropReason::TooNew => self.counters.dropped_too_new += 1,
+                DropReason::Spoilt => self.counters.dropped_spoilt += 1,
+                DropReason::OtherFleet => self.counters.dropped_other_fleet += 1,
+                DropReason::NoRoom => {
+                    self.counters.dropped_no_room += 1;
                     let size = self.settings.size as u64;
-                    self.send(Kind::NoRoom, from, &wire::words(&size), out);
+                    self.send(DatagramKind::NoRoom, from, &wire::words(&size), out);
                 }
             }
         }
     }
 
     /// Says something about shares to a member, unless this process is out of the fleet.
-    pub fn say_of_shares(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
-        if self.counts_here() {
-            self.send(Kind::Shares, to, body, out);
+    pub fn send_quota_message(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+        if self.is_name_holder() {
+            self.send(DatagramKind::Shares, to, body, out);
         }
     }
 
     /// Says something about this process's links to a member, unless this process is out of the fleet.
-    pub fn say_of_links(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
-        if self.counts_here() {
-            self.send(Kind::Links, to, body, out);
+    pub fn send_directory_message(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+        if self.is_name_holder() {
+            self.send(DatagramKind::Links, to, body, out);
         }
     }
 
     /// Other peers are to be asked from now on.
-    pub fn set_peers(&mut self, now: Time, peers: Vec<SocketAddr>, out: &mut Vec<Output>) -> Result<(), Bad> {
+    pub fn set_peers(
+        &mut self,
+        now: Time,
+        peers: Vec<SocketAddr>,
+        out: &mut Vec<Output>,
+    ) -> Result<(), SettingsError> {
         let newer = Settings { peers, ..self.settings.clone() };
         newer.check()?;
         self.settings = newer;
@@ -201,68 +206,68 @@
     /// This member leaves on purpose.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
         self.arrive(now, out);
-        if self.counts_here() {
-            let last = self.me.in_life(self.me.start, LAST_LIFE);
+        if self.is_name_holder() {
+            let last = self.local_id.in_life(self.local_id.start, LAST_LIFE);
             let active: Vec<SocketAddr> = self.active().take(BYES).map(|id| id.address).collect();
             let words = wire::words(&last);
-            active.into_iter().for_each(|to| self.send(Kind::Bye, to, &words, out));
+            active.into_iter().for_each(|to| self.send(DatagramKind::Bye, to, &words, out));
             self.swim.leave(last);
             self.carry_out(out);
         }
-        self.standing = Standing::Gone;
+        self.standing = LocalState::Gone;
         self.timers.retain(|_| false);
     }
 
     /// This process, as others know it.
-    pub fn me(&self) -> &Id {
-        &self.me
+    pub fn local_id(&self) -> &MemberId {
+        &self.local_id
     }
 
     /// On which side this member is.
-    pub fn side(&self) -> Side {
+    pub fn side(&self) -> PartitionSide {
         self.side
     }
 
     /// Where a process runs that bears this member's name too, and whether that one counts in the fleet.
-    pub fn rival(&self) -> Option<(SocketAddr, bool)> {
+    pub fn name_conflict(&self) -> Option<(SocketAddr, bool)> {
         match &self.standing {
-            Standing::Followed { earlier, .. } => Some((earlier.address, false)),
-            Standing::Displaced { later, .. } => Some((later.address, true)),
-            Standing::Only | Standing::Gone => None,
+            LocalState::Followed { earlier, .. } => Some((earlier.address, false)),
+            LocalState::Displaced { later, .. } => Some((later.address, true)),
+            LocalState::Only | LocalState::Gone => None,
         }
     }
 
     /// All members, this one included, in the order of their names.
-    pub fn roster(&self) -> Vec<Entry> {
-        let own = Entry {
-            name: Arc::clone(&self.me.name),
-            start: self.me.start,
-            address: self.me.address,
-            state: if self.standing == Standing::Gone { State::Left } else { State::Alive },
+    pub fn members(&self) -> Vec<MemberRecord> {
+        let own = MemberRecord {
+            name: Arc::clone(&self.local_id.name),
+            start: self.local_id.start,
+            address: self.local_id.address,
+            state: if self.standing == LocalState::Gone { State::Left } else { State::Alive },
             incarnation: self.swim.incarnation(),
             since: self.began,
         };
-        let mut all: Vec<Entry> = self.roster.entries().cloned().collect();
+        let mut all: Vec<MemberRecord> = self.members.entries().cloned().collect();
         all.push(own);
         all.sort_by(|a, b| a.name.cmp(&b.name));
         all
     }
 
     /// What was counted.
-    pub fn counts(&self) -> Counts {
+    pub fn counters(&self) -> MembershipCounters {
         let swim = self.swim.wants.counts;
         let (no_room, heard) = {
             let gate = self.gate.state();
             (gate.no_room, gate.heard)
         };
-        Counts {
-            probes: self.counts.probes + swim.probes,
-            probes_indirect: self.counts.probes_indirect + swim.probes_indirect,
-            probes_failed: self.counts.probes_failed + swim.probes_failed,
-            news_sent: self.counts.news_sent + swim.news_sent,
+        MembershipCounters {
+            probes: self.counters.probes + swim.probes,
+            probes_indirect: self.counters.probes_indirect + swim.probes_indirect,
+            probes_failed: self.counters.probes_failed + swim.probes_failed,
+            news_sent: self.counters.news_sent + swim.news_sent,
             news_heard: heard,
-            dropped_no_room: self.counts.dropped_no_room.max(no_room),
-            ..self.counts
+            dropped_no_room: self.counters.dropped_no_room.max(no_room),
+            ..self.counters
         }
     }
 
@@ -281,49 +286,49 @@
             return;
         }
         self.health.worsen(1 + (gap / 1000).min(2));
-        self.counts.stops += 1;
-        out.push(Output::News(News::Stopped(gap)));
+        self.counters.stops += 1;
+        out.push(Output::MembershipEvent(MembershipEvent::Stopped(gap)));
     }
 
     fn understand(
         &mut self,
-        kind: Kind,
+        kind: DatagramKind,
         body: &[u8],
         from: SocketAddr,
         out: &mut Vec<Output>,
-    ) -> Result<(), Dropped> {
+    ) -> Result<(), DropReason> {
         match kind {
-            Kind::Swim => return self.swim_said(body, out),
-            Kind::Links if self.counts_here() => out.push(Output::Links(from, body.to_vec())),
-            Kind::Links => {}
-            Kind::Shares if self.counts_here() => out.push(Output::Shares(body.to_vec())),
-            Kind::Shares => {}
-            Kind::NoRoom => {
+            DatagramKind::Swim => return self.swim_said(body, out),
+            DatagramKind::Links if self.is_name_holder() => out.push(Output::Links(from, body.to_vec())),
+            DatagramKind::Links => {}
+            DatagramKind::Shares if self.is_name_holder() => out.push(Output::Shares(body.to_vec())),
+            DatagramKind::Shares => {}
+            DatagramKind::NoRoom => {
                 let room: u64 = wire::read(body)?;
-                out.push(Output::News(News::NoRoom(from, room as usize)));
+                out.push(Output::MembershipEvent(MembershipEvent::NoRoom(from, room as usize)));
             }
-            Kind::Hello | Kind::Here | Kind::Rival | Kind::Bye => {
+            DatagramKind::Hello | DatagramKind::Here | DatagramKind::Rival | DatagramKind::Bye => {
                 let id = wire::read_id(body)?;
-                if id.name == self.me.name {
-                    if id.start != self.me.start && kind != Kind::Bye {
+                if id.name == self.local_id.name {
+                    if id.start != self.local_id.start && kind != DatagramKind::Bye {
                         self.meet_rival(id, out);
                     }
                     return Ok(());
                 }
-                if matches!(self.standing, Standing::Displaced { .. }) {
+                if matches!(self.standing, LocalState::Displaced { .. }) {
                     return Ok(());
                 }
                 if !self.gate.state().has_room(&id) {
-                    return Err(Dropped::NoRoom);
+                    return Err(DropReason::NoRoom);
                 }
                 match kind {
-                    Kind::Hello => {
-                        let me = wire::words(&self.me);
-                        self.send(Kind::Here, id.address, &me, out);
+                    DatagramKind::Hello => {
+                        let me = wire::words(&self.local_id);
+                        self.send(DatagramKind::Here, id.address, &me, out);
                     }
-                    Kind::Here => self.swim.announce(id),
-                    Kind::Bye if id.life == LAST_LIFE => self.swim.hear(foca::Member::down(id)),
-                    _ => return Err(Dropped::Spoilt),
+                    DatagramKind::Here => self.swim.announce(id),
+                    DatagramKind::Bye if id.life == LAST_LIFE => self.swim.hear(foca::Member::down(id)),
+                    _ => return Err(DropReason::Spoilt),
                 }
                 self.carry_out(out);
             }
@@ -331,8 +336,8 @@
         Ok(())
     }
 
-    fn swim_said(&mut self, body: &[u8], out: &mut Vec<Output>) -> Result<(), Dropped> {
-        if matches!(self.standing, Standing::Displaced { .. }) {
+    fn swim_said(&mut self, body: &[u8], out: &mut Vec<Output>) -> Result<(), DropReason> {
+        if matches!(self.standing, LocalState::Displaced { .. }) {
             return Ok(());
         }
         let turned_away = self.gate.state().no_room;
@@ -343,7 +348,7 @@
             (gate.rival.take(), gate.followed.take(), gate.no_room > turned_away)
         };
         if let Some((earlier, later)) = followed {
-            self.send(Kind::Rival, earlier, &wire::words(&later), out);
+            self.send(DatagramKind::Rival, earlier, &wire::words(&later), out);
         }
         if let Some(rival) = rival {
             self.meet_rival(rival, out);
@@ -351,9 +356,9 @@
         }
         match done {
             Ok(()) => Ok(()),
-            Err(_) if no_room => Err(Dropped::NoRoom),
+            Err(_) if no_room => Err(DropReason::NoRoom),
             Err(foca::Error::Decode(_) | foca::Error::MalformedPacket | foca::Error::DataTooBig) => {
-                Err(Dropped::Spoilt)
+                Err(DropReason::Spoilt)
             }
             // What was said to another, or by itself, is no fault of the datagram.
             Err(_) => Ok(()),
@@ -363,24 +368,24 @@
     /// Does what SWIM wants.
     fn carry_out(&mut self, out: &mut Vec<Output>) {
         for (to, words) in std::mem::take(&mut self.swim.wants.sends) {
-            self.send(Kind::Swim, to.address, &words, out);
+            self.send(DatagramKind::Swim, to.address, &words, out);
         }
         let mut changed = false;
         let (mut probed, mut failed) = (false, false);
         for note in std::mem::take(&mut self.swim.wants.notes) {
             match note {
-                Note::Changed => changed = true,
-                Note::ProbeFailed => failed = true,
-                Note::Probed => probed = true,
-                Note::Refuted(_) => {
-                    self.counts.refuted += 1;
+                SwimEvent::Changed => changed = true,
+                SwimEvent::ProbeFailed => failed = true,
+                SwimEvent::Probed => probed = true,
+                SwimEvent::Refuted(_) => {
+                    self.counters.refuted += 1;
                     self.health.worsen(1);
                 }
-                Note::Returned(id) => {
-                    self.me = id;
-                    self.gate.state().me = self.me.clone();
-                    self.counts.returned += 1;
-                    out.push(Output::News(News::Returned));
+                SwimEvent::Returned(id) => {
+                    self.local_id = id;
+                    self.gate.state().me = self.local_id.clone();
+                    self.counters.returned += 1;
+                    out.push(Output::MembershipEvent(MembershipEvent::Returned));
                 }
             }
         }
@@ -401,54 +406,54 @@
 
     /// What SWIM believes by now.
     fn look(&mut self, out: &mut Vec<Output>) {
-        let news = self.roster.take(self.now, self.swim.members());
+        let news = self.members.take(self.now, self.swim.members());
         let changed = !news.is_empty();
         for news in news {
-            if let News::Member { entry, .. } = &news {
+            if let MembershipEvent::Member { entry, .. } = &news {
                 match entry.state {
-                    State::Failed => self.counts.failed += 1,
-                    State::Left => self.counts.left += 1,
+                    State::Failed => self.counters.failed += 1,
+                    State::Left => self.counters.left += 1,
                     State::Alive | State::Suspect => {}
                 }
                 self.unheard.retain(|peer| *peer != entry.address);
             }
-            out.push(Output::News(news));
+            out.push(Output::MembershipEvent(news));
         }
         if changed {
             self.swim.fit();
         }
         let side = match self.standing {
-            Standing::Displaced { .. } => Side::Alone,
-            _ => self.roster.side(self.unheard.len()),
+            LocalState::Displaced { .. } => PartitionSide::Alone,
+            _ => self.members.side(self.unheard.len()),
         };
         if side != self.side {
             self.side = side;
-            out.push(Output::News(News::Side(side)));
+            out.push(Output::MembershipEvent(MembershipEvent::PartitionSide(side)));
         }
     }
 
     /// Whether this process is who bears its name in the fleet.
-    pub fn counts_here(&self) -> bool {
-        matches!(self.standing, Standing::Only | Standing::Followed { .. })
+    pub fn is_name_holder(&self) -> bool {
+        matches!(self.standing, LocalState::Only | LocalState::Followed { .. })
     }
 
     /// The others that are alive or suspected: where they are reached, and when they started.
-    pub fn there(&self) -> impl Iterator<Item = (SocketAddr, u64)> + '_ {
+    pub fn live_peers(&self) -> impl Iterator<Item = (SocketAddr, u64)> + '_ {
         self.active().map(|id| (id.address, id.start))
     }
 
-    fn active(&self) -> impl Iterator<Item = &Id> {
+    fn active(&self) -> impl Iterator<Item = &MemberId> {
         self.swim.members().filter(|member| member.state() != foca::State::Down).map(foca::Member::id)
     }
 
     /// Asks the peers that are not among those alive. A new member asks one of those as well, for whom it knows.
     fn ask(&mut self, out: &mut Vec<Output>) {
-        if self.counts_here() {
+        if self.is_name_holder() {
             let here: Vec<SocketAddr> = self.active().map(|id| id.address).collect();
-            let me = wire::words(&self.me);
+            let me = wire::words(&self.local_id);
             for peer in self.settings.peers.clone() {
                 if !here.contains(&peer) {
-                    self.send(Kind::Hello, peer, &me, out);
+                    self.send(DatagramKind::Hello, peer, &me, out);
                 }
             }
             if self.now < self.began + NEW {
@@ -463,12 +468,12 @@
 
     /// Another process bears this member's name. None of them wins in silence: both say so for as long as both are
     /// there, and the later start is who counts.
-    fn meet_rival(&mut self, rival: Id, out: &mut Vec<Output>) {
-        let later = rival.start > self.me.start;
-        let is_new = self.rival() != Some((rival.address, later));
-        let was_displaced = matches!(self.standing, Standing::Displaced { .. });
+    fn meet_rival(&mut self, rival: MemberId, out: &mut Vec<Output>) {
+        let later = rival.start > self.local_id.start;
+        let is_new = self.name_conflict() != Some((rival.address, later));
+        let was_displaced = matches!(self.standing, LocalState::Displaced { .. });
         if is_new {
-            out.push(Output::News(News::Rival(rival.address, later)));
+            out.push(Output::MembershipEvent(MembershipEvent::Rival(rival.address, later)));
             self.timers.retain(|due| !matches!(due, Due::Rival));
             self.timers.set(self.now, Due::Rival);
         }
@@ -476,9 +481,9 @@
             if !was_displaced {
                 self.timers.retain(|due| !matches!(due, Due::Swim(_)));
             }
-            self.standing = Standing::Displaced { later: rival, heard: self.now };
+            self.standing = LocalState::Displaced { later: rival, heard: self.now };
         } else {
-            self.standing = Standing::Followed { earlier: rival, heard: self.now };
+            self.standing = LocalState::Followed { earlier: rival, heard: self.now };
         }
         if is_new {
             self.look(out);
@@ -487,36 +492,37 @@
 
     fn tell_rival(&mut self, out: &mut Vec<Output>) {
         let (rival, heard, later) = match &self.standing {
-            Standing::Followed { earlier, heard } => (earlier.clone(), *heard, false),
-            Standing::Displaced { later, heard } => (later.clone(), *heard, true),
-            Standing::Only | Standing::Gone => return,
+            LocalState::Followed { earlier, heard } => (earlier.clone(), *heard, false),
+            LocalState::Displaced { later, heard } => (later.clone(), *heard, true),
+            LocalState::Only | LocalState::Gone => return,
         };
         if heard + RIVAL_BELIEVED > self.now {
-            let me = wire::words(&self.me);
-            self.send(Kind::Rival, rival.address, &me, out);
+            let me = wire::words(&self.local_id);
+            self.send(DatagramKind::Rival, rival.address, &me, out);
             return self.timers.set(self.now + RIVAL_TOLD, Due::Rival);
         }
-        out.push(Output::News(News::RivalGone));
-        self.standing = Standing::Only;
+        out.push(Output::MembershipEvent(MembershipEvent::RivalGone));
+        self.standing = LocalState::Only;
         if later {
             // It comes back as the process after that one: who heard of that one would hear of no earlier one.
-            self.me = self.me.in_life(rival.start + 1, 0);
-            self.gate.state().me = self.me.clone();
-            let counts = self.counts();
+            self.local_id = self.local_id.in_life(rival.start + 1, 0);
+            self.gate.state().me = self.local_id.clone();
+            let counts = self.counters();
             let room = wire::room(&self.settings.fleet);
             self.seed = self.seed.wrapping_add(1);
-            self.swim = Swim::new(self.me.clone(), self.gate.clone(), self.settings.times, room, self.seed);
-            self.counts = counts;
+            self.swim =
+                Swim::new(self.local_id.clone(), self.gate.clone(), self.settings.times, room, self.seed);
+            self.counters = counts;
             self.timers.retain(|due| !matches!(due, Due::Ask));
             self.ask(out);
         }
         self.look(out);
     }
 
-    fn send(&mut self, kind: Kind, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
+    fn send(&mut self, kind: DatagramKind, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
         let datagram = wire::seal(kind, &self.settings.fleet, body);
-        self.counts.datagrams_sent += 1;
-        self.counts.bytes_sent += datagram.len() as u64;
+        self.counters.datagrams_sent += 1;
+        self.counters.bytes_sent += datagram.len() as u64;
         out.push(Output::Send(to, datagram));
     }
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,6 +1,6 @@
 //! What is believed of each member, since when, and what it adds up to.
 
-use crate::identity::Id;
+use crate::identity::MemberId;
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -22,7 +22,7 @@
 
 /// Whether most of the fleet is on this side of whatever lies between.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Side {
+pub enum PartitionSide {
     /// All members are alive, as far as this one knows.
     Whole,
     /// More than half of them are.
@@ -35,7 +35,7 @@
 
 /// One member.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
+pub struct MemberRecord {
     /// Its name.
     pub name: Arc<str>,
     /// Which process it is: its start, in Unix microseconds.
@@ -52,18 +52,18 @@
 
 /// What the rest of the program hears.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum MembershipEvent {
     /// Something else is believed of a member.
     Member {
         /// The member, as it is believed now.
-        entry: Entry,
+        entry: MemberRecord,
         /// What was believed of it before, and of which process; none if it is new.
         before: Option<(u64, State)>,
     },
     /// A member is remembered no longer.
     Forgotten(Arc<str>),
     /// The fleet falls into other sides.
-    Side(Side),
+    PartitionSide(PartitionSide),
     /// Another process runs under this member's name, here. The later start of both counts in the fleet.
     Rival(SocketAddr, bool),
     /// It is gone.
@@ -87,13 +87,13 @@
     }
 }
 
-impl fmt::Display for Side {
+impl fmt::Display for PartitionSide {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Side::Whole => "whole",
-            Side::Majority => "majority",
-            Side::Minority => "minority",
-            Side::Alone => "alone",
+            PartitionSide::Whole => "whole",
+            PartitionSide::Majority => "majority",
+            PartitionSide::Minority => "minority",
+            PartitionSide::Alone => "alone",
         })
     }
 }
@@ -105,7 +105,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     /// By the marks of their names.
-    entries: BTreeMap<u128, Entry>,
+    entries: BTreeMap<u128, MemberRecord>,
 }
 
 impl Roster {
@@ -113,8 +113,8 @@
     pub(crate) fn take<'a>(
         &mut self,
         now: Time,
-        members: impl Iterator<Item = &'a foca::Member<Id>>,
-    ) -> Vec<News> {
+        members: impl Iterator<Item = &'a foca::Member<MemberId>>,
+    ) -> Vec<MembershipEvent> {
         let mut news = Vec::new();
         for member in members {
             let id = member.id();
@@ -130,7 +130,7 @@
                 (entry.incarnation, entry.address) = (member.incarnation(), id.address);
                 continue;
             }
-            let entry = Entry {
+            let entry = MemberRecord {
                 name: Arc::clone(&id.name),
                 start: id.start,
                 address: id.address,
@@ -139,13 +139,13 @@
                 since: now,
             };
             self.entries.insert(id.mark(), entry.clone());
-            news.push(News::Member { entry, before });
+            news.push(MembershipEvent::Member { entry, before });
         }
         news
     }
 
     /// Forgets all but those of these marks.
-    pub(crate) fn keep(&mut self, marks: &BTreeSet<u128>) -> Vec<News> {
+    pub(crate) fn keep(&mut self, marks: &BTreeSet<u128>) -> Vec<MembershipEvent> {
         let mut gone = Vec::new();
         self.entries.retain(|mark, entry| {
             let stays = marks.contains(mark);
@@ -155,11 +155,11 @@
             stays
         });
         gone.sort();
-        gone.into_iter().map(News::Forgotten).collect()
+        gone.into_iter().map(MembershipEvent::Forgotten).collect()
     }
 
     /// The members.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &MemberRecord> {
         self.entries.values()
     }
 
@@ -167,15 +167,15 @@
     ///
     /// The membership is who is remembered and has not left, this member, and each of those peers: a process that has just started and reaches nobody must not pass for a whole fleet. Exactly half is no
     /// majority: of two that lose each other both are alone.
-    pub(crate) fn side(&self, unheard: usize) -> Side {
+    pub(crate) fn side(&self, unheard: usize) -> PartitionSide {
         let here = self.entries().filter(|entry| entry.state <= State::Suspect).count() + 1;
         let belong = self.entries().filter(|entry| entry.state != State::Left).count() + 1;
         let all = belong + unheard;
         match here {
-            _ if here == all => Side::Whole,
-            1 => Side::Alone,
-            _ if here * 2 > all => Side::Majority,
-            _ => Side::Minority,
+            _ if here == all => PartitionSide::Whole,
+            1 => PartitionSide::Alone,
+            _ if here * 2 > all => PartitionSide::Majority,
+            _ => PartitionSide::Minority,
         }
     }
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -21,12 +21,12 @@
     /// The most members, this one included, that are remembered.
     pub size: usize,
     /// How long things take.
-    pub times: Times,
+    pub times: Timing,
 }
 
 /// How long things take, in ms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Times {
+pub struct Timing {
     /// One member is probed each period.
     pub period: u64,
     /// A probe without an answer for so long is repeated by way of others.
@@ -43,9 +43,9 @@
     pub forget: u64,
 }
 
-impl Default for Times {
-    fn default() -> Times {
-        Times {
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
             period: 400,
             answer: 160,
             suspicion: 1000,
@@ -59,7 +59,7 @@
 
 /// Why a member cannot be.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum Bad {
+pub enum SettingsError {
     /// A name is empty, too long, or has characters that would confuse whoever reads it.
     #[error("{field} {value:?} is not 1 to {MAX_NAME} of letters, digits, '.', '_' and '-'")]
     Name {
@@ -99,36 +99,36 @@
 
 impl Settings {
     /// Whether a member can be as it is told to.
-    pub fn check(&self) -> Result<(), Bad> {
+    pub fn check(&self) -> Result<(), SettingsError> {
         name("fleet.name", &self.fleet)?;
         name("name", &self.name)?;
         if self.advertise.ip().is_unspecified() {
-            return Err(Bad::Unreachable(self.advertise));
+            return Err(SettingsError::Unreachable(self.advertise));
         }
         for (at, peer) in self.peers.iter().enumerate() {
             if *peer == self.advertise {
-                return Err(Bad::Itself(*peer));
+                return Err(SettingsError::Itself(*peer));
             }
             if peer.ip().is_unspecified() || peer.port() == 0 {
-                return Err(Bad::Peer(*peer));
+                return Err(SettingsError::Peer(*peer));
             }
             if self.peers[..at].contains(peer) {
-                return Err(Bad::Twice(*peer));
+                return Err(SettingsError::Twice(*peer));
             }
         }
         let least = (self.peers.len() + 1).max(2);
         if !(least..=MOST).contains(&self.size) {
-            return Err(Bad::Size(self.size, least));
+            return Err(SettingsError::Size(self.size, least));
         }
         self.times.check()
     }
 }
 
-impl Times {
-    fn check(&self) -> Result<(), Bad> {
+impl Timing {
+    fn check(&self) -> Result<(), SettingsError> {
         let within = |field, value, least, most| match (least..=most).contains(&value) {
             true => Ok(()),
-            false => Err(Bad::Time { field, value, least, most }),
+            false => Err(SettingsError::Time { field, value, least, most }),
         };
         within("period_ms", self.period, 50, 60_000)?;
         // A probe by way of others needs its time within the period.
@@ -141,11 +141,11 @@
     }
 }
 
-fn name(field: &'static str, value: &str) -> Result<(), Bad> {
+fn name(field: &'static str, value: &str) -> Result<(), SettingsError> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
     match (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(plain) {
         true => Ok(()),
-        false => Err(Bad::Name { field, value: value.to_owned() }),
+        false => Err(SettingsError::Name { field, value: value.to_owned() }),
     }
 }
 
--- a/crates/membership/src/settings/tests.rs
+++ b/crates/membership/src/settings/tests.rs
@@ -12,7 +12,7 @@
         advertise: at(1),
         peers: vec![at(2), at(3)],
         size: 3,
-        times: Times::default(),
+        times: Timing::default(),
     };
     assert_eq!(good.check(), Ok(()));
     let bad = |change: fn(&mut Settings)| {
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -1,8 +1,8 @@
 //! SWIM by the library `foca`, with what it wants done kept for the caller: what is sent, set and noticed.
 
-use crate::join_admission::Gate;
-use crate::identity::Id;
-use crate::settings::Times;
+use crate::identity::MemberId;
+use crate::join_admission::JoinAdmission;
+use crate::settings::Timing;
 use crate::wire;
 use foca::{
     Codec, Config, Foca, Header, Message, NoCustomBroadcast, Notification, PeriodicParams, Runtime, Timer,
@@ -22,7 +22,7 @@
 
 /// What was counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct MembershipCounters {
     /// Members probed.
     pub probes: u64,
     /// Probes asked of other members.
@@ -65,11 +65,11 @@
 
 /// What SWIM noticed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Note {
+pub enum SwimEvent {
     /// Who belongs, or what is believed of it, has changed.
     Changed,
     /// Others had taken this member for failed: it goes on under this identity.
-    Returned(Id),
+    Returned(MemberId),
     /// A probe failed.
     ProbeFailed,
     /// This member has been probing.
@@ -80,47 +80,47 @@
 
 /// What SWIM wants done.
 #[derive(Default)]
-pub struct Wants {
-    pub sends: Vec<(Id, Vec<u8>)>,
-    pub timers: Vec<(Timer<Id>, u64)>,
-    pub notes: Vec<Note>,
+pub struct SwimOutput {
+    pub sends: Vec<(MemberId, Vec<u8>)>,
+    pub timers: Vec<(Timer<MemberId>, u64)>,
+    pub notes: Vec<SwimEvent>,
     incarnation: u16,
-    gate: Option<Gate>,
-    pub counts: Counts,
+    gate: Option<JoinAdmission>,
+    pub counts: MembershipCounters,
 }
 
-impl Runtime<Id> for Wants {
-    fn notify(&mut self, notification: Notification<'_, Id>) {
+impl Runtime<MemberId> for SwimOutput {
+    fn notify(&mut self, notification: Notification<'_, MemberId>) {
         match notification {
             Notification::Rejoin(id) => {
                 self.incarnation = 0;
-                self.notes.push(Note::Returned(id.clone()));
+                self.notes.push(SwimEvent::Returned(id.clone()));
             }
             Notification::ProbeFailed(..) => {
                 self.counts.probes_failed += 1;
-                self.notes.push(Note::ProbeFailed);
-                self.notes.push(Note::Changed);
+                self.notes.push(SwimEvent::ProbeFailed);
+                self.notes.push(SwimEvent::Changed);
             }
             Notification::DataSent(header) => {
                 match header.message {
                     Message::Ping(_) => {
                         self.counts.probes += 1;
-                        self.notes.push(Note::Probed);
+                        self.notes.push(SwimEvent::Probed);
                     }
                     Message::PingReq { .. } => self.counts.probes_indirect += 1,
                     _ => {}
                 }
                 if header.src_incarnation > self.incarnation {
                     self.incarnation = header.src_incarnation;
-                    self.notes.push(Note::Refuted(self.incarnation));
+                    self.notes.push(SwimEvent::Refuted(self.incarnation));
                 }
             }
             Notification::DataReceived(_) => {}
-            _ => self.notes.push(Note::Changed),
+            _ => self.notes.push(SwimEvent::Changed),
         }
     }
 
-    fn send_to(&mut self, to: Id, data: &[u8]) {
+    fn send_to(&mut self, to: MemberId, data: &[u8]) {
         let head = self.gate.as_ref().map_or(0, |gate| gate.state().head);
         if let Some([high, low]) = data.get(head..head + 2) {
             self.counts.news_sent += u64::from(u16::from_be_bytes([*high, *low]));
@@ -128,14 +128,14 @@
         self.sends.push((to, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: Timer<Id>, after: Duration) {
+    fn submit_after(&mut self, event: Timer<MemberId>, after: Duration) {
         self.timers.push((event, u64::try_from(after.as_millis()).unwrap_or(u64::MAX)));
     }
 }
 
 /// Why words of SWIM are not taken.
 #[derive(Debug, Error)]
-pub enum BadWords {
+pub enum SwimCodecError {
     /// They are none.
     #[error("no words of SWIM")]
     None,
@@ -148,60 +148,68 @@
 }
 
 /// The words of SWIM by `postcard`; whom a datagram names passes the gate.
-struct Words(Gate);
+struct SwimCodec(JoinAdmission);
 
-impl Words {
-    fn put(said: &impl serde::Serialize, mut buf: impl bytes::BufMut) -> Result<usize, BadWords> {
+impl SwimCodec {
+    fn put(said: &impl serde::Serialize, mut buf: impl bytes::BufMut) -> Result<usize, SwimCodecError> {
         let words = wire::words(said);
         if buf.remaining_mut() < words.len() {
-            return Err(BadWords::TooLong);
+            return Err(SwimCodecError::TooLong);
         }
         buf.put_slice(&words);
         Ok(words.len())
     }
 
-    fn take<T: serde::de::DeserializeOwned>(mut buf: impl bytes::Buf) -> Result<T, BadWords> {
-        let (said, rest) = postcard::take_from_bytes(buf.chunk()).map_err(|_| BadWords::None)?;
+    fn take<T: serde::de::DeserializeOwned>(mut buf: impl bytes::Buf) -> Result<T, SwimCodecError> {
+        let (said, rest) = postcard::take_from_bytes(buf.chunk()).map_err(|_| SwimCodecError::None)?;
         let used = buf.remaining() - rest.len();
         buf.advance(used);
         Ok(said)
     }
 }
 
-impl Codec<Id> for Words {
-    type Error = BadWords;
+impl Codec<MemberId> for SwimCodec {
+    type Error = SwimCodecError;
 
-    fn encode_header(&mut self, header: &Header<Id>, buf: impl bytes::BufMut) -> Result<(), BadWords> {
-        let head = Words::put(header, buf)?;
+    fn encode_header(
+        &mut self,
+        header: &Header<MemberId>,
+        buf: impl bytes::BufMut,
+    ) -> Result<(), SwimCodecError> {
+        let head = SwimCodec::put(header, buf)?;
         self.0.state().head = head;
         Ok(())
     }
 
-    fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<Header<Id>, BadWords> {
-        let header: Header<Id> = Words::take(buf)?;
+    fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<Header<MemberId>, SwimCodecError> {
+        let header: Header<MemberId> = SwimCodec::take(buf)?;
         if !header.src.is_sound() {
-            return Err(BadWords::None);
+            return Err(SwimCodecError::None);
         }
         let mut gate = self.0.state();
         if gate.is_rival(&header.src) {
             gate.rival = Some(header.src);
-            return Err(BadWords::NotAdmitted);
+            return Err(SwimCodecError::NotAdmitted);
         }
         gate.speaks(&header.src);
         match gate.admits(&header.src) {
             true => Ok(header),
-            false => Err(BadWords::NotAdmitted),
+            false => Err(SwimCodecError::NotAdmitted),
         }
     }
 
-    fn encode_member(&mut self, member: &foca::Member<Id>, buf: impl bytes::BufMut) -> Result<(), BadWords> {
-        Words::put(member, buf).map(drop)
+    fn encode_member(
+        &mut self,
+        member: &foca::Member<MemberId>,
+        buf: impl bytes::BufMut,
+    ) -> Result<(), SwimCodecError> {
+        SwimCodec::put(member, buf).map(drop)
     }
 
-    fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<Id>, BadWords> {
-        let member: foca::Member<Id> = Words::take(buf)?;
+    fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<MemberId>, SwimCodecError> {
+        let member: foca::Member<MemberId> = SwimCodec::take(buf)?;
         if !member.id().is_sound() {
-            return Err(BadWords::None);
+            return Err(SwimCodecError::None);
         }
         let mut gate = self.0.state();
         gate.heard += 1;
@@ -226,19 +234,19 @@
 
 /// SWIM for one member.
 pub struct Swim {
-    foca: Foca<Id, Words, StdRng, NoCustomBroadcast>,
-    gate: Gate,
-    times: Times,
+    foca: Foca<MemberId, SwimCodec, StdRng, NoCustomBroadcast>,
+    gate: JoinAdmission,
+    times: Timing,
     room: usize,
-    pub wants: Wants,
+    pub wants: SwimOutput,
 }
 
 impl Swim {
     /// A member that knows nobody.
-    pub fn new(me: Id, gate: Gate, times: Times, room: usize, seed: u64) -> Swim {
+    pub fn new(me: MemberId, gate: JoinAdmission, times: Timing, room: usize, seed: u64) -> Swim {
         let config = config(&times, room, 1);
-        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), Words(gate.clone()));
-        let wants = Wants { gate: Some(gate.clone()), ..Wants::default() };
+        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), SwimCodec(gate.clone()));
+        let wants = SwimOutput { gate: Some(gate.clone()), ..SwimOutput::default() };
         Swim { foca, gate, times, room, wants }
     }
 
@@ -248,29 +256,29 @@
     }
 
     /// A timer is due.
-    pub fn timer(&mut self, timer: Timer<Id>) {
+    pub fn timer(&mut self, timer: Timer<MemberId>) {
         // A probe that could not run its course is begun anew by the library itself; it says so, and that is all.
         let _ = self.foca.handle_timer(timer, &mut self.wants);
     }
 
     /// Asks a member to be let in, and whom it knows.
-    pub fn announce(&mut self, to: Id) {
+    pub fn announce(&mut self, to: MemberId) {
         let _ = self.foca.announce(to, &mut self.wants);
     }
 
     /// Hears what a member says of itself.
-    pub fn hear(&mut self, member: foca::Member<Id>) {
+    pub fn hear(&mut self, member: foca::Member<MemberId>) {
         let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.wants);
     }
 
     /// Says that this member leaves.
-    pub fn leave(&mut self, last: Id) {
+    pub fn leave(&mut self, last: MemberId) {
         let _ = self.foca.change_identity(last, &mut self.wants);
         let _ = self.foca.leave_cluster(&mut self.wants);
     }
 
     /// All that are remembered.
-    pub fn members(&self) -> impl Iterator<Item = &foca::Member<Id>> {
+    pub fn members(&self) -> impl Iterator<Item = &foca::Member<MemberId>> {
         self.foca.iter_membership_state()
     }
 
@@ -303,7 +311,7 @@
     }
 }
 
-fn config(times: &Times, room: usize, members: usize) -> Config {
+fn config(times: &Timing, room: usize, members: usize) -> Config {
     let params = |frequency, members| {
         Some(PeriodicParams {
             frequency,
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -10,7 +10,7 @@
 //! | 1, then as many | the fleet's name |
 //! | the rest | what the kind says, by `postcard` |
 
-use crate::identity::Id;
+use crate::identity::MemberId;
 use serde::{Deserialize, Serialize};
 
 /// The longest datagram: it passes every usual link in one piece.
@@ -21,18 +21,18 @@
 
 /// What a datagram is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
+pub enum DatagramKind {
     /// SWIM.
     Swim,
-    /// "Who is there? I am this one": an [`Id`].
+    /// "Who is there? I am this one": an [`MemberId`].
     Hello,
-    /// "It is me": an [`Id`], to who said hello.
+    /// "It is me": an [`MemberId`], to who said hello.
     Here,
-    /// "I bear your name": an [`Id`].
+    /// "I bear your name": an [`MemberId`].
     Rival,
     /// "I have no room for you": how many I have room for.
     NoRoom,
-    /// "I go": an [`Id`].
+    /// "I go": an [`MemberId`].
     Bye,
     /// What the floor of shares says.
     Shares,
@@ -40,12 +40,20 @@
     Links,
 }
 
-const KINDS: [Kind; 8] =
-    [Kind::Swim, Kind::Hello, Kind::Here, Kind::Rival, Kind::NoRoom, Kind::Bye, Kind::Shares, Kind::Links];
+const KINDS: [DatagramKind; 8] = [
+    DatagramKind::Swim,
+    DatagramKind::Hello,
+    DatagramKind::Here,
+    DatagramKind::Rival,
+    DatagramKind::NoRoom,
+    DatagramKind::Bye,
+    DatagramKind::Shares,
+    DatagramKind::Links,
+];
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dropped {
+pub enum DropReason {
     /// It is none of ours at all.
     Foreign,
     /// Its format is newer than this program.
@@ -64,7 +72,7 @@
 }
 
 /// A datagram of a fleet.
-pub(crate) fn seal(kind: Kind, fleet: &str, body: &[u8]) -> Vec<u8> {
+pub(crate) fn seal(kind: DatagramKind, fleet: &str, body: &[u8]) -> Vec<u8> {
     let mut out = Vec::with_capacity(HEAD + fleet.len() + body.len());
     out.extend_from_slice(&MAGIC);
     out.extend_from_slice(&[VERSION, kind as u8, 0, 0, 0, 0, fleet.len() as u8]);
@@ -80,23 +88,23 @@
 }
 
 /// What a datagram of this fleet is about, and what it says.
-pub fn open<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(Kind, &'a [u8]), Dropped> {
+pub fn open<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(DatagramKind, &'a [u8]), DropReason> {
     if datagram.len() < HEAD || datagram[..2] != MAGIC {
-        return Err(Dropped::Foreign);
+        return Err(DropReason::Foreign);
     }
     if datagram[2] > VERSION {
-        return Err(Dropped::TooNew);
+        return Err(DropReason::TooNew);
     }
     let sum = u32::from_be_bytes([datagram[4], datagram[5], datagram[6], datagram[7]]);
     if datagram.len() > MAX_DATAGRAM || checksum(datagram) != sum {
-        return Err(Dropped::Spoilt);
+        return Err(DropReason::Spoilt);
     }
     let length = usize::from(datagram[8]);
-    let name = datagram.get(HEAD..HEAD + length).ok_or(Dropped::Spoilt)?;
+    let name = datagram.get(HEAD..HEAD + length).ok_or(DropReason::Spoilt)?;
     if name != fleet.as_bytes() {
-        return Err(Dropped::OtherFleet);
+        return Err(DropReason::OtherFleet);
     }
-    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(Dropped::TooNew)?;
+    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(DropReason::TooNew)?;
     Ok((kind, &datagram[HEAD + length..]))
 }
 
@@ -107,16 +115,16 @@
 }
 
 /// Reads them.
-pub(crate) fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Dropped> {
+pub(crate) fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, DropReason> {
     match postcard::take_from_bytes(body) {
         Ok((said, [])) => Ok(said),
-        _ => Err(Dropped::Spoilt),
+        _ => Err(DropReason::Spoilt),
     }
 }
 
 /// Reads who says it.
-pub(crate) fn read_id(body: &[u8]) -> Result<Id, Dropped> {
-    read(body).and_then(|id: Id| if id.is_sound() { Ok(id) } else { Err(Dropped::Spoilt) })
+pub(crate) fn read_id(body: &[u8]) -> Result<MemberId, DropReason> {
+    read(body).and_then(|id: MemberId| if id.is_sound() { Ok(id) } else { Err(DropReason::Spoilt) })
 }
 
 #[cfg(test)]
--- a/crates/membership/tests/hard_cases.rs
+++ b/crates/membership/tests/hard_cases.rs
@@ -1,25 +1,26 @@
 //! What is hard for a membership, each in simulated time with fixed seeds.
 
-use pinetrail_membership::{Members, News, Output, Side, State};
+use pinetrail_membership::{Membership, MembershipEvent, Output, PartitionSide, State};
 use pinetrail_simulation::fleet::{place, settings, Fleet, BRIEF};
 
 const ALL: [usize; 5] = [0, 1, 2, 3, 4];
 
 /// Five members that know each other.
-fn five(seed: u64) -> Fleet<Members> {
+fn five(seed: u64) -> Fleet<Membership> {
     let mut fleet = Fleet::of(5, seed, &ALL);
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "they meet");
-    assert!(ALL.iter().all(|host| fleet.side(*host) == Some(Side::Whole)));
+    assert!(ALL.iter().all(|host| fleet.side(*host) == Some(PartitionSide::Whole)));
     fleet.heard.clear();
     fleet
 }
 
 /// The times at which all the others knew that a host has failed, counted from now.
-fn known_to_all_within(fleet: &mut Fleet<Members>, dead: usize, at_most: u64) -> Option<u64> {
+fn known_to_all_within(fleet: &mut Fleet<Membership>, dead: usize, at_most: u64) -> Option<u64> {
     let begun = fleet.now();
     let others: Vec<usize> = ALL.into_iter().filter(|host| *host != dead).collect();
-    let known =
-        |fleet: &Fleet<Members>| others.iter().all(|host| fleet.believes(*host, dead) == Some(State::Failed));
+    let known = |fleet: &Fleet<Membership>| {
+        others.iter().all(|host| fleet.believes(*host, dead) == Some(State::Failed))
+    };
     fleet.until(at_most, known).then(|| fleet.now() - begun)
 }
 
@@ -30,11 +31,11 @@
         fleet.kill(2);
         let took = known_to_all_within(&mut fleet, 2, 10_000).expect("all know");
         assert!(took <= 3_000, "seed {seed}: {took} ms");
-        assert_eq!(fleet.side(0), Some(Side::Majority));
+        assert_eq!(fleet.side(0), Some(PartitionSide::Majority));
         // It returns with only the list of its peers, under its name.
         fleet.begin(2, 5, &ALL);
         assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
-        assert_eq!(fleet.side(0), Some(Side::Whole));
+        assert_eq!(fleet.side(0), Some(PartitionSide::Whole));
     }
 }
 
@@ -70,10 +71,13 @@
         fleet.heard.clear();
         fleet.go_on(1);
         assert!(fleet.until(6_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
-        assert!(fleet.heard.iter().any(|heard| heard.host == 1 && matches!(heard.news, News::Stopped(_))));
+        assert!(fleet
+            .heard
+            .iter()
+            .any(|heard| heard.host == 1 && matches!(heard.news, MembershipEvent::Stopped(_))));
         let wrong = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
-                && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed)
+                && matches!(&heard.news, MembershipEvent::Member { entry, .. } if entry.state == State::Failed)
         };
         assert_eq!(fleet.heard.iter().filter(wrong).count(), 0, "seed {seed}");
     }
@@ -92,7 +96,7 @@
         fleet.run(1_500);
         let suspected = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
-                && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Suspect)
+                && matches!(&heard.news, MembershipEvent::Member { entry, .. } if entry.state == State::Suspect)
         };
         assert_eq!(fleet.heard.iter().find(suspected), None, "stopped after {after}");
     }
@@ -106,7 +110,7 @@
         let mut fleet = five(3);
         [0, 2, 3, 4].iter().for_each(|to| fleet.network.cut(1, *to));
         let suspects =
-            |fleet: &Fleet<Members>| ALL.iter().any(|of| fleet.believes(1, *of) == Some(State::Suspect));
+            |fleet: &Fleet<Membership>| ALL.iter().any(|of| fleet.believes(1, *of) == Some(State::Suspect));
         assert!(fleet.until(4_000, suspects));
         fleet.run(after);
         if ALL.iter().any(|of| fleet.believes(1, *of) == Some(State::Failed)) {
@@ -121,7 +125,7 @@
         fleet.run(4_000);
         let failed = |heard: &&pinetrail_simulation::fleet::Heard| {
             heard.host == 1
-                && matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed)
+                && matches!(&heard.news, MembershipEvent::Member { entry, .. } if entry.state == State::Failed)
         };
         assert_eq!(fleet.heard.iter().find(failed), None, "stopped after {after} ms");
     }
@@ -146,8 +150,8 @@
         let mut fleet = five(seed);
         fleet.network.cut_into(&[&[0, 1, 2], &[3, 4]]);
         assert!(fleet.until(8_000, |fleet| fleet.agree(&[0, 1, 2]) && fleet.agree(&[3, 4])), "seed {seed}");
-        let sides: Vec<Option<Side>> = ALL.iter().map(|host| fleet.side(*host)).collect();
-        let (majority, minority) = (Some(Side::Majority), Some(Side::Minority));
+        let sides: Vec<Option<PartitionSide>> = ALL.iter().map(|host| fleet.side(*host)).collect();
+        let (majority, minority) = (Some(PartitionSide::Majority), Some(PartitionSide::Minority));
         assert_eq!(sides, [majority, majority, majority, minority, minority]);
         // One of each side restarts meanwhile, and knows its peers only.
         for host in [0, 4] {
@@ -160,14 +164,14 @@
         assert_eq!((fleet.side(0), fleet.side(4)), (majority, minority), "seed {seed}");
         fleet.network.heal();
         assert!(fleet.until(10_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
-        assert!(ALL.iter().all(|host| fleet.side(*host) == Some(Side::Whole)));
+        assert!(ALL.iter().all(|host| fleet.side(*host) == Some(PartitionSide::Whole)));
     }
 }
 
 /// Guards against a cut that lasts until both sides have forgotten each other.
 #[test]
 fn a_cut_that_outlasts_all_memory_heals_by_the_peers() {
-    let mut fleet: Fleet<Members> = Fleet::new(4, 7);
+    let mut fleet: Fleet<Membership> = Fleet::new(4, 7);
     for host in 0..4 {
         let mut settings = settings(host, 4, &[0, 1, 2, 3]);
         settings.times.forget = 5_000;
@@ -176,7 +180,7 @@
     assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
     fleet.network.cut_into(&[&[0, 1], &[2, 3]]);
     fleet.run(30_000);
-    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, News::Forgotten(_))));
+    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, MembershipEvent::Forgotten(_))));
     assert_eq!(fleet.entry(0, "n0003"), None);
     fleet.network.heal();
     assert!(fleet.until(10_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
@@ -207,7 +211,7 @@
         fleet.run(6_000);
         fleet.begin(4, 5, &[0]);
         assert!(fleet.until(8_000, |fleet| fleet.agree(&[1, 2, 3, 4])), "seed {seed}");
-        assert_eq!(fleet.side(4), Some(Side::Majority), "its peer is missing");
+        assert_eq!(fleet.side(4), Some(PartitionSide::Majority), "its peer is missing");
         fleet.begin(0, 5, &[1]);
         assert!(fleet.until(8_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
     }
@@ -240,13 +244,13 @@
 /// Guards against a member that is reached no more since its list has the address that it had before.
 #[test]
 fn a_name_may_return_at_another_address() {
-    let mut fleet: Fleet<Members> = Fleet::new(6, 3);
+    let mut fleet: Fleet<Membership> = Fleet::new(6, 3);
     ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     fleet.kill(2);
     let moved = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 5, &[0, 1]) };
     fleet.begin_with(5, moved);
-    let there = |fleet: &Fleet<Members>| {
+    let there = |fleet: &Fleet<Membership>| {
         [0, 1, 3, 4].iter().all(|host| {
             fleet
                 .entry(*host, "n0002")
@@ -256,7 +260,7 @@
     assert!(fleet.until(5_000, there));
     fleet.run(20_000);
     assert!(there(&fleet));
-    assert_eq!(fleet.side(0), Some(Side::Whole), "the address that it had is owed nothing");
+    assert_eq!(fleet.side(0), Some(PartitionSide::Whole), "the address that it had is owed nothing");
 }
 
 /// Guards against words of a process that is no more, which bear its name still.
@@ -266,10 +270,10 @@
     let mut late = Vec::new();
     fleet.act(2, |member, now, out| {
         let mut said = Vec::new();
-        (0..60).for_each(|step| member.due(now + step * 10, &mut said));
+        (0..60).for_each(|step| member.handle_timeout(now + step * 10, &mut said));
         late.extend(said.iter().filter_map(|output| match output {
             Output::Send(to, bytes) => Some((*to, bytes.clone())),
-            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
         }));
         out.extend(said);
     });
@@ -282,7 +286,7 @@
     fleet.heard.clear();
     for host in [0, 1, 3, 4] {
         for (_, bytes) in &late {
-            fleet.act(host, |member, now, out| member.datagram(now, place(2), bytes, out));
+            fleet.act(host, |member, now, out| member.handle_datagram(now, place(2), bytes, out));
         }
     }
     fleet.run(10_000);
@@ -298,12 +302,12 @@
         fleet.network.loss = 0.05;
         fleet.act(3, |member, now, out| member.leave(now, out));
         fleet.kill(3);
-        let left = |fleet: &Fleet<Members>| {
+        let left = |fleet: &Fleet<Membership>| {
             [0, 1, 2, 4].iter().all(|host| fleet.believes(*host, 3) == Some(State::Left))
         };
         assert!(fleet.until(3_000, left), "seed {seed}");
         assert_eq!(fleet.failures_heard(), 0);
-        assert_eq!(fleet.side(0), Some(Side::Whole), "a fleet of four now");
+        assert_eq!(fleet.side(0), Some(PartitionSide::Whole), "a fleet of four now");
         fleet.network.loss = 0.0;
         fleet.begin(3, 5, &ALL);
         assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}: it may come again");
@@ -313,23 +317,24 @@
 /// Guards against two processes that fight over a name, and against one that wins it in silence.
 #[test]
 fn two_processes_of_one_name_are_both_told_and_the_fleet_stays_calm() {
-    let mut fleet: Fleet<Members> = Fleet::new(6, 5);
+    let mut fleet: Fleet<Membership> = Fleet::new(6, 5);
     ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     let twin = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 6, &[0, 1]) };
     fleet.begin_with(5, twin);
     fleet.run(10_000);
-    assert_eq!(fleet.member(2).unwrap().rival(), Some((place(5), true)), "the earlier one knows");
-    assert_eq!(fleet.member(5).unwrap().rival(), Some((place(2), false)), "so does the later one");
-    assert_eq!(fleet.side(2), Some(Side::Alone));
+    assert_eq!(fleet.member(2).unwrap().name_conflict(), Some((place(5), true)), "the earlier one knows");
+    assert_eq!(fleet.member(5).unwrap().name_conflict(), Some((place(2), false)), "so does the later one");
+    assert_eq!(fleet.side(2), Some(PartitionSide::Alone));
     fleet.heard.clear();
     fleet.run(60_000);
-    let about_members = |heard: &&pinetrail_simulation::fleet::Heard| matches!(heard.news, News::Member { .. });
+    let about_members =
+        |heard: &&pinetrail_simulation::fleet::Heard| matches!(heard.news, MembershipEvent::Member { .. });
     assert_eq!(fleet.heard.iter().filter(about_members).count(), 0, "{:?}", fleet.heard);
     // Once the later one is gone the earlier one is back.
     fleet.kill(5);
-    let back = |fleet: &Fleet<Members>| {
-        fleet.member(2).unwrap().rival().is_none()
+    let back = |fleet: &Fleet<Membership>| {
+        fleet.member(2).unwrap().name_conflict().is_none()
             && [0, 1, 3, 4].iter().all(|host| fleet.entry(*host, "n0002").unwrap().address == place(2))
             && fleet.agree(&ALL)
     };
@@ -339,45 +344,45 @@
 /// Guards against memory that whoever can send datagrams fills with names.
 #[test]
 fn a_member_beyond_the_size_is_refused_and_told_why() {
-    let mut fleet: Fleet<Members> = Fleet::new(5, 9);
+    let mut fleet: Fleet<Membership> = Fleet::new(5, 9);
     (0..5).for_each(|host| fleet.begin(host, 4, &[0]));
     fleet.run(20_000);
     let known: Vec<usize> =
-        (0..4).map(|host| fleet.member(host).map_or(0, |member| member.roster().len())).collect();
+        (0..4).map(|host| fleet.member(host).map_or(0, |member| member.members().len())).collect();
     assert!(known.iter().all(|known| *known <= 4), "{known:?}");
     assert!(fleet.counts(0).dropped_no_room > 0);
-    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, News::NoRoom(_, 4))));
+    assert!(fleet.heard.iter().any(|heard| matches!(heard.news, MembershipEvent::NoRoom(_, 4))));
     assert!(fleet.failures_heard() == 0, "those that fit are not harmed");
 }
 
 /// Guards against room that is taken by names which never joined: a restart without end, or a flood of greetings.
 #[test]
 fn greetings_of_many_names_take_no_room() {
-    let mut fleet: Fleet<Members> = Fleet::new(4, 9);
+    let mut fleet: Fleet<Membership> = Fleet::new(4, 9);
     (0..2).for_each(|host| fleet.begin(host, 4, &[0, 1]));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1])));
     let sent = |out: &[Output]| {
         let bytes = out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
         });
         bytes.collect::<Vec<_>>()
     };
-    let mut strangers: Vec<Members> =
-        (0..200).map(|n| Members::new(settings(100 + n, 4, &[1]), 5, n as u64, 0).unwrap()).collect();
+    let mut strangers: Vec<Membership> =
+        (0..200).map(|n| Membership::new(settings(100 + n, 4, &[1]), 5, n as u64, 0).unwrap()).collect();
     let mut to_another = Vec::new();
     for stranger in &mut strangers {
         let mut said = Vec::new();
-        stranger.due(0, &mut said);
+        stranger.handle_timeout(0, &mut said);
         for greeting in sent(&said) {
-            fleet.act(0, |member, now, out| member.datagram(now, place(3), &greeting, out));
+            fleet.act(0, |member, now, out| member.handle_datagram(now, place(3), &greeting, out));
             let mut answer = Vec::new();
             fleet.act(1, |member, now, out| {
-                member.datagram(now, place(3), &greeting, out);
+                member.handle_datagram(now, place(3), &greeting, out);
                 answer.append(out);
             });
             said.clear();
-            sent(&answer).iter().for_each(|here| stranger.datagram(0, place(1), here, &mut said));
+            sent(&answer).iter().for_each(|here| stranger.handle_datagram(0, place(1), here, &mut said));
             to_another.extend(sent(&said));
         }
     }
@@ -385,7 +390,7 @@
     // Words of SWIM that are for another member: this one's SWIM does not take them.
     assert_eq!(to_another.len(), 200);
     for bytes in &to_another {
-        fleet.act(0, |member, now, out| member.datagram(now, place(3), bytes, out));
+        fleet.act(0, |member, now, out| member.handle_datagram(now, place(3), bytes, out));
     }
     assert!(fleet.counts(0).dropped_no_room > 0, "for a moment");
     fleet.run(2_000);
@@ -401,10 +406,10 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut real = Vec::new();
     fleet.act(1, |member, now, out| {
-        (0..60).for_each(|step| member.due(now + step * 10, out));
+        (0..60).for_each(|step| member.handle_timeout(now + step * 10, out));
         real.extend(out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::News(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
         }));
     });
     for round in 0..20_000 {
@@ -417,7 +422,7 @@
                 bytes[at] ^= 1 << rng.random_range(0..8);
             }
         }
-        fleet.act(0, |member, now, out| member.datagram(now, place(3), &bytes, out));
+        fleet.act(0, |member, now, out| member.handle_datagram(now, place(3), &bytes, out));
     }
     fleet.run(10_000);
     let counts = fleet.counts(0);
@@ -431,13 +436,13 @@
 /// Guards against peers that come late: a join that began with the wrong ones goes on with the right ones.
 #[test]
 fn new_peers_in_the_middle_of_a_join_are_asked_at_once() {
-    let mut fleet: Fleet<Members> = Fleet::new(6, 2);
+    let mut fleet: Fleet<Membership> = Fleet::new(6, 2);
     ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     let nobody = "10.9.9.9:1".parse().unwrap();
     fleet.begin_with(5, pinetrail_membership::Settings { peers: vec![nobody], ..settings(5, 6, &[]) });
     fleet.run(1_500);
-    assert_eq!(fleet.side(5), Some(Side::Alone));
+    assert_eq!(fleet.side(5), Some(PartitionSide::Alone));
     fleet.act(5, |member, now, out| member.set_peers(now, vec![place(1)], out).unwrap());
     // Its usual time to ask would come in half a second.
     assert!(fleet.until(300, |fleet| fleet.believes(5, 1) == Some(State::Alive)));
@@ -470,7 +475,8 @@
     let mut fleet = Fleet::of(4, 1, &[0, 1, 2, 3]);
     assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
     fleet.network.cut_into(&[&[0, 1], &[2, 3]]);
-    let minority = |fleet: &Fleet<Members>| (0..4).all(|host| fleet.side(host) == Some(Side::Minority));
+    let minority =
+        |fleet: &Fleet<Membership>| (0..4).all(|host| fleet.side(host) == Some(PartitionSide::Minority));
     assert!(fleet.until(10_000, minority));
 }
 
@@ -480,10 +486,10 @@
     let mut fleet = Fleet::of(2, 1, &[0, 1]);
     assert!(fleet.until(5_000, |fleet| fleet.agree(&[0, 1])));
     fleet.network.cut_into(&[&[0], &[1]]);
-    assert!(fleet
-        .until(10_000, |fleet| { (fleet.side(0), fleet.side(1)) == (Some(Side::Alone), Some(Side::Alone)) }));
+    assert!(fleet.until(10_000, |fleet| {
+        (fleet.side(0), fleet.side(1)) == (Some(PartitionSide::Alone), Some(PartitionSide::Alone))
+    }));
     fleet.network.heal();
-    assert!(
-        fleet.until(10_000, |fleet| fleet.side(0) == Some(Side::Whole) && fleet.side(1) == Some(Side::Whole))
-    );
+    assert!(fleet.until(10_000, |fleet| fleet.side(0) == Some(PartitionSide::Whole)
+        && fleet.side(1) == Some(PartitionSide::Whole)));
 }
--- a/crates/peer-transport/src/accept.rs
+++ b/crates/peer-transport/src/accept.rs
@@ -1,8 +1,8 @@
 //! Takes connections of peers in.
 
 use crate::connection;
-use crate::transport::Links;
-use crate::network::Net;
+use crate::network::Network;
+use crate::transport::PeerTransport;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -11,7 +11,7 @@
 const REST: Duration = Duration::from_millis(20);
 
 /// Accepts for as long as this process runs.
-pub(crate) async fn accept<N: Net>(links: Arc<Links<N>>, listener: N::Listener) {
+pub(crate) async fn accept<N: Network>(links: Arc<PeerTransport<N>>, listener: N::Listener) {
     loop {
         match N::accept(&listener).await {
             Ok(stream) => {
--- a/crates/peer-transport/src/connection.rs
+++ b/crates/peer-transport/src/connection.rs
@@ -1,8 +1,8 @@
 //! One link, from its greeting to its end.
 
-use crate::frame::{self, Frame, Hello, VERSION};
-use crate::transport::{Links, Live};
-use crate::network::Net;
+use crate::frame::{self, Frame, Handshake, VERSION};
+use crate::network::Network;
+use crate::transport::{PeerConnection, PeerTransport};
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
@@ -39,14 +39,14 @@
 }
 
 /// Greets the other end of a connection, then carries what both say until the link ends; why it did.
-pub(crate) async fn run<N: Net>(links: &Arc<Links<N>>, stream: N::Stream) -> io::Error {
+pub(crate) async fn run<N: Network>(links: &Arc<PeerTransport<N>>, stream: N::Stream) -> io::Error {
     let (from, mut to) = tokio::io::split(stream);
     let mut reader = Reader { from, bytes: BytesMut::new(), lengths: frame::lengths() };
     let hello = match greet(links, &mut reader, &mut to).await {
         Ok(hello) => hello,
         Err(error) => return error,
     };
-    let live = Arc::new(Live::new(hello));
+    let live = Arc::new(PeerConnection::new(hello));
     links.arrived(&live);
     let writing = tokio::spawn(write::<N>(Arc::clone(links), Arc::clone(&live), to));
     let why = tokio::select! {
@@ -61,31 +61,37 @@
     why
 }
 
-async fn greet<N: Net>(
-    links: &Links<N>,
+async fn greet<N: Network>(
+    links: &PeerTransport<N>,
     reader: &mut Reader<N::Stream>,
     to: &mut WriteHalf<N::Stream>,
-) -> io::Result<Hello> {
-    let own = Frame::Hello(links.hello());
+) -> io::Result<Handshake> {
+    let own = Frame::Handshake(links.hello());
     write_one(to, &frame::seal(&own).ok_or_else(|| spoilt("a hello too long"))?).await?;
     let theirs = timeout(links.times.greeting, reader.next(links.times.greeting)).await;
     match theirs {
-        Ok(Ok(Frame::Hello(hello))) if hello.version != VERSION => Err(spoilt("another version of frames")),
-        Ok(Ok(Frame::Hello(hello))) if hello.fleet != links.fleet => Err(spoilt("another fleet")),
-        Ok(Ok(Frame::Hello(hello))) if hello.from == links.me => Err(spoilt("this process itself")),
-        Ok(Ok(Frame::Hello(hello))) => Ok(hello),
+        Ok(Ok(Frame::Handshake(hello))) if hello.version != VERSION => {
+            Err(spoilt("another version of frames"))
+        }
+        Ok(Ok(Frame::Handshake(hello))) if hello.fleet != links.fleet => Err(spoilt("another fleet")),
+        Ok(Ok(Frame::Handshake(hello))) if hello.from == links.me => Err(spoilt("this process itself")),
+        Ok(Ok(Frame::Handshake(hello))) => Ok(hello),
         Ok(Ok(_)) => Err(spoilt("no hello")),
         Ok(Err(error)) => Err(error),
         Err(_) => Err(ErrorKind::TimedOut.into()),
     }
 }
 
-async fn read<N: Net>(links: &Arc<Links<N>>, live: &Arc<Live>, reader: &mut Reader<N::Stream>) -> io::Error {
+async fn read<N: Network>(
+    links: &Arc<PeerTransport<N>>,
+    live: &Arc<PeerConnection>,
+    reader: &mut Reader<N::Stream>,
+) -> io::Error {
     let from = &live.hello.from;
     loop {
         match reader.next(links.times.silence).await {
             Ok(Frame::Beat) => {}
-            Ok(Frame::Behind) => links.heard().behind(from),
+            Ok(Frame::Behind) => links.heard().on_resync_needed(from),
             Ok(Frame::Tell(body)) => drop(links.heard().heard(from, &body)),
             Ok(Frame::Ask(number, body)) => {
                 let answer = links.heard().heard(from, &body);
@@ -93,14 +99,18 @@
             }
             Ok(Frame::Answer(number, body)) => live.answered(number, Some(body)),
             Ok(Frame::NoAnswer(number)) => live.answered(number, None),
-            Ok(Frame::Hello(_)) => return spoilt("a second hello"),
+            Ok(Frame::Handshake(_)) => return spoilt("a second hello"),
             Err(error) => return error,
         }
     }
 }
 
 /// Writes what is to be written, and a beat where that is nothing. A peer that takes nothing for the time of silence ends it.
-async fn write<N: Net>(links: Arc<Links<N>>, live: Arc<Live>, mut to: WriteHalf<N::Stream>) {
+async fn write<N: Network>(
+    links: Arc<PeerTransport<N>>,
+    live: Arc<PeerConnection>,
+    mut to: WriteHalf<N::Stream>,
+) {
     let beat = frame::seal(&Frame::Beat).unwrap_or_default();
     loop {
         let next = match timeout(links.times.beat, live.mailbox.next()).await {
--- a/crates/peer-transport/src/dial.rs
+++ b/crates/peer-transport/src/dial.rs
@@ -1,8 +1,8 @@
 //! Dials one peer, again and again, for as long as it is to be dialled.
 
 use crate::connection;
-use crate::transport::{Links, Peer};
-use crate::network::Net;
+use crate::network::Network;
+use crate::transport::{Peer, PeerTransport};
 use rand::RngExt;
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -13,11 +13,11 @@
 const LONGEST_REST: Duration = Duration::from_millis(1000);
 
 /// Keeps a link with a peer: dial, greet, carry; on failure wait and dial again.
-pub(crate) async fn dial<N: Net>(links: Arc<Links<N>>, peer: Peer) {
+pub(crate) async fn dial<N: Network>(links: Arc<PeerTransport<N>>, peer: Peer) {
     let mut rest = FIRST_REST;
     while links.wants(&peer) {
-        if !links.is_up(&peer.process) {
-            let connected = timeout(links.times.greeting, links.net.connect(links.from, peer.place)).await;
+        if !links.is_connected(&peer.process) {
+            let connected = timeout(links.times.greeting, links.net.connect(links.from, peer.address)).await;
             let why = match connected {
                 Ok(Ok(stream)) => {
                     rest = FIRST_REST;
@@ -26,7 +26,7 @@
                 Ok(Err(error)) => error,
                 Err(_) => ErrorKind::TimedOut.into(),
             };
-            links.heard().failed(&peer.process, &why);
+            links.heard().on_connection_failed(&peer.process, &why);
         }
         // Not all at once, where one that many dial was away.
         let jitter = links.with_rng(|rng| rng.random_range(0.5..1.5));
--- a/crates/peer-transport/src/frame.rs
+++ b/crates/peer-transport/src/frame.rs
@@ -7,14 +7,14 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// The longest frame, without its length.
-pub const MAX_FRAME: usize = 1 << 20;
+pub const MAX_FRAME_LENGTH: usize = 1 << 20;
 /// Frames of other versions are not understood.
 pub(crate) const VERSION: u16 = 1;
 const SUM: usize = 4;
 
 /// What either end says first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hello {
+pub struct Handshake {
     /// The version of the frames.
     pub version: u16,
     /// The fleet.
@@ -28,7 +28,7 @@
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Frame {
-    Hello(Hello),
+    Handshake(Handshake),
     /// Nothing else was to be said for a while.
     Beat,
     /// Something was dropped since it did not fit.
@@ -42,13 +42,13 @@
 
 /// The codec of lengths.
 pub(crate) fn lengths() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_LENGTH).new_codec()
 }
 
 /// A frame as it is written, without its length; none if it is too long.
 pub(crate) fn seal(frame: &Frame) -> Option<Bytes> {
     let body = postcard::to_allocvec(frame).ok()?;
-    if body.len() + SUM > MAX_FRAME {
+    if body.len() + SUM > MAX_FRAME_LENGTH {
         return None;
     }
     let mut out = BytesMut::with_capacity(SUM + body.len());
--- a/crates/peer-transport/src/frame/tests.rs
+++ b/crates/peer-transport/src/frame/tests.rs
@@ -11,5 +11,5 @@
         assert_eq!(open(&spoilt), None, "byte {at}");
         assert_eq!(open(&sealed[..at]), None, "cut at {at}");
     }
-    assert!(seal(&Frame::Tell(vec![0; MAX_FRAME])).is_none());
+    assert!(seal(&Frame::Tell(vec![0; MAX_FRAME_LENGTH])).is_none());
 }
--- a/crates/peer-transport/src/golden_tests.rs
+++ b/crates/peer-transport/src/golden_tests.rs
@@ -4,9 +4,9 @@
 //! reads, and read what an old one writes. A test that fails here says that the program has changed
 //! its format; the recorded bytes are not to be adapted.
 
-use crate::frame::{self, Frame, VERSION};
 use crate::connection;
-use crate::{Heard, Hello, Links, Net, Process, Times};
+use crate::frame::{self, Frame, VERSION};
+use crate::{Handshake, MessageHandler, Network, PeerTransport, Process, Timing};
 use bytes::BytesMut;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -41,15 +41,15 @@
 }
 
 fn hello(from: Process, seat: Option<u8>) -> Frame {
-    Frame::Hello(Hello { version: VERSION, fleet: "gdynia".into(), from, seat })
+    Frame::Handshake(Handshake { version: VERSION, fleet: "gdynia".into(), from, seat })
 }
 
 /// Does not compile when a kind of frame is added, until its bytes are recorded as well.
 fn recorded(frame: &Frame) -> &'static str {
     match frame {
-        Frame::Hello(Hello { from, .. }) if from.start == 5 => GREETING_OF_PEER,
-        Frame::Hello(Hello { seat: None, .. }) => GREETING,
-        Frame::Hello(Hello { seat: Some(_), .. }) => GREETING_OF_FOUNDER,
+        Frame::Handshake(Handshake { from, .. }) if from.start == 5 => GREETING_OF_PEER,
+        Frame::Handshake(Handshake { seat: None, .. }) => GREETING,
+        Frame::Handshake(Handshake { seat: Some(_), .. }) => GREETING_OF_FOUNDER,
         Frame::Beat => "00000005a016d05201",
         Frame::Behind => "00000005b34623a602",
         Frame::Tell(_) => TELL,
@@ -86,7 +86,7 @@
 #[derive(Clone)]
 struct NoNetwork;
 
-impl Net for NoNetwork {
+impl Network for NoNetwork {
     type Stream = DuplexStream;
     type Listener = ();
 
@@ -113,21 +113,21 @@
     }
 }
 
-impl Heard for Recorder {
+impl MessageHandler for Recorder {
     fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
         self.add(format!("{from} {} says {}", from.start, String::from_utf8_lossy(body)));
         None
     }
 
-    fn up(&self, peer: &Process, seat: Option<u8>) {
+    fn on_connected(&self, peer: &Process, seat: Option<u8>) {
         self.add(format!("{peer} {} is up with seat {seat:?}", peer.start));
     }
 
-    fn down(&self, _: &Process) {}
+    fn on_disconnected(&self, _: &Process) {}
 
-    fn behind(&self, _: &Process) {}
+    fn on_resync_needed(&self, _: &Process) {}
 
-    fn failed(&self, _: &Process, _: &io::Error) {}
+    fn on_connection_failed(&self, _: &Process, _: &io::Error) {}
 }
 
 /// The bytes at the end of a connection are those of the frames, with nothing around them.
@@ -135,10 +135,10 @@
 async fn a_connection_begins_with_the_recorded_greeting_and_takes_the_recorded_bytes() {
     let me = process("n0", 1_700_000_000_000_000);
     let at = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    let links = Links::new(NoNetwork, "gdynia", me, at, Times::default(), 1);
+    let links = PeerTransport::new(NoNetwork, "gdynia", me, at, Timing::default(), 1);
     let recorder = Arc::new(Recorder::default());
-    links.heard_by(Arc::clone(&recorder) as Arc<dyn Heard>);
-    links.take_seat(Some(2));
+    links.set_handler(Arc::clone(&recorder) as Arc<dyn MessageHandler>);
+    links.set_voter_id(Some(2));
     let (mut ours, theirs) = tokio::io::duplex(4096);
     let running = tokio::spawn(async move { connection::run(&links, theirs).await });
 
--- a/crates/peer-transport/src/network.rs
+++ b/crates/peer-transport/src/network.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// A network.
-pub trait Net: Clone + Send + Sync + 'static {
+pub trait Network: Clone + Send + Sync + 'static {
     /// A connection.
     type Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static;
     /// Takes connections in.
@@ -22,9 +22,9 @@
 
 /// The network of the operating system.
 #[derive(Clone, Copy, Debug)]
-pub struct Sockets;
+pub struct TcpNetwork;
 
-impl Net for Sockets {
+impl Network for TcpNetwork {
     type Stream = TcpStream;
     type Listener = TcpListener;
 
--- a/crates/peer-transport/src/send_queue.rs
+++ b/crates/peer-transport/src/send_queue.rs
@@ -21,12 +21,12 @@
 
 /// The queue to one peer.
 #[derive(Default)]
-pub(crate) struct Mailbox {
+pub(crate) struct SendQueue {
     waiting: Mutex<Waiting>,
     more: Notify,
 }
 
-impl Mailbox {
+impl SendQueue {
     /// Puts a frame in; false if it is dropped.
     pub fn put(&self, frame: &Frame) -> bool {
         let Some(sealed) = frame::seal(frame) else { return false };
--- a/crates/peer-transport/src/send_queue/tests.rs
+++ b/crates/peer-transport/src/send_queue/tests.rs
@@ -2,7 +2,7 @@
 
 #[tokio::test]
 async fn what_does_not_fit_is_made_up_for_by_one_word() {
-    let mailbox = Mailbox::default();
+    let mailbox = SendQueue::default();
     let long = Frame::Tell(vec![1; 900_000]);
     let taken = (0..10).filter(|_| mailbox.put(&long)).count();
     assert_eq!(taken, MOST_BYTES / 900_000);
--- a/crates/peer-transport/src/transport.rs
+++ b/crates/peer-transport/src/transport.rs
@@ -1,9 +1,9 @@
 //! All links of one process.
 
-use crate::frame::{Frame, Hello, VERSION};
-use crate::send_queue::Mailbox;
-use crate::network::Net;
+use crate::frame::{Frame, Handshake, VERSION};
+use crate::network::Network;
 use crate::process::Process;
+use crate::send_queue::SendQueue;
 use crate::{accept, dial};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -18,7 +18,7 @@
 
 /// Within which times links do what they do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Times {
+pub struct Timing {
     /// A connection and its greeting.
     pub greeting: Duration,
     /// Something is written at least so often.
@@ -27,9 +27,9 @@
     pub silence: Duration,
 }
 
-impl Default for Times {
-    fn default() -> Times {
-        Times {
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
             greeting: Duration::from_millis(1000),
             beat: Duration::from_millis(400),
             silence: Duration::from_millis(1600),
@@ -43,37 +43,37 @@
     /// Which.
     pub process: Process,
     /// Where its links are.
-    pub place: SocketAddr,
+    pub address: SocketAddr,
 }
 
 /// Who hears what others say. It is called on the thread of the links, and must not wait.
-pub trait Heard: Send + Sync + 'static {
+pub trait MessageHandler: Send + Sync + 'static {
     /// A peer has said something; what it is answered, if it asked.
     fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>>;
     /// There is a link with a peer that holds this seat, if any.
-    fn up(&self, peer: &Process, seat: Option<u8>);
+    fn on_connected(&self, peer: &Process, seat: Option<u8>);
     /// There is no link with it any more.
-    fn down(&self, peer: &Process);
+    fn on_disconnected(&self, peer: &Process);
     /// A peer dropped something that it had to say: ask it for what counts.
-    fn behind(&self, peer: &Process);
+    fn on_resync_needed(&self, peer: &Process);
     /// A link that was dialled ended, or never came to be.
-    fn failed(&self, peer: &Process, why: &io::Error);
+    fn on_connection_failed(&self, peer: &Process, why: &io::Error);
 }
 
 /// Who waits for an answer.
 type Answer = oneshot::Sender<Option<Vec<u8>>>;
 
 /// One link that is up.
-pub(crate) struct Live {
-    pub hello: Hello,
-    pub mailbox: Mailbox,
+pub(crate) struct PeerConnection {
+    pub hello: Handshake,
+    pub mailbox: SendQueue,
     asked: Mutex<(u64, BTreeMap<u64, Answer>)>,
     end: Notify,
 }
 
-impl Live {
-    pub fn new(hello: Hello) -> Live {
-        Live { hello, mailbox: Mailbox::default(), asked: Mutex::default(), end: Notify::new() }
+impl PeerConnection {
+    pub fn new(hello: Handshake) -> PeerConnection {
+        PeerConnection { hello, mailbox: SendQueue::default(), asked: Mutex::default(), end: Notify::new() }
     }
 
     pub fn answered(&self, number: u64, body: Option<Vec<u8>>) {
@@ -93,7 +93,7 @@
         self.end.notified().await;
     }
 
-    fn ask(&self, body: Vec<u8>) -> (u64, oneshot::Receiver<Option<Vec<u8>>>) {
+    fn request(&self, body: Vec<u8>) -> (u64, oneshot::Receiver<Option<Vec<u8>>>) {
         let (answer, answered) = oneshot::channel();
         let number = {
             let mut asked = lock(&self.asked);
@@ -112,27 +112,34 @@
 #[derive(Default)]
 struct State {
     seat: Option<u8>,
-    live: BTreeMap<Process, Arc<Live>>,
+    live: BTreeMap<Process, Arc<PeerConnection>>,
     wanted: BTreeMap<Process, SocketAddr>,
     dialling: BTreeSet<(Process, SocketAddr)>,
 }
 
 /// The links of one process.
-pub struct Links<N: Net> {
+pub struct PeerTransport<N: Network> {
     pub(crate) net: N,
     pub(crate) fleet: String,
     pub(crate) me: Process,
-    pub(crate) times: Times,
+    pub(crate) times: Timing,
     pub(crate) from: IpAddr,
-    heard: OnceLock<Arc<dyn Heard>>,
+    heard: OnceLock<Arc<dyn MessageHandler>>,
     state: Mutex<State>,
     rng: Mutex<StdRng>,
 }
 
-impl<N: Net> Links<N> {
-    /// Links of a process whose own end is at this address; nobody is known yet. [`Links::listen`] and [`Links::know`] begin.
-    pub fn new(net: N, fleet: &str, me: Process, at: IpAddr, times: Times, seed: u64) -> Arc<Links<N>> {
-        Arc::new(Links {
+impl<N: Network> PeerTransport<N> {
+    /// Links of a process whose own end is at this address; nobody is known yet. [`PeerTransport::listen`] and [`PeerTransport::know`] begin.
+    pub fn new(
+        net: N,
+        fleet: &str,
+        me: Process,
+        at: IpAddr,
+        times: Timing,
+        seed: u64,
+    ) -> Arc<PeerTransport<N>> {
+        Arc::new(PeerTransport {
             net,
             fleet: fleet.to_owned(),
             me,
@@ -145,7 +152,7 @@
     }
 
     /// Who hears what others say, from now on; the first that is told counts.
-    pub fn heard_by(&self, heard: Arc<dyn Heard>) {
+    pub fn set_handler(&self, heard: Arc<dyn MessageHandler>) {
         let _ = self.heard.set(heard);
     }
 
@@ -156,19 +163,19 @@
     }
 
     /// These are to be dialled from now on, and no others.
-    pub fn know(self: &Arc<Self>, peers: Vec<Peer>) {
+    pub fn set_peers(self: &Arc<Self>, peers: Vec<Peer>) {
         let mut state = self.state();
-        state.wanted = peers.iter().map(|peer| (peer.process.clone(), peer.place)).collect();
+        state.wanted = peers.iter().map(|peer| (peer.process.clone(), peer.address)).collect();
         for peer in peers.into_iter().filter(|peer| peer.process != self.me) {
-            if state.dialling.insert((peer.process.clone(), peer.place)) {
+            if state.dialling.insert((peer.process.clone(), peer.address)) {
                 tokio::spawn(dial::dial(Arc::clone(self), peer));
             }
         }
     }
 
     /// From now on this process holds this seat: links that are up end, and say so when they are up again.
-    pub fn take_seat(&self, seat: Option<u8>) {
-        let live: Vec<Arc<Live>> = {
+    pub fn set_voter_id(&self, seat: Option<u8>) {
+        let live: Vec<Arc<PeerConnection>> = {
             let mut state = self.state();
             if std::mem::replace(&mut state.seat, seat) == seat {
                 return;
@@ -179,14 +186,14 @@
     }
 
     /// Says something to a process; false if that is dropped, or there is no link.
-    pub fn tell(&self, to: &Process, body: Vec<u8>) -> bool {
+    pub fn send(&self, to: &Process, body: Vec<u8>) -> bool {
         let live = self.state().live.get(to).cloned();
         live.is_some_and(|live| live.mailbox.put(&Frame::Tell(body)))
     }
 
     /// Says something to all that are linked.
-    pub fn tell_all(&self, body: &[u8]) {
-        let live: Vec<Arc<Live>> = self.state().live.values().cloned().collect();
+    pub fn broadcast(&self, body: &[u8]) {
+        let live: Vec<Arc<PeerConnection>> = self.state().live.values().cloned().collect();
         for live in live {
             // What does not fit is made up for.
             live.mailbox.put(&Frame::Tell(body.to_vec()));
@@ -194,9 +201,9 @@
     }
 
     /// Asks a process; none if it has not answered in time, or has no answer.
-    pub async fn ask(&self, to: &Process, body: Vec<u8>, within: Duration) -> Option<Vec<u8>> {
+    pub async fn request(&self, to: &Process, body: Vec<u8>, within: Duration) -> Option<Vec<u8>> {
         let live = self.state().live.get(to).cloned()?;
-        let (number, answered) = live.ask(body);
+        let (number, answered) = live.request(body);
         let answer = timeout(within, answered).await;
         if answer.is_err() {
             live.answered(number, None);
@@ -205,55 +212,55 @@
     }
 
     /// Who holds this seat: of several, who started last.
-    pub fn holder(&self, seat: u8) -> Option<Process> {
+    pub fn voter_process(&self, seat: u8) -> Option<Process> {
         let state = self.state();
         let holds = state.live.values().filter(|live| live.hello.seat == Some(seat));
         holds.map(|live| &live.hello.from).max_by_key(|process| process.start).cloned()
     }
 
     /// All that are linked.
-    pub fn all(&self) -> Vec<Process> {
+    pub fn connected_peers(&self) -> Vec<Process> {
         self.state().live.keys().cloned().collect()
     }
 
     /// Whether there is a link with a process.
-    pub fn is_up(&self, process: &Process) -> bool {
+    pub fn is_connected(&self, process: &Process) -> bool {
         self.state().live.contains_key(process)
     }
 
-    pub(crate) fn hello(&self) -> Hello {
+    pub(crate) fn hello(&self) -> Handshake {
         let seat = self.state().seat;
-        Hello { version: VERSION, fleet: self.fleet.clone(), from: self.me.clone(), seat }
+        Handshake { version: VERSION, fleet: self.fleet.clone(), from: self.me.clone(), seat }
     }
 
-    pub(crate) fn heard(&self) -> &dyn Heard {
+    pub(crate) fn heard(&self) -> &dyn MessageHandler {
         &**self.heard.get().expect("links begin after heard_by")
     }
 
-    pub(crate) fn arrived(&self, live: &Arc<Live>) {
+    pub(crate) fn arrived(&self, live: &Arc<PeerConnection>) {
         let hello = &live.hello;
         let before = self.state().live.insert(hello.from.clone(), Arc::clone(live));
         before.iter().for_each(|before| before.end());
-        self.heard().up(&hello.from, hello.seat);
+        self.heard().on_connected(&hello.from, hello.seat);
     }
 
-    pub(crate) fn left(&self, live: &Arc<Live>) {
+    pub(crate) fn left(&self, live: &Arc<PeerConnection>) {
         let gone = {
             let mut state = self.state();
             let is_this = state.live.get(&live.hello.from).is_some_and(|now| Arc::ptr_eq(now, live));
             is_this.then(|| state.live.remove(&live.hello.from)).is_some()
         };
         if gone {
-            self.heard().down(&live.hello.from);
+            self.heard().on_disconnected(&live.hello.from);
         }
     }
 
     pub(crate) fn wants(&self, peer: &Peer) -> bool {
-        self.state().wanted.get(&peer.process) == Some(&peer.place)
+        self.state().wanted.get(&peer.process) == Some(&peer.address)
     }
 
     pub(crate) fn dials_no_more(&self, peer: &Peer) {
-        self.state().dialling.remove(&(peer.process.clone(), peer.place));
+        self.state().dialling.remove(&(peer.process.clone(), peer.address));
     }
 
     pub(crate) fn with_rng<T>(&self, act: impl FnOnce(&mut StdRng) -> T) -> T {
--- a/crates/policy-consensus/src/acceptor.rs
+++ b/crates/policy-consensus/src/acceptor.rs
@@ -2,13 +2,13 @@
 //! leader: each step is one round of promises and one of votes by a majority of all seats. What is kept is what a
 //! disk must have before it is said; nothing here waits.
 
-use crate::{Ballot, Book};
+use crate::{Ballot, ReplicatedState};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// What a founder owes its disk.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Durable {
+pub struct DurableState {
     /// Which memory this is: a founder that lost its disk has another one.
     pub memory: u64,
     /// Whether it may vote: enough others know of this memory.
@@ -16,7 +16,7 @@
     /// No earlier ballot gets a promise or a vote any more.
     pub promised: Ballot,
     /// The last vote.
-    pub accepted: Option<(Ballot, Book)>,
+    pub accepted: Option<(Ballot, ReplicatedState)>,
     /// The memories of founders, by their seats, as far as they are known here.
     pub memories: BTreeMap<u8, u64>,
 }
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Vote {
     /// It promises; its last vote, and its memory.
-    Promised(Option<(Ballot, Book)>, u64),
+    Promised(Option<(Ballot, ReplicatedState)>, u64),
     /// It votes for the book.
     Accepted,
     /// It promised a later ballot.
@@ -44,7 +44,7 @@
     /// Whether it may vote itself.
     pub votes: bool,
     /// Its last vote.
-    pub accepted: Option<(Ballot, Book)>,
+    pub accepted: Option<(Ballot, ReplicatedState)>,
     /// Its last promise.
     pub promised: Ballot,
 }
@@ -53,23 +53,23 @@
 #[derive(Clone, Debug)]
 pub struct Acceptor {
     seat: u8,
-    durable: Durable,
+    durable: DurableState,
 }
 
 impl Acceptor {
     /// With what its disk has.
-    pub fn new(seat: u8, mut durable: Durable) -> Acceptor {
+    pub fn new(seat: u8, mut durable: DurableState) -> Acceptor {
         durable.memories.insert(seat, durable.memory);
         Acceptor { seat, durable }
     }
 
     /// What is owed to the disk now.
-    pub fn durable(&self) -> &Durable {
+    pub fn durable(&self) -> &DurableState {
         &self.durable
     }
 
     /// Asked for a promise. What comes second must be on the disk before the first is said.
-    pub fn promise(&self, ballot: Ballot) -> (Vote, Option<Durable>) {
+    pub fn promise(&self, ballot: Ballot) -> (Vote, Option<DurableState>) {
         let kept = &self.durable;
         if !kept.votes {
             return (Vote::Unable, None);
@@ -78,16 +78,16 @@
             return (Vote::Late(kept.promised), None);
         }
         let vote = Vote::Promised(kept.accepted.clone(), kept.memory);
-        (vote, Some(Durable { promised: ballot, ..kept.clone() }))
+        (vote, Some(DurableState { promised: ballot, ..kept.clone() }))
     }
 
     /// Asked to vote. `memories` are those of the founders whose promises the book rests on.
     pub fn accept(
         &self,
         ballot: Ballot,
-        book: &Book,
+        book: &ReplicatedState,
         memories: &BTreeMap<u8, u64>,
-    ) -> (Vote, Option<Durable>) {
+    ) -> (Vote, Option<DurableState>) {
         let kept = &self.durable;
         if !kept.votes {
             return (Vote::Unable, None);
@@ -102,11 +102,11 @@
             return (Vote::OtherMemory, None);
         }
         let accepted = Some((ballot, book.clone()));
-        (Vote::Accepted, Some(Durable { promised: ballot, accepted, ..kept.clone() }))
+        (Vote::Accepted, Some(DurableState { promised: ballot, accepted, ..kept.clone() }))
     }
 
     /// A founder tells of its memory. What comes second must be on the disk before the first is said.
-    pub fn register(&self, seat: u8, memory: u64) -> (Registered, Option<Durable>) {
+    pub fn register(&self, seat: u8, memory: u64) -> (Registered, Option<DurableState>) {
         let kept = &self.durable;
         let known =
             Registered { votes: kept.votes, accepted: kept.accepted.clone(), promised: kept.promised };
@@ -120,7 +120,12 @@
 
     /// What this founder has once others told it what they know; none if that is not enough to vote by. `blocking` others must
     /// have votes of their own, or all others none at all and no book.
-    pub fn joined(&self, told: &BTreeMap<u8, Registered>, seats: u8, blocking: usize) -> Option<Durable> {
+    pub fn joined(
+        &self,
+        told: &BTreeMap<u8, Registered>,
+        seats: u8,
+        blocking: usize,
+    ) -> Option<DurableState> {
         let others = told.iter().filter(|(seat, _)| **seat != self.seat);
         let voters = others.clone().filter(|(_, told)| told.votes).count();
         let no_book = others.clone().all(|(_, told)| told.accepted.is_none());
@@ -131,11 +136,11 @@
         let accepted = others.clone().filter_map(|(_, told)| told.accepted.clone()).max_by_key(|a| a.0);
         let promised = others.map(|(_, told)| told.promised).max().unwrap_or_default();
         let promised = promised.max(self.durable.promised);
-        Some(Durable { votes: true, promised, accepted, ..self.durable.clone() })
+        Some(DurableState { votes: true, promised, accepted, ..self.durable.clone() })
     }
 
     /// The disk has this now.
-    pub fn synced(&mut self, durable: Durable) {
+    pub fn synced(&mut self, durable: DurableState) {
         self.durable = durable;
     }
 }
--- a/crates/policy-consensus/src/admission_lease.rs
+++ b/crates/policy-consensus/src/admission_lease.rs
@@ -1,7 +1,7 @@
 //! The permit of a process: under it alone requests are admitted. It is looked at whenever it is used, and never by a
 //! timer: a process that was stopped finds it ended when it wakes.
 
-use crate::Seats;
+use crate::VoterSet;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,24 +11,25 @@
 
 /// What a process does once its permit has ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum WhenCut {
+pub enum LeaseExpiryMode {
     /// It refuses.
     #[default]
-    Refuse,
+    #[serde(rename = "refuse")]
+    FailClosed,
     /// It goes on with the last version.
-    Serve,
+    #[serde(rename = "serve")]
+    FailOpen,
 }
 
 /// Whether a request is admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// It is, under the version that was asked about.
-    Yes,
+    Admit,
     /// A change is about to be decided: it is to be asked again within moments.
-    Soon,
+    Wait,
     /// It is not; when to come back.
-    No(Duration),
+    Reject(Duration),
 }
 
 #[derive(Debug, Default)]
@@ -48,9 +49,9 @@
 
 /// The permit of one process.
 #[derive(Debug)]
-pub struct Permit {
-    seats: Seats,
-    when_cut: WhenCut,
+pub struct AdmissionLease {
+    seats: VoterSet,
+    when_cut: LeaseExpiryMode,
     /// For so long requests wait for a change's moment; then they are refused.
     hold: Duration,
     /// When who is refused is to come back.
@@ -59,41 +60,41 @@
     refused: AtomicU64,
 }
 
-impl Permit {
+impl AdmissionLease {
     /// None is held.
-    pub fn new(seats: Seats, when_cut: WhenCut, hold: Duration, back: Duration) -> Permit {
-        Permit { seats, when_cut, hold, back, state: Mutex::default(), refused: AtomicU64::new(0) }
+    pub fn new(seats: VoterSet, when_cut: LeaseExpiryMode, hold: Duration, back: Duration) -> AdmissionLease {
+        AdmissionLease { seats, when_cut, hold, back, state: Mutex::default(), refused: AtomicU64::new(0) }
     }
 
     /// Whether a request is admitted at this moment by who has this version in force.
-    pub fn admits(&self, version: u64, now: Instant) -> Admission {
+    pub fn admission(&self, version: u64, now: Instant) -> Admission {
         let state = self.state();
         if state.version == version && self.until(&state).is_some_and(|until| now < until) {
-            return Admission::Yes;
+            return Admission::Admit;
         }
         match state.given_up {
-            Some(since) if now < since + self.hold => return Admission::Soon,
-            Some(_) => return Admission::No(self.back),
+            Some(since) if now < since + self.hold => return Admission::Wait,
+            Some(_) => return Admission::Reject(self.back),
             None => {}
         }
-        if self.when_cut == WhenCut::Serve && state.serves && state.version == version {
-            return Admission::Yes;
+        if self.when_cut == LeaseExpiryMode::FailOpen && state.serves && state.version == version {
+            return Admission::Admit;
         }
-        Admission::No(self.back)
+        Admission::Reject(self.back)
     }
 
     /// A request was refused for want of it.
-    pub fn count_refusal(&self) {
+    pub fn count_rejection(&self) {
         self.refused.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Requests refused for want of it.
-    pub fn refusals(&self) -> u64 {
+    pub fn rejections(&self) -> u64 {
         self.refused.load(Ordering::Relaxed)
     }
 
     /// Whether it lasts at this moment, and until when.
-    pub fn lasts(&self, now: Instant) -> Option<Instant> {
+    pub fn valid_until(&self, now: Instant) -> Option<Instant> {
         let state = self.state();
         self.until(&state).filter(|until| now < *until)
     }
@@ -124,7 +125,7 @@
     }
 
     /// Gives it up, for a change; nothing is admitted from now on. The epoch of what is asked next.
-    pub fn give_up(&self, now: Instant) -> u64 {
+    pub fn release(&self, now: Instant) -> u64 {
         let mut state = self.state();
         state.parts.clear();
         state.held = false;
@@ -139,12 +140,12 @@
     }
 
     /// Whether it was given up and is not held again.
-    pub fn is_given_up(&self) -> bool {
+    pub fn is_released(&self) -> bool {
         self.state().given_up.is_some()
     }
 
     /// A later version is in force elsewhere: this process does not go on with its own, whatever it was told.
-    pub fn is_behind(&self) {
+    pub fn mark_outdated(&self) {
         self.state().serves = false;
     }
 
--- a/crates/policy-consensus/src/change_notifier.rs
+++ b/crates/policy-consensus/src/change_notifier.rs
@@ -5,12 +5,12 @@
 
 /// The count.
 #[derive(Debug, Default)]
-pub struct News {
+pub struct ChangeNotifier {
     count: AtomicU64,
     more: Notify,
 }
 
-impl News {
+impl ChangeNotifier {
     /// There is some.
     pub fn tell(&self) {
         self.count.fetch_add(1, Ordering::AcqRel);
