--- a/crates/policy-consensus/src/golden_disk_tests.rs
+++ b/crates/policy-consensus/src/golden_disk_tests.rs
@@ -4,7 +4,10 @@
 //! says that the program has changed its format; the recorded bytes are not to be adapted.
 
 use crate::storage::{keep, load};
-use crate::{Ballot, Book, Change, Digest, Disk, Durable, Ended, Folder, Loaded, Outcome, Stage};
+use crate::{
+    Ballot, Change, Digest, DurableState, FileStorage, FinishedChange, LoadOutcome, Outcome, ReplicatedState,
+    Stage, Storage,
+};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::{env, fs, process};
@@ -24,15 +27,15 @@
 }
 
 /// Every field has a value of its own.
-fn full() -> Durable {
+fn full() -> DurableState {
     let stage = Stage::Preparing { strict: true };
     let (id, by) = ("c4".to_owned(), "n1".to_owned());
     let change = Some(Change { id, text: "grades: 3".into(), stage, attempt: 2, by });
     let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
-    let (digest, outcome) = (Digest(0xfeed_f00d), Outcome::Refused);
-    let ended = vec![Ended { id, version: 8, digest, outcome, why }];
-    let book = Book { serial: 300, version: 7, text: "grades: 2".into(), change, ended };
-    Durable {
+    let (digest, outcome) = (Digest(0xfeed_f00d), Outcome::Rejected);
+    let ended = vec![FinishedChange { id, version: 8, digest, outcome, why }];
+    let book = ReplicatedState { serial: 300, version: 7, text: "grades: 2".into(), change, ended };
+    DurableState {
         memory: 99,
         votes: true,
         promised: Ballot { round: 301, by: 6 },
@@ -74,8 +77,8 @@
 #[test]
 fn a_founders_file_has_the_recorded_name_and_bytes() {
     let scratch = Scratch::new("write");
-    let mut folder = Folder::take(scratch.0.clone()).expect("taken");
-    for (durable, recorded) in [(full(), FULL), (Durable::default(), EMPTY)] {
+    let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
+    for (durable, recorded) in [(full(), FULL), (DurableState::default(), EMPTY)] {
         keep(&mut folder, "gdynia", 2, &durable).expect("kept");
         let written = fs::read(file_in(&scratch.0)).expect("the file by its name");
         assert_eq!(hex(&written), recorded, "encoding of {durable:?}");
@@ -86,20 +89,20 @@
 #[test]
 fn a_founder_reads_the_recorded_file() {
     let scratch = Scratch::new("read");
-    for (durable, recorded) in [(full(), FULL), (Durable::default(), EMPTY)] {
+    for (durable, recorded) in [(full(), FULL), (DurableState::default(), EMPTY)] {
         fs::write(file_in(&scratch.0), bytes(recorded)).expect("written");
-        let mut folder = Folder::take(scratch.0.clone()).expect("taken");
+        let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
         let loaded = load(&mut folder, "gdynia", 2).expect("read");
-        assert_eq!(loaded, Loaded::Kept(Box::new(durable)));
+        assert_eq!(loaded, LoadOutcome::Kept(Box::new(durable)));
     }
 }
 
 #[test]
 fn a_file_that_is_put_aside_has_the_recorded_name() {
     let scratch = Scratch::new("aside");
-    let mut folder = Folder::take(scratch.0.clone()).expect("taken");
+    let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
     folder.replace(b"torn").expect("written");
-    assert_eq!(load(&mut folder, "gdynia", 2).expect("read"), Loaded::Aside("torn"));
+    assert_eq!(load(&mut folder, "gdynia", 2).expect("read"), LoadOutcome::Aside("torn"));
     let files = scratch.files();
     assert!(files.iter().any(|name| name.starts_with("rulebook.torn-")), "{files:?}");
 }
@@ -111,6 +114,6 @@
     let path = scratch.0.join("rulebook.lock");
     let lock = fs::File::options().create(true).append(true).open(path).expect("opened");
     lock.try_lock().expect("nobody has it");
-    let taken = Folder::take(scratch.0.clone());
+    let taken = FileStorage::take(scratch.0.clone());
     assert_eq!(taken.expect_err("it is held").kind(), std::io::ErrorKind::WouldBlock);
 }
--- a/crates/policy-consensus/src/golden_tests.rs
+++ b/crates/policy-consensus/src/golden_tests.rs
@@ -5,8 +5,10 @@
 //! recorded bytes are not to be adapted.
 
 use crate::messages::{read, words, Message, Reply};
-use crate::{Asked, Ballot, Book, Change, Digest, Ended, Head, Open, Outcome};
-use crate::{Registered, Stage, Vote, Word};
+use crate::{
+    Ballot, Change, Digest, FinishedChange, LeaseRequest, OpenChange, Outcome, ReplicatedState, StateSummary,
+};
+use crate::{Readiness, Registered, Stage, Vote};
 use serde::{de::DeserializeOwned, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Debug;
@@ -38,36 +40,36 @@
     Change { id, text: "grades: 3".into(), stage, attempt: 2, by }
 }
 
-fn ended(outcome: Outcome) -> Ended {
+fn ended(outcome: Outcome) -> FinishedChange {
     let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
-    Ended { id, version: 8, digest: Digest(0xfeed_f00d), outcome, why }
+    FinishedChange { id, version: 8, digest: Digest(0xfeed_f00d), outcome, why }
 }
 
-fn book(change: Option<Change>, ended: Vec<Ended>) -> Book {
-    Book { serial: 300, version: 7, text: "grades: 2".into(), change, ended }
+fn book(change: Option<Change>, ended: Vec<FinishedChange>) -> ReplicatedState {
+    ReplicatedState { serial: 300, version: 7, text: "grades: 2".into(), change, ended }
 }
 
 /// A book with each outcome and an open change.
-fn full_book() -> Book {
-    let outcomes = [Outcome::Taken, Outcome::Refused, Outcome::Abandoned];
+fn full_book() -> ReplicatedState {
+    let outcomes = [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned];
     book(Some(change(Stage::Closing)), outcomes.map(ended).to_vec())
 }
 
-fn plain_book() -> Book {
+fn plain_book() -> ReplicatedState {
     book(None, Vec::new())
 }
 
-fn head(change: Option<Open>) -> Head {
-    Head { serial: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
+fn head(change: Option<OpenChange>) -> StateSummary {
+    StateSummary { serial: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
 }
 
-fn open(stage: Stage) -> Open {
-    Open { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
+fn open(stage: Stage) -> OpenChange {
+    OpenChange { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
 }
 
-fn asked(word: Option<Word>) -> Asked {
+fn asked(word: Option<Readiness>) -> LeaseRequest {
     let word = word.map(|word| ("c4".to_owned(), word));
-    Asked { number: 300, version: 7, admits: true, word, serves_on: false }
+    LeaseRequest { number: 300, version: 7, admits: true, word, serves_on: false }
 }
 
 fn memories() -> BTreeMap<u8, u64> {
@@ -84,7 +86,7 @@
              206e6f026333088de0b7f70f02066e323a206e6f02006302ffffffffffffffffff01"
         }
         Message::Register(..) => "020263",
-        Message::Permit(_) => "03ac0207010000",
+        Message::AdmissionLease(_) => "03ac0207010000",
         Message::Holders(_) => "04026334",
         Message::Whole(_) => "05ac02",
         Message::Agreed(_) => "06ac0207cdd70200b424",
@@ -99,7 +101,7 @@
         Message::Promise(ballot(300)),
         Message::Accept(ballot(300), Box::new(full_book()), memories()),
         Message::Register(2, 99),
-        Message::Permit(asked(None)),
+        Message::AdmissionLease(asked(None)),
         Message::Holders("c4".to_owned()),
         Message::Whole(300),
         Message::Agreed(head(None)),
@@ -192,10 +194,10 @@
     // Does not compile when an outcome is added.
     let recorded = |outcome: Outcome| match outcome {
         Outcome::Taken => "ac0207096772616465733a20320001026333088de0b7f70f00066e323a206e6f",
-        Outcome::Refused => "ac0207096772616465733a20320001026333088de0b7f70f01066e323a206e6f",
+        Outcome::Rejected => "ac0207096772616465733a20320001026333088de0b7f70f01066e323a206e6f",
         Outcome::Abandoned => "ac0207096772616465733a20320001026333088de0b7f70f02066e323a206e6f",
     };
-    for outcome in [Outcome::Taken, Outcome::Refused, Outcome::Abandoned] {
+    for outcome in [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned] {
         assert_recorded(&book(None, vec![ended(outcome)]), recorded(outcome));
     }
 }
@@ -203,17 +205,17 @@
 #[test]
 fn each_opinion_of_a_process_about_a_change_has_recorded_bytes() {
     // Does not compile when an opinion is added.
-    let recorded = |word: &Word| match word {
-        Word::Ready => "03ac020701010263340000",
-        Word::No(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
+    let recorded = |word: &Readiness| match word {
+        Readiness::Ready => "03ac020701010263340000",
+        Readiness::No(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
     };
-    for word in [Word::Ready, Word::No("grades: too many".to_owned())] {
+    for word in [Readiness::Ready, Readiness::No("grades: too many".to_owned())] {
         let recorded = recorded(&word);
-        assert_recorded(&Message::Permit(asked(Some(word))), recorded);
+        assert_recorded(&Message::AdmissionLease(asked(Some(word))), recorded);
     }
 }
 
-/// Processes compare heads. Danger: its last field is a digest of how `Debug` prints [`Ended`], so
+/// Processes compare heads. Danger: its last field is a digest of how `Debug` prints [`FinishedChange`], so
 /// the names of that struct, of its fields and of [`Outcome`]'s variants are part of the format.
 #[test]
 fn the_head_of_a_book_has_the_recorded_digests() {
@@ -222,7 +224,7 @@
             "ac0207a29ecf84fdc4899def01010263349ce6c0\
              ffd0dcd49f8401010296e1b2b59cb6858e7f"
         }
-        Outcome::Refused => {
+        Outcome::Rejected => {
             "ac0207a29ecf84fdc4899def01010263349ce6c0\
              ffd0dcd49f84010102edcdea9bc2b1e7eb3a"
         }
@@ -231,9 +233,9 @@
              ffd0dcd49f84010102cef3b9d6fb819ddb4f"
         }
     };
-    for outcome in [Outcome::Taken, Outcome::Refused, Outcome::Abandoned] {
+    for outcome in [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned] {
         let book = book(Some(change(Stage::Closing)), vec![ended(outcome)]);
         assert_recorded(&book.head(), recorded(outcome));
     }
-    assert_recorded(&Book::first("grades: 1").head(), "0101a2f2c8f8bff6efc13c0000");
+    assert_recorded(&ReplicatedState::first("grades: 1").head(), "0101a2f2c8f8bff6efc13c0000");
 }
--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -1,7 +1,7 @@
 //! The permits that a founder gave, by its own clock: while one of another version may be in force, it votes for no book.
 //! Nothing here waits.
 
-use crate::{Book, Head, Stage, Times};
+use crate::{ReplicatedState, Stage, StateSummary, Timing};
 use pinetrail_peer_transport::Process;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -13,7 +13,7 @@
 
 /// What a process says of itself when it asks for a permit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Asked {
+pub struct LeaseRequest {
     /// Which of its questions to this founder this is.
     pub number: u64,
     /// The version that it has in force.
@@ -21,14 +21,14 @@
     /// Whether it wants to admit under it; else it admits nothing any more by what it was permitted before.
     pub admits: bool,
     /// What it makes of the open change, if it has looked at it.
-    pub word: Option<(String, Word)>,
+    pub word: Option<(String, Readiness)>,
     /// Whether it goes on without a permit.
     pub serves_on: bool,
 }
 
 /// What a process makes of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum Readiness {
     /// It could put it in force at any moment.
     Ready,
     /// It cannot: the path, and why.
@@ -43,26 +43,33 @@
     /// Until when a permit may be in force there; none if it has none.
     until: Option<Instant>,
     heard: Instant,
-    word: Option<(String, Word)>,
+    word: Option<(String, Readiness)>,
     serves_on: bool,
 }
 
 /// The permits that a founder gave.
 #[derive(Clone, Debug)]
-pub struct Grants {
-    times: Times,
+pub struct LeaseTable {
+    times: Timing,
     began: Instant,
     holders: BTreeMap<Process, Holder>,
 }
 
-impl Grants {
+impl LeaseTable {
     /// A founder that has just started.
-    pub fn new(times: Times, now: Instant) -> Grants {
-        Grants { times, began: now, holders: BTreeMap::new() }
+    pub fn new(times: Timing, now: Instant) -> LeaseTable {
+        LeaseTable { times, began: now, holders: BTreeMap::new() }
     }
 
     /// A process asks. `chosen` is what is known to be agreed, `voted` the version of the last vote. Whether it may admit.
-    pub fn ask(&mut self, now: Instant, who: &Process, asked: Asked, chosen: &Head, voted: u64) -> bool {
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        who: &Process,
+        asked: LeaseRequest,
+        chosen: &StateSummary,
+        voted: u64,
+    ) -> bool {
         let entry = self.holders.entry(who.clone()).or_insert_with(|| Holder {
             number: 0,
             version: 0,
@@ -77,7 +84,7 @@
         }
         let fits = asked.version == chosen.version && voted <= chosen.version && chosen.version > 0;
         let open = chosen.change.as_ref();
-        let is_ready = open.is_some_and(|open| asked.word == Some((open.id.clone(), Word::Ready)));
+        let is_ready = open.is_some_and(|open| asked.word == Some((open.id.clone(), Readiness::Ready)));
         let stays = match open.map(|open| open.stage) {
             None | Some(Stage::Preparing { strict: false }) => true,
             Some(Stage::Preparing { strict: true }) => is_ready,
@@ -97,7 +104,7 @@
     }
 
     /// Who may still admit under another version than this book's, and for how many ms at the most: no vote for it till then.
-    pub fn block(&self, now: Instant, book: &Book, voted: u64) -> Vec<(String, u64)> {
+    pub fn block(&self, now: Instant, book: &ReplicatedState, voted: u64) -> Vec<(String, u64)> {
         let held = self.holders.iter().filter_map(|(who, holder)| {
             let until = holder.until.filter(|until| *until > now && holder.version != book.version)?;
             Some((who.name.to_string(), left(until, now)))
@@ -113,8 +120,9 @@
 
     /// Who may admit now, whether it is ready for this change, and for how many ms at the most it may.
     pub fn holders(&self, now: Instant, id: &str) -> Vec<(String, bool, u64)> {
-        let is_ready =
-            |holder: &Holder| holder.word.as_ref().is_some_and(|(of, word)| of == id && *word == Word::Ready);
+        let is_ready = |holder: &Holder| {
+            holder.word.as_ref().is_some_and(|(of, word)| of == id && *word == Readiness::Ready)
+        };
         let held = self.holders.iter().filter_map(|(who, holder)| {
             let until = holder.until.filter(|until| *until > now)?;
             Some((who.name.to_string(), is_ready(holder), left(until, now)))
@@ -130,7 +138,7 @@
     /// Who said no to this change, and why.
     pub fn no(&self, id: &str) -> Option<String> {
         self.holders.iter().find_map(|(who, holder)| match &holder.word {
-            Some((of, Word::No(why))) if of == id => Some(format!("{who}: {why}")),
+            Some((of, Readiness::No(why))) if of == id => Some(format!("{who}: {why}")),
             _ => None,
         })
     }
--- a/crates/policy-consensus/src/messages.rs
+++ b/crates/policy-consensus/src/messages.rs
@@ -1,7 +1,7 @@
 //! What processes of a fleet say to each other about the book.
 
-use crate::lease_table::Asked;
-use crate::{Ballot, Book, Head, Registered, Vote};
+use crate::lease_table::LeaseRequest;
+use crate::{Ballot, Registered, ReplicatedState, StateSummary, Vote};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -11,17 +11,17 @@
     /// To a founder: promise.
     Promise(Ballot),
     /// To a founder: vote.
-    Accept(Ballot, Box<Book>, BTreeMap<u8, u64>),
+    Accept(Ballot, Box<ReplicatedState>, BTreeMap<u8, u64>),
     /// To a founder, by one that has no memory of before: this seat's memory.
     Register(u8, u64),
     /// To a founder: may this process admit?
-    Permit(Asked),
+    AdmissionLease(LeaseRequest),
     /// To a founder: who may admit, and is not ready for this change?
     Holders(String),
     /// To anybody: the whole book, if it is at this step at the least.
     Whole(u64),
     /// This is agreed.
-    Agreed(Head),
+    Agreed(StateSummary),
     /// Of another floor, by its number: what it says is no concern of the book.
     Other(u8, Vec<u8>),
     /// For whom an open change waits, as its steward sees it.
@@ -36,11 +36,11 @@
     /// To a memory.
     Registered(Registered),
     /// Whether it may, and what is agreed.
-    Permitted(bool, Head),
+    Permitted(bool, StateSummary),
     /// Those who may admit: who, whether it is ready, and for how many ms at the most it may.
     Holders(Vec<(String, bool, u64)>),
     /// The book.
-    Whole(Box<Book>),
+    Whole(Box<ReplicatedState>),
 }
 
 /// As bytes.
--- a/crates/policy-consensus/src/node/admin.rs
+++ b/crates/policy-consensus/src/node/admin.rs
@@ -1,10 +1,10 @@
 //! What operators ask.
 
-use super::proposer::{Failed, Step};
-use super::Node;
+use super::proposer::{StepError, Transition};
+use super::ConsensusNode;
 use crate::messages::{words, Message, Reply};
-use crate::{Book, Conflict, Digest, Outcome};
-use pinetrail_peer_transport::Net;
+use crate::{Conflict, Digest, Outcome, ReplicatedState};
+use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
@@ -12,7 +12,7 @@
 
 /// Why a change is not opened.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum Refused {
+pub enum ProposalError {
     /// This process could not put it in force.
     #[error("{0}")]
     Check(String),
@@ -26,7 +26,7 @@
 
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
+pub enum ConsensusStatus {
     /// It admits under the version that is agreed.
     Steady,
     /// The same, and a change is open.
@@ -39,7 +39,7 @@
 
 /// How a change stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Seen {
+pub struct ChangeStatus {
     /// How it ended; none while it is open.
     pub outcome: Option<Outcome>,
     /// Why.
@@ -48,7 +48,7 @@
     pub waiting_for: Vec<String>,
 }
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Proposes a change; the version that it would bring.
     pub async fn propose(
         self: &Arc<Self>,
@@ -56,31 +56,31 @@
         after: u64,
         text: &str,
         within: Duration,
-    ) -> Result<u64, Refused> {
-        self.app.check(text).map_err(Refused::Check)?;
-        let by = self.settings.me.name.to_string();
-        let make = |book: Option<&Book>| match book.map(|book| book.open(id, after, text, &by)) {
-            None => Step::Stay,
-            Some(Err(why)) => Step::Not(why),
-            Some(Ok(book)) => Step::Next(book),
+    ) -> Result<u64, ProposalError> {
+        self.app.validate(text).map_err(ProposalError::Check)?;
+        let by = self.settings.process.name.to_string();
+        let make = |book: Option<&ReplicatedState>| match book.map(|book| book.open(id, after, text, &by)) {
+            None => Transition::Stay,
+            Some(Err(why)) => Transition::Not(why),
+            Some(Ok(book)) => Transition::Next(book),
         };
         let book = self.step(within, make).await.map_err(|failed| match failed {
-            Failed::Conflict(why) => Refused::Conflict(why),
-            Failed::Blocked(_) | Failed::NoMajority => Refused::NoMajority,
+            StepError::Conflict(why) => ProposalError::Conflict(why),
+            StepError::Blocked(_) | StepError::NoMajority => ProposalError::NoMajority,
         })?;
         let ended = book.ended.iter().find(|ended| ended.id == id).map(|ended| ended.version);
         Ok(ended.unwrap_or(book.version + 1))
     }
 
     /// How a change stands; none if nobody who answers in time knows of it.
-    pub async fn change(&self, id: &str, within: Duration) -> Option<Seen> {
+    pub async fn change_status(&self, id: &str, within: Duration) -> Option<ChangeStatus> {
         let own = self.seen(id);
         if own.as_ref().is_some_and(|seen| seen.outcome.is_some()) || self.known().seat.is_some() {
             return own;
         }
-        for seat in 0..self.settings.seats.0 {
-            let Some(holder) = self.links.holder(seat) else { continue };
-            let answer = self.links.ask(&holder, words(&Message::Whole(0)), within).await;
+        for seat in 0..self.settings.voters.0 {
+            let Some(holder) = self.links.voter_process(seat) else { continue };
+            let answer = self.links.request(&holder, words(&Message::Whole(0)), within).await;
             if let Some(Reply::Whole(book)) = answer.and_then(|answer| crate::messages::read(&answer)) {
                 if let Some(seen) = in_book(&book, id, &self.known().waits) {
                     return Some(seen);
@@ -91,42 +91,42 @@
     }
 
     /// Says something to all that are linked, for the floor of this number.
-    pub fn say(&self, floor: u8, body: &[u8]) {
-        self.links.tell_all(&words(&Message::Other(floor, body.to_vec())));
+    pub fn broadcast(&self, floor: u8, body: &[u8]) {
+        self.links.broadcast(&words(&Message::Other(floor, body.to_vec())));
     }
 
     /// The version that is agreed and its text, if that is at hand.
-    pub fn approved(&self) -> Option<(u64, Arc<str>)> {
+    pub fn approved_policy(&self) -> Option<(u64, Arc<str>)> {
         let known = self.known();
         Some((known.head.version, known.text(known.head.digest)?))
     }
 
     /// How a change ended, as far as this process knows by itself.
-    pub fn ended(&self, id: &str) -> Option<Outcome> {
+    pub fn change_outcome(&self, id: &str) -> Option<Outcome> {
         self.seen(id)?.outcome
     }
 
-    fn seen(&self, id: &str) -> Option<Seen> {
+    fn seen(&self, id: &str) -> Option<ChangeStatus> {
         let known = self.known();
         known.book.as_ref().and_then(|book| in_book(book, id, &known.waits))
     }
 
     /// The version in force here, its text's digest as agreed, where this process stands, and the change that is open.
-    pub fn standing(&self) -> (u64, Digest, State, Option<String>) {
-        let lasts = self.permit.lasts(Instant::now()).is_some();
+    pub fn status(&self) -> (u64, Digest, ConsensusStatus, Option<String>) {
+        let lasts = self.permit.valid_until(Instant::now()).is_some();
         let known = self.known();
         let open = known.head.change.as_ref().map(|open| open.id.clone());
         let state = match (known.admitted, known.in_force == known.head.version && known.unfit.is_none()) {
-            (false, _) | (_, false) => State::CatchingUp,
-            _ if open.is_some() && (lasts || self.permit.is_given_up()) => State::Changing,
-            _ if lasts => State::Steady,
-            _ => State::Fenced,
+            (false, _) | (_, false) => ConsensusStatus::CatchingUp,
+            _ if open.is_some() && (lasts || self.permit.is_released()) => ConsensusStatus::Changing,
+            _ if lasts => ConsensusStatus::Steady,
+            _ => ConsensusStatus::Fenced,
         };
         (known.in_force, known.head.digest, state, open)
     }
 
     /// Why this process does not admit yet.
-    pub fn why_not(&self) -> String {
+    pub fn not_ready_reason(&self) -> String {
         let known = self.known();
         match (&known.unfit, known.head.serial, known.admitted) {
             (Some((version, why)), ..) => {
@@ -141,11 +141,11 @@
     }
 }
 
-fn in_book(book: &Book, id: &str, waits: &(String, Vec<String>)) -> Option<Seen> {
+fn in_book(book: &ReplicatedState, id: &str, waits: &(String, Vec<String>)) -> Option<ChangeStatus> {
     if book.change.as_ref().is_some_and(|change| change.id == id) {
         let waiting_for = if waits.0 == id { waits.1.clone() } else { Vec::new() };
-        return Some(Seen { outcome: None, why: String::new(), waiting_for });
+        return Some(ChangeStatus { outcome: None, why: String::new(), waiting_for });
     }
     let ended = book.ended.iter().find(|ended| ended.id == id)?;
-    Some(Seen { outcome: Some(ended.outcome), why: ended.why.clone(), waiting_for: Vec::new() })
+    Some(ChangeStatus { outcome: Some(ended.outcome), why: ended.why.clone(), waiting_for: Vec::new() })
 }
--- a/crates/policy-consensus/src/node/catch_up.rs
+++ b/crates/policy-consensus/src/node/catch_up.rs
@@ -1,10 +1,10 @@
 //! Follows what is agreed: fetches the texts that are not at hand, looks at what is proposed, and puts in force what was taken.
 
-use super::{Known, Node};
-use crate::lease_table::Word;
+use super::{ConsensusNode, Known};
+use crate::lease_table::Readiness;
 use crate::messages::{words, Message, Reply};
 use crate::Stage;
-use pinetrail_peer_transport::{Net, Process};
+use pinetrail_peer_transport::{Network, Process};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout, Instant};
@@ -12,7 +12,7 @@
 /// Between attempts to fetch what nobody gave.
 const REST: Duration = Duration::from_millis(50);
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Does so for as long as this process runs.
     pub(super) async fn follow(self: Arc<Self>) {
         loop {
@@ -54,12 +54,12 @@
             let known = self.known();
             (known.head.serial, known.source.clone())
         };
-        let founders = (0..self.settings.seats.0).filter_map(|seat| self.links.holder(seat));
+        let founders = (0..self.settings.voters.0).filter_map(|seat| self.links.voter_process(seat));
         let from: Vec<Process> = source.into_iter().chain(founders).collect();
         for peer in from {
             // A text may be long, and a way slow.
-            let within = self.settings.times.answer * 10;
-            let answer = self.links.ask(&peer, words(&Message::Whole(serial)), within).await;
+            let within = self.settings.timing.answer * 10;
+            let answer = self.links.request(&peer, words(&Message::Whole(serial)), within).await;
             if let Some(Reply::Whole(book)) = answer.and_then(|answer| crate::messages::read(&answer)) {
                 let mut known = self.known();
                 if book.serial >= known.head.serial {
@@ -89,16 +89,16 @@
         let looked = known.word.as_ref().is_some_and(|(id, _)| *id == open.id);
         if !looked {
             let Some(text) = known.text(open.digest) else { return };
-            let word = self.app.check(&text).map_or_else(Word::No, |()| Word::Ready);
-            if let Word::No(why) = &word {
+            let word = self.app.validate(&text).map_or_else(Readiness::No, |()| Readiness::Ready);
+            if let Readiness::No(why) = &word {
                 self.app.log(&format!("the change {} is refused here: {why}", open.id));
             }
             known.word = Some((open.id.clone(), word));
             changed = true;
         }
-        let is_ready = known.word.as_ref().is_some_and(|(_, word)| *word == Word::Ready);
-        if open.stage == Stage::Closing && is_ready && !self.permit.is_given_up() {
-            self.permit.give_up(Instant::now());
+        let is_ready = known.word.as_ref().is_some_and(|(_, word)| *word == Readiness::Ready);
+        if open.stage == Stage::Closing && is_ready && !self.permit.is_released() {
+            self.permit.release(Instant::now());
             changed = true;
         }
         drop(known);
@@ -110,10 +110,10 @@
     fn put_in_force(&self, known: &mut Known, version: u64) -> bool {
         let Some(text) = known.text(known.head.digest) else { return false };
         // It knows better than what it has.
-        self.permit.is_behind();
-        match self.app.check(&text) {
+        self.permit.mark_outdated();
+        match self.app.validate(&text) {
             Ok(()) => {
-                self.app.put(version, &text);
+                self.app.apply(version, &text);
                 self.permit.begin(version);
                 (known.in_force, known.unfit, known.word) = (version, None, None);
                 self.app
--- a/crates/policy-consensus/src/node/join.rs
+++ b/crates/policy-consensus/src/node/join.rs
@@ -1,11 +1,11 @@
 //! A founder that has no vote yet asks the others what they know; one that knows of nothing agreed, or voted for something and
 //! never heard that it was, has it agreed once more.
 
-use super::proposer::Step;
-use super::Node;
+use super::proposer::Transition;
+use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{Ballot, Book};
-use pinetrail_peer_transport::Net;
+use crate::{Ballot, ReplicatedState};
+use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -17,10 +17,10 @@
     /// To be known to the others with this memory.
     Votes(u8, u64),
     /// To know what is agreed; a first book may be made.
-    Book(bool),
+    ReplicatedState(bool),
 }
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Does so for as long as this process runs.
     pub(super) async fn join(self: Arc<Self>) {
         let mut before = None;
@@ -28,14 +28,14 @@
             match self.wants(&mut before) {
                 Wants::Nothing => {}
                 Wants::Votes(own, memory) => self.register_at_all(own, memory).await,
-                Wants::Book(may_found) => {
-                    let first = Book::first(&self.settings.first);
-                    let make = |before: Option<&Book>| match before {
-                        None if may_found => Step::Next(first.clone()),
-                        _ => Step::Stay,
+                Wants::ReplicatedState(may_found) => {
+                    let first = ReplicatedState::first(&self.settings.initial_policy);
+                    let make = |before: Option<&ReplicatedState>| match before {
+                        None if may_found => Transition::Next(first.clone()),
+                        _ => Transition::Stay,
                     };
                     // Without a majority it is tried again below.
-                    let _ = self.step(self.settings.times.answer, make).await;
+                    let _ = self.step(self.settings.timing.answer, make).await;
                 }
             }
             sleep(self.about(REST)).await;
@@ -57,18 +57,18 @@
             return Wants::Nothing;
         }
         // Danger: a first book while a founder is away might be a second one: it may have the first.
-        Wants::Book(durable.memories.len() == usize::from(self.settings.seats.0))
+        Wants::ReplicatedState(durable.memories.len() == usize::from(self.settings.voters.0))
     }
 
     async fn register_at_all(self: &Arc<Self>, own: u8, memory: u64) {
-        for seat in (0..self.settings.seats.0).filter(|seat| *seat != own) {
+        for seat in (0..self.settings.voters.0).filter(|seat| *seat != own) {
             if let Some(Reply::Registered(told)) = self.ask(seat, &Message::Register(own, memory)).await {
                 if let Some(held) = self.known().seat.as_mut() {
                     held.told.insert(seat, told);
                 }
             }
         }
-        let seats = self.settings.seats;
+        let seats = self.settings.voters;
         let joined = {
             let known = self.known();
             let Some(seat) = &known.seat else { return };
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -1,11 +1,11 @@
 //! Brings an open change to its end. Of the founders that are there the one with the lowest seat does so; if two take
 //! themselves for it that costs time and nothing else, since each step is agreed.
 
-use super::proposer::{Failed, Step};
-use super::Node;
+use super::proposer::{StepError, Transition};
+use super::ConsensusNode;
 use crate::messages::{words, Message, Reply};
-use crate::{Book, Open, Outcome, Stage};
-use pinetrail_peer_transport::Net;
+use crate::{OpenChange, Outcome, ReplicatedState, Stage};
+use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
@@ -14,8 +14,8 @@
 const LOOK: Duration = Duration::from_millis(15);
 
 /// What this process saw of the open change.
-struct Watched {
-    open: Open,
+struct ObservedChange {
+    open: OpenChange,
     /// When it was first seen, and at this stage.
     since: Instant,
     at_stage: Instant,
@@ -23,10 +23,10 @@
     not_before: Instant,
 }
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Does so for as long as this process runs.
     pub(super) async fn steward(self: Arc<Self>) {
-        let mut watched: Option<Watched> = None;
+        let mut watched: Option<ObservedChange> = None;
         loop {
             let seen = self.news.seen();
             watched = self.watch(watched);
@@ -40,31 +40,31 @@
         }
     }
 
-    fn watch(&self, before: Option<Watched>) -> Option<Watched> {
+    fn watch(&self, before: Option<ObservedChange>) -> Option<ObservedChange> {
         let known = self.known();
         known.seat.as_ref()?;
         let open = known.head.change.clone()?;
         let now = Instant::now();
         match before.filter(|before| before.open.id == open.id) {
             Some(before) if before.open == open => Some(before),
-            Some(before) => Some(Watched { open, at_stage: now, ..before }),
-            None => Some(Watched { open, since: now, at_stage: now, not_before: now }),
+            Some(before) => Some(ObservedChange { open, at_stage: now, ..before }),
+            None => Some(ObservedChange { open, since: now, at_stage: now, not_before: now }),
         }
     }
 
     /// How many founders with lower seats are there.
     fn before_me(&self) -> u32 {
         let own = self.known().seat.as_ref().map_or(0, |seat| seat.number);
-        (0..own).filter(|seat| self.links.holder(*seat).is_some()).count() as u32
+        (0..own).filter(|seat| self.links.voter_process(*seat).is_some()).count() as u32
     }
 
-    async fn advance(self: &Arc<Self>, watched: &mut Watched) {
+    async fn advance(self: &Arc<Self>, watched: &mut ObservedChange) {
         let open = watched.open.clone();
         let no = self.known().seat.as_ref().and_then(|seat| seat.grants.no(&open.id));
         if let Some(why) = no {
-            return self.end(&open, Outcome::Refused, &why).await;
+            return self.end(&open, Outcome::Rejected, &why).await;
         }
-        let times = &self.settings.times;
+        let times = &self.settings.timing;
         let before_me = self.before_me();
         match open.stage {
             // Danger: while it is closed nobody admits. Whoever is steward may have died or been stopped just now.
@@ -92,7 +92,7 @@
     /// Who may admit and is not ready, by what a majority of founders says; those that name fewest count.
     async fn waits_for(self: &Arc<Self>, id: &str) -> Vec<String> {
         let mut told = Vec::new();
-        let asking: Vec<_> = (0..self.settings.seats.0)
+        let asking: Vec<_> = (0..self.settings.voters.0)
             .map(|seat| {
                 let (node, message) = (Arc::clone(self), Message::Holders(id.to_owned()));
                 tokio::spawn(async move { node.ask(seat, &message).await })
@@ -104,7 +104,7 @@
                 told.push(waits.map(|(name, ..)| name).collect::<Vec<_>>());
             }
         }
-        let majority = self.settings.seats.majority();
+        let majority = self.settings.voters.majority();
         if told.len() < majority {
             return vec!["a majority of founders".to_owned()];
         }
@@ -116,7 +116,7 @@
     }
 
     /// All have been asked to stop admitting: the version is taken once nobody may any more.
-    async fn take(self: &Arc<Self>, watched: &mut Watched, open: &Open) {
+    async fn take(self: &Arc<Self>, watched: &mut ObservedChange, open: &OpenChange) {
         let now = Instant::now();
         let holders =
             self.known().seat.as_ref().map_or(Vec::new(), |seat| seat.grants.holders(now, &open.id));
@@ -129,39 +129,44 @@
             false => format!("without a permit, and perhaps still by the version before: {}", on.join(", ")),
         };
         let id = open.id.clone();
-        let make = |book: Option<&Book>| match book.and_then(|book| book.end(&id, Outcome::Taken, &why)) {
-            Some(book) => Step::Next(book),
-            None => Step::Stay,
+        let make = |book: Option<&ReplicatedState>| match book
+            .and_then(|book| book.end(&id, Outcome::Taken, &why))
+        {
+            Some(book) => Transition::Next(book),
+            None => Transition::Stay,
         };
-        if let Err(Failed::Blocked(by)) = self.step(self.settings.times.answer, make).await {
+        if let Err(StepError::Blocked(by)) = self.step(self.settings.timing.answer, make).await {
             let longest = by.iter().map(|(_, ms)| *ms).max().unwrap_or_default();
             watched.not_before = Instant::now() + Duration::from_millis(longest);
             self.tell_waits(&open.id, &by.into_iter().map(|(name, _)| name).collect::<Vec<_>>());
         }
     }
 
-    async fn put_at(self: &Arc<Self>, open: &Open, stage: Stage) {
-        let make = |book: Option<&Book>| match book.and_then(|book| book.at(&open.id, open.attempt, stage)) {
-            Some(book) => Step::Next(book),
-            None => Step::Stay,
+    async fn put_at(self: &Arc<Self>, open: &OpenChange, stage: Stage) {
+        let make = |book: Option<&ReplicatedState>| match book
+            .and_then(|book| book.at(&open.id, open.attempt, stage))
+        {
+            Some(book) => Transition::Next(book),
+            None => Transition::Stay,
         };
         // Without a majority it is tried again.
-        let _ = self.step(self.settings.times.answer, make).await;
+        let _ = self.step(self.settings.timing.answer, make).await;
     }
 
-    async fn end(self: &Arc<Self>, open: &Open, outcome: Outcome, why: &str) {
-        let make = |book: Option<&Book>| match book.and_then(|book| book.end(&open.id, outcome, why)) {
-            Some(book) => Step::Next(book),
-            None => Step::Stay,
-        };
-        let _ = self.step(self.settings.times.answer, make).await;
+    async fn end(self: &Arc<Self>, open: &OpenChange, outcome: Outcome, why: &str) {
+        let make =
+            |book: Option<&ReplicatedState>| match book.and_then(|book| book.end(&open.id, outcome, why)) {
+                Some(book) => Transition::Next(book),
+                None => Transition::Stay,
+            };
+        let _ = self.step(self.settings.timing.answer, make).await;
     }
 
     fn tell_waits(&self, id: &str, names: &[String]) {
         let waits = (id.to_owned(), names.to_vec());
         let before = std::mem::replace(&mut self.known().waits, waits.clone());
         if before != waits {
-            self.links.tell_all(&words(&Message::Waits(waits.0, waits.1)));
+            self.links.broadcast(&words(&Message::Waits(waits.0, waits.1)));
         }
     }
 }
--- a/crates/policy-consensus/src/node/lease_renewal.rs
+++ b/crates/policy-consensus/src/node/lease_renewal.rs
@@ -1,13 +1,13 @@
 //! Asks one founder for this process's permit, again and again, and tells it what this process makes of a change.
 
-use super::Node;
+use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{Asked, Stage, WhenCut};
-use pinetrail_peer_transport::Net;
+use crate::{LeaseExpiryMode, LeaseRequest, Stage};
+use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use tokio::time::{sleep, timeout, Instant};
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Does so for as long as this process runs: ask, take the answer, wait until it is time or there is news.
     pub(super) async fn renew(self: Arc<Self>, seat: u8) {
         let mut number = 0;
@@ -18,13 +18,14 @@
             let begun = Instant::now();
             let word = (asked.version, asked.admits, asked.word.clone(), epoch);
             // Danger: a permit counts from before it was asked for: its holder's clock ends first.
-            let answer = self.ask(seat, &Message::Permit(asked)).await;
+            let answer = self.ask(seat, &Message::AdmissionLease(asked)).await;
             let was_answered = match answer {
                 Some(Reply::Permitted(permitted, head)) => {
                     if permitted {
-                        self.permitted(seat, epoch, begun + self.settings.times.permit);
+                        self.permitted(seat, epoch, begun + self.settings.timing.permit);
                     }
-                    let from = self.links.holder(seat).unwrap_or_else(|| self.settings.me.clone());
+                    let from =
+                        self.links.voter_process(seat).unwrap_or_else(|| self.settings.process.clone());
                     self.heard_of(&from, head);
                     true
                 }
@@ -34,14 +35,14 @@
                 said = Some(word);
             }
             // News of other things are no reason to ask anew.
-            let next = begun + self.settings.times.renew;
+            let next = begun + self.settings.timing.renew;
             loop {
                 let seen = self.news.seen();
                 let (now, epoch) = self.question(number);
                 if said != Some((now.version, now.admits, now.word, epoch)) {
                     // A founder that is not there is not asked in a circle.
                     if !was_answered {
-                        sleep(self.about(self.settings.times.renew / 20)).await;
+                        sleep(self.about(self.settings.timing.renew / 20)).await;
                     }
                     break;
                 }
@@ -54,25 +55,25 @@
     }
 
     /// What is to be asked now, and the epoch in which the answer counts.
-    fn question(&self, number: u64) -> (Asked, u64) {
+    fn question(&self, number: u64) -> (LeaseRequest, u64) {
         let known = self.known();
         let closing = known.head.change.as_ref().is_some_and(|open| open.stage == Stage::Closing);
-        let given_up = self.permit.is_given_up();
-        let asked = Asked {
+        let given_up = self.permit.is_released();
+        let asked = LeaseRequest {
             number,
             version: known.in_force,
             // Danger: only who has given it up may say so: a founder votes by that.
             admits: !(closing && given_up),
             word: known.word.clone(),
-            serves_on: self.settings.when_cut == WhenCut::Serve,
+            serves_on: self.settings.lease_expiry_mode == LeaseExpiryMode::FailOpen,
         };
         (asked, self.permit.epoch())
     }
 
     fn permitted(&self, seat: u8, epoch: u64, until: Instant) {
-        let lasted = self.permit.lasts(Instant::now()).is_some();
+        let lasted = self.permit.valid_until(Instant::now()).is_some();
         self.permit.granted(seat, epoch, until);
-        if !lasted && self.permit.lasts(Instant::now()).is_some() {
+        if !lasted && self.permit.valid_until(Instant::now()).is_some() {
             self.known().admitted = true;
             self.news();
         }
--- a/crates/policy-consensus/src/node/mod.rs
+++ b/crates/policy-consensus/src/node/mod.rs
@@ -1,21 +1,24 @@
 //! A process of the fleet, as far as the book is concerned: what it knows, and the tasks that keep it true.
 
-mod proposer;
 mod admin;
 mod catch_up;
 mod join;
+mod leader;
 mod lease_renewal;
+mod proposer;
 mod serve;
-mod leader;
 
-pub use admin::{Refused, Seen, State};
+pub use admin::{ChangeStatus, ConsensusStatus, ProposalError};
 
-use crate::lease_table::{Grants, Word};
+use crate::change_notifier::ChangeNotifier;
+use crate::lease_table::{LeaseTable, Readiness};
 use crate::messages::{words, Message, Reply};
-use crate::change_notifier::News;
-use crate::storage::{self, Disk, Loaded};
-use crate::{Acceptor, Ballot, Book, Digest, Durable, Head, InForce, Permit, Registered, Settings};
-use pinetrail_peer_transport::{Links, Net, Process};
+use crate::storage::{self, LoadOutcome, Storage};
+use crate::{
+    Acceptor, AdmissionLease, Ballot, Digest, DurableState, PolicyApplier, Registered, ReplicatedState,
+    Settings, StateSummary,
+};
+use pinetrail_peer_transport::{Network, PeerTransport, Process};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -29,17 +32,17 @@
 struct Seat {
     number: u8,
     acceptor: Acceptor,
-    grants: Grants,
-    disk: Box<dyn Disk>,
+    grants: LeaseTable,
+    disk: Box<dyn Storage>,
     told: BTreeMap<u8, Registered>,
 }
 
 #[derive(Default)]
 struct Known {
     /// What is agreed, as far as it was heard.
-    head: Head,
+    head: StateSummary,
     /// The book, perhaps of an earlier step.
-    book: Option<Book>,
+    book: Option<ReplicatedState>,
     /// Who told of it last.
     source: Option<Process>,
     /// The version in force here.
@@ -47,7 +50,7 @@
     /// Why the version that is agreed is not in force here.
     unfit: Option<(u64, String)>,
     /// What this process makes of the open change.
-    word: Option<(String, Word)>,
+    word: Option<(String, Readiness)>,
     /// For whom the open change waits.
     waits: (String, Vec<String>),
     /// The latest ballot heard of.
@@ -70,30 +73,30 @@
 }
 
 /// A process of the fleet.
-pub struct Node<N: Net> {
+pub struct ConsensusNode<N: Network> {
     settings: Settings,
     fleet: String,
     by: u64,
-    links: Arc<Links<N>>,
-    app: Arc<dyn InForce>,
-    permit: Arc<Permit>,
+    links: Arc<PeerTransport<N>>,
+    app: Arc<dyn PolicyApplier>,
+    permit: Arc<AdmissionLease>,
     known: Mutex<Known>,
     /// Counts what became known, for those who wait for that.
-    news: News,
+    news: ChangeNotifier,
     rng: Mutex<StdRng>,
 }
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// A process that knows nothing; its links bring it what there is. It is to be given its seat, if it has one, and started.
     pub fn new(
         settings: Settings,
         fleet: &str,
-        links: Arc<Links<N>>,
-        app: Arc<dyn InForce>,
-        permit: Arc<Permit>,
-    ) -> Arc<Node<N>> {
-        let me = format!("{}/{}", settings.me.name, settings.me.start);
-        let node = Arc::new(Node {
+        links: Arc<PeerTransport<N>>,
+        app: Arc<dyn PolicyApplier>,
+        permit: Arc<AdmissionLease>,
+    ) -> Arc<ConsensusNode<N>> {
+        let me = format!("{}/{}", settings.process.name, settings.process.start);
+        let node = Arc::new(ConsensusNode {
             by: xxh3_64(me.as_bytes()),
             rng: Mutex::new(StdRng::seed_from_u64(settings.seed)),
             settings,
@@ -102,16 +105,16 @@
             app,
             permit,
             known: Mutex::default(),
-            news: News::default(),
+            news: ChangeNotifier::default(),
         });
-        links.heard_by(Arc::clone(&node) as Arc<dyn pinetrail_peer_transport::Heard>);
+        links.set_handler(Arc::clone(&node) as Arc<dyn pinetrail_peer_transport::MessageHandler>);
         node
     }
 
     /// Begins its tasks, on the runtime that it is called in.
     pub fn start(self: &Arc<Self>) {
         tokio::spawn(Arc::clone(self).follow());
-        for seat in 0..self.settings.seats.0 {
+        for seat in 0..self.settings.voters.0 {
             tokio::spawn(Arc::clone(self).renew(seat));
         }
         tokio::spawn(Arc::clone(self).join());
@@ -119,45 +122,45 @@
     }
 
     /// From now on it holds this founder's seat, with what that has on its disk.
-    pub fn take_seat(&self, number: u8, mut disk: Box<dyn Disk>) -> io::Result<()> {
+    pub fn become_voter(&self, number: u8, mut disk: Box<dyn Storage>) -> io::Result<()> {
         let durable = match storage::load(&mut *disk, &self.fleet, number)? {
-            Loaded::Kept(durable) => *durable,
+            LoadOutcome::Kept(durable) => *durable,
             found => {
-                if let Loaded::Aside(why) = found {
+                if let LoadOutcome::Aside(why) = found {
                     self.app.log(&format!("ERROR: what this founder's disk had is {why}; it was put aside"));
                 }
                 let memory = self.with_rng(|rng| rng.random());
-                let durable = Durable { memory, ..Durable::default() };
+                let durable = DurableState { memory, ..DurableState::default() };
                 storage::keep(&mut *disk, &self.fleet, number, &durable)?;
                 durable
             }
         };
         let acceptor = Acceptor::new(number, durable);
-        let grants = Grants::new(self.settings.times, Instant::now());
+        let grants = LeaseTable::new(self.settings.timing, Instant::now());
         self.known().seat = Some(Seat { number, acceptor, grants, disk, told: BTreeMap::new() });
-        self.links.take_seat(Some(number));
+        self.links.set_voter_id(Some(number));
         self.news();
         Ok(())
     }
 
     /// It holds no seat from now on: another process of this proxy does.
-    pub fn leave_seat(&self) {
+    pub fn resign_voter(&self) {
         self.known().seat = None;
-        self.links.take_seat(None);
+        self.links.set_voter_id(None);
     }
 
     /// This process.
-    pub fn me(&self) -> &Process {
-        &self.settings.me
+    pub fn process(&self) -> &Process {
+        &self.settings.process
     }
 
     /// The permit under which this process admits.
-    pub fn permit(&self) -> &Arc<Permit> {
+    pub fn admission_lease(&self) -> &Arc<AdmissionLease> {
         &self.permit
     }
 
     /// The links to others.
-    pub fn links(&self) -> &Arc<Links<N>> {
+    pub fn transport(&self) -> &Arc<PeerTransport<N>> {
         &self.links
     }
 
@@ -165,15 +168,15 @@
     async fn ask(&self, seat: u8, message: &Message) -> Option<Reply> {
         let own = self.known().seat.as_ref().is_some_and(|own| own.number == seat);
         if own {
-            return self.answer(&self.settings.me, message.clone());
+            return self.answer(&self.settings.process, message.clone());
         }
-        let holder = self.links.holder(seat)?;
-        let answer = self.links.ask(&holder, words(message), self.settings.times.answer).await?;
+        let holder = self.links.voter_process(seat)?;
+        let answer = self.links.request(&holder, words(message), self.settings.timing.answer).await?;
         crate::messages::read(&answer)
     }
 
     /// Something is agreed.
-    fn agreed(&self, book: Book) {
+    fn agreed(&self, book: ReplicatedState) {
         let head = book.head();
         {
             let mut known = self.known();
@@ -184,7 +187,7 @@
                 known.book = Some(book);
             }
         }
-        self.links.tell_all(&words(&Message::Agreed(head)));
+        self.links.broadcast(&words(&Message::Agreed(head)));
         self.news();
     }
 
--- a/crates/policy-consensus/src/node/proposer.rs
+++ b/crates/policy-consensus/src/node/proposer.rs
@@ -1,10 +1,10 @@
 //! One step of the book, compared and set: a majority promises, the book that comes of what they voted for last is made, and
 //! a majority votes for it.
 
-use super::Node;
+use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{Ballot, Book, Conflict, Vote};
-use pinetrail_peer_transport::Net;
+use crate::{Ballot, Conflict, ReplicatedState, Vote};
+use pinetrail_peer_transport::Network;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,18 +12,18 @@
 use tokio::time::{sleep, Instant};
 
 /// What is to become of the book.
-pub(super) enum Step {
+pub(super) enum Transition {
     /// It stays, and is agreed once more.
     Stay,
     /// This one follows.
-    Next(Book),
+    Next(ReplicatedState),
     /// It stays; who wanted something else is told why not.
     Not(Conflict),
 }
 
 /// Why no step was made, as far as is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Failed {
+pub(super) enum StepError {
     /// What was wanted does not follow from what is agreed.
     Conflict(Conflict),
     /// Permits of before are out: whose, and for how many ms.
@@ -34,18 +34,18 @@
 
 const REST: Duration = Duration::from_millis(8);
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// Makes a step, by as many ballots as fit into the time.
     pub(super) async fn step(
         self: &Arc<Self>,
         within: Duration,
-        make: impl Fn(Option<&Book>) -> Step,
-    ) -> Result<Book, Failed> {
+        make: impl Fn(Option<&ReplicatedState>) -> Transition,
+    ) -> Result<ReplicatedState, StepError> {
         let until = Instant::now() + within;
         let mut rest = REST;
         loop {
             match self.ballot(&make).await {
-                Err(Failed::NoMajority) if Instant::now() + rest < until => {}
+                Err(StepError::NoMajority) if Instant::now() + rest < until => {}
                 done => return done,
             }
             sleep(self.about(rest)).await;
@@ -53,13 +53,16 @@
         }
     }
 
-    async fn ballot(self: &Arc<Self>, make: impl Fn(Option<&Book>) -> Step) -> Result<Book, Failed> {
+    async fn ballot(
+        self: &Arc<Self>,
+        make: impl Fn(Option<&ReplicatedState>) -> Transition,
+    ) -> Result<ReplicatedState, StepError> {
         let ballot = {
             let mut known = self.known();
             known.ballot = Ballot::beyond(known.ballot, self.by);
             known.ballot
         };
-        let majority = self.settings.seats.majority();
+        let majority = self.settings.voters.majority();
         let (mut last, mut memories) = (None, BTreeMap::new());
         let mut votes = self.all(&Message::Promise(ballot));
         while memories.len() < majority {
@@ -70,17 +73,17 @@
                 }
                 Some((_, Vote::Late(later))) => self.known_ballot(later),
                 Some(_) => {}
-                None => return Err(Failed::NoMajority),
+                None => return Err(StepError::NoMajority),
             }
         }
-        let before: Option<Book> = last.map(|(_, book)| book);
+        let before: Option<ReplicatedState> = last.map(|(_, book)| book);
         let (book, conflict) = match (make(before.as_ref()), before) {
-            (Step::Next(book), _) => (book, None),
-            (Step::Stay, Some(book)) => (book, None),
+            (Transition::Next(book), _) => (book, None),
+            (Transition::Stay, Some(book)) => (book, None),
             // Danger: what a few voted for may never be agreed; who is refused by it is refused by what is.
-            (Step::Not(why), Some(book)) => (book, Some(why)),
-            (Step::Not(why), None) => return Err(Failed::Conflict(why)),
-            (Step::Stay, None) => return Err(Failed::NoMajority),
+            (Transition::Not(why), Some(book)) => (book, Some(why)),
+            (Transition::Not(why), None) => return Err(StepError::Conflict(why)),
+            (Transition::Stay, None) => return Err(StepError::NoMajority),
         };
         let mut votes = self.all(&Message::Accept(ballot, Box::new(book.clone()), memories));
         let (mut yes, mut blocked) = (0, Vec::new());
@@ -90,18 +93,18 @@
                 Some((_, Vote::Late(later))) => self.known_ballot(later),
                 Some((_, Vote::Blocked(by))) => blocked.extend(by),
                 Some(_) => {}
-                None if blocked.is_empty() => return Err(Failed::NoMajority),
-                None => return Err(Failed::Blocked(blocked)),
+                None if blocked.is_empty() => return Err(StepError::NoMajority),
+                None => return Err(StepError::Blocked(blocked)),
             }
         }
         self.agreed(book.clone());
-        conflict.map_or(Ok(book), |why| Err(Failed::Conflict(why)))
+        conflict.map_or(Ok(book), |why| Err(StepError::Conflict(why)))
     }
 
     /// Asks all seats; what they vote, as it comes.
     fn all(self: &Arc<Self>, message: &Message) -> mpsc::UnboundedReceiver<(u8, Vote)> {
         let (say, said) = mpsc::unbounded_channel();
-        for seat in 0..self.settings.seats.0 {
+        for seat in 0..self.settings.voters.0 {
             let (node, message, say) = (Arc::clone(self), message.clone(), say.clone());
             tokio::spawn(async move {
                 if let Some(Reply::Vote(vote)) = node.ask(seat, &message).await {
@@ -123,7 +126,7 @@
     fn max_by_ballot(self, other: Self) -> Self;
 }
 
-impl Later for Option<(Ballot, Book)> {
+impl Later for Option<(Ballot, ReplicatedState)> {
     fn max_by_ballot(self, other: Self) -> Self {
         match (self, other) {
             (Some(a), Some(b)) => Some(if b.0 > a.0 { b } else { a }),
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -1,10 +1,10 @@
 //! What a process answers others.
 
-use super::{Known, Node, Seat};
-use crate::lease_table::Word;
+use super::{ConsensusNode, Known, Seat};
+use crate::lease_table::Readiness;
 use crate::messages::{read, words, Message, Reply};
-use crate::{storage, Ballot, Book, Durable, Head, Vote};
-use pinetrail_peer_transport::{Heard, Net, Process};
+use crate::{storage, Ballot, DurableState, ReplicatedState, StateSummary, Vote};
+use pinetrail_peer_transport::{MessageHandler, Network, Process};
 use std::collections::BTreeMap;
 use std::io;
 use std::time::Duration;
@@ -13,40 +13,40 @@
 /// Who holds no permit and was not heard for so long is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
 
-impl<N: Net> Heard for Node<N> {
+impl<N: Network> MessageHandler for ConsensusNode<N> {
     fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
         let message = read(body)?;
         self.answer(from, message).map(|reply| words(&reply))
     }
 
-    fn up(&self, peer: &Process, _seat: Option<u8>) {
+    fn on_connected(&self, peer: &Process, _seat: Option<u8>) {
         let head = self.known().head.clone();
         if head.serial > 0 {
-            self.links.tell(peer, words(&Message::Agreed(head)));
+            self.links.send(peer, words(&Message::Agreed(head)));
         }
         self.news();
     }
 
-    fn down(&self, _peer: &Process) {
+    fn on_disconnected(&self, _peer: &Process) {
         self.news();
     }
 
-    fn behind(&self, _peer: &Process) {
+    fn on_resync_needed(&self, _peer: &Process) {
         // What counts comes with the answer to the next question.
         self.news();
     }
 
-    fn failed(&self, _peer: &Process, _why: &io::Error) {}
+    fn on_connection_failed(&self, _peer: &Process, _why: &io::Error) {}
 }
 
-impl<N: Net> Node<N> {
+impl<N: Network> ConsensusNode<N> {
     /// What a message is answered, if it asks.
     pub(super) fn answer(&self, from: &Process, message: Message) -> Option<Reply> {
         match message {
             Message::Promise(ballot) => self.promise(ballot).map(Reply::Vote),
             Message::Accept(ballot, book, memories) => self.accept(ballot, &book, &memories).map(Reply::Vote),
             Message::Register(seat, memory) => self.register(seat, memory),
-            Message::Permit(asked) => self.permits(from, asked),
+            Message::AdmissionLease(asked) => self.permits(from, asked),
             Message::Holders(id) => {
                 let known = self.known();
                 Some(Reply::Holders(known.seat.as_ref()?.grants.holders(Instant::now(), &id)))
@@ -61,7 +61,7 @@
                 None
             }
             Message::Other(floor, body) => {
-                self.app.heard(from, floor, &body);
+                self.app.on_peer_message(from, floor, &body);
                 None
             }
             Message::Waits(id, names) => {
@@ -72,7 +72,7 @@
     }
 
     /// Another process knows of this.
-    pub(super) fn heard_of(&self, from: &Process, head: Head) {
+    pub(super) fn heard_of(&self, from: &Process, head: StateSummary) {
         let mut known = self.known();
         if head.serial <= known.head.serial {
             return;
@@ -88,7 +88,7 @@
         drop(known);
         // Who proposed it may be cut off from some that this one reaches.
         if is_founder {
-            self.links.tell_all(&words(&Message::Agreed(head)));
+            self.links.broadcast(&words(&Message::Agreed(head)));
         }
         self.news();
     }
@@ -101,7 +101,7 @@
         Some(self.once_kept(seat, vote, owed))
     }
 
-    fn accept(&self, ballot: Ballot, book: &Book, memories: &BTreeMap<u8, u64>) -> Option<Vote> {
+    fn accept(&self, ballot: Ballot, book: &ReplicatedState, memories: &BTreeMap<u8, u64>) -> Option<Vote> {
         let mut known = self.known();
         known.ballot = known.ballot.max(ballot);
         let voted = voted(&known);
@@ -126,7 +126,7 @@
     }
 
     /// A vote that may be said once the disk has what it owes to it.
-    fn once_kept(&self, seat: &mut Seat, vote: Vote, owed: Option<Durable>) -> Vote {
+    fn once_kept(&self, seat: &mut Seat, vote: Vote, owed: Option<DurableState>) -> Vote {
         let Some(durable) = owed else { return vote };
         match storage::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
             Ok(()) => {
@@ -141,21 +141,22 @@
     }
 
     /// Gives what a disk owes; whether it has it.
-    pub(super) fn keep(&self, durable: Durable) -> bool {
+    pub(super) fn keep(&self, durable: DurableState) -> bool {
         let mut known = self.known();
         let Some(seat) = known.seat.as_mut() else { return false };
         self.once_kept(seat, Vote::Accepted, Some(durable)) == Vote::Accepted
     }
 
-    fn permits(&self, from: &Process, asked: crate::Asked) -> Option<Reply> {
+    fn permits(&self, from: &Process, asked: crate::LeaseRequest) -> Option<Reply> {
         let (reply, no) = {
             let mut known = self.known();
             let (head, voted) = (known.head.clone(), voted(&known));
             let seat = known.seat.as_mut()?;
-            let no = matches!(&asked.word, Some((_, Word::No(_))));
+            let no = matches!(&asked.word, Some((_, Readiness::No(_))));
             let now = Instant::now();
             // Danger: who has no vote may have lost what it voted for, and would permit what is over.
-            let head_here = if seat.acceptor.durable().votes { head.clone() } else { Head::default() };
+            let head_here =
+                if seat.acceptor.durable().votes { head.clone() } else { StateSummary::default() };
             let permitted = seat.grants.ask(now, from, asked, &head_here, voted);
             seat.grants.forget(now, FORGET);
             (Reply::Permitted(permitted, head), no)
--- a/crates/policy-consensus/src/replicated_state.rs
+++ b/crates/policy-consensus/src/replicated_state.rs
@@ -48,7 +48,7 @@
     /// Its version came into force.
     Taken,
     /// Somebody said no.
-    Refused,
+    Rejected,
     /// It took too long.
     Abandoned,
 }
@@ -70,7 +70,7 @@
 
 /// A change that ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ended {
+pub struct FinishedChange {
     /// Its name.
     pub id: String,
     /// The version that it brought, or would have.
@@ -83,9 +83,26 @@
     pub why: String,
 }
 
+impl FinishedChange {
+    /// A digest of all its fields. Processes of different versions of this program compare it, so its
+    /// text is spelled out here and keeps the names of the first version, whatever the Rust names are.
+    fn content_digest(&self) -> Digest {
+        let outcome = match self.outcome {
+            Outcome::Taken => "Taken",
+            Outcome::Rejected => "Refused",
+            Outcome::Abandoned => "Abandoned",
+        };
+        let FinishedChange { id, version, digest: Digest(digest), why, .. } = self;
+        Digest::of(&format!(
+            "Ended {{ id: {id:?}, version: {version}, digest: Digest({digest}), \
+             outcome: {outcome}, why: {why:?} }}"
+        ))
+    }
+}
+
 /// What is agreed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Book {
+pub struct ReplicatedState {
     /// Counts the steps.
     pub serial: u64,
     /// The version in force.
@@ -95,12 +112,12 @@
     /// The change that is open.
     pub change: Option<Change>,
     /// Those that ended, the latest last.
-    pub ended: Vec<Ended>,
+    pub ended: Vec<FinishedChange>,
 }
 
 /// The same in short.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Head {
+pub struct StateSummary {
     /// Of the book.
     pub serial: u64,
     /// The version in force.
@@ -108,14 +125,14 @@
     /// Of its text.
     pub digest: Digest,
     /// The change that is open.
-    pub change: Option<Open>,
+    pub change: Option<OpenChange>,
     /// Of how the last change ended. Danger: two founders may end one for two reasons; only one of these is agreed.
     pub last: Digest,
 }
 
 /// An open change in short.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Open {
+pub struct OpenChange {
     /// Its name.
     pub id: String,
     /// Of its text.
@@ -143,31 +160,31 @@
     Form(&'static str),
 }
 
-impl Book {
+impl ReplicatedState {
     /// The first book.
-    pub fn first(text: &str) -> Book {
-        Book { serial: 1, version: 1, text: text.into(), change: None, ended: Vec::new() }
+    pub fn first(text: &str) -> ReplicatedState {
+        ReplicatedState { serial: 1, version: 1, text: text.into(), change: None, ended: Vec::new() }
     }
 
     /// The same in short.
-    pub fn head(&self) -> Head {
-        let open = |change: &Change| Open {
+    pub fn head(&self) -> StateSummary {
+        let open = |change: &Change| OpenChange {
             id: change.id.clone(),
             digest: Digest::of(&change.text),
             stage: change.stage,
             attempt: change.attempt,
         };
-        Head {
+        StateSummary {
             serial: self.serial,
             version: self.version,
             digest: Digest::of(&self.text),
             change: self.change.as_ref().map(open),
-            last: self.ended.last().map_or(Digest::default(), |ended| Digest::of(&format!("{ended:?}"))),
+            last: self.ended.last().map_or(Digest::default(), |ended| ended.content_digest()),
         }
     }
 
     /// With a change opened; the same book if it was opened before.
-    pub fn open(&self, id: &str, after: u64, text: &str, by: &str) -> Result<Book, Conflict> {
+    pub fn open(&self, id: &str, after: u64, text: &str, by: &str) -> Result<ReplicatedState, Conflict> {
         if id.is_empty() || id.len() > MAX_ID {
             return Err(Conflict::Form("id must have 1 to 64 bytes"));
         }
@@ -190,11 +207,11 @@
         }
         let stage = Stage::Preparing { strict: false };
         let change = Change { id: id.to_owned(), text: text.into(), stage, attempt: 1, by: by.to_owned() };
-        Ok(Book { serial: self.serial + 1, change: Some(change), ..self.clone() })
+        Ok(ReplicatedState { serial: self.serial + 1, change: Some(change), ..self.clone() })
     }
 
     /// With an open change at another stage; none if it is not open, or is there.
-    pub fn at(&self, id: &str, attempt: u32, stage: Stage) -> Option<Book> {
+    pub fn at(&self, id: &str, attempt: u32, stage: Stage) -> Option<ReplicatedState> {
         let change = self.change.as_ref().filter(|change| change.id == id && change.attempt == attempt)?;
         if change.stage == stage {
             return None;
@@ -202,11 +219,11 @@
         // Danger: who gave its permit up in one attempt must not pass for having done so in the next.
         let again = u32::from(change.stage == Stage::Closing);
         let change = Change { stage, attempt: attempt + again, ..change.clone() };
-        Some(Book { serial: self.serial + 1, change: Some(change), ..self.clone() })
+        Some(ReplicatedState { serial: self.serial + 1, change: Some(change), ..self.clone() })
     }
 
     /// With a change ended; none if it is not open. Danger: it is taken only from the stage at which all stop admitting.
-    pub fn end(&self, id: &str, outcome: Outcome, why: &str) -> Option<Book> {
+    pub fn end(&self, id: &str, outcome: Outcome, why: &str) -> Option<ReplicatedState> {
         let change = self.change.as_ref().filter(|change| change.id == id)?;
         let taken = outcome == Outcome::Taken;
         if taken && change.stage != Stage::Closing {
@@ -214,7 +231,7 @@
         }
         let version = self.version + 1;
         let mut ended = self.ended.clone();
-        ended.push(Ended {
+        ended.push(FinishedChange {
             id: id.to_owned(),
             version,
             digest: Digest::of(&change.text),
@@ -227,7 +244,7 @@
             true => (version, Arc::clone(&change.text)),
             false => (self.version, Arc::clone(&self.text)),
         };
-        Some(Book { serial: self.serial + 1, version, text, change: None, ended })
+        Some(ReplicatedState { serial: self.serial + 1, version, text, change: None, ended })
     }
 }
 
--- a/crates/policy-consensus/src/replicated_state/tests.rs
+++ b/crates/policy-consensus/src/replicated_state/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_change_is_taken_once_and_only_after_it_was_closed() {
-    let book = Book::first("a").open("x", 1, "b", "n0").unwrap();
+    let book = ReplicatedState::first("a").open("x", 1, "b", "n0").unwrap();
     assert_eq!(book.end("x", Outcome::Taken, ""), None);
     let closing = book.at("x", 1, Stage::Closing).unwrap();
     let again = closing.at("x", 1, STRICT).unwrap();
@@ -17,11 +17,11 @@
 
 #[test]
 fn the_same_name_again_changes_nothing_and_another_text_is_an_error() {
-    let book = Book::first("a").open("x", 1, "b", "n0").unwrap();
+    let book = ReplicatedState::first("a").open("x", 1, "b", "n0").unwrap();
     assert_eq!(book.open("x", 1, "b", "n1").as_ref(), Ok(&book));
     assert_eq!(book.open("x", 1, "c", "n1"), Err(Conflict::Name));
     assert_eq!(book.open("y", 1, "b", "n1"), Err(Conflict::Change("x".into())));
-    let ended = book.end("x", Outcome::Refused, "n2: no").unwrap();
+    let ended = book.end("x", Outcome::Rejected, "n2: no").unwrap();
     assert_eq!(ended.open("x", 1, "b", "n1").as_ref(), Ok(&ended));
     assert_eq!(ended.open("y", 2, "b", "n1"), Err(Conflict::Version(1)));
     assert_eq!(ended.open("y", 1, "b", "n1").unwrap().ended, ended.ended);
@@ -32,7 +32,7 @@
 
 #[test]
 fn what_ended_is_forgotten_in_its_order() {
-    let mut book = Book::first("a");
+    let mut book = ReplicatedState::first("a");
     for n in 0..100 {
         let id = format!("c{n}");
         book = book.open(&id, 1, "b", "n0").unwrap().end(&id, Outcome::Abandoned, "late").unwrap();
--- a/crates/policy-consensus/src/settings.rs
+++ b/crates/policy-consensus/src/settings.rs
@@ -5,13 +5,13 @@
 use thiserror::Error;
 
 /// No clock of two processes runs faster than the other's by more than this, in thousandths.
-pub const CLOCKS: u32 = 20;
+pub const MAX_CLOCK_SKEW_PERMILLE: u32 = 20;
 
 /// The seats of the founders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Seats(pub u8);
+pub struct VoterSet(pub u8);
 
-impl Seats {
+impl VoterSet {
     /// So many are a majority.
     pub fn majority(self) -> usize {
         usize::from(self.0) / 2 + 1
@@ -25,7 +25,7 @@
 
 /// Within which times what is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Times {
+pub struct Timing {
     /// A permit ends so long after it was asked for, unless renewed.
     pub permit: Duration,
     /// Permits are asked for anew so often.
@@ -40,10 +40,10 @@
     pub answer: Duration,
 }
 
-impl Default for Times {
-    fn default() -> Times {
+impl Default for Timing {
+    fn default() -> Timing {
         let ms = Duration::from_millis;
-        Times {
+        Timing {
             permit: ms(2000),
             renew: ms(500),
             ready: ms(4000),
@@ -56,18 +56,18 @@
 
 /// What is wrong with what it is told.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum Bad {
+pub enum SettingsError {
     /// A time is too short.
     #[error("{0} is too short: {1}")]
     Short(&'static str, &'static str),
     /// There are no seats, or too many.
     #[error("1 to 15 founders are needed")]
-    Seats,
+    VoterSet,
 }
 
-impl Times {
+impl Timing {
     /// Whether they can be kept.
-    pub fn check(&self) -> Result<(), Bad> {
+    pub fn check(&self) -> Result<(), SettingsError> {
         let least = Duration::from_millis(10);
         let wanted = [
             ("permit_ms", self.permit >= 3 * self.renew, "at least three of renew_ms"),
@@ -78,12 +78,12 @@
             ("change_ms", self.change >= self.permit + self.ready, "at least permit_ms and ready_ms"),
         ];
         let short = wanted.into_iter().find(|(_, holds, _)| !holds);
-        short.map_or(Ok(()), |(name, _, wanted)| Err(Bad::Short(name, wanted)))
+        short.map_or(Ok(()), |(name, _, wanted)| Err(SettingsError::Short(name, wanted)))
     }
 
     /// How long a permit counts at who gave it: longer than at its holder, by the bound on clocks.
     pub fn counted(&self) -> Duration {
-        self.permit * (1000 + CLOCKS) / 1000 + Duration::from_millis(1)
+        self.permit * (1000 + MAX_CLOCK_SKEW_PERMILLE) / 1000 + Duration::from_millis(1)
     }
 }
 
@@ -91,15 +91,15 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// This process.
-    pub me: Process,
+    pub process: Process,
     /// Founders in all.
-    pub seats: Seats,
+    pub voters: VoterSet,
     /// The times.
-    pub times: Times,
+    pub timing: Timing,
     /// Whether it serves on with the last version once its permit has ended.
-    pub when_cut: crate::WhenCut,
+    pub lease_expiry_mode: crate::LeaseExpiryMode,
     /// What its own file says: the first version, if there is none yet.
-    pub first: String,
+    pub initial_policy: String,
     /// For random numbers.
     pub seed: u64,
 }
--- a/crates/policy-consensus/src/storage/file.rs
+++ b/crates/policy-consensus/src/storage/file.rs
@@ -1,6 +1,6 @@
 //! A folder of the file system as a founder's disk: written aside, synced, renamed, the folder synced too.
 
-use super::Disk;
+use super::Storage;
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::PathBuf;
@@ -14,25 +14,25 @@
 
 /// A folder, held by one process at a time.
 #[derive(Debug)]
-pub struct Folder {
+pub struct FileStorage {
     path: PathBuf,
     _lock: File,
 }
 
-impl Folder {
+impl FileStorage {
     /// Takes a folder, which is made if it is not there. [`ErrorKind::WouldBlock`] says that another process has it.
-    pub fn take(path: PathBuf) -> io::Result<Folder> {
+    pub fn take(path: PathBuf) -> io::Result<FileStorage> {
         fs::create_dir_all(&path)?;
         let lock = File::options().create(true).append(true).open(path.join(LOCK))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Folder { path, _lock: lock }),
+            Ok(()) => Ok(FileStorage { path, _lock: lock }),
             Err(fs::TryLockError::WouldBlock) => Err(ErrorKind::WouldBlock.into()),
             Err(fs::TryLockError::Error(error)) => Err(error),
         }
     }
 }
 
-impl Disk for Folder {
+impl Storage for FileStorage {
     fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
         match File::open(self.path.join(NAME)) {
             Ok(file) => {
--- a/crates/policy-consensus/src/storage/file/tests.rs
+++ b/crates/policy-consensus/src/storage/file/tests.rs
@@ -3,13 +3,13 @@
 #[test]
 fn a_folder_keeps_what_it_was_given_and_belongs_to_one_process() {
     let path = std::env::temp_dir().join(format!("pinetrail-policy-consensus-{}", std::process::id()));
-    let mut folder = Folder::take(path.clone()).unwrap();
+    let mut folder = FileStorage::take(path.clone()).unwrap();
     assert_eq!(folder.read().unwrap(), None);
     folder.replace(b"one").unwrap();
     folder.replace(b"two").unwrap();
-    assert_eq!(Folder::take(path.clone()).unwrap_err().kind(), ErrorKind::WouldBlock);
+    assert_eq!(FileStorage::take(path.clone()).unwrap_err().kind(), ErrorKind::WouldBlock);
     drop(folder);
-    let mut folder = Folder::take(path.clone()).unwrap();
+    let mut folder = FileStorage::take(path.clone()).unwrap();
     assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
     folder.put_aside("torn").unwrap();
     assert_eq!(folder.read().unwrap(), None);
--- a/crates/policy-consensus/src/storage/format.rs
+++ b/crates/policy-consensus/src/storage/format.rs
@@ -1,7 +1,7 @@
 //! The file of a founder: 8 bytes `ptrbook` and the version of the format, the length of the rest (8 bytes, big-endian), its CRC-32C (4
 //! bytes, big-endian), and a postcard value with the fleet's name, the seat, and what is kept.
 
-use crate::Durable;
+use crate::DurableState;
 use serde::{Deserialize, Serialize};
 
 const MAGIC: &[u8; 7] = b"ptrbook";
@@ -12,11 +12,11 @@
 struct Body {
     fleet: String,
     seat: u8,
-    durable: Durable,
+    durable: DurableState,
 }
 
 /// The file.
-pub fn seal(durable: &Durable, fleet: &str, seat: u8) -> Vec<u8> {
+pub fn seal(durable: &DurableState, fleet: &str, seat: u8) -> Vec<u8> {
     let body = Body { fleet: fleet.to_owned(), seat, durable: durable.clone() };
     // The types above are all representable.
     let body = postcard::to_allocvec(&body).unwrap_or_default();
@@ -30,7 +30,7 @@
 }
 
 /// What the file says; or what it is.
-pub fn open(bytes: &[u8], fleet: &str, seat: u8) -> Result<Durable, &'static str> {
+pub fn open(bytes: &[u8], fleet: &str, seat: u8) -> Result<DurableState, &'static str> {
     let Some((head, body)) = bytes.split_first_chunk::<HEAD>() else { return Err("torn") };
     if &head[..7] != MAGIC {
         return Err("foreign");
--- a/crates/policy-consensus/src/storage/format/tests.rs
+++ b/crates/policy-consensus/src/storage/format/tests.rs
@@ -1,10 +1,10 @@
 use super::*;
-use crate::{Ballot, Book};
+use crate::{Ballot, ReplicatedState};
 
 #[test]
 fn a_file_is_read_as_it_was_written_or_told_for_what_it_is() {
-    let accepted = Some((Ballot { round: 3, by: 4 }, Book::first("a")));
-    let durable = Durable { memory: 5, votes: true, accepted, ..Durable::default() };
+    let accepted = Some((Ballot { round: 3, by: 4 }, ReplicatedState::first("a")));
+    let durable = DurableState { memory: 5, votes: true, accepted, ..DurableState::default() };
     let sealed = seal(&durable, "f", 1);
     assert_eq!(open(&sealed, "f", 1), Ok(durable));
     assert_eq!(open(&sealed, "g", 1), Err("foreign"));
--- a/crates/policy-consensus/src/storage/mod.rs
+++ b/crates/policy-consensus/src/storage/mod.rs
@@ -3,13 +3,13 @@
 mod file;
 mod format;
 
-pub use file::Folder;
+pub use file::FileStorage;
 
-use crate::Durable;
+use crate::DurableState;
 use std::io;
 
 /// A disk, as far as a founder uses one.
-pub trait Disk: Send + 'static {
+pub trait Storage: Send + 'static {
     /// What it has, if anything.
     fn read(&mut self) -> io::Result<Option<Vec<u8>>>;
     /// Has this instead, whole, once it returns; after an error it has what it had.
@@ -20,28 +20,28 @@
 
 /// What was found on a disk.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Loaded {
+pub enum LoadOutcome {
     /// Nothing.
     Nothing,
     /// What was synced last.
-    Kept(Box<Durable>),
+    Kept(Box<DurableState>),
     /// Something that cannot be read, which was put aside; why.
     Aside(&'static str),
 }
 
 /// Reads what a disk has.
-pub(crate) fn load(disk: &mut dyn Disk, fleet: &str, seat: u8) -> io::Result<Loaded> {
-    let Some(bytes) = disk.read()? else { return Ok(Loaded::Nothing) };
+pub(crate) fn load(disk: &mut dyn Storage, fleet: &str, seat: u8) -> io::Result<LoadOutcome> {
+    let Some(bytes) = disk.read()? else { return Ok(LoadOutcome::Nothing) };
     match format::open(&bytes, fleet, seat) {
-        Ok(durable) => Ok(Loaded::Kept(Box::new(durable))),
+        Ok(durable) => Ok(LoadOutcome::Kept(Box::new(durable))),
         Err(why) => {
             disk.put_aside(why)?;
-            Ok(Loaded::Aside(why))
+            Ok(LoadOutcome::Aside(why))
         }
     }
 }
 
 /// Puts it on the disk.
-pub(crate) fn keep(disk: &mut dyn Disk, fleet: &str, seat: u8, durable: &Durable) -> io::Result<()> {
+pub(crate) fn keep(disk: &mut dyn Storage, fleet: &str, seat: u8, durable: &DurableState) -> io::Result<()> {
     disk.replace(&format::seal(durable, fleet, seat))
 }
--- a/crates/quota/src/golden_tests.rs
+++ b/crates/quota/src/golden_tests.rs
@@ -5,8 +5,8 @@
 //! heard. A test that fails here says that the program has changed its format; the recorded bytes
 //! are not to be adapted.
 
-use crate::message::{Answer, Ask, Grant, Want};
-use crate::{read, words, Ballot, Message, Process, Settings, View};
+use crate::message::{LeaseGrant, LeaseRequest, VoteRequest, VoteResponse};
+use crate::{decode, encode, Ballot, Message, Process, Settings, View};
 use std::net::SocketAddr;
 
 fn hex(bytes: &[u8]) -> String {
@@ -20,9 +20,9 @@
 
 /// The value is written as the recorded bytes, and the recorded bytes are read as the value.
 fn assert_recorded(value: &Message, recorded: &str) {
-    let written = hex(&words(&settings(), value));
+    let written = hex(&encode(&settings(), value));
     assert_eq!(written, recorded, "encoding of {value:?}");
-    assert_eq!(read(&settings(), &bytes(recorded)).as_ref(), Ok(value), "decoding of {recorded}");
+    assert_eq!(decode(&settings(), &bytes(recorded)).as_ref(), Ok(value), "decoding of {recorded}");
 }
 
 fn place(host: u8) -> SocketAddr {
@@ -48,7 +48,7 @@
 }
 
 fn process(host: u8) -> Process {
-    Process { place: place(host), start: 1_700_000_000_000_000 + u64::from(host) }
+    Process { address: place(host), start: 1_700_000_000_000_000 + u64::from(host) }
 }
 
 fn ballot(round: u64, host: u8) -> Ballot {
@@ -56,18 +56,18 @@
 }
 
 fn view(number: u64) -> View {
-    let v6 = Process { place: place_v6(), start: 9 };
-    View { ballot: ballot(number + 100, 1), number, council: vec![process(1), process(2), v6] }
+    let v6 = Process { address: place_v6(), start: 9 };
+    View { ballot: ballot(number + 100, 1), number, voters: vec![process(1), process(2), v6] }
 }
 
 fn ask(view: Option<View>, next: Option<View>) -> Message {
     let (founds, in_office) = (view.is_none(), view.is_some());
-    let ask = Ask { ballot: ballot(3, 1), at: 123_456, founds, in_office, view, next };
-    Message::Ask(Box::new(ask))
+    let ask = VoteRequest { ballot: ballot(3, 1), at: 123_456, founds, in_office, view, next };
+    Message::VoteRequest(Box::new(ask))
 }
 
-fn bare_answer() -> Answer {
-    Answer {
+fn bare_answer() -> VoteResponse {
+    VoteResponse {
         from: process(2),
         ballot: ballot(3, 1),
         asked_at: 123_456,
@@ -78,30 +78,30 @@
         newer: None,
         number: 17,
         leaves: false,
-        want: Want { at: 234_567, holds: 55_000_000, since: 345 },
+        want: LeaseRequest { at: 234_567, holds: 55_000_000, since: 345 },
     }
 }
 
-fn answer(change: impl FnOnce(&mut Answer)) -> Message {
+fn answer(change: impl FnOnce(&mut VoteResponse)) -> Message {
     let mut answer = bare_answer();
     change(&mut answer);
-    Message::Answer(Box::new(answer))
+    Message::VoteResponse(Box::new(answer))
 }
 
 fn grant() -> Message {
     let (want_at, part, lasts, view) = (234_567, 12_500_000, 3000, 17);
-    Message::Grant(Grant { from: process(1), to: process(2), want_at, part, lasts, view })
+    Message::LeaseGrant(LeaseGrant { from: process(1), to: process(2), want_at, part, lasts, view })
 }
 
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
 fn recorded_plain(message: &Message) -> &'static str {
     match message {
-        Message::Ask(_) => "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40701000000",
-        Message::Answer(_) => {
+        Message::VoteRequest(_) => "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40701000000",
+        Message::VoteResponse(_) => {
             "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
              c48203c0c40700000004000a0000028a3e8280f9c0c1c48203001100c7a80ec0f79c1ad902"
         }
-        Message::Grant(_) => {
+        Message::LeaseGrant(_) => {
             "b2c683eaf08f9ff43502000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4\
              8203c7a80ea0f8fa05b81711"
         }
@@ -141,9 +141,9 @@
 
 #[test]
 fn an_answer_with_each_optional_field_has_recorded_bytes() {
-    let accepts = |answer: &mut Answer| (answer.yes, answer.takes) = (true, Some(ballot(3, 1)));
-    let holds = |answer: &mut Answer| answer.pending = Some((ballot(2, 2), view(18)));
-    let knows = |answer: &mut Answer| answer.newer = Some(view(19));
+    let accepts = |answer: &mut VoteResponse| (answer.yes, answer.takes) = (true, Some(ballot(3, 1)));
+    let holds = |answer: &mut VoteResponse| answer.pending = Some((ballot(2, 2), view(18)));
+    let knows = |answer: &mut VoteResponse| answer.newer = Some(view(19));
     assert_recorded(
         &answer(accepts),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
@@ -170,7 +170,7 @@
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c40700000004000a0000028a3e8280f9c0c1c48203001101c7a80ec0f79c1ad902",
     );
-    let all = |answer: &mut Answer| {
+    let all = |answer: &mut VoteResponse| {
         accepts(answer);
         holds(answer);
         knows(answer);
--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -1,10 +1,10 @@
 //! A process that is steward, or wants to be.
 
 use crate::ledger::Ledger;
-use crate::message::{Answer, Ask};
-use crate::voter::Seat;
+use crate::message::{VoteRequest, VoteResponse};
 use crate::settings::Settings;
 use crate::view::{Ballot, Process, View};
+use crate::voter::Voter;
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -22,7 +22,7 @@
 
 /// Who stands.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Standing {
+pub(crate) struct LeaderTerm {
     me: Process,
     pub(crate) ballot: Ballot,
     /// The view whose council it asks; none if it founds.
@@ -42,10 +42,10 @@
     decided: Time,
 }
 
-impl Standing {
+impl LeaderTerm {
     /// Stands in the view that is known, or to found one.
-    pub(crate) fn new(me: Process, now: Time, seat: &mut Seat, founds: bool) -> Standing {
-        let mut standing = Standing {
+    pub(crate) fn new(me: Process, now: Time, seat: &mut Voter, founds: bool) -> LeaderTerm {
+        let mut standing = LeaderTerm {
             me,
             ballot: seat.seen,
             view: seat.view.clone().filter(|_| !founds),
@@ -63,7 +63,7 @@
         standing
     }
 
-    fn raise(&mut self, seat: &mut Seat) {
+    fn raise(&mut self, seat: &mut Voter) {
         self.ballot = Ballot { round: seat.seen.round + 1, who: self.me };
         seat.sees(self.ballot, 0);
         // Danger: what was taken in an earlier ballot decides nothing in this one.
@@ -89,8 +89,8 @@
     }
 
     /// What it asks.
-    pub(crate) fn ask(&self, now: Time) -> Ask {
-        Ask {
+    pub(crate) fn ask(&self, now: Time) -> VoteRequest {
+        VoteRequest {
             ballot: self.ballot,
             at: now,
             founds: self.view.is_none(),
@@ -103,19 +103,19 @@
     /// Whom it must ask, in council.
     pub(crate) fn electorate(&self, settings: &Settings) -> Vec<SocketAddr> {
         match &self.view {
-            Some(view) => view.council.iter().map(|process| process.place).collect(),
+            Some(view) => view.voters.iter().map(|process| process.address).collect(),
             None => settings.founders.clone(),
         }
     }
 
     /// Takes an answer to what it asked in this ballot.
-    pub(crate) fn hear(&mut self, now: Time, answer: &Answer, seat: &mut Seat, settings: &Settings) {
+    pub(crate) fn hear(&mut self, now: Time, answer: &VoteResponse, seat: &mut Voter, settings: &Settings) {
         if answer.leaves {
             self.leaving.insert(answer.from);
         }
         let counts = match &self.view {
-            Some(view) => view.seats(&answer.from),
-            None => settings.founders.binary_search(&answer.from.place).is_ok(),
+            Some(view) => view.is_voter(&answer.from),
+            None => settings.founders.binary_search(&answer.from.address).is_ok(),
         };
         if answer.ballot == self.ballot && counts && answer.yes {
             let until = self.votes.entry(answer.from).or_default();
@@ -140,7 +140,7 @@
         self.go_on(now, seat, settings);
     }
 
-    fn go_on(&mut self, now: Time, seat: &mut Seat, settings: &Settings) {
+    fn go_on(&mut self, now: Time, seat: &mut Voter, settings: &Settings) {
         self.count(settings);
         if now >= self.valid_until {
             return;
@@ -155,7 +155,7 @@
             };
             self.phase = Phase::Deciding;
         }
-        let seats: BTreeSet<SocketAddr> = self.takes.iter().map(|process| process.place).collect();
+        let seats: BTreeSet<SocketAddr> = self.takes.iter().map(|process| process.address).collect();
         if let Some(next) = self.next.take_if(|_| seats.len() >= quorum(&self.view, settings)) {
             seat.adopt(&next);
             (self.view, self.decided) = (Some(next), now);
@@ -171,15 +171,15 @@
 
     fn founded(&self, number: u64, now: Time) -> View {
         let council = self.votes.iter().filter(|(_, until)| now < **until).map(|(who, _)| *who).collect();
-        View { ballot: self.ballot, number: number + 1, council }
+        View { ballot: self.ballot, number: number + 1, voters: council }
     }
 
     /// Until when it has the votes that it needs: of processes at different seats.
     fn count(&mut self, settings: &Settings) {
         let mut by_seat = BTreeMap::new();
         for (who, until) in &self.votes {
-            if self.view.as_ref().is_none_or(|view| view.seats(who)) {
-                let best: &mut Time = by_seat.entry(who.place).or_default();
+            if self.view.as_ref().is_none_or(|view| view.is_voter(who)) {
+                let best: &mut Time = by_seat.entry(who.address).or_default();
                 *best = (*best).max(*until);
             }
         }
@@ -193,19 +193,20 @@
         &mut self,
         now: Time,
         mut council: Vec<Process>,
-        seat: &mut Seat,
+        seat: &mut Voter,
         settings: &Settings,
     ) {
         // A process that does not answer is out before anybody else has noticed.
         if let Some(view) = self.view.as_ref().filter(|_| now >= self.decided + settings.period * 2) {
-            council.retain(|one| !view.seats(one) || self.votes.get(one).is_some_and(|until| now < *until));
+            council
+                .retain(|one| !view.is_voter(one) || self.votes.get(one).is_some_and(|until| now < *until));
         }
         council.retain(|one| !self.leaving.contains(one));
         council.sort();
-        let is_other = |view: &View| council != view.council && council.len() >= settings.least();
+        let is_other = |view: &View| council != view.voters && council.len() >= settings.least();
         if self.serves(now) && self.next.is_none() && self.view.as_ref().is_some_and(is_other) {
             self.raise(seat);
-            self.next = Some(View { ballot: self.ballot, number: seat.number + 1, council });
+            self.next = Some(View { ballot: self.ballot, number: seat.number + 1, voters: council });
         }
     }
 }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -1,16 +1,16 @@
 //! What a steward has leased, and what may still be in use of it.
 
-use crate::message::Want;
+use crate::message::LeaseRequest;
 use crate::settings::Settings;
 use crate::view::Process;
-use crate::{Part, Time, LEASED};
+use crate::{Parts, Time, LEASED_PARTS};
 use std::collections::BTreeMap;
 
 /// What one holder was given for one want.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Given {
     want_at: Time,
-    part: Part,
+    part: Parts,
     /// Until when calls that began under it may run, by this process's clock.
     until: Time,
 }
@@ -35,7 +35,13 @@
     ///
     /// Danger: until it is settled what earlier stewards gave, all that holders have together is at most what there
     /// is, but not all of it is known here: what they have is renewed, and nothing more is given.
-    pub(crate) fn lease(&mut self, now: Time, holder: Process, want: Want, settings: &Settings) -> Part {
+    pub(crate) fn lease(
+        &mut self,
+        now: Time,
+        holder: Process,
+        want: LeaseRequest,
+        settings: &Settings,
+    ) -> Parts {
         self.given.retain(|_, given| {
             given.retain(|one| now < one.until);
             !given.is_empty()
@@ -43,7 +49,7 @@
         let silent = settings.in_use();
         self.wanted.insert(holder, now);
         self.wanted.retain(|_, at| *at + silent > now);
-        let due = LEASED / self.wanted.len().max(1) as Part;
+        let due = LEASED_PARTS / self.wanted.len().max(1) as Parts;
         let own = self.given.entry(holder).or_default();
         // What was leased for wants before the one by which it holds is in use until calls of then have ended.
         let ended = now + settings.stretched(settings.calls);
@@ -54,9 +60,9 @@
         let part = if now < self.settled {
             due.min(want.holds)
         } else {
-            let others: Part =
+            let others: Parts =
                 self.given.iter().filter(|(who, _)| **who != holder).map(|(_, given)| most(given)).sum();
-            due.min(want.holds + step).min(LEASED.saturating_sub(others))
+            due.min(want.holds + step).min(LEASED_PARTS.saturating_sub(others))
         };
         let until = now + settings.in_use();
         let own = self.given.entry(holder).or_default();
@@ -70,6 +76,6 @@
     }
 }
 
-fn most(given: &[Given]) -> Part {
+fn most(given: &[Given]) -> Parts {
     given.iter().map(|one| one.part).max().unwrap_or(0)
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -10,28 +10,28 @@
 
 #[cfg(test)]
 mod golden_tests;
+mod leader_term;
 mod lease;
 mod ledger;
 mod message;
-mod voter;
-mod settings;
 mod quota_leases;
-mod leader_term;
+mod settings;
 mod view;
+mod voter;
 mod wire;
 
 pub use lease::Lease;
 pub use message::Message;
-pub use settings::{Bad, Settings, MOST_FOUNDERS};
-pub use quota_leases::{Counts, News, Output, Shares};
+pub use quota_leases::{Output, QuotaCounters, QuotaEvent, QuotaLeases};
+pub use settings::{Settings, SettingsError, MAX_FOUNDERS};
 pub use view::{Ballot, Process, View};
-pub use wire::{read, words, Unheard};
+pub use wire::{decode, encode, DecodeError};
 
 /// A time or duration, in milliseconds of one process's clock.
 pub type Time = u64;
 /// A part of the whole.
-pub type Part = u64;
+pub type Parts = u64;
 /// The whole.
-pub const WHOLE: Part = 1_000_000_000;
+pub const WHOLE_PARTS: Parts = 1_000_000_000;
 /// What is leased; the other half is in bases.
-pub const LEASED: Part = WHOLE / 2;
+pub const LEASED_PARTS: Parts = WHOLE_PARTS / 2;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -1,23 +1,23 @@
 //! What processes say to each other about shares.
 
 use crate::view::{Ballot, Process, View};
-use crate::{Part, Time};
+use crate::{Parts, Time};
 use serde::{Deserialize, Serialize};
 
 /// What one process says to another.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// A steward, or who wants to become one, asks for a vote, and what is wanted.
-    Ask(Box<Ask>),
+    VoteRequest(Box<VoteRequest>),
     /// The answer.
-    Answer(Box<Answer>),
+    VoteResponse(Box<VoteResponse>),
     /// A steward leases.
-    Grant(Grant),
+    LeaseGrant(LeaseGrant),
 }
 
-/// See [`Message::Ask`].
+/// See [`Message::VoteRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Ask {
+pub struct VoteRequest {
     /// In which ballot; its process asks.
     pub ballot: Ballot,
     /// When it was sent, by the clock of who asks.
@@ -32,9 +32,9 @@
     pub next: Option<View>,
 }
 
-/// See [`Message::Answer`].
+/// See [`Message::VoteResponse`].
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Answer {
+pub struct VoteResponse {
     /// Whose answer.
     pub from: Process,
     /// To which ballot.
@@ -56,23 +56,23 @@
     /// Whether it ends soon: it is to be in no council any more.
     pub leaves: bool,
     /// What it holds, and wants to go on holding.
-    pub want: Want,
+    pub want: LeaseRequest,
 }
 
 /// What a holder has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Want {
+pub struct LeaseRequest {
     /// When this was sent, by its own clock: a lease counts from here.
     pub at: Time,
     /// What it holds by lease.
-    pub holds: Part,
+    pub holds: Parts,
     /// The time in the want by which it holds that. What was leased for earlier ones counts no more.
     pub since: Time,
 }
 
-/// See [`Message::Grant`].
+/// See [`Message::LeaseGrant`].
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Grant {
+pub struct LeaseGrant {
     /// Who leases.
     pub from: Process,
     /// To whom.
@@ -80,7 +80,7 @@
     /// The time in the want that it answers.
     pub want_at: Time,
     /// How much.
-    pub part: Part,
+    pub part: Parts,
     /// For how long from that time on.
     pub lasts: Time,
     /// The number of the view.
--- a/crates/quota/src/quota_leases.rs
+++ b/crates/quota/src/quota_leases.rs
@@ -1,12 +1,12 @@
 //! One process's shares: what comes in, what goes out, and what it may use now.
 
+use crate::leader_term::{LeaderTerm, Phase};
 use crate::lease::Lease;
-use crate::message::{Answer, Ask, Grant, Message};
-use crate::voter::Seat;
-use crate::settings::{Bad, Settings};
-use crate::leader_term::{Phase, Standing};
+use crate::message::{LeaseGrant, Message, VoteRequest, VoteResponse};
+use crate::settings::{Settings, SettingsError};
 use crate::view::Process;
-use crate::{Part, Time};
+use crate::voter::Voter;
+use crate::{Parts, Time};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -16,12 +16,12 @@
     /// Say this there.
     Send(SocketAddr, Message),
     /// Hear something.
-    News(News),
+    QuotaEvent(QuotaEvent),
 }
 
 /// What the rest of the program hears.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum QuotaEvent {
     /// It holds another lease, or the same for longer.
     Leased(Lease),
     /// Its lease has ended without another: it has its base.
@@ -34,7 +34,7 @@
 
 /// What was counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Counts {
+pub struct QuotaCounters {
     /// Leases given as the steward.
     pub granted: u64,
     /// Times that the steward had nothing to lease to somebody who wanted it.
@@ -47,11 +47,11 @@
 
 /// The shares as one process knows them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Shares {
+pub struct QuotaLeases {
     settings: Settings,
     me: Process,
-    seat: Seat,
-    standing: Option<Standing>,
+    seat: Voter,
+    standing: Option<LeaderTerm>,
     lease: Lease,
     has_lease: bool,
     alive: BTreeSet<Process>,
@@ -59,15 +59,15 @@
     /// When it asks next, or stands.
     next: Time,
     lost: u64,
-    counts: Counts,
+    counts: QuotaCounters,
 }
 
-impl Shares {
+impl QuotaLeases {
     /// A process that has just started: it has its base.
-    pub fn new(settings: Settings, me: Process, now: Time) -> Result<Shares, Bad> {
+    pub fn new(settings: Settings, me: Process, now: Time) -> Result<QuotaLeases, SettingsError> {
         settings.check()?;
-        let mut shares = Shares {
-            seat: Seat::new(me, now),
+        let mut shares = QuotaLeases {
+            seat: Voter::new(me, now),
             me,
             standing: None,
             lease: Lease::default(),
@@ -76,7 +76,7 @@
             began: now,
             next: now,
             lost: 0,
-            counts: Counts::default(),
+            counts: QuotaCounters::default(),
             settings,
         };
         shares.next = shares.patience(now);
@@ -84,12 +84,12 @@
     }
 
     /// What it may use at this time.
-    pub fn share(&self, now: Time) -> Part {
+    pub fn share(&self, now: Time) -> Parts {
         self.settings.base() + self.lease.at(now)
     }
 
     /// What is always its own.
-    pub fn base(&self) -> Part {
+    pub fn base(&self) -> Parts {
         self.settings.base()
     }
 
@@ -104,17 +104,17 @@
     }
 
     /// Whether it is the steward at this time.
-    pub fn is_steward(&self, now: Time) -> bool {
+    pub fn is_leader(&self, now: Time) -> bool {
         self.standing.as_ref().is_some_and(|standing| standing.serves(now))
     }
 
     /// What was counted.
-    pub fn counts(&self) -> Counts {
+    pub fn counters(&self) -> QuotaCounters {
         self.counts
     }
 
-    /// When [`Shares::due`] is to be called at the latest.
-    pub fn next_due(&self) -> Time {
+    /// When [`QuotaLeases::due`] is to be called at the latest.
+    pub fn next_timeout(&self) -> Time {
         if self.has_lease {
             self.next.min(self.lease.until)
         } else {
@@ -123,8 +123,8 @@
     }
 
     /// Who is there, itself aside, as far as is known. Nothing that holds depends on whether that is true.
-    pub fn know(&mut self, alive: impl IntoIterator<Item = Process>) {
-        self.alive = alive.into_iter().filter(|process| process.place != self.me.place).collect();
+    pub fn set_live_processes(&mut self, alive: impl IntoIterator<Item = Process>) {
+        self.alive = alive.into_iter().filter(|process| process.address != self.me.address).collect();
     }
 
     /// This process ends soon. It holds what it holds for as long as it is there, but votes in no view after this one.
@@ -133,7 +133,7 @@
     }
 
     /// Time has passed.
-    pub fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+    pub fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
         self.look(now, out);
         if now < self.next {
             return;
@@ -154,11 +154,11 @@
             self.next = self.next.max(now + self.settings.period);
             return;
         }
-        let is_founder = self.settings.founders.binary_search(&self.me.place).is_ok();
+        let is_founder = self.settings.founders.binary_search(&self.me.address).is_ok();
         let is_lost = now >= self.seat.heard + self.settings.lease * 2 && self.lost % 2 == 1;
         let founds = is_founder && (!self.seat.is_seated() || is_lost);
         if founds || self.seat.is_seated() {
-            self.standing = Some(Standing::new(self.me, now, &mut self.seat, founds));
+            self.standing = Some(LeaderTerm::new(self.me, now, &mut self.seat, founds));
             self.ask(now, out);
         } else {
             self.next = now + self.settings.period;
@@ -166,13 +166,13 @@
     }
 
     /// Another process has said something.
-    pub fn hear(&mut self, now: Time, message: &Message, out: &mut Vec<Output>) {
+    pub fn handle_message(&mut self, now: Time, message: &Message, out: &mut Vec<Output>) {
         self.look(now, out);
         match message {
-            Message::Ask(ask) if ask.ballot.who != self.me => self.asked(now, ask, out),
-            Message::Ask(_) => {}
-            Message::Answer(answer) => self.answered(now, answer, out),
-            Message::Grant(grant) => self.granted(now, grant, out),
+            Message::VoteRequest(ask) if ask.ballot.who != self.me => self.asked(now, ask, out),
+            Message::VoteRequest(_) => {}
+            Message::VoteResponse(answer) => self.answered(now, answer, out),
+            Message::LeaseGrant(grant) => self.granted(now, grant, out),
         }
     }
 
@@ -181,7 +181,7 @@
         if self.has_lease && self.lease.at(now) == 0 {
             self.has_lease = false;
             self.counts.ended += 1;
-            out.push(Output::News(News::Ended));
+            out.push(Output::QuotaEvent(QuotaEvent::Ended));
         }
         if self.standing.as_ref().is_some_and(|standing| standing.is_over(now)) {
             self.stand_down(now, out);
@@ -191,7 +191,7 @@
     fn stand_down(&mut self, now: Time, out: &mut Vec<Output>) {
         let before = self.standing.take();
         if before.is_some_and(|standing| matches!(standing.phase, Phase::Serving { .. })) {
-            out.push(Output::News(News::Steward(false)));
+            out.push(Output::QuotaEvent(QuotaEvent::Steward(false)));
         }
         self.next = self.patience(now);
     }
@@ -206,13 +206,13 @@
 
     /// When it stands if it hears of no steward since: one after the other.
     fn patience(&self, since: Time) -> Time {
-        let council = self.seat.view.as_ref().map(|view| &view.council);
+        let council = self.seat.view.as_ref().map(|view| &view.voters);
         let order: Vec<SocketAddr> = match council {
-            Some(council) => council.iter().map(|process| process.place).collect(),
+            Some(council) => council.iter().map(|process| process.address).collect(),
             None => self.settings.founders.clone(),
         };
-        let is_there = |place: &&SocketAddr| self.alive.iter().any(|process| process.place == **place);
-        let rank = order.iter().take_while(|place| **place != self.me.place).filter(is_there).count();
+        let is_there = |place: &&SocketAddr| self.alive.iter().any(|process| process.address == **place);
+        let rank = order.iter().take_while(|place| **place != self.me.address).filter(is_there).count();
         let turn = (1 + rank as Time) * self.settings.period;
         // Those who failed together stand again at different times.
         let mixed = (self.me.start ^ rank as u64).wrapping_add(self.lost).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -223,15 +223,15 @@
         self.next = now + self.settings.period;
         let Some(standing) = &mut self.standing else { return };
         let founders = &self.settings.founders;
-        let there = self.alive.iter().filter(|process| founders.binary_search(&process.place).is_ok());
+        let there = self.alive.iter().filter(|process| founders.binary_search(&process.address).is_ok());
         let council: Vec<Process> = there.copied().chain([self.me]).collect();
         standing.propose(now, council, &mut self.seat, &self.settings);
         let ask = standing.ask(now);
-        let known = self.alive.iter().map(|process| process.place);
+        let known = self.alive.iter().map(|process| process.address);
         let places: BTreeSet<SocketAddr> =
             known.chain(standing.electorate(&self.settings)).chain(founders.iter().copied()).collect();
-        for place in places.into_iter().filter(|place| *place != self.me.place) {
-            out.push(Output::Send(place, Message::Ask(Box::new(ask.clone()))));
+        for place in places.into_iter().filter(|place| *place != self.me.address) {
+            out.push(Output::Send(place, Message::VoteRequest(Box::new(ask.clone()))));
         }
         // Its own vote is one like any other.
         let want = self.lease.want(now);
@@ -239,7 +239,7 @@
         self.answered(now, &own, out);
     }
 
-    fn asked(&mut self, now: Time, ask: &Ask, out: &mut Vec<Output>) {
+    fn asked(&mut self, now: Time, ask: &VoteRequest, out: &mut Vec<Output>) {
         let before = self.view();
         let is_asking = self.standing.as_ref().is_some_and(|standing| standing.phase == Phase::Asking);
         if is_asking && ask.ballot > self.seat.seen {
@@ -254,18 +254,18 @@
                 self.next = self.patience(now);
             }
         }
-        out.push(Output::Send(ask.ballot.who.place, Message::Answer(Box::new(answer))));
+        out.push(Output::Send(ask.ballot.who.address, Message::VoteResponse(Box::new(answer))));
     }
 
     /// A view of another's has come to count, or not.
     fn changed(&mut self, now: Time, before: u64, out: &mut Vec<Output>) {
         if self.view() != before {
-            out.push(Output::News(News::View(self.view())));
+            out.push(Output::QuotaEvent(QuotaEvent::View(self.view())));
             self.stand_down(now, out);
         }
     }
 
-    fn answered(&mut self, now: Time, answer: &Answer, out: &mut Vec<Output>) {
+    fn answered(&mut self, now: Time, answer: &VoteResponse, out: &mut Vec<Output>) {
         self.seat.sees(answer.promised, answer.number);
         let before = self.view();
         if let Some(view) = &answer.newer {
@@ -281,7 +281,7 @@
         let serves = standing.serves(now);
         let number = self.seat.view.as_ref().map_or(0, |view| view.number);
         if number != before {
-            out.push(Output::News(News::View(number)));
+            out.push(Output::QuotaEvent(QuotaEvent::View(number)));
         }
         if serves && !served {
             self.counts.offices += 1;
@@ -289,7 +289,7 @@
             self.lost = 0;
             // What holders have ends soon: they are asked at once.
             self.next = now;
-            out.push(Output::News(News::Steward(true)));
+            out.push(Output::QuotaEvent(QuotaEvent::Steward(true)));
         }
         // A side that has lost the others goes down within a lease, whoever is steward there.
         let lasts = self.settings.lease.saturating_sub(standing.silence(now, &self.settings));
@@ -300,7 +300,7 @@
                 let part = ledger.lease(now, answer.from, answer.want, &self.settings);
                 self.counts.granted += u64::from(part > 0);
                 self.counts.refused += u64::from(part == 0);
-                let grant = Grant {
+                let grant = LeaseGrant {
                     from: self.me,
                     to: answer.from,
                     want_at: answer.want.at,
@@ -311,17 +311,17 @@
                 if answer.from == self.me {
                     self.granted(now, &grant, out);
                 } else if part > 0 {
-                    out.push(Output::Send(answer.from.place, Message::Grant(grant)));
+                    out.push(Output::Send(answer.from.address, Message::LeaseGrant(grant)));
                 }
             }
         }
     }
 
-    fn granted(&mut self, now: Time, grant: &Grant, out: &mut Vec<Output>) {
+    fn granted(&mut self, now: Time, grant: &LeaseGrant, out: &mut Vec<Output>) {
         // Danger: what was leased to the process before this one at its seat is none of its.
         if grant.to == self.me && grant.part > 0 && self.lease.take(grant, self.settings.lease) {
             self.has_lease = self.lease.at(now) > 0;
-            out.push(Output::News(News::Leased(self.lease)));
+            out.push(Output::QuotaEvent(QuotaEvent::Leased(self.lease)));
         }
     }
 }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -1,11 +1,11 @@
 //! What a process is told of the shares.
 
-use crate::{Part, Time, LEASED};
+use crate::{Parts, Time, LEASED_PARTS};
 use std::net::SocketAddr;
 use thiserror::Error;
 
 /// The most founders: two councils of them fit one datagram.
-pub const MOST_FOUNDERS: usize = 15;
+pub const MAX_FOUNDERS: usize = 15;
 
 /// What the shares are divided by, and the times.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -30,9 +30,9 @@
 
 /// What cannot be.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum Bad {
+pub enum SettingsError {
     /// The founders.
-    #[error("founders: {0} seats, 1 to {MOST_FOUNDERS} expected, each once")]
+    #[error("founders: {0} seats, 1 to {MAX_FOUNDERS} expected, each once")]
     Founders(usize),
     /// The size.
     #[error("size {0} is below the number of founders, {1}")]
@@ -44,23 +44,23 @@
 
 impl Settings {
     /// The usual ones: a lease of 3 s, votes of 1.2 s, calls of 2.5 s.
-    pub fn usual(mut founders: Vec<SocketAddr>, size: usize) -> Settings {
+    pub fn with_defaults(mut founders: Vec<SocketAddr>, size: usize) -> Settings {
         founders.sort();
         Settings { founders, size, period: 300, vote: 1200, lease: 3000, calls: 2500, skew: 2, steps: 4 }
     }
 
     /// Says what cannot be.
-    pub fn check(&self) -> Result<(), Bad> {
+    pub fn check(&self) -> Result<(), SettingsError> {
         let once = self.founders.windows(2).all(|pair| pair[0] < pair[1]);
-        if !once || !(1..=MOST_FOUNDERS).contains(&self.founders.len()) {
-            return Err(Bad::Founders(self.founders.len()));
+        if !once || !(1..=MAX_FOUNDERS).contains(&self.founders.len()) {
+            return Err(SettingsError::Founders(self.founders.len()));
         }
         if self.size < self.founders.len() {
-            return Err(Bad::Size(self.size, self.founders.len()));
+            return Err(SettingsError::Size(self.size, self.founders.len()));
         }
         let within = |field, value, least, most| match (least..=most).contains(&value) {
             true => Ok(()),
-            false => Err(Bad::Time(field, value, least, most)),
+            false => Err(SettingsError::Time(field, value, least, most)),
         };
         within("period", self.period, 50, 10_000)?;
         within("vote", self.vote, self.period * 2, 60_000)?;
@@ -80,8 +80,8 @@
     }
 
     /// What is always this process's own.
-    pub fn base(&self) -> Part {
-        LEASED / self.size as Part
+    pub fn base(&self) -> Parts {
+        LEASED_PARTS / self.size as Parts
     }
 
     /// How long another's time must be taken to last here.
--- a/crates/quota/src/view.rs
+++ b/crates/quota/src/view.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Process {
     /// Where it is reached: its seat.
-    pub place: SocketAddr,
+    pub address: SocketAddr,
     /// When it started, in Unix microseconds.
     pub start: u64,
 }
@@ -29,18 +29,18 @@
     /// Its number.
     pub number: u64,
     /// The council, in order.
-    pub council: Vec<Process>,
+    pub voters: Vec<Process>,
 }
 
 impl View {
     /// Whether a process votes in it.
-    pub fn seats(&self, process: &Process) -> bool {
-        self.council.binary_search(process).is_ok()
+    pub fn is_voter(&self, process: &Process) -> bool {
+        self.voters.binary_search(process).is_ok()
     }
 
     /// How many of its council decide. Danger: two of a fleet of three or more must be among them, or a fleet that is
     /// founded anew by all seats but one could live beside this view.
     pub(crate) fn quorum(&self, least: usize) -> usize {
-        (self.council.len() / 2 + 1).max(least)
+        (self.voters.len() / 2 + 1).max(least)
     }
 }
--- a/crates/quota/src/voter.rs
+++ b/crates/quota/src/voter.rs
@@ -1,13 +1,13 @@
 //! What a process promises: its vote, which ends by itself, and which next view it takes.
 
-use crate::message::{Answer, Ask, Want};
+use crate::message::{LeaseRequest, VoteRequest, VoteResponse};
 use crate::settings::Settings;
 use crate::view::{Ballot, Process, View};
 use crate::Time;
 
 /// The promises of one process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Seat {
+pub(crate) struct Voter {
     me: Process,
     began: Time,
     /// The latest view that it knows to be decided.
@@ -27,10 +27,10 @@
     pub(crate) leaves: bool,
 }
 
-impl Seat {
-    pub(crate) fn new(me: Process, now: Time) -> Seat {
+impl Voter {
+    pub(crate) fn new(me: Process, now: Time) -> Voter {
         let none = Ballot { round: 0, who: me };
-        Seat {
+        Voter {
             me,
             began: now,
             view: None,
@@ -47,7 +47,7 @@
 
     /// Whether it votes in the view that it knows.
     pub(crate) fn is_seated(&self) -> bool {
-        self.view.as_ref().is_some_and(|view| view.seats(&self.me))
+        self.view.as_ref().is_some_and(|view| view.is_voter(&self.me))
     }
 
     /// Whether its vote is not another's.
@@ -80,7 +80,13 @@
     }
 
     /// Answers; what it votes for it keeps to.
-    pub(crate) fn answer(&mut self, now: Time, ask: &Ask, want: Want, settings: &Settings) -> Answer {
+    pub(crate) fn answer(
+        &mut self,
+        now: Time,
+        ask: &VoteRequest,
+        want: LeaseRequest,
+        settings: &Settings,
+    ) -> VoteResponse {
         self.sees(ask.ballot, 0);
         if let Some(view) = &ask.view {
             self.adopt(view);
@@ -109,7 +115,7 @@
         // Danger: two councils of the most founders do not fit a datagram beside all else. Who is behind has no use for what was
         // proposed since: it learns of the view first.
         let pending = self.pending.clone().filter(|_| newer.is_none());
-        Answer {
+        VoteResponse {
             from: self.me,
             ballot: ask.ballot,
             asked_at: ask.at,
@@ -124,7 +130,7 @@
         }
     }
 
-    fn votes(&self, now: Time, ask: &Ask, settings: &Settings) -> bool {
+    fn votes(&self, now: Time, ask: &VoteRequest, settings: &Settings) -> bool {
         let who = ask.ballot.who;
         if ask.ballot < self.promised || self.vote.is_some_and(|(to, until)| to != who && now < until) {
             return false;
@@ -136,6 +142,6 @@
         // Danger: the process before this one at its seat may have a vote out that it knows nothing of.
         let is_settled = now >= self.began + settings.stretched(settings.vote);
         let is_lost = self.view.is_none() || now >= self.heard + settings.lease;
-        settings.founders.binary_search(&self.me.place).is_ok() && is_settled && is_lost
+        settings.founders.binary_search(&self.me.address).is_ok() && is_settled && is_lost
     }
 }
--- a/crates/quota/src/wire.rs
+++ b/crates/quota/src/wire.rs
@@ -8,7 +8,7 @@
 
 /// Why words are not heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Unheard {
+pub enum DecodeError {
     /// They are none.
     #[error("no words about shares")]
     Spoilt,
@@ -18,25 +18,26 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Said<T> {
+struct Envelope<T> {
     settings: u64,
     message: T,
 }
 
 /// A message in bytes.
-pub fn words(settings: &Settings, message: &Message) -> Vec<u8> {
-    let said = Said { settings: settings.digest(), message };
+pub fn encode(settings: &Settings, message: &Message) -> Vec<u8> {
+    let said = Envelope { settings: settings.digest(), message };
     // Numbers, addresses and lists have a form in postcard: nothing here fails.
     postcard::to_allocvec(&said).unwrap_or_default()
 }
 
 /// Reads one.
-pub fn read(settings: &Settings, bytes: &[u8]) -> Result<Message, Unheard> {
-    let (said, rest): (Said<Message>, _) = postcard::take_from_bytes(bytes).map_err(|_| Unheard::Spoilt)?;
+pub fn decode(settings: &Settings, bytes: &[u8]) -> Result<Message, DecodeError> {
+    let (said, rest): (Envelope<Message>, _) =
+        postcard::take_from_bytes(bytes).map_err(|_| DecodeError::Spoilt)?;
     match (rest, said.settings == settings.digest()) {
         ([], true) => Ok(said.message),
-        ([], false) => Err(Unheard::OtherSettings),
-        _ => Err(Unheard::Spoilt),
+        ([], false) => Err(DecodeError::OtherSettings),
+        _ => Err(DecodeError::Spoilt),
     }
 }
 
--- a/crates/quota/tests/promises.rs
+++ b/crates/quota/tests/promises.rs
@@ -1,9 +1,9 @@
 //! What shares promise, by seeds of faults, by a model of every order of faults, and by hand.
 
-use pinetrail_quota::{News, LEASED, WHOLE};
+use pinetrail_quota::{QuotaEvent, LEASED_PARTS, WHOLE_PARTS};
 use pinetrail_simulation::model::Scope;
-use pinetrail_simulation::seeds;
 use pinetrail_simulation::quota::Sharing;
+use pinetrail_simulation::seeds;
 
 const HOSTS: usize = 5;
 
@@ -36,10 +36,10 @@
     (0..HOSTS).for_each(|host| sharing.start(host));
     sharing.know_all();
     sharing.run(20_000);
-    let due = LEASED / HOSTS as u64;
+    let due = LEASED_PARTS / HOSTS as u64;
     for host in 0..HOSTS {
         let parts = sharing.heard.iter().filter_map(|(_, who, news)| match news {
-            News::Leased(lease) if *who == host => Some(lease.part),
+            QuotaEvent::Leased(lease) if *who == host => Some(lease.part),
             _ => None,
         });
         let parts: Vec<u64> = [0].into_iter().chain(parts).collect();
@@ -66,12 +66,12 @@
     (2..5).for_each(|host| sharing.know(host, known[2..].to_vec()));
     sharing.run(8_000);
     assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
-    assert_eq!([2, 3, 4].map(|host| sharing.share(host)), [base + LEASED / 3; 3]);
+    assert_eq!([2, 3, 4].map(|host| sharing.share(host)), [base + LEASED_PARTS / 3; 3]);
     let ended = |host: usize| {
-        sharing.heard.iter().any(|(at, who, news)| *at > cut && *who == host && *news == News::Ended)
+        sharing.heard.iter().any(|(at, who, news)| *at > cut && *who == host && *news == QuotaEvent::Ended)
     };
     assert!(ended(0) && ended(1) && !ended(2));
-    assert!(sharing.most <= WHOLE);
+    assert!(sharing.most <= WHOLE_PARTS);
 }
 
 /// One of one and two of two share; of four that are cut in half nobody has more than its base; one alone is no council.
@@ -84,20 +84,26 @@
         sharing.run(20_000);
         let base = sharing.settings.base();
         let all: Vec<usize> = (0..hosts).collect();
-        assert!(all.iter().all(|host| sharing.share(*host) == base + LEASED / hosts as u64), "of {hosts}");
+        assert!(
+            all.iter().all(|host| sharing.share(*host) == base + LEASED_PARTS / hosts as u64),
+            "of {hosts}"
+        );
         let (one, other) = all.split_at(hosts / 2);
         sharing.network.cut_into(&[one, other]);
         sharing.run(15_000);
         let shares: Vec<u64> = all.iter().map(|host| sharing.share(*host)).collect();
         let expected = match hosts {
-            1 => vec![base + LEASED],
-            3 => vec![base, base + LEASED / 2, base + LEASED / 2],
+            1 => vec![base + LEASED_PARTS],
+            3 => vec![base, base + LEASED_PARTS / 2, base + LEASED_PARTS / 2],
             _ => vec![base; hosts],
         };
         assert_eq!(shares, expected, "of {hosts}");
         sharing.network.heal();
         sharing.run(20_000);
-        assert!(all.iter().all(|host| sharing.share(*host) == base + LEASED / hosts as u64), "of {hosts}");
+        assert!(
+            all.iter().all(|host| sharing.share(*host) == base + LEASED_PARTS / hosts as u64),
+            "of {hosts}"
+        );
     }
 }
 
@@ -115,15 +121,15 @@
         sharing.run(1_000);
     }
     sharing.run(2 * sharing.settings.lease);
-    let theirs = sharing.settings.base() + LEASED / 3;
+    let theirs = sharing.settings.base() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
     // All but one: that one may be away for good.
     (0..10).for_each(|host| sharing.kill(host));
     (0..9).for_each(|host| sharing.start(host));
     sharing.know_all();
     sharing.run(20_000);
-    assert!((0..9).all(|host| sharing.share(host) == sharing.settings.base() + LEASED / 9));
-    assert!(sharing.most <= WHOLE);
+    assert!((0..9).all(|host| sharing.share(host) == sharing.settings.base() + LEASED_PARTS / 9));
+    assert!(sharing.most <= WHOLE_PARTS);
 }
 
 /// A fleet of which the first two are left as its council, and which of them is the steward.
@@ -138,7 +144,7 @@
         sharing.run(3_000);
     }
     let steward =
-        [0, 1].into_iter().find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_steward(now)));
+        [0, 1].into_iter().find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_leader(now)));
     (sharing, steward.expect("one of both is"))
 }
 
@@ -153,7 +159,11 @@
         sharing.start(1 - steward);
         sharing.network.cut_into(&[&[steward], &[1 - steward]]);
         sharing.run(10_000);
-        assert!(sharing.stewards == 1 && sharing.most <= WHOLE, "seed {seed}: {} stewards", sharing.stewards);
+        assert!(
+            sharing.stewards == 1 && sharing.most <= WHOLE_PARTS,
+            "seed {seed}: {} stewards",
+            sharing.stewards
+        );
     }
 }
 
@@ -167,7 +177,7 @@
         sharing.network.cut_into(&[&[steward], &[other, 2, 3, 4]]);
         (2..HOSTS).for_each(|host| sharing.start(host));
         let founder = |sharing: &Sharing| {
-            (2..HOSTS).find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_steward(now)))
+            (2..HOSTS).find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_leader(now)))
         };
         // The moment at which the founder knows that it is one, and the other does not.
         for _ in 0..30_000 {
@@ -181,7 +191,11 @@
         sharing.network.heal();
         sharing.network.cut_into(&[&[steward, other], &[2, 3, 4]]);
         sharing.run(15_000);
-        assert!(sharing.stewards == 1 && sharing.most <= WHOLE, "seed {seed}: {} stewards", sharing.stewards);
+        assert!(
+            sharing.stewards == 1 && sharing.most <= WHOLE_PARTS,
+            "seed {seed}: {} stewards",
+            sharing.stewards
+        );
         let base = sharing.settings.base();
         assert_eq!([steward, other].map(|host| sharing.share(host)), [base; 2], "seed {seed}");
     }
@@ -200,7 +214,7 @@
     (0..7).for_each(|host| sharing.kill(host));
     sharing.know_all();
     sharing.run(4 * sharing.settings.lease);
-    let theirs = sharing.settings.base() + LEASED / 3;
+    let theirs = sharing.settings.base() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
-    assert!(sharing.most <= WHOLE);
+    assert!(sharing.most <= WHOLE_PARTS);
 }
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -1,7 +1,10 @@
 //! A fleet of members in simulated time: processes that start, die, stop and go on, and the network between them.
 
 use crate::network::Network;
-use pinetrail_membership::{Counts, Entry, Members, News, Output, Settings, Side, State, Time, Times};
+use pinetrail_membership::{
+    MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
+    Time, Timing,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -9,25 +12,25 @@
 
 /// What one process does about its fleet: the real thing, or a baseline beside it.
 pub trait Member {
-    /// When [`Member::due`] is to be called.
-    fn next_due(&self) -> Option<Time>;
+    /// When [`Member::handle_timeout`] is to be called.
+    fn next_timeout(&self) -> Option<Time>;
     /// Time has passed.
-    fn due(&mut self, now: Time, out: &mut Vec<Output>);
+    fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>);
     /// A datagram has come.
-    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>);
+    fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>);
 }
 
-impl Member for Members {
-    fn next_due(&self) -> Option<Time> {
-        Members::next_due(self)
+impl Member for Membership {
+    fn next_timeout(&self) -> Option<Time> {
+        Membership::next_timeout(self)
     }
 
-    fn due(&mut self, now: Time, out: &mut Vec<Output>) {
-        Members::due(self, now, out);
+    fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
+        Membership::handle_timeout(self, now, out);
     }
 
-    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
-        Members::datagram(self, now, from, bytes, out);
+    fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        Membership::handle_datagram(self, now, from, bytes, out);
     }
 }
 
@@ -42,7 +45,7 @@
     /// Which host.
     pub host: usize,
     /// What.
-    pub news: News,
+    pub news: MembershipEvent,
 }
 
 struct Host<M> {
@@ -104,7 +107,7 @@
         advertise: place(host),
         peers: peers.iter().filter(|peer| **peer != host).map(|peer| place(*peer)).collect(),
         size,
-        times: Times::default(),
+        times: Timing::default(),
     }
 }
 
@@ -160,9 +163,9 @@
     pub fn go_on(&mut self, host: usize) {
         self.hosts[host].stopped = false;
         // What is due is handled before what has come, which is the worse order of the two.
-        self.act(host, |member, now, out| member.due(now, out));
+        self.act(host, |member, now, out| member.handle_timeout(now, out));
         while let Some((from, bytes)) = self.hosts[host].inbox.pop_front() {
-            self.act(host, |member, now, out| member.datagram(now, from, &bytes, out));
+            self.act(host, |member, now, out| member.handle_datagram(now, from, &bytes, out));
         }
     }
 
@@ -182,7 +185,7 @@
             match output {
                 // Shares have a world of their own.
                 Output::Shares(_) | Output::Links(..) => {}
-                Output::News(news) => self.heard.push(Heard { at: now, host, news }),
+                Output::MembershipEvent(news) => self.heard.push(Heard { at: now, host, news }),
                 Output::Send(to, bytes) => {
                     let Some(to) = self.places.get(&to).copied() else { continue };
                     for (delay, damaged) in self.network.carry(&mut self.rng, host, to, bytes.len()) {
@@ -228,12 +231,12 @@
                 match host.stopped {
                     true if host.inbox.len() < KEPT => host.inbox.push_back((from, bytes)),
                     true => {}
-                    false => self.act(to, |member, now, out| member.datagram(now, from, &bytes, out)),
+                    false => self.act(to, |member, now, out| member.handle_datagram(now, from, &bytes, out)),
                 }
             }
             Event::Wake { host, number } => {
                 if self.hosts[host].wake == number && !self.hosts[host].stopped {
-                    self.act(host, |member, now, out| member.due(now, out));
+                    self.act(host, |member, now, out| member.handle_timeout(now, out));
                 }
             }
             Event::Pause { host } => {
@@ -265,7 +268,7 @@
     /// Has a host wake when its process wants to.
     fn rouse(&mut self, host: usize) {
         let this = &mut self.hosts[host];
-        let Some(at) = this.member.as_ref().and_then(Member::next_due) else { return };
+        let Some(at) = this.member.as_ref().and_then(Member::next_timeout) else { return };
         this.wake = self.count + 1;
         let number = this.wake;
         self.later(at.saturating_sub(self.now), Event::Wake { host, number });
@@ -277,9 +280,9 @@
     }
 }
 
-impl Fleet<Members> {
+impl Fleet<Membership> {
     /// A fleet of so many, all started at once, of which each knows only these peers.
-    pub fn of(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Members> {
+    pub fn of(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Membership> {
         let mut fleet = Fleet::new(hosts, seed);
         (0..hosts).for_each(|host| fleet.begin(host, hosts.max(2), peers));
         fleet
@@ -293,7 +296,7 @@
     /// Starts a member on a host with these settings.
     pub fn begin_with(&mut self, host: usize, settings: Settings) {
         self.start(host, |start, seed, now| {
-            Members::new(settings, start, seed, now).expect("settings that can be")
+            Membership::new(settings, start, seed, now).expect("settings that can be")
         });
     }
 
@@ -304,8 +307,8 @@
     }
 
     /// What a host knows of a name.
-    pub fn entry(&self, host: usize, name: &str) -> Option<Entry> {
-        self.member(host)?.roster().into_iter().find(|entry| &*entry.name == name)
+    pub fn entry(&self, host: usize, name: &str) -> Option<MemberRecord> {
+        self.member(host)?.members().into_iter().find(|entry| &*entry.name == name)
     }
 
     /// Whether all of these believe that all of these are alive, and that nobody else is or may be.
@@ -313,8 +316,8 @@
         let mut names: Vec<String> = hosts.iter().map(|host| settings(*host, 2, &[]).name).collect();
         names.sort();
         // A roster is in the order of names.
-        let agrees = |member: &Members| {
-            let roster = member.roster();
+        let agrees = |member: &Membership| {
+            let roster = member.members();
             let there = roster.iter().filter(|entry| entry.state <= State::Suspect);
             there.clone().count() == names.len()
                 && there.zip(&names).all(|(entry, name)| entry.state == State::Alive && *entry.name == **name)
@@ -323,18 +326,18 @@
     }
 
     /// On which side a host is.
-    pub fn side(&self, host: usize) -> Option<Side> {
-        self.member(host).map(Members::side)
+    pub fn side(&self, host: usize) -> Option<PartitionSide> {
+        self.member(host).map(Membership::side)
     }
 
     /// What a host counted.
-    pub fn counts(&self, host: usize) -> Counts {
-        self.member(host).map_or_else(Counts::default, Members::counts)
+    pub fn counts(&self, host: usize) -> MembershipCounters {
+        self.member(host).map_or_else(MembershipCounters::default, Membership::counters)
     }
 
     /// Times that somebody took somebody else for failed who was not dead then.
     pub fn failures_heard(&self) -> usize {
-        let failed = |heard: &&Heard| matches!(&heard.news, News::Member { entry, .. } if entry.state == State::Failed);
+        let failed = |heard: &&Heard| matches!(&heard.news, MembershipEvent::Member { entry, .. } if entry.state == State::Failed);
         self.heard.iter().filter(failed).count()
     }
 }
--- a/crates/simulation/src/heartbeats.rs
+++ b/crates/simulation/src/heartbeats.rs
@@ -1,7 +1,7 @@
 //! The baseline: everybody sends a heartbeat to everybody, and has failed who is silent for a time.
 
 use crate::fleet::{place, Member};
-use pinetrail_membership::{Entry, News, Output, State, Time};
+use pinetrail_membership::{MemberRecord, MembershipEvent, Output, State, Time};
 use std::net::SocketAddr;
 
 /// One member of the baseline.
@@ -23,7 +23,7 @@
     }
 
     fn tell(&mut self, now: Time, host: usize, state: State, out: &mut Vec<Output>) {
-        let entry = Entry {
+        let entry = MemberRecord {
             name: format!("n{host:04}").into(),
             start: 0,
             address: place(host),
@@ -31,16 +31,16 @@
             incarnation: 0,
             since: now,
         };
-        out.push(Output::News(News::Member { entry, before: None }));
+        out.push(Output::MembershipEvent(MembershipEvent::Member { entry, before: None }));
     }
 }
 
 impl Member for Heartbeats {
-    fn next_due(&self) -> Option<Time> {
+    fn next_timeout(&self) -> Option<Time> {
         Some(self.next)
     }
 
-    fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+    fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
         if now < self.next {
             return;
         }
@@ -57,7 +57,7 @@
         }
     }
 
-    fn datagram(&mut self, now: Time, from: SocketAddr, _bytes: &[u8], out: &mut Vec<Output>) {
+    fn handle_datagram(&mut self, now: Time, from: SocketAddr, _bytes: &[u8], out: &mut Vec<Output>) {
         let SocketAddr::V4(address) = from else { return };
         let [_, _, high, low] = address.ip().octets();
         let host = usize::from(high) << 8 | usize::from(low);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -9,5 +9,5 @@
 pub mod network;
 pub mod origin;
 pub mod policy_consensus;
-pub mod seeds;
 pub mod quota;
+pub mod seeds;
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -2,7 +2,9 @@
 //! bound. Three founders share, from the moment on at which all have their leases. What is sent arrives at once unless a
 //! fault has it lost, held back, or arrive twice.
 
-use pinetrail_quota::{Message, Output, Part, Process, Settings, Shares, Time, LEASED, WHOLE};
+use pinetrail_quota::{
+    Message, Output, Parts, Process, QuotaLeases, Settings, Time, LEASED_PARTS, WHOLE_PARTS,
+};
 use stateright::{Checker, Expectation, Model, Property};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -38,7 +40,7 @@
 impl Scope {
     /// So many faults within so many ticks, with clocks that run at these rates, in thousandths.
     pub fn new(faults: usize, ticks: u64, rates: [u64; HOSTS]) -> Scope {
-        let usual = Settings::usual((0..HOSTS).map(place).collect(), HOSTS);
+        let usual = Settings::with_defaults((0..HOSTS).map(place).collect(), HOSTS);
         let settings = Settings { period: 100, vote: 200, lease: 300, calls: 0, steps: 1, ..usual };
         Scope { settings, rates, faults, ticks }
     }
@@ -91,7 +93,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct State {
     now: Time,
-    hosts: Vec<Option<Shares>>,
+    hosts: Vec<Option<QuotaLeases>>,
     starts: Vec<u64>,
     paused: BTreeSet<usize>,
     denied: BTreeSet<usize>,
@@ -105,7 +107,7 @@
 
 impl State {
     fn process(&self, host: usize) -> Process {
-        Process { place: place(host), start: self.starts[host] }
+        Process { address: place(host), start: self.starts[host] }
     }
 
     fn know(&mut self) {
@@ -113,7 +115,7 @@
             .filter(|host| self.hosts[*host].is_some() && !self.denied.contains(host))
             .map(|host| self.process(host))
             .collect();
-        self.hosts.iter_mut().flatten().for_each(|shares| shares.know(there.clone()));
+        self.hosts.iter_mut().flatten().for_each(|shares| shares.set_live_processes(there.clone()));
     }
 }
 
@@ -122,7 +124,7 @@
         state.now * self.rates[host] / 1000
     }
 
-    fn share(&self, state: &State, host: usize) -> Part {
+    fn share(&self, state: &State, host: usize) -> Parts {
         state.hosts[host].as_ref().map_or(0, |shares| shares.share(self.clock(state, host)))
     }
 
@@ -156,7 +158,7 @@
             let now = self.clock(state, to);
             let mut out = Vec::new();
             if let Some(shares) = state.hosts[to].as_mut() {
-                shares.hear(now, &message, &mut out);
+                shares.handle_message(now, &message, &mut out);
             }
             self.send(state, to, out, &mut queue);
         }
@@ -165,8 +167,8 @@
     fn wake(&self, state: &mut State, host: usize) {
         let now = self.clock(state, host);
         let mut out = Vec::new();
-        if let Some(shares) = state.hosts[host].as_mut().filter(|shares| shares.next_due() <= now) {
-            shares.due(now, &mut out);
+        if let Some(shares) = state.hosts[host].as_mut().filter(|shares| shares.next_timeout() <= now) {
+            shares.handle_timeout(now, &mut out);
         }
         let mut queue = Vec::new();
         self.send(state, host, out, &mut queue);
@@ -183,7 +185,7 @@
     fn start(&self, state: &mut State, host: usize) {
         state.starts[host] += 1;
         let now = self.clock(state, host);
-        let shares = Shares::new(self.settings.clone(), state.process(host), now).expect("possible");
+        let shares = QuotaLeases::new(self.settings.clone(), state.process(host), now).expect("possible");
         state.hosts[host] = Some(shares);
         state.know();
     }
@@ -258,7 +260,7 @@
     }
 
     fn all_have_theirs(&self, state: &State) -> bool {
-        let due = self.settings.base() + LEASED / HOSTS as u64;
+        let due = self.settings.base() + LEASED_PARTS / HOSTS as u64;
         (0..HOSTS).all(|host| self.share(state, host) == due)
     }
 
@@ -344,12 +346,12 @@
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
             Property::always("shares add up to one at the most", |scope: &Scope, state: &State| {
-                (0..HOSTS).map(|host| scope.share(state, host)).sum::<Part>() <= WHOLE
+                (0..HOSTS).map(|host| scope.share(state, host)).sum::<Parts>() <= WHOLE_PARTS
             }),
             Property::always("one steward at the most", |scope: &Scope, state: &State| {
                 let serves = |host: &usize| {
                     let now = scope.clock(state, *host);
-                    state.hosts[*host].as_ref().is_some_and(|shares| shares.is_steward(now))
+                    state.hosts[*host].as_ref().is_some_and(|shares| shares.is_leader(now))
                 };
                 (0..HOSTS).filter(serves).count() <= 1
             }),
@@ -361,7 +363,7 @@
                 state.hosts.iter().flatten().any(|shares| shares.view() > 2)
             }),
             Property::sometimes("one has more than a third", |scope: &Scope, state: &State| {
-                (0..HOSTS).any(|host| scope.share(state, host) > scope.settings.base() + LEASED / 3)
+                (0..HOSTS).any(|host| scope.share(state, host) > scope.settings.base() + LEASED_PARTS / 3)
             }),
             Property::sometimes("one has only its base", |scope: &Scope, state: &State| {
                 (0..HOSTS).any(|host| {
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -1,11 +1,14 @@
 //! One simulated host: the rulebook's node, and round it what a proxy has: a door, and clients that ask all the time.
 
-use super::judge::{Admitted, Judge};
-use super::net::Simulated;
+use super::judge::{Admitted, RunChecker};
+use super::net::SimulatedNetwork;
 use super::plan::{Fault, Plan};
 use super::Run;
-use pinetrail_peer_transport::{Links, Peer, Process, Times as LinkTimes};
-use pinetrail_policy_consensus::{Admission, Disk, InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
+use pinetrail_peer_transport::{Peer, PeerTransport, Process, Timing as LinkTimes};
+use pinetrail_policy_consensus::{
+    Admission, AdmissionLease, ConsensusNode, ConsensusStatus, LeaseExpiryMode, PolicyApplier, Settings,
+    Storage, Timing, VoterSet,
+};
 use rand::rngs::StdRng;
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -23,12 +26,12 @@
 
 /// A disk that outlives its host's crashes.
 #[derive(Clone, Default)]
-struct Platter {
+struct SimulatedDisk {
     bytes: Arc<Mutex<Option<Vec<u8>>>>,
     full: Arc<Mutex<bool>>,
 }
 
-impl Disk for Platter {
+impl Storage for SimulatedDisk {
     fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
         Ok(lock(&self.bytes).clone())
     }
@@ -48,21 +51,21 @@
 }
 
 /// What the proxy of a host has in force.
-struct App {
+struct SimulatedProxy {
     host: usize,
     in_force: Mutex<u64>,
-    judge: Judge,
+    judge: RunChecker,
 }
 
-impl InForce for App {
-    fn check(&self, text: &str) -> Result<(), String> {
+impl PolicyApplier for SimulatedProxy {
+    fn validate(&self, text: &str) -> Result<(), String> {
         match text.strip_prefix("bad at ").and_then(|rest| rest.split(' ').next()) {
             Some(host) if host == self.host.to_string() => Err("it does not suit".to_owned()),
             _ => Ok(()),
         }
     }
 
-    fn put(&self, version: u64, text: &str) {
+    fn apply(&self, version: u64, text: &str) {
         *lock(&self.in_force) = version;
         self.judge.text(version, text);
     }
@@ -78,8 +81,8 @@
 #[derive(Clone)]
 struct Shared {
     founders: usize,
-    judge: Judge,
-    disks: Vec<Platter>,
+    judge: RunChecker,
+    disks: Vec<SimulatedDisk>,
     /// Who runs where, by host.
     places: Arc<Mutex<BTreeMap<usize, (Process, SocketAddr)>>>,
     /// What is to be proposed, by host.
@@ -88,23 +91,23 @@
 }
 
 /// All hosts, from outside.
-pub struct World {
+pub struct SimulatedFleet {
     shared: Shared,
     count: std::cell::Cell<u32>,
     running: std::cell::RefCell<Vec<bool>>,
 }
 
-impl World {
-    pub fn new(plan: &Plan) -> World {
+impl SimulatedFleet {
+    pub fn new(plan: &Plan) -> SimulatedFleet {
         let shared = Shared {
             founders: plan.founders,
-            judge: Judge::default(),
-            disks: (0..plan.hosts).map(|_| Platter::default()).collect(),
+            judge: RunChecker::default(),
+            disks: (0..plan.hosts).map(|_| SimulatedDisk::default()).collect(),
             places: Arc::default(),
             proposals: Arc::new(Mutex::new(vec![Vec::new(); plan.hosts])),
             seed: plan.seed,
         };
-        World { shared, count: 0.into(), running: vec![true; plan.hosts].into() }
+        SimulatedFleet { shared, count: 0.into(), running: vec![true; plan.hosts].into() }
     }
 
     pub fn add(&self, sim: &mut Sim<'_>, host: usize) {
@@ -182,9 +185,9 @@
 }
 
 /// The times of simulated fleets: shorter than usual, so that more happens.
-pub fn times() -> Times {
+pub fn times() -> Timing {
     let ms = Duration::from_millis;
-    Times {
+    Timing {
         permit: ms(800),
         renew: ms(200),
         ready: ms(1200),
@@ -205,18 +208,26 @@
         silence: Duration::from_millis(600),
     };
     let any = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
-    let links = Links::new(Simulated, "f", me.clone(), any, link_times, seed);
-    let seats = Seats(shared.founders as u8);
-    let permit = Arc::new(Permit::new(seats, WhenCut::Refuse, HOLD, Duration::from_millis(500)));
-    let app = Arc::new(App { host, in_force: Mutex::new(0), judge: shared.judge.clone() });
+    let links = PeerTransport::new(SimulatedNetwork, "f", me.clone(), any, link_times, seed);
+    let seats = VoterSet(shared.founders as u8);
+    let permit =
+        Arc::new(AdmissionLease::new(seats, LeaseExpiryMode::FailClosed, HOLD, Duration::from_millis(500)));
+    let app = Arc::new(SimulatedProxy { host, in_force: Mutex::new(0), judge: shared.judge.clone() });
     let first = "the first rules".to_owned();
-    let settings = Settings { me: me.clone(), seats, times: times(), when_cut: WhenCut::Refuse, first, seed };
-    let in_force = Arc::clone(&app) as Arc<dyn InForce>;
-    let node = Node::new(settings, "f", Arc::clone(&links), in_force, Arc::clone(&permit));
+    let settings = Settings {
+        process: me.clone(),
+        voters: seats,
+        timing: times(),
+        lease_expiry_mode: LeaseExpiryMode::FailClosed,
+        initial_policy: first,
+        seed,
+    };
+    let in_force = Arc::clone(&app) as Arc<dyn PolicyApplier>;
+    let node = ConsensusNode::new(settings, "f", Arc::clone(&links), in_force, Arc::clone(&permit));
     links.listen(SocketAddr::new(any, PORT)).await?;
     if host < shared.founders {
         // A disk that is full from the start gives no seat.
-        while let Err(error) = node.take_seat(host as u8, Box::new(shared.disks[host].clone())) {
+        while let Err(error) = node.become_voter(host as u8, Box::new(shared.disks[host].clone())) {
             app.log(&format!("no seat: {error}"));
             sleep(Duration::from_millis(100)).await;
         }
@@ -230,13 +241,13 @@
             // Of two the one with the lower name dials.
             let places = lock(&shared.places).clone();
             let others = places.into_iter().filter(|(other, _)| *other > host);
-            links.know(others.map(|(_, (process, place))| Peer { process, place }).collect());
+            links.set_peers(others.map(|(_, (process, place))| Peer { process, address: place }).collect());
         }
         let asked = lock(&shared.proposals)[host].pop();
         if let Some((id, text)) = asked {
             let (node, judge) = (Arc::clone(&node), shared.judge.clone());
             tokio::spawn(async move {
-                let after = node.standing().0;
+                let after = node.status().0;
                 let said = node.propose(&id, after, &text, Duration::from_millis(800)).await;
                 judge.log(format!("{} n{host}: {id}: {said:?}", now()));
             });
@@ -244,14 +255,14 @@
         {
             // As the exchange does: whether it is admitted is looked at with what is in force locked.
             let in_force = lock(&app.in_force);
-            let admitted = permit.admits(*in_force, tokio::time::Instant::now()) == Admission::Yes;
+            let admitted = permit.admission(*in_force, tokio::time::Instant::now()) == Admission::Admit;
             shared.judge.asked(Admitted { host, at: now(), version: *in_force }, admitted);
         }
-        let (version, _, state, open) = node.standing();
-        shared.judge.stands(host, version, state == State::Steady, open);
+        let (version, _, state, open) = node.status();
+        shared.judge.stands(host, version, state == ConsensusStatus::Steady, open);
         for id in shared.judge.unknown() {
             // Only what a door tells by itself: what is asked of others takes a while.
-            if let Some(outcome) = node.ended(&id) {
+            if let Some(outcome) = node.change_outcome(&id) {
                 shared.judge.ended(&id, outcome);
             }
         }
--- a/crates/simulation/src/policy_consensus/judge.rs
+++ b/crates/simulation/src/policy_consensus/judge.rs
@@ -59,9 +59,9 @@
 
 /// All that was seen.
 #[derive(Clone, Default)]
-pub struct Judge(Arc<Mutex<Seen>>);
+pub struct RunChecker(Arc<Mutex<Seen>>);
 
-impl Judge {
+impl RunChecker {
     pub fn log(&self, line: String) {
         lock(&self.0).log.push(line);
     }
@@ -125,7 +125,7 @@
             verdict,
             outcomes: [
                 count(Outcome::Taken),
-                count(Outcome::Refused),
+                count(Outcome::Rejected),
                 count(Outcome::Abandoned),
                 unknown as u32,
             ],
--- a/crates/simulation/src/policy_consensus/mod.rs
+++ b/crates/simulation/src/policy_consensus/mod.rs
@@ -9,7 +9,7 @@
 pub use judge::{Admitted, Verdict};
 pub use plan::{Fault, Plan};
 
-use host::World;
+use host::SimulatedFleet;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::time::Duration;
@@ -41,7 +41,7 @@
 
 /// Plays a plan.
 pub fn play(plan: Plan) -> Run {
-    let world = World::new(&plan);
+    let world = SimulatedFleet::new(&plan);
     let mut builder = turmoil::Builder::new();
     builder
         .simulation_duration(Duration::from_millis(plan.ends + 10_000))
--- a/crates/simulation/src/policy_consensus/net.rs
+++ b/crates/simulation/src/policy_consensus/net.rs
@@ -1,14 +1,14 @@
 //! The simulated network.
 
-use pinetrail_peer_transport::Net;
+use pinetrail_peer_transport::Network;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use turmoil::net::{TcpListener, TcpStream};
 
 #[derive(Clone, Copy, Debug)]
-pub struct Simulated;
+pub struct SimulatedNetwork;
 
-impl Net for Simulated {
+impl Network for SimulatedNetwork {
     type Stream = TcpStream;
     type Listener = TcpListener;
 
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -2,7 +2,7 @@
 //! and an eye on what they use together.
 
 use crate::network::Network;
-use pinetrail_quota::{Message, News, Output, Part, Process, Settings, Shares, Time};
+use pinetrail_quota::{Message, Output, Parts, Process, QuotaEvent, QuotaLeases, Settings, Time};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -37,16 +37,16 @@
 }
 
 struct Host {
-    shares: Option<Shares>,
+    shares: Option<QuotaLeases>,
     stopped: bool,
     inbox: Vec<Message>,
     clock: Clock,
     starts: u64,
     wake: u64,
     /// What it used last.
-    share: Part,
+    share: Parts,
     /// Calls that began under what it used before, and until when they may run.
-    calls: Vec<(Part, Time)>,
+    calls: Vec<(Parts, Time)>,
 }
 
 enum Event {
@@ -67,9 +67,9 @@
     /// Random numbers, for the network and for who plays with it.
     pub rng: StdRng,
     /// What was heard, when and by whom.
-    pub heard: Vec<(Time, usize, News)>,
+    pub heard: Vec<(Time, usize, QuotaEvent)>,
     /// The most that all used together, with what calls of before still use.
-    pub most: Part,
+    pub most: Parts,
     /// The most that took themselves for stewards at once.
     pub stewards: usize,
     /// Messages carried.
@@ -96,7 +96,7 @@
             calls: Vec::new(),
         };
         Sharing {
-            settings: Settings::usual((0..founders).map(place).collect(), size),
+            settings: Settings::with_defaults((0..founders).map(place).collect(), size),
             network: Network::default(),
             hosts: (0..hosts).map(host).collect(),
             now: 0,
@@ -122,7 +122,7 @@
 
     /// The process that runs on a host.
     pub fn process(&self, host: usize) -> Process {
-        Process { place: place(host), start: self.hosts[host].starts }
+        Process { address: place(host), start: self.hosts[host].starts }
     }
 
     /// Starts a process on a host.
@@ -134,7 +134,7 @@
         let clock = &mut self.hosts[host].clock;
         *clock = Clock { from, since: self.now, ..*clock };
         let (me, now) = (self.process(host), self.hosts[host].clock.at(self.now));
-        let shares = Shares::new(self.settings.clone(), me, now).expect("settings that can be");
+        let shares = QuotaLeases::new(self.settings.clone(), me, now).expect("settings that can be");
         self.hosts[host].shares = Some(shares);
         self.act(host, |_, _, _| {});
     }
@@ -152,7 +152,7 @@
 
     /// Asks the process on a host to end: it is killed later.
     pub fn leave(&mut self, host: usize) {
-        self.hosts[host].shares.iter_mut().for_each(Shares::leave);
+        self.hosts[host].shares.iter_mut().for_each(QuotaLeases::leave);
     }
 
     /// Stops the process on a host.
@@ -163,9 +163,9 @@
     /// Has it go on: what is due comes before what has come.
     pub fn go_on(&mut self, host: usize) {
         self.hosts[host].stopped = false;
-        self.act(host, |shares, now, out| shares.due(now, out));
+        self.act(host, |shares, now, out| shares.handle_timeout(now, out));
         for message in std::mem::take(&mut self.hosts[host].inbox) {
-            self.act(host, |shares, now, out| shares.hear(now, &message, out));
+            self.act(host, |shares, now, out| shares.handle_message(now, &message, out));
         }
     }
 
@@ -180,20 +180,20 @@
     }
 
     /// The shares of a host, and its time.
-    pub fn at(&self, host: usize) -> Option<(&Shares, Time)> {
+    pub fn at(&self, host: usize) -> Option<(&QuotaLeases, Time)> {
         let this = &self.hosts[host];
         this.shares.as_ref().map(|shares| (shares, this.clock.at(self.now)))
     }
 
     /// What a host may use now.
-    pub fn share(&self, host: usize) -> Part {
+    pub fn share(&self, host: usize) -> Parts {
         self.at(host).map_or(0, |(shares, now)| shares.share(now))
     }
 
     /// Tells a host who is there.
     pub fn know(&mut self, host: usize, alive: Vec<Process>) {
         if let Some(shares) = &mut self.hosts[host].shares {
-            shares.know(alive);
+            shares.set_live_processes(alive);
         }
     }
 
@@ -213,11 +213,11 @@
             match event {
                 Event::Message(to, message) if self.hosts[to].stopped => self.hosts[to].inbox.push(message),
                 Event::Message(to, message) => {
-                    self.act(to, |shares, now, out| shares.hear(now, &message, out));
+                    self.act(to, |shares, now, out| shares.handle_message(now, &message, out));
                 }
                 Event::Wake(host, number) => {
                     if self.hosts[host].wake == number && !self.hosts[host].stopped {
-                        self.act(host, |shares, now, out| shares.due(now, out));
+                        self.act(host, |shares, now, out| shares.handle_timeout(now, out));
                     }
                 }
             }
@@ -226,19 +226,19 @@
         self.now = end;
     }
 
-    fn act(&mut self, host: usize, act: impl FnOnce(&mut Shares, Time, &mut Vec<Output>)) {
+    fn act(&mut self, host: usize, act: impl FnOnce(&mut QuotaLeases, Time, &mut Vec<Output>)) {
         let this = &mut self.hosts[host];
         let shown = this.clock.at(self.now);
         let Some(shares) = this.shares.as_mut() else { return };
         let mut out = Vec::new();
         act(shares, shown, &mut out);
-        let due = this.clock.when(shares.next_due()).max(self.now + 1);
+        let due = this.clock.when(shares.next_timeout()).max(self.now + 1);
         self.count += 1;
         this.wake = self.count;
         self.queue.insert((due, self.count), Event::Wake(host, self.count));
         for output in out {
             match output {
-                Output::News(news) => self.heard.push((self.now, host, news)),
+                Output::QuotaEvent(news) => self.heard.push((self.now, host, news)),
                 Output::Send(to, message) => {
                     let to = (0..self.hosts.len()).find(|host| place(*host) == to).expect("a host");
                     self.messages += 1;
@@ -263,7 +263,7 @@
                 host.calls.push((host.share, now + calls));
             }
             host.share = share;
-            let serves = |shares: &Shares| shares.is_steward(host.clock.at(now));
+            let serves = |shares: &QuotaLeases| shares.is_leader(host.clock.at(now));
             stewards += usize::from(host.shares.as_ref().is_some_and(serves));
             host.calls.retain(|(_, until)| now < *until);
             in_use += host.calls.iter().map(|(part, _)| *part).chain([share]).max().unwrap_or(0);
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -1,7 +1,7 @@
 //! Shares under faults drawn from a seed, and what must hold of them.
 
 use crate::quota::{Clock, Sharing};
-use pinetrail_quota::{Process, LEASED, WHOLE};
+use pinetrail_quota::{Process, LEASED_PARTS, WHOLE_PARTS};
 use rand::RngExt;
 
 const HOSTS: usize = 5;
@@ -65,9 +65,9 @@
                 sharing.go_on(host);
             }
         }
-        if sharing.most > WHOLE || sharing.stewards > 1 {
+        if sharing.most > WHOLE_PARTS || sharing.stewards > 1 {
             let (most, stewards, now) = (sharing.most, sharing.stewards, sharing.now());
-            return Err(format!("{most} of {WHOLE} in use, {stewards} stewards at {now} ms"));
+            return Err(format!("{most} of {WHOLE_PARTS} in use, {stewards} stewards at {now} ms"));
         }
     }
     sharing.network.heal();
@@ -80,10 +80,10 @@
     }
     sharing.know_all();
     sharing.run(40_000);
-    let due = LEASED / HOSTS as u64;
+    let due = LEASED_PARTS / HOSTS as u64;
     let leases: Vec<u64> =
         (0..HOSTS).map(|host| sharing.at(host).map_or(0, |(shares, now)| shares.lease().at(now))).collect();
-    match leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE {
+    match leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE_PARTS {
         true => Ok(()),
         false => {
             Err(format!("in the end {leases:?} instead of {due} for each; most in use {}", sharing.most))
--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -11,32 +11,32 @@
 const FILLS_WITHIN: Duration = Duration::from_millis(100);
 
 /// A listening socket that lets connections in one at a time.
-pub struct Turnstile {
+pub struct AcceptBarrier {
     pub place: SocketAddr,
     listener: TcpListener,
     fillers: Vec<TcpStream>,
 }
 
 /// Who came in.
-pub struct Caller {
+pub struct AcceptedConnection {
     reader: BufReader<TcpStream>,
 }
 
-impl Default for Turnstile {
+impl Default for AcceptBarrier {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Turnstile {
+impl AcceptBarrier {
     /// One that is open, with room for a single connection to wait.
-    pub fn new() -> Turnstile {
+    pub fn new() -> AcceptBarrier {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
         socket.listen(0).unwrap();
         let listener: TcpListener = socket.into();
         listener.set_nonblocking(true).unwrap();
-        Turnstile { place: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
+        AcceptBarrier { place: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
     }
 
     /// From now on no connection comes up: the queue is full. Who tries meanwhile tries again about every second.
@@ -53,19 +53,19 @@
     }
 
     /// The next that comes in, if one does in time.
-    pub fn accept(&self) -> Option<Caller> {
+    pub fn accept(&self) -> Option<AcceptedConnection> {
         self.accept_within(WAIT)
     }
 
     /// The same within a time.
-    pub fn accept_within(&self, time: Duration) -> Option<Caller> {
+    pub fn accept_within(&self, time: Duration) -> Option<AcceptedConnection> {
         let until = Instant::now() + time;
         while Instant::now() < until {
             match self.listener.accept() {
                 Ok((stream, _)) => {
                     stream.set_nonblocking(false).unwrap();
                     stream.set_read_timeout(Some(WAIT)).unwrap();
-                    return Some(Caller { reader: BufReader::new(stream) });
+                    return Some(AcceptedConnection { reader: BufReader::new(stream) });
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     std::thread::sleep(Duration::from_millis(2));
@@ -85,7 +85,7 @@
     }
 }
 
-impl Caller {
+impl AcceptedConnection {
     /// The next command, or head and body where `http`; none at the end.
     pub fn request(&mut self, http: bool) -> Option<String> {
         request(&mut self.reader, http)
--- a/crates/test-harness/src/client.rs
+++ b/crates/test-harness/src/client.rs
@@ -1,6 +1,6 @@
 //! Who talks to a proxy: consumers, and operators at the door.
 
-use crate::recorder::Witness;
+use crate::recorder::Recorder;
 use crate::WAIT;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -11,20 +11,20 @@
 const GONE: [ErrorKind; 2] = [ErrorKind::ConnectionReset, ErrorKind::WouldBlock];
 
 /// A consumer's connection.
-pub struct Client(BufReader<TcpStream>, Witness);
+pub struct Client(BufReader<TcpStream>, Recorder);
 
 impl Client {
     pub fn to(place: SocketAddr) -> Client {
         let stream = TcpStream::connect(place).unwrap();
         stream.set_read_timeout(Some(WAIT)).unwrap();
-        Client(BufReader::new(stream), Witness::own())
+        Client(BufReader::new(stream), Recorder::own())
     }
 
     /// The same where nobody may listen, or nobody answer within a second.
     pub fn try_to(place: SocketAddr) -> Option<Client> {
         let stream = TcpStream::connect(place).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        Some(Client(BufReader::new(stream), Witness::own()))
+        Some(Client(BufReader::new(stream), Recorder::own()))
     }
 
     pub fn say(&mut self, words: &str) {
@@ -88,30 +88,30 @@
     }
 
     fn invoke(&mut self, command: &str) -> (String, String) {
-        self.1.asked(command);
+        self.1.record_request(command);
         let line = self.ask(command);
         let value = if line.starts_with("VA ") { self.line() } else { String::new() };
-        self.1.answered(command, &line, &value);
+        self.1.record_response(command, &line, &value);
         (line, value)
     }
 
     /// Asks for a key and leaves after a time, with no answer.
     pub fn ask_and_leave(mut self, key: &str, id: &str, after: Duration) {
         let command = format!("mg {key} v O{id} Pc=read,t=acme,d=2000\r\n");
-        self.1.asked(&command);
+        self.1.record_request(&command);
         self.say(&command);
         thread::sleep(after);
-        self.1.left(&command);
+        self.1.record_client_gone(&command);
     }
 }
 
 /// One call at the operators' door: its status and its text.
 pub fn call(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
-    say_to_door(door, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
+    send_to_admin(door, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
 }
 
 /// What the door answers to these bytes.
-pub fn say_to_door(door: SocketAddr, words: &str) -> (u16, String) {
+pub fn send_to_admin(door: SocketAddr, words: &str) -> (u16, String) {
     let mut client = Client::to(door);
     client.say(words);
     let status = client.line().split(' ').nth(1).map_or(0, |status| status.parse().unwrap());
--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for discovery.
 
+use crate::recorder::Recorder;
 use crate::stub_server::request;
-use crate::recorder::Witness;
 use crate::WAIT;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -29,7 +29,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let place = listener.local_addr().unwrap();
         let (ask, asked) = channel();
-        let witness = Witness::own();
+        let witness = Recorder::own();
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (mut stream, ask, witness) = (stream.unwrap(), ask.clone(), witness.clone());
@@ -39,7 +39,7 @@
                     ask.send((head.lines().next().unwrap().to_owned(), tell)).unwrap_or(());
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap_or(());
                     for line in told {
-                        witness.told(&line);
+                        witness.record_endpoint_list(&line);
                         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
                         stream.write_all(chunk.as_bytes()).unwrap_or(());
                     }
@@ -61,7 +61,7 @@
 }
 
 /// Discovery that tells every watch the whole list at once, and again when it changes.
-pub struct Steady {
+pub struct StaticDiscovery {
     /// Where it is.
     pub place: SocketAddr,
     state: Arc<(Mutex<Told>, Condvar)>,
@@ -76,9 +76,9 @@
 /// A watch hears something so often, if only an empty line.
 const BEAT: Duration = Duration::from_millis(500);
 
-impl Steady {
+impl StaticDiscovery {
     /// Discovery with this list.
-    pub fn new(list: String) -> Steady {
+    pub fn new(list: String) -> StaticDiscovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let place = listener.local_addr().unwrap();
         let state = Arc::new((Mutex::new(Told { list, version: 1, down: false }), Condvar::new()));
@@ -86,10 +86,10 @@
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (stream, state) = (stream.unwrap(), Arc::clone(&serving));
-                thread::spawn(move || drop(Steady::watch(stream, &state)));
+                thread::spawn(move || drop(StaticDiscovery::watch(stream, &state)));
             }
         });
-        Steady { place, state }
+        StaticDiscovery { place, state }
     }
 
     /// Another list.
--- a/crates/test-harness/src/fault_proxy.rs
+++ b/crates/test-harness/src/fault_proxy.rs
@@ -13,7 +13,7 @@
 
 /// What happens on one way.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Way {
+pub struct PathFaults {
     /// Nothing passes.
     pub cut: bool,
     /// The share that is lost.
@@ -28,7 +28,8 @@
     pub throttle: Option<u64>,
 }
 
-const WHOLE: Way = Way { cut: false, loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (0, 0), throttle: None };
+const WHOLE: PathFaults =
+    PathFaults { cut: false, loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (0, 0), throttle: None };
 
 /// How many datagrams a way has carried and swallowed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,7 +42,7 @@
 
 struct State {
     real: Vec<SocketAddr>,
-    ways: BTreeMap<(usize, usize), Way>,
+    ways: BTreeMap<(usize, usize), PathFaults>,
     carried: BTreeMap<(usize, usize), Carried>,
     rng: StdRng,
     /// What is under way: when it arrives, in the order of sending.
@@ -57,16 +58,16 @@
 }
 
 /// The relays of one fleet.
-pub struct Relays {
+pub struct FaultProxies {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
 }
 
 const LOOK: Duration = Duration::from_millis(20);
 
-impl Relays {
+impl FaultProxies {
     /// Relays at these addresses, for members whose own sockets are at those.
-    pub fn new(at: &[SocketAddr], real: &[SocketAddr], seed: u64) -> Relays {
+    pub fn new(at: &[SocketAddr], real: &[SocketAddr], seed: u64) -> FaultProxies {
         let open = |at: &SocketAddr| {
             let hub = UdpSocket::bind(at).expect("the relay's address is free");
             hub.set_read_timeout(Some(LOOK)).unwrap();
@@ -95,7 +96,7 @@
             .collect();
         let delivering = Arc::clone(&shared);
         threads.push(thread::spawn(move || delivering.deliver()));
-        Relays { shared, threads }
+        FaultProxies { shared, threads }
     }
 
     /// A member's socket is somewhere else now.
@@ -104,19 +105,19 @@
     }
 
     /// Changes a way.
-    pub fn way(&self, from: usize, to: usize, change: impl FnOnce(&mut Way)) {
+    pub fn way(&self, from: usize, to: usize, change: impl FnOnce(&mut PathFaults)) {
         change(self.shared.state.lock().unwrap().ways.entry((from, to)).or_insert(WHOLE));
     }
 
     /// Changes every way.
-    pub fn all(&self, change: impl Fn(&mut Way)) {
+    pub fn all(&self, change: impl Fn(&mut PathFaults)) {
         let members = self.shared.hubs.len();
         (0..members).for_each(|from| (0..members).for_each(|to| self.way(from, to, &change)));
     }
 
     /// How ways are, for connections that take them too.
-    pub(crate) fn look(&self) -> Look {
-        Look(Arc::clone(&self.shared))
+    pub(crate) fn look(&self) -> PathView {
+        PathView(Arc::clone(&self.shared))
     }
 
     /// What a way has carried.
@@ -127,11 +128,11 @@
 
 /// Looks at ways.
 #[derive(Clone)]
-pub(crate) struct Look(Arc<Shared>);
+pub(crate) struct PathView(Arc<Shared>);
 
-impl Look {
+impl PathView {
     /// How a way is now.
-    pub fn way(&self, from: usize, to: usize) -> Way {
+    pub fn way(&self, from: usize, to: usize) -> PathFaults {
         self.0.state.lock().unwrap().ways.get(&(from, to)).copied().unwrap_or(WHOLE)
     }
 
@@ -141,7 +142,7 @@
     }
 }
 
-impl Drop for Relays {
+impl Drop for FaultProxies {
     fn drop(&mut self) {
         self.shared.stop.store(true, Ordering::Release);
         self.shared.due.notify_all();
--- a/crates/test-harness/src/fleet.rs
+++ b/crates/test-harness/src/fleet.rs
@@ -2,13 +2,13 @@
 
 use crate::client::{call, Client};
 use crate::config::config;
-use crate::discovery::{catalog, Steady};
-use crate::peer_fault_proxy::LinkRelays;
-use crate::stub_server::Party;
+use crate::discovery::{catalog, StaticDiscovery};
+use crate::fault_proxy::FaultProxies;
+use crate::peer_fault_proxy::PeerFaultProxies;
 use crate::process::{signal, start_in, written};
-use crate::fault_proxy::Relays;
 use crate::script::{Fault, Script};
-use crate::streams::Stream;
+use crate::streams::StreamFaultProxy;
+use crate::stub_server::StubServer;
 use crate::{Timeline, WAIT};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -143,12 +143,12 @@
 }
 
 /// A process that may not be ready yet.
-pub struct Begun {
+pub struct StartingProcess {
     child: Option<Child>,
     lines: Receiver<String>,
 }
 
-impl Drop for Begun {
+impl Drop for StartingProcess {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
             // It may have ended by itself.
@@ -166,17 +166,17 @@
     places: Vec<Option<SocketAddr>>,
     configs: Vec<PathBuf>,
     /// The relays between the members.
-    pub relays: Relays,
+    pub relays: FaultProxies,
     /// The relays of their links.
-    pub links: LinkRelays,
+    pub links: PeerFaultProxies,
     /// The relays from each member to each cache node, the origin and discovery, in this order.
-    pub streams: Vec<Vec<Stream>>,
+    pub streams: Vec<Vec<StreamFaultProxy>>,
     /// The cache nodes.
-    pub nodes: Vec<Party>,
+    pub nodes: Vec<StubServer>,
     /// The origin.
-    pub origin: Party,
+    pub origin: StubServer,
     /// Discovery.
-    pub discovery: Steady,
+    pub discovery: StaticDiscovery,
     /// What happened.
     pub timeline: Timeline,
     tmp: PathBuf,
@@ -185,7 +185,7 @@
 
 impl Fleet {
     /// A fleet of which nothing runs yet.
-    pub fn new(options: Options, nodes: Vec<Party>, origin: Party) -> Fleet {
+    pub fn new(options: Options, nodes: Vec<StubServer>, origin: StubServer) -> Fleet {
         let permit = Permit::take();
         let number = FLEETS.fetch_add(1, Ordering::SeqCst);
         // Addresses that no other run has: ports of one address could be taken between a death and a restart.
@@ -193,20 +193,21 @@
         let base = [(mixed >> 8) as u8 | 0x40, mixed as u8];
         let at = |last: usize| SocketAddr::from(([127, base[0], base[1], last as u8], PORT));
         let (hubs, real): (Vec<_>, Vec<_>) = (0..options.members).map(|n| (at(101 + n), at(1 + n))).unzip();
-        let relays = Relays::new(&hubs, &real, options.seed);
+        let relays = FaultProxies::new(&hubs, &real, options.seed);
         let on_links = |all: &[SocketAddr]| -> Vec<SocketAddr> {
             all.iter().map(|place| SocketAddr::new(place.ip(), LINK_PORT)).collect()
         };
         let linked = if options.policy { (on_links(&hubs), on_links(&real)) } else { Default::default() };
-        let links = LinkRelays::new(&linked.0, &linked.1, &relays.look());
-        let entry = |n: usize, party: &Party| party.entry(&format!("s-{n}"), "c6", "ready");
+        let links = PeerFaultProxies::new(&linked.0, &linked.1, &relays.look());
+        let entry = |n: usize, party: &StubServer| party.entry(&format!("s-{n}"), "c6", "ready");
         let mut entries: Vec<String> = nodes.iter().enumerate().map(|(n, party)| entry(n, party)).collect();
         entries.push(origin.entry("o", "origin", "ready"));
-        let discovery = Steady::new(catalog(1, true, &entries));
+        let discovery = StaticDiscovery::new(catalog(1, true, &entries));
         let targets: Vec<SocketAddr> =
             nodes.iter().chain([&origin]).map(|party| party.place).chain([discovery.place]).collect();
-        let streams =
-            (0..options.members).map(|_| targets.iter().map(|to| Stream::to(*to)).collect()).collect();
+        let streams = (0..options.members)
+            .map(|_| targets.iter().map(|to| StreamFaultProxy::to(*to)).collect())
+            .collect();
         let tmp = std::env::temp_dir().join(format!("pinetrail-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&tmp).unwrap();
         let members = options.members;
@@ -231,7 +232,7 @@
     }
 
     /// A fleet whose members all run, with these cache nodes.
-    pub fn start_all(options: Options, nodes: Vec<Party>, origin: Party) -> Fleet {
+    pub fn start_all(options: Options, nodes: Vec<StubServer>, origin: StubServer) -> Fleet {
         let mut fleet = Fleet::new(options, nodes, origin);
         let all: Vec<usize> = (0..fleet.options.members).collect();
         match fleet.options.policy {
@@ -259,7 +260,7 @@
 
     /// The configuration of a member that asks these.
     pub fn config(&self, member: usize, peers: &[usize]) -> Value {
-        let relayed = |party: &Party, name: &str, kind: &str, nth: usize| {
+        let relayed = |party: &StubServer, name: &str, kind: &str, nth: usize| {
             let entry = party.entry(name, kind, "ready");
             entry.replace(&party.place.to_string(), &self.streams[member][nth].place.to_string())
         };
@@ -340,7 +341,7 @@
 
     /// Starts members that are not ready before the others run.
     pub fn start_together(&mut self, members: &[usize]) {
-        let begun: Vec<(usize, Begun)> =
+        let begun: Vec<(usize, StartingProcess)> =
             members.iter().map(|member| (*member, self.begin(*member))).collect();
         for (member, begun) in begun {
             self.timeline.note("rig", &format!("start {member}"));
@@ -355,10 +356,10 @@
     }
 
     /// Starts a process of a member, which need not get ready; it is given what it says.
-    pub fn begin(&self, member: usize) -> Begun {
+    pub fn begin(&self, member: usize) -> StartingProcess {
         let mut child = start_in(&self.configs[member], &self.tmp);
         let lines = self.follow(&mut child, member);
-        Begun { child: Some(child), lines }
+        StartingProcess { child: Some(child), lines }
     }
 
     /// Starts a process on the configuration of a member; it is ready when this returns.
@@ -368,7 +369,7 @@
     }
 
     /// Waits until a process is ready.
-    pub fn ready(&self, member: usize, mut begun: Begun) -> Process {
+    pub fn ready(&self, member: usize, mut begun: StartingProcess) -> Process {
         let child = begun.child.take().expect("it is waited for once");
         let lines = &begun.lines;
         let mut process = Process { child, place: self.hub(member), door: self.hub(member), ended: false };
--- a/crates/test-harness/src/peer_fault_proxy.rs
+++ b/crates/test-harness/src/peer_fault_proxy.rs
@@ -1,7 +1,7 @@
 //! Relays for connections between the members of a fleet, on the same ways as their datagrams: by the sender's own address
 //! it is known whose way a connection takes.
 
-use crate::fault_proxy::Look;
+use crate::fault_proxy::PathView;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -13,13 +13,13 @@
 const PIECE: usize = 256;
 
 /// The relays of one fleet's links.
-pub struct LinkRelays {
+pub struct PeerFaultProxies {
     open: Arc<Mutex<Vec<(usize, usize, TcpStream)>>>,
 }
 
-impl LinkRelays {
+impl PeerFaultProxies {
     /// Relays at these addresses, for members that listen at those.
-    pub(crate) fn new(at: &[SocketAddr], real: &[SocketAddr], look: &Look) -> LinkRelays {
+    pub(crate) fn new(at: &[SocketAddr], real: &[SocketAddr], look: &PathView) -> PeerFaultProxies {
         let open: Arc<Mutex<Vec<_>>> = Arc::default();
         for (to, place) in at.iter().enumerate() {
             let listener = TcpListener::bind(place).expect("the relay's address is free");
@@ -42,7 +42,7 @@
                 }
             });
         }
-        LinkRelays { open }
+        PeerFaultProxies { open }
     }
 
     /// Breaks all that is open between two members.
@@ -62,7 +62,7 @@
     near: TcpStream,
     (from, to): (usize, usize),
     target: SocketAddr,
-    look: &Look,
+    look: &PathView,
     open: &Mutex<Vec<(usize, usize, TcpStream)>>,
 ) {
     near.set_nonblocking(false).unwrap();
@@ -81,7 +81,7 @@
     carry(far, near, (to, from), look);
 }
 
-fn carry(mut from: TcpStream, mut to: TcpStream, (a, b): (usize, usize), look: &Look) {
+fn carry(mut from: TcpStream, mut to: TcpStream, (a, b): (usize, usize), look: &PathView) {
     let mut room = vec![0; 16 * 1024];
     loop {
         let throttled = look.way(a, b).throttle.is_some();
--- a/crates/test-harness/src/policy.rs
+++ b/crates/test-harness/src/policy.rs
@@ -3,10 +3,10 @@
 //! Two policies take turns: the class `read` of one is called `scan` by the other. So an odd version serves `read` and knows no
 //! `scan`, and an even one the other way round.
 
-use crate::client::{call, say_to_door, Client};
+use crate::client::{call, send_to_admin, Client};
 use crate::fleet::Fleet;
 use crate::script::Script;
-use pinetrail_history_checker::{judge_policies, Decided};
+use pinetrail_history_checker::{check_policies, PolicyDecision};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -32,7 +32,7 @@
         "POST /control/policy HTTP/1.1\r\nHost: door\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    let (status, text) = say_to_door(door, &words);
+    let (status, text) = send_to_admin(door, &words);
     (status, serde_json::from_str(&text).unwrap_or(Value::Null))
 }
 
@@ -59,18 +59,18 @@
 }
 
 /// Clients that ask members all the time, and remember what they were answered.
-pub struct Watch {
-    seen: Arc<Mutex<Vec<Decided>>>,
+pub struct PolicyClients {
+    seen: Arc<Mutex<Vec<PolicyDecision>>>,
     refused: Arc<AtomicU64>,
     over: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
 
-impl Watch {
+impl PolicyClients {
     /// Two clients for each of these places.
-    pub fn of(places: &[(String, SocketAddr)]) -> Watch {
+    pub fn of(places: &[(String, SocketAddr)]) -> PolicyClients {
         let (seen, refused, over) = (Arc::default(), Arc::default(), Arc::default());
-        let mut watch = Watch { seen, refused, over, threads: Vec::new() };
+        let mut watch = PolicyClients { seen, refused, over, threads: Vec::new() };
         for (name, place) in places.iter().flat_map(|place| [place, place]) {
             let (name, place) = (name.clone(), *place);
             let (seen, refused, over) =
@@ -95,11 +95,11 @@
     }
 
     /// Clients of all members that run.
-    pub fn all(fleet: &Fleet) -> Watch {
+    pub fn all(fleet: &Fleet) -> PolicyClients {
         let running = (0..fleet.options.members).filter(|member| fleet.runs(*member));
         let places: Vec<_> =
             running.map(|member| (Fleet::name(member), fleet.process(member).place)).collect();
-        Watch::of(&places)
+        PolicyClients::of(&places)
     }
 
     /// How many requests were refused so far.
@@ -114,7 +114,7 @@
     }
 
     /// Ends them; what they saw.
-    pub fn ended(mut self) -> Vec<Decided> {
+    pub fn ended(mut self) -> Vec<PolicyDecision> {
         self.over.store(true, Ordering::Release);
         self.threads.drain(..).for_each(|thread| thread.join().expect("a client does not panic"));
         std::mem::take(&mut *self.seen.lock().unwrap())
@@ -123,14 +123,14 @@
     /// Ends them, and judges what they saw: all of it, and how many requests each version decided.
     pub fn judged(self) -> Vec<(u64, usize)> {
         let seen = self.ended();
-        let breaches = judge_policies(&seen, 0.0).expect("something was decided");
+        let breaches = check_policies(&seen, 0.0).expect("something was decided");
         assert!(breaches.is_empty(), "{} breaches; the first: {}", breaches.len(), breaches[0]);
         let count = |version| seen.iter().filter(|one| one.version == version).count();
         [1, 2, 3].map(|version| (version, count(version))).to_vec()
     }
 }
 
-impl Drop for Watch {
+impl Drop for PolicyClients {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Release);
     }
@@ -144,7 +144,7 @@
 
 /// Asks once; none if the connection is over, none within if it was refused. Versions are told apart by being odd or even: the first
 /// two are what a history holds.
-fn ask_once(client: &mut Client, proxy: &str) -> Option<Option<Decided>> {
+fn ask_once(client: &mut Client, proxy: &str) -> Option<Option<PolicyDecision>> {
     let number = ASKED.fetch_add(1, Ordering::AcqRel);
     let class = if number.is_multiple_of(2) { "read" } else { "scan" };
     let sent = now();
@@ -164,12 +164,12 @@
         return Some(None);
     }
     let version = if served == (class == "read") { 1 } else { 2 };
-    Some(Some(Decided { sent, answered, version, proxy: proxy.to_owned() }))
+    Some(Some(PolicyDecision { sent, answered, version, proxy: proxy.to_owned() }))
 }
 
 /// What real processes showed under the faults of a seed.
 #[derive(Clone, Debug)]
-pub struct Played {
+pub struct PolicyRun {
     /// The seed.
     pub seed: u64,
     /// How many pairs of requests show that there was no one moment.
@@ -184,17 +184,17 @@
     pub version: u64,
 }
 
-fn played(seed: u64, watch: Watch, version: u64) -> Played {
+fn played(seed: u64, watch: PolicyClients, version: u64) -> PolicyRun {
     let refused = watch.refused();
     let seen = watch.ended();
-    let breaches = judge_policies(&seen, 0.0).map_or(usize::MAX, |breaches| breaches.len());
+    let breaches = check_policies(&seen, 0.0).map_or(usize::MAX, |breaches| breaches.len());
     let first = seen.iter().filter(|one| one.version == 2).map(|one| one.answered).fold(f64::MAX, f64::min);
     let last = seen.iter().filter(|one| one.version == 1).map(|one| one.sent).fold(0.0, f64::max);
-    Played { seed, breaches, overlap_ms: (last - first).max(0.0), decided: seen.len(), refused, version }
+    PolicyRun { seed, breaches, overlap_ms: (last - first).max(0.0), decided: seen.len(), refused, version }
 }
 
 /// A change is proposed while faults of a seed happen to a fleet that has one policy; then all must agree.
-pub fn play_seed(mut fleet: Fleet, seed: u64) -> Played {
+pub fn play_seed(mut fleet: Fleet, seed: u64) -> PolicyRun {
     let members = fleet.options.members;
     let all: Vec<usize> = (0..members).collect();
     let agree = |fleet: &Fleet| {
@@ -202,7 +202,7 @@
         first.1 == "steady" && all.iter().all(|member| standing(fleet, *member) == first)
     };
     fleet.until("all have the first version", agree);
-    let watch = Watch::all(&fleet);
+    let watch = PolicyClients::all(&fleet);
     let script = Script::from_seed(seed, members, 4, 4800);
     let at = Duration::from_millis(200 + seed * 379 % 4000);
     let doors: Vec<SocketAddr> = all.iter().map(|member| fleet.process(*member).door).collect();
@@ -220,8 +220,8 @@
 }
 
 /// The same change by SIGHUP at each proxy in turn, in a fleet without a common policy.
-pub fn play_hangups(mut fleet: Fleet, between: Duration) -> Played {
-    let watch = Watch::all(&fleet);
+pub fn play_hangups(mut fleet: Fleet, between: Duration) -> PolicyRun {
+    let watch = PolicyClients::all(&fleet);
     thread::sleep(Duration::from_millis(200));
     let next = settings(&fleet, 2);
     for member in 0..fleet.options.members {
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -3,9 +3,9 @@
 use crate::client::Client;
 use crate::config::config;
 use crate::discovery::{catalog, Discovery};
-use crate::stub_server::Party;
 use crate::process::{end, signal, start_in, started, written};
-use crate::recorder::Witness;
+use crate::recorder::Recorder;
+use crate::stub_server::StubServer;
 use crate::{call, WAIT};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// A running proxy and discovery.
-pub struct Scene {
+pub struct ProxyFixture {
     pub discovery: Discovery,
     pub place: SocketAddr,
     /// The operators' door.
@@ -25,36 +25,36 @@
     tmp: PathBuf,
 }
 
-impl Scene {
+impl ProxyFixture {
     /// A proxy whose cached list has these entries; it has answered `mn`.
-    pub fn new(entries: &[String]) -> Scene {
-        Scene::with_sockets(entries, 256)
+    pub fn new(entries: &[String]) -> ProxyFixture {
+        ProxyFixture::with_sockets(entries, 256)
     }
 
-    pub fn with_sockets(entries: &[String], sockets: usize) -> Scene {
-        Scene::with_limits(entries, sockets, 192)
+    pub fn with_sockets(entries: &[String], sockets: usize) -> ProxyFixture {
+        ProxyFixture::with_limits(entries, sockets, 192)
     }
 
-    pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> Scene {
-        Scene::made(entries, sockets, memory_mb, &[])
+    pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> ProxyFixture {
+        ProxyFixture::made(entries, sockets, memory_mb, &[])
     }
 
     /// A proxy whose configuration has some text replaced.
-    pub fn with(entries: &[String], from: &str, to: &str) -> Scene {
-        Scene::with_all(entries, &[(from, to)])
+    pub fn with(entries: &[String], from: &str, to: &str) -> ProxyFixture {
+        ProxyFixture::with_all(entries, &[(from, to)])
     }
 
     /// The same for several texts.
-    pub fn with_all(entries: &[String], changes: &[(&str, &str)]) -> Scene {
-        Scene::made(entries, 256, 192, changes)
+    pub fn with_all(entries: &[String], changes: &[(&str, &str)]) -> ProxyFixture {
+        ProxyFixture::made(entries, 256, 192, changes)
     }
 
-    fn made(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> Scene {
+    fn made(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> ProxyFixture {
         let discovery = Discovery::new();
         let mut entries = entries.to_vec();
         // A list without the origin is none; where a test has none of its own, nobody answers for it.
         if !entries.is_empty() && !entries.iter().any(|entry| entry.contains(r#""origin""#)) {
-            let nobody = Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
+            let nobody = StubServer { place: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
             entries.push(nobody.entry("o", "origin", "ready"));
         }
         let known = catalog(1, true, &entries);
@@ -62,22 +62,22 @@
         let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
         let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
         let config = changes.iter().fold(config, |config, (from, to)| config.replace(from, to));
-        Witness::own().in_force(&config);
+        Recorder::own().record_active_config(&config);
         let config = written(&config);
         let tmp = config.with_extension("tmp");
         std::fs::create_dir_all(&tmp).unwrap();
         let (child, place, door) = started(&config, &tmp);
-        let scene = Scene { discovery, place, door, child: Some(child), config, tmp };
+        let scene = ProxyFixture { discovery, place, door, child: Some(child), config, tmp };
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
         scene
     }
 
     /// A proxy for these cache nodes, `s-0` on, and this origin.
-    pub fn of(nodes: &[&Party], origin: &Party) -> Scene {
+    pub fn of(nodes: &[&StubServer], origin: &StubServer) -> ProxyFixture {
         let mut entries: Vec<String> =
             nodes.iter().enumerate().map(|(n, node)| node.entry(&format!("s-{n}"), "c6", "ready")).collect();
         entries.push(origin.entry("o", "origin", "ready"));
-        Scene::new(&entries)
+        ProxyFixture::new(&entries)
     }
 
     pub fn client(&self) -> Client {
@@ -172,7 +172,7 @@
     }
 }
 
-impl Drop for Scene {
+impl Drop for ProxyFixture {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
             // It may have ended by itself.
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -2,8 +2,8 @@
 //! sent and got. Each test has its own; all that it makes writes to it.
 
 use pinetrail_history_checker::{
-    judge, judge_shares, Answer, Class, Effect, End, Figures, History, Node, Process, Scope, Seen, State,
-    Time,
+    check, check_quota, Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, Process, Scope,
+    State, Time,
 };
 use serde_json::Value;
 use std::sync::{Arc, Mutex};
@@ -17,17 +17,17 @@
 
 /// What was seen so far. Clones write to the same.
 #[derive(Clone)]
-pub struct Witness(Arc<Mutex<Notes>>);
+pub struct Recorder(Arc<Mutex<Notes>>);
 
 struct Notes {
     begun: Instant,
     begun_ms: f64,
-    events: Vec<(Time, Seen)>,
+    events: Vec<(Time, HistoryEvent)>,
     calls: u64,
 }
 
 thread_local! {
-    static OWN: Witness = Witness(Arc::new(Mutex::new(Notes {
+    static OWN: Recorder = Recorder(Arc::new(Mutex::new(Notes {
         begun: Instant::now(),
         begun_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1000.0,
         events: Vec::new(),
@@ -35,13 +35,13 @@
     })));
 }
 
-impl Witness {
+impl Recorder {
     /// That of the test which this thread runs.
-    pub fn own() -> Witness {
-        OWN.with(Witness::clone)
+    pub fn own() -> Recorder {
+        OWN.with(Recorder::clone)
     }
 
-    fn note<T>(&self, seen: impl FnOnce(&mut Notes) -> (Seen, T)) -> T {
+    fn note<T>(&self, seen: impl FnOnce(&mut Notes) -> (HistoryEvent, T)) -> T {
         let mut notes = self.0.lock().unwrap();
         let (seen, more) = seen(&mut notes);
         let at = notes.begun.elapsed().as_secs_f64() * 1000.0;
@@ -50,34 +50,34 @@
     }
 
     /// The settings of a configuration came into force, and its list is known.
-    pub fn in_force(&self, config: &str) {
+    pub fn record_active_config(&self, config: &str) {
         let config: Value = serde_json::from_str(config).unwrap();
         let figures = figures(&config["settings"]);
-        self.note(|_| (Seen::InForce { proxy: PROXY.into(), figures }, ()));
-        self.told(&config["known"].to_string());
+        self.note(|_| (HistoryEvent::InForce { proxy: PROXY.into(), figures }, ()));
+        self.record_endpoint_list(&config["known"].to_string());
     }
 
     /// Discovery told a list or changes.
-    pub fn told(&self, list: &str) {
+    pub fn record_endpoint_list(&self, list: &str) {
         let Ok(list) = serde_json::from_str::<Value>(list) else { return };
         self.note(|notes| {
             let entries = list["instances"].as_array().into_iter().flatten();
             let nodes = entries.map(|entry| node(entry, notes.begun_ms)).collect();
             let whole = list["reset"].as_bool().unwrap_or(false);
-            (Seen::Told { proxy: PROXY.into(), whole, nodes }, ())
+            (HistoryEvent::Told { proxy: PROXY.into(), whole, nodes }, ())
         });
     }
 
     /// A consumer's command is about to go out.
-    pub fn asked(&self, command: &str) {
+    pub fn record_request(&self, command: &str) {
         let word = |name: &str| label(command, name).unwrap_or_default().to_owned();
         let request = crate::opaque(command).to_owned();
         let budget = word("d").parse().unwrap();
-        self.note(|_| (Seen::Asked { proxy: PROXY.into(), request, class: word("c"), budget }, ()));
+        self.note(|_| (HistoryEvent::Asked { proxy: PROXY.into(), request, class: word("c"), budget }, ()));
     }
 
     /// A consumer has its answer: the line of it, and the line of the value.
-    pub fn answered(&self, command: &str, line: &str, value: &str) {
+    pub fn record_response(&self, command: &str, line: &str, value: &str) {
         let request = crate::opaque(command).to_owned();
         let answer = match line.split(' ').next() {
             Some("VA") => Answer::Served(value.trim_end().to_owned()),
@@ -85,34 +85,34 @@
             _ if line.starts_with("SERVER_ERROR busy") => Answer::Refused,
             _ => Answer::Failed,
         };
-        self.note(|_| (Seen::Answered { request, answer }, ()));
+        self.note(|_| (HistoryEvent::Answered { request, answer }, ()));
     }
 
     /// A consumer closes its connection.
-    pub fn left(&self, command: &str) {
+    pub fn record_client_gone(&self, command: &str) {
         let request = crate::opaque(command).to_owned();
-        self.note(|_| (Seen::Left { request }, ()));
+        self.note(|_| (HistoryEvent::Left { request }, ()));
     }
 
     /// The process has ended by itself.
-    pub fn ended(&self) {
-        self.note(|_| (Seen::Ended { proxy: PROXY.into(), how: Process::Left }, ()));
+    pub fn record_exit(&self) {
+        self.note(|_| (HistoryEvent::Ended { proxy: PROXY.into(), how: Process::Left }, ()));
     }
 
     /// A provider has read a call; its number.
-    pub fn received(&self, place: &str, words: &str) -> u64 {
+    pub fn record_backend_request(&self, place: &str, words: &str) -> u64 {
         let id = words.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(|id| format!("O{id}")));
         let request = id.unwrap_or_else(|| crate::opaque(words).to_owned());
         self.note(|notes| {
             notes.calls += 1;
             let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
             let (proxy, place, call) = (PROXY.to_owned(), place.to_owned(), notes.calls);
-            (Seen::Received { proxy, request, call, place, first, work: 1.0 }, call)
+            (HistoryEvent::Received { proxy, request, call, place, first, work: 1.0 }, call)
         })
     }
 
     /// A provider is about to answer a call with these words; none if its connection has ended.
-    pub fn closed(&self, call: u64, words: Option<&str>) {
+    pub fn record_backend_response(&self, call: u64, words: Option<&str>) {
         let end = match words {
             None => End::Broken,
             Some(words) if words.starts_with("VA ") => {
@@ -126,33 +126,33 @@
             Some(words) if words.contains("X-Turned-Away: 1") => End::TurnedAway,
             Some(_) => End::Failed,
         };
-        self.note(|_| (Seen::Closed { call, end }, ()));
+        self.note(|_| (HistoryEvent::Closed { call, end }, ()));
     }
 
     /// A process said at its door what its share is; its calls run for so long at the most.
     pub fn share(&self, proxy: &str, part: f64, calls: Time) {
-        self.note(|_| (Seen::Share { proxy: proxy.to_owned(), part, calls }, ()));
+        self.note(|_| (HistoryEvent::Share { proxy: proxy.to_owned(), part, calls }, ()));
     }
 
     /// All together may have so many calls at once at a provider.
     pub fn bound(&self, place: &str, calls: usize) {
-        self.note(|_| (Seen::Bound { place: place.to_owned(), calls }, ()));
+        self.note(|_| (HistoryEvent::Bound { place: place.to_owned(), calls }, ()));
     }
 
     /// Judges what was seen of shares alone.
-    pub fn judge_shares(&self) {
-        let breaches = judge_shares(&self.history()).expect("shares were seen");
+    pub fn check_quota(&self) {
+        let breaches = check_quota(&self.history()).expect("shares were seen");
         assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
     }
 
     /// What was seen.
     pub fn history(&self) -> History {
-        History { blur: BLUR, events: self.0.lock().unwrap().events.clone() }
+        History { clock_error: BLUR, events: self.0.lock().unwrap().events.clone() }
     }
 
     /// Judges it: nothing may be broken.
-    pub fn judge(&self) {
-        let breaches = judge(&self.history()).expect("the history is whole");
+    pub fn check(&self) {
+        let breaches = check(&self.history()).expect("the history is whole");
         assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
     }
 }
