--- a/crates/test-harness/src/streams.rs
+++ b/crates/test-harness/src/streams.rs
@@ -15,15 +15,15 @@
 
 /// The relay.
 #[derive(Clone)]
-pub struct Stream {
+pub struct StreamFaultProxy {
     /// Where it takes connections.
     pub place: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
-impl Stream {
+impl StreamFaultProxy {
     /// A relay to this place.
-    pub fn to(target: SocketAddr) -> Stream {
+    pub fn to(target: SocketAddr) -> StreamFaultProxy {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let place = listener.local_addr().unwrap();
         let state: Arc<(Mutex<State>, Condvar)> = Arc::default();
@@ -44,7 +44,7 @@
                 });
             }
         });
-        Stream { place, state }
+        StreamFaultProxy { place, state }
     }
 
     /// Nothing passes any more, and nobody is told; or all that was held back passes.
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -1,6 +1,6 @@
 //! What a proxy calls: stand-ins for cache nodes and the origin, on ephemeral loopback ports.
 
-use crate::recorder::Witness;
+use crate::recorder::Recorder;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -8,7 +8,7 @@
 use std::thread;
 
 /// What a party does with a request it was sent: answer, say nothing, or break the connection.
-pub enum Does {
+pub enum StubAction {
     Says(String),
     /// Writes in its own time.
     Writes(Box<dyn FnOnce(&mut TcpStream)>),
@@ -17,7 +17,7 @@
 }
 
 /// A cache node or the origin: where it is, what it was sent, and how often it was connected to.
-pub struct Party {
+pub struct StubServer {
     pub place: SocketAddr,
     pub heard: Arc<Mutex<Vec<String>>>,
     pub connected: Arc<AtomicUsize>,
@@ -26,11 +26,11 @@
     pub most: Arc<AtomicUsize>,
 }
 
-impl Party {
+impl StubServer {
     /// `http` tells whether a request is a head, else it is a line; a write's value is read along.
-    fn new(http: bool, act: impl Fn(&str) -> Does + Send + Sync + 'static) -> Party {
+    fn new(http: bool, act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let party = Party {
+        let party = StubServer {
             place: listener.local_addr().unwrap(),
             heard: Arc::default(),
             connected: Arc::default(),
@@ -41,7 +41,7 @@
         let (heard, connected) = (Arc::clone(&party.heard), Arc::clone(&party.connected));
         let (ended, act) = (Arc::clone(&party.ended), Arc::new(act));
         let (busy, most) = (Arc::clone(&party.busy), Arc::clone(&party.most));
-        let (witness, place) = (Witness::own(), party.place.to_string());
+        let (witness, place) = (Recorder::own(), party.place.to_string());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 connected.fetch_add(1, Ordering::SeqCst);
@@ -54,22 +54,22 @@
                     let mut call = None;
                     while let Some(request) = request(&mut reader, http) {
                         heard.lock().unwrap().push(request.clone());
-                        let number = *call.insert(witness.received(&place, &request));
+                        let number = *call.insert(witness.record_backend_request(&place, &request));
                         most.fetch_max(busy.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
                         let does = act(&request);
                         busy.fetch_sub(1, Ordering::SeqCst);
                         match does {
-                            Does::Says(words) => {
-                                witness.closed(number, Some(&words));
+                            StubAction::Says(words) => {
+                                witness.record_backend_response(number, Some(&words));
                                 stream.write_all(words.as_bytes()).unwrap_or(());
                             }
-                            Does::Writes(write) => write(&mut stream),
-                            Does::Nothing => {}
-                            Does::Breaks => break,
+                            StubAction::Writes(write) => write(&mut stream),
+                            StubAction::Nothing => {}
+                            StubAction::Breaks => break,
                         }
                     }
                     // Of those that were answered the first end counts.
-                    call.into_iter().for_each(|call| witness.closed(call, None));
+                    call.into_iter().for_each(|call| witness.record_backend_response(call, None));
                     ended.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -77,22 +77,24 @@
         party
     }
 
-    pub fn node(act: impl Fn(&str) -> Does + Send + Sync + 'static) -> Party {
-        Party::new(false, act)
+    pub fn node(act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
+        StubServer::new(false, act)
     }
 
     /// A cache node that holds every key; its value names it.
-    pub fn full_node(name: &'static str) -> Party {
-        Party::node(move |line| Does::Says(format!("VA {} {} h1\r\n{name}\r\n", name.len(), opaque(line))))
+    pub fn full_node(name: &'static str) -> StubServer {
+        StubServer::node(move |line| {
+            StubAction::Says(format!("VA {} {} h1\r\n{name}\r\n", name.len(), opaque(line)))
+        })
     }
 
     /// A cache node that holds nothing.
-    pub fn empty_node() -> Party {
-        Party::node(|line| Does::Says(format!("EN {}\r\n", opaque(line))))
+    pub fn empty_node() -> StubServer {
+        StubServer::node(|line| StubAction::Says(format!("EN {}\r\n", opaque(line))))
     }
 
-    pub fn origin(act: impl Fn(&str) -> Does + Send + Sync + 'static) -> Party {
-        Party::new(true, act)
+    pub fn origin(act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
+        StubServer::new(true, act)
     }
 
     pub fn heard(&self) -> Vec<String> {
@@ -137,6 +139,6 @@
     line.split_whitespace().find(|word| word.starts_with('O')).unwrap_or("O?")
 }
 
-pub fn http_200(body: &str) -> Does {
-    Does::Says(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+pub fn http_200(body: &str) -> StubAction {
+    StubAction::Says(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -3,7 +3,7 @@
 
 use super::codec::{call, Call, Said, MAX_BODY, MAX_HEAD};
 use super::refused;
-use crate::net::dispatcher::NotHeld;
+use crate::net::dispatcher::MaintenanceError;
 
 fn written(said: &Said) -> String {
     String::from_utf8(said.words()).unwrap()
@@ -114,9 +114,9 @@
 
 #[test]
 fn refused_calls_about_nodes_have_the_recorded_statuses() {
-    let status = |refusal: NotHeld| refused(&refusal).status;
-    assert_eq!(status(NotHeld::NeverListed("a".into())), 404);
-    assert_eq!(status(NotHeld::Origin("a".into())), 409);
-    assert_eq!(status(NotHeld::TooMany), 409);
-    assert_eq!(refused(&NotHeld::NeverListed("a".into())).text, "a was never listed");
+    let status = |refusal: MaintenanceError| refused(&refusal).status;
+    assert_eq!(status(MaintenanceError::NeverListed("a".into())), 404);
+    assert_eq!(status(MaintenanceError::Origin("a".into())), 409);
+    assert_eq!(status(MaintenanceError::TooMany), 409);
+    assert_eq!(refused(&MaintenanceError::NeverListed("a".into())).text, "a was never listed");
 }
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -5,14 +5,14 @@
 #[cfg(test)]
 mod golden_tests;
 
+use super::deadline_stream::{sleep, DeadlineStream};
 use super::descriptors::DOOR_CALLS;
-use super::dispatcher::{Exchange, NotHeld};
+use super::dispatcher::{Dispatcher, MaintenanceError};
+use super::hot_restart::ControlCommand;
 use super::lifecycle::{Lifecycle, Stopping};
-use super::deadline_stream::{sleep, Link};
 use super::listener::{Listener, Stream};
 use super::log::log;
 use super::policy::Policy;
-use super::hot_restart::Ordered;
 use codec::{Call, Said};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -32,18 +32,18 @@
 const REST: Duration = Duration::from_millis(5);
 
 /// The door of one process.
-pub struct Door {
+pub struct AdminServer {
     listener: Listener,
     /// Calls that are not whole yet, in the order of their arrival.
-    waiting: Mutex<BTreeMap<u64, Link<Stream>>>,
+    waiting: Mutex<BTreeMap<u64, DeadlineStream<Stream>>>,
     open: Mutex<usize>,
 }
 
-impl Door {
+impl AdminServer {
     /// Opens the door; callers wait until it is served.
-    pub fn open(address: SocketAddr) -> io::Result<Arc<Door>> {
+    pub fn open(address: SocketAddr) -> io::Result<Arc<AdminServer>> {
         let listener = Listener::new(super::listener::open(address)?)?;
-        Ok(Arc::new(Door { listener, waiting: Mutex::default(), open: Mutex::new(0) }))
+        Ok(Arc::new(AdminServer { listener, waiting: Mutex::default(), open: Mutex::new(0) }))
     }
 
     /// Where it is.
@@ -52,11 +52,11 @@
     }
 
     /// Answers callers from now on.
-    pub fn serve(self: Arc<Self>, exchange: Arc<Exchange>, lifecycle: Arc<Lifecycle>) {
+    pub fn serve(self: Arc<Self>, exchange: Arc<Dispatcher>, lifecycle: Arc<Lifecycle>) {
         may::go!(move || {
             for number in 0.. {
                 let stream = match self.listener.accept() {
-                    Ok(Some(stream)) => Link::of(stream),
+                    Ok(Some(stream)) => DeadlineStream::of(stream),
                     Ok(None) => return,
                     Err(error) => {
                         log(&format!("door: accept: {error}"));
@@ -92,17 +92,22 @@
 
 /// A call's place; free again when it is dropped.
 struct Place {
-    door: Arc<Door>,
+    door: Arc<AdminServer>,
     number: u64,
 }
 
 impl Place {
-    fn take(door: &Arc<Door>, number: u64) -> Place {
+    fn take(door: &Arc<AdminServer>, number: u64) -> Place {
         with(&door.open, |open| *open += 1);
         Place { door: Arc::clone(door), number }
     }
 
-    fn answer(&self, link: &Link<Stream>, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> io::Result<()> {
+    fn answer(
+        &self,
+        link: &DeadlineStream<Stream>,
+        exchange: &Arc<Dispatcher>,
+        lifecycle: &Lifecycle,
+    ) -> io::Result<()> {
         let until = Instant::now() + WHOLE_CALL;
         let mut bytes = Vec::new();
         let asked = loop {
@@ -143,7 +148,7 @@
 }
 
 /// Puts a call to whom it concerns: this process, then the other one, if there are two.
-fn carry_out(call: Call, exchange: &Arc<Exchange>, lifecycle: &Lifecycle) -> Result<Said, Said> {
+fn carry_out(call: Call, exchange: &Arc<Dispatcher>, lifecycle: &Lifecycle) -> Result<Said, Said> {
     let (order, text) = match call {
         Call::Ready => {
             return match lifecycle.is_ready() {
@@ -158,19 +163,21 @@
         Call::Propose(body) => return policy(lifecycle).map(|policy| Said::answer(policy.propose(&body))),
         Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change(&id))),
         Call::Offline(id) => {
-            exchange.hold_out(&id).map_err(|error| refused(&error))?;
+            exchange.enter_maintenance(&id).map_err(|error| refused(&error))?;
             let text = format!("{id} is out: nothing more goes there until it is called back");
-            (Ordered::Offline(id), text)
+            (ControlCommand::Offline(id), text)
         }
         Call::Online(id) => {
-            exchange.bring_back(&id).map_err(|error| refused(&error))?;
+            exchange.leave_maintenance(&id).map_err(|error| refused(&error))?;
             let text = format!("{id} may serve as far as discovery lists it as ready");
-            (Ordered::Online(id), text)
+            (ControlCommand::Online(id), text)
         }
-        Call::OutOfService => (Ordered::Service(false), "out of service: clients are sent away".to_owned()),
-        Call::InService => (Ordered::Service(true), "in service".to_owned()),
+        Call::OutOfService => {
+            (ControlCommand::Service(false), "out of service: clients are sent away".to_owned())
+        }
+        Call::InService => (ControlCommand::Service(true), "in service".to_owned()),
     };
-    if let Ordered::Service(into) = order {
+    if let ControlCommand::Service(into) = order {
         lifecycle.serve(into).map_err(|Stopping| Said::new(409, "this process stops"))?;
     }
     lifecycle.takeover().relay(order).map_err(|why| Said::new(503, format!("done here only: {why}")))?;
@@ -187,10 +194,10 @@
     report.map(Said::json).ok_or_else(|| Said::new(503, "this process does not speak in the fleet: it starts or stops, or the other process of this proxy speaks"))
 }
 
-fn refused(error: &NotHeld) -> Said {
+fn refused(error: &MaintenanceError) -> Said {
     let status = match error {
-        NotHeld::NeverListed(_) => 404,
-        NotHeld::Origin(_) | NotHeld::TooMany => 409,
+        MaintenanceError::NeverListed(_) => 404,
+        MaintenanceError::Origin(_) | MaintenanceError::TooMany => 409,
     };
     Said::new(status, error.to_string())
 }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -1,20 +1,20 @@
 //! The provider side: makes the invoker calls that the exchange orders, one coroutine each, and reports
 //! how each ended. It decides nothing; it sends nothing twice.
 
-mod response;
 mod pool;
+mod response;
 
-use super::counters::Counters;
-use super::descriptors::Descriptors;
-use super::dispatcher::{Call, CallId, Exchange, Order};
 use super::body_stream;
 use super::codec::http;
-use super::deadline_stream::sleep;
 use super::codec::memcache;
+use super::counters::Counters;
+use super::deadline_stream::sleep;
+use super::descriptors::Descriptors;
+use super::dispatcher::{AttemptId, AttemptRequest, BackendCommand, Dispatcher};
 use crate::interface::Outcome;
-use response::{understand, Answered, End, Long, Understood};
 use may::sync::mpsc::Receiver;
-use pool::{Connection, NoConnection, Pool, Rest};
+use pool::{ConnectFailure, Connection, Pool, Rest};
+use response::{understand, Answered, End, Long, Understood};
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -26,26 +26,30 @@
 const FLOW_STALL: Duration = Duration::from_millis(5000);
 
 /// The provider side of one proxy.
-pub struct ProviderSide {
-    exchange: Arc<Exchange>,
+pub struct BackendService {
+    exchange: Arc<Dispatcher>,
     counters: Arc<Counters>,
     pool: Pool,
     connect_timeout: Mutex<Duration>,
 }
 
-impl ProviderSide {
+impl BackendService {
     /// Starts the provider side, which holds as many connections as the descriptors allow.
     pub fn start(
-        exchange: Arc<Exchange>,
+        exchange: Arc<Dispatcher>,
         counters: Arc<Counters>,
-        orders: Receiver<Order>,
+        orders: Receiver<BackendCommand>,
         descriptors: Arc<Descriptors>,
         connect_timeout: Duration,
         conn_idle: Duration,
-    ) -> Arc<ProviderSide> {
+    ) -> Arc<BackendService> {
         let pool = Pool::new(descriptors, conn_idle);
-        let side =
-            Arc::new(ProviderSide { exchange, counters, pool, connect_timeout: Mutex::new(connect_timeout) });
+        let side = Arc::new(BackendService {
+            exchange,
+            counters,
+            pool,
+            connect_timeout: Mutex::new(connect_timeout),
+        });
         let retiring = Arc::clone(&side);
         may::go!(move || loop {
             sleep(RETIRE_EVERY);
@@ -71,22 +75,22 @@
         self.pool.retune(conn_idle);
     }
 
-    fn carry_out(self: &Arc<Self>, order: Order) {
+    fn carry_out(self: &Arc<Self>, order: BackendCommand) {
         match order {
-            Order::Call(call) => {
+            BackendCommand::AttemptRequest(call) => {
                 let side = Arc::clone(self);
                 may::go!(move || {
                     let mut debt = Debt { side: &side, id: call.id, end: None };
                     debt.end = Some(side.make(&call));
                 });
             }
-            Order::Forget(provider) => self.pool.forget(provider),
+            BackendCommand::Forget(provider) => self.pool.forget(provider),
         }
     }
 
     /// Makes a call. Its connection is kept or closed by the time this returns, so that the next call of
     /// the invocation never finds this one still out.
-    fn make(&self, call: &Call) -> End {
+    fn make(&self, call: &AttemptRequest) -> End {
         loop {
             let warm = self.pool.warm(call.provider, &call.address);
             let fresh = warm.is_none();
@@ -97,11 +101,11 @@
                     Err(outcome) => return outcome.into(),
                 },
             };
-            if !self.exchange.is_wanted(call) {
+            if !self.exchange.should_send(call) {
                 self.keep(call, connection, Answered::Named);
                 return Outcome::Moot.into();
             }
-            let (until, wanted) = (call.until.min(call.send_by), || self.exchange.is_wanted(call));
+            let (until, wanted) = (call.until.min(call.send_by), || self.exchange.should_send(call));
             let Err(error) = connection.link.write_while(&words(call), until, wanted) else {
                 return self.await_reply(call, connection);
             };
@@ -115,7 +119,7 @@
         }
     }
 
-    fn connect(&self, call: &Call) -> Result<Connection, Outcome> {
+    fn connect(&self, call: &AttemptRequest) -> Result<Connection, Outcome> {
         let left = call.until.min(call.send_by).saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Outcome::Moot);
@@ -127,8 +131,8 @@
                 Ok(connection)
             }
             // No fault of the provider: the limit on sockets is this proxy's own.
-            Err(NoConnection::Full) => Err(Outcome::Moot),
-            Err(NoConnection::Failed(error)) => match error.kind() {
+            Err(ConnectFailure::Full) => Err(Outcome::Moot),
+            Err(ConnectFailure::Failed(error)) => match error.kind() {
                 // Too late for this call, whatever comes of the connection.
                 ErrorKind::TimedOut if left < timeout && call.send_by < call.until => Err(Outcome::Moot),
                 ErrorKind::TimedOut if left < timeout => Err(Outcome::Timeout),
@@ -137,7 +141,7 @@
         }
     }
 
-    fn await_reply(&self, call: &Call, connection: Connection) -> End {
+    fn await_reply(&self, call: &AttemptRequest, connection: Connection) -> End {
         let mut bytes = Vec::new();
         loop {
             let stalled = Instant::now() + STALL;
@@ -172,20 +176,21 @@
 
     /// Keeps a connection for the next call, if there may be one. Danger: its provider may leave, or start anew, in this
     /// moment. That is looked up with the pool locked, and what is forgotten of it is forgotten after that.
-    fn keep(&self, call: &Call, connection: Connection, answered: Answered) {
+    fn keep(&self, call: &AttemptRequest, connection: Connection, answered: Answered) {
         let rest = match answered {
             Answered::Named => Rest::SHORT,
             Answered::Unnamed => Rest::LONG,
             Answered::Last => return,
         };
-        self.pool
-            .keep(call.provider, connection, rest, || self.exchange.takes_calls(call.provider, call.started));
+        self.pool.keep(call.provider, connection, rest, || {
+            self.exchange.accepts_attempts(call.provider, call.started)
+        });
     }
 
     /// Passes a long value on as it comes; `bytes` has its head and its beginning.
-    fn flow(&self, call: &Call, connection: Connection, mut bytes: Vec<u8>, long: &Long) -> End {
+    fn flow(&self, call: &AttemptRequest, connection: Connection, mut bytes: Vec<u8>, long: &Long) -> End {
         let (source, sink) = body_stream::window();
-        if !self.exchange.call_flows(call.id, long.length, sink) {
+        if !self.exchange.attempt_streaming(call.id, long.length, sink) {
             return Outcome::Cancelled.into();
         }
         bytes.drain(..long.from);
@@ -224,8 +229,8 @@
 
 /// The end that is owed for a call, paid also when its coroutine panics.
 struct Debt<'a> {
-    side: &'a Arc<ProviderSide>,
-    id: CallId,
+    side: &'a Arc<BackendService>,
+    id: AttemptId,
     end: Option<End>,
 }
 
@@ -235,7 +240,7 @@
             self.side.counters.panics.add();
             Outcome::Reset.into()
         });
-        self.side.exchange.call_ended(self.id, end.outcome, end.payload);
+        self.side.exchange.attempt_finished(self.id, end.outcome, end.payload);
     }
 }
 
@@ -249,7 +254,7 @@
 }
 
 /// A call in the protocol of its provider.
-fn words(call: &Call) -> Vec<u8> {
+fn words(call: &AttemptRequest) -> Vec<u8> {
     let left = call.until.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
     let invocation = &call.invocation;
     let labels: Vec<String> = invocation
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -1,8 +1,8 @@
 //! Connections to providers: kept warm between calls, one call at a time on each, bounded in number.
 
 use crate::interface::ServerId;
-use crate::net::descriptors::{Descriptors, ProviderDescriptor};
-use crate::net::deadline_stream::Link;
+use crate::net::deadline_stream::DeadlineStream;
+use crate::net::descriptors::{BackendDescriptor, Descriptors};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -17,15 +17,15 @@
 #[derive(Debug)]
 pub struct Connection {
     /// The connection itself.
-    pub link: Link,
+    pub link: DeadlineStream,
     /// Where it leads.
     to: Arc<str>,
-    _descriptor: ProviderDescriptor,
+    _descriptor: BackendDescriptor,
 }
 
 /// Why there is no connection.
 #[derive(Debug)]
-pub enum NoConnection {
+pub enum ConnectFailure {
     /// The pool is full, and every connection of it is at work.
     Full,
     /// It did not come up.
@@ -107,9 +107,9 @@
     }
 
     /// A new connection. A full pool first closes the one that has been idle longest.
-    pub fn open(&self, address: &Arc<str>, timeout: Duration) -> Result<Connection, NoConnection> {
+    pub fn open(&self, address: &Arc<str>, timeout: Duration) -> Result<Connection, ConnectFailure> {
         let socket_address: SocketAddr =
-            address.parse().map_err(|_| NoConnection::Failed(io::ErrorKind::InvalidInput.into()))?;
+            address.parse().map_err(|_| ConnectFailure::Failed(io::ErrorKind::InvalidInput.into()))?;
         let descriptor = loop {
             if let Some(descriptor) = self.descriptors.provider_descriptor() {
                 break descriptor;
@@ -121,9 +121,9 @@
                     .min_by_key(|(_, queue)| queue.front().map(|kept| kept.since))?;
                 queue.pop_front()
             });
-            drop(oldest.ok_or(NoConnection::Full)?);
+            drop(oldest.ok_or(ConnectFailure::Full)?);
         };
-        let link = Link::connect(&socket_address, timeout).map_err(NoConnection::Failed)?;
+        let link = DeadlineStream::connect(&socket_address, timeout).map_err(ConnectFailure::Failed)?;
         Ok(Connection { link, to: Arc::clone(address), _descriptor: descriptor })
     }
 
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -1,10 +1,10 @@
 //! What a provider's answer to a call says, in its protocol: bytes in, how the call ended out.
 
 use crate::interface::Outcome;
-use crate::net::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
-use crate::net::dispatcher::{Call, Payload};
 use crate::net::codec::http::{self, Body};
 use crate::net::codec::memcache::{self, Reply};
+use crate::net::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
+use crate::net::dispatcher::{AttemptRequest, Payload};
 
 /// A long value flows once so many bytes of it have come.
 const FLOWS_FROM: usize = 4 * 1024;
@@ -71,7 +71,7 @@
 }
 
 /// Reads a provider's answer in its protocol.
-pub fn understand(call: &Call, bytes: &[u8]) -> Understood {
+pub fn understand(call: &AttemptRequest, bytes: &[u8]) -> Understood {
     if call.at_origin {
         return understand_http(call, bytes);
     }
@@ -97,7 +97,7 @@
     }
 }
 
-fn understand_http(call: &Call, bytes: &[u8]) -> Understood {
+fn understand_http(call: &AttemptRequest, bytes: &[u8]) -> Understood {
     let (head, from) = match http::final_head(bytes) {
         Parsed::Incomplete => return Understood::Partly,
         Parsed::Malformed(..) => return Understood::Spoilt,
@@ -145,7 +145,7 @@
 
 /// What was given counts if it is what the invocation asked for: a value for a read, a receipt of one
 /// word for a write.
-fn served(call: &Call, payload: Payload) -> End {
+fn served(call: &AttemptRequest, payload: Payload) -> End {
     let fits = match &payload {
         Payload::Value(_) => call.invocation.value.is_none(),
         Payload::Receipt(receipt) => {
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -22,11 +22,11 @@
 
 type Shared = Arc<Mutex<State>>;
 
-/// The end that pieces are put into. Dropped before [`Source::end`], it says that the value broke off.
-pub struct Source(Shared);
+/// The end that pieces are put into. Dropped before [`BodyReader::end`], it says that the value broke off.
+pub struct BodyReader(Shared);
 
 /// The end that pieces are taken from. Dropped, it says that nobody wants the rest.
-pub struct Sink(Shared);
+pub struct BodyWriter(Shared);
 
 /// What can be taken now.
 #[derive(Debug, PartialEq, Eq)]
@@ -46,12 +46,12 @@
 pub struct Left;
 
 /// The two ends of a window.
-pub fn window() -> (Source, Sink) {
+pub fn window() -> (BodyReader, BodyWriter) {
     let shared = Shared::default();
-    (Source(Arc::clone(&shared)), Sink(shared))
+    (BodyReader(Arc::clone(&shared)), BodyWriter(shared))
 }
 
-impl Source {
+impl BodyReader {
     /// Puts a piece in, once there is room. It waits without a time limit: the other end takes or is dropped.
     pub fn put(&self, piece: &[u8]) -> Result<(), Left> {
         loop {
@@ -78,7 +78,7 @@
     }
 }
 
-impl Drop for Source {
+impl Drop for BodyReader {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
         state.ended.get_or_insert(false);
@@ -86,7 +86,7 @@
     }
 }
 
-impl Sink {
+impl BodyWriter {
     /// Has `wake` called whenever there is something to take. It must not wait.
     pub fn wake_by(&self, wake: Box<dyn Fn() + Send>) {
         let mut state = lock(&self.0);
@@ -110,7 +110,7 @@
     }
 }
 
-impl Drop for Sink {
+impl Drop for BodyWriter {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
         state.left = true;
@@ -133,7 +133,7 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl std::fmt::Debug for Sink {
+impl std::fmt::Debug for BodyWriter {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Sink")
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -2,11 +2,11 @@
 
 use super::{Connection, Pending, Stage, INVOCATION_SIZE};
 use crate::interface::RequestId;
-use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::client::request::invocation;
-use crate::net::dispatcher::{Answer, Invocation, NotTaken, Reply};
-use crate::net::deadline_stream::{has_hung_up, read_now, sleep};
 use crate::net::codec::memcache::{self, Command};
+use crate::net::codec::{Parsed, MAX_VALUE};
+use crate::net::deadline_stream::{has_hung_up, read_now, sleep};
+use crate::net::dispatcher::{ClientRequest, Reply, Response, SubmitError};
 use crate::net::memory::Held;
 use pinetrail_policy_consensus::Admission;
 use std::io::{self, ErrorKind};
@@ -160,13 +160,13 @@
         self.pending.push_back(Pending { id: None, words, held: None });
     }
 
-    fn invoke(&mut self, invocation: Invocation, held: Held) {
+    fn invoke(&mut self, invocation: ClientRequest, held: Held) {
         let words = Arc::new(Mutex::new(None));
         let (slot, shared) = (Arc::clone(&words), Arc::clone(&self.shared));
         let opaque = invocation.opaque.clone();
-        let reply = move |answer: Answer| {
+        let reply = move |answer: Response| {
             let said = memcache::answer(&opaque, &answer);
-            let value = if let Answer::Flows(_, sink) = answer { Some(sink) } else { None };
+            let value = if let Response::Flows(_, sink) = answer { Some(sink) } else { None };
             *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, value));
             shared.waker.wakeup();
         };
@@ -192,9 +192,9 @@
         opaque: String,
         labels: Vec<(String, String)>,
         value: Option<Vec<u8>>,
-    ) -> Result<Invocation, Refused> {
+    ) -> Result<ClientRequest, Refused> {
         let exchange = &self.side.exchange;
-        if !exchange.is_governed() {
+        if !exchange.requires_lease() {
             return invocation(exchange, key, opaque, labels, value).map_err(Refused::Bad);
         }
         loop {
@@ -204,12 +204,12 @@
                 Ok(invocation) => return Ok(invocation),
                 Err(why) => why,
             };
-            match exchange.judges_by(version) {
-                Some(Admission::Yes) => return Err(Refused::Bad(why)),
-                Some(Admission::No(back)) => {
+            match exchange.admission_for(version) {
+                Some(Admission::Admit) => return Err(Refused::Bad(why)),
+                Some(Admission::Reject(back)) => {
                     return Err(Refused::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
                 }
-                Some(Admission::Soon) => self.wait_for_policy()?,
+                Some(Admission::Wait) => self.wait_for_policy()?,
                 None => {}
             }
         }
@@ -222,22 +222,22 @@
     }
 
     /// Hands an invocation in, read once more as often as other settings come into force meanwhile.
-    fn take(&self, mut given: Invocation, mut reply: Reply) -> Result<RequestId, Refused> {
+    fn take(&self, mut given: ClientRequest, mut reply: Reply) -> Result<RequestId, Refused> {
         loop {
             match self.side.exchange.take(given, reply) {
                 Ok(id) => return Ok(id),
                 // Two answers under one id could not be told apart.
-                Err(NotTaken::IdInUse) => return Err(Refused::Bad("the id is in use")),
-                Err(NotTaken::Fenced(ms)) => return Err(Refused::Fenced(ms)),
-                Err(NotTaken::Soon(same, same_reply)) => {
+                Err(SubmitError::IdInUse) => return Err(Refused::Bad("the id is in use")),
+                Err(SubmitError::Fenced(ms)) => return Err(Refused::Fenced(ms)),
+                Err(SubmitError::Soon(same, same_reply)) => {
                     let begun = Instant::now();
                     self.wait_for_policy()?;
                     (given, reply) = (*same, same_reply);
                     // Its consumer's time passes meanwhile.
                     given.budget = (given.budget - begun.elapsed().as_secs_f64() * 1000.0).max(0.0);
                 }
-                Err(NotTaken::Outdated(old, same)) => {
-                    let Invocation { key, opaque, labels, value, budget, .. } = *old;
+                Err(SubmitError::Outdated(old, same)) => {
+                    let ClientRequest { key, opaque, labels, value, budget, .. } = *old;
                     given = self.read_in(key, opaque, labels, value)?;
                     // It may have waited.
                     given.budget = given.budget.min(budget);
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -4,15 +4,15 @@
 mod input;
 mod output;
 
-use super::{Away, ConsumerSide, Shared};
+use super::{Away, ClientService, Shared};
 use crate::interface::RequestId;
+use crate::net::body_stream::BodyWriter;
 use crate::net::codec::MAX_VALUE;
-use crate::net::body_stream::Sink;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
 use crate::net::memory::Held;
 use may::io::WaitIo;
-use pinetrail_connection_limits::{Id, Phase, Reason, Seq};
+use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
 use std::collections::VecDeque;
 use std::io;
 use std::net::Shutdown;
@@ -32,7 +32,7 @@
 const AFTER_ERRORS: Duration = Duration::from_millis(20);
 
 /// An answer in the consumer's protocol, and the value behind it if that flows.
-type Said = (Vec<u8>, Option<Sink>);
+type Said = (Vec<u8>, Option<BodyWriter>);
 
 /// A command whose answer has not been written.
 struct Pending {
@@ -53,8 +53,8 @@
 }
 
 pub struct Connection<'a> {
-    side: &'a Arc<ConsumerSide>,
-    number: Id,
+    side: &'a Arc<ClientService>,
+    number: ConnectionId,
     shared: Arc<Shared>,
     stream: Stream,
     input: Vec<u8>,
@@ -65,7 +65,7 @@
     input_held: Option<Held>,
     output: Vec<u8>,
     /// The value of the first that is pending, while it flows.
-    flowing: Option<Sink>,
+    flowing: Option<BodyWriter>,
     /// Whether that broke off: the connection ends once what was said before has gone out.
     broken: bool,
     /// What the answers in `output` hold of the memory.
@@ -87,7 +87,12 @@
 }
 
 impl<'a> Connection<'a> {
-    pub fn new(side: &'a Arc<ConsumerSide>, number: Id, shared: Arc<Shared>, stream: Stream) -> Self {
+    pub fn new(
+        side: &'a Arc<ClientService>,
+        number: ConnectionId,
+        shared: Arc<Shared>,
+        stream: Stream,
+    ) -> Self {
         Connection {
             side,
             number,
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -1,21 +1,21 @@
 //! The consumer side: accepts connections, takes invocations in and answers them, in the order of each
 //! connection's commands. One coroutine a connection both reads and writes. Who keeps its place, and for how
-//! long, is decided by [`pinetrail_connection_limits::Places`].
+//! long, is decided by [`pinetrail_connection_limits::ConnectionTable`].
 
 mod connection;
 mod request;
 
 use super::counters::Counters;
+use super::deadline_stream::sleep;
 use super::descriptors::Descriptors;
+use super::dispatcher::Dispatcher;
 use super::drain::SendAway;
-use super::dispatcher::Exchange;
-use super::deadline_stream::sleep;
 use super::listener::{Listener, Stream};
 use super::log::log;
 use super::memory::Memory;
 use connection::Connection;
 use may::io::{WaitIo, WaitIoWaker};
-use pinetrail_connection_limits::{Id, Limits, Order, Phase, Places, Reason, Seq};
+use pinetrail_connection_limits::{CloseOrder, ConnectionId, ConnectionTable, Limits, Phase, Reason, Seq};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -31,8 +31,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// The consumer side of one proxy.
-pub struct ConsumerSide {
-    exchange: Arc<Exchange>,
+pub struct ClientService {
+    exchange: Arc<Dispatcher>,
     counters: Arc<Counters>,
     memory: Arc<Memory>,
     descriptors: Arc<Descriptors>,
@@ -53,8 +53,8 @@
 
 /// Who holds a place, and how to reach it.
 struct HeldPlaces {
-    places: Places,
-    connections: BTreeMap<Id, Arc<Shared>>,
+    places: ConnectionTable,
+    connections: BTreeMap<ConnectionId, Arc<Shared>>,
 }
 
 /// What others may do of a connection.
@@ -69,14 +69,14 @@
     /// Why it is to close, if that was said of this stay.
     fn order_about(&self, stay: Seq) -> Option<Reason> {
         let order = self.order.load(Ordering::Acquire);
-        let reasons = [Reason::Overdue, Reason::Hopeless, Reason::OverBudget, Reason::NoRoom];
+        let reasons = [Reason::Overdue, Reason::UnlikelyToReturn, Reason::OverBudget, Reason::NoRoom];
         reasons.into_iter().find(|reason| order == encode(stay, *reason))
     }
 }
 
 impl Away {
     /// Whether a connection is to go by now if it is idle.
-    fn is_due(&self, number: Id, arrived: u64, now: u64) -> bool {
+    fn is_due(&self, number: ConnectionId, arrived: u64, now: u64) -> bool {
         let passed = now.saturating_sub(self.since);
         passed >= self.plan.idle_at(number, arrived.saturating_sub(self.since))
     }
@@ -86,19 +86,19 @@
     u64::from(stay) << 8 | (reason as u64 + 1)
 }
 
-impl ConsumerSide {
+impl ClientService {
     /// Accepts on a listening socket, and holds as many connections as the descriptors allow.
     pub fn start(
-        exchange: Arc<Exchange>,
+        exchange: Arc<Dispatcher>,
         counters: Arc<Counters>,
         memory: Arc<Memory>,
         descriptors: Arc<Descriptors>,
         socket: TcpListener,
-    ) -> io::Result<Arc<ConsumerSide>> {
+    ) -> io::Result<Arc<ClientService>> {
         let listener = Arc::new(Listener::new(socket)?);
         let (most, _) = descriptors.consumers_hold(0);
-        let places = Places::new(Limits::default(), most);
-        let side = Arc::new(ConsumerSide {
+        let places = ConnectionTable::new(Limits::default(), most);
+        let side = Arc::new(ClientService {
             exchange,
             counters,
             memory,
@@ -167,7 +167,7 @@
 
     /// From now on connections are no longer closed to make room for others.
     pub fn keep_all(&self) {
-        self.with(|held| held.places.shut());
+        self.with(|held| held.places.stop_accepting());
     }
 
     /// From now on connections close as soon as they stand between commands.
@@ -211,7 +211,7 @@
     fn has_room(&self) -> bool {
         self.with(|held| {
             let (most, room) = self.descriptors.consumers_hold(held.places.open());
-            held.places.set_most(most);
+            held.places.set_capacity(most);
             room
         })
     }
@@ -224,16 +224,16 @@
     fn look(&self) {
         let now = self.descriptors.now();
         self.has_room();
-        self.give(|held| held.places.overdue(now));
+        self.give(|held| held.places.expired(now));
         self.let_go();
     }
 
     /// Passes orders on to the connections that they are for.
-    fn give(&self, decide: impl FnOnce(&mut HeldPlaces) -> Vec<Order>) {
+    fn give(&self, decide: impl FnOnce(&mut HeldPlaces) -> Vec<CloseOrder>) {
         let given = self.with(|held| {
             let orders = decide(held);
             let reach =
-                |order: Order| held.connections.get(&order.id).map(|shared| (order, Arc::clone(shared)));
+                |order: CloseOrder| held.connections.get(&order.id).map(|shared| (order, Arc::clone(shared)));
             orders.into_iter().filter_map(reach).collect::<Vec<_>>()
         });
         for (order, shared) in given {
@@ -242,13 +242,13 @@
         }
     }
 
-    fn hold(self: &Arc<Self>, number: Id, stream: Stream) {
+    fn hold(self: &Arc<Self>, number: ConnectionId, stream: Stream) {
         // A consumer that has gone already is noticed when it is read from.
         let _ = stream.inner().set_nodelay(true);
         let now = self.descriptors.now();
         let shared = Arc::new(Shared { waker: stream.waker(), arrived: now, order: AtomicU64::new(0) });
         self.with(|held| {
-            held.places.arrive(now, number);
+            held.places.insert(now, number);
             held.connections.insert(number, Arc::clone(&shared));
         });
         let side = Arc::clone(self);
@@ -258,19 +258,19 @@
         });
     }
 
-    fn enter(&self, number: Id, phase: Phase) -> Seq {
+    fn enter(&self, number: ConnectionId, phase: Phase) -> Seq {
         let now = self.descriptors.now();
-        self.with(|held| held.places.enter(now, number, phase))
+        self.with(|held| held.places.set_phase(now, number, phase))
     }
 
-    fn asked(&self, number: Id) {
-        self.with(|held| held.places.asked(number));
+    fn asked(&self, number: ConnectionId) {
+        self.with(|held| held.places.record_request(number));
     }
 
-    fn left(&self, number: Id) {
+    fn left(&self, number: ConnectionId) {
         let now = self.descriptors.now();
         self.with(|held| {
-            held.places.left(now, number);
+            held.places.remove(now, number);
             held.connections.remove(&number);
         });
     }
@@ -282,7 +282,7 @@
     fn count(&self, reason: Reason) {
         match reason {
             Reason::Overdue => &self.counters.consumers_late,
-            Reason::Hopeless => &self.counters.consumers_hopeless,
+            Reason::UnlikelyToReturn => &self.counters.consumers_hopeless,
             Reason::OverBudget => &self.counters.consumers_over_budget,
             Reason::NoRoom => &self.counters.consumers_evicted,
         }
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -1,18 +1,18 @@
 //! A command of the memcache side in the exchange's terms.
 
-use crate::net::dispatcher::{Exchange, Invocation};
+use crate::net::dispatcher::{ClientRequest, Dispatcher};
 
 /// A consumer that would wait for longer is answered within this time all the same.
 const LONGEST_WAIT_MS: f64 = 60_000.0;
 
 /// A command's names and values in the exchange's terms, or what is wrong with them.
 pub fn invocation(
-    exchange: &Exchange,
+    exchange: &Dispatcher,
     key: String,
     opaque: String,
     labels: Vec<(String, String)>,
     value: Option<Vec<u8>>,
-) -> Result<Invocation, &'static str> {
+) -> Result<ClientRequest, &'static str> {
     let of = |name: &str| labels.iter().find(|label| label.0 == name).map(|label| label.1.as_str());
     // A name that comes twice says two things.
     if labels.iter().enumerate().any(|(at, label)| labels[..at].iter().any(|other| other.0 == label.0)) {
@@ -40,5 +40,5 @@
         None => None,
     };
     let repeat = of("r") == Some("1");
-    Ok(Invocation { opaque, key, class, tenant, version, budget, hint, repeat, labels, value })
+    Ok(ClientRequest { opaque, key, class, tenant, version, budget, hint, repeat, labels, value })
 }
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -2,7 +2,7 @@
 //! commands and replies out. Strict and bounded; it never waits and never panics on input.
 
 use super::{Parsed, Parsed::*, MAX_ANSWER, MAX_VALUE};
-use crate::net::dispatcher::{Answer, Payload};
+use crate::net::dispatcher::{Payload, Response};
 
 /// The longest line, its end included.
 pub const MAX_LINE: usize = 2048;
@@ -131,19 +131,19 @@
 }
 
 /// The words of an answer to a consumer, up to the value if that flows.
-pub fn answer(opaque: &str, answer: &Answer) -> Vec<u8> {
+pub fn answer(opaque: &str, answer: &Response) -> Vec<u8> {
     match answer {
-        Answer::Served(Payload::Value(value)) => {
+        Response::Served(Payload::Value(value)) => {
             let mut out = value_head(opaque, value.len());
             out.extend_from_slice(value);
             out.extend_from_slice(END);
             out
         }
-        Answer::Flows(length, _) => value_head(opaque, *length),
-        Answer::Served(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
-        Answer::Rejected(Some(ms)) => format!("SERVER_ERROR busy {ms}\r\n").into_bytes(),
-        Answer::Rejected(None) => b"SERVER_ERROR busy\r\n".to_vec(),
-        Answer::Failed => b"SERVER_ERROR failed\r\n".to_vec(),
+        Response::Flows(length, _) => value_head(opaque, *length),
+        Response::Served(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
+        Response::Rejected(Some(ms)) => format!("SERVER_ERROR busy {ms}\r\n").into_bytes(),
+        Response::Rejected(None) => b"SERVER_ERROR busy\r\n".to_vec(),
+        Response::Failed => b"SERVER_ERROR failed\r\n".to_vec(),
     }
 }
 
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -1,8 +1,8 @@
 //! What the `fleet` object of the configuration says, in the form of the core.
 
 use super::{address, ConfigError};
-use crate::net::fleet::{FleetConfig, SharesConfig};
-use pinetrail_membership::{Settings, Times};
+use crate::net::fleet::{FleetConfig, QuotaConfig};
+use pinetrail_membership::{Settings, Timing};
 use pinetrail_quota as shares;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -45,8 +45,8 @@
         .map(|policy| super::policy::policy(policy, founders, advertise.unwrap_or(bind), file.size))
         .transpose()?;
     let peers = file.peers.into_iter().map(|at| address("fleet.peers", at)).collect::<Result<_, _>>()?;
-    let usual = Times::default();
-    let times = Times {
+    let usual = Timing::default();
+    let times = Timing {
         period: file.period_ms.unwrap_or(usual.period),
         answer: file.answer_ms.unwrap_or(usual.answer),
         suspicion: file.suspicion_ms.unwrap_or(usual.suspicion),
@@ -64,15 +64,15 @@
         times,
     };
     settings.check().map_err(|error| ConfigError::Fleet(error.to_string()))?;
-    Ok(FleetConfig { bind, advertise, settings, shares, policy })
+    Ok(FleetConfig { bind, advertise, settings, quota: shares, policy })
 }
 
 /// What it says of shares, which it does by naming the founders.
-fn shares(file: &FleetFile, founders: Vec<String>) -> Result<SharesConfig, ConfigError> {
+fn shares(file: &FleetFile, founders: Vec<String>) -> Result<QuotaConfig, ConfigError> {
     let bad = |error: String| ConfigError::Fleet(error);
     let founders: Vec<SocketAddr> =
         founders.into_iter().map(|at| address("fleet.founders", at)).collect::<Result<_, _>>()?;
-    let usual = shares::Settings::usual(founders, file.size);
+    let usual = shares::Settings::with_defaults(founders, file.size);
     let settings = shares::Settings {
         period: file.ask_ms.unwrap_or(usual.period),
         vote: file.vote_ms.unwrap_or(usual.vote),
@@ -90,7 +90,7 @@
     }
     let whole =
         [file.node_calls, file.origin_calls].map(|calls| calls.map_or(f64::INFINITY, |calls| calls as f64));
-    Ok(SharesConfig { settings, whole })
+    Ok(QuotaConfig { settings, whole })
 }
 
 /// Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
@@ -99,7 +99,7 @@
     settings: &crate::settings::Settings,
 ) -> Result<(), ConfigError> {
     let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-    let calls = fleet.and_then(|fleet| fleet.shares.as_ref()).map(|shares| shares.settings.calls);
+    let calls = fleet.and_then(|fleet| fleet.quota.as_ref()).map(|shares| shares.settings.calls);
     match calls.filter(|calls| (*calls as f64) < longest) {
         Some(calls) => {
             Err(ConfigError::Fleet(format!("call_ms {calls} is below the longest GiveUp, {longest}")))
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Config, Limits};
 use crate::settings::{Effect, Scope};
-use pinetrail_policy_consensus::WhenCut;
+use pinetrail_policy_consensus::LeaseExpiryMode;
 use serde_json::Value;
 use std::fmt::Debug;
 use std::net::SocketAddr;
@@ -151,7 +151,7 @@
 
 #[test]
 fn the_keys_of_shares_are_read() {
-    let shares = complete().fleet.unwrap().shares.unwrap();
+    let shares = complete().fleet.unwrap().quota.unwrap();
     same(shares.whole, [100.0, 50.0]);
     let settings = shares.settings;
     let founders = ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"];
@@ -170,7 +170,7 @@
     same((times.permit, times.renew, times.ready), (ms(2100), ms(510), ms(1510)));
     same((times.close, times.change, times.answer), (ms(310), ms(60_010), ms(210)));
     same((policy.hold, policy.catch_up), (ms(160), ms(10_010)));
-    same((policy.when_cut, policy.local), (WhenCut::Serve, true));
+    same((policy.when_cut, policy.local), (LeaseExpiryMode::FailOpen, true));
     same(policy.restore_after, Some(ms(5000)));
     same((policy.seats.0, policy.seat, policy.links), (3, Some(0), 5));
 }
@@ -182,7 +182,7 @@
         Config::from_json(text.as_bytes(), None).unwrap()
     };
     let refuses = with(r#""when_cut": "serve""#, r#""when_cut": "refuse""#);
-    same(refuses.policy().unwrap().when_cut, WhenCut::Refuse);
+    same(refuses.policy().unwrap().when_cut, LeaseExpiryMode::FailClosed);
     let cell = with(r#""DedupScope": "zone""#, r#""DedupScope": "cell""#);
     same(cell.settings.classes[1].scope, Scope::Cell);
 }
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -2,7 +2,7 @@
 
 use super::{address, ConfigError};
 use crate::net::policy::PolicyConfig;
-use pinetrail_policy_consensus::{Seats, Times, WhenCut};
+use pinetrail_policy_consensus::{LeaseExpiryMode, Timing, VoterSet};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     hold_ms: Option<u64>,
     catch_up_ms: Option<u64>,
     #[serde(default)]
-    when_cut: WhenCut,
+    when_cut: LeaseExpiryMode,
     #[serde(default)]
     local: bool,
     restore_after_ms: Option<u64>,
@@ -76,9 +76,9 @@
     if advertise.unwrap_or(bind).ip().is_unspecified() {
         return Err(bad("others cannot reach an unspecified bind: advertise is needed".to_owned()));
     }
-    let usual = Times::default();
+    let usual = Timing::default();
     let time = |ms: Option<u64>, usual: Duration| ms.map_or(usual, Duration::from_millis);
-    let times = Times {
+    let times = Timing {
         permit: time(file.permit_ms, usual.permit),
         renew: time(file.renew_ms, usual.renew),
         ready: time(file.ready_ms, usual.ready),
@@ -105,7 +105,7 @@
         when_cut: file.when_cut,
         local: file.local,
         restore_after: file.restore_after_ms.map(Duration::from_millis),
-        seats: Seats(u8::try_from(founders.len()).unwrap_or(u8::MAX)),
+        seats: VoterSet(u8::try_from(founders.len()).unwrap_or(u8::MAX)),
         seat,
         links: size,
     })
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -12,7 +12,7 @@
 const READ_SIZE: usize = 4 * 1024;
 const WRITE_RETRY: Duration = Duration::from_millis(1);
 
-/// A socket of the coroutine library, as far as a [`Link`] uses it.
+/// A socket of the coroutine library, as far as a [`DeadlineStream`] uses it.
 pub trait Socket {
     /// Reads what is there at this moment.
     fn read_now(&self, into: &mut [u8]) -> io::Result<usize>;
@@ -54,21 +54,21 @@
 
 /// A connection.
 #[derive(Debug)]
-pub struct Link<S = TcpStream>(Arc<S>);
+pub struct DeadlineStream<S = TcpStream>(Arc<S>);
 
-impl<S> Clone for Link<S> {
-    fn clone(&self) -> Link<S> {
-        Link(Arc::clone(&self.0))
+impl<S> Clone for DeadlineStream<S> {
+    fn clone(&self) -> DeadlineStream<S> {
+        DeadlineStream(Arc::clone(&self.0))
     }
 }
 
-impl Link {
+impl DeadlineStream {
     /// Connects within a time.
-    pub fn connect(address: &SocketAddr, timeout: Duration) -> io::Result<Link> {
+    pub fn connect(address: &SocketAddr, timeout: Duration) -> io::Result<DeadlineStream> {
         let stream = TcpStream::connect_timeout(address, timeout)?;
         // Without this an answer waits for the acknowledgement of the one before it.
         stream.set_nodelay(true)?;
-        Ok(Link(Arc::new(stream)))
+        Ok(DeadlineStream(Arc::new(stream)))
     }
 
     /// Whether it is open with nothing to read: fit for another call.
@@ -77,16 +77,16 @@
     }
 }
 
-impl<S> From<Arc<S>> for Link<S> {
-    fn from(socket: Arc<S>) -> Link<S> {
-        Link(socket)
+impl<S> From<Arc<S>> for DeadlineStream<S> {
+    fn from(socket: Arc<S>) -> DeadlineStream<S> {
+        DeadlineStream(socket)
     }
 }
 
-impl<S: Socket> Link<S> {
+impl<S: Socket> DeadlineStream<S> {
     /// A link of a socket that is connected.
-    pub fn of(socket: S) -> Link<S> {
-        Link(Arc::new(socket))
+    pub fn of(socket: S) -> DeadlineStream<S> {
+        DeadlineStream(Arc::new(socket))
     }
 
     /// Reads what is there, waiting until a point in time; 0 bytes mean the end.
--- a/src/net/deadline_stream/tests.rs
+++ b/src/net/deadline_stream/tests.rs
@@ -6,10 +6,10 @@
 use std::net::TcpListener;
 
 /// A connection that takes in little, and the other side of it.
-fn narrow() -> (Link, net::TcpStream) {
+fn narrow() -> (DeadlineStream, net::TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     SockRef::from(&listener).set_recv_buffer_size(2048).unwrap();
-    let link = Link::connect(&listener.local_addr().unwrap(), Duration::from_secs(5)).unwrap();
+    let link = DeadlineStream::connect(&listener.local_addr().unwrap(), Duration::from_secs(5)).unwrap();
     SockRef::from(link.0.inner()).set_send_buffer_size(2048).unwrap();
     let other = listener.accept().unwrap().0;
     other.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
@@ -17,7 +17,7 @@
 }
 
 /// What came out at the other side, once the connection has ended.
-fn read_to_end(link: Link, mut other: net::TcpStream) -> usize {
+fn read_to_end(link: DeadlineStream, mut other: net::TcpStream) -> usize {
     drop(link);
     let mut all = Vec::new();
     other.read_to_end(&mut all).unwrap();
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,7 +1,7 @@
 //! The descriptors that consumers and providers share, counted as they are taken. What each side may take is
-//! decided by [`pinetrail_connection_limits::Split`].
+//! decided by [`pinetrail_connection_limits::DescriptorBudget`].
 
-use pinetrail_connection_limits::Split;
+use pinetrail_connection_limits::DescriptorBudget;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -21,16 +21,16 @@
 #[derive(Debug)]
 pub struct Descriptors {
     started: Instant,
-    split: Mutex<Split>,
+    split: Mutex<DescriptorBudget>,
     consumers: AtomicUsize,
     providers: AtomicUsize,
 }
 
 /// A provider's descriptor; given back when it is dropped.
 #[derive(Debug)]
-pub struct ProviderDescriptor(Arc<Descriptors>);
+pub struct BackendDescriptor(Arc<Descriptors>);
 
-impl Drop for ProviderDescriptor {
+impl Drop for BackendDescriptor {
     fn drop(&mut self) {
         self.0.providers.fetch_sub(1, Ordering::AcqRel);
     }
@@ -41,7 +41,7 @@
     pub fn new(total: usize) -> Arc<Descriptors> {
         Arc::new(Descriptors {
             started: Instant::now(),
-            split: Mutex::new(Split::new(total, CONSUMERS_LEAST, PROVIDERS_LEAST)),
+            split: Mutex::new(DescriptorBudget::new(total, CONSUMERS_LEAST, PROVIDERS_LEAST)),
             consumers: AtomicUsize::default(),
             providers: AtomicUsize::default(),
         })
@@ -67,13 +67,13 @@
     }
 
     /// A descriptor for a connection to a provider, or none now; that it was wanted is remembered.
-    pub fn provider_descriptor(self: &Arc<Self>) -> Option<ProviderDescriptor> {
+    pub fn provider_descriptor(self: &Arc<Self>) -> Option<BackendDescriptor> {
         let mut split = self.split();
         let open = self.providers.load(Ordering::Acquire);
-        split.providers_need(self.now(), open + 1);
-        (open < split.for_providers(self.consumers.load(Ordering::Acquire))).then(|| {
+        split.record_backend_need(self.now(), open + 1);
+        (open < split.backend_limit(self.consumers.load(Ordering::Acquire))).then(|| {
             self.providers.fetch_add(1, Ordering::AcqRel);
-            ProviderDescriptor(Arc::clone(self))
+            BackendDescriptor(Arc::clone(self))
         })
     }
 
@@ -82,10 +82,10 @@
         let split = self.split();
         self.consumers.store(open, Ordering::Release);
         let now = self.now();
-        (split.for_consumers(now), split.has_room(now, open, self.providers.load(Ordering::Acquire)))
+        (split.client_limit(now), split.has_room(now, open, self.providers.load(Ordering::Acquire)))
     }
 
-    fn split(&self) -> MutexGuard<'_, Split> {
+    fn split(&self) -> MutexGuard<'_, DescriptorBudget> {
         self.split.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -7,8 +7,8 @@
 
 use super::config::{Catalog, Instance};
 use super::counters::Counters;
-use super::dispatcher::Exchange;
-use super::deadline_stream::{sleep, Link};
+use super::deadline_stream::{sleep, DeadlineStream};
+use super::dispatcher::Dispatcher;
 use super::log::log;
 use crate::interface::ListForm;
 use budget::Waits;
@@ -37,7 +37,7 @@
 
 /// The discovery side of one proxy.
 pub struct Discovery {
-    exchange: Arc<Exchange>,
+    exchange: Arc<Dispatcher>,
     counters: Arc<Counters>,
     target: Arc<Target>,
     generation: u64,
@@ -57,7 +57,7 @@
     /// How often it has moved.
     moves: u64,
     /// The connection of the watch that is on, to be ended by a move.
-    link: Option<Link>,
+    link: Option<DeadlineStream>,
 }
 
 impl Target {
@@ -68,7 +68,7 @@
             watched.moves += 1;
             watched.link.take()
         });
-        link.iter().for_each(Link::end);
+        link.iter().for_each(DeadlineStream::end);
         // The receiver is only gone when the program stops.
         let _ = self.subscribe.send(());
     }
@@ -83,7 +83,7 @@
     /// of `subscriptions`. Danger: where lists are pushed the module asks for nothing, and what the agent has counts
     /// as told from the first moment on: the watch is opened here.
     pub fn start(
-        exchange: Arc<Exchange>,
+        exchange: Arc<Dispatcher>,
         counters: Arc<Counters>,
         (address, pushed): (SocketAddr, bool),
         known: Catalog,
@@ -153,6 +153,6 @@
     }
 
     fn tell(&self, form: ListForm, instances: Vec<Instance>) {
-        self.exchange.providers(form, instances);
+        self.exchange.update_endpoints(form, instances);
     }
 }
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -4,10 +4,10 @@
 use super::lists::Lists;
 use super::{Discovery, Ended};
 use crate::interface::ListForm;
+use crate::net::codec::http::{self, Body, Head};
 use crate::net::codec::Parsed;
 use crate::net::config::Catalog;
-use crate::net::codec::http::{self, Body, Head};
-use crate::net::deadline_stream::Link;
+use crate::net::deadline_stream::DeadlineStream;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -25,7 +25,7 @@
         let silent_for = self.heard.map_or(Duration::MAX, |heard| heard.elapsed());
         let (call, connect) = call_within(silent_for);
         let begins_by = Instant::now() + call;
-        let link = Link::connect(address, connect).map_err(|error| match error.kind() {
+        let link = DeadlineStream::connect(address, connect).map_err(|error| match error.kind() {
             ErrorKind::TimedOut => Ended::TimedOut("no connection in time"),
             _ => Ended::Broke("no connection"),
         })?;
@@ -95,7 +95,7 @@
 }
 
 /// The head of discovery's answer, which has to be whole in time.
-fn head(link: &Link, bytes: &mut Vec<u8>, until: Instant) -> Result<Head, Ended> {
+fn head(link: &DeadlineStream, bytes: &mut Vec<u8>, until: Instant) -> Result<Head, Ended> {
     loop {
         read(link, bytes, until)?;
         match http::head(bytes) {
@@ -109,7 +109,7 @@
     }
 }
 
-fn read(link: &Link, bytes: &mut Vec<u8>, until: Instant) -> Result<(), Ended> {
+fn read(link: &DeadlineStream, bytes: &mut Vec<u8>, until: Instant) -> Result<(), Ended> {
     match link.read(bytes, until) {
         Ok(0) => Err(Ended::Broke("the connection ended")),
         Ok(_) => Ok(()),
--- a/src/net/dispatcher/golden_tests.rs
+++ b/src/net/dispatcher/golden_tests.rs
@@ -2,7 +2,7 @@
 //! upgrade. The older process runs the released program: a key that changes here ends upgrades
 //! without a break, or loses what is held out. All texts were recorded before any renaming.
 
-use super::maintenance::{HeldOut, Neighbour, Nodes, NotHeld};
+use super::maintenance::{EndpointSnapshot, MaintenanceError, MaintenanceSet, PeerAddress};
 use crate::interface::ListForm;
 use crate::net::config::Instance;
 
@@ -42,14 +42,14 @@
     }
 }
 
-fn neighbour() -> Neighbour {
+fn neighbour() -> PeerAddress {
     let place = "127.0.0.1:8001".parse().unwrap();
-    Neighbour { name: "p1".into(), start: 1_700_000_000_000_001, place }
+    PeerAddress { name: "p1".into(), start: 1_700_000_000_000_001, place }
 }
 
 /// Two nodes are listed, one was; `a` is held out, `b` was and is back.
-fn held_out() -> HeldOut {
-    let mut held_out = HeldOut::default();
+fn held_out() -> MaintenanceSet {
+    let mut held_out = MaintenanceSet::default();
     let gone = Instance { instance_id: "old".into(), ..instance() };
     held_out.told(ListForm::Full, vec![gone]);
     held_out.told(ListForm::Full, vec![instance(), other()]);
@@ -85,7 +85,7 @@
 #[test]
 fn a_neighbour_is_the_recorded_text() {
     assert_eq!(serde_json::to_string(&neighbour()).unwrap(), NEIGHBOUR);
-    assert_eq!(serde_json::from_str::<Neighbour>(NEIGHBOUR).unwrap(), neighbour());
+    assert_eq!(serde_json::from_str::<PeerAddress>(NEIGHBOUR).unwrap(), neighbour());
 }
 
 #[test]
@@ -93,20 +93,20 @@
     let mut nodes = held_out().nodes();
     nodes.links = vec![neighbour()];
     assert_eq!(serde_json::to_string(&nodes).unwrap(), recorded_nodes());
-    assert_eq!(serde_json::from_str::<Nodes>(&recorded_nodes()).unwrap(), nodes);
+    assert_eq!(serde_json::from_str::<EndpointSnapshot>(&recorded_nodes()).unwrap(), nodes);
 }
 
 #[test]
 fn empty_nodes_are_the_recorded_text_without_links() {
     let recorded = r#"{"told":[],"gone":[],"out":{},"back":{}}"#;
-    assert_eq!(serde_json::to_string(&Nodes::default()).unwrap(), recorded);
-    assert_eq!(serde_json::from_str::<Nodes>(recorded).unwrap(), Nodes::default());
+    assert_eq!(serde_json::to_string(&EndpointSnapshot::default()).unwrap(), recorded);
+    assert_eq!(serde_json::from_str::<EndpointSnapshot>(recorded).unwrap(), EndpointSnapshot::default());
 }
 
 #[test]
 fn a_newer_process_holds_out_what_the_recorded_text_says() {
-    let nodes: Nodes = serde_json::from_str(&recorded_nodes()).unwrap();
-    let mut newer = HeldOut::default();
+    let nodes: EndpointSnapshot = serde_json::from_str(&recorded_nodes()).unwrap();
+    let mut newer = MaintenanceSet::default();
     newer.told(ListForm::Full, nodes.told.clone());
     newer.inherit(nodes);
     assert_eq!(newer.nodes(), held_out().nodes());
@@ -114,8 +114,8 @@
 
 #[test]
 fn refusals_of_calls_about_nodes_are_the_recorded_texts() {
-    let text = |refusal: NotHeld| refusal.to_string();
-    assert_eq!(text(NotHeld::NeverListed("a".into())), "a was never listed");
-    assert_eq!(text(NotHeld::Origin("o".into())), "o is the origin, which is no cache node");
-    assert_eq!(text(NotHeld::TooMany), "4096 nodes are held out already");
+    let text = |refusal: MaintenanceError| refusal.to_string();
+    assert_eq!(text(MaintenanceError::NeverListed("a".into())), "a was never listed");
+    assert_eq!(text(MaintenanceError::Origin("o".into())), "o is the origin, which is no cache node");
+    assert_eq!(text(MaintenanceError::TooMany), "4096 nodes are held out already");
 }
--- a/src/net/dispatcher/ids.rs
+++ b/src/net/dispatcher/ids.rs
@@ -34,12 +34,12 @@
 
 /// The numbers of providers.
 #[derive(Debug, Default)]
-pub struct ProviderIds {
+pub struct EndpointIds {
     by_name: BTreeMap<String, ServerId>,
     taken: BTreeSet<ServerId>,
 }
 
-impl ProviderIds {
+impl EndpointIds {
     /// The numbers of the names of one list; new names are learned in their order as text.
     pub fn learn<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         let mut names: Vec<&str> = names.filter(|name| !self.by_name.contains_key(*name)).collect();
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -15,7 +15,7 @@
 
 /// Why a call about a node is answered with no.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum NotHeld {
+pub enum MaintenanceError {
     /// Discovery has never told of it.
     #[error("{0} was never listed")]
     NeverListed(String),
@@ -29,7 +29,7 @@
 
 /// All of it, as one process tells another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Nodes {
+pub struct EndpointSnapshot {
     /// What discovery told last of each that is listed.
     pub told: Vec<Instance>,
     gone: Vec<String>,
@@ -37,12 +37,12 @@
     back: BTreeMap<String, (Time, Time)>,
     /// Where processes of the fleet are linked, if they are.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub links: Vec<Neighbour>,
+    pub links: Vec<PeerAddress>,
 }
 
 /// A process of the fleet, and where its links are.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Neighbour {
+pub struct PeerAddress {
     /// Its proxy's name.
     pub name: String,
     /// When it started, in Unix microseconds.
@@ -53,7 +53,7 @@
 
 /// What discovery told of each node, and which are held out.
 #[derive(Debug, Default)]
-pub struct HeldOut {
+pub struct MaintenanceSet {
     told: BTreeMap<String, Instance>,
     gone: BTreeSet<String>,
     gone_in_order: VecDeque<String>,
@@ -63,10 +63,10 @@
     back: BTreeMap<String, (Time, Time)>,
 }
 
-impl HeldOut {
+impl MaintenanceSet {
     /// What another process is to know.
-    pub fn nodes(&self) -> Nodes {
-        Nodes {
+    pub fn nodes(&self) -> EndpointSnapshot {
+        EndpointSnapshot {
             told: self.told.values().cloned().collect(),
             gone: self.gone_in_order.iter().cloned().collect(),
             out: self.out.clone(),
@@ -76,7 +76,7 @@
     }
 
     /// Takes over what another process knew, but for what is listed: that is told like any list.
-    pub fn inherit(&mut self, nodes: Nodes) {
+    pub fn inherit(&mut self, nodes: EndpointSnapshot) {
         nodes.gone.into_iter().for_each(|name| self.remember(name));
         (self.out, self.back) = (nodes.out, nodes.back);
     }
@@ -112,17 +112,17 @@
     }
 
     /// Holds a node out; what the module is to hear of it, if it is listed. To do so twice changes nothing.
-    pub fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, NotHeld> {
+    pub fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
         self.known(name)?;
         if !self.out.contains_key(name) && self.out.len() >= MOST_OUT {
-            return Err(NotHeld::TooMany);
+            return Err(MaintenanceError::TooMany);
         }
         self.out.entry(name.to_owned()).or_insert(now);
         Ok(self.hear(name))
     }
 
     /// Lets a node serve again, however often it was held out.
-    pub fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, NotHeld> {
+    pub fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
         self.known(name)?;
         if let Some(since) = self.out.remove(name) {
             self.back.insert(name.to_owned(), (since, now));
@@ -130,10 +130,10 @@
         Ok(self.hear(name))
     }
 
-    fn known(&self, name: &str) -> Result<(), NotHeld> {
+    fn known(&self, name: &str) -> Result<(), MaintenanceError> {
         match self.told.contains_key(name) || self.gone.contains(name) || self.out.contains_key(name) {
             true => Ok(()),
-            false => Err(NotHeld::NeverListed(name.to_owned())),
+            false => Err(MaintenanceError::NeverListed(name.to_owned())),
         }
     }
 
--- a/src/net/dispatcher/maintenance/tests.rs
+++ b/src/net/dispatcher/maintenance/tests.rs
@@ -13,8 +13,8 @@
 
 #[test]
 fn a_node_held_out_stays_out_whatever_discovery_lists() {
-    let mut held = HeldOut::default();
-    assert_eq!(held.hold("a", 5.0), Err(NotHeld::NeverListed("a".into())));
+    let mut held = MaintenanceSet::default();
+    assert_eq!(held.hold("a", 5.0), Err(MaintenanceError::NeverListed("a".into())));
     held.told(ListForm::Full, vec![node("a", "ready", 1.0), node("b", "ready", 1.0)]);
     assert_eq!(states(&held.hold("a", 10.0).unwrap().into_iter().collect::<Vec<_>>()), [("draining", 1.0)]);
     held.hold("a", 11.0).unwrap();
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_node_that_comes_back_counts_as_cold_until_its_start_is_told() {
-    let mut held = HeldOut::default();
+    let mut held = MaintenanceSet::default();
     held.told(ListForm::Cached, vec![node("a", "ready", 1.0)]);
     held.hold("a", 10.0).unwrap();
     assert_eq!(states(&held.release("a", 30.0).unwrap().into_iter().collect::<Vec<_>>()), [("ready", 30.0)]);
@@ -40,7 +40,7 @@
 
 #[test]
 fn a_node_listed_once_may_be_held_out_before_it_returns_and_memory_is_bounded() {
-    let mut held = HeldOut::default();
+    let mut held = MaintenanceSet::default();
     held.told(ListForm::Full, vec![node("a", "ready", 1.0)]);
     held.told(ListForm::Full, Vec::new());
     assert_eq!(held.hold("a", 5.0), Ok(None));
@@ -49,5 +49,5 @@
     }
     assert!(held.gone.len() <= MOST_GONE && held.gone_in_order.len() <= MOST_GONE);
     assert_eq!(states(&held.told(ListForm::Full, vec![node("a", "ready", 9.0)])), [("draining", 9.0)]);
-    assert_eq!(held.hold("n0", 5.0), Err(NotHeld::NeverListed("n0".into())));
+    assert_eq!(held.hold("n0", 5.0), Err(MaintenanceError::NeverListed("n0".into())));
 }
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -1,13 +1,13 @@
 //! What the sides of the proxy hand to the exchange and get from it, in no protocol's form.
 
 use crate::interface::{RequestId, ServerId, Time};
-use crate::net::body_stream::Sink;
+use crate::net::body_stream::BodyWriter;
 use std::sync::Arc;
 use std::time::Instant;
 
 /// A consumer's request, in no protocol's form.
 #[derive(Clone, Debug)]
-pub struct Invocation {
+pub struct ClientRequest {
     /// Its id as the consumer gave it.
     pub opaque: String,
     /// Its key as the consumer gave it.
@@ -41,11 +41,11 @@
 
 /// The one final answer of an invocation.
 #[derive(Debug)]
-pub enum Answer {
+pub enum Response {
     /// Served.
     Served(Payload),
     /// Served with a value of this length, which flows from here on.
-    Flows(usize, Sink),
+    Flows(usize, BodyWriter),
     /// A rejection, with the time in ms after which to come back, if any is advised.
     Rejected(Option<u64>),
     /// Failed; nothing is promised.
@@ -54,7 +54,7 @@
 
 /// Names one invoker call: its invocation, and its number there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallId {
+pub struct AttemptId {
     /// The invocation's number at this proxy.
     pub invocation: RequestId,
     /// Counted from 0 in the order of the module's sends.
@@ -63,9 +63,9 @@
 
 /// An invoker call to make.
 #[derive(Clone, Debug)]
-pub struct Call {
+pub struct AttemptRequest {
     /// Its name.
-    pub id: CallId,
+    pub id: AttemptId,
     /// The provider.
     pub provider: ServerId,
     /// Where the provider is reached.
@@ -73,7 +73,7 @@
     /// Whether the provider is the origin.
     pub at_origin: bool,
     /// What to ask.
-    pub invocation: Arc<Invocation>,
+    pub invocation: Arc<ClientRequest>,
     /// The start of the provider's process that is meant.
     pub started: Time,
     /// When to stop waiting.
@@ -84,25 +84,25 @@
 
 /// What the provider side is to do.
 #[derive(Clone, Debug)]
-pub enum Order {
-    /// Make an invoker call; its end is owed to [`Exchange::call_ended`].
-    Call(Call),
+pub enum BackendCommand {
+    /// Make an invoker call; its end is owed to [`Dispatcher::call_ended`].
+    AttemptRequest(AttemptRequest),
     /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
     Forget(ServerId),
 }
 
 /// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
 /// and wake whoever writes it, but never wait nor call the exchange.
-pub type Reply = Box<dyn FnOnce(Answer) + Send>;
+pub type Reply = Box<dyn FnOnce(Response) + Send>;
 
 /// Why an invocation is not taken in.
-pub enum NotTaken {
+pub enum SubmitError {
     /// No two invocations may be open under one id.
     IdInUse,
     /// Other settings have come into force since it was read: it must be read by those.
-    Outdated(Box<Invocation>, Reply),
+    Outdated(Box<ClientRequest>, Reply),
     /// A change of the fleet's policy is being decided: it is to be handed in again within moments.
-    Soon(Box<Invocation>, Reply),
+    Soon(Box<ClientRequest>, Reply),
     /// This process may not admit requests; in how many ms to come back.
     Fenced(u64),
 }
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -3,31 +3,33 @@
 //! socket and no protocol; payloads pass through it as they came.
 
 mod clock;
+mod endpoint;
 #[cfg(test)]
 mod golden_tests;
-mod maintenance;
 mod ids;
-mod endpoint;
+mod maintenance;
 mod messages;
 
+use super::body_stream::BodyWriter;
 use super::config::{Instance, Names};
 use super::counters::Counters;
-use super::body_stream::Sink;
-use super::timer::{self, Guarded};
 use super::log::log;
+use super::timer::{self, TimerSet};
 use crate::interface::{
     Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, RequestId, ServerId, Share, State, Time,
 };
 use crate::logic::Balancer;
 use crate::settings::Settings;
 use clock::Clock;
-use maintenance::HeldOut;
-pub use maintenance::{Neighbour, Nodes, NotHeld};
-use ids::{key_number, ProviderIds};
 use endpoint::{provider, Provider};
+use ids::{key_number, EndpointIds};
+use maintenance::MaintenanceSet;
+pub use maintenance::{EndpointSnapshot, MaintenanceError, PeerAddress};
 use may::sync::mpsc::Sender;
-pub use messages::{Answer, Call, CallId, Invocation, NotTaken, Order, Payload, Reply};
-use pinetrail_policy_consensus::{Admission, Permit};
+pub use messages::{
+    AttemptId, AttemptRequest, BackendCommand, ClientRequest, Payload, Reply, Response, SubmitError,
+};
+use pinetrail_policy_consensus::{Admission, AdmissionLease};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -38,7 +40,7 @@
 
 /// An invocation, until its answer is given and all its calls have ended.
 struct Record {
-    invocation: Arc<Invocation>,
+    invocation: Arc<ClientRequest>,
     /// Until it is answered.
     open: Option<Open>,
     sends: u8,
@@ -50,12 +52,12 @@
 /// Who takes the answer, and what ends with it.
 struct Open {
     reply: Reply,
-    waits: Guarded,
+    waits: TimerSet,
 }
 
 impl Open {
     /// Gives the answer, and only then has the waits end: it goes out before they wake.
-    fn answer(self, answer: Answer) {
+    fn answer(self, answer: Response) {
         (self.reply)(answer);
         drop(self.waits);
     }
@@ -82,16 +84,16 @@
     open_ids: BTreeSet<String>,
     last_id: RequestId,
     providers: BTreeMap<ServerId, Known>,
-    ids: ProviderIds,
-    held_out: HeldOut,
+    ids: EndpointIds,
+    held_out: MaintenanceSet,
     /// Which version of the fleet's policy the settings are; 0 for this proxy's own.
     policy: u64,
 }
 
 /// What is to be done once the exchange's lock is released.
 enum Effect {
-    Answer(Open, Answer),
-    Order(Order),
+    Response(Open, Response),
+    BackendCommand(BackendCommand),
     Timer(Duration, u64),
     Subscribe,
 }
@@ -114,26 +116,26 @@
 }
 
 /// The meeting point of consumers, providers and discovery.
-pub struct Exchange {
+pub struct Dispatcher {
     clock: Clock,
     counters: Arc<Counters>,
     state: Mutex<Inner>,
-    orders: Sender<Order>,
+    orders: Sender<BackendCommand>,
     subscribe: Sender<()>,
     /// Under which alone invocations are taken in, where a fleet has one policy.
-    permit: OnceLock<Arc<Permit>>,
+    permit: OnceLock<Arc<AdmissionLease>>,
 }
 
-impl Exchange {
+impl Dispatcher {
     /// An exchange round a new balancer. Orders go to the provider side, subscriptions to discovery's.
     pub fn new(
         settings: Settings,
         seed: u64,
         names: Names,
         counters: Arc<Counters>,
-        orders: Sender<Order>,
+        orders: Sender<BackendCommand>,
         subscribe: Sender<()>,
-    ) -> Arc<Exchange> {
+    ) -> Arc<Dispatcher> {
         let origin_kind = settings.family.origin_kind;
         let state = Inner {
             names: Arc::new(names),
@@ -143,12 +145,12 @@
             open_ids: BTreeSet::new(),
             last_id: 0,
             providers: BTreeMap::new(),
-            ids: ProviderIds::default(),
-            held_out: HeldOut::default(),
+            ids: EndpointIds::default(),
+            held_out: MaintenanceSet::default(),
             policy: 0,
         };
         let state = Mutex::new(state);
-        Arc::new(Exchange {
+        Arc::new(Dispatcher {
             clock: Clock::start(),
             counters,
             state,
@@ -170,33 +172,35 @@
     }
 
     /// From now on invocations are taken in under this permit only; the first that is told counts.
-    pub fn permitted_by(&self, permit: Arc<Permit>) {
+    pub fn set_admission_lease(&self, permit: Arc<AdmissionLease>) {
         let _ = self.permit.set(permit);
     }
 
     /// Whether invocations are taken in under a permit only.
-    pub fn is_governed(&self) -> bool {
+    pub fn requires_lease(&self) -> bool {
         self.permit.get().is_some()
     }
 
     /// Whether this process may take nothing in, and is not about to.
     pub fn is_fenced(&self) -> bool {
-        self.is_governed() && matches!(self.admission(self.lock().policy), Admission::No(_))
+        self.requires_lease() && matches!(self.admission(self.lock().policy), Admission::Reject(_))
     }
 
     /// Whether what was read by this version of the names may be judged by it at this moment; none if it is to be read again.
-    pub fn judges_by(&self, version: u64) -> Option<Admission> {
+    pub fn admission_for(&self, version: u64) -> Option<Admission> {
         let state = self.lock();
         (state.names.version == version).then(|| self.admission(state.policy))
     }
 
     /// Danger: looked at when an invocation is taken in, with what is in force locked.
     fn admission(&self, policy: u64) -> Admission {
-        self.permit.get().map_or(Admission::Yes, |permit| permit.admits(policy, tokio::time::Instant::now()))
+        self.permit
+            .get()
+            .map_or(Admission::Admit, |permit| permit.admission(policy, tokio::time::Instant::now()))
     }
 
-    /// Puts a version of the fleet's policy in force, as [`Exchange::retune`] does.
-    pub fn govern(self: &Arc<Self>, version: u64, settings: Settings, names: Names) {
+    /// Puts a version of the fleet's policy in force, as [`Dispatcher::retune`] does.
+    pub fn apply_policy(self: &Arc<Self>, version: u64, settings: Settings, names: Names) {
         let mut state = self.lock();
         state.policy = version;
         self.put_in_force(state, settings, names);
@@ -204,7 +208,7 @@
 
     /// Puts other settings in force, and what names mean by them, in one step. Open invocations keep what they
     /// were taken with.
-    pub fn retune(self: &Arc<Self>, settings: Settings, names: Names) {
+    pub fn apply_settings(self: &Arc<Self>, settings: Settings, names: Names) {
         self.put_in_force(self.lock(), settings, names);
     }
 
@@ -226,28 +230,28 @@
     }
 
     /// Invocations that are not yet answered.
-    pub fn unanswered(&self) -> usize {
+    pub fn pending_count(&self) -> usize {
         self.lock().records.values().filter(|record| record.open.is_some()).count()
     }
 
     /// Takes an invocation in. Its one answer goes to `reply`, unless the consumer leaves first.
-    pub fn take(self: &Arc<Self>, invocation: Invocation, reply: Reply) -> Result<RequestId, NotTaken> {
+    pub fn take(self: &Arc<Self>, invocation: ClientRequest, reply: Reply) -> Result<RequestId, SubmitError> {
         let write = invocation.value.is_some();
         let overdue = span(invocation.budget) + OVERDUE;
         let mut state = self.lock();
         match self.admission(state.policy) {
-            Admission::Yes => {}
-            Admission::Soon => return Err(NotTaken::Soon(Box::new(invocation), reply)),
-            Admission::No(back) => {
-                self.permit.get().into_iter().for_each(|permit| permit.count_refusal());
-                return Err(NotTaken::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
+            Admission::Admit => {}
+            Admission::Wait => return Err(SubmitError::Soon(Box::new(invocation), reply)),
+            Admission::Reject(back) => {
+                self.permit.get().into_iter().for_each(|permit| permit.count_rejection());
+                return Err(SubmitError::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
             }
         }
         if invocation.version != state.names.version {
-            return Err(NotTaken::Outdated(Box::new(invocation), reply));
+            return Err(SubmitError::Outdated(Box::new(invocation), reply));
         }
         if !state.open_ids.insert(invocation.opaque.clone()) {
-            return Err(NotTaken::IdInUse);
+            return Err(SubmitError::IdInUse);
         }
         if write { &self.counters.taken_writes } else { &self.counters.taken_reads }.add();
         state.last_id += 1;
@@ -263,7 +267,7 @@
             write,
         };
         let invocation = Arc::new(invocation);
-        let waits = Guarded::default();
+        let waits = TimerSet::default();
         // The module sets a timer for each deadline. Should it ever lose one, no consumer waits for good.
         let exchange = Arc::clone(self);
         waits.by(move |guard| {
@@ -295,7 +299,7 @@
     }
 
     /// Ends whatever is unanswered, as failed: the program stops.
-    pub fn end_all(self: &Arc<Self>) {
+    pub fn abort_all(self: &Arc<Self>) {
         let open: Vec<RequestId> = {
             let state = self.lock();
             state.records.iter().filter(|(_, record)| record.open.is_some()).map(|(id, _)| *id).collect()
@@ -309,13 +313,13 @@
             self.counters.overdue.add();
             self.counters.answered_failed.add();
             self.step(state, Event::ClientGone(id));
-            open.answer(Answer::Failed);
+            open.answer(Response::Failed);
         }
     }
 
     /// Whether a call may still be sent: it is not too late, its invocation is open, and its provider takes work and is the
     /// process that was meant. Danger: asked before the first byte, and again before each that had to wait.
-    pub fn is_wanted(&self, call: &Call) -> bool {
+    pub fn should_send(&self, call: &AttemptRequest) -> bool {
         let state = self.lock();
         if Instant::now() >= call.send_by {
             return false;
@@ -327,34 +331,34 @@
     }
 
     /// Whether a provider takes new calls, and is still the process that started then.
-    pub fn takes_calls(&self, provider: ServerId, started: Time) -> bool {
+    pub fn accepts_attempts(&self, provider: ServerId, started: Time) -> bool {
         let same = |known: &Known| known.is_ready() && known.started == started;
         self.lock().providers.get(&provider).is_some_and(same)
     }
 
     /// The value that a call brings is too long to be read whole: the answer begins here, and the call goes on.
     /// False if nobody waits for it any more.
-    pub fn call_flows(self: &Arc<Self>, call: CallId, length: usize, sink: Sink) -> bool {
+    pub fn attempt_streaming(self: &Arc<Self>, call: AttemptId, length: usize, sink: BodyWriter) -> bool {
         let mut state = self.lock();
         let now = self.clock.now();
         let Some(record) = state.records.get_mut(&call.invocation) else { return false };
         let Some(open) = record.open.take() else { return false };
         record.began = Some(now);
         self.counters.answered_served.add();
-        open.answer(Answer::Flows(length, sink));
+        open.answer(Response::Flows(length, sink));
         self.step(state, Event::StreamBegan(call.invocation));
         true
     }
 
     /// An invoker call has ended. Only the first report of a call counts.
-    pub fn call_ended(self: &Arc<Self>, call: CallId, outcome: Outcome, payload: Option<Payload>) {
+    pub fn attempt_finished(self: &Arc<Self>, call: AttemptId, outcome: Outcome, payload: Option<Payload>) {
         let mut state = self.lock();
         let now = self.clock.now();
         let Some(record) = state.records.get_mut(&call.invocation) else { return };
         let Some((server, sent)) = record.out.remove(&call.attempt) else { return };
         self.counters.outcome(outcome).add();
         let answer = match (outcome, payload) {
-            (Outcome::Ok, Some(payload)) => record.open.take().map(|open| (open, Answer::Served(payload))),
+            (Outcome::Ok, Some(payload)) => record.open.take().map(|open| (open, Response::Served(payload))),
             _ => None,
         };
         let end = AttemptEnd {
@@ -376,29 +380,29 @@
     }
 
     /// Discovery tells of providers, or that a watch failed.
-    pub fn providers(self: &Arc<Self>, form: ListForm, list: Vec<Instance>) {
+    pub fn update_endpoints(self: &Arc<Self>, form: ListForm, list: Vec<Instance>) {
         let mut state = self.lock();
         let heard = state.held_out.told(form, list);
         self.hear(state, form, heard);
     }
 
     /// What another process of this proxy is to know of nodes.
-    pub fn nodes(&self) -> Nodes {
+    pub fn endpoint_snapshot(&self) -> EndpointSnapshot {
         self.lock().held_out.nodes()
     }
 
     /// Takes over what another process knew of nodes, before discovery's list is told.
-    pub fn inherit(&self, nodes: Nodes) {
+    pub fn restore_snapshot(&self, nodes: EndpointSnapshot) {
         self.lock().held_out.inherit(nodes);
     }
 
     /// Operators hold a cache node out: once this returns, nothing new goes there until it is brought back.
-    pub fn hold_out(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
+    pub fn enter_maintenance(self: &Arc<Self>, name: &str) -> Result<(), MaintenanceError> {
         let mut state = self.lock();
         let is_origin =
             |node: &Instance| i64::from(state.names.kind(&node.machine_type)) == state.origin_kind;
         if state.held_out.listed(name).is_some_and(is_origin) {
-            return Err(NotHeld::Origin(name.to_owned()));
+            return Err(MaintenanceError::Origin(name.to_owned()));
         }
         let heard = state.held_out.hold(name, self.clock.now())?;
         log(&format!("{name} is held out"));
@@ -407,7 +411,7 @@
     }
 
     /// Operators let a cache node serve again.
-    pub fn bring_back(self: &Arc<Self>, name: &str) -> Result<(), NotHeld> {
+    pub fn leave_maintenance(self: &Arc<Self>, name: &str) -> Result<(), MaintenanceError> {
         let mut state = self.lock();
         let heard = state.held_out.release(name, self.clock.now())?;
         log(&format!("{name} is no longer held out"));
@@ -443,7 +447,7 @@
             members.push(member);
         }
         state.forget_gone();
-        stale.into_iter().for_each(|server| drop(self.orders.send(Order::Forget(server))));
+        stale.into_iter().for_each(|server| drop(self.orders.send(BackendCommand::Forget(server))));
         self.step(state, Event::Members(form, members));
     }
 
@@ -467,15 +471,17 @@
                 match action {
                     Action::Send(id, server, limit, within) => {
                         match self.send(state, now, (id, server), (limit, within)) {
-                            Ok(call) => effects.push(Effect::Order(Order::Call(call))),
+                            Ok(call) => {
+                                effects.push(Effect::BackendCommand(BackendCommand::AttemptRequest(call)))
+                            }
                             Err(end) => events.push_back(Event::AttemptEnd(end)),
                         }
                     }
                     Action::Refuse(id, wait) => {
                         let advice = (wait > 0.0).then(|| wait.ceil() as u64);
-                        effects.extend(self.finish(state, id, Answer::Rejected(advice)));
+                        effects.extend(self.finish(state, id, Response::Rejected(advice)));
                     }
-                    Action::Fail(id) => effects.extend(self.finish(state, id, Answer::Failed)),
+                    Action::Fail(id) => effects.extend(self.finish(state, id, Response::Failed)),
                     Action::Timer(delay, token) => effects.push(Effect::Timer(span(delay), token)),
                     Action::TimerFor(id, delay, token) => {
                         // It ends with its invocation: else the timers of what is long answered pile up.
@@ -508,7 +514,7 @@
         now: Time,
         (id, server): (RequestId, ServerId),
         (limit, within): (Time, Time),
-    ) -> Result<Call, AttemptEnd> {
+    ) -> Result<AttemptRequest, AttemptEnd> {
         let known = state.providers.get(&server);
         let record = state.records.get_mut(&id);
         let attempt = record.as_ref().map_or(0, |record| record.sends);
@@ -536,8 +542,8 @@
         record.out.insert(attempt, (server, now));
         let limit = if limit > 0.0 { limit } else { record.invocation.budget };
         let decided = Instant::now();
-        Ok(Call {
-            id: CallId { invocation: id, attempt },
+        Ok(AttemptRequest {
+            id: AttemptId { invocation: id, attempt },
             provider: server,
             address: Arc::clone(&known.address),
             at_origin: known.origin,
@@ -549,24 +555,24 @@
     }
 
     /// Ends an invocation with an answer that no provider gave.
-    fn finish(&self, state: &mut Inner, id: RequestId, answer: Answer) -> Option<Effect> {
+    fn finish(&self, state: &mut Inner, id: RequestId, answer: Response) -> Option<Effect> {
         let record = state.records.get_mut(&id)?;
         let open = record.open.take()?;
         if record.out.is_empty() {
             state.forget(id);
         }
         match answer {
-            Answer::Rejected(_) => self.counters.answered_rejected.add(),
+            Response::Rejected(_) => self.counters.answered_rejected.add(),
             _ => self.counters.answered_failed.add(),
         }
-        Some(Effect::Answer(open, answer))
+        Some(Effect::Response(open, answer))
     }
 
     fn carry_out(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Answer(open, answer) => open.answer(answer),
+            Effect::Response(open, answer) => open.answer(answer),
             // Either side is only gone when the program stops.
-            Effect::Order(order) => drop(self.orders.send(order)),
+            Effect::BackendCommand(order) => drop(self.orders.send(order)),
             Effect::Subscribe => drop(self.subscribe.send(())),
             Effect::Timer(delay, token) => {
                 let exchange = Arc::clone(self);
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -2,10 +2,13 @@
 //! in `stats` and as lines of the log. Operators' tools read them by key, name and word. All texts
 //! were recorded before any renaming.
 
+use super::quota::{QuotaDriver, Seen};
 use super::report::{names, report, sum, words};
-use super::quota::{Seen, Sharing};
-use super::SharesConfig;
-use pinetrail_membership::{Counts, Entry, Members, News, Output, Settings, Side, State, Times};
+use super::QuotaConfig;
+use pinetrail_membership::{
+    MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
+    Timing,
+};
 use std::net::SocketAddr;
 
 /// Unix milliseconds.
@@ -15,41 +18,41 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn member(name: &str, port: u16, peers: &[u16], start: u64) -> Members {
+fn member(name: &str, port: u16, peers: &[u16], start: u64) -> Membership {
     let settings = Settings {
         fleet: "golden".into(),
         name: name.into(),
         advertise: address(port),
         peers: peers.iter().map(|port| address(*port)).collect(),
         size: 4,
-        times: Times::default(),
+        times: Timing::default(),
     };
-    Members::new(settings, start, u64::from(port), 0).unwrap()
+    Membership::new(settings, start, u64::from(port), 0).unwrap()
 }
 
 /// Time passes for these members; datagrams arrive at once.
-fn run(members: &mut [Members], from: u64, until: u64) {
+fn run(members: &mut [Membership], from: u64, until: u64) {
     for now in from..until {
         let mut sent: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
         for member in &mut *members {
-            if member.next_due().is_some_and(|due| due <= now) {
+            if member.next_timeout().is_some_and(|due| due <= now) {
                 let mut out = Vec::new();
-                member.due(now, &mut out);
+                member.handle_timeout(now, &mut out);
                 sent.extend(datagrams(member, out));
             }
         }
         while let Some((source, to, bytes)) = sent.pop() {
-            for member in members.iter_mut().filter(|member| member.me().address == to) {
+            for member in members.iter_mut().filter(|member| member.local_id().address == to) {
                 let mut out = Vec::new();
-                member.datagram(now, source, &bytes, &mut out);
+                member.handle_datagram(now, source, &bytes, &mut out);
                 sent.extend(datagrams(member, out));
             }
         }
     }
 }
 
-fn datagrams(member: &Members, out: Vec<Output>) -> Vec<(SocketAddr, SocketAddr, Vec<u8>)> {
-    let source = member.me().address;
+fn datagrams(member: &Membership, out: Vec<Output>) -> Vec<(SocketAddr, SocketAddr, Vec<u8>)> {
+    let source = member.local_id().address;
     let sent = out.into_iter().filter_map(|output| match output {
         Output::Send(to, bytes) => Some((source, to, bytes.to_vec())),
         _ => None,
@@ -57,10 +60,10 @@
     sent.collect()
 }
 
-fn shares() -> SharesConfig {
+fn shares() -> QuotaConfig {
     let founders = vec![address(7101), address(7102), address(7103)];
-    let settings = pinetrail_quota::Settings::usual(founders, 4);
-    SharesConfig { settings, whole: [100.0, 50.0] }
+    let settings = pinetrail_quota::Settings::with_defaults(founders, 4);
+    QuotaConfig { settings, whole: [100.0, 50.0] }
 }
 
 /// A member as the report has it; its time counts from `BEGAN`.
@@ -84,7 +87,7 @@
     shown_report(side, &[shown("a", 7101, state, 0, 0)], "")
 }
 
-fn told(member: &Members) -> String {
+fn told(member: &Membership) -> String {
     report(member, BEGAN, None)
 }
 
@@ -121,14 +124,14 @@
     let mut out = Vec::new();
     leaver.leave(1000, &mut out);
     for (source, to, bytes) in datagrams(&leaver, out) {
-        for member in all.iter_mut().filter(|member| member.me().address == to) {
-            member.datagram(1000, source, &bytes, &mut Vec::new());
+        for member in all.iter_mut().filter(|member| member.local_id().address == to) {
+            member.handle_datagram(1000, source, &bytes, &mut Vec::new());
         }
     }
     assert_eq!(told(&all[0]), three("whole", alive, left));
     all.truncate(1);
     let mut now = 1000;
-    let mut until = |word: &str, all: &mut [Members]| {
+    let mut until = |word: &str, all: &mut [Membership]| {
         while !told(&all[0]).contains(word) {
             run(all, now, now + 1);
             now += 1;
@@ -164,7 +167,7 @@
 #[test]
 fn shares_of_a_process_that_has_just_started_are_the_recorded_text() {
     let alone = member("a", 7101, &[], 1);
-    let sharing = Sharing::new(shares(), &alone, 0);
+    let sharing = QuotaDriver::new(shares(), &alone, 0);
     let recorded = r#"{"share":0.125,"base":0.125,"lease_ms":0,"view":0,"steward":false}"#;
     assert_eq!(serde_json::to_string(&sharing.seen(0)).unwrap(), recorded);
 }
@@ -179,11 +182,11 @@
         ("fleet_stewardships", 0),
         ("fleet_shares_unheard", 0),
     ];
-    assert_eq!(Sharing::new(shares(), &alone, 0).list(), recorded);
+    assert_eq!(QuotaDriver::new(shares(), &alone, 0).list(), recorded);
 }
 
-fn counts() -> Counts {
-    Counts {
+fn counts() -> MembershipCounters {
+    MembershipCounters {
         probes: 1,
         probes_indirect: 2,
         probes_failed: 3,
@@ -235,13 +238,13 @@
     assert_eq!(names(&sum(counts(), counts()), 40), doubled);
 }
 
-fn entry(state: State, start: u64) -> Entry {
-    Entry { name: "b".into(), start, address: address(7102), state, incarnation: 0, since: 0 }
+fn entry(state: State, start: u64) -> MemberRecord {
+    MemberRecord { name: "b".into(), start, address: address(7102), state, incarnation: 0, since: 0 }
 }
 
 #[test]
 fn lines_about_a_member_are_the_recorded_texts() {
-    let line = |state, before| words(&News::Member { entry: entry(state, 2), before });
+    let line = |state, before| words(&MembershipEvent::Member { entry: entry(state, 2), before });
     let same = |state| line(state, Some((2, State::Alive)));
     assert_eq!(line(State::Alive, None), "b at 127.0.0.1:7102 is alive");
     assert_eq!(same(State::Suspect), "b at 127.0.0.1:7102: alive -> suspect, no answer");
@@ -249,16 +252,16 @@
     assert_eq!(same(State::Left), "b at 127.0.0.1:7102: alive -> left");
     let anew = "b is a new process, at 127.0.0.1:7102: alive; the one before was failed";
     assert_eq!(line(State::Alive, Some((1, State::Failed))), anew);
-    assert_eq!(words(&News::Forgotten("b".into())), "b is remembered no longer");
+    assert_eq!(words(&MembershipEvent::Forgotten("b".into())), "b is remembered no longer");
 }
 
 #[test]
 fn lines_about_the_fleet_are_the_recorded_texts() {
-    let side = |side| words(&News::Side(side));
-    assert_eq!(side(Side::Whole), "this is the side: whole");
-    assert_eq!(side(Side::Majority), "this is the side: majority");
-    assert_eq!(side(Side::Minority), "this is the side: minority");
-    assert_eq!(side(Side::Alone), "this is the side: alone");
+    let side = |side| words(&MembershipEvent::PartitionSide(side));
+    assert_eq!(side(PartitionSide::Whole), "this is the side: whole");
+    assert_eq!(side(PartitionSide::Majority), "this is the side: majority");
+    assert_eq!(side(PartitionSide::Minority), "this is the side: minority");
+    assert_eq!(side(PartitionSide::Alone), "this is the side: alone");
     let later = concat!(
         "ERROR: another process at 127.0.0.1:7102 has this one's name and started later: ",
         "that one counts in the fleet, this one is out of it",
@@ -267,11 +270,11 @@
         "ERROR: another process at 127.0.0.1:7102 has this one's name and started earlier: ",
         "this one counts in the fleet",
     );
-    assert_eq!(words(&News::Rival(address(7102), true)), later);
-    assert_eq!(words(&News::Rival(address(7102), false)), earlier);
-    assert_eq!(words(&News::RivalGone), "the other process of this one's name is gone");
+    assert_eq!(words(&MembershipEvent::Rival(address(7102), true)), later);
+    assert_eq!(words(&MembershipEvent::Rival(address(7102), false)), earlier);
+    assert_eq!(words(&MembershipEvent::RivalGone), "the other process of this one's name is gone");
     let full = "ERROR: 127.0.0.1:7102 has no room for this member: its fleet.size is 4";
-    assert_eq!(words(&News::NoRoom(address(7102), 4)), full);
-    assert_eq!(words(&News::Returned), "others had taken this member for failed; it is back");
-    assert_eq!(words(&News::Stopped(9)), "this process did not run for 9 ms");
+    assert_eq!(words(&MembershipEvent::NoRoom(address(7102), 4)), full);
+    assert_eq!(words(&MembershipEvent::Returned), "others had taken this member for failed; it is back");
+    assert_eq!(words(&MembershipEvent::Stopped(9)), "this process did not run for 9 ms");
 }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -3,16 +3,16 @@
 
 #[cfg(test)]
 mod golden_tests;
-mod report;
 mod quota;
+mod report;
 
 use super::deadline_stream::sleep;
 use super::log::log;
 use super::policy::PolicyConfig;
 use super::{counters, timer};
 use may::io::{CoIo, WaitIo};
-use pinetrail_membership::{Counts, Members, Output, Settings, State, Time, MAX_DATAGRAM};
-use quota::{Seen, Sharing};
+use pinetrail_membership::{Membership, MembershipCounters, Output, Settings, State, Time, MAX_DATAGRAM};
+use quota::{QuotaDriver, Seen};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -31,7 +31,7 @@
 
 /// What it is told of shares, if anything.
 #[derive(Clone, Debug, PartialEq)]
-pub struct SharesConfig {
+pub struct QuotaConfig {
     /// For the core.
     pub settings: pinetrail_quota::Settings,
     /// Calls in flight of all together, at one node and at the origin; infinite if not told.
@@ -48,7 +48,7 @@
     /// The rest; its `advertise` counts once the socket is open.
     pub settings: Settings,
     /// Of shares; without it the share is one of `GroupSize`.
-    pub shares: Option<SharesConfig>,
+    pub quota: Option<QuotaConfig>,
     /// Of the common policy, if there is one.
     pub policy: Option<PolicyConfig>,
 }
@@ -69,15 +69,15 @@
 }
 
 /// A member that speaks: its socket and what it believes.
-struct Speaking {
+struct ActiveMember {
     /// Which one it is: each time that this process begins to speak is another.
     number: u64,
     socket: Arc<CoIo<UdpSocket>>,
-    members: Members,
-    sharing: Option<Sharing>,
+    members: Membership,
+    sharing: Option<QuotaDriver>,
 }
 
-impl Speaking {
+impl ActiveMember {
     /// Does what is due about shares, and hears what was said of them; what the decision module is to be told.
     fn share(&mut self, now: Time, out: &mut Vec<Output>) -> Option<quota::Share> {
         let sharing = self.sharing.as_mut()?;
@@ -95,7 +95,7 @@
                 told = sharing.heard(now, &bytes, &mut self.members, out).or(told);
             }
         }
-        if self.members.counts_here() && now >= sharing.next_due() {
+        if self.members.is_name_holder() && now >= sharing.next_due() {
             told = sharing.due(now, &mut self.members, out).or(told);
         }
         told
@@ -119,17 +119,17 @@
 pub type Tell = Box<dyn Fn(Share) + Send + Sync>;
 
 /// Who hears what a member at an address says of its links.
-pub type HearLinks = Box<dyn Fn(SocketAddr, &[u8]) + Send + Sync>;
+pub type LinkMessageHandler = Box<dyn Fn(SocketAddr, &[u8]) + Send + Sync>;
 
 /// A member that is alive, as links need to know it: its name, its start, and where its datagrams go.
-pub type There = (Arc<str>, u64, SocketAddr);
+pub type LivePeer = (Arc<str>, u64, SocketAddr);
 
 /// Where this process stands in its fleet.
 enum Stand {
     /// It is to speak as soon as the socket can be opened.
     Opening,
     /// It speaks.
-    Speaks(Box<Speaking>),
+    Speaks(Box<ActiveMember>),
     /// The other process of this proxy speaks for both, or it has said that it leaves.
     Silent,
 }
@@ -143,13 +143,13 @@
     stand: Mutex<Stand>,
     spoken: AtomicU64,
     /// What the members that spoke before counted.
-    counts: Mutex<Counts>,
+    counts: Mutex<MembershipCounters>,
     send_failures: counters::Count,
     tell: Tell,
     /// Whether the other process of this proxy serves as well: they have one base between them.
     beside: AtomicBool,
     /// Who hears what members say of their links, if anybody.
-    hear_links: OnceLock<HearLinks>,
+    hear_links: OnceLock<LinkMessageHandler>,
 }
 
 impl Fleet {
@@ -187,8 +187,8 @@
 
     /// Until it is granted more a process has its base.
     fn tell_base(&self) {
-        if let Some(shares) = &self.config().shares {
-            let base = shares.settings.base() as f64 / pinetrail_quota::WHOLE as f64;
+        if let Some(shares) = &self.config().quota {
+            let base = shares.settings.base() as f64 / pinetrail_quota::WHOLE_PARTS as f64;
             self.say(quota::Share { part: base, until: 0, base, whole: shares.whole });
         }
     }
@@ -211,7 +211,7 @@
     }
 
     /// Speaks from now on; an error says that the socket cannot be opened.
-    pub fn speak(self: &Arc<Self>) -> Result<(), String> {
+    pub fn activate(self: &Arc<Self>) -> Result<(), String> {
         *self.stand() = Stand::Opening;
         let config = self.config().clone();
         self.open().map_err(|error| {
@@ -221,7 +221,7 @@
     }
 
     /// Speaks as soon as the other process of this proxy has let go of the socket.
-    pub fn speak_soon(self: &Arc<Self>) {
+    pub fn activate_when_free(self: &Arc<Self>) {
         *self.stand() = Stand::Opening;
         let fleet = Arc::clone(self);
         may::go!(move || {
@@ -240,14 +240,14 @@
     }
 
     /// Leaves speaking to the other process of this proxy.
-    pub fn rest(&self) {
+    pub fn deactivate(&self) {
         self.become_silent(|_, _| {});
     }
 
     /// This process ends soon: no council is to count on it.
     pub fn begin_to_leave(&self) {
         if let Stand::Speaks(speaking) = &mut *self.stand() {
-            speaking.sharing.iter_mut().for_each(Sharing::leave);
+            speaking.sharing.iter_mut().for_each(QuotaDriver::leave);
         }
     }
 
@@ -270,7 +270,7 @@
     }
 
     /// Whether this process is the steward of shares at this moment: at most one of the fleet is.
-    pub fn is_steward(&self) -> bool {
+    pub fn is_quota_leader(&self) -> bool {
         let now = self.now();
         match &*self.stand() {
             Stand::Speaks(speaking) => {
@@ -282,7 +282,7 @@
 
     /// No call may run longer than this, in ms, if the fleet shares.
     pub fn longest_call(&self) -> Option<u64> {
-        self.config().shares.as_ref().map(|shares| shares.settings.calls)
+        self.config().quota.as_ref().map(|shares| shares.settings.calls)
     }
 
     /// The names of this member and of the fleet.
@@ -292,21 +292,21 @@
     }
 
     /// Who hears of links from now on; the first that is told counts.
-    pub fn links_heard_by(&self, hear: HearLinks) {
+    pub fn set_directory_handler(&self, hear: LinkMessageHandler) {
         let _ = self.hear_links.set(hear);
     }
 
     /// Says something of this process's links to the member at an address.
-    pub fn say_of_links(&self, to: SocketAddr, body: &[u8]) {
-        self.with(|members, out| members.say_of_links(to, body, out));
+    pub fn send_directory_message(&self, to: SocketAddr, body: &[u8]) {
+        self.with(|members, out| members.send_directory_message(to, body, out));
     }
 
     /// The other members that are alive; none while this process is silent.
-    pub fn there(&self) -> Option<Vec<There>> {
+    pub fn live_peers(&self) -> Option<Vec<LivePeer>> {
         match &*self.stand() {
             Stand::Speaks(speaking) => {
-                let own = &speaking.members.me().name;
-                let all = speaking.members.roster().into_iter();
+                let own = &speaking.members.local_id().name;
+                let all = speaking.members.members().into_iter();
                 let others = all.filter(|entry| entry.name != *own);
                 let there = others.filter(|entry| matches!(entry.state, State::Alive | State::Suspect));
                 Some(there.map(|entry| (entry.name, entry.start, entry.address)).collect())
@@ -341,11 +341,11 @@
 
     /// What was counted, by name.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
-        let now = self.with(|members, _| members.counts()).unwrap_or_default();
+        let now = self.with(|members, _| members.counters()).unwrap_or_default();
         let counts = report::sum(*self.earlier(), now);
         let mut all = report::names(&counts, self.send_failures.get());
         if let Stand::Speaks(speaking) = &*self.stand() {
-            all.extend(speaking.sharing.iter().flat_map(Sharing::list));
+            all.extend(speaking.sharing.iter().flat_map(QuotaDriver::list));
         }
         all
     }
@@ -356,18 +356,19 @@
         let bound = socket.local_addr()?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
-        let members = Members::new(config.at(bound), start, self.seed ^ start, self.now())
+        let members = Membership::new(config.at(bound), start, self.seed ^ start, self.now())
             .map_err(|error| io::Error::new(ErrorKind::InvalidInput, error.to_string()))?;
         let socket = Arc::new(CoIo::new(socket).map_err(io::Error::from)?);
         let settings = &config.settings;
         log(&format!("fleet {}: {} is at {bound}", settings.fleet, settings.name));
         let number = self.spoken.fetch_add(1, Ordering::AcqRel);
         let now = self.now();
-        let sharing = config.shares.clone().map(|shares| Sharing::new(shares, &members, now));
+        let sharing = config.quota.clone().map(|shares| QuotaDriver::new(shares, &members, now));
         let mut stand = self.stand();
         // It knows nothing of what it held before.
         sharing.iter().for_each(|sharing| self.say(sharing.share(now)));
-        *stand = Stand::Speaks(Box::new(Speaking { number, socket: Arc::clone(&socket), members, sharing }));
+        *stand =
+            Stand::Speaks(Box::new(ActiveMember { number, socket: Arc::clone(&socket), members, sharing }));
         drop(stand);
         let (hearing, waiting) = (Arc::clone(self), Arc::clone(self));
         may::go!(move || hearing.hear(number, &socket));
@@ -383,7 +384,7 @@
             match socket.inner().recv_from(&mut room) {
                 Ok((count, from)) => {
                     let now = self.now();
-                    self.with(|members, out| members.datagram(now, from, &room[..count], out));
+                    self.with(|members, out| members.handle_datagram(now, from, &room[..count], out));
                     turn += 1;
                     if turn % TURN == 0 {
                         sleep(BETWEEN_TURNS);
@@ -402,7 +403,7 @@
     fn wait(&self, number: u64) {
         while self.is_on(number) {
             let now = self.now();
-            self.with(|members, out| members.due(now, out));
+            self.with(|members, out| members.handle_timeout(now, out));
             let next = self.next_due();
             let wait = Duration::from_millis(next.map_or(u64::MAX, |next| next.saturating_sub(self.now())));
             timer::sleep(wait.clamp(Duration::from_millis(1), LONGEST_SLEEP));
@@ -412,9 +413,9 @@
     fn next_due(&self) -> Option<Time> {
         match &*self.stand() {
             Stand::Speaks(speaking) => {
-                let sharing = speaking.sharing.as_ref().filter(|_| speaking.members.counts_here());
-                let shares = sharing.map(Sharing::next_due);
-                speaking.members.next_due().into_iter().chain(shares).min()
+                let sharing = speaking.sharing.as_ref().filter(|_| speaking.members.is_name_holder());
+                let shares = sharing.map(QuotaDriver::next_due);
+                speaking.members.next_timeout().into_iter().chain(shares).min()
             }
             Stand::Opening | Stand::Silent => None,
         }
@@ -425,7 +426,7 @@
     }
 
     /// Has the member do something, and does what it wants; none if this process does not speak.
-    fn with<T>(&self, act: impl FnOnce(&mut Members, &mut Vec<Output>) -> T) -> Option<T> {
+    fn with<T>(&self, act: impl FnOnce(&mut Membership, &mut Vec<Output>) -> T) -> Option<T> {
         let mut out = Vec::new();
         let (done, socket) = match &mut *self.stand() {
             Stand::Speaks(speaking) => {
@@ -439,12 +440,12 @@
         Some(done)
     }
 
-    fn become_silent(&self, last: impl FnOnce(&mut Members, &mut Vec<Output>)) {
+    fn become_silent(&self, last: impl FnOnce(&mut Membership, &mut Vec<Output>)) {
         let mut out = Vec::new();
         let before = std::mem::replace(&mut *self.stand(), Stand::Silent);
         if let Stand::Speaks(mut speaking) = before {
             last(&mut speaking.members, &mut out);
-            let counts = report::sum(*self.earlier(), speaking.members.counts());
+            let counts = report::sum(*self.earlier(), speaking.members.counters());
             *self.earlier() = counts;
             self.carry_out(out, &speaking.socket);
             // Who waits on it wakes, and lets go of it: it closes with the last of them.
@@ -465,7 +466,7 @@
                 Output::Links(from, body) => {
                     self.hear_links.get().into_iter().for_each(|hear| hear(from, &body));
                 }
-                Output::News(news) => log(&format!("fleet: {}", report::words(&news))),
+                Output::MembershipEvent(news) => log(&format!("fleet: {}", report::words(&news))),
             }
         }
     }
@@ -482,7 +483,7 @@
         self.config.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn earlier(&self) -> MutexGuard<'_, Counts> {
+    fn earlier(&self) -> MutexGuard<'_, MembershipCounters> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -1,10 +1,12 @@
 //! The shares of a member that speaks: between the core of shares, the members that carry its words, and the decision
 //! module, which is told each time that its share changes.
 
-use super::SharesConfig;
+use super::QuotaConfig;
 use crate::net::log::log;
-use pinetrail_membership::{Members, Output as Told, Time};
-use pinetrail_quota::{read, words, Counts, News, Output, Process, Shares, Unheard, WHOLE};
+use pinetrail_membership::{Membership, Output as RawMemberId, Time};
+use pinetrail_quota::{
+    decode, encode, DecodeError, Output, Process, QuotaCounters, QuotaEvent, QuotaLeases, WHOLE_PARTS,
+};
 use serde::Serialize;
 
 /// This process's share, by the fleet's clock.
@@ -36,43 +38,44 @@
 }
 
 /// The shares of one process.
-pub struct Sharing {
-    config: SharesConfig,
-    shares: Shares,
+pub struct QuotaDriver {
+    config: QuotaConfig,
+    shares: QuotaLeases,
     me: Process,
     /// Whether it was said that another has other settings.
     differs: bool,
     /// Words that were not heard, and counts of processes before.
     unheard: u64,
-    earlier: Counts,
+    earlier: QuotaCounters,
 }
 
-impl Sharing {
+impl QuotaDriver {
     /// A process that has its base.
-    pub fn new(config: SharesConfig, members: &Members, now: Time) -> Sharing {
+    pub fn new(config: QuotaConfig, members: &Membership, now: Time) -> QuotaDriver {
         let me = own(members);
-        let shares = Shares::new(config.settings.clone(), me, now).expect("settings were checked");
-        Sharing { config, shares, me, differs: false, unheard: 0, earlier: Counts::default() }
+        let shares = QuotaLeases::new(config.settings.clone(), me, now).expect("settings were checked");
+        QuotaDriver { config, shares, me, differs: false, unheard: 0, earlier: QuotaCounters::default() }
     }
 
-    /// When [`Sharing::due`] is to be called at the latest.
+    /// When [`QuotaDriver::due`] is to be called at the latest.
     pub fn next_due(&self) -> Time {
-        self.shares.next_due()
+        self.shares.next_timeout()
     }
 
     /// Time has passed. Who is there may have changed; another process under this name may count.
-    pub fn due(&mut self, now: Time, members: &mut Members, out: &mut Vec<Told>) -> Option<Share> {
+    pub fn due(&mut self, now: Time, members: &mut Membership, out: &mut Vec<RawMemberId>) -> Option<Share> {
         if own(members) != self.me {
             // It has come back as another process, which knows nothing of leases.
-            let before = self.shares.counts();
-            *self = Sharing {
+            let before = self.shares.counters();
+            *self = QuotaDriver {
                 earlier: sum(self.earlier, before),
-                ..Sharing::new(self.config.clone(), members, now)
+                ..QuotaDriver::new(self.config.clone(), members, now)
             };
         }
-        self.shares.know(members.there().map(|(place, start)| Process { place, start }));
+        self.shares
+            .set_live_processes(members.live_peers().map(|(place, start)| Process { address: place, start }));
         let mut said = Vec::new();
-        self.shares.due(now, &mut said);
+        self.shares.handle_timeout(now, &mut said);
         self.carry_out(now, said, members, out)
     }
 
@@ -86,16 +89,16 @@
         &mut self,
         now: Time,
         bytes: &[u8],
-        members: &mut Members,
-        out: &mut Vec<Told>,
+        members: &mut Membership,
+        out: &mut Vec<RawMemberId>,
     ) -> Option<Share> {
-        let message = match read(&self.config.settings, bytes) {
+        let message = match decode(&self.config.settings, bytes) {
             Ok(message) => message,
-            Err(Unheard::Spoilt) => {
+            Err(DecodeError::Spoilt) => {
                 self.unheard += 1;
                 return None;
             }
-            Err(Unheard::OtherSettings) => {
+            Err(DecodeError::OtherSettings) => {
                 self.unheard += 1;
                 // Said once: it is for operators to mend.
                 if !std::mem::replace(&mut self.differs, true) {
@@ -105,7 +108,7 @@
             }
         };
         let mut said = Vec::new();
-        self.shares.hear(now, &message, &mut said);
+        self.shares.handle_message(now, &message, &mut said);
         self.carry_out(now, said, members, out)
     }
 
@@ -127,13 +130,13 @@
             base: part(self.shares.base()),
             lease_ms: self.shares.lease().until.saturating_sub(now),
             view: self.shares.view(),
-            steward: self.shares.is_steward(now),
+            steward: self.shares.is_leader(now),
         }
     }
 
     /// What was counted, by name.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
-        let counts = sum(self.earlier, self.shares.counts());
+        let counts = sum(self.earlier, self.shares.counters());
         vec![
             ("fleet_leases_granted", counts.granted),
             ("fleet_leases_refused", counts.refused),
@@ -147,18 +150,18 @@
         &self,
         now: Time,
         said: Vec<Output>,
-        members: &mut Members,
-        out: &mut Vec<Told>,
+        members: &mut Membership,
+        out: &mut Vec<RawMemberId>,
     ) -> Option<Share> {
         let mut changed = false;
         for output in said {
             match output {
                 Output::Send(to, message) => {
-                    members.say_of_shares(to, &words(&self.config.settings, &message), out);
+                    members.send_quota_message(to, &encode(&self.config.settings, &message), out);
                 }
-                Output::News(News::Leased(_)) => changed = true,
-                Output::News(news) => {
-                    changed |= news == News::Ended;
+                Output::QuotaEvent(QuotaEvent::Leased(_)) => changed = true,
+                Output::QuotaEvent(news) => {
+                    changed |= news == QuotaEvent::Ended;
                     log(&format!("fleet: {}", in_words(&news)));
                 }
             }
@@ -167,16 +170,16 @@
     }
 }
 
-fn own(members: &Members) -> Process {
-    Process { place: members.me().address, start: members.me().start }
+fn own(members: &Membership) -> Process {
+    Process { address: members.local_id().address, start: members.local_id().start }
 }
 
 fn part(of: u64) -> f64 {
-    of as f64 / WHOLE as f64
+    of as f64 / WHOLE_PARTS as f64
 }
 
-fn sum(a: Counts, b: Counts) -> Counts {
-    Counts {
+fn sum(a: QuotaCounters, b: QuotaCounters) -> QuotaCounters {
+    QuotaCounters {
         granted: a.granted + b.granted,
         refused: a.refused + b.refused,
         ended: a.ended + b.ended,
@@ -184,12 +187,12 @@
     }
 }
 
-fn in_words(news: &News) -> String {
+fn in_words(news: &QuotaEvent) -> String {
     match news {
-        News::Leased(lease) => format!("holds {} of {WHOLE} by lease", lease.part),
-        News::Ended => "its lease has ended: this process has only its base".to_owned(),
-        News::Steward(true) => "this process is the steward: it leases shares".to_owned(),
-        News::Steward(false) => "this process is the steward no longer".to_owned(),
-        News::View(number) => format!("view {number} counts"),
+        QuotaEvent::Leased(lease) => format!("holds {} of {WHOLE_PARTS} by lease", lease.part),
+        QuotaEvent::Ended => "its lease has ended: this process has only its base".to_owned(),
+        QuotaEvent::Steward(true) => "this process is the steward: it leases shares".to_owned(),
+        QuotaEvent::Steward(false) => "this process is the steward no longer".to_owned(),
+        QuotaEvent::View(number) => format!("view {number} counts"),
     }
 }
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -1,7 +1,7 @@
 //! What operators see of a fleet: JSON at the door, lines of the log, counters.
 
 use super::quota::Seen;
-use pinetrail_membership::{Counts, Entry, Members, News, State};
+use pinetrail_membership::{MemberRecord, Membership, MembershipCounters, MembershipEvent, State};
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -34,8 +34,8 @@
 }
 
 /// What the door says. Times of the member are counted from `began`, in Unix milliseconds.
-pub fn report(members: &Members, began: u64, seen: Option<Seen>) -> String {
-    let member = |entry: Entry| Member {
+pub fn report(members: &Membership, began: u64, seen: Option<Seen>) -> String {
+    let member = |entry: MemberRecord| Member {
         name: entry.name.to_string(),
         address: entry.address,
         state: entry.state.to_string(),
@@ -43,21 +43,21 @@
         since_ms: began + entry.since,
     };
     let report = Report {
-        own: &members.me().name,
+        own: &members.local_id().name,
         side: members.side().to_string(),
-        members: members.roster().into_iter().map(member).collect(),
+        members: members.members().into_iter().map(member).collect(),
         seen,
-        rival: members.rival().map(|(address, counts)| Rival { address, counts }),
+        rival: members.name_conflict().map(|(address, counts)| Rival { address, counts }),
     };
     // Names and numbers have a form in JSON: nothing here fails.
     serde_json::to_string(&report).unwrap_or_default()
 }
 
 /// A line of the log.
-pub fn words(news: &News) -> String {
+pub fn words(news: &MembershipEvent) -> String {
     match news {
-        News::Member { entry, before } => {
-            let Entry { name, address, state, .. } = entry;
+        MembershipEvent::Member { entry, before } => {
+            let MemberRecord { name, address, state, .. } = entry;
             match before {
                 None => format!("{name} at {address} is {state}"),
                 Some((start, was)) if *start != entry.start => {
@@ -66,18 +66,18 @@
                 Some((_, was)) => format!("{name} at {address}: {was} -> {state}{}", hint(*state)),
             }
         }
-        News::Forgotten(name) => format!("{name} is remembered no longer"),
-        News::Side(side) => format!("this is the side: {side}"),
-        News::Rival(address, true) => format!(
+        MembershipEvent::Forgotten(name) => format!("{name} is remembered no longer"),
+        MembershipEvent::PartitionSide(side) => format!("this is the side: {side}"),
+        MembershipEvent::Rival(address, true) => format!(
             "ERROR: another process at {address} has this one's name and started later: that one counts in the fleet, this one is out of it"
         ),
-        News::Rival(address, false) => {
+        MembershipEvent::Rival(address, false) => {
             format!("ERROR: another process at {address} has this one's name and started earlier: this one counts in the fleet")
         }
-        News::RivalGone => "the other process of this one's name is gone".to_owned(),
-        News::NoRoom(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
-        News::Returned => "others had taken this member for failed; it is back".to_owned(),
-        News::Stopped(ms) => format!("this process did not run for {ms} ms"),
+        MembershipEvent::RivalGone => "the other process of this one's name is gone".to_owned(),
+        MembershipEvent::NoRoom(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
+        MembershipEvent::Returned => "others had taken this member for failed; it is back".to_owned(),
+        MembershipEvent::Stopped(ms) => format!("this process did not run for {ms} ms"),
     }
 }
 
@@ -92,13 +92,13 @@
 macro_rules! counts {
     ($($name:ident => $shown:literal,)*) => {
         /// The counts by the names under which `stats` has them.
-        pub fn names(counts: &Counts, send_failures: u64) -> Vec<(&'static str, u64)> {
+        pub fn names(counts: &MembershipCounters, send_failures: u64) -> Vec<(&'static str, u64)> {
             vec![$(($shown, counts.$name),)* ("fleet_send_failures", send_failures)]
         }
 
         /// The counts of two members one after the other.
-        pub fn sum(a: Counts, b: Counts) -> Counts {
-            Counts { $($name: a.$name + b.$name,)* }
+        pub fn sum(a: MembershipCounters, b: MembershipCounters) -> MembershipCounters {
+            MembershipCounters { $($name: a.$name + b.$name,)* }
         }
     };
 }
--- a/src/net/hot_restart/golden_tests.rs
+++ b/src/net/hot_restart/golden_tests.rs
@@ -2,9 +2,9 @@
 //! an upgrade. The older process runs the released program, the newer one this source: a text that
 //! changes here ends upgrades without a break. All texts were recorded before any renaming.
 
-use super::messages::{Inbox, Message, Ordered, Share, VERSION};
+use super::messages::{ControlCommand, Inbox, Message, Share, VERSION};
 use super::socket::Place;
-use crate::net::dispatcher::Nodes;
+use crate::net::dispatcher::EndpointSnapshot;
 
 const NODES: &str = concat!(
     r#"{"told":[{"instanceId":"a","hostPort":"127.0.0.1:7001","zone":"east","#,
@@ -38,7 +38,7 @@
 
 #[test]
 fn give_with_every_field_filled_is_the_recorded_line() {
-    let nodes: Nodes = serde_json::from_str(NODES).unwrap();
+    let nodes: EndpointSnapshot = serde_json::from_str(NODES).unwrap();
     let recorded = format!(r#"{{"Give":[{NODES},{{"sockets":7,"memory":9}}]}}"#);
     assert_line(Message::Give(nodes, share()), &recorded);
 }
@@ -47,7 +47,7 @@
 fn give_of_empty_nodes_is_the_recorded_line() {
     let nodes = r#"{"told":[],"gone":[],"out":{},"back":{}}"#;
     let recorded = format!(r#"{{"Give":[{nodes},{{"sockets":0,"memory":0}}]}}"#);
-    assert_line(Message::Give(Nodes::default(), Share::default()), &recorded);
+    assert_line(Message::Give(EndpointSnapshot::default(), Share::default()), &recorded);
 }
 
 #[test]
@@ -73,10 +73,10 @@
 #[test]
 fn orders_are_the_recorded_lines() {
     let order = |ordered| Message::Order(3, ordered);
-    assert_line(order(Ordered::Offline("a".into())), r#"{"Order":[3,{"Offline":"a"}]}"#);
-    assert_line(order(Ordered::Online("a".into())), r#"{"Order":[3,{"Online":"a"}]}"#);
-    assert_line(order(Ordered::Service(true)), r#"{"Order":[3,{"Service":true}]}"#);
-    assert_line(order(Ordered::Service(false)), r#"{"Order":[3,{"Service":false}]}"#);
+    assert_line(order(ControlCommand::Offline("a".into())), r#"{"Order":[3,{"Offline":"a"}]}"#);
+    assert_line(order(ControlCommand::Online("a".into())), r#"{"Order":[3,{"Online":"a"}]}"#);
+    assert_line(order(ControlCommand::Service(true)), r#"{"Order":[3,{"Service":true}]}"#);
+    assert_line(order(ControlCommand::Service(false)), r#"{"Order":[3,{"Service":false}]}"#);
 }
 
 #[test]
--- a/src/net/hot_restart/messages.rs
+++ b/src/net/hot_restart/messages.rs
@@ -1,6 +1,6 @@
 //! What two processes of one proxy tell each other: JSON objects, one a line.
 
-use crate::net::dispatcher::Nodes;
+use crate::net::dispatcher::EndpointSnapshot;
 use serde::{Deserialize, Serialize};
 
 /// Processes of other versions are not understood.
@@ -19,7 +19,7 @@
 
 /// A call of the operators that binds both processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ordered {
+pub enum ControlCommand {
     /// Nothing more to this cache node.
     Offline(String),
     /// This cache node may serve again.
@@ -34,7 +34,7 @@
     /// The newcomer asks to take over.
     Ask(u32),
     /// It may: what is known of nodes, and what it may use. The listening socket comes just before.
-    Give(Nodes, Share),
+    Give(EndpointSnapshot, Share),
     /// It may not.
     Refuse(String),
     /// The newcomer accepts clients.
@@ -44,7 +44,7 @@
     /// What the newcomer may use from now on.
     Share(Share),
     /// A call to carry out, with its number.
-    Order(u64, Ordered),
+    Order(u64, ControlCommand),
     /// It is carried out; or why not.
     Done(u64, Option<String>),
 }
--- a/src/net/hot_restart/messages/tests.rs
+++ b/src/net/hot_restart/messages/tests.rs
@@ -4,8 +4,8 @@
 fn messages_arrive_as_they_were_sent_however_they_are_cut() {
     let sent = [
         Message::Ask(VERSION),
-        Message::Give(Nodes::default(), Share { sockets: 7, memory: 9 }),
-        Message::Order(3, Ordered::Offline("a\n\"b".into())),
+        Message::Give(EndpointSnapshot::default(), Share { sockets: 7, memory: 9 }),
+        Message::Order(3, ControlCommand::Offline("a\n\"b".into())),
         Message::Done(3, Some("no".into())),
     ];
     let bytes: Vec<u8> = sent.iter().flat_map(Message::line).collect();
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -6,10 +6,10 @@
 mod messages;
 mod socket;
 
-pub use messages::{Ordered, Share};
+pub use messages::{ControlCommand, Share};
 
-use super::dispatcher::Nodes;
-use super::deadline_stream::{sleep, Link};
+use super::deadline_stream::{sleep, DeadlineStream};
+use super::dispatcher::EndpointSnapshot;
 use super::listener::Listener;
 use super::log::log;
 use may::io::{CoIo, WaitIo};
@@ -37,7 +37,7 @@
 
 /// The other process of this proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Partner {
+pub enum PeerProcess {
     /// There is none.
     None,
     /// It starts, and does not accept yet.
@@ -51,34 +51,34 @@
 /// What the takeover asks of the process that it is part of.
 pub trait Host: Send + Sync + 'static {
     /// The listening socket to pass on, and what is known of nodes; none if this process cannot give.
-    fn give(&self) -> Option<(Arc<Listener>, Nodes)>;
+    fn give(&self) -> Option<(Arc<Listener>, EndpointSnapshot)>;
     /// Makes do with less; what that leaves to the other process.
     fn share(&self, leaving: bool) -> Share;
     /// What this process may use: so much, or all.
     fn allow(&self, share: Option<Share>);
     /// Carries a call out here.
-    fn carry_out(&self, order: &Ordered) -> Result<(), String>;
+    fn carry_out(&self, order: &ControlCommand) -> Result<(), String>;
     /// The other process is at another point now.
-    fn partner(&self, partner: Partner);
+    fn partner(&self, partner: PeerProcess);
 }
 
 /// What a newcomer is given.
-pub struct Given {
+pub struct Handover {
     /// The listening socket.
     pub socket: TcpListener,
     /// What is known of nodes.
-    pub nodes: Nodes,
+    pub nodes: EndpointSnapshot,
     /// What it may use.
     pub share: Share,
     stream: UnixStream,
     inbox: Inbox,
 }
 
-type Wire = Link<CoIo<UnixStream>>;
+type Wire = DeadlineStream<CoIo<UnixStream>>;
 
 struct Joined {
     wire: Wire,
-    partner: Partner,
+    partner: PeerProcess,
 }
 
 #[derive(Default)]
@@ -92,14 +92,14 @@
 }
 
 /// One process's side of the link.
-pub struct Takeover {
+pub struct HotRestart {
     place: OnceLock<Place>,
     state: Mutex<State>,
 }
 
 /// Asks the process that serves this address, if there is one, to let this one take over. It blocks, and belongs
 /// before anything is started.
-pub fn ask(clients: SocketAddr) -> Result<Option<Given>, String> {
+pub fn ask(clients: SocketAddr) -> Result<Option<Handover>, String> {
     let failed = |error: io::Error| match error.kind() {
         ErrorKind::WouldBlock => "take over: the running process does not answer".to_owned(),
         _ => format!("take over: {error}"),
@@ -127,24 +127,24 @@
     };
     match (message, socket) {
         (Message::Give(nodes, share), Some(socket)) => {
-            Ok(Some(Given { socket, nodes, share, stream, inbox }))
+            Ok(Some(Handover { socket, nodes, share, stream, inbox }))
         }
         (Message::Refuse(why), _) => Err(format!("take over: the running process refuses: {why}")),
         _ => Err("take over: the running process says something else".to_owned()),
     }
 }
 
-impl Takeover {
+impl HotRestart {
     /// Nobody has been met yet.
-    pub fn new() -> Arc<Takeover> {
-        Arc::new(Takeover { place: OnceLock::new(), state: Mutex::default() })
+    pub fn new() -> Arc<HotRestart> {
+        Arc::new(HotRestart { place: OnceLock::new(), state: Mutex::default() })
     }
 
     /// Joins the older process, and tells it that this one accepts. An error says that this one may not.
-    pub fn join(self: &Arc<Self>, given: Given, host: Arc<dyn Host>) -> Result<(), String> {
+    pub fn join(self: &Arc<Self>, given: Handover, host: Arc<dyn Host>) -> Result<(), String> {
         let socket = CoIo::new(given.stream).map_err(|error| io::Error::from(error).to_string())?;
-        let wire = Link::of(socket);
-        self.with(|state| state.joined = Some(Joined { wire: wire.clone(), partner: Partner::Serving }));
+        let wire = DeadlineStream::of(socket);
+        self.with(|state| state.joined = Some(Joined { wire: wire.clone(), partner: PeerProcess::Serving }));
         let (side, reading) = (Arc::clone(self), wire.clone());
         let inbox = given.inbox;
         may::go!(move || side.follow(&reading, inbox, &*host));
@@ -175,9 +175,10 @@
     }
 
     /// Carries a call out at the other process too. An error says why it may not bind there.
-    pub fn relay(&self, order: Ordered) -> Result<(), String> {
+    pub fn relay(&self, order: ControlCommand) -> Result<(), String> {
         let sent = self.with(|state| {
-            let wire = state.joined.as_ref().filter(|joined| joined.partner != Partner::None)?.wire.clone();
+            let wire =
+                state.joined.as_ref().filter(|joined| joined.partner != PeerProcess::None)?.wire.clone();
             state.orders += 1;
             state.unconfirmed.insert(state.orders, None);
             Some((state.orders, wire))
@@ -209,7 +210,11 @@
     pub fn leave(&self) -> bool {
         let wire = self.with(|state| {
             state.leaving = true;
-            state.joined.as_ref().filter(|joined| joined.partner == Partner::Serving).map(|j| j.wire.clone())
+            state
+                .joined
+                .as_ref()
+                .filter(|joined| joined.partner == PeerProcess::Serving)
+                .map(|j| j.wire.clone())
         });
         let Some(wire) = wire else { return false };
         wire.write(&Message::Leaving.line(), Instant::now() + WRITE).is_ok()
@@ -242,7 +247,7 @@
 
     /// A newcomer has come.
     fn meet(self: &Arc<Self>, socket: &Arc<CoIo<UnixStream>>, host: &Arc<dyn Host>) {
-        let wire = Link::from(Arc::clone(socket));
+        let wire = DeadlineStream::from(Arc::clone(socket));
         let until = Instant::now() + WRITE;
         let mut inbox = Inbox::default();
         let asked = loop {
@@ -260,7 +265,7 @@
         let is_first = self.with(|state| {
             let free = state.joined.is_none() && !state.leaving;
             if free {
-                state.joined = Some(Joined { wire: wire.clone(), partner: Partner::Starting });
+                state.joined = Some(Joined { wire: wire.clone(), partner: PeerProcess::Starting });
             }
             free
         });
@@ -271,7 +276,7 @@
             Some((listener, nodes)) => {
                 let given = Message::Give(nodes, host.share(false)).line();
                 let passed = socket::pass(socket.inner(), listener.socket());
-                host.partner(Partner::Starting);
+                host.partner(PeerProcess::Starting);
                 if passed.and_then(|()| wire.write(&given, Instant::now() + GIVEN_WITHIN)).is_ok() {
                     let (side, sharing) = (Arc::clone(self), Arc::clone(host));
                     may::go!(move || side.let_go(&*sharing));
@@ -311,7 +316,7 @@
                     Ok(_) => {}
                     Err(error) if error.kind() == ErrorKind::TimedOut => {
                         let starting = |joined: &Joined| {
-                            joined.partner == Partner::Starting && met.elapsed() > SERVING_WITHIN
+                            joined.partner == PeerProcess::Starting && met.elapsed() > SERVING_WITHIN
                         };
                         if self.with(|state| state.joined.as_ref().is_some_and(starting)) {
                             refuse(wire, "it took too long");
@@ -331,8 +336,8 @@
 
     fn obey(&self, message: Message, wire: &Wire, host: &dyn Host) {
         match message {
-            Message::Serving => self.is_at(Partner::Serving, host),
-            Message::Leaving => self.is_at(Partner::Leaving, host),
+            Message::Serving => self.is_at(PeerProcess::Serving, host),
+            Message::Leaving => self.is_at(PeerProcess::Leaving, host),
             Message::Share(share) => host.allow(Some(share)),
             Message::Order(number, order) => {
                 let done = Message::Done(number, host.carry_out(&order).err());
@@ -350,7 +355,7 @@
         }
     }
 
-    fn is_at(&self, partner: Partner, host: &dyn Host) {
+    fn is_at(&self, partner: PeerProcess, host: &dyn Host) {
         self.with(|state| state.joined.iter_mut().for_each(|joined| joined.partner = partner));
         host.partner(partner);
     }
@@ -361,7 +366,7 @@
             joined.wire.end();
         }
         host.allow(None);
-        host.partner(Partner::None);
+        host.partner(PeerProcess::None);
         // A newcomer that died had newcomers led to itself.
         if let Some(Err(error)) = self.place.get().map(Place::claim) {
             log(&format!("no upgrade will be possible: {error}"));
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -2,8 +2,8 @@
 //! two processes of the proxy run.
 
 use crate::net::descriptors::Descriptors;
-use crate::net::memory::Memory;
 use crate::net::hot_restart::Share;
+use crate::net::memory::Memory;
 use std::sync::Arc;
 
 /// So many descriptors and bytes are left to a newcomer at the least. Danger: with none it could serve nobody.
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -4,21 +4,21 @@
 mod host;
 mod state;
 
-use super::admin::Door;
+use super::admin::AdminServer;
+use super::backend::BackendService;
+use super::client::ClientService;
 use super::config::Config;
-use super::client::ConsumerSide;
 use super::counters::Counters;
 use super::descriptors::{self, Descriptors};
 use super::discovery::{Discovery, Target};
+use super::dispatcher::Dispatcher;
 use super::drain::{Drain, SendAway};
-use super::dispatcher::Exchange;
 use super::fleet::{self, Fleet};
+use super::hot_restart::{self, Handover, Host, HotRestart, PeerProcess, Share};
 use super::listener;
 use super::log::{log, print};
 use super::memory::Memory;
 use super::policy::{Policy, PolicyConfig};
-use super::backend::ProviderSide;
-use super::hot_restart::{self, Given, Host, Partner, Share, Takeover};
 use crate::interface;
 use crate::settings::Settings;
 use budget::Budget;
@@ -55,7 +55,7 @@
     stand: Mutex<Stand>,
     counters: Arc<Counters>,
     sides: OnceLock<Sides>,
-    takeover: Arc<Takeover>,
+    takeover: Arc<HotRestart>,
     /// Only if one is configured.
     fleet: OnceLock<Arc<Fleet>>,
     /// Only if one is configured.
@@ -64,9 +64,9 @@
 
 /// The sides of a running proxy, as far as signals, operators and the other process reach them.
 struct Sides {
-    exchange: Arc<Exchange>,
-    consumers: Arc<ConsumerSide>,
-    providers: Arc<ProviderSide>,
+    exchange: Arc<Dispatcher>,
+    consumers: Arc<ClientService>,
+    providers: Arc<BackendService>,
     discovery: Arc<Target>,
     budget: Budget,
 }
@@ -77,7 +77,7 @@
         stand: Mutex::default(),
         counters: Arc::default(),
         sides: OnceLock::new(),
-        takeover: Takeover::new(),
+        takeover: HotRestart::new(),
         fleet: OnceLock::new(),
         policy: OnceLock::new(),
     });
@@ -122,7 +122,7 @@
     }
 
     /// All that the other process of this proxy is told.
-    pub fn takeover(&self) -> &Takeover {
+    pub fn takeover(&self) -> &HotRestart {
         &self.takeover
     }
 
@@ -199,7 +199,7 @@
                     ),
                     None => {
                         log(&format!("reload: new settings are in force, with the classes {classes}"));
-                        sides.exchange.retune(newer.settings.clone(), newer.names.clone());
+                        sides.exchange.apply_settings(newer.settings.clone(), newer.names.clone());
                         sides.providers.retune(newer.connect_timeout, conn_idle(&newer.settings));
                     }
                 }
@@ -230,7 +230,7 @@
     fn start(
         self: &Arc<Self>,
         config: &Config,
-        given: Option<Given>,
+        given: Option<Handover>,
         signals: &mut Signals,
     ) -> Result<Option<&Sides>, Box<dyn Error>> {
         // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
@@ -238,7 +238,7 @@
         may::config().set_worker_pin(false);
         let door = match config.admin {
             Some(address) => {
-                Some(Door::open(address).map_err(|error| format!("door at {address}: {error}"))?)
+                Some(AdminServer::open(address).map_err(|error| format!("door at {address}: {error}"))?)
             }
             None => None,
         };
@@ -250,7 +250,7 @@
         let descriptors = Descriptors::new(alone);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
         let counters = &self.counters;
-        let exchange = Exchange::new(
+        let exchange = Dispatcher::new(
             config.settings.clone(),
             config.seed,
             config.names.clone(),
@@ -265,15 +265,15 @@
         let budget = Budget { both, alone: all, descriptors: descriptors_of, memory: memory_of };
         let mut known = config.known.clone();
         if let Some(given) = &given {
-            self.change(|stand| (stand.is_newcomer, stand.partner) = (true, Partner::Serving));
+            self.change(|stand| (stand.is_newcomer, stand.partner) = (true, PeerProcess::Serving));
             budget.allow(Some(given.share));
-            exchange.inherit(given.nodes.clone());
+            exchange.restore_snapshot(given.nodes.clone());
             // What the older process heard last is newer than what the file knows.
             if !given.nodes.told.is_empty() {
                 known.instances.clone_from(&given.nodes.told);
             }
         }
-        let providers = ProviderSide::start(
+        let providers = BackendService::start(
             Arc::clone(&exchange),
             Arc::clone(counters),
             ordered,
@@ -303,7 +303,7 @@
                 counted.list().into_iter().chain(policy).collect()
             });
             if given.is_none() {
-                fleet.speak()?;
+                fleet.activate()?;
             }
         }
         if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
@@ -329,7 +329,7 @@
                 .map_err(|error| format!("listen on {}: {error}", config.listen))?,
         };
         let consumers =
-            ConsumerSide::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
+            ClientService::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
         let address = consumers.address();
         let sides = self.sides.get_or_init(|| Sides { exchange, consumers, providers, discovery, budget });
         if let Some(door) = door.filter(|_| self.policy().is_none()) {
@@ -342,7 +342,7 @@
             self.takeover.join(given, Arc::clone(&host))?;
         }
         // The older process has the socket until it has heard that this one serves.
-        self.fleet().filter(|_| is_newcomer).into_iter().for_each(|fleet| fleet.speak_soon());
+        self.fleet().filter(|_| is_newcomer).into_iter().for_each(|fleet| fleet.activate_when_free());
         self.change(|stand| stand.enter(Phase::Serving));
         self.takeover.listen(address, host);
         Ok(Some(sides))
@@ -368,7 +368,7 @@
 fn drain(sides: &Sides, drain: Drain, other_accepts: bool) {
     let begun = Instant::now();
     let until = |time: Duration| sleep(time.saturating_sub(begun.elapsed()));
-    let held = || sides.exchange.unanswered() + sides.consumers.open();
+    let held = || sides.exchange.pending_count() + sides.consumers.open();
     // Danger: clients are short of connections until the last may come. Who is idle gives way to them till then.
     match other_accepts {
         true => sides.consumers.send_away(SendAway::for_drain(&drain)),
@@ -383,7 +383,7 @@
     while held() > 0 && begun.elapsed() < drain.ends {
         sleep(LOOK_EVERY);
     }
-    sides.exchange.end_all();
+    sides.exchange.abort_all();
     // Then the answers go out; a consumer that does not read cannot hold the exit up for long.
     while held() > 0 && begun.elapsed() < drain.ends + LAST_WRITES {
         sleep(LOOK_EVERY);
--- a/src/net/lifecycle/state.rs
+++ b/src/net/lifecycle/state.rs
@@ -1,7 +1,7 @@
 //! The phases of the program, as named states of one object. It decides which holds; it does nothing.
 
+use crate::net::hot_restart::PeerProcess;
 use crate::net::log::log;
-use crate::net::hot_restart::Partner;
 
 /// Where the program stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     /// Whether the configuration is being read again.
     pub reloading: bool,
     /// Where the other process of this proxy stands.
-    pub partner: Partner,
+    pub partner: PeerProcess,
     /// Whether the other process was there first.
     pub is_newcomer: bool,
 }
@@ -44,7 +44,7 @@
             phase: Phase::Starting,
             away: false,
             reloading: false,
-            partner: Partner::None,
+            partner: PeerProcess::None,
             is_newcomer: false,
         }
     }
@@ -59,7 +59,7 @@
     /// Whether accepting is left to the other process. Danger: with nobody to accept, clients would wait in
     /// the queue. Whoever is alone accepts.
     pub fn leaves_accepting(&self) -> bool {
-        !self.is_newcomer && self.partner == Partner::Serving
+        !self.is_newcomer && self.partner == PeerProcess::Serving
     }
 
     /// Moves on to a phase.
@@ -76,7 +76,7 @@
             self.enter(match self.partner {
                 _ if self.reloading => Phase::Reloading,
                 _ if self.leaves_accepting() => Phase::HandingOver,
-                Partner::Serving | Partner::Leaving if self.is_newcomer => Phase::TakingOver,
+                PeerProcess::Serving | PeerProcess::Leaving if self.is_newcomer => Phase::TakingOver,
                 _ if self.away => Phase::OutOfService,
                 _ => Phase::Serving,
             });
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,22 +6,22 @@
 //! request, an *invoker call* one attempt at a provider, a *rejection* a refusal.
 
 pub mod admin;
+pub mod backend;
+pub mod body_stream;
+pub mod client;
 pub mod codec;
 pub mod config;
-pub mod client;
 pub mod counters;
+pub mod deadline_stream;
 pub mod descriptors;
 pub mod discovery;
-pub mod drain;
 pub mod dispatcher;
+pub mod drain;
 pub mod fleet;
-pub mod body_stream;
-pub mod timer;
+pub mod hot_restart;
 pub mod lifecycle;
-pub mod deadline_stream;
 pub mod listener;
 pub mod log;
 pub mod memory;
 pub mod policy;
-pub mod backend;
-pub mod hot_restart;
+pub mod timer;
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -2,7 +2,7 @@
 
 use super::{text, Policy};
 use crate::net::deadline_stream::sleep;
-use pinetrail_policy_consensus::{Conflict, Outcome, Refused, Seen, State};
+use pinetrail_policy_consensus::{ChangeStatus, Conflict, ConsensusStatus, Outcome, ProposalError};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::future::Future;
@@ -41,12 +41,12 @@
 impl Policy {
     /// `GET /control/policy`.
     pub fn standing(&self) -> Answer {
-        let (version, digest, state, change) = self.node.standing();
+        let (version, digest, state, change) = self.node.status();
         let state = match state {
-            State::Steady => "steady",
-            State::Changing => "changing",
-            State::CatchingUp => "catching-up",
-            State::Fenced => "fenced",
+            ConsensusStatus::Steady => "steady",
+            ConsensusStatus::Changing => "changing",
+            ConsensusStatus::CatchingUp => "catching-up",
+            ConsensusStatus::Fenced => "fenced",
         };
         let digest = digest.to_string();
         let standing = Standing { version, digest, state, change };
@@ -64,11 +64,11 @@
         let done = self.wait(async move { node.propose(&proposal.id, proposal.after, &text, WITHIN).await });
         match done {
             Some(Ok(version)) => (202, json!({"id": id, "version": version}).to_string()),
-            Some(Err(Refused::Check(why))) => no(400, why),
-            Some(Err(Refused::Conflict(why @ Conflict::Form(_)))) => no(400, why),
-            Some(Err(Refused::Conflict(why))) => no(409, why),
-            Some(Err(why @ Refused::NoMajority)) => no(503, why),
-            None => no(503, Refused::NoMajority),
+            Some(Err(ProposalError::Check(why))) => no(400, why),
+            Some(Err(ProposalError::Conflict(why @ Conflict::Form(_)))) => no(400, why),
+            Some(Err(ProposalError::Conflict(why))) => no(409, why),
+            Some(Err(why @ ProposalError::NoMajority)) => no(503, why),
+            None => no(503, ProposalError::NoMajority),
         }
     }
 
@@ -88,13 +88,13 @@
     /// `GET /control/policy/changes/ID`.
     pub fn change(&self, id: &str) -> Answer {
         let (node, id) = (Arc::clone(&self.node), id.to_owned());
-        let seen = self.wait(async move { node.change(&id, WITHIN / 3).await });
+        let seen = self.wait(async move { node.change_status(&id, WITHIN / 3).await });
         match seen.flatten() {
-            Some(Seen { outcome, why, waiting_for }) => {
+            Some(ChangeStatus { outcome, why, waiting_for }) => {
                 let outcome = match outcome {
                     None => "open",
                     Some(Outcome::Taken) => "taken",
-                    Some(Outcome::Refused) => "refused",
+                    Some(Outcome::Rejected) => "refused",
                     Some(Outcome::Abandoned) => "abandoned",
                 };
                 (200, json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}).to_string())
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -1,13 +1,13 @@
 //! Puts versions of the policy in force at this proxy, and says of each proposal whether it could.
 
 use super::{digest, text};
+use crate::net::backend::BackendService;
 use crate::net::config::{nearest, Rules};
-use crate::net::dispatcher::Exchange;
+use crate::net::dispatcher::Dispatcher;
 use crate::net::log::log;
-use crate::net::backend::ProviderSide;
 use pinetrail_drift::Approved;
 use pinetrail_peer_transport::Process;
-use pinetrail_policy_consensus::InForce;
+use pinetrail_policy_consensus::PolicyApplier;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -15,8 +15,8 @@
 
 /// This proxy, as far as policies are concerned.
 pub struct App {
-    exchange: Arc<Exchange>,
-    providers: Arc<ProviderSide>,
+    exchange: Arc<Dispatcher>,
+    providers: Arc<BackendService>,
     /// What its own file says at the start.
     own: Value,
     /// No call may run longer than this, in ms, where the fleet shares.
@@ -35,8 +35,8 @@
 impl App {
     /// A proxy whose file says this.
     pub fn new(
-        exchange: Arc<Exchange>,
-        providers: Arc<ProviderSide>,
+        exchange: Arc<Dispatcher>,
+        providers: Arc<BackendService>,
         settings: &Value,
         calls: Option<u64>,
     ) -> App {
@@ -123,12 +123,12 @@
     }
 }
 
-impl InForce for App {
-    fn check(&self, text: &str) -> Result<(), String> {
+impl PolicyApplier for App {
+    fn validate(&self, text: &str) -> Result<(), String> {
         self.rules(text).map(drop)
     }
 
-    fn put(&self, version: u64, text: &str) {
+    fn apply(&self, version: u64, text: &str) {
         match self.rules(text) {
             Ok(rules) => {
                 let idle = Duration::from_secs_f64(
@@ -137,7 +137,7 @@
                 self.providers.retune(rules.connect_timeout, idle);
                 let longest = rules.settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
                 *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner) = Some(longest);
-                self.exchange.govern(version, rules.settings, rules.names);
+                self.exchange.apply_policy(version, rules.settings, rules.names);
                 *self.text.lock().unwrap_or_else(PoisonError::into_inner) = Some(text.to_owned());
             }
             // It was checked before.
@@ -145,7 +145,7 @@
         }
     }
 
-    fn heard(&self, from: &Process, floor: u8, body: &[u8]) {
+    fn on_peer_message(&self, from: &Process, floor: u8, body: &[u8]) {
         if let Some(hears) = self.hears.get().filter(|_| floor == super::drift::FLOOR) {
             hears(from, body);
         }
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -2,11 +2,11 @@
 //! process that does not speak in the fleet (it is being upgraded, or is the newcomer) dials all that it knows, and holds no seat.
 
 use super::PolicyConfig;
-use crate::net::dispatcher::Neighbour;
-use crate::net::fleet::{Fleet, There};
+use crate::net::dispatcher::PeerAddress;
+use crate::net::fleet::{Fleet, LivePeer};
 use crate::net::log::log;
-use pinetrail_peer_transport::{Peer, Process, Sockets};
-use pinetrail_policy_consensus::{Folder, Node};
+use pinetrail_peer_transport::{Peer, Process, TcpNetwork};
+use pinetrail_policy_consensus::{ConsensusNode, FileStorage};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -32,19 +32,19 @@
 struct Known {
     /// The start that membership had of it then.
     member: u64,
-    neighbour: Neighbour,
+    neighbour: PeerAddress,
 }
 
 /// Who is linked where.
 pub struct Directory {
     config: PolicyConfig,
     fleet: Arc<Fleet>,
-    node: Arc<Node<Sockets>>,
+    node: Arc<ConsensusNode<TcpNetwork>>,
     me: Process,
     known: Mutex<BTreeMap<String, Known>>,
-    there: Mutex<Vec<There>>,
+    there: Mutex<Vec<LivePeer>>,
     /// What another process of this proxy told at the start.
-    given: Mutex<Vec<Neighbour>>,
+    given: Mutex<Vec<PeerAddress>>,
 }
 
 impl Directory {
@@ -52,9 +52,9 @@
     pub fn new(
         config: PolicyConfig,
         fleet: Arc<Fleet>,
-        node: Arc<Node<Sockets>>,
+        node: Arc<ConsensusNode<TcpNetwork>>,
         me: Process,
-        given: Vec<Neighbour>,
+        given: Vec<PeerAddress>,
     ) -> Directory {
         let (known, there) = (Mutex::default(), Mutex::default());
         Directory { config, fleet, node, me, known, there, given: Mutex::new(given) }
@@ -63,15 +63,15 @@
     /// Keeps it true until the process ends.
     pub async fn keep(self: Arc<Self>, ended: &Receiver<()>) {
         let hearing = Arc::clone(&self);
-        self.fleet.links_heard_by(Box::new(move |from, body| hearing.heard(from, body)));
+        self.fleet.set_directory_handler(Box::new(move |from, body| hearing.heard(from, body)));
         let mut listening: Option<JoinHandle<()>> = None;
         let (mut seated, mut said) = (false, None);
         while ended.try_recv() != Err(TryRecvError::Disconnected) {
-            let there = self.fleet.there();
+            let there = self.fleet.live_peers();
             let speaks = there.is_some();
             // Danger: two processes of one proxy must not vote with one seat: who speaks in the fleet has it.
             if speaks && listening.is_none() {
-                match self.node.links().listen(self.config.bind).await {
+                match self.node.transport().listen(self.config.bind).await {
                     Ok(listens) => listening = Some(listens),
                     Err(error) => {
                         self.say_once(&mut said, &format!("links at {}: {error}", self.config.bind))
@@ -84,7 +84,7 @@
             if !speaks {
                 listening.take().into_iter().for_each(|listens| listens.abort());
                 if std::mem::take(&mut seated) && self.config.seat.is_some() {
-                    self.node.leave_seat();
+                    self.node.resign_voter();
                 }
             }
             self.meet(there);
@@ -102,7 +102,8 @@
     /// Whether this process holds what seat it is to hold.
     fn take_seat(&self, said: &mut Option<String>) -> bool {
         let (Some(seat), Some(path)) = (self.config.seat, &self.config.state_dir) else { return true };
-        let taken = Folder::take(path.clone()).and_then(|disk| self.node.take_seat(seat, Box::new(disk)));
+        let taken =
+            FileStorage::take(path.clone()).and_then(|disk| self.node.become_voter(seat, Box::new(disk)));
         match taken {
             Ok(()) => true,
             // The process that it belongs to lets go of it soon.
@@ -115,9 +116,9 @@
     }
 
     /// Asks members of whom it is not known where they are, and has those dialled that are to be.
-    fn meet(&self, there: Option<Vec<There>>) {
+    fn meet(&self, there: Option<Vec<LivePeer>>) {
         let speaks = there.is_some();
-        let mut peers: Vec<Neighbour> = lock(&self.given).clone();
+        let mut peers: Vec<PeerAddress> = lock(&self.given).clone();
         if let Some(there) = there {
             let mut known = lock(&self.known);
             known.retain(|name, known| {
@@ -131,7 +132,7 @@
             drop(known);
             *lock(&self.there) = there;
             for place in unknown {
-                self.fleet.say_of_links(place, &self.own(true));
+                self.fleet.send_directory_message(place, &self.own(true));
             }
         }
         let known = lock(&self.known);
@@ -141,9 +142,9 @@
         // Of those told at the start, who is a later process by now is dialled as that.
         let peers = peers.into_iter().map(|peer| Peer {
             process: Process { name: peer.name.into(), start: peer.start },
-            place: peer.place,
+            address: peer.place,
         });
-        self.node.links().know(peers.collect());
+        self.node.transport().set_peers(peers.collect());
         if speaks {
             let there: Vec<String> = lock(&self.there).iter().map(|(name, ..)| name.to_string()).collect();
             lock(&self.given).retain(|given| there.contains(&given.name));
@@ -163,21 +164,24 @@
         };
         // Whom membership does not know yet asks again.
         if let Some(member) = member {
-            let neighbour = Neighbour { name: said.name.clone(), start: said.start, place: said.place };
+            let neighbour = PeerAddress { name: said.name.clone(), start: said.start, place: said.place };
             lock(&self.known).insert(said.name, Known { member, neighbour });
         }
         if said.asks {
             // Answered from elsewhere: this is called with the fleet locked.
             let (fleet, own) = (Arc::clone(&self.fleet), self.own(false));
-            may::go!(move || fleet.say_of_links(from, &own));
+            may::go!(move || fleet.send_directory_message(from, &own));
         }
     }
 
     /// All that are known, this process included, for a newcomer of this proxy.
-    pub fn neighbours(&self) -> Vec<Neighbour> {
+    pub fn neighbours(&self) -> Vec<PeerAddress> {
         let known = lock(&self.known);
-        let own =
-            Neighbour { name: self.me.name.to_string(), start: self.me.start, place: self.config.advertise };
+        let own = PeerAddress {
+            name: self.me.name.to_string(),
+            start: self.me.start,
+            place: self.config.advertise,
+        };
         known.values().map(|known| known.neighbour.clone()).chain([own]).collect()
     }
 }
--- a/src/net/policy/drift.rs
+++ b/src/net/policy/drift.rs
@@ -5,9 +5,11 @@
 use super::digest;
 use crate::net::fleet::Fleet;
 use crate::net::log::log;
-use pinetrail_drift::{Alarm, Alarms, Report, Stands, State as Stand, Table, Times, Word};
-use pinetrail_peer_transport::Sockets;
-use pinetrail_policy_consensus::{InForce, Node, State};
+use pinetrail_drift::{
+    Alarm, Alarms, DriftDetector, DriftMessage, DriftState as Stand, NodeStatus, Report, Timing,
+};
+use pinetrail_peer_transport::TcpNetwork;
+use pinetrail_policy_consensus::{ConsensusNode, ConsensusStatus, PolicyApplier};
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,7 +22,7 @@
 const TELL_EVERY: Duration = Duration::from_millis(400);
 
 struct Known {
-    table: Table,
+    table: DriftDetector,
     alarms: Alarms,
     number: u64,
     drifts_since: Option<Instant>,
@@ -29,7 +31,7 @@
 /// The detector at one process.
 pub struct Drift {
     fleet: Arc<Fleet>,
-    node: Arc<Node<Sockets>>,
+    node: Arc<ConsensusNode<TcpNetwork>>,
     app: Arc<App>,
     began: Instant,
     restore_after: Option<Duration>,
@@ -41,13 +43,17 @@
     /// Nobody has told anything yet.
     pub fn new(
         fleet: Arc<Fleet>,
-        node: Arc<Node<Sockets>>,
+        node: Arc<ConsensusNode<TcpNetwork>>,
         app: Arc<App>,
         restore_after: Option<Duration>,
     ) -> Arc<Drift> {
-        let times = Times::default();
-        let known =
-            Known { table: Table::new(times), alarms: Alarms::new(times), number: 0, drifts_since: None };
+        let times = Timing::default();
+        let known = Known {
+            table: DriftDetector::new(times),
+            alarms: Alarms::new(times),
+            number: 0,
+            drifts_since: None,
+        };
         let drift = Arc::new(Drift {
             fleet,
             node,
@@ -60,13 +66,13 @@
         let hearing = Arc::clone(&drift);
         app.heard_by(Box::new(move |from, body| {
             let now = hearing.now();
-            match Word::read(body) {
-                Some(Word::Report(report)) => {
+            match DriftMessage::decode(body) {
+                Some(DriftMessage::Report(report)) => {
                     let mut known = hearing.known();
-                    report.raised.iter().for_each(|(name, start)| known.alarms.raised(name, *start));
-                    known.table.hear(now, &from.name, from.start, report);
+                    report.raised.iter().for_each(|(name, start)| known.alarms.mark_raised(name, *start));
+                    known.table.record_report(now, &from.name, from.start, report);
                 }
-                Some(Word::Raised(name, start)) => hearing.known().alarms.raised(&name, start),
+                Some(DriftMessage::Raised(name, start)) => hearing.known().alarms.mark_raised(&name, start),
                 None => {}
             }
         }));
@@ -77,7 +83,7 @@
     pub async fn keep(self: Arc<Self>) {
         loop {
             let report = self.look();
-            self.node.say(FLOOR, &Word::Report(report).words());
+            self.node.broadcast(FLOOR, &DriftMessage::Report(report).encode());
             self.raise();
             self.restore_if_due();
             sleep(TELL_EVERY).await;
@@ -86,27 +92,28 @@
 
     /// What this process has in force now.
     fn look(&self) -> Report {
-        let (version, _, state, _) = self.node.standing();
+        let (version, _, state, _) = self.node.status();
         let stands = match state {
-            State::Steady | State::Changing => Stands::Admits,
-            State::Fenced => Stands::Fenced,
-            State::CatchingUp => Stands::CatchesUp,
+            ConsensusStatus::Steady | ConsensusStatus::Changing => NodeStatus::Admits,
+            ConsensusStatus::Fenced => NodeStatus::Fenced,
+            ConsensusStatus::CatchingUp => NodeStatus::CatchesUp,
         };
         let (parts, now) = (self.app.in_force(), self.now());
-        let approved = self.node.approved().and_then(|(version, text)| self.app.approved(version, &text));
-        let me = self.node.me().clone();
-        let linked = self.node.links().all();
+        let approved =
+            self.node.approved_policy().and_then(|(version, text)| self.app.approved(version, &text));
+        let me = self.node.process().clone();
+        let linked = self.node.transport().connected_peers();
         let mut known = self.known();
         known.number += 1;
         let raised = known.alarms.all_raised();
-        let report = Report { number: known.number, version, stands, parts, raised };
-        known.table.keep(|name, start| {
+        let report = Report { number: known.number, version, status: stands, parts, raised };
+        known.table.retain(|name, start| {
             // Danger: of a name the latest process counts, linked or not: who is cut off stays in the table, as silent.
             let later = linked.iter().any(|other| *other.name == *name && other.start > start);
             !(later || *me.name == *name && start != me.start)
         });
-        approved.into_iter().for_each(|approved| known.table.approve(now, approved));
-        known.table.hear(now, &me.name, me.start, report.clone());
+        approved.into_iter().for_each(|approved| known.table.set_approved(now, approved));
+        known.table.record_report(now, &me.name, me.start, report.clone());
         report
     }
 
@@ -118,17 +125,17 @@
             alarms.due(now, table)
         };
         // Danger: the office is looked at when it is used.
-        if due.is_empty() || !self.fleet.is_steward() {
+        if due.is_empty() || !self.fleet.is_quota_leader() {
             return;
         }
         for Alarm { name, start, state, parts } in due {
             self.raised.fetch_add(1, Ordering::Relaxed);
-            self.known().alarms.raised(&name, start);
-            self.node.say(FLOOR, &Word::Raised(name.clone(), start).words());
+            self.known().alarms.mark_raised(&name, start);
+            self.node.broadcast(FLOOR, &DriftMessage::Raised(name.clone(), start).encode());
             let parts = if parts.is_empty() { String::new() } else { format!(" in {}", parts.join(", ")) };
             log(&format!(
                 "ALARM: policy: {name} {}{parts}: it does not have in force what was approved",
-                state.word()
+                state.as_str()
             ));
         }
     }
@@ -138,7 +145,7 @@
         let Some(after) = self.restore_after else { return };
         let is_due = {
             let mut known = self.known();
-            let me = self.node.me();
+            let me = self.node.process();
             let drifts = known.table.nodes().any(|(name, start, node)| {
                 *name == *me.name && start == me.start && node.state == Stand::Differs
             });
@@ -153,11 +160,11 @@
 
     /// Puts the approved version in force again; which.
     pub fn restore(&self) -> Result<u64, &'static str> {
-        let (version, text) = self.node.approved().ok_or("what was approved is not known here")?;
-        if self.node.standing().0 != version {
+        let (version, text) = self.node.approved_policy().ok_or("what was approved is not known here")?;
+        if self.node.status().0 != version {
             return Err("this process does not have the approved version: it catches up by itself");
         }
-        self.app.put(version, &text);
+        self.app.apply(version, &text);
         log(&format!("policy: version {version} is in force again, as it was approved"));
         self.known().drifts_since = None;
         Ok(version)
@@ -178,7 +185,7 @@
                 json!({
                     "name": name,
                     "start": start,
-                    "state": node.state.word(),
+                    "state": node.state.as_str(),
                     "version": node.version,
                     "digest": hex(digest::whole(&node.report.parts)),
                     "parts": node.parts,
@@ -190,7 +197,7 @@
         let approved = known.table.approved();
         json!({
             "approved": {"version": approved.version, "digest": hex(digest::whole(&approved.parts))},
-            "seen_by": &*self.node.me().name,
+            "seen_by": &*self.node.process().name,
             "nodes": nodes,
         })
     }
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -1,24 +1,27 @@
 //! One policy for the fleet: the driver of `pinetrail-policy-consensus`. It owns a thread on which the links and the book run (tokio),
 //! and says who is linked where; what is agreed is put in force at the exchange. Without `fleet.policy` there is none of it.
 
+pub mod admin;
 mod applier;
 mod digest;
 mod directory;
-pub mod admin;
 mod drift;
 #[cfg(test)]
 mod golden_tests;
 mod text;
 
-use super::dispatcher::{Exchange, Neighbour};
+use super::backend::BackendService;
+use super::dispatcher::{Dispatcher, PeerAddress};
 use super::fleet::Fleet;
 use super::log::log;
-use super::backend::ProviderSide;
 use applier::App;
 use directory::Directory;
 use drift::Drift;
-use pinetrail_peer_transport::{Links, Process, Sockets, Times as LinkTimes};
-use pinetrail_policy_consensus::{InForce, Node, Permit, Seats, Settings, State, Times, WhenCut};
+use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes};
+use pinetrail_policy_consensus::{
+    AdmissionLease, ConsensusNode, ConsensusStatus, LeaseExpiryMode, PolicyApplier, Settings, Timing,
+    VoterSet,
+};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -43,19 +46,19 @@
     /// Where a founder keeps what it votes for.
     pub state_dir: Option<PathBuf>,
     /// Within which times what is done.
-    pub times: Times,
+    pub times: Timing,
     /// How long a request waits for a change's moment at the most.
     pub hold: Duration,
     /// After so long without a permit the log says why this process is not ready.
     pub catch_up: Duration,
     /// What is done once the permit has ended.
-    pub when_cut: WhenCut,
+    pub when_cut: LeaseExpiryMode,
     /// Whether SIGHUP puts settings of the file in force.
     pub local: bool,
     /// After so long a process that drifted puts the approved version in force again by itself, if it is to.
     pub restore_after: Option<Duration>,
     /// How many found.
-    pub seats: Seats,
+    pub seats: VoterSet,
     /// The seat of this proxy, if it founds.
     pub seat: Option<u8>,
     /// The most processes that are linked.
@@ -72,7 +75,7 @@
 /// This process's part in the fleet's policy.
 pub struct Policy {
     config: PolicyConfig,
-    node: Arc<Node<Sockets>>,
+    node: Arc<ConsensusNode<TcpNetwork>>,
     app: Arc<App>,
     directory: Arc<Directory>,
     drift: Arc<Drift>,
@@ -86,39 +89,39 @@
     pub fn start(
         config: PolicyConfig,
         fleet: &Arc<Fleet>,
-        (exchange, providers): (&Arc<Exchange>, &Arc<ProviderSide>),
+        (exchange, providers): (&Arc<Dispatcher>, &Arc<BackendService>),
         settings: &Value,
-        given: Vec<Neighbour>,
+        given: Vec<PeerAddress>,
         seed: u64,
     ) -> Result<Arc<Policy>, String> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
         let (name, fleet_name) = fleet.names();
         let me = Process { name: name.as_str().into(), start };
-        let links = Links::new(
-            Sockets,
+        let links = PeerTransport::new(
+            TcpNetwork,
             &fleet_name,
             me.clone(),
             config.bind.ip(),
             LinkTimes::default(),
             seed ^ start,
         );
-        let permit = Arc::new(Permit::new(config.seats, config.when_cut, config.hold, BACK));
-        exchange.permitted_by(Arc::clone(&permit));
+        let permit = Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, BACK));
+        exchange.set_admission_lease(Arc::clone(&permit));
         let calls = fleet.longest_call();
         let app = Arc::new(App::new(Arc::clone(exchange), Arc::clone(providers), settings, calls));
-        let node = Node::new(
+        let node = ConsensusNode::new(
             Settings {
-                me: me.clone(),
-                seats: config.seats,
-                times: config.times,
-                when_cut: config.when_cut,
-                first: text::common(settings),
+                process: me.clone(),
+                voters: config.seats,
+                timing: config.times,
+                lease_expiry_mode: config.when_cut,
+                initial_policy: text::common(settings),
                 seed: seed ^ start,
             },
             &fleet_name,
             links,
-            Arc::clone(&app) as Arc<dyn InForce>,
+            Arc::clone(&app) as Arc<dyn PolicyApplier>,
             permit,
         );
         app.first_is_good()?;
@@ -167,12 +170,12 @@
 
     /// Whether this process admits requests.
     pub fn admits(&self) -> bool {
-        matches!(self.node.standing().2, State::Steady | State::Changing)
+        matches!(self.node.status().2, ConsensusStatus::Steady | ConsensusStatus::Changing)
     }
 
     /// Why it does not.
     pub fn why_not(&self) -> String {
-        self.node.why_not()
+        self.node.not_ready_reason()
     }
 
     /// Whether SIGHUP puts settings of the file in force.
@@ -191,16 +194,16 @@
     }
 
     /// The other processes of the fleet, for a newcomer of this proxy.
-    pub fn neighbours(&self) -> Vec<Neighbour> {
+    pub fn neighbours(&self) -> Vec<PeerAddress> {
         self.directory.neighbours()
     }
 
     /// What was counted, by name.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
         vec![
-            ("policy_version", self.node.standing().0),
-            ("policy_links", self.node.links().all().len() as u64),
-            ("policy_refused", self.node.permit().refusals()),
+            ("policy_version", self.node.status().0),
+            ("policy_links", self.node.transport().connected_peers().len() as u64),
+            ("policy_refused", self.node.admission_lease().rejections()),
             ("policy_drift_alarms", self.drift.alarms()),
         ]
     }
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -12,13 +12,13 @@
 
 /// What waits guard. Once it is dropped they end.
 #[derive(Debug, Default)]
-pub struct Guarded(Arc<AtomicBool>);
+pub struct TimerSet(Arc<AtomicBool>);
 
 /// One wait's hold on what it guards.
 #[derive(Debug)]
 pub struct Guard(Arc<AtomicBool>);
 
-impl Guarded {
+impl TimerSet {
     /// Runs a coroutine that guards it.
     pub fn by(&self, run: impl FnOnce(Guard) + Send + 'static) {
         let guard = Guard(Arc::clone(&self.0));
@@ -26,7 +26,7 @@
     }
 }
 
-impl Drop for Guarded {
+impl Drop for TimerSet {
     fn drop(&mut self) {
         self.0.store(true, Ordering::Release);
     }
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -3,18 +3,18 @@
 use super::{settings_json, CLASSES};
 use pinetrail::interface::{Member, Outcome, ServerId, State, Time};
 use pinetrail_history_checker as seen;
-use pinetrail_history_checker::{Class, Effect, End, Figures, History, Node, Scope, Seen};
+use pinetrail_history_checker::{Class, Effect, End, Figures, History, HistoryEvent, Node, Scope};
 
 /// Events, in the order in which they were seen. Of a call nothing is seen where no connection came about: its
 /// place is kept until its end is known.
 #[derive(Default)]
 pub struct Tape {
-    events: Vec<Option<(Time, Seen)>>,
-    calls: Vec<(usize, Option<(Time, Seen)>)>,
+    events: Vec<Option<(Time, HistoryEvent)>>,
+    calls: Vec<(usize, Option<(Time, HistoryEvent)>)>,
 }
 
 impl Tape {
-    pub fn write(&mut self, at: Time, seen: Seen) {
+    pub fn write(&mut self, at: Time, seen: HistoryEvent) {
         self.events.push(Some((at, seen)));
     }
 
@@ -22,7 +22,7 @@
     pub fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
         let call = self.calls.len() as u64;
         let (proxy, request) = (proxy.to_owned(), request.to_owned());
-        let received = Seen::Received { proxy, request, call, place: place(server), first: at, work };
+        let received = HistoryEvent::Received { proxy, request, call, place: place(server), first: at, work };
         self.calls.push((self.events.len(), Some((at, received))));
         self.events.push(None);
         call
@@ -40,16 +40,16 @@
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => End::Broken,
         };
         self.events[*place] = received.take();
-        self.write(at, Seen::Closed { call, end });
+        self.write(at, HistoryEvent::Closed { call, end });
     }
 
     pub fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
         let nodes = members.iter().map(node).collect();
-        self.write(at, Seen::Told { proxy: proxy.to_owned(), whole, nodes });
+        self.write(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
     }
 
     pub fn answer(&mut self, at: Time, request: &str, answer: seen::Answer) {
-        self.write(at, Seen::Answered { request: request.to_owned(), answer });
+        self.write(at, HistoryEvent::Answered { request: request.to_owned(), answer });
     }
 
     /// All that was seen, by time.
@@ -61,7 +61,7 @@
         }
         let mut events: Vec<_> = self.events.into_iter().flatten().collect();
         events.sort_by(|a, b| a.0.total_cmp(&b.0));
-        History { blur: 0.0, events }
+        History { clock_error: 0.0, events }
     }
 }
 
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -3,7 +3,7 @@
 use crate::policy::{governed, has};
 use pinetrail_test_harness::fleet::Fleet;
 use pinetrail_test_harness::policy::{ask, settings};
-use pinetrail_test_harness::say_to_door;
+use pinetrail_test_harness::send_to_admin;
 use serde_json::json;
 
 /// How a member's door sees another, and the parts that differ.
@@ -57,7 +57,7 @@
     fleet.until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
     std::thread::sleep(crate::ms(1000));
     assert_eq!(alarms(&fleet, 3), 1, "one, by one of them\n{}", fleet.timeline);
-    let (status, _) = say_to_door(
+    let (status, _) = send_to_admin(
         fleet.process(3).door,
         "POST /control/policy/restore HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n",
     );
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,7 +9,7 @@
 mod upgrades;
 
 use pinetrail_test_harness::fleet::{Fleet, Options};
-use pinetrail_test_harness::{http_200, Party};
+use pinetrail_test_harness::{http_200, StubServer};
 use std::time::Duration;
 
 const ALL: [usize; 5] = [0, 1, 2, 3, 4];
@@ -18,12 +18,12 @@
     Duration::from_millis(n)
 }
 
-fn nodes() -> Vec<Party> {
-    vec![Party::full_node("v"), Party::full_node("v")]
+fn nodes() -> Vec<StubServer> {
+    vec![StubServer::full_node("v"), StubServer::full_node("v")]
 }
 
-fn origin() -> Party {
-    Party::origin(|_| http_200("v"))
+fn origin() -> StubServer {
+    StubServer::origin(|_| http_200("v"))
 }
 
 /// Members that run and know each other.
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -3,7 +3,9 @@
 use crate::{ms, nodes, origin};
 use pinetrail_test_harness::call;
 use pinetrail_test_harness::fleet::{Fleet, Options};
-use pinetrail_test_harness::policy::{ask, now, outcome, play_hangups, play_seed, propose, settings, standing, Watch};
+use pinetrail_test_harness::policy::{
+    ask, now, outcome, play_hangups, play_seed, propose, settings, standing, PolicyClients,
+};
 use serde_json::json;
 use std::time::Instant;
 
@@ -27,7 +29,7 @@
 fn a_change_takes_hold_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
     fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = Watch::all(&fleet);
+    let watch = PolicyClients::all(&fleet);
     std::thread::sleep(ms(200));
     let begun = Instant::now();
     propose_second(&fleet, 3);
@@ -44,11 +46,11 @@
 }
 
 /// A fleet in which all have the first version, and clients of it.
-fn under_load(members: usize, founders: usize) -> (Fleet, Watch) {
+fn under_load(members: usize, founders: usize) -> (Fleet, PolicyClients) {
     let fleet = governed(members, founders);
     let all: Vec<usize> = (0..members).collect();
     fleet.until("all have the first version", |fleet| has(fleet, &all, 1));
-    let watch = Watch::all(&fleet);
+    let watch = PolicyClients::all(&fleet);
     std::thread::sleep(ms(150));
     (fleet, watch)
 }
@@ -81,7 +83,7 @@
     ends(&fleet, 0, "taken");
     fleet.start(3);
     assert_eq!(standing(&fleet, 3).0, 2, "it was not ready before it had it");
-    let again = Watch::of(&[(Fleet::name(3), fleet.process(3).place)]);
+    let again = PolicyClients::of(&[(Fleet::name(3), fleet.process(3).place)]);
     fleet.until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
     assert_eq!(again.judged()[0].1, 0, "none by the old one");
     watch.judged();
@@ -156,7 +158,7 @@
     }
     fleet.start_together(&[0, 1, 2, 3]);
     fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = Watch::all(&fleet);
+    let watch = PolicyClients::all(&fleet);
     let mut longer = settings(&fleet, 2);
     longer["Grades"][0]["GiveUp"] = json!(2000.0);
     assert_eq!(propose(fleet.process(0).door, "x", 1, &longer).0, 202, "it suits this one");
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -2,9 +2,9 @@
 
 use crate::{met, ms, nodes, origin, ALL};
 use pinetrail_test_harness::fleet::{Fleet, Options};
+use pinetrail_test_harness::recorder::Recorder;
 use pinetrail_test_harness::script::Script;
-use pinetrail_test_harness::recorder::Witness;
-use pinetrail_test_harness::{Does, Party};
+use pinetrail_test_harness::{StubAction, StubServer};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, sleep};
 
@@ -35,14 +35,14 @@
 
 /// Waits until something holds. Meanwhile all shares are read, again and again, and written down for the judge.
 fn until(fleet: &Fleet, members: &[usize], what: &str, holds: impl Fn(&Fleet) -> bool) {
-    let witness = Witness::own();
+    let witness = Recorder::own();
     fleet.until(what, |fleet| {
         for (member, share) in members.iter().zip(shares(fleet, members)) {
             witness.share(&Fleet::name(*member), share, CALL_MS);
         }
         holds(fleet)
     });
-    witness.judge_shares();
+    witness.check_quota();
 }
 
 fn all_share(members: usize) -> Fleet {
@@ -140,14 +140,14 @@
 #[test]
 fn calls_in_flight_at_a_node_are_never_over_the_whole() {
     let node = || {
-        Party::node(|line| {
+        StubServer::node(|line| {
             sleep(ms(40));
-            Does::Says(format!("VA 1 {} h1\r\nv\r\n", pinetrail_test_harness::opaque(line)))
+            StubAction::Says(format!("VA 1 {} h1\r\nv\r\n", pinetrail_test_harness::opaque(line)))
         })
     };
     let options = Options { node_calls: Some(NODE_CALLS), ..sharing(5) };
     let mut fleet = Fleet::start_all(options, vec![node()], origin());
-    Witness::own().bound(&fleet.nodes[0].place.to_string(), NODE_CALLS);
+    Recorder::own().bound(&fleet.nodes[0].place.to_string(), NODE_CALLS);
     fleet.until("they share", |fleet| have(fleet, &ALL, 5));
     let done = AtomicBool::new(false);
     let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).place).collect();
@@ -186,7 +186,7 @@
         sleep(ms(500));
         done.store(true, Ordering::Relaxed);
     });
-    Witness::own().judge_shares();
+    Recorder::own().check_quota();
     let most = fleet.nodes[0].most_at_once();
     assert!(most <= NODE_CALLS, "{most} calls in flight\n{}", fleet.timeline);
     assert!(most > NODE_CALLS / 2, "{most}: it was put to the test");
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -1,13 +1,13 @@
 //! Answers on a consumer's connection to each form of the protocol, and to what is none.
 
 use crate::{compare, escaped, origin, silent_origin, without_number};
-use pinetrail_test_harness::{call, opaque, Client, Does, Party, Scene};
+use pinetrail_test_harness::{call, opaque, Client, ProxyFixture, StubAction, StubServer};
 
 /// A cache node that holds the keys that do not begin with `absent`.
-fn node() -> Party {
-    Party::node(|line| match line.starts_with("mg absent") {
-        true => Does::Says(format!("EN {}\r\n", opaque(line))),
-        false => Does::Says(format!("VA 5 {} h1\r\nhello\r\n", opaque(line))),
+fn node() -> StubServer {
+    StubServer::node(|line| match line.starts_with("mg absent") {
+        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
+        false => StubAction::Says(format!("VA 5 {} h1\r\nhello\r\n", opaque(line))),
     })
 }
 
@@ -28,14 +28,14 @@
     format!("> {shown}\n< {}\n= {next}\n", escaped(&answer))
 }
 
-fn recorded_of(scene: &Scene, asked: &[&str]) -> String {
+fn recorded_of(scene: &ProxyFixture, asked: &[&str]) -> String {
     asked.iter().map(|words| exchange(&mut scene.client(), words)).collect()
 }
 
 #[test]
 fn each_command_is_answered_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let asked = [
         "mn\r\n",
         "version\r\n",
@@ -52,7 +52,7 @@
 #[test]
 fn each_malformed_command_is_refused_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (long, long_key) = ("x".repeat(3000), format!("mg {} v O1 Pc=read\r\n", "k".repeat(251)));
     let asked = [
         "get k\r\n",
@@ -105,7 +105,7 @@
 #[test]
 fn an_opaque_id_in_use_is_refused_as_recorded() {
     let origin = silent_origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let mut client = scene.client();
     let ask = "mg k v O1 Pc=read,t=acme,d=900\r\n";
     client.say(&format!("{ask}{ask}"));
@@ -116,12 +116,12 @@
 
 #[test]
 fn a_failed_or_rejected_invocation_is_answered_as_recorded() {
-    let fails = |words: &'static str| Party::origin(move |_| Does::Says(words.into()));
+    let fails = |words: &'static str| StubServer::origin(move |_| StubAction::Says(words.into()));
     let error = fails("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
     let busy = fails("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
     let mut said = String::new();
     for (name, origin) in [("error", error), ("busy", busy), ("silent", silent_origin())] {
-        let scene = Scene::of(&[], &origin);
+        let scene = ProxyFixture::of(&[], &origin);
         let asked = [
             "mg k v O1 Pc=read,t=acme,d=300\r\n",
             "ms w 1 O2 Pc=put,t=acme,d=300,k=5c\r\nx\r\n",
@@ -136,7 +136,7 @@
 #[test]
 fn a_proxy_out_of_service_answers_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
     let asked = ["mn\r\n", "version\r\n", "mg hit v O1 Pc=read,t=acme,d=9000\r\n"];
     let said = recorded_of(&scene, &asked);
@@ -146,7 +146,7 @@
 #[test]
 fn half_a_command_is_refused_in_time_as_recorded() {
     let origin = silent_origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let mut said = String::new();
     for half in ["mg k v O1 Pc=re", "ms k 5 O1 Pc=put,t=acme,d=900,k=5c\r\nhel"] {
         let mut client = scene.client();
--- a/tests/golden/counters.rs
+++ b/tests/golden/counters.rs
@@ -2,7 +2,7 @@
 
 use crate::{compare, origin};
 use pinetrail_test_harness::fleet::{Fleet, Options};
-use pinetrail_test_harness::{Client, Party};
+use pinetrail_test_harness::{Client, StubServer};
 
 /// The names that `stats` tells; each line has a name and a number.
 fn names(mut client: Client) -> String {
@@ -22,7 +22,7 @@
 
 /// The names that a member tells whose configuration was changed.
 fn of_member(options: Options, has_fleet: bool) -> String {
-    let mut fleet = Fleet::new(options, vec![Party::full_node("v")], origin());
+    let mut fleet = Fleet::new(options, vec![StubServer::full_node("v")], origin());
     if !has_fleet {
         let mut config = fleet.config(0, &[]);
         config.as_object_mut().unwrap().remove("fleet");
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -1,7 +1,7 @@
 //! Answers of the operators' door of one proxy without a fleet: whole, head and text.
 
 use crate::{compare, escaped, origin, silent_origin};
-use pinetrail_test_harness::{opaque, Client, Does, Party, Scene};
+use pinetrail_test_harness::{opaque, Client, ProxyFixture, StubAction, StubServer};
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
@@ -31,8 +31,8 @@
 
 #[test]
 fn readiness_and_service_are_answered_as_recorded() {
-    let (node, origin) = (Party::full_node("v"), origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let lines = [
         "GET /control/ready",
         "GET /control/ready?verbose=1",
@@ -48,8 +48,8 @@
 
 #[test]
 fn cache_nodes_are_taken_out_and_back_as_recorded() {
-    let (node, origin) = (Party::full_node("v"), origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let lines = [
         "POST /control/cache-nodes/s-0/offline",
         "POST /control/cache-nodes/s-0/offline",
@@ -71,7 +71,7 @@
 #[test]
 fn wrong_calls_are_refused_as_recorded() {
     let origin = origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let lines = [
         "GET /",
         "GET /control",
@@ -100,7 +100,7 @@
 #[test]
 fn what_is_no_call_is_refused_as_recorded() {
     let origin = origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let propose = "POST /control/policy HTTP/1.1\r\n";
     let asked = [
         "mn\r\n\r\n".to_owned(),
@@ -124,13 +124,13 @@
     // What it is asked stays open for as long as the test wants.
     let (go_on, may_go_on) = channel::<()>();
     let may_go_on = Mutex::new(may_go_on);
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         // The sender's end lets it go on as well.
         let _ = may_go_on.lock().unwrap().recv();
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = silent_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=9000\r\n");
     scene.until("the node is asked", || node.heard().len() == 1);
@@ -147,7 +147,7 @@
 #[test]
 fn half_a_call_is_refused_in_time_as_recorded() {
     let origin = silent_origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let body = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{";
     let asked = ["GET /control/re", body];
     let door = scene.door;
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -4,14 +4,14 @@
 use crate::{compare, escaped, origin, without_number};
 use pinetrail_test_harness::fleet::{Fleet, Options};
 use pinetrail_test_harness::policy::{outcome, settings, standing};
-use pinetrail_test_harness::{call, Party};
+use pinetrail_test_harness::{call, StubServer};
 use serde_json::{json, Value};
 
 /// Numbers that differ from run to run, by their keys.
 const VARYING: [&str; 6] = ["since_ms", "heard_ms", "start", "incarnation", "lease_ms", "view"];
 
-fn nodes() -> Vec<Party> {
-    vec![Party::full_node("v")]
+fn nodes() -> Vec<StubServer> {
+    vec![StubServer::full_node("v")]
 }
 
 fn member_door(fleet: &Fleet, member: usize) -> std::net::SocketAddr {
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -8,7 +8,7 @@
 mod providers;
 mod starts;
 
-use pinetrail_test_harness::{http_200, Does, Party};
+use pinetrail_test_harness::{http_200, StubAction, StubServer};
 
 /// Compares what was said with what was recorded.
 fn compare(name: &str, recorded: &str, said: &str) {
@@ -44,10 +44,10 @@
     out
 }
 
-fn origin() -> Party {
-    Party::origin(|_| http_200("r7"))
+fn origin() -> StubServer {
+    StubServer::origin(|_| http_200("r7"))
 }
 
-fn silent_origin() -> Party {
-    Party::origin(|_| Does::Nothing)
+fn silent_origin() -> StubServer {
+    StubServer::origin(|_| StubAction::Nothing)
 }
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -1,7 +1,7 @@
 //! What the proxy sends to cache nodes, to the origin and to discovery.
 
 use crate::{compare, escaped, origin, without_number};
-use pinetrail_test_harness::{catalog, config, opaque, start, Does, Party, Scene};
+use pinetrail_test_harness::{catalog, config, opaque, start, ProxyFixture, StubAction, StubServer};
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::channel;
@@ -12,19 +12,19 @@
 const WAIT: Duration = Duration::from_secs(10);
 
 /// Requests as lines of a recording; the time that is left and addresses vary.
-fn shown(heard: &[String], at: &Party) -> String {
+fn shown(heard: &[String], at: &StubServer) -> String {
     let shown: String = heard.iter().map(|request| escaped(request) + "\n").collect();
     without_number(&shown, ",d=", "LEFT").replace(&at.place.to_string(), "ADDRESS")
 }
 
 #[test]
 fn calls_to_a_cache_node_and_the_origin_are_as_recorded() {
-    let node = Party::node(|line| match line.starts_with("mg absent") {
-        true => Does::Says(format!("EN {}\r\n", opaque(line))),
-        false => Does::Says(format!("VA 1 {} h1\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| match line.starts_with("mg absent") {
+        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
+        false => StubAction::Says(format!("VA 1 {} h1\r\nv\r\n", opaque(line))),
     });
     let origin = origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let reads = [
         "mg hit v O1 Pc=read,t=acme,d=9000\r\n",
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -1,7 +1,7 @@
 //! Starts that cannot go on: one line that says why, and exit code 2.
 
 use crate::compare;
-use pinetrail_test_harness::{catalog, config, start, Party, WAIT};
+use pinetrail_test_harness::{catalog, config, start, StubServer, WAIT};
 use serde_json::{json, Value};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_wrong_list_ends_the_start_as_recorded() {
-    let nobody = || Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
+    let nobody = || StubServer { place: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
     let origin = nobody().entry("o", "origin", "ready");
     let node = nobody().entry("s-0", "c6", "ready");
     let bad = [
