--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -6,19 +6,19 @@
 use common::fleet::{play, script, Fault};
 use common::recorded_events::figures;
 use pinetrail_history_checker::{
-    judge, Answer, End, Figures, History, Node, NotJudged, Process, Reason, Seen, State, Time,
+    check, Answer, CheckError, End, Figures, History, HistoryEvent, Node, Process, Reason, State, Time,
 };
 
 const DAY: Time = 6000.0;
 
 fn kept(history: &History) {
-    let breaches = judge(history).expect("it can be judged");
+    let breaches = check(history).expect("it can be judged");
     assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
 }
 
 /// The history is refused, for this reason alone, and names the request or node.
 fn refused(history: &History, reason: Reason, about: &str) {
-    let breaches = judge(history).expect("it can be judged");
+    let breaches = check(history).expect("it can be judged");
     let reasons: Vec<(Reason, &str)> =
         breaches.iter().map(|breach| (breach.reason, breach.about.as_str())).collect();
     assert!(!reasons.is_empty() && reasons.iter().all(|found| *found == (reason, about)), "{reasons:?}");
@@ -31,8 +31,8 @@
     let mut asked = 0;
     for seed in 0..60 {
         let history = play(seed, DAY, &script(seed, DAY));
-        asked += history.events.iter().filter(|event| matches!(event.1, Seen::Asked { .. })).count();
-        let breaches = judge(&history).expect("it can be judged");
+        asked += history.events.iter().filter(|event| matches!(event.1, HistoryEvent::Asked { .. })).count();
+        let breaches = check(&history).expect("it can be judged");
         assert!(breaches.is_empty(), "seed {seed}: {} in all, first {}", breaches.len(), breaches[0]);
     }
     assert!(asked > 100_000, "{asked}");
@@ -56,22 +56,22 @@
 fn served(history: &History, class: &str) -> (String, [usize; 4]) {
     let events = || history.events.iter().enumerate();
     let of_class = events().filter_map(|(at, (_, seen))| match seen {
-        Seen::Asked { request, class: of, .. } if of == class => Some((at, request)),
+        HistoryEvent::Asked { request, class: of, .. } if of == class => Some((at, request)),
         _ => None,
     });
     let mut found = of_class.filter_map(|(asked, id)| {
         let calls: Vec<(usize, u64)> = events()
             .filter_map(|(at, (_, seen))| match seen {
-                Seen::Received { request, call, .. } if request == id => Some((at, *call)),
+                HistoryEvent::Received { request, call, .. } if request == id => Some((at, *call)),
                 _ => None,
             })
             .collect();
         let [(received, call)] = calls[..] else { return None };
         let closed = events().position(
-            |(_, (_, seen))| matches!(seen, Seen::Closed { call: of, end: End::Served(_) } if *of == call),
+            |(_, (_, seen))| matches!(seen, HistoryEvent::Closed { call: of, end: End::Served(_) } if *of == call),
         )?;
         let answered = events().position(|(_, (_, seen))| {
-            matches!(seen, Seen::Answered { request, answer: Answer::Served(_) } if request == id)
+            matches!(seen, HistoryEvent::Answered { request, answer: Answer::Served(_) } if request == id)
         })?;
         Some((id.clone(), [asked, received, closed, answered]))
     });
@@ -79,7 +79,7 @@
 }
 
 /// The history with an event more, in its place by time.
-fn with(history: &History, at: Time, seen: Seen) -> History {
+fn with(history: &History, at: Time, seen: HistoryEvent) -> History {
     let mut changed = history.clone();
     let place = changed.events.partition_point(|event| event.0 <= at);
     changed.events.insert(place, (at, seen));
@@ -99,11 +99,13 @@
 
 /// The call at a place once more, under another number, to this node and at this time.
 fn again(history: &History, received: usize, place: &str, at: Time) -> History {
-    let Seen::Received { proxy, request, work, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::Received { proxy, request, work, .. } = history.events[received].1.clone() else {
+        panic!()
+    };
     let (place, call) = (place.to_owned(), 1 << 40);
-    let closed = Seen::Closed { call, end: End::Failed };
+    let closed = HistoryEvent::Closed { call, end: End::Failed };
     with(
-        &with(history, at, Seen::Received { proxy, request, call, place, first: at, work }),
+        &with(history, at, HistoryEvent::Received { proxy, request, call, place, first: at, work }),
         at + 0.05,
         closed,
     )
@@ -112,16 +114,18 @@
 #[test]
 fn what_shows_nothing_is_an_error_and_no_pass() {
     let (history, [asked, ..], id) = calm();
-    assert_eq!(judge(&History::default()), Err(NotJudged::Empty));
-    let silent = |event: &&(Time, Seen)| matches!(event.1, Seen::InForce { .. } | Seen::Told { .. });
+    assert_eq!(check(&History::default()), Err(CheckError::Empty));
+    let silent = |event: &&(Time, HistoryEvent)| {
+        matches!(event.1, HistoryEvent::InForce { .. } | HistoryEvent::Told { .. })
+    };
     let events: Vec<_> = history.events.iter().filter(silent).cloned().collect();
-    assert_eq!(judge(&History { blur: 0.0, events }), Err(NotJudged::NoRequest));
+    assert_eq!(check(&History { clock_error: 0.0, events }), Err(CheckError::NoRequest));
     let mut backwards = history.clone();
     backwards.events.swap(0, asked);
-    assert!(matches!(judge(&backwards), Err(NotJudged::OutOfOrder(_))));
+    assert!(matches!(check(&backwards), Err(CheckError::OutOfOrder(_))));
     let mut cut = without(&history, history.events.len() - 1);
     cut.events.truncate(asked + 1);
-    assert!(matches!(judge(&cut), Err(NotJudged::Unfinished(_))), "{id}");
+    assert!(matches!(check(&cut), Err(CheckError::Unfinished(_))), "{id}");
 }
 
 #[test]
@@ -130,14 +134,14 @@
     refused(&without(&history, answered), Reason::Lost, &id);
     let (at, answer) = history.events[answered].clone();
     refused(&with(&history, at, answer.clone()), Reason::Twice, &id);
-    let Seen::Asked { budget, .. } = history.events[asked].1 else { panic!() };
+    let HistoryEvent::Asked { budget, .. } = history.events[asked].1 else { panic!() };
     let due = history.events[asked].0 + budget + figures().answer_slack;
     kept(&moved(&history, answered, due));
     refused(&moved(&history, answered, due + 0.001), Reason::Late, &id);
-    let other = Seen::Answered { request: id.clone(), answer: Answer::Served("of another".into()) };
+    let other = HistoryEvent::Answered { request: id.clone(), answer: Answer::Served("of another".into()) };
     refused(&with(&without(&history, answered), at, other), Reason::MadeUp, &id);
     // Who has left is owed nothing; who left after its time was.
-    let left = Seen::Left { request: id.clone() };
+    let left = HistoryEvent::Left { request: id.clone() };
     kept(&with(&without(&history, answered), due, left.clone()));
     refused(&with(&without(&history, answered), due + 0.001, left), Reason::Lost, &id);
 }
@@ -145,20 +149,20 @@
 #[test]
 fn what_a_process_held_that_ends_by_itself_is_lost_and_what_one_held_that_is_killed_is_not() {
     let (history, [asked, _, _, answered], id) = calm();
-    let Seen::Asked { proxy, .. } = history.events[asked].1.clone() else { panic!() };
+    let HistoryEvent::Asked { proxy, .. } = history.events[asked].1.clone() else { panic!() };
     let at = history.events[asked].0;
     for (how, lost) in [(Process::Killed, false), (Process::Left, true)] {
         // Only what it is about: what else the proxy held is left out.
-        let about = |seen: &Seen| match seen {
-            Seen::Asked { request, .. } | Seen::Answered { request, .. } | Seen::Received { request, .. } => {
-                *request == id
-            }
-            Seen::Closed { .. } | Seen::Left { .. } | Seen::Began { .. } => false,
+        let about = |seen: &HistoryEvent| match seen {
+            HistoryEvent::Asked { request, .. }
+            | HistoryEvent::Answered { request, .. }
+            | HistoryEvent::Received { request, .. } => *request == id,
+            HistoryEvent::Closed { .. } | HistoryEvent::Left { .. } | HistoryEvent::Began { .. } => false,
             _ => true,
         };
         let mut short = without(&history, answered);
         short.events.retain(|event| about(&event.1) && event.0 <= at);
-        let ended = with(&short, at, Seen::Ended { proxy: proxy.clone(), how });
+        let ended = with(&short, at, HistoryEvent::Ended { proxy: proxy.clone(), how });
         match lost {
             true => refused(&ended, Reason::Lost, &id),
             false => kept(&ended),
@@ -169,14 +173,14 @@
 #[test]
 fn calls_nobody_asked_for_or_after_the_end_are_refused() {
     let (history, [_, received, _, answered], id) = calm();
-    let Seen::Received { place, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::Received { place, .. } = history.events[received].1.clone() else { panic!() };
     let end = history.events[answered].0;
     kept(&again(&history, received, &place, end));
     refused(&again(&history, received, &place, end + 0.001), Reason::AfterTheEnd, &id);
     let mut unasked = history.clone();
-    let Seen::Received { request, .. } = &mut unasked.events[received].1 else { panic!() };
+    let HistoryEvent::Received { request, .. } = &mut unasked.events[received].1 else { panic!() };
     *request = "nobody".into();
-    let breaches = judge(&unasked).unwrap();
+    let breaches = check(&unasked).unwrap();
     assert!(breaches.iter().any(|breach| (breach.reason, &*breach.about) == (Reason::Unasked, "nobody")));
 }
 
@@ -185,24 +189,24 @@
 fn roomy(class: &str) -> (History, usize, usize, String) {
     let history = play(5, 3000.0, &[]);
     let (id, [asked, received, _, answered]) = served(&history, class);
-    let Seen::Asked { budget, .. } = &mut history.events[asked].1.clone() else { panic!() };
+    let HistoryEvent::Asked { budget, .. } = &mut history.events[asked].1.clone() else { panic!() };
     let mut history = history;
-    let Seen::Asked { budget: longer, .. } = &mut history.events[asked].1 else { panic!() };
+    let HistoryEvent::Asked { budget: longer, .. } = &mut history.events[asked].1 else { panic!() };
     *longer = budget.max(3000.0);
     let end = history.events[answered].0 + 2000.0;
     let mut history = moved(&history, answered, end);
     let end = end + 5000.0;
-    history.events.push((end, Seen::Told { proxy: "p0".into(), whole: false, nodes: Vec::new() }));
+    history.events.push((end, HistoryEvent::Told { proxy: "p0".into(), whole: false, nodes: Vec::new() }));
     kept(&history);
     let answered = history
         .events
         .iter()
-        .position(|event| matches!(&event.1, Seen::Answered { request, .. } if *request == id));
+        .position(|event| matches!(&event.1, HistoryEvent::Answered { request, .. } if *request == id));
     (history, received, answered.unwrap(), id)
 }
 
 fn sent_first(history: &History, received: usize) -> (Time, String) {
-    let Seen::Received { place, first, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::Received { place, first, .. } = history.events[received].1.clone() else { panic!() };
     (first, place)
 }
 
@@ -255,7 +259,7 @@
         let (history, received, answered, id) = roomy(class);
         let first = sent_first(&history, received).0;
         for (at, harmless) in [(first + window, in_time), (first + window + 0.001, late)] {
-            let refusal = Seen::Answered { request: id.clone(), answer: Answer::Refused };
+            let refusal = HistoryEvent::Answered { request: id.clone(), answer: Answer::Refused };
             let changed = with(&without(&history, answered), at, refusal);
             match harmless {
                 true => kept(&changed),
@@ -264,10 +268,10 @@
         }
         // What was turned away never ran: then every class may be refused.
         let mut turned = history.clone();
-        let Seen::Received { call, .. } = turned.events[received].1 else { panic!() };
+        let HistoryEvent::Received { call, .. } = turned.events[received].1 else { panic!() };
         turned.events.iter_mut().for_each(|event| match &mut event.1 {
-            Seen::Closed { call: of, end } if *of == call => *end = End::TurnedAway,
-            Seen::Answered { request, answer } if *request == id => *answer = Answer::Refused,
+            HistoryEvent::Closed { call: of, end } if *of == call => *end = End::TurnedAway,
+            HistoryEvent::Answered { request, answer } if *request == id => *answer = Answer::Refused,
             _ => {}
         });
         kept(&turned);
@@ -282,7 +286,9 @@
         kept(&history);
         history = again(&history, received, &place, first + 100.0 * n as Time);
         let last = history.events.iter_mut().filter_map(|event| match &mut event.1 {
-            Seen::Received { call, .. } | Seen::Closed { call, .. } if *call == 1 << 40 => Some(call),
+            HistoryEvent::Received { call, .. } | HistoryEvent::Closed { call, .. } if *call == 1 << 40 => {
+                Some(call)
+            }
             _ => None,
         });
         last.for_each(|call| *call = (1 << 41) + n as u64);
@@ -292,12 +298,13 @@
     // Where two at once are not allowed, one more must wait for the end of the one before.
     let (mut history, received, _, id) = roomy("safe");
     history.events.iter_mut().for_each(|event| {
-        if let Seen::InForce { figures, .. } = &mut event.1 {
+        if let HistoryEvent::InForce { figures, .. } = &mut event.1 {
             figures.second_copies = false;
         }
     });
-    let Seen::Received { call, .. } = history.events[received].1 else { panic!() };
-    let is_end = |event: &(Time, Seen)| matches!(event.1, Seen::Closed { call: of, .. } if of == call);
+    let HistoryEvent::Received { call, .. } = history.events[received].1 else { panic!() };
+    let is_end =
+        |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::Closed { call: of, .. } if of == call);
     let end = history.events.iter().find(|event| is_end(event)).unwrap().0;
     kept(&again(&history, received, &place, end));
     refused(&again(&history, received, &place, end - 0.001), Reason::TwoAtOnce, &id);
@@ -307,29 +314,31 @@
 fn what_is_sent_to_who_drains_is_gone_or_was_never_listed_is_refused() {
     let (history, received, _, _) = roomy("safe");
     let (first, place) = sent_first(&history, received);
-    let Seen::Received { proxy, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::Received { proxy, .. } = history.events[received].1.clone() else { panic!() };
     let limit = figures().stop_within;
     let node = history.events.iter().find_map(|event| match &event.1 {
-        Seen::Told { nodes, .. } => nodes.iter().find(|node| node.place == place).cloned(),
+        HistoryEvent::Told { nodes, .. } => nodes.iter().find(|node| node.place == place).cloned(),
         _ => None,
     });
     let node = node.unwrap();
     // Nothing else goes there: the history is kept to the one request and one proxy.
     let mut alone = history.clone();
-    let Seen::Received { request: id, call, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::Received { request: id, call, .. } = history.events[received].1.clone() else {
+        panic!()
+    };
     alone.events.retain(|event| match &event.1 {
-        Seen::Asked { request, .. } | Seen::Answered { request, .. } | Seen::Received { request, .. } => {
-            *request == id
-        }
-        Seen::Closed { call: of, .. } => *of == call,
-        Seen::Left { .. } | Seen::Began { .. } => false,
+        HistoryEvent::Asked { request, .. }
+        | HistoryEvent::Answered { request, .. }
+        | HistoryEvent::Received { request, .. } => *request == id,
+        HistoryEvent::Closed { call: of, .. } => *of == call,
+        HistoryEvent::Left { .. } | HistoryEvent::Began { .. } => false,
         _ => true,
     });
     kept(&alone);
     for (state, reason) in [(State::Draining, Reason::Draining), (State::Gone, Reason::Gone)] {
         let told = |at| {
             let nodes = vec![Node { state, ..node.clone() }];
-            with(&alone, at, Seen::Told { proxy: proxy.clone(), whole: false, nodes })
+            with(&alone, at, HistoryEvent::Told { proxy: proxy.clone(), whole: false, nodes })
         };
         kept(&told(first - limit));
         refused(&told(first - limit - 0.001), reason, &place);
@@ -337,17 +346,21 @@
         let twice = with(
             &told(first - limit - 0.001),
             first - 1.0,
-            Seen::Told { proxy: proxy.clone(), whole: false, nodes: vec![Node { state, ..node.clone() }] },
+            HistoryEvent::Told {
+                proxy: proxy.clone(),
+                whole: false,
+                nodes: vec![Node { state, ..node.clone() }],
+            },
         );
         refused(&twice, reason, &place);
-        let back = Seen::Told { proxy: proxy.clone(), whole: false, nodes: vec![node.clone()] };
+        let back = HistoryEvent::Told { proxy: proxy.clone(), whole: false, nodes: vec![node.clone()] };
         kept(&with(&told(first - limit - 0.001), first - 1.0, back));
     }
-    let absent = Seen::Told { proxy: proxy.clone(), whole: true, nodes: Vec::new() };
+    let absent = HistoryEvent::Told { proxy: proxy.clone(), whole: true, nodes: Vec::new() };
     refused(&with(&alone, first - limit - 0.001, absent), Reason::Gone, &place);
     let mut never = alone;
     never.events.iter_mut().for_each(|event| {
-        if let Seen::Told { nodes, .. } = &mut event.1 {
+        if let HistoryEvent::Told { nodes, .. } = &mut event.1 {
             nodes.retain(|node| node.place != place);
         }
     });
@@ -361,7 +374,7 @@
     kept(&history);
     let Figures { start_capacity, cold, fall_multiple, tip_after, .. } = figures();
     let found = history.events.iter().find_map(|(at, seen)| match seen {
-        Seen::Started { capacity, .. } => Some((*at, *capacity)),
+        HistoryEvent::Started { capacity, .. } => Some((*at, *capacity)),
         _ => None,
     });
     let (started, capacity) = found.unwrap();
@@ -373,22 +386,22 @@
     let sent: f64 =
         history.events.iter().filter(|event| event.0 <= at && event.0 >= started).fold(0.0, |sum, event| {
             match &event.1 {
-                Seen::Received { place, work, .. } if place == "n2" => sum + work,
+                HistoryEvent::Received { place, work, .. } if place == "n2" => sum + work,
                 _ => sum,
             }
         });
     assert!(sent > 0.0 && sent < bears, "{sent} of {bears}");
     let last = |more: Time| {
         let received = history.events.iter().rposition(|event| match &event.1 {
-            Seen::Received { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::Received { place, .. } => place == "n2" && event.0 <= at,
             _ => false,
         });
         let mut heavier = history.clone();
-        let Seen::Received { work, .. } = &mut heavier.events[received.unwrap()].1 else { panic!() };
+        let HistoryEvent::Received { work, .. } = &mut heavier.events[received.unwrap()].1 else { panic!() };
         *work += more;
         // What comes after is no work, so that this is the whole of it.
         heavier.events.iter_mut().filter(|event| event.0 > at).for_each(|event| match &mut event.1 {
-            Seen::Received { place, work, .. } if place == "n2" => *work = 0.0,
+            HistoryEvent::Received { place, work, .. } if place == "n2" => *work = 0.0,
             _ => {}
         });
         heavier
@@ -396,7 +409,7 @@
     let room = {
         // The budget is that of the moment of the last call.
         let received = history.events.iter().rfind(|event| match &event.1 {
-            Seen::Received { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::Received { place, .. } => place == "n2" && event.0 <= at,
             _ => false,
         });
         let warmth = (received.unwrap().0 - started) / cold;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -6,7 +6,7 @@
 use common::*;
 use pinetrail::interface::*;
 use pinetrail::settings::Settings;
-use pinetrail_history_checker::{judge, Answer, Figures, NotJudged, Seen};
+use pinetrail_history_checker::{check, Answer, CheckError, Figures, HistoryEvent};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
@@ -73,7 +73,7 @@
     fn put_in_force(&mut self, attempts: usize) {
         // A proxy that is told of a drain sends nothing more there; the time that rules allow is the network's.
         let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
-        self.tape.write(self.world.now, Seen::InForce { proxy: PROXY.into(), figures });
+        self.tape.write(self.world.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
     }
 
     fn feed(&mut self, event: Event) {
@@ -130,8 +130,10 @@
                 self.open.insert(id, 0);
                 let name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
                 let request = id.to_string();
-                self.tape
-                    .write(self.world.now, Seen::Asked { proxy: PROXY.into(), request, class: name, budget });
+                self.tape.write(
+                    self.world.now,
+                    HistoryEvent::Asked { proxy: PROXY.into(), request, class: name, budget },
+                );
                 let hint = (key % 3 != 0).then_some(10.0 * key as f64);
                 self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
             }
@@ -165,7 +167,7 @@
                 let ids: Vec<RequestId> = self.open.keys().copied().collect();
                 if let Some(id) = ids.get(pick % ids.len().max(1)) {
                     self.open.remove(id);
-                    self.tape.write(self.world.now, Seen::Left { request: id.to_string() });
+                    self.tape.write(self.world.now, HistoryEvent::Left { request: id.to_string() });
                     self.feed(Event::ClientGone(*id));
                 }
             }
@@ -204,9 +206,9 @@
         // The recording goes on until everybody's time is over.
         player.tape.tell(player.world.now, PROXY, false, &[]);
         let history = player.tape.history();
-        match judge(&history) {
+        match check(&history) {
             Ok(breaches) => prop_assert!(breaches.is_empty(), "{}", breaches[0]),
-            Err(error) => prop_assert_eq!(error, NotJudged::NoRequest, "it is whole"),
+            Err(error) => prop_assert_eq!(error, CheckError::NoRequest, "it is whole"),
         }
         Ok(())
     });
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,16 +1,16 @@
 //! Error paths, each judged by what the rig saw of the real process from outside.
 
 use crate::ms;
-use crate::rig::recorder::Witness;
+use crate::rig::recorder::Recorder;
 use crate::rig::*;
-use pinetrail_history_checker::{judge, History, Reason, Seen, State};
+use pinetrail_history_checker::{check, History, HistoryEvent, Reason, State};
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, sleep};
 use std::time::Instant;
 
 /// Fails in the way that a key names; a key that names none is served.
-fn fails_by_key(http: bool) -> impl Fn(&str) -> Does + Send + Sync + 'static {
+fn fails_by_key(http: bool) -> impl Fn(&str) -> StubAction + Send + Sync + 'static {
     move |words| {
         let id = opaque(words).to_owned();
         let served = match (http, words.starts_with("mg ")) {
@@ -20,20 +20,20 @@
         };
         let path = words.split([' ', '/']).find(|word| word.contains('.')).unwrap_or_default();
         match path.split('.').next() {
-            Some("breaks") => Does::Breaks,
-            Some("half") => Does::Writes(Box::new(move |stream| {
+            Some("breaks") => StubAction::Breaks,
+            Some("half") => StubAction::Writes(Box::new(move |stream| {
                 // It may have gone by now.
                 let _ = stream.write_all(&served.as_bytes()[..served.len() - 2]);
             })),
-            Some("silent") => Does::Nothing,
-            Some("fails") if http => Does::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
-            Some("fails") => Does::Says("SERVER_ERROR failed\r\n".into()),
+            Some("silent") => StubAction::Nothing,
+            Some("fails") if http => StubAction::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
+            Some("fails") => StubAction::Says("SERVER_ERROR failed\r\n".into()),
             Some("full") if http => {
-                Does::Says("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".into())
+                StubAction::Says("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".into())
             }
-            Some("full") => Does::Says("SERVER_ERROR busy\r\n".into()),
-            Some("missing") if !http => Does::Says(format!("EN {id}\r\n")),
-            _ => Does::Says(served),
+            Some("full") => StubAction::Says("SERVER_ERROR busy\r\n".into()),
+            Some("missing") if !http => StubAction::Says(format!("EN {id}\r\n")),
+            _ => StubAction::Says(served),
         }
     }
 }
@@ -42,9 +42,9 @@
 /// run twice, refused in vain, answered twice or late, and the proxy serves on.
 #[test]
 fn calls_that_fail_half_way_keep_the_rules_for_every_effect() {
-    let (one, other) = (Party::node(fails_by_key(false)), Party::node(fails_by_key(false)));
-    let origin = Party::origin(fails_by_key(true));
-    let scene = Scene::of(&[&one, &other], &origin);
+    let (one, other) = (StubServer::node(fails_by_key(false)), StubServer::node(fails_by_key(false)));
+    let origin = StubServer::origin(fails_by_key(true));
+    let scene = ProxyFixture::of(&[&one, &other], &origin);
     let mut number = 0;
     for warm in [false, true] {
         for how in ["breaks", "half", "silent", "fails", "full"] {
@@ -68,25 +68,25 @@
         }
     }
     assert!(scene.client().read("good.z", "z", 900).0.starts_with("VA "), "it serves on");
-    Witness::own().judge();
+    Recorder::own().check();
     assert_eq!((scene.count("overdue"), scene.count("panics")), (0, 0));
 }
 
 /// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no origin.
 #[test]
 fn misses_that_wait_for_a_fetch_are_answered_whatever_becomes_of_it() {
-    let node = Party::empty_node();
+    let node = StubServer::empty_node();
     let asked = AtomicUsize::new(0);
-    let origin = Party::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+    let origin = StubServer::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
         // The leader's: it has gone by the time that this is known.
-        0 => Does::Writes(Box::new(|stream| {
+        0 => StubAction::Writes(Box::new(|stream| {
             sleep(ms(300));
             let _ = stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
         })),
-        1 => Does::Breaks,
+        1 => StubAction::Breaks,
         _ => http_200("v"),
     });
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let leader = scene.client();
     let leading = thread::spawn(move || leader.ask_and_leave("k", "lead", ms(100)));
     scene.until("the fetch is out", || origin.heard().len() == 1);
@@ -102,15 +102,15 @@
         assert!(line.starts_with("VA ") || line.starts_with("SERVER_ERROR busy "), "{line}");
     }
     assert!(origin.heard().len() >= 2, "somebody else led a fetch");
-    Witness::own().judge();
+    Recorder::own().check();
 }
 
 /// Guards against a proxy that keeps clients waiting when nothing is left to ask: each is told at once, or when
 /// half of its aim is over, to come back.
 #[test]
 fn with_every_node_and_the_origin_gone_all_are_told_to_come_back() {
-    let (node, origin) = (Party::full_node("v"), Party::origin(|_| http_200("v")));
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), StubServer::origin(|_| http_200("v")));
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (_, tell) = scene.discovery.watch();
     let gone = [node.entry("s-0", "c6", "draining"), origin.entry("o", "origin", "gone")];
     tell.send(catalog(2, false, &gone)).unwrap();
@@ -125,18 +125,18 @@
         assert!(begun.elapsed() < ms(1500), "not kept until its deadline");
     }
     assert_eq!((node.heard().len(), origin.heard().len()), (0, 0));
-    Witness::own().judge();
+    Recorder::own().check();
 }
 
 /// Guards against a stop that another signal disturbs, and against a reload while a reload or a stop is under way.
 #[test]
 fn signals_at_awkward_times_lose_nothing() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         sleep(ms(300));
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
-    let origin = Party::origin(|_| http_200("v"));
-    let scene = Scene::of(&[&node], &origin);
+    let origin = StubServer::origin(|_| http_200("v"));
+    let scene = ProxyFixture::of(&[&node], &origin);
     let clients: Vec<_> = (0..8)
         .map(|n| {
             let mut client = scene.client();
@@ -148,8 +148,8 @@
     assert!(clients.into_iter().all(|client| client.join().unwrap().starts_with("VA ")));
     let output = scene.end();
     assert!(output.status.success(), "{output:?}");
-    Witness::own().ended();
-    Witness::own().judge();
+    Recorder::own().record_exit();
+    Recorder::own().check();
 }
 
 /// A recorded day on the real process: faults of every kind, a node that drains, one that is removed and returns,
@@ -159,22 +159,22 @@
     let moody = || {
         let calls = AtomicUsize::new(0);
         let good = fails_by_key(false);
-        Party::node(move |line| match calls.fetch_add(1, Ordering::SeqCst) % 23 {
-            3 => Does::Breaks,
-            7 => Does::Nothing,
-            11 => Does::Says("SERVER_ERROR busy\r\n".into()),
-            17 => Does::Says("SERVER_ERROR failed\r\n".into()),
+        StubServer::node(move |line| match calls.fetch_add(1, Ordering::SeqCst) % 23 {
+            3 => StubAction::Breaks,
+            7 => StubAction::Nothing,
+            11 => StubAction::Says("SERVER_ERROR busy\r\n".into()),
+            17 => StubAction::Says("SERVER_ERROR failed\r\n".into()),
             _ => good(line),
         })
     };
     let nodes = [moody(), moody(), moody()];
     let calls = AtomicUsize::new(0);
-    let origin = Party::origin(move |_| match calls.fetch_add(1, Ordering::SeqCst) % 19 {
-        5 => Does::Breaks,
-        9 => Does::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
+    let origin = StubServer::origin(move |_| match calls.fetch_add(1, Ordering::SeqCst) % 19 {
+        5 => StubAction::Breaks,
+        9 => StubAction::Says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
         _ => http_200("v"),
     });
-    let scene = Scene::of(&nodes.iter().collect::<Vec<_>>(), &origin);
+    let scene = ProxyFixture::of(&nodes.iter().collect::<Vec<_>>(), &origin);
     let (_, tell) = scene.discovery.watch();
     let clients: Vec<_> = (0..8)
         .map(|c| {
@@ -198,24 +198,25 @@
         scene.signal("HUP");
     }
     clients.into_iter().for_each(|client| client.join().unwrap());
-    Witness::own().judge();
-    let history = Witness::own().history();
-    let last = history.events.iter().rposition(|event| matches!(event.1, Seen::Answered { .. })).unwrap();
-    let Seen::Answered { request, .. } = history.events[last].1.clone() else { unreachable!() };
+    Recorder::own().check();
+    let history = Recorder::own().history();
+    let last =
+        history.events.iter().rposition(|event| matches!(event.1, HistoryEvent::Answered { .. })).unwrap();
+    let HistoryEvent::Answered { request, .. } = history.events[last].1.clone() else { unreachable!() };
     // The recording goes on until everybody's time is over.
     let mut lost = history.clone();
     lost.events.remove(last);
-    lost.events.push((history.events[last].0 + 5000.0, Seen::Left { request: request.clone() }));
-    let found = judge(&lost).unwrap();
+    lost.events.push((history.events[last].0 + 5000.0, HistoryEvent::Left { request: request.clone() }));
+    let found = check(&lost).unwrap();
     assert_eq!(
         found.iter().map(|b| (b.reason, b.about.clone())).collect::<Vec<_>>(),
         [(Reason::Lost, request)]
     );
     // The same calls, had the first node been told to drain from the beginning on, with no time to stop.
-    let (mut drained, drains) = (History { blur: 0.0, ..history }, nodes[0].place.to_string());
+    let (mut drained, drains) = (History { clock_error: 0.0, ..history }, nodes[0].place.to_string());
     drained.events.iter_mut().for_each(|event| match &mut event.1 {
-        Seen::InForce { figures, .. } => figures.stop_within = 0.0,
-        Seen::Told { nodes, .. } => {
+        HistoryEvent::InForce { figures, .. } => figures.stop_within = 0.0,
+        HistoryEvent::Told { nodes, .. } => {
             nodes
                 .iter_mut()
                 .filter(|node| node.place == drains)
@@ -223,6 +224,6 @@
         }
         _ => {}
     });
-    let found = judge(&drained).unwrap();
+    let found = check(&drained).unwrap();
     assert!(found.iter().any(|b| (b.reason, &b.about) == (Reason::Draining, &drains)), "{found:?}");
 }
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -14,10 +14,11 @@
 #[test]
 fn values_beyond_the_memory_flow_to_slow_readers_whole() {
     let value = "x".repeat(LONG);
-    let node = Party::node(move |line| Does::Says(format!("VA {LONG} {}\r\n{value}\r\n", opaque(line))));
+    let node =
+        StubServer::node(move |line| StubAction::Says(format!("VA {LONG} {}\r\n{value}\r\n", opaque(line))));
     let origin = idle_origin();
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_limits(&entries, 256, 32);
+    let scene = ProxyFixture::with_limits(&entries, 256, 32);
     let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         client.say(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
@@ -44,9 +45,9 @@
 fn the_first_bytes_arrive_before_the_node_has_given_the_last() {
     let (go, gone) = channel::<()>();
     let gone = Arc::new(Mutex::new(gone));
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         let (gone, head) = (Arc::clone(&gone), format!("VA 100000 {}\r\n", opaque(line)));
-        Does::Writes(Box::new(move |stream| {
+        StubAction::Writes(Box::new(move |stream| {
             stream.write_all(head.as_bytes()).unwrap();
             stream.write_all(&[b'a'; 50_000]).unwrap();
             gone.lock().unwrap().recv_timeout(WAIT).unwrap();
@@ -57,7 +58,7 @@
         }))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     // Behind a long value answers keep their order.
     client.say("mg k v O1 Pc=read,t=acme,d=500\r\nmn\r\n");
@@ -76,9 +77,9 @@
 /// Guards against an honest answer taken for spoilt because it comes in pieces, cut at any point.
 #[test]
 fn a_short_value_may_come_in_pieces() {
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         let words = format!("VA 5 {} h1\r\nhello\r\n", opaque(line));
-        Does::Writes(Box::new(move |stream| {
+        StubAction::Writes(Box::new(move |stream| {
             let cuts = [1, words.len() - 9, words.len() - 3, words.len() - 1, words.len()];
             let mut from = 0;
             for to in cuts {
@@ -89,7 +90,7 @@
         }))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     assert_eq!(scene.client().read("k", "1", 2000).1, "hello\r\n");
     assert_eq!((scene.count("answers_spoilt"), node.heard().len()), (0, 1));
 }
@@ -99,9 +100,9 @@
 fn a_value_that_breaks_off_ends_the_connection_and_is_not_asked_for_again() {
     for ending in [&b""[..], b"no end"] {
         let length = if ending.is_empty() { 100_001 } else { 100_000 };
-        let node = Party::node(move |line| {
+        let node = StubServer::node(move |line| {
             let head = format!("VA {length} {}\r\n", opaque(line));
-            Does::Writes(Box::new(move |stream| {
+            StubAction::Writes(Box::new(move |stream| {
                 stream.write_all(head.as_bytes()).unwrap();
                 stream.write_all(&[b'x'; 100_000]).unwrap();
                 stream.write_all(ending).unwrap();
@@ -109,7 +110,7 @@
             }))
         });
         let origin = idle_origin();
-        let scene = Scene::of(&[&node], &origin);
+        let scene = ProxyFixture::of(&[&node], &origin);
         let mut client = scene.client();
         assert!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n").starts_with("VA 10000"));
         let mut rest = Vec::new();
@@ -127,9 +128,9 @@
 fn a_consumer_that_leaves_ends_the_flow() {
     let (written, seen): (Sender<bool>, _) = channel();
     let written = Arc::new(Mutex::new(written));
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         let (written, head) = (Arc::clone(&written), format!("VA {LONG} {}\r\n", opaque(line)));
-        Does::Writes(Box::new(move |stream| {
+        StubAction::Writes(Box::new(move |stream| {
             stream.write_all(head.as_bytes()).unwrap();
             let whole = stream.write_all(&vec![b'x'; LONG]).and_then(|()| stream.write_all(b"\r\n"));
             // The kernel may have taken all of it before the connection ended.
@@ -138,7 +139,7 @@
         }))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     assert_eq!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
     drop(client);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,9 +1,9 @@
 //! The real program as a process, spoken to as consumers, cache nodes, the origin and discovery speak.
 
-mod races;
 mod faults;
 mod large;
 mod operations;
+mod races;
 mod settings;
 mod starts;
 mod upgrades;
@@ -18,19 +18,19 @@
     Duration::from_millis(n)
 }
 
-fn idle_origin() -> Party {
-    Party::origin(|_| Does::Nothing)
+fn idle_origin() -> StubServer {
+    StubServer::origin(|_| StubAction::Nothing)
 }
 
 /// An origin that serves reads and writes alike, with these words.
-fn origin_saying(body: &'static str) -> Party {
-    Party::origin(move |_| http_200(body))
+fn origin_saying(body: &'static str) -> StubServer {
+    StubServer::origin(move |_| http_200(body))
 }
 
 #[test]
 fn a_read_is_served_by_a_node_as_it_was_given() {
-    let (node, origin) = (Party::full_node("hello"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("hello"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (line, value) = scene.client().read("7f3a", "9b1f", 480);
     assert_eq!((line.as_str(), value.as_str()), ("VA 5 O9b1f\r\n", "hello\r\n"));
     let heard = node.heard();
@@ -44,8 +44,8 @@
 
 #[test]
 fn a_miss_and_a_write_go_to_the_origin() {
-    let (node, origin) = (Party::empty_node(), origin_saying("r7"));
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::empty_node(), origin_saying("r7"));
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     assert_eq!(client.read("a/b", "1", 900), ("VA 2 O1\r\n".into(), "r7\r\n".into()));
     assert_eq!(client.ask("ms w 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhello\r\n"), "HD O2 cr7\r\n");
@@ -60,11 +60,11 @@
 fn an_origin_that_never_ran_a_write_is_asked_again() {
     let turned = "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
     let asked = std::sync::atomic::AtomicUsize::new(0);
-    let origin = Party::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
-        0 => Does::Says(turned.into()),
+    let origin = StubServer::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => StubAction::Says(turned.into()),
         _ => http_200("r1"),
     });
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     assert_eq!(scene.client().ask("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
     assert_eq!((scene.count("calls_full"), scene.count("calls_ok")), (1, 1));
 }
@@ -73,8 +73,9 @@
 fn an_origin_may_answer_in_chunks_and_close() {
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
                    3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
-    let (node, origin) = (Party::empty_node(), Party::origin(move |_| Does::Says(chunked.into())));
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) =
+        (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Says(chunked.into())));
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     assert_eq!(client.read("a", "1", 900).1, "hello\r\n");
     assert_eq!(client.read("b", "2", 900).1, "hello\r\n");
@@ -84,9 +85,9 @@
 /// Guards against an outcome taken for worse than it is: what never connected never ran.
 #[test]
 fn a_node_that_refuses_connections_is_passed_over() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let nowhere = Party { place: "127.0.0.1:1".parse().unwrap(), ..Party::empty_node() };
-    let scene = Scene::of(&[&nowhere, &node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let nowhere = StubServer { place: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
+    let scene = ProxyFixture::of(&[&nowhere, &node], &origin);
     let mut client = scene.client();
     (0..20).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
     assert!(scene.count("calls_connect_failed") >= 1);
@@ -97,9 +98,10 @@
 #[test]
 fn a_value_beyond_the_limit_is_not_passed_on() {
     for length in ["4194305", "3000000000"] {
-        let node = Party::node(move |line| Does::Says(format!("VA {length} {}\r\n", opaque(line))));
+        let node =
+            StubServer::node(move |line| StubAction::Says(format!("VA {length} {}\r\n", opaque(line))));
         let origin = idle_origin();
-        let scene = Scene::of(&[&node], &origin);
+        let scene = ProxyFixture::of(&[&node], &origin);
         assert!(scene.client().read("k", "1", 300).0.starts_with("SERVER_ERROR "));
         assert!(scene.count("calls_error") >= 1);
     }
@@ -111,12 +113,12 @@
     let long = |start: &str| format!("{start}{}", "x".repeat(400_000 - start.len()));
     let (of_node, of_origin) = (long("node"), long("origin"));
     let (said, told) = (of_node.clone(), of_origin.clone());
-    let node = Party::node(move |line| match line.contains("missing") {
-        true => Does::Says(format!("EN {}\r\n", opaque(line))),
-        false => Does::Says(format!("VA {} {}\r\n{said}\r\n", said.len(), opaque(line))),
+    let node = StubServer::node(move |line| match line.contains("missing") {
+        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
+        false => StubAction::Says(format!("VA {} {}\r\n{said}\r\n", said.len(), opaque(line))),
     });
-    let origin = Party::origin(move |_| http_200(&told));
-    let scene = Scene::of(&[&node], &origin);
+    let origin = StubServer::origin(move |_| http_200(&told));
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     for (key, value) in [("k", &of_node), ("missing", &of_origin), ("k2", &of_node)] {
         let (line, got) = client.read(key, key, 5000);
@@ -130,7 +132,7 @@
 #[test]
 fn a_pipeline_without_end_takes_no_memory() {
     let origin = idle_origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let before = scene.memory_mb();
     let flood = std::net::TcpStream::connect(scene.place).unwrap();
     let mut answers = flood.try_clone().unwrap();
@@ -151,8 +153,8 @@
 /// poller tells of them no more.
 #[test]
 fn many_commands_on_one_connection_are_answered_in_order() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let words: String = (0..300).map(|n| format!("mg k{n} v O{n} Pc=read,t=acme,d=900\r\nmn\r\n")).collect();
     client.say(&words);
@@ -169,8 +171,8 @@
 
 #[test]
 fn bad_input_is_answered_and_harms_nobody() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     assert_eq!(client.ask("flush_all\r\n"), "ERROR\r\n");
     for bad in [
@@ -208,8 +210,8 @@
 
 #[test]
 fn a_silent_node_costs_a_rejection_in_time_and_its_connection() {
-    let (node, origin) = (Party::node(|_| Does::Nothing), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::node(|_| StubAction::Nothing), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
     let (line, _) = scene.client().read("k", "1", 300);
     assert!(begun.elapsed() < ms(600), "at its own deadline, not its class's: {:?}", begun.elapsed());
@@ -220,7 +222,7 @@
 
 #[test]
 fn without_any_node_a_read_is_answered_all_the_same() {
-    let scene = Scene::new(&[]);
+    let scene = ProxyFixture::new(&[]);
     let line = scene.client().read("k", "1", 200).0;
     assert!(line.starts_with("SERVER_ERROR busy "), "{line}");
 }
@@ -228,8 +230,9 @@
 /// Guards against a value of another invocation reaching a consumer.
 #[test]
 fn an_answer_with_another_id_is_not_passed_on() {
-    let (node, origin) = (Party::node(|_| Does::Says("VA 5 Oother\r\nwrong\r\n".into())), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) =
+        (StubServer::node(|_| StubAction::Says("VA 5 Oother\r\nwrong\r\n".into())), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (line, _) = scene.client().read("k", "1", 300);
     assert!(line.starts_with("SERVER_ERROR "), "{line}");
     assert_eq!(node.connected(), node.heard().len(), "none of those connections is used again");
@@ -237,8 +240,8 @@
 
 #[test]
 fn a_consumer_that_leaves_is_owed_nothing() {
-    let (node, origin) = (Party::node(|_| Does::Nothing), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::node(|_| StubAction::Nothing), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=400\r\n");
     scene.until("the node is asked", || node.heard().len() == 1);
@@ -252,12 +255,12 @@
 /// against one that the node is about to close for its age.
 #[test]
 fn warm_connections_are_used_again_until_they_break_or_grow_old() {
-    let node = Party::node(|line| match line.starts_with("mg bye ") {
-        true => Does::Breaks,
-        false => Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| match line.starts_with("mg bye ") {
+        true => StubAction::Breaks,
+        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     (0..20).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
     assert_eq!((node.connected(), scene.count("provider_connections")), (1, 1));
@@ -279,24 +282,24 @@
 /// list, nor on the process. The last two nodes' names lay claim to one number.
 #[test]
 fn two_proxies_choose_the_same_node_for_a_key() {
-    let nodes = [Party::full_node("0"), Party::full_node("1"), Party::full_node("2")];
+    let nodes = [StubServer::full_node("0"), StubServer::full_node("1"), StubServer::full_node("2")];
     let names = ["node", "s-5be2a07c", "t-5be2a07c"];
     let entries: Vec<String> =
         nodes.iter().zip(names).map(|(node, name)| node.entry(name, "c6", "ready")).collect();
     let backwards: Vec<String> = entries.iter().rev().cloned().collect();
-    let choices = |scene: Scene| -> Vec<String> {
+    let choices = |scene: ProxyFixture| -> Vec<String> {
         let mut client = scene.client();
         (0..30).map(|n| client.read(&format!("key{n}"), &n.to_string(), 900).1).collect()
     };
-    let (one, other) = (choices(Scene::new(&entries)), choices(Scene::new(&backwards)));
+    let (one, other) = (choices(ProxyFixture::new(&entries)), choices(ProxyFixture::new(&backwards)));
     assert_eq!(one, other);
     assert!(["0\r\n", "1\r\n", "2\r\n"].iter().all(|name| one.iter().any(|choice| choice == name)));
 }
 
 #[test]
 fn discovery_is_watched_and_what_drains_gets_nothing_new() {
-    let (old, new) = (Party::full_node("old"), Party::full_node("new"));
-    let scene = Scene::new(&[old.entry("s-0", "c6", "ready")]);
+    let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
+    let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let mut client = scene.client();
     assert_eq!(client.read("k", "1", 900).1, "old\r\n");
     let (line, tell) = scene.discovery.watch();
@@ -325,8 +328,8 @@
 /// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against half of one that keeps the watch alive.
 #[test]
 fn an_indented_list_is_a_list() {
-    let node = Party::full_node("s");
-    let scene = Scene::of(&[&node, &node], &idle_origin());
+    let node = StubServer::full_node("s");
+    let scene = ProxyFixture::of(&[&node, &node], &idle_origin());
     let (_, tell) = scene.discovery.watch();
     let drains = catalog(2, false, &[node.entry("s-0", "c6", "draining")]);
     let list: serde_json::Value = serde_json::from_str(&drains).unwrap();
@@ -352,9 +355,9 @@
 /// Guards against a proxy that hears of no change at all where lists are pushed: there nobody asks for a watch.
 #[test]
 fn a_pushed_list_is_watched_from_the_start_and_again_after_an_outage() {
-    let node = Party::full_node("s");
+    let node = StubServer::full_node("s");
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = Scene::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
+    let scene = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
     let (line, tell) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[node.entry("s-0", "c6", "draining")])).unwrap();
@@ -367,7 +370,7 @@
 /// Guards against a cut-off discovery, whose watch stays open and says nothing.
 #[test]
 fn a_silent_watch_is_dead() {
-    let scene = Scene::new(&[]);
+    let scene = ProxyFixture::new(&[]);
     let (_, tell) = scene.discovery.watch();
     let begun = Instant::now();
     for _ in 0..3 {
@@ -382,8 +385,8 @@
 /// Guards against an end at SIGHUP, a watch that stays at the old address, and a bad file taken for good.
 #[test]
 fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
-    let (old, new) = (Party::full_node("old"), Party::full_node("new"));
-    let scene = Scene::new(&[old.entry("s-0", "c6", "ready")]);
+    let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
+    let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let (_, told_no_more) = scene.discovery.watch();
     let moved = Discovery::new();
     scene.reload(&scene.discovery.place.to_string(), &moved.place.to_string());
@@ -406,8 +409,8 @@
 /// Guards against places held by consumers that have nothing whole to say.
 #[test]
 fn half_a_command_is_answered_with_an_error_and_silence_with_a_close() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
     let (mut half, mut silent, mut value) = (scene.client(), scene.client(), scene.client());
     half.say("mg k v O1");
@@ -426,8 +429,8 @@
 /// Guards against an error lost: a connection that closes on unread input is reset.
 #[test]
 fn an_error_arrives_though_more_is_being_sent() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     client.say("ms k 60000000 O1 Pc=put,t=acme,d=900,k=5c\r\n");
     client.say(&"x".repeat(700_000));
@@ -441,12 +444,12 @@
 /// Guards against two answers under one id, of which the wrong one may be taken.
 #[test]
 fn an_id_that_is_open_elsewhere_is_an_error() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         sleep(ms(300));
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (mut first, mut other) = (scene.client(), scene.client());
     first.say("mg k v O1 Pc=read,t=acme,d=900\r\n");
     scene.until("the node is asked", || node.heard().len() == 1);
@@ -459,8 +462,8 @@
 /// Guards against a worker kept by one consumer: others are served while some send errors at full speed.
 #[test]
 fn consumers_that_send_rubbish_do_not_keep_the_worker() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let rubbish = "no such command\r\n".repeat(2000) + &"mn\r\n".repeat(20_000);
     std::thread::scope(|scope| {
         for _ in 0..8 {
@@ -482,9 +485,9 @@
 /// Guards against places kept by consumers that send rubbish again and again and so never stand idle.
 #[test]
 fn consumers_that_send_rubbish_do_not_keep_their_places() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_sockets(&entries, 64);
+    let scene = ProxyFixture::with_sockets(&entries, 64);
     let (place, stop) = (scene.place, std::sync::atomic::AtomicBool::new(false));
     std::thread::scope(|scope| {
         for _ in 0..30 {
@@ -509,9 +512,10 @@
 #[test]
 fn memory_stays_within_its_limit() {
     let value = "v".repeat(65_536);
-    let node = Party::node(move |line| Does::Says(format!("VA 65536 {}\r\n{value}\r\n", opaque(line))));
+    let node =
+        StubServer::node(move |line| StubAction::Says(format!("VA 65536 {}\r\n{value}\r\n", opaque(line))));
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = Scene::with_limits(&entries, 256, 32);
+    let scene = ProxyFixture::with_limits(&entries, 256, 32);
     let mut clients: Vec<Client> = (0..100).map(|_| scene.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         let ask = |n| format!("mg k v O{number}.{n} Pc=read,t=acme,d=2000\r\n");
@@ -528,8 +532,8 @@
 /// Guards against waits that outlive what they guard: each held a stack until its deadline.
 #[test]
 fn an_answered_invocation_leaves_no_timer_behind() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let mut ask = |from: u32| {
         (from..from + 1000).for_each(|n| {
@@ -556,8 +560,8 @@
         "SERVER_ERROR busy or not\r\n",
         "HD O1 c1 c2\r\n",
     ] {
-        let (node, origin) = (Party::node(move |_| Does::Says(spoilt.into())), idle_origin());
-        let scene = Scene::of(&[&node], &origin);
+        let (node, origin) = (StubServer::node(move |_| StubAction::Says(spoilt.into())), idle_origin());
+        let scene = ProxyFixture::of(&[&node], &origin);
         let begun = Instant::now();
         let line = scene.client().read("k", "1", 2000).0;
         assert!(line.starts_with("SERVER_ERROR busy "), "{spoilt:?} -> {line:?}");
@@ -571,12 +575,12 @@
 /// Guards against a good answer lost for what comes along with it, and against that read as the next one.
 #[test]
 fn a_good_answer_with_more_behind_it_is_used_and_its_connection_is_not() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         let answer = format!("VA 1 {}\r\nv\r\n", opaque(line));
-        Does::Says(answer.clone() + &answer)
+        StubAction::Says(answer.clone() + &answer)
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     (0..10).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
     assert_eq!((node.connected(), scene.count("calls_error")), (10, 0));
@@ -605,8 +609,9 @@
     ];
     for (answers, served) in [(&good[..], true), (&bad[..], false)] {
         for answer in answers.iter().copied() {
-            let (node, origin) = (Party::empty_node(), Party::origin(move |_| Does::Says(answer.into())));
-            let scene = Scene::of(&[&node], &origin);
+            let (node, origin) =
+                (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Says(answer.into())));
+            let scene = ProxyFixture::of(&[&node], &origin);
             let begun = Instant::now();
             let (line, value) = scene.client().read("k", "1", 2000);
             assert_eq!(line == "VA 1 O1\r\n" && value == "v\r\n", served, "{answer:?} -> {line:?}");
@@ -618,8 +623,8 @@
 /// Guards against a connection to a machine that has gone, used for the one that has its address now.
 #[test]
 fn a_new_node_at_an_old_address_inherits_no_connection() {
-    let node = Party::full_node("v");
-    let scene = Scene::new(&[node.entry("s-0", "c6", "ready")]);
+    let node = StubServer::full_node("v");
+    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
     let (_, tell) = scene.discovery.watch();
     let mut client = scene.client();
     assert_eq!(client.read("k", "1", 900).1, "v\r\n");
@@ -633,9 +638,9 @@
 
 #[test]
 fn connections_between_commands_make_room_for_others() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_sockets(&entries, 64);
+    let scene = ProxyFixture::with_sockets(&entries, 64);
     let mut held: Vec<Client> = (0..60).map(|_| scene.client()).collect();
     assert_eq!(held[59].read("k", "1", 900).1, "v\r\n");
     // 40 descriptors are left to share, 30 of them for consumers while providers need few.
@@ -649,9 +654,9 @@
 #[test]
 fn clients_that_ask_once_and_stay_are_let_go_in_time() {
     const SOCKETS: usize = 96;
-    let (node, origin) = (Party::full_node("v"), idle_origin());
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_sockets(&entries, SOCKETS);
+    let scene = ProxyFixture::with_sockets(&entries, SOCKETS);
     let (mut honest, mut silent): (Vec<Client>, Vec<Client>) = (Vec::new(), Vec::new());
     let (mut asked, mut served) = (0, 0);
     let begun = Instant::now();
@@ -693,12 +698,12 @@
 
 #[test]
 fn sigterm_finishes_what_was_taken() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         sleep(ms(700));
-        Does::Says(format!("VA 4 {}\r\nlate\r\n", opaque(line)))
+        StubAction::Says(format!("VA 4 {}\r\nlate\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (mut before, mut idle) = (scene.client(), scene.client());
     assert_eq!(idle.ask("mn\r\n"), "MN\r\n");
     before.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
@@ -720,12 +725,12 @@
 /// they use the connections that they have.
 #[test]
 fn held_connections_are_served_on_until_shortly_before_the_kill() {
-    let node = Party::node(|line| match line.contains("slow") {
-        true => Does::Nothing,
-        false => Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| match line.contains("slow") {
+        true => StubAction::Nothing,
+        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (mut kept, mut slow) = (scene.client(), scene.client());
     assert_eq!((kept.ask("mn\r\n"), slow.ask("mn\r\n")), ("MN\r\n".into(), "MN\r\n".into()));
     scene.signal("TERM");
@@ -797,8 +802,8 @@
 /// in more than 1024 lengths.
 #[test]
 fn waits_of_many_lengths_all_end() {
-    let (node, origin) = (Party::node(|_| Does::Nothing), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::node(|_| StubAction::Nothing), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     for round in 0..2 {
         let mut clients: Vec<(Client, usize)> = (0..48).map(|number| (scene.client(), number)).collect();
         for (client, number) in &mut clients {
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -10,8 +10,8 @@
 /// Guards against a door that does something else than it was asked, or says nothing of why it does not.
 #[test]
 fn the_door_says_yes_or_no_and_why() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let call = |method, path| call(scene.door, method, path);
     assert_eq!(call("GET", "/control/ready"), (200, "ready\n".into()));
     assert_eq!(call("POST", "/control/ready").0, 405);
@@ -22,12 +22,12 @@
     assert!(status == 404 && why.contains("never listed"), "{why}");
     assert_eq!(call("POST", "/control/cache-nodes/nobody/online").0, 404);
     assert_eq!(call("POST", "/control/cache-nodes/o/offline").0, 409, "the origin is no cache node");
-    assert_eq!(say_to_door(scene.door, "mn\r\n\r\n").0, 400);
+    assert_eq!(send_to_admin(scene.door, "mn\r\n\r\n").0, 400);
     let long = format!("GET /control/ready HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(9000));
-    assert_eq!(say_to_door(scene.door, &long).0, 431);
+    assert_eq!(send_to_admin(scene.door, &long).0, 431);
     let body =
         format!("POST /control/in-service HTTP/1.1\r\nContent-Length: 30000\r\n\r\n{}", "x".repeat(30_000));
-    assert_eq!(say_to_door(scene.door, &body).0, 200, "a body is thrown away");
+    assert_eq!(send_to_admin(scene.door, &body).0, 200, "a body is thrown away");
     assert_eq!(scene.count("panics"), 0);
 }
 
@@ -35,7 +35,7 @@
 #[test]
 fn callers_that_say_nothing_keep_no_call_out() {
     let origin = idle_origin();
-    let scene = Scene::of(&[], &origin);
+    let scene = ProxyFixture::of(&[], &origin);
     let crowd: Vec<TcpStream> = (0..60)
         .map(|n| {
             let mut stream = TcpStream::connect(scene.door).unwrap();
@@ -51,8 +51,8 @@
 /// Guards against a door that waits behind the clients.
 #[test]
 fn the_door_answers_while_consumers_flood_the_proxy() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let flood: Vec<std::thread::JoinHandle<usize>> = (0..4)
         .map(|_| {
             let mut client = scene.client();
@@ -74,12 +74,12 @@
 /// Guards against a process that says that it takes clients while it stops.
 #[test]
 fn ready_is_no_while_the_process_stops() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         sleep(ms(900));
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.heard().len() == 1);
@@ -93,8 +93,8 @@
 /// Guards against a slow client taken for a silent one: it may spend 2 s on a head.
 #[test]
 fn a_client_may_take_two_seconds_for_a_head() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     for id in 1..3 {
         // The first on a connection, and one behind it.
@@ -109,8 +109,8 @@
 
 #[test]
 fn a_node_held_out_gets_nothing_until_it_is_called_back() {
-    let (out, other, origin) = (Party::full_node("out"), Party::full_node("other"), idle_origin());
-    let scene = Scene::of(&[&out, &other], &origin);
+    let (out, other, origin) = (StubServer::full_node("out"), StubServer::full_node("other"), idle_origin());
+    let scene = ProxyFixture::of(&[&out, &other], &origin);
     let mut client = scene.client();
     let mut number = 0;
     let mut ask = |times: usize| {
@@ -144,12 +144,12 @@
 /// Guards against a connection that a call brings back after its node was held out.
 #[test]
 fn a_call_that_is_out_ends_and_leaves_no_connection_to_a_node_held_out() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         sleep(ms(400));
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     // Age alone closes none within this test.
     scene.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
     scene.until("it is read", || scene.count("reloads") == 1);
@@ -165,14 +165,14 @@
 /// between commands, and the proxy lives on.
 #[test]
 fn a_proxy_out_of_service_lets_its_clients_go_and_takes_them_again() {
-    let node = Party::node(|line| {
+    let node = StubServer::node(|line| {
         if line.contains("slow") {
             sleep(ms(900));
         }
-        Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let (mut busy, mut used) = (scene.client(), scene.client());
     let mut idle: Vec<Client> = (0..20).map(|_| scene.client()).collect();
     idle.iter_mut().for_each(|client| assert_eq!(client.ask("mn\r\n"), "MN\r\n"));
@@ -209,12 +209,12 @@
 /// Guards against settings put in force in part, and against an open invocation that a reload reaches.
 #[test]
 fn new_settings_bind_at_once_and_spare_what_is_open() {
-    let node = Party::node(|line| match line.contains("slow") {
-        true => Does::Nothing,
-        false => Does::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| match line.contains("slow") {
+        true => StubAction::Nothing,
+        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
     });
     let origin = idle_origin();
-    let scene = Scene::of(&[&node], &origin);
+    let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let ask = |client: &mut Client, class: &str, id: &str| {
         client.ask(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 /// A node that answers nothing until it is told to.
-fn holding() -> (Party, Arc<AtomicBool>) {
+fn holding() -> (StubServer, Arc<AtomicBool>) {
     let lets_go = Arc::new(AtomicBool::new(false));
     let told = Arc::clone(&lets_go);
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         while !told.load(Ordering::SeqCst) {
             sleep(ms(2));
         }
-        Does::Says(value(line, "v"))
+        StubAction::Says(value(line, "v"))
     });
     (node, lets_go)
 }
@@ -34,8 +34,8 @@
 fn nothing_that_waits_is_sent_on_for_a_client_that_has_gone_with_its_connection_full() {
     for how in ["close", "close over unread answers", "half close", "reset", "quit"] {
         let (node, lets_go) = holding();
-        let origin = Party::origin(|_| Does::Nothing);
-        let scene = Scene::with_all(
+        let origin = StubServer::origin(|_| StubAction::Nothing);
+        let scene = ProxyFixture::with_all(
             &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
             // Nothing is given up before the client goes.
             &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
@@ -76,9 +76,9 @@
 #[test]
 fn a_client_that_goes_late_in_a_drain_is_noticed() {
     let (node, lets_go) = holding();
-    let origin = Party::origin(|_| Does::Nothing);
+    let origin = StubServer::origin(|_| StubAction::Nothing);
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
+    let scene = ProxyFixture::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
     let mut client = scene.client();
     client.say(&reads(0, 40));
     scene.until("its commands are taken", || scene.count("taken_reads") == 40);
@@ -101,7 +101,7 @@
 #[test]
 fn a_request_behind_rubbish_is_not_sent_on_once_its_client_has_gone() {
     let (node, _) = holding();
-    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
     // 64 of these cost a rest of 20 ms: 900 ms in all.
     let rubbish = "no such command\r\n".repeat(45 * 64);
     let mut client = scene.client();
@@ -117,8 +117,8 @@
 /// that it has yet to accept.
 #[test]
 fn a_process_that_was_stopped_sends_nothing_on_for_clients_that_went_meanwhile() {
-    let node = Party::full_node("v");
-    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    let node = StubServer::full_node("v");
+    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
     let mut held = scene.client();
     assert_eq!(held.read("k", "0", 900).1, "v\r\n");
     scene.signal("STOP");
@@ -138,14 +138,14 @@
 fn misses_that_wait_are_not_sent_on_for_clients_that_have_gone() {
     let lets_go = Arc::new(AtomicBool::new(false));
     let told = Arc::clone(&lets_go);
-    let node = Party::empty_node();
-    let origin = Party::origin(move |_| {
+    let node = StubServer::empty_node();
+    let origin = StubServer::origin(move |_| {
         while !told.load(Ordering::SeqCst) {
             sleep(ms(2));
         }
         http_200("v")
     });
-    let scene = Scene::with_all(
+    let scene = ProxyFixture::with_all(
         &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
         &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
     );
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -20,8 +20,8 @@
 #[test]
 fn what_crosses_the_end_of_a_connection_meets_no_reset_and_is_not_taken() {
     for how in ["sigterm", "sigterm over half a command", "out of service"] {
-        let node = Party::full_node("v");
-        let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+        let node = StubServer::full_node("v");
+        let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
         let mut client = scene.client();
         assert_eq!(client.read("k", "1", 900).1, "v\r\n");
         if how == "sigterm over half a command" {
@@ -47,8 +47,9 @@
 /// Guards against a drain that another signal ends, or begins anew.
 #[test]
 fn signals_in_a_drain_change_nothing() {
-    let (node, origin) = (Turnstile::new(), Party::origin(|_| Does::Nothing));
-    let scene = Scene::new(&[node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")]);
+    let (node, origin) = (AcceptBarrier::new(), StubServer::origin(|_| StubAction::Nothing));
+    let scene =
+        ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")]);
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=900\r\n");
     let mut asked = node.accept().expect("it is sent");
@@ -115,8 +116,8 @@
 /// to the exit, and new ones come for 0.3 s. All are answered, but for what crosses the end of a connection.
 #[test]
 fn a_drain_under_load_with_half_of_the_nodes_hanging_answers_all() {
-    let (node, hangs) = (Party::full_node("v"), Party::node(|_| Does::Nothing));
-    let scene = Scene::of(&[&node, &hangs], &Party::origin(|_| Does::Nothing));
+    let (node, hangs) = (StubServer::full_node("v"), StubServer::node(|_| StubAction::Nothing));
+    let scene = ProxyFixture::of(&[&node, &hangs], &StubServer::origin(|_| StubAction::Nothing));
     let begun = Instant::now();
     let clients: Vec<_> = (0..40)
         .map(|name| {
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -8,9 +8,10 @@
 /// has the next request already.
 #[test]
 fn a_second_answer_without_an_id_does_not_answer_the_next_request() {
-    let node = Party::empty_node();
-    let origin = Turnstile::new();
-    let scene = Scene::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
+    let node = StubServer::empty_node();
+    let origin = AcceptBarrier::new();
+    let scene =
+        ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
     let mut client = scene.client();
     client.say("mg a v O1 Pc=read,t=acme,d=5000\r\n");
     let mut first = origin.accept().expect("the fetch is sent");
@@ -31,8 +32,8 @@
 /// Guards against an effect twice, or a failure that was none: nor does a second refusal, which never has an id.
 #[test]
 fn a_second_refusal_does_not_answer_the_next_request() {
-    let node = Turnstile::new();
-    let scene = Scene::new(&[node.entry("s-0", "c6", "ready", 0)]);
+    let node = AcceptBarrier::new();
+    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0)]);
     let mut client = scene.client();
     client.say("mg a v O1 Pc=confirm,t=acme,d=5000\r\n");
     let mut first = node.accept().expect("it is sent");
@@ -51,9 +52,10 @@
 #[test]
 fn an_answer_without_a_length_is_never_whole() {
     for resets in [false, true] {
-        let node = Party::empty_node();
-        let origin = Turnstile::new();
-        let scene = Scene::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
+        let node = StubServer::empty_node();
+        let origin = AcceptBarrier::new();
+        let scene =
+            ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
         let mut client = scene.client();
         client.say("mg a v O1 Pc=read,t=acme,d=900\r\n");
         // Each time that it is asked.
@@ -75,15 +77,15 @@
 fn a_connection_to_a_node_that_left_meanwhile_is_not_kept() {
     let (lets_go, asked) = (Arc::new(AtomicBool::new(false)), AtomicUsize::new(0));
     let told = Arc::clone(&lets_go);
-    let node = Party::node(move |line| {
+    let node = StubServer::node(move |line| {
         while asked.fetch_add(1, Ordering::SeqCst) == 0 && !told.load(Ordering::SeqCst) {
             while !told.load(Ordering::SeqCst) {
                 std::thread::sleep(ms(2));
             }
         }
-        Does::Says(value(line, "v"))
+        StubAction::Says(value(line, "v"))
     });
-    let scene = Scene::new(&[node.entry("s-0", "c6", "ready")]);
+    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
     let (_, tell) = scene.discovery.watch();
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -10,10 +10,10 @@
 /// Guards against an effect twice: a repeat is decided within the window of its key, and its connection comes up after it.
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
-    let mut origin = Turnstile::new();
+    let mut origin = AcceptBarrier::new();
     let window = (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":700.0"#);
     let entries = [origin.entry("o", "origin", "ready", 0)];
-    let scene = Scene::with_all(&entries, &[SLOW_CONNECT, window]);
+    let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT, window]);
     let mut client = scene.client();
     client.say("ms k 5 O1 Pc=put,t=acme,d=4000,k=1\r\nhello\r\n");
     let mut first = origin.accept().expect("the write is sent");
@@ -35,11 +35,11 @@
 #[test]
 fn a_connection_that_comes_up_too_late_takes_no_call() {
     for happens in ["drains", "starts anew", "the client leaves"] {
-        let mut node = Turnstile::new();
+        let mut node = AcceptBarrier::new();
         node.shut();
-        let origin = Party::origin(|_| Does::Nothing);
+        let origin = StubServer::origin(|_| StubAction::Nothing);
         let entries = [node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")];
-        let scene = Scene::with_all(&entries, &[SLOW_CONNECT]);
+        let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT]);
         let (_, tell) = scene.discovery.watch();
         let mut client = scene.client();
         client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -12,10 +12,10 @@
 }
 
 /// A proxy whose discovery is played by the test, and its first call there.
-fn moved() -> (Scene, Turnstile, Caller, Party) {
-    let node = Party::full_node("v");
-    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
-    let discovery = Turnstile::new();
+fn moved() -> (ProxyFixture, AcceptBarrier, AcceptedConnection, StubServer) {
+    let node = StubServer::full_node("v");
+    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
+    let discovery = AcceptBarrier::new();
     scene.reload(&scene.discovery.place.to_string(), &discovery.place.to_string());
     let mut call = discovery.accept().expect("the watch moves");
     assert!(call.request(true).is_some());
@@ -77,10 +77,10 @@
 /// has failed.
 #[test]
 fn an_agent_that_is_back_is_asked_at_once() {
-    let node = Party::full_node("v");
+    let node = StubServer::full_node("v");
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = Scene::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
-    let agent = Turnstile::new();
+    let scene = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
+    let agent = AcceptBarrier::new();
     scene.reload(&scene.discovery.place.to_string(), &agent.place.to_string());
     let mut last = Instant::now();
     for number in 0..8 {
@@ -94,9 +94,9 @@
 /// Guards against an old address that holds the new one up: its connection does not come up while the watch moves on.
 #[test]
 fn a_move_does_not_wait_for_a_connection_to_the_old_address() {
-    let node = Party::full_node("v");
-    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
-    let (mut old, new) = (Turnstile::new(), Turnstile::new());
+    let node = StubServer::full_node("v");
+    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
+    let (mut old, new) = (AcceptBarrier::new(), AcceptBarrier::new());
     old.shut();
     let places = [scene.discovery.place, old.place, new.place].map(|place| place.to_string());
     scene.reload(&places[0], &places[1]);
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -1,9 +1,9 @@
 //! Two events that cross, each in the order that does harm, every time: the parties hold back what the test lets go.
 
+mod cancelled_requests;
 mod closes;
 mod kept;
 mod late;
-mod cancelled_requests;
 mod lists;
 
 use crate::ms;
--- a/tests/sockets/settings.rs
+++ b/tests/sockets/settings.rs
@@ -6,10 +6,10 @@
 
 /// Serves a read and a write by settings with these texts replaced.
 fn serves(changes: &[(&str, &str)], read: &str, write: &str, tenant: &str) {
-    let node = Party::full_node("v");
-    let origin = Party::origin(|_| http_200("r1"));
+    let node = StubServer::full_node("v");
+    let origin = StubServer::origin(|_| http_200("r1"));
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = Scene::with_all(&entries, changes);
+    let scene = ProxyFixture::with_all(&entries, changes);
     let mut client = scene.client();
     let line = client.ask(&format!("mg k v O1 Pc={read}{tenant},d=900\r\n"));
     assert_eq!((line.as_str(), client.line().as_str()), ("VA 1 O1\r\n", "v\r\n"), "{changes:?}");
@@ -68,8 +68,8 @@
 /// Guards against a request that hangs since its time is shorter than any timer: it is answered when that is over.
 #[test]
 fn a_deadline_of_a_few_milliseconds_is_kept() {
-    let node = Party::node(|_| Does::Nothing);
-    let scene = Scene::of(&[&node], &Party::origin(|_| Does::Nothing));
+    let node = StubServer::node(|_| StubAction::Nothing);
+    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Nothing));
     for (n, d) in [0, 1, 5, 30, 150].into_iter().enumerate() {
         let begun = Instant::now();
         let line = scene.client().ask(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -11,8 +11,8 @@
 /// Guards against a start that waits for discovery: it refuses, or its connections never come up, or it hangs.
 #[test]
 fn processes_that_start_at_once_are_ready_whatever_discovery_does() {
-    let node = Party::full_node("v");
-    let (mut shut, hangs) = (Turnstile::new(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let node = StubServer::full_node("v");
+    let (mut shut, hangs) = (AcceptBarrier::new(), TcpListener::bind("127.0.0.1:0").unwrap());
     shut.shut();
     let places = ["127.0.0.1:1".to_owned(), shut.place.to_string(), hangs.local_addr().unwrap().to_string()];
     let entries = [node.entry("s-0", "c6", "ready"), node.entry("o", "origin", "ready")];
@@ -49,9 +49,9 @@
 /// them while discovery is down, and then it is back.
 #[test]
 fn idle_clients_do_not_keep_the_watch_from_coming_back() {
-    let node = Party::full_node("v");
+    let node = StubServer::full_node("v");
     let entries = [node.entry("s-0", "c6", "ready"), node.entry("o", "origin", "ready")];
-    let scene = Scene::with_sockets(&entries, 64);
+    let scene = ProxyFixture::with_sockets(&entries, 64);
     let down = format!("127.0.0.1:{}", free_port());
     scene.reload(&scene.discovery.place.to_string(), &down);
     scene.until("the watch is lost", || scene.count("watches_failed") > 0);
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -20,7 +20,7 @@
 }
 
 impl Load {
-    fn on(scene: &Scene, clients: usize) -> Load {
+    fn on(scene: &ProxyFixture, clients: usize) -> Load {
         let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
         let place = scene.place;
         let run = |number: usize| {
@@ -58,8 +58,8 @@
 /// Guards against commands lost or run twice while one process follows another, and against bans forgotten.
 #[test]
 fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
-    let (node, out, origin) = (Party::full_node("v"), Party::full_node("out"), idle_origin());
-    let mut scene = Scene::of(&[&node, &out], &origin);
+    let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
+    let mut scene = ProxyFixture::of(&[&node, &out], &origin);
     assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/offline").0, 200);
     let load = Load::on(&scene, 8);
     for _ in 0..3 {
@@ -90,8 +90,8 @@
 /// any more after that.
 #[test]
 fn a_newcomer_that_dies_or_cannot_start_leaves_the_old_one_as_it_was() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let mut scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let mut scene = ProxyFixture::of(&[&node], &origin);
     let taken = format!(r#""admin":"{}""#, scene.door);
     for (from, to, names) in
         [(r#""admin":"127.0.0.1:0""#, taken.as_str(), "door"), (r#""Grades""#, r#""Grates""#, "Grades")]
@@ -128,8 +128,8 @@
 /// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
 #[test]
 fn a_drain_binds_both_processes_and_is_not_inherited() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let mut scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let mut scene = ProxyFixture::of(&[&node], &origin);
     let second = scene.beside();
     assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
     assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
@@ -145,8 +145,8 @@
 /// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
 #[test]
 fn an_upgrade_needs_no_short_path_and_no_clean_folder() {
-    let (node, origin) = (Party::full_node("v"), idle_origin());
-    let mut scene = Scene::of(&[&node], &origin);
+    let (node, origin) = (StubServer::full_node("v"), idle_origin());
+    let mut scene = ProxyFixture::of(&[&node], &origin);
     scene.lengthen_tmp();
     // The one that is killed leaves its name behind.
     (0..2).for_each(|_| scene.restart());
