--- a/crates/connection-limits/src/reuse_estimator.rs
+++ b/crates/connection-limits/src/reuse_estimator.rs
@@ -90,7 +90,9 @@
         if passed >= 64 {
             let kept = (-(passed as f64) / HALF_LIFE).exp2();
             for figures in [&mut self.entered, &mut self.spoke, &mut self.left] {
-                figures.iter_mut().for_each(|figure| *figure *= kept);
+                for figure in figures {
+                    *figure *= kept;
+                }
             }
             self.at = now;
         }
--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -71,7 +71,9 @@
         self.asked += usize::from(honest);
         if self.places.is_full() {
             let orders = self.places.make_room(self.now, 8);
-            orders.into_iter().for_each(|order| self.close(order.id, order.reason));
+            for order in orders {
+                self.close(order.id, order.reason);
+            }
         }
         if self.places.is_full() || (honest && self.honest.len() >= self.honest_most) {
             self.turned_away += usize::from(honest);
@@ -149,7 +151,9 @@
             }
             if self.now.is_multiple_of(10) {
                 let orders = self.places.expired(self.now);
-                orders.into_iter().for_each(|order| self.close(order.id, order.reason));
+                for order in orders {
+                    self.close(order.id, order.reason);
+                }
             }
         }
     }
--- a/crates/experiments/src/chart.rs
+++ b/crates/experiments/src/chart.rs
@@ -5,10 +5,10 @@
 use std::path::Path;
 
 /// A line of points, by name.
-pub type Line = (&'static str, Vec<(f64, f64)>);
+pub(crate) type Line = (&'static str, Vec<(f64, f64)>);
 
 /// Draws up to three lines.
-pub fn lines(path: &Path, title: &str, x: &str, lines: &[Line]) -> Result<(), Box<dyn Error>> {
+pub(crate) fn lines(path: &Path, title: &str, x: &str, lines: &[Line]) -> Result<(), Box<dyn Error>> {
     const COLOURS: [RGBColor; 3] = [BLUE, GREEN, RED];
     let points = || lines.iter().flat_map(|(_, points)| points);
     let right = points().map(|point| point.0).fold(1.0, f64::max);
--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -13,7 +13,7 @@
 
 /// What to compare.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// Proxies.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(2..=16))]
     members: u16,
@@ -41,7 +41,7 @@
 }
 
 /// Measures and prints.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     let own = std::env::current_exe()
         .map_err(|error| format!("this program does not know where it is: {error}"))?;
     program(own, &["proxy"]);
--- a/crates/experiments/src/cost/core.rs
+++ b/crates/experiments/src/cost/core.rs
@@ -35,7 +35,7 @@
 }
 
 /// What the core costs in a fleet of this size: processor time for a datagram and for what is due, memory for a member.
-pub fn print(members: u16) {
+pub(super) fn print(members: u16) {
     const SECONDS: u64 = 60;
     let members = usize::from(members);
     let empty = resident();
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -22,7 +22,7 @@
 
 /// What to show.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// How long clients ask, in seconds.
     #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(8..=600))]
     seconds: u64,
@@ -44,7 +44,7 @@
 const NODES: usize = 3;
 
 /// Runs it; whether each request had exactly one final answer and no rule was broken.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     let own = std::env::current_exe()
         .map_err(|error| format!("this program does not know where it is: {error}"))?;
     program(own, &["proxy"]);
@@ -98,9 +98,10 @@
         sleep(Duration::from_millis(2));
         let key = line.split(' ').nth(1).unwrap_or_default().to_owned();
         // It has a key from the second time on: after a miss the origin's value is put there.
-        match had.lock().is_ok_and(|mut had| !had.insert(key.clone())) {
-            true => StubAction::Says(format!("VA {} {}\r\nc.{key}\r\n", key.len() + 2, opaque(line))),
-            false => StubAction::Says(format!("EN {}\r\n", opaque(line))),
+        if had.lock().is_ok_and(|mut had| !had.insert(key.clone())) {
+            StubAction::Says(format!("VA {} {}\r\nc.{key}\r\n", key.len() + 2, opaque(line)))
+        } else {
+            StubAction::Says(format!("EN {}\r\n", opaque(line)))
         }
     })
 }
--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -19,7 +19,7 @@
 
 /// What came of it.
 #[derive(Debug, Default)]
-pub struct Done {
+pub(crate) struct Done {
     /// Requests that were due.
     pub requests: u64,
     /// Final answers by kind.
@@ -36,7 +36,7 @@
 
 impl Done {
     /// Whether each request had exactly one final answer.
-    pub fn is_sound(&self) -> bool {
+    pub(crate) fn is_sound(&self) -> bool {
         self.requests > 0
             && self.answers.values().sum::<u64>() == self.requests
             && self.without_answer == 0
@@ -56,14 +56,14 @@
 }
 
 /// Clients at work.
-pub struct Load {
+pub(crate) struct Load {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Load {
     /// Clients of these proxies ask from now on, for a time.
-    pub fn begin(places: Vec<SocketAddr>, rate: u64, lasts: Duration, seed: u64) -> Load {
+    pub(crate) fn begin(places: Vec<SocketAddr>, rate: u64, lasts: Duration, seed: u64) -> Load {
         let total = rate * lasts.as_secs();
         let shared = Arc::new(Shared {
             places,
@@ -84,13 +84,13 @@
     }
 
     /// Asks nothing more, and waits for what is out.
-    pub fn cancel(self) {
+    pub(crate) fn cancel(self) {
         self.shared.next.store(self.shared.total, Ordering::Relaxed);
         self.end();
     }
 
     /// Waits until all that were due are answered; what came of it.
-    pub fn end(self) -> Done {
+    pub(crate) fn end(self) -> Done {
         self.threads.into_iter().for_each(|thread| drop(thread.join()));
         std::mem::take(&mut *self.shared.done.lock().expect("no client panicked"))
     }
@@ -155,10 +155,10 @@
     fn ask(&mut self, proxy: usize, key: &str, writes: bool, n: u64, attempt: usize) -> Said {
         let (id, repeat) = (format!("{n}x{attempt}"), if attempt > 0 { ",r=1" } else { "" });
         let ms = BUDGET.as_millis();
-        let command = match writes {
-            // The same key each time: the origin drops what it has run already.
-            true => format!("ms {key} 5 O{id} Pc=put,t=acme,d={ms},k=w{n}{repeat}\r\nhello\r\n"),
-            false => format!("mg {key} v O{id} Pc=read,t=acme,d={ms}{repeat}\r\n"),
+        let command = if writes {
+            format!("ms {key} 5 O{id} Pc=put,t=acme,d={ms},k=w{n}{repeat}\r\nhello\r\n")
+        } else {
+            format!("mg {key} v O{id} Pc=read,t=acme,d={ms}{repeat}\r\n")
         };
         let Some(stream) = self.connection(proxy) else { return Said::Broken };
         // Something that nobody asked for any more lies there: an answer too many.
--- a/crates/experiments/src/membership/mod.rs
+++ b/crates/experiments/src/membership/mod.rs
@@ -14,7 +14,7 @@
 
 /// What to measure.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// Random numbers begin with this: the same seed gives the same digest.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -58,7 +58,7 @@
 }
 
 /// Measures, prints and writes; an error says what could not be.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if let Some(path) = &options.script {
         let told = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
         let text = std::fs::read_to_string(path).map_err(|error| told(&error))?;
@@ -66,7 +66,9 @@
         let members = options.members.first().copied().unwrap_or(5);
         let lines =
             script::play(&faults, usize::from(members), options.seed).map_err(|error| told(&error))?;
-        lines.iter().for_each(|line| println!("{line}"));
+        for line in &lines {
+            println!("{line}");
+        }
         return Ok(true);
     }
     let trials = plan(options);
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -9,7 +9,7 @@
 const AFTER: u64 = 15_000;
 
 /// Plays it on a fleet of so many that know each other; the lines of what happened.
-pub fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, String> {
+pub(super) fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, String> {
     let peers: Vec<usize> = (0..members.min(3)).collect();
     let size = members.max(peers.len() + 1);
     let mut fleet = Fleet::of(members, seed, &peers);
@@ -39,9 +39,12 @@
     size: usize,
     peers: &[usize],
 ) -> Result<(), String> {
-    let known = |member: &usize| match *member < members {
-        true => Ok(*member),
-        false => Err(format!("{fault}: there are {members} members only, from 0 on")),
+    let known = |member: &usize| {
+        if *member < members {
+            Ok(*member)
+        } else {
+            Err(format!("{fault}: there are {members} members only, from 0 on"))
+        }
     };
     match fault {
         Fault::Kill(member) => fleet.kill(known(member)?),
--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -8,7 +8,7 @@
 
 /// What a trial is about.
 #[derive(Clone, Copy, Debug)]
-pub enum Kind {
+pub(super) enum Kind {
     /// Members die, one after the other.
     Deaths { heartbeats: bool, deaths: usize },
     /// Nobody dies; datagrams are lost and members stand still.
@@ -17,7 +17,7 @@
 
 /// A trial.
 #[derive(Clone, Copy, Debug)]
-pub struct Trial {
+pub(super) struct Trial {
     pub members: usize,
     pub kind: Kind,
     pub seed: u64,
@@ -25,7 +25,7 @@
 
 /// Times in ms.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub struct Times {
+pub(super) struct Times {
     pub p50: u64,
     pub p99: u64,
     pub worst: u64,
@@ -34,7 +34,7 @@
 
 /// When the others knew of deaths.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub struct Known {
+pub(super) struct Known {
     pub first: Times,
     pub last: Times,
     /// Deaths of which not all the others knew within a minute.
@@ -43,7 +43,7 @@
 
 /// Who was taken for failed without being so.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub struct Alarms {
+pub(super) struct Alarms {
     pub loss: u8,
     pub hours: f64,
     /// Members that somebody took for failed, counted once for each time that it began.
@@ -52,7 +52,7 @@
 
 /// What a trial showed.
 #[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
+pub(super) struct Outcome {
     pub members: usize,
     pub heartbeats: bool,
     /// How long after the last start all knew of all, to the second; none if they did not in three minutes.
@@ -76,43 +76,40 @@
 
 impl Trial {
     /// Plays it.
-    pub fn play(&self) -> Outcome {
+    pub(super) fn play(&self) -> Outcome {
         let heartbeats = match self.kind {
             Kind::Deaths { heartbeats, .. } | Kind::Alarms { heartbeats, .. } => heartbeats,
         };
         let (members, seed) = (self.members, self.seed);
-        match heartbeats {
-            true => {
-                let mut fleet = Fleet::new(members, seed);
-                for host in 0..members {
-                    fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
-                }
-                fleet.run(5_000);
-                self.watch(fleet, true, |host, fleet| {
-                    fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
-                })
+        if heartbeats {
+            let mut fleet = Fleet::new(members, seed);
+            for host in 0..members {
+                fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
+            }
+            fleet.run(5_000);
+            self.watch(fleet, true, |host, fleet| {
+                fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
+            })
+        } else {
+            let peers = &SEEDS[..SEEDS.len().min(members)];
+            let mut fleet: Fleet<Membership> = Fleet::new(members, seed);
+            for host in 0..members {
+                fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
+                // A release starts them one after the other.
+                fleet.run(10);
             }
-            false => {
-                let peers = &SEEDS[..SEEDS.len().min(members)];
-                let mut fleet: Fleet<Membership> = Fleet::new(members, seed);
-                for host in 0..members {
+            let all: Vec<usize> = (0..members).collect();
+            let begun = fleet.now();
+            // Asked rarely: the question costs more than the fleet does.
+            while !fleet.agree(&all) && fleet.now() < begun + MEETING {
+                fleet.run(1_000);
+            }
+            let met = fleet.agree(&all).then(|| fleet.now() - begun);
+            Outcome {
+                met_within_ms: met,
+                ..self.watch(fleet, false, |host, fleet| {
                     fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
-                    // A release starts them one after the other.
-                    fleet.run(10);
-                }
-                let all: Vec<usize> = (0..members).collect();
-                let begun = fleet.now();
-                // Asked rarely: the question costs more than the fleet does.
-                while !fleet.agree(&all) && fleet.now() < begun + MEETING {
-                    fleet.run(1_000);
-                }
-                let met = fleet.agree(&all).then(|| fleet.now() - begun);
-                Outcome {
-                    met_within_ms: met,
-                    ..self.watch(fleet, false, |host, fleet| {
-                        fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
-                    })
-                }
+                })
             }
         }
     }
@@ -223,7 +220,7 @@
 }
 
 /// What was heard, in words.
-pub fn words(news: &MembershipEvent) -> String {
+pub(super) fn words(news: &MembershipEvent) -> String {
     match news {
         MembershipEvent::Member { entry, .. } => {
             format!("{} {} (incarnation {})", entry.name, entry.state, entry.incarnation)
@@ -249,7 +246,9 @@
 
 fn summary(times: &[u64]) -> Times {
     let mut histogram = Histogram::<u64>::new(3).expect("three digits are possible");
-    times.iter().for_each(|time| histogram.record(*time).expect("it grows as needed"));
+    for time in times {
+        histogram.record(*time).expect("it grows as needed");
+    }
     Times {
         p50: histogram.value_at_quantile(0.5),
         p99: histogram.value_at_quantile(0.99),
@@ -259,7 +258,7 @@
 }
 
 /// Puts the pieces of long trials together.
-pub fn merged(outcomes: Vec<Outcome>) -> Vec<Outcome> {
+pub(super) fn merged(outcomes: Vec<Outcome>) -> Vec<Outcome> {
     let mut merged: Vec<Outcome> = Vec::new();
     for outcome in outcomes {
         let same = |other: &&mut Outcome| {
--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -14,7 +14,7 @@
 
 /// What to play.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// The first seed.
     #[arg(long, default_value_t = 0)]
     seed: u64,
@@ -71,7 +71,7 @@
 }
 
 /// Plays, prints and writes; an error says what could not be. False if anything was wrong.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     if options.log {
         play_seed(options.seed).log.iter().for_each(|line| println!("{line}"));
     }
@@ -161,10 +161,7 @@
         .into_par_iter()
         .map(|seed| {
             let plan = Plan::quiet(seed, members, 5.min(members)).with(4000, Fault::Propose(members - 2));
-            play(match dead {
-                true => plan.with(3950, Fault::Crash(members - 1)),
-                false => plan,
-            })
+            play(if dead { plan.with(3950, Fault::Crash(members - 1)) } else { plan })
         })
         .collect();
     let mut times = Histogram::<u64>::new(3).expect("three digits");
--- a/crates/experiments/src/quota/day.rs
+++ b/crates/experiments/src/quota/day.rs
@@ -12,7 +12,7 @@
 /// How a proxy knows its share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Rule {
+pub(super) enum Rule {
     /// One of all, for ever: `GroupSize`.
     Static,
     /// One of those that it takes for alive.
@@ -24,7 +24,7 @@
 /// What befalls them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Event {
+pub(super) enum Event {
     /// Seven in ten are asked to end, one after the other within 20 s, and have ended 2 s later; they return 23 s after that.
     Release,
     /// The same, but they are killed.
@@ -39,7 +39,7 @@
 
 /// A day to play.
 #[derive(Clone, Copy, Debug)]
-pub struct Day {
+pub(super) struct Day {
     pub proxies: usize,
     pub event: Event,
     pub rule: Rule,
@@ -48,7 +48,7 @@
 
 /// What was seen of it.
 #[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
+pub(super) struct Outcome {
     pub proxies: usize,
     pub event: Event,
     pub rule: Rule,
@@ -104,7 +104,7 @@
 
 impl Day {
     /// Plays it.
-    pub fn play(&self) -> Outcome {
+    pub(super) fn play(&self) -> Outcome {
         let count = self.proxies;
         let mut world = World {
             day: *self,
--- a/crates/experiments/src/quota/mod.rs
+++ b/crates/experiments/src/quota/mod.rs
@@ -1,7 +1,7 @@
 //! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each may use, side by side.
 
 mod day;
-pub mod proof;
+pub(crate) mod proof;
 
 use crate::{chart, table};
 use clap::Args;
@@ -11,7 +11,7 @@
 
 /// What to compare.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// Random numbers begin with this.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -27,7 +27,7 @@
 }
 
 /// Compares, prints and writes; an error says what could not be. False if what is leased was ever over the whole.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     let rules = [Rule::Static, Rule::Live, Rule::Leased];
     let events = [Event::Release, Event::Deaths, Event::Crash, Event::Cut, Event::Zone];
     let days: Vec<Day> = options
--- a/crates/experiments/src/quota/proof.rs
+++ b/crates/experiments/src/quota/proof.rs
@@ -9,7 +9,7 @@
 
 /// How much is looked at.
 #[derive(Args)]
-pub struct Options {
+pub(crate) struct Options {
     /// Seeds of faults: five processes and 25 faults each.
     #[arg(long, default_value_t = 10_000)]
     seeds: u64,
@@ -28,7 +28,7 @@
 }
 
 /// Looks, and prints what was found. False if anything did not hold.
-pub fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, String> {
     let rates =
         <[u64; 3]>::try_from(options.rates.as_slice()).map_err(|_| "three rates are needed".to_owned())?;
     if !rates.iter().all(|rate| (100..=10_000).contains(rate)) {
--- a/crates/experiments/src/table.rs
+++ b/crates/experiments/src/table.rs
@@ -1,7 +1,7 @@
 //! Tables on the terminal.
 
 /// Prints rows under a heading, each column as wide as it needs.
-pub fn print(heading: &[&str], rows: &[Vec<String>]) {
+pub(crate) fn print(heading: &[&str], rows: &[Vec<String>]) {
     let width = |column: usize| {
         let cells = rows.iter().map(|row| row[column].len());
         cells.chain([heading[column].len()]).max().unwrap_or(0)
@@ -19,5 +19,7 @@
     line(
         widths.iter().map(|width| &"----------------------------------------"[..(*width).min(40)]).collect(),
     );
-    rows.iter().for_each(|row| line(row.iter().map(String::as_str).collect()));
+    for row in rows {
+        line(row.iter().map(String::as_str).collect());
+    }
 }
--- a/crates/history-checker/src/answers.rs
+++ b/crates/history-checker/src/answers.rs
@@ -4,7 +4,7 @@
 use crate::ledger::{Ledger, Request};
 use crate::violation::{CheckError, Reason, Violation};
 
-pub fn check(history: &History, ledger: &Ledger) -> Result<Vec<Violation>, CheckError> {
+pub(crate) fn check(history: &History, ledger: &Ledger) -> Result<Vec<Violation>, CheckError> {
     let end = history.events.last().map_or(0.0, |event| event.0);
     let mut breaches = Vec::new();
     for (id, request) in &ledger.requests {
--- a/crates/history-checker/src/calls.rs
+++ b/crates/history-checker/src/calls.rs
@@ -5,7 +5,7 @@
 use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
-pub fn check(history: &History, ledger: &Ledger) -> Vec<Violation> {
+pub(crate) fn check(history: &History, ledger: &Ledger) -> Vec<Violation> {
     let nodes = places(history);
     let mut breaches = Vec::new();
     for (id, request) in &ledger.requests {
--- a/crates/history-checker/src/cold.rs
+++ b/crates/history-checker/src/cold.rs
@@ -15,7 +15,7 @@
     sent: VecDeque<(usize, Time, f64, bool)>,
 }
 
-pub fn check(history: &History) -> Vec<Violation> {
+pub(crate) fn check(history: &History) -> Vec<Violation> {
     let mut figures: Option<&Figures> = None;
     let mut processes: BTreeMap<&str, Process> = BTreeMap::new();
     let mut knows: BTreeSet<(&str, &str)> = BTreeSet::new();
--- a/crates/history-checker/src/drains.rs
+++ b/crates/history-checker/src/drains.rs
@@ -11,7 +11,7 @@
     stop_within: Time,
 }
 
-pub fn check(history: &History) -> Vec<Violation> {
+pub(crate) fn check(history: &History) -> Vec<Violation> {
     let mut proxies: BTreeMap<&str, Told> = BTreeMap::new();
     let mut breaches = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
--- a/crates/history-checker/src/ledger.rs
+++ b/crates/history-checker/src/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// A request, and under which figures it was taken.
-pub struct Request<'a> {
+pub(crate) struct Request<'a> {
     pub asked: (usize, Time),
     pub proxy: &'a str,
     pub figures: &'a Figures,
@@ -21,7 +21,7 @@
 }
 
 /// A call of a request.
-pub struct Call<'a> {
+pub(crate) struct Call<'a> {
     pub event: usize,
     pub place: &'a str,
     pub first: Time,
@@ -30,21 +30,21 @@
 
 impl Call<'_> {
     /// Whether it may have run, by what was known at a time.
-    pub fn may_have_run(&self, at: Time) -> bool {
+    pub(crate) fn may_have_run(&self, at: Time) -> bool {
         !self.end.is_some_and(|(ended, end)| ended <= at && matches!(end, End::Missed | End::TurnedAway))
     }
 }
 
 /// All requests by their ids, and the calls that belong to none.
 #[derive(Default)]
-pub struct Ledger<'a> {
+pub(crate) struct Ledger<'a> {
     pub requests: BTreeMap<&'a str, Request<'a>>,
     pub unasked: Vec<(usize, Time, &'a str)>,
 }
 
 impl<'a> Ledger<'a> {
     /// Reads a history.
-    pub fn read(history: &'a History) -> Result<Ledger<'a>, CheckError> {
+    pub(crate) fn read(history: &'a History) -> Result<Ledger<'a>, CheckError> {
         if history.events.is_empty() {
             return Err(CheckError::Empty);
         }
@@ -124,9 +124,10 @@
                 | HistoryEvent::Bound { .. } => {}
             }
         }
-        match ledger.requests.is_empty() {
-            true => Err(CheckError::NoRequest),
-            false => Ok(ledger),
+        if ledger.requests.is_empty() {
+            Err(CheckError::NoRequest)
+        } else {
+            Ok(ledger)
         }
     }
 
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -13,9 +13,10 @@
     let is_seen = |(_, seen): &(Time, HistoryEvent)| {
         matches!(seen, HistoryEvent::Share { .. } | HistoryEvent::Bound { .. })
     };
-    match history.events.iter().any(is_seen) {
-        true => Ok(check(history)),
-        false => Err(CheckError::Empty),
+    if history.events.iter().any(is_seen) {
+        Ok(check(history))
+    } else {
+        Err(CheckError::Empty)
     }
 }
 
@@ -33,7 +34,9 @@
     for (event, (at, seen)) in history.events.iter().enumerate() {
         let HistoryEvent::Share { proxy, part, calls } = seen else { continue };
         said.entry(proxy).or_default().push((*at, *part, event));
-        said.values_mut().for_each(|all| all.retain(|(then, ..)| then + calls - history.clock_error > *at));
+        for all in said.values_mut() {
+            all.retain(|(then, ..)| then + calls - history.clock_error > *at);
+        }
         let most = said.values().filter_map(|all| all.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1)));
         let most: Vec<(Time, f64, usize)> = most.collect();
         if most.iter().map(|one| one.1).sum::<f64>() > 1.0 + ROUNDING {
--- a/crates/membership/src/health.rs
+++ b/crates/membership/src/health.rs
@@ -6,21 +6,21 @@
 
 /// How far this member may be believed to be on time itself; 0 is well.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Health(u64);
+pub(crate) struct Health(u64);
 
 impl Health {
     /// It was late, or had to object to a suspicion: both say that it is slow.
-    pub fn worsen(&mut self, by: u64) {
+    pub(crate) fn worsen(&mut self, by: u64) {
         self.0 = self.0.saturating_add(by).min(WORST);
     }
 
     /// A period went well.
-    pub fn mend(&mut self) {
+    pub(crate) fn mend(&mut self) {
         self.0 = self.0.saturating_sub(1);
     }
 
     /// A wait for others, as long as this member's health asks for.
-    pub fn stretch(self, wait: u64) -> u64 {
+    pub(crate) fn stretch(self, wait: u64) -> u64 {
         wait.saturating_mul(self.0 + 1)
     }
 }
--- a/crates/membership/src/join_admission.rs
+++ b/crates/membership/src/join_admission.rs
@@ -8,7 +8,7 @@
 
 /// What the gate knows.
 #[derive(Debug)]
-pub struct State {
+pub(crate) struct State {
     /// This member.
     pub me: MemberId,
     /// The most members, this one included.
@@ -29,11 +29,11 @@
 
 /// The gate; clones are the same one.
 #[derive(Clone, Debug)]
-pub struct JoinAdmission(Arc<Mutex<State>>);
+pub(crate) struct JoinAdmission(Arc<Mutex<State>>);
 
 impl JoinAdmission {
     /// A gate that knows only this member.
-    pub fn new(me: MemberId, size: usize) -> JoinAdmission {
+    pub(crate) fn new(me: MemberId, size: usize) -> JoinAdmission {
         let known = BTreeMap::new();
         let (rival, followed) = (None, None);
         JoinAdmission(Arc::new(Mutex::new(State {
@@ -49,14 +49,14 @@
     }
 
     /// Its state.
-    pub fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
     /// Whether SWIM may hear of this process.
-    pub fn admits(&mut self, id: &MemberId) -> bool {
+    pub(crate) fn admits(&mut self, id: &MemberId) -> bool {
         if id.name == self.me.name {
             return true;
         }
@@ -74,21 +74,21 @@
     }
 
     /// Whether there is room for it. Danger: whoever can send datagrams could fill the memory with names.
-    pub fn has_room(&mut self, id: &MemberId) -> bool {
+    pub(crate) fn has_room(&mut self, id: &MemberId) -> bool {
         let has_room = self.known.contains_key(&id.mark()) || self.known.len() + 1 < self.size;
         self.no_room += u64::from(!has_room);
         has_room
     }
 
     /// Who speaks is told if a later process of its name is known: nobody else would tell it.
-    pub fn speaks(&mut self, id: &MemberId) {
+    pub(crate) fn speaks(&mut self, id: &MemberId) {
         if let Some(later) = self.known.get(&id.mark()).filter(|known| known.start > id.start) {
             self.followed = Some((id.address, later.clone()));
         }
     }
 
     /// Whether it bears this member's name and is not this process.
-    pub fn is_rival(&self, id: &MemberId) -> bool {
+    pub(crate) fn is_rival(&self, id: &MemberId) -> bool {
         id.name == self.me.name && id.start != self.me.start
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -210,7 +210,9 @@
             let last = self.local_id.in_life(self.local_id.start, LAST_LIFE);
             let active: Vec<SocketAddr> = self.active().take(BYES).map(|id| id.address).collect();
             let words = wire::words(&last);
-            active.into_iter().for_each(|to| self.send(DatagramKind::Bye, to, &words, out));
+            for to in active {
+                self.send(DatagramKind::Bye, to, &words, out);
+            }
             self.swim.leave(last);
             self.carry_out(out);
         }
@@ -459,7 +461,9 @@
             if self.now < self.began + NEW {
                 let nth = (self.now / self.settings.times.rejoin.max(1)) as usize;
                 let one = self.active().nth(nth % self.swim.active().max(1)).cloned();
-                one.into_iter().for_each(|id| self.swim.announce(id));
+                if let Some(id) = one {
+                    self.swim.announce(id);
+                }
                 self.carry_out(out);
             }
         }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -126,9 +126,12 @@
 
 impl Timing {
     fn check(&self) -> Result<(), SettingsError> {
-        let within = |field, value, least, most| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => Err(SettingsError::Time { field, value, least, most }),
+        let within = |field, value, least, most| {
+            if (least..=most).contains(&value) {
+                Ok(())
+            } else {
+                Err(SettingsError::Time { field, value, least, most })
+            }
         };
         within("period_ms", self.period, 50, 60_000)?;
         // A probe by way of others needs its time within the period.
@@ -143,9 +146,10 @@
 
 fn name(field: &'static str, value: &str) -> Result<(), SettingsError> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    match (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(plain) {
-        true => Ok(()),
-        false => Err(SettingsError::Name { field, value: value.to_owned() }),
+    if (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(plain) {
+        Ok(())
+    } else {
+        Err(SettingsError::Name { field, value: value.to_owned() })
     }
 }
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -65,7 +65,7 @@
 
 /// What SWIM noticed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SwimEvent {
+pub(crate) enum SwimEvent {
     /// Who belongs, or what is believed of it, has changed.
     Changed,
     /// Others had taken this member for failed: it goes on under this identity.
@@ -80,7 +80,7 @@
 
 /// What SWIM wants done.
 #[derive(Default)]
-pub struct SwimOutput {
+pub(crate) struct SwimOutput {
     pub sends: Vec<(MemberId, Vec<u8>)>,
     pub timers: Vec<(Timer<MemberId>, u64)>,
     pub notes: Vec<SwimEvent>,
@@ -135,7 +135,7 @@
 
 /// Why words of SWIM are not taken.
 #[derive(Debug, Error)]
-pub enum SwimCodecError {
+pub(crate) enum SwimCodecError {
     /// They are none.
     #[error("no words of SWIM")]
     None,
@@ -192,9 +192,10 @@
             return Err(SwimCodecError::NotAdmitted);
         }
         gate.speaks(&header.src);
-        match gate.admits(&header.src) {
-            true => Ok(header),
-            false => Err(SwimCodecError::NotAdmitted),
+        if gate.admits(&header.src) {
+            Ok(header)
+        } else {
+            Err(SwimCodecError::NotAdmitted)
         }
     }
 
@@ -225,15 +226,16 @@
             }
             return Ok(member);
         }
-        match gate.admits(member.id()) {
-            true => Ok(member),
-            false => Ok(unheard),
+        if gate.admits(member.id()) {
+            Ok(member)
+        } else {
+            Ok(unheard)
         }
     }
 }
 
 /// SWIM for one member.
-pub struct Swim {
+pub(crate) struct Swim {
     foca: Foca<MemberId, SwimCodec, StdRng, NoCustomBroadcast>,
     gate: JoinAdmission,
     times: Timing,
@@ -243,7 +245,7 @@
 
 impl Swim {
     /// A member that knows nobody.
-    pub fn new(me: MemberId, gate: JoinAdmission, times: Timing, room: usize, seed: u64) -> Swim {
+    pub(crate) fn new(me: MemberId, gate: JoinAdmission, times: Timing, room: usize, seed: u64) -> Swim {
         let config = config(&times, room, 1);
         let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), SwimCodec(gate.clone()));
         let wants = SwimOutput { gate: Some(gate.clone()), ..SwimOutput::default() };
@@ -251,56 +253,56 @@
     }
 
     /// Takes words of another member.
-    pub fn data(&mut self, words: &[u8]) -> Result<(), foca::Error> {
+    pub(crate) fn data(&mut self, words: &[u8]) -> Result<(), foca::Error> {
         self.foca.handle_data(words, &mut self.wants)
     }
 
     /// A timer is due.
-    pub fn timer(&mut self, timer: Timer<MemberId>) {
+    pub(crate) fn timer(&mut self, timer: Timer<MemberId>) {
         // A probe that could not run its course is begun anew by the library itself; it says so, and that is all.
         let _ = self.foca.handle_timer(timer, &mut self.wants);
     }
 
     /// Asks a member to be let in, and whom it knows.
-    pub fn announce(&mut self, to: MemberId) {
+    pub(crate) fn announce(&mut self, to: MemberId) {
         let _ = self.foca.announce(to, &mut self.wants);
     }
 
     /// Hears what a member says of itself.
-    pub fn hear(&mut self, member: foca::Member<MemberId>) {
+    pub(crate) fn hear(&mut self, member: foca::Member<MemberId>) {
         let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.wants);
     }
 
     /// Says that this member leaves.
-    pub fn leave(&mut self, last: MemberId) {
+    pub(crate) fn leave(&mut self, last: MemberId) {
         let _ = self.foca.change_identity(last, &mut self.wants);
         let _ = self.foca.leave_cluster(&mut self.wants);
     }
 
     /// All that are remembered.
-    pub fn members(&self) -> impl Iterator<Item = &foca::Member<MemberId>> {
+    pub(crate) fn members(&self) -> impl Iterator<Item = &foca::Member<MemberId>> {
         self.foca.iter_membership_state()
     }
 
     /// Those that are alive or suspected.
-    pub fn active(&self) -> usize {
+    pub(crate) fn active(&self) -> usize {
         self.foca.num_members()
     }
 
     /// How often this member objected in this life.
-    pub fn incarnation(&self) -> u16 {
+    pub(crate) fn incarnation(&self) -> u16 {
         self.wants.incarnation
     }
 
     /// Has the times fit a fleet of this size.
-    pub fn fit(&mut self) {
+    pub(crate) fn fit(&mut self) {
         let config = config(&self.times, self.room, self.active() + 1);
         // What may not change is as it was.
         let _ = self.foca.set_config(config);
     }
 
     /// The gate keeps those that are remembered, and no others.
-    pub fn prune(&self) {
+    pub(crate) fn prune(&self) {
         let mut gate = self.gate.state();
         let own = gate.me.mark();
         let remembered = || self.members().map(foca::Member::id).filter(|id| id.mark() != own);
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -5,42 +5,42 @@
 
 /// Timers that are set.
 #[derive(Debug)]
-pub struct Timers<T> {
+pub(crate) struct Timers<T> {
     set: BTreeMap<(Time, u64), T>,
     count: u64,
 }
 
 impl<T> Timers<T> {
     /// None is set.
-    pub fn new() -> Timers<T> {
+    pub(crate) fn new() -> Timers<T> {
         Timers { set: BTreeMap::new(), count: 0 }
     }
 
     /// Sets one.
-    pub fn set(&mut self, at: Time, what: T) {
+    pub(crate) fn set(&mut self, at: Time, what: T) {
         self.count += 1;
         self.set.insert((at, self.count), what);
     }
 
     /// When the next is due.
-    pub fn next(&self) -> Option<Time> {
+    pub(crate) fn next(&self) -> Option<Time> {
         self.set.keys().next().map(|(at, _)| *at)
     }
 
     /// Takes one that is due.
-    pub fn due(&mut self, now: Time) -> Option<T> {
+    pub(crate) fn due(&mut self, now: Time) -> Option<T> {
         let first = self.set.first_entry().filter(|first| first.key().0 <= now)?;
         Some(first.remove())
     }
 
     /// Puts all off.
-    pub fn put_off(&mut self, by: Time) {
+    pub(crate) fn put_off(&mut self, by: Time) {
         let before = std::mem::take(&mut self.set);
         self.set = before.into_iter().map(|((at, count), what)| ((at + by, count), what)).collect();
     }
 
     /// Has some be due at a time at the earliest.
-    pub fn not_before(&mut self, at: Time, which: impl Fn(&T) -> bool) {
+    pub(crate) fn not_before(&mut self, at: Time, which: impl Fn(&T) -> bool) {
         let early: Vec<(Time, u64)> =
             self.set.range(..(at, 0)).filter(|(_, what)| which(what)).map(|(key, _)| *key).collect();
         for key in early {
@@ -51,7 +51,7 @@
     }
 
     /// Forgets those that are not to stay.
-    pub fn retain(&mut self, stays: impl Fn(&T) -> bool) {
+    pub(crate) fn retain(&mut self, stays: impl Fn(&T) -> bool) {
         self.set.retain(|_, what| stays(what));
     }
 }
--- a/crates/membership/tests/hard_cases.rs
+++ b/crates/membership/tests/hard_cases.rs
@@ -108,7 +108,9 @@
     let mut stopped = 0;
     for after in (0..1_500).step_by(10) {
         let mut fleet = five(3);
-        [0, 2, 3, 4].iter().for_each(|to| fleet.network.cut(1, *to));
+        for to in [0, 2, 3, 4].iter() {
+            fleet.network.cut(1, *to);
+        }
         let suspects =
             |fleet: &Fleet<Membership>| ALL.iter().any(|of| fleet.believes(1, *of) == Some(State::Suspect));
         assert!(fleet.until(4_000, suspects));
@@ -190,9 +192,13 @@
 fn all_that_restart_at_once_find_each_other_by_their_peers_alone() {
     for seed in 0..10 {
         let mut fleet = five(seed);
-        ALL.iter().for_each(|host| fleet.kill(*host));
+        for host in &ALL {
+            fleet.kill(*host);
+        }
         fleet.run(100);
-        ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
+        for host in &ALL {
+            fleet.begin(*host, 5, &ALL);
+        }
         assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)), "seed {seed}");
     }
 }
@@ -245,7 +251,9 @@
 #[test]
 fn a_name_may_return_at_another_address() {
     let mut fleet: Fleet<Membership> = Fleet::new(6, 3);
-    ALL.iter().for_each(|host| fleet.begin(*host, 5, &ALL));
+    for host in &ALL {
+        fleet.begin(*host, 5, &ALL);
+    }
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     fleet.kill(2);
     let moved = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 5, &[0, 1]) };
@@ -300,7 +308,7 @@
     for seed in 0..20 {
         let mut fleet = five(seed);
         fleet.network.loss = 0.05;
-        fleet.act(3, |member, now, out| member.leave(now, out));
+        fleet.act(3, pinetrail_membership::Membership::leave);
         fleet.kill(3);
         let left = |fleet: &Fleet<Membership>| {
             [0, 1, 2, 4].iter().all(|host| fleet.believes(*host, 3) == Some(State::Left))
@@ -318,7 +326,9 @@
 #[test]
 fn two_processes_of_one_name_are_both_told_and_the_fleet_stays_calm() {
     let mut fleet: Fleet<Membership> = Fleet::new(6, 5);
-    ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
+    for host in &ALL {
+        fleet.begin(*host, 6, &ALL);
+    }
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     let twin = pinetrail_membership::Settings { advertise: place(5), ..settings(2, 6, &[0, 1]) };
     fleet.begin_with(5, twin);
@@ -382,7 +392,9 @@
                 answer.append(out);
             });
             said.clear();
-            sent(&answer).iter().for_each(|here| stranger.handle_datagram(0, place(1), here, &mut said));
+            for here in sent(&answer).iter() {
+                stranger.handle_datagram(0, place(1), here, &mut said);
+            }
             to_another.extend(sent(&said));
         }
     }
@@ -394,7 +406,9 @@
     }
     assert!(fleet.counts(0).dropped_no_room > 0, "for a moment");
     fleet.run(2_000);
-    [2, 3].iter().for_each(|host| fleet.begin(*host, 4, &[0, 1]));
+    for host in [2, 3].iter() {
+        fleet.begin(*host, 4, &[0, 1]);
+    }
     assert!(fleet.until(8_000, |fleet| fleet.agree(&[0, 1, 2, 3])));
 }
 
@@ -437,7 +451,9 @@
 #[test]
 fn new_peers_in_the_middle_of_a_join_are_asked_at_once() {
     let mut fleet: Fleet<Membership> = Fleet::new(6, 2);
-    ALL.iter().for_each(|host| fleet.begin(*host, 6, &ALL));
+    for host in &ALL {
+        fleet.begin(*host, 6, &ALL);
+    }
     assert!(fleet.until(5_000, |fleet| fleet.agree(&ALL)));
     let nobody = "10.9.9.9:1".parse().unwrap();
     fleet.begin_with(5, pinetrail_membership::Settings { peers: vec![nobody], ..settings(5, 6, &[]) });
--- a/crates/peer-transport/src/send_queue.rs
+++ b/crates/peer-transport/src/send_queue.rs
@@ -28,7 +28,7 @@
 
 impl SendQueue {
     /// Puts a frame in; false if it is dropped.
-    pub fn put(&self, frame: &Frame) -> bool {
+    pub(crate) fn put(&self, frame: &Frame) -> bool {
         let Some(sealed) = frame::seal(frame) else { return false };
         let mut waiting = self.waiting();
         let fits = waiting.frames.len() < MOST && waiting.bytes + sealed.len() <= MOST_BYTES;
@@ -44,7 +44,7 @@
     }
 
     /// The next frame, once there is one; none once it is closed.
-    pub async fn next(&self) -> Option<Bytes> {
+    pub(crate) async fn next(&self) -> Option<Bytes> {
         loop {
             {
                 let mut waiting = self.waiting();
@@ -64,7 +64,7 @@
     }
 
     /// Nothing more is written.
-    pub fn close(&self) {
+    pub(crate) fn close(&self) {
         self.waiting().closed = true;
         self.more.notify_one();
     }
--- a/crates/peer-transport/src/transport.rs
+++ b/crates/peer-transport/src/transport.rs
@@ -72,24 +72,24 @@
 }
 
 impl PeerConnection {
-    pub fn new(hello: Handshake) -> PeerConnection {
+    pub(crate) fn new(hello: Handshake) -> PeerConnection {
         PeerConnection { hello, mailbox: SendQueue::default(), asked: Mutex::default(), end: Notify::new() }
     }
 
-    pub fn answered(&self, number: u64, body: Option<Vec<u8>>) {
+    pub(crate) fn answered(&self, number: u64, body: Option<Vec<u8>>) {
         if let Some(answer) = lock(&self.asked).1.remove(&number) {
             // Who asked may not wait any longer.
             let _ = answer.send(body);
         }
     }
 
-    pub fn end(&self) {
+    pub(crate) fn end(&self) {
         self.mailbox.close();
         lock(&self.asked).1.clear();
         self.end.notify_one();
     }
 
-    pub async fn ended(&self) {
+    pub(crate) async fn ended(&self) {
         self.end.notified().await;
     }
 
@@ -182,7 +182,9 @@
             }
             state.live.values().cloned().collect()
         };
-        live.iter().for_each(|live| live.end());
+        for live in &live {
+            live.end();
+        }
     }
 
     /// Says something to a process; false if that is dropped, or there is no link.
@@ -240,7 +242,9 @@
     pub(crate) fn arrived(&self, live: &Arc<PeerConnection>) {
         let hello = &live.hello;
         let before = self.state().live.insert(hello.from.clone(), Arc::clone(live));
-        before.iter().for_each(|before| before.end());
+        if let Some(before) = &before {
+            before.end();
+        }
         self.heard().on_connected(&hello.from, hello.seat);
     }
 
--- a/crates/policy-consensus/src/change_notifier.rs
+++ b/crates/policy-consensus/src/change_notifier.rs
@@ -5,25 +5,25 @@
 
 /// The count.
 #[derive(Debug, Default)]
-pub struct ChangeNotifier {
+pub(crate) struct ChangeNotifier {
     count: AtomicU64,
     more: Notify,
 }
 
 impl ChangeNotifier {
     /// There is some.
-    pub fn tell(&self) {
+    pub(crate) fn tell(&self) {
         self.count.fetch_add(1, Ordering::AcqRel);
         self.more.notify_waiters();
     }
 
     /// The count now.
-    pub fn seen(&self) -> u64 {
+    pub(crate) fn seen(&self) -> u64 {
         self.count.load(Ordering::Acquire)
     }
 
     /// Waits until there is more than was seen.
-    pub async fn since(&self, seen: u64) {
+    pub(crate) async fn since(&self, seen: u64) {
         loop {
             let more = self.more.notified();
             tokio::pin!(more);
--- a/crates/policy-consensus/src/messages.rs
+++ b/crates/policy-consensus/src/messages.rs
@@ -7,7 +7,7 @@
 
 /// A word; those that are questions are answered by a [`Reply`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
+pub(crate) enum Message {
     /// To a founder: promise.
     Promise(Ballot),
     /// To a founder: vote.
@@ -30,7 +30,7 @@
 
 /// What a question is answered.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Reply {
+pub(crate) enum Reply {
     /// To a ballot.
     Vote(Vote),
     /// To a memory.
@@ -44,13 +44,13 @@
 }
 
 /// As bytes.
-pub fn words<T: Serialize>(said: &T) -> Vec<u8> {
+pub(crate) fn words<T: Serialize>(said: &T) -> Vec<u8> {
     // The types above are all representable.
     postcard::to_allocvec(said).unwrap_or_default()
 }
 
 /// What the bytes say; none if they are none.
-pub fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+pub(crate) fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
     match postcard::take_from_bytes(bytes) {
         Ok((said, [])) => Some(said),
         _ => None,
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -124,9 +124,10 @@
             return;
         }
         let on = self.known().seat.as_ref().map_or(Vec::new(), |seat| seat.grants.serving_on(now));
-        let why = match on.is_empty() {
-            true => String::new(),
-            false => format!("without a permit, and perhaps still by the version before: {}", on.join(", ")),
+        let why = if on.is_empty() {
+            String::new()
+        } else {
+            format!("without a permit, and perhaps still by the version before: {}", on.join(", "))
         };
         let id = open.id.clone();
         let make = |book: Option<&ReplicatedState>| match book
--- a/crates/policy-consensus/src/node/mod.rs
+++ b/crates/policy-consensus/src/node/mod.rs
@@ -129,7 +129,7 @@
                 if let LoadOutcome::Aside(why) = found {
                     self.app.log(&format!("ERROR: what this founder's disk had is {why}; it was put aside"));
                 }
-                let memory = self.with_rng(|rng| rng.random());
+                let memory = self.with_rng(rand::RngExt::random);
                 let durable = DurableState { memory, ..DurableState::default() };
                 storage::keep(&mut *disk, &self.fleet, number, &durable)?;
                 durable
--- a/crates/policy-consensus/src/replicated_state.rs
+++ b/crates/policy-consensus/src/replicated_state.rs
@@ -179,7 +179,7 @@
             version: self.version,
             digest: Digest::of(&self.text),
             change: self.change.as_ref().map(open),
-            last: self.ended.last().map_or(Digest::default(), |ended| ended.content_digest()),
+            last: self.ended.last().map_or(Digest::default(), FinishedChange::content_digest),
         }
     }
 
@@ -240,10 +240,8 @@
         });
         let late = ended.len().saturating_sub(REMEMBERED);
         ended.drain(..late);
-        let (version, text) = match taken {
-            true => (version, Arc::clone(&change.text)),
-            false => (self.version, Arc::clone(&self.text)),
-        };
+        let (version, text) =
+            if taken { (version, Arc::clone(&change.text)) } else { (self.version, Arc::clone(&self.text)) };
         Some(ReplicatedState { serial: self.serial + 1, version, text, change: None, ended })
     }
 }
--- a/crates/policy-consensus/src/settings.rs
+++ b/crates/policy-consensus/src/settings.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// No clock of two processes runs faster than the other's by more than this, in thousandths.
-pub const MAX_CLOCK_SKEW_PERMILLE: u32 = 20;
+pub(crate) const MAX_CLOCK_SKEW_PERMILLE: u32 = 20;
 
 /// The seats of the founders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -58,9 +58,12 @@
         if self.size < self.founders.len() {
             return Err(SettingsError::Size(self.size, self.founders.len()));
         }
-        let within = |field, value, least, most| match (least..=most).contains(&value) {
-            true => Ok(()),
-            false => Err(SettingsError::Time(field, value, least, most)),
+        let within = |field, value, least, most| {
+            if (least..=most).contains(&value) {
+                Ok(())
+            } else {
+                Err(SettingsError::Time(field, value, least, most))
+            }
         };
         within("period", self.period, 50, 10_000)?;
         within("vote", self.vote, self.period * 2, 60_000)?;
@@ -75,7 +78,9 @@
         let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
         self.founders.iter().for_each(|place| hash.update(place.to_string().as_bytes()));
         let numbers = [self.size as u64, self.vote, self.lease, self.calls, self.skew];
-        numbers.iter().for_each(|number| hash.update(&number.to_be_bytes()));
+        for number in &numbers {
+            hash.update(&number.to_be_bytes());
+        }
         hash.digest()
     }
 
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -163,7 +163,7 @@
     pub fn go_on(&mut self, host: usize) {
         self.hosts[host].stopped = false;
         // What is due is handled before what has come, which is the worse order of the two.
-        self.act(host, |member, now, out| member.handle_timeout(now, out));
+        self.act(host, Member::handle_timeout);
         while let Some((from, bytes)) = self.hosts[host].inbox.pop_front() {
             self.act(host, |member, now, out| member.handle_datagram(now, from, &bytes, out));
         }
@@ -236,7 +236,7 @@
             }
             Event::Wake { host, number } => {
                 if self.hosts[host].wake == number && !self.hosts[host].stopped {
-                    self.act(host, |member, now, out| member.handle_timeout(now, out));
+                    self.act(host, Member::handle_timeout);
                 }
             }
             Event::Pause { host } => {
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -91,14 +91,14 @@
 }
 
 /// All hosts, from outside.
-pub struct SimulatedFleet {
+pub(super) struct SimulatedFleet {
     shared: Shared,
     count: std::cell::Cell<u32>,
     running: std::cell::RefCell<Vec<bool>>,
 }
 
 impl SimulatedFleet {
-    pub fn new(plan: &Plan) -> SimulatedFleet {
+    pub(super) fn new(plan: &Plan) -> SimulatedFleet {
         let shared = Shared {
             founders: plan.founders,
             judge: RunChecker::default(),
@@ -110,13 +110,13 @@
         SimulatedFleet { shared, count: 0.into(), running: vec![true; plan.hosts].into() }
     }
 
-    pub fn add(&self, sim: &mut Sim<'_>, host: usize) {
+    pub(super) fn add(&self, sim: &mut Sim<'_>, host: usize) {
         let shared = self.shared.clone();
         sim.host(name(host), move || run(shared.clone(), host));
     }
 
     /// Does what a fault says.
-    pub fn cause(&self, sim: &mut Sim<'_>, fault: &Fault, now: u64, rng: &mut StdRng) {
+    pub(super) fn cause(&self, sim: &mut Sim<'_>, fault: &Fault, now: u64, rng: &mut StdRng) {
         let hosts = self.shared.disks.len();
         self.shared.judge.log(format!("{now} {fault:?}"));
         match fault {
@@ -166,7 +166,7 @@
         lock(&self.shared.proposals)[host].push((id, text));
     }
 
-    pub fn judged(self, plan: Plan) -> Run {
+    pub(super) fn judged(self, plan: Plan) -> Run {
         self.shared.judge.judged(plan)
     }
 }
@@ -185,7 +185,7 @@
 }
 
 /// The times of simulated fleets: shorter than usual, so that more happens.
-pub fn times() -> Timing {
+pub(super) fn times() -> Timing {
     let ms = Duration::from_millis;
     Timing {
         permit: ms(800),
@@ -270,6 +270,6 @@
     }
 }
 
-pub fn lock<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(super) fn lock<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/simulation/src/policy_consensus/judge.rs
+++ b/crates/simulation/src/policy_consensus/judge.rs
@@ -59,48 +59,48 @@
 
 /// All that was seen.
 #[derive(Clone, Default)]
-pub struct RunChecker(Arc<Mutex<Seen>>);
+pub(super) struct RunChecker(Arc<Mutex<Seen>>);
 
 impl RunChecker {
-    pub fn log(&self, line: String) {
+    pub(super) fn log(&self, line: String) {
         lock(&self.0).log.push(line);
     }
 
-    pub fn text(&self, version: u64, text: &str) {
+    pub(super) fn text(&self, version: u64, text: &str) {
         let mut seen = lock(&self.0);
         if seen.texts.entry(version).or_insert_with(|| text.to_owned()) != text {
             seen.two_texts = Some(version);
         }
     }
 
-    pub fn proposed(&self, id: &str, text: &str, now: u64) {
+    pub(super) fn proposed(&self, id: &str, text: &str, now: u64) {
         lock(&self.0).proposed.insert(id.to_owned(), (text.to_owned(), now));
     }
 
     /// Changes of which it is not known how they ended.
-    pub fn unknown(&self) -> Vec<String> {
+    pub(super) fn unknown(&self) -> Vec<String> {
         let seen = lock(&self.0);
         seen.proposed.keys().filter(|id| !seen.ended.contains_key(*id)).cloned().collect()
     }
 
-    pub fn ended(&self, id: &str, outcome: Outcome) {
+    pub(super) fn ended(&self, id: &str, outcome: Outcome) {
         let mut seen = lock(&self.0);
         if *seen.ended.entry(id.to_owned()).or_insert(outcome) != outcome {
             seen.two_ends = Some(id.to_owned());
         }
     }
 
-    pub fn stands(&self, host: usize, version: u64, steady: bool, open: Option<String>) {
+    pub(super) fn stands(&self, host: usize, version: u64, steady: bool, open: Option<String>) {
         lock(&self.0).stands.insert(host, (version, steady, open));
     }
 
-    pub fn is_away(&self, host: usize) {
+    pub(super) fn is_away(&self, host: usize) {
         let mut seen = lock(&self.0);
         seen.last_admitted.remove(&host);
         seen.stands.remove(&host);
     }
 
-    pub fn asked(&self, asked: Admitted, admitted: bool) {
+    pub(super) fn asked(&self, asked: Admitted, admitted: bool) {
         let mut seen = lock(&self.0);
         if !admitted {
             return;
@@ -112,7 +112,7 @@
         seen.longest_gap = seen.longest_gap.max(gap);
     }
 
-    pub fn judged(self, plan: Plan) -> Run {
+    pub(super) fn judged(self, plan: Plan) -> Run {
         let seen = std::mem::take(&mut *lock(&self.0));
         let verdict = verdict(&seen, &plan);
         let count = |outcome| seen.ended.values().filter(|ended| **ended == outcome).count() as u32;
--- a/crates/simulation/src/policy_consensus/net.rs
+++ b/crates/simulation/src/policy_consensus/net.rs
@@ -6,7 +6,7 @@
 use turmoil::net::{TcpListener, TcpStream};
 
 #[derive(Clone, Copy, Debug)]
-pub struct SimulatedNetwork;
+pub(super) struct SimulatedNetwork;
 
 impl Network for SimulatedNetwork {
     type Stream = TcpStream;
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -163,7 +163,7 @@
     /// Has it go on: what is due comes before what has come.
     pub fn go_on(&mut self, host: usize) {
         self.hosts[host].stopped = false;
-        self.act(host, |shares, now, out| shares.handle_timeout(now, out));
+        self.act(host, pinetrail_quota::QuotaLeases::handle_timeout);
         for message in std::mem::take(&mut self.hosts[host].inbox) {
             self.act(host, |shares, now, out| shares.handle_message(now, &message, out));
         }
@@ -217,7 +217,7 @@
                 }
                 Event::Wake(host, number) => {
                     if self.hosts[host].wake == number && !self.hosts[host].stopped {
-                        self.act(host, |shares, now, out| shares.handle_timeout(now, out));
+                        self.act(host, pinetrail_quota::QuotaLeases::handle_timeout);
                     }
                 }
             }
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -40,7 +40,9 @@
                 // Each side may notice at once.
                 for side in sides.iter().filter(|_| host % 2 == 0) {
                     let there: Vec<Process> = side.iter().map(|one| sharing.process(*one)).collect();
-                    side.iter().for_each(|one| sharing.know(*one, there.clone()));
+                    for one in side {
+                        sharing.know(*one, there.clone());
+                    }
                 }
             }
             5 => {
@@ -83,10 +85,9 @@
     let due = LEASED_PARTS / HOSTS as u64;
     let leases: Vec<u64> =
         (0..HOSTS).map(|host| sharing.at(host).map_or(0, |(shares, now)| shares.lease().at(now))).collect();
-    match leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE_PARTS {
-        true => Ok(()),
-        false => {
-            Err(format!("in the end {leases:?} instead of {due} for each; most in use {}", sharing.most))
-        }
+    if leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE_PARTS {
+        Ok(())
+    } else {
+        Err(format!("in the end {leases:?} instead of {due} for each; most in use {}", sharing.most))
     }
 }
--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -49,7 +49,9 @@
     /// Lets connections come up again.
     pub fn open(&mut self) {
         let fillers = std::mem::take(&mut self.fillers);
-        fillers.iter().for_each(|_| drop(self.accept().expect("those that fill the queue are first")));
+        for _ in &fillers {
+            drop(self.accept().expect("those that fill the queue are first"));
+        }
     }
 
     /// The next that comes in, if one does in time.
--- a/crates/test-harness/src/fault_proxy.rs
+++ b/crates/test-harness/src/fault_proxy.rs
@@ -132,12 +132,12 @@
 
 impl PathView {
     /// How a way is now.
-    pub fn way(&self, from: usize, to: usize) -> PathFaults {
+    pub(crate) fn way(&self, from: usize, to: usize) -> PathFaults {
         self.0.state.lock().unwrap().ways.get(&(from, to)).copied().unwrap_or(WHOLE)
     }
 
     /// Whether the relays are gone.
-    pub fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.0.stop.load(Ordering::Acquire)
     }
 }
--- a/crates/test-harness/src/fleet.rs
+++ b/crates/test-harness/src/fleet.rs
@@ -235,10 +235,12 @@
     pub fn start_all(options: Options, nodes: Vec<StubServer>, origin: StubServer) -> Fleet {
         let mut fleet = Fleet::new(options, nodes, origin);
         let all: Vec<usize> = (0..fleet.options.members).collect();
-        match fleet.options.policy {
-            // None is ready before enough are there.
-            true => fleet.start_together(&all),
-            false => all.into_iter().for_each(|member| fleet.start(member)),
+        if fleet.options.policy {
+            fleet.start_together(&all)
+        } else {
+            for member in all {
+                fleet.start(member);
+            }
         }
         fleet
     }
--- a/crates/test-harness/src/streams.rs
+++ b/crates/test-harness/src/streams.rs
@@ -62,7 +62,9 @@
     pub fn reset(&self) {
         let open = std::mem::take(&mut self.state.0.lock().unwrap().open);
         // They may have ended by themselves.
-        open.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+        for stream in &open {
+            drop(stream.shutdown(Shutdown::Both));
+        }
     }
 }
 
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -69,7 +69,9 @@
                         }
                     }
                     // Of those that were answered the first end counts.
-                    call.into_iter().for_each(|call| witness.record_backend_response(call, None));
+                    if let Some(call) = call {
+                        witness.record_backend_response(call, None);
+                    }
                     ended.fetch_add(1, Ordering::SeqCst);
                 });
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -511,9 +511,10 @@
             for id in fetch.waiters {
                 // The value is now where it missed: those who waited find it there, room permitting.
                 let open = self.requests.get(&id);
-                match open.is_some_and(|open| self.usable(open).contains(&fetch.server)) {
-                    true => self.send(id, fetch.server, out),
-                    false => self.route(id, out),
+                if open.is_some_and(|open| self.usable(open).contains(&fetch.server)) {
+                    self.send(id, fetch.server, out)
+                } else {
+                    self.route(id, out)
                 }
             }
         }
@@ -543,9 +544,10 @@
             return self.give_up(id, out);
         }
         self.retries -= if free { 0.0 } else { 1.0 };
-        match at_origin {
-            true => self.ask_origin(id, out),
-            false => self.route(id, out),
+        if at_origin {
+            self.ask_origin(id, out)
+        } else {
+            self.route(id, out)
         }
     }
 
--- a/src/net/admin/codec.rs
+++ b/src/net/admin/codec.rs
@@ -3,17 +3,17 @@
 use percent_encoding::percent_decode_str;
 
 /// The longest head of a request.
-pub const MAX_HEAD: usize = 8 * 1024;
+pub(super) const MAX_HEAD: usize = 8 * 1024;
 const MAX_HEADERS: usize = 64;
 /// The longest body.
-pub const MAX_BODY: usize = 512 * 1024;
+pub(super) const MAX_BODY: usize = 512 * 1024;
 const NODES: &str = "/control/cache-nodes/";
 const POLICY: &str = "/control/policy";
 const CHANGES: &str = "/control/policy/changes/";
 
 /// A call of the operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
+pub(super) enum Call {
     /// Whether this process takes clients.
     Ready,
     /// What this process knows of its fleet.
@@ -40,7 +40,7 @@
 
 /// What a call is answered: a status, the methods to use instead if the one used is wrong, and a line of text.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Said {
+pub(super) struct Said {
     /// The status: 2xx means yes.
     pub status: u16,
     /// The methods that the path knows.
@@ -53,22 +53,22 @@
 
 impl Said {
     /// An answer with this status.
-    pub fn new(status: u16, text: impl Into<String>) -> Said {
+    pub(super) fn new(status: u16, text: impl Into<String>) -> Said {
         Said { status, allow: None, text: text.into(), json: false }
     }
 
     /// A status and a JSON text.
-    pub fn answer((status, text): (u16, String)) -> Said {
+    pub(super) fn answer((status, text): (u16, String)) -> Said {
         Said { status, allow: None, text, json: true }
     }
 
     /// Yes, in JSON.
-    pub fn json(text: String) -> Said {
+    pub(super) fn json(text: String) -> Said {
         Said { status: 200, allow: None, text, json: true }
     }
 
     /// The answer as it is written.
-    pub fn words(&self) -> Vec<u8> {
+    pub(super) fn words(&self) -> Vec<u8> {
         let reason = match self.status {
             200 => "OK",
             202 => "Accepted",
@@ -96,7 +96,7 @@
 }
 
 /// Reads a request; none while it is not whole. What follows the head is a concern of those calls only that have a body.
-pub fn call(bytes: &[u8]) -> Option<Result<Call, Said>> {
+pub(super) fn call(bytes: &[u8]) -> Option<Result<Call, Said>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(&bytes[..bytes.len().min(MAX_HEAD)]) {
@@ -169,7 +169,7 @@
     if id.is_empty() || !escapes.clone().all(whole) {
         return Err(bad());
     }
-    percent_decode_str(id).decode_utf8().map(|id| id.into_owned()).map_err(|_| bad())
+    percent_decode_str(id).decode_utf8().map(std::borrow::Cow::into_owned).map_err(|_| bad())
 }
 
 #[cfg(test)]
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -151,9 +151,10 @@
 fn carry_out(call: Call, exchange: &Arc<Dispatcher>, lifecycle: &Lifecycle) -> Result<Said, Said> {
     let (order, text) = match call {
         Call::Ready => {
-            return match lifecycle.is_ready() {
-                true => Ok(Said::new(200, "ready")),
-                false => Err(Said::new(503, lifecycle.why_not_ready())),
+            return if lifecycle.is_ready() {
+                Ok(Said::new(200, "ready"))
+            } else {
+                Err(Said::new(503, lifecycle.why_not_ready()))
             };
         }
         Call::Fleet => return report(lifecycle),
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -263,12 +263,11 @@
         .map(|(name, value)| format!("{name}={}", if name == "d" { &left } else { value }))
         .collect();
     let (labels, value) = (labels.join(","), invocation.value.as_deref());
-    match call.at_origin {
-        false => memcache::call(&invocation.key, &invocation.opaque, &labels, value),
-        true => {
-            let headers = [("X-Txn", invocation.opaque.as_str()), ("X-Labels", labels.as_str())];
-            http::request(&http::path_of(&invocation.key), &call.address, &headers, value)
-        }
+    if !call.at_origin {
+        memcache::call(&invocation.key, &invocation.opaque, &labels, value)
+    } else {
+        let headers = [("X-Txn", invocation.opaque.as_str()), ("X-Labels", labels.as_str())];
+        http::request(&http::path_of(&invocation.key), &call.address, &headers, value)
     }
 }
 
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -15,7 +15,7 @@
 
 /// A connection and the descriptor that it holds.
 #[derive(Debug)]
-pub struct Connection {
+pub(super) struct Connection {
     /// The connection itself.
     pub link: DeadlineStream,
     /// Where it leads.
@@ -25,7 +25,7 @@
 
 /// Why there is no connection.
 #[derive(Debug)]
-pub enum ConnectFailure {
+pub(super) enum ConnectFailure {
     /// The pool is full, and every connection of it is at work.
     Full,
     /// It did not come up.
@@ -46,7 +46,7 @@
 /// How long a connection rests before it takes another call. What a provider sends beyond its answer follows within
 /// milliseconds: a connection that has rested shows it.
 #[derive(Clone, Copy, Debug)]
-pub struct Rest {
+pub(super) struct Rest {
     at_least: Duration,
     /// It may take one before if no other is there.
     hurries: bool,
@@ -54,9 +54,9 @@
 
 impl Rest {
     /// The last answer named its call: a copy of it cannot pass for the answer to the next one.
-    pub const SHORT: Rest = Rest { at_least: Duration::from_millis(5), hurries: true };
+    pub(super) const SHORT: Rest = Rest { at_least: Duration::from_millis(5), hurries: true };
     /// Danger: it did not.
-    pub const LONG: Rest = Rest { at_least: Duration::from_millis(100), hurries: false };
+    pub(super) const LONG: Rest = Rest { at_least: Duration::from_millis(100), hurries: false };
 }
 
 impl Kept {
@@ -67,7 +67,7 @@
 
 /// All connections of this proxy to providers.
 #[derive(Debug)]
-pub struct Pool {
+pub(super) struct Pool {
     idle: Mutex<Idle>,
     descriptors: Arc<Descriptors>,
     idle_limit: Mutex<Duration>,
@@ -76,13 +76,13 @@
 impl Pool {
     /// A pool of as many connections as the descriptors allow, to providers that close idle ones after
     /// `conn_idle`.
-    pub fn new(descriptors: Arc<Descriptors>, conn_idle: Duration) -> Pool {
+    pub(super) fn new(descriptors: Arc<Descriptors>, conn_idle: Duration) -> Pool {
         let idle_limit = Mutex::new(conn_idle.mul_f64(IDLE_SHARE));
         Pool { idle: Mutex::default(), descriptors, idle_limit }
     }
 
     /// Providers close idle connections after this time from now on.
-    pub fn retune(&self, conn_idle: Duration) {
+    pub(super) fn retune(&self, conn_idle: Duration) {
         *self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner) = conn_idle.mul_f64(IDLE_SHARE);
     }
 
@@ -92,7 +92,7 @@
 
     /// A warm connection, the one used last of those that have rested: those beyond need then grow old and
     /// close.
-    pub fn warm(&self, provider: ServerId, address: &str) -> Option<Connection> {
+    pub(super) fn warm(&self, provider: ServerId, address: &str) -> Option<Connection> {
         loop {
             let kept = self.with(|idle| {
                 let queue = idle.get_mut(&provider)?;
@@ -107,7 +107,7 @@
     }
 
     /// A new connection. A full pool first closes the one that has been idle longest.
-    pub fn open(&self, address: &Arc<str>, timeout: Duration) -> Result<Connection, ConnectFailure> {
+    pub(super) fn open(&self, address: &Arc<str>, timeout: Duration) -> Result<Connection, ConnectFailure> {
         let socket_address: SocketAddr =
             address.parse().map_err(|_| ConnectFailure::Failed(io::ErrorKind::InvalidInput.into()))?;
         let descriptor = loop {
@@ -128,7 +128,7 @@
     }
 
     /// Keeps a connection for the next call if there may be one, which is asked with the pool locked.
-    pub fn keep(
+    pub(super) fn keep(
         &self,
         provider: ServerId,
         connection: Connection,
@@ -144,12 +144,12 @@
     }
 
     /// Closes the idle connections to a provider that has left or started anew.
-    pub fn forget(&self, provider: ServerId) {
+    pub(super) fn forget(&self, provider: ServerId) {
         drop(self.with(|idle| idle.remove(&provider)));
     }
 
     /// Closes what has been idle for too long, or has been ended from the other side.
-    pub fn retire(&self) {
+    pub(super) fn retire(&self) {
         let idle_limit = self.idle_limit();
         // Danger: what lay elsewhere meanwhile could not be forgotten.
         self.with(|idle| {
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -10,7 +10,7 @@
 const FLOWS_FROM: usize = 4 * 1024;
 
 /// How a call ended, and what it brought.
-pub struct End {
+pub(super) struct End {
     pub outcome: Outcome,
     pub payload: Option<Payload>,
 }
@@ -22,7 +22,7 @@
 }
 
 /// A value too long to be read whole: where it begins in the answer, and what follows it.
-pub struct Long {
+pub(super) struct Long {
     pub from: usize,
     pub length: usize,
     pub tail: &'static [u8],
@@ -31,7 +31,7 @@
 
 /// What an answer means for its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answered {
+pub(super) enum Answered {
     /// It names its call: should a copy of it follow, that cannot pass for the answer to the next one.
     Named,
     /// It does not.
@@ -50,7 +50,7 @@
     }
 }
 
-pub enum Understood {
+pub(super) enum Understood {
     Partly,
     /// It ran, as far as anyone can tell, and the connection is of no further use.
     Spoilt,
@@ -63,15 +63,16 @@
 impl Long {
     /// It has begun once so much of it has come. Danger: one that only announces a length, and is spoilt, is retried.
     fn begun(self, bytes: &[u8]) -> Understood {
-        match bytes.len() >= self.from + FLOWS_FROM {
-            true => Understood::Long(self),
-            false => Understood::Partly,
+        if bytes.len() >= self.from + FLOWS_FROM {
+            Understood::Long(self)
+        } else {
+            Understood::Partly
         }
     }
 }
 
 /// Reads a provider's answer in its protocol.
-pub fn understand(call: &AttemptRequest, bytes: &[u8]) -> Understood {
+pub(super) fn understand(call: &AttemptRequest, bytes: &[u8]) -> Understood {
     if call.at_origin {
         return understand_http(call, bytes);
     }
@@ -154,8 +155,9 @@
                 && receipt.bytes().all(|byte| byte.is_ascii_graphic())
         }
     };
-    match fits {
-        true => End { outcome: Outcome::Ok, payload: Some(payload) },
-        false => Outcome::Error.into(),
+    if fits {
+        End { outcome: Outcome::Ok, payload: Some(payload) }
+    } else {
+        Outcome::Error.into()
     }
 }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -33,9 +33,10 @@
     /// Danger: while reading rests nobody reads the end that tells that the consumer has gone, and after a rest there may
     /// be much to read before it. What waits for such a consumer must not be sent on.
     pub(super) fn must_be_there(&self) -> io::Result<()> {
-        match has_hung_up(self.stream.inner()) {
-            true => Err(ErrorKind::UnexpectedEof.into()),
-            false => Ok(()),
+        if has_hung_up(self.stream.inner()) {
+            Err(ErrorKind::UnexpectedEof.into())
+        } else {
+            Ok(())
         }
     }
 
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -52,7 +52,7 @@
     Lingering,
 }
 
-pub struct Connection<'a> {
+pub(super) struct Connection<'a> {
     side: &'a Arc<ClientService>,
     number: ConnectionId,
     shared: Arc<Shared>,
@@ -87,7 +87,7 @@
 }
 
 impl<'a> Connection<'a> {
-    pub fn new(
+    pub(super) fn new(
         side: &'a Arc<ClientService>,
         number: ConnectionId,
         shared: Arc<Shared>,
@@ -118,7 +118,7 @@
     }
 
     /// Serves it until it is over; an error says that the consumer has gone.
-    pub fn serve(&mut self) -> io::Result<()> {
+    pub(super) fn serve(&mut self) -> io::Result<()> {
         loop {
             let mut turn = 0;
             loop {
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -63,9 +63,10 @@
             let Some(first) = self.pending.front() else { return };
             let words = first.words.lock().unwrap_or_else(PoisonError::into_inner).take();
             let Some((words, value)) = words else { return };
-            match self.output.is_empty() {
-                true => self.output = words,
-                false => self.output.extend(words),
+            if self.output.is_empty() {
+                self.output = words
+            } else {
+                self.output.extend(words)
             }
             match value {
                 Some(value) => {
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -124,10 +124,13 @@
     pub fn stop_listening(&self, to_other: bool) {
         let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
         // Here its socket is closed once that is done.
-        listener.iter().for_each(|listener| match to_other {
-            true => listener.leave(),
-            false => listener.close(),
-        });
+        if let Some(listener) = &listener {
+            if to_other {
+                listener.leave()
+            } else {
+                listener.close()
+            };
+        }
     }
 
     /// Leaves accepting to another process that holds the socket too, or accepts again.
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -6,7 +6,7 @@
 const LONGEST_WAIT_MS: f64 = 60_000.0;
 
 /// A command's names and values in the exchange's terms, or what is wrong with them.
-pub fn invocation(
+pub(super) fn invocation(
     exchange: &Dispatcher,
     key: String,
     opaque: String,
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -62,9 +62,12 @@
         Malformed(why, skip) => return Malformed(why, skip),
     };
     let mut words = text.split(' ');
-    let simple = |command| match text.contains(' ') {
-        true => Malformed("CLIENT_ERROR bad command line format", Some(used)),
-        false => Whole(command, used),
+    let simple = |command| {
+        if text.contains(' ') {
+            Malformed("CLIENT_ERROR bad command line format", Some(used))
+        } else {
+            Whole(command, used)
+        }
     };
     match words.next() {
         Some("mg") => match invoke(words, false) {
--- a/src/net/config/check.rs
+++ b/src/net/config/check.rs
@@ -13,7 +13,7 @@
 const KNOWN: &str = "known";
 
 /// Whether settings, with the names of their classes and tenants, make sense.
-pub fn check(settings: &Settings, classes: &[String], tenants: &[String]) -> Result<(), ConfigError> {
+pub(super) fn check(settings: &Settings, classes: &[String], tenants: &[String]) -> Result<(), ConfigError> {
     if settings.classes.is_empty() || settings.classes.len() > MOST_CLASSES {
         return Err(bad("Grades", settings.classes.len(), "a list of 1 to 255 classes"));
     }
@@ -46,7 +46,7 @@
 }
 
 /// Whether a list of providers can be true: what contradicts itself would only be found out by requests.
-pub fn check_known(known: &Catalog, names: &Names, origin_kind: i64) -> Result<(), ConfigError> {
+pub(super) fn check_known(known: &Catalog, names: &Names, origin_kind: i64) -> Result<(), ConfigError> {
     let is_origin = |node: &Instance| i64::from(names.kind(&node.machine_type)) == origin_kind;
     for (at, node) in known.instances.iter().enumerate() {
         let field = |key: &str| format!("known.instances[{at}].{key}");
@@ -63,9 +63,10 @@
         not_below_0(&field("weight"), f64::from(node.weight))?;
         not_below_0(&field("startedAtMs"), node.started_at_ms)?;
     }
-    match origin_kind >= 0 && !known.instances.is_empty() && !known.instances.iter().any(is_origin) {
-        true => Err(bad("known.instances", known.instances.len(), "a list with the origin in it")),
-        false => Ok(()),
+    if origin_kind >= 0 && !known.instances.is_empty() && !known.instances.iter().any(is_origin) {
+        Err(bad("known.instances", known.instances.len(), "a list with the origin in it"))
+    } else {
+        Ok(())
     }
 }
 
@@ -80,16 +81,18 @@
 }
 
 fn not_below_0(field: &str, figure: f64) -> Result<(), ConfigError> {
-    match figure.is_finite() && figure >= 0.0 {
-        true => Ok(()),
-        false => Err(bad(field, figure, "0 or above")),
+    if figure.is_finite() && figure >= 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, figure, "0 or above"))
     }
 }
 
 fn above(field: &str, figure: f64) -> Result<(), ConfigError> {
-    match figure.is_finite() && figure > 0.0 {
-        true => Ok(()),
-        false => Err(bad(field, figure, "given and above 0")),
+    if figure.is_finite() && figure > 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, figure, "given and above 0"))
     }
 }
 
@@ -104,7 +107,7 @@
 
 /// The first key that was told before and is missing now, as a path. Danger: what is left out by a slip would
 /// silently fall back to a default. Of a list of objects, each must have the keys that all had before.
-pub fn missing(before: &Value, now: &Value) -> Option<String> {
+pub(super) fn missing(before: &Value, now: &Value) -> Option<String> {
     match (before, now) {
         (Value::Object(before), Value::Object(now)) => {
             before.iter().filter(|(key, _)| *key != KNOWN).find_map(|(key, value)| match now.get(key) {
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -9,7 +9,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct FleetFile {
+pub(super) struct FleetFile {
     name: String,
     bind: String,
     advertise: Option<String>,
@@ -34,7 +34,7 @@
 }
 
 /// Reads the object for the proxy of this name.
-pub fn fleet(mut file: FleetFile, own: &str) -> Result<FleetConfig, ConfigError> {
+pub(super) fn fleet(mut file: FleetFile, own: &str) -> Result<FleetConfig, ConfigError> {
     let founders = file.founders.take();
     let shares = founders.map(|founders| shares(&file, founders)).transpose()?;
     let bind = address("fleet.bind", file.bind)?;
@@ -94,7 +94,7 @@
 }
 
 /// Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
-pub fn check_calls(
+pub(super) fn check_calls(
     fleet: Option<&FleetConfig>,
     settings: &crate::settings::Settings,
 ) -> Result<(), ConfigError> {
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -213,9 +213,10 @@
 
     /// The tenant of a name; the first where the site has none.
     pub fn tenant(&self, name: &str) -> Option<u32> {
-        match self.tenants.is_empty() {
-            true => Some(0),
-            false => place(&self.tenants, name).and_then(|at| u32::try_from(at).ok()),
+        if self.tenants.is_empty() {
+            Some(0)
+        } else {
+            place(&self.tenants, name).and_then(|at| u32::try_from(at).ok())
         }
     }
 
@@ -298,8 +299,9 @@
                 (MIN_SOCKETS + DOOR_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
             }
         };
-        let links =
-            fleet.as_ref().map_or(0, |fleet| fleet.policy.as_ref().map_or(0, |policy| policy.sockets()));
+        let links = fleet
+            .as_ref()
+            .map_or(0, |fleet| fleet.policy.as_ref().map_or(0, super::policy::PolicyConfig::sockets));
         let (least, wanted) = match links {
             0 => (least, wanted),
             links => (least + links, "enough beside two for each of fleet.size, for links"),
@@ -382,12 +384,13 @@
 }
 
 fn seed(value: String) -> Result<u64, ConfigError> {
-    match value.is_empty() {
-        true => Ok(0),
-        false => u64::from_str_radix(&value, 16).map_err(|_| ConfigError::Field {
+    if value.is_empty() {
+        Ok(0)
+    } else {
+        u64::from_str_radix(&value, 16).map_err(|_| ConfigError::Field {
             field: "seed".to_owned(),
             value,
             wanted: "a number of at most 16 hexadecimal digits",
-        }),
+        })
     }
 }
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -57,7 +57,7 @@
 }
 
 /// Reads the object for the proxy that others know by this address.
-pub fn policy(
+pub(super) fn policy(
     given: Value,
     founders: Option<&[SocketAddr]>,
     own: SocketAddr,
--- a/src/net/discovery/budget.rs
+++ b/src/net/discovery/budget.rs
@@ -12,7 +12,7 @@
 /// A change counts as told so long after discovery had it and could be reached.
 const TOLD_AFTER: Duration = ms(6000);
 /// A line, if only an empty one, comes every 2 s: a watch that is silent for longer is dead.
-pub const SILENCE: Duration = ms(2500);
+pub(super) const SILENCE: Duration = ms(2500);
 /// While what changed since the last word is not yet counted as told, a call is given up after this time if its watch has
 /// not begun: another can still come in time.
 const BRIEF: Duration = ms(1400);
@@ -57,14 +57,14 @@
 }
 
 /// How long a call may take until its watch has begun, and its connection to come up; nothing was heard for so long.
-pub fn call_within(silent_for: Duration) -> (Duration, Duration) {
+pub(super) fn call_within(silent_for: Duration) -> (Duration, Duration) {
     let call = if silent_for < TOLD_AFTER { BRIEF } else { PATIENT };
     (call, CONNECT)
 }
 
 /// Draws how long to wait.
 #[derive(Debug)]
-pub struct Waits {
+pub(super) struct Waits {
     rng: SmallRng,
     pushed: bool,
     /// Whether the last call was ended or refused before it had lasted.
@@ -73,17 +73,17 @@
 
 impl Waits {
     /// Those of one proxy: each has a seed of its own.
-    pub fn new(seed: u64, pushed: bool) -> Waits {
+    pub(super) fn new(seed: u64, pushed: bool) -> Waits {
         Waits { rng: SmallRng::seed_from_u64(seed), pushed, failed: false }
     }
 
     /// Discovery is another one from now on.
-    pub fn begin_anew(&mut self) {
+    pub(super) fn begin_anew(&mut self) {
         self.failed = false;
     }
 
     /// How long after the end of a call, or of the watch that came of it, the next one begins; it lasted so long.
-    pub fn before_next(&mut self, ended: Ended, lasted: Duration) -> Duration {
+    pub(super) fn before_next(&mut self, ended: Ended, lasted: Duration) -> Duration {
         let failed_before = std::mem::replace(&mut self.failed, lasted < LATER.end);
         let (spread, later) = (self.rng.gen_range(SPREAD), self.rng.gen_range(LATER));
         match ended {
--- a/src/net/discovery/lists.rs
+++ b/src/net/discovery/lists.rs
@@ -5,24 +5,24 @@
 use crate::net::config::Catalog;
 
 /// Bytes that came, from the first that is not understood yet.
-pub struct Lists {
+pub(super) struct Lists {
     text: Vec<u8>,
     longest: usize,
 }
 
 impl Lists {
     /// Nothing has come; no list may be longer than this.
-    pub fn new(longest: usize) -> Lists {
+    pub(super) fn new(longest: usize) -> Lists {
         Lists { text: Vec::new(), longest }
     }
 
     /// Whether nothing lies there but white space, which keeps a watch alive.
-    pub fn is_empty(&self) -> bool {
+    pub(super) fn is_empty(&self) -> bool {
         self.text.is_empty()
     }
 
     /// Something has come.
-    pub fn push(&mut self, part: &[u8]) -> Result<(), Ended> {
+    pub(super) fn push(&mut self, part: &[u8]) -> Result<(), Ended> {
         let part = if self.text.is_empty() { part.trim_ascii_start() } else { part };
         self.text.extend_from_slice(part);
         // Whole lists are taken out as they come: what is longer is one that does not end.
@@ -33,7 +33,7 @@
     }
 
     /// The next list, if it is whole. After an error nothing more can be understood.
-    pub fn next(&mut self) -> Result<Option<Catalog>, Ended> {
+    pub(super) fn next(&mut self) -> Result<Option<Catalog>, Ended> {
         // The library takes an array for an object as well.
         if self.text.first().is_some_and(|first| *first != b'{') {
             return Err("something that is no list".into());
--- a/src/net/dispatcher/endpoint.rs
+++ b/src/net/dispatcher/endpoint.rs
@@ -6,7 +6,7 @@
 
 /// One provider as discovery tells of it.
 #[derive(Clone, Debug)]
-pub struct Provider {
+pub(super) struct Provider {
     /// Its name, the same at every proxy.
     pub name: String,
     /// Where it is reached from here.
@@ -16,7 +16,7 @@
 }
 
 /// An entry in the module's terms; one in an unknown state is left out.
-pub fn provider(names: &Names, instance: Instance) -> Option<Provider> {
+pub(super) fn provider(names: &Names, instance: Instance) -> Option<Provider> {
     let state = match instance.lifecycle.as_str() {
         "ready" => State::Ready,
         "draining" => State::Draining,
--- a/src/net/dispatcher/ids.rs
+++ b/src/net/dispatcher/ids.rs
@@ -22,7 +22,7 @@
 }
 
 /// The number of a key.
-pub fn key_number(key: &str) -> Key {
+pub(super) fn key_number(key: &str) -> Key {
     stated(key, 16).unwrap_or_else(|| fnv1a(key.bytes())).max(1)
 }
 
@@ -34,14 +34,14 @@
 
 /// The numbers of providers.
 #[derive(Debug, Default)]
-pub struct EndpointIds {
+pub(super) struct EndpointIds {
     by_name: BTreeMap<String, ServerId>,
     taken: BTreeSet<ServerId>,
 }
 
 impl EndpointIds {
     /// The numbers of the names of one list; new names are learned in their order as text.
-    pub fn learn<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+    pub(super) fn learn<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         let mut names: Vec<&str> = names.filter(|name| !self.by_name.contains_key(*name)).collect();
         names.sort_unstable();
         for name in names {
@@ -50,13 +50,13 @@
     }
 
     /// Forgets the names whose numbers are of no more use.
-    pub fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
+    pub(super) fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
         self.by_name.retain(|_, id| keep(*id));
         self.taken.retain(|id| keep(*id));
     }
 
     /// The number of a name.
-    pub fn number(&mut self, name: &str) -> ServerId {
+    pub(super) fn number(&mut self, name: &str) -> ServerId {
         if let Some(id) = self.by_name.get(name) {
             return *id;
         }
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -53,7 +53,7 @@
 
 /// What discovery told of each node, and which are held out.
 #[derive(Debug, Default)]
-pub struct MaintenanceSet {
+pub(super) struct MaintenanceSet {
     told: BTreeMap<String, Instance>,
     gone: BTreeSet<String>,
     gone_in_order: VecDeque<String>,
@@ -65,7 +65,7 @@
 
 impl MaintenanceSet {
     /// What another process is to know.
-    pub fn nodes(&self) -> EndpointSnapshot {
+    pub(super) fn nodes(&self) -> EndpointSnapshot {
         EndpointSnapshot {
             told: self.told.values().cloned().collect(),
             gone: self.gone_in_order.iter().cloned().collect(),
@@ -76,13 +76,13 @@
     }
 
     /// Takes over what another process knew, but for what is listed: that is told like any list.
-    pub fn inherit(&mut self, nodes: EndpointSnapshot) {
+    pub(super) fn inherit(&mut self, nodes: EndpointSnapshot) {
         nodes.gone.into_iter().for_each(|name| self.remember(name));
         (self.out, self.back) = (nodes.out, nodes.back);
     }
 
     /// Discovery tells of nodes; the same as the module is to hear it.
-    pub fn told(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
+    pub(super) fn told(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
         if matches!(form, ListForm::Cached | ListForm::Full) {
             let before = std::mem::take(&mut self.told);
             let left = before.into_keys().filter(|name| !list.iter().any(|new| new.instance_id == *name));
@@ -90,29 +90,28 @@
         }
         for node in &list {
             let name = &node.instance_id;
-            match node.lifecycle == "gone" {
-                true => {
-                    self.told.remove(name);
-                    self.remember(name.clone());
-                }
-                false => drop(self.told.insert(name.clone(), node.clone())),
+            if node.lifecycle == "gone" {
+                self.told.remove(name);
+                self.remember(name.clone());
+            } else {
+                drop(self.told.insert(name.clone(), node.clone()))
             }
         }
         list.into_iter().map(|node| self.heard(node)).collect()
     }
 
     /// All that is listed now, as the module is to hear it.
-    pub fn all(&self) -> Vec<Instance> {
+    pub(super) fn all(&self) -> Vec<Instance> {
         self.told.values().map(|node| self.heard(node.clone())).collect()
     }
 
     /// What discovery told last of a node, if it is listed.
-    pub fn listed(&self, name: &str) -> Option<&Instance> {
+    pub(super) fn listed(&self, name: &str) -> Option<&Instance> {
         self.told.get(name)
     }
 
     /// Holds a node out; what the module is to hear of it, if it is listed. To do so twice changes nothing.
-    pub fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
+    pub(super) fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
         self.known(name)?;
         if !self.out.contains_key(name) && self.out.len() >= MOST_OUT {
             return Err(MaintenanceError::TooMany);
@@ -122,7 +121,7 @@
     }
 
     /// Lets a node serve again, however often it was held out.
-    pub fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
+    pub(super) fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
         self.known(name)?;
         if let Some(since) = self.out.remove(name) {
             self.back.insert(name.to_owned(), (since, now));
@@ -131,9 +130,10 @@
     }
 
     fn known(&self, name: &str) -> Result<(), MaintenanceError> {
-        match self.told.contains_key(name) || self.gone.contains(name) || self.out.contains_key(name) {
-            true => Ok(()),
-            false => Err(MaintenanceError::NeverListed(name.to_owned())),
+        if self.told.contains_key(name) || self.gone.contains(name) || self.out.contains_key(name) {
+            Ok(())
+        } else {
+            Err(MaintenanceError::NeverListed(name.to_owned()))
         }
     }
 
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -304,7 +304,9 @@
             let state = self.lock();
             state.records.iter().filter(|(_, record)| record.open.is_some()).map(|(id, _)| *id).collect()
         };
-        open.into_iter().for_each(|id| self.end_overdue(id));
+        for id in open {
+            self.end_overdue(id);
+        }
     }
 
     fn end_overdue(self: &Arc<Self>, id: RequestId) {
@@ -447,7 +449,9 @@
             members.push(member);
         }
         state.forget_gone();
-        stale.into_iter().for_each(|server| drop(self.orders.send(BackendCommand::Forget(server))));
+        for server in stale {
+            drop(self.orders.send(BackendCommand::Forget(server)));
+        }
         self.step(state, Event::Members(form, members));
     }
 
@@ -505,7 +509,9 @@
             }
         }
         drop(state);
-        effects.into_iter().for_each(|effect| self.carry_out(effect));
+        for effect in effects {
+            self.carry_out(effect);
+        }
     }
 
     fn send(
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -366,7 +366,9 @@
         let sharing = config.quota.clone().map(|shares| QuotaDriver::new(shares, &members, now));
         let mut stand = self.stand();
         // It knows nothing of what it held before.
-        sharing.iter().for_each(|sharing| self.say(sharing.share(now)));
+        if let Some(sharing) = &sharing {
+            self.say(sharing.share(now));
+        }
         *stand =
             Stand::Speaks(Box::new(ActiveMember { number, socket: Arc::clone(&socket), members, sharing }));
         drop(stand);
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -11,7 +11,7 @@
 
 /// This process's share, by the fleet's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Share {
+pub(super) struct Share {
     /// Its part of the whole.
     pub part: f64,
     /// Until then.
@@ -24,7 +24,7 @@
 
 /// What operators see.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub struct Seen {
+pub(super) struct Seen {
     /// This process's part of the whole now.
     pub share: f64,
     /// What is always its own.
@@ -38,7 +38,7 @@
 }
 
 /// The shares of one process.
-pub struct QuotaDriver {
+pub(super) struct QuotaDriver {
     config: QuotaConfig,
     shares: QuotaLeases,
     me: Process,
@@ -51,19 +51,24 @@
 
 impl QuotaDriver {
     /// A process that has its base.
-    pub fn new(config: QuotaConfig, members: &Membership, now: Time) -> QuotaDriver {
+    pub(super) fn new(config: QuotaConfig, members: &Membership, now: Time) -> QuotaDriver {
         let me = own(members);
         let shares = QuotaLeases::new(config.settings.clone(), me, now).expect("settings were checked");
         QuotaDriver { config, shares, me, differs: false, unheard: 0, earlier: QuotaCounters::default() }
     }
 
     /// When [`QuotaDriver::due`] is to be called at the latest.
-    pub fn next_due(&self) -> Time {
+    pub(super) fn next_due(&self) -> Time {
         self.shares.next_timeout()
     }
 
     /// Time has passed. Who is there may have changed; another process under this name may count.
-    pub fn due(&mut self, now: Time, members: &mut Membership, out: &mut Vec<RawMemberId>) -> Option<Share> {
+    pub(super) fn due(
+        &mut self,
+        now: Time,
+        members: &mut Membership,
+        out: &mut Vec<RawMemberId>,
+    ) -> Option<Share> {
         if own(members) != self.me {
             // It has come back as another process, which knows nothing of leases.
             let before = self.shares.counters();
@@ -80,12 +85,12 @@
     }
 
     /// This process ends soon.
-    pub fn leave(&mut self) {
+    pub(super) fn leave(&mut self) {
         self.shares.leave();
     }
 
     /// Another member has said something.
-    pub fn heard(
+    pub(super) fn heard(
         &mut self,
         now: Time,
         bytes: &[u8],
@@ -113,7 +118,7 @@
     }
 
     /// What the decision module is to be told now.
-    pub fn share(&self, now: Time) -> Share {
+    pub(super) fn share(&self, now: Time) -> Share {
         let lease = self.shares.lease();
         Share {
             part: part(self.shares.base() + lease.at(now)),
@@ -124,7 +129,7 @@
     }
 
     /// What operators see.
-    pub fn seen(&self, now: Time) -> Seen {
+    pub(super) fn seen(&self, now: Time) -> Seen {
         Seen {
             share: part(self.shares.share(now)),
             base: part(self.shares.base()),
@@ -135,7 +140,7 @@
     }
 
     /// What was counted, by name.
-    pub fn list(&self) -> Vec<(&'static str, u64)> {
+    pub(super) fn list(&self) -> Vec<(&'static str, u64)> {
         let counts = sum(self.earlier, self.shares.counters());
         vec![
             ("fleet_leases_granted", counts.granted),
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -34,7 +34,7 @@
 }
 
 /// What the door says. Times of the member are counted from `began`, in Unix milliseconds.
-pub fn report(members: &Membership, began: u64, seen: Option<Seen>) -> String {
+pub(super) fn report(members: &Membership, began: u64, seen: Option<Seen>) -> String {
     let member = |entry: MemberRecord| Member {
         name: entry.name.to_string(),
         address: entry.address,
@@ -54,7 +54,7 @@
 }
 
 /// A line of the log.
-pub fn words(news: &MembershipEvent) -> String {
+pub(super) fn words(news: &MembershipEvent) -> String {
     match news {
         MembershipEvent::Member { entry, before } => {
             let MemberRecord { name, address, state, .. } = entry;
@@ -92,12 +92,12 @@
 macro_rules! counts {
     ($($name:ident => $shown:literal,)*) => {
         /// The counts by the names under which `stats` has them.
-        pub fn names(counts: &MembershipCounters, send_failures: u64) -> Vec<(&'static str, u64)> {
+        pub(super) fn names(counts: &MembershipCounters, send_failures: u64) -> Vec<(&'static str, u64)> {
             vec![$(($shown, counts.$name),)* ("fleet_send_failures", send_failures)]
         }
 
         /// The counts of two members one after the other.
-        pub fn sum(a: MembershipCounters, b: MembershipCounters) -> MembershipCounters {
+        pub(super) fn sum(a: MembershipCounters, b: MembershipCounters) -> MembershipCounters {
             MembershipCounters { $($name: a.$name + b.$name,)* }
         }
     };
--- a/src/net/hot_restart/messages.rs
+++ b/src/net/hot_restart/messages.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Processes of other versions are not understood.
-pub const VERSION: u32 = 1;
+pub(super) const VERSION: u32 = 1;
 /// The longest line.
 const MAX_LINE: usize = 16 << 20;
 
@@ -30,7 +30,7 @@
 
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
+pub(super) enum Message {
     /// The newcomer asks to take over.
     Ask(u32),
     /// It may: what is known of nodes, and what it may use. The listening socket comes just before.
@@ -51,7 +51,7 @@
 
 impl Message {
     /// The message as it is written.
-    pub fn line(&self) -> Vec<u8> {
+    pub(super) fn line(&self) -> Vec<u8> {
         // The types above are all representable.
         let mut line = serde_json::to_vec(self).unwrap_or_default();
         line.push(b'\n');
@@ -61,11 +61,11 @@
 
 /// Bytes that come in, as messages.
 #[derive(Debug, Default)]
-pub struct Inbox(pub Vec<u8>);
+pub(super) struct Inbox(pub Vec<u8>);
 
 impl Inbox {
     /// The next message, if it is whole.
-    pub fn next(&mut self) -> Result<Option<Message>, &'static str> {
+    pub(super) fn next(&mut self) -> Result<Option<Message>, &'static str> {
         let Some(end) = self.0.iter().position(|byte| *byte == b'\n') else {
             return if self.0.len() > MAX_LINE { Err("a message too long") } else { Ok(None) };
         };
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -150,9 +150,10 @@
         may::go!(move || side.follow(&reading, inbox, &*host));
         // A link that has ended says that the older process has: then this one serves alone.
         let _ = wire.write(&Message::Serving.line(), Instant::now() + WRITE);
-        match self.with(|state| state.refused) {
-            true => Err("take over: the running process refuses by now".to_owned()),
-            false => Ok(()),
+        if self.with(|state| state.refused) {
+            Err("take over: the running process refuses by now".to_owned())
+        } else {
+            Ok(())
         }
     }
 
--- a/src/net/hot_restart/socket.rs
+++ b/src/net/hot_restart/socket.rs
@@ -21,7 +21,7 @@
 
 /// The meeting place of one proxy.
 #[derive(Debug)]
-pub struct Place {
+pub(super) struct Place {
     folder: PathBuf,
     /// Held open where the folder's path is too long: it is then reached by its descriptor.
     open: Option<File>,
@@ -31,7 +31,7 @@
 
 impl Place {
     /// The meeting place of the proxy whose clients connect to this address.
-    pub fn of(clients: SocketAddr) -> io::Result<Place> {
+    pub(super) fn of(clients: SocketAddr) -> io::Result<Place> {
         let folder = std::env::temp_dir();
         let link = format!("pinetrail-{}.sock", clients.to_string().replace([':', '[', ']', '%'], "_"));
         let own = format!("{link}.{}", std::process::id());
@@ -41,7 +41,7 @@
     }
 
     /// A connection to the process that is to be asked; none if nobody is there.
-    pub fn connect(&self) -> io::Result<Option<UnixStream>> {
+    pub(super) fn connect(&self) -> io::Result<Option<UnixStream>> {
         match UnixStream::connect(self.reach(&self.link)) {
             Ok(stream) => Ok(Some(stream)),
             // Nothing was left behind, or something stale.
@@ -53,14 +53,14 @@
     }
 
     /// Listens at this process's own name. Nobody is led here before [`Place::claim`].
-    pub fn listen(&self) -> io::Result<UnixListener> {
+    pub(super) fn listen(&self) -> io::Result<UnixListener> {
         // Left by another process of the same number.
         let _ = fs::remove_file(self.folder.join(&self.own));
         UnixListener::bind(self.reach(&self.own))
     }
 
     /// From now on this process is the one to be asked.
-    pub fn claim(&self) -> io::Result<()> {
+    pub(super) fn claim(&self) -> io::Result<()> {
         let link = self.folder.join(&self.link);
         let next = self.folder.join(format!("{}.next", self.own));
         let _ = fs::remove_file(&next);
@@ -69,7 +69,7 @@
     }
 
     /// Takes away what this process left. The link stays if it leads elsewhere by now.
-    pub fn leave(&self) {
+    pub(super) fn leave(&self) {
         let link = self.folder.join(&self.link);
         if fs::read_link(&link).is_ok_and(|target| target.as_os_str() == self.own.as_str()) {
             let _ = fs::remove_file(&link);
@@ -87,12 +87,12 @@
 }
 
 /// Whether the process at the other end belongs to the same user: nobody else may have a socket, or give one.
-pub fn is_trusted(stream: &UnixStream) -> bool {
+pub(super) fn is_trusted(stream: &UnixStream) -> bool {
     sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid())
 }
 
 /// Passes a listening socket on, with one byte.
-pub fn pass(stream: &UnixStream, socket: &TcpListener) -> io::Result<()> {
+pub(super) fn pass(stream: &UnixStream, socket: &TcpListener) -> io::Result<()> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = SendAncillaryBuffer::new(&mut space);
     let sockets = [socket.as_fd()];
@@ -104,7 +104,7 @@
 }
 
 /// Takes one byte, and the listening socket that is passed with it, if one is.
-pub fn take(stream: &UnixStream) -> io::Result<(u8, Option<TcpListener>)> {
+pub(super) fn take(stream: &UnixStream) -> io::Result<(u8, Option<TcpListener>)> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut byte = [0];
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -12,7 +12,7 @@
 const SPARE_SOCKETS: usize = 8;
 
 /// The whole of the proxy's budget, and what it is drawn on.
-pub struct Budget {
+pub(super) struct Budget {
     /// All that there is for two processes together, beside what each takes for itself.
     pub both: Share,
     /// All that there is for one that is alone.
@@ -26,10 +26,11 @@
 impl Budget {
     /// Makes do with half, or with what is in use if that is more; one that stops keeps only that. What is
     /// left to the other process.
-    pub fn divide(&self, leaving: bool) -> Share {
-        let least = match leaving {
-            true => Share { sockets: 0, memory: self.both.memory / 4 },
-            false => Share { sockets: self.both.sockets / 2, memory: self.both.memory / 2 },
+    pub(super) fn divide(&self, leaving: bool) -> Share {
+        let least = if leaving {
+            Share { sockets: 0, memory: self.both.memory / 4 }
+        } else {
+            Share { sockets: self.both.sockets / 2, memory: self.both.memory / 2 }
         };
         let sockets = self.descriptors.shrink(least.sockets, if leaving { SPARE_SOCKETS } else { 0 });
         let memory = self.memory.shrink(least.memory);
@@ -40,7 +41,7 @@
     }
 
     /// From now on this process may use so much, or all.
-    pub fn allow(&self, share: Option<Share>) {
+    pub(super) fn allow(&self, share: Option<Share>) {
         let share = share.unwrap_or(self.alone);
         self.descriptors.resize(share.sockets);
         self.memory.resize(share.memory);
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -113,9 +113,10 @@
             stand.serves().then_some(()).ok_or(Stopping)
         })?;
         if let Some(sides) = self.sides.get() {
-            match in_service {
-                true => sides.consumers.welcome(),
-                false => sides.consumers.send_away(SendAway::OUT_OF_SERVICE),
+            if in_service {
+                sides.consumers.welcome()
+            } else {
+                sides.consumers.send_away(SendAway::OUT_OF_SERVICE)
             }
         }
         Ok(())
@@ -342,7 +343,7 @@
             self.takeover.join(given, Arc::clone(&host))?;
         }
         // The older process has the socket until it has heard that this one serves.
-        self.fleet().filter(|_| is_newcomer).into_iter().for_each(|fleet| fleet.activate_when_free());
+        self.fleet().filter(|_| is_newcomer).into_iter().for_each(super::fleet::Fleet::activate_when_free);
         self.change(|stand| stand.enter(Phase::Serving));
         self.takeover.listen(address, host);
         Ok(Some(sides))
@@ -370,9 +371,10 @@
     let until = |time: Duration| sleep(time.saturating_sub(begun.elapsed()));
     let held = || sides.exchange.pending_count() + sides.consumers.open();
     // Danger: clients are short of connections until the last may come. Who is idle gives way to them till then.
-    match other_accepts {
-        true => sides.consumers.send_away(SendAway::for_drain(&drain)),
-        false => until(drain.accepts),
+    if other_accepts {
+        sides.consumers.send_away(SendAway::for_drain(&drain))
+    } else {
+        until(drain.accepts)
     }
     sides.consumers.stop_listening(other_accepts);
     sides.consumers.keep_all();
--- a/src/net/lifecycle/state.rs
+++ b/src/net/lifecycle/state.rs
@@ -26,7 +26,7 @@
 
 /// The phase, and what it follows from while the program serves.
 #[derive(Debug)]
-pub struct Stand {
+pub(super) struct Stand {
     phase: Phase,
     /// Whether clients are sent away.
     pub away: bool,
@@ -52,18 +52,18 @@
 
 impl Stand {
     /// Whether clients are served, be it to send them on.
-    pub fn serves(&self) -> bool {
+    pub(super) fn serves(&self) -> bool {
         !matches!(self.phase, Phase::Starting | Phase::Draining | Phase::Stopped)
     }
 
     /// Whether accepting is left to the other process. Danger: with nobody to accept, clients would wait in
     /// the queue. Whoever is alone accepts.
-    pub fn leaves_accepting(&self) -> bool {
+    pub(super) fn leaves_accepting(&self) -> bool {
         !self.is_newcomer && self.partner == PeerProcess::Serving
     }
 
     /// Moves on to a phase.
-    pub fn enter(&mut self, phase: Phase) {
+    pub(super) fn enter(&mut self, phase: Phase) {
         if phase != self.phase {
             log(&format!("{:?} -> {phase:?}", self.phase));
             self.phase = phase;
@@ -71,7 +71,7 @@
     }
 
     /// Moves on to the phase that follows from what has changed.
-    pub fn settle(&mut self) {
+    pub(super) fn settle(&mut self) {
         if self.serves() {
             self.enter(match self.partner {
                 _ if self.reloading => Phase::Reloading,
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// This proxy, as far as policies are concerned.
-pub struct App {
+pub(super) struct App {
     exchange: Arc<Dispatcher>,
     providers: Arc<BackendService>,
     /// What its own file says at the start.
@@ -30,11 +30,11 @@
 }
 
 /// Takes what a process of the fleet says of drift.
-pub type Hears = Box<dyn Fn(&Process, &[u8]) + Send + Sync>;
+pub(super) type Hears = Box<dyn Fn(&Process, &[u8]) + Send + Sync>;
 
 impl App {
     /// A proxy whose file says this.
-    pub fn new(
+    pub(super) fn new(
         exchange: Arc<Dispatcher>,
         providers: Arc<BackendService>,
         settings: &Value,
@@ -52,33 +52,33 @@
     }
 
     /// Whether what its own file says could be a policy: it may have to be the first one.
-    pub fn first_is_good(&self) -> Result<(), String> {
+    pub(super) fn first_is_good(&self) -> Result<(), String> {
         known_keys(&self.own).map_err(|why| format!("settings cannot be the fleet's policy: {why}"))
     }
 
     /// Whether these settings are those in force.
-    pub fn is_in_force(&self, settings: &Value) -> bool {
+    pub(super) fn is_in_force(&self, settings: &Value) -> bool {
         self.text.lock().unwrap_or_else(PoisonError::into_inner).as_deref() == Some(&text::common(settings))
     }
 
     /// The longest that a class in force waits, in ms; none before any is.
-    pub fn longest_wait(&self) -> Option<f64> {
+    pub(super) fn longest_wait(&self) -> Option<f64> {
         *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Who hears of drift from now on; the first that is told counts.
-    pub fn heard_by(&self, hears: Hears) {
+    pub(super) fn heard_by(&self, hears: Hears) {
         let _ = self.hears.set(hears);
     }
 
     /// Digests of what is in force, made anew from the objects that decide.
-    pub fn in_force(&self) -> BTreeMap<String, u64> {
+    pub(super) fn in_force(&self) -> BTreeMap<String, u64> {
         let timeout = self.providers.connect_timeout();
         self.exchange.in_force(|settings, names| digest::parts(settings, names, timeout))
     }
 
     /// A version as it would be in force here.
-    pub fn approved(&self, version: u64, text: &str) -> Option<Approved> {
+    pub(super) fn approved(&self, version: u64, text: &str) -> Option<Approved> {
         let given = text::with_own(&serde_json::from_str(text).ok()?, &self.own);
         let rules = Rules::of(&given).ok()?;
         let parts = digest::parts(&rules.settings, &rules.names, rules.connect_timeout);
--- a/src/net/policy/digest.rs
+++ b/src/net/policy/digest.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A digest for each part, by its name in the settings; what is a proxy's own is left out.
-pub fn parts(settings: &Settings, names: &Names, connect_timeout: Duration) -> BTreeMap<String, u64> {
+pub(super) fn parts(settings: &Settings, names: &Names, connect_timeout: Duration) -> BTreeMap<String, u64> {
     let Settings { classes, limits, safety, prices, family, discovery, tick, group_size, .. } = settings;
     let decides = [
         ("Grades", format!("{classes:?}")),
@@ -27,6 +27,6 @@
 }
 
 /// One digest of all parts.
-pub fn whole(parts: &BTreeMap<String, u64>) -> u64 {
+pub(super) fn whole(parts: &BTreeMap<String, u64>) -> u64 {
     xxh3_64(format!("{parts:?}").as_bytes())
 }
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -36,7 +36,7 @@
 }
 
 /// Who is linked where.
-pub struct Directory {
+pub(super) struct Directory {
     config: PolicyConfig,
     fleet: Arc<Fleet>,
     node: Arc<ConsensusNode<TcpNetwork>>,
@@ -49,7 +49,7 @@
 
 impl Directory {
     /// Nobody is known but those whom another process of this proxy told of.
-    pub fn new(
+    pub(super) fn new(
         config: PolicyConfig,
         fleet: Arc<Fleet>,
         node: Arc<ConsensusNode<TcpNetwork>>,
@@ -61,7 +61,7 @@
     }
 
     /// Keeps it true until the process ends.
-    pub async fn keep(self: Arc<Self>, ended: &Receiver<()>) {
+    pub(super) async fn keep(self: Arc<Self>, ended: &Receiver<()>) {
         let hearing = Arc::clone(&self);
         self.fleet.set_directory_handler(Box::new(move |from, body| hearing.heard(from, body)));
         let mut listening: Option<JoinHandle<()>> = None;
@@ -175,7 +175,7 @@
     }
 
     /// All that are known, this process included, for a newcomer of this proxy.
-    pub fn neighbours(&self) -> Vec<PeerAddress> {
+    pub(super) fn neighbours(&self) -> Vec<PeerAddress> {
         let known = lock(&self.known);
         let own = PeerAddress {
             name: self.me.name.to_string(),
--- a/src/net/policy/drift.rs
+++ b/src/net/policy/drift.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 /// The number under which its words travel on the links.
-pub const FLOOR: u8 = 1;
+pub(super) const FLOOR: u8 = 1;
 /// Each process tells the others so often.
 const TELL_EVERY: Duration = Duration::from_millis(400);
 
@@ -29,7 +29,7 @@
 }
 
 /// The detector at one process.
-pub struct Drift {
+pub(super) struct Drift {
     fleet: Arc<Fleet>,
     node: Arc<ConsensusNode<TcpNetwork>>,
     app: Arc<App>,
@@ -41,7 +41,7 @@
 
 impl Drift {
     /// Nobody has told anything yet.
-    pub fn new(
+    pub(super) fn new(
         fleet: Arc<Fleet>,
         node: Arc<ConsensusNode<TcpNetwork>>,
         app: Arc<App>,
@@ -80,7 +80,7 @@
     }
 
     /// Tells the others, and looks how all stand, until the process ends.
-    pub async fn keep(self: Arc<Self>) {
+    pub(super) async fn keep(self: Arc<Self>) {
         loop {
             let report = self.look();
             self.node.broadcast(FLOOR, &DriftMessage::Report(report).encode());
@@ -112,7 +112,9 @@
             let later = linked.iter().any(|other| *other.name == *name && other.start > start);
             !(later || *me.name == *name && start != me.start)
         });
-        approved.into_iter().for_each(|approved| known.table.set_approved(now, approved));
+        if let Some(approved) = approved {
+            known.table.set_approved(now, approved);
+        }
         known.table.record_report(now, &me.name, me.start, report.clone());
         report
     }
@@ -159,7 +161,7 @@
     }
 
     /// Puts the approved version in force again; which.
-    pub fn restore(&self) -> Result<u64, &'static str> {
+    pub(super) fn restore(&self) -> Result<u64, &'static str> {
         let (version, text) = self.node.approved_policy().ok_or("what was approved is not known here")?;
         if self.node.status().0 != version {
             return Err("this process does not have the approved version: it catches up by itself");
@@ -171,7 +173,7 @@
     }
 
     /// `GET /control/drift`.
-    pub fn report(&self) -> Value {
+    pub(super) fn report(&self) -> Value {
         // What is in force here is looked at now.
         self.look();
         let (now, unix) = (self.now(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
@@ -203,7 +205,7 @@
     }
 
     /// Alarms that this process raised.
-    pub fn alarms(&self) -> u64 {
+    pub(super) fn alarms(&self) -> u64 {
         self.raised.load(Ordering::Relaxed)
     }
 
--- a/src/net/policy/text.rs
+++ b/src/net/policy/text.rs
@@ -5,7 +5,7 @@
 /// What belongs to one proxy: each keeps its own.
 const OWN: [&str; 2] = ["MyNumber", "Zone"];
 /// All that this program knows of settings. Danger: a slip in a policy would take hold everywhere at once.
-pub const KNOWN: [&str; 22] = [
+pub(super) const KNOWN: [&str; 22] = [
     "Callers",
     "Discovery",
     "Family",
@@ -31,16 +31,18 @@
 ];
 
 /// What all have alike, in one form: its keys are in order.
-pub fn common(settings: &Value) -> String {
+pub(super) fn common(settings: &Value) -> String {
     let mut common = settings.clone();
     if let Some(object) = common.as_object_mut() {
-        OWN.iter().for_each(|key| drop(object.remove(*key)));
+        for key in &OWN {
+            drop(object.remove(*key));
+        }
     }
     common.to_string()
 }
 
 /// The same with what is this proxy's own.
-pub fn with_own(common: &Value, own: &Value) -> Value {
+pub(super) fn with_own(common: &Value, own: &Value) -> Value {
     let mut all = common.clone();
     if let Some(object) = all.as_object_mut() {
         for key in OWN {
--- a/tests/backend_knowledge.rs
+++ b/tests/backend_knowledge.rs
@@ -25,7 +25,9 @@
     let after = fill(&mut world, 1000);
     // The one that was held goes first.
     assert_eq!(after.len() + 1, before.len());
-    before.iter().for_each(|id| drop(world.end(*id, 0, 1, Outcome::Ok)));
+    for id in &before {
+        drop(world.end(*id, 0, 1, Outcome::Ok));
+    }
     assert!(sent(&world.request(read(2000, 2000))).is_none(), "nor do their ends make room there");
 }
 
@@ -37,10 +39,10 @@
         let before = fill(&mut world, 1);
         renewed(&mut world);
         world.now += 200.0;
-        before.iter().for_each(|id| {
+        for id in &before {
             world.event(Event::ClientGone(*id));
             world.end_after(*id, 0, 1, outcome, 200.0);
-        });
+        }
         let after = fill(&mut world, 1000);
         assert!(after.len() + 1 >= before.len(), "{outcome:?}: {} of {}", after.len(), before.len());
     }
@@ -51,9 +53,12 @@
 fn connects_that_fail_together_shut_a_node_no_longer_than_one() {
     let mut world = World::new(false, 2);
     let ids = fill(&mut world, 1);
-    ids.iter().for_each(|id| drop(world.event(Event::ClientGone(*id))));
-    ids.iter()
-        .for_each(|id| (1..=2).for_each(|server| drop(world.end(*id, 0, server, Outcome::ConnectFailed))));
+    for id in &ids {
+        drop(world.event(Event::ClientGone(*id)));
+    }
+    for id in &ids {
+        (1..=2).for_each(|server| drop(world.end(*id, 0, server, Outcome::ConnectFailed)));
+    }
     world.now += 5001.0;
     assert!(fill(&mut world, 1000).len() > 10, "both are tried after 5 s at the latest");
 }
@@ -77,7 +82,9 @@
     world.now += 600.0;
     let trials = fill(&mut world, 100);
     assert_eq!(trials.len(), 3, "one for each");
-    trials.iter().for_each(|id| (1..=3).for_each(|server| drop(world.end(*id, 0, server, Outcome::Ok))));
+    for id in &trials {
+        (1..=3).for_each(|server| drop(world.end(*id, 0, server, Outcome::Ok)));
+    }
     assert!(fill(&mut world, 200).len() > 20, "all serve again");
     // One of three that is shut is left alone.
     let mut world = World::new(false, 3);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -154,10 +154,10 @@
         let rate = CAPACITY * f64::from(NODES) * self.day.busy / 1000.0;
         let wait = -(1.0 - self.rng.gen::<f64>()).ln() / rate;
         self.at(wait, Happens::Asked);
-        let key = match self.rng.gen_bool(self.day.hot) {
-            // Other keys on other days: each lives elsewhere.
-            true => self.hottest + self.rng.gen_range(0..self.day.hot_keys),
-            false => 100 + (3000.0 * self.rng.gen::<f64>().powi(3)) as Key,
+        let key = if self.rng.gen_bool(self.day.hot) {
+            self.hottest + self.rng.gen_range(0..self.day.hot_keys)
+        } else {
+            100 + (3000.0 * self.rng.gen::<f64>().powi(3)) as Key
         };
         let at = self.rng.gen_range(0..self.modules.len());
         let id = self.order;
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -7,8 +7,8 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const PROXIES: usize = 4;
-pub const NODES: u32 = 6;
+pub(crate) const PROXIES: usize = 4;
+pub(crate) const NODES: u32 = 6;
 /// Work of a request, and what a warm node bears a ms.
 const WORK: f64 = 10.0;
 const CAPACITY: f64 = 1.1;
@@ -19,7 +19,7 @@
 
 /// What happens to the fleet at a time of the script.
 #[derive(Clone, Copy, Debug)]
-pub enum Fault {
+pub(crate) enum Fault {
     /// A node drains, is replaced at its place by another process, and is told of again.
     Restart(ServerId),
     /// It drains for good.
@@ -79,7 +79,7 @@
     busy: Vec<Time>,
 }
 
-pub struct Fleet {
+pub(crate) struct Fleet {
     now: Time,
     until: Time,
     rng: SmallRng,
@@ -94,9 +94,11 @@
 }
 
 /// Plays a day with these faults; what was seen of it.
-pub fn play(seed: u64, until: Time, script: &[(Time, Fault)]) -> History {
+pub(crate) fn play(seed: u64, until: Time, script: &[(Time, Fault)]) -> History {
     let mut fleet = Fleet::new(seed, until);
-    script.iter().for_each(|(at, fault)| fleet.at(*at, Happening::Fault(*fault)));
+    for (at, fault) in script {
+        fleet.at(*at, Happening::Fault(*fault));
+    }
     fleet.run();
     // The recording goes on until everybody's time is over.
     fleet.tape.tell(fleet.until + AFTER, "p0", false, &[]);
@@ -104,7 +106,7 @@
 }
 
 /// Faults drawn from a seed: each kind may come at any time, several at once.
-pub fn script(seed: u64, until: Time) -> Vec<(Time, Fault)> {
+pub(crate) fn script(seed: u64, until: Time) -> Vec<(Time, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0xfa17);
     let mut draw = |_| {
         let at = rng.gen_range(300.0..until * 0.8);
@@ -298,9 +300,10 @@
             _ => 0.5,
         };
         here.busy.push(now + time);
-        match call.until - now < time {
-            true => self.at((call.until - now).max(0.0), Happening::Ends(call, Outcome::Timeout)),
-            false => self.at(time, Happening::Ends(call, outcome)),
+        if call.until - now < time {
+            self.at((call.until - now).max(0.0), Happening::Ends(call, Outcome::Timeout))
+        } else {
+            self.at(time, Happening::Ends(call, outcome))
         }
     }
 
@@ -319,9 +322,9 @@
             Outcome::Ok if !last => {
                 last = true;
                 let (key, _, missed) = proxy.open.remove(&call.id).unwrap_or_default();
-                missed.iter().for_each(|server| {
+                for server in &missed {
                     self.here(*server).keys.insert(key);
-                });
+                }
                 self.tape.answer(self.now, &request(call.proxy, call.id), Answer::Served(value));
             }
             _ => {}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,23 +1,23 @@
 //! A small hand-driven world for one balancer.
 #![allow(dead_code)]
 
-pub mod fleet;
-pub mod recorded_events;
+pub(crate) mod fleet;
+pub(crate) mod recorded_events;
 
 use pinetrail::interface::*;
 use pinetrail::logic::Balancer;
 use pinetrail::settings::Settings;
 
-pub const ORIGIN: ServerId = 1000;
-pub const SAFE: u8 = 0;
-pub const KEYED_ALL: u8 = 1;
-pub const KEYED_ZONE: u8 = 2;
-pub const KEYED_CELL: u8 = 3;
-pub const UNSAFE: u8 = 4;
+pub(crate) const ORIGIN: ServerId = 1000;
+pub(crate) const SAFE: u8 = 0;
+pub(crate) const KEYED_ALL: u8 = 1;
+pub(crate) const KEYED_ZONE: u8 = 2;
+pub(crate) const KEYED_CELL: u8 = 3;
+pub(crate) const UNSAFE: u8 = 4;
 /// Their names, by their numbers.
-pub const CLASSES: [&str; 5] = ["safe", "keyed all", "keyed zone", "keyed cell", "unsafe"];
+pub(crate) const CLASSES: [&str; 5] = ["safe", "keyed all", "keyed zone", "keyed cell", "unsafe"];
 
-pub fn settings_json(aside: bool) -> String {
+pub(crate) fn settings_json(aside: bool) -> String {
     let class = |effect: &str, scope: &str| {
         format!(
             r#"{{"Aim":400.0,"GiveUp":1000.0,"Worth":1.0,"Semantics":"{effect}","DedupScope":"{scope}","RepeatWindow":300.0}}"#
@@ -38,7 +38,7 @@
     )
 }
 
-pub fn member(server: ServerId) -> Member {
+pub(crate) fn member(server: ServerId) -> Member {
     Member {
         server,
         zone: (server % 2) as u16,
@@ -50,18 +50,18 @@
     }
 }
 
-pub fn read(id: RequestId, key: Key) -> Request {
+pub(crate) fn read(id: RequestId, key: Key) -> Request {
     Request { id, class: SAFE, tenant: 0, key, budget: 800.0, hint: Some(10.0), repeat: false, write: false }
 }
 
-pub struct World {
+pub(crate) struct World {
     pub balancer: Balancer,
     pub now: Time,
 }
 
 impl World {
     /// A world with servers 1 to `servers` and, in aside mode, an origin.
-    pub fn new(aside: bool, servers: u32) -> World {
+    pub(crate) fn new(aside: bool, servers: u32) -> World {
         let settings = Settings::from_json(settings_json(aside).as_bytes()).expect("the settings are legal");
         let mut world = World { balancer: Balancer::new(settings, 7), now: 100_000.0 };
         let mut list: Vec<Member> = (1..=servers).map(member).collect();
@@ -73,12 +73,12 @@
     }
 
     /// One of 200 proxies, without an origin.
-    pub fn numbered(number: u32, servers: u32) -> World {
+    pub(crate) fn numbered(number: u32, servers: u32) -> World {
         World::numbered_with(number, servers, |json| json)
     }
 
     /// The same with its settings changed.
-    pub fn numbered_with(number: u32, servers: u32, change: impl Fn(String) -> String) -> World {
+    pub(crate) fn numbered_with(number: u32, servers: u32, change: impl Fn(String) -> String) -> World {
         let json = change(
             settings_json(false)
                 .replace(r#""GroupSize":3"#, &format!(r#""GroupSize":200,"MyNumber":{number}"#)),
@@ -90,25 +90,31 @@
     }
 
     /// Serves many keys once each, so that no key counts as a large share of the traffic.
-    pub fn learns_that_keys_are_many(&mut self) {
+    pub(crate) fn learns_that_keys_are_many(&mut self) {
         (800_000..800_200).for_each(|id| assert_ne!(self.served(id, id), 0));
     }
 
-    pub fn event(&mut self, event: Event) -> Vec<Action> {
+    pub(crate) fn event(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.balancer.handle(self.now, event, &mut out);
         out
     }
 
-    pub fn request(&mut self, request: Request) -> Vec<Action> {
+    pub(crate) fn request(&mut self, request: Request) -> Vec<Action> {
         self.event(Event::Request(request))
     }
 
-    pub fn end(&mut self, id: RequestId, attempt: u8, server: ServerId, outcome: Outcome) -> Vec<Action> {
+    pub(crate) fn end(
+        &mut self,
+        id: RequestId,
+        attempt: u8,
+        server: ServerId,
+        outcome: Outcome,
+    ) -> Vec<Action> {
         self.end_after(id, attempt, server, outcome, 10.0)
     }
 
-    pub fn end_after(
+    pub(crate) fn end_after(
         &mut self,
         id: RequestId,
         attempt: u8,
@@ -129,7 +135,7 @@
     }
 
     /// Fires the deadline timer of a request, found among the actions that its arrival caused.
-    pub fn deadline(&mut self, arrival: &[Action]) -> Vec<Action> {
+    pub(crate) fn deadline(&mut self, arrival: &[Action]) -> Vec<Action> {
         let longest = arrival
             .iter()
             .filter_map(|a| match a {
@@ -143,24 +149,24 @@
     }
 
     /// Sends a read of `key` that is served at once; the server that took it.
-    pub fn served(&mut self, id: RequestId, key: Key) -> ServerId {
+    pub(crate) fn served(&mut self, id: RequestId, key: Key) -> ServerId {
         let server = sent(&self.request(read(id, key))).expect("the read is sent").1;
         self.end(id, 0, server, Outcome::Ok);
         server
     }
 }
 
-pub fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
+pub(crate) fn sends(actions: &[Action]) -> Vec<(RequestId, ServerId)> {
     actions
         .iter()
         .filter_map(|a| if let Action::Send(id, server, ..) = a { Some((*id, *server)) } else { None })
         .collect()
 }
 
-pub fn sent(actions: &[Action]) -> Option<(RequestId, ServerId)> {
+pub(crate) fn sent(actions: &[Action]) -> Option<(RequestId, ServerId)> {
     sends(actions).first().copied()
 }
 
-pub fn finals(actions: &[Action]) -> Vec<&Action> {
+pub(crate) fn finals(actions: &[Action]) -> Vec<&Action> {
     actions.iter().filter(|a| matches!(a, Action::Refuse(..) | Action::Fail(_))).collect()
 }
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -8,18 +8,18 @@
 /// Events, in the order in which they were seen. Of a call nothing is seen where no connection came about: its
 /// place is kept until its end is known.
 #[derive(Default)]
-pub struct Tape {
+pub(crate) struct Tape {
     events: Vec<Option<(Time, HistoryEvent)>>,
     calls: Vec<(usize, Option<(Time, HistoryEvent)>)>,
 }
 
 impl Tape {
-    pub fn write(&mut self, at: Time, seen: HistoryEvent) {
+    pub(crate) fn write(&mut self, at: Time, seen: HistoryEvent) {
         self.events.push(Some((at, seen)));
     }
 
     /// A call is made; its number.
-    pub fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
+    pub(crate) fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
         let call = self.calls.len() as u64;
         let (proxy, request) = (proxy.to_owned(), request.to_owned());
         let received = HistoryEvent::Received { proxy, request, call, place: place(server), first: at, work };
@@ -29,7 +29,7 @@
     }
 
     /// A call has ended.
-    pub fn close(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
+    pub(crate) fn close(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
         let (place, received) = &mut self.calls[call as usize];
         let end = match outcome {
             Outcome::ConnectFailed | Outcome::Moot => return *received = None,
@@ -43,17 +43,17 @@
         self.write(at, HistoryEvent::Closed { call, end });
     }
 
-    pub fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
+    pub(crate) fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
         let nodes = members.iter().map(node).collect();
         self.write(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
     }
 
-    pub fn answer(&mut self, at: Time, request: &str, answer: seen::Answer) {
+    pub(crate) fn answer(&mut self, at: Time, request: &str, answer: seen::Answer) {
         self.write(at, HistoryEvent::Answered { request: request.to_owned(), answer });
     }
 
     /// All that was seen, by time.
-    pub fn history(mut self) -> History {
+    pub(crate) fn history(mut self) -> History {
         for (place, received) in &mut self.calls {
             if let Some(received) = received.take() {
                 self.events[*place] = Some(received);
@@ -65,7 +65,7 @@
     }
 }
 
-pub fn place(server: ServerId) -> String {
+pub(crate) fn place(server: ServerId) -> String {
     format!("n{server}")
 }
 
@@ -85,7 +85,7 @@
 }
 
 /// The figures that [`settings_json`] states, read from it anew.
-pub fn figures() -> Figures {
+pub(crate) fn figures() -> Figures {
     let settings: serde_json::Value = serde_json::from_str(&settings_json(true)).unwrap();
     let figure = |group: &str, name: &str| settings[group][name].as_f64().unwrap();
     let effects = [
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -117,8 +117,12 @@
 #[test]
 fn all_that_restart_at_once_find_each_other_by_their_peers() {
     let mut fleet = met(Options::of(5));
-    ALL.iter().for_each(|member| fleet.kill(*member));
-    ALL.iter().for_each(|member| fleet.start(*member));
+    for member in &ALL {
+        fleet.kill(*member);
+    }
+    for member in &ALL {
+        fleet.start(*member);
+    }
     fleet.until("they meet", |fleet| fleet.agree(&ALL));
 }
 
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -10,12 +10,12 @@
 use std::time::Instant;
 
 /// Members with one policy, of which the first ones found.
-pub fn governed(members: usize, founders: usize) -> Fleet {
+pub(crate) fn governed(members: usize, founders: usize) -> Fleet {
     let options = Options { founders: (0..founders).collect(), policy: true, ..Options::of(members) };
     Fleet::start_all(options, nodes(), origin())
 }
 
-pub fn has(fleet: &Fleet, members: &[usize], version: u64) -> bool {
+pub(crate) fn has(fleet: &Fleet, members: &[usize], version: u64) -> bool {
     members.iter().all(|member| standing(fleet, *member) == (version, "steady".to_owned()))
 }
 
@@ -263,9 +263,10 @@
     for lost in [true, false] {
         fleet.kill(1);
         let file = fleet.state_dir(1).join("rulebook");
-        match lost {
-            true => std::fs::remove_dir_all(fleet.state_dir(1)).unwrap(),
-            false => std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap(),
+        if lost {
+            std::fs::remove_dir_all(fleet.state_dir(1)).unwrap()
+        } else {
+            std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap()
         }
         fleet.start(1);
         fleet.until("it votes", |fleet| fleet.timeline.said("n1", "this founder votes", 0).is_some());
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -96,9 +96,13 @@
 #[test]
 fn all_that_restart_found_the_fleet_anew_though_one_stays_away() {
     let mut fleet = all_share(5);
-    ALL.iter().for_each(|member| fleet.kill(*member));
+    for member in &ALL {
+        fleet.kill(*member);
+    }
     let back = [0, 1, 2, 4];
-    back.iter().for_each(|member| fleet.start(*member));
+    for member in &back {
+        fleet.start(*member);
+    }
     assert!(
         shares(&fleet, &back).iter().all(|share| *share <= 0.5 / 6.0 + EPSILON),
         "no lease outlives its process"
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -5,9 +5,12 @@
 
 /// A cache node that holds the keys that do not begin with `absent`.
 fn node() -> StubServer {
-    StubServer::node(|line| match line.starts_with("mg absent") {
-        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
-        false => StubAction::Says(format!("VA 5 {} h1\r\nhello\r\n", opaque(line))),
+    StubServer::node(|line| {
+        if line.starts_with("mg absent") {
+            StubAction::Says(format!("EN {}\r\n", opaque(line)))
+        } else {
+            StubAction::Says(format!("VA 5 {} h1\r\nhello\r\n", opaque(line)))
+        }
     })
 }
 
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -8,7 +8,7 @@
 use std::sync::Mutex;
 
 /// The whole answer of a door to these bytes.
-pub fn whole_answer(door: SocketAddr, words: &str) -> String {
+pub(crate) fn whole_answer(door: SocketAddr, words: &str) -> String {
     let mut client = Client::to(door);
     client.say(words);
     let mut answer = String::new();
@@ -17,7 +17,7 @@
 }
 
 /// A request of this line, without a body.
-pub fn request(line: &str) -> String {
+pub(crate) fn request(line: &str) -> String {
     format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n")
 }
 
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -31,10 +31,7 @@
     for member in 0..fleet.options.members {
         steady = steady.replace(&fleet.hub(member).to_string(), &format!("ADDRESS-{member}"));
     }
-    let head = match steady == text {
-        true => head.to_owned(),
-        false => without_number(head, "Content-Length: ", "N"),
-    };
+    let head = if steady == text { head.to_owned() } else { without_number(head, "Content-Length: ", "N") };
     escaped(&format!("{head}\r\n\r\n{steady}"))
 }
 
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -19,9 +19,12 @@
 
 #[test]
 fn calls_to_a_cache_node_and_the_origin_are_as_recorded() {
-    let node = StubServer::node(|line| match line.starts_with("mg absent") {
-        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
-        false => StubAction::Says(format!("VA 1 {} h1\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| {
+        if line.starts_with("mg absent") {
+            StubAction::Says(format!("EN {}\r\n", opaque(line)))
+        } else {
+            StubAction::Says(format!("VA 1 {} h1\r\nv\r\n", opaque(line)))
+        }
     });
     let origin = origin();
     let scene = ProxyFixture::of(&[&node], &origin);
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -47,7 +47,9 @@
     let run = |path: Option<&str>| {
         let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail"));
         command.env_remove("LB_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
-        path.into_iter().for_each(|path| _ = command.env("LB_CONFIG", path));
+        if let Some(path) = path {
+            _ = command.env("LB_CONFIG", path);
+        }
         command.spawn().expect("the program starts")
     };
     let mut said = shown("LB_CONFIG unset", run(None));
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -86,7 +86,9 @@
     }
     assert_eq!(overdue.len(), 15);
     world.now += 200.0;
-    overdue.into_iter().for_each(|token| drop(world.event(Event::Timer(token))));
+    for token in overdue {
+        drop(world.event(Event::Timer(token)));
+    }
     let let_in = (100..300).filter(|id| finals(&world.request(read(*id, *id))).is_empty()).count();
     assert!(let_in < 40, "{let_in} of 200");
 }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -163,9 +163,10 @@
         let mut short = without(&history, answered);
         short.events.retain(|event| about(&event.1) && event.0 <= at);
         let ended = with(&short, at, HistoryEvent::Ended { proxy: proxy.clone(), how });
-        match lost {
-            true => refused(&ended, Reason::Lost, &id),
-            false => kept(&ended),
+        if lost {
+            refused(&ended, Reason::Lost, &id)
+        } else {
+            kept(&ended)
         }
     }
 }
@@ -261,9 +262,10 @@
         for (at, harmless) in [(first + window, in_time), (first + window + 0.001, late)] {
             let refusal = HistoryEvent::Answered { request: id.clone(), answer: Answer::Refused };
             let changed = with(&without(&history, answered), at, refusal);
-            match harmless {
-                true => kept(&changed),
-                false => refused(&changed, Reason::Refused, &id),
+            if harmless {
+                kept(&changed)
+            } else {
+                refused(&changed, Reason::Refused, &id)
             }
         }
         // What was turned away never ran: then every class may be refused.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -117,7 +117,9 @@
             let now = self.world.now;
             let due: Vec<u64> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
             self.timers.retain(|t| t.0 > now);
-            due.into_iter().for_each(|token| self.feed(Event::Timer(token)));
+            for token in due {
+                self.feed(Event::Timer(token));
+            }
         }
     }
 
@@ -201,7 +203,9 @@
     let steps = prop::collection::vec(step(), 1..150);
     let result = runner.run(&steps, |steps| {
         let mut player = Player::new();
-        steps.iter().for_each(|step| player.play(step));
+        for step in &steps {
+            player.play(step);
+        }
         player.wait(1000.0);
         // The recording goes on until everybody's time is over.
         player.tape.tell(player.world.now, PROXY, false, &[]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -259,7 +259,9 @@
         let fetch = world.end(id, 0, server, Outcome::Miss);
         all += 1;
         from_cold += usize::from(server == 9);
-        sends(&fetch).iter().for_each(|(id, to)| drop(world.end(*id, 1, *to, Outcome::Ok)));
+        for (id, to) in sends(&fetch).iter() {
+            drop(world.end(*id, 1, *to, Outcome::Ok));
+        }
     }
     assert!(all > 100 && from_cold * 10 < all, "{from_cold} of {all}");
 }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -144,7 +144,9 @@
         })
         .collect();
     scene.until("all are out", || node.heard().len() == 8);
-    ["HUP", "HUP", "TERM", "HUP", "USR1", "TERM", "HUP"].iter().for_each(|name| scene.signal(name));
+    for name in ["HUP", "HUP", "TERM", "HUP", "USR1", "TERM", "HUP"].iter() {
+        scene.signal(name);
+    }
     assert!(clients.into_iter().all(|client| client.join().unwrap().starts_with("VA ")));
     let output = scene.end();
     assert!(output.status.success(), "{output:?}");
@@ -197,7 +199,9 @@
         tell.send(catalog(generation, false, &[changes])).unwrap();
         scene.signal("HUP");
     }
-    clients.into_iter().for_each(|client| client.join().unwrap());
+    for client in clients {
+        client.join().unwrap();
+    }
     Recorder::own().check();
     let history = Recorder::own().history();
     let last =
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -34,7 +34,9 @@
             assert!(room.iter().all(|byte| *byte == b'x'));
         }
     }
-    clients.iter_mut().for_each(|client| assert_eq!(client.line(), "\r\n"));
+    for client in &mut clients {
+        assert_eq!(client.line(), "\r\n");
+    }
     assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
     assert_eq!((scene.count("values_flowed"), node.heard().len()), (12, 12), "none is asked for twice");
 }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -113,9 +113,12 @@
     let long = |start: &str| format!("{start}{}", "x".repeat(400_000 - start.len()));
     let (of_node, of_origin) = (long("node"), long("origin"));
     let (said, told) = (of_node.clone(), of_origin.clone());
-    let node = StubServer::node(move |line| match line.contains("missing") {
-        true => StubAction::Says(format!("EN {}\r\n", opaque(line))),
-        false => StubAction::Says(format!("VA {} {}\r\n{said}\r\n", said.len(), opaque(line))),
+    let node = StubServer::node(move |line| {
+        if line.contains("missing") {
+            StubAction::Says(format!("EN {}\r\n", opaque(line)))
+        } else {
+            StubAction::Says(format!("VA {} {}\r\n{said}\r\n", said.len(), opaque(line)))
+        }
     });
     let origin = StubServer::origin(move |_| http_200(&told));
     let scene = ProxyFixture::of(&[&node], &origin);
@@ -161,9 +164,10 @@
     for n in 0..300 {
         // 300 at once are more than the module lets out: a rejection is an answer as well.
         let line = client.line();
-        match line.starts_with("VA ") {
-            true => assert_eq!((line, client.line()), (format!("VA 1 O{n}\r\n"), "v\r\n".into())),
-            false => assert!(line.starts_with("SERVER_ERROR busy "), "{line}"),
+        if line.starts_with("VA ") {
+            assert_eq!((line, client.line()), (format!("VA 1 O{n}\r\n"), "v\r\n".into()))
+        } else {
+            assert!(line.starts_with("SERVER_ERROR busy "), "{line}")
         }
         assert_eq!(client.line(), "MN\r\n");
     }
@@ -255,9 +259,12 @@
 /// against one that the node is about to close for its age.
 #[test]
 fn warm_connections_are_used_again_until_they_break_or_grow_old() {
-    let node = StubServer::node(|line| match line.starts_with("mg bye ") {
-        true => StubAction::Breaks,
-        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| {
+        if line.starts_with("mg bye ") {
+            StubAction::Breaks
+        } else {
+            StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        }
     });
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
@@ -725,9 +732,12 @@
 /// they use the connections that they have.
 #[test]
 fn held_connections_are_served_on_until_shortly_before_the_kill() {
-    let node = StubServer::node(|line| match line.contains("slow") {
-        true => StubAction::Nothing,
-        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| {
+        if line.contains("slow") {
+            StubAction::Nothing
+        } else {
+            StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        }
     });
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -68,7 +68,9 @@
     }
     assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
     // Nobody reads what the flood is answered: it ends as those connections are closed.
-    flood.into_iter().for_each(|flood| assert!(flood.join().unwrap() > 0));
+    for flood in flood {
+        assert!(flood.join().unwrap() > 0);
+    }
 }
 
 /// Guards against a process that says that it takes clients while it stops.
@@ -175,7 +177,9 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let (mut busy, mut used) = (scene.client(), scene.client());
     let mut idle: Vec<Client> = (0..20).map(|_| scene.client()).collect();
-    idle.iter_mut().for_each(|client| assert_eq!(client.ask("mn\r\n"), "MN\r\n"));
+    for client in &mut idle {
+        assert_eq!(client.ask("mn\r\n"), "MN\r\n");
+    }
     assert_eq!(used.read("k", "1", 900).1, "v\r\n");
     busy.say("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.heard().len() == 2);
@@ -209,9 +213,12 @@
 /// Guards against settings put in force in part, and against an open invocation that a reload reaches.
 #[test]
 fn new_settings_bind_at_once_and_spare_what_is_open() {
-    let node = StubServer::node(|line| match line.contains("slow") {
-        true => StubAction::Nothing,
-        false => StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line))),
+    let node = StubServer::node(|line| {
+        if line.contains("slow") {
+            StubAction::Nothing
+        } else {
+            StubAction::Says(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        }
     });
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -55,7 +55,9 @@
     let mut asked = node.accept().expect("it is sent");
     let command = asked.request(false).expect("whole");
     let begun = Instant::now();
-    ["TERM", "HUP", "TERM", "USR1"].into_iter().for_each(|name| scene.signal(name));
+    for name in ["TERM", "HUP", "TERM", "USR1"] {
+        scene.signal(name);
+    }
     assert!(asked.say(&value(&command, "v")));
     assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     drop((client, asked));
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -59,7 +59,9 @@
     assert_eq!(asks.read("k", "1", 900).1, "v\r\n");
     // More than there are descriptors; those beyond wait to be accepted.
     let mut idle: Vec<Client> = (0..100).map(|_| scene.client()).collect();
-    idle.iter_mut().for_each(|client| client.say("mn\r\n"));
+    for client in &mut idle {
+        client.say("mn\r\n");
+    }
     let back = TcpListener::bind(&down).unwrap();
     let begun = Instant::now();
     back.set_nonblocking(true).unwrap();
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -103,7 +103,9 @@
         Action::Timer(500.0, 0x4d),
         Action::Subscribe,
     ];
-    actions.iter().for_each(|action| reply.push(3, action));
+    for action in &actions {
+        reply.push(3, action);
+    }
     reply.fault(3, "c");
     let body = hex("09 00000003 0000000000000011 00000009 4054000000000000
         07 00000003 0000000000000011 406f400000000000
