Let configuration types live below those who use them: config no longer imports drivers

FleetConfig, QuotaConfig and PolicyConfig move from the drivers in net/fleet and net/policy to net/config. The circle of imports from config over fleet, policy and dispatcher back to config is gone; admin with lifecycle is the last one. Ruled out: re-exports at the old places, which would keep two names for each.

--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -1,12 +1,51 @@
 //! What the `fleet` object of the configuration says, in the form of the core.
 
+use super::policy::PolicyConfig;
 use super::{address, ConfigError};
-use crate::net::fleet::{FleetConfig, QuotaConfig};
 use pinetrail_membership::{Settings, Timing};
 use pinetrail_quota as shares;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// What it is told of shares, if anything.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuotaConfig {
+    /// For the core.
+    pub settings: pinetrail_quota::Settings,
+    /// Calls in flight of all together, at one node and at the origin; infinite if not told.
+    pub whole: [f64; 2],
+}
+
+/// What a fleet's member is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetConfig {
+    /// Where its socket is.
+    pub bind: SocketAddr,
+    /// What others are told instead, if anything.
+    pub advertise: Option<SocketAddr>,
+    /// The rest; its `advertise` counts once the socket is open.
+    pub settings: Settings,
+    /// Of shares; without it the share is one of `GroupSize`.
+    pub quota: Option<QuotaConfig>,
+    /// Of the common policy, if there is one.
+    pub policy: Option<PolicyConfig>,
+}
+
+impl FleetConfig {
+    /// The same with the peers of a newer one, if there is one.
+    pub fn with_peers_of(mut self, newer: Option<FleetConfig>) -> FleetConfig {
+        if let Some(newer) = newer {
+            self.settings.peers = newer.settings.peers;
+        }
+        self
+    }
+
+    /// The settings of a member whose socket is here.
+    pub(crate) fn at(&self, bound: SocketAddr) -> Settings {
+        Settings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct FleetFile {
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -8,9 +8,10 @@
 mod rules;
 
 use super::descriptors::{DOOR as DOOR_SOCKETS, FLEET as FLEET_SOCKETS};
-use super::fleet::FleetConfig;
+
 use crate::settings::Settings;
-pub use policy::nearest;
+pub use fleet::{FleetConfig, QuotaConfig};
+pub use policy::{nearest, PolicyConfig};
 pub use rules::Rules;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -299,9 +300,7 @@
                 (MIN_SOCKETS + DOOR_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
             }
         };
-        let links = fleet
-            .as_ref()
-            .map_or(0, |fleet| fleet.policy.as_ref().map_or(0, super::policy::PolicyConfig::sockets));
+        let links = fleet.as_ref().map_or(0, |fleet| fleet.policy.as_ref().map_or(0, PolicyConfig::sockets));
         let (least, wanted) = match links {
             0 => (least, wanted),
             links => (least + links, "enough beside two for each of fleet.size, for links"),
@@ -339,7 +338,7 @@
     }
 
     /// What it says of the fleet's common policy, if anything.
-    pub fn policy(&self) -> Option<&super::policy::PolicyConfig> {
+    pub fn policy(&self) -> Option<&PolicyConfig> {
         self.fleet.as_ref()?.policy.as_ref()
     }
 
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -1,7 +1,6 @@
 //! What `fleet.policy` says: how proxies of a fleet agree on one policy.
 
 use super::{address, ConfigError};
-use crate::net::policy::PolicyConfig;
 use pinetrail_policy_consensus::{LeaseExpiryMode, Timing, VoterSet};
 use serde::Deserialize;
 use serde_json::Value;
@@ -30,6 +29,42 @@
 const LONGEST_HOLD_MS: u64 = 1000;
 const CATCH_UP_MS: u64 = 10_000;
 
+/// What it is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PolicyConfig {
+    /// Where links come in.
+    pub bind: SocketAddr,
+    /// Where others reach that.
+    pub advertise: SocketAddr,
+    /// Where a founder keeps what it votes for.
+    pub state_dir: Option<PathBuf>,
+    /// Within which times what is done.
+    pub times: Timing,
+    /// How long a request waits for a change's moment at the most.
+    pub hold: Duration,
+    /// After so long without a permit the log says why this process is not ready.
+    pub catch_up: Duration,
+    /// What is done once the permit has ended.
+    pub when_cut: LeaseExpiryMode,
+    /// Whether SIGHUP puts settings of the file in force.
+    pub local: bool,
+    /// After so long a process that drifted puts the approved version in force again by itself, if it is to.
+    pub restore_after: Option<Duration>,
+    /// How many found.
+    pub seats: VoterSet,
+    /// The seat of this proxy, if it founds.
+    pub seat: Option<u8>,
+    /// The most processes that are linked.
+    pub links: usize,
+}
+
+impl PolicyConfig {
+    /// How many descriptors it takes: links each way while one takes another's place, the listener, the poller, files.
+    pub fn sockets(&self) -> usize {
+        2 * self.links + 8
+    }
+}
+
 #[derive(Deserialize)]
 struct PolicyFile {
     bind: String,
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -4,7 +4,7 @@
 
 use super::quota::{QuotaDriver, Seen};
 use super::report::{names, report, sum, words};
-use super::QuotaConfig;
+use crate::net::config::QuotaConfig;
 use pinetrail_membership::{
     MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
     Timing,
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -6,12 +6,12 @@
 mod quota;
 mod report;
 
+use super::config::FleetConfig;
 use super::deadline_stream::sleep;
 use super::log::log;
-use super::policy::PolicyConfig;
 use super::{counters, timer};
 use may::io::{CoIo, WaitIo};
-use pinetrail_membership::{Membership, MembershipCounters, Output, Settings, State, Time, MAX_DATAGRAM};
+use pinetrail_membership::{Membership, MembershipCounters, Output, State, Time, MAX_DATAGRAM};
 use quota::{QuotaDriver, Seen};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
@@ -29,45 +29,6 @@
 /// After so many of them the log says that it is not open.
 const OPEN_TRIES: usize = 250;
 
-/// What it is told of shares, if anything.
-#[derive(Clone, Debug, PartialEq)]
-pub struct QuotaConfig {
-    /// For the core.
-    pub settings: pinetrail_quota::Settings,
-    /// Calls in flight of all together, at one node and at the origin; infinite if not told.
-    pub whole: [f64; 2],
-}
-
-/// What a fleet's member is told at its start.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetConfig {
-    /// Where its socket is.
-    pub bind: SocketAddr,
-    /// What others are told instead, if anything.
-    pub advertise: Option<SocketAddr>,
-    /// The rest; its `advertise` counts once the socket is open.
-    pub settings: Settings,
-    /// Of shares; without it the share is one of `GroupSize`.
-    pub quota: Option<QuotaConfig>,
-    /// Of the common policy, if there is one.
-    pub policy: Option<PolicyConfig>,
-}
-
-impl FleetConfig {
-    /// The same with the peers of a newer one, if there is one.
-    pub fn with_peers_of(mut self, newer: Option<FleetConfig>) -> FleetConfig {
-        if let Some(newer) = newer {
-            self.settings.peers = newer.settings.peers;
-        }
-        self
-    }
-
-    /// The settings of a member whose socket is here.
-    fn at(&self, bound: SocketAddr) -> Settings {
-        Settings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
-    }
-}
-
 /// A member that speaks: its socket and what it believes.
 struct ActiveMember {
     /// Which one it is: each time that this process begins to speak is another.
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -1,7 +1,7 @@
 //! The shares of a member that speaks: between the core of shares, the members that carry its words, and the decision
 //! module, which is told each time that its share changes.
 
-use super::QuotaConfig;
+use crate::net::config::QuotaConfig;
 use crate::net::log::log;
 use pinetrail_membership::{Membership, Output as RawMemberId, Time};
 use pinetrail_quota::{
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -1,7 +1,7 @@
 //! Who is linked where. Members of the fleet tell each other by datagrams; of two processes the one with the lower name dials. A
 //! process that does not speak in the fleet (it is being upgraded, or is the newcomer) dials all that it knows, and holds no seat.
 
-use super::PolicyConfig;
+use crate::net::config::PolicyConfig;
 use crate::net::dispatcher::PeerAddress;
 use crate::net::fleet::{Fleet, LivePeer};
 use crate::net::log::log;
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -11,6 +11,7 @@
 mod text;
 
 use super::backend::BackendService;
+use super::config::PolicyConfig;
 use super::dispatcher::{Dispatcher, PeerAddress};
 use super::fleet::Fleet;
 use super::log::log;
@@ -18,13 +19,8 @@
 use directory::Directory;
 use drift::Drift;
 use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes};
-use pinetrail_policy_consensus::{
-    AdmissionLease, ConsensusNode, ConsensusStatus, LeaseExpiryMode, PolicyApplier, Settings, Timing,
-    VoterSet,
-};
+use pinetrail_policy_consensus::{AdmissionLease, ConsensusNode, ConsensusStatus, PolicyApplier, Settings};
 use serde_json::Value;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
 use std::thread;
@@ -36,42 +32,6 @@
 /// While a process catches up it looks so often whether it has.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
-/// What it is told.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PolicyConfig {
-    /// Where links come in.
-    pub bind: SocketAddr,
-    /// Where others reach that.
-    pub advertise: SocketAddr,
-    /// Where a founder keeps what it votes for.
-    pub state_dir: Option<PathBuf>,
-    /// Within which times what is done.
-    pub times: Timing,
-    /// How long a request waits for a change's moment at the most.
-    pub hold: Duration,
-    /// After so long without a permit the log says why this process is not ready.
-    pub catch_up: Duration,
-    /// What is done once the permit has ended.
-    pub when_cut: LeaseExpiryMode,
-    /// Whether SIGHUP puts settings of the file in force.
-    pub local: bool,
-    /// After so long a process that drifted puts the approved version in force again by itself, if it is to.
-    pub restore_after: Option<Duration>,
-    /// How many found.
-    pub seats: VoterSet,
-    /// The seat of this proxy, if it founds.
-    pub seat: Option<u8>,
-    /// The most processes that are linked.
-    pub links: usize,
-}
-
-impl PolicyConfig {
-    /// How many descriptors it takes: links each way while one takes another's place, the listener, the poller, files.
-    pub fn sockets(&self) -> usize {
-        2 * self.links + 8
-    }
-}
-
 /// This process's part in the fleet's policy.
 pub struct Policy {
     config: PolicyConfig,
