--- a/crates/quota/src/golden_tests.rs
+++ b/crates/quota/src/golden_tests.rs
@@ -1,11 +1,11 @@
-//! The bytes in which processes tell each other of shares, recorded from the program before names
-//! in it were changed. They must not change: processes of different versions talk to each other, so
-//! a new version must write what an old one reads, and read what an old one writes. Each message
-//! begins with a digest of the settings, which must not change either: who has another one is not
-//! heard. A test that fails here says that the program has changed its format; the recorded bytes
-//! are not to be adapted.
-
-use crate::message::{LeaseGrant, LeaseRequest, VoteRequest, VoteResponse};
+//! The bytes of messages about the quota, recorded from the program before names in it were changed.
+//! They must not change: processes of different versions talk to each other, so a new version must
+//! write what an old one reads, and read what an old one writes. Each message begins with a digest
+//! of the settings, which must not change either: messages with another one are rejected. A test
+//! that fails here says that the program has changed its format; the recorded bytes are not to be
+//! adapted.
+
+use crate::message::{AcceptedView, LeaseGrant, LeaseRequest, VoteRequest, VoteResponse};
 use crate::{decode, encode, Ballot, Message, Process, Settings, View};
 use std::net::SocketAddr;
 
@@ -25,18 +25,18 @@
     assert_eq!(decode(&settings(), &bytes(recorded)).as_ref(), Ok(value), "decoding of {recorded}");
 }
 
-fn place(host: u8) -> SocketAddr {
+fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7946))
 }
 
-fn place_v6() -> SocketAddr {
+fn address_v6() -> SocketAddr {
     SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535))
 }
 
 /// Every field has a value of its own, so that an exchange of two fields changes the digest.
 fn settings() -> Settings {
     Settings {
-        founders: vec![place(1), place(2), place_v6()],
+        founders: vec![address(1), address(2), address_v6()],
         size: 40,
         period: 300,
         vote: 1200,
@@ -48,49 +48,57 @@
 }
 
 fn process(host: u8) -> Process {
-    Process { address: place(host), start: 1_700_000_000_000_000 + u64::from(host) }
+    Process { address: address(host), start: 1_700_000_000_000_000 + u64::from(host) }
 }
 
 fn ballot(round: u64, host: u8) -> Ballot {
-    Ballot { round, who: process(host) }
+    Ballot { round, proposer: process(host) }
 }
 
 fn view(number: u64) -> View {
-    let v6 = Process { address: place_v6(), start: 9 };
+    let v6 = Process { address: address_v6(), start: 9 };
     View { ballot: ballot(number + 100, 1), number, voters: vec![process(1), process(2), v6] }
 }
 
-fn ask(view: Option<View>, next: Option<View>) -> Message {
-    let (founds, in_office) = (view.is_none(), view.is_some());
-    let ask = VoteRequest { ballot: ballot(3, 1), at: 123_456, founds, in_office, view, next };
-    Message::VoteRequest(Box::new(ask))
+fn vote_request(view: Option<View>, proposed_view: Option<View>) -> Message {
+    let founding = view.is_none();
+    let is_leader = view.is_some();
+    let request =
+        VoteRequest { ballot: ballot(3, 1), sent_at: 123_456, founding, is_leader, view, proposed_view };
+    Message::VoteRequest(Box::new(request))
 }
 
-fn bare_answer() -> VoteResponse {
+fn plain_vote_response() -> VoteResponse {
     VoteResponse {
         from: process(2),
         ballot: ballot(3, 1),
-        asked_at: 123_456,
-        yes: false,
-        takes: None,
-        pending: None,
-        promised: ballot(4, 2),
-        newer: None,
-        number: 17,
-        leaves: false,
-        want: LeaseRequest { at: 234_567, holds: 55_000_000, since: 345 },
+        request_sent_at: 123_456,
+        vote_granted: false,
+        accepts: None,
+        accepted: None,
+        highest_ballot: ballot(4, 2),
+        newer_view: None,
+        highest_view_number: 17,
+        leaving: false,
+        lease_request: LeaseRequest { sent_at: 234_567, held_parts: 55_000_000, held_since: 345 },
     }
 }
 
-fn answer(change: impl FnOnce(&mut VoteResponse)) -> Message {
-    let mut answer = bare_answer();
-    change(&mut answer);
-    Message::VoteResponse(Box::new(answer))
+fn vote_response(change: impl FnOnce(&mut VoteResponse)) -> Message {
+    let mut response = plain_vote_response();
+    change(&mut response);
+    Message::VoteResponse(Box::new(response))
 }
 
-fn grant() -> Message {
-    let (want_at, part, lasts, view) = (234_567, 12_500_000, 3000, 17);
-    Message::LeaseGrant(LeaseGrant { from: process(1), to: process(2), want_at, part, lasts, view })
+fn lease_grant() -> Message {
+    Message::LeaseGrant(LeaseGrant {
+        from: process(1),
+        to: process(2),
+        request_sent_at: 234_567,
+        parts: 12_500_000,
+        duration: 3000,
+        view_number: 17,
+    })
 }
 
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
@@ -110,27 +118,27 @@
 
 #[test]
 fn every_kind_of_message_has_recorded_bytes() {
-    for message in [ask(None, None), answer(|_| {}), grant()] {
+    for message in [vote_request(None, None), vote_response(|_| {}), lease_grant()] {
         assert_recorded(&message, recorded_plain(&message));
     }
 }
 
 #[test]
-fn a_request_for_votes_with_its_optional_views_has_recorded_bytes() {
+fn a_vote_request_with_its_optional_views_has_recorded_bytes() {
     assert_recorded(
-        &ask(Some(view(17)), None),
+        &vote_request(Some(view(17)), None),
         "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40700010175000a000001\
          8a3e8180f9c0c1c482031103000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0\
          c1c4820301fd000001000200030004000500060007ffff030900",
     );
     assert_recorded(
-        &ask(None, Some(view(18))),
+        &vote_request(None, Some(view(18))),
         "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c4070100000176000a0000\
          018a3e8180f9c0c1c482031203000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9\
          c0c1c4820301fd000001000200030004000500060007ffff0309",
     );
     assert_recorded(
-        &ask(Some(view(17)), Some(view(18))),
+        &vote_request(Some(view(17)), Some(view(18))),
         "b2c683eaf08f9ff4350003000a0000018a3e8180f9c0c1c48203c0c40700010175000a000001\
          8a3e8180f9c0c1c482031103000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0\
          c1c4820301fd000001000200030004000500060007ffff03090176000a0000018a3e8180f9c0\
@@ -140,18 +148,23 @@
 }
 
 #[test]
-fn an_answer_with_each_optional_field_has_recorded_bytes() {
-    let accepts = |answer: &mut VoteResponse| (answer.yes, answer.takes) = (true, Some(ballot(3, 1)));
-    let holds = |answer: &mut VoteResponse| answer.pending = Some((ballot(2, 2), view(18)));
-    let knows = |answer: &mut VoteResponse| answer.newer = Some(view(19));
+fn a_vote_response_with_each_optional_field_has_recorded_bytes() {
+    let accepts = |response: &mut VoteResponse| {
+        response.vote_granted = true;
+        response.accepts = Some(ballot(3, 1));
+    };
+    let has_accepted = |response: &mut VoteResponse| {
+        response.accepted = Some(AcceptedView { ballot: ballot(2, 2), view: view(18) });
+    };
+    let knows_newer = |response: &mut VoteResponse| response.newer_view = Some(view(19));
     assert_recorded(
-        &answer(accepts),
+        &vote_response(accepts),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c407010103000a0000018a3e8180f9c0c1c482030004000a0000028a3e8280f9c0c1\
          c48203001100c7a80ec0f79c1ad902",
     );
     assert_recorded(
-        &answer(holds),
+        &vote_response(has_accepted),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c40700000102000a0000028a3e8280f9c0c1c4820376000a0000018a3e8180f9c0c1\
          c482031203000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd00\
@@ -159,25 +172,25 @@
          a80ec0f79c1ad902",
     );
     assert_recorded(
-        &answer(knows),
+        &vote_response(knows_newer),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c40700000004000a0000028a3e8280f9c0c1c482030177000a0000018a3e8180f9c0\
          c1c482031303000a0000018a3e8180f9c0c1c48203000a0000028a3e8280f9c0c1c4820301fd\
          000001000200030004000500060007ffff03091100c7a80ec0f79c1ad902",
     );
     assert_recorded(
-        &answer(|answer| answer.leaves = true),
+        &vote_response(|response| response.leaving = true),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c40700000004000a0000028a3e8280f9c0c1c48203001101c7a80ec0f79c1ad902",
     );
-    let all = |answer: &mut VoteResponse| {
-        accepts(answer);
-        holds(answer);
-        knows(answer);
-        answer.leaves = true;
+    let all = |response: &mut VoteResponse| {
+        accepts(response);
+        has_accepted(response);
+        knows_newer(response);
+        response.leaving = true;
     };
     assert_recorded(
-        &answer(all),
+        &vote_response(all),
         "b2c683eaf08f9ff43501000a0000028a3e8280f9c0c1c4820303000a0000018a3e8180f9c0c1\
          c48203c0c407010103000a0000018a3e8180f9c0c1c482030102000a0000028a3e8280f9c0c1\
          c4820376000a0000018a3e8180f9c0c1c482031203000a0000018a3e8180f9c0c1c48203000a\
@@ -188,12 +201,12 @@
     );
 }
 
-/// Only processes with equal digests hear each other.
+/// Only processes with equal digests accept each other's messages.
 #[test]
 fn the_digest_of_settings_is_the_recorded_one() {
     assert_eq!(settings().check(), Ok(()));
     assert_eq!(hex(&settings().digest().to_be_bytes()), "35e87c7f0d40e332");
-    // How often a steward asks, and in how many steps a lease rises, is each process's own matter.
+    // How often a leader asks, and in how many steps a lease grows, is each process's own matter.
     let other = Settings { period: 250, steps: 9, ..settings() };
     assert_eq!(other.digest(), settings().digest());
 }
--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -1,7 +1,12 @@
-//! A process that is steward, or wants to be.
+//! [`LeaderTerm`]: a process that is the leader, or wants to be.
+//!
+//! It is the proposer of Paxos (Lamport 1998): it first asks a quorum for votes and for what they
+//! have accepted, then has a view decided that an earlier proposer may have left undecided. Votes
+//! end by themselves, as in PaxosLease (Trencseni, Gazso and Reinhardt 2012), and with them the
+//! term; the leader renews them by its heartbeats.
 
-use crate::ledger::Ledger;
-use crate::message::{VoteRequest, VoteResponse};
+use crate::ledger::LeaseLedger;
+use crate::message::{AcceptedView, VoteRequest, VoteResponse};
 use crate::settings::Settings;
 use crate::view::{Ballot, Process, View};
 use crate::voter::Voter;
@@ -9,211 +14,279 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// How far it has come.
+/// How far a candidate has come.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Phase {
     /// It asks for votes.
-    Asking,
-    /// It has them, and must have a view decided before it serves: one that it found under way, or the first.
-    Deciding,
-    /// It leases.
-    Serving { began: Time, ledger: Ledger },
+    RequestingVotes,
+    /// It has them, and must have a view decided before it leads: one that it found undecided, or
+    /// the first one.
+    DecidingView,
+    /// It grants leases.
+    Leading {
+        /// When its term began.
+        since: Time,
+        ledger: LeaseLedger,
+    },
 }
 
-/// Who stands.
+/// Whether a candidate asks as a voter of a view or as a founder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ElectionKind {
+    /// In the view that it knows.
+    InView,
+    /// Among the founders, for the first view of a new fleet.
+    Founding,
+}
+
+/// A candidate or leader. Times are in ms of its own clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct LeaderTerm {
-    me: Process,
-    pub(crate) ballot: Ballot,
-    /// The view whose council it asks; none if it founds.
+    local: Process,
+    ballot: Ballot,
+    /// The view whose voters it asks; none if it founds a fleet.
     view: Option<View>,
+    /// Until when each vote lasts.
     votes: BTreeMap<Process, Time>,
-    found: Option<(Ballot, View)>,
-    next: Option<View>,
-    takes: BTreeSet<Process>,
+    /// What voters have accepted in earlier ballots: the one of the latest ballot.
+    undecided: Option<AcceptedView>,
+    proposed_view: Option<View>,
+    /// Who has accepted the proposed view.
+    accepted_by: BTreeSet<Process>,
     /// Who said that it ends soon.
     leaving: BTreeSet<Process>,
     pub(crate) phase: Phase,
-    /// Until when it has the votes that it needs. Danger: looked at before anything else is done in its office. Between two looks
-    /// another may have been in office.
+    /// Until when it has the votes of a quorum. Danger: checked before anything else is done as
+    /// leader. Between two checks another may have led.
     valid_until: Time,
-    pub(crate) began: Time,
-    /// When it came into office, or had its latest view decided: from then on those who sit in it may vote.
-    decided: Time,
+    /// When it became a candidate.
+    pub(crate) started_at: Time,
+    /// When it became leader, or had its latest view decided: from then on the voters of the view
+    /// may vote.
+    view_decided_at: Time,
 }
 
 impl LeaderTerm {
-    /// Stands in the view that is known, or to found one.
-    pub(crate) fn new(me: Process, now: Time, seat: &mut Voter, founds: bool) -> LeaderTerm {
-        let mut standing = LeaderTerm {
-            me,
-            ballot: seat.seen,
-            view: seat.view.clone().filter(|_| !founds),
+    /// A new candidate.
+    pub(crate) fn new(local: Process, now: Time, voter: &mut Voter, kind: ElectionKind) -> LeaderTerm {
+        let view = match kind {
+            ElectionKind::InView => voter.view.clone(),
+            ElectionKind::Founding => None,
+        };
+        let mut term = LeaderTerm {
+            local,
+            ballot: voter.highest_ballot,
+            view,
             votes: BTreeMap::new(),
-            found: None,
-            next: None,
-            takes: BTreeSet::new(),
+            undecided: None,
+            proposed_view: None,
+            accepted_by: BTreeSet::new(),
             leaving: BTreeSet::new(),
-            phase: Phase::Asking,
+            phase: Phase::RequestingVotes,
             valid_until: 0,
-            began: now,
-            decided: now,
+            started_at: now,
+            view_decided_at: now,
         };
-        standing.raise(seat);
-        standing
+        term.begin_ballot(voter);
+        term
     }
 
-    fn raise(&mut self, seat: &mut Voter) {
-        self.ballot = Ballot { round: seat.seen.round + 1, who: self.me };
-        seat.sees(self.ballot, 0);
-        // Danger: what was taken in an earlier ballot decides nothing in this one.
-        self.takes.clear();
-        if let Some(next) = self.next.as_mut().filter(|_| self.view.is_none()) {
-            next.ballot = self.ballot;
+    /// Goes on in a ballot that is later than all that were seen.
+    fn begin_ballot(&mut self, voter: &mut Voter) {
+        self.ballot = Ballot { round: voter.highest_ballot.round + 1, proposer: self.local };
+        voter.observe(self.ballot, 0);
+        // Danger: what was accepted in an earlier ballot decides nothing in this one.
+        self.accepted_by.clear();
+        if self.view.is_some() {
+            return;
+        }
+        if let Some(first_view) = &mut self.proposed_view {
+            first_view.ballot = self.ballot;
         }
     }
 
-    /// Whether it holds the votes that it needs, and has served.
-    pub(crate) fn serves(&self, now: Time) -> bool {
-        matches!(self.phase, Phase::Serving { .. }) && now < self.valid_until
+    /// Whether it is the leader now.
+    pub(crate) fn is_leading(&self, now: Time) -> bool {
+        matches!(self.phase, Phase::Leading { .. }) && now < self.valid_until
     }
 
-    /// How long ago those whose votes it holds were last heard.
-    pub(crate) fn silence(&self, now: Time, settings: &Settings) -> Time {
+    /// How long ago it asked for the votes that it holds.
+    pub(crate) fn age_of_votes(&self, now: Time, settings: &Settings) -> Time {
         (now + settings.vote).saturating_sub(self.valid_until)
     }
 
-    /// Whether it has lost its office by now.
+    /// Whether it had the votes of a quorum and has them no longer.
     pub(crate) fn is_over(&self, now: Time) -> bool {
-        !matches!(self.phase, Phase::Asking) && now >= self.valid_until
+        self.phase != Phase::RequestingVotes && now >= self.valid_until
     }
 
-    /// What it asks.
-    pub(crate) fn ask(&self, now: Time) -> VoteRequest {
+    /// What it asks of every process now.
+    pub(crate) fn vote_request(&self, now: Time) -> VoteRequest {
         VoteRequest {
             ballot: self.ballot,
-            at: now,
-            founds: self.view.is_none(),
-            in_office: self.serves(now),
+            sent_at: now,
+            founding: self.view.is_none(),
+            is_leader: self.is_leading(now),
             view: self.view.clone(),
-            next: self.next.clone(),
+            proposed_view: self.proposed_view.clone(),
         }
     }
 
-    /// Whom it must ask, in council.
-    pub(crate) fn electorate(&self, settings: &Settings) -> Vec<SocketAddr> {
+    /// The addresses of those whose votes count.
+    pub(crate) fn voter_addresses(&self, settings: &Settings) -> Vec<SocketAddr> {
         match &self.view {
             Some(view) => view.voters.iter().map(|process| process.address).collect(),
             None => settings.founders.clone(),
         }
     }
 
-    /// Takes an answer to what it asked in this ballot.
-    pub(crate) fn hear(&mut self, now: Time, answer: &VoteResponse, seat: &mut Voter, settings: &Settings) {
-        if answer.leaves {
-            self.leaving.insert(answer.from);
+    fn is_voter(&self, process: &Process, settings: &Settings) -> bool {
+        match &self.view {
+            Some(view) => view.is_voter(process),
+            None => settings.founders.binary_search(&process.address).is_ok(),
         }
-        let counts = match &self.view {
-            Some(view) => view.is_voter(&answer.from),
-            None => settings.founders.binary_search(&answer.from.address).is_ok(),
-        };
-        if answer.ballot == self.ballot && counts && answer.yes {
-            let until = self.votes.entry(answer.from).or_default();
-            *until = (*until).max(answer.asked_at + settings.vote);
-            if answer.takes.is_some() && answer.takes == self.next.as_ref().map(|next| next.ballot) {
-                self.takes.insert(answer.from);
-            }
-            let earlier = answer.pending.as_ref().filter(|(ballot, _)| *ballot < self.ballot);
-            if let Some((ballot, view)) = earlier.filter(|_| matches!(self.phase, Phase::Asking)) {
-                if self.found.as_ref().is_none_or(|(found, _)| found < ballot) {
-                    self.found = Some((*ballot, view.clone()));
-                }
-            }
-        } else if !answer.yes && answer.ballot == self.ballot && answer.promised > self.ballot {
-            // What was found under way in this ballot says nothing of the next, but it is asked there again.
-            let is_asking = matches!(self.phase, Phase::Asking);
-            self.raise(seat);
-            if is_asking {
-                (self.votes, self.found) = (BTreeMap::new(), None);
+    }
+
+    /// Takes the response to one of its requests.
+    pub(crate) fn handle_vote_response(
+        &mut self,
+        now: Time,
+        response: &VoteResponse,
+        voter: &mut Voter,
+        settings: &Settings,
+    ) {
+        if response.leaving {
+            self.leaving.insert(response.from);
+        }
+        if response.ballot == self.ballot {
+            if !response.vote_granted {
+                self.handle_refusal(response, voter);
+            } else if self.is_voter(&response.from, settings) {
+                self.record_vote(response, settings);
             }
         }
-        self.go_on(now, seat, settings);
+        self.advance(now, voter, settings);
+    }
+
+    fn record_vote(&mut self, response: &VoteResponse, settings: &Settings) {
+        let ends_at = self.votes.entry(response.from).or_default();
+        *ends_at = (*ends_at).max(response.request_sent_at + settings.vote);
+        let proposed_ballot = self.proposed_view.as_ref().map(|view| view.ballot);
+        if response.accepts.is_some() && response.accepts == proposed_ballot {
+            self.accepted_by.insert(response.from);
+        }
+        if self.phase != Phase::RequestingVotes {
+            return;
+        }
+        let Some(accepted) = &response.accepted else { return };
+        let is_latest = self.undecided.as_ref().is_none_or(|known| known.ballot < accepted.ballot);
+        if accepted.ballot < self.ballot && is_latest {
+            self.undecided = Some(accepted.clone());
+        }
+    }
+
+    /// A voter has seen a later ballot: goes on in one that is later still.
+    fn handle_refusal(&mut self, response: &VoteResponse, voter: &mut Voter) {
+        if response.highest_ballot <= self.ballot {
+            return;
+        }
+        self.begin_ballot(voter);
+        if self.phase == Phase::RequestingVotes {
+            // What was found in the old ballot says nothing of the new one; there it is asked again.
+            self.votes.clear();
+            self.undecided = None;
+        }
     }
 
-    fn go_on(&mut self, now: Time, seat: &mut Voter, settings: &Settings) {
-        self.count(settings);
+    fn advance(&mut self, now: Time, voter: &mut Voter, settings: &Settings) {
+        self.update_valid_until(settings);
         if now >= self.valid_until {
             return;
         }
-        if self.phase == Phase::Asking {
-            let found = self.found.take();
-            self.next = match &self.view {
-                // Danger: what an earlier steward proposed may have been decided without anybody knowing.
-                Some(_) => found.map(|(_, view)| view),
-                // A view that others of this ballot took lives no more: they have left it.
-                None => Some(self.founded(seat.number, now)),
-            };
-            self.phase = Phase::Deciding;
-        }
-        let seats: BTreeSet<SocketAddr> = self.takes.iter().map(|process| process.address).collect();
-        if let Some(next) = self.next.take_if(|_| seats.len() >= quorum(&self.view, settings)) {
-            seat.adopt(&next);
-            (self.view, self.decided) = (Some(next), now);
-            self.raise(seat);
-            self.count(settings);
-        }
-        let decided = self.next.is_none() && self.view.is_some();
-        if self.phase == Phase::Deciding && decided && now < self.valid_until {
-            self.decided = now;
-            self.phase = Phase::Serving { began: now, ledger: Ledger::new(now, settings) };
-        }
-    }
-
-    fn founded(&self, number: u64, now: Time) -> View {
-        let council = self.votes.iter().filter(|(_, until)| now < **until).map(|(who, _)| *who).collect();
-        View { ballot: self.ballot, number: number + 1, voters: council }
-    }
-
-    /// Until when it has the votes that it needs: of processes at different seats.
-    fn count(&mut self, settings: &Settings) {
-        let mut by_seat = BTreeMap::new();
-        for (who, until) in &self.votes {
-            if self.view.as_ref().is_none_or(|view| view.is_voter(who)) {
-                let best: &mut Time = by_seat.entry(who.address).or_default();
-                *best = (*best).max(*until);
+        if self.phase == Phase::RequestingVotes {
+            self.proposed_view = self.first_proposal(now, voter.highest_view_number);
+            self.phase = Phase::DecidingView;
+        }
+        self.decide_if_accepted(now, voter, settings);
+        let is_decided = self.proposed_view.is_none() && self.view.is_some();
+        if self.phase == Phase::DecidingView && is_decided && now < self.valid_until {
+            self.view_decided_at = now;
+            self.phase = Phase::Leading { since: now, ledger: LeaseLedger::new(now, settings) };
+        }
+    }
+
+    /// What it must have decided before it leads, if anything.
+    fn first_proposal(&mut self, now: Time, highest_view_number: u64) -> Option<View> {
+        let undecided = self.undecided.take();
+        if self.view.is_some() {
+            // Danger: what an earlier leader proposed may have been decided without anybody knowing.
+            return undecided.map(|accepted| accepted.view);
+        }
+        // A view that others of this ballot accepted is void: they have left it to found a fleet.
+        let valid_votes = self.votes.iter().filter(|(_, ends_at)| now < **ends_at);
+        let voters = valid_votes.map(|(process, _)| *process).collect();
+        Some(View { ballot: self.ballot, number: highest_view_number + 1, voters })
+    }
+
+    /// The proposed view is decided once a quorum at different addresses has accepted it.
+    fn decide_if_accepted(&mut self, now: Time, voter: &mut Voter, settings: &Settings) {
+        let addresses: BTreeSet<SocketAddr> =
+            self.accepted_by.iter().map(|process| process.address).collect();
+        if addresses.len() < self.quorum(settings) {
+            return;
+        }
+        if let Some(decided) = self.proposed_view.take() {
+            voter.adopt(&decided);
+            self.view = Some(decided);
+            self.view_decided_at = now;
+            self.begin_ballot(voter);
+            self.update_valid_until(settings);
+        }
+    }
+
+    /// Until when it has the votes of a quorum of voters at different addresses.
+    fn update_valid_until(&mut self, settings: &Settings) {
+        let mut ends_by_address: BTreeMap<SocketAddr, Time> = BTreeMap::new();
+        for (process, ends_at) in &self.votes {
+            if self.view.as_ref().is_none_or(|view| view.is_voter(process)) {
+                let latest = ends_by_address.entry(process.address).or_default();
+                *latest = (*latest).max(*ends_at);
             }
         }
-        let mut until: Vec<Time> = by_seat.into_values().collect();
-        until.sort_unstable_by(|a, b| b.cmp(a));
-        self.valid_until = until.get(quorum(&self.view, settings) - 1).copied().unwrap_or(0);
+        let mut ends: Vec<Time> = ends_by_address.into_values().collect();
+        ends.sort_unstable_by(|a, b| b.cmp(a));
+        self.valid_until = ends.get(self.quorum(settings) - 1).copied().unwrap_or(0);
     }
 
-    /// Proposes a council of these, if it is another and can decide.
+    fn quorum(&self, settings: &Settings) -> usize {
+        match &self.view {
+            Some(view) => view.quorum(settings.min_quorum()),
+            None => settings.founding_quorum(),
+        }
+    }
+
+    /// Proposes a view of these voters, if it differs from the present one and can decide. This is
+    /// reconfiguration by the consensus itself (Lamport 1998, section 3.2).
     pub(crate) fn propose(
         &mut self,
         now: Time,
-        mut council: Vec<Process>,
-        seat: &mut Voter,
+        mut voters: Vec<Process>,
+        voter: &mut Voter,
         settings: &Settings,
     ) {
-        // A process that does not answer is out before anybody else has noticed.
-        if let Some(view) = self.view.as_ref().filter(|_| now >= self.decided + settings.period * 2) {
-            council
-                .retain(|one| !view.is_voter(one) || self.votes.get(one).is_some_and(|until| now < *until));
+        let Some(view) = &self.view else { return };
+        // A voter that does not respond is left out before anybody else has noticed.
+        if now >= self.view_decided_at + settings.period * 2 {
+            let has_voted = |one: &Process| self.votes.get(one).is_some_and(|ends_at| now < *ends_at);
+            voters.retain(|one| !view.is_voter(one) || has_voted(one));
         }
-        council.retain(|one| !self.leaving.contains(one));
-        council.sort();
-        let is_other = |view: &View| council != view.voters && council.len() >= settings.least();
-        if self.serves(now) && self.next.is_none() && self.view.as_ref().is_some_and(is_other) {
-            self.raise(seat);
-            self.next = Some(View { ballot: self.ballot, number: seat.number + 1, voters: council });
+        voters.retain(|one| !self.leaving.contains(one));
+        voters.sort();
+        let is_useful = voters != view.voters && voters.len() >= settings.min_quorum();
+        if is_useful && self.is_leading(now) && self.proposed_view.is_none() {
+            self.begin_ballot(voter);
+            let number = voter.highest_view_number + 1;
+            self.proposed_view = Some(View { ballot: self.ballot, number, voters });
         }
     }
 }
-
-fn quorum(view: &Option<View>, settings: &Settings) -> usize {
-    match view {
-        Some(view) => view.quorum(settings.least()),
-        None => settings.founding(),
-    }
-}
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -1,45 +1,46 @@
-//! What this process holds by lease.
+//! [`Lease`]: what this process holds by lease.
 
 use crate::message::{LeaseGrant, LeaseRequest};
 use crate::{Parts, Time};
 
-/// A lease.
+/// A lease, as its holder knows it (Gray and Cheriton 1989).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Lease {
-    /// How much.
-    pub part: Parts,
-    /// When it ends, by this process's own clock.
-    pub until: Time,
-    /// When it was asked for.
-    pub(crate) since: Time,
+    /// The leased parts.
+    pub parts: Parts,
+    /// When it expires, in ms of this process's clock.
+    pub expires_at: Time,
+    /// When it was requested, by the same clock.
+    pub(crate) requested_at: Time,
 }
 
 impl Lease {
-    /// What may be used of it now. Danger: to be asked at every use. A process that was stopped wakes with a lease that
-    /// others have got meanwhile.
-    pub fn at(&self, now: Time) -> Parts {
-        if now < self.until {
-            self.part
+    /// The parts that may be used by this lease now. Danger: to be asked at every use. A process
+    /// that was stopped wakes with a lease that others have got meanwhile.
+    pub fn parts_at(&self, now: Time) -> Parts {
+        if now < self.expires_at {
+            self.parts
         } else {
             0
         }
     }
 
-    pub(crate) fn want(&self, now: Time) -> LeaseRequest {
-        LeaseRequest { at: now, holds: self.at(now), since: self.since }
+    /// A request to go on holding it.
+    pub(crate) fn to_request(self, now: Time) -> LeaseRequest {
+        LeaseRequest { sent_at: now, held_parts: self.parts_at(now), held_since: self.requested_at }
     }
 
-    /// Takes what was leased; whether it does. Danger: a lease counts from when it was asked for, not from when word of it
-    /// came; and one that was asked for earlier must not undo a later, smaller one.
-    pub(crate) fn take(&mut self, grant: &LeaseGrant, longest: Time) -> bool {
-        let is_later = grant.want_at > self.since;
-        if is_later {
-            *self = Lease {
-                part: grant.part,
-                until: grant.want_at + grant.lasts.min(longest),
-                since: grant.want_at,
-            };
+    /// Replaces it by what was granted; returns whether it did.
+    ///
+    /// Danger: a lease counts from when it was requested, not from when the grant arrived; and the
+    /// grant for an earlier request must not undo a later, smaller one.
+    pub(crate) fn replace_with(&mut self, grant: &LeaseGrant, longest: Time) -> bool {
+        if grant.request_sent_at <= self.requested_at {
+            return false;
         }
-        is_later
+        self.parts = grant.parts;
+        self.expires_at = grant.request_sent_at + grant.duration.min(longest);
+        self.requested_at = grant.request_sent_at;
+        true
     }
 }
--- a/crates/quota/src/quota_leases.rs
+++ b/crates/quota/src/quota_leases.rs
@@ -1,8 +1,12 @@
-//! One process's shares: what comes in, what goes out, and what it may use now.
+//! [`QuotaLeases`]: the quota of one process. Messages and time come in, messages and events go
+//! out, and it knows what the process may use now.
 
-use crate::leader_term::{LeaderTerm, Phase};
+mod messages;
+
+use crate::leader_term::{ElectionKind, LeaderTerm, Phase};
 use crate::lease::Lease;
-use crate::message::{LeaseGrant, Message, VoteRequest, VoteResponse};
+use crate::message::Message;
+use crate::output::{Output, QuotaCounters, QuotaEvent};
 use crate::settings::{Settings, SettingsError};
 use crate::view::Process;
 use crate::voter::Voter;
@@ -10,87 +14,60 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Say this there.
-    Send(SocketAddr, Message),
-    /// Hear something.
-    QuotaEvent(QuotaEvent),
-}
-
-/// What the rest of the program hears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QuotaEvent {
-    /// It holds another lease, or the same for longer.
-    Leased(Lease),
-    /// Its lease has ended without another: it has its base.
-    Ended,
-    /// It is the steward from now on, or no longer.
-    Steward(bool),
-    /// Another view counts.
-    View(u64),
-}
-
-/// What was counted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct QuotaCounters {
-    /// Leases given as the steward.
-    pub granted: u64,
-    /// Times that the steward had nothing to lease to somebody who wanted it.
-    pub refused: u64,
-    /// Leases that ended without another.
-    pub ended: u64,
-    /// Times that it became the steward.
-    pub offices: u64,
-}
-
-/// The shares as one process knows them.
+/// The quota as one process knows it. Times are in ms of its own clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct QuotaLeases {
     settings: Settings,
-    me: Process,
-    seat: Voter,
-    standing: Option<LeaderTerm>,
+    local: Process,
+    voter: Voter,
+    /// Its term, if it is the leader or a candidate.
+    term: Option<LeaderTerm>,
     lease: Lease,
+    /// Whether it holds a lease whose end has not been reported.
     has_lease: bool,
-    alive: BTreeSet<Process>,
-    began: Time,
-    /// When it asks next, or stands.
-    next: Time,
-    lost: u64,
-    counts: QuotaCounters,
+    /// The other processes that are believed to be alive.
+    live_processes: BTreeSet<Process>,
+    started_at: Time,
+    /// When it sends its next vote requests, as leader or candidate, or becomes a candidate.
+    next_election_step: Time,
+    /// Elections that it lost since it last knew of a leader.
+    lost_elections: u64,
+    counters: QuotaCounters,
 }
 
 impl QuotaLeases {
-    /// A process that has just started: it has its base.
-    pub fn new(settings: Settings, me: Process, now: Time) -> Result<QuotaLeases, SettingsError> {
+    /// A process that has just started: it has its guaranteed minimum.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] if the settings are invalid.
+    pub fn new(settings: Settings, local: Process, now: Time) -> Result<QuotaLeases, SettingsError> {
         settings.check()?;
-        let mut shares = QuotaLeases {
-            seat: Voter::new(me, now),
-            me,
-            standing: None,
+        let mut quota = QuotaLeases {
+            voter: Voter::new(local, now),
+            local,
+            term: None,
             lease: Lease::default(),
             has_lease: false,
-            alive: BTreeSet::new(),
-            began: now,
-            next: now,
-            lost: 0,
-            counts: QuotaCounters::default(),
+            live_processes: BTreeSet::new(),
+            started_at: now,
+            next_election_step: now,
+            lost_elections: 0,
+            counters: QuotaCounters::default(),
             settings,
         };
-        shares.next = shares.patience(now);
-        Ok(shares)
+        quota.next_election_step = quota.election_time(now);
+        Ok(quota)
     }
 
-    /// What it may use at this time.
-    pub fn share(&self, now: Time) -> Parts {
-        self.settings.base() + self.lease.at(now)
+    /// The parts that it may use now.
+    pub fn usable_parts(&self, now: Time) -> Parts {
+        self.settings.guaranteed_minimum() + self.lease.parts_at(now)
     }
 
-    /// What is always its own.
-    pub fn base(&self) -> Parts {
-        self.settings.base()
+    /// The parts that are always its own.
+    pub fn guaranteed_minimum(&self) -> Parts {
+        self.settings.guaranteed_minimum()
     }
 
     /// What it holds by lease.
@@ -98,230 +75,147 @@
         self.lease
     }
 
-    /// The number of the view that counts; 0 if it knows none.
-    pub fn view(&self) -> u64 {
-        self.seat.view.as_ref().map_or(0, |view| view.number)
+    /// The number of the latest decided view that it knows; 0 if it knows none.
+    pub fn view_number(&self) -> u64 {
+        self.voter.view_number()
     }
 
-    /// Whether it is the steward at this time.
+    /// Whether it is the leader now.
     pub fn is_leader(&self, now: Time) -> bool {
-        self.standing.as_ref().is_some_and(|standing| standing.serves(now))
+        self.term.as_ref().is_some_and(|term| term.is_leading(now))
     }
 
-    /// What was counted.
+    /// What it has counted.
     pub fn counters(&self) -> QuotaCounters {
-        self.counts
+        self.counters
     }
 
-    /// When [`QuotaLeases::due`] is to be called at the latest.
+    /// When [`QuotaLeases::handle_timeout`] is to be called at the latest.
     pub fn next_timeout(&self) -> Time {
         if self.has_lease {
-            self.next.min(self.lease.until)
+            self.next_election_step.min(self.lease.expires_at)
         } else {
-            self.next
+            self.next_election_step
         }
     }
 
-    /// Who is there, itself aside, as far as is known. Nothing that holds depends on whether that is true.
+    /// Sets which processes are believed to be alive. Safety does not depend on whether that is
+    /// true.
     pub fn set_live_processes(&mut self, alive: impl IntoIterator<Item = Process>) {
-        self.alive = alive.into_iter().filter(|process| process.address != self.me.address).collect();
+        let others = alive.into_iter().filter(|process| process.address != self.local.address);
+        self.live_processes = others.collect();
     }
 
-    /// This process ends soon. It holds what it holds for as long as it is there, but votes in no view after this one.
+    /// This process ends soon. It keeps its lease for as long as it runs, but is a voter in no view
+    /// after the present one.
     pub fn leave(&mut self) {
-        self.seat.leaves = true;
+        self.voter.leaving = true;
     }
 
-    /// Time has passed.
+    /// Does what is due by now.
     pub fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.look(now, out);
-        if now < self.next {
+        self.expire(now, out);
+        if now < self.next_election_step {
             return;
         }
-        if let Some(standing) = &self.standing {
-            let gives_up =
-                standing.phase == Phase::Asking && now >= standing.began + self.settings.period * 4;
-            if !gives_up {
-                return self.ask(now, out);
+        match &self.term {
+            Some(term) if self.is_hopeless(term, now) => {
+                self.term = None;
+                self.lost_elections += 1;
+                self.next_election_step = self.election_time(now);
             }
-            self.standing = None;
-            self.lost += 1;
-            self.next = self.patience(now);
-            return;
-        }
-        self.next = self.patience(self.seat.heard.max(self.began));
-        if now < self.next || !self.seat.is_free(now) {
-            self.next = self.next.max(now + self.settings.period);
-            return;
-        }
-        let is_founder = self.settings.founders.binary_search(&self.me.address).is_ok();
-        let is_lost = now >= self.seat.heard + self.settings.lease * 2 && self.lost % 2 == 1;
-        let founds = is_founder && (!self.seat.is_seated() || is_lost);
-        if founds || self.seat.is_seated() {
-            self.standing = Some(LeaderTerm::new(self.me, now, &mut self.seat, founds));
-            self.ask(now, out);
-        } else {
-            self.next = now + self.settings.period;
+            Some(_) => self.send_vote_requests(now, out),
+            None => self.become_candidate_if_due(now, out),
         }
     }
 
-    /// Another process has said something.
+    /// Handles a message from another process.
     pub fn handle_message(&mut self, now: Time, message: &Message, out: &mut Vec<Output>) {
-        self.look(now, out);
+        self.expire(now, out);
         match message {
-            Message::VoteRequest(ask) if ask.ballot.who != self.me => self.asked(now, ask, out),
-            Message::VoteRequest(_) => {}
-            Message::VoteResponse(answer) => self.answered(now, answer, out),
-            Message::LeaseGrant(grant) => self.granted(now, grant, out),
+            Message::VoteRequest(request) => {
+                if request.ballot.proposer != self.local {
+                    self.handle_vote_request(now, request, out);
+                }
+            }
+            Message::VoteResponse(response) => self.handle_vote_response(now, response, out),
+            Message::LeaseGrant(grant) => self.handle_lease_grant(now, grant, out),
         }
     }
 
-    /// What has ended by now.
-    fn look(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.has_lease && self.lease.at(now) == 0 {
+    /// Takes note of what has ended by now: the lease, the term.
+    fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.has_lease && self.lease.parts_at(now) == 0 {
             self.has_lease = false;
-            self.counts.ended += 1;
-            out.push(Output::QuotaEvent(QuotaEvent::Ended));
+            self.counters.leases_expired += 1;
+            out.push(Output::Event(QuotaEvent::LeaseExpired));
         }
-        if self.standing.as_ref().is_some_and(|standing| standing.is_over(now)) {
-            self.stand_down(now, out);
+        if self.term.as_ref().is_some_and(|term| term.is_over(now)) {
+            self.end_term(now, out);
         }
     }
 
-    fn stand_down(&mut self, now: Time, out: &mut Vec<Output>) {
-        let before = self.standing.take();
-        if before.is_some_and(|standing| matches!(standing.phase, Phase::Serving { .. })) {
-            out.push(Output::QuotaEvent(QuotaEvent::Steward(false)));
+    fn end_term(&mut self, now: Time, out: &mut Vec<Output>) {
+        let ended = self.term.take();
+        if ended.is_some_and(|term| matches!(term.phase, Phase::Leading { .. })) {
+            out.push(Output::Event(QuotaEvent::LostLeadership));
         }
-        self.next = self.patience(now);
-    }
-
-    /// Does not become steward this time. Its vote for itself is counted by nobody else.
-    fn give_up(&mut self, now: Time) {
-        self.standing = None;
-        self.seat.release();
-        self.lost += 1;
-        self.next = self.patience(now);
-    }
-
-    /// When it stands if it hears of no steward since: one after the other.
-    fn patience(&self, since: Time) -> Time {
-        let council = self.seat.view.as_ref().map(|view| &view.voters);
-        let order: Vec<SocketAddr> = match council {
-            Some(council) => council.iter().map(|process| process.address).collect(),
-            None => self.settings.founders.clone(),
-        };
-        let is_there = |place: &&SocketAddr| self.alive.iter().any(|process| process.address == **place);
-        let rank = order.iter().take_while(|place| **place != self.me.address).filter(is_there).count();
-        let turn = (1 + rank as Time) * self.settings.period;
-        // Those who failed together stand again at different times.
-        let mixed = (self.me.start ^ rank as u64).wrapping_add(self.lost).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        since + self.settings.stretched(self.settings.vote) + turn + (mixed >> 32) % self.settings.period
+        self.next_election_step = self.election_time(now);
     }
 
-    fn ask(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.next = now + self.settings.period;
-        let Some(standing) = &mut self.standing else { return };
-        let founders = &self.settings.founders;
-        let there = self.alive.iter().filter(|process| founders.binary_search(&process.address).is_ok());
-        let council: Vec<Process> = there.copied().chain([self.me]).collect();
-        standing.propose(now, council, &mut self.seat, &self.settings);
-        let ask = standing.ask(now);
-        let known = self.alive.iter().map(|process| process.address);
-        let places: BTreeSet<SocketAddr> =
-            known.chain(standing.electorate(&self.settings)).chain(founders.iter().copied()).collect();
-        for place in places.into_iter().filter(|place| *place != self.me.address) {
-            out.push(Output::Send(place, Message::VoteRequest(Box::new(ask.clone()))));
-        }
-        // Its own vote is one like any other.
-        let want = self.lease.want(now);
-        let own = self.seat.answer(now, &ask, want, &self.settings);
-        self.answered(now, &own, out);
+    /// Whether a candidate has waited for votes in vain.
+    fn is_hopeless(&self, term: &LeaderTerm, now: Time) -> bool {
+        term.phase == Phase::RequestingVotes && now >= term.started_at + self.settings.period * 4
     }
 
-    fn asked(&mut self, now: Time, ask: &VoteRequest, out: &mut Vec<Output>) {
-        let before = self.view();
-        let is_asking = self.standing.as_ref().is_some_and(|standing| standing.phase == Phase::Asking);
-        if is_asking && ask.ballot > self.seat.seen {
-            // Two that ask for votes at the same time would both get too few.
-            self.give_up(now);
+    fn become_candidate_if_due(&mut self, now: Time, out: &mut Vec<Output>) {
+        let election_time = self.election_time(self.voter.leader_heard_at.max(self.started_at));
+        if now < election_time || !self.voter.can_vote_for_itself(now) {
+            self.next_election_step = election_time.max(now + self.settings.period);
+            return;
         }
-        let answer = self.seat.answer(now, ask, self.lease.want(now), &self.settings);
-        self.changed(now, before, out);
-        if ask.in_office {
-            self.lost = 0;
-            if self.standing.is_none() {
-                self.next = self.patience(now);
+        match self.election_kind(now) {
+            Some(kind) => {
+                self.term = Some(LeaderTerm::new(self.local, now, &mut self.voter, kind));
+                self.send_vote_requests(now, out);
             }
+            None => self.next_election_step = now + self.settings.period,
         }
-        out.push(Output::Send(ask.ballot.who.address, Message::VoteResponse(Box::new(answer))));
     }
 
-    /// A view of another's has come to count, or not.
-    fn changed(&mut self, now: Time, before: u64, out: &mut Vec<Output>) {
-        if self.view() != before {
-            out.push(Output::QuotaEvent(QuotaEvent::View(self.view())));
-            self.stand_down(now, out);
+    /// As what it may become a candidate: a voter in its view, and a founder if it is none or if
+    /// every other election in its view was lost for long.
+    fn election_kind(&self, now: Time) -> Option<ElectionKind> {
+        let is_founder = self.settings.founders.binary_search(&self.local.address).is_ok();
+        let is_voter = self.voter.is_voter();
+        let no_leader_for_long = now >= self.voter.leader_heard_at + self.settings.lease * 2;
+        let view_is_lost = no_leader_for_long && self.lost_elections % 2 == 1;
+        if is_founder && (!is_voter || view_is_lost) {
+            Some(ElectionKind::Founding)
+        } else if is_voter {
+            Some(ElectionKind::InView)
+        } else {
+            None
         }
     }
 
-    fn answered(&mut self, now: Time, answer: &VoteResponse, out: &mut Vec<Output>) {
-        self.seat.sees(answer.promised, answer.number);
-        let before = self.view();
-        if let Some(view) = &answer.newer {
-            self.seat.adopt(view);
-            self.changed(now, before, out);
-        }
-        if answer.ballot.who != self.me {
-            return;
-        }
-        let Some(standing) = &mut self.standing else { return };
-        let served = standing.serves(now);
-        standing.hear(now, answer, &mut self.seat, &self.settings);
-        let serves = standing.serves(now);
-        let number = self.seat.view.as_ref().map_or(0, |view| view.number);
-        if number != before {
-            out.push(Output::QuotaEvent(QuotaEvent::View(number)));
-        }
-        if serves && !served {
-            self.counts.offices += 1;
-            self.seat.heard = now;
-            self.lost = 0;
-            // What holders have ends soon: they are asked at once.
-            self.next = now;
-            out.push(Output::QuotaEvent(QuotaEvent::Steward(true)));
-        }
-        // A side that has lost the others goes down within a lease, whoever is steward there.
-        let lasts = self.settings.lease.saturating_sub(standing.silence(now, &self.settings));
-        if let Phase::Serving { began, ledger } = &mut standing.phase {
-            // Danger: what it held before this office may be another's by now.
-            if serves && answer.asked_at >= *began {
-                self.seat.heard = now;
-                let part = ledger.lease(now, answer.from, answer.want, &self.settings);
-                self.counts.granted += u64::from(part > 0);
-                self.counts.refused += u64::from(part == 0);
-                let grant = LeaseGrant {
-                    from: self.me,
-                    to: answer.from,
-                    want_at: answer.want.at,
-                    part,
-                    lasts,
-                    view: number,
-                };
-                if answer.from == self.me {
-                    self.granted(now, &grant, out);
-                } else if part > 0 {
-                    out.push(Output::Send(answer.from.address, Message::LeaseGrant(grant)));
-                }
-            }
-        }
+    /// When it becomes a candidate if it has heard of no leader since: one process after the
+    /// other, in the order of the voters that are alive.
+    fn election_time(&self, since: Time) -> Time {
+        let candidates: Vec<SocketAddr> = match &self.voter.view {
+            Some(view) => view.voters.iter().map(|process| process.address).collect(),
+            None => self.settings.founders.clone(),
+        };
+        let before = candidates.iter().take_while(|address| **address != self.local.address);
+        let rank = before.filter(|address| self.is_alive(address)).count() as u64;
+        let turn = (1 + rank) * self.settings.period;
+        // Those who failed together try again at different times.
+        let seed = (self.local.start ^ rank).wrapping_add(self.lost_elections);
+        let spread = (seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % self.settings.period;
+        since + self.settings.with_skew(self.settings.vote) + turn + spread
     }
 
-    fn granted(&mut self, now: Time, grant: &LeaseGrant, out: &mut Vec<Output>) {
-        // Danger: what was leased to the process before this one at its seat is none of its.
-        if grant.to == self.me && grant.part > 0 && self.lease.take(grant, self.settings.lease) {
-            self.has_lease = self.lease.at(now) > 0;
-            out.push(Output::QuotaEvent(QuotaEvent::Leased(self.lease)));
-        }
+    fn is_alive(&self, address: &SocketAddr) -> bool {
+        self.live_processes.iter().any(|process| process.address == *address)
     }
 }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -1,82 +1,100 @@
-//! What a process is told of the shares.
+//! [`Settings`]: who may vote, how many processes may run, and the times of votes and leases.
 
 use crate::{Parts, Time, LEASED_PARTS};
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The most founders: two councils of them fit one datagram.
+/// The most founders: two views with that many voters fit one datagram.
 pub const MAX_FOUNDERS: usize = 15;
 
-/// What the shares are divided by, and the times.
+/// How the quota is divided, and the times. All processes of a fleet must have equal settings,
+/// except for `period` and `steps`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
-    /// The seats from which a council is chosen: the same at every process.
+    /// The addresses from which voters are chosen, sorted: the same at every process.
     pub founders: Vec<SocketAddr>,
     /// The most processes that ever run at once.
     pub size: usize,
-    /// A steward asks everybody each period.
+    /// The leader sends its vote requests once in this time, in ms. They are its heartbeat.
     pub period: Time,
-    /// A vote lasts so long.
+    /// How long a vote lasts, in ms.
     pub vote: Time,
-    /// A lease lasts so long.
+    /// How long a lease lasts, in ms.
     pub lease: Time,
-    /// The longest time that a call may run: what was leased is in use that much longer.
+    /// The longest time that a call may run, in ms: leased parts stay in use that much longer.
     pub calls: Time,
     /// How much faster one clock may run than another, in percent.
     pub skew: u64,
-    /// What is leased rises by so many steps to what is due.
+    /// In how many steps a lease grows from nothing to an equal part of all that is leased.
     pub steps: u64,
 }
 
-/// What cannot be.
+/// Why settings are invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SettingsError {
-    /// The founders.
-    #[error("founders: {0} seats, 1 to {MAX_FOUNDERS} expected, each once")]
-    Founders(usize),
-    /// The size.
-    #[error("size {0} is below the number of founders, {1}")]
-    Size(usize, usize),
-    /// A time.
-    #[error("{0} {1} is not {2} to {3}")]
-    Time(&'static str, Time, Time, Time),
+    /// Too few or too many founders, or not sorted, or one of them twice.
+    #[error("founders: {count} addresses, 1 to {MAX_FOUNDERS} expected, each once")]
+    Founders {
+        /// How many there are.
+        count: usize,
+    },
+    /// There are more founders than processes.
+    #[error("size {size} is below the number of founders, {founders}")]
+    Size {
+        /// The most processes that may run at once.
+        size: usize,
+        /// How many founders there are.
+        founders: usize,
+    },
+    /// A number is outside its range.
+    #[error("{setting} {value} is not {least} to {most}")]
+    OutOfRange {
+        /// The name of the setting.
+        setting: &'static str,
+        /// Its value.
+        value: u64,
+        /// The least value that is allowed.
+        least: u64,
+        /// The greatest value that is allowed.
+        most: u64,
+    },
 }
 
 impl Settings {
-    /// The usual ones: a lease of 3 s, votes of 1.2 s, calls of 2.5 s.
+    /// The defaults: leases of 3 s, votes of 1.2 s, calls of at most 2.5 s.
     pub fn with_defaults(mut founders: Vec<SocketAddr>, size: usize) -> Settings {
         founders.sort();
         Settings { founders, size, period: 300, vote: 1200, lease: 3000, calls: 2500, skew: 2, steps: 4 }
     }
 
-    /// Says what cannot be.
+    /// Checks that the settings can work together.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names the first setting that is invalid.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let once = self.founders.windows(2).all(|pair| pair[0] < pair[1]);
-        if !once || !(1..=MAX_FOUNDERS).contains(&self.founders.len()) {
-            return Err(SettingsError::Founders(self.founders.len()));
+        let count = self.founders.len();
+        let is_sorted_set = self.founders.windows(2).all(|pair| pair[0] < pair[1]);
+        if !is_sorted_set || !(1..=MAX_FOUNDERS).contains(&count) {
+            return Err(SettingsError::Founders { count });
         }
-        if self.size < self.founders.len() {
-            return Err(SettingsError::Size(self.size, self.founders.len()));
+        if self.size < count {
+            return Err(SettingsError::Size { size: self.size, founders: count });
         }
-        let within = |field, value, least, most| {
-            if (least..=most).contains(&value) {
-                Ok(())
-            } else {
-                Err(SettingsError::Time(field, value, least, most))
-            }
-        };
-        within("period", self.period, 50, 10_000)?;
-        within("vote", self.vote, self.period * 2, 60_000)?;
-        within("lease", self.lease, self.vote, 120_000)?;
-        within("calls", self.calls, 0, 120_000)?;
-        within("skew", self.skew, 0, 50)?;
-        within("steps", self.steps, 1, 100)
+        check_range("period", self.period, 50, 10_000)?;
+        check_range("vote", self.vote, self.period * 2, 60_000)?;
+        check_range("lease", self.lease, self.vote, 120_000)?;
+        check_range("calls", self.calls, 0, 120_000)?;
+        check_range("skew", self.skew, 0, 50)?;
+        check_range("steps", self.steps, 1, 100)
     }
 
-    /// Stands for all that must be the same at every process.
+    /// A digest of all that must be the same at every process.
     pub(crate) fn digest(&self) -> u64 {
         let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
-        self.founders.iter().for_each(|place| hash.update(place.to_string().as_bytes()));
+        for founder in &self.founders {
+            hash.update(founder.to_string().as_bytes());
+        }
         let numbers = [self.size as u64, self.vote, self.lease, self.calls, self.skew];
         for number in &numbers {
             hash.update(&number.to_be_bytes());
@@ -84,23 +102,24 @@
         hash.digest()
     }
 
-    /// What is always this process's own.
-    pub fn base(&self) -> Parts {
+    /// The parts that are always each process's own.
+    pub fn guaranteed_minimum(&self) -> Parts {
         LEASED_PARTS / self.size as Parts
     }
 
-    /// How long another's time must be taken to last here.
-    pub(crate) fn stretched(&self, time: Time) -> Time {
-        time + time * self.skew / 100 + 1
+    /// How long a duration on another process's clock may last on this one.
+    pub(crate) fn with_skew(&self, duration: Time) -> Time {
+        duration + duration * self.skew / 100 + 1
     }
 
-    /// How long what was leased may be in use.
-    pub(crate) fn in_use(&self) -> Time {
-        self.stretched(self.lease + self.calls)
+    /// How long parts may be in use after they were leased: the lease, and then the last calls.
+    pub(crate) fn longest_use(&self) -> Time {
+        self.with_skew(self.lease + self.calls)
     }
 
-    /// Seats that must be among those who decide: one fewer than a fleet can be founded without.
-    pub(crate) fn least(&self) -> usize {
+    /// The fewest voters that may decide: one more than founders that may be missing when a fleet
+    /// is founded.
+    pub(crate) fn min_quorum(&self) -> usize {
         if self.founders.len() >= 3 {
             2
         } else {
@@ -108,8 +127,17 @@
         }
     }
 
-    /// Seats that found a fleet anew. All but one, since a view of two may live behind a cut.
-    pub(crate) fn founding(&self) -> usize {
-        self.founders.len() + 1 - self.least()
+    /// How many founders can found a fleet. All but one, since a view of two voters may live on
+    /// behind a partition.
+    pub(crate) fn founding_quorum(&self) -> usize {
+        self.founders.len() + 1 - self.min_quorum()
+    }
+}
+
+fn check_range(setting: &'static str, value: u64, least: u64, most: u64) -> Result<(), SettingsError> {
+    if (least..=most).contains(&value) {
+        Ok(())
+    } else {
+        Err(SettingsError::OutOfRange { setting, value, least, most })
     }
 }
--- a/crates/quota/src/voter.rs
+++ b/crates/quota/src/voter.rs
@@ -1,147 +1,181 @@
-//! What a process promises: its vote, which ends by itself, and which next view it takes.
+//! [`Voter`]: what a process promises. Its vote ends by itself, as in PaxosLease (Trencseni, Gazso
+//! and Reinhardt 2012), so that it needs no disk; which next view it accepts follows the acceptor
+//! of Paxos (Lamport 1998).
 
-use crate::message::{LeaseRequest, VoteRequest, VoteResponse};
+use crate::message::{AcceptedView, LeaseRequest, VoteRequest, VoteResponse};
 use crate::settings::Settings;
 use crate::view::{Ballot, Process, View};
 use crate::Time;
 
-/// The promises of one process.
+/// A vote, for as long as it lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Vote {
+    candidate: Process,
+    ends_at: Time,
+}
+
+/// The promises of one process. Times are in ms of its own clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Voter {
-    me: Process,
-    began: Time,
+    local: Process,
+    started_at: Time,
     /// The latest view that it knows to be decided.
     pub(crate) view: Option<View>,
-    /// The ballot by which it helped to found a fleet anew: views of before are none any more.
-    floor: Ballot,
+    /// The ballot in which it helped to found a new fleet: earlier views are void.
+    founding_ballot: Ballot,
     promised: Ballot,
-    /// Whom it has its vote, and until when.
-    vote: Option<(Process, Time)>,
-    pending: Option<(Ballot, View)>,
-    /// The latest round, and the highest number of a view, that it heard of.
-    pub(crate) seen: Ballot,
-    pub(crate) number: u64,
-    /// When it last heard of a steward in office.
-    pub(crate) heard: Time,
+    vote: Option<Vote>,
+    /// The next view that it has accepted and that may be decided.
+    accepted: Option<AcceptedView>,
+    /// The latest ballot that it has seen.
+    pub(crate) highest_ballot: Ballot,
+    /// The highest number of a view that it has seen.
+    pub(crate) highest_view_number: u64,
+    /// When it last had a message from a leader.
+    pub(crate) leader_heard_at: Time,
     /// Whether this process ends soon.
-    pub(crate) leaves: bool,
+    pub(crate) leaving: bool,
 }
 
 impl Voter {
-    pub(crate) fn new(me: Process, now: Time) -> Voter {
-        let none = Ballot { round: 0, who: me };
+    /// A process that has just started and has promised nothing.
+    pub(crate) fn new(local: Process, now: Time) -> Voter {
+        let no_ballot = Ballot { round: 0, proposer: local };
         Voter {
-            me,
-            began: now,
+            local,
+            started_at: now,
             view: None,
-            floor: none,
-            promised: none,
+            founding_ballot: no_ballot,
+            promised: no_ballot,
             vote: None,
-            pending: None,
-            seen: none,
-            number: 0,
-            heard: now,
-            leaves: false,
+            accepted: None,
+            highest_ballot: no_ballot,
+            highest_view_number: 0,
+            leader_heard_at: now,
+            leaving: false,
         }
     }
 
     /// Whether it votes in the view that it knows.
-    pub(crate) fn is_seated(&self) -> bool {
-        self.view.as_ref().is_some_and(|view| view.is_voter(&self.me))
+    pub(crate) fn is_voter(&self) -> bool {
+        self.view.as_ref().is_some_and(|view| view.is_voter(&self.local))
     }
 
-    /// Whether its vote is not another's.
-    pub(crate) fn is_free(&self, now: Time) -> bool {
-        self.vote.is_none_or(|(who, until)| who == self.me || until <= now)
+    /// The number of the view that it knows; 0 if it knows none.
+    pub(crate) fn view_number(&self) -> u64 {
+        self.view.as_ref().map_or(0, |view| view.number)
     }
 
-    /// Takes its vote back from itself. Danger: only if nothing counts it any more.
-    pub(crate) fn release(&mut self) {
-        self.vote = self.vote.filter(|(who, _)| *who != self.me);
+    /// Whether it may vote for itself: no other candidate has its vote.
+    pub(crate) fn can_vote_for_itself(&self, now: Time) -> bool {
+        self.vote.is_none_or(|vote| vote.candidate == self.local || vote.ends_at <= now)
     }
 
-    /// Takes a view that is decided; whether it is a later one.
-    pub(crate) fn adopt(&mut self, view: &View) -> bool {
-        self.sees(view.ballot, view.number);
-        let is_later = self.view.as_ref().is_none_or(|own| view.ballot > own.ballot);
-        if !is_later || view.ballot < self.floor {
-            return false;
+    /// Takes back a vote for itself. Danger: only if nothing counts it any more.
+    pub(crate) fn withdraw_own_vote(&mut self) {
+        self.vote = self.vote.filter(|vote| vote.candidate != self.local);
+    }
+
+    /// Adopts a decided view, if that is later than the known one and not void.
+    pub(crate) fn adopt(&mut self, view: &View) {
+        self.observe(view.ballot, view.number);
+        let is_later = self.view.as_ref().is_none_or(|known| view.ballot > known.ballot);
+        if !is_later || view.ballot < self.founding_ballot {
+            return;
         }
         self.promised = self.promised.max(view.ballot);
-        self.pending = None;
+        self.accepted = None;
         self.view = Some(view.clone());
-        true
     }
 
-    /// Has heard of a ballot and of the number of a view.
-    pub(crate) fn sees(&mut self, ballot: Ballot, number: u64) {
-        self.seen = self.seen.max(ballot);
-        self.number = self.number.max(number);
+    /// Remembers the highest ballot and view number that it has seen.
+    pub(crate) fn observe(&mut self, ballot: Ballot, view_number: u64) {
+        self.highest_ballot = self.highest_ballot.max(ballot);
+        self.highest_view_number = self.highest_view_number.max(view_number);
     }
 
-    /// Answers; what it votes for it keeps to.
-    pub(crate) fn answer(
+    /// Responds to a request; it keeps to what it grants and accepts.
+    pub(crate) fn handle_vote_request(
         &mut self,
         now: Time,
-        ask: &VoteRequest,
-        want: LeaseRequest,
+        request: &VoteRequest,
+        lease_request: LeaseRequest,
         settings: &Settings,
     ) -> VoteResponse {
-        self.sees(ask.ballot, 0);
-        if let Some(view) = &ask.view {
+        self.observe(request.ballot, 0);
+        if let Some(view) = &request.view {
             self.adopt(view);
         }
-        if ask.in_office {
-            self.heard = now;
-        }
-        let yes = self.votes(now, ask, settings);
-        let mut takes = None;
-        if yes {
-            self.promised = ask.ballot;
-            // Danger: who asks counts from when it asked, which was before now; this clock may be the faster one.
-            self.vote = Some((ask.ballot.who, now + settings.stretched(settings.vote)));
-            if let Some(next) = &ask.next {
-                takes = Some(next.ballot);
-                self.pending = Some((ask.ballot, next.clone()));
-                if ask.founds {
-                    // Danger: no view of before may live on beside the one that is founded.
-                    self.view = None;
-                    self.floor = ask.ballot;
-                }
-            }
+        if request.is_leader {
+            self.leader_heard_at = now;
         }
-        let later = |view: &&View| ask.view.as_ref().is_none_or(|asked| view.ballot > asked.ballot);
-        let newer = self.view.as_ref().filter(later).cloned();
-        // Danger: two councils of the most founders do not fit a datagram beside all else. Who is behind has no use for what was
-        // proposed since: it learns of the view first.
-        let pending = self.pending.clone().filter(|_| newer.is_none());
+        let vote_granted = self.grants_vote(now, request, settings);
+        let accepts = if vote_granted { self.promise(now, request, settings) } else { None };
+        let newer_view = self.view_newer_than(request.view.as_ref());
+        // Danger: two views with the most voters do not fit a datagram beside all else. Who is
+        // behind has no use for what was proposed since: it learns of the decided view first.
+        let accepted = if newer_view.is_none() { self.accepted.clone() } else { None };
         VoteResponse {
-            from: self.me,
-            ballot: ask.ballot,
-            asked_at: ask.at,
-            yes,
-            takes,
-            pending,
-            promised: self.seen,
-            newer,
-            number: self.number,
-            leaves: self.leaves,
-            want,
+            from: self.local,
+            ballot: request.ballot,
+            request_sent_at: request.sent_at,
+            vote_granted,
+            accepts,
+            accepted,
+            highest_ballot: self.highest_ballot,
+            newer_view,
+            highest_view_number: self.highest_view_number,
+            leaving: self.leaving,
+            lease_request,
+        }
+    }
+
+    /// Votes, and accepts the proposed view if there is one; returns the ballot of that view.
+    fn promise(&mut self, now: Time, request: &VoteRequest, settings: &Settings) -> Option<Ballot> {
+        self.promised = request.ballot;
+        // Danger: the candidate counts from when it sent the request, which was before now; this
+        // clock may be the faster one.
+        let ends_at = now + settings.with_skew(settings.vote);
+        self.vote = Some(Vote { candidate: request.ballot.proposer, ends_at });
+        let proposed = request.proposed_view.clone()?;
+        let view_ballot = proposed.ballot;
+        self.accepted = Some(AcceptedView { ballot: request.ballot, view: proposed });
+        if request.founding {
+            // Danger: no view of before may live on beside the one that is founded.
+            self.view = None;
+            self.founding_ballot = request.ballot;
         }
+        Some(view_ballot)
+    }
+
+    fn view_newer_than(&self, known: Option<&View>) -> Option<View> {
+        let own = self.view.as_ref()?;
+        let is_newer = known.is_none_or(|known| own.ballot > known.ballot);
+        is_newer.then(|| own.clone())
     }
 
-    fn votes(&self, now: Time, ask: &VoteRequest, settings: &Settings) -> bool {
-        let who = ask.ballot.who;
-        if ask.ballot < self.promised || self.vote.is_some_and(|(to, until)| to != who && now < until) {
+    fn grants_vote(&self, now: Time, request: &VoteRequest, settings: &Settings) -> bool {
+        let candidate = request.ballot.proposer;
+        let is_taken = self.vote.is_some_and(|vote| vote.candidate != candidate && now < vote.ends_at);
+        if request.ballot < self.promised || is_taken {
             return false;
         }
-        if !ask.founds {
-            let same = |view: &View| ask.view.as_ref().is_some_and(|asked| asked.ballot == view.ballot);
-            return self.is_seated() && self.view.as_ref().is_some_and(same);
+        if request.founding {
+            return self.may_found(now, settings);
         }
-        // Danger: the process before this one at its seat may have a vote out that it knows nothing of.
-        let is_settled = now >= self.began + settings.stretched(settings.vote);
-        let is_lost = self.view.is_none() || now >= self.heard + settings.lease;
-        settings.founders.binary_search(&self.me.address).is_ok() && is_settled && is_lost
+        match (&self.view, &request.view) {
+            (Some(known), Some(asked)) => known.ballot == asked.ballot && self.is_voter(),
+            _ => false,
+        }
+    }
+
+    /// Whether it may help to found a new fleet.
+    fn may_found(&self, now: Time, settings: &Settings) -> bool {
+        let is_founder = settings.founders.binary_search(&self.local.address).is_ok();
+        // Danger: the process before this one at its address may have granted a vote that this one
+        // knows nothing of.
+        let earlier_votes_ended = now >= self.started_at + settings.with_skew(settings.vote);
+        let fleet_is_lost = self.view.is_none() || now >= self.leader_heard_at + settings.lease;
+        is_founder && earlier_votes_ended && fleet_is_lost
     }
 }
--- a/crates/quota/src/wire.rs
+++ b/crates/quota/src/wire.rs
@@ -1,44 +1,53 @@
-//! Words about shares in bytes. What is said under other settings is not heard: two that divide differently must
-//! neither vote for nor lease to each other.
+//! [`encode`] and [`decode`]: messages about the quota as bytes. Messages under other settings are
+//! rejected: two processes that divide differently must neither vote for nor lease to each other.
 
 use crate::message::Message;
 use crate::settings::Settings;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Why words are not heard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+/// Why bytes are not accepted as a message.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum DecodeError {
-    /// They are none.
-    #[error("no words about shares")]
-    Spoilt,
-    /// Founders, size or times there are others than here.
+    /// They are no message.
+    #[error("no message about the quota")]
+    Malformed(#[source] postcard::Error),
+    /// A message ends before the bytes do.
+    #[error("{0} bytes after the message about the quota")]
+    TrailingBytes(usize),
+    /// The sender's founders, size or times are not this process's.
     #[error("other founders, size or times")]
     OtherSettings,
 }
 
 #[derive(Serialize, Deserialize)]
 struct Envelope<T> {
-    settings: u64,
+    settings_digest: u64,
     message: T,
 }
 
-/// A message in bytes.
+/// Encodes a message.
 pub fn encode(settings: &Settings, message: &Message) -> Vec<u8> {
-    let said = Envelope { settings: settings.digest(), message };
+    let envelope = Envelope { settings_digest: settings.digest(), message };
     // Numbers, addresses and lists have a form in postcard: nothing here fails.
-    postcard::to_allocvec(&said).unwrap_or_default()
+    postcard::to_allocvec(&envelope).unwrap_or_default()
 }
 
-/// Reads one.
+/// Decodes a message.
+///
+/// # Errors
+///
+/// [`DecodeError`] if the bytes are not one whole message of a process with equal settings.
 pub fn decode(settings: &Settings, bytes: &[u8]) -> Result<Message, DecodeError> {
-    let (said, rest): (Envelope<Message>, _) =
-        postcard::take_from_bytes(bytes).map_err(|_| DecodeError::Spoilt)?;
-    match (rest, said.settings == settings.digest()) {
-        ([], true) => Ok(said.message),
-        ([], false) => Err(DecodeError::OtherSettings),
-        _ => Err(DecodeError::Spoilt),
+    let (envelope, rest): (Envelope<Message>, &[u8]) =
+        postcard::take_from_bytes(bytes).map_err(DecodeError::Malformed)?;
+    if !rest.is_empty() {
+        return Err(DecodeError::TrailingBytes(rest.len()));
     }
+    if envelope.settings_digest != settings.digest() {
+        return Err(DecodeError::OtherSettings);
+    }
+    Ok(envelope.message)
 }
 
 #[cfg(test)]
--- a/crates/quota/src/wire/tests.rs
+++ b/crates/quota/src/wire/tests.rs
@@ -1,47 +1,94 @@
 use super::*;
-use crate::message::{LeaseRequest, VoteRequest, VoteResponse};
+use crate::message::{AcceptedView, LeaseRequest, VoteRequest, VoteResponse};
 use crate::settings::MAX_FOUNDERS;
 use crate::view::{Ballot, Process, View};
 use std::net::SocketAddr;
 
-#[test]
-fn the_longest_words_fit_a_datagram_and_only_like_settings_hear_them() {
-    let place = |n: usize| SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, n as u16], 65_535));
-    let settings = Settings::with_defaults((0..MAX_FOUNDERS).map(place).collect(), 40);
+fn address(host: usize) -> SocketAddr {
+    SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, host as u16], 65_535))
+}
+
+fn process(host: usize) -> Process {
+    Process { address: address(host), start: u64::MAX / 2 }
+}
+
+/// Settings with as many founders as there may be.
+fn largest_settings() -> Settings {
+    let settings = Settings::with_defaults((0..MAX_FOUNDERS).map(address).collect(), 40);
     assert_eq!(settings.check(), Ok(()));
-    let process = |n| Process { address: place(n), start: u64::MAX / 2 };
-    let ballot = Ballot { round: u64::MAX, who: process(1) };
-    let council = (0..MAX_FOUNDERS).map(process).collect();
-    let view = Some(View { ballot, number: u64::MAX, voters: council });
-    let at = u64::MAX;
-    let ask =
-        VoteRequest { ballot, at, founds: false, in_office: true, view: view.clone(), next: view.clone() };
-    let bytes = encode(&settings, &Message::VoteRequest(Box::new(ask.clone())));
-    assert!(bytes.len() <= 1_100, "{}", bytes.len());
-    assert_eq!(decode(&settings, &bytes), Ok(Message::VoteRequest(Box::new(ask))));
-    // The longest answer: it has taken a view.
-    let answer = VoteResponse {
+    settings
+}
+
+fn latest_ballot() -> Ballot {
+    Ballot { round: u64::MAX, proposer: process(1) }
+}
+
+fn largest_view() -> View {
+    let voters = (0..MAX_FOUNDERS).map(process).collect();
+    View { ballot: latest_ballot(), number: u64::MAX, voters }
+}
+
+fn longest_vote_request() -> Message {
+    Message::VoteRequest(Box::new(VoteRequest {
+        ballot: latest_ballot(),
+        sent_at: u64::MAX,
+        founding: false,
+        is_leader: true,
+        view: Some(largest_view()),
+        proposed_view: Some(largest_view()),
+    }))
+}
+
+/// The longest response: it has accepted a view.
+fn longest_vote_response() -> Message {
+    let ballot = latest_ballot();
+    Message::VoteResponse(Box::new(VoteResponse {
         from: process(1),
         ballot,
-        asked_at: at,
-        yes: true,
-        takes: Some(ballot),
-        pending: view.map(|view| (ballot, view)),
-        promised: ballot,
-        newer: None,
-        number: at,
-        leaves: true,
-        want: LeaseRequest { at, holds: at, since: at },
-    };
-    let long = encode(&settings, &Message::VoteResponse(Box::new(answer)));
-    assert!(long.len() <= 1_100, "{}", long.len());
+        request_sent_at: u64::MAX,
+        vote_granted: true,
+        accepts: Some(ballot),
+        accepted: Some(AcceptedView { ballot, view: largest_view() }),
+        highest_ballot: ballot,
+        newer_view: None,
+        highest_view_number: u64::MAX,
+        leaving: true,
+        lease_request: LeaseRequest { sent_at: u64::MAX, held_parts: u64::MAX, held_since: u64::MAX },
+    }))
+}
+
+#[test]
+fn the_longest_messages_fit_a_datagram() {
+    let settings = largest_settings();
+    for message in [longest_vote_request(), longest_vote_response()] {
+        let bytes = encode(&settings, &message);
+        assert!(bytes.len() <= 1_100, "{} bytes", bytes.len());
+        assert_eq!(decode(&settings, &bytes), Ok(message));
+    }
+}
+
+#[test]
+fn messages_under_other_settings_are_rejected() {
+    let settings = largest_settings();
+    let bytes = encode(&settings, &longest_vote_request());
     let others = [
         Settings { size: 41, ..settings.clone() },
         Settings { lease: 3001, ..settings.clone() },
         Settings { founders: settings.founders[1..].to_vec(), ..settings.clone() },
     ];
-    assert!(others.iter().all(|other| decode(other, &bytes) == Err(DecodeError::OtherSettings)));
-    (0..bytes.len())
-        .for_each(|end| assert_eq!(decode(&settings, &bytes[..end]), Err(DecodeError::Spoilt), "{end}"));
-    assert_eq!(decode(&settings, &[bytes, vec![0]].concat()), Err(DecodeError::Spoilt));
+    assert_eq!(decode(&settings, &bytes), Ok(longest_vote_request()));
+    for other in others {
+        assert_eq!(decode(&other, &bytes), Err(DecodeError::OtherSettings), "{other:?}");
+    }
+}
+
+#[test]
+fn truncated_messages_and_trailing_bytes_are_rejected() {
+    let settings = largest_settings();
+    let bytes = encode(&settings, &longest_vote_request());
+    for end in 0..bytes.len() {
+        let decoded = decode(&settings, &bytes[..end]);
+        assert!(matches!(decoded, Err(DecodeError::Malformed(_))), "{end} bytes: {decoded:?}");
+    }
+    assert_eq!(decode(&settings, &[bytes, vec![0]].concat()), Err(DecodeError::TrailingBytes(1)));
 }
--- a/crates/quota/tests/promises.rs
+++ b/crates/quota/tests/promises.rs
@@ -39,7 +39,7 @@
     let due = LEASED_PARTS / HOSTS as u64;
     for host in 0..HOSTS {
         let parts = sharing.heard.iter().filter_map(|(_, who, news)| match news {
-            QuotaEvent::Leased(lease) if *who == host => Some(lease.part),
+            QuotaEvent::LeaseGranted(lease) if *who == host => Some(lease.parts),
             _ => None,
         });
         let parts: Vec<u64> = [0].into_iter().chain(parts).collect();
@@ -60,7 +60,7 @@
     let cut = sharing.now();
     let known = [0, 1, 2, 3, 4].map(|host| sharing.process(host));
     sharing.run(sharing.settings.lease);
-    let base = sharing.settings.base();
+    let base = sharing.settings.guaranteed_minimum();
     assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
     (0..2).for_each(|host| sharing.know(host, known[..2].to_vec()));
     (2..5).for_each(|host| sharing.know(host, known[2..].to_vec()));
@@ -68,7 +68,10 @@
     assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
     assert_eq!([2, 3, 4].map(|host| sharing.share(host)), [base + LEASED_PARTS / 3; 3]);
     let ended = |host: usize| {
-        sharing.heard.iter().any(|(at, who, news)| *at > cut && *who == host && *news == QuotaEvent::Ended)
+        sharing
+            .heard
+            .iter()
+            .any(|(at, who, news)| *at > cut && *who == host && *news == QuotaEvent::LeaseExpired)
     };
     assert!(ended(0) && ended(1) && !ended(2));
     assert!(sharing.most <= WHOLE_PARTS);
@@ -82,7 +85,7 @@
         (0..hosts).for_each(|host| sharing.start(host));
         sharing.know_all();
         sharing.run(20_000);
-        let base = sharing.settings.base();
+        let base = sharing.settings.guaranteed_minimum();
         let all: Vec<usize> = (0..hosts).collect();
         assert!(
             all.iter().all(|host| sharing.share(*host) == base + LEASED_PARTS / hosts as u64),
@@ -121,14 +124,16 @@
         sharing.run(1_000);
     }
     sharing.run(2 * sharing.settings.lease);
-    let theirs = sharing.settings.base() + LEASED_PARTS / 3;
+    let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
     // All but one: that one may be away for good.
     (0..10).for_each(|host| sharing.kill(host));
     (0..9).for_each(|host| sharing.start(host));
     sharing.know_all();
     sharing.run(20_000);
-    assert!((0..9).all(|host| sharing.share(host) == sharing.settings.base() + LEASED_PARTS / 9));
+    assert!(
+        (0..9).all(|host| sharing.share(host) == sharing.settings.guaranteed_minimum() + LEASED_PARTS / 9)
+    );
     assert!(sharing.most <= WHOLE_PARTS);
 }
 
@@ -196,7 +201,7 @@
             "seed {seed}: {} stewards",
             sharing.stewards
         );
-        let base = sharing.settings.base();
+        let base = sharing.settings.guaranteed_minimum();
         assert_eq!([steward, other].map(|host| sharing.share(host)), [base; 2], "seed {seed}");
     }
     assert!(tried > 5, "{tried} of 20 came so far");
@@ -214,7 +219,7 @@
     (0..7).for_each(|host| sharing.kill(host));
     sharing.know_all();
     sharing.run(4 * sharing.settings.lease);
-    let theirs = sharing.settings.base() + LEASED_PARTS / 3;
+    let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
     assert!(sharing.most <= WHOLE_PARTS);
 }
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -125,7 +125,7 @@
     }
 
     fn share(&self, state: &State, host: usize) -> Parts {
-        state.hosts[host].as_ref().map_or(0, |shares| shares.share(self.clock(state, host)))
+        state.hosts[host].as_ref().map_or(0, |shares| shares.usable_parts(self.clock(state, host)))
     }
 
     fn send(&self, state: &mut State, from: usize, out: Vec<Output>, queue: &mut Vec<(usize, Message)>) {
@@ -260,7 +260,7 @@
     }
 
     fn all_have_theirs(&self, state: &State) -> bool {
-        let due = self.settings.base() + LEASED_PARTS / HOSTS as u64;
+        let due = self.settings.guaranteed_minimum() + LEASED_PARTS / HOSTS as u64;
         (0..HOSTS).all(|host| self.share(state, host) == due)
     }
 
@@ -360,14 +360,17 @@
             }),
             // That something was explored at all.
             Property::sometimes("a view changes", |_, state: &State| {
-                state.hosts.iter().flatten().any(|shares| shares.view() > 2)
+                state.hosts.iter().flatten().any(|shares| shares.view_number() > 2)
             }),
             Property::sometimes("one has more than a third", |scope: &Scope, state: &State| {
-                (0..HOSTS).any(|host| scope.share(state, host) > scope.settings.base() + LEASED_PARTS / 3)
+                (0..HOSTS).any(|host| {
+                    scope.share(state, host) > scope.settings.guaranteed_minimum() + LEASED_PARTS / 3
+                })
             }),
             Property::sometimes("one has only its base", |scope: &Scope, state: &State| {
                 (0..HOSTS).any(|host| {
-                    state.hosts[host].is_some() && scope.share(state, host) == scope.settings.base()
+                    state.hosts[host].is_some()
+                        && scope.share(state, host) == scope.settings.guaranteed_minimum()
                 })
             }),
         ]
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -187,7 +187,7 @@
 
     /// What a host may use now.
     pub fn share(&self, host: usize) -> Parts {
-        self.at(host).map_or(0, |(shares, now)| shares.share(now))
+        self.at(host).map_or(0, |(shares, now)| shares.usable_parts(now))
     }
 
     /// Tells a host who is there.
@@ -238,7 +238,7 @@
         self.queue.insert((due, self.count), Event::Wake(host, self.count));
         for output in out {
             match output {
-                Output::QuotaEvent(news) => self.heard.push((self.now, host, news)),
+                Output::Event(news) => self.heard.push((self.now, host, news)),
                 Output::Send(to, message) => {
                     let to = (0..self.hosts.len()).find(|host| place(*host) == to).expect("a host");
                     self.messages += 1;
@@ -258,7 +258,7 @@
         let (now, calls) = (self.now, self.settings.calls);
         let (mut in_use, mut stewards) = (0, 0);
         for host in &mut self.hosts {
-            let share = host.shares.as_ref().map_or(0, |shares| shares.share(host.clock.at(now)));
+            let share = host.shares.as_ref().map_or(0, |shares| shares.usable_parts(host.clock.at(now)));
             if share < host.share {
                 host.calls.push((host.share, now + calls));
             }
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -83,8 +83,9 @@
     sharing.know_all();
     sharing.run(40_000);
     let due = LEASED_PARTS / HOSTS as u64;
-    let leases: Vec<u64> =
-        (0..HOSTS).map(|host| sharing.at(host).map_or(0, |(shares, now)| shares.lease().at(now))).collect();
+    let leases: Vec<u64> = (0..HOSTS)
+        .map(|host| sharing.at(host).map_or(0, |(shares, now)| shares.lease().parts_at(now)))
+        .collect();
     if leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE_PARTS {
         Ok(())
     } else {
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -149,7 +149,7 @@
     /// Until it is granted more a process has its base.
     fn tell_base(&self) {
         if let Some(shares) = &self.config().quota {
-            let base = shares.settings.base() as f64 / pinetrail_quota::WHOLE_PARTS as f64;
+            let base = shares.settings.guaranteed_minimum() as f64 / pinetrail_quota::WHOLE_PARTS as f64;
             self.say(quota::Share { part: base, until: 0, base, whole: shares.whole });
         }
     }
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -99,7 +99,7 @@
     ) -> Option<Share> {
         let message = match decode(&self.config.settings, bytes) {
             Ok(message) => message,
-            Err(DecodeError::Spoilt) => {
+            Err(DecodeError::Malformed(_) | DecodeError::TrailingBytes(_)) => {
                 self.unheard += 1;
                 return None;
             }
@@ -121,9 +121,9 @@
     pub(super) fn share(&self, now: Time) -> Share {
         let lease = self.shares.lease();
         Share {
-            part: part(self.shares.base() + lease.at(now)),
-            until: lease.until,
-            base: part(self.shares.base()),
+            part: part(self.shares.guaranteed_minimum() + lease.parts_at(now)),
+            until: lease.expires_at,
+            base: part(self.shares.guaranteed_minimum()),
             whole: self.config.whole,
         }
     }
@@ -131,10 +131,10 @@
     /// What operators see.
     pub(super) fn seen(&self, now: Time) -> Seen {
         Seen {
-            share: part(self.shares.share(now)),
-            base: part(self.shares.base()),
-            lease_ms: self.shares.lease().until.saturating_sub(now),
-            view: self.shares.view(),
+            share: part(self.shares.usable_parts(now)),
+            base: part(self.shares.guaranteed_minimum()),
+            lease_ms: self.shares.lease().expires_at.saturating_sub(now),
+            view: self.shares.view_number(),
             steward: self.shares.is_leader(now),
         }
     }
@@ -143,10 +143,10 @@
     pub(super) fn list(&self) -> Vec<(&'static str, u64)> {
         let counts = sum(self.earlier, self.shares.counters());
         vec![
-            ("fleet_leases_granted", counts.granted),
-            ("fleet_leases_refused", counts.refused),
-            ("fleet_leases_ended", counts.ended),
-            ("fleet_stewardships", counts.offices),
+            ("fleet_leases_granted", counts.leases_granted),
+            ("fleet_leases_refused", counts.leases_refused),
+            ("fleet_leases_ended", counts.leases_expired),
+            ("fleet_stewardships", counts.terms_led),
             ("fleet_shares_unheard", self.unheard),
         ]
     }
@@ -164,9 +164,9 @@
                 Output::Send(to, message) => {
                     members.send_quota_message(to, &encode(&self.config.settings, &message), out);
                 }
-                Output::QuotaEvent(QuotaEvent::Leased(_)) => changed = true,
-                Output::QuotaEvent(news) => {
-                    changed |= news == QuotaEvent::Ended;
+                Output::Event(QuotaEvent::LeaseGranted(_)) => changed = true,
+                Output::Event(news) => {
+                    changed |= news == QuotaEvent::LeaseExpired;
                     log(&format!("fleet: {}", in_words(&news)));
                 }
             }
@@ -185,19 +185,19 @@
 
 fn sum(a: QuotaCounters, b: QuotaCounters) -> QuotaCounters {
     QuotaCounters {
-        granted: a.granted + b.granted,
-        refused: a.refused + b.refused,
-        ended: a.ended + b.ended,
-        offices: a.offices + b.offices,
+        leases_granted: a.leases_granted + b.leases_granted,
+        leases_refused: a.leases_refused + b.leases_refused,
+        leases_expired: a.leases_expired + b.leases_expired,
+        terms_led: a.terms_led + b.terms_led,
     }
 }
 
 fn in_words(news: &QuotaEvent) -> String {
     match news {
-        QuotaEvent::Leased(lease) => format!("holds {} of {WHOLE_PARTS} by lease", lease.part),
-        QuotaEvent::Ended => "its lease has ended: this process has only its base".to_owned(),
-        QuotaEvent::Steward(true) => "this process is the steward: it leases shares".to_owned(),
-        QuotaEvent::Steward(false) => "this process is the steward no longer".to_owned(),
-        QuotaEvent::View(number) => format!("view {number} counts"),
+        QuotaEvent::LeaseGranted(lease) => format!("holds {} of {WHOLE_PARTS} by lease", lease.parts),
+        QuotaEvent::LeaseExpired => "its lease has ended: this process has only its base".to_owned(),
+        QuotaEvent::BecameLeader => "this process is the steward: it leases shares".to_owned(),
+        QuotaEvent::LostLeadership => "this process is the steward no longer".to_owned(),
+        QuotaEvent::ViewChanged(number) => format!("view {number} counts"),
     }
 }
