Quota settings say what they measure: heartbeat_period, lease_duration, longest_call and so on

The configuration's keys and the words in error texts stay; the configuration module, its golden test's identifiers and one experiment follow.

--- a/crates/experiments/src/quota/day.rs
+++ b/crates/experiments/src/quota/day.rs
@@ -119,7 +119,7 @@
             origin: Origin::new(BEARS * count, TAKES, 3_000),
             sharing: (self.rule == Rule::Leased).then(|| {
                 let mut sharing = Sharing::new(count, FOUNDERS.min(count), count, self.seed);
-                sharing.settings.calls = DEADLINE;
+                sharing.settings.longest_call = DEADLINE;
                 (0..count).for_each(|host| sharing.start(host));
                 sharing.know_all();
                 sharing
--- a/crates/quota/src/golden_tests.rs
+++ b/crates/quota/src/golden_tests.rs
@@ -38,12 +38,12 @@
     Settings {
         founders: vec![address(1), address(2), address_v6()],
         size: 40,
-        period: 300,
-        vote: 1200,
-        lease: 3000,
-        calls: 2500,
-        skew: 2,
-        steps: 4,
+        heartbeat_period: 300,
+        vote_duration: 1200,
+        lease_duration: 3000,
+        longest_call: 2500,
+        skew_percent: 2,
+        growth_steps: 4,
     }
 }
 
@@ -207,6 +207,6 @@
     assert_eq!(settings().check(), Ok(()));
     assert_eq!(hex(&settings().digest().to_be_bytes()), "35e87c7f0d40e332");
     // How often a leader asks, and in how many steps a lease grows, is each process's own matter.
-    let other = Settings { period: 250, steps: 9, ..settings() };
+    let other = Settings { heartbeat_period: 250, growth_steps: 9, ..settings() };
     assert_eq!(other.digest(), settings().digest());
 }
--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -112,7 +112,7 @@
 
     /// How long ago it asked for the votes that it holds.
     pub(crate) fn age_of_votes(&self, now: Time, settings: &Settings) -> Time {
-        (now + settings.vote).saturating_sub(self.valid_until)
+        (now + settings.vote_duration).saturating_sub(self.valid_until)
     }
 
     /// Whether it had the votes of a quorum and has them no longer.
@@ -170,7 +170,7 @@
 
     fn record_vote(&mut self, response: &VoteResponse, settings: &Settings) {
         let ends_at = self.votes.entry(response.from).or_default();
-        *ends_at = (*ends_at).max(response.request_sent_at + settings.vote);
+        *ends_at = (*ends_at).max(response.request_sent_at + settings.vote_duration);
         let proposed_ballot = self.proposed_view.as_ref().map(|view| view.ballot);
         if response.accepts.is_some() && response.accepts == proposed_ballot {
             self.accepted_by.insert(response.from);
@@ -276,7 +276,7 @@
     ) {
         let Some(view) = &self.view else { return };
         // A voter that does not respond is left out before anybody else has noticed.
-        if now >= self.view_decided_at + settings.period * 2 {
+        if now >= self.view_decided_at + settings.heartbeat_period * 2 {
             let has_voted = |one: &Process| self.votes.get(one).is_some_and(|ends_at| now < *ends_at);
             voters.retain(|one| !view.is_voter(one) || has_voted(one));
         }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -81,7 +81,7 @@
     /// What was leased for requests before the one by which the holder holds is in use only until
     /// the calls that began under it have ended.
     fn end_replaced(&mut self, now: Time, holder: Process, request: LeaseRequest, settings: &Settings) {
-        let last_call_ends = now + settings.with_skew(settings.calls);
+        let last_call_ends = now + settings.with_skew(settings.longest_call);
         let Some(own) = self.granted.get_mut(&holder) else { return };
         for one in own.iter_mut().filter(|one| one.request_sent_at < request.held_since) {
             one.in_use_until = one.in_use_until.min(last_call_ends);
@@ -97,7 +97,7 @@
         if now < self.complete_at {
             return equal_part.min(request.held_parts);
         }
-        let step = equal_part.div_ceil(settings.steps);
+        let step = equal_part.div_ceil(settings.growth_steps);
         let others = self.granted.iter().filter(|(process, _)| **process != holder);
         let used_by_others: Parts = others.map(|(_, leases)| most_parts(leases)).sum();
         let free = LEASED_PARTS.saturating_sub(used_by_others);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Whatever is partitioned, late, stopped or restarted, the quotas in force add up to one at the
 //! most, provided that at most [`Settings::size`] processes run and that no clock runs faster than
-//! another by more than [`Settings::skew`].
+//! another by more than [`Settings::skew_percent`].
 //!
 //! How: a majority of the voters of a [`View`], which are founders, elects the leader by votes that
 //! end by themselves. It alone grants leases, and keeps a ledger of them. A new leader renews what
--- a/crates/quota/src/quota_leases.rs
+++ b/crates/quota/src/quota_leases.rs
@@ -165,13 +165,13 @@
 
     /// Whether a candidate has waited for votes in vain.
     fn is_hopeless(&self, term: &LeaderTerm, now: Time) -> bool {
-        term.phase == Phase::RequestingVotes && now >= term.started_at + self.settings.period * 4
+        term.phase == Phase::RequestingVotes && now >= term.started_at + self.settings.heartbeat_period * 4
     }
 
     fn become_candidate_if_due(&mut self, now: Time, out: &mut Vec<Output>) {
         let election_time = self.election_time(self.voter.leader_heard_at.max(self.started_at));
         if now < election_time || !self.voter.can_vote_for_itself(now) {
-            self.next_election_step = election_time.max(now + self.settings.period);
+            self.next_election_step = election_time.max(now + self.settings.heartbeat_period);
             return;
         }
         match self.election_kind(now) {
@@ -179,7 +179,7 @@
                 self.term = Some(LeaderTerm::new(self.local, now, &mut self.voter, kind));
                 self.send_vote_requests(now, out);
             }
-            None => self.next_election_step = now + self.settings.period,
+            None => self.next_election_step = now + self.settings.heartbeat_period,
         }
     }
 
@@ -188,7 +188,7 @@
     fn election_kind(&self, now: Time) -> Option<ElectionKind> {
         let is_founder = self.settings.founders.binary_search(&self.local.address).is_ok();
         let is_voter = self.voter.is_voter();
-        let no_leader_for_long = now >= self.voter.leader_heard_at + self.settings.lease * 2;
+        let no_leader_for_long = now >= self.voter.leader_heard_at + self.settings.lease_duration * 2;
         let view_is_lost = no_leader_for_long && self.lost_elections % 2 == 1;
         if is_founder && (!is_voter || view_is_lost) {
             Some(ElectionKind::Founding)
@@ -208,11 +208,11 @@
         };
         let before = candidates.iter().take_while(|address| **address != self.local.address);
         let rank = before.filter(|address| self.is_alive(address)).count() as u64;
-        let turn = (1 + rank) * self.settings.period;
+        let turn = (1 + rank) * self.settings.heartbeat_period;
         // Those who failed together try again at different times.
         let seed = (self.local.start ^ rank).wrapping_add(self.lost_elections);
-        let spread = (seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % self.settings.period;
-        since + self.settings.with_skew(self.settings.vote) + turn + spread
+        let spread = (seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % self.settings.heartbeat_period;
+        since + self.settings.with_skew(self.settings.vote_duration) + turn + spread
     }
 
     fn is_alive(&self, address: &SocketAddr) -> bool {
--- a/crates/quota/src/quota_leases/messages.rs
+++ b/crates/quota/src/quota_leases/messages.rs
@@ -12,7 +12,7 @@
 impl QuotaLeases {
     /// Asks everybody for votes and lease requests, as leader or candidate.
     pub(super) fn send_vote_requests(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.next_election_step = now + self.settings.period;
+        self.next_election_step = now + self.settings.heartbeat_period;
         let possible_voters = self.possible_voters();
         let Some(term) = &mut self.term else { return };
         term.propose(now, possible_voters, &mut self.voter, &self.settings);
@@ -116,7 +116,7 @@
         let Some(term) = &mut self.term else { return };
         // A side of a partition that has lost the others has its minimum within one lease, whoever
         // leads there.
-        let duration = self.settings.lease.saturating_sub(term.age_of_votes(now, &self.settings));
+        let duration = self.settings.lease_duration.saturating_sub(term.age_of_votes(now, &self.settings));
         let Phase::Leading { since, ledger } = &mut term.phase else { return };
         // Danger: what the holder held before this term may be another's by now.
         if response.request_sent_at < *since {
@@ -150,7 +150,7 @@
         if grant.to != self.local || grant.parts == 0 {
             return;
         }
-        if self.lease.replace_with(grant, self.settings.lease) {
+        if self.lease.replace_with(grant, self.settings.lease_duration) {
             self.has_lease = self.lease.parts_at(now) > 0;
             out.push(Output::Event(QuotaEvent::LeaseGranted(self.lease)));
         }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -8,7 +8,7 @@
 pub const MAX_FOUNDERS: usize = 15;
 
 /// How the quota is divided, and the times. All processes of a fleet must have equal settings,
-/// except for `period` and `steps`.
+/// except for `heartbeat_period` and `growth_steps`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Settings {
     /// The addresses from which voters are chosen, sorted: the same at every process.
@@ -16,17 +16,17 @@
     /// The most processes that ever run at once.
     pub size: usize,
     /// The leader sends its vote requests once in this time, in ms. They are its heartbeat.
-    pub period: Time,
+    pub heartbeat_period: Time,
     /// How long a vote lasts, in ms.
-    pub vote: Time,
+    pub vote_duration: Time,
     /// How long a lease lasts, in ms.
-    pub lease: Time,
+    pub lease_duration: Time,
     /// The longest time that a call may run, in ms: leased parts stay in use that much longer.
-    pub calls: Time,
+    pub longest_call: Time,
     /// How much faster one clock may run than another, in percent.
-    pub skew: u64,
+    pub skew_percent: u64,
     /// In how many steps a lease grows from nothing to an equal part of all that is leased.
-    pub steps: u64,
+    pub growth_steps: u64,
 }
 
 /// Why settings are invalid.
@@ -64,7 +64,16 @@
     /// The defaults: leases of 3 s, votes of 1.2 s, calls of at most 2.5 s.
     pub fn with_defaults(mut founders: Vec<SocketAddr>, size: usize) -> Settings {
         founders.sort();
-        Settings { founders, size, period: 300, vote: 1200, lease: 3000, calls: 2500, skew: 2, steps: 4 }
+        Settings {
+            founders,
+            size,
+            heartbeat_period: 300,
+            vote_duration: 1200,
+            lease_duration: 3000,
+            longest_call: 2500,
+            skew_percent: 2,
+            growth_steps: 4,
+        }
     }
 
     /// Checks that the settings can work together.
@@ -81,12 +90,12 @@
         if self.size < count {
             return Err(SettingsError::Size { size: self.size, founders: count });
         }
-        check_range("period", self.period, 50, 10_000)?;
-        check_range("vote", self.vote, self.period * 2, 60_000)?;
-        check_range("lease", self.lease, self.vote, 120_000)?;
-        check_range("calls", self.calls, 0, 120_000)?;
-        check_range("skew", self.skew, 0, 50)?;
-        check_range("steps", self.steps, 1, 100)
+        check_range("period", self.heartbeat_period, 50, 10_000)?;
+        check_range("vote", self.vote_duration, self.heartbeat_period * 2, 60_000)?;
+        check_range("lease", self.lease_duration, self.vote_duration, 120_000)?;
+        check_range("calls", self.longest_call, 0, 120_000)?;
+        check_range("skew", self.skew_percent, 0, 50)?;
+        check_range("steps", self.growth_steps, 1, 100)
     }
 
     /// A digest of all that must be the same at every process.
@@ -95,7 +104,8 @@
         for founder in &self.founders {
             hash.update(founder.to_string().as_bytes());
         }
-        let numbers = [self.size as u64, self.vote, self.lease, self.calls, self.skew];
+        let numbers =
+            [self.size as u64, self.vote_duration, self.lease_duration, self.longest_call, self.skew_percent];
         for number in &numbers {
             hash.update(&number.to_be_bytes());
         }
@@ -109,12 +119,12 @@
 
     /// How long a duration on another process's clock may last on this one.
     pub(crate) fn with_skew(&self, duration: Time) -> Time {
-        duration + duration * self.skew / 100 + 1
+        duration + duration * self.skew_percent / 100 + 1
     }
 
     /// How long parts may be in use after they were leased: the lease, and then the last calls.
     pub(crate) fn longest_use(&self) -> Time {
-        self.with_skew(self.lease + self.calls)
+        self.with_skew(self.lease_duration + self.longest_call)
     }
 
     /// The fewest voters that may decide: one more than founders that may be missing when a fleet
--- a/crates/quota/src/voter.rs
+++ b/crates/quota/src/voter.rs
@@ -135,7 +135,7 @@
         self.promised = request.ballot;
         // Danger: the candidate counts from when it sent the request, which was before now; this
         // clock may be the faster one.
-        let ends_at = now + settings.with_skew(settings.vote);
+        let ends_at = now + settings.with_skew(settings.vote_duration);
         self.vote = Some(Vote { candidate: request.ballot.proposer, ends_at });
         let proposed = request.proposed_view.clone()?;
         let view_ballot = proposed.ballot;
@@ -174,8 +174,8 @@
         let is_founder = settings.founders.binary_search(&self.local.address).is_ok();
         // Danger: the process before this one at its address may have granted a vote that this one
         // knows nothing of.
-        let earlier_votes_ended = now >= self.started_at + settings.with_skew(settings.vote);
-        let fleet_is_lost = self.view.is_none() || now >= self.leader_heard_at + settings.lease;
+        let earlier_votes_ended = now >= self.started_at + settings.with_skew(settings.vote_duration);
+        let fleet_is_lost = self.view.is_none() || now >= self.leader_heard_at + settings.lease_duration;
         is_founder && earlier_votes_ended && fleet_is_lost
     }
 }
--- a/crates/quota/src/wire/tests.rs
+++ b/crates/quota/src/wire/tests.rs
@@ -73,7 +73,7 @@
     let bytes = encode(&settings, &longest_vote_request());
     let others = [
         Settings { size: 41, ..settings.clone() },
-        Settings { lease: 3001, ..settings.clone() },
+        Settings { lease_duration: 3001, ..settings.clone() },
         Settings { founders: settings.founders[1..].to_vec(), ..settings.clone() },
     ];
     assert_eq!(decode(&settings, &bytes), Ok(longest_vote_request()));
--- a/crates/quota/tests/promises.rs
+++ b/crates/quota/tests/promises.rs
@@ -59,7 +59,7 @@
     sharing.network.cut_into(&[&[0, 1], &[2, 3, 4]]);
     let cut = sharing.now();
     let known = [0, 1, 2, 3, 4].map(|host| sharing.process(host));
-    sharing.run(sharing.settings.lease);
+    sharing.run(sharing.settings.lease_duration);
     let base = sharing.settings.guaranteed_minimum();
     assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
     (0..2).for_each(|host| sharing.know(host, known[..2].to_vec()));
@@ -123,7 +123,7 @@
         sharing.know_all();
         sharing.run(1_000);
     }
-    sharing.run(2 * sharing.settings.lease);
+    sharing.run(2 * sharing.settings.lease_duration);
     let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
     // All but one: that one may be away for good.
@@ -218,7 +218,7 @@
     sharing.run(1_500);
     (0..7).for_each(|host| sharing.kill(host));
     sharing.know_all();
-    sharing.run(4 * sharing.settings.lease);
+    sharing.run(4 * sharing.settings.lease_duration);
     let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
     assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
     assert!(sharing.most <= WHOLE_PARTS);
--- a/crates/simulation/src/model.rs
+++ b/crates/simulation/src/model.rs
@@ -41,7 +41,14 @@
     /// So many faults within so many ticks, with clocks that run at these rates, in thousandths.
     pub fn new(faults: usize, ticks: u64, rates: [u64; HOSTS]) -> Scope {
         let usual = Settings::with_defaults((0..HOSTS).map(place).collect(), HOSTS);
-        let settings = Settings { period: 100, vote: 200, lease: 300, calls: 0, steps: 1, ..usual };
+        let settings = Settings {
+            heartbeat_period: 100,
+            vote_duration: 200,
+            lease_duration: 300,
+            longest_call: 0,
+            growth_steps: 1,
+            ..usual
+        };
         Scope { settings, rates, faults, ticks }
     }
 
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -141,7 +141,7 @@
 
     /// Kills the process on a host; its calls run on.
     pub fn kill(&mut self, host: usize) {
-        let ends = self.now + self.settings.calls;
+        let ends = self.now + self.settings.longest_call;
         let this = &mut self.hosts[host];
         if this.shares.take().is_some() {
             this.calls.push((this.share, ends));
@@ -255,7 +255,7 @@
 
     /// Adds up what all use. A process that is stopped uses nothing, but what it would use once it goes on counts.
     fn watch(&mut self) {
-        let (now, calls) = (self.now, self.settings.calls);
+        let (now, calls) = (self.now, self.settings.longest_call);
         let (mut in_use, mut stewards) = (0, 0);
         for host in &mut self.hosts {
             let share = host.shares.as_ref().map_or(0, |shares| shares.usable_parts(host.clock.at(now)));
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -113,10 +113,10 @@
         founders.into_iter().map(|at| address("fleet.founders", at)).collect::<Result<_, _>>()?;
     let usual = shares::Settings::with_defaults(founders, file.size);
     let settings = shares::Settings {
-        period: file.ask_ms.unwrap_or(usual.period),
-        vote: file.vote_ms.unwrap_or(usual.vote),
-        lease: file.lease_ms.unwrap_or(usual.lease),
-        calls: file.call_ms.unwrap_or(usual.calls),
+        heartbeat_period: file.ask_ms.unwrap_or(usual.heartbeat_period),
+        vote_duration: file.vote_ms.unwrap_or(usual.vote_duration),
+        lease_duration: file.lease_ms.unwrap_or(usual.lease_duration),
+        longest_call: file.call_ms.unwrap_or(usual.longest_call),
         ..usual
     };
     settings.check().map_err(|error| bad(error.to_string()))?;
@@ -138,7 +138,7 @@
     settings: &crate::settings::Settings,
 ) -> Result<(), ConfigError> {
     let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-    let calls = fleet.and_then(|fleet| fleet.quota.as_ref()).map(|shares| shares.settings.calls);
+    let calls = fleet.and_then(|fleet| fleet.quota.as_ref()).map(|shares| shares.settings.longest_call);
     match calls.filter(|calls| (*calls as f64) < longest) {
         Some(calls) => {
             Err(ConfigError::Fleet(format!("call_ms {calls} is below the longest GiveUp, {longest}")))
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -156,8 +156,8 @@
     let settings = shares.settings;
     let founders = ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"];
     same(settings.founders, founders.map(at).to_vec());
-    same((settings.size, settings.period, settings.vote), (5, 310, 1210));
-    same((settings.lease, settings.calls), (3010, 2510));
+    same((settings.size, settings.heartbeat_period, settings.vote_duration), (5, 310, 1210));
+    same((settings.lease_duration, settings.longest_call), (3010, 2510));
 }
 
 #[test]
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -243,7 +243,7 @@
 
     /// No call may run longer than this, in ms, if the fleet shares.
     pub fn longest_call(&self) -> Option<u64> {
-        self.config().quota.as_ref().map(|shares| shares.settings.calls)
+        self.config().quota.as_ref().map(|shares| shares.settings.longest_call)
     }
 
     /// The names of this member and of the fleet.
