Quota settings: keep the recorded word of the error about founders

The fleet test's expectation is again what it was.

Run: golden starts, fleet off::a_fleet_that_cannot_be_ends_the_start_with_one_line.

--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -32,8 +32,9 @@
 /// Why settings are invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SettingsError {
-    /// Too few or too many founders, or not sorted, or one of them twice.
-    #[error("founders: {count} addresses, 1 to {MAX_FOUNDERS} expected, each once")]
+    /// Too few or too many founders, or not sorted, or one of them twice. The text is recorded by
+    /// golden tests, with its older word for the addresses of founders.
+    #[error("founders: {count} seats, 1 to {MAX_FOUNDERS} expected, each once")]
     Founders {
         /// How many there are.
         count: usize,
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -68,8 +68,8 @@
     let own = fleet.hub(0).to_string();
     let bad: [(Value, &str); 15] = [
         (with(&|fleet| fleet["bind"] = json!("nowhere")), "fleet.bind"),
-        (with(&|fleet| fleet["founders"] = json!([])), "founders: 0 addresses"),
-        (with(&|fleet| fleet["founders"] = json!([own, own])), "founders: 2 addresses"),
+        (with(&|fleet| fleet["founders"] = json!([])), "founders: 0 seats"),
+        (with(&|fleet| fleet["founders"] = json!([own, own])), "founders: 2 seats"),
         (
             with(&|fleet| (fleet["founders"], fleet["node_calls"]) = (json!([own]), json!(31))),
             "node_calls 31",
