Fleet driver: one file for each concern, states and errors as types

The module held the socket loop, the activation of a process, the quota, the peer directory and the report in one file. Now each has its own: activation, active_member, event_loop, process_quota, quota, report, event_log, counters, error. Stand became Activity, Tell and Share became QuotaHandler and ProcessQuota, Seen became QuotaStatus (JSON names by serde), a live peer is a struct, FleetError keeps its source, and the macro over counters is a plain table. Each lock says what it guards, each coroutine who ends it.

--- /dev/null
+++ b/src/net/fleet/event_log.rs
@@ -0,0 +1,42 @@
+//! The lines of the log about the membership of a fleet.
+
+use pinetrail_membership::{MemberRecord, MembershipEvent, State};
+
+/// The line of an event.
+pub(super) fn log_line(event: &MembershipEvent) -> String {
+    match event {
+        MembershipEvent::Member { entry, before } => member_line(entry, *before),
+        MembershipEvent::Forgotten(name) => format!("{name} is remembered no longer"),
+        MembershipEvent::PartitionSide(side) => format!("this is the side: {side}"),
+        MembershipEvent::Rival(address, true) => format!(
+            "ERROR: another process at {address} has this one's name and started later: that one counts in the fleet, this one is out of it"
+        ),
+        MembershipEvent::Rival(address, false) => {
+            format!("ERROR: another process at {address} has this one's name and started earlier: this one counts in the fleet")
+        }
+        MembershipEvent::RivalGone => "the other process of this one's name is gone".to_owned(),
+        MembershipEvent::NoRoom(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
+        MembershipEvent::Returned => "others had taken this member for failed; it is back".to_owned(),
+        MembershipEvent::Stopped(ms) => format!("this process did not run for {ms} ms"),
+    }
+}
+
+fn member_line(record: &MemberRecord, before: Option<(u64, State)>) -> String {
+    let MemberRecord { name, address, state, .. } = record;
+    match before {
+        None => format!("{name} at {address} is {state}"),
+        Some((start, was)) if start != record.start => {
+            format!("{name} is a new process, at {address}: {state}; the one before was {was}")
+        }
+        Some((_, was)) => format!("{name} at {address}: {was} -> {state}{}", reason(*state)),
+    }
+}
+
+/// Why a member is in a state, if that is not plain.
+fn reason(state: State) -> &'static str {
+    match state {
+        State::Suspect => ", no answer",
+        State::Failed => ", no objection in time",
+        State::Alive | State::Left => "",
+    }
+}
--- /dev/null
+++ b/src/net/fleet/event_loop.rs
@@ -0,0 +1,122 @@
+//! The two loops of an active member: datagrams that arrive, and time that passes. Both hand what
+//! comes to the membership and do what it asks for.
+
+use super::active_member::ActivationId;
+use super::{event_log, Activity, Fleet};
+use crate::net::deadline_stream::sleep;
+use crate::net::log::log;
+use crate::net::timer;
+use may::io::{CoIo, WaitIo};
+use pinetrail_membership::{Membership, Output, Time, MAX_DATAGRAM};
+use std::io::ErrorKind;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest sleep: what becomes due while a loop sleeps waits for so long at the most.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+const SHORTEST_SLEEP: Duration = Duration::from_millis(1);
+/// Datagrams received without a pause. Danger: a flood of them must not keep the worker from
+/// clients.
+const DATAGRAMS_PER_BATCH: usize = 32;
+const PAUSE_BETWEEN_BATCHES: Duration = Duration::from_millis(1);
+
+impl Fleet {
+    /// Receives datagrams. Ends once this process is inactive, or active anew.
+    pub(super) fn receive_datagrams(&self, activation: ActivationId, socket: &CoIo<UdpSocket>) {
+        let mut buffer = vec![0; MAX_DATAGRAM + 1];
+        let mut received = 0;
+        while self.is_active(activation) {
+            match socket.inner().recv_from(&mut buffer) {
+                Ok((length, from)) => {
+                    let datagram = &buffer[..length];
+                    let now = self.now();
+                    self.with_membership(|membership, out| {
+                        membership.handle_datagram(now, from, datagram, out);
+                    });
+                    received += 1;
+                    if received % DATAGRAMS_PER_BATCH == 0 {
+                        sleep(PAUSE_BETWEEN_BATCHES);
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    socket.wait_io();
+                }
+                // A peer that could not be reached is reported here; that says nothing of the socket.
+                Err(_) => sleep(PAUSE_BETWEEN_BATCHES),
+            }
+        }
+    }
+
+    /// Does what is due. Ends once this process is inactive, or active anew.
+    pub(super) fn run_timeouts(&self, activation: ActivationId) {
+        while self.is_active(activation) {
+            let now = self.now();
+            self.with_membership(|membership, out| membership.handle_timeout(now, out));
+            timer::sleep(self.time_until_next_timeout().clamp(SHORTEST_SLEEP, LONGEST_SLEEP));
+        }
+    }
+
+    fn time_until_next_timeout(&self) -> Duration {
+        match self.next_timeout() {
+            Some(next) => Duration::from_millis(next.saturating_sub(self.now())),
+            None => LONGEST_SLEEP,
+        }
+    }
+
+    fn next_timeout(&self) -> Option<Time> {
+        match &*self.activity() {
+            Activity::Active(member) => member.next_timeout(),
+            Activity::Opening | Activity::Inactive => None,
+        }
+    }
+
+    fn is_active(&self, activation: ActivationId) -> bool {
+        matches!(&*self.activity(), Activity::Active(member) if member.activation == activation)
+    }
+
+    /// Has the membership do something, and then what it and the quota ask for; none if this
+    /// process is not active.
+    pub(super) fn with_membership<T>(
+        &self,
+        act: impl FnOnce(&mut Membership, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        let mut out = Vec::new();
+        let (result, socket) = match &mut *self.activity() {
+            Activity::Active(member) => {
+                let result = act(&mut member.membership, &mut out);
+                if let Some(quota) = member.drive_quota(self.now(), &mut out) {
+                    self.publish_quota(quota);
+                }
+                (result, Arc::clone(&member.socket))
+            }
+            Activity::Opening | Activity::Inactive => return None,
+        };
+        self.apply(out, &socket);
+        Some(result)
+    }
+
+    /// Sends datagrams, passes messages of the peer directory on, and logs events.
+    pub(super) fn apply(&self, outputs: Vec<Output>, socket: &CoIo<UdpSocket>) {
+        for output in outputs {
+            match output {
+                // What cannot be sent is lost like any datagram.
+                Output::Send(to, datagram) => {
+                    if socket.inner().send_to(&datagram, to).is_err() {
+                        self.send_failures.add();
+                    }
+                }
+                // The quota has taken its messages already; without one they are dropped.
+                Output::Shares(_) => {}
+                Output::Links(from, message) => {
+                    if let Some(handler) = self.directory_handler.get() {
+                        handler(from, &message);
+                    }
+                }
+                Output::MembershipEvent(event) => {
+                    log(&format!("fleet: {}", event_log::log_line(&event)));
+                }
+            }
+        }
+    }
+}
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -2,8 +2,10 @@
 //! in `stats` and as lines of the log. Operators' tools read them by key, name and word. All texts
 //! were recorded before any renaming.
 
-use super::quota::{QuotaDriver, Seen};
-use super::report::{names, report, sum, words};
+use super::counters::{by_name, sum};
+use super::event_log::log_line;
+use super::quota::{QuotaDriver, QuotaStatus};
+use super::report::report;
 use crate::net::config::QuotaConfig;
 use pinetrail_membership::{
     MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
@@ -11,8 +13,8 @@
 };
 use std::net::SocketAddr;
 
-/// Unix milliseconds.
-const BEGAN: u64 = 1_700_000_000_000;
+/// When the process started, in Unix milliseconds.
+const STARTED_AT: u64 = 1_700_000_000_000;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -60,15 +62,15 @@
     sent.collect()
 }
 
-fn shares() -> QuotaConfig {
+fn quota_config() -> QuotaConfig {
     let founders = vec![address(7101), address(7102), address(7103)];
     let settings = pinetrail_quota::Settings::with_defaults(founders, 4);
     QuotaConfig { settings, whole: [100.0, 50.0] }
 }
 
-/// A member as the report has it; its time counts from `BEGAN`.
+/// A member as the report has it; its time counts from `STARTED_AT`.
 fn shown(name: &str, port: u16, state: &str, incarnation: u16, since: u64) -> String {
-    let since = BEGAN + since;
+    let since = STARTED_AT + since;
     format!(
         concat!(
             r#"{{"name":"{}","address":"127.0.0.1:{}","state":"{}","#,
@@ -87,23 +89,23 @@
     shown_report(side, &[shown("a", 7101, state, 0, 0)], "")
 }
 
-fn told(member: &Membership) -> String {
-    report(member, BEGAN, None)
+fn report_of(member: &Membership) -> String {
+    report(member, STARTED_AT, None)
 }
 
 #[test]
 fn the_report_of_a_member_alone_is_the_recorded_text() {
     let alone = member("a", 7101, &[], 1);
-    assert_eq!(told(&alone), shown_alone("whole", "alive"));
+    assert_eq!(report_of(&alone), shown_alone("whole", "alive"));
     let cut = member("a", 7101, &[7102], 1);
-    assert_eq!(told(&cut), shown_alone("alone", "alive"));
+    assert_eq!(report_of(&cut), shown_alone("alone", "alive"));
 }
 
 #[test]
 fn the_report_of_a_member_that_has_left_is_the_recorded_text() {
     let mut left = member("a", 7101, &[], 1);
     left.leave(5, &mut Vec::new());
-    assert_eq!(told(&left), shown_alone("whole", "left"));
+    assert_eq!(report_of(&left), shown_alone("whole", "left"));
 }
 
 #[test]
@@ -119,7 +121,7 @@
         shown_report(side, &[a, b, shown("c", 7103, c.0, 0, c.1)], "")
     };
     let (alive, left) = (("alive", 0), ("left", 1000));
-    assert_eq!(told(&all[0]), three("whole", alive, alive));
+    assert_eq!(report_of(&all[0]), three("whole", alive, alive));
     let mut leaver = all.pop().unwrap();
     let mut out = Vec::new();
     leaver.leave(1000, &mut out);
@@ -128,52 +130,52 @@
             member.handle_datagram(1000, source, &bytes, &mut Vec::new());
         }
     }
-    assert_eq!(told(&all[0]), three("whole", alive, left));
+    assert_eq!(report_of(&all[0]), three("whole", alive, left));
     all.truncate(1);
     let mut now = 1000;
     let mut until = |word: &str, all: &mut [Membership]| {
-        while !told(&all[0]).contains(word) {
+        while !report_of(&all[0]).contains(word) {
             run(all, now, now + 1);
             now += 1;
             assert!(now < 10_000, "{word}");
         }
-        told(&all[0])
+        report_of(&all[0])
     };
     assert_eq!(until("suspect", &mut all), three("whole", ("suspect", 1600), left));
     assert_eq!(until("failed", &mut all), three("alone", ("failed", 2600), left));
 }
 
 #[test]
-fn the_report_of_rivals_is_the_recorded_text_at_both() {
+fn the_report_of_a_name_conflict_is_the_recorded_text_at_both() {
     let (earlier, later) = (member("a", 7101, &[7102], 1), member("a", 7103, &[7102], 3));
     let mut all = vec![earlier, member("b", 7102, &[7101], 2), later];
     run(&mut all, 0, 3000);
     let both = |port| [shown("a", port, "alive", 0, 0), shown("b", 7102, "alive", 0, 0)];
     let earlier = r#","rival":{"address":"127.0.0.1:7103","counts":true}"#;
-    assert_eq!(told(&all[0]), shown_report("alone", &both(7101), earlier));
+    assert_eq!(report_of(&all[0]), shown_report("alone", &both(7101), earlier));
     let later = r#","rival":{"address":"127.0.0.1:7101","counts":false}"#;
-    assert_eq!(told(&all[2]), shown_report("whole", &both(7103), later));
+    assert_eq!(report_of(&all[2]), shown_report("whole", &both(7103), later));
 }
 
 #[test]
-fn the_report_with_shares_is_the_recorded_text() {
+fn the_report_with_quota_is_the_recorded_text() {
     let alone = member("a", 7101, &[], 1);
-    let seen = Seen { share: 0.5, base: 0.125, lease_ms: 1234, view: 7, steward: true };
+    let status = QuotaStatus { fraction: 0.5, guaranteed: 0.125, lease_ms: 1234, view: 7, is_leader: true };
     let rest = r#","share":0.5,"base":0.125,"lease_ms":1234,"view":7,"steward":true"#;
     let recorded = shown_report("whole", &[shown("a", 7101, "alive", 0, 0)], rest);
-    assert_eq!(report(&alone, BEGAN, Some(seen)), recorded);
+    assert_eq!(report(&alone, STARTED_AT, Some(status)), recorded);
 }
 
 #[test]
-fn shares_of_a_process_that_has_just_started_are_the_recorded_text() {
+fn the_quota_of_a_process_that_has_just_started_is_the_recorded_text() {
     let alone = member("a", 7101, &[], 1);
-    let sharing = QuotaDriver::new(shares(), &alone, 0);
+    let quota = QuotaDriver::new(quota_config(), &alone, 0);
     let recorded = r#"{"share":0.125,"base":0.125,"lease_ms":0,"view":0,"steward":false}"#;
-    assert_eq!(serde_json::to_string(&sharing.seen(0)).unwrap(), recorded);
+    assert_eq!(serde_json::to_string(&quota.status(0)).unwrap(), recorded);
 }
 
 #[test]
-fn names_of_counts_of_shares_are_the_recorded_list_in_its_order() {
+fn names_of_quota_counters_are_the_recorded_list_in_its_order() {
     let alone = member("a", 7101, &[], 1);
     let recorded = [
         ("fleet_leases_granted", 0),
@@ -182,10 +184,10 @@
         ("fleet_stewardships", 0),
         ("fleet_shares_unheard", 0),
     ];
-    assert_eq!(QuotaDriver::new(shares(), &alone, 0).list(), recorded);
+    assert_eq!(QuotaDriver::new(quota_config(), &alone, 0).counters(), recorded);
 }
 
-fn counts() -> MembershipCounters {
+fn counters() -> MembershipCounters {
     MembershipCounters {
         probes: 1,
         probes_indirect: 2,
@@ -210,7 +212,7 @@
 }
 
 #[test]
-fn names_of_counts_of_members_are_the_recorded_list_in_its_order() {
+fn names_of_membership_counters_are_the_recorded_list_in_its_order() {
     let recorded = [
         ("fleet_probes", 1),
         ("fleet_probes_indirect", 2),
@@ -233,9 +235,9 @@
         ("fleet_dropped_no_room", 19),
         ("fleet_send_failures", 20),
     ];
-    assert_eq!(names(&counts(), 20), recorded);
+    assert_eq!(by_name(&counters(), 20), recorded);
     let doubled: Vec<_> = recorded.map(|(name, count)| (name, count * 2)).into();
-    assert_eq!(names(&sum(counts(), counts()), 40), doubled);
+    assert_eq!(by_name(&sum(counters(), counters()), 40), doubled);
 }
 
 fn entry(state: State, start: u64) -> MemberRecord {
@@ -244,7 +246,7 @@
 
 #[test]
 fn lines_about_a_member_are_the_recorded_texts() {
-    let line = |state, before| words(&MembershipEvent::Member { entry: entry(state, 2), before });
+    let line = |state, before| log_line(&MembershipEvent::Member { entry: entry(state, 2), before });
     let same = |state| line(state, Some((2, State::Alive)));
     assert_eq!(line(State::Alive, None), "b at 127.0.0.1:7102 is alive");
     assert_eq!(same(State::Suspect), "b at 127.0.0.1:7102: alive -> suspect, no answer");
@@ -252,12 +254,12 @@
     assert_eq!(same(State::Left), "b at 127.0.0.1:7102: alive -> left");
     let anew = "b is a new process, at 127.0.0.1:7102: alive; the one before was failed";
     assert_eq!(line(State::Alive, Some((1, State::Failed))), anew);
-    assert_eq!(words(&MembershipEvent::Forgotten("b".into())), "b is remembered no longer");
+    assert_eq!(log_line(&MembershipEvent::Forgotten("b".into())), "b is remembered no longer");
 }
 
 #[test]
 fn lines_about_the_fleet_are_the_recorded_texts() {
-    let side = |side| words(&MembershipEvent::PartitionSide(side));
+    let side = |side| log_line(&MembershipEvent::PartitionSide(side));
     assert_eq!(side(PartitionSide::Whole), "this is the side: whole");
     assert_eq!(side(PartitionSide::Majority), "this is the side: majority");
     assert_eq!(side(PartitionSide::Minority), "this is the side: minority");
@@ -270,11 +272,11 @@
         "ERROR: another process at 127.0.0.1:7102 has this one's name and started earlier: ",
         "this one counts in the fleet",
     );
-    assert_eq!(words(&MembershipEvent::Rival(address(7102), true)), later);
-    assert_eq!(words(&MembershipEvent::Rival(address(7102), false)), earlier);
-    assert_eq!(words(&MembershipEvent::RivalGone), "the other process of this one's name is gone");
+    assert_eq!(log_line(&MembershipEvent::Rival(address(7102), true)), later);
+    assert_eq!(log_line(&MembershipEvent::Rival(address(7102), false)), earlier);
+    assert_eq!(log_line(&MembershipEvent::RivalGone), "the other process of this one's name is gone");
     let full = "ERROR: 127.0.0.1:7102 has no room for this member: its fleet.size is 4";
-    assert_eq!(words(&MembershipEvent::NoRoom(address(7102), 4)), full);
-    assert_eq!(words(&MembershipEvent::Returned), "others had taken this member for failed; it is back");
-    assert_eq!(words(&MembershipEvent::Stopped(9)), "this process did not run for 9 ms");
+    assert_eq!(log_line(&MembershipEvent::NoRoom(address(7102), 4)), full);
+    assert_eq!(log_line(&MembershipEvent::Returned), "others had taken this member for failed; it is back");
+    assert_eq!(log_line(&MembershipEvent::Stopped(9)), "this process did not run for 9 ms");
 }
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -1,186 +1,230 @@
-//! The shares of a member that speaks: between the core of shares, the members that carry its words, and the decision
-//! module, which is told each time that its share changes.
+//! [`QuotaDriver`]: the quota of an active member, between `pinetrail-quota` and the membership that
+//! carries its messages.
 
+use super::process_quota::FleetLimits;
 use crate::net::config::QuotaConfig;
 use crate::net::log::log;
-use pinetrail_membership::{Membership, Output as RawMemberId, Time};
+use pinetrail_membership::{Membership, Output as MembershipOutput, Time};
 use pinetrail_quota::{
-    decode, encode, DecodeError, Output, Process, QuotaCounters, QuotaEvent, QuotaLeases, WHOLE_PARTS,
+    decode, encode, DecodeError, Output, Parts, Process, QuotaCounters, QuotaEvent, QuotaLeases, WHOLE_PARTS,
 };
 use serde::Serialize;
 
-/// This process's share, by the fleet's clock.
+/// This process's quota, by the fleet's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Share {
-    /// Its part of the whole.
-    pub part: f64,
-    /// Until then.
-    pub until: Time,
-    /// Its part from then on.
-    pub base: f64,
-    /// Calls in flight of all together, at one node and at the origin.
-    pub whole: [f64; 2],
+pub(super) struct LocalQuota {
+    /// The fraction of the limits that it may use until `expires_at`.
+    pub fraction: f64,
+    /// When its lease ends, in ms.
+    pub expires_at: Time,
+    /// The fraction that it may use from then on.
+    pub guaranteed: f64,
+    /// What the fractions are of.
+    pub limits: FleetLimits,
 }
 
-/// What operators see.
+impl LocalQuota {
+    /// What a process has that holds no lease.
+    pub(super) fn guaranteed_minimum(config: &QuotaConfig) -> LocalQuota {
+        let guaranteed = fraction(config.settings.guaranteed_minimum());
+        LocalQuota { fraction: guaranteed, expires_at: 0, guaranteed, limits: limits(config) }
+    }
+}
+
+/// What operators are told. The names of the JSON are theirs.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub(super) struct Seen {
-    /// This process's part of the whole now.
-    pub share: f64,
-    /// What is always its own.
-    pub base: f64,
-    /// How long it holds the rest, if it is not renewed.
+pub(super) struct QuotaStatus {
+    /// The fraction that this process may use now.
+    #[serde(rename = "share")]
+    pub fraction: f64,
+    /// The fraction that is always its own.
+    #[serde(rename = "base")]
+    pub guaranteed: f64,
+    /// For how long it holds its lease if that is not renewed, in ms.
     pub lease_ms: u64,
-    /// The number of the view that counts.
+    /// The number of the latest decided view that it knows.
     pub view: u64,
-    /// Whether this process is the steward.
-    pub steward: bool,
+    /// Whether it is the leader.
+    #[serde(rename = "steward")]
+    pub is_leader: bool,
 }
 
-/// The shares of one process.
+/// The quota of one process.
 pub(super) struct QuotaDriver {
     config: QuotaConfig,
-    shares: QuotaLeases,
-    me: Process,
-    /// Whether it was said that another has other settings.
-    differs: bool,
-    /// Words that were not heard, and counts of processes before.
-    unheard: u64,
-    earlier: QuotaCounters,
+    leases: QuotaLeases,
+    local: Process,
+    /// Whether the log says already that another member has other settings.
+    reported_other_settings: bool,
+    /// Messages that could not be decoded.
+    rejected_messages: u64,
+    /// What processes counted that counted under this name before.
+    earlier_counters: QuotaCounters,
 }
 
 impl QuotaDriver {
-    /// A process that has its base.
-    pub(super) fn new(config: QuotaConfig, members: &Membership, now: Time) -> QuotaDriver {
-        let me = own(members);
-        let shares = QuotaLeases::new(config.settings.clone(), me, now).expect("settings were checked");
-        QuotaDriver { config, shares, me, differs: false, unheard: 0, earlier: QuotaCounters::default() }
+    /// A process that has its guaranteed minimum.
+    ///
+    /// # Panics
+    ///
+    /// If the settings are invalid; the configuration has checked them.
+    pub(super) fn new(config: QuotaConfig, membership: &Membership, now: Time) -> QuotaDriver {
+        let local = local_process(membership);
+        let leases = QuotaLeases::new(config.settings.clone(), local, now).expect("settings were checked");
+        QuotaDriver {
+            config,
+            leases,
+            local,
+            reported_other_settings: false,
+            rejected_messages: 0,
+            earlier_counters: QuotaCounters::default(),
+        }
     }
 
-    /// When [`QuotaDriver::due`] is to be called at the latest.
-    pub(super) fn next_due(&self) -> Time {
-        self.shares.next_timeout()
+    /// When [`QuotaDriver::handle_timeout`] is to be called at the latest.
+    pub(super) fn next_timeout(&self) -> Time {
+        self.leases.next_timeout()
     }
 
-    /// Time has passed. Who is there may have changed; another process under this name may count.
-    pub(super) fn due(
+    /// Does what is due; returns the new quota if it has changed. The live members may have changed,
+    /// and so may the process that holds this name.
+    pub(super) fn handle_timeout(
         &mut self,
         now: Time,
-        members: &mut Membership,
-        out: &mut Vec<RawMemberId>,
-    ) -> Option<Share> {
-        if own(members) != self.me {
-            // It has come back as another process, which knows nothing of leases.
-            let before = self.shares.counters();
-            *self = QuotaDriver {
-                earlier: sum(self.earlier, before),
-                ..QuotaDriver::new(self.config.clone(), members, now)
-            };
+        membership: &mut Membership,
+        out: &mut Vec<MembershipOutput>,
+    ) -> Option<LocalQuota> {
+        if local_process(membership) != self.local {
+            self.start_anew(now, membership);
         }
-        self.shares
-            .set_live_processes(members.live_peers().map(|(place, start)| Process { address: place, start }));
-        let mut said = Vec::new();
-        self.shares.handle_timeout(now, &mut said);
-        self.carry_out(now, said, members, out)
+        let live = membership.live_peers().map(|(address, start)| Process { address, start });
+        self.leases.set_live_processes(live);
+        let mut outputs = Vec::new();
+        self.leases.handle_timeout(now, &mut outputs);
+        self.apply(now, outputs, membership, out)
+    }
+
+    /// The member has come back as another process, which knows nothing of leases.
+    fn start_anew(&mut self, now: Time, membership: &Membership) {
+        let earlier_counters = sum(self.earlier_counters, self.leases.counters());
+        let anew = QuotaDriver::new(self.config.clone(), membership, now);
+        *self = QuotaDriver { earlier_counters, ..anew };
     }
 
     /// This process ends soon.
     pub(super) fn leave(&mut self) {
-        self.shares.leave();
+        self.leases.leave();
     }
 
-    /// Another member has said something.
-    pub(super) fn heard(
+    /// Handles a message of another member; returns the new quota if it has changed.
+    pub(super) fn handle_message(
         &mut self,
         now: Time,
         bytes: &[u8],
-        members: &mut Membership,
-        out: &mut Vec<RawMemberId>,
-    ) -> Option<Share> {
+        membership: &mut Membership,
+        out: &mut Vec<MembershipOutput>,
+    ) -> Option<LocalQuota> {
         let message = match decode(&self.config.settings, bytes) {
             Ok(message) => message,
-            Err(DecodeError::Malformed(_) | DecodeError::TrailingBytes(_)) => {
-                self.unheard += 1;
-                return None;
-            }
-            Err(DecodeError::OtherSettings) => {
-                self.unheard += 1;
-                // Said once: it is for operators to mend.
-                if !std::mem::replace(&mut self.differs, true) {
-                    log("fleet: ERROR: a member has other founders, size or times of shares than this one: they do not share");
+            Err(error) => {
+                self.rejected_messages += 1;
+                if error == DecodeError::OtherSettings {
+                    self.report_other_settings();
                 }
                 return None;
             }
         };
-        let mut said = Vec::new();
-        self.shares.handle_message(now, &message, &mut said);
-        self.carry_out(now, said, members, out)
+        let mut outputs = Vec::new();
+        self.leases.handle_message(now, &message, &mut outputs);
+        self.apply(now, outputs, membership, out)
+    }
+
+    /// Says so once: it is for operators to mend.
+    fn report_other_settings(&mut self) {
+        if !self.reported_other_settings {
+            self.reported_other_settings = true;
+            log("fleet: ERROR: a member has other founders, size or times of the quota than this one: they do not share it");
+        }
     }
 
-    /// What the decision module is to be told now.
-    pub(super) fn share(&self, now: Time) -> Share {
-        let lease = self.shares.lease();
-        Share {
-            part: part(self.shares.guaranteed_minimum() + lease.parts_at(now)),
-            until: lease.expires_at,
-            base: part(self.shares.guaranteed_minimum()),
-            whole: self.config.whole,
+    /// The present quota.
+    pub(super) fn local_quota(&self, now: Time) -> LocalQuota {
+        let lease = self.leases.lease();
+        let guaranteed = self.leases.guaranteed_minimum();
+        LocalQuota {
+            fraction: fraction(guaranteed + lease.parts_at(now)),
+            expires_at: lease.expires_at,
+            guaranteed: fraction(guaranteed),
+            limits: limits(&self.config),
         }
     }
 
-    /// What operators see.
-    pub(super) fn seen(&self, now: Time) -> Seen {
-        Seen {
-            share: part(self.shares.usable_parts(now)),
-            base: part(self.shares.guaranteed_minimum()),
-            lease_ms: self.shares.lease().expires_at.saturating_sub(now),
-            view: self.shares.view_number(),
-            steward: self.shares.is_leader(now),
+    /// What operators are told.
+    pub(super) fn status(&self, now: Time) -> QuotaStatus {
+        QuotaStatus {
+            fraction: fraction(self.leases.usable_parts(now)),
+            guaranteed: fraction(self.leases.guaranteed_minimum()),
+            lease_ms: self.leases.lease().expires_at.saturating_sub(now),
+            view: self.leases.view_number(),
+            is_leader: self.leases.is_leader(now),
         }
     }
 
-    /// What was counted, by name.
-    pub(super) fn list(&self) -> Vec<(&'static str, u64)> {
-        let counts = sum(self.earlier, self.shares.counters());
+    /// Whether this process is the leader now.
+    pub(super) fn is_leader(&self, now: Time) -> bool {
+        self.leases.is_leader(now)
+    }
+
+    /// The counters by the names that `stats` gives them.
+    pub(super) fn counters(&self) -> Vec<(&'static str, u64)> {
+        let counters = sum(self.earlier_counters, self.leases.counters());
         vec![
-            ("fleet_leases_granted", counts.leases_granted),
-            ("fleet_leases_refused", counts.leases_refused),
-            ("fleet_leases_ended", counts.leases_expired),
-            ("fleet_stewardships", counts.terms_led),
-            ("fleet_shares_unheard", self.unheard),
+            ("fleet_leases_granted", counters.leases_granted),
+            ("fleet_leases_refused", counters.leases_refused),
+            ("fleet_leases_ended", counters.leases_expired),
+            ("fleet_stewardships", counters.terms_led),
+            ("fleet_shares_unheard", self.rejected_messages),
         ]
     }
 
-    fn carry_out(
+    /// Sends messages and logs events; returns the new quota if it has changed.
+    fn apply(
         &self,
         now: Time,
-        said: Vec<Output>,
-        members: &mut Membership,
-        out: &mut Vec<RawMemberId>,
-    ) -> Option<Share> {
-        let mut changed = false;
-        for output in said {
+        outputs: Vec<Output>,
+        membership: &mut Membership,
+        out: &mut Vec<MembershipOutput>,
+    ) -> Option<LocalQuota> {
+        let mut has_changed = false;
+        for output in outputs {
             match output {
                 Output::Send(to, message) => {
-                    members.send_quota_message(to, &encode(&self.config.settings, &message), out);
+                    membership.send_quota_message(to, &encode(&self.config.settings, &message), out);
                 }
-                Output::Event(QuotaEvent::LeaseGranted(_)) => changed = true,
-                Output::Event(news) => {
-                    changed |= news == QuotaEvent::LeaseExpired;
-                    log(&format!("fleet: {}", in_words(&news)));
+                Output::Event(event) => {
+                    has_changed |= changes_quota(&event);
+                    if let Some(line) = log_line(&event) {
+                        log(&format!("fleet: {line}"));
+                    }
                 }
             }
         }
-        changed.then(|| self.share(now))
+        has_changed.then(|| self.local_quota(now))
     }
 }
 
-fn own(members: &Membership) -> Process {
-    Process { address: members.local_id().address, start: members.local_id().start }
+fn local_process(membership: &Membership) -> Process {
+    let id = membership.local_id();
+    Process { address: id.address, start: id.start }
 }
 
-fn part(of: u64) -> f64 {
-    of as f64 / WHOLE_PARTS as f64
+fn fraction(parts: Parts) -> f64 {
+    parts as f64 / WHOLE_PARTS as f64
+}
+
+fn limits(config: &QuotaConfig) -> FleetLimits {
+    let [per_node, origin] = config.whole;
+    FleetLimits { per_node, origin }
 }
 
 fn sum(a: QuotaCounters, b: QuotaCounters) -> QuotaCounters {
@@ -192,12 +236,19 @@
     }
 }
 
-fn in_words(news: &QuotaEvent) -> String {
-    match news {
-        QuotaEvent::LeaseGranted(lease) => format!("holds {} of {WHOLE_PARTS} by lease", lease.parts),
-        QuotaEvent::LeaseExpired => "its lease has ended: this process has only its base".to_owned(),
-        QuotaEvent::BecameLeader => "this process is the steward: it leases shares".to_owned(),
-        QuotaEvent::LostLeadership => "this process is the steward no longer".to_owned(),
-        QuotaEvent::ViewChanged(number) => format!("view {number} counts"),
+fn changes_quota(event: &QuotaEvent) -> bool {
+    matches!(event, QuotaEvent::LeaseGranted(_) | QuotaEvent::LeaseExpired)
+}
+
+/// What the log says of an event; none of leases granted, which are renewed all the time.
+fn log_line(event: &QuotaEvent) -> Option<String> {
+    match event {
+        QuotaEvent::LeaseGranted(_) => None,
+        QuotaEvent::LeaseExpired => {
+            Some("its lease has ended: this process has only its guaranteed minimum".to_owned())
+        }
+        QuotaEvent::BecameLeader => Some("this process is the leader: it leases the quota".to_owned()),
+        QuotaEvent::LostLeadership => Some("this process is no longer the leader".to_owned()),
+        QuotaEvent::ViewChanged(number) => Some(format!("view {number} is the latest")),
     }
 }
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -2,6 +2,7 @@
 
 use super::Lifecycle;
 use crate::net::dispatcher::EndpointSnapshot;
+use crate::net::fleet::SecondProcess;
 use crate::net::hot_restart::{ControlCommand, Host, PeerProcess, Share};
 use crate::net::listener::Listener;
 use crate::net::log::log;
@@ -49,7 +50,9 @@
             stand.is_newcomer &= partner != PeerProcess::None;
             (left_it, stand.leaves_accepting())
         });
-        self.fleet().into_iter().for_each(|fleet| fleet.set_beside(partner != PeerProcess::None));
+        let second_process =
+            if partner == PeerProcess::None { SecondProcess::None } else { SecondProcess::Serving };
+        self.fleet().into_iter().for_each(|fleet| fleet.set_second_process(second_process));
         // Who accepts speaks in the fleet, for both.
         match (self.fleet(), left_it, leaves_accepting) {
             (Some(fleet), false, true) => fleet.deactivate(),
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -293,19 +293,24 @@
         );
         if let Some(told) = &config.fleet {
             let sharer = Arc::clone(&exchange);
-            let tell = Box::new(move |told: fleet::Share| {
-                let (part, base, whole) = (told.part, told.base, told.whole);
-                sharer.share(interface::Share { part, base, whole, until: 0.0 }, told.ends);
+            let tell = Box::new(move |told: fleet::ProcessQuota| {
+                let (part, base) = (told.fraction, told.guaranteed);
+                let whole = [told.limits.per_node, told.limits.origin];
+                sharer.share(interface::Share { part, base, whole, until: 0.0 }, told.expires_at);
             });
+            let second_process = match &given {
+                Some(_) => fleet::SecondProcess::Serving,
+                None => fleet::SecondProcess::None,
+            };
             let fleet =
-                self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
+                self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, second_process, tell));
             let (counted, policy) = (Arc::clone(fleet), Arc::clone(self));
             self.counters.others.are(move || {
                 let policy = policy.policy().map_or(Vec::new(), |policy| policy.list());
                 counted.list().into_iter().chain(policy).collect()
             });
             if given.is_none() {
-                fleet.activate()?;
+                fleet.activate().map_err(|error| error.to_string())?;
             }
         }
         if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -122,12 +122,12 @@
         if let Some(there) = there {
             let mut known = lock(&self.known);
             known.retain(|name, known| {
-                there.iter().any(|(of, start, _)| **of == **name && *start == known.member)
+                there.iter().any(|peer| *peer.name == **name && peer.start == known.member)
             });
             let unknown: Vec<SocketAddr> = there
                 .iter()
-                .filter(|(name, ..)| !known.contains_key(&**name))
-                .map(|(_, _, place)| *place)
+                .filter(|peer| !known.contains_key(&*peer.name))
+                .map(|peer| peer.address)
                 .collect();
             drop(known);
             *lock(&self.there) = there;
@@ -146,7 +146,7 @@
         });
         self.node.transport().set_peers(peers.collect());
         if speaks {
-            let there: Vec<String> = lock(&self.there).iter().map(|(name, ..)| name.to_string()).collect();
+            let there: Vec<String> = lock(&self.there).iter().map(|peer| peer.name.to_string()).collect();
             lock(&self.given).retain(|given| there.contains(&given.name));
         }
     }
@@ -160,7 +160,7 @@
         let Ok(said) = postcard::from_bytes::<Said>(body) else { return };
         let member = {
             let there = lock(&self.there);
-            there.iter().find(|(name, _, place)| **name == *said.name && *place == from).map(|there| there.1)
+            there.iter().find(|peer| *peer.name == *said.name && peer.address == from).map(|peer| peer.start)
         };
         // Whom membership does not know yet asks again.
         if let Some(member) = member {
