--- a/crates/quota/src/golden_tests.rs
+++ b/crates/quota/src/golden_tests.rs
@@ -1,9 +1,9 @@
-//! The bytes of messages about the quota, recorded from the program before names in it were changed.
-//! They must not change: processes of different versions talk to each other, so a new version must
-//! write what an old one reads, and read what an old one writes. Each message begins with a digest
-//! of the settings, which must not change either: messages with another one are rejected. A test
-//! that fails here says that the program has changed its format; the recorded bytes are not to be
-//! adapted.
+//! The bytes of messages about the quota, recorded from the program before names in it were
+//! changed. They must not change: processes of different versions talk to each other, so a new
+//! version must write what an old one reads, and read what an old one writes. Each message begins
+//! with a digest of the settings, which must not change either: messages with another one are
+//! rejected. A test that fails here says that the program has changed its format; the recorded
+//! bytes are not to be adapted.
 
 use crate::message::{AcceptedView, LeaseGrant, LeaseRequest, VoteRequest, VoteResponse};
 use crate::{decode, encode, Ballot, Message, Process, Settings, View};
--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -192,7 +192,8 @@
         }
         self.begin_ballot(voter);
         if self.phase == Phase::RequestingVotes {
-            // What was found in the old ballot says nothing of the new one; there it is asked again.
+            // What was found in the old ballot says nothing of the new one; there it is asked
+            // again.
             self.votes.clear();
             self.undecided = None;
         }
@@ -219,7 +220,8 @@
     fn first_proposal(&mut self, now: Time, highest_view_number: u64) -> Option<View> {
         let undecided = self.undecided.take();
         if self.view.is_some() {
-            // Danger: what an earlier leader proposed may have been decided without anybody knowing.
+            // Danger: what an earlier leader proposed may have been decided without anybody
+            // knowing.
             return undecided.map(|accepted| accepted.view);
         }
         // A view that others of this ballot accepted is void: they have left it to found a fleet.
--- a/src/net/fleet/event_loop.rs
+++ b/src/net/fleet/event_loop.rs
@@ -42,7 +42,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     socket.wait_io();
                 }
-                // A peer that could not be reached is reported here; that says nothing of the socket.
+                // A peer that could not be reached is reported here; that says nothing of the
+                // socket.
                 Err(_) => sleep(PAUSE_BETWEEN_BATCHES),
             }
         }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! This process's part in a fleet: the driver of `pinetrail-membership` and `pinetrail-quota`. It
 //! owns one UDP socket, the coroutines that receive and that wait, and what operators see of the
-//! fleet; what is sent and believed is decided by those crates. Without `fleet` in the configuration
-//! there is none.
+//! fleet; what is sent and believed is decided by those crates. Without `fleet` in the
+//! configuration there is none.
 //!
 //! Read [`Fleet`] first, then `activation` (how a process becomes the active member of its proxy)
 //! and `event_loop` (what an active member does).
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -1,5 +1,5 @@
-//! [`QuotaDriver`]: the quota of an active member, between `pinetrail-quota` and the membership that
-//! carries its messages.
+//! [`QuotaDriver`]: the quota of an active member, between `pinetrail-quota` and the membership
+//! that carries its messages.
 
 use super::process_quota::FleetLimits;
 use crate::net::config::QuotaConfig;
@@ -86,8 +86,8 @@
         self.leases.next_timeout()
     }
 
-    /// Does what is due; returns the new quota if it has changed. The live members may have changed,
-    /// and so may the process that holds this name.
+    /// Does what is due; returns the new quota if it has changed. The live members may have
+    /// changed, and so may the process that holds this name.
     pub(super) fn handle_timeout(
         &mut self,
         now: Time,
