--- a/crates/experiments/src/quota/day.rs
+++ b/crates/experiments/src/quota/day.rs
@@ -2,7 +2,7 @@
 
 use pinetrail_quota::WHOLE_PARTS;
 use pinetrail_simulation::origin::Origin;
-use pinetrail_simulation::quota::Sharing;
+use pinetrail_simulation::quota::QuotaSimulation;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -99,7 +99,7 @@
     waiting: Vec<VecDeque<u64>>,
     out: Vec<VecDeque<u64>>,
     origin: Origin,
-    sharing: Option<Sharing>,
+    sharing: Option<QuotaSimulation>,
 }
 
 impl Day {
@@ -118,10 +118,10 @@
             out: vec![VecDeque::new(); count],
             origin: Origin::new(BEARS * count, TAKES, 3_000),
             sharing: (self.rule == Rule::Leased).then(|| {
-                let mut sharing = Sharing::new(count, FOUNDERS.min(count), count, self.seed);
+                let mut sharing = QuotaSimulation::new(count, FOUNDERS.min(count), count, self.seed);
                 sharing.settings.longest_call = DEADLINE;
                 (0..count).for_each(|host| sharing.start(host));
-                sharing.know_all();
+                sharing.update_all_live_processes();
                 sharing
             }),
         };
@@ -220,7 +220,7 @@
                 in_second -= old;
             }
             fetches = fetches.max(in_second);
-            over_ms += if self.origin.busy() > self.origin.bears { STEP } else { 0 };
+            over_ms += if self.origin.calls_in_flight() > self.origin.capacity { STEP } else { 0 };
             let all: f64 = (0..day.proxies).filter(|one| self.alive[*one]).map(|one| self.share(one)).sum();
             sum = sum.max(all);
             if self.now.is_multiple_of(200) {
@@ -232,17 +232,18 @@
                 grown = (all >= 0.99 * (0.5 + 0.5 * left)).then(|| self.now - last_death.unwrap_or(0));
             }
         }
-        let most = self.sharing.as_ref().map_or(sum, |sharing| sharing.most as f64 / WHOLE_PARTS as f64);
-        let second = self.origin.bears as f64 * 1000.0 / TAKES as f64;
+        let most =
+            self.sharing.as_ref().map_or(sum, |sharing| sharing.max_parts_in_use as f64 / WHOLE_PARTS as f64);
+        let second = self.origin.capacity as f64 * 1000.0 / TAKES as f64;
         Outcome {
             proxies: day.proxies,
             event: day.event,
             rule: day.rule,
             wanted,
             served_percent: 100.0 * served as f64 / wanted.max(1) as f64,
-            most: self.origin.most as f64 / self.origin.bears as f64,
+            most: self.origin.max_calls as f64 / self.origin.capacity as f64,
             over_ms,
-            falls: self.origin.falls,
+            falls: self.origin.outages,
             fetches: fetches as f64 / second,
             sum: sum.max(most),
             grown_ms: grown,
@@ -285,7 +286,7 @@
             for host in 0..alive.len() {
                 let known = (0..alive.len()).filter(|one| alive[*one] && side[*one] == side[host]);
                 let known = known.map(|one| sharing.process(one)).collect();
-                sharing.know(host, known);
+                sharing.set_live_processes(host, known);
             }
         }
     }
@@ -299,14 +300,16 @@
                     .filter(|other| *other != one && alive[*other] && side[*other] == side[one]);
                 1.0 / (there.count() + 1) as f64
             }
-            Rule::Leased => self.sharing.as_ref().map_or(0.0, |s| s.share(one) as f64 / WHOLE_PARTS as f64),
+            Rule::Leased => {
+                self.sharing.as_ref().map_or(0.0, |s| s.usable_parts(one) as f64 / WHOLE_PARTS as f64)
+            }
         }
     }
 
     /// Clients want fetches of those that are alive; how many.
     fn ask(&mut self) -> u64 {
         let alive: Vec<usize> = (0..self.alive.len()).filter(|one| self.alive[*one]).collect();
-        let a_step = self.day.demand(self.now) * self.origin.bears as f64 * STEP as f64 / TAKES as f64;
+        let a_step = self.day.demand(self.now) * self.origin.capacity as f64 * STEP as f64 / TAKES as f64;
         let more = self.rng.random_bool(a_step.fract());
         let count = a_step as u64 + u64::from(more);
         for _ in 0..count {
@@ -319,7 +322,7 @@
     /// Calls that ended; how many of them in time.
     fn end_calls(&mut self) -> u64 {
         let mut in_time = 0;
-        for one in self.origin.ended(self.now) {
+        for one in self.origin.take_ended(self.now) {
             let asked = self.out[one].pop_front();
             in_time += u64::from(asked.is_some_and(|asked| asked + DEADLINE >= self.now));
         }
@@ -329,7 +332,7 @@
     /// Each begins what its share allows; how many.
     fn call(&mut self) -> u64 {
         let mut started = 0;
-        let bears = self.origin.bears as f64;
+        let bears = self.origin.capacity as f64;
         for one in (0..self.alive.len()).filter(|one| self.alive[*one]).collect::<Vec<_>>() {
             // Who would be answered too late is given up at once.
             self.waiting[one].retain(|asked| asked + DEADLINE >= self.now + TAKES);
@@ -338,7 +341,7 @@
                 let Some(asked) = self.waiting[one].pop_front() else { break };
                 self.out[one].push_back(asked);
                 started += 1;
-                for lost in self.origin.call(self.now, one) {
+                for lost in self.origin.begin_call(self.now, one) {
                     self.out[lost].pop_front();
                 }
             }
--- a/crates/experiments/src/quota/proof.rs
+++ b/crates/experiments/src/quota/proof.rs
@@ -57,10 +57,10 @@
         options.faults,
         options.ticks,
         found.states,
-        found.unique,
+        found.unique_states,
         begun.elapsed().as_secs_f64(),
-        found.broken.len()
+        found.violations.len()
     );
-    found.broken.iter().for_each(|line| println!("  {line}"));
-    Ok(wrong.is_empty() && found.broken.is_empty())
+    found.violations.iter().for_each(|line| println!("  {line}"));
+    Ok(wrong.is_empty() && found.violations.is_empty())
 }
--- a/crates/quota/tests/promises.rs
+++ b/crates/quota/tests/promises.rs
@@ -1,225 +1,260 @@
-//! What shares promise, by seeds of faults, by a model of every order of faults, and by hand.
+//! What the quota guarantees: under faults drawn from seeds, in a model of every order of faults,
+//! and in scripted cases.
 
-use pinetrail_quota::{QuotaEvent, LEASED_PARTS, WHOLE_PARTS};
-use pinetrail_simulation::model::Scope;
-use pinetrail_simulation::quota::Sharing;
-use pinetrail_simulation::seeds;
+use pinetrail_quota::{Parts, Process, QuotaEvent, LEASED_PARTS, WHOLE_PARTS};
+use pinetrail_simulation::model::{PropertyViolation, Scope};
+use pinetrail_simulation::quota::QuotaSimulation;
+use pinetrail_simulation::seeds::{self, Violation};
 
 const HOSTS: usize = 5;
 
-/// Whatever a seed brings: see `pinetrail_simulation::seeds`. The lab plays more of them.
+/// A fleet of founders that has run for so long that all have their leases.
+fn settled_fleet(hosts: usize, size: usize, seed: u64) -> QuotaSimulation {
+    let mut simulation = QuotaSimulation::new(hosts, hosts, size, seed);
+    start(&mut simulation, 0..hosts);
+    simulation.update_all_live_processes();
+    simulation.run(20_000);
+    simulation
+}
+
+fn start(simulation: &mut QuotaSimulation, hosts: impl IntoIterator<Item = usize>) {
+    for host in hosts {
+        simulation.start(host);
+    }
+}
+
+fn kill(simulation: &mut QuotaSimulation, hosts: impl IntoIterator<Item = usize>) {
+    for host in hosts {
+        simulation.kill(host);
+    }
+}
+
+/// What a process may use that holds one of so many equal leases.
+fn with_equal_lease(simulation: &QuotaSimulation, holders: usize) -> Parts {
+    simulation.settings.guaranteed_minimum() + LEASED_PARTS / holders as Parts
+}
+
+/// Whatever a seed brings: see `pinetrail_simulation::seeds`. The experiments play more of them.
 #[test]
-fn under_faults_from_seeds_shares_add_up_to_one_at_the_most_and_all_have_theirs_in_the_end() {
-    let wrong: Vec<String> = (0..200).filter_map(|seed| seeds::play(seed).err()).take(5).collect();
-    assert!(wrong.is_empty(), "{wrong:#?}");
+fn under_faults_from_seeds_quotas_add_up_to_one_at_the_most_and_leases_become_equal() {
+    let violations: Vec<Violation> = (0..200).filter_map(|seed| seeds::play(seed).err()).take(5).collect();
+    assert!(violations.is_empty(), "{violations:#?}");
 }
 
-/// In every order of faults, up to a bound: see `pinetrail_simulation::model`. The lab explores more.
+/// In every order of faults, up to a bound: see `pinetrail_simulation::model`. The experiments
+/// explore more.
 #[test]
-fn in_every_order_of_faults_shares_add_up_and_come_back() {
+fn in_every_order_of_faults_quotas_add_up_and_leases_become_equal() {
     let found = Scope::new(2, 5, [1000, 1010, 990]).explore(2);
-    assert!(found.broken.is_empty() && found.unique > 10_000, "{found:?}");
+    assert!(found.violations.is_empty() && found.unique_states > 10_000, "{found:?}");
 }
 
-/// That the check can fail: clocks that run more differently than is stated break what is promised.
+/// That the check can fail: clocks that run more differently than is stated break the guarantee.
 #[test]
-fn clocks_beyond_the_bound_break_it() {
+fn clocks_beyond_the_bound_break_the_guarantee() {
     let found = Scope::new(1, 10, [1000, 1000, 600]).explore(2);
-    let over = |line: &String| line.starts_with("shares add up to one at the most: [");
-    assert!(found.broken.iter().any(over), "{found:?}");
+    let is_over = |violation: &PropertyViolation| {
+        violation.property == "quotas add up to one at the most" && violation.actions.is_some()
+    };
+    assert!(found.violations.iter().any(is_over), "{found:?}");
 }
 
-/// Guards against a share that grows at once: what comes free would be a burst at the origin.
+/// Guards against a lease that grows at once: what comes free would be a burst at the origin.
 #[test]
-fn what_is_leased_rises_by_steps() {
-    let mut sharing = Sharing::new(HOSTS, HOSTS, 8, 1);
-    (0..HOSTS).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
-    let due = LEASED_PARTS / HOSTS as u64;
+fn a_lease_grows_by_steps() {
+    let simulation = settled_fleet(HOSTS, 8, 1);
+    let equal_part = LEASED_PARTS / HOSTS as Parts;
     for host in 0..HOSTS {
-        let parts = sharing.heard.iter().filter_map(|(_, who, news)| match news {
-            QuotaEvent::LeaseGranted(lease) if *who == host => Some(lease.parts),
-            _ => None,
-        });
-        let parts: Vec<u64> = [0].into_iter().chain(parts).collect();
-        assert_eq!(parts.last(), Some(&due));
-        let most = parts.windows(2).map(|pair| pair[1].saturating_sub(pair[0])).max();
-        assert_eq!(most, Some(due.div_ceil(4)), "{parts:?}");
+        let mut leased = vec![0];
+        for observed in &simulation.observed {
+            if let QuotaEvent::LeaseGranted(lease) = observed.event {
+                if observed.host == host {
+                    leased.push(lease.parts);
+                }
+            }
+        }
+        assert_eq!(leased.last(), Some(&equal_part));
+        let largest_step = leased.windows(2).map(|pair| pair[1].saturating_sub(pair[0])).max();
+        assert_eq!(largest_step, Some(equal_part.div_ceil(4)), "{leased:?}");
     }
 }
 
-/// A minority has its base, and only that; the others have what is leased, once it must be free.
+/// A minority has its guaranteed minimum, and only that; the others have what is leased, once it
+/// must be free.
 #[test]
-fn a_minority_goes_down_to_its_base_and_the_majority_gets_its_part() {
-    let mut sharing = Sharing::new(HOSTS, HOSTS, 8, 2);
-    (0..HOSTS).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
-    sharing.network.cut_into(&[&[0, 1], &[2, 3, 4]]);
-    let cut = sharing.now();
-    let known = [0, 1, 2, 3, 4].map(|host| sharing.process(host));
-    sharing.run(sharing.settings.lease_duration);
-    let base = sharing.settings.guaranteed_minimum();
-    assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
-    (0..2).for_each(|host| sharing.know(host, known[..2].to_vec()));
-    (2..5).for_each(|host| sharing.know(host, known[2..].to_vec()));
-    sharing.run(8_000);
-    assert_eq!([0, 1].map(|host| sharing.share(host)), [base; 2]);
-    assert_eq!([2, 3, 4].map(|host| sharing.share(host)), [base + LEASED_PARTS / 3; 3]);
-    let ended = |host: usize| {
-        sharing
-            .heard
-            .iter()
-            .any(|(at, who, news)| *at > cut && *who == host && *news == QuotaEvent::LeaseExpired)
+fn a_minority_falls_to_its_minimum_and_the_majority_gets_its_part() {
+    let mut simulation = settled_fleet(HOSTS, 8, 2);
+    let minimum = simulation.settings.guaranteed_minimum();
+    let processes: Vec<Process> = (0..HOSTS).map(|host| simulation.process(host)).collect();
+    simulation.network.cut_into(&[&[0, 1], &[2, 3, 4]]);
+    let cut_at = simulation.now();
+
+    simulation.run(simulation.settings.lease_duration);
+    assert_eq!([0, 1].map(|host| simulation.usable_parts(host)), [minimum; 2]);
+
+    for host in 0..HOSTS {
+        let own_side = if host < 2 { &processes[..2] } else { &processes[2..] };
+        simulation.set_live_processes(host, own_side.to_vec());
+    }
+    simulation.run(8_000);
+    assert_eq!([0, 1].map(|host| simulation.usable_parts(host)), [minimum; 2]);
+    assert_eq!([2, 3, 4].map(|host| simulation.usable_parts(host)), [with_equal_lease(&simulation, 3); 3]);
+    let has_expired = |host: usize| {
+        simulation.observed.iter().any(|observed| {
+            observed.at > cut_at && observed.host == host && observed.event == QuotaEvent::LeaseExpired
+        })
     };
-    assert!(ended(0) && ended(1) && !ended(2));
-    assert!(sharing.most <= WHOLE_PARTS);
+    assert!(has_expired(0) && has_expired(1) && !has_expired(2));
+    assert!(simulation.max_parts_in_use <= WHOLE_PARTS);
+}
+
+/// What each may use when a fleet of this size is cut in halves: none of four has more than its
+/// minimum, and one alone of two or more is no quorum.
+fn quotas_in_halves(hosts: usize, minimum: Parts) -> Vec<Parts> {
+    match hosts {
+        1 => vec![minimum + LEASED_PARTS],
+        3 => vec![minimum, minimum + LEASED_PARTS / 2, minimum + LEASED_PARTS / 2],
+        _ => vec![minimum; hosts],
+    }
 }
 
-/// One of one and two of two share; of four that are cut in half nobody has more than its base; one alone is no council.
 #[test]
-fn small_fleets_and_halves() {
+fn small_fleets_have_equal_leases_and_only_a_majority_keeps_them_in_a_partition() {
     for hosts in [1, 2, 3, 4] {
-        let mut sharing = Sharing::new(hosts, hosts, hosts, 3);
-        (0..hosts).for_each(|host| sharing.start(host));
-        sharing.know_all();
-        sharing.run(20_000);
-        let base = sharing.settings.guaranteed_minimum();
+        let mut simulation = settled_fleet(hosts, hosts, 3);
+        let equal = with_equal_lease(&simulation, hosts);
         let all: Vec<usize> = (0..hosts).collect();
-        assert!(
-            all.iter().all(|host| sharing.share(*host) == base + LEASED_PARTS / hosts as u64),
-            "of {hosts}"
-        );
+        assert!(all.iter().all(|host| simulation.usable_parts(*host) == equal), "of {hosts}");
+
         let (one, other) = all.split_at(hosts / 2);
-        sharing.network.cut_into(&[one, other]);
-        sharing.run(15_000);
-        let shares: Vec<u64> = all.iter().map(|host| sharing.share(*host)).collect();
-        let expected = match hosts {
-            1 => vec![base + LEASED_PARTS],
-            3 => vec![base, base + LEASED_PARTS / 2, base + LEASED_PARTS / 2],
-            _ => vec![base; hosts],
-        };
-        assert_eq!(shares, expected, "of {hosts}");
-        sharing.network.heal();
-        sharing.run(20_000);
-        assert!(
-            all.iter().all(|host| sharing.share(*host) == base + LEASED_PARTS / hosts as u64),
-            "of {hosts}"
-        );
+        simulation.network.cut_into(&[one, other]);
+        simulation.run(15_000);
+        let quotas: Vec<Parts> = all.iter().map(|host| simulation.usable_parts(*host)).collect();
+        let expected = quotas_in_halves(hosts, simulation.settings.guaranteed_minimum());
+        assert_eq!(quotas, expected, "of {hosts}");
+
+        simulation.network.heal();
+        simulation.run(20_000);
+        assert!(all.iter().all(|host| simulation.usable_parts(*host) == equal), "of {hosts}");
     }
 }
 
-/// Seven of ten that die one after the other leave their part to the rest; all that start anew found the fleet again.
+/// Seven of ten that die one after the other leave their part to the rest; all that restart found
+/// the fleet anew.
 #[test]
-fn seven_of_ten_die_in_turn_and_all_start_anew() {
-    let mut sharing = Sharing::new(10, 10, 10, 4);
-    (0..10).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
+fn seven_of_ten_die_in_turn_and_all_restart() {
+    let mut simulation = settled_fleet(10, 10, 4);
     for host in 0..7 {
-        sharing.kill(host);
-        sharing.run(2_000);
-        sharing.know_all();
-        sharing.run(1_000);
+        simulation.kill(host);
+        simulation.run(2_000);
+        simulation.update_all_live_processes();
+        simulation.run(1_000);
     }
-    sharing.run(2 * sharing.settings.lease_duration);
-    let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
-    assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
+    simulation.run(2 * simulation.settings.lease_duration);
+    assert_eq!([7, 8, 9].map(|host| simulation.usable_parts(host)), [with_equal_lease(&simulation, 3); 3]);
+
     // All but one: that one may be away for good.
-    (0..10).for_each(|host| sharing.kill(host));
-    (0..9).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
-    assert!(
-        (0..9).all(|host| sharing.share(host) == sharing.settings.guaranteed_minimum() + LEASED_PARTS / 9)
-    );
-    assert!(sharing.most <= WHOLE_PARTS);
-}
-
-/// A fleet of which the first two are left as its council, and which of them is the steward.
-fn council_of_two(seed: u64) -> (Sharing, usize) {
-    let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
-    (0..HOSTS).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
+    kill(&mut simulation, 0..10);
+    start(&mut simulation, 0..9);
+    simulation.update_all_live_processes();
+    simulation.run(20_000);
+    let equal = with_equal_lease(&simulation, 9);
+    assert!((0..9).all(|host| simulation.usable_parts(host) == equal));
+    assert!(simulation.max_parts_in_use <= WHOLE_PARTS);
+}
+
+/// A fleet in which only the first two are left, as the voters of its view; and which of them
+/// leads.
+fn fleet_of_two_voters(seed: u64) -> (QuotaSimulation, usize) {
+    let mut simulation = settled_fleet(HOSTS, 8, seed);
     for host in [2, 3, 4] {
-        sharing.kill(host);
-        sharing.know_all();
-        sharing.run(3_000);
+        simulation.kill(host);
+        simulation.update_all_live_processes();
+        simulation.run(3_000);
     }
-    let steward =
-        [0, 1].into_iter().find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_leader(now)));
-    (sharing, steward.expect("one of both is"))
+    let leader = (0..2).find(|host| simulation.is_leader(*host));
+    (simulation, leader.expect("one of both leads"))
 }
 
-/// Danger: the process before this one at its seat may have voted for a steward that is still in office.
+/// Danger: the process before this one at its address may have voted for a leader that still leads.
 #[test]
-fn who_has_just_started_founds_nothing_while_a_vote_of_before_may_be_out() {
+fn who_has_just_started_founds_nothing_while_a_vote_of_its_predecessor_may_last() {
     for seed in 0..40 {
-        let (mut sharing, steward) = council_of_two(seed);
-        sharing.network.cut_into(&[&[steward], &[2, 3, 4]]);
-        (2..HOSTS).for_each(|host| sharing.start(host));
-        sharing.run(8_000 + seed * 61);
-        sharing.start(1 - steward);
-        sharing.network.cut_into(&[&[steward], &[1 - steward]]);
-        sharing.run(10_000);
+        let (mut simulation, leader) = fleet_of_two_voters(seed);
+        let other = 1 - leader;
+        simulation.network.cut_into(&[&[leader], &[2, 3, 4]]);
+        start(&mut simulation, 2..HOSTS);
+        simulation.run(8_000 + seed * 61);
+
+        simulation.start(other);
+        simulation.network.cut_into(&[&[leader], &[other]]);
+        simulation.run(10_000);
+
         assert!(
-            sharing.stewards == 1 && sharing.most <= WHOLE_PARTS,
-            "seed {seed}: {} stewards",
-            sharing.stewards
+            simulation.max_leaders == 1 && simulation.max_parts_in_use <= WHOLE_PARTS,
+            "seed {seed}: {} leaders",
+            simulation.max_leaders
         );
     }
 }
 
-/// Danger: of a council of two one could go back to the other after it has helped to found a fleet without that one.
+/// Runs until one of the restarted founders knows that it leads; whether that happened.
+fn run_until_a_founder_leads(simulation: &mut QuotaSimulation) -> bool {
+    for _ in 0..30_000 {
+        simulation.run(1);
+        if (2..HOSTS).any(|host| simulation.is_leader(host)) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Danger: of two voters one could go back to the other after it has helped to found a fleet
+/// without that one.
 #[test]
-fn who_has_helped_to_found_a_fleet_does_not_go_back_to_its_old_council() {
+fn who_has_helped_to_found_a_fleet_does_not_go_back_to_its_old_view() {
     let mut tried = 0;
     for seed in 0..20 {
-        let (mut sharing, steward) = council_of_two(seed);
-        let other = 1 - steward;
-        sharing.network.cut_into(&[&[steward], &[other, 2, 3, 4]]);
-        (2..HOSTS).for_each(|host| sharing.start(host));
-        let founder = |sharing: &Sharing| {
-            (2..HOSTS).find(|host| sharing.at(*host).is_some_and(|(shares, now)| shares.is_leader(now)))
-        };
-        // The moment at which the founder knows that it is one, and the other does not.
-        for _ in 0..30_000 {
-            sharing.run(1);
-            if founder(&sharing).is_some() {
-                break;
-            }
+        let (mut simulation, leader) = fleet_of_two_voters(seed);
+        let other = 1 - leader;
+        simulation.network.cut_into(&[&[leader], &[other, 2, 3, 4]]);
+        start(&mut simulation, 2..HOSTS);
+        // The moment at which the founder knows that it leads, and the other does not.
+        if !run_until_a_founder_leads(&mut simulation) {
+            continue;
         }
-        let Some(_) = founder(&sharing) else { continue };
         tried += 1;
-        sharing.network.heal();
-        sharing.network.cut_into(&[&[steward, other], &[2, 3, 4]]);
-        sharing.run(15_000);
+
+        simulation.network.heal();
+        simulation.network.cut_into(&[&[leader, other], &[2, 3, 4]]);
+        simulation.run(15_000);
+
         assert!(
-            sharing.stewards == 1 && sharing.most <= WHOLE_PARTS,
-            "seed {seed}: {} stewards",
-            sharing.stewards
+            simulation.max_leaders == 1 && simulation.max_parts_in_use <= WHOLE_PARTS,
+            "seed {seed}: {} leaders",
+            simulation.max_leaders
         );
-        let base = sharing.settings.guaranteed_minimum();
-        assert_eq!([steward, other].map(|host| sharing.share(host)), [base; 2], "seed {seed}");
+        let minimum = simulation.settings.guaranteed_minimum();
+        let quotas = [leader, other].map(|host| simulation.usable_parts(host));
+        assert_eq!(quotas, [minimum; 2], "seed {seed}");
     }
     assert!(tried > 5, "{tried} of 20 came so far");
 }
 
-/// A release: who is asked to end says so, and is in no council any more when it goes, however many go at a time.
+/// A release: who is asked to end says so, and is a voter no longer when it goes, however many go
+/// at a time.
 #[test]
-fn who_leaves_on_purpose_is_in_no_council_when_it_goes() {
-    let mut sharing = Sharing::new(10, 10, 10, 5);
-    (0..10).for_each(|host| sharing.start(host));
-    sharing.know_all();
-    sharing.run(20_000);
-    (0..7).for_each(|host| sharing.leave(host));
-    sharing.run(1_500);
-    (0..7).for_each(|host| sharing.kill(host));
-    sharing.know_all();
-    sharing.run(4 * sharing.settings.lease_duration);
-    let theirs = sharing.settings.guaranteed_minimum() + LEASED_PARTS / 3;
-    assert_eq!([7, 8, 9].map(|host| sharing.share(host)), [theirs; 3]);
-    assert!(sharing.most <= WHOLE_PARTS);
+fn who_leaves_on_purpose_is_no_voter_when_it_goes() {
+    let mut simulation = settled_fleet(10, 10, 5);
+    for host in 0..7 {
+        simulation.leave(host);
+    }
+    simulation.run(1_500);
+
+    kill(&mut simulation, 0..7);
+    simulation.update_all_live_processes();
+    simulation.run(4 * simulation.settings.lease_duration);
+
+    assert_eq!([7, 8, 9].map(|host| simulation.usable_parts(host)), [with_equal_lease(&simulation, 3); 3]);
+    assert!(simulation.max_parts_in_use <= WHOLE_PARTS);
 }
--- /dev/null
+++ b/crates/simulation/src/model/state.rs
@@ -0,0 +1,190 @@
+//! [`State`] of the model, and the [`Action`]s that are possible in it.
+
+use pinetrail_quota::{Message, Process, QuotaLeases, Time};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+pub(super) const HOSTS: usize = 3;
+
+pub(super) fn host_address(host: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host as u8], 1))
+}
+
+/// The way of messages from one host to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Link {
+    /// Where they come from.
+    pub from: usize,
+    /// Where they go.
+    pub to: usize,
+}
+
+/// What happens to the next message on a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MessageFault {
+    /// It is lost.
+    Lost,
+    /// It is held back until [`Action::Release`].
+    Held,
+    /// It arrives twice.
+    Duplicated,
+}
+
+/// What may happen next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Time passes.
+    Tick,
+    /// The next message on a link is to fail.
+    FailMessage(Link, MessageFault),
+    /// Nothing passes from and to a host.
+    Isolate(usize),
+    /// Nothing passes on a link.
+    Cut(Link),
+    /// All links are whole again.
+    Heal,
+    /// What was held back arrives.
+    Release,
+    /// The process on a host dies.
+    Crash(usize),
+    /// A process starts on a host.
+    Start(usize),
+    /// The process on a host is paused.
+    Pause(usize),
+    /// It goes on.
+    Resume(usize),
+    /// Everybody takes this host for dead: the view changes.
+    BelieveDead(usize),
+    /// Everybody takes it for alive again.
+    BelieveAlive(usize),
+}
+
+impl Action {
+    /// Whether it counts as one of the faults that are bounded.
+    pub(super) fn is_fault(self) -> bool {
+        match self {
+            Action::FailMessage(..)
+            | Action::Isolate(_)
+            | Action::Cut(_)
+            | Action::Crash(_)
+            | Action::Pause(_)
+            | Action::BelieveDead(_) => true,
+            Action::Tick
+            | Action::Heal
+            | Action::Release
+            | Action::Start(_)
+            | Action::Resume(_)
+            | Action::BelieveAlive(_) => false,
+        }
+    }
+}
+
+/// A message that has not arrived.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Delivery {
+    pub(super) to: usize,
+    pub(super) message: Message,
+}
+
+/// All there is at a moment.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    pub(super) now: Time,
+    pub(super) hosts: Vec<Option<QuotaLeases>>,
+    /// How often a process was started on each host.
+    pub(super) starts: Vec<u64>,
+    pub(super) paused: BTreeSet<usize>,
+    pub(super) believed_dead: BTreeSet<usize>,
+    pub(super) cuts: BTreeSet<Link>,
+    pub(super) message_faults: BTreeSet<(Link, MessageFault)>,
+    pub(super) held: Vec<Delivery>,
+    /// What the sockets of paused processes keep.
+    pub(super) inbox: Vec<Delivery>,
+    pub(super) faults: usize,
+    pub(super) ticks: u64,
+}
+
+impl State {
+    /// Nothing runs.
+    pub(super) fn empty(now: Time) -> State {
+        State {
+            now,
+            hosts: vec![None; HOSTS],
+            starts: vec![0; HOSTS],
+            paused: BTreeSet::new(),
+            believed_dead: BTreeSet::new(),
+            cuts: BTreeSet::new(),
+            message_faults: BTreeSet::new(),
+            held: Vec::new(),
+            inbox: Vec::new(),
+            faults: 0,
+            ticks: 0,
+        }
+    }
+
+    pub(super) fn process(&self, host: usize) -> Process {
+        Process { address: host_address(host), start: self.starts[host] }
+    }
+
+    /// Tells every process which processes are believed to be alive.
+    pub(super) fn update_live_processes(&mut self) {
+        let is_alive = |host: &usize| self.hosts[*host].is_some() && !self.believed_dead.contains(host);
+        let alive: Vec<Process> = (0..HOSTS).filter(is_alive).map(|host| self.process(host)).collect();
+        for leases in self.hosts.iter_mut().flatten() {
+            leases.set_live_processes(alive.clone());
+        }
+    }
+
+    /// The ends of faults that are possible.
+    pub(super) fn recoveries(&self, actions: &mut Vec<Action>) {
+        if !self.cuts.is_empty() {
+            actions.push(Action::Heal);
+        }
+        if !self.held.is_empty() {
+            actions.push(Action::Release);
+        }
+        for host in 0..HOSTS {
+            if self.hosts[host].is_none() {
+                actions.push(Action::Start(host));
+            }
+            if self.paused.contains(&host) {
+                actions.push(Action::Resume(host));
+            }
+            if self.believed_dead.contains(&host) {
+                actions.push(Action::BelieveAlive(host));
+            }
+        }
+    }
+
+    /// The faults that are possible.
+    pub(super) fn possible_faults(&self, actions: &mut Vec<Action>) {
+        for host in 0..HOSTS {
+            if self.hosts[host].is_some() {
+                actions.push(Action::Crash(host));
+                if self.paused.is_empty() {
+                    actions.push(Action::Pause(host));
+                }
+            }
+            if self.believed_dead.is_empty() {
+                actions.push(Action::BelieveDead(host));
+            }
+            if self.cuts.is_empty() {
+                actions.push(Action::Isolate(host));
+            }
+            for to in (0..HOSTS).filter(|to| *to != host) {
+                self.possible_link_faults(Link { from: host, to }, actions);
+            }
+        }
+    }
+
+    fn possible_link_faults(&self, link: Link, actions: &mut Vec<Action>) {
+        if self.cuts.is_empty() {
+            actions.push(Action::Cut(link));
+        }
+        for fault in [MessageFault::Lost, MessageFault::Held, MessageFault::Duplicated] {
+            if !self.message_faults.contains(&(link, fault)) {
+                actions.push(Action::FailMessage(link, fault));
+            }
+        }
+    }
+}
--- a/crates/simulation/src/origin.rs
+++ b/crates/simulation/src/origin.rs
@@ -1,61 +1,80 @@
-//! An origin: it bears so many calls at once. Over that each takes longer, and at twice as many it falls for a while.
+//! [`Origin`]: a model of an origin. It bears so many calls at once. Over that each takes longer,
+//! and at twice as many it is down for a while.
 
 use std::collections::VecDeque;
 
-/// A time in ms.
+/// A simulated time or duration, in ms.
 type Time = u64;
 
+/// A call in flight.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    caller: usize,
+    ends_at: Time,
+}
+
 /// The origin.
 #[derive(Clone, Debug)]
 pub struct Origin {
     /// Calls at once that it bears.
-    pub bears: usize,
-    /// How long a call takes as long as it bears them.
-    pub takes: Time,
-    /// How long it is gone after a fall.
-    pub gone_for: Time,
-    /// Calls under way: whose, and when they end.
-    calls: VecDeque<(usize, Time)>,
+    pub capacity: usize,
+    /// How long a call takes as long as it bears them, in ms.
+    pub call_duration: Time,
+    /// How long it is down after an overload, in ms.
+    pub outage_duration: Time,
+    /// In the order in which they began.
+    calls: VecDeque<Call>,
+    /// When the last outage ends.
     up_at: Time,
-    /// How often it fell.
-    pub falls: u64,
+    /// How often it went down.
+    pub outages: u64,
     /// The most calls that it had at once.
-    pub most: usize,
+    pub max_calls: usize,
 }
 
 impl Origin {
-    /// One that bears so many.
-    pub fn new(bears: usize, takes: Time, gone_for: Time) -> Origin {
-        Origin { bears, takes, gone_for, calls: VecDeque::new(), up_at: 0, falls: 0, most: 0 }
+    /// An origin without calls.
+    pub fn new(capacity: usize, call_duration: Time, outage_duration: Time) -> Origin {
+        Origin {
+            capacity,
+            call_duration,
+            outage_duration,
+            calls: VecDeque::new(),
+            up_at: 0,
+            outages: 0,
+            max_calls: 0,
+        }
     }
 
-    /// Calls that it has.
-    pub fn busy(&self) -> usize {
+    /// How many calls are in flight.
+    pub fn calls_in_flight(&self) -> usize {
         self.calls.len()
     }
 
-    /// A call begins; those that it loses by that, if it falls.
-    pub fn call(&mut self, now: Time, whose: usize) -> Vec<usize> {
+    /// Begins a call. Returns the callers of the calls that fail by it: its own while the origin is
+    /// down, and all if it goes down.
+    pub fn begin_call(&mut self, now: Time, caller: usize) -> Vec<usize> {
         if now < self.up_at {
-            return vec![whose];
+            return vec![caller];
         }
-        let load = (self.calls.len() + 1) as f64 / self.bears as f64;
-        let takes = self.takes as f64 * load.max(1.0).powi(2);
-        self.calls.push_back((whose, now + takes as Time));
-        self.most = self.most.max(self.calls.len());
+        let load = (self.calls.len() + 1) as f64 / self.capacity as f64;
+        let duration = self.call_duration as f64 * load.max(1.0).powi(2);
+        self.calls.push_back(Call { caller, ends_at: now + duration as Time });
+        self.max_calls = self.max_calls.max(self.calls.len());
         if load < 2.0 {
             return Vec::new();
         }
-        (self.up_at, self.falls) = (now + self.gone_for, self.falls + 1);
-        self.calls.drain(..).map(|(whose, _)| whose).collect()
+        self.up_at = now + self.outage_duration;
+        self.outages += 1;
+        self.calls.drain(..).map(|call| call.caller).collect()
     }
 
-    /// The calls that have ended by now.
-    pub fn ended(&mut self, now: Time) -> Vec<usize> {
-        let (ended, left) = self.calls.drain(..).partition(|(_, ends)| *ends <= now);
-        self.calls = left;
-        let ended: VecDeque<(usize, Time)> = ended;
-        ended.into_iter().map(|(whose, _)| whose).collect()
+    /// Takes the calls that have ended by now; returns their callers.
+    pub fn take_ended(&mut self, now: Time) -> Vec<usize> {
+        let has_ended = |call: &Call| call.ends_at <= now;
+        let (ended, in_flight): (VecDeque<Call>, VecDeque<Call>) = self.calls.drain(..).partition(has_ended);
+        self.calls = in_flight;
+        ended.into_iter().map(|call| call.caller).collect()
     }
 }
 
--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -1,5 +1,5 @@
-//! Processes that share, in simulated time: each with a clock of its own, over a network that loses, doubles and delays,
-//! and an eye on what they use together.
+//! [`QuotaSimulation`]: processes with a quota in simulated time. Each has a clock of its own; the
+//! network between them loses, duplicates and delays. It watches what they use together.
 
 use crate::network::Network;
 use pinetrail_quota::{Message, Output, Parts, Process, QuotaEvent, QuotaLeases, Settings, Time};
@@ -11,264 +11,338 @@
 /// A clock that runs at a rate of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    /// What it shows when the process starts.
-    pub from: Time,
-    /// How fast it runs, in thousandths.
+    /// What it shows when the process starts, in ms.
+    pub shown_at_start: Time,
+    /// How fast it runs, in thousandths of the simulated time.
     pub rate: u64,
-    /// When that is.
-    since: Time,
+    /// When the process starts, in simulated ms.
+    started_at: Time,
 }
 
 impl Clock {
-    /// One that shows this when the process starts.
-    pub fn new(from: Time, rate: u64) -> Clock {
-        Clock { from, rate, since: 0 }
+    /// A clock for a process that starts when the simulation begins.
+    pub fn new(shown_at_start: Time, rate: u64) -> Clock {
+        Clock { shown_at_start, rate, started_at: 0 }
     }
 
-    /// What it shows at a time.
-    pub fn at(&self, time: Time) -> Time {
-        self.from + (time - self.since) * self.rate / 1000
+    /// What it shows at a simulated time.
+    pub fn shown_at(&self, time: Time) -> Time {
+        self.shown_at_start + (time - self.started_at) * self.rate / 1000
     }
 
-    /// When it shows this, at the earliest.
-    fn when(&self, shown: Time) -> Time {
-        self.since + (shown.saturating_sub(self.from) * 1000).div_ceil(self.rate)
+    /// The first simulated time at which it shows this.
+    fn time_when(&self, shown: Time) -> Time {
+        let elapsed = shown.saturating_sub(self.shown_at_start);
+        self.started_at + (elapsed * 1000).div_ceil(self.rate)
     }
 }
 
+/// Calls that began under an earlier quota.
+struct EarlierCalls {
+    parts: Parts,
+    /// Until when they may run.
+    end_at: Time,
+}
+
 struct Host {
-    shares: Option<QuotaLeases>,
-    stopped: bool,
+    /// What runs on it.
+    leases: Option<QuotaLeases>,
+    is_paused: bool,
+    /// What the socket of a paused process keeps.
     inbox: Vec<Message>,
     clock: Clock,
+    /// How often a process was started on it.
     starts: u64,
-    wake: u64,
-    /// What it used last.
-    share: Parts,
-    /// Calls that began under what it used before, and until when they may run.
-    calls: Vec<(Parts, Time)>,
+    /// The serial number of the wake-up that counts; earlier ones are outdated.
+    wake_up: u64,
+    /// The parts that its process could use when last looked at.
+    usable_parts: Parts,
+    earlier_calls: Vec<EarlierCalls>,
+}
+
+impl Host {
+    fn new() -> Host {
+        Host {
+            leases: None,
+            is_paused: false,
+            inbox: Vec::new(),
+            clock: Clock::new(1_000_000, 1000),
+            starts: 0,
+            wake_up: 0,
+            usable_parts: 0,
+            earlier_calls: Vec::new(),
+        }
+    }
+
+    /// Takes note of the parts that its process may use now. If they are fewer, calls that began
+    /// under more still run.
+    fn update_usable_parts(&mut self, now: Time, longest_call: Time) {
+        let shown = self.clock.shown_at(now);
+        let parts = self.leases.as_ref().map_or(0, |leases| leases.usable_parts(shown));
+        if parts < self.usable_parts {
+            self.earlier_calls.push(EarlierCalls { parts: self.usable_parts, end_at: now + longest_call });
+        }
+        self.usable_parts = parts;
+        self.earlier_calls.retain(|calls| now < calls.end_at);
+    }
+
+    fn parts_in_use(&self) -> Parts {
+        let earlier = self.earlier_calls.iter().map(|calls| calls.parts);
+        earlier.chain([self.usable_parts]).max().unwrap_or(0)
+    }
+
+    fn is_leader(&self, now: Time) -> bool {
+        self.leases.as_ref().is_some_and(|leases| leases.is_leader(self.clock.shown_at(now)))
+    }
 }
 
 enum Event {
-    Message(usize, Message),
-    Wake(usize, u64),
+    Message { to: usize, message: Message },
+    WakeUp { host: usize, number: u64 },
 }
 
-/// The processes, the time and the network.
-pub struct Sharing {
-    /// What they are told.
+/// An event that a process gave out.
+#[derive(Clone, Copy, Debug)]
+pub struct ObservedEvent {
+    /// When, in simulated ms.
+    pub at: Time,
+    /// On which host the process runs.
+    pub host: usize,
+    /// The event.
+    pub event: QuotaEvent,
+}
+
+/// The hosts, the network between them, and the time. Equal seeds and calls give equal runs.
+pub struct QuotaSimulation {
+    /// The settings of processes that start from now on.
     pub settings: Settings,
     /// The network.
     pub network: Network,
     hosts: Vec<Host>,
     now: Time,
+    /// What is to happen, by time and by a serial number that keeps the order of scheduling.
     queue: BTreeMap<(Time, u64), Event>,
-    count: u64,
-    /// Random numbers, for the network and for who plays with it.
+    scheduled: u64,
+    /// Random numbers, for the network and for the caller.
     pub rng: StdRng,
-    /// What was heard, when and by whom.
-    pub heard: Vec<(Time, usize, QuotaEvent)>,
-    /// The most that all used together, with what calls of before still use.
-    pub most: Parts,
-    /// The most that took themselves for stewards at once.
-    pub stewards: usize,
-    /// Messages carried.
-    pub messages: u64,
+    /// The events that processes gave out, in order.
+    pub observed: Vec<ObservedEvent>,
+    /// The most parts that were in use at once, calls that began under earlier quotas included.
+    pub max_parts_in_use: Parts,
+    /// The most processes that took themselves for the leader at once.
+    pub max_leaders: usize,
+    /// Messages sent.
+    pub messages_sent: u64,
 }
 
-/// The address of a host by its number.
-pub fn place(host: usize) -> SocketAddr {
+/// The address of a host.
+pub fn host_address(host: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (host >> 8) as u8, host as u8], 7946))
 }
 
-impl Sharing {
-    /// So many hosts on which nothing runs, of which the first are the founders.
-    pub fn new(hosts: usize, founders: usize, size: usize, seed: u64) -> Sharing {
-        let clock = Clock::new(1_000_000, 1000);
-        let host = |_| Host {
-            shares: None,
-            stopped: false,
-            inbox: Vec::new(),
-            clock,
-            starts: 0,
-            wake: 0,
-            share: 0,
-            calls: Vec::new(),
-        };
-        Sharing {
-            settings: Settings::with_defaults((0..founders).map(place).collect(), size),
+impl QuotaSimulation {
+    /// So many hosts on which nothing runs, of which the first are the founders, in a fleet of at
+    /// most `size` processes.
+    pub fn new(hosts: usize, founders: usize, size: usize, seed: u64) -> QuotaSimulation {
+        QuotaSimulation {
+            settings: Settings::with_defaults((0..founders).map(host_address).collect(), size),
             network: Network::default(),
-            hosts: (0..hosts).map(host).collect(),
+            hosts: (0..hosts).map(|_| Host::new()).collect(),
             now: 0,
             queue: BTreeMap::new(),
-            count: 0,
+            scheduled: 0,
             rng: StdRng::seed_from_u64(seed),
-            heard: Vec::new(),
-            most: 0,
-            stewards: 0,
-            messages: 0,
+            observed: Vec::new(),
+            max_parts_in_use: 0,
+            max_leaders: 0,
+            messages_sent: 0,
         }
     }
 
-    /// The time now.
+    /// The simulated time, in ms.
     pub fn now(&self) -> Time {
         self.now
     }
 
-    /// Gives a host another clock; for processes that start from now on.
+    /// Gives a host another clock, for processes that start from now on.
     pub fn set_clock(&mut self, host: usize, clock: Clock) {
         self.hosts[host].clock = clock;
     }
 
-    /// The process that runs on a host.
+    /// The process that runs on a host, or ran there last.
     pub fn process(&self, host: usize) -> Process {
-        Process { address: place(host), start: self.hosts[host].starts }
+        Process { address: host_address(host), start: self.hosts[host].starts }
     }
 
-    /// Starts a process on a host.
+    /// Starts a process on a host, in place of the one that runs there.
+    ///
+    /// # Panics
+    ///
+    /// If the settings are invalid.
     pub fn start(&mut self, host: usize) {
         self.kill(host);
         self.hosts[host].starts += 1;
-        // A process counts from its own beginning, which is another each time.
-        let from = self.rng.random_range(0..1 << 30);
-        let clock = &mut self.hosts[host].clock;
-        *clock = Clock { from, since: self.now, ..*clock };
-        let (me, now) = (self.process(host), self.hosts[host].clock.at(self.now));
-        let shares = QuotaLeases::new(self.settings.clone(), me, now).expect("settings that can be");
-        self.hosts[host].shares = Some(shares);
+        // A process counts time from its own beginning, which is another each time.
+        let shown_at_start = self.rng.random_range(0..1 << 30);
+        let clock = Clock { shown_at_start, started_at: self.now, ..self.hosts[host].clock };
+        let leases = QuotaLeases::new(self.settings.clone(), self.process(host), clock.shown_at(self.now))
+            .expect("settings are valid");
+        self.hosts[host].clock = clock;
+        self.hosts[host].leases = Some(leases);
         self.act(host, |_, _, _| {});
     }
 
-    /// Kills the process on a host; its calls run on.
+    /// Kills the process on a host. Its calls run on.
     pub fn kill(&mut self, host: usize) {
-        let ends = self.now + self.settings.longest_call;
+        let end_at = self.now + self.settings.longest_call;
         let this = &mut self.hosts[host];
-        if this.shares.take().is_some() {
-            this.calls.push((this.share, ends));
+        if this.leases.take().is_some() {
+            this.earlier_calls.push(EarlierCalls { parts: this.usable_parts, end_at });
         }
-        (this.stopped, this.share) = (false, 0);
+        this.is_paused = false;
+        this.usable_parts = 0;
         this.inbox.clear();
     }
 
-    /// Asks the process on a host to end: it is killed later.
+    /// Tells the process on a host that it ends soon. The caller kills it.
     pub fn leave(&mut self, host: usize) {
-        self.hosts[host].shares.iter_mut().for_each(QuotaLeases::leave);
+        if let Some(leases) = &mut self.hosts[host].leases {
+            leases.leave();
+        }
     }
 
-    /// Stops the process on a host.
-    pub fn stop(&mut self, host: usize) {
-        self.hosts[host].stopped = true;
+    /// Pauses the process on a host.
+    pub fn pause(&mut self, host: usize) {
+        self.hosts[host].is_paused = true;
     }
 
-    /// Has it go on: what is due comes before what has come.
-    pub fn go_on(&mut self, host: usize) {
-        self.hosts[host].stopped = false;
-        self.act(host, pinetrail_quota::QuotaLeases::handle_timeout);
+    /// Has the process on a host go on. What is due comes before the messages that have arrived.
+    pub fn resume(&mut self, host: usize) {
+        self.hosts[host].is_paused = false;
+        self.act(host, QuotaLeases::handle_timeout);
         for message in std::mem::take(&mut self.hosts[host].inbox) {
-            self.act(host, |shares, now, out| shares.handle_message(now, &message, out));
+            self.act(host, |leases, now, out| leases.handle_message(now, &message, out));
         }
     }
 
-    /// Whether a process runs there.
-    pub fn runs(&self, host: usize) -> bool {
-        self.hosts[host].shares.is_some()
+    /// Whether a process runs on a host, or is paused there.
+    pub fn is_running(&self, host: usize) -> bool {
+        self.hosts[host].leases.is_some()
     }
 
-    /// Whether it is stopped.
-    pub fn is_stopped(&self, host: usize) -> bool {
-        self.hosts[host].stopped
+    /// Whether the process on a host is paused.
+    pub fn is_paused(&self, host: usize) -> bool {
+        self.hosts[host].is_paused
     }
 
-    /// The shares of a host, and its time.
-    pub fn at(&self, host: usize) -> Option<(&QuotaLeases, Time)> {
-        let this = &self.hosts[host];
-        this.shares.as_ref().map(|shares| (shares, this.clock.at(self.now)))
+    /// The parts that the process on a host holds by lease now; 0 if none runs.
+    pub fn leased_parts(&self, host: usize) -> Parts {
+        let shown = self.hosts[host].clock.shown_at(self.now);
+        self.hosts[host].leases.as_ref().map_or(0, |leases| leases.lease().parts_at(shown))
     }
 
-    /// What a host may use now.
-    pub fn share(&self, host: usize) -> Parts {
-        self.at(host).map_or(0, |(shares, now)| shares.usable_parts(now))
+    /// The parts that the process on a host may use now; 0 if none runs.
+    pub fn usable_parts(&self, host: usize) -> Parts {
+        let shown = self.hosts[host].clock.shown_at(self.now);
+        self.hosts[host].leases.as_ref().map_or(0, |leases| leases.usable_parts(shown))
     }
 
-    /// Tells a host who is there.
-    pub fn know(&mut self, host: usize, alive: Vec<Process>) {
-        if let Some(shares) = &mut self.hosts[host].shares {
-            shares.set_live_processes(alive);
+    /// Whether the process on a host takes itself for the leader now.
+    pub fn is_leader(&self, host: usize) -> bool {
+        self.hosts[host].is_leader(self.now)
+    }
+
+    /// Tells the process on a host which processes are alive.
+    pub fn set_live_processes(&mut self, host: usize, alive: Vec<Process>) {
+        if let Some(leases) = &mut self.hosts[host].leases {
+            leases.set_live_processes(alive);
         }
     }
 
-    /// Tells each host who runs.
-    pub fn know_all(&mut self) {
-        let running: Vec<Process> =
-            (0..self.hosts.len()).filter(|host| self.runs(*host)).map(|host| self.process(host)).collect();
-        (0..self.hosts.len()).for_each(|host| self.know(host, running.clone()));
+    /// Tells every process which processes run.
+    pub fn update_all_live_processes(&mut self) {
+        let running = (0..self.hosts.len()).filter(|host| self.is_running(*host));
+        let running: Vec<Process> = running.map(|host| self.process(host)).collect();
+        for host in 0..self.hosts.len() {
+            self.set_live_processes(host, running.clone());
+        }
     }
 
-    /// Lets time pass.
-    pub fn run(&mut self, for_ms: Time) {
-        let end = self.now + for_ms;
+    /// Lets time pass, in ms.
+    pub fn run(&mut self, duration: Time) {
+        let end = self.now + duration;
         while let Some(first) = self.queue.first_entry().filter(|first| first.key().0 <= end) {
             let ((at, _), event) = first.remove_entry();
             self.now = at;
-            match event {
-                Event::Message(to, message) if self.hosts[to].stopped => self.hosts[to].inbox.push(message),
-                Event::Message(to, message) => {
-                    self.act(to, |shares, now, out| shares.handle_message(now, &message, out));
+            self.handle(event);
+            self.watch();
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Message { to, message } => {
+                if self.hosts[to].is_paused {
+                    self.hosts[to].inbox.push(message);
+                } else {
+                    self.act(to, |leases, now, out| leases.handle_message(now, &message, out));
                 }
-                Event::Wake(host, number) => {
-                    if self.hosts[host].wake == number && !self.hosts[host].stopped {
-                        self.act(host, pinetrail_quota::QuotaLeases::handle_timeout);
-                    }
+            }
+            Event::WakeUp { host, number } => {
+                if self.hosts[host].wake_up == number && !self.hosts[host].is_paused {
+                    self.act(host, QuotaLeases::handle_timeout);
                 }
             }
-            self.watch();
         }
-        self.now = end;
     }
 
     fn act(&mut self, host: usize, act: impl FnOnce(&mut QuotaLeases, Time, &mut Vec<Output>)) {
         let this = &mut self.hosts[host];
-        let shown = this.clock.at(self.now);
-        let Some(shares) = this.shares.as_mut() else { return };
+        let shown = this.clock.shown_at(self.now);
+        let Some(leases) = this.leases.as_mut() else { return };
         let mut out = Vec::new();
-        act(shares, shown, &mut out);
-        let due = this.clock.when(shares.next_timeout()).max(self.now + 1);
-        self.count += 1;
-        this.wake = self.count;
-        self.queue.insert((due, self.count), Event::Wake(host, self.count));
+        act(leases, shown, &mut out);
+        let due = this.clock.time_when(leases.next_timeout()).max(self.now + 1);
+        let number = self.schedule(due, |number| Event::WakeUp { host, number });
+        self.hosts[host].wake_up = number;
         for output in out {
             match output {
-                Output::Event(news) => self.heard.push((self.now, host, news)),
-                Output::Send(to, message) => {
-                    let to = (0..self.hosts.len()).find(|host| place(*host) == to).expect("a host");
-                    self.messages += 1;
-                    for (delay, _) in self.network.carry(&mut self.rng, host, to, 0) {
-                        self.count += 1;
-                        let event = Event::Message(to, message.clone());
-                        self.queue.insert((self.now + delay, self.count), event);
-                    }
+                Output::Event(event) => {
+                    self.observed.push(ObservedEvent { at: self.now, host, event });
                 }
+                Output::Send(to, message) => self.send(host, to, &message),
             }
         }
         self.watch();
     }
 
-    /// Adds up what all use. A process that is stopped uses nothing, but what it would use once it goes on counts.
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
+        let mut hosts = 0..self.hosts.len();
+        let to = hosts.find(|host| host_address(*host) == to).expect("messages go to hosts");
+        self.messages_sent += 1;
+        for (delay, _) in self.network.carry(&mut self.rng, from, to, 0) {
+            self.schedule(self.now + delay, |_| Event::Message { to, message: message.clone() });
+        }
+    }
+
+    /// Schedules an event; returns its serial number.
+    fn schedule(&mut self, at: Time, event: impl FnOnce(u64) -> Event) -> u64 {
+        self.scheduled += 1;
+        self.queue.insert((at, self.scheduled), event(self.scheduled));
+        self.scheduled
+    }
+
+    /// Adds up what all processes use. One that is paused uses nothing, but what it would use once
+    /// it goes on counts.
     fn watch(&mut self) {
-        let (now, calls) = (self.now, self.settings.longest_call);
-        let (mut in_use, mut stewards) = (0, 0);
+        let now = self.now;
         for host in &mut self.hosts {
-            let share = host.shares.as_ref().map_or(0, |shares| shares.usable_parts(host.clock.at(now)));
-            if share < host.share {
-                host.calls.push((host.share, now + calls));
-            }
-            host.share = share;
-            let serves = |shares: &QuotaLeases| shares.is_leader(host.clock.at(now));
-            stewards += usize::from(host.shares.as_ref().is_some_and(serves));
-            host.calls.retain(|(_, until)| now < *until);
-            in_use += host.calls.iter().map(|(part, _)| *part).chain([share]).max().unwrap_or(0);
+            host.update_usable_parts(now, self.settings.longest_call);
         }
-        self.stewards = self.stewards.max(stewards);
-        self.most = self.most.max(in_use);
+        let parts_in_use = self.hosts.iter().map(Host::parts_in_use).sum();
+        let leaders = self.hosts.iter().filter(|host| host.is_leader(now)).count();
+        self.max_parts_in_use = self.max_parts_in_use.max(parts_in_use);
+        self.max_leaders = self.max_leaders.max(leaders);
     }
 }
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -1,94 +1,172 @@
-//! Shares under faults drawn from a seed, and what must hold of them.
+//! [`play`]: a quota under faults that are drawn from a seed, and what must hold of it.
 
-use crate::quota::{Clock, Sharing};
-use pinetrail_quota::{Process, LEASED_PARTS, WHOLE_PARTS};
+use crate::quota::{Clock, QuotaSimulation};
+use pinetrail_quota::{Parts, Process, Time, LEASED_PARTS, WHOLE_PARTS};
 use rand::RngExt;
+use thiserror::Error;
 
 const HOSTS: usize = 5;
+const FAULTS: usize = 25;
+/// How long everybody has to get an equal lease after the last fault, in ms.
+const RECOVERY: Time = 40_000;
 
-/// Five processes and 25 faults: what all may use together, with what calls of before still use, is never over the whole, nobody is
-/// steward beside another, and once the faults end everybody has the same share. The first thing that is wrong.
-pub fn play(seed: u64) -> Result<(), String> {
-    let mut sharing = Sharing::new(HOSTS, HOSTS, 8, seed);
+/// What did not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// More than the whole was in use, or there were two leaders at once.
+    #[error("{parts_in_use} of {WHOLE_PARTS} in use, {leaders} leaders at {at} ms")]
+    Unsafe {
+        /// The most parts in use at once.
+        parts_in_use: Parts,
+        /// The most leaders at once.
+        leaders: usize,
+        /// When it was noticed, in simulated ms.
+        at: Time,
+    },
+    /// The leases did not become equal once the faults had ended, or too much was in use until
+    /// then.
+    #[error("in the end {leases:?} instead of {expected} for each; most in use {parts_in_use}")]
+    NotRecovered {
+        /// The leased parts of each host.
+        leases: Vec<Parts>,
+        /// What each should hold.
+        expected: Parts,
+        /// The most parts in use at once.
+        parts_in_use: Parts,
+    },
+}
+
+/// Plays five processes and 25 faults.
+///
+/// # Errors
+///
+/// The first [`Violation`]: what all may use together, with what calls that began earlier still
+/// use, must never be over the whole; there must never be two leaders; and once the faults have
+/// ended everybody must have an equal lease.
+pub fn play(seed: u64) -> Result<(), Violation> {
+    let mut simulation = start_fleet(seed);
+    for _ in 0..FAULTS {
+        inject_fault(&mut simulation);
+        let pause = simulation.rng.random_range(1..4000);
+        simulation.run(pause);
+        resume_some(&mut simulation);
+        if simulation.max_parts_in_use > WHOLE_PARTS || simulation.max_leaders > 1 {
+            return Err(Violation::Unsafe {
+                parts_in_use: simulation.max_parts_in_use,
+                leaders: simulation.max_leaders,
+                at: simulation.now(),
+            });
+        }
+    }
+    end_faults(&mut simulation);
+    simulation.run(RECOVERY);
+    check_recovery(&simulation)
+}
+
+fn start_fleet(seed: u64) -> QuotaSimulation {
+    let mut simulation = QuotaSimulation::new(HOSTS, HOSTS, 8, seed);
     for host in 0..HOSTS {
-        let rate = sharing.rng.random_range(990..=1009);
-        sharing.set_clock(host, Clock::new(0, rate));
-        sharing.start(host);
+        let rate = simulation.rng.random_range(990..=1009);
+        simulation.set_clock(host, Clock::new(0, rate));
+        simulation.start(host);
     }
-    sharing.know_all();
-    sharing.network.delay = (1, 40);
-    if sharing.rng.random_bool(0.3) {
-        (sharing.network.loss, sharing.network.twice) = (0.1, 0.2);
-        sharing.network.delay = (1, sharing.rng.random_range(500..9_000));
+    simulation.update_all_live_processes();
+    simulation.network.delay = (1, 40);
+    if simulation.rng.random_bool(0.3) {
+        simulation.network.loss = 0.1;
+        simulation.network.twice = 0.2;
+        simulation.network.delay = (1, simulation.rng.random_range(500..9_000));
     }
-    for _ in 0..25 {
-        let host = sharing.rng.random_range(0..HOSTS);
-        match sharing.rng.random_range(0..11) {
-            0 => sharing.kill(host),
-            1 | 2 if !sharing.runs(host) => sharing.start(host),
-            1 => sharing.start(host),
-            2 => sharing.stop(host),
-            3 if sharing.is_stopped(host) => sharing.go_on(host),
-            3 => sharing.network.heal(),
-            4 => {
-                let sides = sharing.rng.random_range(1..31u32);
-                let side = |bit: u32| -> Vec<usize> {
-                    (0..HOSTS).filter(|host| (sides >> host) & 1 == bit).collect()
-                };
-                let sides = [side(0), side(1)];
-                sharing.network.cut_into(&[&sides[0], &sides[1]]);
-                // Each side may notice at once.
-                for side in sides.iter().filter(|_| host % 2 == 0) {
-                    let there: Vec<Process> = side.iter().map(|one| sharing.process(*one)).collect();
-                    for one in side {
-                        sharing.know(*one, there.clone());
-                    }
-                }
-            }
-            5 => {
-                let to = sharing.rng.random_range(0..HOSTS);
-                sharing.network.cut(host, to);
-            }
-            6 => sharing.network.heal(),
-            // Knowledge of who is there may be wrong in any way.
-            7 => {
-                let known = sharing.rng.random_range(0..32u32);
-                let alive = (0..HOSTS).filter(|one| (known >> one) & 1 == 1);
-                let alive = alive.map(|one| sharing.process(one)).collect();
-                sharing.know(host, alive);
+    simulation
+}
+
+/// Draws a fault, or the end of one. The numbers of the arms are part of what a seed means.
+fn inject_fault(simulation: &mut QuotaSimulation) {
+    let host = simulation.rng.random_range(0..HOSTS);
+    match simulation.rng.random_range(0..11) {
+        0 => simulation.kill(host),
+        1 => simulation.start(host),
+        2 => {
+            if simulation.is_running(host) {
+                simulation.pause(host);
+            } else {
+                simulation.start(host);
             }
-            8 | 9 => sharing.know_all(),
-            _ => {}
         }
-        let pause = sharing.rng.random_range(1..4000);
-        sharing.run(pause);
-        for host in 0..HOSTS {
-            if sharing.is_stopped(host) && sharing.rng.random_bool(0.3) {
-                sharing.go_on(host);
+        3 => {
+            if simulation.is_paused(host) {
+                simulation.resume(host);
+            } else {
+                simulation.network.heal();
             }
         }
-        if sharing.most > WHOLE_PARTS || sharing.stewards > 1 {
-            let (most, stewards, now) = (sharing.most, sharing.stewards, sharing.now());
-            return Err(format!("{most} of {WHOLE_PARTS} in use, {stewards} stewards at {now} ms"));
+        4 => partition(simulation, host),
+        5 => {
+            let to = simulation.rng.random_range(0..HOSTS);
+            simulation.network.cut(host, to);
+        }
+        6 => simulation.network.heal(),
+        7 => mislead(simulation, host),
+        8 | 9 => simulation.update_all_live_processes(),
+        _ => {}
+    }
+}
+
+/// Cuts the fleet in two. Each side may notice at once; `host` draws whether it does.
+fn partition(simulation: &mut QuotaSimulation, host: usize) {
+    let sides = simulation.rng.random_range(1..31u32);
+    let side = |bit: u32| -> Vec<usize> { (0..HOSTS).filter(|host| (sides >> host) & 1 == bit).collect() };
+    let sides = [side(0), side(1)];
+    simulation.network.cut_into(&[&sides[0], &sides[1]]);
+    let both_notice = host.is_multiple_of(2);
+    if !both_notice {
+        return;
+    }
+    for side in &sides {
+        let alive: Vec<Process> = side.iter().map(|one| simulation.process(*one)).collect();
+        for one in side {
+            simulation.set_live_processes(*one, alive.clone());
+        }
+    }
+}
+
+/// Tells a process something about who is alive that may be wrong in any way.
+fn mislead(simulation: &mut QuotaSimulation, host: usize) {
+    let believed = simulation.rng.random_range(0..32u32);
+    let alive = (0..HOSTS).filter(|one| (believed >> one) & 1 == 1);
+    let alive = alive.map(|one| simulation.process(one)).collect();
+    simulation.set_live_processes(host, alive);
+}
+
+fn resume_some(simulation: &mut QuotaSimulation) {
+    for host in 0..HOSTS {
+        if simulation.is_paused(host) && simulation.rng.random_bool(0.3) {
+            simulation.resume(host);
         }
     }
-    sharing.network.heal();
-    (sharing.network.loss, sharing.network.twice, sharing.network.delay) = (0.0, 0.0, (1, 40));
+}
+
+fn end_faults(simulation: &mut QuotaSimulation) {
+    simulation.network.heal();
+    simulation.network.loss = 0.0;
+    simulation.network.twice = 0.0;
+    simulation.network.delay = (1, 40);
     for host in 0..HOSTS {
-        if !sharing.runs(host) {
-            sharing.start(host);
+        if !simulation.is_running(host) {
+            simulation.start(host);
         }
-        sharing.go_on(host);
+        simulation.resume(host);
     }
-    sharing.know_all();
-    sharing.run(40_000);
-    let due = LEASED_PARTS / HOSTS as u64;
-    let leases: Vec<u64> = (0..HOSTS)
-        .map(|host| sharing.at(host).map_or(0, |(shares, now)| shares.lease().parts_at(now)))
-        .collect();
-    if leases.iter().all(|lease| *lease == due) && sharing.most <= WHOLE_PARTS {
+    simulation.update_all_live_processes();
+}
+
+fn check_recovery(simulation: &QuotaSimulation) -> Result<(), Violation> {
+    let expected = LEASED_PARTS / HOSTS as Parts;
+    let parts_in_use = simulation.max_parts_in_use;
+    let leases: Vec<Parts> = (0..HOSTS).map(|host| simulation.leased_parts(host)).collect();
+    if leases.iter().all(|lease| *lease == expected) && parts_in_use <= WHOLE_PARTS {
         Ok(())
     } else {
-        Err(format!("in the end {leases:?} instead of {due} for each; most in use {}", sharing.most))
+        Err(Violation::NotRecovered { leases, expected, parts_in_use })
     }
 }
