--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -14,6 +14,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// A voter of a view has so many heartbeat periods to vote before it is left out of the next view.
+const PERIODS_TO_RESPOND: Time = 2;
+
 /// How far a candidate has come.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Phase {
@@ -278,7 +281,7 @@
     ) {
         let Some(view) = &self.view else { return };
         // A voter that does not respond is left out before anybody else has noticed.
-        if now >= self.view_decided_at + settings.heartbeat_period * 2 {
+        if now >= self.view_decided_at + settings.heartbeat_period * PERIODS_TO_RESPOND {
             let has_voted = |one: &Process| self.votes.get(one).is_some_and(|ends_at| now < *ends_at);
             voters.retain(|one| !view.is_voter(one) || has_voted(one));
         }
--- a/crates/quota/src/quota_leases.rs
+++ b/crates/quota/src/quota_leases.rs
@@ -14,6 +14,13 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+/// A candidate waits for votes for so many heartbeat periods.
+const PERIODS_OF_CANDIDACY: Time = 4;
+/// Without a leader for so many leases, a view may be lost.
+const LEASES_UNTIL_VIEW_IS_LOST: Time = 2;
+/// An odd number whose bits are mixed well (2^64 divided by the golden ratio).
+const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// The quota as one process knows it. Times are in ms of its own clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct QuotaLeases {
@@ -165,7 +172,8 @@
 
     /// Whether a candidate has waited for votes in vain.
     fn is_hopeless(&self, term: &LeaderTerm, now: Time) -> bool {
-        term.phase == Phase::RequestingVotes && now >= term.started_at + self.settings.heartbeat_period * 4
+        term.phase == Phase::RequestingVotes
+            && now >= term.started_at + self.settings.heartbeat_period * PERIODS_OF_CANDIDACY
     }
 
     fn become_candidate_if_due(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -188,7 +196,8 @@
     fn election_kind(&self, now: Time) -> Option<ElectionKind> {
         let is_founder = self.settings.founders.binary_search(&self.local.address).is_ok();
         let is_voter = self.voter.is_voter();
-        let no_leader_for_long = now >= self.voter.leader_heard_at + self.settings.lease_duration * 2;
+        let no_leader_for_long =
+            now >= self.voter.leader_heard_at + self.settings.lease_duration * LEASES_UNTIL_VIEW_IS_LOST;
         let view_is_lost = no_leader_for_long && self.lost_elections % 2 == 1;
         if is_founder && (!is_voter || view_is_lost) {
             Some(ElectionKind::Founding)
@@ -211,7 +220,7 @@
         let turn = (1 + rank) * self.settings.heartbeat_period;
         // Those who failed together try again at different times.
         let seed = (self.local.start ^ rank).wrapping_add(self.lost_elections);
-        let spread = (seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % self.settings.heartbeat_period;
+        let spread = (seed.wrapping_mul(HASH_MULTIPLIER) >> 32) % self.settings.heartbeat_period;
         since + self.settings.with_skew(self.settings.vote_duration) + turn + spread
     }
 
