--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -90,14 +90,14 @@
         fleet.start(*member);
     }
     if with {
-        fleet.until("they meet", |fleet| fleet.agree(&all));
+        fleet.wait_until("they meet", |fleet| fleet.all_agree(&all));
     }
     sleep(Duration::from_secs(1));
     let lasts = Duration::from_secs(options.seconds);
     let before = ticks(&fleet);
     sleep(lasts);
     let idle = ticks(&fleet) - before;
-    let places = all.iter().map(|member| fleet.process(*member).place).collect();
+    let places = all.iter().map(|member| fleet.process(*member).client_address).collect();
     let before = ticks(&fleet);
     let done: Done = Load::begin(places, options.rate, lasts, seed).end();
     let busy = ticks(&fleet) - before;
@@ -110,7 +110,7 @@
         let knows = |fleet: &Fleet, member: usize| {
             fleet.timeline.said_both(&Fleet::name(member), &format!("fleet: {name} at "), "-> failed", died)
         };
-        fleet.until("all know", |fleet| (0..members - 1).all(|member| knows(fleet, member).is_some()));
+        fleet.wait_until("all know", |fleet| (0..members - 1).all(|member| knows(fleet, member).is_some()));
         let times: Vec<u128> =
             (0..members - 1).filter_map(|member| knows(&fleet, member)).map(|at| at - died).collect();
         (times.iter().copied().min().unwrap_or(0), times.iter().copied().max().unwrap_or(0))
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -65,11 +65,11 @@
     let mut fleet =
         Fleet::start_all(FleetOptions { seed: options.seed, ..FleetOptions::of(PROXIES) }, nodes, origin);
     let everybody: Vec<usize> = (0..PROXIES).collect();
-    fleet.until("the proxies meet", |fleet| fleet.agree(&everybody));
+    fleet.wait_until("the proxies meet", |fleet| fleet.all_agree(&everybody));
     witness_config(&fleet);
     let script = script(options.seconds);
     let begun = fleet.timeline.now();
-    let places = everybody.iter().map(|proxy| fleet.process(*proxy).place).collect();
+    let places = everybody.iter().map(|proxy| fleet.process(*proxy).client_address).collect();
     let load = Load::begin(places, options.rate, Duration::from_secs(options.seconds), options.seed);
     let whole = play(&mut fleet, &script, options.seconds, &stopped)?;
     if !whole {
@@ -77,7 +77,7 @@
         return Err("stopped; its processes have ended".to_owned());
     }
     let done = load.end();
-    fleet.until("the proxies agree again", |fleet| fleet.agree(&everybody));
+    fleet.wait_until("the proxies agree again", |fleet| fleet.all_agree(&everybody));
     let knew = knew(&fleet, &script, begun);
     let figures = figures(options, &done, &knew);
     show(&figures, &knew);
@@ -145,7 +145,7 @@
         let now = begun.elapsed().as_millis();
         while let Some((_, fault)) = faults.next_if(|(at, _)| u128::from(*at) <= now) {
             bar.set_message(fault.to_string());
-            fleet.cause(fault);
+            fleet.inject(fault);
         }
         bar.set_position(now as u64 / 100);
         sleep(Duration::from_millis(20));
--- a/crates/test-harness/src/fleet.rs
+++ b/crates/test-harness/src/fleet.rs
@@ -34,7 +34,7 @@
 struct Permit;
 
 impl Permit {
-    fn take() -> Permit {
+    fn take_process() -> Permit {
         let running = RUNNING.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let mut running = RUNNING
             .1
@@ -102,9 +102,9 @@
 pub struct Process {
     child: Child,
     /// Where clients connect.
-    pub place: SocketAddr,
+    pub client_address: SocketAddr,
     /// Where operators call.
-    pub door: SocketAddr,
+    pub admin_address: SocketAddr,
     ended: bool,
 }
 
@@ -166,9 +166,9 @@
     places: Vec<Option<SocketAddr>>,
     configs: Vec<PathBuf>,
     /// The relays between the members.
-    pub relays: FaultProxies,
+    pub datagram_faults: FaultProxies,
     /// The relays of their links.
-    pub links: PeerFaultProxies,
+    pub peer_faults: PeerFaultProxies,
     /// The relays from each member to each cache node, the origin and discovery, in this order.
     pub streams: Vec<Vec<StreamFaultProxy>>,
     /// The cache nodes.
@@ -186,7 +186,7 @@
 impl Fleet {
     /// A fleet of which nothing runs yet.
     pub fn new(options: Options, nodes: Vec<StubServer>, origin: StubServer) -> Fleet {
-        let permit = Permit::take();
+        let permit = Permit::take_process();
         let number = FLEETS.fetch_add(1, Ordering::SeqCst);
         // Addresses that no other run has: ports of one address could be taken between a death and a restart.
         let mixed = std::process::id().wrapping_mul(97).wrapping_add(number);
@@ -217,8 +217,8 @@
             processes: (0..members).map(|_| None).collect(),
             places: vec![None; members],
             configs: Vec::new(),
-            relays,
-            links,
+            datagram_faults: relays,
+            peer_faults: links,
             streams,
             nodes,
             origin,
@@ -251,12 +251,12 @@
     }
 
     /// Where others reach a member: its relay.
-    pub fn hub(&self, member: usize) -> SocketAddr {
+    pub fn advertised_address(&self, member: usize) -> SocketAddr {
         SocketAddr::from(([127, self.base[0], self.base[1], (101 + member) as u8], PORT))
     }
 
     /// Where a member's own socket is.
-    pub fn real(&self, member: usize) -> SocketAddr {
+    pub fn member_address(&self, member: usize) -> SocketAddr {
         SocketAddr::from(([127, self.base[0], self.base[1], (1 + member) as u8], PORT))
     }
 
@@ -274,10 +274,10 @@
         let text = config("127.0.0.1:0", &discovery, 256, &catalog(1, true, &entries));
         let mut config: Value = serde_json::from_str(&text).unwrap();
         // Danger: who dials a free port of the address that it dials from may reach itself, and has the port then.
-        let free = SocketAddr::new(self.real(member).ip(), 0);
+        let free = SocketAddr::new(self.member_address(member).ip(), 0);
         let listen = self.places[member].unwrap_or(free).to_string();
         let peers: Vec<String> =
-            peers.iter().filter(|peer| **peer != member).map(|peer| self.hub(*peer).to_string()).collect();
+            peers.iter().filter(|peer| **peer != member).map(|peer| self.advertised_address(*peer).to_string()).collect();
         config["name"] = json!(Fleet::name(member));
         config["listen"] = json!(listen);
         config["admin"] = json!("127.0.0.1:0");
@@ -286,13 +286,13 @@
         config["settings"]["MyNumber"] = json!(member);
         config["fleet"] = json!({
             "name": "gdynia",
-            "bind": self.real(member).to_string(),
-            "advertise": self.hub(member).to_string(),
+            "bind": self.member_address(member).to_string(),
+            "advertise": self.advertised_address(member).to_string(),
             "peers": peers,
             "size": self.options.size,
         });
         if !self.options.founders.is_empty() {
-            let founders = self.options.founders.iter().map(|founder| self.hub(*founder).to_string());
+            let founders = self.options.founders.iter().map(|founder| self.advertised_address(*founder).to_string());
             let fleet = &mut config["fleet"];
             fleet["founders"] = founders.collect();
             // Shorter than usual, so that tests need not wait long.
@@ -304,8 +304,8 @@
             }
             if self.options.policy {
                 fleet["policy"] = json!({
-                    "bind": SocketAddr::new(self.real(member).ip(), LINK_PORT).to_string(),
-                    "advertise": SocketAddr::new(self.hub(member).ip(), LINK_PORT).to_string(),
+                    "bind": SocketAddr::new(self.member_address(member).ip(), LINK_PORT).to_string(),
+                    "advertise": SocketAddr::new(self.advertised_address(member).ip(), LINK_PORT).to_string(),
                     "state_dir": self.state_dir(member),
                     "permit_ms": 1000, "renew_ms": 250, "ready_ms": 1500, "change_ms": 8000,
                 });
@@ -332,11 +332,11 @@
     pub fn start(&mut self, member: usize) {
         self.timeline.note("rig", &format!("start {member}"));
         let process = self.launch(member);
-        self.places[member] = Some(process.place);
+        self.places[member] = Some(process.client_address);
         // The next process of it is to be found where this one is.
         let text = std::fs::read_to_string(&self.configs[member]).unwrap();
         let mut config: Value = serde_json::from_str(&text).unwrap();
-        config["listen"] = json!(process.place.to_string());
+        config["listen"] = json!(process.client_address.to_string());
         self.set_config(member, &config);
         self.processes[member] = Some(process);
     }
@@ -344,11 +344,11 @@
     /// Starts members that are not ready before the others run.
     pub fn start_together(&mut self, members: &[usize]) {
         let begun: Vec<(usize, StartingProcess)> =
-            members.iter().map(|member| (*member, self.begin(*member))).collect();
+            members.iter().map(|member| (*member, self.start_process(*member))).collect();
         for (member, begun) in begun {
             self.timeline.note("rig", &format!("start {member}"));
-            let process = self.ready(member, begun);
-            self.places[member] = Some(process.place);
+            let process = self.wait_until_ready(member, begun);
+            self.places[member] = Some(process.client_address);
             self.processes[member] = Some(process);
             let text = std::fs::read_to_string(&self.configs[member]).unwrap();
             let mut config: Value = serde_json::from_str(&text).unwrap();
@@ -358,7 +358,7 @@
     }
 
     /// Starts a process of a member, which need not get ready; it is given what it says.
-    pub fn begin(&self, member: usize) -> StartingProcess {
+    pub fn start_process(&self, member: usize) -> StartingProcess {
         let mut child = start_in(&self.configs[member], &self.tmp);
         let lines = self.follow(&mut child, member);
         StartingProcess { child: Some(child), lines }
@@ -366,15 +366,15 @@
 
     /// Starts a process on the configuration of a member; it is ready when this returns.
     fn launch(&self, member: usize) -> Process {
-        let begun = self.begin(member);
-        self.ready(member, begun)
+        let begun = self.start_process(member);
+        self.wait_until_ready(member, begun)
     }
 
     /// Waits until a process is ready.
-    pub fn ready(&self, member: usize, mut begun: StartingProcess) -> Process {
+    pub fn wait_until_ready(&self, member: usize, mut begun: StartingProcess) -> Process {
         let child = begun.child.take().expect("it is waited for once");
         let lines = &begun.lines;
-        let mut process = Process { child, place: self.hub(member), door: self.hub(member), ended: false };
+        let mut process = Process { child, client_address: self.advertised_address(member), admin_address: self.advertised_address(member), ended: false };
         let (mut door, mut place) = (None, None);
         while door.is_none() || place.is_none() {
             let line = lines.recv_timeout(WAIT).expect("the proxy says where it listens");
@@ -382,9 +382,9 @@
             door = door.or(at(" call "));
             place = place.or(at(" listens on "));
         }
-        (process.door, process.place) = (door.unwrap_or(process.door), place.unwrap_or(process.place));
+        (process.admin_address, process.client_address) = (door.unwrap_or(process.admin_address), place.unwrap_or(process.client_address));
         let until = Instant::now() + WAIT;
-        while call(process.door, "GET", "/control/ready").0 != 200 {
+        while call(process.admin_address, "GET", "/control/ready").0 != 200 {
             assert!(Instant::now() < until, "member {member} is not ready");
             thread::sleep(Duration::from_millis(5));
         }
@@ -416,18 +416,18 @@
     }
 
     /// Takes the process of a member out of the fleet's hands.
-    pub fn take(&mut self, member: usize) -> Process {
+    pub fn take_process(&mut self, member: usize) -> Process {
         self.processes[member].take().expect("it runs")
     }
 
     /// Starts a second process of a member beside the first; it is ready when this returns.
-    pub fn beside(&self, member: usize) -> Process {
+    pub fn start_second_process(&self, member: usize) -> Process {
         self.timeline.note("rig", &format!("second process of {member}"));
         self.launch(member)
     }
 
     /// Puts a process in the place of a member's; the one that was there.
-    pub fn replace(&mut self, member: usize, process: Process) -> Process {
+    pub fn replace_process(&mut self, member: usize, process: Process) -> Process {
         self.processes[member].replace(process).expect("it runs")
     }
 
@@ -443,12 +443,12 @@
 
     /// A connection of a client to a member.
     pub fn client(&self, member: usize) -> Client {
-        Client::to(self.process(member).place)
+        Client::to(self.process(member).client_address)
     }
 
     /// What a member says of its fleet; none if it says nothing.
     pub fn report(&self, member: usize) -> Option<Report> {
-        let (status, text) = call(self.process(member).door, "GET", "/control/fleet");
+        let (status, text) = call(self.process(member).admin_address, "GET", "/control/fleet");
         if status != 200 {
             return None;
         }
@@ -460,7 +460,7 @@
     }
 
     /// Whether each of these knows that all of these are alive, and nobody else.
-    pub fn agree(&self, members: &[usize]) -> bool {
+    pub fn all_agree(&self, members: &[usize]) -> bool {
         let names: Vec<String> = members.iter().map(|member| Fleet::name(*member)).collect();
         members.iter().all(|member| {
             self.report(*member)
@@ -469,7 +469,7 @@
     }
 
     /// Waits until something holds.
-    pub fn until(&self, what: &str, holds: impl Fn(&Fleet) -> bool) {
+    pub fn wait_until(&self, what: &str, holds: impl Fn(&Fleet) -> bool) {
         let until = Instant::now() + WAIT * 2;
         while !holds(self) {
             assert!(Instant::now() < until, "in vain: {what}\n{}", self.timeline);
@@ -478,7 +478,7 @@
     }
 
     /// Does what a fault says.
-    pub fn cause(&mut self, fault: &Fault) {
+    pub fn inject(&mut self, fault: &Fault) {
         self.timeline.note("rig", &fault.to_string());
         match fault {
             Fault::Kill(member) => self.kill(*member),
@@ -488,15 +488,15 @@
             Fault::GoOn(member) if self.runs(*member) => self.process(*member).signal("CONT"),
             Fault::Stop(_) | Fault::GoOn(_) => {}
             Fault::Upgrade(member) => {
-                let second = self.beside(*member);
-                let first = self.replace(*member, second);
+                let second = self.start_second_process(*member);
+                let first = self.replace_process(*member, second);
                 first.signal("TERM");
                 first.end();
             }
-            Fault::Cut(from, to) => self.relays.way(*from, *to, |way| way.cut = true),
+            Fault::Cut(from, to) => self.datagram_faults.way(*from, *to, |way| way.cut = true),
             Fault::Sides(sides) => self.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>()),
-            Fault::Heal => self.relays.all(|way| way.cut = false),
-            Fault::Loss(percent) => self.relays.all(|way| way.loss = f64::from(*percent) / 100.0),
+            Fault::Heal => self.datagram_faults.all(|way| way.cut = false),
+            Fault::Loss(percent) => self.datagram_faults.all(|way| way.loss = f64::from(*percent) / 100.0),
             Fault::Node(node, up) => {
                 for member in 0..self.options.members {
                     self.streams[member][*node].cut(!up);
@@ -511,7 +511,7 @@
         for (at, side) in sides.iter().enumerate() {
             for (_, other) in sides.iter().enumerate().filter(|(other, _)| *other != at) {
                 let ways = side.iter().flat_map(|from| other.iter().map(move |to| (*from, *to)));
-                ways.for_each(|(from, to)| self.relays.way(from, to, |way| way.cut = true));
+                ways.for_each(|(from, to)| self.datagram_faults.way(from, to, |way| way.cut = true));
             }
         }
     }
@@ -521,7 +521,7 @@
         let begun = Instant::now();
         for (at, fault) in &script.0 {
             thread::sleep(Duration::from_millis(*at).saturating_sub(begun.elapsed()));
-            self.cause(fault);
+            self.inject(fault);
         }
     }
 }
--- a/crates/test-harness/src/policy.rs
+++ b/crates/test-harness/src/policy.rs
@@ -43,13 +43,13 @@
 
 /// The version in force at a member, and its state.
 pub fn standing(fleet: &Fleet, member: usize) -> (u64, String) {
-    let said = ask(fleet.process(member).door, "/control/policy");
+    let said = ask(fleet.process(member).admin_address, "/control/policy");
     (said["version"].as_u64().unwrap_or(0), said["state"].as_str().unwrap_or_default().to_owned())
 }
 
 /// How a change ended, by what a member says; empty while it is open or not known.
 pub fn outcome(fleet: &Fleet, member: usize, id: &str) -> String {
-    let said = ask(fleet.process(member).door, &format!("/control/policy/changes/{id}"));
+    let said = ask(fleet.process(member).admin_address, &format!("/control/policy/changes/{id}"));
     let outcome = said["outcome"].as_str().unwrap_or_default();
     if outcome == "open" {
         String::new()
@@ -98,7 +98,7 @@
     pub fn all(fleet: &Fleet) -> PolicyClients {
         let running = (0..fleet.options.members).filter(|member| fleet.runs(*member));
         let places: Vec<_> =
-            running.map(|member| (Fleet::name(member), fleet.process(member).place)).collect();
+            running.map(|member| (Fleet::name(member), fleet.process(member).client_address)).collect();
         PolicyClients::of(&places)
     }
 
@@ -201,11 +201,11 @@
         let first = standing(fleet, 0);
         first.1 == "steady" && all.iter().all(|member| standing(fleet, *member) == first)
     };
-    fleet.until("all have the first version", agree);
+    fleet.wait_until("all have the first version", agree);
     let watch = PolicyClients::all(&fleet);
     let script = Script::from_seed(seed, members, 4, 4800);
     let at = Duration::from_millis(200 + seed * 379 % 4000);
-    let doors: Vec<SocketAddr> = all.iter().map(|member| fleet.process(*member).door).collect();
+    let doors: Vec<SocketAddr> = all.iter().map(|member| fleet.process(*member).admin_address).collect();
     let (door, next) = (doors[seed as usize % members], settings(&fleet, 2));
     let proposing = thread::spawn(move || {
         thread::sleep(at);
@@ -214,7 +214,7 @@
     });
     fleet.play(&script);
     proposing.join().expect("it was caught");
-    fleet.until("all agree", agree);
+    fleet.wait_until("all agree", agree);
     let version = standing(&fleet, 0).0;
     played(seed, watch, version)
 }
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -16,9 +16,9 @@
 /// A running proxy and discovery.
 pub struct ProxyFixture {
     pub discovery: Discovery,
-    pub place: SocketAddr,
+    pub client_address: SocketAddr,
     /// The operators' door.
-    pub door: SocketAddr,
+    pub admin_address: SocketAddr,
     child: Option<Child>,
     config: PathBuf,
     /// What the proxy has for `$TMPDIR`.
@@ -67,7 +67,7 @@
         let tmp = config.with_extension("tmp");
         std::fs::create_dir_all(&tmp).unwrap();
         let (child, place, door) = started(&config, &tmp);
-        let scene = ProxyFixture { discovery, place, door, child: Some(child), config, tmp };
+        let scene = ProxyFixture { discovery, client_address: place, admin_address: door, child: Some(child), config, tmp };
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
         scene
     }
@@ -81,11 +81,11 @@
     }
 
     pub fn client(&self) -> Client {
-        Client::to(self.place)
+        Client::to(self.client_address)
     }
 
     /// One of the proxy's counters.
-    pub fn count(&self, name: &str) -> u64 {
+    pub fn counter(&self, name: &str) -> u64 {
         let mut client = self.client();
         client.say("stats\r\n");
         let prefix = format!("STAT {name} ");
@@ -123,19 +123,19 @@
     /// Writes a configuration for a second process of this proxy.
     fn second(&self) -> PathBuf {
         let text = std::fs::read_to_string(&self.config).unwrap();
-        written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.place)))
+        written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.client_address)))
     }
 
     /// Starts a second process of this proxy, which is ready when this returns: it and its door.
-    pub fn beside(&self) -> (Child, SocketAddr) {
+    pub fn start_second_process(&self) -> (Child, SocketAddr) {
         let (child, place, door) = started(&self.second(), &self.tmp);
-        assert_eq!(place, self.place);
+        assert_eq!(place, self.client_address);
         self.until("the second process is ready", || call(door, "GET", "/control/ready").0 == 200);
         (child, door)
     }
 
     /// From now on `$TMPDIR` is a folder whose path is too long for the address of a Unix socket.
-    pub fn lengthen_tmp(&mut self) {
+    pub fn use_long_temp_dir(&mut self) {
         self.tmp = self.tmp.join("long".repeat(40));
         std::fs::create_dir_all(&self.tmp).unwrap();
     }
@@ -144,19 +144,19 @@
     pub fn restart(&mut self) {
         let mut child = self.child.take().unwrap();
         child.kill().and_then(|()| child.wait()).unwrap();
-        let (child, door) = self.beside();
-        (self.child, self.door) = (Some(child), door);
+        let (child, door) = self.start_second_process();
+        (self.child, self.admin_address) = (Some(child), door);
     }
 
     /// A second process on a configuration with some text replaced.
-    pub fn beside_with(&self, from: &str, to: &str) -> Child {
+    pub fn start_second_process_with(&self, from: &str, to: &str) -> Child {
         let text = std::fs::read_to_string(self.second()).unwrap();
         start_in(&written(&text.replace(from, to)), &self.tmp)
     }
 
     /// Puts a second process in the first one's place; the first.
-    pub fn succeed(&mut self, (child, door): (Child, SocketAddr)) -> Child {
-        self.door = door;
+    pub fn replace_process(&mut self, (child, door): (Child, SocketAddr)) -> Child {
+        self.admin_address = door;
         self.child.replace(child).unwrap()
     }
 
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -8,7 +8,7 @@
 
 /// How a member's door sees another, and the parts that differ.
 fn seen(fleet: &Fleet, by: usize, whom: usize) -> (String, Vec<String>) {
-    let said = ask(fleet.process(by).door, "/control/drift");
+    let said = ask(fleet.process(by).admin_address, "/control/drift");
     let node = said["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
     let parts = node.and_then(|node| node["parts"].as_array()).into_iter().flatten();
     let state = node.and_then(|node| node["state"].as_str()).unwrap_or_default().to_owned();
@@ -33,8 +33,8 @@
     loose["fleet"]["policy"]["local"] = json!(true);
     fleet.set_config(3, &loose);
     fleet.start(3);
-    fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    fleet.until("all are seen to have it", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    fleet.wait_until("all are seen to have it", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
     fleet
 }
 
@@ -42,7 +42,7 @@
 fn drift(fleet: &mut Fleet) {
     let mut other = fleet.config(3, &[0, 1, 2]);
     other["fleet"]["policy"]["local"] = json!(true);
-    other["listen"] = json!(fleet.process(3).place.to_string());
+    other["listen"] = json!(fleet.process(3).client_address.to_string());
     other["settings"] = settings(fleet, 2);
     fleet.set_config(3, &other);
     fleet.process(3).signal("HUP");
@@ -52,17 +52,17 @@
 fn a_local_change_shows_at_every_door_is_one_alarm_and_can_be_undone() {
     let mut fleet = with_a_loose_one();
     drift(&mut fleet);
-    fleet.until("every door shows it", |fleet| all_see(fleet, 3, "differs"));
+    fleet.wait_until("every door shows it", |fleet| all_see(fleet, 3, "differs"));
     assert_eq!(seen(&fleet, 0, 3).1, ["Grades"], "and in what");
-    fleet.until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
+    fleet.wait_until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
     std::thread::sleep(crate::ms(1000));
     assert_eq!(alarms(&fleet, 3), 1, "one, by one of them\n{}", fleet.timeline);
     let (status, _) = send_to_admin(
-        fleet.process(3).door,
+        fleet.process(3).admin_address,
         "POST /control/policy/restore HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n",
     );
     assert_eq!(status, 200);
-    fleet.until("all have it again", |fleet| all_see(fleet, 3, "same"));
+    fleet.wait_until("all have it again", |fleet| all_see(fleet, 3, "same"));
     assert!(fleet.client(3).read("k", "a1", 1000).0.starts_with("VA "), "and serve by it");
 }
 
@@ -70,11 +70,11 @@
 fn who_is_cut_off_is_silent_to_others_and_fenced_to_itself_and_never_the_same() {
     let fleet = with_a_loose_one();
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
-    fleet.until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
-    fleet.until("it knows", |fleet| seen(fleet, 3, 3).0 == "fenced" && seen(fleet, 3, 0).0 == "silent");
+    fleet.wait_until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
+    fleet.wait_until("it knows", |fleet| seen(fleet, 3, 3).0 == "fenced" && seen(fleet, 3, 0).0 == "silent");
     assert_eq!(alarms(&fleet, 3), 0, "silence is no drift");
-    fleet.relays.all(|way| way.cut = false);
-    fleet.until("all are well", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
+    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("all are well", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
 }
 
 #[test]
@@ -85,19 +85,19 @@
             fleet.runs(*member) && fleet.report(*member).is_some_and(|report| report.json["steward"] == true)
         })
     };
-    fleet.until("there is a steward", |fleet| steward(fleet).is_some());
+    fleet.wait_until("there is a steward", |fleet| steward(fleet).is_some());
     let first = steward(&fleet).unwrap();
     fleet.kill(first);
     // Nobody holds the office when it begins.
     drift(&mut fleet);
-    fleet.until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
+    fleet.wait_until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
     std::thread::sleep(crate::ms(800));
     assert_eq!(alarms(&fleet, 3), 1);
     // The next holder knows that it was raised.
     let second = steward(&fleet).unwrap();
     fleet.kill(second);
     fleet.start(first);
-    fleet.until("there is a third", |fleet| steward(fleet).is_some_and(|third| third != second));
+    fleet.wait_until("there is a third", |fleet| steward(fleet).is_some_and(|third| third != second));
     std::thread::sleep(crate::ms(1000));
     assert_eq!(alarms(&fleet, 3), 1, "{}", fleet.timeline);
 }
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -14,11 +14,11 @@
     assert!(ALL.iter().all(|member| fleet.report(*member).unwrap().side == "whole"));
     fleet.kill(3);
     let knows = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n3"];
-    fleet.until("all know", |fleet| [0, 1, 2, 4].iter().all(|member| knows(fleet, *member)));
+    fleet.wait_until("all know", |fleet| [0, 1, 2, 4].iter().all(|member| knows(fleet, *member)));
     assert_eq!(fleet.report(0).unwrap().side, "majority");
     fleet.start(3);
-    fleet.until("it is back", |fleet| fleet.agree(&ALL));
-    fleet.until("all of them", |fleet| fleet.report(0).unwrap().side == "whole");
+    fleet.wait_until("it is back", |fleet| fleet.all_agree(&ALL));
+    fleet.wait_until("all of them", |fleet| fleet.report(0).unwrap().side == "whole");
 }
 
 /// Guards against a cut that is none: what is sent on a way that is cut must arrive by no other.
@@ -28,14 +28,14 @@
     fleet.cut_into(&[&[0], &[1, 2]]);
     // What was on its way is swallowed as well.
     let ways = [(0, 1), (0, 2), (1, 0), (2, 0)];
-    let passed = || ways.map(|(from, to)| fleet.relays.carried(from, to).passed);
+    let passed = || ways.map(|(from, to)| fleet.datagram_faults.carried(from, to).passed);
     let before = passed();
     let heard = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
-    fleet.until("it is alone", heard);
+    fleet.wait_until("it is alone", heard);
     assert_eq!(passed(), before);
-    assert!(ways.iter().all(|(from, to)| fleet.relays.carried(*from, *to).lost > 0), "they went on asking");
+    assert!(ways.iter().all(|(from, to)| fleet.datagram_faults.carried(*from, *to).lost > 0), "they went on asking");
     // Every address that a member knows of another leads through a relay.
-    let hubs: BTreeSet<String> = (0..3).map(|member| fleet.hub(member).to_string()).collect();
+    let hubs: BTreeSet<String> = (0..3).map(|member| fleet.advertised_address(member).to_string()).collect();
     for member in 0..3 {
         let report = fleet.report(member).unwrap();
         assert!(report.members.values().all(|(_, address)| hubs.contains(address)), "{}", report.json);
@@ -51,7 +51,7 @@
         fleet.process(1).signal("CONT");
         sleep(ms(150));
     }
-    fleet.until("nobody suspects it any more", |fleet| fleet.agree(&ALL));
+    fleet.wait_until("nobody suspects it any more", |fleet| fleet.all_agree(&ALL));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
 }
 
@@ -62,15 +62,15 @@
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
     fleet.process(0).signal("STOP");
-    fleet.until("it suspects one", |fleet| fleet.timeline.said("n2", "alive -> suspect", begun).is_some());
+    fleet.wait_until("it suspects one", |fleet| fleet.timeline.said("n2", "alive -> suspect", begun).is_some());
     fleet.process(2).signal("STOP");
     fleet.process(0).signal("CONT");
     let knows = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n2"];
-    fleet.until("the others know", |fleet| [0, 1, 3, 4].iter().all(|member| knows(fleet, *member)));
+    fleet.wait_until("the others know", |fleet| [0, 1, 3, 4].iter().all(|member| knows(fleet, *member)));
     sleep(ms(7_500));
     let woke = fleet.timeline.now();
     fleet.process(2).signal("CONT");
-    fleet.until("it is back", |fleet| fleet.agree(&ALL));
+    fleet.wait_until("it is back", |fleet| fleet.all_agree(&ALL));
     assert!(fleet.timeline.said("n2", "did not run for", woke).is_some());
     assert!(fleet.timeline.said("n2", "-> failed", woke).is_none(), "{}", fleet.timeline);
 }
@@ -81,10 +81,10 @@
 fn a_way_cut_in_one_direction_fails_nobody() {
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
-    fleet.relays.way(0, 1, |way| way.cut = true);
+    fleet.datagram_faults.way(0, 1, |way| way.cut = true);
     sleep(ms(10_000));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
-    assert!(fleet.relays.carried(0, 1).lost > 0);
+    assert!(fleet.datagram_faults.carried(0, 1).lost > 0);
     let suspected = fleet.timeline.times("n0", "alive -> suspect", begun);
     assert!(suspected <= 2, "{}", fleet.timeline);
 }
@@ -100,17 +100,17 @@
         fleet.report(member).is_some_and(|report| report.names("failed") == names)
     };
     // With one of two failed it is a majority already.
-    fleet.until("both sides know", |fleet| {
+    fleet.wait_until("both sides know", |fleet| {
         sides(fleet) == split && failed(fleet, 0, &["n3", "n4"]) && failed(fleet, 4, &["n0", "n1", "n2"])
     });
     for member in [0, 4] {
         fleet.kill(member);
         fleet.start(member);
     }
-    fleet.until("both sides are as before", |fleet| sides(fleet) == split);
+    fleet.wait_until("both sides are as before", |fleet| sides(fleet) == split);
     let healed = fleet.timeline.now();
-    fleet.relays.all(|way| way.cut = false);
-    fleet.until("they are one again", |fleet| fleet.agree(&ALL) && sides(fleet) == ["whole"; 5]);
+    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("they are one again", |fleet| fleet.all_agree(&ALL) && sides(fleet) == ["whole"; 5]);
     assert!(fleet.timeline.said("rig", "start", healed).is_none(), "nobody was started for that");
 }
 
@@ -123,25 +123,25 @@
     for member in &ALL {
         fleet.start(*member);
     }
-    fleet.until("they meet", |fleet| fleet.agree(&ALL));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&ALL));
 }
 
 #[test]
 fn the_one_peer_that_everybody_joins_by_may_be_dead() {
     let mut fleet = met(Options { peers: vec![0], ..Options::of(4) });
     fleet.kill(0);
-    fleet.until("the others stay together", |fleet| fleet.agree(&[1, 2, 3]));
+    fleet.wait_until("the others stay together", |fleet| fleet.all_agree(&[1, 2, 3]));
     fleet.kill(3);
     fleet.start(3);
-    fleet.until("one that restarts is asked by them", |fleet| fleet.agree(&[1, 2, 3]));
+    fleet.wait_until("one that restarts is asked by them", |fleet| fleet.all_agree(&[1, 2, 3]));
     fleet.start(0);
-    fleet.until("so is that peer", |fleet| fleet.agree(&[0, 1, 2, 3]));
+    fleet.wait_until("so is that peer", |fleet| fleet.all_agree(&[0, 1, 2, 3]));
 }
 
 #[test]
 fn a_loss_of_five_in_a_hundred_and_disorder_fail_nobody() {
     let fleet = met(Options::of(5));
-    fleet.relays.all(|way| {
+    fleet.datagram_faults.all(|way| {
         (way.loss, way.twice, way.spoilt, way.delay) = (0.05, 0.1, 0.01, (0, 40));
     });
     sleep(ms(12_000));
@@ -153,7 +153,7 @@
     // The last place is kept for it.
     let mut fleet = Fleet::new(Options { peers: vec![0, 1, 2], ..Options::of(4) }, nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.kill(2);
     let mut moved = fleet.config(3, &[0, 1]);
     moved["name"] = "n2".into();
@@ -162,10 +162,10 @@
     let there = |fleet: &Fleet| {
         [0, 1, 3].iter().all(|member| {
             let report = fleet.report(*member).unwrap();
-            report.members["n2"] == ("alive".into(), fleet.hub(3).to_string()) && report.members.len() == 3
+            report.members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string()) && report.members.len() == 3
         })
     };
-    fleet.until("it is known where it is", there);
+    fleet.wait_until("it is known where it is", there);
     sleep(ms(3_000));
     assert!(there(&fleet));
     assert_eq!(fleet.report(0).unwrap().side, "whole");
@@ -175,7 +175,7 @@
 #[test]
 fn a_flood_of_spoilt_datagrams_keeps_no_client_waiting() {
     let fleet = met(Options::of(3));
-    let (to, begun) = (fleet.real(0), fleet.timeline.now());
+    let (to, begun) = (fleet.member_address(0), fleet.timeline.now());
     let flood = std::thread::spawn(move || {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         for n in 0..60_000u32 {
@@ -191,7 +191,7 @@
         assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n");
     }
     flood.join().unwrap();
-    fleet.until("nobody suspects anybody", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("nobody suspects anybody", |fleet| fleet.all_agree(&[0, 1, 2]));
     assert!(fleet.timeline.said("n0", "-> failed", begun).is_none());
     let mut stats = fleet.client(0);
     stats.say("stats\r\n");
@@ -219,17 +219,17 @@
     // Bad peers change nothing; good ones are asked at once.
     let mut newer = fleet.config(3, &[1]);
     for (peers, side) in
-        [(serde_json::json!([fleet.hub(3).to_string()]), "alone"), (newer["fleet"]["peers"].clone(), "whole")]
+        [(serde_json::json!([fleet.advertised_address(3).to_string()]), "alone"), (newer["fleet"]["peers"].clone(), "whole")]
     {
         newer["fleet"]["peers"] = peers;
         fleet.set_config(3, &newer);
         fleet.process(3).signal("HUP");
-        fleet.until("the reload shows", |fleet| {
+        fleet.wait_until("the reload shows", |fleet| {
             let said = fleet.timeline.to_string();
             said.contains("reload: the old configuration stays") && fleet.report(3).unwrap().side == side
         });
     }
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2, 3]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2, 3]));
 }
 
 /// Discovery has no say in who belongs to the fleet.
@@ -238,9 +238,9 @@
     let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
     fleet.discovery.be_down(true);
     (0..3).for_each(|member| fleet.start(member));
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.kill(1);
-    fleet.until("the others know", |fleet| fleet.agree(&[0, 2]));
+    fleet.wait_until("the others know", |fleet| fleet.all_agree(&[0, 2]));
     assert_eq!(fleet.client(0).read("k", "1", 900).1, "v\r\n", "by the list that it had");
 }
 
@@ -251,6 +251,6 @@
         let mut fleet = met(Options { seed, ..Options::of(5) });
         let script = Script::from_seed(seed, 5, 6, 12_000);
         fleet.play(&script);
-        fleet.until("all agree", |fleet| fleet.agree(&ALL));
+        fleet.wait_until("all agree", |fleet| fleet.all_agree(&ALL));
     }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -30,7 +30,7 @@
 fn met(options: Options) -> Fleet {
     let all: Vec<usize> = (0..options.members).collect();
     let fleet = Fleet::start_all(options, nodes(), origin());
-    fleet.until("they meet", |fleet| fleet.agree(&all));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&all));
     fleet
 }
 
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -41,11 +41,11 @@
         std::thread::sleep(crate::ms(100));
         fleet.runs(0) && counts == [off, on].map(|id| descriptors(id).len())
     };
-    fleet.until("connections to discovery and the door have settled", settled);
+    fleet.wait_until("connections to discovery and the door have settled", settled);
     assert_eq!((datagram_sockets(off), datagram_sockets(on)), (0, 1));
     assert_eq!(descriptors(on).len(), descriptors(off).len() + 1);
     assert_eq!(threads(on), threads(off));
-    assert_eq!(call(fleet.process(0).door, "GET", "/control/fleet").0, 404);
+    assert_eq!(call(fleet.process(0).admin_address, "GET", "/control/fleet").0, 404);
     let stats = |member: usize| {
         let mut client = fleet.client(member);
         client.say("stats\r\n");
@@ -65,7 +65,7 @@
         change(&mut config["fleet"]);
         config
     };
-    let own = fleet.hub(0).to_string();
+    let own = fleet.advertised_address(0).to_string();
     let bad: [(Value, &str); 15] = [
         (with(&|fleet| fleet["bind"] = json!("nowhere")), "fleet.bind"),
         (with(&|fleet| fleet["founders"] = json!([])), "founders: 0 seats"),
@@ -99,7 +99,7 @@
         assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{names}: {said}");
     }
     // An address that is taken.
-    let taken = std::net::UdpSocket::bind(fleet.real(0)).unwrap();
+    let taken = std::net::UdpSocket::bind(fleet.member_address(0)).unwrap();
     let output = end(start(&good.to_string()));
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("fleet at "));
@@ -128,13 +128,13 @@
         for key in ["size", "node_calls", "origin_calls"] {
             config["fleet"][key] = example["fleet"][key].clone();
         }
-        let founders = [0, 1, 2].map(|founder| fleet.hub(founder).to_string());
+        let founders = [0, 1, 2].map(|founder| fleet.advertised_address(founder).to_string());
         config["fleet"]["founders"] = json!(founders);
         fleet.set_config(member, &config);
         fleet.start(member);
     }
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     let shares =
         |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json["share"].as_f64().unwrap() > 0.2;
-    fleet.until("they share", |fleet| [0, 1, 2].iter().all(|member| shares(fleet, *member)));
+    fleet.wait_until("they share", |fleet| [0, 1, 2].iter().all(|member| shares(fleet, *member)));
 }
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -12,7 +12,7 @@
     let names: Vec<&str> = members.iter().map(|member| member["name"].as_str().unwrap()).collect();
     assert_eq!(names, ["n0", "n1", "n2"], "itself among them");
     for (number, member) in members.iter().enumerate() {
-        assert_eq!(member["address"].as_str(), Some(&*fleet.hub(number).to_string()));
+        assert_eq!(member["address"].as_str(), Some(&*fleet.advertised_address(number).to_string()));
         assert_eq!((member["state"].as_str(), member["incarnation"].as_u64()), (Some("alive"), Some(0)));
         assert!(member["since_ms"].as_u64().unwrap() > 1_700_000_000_000, "Unix time in ms");
     }
@@ -23,17 +23,17 @@
 #[test]
 fn sigterm_says_goodbye() {
     let mut fleet = met(Options::of(3));
-    let process = fleet.take(2);
+    let process = fleet.take_process(2);
     process.signal("TERM");
     assert!(process.end().success());
-    fleet.until("it has left", |fleet| {
+    fleet.wait_until("it has left", |fleet| {
         [0, 1].iter().all(|member| {
             let report = fleet.report(*member).unwrap();
             report.names("left") == ["n2"] && report.side == "whole"
         })
     });
     fleet.start(2);
-    fleet.until("it may come again", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("it may come again", |fleet| fleet.all_agree(&[0, 1, 2]));
 }
 
 /// Guards against two processes of one name of which one wins in silence, or which fight.
@@ -41,28 +41,28 @@
 fn two_that_run_under_one_name_by_mistake_are_both_told() {
     let mut fleet = Fleet::new(Options { peers: vec![0, 1], ..Options::of(4) }, nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     let mut twin = fleet.config(3, &[0, 1]);
     twin["name"] = "n2".into();
     fleet.set_config(3, &twin);
     fleet.start(3);
     let told = |fleet: &Fleet| {
         let rival = |member: usize| fleet.report(member).unwrap().json["rival"].clone();
-        rival(2)["address"] == fleet.hub(3).to_string()
+        rival(2)["address"] == fleet.advertised_address(3).to_string()
             && rival(2)["counts"] == true
-            && rival(3)["address"] == fleet.hub(2).to_string()
+            && rival(3)["address"] == fleet.advertised_address(2).to_string()
             && rival(3)["counts"] == false
     };
-    fleet.until("both doors say so", told);
+    fleet.wait_until("both doors say so", told);
     assert!(fleet.timeline.said("n2", "ERROR: another process", 0).is_some());
     assert!(fleet.timeline.said("n3", "ERROR: another process", 0).is_some());
     assert_eq!(fleet.report(2).unwrap().side, "alone");
-    fleet.until("the later one counts", |fleet| {
-        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.hub(3).to_string())
+    fleet.wait_until("the later one counts", |fleet| {
+        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string())
     });
     fleet.kill(3);
-    fleet.until("the earlier one is back", |fleet| {
-        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.hub(2).to_string())
+    fleet.wait_until("the earlier one is back", |fleet| {
+        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.advertised_address(2).to_string())
             && fleet.report(2).unwrap().json.get("rival").is_none()
     });
 }
@@ -71,8 +71,8 @@
 fn a_member_beyond_the_size_is_refused_and_says_why() {
     let mut fleet = Fleet::new(Options { size: 3, peers: vec![0, 1], ..Options::of(4) }, nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.start(3);
-    fleet.until("it is told", |fleet| fleet.timeline.said("n3", "has no room for this member", 0).is_some());
-    assert!(fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("it is told", |fleet| fleet.timeline.said("n3", "has no room for this member", 0).is_some());
+    assert!(fleet.all_agree(&[0, 1, 2]));
 }
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -21,25 +21,25 @@
 
 /// Proposes the other policy at a member's door.
 fn propose_second(fleet: &Fleet, member: usize) {
-    let (status, said) = propose(fleet.process(member).door, "x", 1, &settings(fleet, 2));
+    let (status, said) = propose(fleet.process(member).admin_address, "x", 1, &settings(fleet, 2));
     assert_eq!((status, said["version"].as_u64()), (202, Some(2)), "{said}");
 }
 
 #[test]
 fn a_change_takes_hold_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
-    fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     let watch = PolicyClients::all(&fleet);
     std::thread::sleep(ms(200));
     let begun = Instant::now();
     propose_second(&fleet, 3);
-    fleet.until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    fleet.wait_until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     assert!(begun.elapsed() < ms(5000));
     assert_eq!(outcome(&fleet, 3, "x"), "taken");
     // The same again changes nothing; what does not follow is refused.
     propose_second(&fleet, 0);
-    assert_eq!(propose(fleet.process(1).door, "y", 1, &settings(&fleet, 1)).0, 409);
-    assert_eq!(propose(fleet.process(1).door, "x", 2, &settings(&fleet, 1)).0, 409);
+    assert_eq!(propose(fleet.process(1).admin_address, "y", 1, &settings(&fleet, 1)).0, 409);
+    assert_eq!(propose(fleet.process(1).admin_address, "x", 2, &settings(&fleet, 1)).0, 409);
     std::thread::sleep(ms(200));
     let counts = watch.judged();
     assert!(counts[0].1 > 50 && counts[1].1 > 50, "{counts:?}");
@@ -49,14 +49,14 @@
 fn under_load(members: usize, founders: usize) -> (Fleet, PolicyClients) {
     let fleet = governed(members, founders);
     let all: Vec<usize> = (0..members).collect();
-    fleet.until("all have the first version", |fleet| has(fleet, &all, 1));
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &all, 1));
     let watch = PolicyClients::all(&fleet);
     std::thread::sleep(ms(150));
     (fleet, watch)
 }
 
 fn ends(fleet: &Fleet, member: usize, how: &str) {
-    fleet.until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
+    fleet.wait_until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
     assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
 }
 
@@ -64,14 +64,14 @@
 fn links_that_are_reset_in_the_middle_of_a_change_are_made_again() {
     let (fleet, watch) = under_load(4, 3);
     for turn in 0..3 {
-        (1..4).for_each(|other| fleet.links.reset(0, other));
+        (1..4).for_each(|other| fleet.peer_faults.reset(0, other));
         if turn == 1 {
             propose_second(&fleet, 3);
         }
         std::thread::sleep(ms(20));
     }
     ends(&fleet, 3, "taken");
-    fleet.until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    fleet.wait_until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     watch.judged();
 }
 
@@ -83,8 +83,8 @@
     ends(&fleet, 0, "taken");
     fleet.start(3);
     assert_eq!(standing(&fleet, 3).0, 2, "it was not ready before it had it");
-    let again = PolicyClients::of(&[(Fleet::name(3), fleet.process(3).place)]);
-    fleet.until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
+    let again = PolicyClients::of(&[(Fleet::name(3), fleet.process(3).client_address)]);
+    fleet.wait_until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
     assert_eq!(again.judged()[0].1, 0, "none by the old one");
     watch.judged();
 }
@@ -99,15 +99,15 @@
     assert_eq!(standing(&fleet, 0), (2, "steady".to_owned()));
     for member in [3, 4] {
         assert_eq!(standing(&fleet, member), (1, "fenced".to_owned()), "its permit has ended before");
-        assert_eq!(call(fleet.process(member).door, "GET", "/control/ready").0, 503);
+        assert_eq!(call(fleet.process(member).admin_address, "GET", "/control/ready").0, 503);
         assert_eq!(fleet.client(member).ask("mn\r\n"), "SERVER_ERROR out of service\r\n");
         let refused = fleet.client(member).read("k", &format!("f{member}"), 1000).0;
         assert_eq!(refused, "SERVER_ERROR busy 500\r\n", "at once, and with when to come back");
-        assert_eq!(propose(fleet.process(member).door, "z", 1, &settings(&fleet, 2)).0, 503);
+        assert_eq!(propose(fleet.process(member).admin_address, "z", 1, &settings(&fleet, 2)).0, 503);
     }
-    fleet.relays.all(|way| way.cut = false);
-    fleet.until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
-    fleet.until("they serve by it", |_| ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken)));
+    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
+    fleet.wait_until("they serve by it", |_| ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken)));
     watch.judged();
 }
 
@@ -121,7 +121,7 @@
     std::thread::sleep(ms(600));
     let woken = now();
     fleet.process(3).signal("CONT");
-    fleet.until("it serves by the second", |_| watch.decided_since("n3", 2, woken));
+    fleet.wait_until("it serves by the second", |_| watch.decided_since("n3", 2, woken));
     watch.judged();
 }
 
@@ -133,17 +133,17 @@
     config["fleet"]["policy"]["when_cut"] = json!("serve");
     fleet.set_config(3, &config);
     fleet.start_together(&[0, 1, 2, 3]);
-    fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
-    let said = ask(fleet.process(0).door, "/control/policy/changes/x");
+    let said = ask(fleet.process(0).admin_address, "/control/policy/changes/x");
     assert!(said["why"].as_str().unwrap().contains("n3"), "{said}");
     assert!(fleet.client(3).read("k", "s1", 1000).0.starts_with("VA "), "by the first version");
     assert_eq!(standing(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
-    assert_eq!(call(fleet.process(3).door, "GET", "/control/ready").0, 200, "it takes clients");
-    fleet.relays.all(|way| way.cut = false);
-    fleet.until("it catches up", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    assert_eq!(call(fleet.process(3).admin_address, "GET", "/control/ready").0, 200, "it takes clients");
+    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("it catches up", |fleet| has(fleet, &[0, 1, 2, 3], 2));
 }
 
 #[test]
@@ -157,32 +157,32 @@
         fleet.set_config(member, &config);
     }
     fleet.start_together(&[0, 1, 2, 3]);
-    fleet.until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     let watch = PolicyClients::all(&fleet);
     let mut longer = settings(&fleet, 2);
     longer["Grades"][0]["GiveUp"] = json!(2000.0);
-    assert_eq!(propose(fleet.process(0).door, "x", 1, &longer).0, 202, "it suits this one");
+    assert_eq!(propose(fleet.process(0).admin_address, "x", 1, &longer).0, 202, "it suits this one");
     ends(&fleet, 1, "refused");
-    let said = ask(fleet.process(1).door, "/control/policy/changes/x");
+    let said = ask(fleet.process(1).admin_address, "/control/policy/changes/x");
     let why = said["why"].as_str().unwrap();
     assert!(why.contains("n3: Grades") && why.contains("call_ms"), "{said}");
     let mut bad = settings(&fleet, 2);
     bad["Grades"][0]["Aim"] = json!(0.0);
-    let (status, said) = propose(fleet.process(1).door, "bad", 1, &bad);
+    let (status, said) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
     assert!(status == 400 && said["error"].as_str().unwrap().contains("Grades[scan].Aim"), "{said}");
     bad = settings(&fleet, 2);
     bad["Gradse"] = json!(1);
-    let (status, said) = propose(fleet.process(1).door, "bad", 1, &bad);
+    let (status, said) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
     assert!(status == 400 && said["error"].as_str().unwrap().contains("\"Grades\""), "{said}");
-    assert_eq!(call(fleet.process(1).door, "GET", "/control/policy/changes/bad").0, 404);
-    fleet.until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
+    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/policy/changes/bad").0, 404);
+    fleet.wait_until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     assert_eq!(watch.judged()[1].1, 0);
 }
 
 #[test]
 fn of_two_changes_at_two_doors_one_is_taken() {
     let (fleet, watch) = under_load(4, 3);
-    let doors = [0, 3].map(|member| fleet.process(member).door);
+    let doors = [0, 3].map(|member| fleet.process(member).admin_address);
     let second = settings(&fleet, 2);
     let said: Vec<u16> = std::thread::scope(|scope| {
         let asking: Vec<_> = ["a", "b"]
@@ -195,7 +195,7 @@
     });
     assert!(said.iter().filter(|status| **status == 202).count() == 1, "{said:?}");
     assert!(said.iter().all(|status| [202, 409].contains(status)), "{said:?}");
-    fleet.until("one is taken", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    fleet.wait_until("one is taken", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     watch.judged();
 }
 
@@ -203,17 +203,17 @@
 fn a_slow_peer_costs_only_itself() {
     let (fleet, watch) = under_load(4, 3);
     for other in 0..3 {
-        fleet.relays.way(3, other, |way| way.throttle = Some(1000));
-        fleet.relays.way(other, 3, |way| way.throttle = Some(1000));
+        fleet.datagram_faults.way(3, other, |way| way.throttle = Some(1000));
+        fleet.datagram_faults.way(other, 3, |way| way.throttle = Some(1000));
     }
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
     let taken = now();
-    fleet.until("the others serve", |_| {
+    fleet.wait_until("the others serve", |_| {
         ["n0", "n1", "n2"].iter().all(|name| watch.decided_since(name, 2, taken))
     });
-    fleet.relays.all(|way| way.throttle = None);
-    fleet.until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
+    fleet.datagram_faults.all(|way| way.throttle = None);
+    fleet.wait_until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
     watch.judged();
 }
 
@@ -224,7 +224,7 @@
         [(3, 3, 0), (3, 3, 15), (0, 3, 0), (0, 3, 10), (0, 0, 25), (0, 3, 40), (0, 0, 70)]
     {
         let (mut fleet, watch) = under_load(4, 3);
-        let (place, second) = (fleet.process(door).door, settings(&fleet, 2));
+        let (place, second) = (fleet.process(door).admin_address, settings(&fleet, 2));
         // Its door may not be there any more to answer.
         let proposing = std::thread::spawn(move || {
             let _ = std::panic::catch_unwind(|| propose(place, "x", 1, &second));
@@ -234,12 +234,12 @@
         proposing.join().unwrap();
         let rest: Vec<usize> = (0..4).filter(|member| *member != victim).collect();
         // It was never heard of, or it is taken: nobody said no, and nobody is away for long enough.
-        fleet.until("those that are left are steady", |fleet| {
+        fleet.wait_until("those that are left are steady", |fleet| {
             [1, 2].iter().any(|version| has(fleet, &rest, *version))
         });
         fleet.start(victim);
         // What was proposed may still be open just then.
-        fleet.until("all agree", |fleet| [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version)));
+        fleet.wait_until("all agree", |fleet| [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version)));
         watch.judged();
     }
 }
@@ -252,7 +252,7 @@
     watch.judged();
     (0..4).for_each(|member| fleet.kill(member));
     fleet.start_together(&[0, 1, 2, 3]);
-    fleet.until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    fleet.wait_until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
 }
 
 #[test]
@@ -269,8 +269,8 @@
             std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap()
         }
         fleet.start(1);
-        fleet.until("it votes", |fleet| fleet.timeline.said("n1", "this founder votes", 0).is_some());
-        fleet.until("it has it", |fleet| has(fleet, &[1], 2));
+        fleet.wait_until("it votes", |fleet| fleet.timeline.said("n1", "this founder votes", 0).is_some());
+        fleet.wait_until("it has it", |fleet| has(fleet, &[1], 2));
     }
     let aside = std::fs::read_dir(fleet.state_dir(1)).unwrap();
     assert!(aside.flatten().any(|file| file.file_name().to_string_lossy().starts_with("rulebook.torn-")));
@@ -278,9 +278,9 @@
     watch.judged();
     // Without the other one its vote is needed.
     fleet.kill(0);
-    let (status, said) = propose(fleet.process(3).door, "y", 2, &settings(&fleet, 1));
+    let (status, said) = propose(fleet.process(3).admin_address, "y", 2, &settings(&fleet, 1));
     assert_eq!(status, 202, "{said}");
-    fleet.until("it is taken", |fleet| has(fleet, &[1, 2, 3], 3));
+    fleet.wait_until("it is taken", |fleet| has(fleet, &[1, 2, 3], 3));
 }
 
 #[test]
@@ -291,7 +291,7 @@
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
     assert!(fleet.timeline.said("n2", "this founder cannot vote", 0).is_some());
-    fleet.until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+    fleet.wait_until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     watch.judged();
 }
 
@@ -300,13 +300,13 @@
     // One that founds, whose seat and disk the newcomer takes over, and one that does not.
     for member in [3, 0] {
         let (mut fleet, watch) = under_load(4, 3);
-        let second = fleet.beside(member);
+        let second = fleet.start_second_process(member);
         propose_second(&fleet, 1);
-        let first = fleet.replace(member, second);
+        let first = fleet.replace_process(member, second);
         first.signal("TERM");
         first.end();
-        fleet.until("all have it", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-        fleet.until("the newcomer serves by it", |_| watch.decided_since(&Fleet::name(member), 2, 0.0));
+        fleet.wait_until("all have it", |fleet| has(fleet, &[0, 1, 2, 3], 2));
+        fleet.wait_until("the newcomer serves by it", |_| watch.decided_since(&Fleet::name(member), 2, 0.0));
         watch.judged();
     }
 }
@@ -316,15 +316,15 @@
     let (mut fleet, watch) = under_load(4, 3);
     let mut other = fleet.config(2, &[0, 1, 3]);
     other["settings"] = settings(&fleet, 2);
-    other["listen"] = json!(fleet.process(2).place.to_string());
+    other["listen"] = json!(fleet.process(2).client_address.to_string());
     fleet.set_config(2, &other);
     fleet.process(2).signal("HUP");
-    fleet.until("it says where to propose it", |fleet| {
+    fleet.wait_until("it says where to propose it", |fleet| {
         fleet.timeline.said("n2", "propose them by POST /control/policy", 0).is_some()
     });
     std::thread::sleep(ms(100));
     assert_eq!(watch.judged()[1].1, 0, "all by the first version");
-    assert_eq!(ask(fleet.process(2).door, "/control/policy")["version"], 1);
+    assert_eq!(ask(fleet.process(2).admin_address, "/control/policy")["version"], 1);
 }
 
 #[test]
@@ -386,8 +386,8 @@
         std::fs::read_dir(path).unwrap().count()
     };
     assert_eq!(threads(0), threads(1) + 1, "the thread of links and book");
-    assert_eq!(call(fleet.process(1).door, "GET", "/control/policy").0, 404);
-    assert_eq!(call(fleet.process(1).door, "GET", "/control/drift").0, 404);
+    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/policy").0, 404);
+    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/drift").0, 404);
     let mut client = fleet.client(1);
     client.say("stats\r\n");
     let lines = std::iter::from_fn(|| Some(client.line()).filter(|line| line != "END\r\n"));
@@ -422,5 +422,5 @@
         fleet.set_config(member, &config);
     }
     fleet.start_together(&[0, 1, 2]);
-    fleet.until("they agree", |fleet| has(fleet, &[0, 1, 2], 1));
+    fleet.wait_until("they agree", |fleet| has(fleet, &[0, 1, 2], 1));
 }
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -36,7 +36,7 @@
 /// Waits until something holds. Meanwhile all shares are read, again and again, and written down for the judge.
 fn until(fleet: &Fleet, members: &[usize], what: &str, holds: impl Fn(&Fleet) -> bool) {
     let witness = Recorder::own();
-    fleet.until(what, |fleet| {
+    fleet.wait_until(what, |fleet| {
         for (member, share) in members.iter().zip(shares(fleet, members)) {
             witness.share(&Fleet::name(*member), share, CALL_MS);
         }
@@ -64,7 +64,7 @@
     for member in ["n0", "n1"] {
         assert!(fleet.timeline.said(member, "its lease has ended", 0).is_some(), "{}", fleet.timeline);
     }
-    fleet.relays.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.cut = false);
     until(&fleet, &ALL, "all have theirs again", |fleet| have(fleet, &ALL, 5));
 }
 
@@ -76,7 +76,7 @@
     until(&fleet, &all, "all have their bases", |fleet| {
         all.iter().all(|member| seen(fleet, *member, "share") == seen(fleet, *member, "base"))
     });
-    fleet.relays.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.cut = false);
     until(&fleet, &all, "all have theirs again", |fleet| have(fleet, &all, 3));
 }
 
@@ -115,9 +115,9 @@
 #[test]
 fn two_processes_in_an_upgrade_have_one_base_and_the_newcomer_no_lease() {
     let mut fleet = all_share(3);
-    let second = fleet.beside(1);
-    let first = fleet.replace(1, second);
-    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some());
+    let second = fleet.start_second_process(1);
+    let first = fleet.replace_process(1, second);
+    fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_some());
     let base = 0.5 / fleet.options.size as f64;
     until(&fleet, &[0, 1, 2], "it is leased its part, and has half of the base", |fleet| {
         (seen(fleet, 1, "share") - base / 2.0 - 0.5 / 3.0).abs() < EPSILON && have(fleet, &[0, 2], 3)
@@ -131,11 +131,11 @@
 fn who_is_told_of_other_founders_shares_with_nobody() {
     let mut fleet = Fleet::new(sharing(4), nodes(), origin());
     let mut wrong = fleet.config(3, &[0, 1, 2]);
-    wrong["fleet"]["founders"] = serde_json::json!([fleet.hub(3).to_string()]);
+    wrong["fleet"]["founders"] = serde_json::json!([fleet.advertised_address(3).to_string()]);
     fleet.set_config(3, &wrong);
     (0..4).for_each(|member| fleet.start(member));
     until(&fleet, &[0, 1, 2], "the others share", |fleet| have(fleet, &[0, 1, 2], 3));
-    fleet.until("it is said", |fleet| {
+    fleet.wait_until("it is said", |fleet| {
         fleet.timeline.said("n3", "ERROR: a member has other founders", 0).is_some()
     });
 }
@@ -152,9 +152,9 @@
     let options = Options { node_calls: Some(NODE_CALLS), ..sharing(5) };
     let mut fleet = Fleet::start_all(options, vec![node()], origin());
     Recorder::own().bound(&fleet.nodes[0].address.to_string(), NODE_CALLS);
-    fleet.until("they share", |fleet| have(fleet, &ALL, 5));
+    fleet.wait_until("they share", |fleet| have(fleet, &ALL, 5));
     let done = AtomicBool::new(false);
-    let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).place).collect();
+    let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).client_address).collect();
     thread::scope(|scope| {
         for place in &places {
             for number in 0..12 {
@@ -179,14 +179,14 @@
         }
         sleep(ms(1_000));
         fleet.cut_into(&[&[0, 1], &[2, 3, 4]]);
-        fleet.until("a majority takes over", |fleet| have(fleet, &[2, 3, 4], 3));
+        fleet.wait_until("a majority takes over", |fleet| have(fleet, &[2, 3, 4], 3));
         fleet.process(4).signal("STOP");
         sleep(ms(3_000));
         fleet.process(4).signal("CONT");
         fleet.kill(3);
-        fleet.relays.all(|way| way.cut = false);
+        fleet.datagram_faults.all(|way| way.cut = false);
         fleet.start(3);
-        fleet.until("all have theirs again", |fleet| have(fleet, &ALL, 5));
+        fleet.wait_until("all have theirs again", |fleet| have(fleet, &ALL, 5));
         sleep(ms(500));
         done.store(true, Ordering::Relaxed);
     });
@@ -216,7 +216,7 @@
     longer["fleet"]["call_ms"] = serde_json::json!(5000);
     fleet.set_config(1, &longer);
     fleet.process(1).signal("HUP");
-    fleet.until("it is refused", |fleet| {
+    fleet.wait_until("it is refused", |fleet| {
         fleet.timeline.said("n1", "call_ms 1000 is below the longest GiveUp, 5000", 0).is_some()
     });
     assert!(have(&fleet, &[0, 1, 2], 3));
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -10,15 +10,15 @@
     let mut fleet = met(Options::of(3));
     let begun = fleet.timeline.now();
     for _ in 0..2 {
-        let second = fleet.beside(1);
-        let first = fleet.replace(1, second);
-        fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some());
-        assert_eq!(call(first.door, "GET", "/control/fleet").0, 503, "the other one speaks");
-        fleet.until("they agree", |fleet| fleet.agree(&[0, 1, 2]));
+        let second = fleet.start_second_process(1);
+        let first = fleet.replace_process(1, second);
+        fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_some());
+        assert_eq!(call(first.admin_address, "GET", "/control/fleet").0, 503, "the other one speaks");
+        fleet.wait_until("they agree", |fleet| fleet.all_agree(&[0, 1, 2]));
         first.signal("TERM");
         assert!(first.end().success());
         // The old one's end is no goodbye.
-        fleet.until("they still agree", |fleet| fleet.agree(&[0, 1, 2]));
+        fleet.wait_until("they still agree", |fleet| fleet.all_agree(&[0, 1, 2]));
         assert!(fleet.report(1).unwrap().json.get("rival").is_none());
     }
     for member in ["n0", "n2"] {
@@ -31,10 +31,10 @@
 #[test]
 fn a_newcomer_that_dies_leaves_the_name_to_the_old_one() {
     let fleet = met(Options::of(3));
-    let second = fleet.beside(1);
-    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_none());
+    let second = fleet.start_second_process(1);
+    fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_none());
     drop(second);
-    fleet.until("the old one speaks again", |fleet| fleet.report(1).is_some() && fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("the old one speaks again", |fleet| fleet.report(1).is_some() && fleet.all_agree(&[0, 1, 2]));
 }
 
 /// Guards against a name that is lost since the cut hides the upgrade.
@@ -43,12 +43,12 @@
     let mut fleet = met(Options::of(3));
     fleet.cut_into(&[&[1], &[0, 2]]);
     let failed = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n1"];
-    fleet.until("the others know", |fleet| failed(fleet, 0) && failed(fleet, 2));
-    let second = fleet.beside(1);
-    let first = fleet.replace(1, second);
+    fleet.wait_until("the others know", |fleet| failed(fleet, 0) && failed(fleet, 2));
+    let second = fleet.start_second_process(1);
+    let first = fleet.replace_process(1, second);
     first.signal("TERM");
     assert!(first.end().success());
-    fleet.until("the newcomer speaks", |fleet| fleet.report(1).is_some_and(|report| report.side == "alone"));
-    fleet.relays.all(|way| way.cut = false);
-    fleet.until("they agree", |fleet| fleet.agree(&[0, 1, 2]));
+    fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_some_and(|report| report.side == "alone"));
+    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("they agree", |fleet| fleet.all_agree(&[0, 1, 2]));
 }
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -140,7 +140,7 @@
 fn a_proxy_out_of_service_answers_as_recorded() {
     let (node, origin) = (node(), origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     let asked = ["mn\r\n", "version\r\n", "mg hit v O1 Pc=read,t=acme,d=9000\r\n"];
     let said = recorded_of(&scene, &asked);
     compare("out of service", include_str!("recorded/out_of_service.txt"), &said);
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -43,7 +43,7 @@
         "POST /control/in-service",
         "GET /control/ready",
     ];
-    compare("service", include_str!("recorded/service.txt"), &all(scene.door, &lines));
+    compare("service", include_str!("recorded/service.txt"), &all(scene.admin_address, &lines));
 }
 
 #[test]
@@ -65,7 +65,7 @@
         "GET /control/cache-nodes/s-0/offline",
         "GET /control/cache-nodes/s-0",
     ];
-    compare("nodes", include_str!("recorded/nodes.txt"), &all(scene.door, &lines));
+    compare("nodes", include_str!("recorded/nodes.txt"), &all(scene.admin_address, &lines));
 }
 
 #[test]
@@ -94,7 +94,7 @@
         "POST /control/policy/restore",
         "POST /control/policy",
     ];
-    compare("wrong calls", include_str!("recorded/wrong_calls.txt"), &all(scene.door, &lines));
+    compare("wrong calls", include_str!("recorded/wrong_calls.txt"), &all(scene.admin_address, &lines));
 }
 
 #[test]
@@ -114,7 +114,7 @@
     ];
     let exchanges = asked.map(|words| {
         let shown = if words.len() < 200 { escaped(&words) } else { escaped(&words[..40]) + "..." };
-        format!("> {shown}\n< {}\n", escaped(&whole_answer(scene.door, &words)))
+        format!("> {shown}\n< {}\n", escaped(&whole_answer(scene.admin_address, &words)))
     });
     compare("no calls", include_str!("recorded/no_calls.txt"), &exchanges.concat());
 }
@@ -136,9 +136,9 @@
     scene.until("the node is asked", || node.received().len() == 1);
     scene.signal("TERM");
     let ready = request("GET /control/ready");
-    scene.until("it stops", || !whole_answer(scene.door, &ready).starts_with("HTTP/1.1 200"));
+    scene.until("it stops", || !whole_answer(scene.admin_address, &ready).starts_with("HTTP/1.1 200"));
     let lines = ["GET /control/ready", "POST /control/out-of-service", "POST /control/in-service"];
-    let said = all(scene.door, &lines);
+    let said = all(scene.admin_address, &lines);
     drop(go_on);
     compare("stopping", include_str!("recorded/stopping.txt"), &said);
     assert!(scene.end().status.success());
@@ -150,7 +150,7 @@
     let scene = ProxyFixture::of(&[], &origin);
     let body = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{";
     let asked = ["GET /control/re", body];
-    let door = scene.door;
+    let door = scene.admin_address;
     let answers = std::thread::scope(|scope| {
         let asking = asked.map(|words| scope.spawn(move || whole_answer(door, words)));
         asking.map(|asked| asked.join().expect("it is answered"))
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -15,7 +15,7 @@
 }
 
 fn member_door(fleet: &Fleet, member: usize) -> std::net::SocketAddr {
-    fleet.process(member).door
+    fleet.process(member).admin_address
 }
 
 /// An answer without what varies: numbers of these keys, and addresses. The length that the head
@@ -29,7 +29,7 @@
         steady = without_number(&steady, &format!("\"{key}\":"), "N");
     }
     for member in 0..fleet.options.members {
-        steady = steady.replace(&fleet.hub(member).to_string(), &format!("ADDRESS-{member}"));
+        steady = steady.replace(&fleet.advertised_address(member).to_string(), &format!("ADDRESS-{member}"));
     }
     let head = if steady == text { head.to_owned() } else { without_number(head, "Content-Length: ", "N") };
     escaped(&format!("{head}\r\n\r\n{steady}"))
@@ -60,15 +60,15 @@
     fleet.start(0);
     let mut said = asked(&fleet, 0, "GET /control/fleet");
     fleet.start(1);
-    fleet.until("they meet", |fleet| fleet.agree(&[0, 1]));
+    fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1]));
     said += &asked(&fleet, 0, "GET /control/fleet");
     said += &asked(&fleet, 1, "GET /control/fleet");
     said += &asked(&fleet, 0, "GET /control/policy");
-    let leaving = fleet.take(1);
+    let leaving = fleet.take_process(1);
     leaving.signal("TERM");
     assert!(leaving.end().success());
     let has_left = |fleet: &Fleet| fleet.report(0).unwrap().names("left") == ["n1"];
-    fleet.until("it has left", has_left);
+    fleet.wait_until("it has left", has_left);
     said += &asked(&fleet, 0, "GET /control/fleet");
     compare("fleet", include_str!("recorded/fleet.txt"), &said);
 }
@@ -79,12 +79,12 @@
     let mut fleet = Fleet::new(options, nodes(), origin());
     let told = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json;
     fleet.start(0);
-    fleet.until("the first is the steward", |fleet| told(fleet, 0)["steward"] == true);
+    fleet.wait_until("the first is the steward", |fleet| told(fleet, 0)["steward"] == true);
     fleet.start(1);
     // Of 32 parts one is always its own, and half of what 16 members leave over.
     let part = |fleet: &Fleet, member: usize| told(fleet, member)["share"] == json!(9.0 / 32.0);
-    let all = |fleet: &Fleet| fleet.agree(&[0, 1]) && (0..2).all(|member| part(fleet, member));
-    fleet.until("each has its part", all);
+    let all = |fleet: &Fleet| fleet.all_agree(&[0, 1]) && (0..2).all(|member| part(fleet, member));
+    fleet.wait_until("each has its part", all);
     let said = [0, 1].map(|member| asked(&fleet, member, "GET /control/fleet")).concat();
     compare("founders", include_str!("recorded/founders.txt"), &said);
 }
@@ -104,7 +104,7 @@
         nodes.len() == 3 && nodes.iter().all(|node| node["state"] == "same")
     };
     let seen = |member| call(member_door(fleet, member), "GET", "/control/drift").1;
-    fleet.until("all have the version", |fleet| {
+    fleet.wait_until("all have the version", |fleet| {
         let steady = (version, "steady".to_owned());
         (0..3).all(|member| standing(fleet, member) == steady)
             && (0..3).all(|member| same(&serde_json::from_str(&seen(member)).unwrap()))
@@ -117,7 +117,7 @@
     let ask = |line: &str| asked(&fleet, 1, line);
     let mut said = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
     said += &posted(&fleet, 1, "a change", &proposal("x", 1, &settings(&fleet, 2)));
-    fleet.until("the change ends", |fleet| !outcome(fleet, 1, "x").is_empty());
+    fleet.wait_until("the change ends", |fleet| !outcome(fleet, 1, "x").is_empty());
     has(&fleet, 2);
     said += &(ask("GET /control/policy") + &ask("GET /control/policy/changes/x"));
     said += &posted(&fleet, 1, "the same", &proposal("x", 1, &settings(&fleet, 2)));
@@ -152,7 +152,7 @@
 fn a_member_that_is_cut_off_tells_that_it_is_fenced_as_recorded() {
     let fleet = governed();
     fleet.cut_into(&[&[2], &[0, 1]]);
-    fleet.until("it is fenced", |fleet| standing(fleet, 2) == (1, "fenced".to_owned()));
+    fleet.wait_until("it is fenced", |fleet| standing(fleet, 2) == (1, "fenced".to_owned()));
     let mut said = asked(&fleet, 2, "GET /control/policy");
     said += &asked(&fleet, 2, "GET /control/ready");
     said += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
@@ -175,11 +175,11 @@
     has(&fleet, 1);
     let mut said = asked(&fleet, 0, "GET /control/drift");
     said += &asked(&fleet, 0, "POST /control/policy/restore");
-    loose["listen"] = json!(fleet.process(2).place.to_string());
+    loose["listen"] = json!(fleet.process(2).client_address.to_string());
     loose["settings"] = settings(&fleet, 2);
     fleet.set_config(2, &loose);
     fleet.process(2).signal("HUP");
-    fleet.until("the other sees it", |fleet| {
+    fleet.wait_until("the other sees it", |fleet| {
         call(member_door(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
     });
     said += &asked(&fleet, 0, "GET /control/drift");
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -26,7 +26,7 @@
         let origin = idle_origin();
         let scene = ProxyFixture::of(&[&node], &origin);
         assert!(scene.client().read("k", "1", 300).0.starts_with("SERVER_ERROR "));
-        assert!(scene.count("calls_error") >= 1);
+        assert!(scene.counter("calls_error") >= 1);
     }
 }
 
@@ -51,7 +51,7 @@
         assert_eq!(line, format!("VA 400000 O{key}\r\n"));
         assert!(got.trim_end() == value.as_str(), "{} bytes", got.len());
     }
-    assert_eq!((scene.count("answers_spoilt"), scene.count("answered_served")), (0, 3));
+    assert_eq!((scene.counter("answers_spoilt"), scene.counter("answered_served")), (0, 3));
 }
 
 /// Guards against a value of another invocation reaching a consumer.
@@ -85,7 +85,7 @@
         assert!(line.starts_with("SERVER_ERROR busy "), "{spoilt:?} -> {line:?}");
         assert!(begun.elapsed() < ms(1000), "{spoilt:?}: {:?}", begun.elapsed());
         let calls = node.received().len() as u64;
-        assert_eq!((scene.count("calls_error"), scene.count("answers_spoilt")), (calls, calls), "{spoilt:?}");
+        assert_eq!((scene.counter("calls_error"), scene.counter("answers_spoilt")), (calls, calls), "{spoilt:?}");
         assert_eq!(node.connected() as u64, calls, "the connection is of no further use");
     }
 }
@@ -101,7 +101,7 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     (0..10).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
-    assert_eq!((node.connected(), scene.count("calls_error")), (10, 0));
+    assert_eq!((node.connected(), scene.counter("calls_error")), (10, 0));
 }
 
 #[test]
--- a/tests/sockets/client_connections.rs
+++ b/tests/sockets/client_connections.rs
@@ -12,7 +12,7 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[], &origin);
     let before = scene.memory_mb();
-    let flood = std::net::TcpStream::connect(scene.place).unwrap();
+    let flood = std::net::TcpStream::connect(scene.client_address).unwrap();
     let mut answers = flood.try_clone().unwrap();
     let reading = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
     flood.set_write_timeout(Some(ms(100))).unwrap();
@@ -104,7 +104,7 @@
     }
     assert_eq!(silent.line(), "");
     assert!(begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
-    assert_eq!((scene.count("consumers_late"), node.received().len()), (3, 0));
+    assert_eq!((scene.counter("consumers_late"), node.received().len()), (3, 0));
 }
 
 /// Guards against an error lost: a connection that closes on unread input is reset.
@@ -169,7 +169,7 @@
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let scene = ProxyFixture::with_sockets(&entries, 64);
-    let (place, stop) = (scene.place, std::sync::atomic::AtomicBool::new(false));
+    let (place, stop) = (scene.client_address, std::sync::atomic::AtomicBool::new(false));
     std::thread::scope(|scope| {
         for _ in 0..30 {
             scope.spawn(|| {
@@ -219,7 +219,7 @@
     assert_eq!(held[59].read("k", "1", 900).1, "v\r\n");
     // 40 descriptors are left to share, 30 of them for consumers while providers need few.
     let made_room = ["consumers_evicted", "consumers_hopeless", "consumers_over_budget"];
-    let closed: u64 = made_room.into_iter().map(|name| scene.count(name)).sum();
+    let closed: u64 = made_room.into_iter().map(|name| scene.counter(name)).sum();
     assert!(closed >= 60 - 30, "{closed}");
 }
 
@@ -251,7 +251,7 @@
     }
     // Each kept for 2.2 s, 32 connections would carry 15 requests a second of the 50.
     assert!(served * 10 >= asked * 9, "{served} of {asked}");
-    assert!(scene.count("consumers_hopeless") > 0);
+    assert!(scene.counter("consumers_hopeless") > 0);
     // A planned restart comes with more: for as long as they may connect, idle ones give way to them.
     scene.signal("TERM");
     let begun = Instant::now();
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -15,7 +15,7 @@
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     let changes = [old.entry("s-0", "c6", "draining"), new.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &changes)).unwrap();
-    scene.until("the change is known", || scene.count("lists") == 1);
+    scene.until("the change is known", || scene.counter("lists") == 1);
     (2..20).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "new\r\n"));
     assert_eq!(old.received().len(), 1);
     // A watch that ends is asked for again, from what is known on.
@@ -30,7 +30,7 @@
     // Guards against drains that go unheard after a discovery that began again.
     let begun_again = [old.entry("s-0", "c6", "ready"), new.entry("s-1", "c6", "draining")];
     tell.send(catalog(1, true, &begun_again)).unwrap();
-    scene.until("it has come", || scene.count("lists") == 2);
+    scene.until("it has come", || scene.counter("lists") == 2);
     (30..40).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
 }
 
@@ -43,20 +43,20 @@
     let drains = catalog(2, false, &[node.entry("s-0", "c6", "draining")]);
     let list: serde_json::Value = serde_json::from_str(&drains).unwrap();
     tell.send(serde_json::to_string_pretty(&list).unwrap()).unwrap();
-    scene.until("it is heard", || scene.count("lists") == 1);
+    scene.until("it is heard", || scene.counter("lists") == 1);
     let later = catalog(3, false, &[]);
     let (first, rest) = later.split_at(later.find(',').unwrap());
     tell.send(first.to_owned()).unwrap();
     tell.send(rest.to_owned()).unwrap();
-    scene.until("so is one in two parts", || scene.count("lists") == 2);
-    assert_eq!(scene.count("watches_failed"), 0);
+    scene.until("so is one in two parts", || scene.counter("lists") == 2);
+    assert_eq!(scene.counter("watches_failed"), 0);
     // Empty lines come, but the rest of this one never does.
     tell.send("{\n".to_owned()).unwrap();
     for _ in 0..40 {
         std::thread::sleep(ms(100));
         tell.send(String::new()).unwrap_or(());
     }
-    assert!(scene.count("watches_failed") > 0, "half a list does not keep a watch");
+    assert!(scene.counter("watches_failed") > 0, "half a list does not keep a watch");
     let (line, _) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=3 HTTP/1.1");
 }
@@ -70,7 +70,7 @@
     let (line, tell) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[node.entry("s-0", "c6", "draining")])).unwrap();
-    scene.until("it is heard", || scene.count("lists") == 1);
+    scene.until("it is heard", || scene.counter("lists") == 1);
     drop(tell);
     let (line, _) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=2 HTTP/1.1");
@@ -86,7 +86,7 @@
         sleep(ms(900));
         tell.send(String::new()).unwrap();
     }
-    assert_eq!(scene.count("watches_failed"), 0, "an empty line keeps it alive");
+    assert_eq!(scene.counter("watches_failed"), 0, "an empty line keeps it alive");
     scene.discovery.watch();
     assert!(begun.elapsed() > ms(2700 + 2000), "not before a heartbeat was missed");
 }
@@ -104,13 +104,13 @@
     assert!(begun.elapsed() < ms(200), "at once, not after the rest that a failed watch calls for");
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[old.entry("s-0", "c6", "gone"), new.entry("s-1", "c6", "ready")])).unwrap();
-    scene.until("the change is known", || scene.count("lists") == 1);
+    scene.until("the change is known", || scene.counter("lists") == 1);
     assert_eq!(scene.client().read("k", "1", 900).1, "new\r\n");
     drop(told_no_more);
     scene.reload("{", "");
-    scene.until("the bad file is noticed", || scene.count("reloads_failed") == 1);
+    scene.until("the bad file is noticed", || scene.counter("reloads_failed") == 1);
     tell.send(catalog(3, false, &[old.entry("s-2", "c6", "ready"), new.entry("s-1", "c6", "gone")])).unwrap();
-    scene.until("the watch goes on", || scene.count("lists") == 2);
+    scene.until("the watch goes on", || scene.counter("lists") == 2);
     assert_eq!(scene.client().read("k", "2", 900).1, "old\r\n");
-    assert_eq!((scene.count("reloads"), scene.count("watches")), (1, 2));
+    assert_eq!((scene.counter("reloads"), scene.counter("watches")), (1, 2));
 }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -69,7 +69,7 @@
     }
     assert!(scene.client().read("good.z", "z", 900).0.starts_with("VA "), "it serves on");
     Recorder::own().check();
-    assert_eq!((scene.count("overdue"), scene.count("panics")), (0, 0));
+    assert_eq!((scene.counter("overdue"), scene.counter("panics")), (0, 0));
 }
 
 /// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no origin.
@@ -114,7 +114,7 @@
     let (_, tell) = scene.discovery.watch();
     let gone = [node.entry("s-0", "c6", "draining"), origin.entry("o", "origin", "gone")];
     tell.send(catalog(2, false, &gone)).unwrap();
-    scene.until("it is heard", || scene.count("lists") == 1);
+    scene.until("it is heard", || scene.counter("lists") == 1);
     for (n, class) in ["read", "put", "confirm"].into_iter().enumerate() {
         let (mut client, begun, id) = (scene.client(), Instant::now(), n.to_string());
         let line = match class {
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -38,7 +38,7 @@
         assert_eq!(client.line(), "\r\n");
     }
     assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
-    assert_eq!((scene.count("values_flowed"), node.received().len()), (12, 12), "none is asked for twice");
+    assert_eq!((scene.counter("values_flowed"), node.received().len()), (12, 12), "none is asked for twice");
 }
 
 /// Guards against bytes held back, and against a deadline that cuts off what a node is still giving: this one gives
@@ -73,7 +73,7 @@
     client.reader().read_exact(&mut half).unwrap();
     assert!(half.iter().all(|byte| *byte == b'b'));
     assert_eq!((client.line(), client.line()), ("\r\n".into(), "MN\r\n".into()));
-    assert_eq!((scene.count("answered_served"), scene.count("calls_ok")), (1, 1));
+    assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (1, 1));
 }
 
 /// Guards against an honest answer taken for spoilt because it comes in pieces, cut at any point.
@@ -94,7 +94,7 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     assert_eq!(scene.client().read("k", "1", 2000).1, "hello\r\n");
-    assert_eq!((scene.count("answers_spoilt"), node.received().len()), (0, 1));
+    assert_eq!((scene.counter("answers_spoilt"), node.received().len()), (0, 1));
 }
 
 /// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
@@ -119,7 +119,7 @@
         // A reset tells as well.
         let _ = client.reader().read_to_end(&mut rest);
         assert!(rest.len() <= 100_000, "{}", rest.len());
-        scene.until("it is counted", || scene.count("values_broken") == 1);
+        scene.until("it is counted", || scene.counter("values_broken") == 1);
         assert_eq!(node.received().len(), 1);
         assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
     }
@@ -146,5 +146,5 @@
     assert_eq!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
     drop(client);
     assert!(seen.recv_timeout(WAIT).unwrap(), "the node's connection is closed");
-    scene.until("the call ends", || scene.count("calls_cancelled") == 1);
+    scene.until("the call ends", || scene.counter("calls_cancelled") == 1);
 }
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -12,7 +12,7 @@
 fn the_door_says_yes_or_no_and_why() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    let call = |method, path| call(scene.door, method, path);
+    let call = |method, path| call(scene.admin_address, method, path);
     assert_eq!(call("GET", "/control/ready"), (200, "ready\n".into()));
     assert_eq!(call("POST", "/control/ready").0, 405);
     assert_eq!(call("GET", "/control/nothing").0, 404);
@@ -22,13 +22,13 @@
     assert!(status == 404 && why.contains("never listed"), "{why}");
     assert_eq!(call("POST", "/control/cache-nodes/nobody/online").0, 404);
     assert_eq!(call("POST", "/control/cache-nodes/o/offline").0, 409, "the origin is no cache node");
-    assert_eq!(send_to_admin(scene.door, "mn\r\n\r\n").0, 400);
+    assert_eq!(send_to_admin(scene.admin_address, "mn\r\n\r\n").0, 400);
     let long = format!("GET /control/ready HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(9000));
-    assert_eq!(send_to_admin(scene.door, &long).0, 431);
+    assert_eq!(send_to_admin(scene.admin_address, &long).0, 431);
     let body =
         format!("POST /control/in-service HTTP/1.1\r\nContent-Length: 30000\r\n\r\n{}", "x".repeat(30_000));
-    assert_eq!(send_to_admin(scene.door, &body).0, 200, "a body is thrown away");
-    assert_eq!(scene.count("panics"), 0);
+    assert_eq!(send_to_admin(scene.admin_address, &body).0, 200, "a body is thrown away");
+    assert_eq!(scene.counter("panics"), 0);
 }
 
 /// Guards against a door kept shut by callers that say nothing, or half a call.
@@ -38,13 +38,13 @@
     let scene = ProxyFixture::of(&[], &origin);
     let crowd: Vec<TcpStream> = (0..60)
         .map(|n| {
-            let mut stream = TcpStream::connect(scene.door).unwrap();
+            let mut stream = TcpStream::connect(scene.admin_address).unwrap();
             let half: &[u8] = if n % 2 == 0 { b"" } else { b"GET /control/re" };
             std::io::Write::write_all(&mut stream, half).unwrap();
             stream
         })
         .collect();
-    assert_eq!(call(scene.door, "GET", "/control/ready").0, 200);
+    assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200);
     drop(crowd);
 }
 
@@ -63,8 +63,8 @@
         .collect();
     for n in 0..40 {
         let path = ["offline", "online"][n % 2];
-        assert_eq!(call(scene.door, "GET", "/control/ready").0, 200);
-        assert_eq!(call(scene.door, "POST", &format!("/control/cache-nodes/s-0/{path}")).0, 200);
+        assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200);
+        assert_eq!(call(scene.admin_address, "POST", &format!("/control/cache-nodes/s-0/{path}")).0, 200);
     }
     assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
     // Nobody reads what the flood is answered: it ends as those connections are closed.
@@ -86,8 +86,8 @@
     client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     scene.signal("TERM");
-    scene.until("it says no", || call(scene.door, "GET", "/control/ready").0 == 503);
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 409);
+    scene.until("it says no", || call(scene.admin_address, "GET", "/control/ready").0 == 503);
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 409);
     assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     assert!(scene.end().status.success());
 }
@@ -125,20 +125,20 @@
     assert!(!out.received().is_empty());
     let (_, tell) = scene.discovery.watch();
     let of = |lifecycle| [out.entry("s-0", "c6", lifecycle), other.entry("s-1", "c6", "ready")];
-    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     let before = out.received().len();
     ask(20);
     // Whatever discovery lists in between.
     let lists =
         [catalog(2, true, &of("ready")), catalog(3, false, &of("gone")), catalog(4, false, &of("ready"))];
     for (n, list) in lists.into_iter().enumerate() {
-        let heard = scene.count("lists");
+        let heard = scene.counter("lists");
         tell.send(list).unwrap();
-        scene.until("the list is heard", || scene.count("lists") > heard);
+        scene.until("the list is heard", || scene.counter("lists") > heard);
         ask(10 + n);
     }
     assert_eq!(out.received().len(), before, "nothing new went there");
-    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/online").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/online").0, 200);
     ask(60);
     assert!(out.received().len() > before, "it serves again");
 }
@@ -154,11 +154,11 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     // Age alone closes none within this test.
     scene.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
-    scene.until("it is read", || scene.count("reloads") == 1);
+    scene.until("it is read", || scene.counter("reloads") == 1);
     let mut client = scene.client();
     client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
-    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     scene.until("its connection is closed", || node.ended.load(std::sync::atomic::Ordering::SeqCst) == 1);
 }
@@ -183,10 +183,10 @@
     assert_eq!(used.read("k", "1", 900).1, "v\r\n");
     busy.say("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 2);
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     let begun = Instant::now();
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200, "twice is once");
-    assert_eq!(call(scene.door, "GET", "/control/ready").0, 200, "it still takes who comes");
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
+    assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
     assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
     // Who has a connection is served on it once more, and it closes with the answer; so does a new one.
     for mut client in [used, scene.client()] {
@@ -202,7 +202,7 @@
     scene.until("idle connections close", || closed(&idle) == idle.len());
     assert!(early < idle.len(), "not all at once");
     assert!(begun.elapsed() < ms(4000));
-    assert_eq!(call(scene.door, "POST", "/control/in-service").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/in-service").0, 200);
     let mut back = scene.client();
     assert_eq!(back.ask("mn\r\n"), "MN\r\n");
     assert_eq!((back.read("k", "4", 900).1, back.read("k", "5", 900).1), ("v\r\n".into(), "v\r\n".into()));
@@ -227,9 +227,9 @@
         client.ask(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
     };
     let reload = |from: &str, to: &str| {
-        let seen = scene.count("reloads") + scene.count("reloads_failed");
+        let seen = scene.counter("reloads") + scene.counter("reloads_failed");
         scene.reload(from, to);
-        scene.until("it is read", || scene.count("reloads") + scene.count("reloads_failed") > seen);
+        scene.until("it is read", || scene.counter("reloads") + scene.counter("reloads_failed") > seen);
     };
     let class =
         r#"{"Name":"peek","Aim":300.0,"GiveUp":900.0,"Semantics":"safe","DedupScope":"all"},{"Name":"read""#;
@@ -253,9 +253,9 @@
         (r#""Orgs""#, r#""Organisations""#),
         (r#""Cold""#, r#""Chilly""#),
     ] {
-        let before = (scene.count("reloads"), scene.count("reloads_failed"));
+        let before = (scene.counter("reloads"), scene.counter("reloads_failed"));
         reload(from, to);
-        assert_eq!((scene.count("reloads"), scene.count("reloads_failed")), (before.0, before.1 + 1), "{to}");
+        assert_eq!((scene.counter("reloads"), scene.counter("reloads_failed")), (before.0, before.1 + 1), "{to}");
         reload(to, from);
         assert!(ask(&mut client, "peek", &before.1.to_string()).starts_with("VA 1 O"));
         client.line();
@@ -267,7 +267,7 @@
     reload(class, r#"{"Name":"read""#);
     assert_eq!(ask(&mut client, "peek", "z"), "CLIENT_ERROR unknown class\r\n");
     assert!(slow.line().starts_with("SERVER_ERROR "));
-    assert_eq!(scene.count("overdue"), 0);
+    assert_eq!(scene.counter("overdue"), 0);
 }
 
 /// Guards against an example that does not start.
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -49,9 +49,9 @@
         if how == "quit" {
             client.say("quit\r\n");
         }
-        scene.until("its commands are taken", || scene.count("taken_reads") == 64);
+        scene.until("its commands are taken", || scene.counter("taken_reads") == 64);
         scene.until("the node has what it may have", || {
-            node.received().len() as u64 == scene.count("calls_ordered")
+            node.received().len() as u64 == scene.counter("calls_ordered")
         });
         let before = node.received().len();
         assert!((1..64).contains(&before), "some of them wait: {before} sent");
@@ -64,11 +64,11 @@
         if how != "half close" {
             drop((client, stream));
         }
-        scene.until("it is noticed", || scene.count("consumers_gone") == 64);
+        scene.until("it is noticed", || scene.counter("consumers_gone") == 64);
         lets_go.store(true, Ordering::SeqCst);
         sleep(ARRIVES);
         assert_eq!(node.received().len(), before, "{how}");
-        assert_eq!(scene.count("taken_reads"), 64, "{how}");
+        assert_eq!(scene.counter("taken_reads"), 64, "{how}");
     }
 }
 
@@ -81,17 +81,17 @@
     let scene = ProxyFixture::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
     let mut client = scene.client();
     client.say(&reads(0, 40));
-    scene.until("its commands are taken", || scene.count("taken_reads") == 40);
+    scene.until("its commands are taken", || scene.counter("taken_reads") == 40);
     scene.until("the node has what it may have", || {
-        node.received().len() as u64 == scene.count("calls_ordered")
+        node.received().len() as u64 == scene.counter("calls_ordered")
     });
     let before = node.received().len();
     assert!((1..40).contains(&before), "some of them wait: {before} sent");
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     // From then on nothing more is read on a connection that has commands open.
     sleep(ms(2000));
     drop(client);
-    scene.until("it is noticed", || scene.count("consumers_gone") == 40);
+    scene.until("it is noticed", || scene.counter("consumers_gone") == 40);
     lets_go.store(true, Ordering::SeqCst);
     sleep(ARRIVES);
     assert_eq!(node.received().len(), before);
@@ -108,10 +108,10 @@
     let mut client = scene.client();
     client.say(&format!("{rubbish}mg k v O1 Pc=read,t=acme,d=20000\r\n"));
     client.reader().get_ref().shutdown(Shutdown::Write).unwrap();
-    scene.until("some of it is read", || scene.count("taken_malformed") > 0);
+    scene.until("some of it is read", || scene.counter("taken_malformed") > 0);
     while !client.line().is_empty() {}
     // It was not obeyed before the connection ended, and nobody obeys it after.
-    assert_eq!((node.received(), scene.count("taken_reads")), (Vec::new(), 0));
+    assert_eq!((node.received(), scene.counter("taken_reads")), (Vec::new(), 0));
 }
 
 /// Guards against requests of clients that went while the process could not run: on a connection that it holds, and on one
@@ -128,8 +128,8 @@
     new.say(&reads(2, 3));
     drop((held, new));
     scene.signal("CONT");
-    let accepted = scene.count("consumers_accepted");
-    scene.until("both are read", || scene.count("consumers_accepted") > accepted);
+    let accepted = scene.counter("consumers_accepted");
+    scene.until("both are read", || scene.counter("consumers_accepted") > accepted);
     sleep(ARRIVES);
     assert_eq!(node.received().len(), 1, "the one from before");
 }
@@ -156,9 +156,9 @@
         client.say(&format!("mg k{} v O{n} Pc=read,t=acme,d=20000\r\n", n.min(10)));
     }
     scene.until("all that may are at the origin", || origin.received().len() == 8);
-    scene.until("all are taken", || scene.count("taken_reads") == 12);
+    scene.until("all are taken", || scene.counter("taken_reads") == 12);
     drop(clients);
-    scene.until("it is noticed", || scene.count("consumers_gone") == 12);
+    scene.until("it is noticed", || scene.counter("consumers_gone") == 12);
     lets_go.store(true, Ordering::SeqCst);
     sleep(ARRIVES);
     assert_eq!(origin.received().len(), 8, "the others wait for nobody");
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -28,7 +28,7 @@
             client.say("mg k v O2 Pc=re");
         }
         match how {
-            "out of service" => assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200),
+            "out of service" => assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200),
             _ => scene.signal("TERM"),
         }
         scene.until("the proxy ends it", || client.is_closed());
@@ -123,7 +123,7 @@
     let begun = Instant::now();
     let clients: Vec<_> = (0..40)
         .map(|name| {
-            let place = scene.place;
+            let place = scene.client_address;
             std::thread::spawn(move || asks_through_a_drain(place, name, begun + ms(800), begun + ms(5000)))
         })
         .collect();
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -92,7 +92,7 @@
     scene.until("the node is asked", || node.received().len() == 1);
     let anew = node.entry("s-0", "c6", "ready").replace(r#""startedAtMs":0"#, r#""startedAtMs":1000"#);
     tell.send(catalog(2, false, &[anew])).unwrap();
-    scene.until("it is heard", || scene.count("lists") == 1);
+    scene.until("it is heard", || scene.counter("lists") == 1);
     lets_go.store(true, Ordering::SeqCst);
     assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     assert_eq!(client.read("k", "2", 900).1, "v\r\n");
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -21,7 +21,7 @@
     let begun = Instant::now();
     origin.shut();
     drop(first);
-    scene.until("it is tried again", || scene.count("calls_ordered") == 2);
+    scene.until("it is tried again", || scene.counter("calls_ordered") == 2);
     assert!(client.line().starts_with("SERVER_ERROR "), "it cannot be served any more");
     assert!(begun.elapsed() < ms(2000), "told when its window is over: {:?}", begun.elapsed());
     origin.open();
@@ -43,7 +43,7 @@
         let (_, tell) = scene.discovery.watch();
         let mut client = scene.client();
         client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
-        scene.until("the call is decided", || scene.count("calls_ordered") == 1);
+        scene.until("the call is decided", || scene.counter("calls_ordered") == 1);
         let change = |lifecycle, started| catalog(2, false, &[node.entry("s-0", "c6", lifecycle, started)]);
         let told = match happens {
             "drains" => Some(change("draining", 0)),
@@ -53,16 +53,16 @@
         match told {
             Some(list) => {
                 tell.send(list).unwrap();
-                scene.until("it is heard", || scene.count("lists") == 1);
+                scene.until("it is heard", || scene.counter("lists") == 1);
             }
             None => {
                 drop(client);
-                scene.until("it is noticed", || scene.count("consumers_gone") == 1);
+                scene.until("it is noticed", || scene.counter("consumers_gone") == 1);
             }
         }
         node.open();
         let mut late = node.accept_within(ms(COMES_UP)).expect("the connection comes up");
         assert_eq!(late.all_within(ms(300)).0, b"", "{happens}");
-        scene.until("the call has ended", || scene.count("calls_moot") >= 1);
+        scene.until("the call has ended", || scene.counter("calls_moot") >= 1);
     }
 }
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -44,7 +44,7 @@
         assert!(
             call.say(HEAD) && call.say(&chunk(&catalog(2, false, &[node.entry("s-0", "c6", "draining")])))
         );
-        scene.until("it is heard", || scene.count("lists") == 1);
+        scene.until("it is heard", || scene.counter("lists") == 1);
         assert!(silent_since.elapsed() < TOLD, "{next}: {:?}", silent_since.elapsed());
         let line = scene.client().read("k", "1", 300).0;
         assert!(line.starts_with("SERVER_ERROR busy"), "the only node drains: {line}");
@@ -100,7 +100,7 @@
     old.shut();
     let places = [scene.discovery.place, old.place, new.place].map(|place| place.to_string());
     scene.reload(&places[0], &places[1]);
-    scene.until("it has moved", || scene.count("watches") == 2);
+    scene.until("it has moved", || scene.counter("watches") == 2);
     let begun = Instant::now();
     scene.reload(&places[1], &places[2]);
     let mut call = new.accept().expect("it moves on");
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -45,7 +45,7 @@
     });
     let scene = ProxyFixture::of(&[], &origin);
     assert_eq!(scene.client().ask("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
-    assert_eq!((scene.count("calls_full"), scene.count("calls_ok")), (1, 1));
+    assert_eq!((scene.counter("calls_full"), scene.counter("calls_ok")), (1, 1));
 }
 
 /// Guards against an outcome taken for worse than it is: what never connected never ran.
@@ -56,8 +56,8 @@
     let scene = ProxyFixture::of(&[&nowhere, &node], &origin);
     let mut client = scene.client();
     (0..20).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
-    assert!(scene.count("calls_connect_failed") >= 1);
-    assert_eq!((scene.count("answered_served"), scene.count("calls_ok")), (20, 20));
+    assert!(scene.counter("calls_connect_failed") >= 1);
+    assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (20, 20));
 }
 
 #[test]
@@ -69,7 +69,7 @@
     assert!(begun.elapsed() < ms(600), "at its own deadline, not its class's: {:?}", begun.elapsed());
     assert_eq!(line, "SERVER_ERROR busy 500\r\n", "with when to come back");
     scene.until("the call is given up", || node.ended.load(Ordering::SeqCst) == 1);
-    assert_eq!((scene.count("calls_timeout"), node.received().len()), (1, 1));
+    assert_eq!((scene.counter("calls_timeout"), node.received().len()), (1, 1));
 }
 
 #[test]
@@ -87,9 +87,9 @@
     client.say("mg k v O1 Pc=read,t=acme,d=400\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     drop(client);
-    scene.until("it is noticed", || scene.count("consumers_gone") == 1);
-    scene.until("the call ends all the same", || scene.count("calls_timeout") == 1);
-    assert_eq!(scene.count("answered_failed") + scene.count("answered_rejected"), 0);
+    scene.until("it is noticed", || scene.counter("consumers_gone") == 1);
+    scene.until("the call ends all the same", || scene.counter("calls_timeout") == 1);
+    assert_eq!(scene.counter("answered_failed") + scene.counter("answered_rejected"), 0);
 }
 
 /// Guards against a handshake a call, against a call on a connection that broke while it stood idle, and
@@ -107,13 +107,13 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     (0..20).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
-    assert_eq!((node.connected(), scene.count("provider_connections")), (1, 1));
+    assert_eq!((node.connected(), scene.counter("provider_connections")), (1, 1));
     assert!(client.read("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
     scene.until("the rest are broken", || node.ended.load(Ordering::SeqCst) == node.connected());
-    let resets = scene.count("calls_reset");
+    let resets = scene.counter("calls_reset");
     // The node is a suspect for about a second.
     scene.until("it is tried again", || scene.client().read("k", "21", 900).1 == "v\r\n");
-    assert_eq!(scene.count("calls_reset"), resets, "no call met a broken connection");
+    assert_eq!(scene.counter("calls_reset"), resets, "no call met a broken connection");
     // The settings let connections stand idle for 1.5 s.
     let until = Instant::now() + ms(1400 + 1000);
     while node.ended.load(Ordering::SeqCst) < node.connected() {
@@ -168,7 +168,7 @@
     assert_eq!(client.read("k", "1", 900).1, "v\r\n");
     let change = [node.entry("s-0", "c6", "gone"), node.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &change)).unwrap();
-    scene.until("the change is known", || scene.count("lists") == 1);
+    scene.until("the change is known", || scene.counter("lists") == 1);
     scene.until("the old connection ends", || node.ended.load(Ordering::SeqCst) == 1);
     assert_eq!(client.read("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2);
@@ -195,5 +195,5 @@
             (0..60).for_each(|_| assert!(client.line().starts_with("SERVER_ERROR ")));
         }
     }
-    assert_eq!(scene.count("overdue"), 0);
+    assert_eq!(scene.counter("overdue"), 0);
 }
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -48,7 +48,7 @@
     scene.signal("TERM");
     let begun = Instant::now();
     sleep(ms(800));
-    assert!(std::net::TcpStream::connect(scene.place).is_err(), "it still listens");
+    assert!(std::net::TcpStream::connect(scene.client_address).is_err(), "it still listens");
     assert_eq!(kept.read("k", "1", 900).1, "v\r\n");
     // Clients wait for 1 s at the most, so that the kill may come 1.7 s after SIGTERM: this one is answered first.
     slow.say("mg slow v O2 Pc=read,t=acme,d=1000\r\n");
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -54,7 +54,7 @@
     let scene = ProxyFixture::with_sockets(&entries, 64);
     let down = format!("127.0.0.1:{}", free_port());
     scene.reload(&scene.discovery.place.to_string(), &down);
-    scene.until("the watch is lost", || scene.count("watches_failed") > 0);
+    scene.until("the watch is lost", || scene.counter("watches_failed") > 0);
     let mut asks = scene.client();
     assert_eq!(asks.read("k", "1", 900).1, "v\r\n");
     // More than there are descriptors; those beyond wait to be accepted.
@@ -69,7 +69,7 @@
         assert!(begun.elapsed() < Duration::from_secs(6), "discovery is back, and nobody asks it");
         std::thread::sleep(ms(5));
     }
-    assert_eq!(call(scene.door, "GET", "/control/ready").0, 200);
+    assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200);
     // Its place may have been given to others meanwhile.
     let answer = scene.client().read("k", "2", 2000).1;
     assert_eq!(answer, "v\r\n");
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -22,7 +22,7 @@
 impl Load {
     fn on(scene: &ProxyFixture, clients: usize) -> Load {
         let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let place = scene.place;
+        let place = scene.client_address;
         let run = |number: usize| {
             let (stop, asked) = (Arc::clone(&stop), Arc::clone(&asked));
             spawn(move || {
@@ -60,16 +60,16 @@
 fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
     let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node, &out], &origin);
-    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
     let load = Load::on(&scene, 8);
     for _ in 0..3 {
-        let second = scene.beside();
+        let second = scene.start_second_process();
         // Both doors bind both processes.
         assert_eq!(call(second.1, "POST", "/control/cache-nodes/s-0/online").0, 200);
-        assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/offline").0, 200);
-        assert_eq!(call(scene.door, "GET", "/control/ready").0, 200, "the old one serves on");
+        assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+        assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200, "the old one serves on");
         sleep(ms(100));
-        let first = scene.succeed(second);
+        let first = scene.replace_process(second);
         signal(&first, "TERM");
         assert!(end(first).status.success());
         sleep(ms(100));
@@ -80,7 +80,7 @@
     assert_eq!(node.received().len(), ids.len(), "nothing runs twice");
     assert!(ids.len() >= asked && asked > 100, "{asked} of {}", ids.len());
     assert!(out.received().is_empty(), "held out before, during and after");
-    assert_eq!(call(scene.door, "POST", "/control/cache-nodes/s-1/online").0, 200);
+    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
     let mut client = scene.client();
     (0..40).for_each(|n| assert!(client.read(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
     assert!(!out.received().is_empty(), "it serves again");
@@ -92,34 +92,34 @@
 fn a_newcomer_that_dies_or_cannot_start_leaves_the_old_one_as_it_was() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node], &origin);
-    let taken = format!(r#""admin":"{}""#, scene.door);
+    let taken = format!(r#""admin":"{}""#, scene.admin_address);
     for (from, to, names) in
         [(r#""admin":"127.0.0.1:0""#, taken.as_str(), "door"), (r#""Grades""#, r#""Grates""#, "Grades")]
     {
-        let output = end(scene.beside_with(from, to));
+        let output = end(scene.start_second_process_with(from, to));
         assert_eq!(output.status.code(), Some(2));
         assert!(String::from_utf8_lossy(&output.stderr).contains(names));
         assert_eq!(scene.client().read("k", names, 900).1, "v\r\n");
     }
     // Dead before it is ready, whenever that is, and after.
     for wait in [0, 5, 20, 60] {
-        let child = scene.beside_with("n0", "n0");
+        let child = scene.start_second_process_with("n0", "n0");
         sleep(ms(wait));
         kill(child);
         assert_eq!(scene.client().read("k", &wait.to_string(), 900).1, "v\r\n");
     }
-    let (second, _) = scene.beside();
-    let third = end(scene.beside_with("n0", "n0"));
+    let (second, _) = scene.start_second_process();
+    let third = end(scene.start_second_process_with("n0", "n0"));
     assert_eq!(third.status.code(), Some(2), "one upgrade at a time");
     assert!(String::from_utf8_lossy(&third.stderr).contains("refuses"));
     kill(second);
     scene.until("the old one accepts again", || scene.client().read("k", "a", 900).1 == "v\r\n");
-    let second = scene.beside();
-    let first = scene.succeed(second);
+    let second = scene.start_second_process();
+    let first = scene.replace_process(second);
     kill(first);
     assert_eq!(scene.client().read("k", "b", 900).1, "v\r\n", "also if the old one is killed");
-    let second = scene.beside();
-    let first = scene.succeed(second);
+    let second = scene.start_second_process();
+    let first = scene.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
     assert_eq!(scene.client().read("k", "c", 900).1, "v\r\n");
@@ -130,15 +130,15 @@
 fn a_drain_binds_both_processes_and_is_not_inherited() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node], &origin);
-    let second = scene.beside();
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
+    let second = scene.start_second_process();
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
     assert_eq!(call(second.1, "POST", "/control/in-service").0, 200);
     assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
-    kill(scene.succeed(second));
-    assert_eq!(call(scene.door, "POST", "/control/out-of-service").0, 200);
-    let second = scene.beside();
-    kill(scene.succeed(second));
+    kill(scene.replace_process(second));
+    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    let second = scene.start_second_process();
+    kill(scene.replace_process(second));
     assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
 }
 
@@ -147,11 +147,11 @@
 fn an_upgrade_needs_no_short_path_and_no_clean_folder() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node], &origin);
-    scene.lengthen_tmp();
+    scene.use_long_temp_dir();
     // The one that is killed leaves its name behind.
     (0..2).for_each(|_| scene.restart());
-    let second = scene.beside();
-    let first = scene.succeed(second);
+    let second = scene.start_second_process();
+    let first = scene.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
     assert_eq!(scene.client().read("k", "1", 900).1, "v\r\n");
