--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -108,7 +108,12 @@
         fleet.kill(members - 1);
         let name = Fleet::name(members - 1);
         let knows = |fleet: &Fleet, member: usize| {
-            fleet.timeline.said_both(&Fleet::name(member), &format!("fleet: {name} at "), "-> failed", died)
+            fleet.timeline.first_match_of_both(
+                &Fleet::name(member),
+                &format!("fleet: {name} at "),
+                "-> failed",
+                died,
+            )
         };
         fleet.wait_until("all know", |fleet| (0..members - 1).all(|member| knows(fleet, member).is_some()));
         let times: Vec<u128> =
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -167,11 +167,12 @@
         };
         // The moment at which the rig says that it did it.
         let words_of_rig = fault.to_string();
-        let happened = fleet.timeline.said("rig", &words_of_rig, begun + u128::from(*at)).unwrap_or(begun);
+        let happened =
+            fleet.timeline.first_match("rig", &words_of_rig, begun + u128::from(*at)).unwrap_or(begun);
         for member in (0..PROXIES).filter(|member| *member != of) {
             let by = Fleet::name(member);
             let suffix = if what == "dead" { "-> failed" } else { "" };
-            let said = fleet.timeline.said_both(&by, &words, suffix, happened);
+            let said = fleet.timeline.first_match_of_both(&by, &words, suffix, happened);
             knew.push((by, Fleet::name(of), what, said.map(|said| said - happened)));
         }
     }
--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -12,7 +12,7 @@
 
 /// A listening socket that lets connections in one at a time.
 pub struct AcceptBarrier {
-    pub place: SocketAddr,
+    pub address: SocketAddr,
     listener: TcpListener,
     fillers: Vec<TcpStream>,
 }
@@ -36,12 +36,12 @@
         socket.listen(0).unwrap();
         let listener: TcpListener = socket.into();
         listener.set_nonblocking(true).unwrap();
-        AcceptBarrier { place: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
+        AcceptBarrier { address: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
     }
 
     /// From now on no connection comes up: the queue is full. Who tries meanwhile tries again about every second.
-    pub fn shut(&mut self) {
-        while let Ok(filler) = TcpStream::connect_timeout(&self.place, FILLS_WITHIN) {
+    pub fn close(&mut self) {
+        while let Ok(filler) = TcpStream::connect_timeout(&self.address, FILLS_WITHIN) {
             self.fillers.push(filler);
         }
     }
@@ -82,7 +82,7 @@
     pub fn entry(&self, name: &str, kind: &str, lifecycle: &str, started: u64) -> String {
         format!(
             r#"{{"instanceId":"{name}","hostPort":"{}","zone":"a","machineType":"{kind}","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":{started}}}"#,
-            self.place
+            self.address
         )
     }
 }
@@ -94,17 +94,17 @@
     }
 
     /// Says something; false if nobody hears it any more.
-    pub fn say(&mut self, words: &str) -> bool {
+    pub fn send(&mut self, words: &str) -> bool {
         self.reader.get_mut().write_all(words.as_bytes()).is_ok()
     }
 
     /// Resets the connection.
-    pub fn resets(self) {
+    pub fn reset(self) {
         SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
     /// All that comes within a time: bytes, and whether it ended.
-    pub fn all_within(&mut self, time: Duration) -> (Vec<u8>, bool) {
+    pub fn read_all_within(&mut self, time: Duration) -> (Vec<u8>, bool) {
         let (until, mut all, mut part) = (Instant::now() + time, Vec::new(), [0; 64 * 1024]);
         loop {
             let left = until.saturating_duration_since(Instant::now());
--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -13,7 +13,7 @@
 /// Discovery: each watch asked for comes out of `asked`, to be told lines through its sender. A watch
 /// ends with its sender.
 pub struct Discovery {
-    pub place: SocketAddr,
+    pub address: SocketAddr,
     asked: Receiver<(String, Sender<String>)>,
 }
 
@@ -46,7 +46,7 @@
                 });
             }
         });
-        Discovery { place, asked }
+        Discovery { address: place, asked }
     }
 
     /// The next watch: its request line, and where to tell it lines.
@@ -63,7 +63,7 @@
 /// Discovery that tells every watch the whole list at once, and again when it changes.
 pub struct StaticDiscovery {
     /// Where it is.
-    pub place: SocketAddr,
+    pub address: SocketAddr,
     state: Arc<(Mutex<Told>, Condvar)>,
 }
 
@@ -89,16 +89,16 @@
                 thread::spawn(move || drop(StaticDiscovery::watch(stream, &state)));
             }
         });
-        StaticDiscovery { place, state }
+        StaticDiscovery { address: place, state }
     }
 
     /// Another list.
-    pub fn tell(&self, list: String) {
+    pub fn publish(&self, list: String) {
         self.change(|told| told.list = list);
     }
 
     /// Answers nobody any more, and ends the watches; or is back.
-    pub fn be_down(&self, down: bool) {
+    pub fn set_down(&self, down: bool) {
         self.change(|told| told.down = down);
     }
 
--- a/crates/test-harness/src/fault_proxy.rs
+++ b/crates/test-harness/src/fault_proxy.rs
@@ -15,21 +15,27 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PathFaults {
     /// Nothing passes.
-    pub cut: bool,
+    pub partitioned: bool,
     /// The share that is lost.
     pub loss: f64,
     /// The share that arrives twice.
-    pub twice: f64,
+    pub duplicated: f64,
     /// The share of which a byte arrives damaged.
-    pub spoilt: f64,
+    pub corrupted: f64,
     /// How long it takes, in ms: at least and at the most. What takes differently long is reordered.
     pub delay: (u64, u64),
     /// So many bytes a second pass on a connection; none for as many as come.
     pub throttle: Option<u64>,
 }
 
-const WHOLE: PathFaults =
-    PathFaults { cut: false, loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (0, 0), throttle: None };
+const WHOLE: PathFaults = PathFaults {
+    partitioned: false,
+    loss: 0.0,
+    duplicated: 0.0,
+    corrupted: 0.0,
+    delay: (0, 0),
+    throttle: None,
+};
 
 /// How many datagrams a way has carried and swallowed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -105,14 +111,14 @@
     }
 
     /// Changes a way.
-    pub fn way(&self, from: usize, to: usize, change: impl FnOnce(&mut PathFaults)) {
+    pub fn path(&self, from: usize, to: usize, change: impl FnOnce(&mut PathFaults)) {
         change(self.shared.state.lock().unwrap().ways.entry((from, to)).or_insert(WHOLE));
     }
 
     /// Changes every way.
     pub fn all(&self, change: impl Fn(&mut PathFaults)) {
         let members = self.shared.hubs.len();
-        (0..members).for_each(|from| (0..members).for_each(|to| self.way(from, to, &change)));
+        (0..members).for_each(|from| (0..members).for_each(|to| self.path(from, to, &change)));
     }
 
     /// How ways are, for connections that take them too.
@@ -132,7 +138,7 @@
 
 impl PathView {
     /// How a way is now.
-    pub(crate) fn way(&self, from: usize, to: usize) -> PathFaults {
+    pub(crate) fn path(&self, from: usize, to: usize) -> PathFaults {
         self.0.state.lock().unwrap().ways.get(&(from, to)).copied().unwrap_or(WHOLE)
     }
 
@@ -161,7 +167,7 @@
             let Some(from) = state.real.iter().position(|real| *real == from) else { continue };
             let way = state.ways.get(&(from, to)).copied().unwrap_or(WHOLE);
             let carried = state.carried.entry((from, to)).or_default();
-            if way.cut {
+            if way.partitioned {
                 carried.lost += 1;
                 continue;
             }
@@ -169,10 +175,10 @@
                 state.carried.entry((from, to)).or_default().lost += 1;
                 continue;
             }
-            let copies = if state.rng.random_bool(way.twice) { 2 } else { 1 };
+            let copies = if state.rng.random_bool(way.duplicated) { 2 } else { 1 };
             for _ in 0..copies {
                 let mut bytes = room[..count].to_vec();
-                if count > 0 && state.rng.random_bool(way.spoilt) {
+                if count > 0 && state.rng.random_bool(way.corrupted) {
                     let at = state.rng.random_range(0..count);
                     bytes[at] ^= 1 << state.rng.random_range(0..8);
                 }
@@ -195,7 +201,7 @@
                 Some(at) if at <= now => {
                     let Some((_, (from, to, bytes))) = state.later.pop_first() else { continue };
                     // What was under way when the way was cut does not arrive.
-                    if state.ways.get(&(from, to)).is_some_and(|way| way.cut) {
+                    if state.ways.get(&(from, to)).is_some_and(|way| way.partitioned) {
                         state.carried.entry((from, to)).or_default().lost += 1;
                         continue;
                     }
--- a/crates/test-harness/src/fleet.rs
+++ b/crates/test-harness/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Several real processes that know each other, a relay on every way between them and from them to what they call.
 
-use crate::client::{call, Client};
+use crate::client::{call_admin, Client};
 use crate::config::config;
 use crate::discovery::{catalog, StaticDiscovery};
 use crate::fault_proxy::FaultProxies;
@@ -204,7 +204,7 @@
         entries.push(origin.entry("o", "origin", "ready"));
         let discovery = StaticDiscovery::new(catalog(1, true, &entries));
         let targets: Vec<SocketAddr> =
-            nodes.iter().chain([&origin]).map(|party| party.address).chain([discovery.place]).collect();
+            nodes.iter().chain([&origin]).map(|party| party.address).chain([discovery.address]).collect();
         let streams = (0..options.members)
             .map(|_| targets.iter().map(|to| StreamFaultProxy::to(*to)).collect())
             .collect();
@@ -264,20 +264,23 @@
     pub fn config(&self, member: usize, peers: &[usize]) -> Value {
         let relayed = |party: &StubServer, name: &str, kind: &str, nth: usize| {
             let entry = party.entry(name, kind, "ready");
-            entry.replace(&party.address.to_string(), &self.streams[member][nth].place.to_string())
+            entry.replace(&party.address.to_string(), &self.streams[member][nth].address.to_string())
         };
         let nodes = self.nodes.iter().enumerate();
         let mut entries: Vec<String> =
             nodes.map(|(n, party)| relayed(party, &format!("s-{n}"), "c6", n)).collect();
         entries.push(relayed(&self.origin, "o", "origin", self.nodes.len()));
-        let discovery = self.streams[member][self.nodes.len() + 1].place.to_string();
+        let discovery = self.streams[member][self.nodes.len() + 1].address.to_string();
         let text = config("127.0.0.1:0", &discovery, 256, &catalog(1, true, &entries));
         let mut config: Value = serde_json::from_str(&text).unwrap();
         // Danger: who dials a free port of the address that it dials from may reach itself, and has the port then.
         let free = SocketAddr::new(self.member_address(member).ip(), 0);
         let listen = self.places[member].unwrap_or(free).to_string();
-        let peers: Vec<String> =
-            peers.iter().filter(|peer| **peer != member).map(|peer| self.advertised_address(*peer).to_string()).collect();
+        let peers: Vec<String> = peers
+            .iter()
+            .filter(|peer| **peer != member)
+            .map(|peer| self.advertised_address(*peer).to_string())
+            .collect();
         config["name"] = json!(Fleet::name(member));
         config["listen"] = json!(listen);
         config["admin"] = json!("127.0.0.1:0");
@@ -292,7 +295,8 @@
             "size": self.options.size,
         });
         if !self.options.founders.is_empty() {
-            let founders = self.options.founders.iter().map(|founder| self.advertised_address(*founder).to_string());
+            let founders =
+                self.options.founders.iter().map(|founder| self.advertised_address(*founder).to_string());
             let fleet = &mut config["fleet"];
             fleet["founders"] = founders.collect();
             // Shorter than usual, so that tests need not wait long.
@@ -374,7 +378,12 @@
     pub fn wait_until_ready(&self, member: usize, mut begun: StartingProcess) -> Process {
         let child = begun.child.take().expect("it is waited for once");
         let lines = &begun.lines;
-        let mut process = Process { child, client_address: self.advertised_address(member), admin_address: self.advertised_address(member), ended: false };
+        let mut process = Process {
+            child,
+            client_address: self.advertised_address(member),
+            admin_address: self.advertised_address(member),
+            ended: false,
+        };
         let (mut door, mut place) = (None, None);
         while door.is_none() || place.is_none() {
             let line = lines.recv_timeout(WAIT).expect("the proxy says where it listens");
@@ -382,9 +391,10 @@
             door = door.or(at(" call "));
             place = place.or(at(" listens on "));
         }
-        (process.admin_address, process.client_address) = (door.unwrap_or(process.admin_address), place.unwrap_or(process.client_address));
+        (process.admin_address, process.client_address) =
+            (door.unwrap_or(process.admin_address), place.unwrap_or(process.client_address));
         let until = Instant::now() + WAIT;
-        while call(process.admin_address, "GET", "/control/ready").0 != 200 {
+        while call_admin(process.admin_address, "GET", "/control/ready").0 != 200 {
             assert!(Instant::now() < until, "member {member} is not ready");
             thread::sleep(Duration::from_millis(5));
         }
@@ -443,12 +453,12 @@
 
     /// A connection of a client to a member.
     pub fn client(&self, member: usize) -> Client {
-        Client::to(self.process(member).client_address)
+        Client::connect(self.process(member).client_address)
     }
 
     /// What a member says of its fleet; none if it says nothing.
     pub fn report(&self, member: usize) -> Option<Report> {
-        let (status, text) = call(self.process(member).admin_address, "GET", "/control/fleet");
+        let (status, text) = call_admin(self.process(member).admin_address, "GET", "/control/fleet");
         if status != 200 {
             return None;
         }
@@ -493,9 +503,9 @@
                 first.signal("TERM");
                 first.end();
             }
-            Fault::Cut(from, to) => self.datagram_faults.way(*from, *to, |way| way.cut = true),
+            Fault::Cut(from, to) => self.datagram_faults.path(*from, *to, |way| way.partitioned = true),
             Fault::Sides(sides) => self.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>()),
-            Fault::Heal => self.datagram_faults.all(|way| way.cut = false),
+            Fault::Heal => self.datagram_faults.all(|way| way.partitioned = false),
             Fault::Loss(percent) => self.datagram_faults.all(|way| way.loss = f64::from(*percent) / 100.0),
             Fault::Node(node, up) => {
                 for member in 0..self.options.members {
@@ -511,7 +521,7 @@
         for (at, side) in sides.iter().enumerate() {
             for (_, other) in sides.iter().enumerate().filter(|(other, _)| *other != at) {
                 let ways = side.iter().flat_map(|from| other.iter().map(move |to| (*from, *to)));
-                ways.for_each(|(from, to)| self.datagram_faults.way(from, to, |way| way.cut = true));
+                ways.for_each(|(from, to)| self.datagram_faults.path(from, to, |way| way.partitioned = true));
             }
         }
     }
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -20,7 +20,7 @@
 mod timeline;
 
 pub use barrier::{AcceptBarrier, AcceptedConnection};
-pub use client::{call, send_to_admin, Client};
+pub use client::{call_admin, send_to_admin, Client};
 pub use config::config;
 pub use discovery::{catalog, Discovery, StaticDiscovery};
 pub use process::{end, program, signal, start};
--- a/crates/test-harness/src/peer_fault_proxy.rs
+++ b/crates/test-harness/src/peer_fault_proxy.rs
@@ -67,7 +67,7 @@
 ) {
     near.set_nonblocking(false).unwrap();
     // While the way is cut no connection comes to be; who dials gives up.
-    while look.way(from, to).cut && !look.is_over() {
+    while look.path(from, to).partitioned && !look.is_over() {
         thread::sleep(LOOK);
     }
     let Ok(far) = TcpStream::connect(target) else { return };
@@ -84,13 +84,13 @@
 fn carry(mut from: TcpStream, mut to: TcpStream, (a, b): (usize, usize), look: &PathView) {
     let mut room = vec![0; 16 * 1024];
     loop {
-        let throttled = look.way(a, b).throttle.is_some();
+        let throttled = look.path(a, b).throttle.is_some();
         let most = if throttled { PIECE } else { room.len() };
         let count = from.read(&mut room[..most]).unwrap_or(0);
-        let mut way = look.way(a, b);
-        while way.cut && !look.is_over() {
+        let mut way = look.path(a, b);
+        while way.partitioned && !look.is_over() {
             thread::sleep(LOOK);
-            way = look.way(a, b);
+            way = look.path(a, b);
         }
         let pass = way.throttle.map_or(0, |bytes| count as u64 * 1000 / bytes.max(1));
         let wait = Duration::from_millis(way.delay.1 + pass);
--- a/crates/test-harness/src/policy.rs
+++ b/crates/test-harness/src/policy.rs
@@ -3,7 +3,7 @@
 //! Two policies take turns: the class `read` of one is called `scan` by the other. So an odd version serves `read` and knows no
 //! `scan`, and an even one the other way round.
 
-use crate::client::{call, send_to_admin, Client};
+use crate::client::{call_admin, send_to_admin, Client};
 use crate::fleet::Fleet;
 use crate::script::Script;
 use pinetrail_history_checker::{check_policies, PolicyDecision};
@@ -38,7 +38,7 @@
 
 /// What a door says of the policy, or of a change.
 pub fn ask(door: SocketAddr, path: &str) -> Value {
-    serde_json::from_str(&call(door, "GET", path).1).unwrap_or(Value::Null)
+    serde_json::from_str(&call_admin(door, "GET", path).1).unwrap_or(Value::Null)
 }
 
 /// The version in force at a member, and its state.
@@ -80,7 +80,7 @@
                 while !over.load(Ordering::Acquire) {
                     thread::sleep(Duration::from_millis(2));
                     if client.is_none() {
-                        client = Client::try_to(place);
+                        client = Client::try_connect(place);
                     }
                     let Some(asking) = client.as_mut() else { continue };
                     match ask_once(asking, &name) {
@@ -148,12 +148,12 @@
     let number = ASKED.fetch_add(1, Ordering::AcqRel);
     let class = if number.is_multiple_of(2) { "read" } else { "scan" };
     let sent = now();
-    if !client.try_say(&format!("mg k{} v Op{number} Pc={class},t=acme,d=3000\r\n", number % 8)) {
+    if !client.try_send(&format!("mg k{} v Op{number} Pc={class},t=acme,d=3000\r\n", number % 8)) {
         return None;
     }
-    let line = client.line();
+    let line = client.read_line();
     if line.starts_with("VA ") {
-        client.line();
+        client.read_line();
     }
     let answered = now();
     let served = line.starts_with("VA ");
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -6,7 +6,7 @@
 use crate::process::{end, signal, start_in, started, written};
 use crate::recorder::Recorder;
 use crate::stub_server::StubServer;
-use crate::{call, WAIT};
+use crate::{call_admin, WAIT};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Output};
@@ -58,7 +58,7 @@
             entries.push(nobody.entry("o", "origin", "ready"));
         }
         let known = catalog(1, true, &entries);
-        let config = config("127.0.0.1:0", &discovery.place.to_string(), sockets, &known);
+        let config = config("127.0.0.1:0", &discovery.address.to_string(), sockets, &known);
         let limits = format!(r#""admin":"127.0.0.1:0","limits":{{"cores":1.0,"memory_mb":{memory_mb}"#);
         let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
         let config = changes.iter().fold(config, |config, (from, to)| config.replace(from, to));
@@ -67,8 +67,15 @@
         let tmp = config.with_extension("tmp");
         std::fs::create_dir_all(&tmp).unwrap();
         let (child, place, door) = started(&config, &tmp);
-        let scene = ProxyFixture { discovery, client_address: place, admin_address: door, child: Some(child), config, tmp };
-        assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+        let scene = ProxyFixture {
+            discovery,
+            client_address: place,
+            admin_address: door,
+            child: Some(child),
+            config,
+            tmp,
+        };
+        assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
         scene
     }
 
@@ -81,17 +88,17 @@
     }
 
     pub fn client(&self) -> Client {
-        Client::to(self.client_address)
+        Client::connect(self.client_address)
     }
 
     /// One of the proxy's counters.
     pub fn counter(&self, name: &str) -> u64 {
         let mut client = self.client();
-        client.say("stats\r\n");
+        client.send("stats\r\n");
         let prefix = format!("STAT {name} ");
         let mut found = None;
         loop {
-            let line = client.line();
+            let line = client.read_line();
             if line == "END\r\n" {
                 return found.expect("the counter exists");
             }
@@ -130,7 +137,7 @@
     pub fn start_second_process(&self) -> (Child, SocketAddr) {
         let (child, place, door) = started(&self.second(), &self.tmp);
         assert_eq!(place, self.client_address);
-        self.until("the second process is ready", || call(door, "GET", "/control/ready").0 == 200);
+        self.until("the second process is ready", || call_admin(door, "GET", "/control/ready").0 == 200);
         (child, door)
     }
 
--- a/crates/test-harness/src/streams.rs
+++ b/crates/test-harness/src/streams.rs
@@ -17,7 +17,7 @@
 #[derive(Clone)]
 pub struct StreamFaultProxy {
     /// Where it takes connections.
-    pub place: SocketAddr,
+    pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
@@ -44,7 +44,7 @@
                 });
             }
         });
-        StreamFaultProxy { place, state }
+        StreamFaultProxy { address: place, state }
     }
 
     /// Nothing passes any more, and nobody is told; or all that was held back passes.
--- a/crates/test-harness/src/timeline.rs
+++ b/crates/test-harness/src/timeline.rs
@@ -29,12 +29,12 @@
     }
 
     /// When somebody first said something with these words in it, from a time on.
-    pub fn said(&self, who: &str, words: &str, from: u128) -> Option<u128> {
-        self.said_both(who, words, "", from)
+    pub fn first_match(&self, who: &str, words: &str, from: u128) -> Option<u128> {
+        self.first_match_of_both(who, words, "", from)
     }
 
     /// The same with two pieces of text in it.
-    pub fn said_both(&self, who: &str, words: &str, more: &str, from: u128) -> Option<u128> {
+    pub fn first_match_of_both(&self, who: &str, words: &str, more: &str, from: u128) -> Option<u128> {
         let lines = self.lines.lock().unwrap();
         let says = |what: &str| what.contains(words) && what.contains(more);
         lines.iter().find(|(at, by, what)| *at >= from && by == who && says(what)).map(|line| line.0)
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -63,7 +63,7 @@
     );
     assert_eq!(status, 200);
     fleet.wait_until("all have it again", |fleet| all_see(fleet, 3, "same"));
-    assert!(fleet.client(3).read("k", "a1", 1000).0.starts_with("VA "), "and serve by it");
+    assert!(fleet.client(3).get("k", "a1", 1000).0.starts_with("VA "), "and serve by it");
 }
 
 #[test]
@@ -73,7 +73,7 @@
     fleet.wait_until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
     fleet.wait_until("it knows", |fleet| seen(fleet, 3, 3).0 == "fenced" && seen(fleet, 3, 0).0 == "silent");
     assert_eq!(alarms(&fleet, 3), 0, "silence is no drift");
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("all are well", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
 }
 
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -33,7 +33,10 @@
     let heard = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
     fleet.wait_until("it is alone", heard);
     assert_eq!(passed(), before);
-    assert!(ways.iter().all(|(from, to)| fleet.datagram_faults.carried(*from, *to).lost > 0), "they went on asking");
+    assert!(
+        ways.iter().all(|(from, to)| fleet.datagram_faults.carried(*from, *to).lost > 0),
+        "they went on asking"
+    );
     // Every address that a member knows of another leads through a relay.
     let hubs: BTreeSet<String> = (0..3).map(|member| fleet.advertised_address(member).to_string()).collect();
     for member in 0..3 {
@@ -62,7 +65,9 @@
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
     fleet.process(0).signal("STOP");
-    fleet.wait_until("it suspects one", |fleet| fleet.timeline.said("n2", "alive -> suspect", begun).is_some());
+    fleet.wait_until("it suspects one", |fleet| {
+        fleet.timeline.first_match("n2", "alive -> suspect", begun).is_some()
+    });
     fleet.process(2).signal("STOP");
     fleet.process(0).signal("CONT");
     let knows = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n2"];
@@ -71,8 +76,8 @@
     let woke = fleet.timeline.now();
     fleet.process(2).signal("CONT");
     fleet.wait_until("it is back", |fleet| fleet.all_agree(&ALL));
-    assert!(fleet.timeline.said("n2", "did not run for", woke).is_some());
-    assert!(fleet.timeline.said("n2", "-> failed", woke).is_none(), "{}", fleet.timeline);
+    assert!(fleet.timeline.first_match("n2", "did not run for", woke).is_some());
+    assert!(fleet.timeline.first_match("n2", "-> failed", woke).is_none(), "{}", fleet.timeline);
 }
 
 /// Guards against a member that is taken for silent though others hear it: without those nearly each probe on the way
@@ -81,7 +86,7 @@
 fn a_way_cut_in_one_direction_fails_nobody() {
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
-    fleet.datagram_faults.way(0, 1, |way| way.cut = true);
+    fleet.datagram_faults.path(0, 1, |way| way.partitioned = true);
     sleep(ms(10_000));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
     assert!(fleet.datagram_faults.carried(0, 1).lost > 0);
@@ -109,9 +114,9 @@
     }
     fleet.wait_until("both sides are as before", |fleet| sides(fleet) == split);
     let healed = fleet.timeline.now();
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("they are one again", |fleet| fleet.all_agree(&ALL) && sides(fleet) == ["whole"; 5]);
-    assert!(fleet.timeline.said("rig", "start", healed).is_none(), "nobody was started for that");
+    assert!(fleet.timeline.first_match("rig", "start", healed).is_none(), "nobody was started for that");
 }
 
 #[test]
@@ -142,7 +147,7 @@
 fn a_loss_of_five_in_a_hundred_and_disorder_fail_nobody() {
     let fleet = met(Options::of(5));
     fleet.datagram_faults.all(|way| {
-        (way.loss, way.twice, way.spoilt, way.delay) = (0.05, 0.1, 0.01, (0, 40));
+        (way.loss, way.duplicated, way.corrupted, way.delay) = (0.05, 0.1, 0.01, (0, 40));
     });
     sleep(ms(12_000));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
@@ -162,7 +167,8 @@
     let there = |fleet: &Fleet| {
         [0, 1, 3].iter().all(|member| {
             let report = fleet.report(*member).unwrap();
-            report.members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string()) && report.members.len() == 3
+            report.members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string())
+                && report.members.len() == 3
         })
     };
     fleet.wait_until("it is known where it is", there);
@@ -188,15 +194,15 @@
     });
     let mut client = fleet.client(0);
     for n in 0..300 {
-        assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n");
+        assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n");
     }
     flood.join().unwrap();
     fleet.wait_until("nobody suspects anybody", |fleet| fleet.all_agree(&[0, 1, 2]));
-    assert!(fleet.timeline.said("n0", "-> failed", begun).is_none());
+    assert!(fleet.timeline.first_match("n0", "-> failed", begun).is_none());
     let mut stats = fleet.client(0);
-    stats.say("stats\r\n");
+    stats.send("stats\r\n");
     let lines: Vec<String> =
-        std::iter::from_fn(|| Some(stats.line()).filter(|line| line != "END\r\n")).collect();
+        std::iter::from_fn(|| Some(stats.read_line()).filter(|line| line != "END\r\n")).collect();
     let of = |name: &str| {
         let line = lines.iter().find_map(|line| line.strip_prefix(&format!("STAT {name} "))).unwrap();
         line.trim().parse::<u64>().unwrap()
@@ -218,9 +224,10 @@
     assert_eq!(fleet.report(3).unwrap().side, "alone");
     // Bad peers change nothing; good ones are asked at once.
     let mut newer = fleet.config(3, &[1]);
-    for (peers, side) in
-        [(serde_json::json!([fleet.advertised_address(3).to_string()]), "alone"), (newer["fleet"]["peers"].clone(), "whole")]
-    {
+    for (peers, side) in [
+        (serde_json::json!([fleet.advertised_address(3).to_string()]), "alone"),
+        (newer["fleet"]["peers"].clone(), "whole"),
+    ] {
         newer["fleet"]["peers"] = peers;
         fleet.set_config(3, &newer);
         fleet.process(3).signal("HUP");
@@ -236,12 +243,12 @@
 #[test]
 fn a_fleet_meets_and_notices_a_death_while_discovery_is_down() {
     let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
-    fleet.discovery.be_down(true);
+    fleet.discovery.set_down(true);
     (0..3).for_each(|member| fleet.start(member));
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.kill(1);
     fleet.wait_until("the others know", |fleet| fleet.all_agree(&[0, 2]));
-    assert_eq!(fleet.client(0).read("k", "1", 900).1, "v\r\n", "by the list that it had");
+    assert_eq!(fleet.client(0).get("k", "1", 900).1, "v\r\n", "by the list that it had");
 }
 
 /// Faults of every kind from a seed: whatever they were, in the end all agree.
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -2,7 +2,7 @@
 
 use crate::{nodes, origin};
 use pinetrail_test_harness::fleet::{Fleet, Options};
-use pinetrail_test_harness::{call, end, start};
+use pinetrail_test_harness::{call_admin, end, start};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 
@@ -45,11 +45,12 @@
     assert_eq!((datagram_sockets(off), datagram_sockets(on)), (0, 1));
     assert_eq!(descriptors(on).len(), descriptors(off).len() + 1);
     assert_eq!(threads(on), threads(off));
-    assert_eq!(call(fleet.process(0).admin_address, "GET", "/control/fleet").0, 404);
+    assert_eq!(call_admin(fleet.process(0).admin_address, "GET", "/control/fleet").0, 404);
     let stats = |member: usize| {
         let mut client = fleet.client(member);
-        client.say("stats\r\n");
-        std::iter::from_fn(|| Some(client.line()).filter(|line| line != "END\r\n")).collect::<Vec<String>>()
+        client.send("stats\r\n");
+        std::iter::from_fn(|| Some(client.read_line()).filter(|line| line != "END\r\n"))
+            .collect::<Vec<String>>()
     };
     assert!(stats(1).iter().any(|line| line.starts_with("STAT fleet_probes ")));
     assert!(stats(0).iter().all(|line| !line.contains("fleet")));
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -54,8 +54,8 @@
             && rival(3)["counts"] == false
     };
     fleet.wait_until("both doors say so", told);
-    assert!(fleet.timeline.said("n2", "ERROR: another process", 0).is_some());
-    assert!(fleet.timeline.said("n3", "ERROR: another process", 0).is_some());
+    assert!(fleet.timeline.first_match("n2", "ERROR: another process", 0).is_some());
+    assert!(fleet.timeline.first_match("n3", "ERROR: another process", 0).is_some());
     assert_eq!(fleet.report(2).unwrap().side, "alone");
     fleet.wait_until("the later one counts", |fleet| {
         fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string())
@@ -73,6 +73,8 @@
     (0..3).for_each(|member| fleet.start(member));
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.start(3);
-    fleet.wait_until("it is told", |fleet| fleet.timeline.said("n3", "has no room for this member", 0).is_some());
+    fleet.wait_until("it is told", |fleet| {
+        fleet.timeline.first_match("n3", "has no room for this member", 0).is_some()
+    });
     assert!(fleet.all_agree(&[0, 1, 2]));
 }
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy.rs
@@ -1,7 +1,7 @@
 //! One policy for a fleet of real processes, with faults between them: judged by what clients were answered.
 
 use crate::{ms, nodes, origin};
-use pinetrail_test_harness::call;
+use pinetrail_test_harness::call_admin;
 use pinetrail_test_harness::fleet::{Fleet, Options};
 use pinetrail_test_harness::policy::{
     ask, now, outcome, play_hangups, play_seed, propose, settings, standing, PolicyClients,
@@ -99,15 +99,17 @@
     assert_eq!(standing(&fleet, 0), (2, "steady".to_owned()));
     for member in [3, 4] {
         assert_eq!(standing(&fleet, member), (1, "fenced".to_owned()), "its permit has ended before");
-        assert_eq!(call(fleet.process(member).admin_address, "GET", "/control/ready").0, 503);
-        assert_eq!(fleet.client(member).ask("mn\r\n"), "SERVER_ERROR out of service\r\n");
-        let refused = fleet.client(member).read("k", &format!("f{member}"), 1000).0;
+        assert_eq!(call_admin(fleet.process(member).admin_address, "GET", "/control/ready").0, 503);
+        assert_eq!(fleet.client(member).request("mn\r\n"), "SERVER_ERROR out of service\r\n");
+        let refused = fleet.client(member).get("k", &format!("f{member}"), 1000).0;
         assert_eq!(refused, "SERVER_ERROR busy 500\r\n", "at once, and with when to come back");
         assert_eq!(propose(fleet.process(member).admin_address, "z", 1, &settings(&fleet, 2)).0, 503);
     }
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
-    fleet.wait_until("they serve by it", |_| ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken)));
+    fleet.wait_until("they serve by it", |_| {
+        ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken))
+    });
     watch.judged();
 }
 
@@ -139,10 +141,14 @@
     ends(&fleet, 0, "taken");
     let said = ask(fleet.process(0).admin_address, "/control/policy/changes/x");
     assert!(said["why"].as_str().unwrap().contains("n3"), "{said}");
-    assert!(fleet.client(3).read("k", "s1", 1000).0.starts_with("VA "), "by the first version");
+    assert!(fleet.client(3).get("k", "s1", 1000).0.starts_with("VA "), "by the first version");
     assert_eq!(standing(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
-    assert_eq!(call(fleet.process(3).admin_address, "GET", "/control/ready").0, 200, "it takes clients");
-    fleet.datagram_faults.all(|way| way.cut = false);
+    assert_eq!(
+        call_admin(fleet.process(3).admin_address, "GET", "/control/ready").0,
+        200,
+        "it takes clients"
+    );
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("it catches up", |fleet| has(fleet, &[0, 1, 2, 3], 2));
 }
 
@@ -174,7 +180,7 @@
     bad["Gradse"] = json!(1);
     let (status, said) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
     assert!(status == 400 && said["error"].as_str().unwrap().contains("\"Grades\""), "{said}");
-    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/policy/changes/bad").0, 404);
+    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy/changes/bad").0, 404);
     fleet.wait_until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     assert_eq!(watch.judged()[1].1, 0);
 }
@@ -203,8 +209,8 @@
 fn a_slow_peer_costs_only_itself() {
     let (fleet, watch) = under_load(4, 3);
     for other in 0..3 {
-        fleet.datagram_faults.way(3, other, |way| way.throttle = Some(1000));
-        fleet.datagram_faults.way(other, 3, |way| way.throttle = Some(1000));
+        fleet.datagram_faults.path(3, other, |way| way.throttle = Some(1000));
+        fleet.datagram_faults.path(other, 3, |way| way.throttle = Some(1000));
     }
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
@@ -239,7 +245,9 @@
         });
         fleet.start(victim);
         // What was proposed may still be open just then.
-        fleet.wait_until("all agree", |fleet| [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version)));
+        fleet.wait_until("all agree", |fleet| {
+            [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version))
+        });
         watch.judged();
     }
 }
@@ -269,7 +277,9 @@
             std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap()
         }
         fleet.start(1);
-        fleet.wait_until("it votes", |fleet| fleet.timeline.said("n1", "this founder votes", 0).is_some());
+        fleet.wait_until("it votes", |fleet| {
+            fleet.timeline.first_match("n1", "this founder votes", 0).is_some()
+        });
         fleet.wait_until("it has it", |fleet| has(fleet, &[1], 2));
     }
     let aside = std::fs::read_dir(fleet.state_dir(1)).unwrap();
@@ -290,7 +300,7 @@
     std::fs::create_dir(fleet.state_dir(2).join("rulebook.new")).unwrap();
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
-    assert!(fleet.timeline.said("n2", "this founder cannot vote", 0).is_some());
+    assert!(fleet.timeline.first_match("n2", "this founder cannot vote", 0).is_some());
     fleet.wait_until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     watch.judged();
 }
@@ -320,7 +330,7 @@
     fleet.set_config(2, &other);
     fleet.process(2).signal("HUP");
     fleet.wait_until("it says where to propose it", |fleet| {
-        fleet.timeline.said("n2", "propose them by POST /control/policy", 0).is_some()
+        fleet.timeline.first_match("n2", "propose them by POST /control/policy", 0).is_some()
     });
     std::thread::sleep(ms(100));
     assert_eq!(watch.judged()[1].1, 0, "all by the first version");
@@ -386,11 +396,11 @@
         std::fs::read_dir(path).unwrap().count()
     };
     assert_eq!(threads(0), threads(1) + 1, "the thread of links and book");
-    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/policy").0, 404);
-    assert_eq!(call(fleet.process(1).admin_address, "GET", "/control/drift").0, 404);
+    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy").0, 404);
+    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/drift").0, 404);
     let mut client = fleet.client(1);
-    client.say("stats\r\n");
-    let lines = std::iter::from_fn(|| Some(client.line()).filter(|line| line != "END\r\n"));
+    client.send("stats\r\n");
+    let lines = std::iter::from_fn(|| Some(client.read_line()).filter(|line| line != "END\r\n"));
     assert!(lines.into_iter().all(|line| !line.contains("policy")));
 }
 
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -62,9 +62,9 @@
     until(&fleet, &ALL, "a majority takes over", |fleet| have(fleet, &[2, 3, 4], 3));
     assert!(is_base(&fleet), "the minority had its base before that");
     for member in ["n0", "n1"] {
-        assert!(fleet.timeline.said(member, "its lease has ended", 0).is_some(), "{}", fleet.timeline);
+        assert!(fleet.timeline.first_match(member, "its lease has ended", 0).is_some(), "{}", fleet.timeline);
     }
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     until(&fleet, &ALL, "all have theirs again", |fleet| have(fleet, &ALL, 5));
 }
 
@@ -76,7 +76,7 @@
     until(&fleet, &all, "all have their bases", |fleet| {
         all.iter().all(|member| seen(fleet, *member, "share") == seen(fleet, *member, "base"))
     });
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     until(&fleet, &all, "all have theirs again", |fleet| have(fleet, &all, 3));
 }
 
@@ -136,7 +136,7 @@
     (0..4).for_each(|member| fleet.start(member));
     until(&fleet, &[0, 1, 2], "the others share", |fleet| have(fleet, &[0, 1, 2], 3));
     fleet.wait_until("it is said", |fleet| {
-        fleet.timeline.said("n3", "ERROR: a member has other founders", 0).is_some()
+        fleet.timeline.first_match("n3", "ERROR: a member has other founders", 0).is_some()
     });
 }
 
@@ -163,13 +163,13 @@
                     let mut count = 0;
                     while !done.load(Ordering::Relaxed) {
                         // The proxy may be dead or stopped: what counts is what reaches the node.
-                        let Some(mut client) = pinetrail_test_harness::Client::try_to(*place) else {
+                        let Some(mut client) = pinetrail_test_harness::Client::try_connect(*place) else {
                             sleep(ms(50));
                             continue;
                         };
                         while !done.load(Ordering::Relaxed) {
                             count += 1;
-                            if client.try_read(&format!("r{number}-{count}")).is_none() {
+                            if client.try_get(&format!("r{number}-{count}")).is_none() {
                                 break;
                             }
                         }
@@ -184,7 +184,7 @@
         sleep(ms(3_000));
         fleet.process(4).signal("CONT");
         fleet.kill(3);
-        fleet.datagram_faults.all(|way| way.cut = false);
+        fleet.datagram_faults.all(|way| way.partitioned = false);
         fleet.start(3);
         fleet.wait_until("all have theirs again", |fleet| have(fleet, &ALL, 5));
         sleep(ms(500));
@@ -217,7 +217,7 @@
     fleet.set_config(1, &longer);
     fleet.process(1).signal("HUP");
     fleet.wait_until("it is refused", |fleet| {
-        fleet.timeline.said("n1", "call_ms 1000 is below the longest GiveUp, 5000", 0).is_some()
+        fleet.timeline.first_match("n1", "call_ms 1000 is below the longest GiveUp, 5000", 0).is_some()
     });
     assert!(have(&fleet, &[0, 1, 2], 3));
 }
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -1,7 +1,7 @@
 //! Two processes of one member in an upgrade are one member.
 
 use crate::met;
-use pinetrail_test_harness::call;
+use pinetrail_test_harness::call_admin;
 use pinetrail_test_harness::fleet::{Fleet, Options};
 
 /// Guards against an upgrade that looks like a failure to the others, and against two processes that both speak.
@@ -13,7 +13,7 @@
         let second = fleet.start_second_process(1);
         let first = fleet.replace_process(1, second);
         fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_some());
-        assert_eq!(call(first.admin_address, "GET", "/control/fleet").0, 503, "the other one speaks");
+        assert_eq!(call_admin(first.admin_address, "GET", "/control/fleet").0, 503, "the other one speaks");
         fleet.wait_until("they agree", |fleet| fleet.all_agree(&[0, 1, 2]));
         first.signal("TERM");
         assert!(first.end().success());
@@ -22,9 +22,9 @@
         assert!(fleet.report(1).unwrap().json.get("rival").is_none());
     }
     for member in ["n0", "n2"] {
-        assert!(fleet.timeline.said(member, "-> failed", begun).is_none(), "{}", fleet.timeline);
-        assert!(fleet.timeline.said(member, "left", begun).is_none());
-        assert!(fleet.timeline.said(member, "n1 is a new process", begun).is_some());
+        assert!(fleet.timeline.first_match(member, "-> failed", begun).is_none(), "{}", fleet.timeline);
+        assert!(fleet.timeline.first_match(member, "left", begun).is_none());
+        assert!(fleet.timeline.first_match(member, "n1 is a new process", begun).is_some());
     }
 }
 
@@ -34,7 +34,9 @@
     let second = fleet.start_second_process(1);
     fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_none());
     drop(second);
-    fleet.wait_until("the old one speaks again", |fleet| fleet.report(1).is_some() && fleet.all_agree(&[0, 1, 2]));
+    fleet.wait_until("the old one speaks again", |fleet| {
+        fleet.report(1).is_some() && fleet.all_agree(&[0, 1, 2])
+    });
 }
 
 /// Guards against a name that is lost since the cut hides the upgrade.
@@ -48,7 +50,9 @@
     let first = fleet.replace_process(1, second);
     first.signal("TERM");
     assert!(first.end().success());
-    fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_some_and(|report| report.side == "alone"));
-    fleet.datagram_faults.all(|way| way.cut = false);
+    fleet.wait_until("the newcomer speaks", |fleet| {
+        fleet.report(1).is_some_and(|report| report.side == "alone")
+    });
+    fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("they agree", |fleet| fleet.all_agree(&[0, 1, 2]));
 }
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -1,7 +1,7 @@
 //! Answers on a consumer's connection to each form of the protocol, and to what is none.
 
 use crate::{compare, escaped, origin, silent_origin, without_number};
-use pinetrail_test_harness::{call, opaque, Client, ProxyFixture, StubAction, StubServer};
+use pinetrail_test_harness::{call_admin, opaque, Client, ProxyFixture, StubAction, StubServer};
 
 /// A cache node that holds the keys that do not begin with `absent`.
 fn node() -> StubServer {
@@ -16,13 +16,13 @@
 
 /// Asks on a connection: what was asked, the whole answer, and whether the connection serves on.
 fn exchange(client: &mut Client, words: &str) -> String {
-    client.say(words);
-    let mut answer = client.line();
+    client.send(words);
+    let mut answer = client.read_line();
     if answer.starts_with("VA ") {
-        answer += &client.line();
+        answer += &client.read_line();
     }
     let shown = if words.len() < 200 { escaped(words) } else { escaped(&words[..40]) + "..." };
-    let next = if client.try_say("mn\r\n") { client.line() } else { String::new() };
+    let next = if client.try_send("mn\r\n") { client.read_line() } else { String::new() };
     let next = match next {
         line if line == "MN\r\n" => "serves on",
         line if line.is_empty() => "closes",
@@ -111,8 +111,8 @@
     let scene = ProxyFixture::of(&[], &origin);
     let mut client = scene.client();
     let ask = "mg k v O1 Pc=read,t=acme,d=900\r\n";
-    client.say(&format!("{ask}{ask}"));
-    let said = format!("{}\n{}\n", escaped(&client.line()), escaped(&client.line()));
+    client.send(&format!("{ask}{ask}"));
+    let said = format!("{}\n{}\n", escaped(&client.read_line()), escaped(&client.read_line()));
     let said = without_number(&said, "busy ", "MS");
     compare("id in use", include_str!("recorded/id_in_use.txt"), &said);
 }
@@ -140,7 +140,7 @@
 fn a_proxy_out_of_service_answers_as_recorded() {
     let (node, origin) = (node(), origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     let asked = ["mn\r\n", "version\r\n", "mg hit v O1 Pc=read,t=acme,d=9000\r\n"];
     let said = recorded_of(&scene, &asked);
     compare("out of service", include_str!("recorded/out_of_service.txt"), &said);
@@ -153,8 +153,8 @@
     let mut said = String::new();
     for half in ["mg k v O1 Pc=re", "ms k 5 O1 Pc=put,t=acme,d=900,k=5c\r\nhel"] {
         let mut client = scene.client();
-        client.say(half);
-        let (line, end) = (client.line(), client.line());
+        client.send(half);
+        let (line, end) = (client.read_line(), client.read_line());
         said += &format!("> {}\n< {}\n= {end:?}\n", escaped(half), escaped(&line));
     }
     compare("half a command", include_str!("recorded/half_commands.txt"), &said);
--- a/tests/golden/counters.rs
+++ b/tests/golden/counters.rs
@@ -6,10 +6,10 @@
 
 /// The names that `stats` tells; each line has a name and a number.
 fn names(mut client: Client) -> String {
-    client.say("stats\r\n");
+    client.send("stats\r\n");
     let mut names = String::new();
     loop {
-        let line = client.line();
+        let line = client.read_line();
         if line == "END\r\n" {
             return names;
         }
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -9,8 +9,8 @@
 
 /// The whole answer of a door to these bytes.
 pub(crate) fn whole_answer(door: SocketAddr, words: &str) -> String {
-    let mut client = Client::to(door);
-    client.say(words);
+    let mut client = Client::connect(door);
+    client.send(words);
     let mut answer = String::new();
     client.reader().read_to_string(&mut answer).expect("the door answers, and closes");
     answer
@@ -132,7 +132,7 @@
     let origin = silent_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=9000\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=9000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     scene.signal("TERM");
     let ready = request("GET /control/ready");
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -4,7 +4,7 @@
 use crate::{compare, escaped, origin, without_number};
 use pinetrail_test_harness::fleet::{Fleet, Options};
 use pinetrail_test_harness::policy::{outcome, settings, standing};
-use pinetrail_test_harness::{call, StubServer};
+use pinetrail_test_harness::{call_admin, StubServer};
 use serde_json::{json, Value};
 
 /// Numbers that differ from run to run, by their keys.
@@ -103,7 +103,7 @@
         let nodes = said["nodes"].as_array().map_or(&[][..], |nodes| nodes);
         nodes.len() == 3 && nodes.iter().all(|node| node["state"] == "same")
     };
-    let seen = |member| call(member_door(fleet, member), "GET", "/control/drift").1;
+    let seen = |member| call_admin(member_door(fleet, member), "GET", "/control/drift").1;
     fleet.wait_until("all have the version", |fleet| {
         let steady = (version, "steady".to_owned());
         (0..3).all(|member| standing(fleet, member) == steady)
@@ -157,8 +157,8 @@
     said += &asked(&fleet, 2, "GET /control/ready");
     said += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
     let mut client = fleet.client(2);
-    said += &format!("> mn\n< {}\n", escaped(&client.ask("mn\r\n")));
-    let refused = fleet.client(2).read("k", "1", 1000).0;
+    said += &format!("> mn\n< {}\n", escaped(&client.request("mn\r\n")));
+    let refused = fleet.client(2).get("k", "1", 1000).0;
     said += &format!("> mg\n< {}\n", escaped(&refused));
     compare("fenced", include_str!("recorded/fenced.txt"), &said);
 }
@@ -180,7 +180,7 @@
     fleet.set_config(2, &loose);
     fleet.process(2).signal("HUP");
     fleet.wait_until("the other sees it", |fleet| {
-        call(member_door(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
+        call_admin(member_door(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
     });
     said += &asked(&fleet, 0, "GET /control/drift");
     said += &asked(&fleet, 2, "POST /control/policy/restore");
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -35,8 +35,8 @@
         "mg absent/a?b%c:@~ v O9b1f Pt=acme,d=9000,c=read\r\n",
     ];
     for words in reads {
-        assert!(client.ask(words).starts_with("VA "), "{words:?}");
-        client.line();
+        assert!(client.request(words).starts_with("VA "), "{words:?}");
+        client.read_line();
     }
     let writes = [
         "ms w/1 5 O3 Pc=put,t=acme,d=9000,k=5c\r\nhello\r\n",
@@ -44,7 +44,7 @@
         "ms w 0 O4 Pc=confirm,t=acme,d=9000\r\n\r\n",
     ];
     for words in writes {
-        assert!(client.ask(words).starts_with("HD "), "{words:?}");
+        assert!(client.request(words).starts_with("HD "), "{words:?}");
     }
     let (to_node, to_origin) = (shown(&node.received(), &node), shown(&origin.received(), &origin));
     let said = format!("# to the cache node\n{to_node}# to the origin\n{to_origin}");
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -12,8 +12,8 @@
         (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Reply(chunked.into())));
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    assert_eq!(client.read("a", "1", 900).1, "hello\r\n");
-    assert_eq!(client.read("b", "2", 900).1, "hello\r\n");
+    assert_eq!(client.get("a", "1", 900).1, "hello\r\n");
+    assert_eq!(client.get("b", "2", 900).1, "hello\r\n");
     assert_eq!(origin.connected(), 2, "a connection that is to close is not used again");
 }
 
@@ -25,7 +25,7 @@
             StubServer::node(move |line| StubAction::Reply(format!("VA {length} {}\r\n", opaque(line))));
         let origin = idle_origin();
         let scene = ProxyFixture::of(&[&node], &origin);
-        assert!(scene.client().read("k", "1", 300).0.starts_with("SERVER_ERROR "));
+        assert!(scene.client().get("k", "1", 300).0.starts_with("SERVER_ERROR "));
         assert!(scene.counter("calls_error") >= 1);
     }
 }
@@ -47,7 +47,7 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     for (key, value) in [("k", &of_node), ("missing", &of_origin), ("k2", &of_node)] {
-        let (line, got) = client.read(key, key, 5000);
+        let (line, got) = client.get(key, key, 5000);
         assert_eq!(line, format!("VA 400000 O{key}\r\n"));
         assert!(got.trim_end() == value.as_str(), "{} bytes", got.len());
     }
@@ -60,7 +60,7 @@
     let (node, origin) =
         (StubServer::node(|_| StubAction::Reply("VA 5 Oother\r\nwrong\r\n".into())), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    let (line, _) = scene.client().read("k", "1", 300);
+    let (line, _) = scene.client().get("k", "1", 300);
     assert!(line.starts_with("SERVER_ERROR "), "{line}");
     assert_eq!(node.connected(), node.received().len(), "none of those connections is used again");
 }
@@ -81,11 +81,15 @@
         let (node, origin) = (StubServer::node(move |_| StubAction::Reply(spoilt.into())), idle_origin());
         let scene = ProxyFixture::of(&[&node], &origin);
         let begun = Instant::now();
-        let line = scene.client().read("k", "1", 2000).0;
+        let line = scene.client().get("k", "1", 2000).0;
         assert!(line.starts_with("SERVER_ERROR busy "), "{spoilt:?} -> {line:?}");
         assert!(begun.elapsed() < ms(1000), "{spoilt:?}: {:?}", begun.elapsed());
         let calls = node.received().len() as u64;
-        assert_eq!((scene.counter("calls_error"), scene.counter("answers_spoilt")), (calls, calls), "{spoilt:?}");
+        assert_eq!(
+            (scene.counter("calls_error"), scene.counter("answers_spoilt")),
+            (calls, calls),
+            "{spoilt:?}"
+        );
         assert_eq!(node.connected() as u64, calls, "the connection is of no further use");
     }
 }
@@ -100,7 +104,7 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    (0..10).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
+    (0..10).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
     assert_eq!((node.connected(), scene.counter("calls_error")), (10, 0));
 }
 
@@ -131,7 +135,7 @@
                 (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Reply(answer.into())));
             let scene = ProxyFixture::of(&[&node], &origin);
             let begun = Instant::now();
-            let (line, value) = scene.client().read("k", "1", 2000);
+            let (line, value) = scene.client().get("k", "1", 2000);
             assert_eq!(line == "VA 1 O1\r\n" && value == "v\r\n", served, "{answer:?} -> {line:?}");
             assert!(begun.elapsed() < ms(1000), "{answer:?}: {:?}", begun.elapsed());
         }
--- a/tests/sockets/client_connections.rs
+++ b/tests/sockets/client_connections.rs
@@ -35,16 +35,16 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let words: String = (0..300).map(|n| format!("mg k{n} v O{n} Pc=read,t=acme,d=900\r\nmn\r\n")).collect();
-    client.say(&words);
+    client.send(&words);
     for n in 0..300 {
         // 300 at once are more than the module lets out: a rejection is an answer as well.
-        let line = client.line();
+        let line = client.read_line();
         if line.starts_with("VA ") {
-            assert_eq!((line, client.line()), (format!("VA 1 O{n}\r\n"), "v\r\n".into()))
+            assert_eq!((line, client.read_line()), (format!("VA 1 O{n}\r\n"), "v\r\n".into()))
         } else {
             assert!(line.starts_with("SERVER_ERROR busy "), "{line}")
         }
-        assert_eq!(client.line(), "MN\r\n");
+        assert_eq!(client.read_line(), "MN\r\n");
     }
 }
 
@@ -53,7 +53,7 @@
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    assert_eq!(client.ask("flush_all\r\n"), "ERROR\r\n");
+    assert_eq!(client.request("flush_all\r\n"), "ERROR\r\n");
     for bad in [
         "mg\r\n",
         "mg k v Pc=read,t=acme,d=9\r\n",
@@ -70,10 +70,10 @@
         "mn\n",
         "mg k\u{7f} v O1 Pc=read,t=acme,d=9\r\n",
     ] {
-        let answer = client.ask(bad);
+        let answer = client.request(bad);
         assert!(answer.starts_with("CLIENT_ERROR "), "{bad:?} -> {answer:?}");
     }
-    assert_eq!(client.read("k", "1", 900).1, "v\r\n", "the connection goes on");
+    assert_eq!(client.get("k", "1", 900).1, "v\r\n", "the connection goes on");
     for closing in [
         "ms k 65537 O1 Pc=put,t=acme,d=9\r\n".to_owned(),
         "ms k none O1 Pc=put,t=acme,d=9\r\n".to_owned(),
@@ -81,8 +81,8 @@
         format!("mg {}", "k".repeat(2048)),
     ] {
         let mut client = scene.client();
-        assert!(client.ask(&closing).starts_with("CLIENT_ERROR "), "{closing:?}");
-        assert_eq!(client.line(), "", "closed");
+        assert!(client.request(&closing).starts_with("CLIENT_ERROR "), "{closing:?}");
+        assert_eq!(client.read_line(), "", "closed");
     }
     assert_eq!(node.received().len(), 1, "nothing malformed was passed on");
 }
@@ -94,15 +94,15 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
     let (mut half, mut silent, mut value) = (scene.client(), scene.client(), scene.client());
-    half.say("mg k v O1");
-    value.say("ms k 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhel");
+    half.send("mg k v O1");
+    value.send("ms k 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhel");
     for client in [&mut half, &mut value] {
         assert_eq!(
-            (client.line().as_str(), client.line().as_str()),
+            (client.read_line().as_str(), client.read_line().as_str()),
             ("CLIENT_ERROR no whole command in time\r\n", "")
         );
     }
-    assert_eq!(silent.line(), "");
+    assert_eq!(silent.read_line(), "");
     assert!(begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
     assert_eq!((scene.counter("consumers_late"), node.received().len()), (3, 0));
 }
@@ -113,11 +113,14 @@
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    client.say("ms k 60000000 O1 Pc=put,t=acme,d=900,k=5c\r\n");
-    client.say(&"x".repeat(700_000));
-    assert_eq!((client.line().as_str(), client.line().as_str()), ("CLIENT_ERROR value too large\r\n", ""));
+    client.send("ms k 60000000 O1 Pc=put,t=acme,d=900,k=5c\r\n");
+    client.send(&"x".repeat(700_000));
+    assert_eq!(
+        (client.read_line().as_str(), client.read_line().as_str()),
+        ("CLIENT_ERROR value too large\r\n", "")
+    );
     let begun = Instant::now();
-    while client.try_say(&"x".repeat(100_000)) {
+    while client.try_send(&"x".repeat(100_000)) {
         assert!(begun.elapsed() < ms(3000), "it is listened to for ever");
     }
 }
@@ -132,12 +135,12 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let (mut first, mut other) = (scene.client(), scene.client());
-    first.say("mg k v O1 Pc=read,t=acme,d=900\r\n");
+    first.send("mg k v O1 Pc=read,t=acme,d=900\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
-    assert_eq!(other.ask("mg j v O1 Pc=read,t=acme,d=900\r\n"), "CLIENT_ERROR the id is in use\r\n");
-    assert_eq!((first.line().as_str(), first.line().as_str()), ("VA 1 O1\r\n", "v\r\n"));
+    assert_eq!(other.request("mg j v O1 Pc=read,t=acme,d=900\r\n"), "CLIENT_ERROR the id is in use\r\n");
+    assert_eq!((first.read_line().as_str(), first.read_line().as_str()), ("VA 1 O1\r\n", "v\r\n"));
     assert_eq!(node.received().len(), 1);
-    assert_eq!(other.read("j", "1", 900).1, "v\r\n", "it may be used again");
+    assert_eq!(other.get("j", "1", 900).1, "v\r\n", "it may be used again");
 }
 
 /// Guards against a worker kept by one consumer: others are served while some send errors at full speed.
@@ -150,14 +153,14 @@
         for _ in 0..8 {
             let (mut bad, rubbish) = (scene.client(), &rubbish);
             scope.spawn(move || {
-                bad.say(rubbish);
-                assert_eq!(bad.line(), "ERROR\r\n");
+                bad.send(rubbish);
+                assert_eq!(bad.read_line(), "ERROR\r\n");
             });
         }
         let mut good = scene.client();
         for n in 0..50 {
             let begun = Instant::now();
-            assert_eq!(good.read("k", &n.to_string(), 900).1, "v\r\n");
+            assert_eq!(good.get("k", &n.to_string(), 900).1, "v\r\n");
             assert!(begun.elapsed() < ms(300), "{:?}", begun.elapsed());
         }
     });
@@ -174,8 +177,8 @@
         for _ in 0..30 {
             scope.spawn(|| {
                 while !stop.load(Ordering::SeqCst) {
-                    let mut bad = Client::to(place);
-                    let mut again = || bad.try_say("no such command\r\n") && bad.line() == "ERROR\r\n";
+                    let mut bad = Client::connect(place);
+                    let mut again = || bad.try_send("no such command\r\n") && bad.read_line() == "ERROR\r\n";
                     while again() && !stop.load(Ordering::SeqCst) {
                         sleep(Duration::ZERO);
                     }
@@ -183,7 +186,7 @@
             });
         }
         sleep(ms(500));
-        let answers: Vec<String> = (0..10).map(|n| scene.client().read("k", &n.to_string(), 900).1).collect();
+        let answers: Vec<String> = (0..10).map(|n| scene.client().get("k", &n.to_string(), 900).1).collect();
         stop.store(true, Ordering::SeqCst);
         assert_eq!(answers, ["v\r\n"; 10]);
     });
@@ -200,12 +203,12 @@
     let mut clients: Vec<Client> = (0..100).map(|_| scene.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         let ask = |n| format!("mg k v O{number}.{n} Pc=read,t=acme,d=2000\r\n");
-        client.say(&(0..60).map(ask).collect::<String>());
+        client.send(&(0..60).map(ask).collect::<String>());
     }
     sleep(ms(2500));
     assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
     for client in &mut clients {
-        let line = client.line();
+        let line = client.read_line();
         assert!(line.starts_with("VA 65536 ") || line.starts_with("SERVER_ERROR busy"), "{line:?}");
     }
 }
@@ -216,7 +219,7 @@
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let scene = ProxyFixture::with_sockets(&entries, 64);
     let mut held: Vec<Client> = (0..60).map(|_| scene.client()).collect();
-    assert_eq!(held[59].read("k", "1", 900).1, "v\r\n");
+    assert_eq!(held[59].get("k", "1", 900).1, "v\r\n");
     // 40 descriptors are left to share, 30 of them for consumers while providers need few.
     let made_room = ["consumers_evicted", "consumers_hopeless", "consumers_over_budget"];
     let closed: u64 = made_room.into_iter().map(|name| scene.counter(name)).sum();
@@ -244,7 +247,7 @@
         asked += counts;
         if honest.len() < SOCKETS / 3 {
             let mut client = scene.client();
-            let served_now = client.read(&format!("k{round}"), &round.to_string(), 900).1 == "v\r\n";
+            let served_now = client.get(&format!("k{round}"), &round.to_string(), 900).1 == "v\r\n";
             served += counts * usize::from(served_now);
             honest.push(client);
         }
@@ -261,7 +264,7 @@
         honest.retain(|client| !client.is_closed());
         if honest.len() < SOCKETS / 3 {
             let mut client = scene.client();
-            served += usize::from(client.read(&format!("t{asked}"), &format!("t{asked}"), 900).1 == "v\r\n");
+            served += usize::from(client.get(&format!("t{asked}"), &format!("t{asked}"), 900).1 == "v\r\n");
             honest.push(client);
         }
         sleep(ms(6));
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -10,13 +10,13 @@
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
     let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let mut client = scene.client();
-    assert_eq!(client.read("k", "1", 900).1, "old\r\n");
+    assert_eq!(client.get("k", "1", 900).1, "old\r\n");
     let (line, tell) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     let changes = [old.entry("s-0", "c6", "draining"), new.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &changes)).unwrap();
     scene.until("the change is known", || scene.counter("lists") == 1);
-    (2..20).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "new\r\n"));
+    (2..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "new\r\n"));
     assert_eq!(old.received().len(), 1);
     // A watch that ends is asked for again, from what is known on.
     drop(tell);
@@ -26,12 +26,12 @@
     tell.send(catalog(1, false, &[old.entry("s-0", "c6", "ready")])).unwrap();
     let (line, tell) = scene.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=0 HTTP/1.1");
-    (20..30).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n"));
+    (20..30).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n"));
     // Guards against drains that go unheard after a discovery that began again.
     let begun_again = [old.entry("s-0", "c6", "ready"), new.entry("s-1", "c6", "draining")];
     tell.send(catalog(1, true, &begun_again)).unwrap();
     scene.until("it has come", || scene.counter("lists") == 2);
-    (30..40).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
+    (30..40).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
 }
 
 /// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against half of one that keeps the watch alive.
@@ -98,19 +98,19 @@
     let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let (_, told_no_more) = scene.discovery.watch();
     let moved = Discovery::new();
-    scene.reload(&scene.discovery.place.to_string(), &moved.place.to_string());
+    scene.reload(&scene.discovery.address.to_string(), &moved.address.to_string());
     let begun = Instant::now();
     let (line, tell) = moved.watch();
     assert!(begun.elapsed() < ms(200), "at once, not after the rest that a failed watch calls for");
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[old.entry("s-0", "c6", "gone"), new.entry("s-1", "c6", "ready")])).unwrap();
     scene.until("the change is known", || scene.counter("lists") == 1);
-    assert_eq!(scene.client().read("k", "1", 900).1, "new\r\n");
+    assert_eq!(scene.client().get("k", "1", 900).1, "new\r\n");
     drop(told_no_more);
     scene.reload("{", "");
     scene.until("the bad file is noticed", || scene.counter("reloads_failed") == 1);
     tell.send(catalog(3, false, &[old.entry("s-2", "c6", "ready"), new.entry("s-1", "c6", "gone")])).unwrap();
     scene.until("the watch goes on", || scene.counter("lists") == 2);
-    assert_eq!(scene.client().read("k", "2", 900).1, "old\r\n");
+    assert_eq!(scene.client().get("k", "2", 900).1, "old\r\n");
     assert_eq!((scene.counter("reloads"), scene.counter("watches")), (1, 2));
 }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -53,13 +53,13 @@
                 let mut client = scene.client();
                 if warm {
                     assert!(client
-                        .write("put", &format!("good.{number}"), &format!("w{number}"), 900)
+                        .set("put", &format!("good.{number}"), &format!("w{number}"), 900)
                         .starts_with("HD "));
                 }
                 let (key, id) = (format!("{how}.{number}"), number.to_string());
                 let line = match class {
-                    "read" => client.read(&key, &id, 500).0,
-                    _ => client.write(class, &key, &id, 500),
+                    "read" => client.get(&key, &id, 500).0,
+                    _ => client.set(class, &key, &id, 500),
                 };
                 assert!(line.starts_with("SERVER_ERROR "), "{how} {class}: {line}");
                 let may_repeat = line.starts_with("SERVER_ERROR busy");
@@ -67,7 +67,7 @@
             }
         }
     }
-    assert!(scene.client().read("good.z", "z", 900).0.starts_with("VA "), "it serves on");
+    assert!(scene.client().get("good.z", "z", 900).0.starts_with("VA "), "it serves on");
     Recorder::own().check();
     assert_eq!((scene.counter("overdue"), scene.counter("panics")), (0, 0));
 }
@@ -88,12 +88,12 @@
     });
     let scene = ProxyFixture::of(&[&node], &origin);
     let leader = scene.client();
-    let leading = thread::spawn(move || leader.ask_and_leave("k", "lead", ms(100)));
+    let leading = thread::spawn(move || leader.request_and_disconnect("k", "lead", ms(100)));
     scene.until("the fetch is out", || origin.received().len() == 1);
     let waiters: Vec<_> = (0..4)
         .map(|n| {
             let mut client = scene.client();
-            thread::spawn(move || client.read("k", &format!("w{n}"), 1500).0)
+            thread::spawn(move || client.get("k", &format!("w{n}"), 1500).0)
         })
         .collect();
     leading.join().unwrap();
@@ -118,8 +118,8 @@
     for (n, class) in ["read", "put", "confirm"].into_iter().enumerate() {
         let (mut client, begun, id) = (scene.client(), Instant::now(), n.to_string());
         let line = match class {
-            "read" => client.read("k", &id, 2000).0,
-            _ => client.write(class, "k", &id, 2000),
+            "read" => client.get("k", &id, 2000).0,
+            _ => client.set(class, "k", &id, 2000),
         };
         assert!(line.starts_with("SERVER_ERROR busy "), "{class}: {line}");
         assert!(begun.elapsed() < ms(1500), "not kept until its deadline");
@@ -140,7 +140,7 @@
     let clients: Vec<_> = (0..8)
         .map(|n| {
             let mut client = scene.client();
-            thread::spawn(move || client.read(&format!("k{n}"), &n.to_string(), 900).0)
+            thread::spawn(move || client.get(&format!("k{n}"), &n.to_string(), 900).0)
         })
         .collect();
     scene.until("all are out", || node.received().len() == 8);
@@ -185,9 +185,9 @@
                 for n in 0..60 {
                     let (id, kind) = (format!("{c}x{n}"), if n % 5 == 0 { "missing" } else { "good" });
                     match n % 10 {
-                        4 => drop(client.write("put", &format!("w.{id}"), &id, 400)),
-                        9 => drop(client.write("confirm", &format!("w.{id}"), &id, 400)),
-                        _ => drop(client.read(&format!("{kind}.{}", n % 30), &id, 400)),
+                        4 => drop(client.set("put", &format!("w.{id}"), &id, 400)),
+                        9 => drop(client.set("confirm", &format!("w.{id}"), &id, 400)),
+                        _ => drop(client.get(&format!("{kind}.{}", n % 30), &id, 400)),
                     }
                 }
             })
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -21,10 +21,10 @@
     let scene = ProxyFixture::with_limits(&entries, 256, 32);
     let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
-        client.say(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
+        client.send(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
     }
     let mut room = vec![0; LONG / 8];
-    let lines: Vec<String> = clients.iter_mut().map(Client::line).collect();
+    let lines: Vec<String> = clients.iter_mut().map(Client::read_line).collect();
     assert!(lines.iter().all(|line| line.starts_with("VA 4194304 O")), "{lines:?}");
     for _ in 0..8 {
         // Longer than any deadline in all: progress alone counts.
@@ -35,7 +35,7 @@
         }
     }
     for client in &mut clients {
-        assert_eq!(client.line(), "\r\n");
+        assert_eq!(client.read_line(), "\r\n");
     }
     assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
     assert_eq!((scene.counter("values_flowed"), node.received().len()), (12, 12), "none is asked for twice");
@@ -63,8 +63,8 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     // Behind a long value answers keep their order.
-    client.say("mg k v O1 Pc=read,t=acme,d=500\r\nmn\r\n");
-    assert_eq!(client.line(), "VA 100000 O1\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=500\r\nmn\r\n");
+    assert_eq!(client.read_line(), "VA 100000 O1\r\n");
     let mut half = vec![0; 50_000];
     client.reader().read_exact(&mut half).unwrap();
     assert!(half.iter().all(|byte| *byte == b'a'));
@@ -72,7 +72,7 @@
     go.send(()).unwrap();
     client.reader().read_exact(&mut half).unwrap();
     assert!(half.iter().all(|byte| *byte == b'b'));
-    assert_eq!((client.line(), client.line()), ("\r\n".into(), "MN\r\n".into()));
+    assert_eq!((client.read_line(), client.read_line()), ("\r\n".into(), "MN\r\n".into()));
     assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (1, 1));
 }
 
@@ -93,7 +93,7 @@
     });
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
-    assert_eq!(scene.client().read("k", "1", 2000).1, "hello\r\n");
+    assert_eq!(scene.client().get("k", "1", 2000).1, "hello\r\n");
     assert_eq!((scene.counter("answers_spoilt"), node.received().len()), (0, 1));
 }
 
@@ -114,14 +114,14 @@
         let origin = idle_origin();
         let scene = ProxyFixture::of(&[&node], &origin);
         let mut client = scene.client();
-        assert!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n").starts_with("VA 10000"));
+        assert!(client.request("mg k v O1 Pc=read,t=acme,d=900\r\n").starts_with("VA 10000"));
         let mut rest = Vec::new();
         // A reset tells as well.
         let _ = client.reader().read_to_end(&mut rest);
         assert!(rest.len() <= 100_000, "{}", rest.len());
         scene.until("it is counted", || scene.counter("values_broken") == 1);
         assert_eq!(node.received().len(), 1);
-        assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+        assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
     }
 }
 
@@ -143,7 +143,7 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    assert_eq!(client.ask("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
+    assert_eq!(client.request("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
     drop(client);
     assert!(seen.recv_timeout(WAIT).unwrap(), "the node's connection is closed");
     scene.until("the call ends", || scene.counter("calls_cancelled") == 1);
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -12,7 +12,7 @@
 fn the_door_says_yes_or_no_and_why() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    let call = |method, path| call(scene.admin_address, method, path);
+    let call = |method, path| call_admin(scene.admin_address, method, path);
     assert_eq!(call("GET", "/control/ready"), (200, "ready\n".into()));
     assert_eq!(call("POST", "/control/ready").0, 405);
     assert_eq!(call("GET", "/control/nothing").0, 404);
@@ -44,7 +44,7 @@
             stream
         })
         .collect();
-    assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200);
     drop(crowd);
 }
 
@@ -57,16 +57,19 @@
         .map(|_| {
             let mut client = scene.client();
             std::thread::spawn(move || {
-                (0..300).take_while(|_| client.try_say(&"mn\r\n".repeat(1000))).count()
+                (0..300).take_while(|_| client.try_send(&"mn\r\n".repeat(1000))).count()
             })
         })
         .collect();
     for n in 0..40 {
         let path = ["offline", "online"][n % 2];
-        assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200);
-        assert_eq!(call(scene.admin_address, "POST", &format!("/control/cache-nodes/s-0/{path}")).0, 200);
+        assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200);
+        assert_eq!(
+            call_admin(scene.admin_address, "POST", &format!("/control/cache-nodes/s-0/{path}")).0,
+            200
+        );
     }
-    assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
     // Nobody reads what the flood is answered: it ends as those connections are closed.
     for flood in flood {
         assert!(flood.join().unwrap() > 0);
@@ -83,12 +86,12 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     scene.signal("TERM");
-    scene.until("it says no", || call(scene.admin_address, "GET", "/control/ready").0 == 503);
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 409);
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    scene.until("it says no", || call_admin(scene.admin_address, "GET", "/control/ready").0 == 503);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 409);
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     assert!(scene.end().status.success());
 }
 
@@ -102,10 +105,10 @@
         // The first on a connection, and one behind it.
         let words = format!("mg k v O{id} Pc=read,t=acme,d=900\r\n");
         let (begin, rest) = words.split_at(9);
-        client.say(begin);
+        client.send(begin);
         sleep(ms(2000));
-        client.say(rest);
-        assert_eq!((client.line(), client.line()), (format!("VA 1 O{id}\r\n"), "v\r\n".into()));
+        client.send(rest);
+        assert_eq!((client.read_line(), client.read_line()), (format!("VA 1 O{id}\r\n"), "v\r\n".into()));
     }
 }
 
@@ -118,14 +121,14 @@
     let mut ask = |times: usize| {
         (0..times).for_each(|_| {
             number += 1;
-            assert!(client.read(&format!("k{number}"), &number.to_string(), 900).0.starts_with("VA "));
+            assert!(client.get(&format!("k{number}"), &number.to_string(), 900).0.starts_with("VA "));
         });
     };
     ask(20);
     assert!(!out.received().is_empty());
     let (_, tell) = scene.discovery.watch();
     let of = |lifecycle| [out.entry("s-0", "c6", lifecycle), other.entry("s-1", "c6", "ready")];
-    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     let before = out.received().len();
     ask(20);
     // Whatever discovery lists in between.
@@ -138,7 +141,7 @@
         ask(10 + n);
     }
     assert_eq!(out.received().len(), before, "nothing new went there");
-    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/online").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/online").0, 200);
     ask(60);
     assert!(out.received().len() > before, "it serves again");
 }
@@ -156,10 +159,10 @@
     scene.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
     scene.until("it is read", || scene.counter("reloads") == 1);
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
-    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     scene.until("its connection is closed", || node.ended.load(std::sync::atomic::Ordering::SeqCst) == 1);
 }
 
@@ -178,23 +181,23 @@
     let (mut busy, mut used) = (scene.client(), scene.client());
     let mut idle: Vec<Client> = (0..20).map(|_| scene.client()).collect();
     for client in &mut idle {
-        assert_eq!(client.ask("mn\r\n"), "MN\r\n");
+        assert_eq!(client.request("mn\r\n"), "MN\r\n");
     }
-    assert_eq!(used.read("k", "1", 900).1, "v\r\n");
-    busy.say("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
+    assert_eq!(used.get("k", "1", 900).1, "v\r\n");
+    busy.send("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 2);
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     let begun = Instant::now();
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
-    assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
-    assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
+    assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
+    assert!(scene.client().request("mn\r\n").starts_with("SERVER_ERROR "));
     // Who has a connection is served on it once more, and it closes with the answer; so does a new one.
     for mut client in [used, scene.client()] {
-        assert_eq!(client.read("k", "3", 900).1, "v\r\n");
-        assert_eq!(client.line(), "");
+        assert_eq!(client.get("k", "3", 900).1, "v\r\n");
+        assert_eq!(client.read_line(), "");
     }
     assert_eq!(
-        (busy.line(), busy.line(), busy.line()),
+        (busy.read_line(), busy.read_line(), busy.read_line()),
         ("VA 1 O2\r\n".into(), "v\r\n".into(), String::new())
     );
     let closed = |idle: &[Client]| idle.iter().filter(|client| client.is_closed()).count();
@@ -202,10 +205,10 @@
     scene.until("idle connections close", || closed(&idle) == idle.len());
     assert!(early < idle.len(), "not all at once");
     assert!(begun.elapsed() < ms(4000));
-    assert_eq!(call(scene.admin_address, "POST", "/control/in-service").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/in-service").0, 200);
     let mut back = scene.client();
-    assert_eq!(back.ask("mn\r\n"), "MN\r\n");
-    assert_eq!((back.read("k", "4", 900).1, back.read("k", "5", 900).1), ("v\r\n".into(), "v\r\n".into()));
+    assert_eq!(back.request("mn\r\n"), "MN\r\n");
+    assert_eq!((back.get("k", "4", 900).1, back.get("k", "5", 900).1), ("v\r\n".into(), "v\r\n".into()));
     scene.signal("TERM");
     assert!(scene.end().status.success());
 }
@@ -224,7 +227,7 @@
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
     let ask = |client: &mut Client, class: &str, id: &str| {
-        client.ask(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
+        client.request(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
     };
     let reload = |from: &str, to: &str| {
         let seen = scene.counter("reloads") + scene.counter("reloads_failed");
@@ -236,7 +239,7 @@
     assert_eq!(ask(&mut client, "peek", "1"), "CLIENT_ERROR unknown class\r\n");
     reload(r#"{"Name":"read""#, class);
     assert!(ask(&mut client, "peek", "2").starts_with("VA 1 O2"));
-    client.line();
+    client.read_line();
     // Each is refused whole, though it also names a class that would be new.
     for (from, to) in [
         (r#""Name":"peek","Aim":300.0"#, r#""Name":"new","Aim":0"#),
@@ -255,18 +258,22 @@
     ] {
         let before = (scene.counter("reloads"), scene.counter("reloads_failed"));
         reload(from, to);
-        assert_eq!((scene.counter("reloads"), scene.counter("reloads_failed")), (before.0, before.1 + 1), "{to}");
+        assert_eq!(
+            (scene.counter("reloads"), scene.counter("reloads_failed")),
+            (before.0, before.1 + 1),
+            "{to}"
+        );
         reload(to, from);
         assert!(ask(&mut client, "peek", &before.1.to_string()).starts_with("VA 1 O"));
-        client.line();
+        client.read_line();
     }
     // What is open keeps its class and its deadline, though the class goes.
     let mut slow = scene.client();
-    slow.say("mg slow v Oslow Pc=peek,t=acme,d=700\r\n");
+    slow.send("mg slow v Oslow Pc=peek,t=acme,d=700\r\n");
     scene.until("the node is asked", || node.received().iter().any(|line| line.contains("slow")));
     reload(class, r#"{"Name":"read""#);
     assert_eq!(ask(&mut client, "peek", "z"), "CLIENT_ERROR unknown class\r\n");
-    assert!(slow.line().starts_with("SERVER_ERROR "));
+    assert!(slow.read_line().starts_with("SERVER_ERROR "));
     assert_eq!(scene.counter("overdue"), 0);
 }
 
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -42,12 +42,12 @@
         );
         let mut client = scene.client();
         if how == "close over unread answers" {
-            client.say("mn\r\nversion\r\n");
+            client.send("mn\r\nversion\r\n");
         }
         // 64 commands may wait, so that of these some lie unread.
-        client.say(&reads(0, 400));
+        client.send(&reads(0, 400));
         if how == "quit" {
-            client.say("quit\r\n");
+            client.send("quit\r\n");
         }
         scene.until("its commands are taken", || scene.counter("taken_reads") == 64);
         scene.until("the node has what it may have", || {
@@ -80,14 +80,14 @@
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let scene = ProxyFixture::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
     let mut client = scene.client();
-    client.say(&reads(0, 40));
+    client.send(&reads(0, 40));
     scene.until("its commands are taken", || scene.counter("taken_reads") == 40);
     scene.until("the node has what it may have", || {
         node.received().len() as u64 == scene.counter("calls_ordered")
     });
     let before = node.received().len();
     assert!((1..40).contains(&before), "some of them wait: {before} sent");
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     // From then on nothing more is read on a connection that has commands open.
     sleep(ms(2000));
     drop(client);
@@ -106,10 +106,10 @@
     // 64 of these cost a rest of 20 ms: 900 ms in all.
     let rubbish = "no such command\r\n".repeat(45 * 64);
     let mut client = scene.client();
-    client.say(&format!("{rubbish}mg k v O1 Pc=read,t=acme,d=20000\r\n"));
+    client.send(&format!("{rubbish}mg k v O1 Pc=read,t=acme,d=20000\r\n"));
     client.reader().get_ref().shutdown(Shutdown::Write).unwrap();
     scene.until("some of it is read", || scene.counter("taken_malformed") > 0);
-    while !client.line().is_empty() {}
+    while !client.read_line().is_empty() {}
     // It was not obeyed before the connection ended, and nobody obeys it after.
     assert_eq!((node.received(), scene.counter("taken_reads")), (Vec::new(), 0));
 }
@@ -121,11 +121,11 @@
     let node = StubServer::full_node("v");
     let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let mut held = scene.client();
-    assert_eq!(held.read("k", "0", 900).1, "v\r\n");
+    assert_eq!(held.get("k", "0", 900).1, "v\r\n");
     scene.signal("STOP");
     let mut new = scene.client();
-    held.say(&reads(1, 2));
-    new.say(&reads(2, 3));
+    held.send(&reads(1, 2));
+    new.send(&reads(2, 3));
     drop((held, new));
     scene.signal("CONT");
     let accepted = scene.counter("consumers_accepted");
@@ -153,7 +153,7 @@
     // One key is asked for twice: the second waits for the fetch of the first.
     let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
-        client.say(&format!("mg k{} v O{n} Pc=read,t=acme,d=20000\r\n", n.min(10)));
+        client.send(&format!("mg k{} v O{n} Pc=read,t=acme,d=20000\r\n", n.min(10)));
     }
     scene.until("all that may are at the origin", || origin.received().len() == 8);
     scene.until("all are taken", || scene.counter("taken_reads") == 12);
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -7,7 +7,7 @@
 fn is_reset_by(client: &mut Client, words: &str, time: u64) -> bool {
     let until = Instant::now() + ms(time);
     while Instant::now() < until {
-        if !client.try_say(words) {
+        if !client.try_send(words) {
             return true;
         }
         std::thread::sleep(ms(5));
@@ -23,17 +23,19 @@
         let node = StubServer::full_node("v");
         let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
         let mut client = scene.client();
-        assert_eq!(client.read("k", "1", 900).1, "v\r\n");
+        assert_eq!(client.get("k", "1", 900).1, "v\r\n");
         if how == "sigterm over half a command" {
-            client.say("mg k v O2 Pc=re");
+            client.send("mg k v O2 Pc=re");
         }
         match how {
-            "out of service" => assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200),
+            "out of service" => {
+                assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200)
+            }
             _ => scene.signal("TERM"),
         }
         scene.until("the proxy ends it", || client.is_closed());
         assert!(!is_reset_by(&mut client, "mg k v O3 Pc=read,t=acme,d=900\r\n", 150), "{how}");
-        assert_eq!(client.line(), "", "{how}: nothing is answered after the end");
+        assert_eq!(client.read_line(), "", "{how}: nothing is answered after the end");
         assert_eq!(node.received().len(), 1, "{how}: nothing that came after the end is taken");
         // It is let go of all the same.
         assert!(is_reset_by(&mut client, "\r\n", 2000), "{how}");
@@ -51,15 +53,15 @@
     let scene =
         ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")]);
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=900\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=900\r\n");
     let mut asked = node.accept().expect("it is sent");
     let command = asked.request(false).expect("whole");
     let begun = Instant::now();
     for name in ["TERM", "HUP", "TERM", "USR1"] {
         scene.signal(name);
     }
-    assert!(asked.say(&value(&command, "v")));
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    assert!(asked.send(&value(&command, "v")));
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     drop((client, asked));
     let output = scene.end();
     assert!(output.status.success(), "{:?}", output.status);
@@ -87,14 +89,14 @@
 ) -> Drained {
     let mut seen = Drained::default();
     while Instant::now() < connects {
-        let Some(mut client) = Client::try_to(place) else { break };
+        let Some(mut client) = Client::try_connect(place) else { break };
         let before = seen.answered;
         while Instant::now() < until {
             let id = format!("{name}.{}", seen.asked);
             seen.asked += 1;
             let is_new = seen.answered == before;
-            let said = client.try_say(&format!("mg {id} v O{id} Pc=read,t=acme,d=600\r\n"));
-            let line = if said { client.line() } else { String::new() };
+            let said = client.try_send(&format!("mg {id} v O{id} Pc=read,t=acme,d=600\r\n"));
+            let line = if said { client.read_line() } else { String::new() };
             match line.as_str() {
                 "" if is_new => seen.unanswered += 1,
                 "" => seen.crossed += 1,
@@ -102,7 +104,7 @@
                     assert!(line.starts_with("VA ") || line.starts_with("SERVER_ERROR "), "{line}");
                     seen.answered += 1;
                     if line.starts_with("VA ") {
-                        assert_eq!(client.line(), "v\r\n", "a value that began is whole");
+                        assert_eq!(client.read_line(), "v\r\n", "a value that began is whole");
                     }
                 }
             }
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -13,20 +13,20 @@
     let scene =
         ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
     let mut client = scene.client();
-    client.say("mg a v O1 Pc=read,t=acme,d=5000\r\n");
+    client.send("mg a v O1 Pc=read,t=acme,d=5000\r\n");
     let mut first = origin.accept().expect("the fetch is sent");
     assert!(first.request(true).expect("whole").starts_with("GET /a "));
     let says = |value: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{value}");
-    assert!(first.say(&says("a")));
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "a\r\n".into()));
-    client.say("mg b v O2 Pc=read,t=acme,d=5000\r\n");
+    assert!(first.send(&says("a")));
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "a\r\n".into()));
+    client.send("mg b v O2 Pc=read,t=acme,d=5000\r\n");
     // On whichever connection the request comes, the first one's second answer is there before its own.
     let mut second = origin.accept_within(ms(1000));
-    first.say(&says("a"));
+    first.send(&says("a"));
     let asked = second.as_mut().unwrap_or(&mut first);
     assert!(asked.request(true).expect("whole").starts_with("GET /b "));
-    asked.say(&says("b"));
-    assert_eq!((client.line(), client.line()), ("VA 1 O2\r\n".into(), "b\r\n".into()));
+    asked.send(&says("b"));
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O2\r\n".into(), "b\r\n".into()));
 }
 
 /// Guards against an effect twice, or a failure that was none: nor does a second refusal, which never has an id.
@@ -35,17 +35,17 @@
     let node = AcceptBarrier::new();
     let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0)]);
     let mut client = scene.client();
-    client.say("mg a v O1 Pc=confirm,t=acme,d=5000\r\n");
+    client.send("mg a v O1 Pc=confirm,t=acme,d=5000\r\n");
     let mut first = node.accept().expect("it is sent");
     assert!(first.request(false).is_some());
-    assert!(first.say("SERVER_ERROR busy\r\n"));
+    assert!(first.send("SERVER_ERROR busy\r\n"));
     // Refused there, it may be asked again on any connection.
     let mut second = node.accept_within(ms(1000));
-    first.say("SERVER_ERROR busy\r\n");
+    first.send("SERVER_ERROR busy\r\n");
     let asked = second.as_mut().unwrap_or(&mut first);
     let command = asked.request(false).expect("it is tried again");
-    asked.say(&value(&command, "v"));
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    asked.send(&value(&command, "v"));
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
 }
 
 /// Guards against a value that is not whole: an answer without a length ends with the connection, however that ends.
@@ -57,17 +57,17 @@
         let scene =
             ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
         let mut client = scene.client();
-        client.say("mg a v O1 Pc=read,t=acme,d=900\r\n");
+        client.send("mg a v O1 Pc=read,t=acme,d=900\r\n");
         // Each time that it is asked.
         for _ in 0..3 {
             let Some(mut asked) = origin.accept_within(ms(500)) else { break };
             asked.request(true).expect("whole");
-            asked.say("HTTP/1.1 200 OK\r\nX-Txn: 1\r\n\r\nhal");
+            asked.send("HTTP/1.1 200 OK\r\nX-Txn: 1\r\n\r\nhal");
             if resets {
-                asked.resets();
+                asked.reset();
             }
         }
-        assert!(client.line().starts_with("SERVER_ERROR "), "resets: {resets}");
+        assert!(client.read_line().starts_with("SERVER_ERROR "), "resets: {resets}");
     }
 }
 
@@ -88,13 +88,13 @@
     let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
     let (_, tell) = scene.discovery.watch();
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     let anew = node.entry("s-0", "c6", "ready").replace(r#""startedAtMs":0"#, r#""startedAtMs":1000"#);
     tell.send(catalog(2, false, &[anew])).unwrap();
     scene.until("it is heard", || scene.counter("lists") == 1);
     lets_go.store(true, Ordering::SeqCst);
-    assert_eq!((client.line(), client.line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
-    assert_eq!(client.read("k", "2", 900).1, "v\r\n");
+    assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
+    assert_eq!(client.get("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2, "the second call is made on a connection to the new process");
 }
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -15,18 +15,18 @@
     let entries = [origin.entry("o", "origin", "ready", 0)];
     let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT, window]);
     let mut client = scene.client();
-    client.say("ms k 5 O1 Pc=put,t=acme,d=4000,k=1\r\nhello\r\n");
+    client.send("ms k 5 O1 Pc=put,t=acme,d=4000,k=1\r\nhello\r\n");
     let mut first = origin.accept().expect("the write is sent");
     assert!(first.request(true).expect("whole").starts_with("PUT /k "));
     let begun = Instant::now();
-    origin.shut();
+    origin.close();
     drop(first);
     scene.until("it is tried again", || scene.counter("calls_ordered") == 2);
-    assert!(client.line().starts_with("SERVER_ERROR "), "it cannot be served any more");
+    assert!(client.read_line().starts_with("SERVER_ERROR "), "it cannot be served any more");
     assert!(begun.elapsed() < ms(2000), "told when its window is over: {:?}", begun.elapsed());
     origin.open();
     if let Some(mut late) = origin.accept_within(ms(COMES_UP)) {
-        assert_eq!(late.all_within(ms(500)).0, b"", "nothing is sent on it");
+        assert_eq!(late.read_all_within(ms(500)).0, b"", "nothing is sent on it");
     }
 }
 
@@ -36,13 +36,13 @@
 fn a_connection_that_comes_up_too_late_takes_no_call() {
     for happens in ["drains", "starts anew", "the client leaves"] {
         let mut node = AcceptBarrier::new();
-        node.shut();
+        node.close();
         let origin = StubServer::origin(|_| StubAction::Ignore);
         let entries = [node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")];
         let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT]);
         let (_, tell) = scene.discovery.watch();
         let mut client = scene.client();
-        client.say("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+        client.send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
         scene.until("the call is decided", || scene.counter("calls_ordered") == 1);
         let change = |lifecycle, started| catalog(2, false, &[node.entry("s-0", "c6", lifecycle, started)]);
         let told = match happens {
@@ -62,7 +62,7 @@
         }
         node.open();
         let mut late = node.accept_within(ms(COMES_UP)).expect("the connection comes up");
-        assert_eq!(late.all_within(ms(300)).0, b"", "{happens}");
+        assert_eq!(late.read_all_within(ms(300)).0, b"", "{happens}");
         scene.until("the call has ended", || scene.counter("calls_moot") >= 1);
     }
 }
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -16,7 +16,7 @@
     let node = StubServer::full_node("v");
     let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let discovery = AcceptBarrier::new();
-    scene.reload(&scene.discovery.place.to_string(), &discovery.place.to_string());
+    scene.reload(&scene.discovery.address.to_string(), &discovery.address.to_string());
     let mut call = discovery.accept().expect("the watch moves");
     assert!(call.request(true).is_some());
     (scene, discovery, call, node)
@@ -28,25 +28,25 @@
 fn what_a_silent_watch_missed_is_asked_for_in_time_whatever_the_next_call_meets() {
     for next in ["hangs", "is refused", "ends", "trickles"] {
         let (scene, discovery, mut watch, node) = moved();
-        assert!(watch.say(HEAD) && watch.say(&chunk("")));
+        assert!(watch.send(HEAD) && watch.send(&chunk("")));
         let silent_since = Instant::now();
         let mut call = discovery.accept().expect("a silent watch is dead");
         assert!(call.request(true).is_some());
         match next {
-            "is refused" => drop(call.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
+            "is refused" => drop(call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
             // A head that never ends.
-            "trickles" => drop(call.say("HTTP/1.1 200 OK\r\nTransfer-")),
+            "trickles" => drop(call.send("HTTP/1.1 200 OK\r\nTransfer-")),
             _ => {}
         }
         let held = (next != "ends").then_some(call);
         let mut call = discovery.accept().expect("discovery is asked again");
         assert!(call.request(true).is_some());
         assert!(
-            call.say(HEAD) && call.say(&chunk(&catalog(2, false, &[node.entry("s-0", "c6", "draining")])))
+            call.send(HEAD) && call.send(&chunk(&catalog(2, false, &[node.entry("s-0", "c6", "draining")])))
         );
         scene.until("it is heard", || scene.counter("lists") == 1);
         assert!(silent_since.elapsed() < TOLD, "{next}: {:?}", silent_since.elapsed());
-        let line = scene.client().read("k", "1", 300).0;
+        let line = scene.client().get("k", "1", 300).0;
         assert!(line.starts_with("SERVER_ERROR busy"), "the only node drains: {line}");
         assert_eq!(node.received(), Vec::<String>::new(), "{next}");
         drop(held);
@@ -60,7 +60,7 @@
     let (_scene, discovery, mut call, _) = moved();
     let mut begun = Vec::new();
     for _ in 0..6 {
-        call.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         begun.push(Instant::now());
         call = discovery.accept().expect("discovery is asked again");
         assert!(call.request(true).is_some());
@@ -81,7 +81,7 @@
     let entries = [node.entry("s-0", "c6", "ready")];
     let scene = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
     let agent = AcceptBarrier::new();
-    scene.reload(&scene.discovery.place.to_string(), &agent.place.to_string());
+    scene.reload(&scene.discovery.address.to_string(), &agent.address.to_string());
     let mut last = Instant::now();
     for number in 0..8 {
         let mut call = agent.accept().expect("it is asked again");
@@ -97,8 +97,8 @@
     let node = StubServer::full_node("v");
     let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let (mut old, new) = (AcceptBarrier::new(), AcceptBarrier::new());
-    old.shut();
-    let places = [scene.discovery.place, old.place, new.place].map(|place| place.to_string());
+    old.close();
+    let places = [scene.discovery.address, old.address, new.address].map(|place| place.to_string());
     scene.reload(&places[0], &places[1]);
     scene.until("it has moved", || scene.counter("watches") == 2);
     let begun = Instant::now();
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -10,7 +10,7 @@
 fn a_read_is_served_by_a_node_as_it_was_given() {
     let (node, origin) = (StubServer::full_node("hello"), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
-    let (line, value) = scene.client().read("7f3a", "9b1f", 480);
+    let (line, value) = scene.client().get("7f3a", "9b1f", 480);
     assert_eq!((line.as_str(), value.as_str()), ("VA 5 O9b1f\r\n", "hello\r\n"));
     let heard = node.received();
     let d: u32 = heard[0]
@@ -26,8 +26,8 @@
     let (node, origin) = (StubServer::empty_node(), origin_saying("r7"));
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    assert_eq!(client.read("a/b", "1", 900), ("VA 2 O1\r\n".into(), "r7\r\n".into()));
-    assert_eq!(client.ask("ms w 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhello\r\n"), "HD O2 cr7\r\n");
+    assert_eq!(client.get("a/b", "1", 900), ("VA 2 O1\r\n".into(), "r7\r\n".into()));
+    assert_eq!(client.request("ms w 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhello\r\n"), "HD O2 cr7\r\n");
     let heard = origin.received();
     assert!(heard[0].starts_with("GET /a%2Fb HTTP/1.1\r\n") && heard[0].contains("\r\nX-Txn: 1\r\n"));
     assert!(heard[1].starts_with("PUT /w HTTP/1.1\r\n") && heard[1].ends_with("\r\n\r\nhello"));
@@ -44,7 +44,7 @@
         _ => http_200("r1"),
     });
     let scene = ProxyFixture::of(&[], &origin);
-    assert_eq!(scene.client().ask("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
+    assert_eq!(scene.client().request("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
     assert_eq!((scene.counter("calls_full"), scene.counter("calls_ok")), (1, 1));
 }
 
@@ -55,7 +55,7 @@
     let nowhere = StubServer { address: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
     let scene = ProxyFixture::of(&[&nowhere, &node], &origin);
     let mut client = scene.client();
-    (0..20).for_each(|n| assert_eq!(client.read(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
+    (0..20).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
     assert!(scene.counter("calls_connect_failed") >= 1);
     assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (20, 20));
 }
@@ -65,7 +65,7 @@
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
-    let (line, _) = scene.client().read("k", "1", 300);
+    let (line, _) = scene.client().get("k", "1", 300);
     assert!(begun.elapsed() < ms(600), "at its own deadline, not its class's: {:?}", begun.elapsed());
     assert_eq!(line, "SERVER_ERROR busy 500\r\n", "with when to come back");
     scene.until("the call is given up", || node.ended.load(Ordering::SeqCst) == 1);
@@ -75,7 +75,7 @@
 #[test]
 fn without_any_node_a_read_is_answered_all_the_same() {
     let scene = ProxyFixture::new(&[]);
-    let line = scene.client().read("k", "1", 200).0;
+    let line = scene.client().get("k", "1", 200).0;
     assert!(line.starts_with("SERVER_ERROR busy "), "{line}");
 }
 
@@ -84,7 +84,7 @@
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    client.say("mg k v O1 Pc=read,t=acme,d=400\r\n");
+    client.send("mg k v O1 Pc=read,t=acme,d=400\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     drop(client);
     scene.until("it is noticed", || scene.counter("consumers_gone") == 1);
@@ -106,13 +106,13 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let mut client = scene.client();
-    (0..20).for_each(|n| assert_eq!(client.read("k", &n.to_string(), 900).1, "v\r\n"));
+    (0..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
     assert_eq!((node.connected(), scene.counter("provider_connections")), (1, 1));
-    assert!(client.read("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
+    assert!(client.get("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
     scene.until("the rest are broken", || node.ended.load(Ordering::SeqCst) == node.connected());
     let resets = scene.counter("calls_reset");
     // The node is a suspect for about a second.
-    scene.until("it is tried again", || scene.client().read("k", "21", 900).1 == "v\r\n");
+    scene.until("it is tried again", || scene.client().get("k", "21", 900).1 == "v\r\n");
     assert_eq!(scene.counter("calls_reset"), resets, "no call met a broken connection");
     // The settings let connections stand idle for 1.5 s.
     let until = Instant::now() + ms(1400 + 1000);
@@ -133,7 +133,7 @@
     let backwards: Vec<String> = entries.iter().rev().cloned().collect();
     let choices = |scene: ProxyFixture| -> Vec<String> {
         let mut client = scene.client();
-        (0..30).map(|n| client.read(&format!("key{n}"), &n.to_string(), 900).1).collect()
+        (0..30).map(|n| client.get(&format!("key{n}"), &n.to_string(), 900).1).collect()
     };
     let (one, other) = (choices(ProxyFixture::new(&entries)), choices(ProxyFixture::new(&backwards)));
     assert_eq!(one, other);
@@ -148,7 +148,7 @@
     let mut client = scene.client();
     let mut ask = |from: u32| {
         (from..from + 1000).for_each(|n| {
-            assert_eq!(client.read("k", &n.to_string(), 50_000).1, "v\r\n");
+            assert_eq!(client.get("k", &n.to_string(), 50_000).1, "v\r\n");
             sleep(ms(1));
         });
     };
@@ -165,12 +165,12 @@
     let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
     let (_, tell) = scene.discovery.watch();
     let mut client = scene.client();
-    assert_eq!(client.read("k", "1", 900).1, "v\r\n");
+    assert_eq!(client.get("k", "1", 900).1, "v\r\n");
     let change = [node.entry("s-0", "c6", "gone"), node.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &change)).unwrap();
     scene.until("the change is known", || scene.counter("lists") == 1);
     scene.until("the old connection ends", || node.ended.load(Ordering::SeqCst) == 1);
-    assert_eq!(client.read("k", "2", 900).1, "v\r\n");
+    assert_eq!(client.get("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2);
 }
 
@@ -189,10 +189,10 @@
                     20 + n * 48 + *number
                 )
             };
-            client.say(&(0..60).map(ask).collect::<String>());
+            client.send(&(0..60).map(ask).collect::<String>());
         }
         for (client, _) in &mut clients {
-            (0..60).for_each(|_| assert!(client.line().starts_with("SERVER_ERROR ")));
+            (0..60).for_each(|_| assert!(client.read_line().starts_with("SERVER_ERROR ")));
         }
     }
     assert_eq!(scene.counter("overdue"), 0);
--- a/tests/sockets/settings.rs
+++ b/tests/sockets/settings.rs
@@ -11,9 +11,9 @@
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let scene = ProxyFixture::with_all(&entries, changes);
     let mut client = scene.client();
-    let line = client.ask(&format!("mg k v O1 Pc={read}{tenant},d=900\r\n"));
-    assert_eq!((line.as_str(), client.line().as_str()), ("VA 1 O1\r\n", "v\r\n"), "{changes:?}");
-    let line = client.ask(&format!("ms k 2 O2 Pc={write}{tenant},d=900,k=5\r\nhi\r\n"));
+    let line = client.request(&format!("mg k v O1 Pc={read}{tenant},d=900\r\n"));
+    assert_eq!((line.as_str(), client.read_line().as_str()), ("VA 1 O1\r\n", "v\r\n"), "{changes:?}");
+    let line = client.request(&format!("ms k 2 O2 Pc={write}{tenant},d=900,k=5\r\nhi\r\n"));
     assert_eq!(line, "HD O2 cr1\r\n", "{changes:?}");
     let passed = origin.received().concat();
     assert!(passed.contains(&format!("X-Labels: c={write}{tenant},d=")), "unchanged: {passed}");
@@ -72,7 +72,7 @@
     let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     for (n, d) in [0, 1, 5, 30, 150].into_iter().enumerate() {
         let begun = Instant::now();
-        let line = scene.client().ask(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
+        let line = scene.client().request(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
         assert!(line.starts_with("SERVER_ERROR "), "{d}: {line}");
         assert!(begun.elapsed() < ms(d + 400), "{d}: {:?}", begun.elapsed());
     }
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -14,16 +14,16 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let (mut before, mut idle) = (scene.client(), scene.client());
-    assert_eq!(idle.ask("mn\r\n"), "MN\r\n");
-    before.say("mg k v O1 Pc=read,t=acme,d=2000\r\n");
+    assert_eq!(idle.request("mn\r\n"), "MN\r\n");
+    before.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
     scene.until("the node is asked", || node.received().len() == 1);
     scene.signal("TERM");
     sleep(ms(100));
     let mut after = scene.client();
-    after.say("mg j v O2 Pc=read,t=acme,d=2000\r\n");
-    assert_eq!((before.line(), before.line()), ("VA 4 O1\r\n".into(), "late\r\n".into()));
-    assert_eq!((after.line(), after.line()), ("VA 4 O2\r\n".into(), "late\r\n".into()));
-    assert_eq!([before.line(), after.line(), idle.line()], [""; 3], "closed between commands");
+    after.send("mg j v O2 Pc=read,t=acme,d=2000\r\n");
+    assert_eq!((before.read_line(), before.read_line()), ("VA 4 O1\r\n".into(), "late\r\n".into()));
+    assert_eq!((after.read_line(), after.read_line()), ("VA 4 O2\r\n".into(), "late\r\n".into()));
+    assert_eq!([before.read_line(), after.read_line(), idle.read_line()], [""; 3], "closed between commands");
     let output = scene.end();
     assert!(output.status.success());
     let said = String::from_utf8_lossy(&output.stdout).into_owned();
@@ -44,16 +44,16 @@
     let origin = idle_origin();
     let scene = ProxyFixture::of(&[&node], &origin);
     let (mut kept, mut slow) = (scene.client(), scene.client());
-    assert_eq!((kept.ask("mn\r\n"), slow.ask("mn\r\n")), ("MN\r\n".into(), "MN\r\n".into()));
+    assert_eq!((kept.request("mn\r\n"), slow.request("mn\r\n")), ("MN\r\n".into(), "MN\r\n".into()));
     scene.signal("TERM");
     let begun = Instant::now();
     sleep(ms(800));
     assert!(std::net::TcpStream::connect(scene.client_address).is_err(), "it still listens");
-    assert_eq!(kept.read("k", "1", 900).1, "v\r\n");
+    assert_eq!(kept.get("k", "1", 900).1, "v\r\n");
     // Clients wait for 1 s at the most, so that the kill may come 1.7 s after SIGTERM: this one is answered first.
-    slow.say("mg slow v O2 Pc=read,t=acme,d=1000\r\n");
-    assert!(slow.line().starts_with("SERVER_ERROR "));
-    assert_eq!((kept.line(), slow.line()), (String::new(), String::new()));
+    slow.send("mg slow v O2 Pc=read,t=acme,d=1000\r\n");
+    assert!(slow.read_line().starts_with("SERVER_ERROR "));
+    assert_eq!((kept.read_line(), slow.read_line()), (String::new(), String::new()));
     let output = scene.end();
     assert!(output.status.success() && begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
 }
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -26,17 +26,17 @@
         let run = |number: usize| {
             let (stop, asked) = (Arc::clone(&stop), Arc::clone(&asked));
             spawn(move || {
-                let mut client = Client::to(place);
+                let mut client = Client::connect(place);
                 for n in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
                     }
                     let id = format!("{number}.{n}");
                     // A close that crosses a command leaves it unread, and it is sent once more.
-                    let mut answer = client.try_read(&id);
+                    let mut answer = client.try_get(&id);
                     if answer.is_none() {
-                        client = Client::to(place);
-                        answer = client.try_read(&format!("{id}r"));
+                        client = Client::connect(place);
+                        answer = client.try_get(&format!("{id}r"));
                     }
                     assert_eq!(answer.as_deref(), Some("v\r\n"), "{id}");
                     asked.fetch_add(1, Ordering::SeqCst);
@@ -60,14 +60,14 @@
 fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
     let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node, &out], &origin);
-    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
     let load = Load::on(&scene, 8);
     for _ in 0..3 {
         let second = scene.start_second_process();
         // Both doors bind both processes.
-        assert_eq!(call(second.1, "POST", "/control/cache-nodes/s-0/online").0, 200);
-        assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
-        assert_eq!(call(scene.admin_address, "GET", "/control/ready").0, 200, "the old one serves on");
+        assert_eq!(call_admin(second.1, "POST", "/control/cache-nodes/s-0/online").0, 200);
+        assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+        assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200, "the old one serves on");
         sleep(ms(100));
         let first = scene.replace_process(second);
         signal(&first, "TERM");
@@ -80,9 +80,9 @@
     assert_eq!(node.received().len(), ids.len(), "nothing runs twice");
     assert!(ids.len() >= asked && asked > 100, "{asked} of {}", ids.len());
     assert!(out.received().is_empty(), "held out before, during and after");
-    assert_eq!(call(scene.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
     let mut client = scene.client();
-    (0..40).for_each(|n| assert!(client.read(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
+    (0..40).for_each(|n| assert!(client.get(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
     assert!(!out.received().is_empty(), "it serves again");
 }
 
@@ -99,30 +99,30 @@
         let output = end(scene.start_second_process_with(from, to));
         assert_eq!(output.status.code(), Some(2));
         assert!(String::from_utf8_lossy(&output.stderr).contains(names));
-        assert_eq!(scene.client().read("k", names, 900).1, "v\r\n");
+        assert_eq!(scene.client().get("k", names, 900).1, "v\r\n");
     }
     // Dead before it is ready, whenever that is, and after.
     for wait in [0, 5, 20, 60] {
         let child = scene.start_second_process_with("n0", "n0");
         sleep(ms(wait));
         kill(child);
-        assert_eq!(scene.client().read("k", &wait.to_string(), 900).1, "v\r\n");
+        assert_eq!(scene.client().get("k", &wait.to_string(), 900).1, "v\r\n");
     }
     let (second, _) = scene.start_second_process();
     let third = end(scene.start_second_process_with("n0", "n0"));
     assert_eq!(third.status.code(), Some(2), "one upgrade at a time");
     assert!(String::from_utf8_lossy(&third.stderr).contains("refuses"));
     kill(second);
-    scene.until("the old one accepts again", || scene.client().read("k", "a", 900).1 == "v\r\n");
+    scene.until("the old one accepts again", || scene.client().get("k", "a", 900).1 == "v\r\n");
     let second = scene.start_second_process();
     let first = scene.replace_process(second);
     kill(first);
-    assert_eq!(scene.client().read("k", "b", 900).1, "v\r\n", "also if the old one is killed");
+    assert_eq!(scene.client().get("k", "b", 900).1, "v\r\n", "also if the old one is killed");
     let second = scene.start_second_process();
     let first = scene.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
-    assert_eq!(scene.client().read("k", "c", 900).1, "v\r\n");
+    assert_eq!(scene.client().get("k", "c", 900).1, "v\r\n");
 }
 
 /// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
@@ -131,15 +131,15 @@
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut scene = ProxyFixture::of(&[&node], &origin);
     let second = scene.start_second_process();
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
-    assert!(scene.client().ask("mn\r\n").starts_with("SERVER_ERROR "));
-    assert_eq!(call(second.1, "POST", "/control/in-service").0, 200);
-    assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert!(scene.client().request("mn\r\n").starts_with("SERVER_ERROR "));
+    assert_eq!(call_admin(second.1, "POST", "/control/in-service").0, 200);
+    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
     kill(scene.replace_process(second));
-    assert_eq!(call(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
     let second = scene.start_second_process();
     kill(scene.replace_process(second));
-    assert_eq!(scene.client().ask("mn\r\n"), "MN\r\n");
+    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
 }
 
 /// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
@@ -154,5 +154,5 @@
     let first = scene.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
-    assert_eq!(scene.client().read("k", "1", 900).1, "v\r\n");
+    assert_eq!(scene.client().get("k", "1", 900).1, "v\r\n");
 }
