--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -168,7 +168,7 @@
         // The moment at which the rig says that it did it.
         let words_of_rig = fault.to_string();
         let happened =
-            fleet.timeline.first_match("rig", &words_of_rig, begun + u128::from(*at)).unwrap_or(begun);
+            fleet.timeline.first_match("harness", &words_of_rig, begun + u128::from(*at)).unwrap_or(begun);
         for member in (0..PROXIES).filter(|member| *member != of) {
             let by = Fleet::name(member);
             let suffix = if what == "dead" { "-> failed" } else { "" };
--- /dev/null
+++ b/crates/test-harness/src/fleet/config.rs
@@ -0,0 +1,109 @@
+//! The configurations of a fleet's members.
+
+use super::{Fleet, PEER_PORT};
+use crate::config::config;
+use crate::discovery::catalog;
+use crate::process::written;
+use crate::stub_server::StubServer;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Descriptors of each member.
+const SOCKETS: usize = 256;
+
+impl Fleet {
+    /// The configuration of a member that contacts these peers first.
+    pub fn config(&self, member: usize, peers: &[usize]) -> Value {
+        let discovery = self.streams[member][self.nodes.len() + 1].address.to_string();
+        let text = config("127.0.0.1:0", &discovery, SOCKETS, &catalog(1, true, &self.endpoints(member)));
+        let mut config: Value = serde_json::from_str(&text).expect("the harness writes JSON");
+        // Danger: who dials a free port of the address that it dials from may reach itself, and has the
+        // port then.
+        let free = SocketAddr::new(self.member_address(member).ip(), 0);
+        let listen = self.client_addresses[member].unwrap_or(free);
+        config["name"] = json!(Fleet::name(member));
+        config["listen"] = json!(listen.to_string());
+        config["admin"] = json!("127.0.0.1:0");
+        config["seed"] = json!(format!("{:x}", member + 1));
+        config["settings"]["GroupSize"] = json!(self.options.members);
+        config["settings"]["MyNumber"] = json!(member);
+        config["fleet"] = self.fleet_section(member, peers);
+        config
+    }
+
+    /// The list of endpoints, with the addresses at which this member's fault proxies take connections.
+    fn endpoints(&self, member: usize) -> Vec<String> {
+        let relayed = |server: &StubServer, name: &str, kind: &str, stream: usize| {
+            let entry = server.entry(name, kind, "ready");
+            let relay = self.streams[member][stream].address;
+            entry.replace(&server.address.to_string(), &relay.to_string())
+        };
+        let nodes = self.nodes.iter().enumerate();
+        let mut entries: Vec<String> =
+            nodes.map(|(n, server)| relayed(server, &format!("s-{n}"), "c6", n)).collect();
+        entries.push(relayed(&self.origin, "o", "origin", self.nodes.len()));
+        entries
+    }
+
+    fn fleet_section(&self, member: usize, peers: &[usize]) -> Value {
+        let others = peers.iter().filter(|peer| **peer != member);
+        let peers: Vec<String> = others.map(|peer| self.advertised_address(*peer).to_string()).collect();
+        let mut fleet = json!({
+            "name": "gdynia",
+            "bind": self.member_address(member).to_string(),
+            "advertise": self.advertised_address(member).to_string(),
+            "peers": peers,
+            "size": self.options.size,
+        });
+        if self.options.founders.is_empty() {
+            return fleet;
+        }
+        let founders = self.options.founders.iter();
+        fleet["founders"] = founders.map(|founder| self.advertised_address(*founder).to_string()).collect();
+        // Shorter than the defaults, so that tests need not wait long.
+        for (field, ms) in [("ask_ms", 200), ("vote_ms", 900), ("lease_ms", 2000), ("call_ms", 1000)] {
+            fleet[field] = json!(ms);
+        }
+        if let Some(calls) = self.options.node_calls {
+            fleet["node_calls"] = json!(calls);
+        }
+        if self.options.policy {
+            fleet["policy"] = self.policy_section(member);
+        }
+        fleet
+    }
+
+    fn policy_section(&self, member: usize) -> Value {
+        json!({
+            "bind": SocketAddr::new(self.member_address(member).ip(), PEER_PORT).to_string(),
+            "advertise": SocketAddr::new(self.advertised_address(member).ip(), PEER_PORT).to_string(),
+            "state_dir": self.state_dir(member),
+            "permit_ms": 1000, "renew_ms": 250, "ready_ms": 1500, "change_ms": 8000,
+        })
+    }
+
+    /// The folder in which a member that is a founder keeps its durable state.
+    pub fn state_dir(&self, member: usize) -> PathBuf {
+        self.temp_dir.join(format!("state-{member}"))
+    }
+
+    /// Writes the configuration of a member that contacts these peers first to a file of its own.
+    pub(super) fn write_config(&self, member: usize, peers: &[usize]) -> PathBuf {
+        written(&self.config(member, peers).to_string())
+    }
+
+    /// Replaces the configuration file of a member; a running process reads it at SIGHUP only.
+    pub fn set_config(&mut self, member: usize, config: &Value) {
+        std::fs::write(&self.configs[member], config.to_string()).expect("the file can be written");
+    }
+
+    /// From now on a member's processes listen for clients at the address that its first one got.
+    pub(super) fn keep_client_address(&mut self, member: usize, address: SocketAddr) {
+        self.client_addresses[member] = Some(address);
+        let text = std::fs::read_to_string(&self.configs[member]).expect("the file was written before");
+        let mut config: Value = serde_json::from_str(&text).expect("the harness writes JSON");
+        config["listen"] = json!(address.to_string());
+        self.set_config(member, &config);
+    }
+}
--- /dev/null
+++ b/crates/test-harness/src/fleet/faults.rs
@@ -0,0 +1,71 @@
+//! Faults between and in the members of a fleet.
+
+use super::Fleet;
+use crate::script::{Fault, Script};
+use std::thread;
+use std::time::{Duration, Instant};
+
+impl Fleet {
+    /// Causes a fault, or ends it.
+    pub fn inject(&mut self, fault: &Fault) {
+        self.note(&fault.to_string());
+        match fault {
+            Fault::Kill(member) => self.kill(*member),
+            Fault::Start(member) if !self.runs(*member) => self.start(*member),
+            Fault::Start(_) => {}
+            Fault::Stop(member) if self.runs(*member) => self.process(*member).signal("STOP"),
+            Fault::GoOn(member) if self.runs(*member) => self.process(*member).signal("CONT"),
+            Fault::Stop(_) | Fault::GoOn(_) => {}
+            Fault::Upgrade(member) => self.upgrade(*member),
+            Fault::Cut(from, to) => self.datagram_faults.path(*from, *to, |path| path.partitioned = true),
+            Fault::Sides(sides) => {
+                self.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
+            }
+            Fault::Heal => self.datagram_faults.all(|path| path.partitioned = false),
+            Fault::Loss(percent) => {
+                self.datagram_faults.all(|path| path.loss = f64::from(*percent) / 100.0);
+            }
+            Fault::Node(node, up) => self.set_node_reachable(*node, *up),
+        }
+    }
+
+    fn upgrade(&mut self, member: usize) {
+        let second = self.start_second_process(member);
+        let first = self.replace_process(member, second);
+        first.signal("TERM");
+        first.end();
+    }
+
+    fn set_node_reachable(&self, node: usize, reachable: bool) {
+        for streams in &self.streams {
+            streams[node].cut(!reachable);
+            streams[node].reset();
+        }
+    }
+
+    /// Nothing passes between members of different sides.
+    pub fn cut_into(&self, sides: &[&[usize]]) {
+        for (at, side) in sides.iter().enumerate() {
+            for (_, other) in sides.iter().enumerate().filter(|(other, _)| *other != at) {
+                self.cut_from(side, other);
+            }
+        }
+    }
+
+    fn cut_from(&self, from: &[usize], to: &[usize]) {
+        for from in from {
+            for to in to {
+                self.datagram_faults.path(*from, *to, |path| path.partitioned = true);
+            }
+        }
+    }
+
+    /// Plays a script in real time.
+    pub fn play(&mut self, script: &Script) {
+        let start = Instant::now();
+        for (at, fault) in &script.0 {
+            thread::sleep(Duration::from_millis(*at).saturating_sub(start.elapsed()));
+            self.inject(fault);
+        }
+    }
+}
--- /dev/null
+++ b/crates/test-harness/src/fleet/launch.rs
@@ -0,0 +1,123 @@
+//! Starting and ending the processes of a fleet's members.
+
+use super::{Fleet, Process, StartingProcess};
+use crate::client::call_admin;
+use crate::process::start_in;
+use crate::WAIT;
+use std::io::{BufRead, BufReader};
+use std::process::Child;
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Between two looks whether a process is ready.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+impl Fleet {
+    /// Starts a member, at the address for clients that it had before, if any.
+    pub fn start(&mut self, member: usize) {
+        self.note(&format!("start {member}"));
+        let process = self.launch(member);
+        self.keep_client_address(member, process.client_address);
+        self.processes[member] = Some(process);
+    }
+
+    /// Starts members of which none gets ready before the others run.
+    pub fn start_together(&mut self, members: &[usize]) {
+        let starting: Vec<(usize, StartingProcess)> =
+            members.iter().map(|member| (*member, self.start_process(*member))).collect();
+        for (member, process) in starting {
+            self.note(&format!("start {member}"));
+            let process = self.wait_until_ready(member, process);
+            self.keep_client_address(member, process.client_address);
+            self.processes[member] = Some(process);
+        }
+    }
+
+    /// Starts a process of a member, and does not wait until it is ready.
+    pub fn start_process(&self, member: usize) -> StartingProcess {
+        let mut child = start_in(&self.configs[member], &self.temp_dir);
+        let lines = self.follow_log(&mut child, member);
+        StartingProcess { child: Some(child), lines }
+    }
+
+    /// Starts a process on the configuration of a member; it is ready when this returns.
+    fn launch(&self, member: usize) -> Process {
+        let starting = self.start_process(member);
+        self.wait_until_ready(member, starting)
+    }
+
+    /// Waits until a process has told its addresses and is ready.
+    ///
+    /// # Panics
+    /// If it is not ready in time.
+    pub fn wait_until_ready(&self, member: usize, mut starting: StartingProcess) -> Process {
+        let child = starting.child.take().expect("it is waited for once");
+        // The process belongs to this value from here on, so that a panic ends it.
+        let unknown = self.advertised_address(member);
+        let mut process = Process { child, client_address: unknown, admin_address: unknown, ended: false };
+        let mut client_address = None;
+        let mut admin_address = None;
+        while client_address.is_none() || admin_address.is_none() {
+            let line = starting.lines.recv_timeout(WAIT).expect("the proxy logs where it listens");
+            let address_after = |words: &str| line.split_once(words).and_then(|(_, at)| at.parse().ok());
+            admin_address = admin_address.or(address_after(" call "));
+            client_address = client_address.or(address_after(" listens on "));
+        }
+        process.admin_address = admin_address.unwrap_or(unknown);
+        process.client_address = client_address.unwrap_or(unknown);
+        let deadline = Instant::now() + WAIT;
+        while call_admin(process.admin_address, "GET", "/control/ready").0 != 200 {
+            assert!(Instant::now() < deadline, "member {member} is not ready");
+            thread::sleep(POLL_INTERVAL);
+        }
+        process
+    }
+
+    /// Puts each line of a process's log into the timeline, and hands it on. The threads end with the
+    /// process's output.
+    fn follow_log(&self, child: &mut Child, member: usize) -> Receiver<String> {
+        let log = BufReader::new(child.stderr.take().expect("standard error is piped"));
+        let (sender, lines) = channel();
+        let (timeline, name) = (self.timeline.clone(), Fleet::name(member));
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                timeline.note(&name, line.trim_start_matches("pinetrail: "));
+                // Only the first lines are waited for.
+                let _ = sender.send(line);
+            }
+        });
+        // What it prints is read as well: a full pipe must not stop it.
+        let printed = BufReader::new(child.stdout.take().expect("standard output is piped"));
+        thread::spawn(move || printed.lines().map_while(Result::ok).count());
+        lines
+    }
+
+    /// Kills a member.
+    pub fn kill(&mut self, member: usize) {
+        self.note(&format!("kill {member}"));
+        self.processes[member] = None;
+    }
+
+    /// Takes the process of a member out of the fleet's hands.
+    ///
+    /// # Panics
+    /// If the member does not run.
+    pub fn take_process(&mut self, member: usize) -> Process {
+        self.processes[member].take().expect("it runs")
+    }
+
+    /// Starts a second process of a member beside the first; it is ready when this returns.
+    pub fn start_second_process(&self, member: usize) -> Process {
+        self.note(&format!("second process of {member}"));
+        self.launch(member)
+    }
+
+    /// Puts a process in the place of a member's, which is returned.
+    ///
+    /// # Panics
+    /// If the member does not run.
+    pub fn replace_process(&mut self, member: usize, process: Process) -> Process {
+        self.processes[member].replace(process).expect("it runs")
+    }
+}
--- /dev/null
+++ b/crates/test-harness/src/fleet/report.rs
@@ -0,0 +1,51 @@
+//! What a member answers to `GET /control/fleet`.
+
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A member's view of its fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The answer as it came.
+    pub json: Value,
+    /// The partition side: `whole`, `majority`, `minority` or `alone`.
+    pub side: String,
+    /// What it believes of each member, by name.
+    pub members: BTreeMap<String, ReportedMember>,
+}
+
+impl Report {
+    /// The names of those in a state.
+    pub fn names(&self, state: &str) -> Vec<&str> {
+        self.members.iter().filter(|(_, member)| member.state == state).map(|(name, _)| &**name).collect()
+    }
+}
+
+impl From<Value> for Report {
+    fn from(json: Value) -> Report {
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        let member = |entry: &Value| {
+            let member = ReportedMember { state: text(&entry["state"]), address: text(&entry["address"]) };
+            (text(&entry["name"]), member)
+        };
+        let members = json["members"].as_array().into_iter().flatten().map(member).collect();
+        Report { side: text(&json["side"]), members, json }
+    }
+}
+
+/// One member as another one reports it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedMember {
+    /// `alive`, `suspect`, `failed` or `left`.
+    pub state: String,
+    /// Where its datagrams go.
+    pub address: String,
+}
+
+impl ReportedMember {
+    /// Whether it is taken for alive, at this address.
+    pub fn is_alive_at(&self, address: SocketAddr) -> bool {
+        self.state == "alive" && self.address == address.to_string()
+    }
+}
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -41,7 +41,7 @@
     let hubs: BTreeSet<String> = (0..3).map(|member| fleet.advertised_address(member).to_string()).collect();
     for member in 0..3 {
         let report = fleet.report(member).unwrap();
-        assert!(report.members.values().all(|(_, address)| hubs.contains(address)), "{}", report.json);
+        assert!(report.members.values().all(|member| hubs.contains(&member.address)), "{}", report.json);
     }
 }
 
@@ -116,7 +116,7 @@
     let healed = fleet.timeline.now();
     fleet.datagram_faults.all(|way| way.partitioned = false);
     fleet.wait_until("they are one again", |fleet| fleet.all_agree(&ALL) && sides(fleet) == ["whole"; 5]);
-    assert!(fleet.timeline.first_match("rig", "start", healed).is_none(), "nobody was started for that");
+    assert!(fleet.timeline.first_match("harness", "start", healed).is_none(), "nobody was started for that");
 }
 
 #[test]
@@ -167,8 +167,7 @@
     let there = |fleet: &Fleet| {
         [0, 1, 3].iter().all(|member| {
             let report = fleet.report(*member).unwrap();
-            report.members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string())
-                && report.members.len() == 3
+            report.members["n2"].is_alive_at(fleet.advertised_address(3)) && report.members.len() == 3
         })
     };
     fleet.wait_until("it is known where it is", there);
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -58,11 +58,11 @@
     assert!(fleet.timeline.first_match("n3", "ERROR: another process", 0).is_some());
     assert_eq!(fleet.report(2).unwrap().side, "alone");
     fleet.wait_until("the later one counts", |fleet| {
-        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.advertised_address(3).to_string())
+        fleet.report(0).unwrap().members["n2"].is_alive_at(fleet.advertised_address(3))
     });
     fleet.kill(3);
     fleet.wait_until("the earlier one is back", |fleet| {
-        fleet.report(0).unwrap().members["n2"] == ("alive".into(), fleet.advertised_address(2).to_string())
+        fleet.report(0).unwrap().members["n2"].is_alive_at(fleet.advertised_address(2))
             && fleet.report(2).unwrap().json.get("rival").is_none()
     });
 }
