Document the harness's servers, clients and fixtures; name what they count

StubServer hides its counters behind methods, serves a connection in a function of its own, and has unreachable().

--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -1,23 +1,26 @@
-//! A party whose every step the test takes itself: when a connection comes up, what is read on it, and what is said.
+//! A server whose every step the test takes itself: when a connection comes up, what is read on it and
+//! what is written. [`AcceptBarrier`] lets connections in; [`AcceptedConnection`] is one of them.
 
-use crate::stub_server::request;
+use crate::stub_server::read_request;
 use crate::WAIT;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// One that fills the queue has connected by then, or the queue is full.
-const FILLS_WITHIN: Duration = Duration::from_millis(100);
+/// A connection that takes a place in the queue is up by then, or the queue is full.
+const QUEUE_FULL_AFTER: Duration = Duration::from_millis(100);
 
 /// A listening socket that lets connections in one at a time.
 pub struct AcceptBarrier {
+    /// Where it listens.
     pub address: SocketAddr,
     listener: TcpListener,
+    /// Connections of its own that fill the queue while it is closed.
     fillers: Vec<TcpStream>,
 }
 
-/// Who came in.
+/// A connection that came in.
 pub struct AcceptedConnection {
     reader: BufReader<TcpStream>,
 }
@@ -39,9 +42,10 @@
         AcceptBarrier { address: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
     }
 
-    /// From now on no connection comes up: the queue is full. Who tries meanwhile tries again about every second.
+    /// From now on no connection comes up, since the queue is full. Clients of the kernel retry about every
+    /// second.
     pub fn close(&mut self) {
-        while let Ok(filler) = TcpStream::connect_timeout(&self.address, FILLS_WITHIN) {
+        while let Ok(filler) = TcpStream::connect_timeout(&self.address, QUEUE_FULL_AFTER) {
             self.fillers.push(filler);
         }
     }
@@ -54,12 +58,12 @@
         }
     }
 
-    /// The next that comes in, if one does in time.
+    /// The next connection that comes in, if one does in time.
     pub fn accept(&self) -> Option<AcceptedConnection> {
         self.accept_within(WAIT)
     }
 
-    /// The same within a time.
+    /// The next connection that comes in within this time.
     pub fn accept_within(&self, time: Duration) -> Option<AcceptedConnection> {
         let until = Instant::now() + time;
         while Instant::now() < until {
@@ -78,7 +82,7 @@
         None
     }
 
-    /// Its entry in a list.
+    /// Its entry in discovery's list; `started` is in Unix milliseconds.
     pub fn entry(&self, name: &str, kind: &str, lifecycle: &str, started: u64) -> String {
         format!(
             r#"{{"instanceId":"{name}","hostPort":"{}","zone":"a","machineType":"{kind}","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":{started}}}"#,
@@ -90,12 +94,12 @@
 impl AcceptedConnection {
     /// The next command, or head and body where `http`; none at the end.
     pub fn request(&mut self, http: bool) -> Option<String> {
-        request(&mut self.reader, http)
+        read_request(&mut self.reader, http)
     }
 
-    /// Says something; false if nobody hears it any more.
-    pub fn send(&mut self, words: &str) -> bool {
-        self.reader.get_mut().write_all(words.as_bytes()).is_ok()
+    /// Writes something; false if the other end has closed the connection.
+    pub fn send(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
     }
 
     /// Resets the connection.
@@ -103,11 +107,13 @@
         SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
-    /// All that comes within a time: bytes, and whether it ended.
+    /// All bytes that come within this time, and whether the connection ended.
     pub fn read_all_within(&mut self, time: Duration) -> (Vec<u8>, bool) {
-        let (until, mut all, mut part) = (Instant::now() + time, Vec::new(), [0; 64 * 1024]);
+        let deadline = Instant::now() + time;
+        let mut all = Vec::new();
+        let mut part = [0; 64 * 1024];
         loop {
-            let left = until.saturating_duration_since(Instant::now());
+            let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return (all, false);
             }
--- a/crates/test-harness/src/client.rs
+++ b/crates/test-harness/src/client.rs
@@ -1,4 +1,4 @@
-//! Who talks to a proxy: consumers, and operators at the door.
+//! Who talks to a proxy: [`Client`]s, and operators at its admin endpoint ([`call_admin`]).
 
 use crate::recorder::Recorder;
 use crate::WAIT;
@@ -7,38 +7,50 @@
 use std::thread;
 use std::time::Duration;
 
-/// Nothing more comes, or not in time.
+/// Reading ends with one of these when the connection is over, or nothing came in time.
 const GONE: [ErrorKind; 2] = [ErrorKind::ConnectionReset, ErrorKind::WouldBlock];
 
-/// A consumer's connection.
-pub struct Client(BufReader<TcpStream>, Recorder);
+/// A client's connection. Requests made by [`Client::get`] and [`Client::set`] are recorded for the history
+/// checker.
+pub struct Client {
+    reader: BufReader<TcpStream>,
+    recorder: Recorder,
+}
 
 impl Client {
-    pub fn connect(place: SocketAddr) -> Client {
-        let stream = TcpStream::connect(place).unwrap();
+    /// Connects; reads on it end after [`WAIT`].
+    ///
+    /// # Panics
+    /// If nobody listens there.
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(WAIT)).unwrap();
-        Client(BufReader::new(stream), Recorder::own())
+        Client { reader: BufReader::new(stream), recorder: Recorder::own() }
     }
 
     /// The same where nobody may listen, or nobody answer within a second.
-    pub fn try_connect(place: SocketAddr) -> Option<Client> {
-        let stream = TcpStream::connect(place).ok()?;
+    pub fn try_connect(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        Some(Client(BufReader::new(stream), Recorder::own()))
+        Some(Client { reader: BufReader::new(stream), recorder: Recorder::own() })
     }
 
-    pub fn send(&mut self, words: &str) {
-        self.0.get_mut().write_all(words.as_bytes()).unwrap();
+    /// Writes bytes.
+    ///
+    /// # Panics
+    /// If the proxy has closed the connection.
+    pub fn send(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
-    /// Says it as far as the proxy lets it.
-    pub fn try_send(&mut self, words: &str) -> bool {
-        self.0.get_mut().write_all(words.as_bytes()).is_ok()
+    /// Writes bytes as far as the proxy takes them; false if it does not take all.
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
     }
 
     /// Whether the proxy has closed it.
     pub fn is_closed(&self) -> bool {
-        let stream = self.0.get_ref();
+        let stream = self.reader.get_ref();
         stream.set_nonblocking(true).unwrap();
         let seen = stream.peek(&mut [0]);
         stream.set_nonblocking(false).unwrap();
@@ -51,24 +63,25 @@
     /// The next line; empty at the end of the connection.
     pub fn read_line(&mut self) -> String {
         let mut line = String::new();
-        match self.0.read_line(&mut line) {
+        match self.reader.read_line(&mut line) {
             Ok(_) => line,
             Err(error) if GONE.contains(&error.kind()) => String::new(),
             Err(error) => panic!("{error}"),
         }
     }
 
-    pub fn request(&mut self, words: &str) -> String {
-        self.send(words);
+    /// Writes a command and reads the first line of its response.
+    pub fn request(&mut self, command: &str) -> String {
+        self.send(command);
         self.read_line()
     }
 
-    /// Where its answers are read.
+    /// The reader of its responses, for those that are no lines.
     pub fn reader(&mut self) -> &mut BufReader<TcpStream> {
-        &mut self.0
+        &mut self.reader
     }
 
-    /// Reads a key; the value's line, or none if the connection ended first.
+    /// Gets the key `id`; the value's line, or none if the connection ended first.
     pub fn try_get(&mut self, id: &str) -> Option<String> {
         if !self.try_send(&format!("mg {id} v O{id} Pc=read,t=acme,d=2000\r\n")) {
             return None;
@@ -77,45 +90,45 @@
         (!line.is_empty()).then(|| if line.starts_with("VA ") { self.read_line() } else { line })
     }
 
-    /// Reads a key; the line of the answer, and the value's line if there is one.
+    /// Gets a key with a deadline in milliseconds; the response's line, and the value's line if there is one.
     pub fn get(&mut self, key: &str, id: &str, ms: u32) -> (String, String) {
-        self.invoke(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"))
+        self.perform(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"))
     }
 
-    /// Writes to a key; the line of the answer.
+    /// Sets a key with a deadline in milliseconds; the response's line.
     pub fn set(&mut self, class: &str, key: &str, id: &str, ms: u32) -> String {
-        self.invoke(&format!("ms {key} 5 O{id} Pc={class},t=acme,d={ms},k={id}\r\nhello\r\n")).0
+        self.perform(&format!("ms {key} 5 O{id} Pc={class},t=acme,d={ms},k={id}\r\nhello\r\n")).0
     }
 
-    fn invoke(&mut self, command: &str) -> (String, String) {
-        self.1.record_request(command);
+    fn perform(&mut self, command: &str) -> (String, String) {
+        self.recorder.record_request(command);
         let line = self.request(command);
         let value = if line.starts_with("VA ") { self.read_line() } else { String::new() };
-        self.1.record_response(command, &line, &value);
+        self.recorder.record_response(command, &line, &value);
         (line, value)
     }
 
-    /// Asks for a key and leaves after a time, with no answer.
+    /// Gets a key and closes the connection after a time, without reading a response.
     pub fn request_and_disconnect(mut self, key: &str, id: &str, after: Duration) {
         let command = format!("mg {key} v O{id} Pc=read,t=acme,d=2000\r\n");
-        self.1.record_request(&command);
+        self.recorder.record_request(&command);
         self.send(&command);
         thread::sleep(after);
-        self.1.record_client_gone(&command);
+        self.recorder.record_client_gone(&command);
     }
 }
 
-/// One call at the operators' door: its status and its text.
-pub fn call_admin(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
-    send_to_admin(door, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
+/// One call at a proxy's admin endpoint: its status and its text.
+pub fn call_admin(admin: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    send_to_admin(admin, &format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"))
 }
 
-/// What the door answers to these bytes.
-pub fn send_to_admin(door: SocketAddr, words: &str) -> (u16, String) {
-    let mut client = Client::connect(door);
-    client.send(words);
+/// What a proxy's admin endpoint answers to these bytes: status and text.
+pub fn send_to_admin(admin: SocketAddr, request: &str) -> (u16, String) {
+    let mut client = Client::connect(admin);
+    client.send(request);
     let status = client.read_line().split(' ').nth(1).map_or(0, |status| status.parse().unwrap());
     let mut rest = String::new();
-    std::io::Read::read_to_string(&mut client.0, &mut rest).unwrap();
+    std::io::Read::read_to_string(&mut client.reader, &mut rest).unwrap();
     (status, rest.split_once("\r\n\r\n").map_or(String::new(), |(_, text)| text.to_owned()))
 }
--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -1,7 +1,8 @@
-//! Stand-ins for discovery.
+//! Stub servers for discovery: [`Discovery`], whose watches the test feeds line by line, and
+//! [`StaticDiscovery`], which sends its whole list to every watch.
 
 use crate::recorder::Recorder;
-use crate::stub_server::request;
+use crate::stub_server::read_request;
 use crate::WAIT;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,11 +11,12 @@
 use std::thread;
 use std::time::Duration;
 
-/// Discovery: each watch asked for comes out of `asked`, to be told lines through its sender. A watch
-/// ends with its sender.
+/// Discovery whose watches a test feeds itself, through [`Discovery::watch`]. A watch ends when its sender
+/// is dropped.
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
-    asked: Receiver<(String, Sender<String>)>,
+    watches: Receiver<(String, Sender<String>)>,
 }
 
 impl Default for Discovery {
@@ -24,64 +26,70 @@
 }
 
 impl Discovery {
-    /// Discovery that nobody has asked yet.
+    /// Discovery without a watch.
     pub fn new() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let place = listener.local_addr().unwrap();
-        let (ask, asked) = channel();
-        let witness = Recorder::own();
+        let address = listener.local_addr().unwrap();
+        let (watch_sender, watches) = channel();
+        let recorder = Recorder::own();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let (mut stream, ask, witness) = (stream.unwrap(), ask.clone(), witness.clone());
+                let mut stream = stream.unwrap();
+                let (watch_sender, recorder) = (watch_sender.clone(), recorder.clone());
                 thread::spawn(move || {
-                    let head = request(&mut BufReader::new(stream.try_clone().unwrap()), true).unwrap();
-                    let (tell, told) = channel::<String>();
-                    ask.send((head.lines().next().unwrap().to_owned(), tell)).unwrap_or(());
+                    let head = read_request(&mut BufReader::new(stream.try_clone().unwrap()), true).unwrap();
+                    let (line_sender, lines) = channel::<String>();
+                    // The test may have ended.
+                    let _ = watch_sender.send((head.lines().next().unwrap().to_owned(), line_sender));
                     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap_or(());
-                    for line in told {
-                        witness.record_endpoint_list(&line);
+                    for line in lines {
+                        recorder.record_endpoint_list(&line);
                         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
                         stream.write_all(chunk.as_bytes()).unwrap_or(());
                     }
                 });
             }
         });
-        Discovery { address: place, asked }
+        Discovery { address, watches }
     }
 
-    /// The next watch: its request line, and where to tell it lines.
+    /// The next watch that the proxy opens: its request line, and a sender for the lines of its response.
+    ///
+    /// # Panics
+    /// If the proxy opens none in time.
     pub fn watch(&self) -> (String, Sender<String>) {
-        self.asked.recv_timeout(WAIT).expect("the proxy asks for a watch")
+        self.watches.recv_timeout(WAIT).expect("the proxy asks for a watch")
     }
 }
 
-/// A list in discovery's form.
+/// A list in the form in which discovery sends it.
 pub fn catalog(generation: u64, reset: bool, entries: &[String]) -> String {
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, entries.join(","))
 }
 
-/// Discovery that tells every watch the whole list at once, and again when it changes.
+/// Discovery that sends every watch the whole list at once, and again when it changes.
 pub struct StaticDiscovery {
-    /// Where it is.
+    /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<(Mutex<Told>, Condvar)>,
+    state: Arc<(Mutex<PublishedList>, Condvar)>,
 }
 
-struct Told {
+/// What watches are sent; the version grows with each change.
+struct PublishedList {
     list: String,
     version: u64,
     down: bool,
 }
 
-/// A watch hears something so often, if only an empty line.
-const BEAT: Duration = Duration::from_millis(500);
+/// A watch is sent something at least this often, if only an empty line.
+const HEARTBEAT: Duration = Duration::from_millis(500);
 
 impl StaticDiscovery {
     /// Discovery with this list.
     pub fn new(list: String) -> StaticDiscovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let place = listener.local_addr().unwrap();
-        let state = Arc::new((Mutex::new(Told { list, version: 1, down: false }), Condvar::new()));
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new((Mutex::new(PublishedList { list, version: 1, down: false }), Condvar::new()));
         let serving = Arc::clone(&state);
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -89,47 +97,47 @@
                 thread::spawn(move || drop(StaticDiscovery::watch(stream, &state)));
             }
         });
-        StaticDiscovery { address: place, state }
+        StaticDiscovery { address, state }
     }
 
-    /// Another list.
+    /// Replaces the list.
     pub fn publish(&self, list: String) {
-        self.change(|told| told.list = list);
+        self.change(|published| published.list = list);
     }
 
-    /// Answers nobody any more, and ends the watches; or is back.
+    /// Takes discovery down, which ends the watches, or brings it back.
     pub fn set_down(&self, down: bool) {
-        self.change(|told| told.down = down);
+        self.change(|published| published.down = down);
     }
 
-    fn change(&self, change: impl FnOnce(&mut Told)) {
-        let mut told = self.state.0.lock().unwrap();
-        change(&mut told);
-        told.version += 1;
+    fn change(&self, change: impl FnOnce(&mut PublishedList)) {
+        let mut published = self.state.0.lock().unwrap();
+        change(&mut published);
+        published.version += 1;
         self.state.1.notify_all();
     }
 
-    fn watch(mut stream: TcpStream, state: &(Mutex<Told>, Condvar)) -> std::io::Result<()> {
-        request(&mut BufReader::new(stream.try_clone()?), true).ok_or(ErrorKind::UnexpectedEof)?;
+    fn watch(mut stream: TcpStream, state: &(Mutex<PublishedList>, Condvar)) -> std::io::Result<()> {
+        read_request(&mut BufReader::new(stream.try_clone()?), true).ok_or(ErrorKind::UnexpectedEof)?;
         let mut version = 0;
         loop {
-            let mut told = state.0.lock().unwrap();
-            if told.version == version {
-                told = state.1.wait_timeout(told, BEAT).unwrap().0;
+            let mut published = state.0.lock().unwrap();
+            if published.version == version {
+                published = state.1.wait_timeout(published, HEARTBEAT).unwrap().0;
             }
-            if told.down {
+            if published.down {
                 return Ok(());
             }
-            let (head, line) = match told.version {
+            let (head, line) = match published.version {
                 now if now == version => ("", String::new()),
                 now => {
                     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                     let head = if version == 0 { head } else { "" };
                     version = now;
-                    (head, told.list.clone())
+                    (head, published.list.clone())
                 }
             };
-            drop(told);
+            drop(published);
             stream.write_all(format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes())?;
         }
     }
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -1,4 +1,4 @@
-//! One proxy with all that it talks to.
+//! One real proxy as a process, with a discovery of its own. Tests start with [`ProxyFixture`].
 
 use crate::client::Client;
 use crate::config::config;
@@ -13,16 +13,18 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// A running proxy and discovery.
+/// A running proxy and its discovery. The process is killed when this is dropped.
 pub struct ProxyFixture {
+    /// The discovery that the proxy watches.
     pub discovery: Discovery,
+    /// Where clients connect.
     pub client_address: SocketAddr,
-    /// The operators' door.
+    /// The proxy's admin endpoint.
     pub admin_address: SocketAddr,
     child: Option<Child>,
     config: PathBuf,
     /// What the proxy has for `$TMPDIR`.
-    tmp: PathBuf,
+    temp_dir: PathBuf,
 }
 
 impl ProxyFixture {
@@ -31,12 +33,14 @@
         ProxyFixture::with_sockets(entries, 256)
     }
 
+    /// The same with this many descriptors.
     pub fn with_sockets(entries: &[String], sockets: usize) -> ProxyFixture {
         ProxyFixture::with_limits(entries, sockets, 192)
     }
 
+    /// The same with these limits.
     pub fn with_limits(entries: &[String], sockets: usize, memory_mb: usize) -> ProxyFixture {
-        ProxyFixture::made(entries, sockets, memory_mb, &[])
+        ProxyFixture::start(entries, sockets, memory_mb, &[])
     }
 
     /// A proxy whose configuration has some text replaced.
@@ -46,15 +50,15 @@
 
     /// The same for several texts.
     pub fn with_all(entries: &[String], changes: &[(&str, &str)]) -> ProxyFixture {
-        ProxyFixture::made(entries, 256, 192, changes)
+        ProxyFixture::start(entries, 256, 192, changes)
     }
 
-    fn made(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> ProxyFixture {
+    fn start(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> ProxyFixture {
         let discovery = Discovery::new();
         let mut entries = entries.to_vec();
         // A list without the origin is none; where a test has none of its own, nobody answers for it.
         if !entries.is_empty() && !entries.iter().any(|entry| entry.contains(r#""origin""#)) {
-            let nobody = StubServer { address: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
+            let nobody = StubServer::unreachable();
             entries.push(nobody.entry("o", "origin", "ready"));
         }
         let known = catalog(1, true, &entries);
@@ -64,19 +68,13 @@
         let config = changes.iter().fold(config, |config, (from, to)| config.replace(from, to));
         Recorder::own().record_active_config(&config);
         let config = written(&config);
-        let tmp = config.with_extension("tmp");
-        std::fs::create_dir_all(&tmp).unwrap();
-        let (child, place, door) = started(&config, &tmp);
-        let scene = ProxyFixture {
-            discovery,
-            client_address: place,
-            admin_address: door,
-            child: Some(child),
-            config,
-            tmp,
-        };
-        assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
-        scene
+        let temp_dir = config.with_extension("tmp");
+        std::fs::create_dir_all(&temp_dir).unwrap();
+        let (child, client_address, admin_address) = started(&config, &temp_dir);
+        let fixture =
+            ProxyFixture { discovery, client_address, admin_address, child: Some(child), config, temp_dir };
+        assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
+        fixture
     }
 
     /// A proxy for these cache nodes, `s-0` on, and this origin.
@@ -87,11 +85,15 @@
         ProxyFixture::new(&entries)
     }
 
+    /// A new connection of a client.
     pub fn client(&self) -> Client {
         Client::connect(self.client_address)
     }
 
-    /// One of the proxy's counters.
+    /// The value of one of the proxy's counters.
+    ///
+    /// # Panics
+    /// If there is no counter of this name.
     pub fn counter(&self, name: &str) -> u64 {
         let mut client = self.client();
         client.send("stats\r\n");
@@ -107,10 +109,13 @@
     }
 
     /// Waits until something holds.
+    ///
+    /// # Panics
+    /// If it does not hold in time.
     pub fn until(&self, what: &str, holds: impl Fn() -> bool) {
-        let until = Instant::now() + WAIT;
+        let deadline = Instant::now() + WAIT;
         while !holds() {
-            assert!(Instant::now() < until, "in vain: {what}");
+            assert!(Instant::now() < deadline, "in vain: {what}");
             thread::sleep(Duration::from_millis(10));
         }
     }
@@ -123,47 +128,49 @@
         kb.unwrap().parse::<u64>().unwrap() / 1024
     }
 
+    /// Sends the process a signal, by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         signal(self.child.as_ref().unwrap(), name);
     }
 
     /// Writes a configuration for a second process of this proxy.
-    fn second(&self) -> PathBuf {
+    fn second_config(&self) -> PathBuf {
         let text = std::fs::read_to_string(&self.config).unwrap();
         written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.client_address)))
     }
 
-    /// Starts a second process of this proxy, which is ready when this returns: it and its door.
+    /// Starts a second process of this proxy, which is ready when this returns: it and its admin endpoint.
     pub fn start_second_process(&self) -> (Child, SocketAddr) {
-        let (child, place, door) = started(&self.second(), &self.tmp);
-        assert_eq!(place, self.client_address);
-        self.until("the second process is ready", || call_admin(door, "GET", "/control/ready").0 == 200);
-        (child, door)
+        let (child, address, admin) = started(&self.second_config(), &self.temp_dir);
+        assert_eq!(address, self.client_address);
+        self.until("the second process is ready", || call_admin(admin, "GET", "/control/ready").0 == 200);
+        (child, admin)
     }
 
     /// From now on `$TMPDIR` is a folder whose path is too long for the address of a Unix socket.
     pub fn use_long_temp_dir(&mut self) {
-        self.tmp = self.tmp.join("long".repeat(40));
-        std::fs::create_dir_all(&self.tmp).unwrap();
+        self.temp_dir = self.temp_dir.join("long".repeat(40));
+        std::fs::create_dir_all(&self.temp_dir).unwrap();
     }
 
     /// Kills the proxy and starts it anew at the same addresses.
     pub fn restart(&mut self) {
         let mut child = self.child.take().unwrap();
         child.kill().and_then(|()| child.wait()).unwrap();
-        let (child, door) = self.start_second_process();
-        (self.child, self.admin_address) = (Some(child), door);
+        let (child, admin) = self.start_second_process();
+        self.child = Some(child);
+        self.admin_address = admin;
     }
 
     /// A second process on a configuration with some text replaced.
     pub fn start_second_process_with(&self, from: &str, to: &str) -> Child {
-        let text = std::fs::read_to_string(self.second()).unwrap();
-        start_in(&written(&text.replace(from, to)), &self.tmp)
+        let text = std::fs::read_to_string(self.second_config()).unwrap();
+        start_in(&written(&text.replace(from, to)), &self.temp_dir)
     }
 
     /// Puts a second process in the first one's place; the first.
-    pub fn replace_process(&mut self, (child, door): (Child, SocketAddr)) -> Child {
-        self.admin_address = door;
+    pub fn replace_process(&mut self, (child, admin): (Child, SocketAddr)) -> Child {
+        self.admin_address = admin;
         self.child.replace(child).unwrap()
     }
 
@@ -174,6 +181,7 @@
         self.signal("HUP");
     }
 
+    /// Waits for the end of the process, which it was asked for before; what it printed.
     pub fn end(mut self) -> Output {
         end(self.child.take().unwrap())
     }
@@ -185,6 +193,6 @@
             // It may have ended by itself.
             let _ = child.kill().and_then(|()| child.wait());
         }
-        let _ = std::fs::remove_dir_all(&self.tmp);
+        let _ = std::fs::remove_dir_all(&self.temp_dir);
     }
 }
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -1,86 +1,78 @@
-//! What a proxy calls: stand-ins for cache nodes and the origin, on ephemeral loopback ports.
+//! What a proxy calls: stub servers for cache nodes and the origin, on ephemeral loopback ports.
+//!
+//! A test hands [`StubServer`] a function from each request to a [`StubAction`]. Every request and reply
+//! is also noted by the test's [`Recorder`].
 
 use crate::recorder::Recorder;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
-/// What a party does with a request it was sent: answer, say nothing, or break the connection.
+/// What a stub server does with a request.
 pub enum StubAction {
+    /// Writes these bytes.
     Reply(String),
     /// Writes in its own time.
     ReplyWith(Box<dyn FnOnce(&mut TcpStream)>),
+    /// Says nothing, and goes on to the next request.
     Ignore,
+    /// Ends the connection.
     Disconnect,
 }
 
-/// A cache node or the origin: where it is, what it was sent, and how often it was connected to.
+/// The protocol of a stub server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Protocol {
+    /// The memcache meta commands: a request is a line, and a write's value.
+    Memcache,
+    /// HTTP: a request is a head, and a body by its `Content-Length`.
+    Http,
+}
+
+/// What a stub server counts and remembers.
+#[derive(Default)]
+struct Activity {
+    received: Mutex<Vec<String>>,
+    connected: AtomicUsize,
+    disconnected: AtomicUsize,
+    in_flight: AtomicUsize,
+    max_in_flight: AtomicUsize,
+}
+
+/// A stub server for a cache node or the origin. Its threads end with the test's process.
 pub struct StubServer {
+    /// Where it takes connections.
     pub address: SocketAddr,
-    pub heard: Arc<Mutex<Vec<String>>>,
-    pub connected: Arc<AtomicUsize>,
-    pub ended: Arc<AtomicUsize>,
-    pub busy: Arc<AtomicUsize>,
-    pub most: Arc<AtomicUsize>,
+    activity: Arc<Activity>,
 }
 
 impl StubServer {
-    /// `http` tells whether a request is a head, else it is a line; a write's value is read along.
-    fn new(http: bool, act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
+    fn start(protocol: Protocol, act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let party = StubServer {
-            address: listener.local_addr().unwrap(),
-            heard: Arc::default(),
-            connected: Arc::default(),
-            ended: Arc::default(),
-            busy: Arc::default(),
-            most: Arc::default(),
-        };
-        let (heard, connected) = (Arc::clone(&party.heard), Arc::clone(&party.connected));
-        let (ended, act) = (Arc::clone(&party.ended), Arc::new(act));
-        let (busy, most) = (Arc::clone(&party.busy), Arc::clone(&party.most));
-        let (witness, place) = (Recorder::own(), party.address.to_string());
+        let address = listener.local_addr().unwrap();
+        let activity = Arc::<Activity>::default();
+        let handler = Arc::new(Handler {
+            protocol,
+            address: address.to_string(),
+            activity: Arc::clone(&activity),
+            recorder: Recorder::own(),
+            act,
+        });
         thread::spawn(move || {
             for stream in listener.incoming() {
-                connected.fetch_add(1, Ordering::SeqCst);
-                let (heard, ended, act) = (Arc::clone(&heard), Arc::clone(&ended), Arc::clone(&act));
-                let (witness, place) = (witness.clone(), place.clone());
-                let (busy, most) = (Arc::clone(&busy), Arc::clone(&most));
-                thread::spawn(move || {
-                    let mut stream = stream.unwrap();
-                    let mut reader = BufReader::new(stream.try_clone().unwrap());
-                    let mut call = None;
-                    while let Some(request) = request(&mut reader, http) {
-                        heard.lock().unwrap().push(request.clone());
-                        let number = *call.insert(witness.record_backend_request(&place, &request));
-                        most.fetch_max(busy.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
-                        let does = act(&request);
-                        busy.fetch_sub(1, Ordering::SeqCst);
-                        match does {
-                            StubAction::Reply(words) => {
-                                witness.record_backend_response(number, Some(&words));
-                                stream.write_all(words.as_bytes()).unwrap_or(());
-                            }
-                            StubAction::ReplyWith(write) => write(&mut stream),
-                            StubAction::Ignore => {}
-                            StubAction::Disconnect => break,
-                        }
-                    }
-                    // Of those that were answered the first end counts.
-                    if let Some(call) = call {
-                        witness.record_backend_response(call, None);
-                    }
-                    ended.fetch_add(1, Ordering::SeqCst);
-                });
+                handler.activity.connected.fetch_add(1, Ordering::SeqCst);
+                let handler = Arc::clone(&handler);
+                thread::spawn(move || handler.serve(stream.unwrap()));
             }
         });
-        party
+        StubServer { address, activity }
     }
 
+    /// A cache node, which is asked by lines.
     pub fn node(act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
-        StubServer::new(false, act)
+        StubServer::start(Protocol::Memcache, act)
     }
 
     /// A cache node that holds every key; its value names it.
@@ -95,23 +87,37 @@
         StubServer::node(|line| StubAction::Reply(format!("EN {}\r\n", opaque(line))))
     }
 
+    /// A server at an address at which nobody listens.
+    pub fn unreachable() -> StubServer {
+        StubServer { address: SocketAddr::from(([127, 0, 0, 1], 1)), activity: Arc::default() }
+    }
+
+    /// The origin, which is asked by HTTP.
     pub fn origin(act: impl Fn(&str) -> StubAction + Send + Sync + 'static) -> StubServer {
-        StubServer::new(true, act)
+        StubServer::start(Protocol::Http, act)
     }
 
+    /// The requests that it has read, in their order.
     pub fn received(&self) -> Vec<String> {
-        self.heard.lock().unwrap().clone()
+        self.activity.received.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// The most requests that it had before it at once.
+    /// The most requests that it had in flight at once.
     pub fn most_at_once(&self) -> usize {
-        self.most.load(Ordering::SeqCst)
+        self.activity.max_in_flight.load(Ordering::SeqCst)
     }
 
+    /// Connections that it has taken.
     pub fn connected(&self) -> usize {
-        self.connected.load(Ordering::SeqCst)
+        self.activity.connected.load(Ordering::SeqCst)
+    }
+
+    /// Connections that have ended.
+    pub fn disconnected(&self) -> usize {
+        self.activity.disconnected.load(Ordering::SeqCst)
     }
 
+    /// Its entry in discovery's list.
     pub fn entry(&self, name: &str, kind: &str, lifecycle: &str) -> String {
         format!(
             r#"{{"instanceId":"{name}","hostPort":"{}","zone":"a","machineType":"{kind}","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#,
@@ -120,27 +126,86 @@
     }
 }
 
-pub(crate) fn request(reader: &mut impl BufRead, http: bool) -> Option<String> {
+/// What the threads of one stub server share.
+struct Handler<F> {
+    protocol: Protocol,
+    address: String,
+    activity: Arc<Activity>,
+    recorder: Recorder,
+    act: F,
+}
+
+impl<F: Fn(&str) -> StubAction> Handler<F> {
+    /// Serves one connection until either end closes it.
+    fn serve(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut last_request = None;
+        while let Some(request) = read_request(&mut reader, self.protocol == Protocol::Http) {
+            self.activity.received.lock().unwrap_or_else(PoisonError::into_inner).push(request.clone());
+            let number = self.recorder.record_backend_request(&self.address, &request);
+            last_request = Some(number);
+            match self.decide(&request) {
+                StubAction::Reply(reply) => {
+                    self.recorder.record_backend_response(number, Some(&reply));
+                    // The proxy may have closed the connection meanwhile.
+                    let _ = stream.write_all(reply.as_bytes());
+                }
+                StubAction::ReplyWith(write) => write(&mut stream),
+                StubAction::Ignore => {}
+                StubAction::Disconnect => break,
+            }
+        }
+        // Of those that were answered the first end counts.
+        if let Some(number) = last_request {
+            self.recorder.record_backend_response(number, None);
+        }
+        self.activity.disconnected.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn decide(&self, request: &str) -> StubAction {
+        let in_flight = self.activity.in_flight.fetch_add(1, Ordering::SeqCst) + 1;
+        self.activity.max_in_flight.fetch_max(in_flight, Ordering::SeqCst);
+        let action = (self.act)(request);
+        self.activity.in_flight.fetch_sub(1, Ordering::SeqCst);
+        action
+    }
+}
+
+/// The next request of a connection: a head and its body where `http`, else a line and a write's value.
+/// None at the end of the connection.
+pub(crate) fn read_request(reader: &mut impl BufRead, http: bool) -> Option<String> {
     let mut text = String::new();
     while reader.read_line(&mut text).ok()? > 0 {
-        let length = match http {
-            true if !text.ends_with("\r\n\r\n") => continue,
-            true => text.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok()),
-            false if text.starts_with("ms ") => text.split(' ').nth(2)?.parse().ok().map(|n: usize| n + 2),
-            false => None,
-        };
-        let mut value = vec![0; length.unwrap_or(0)];
-        reader.read_exact(&mut value).ok()?;
-        return Some(text + std::str::from_utf8(&value).ok()?);
+        if http && !text.ends_with("\r\n\r\n") {
+            continue;
+        }
+        let mut body = vec![0; body_length(&text, http)?];
+        reader.read_exact(&mut body).ok()?;
+        return Some(text + std::str::from_utf8(&body).ok()?);
     }
     None
 }
 
+/// How many bytes follow a request's head or line; none if it says so in a way that cannot be read.
+fn body_length(text: &str, http: bool) -> Option<usize> {
+    const LINE_END: usize = 2;
+    if http {
+        let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+        return Some(length.unwrap_or(0));
+    }
+    if text.starts_with("ms ") {
+        let length: Option<usize> = text.split(' ').nth(2)?.parse().ok();
+        return Some(length.map_or(0, |length| length + LINE_END));
+    }
+    Some(0)
+}
+
 /// The `O` flag of a line, as it came.
 pub fn opaque(line: &str) -> &str {
     line.split_whitespace().find(|word| word.starts_with('O')).unwrap_or("O?")
 }
 
+/// A whole HTTP response with this body.
 pub fn http_200(body: &str) -> StubAction {
     StubAction::Reply(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -89,7 +89,7 @@
 
 #[test]
 fn a_wrong_list_ends_the_start_as_recorded() {
-    let nobody = || StubServer { address: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
+    let nobody = || StubServer::unreachable();
     let origin = nobody().entry("o", "origin", "ready");
     let node = nobody().entry("s-0", "c6", "ready");
     let bad = [
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -163,7 +163,7 @@
     scene.until("the node is asked", || node.received().len() == 1);
     assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
-    scene.until("its connection is closed", || node.ended.load(std::sync::atomic::Ordering::SeqCst) == 1);
+    scene.until("its connection is closed", || node.disconnected() == 1);
 }
 
 /// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -52,7 +52,7 @@
 #[test]
 fn a_node_that_refuses_connections_is_passed_over() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let nowhere = StubServer { address: "127.0.0.1:1".parse().unwrap(), ..StubServer::empty_node() };
+    let nowhere = StubServer::unreachable();
     let scene = ProxyFixture::of(&[&nowhere, &node], &origin);
     let mut client = scene.client();
     (0..20).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
@@ -68,7 +68,7 @@
     let (line, _) = scene.client().get("k", "1", 300);
     assert!(begun.elapsed() < ms(600), "at its own deadline, not its class's: {:?}", begun.elapsed());
     assert_eq!(line, "SERVER_ERROR busy 500\r\n", "with when to come back");
-    scene.until("the call is given up", || node.ended.load(Ordering::SeqCst) == 1);
+    scene.until("the call is given up", || node.disconnected() == 1);
     assert_eq!((scene.counter("calls_timeout"), node.received().len()), (1, 1));
 }
 
@@ -109,14 +109,14 @@
     (0..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
     assert_eq!((node.connected(), scene.counter("provider_connections")), (1, 1));
     assert!(client.get("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
-    scene.until("the rest are broken", || node.ended.load(Ordering::SeqCst) == node.connected());
+    scene.until("the rest are broken", || node.disconnected() == node.connected());
     let resets = scene.counter("calls_reset");
     // The node is a suspect for about a second.
     scene.until("it is tried again", || scene.client().get("k", "21", 900).1 == "v\r\n");
     assert_eq!(scene.counter("calls_reset"), resets, "no call met a broken connection");
     // The settings let connections stand idle for 1.5 s.
     let until = Instant::now() + ms(1400 + 1000);
-    while node.ended.load(Ordering::SeqCst) < node.connected() {
+    while node.disconnected() < node.connected() {
         assert!(Instant::now() < until, "an old connection is still open");
         sleep(ms(10));
     }
@@ -169,7 +169,7 @@
     let change = [node.entry("s-0", "c6", "gone"), node.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &change)).unwrap();
     scene.until("the change is known", || scene.counter("lists") == 1);
-    scene.until("the old connection ends", || node.ended.load(Ordering::SeqCst) == 1);
+    scene.until("the old connection ends", || node.disconnected() == 1);
     assert_eq!(client.get("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2);
 }
