--- a/crates/membership/src/golden_tests.rs
+++ b/crates/membership/src/golden_tests.rs
@@ -4,7 +4,9 @@
 //! an old one writes. A test that fails here says that the program has changed its format; the
 //! recorded bytes are not to be adapted.
 
-use crate::wire::{open, read, read_id, seal, words, DatagramKind};
+use crate::wire::{
+    decode_body, decode_datagram, decode_member_id, encode_body, encode_datagram, DatagramKind,
+};
 use crate::{MemberId, Membership, Output, Settings, State, Timing};
 use std::net::SocketAddr;
 
@@ -29,13 +31,13 @@
 fn recorded(kind: DatagramKind) -> &'static str {
     match kind {
         DatagramKind::Swim => "70740100d6503d43066764796e6961626f6479",
-        DatagramKind::Hello => "70740101e721e973066764796e6961626f6479",
-        DatagramKind::Here => "70740102b4b39523066764796e6961626f6479",
-        DatagramKind::Rival => "7074010385c24113066764796e6961626f6479",
-        DatagramKind::NoRoom => "7074010413976d83066764796e6961626f6479",
-        DatagramKind::Bye => "7074010522e6b9b3066764796e6961626f6479",
-        DatagramKind::Shares => "707401067174c5e3066764796e6961626f6479",
-        DatagramKind::Links => "70740107400511d3066764796e6961626f6479",
+        DatagramKind::Discover => "70740101e721e973066764796e6961626f6479",
+        DatagramKind::DiscoverReply => "70740102b4b39523066764796e6961626f6479",
+        DatagramKind::NameConflict => "7074010385c24113066764796e6961626f6479",
+        DatagramKind::FleetFull => "7074010413976d83066764796e6961626f6479",
+        DatagramKind::Leave => "7074010522e6b9b3066764796e6961626f6479",
+        DatagramKind::Quota => "707401067174c5e3066764796e6961626f6479",
+        DatagramKind::Directory => "70740107400511d3066764796e6961626f6479",
     }
 }
 
@@ -43,17 +45,17 @@
 fn every_kind_of_datagram_has_the_recorded_bytes() {
     let kinds = [
         DatagramKind::Swim,
-        DatagramKind::Hello,
-        DatagramKind::Here,
-        DatagramKind::Rival,
-        DatagramKind::NoRoom,
-        DatagramKind::Bye,
-        DatagramKind::Shares,
-        DatagramKind::Links,
+        DatagramKind::Discover,
+        DatagramKind::DiscoverReply,
+        DatagramKind::NameConflict,
+        DatagramKind::FleetFull,
+        DatagramKind::Leave,
+        DatagramKind::Quota,
+        DatagramKind::Directory,
     ];
     for kind in kinds {
-        check(&seal(kind, "gdynia", b"body"), recorded(kind));
-        assert_eq!(open("gdynia", &bytes(recorded(kind))), Ok((kind, &b"body"[..])));
+        check(&encode_datagram(kind, "gdynia", b"body"), recorded(kind));
+        assert_eq!(decode_datagram("gdynia", &bytes(recorded(kind))), Ok((kind, &b"body"[..])));
     }
 }
 
@@ -62,20 +64,20 @@
     let v6 = SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535));
     let first = MemberId::new("n0".into(), 1_700_000_000_000_000, place(1));
     let recorded = [
-        (first.in_life(first.start, 300), "026e308080f9c0c1c48203ac02000a0000018a3e"),
+        (first.with_generation(300), "026e308080f9c0c1c48203ac02000a0000018a3e"),
         (first, "026e308080f9c0c1c4820300000a0000018a3e"),
         (MemberId::new("n1".into(), 5, v6), "026e31050001fd000001000200030004000500060007ffff03"),
     ];
     for (id, recorded) in recorded {
-        check(&words(&id), recorded);
-        assert_eq!(read_id(&bytes(recorded)), Ok(id));
+        check(&encode_body(&id), recorded);
+        assert_eq!(decode_member_id(&bytes(recorded)), Ok(id));
     }
 }
 
 #[test]
 fn the_body_about_missing_room_has_the_recorded_bytes() {
-    check(&words(&300_u64), "ac02");
-    assert_eq!(read(&bytes("ac02")), Ok(300_u64));
+    check(&encode_body(&300_u64), "ac02");
+    assert_eq!(decode_body(&bytes("ac02")), Ok(300_u64));
 }
 
 fn member(host: u8) -> Membership {
--- a/crates/membership/src/join_admission.rs
+++ b/crates/membership/src/join_admission.rs
@@ -16,11 +16,11 @@
     /// Names that SWIM remembers, by their marks, and the latest process of each.
     pub known: BTreeMap<u128, MemberId>,
     /// A process of this member's name that is not this one, named since this was last looked at.
-    pub rival: Option<MemberId>,
+    pub conflicting: Option<MemberId>,
     /// Where a process still speaks that a later one of its name has followed, and that one.
-    pub followed: Option<(SocketAddr, MemberId)>,
+    pub superseded: Option<(SocketAddr, MemberId)>,
     /// Members turned away for want of room.
-    pub no_room: u64,
+    pub rejected_full: u64,
     /// Members that datagrams named.
     pub heard: u64,
     /// Bytes of the head that was written last.
@@ -35,14 +35,14 @@
     /// A gate that knows only this member.
     pub(crate) fn new(me: MemberId, size: usize) -> JoinAdmission {
         let known = BTreeMap::new();
-        let (rival, followed) = (None, None);
+        let (conflicting, superseded) = (None, None);
         JoinAdmission(Arc::new(Mutex::new(State {
             me,
             size,
             known,
-            rival,
-            followed,
-            no_room: 0,
+            conflicting,
+            superseded,
+            rejected_full: 0,
             heard: 0,
             head: 0,
         })))
@@ -56,39 +56,39 @@
 
 impl State {
     /// Whether SWIM may hear of this process.
-    pub(crate) fn admits(&mut self, id: &MemberId) -> bool {
+    pub(crate) fn admit(&mut self, id: &MemberId) -> bool {
         if id.name == self.me.name {
             return true;
         }
-        if let Some(known) = self.known.get_mut(&id.mark()) {
-            if id.outlives(known) {
+        if let Some(known) = self.known.get_mut(&id.name_hash()) {
+            if id.supersedes(known) {
                 *known = id.clone();
             }
             return true;
         }
-        let has_room = self.has_room(id);
-        if has_room {
-            self.known.insert(id.mark(), id.clone());
+        let has_capacity = self.has_capacity_for(id);
+        if has_capacity {
+            self.known.insert(id.name_hash(), id.clone());
         }
-        has_room
+        has_capacity
     }
 
     /// Whether there is room for it. Danger: whoever can send datagrams could fill the memory with names.
-    pub(crate) fn has_room(&mut self, id: &MemberId) -> bool {
-        let has_room = self.known.contains_key(&id.mark()) || self.known.len() + 1 < self.size;
-        self.no_room += u64::from(!has_room);
-        has_room
+    pub(crate) fn has_capacity_for(&mut self, id: &MemberId) -> bool {
+        let has_capacity = self.known.contains_key(&id.name_hash()) || self.known.len() + 1 < self.size;
+        self.rejected_full += u64::from(!has_capacity);
+        has_capacity
     }
 
     /// Who speaks is told if a later process of its name is known: nobody else would tell it.
-    pub(crate) fn speaks(&mut self, id: &MemberId) {
-        if let Some(later) = self.known.get(&id.mark()).filter(|known| known.start > id.start) {
-            self.followed = Some((id.address, later.clone()));
+    pub(crate) fn note_sender(&mut self, id: &MemberId) {
+        if let Some(later) = self.known.get(&id.name_hash()).filter(|known| known.start > id.start) {
+            self.superseded = Some((id.address, later.clone()));
         }
     }
 
     /// Whether it bears this member's name and is not this process.
-    pub(crate) fn is_rival(&self, id: &MemberId) -> bool {
+    pub(crate) fn conflicts_with(&self, id: &MemberId) -> bool {
         id.name == self.me.name && id.start != self.me.start
     }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -24,7 +24,7 @@
 pub use roster::{MemberRecord, MembershipEvent, PartitionSide, State};
 pub use settings::{Settings, SettingsError, Timing};
 pub use swim::MembershipCounters;
-pub use wire::{open, DatagramKind, DropReason, MAX_DATAGRAM};
+pub use wire::{decode_datagram, DatagramKind, DropReason, MAX_DATAGRAM};
 
 /// Milliseconds, counted by the caller's clock from any beginning.
 pub type Time = u64;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,9 +1,9 @@
 //! One member: what comes in, what goes out, and what is believed in between.
 
-use crate::health::Health;
+use crate::health::LocalHealth;
 use crate::identity::MemberId;
 use crate::join_admission::JoinAdmission;
-use crate::roster::{MemberRecord, MembershipEvent, PartitionSide, Roster, State, LAST_LIFE};
+use crate::roster::{MemberRecord, MembershipEvent, PartitionSide, Roster, State, LEAVE_GENERATION};
 use crate::settings::{Settings, SettingsError};
 use crate::swim::{MembershipCounters, Swim, SwimEvent};
 use crate::timers::Timers;
@@ -13,17 +13,17 @@
 use std::sync::Arc;
 
 /// Who is called later than this after something was due has not been running, and from this on that counts as a stop.
-const LATE: Time = 20;
-const STOP: Time = 200;
+const LATE_AFTER: Time = 20;
+const PAUSED_AFTER: Time = 200;
 /// What is believed is looked at so often when nothing says that it has changed: suspicions that others tell of.
-const LOOK: Time = 1000;
+const REFRESH_INTERVAL: Time = 1000;
 /// Two processes of one name tell each other so often, and each is believed for so long.
-const RIVAL_TOLD: Time = 1000;
-const RIVAL_BELIEVED: Time = 3500;
+const CONFLICT_ANNOUNCE_INTERVAL: Time = 1000;
+const CONFLICT_EXPIRES_AFTER: Time = 3500;
 /// A member that has just joined asks one member more each time it asks peers, for so long.
-const NEW: Time = 30_000;
+const NEWCOMER_PERIOD: Time = 30_000;
 /// Who leaves says so to so many directly; the others hear it from them.
-const BYES: usize = 16;
+const LEAVE_FANOUT: usize = 16;
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,28 +38,28 @@
     Links(SocketAddr, Vec<u8>),
 }
 
-enum Due {
+enum TimerKind {
     /// SWIM's.
     Swim(foca::Timer<MemberId>),
     /// Ask peers that are not heard.
-    Ask,
+    Discover,
     /// Look what is believed.
-    Look,
+    Refresh,
     /// Tell the rival.
-    Rival,
+    NameConflict,
 }
 
 /// Where this member stands among those of its name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum LocalState {
     /// It is the only process of its name.
-    Only,
+    SoleHolder,
     /// An earlier one is still there.
-    Followed { earlier: MemberId, heard: Time },
+    Superseding { earlier: MemberId, heard: Time },
     /// A later one is there: that one counts, and this one is out of the fleet until it is gone.
-    Displaced { later: MemberId, heard: Time },
+    Superseded { later: MemberId, heard: Time },
     /// It has said that it leaves.
-    Gone,
+    Left,
 }
 
 /// The membership of a fleet as one of its members sees it.
@@ -67,17 +67,17 @@
     settings: Settings,
     local_id: MemberId,
     seed: u64,
-    gate: JoinAdmission,
+    admission: JoinAdmission,
     swim: Swim,
-    timers: Timers<Due>,
-    health: Health,
-    members: Roster,
+    timers: Timers<TimerKind>,
+    health: LocalHealth,
+    roster: Roster,
     side: PartitionSide,
-    standing: LocalState,
-    began: Time,
+    local_state: LocalState,
+    started_at: Time,
     now: Time,
     /// Peers that were never heard.
-    unheard: Vec<SocketAddr>,
+    unseen_peers: Vec<SocketAddr>,
     counters: MembershipCounters,
 }
 
@@ -87,29 +87,36 @@
     pub fn new(settings: Settings, start: u64, seed: u64, now: Time) -> Result<Membership, SettingsError> {
         settings.check()?;
         let me = MemberId::new(settings.name.as_str().into(), start, settings.advertise);
-        let gate = JoinAdmission::new(me.clone(), settings.size);
-        let swim = Swim::new(me.clone(), gate.clone(), settings.times, wire::room(&settings.fleet), seed);
+        let admission = JoinAdmission::new(me.clone(), settings.size);
+        let swim = Swim::new(
+            me.clone(),
+            admission.clone(),
+            settings.times,
+            wire::body_capacity(&settings.fleet),
+            seed,
+        );
         let mut timers = Timers::new();
-        timers.set(now, Due::Ask);
-        timers.set(now + LOOK, Due::Look);
-        let unheard = settings.peers.clone();
-        let (roster, counts, health) = (Roster::default(), MembershipCounters::default(), Health::default());
-        let side = roster.side(unheard.len());
-        let standing = LocalState::Only;
+        timers.set(now, TimerKind::Discover);
+        timers.set(now + REFRESH_INTERVAL, TimerKind::Refresh);
+        let unseen_peers = settings.peers.clone();
+        let (roster, counts, health) =
+            (Roster::default(), MembershipCounters::default(), LocalHealth::default());
+        let side = roster.side(unseen_peers.len());
+        let local_state = LocalState::SoleHolder;
         Ok(Membership {
             settings,
             local_id: me,
             seed,
-            gate,
+            admission,
             swim,
             timers,
             health,
-            members: roster,
+            roster,
             side,
-            standing,
-            began: now,
+            local_state,
+            started_at: now,
             now,
-            unheard,
+            unseen_peers,
             counters: counts,
         })
     }
@@ -121,51 +128,53 @@
 
     /// Time has passed.
     pub fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.arrive(now, out);
-        while let Some(due) = self.timers.due(now) {
+        self.advance_clock(now, out);
+        while let Some(due) = self.timers.pop_due(now) {
             match due {
-                Due::Swim(timer) => {
+                TimerKind::Swim(timer) => {
                     let forgets = matches!(timer, foca::Timer::RemoveDown(_));
-                    self.swim.timer(timer);
-                    self.carry_out(out);
+                    self.swim.handle_timer(timer);
+                    self.apply_swim_output(out);
                     if forgets {
                         self.swim.prune();
-                        let marks = self.swim.members().map(|member| member.id().mark()).collect();
-                        out.extend(self.members.keep(&marks).into_iter().map(Output::MembershipEvent));
+                        let name_hashes = self.swim.members().map(|member| member.id().name_hash()).collect();
+                        out.extend(
+                            self.roster.retain_known(&name_hashes).into_iter().map(Output::MembershipEvent),
+                        );
                     }
                 }
-                Due::Ask => self.ask(out),
-                Due::Look => {
+                TimerKind::Discover => self.discover_peers(out),
+                TimerKind::Refresh => {
                     // Names that came with words which SWIM did not take are forgotten again.
                     self.swim.prune();
-                    self.look(out);
-                    self.timers.set(now + LOOK, Due::Look);
+                    self.refresh_roster(out);
+                    self.timers.set(now + REFRESH_INTERVAL, TimerKind::Refresh);
                 }
-                Due::Rival => self.tell_rival(out),
+                TimerKind::NameConflict => self.announce_name_conflict(out),
             }
         }
     }
 
     /// A datagram has come.
     pub fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
-        self.arrive(now, out);
+        self.advance_clock(now, out);
         self.counters.datagrams_heard += 1;
         self.counters.bytes_heard += bytes.len() as u64;
-        if self.standing == LocalState::Gone {
+        if self.local_state == LocalState::Left {
             return;
         }
-        let done = wire::open(&self.settings.fleet, bytes)
-            .and_then(|(kind, body)| self.understand(kind, body, from, out));
+        let done = wire::decode_datagram(&self.settings.fleet, bytes)
+            .and_then(|(kind, body)| self.handle_body(kind, body, from, out));
         if let Err(why) = done {
             match why {
-                DropReason::Foreign => self.counters.dropped_foreign += 1,
-                DropReason::TooNew => self.counters.dropped_too_new += 1,
-                DropReason::Spoilt => self.counters.dropped_spoilt += 1,
+                DropReason::UnknownProtocol => self.counters.dropped_foreign += 1,
+                DropReason::UnsupportedVersion => self.counters.dropped_too_new += 1,
+                DropReason::Corrupt => self.counters.dropped_spoilt += 1,
                 DropReason::OtherFleet => self.counters.dropped_other_fleet += 1,
-                DropReason::NoRoom => {
+                DropReason::FleetFull => {
                     self.counters.dropped_no_room += 1;
                     let size = self.settings.size as u64;
-                    self.send(DatagramKind::NoRoom, from, &wire::words(&size), out);
+                    self.send(DatagramKind::FleetFull, from, &wire::encode_body(&size), out);
                 }
             }
         }
@@ -174,14 +183,14 @@
     /// Says something about shares to a member, unless this process is out of the fleet.
     pub fn send_quota_message(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
         if self.is_name_holder() {
-            self.send(DatagramKind::Shares, to, body, out);
+            self.send(DatagramKind::Quota, to, body, out);
         }
     }
 
     /// Says something about this process's links to a member, unless this process is out of the fleet.
     pub fn send_directory_message(&mut self, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
         if self.is_name_holder() {
-            self.send(DatagramKind::Links, to, body, out);
+            self.send(DatagramKind::Directory, to, body, out);
         }
     }
 
@@ -195,28 +204,28 @@
         let newer = Settings { peers, ..self.settings.clone() };
         newer.check()?;
         self.settings = newer;
-        self.unheard = self.settings.peers.clone();
-        self.arrive(now, out);
-        self.timers.retain(|due| !matches!(due, Due::Ask));
-        self.ask(out);
-        self.look(out);
+        self.unseen_peers = self.settings.peers.clone();
+        self.advance_clock(now, out);
+        self.timers.retain(|due| !matches!(due, TimerKind::Discover));
+        self.discover_peers(out);
+        self.refresh_roster(out);
         Ok(())
     }
 
     /// This member leaves on purpose.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.arrive(now, out);
+        self.advance_clock(now, out);
         if self.is_name_holder() {
-            let last = self.local_id.in_life(self.local_id.start, LAST_LIFE);
-            let active: Vec<SocketAddr> = self.active().take(BYES).map(|id| id.address).collect();
-            let words = wire::words(&last);
+            let last = self.local_id.with_generation(LEAVE_GENERATION);
+            let active: Vec<SocketAddr> = self.active().take(LEAVE_FANOUT).map(|id| id.address).collect();
+            let words = wire::encode_body(&last);
             for to in active {
-                self.send(DatagramKind::Bye, to, &words, out);
+                self.send(DatagramKind::Leave, to, &words, out);
             }
             self.swim.leave(last);
-            self.carry_out(out);
+            self.apply_swim_output(out);
         }
-        self.standing = LocalState::Gone;
+        self.local_state = LocalState::Left;
         self.timers.retain(|_| false);
     }
 
@@ -232,10 +241,10 @@
 
     /// Where a process runs that bears this member's name too, and whether that one counts in the fleet.
     pub fn name_conflict(&self) -> Option<(SocketAddr, bool)> {
-        match &self.standing {
-            LocalState::Followed { earlier, .. } => Some((earlier.address, false)),
-            LocalState::Displaced { later, .. } => Some((later.address, true)),
-            LocalState::Only | LocalState::Gone => None,
+        match &self.local_state {
+            LocalState::Superseding { earlier, .. } => Some((earlier.address, false)),
+            LocalState::Superseded { later, .. } => Some((later.address, true)),
+            LocalState::SoleHolder | LocalState::Left => None,
         }
     }
 
@@ -245,11 +254,11 @@
             name: Arc::clone(&self.local_id.name),
             start: self.local_id.start,
             address: self.local_id.address,
-            state: if self.standing == LocalState::Gone { State::Left } else { State::Alive },
+            state: if self.local_state == LocalState::Left { State::Left } else { State::Alive },
             incarnation: self.swim.incarnation(),
-            since: self.began,
+            since: self.started_at,
         };
-        let mut all: Vec<MemberRecord> = self.members.entries().cloned().collect();
+        let mut all: Vec<MemberRecord> = self.roster.entries().cloned().collect();
         all.push(own);
         all.sort_by(|a, b| a.name.cmp(&b.name));
         all
@@ -257,10 +266,10 @@
 
     /// What was counted.
     pub fn counters(&self) -> MembershipCounters {
-        let swim = self.swim.wants.counts;
-        let (no_room, heard) = {
-            let gate = self.gate.state();
-            (gate.no_room, gate.heard)
+        let swim = self.swim.output.counts;
+        let (rejected_full, heard) = {
+            let admission = self.admission.state();
+            (admission.rejected_full, admission.heard)
         };
         MembershipCounters {
             probes: self.counters.probes + swim.probes,
@@ -268,23 +277,24 @@
             probes_failed: self.counters.probes_failed + swim.probes_failed,
             news_sent: self.counters.news_sent + swim.news_sent,
             news_heard: heard,
-            dropped_no_room: self.counters.dropped_no_room.max(no_room),
+            dropped_no_room: self.counters.dropped_no_room.max(rejected_full),
             ..self.counters
         }
     }
 
     /// It is this time now. Danger: what was due while this process was stopped would be taken for the silence of
     /// others: their answers lie unread. What did not pass here is added to every wait.
-    fn arrive(&mut self, now: Time, out: &mut Vec<Output>) {
+    fn advance_clock(&mut self, now: Time, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        let Some(due) = self.timers.next().filter(|due| due + LATE < now) else { return };
+        let Some(due) = self.timers.next().filter(|due| due + LATE_AFTER < now) else { return };
         let gap = now - due;
-        self.timers.put_off(gap);
+        self.timers.postpone_all(gap);
         // Danger: a suspicion of before would end before anybody could hear of it and object.
         let time_to_object = now + self.settings.times.suspicion / 2;
-        let is_suspicion = |due: &Due| matches!(due, Due::Swim(foca::Timer::ChangeSuspectToDown { .. }));
-        self.timers.not_before(time_to_object, is_suspicion);
-        if gap < STOP {
+        let is_suspicion =
+            |timer: &TimerKind| matches!(timer, TimerKind::Swim(foca::Timer::ChangeSuspectToDown { .. }));
+        self.timers.postpone_until(time_to_object, is_suspicion);
+        if gap < PAUSED_AFTER {
             return;
         }
         self.health.worsen(1 + (gap / 1000).min(2));
@@ -292,7 +302,7 @@
         out.push(Output::MembershipEvent(MembershipEvent::Stopped(gap)));
     }
 
-    fn understand(
+    fn handle_body(
         &mut self,
         kind: DatagramKind,
         body: &[u8],
@@ -300,67 +310,72 @@
         out: &mut Vec<Output>,
     ) -> Result<(), DropReason> {
         match kind {
-            DatagramKind::Swim => return self.swim_said(body, out),
-            DatagramKind::Links if self.is_name_holder() => out.push(Output::Links(from, body.to_vec())),
-            DatagramKind::Links => {}
-            DatagramKind::Shares if self.is_name_holder() => out.push(Output::Shares(body.to_vec())),
-            DatagramKind::Shares => {}
-            DatagramKind::NoRoom => {
-                let room: u64 = wire::read(body)?;
+            DatagramKind::Swim => return self.handle_swim(body, out),
+            DatagramKind::Directory if self.is_name_holder() => out.push(Output::Links(from, body.to_vec())),
+            DatagramKind::Directory => {}
+            DatagramKind::Quota if self.is_name_holder() => out.push(Output::Shares(body.to_vec())),
+            DatagramKind::Quota => {}
+            DatagramKind::FleetFull => {
+                let room: u64 = wire::decode_body(body)?;
                 out.push(Output::MembershipEvent(MembershipEvent::NoRoom(from, room as usize)));
             }
-            DatagramKind::Hello | DatagramKind::Here | DatagramKind::Rival | DatagramKind::Bye => {
-                let id = wire::read_id(body)?;
+            DatagramKind::Discover
+            | DatagramKind::DiscoverReply
+            | DatagramKind::NameConflict
+            | DatagramKind::Leave => {
+                let id = wire::decode_member_id(body)?;
                 if id.name == self.local_id.name {
-                    if id.start != self.local_id.start && kind != DatagramKind::Bye {
-                        self.meet_rival(id, out);
+                    if id.start != self.local_id.start && kind != DatagramKind::Leave {
+                        self.record_name_conflict(id, out);
                     }
                     return Ok(());
                 }
-                if matches!(self.standing, LocalState::Displaced { .. }) {
+                if matches!(self.local_state, LocalState::Superseded { .. }) {
                     return Ok(());
                 }
-                if !self.gate.state().has_room(&id) {
-                    return Err(DropReason::NoRoom);
+                if !self.admission.state().has_capacity_for(&id) {
+                    return Err(DropReason::FleetFull);
                 }
                 match kind {
-                    DatagramKind::Hello => {
-                        let me = wire::words(&self.local_id);
-                        self.send(DatagramKind::Here, id.address, &me, out);
+                    DatagramKind::Discover => {
+                        let me = wire::encode_body(&self.local_id);
+                        self.send(DatagramKind::DiscoverReply, id.address, &me, out);
+                    }
+                    DatagramKind::DiscoverReply => self.swim.announce(id),
+                    DatagramKind::Leave if id.generation == LEAVE_GENERATION => {
+                        self.swim.apply(foca::Member::down(id))
                     }
-                    DatagramKind::Here => self.swim.announce(id),
-                    DatagramKind::Bye if id.life == LAST_LIFE => self.swim.hear(foca::Member::down(id)),
-                    _ => return Err(DropReason::Spoilt),
+                    _ => return Err(DropReason::Corrupt),
                 }
-                self.carry_out(out);
+                self.apply_swim_output(out);
             }
         }
         Ok(())
     }
 
-    fn swim_said(&mut self, body: &[u8], out: &mut Vec<Output>) -> Result<(), DropReason> {
-        if matches!(self.standing, LocalState::Displaced { .. }) {
+    fn handle_swim(&mut self, body: &[u8], out: &mut Vec<Output>) -> Result<(), DropReason> {
+        if matches!(self.local_state, LocalState::Superseded { .. }) {
             return Ok(());
         }
-        let turned_away = self.gate.state().no_room;
-        let done = self.swim.data(body);
-        self.carry_out(out);
-        let (rival, followed, no_room) = {
-            let mut gate = self.gate.state();
-            (gate.rival.take(), gate.followed.take(), gate.no_room > turned_away)
+        let turned_away = self.admission.state().rejected_full;
+        let done = self.swim.handle_data(body);
+        self.apply_swim_output(out);
+        let (rival, superseded, rejected_full) = {
+            let mut admission = self.admission.state();
+            (admission.conflicting.take(), admission.superseded.take(), admission.rejected_full > turned_away)
         };
-        if let Some((earlier, later)) = followed {
-            self.send(DatagramKind::Rival, earlier, &wire::words(&later), out);
+        if let Some((earlier, later)) = superseded {
+            self.send(DatagramKind::NameConflict, earlier, &wire::encode_body(&later), out);
         }
         if let Some(rival) = rival {
-            self.meet_rival(rival, out);
+            self.record_name_conflict(rival, out);
             return Ok(());
         }
         match done {
             Ok(()) => Ok(()),
-            Err(_) if no_room => Err(DropReason::NoRoom),
+            Err(_) if rejected_full => Err(DropReason::FleetFull),
             Err(foca::Error::Decode(_) | foca::Error::MalformedPacket | foca::Error::DataTooBig) => {
-                Err(DropReason::Spoilt)
+                Err(DropReason::Corrupt)
             }
             // What was said to another, or by itself, is no fault of the datagram.
             Err(_) => Ok(()),
@@ -368,13 +383,13 @@
     }
 
     /// Does what SWIM wants.
-    fn carry_out(&mut self, out: &mut Vec<Output>) {
-        for (to, words) in std::mem::take(&mut self.swim.wants.sends) {
+    fn apply_swim_output(&mut self, out: &mut Vec<Output>) {
+        for (to, words) in std::mem::take(&mut self.swim.output.datagrams) {
             self.send(DatagramKind::Swim, to.address, &words, out);
         }
         let mut changed = false;
         let (mut probed, mut failed) = (false, false);
-        for note in std::mem::take(&mut self.swim.wants.notes) {
+        for note in std::mem::take(&mut self.swim.output.events) {
             match note {
                 SwimEvent::Changed => changed = true,
                 SwimEvent::ProbeFailed => failed = true,
@@ -383,32 +398,32 @@
                     self.counters.refuted += 1;
                     self.health.worsen(1);
                 }
-                SwimEvent::Returned(id) => {
+                SwimEvent::Rejoined(id) => {
                     self.local_id = id;
-                    self.gate.state().me = self.local_id.clone();
+                    self.admission.state().me = self.local_id.clone();
                     self.counters.returned += 1;
                     out.push(Output::MembershipEvent(MembershipEvent::Returned));
                 }
             }
         }
-        for (timer, after) in std::mem::take(&mut self.swim.wants.timers) {
+        for (timer, after) in std::mem::take(&mut self.swim.output.timers) {
             use foca::Timer::{ChangeSuspectToDown, ProbeRandomMember, SendIndirectProbe};
             let waits_for_others =
                 matches!(timer, ProbeRandomMember(_) | SendIndirectProbe { .. } | ChangeSuspectToDown { .. });
-            let after = if waits_for_others { self.health.stretch(after) } else { after };
-            self.timers.set(self.now + after, Due::Swim(timer));
+            let after = if waits_for_others { self.health.scale(after) } else { after };
+            self.timers.set(self.now + after, TimerKind::Swim(timer));
         }
         if probed && !failed {
-            self.health.mend();
+            self.health.improve();
         }
         if changed {
-            self.look(out);
+            self.refresh_roster(out);
         }
     }
 
     /// What SWIM believes by now.
-    fn look(&mut self, out: &mut Vec<Output>) {
-        let news = self.members.take(self.now, self.swim.members());
+    fn refresh_roster(&mut self, out: &mut Vec<Output>) {
+        let news = self.roster.update(self.now, self.swim.members());
         let changed = !news.is_empty();
         for news in news {
             if let MembershipEvent::Member { entry, .. } = &news {
@@ -417,16 +432,16 @@
                     State::Left => self.counters.left += 1,
                     State::Alive | State::Suspect => {}
                 }
-                self.unheard.retain(|peer| *peer != entry.address);
+                self.unseen_peers.retain(|peer| *peer != entry.address);
             }
             out.push(Output::MembershipEvent(news));
         }
         if changed {
-            self.swim.fit();
+            self.swim.adapt_to_size();
         }
-        let side = match self.standing {
-            LocalState::Displaced { .. } => PartitionSide::Alone,
-            _ => self.members.side(self.unheard.len()),
+        let side = match self.local_state {
+            LocalState::Superseded { .. } => PartitionSide::Alone,
+            _ => self.roster.side(self.unseen_peers.len()),
         };
         if side != self.side {
             self.side = side;
@@ -436,7 +451,7 @@
 
     /// Whether this process is who bears its name in the fleet.
     pub fn is_name_holder(&self) -> bool {
-        matches!(self.standing, LocalState::Only | LocalState::Followed { .. })
+        matches!(self.local_state, LocalState::SoleHolder | LocalState::Superseding { .. })
     }
 
     /// The others that are alive or suspected: where they are reached, and when they started.
@@ -449,82 +464,87 @@
     }
 
     /// Asks the peers that are not among those alive. A new member asks one of those as well, for whom it knows.
-    fn ask(&mut self, out: &mut Vec<Output>) {
+    fn discover_peers(&mut self, out: &mut Vec<Output>) {
         if self.is_name_holder() {
             let here: Vec<SocketAddr> = self.active().map(|id| id.address).collect();
-            let me = wire::words(&self.local_id);
+            let me = wire::encode_body(&self.local_id);
             for peer in self.settings.peers.clone() {
                 if !here.contains(&peer) {
-                    self.send(DatagramKind::Hello, peer, &me, out);
+                    self.send(DatagramKind::Discover, peer, &me, out);
                 }
             }
-            if self.now < self.began + NEW {
+            if self.now < self.started_at + NEWCOMER_PERIOD {
                 let nth = (self.now / self.settings.times.rejoin.max(1)) as usize;
                 let one = self.active().nth(nth % self.swim.active().max(1)).cloned();
                 if let Some(id) = one {
                     self.swim.announce(id);
                 }
-                self.carry_out(out);
+                self.apply_swim_output(out);
             }
         }
-        self.timers.set(self.now + self.settings.times.rejoin, Due::Ask);
+        self.timers.set(self.now + self.settings.times.rejoin, TimerKind::Discover);
     }
 
     /// Another process bears this member's name. None of them wins in silence: both say so for as long as both are
     /// there, and the later start is who counts.
-    fn meet_rival(&mut self, rival: MemberId, out: &mut Vec<Output>) {
+    fn record_name_conflict(&mut self, rival: MemberId, out: &mut Vec<Output>) {
         let later = rival.start > self.local_id.start;
         let is_new = self.name_conflict() != Some((rival.address, later));
-        let was_displaced = matches!(self.standing, LocalState::Displaced { .. });
+        let was_displaced = matches!(self.local_state, LocalState::Superseded { .. });
         if is_new {
             out.push(Output::MembershipEvent(MembershipEvent::Rival(rival.address, later)));
-            self.timers.retain(|due| !matches!(due, Due::Rival));
-            self.timers.set(self.now, Due::Rival);
+            self.timers.retain(|due| !matches!(due, TimerKind::NameConflict));
+            self.timers.set(self.now, TimerKind::NameConflict);
         }
         if later {
             if !was_displaced {
-                self.timers.retain(|due| !matches!(due, Due::Swim(_)));
+                self.timers.retain(|due| !matches!(due, TimerKind::Swim(_)));
             }
-            self.standing = LocalState::Displaced { later: rival, heard: self.now };
+            self.local_state = LocalState::Superseded { later: rival, heard: self.now };
         } else {
-            self.standing = LocalState::Followed { earlier: rival, heard: self.now };
+            self.local_state = LocalState::Superseding { earlier: rival, heard: self.now };
         }
         if is_new {
-            self.look(out);
+            self.refresh_roster(out);
         }
     }
 
-    fn tell_rival(&mut self, out: &mut Vec<Output>) {
-        let (rival, heard, later) = match &self.standing {
-            LocalState::Followed { earlier, heard } => (earlier.clone(), *heard, false),
-            LocalState::Displaced { later, heard } => (later.clone(), *heard, true),
-            LocalState::Only | LocalState::Gone => return,
+    fn announce_name_conflict(&mut self, out: &mut Vec<Output>) {
+        let (rival, heard, later) = match &self.local_state {
+            LocalState::Superseding { earlier, heard } => (earlier.clone(), *heard, false),
+            LocalState::Superseded { later, heard } => (later.clone(), *heard, true),
+            LocalState::SoleHolder | LocalState::Left => return,
         };
-        if heard + RIVAL_BELIEVED > self.now {
-            let me = wire::words(&self.local_id);
-            self.send(DatagramKind::Rival, rival.address, &me, out);
-            return self.timers.set(self.now + RIVAL_TOLD, Due::Rival);
+        if heard + CONFLICT_EXPIRES_AFTER > self.now {
+            let me = wire::encode_body(&self.local_id);
+            self.send(DatagramKind::NameConflict, rival.address, &me, out);
+            return self.timers.set(self.now + CONFLICT_ANNOUNCE_INTERVAL, TimerKind::NameConflict);
         }
         out.push(Output::MembershipEvent(MembershipEvent::RivalGone));
-        self.standing = LocalState::Only;
+        self.local_state = LocalState::SoleHolder;
         if later {
             // It comes back as the process after that one: who heard of that one would hear of no earlier one.
-            self.local_id = self.local_id.in_life(rival.start + 1, 0);
-            self.gate.state().me = self.local_id.clone();
+            self.local_id = self.local_id.with_start(rival.start + 1);
+            self.admission.state().me = self.local_id.clone();
             let counts = self.counters();
-            let room = wire::room(&self.settings.fleet);
+            let room = wire::body_capacity(&self.settings.fleet);
             self.seed = self.seed.wrapping_add(1);
-            self.swim =
-                Swim::new(self.local_id.clone(), self.gate.clone(), self.settings.times, room, self.seed);
+            self.swim = Swim::new(
+                self.local_id.clone(),
+                self.admission.clone(),
+                self.settings.times,
+                room,
+                self.seed,
+            );
             self.counters = counts;
-            self.timers.retain(|due| !matches!(due, Due::Ask));
-            self.ask(out);
+            self.timers.retain(|due| !matches!(due, TimerKind::Discover));
+            self.discover_peers(out);
         }
-        self.look(out);
+        self.refresh_roster(out);
     }
 
     fn send(&mut self, kind: DatagramKind, to: SocketAddr, body: &[u8], out: &mut Vec<Output>) {
-        let datagram = wire::seal(kind, &self.settings.fleet, body);
+        let datagram = wire::encode_datagram(kind, &self.settings.fleet, body);
         self.counters.datagrams_sent += 1;
         self.counters.bytes_sent += datagram.len() as u64;
         out.push(Output::Send(to, datagram));
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -99,7 +99,7 @@
 }
 
 /// The life that a member takes to say that it leaves: nobody else can say that of it, and no life comes after.
-pub(crate) const LAST_LIFE: u32 = u32::MAX;
+pub(crate) const LEAVE_GENERATION: u32 = u32::MAX;
 
 /// All members but this one.
 #[derive(Debug, Default)]
@@ -110,7 +110,7 @@
 
 impl Roster {
     /// Takes what SWIM believes now; what has changed.
-    pub(crate) fn take<'a>(
+    pub(crate) fn update<'a>(
         &mut self,
         now: Time,
         members: impl Iterator<Item = &'a foca::Member<MemberId>>,
@@ -121,10 +121,10 @@
             let state = match member.state() {
                 foca::State::Alive => State::Alive,
                 foca::State::Suspect => State::Suspect,
-                foca::State::Down if id.life == LAST_LIFE => State::Left,
+                foca::State::Down if id.generation == LEAVE_GENERATION => State::Left,
                 foca::State::Down => State::Failed,
             };
-            let known = self.entries.get_mut(&id.mark());
+            let known = self.entries.get_mut(&id.name_hash());
             let before = known.as_ref().map(|entry| (entry.start, entry.state));
             if let Some(entry) = known.filter(|entry| (entry.start, entry.state) == (id.start, state)) {
                 (entry.incarnation, entry.address) = (member.incarnation(), id.address);
@@ -138,17 +138,17 @@
                 incarnation: member.incarnation(),
                 since: now,
             };
-            self.entries.insert(id.mark(), entry.clone());
+            self.entries.insert(id.name_hash(), entry.clone());
             news.push(MembershipEvent::Member { entry, before });
         }
         news
     }
 
     /// Forgets all but those of these marks.
-    pub(crate) fn keep(&mut self, marks: &BTreeSet<u128>) -> Vec<MembershipEvent> {
+    pub(crate) fn retain_known(&mut self, name_hashes: &BTreeSet<u128>) -> Vec<MembershipEvent> {
         let mut gone = Vec::new();
         self.entries.retain(|mark, entry| {
-            let stays = marks.contains(mark);
+            let stays = name_hashes.contains(mark);
             if !stays {
                 gone.push(Arc::clone(&entry.name));
             }
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -14,11 +14,11 @@
 use thiserror::Error;
 
 /// Members by way of which one is probed that does not answer.
-const BY_WAY_OF: usize = 3;
+const INDIRECT_PROBES: usize = 3;
 /// Members that are told of news at a time.
-const TOLD_AT_ONCE: usize = 3;
+const GOSSIP_FANOUT: usize = 3;
 /// All that one member knows is asked of another so often: it mends what no news brought.
-const ANTI_ENTROPY: Duration = Duration::from_secs(2);
+const FULL_SYNC_INTERVAL: Duration = Duration::from_secs(2);
 
 /// What was counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -69,7 +69,7 @@
     /// Who belongs, or what is believed of it, has changed.
     Changed,
     /// Others had taken this member for failed: it goes on under this identity.
-    Returned(MemberId),
+    Rejoined(MemberId),
     /// A probe failed.
     ProbeFailed,
     /// This member has been probing.
@@ -81,11 +81,11 @@
 /// What SWIM wants done.
 #[derive(Default)]
 pub(crate) struct SwimOutput {
-    pub sends: Vec<(MemberId, Vec<u8>)>,
+    pub datagrams: Vec<(MemberId, Vec<u8>)>,
     pub timers: Vec<(Timer<MemberId>, u64)>,
-    pub notes: Vec<SwimEvent>,
+    pub events: Vec<SwimEvent>,
     incarnation: u16,
-    gate: Option<JoinAdmission>,
+    admission: Option<JoinAdmission>,
     pub counts: MembershipCounters,
 }
 
@@ -94,38 +94,38 @@
         match notification {
             Notification::Rejoin(id) => {
                 self.incarnation = 0;
-                self.notes.push(SwimEvent::Returned(id.clone()));
+                self.events.push(SwimEvent::Rejoined(id.clone()));
             }
             Notification::ProbeFailed(..) => {
                 self.counts.probes_failed += 1;
-                self.notes.push(SwimEvent::ProbeFailed);
-                self.notes.push(SwimEvent::Changed);
+                self.events.push(SwimEvent::ProbeFailed);
+                self.events.push(SwimEvent::Changed);
             }
             Notification::DataSent(header) => {
                 match header.message {
                     Message::Ping(_) => {
                         self.counts.probes += 1;
-                        self.notes.push(SwimEvent::Probed);
+                        self.events.push(SwimEvent::Probed);
                     }
                     Message::PingReq { .. } => self.counts.probes_indirect += 1,
                     _ => {}
                 }
                 if header.src_incarnation > self.incarnation {
                     self.incarnation = header.src_incarnation;
-                    self.notes.push(SwimEvent::Refuted(self.incarnation));
+                    self.events.push(SwimEvent::Refuted(self.incarnation));
                 }
             }
             Notification::DataReceived(_) => {}
-            _ => self.notes.push(SwimEvent::Changed),
+            _ => self.events.push(SwimEvent::Changed),
         }
     }
 
     fn send_to(&mut self, to: MemberId, data: &[u8]) {
-        let head = self.gate.as_ref().map_or(0, |gate| gate.state().head);
+        let head = self.admission.as_ref().map_or(0, |admission| admission.state().head);
         if let Some([high, low]) = data.get(head..head + 2) {
             self.counts.news_sent += u64::from(u16::from_be_bytes([*high, *low]));
         }
-        self.sends.push((to, data.to_vec()));
+        self.datagrams.push((to, data.to_vec()));
     }
 
     fn submit_after(&mut self, event: Timer<MemberId>, after: Duration) {
@@ -138,7 +138,7 @@
 pub(crate) enum SwimCodecError {
     /// They are none.
     #[error("no words of SWIM")]
-    None,
+    Malformed,
     /// They do not fit.
     #[error("too long")]
     TooLong,
@@ -151,8 +151,8 @@
 struct SwimCodec(JoinAdmission);
 
 impl SwimCodec {
-    fn put(said: &impl serde::Serialize, mut buf: impl bytes::BufMut) -> Result<usize, SwimCodecError> {
-        let words = wire::words(said);
+    fn encode(value: &impl serde::Serialize, mut buf: impl bytes::BufMut) -> Result<usize, SwimCodecError> {
+        let words = wire::encode_body(value);
         if buf.remaining_mut() < words.len() {
             return Err(SwimCodecError::TooLong);
         }
@@ -160,8 +160,8 @@
         Ok(words.len())
     }
 
-    fn take<T: serde::de::DeserializeOwned>(mut buf: impl bytes::Buf) -> Result<T, SwimCodecError> {
-        let (said, rest) = postcard::take_from_bytes(buf.chunk()).map_err(|_| SwimCodecError::None)?;
+    fn decode<T: serde::de::DeserializeOwned>(mut buf: impl bytes::Buf) -> Result<T, SwimCodecError> {
+        let (said, rest) = postcard::take_from_bytes(buf.chunk()).map_err(|_| SwimCodecError::Malformed)?;
         let used = buf.remaining() - rest.len();
         buf.advance(used);
         Ok(said)
@@ -176,23 +176,23 @@
         header: &Header<MemberId>,
         buf: impl bytes::BufMut,
     ) -> Result<(), SwimCodecError> {
-        let head = SwimCodec::put(header, buf)?;
+        let head = SwimCodec::encode(header, buf)?;
         self.0.state().head = head;
         Ok(())
     }
 
     fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<Header<MemberId>, SwimCodecError> {
-        let header: Header<MemberId> = SwimCodec::take(buf)?;
-        if !header.src.is_sound() {
-            return Err(SwimCodecError::None);
+        let header: Header<MemberId> = SwimCodec::decode(buf)?;
+        if !header.src.is_valid() {
+            return Err(SwimCodecError::Malformed);
         }
-        let mut gate = self.0.state();
-        if gate.is_rival(&header.src) {
-            gate.rival = Some(header.src);
+        let mut admission = self.0.state();
+        if admission.conflicts_with(&header.src) {
+            admission.conflicting = Some(header.src);
             return Err(SwimCodecError::NotAdmitted);
         }
-        gate.speaks(&header.src);
-        if gate.admits(&header.src) {
+        admission.note_sender(&header.src);
+        if admission.admit(&header.src) {
             Ok(header)
         } else {
             Err(SwimCodecError::NotAdmitted)
@@ -204,29 +204,29 @@
         member: &foca::Member<MemberId>,
         buf: impl bytes::BufMut,
     ) -> Result<(), SwimCodecError> {
-        SwimCodec::put(member, buf).map(drop)
+        SwimCodec::encode(member, buf).map(drop)
     }
 
     fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<MemberId>, SwimCodecError> {
-        let member: foca::Member<MemberId> = SwimCodec::take(buf)?;
-        if !member.id().is_sound() {
-            return Err(SwimCodecError::None);
+        let member: foca::Member<MemberId> = SwimCodec::decode(buf)?;
+        if !member.id().is_valid() {
+            return Err(SwimCodecError::Malformed);
         }
-        let mut gate = self.0.state();
-        gate.heard += 1;
+        let mut admission = self.0.state();
+        admission.heard += 1;
         // That this member is alive says nothing to it: it stands for what is not to be heard.
-        let unheard = foca::Member::alive(gate.me.clone());
-        if gate.is_rival(member.id()) {
+        let unheard = foca::Member::alive(admission.me.clone());
+        if admission.conflicts_with(member.id()) {
             // What ended before this process began is old news; a later process of its name is not.
-            if member.id().start > gate.me.start {
+            if member.id().start > admission.me.start {
                 if member.state() != foca::State::Down {
-                    gate.rival = Some(member.id().clone());
+                    admission.conflicting = Some(member.id().clone());
                 }
                 return Ok(unheard);
             }
             return Ok(member);
         }
-        if gate.admits(member.id()) {
+        if admission.admit(member.id()) {
             Ok(member)
         } else {
             Ok(unheard)
@@ -237,46 +237,52 @@
 /// SWIM for one member.
 pub(crate) struct Swim {
     foca: Foca<MemberId, SwimCodec, StdRng, NoCustomBroadcast>,
-    gate: JoinAdmission,
+    admission: JoinAdmission,
     times: Timing,
-    room: usize,
-    pub wants: SwimOutput,
+    body_capacity: usize,
+    pub output: SwimOutput,
 }
 
 impl Swim {
     /// A member that knows nobody.
-    pub(crate) fn new(me: MemberId, gate: JoinAdmission, times: Timing, room: usize, seed: u64) -> Swim {
-        let config = config(&times, room, 1);
-        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), SwimCodec(gate.clone()));
-        let wants = SwimOutput { gate: Some(gate.clone()), ..SwimOutput::default() };
-        Swim { foca, gate, times, room, wants }
+    pub(crate) fn new(
+        me: MemberId,
+        admission: JoinAdmission,
+        times: Timing,
+        body_capacity: usize,
+        seed: u64,
+    ) -> Swim {
+        let config = config(&times, body_capacity, 1);
+        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), SwimCodec(admission.clone()));
+        let output = SwimOutput { admission: Some(admission.clone()), ..SwimOutput::default() };
+        Swim { foca, admission, times, body_capacity, output }
     }
 
     /// Takes words of another member.
-    pub(crate) fn data(&mut self, words: &[u8]) -> Result<(), foca::Error> {
-        self.foca.handle_data(words, &mut self.wants)
+    pub(crate) fn handle_data(&mut self, words: &[u8]) -> Result<(), foca::Error> {
+        self.foca.handle_data(words, &mut self.output)
     }
 
     /// A timer is due.
-    pub(crate) fn timer(&mut self, timer: Timer<MemberId>) {
+    pub(crate) fn handle_timer(&mut self, timer: Timer<MemberId>) {
         // A probe that could not run its course is begun anew by the library itself; it says so, and that is all.
-        let _ = self.foca.handle_timer(timer, &mut self.wants);
+        let _ = self.foca.handle_timer(timer, &mut self.output);
     }
 
     /// Asks a member to be let in, and whom it knows.
     pub(crate) fn announce(&mut self, to: MemberId) {
-        let _ = self.foca.announce(to, &mut self.wants);
+        let _ = self.foca.announce(to, &mut self.output);
     }
 
     /// Hears what a member says of itself.
-    pub(crate) fn hear(&mut self, member: foca::Member<MemberId>) {
-        let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.wants);
+    pub(crate) fn apply(&mut self, member: foca::Member<MemberId>) {
+        let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.output);
     }
 
     /// Says that this member leaves.
     pub(crate) fn leave(&mut self, last: MemberId) {
-        let _ = self.foca.change_identity(last, &mut self.wants);
-        let _ = self.foca.leave_cluster(&mut self.wants);
+        let _ = self.foca.change_identity(last, &mut self.output);
+        let _ = self.foca.leave_cluster(&mut self.output);
     }
 
     /// All that are remembered.
@@ -291,29 +297,29 @@
 
     /// How often this member objected in this life.
     pub(crate) fn incarnation(&self) -> u16 {
-        self.wants.incarnation
+        self.output.incarnation
     }
 
     /// Has the times fit a fleet of this size.
-    pub(crate) fn fit(&mut self) {
-        let config = config(&self.times, self.room, self.active() + 1);
+    pub(crate) fn adapt_to_size(&mut self) {
+        let config = config(&self.times, self.body_capacity, self.active() + 1);
         // What may not change is as it was.
         let _ = self.foca.set_config(config);
     }
 
     /// The gate keeps those that are remembered, and no others.
     pub(crate) fn prune(&self) {
-        let mut gate = self.gate.state();
-        let own = gate.me.mark();
-        let remembered = || self.members().map(foca::Member::id).filter(|id| id.mark() != own);
+        let mut admission = self.admission.state();
+        let own = admission.me.name_hash();
+        let remembered = || self.members().map(foca::Member::id).filter(|id| id.name_hash() != own);
         // All that are remembered have passed it: if there are as many, they are the same.
-        if gate.known.len() > remembered().count() {
-            gate.known = remembered().map(|id| (id.mark(), id.clone())).collect();
+        if admission.known.len() > remembered().count() {
+            admission.known = remembered().map(|id| (id.name_hash(), id.clone())).collect();
         }
     }
 }
 
-fn config(times: &Timing, room: usize, members: usize) -> Config {
+fn config(times: &Timing, body_capacity: usize, members: usize) -> Config {
     let params = |frequency, members| {
         Some(PeriodicParams {
             frequency,
@@ -321,20 +327,20 @@
         })
     };
     let digits = ((members + 1) as f64).log10();
-    // News reach all in a number of tellings that grows with the logarithm (SWIM, section 4.1).
-    let tellings = (digits * 6.0).ceil().clamp(12.0, 30.0) as u8;
+    // News reach all in a number of max_transmissions that grows with the logarithm (SWIM, section 4.1).
+    let max_transmissions = (digits * 6.0).ceil().clamp(12.0, 30.0) as u8;
     let suspicion = times.suspicion as f64 * (members as f64).log10().max(1.0);
     Config {
         probe_period: Duration::from_millis(times.period),
         probe_rtt: Duration::from_millis(times.answer),
-        num_indirect_probes: NonZeroUsize::new(BY_WAY_OF).unwrap_or(NonZeroUsize::MIN),
-        max_transmissions: NonZeroU8::new(tellings).unwrap_or(NonZeroU8::MIN),
+        num_indirect_probes: NonZeroUsize::new(INDIRECT_PROBES).unwrap_or(NonZeroUsize::MIN),
+        max_transmissions: NonZeroU8::new(max_transmissions).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: Duration::from_millis(suspicion as u64),
         remove_down_after: Some(Duration::from_millis(times.forget)),
-        max_packet_size: NonZeroUsize::new(room).unwrap_or(NonZeroUsize::MIN),
+        max_packet_size: NonZeroUsize::new(body_capacity).unwrap_or(NonZeroUsize::MIN),
         notify_down_members: true,
-        periodic_announce: params(ANTI_ENTROPY, 1),
+        periodic_announce: params(FULL_SYNC_INTERVAL, 1),
         periodic_announce_to_down_members: params(Duration::from_millis(times.reunion), 2),
-        periodic_gossip: params(Duration::from_millis(times.gossip), TOLD_AT_ONCE),
+        periodic_gossip: params(Duration::from_millis(times.gossip), GOSSIP_FANOUT),
     }
 }
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -28,19 +28,19 @@
     }
 
     /// Takes one that is due.
-    pub(crate) fn due(&mut self, now: Time) -> Option<T> {
+    pub(crate) fn pop_due(&mut self, now: Time) -> Option<T> {
         let first = self.set.first_entry().filter(|first| first.key().0 <= now)?;
         Some(first.remove())
     }
 
     /// Puts all off.
-    pub(crate) fn put_off(&mut self, by: Time) {
+    pub(crate) fn postpone_all(&mut self, by: Time) {
         let before = std::mem::take(&mut self.set);
         self.set = before.into_iter().map(|((at, count), what)| ((at + by, count), what)).collect();
     }
 
     /// Has some be due at a time at the earliest.
-    pub(crate) fn not_before(&mut self, at: Time, which: impl Fn(&T) -> bool) {
+    pub(crate) fn postpone_until(&mut self, at: Time, which: impl Fn(&T) -> bool) {
         let early: Vec<(Time, u64)> =
             self.set.range(..(at, 0)).filter(|(_, what)| which(what)).map(|(key, _)| *key).collect();
         for key in early {
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -25,54 +25,54 @@
     /// SWIM.
     Swim,
     /// "Who is there? I am this one": an [`MemberId`].
-    Hello,
+    Discover,
     /// "It is me": an [`MemberId`], to who said hello.
-    Here,
+    DiscoverReply,
     /// "I bear your name": an [`MemberId`].
-    Rival,
+    NameConflict,
     /// "I have no room for you": how many I have room for.
-    NoRoom,
+    FleetFull,
     /// "I go": an [`MemberId`].
-    Bye,
+    Leave,
     /// What the floor of shares says.
-    Shares,
+    Quota,
     /// Where a process's links are.
-    Links,
+    Directory,
 }
 
 const KINDS: [DatagramKind; 8] = [
     DatagramKind::Swim,
-    DatagramKind::Hello,
-    DatagramKind::Here,
-    DatagramKind::Rival,
-    DatagramKind::NoRoom,
-    DatagramKind::Bye,
-    DatagramKind::Shares,
-    DatagramKind::Links,
+    DatagramKind::Discover,
+    DatagramKind::DiscoverReply,
+    DatagramKind::NameConflict,
+    DatagramKind::FleetFull,
+    DatagramKind::Leave,
+    DatagramKind::Quota,
+    DatagramKind::Directory,
 ];
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DropReason {
     /// It is none of ours at all.
-    Foreign,
+    UnknownProtocol,
     /// Its format is newer than this program.
-    TooNew,
+    UnsupportedVersion,
     /// It is damaged, or says what cannot be.
-    Spoilt,
+    Corrupt,
     /// It is another fleet's.
     OtherFleet,
     /// It is of a member for which there is no room.
-    NoRoom,
+    FleetFull,
 }
 
 /// How many bytes of a datagram are left for what a kind says.
-pub(crate) fn room(fleet: &str) -> usize {
+pub(crate) fn body_capacity(fleet: &str) -> usize {
     MAX_DATAGRAM - HEAD - fleet.len()
 }
 
 /// A datagram of a fleet.
-pub(crate) fn seal(kind: DatagramKind, fleet: &str, body: &[u8]) -> Vec<u8> {
+pub(crate) fn encode_datagram(kind: DatagramKind, fleet: &str, body: &[u8]) -> Vec<u8> {
     let mut out = Vec::with_capacity(HEAD + fleet.len() + body.len());
     out.extend_from_slice(&MAGIC);
     out.extend_from_slice(&[VERSION, kind as u8, 0, 0, 0, 0, fleet.len() as u8]);
@@ -88,43 +88,43 @@
 }
 
 /// What a datagram of this fleet is about, and what it says.
-pub fn open<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(DatagramKind, &'a [u8]), DropReason> {
+pub fn decode_datagram<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(DatagramKind, &'a [u8]), DropReason> {
     if datagram.len() < HEAD || datagram[..2] != MAGIC {
-        return Err(DropReason::Foreign);
+        return Err(DropReason::UnknownProtocol);
     }
     if datagram[2] > VERSION {
-        return Err(DropReason::TooNew);
+        return Err(DropReason::UnsupportedVersion);
     }
     let sum = u32::from_be_bytes([datagram[4], datagram[5], datagram[6], datagram[7]]);
     if datagram.len() > MAX_DATAGRAM || checksum(datagram) != sum {
-        return Err(DropReason::Spoilt);
+        return Err(DropReason::Corrupt);
     }
     let length = usize::from(datagram[8]);
-    let name = datagram.get(HEAD..HEAD + length).ok_or(DropReason::Spoilt)?;
+    let name = datagram.get(HEAD..HEAD + length).ok_or(DropReason::Corrupt)?;
     if name != fleet.as_bytes() {
         return Err(DropReason::OtherFleet);
     }
-    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(DropReason::TooNew)?;
+    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(DropReason::UnsupportedVersion)?;
     Ok((kind, &datagram[HEAD + length..]))
 }
 
 /// The words of a kind that is not SWIM's.
-pub(crate) fn words(said: &impl Serialize) -> Vec<u8> {
+pub(crate) fn encode_body(said: &impl Serialize) -> Vec<u8> {
     // Ids and numbers have a form in postcard: nothing here fails.
     postcard::to_allocvec(said).unwrap_or_default()
 }
 
 /// Reads them.
-pub(crate) fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, DropReason> {
+pub(crate) fn decode_body<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, DropReason> {
     match postcard::take_from_bytes(body) {
         Ok((said, [])) => Ok(said),
-        _ => Err(DropReason::Spoilt),
+        _ => Err(DropReason::Corrupt),
     }
 }
 
 /// Reads who says it.
-pub(crate) fn read_id(body: &[u8]) -> Result<MemberId, DropReason> {
-    read(body).and_then(|id: MemberId| if id.is_sound() { Ok(id) } else { Err(DropReason::Spoilt) })
+pub(crate) fn decode_member_id(body: &[u8]) -> Result<MemberId, DropReason> {
+    decode_body(body).and_then(|id: MemberId| if id.is_valid() { Ok(id) } else { Err(DropReason::Corrupt) })
 }
 
 #[cfg(test)]
