Split membership by concern; document its items and type its errors

Parameter structs and named structs in place of tuples; settings, codec and drop reasons are thiserror enums that name the value.

--- /dev/null
+++ b/crates/membership/src/events.rs
@@ -0,0 +1,35 @@
+//! What the rest of the program is told: [`MembershipEvent`].
+
+use crate::roster::{MemberRecord, PartitionSide, State};
+use crate::Time;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Something that the rest of the program may act on or log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipEvent {
+    /// The state of a member has changed, or another process has taken its name.
+    Member {
+        /// The member, as it is believed to be now.
+        entry: MemberRecord,
+        /// The start of the process of that name that was known before (in Unix microseconds) and
+        /// its state; none if the name is new.
+        before: Option<(u64, State)>,
+    },
+    /// A member that had failed or left is remembered no longer.
+    Forgotten(Arc<str>),
+    /// This member is on another side of a partition, or the partition has healed.
+    PartitionSide(PartitionSide),
+    /// Another process, at this address, has this member's name. `true`: it started later, so that
+    /// it counts in the fleet and this process does not.
+    Rival(SocketAddr, bool),
+    /// The other process of this member's name is gone.
+    RivalGone,
+    /// The member at this address has reached its configured size, which is this many members, and
+    /// rejects this one.
+    NoRoom(SocketAddr, usize),
+    /// Others had taken this member for failed; it has rejoined.
+    Returned,
+    /// This process did not run for so long, in ms.
+    Stopped(Time),
+}
--- a/crates/membership/src/health.rs
+++ b/crates/membership/src/health.rs
@@ -1,25 +1,25 @@
-//! Local health, after Lifeguard (Dadgar, Phillips, Currey, 2018): a member that is slow itself takes longer before it
-//! suspects others.
+//! Local health, after Lifeguard (Dadgar, Phillips, Currey, 2018): a member that is slow itself
+//! waits longer before it suspects others. [`LocalHealth`] is the score.
 
 /// The worst score.
 const MAX_SCORE: u64 = 8;
 
-/// How far this member may be believed to be on time itself; 0 is well.
+/// How little this member can be trusted to be on time itself, from 0 (healthy) to [`MAX_SCORE`].
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct LocalHealth(u64);
 
 impl LocalHealth {
-    /// It was late, or had to object to a suspicion: both say that it is slow.
+    /// This member was late, or had to refute a suspicion: both say that it is slow.
     pub(crate) fn worsen(&mut self, by: u64) {
         self.0 = self.0.saturating_add(by).min(MAX_SCORE);
     }
 
-    /// A period went well.
+    /// A probe period went well.
     pub(crate) fn improve(&mut self) {
         self.0 = self.0.saturating_sub(1);
     }
 
-    /// A wait for others, as long as this member's health asks for.
+    /// How long to wait for others instead of `wait`, both in ms.
     pub(crate) fn scale(self, wait: u64) -> u64 {
         wait.saturating_mul(self.0 + 1)
     }
--- a/crates/membership/src/identity.rs
+++ b/crates/membership/src/identity.rs
@@ -1,4 +1,4 @@
-//! Who a member is. A name is not a process: name and start together are.
+//! Who a member is: [`MemberId`]. A name is not a process; name and start together are.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -7,24 +7,31 @@
 /// The longest name of a member or a fleet, in bytes.
 pub const MAX_NAME: usize = 64;
 
+/// The generation that a member takes to announce that it leaves: nobody else can claim that of
+/// it, and no generation comes after.
+pub(crate) const LEAVE_GENERATION: u32 = u32::MAX;
+
 /// One process of the fleet.
+///
+/// Danger: the order of the fields is the format of datagrams; their names are not part of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "RawMemberId")]
 pub struct MemberId {
-    /// Stands for the name where members are compared: SWIM looks for one by going through all of them.
+    /// A hash of the name. SWIM looks for a member by comparing all of them, and compares these.
     #[serde(skip)]
     name_hash: u128,
-    /// Its name, which a later process may bear again.
+    /// Its name, which a later process may have again.
     pub name: Arc<str>,
     /// When it started, in Unix microseconds. Of two processes of one name the later start counts.
     pub start: u64,
-    /// How often it had to come back after others took it for failed.
+    /// How often it has rejoined after others took it for failed. Not SWIM's incarnation, which
+    /// counts refuted suspicions and begins anew with each generation.
     pub generation: u32,
     /// Where it is reached.
     pub address: SocketAddr,
 }
 
-/// What a datagram says of a process.
+/// The fields of a [`MemberId`] that are in a datagram.
 #[derive(Deserialize)]
 struct RawMemberId {
     name: Arc<str>,
@@ -40,15 +47,10 @@
 }
 
 impl MemberId {
-    /// A process in its first life.
+    /// A process that has not had to rejoin yet. `start` is in Unix microseconds.
     pub fn new(name: Arc<str>, start: u64, address: SocketAddr) -> MemberId {
-        MemberId {
-            name_hash: xxhash_rust::xxh3::xxh3_128(name.as_bytes()),
-            name,
-            start,
-            generation: 0,
-            address,
-        }
+        let name_hash = xxhash_rust::xxh3::xxh3_128(name.as_bytes());
+        MemberId { name_hash, name, start, generation: 0, address }
     }
 
     /// What stands for its name where members are compared.
@@ -56,22 +58,22 @@
         self.name_hash
     }
 
-    /// The same process after it rejoined for the `generation`th time.
+    /// The same process in another generation.
     pub(crate) fn with_generation(&self, generation: u32) -> MemberId {
         MemberId { generation, ..self.clone() }
     }
 
-    /// A later process of the same name and address, which never had to rejoin.
+    /// A process of the same name and address with another start, in its first generation.
     pub(crate) fn with_start(&self, start: u64) -> MemberId {
         MemberId { start, generation: 0, ..self.clone() }
     }
 
-    /// Whether this is the same process, or a later one of its name.
+    /// Whether this is a later process of that name, or a later generation of the same process.
     pub fn supersedes(&self, other: &MemberId) -> bool {
         (self.start, self.generation) > (other.start, other.generation)
     }
 
-    /// Whether its words could be true.
+    /// Whether a process could have this identity.
     pub(crate) fn is_valid(&self) -> bool {
         !self.name.is_empty()
             && self.name.len() <= MAX_NAME
--- /dev/null
+++ b/crates/membership/src/membership/swim_effects.rs
@@ -0,0 +1,102 @@
+//! What SWIM wants done, and what has changed by it. Read [`Membership::apply_swim_output`] first.
+
+use super::{Membership, Output, TimerKind};
+use crate::events::MembershipEvent;
+use crate::identity::MemberId;
+use crate::roster::{MemberRecord, PartitionSide, State};
+use crate::swim::{SwimEvent, SwimTimer};
+use crate::wire::DatagramKind;
+
+impl Membership {
+    /// Handles a timer that SWIM has set.
+    pub(super) fn handle_swim_timer(&mut self, timer: foca::Timer<MemberId>, out: &mut Vec<Output>) {
+        let forgets_member = matches!(timer, foca::Timer::RemoveDown(_));
+        self.swim.handle_timer(timer);
+        self.apply_swim_output(out);
+        if forgets_member {
+            self.swim.prune_admission();
+            let remembered = self.swim.members().map(|member| member.id().name_hash()).collect();
+            let events = self.roster.retain_known(&remembered);
+            out.extend(events.into_iter().map(Output::MembershipEvent));
+        }
+    }
+
+    /// Does what SWIM wants done.
+    pub(super) fn apply_swim_output(&mut self, out: &mut Vec<Output>) {
+        for message in std::mem::take(&mut self.swim.output.messages) {
+            self.send(DatagramKind::Swim, message.to.address, &message.bytes, out);
+        }
+        let events = std::mem::take(&mut self.swim.output.events);
+        let mut has_changed = false;
+        let mut has_probed = false;
+        let mut probe_failed = false;
+        for event in events {
+            match event {
+                SwimEvent::Changed => has_changed = true,
+                SwimEvent::ProbeFailed => probe_failed = true,
+                SwimEvent::Probed => has_probed = true,
+                SwimEvent::Refuted => {
+                    self.counters.refuted += 1;
+                    self.health.worsen(1);
+                }
+                SwimEvent::Rejoined(id) => {
+                    self.local_id = id;
+                    self.admission.state().local_id = self.local_id.clone();
+                    self.counters.returned += 1;
+                    out.push(Output::MembershipEvent(MembershipEvent::Returned));
+                }
+            }
+        }
+        for timer in std::mem::take(&mut self.swim.output.timers) {
+            self.set_swim_timer(timer);
+        }
+        if has_probed && !probe_failed {
+            self.health.improve();
+        }
+        if has_changed {
+            self.refresh_roster(out);
+        }
+    }
+
+    /// Compares the roster with what SWIM believes now, and tells what has changed.
+    pub(super) fn refresh_roster(&mut self, out: &mut Vec<Output>) {
+        let events = self.roster.update(self.now, self.swim.members());
+        let has_changed = !events.is_empty();
+        for event in events {
+            if let MembershipEvent::Member { entry, .. } = &event {
+                self.note_member_change(entry);
+            }
+            out.push(Output::MembershipEvent(event));
+        }
+        if has_changed {
+            self.swim.adapt_to_size();
+        }
+        let side = if self.is_superseded() {
+            PartitionSide::Alone
+        } else {
+            self.roster.side(self.unseen_peers.len())
+        };
+        if side != self.side {
+            self.side = side;
+            out.push(Output::MembershipEvent(MembershipEvent::PartitionSide(side)));
+        }
+    }
+
+    fn note_member_change(&mut self, record: &MemberRecord) {
+        match record.state {
+            State::Failed => self.counters.failed += 1,
+            State::Left => self.counters.left += 1,
+            State::Alive | State::Suspect => {}
+        }
+        self.unseen_peers.retain(|peer| *peer != record.address);
+    }
+
+    /// Sets a timer; one that waits for others waits longer if this member is slow itself.
+    fn set_swim_timer(&mut self, SwimTimer { timer, after }: SwimTimer) {
+        use foca::Timer::{ChangeSuspectToDown, ProbeRandomMember, SendIndirectProbe};
+        let waits_for_others =
+            matches!(timer, ProbeRandomMember(_) | SendIndirectProbe { .. } | ChangeSuspectToDown { .. });
+        let after = if waits_for_others { self.health.scale(after) } else { after };
+        self.timers.set(self.now + after, TimerKind::Swim(timer));
+    }
+}
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,6 +1,8 @@
-//! What is believed of each member, since when, and what it adds up to.
+//! What is believed of each member and since when, and what it says about partitions. Read
+//! [`MemberRecord`] first.
 
-use crate::identity::MemberId;
+use crate::events::MembershipEvent;
+use crate::identity::{MemberId, LEAVE_GENERATION};
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -12,24 +14,24 @@
 pub enum State {
     /// It answers.
     Alive,
-    /// It has not answered one member and those that this one asked; it may still object.
+    /// It answered neither a direct nor an indirect probe; it may still refute the suspicion.
     Suspect,
-    /// It did not object in time.
+    /// It did not refute the suspicion in time.
     Failed,
-    /// It said that it goes.
+    /// It announced that it leaves.
     Left,
 }
 
-/// Whether most of the fleet is on this side of whatever lies between.
+/// Which side of a partition this member is on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartitionSide {
-    /// All members are alive, as far as this one knows.
+    /// There is no partition: all members are alive, as far as this one knows.
     Whole,
-    /// More than half of them are.
+    /// It sees more than half of the members.
     Majority,
-    /// Half of them or fewer are.
+    /// It sees others, but at most half of the members.
     Minority,
-    /// This one alone is.
+    /// It sees no other member.
     Alone,
 }
 
@@ -38,44 +40,18 @@
 pub struct MemberRecord {
     /// Its name.
     pub name: Arc<str>,
-    /// Which process it is: its start, in Unix microseconds.
+    /// When its process started, in Unix microseconds: this tells processes of one name apart.
     pub start: u64,
     /// Where it is reached.
     pub address: SocketAddr,
     /// What is believed of it.
     pub state: State,
-    /// How often it had to object to a suspicion in this life.
+    /// How often it refuted a suspicion since it joined or rejoined.
     pub incarnation: u16,
-    /// Since when this is believed.
+    /// Since when this is believed, on the clock of the member that believes it.
     pub since: Time,
 }
 
-/// What the rest of the program hears.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MembershipEvent {
-    /// Something else is believed of a member.
-    Member {
-        /// The member, as it is believed now.
-        entry: MemberRecord,
-        /// What was believed of it before, and of which process; none if it is new.
-        before: Option<(u64, State)>,
-    },
-    /// A member is remembered no longer.
-    Forgotten(Arc<str>),
-    /// The fleet falls into other sides.
-    PartitionSide(PartitionSide),
-    /// Another process runs under this member's name, here. The later start of both counts in the fleet.
-    Rival(SocketAddr, bool),
-    /// It is gone.
-    RivalGone,
-    /// That member has room for so many only, and not for this one.
-    NoRoom(SocketAddr, usize),
-    /// Others had taken this one for failed; it has come back.
-    Returned,
-    /// This process did not run for so long, in ms.
-    Stopped(Time),
-}
-
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -98,84 +74,92 @@
     }
 }
 
-/// The life that a member takes to say that it leaves: nobody else can say that of it, and no life comes after.
-pub(crate) const LEAVE_GENERATION: u32 = u32::MAX;
-
 /// All members but this one.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
-    /// By the marks of their names.
-    entries: BTreeMap<u128, MemberRecord>,
+    /// By the hashes of their names.
+    records: BTreeMap<u128, MemberRecord>,
 }
 
 impl Roster {
-    /// Takes what SWIM believes now; what has changed.
+    /// Takes over what SWIM believes now; returns an event for each change.
     pub(crate) fn update<'a>(
         &mut self,
         now: Time,
         members: impl Iterator<Item = &'a foca::Member<MemberId>>,
     ) -> Vec<MembershipEvent> {
-        let mut news = Vec::new();
-        for member in members {
-            let id = member.id();
-            let state = match member.state() {
-                foca::State::Alive => State::Alive,
-                foca::State::Suspect => State::Suspect,
-                foca::State::Down if id.generation == LEAVE_GENERATION => State::Left,
-                foca::State::Down => State::Failed,
-            };
-            let known = self.entries.get_mut(&id.name_hash());
-            let before = known.as_ref().map(|entry| (entry.start, entry.state));
-            if let Some(entry) = known.filter(|entry| (entry.start, entry.state) == (id.start, state)) {
-                (entry.incarnation, entry.address) = (member.incarnation(), id.address);
-                continue;
-            }
-            let entry = MemberRecord {
-                name: Arc::clone(&id.name),
-                start: id.start,
-                address: id.address,
-                state,
-                incarnation: member.incarnation(),
-                since: now,
-            };
-            self.entries.insert(id.name_hash(), entry.clone());
-            news.push(MembershipEvent::Member { entry, before });
+        members.filter_map(|member| self.update_member(now, member)).collect()
+    }
+
+    fn update_member(&mut self, now: Time, member: &foca::Member<MemberId>) -> Option<MembershipEvent> {
+        let id = member.id();
+        let state = state_of(member);
+        let known = self.records.get_mut(&id.name_hash());
+        let before = known.as_ref().map(|record| (record.start, record.state));
+        if let Some(record) = known.filter(|_| before == Some((id.start, state))) {
+            record.incarnation = member.incarnation();
+            record.address = id.address;
+            return None;
         }
-        news
+        let record = MemberRecord {
+            name: Arc::clone(&id.name),
+            start: id.start,
+            address: id.address,
+            state,
+            incarnation: member.incarnation(),
+            since: now,
+        };
+        self.records.insert(id.name_hash(), record.clone());
+        Some(MembershipEvent::Member { entry: record, before })
     }
 
-    /// Forgets all but those of these marks.
+    /// Forgets all members but those with these hashes of names; returns an event for each, in the
+    /// order of their names.
     pub(crate) fn retain_known(&mut self, name_hashes: &BTreeSet<u128>) -> Vec<MembershipEvent> {
-        let mut gone = Vec::new();
-        self.entries.retain(|mark, entry| {
-            let stays = name_hashes.contains(mark);
+        let mut forgotten = Vec::new();
+        self.records.retain(|name_hash, record| {
+            let stays = name_hashes.contains(name_hash);
             if !stays {
-                gone.push(Arc::clone(&entry.name));
+                forgotten.push(Arc::clone(&record.name));
             }
             stays
         });
-        gone.sort();
-        gone.into_iter().map(MembershipEvent::Forgotten).collect()
+        forgotten.sort();
+        forgotten.into_iter().map(MembershipEvent::Forgotten).collect()
     }
 
-    /// The members.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.entries.values()
+    /// The members, in no order that means anything.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records.values()
     }
 
-    /// The sides into which the fleet falls, if so many peers that were never heard belong to it as well.
+    /// The side that this member is on, if so many configured peers that were never seen belong to
+    /// the fleet as well.
     ///
-    /// The membership is who is remembered and has not left, this member, and each of those peers: a process that has just started and reaches nobody must not pass for a whole fleet. Exactly half is no
-    /// majority: of two that lose each other both are alone.
-    pub(crate) fn side(&self, unheard: usize) -> PartitionSide {
-        let here = self.entries().filter(|entry| entry.state <= State::Suspect).count() + 1;
-        let belong = self.entries().filter(|entry| entry.state != State::Left).count() + 1;
-        let all = belong + unheard;
-        match here {
-            _ if here == all => PartitionSide::Whole,
-            1 => PartitionSide::Alone,
-            _ if here * 2 > all => PartitionSide::Majority,
-            _ => PartitionSide::Minority,
+    /// The fleet is this member, those that are remembered and have not left, and each of those
+    /// peers: a process that has just started and reaches nobody must not pass for a whole fleet.
+    /// Exactly half is no majority: of two members that lose each other both are alone.
+    pub(crate) fn side(&self, unseen_peers: usize) -> PartitionSide {
+        let live = self.records().filter(|record| record.state <= State::Suspect).count() + 1;
+        let joined = self.records().filter(|record| record.state != State::Left).count() + 1;
+        let fleet = joined + unseen_peers;
+        if live == fleet {
+            PartitionSide::Whole
+        } else if live == 1 {
+            PartitionSide::Alone
+        } else if live * 2 > fleet {
+            PartitionSide::Majority
+        } else {
+            PartitionSide::Minority
         }
     }
 }
+
+fn state_of(member: &foca::Member<MemberId>) -> State {
+    match member.state() {
+        foca::State::Alive => State::Alive,
+        foca::State::Suspect => State::Suspect,
+        foca::State::Down if member.id().generation == LEAVE_GENERATION => State::Left,
+        foca::State::Down => State::Failed,
+    }
+}
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -1,22 +1,23 @@
-//! What a member is told at its start, and what must hold of it.
+//! What a member is configured with, and what must hold of it: [`Settings`].
 
 use crate::identity::MAX_NAME;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use thiserror::Error;
 
-/// The most members that a fleet may be told to have.
-const MOST: usize = 1024;
+/// The largest size that a fleet can be configured with.
+const MAX_SIZE: usize = 1024;
 
-/// What a member is told.
+/// What a member is configured with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// The fleet's name: datagrams of others are dropped.
+    /// The fleet's name: datagrams of other fleets are dropped.
     pub fleet: String,
     /// This member's name.
     pub name: String,
     /// Where others reach it.
     pub advertise: SocketAddr,
-    /// Whom to ask at first, and again while they are not heard.
+    /// Whom to contact at first, and again while they are not among the live members.
     pub peers: Vec<SocketAddr>,
     /// The most members, this one included, that are remembered.
     pub size: usize,
@@ -27,19 +28,20 @@
 /// How long things take, in ms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// One member is probed each period.
+    /// One member is probed in each period.
     pub period: u64,
-    /// A probe without an answer for so long is repeated by way of others.
+    /// A probe without an answer for so long is repeated by way of other members.
     pub answer: u64,
-    /// Who is suspected, and does not object for so long, has failed; longer in a fleet of over ten.
+    /// A suspected member that does not refute the suspicion for so long has failed. In a fleet of
+    /// more than ten it is longer, by the logarithm of the number of members.
     pub suspicion: u64,
-    /// News that wait go out so often.
+    /// How often updates are gossiped.
     pub gossip: u64,
-    /// Some of those that failed are asked again so often: this heals a cut.
+    /// How often some of the failed members are contacted again: this heals a partition.
     pub reunion: u64,
-    /// Peers that are not heard are asked so often.
+    /// How often peers that are not among the live members are contacted.
     pub rejoin: u64,
-    /// Who has failed or left is forgotten after this.
+    /// How long a member that has failed or left is remembered.
     pub forget: u64,
 }
 
@@ -57,99 +59,114 @@
     }
 }
 
-/// Why a member cannot be.
+/// Why a member cannot be as it is configured. The texts name the configuration's keys.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SettingsError {
     /// A name is empty, too long, or has characters that would confuse whoever reads it.
     #[error("{field} {value:?} is not 1 to {MAX_NAME} of letters, digits, '.', '_' and '-'")]
-    Name {
-        /// Which.
+    InvalidName {
+        /// The key.
         field: &'static str,
-        /// What it is.
+        /// Its value.
         value: String,
     },
-    /// Nobody could reach it there.
+    /// The advertised address is one that nobody can send to.
     #[error("advertise {0} is no address that others reach (set advertise where bind is unspecified)")]
-    Unreachable(SocketAddr),
-    /// It is told to ask itself.
+    UnreachableAdvertise(SocketAddr),
+    /// A peer is this member itself.
     #[error("peers: {0} is this member itself")]
-    Itself(SocketAddr),
-    /// A peer has no address that can be reached.
+    PeerIsSelf(SocketAddr),
+    /// A peer has an address that nobody can send to.
     #[error("peers: {0} is no address that can be asked")]
-    Peer(SocketAddr),
-    /// One peer is named twice.
+    UnreachablePeer(SocketAddr),
+    /// A peer is named twice.
     #[error("peers: {0} is named twice")]
-    Twice(SocketAddr),
-    /// The size does not hold those that are named.
-    #[error("size {0} is not {1} to {MOST}: itself and its peers")]
-    Size(usize, usize),
+    DuplicatePeer(SocketAddr),
+    /// The size does not hold this member and its peers, or is too large.
+    #[error("size {size} is not {least} to {MAX_SIZE}: itself and its peers")]
+    SizeOutOfRange {
+        /// The configured size.
+        size: usize,
+        /// The least size that holds this member and its peers.
+        least: usize,
+    },
     /// A time is out of its range.
     #[error("{field} {value} is not {least} to {most}, in ms")]
-    Time {
-        /// Which.
+    TimeOutOfRange {
+        /// The key.
         field: &'static str,
-        /// What it is.
+        /// Its value, in ms.
         value: u64,
-        /// The least.
+        /// The least value, in ms.
         least: u64,
-        /// The most.
+        /// The greatest value, in ms.
         most: u64,
     },
 }
 
 impl Settings {
-    /// Whether a member can be as it is told to.
+    /// Checks that a member can run with these settings.
+    ///
+    /// # Errors
+    ///
+    /// The first of the settings that cannot be.
     pub fn check(&self) -> Result<(), SettingsError> {
-        name("fleet.name", &self.fleet)?;
-        name("name", &self.name)?;
+        check_name("fleet.name", &self.fleet)?;
+        check_name("name", &self.name)?;
         if self.advertise.ip().is_unspecified() {
-            return Err(SettingsError::Unreachable(self.advertise));
+            return Err(SettingsError::UnreachableAdvertise(self.advertise));
+        }
+        self.check_peers()?;
+        let least = (self.peers.len() + 1).max(2);
+        if !(least..=MAX_SIZE).contains(&self.size) {
+            return Err(SettingsError::SizeOutOfRange { size: self.size, least });
         }
-        for (at, peer) in self.peers.iter().enumerate() {
+        self.times.check()
+    }
+
+    fn check_peers(&self) -> Result<(), SettingsError> {
+        for (index, peer) in self.peers.iter().enumerate() {
             if *peer == self.advertise {
-                return Err(SettingsError::Itself(*peer));
+                return Err(SettingsError::PeerIsSelf(*peer));
             }
             if peer.ip().is_unspecified() || peer.port() == 0 {
-                return Err(SettingsError::Peer(*peer));
+                return Err(SettingsError::UnreachablePeer(*peer));
             }
-            if self.peers[..at].contains(peer) {
-                return Err(SettingsError::Twice(*peer));
+            if self.peers[..index].contains(peer) {
+                return Err(SettingsError::DuplicatePeer(*peer));
             }
         }
-        let least = (self.peers.len() + 1).max(2);
-        if !(least..=MOST).contains(&self.size) {
-            return Err(SettingsError::Size(self.size, least));
-        }
-        self.times.check()
+        Ok(())
     }
 }
 
 impl Timing {
     fn check(&self) -> Result<(), SettingsError> {
-        let within = |field, value, least, most| {
-            if (least..=most).contains(&value) {
-                Ok(())
-            } else {
-                Err(SettingsError::Time { field, value, least, most })
-            }
-        };
-        within("period_ms", self.period, 50, 60_000)?;
-        // A probe by way of others needs its time within the period.
-        within("answer_ms", self.answer, 10, self.period * 4 / 5)?;
-        within("suspicion_ms", self.suspicion, self.period, 600_000)?;
-        within("gossip_ms", self.gossip, 20, 60_000)?;
-        within("reunion_ms", self.reunion, 100, 600_000)?;
-        within("rejoin_ms", self.rejoin, 100, 600_000)?;
-        within("forget_ms", self.forget, self.suspicion.saturating_mul(2), 86_400_000)
+        check_time("period_ms", self.period, 50..=60_000)?;
+        // An indirect probe needs its time within the period.
+        check_time("answer_ms", self.answer, 10..=self.period * 4 / 5)?;
+        check_time("suspicion_ms", self.suspicion, self.period..=600_000)?;
+        check_time("gossip_ms", self.gossip, 20..=60_000)?;
+        check_time("reunion_ms", self.reunion, 100..=600_000)?;
+        check_time("rejoin_ms", self.rejoin, 100..=600_000)?;
+        check_time("forget_ms", self.forget, self.suspicion.saturating_mul(2)..=86_400_000)
+    }
+}
+
+fn check_time(field: &'static str, value: u64, range: RangeInclusive<u64>) -> Result<(), SettingsError> {
+    if range.contains(&value) {
+        return Ok(());
     }
+    let (least, most) = range.into_inner();
+    Err(SettingsError::TimeOutOfRange { field, value, least, most })
 }
 
-fn name(field: &'static str, value: &str) -> Result<(), SettingsError> {
-    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
-    if (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(plain) {
+fn check_name(field: &'static str, value: &str) -> Result<(), SettingsError> {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    if (1..=MAX_NAME).contains(&value.len()) && value.bytes().all(is_plain) {
         Ok(())
     } else {
-        Err(SettingsError::Name { field, value: value.to_owned() })
+        Err(SettingsError::InvalidName { field, value: value.to_owned() })
     }
 }
 
--- a/crates/membership/src/timers.rs
+++ b/crates/membership/src/timers.rs
@@ -1,4 +1,5 @@
-//! What is due when, in the order of time and then of setting.
+//! Timers of any kind, in the order of their time and then of being set. [`Timers`] is the only
+//! type.
 
 use crate::Time;
 use std::collections::BTreeMap;
@@ -6,53 +7,56 @@
 /// Timers that are set.
 #[derive(Debug)]
 pub(crate) struct Timers<T> {
-    set: BTreeMap<(Time, u64), T>,
-    count: u64,
+    /// By time, and by a serial number that keeps those of one time in the order of setting.
+    pending: BTreeMap<(Time, u64), T>,
+    set_count: u64,
 }
 
 impl<T> Timers<T> {
-    /// None is set.
+    /// No timer is set.
     pub(crate) fn new() -> Timers<T> {
-        Timers { set: BTreeMap::new(), count: 0 }
+        Timers { pending: BTreeMap::new(), set_count: 0 }
     }
 
-    /// Sets one.
-    pub(crate) fn set(&mut self, at: Time, what: T) {
-        self.count += 1;
-        self.set.insert((at, self.count), what);
+    /// Sets a timer.
+    pub(crate) fn set(&mut self, at: Time, timer: T) {
+        self.set_count += 1;
+        self.pending.insert((at, self.set_count), timer);
     }
 
-    /// When the next is due.
+    /// When the first timer is due.
     pub(crate) fn next(&self) -> Option<Time> {
-        self.set.keys().next().map(|(at, _)| *at)
+        self.pending.keys().next().map(|(at, _)| *at)
     }
 
-    /// Takes one that is due.
+    /// Removes and returns the first timer, if it is due.
     pub(crate) fn pop_due(&mut self, now: Time) -> Option<T> {
-        let first = self.set.first_entry().filter(|first| first.key().0 <= now)?;
+        let first = self.pending.first_entry().filter(|first| first.key().0 <= now)?;
         Some(first.remove())
     }
 
-    /// Puts all off.
+    /// Moves every timer to a later time.
     pub(crate) fn postpone_all(&mut self, by: Time) {
-        let before = std::mem::take(&mut self.set);
-        self.set = before.into_iter().map(|((at, count), what)| ((at + by, count), what)).collect();
+        let before = std::mem::take(&mut self.pending);
+        let later = before.into_iter().map(|((at, serial), timer)| ((at + by, serial), timer));
+        self.pending = later.collect();
     }
 
-    /// Has some be due at a time at the earliest.
-    pub(crate) fn postpone_until(&mut self, at: Time, which: impl Fn(&T) -> bool) {
-        let early: Vec<(Time, u64)> =
-            self.set.range(..(at, 0)).filter(|(_, what)| which(what)).map(|(key, _)| *key).collect();
-        for key in early {
-            if let Some(what) = self.set.remove(&key) {
-                self.set.insert((at, key.1), what);
+    /// Moves those of the selected timers that are due before `at` to that time.
+    pub(crate) fn postpone_until(&mut self, at: Time, is_selected: impl Fn(&T) -> bool) {
+        let earlier = self.pending.range(..(at, 0));
+        let keys: Vec<(Time, u64)> =
+            earlier.filter(|(_, timer)| is_selected(timer)).map(|(key, _)| *key).collect();
+        for key in keys {
+            if let Some(timer) = self.pending.remove(&key) {
+                self.pending.insert((at, key.1), timer);
             }
         }
     }
 
-    /// Forgets those that are not to stay.
+    /// Removes all timers but these.
     pub(crate) fn retain(&mut self, stays: impl Fn(&T) -> bool) {
-        self.set.retain(|_, what| stays(what));
+        self.pending.retain(|_, timer| stays(timer));
     }
 }
 
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -1,42 +1,46 @@
-//! Datagrams: what is round the words of SWIM, and the few words that are not SWIM's. Strict and bounded; nothing that
-//! comes in can cause a panic.
+//! The format of datagrams: what surrounds the messages of SWIM, and the few messages that are not
+//! SWIM's. Read [`DatagramKind`] first. Decoding is strict and bounded; nothing that is received
+//! can cause a panic.
 //!
-//! | bytes | what |
+//! | bytes | content |
 //! | --- | --- |
 //! | 2 | `pt` |
 //! | 1 | version of this format |
 //! | 1 | kind |
-//! | 4 | CRC-32C of all that follows and of the two bytes before, big-endian |
+//! | 4 | CRC-32C of the two bytes before and of all that follows, big-endian |
 //! | 1, then as many | the fleet's name |
-//! | the rest | what the kind says, by `postcard` |
+//! | the rest | the body of this kind, by `postcard` |
 
 use crate::identity::MemberId;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
-/// The longest datagram: it passes every usual link in one piece.
+/// The longest datagram, in bytes: it passes every usual link in one piece.
 pub const MAX_DATAGRAM: usize = 1200;
 const MAGIC: [u8; 2] = *b"pt";
 const VERSION: u8 = 1;
-const HEAD: usize = 9;
+/// Bytes before the fleet's name.
+const HEADER_LENGTH: usize = 9;
 
-/// What a datagram is about.
+/// What a datagram is about. Danger: the order of the variants is the format, since their numbers
+/// are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DatagramKind {
-    /// SWIM.
+    /// A message of SWIM.
     Swim,
-    /// "Who is there? I am this one": an [`MemberId`].
+    /// "Who is there? I am this one": a [`MemberId`].
     Discover,
-    /// "It is me": an [`MemberId`], to who said hello.
+    /// "It is me", to the sender of [`DatagramKind::Discover`]: a [`MemberId`].
     DiscoverReply,
-    /// "I bear your name": an [`MemberId`].
+    /// "This process has your name": a [`MemberId`].
     NameConflict,
-    /// "I have no room for you": how many I have room for.
+    /// "I cannot admit you": the size of the fleet, as a `u64`.
     FleetFull,
-    /// "I go": an [`MemberId`].
+    /// "I leave": a [`MemberId`] in its last generation.
     Leave,
-    /// What the floor of shares says.
+    /// A message about quota.
     Quota,
-    /// Where a process's links are.
+    /// A message of the peer directory: where a process accepts connections of its peers.
     Directory,
 }
 
@@ -52,44 +56,53 @@
 ];
 
 /// Why a datagram is dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum DropReason {
-    /// It is none of ours at all.
+    /// It is not of this protocol.
+    #[error("not a datagram of a fleet")]
     UnknownProtocol,
     /// Its format is newer than this program.
+    #[error("of a newer version of the format")]
     UnsupportedVersion,
-    /// It is damaged, or says what cannot be.
+    /// It is damaged, or its content cannot be true.
+    #[error("corrupt")]
     Corrupt,
-    /// It is another fleet's.
+    /// It is of another fleet.
+    #[error("of another fleet")]
     OtherFleet,
-    /// It is of a member for which there is no room.
+    /// Its sender cannot be admitted: the fleet has its full size.
+    #[error("of a member that the fleet has no capacity for")]
     FleetFull,
 }
 
-/// How many bytes of a datagram are left for what a kind says.
+/// How many bytes of a datagram of this fleet are left for the body.
 pub(crate) fn body_capacity(fleet: &str) -> usize {
-    MAX_DATAGRAM - HEAD - fleet.len()
+    MAX_DATAGRAM - HEADER_LENGTH - fleet.len()
 }
 
-/// A datagram of a fleet.
+/// A datagram of this fleet.
 pub(crate) fn encode_datagram(kind: DatagramKind, fleet: &str, body: &[u8]) -> Vec<u8> {
-    let mut out = Vec::with_capacity(HEAD + fleet.len() + body.len());
-    out.extend_from_slice(&MAGIC);
-    out.extend_from_slice(&[VERSION, kind as u8, 0, 0, 0, 0, fleet.len() as u8]);
-    out.extend_from_slice(fleet.as_bytes());
-    out.extend_from_slice(body);
-    let sum = checksum(&out);
-    out[4..8].copy_from_slice(&sum.to_be_bytes());
-    out
+    let mut datagram = Vec::with_capacity(HEADER_LENGTH + fleet.len() + body.len());
+    datagram.extend_from_slice(&MAGIC);
+    datagram.extend_from_slice(&[VERSION, kind as u8, 0, 0, 0, 0, fleet.len() as u8]);
+    datagram.extend_from_slice(fleet.as_bytes());
+    datagram.extend_from_slice(body);
+    let sum = checksum(&datagram);
+    datagram[4..8].copy_from_slice(&sum.to_be_bytes());
+    datagram
 }
 
 fn checksum(datagram: &[u8]) -> u32 {
     crc32c::crc32c_append(crc32c::crc32c(&datagram[2..4]), &datagram[8..])
 }
 
-/// What a datagram of this fleet is about, and what it says.
+/// The kind and the body of a datagram of this fleet.
+///
+/// # Errors
+///
+/// Why the datagram is to be dropped.
 pub fn decode_datagram<'a>(fleet: &str, datagram: &'a [u8]) -> Result<(DatagramKind, &'a [u8]), DropReason> {
-    if datagram.len() < HEAD || datagram[..2] != MAGIC {
+    if datagram.len() < HEADER_LENGTH || datagram[..2] != MAGIC {
         return Err(DropReason::UnknownProtocol);
     }
     if datagram[2] > VERSION {
@@ -99,32 +112,46 @@
     if datagram.len() > MAX_DATAGRAM || checksum(datagram) != sum {
         return Err(DropReason::Corrupt);
     }
-    let length = usize::from(datagram[8]);
-    let name = datagram.get(HEAD..HEAD + length).ok_or(DropReason::Corrupt)?;
+    let body_start = HEADER_LENGTH + usize::from(datagram[8]);
+    let name = datagram.get(HEADER_LENGTH..body_start).ok_or(DropReason::Corrupt)?;
     if name != fleet.as_bytes() {
         return Err(DropReason::OtherFleet);
     }
-    let kind = KINDS.get(usize::from(datagram[3])).copied().ok_or(DropReason::UnsupportedVersion)?;
-    Ok((kind, &datagram[HEAD + length..]))
+    let kind = KINDS.get(usize::from(datagram[3])).copied();
+    let kind = kind.ok_or(DropReason::UnsupportedVersion)?;
+    Ok((kind, &datagram[body_start..]))
 }
 
-/// The words of a kind that is not SWIM's.
-pub(crate) fn encode_body(said: &impl Serialize) -> Vec<u8> {
-    // Ids and numbers have a form in postcard: nothing here fails.
-    postcard::to_allocvec(said).unwrap_or_default()
+/// Encodes the body of a kind that is not SWIM's, or a part of a message of SWIM.
+pub(crate) fn encode_body(value: &impl Serialize) -> Vec<u8> {
+    // Identities and numbers always have a form in postcard: this never fails.
+    postcard::to_allocvec(value).unwrap_or_default()
 }
 
-/// Reads them.
+/// Decodes a body, which must have nothing behind the value.
+///
+/// # Errors
+///
+/// [`DropReason::Corrupt`] if the body is not such a value.
 pub(crate) fn decode_body<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, DropReason> {
     match postcard::take_from_bytes(body) {
-        Ok((said, [])) => Ok(said),
+        Ok((value, [])) => Ok(value),
         _ => Err(DropReason::Corrupt),
     }
 }
 
-/// Reads who says it.
+/// Decodes a body that says who a member is.
+///
+/// # Errors
+///
+/// [`DropReason::Corrupt`] if the body is not an identity that a process could have.
 pub(crate) fn decode_member_id(body: &[u8]) -> Result<MemberId, DropReason> {
-    decode_body(body).and_then(|id: MemberId| if id.is_valid() { Ok(id) } else { Err(DropReason::Corrupt) })
+    let id: MemberId = decode_body(body)?;
+    if id.is_valid() {
+        Ok(id)
+    } else {
+        Err(DropReason::Corrupt)
+    }
 }
 
 #[cfg(test)]
