Rename the simulated fleet's verbs and fields, at its call sites too

Hosts pause and resume, members start, what they were told is observed; one name, one meaning: member_settings, host_address, duplication, corruption. Renames only.

--- a/crates/experiments/src/cost/core.rs
+++ b/crates/experiments/src/cost/core.rs
@@ -1,7 +1,7 @@
 //! What the core costs, in simulated time: one process has a whole fleet, and times each call.
 
 use pinetrail_membership::{Membership, Output, Time};
-use pinetrail_simulation::fleet::{settings, Fleet, Member};
+use pinetrail_simulation::fleet::{member_settings, Fleet, Member};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -42,14 +42,15 @@
     let mut fleet: Fleet<Timed> = Fleet::new(members, 1);
     for host in 0..members {
         fleet.start(host, |start, seed, now| {
-            let members = Membership::new(settings(host, members.max(4), &[0, 1, 2]), start, seed, now);
+            let members =
+                Membership::new(member_settings(host, members.max(4), &[0, 1, 2]), start, seed, now);
             let members = members.expect("settings that can be");
             Timed { members, spent: Duration::ZERO, datagrams: 0, dues: 0, spent_due: Duration::ZERO }
         });
         fleet.run(10);
     }
     fleet.run(60_000);
-    fleet.heard.clear();
+    fleet.observed.clear();
     let known: usize =
         (0..members).filter_map(|host| fleet.member(host)).map(|one| one.members.members().len()).sum();
     let full = resident();
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -12,13 +12,13 @@
 pub(super) fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, String> {
     let peers: Vec<usize> = (0..members.min(3)).collect();
     let size = members.max(peers.len() + 1);
-    let mut fleet = Fleet::of(members, seed, &peers);
+    let mut fleet = Fleet::with_members(members, seed, &peers);
     fleet.run(30_000);
-    fleet.heard.clear();
+    fleet.observed.clear();
     let (begun, mut lines) = (fleet.now(), Vec::new());
     let tell = |fleet: &mut Fleet<Membership>, lines: &mut Vec<String>| {
-        for heard in std::mem::take(&mut fleet.heard) {
-            lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.news)));
+        for heard in std::mem::take(&mut fleet.observed) {
+            lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.event)));
         }
     };
     for (at, fault) in &script.0 {
@@ -48,9 +48,9 @@
     };
     match fault {
         Fault::Kill(member) => fleet.kill(known(member)?),
-        Fault::Start(member) => fleet.begin(known(member)?, size, peers),
-        Fault::Stop(member) => fleet.stop(known(member)?),
-        Fault::GoOn(member) => fleet.go_on(known(member)?),
+        Fault::Start(member) => fleet.start_member(known(member)?, size, peers),
+        Fault::Stop(member) => fleet.pause(known(member)?),
+        Fault::GoOn(member) => fleet.resume(known(member)?),
         Fault::Cut(from, to) => fleet.network.cut(known(from)?, known(to)?),
         Fault::Sides(sides) => {
             sides.iter().flatten().try_for_each(|member| known(member).map(drop))?;
@@ -61,7 +61,7 @@
         Fault::Upgrade(member) => {
             // Who accepts speaks, as a later start of the name.
             fleet.kill(known(member)?);
-            fleet.begin(*member, size, peers);
+            fleet.start_member(*member, size, peers);
         }
         Fault::Node(..) => return Err(format!("{fault}: there are no cache nodes here")),
     }
--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -2,7 +2,7 @@
 
 use hdrhistogram::Histogram;
 use pinetrail_membership::{Membership, MembershipEvent, State, Time};
-use pinetrail_simulation::fleet::{settings, Fleet, Heard, Member, BRIEF};
+use pinetrail_simulation::fleet::{member_settings, Fleet, Member, ObservedEvent, BRIEF_PAUSES};
 use pinetrail_simulation::heartbeats::Heartbeats;
 use serde::Serialize;
 
@@ -94,21 +94,21 @@
             let peers = &SEEDS[..SEEDS.len().min(members)];
             let mut fleet: Fleet<Membership> = Fleet::new(members, seed);
             for host in 0..members {
-                fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
+                fleet.start_member_with(host, member_settings(host, members.max(peers.len() + 1), peers));
                 // A release starts them one after the other.
                 fleet.run(10);
             }
             let all: Vec<usize> = (0..members).collect();
             let begun = fleet.now();
             // Asked rarely: the question costs more than the fleet does.
-            while !fleet.agree(&all) && fleet.now() < begun + MEETING {
+            while !fleet.all_agree(&all) && fleet.now() < begun + MEETING {
                 fleet.run(1_000);
             }
-            let met = fleet.agree(&all).then(|| fleet.now() - begun);
+            let met = fleet.all_agree(&all).then(|| fleet.now() - begun);
             Outcome {
                 met_within_ms: met,
                 ..self.watch(fleet, false, |host, fleet| {
-                    fleet.begin_with(host, settings(host, members.max(peers.len() + 1), peers));
+                    fleet.start_member_with(host, member_settings(host, members.max(peers.len() + 1), peers));
                 })
             }
         }
@@ -121,7 +121,7 @@
         restart: impl Fn(usize, &mut Fleet<M>),
     ) -> Outcome {
         fleet.run(15_000);
-        fleet.heard.clear();
+        fleet.observed.clear();
         let mut digest = 0;
         let (mut known, mut alarms) = (None, None);
         let sent =
@@ -147,14 +147,14 @@
             }
             Kind::Alarms { loss, minutes, .. } => {
                 fleet.network.loss = f64::from(loss) / 100.0;
-                fleet.pauses = Some(BRIEF);
-                fleet.begin_pauses();
+                fleet.pauses = Some(BRIEF_PAUSES);
+                fleet.start_pauses();
                 let mut members_failed = 0;
                 let mut failed_at = vec![None; self.members];
                 for _ in 0..minutes * 6 {
                     fleet.run(10_000);
-                    digest = fold(digest, &fleet.heard);
-                    for heard in std::mem::take(&mut fleet.heard) {
+                    digest = fold(digest, &fleet.observed);
+                    for heard in std::mem::take(&mut fleet.observed) {
                         let Some(of) = failed(&heard) else { continue };
                         // Of one false alarm all the others hear: it counts once.
                         let is_new = failed_at[of].is_none_or(|at| at + 20_000 < heard.at);
@@ -191,14 +191,14 @@
         for n in 0..deaths {
             // Everybody's turn comes, those by whom the others joined among them.
             let dead = (n * 7 + 1) % self.members;
-            fleet.heard.clear();
+            fleet.observed.clear();
             let died = fleet.now();
             fleet.kill(dead);
             let mut knows = vec![None; self.members];
             for _ in 0..600 {
                 fleet.run(100);
-                *digest = fold(*digest, &fleet.heard);
-                for heard in std::mem::take(&mut fleet.heard) {
+                *digest = fold(*digest, &fleet.observed);
+                for heard in std::mem::take(&mut fleet.observed) {
                     if failed(&heard) == Some(dead) {
                         knows[heard.host].get_or_insert(heard.at - died);
                     }
@@ -231,8 +231,8 @@
 }
 
 /// Whom somebody took for failed.
-fn failed(heard: &Heard) -> Option<usize> {
-    match &heard.news {
+fn failed(heard: &ObservedEvent) -> Option<usize> {
+    match &heard.event {
         MembershipEvent::Member { entry, .. } if entry.state == State::Failed => {
             entry.name.trim_start_matches('n').parse().ok()
         }
@@ -240,7 +240,7 @@
     }
 }
 
-fn fold(digest: u32, heard: &[Heard]) -> u32 {
+fn fold(digest: u32, heard: &[ObservedEvent]) -> u32 {
     heard.iter().fold(digest, |digest, heard| crc32c::crc32c_append(digest, format!("{heard:?}").as_bytes()))
 }
 
--- a/crates/membership/src/timers/tests.rs
+++ b/crates/membership/src/timers/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn they_come_in_order_and_may_be_put_off() {
+fn timers_come_in_order_and_can_be_postponed() {
     let mut timers = Timers::new();
     for (at, what) in [(30, 'c'), (10, 'a'), (10, 'b')] {
         timers.set(at, what);
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -39,13 +39,13 @@
 
 /// What somebody heard.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Heard {
+pub struct ObservedEvent {
     /// When.
     pub at: Time,
     /// Which host.
     pub host: usize,
     /// What.
-    pub news: MembershipEvent,
+    pub event: MembershipEvent,
 }
 
 struct Host<M> {
@@ -64,7 +64,7 @@
     GoOn { host: usize },
 }
 
-/// Pauses of every process by itself, as BRIEF 2.1 has them: how long, and how long apart, in ms.
+/// Pauses of every process by itself, as BRIEF_PAUSES 2.1 has them: how long, and how long apart, in ms.
 #[derive(Clone, Copy, Debug)]
 pub struct Pauses {
     /// How long one lasts.
@@ -74,7 +74,7 @@
 }
 
 /// 200 to 450 ms each 1.7 to 6 s.
-pub const BRIEF: Pauses = Pauses { lasts: (200, 450), apart: (1700, 6000) };
+pub const BRIEF_PAUSES: Pauses = Pauses { lasts: (200, 450), apart: (1700, 6000) };
 
 /// The fleet and the time.
 pub struct Fleet<M> {
@@ -89,23 +89,23 @@
     count: u64,
     rng: StdRng,
     /// What was heard, in order; the caller may take it.
-    pub heard: Vec<Heard>,
+    pub observed: Vec<ObservedEvent>,
     /// Datagrams that arrived, by host; and bytes.
     pub received: Vec<(u64, u64)>,
 }
 
 /// The address of a host by its number.
-pub fn place(host: usize) -> SocketAddr {
+pub fn host_address(host: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (host >> 8) as u8, host as u8], 7946))
 }
 
 /// The settings of a host in a fleet of so many, whose peers are these hosts.
-pub fn settings(host: usize, size: usize, peers: &[usize]) -> Settings {
+pub fn member_settings(host: usize, size: usize, peers: &[usize]) -> Settings {
     Settings {
         fleet: "gdynia".into(),
         name: format!("n{host:04}"),
-        advertise: place(host),
-        peers: peers.iter().filter(|peer| **peer != host).map(|peer| place(*peer)).collect(),
+        advertise: host_address(host),
+        peers: peers.iter().filter(|peer| **peer != host).map(|peer| host_address(*peer)).collect(),
         size,
         times: Timing::default(),
     }
@@ -117,14 +117,14 @@
         let host = || Host { member: None, stopped: false, inbox: VecDeque::new(), wake: 0, starts: 0 };
         Fleet {
             hosts: (0..hosts).map(|_| host()).collect(),
-            places: (0..hosts).map(|host| (place(host), host)).collect(),
+            places: (0..hosts).map(|host| (host_address(host), host)).collect(),
             network: Network::default(),
             pauses: None,
             now: 1000,
             queue: BTreeMap::new(),
             count: 0,
             rng: StdRng::seed_from_u64(seed),
-            heard: Vec::new(),
+            observed: Vec::new(),
             received: vec![(0, 0); hosts],
         }
     }
@@ -155,12 +155,12 @@
     }
 
     /// Stops the process on a host: it does nothing, and its socket keeps some of what comes.
-    pub fn stop(&mut self, host: usize) {
+    pub fn pause(&mut self, host: usize) {
         self.hosts[host].stopped = true;
     }
 
     /// Has it go on.
-    pub fn go_on(&mut self, host: usize) {
+    pub fn resume(&mut self, host: usize) {
         self.hosts[host].stopped = false;
         // What is due is handled before what has come, which is the worse order of the two.
         self.act(host, Member::handle_timeout);
@@ -185,7 +185,7 @@
             match output {
                 // Shares have a world of their own.
                 Output::Shares(_) | Output::Links(..) => {}
-                Output::MembershipEvent(news) => self.heard.push(Heard { at: now, host, news }),
+                Output::MembershipEvent(event) => self.observed.push(ObservedEvent { at: now, host, event }),
                 Output::Send(to, bytes) => {
                     let Some(to) = self.places.get(&to).copied() else { continue };
                     for (delay, damaged) in self.network.carry(&mut self.rng, host, to, bytes.len()) {
@@ -213,7 +213,7 @@
     }
 
     /// Lets time pass until something holds, for so long at the most; whether it does.
-    pub fn until(&mut self, at_most: Time, holds: impl Fn(&Fleet<M>) -> bool) -> bool {
+    pub fn run_until(&mut self, at_most: Time, holds: impl Fn(&Fleet<M>) -> bool) -> bool {
         let end = self.now + at_most;
         while self.now < end && !holds(self) {
             self.run(10);
@@ -227,7 +227,7 @@
                 self.received[to].0 += 1;
                 self.received[to].1 += bytes.len() as u64;
                 let host = &mut self.hosts[to];
-                let from = place(from);
+                let from = host_address(from);
                 match host.stopped {
                     true if host.inbox.len() < KEPT => host.inbox.push_back((from, bytes)),
                     true => {}
@@ -241,20 +241,20 @@
             }
             Event::Pause { host } => {
                 if let Some(pauses) = self.pauses.filter(|_| self.hosts[host].member.is_some()) {
-                    self.stop(host);
+                    self.pause(host);
                     let lasts = self.rng.random_range(pauses.lasts.0..=pauses.lasts.1);
                     self.later(lasts, Event::GoOn { host });
                 }
             }
             Event::GoOn { host } => {
-                self.go_on(host);
+                self.resume(host);
                 self.pause_later(host);
             }
         }
     }
 
     /// Pauses of those that run begin.
-    pub fn begin_pauses(&mut self) {
+    pub fn start_pauses(&mut self) {
         (0..self.hosts.len()).for_each(|host| self.pause_later(host));
     }
 
@@ -282,38 +282,38 @@
 
 impl Fleet<Membership> {
     /// A fleet of so many, all started at once, of which each knows only these peers.
-    pub fn of(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Membership> {
+    pub fn with_members(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Membership> {
         let mut fleet = Fleet::new(hosts, seed);
-        (0..hosts).for_each(|host| fleet.begin(host, hosts.max(2), peers));
+        (0..hosts).for_each(|host| fleet.start_member(host, hosts.max(2), peers));
         fleet
     }
 
     /// Starts a member on a host.
-    pub fn begin(&mut self, host: usize, size: usize, peers: &[usize]) {
-        self.begin_with(host, settings(host, size, peers));
+    pub fn start_member(&mut self, host: usize, size: usize, peers: &[usize]) {
+        self.start_member_with(host, member_settings(host, size, peers));
     }
 
     /// Starts a member on a host with these settings.
-    pub fn begin_with(&mut self, host: usize, settings: Settings) {
+    pub fn start_member_with(&mut self, host: usize, settings: Settings) {
         self.start(host, |start, seed, now| {
             Membership::new(settings, start, seed, now).expect("settings that can be")
         });
     }
 
     /// What a host believes of another; none if it knows nothing of it.
-    pub fn believes(&self, host: usize, of: usize) -> Option<State> {
-        let name = settings(of, 2, &[]).name;
-        self.entry(host, &name).map(|entry| entry.state)
+    pub fn state_seen_by(&self, host: usize, of: usize) -> Option<State> {
+        let name = member_settings(of, 2, &[]).name;
+        self.record_seen_by(host, &name).map(|entry| entry.state)
     }
 
     /// What a host knows of a name.
-    pub fn entry(&self, host: usize, name: &str) -> Option<MemberRecord> {
+    pub fn record_seen_by(&self, host: usize, name: &str) -> Option<MemberRecord> {
         self.member(host)?.members().into_iter().find(|entry| &*entry.name == name)
     }
 
     /// Whether all of these believe that all of these are alive, and that nobody else is or may be.
-    pub fn agree(&self, hosts: &[usize]) -> bool {
-        let mut names: Vec<String> = hosts.iter().map(|host| settings(*host, 2, &[]).name).collect();
+    pub fn all_agree(&self, hosts: &[usize]) -> bool {
+        let mut names: Vec<String> = hosts.iter().map(|host| member_settings(*host, 2, &[]).name).collect();
         names.sort();
         // A roster is in the order of names.
         let agrees = |member: &Membership| {
@@ -336,8 +336,8 @@
     }
 
     /// Times that somebody took somebody else for failed who was not dead then.
-    pub fn failures_heard(&self) -> usize {
-        let failed = |heard: &&Heard| matches!(&heard.news, MembershipEvent::Member { entry, .. } if entry.state == State::Failed);
-        self.heard.iter().filter(failed).count()
+    pub fn false_failures(&self) -> usize {
+        let failed = |heard: &&ObservedEvent| matches!(&heard.event, MembershipEvent::Member { entry, .. } if entry.state == State::Failed);
+        self.observed.iter().filter(failed).count()
     }
 }
--- a/crates/simulation/src/heartbeats.rs
+++ b/crates/simulation/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! The baseline: everybody sends a heartbeat to everybody, and has failed who is silent for a time.
 
-use crate::fleet::{place, Member};
+use crate::fleet::{host_address, Member};
 use pinetrail_membership::{MemberRecord, MembershipEvent, Output, State, Time};
 use std::net::SocketAddr;
 
@@ -26,7 +26,7 @@
         let entry = MemberRecord {
             name: format!("n{host:04}").into(),
             start: 0,
-            address: place(host),
+            address: host_address(host),
             state,
             incarnation: 0,
             since: now,
@@ -46,7 +46,7 @@
         }
         self.next = now + self.period;
         // As much as a beat of SWIM's head takes.
-        let beat = |to: usize| Output::Send(place(to), vec![0; 64]);
+        let beat = |to: usize| Output::Send(host_address(to), vec![0; 64]);
         out.extend((0..self.last.len()).filter(|host| *host != self.own).map(beat));
         for host in 0..self.last.len() {
             let silent = self.last[host].is_some_and(|last| last + self.silence < now);
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -10,10 +10,10 @@
 pub struct Network {
     /// The share of datagrams that is lost.
     pub loss: f64,
-    /// The share that arrives twice.
-    pub twice: f64,
+    /// The share that arrives duplication.
+    pub duplication: f64,
     /// The share of which one byte arrives damaged.
-    pub spoilt: f64,
+    pub corruption: f64,
     /// How long a datagram takes: at least, and at the most. What takes differently long is reordered.
     pub delay: (Time, Time),
     cuts: BTreeSet<(usize, usize)>,
@@ -21,7 +21,7 @@
 
 impl Default for Network {
     fn default() -> Network {
-        Network { loss: 0.0, twice: 0.0, spoilt: 0.0, delay: (1, 3), cuts: BTreeSet::new() }
+        Network { loss: 0.0, duplication: 0.0, corruption: 0.0, delay: (1, 3), cuts: BTreeSet::new() }
     }
 }
 
@@ -61,9 +61,9 @@
         if self.is_cut(from, to) || rng.random_bool(self.loss) {
             return Vec::new();
         }
-        let copies = if rng.random_bool(self.twice) { 2 } else { 1 };
+        let copies = if rng.random_bool(self.duplication) { 2 } else { 1 };
         let copy = |rng: &mut StdRng| {
-            let damaged = length > 0 && rng.random_bool(self.spoilt);
+            let damaged = length > 0 && rng.random_bool(self.corruption);
             let at = damaged.then(|| rng.random_range(0..length.max(1)));
             (rng.random_range(self.delay.0..=self.delay.1), at)
         };
--- a/crates/simulation/src/seeds.rs
+++ b/crates/simulation/src/seeds.rs
@@ -18,7 +18,7 @@
     sharing.know_all();
     sharing.network.delay = (1, 40);
     if sharing.rng.random_bool(0.3) {
-        (sharing.network.loss, sharing.network.twice) = (0.1, 0.2);
+        (sharing.network.loss, sharing.network.duplication) = (0.1, 0.2);
         sharing.network.delay = (1, sharing.rng.random_range(500..9_000));
     }
     for _ in 0..25 {
@@ -73,7 +73,7 @@
         }
     }
     sharing.network.heal();
-    (sharing.network.loss, sharing.network.twice, sharing.network.delay) = (0.0, 0.0, (1, 40));
+    (sharing.network.loss, sharing.network.duplication, sharing.network.delay) = (0.0, 0.0, (1, 40));
     for host in 0..HOSTS {
         if !sharing.runs(host) {
             sharing.start(host);
