Name membership's events and outputs as the glossary does, at their call sites too

Name conflict, fleet full, rejoined, paused; messages of quota and of the peer directory. Renames only; log lines and counters are as they were.

--- a/crates/membership/src/events.rs
+++ b/crates/membership/src/events.rs
@@ -22,14 +22,14 @@
     PartitionSide(PartitionSide),
     /// Another process, at this address, has this member's name. `true`: it started later, so that
     /// it counts in the fleet and this process does not.
-    Rival(SocketAddr, bool),
+    NameConflict(SocketAddr, bool),
     /// The other process of this member's name is gone.
-    RivalGone,
+    NameConflictEnded,
     /// The member at this address has reached its configured size, which is this many members, and
     /// rejects this one.
-    NoRoom(SocketAddr, usize),
+    FleetFull(SocketAddr, usize),
     /// Others had taken this member for failed; it has rejoined.
-    Returned,
+    Rejoined,
     /// This process did not run for so long, in ms.
-    Stopped(Time),
+    Paused(Time),
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -42,9 +42,9 @@
     /// Tell the rest of the program.
     MembershipEvent(MembershipEvent),
     /// Pass on a message about quota that another member sent.
-    Shares(Vec<u8>),
+    QuotaMessage(Vec<u8>),
     /// Pass on a message of the peer directory that the member at this address sent.
-    Links(SocketAddr, Vec<u8>),
+    DirectoryMessage(SocketAddr, Vec<u8>),
 }
 
 /// What a timer is for.
--- a/crates/membership/src/membership/datagrams.rs
+++ b/crates/membership/src/membership/datagrams.rs
@@ -71,17 +71,17 @@
             DatagramKind::Swim => return self.handle_swim(body, out),
             DatagramKind::Quota => {
                 if self.is_name_holder() {
-                    out.push(Output::Shares(body.to_vec()));
+                    out.push(Output::QuotaMessage(body.to_vec()));
                 }
             }
             DatagramKind::Directory => {
                 if self.is_name_holder() {
-                    out.push(Output::Links(from, body.to_vec()));
+                    out.push(Output::DirectoryMessage(from, body.to_vec()));
                 }
             }
             DatagramKind::FleetFull => {
                 let size: u64 = wire::decode_body(body)?;
-                let event = MembershipEvent::NoRoom(from, size as usize);
+                let event = MembershipEvent::FleetFull(from, size as usize);
                 out.push(Output::MembershipEvent(event));
             }
             DatagramKind::Discover
--- a/crates/membership/src/membership/name_conflict.rs
+++ b/crates/membership/src/membership/name_conflict.rs
@@ -64,7 +64,7 @@
         let is_new = self.name_conflict() != Some((other.address, is_later));
         let was_superseded = self.is_superseded();
         if is_new {
-            let event = MembershipEvent::Rival(other.address, is_later);
+            let event = MembershipEvent::NameConflict(other.address, is_later);
             out.push(Output::MembershipEvent(event));
             self.timers.retain(|timer| !matches!(timer, TimerKind::NameConflict));
             self.timers.set(self.now, TimerKind::NameConflict);
@@ -96,7 +96,7 @@
             return;
         }
         let was_superseded = self.is_superseded();
-        out.push(Output::MembershipEvent(MembershipEvent::RivalGone));
+        out.push(Output::MembershipEvent(MembershipEvent::NameConflictEnded));
         self.local_state = LocalState::SoleHolder;
         if was_superseded {
             self.return_after(&other, out);
--- a/crates/membership/src/membership/process_pause.rs
+++ b/crates/membership/src/membership/process_pause.rs
@@ -27,7 +27,7 @@
         }
         self.health.worsen(1 + (pause / 1000).min(2));
         self.counters.stops += 1;
-        out.push(Output::MembershipEvent(MembershipEvent::Stopped(pause)));
+        out.push(Output::MembershipEvent(MembershipEvent::Paused(pause)));
     }
 }
 
--- a/crates/membership/src/membership/swim_effects.rs
+++ b/crates/membership/src/membership/swim_effects.rs
@@ -43,7 +43,7 @@
                     self.local_id = id;
                     self.admission.state().local_id = self.local_id.clone();
                     self.counters.returned += 1;
-                    out.push(Output::MembershipEvent(MembershipEvent::Returned));
+                    out.push(Output::MembershipEvent(MembershipEvent::Rejoined));
                 }
             }
         }
--- a/crates/membership/tests/hard_cases.rs
+++ b/crates/membership/tests/hard_cases.rs
@@ -74,7 +74,7 @@
         assert!(fleet
             .observed
             .iter()
-            .any(|heard| heard.host == 1 && matches!(heard.event, MembershipEvent::Stopped(_))));
+            .any(|heard| heard.host == 1 && matches!(heard.event, MembershipEvent::Paused(_))));
         let wrong = |heard: &&pinetrail_simulation::fleet::ObservedEvent| {
             heard.host == 1
                 && matches!(&heard.event, MembershipEvent::Member { entry, .. } if entry.state == State::Failed)
@@ -286,7 +286,7 @@
         (0..60).for_each(|step| member.handle_timeout(now + step * 10, &mut said));
         late.extend(said.iter().filter_map(|output| match output {
             Output::Send(to, bytes) => Some((*to, bytes.clone())),
-            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::QuotaMessage(_) | Output::DirectoryMessage(..) => None,
         }));
         out.extend(said);
     });
@@ -378,7 +378,7 @@
         (0..4).map(|host| fleet.member(host).map_or(0, |member| member.members().len())).collect();
     assert!(known.iter().all(|known| *known <= 4), "{known:?}");
     assert!(fleet.counts(0).dropped_no_room > 0);
-    assert!(fleet.observed.iter().any(|heard| matches!(heard.event, MembershipEvent::NoRoom(_, 4))));
+    assert!(fleet.observed.iter().any(|heard| matches!(heard.event, MembershipEvent::FleetFull(_, 4))));
     assert!(fleet.false_failures() == 0, "those that fit are not harmed");
 }
 
@@ -391,7 +391,7 @@
     let sent = |out: &[Output]| {
         let bytes = out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::QuotaMessage(_) | Output::DirectoryMessage(..) => None,
         });
         bytes.collect::<Vec<_>>()
     };
@@ -441,7 +441,7 @@
         (0..60).for_each(|step| member.handle_timeout(now + step * 10, out));
         real.extend(out.iter().filter_map(|output| match output {
             Output::Send(_, bytes) => Some(bytes.clone()),
-            Output::MembershipEvent(_) | Output::Shares(_) | Output::Links(..) => None,
+            Output::MembershipEvent(_) | Output::QuotaMessage(_) | Output::DirectoryMessage(..) => None,
         }));
     });
     for round in 0..20_000 {
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -184,7 +184,7 @@
         for output in out {
             match output {
                 // Shares have a world of their own.
-                Output::Shares(_) | Output::Links(..) => {}
+                Output::QuotaMessage(_) | Output::DirectoryMessage(..) => {}
                 Output::MembershipEvent(event) => self.observed.push(ObservedEvent { at: now, host, event }),
                 Output::Send(to, bytes) => {
                     let Some(to) = self.places.get(&to).copied() else { continue };
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -270,11 +270,11 @@
         "ERROR: another process at 127.0.0.1:7102 has this one's name and started earlier: ",
         "this one counts in the fleet",
     );
-    assert_eq!(words(&MembershipEvent::Rival(address(7102), true)), later);
-    assert_eq!(words(&MembershipEvent::Rival(address(7102), false)), earlier);
-    assert_eq!(words(&MembershipEvent::RivalGone), "the other process of this one's name is gone");
+    assert_eq!(words(&MembershipEvent::NameConflict(address(7102), true)), later);
+    assert_eq!(words(&MembershipEvent::NameConflict(address(7102), false)), earlier);
+    assert_eq!(words(&MembershipEvent::NameConflictEnded), "the other process of this one's name is gone");
     let full = "ERROR: 127.0.0.1:7102 has no room for this member: its fleet.size is 4";
-    assert_eq!(words(&MembershipEvent::NoRoom(address(7102), 4)), full);
-    assert_eq!(words(&MembershipEvent::Returned), "others had taken this member for failed; it is back");
-    assert_eq!(words(&MembershipEvent::Stopped(9)), "this process did not run for 9 ms");
+    assert_eq!(words(&MembershipEvent::FleetFull(address(7102), 4)), full);
+    assert_eq!(words(&MembershipEvent::Rejoined), "others had taken this member for failed; it is back");
+    assert_eq!(words(&MembershipEvent::Paused(9)), "this process did not run for 9 ms");
 }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -44,15 +44,15 @@
         let sharing = self.sharing.as_mut()?;
         let mut told = None;
         // Most datagrams are not about shares.
-        if !out.iter().any(|one| matches!(one, Output::Shares(_))) && now < sharing.next_due() {
+        if !out.iter().any(|one| matches!(one, Output::QuotaMessage(_))) && now < sharing.next_due() {
             return None;
         }
         let (said, others) =
-            std::mem::take(out).into_iter().partition(|one| matches!(one, Output::Shares(_)));
+            std::mem::take(out).into_iter().partition(|one| matches!(one, Output::QuotaMessage(_)));
         *out = others;
         let said: Vec<Output> = said;
         for one in said {
-            if let Output::Shares(bytes) = one {
+            if let Output::QuotaMessage(bytes) = one {
                 told = sharing.heard(now, &bytes, &mut self.members, out).or(told);
             }
         }
@@ -425,8 +425,8 @@
                         self.send_failures.add();
                     }
                 }
-                Output::Shares(_) => {}
-                Output::Links(from, body) => {
+                Output::QuotaMessage(_) => {}
+                Output::DirectoryMessage(from, body) => {
                     self.hear_links.get().into_iter().for_each(|hear| hear(from, &body));
                 }
                 Output::MembershipEvent(news) => log(&format!("fleet: {}", report::words(&news))),
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -68,16 +68,16 @@
         }
         MembershipEvent::Forgotten(name) => format!("{name} is remembered no longer"),
         MembershipEvent::PartitionSide(side) => format!("this is the side: {side}"),
-        MembershipEvent::Rival(address, true) => format!(
+        MembershipEvent::NameConflict(address, true) => format!(
             "ERROR: another process at {address} has this one's name and started later: that one counts in the fleet, this one is out of it"
         ),
-        MembershipEvent::Rival(address, false) => {
+        MembershipEvent::NameConflict(address, false) => {
             format!("ERROR: another process at {address} has this one's name and started earlier: this one counts in the fleet")
         }
-        MembershipEvent::RivalGone => "the other process of this one's name is gone".to_owned(),
-        MembershipEvent::NoRoom(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
-        MembershipEvent::Returned => "others had taken this member for failed; it is back".to_owned(),
-        MembershipEvent::Stopped(ms) => format!("this process did not run for {ms} ms"),
+        MembershipEvent::NameConflictEnded => "the other process of this one's name is gone".to_owned(),
+        MembershipEvent::FleetFull(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
+        MembershipEvent::Rejoined => "others had taken this member for failed; it is back".to_owned(),
+        MembershipEvent::Paused(ms) => format!("this process did not run for {ms} ms"),
     }
 }
 
