Split the simulated fleet by concern and name what its tuples were

Scheduling of events and what belongs to members have files of their own; the baseline keeps one record a peer.

--- /dev/null
+++ b/crates/simulation/src/fleet/members.rs
@@ -0,0 +1,120 @@
+//! A fleet of [`Membership`] as it runs in service: starting members, and what each believes of the
+//! others.
+
+use super::{host_address, Fleet, ObservedEvent};
+use pinetrail_membership::{
+    MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
+    Time, Timing,
+};
+use std::net::SocketAddr;
+
+impl super::Member for Membership {
+    fn next_timeout(&self) -> Option<Time> {
+        Membership::next_timeout(self)
+    }
+
+    fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
+        Membership::handle_timeout(self, now, out);
+    }
+
+    fn handle_datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        Membership::handle_datagram(self, now, from, bytes, out);
+    }
+}
+
+/// The settings of the member on a host, in a fleet of this size, whose peers are these hosts.
+pub fn member_settings(host: usize, size: usize, peers: &[usize]) -> Settings {
+    let others = peers.iter().filter(|peer| **peer != host);
+    Settings {
+        fleet: "gdynia".into(),
+        name: member_name(host),
+        advertise: host_address(host),
+        peers: others.map(|peer| host_address(*peer)).collect(),
+        size,
+        times: Timing::default(),
+    }
+}
+
+fn member_name(host: usize) -> String {
+    format!("n{host:04}")
+}
+
+impl Fleet<Membership> {
+    /// A fleet of so many, all started at once, of which each knows only these peers.
+    pub fn with_members(hosts: usize, seed: u64, peers: &[usize]) -> Fleet<Membership> {
+        let mut fleet = Fleet::new(hosts, seed);
+        for host in 0..hosts {
+            fleet.start_member(host, hosts.max(2), peers);
+        }
+        fleet
+    }
+
+    /// Starts a member on a host, in a fleet of this size, whose peers are these hosts.
+    pub fn start_member(&mut self, host: usize, size: usize, peers: &[usize]) {
+        self.start_member_with(host, member_settings(host, size, peers));
+    }
+
+    /// Starts a member on a host with these settings.
+    ///
+    /// # Panics
+    ///
+    /// The settings contradict themselves.
+    pub fn start_member_with(&mut self, host: usize, settings: Settings) {
+        self.start(host, |start, seed, now| {
+            Membership::new(settings, start, seed, now).expect("settings that can be")
+        });
+    }
+
+    /// What one host believes of another; none if it knows nothing of it.
+    pub fn state_seen_by(&self, observer: usize, other: usize) -> Option<State> {
+        self.record_seen_by(observer, &member_name(other)).map(|record| record.state)
+    }
+
+    /// What a host knows of the member with this name.
+    pub fn record_seen_by(&self, observer: usize, name: &str) -> Option<MemberRecord> {
+        self.member(observer)?.members().into_iter().find(|record| &*record.name == name)
+    }
+
+    /// Whether all of these hosts believe that all of them are alive, and that nobody else is or
+    /// may be.
+    pub fn all_agree(&self, hosts: &[usize]) -> bool {
+        let mut names: Vec<String> = hosts.iter().map(|host| member_name(*host)).collect();
+        names.sort();
+        let agrees = |member: &Membership| sees_exactly(member, &names);
+        hosts.iter().all(|host| self.member(*host).is_some_and(agrees))
+    }
+
+    /// Which side of a partition a host is on.
+    pub fn side(&self, host: usize) -> Option<PartitionSide> {
+        self.member(host).map(Membership::side)
+    }
+
+    /// What the member on a host has counted.
+    pub fn counts(&self, host: usize) -> MembershipCounters {
+        self.member(host).map_or_else(MembershipCounters::default, Membership::counters)
+    }
+
+    /// How often a member took another for failed, among the observed events. All of these are
+    /// false alarms if nothing was killed.
+    pub fn false_failures(&self) -> usize {
+        self.observed.iter().filter(|observed| observed.is_about(State::Failed)).count()
+    }
+}
+
+impl ObservedEvent {
+    /// Whether it says that a member is in this state now.
+    pub fn is_about(&self, state: State) -> bool {
+        matches!(&self.event, MembershipEvent::Member { entry, .. } if entry.state == state)
+    }
+}
+
+/// Whether a member believes that those of these names, in their order, are alive and no others
+/// are or may be.
+fn sees_exactly(member: &Membership, names: &[String]) -> bool {
+    // Members come in the order of their names.
+    let records = member.members();
+    let live: Vec<&MemberRecord> = records.iter().filter(|record| record.state <= State::Suspect).collect();
+    let is_as_named =
+        |(record, name): (&&MemberRecord, &String)| record.state == State::Alive && *record.name == **name;
+    live.len() == names.len() && live.iter().zip(names).all(is_as_named)
+}
--- a/crates/simulation/src/heartbeats.rs
+++ b/crates/simulation/src/heartbeats.rs
@@ -1,58 +1,73 @@
-//! The baseline: everybody sends a heartbeat to everybody, and has failed who is silent for a time.
+//! The baseline to compare SWIM with: [`Heartbeats`]. Everybody sends a heartbeat to everybody, and
+//! who is silent for a time has failed.
 
 use crate::fleet::{host_address, Member};
 use pinetrail_membership::{MemberRecord, MembershipEvent, Output, State, Time};
 use std::net::SocketAddr;
 
-/// One member of the baseline.
+/// Bytes of a heartbeat: as many as the header of a message of SWIM takes.
+const HEARTBEAT_LENGTH: usize = 64;
+/// By so many ms members with consecutive numbers send their first heartbeats apart.
+const STAGGER: Time = 7;
+
+/// What is known of one host.
+#[derive(Clone, Copy, Default)]
+struct Peer {
+    /// When its last heartbeat came; none if it never sent one.
+    last_seen: Option<Time>,
+    has_failed: bool,
+}
+
+/// One member of the baseline. Times are in ms.
 pub struct Heartbeats {
-    own: usize,
+    own_host: usize,
     period: Time,
-    silence: Time,
-    next: Time,
-    last: Vec<Option<Time>>,
-    failed: Vec<bool>,
+    timeout: Time,
+    next_heartbeat: Time,
+    peers: Vec<Peer>,
 }
 
 impl Heartbeats {
-    /// A member of a fleet of so many, which beats each period and takes for failed who is silent for so long.
-    pub fn new(own: usize, hosts: usize, period: Time, silence: Time, now: Time) -> Heartbeats {
-        // They do not all beat in one moment.
-        let next = now + (own as Time * 7) % period;
-        Heartbeats { own, period, silence, next, last: vec![None; hosts], failed: vec![false; hosts] }
+    /// The member on this host in a fleet of so many hosts. It sends each `period`, and takes for
+    /// failed who is silent for longer than `timeout`; both in ms.
+    pub fn new(own_host: usize, hosts: usize, period: Time, timeout: Time, now: Time) -> Heartbeats {
+        // They do not all send in one moment.
+        let next_heartbeat = now + (own_host as Time * STAGGER) % period;
+        let peers = vec![Peer::default(); hosts];
+        Heartbeats { own_host, period, timeout, next_heartbeat, peers }
     }
+}
 
-    fn tell(&mut self, now: Time, host: usize, state: State, out: &mut Vec<Output>) {
-        let entry = MemberRecord {
-            name: format!("n{host:04}").into(),
-            start: 0,
-            address: host_address(host),
-            state,
-            incarnation: 0,
-            since: now,
-        };
-        out.push(Output::MembershipEvent(MembershipEvent::Member { entry, before: None }));
-    }
+/// The event that says what is believed of a host now.
+fn state_changed(now: Time, host: usize, state: State) -> Output {
+    let entry = MemberRecord {
+        name: format!("n{host:04}").into(),
+        start: 0,
+        address: host_address(host),
+        state,
+        incarnation: 0,
+        since: now,
+    };
+    Output::MembershipEvent(MembershipEvent::Member { entry, before: None })
 }
 
 impl Member for Heartbeats {
     fn next_timeout(&self) -> Option<Time> {
-        Some(self.next)
+        Some(self.next_heartbeat)
     }
 
     fn handle_timeout(&mut self, now: Time, out: &mut Vec<Output>) {
-        if now < self.next {
+        if now < self.next_heartbeat {
             return;
         }
-        self.next = now + self.period;
-        // As much as a beat of SWIM's head takes.
-        let beat = |to: usize| Output::Send(host_address(to), vec![0; 64]);
-        out.extend((0..self.last.len()).filter(|host| *host != self.own).map(beat));
-        for host in 0..self.last.len() {
-            let silent = self.last[host].is_some_and(|last| last + self.silence < now);
-            if silent && !self.failed[host] {
-                self.failed[host] = true;
-                self.tell(now, host, State::Failed, out);
+        self.next_heartbeat = now + self.period;
+        let others = (0..self.peers.len()).filter(|host| *host != self.own_host);
+        out.extend(others.map(|to| Output::Send(host_address(to), vec![0; HEARTBEAT_LENGTH])));
+        for (host, peer) in self.peers.iter_mut().enumerate() {
+            let is_silent = peer.last_seen.is_some_and(|last| last + self.timeout < now);
+            if is_silent && !peer.has_failed {
+                peer.has_failed = true;
+                out.push(state_changed(now, host, State::Failed));
             }
         }
     }
@@ -61,12 +76,11 @@
         let SocketAddr::V4(address) = from else { return };
         let [_, _, high, low] = address.ip().octets();
         let host = usize::from(high) << 8 | usize::from(low);
-        if host >= self.last.len() {
-            return;
-        }
-        self.last[host] = Some(now);
-        if std::mem::take(&mut self.failed[host]) {
-            self.tell(now, host, State::Alive, out);
+        let Some(peer) = self.peers.get_mut(host) else { return };
+        peer.last_seen = Some(now);
+        if peer.has_failed {
+            peer.has_failed = false;
+            out.push(state_changed(now, host, State::Alive));
         }
     }
 }
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -1,21 +1,24 @@
-//! A network for datagrams: what is lost, how long the rest takes, and which ways are cut.
+//! A network for datagrams: [`Network`] decides what is lost, how long the rest takes, and which
+//! directions are cut.
 
 use pinetrail_membership::Time;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use std::collections::BTreeSet;
 
-/// A network between hosts that have numbers.
+/// A network between hosts that have numbers. Shares are from 0 to 1.
 #[derive(Debug)]
 pub struct Network {
     /// The share of datagrams that is lost.
     pub loss: f64,
-    /// The share that arrives duplication.
+    /// The share of the others that arrives twice.
     pub duplication: f64,
     /// The share of which one byte arrives damaged.
     pub corruption: f64,
-    /// How long a datagram takes: at least, and at the most. What takes differently long is reordered.
+    /// How long a datagram takes, at least and at most, in ms. Delays differ, so that datagrams are
+    /// reordered.
     pub delay: (Time, Time),
+    /// Directions that are cut, from one host to another.
     cuts: BTreeSet<(usize, usize)>,
 }
 
@@ -26,31 +29,36 @@
 }
 
 impl Network {
-    /// Nothing arrives on the way from one host to another any more.
+    /// Cuts the direction from one host to another; the other direction is as it was.
     pub fn cut(&mut self, from: usize, to: usize) {
         self.cuts.insert((from, to));
     }
 
-    /// Nothing passes between hosts of different sides.
+    /// Partitions the network: nothing passes between hosts of different sides.
     pub fn cut_into(&mut self, sides: &[&[usize]]) {
-        for (at, side) in sides.iter().enumerate() {
-            for (_, other) in sides.iter().enumerate().filter(|(other, _)| *other != at) {
-                side.iter().for_each(|from| other.iter().for_each(|to| self.cut(*from, *to)));
+        for (index, side) in sides.iter().enumerate() {
+            for (_, other_side) in sides.iter().enumerate().filter(|(other, _)| *other != index) {
+                for from in *side {
+                    for to in *other_side {
+                        self.cut(*from, *to);
+                    }
+                }
             }
         }
     }
 
-    /// Every way is whole again.
+    /// Ends all cuts.
     pub fn heal(&mut self) {
         self.cuts.clear();
     }
 
-    /// Whether a way is cut.
+    /// Whether a direction is cut.
     pub fn is_cut(&self, from: usize, to: usize) -> bool {
         self.cuts.contains(&(from, to))
     }
 
-    /// How long each copy of a datagram takes, and which byte of it is damaged.
+    /// The copies of a datagram of `length` bytes that arrive: how long each takes, in ms, and the
+    /// index of its damaged byte, if one is damaged.
     pub fn carry(
         &self,
         rng: &mut StdRng,
@@ -62,11 +70,13 @@
             return Vec::new();
         }
         let copies = if rng.random_bool(self.duplication) { 2 } else { 1 };
-        let copy = |rng: &mut StdRng| {
-            let damaged = length > 0 && rng.random_bool(self.corruption);
-            let at = damaged.then(|| rng.random_range(0..length.max(1)));
-            (rng.random_range(self.delay.0..=self.delay.1), at)
-        };
-        (0..copies).map(|_| copy(rng)).collect()
+        (0..copies).map(|_| self.carry_copy(rng, length)).collect()
+    }
+
+    fn carry_copy(&self, rng: &mut StdRng, length: usize) -> (Time, Option<usize>) {
+        let is_damaged = length > 0 && rng.random_bool(self.corruption);
+        let damaged_byte = is_damaged.then(|| rng.random_range(0..length));
+        let delay = rng.random_range(self.delay.0..=self.delay.1);
+        (delay, damaged_byte)
     }
 }
