--- a/crates/membership/src/golden_tests.rs
+++ b/crates/membership/src/golden_tests.rs
@@ -23,7 +23,7 @@
     assert_eq!(hex(written), recorded);
 }
 
-fn place(host: u8) -> SocketAddr {
+fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7946))
 }
 
@@ -62,7 +62,7 @@
 #[test]
 fn the_identity_of_a_member_has_the_recorded_bytes() {
     let v6 = SocketAddr::from(([0xfd00, 1, 2, 3, 4, 5, 6, 7], 65_535));
-    let first = MemberId::new("n0".into(), 1_700_000_000_000_000, place(1));
+    let first = MemberId::new("n0".into(), 1_700_000_000_000_000, address(1));
     let recorded = [
         (first.with_generation(300), "026e308080f9c0c1c48203ac02000a0000018a3e"),
         (first, "026e308080f9c0c1c4820300000a0000018a3e"),
@@ -75,7 +75,7 @@
 }
 
 #[test]
-fn the_body_about_missing_room_has_the_recorded_bytes() {
+fn the_body_of_fleet_full_has_the_recorded_bytes() {
     check(&encode_body(&300_u64), "ac02");
     assert_eq!(decode_body(&bytes("ac02")), Ok(300_u64));
 }
@@ -84,8 +84,8 @@
     let settings = Settings {
         fleet: "gdynia".into(),
         name: format!("n{host}"),
-        advertise: place(host),
-        peers: [1, 2, 3].into_iter().filter(|peer| *peer != host).map(place).collect(),
+        advertise: address(host),
+        peers: [1, 2, 3].into_iter().filter(|peer| *peer != host).map(address).collect(),
         size: 5,
         times: Timing::default(),
     };
@@ -95,8 +95,8 @@
 
 const LEAVES_AT: u64 = 450;
 
-/// What two members say to each other until both have probed and one has left. Their third peer is
-/// never there; what goes to it is not recorded.
+/// What two members send to each other until both have probed and one has left. Their third peer
+/// never answers; what goes to it is not recorded.
 const CONVERSATION: &[&str] = &[
     "707401017db6f863066764796e6961026e318180f9c0c1c4820300000a0000018a3e",
     "70740101644d3c02066764796e6961026e328280f9c0c1c4820300000a0000028a3e",
@@ -159,17 +159,17 @@
      8180f9c0c1c48203ffffffff0f000a0000018a3e0a",
 ];
 
-/// The datagrams of SWIM among them are as the library writes them: a request to be let in and its
-/// answer, probes and their answers, news, the word that a member is gone.
+/// The datagrams of SWIM among them are as the library encodes them: a request to join and its
+/// reply, probes and their replies, updates, the message that a member is gone.
 #[test]
-fn two_members_meet_probe_and_part_by_the_recorded_datagrams() {
+fn two_members_join_probe_and_leave_by_the_recorded_datagrams() {
     let mut members = [member(1), member(2)];
     let mut recorded = CONVERSATION.iter();
-    let mut under_way: Vec<(usize, Vec<u8>)> = Vec::new();
+    let mut in_flight: Vec<(usize, Vec<u8>)> = Vec::new();
     for now in 0..=LEAVES_AT + 1 {
         let mut out = Vec::new();
-        for (to, datagram) in std::mem::take(&mut under_way) {
-            members[to].handle_datagram(now, place(2 - to as u8), &datagram, &mut out);
+        for (to, datagram) in std::mem::take(&mut in_flight) {
+            members[to].handle_datagram(now, address(2 - to as u8), &datagram, &mut out);
         }
         for member in &mut members {
             if member.next_timeout().is_some_and(|due| due <= now) {
@@ -184,15 +184,15 @@
         }
         for output in out {
             let Output::Send(to, datagram) = output else { continue };
-            let to = [place(1), place(2)].iter().position(|place| *place == to);
+            let to = [address(1), address(2)].iter().position(|address| *address == to);
             let Some(to) = to else { continue };
-            let recorded = recorded.next().expect("no more is said than was recorded");
+            let recorded = recorded.next().expect("no more is sent than was recorded");
             assert_eq!(hex(&datagram), *recorded, "to n{} at {now} ms", to + 1);
-            // What the other one hears is what was recorded.
-            under_way.push((to, bytes(recorded)));
+            // What the other one receives is what was recorded.
+            in_flight.push((to, bytes(recorded)));
         }
     }
-    assert_eq!(recorded.next(), None, "no less is said than was recorded");
+    assert_eq!(recorded.next(), None, "no less is sent than was recorded");
     let left = members[1].members().into_iter().find(|entry| &*entry.name == "n1");
     assert_eq!(left.map(|entry| entry.state), Some(State::Left));
 }
--- a/crates/membership/src/wire/tests.rs
+++ b/crates/membership/src/wire/tests.rs
@@ -1,30 +1,34 @@
 use super::*;
 
 #[test]
-fn what_is_not_ours_is_told_apart_and_dropped() {
+fn datagrams_that_are_not_this_fleets_are_dropped_with_the_reason() {
     let good = encode_datagram(DatagramKind::Discover, "gdynia", b"body");
     assert_eq!(decode_datagram("gdynia", &good), Ok((DatagramKind::Discover, &b"body"[..])));
     assert_eq!(decode_datagram("hel", &good), Err(DropReason::OtherFleet));
-    let changed = |at: usize, to: u8| {
+    let reason_with = |index: usize, byte: u8| {
         let mut bytes = good.clone();
-        bytes[at] = to;
-        decode_datagram("gdynia", &bytes).expect_err("it is changed")
+        bytes[index] = byte;
+        decode_datagram("gdynia", &bytes).expect_err("it is damaged")
     };
     assert_eq!(
-        (changed(0, b'x'), changed(2, 9)),
+        (reason_with(0, b'x'), reason_with(2, 9)),
         (DropReason::UnknownProtocol, DropReason::UnsupportedVersion)
     );
-    // Every other byte is held by the checksum.
-    (3..good.len()).for_each(|at| assert_eq!(changed(at, good[at] ^ 0x10), DropReason::Corrupt, "{at}"));
-    (0..good.len()).for_each(|end| assert!(decode_datagram("gdynia", &good[..end]).is_err(), "{end}"));
-    let unknown = {
+    // The checksum covers every other byte.
+    for index in 3..good.len() {
+        assert_eq!(reason_with(index, good[index] ^ 0x10), DropReason::Corrupt, "{index}");
+    }
+    for end in 0..good.len() {
+        assert!(decode_datagram("gdynia", &good[..end]).is_err(), "{end}");
+    }
+    let unknown_kind = {
         let mut bytes = good.clone();
         bytes[3] = 200;
         let sum = checksum(&bytes);
         bytes[4..8].copy_from_slice(&sum.to_be_bytes());
         bytes
     };
-    assert_eq!(decode_datagram("gdynia", &unknown), Err(DropReason::UnsupportedVersion));
+    assert_eq!(decode_datagram("gdynia", &unknown_kind), Err(DropReason::UnsupportedVersion));
     assert_eq!(
         decode_datagram("g", &encode_datagram(DatagramKind::Swim, "g", &[0; MAX_DATAGRAM])),
         Err(DropReason::Corrupt),
--- /dev/null
+++ b/crates/membership/tests/hard_cases/failure_detection.rs
@@ -0,0 +1,80 @@
+//! Which members are taken for failed, and which must not be; in simulated time with fixed seeds.
+
+use crate::{five_members, ALL};
+use pinetrail_membership::{Membership, PartitionSide, State};
+use pinetrail_simulation::fleet::{Fleet, BRIEF_PAUSES};
+
+/// After how many ms all the others know that a host has failed; none if they do not within
+/// `at_most`.
+fn time_until_known(fleet: &mut Fleet<Membership>, dead: usize, at_most: u64) -> Option<u64> {
+    let start = fleet.now();
+    let others: Vec<usize> = ALL.into_iter().filter(|host| *host != dead).collect();
+    let known = |fleet: &Fleet<Membership>| {
+        others.iter().all(|host| fleet.state_seen_by(*host, dead) == Some(State::Failed))
+    };
+    fleet.run_until(at_most, known).then(|| fleet.now() - start)
+}
+
+#[test]
+fn all_members_learn_of_a_death_within_3_s_and_of_the_return() {
+    for seed in 0..20 {
+        let mut fleet = five_members(seed);
+        fleet.kill(2);
+        let elapsed = time_until_known(&mut fleet, 2, 10_000).expect("all know");
+        assert!(elapsed <= 3_000, "seed {seed}: {elapsed} ms");
+        assert_eq!(fleet.side(0), Some(PartitionSide::Majority));
+        // It returns with only the list of its peers, under its name.
+        fleet.start_member(2, 5, &ALL);
+        assert!(fleet.run_until(5_000, |fleet| fleet.all_agree(&ALL)), "seed {seed}");
+        assert_eq!(fleet.side(0), Some(PartitionSide::Whole));
+    }
+}
+
+#[test]
+fn a_loss_of_5_percent_with_brief_pauses_fails_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five_members(seed);
+        fleet.network.loss = 0.05;
+        fleet.pauses = Some(BRIEF_PAUSES);
+        fleet.run(300_000);
+        assert_eq!(fleet.false_failures(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn duplicated_corrupted_and_reordered_datagrams_fail_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five_members(seed);
+        fleet.network.duplication = 0.2;
+        fleet.network.corruption = 0.02;
+        fleet.network.delay = (1, 80);
+        fleet.run(120_000);
+        assert_eq!(fleet.false_failures(), 0, "seed {seed}");
+        assert!(fleet.counts(0).dropped_spoilt > 0);
+    }
+}
+
+#[test]
+fn a_cut_in_one_direction_fails_nobody() {
+    for seed in 0..10 {
+        let mut fleet = five_members(seed);
+        fleet.network.cut(0, 1);
+        fleet.run(60_000);
+        assert_eq!(fleet.false_failures(), 0, "seed {seed}");
+        assert!(fleet.all_agree(&ALL) || fleet.run_until(3_000, |fleet| fleet.all_agree(&ALL)));
+    }
+}
+
+#[test]
+fn equal_seeds_give_equal_runs() {
+    let run = |seed| {
+        let mut fleet = five_members(seed);
+        fleet.network.loss = 0.1;
+        fleet.pauses = Some(BRIEF_PAUSES);
+        fleet.kill(3);
+        fleet.run(30_000);
+        (fleet.observed.clone(), fleet.received.clone())
+    };
+    assert_eq!(run(5), run(5));
+    assert_ne!(run(5).1, run(6).1);
+}
--- /dev/null
+++ b/crates/membership/tests/hard_cases/pauses.rs
@@ -0,0 +1,100 @@
+//! Processes that do not run for a time; in simulated time with fixed seeds.
+
+use crate::{five_members, ALL};
+use pinetrail_membership::{Membership, MembershipEvent, State};
+use pinetrail_simulation::fleet::{Fleet, ObservedEvent};
+
+/// The host whose process pauses.
+const PAUSED: usize = 1;
+
+/// Whether the member that pauses believes that some member is in this state.
+fn sees_any(fleet: &Fleet<Membership>, state: State) -> bool {
+    ALL.iter().any(|other| fleet.state_seen_by(PAUSED, *other) == Some(state))
+}
+
+/// The first event that says that the member that pauses took another to be in this state.
+fn believed_by_paused(fleet: &Fleet<Membership>, state: State) -> Option<&ObservedEvent> {
+    let is_such = |event: &&ObservedEvent| event.host == PAUSED && event.is_about(state);
+    fleet.observed.iter().find(is_such)
+}
+
+/// Guards against taking a member for failed whose process pauses a little.
+#[test]
+fn a_member_that_pauses_for_450_ms_again_and_again_is_never_taken_for_failed() {
+    for seed in 0..10 {
+        let mut fleet = five_members(seed);
+        for _ in 0..60 {
+            fleet.pause(PAUSED);
+            fleet.run(450);
+            fleet.resume(PAUSED);
+            fleet.run(100 + seed * 30);
+        }
+        assert_eq!(fleet.false_failures(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against a process that wakes up, finds all of its timers due, and takes all the others
+/// for failed.
+#[test]
+fn a_member_paused_for_10_s_takes_nobody_for_failed_and_rejoins() {
+    for seed in 0..10 {
+        let mut fleet = five_members(seed);
+        // It has just begun to suspect somebody: the time to refute passes while it is paused.
+        fleet.network.cut_into(&[&[1], &[0, 2, 3, 4]]);
+        assert!(fleet.run_until(4_000, |fleet| sees_any(fleet, State::Suspect)));
+        fleet.pause(PAUSED);
+        fleet.network.heal();
+        assert!(fleet.run_until(10_000, |fleet| fleet.state_seen_by(0, PAUSED) == Some(State::Failed)));
+        fleet.run(10_000);
+        fleet.observed.clear();
+        fleet.resume(PAUSED);
+        assert!(fleet.run_until(6_000, |fleet| fleet.all_agree(&ALL)), "seed {seed}");
+        let notices_pause = |observed: &ObservedEvent| {
+            observed.host == PAUSED && matches!(observed.event, MembershipEvent::Paused(_))
+        };
+        assert!(fleet.observed.iter().any(notices_pause));
+        assert_eq!(believed_by_paused(&fleet, State::Failed), None, "seed {seed}");
+    }
+}
+
+/// Guards against a process that wakes up and takes its own absence for the silence of others.
+#[test]
+fn a_member_suspects_nobody_for_the_time_of_its_own_pause() {
+    for after in 0..100 {
+        let mut fleet = five_members(after);
+        fleet.run(after * 7);
+        fleet.pause(PAUSED);
+        fleet.run(1_500);
+        fleet.observed.clear();
+        fleet.resume(PAUSED);
+        fleet.run(1_500);
+        assert_eq!(believed_by_paused(&fleet, State::Suspect), None, "paused after {after}");
+    }
+}
+
+/// Guards against a suspicion that ends in the moment in which its holder wakes up: nobody could
+/// have refuted it.
+#[test]
+fn a_pause_at_any_moment_leaves_suspected_members_time_to_refute() {
+    let mut pauses = 0;
+    for after in (0..1_500).step_by(10) {
+        let mut fleet = five_members(3);
+        for to in [0, 2, 3, 4] {
+            fleet.network.cut(PAUSED, to);
+        }
+        assert!(fleet.run_until(4_000, |fleet| sees_any(fleet, State::Suspect)));
+        fleet.run(after);
+        if sees_any(&fleet, State::Failed) {
+            break;
+        }
+        pauses += 1;
+        fleet.pause(PAUSED);
+        fleet.network.heal();
+        fleet.run(2_000);
+        fleet.observed.clear();
+        fleet.resume(PAUSED);
+        fleet.run(4_000);
+        assert_eq!(believed_by_paused(&fleet, State::Failed), None, "paused after {after} ms");
+    }
+    assert!(pauses > 50, "up to the end of the suspicion: {pauses}");
+}
