--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -1,6 +1,6 @@
 //! The places and who holds them.
 
-use crate::flow::GrowthEstimator;
+use crate::growth_estimator::GrowthEstimator;
 use crate::limits::Limits;
 use crate::reuse_estimator::{interval, ReuseEstimator, EDGES};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -13,12 +13,12 @@
 
 mod connection_table;
 mod descriptor_budget;
-mod flow;
+mod growth_estimator;
 mod limits;
 mod reuse_estimator;
 
 pub use connection_table::{CloseOrder, ConnectionId, ConnectionTable, Counts, Millis, Phase, Reason, Seq};
 pub use descriptor_budget::DescriptorBudget;
-pub use flow::GrowthEstimator;
+pub use growth_estimator::GrowthEstimator;
 pub use limits::Limits;
 pub use reuse_estimator::{ReuseEstimator, EDGES};
