Split the connection table by concern, document it, and name its limits and life tables

What is known of a connection, what is learnt and who is closed have a file each; kinds and intervals of life tables are types in place of numbers; Counts names its idle limits; clients and backends in place of consumers and providers. Names of phases and reasons stay: other packages match on them.

--- a/crates/connection-limits/src/growth_estimator.rs
+++ b/crates/connection-limits/src/growth_estimator.rs
@@ -1,41 +1,44 @@
-//! How fast places are taken and given back.
+//! How fast the number of connections grows: [`GrowthEstimator`].
 
-/// Time constant of the rates, in ms: about what a crowd needs to show.
-const MEMORY: f64 = 400.0;
+/// Time constant of the rates, in ms: about as long as it takes a crowd to show.
+const TIME_CONSTANT: f64 = 400.0;
 
-/// Rates of arrivals and departures a millisecond, each an exponentially weighted mean.
+/// Rates of arrivals and departures, each an exponentially weighted mean. Times are in ms.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GrowthEstimator {
-    at: u64,
-    arrivals: f64,
-    departures: f64,
+    updated_at: u64,
+    arrivals_per_ms: f64,
+    departures_per_ms: f64,
 }
 
 impl GrowthEstimator {
-    /// One connection has come.
+    /// A connection has arrived.
     pub fn arrive(&mut self, now: u64) {
         self.decay(now);
-        self.arrivals += 1.0 / MEMORY;
+        self.arrivals_per_ms += 1.0 / TIME_CONSTANT;
     }
 
-    /// One connection has gone.
+    /// A connection has ended.
     pub fn leave(&mut self, now: u64) {
         self.decay(now);
-        self.departures += 1.0 / MEMORY;
+        self.departures_per_ms += 1.0 / TIME_CONSTANT;
     }
 
-    /// By how many places more will be held in `ahead` ms, if all goes on as it does. Never below 0: that
-    /// many leave now is no promise that they will.
-    pub fn growth(&self, now: u64, ahead: f64) -> f64 {
-        let faded = (-(now.saturating_sub(self.at) as f64) / MEMORY).exp();
-        ((self.arrivals - self.departures) * faded * ahead).max(0.0)
+    /// By how many connections their number will have grown in `horizon` ms if the rates stay as
+    /// they are. Never below 0: that many end now is no promise that they will.
+    pub fn growth(&self, now: u64, horizon: f64) -> f64 {
+        let elapsed = now.saturating_sub(self.updated_at);
+        let remaining = (-(elapsed as f64) / TIME_CONSTANT).exp();
+        ((self.arrivals_per_ms - self.departures_per_ms) * remaining * horizon).max(0.0)
     }
 
     fn decay(&mut self, now: u64) {
-        let passed = now.saturating_sub(self.at);
-        if passed > 0 {
-            let kept = (-(passed as f64) / MEMORY).exp();
-            (self.arrivals, self.departures, self.at) = (self.arrivals * kept, self.departures * kept, now);
+        let elapsed = now.saturating_sub(self.updated_at);
+        if elapsed > 0 {
+            let remaining = (-(elapsed as f64) / TIME_CONSTANT).exp();
+            self.arrivals_per_ms *= remaining;
+            self.departures_per_ms *= remaining;
+            self.updated_at = now;
         }
     }
 }
--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -316,7 +316,7 @@
         let learning = crowd.turned_away_in_1000();
         crowd.play(20_000, &rates);
         let tally = crowd.places.counts(crowd.now);
-        (descriptors, learning, crowd.turned_away_in_1000(), tally.open, tally.limits[1])
+        (descriptors, learning, crowd.turned_away_in_1000(), tally.open, tally.limits.after_one_request)
     });
     println!("descriptors, turned away of 1000 in 3 s and after, places held, limit after one request: {figures:?}");
     assert!(figures.iter().all(|(_, learning, after, ..)| *learning <= 350 && *after <= 5), "{figures:?}");
--- a/crates/connection-limits/tests/orders.rs
+++ b/crates/connection-limits/tests/orders.rs
@@ -10,7 +10,7 @@
 
 fn places(most: usize) -> ConnectionTable {
     // No sample: each connection is dealt with like all of its kind.
-    ConnectionTable::new(Limits { sample: u64::MAX, ..Limits::default() }, most)
+    ConnectionTable::new(Limits { sample_one_in: u64::MAX, ..Limits::default() }, most)
 }
 
 #[test]
@@ -65,20 +65,20 @@
 #[test]
 fn those_that_leave_by_themselves_make_a_kind_hopeless_and_those_closed_do_not() {
     let mut left = ReuseEstimator::default();
-    let before = left.chance(0, 2200);
-    (0..50).for_each(|_| left.left(0, 0));
-    assert!(left.chance(0, 2200) < before / 2.0);
+    let before = left.reuse_probability(0, 2200);
+    (0..50).for_each(|_| left.record_client_close(0, 0));
+    assert!(left.reuse_probability(0, 2200) < before / 2.0);
     let mut spoke = ReuseEstimator::default();
     for _ in 0..50 {
-        (0..9).for_each(|interval| spoke.lived_through(0, interval));
-        spoke.spoke(0, 9);
+        (0..9).for_each(|interval| spoke.record_survival(0, interval));
+        spoke.record_reuse(0, 9);
     }
     assert_eq!(EDGES[9], 1600);
-    assert!(spoke.chance(0, 2200) > 0.9);
+    assert!(spoke.reuse_probability(0, 2200) > 0.9);
     assert_eq!(spoke.unlikely_to_return_from(0.3, 2200), 2200);
     // What was seen long ago counts little.
-    spoke.lived_through(60_000, 0);
-    assert!(spoke.chance(9, 2200) < 0.3);
+    spoke.record_survival(60_000, 0);
+    assert!(spoke.reuse_probability(9, 2200) < 0.3);
 }
 
 #[test]
