Name the handler of messages and the transport's timing by the field's terms

A rename only: MessageHandler::heard is on_message, and the fields of Timing say which time they are. The implementation in policy-consensus and the literal in the simulation follow.

Run: cargo check of the three crates with all targets; the tests of peer-transport.

--- a/crates/peer-transport/src/connection.rs
+++ b/crates/peer-transport/src/connection.rs
@@ -68,7 +68,7 @@
 ) -> io::Result<Handshake> {
     let own = Frame::Handshake(links.hello());
     write_one(to, &frame::seal(&own).ok_or_else(|| spoilt("a hello too long"))?).await?;
-    let theirs = timeout(links.times.greeting, reader.next(links.times.greeting)).await;
+    let theirs = timeout(links.times.handshake_timeout, reader.next(links.times.handshake_timeout)).await;
     match theirs {
         Ok(Ok(Frame::Handshake(hello))) if hello.version != VERSION => {
             Err(spoilt("another version of frames"))
@@ -89,12 +89,12 @@
 ) -> io::Error {
     let from = &live.hello.from;
     loop {
-        match reader.next(links.times.silence).await {
+        match reader.next(links.times.silence_timeout).await {
             Ok(Frame::Beat) => {}
             Ok(Frame::Behind) => links.heard().on_resync_needed(from),
-            Ok(Frame::Tell(body)) => drop(links.heard().heard(from, &body)),
+            Ok(Frame::Tell(body)) => drop(links.heard().on_message(from, &body)),
             Ok(Frame::Ask(number, body)) => {
-                let answer = links.heard().heard(from, &body);
+                let answer = links.heard().on_message(from, &body);
                 live.mailbox.put(&answer.map_or(Frame::NoAnswer(number), |body| Frame::Answer(number, body)));
             }
             Ok(Frame::Answer(number, body)) => live.answered(number, Some(body)),
@@ -113,12 +113,12 @@
 ) {
     let beat = frame::seal(&Frame::Beat).unwrap_or_default();
     loop {
-        let next = match timeout(links.times.beat, live.mailbox.next()).await {
+        let next = match timeout(links.times.heartbeat_interval, live.mailbox.next()).await {
             Ok(Some(frame)) => frame,
             Ok(None) => break,
             Err(_) => beat.clone(),
         };
-        match timeout(links.times.silence, write_one(&mut to, &next)).await {
+        match timeout(links.times.silence_timeout, write_one(&mut to, &next)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => break,
         }
--- a/crates/peer-transport/src/dial.rs
+++ b/crates/peer-transport/src/dial.rs
@@ -17,7 +17,8 @@
     let mut rest = FIRST_REST;
     while links.wants(&peer) {
         if !links.is_connected(&peer.process) {
-            let connected = timeout(links.times.greeting, links.net.connect(links.from, peer.address)).await;
+            let connected =
+                timeout(links.times.handshake_timeout, links.net.connect(links.from, peer.address)).await;
             let why = match connected {
                 Ok(Ok(stream)) => {
                     rest = FIRST_REST;
--- a/crates/peer-transport/src/golden_tests.rs
+++ b/crates/peer-transport/src/golden_tests.rs
@@ -114,7 +114,7 @@
 }
 
 impl MessageHandler for Recorder {
-    fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
+    fn on_message(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
         self.add(format!("{from} {} says {}", from.start, String::from_utf8_lossy(body)));
         None
     }
--- a/crates/peer-transport/src/transport.rs
+++ b/crates/peer-transport/src/transport.rs
@@ -20,19 +20,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
     /// A connection and its greeting.
-    pub greeting: Duration,
+    pub handshake_timeout: Duration,
     /// Something is written at least so often.
-    pub beat: Duration,
+    pub heartbeat_interval: Duration,
     /// A link on which nothing comes, or nothing can be written, for so long ends.
-    pub silence: Duration,
+    pub silence_timeout: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Timing {
         Timing {
-            greeting: Duration::from_millis(1000),
-            beat: Duration::from_millis(400),
-            silence: Duration::from_millis(1600),
+            handshake_timeout: Duration::from_millis(1000),
+            heartbeat_interval: Duration::from_millis(400),
+            silence_timeout: Duration::from_millis(1600),
         }
     }
 }
@@ -49,7 +49,7 @@
 /// Who hears what others say. It is called on the thread of the links, and must not wait.
 pub trait MessageHandler: Send + Sync + 'static {
     /// A peer has said something; what it is answered, if it asked.
-    fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>>;
+    fn on_message(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>>;
     /// There is a link with a peer that holds this seat, if any.
     fn on_connected(&self, peer: &Process, seat: Option<u8>);
     /// There is no link with it any more.
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -14,7 +14,7 @@
 const FORGET: Duration = Duration::from_secs(30);
 
 impl<N: Network> MessageHandler for ConsensusNode<N> {
-    fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
+    fn on_message(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
         let message = read(body)?;
         self.answer(from, message).map(|reply| words(&reply))
     }
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -203,9 +203,9 @@
     let place = SocketAddr::new(turmoil::lookup(name(host)), PORT);
     let seed = shared.seed ^ (host as u64) << 32 ^ start;
     let link_times = LinkTimes {
-        greeting: Duration::from_millis(500),
-        beat: Duration::from_millis(150),
-        silence: Duration::from_millis(600),
+        handshake_timeout: Duration::from_millis(500),
+        heartbeat_interval: Duration::from_millis(150),
+        silence_timeout: Duration::from_millis(600),
     };
     let any = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
     let links = PeerTransport::new(SimulatedNetwork, "f", me.clone(), any, link_times, seed);
