Give PeerTransport::new a parameter struct

Six arguments in a row could be exchanged unnoticed; TransportConfig names them. The two callers (simulation, net/policy) follow.

Run: cargo check of pinetrail, peer-transport and simulation with all targets; the tests of peer-transport.

--- a/crates/peer-transport/src/golden_tests.rs
+++ b/crates/peer-transport/src/golden_tests.rs
@@ -6,7 +6,7 @@
 
 use crate::connection;
 use crate::frame::{self, Frame, VERSION};
-use crate::{Handshake, MessageHandler, Network, PeerTransport, Process, Timing};
+use crate::{Handshake, MessageHandler, Network, PeerTransport, Process, Timing, TransportConfig};
 use bytes::BytesMut;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -134,8 +134,14 @@
 #[tokio::test]
 async fn a_connection_begins_with_the_recorded_greeting_and_takes_the_recorded_bytes() {
     let me = process("n0", 1_700_000_000_000_000);
-    let at = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    let links = PeerTransport::new(NoNetwork, "gdynia", me, at, Timing::default(), 1);
+    let config = TransportConfig {
+        fleet: "gdynia".into(),
+        process: me,
+        local_address: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        timing: Timing::default(),
+        seed: 1,
+    };
+    let links = PeerTransport::new(NoNetwork, config);
     let recorder = Arc::new(Recorder::default());
     links.set_handler(Arc::clone(&recorder) as Arc<dyn MessageHandler>);
     links.set_voter_id(Some(2));
--- a/crates/peer-transport/src/lib.rs
+++ b/crates/peer-transport/src/lib.rs
@@ -22,4 +22,4 @@
 pub use frame::{Handshake, MAX_FRAME_LENGTH};
 pub use network::{Network, TcpNetwork};
 pub use process::Process;
-pub use transport::{MessageHandler, Peer, PeerTransport, Timing};
+pub use transport::{MessageHandler, Peer, PeerTransport, Timing, TransportConfig};
--- a/crates/peer-transport/src/transport.rs
+++ b/crates/peer-transport/src/transport.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// What a transport is told at its start.
+#[derive(Clone, Debug)]
+pub struct TransportConfig {
+    /// The fleet's name; connections with processes of another fleet are refused.
+    pub fleet: String,
+    /// This process.
+    pub process: Process,
+    /// The address of this machine from which peers are dialled; any, if it is unspecified.
+    pub local_address: IpAddr,
+    /// Timeouts and intervals.
+    pub timing: Timing,
+    /// Seeds the jitter between attempts to dial.
+    pub seed: u64,
+}
+
 /// A process that is to be dialled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -130,24 +145,18 @@
 }
 
 impl<N: Network> PeerTransport<N> {
-    /// Links of a process whose own end is at this address; nobody is known yet. [`PeerTransport::listen`] and [`PeerTransport::know`] begin.
-    pub fn new(
-        net: N,
-        fleet: &str,
-        me: Process,
-        at: IpAddr,
-        times: Timing,
-        seed: u64,
-    ) -> Arc<PeerTransport<N>> {
+    /// A transport without connections: [`PeerTransport::listen`] and [`PeerTransport::set_peers`]
+    /// bring them, once [`PeerTransport::set_handler`] was called.
+    pub fn new(net: N, config: TransportConfig) -> Arc<PeerTransport<N>> {
         Arc::new(PeerTransport {
             net,
-            fleet: fleet.to_owned(),
-            me,
-            times,
-            from: at,
+            fleet: config.fleet,
+            me: config.process,
+            times: config.timing,
+            from: config.local_address,
             heard: OnceLock::new(),
             state: Mutex::default(),
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            rng: Mutex::new(StdRng::seed_from_u64(config.seed)),
         })
     }
 
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -4,7 +4,7 @@
 use super::net::SimulatedNetwork;
 use super::plan::{Fault, Plan};
 use super::Run;
-use pinetrail_peer_transport::{Peer, PeerTransport, Process, Timing as LinkTimes};
+use pinetrail_peer_transport::{Peer, PeerTransport, Process, Timing as LinkTimes, TransportConfig};
 use pinetrail_policy_consensus::{
     Admission, AdmissionLease, ConsensusNode, ConsensusStatus, LeaseExpiryMode, PolicyApplier, Settings,
     Storage, Timing, VoterSet,
@@ -208,7 +208,14 @@
         silence_timeout: Duration::from_millis(600),
     };
     let any = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
-    let links = PeerTransport::new(SimulatedNetwork, "f", me.clone(), any, link_times, seed);
+    let config = TransportConfig {
+        fleet: "f".to_owned(),
+        process: me.clone(),
+        local_address: any,
+        timing: link_times,
+        seed,
+    };
+    let links = PeerTransport::new(SimulatedNetwork, config);
     let seats = VoterSet(shared.founders as u8);
     let permit =
         Arc::new(AdmissionLease::new(seats, LeaseExpiryMode::FailClosed, HOLD, Duration::from_millis(500)));
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -18,7 +18,7 @@
 use applier::App;
 use directory::Directory;
 use drift::Drift;
-use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes};
+use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes, TransportConfig};
 use pinetrail_policy_consensus::{AdmissionLease, ConsensusNode, ConsensusStatus, PolicyApplier, Settings};
 use serde_json::Value;
 use std::sync::mpsc::{channel, Sender};
@@ -60,11 +60,13 @@
         let me = Process { name: name.as_str().into(), start };
         let links = PeerTransport::new(
             TcpNetwork,
-            &fleet_name,
-            me.clone(),
-            config.bind.ip(),
-            LinkTimes::default(),
-            seed ^ start,
+            TransportConfig {
+                fleet: fleet_name.clone(),
+                process: me.clone(),
+                local_address: config.bind.ip(),
+                timing: LinkTimes::default(),
+                seed: seed ^ start,
+            },
         );
         let permit = Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, BACK));
         exchange.set_admission_lease(Arc::clone(&permit));
