Split the peer transport into layers without circular imports; typed connection errors

accept, dial, connection and transport imported each other, a connection's end was an io::Error with a text, and frames, queue and requests went by house words. Now: Shared is the state of all connections, session, accept and dial are tasks on it, PeerTransport starts them; config, handler and error are modules of their own. ConnectionError, HandshakeError, EncodeError and DecodeError say what went wrong and keep their source. Variants of Frame and fields of Handshake are renamed in their old order. MessageHandler::on_connection_failed takes a ConnectionError: one line in policy-consensus follows. The frame test now also says which error a damaged frame gives; new tests cover refused handshakes, silence and a second handshake.

--- a/crates/peer-transport/src/accept.rs
+++ b/crates/peer-transport/src/accept.rs
@@ -1,27 +1,28 @@
-//! Takes connections of peers in.
+//! The task that accepts connections of peers.
 
-use crate::connection;
 use crate::network::Network;
-use crate::transport::PeerTransport;
+use crate::session;
+use crate::shared::Shared;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Between attempts to accept, when that fails.
-const REST: Duration = Duration::from_millis(20);
+/// The pause after an accept that failed, as it does while descriptors are short.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts for as long as this process runs.
-pub(crate) async fn accept<N: Network>(links: Arc<PeerTransport<N>>, listener: N::Listener) {
+/// Accepts connections until the task is aborted.
+pub(crate) async fn accept_connections<N: Network>(shared: Arc<Shared<N>>, listener: N::Listener) {
     loop {
         match N::accept(&listener).await {
             Ok(stream) => {
-                let links = Arc::clone(&links);
+                let shared = Arc::clone(&shared);
+                // It ends with its connection.
                 tokio::spawn(async move {
-                    // Why it ended is said by who dialled.
-                    let _ = connection::run(&links, stream).await;
+                    // The process that dialled is told why a connection ended.
+                    let _ = session::run(&shared, stream).await;
                 });
             }
-            Err(_) => sleep(REST).await,
+            Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
--- a/crates/peer-transport/src/connection.rs
+++ b/crates/peer-transport/src/connection.rs
@@ -1,134 +1,105 @@
-//! One link, from its greeting to its end.
+//! One connection that is up, as those see it who send on it: [`PeerConnection`]. The tasks that
+//! read and write it are in `session`.
 
-use crate::frame::{self, Frame, Handshake, VERSION};
-use crate::network::Network;
-use crate::transport::{PeerConnection, PeerTransport};
-use bytes::BytesMut;
-use std::io::{self, ErrorKind};
-use std::sync::Arc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
-use tokio::time::timeout;
-use tokio_util::codec::{Decoder, Encoder};
+use crate::frame::{Frame, Handshake, RequestId};
+use crate::process::Process;
+use crate::send_queue::SendQueue;
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::{oneshot, Notify};
 
-/// What is read from the other end, frame by frame.
-struct Reader<S> {
-    from: ReadHalf<S>,
-    bytes: BytesMut,
-    lengths: tokio_util::codec::LengthDelimitedCodec,
-}
+/// The response to a request; none if the peer has none.
+pub(crate) type ResponseBody = Option<Vec<u8>>;
 
-fn spoilt(why: &'static str) -> io::Error {
-    io::Error::new(ErrorKind::InvalidData, why)
+/// The requests that were sent and have no response yet.
+#[derive(Default)]
+struct PendingRequests {
+    last_id: RequestId,
+    senders: BTreeMap<RequestId, oneshot::Sender<ResponseBody>>,
 }
 
-impl<S: tokio::io::AsyncRead> Reader<S> {
-    /// The next frame. A peer that is slow may take its time as long as some of it comes.
-    async fn next(&mut self, silence: std::time::Duration) -> io::Result<Frame> {
-        loop {
-            if let Some(whole) = self.lengths.decode(&mut self.bytes)? {
-                return frame::open(&whole).ok_or_else(|| spoilt("a spoilt frame"));
-            }
-            match timeout(silence, self.from.read_buf(&mut self.bytes)).await {
-                Ok(Ok(0)) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) => return Err(error),
-                Err(_) => return Err(ErrorKind::TimedOut.into()),
-            }
-        }
-    }
+/// A request that was sent.
+pub(crate) struct SentRequest {
+    pub(crate) id: RequestId,
+    /// Gets the response; its sender is dropped if the request could not be sent, or the
+    /// connection ends before the response.
+    pub(crate) response: oneshot::Receiver<ResponseBody>,
 }
 
-/// Greets the other end of a connection, then carries what both say until the link ends; why it did.
-pub(crate) async fn run<N: Network>(links: &Arc<PeerTransport<N>>, stream: N::Stream) -> io::Error {
-    let (from, mut to) = tokio::io::split(stream);
-    let mut reader = Reader { from, bytes: BytesMut::new(), lengths: frame::lengths() };
-    let hello = match greet(links, &mut reader, &mut to).await {
-        Ok(hello) => hello,
-        Err(error) => return error,
-    };
-    let live = Arc::new(PeerConnection::new(hello));
-    links.arrived(&live);
-    let writing = tokio::spawn(write::<N>(Arc::clone(links), Arc::clone(&live), to));
-    let why = tokio::select! {
-        // In this order, so that a seed replays it.
-        biased;
-        why = read(links, &live, &mut reader) => why,
-        () = live.ended() => io::Error::new(ErrorKind::ConnectionAborted, "another link took its place"),
-    };
-    live.end();
-    writing.abort();
-    links.left(&live);
-    why
+/// One connection that is up.
+pub(crate) struct PeerConnection {
+    /// What the peer said of itself.
+    handshake: Handshake,
+    /// What is to be written to the peer.
+    pub(crate) send_queue: SendQueue,
+    /// Guards the requests in flight; it is never held while another lock is.
+    pending: Mutex<PendingRequests>,
+    closed: Notify,
 }
 
-async fn greet<N: Network>(
-    links: &PeerTransport<N>,
-    reader: &mut Reader<N::Stream>,
-    to: &mut WriteHalf<N::Stream>,
-) -> io::Result<Handshake> {
-    let own = Frame::Handshake(links.hello());
-    write_one(to, &frame::seal(&own).ok_or_else(|| spoilt("a hello too long"))?).await?;
-    let theirs = timeout(links.times.handshake_timeout, reader.next(links.times.handshake_timeout)).await;
-    match theirs {
-        Ok(Ok(Frame::Handshake(hello))) if hello.version != VERSION => {
-            Err(spoilt("another version of frames"))
+impl PeerConnection {
+    pub(crate) fn new(handshake: Handshake) -> PeerConnection {
+        PeerConnection {
+            handshake,
+            send_queue: SendQueue::default(),
+            pending: Mutex::default(),
+            closed: Notify::new(),
         }
-        Ok(Ok(Frame::Handshake(hello))) if hello.fleet != links.fleet => Err(spoilt("another fleet")),
-        Ok(Ok(Frame::Handshake(hello))) if hello.from == links.me => Err(spoilt("this process itself")),
-        Ok(Ok(Frame::Handshake(hello))) => Ok(hello),
-        Ok(Ok(_)) => Err(spoilt("no hello")),
-        Ok(Err(error)) => Err(error),
-        Err(_) => Err(ErrorKind::TimedOut.into()),
     }
-}
 
-async fn read<N: Network>(
-    links: &Arc<PeerTransport<N>>,
-    live: &Arc<PeerConnection>,
-    reader: &mut Reader<N::Stream>,
-) -> io::Error {
-    let from = &live.hello.from;
-    loop {
-        match reader.next(links.times.silence_timeout).await {
-            Ok(Frame::Beat) => {}
-            Ok(Frame::Behind) => links.heard().on_resync_needed(from),
-            Ok(Frame::Tell(body)) => drop(links.heard().on_message(from, &body)),
-            Ok(Frame::Ask(number, body)) => {
-                let answer = links.heard().on_message(from, &body);
-                live.mailbox.put(&answer.map_or(Frame::NoAnswer(number), |body| Frame::Answer(number, body)));
-            }
-            Ok(Frame::Answer(number, body)) => live.answered(number, Some(body)),
-            Ok(Frame::NoAnswer(number)) => live.answered(number, None),
-            Ok(Frame::Handshake(_)) => return spoilt("a second hello"),
-            Err(error) => return error,
-        }
+    /// The process at the other end.
+    pub(crate) fn peer(&self) -> &Process {
+        &self.handshake.sender
+    }
+
+    /// The voter id that the peer holds, if any.
+    pub(crate) fn voter_id(&self) -> Option<u8> {
+        self.handshake.voter_id
     }
-}
 
-/// Writes what is to be written, and a beat where that is nothing. A peer that takes nothing for the time of silence ends it.
-async fn write<N: Network>(
-    links: Arc<PeerTransport<N>>,
-    live: Arc<PeerConnection>,
-    mut to: WriteHalf<N::Stream>,
-) {
-    let beat = frame::seal(&Frame::Beat).unwrap_or_default();
-    loop {
-        let next = match timeout(links.times.heartbeat_interval, live.mailbox.next()).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) => break,
-            Err(_) => beat.clone(),
+    /// Queues a request.
+    pub(crate) fn request(&self, body: Vec<u8>) -> SentRequest {
+        let (sender, response) = oneshot::channel();
+        let id = {
+            let mut pending = self.pending();
+            pending.last_id += 1;
+            let id = pending.last_id;
+            pending.senders.insert(id, sender);
+            id
         };
-        match timeout(links.times.silence_timeout, write_one(&mut to, &next)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => break,
+        if !self.send_queue.push(&Frame::Request(id, body)) {
+            self.forget_request(id);
         }
+        SentRequest { id, response }
     }
-    live.end();
-}
 
-async fn write_one<W: tokio::io::AsyncWrite + Unpin>(to: &mut W, frame: &[u8]) -> io::Result<()> {
-    let mut out = BytesMut::new();
-    frame::lengths().encode(bytes::Bytes::copy_from_slice(frame), &mut out)?;
-    to.write_all(&out).await?;
-    to.flush().await
+    /// Hands a response to whoever waits for it.
+    pub(crate) fn complete_request(&self, id: RequestId, body: ResponseBody) {
+        let sender = self.pending().senders.remove(&id);
+        if let Some(sender) = sender {
+            // Whoever asked may not wait any longer.
+            let _ = sender.send(body);
+        }
+    }
+
+    /// Nobody waits for this response any more.
+    pub(crate) fn forget_request(&self, id: RequestId) {
+        self.pending().senders.remove(&id);
+    }
+
+    /// Ends the connection: nothing more is written, and no request gets a response.
+    pub(crate) fn close(&self) {
+        self.send_queue.close();
+        self.pending().senders.clear();
+        self.closed.notify_one();
+    }
+
+    /// Waits for [`PeerConnection::close`]. Only the task that runs the connection may wait.
+    pub(crate) async fn closed(&self) {
+        self.closed.notified().await;
+    }
+
+    fn pending(&self) -> MutexGuard<'_, PendingRequests> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/peer-transport/src/frame.rs
+++ b/crates/peer-transport/src/frame.rs
@@ -1,72 +1,94 @@
-//! Frames: a length (4 bytes, big-endian, by tokio-util), CRC-32C of the rest (4 bytes, big-endian), and a postcard value. Strict
-//! and bounded; nothing that comes in can cause a panic.
+//! The format of what peers exchange: [`Frame`], of which [`Handshake`] is the first.
+//!
+//! A frame is its length (4 bytes, big-endian, by tokio-util), the CRC-32C of the rest (4 bytes,
+//! big-endian), and a postcard value. Reading is strict and bounded; nothing that comes in can
+//! cause a panic.
 
+use crate::error::{DecodeError, EncodeError};
 use crate::process::Process;
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// The longest frame, without its length.
+/// The longest frame in bytes, without its length.
 pub const MAX_FRAME_LENGTH: usize = 1 << 20;
-/// Frames of other versions are not understood.
+/// The version of the format. A peer with another version is refused in the handshake.
 pub(crate) const VERSION: u16 = 1;
-const SUM: usize = 4;
+/// Bytes of the checksum.
+const CHECKSUM_LENGTH: usize = 4;
 
-/// What either end says first.
+/// What both ends of a connection send first.
+///
+/// The order of the fields is part of the format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handshake {
     /// The version of the frames.
     pub version: u16,
-    /// The fleet.
+    /// The name of the fleet that the sender belongs to.
     pub fleet: String,
-    /// Who says this.
-    pub from: Process,
-    /// Which founder's seat it holds, if any.
-    pub seat: Option<u8>,
+    /// The process that sends this.
+    pub sender: Process,
+    /// The sender's voter id, if it holds one.
+    pub voter_id: Option<u8>,
 }
 
+/// Relates a response to its request. It counts the requests that one end of one connection sent.
+pub(crate) type RequestId = u64;
+
 /// One frame.
+///
+/// The order of the variants, and of the fields in them, is part of the format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Frame {
+    /// The first frame of either end, and of no other place.
     Handshake(Handshake),
-    /// Nothing else was to be said for a while.
-    Beat,
-    /// Something was dropped since it did not fit.
-    Behind,
-    Tell(Vec<u8>),
-    Ask(u64, Vec<u8>),
-    Answer(u64, Vec<u8>),
-    /// What was asked has no answer.
-    NoAnswer(u64),
+    /// Nothing else was to be sent for a while.
+    Heartbeat,
+    /// The sender dropped something that did not fit into its queue.
+    Resync,
+    /// A message that has no response.
+    OneWay(Vec<u8>),
+    /// A message that wants a response.
+    Request(RequestId, Vec<u8>),
+    /// The response to a request.
+    Response(RequestId, Vec<u8>),
+    /// There is no response to a request.
+    NoResponse(RequestId),
 }
 
-/// The codec of lengths.
-pub(crate) fn lengths() -> LengthDelimitedCodec {
+/// The codec that puts the length before a frame.
+pub(crate) fn length_codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_LENGTH).new_codec()
 }
 
-/// A frame as it is written, without its length; none if it is too long.
-pub(crate) fn seal(frame: &Frame) -> Option<Bytes> {
-    let body = postcard::to_allocvec(frame).ok()?;
-    if body.len() + SUM > MAX_FRAME_LENGTH {
-        return None;
+/// A frame as it is written, with its checksum and without its length.
+pub(crate) fn encode(frame: &Frame) -> Result<Bytes, EncodeError> {
+    let body = postcard::to_allocvec(frame).map_err(EncodeError::Serialize)?;
+    let length = CHECKSUM_LENGTH + body.len();
+    if length > MAX_FRAME_LENGTH {
+        return Err(EncodeError::TooLong { length });
     }
-    let mut out = BytesMut::with_capacity(SUM + body.len());
-    out.put_u32(crc32c::crc32c(&body));
-    out.extend_from_slice(&body);
-    Some(out.freeze())
+    let mut encoded = BytesMut::with_capacity(length);
+    encoded.put_u32(crc32c::crc32c(&body));
+    encoded.extend_from_slice(&body);
+    Ok(encoded.freeze())
 }
 
-/// What was written; none if it is spoilt.
-pub(crate) fn open(bytes: &[u8]) -> Option<Frame> {
-    let (sum, body) = bytes.split_first_chunk::<SUM>()?;
-    if crc32c::crc32c(body) != u32::from_be_bytes(*sum) {
-        return None;
+/// The frame that [`encode`] wrote.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Frame, DecodeError> {
+    let Some((checksum, body)) = bytes.split_first_chunk::<CHECKSUM_LENGTH>() else {
+        return Err(DecodeError::TooShort { length: bytes.len() });
+    };
+    let found = u32::from_be_bytes(*checksum);
+    let computed = crc32c::crc32c(body);
+    if found != computed {
+        return Err(DecodeError::ChecksumMismatch { found, computed });
     }
-    match postcard::take_from_bytes(body) {
-        Ok((frame, [])) => Some(frame),
-        _ => None,
+    let (frame, rest) = postcard::take_from_bytes(body).map_err(DecodeError::Deserialize)?;
+    if !rest.is_empty() {
+        return Err(DecodeError::TrailingBytes { length: rest.len() });
     }
+    Ok(frame)
 }
 
 #[cfg(test)]
--- a/crates/peer-transport/src/frame/tests.rs
+++ b/crates/peer-transport/src/frame/tests.rs
@@ -1,15 +1,26 @@
 use super::*;
 
 #[test]
-fn a_frame_is_read_as_it_was_written_or_not_at_all() {
-    let frame = Frame::Ask(7, b"what".to_vec());
-    let sealed = seal(&frame).unwrap();
-    assert_eq!(open(&sealed), Some(frame));
-    for at in 0..sealed.len() {
-        let mut spoilt = sealed.to_vec();
-        spoilt[at] ^= 0x10;
-        assert_eq!(open(&spoilt), None, "byte {at}");
-        assert_eq!(open(&sealed[..at]), None, "cut at {at}");
+fn a_frame_is_decoded_as_it_was_encoded_and_a_damaged_one_is_an_error() {
+    let frame = Frame::Request(7, b"what".to_vec());
+    let encoded = encode(&frame).unwrap();
+    assert_eq!(decode(&encoded), Ok(frame));
+    for at in 0..encoded.len() {
+        let mut damaged = encoded.to_vec();
+        damaged[at] ^= 0x10;
+        assert!(matches!(decode(&damaged), Err(DecodeError::ChecksumMismatch { .. })), "byte {at}");
+        assert!(decode(&encoded[..at]).is_err(), "cut at {at}");
     }
-    assert!(seal(&Frame::Tell(vec![0; MAX_FRAME_LENGTH])).is_none());
+    let too_long = encode(&Frame::OneWay(vec![0; MAX_FRAME_LENGTH]));
+    assert!(matches!(too_long, Err(EncodeError::TooLong { .. })));
+}
+
+#[test]
+fn bytes_that_follow_the_value_are_an_error() {
+    let mut body = postcard::to_allocvec(&Frame::Heartbeat).unwrap();
+    body.push(0);
+    let mut bytes = crc32c::crc32c(&body).to_be_bytes().to_vec();
+    bytes.extend(body);
+
+    assert_eq!(decode(&bytes), Err(DecodeError::TrailingBytes { length: 1 }));
 }
--- a/crates/peer-transport/src/golden_tests.rs
+++ b/crates/peer-transport/src/golden_tests.rs
@@ -1,12 +1,14 @@
 //! The bytes that processes exchange over TCP, recorded from the program before names in it were
-//! changed: the greeting and each kind of frame, with the length before it. They must not change:
+//! changed: the handshake and each kind of frame, with the length before it. They must not change:
 //! processes of different versions talk to each other, so a new version must write what an old one
 //! reads, and read what an old one writes. A test that fails here says that the program has changed
 //! its format; the recorded bytes are not to be adapted.
 
-use crate::connection;
 use crate::frame::{self, Frame, VERSION};
-use crate::{Handshake, MessageHandler, Network, PeerTransport, Process, Timing, TransportConfig};
+use crate::session;
+use crate::{
+    ConnectionError, Handshake, MessageHandler, Network, PeerTransport, Process, Timing, TransportConfig,
+};
 use bytes::BytesMut;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -14,10 +16,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio_util::codec::{Decoder, Encoder};
 
-const GREETING: &str = "00000019166f71430001066764796e6961026e308080f9c0c1c4820300";
-const GREETING_OF_FOUNDER: &str = "0000001af2d93ae80001066764796e6961026e308080f9c0c1c482030102";
-const GREETING_OF_PEER: &str = "000000124d2776570001066764796e6961026e390500";
-const TELL: &str = "0000000af2c8603c0304746f6c64";
+const HANDSHAKE: &str = "00000019166f71430001066764796e6961026e308080f9c0c1c4820300";
+const HANDSHAKE_OF_VOTER: &str = "0000001af2d93ae80001066764796e6961026e308080f9c0c1c482030102";
+const HANDSHAKE_OF_PEER: &str = "000000124d2776570001066764796e6961026e390500";
+const ONE_WAY: &str = "0000000af2c8603c0304746f6c64";
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
@@ -31,8 +33,8 @@
 /// A frame as it goes over TCP, its length included.
 fn written(frame: &Frame) -> Vec<u8> {
     let mut out = BytesMut::new();
-    let sealed = frame::seal(frame).expect("it is short");
-    frame::lengths().encode(sealed, &mut out).expect("it is short");
+    let encoded = frame::encode(frame).expect("it is short");
+    frame::length_codec().encode(encoded, &mut out).expect("it is short");
     out.to_vec()
 }
 
@@ -40,51 +42,51 @@
     Process { name: name.into(), start }
 }
 
-fn hello(from: Process, seat: Option<u8>) -> Frame {
-    Frame::Handshake(Handshake { version: VERSION, fleet: "gdynia".into(), from, seat })
+fn handshake(sender: Process, voter_id: Option<u8>) -> Frame {
+    Frame::Handshake(Handshake { version: VERSION, fleet: "gdynia".into(), sender, voter_id })
 }
 
 /// Does not compile when a kind of frame is added, until its bytes are recorded as well.
 fn recorded(frame: &Frame) -> &'static str {
     match frame {
-        Frame::Handshake(Handshake { from, .. }) if from.start == 5 => GREETING_OF_PEER,
-        Frame::Handshake(Handshake { seat: None, .. }) => GREETING,
-        Frame::Handshake(Handshake { seat: Some(_), .. }) => GREETING_OF_FOUNDER,
-        Frame::Beat => "00000005a016d05201",
-        Frame::Behind => "00000005b34623a602",
-        Frame::Tell(_) => TELL,
-        Frame::Ask(..) => "0000000dde5544b204ac020561736b6564",
-        Frame::Answer(..) => "000000102bdff21a05ad0208616e737765726564",
-        Frame::NoAnswer(_) => "00000007207daeeb06ae02",
+        Frame::Handshake(Handshake { sender, .. }) if sender.start == 5 => HANDSHAKE_OF_PEER,
+        Frame::Handshake(Handshake { voter_id: None, .. }) => HANDSHAKE,
+        Frame::Handshake(Handshake { voter_id: Some(_), .. }) => HANDSHAKE_OF_VOTER,
+        Frame::Heartbeat => "00000005a016d05201",
+        Frame::Resync => "00000005b34623a602",
+        Frame::OneWay(_) => ONE_WAY,
+        Frame::Request(..) => "0000000dde5544b204ac020561736b6564",
+        Frame::Response(..) => "000000102bdff21a05ad0208616e737765726564",
+        Frame::NoResponse(_) => "00000007207daeeb06ae02",
     }
 }
 
 #[test]
 fn every_kind_of_frame_has_the_recorded_bytes() {
     let frames = [
-        hello(process("n0", 1_700_000_000_000_000), None),
-        hello(process("n0", 1_700_000_000_000_000), Some(2)),
-        hello(process("n9", 5), None),
-        Frame::Beat,
-        Frame::Behind,
-        Frame::Tell(b"told".to_vec()),
-        Frame::Ask(300, b"asked".to_vec()),
-        Frame::Answer(301, b"answered".to_vec()),
-        Frame::NoAnswer(302),
+        handshake(process("n0", 1_700_000_000_000_000), None),
+        handshake(process("n0", 1_700_000_000_000_000), Some(2)),
+        handshake(process("n9", 5), None),
+        Frame::Heartbeat,
+        Frame::Resync,
+        Frame::OneWay(b"told".to_vec()),
+        Frame::Request(300, b"asked".to_vec()),
+        Frame::Response(301, b"answered".to_vec()),
+        Frame::NoResponse(302),
     ];
     for value in frames {
         let recorded = recorded(&value);
         assert_eq!(hex(&written(&value)), recorded, "encoding of {value:?}");
         let mut stream = BytesMut::from(&bytes(recorded)[..]);
-        let body = frame::lengths().decode(&mut stream).expect("a length").expect("all of it");
+        let body = frame::length_codec().decode(&mut stream).expect("a length").expect("all of it");
         assert!(stream.is_empty(), "the length counts all of {recorded}");
-        assert_eq!(frame::open(&body), Some(value), "decoding of {recorded}");
+        assert_eq!(frame::decode(&body), Ok(value), "decoding of {recorded}");
     }
 }
 
 /// No network: the only connection is the one that the test holds.
 #[derive(Clone)]
-struct NoNetwork;
+pub(crate) struct NoNetwork;
 
 impl Network for NoNetwork {
     type Stream = DuplexStream;
@@ -103,9 +105,9 @@
     }
 }
 
-/// What was heard, in order.
+/// What the handler was told, in order.
 #[derive(Default)]
-struct Recorder(Mutex<Vec<String>>);
+pub(crate) struct Recorder(Mutex<Vec<String>>);
 
 impl Recorder {
     fn add(&self, line: String) {
@@ -119,20 +121,20 @@
         None
     }
 
-    fn on_connected(&self, peer: &Process, seat: Option<u8>) {
-        self.add(format!("{peer} {} is up with seat {seat:?}", peer.start));
+    fn on_connected(&self, peer: &Process, voter_id: Option<u8>) {
+        self.add(format!("{peer} {} is connected with voter id {voter_id:?}", peer.start));
     }
 
     fn on_disconnected(&self, _: &Process) {}
 
     fn on_resync_needed(&self, _: &Process) {}
 
-    fn on_connection_failed(&self, _: &Process, _: &io::Error) {}
+    fn on_connection_failed(&self, _: &Process, _: &ConnectionError) {}
 }
 
 /// The bytes at the end of a connection are those of the frames, with nothing around them.
 #[tokio::test]
-async fn a_connection_begins_with_the_recorded_greeting_and_takes_the_recorded_bytes() {
+async fn a_connection_begins_with_the_recorded_handshake_and_takes_the_recorded_bytes() {
     let me = process("n0", 1_700_000_000_000_000);
     let config = TransportConfig {
         fleet: "gdynia".into(),
@@ -141,23 +143,23 @@
         timing: Timing::default(),
         seed: 1,
     };
-    let links = PeerTransport::new(NoNetwork, config);
+    let transport = PeerTransport::new(NoNetwork, config);
     let recorder = Arc::new(Recorder::default());
-    links.set_handler(Arc::clone(&recorder) as Arc<dyn MessageHandler>);
-    links.set_voter_id(Some(2));
+    transport.set_handler(Arc::clone(&recorder) as Arc<dyn MessageHandler>);
+    transport.set_voter_id(Some(2));
     let (mut ours, theirs) = tokio::io::duplex(4096);
-    let running = tokio::spawn(async move { connection::run(&links, theirs).await });
+    let running = tokio::spawn(async move { session::run(transport.shared(), theirs).await });
 
-    let mut greeting = vec![0; bytes(GREETING_OF_FOUNDER).len()];
-    ours.read_exact(&mut greeting).await.expect("a greeting");
-    assert_eq!(hex(&greeting), GREETING_OF_FOUNDER);
+    let mut handshake = vec![0; bytes(HANDSHAKE_OF_VOTER).len()];
+    ours.read_exact(&mut handshake).await.expect("a handshake");
+    assert_eq!(hex(&handshake), HANDSHAKE_OF_VOTER);
 
     // Another process answers, as it did before.
-    ours.write_all(&bytes(GREETING_OF_PEER)).await.expect("written");
-    ours.write_all(&bytes(TELL)).await.expect("written");
+    ours.write_all(&bytes(HANDSHAKE_OF_PEER)).await.expect("written");
+    ours.write_all(&bytes(ONE_WAY)).await.expect("written");
     ours.shutdown().await.expect("ended");
     let end = running.await.expect("no panic");
-    assert_eq!(end.kind(), io::ErrorKind::UnexpectedEof);
-    let heard = recorder.0.lock().expect("no panic").clone();
-    assert_eq!(heard, ["n9 5 is up with seat None", "n9 5 says told"]);
+    assert!(matches!(end, ConnectionError::ClosedByPeer), "{end:?}");
+    let events = recorder.0.lock().expect("no panic").clone();
+    assert_eq!(events, ["n9 5 is connected with voter id None", "n9 5 says told"]);
 }
--- a/crates/peer-transport/src/network.rs
+++ b/crates/peer-transport/src/network.rs
@@ -1,4 +1,5 @@
-//! What links take from outside: connections. The simulated network of tests is another one.
+//! What the transport needs of a network: [`Network`]. The program uses [`TcpNetwork`], the
+//! simulation one of its own.
 
 use std::future::Future;
 use std::io;
@@ -6,18 +7,37 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// A network.
+/// Connections that the kernel keeps for this process until it accepts them.
+const LISTEN_BACKLOG: u32 = 128;
+
+/// A network that carries streams of bytes.
 pub trait Network: Clone + Send + Sync + 'static {
     /// A connection.
     type Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static;
-    /// Takes connections in.
+    /// Accepts connections.
     type Listener: Send + Sync + 'static;
     /// Listens at an address.
-    fn bind(&self, at: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>> + Send;
-    /// The next connection that comes in.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened at.
+    fn bind(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Listener>> + Send;
+    /// Waits for the next incoming connection.
+    ///
+    /// # Errors
+    ///
+    /// If the network cannot hand one over; a further call may succeed.
     fn accept(listener: &Self::Listener) -> impl Future<Output = io::Result<Self::Stream>> + Send;
-    /// Connects, by this address of this machine.
-    fn connect(&self, from: IpAddr, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+    /// Connects to `remote` from `local`, an address of this machine or an unspecified one.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such address here, or nobody answers there.
+    fn connect(
+        &self,
+        local: IpAddr,
+        remote: SocketAddr,
+    ) -> impl Future<Output = io::Result<Self::Stream>> + Send;
 }
 
 /// The network of the operating system.
@@ -28,30 +48,35 @@
     type Stream = TcpStream;
     type Listener = TcpListener;
 
-    async fn bind(&self, at: SocketAddr) -> io::Result<TcpListener> {
-        let socket = match at {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        // The process before this one may have left connections behind that wait for their end.
+    async fn bind(&self, address: SocketAddr) -> io::Result<TcpListener> {
+        let socket = new_socket(address)?;
+        // Connections of the process that listened here before may still be in TIME_WAIT.
         socket.set_reuseaddr(true)?;
-        socket.bind(at)?;
-        socket.listen(128)
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
     }
 
     async fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        let stream = listener.accept().await?.0;
+        let (stream, _) = listener.accept().await?;
         stream.set_nodelay(true)?;
         Ok(stream)
     }
 
-    async fn connect(&self, from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
-        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if !from.is_unspecified() {
-            socket.bind(SocketAddr::new(from, 0))?;
+    async fn connect(&self, local: IpAddr, remote: SocketAddr) -> io::Result<TcpStream> {
+        let socket = new_socket(remote)?;
+        if !local.is_unspecified() {
+            socket.bind(SocketAddr::new(local, 0))?;
         }
-        let stream = socket.connect(to).await?;
+        let stream = socket.connect(remote).await?;
         stream.set_nodelay(true)?;
         Ok(stream)
     }
 }
+
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }
+}
--- a/crates/peer-transport/src/process.rs
+++ b/crates/peer-transport/src/process.rs
@@ -1,10 +1,12 @@
-//! Who is at the other end.
+//! The identity of a process: [`Process`].
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
-/// A process of a fleet. A name is not a process: name and start together are.
+/// A process of a fleet. A name alone is not a process: name and start together are.
+///
+/// The order of the fields is part of the frames' format.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Process {
     /// The proxy's name.
--- a/crates/peer-transport/src/send_queue.rs
+++ b/crates/peer-transport/src/send_queue.rs
@@ -1,4 +1,5 @@
-//! What is to be written to one peer. Bounded: a peer that is slow costs only itself.
+//! What is to be written to one peer: [`SendQueue`]. It is bounded, so that a slow peer costs only
+//! itself.
 
 use crate::frame::{self, Frame};
 use bytes::Bytes;
@@ -6,71 +7,84 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
-/// Frames and bytes that may wait for one peer.
-const MOST: usize = 512;
-const MOST_BYTES: usize = 4 << 20;
+/// Frames that may wait for one peer.
+const MAX_FRAMES: usize = 512;
+/// Bytes that may wait for one peer.
+const MAX_BYTES: usize = 4 << 20;
 
 #[derive(Default)]
-struct Waiting {
+struct State {
     frames: VecDeque<Bytes>,
+    /// The sum of the lengths of `frames`.
     bytes: usize,
-    /// Whether something was dropped since the last word of that.
-    behind: bool,
+    /// Whether a frame was dropped since the last [`Frame::Resync`].
+    needs_resync: bool,
     closed: bool,
 }
 
-/// The queue to one peer.
+/// The frames that wait to be written to one peer.
 #[derive(Default)]
 pub(crate) struct SendQueue {
-    waiting: Mutex<Waiting>,
-    more: Notify,
+    /// Guards the queue itself; it is held for no longer than one operation on it.
+    state: Mutex<State>,
+    /// Wakes the task that writes.
+    changed: Notify,
 }
 
 impl SendQueue {
-    /// Puts a frame in; false if it is dropped.
-    pub(crate) fn put(&self, frame: &Frame) -> bool {
-        let Some(sealed) = frame::seal(frame) else { return false };
-        let mut waiting = self.waiting();
-        let fits = waiting.frames.len() < MOST && waiting.bytes + sealed.len() <= MOST_BYTES;
-        if fits && !waiting.closed {
-            waiting.bytes += sealed.len();
-            waiting.frames.push_back(sealed);
-        } else {
-            waiting.behind = true;
-        }
-        drop(waiting);
-        self.more.notify_one();
-        fits
+    /// Appends a frame. False if there is no room for it, or it is too long: it is dropped.
+    pub(crate) fn push(&self, frame: &Frame) -> bool {
+        let Ok(encoded) = frame::encode(frame) else { return false };
+        let has_room = {
+            let mut state = self.lock();
+            let has_room = state.has_room_for(encoded.len());
+            if has_room && !state.closed {
+                state.bytes += encoded.len();
+                state.frames.push_back(encoded);
+            } else {
+                state.needs_resync = true;
+            }
+            has_room
+        };
+        self.changed.notify_one();
+        has_room
     }
 
-    /// The next frame, once there is one; none once it is closed.
-    pub(crate) async fn next(&self) -> Option<Bytes> {
+    /// Waits for the next frame, encoded; none once the queue is closed. [`Frame::Resync`] comes
+    /// after all that was queued.
+    pub(crate) async fn pop(&self) -> Option<Bytes> {
         loop {
             {
-                let mut waiting = self.waiting();
-                if waiting.closed {
+                let mut state = self.lock();
+                if state.closed {
                     return None;
                 }
-                if let Some(frame) = waiting.frames.pop_front() {
-                    waiting.bytes -= frame.len();
+                if let Some(frame) = state.frames.pop_front() {
+                    state.bytes -= frame.len();
                     return Some(frame);
                 }
-                if std::mem::take(&mut waiting.behind) {
-                    return frame::seal(&Frame::Behind);
+                if std::mem::take(&mut state.needs_resync) {
+                    return frame::encode(&Frame::Resync).ok();
                 }
             }
-            self.more.notified().await;
+            self.changed.notified().await;
         }
     }
 
-    /// Nothing more is written.
+    /// From now on nothing more is written.
     pub(crate) fn close(&self) {
-        self.waiting().closed = true;
-        self.more.notify_one();
+        self.lock().closed = true;
+        self.changed.notify_one();
     }
 
-    fn waiting(&self) -> MutexGuard<'_, Waiting> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn has_room_for(&self, length: usize) -> bool {
+        self.frames.len() < MAX_FRAMES && self.bytes + length <= MAX_BYTES
     }
 }
 
--- a/crates/peer-transport/src/send_queue/tests.rs
+++ b/crates/peer-transport/src/send_queue/tests.rs
@@ -1,16 +1,19 @@
 use super::*;
 
 #[tokio::test]
-async fn what_does_not_fit_is_made_up_for_by_one_word() {
-    let mailbox = SendQueue::default();
-    let long = Frame::Tell(vec![1; 900_000]);
-    let taken = (0..10).filter(|_| mailbox.put(&long)).count();
-    assert_eq!(taken, MOST_BYTES / 900_000);
-    for _ in 0..taken {
-        assert_eq!(mailbox.next().await, frame::seal(&long));
+async fn a_full_queue_drops_frames_and_sends_one_resync_for_all_of_them() {
+    let queue = SendQueue::default();
+    let long = Frame::OneWay(vec![1; 900_000]);
+    let encoded = frame::encode(&long).unwrap();
+
+    let queued = (0..10).filter(|_| queue.push(&long)).count();
+
+    assert_eq!(queued, MAX_BYTES / 900_000);
+    for _ in 0..queued {
+        assert_eq!(queue.pop().await.as_ref(), Some(&encoded));
     }
-    assert_eq!(mailbox.next().await, frame::seal(&Frame::Behind));
-    assert!(mailbox.put(&Frame::Beat), "there is room again");
-    mailbox.close();
-    assert_eq!(mailbox.next().await, None);
+    assert_eq!(queue.pop().await, frame::encode(&Frame::Resync).ok());
+    assert!(queue.push(&Frame::Heartbeat), "there is room again");
+    queue.close();
+    assert_eq!(queue.pop().await, None);
 }
--- /dev/null
+++ b/crates/peer-transport/src/session.rs
@@ -0,0 +1,182 @@
+//! The tasks of one connection, from its handshake to its end. Read [`run`] first.
+
+use crate::config::Timing;
+use crate::connection::PeerConnection;
+use crate::error::{ConnectionError, HandshakeError};
+use crate::frame::{self, Frame, Handshake, VERSION};
+use crate::network::Network;
+use crate::shared::Shared;
+use bytes::{Bytes, BytesMut};
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// Reads frames from a stream.
+struct FrameReader<S> {
+    stream: ReadHalf<S>,
+    /// What was read and is not decoded yet.
+    buffer: BytesMut,
+    lengths: LengthDelimitedCodec,
+}
+
+impl<S: AsyncRead> FrameReader<S> {
+    fn new(stream: ReadHalf<S>) -> FrameReader<S> {
+        FrameReader { stream, buffer: BytesMut::new(), lengths: frame::length_codec() }
+    }
+
+    /// The next frame. The limit is for the pause between two reads: a slow peer may take its time
+    /// for a frame, as long as some of it arrives.
+    async fn next_frame(&mut self, limit: Duration) -> Result<Frame, ConnectionError> {
+        loop {
+            if let Some(bytes) = self.lengths.decode(&mut self.buffer)? {
+                return Ok(frame::decode(&bytes)?);
+            }
+            match timeout(limit, self.stream.read_buf(&mut self.buffer)).await {
+                Ok(Ok(0)) => return Err(ConnectionError::ClosedByPeer),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return Err(error.into()),
+                Err(_) => return Err(ConnectionError::Silent { limit }),
+            }
+        }
+    }
+}
+
+/// Runs one connection: exchanges handshakes, then carries frames until the connection ends. It
+/// returns why.
+///
+/// The task that writes is spawned here and aborted here.
+pub(crate) async fn run<N: Network>(shared: &Arc<Shared<N>>, stream: N::Stream) -> ConnectionError {
+    let (input, mut output) = tokio::io::split(stream);
+    let mut reader = FrameReader::new(input);
+    let handshake = match exchange_handshakes(shared, &mut reader, &mut output).await {
+        Ok(handshake) => handshake,
+        Err(error) => return error,
+    };
+    let connection = Arc::new(PeerConnection::new(handshake));
+    shared.add_connection(&connection);
+    let writer = tokio::spawn(write_frames(shared.timing(), Arc::clone(&connection), output));
+    let error = tokio::select! {
+        // In this order, so that a simulation with the same seed repeats itself.
+        biased;
+        error = read_frames(shared, &connection, &mut reader) => error,
+        () = connection.closed() => ConnectionError::ClosedHere,
+    };
+    connection.close();
+    writer.abort();
+    shared.remove_connection(&connection);
+    error
+}
+
+/// Sends this process's handshake; the peer's, if the two may talk to each other.
+async fn exchange_handshakes<N: Network>(
+    shared: &Shared<N>,
+    reader: &mut FrameReader<N::Stream>,
+    output: &mut WriteHalf<N::Stream>,
+) -> Result<Handshake, ConnectionError> {
+    let own = frame::encode(&Frame::Handshake(shared.handshake())).map_err(HandshakeError::Encode)?;
+    write_frame(output, own).await?;
+    let limit = shared.timing().handshake_timeout;
+    let first = match timeout(limit, reader.next_frame(limit)).await {
+        Ok(Err(ConnectionError::Silent { .. })) | Err(_) => {
+            return Err(HandshakeError::Timeout { limit }.into());
+        }
+        Ok(first) => first?,
+    };
+    let Frame::Handshake(handshake) = first else {
+        return Err(HandshakeError::Missing.into());
+    };
+    check_handshake(shared, &handshake)?;
+    Ok(handshake)
+}
+
+fn check_handshake<N: Network>(shared: &Shared<N>, handshake: &Handshake) -> Result<(), HandshakeError> {
+    if handshake.version != VERSION {
+        return Err(HandshakeError::VersionMismatch { expected: VERSION, found: handshake.version });
+    }
+    if handshake.fleet != shared.config.fleet {
+        let expected = shared.config.fleet.clone();
+        return Err(HandshakeError::FleetMismatch { expected, found: handshake.fleet.clone() });
+    }
+    if handshake.sender == shared.config.process {
+        return Err(HandshakeError::ConnectedToSelf { process: handshake.sender.clone() });
+    }
+    Ok(())
+}
+
+/// Reads frames and acts on them, until that fails; why it did.
+async fn read_frames<N: Network>(
+    shared: &Shared<N>,
+    connection: &PeerConnection,
+    reader: &mut FrameReader<N::Stream>,
+) -> ConnectionError {
+    let limit = shared.timing().silence_timeout;
+    loop {
+        let received = reader.next_frame(limit).await;
+        if let Err(error) = received.and_then(|frame| handle_frame(shared, connection, frame)) {
+            return error;
+        }
+    }
+}
+
+fn handle_frame<N: Network>(
+    shared: &Shared<N>,
+    connection: &PeerConnection,
+    frame: Frame,
+) -> Result<(), ConnectionError> {
+    let handler = shared.handler();
+    let peer = connection.peer();
+    match frame {
+        Frame::Handshake(_) => return Err(ConnectionError::SecondHandshake),
+        Frame::Heartbeat => {}
+        Frame::Resync => handler.on_resync_needed(peer),
+        Frame::OneWay(body) => {
+            // Whoever sent this waits for no response.
+            let _ = handler.on_message(peer, &body);
+        }
+        Frame::Request(id, body) => {
+            let response = match handler.on_message(peer, &body) {
+                Some(body) => Frame::Response(id, body),
+                None => Frame::NoResponse(id),
+            };
+            // If it is dropped, the request times out at the peer.
+            connection.send_queue.push(&response);
+        }
+        Frame::Response(id, body) => connection.complete_request(id, Some(body)),
+        Frame::NoResponse(id) => connection.complete_request(id, None),
+    }
+    Ok(())
+}
+
+/// Writes what is queued, and a heartbeat where that is nothing for a while. A peer that accepts
+/// nothing for the time of silence ends the connection.
+///
+/// The task ends with the queue, when writing fails, or when [`run`] aborts it.
+async fn write_frames<W: AsyncWrite + Unpin>(timing: Timing, connection: Arc<PeerConnection>, mut output: W) {
+    let heartbeat = frame::encode(&Frame::Heartbeat).unwrap_or_default();
+    loop {
+        let next = match timeout(timing.heartbeat_interval, connection.send_queue.pop()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => break,
+            Err(_) => heartbeat.clone(),
+        };
+        match timeout(timing.silence_timeout, write_frame(&mut output, next)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => break,
+        }
+    }
+    connection.close();
+}
+
+/// Writes an encoded frame with its length before it.
+async fn write_frame<W: AsyncWrite + Unpin>(output: &mut W, frame: Bytes) -> io::Result<()> {
+    let mut bytes = BytesMut::new();
+    frame::length_codec().encode(frame, &mut bytes)?;
+    output.write_all(&bytes).await?;
+    output.flush().await
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/peer-transport/src/shared.rs
@@ -0,0 +1,172 @@
+//! The state of all connections of one process: [`Shared`]. It starts nothing; the tasks in
+//! `accept`, `dial` and `session` work on it, and [`PeerTransport`](crate::PeerTransport) is what
+//! users see of it.
+
+use crate::config::{Peer, Timing, TransportConfig};
+use crate::connection::PeerConnection;
+use crate::frame::{Handshake, VERSION};
+use crate::handler::MessageHandler;
+use crate::network::Network;
+use crate::process::Process;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+/// What changes while the transport runs.
+#[derive(Default)]
+struct State {
+    /// The voter id that this process announces.
+    voter_id: Option<u8>,
+    connections: BTreeMap<Process, Arc<PeerConnection>>,
+    /// Who is to be dialled, and where.
+    peers: BTreeMap<Process, SocketAddr>,
+    /// For whom there is a task that dials.
+    dialing: BTreeSet<Peer>,
+}
+
+/// What the tasks of one transport share.
+pub(crate) struct Shared<N: Network> {
+    pub(crate) network: N,
+    pub(crate) config: TransportConfig,
+    handler: OnceLock<Arc<dyn MessageHandler>>,
+    /// Guards who is connected and who is dialled. No connection is closed, and the handler is not
+    /// called, while it is held.
+    state: Mutex<State>,
+    /// Guards the generator of jitter.
+    rng: Mutex<StdRng>,
+}
+
+impl<N: Network> Shared<N> {
+    pub(crate) fn new(network: N, config: TransportConfig) -> Shared<N> {
+        let rng = StdRng::seed_from_u64(config.seed);
+        Shared { network, config, handler: OnceLock::new(), state: Mutex::default(), rng: Mutex::new(rng) }
+    }
+
+    pub(crate) fn timing(&self) -> Timing {
+        self.config.timing
+    }
+
+    /// Sets the handler; only the first one counts.
+    pub(crate) fn set_handler(&self, handler: Arc<dyn MessageHandler>) {
+        let _ = self.handler.set(handler);
+    }
+
+    /// # Panics
+    ///
+    /// If no handler was set: the transport must have one before it listens or dials.
+    pub(crate) fn handler(&self) -> &dyn MessageHandler {
+        &**self.handler.get().expect("set_handler is called before listen and set_peers")
+    }
+
+    /// What this process sends first on a new connection.
+    pub(crate) fn handshake(&self) -> Handshake {
+        Handshake {
+            version: VERSION,
+            fleet: self.config.fleet.clone(),
+            sender: self.config.process.clone(),
+            voter_id: self.state().voter_id,
+        }
+    }
+
+    /// Announces another voter id: all connections are closed, since only the handshake carries it.
+    pub(crate) fn set_voter_id(&self, voter_id: Option<u8>) {
+        let connections = {
+            let mut state = self.state();
+            if state.voter_id == voter_id {
+                return;
+            }
+            state.voter_id = voter_id;
+            state.connections()
+        };
+        for connection in &connections {
+            connection.close();
+        }
+    }
+
+    /// Enters a connection that is up; one with the same peer that was up before is closed.
+    pub(crate) fn add_connection(&self, connection: &Arc<PeerConnection>) {
+        let peer = connection.peer();
+        let replaced = self.state().connections.insert(peer.clone(), Arc::clone(connection));
+        if let Some(replaced) = replaced {
+            replaced.close();
+        }
+        self.handler().on_connected(peer, connection.voter_id());
+    }
+
+    /// Removes a connection that has ended. If another one took its place, that one stays.
+    pub(crate) fn remove_connection(&self, connection: &Arc<PeerConnection>) {
+        let peer = connection.peer();
+        let is_removed = {
+            let mut state = self.state();
+            let is_current =
+                state.connections.get(peer).is_some_and(|current| Arc::ptr_eq(current, connection));
+            if is_current {
+                state.connections.remove(peer);
+            }
+            is_current
+        };
+        if is_removed {
+            self.handler().on_disconnected(peer);
+        }
+    }
+
+    pub(crate) fn connection(&self, peer: &Process) -> Option<Arc<PeerConnection>> {
+        self.state().connections.get(peer).cloned()
+    }
+
+    pub(crate) fn connections(&self) -> Vec<Arc<PeerConnection>> {
+        self.state().connections()
+    }
+
+    pub(crate) fn connected_peers(&self) -> Vec<Process> {
+        self.state().connections.keys().cloned().collect()
+    }
+
+    pub(crate) fn is_connected(&self, peer: &Process) -> bool {
+        self.state().connections.contains_key(peer)
+    }
+
+    /// Sets who is to be dialled from now on; those for whom a task that dials is to be started.
+    pub(crate) fn set_peers(&self, peers: Vec<Peer>) -> Vec<Peer> {
+        let mut state = self.state();
+        state.peers = peers.iter().map(|peer| (peer.process.clone(), peer.address)).collect();
+        let mut to_start = Vec::new();
+        for peer in peers {
+            if peer.process != self.config.process && state.dialing.insert(peer.clone()) {
+                to_start.push(peer);
+            }
+        }
+        to_start
+    }
+
+    /// Whether a peer is still to be dialled at this address.
+    pub(crate) fn is_wanted(&self, peer: &Peer) -> bool {
+        self.state().peers.get(&peer.process) == Some(&peer.address)
+    }
+
+    /// The task that dialled this peer ends.
+    pub(crate) fn dialing_ended(&self, peer: &Peer) {
+        self.state().dialing.remove(peer);
+    }
+
+    /// A factor for a pause, so that peers that lost one process do not all dial it at once.
+    pub(crate) fn jitter(&self) -> f64 {
+        lock(&self.rng).random_range(0.5..1.5)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+impl State {
+    fn connections(&self) -> Vec<Arc<PeerConnection>> {
+        self.connections.values().cloned().collect()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -4,9 +4,8 @@
 use crate::lease_table::Readiness;
 use crate::messages::{read, words, Message, Reply};
 use crate::{storage, Ballot, DurableState, ReplicatedState, StateSummary, Vote};
-use pinetrail_peer_transport::{MessageHandler, Network, Process};
+use pinetrail_peer_transport::{ConnectionError, MessageHandler, Network, Process};
 use std::collections::BTreeMap;
-use std::io;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -36,7 +35,7 @@
         self.news();
     }
 
-    fn on_connection_failed(&self, _peer: &Process, _why: &io::Error) {}
+    fn on_connection_failed(&self, _peer: &Process, _error: &ConnectionError) {}
 }
 
 impl<N: Network> ConsensusNode<N> {
