Give drift named keys, timestamps and periods; name its states of admission

Processes were tuples of a name and a start, times bare milliseconds and nodes tuples of three. ProcessKey (same field order, so the same bytes), Timestamp in whole milliseconds and Durations in Timing take their place; nodes() yields TrackedNode with its key.

--- a/crates/drift/src/alarm/tests.rs
+++ b/crates/drift/src/alarm/tests.rs
@@ -1,41 +1,59 @@
 use super::*;
-use crate::{Approved, NodeStatus, Report};
+use crate::{ApprovedPolicy, NodeStatus, PartDigests, Report};
 
-fn parts(digest: u64) -> BTreeMap<String, u64> {
+fn digests(digest: u64) -> PartDigests {
     BTreeMap::from([("Orgs".to_owned(), digest)])
 }
 
-#[test]
-fn drift_that_lasts_is_one_alarm_and_a_flap_no_second_one() {
-    let mut table = DriftDetector::new(Timing::default());
-    let mut alarms = Alarms::new(Timing::default());
-    table.set_approved(0, Approved { version: 1, parts: parts(1) });
-    let (mut raised, mut number) = (Vec::new(), 0);
-    let mut play = |from: Time, until: Time, digest: u64| {
-        for now in (from..until).step_by(100) {
-            number += 1;
+/// One process that reports every 100 ms, and a leader that raises what is due.
+struct Fixture {
+    detector: DriftDetector,
+    alarms: Alarms,
+    sequence: u64,
+    raised: usize,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let mut detector = DriftDetector::new(Timing::default());
+        let approved = ApprovedPolicy { version: 1, part_digests: digests(1) };
+        detector.set_approved(Timestamp::from_millis(0), approved);
+        Fixture { detector, alarms: Alarms::new(Timing::default()), sequence: 0, raised: 0 }
+    }
+
+    /// The process reports this digest for a while; how many alarms were raised since the start.
+    fn report(&mut self, from: u64, until: u64, digest: u64) -> usize {
+        for millis in (from..until).step_by(100) {
+            self.sequence += 1;
+            let now = Timestamp::from_millis(millis);
             let report = Report {
-                number,
+                sequence: self.sequence,
                 version: 1,
-                status: NodeStatus::Admits,
-                parts: parts(digest),
-                raised: vec![],
+                status: NodeStatus::Admitting,
+                part_digests: digests(digest),
+                raised_alarms: vec![],
             };
-            table.record_report(now, "a", 1, report);
-            for alarm in alarms.due(now, &table) {
-                assert_eq!(alarms.due(now, &table).len(), 1, "it stays due until it was raised");
-                alarms.mark_raised(&alarm.name, alarm.start);
-                raised.push(now);
+            self.detector.record_report(now, ProcessKey { name: "a".to_owned(), start: 1 }, report);
+            for alarm in self.alarms.due(now, &self.detector) {
+                let due_again = self.alarms.due(now, &self.detector);
+                assert_eq!(due_again.len(), 1, "it stays due until it was raised");
+                self.alarms.mark_raised(alarm.process);
+                self.raised += 1;
             }
         }
-        raised.len()
-    };
-    assert_eq!(play(1000, 5000, 1), 0);
-    assert_eq!(play(5000, 5400, 2), 0, "a short one is none");
-    assert_eq!(play(5400, 6000, 1), 0);
-    assert_eq!(play(6000, 8000, 2), 1);
-    assert_eq!(play(8000, 9000, 1), 1);
-    assert_eq!(play(9000, 12_000, 2), 1, "it was not well for long enough");
-    assert_eq!(play(12_000, 18_000, 1), 1);
-    assert_eq!(play(18_000, 19_000, 2), 2);
+        self.raised
+    }
+}
+
+#[test]
+fn drift_that_lasts_is_one_alarm_and_a_flap_no_second_one() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.report(1000, 5000, 1), 0);
+    assert_eq!(fixture.report(5000, 5400, 2), 0, "a short drift is no alarm");
+    assert_eq!(fixture.report(5400, 6000, 1), 0);
+    assert_eq!(fixture.report(6000, 8000, 2), 1);
+    assert_eq!(fixture.report(8000, 9000, 1), 1);
+    assert_eq!(fixture.report(9000, 12_000, 2), 1, "it did not recover for long enough");
+    assert_eq!(fixture.report(12_000, 18_000, 1), 1);
+    assert_eq!(fixture.report(18_000, 19_000, 2), 2);
 }
--- a/crates/drift/src/detector.rs
+++ b/crates/drift/src/detector.rs
@@ -1,29 +1,32 @@
-//! How each process stands, by its last report and by how long ago that was.
+//! The state of each process, by its last report and by how long ago that arrived:
+//! [`DriftDetector`].
 
-use crate::{NodeStatus, Report, Time};
+use crate::{NodeStatus, PartDigests, ProcessKey, Report, Timestamp, Timing};
+use std::cmp::Ordering;
+use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 
-/// How a process stands.
+/// How what a process has active compares with what was approved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DriftState {
-    /// It has what was approved in force.
+    /// It has what was approved active.
     Same,
-    /// A change is under way, or was just taken.
+    /// A change is under way, or was just committed.
     Changing,
     /// It has an earlier version.
     Behind,
     /// It has a later version than is known here.
     Ahead,
-    /// It has something else under the number that was approved.
+    /// It has something else under the approved version's number.
     Differs,
-    /// It admits nothing.
+    /// It admits nothing: its admission lease has ended.
     Fenced,
-    /// It was not heard lately: what it has in force is not known.
+    /// No report arrived lately: what it has active is not known.
     Silent,
 }
 
 impl DriftState {
-    /// The word for it.
+    /// The word by which operators see it.
     pub fn as_str(self) -> &'static str {
         match self {
             DriftState::Same => "same",
@@ -36,180 +39,194 @@
         }
     }
 
-    /// Whether it is drift.
+    /// Whether it is drift, and so may become an alarm.
     pub fn is_drift(self) -> bool {
         matches!(self, DriftState::Behind | DriftState::Ahead | DriftState::Differs)
     }
 }
 
-/// Within which times.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Timing {
-    /// Who was not heard for so long is silent.
-    pub silent: Time,
-    /// A version that was approved must be in force everywhere so much later; until then that is a change under way.
-    pub settle: Time,
-    /// Drift that lasts for so long is an alarm.
-    pub alarm: Time,
-    /// After an alarm a process must be well for so long before it can be the cause of another.
-    pub calm: Time,
-}
-
-impl Default for Timing {
-    fn default() -> Timing {
-        Timing { silent: 1600, settle: 1000, alarm: 500, calm: 5000 }
-    }
-}
-
 /// What was approved.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Approved {
-    /// Its number.
+pub struct ApprovedPolicy {
+    /// Its version.
     pub version: u64,
-    /// A digest for each of its parts, as this process would have it in force.
-    pub parts: BTreeMap<String, u64>,
+    /// Its digests, as this process would have it active.
+    pub part_digests: PartDigests,
 }
 
-/// A process as the table has it.
+/// A process as the detector sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TrackedNode {
-    /// How it stands.
+    /// Which process it is.
+    pub process: ProcessKey,
+    /// How it compares with what was approved.
     pub state: DriftState,
-    /// The version that it said.
-    pub version: u64,
-    /// What it said of the parts.
+    /// Since when it is in this state.
+    pub state_since: Timestamp,
+    /// Its last report.
     pub report: Report,
-    /// The parts that differ from what was approved.
-    pub parts: Vec<String>,
-    /// Since when it stands so.
-    pub since: Time,
-    /// When it was heard last.
-    pub heard: Time,
+    /// When that arrived.
+    pub last_report_at: Timestamp,
+    /// The parts in which it differs from what was approved, in order.
+    pub differing_parts: Vec<String>,
 }
 
-struct Entry {
+/// What is kept of a process.
+struct NodeRecord {
     report: Report,
-    heard: Time,
+    last_report_at: Timestamp,
     state: DriftState,
-    since: Time,
-    /// Since when it says a later version than is approved.
-    beyond: Option<Time>,
+    state_since: Timestamp,
+    /// Since when it reports a later version than the approved one.
+    ahead_since: Option<Timestamp>,
 }
 
-/// How all stand. A process is known by its name and its start.
+/// Compares the reports of all processes with what was approved.
 #[derive(Default)]
 pub struct DriftDetector {
-    times: Timing,
-    approved: Approved,
-    approved_at: Time,
-    nodes: BTreeMap<(String, u64), Entry>,
+    timing: Timing,
+    approved: ApprovedPolicy,
+    /// When `approved` was set.
+    approved_at: Timestamp,
+    nodes: BTreeMap<ProcessKey, NodeRecord>,
 }
 
 impl DriftDetector {
-    /// Nobody is known.
-    pub fn new(times: Timing) -> DriftDetector {
-        DriftDetector { times, ..DriftDetector::default() }
+    /// A detector to which no process has reported, and for which nothing was approved.
+    pub fn new(timing: Timing) -> DriftDetector {
+        DriftDetector { timing, ..DriftDetector::default() }
     }
 
-    /// This is approved, as far as is known here.
-    pub fn set_approved(&mut self, now: Time, approved: Approved) {
+    /// Sets what is approved, as far as this process knows.
+    pub fn set_approved(&mut self, now: Timestamp, approved: ApprovedPolicy) {
         if approved != self.approved {
-            (self.approved, self.approved_at) = (approved, now);
+            self.approved = approved;
+            self.approved_at = now;
         }
         self.refresh(now);
     }
 
     /// What is approved.
-    pub fn approved(&self) -> &Approved {
+    pub fn approved(&self) -> &ApprovedPolicy {
         &self.approved
     }
 
-    /// A process says how it stands. What comes late or twice changes nothing.
-    pub fn record_report(&mut self, now: Time, name: &str, start: u64, report: Report) {
-        let key = (name.to_owned(), start);
-        match self.nodes.get_mut(&key) {
-            Some(entry) if entry.report.number >= report.number => return,
-            Some(entry) => (entry.report, entry.heard) = (report, now),
-            None => {
-                let entry =
-                    Entry { report, heard: now, state: DriftState::Changing, since: now, beyond: None };
-                self.nodes.insert(key, entry);
+    /// Takes a report. One that arrives late or twice changes nothing.
+    pub fn record_report(&mut self, now: Timestamp, process: ProcessKey, report: Report) {
+        match self.nodes.entry(process) {
+            Entry::Occupied(mut entry) => {
+                let record = entry.get_mut();
+                if record.report.sequence >= report.sequence {
+                    return;
+                }
+                record.report = report;
+                record.last_report_at = now;
+            }
+            Entry::Vacant(entry) => {
+                entry.insert(NodeRecord {
+                    report,
+                    last_report_at: now,
+                    state: DriftState::Changing,
+                    state_since: now,
+                    ahead_since: None,
+                });
             }
         }
         self.refresh(now);
     }
 
-    /// Time has passed.
-    pub fn refresh(&mut self, now: Time) {
-        let (times, approved, at) = (self.times, &self.approved, self.approved_at);
-        for entry in self.nodes.values_mut() {
-            let is_beyond = entry.report.version > approved.version;
-            entry.beyond = is_beyond.then(|| entry.beyond.unwrap_or(now));
-            let state = stands(entry, now, times, approved, at);
-            if state != entry.state {
-                (entry.state, entry.since) = (state, now);
-            }
+    /// Brings all states up to date, since time has passed.
+    pub fn refresh(&mut self, now: Timestamp) {
+        let baseline =
+            Baseline { timing: self.timing, approved: &self.approved, approved_at: self.approved_at };
+        for record in self.nodes.values_mut() {
+            record.refresh(now, &baseline);
         }
     }
 
-    /// Processes that nobody speaks of any more are forgotten: `there` says who is.
-    pub fn retain(&mut self, there: impl Fn(&str, u64) -> bool) {
-        self.nodes.retain(|(name, start), _| there(name, *start));
+    /// Forgets the processes for which `is_known` is false.
+    pub fn retain(&mut self, is_known: impl Fn(&ProcessKey) -> bool) {
+        self.nodes.retain(|process, _| is_known(process));
     }
 
-    /// How each process stands.
-    pub fn nodes(&self) -> impl Iterator<Item = (&str, u64, TrackedNode)> {
-        self.nodes.iter().map(|((name, start), entry)| {
-            let node = TrackedNode {
-                state: entry.state,
-                version: entry.report.version,
-                report: entry.report.clone(),
-                parts: differing(&entry.report, &self.approved),
-                since: entry.since,
-                heard: entry.heard,
-            };
-            (name.as_str(), *start, node)
+    /// All processes, in the order of their keys.
+    pub fn nodes(&self) -> impl Iterator<Item = TrackedNode> + '_ {
+        self.nodes.iter().map(|(process, record)| TrackedNode {
+            process: process.clone(),
+            state: record.state,
+            state_since: record.state_since,
+            report: record.report.clone(),
+            last_report_at: record.last_report_at,
+            differing_parts: differing_parts(&record.report, &self.approved),
         })
     }
 }
 
-fn stands(entry: &Entry, now: Time, times: Timing, approved: &Approved, at: Time) -> DriftState {
-    let report = &entry.report;
-    // Danger: what was heard of old must not pass for what is.
-    if now.saturating_sub(entry.heard) >= times.silent {
-        return DriftState::Silent;
+/// What reports are compared with.
+struct Baseline<'a> {
+    timing: Timing,
+    approved: &'a ApprovedPolicy,
+    approved_at: Timestamp,
+}
+
+impl NodeRecord {
+    fn refresh(&mut self, now: Timestamp, baseline: &Baseline<'_>) {
+        if self.report.version > baseline.approved.version {
+            self.ahead_since.get_or_insert(now);
+        } else {
+            self.ahead_since = None;
+        }
+        let state = self.state_at(now, baseline);
+        if state != self.state {
+            self.state = state;
+            self.state_since = now;
+        }
     }
-    match report.status {
-        NodeStatus::Fenced => return DriftState::Fenced,
-        NodeStatus::CatchesUp => return DriftState::Changing,
-        NodeStatus::Admits => {}
+
+    fn state_at(&self, now: Timestamp, baseline: &Baseline<'_>) -> DriftState {
+        // Danger: an old report must not pass for the present state.
+        let age = now.saturating_duration_since(self.last_report_at);
+        if age >= baseline.timing.silence_timeout {
+            return DriftState::Silent;
+        }
+        match self.report.status {
+            NodeStatus::Fenced => DriftState::Fenced,
+            NodeStatus::CatchingUp => DriftState::Changing,
+            NodeStatus::Admitting => self.compare_version(now, baseline),
+        }
     }
-    let settles = now.saturating_sub(at) < times.settle;
-    match report.version.cmp(&approved.version) {
-        // Word of a version may come before word that it was approved.
-        std::cmp::Ordering::Greater => {
-            let since = entry.beyond.unwrap_or(now);
-            if now.saturating_sub(since) < times.settle {
-                DriftState::Changing
-            } else {
-                DriftState::Ahead
+
+    /// The state of a process that admits requests.
+    fn compare_version(&self, now: Timestamp, baseline: &Baseline<'_>) -> DriftState {
+        let settling_time = baseline.timing.settling_time;
+        let is_settling = now.saturating_duration_since(baseline.approved_at) < settling_time;
+        match self.report.version.cmp(&baseline.approved.version) {
+            Ordering::Greater => {
+                // A report of a version may arrive before the news that it was approved.
+                let ahead_since = self.ahead_since.unwrap_or(now);
+                if now.saturating_duration_since(ahead_since) < settling_time {
+                    DriftState::Changing
+                } else {
+                    DriftState::Ahead
+                }
             }
+            Ordering::Less if is_settling => DriftState::Changing,
+            Ordering::Less => DriftState::Behind,
+            Ordering::Equal if self.report.part_digests == baseline.approved.part_digests => DriftState::Same,
+            Ordering::Equal if is_settling => DriftState::Changing,
+            Ordering::Equal => DriftState::Differs,
         }
-        std::cmp::Ordering::Less if settles => DriftState::Changing,
-        std::cmp::Ordering::Less => DriftState::Behind,
-        std::cmp::Ordering::Equal if differing(report, approved).is_empty() => DriftState::Same,
-        std::cmp::Ordering::Equal if settles => DriftState::Changing,
-        std::cmp::Ordering::Equal => DriftState::Differs,
     }
 }
 
-fn differing(report: &Report, approved: &Approved) -> Vec<String> {
-    let names = report.parts.keys().chain(approved.parts.keys());
-    let mut differ: Vec<String> =
-        names.filter(|name| report.parts.get(*name) != approved.parts.get(*name)).cloned().collect();
-    differ.sort();
-    differ.dedup();
-    differ
+/// The names of the parts that only one of the two has, or that have different digests.
+fn differing_parts(report: &Report, approved: &ApprovedPolicy) -> Vec<String> {
+    let names = report.part_digests.keys().chain(approved.part_digests.keys());
+    let is_different = |name: &&String| report.part_digests.get(*name) != approved.part_digests.get(*name);
+    let mut differing: Vec<String> = names.filter(is_different).cloned().collect();
+    differing.sort();
+    differing.dedup();
+    differing
 }
 
 #[cfg(test)]
--- a/crates/drift/src/detector/tests.rs
+++ b/crates/drift/src/detector/tests.rs
@@ -1,64 +1,88 @@
 use super::*;
 
-fn parts(digest: u64) -> BTreeMap<String, u64> {
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn process() -> ProcessKey {
+    ProcessKey { name: "a".to_owned(), start: 1 }
+}
+
+fn digests(digest: u64) -> PartDigests {
     BTreeMap::from([("Grades".to_owned(), digest), ("Safety".to_owned(), 7)])
 }
 
-fn report(number: u64, version: u64, digest: u64) -> Report {
-    Report { number, version, status: NodeStatus::Admits, parts: parts(digest), raised: vec![] }
+fn report(sequence: u64, version: u64, digest: u64) -> Report {
+    let part_digests = digests(digest);
+    Report { sequence, version, status: NodeStatus::Admitting, part_digests, raised_alarms: vec![] }
 }
 
-fn table() -> DriftDetector {
-    let mut table = DriftDetector::new(Timing::default());
-    table.set_approved(0, Approved { version: 1, parts: parts(5) });
-    table
+/// Version 1 was approved at 0 ms.
+fn detector() -> DriftDetector {
+    let mut detector = DriftDetector::new(Timing::default());
+    detector.set_approved(at(0), ApprovedPolicy { version: 1, part_digests: digests(5) });
+    detector
 }
 
-fn state(table: &DriftDetector) -> (DriftState, Vec<String>) {
-    let node = table.nodes().next().unwrap().2;
-    (node.state, node.parts)
+fn only_node(detector: &DriftDetector) -> TrackedNode {
+    detector.nodes().next().unwrap()
+}
+
+fn state(detector: &DriftDetector) -> DriftState {
+    only_node(detector).state
 }
 
 #[test]
-fn what_is_in_force_is_compared_part_by_part() {
-    let mut table = table();
-    table.record_report(2000, "a", 1, report(1, 1, 5));
-    assert_eq!(state(&table), (DriftState::Same, vec![]));
-    table.record_report(2500, "a", 1, report(2, 1, 6));
-    assert_eq!(state(&table), (DriftState::Differs, vec!["Grades".to_owned()]));
-    table.record_report(2600, "a", 1, report(1, 1, 5));
-    assert_eq!(state(&table).0, DriftState::Differs, "a late report changes nothing");
+fn what_is_active_is_compared_part_by_part() {
+    let mut detector = detector();
+
+    detector.record_report(at(2000), process(), report(1, 1, 5));
+    assert_eq!(state(&detector), DriftState::Same);
+    assert_eq!(only_node(&detector).differing_parts, Vec::<String>::new());
+
+    detector.record_report(at(2500), process(), report(2, 1, 6));
+    assert_eq!(state(&detector), DriftState::Differs);
+    assert_eq!(only_node(&detector).differing_parts, vec!["Grades".to_owned()]);
+
+    detector.record_report(at(2600), process(), report(1, 1, 5));
+    assert_eq!(state(&detector), DriftState::Differs, "a late report changes nothing");
 }
 
 #[test]
-fn who_is_not_heard_is_silent_and_never_the_same() {
-    let mut table = table();
-    table.record_report(2000, "a", 1, report(1, 1, 5));
-    table.refresh(3599);
-    assert_eq!(state(&table).0, DriftState::Same);
-    table.refresh(3600);
-    assert_eq!(state(&table).0, DriftState::Silent);
-    table.record_report(9000, "a", 1, report(2, 1, 5));
-    assert_eq!(state(&table).0, DriftState::Same);
+fn a_process_without_a_recent_report_is_silent_and_never_the_same() {
+    let mut detector = detector();
+    detector.record_report(at(2000), process(), report(1, 1, 5));
+
+    detector.refresh(at(3599));
+    assert_eq!(state(&detector), DriftState::Same);
+    detector.refresh(at(3600));
+    assert_eq!(state(&detector), DriftState::Silent);
+
+    detector.record_report(at(9000), process(), report(2, 1, 5));
+    assert_eq!(state(&detector), DriftState::Same);
 }
 
 #[test]
-fn a_change_is_under_way_until_it_must_be_over() {
-    let mut table = table();
-    table.record_report(2000, "a", 1, report(1, 1, 5));
-    table.set_approved(2100, Approved { version: 2, parts: parts(6) });
-    assert_eq!(state(&table).0, DriftState::Changing);
-    table.record_report(3000, "a", 1, report(2, 1, 5));
-    table.refresh(3099);
-    assert_eq!(state(&table).0, DriftState::Changing);
-    table.refresh(3100);
-    assert_eq!(state(&table).0, DriftState::Behind);
-    table.record_report(3200, "a", 1, report(3, 3, 9));
-    assert_eq!(state(&table).0, DriftState::Changing, "word of it may be under way");
-    table.record_report(4300, "a", 1, report(4, 3, 9));
-    assert_eq!(state(&table).0, DriftState::Ahead);
-    table.refresh(4800);
-    assert_eq!(state(&table).0, DriftState::Ahead, "and stays so");
-    table.record_report(5000, "a", 1, Report { status: NodeStatus::Fenced, ..report(5, 1, 5) });
-    assert_eq!(state(&table).0, DriftState::Fenced);
+fn a_change_is_under_way_until_the_settling_time_is_over() {
+    let mut detector = detector();
+    detector.record_report(at(2000), process(), report(1, 1, 5));
+    detector.set_approved(at(2100), ApprovedPolicy { version: 2, part_digests: digests(6) });
+    assert_eq!(state(&detector), DriftState::Changing);
+
+    detector.record_report(at(3000), process(), report(2, 1, 5));
+    detector.refresh(at(3099));
+    assert_eq!(state(&detector), DriftState::Changing);
+    detector.refresh(at(3100));
+    assert_eq!(state(&detector), DriftState::Behind);
+
+    detector.record_report(at(3200), process(), report(3, 3, 9));
+    assert_eq!(state(&detector), DriftState::Changing, "news of it may be under way");
+    detector.record_report(at(4300), process(), report(4, 3, 9));
+    assert_eq!(state(&detector), DriftState::Ahead);
+    detector.refresh(at(4800));
+    assert_eq!(state(&detector), DriftState::Ahead, "and stays so");
+
+    let fenced = Report { status: NodeStatus::Fenced, ..report(5, 1, 5) };
+    detector.record_report(at(5000), process(), fenced);
+    assert_eq!(state(&detector), DriftState::Fenced);
 }
--- a/crates/drift/src/lib.rs
+++ b/crates/drift/src/lib.rs
@@ -1,16 +1,19 @@
-//! What each process of a fleet has in force against what was approved. The type to read first is [`DriftDetector`]: it takes the reports
-//! of processes as they come, in any order and as often as they like, and says of each how it stands. Nothing here waits or reads
-//! a clock; the alarm is raised by whoever holds the office for it.
+//! What each process of a fleet has active against what was approved. Read [`DriftDetector`] first:
+//! it takes the reports of processes as they arrive, in any order and as often as they like, and
+//! says of each process which [`DriftState`] it is in. [`Alarms`] says when drift is to be reported
+//! to operators.
+//!
+//! Nothing here waits, sends or reads a clock: the caller passes the time in, and raises the alarms
+//! that are due.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod alarm;
 mod detector;
 mod report;
+mod timing;
 
 pub use alarm::{Alarm, Alarms};
-pub use detector::{Approved, DriftDetector, DriftState, Timing, TrackedNode};
-pub use report::{DriftMessage, NodeStatus, Report};
-
-/// Milliseconds of a clock that only goes forward.
-pub type Time = u64;
+pub use detector::{ApprovedPolicy, DriftDetector, DriftState, TrackedNode};
+pub use report::{DriftMessage, NodeStatus, PartDigests, ProcessKey, Report};
+pub use timing::{Timestamp, Timing};
--- a/crates/drift/tests/golden_bytes.rs
+++ b/crates/drift/tests/golden_bytes.rs
@@ -3,7 +3,7 @@
 //! new version must write what an old one reads, and read what an old one writes. A test that fails
 //! here says that the program has changed its format; the recorded bytes are not to be adapted.
 
-use pinetrail_drift::{DriftMessage, NodeStatus, Report};
+use pinetrail_drift::{DriftMessage, NodeStatus, ProcessKey, Report};
 use std::collections::BTreeMap;
 
 fn hex(bytes: &[u8]) -> String {
@@ -21,24 +21,28 @@
     assert_eq!(DriftMessage::decode(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
 }
 
+fn process(name: &str, start: u64) -> ProcessKey {
+    ProcessKey { name: name.to_owned(), start }
+}
+
 /// A report in which every field has a value that appears nowhere else in it.
-fn report(stands: NodeStatus) -> Report {
+fn report(status: NodeStatus) -> Report {
     Report {
-        number: 300,
+        sequence: 300,
         version: 7,
-        status: stands,
-        parts: BTreeMap::from([
+        status,
+        part_digests: BTreeMap::from([
             ("Grades".to_owned(), 0x0123_4567_89ab_cdef),
             ("Safety".to_owned(), u64::MAX),
         ]),
-        raised: vec![("n1".to_owned(), 1_700_000_000_000_000), ("n2".to_owned(), 5)],
+        raised_alarms: vec![process("n1", 1_700_000_000_000_000), process("n2", 5)],
     }
 }
 
 /// The recorded bytes for each variant. A new variant does not compile until it has some.
-fn recorded_report(stands: NodeStatus) -> &'static str {
-    match stands {
-        NodeStatus::Admits => {
+fn recorded_report(status: NodeStatus) -> &'static str {
+    match status {
+        NodeStatus::Admitting => {
             "00ac0207000206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
@@ -46,7 +50,7 @@
             "00ac0207010206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
-        NodeStatus::CatchesUp => {
+        NodeStatus::CatchingUp => {
             "00ac0207020206477261646573ef9bafcdf8acd1910106536166657479ffffffffffffffffff\
              0102026e318080f9c0c1c48203026e3205"
         }
@@ -55,19 +59,19 @@
 
 #[test]
 fn a_report_has_the_recorded_bytes_for_each_state_of_admission() {
-    for stands in [NodeStatus::Admits, NodeStatus::Fenced, NodeStatus::CatchesUp] {
-        assert_recorded(&DriftMessage::Report(report(stands)), recorded_report(stands));
+    for status in [NodeStatus::Admitting, NodeStatus::Fenced, NodeStatus::CatchingUp] {
+        assert_recorded(&DriftMessage::Report(report(status)), recorded_report(status));
     }
 }
 
 #[test]
 fn an_empty_report_has_the_recorded_bytes() {
     let empty = Report {
-        number: 0,
+        sequence: 0,
         version: 0,
-        status: NodeStatus::CatchesUp,
-        parts: BTreeMap::new(),
-        raised: Vec::new(),
+        status: NodeStatus::CatchingUp,
+        part_digests: BTreeMap::new(),
+        raised_alarms: Vec::new(),
     };
     assert_recorded(&DriftMessage::Report(empty), "000000020000");
 }
@@ -75,12 +79,12 @@
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
 #[test]
 fn every_kind_of_message_has_recorded_bytes() {
-    let recorded = |word: &DriftMessage| match word {
+    let recorded = |message: &DriftMessage| match message {
         DriftMessage::Report(report) => recorded_report(report.status),
-        DriftMessage::Raised(..) => "01026e318080f9c0c1c48203",
+        DriftMessage::AlarmRaised(_) => "01026e318080f9c0c1c48203",
     };
-    let raised = DriftMessage::Raised("n1".to_owned(), 1_700_000_000_000_000);
-    for word in [DriftMessage::Report(report(NodeStatus::Fenced)), raised] {
-        assert_recorded(&word, recorded(&word));
+    let raised = DriftMessage::AlarmRaised(process("n1", 1_700_000_000_000_000));
+    for message in [DriftMessage::Report(report(NodeStatus::Fenced)), raised] {
+        assert_recorded(&message, recorded(&message));
     }
 }
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -5,7 +5,7 @@
 use crate::net::config::{nearest, Rules};
 use crate::net::dispatcher::Dispatcher;
 use crate::net::log::log;
-use pinetrail_drift::Approved;
+use pinetrail_drift::ApprovedPolicy;
 use pinetrail_peer_transport::Process;
 use pinetrail_policy_consensus::PolicyApplier;
 use serde_json::Value;
@@ -78,11 +78,11 @@
     }
 
     /// A version as it would be in force here.
-    pub(super) fn approved(&self, version: u64, text: &str) -> Option<Approved> {
+    pub(super) fn approved(&self, version: u64, text: &str) -> Option<ApprovedPolicy> {
         let given = text::with_own(&serde_json::from_str(text).ok()?, &self.own);
         let rules = Rules::of(&given).ok()?;
         let parts = digest::parts(&rules.settings, &rules.names, rules.connect_timeout);
-        Some(Approved { version, parts })
+        Some(ApprovedPolicy { version, part_digests: parts })
     }
 
     fn rules(&self, text: &str) -> Result<Rules, String> {
--- a/src/net/policy/drift.rs
+++ b/src/net/policy/drift.rs
@@ -6,9 +6,10 @@
 use crate::net::fleet::Fleet;
 use crate::net::log::log;
 use pinetrail_drift::{
-    Alarm, Alarms, DriftDetector, DriftMessage, DriftState as Stand, NodeStatus, Report, Timing,
+    Alarm, Alarms, DriftDetector, DriftMessage, DriftState as Stand, NodeStatus, ProcessKey, Report,
+    Timestamp, Timing,
 };
-use pinetrail_peer_transport::TcpNetwork;
+use pinetrail_peer_transport::{Process, TcpNetwork};
 use pinetrail_policy_consensus::{ConsensusNode, ConsensusStatus, PolicyApplier};
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -69,10 +70,12 @@
             match DriftMessage::decode(body) {
                 Some(DriftMessage::Report(report)) => {
                     let mut known = hearing.known();
-                    report.raised.iter().for_each(|(name, start)| known.alarms.mark_raised(name, *start));
-                    known.table.record_report(now, &from.name, from.start, report);
+                    for process in &report.raised_alarms {
+                        known.alarms.mark_raised(process.clone());
+                    }
+                    known.table.record_report(now, key(from), report);
                 }
-                Some(DriftMessage::Raised(name, start)) => hearing.known().alarms.mark_raised(&name, start),
+                Some(DriftMessage::AlarmRaised(process)) => hearing.known().alarms.mark_raised(process),
                 None => {}
             }
         }));
@@ -94,9 +97,9 @@
     fn look(&self) -> Report {
         let (version, _, state, _) = self.node.status();
         let stands = match state {
-            ConsensusStatus::Steady | ConsensusStatus::Changing => NodeStatus::Admits,
+            ConsensusStatus::Steady | ConsensusStatus::Changing => NodeStatus::Admitting,
             ConsensusStatus::Fenced => NodeStatus::Fenced,
-            ConsensusStatus::CatchingUp => NodeStatus::CatchesUp,
+            ConsensusStatus::CatchingUp => NodeStatus::CatchingUp,
         };
         let (parts, now) = (self.app.in_force(), self.now());
         let approved =
@@ -106,16 +109,23 @@
         let mut known = self.known();
         known.number += 1;
         let raised = known.alarms.all_raised();
-        let report = Report { number: known.number, version, status: stands, parts, raised };
-        known.table.retain(|name, start| {
+        let report = Report {
+            sequence: known.number,
+            version,
+            status: stands,
+            part_digests: parts,
+            raised_alarms: raised,
+        };
+        known.table.retain(|process| {
             // Danger: of a name the latest process counts, linked or not: who is cut off stays in the table, as silent.
-            let later = linked.iter().any(|other| *other.name == *name && other.start > start);
-            !(later || *me.name == *name && start != me.start)
+            let later =
+                linked.iter().any(|other| *other.name == *process.name && other.start > process.start);
+            !(later || *me.name == *process.name && process.start != me.start)
         });
         if let Some(approved) = approved {
             known.table.set_approved(now, approved);
         }
-        known.table.record_report(now, &me.name, me.start, report.clone());
+        known.table.record_report(now, key(&me), report.clone());
         report
     }
 
@@ -130,13 +140,14 @@
         if due.is_empty() || !self.fleet.is_quota_leader() {
             return;
         }
-        for Alarm { name, start, state, parts } in due {
+        for Alarm { process, state, differing_parts: parts } in due {
             self.raised.fetch_add(1, Ordering::Relaxed);
-            self.known().alarms.mark_raised(&name, start);
-            self.node.broadcast(FLOOR, &DriftMessage::Raised(name.clone(), start).encode());
+            self.known().alarms.mark_raised(process.clone());
+            self.node.broadcast(FLOOR, &DriftMessage::AlarmRaised(process.clone()).encode());
             let parts = if parts.is_empty() { String::new() } else { format!(" in {}", parts.join(", ")) };
             log(&format!(
-                "ALARM: policy: {name} {}{parts}: it does not have in force what was approved",
+                "ALARM: policy: {} {}{parts}: it does not have in force what was approved",
+                process.name,
                 state.as_str()
             ));
         }
@@ -148,9 +159,8 @@
         let is_due = {
             let mut known = self.known();
             let me = self.node.process();
-            let drifts = known.table.nodes().any(|(name, start, node)| {
-                *name == *me.name && start == me.start && node.state == Stand::Differs
-            });
+            let me = key(me);
+            let drifts = known.table.nodes().any(|node| node.process == me && node.state == Stand::Differs);
             known.drifts_since = drifts.then(|| known.drifts_since.unwrap_or_else(Instant::now));
             known.drifts_since.is_some_and(|since| since.elapsed() >= after)
         };
@@ -177,28 +187,28 @@
         // What is in force here is looked at now.
         self.look();
         let (now, unix) = (self.now(), SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
-        let began = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX).saturating_sub(now);
+        let began = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX).saturating_sub(now.as_millis());
         let known = self.known();
         let hex = |digest: u64| format!("{digest:016x}");
         let nodes: Vec<Value> = known
             .table
             .nodes()
-            .map(|(name, start, node)| {
+            .map(|node| {
                 json!({
-                    "name": name,
-                    "start": start,
+                    "name": node.process.name,
+                    "start": node.process.start,
                     "state": node.state.as_str(),
-                    "version": node.version,
-                    "digest": hex(digest::whole(&node.report.parts)),
-                    "parts": node.parts,
-                    "since_ms": began + node.since,
-                    "heard_ms": began + node.heard,
+                    "version": node.report.version,
+                    "digest": hex(digest::whole(&node.report.part_digests)),
+                    "parts": node.differing_parts,
+                    "since_ms": began + node.state_since.as_millis(),
+                    "heard_ms": began + node.last_report_at.as_millis(),
                 })
             })
             .collect();
         let approved = known.table.approved();
         json!({
-            "approved": {"version": approved.version, "digest": hex(digest::whole(&approved.parts))},
+            "approved": {"version": approved.version, "digest": hex(digest::whole(&approved.part_digests))},
             "seen_by": &*self.node.process().name,
             "nodes": nodes,
         })
@@ -209,11 +219,15 @@
         self.raised.load(Ordering::Relaxed)
     }
 
-    fn now(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
 
     fn known(&self) -> MutexGuard<'_, Known> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn key(process: &Process) -> ProcessKey {
+    ProcessKey { name: process.name.to_string(), start: process.start }
+}
