--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -122,5 +122,5 @@
 }
 
 #[cfg(test)]
-#[path = "door_golden_tests.rs"]
+#[path = "admin_golden_tests.rs"]
 mod golden_tests;
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -146,7 +146,7 @@
     }
 
     fn on_peer_message(&self, from: &Process, floor: u8, body: &[u8]) {
-        if let Some(hears) = self.hears.get().filter(|_| floor == super::drift::FLOOR) {
+        if let Some(hears) = self.hears.get().filter(|_| floor == super::drift_monitor::FLOOR) {
             hears(from, body);
         }
     }
--- a/src/net/policy/golden_tests.rs
+++ b/src/net/policy/golden_tests.rs
@@ -3,7 +3,7 @@
 //! names of types and fields are part of them: a renamed one would be told of as drift of every
 //! process that runs another version. All figures were recorded before any renaming.
 
-use super::{digest, drift, text};
+use super::{digest, drift_monitor, text};
 use crate::net::config::Rules;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -131,5 +131,5 @@
 
 #[test]
 fn words_of_drift_travel_under_number_one() {
-    assert_eq!(drift::FLOOR, 1);
+    assert_eq!(drift_monitor::FLOOR, 1);
 }
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -5,7 +5,7 @@
 mod applier;
 mod digest;
 mod directory;
-mod drift;
+mod drift_monitor;
 #[cfg(test)]
 mod golden_tests;
 mod text;
@@ -17,7 +17,7 @@
 use super::log::log;
 use applier::App;
 use directory::Directory;
-use drift::Drift;
+use drift_monitor::Drift;
 use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes, TransportConfig};
 use pinetrail_policy_consensus::{AdmissionLease, ConsensusNode, ConsensusStatus, PolicyApplier, Settings};
 use serde_json::Value;
