--- a/src/net/admin/codec.rs
+++ b/src/net/admin/codec.rs
@@ -1,5 +1,6 @@
 //! What operators ask, as HTTP/1.1 requests, and what they are answered: bytes in, calls out; text in, bytes out.
 
+use crate::net::policy::admin::PolicyResponse;
 use percent_encoding::percent_decode_str;
 
 /// The longest head of a request.
@@ -58,8 +59,8 @@
     }
 
     /// A status and a JSON text.
-    pub(super) fn answer((status, text): (u16, String)) -> Said {
-        Said { status, allow: None, text, json: true }
+    pub(super) fn answer(response: PolicyResponse) -> Said {
+        Said { status: response.status, allow: None, text: response.json, json: true }
     }
 
     /// Yes, in JSON.
--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -4,6 +4,7 @@
 use super::codec::{call, Call, Said, MAX_BODY, MAX_HEAD};
 use super::refused;
 use crate::net::dispatcher::MaintenanceError;
+use crate::net::policy::admin::PolicyResponse;
 
 fn written(said: &Said) -> String {
     String::from_utf8(said.words()).unwrap()
@@ -34,7 +35,7 @@
         "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\n",
         "Content-Length: 3\r\nConnection: close\r\n\r\n{}\n",
     );
-    assert_eq!(written(&Said::answer((202, "{}".into()))), recorded);
+    assert_eq!(written(&Said::answer(PolicyResponse { status: 202, json: "{}".into() })), recorded);
     let recorded = recorded.replace("202 Accepted", "200 OK");
     assert_eq!(written(&Said::json("{}".into())), recorded);
 }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -19,7 +19,7 @@
 use super::listener;
 use super::log::{log, print};
 use super::memory::Memory;
-use super::policy::Policy;
+use super::policy::{Policy, PolicyParameters};
 use crate::interface;
 use crate::settings::Settings;
 use budget::Budget;
@@ -310,10 +310,16 @@
         }
         if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
             let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.links.clone());
-            let sides = (&exchange, &providers);
-            let policy =
-                Policy::start(told.clone(), fleet, sides, config.given_settings(), links, config.seed)
-                    .map_err(|error| format!("policy: {error}"))?;
+            let policy = Policy::start(PolicyParameters {
+                config: told.clone(),
+                fleet,
+                dispatcher: &exchange,
+                backends: &providers,
+                settings: config.given_settings(),
+                handed_over_peers: links,
+                seed: config.seed,
+            })
+            .map_err(|error| format!("policy: {error}"))?;
             let policy = self.policy.get_or_init(|| policy);
             // Operators are answered while it catches up.
             if let Some(door) = &door {
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -1,4 +1,5 @@
-//! What operators ask about the fleet's policy, and how they are answered. They are answered within a second, whatever is cut.
+//! The requests of operators about the fleet's policy: methods of [`Policy`], each of which returns
+//! a [`PolicyResponse`]. Each is answered within a second, whatever is cut off.
 
 use super::{text, Policy};
 use crate::net::deadline_stream::sleep;
@@ -10,14 +11,36 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Founders answer within this, or the operator is told that they do not. The door owes an answer within 1 s.
-const WITHIN: Duration = Duration::from_millis(700);
-const ANSWERED_WITHIN: Duration = Duration::from_millis(900);
-const LOOK_EVERY: Duration = Duration::from_millis(2);
+/// The founders answer within this time, or the operator is told that they do not.
+const FOUNDERS_TIMEOUT: Duration = Duration::from_millis(700);
+/// One founder answers within this time when a change is asked for: they are asked in turn.
+const FOUNDER_TIMEOUT: Duration = FOUNDERS_TIMEOUT.checked_div(3).unwrap();
+/// The most time that a request waits for the policy's thread. The admin server owes a response
+/// within 1 s.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
+/// The pause between two looks whether the policy's thread is done.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
-/// A status and a JSON text.
-pub type Answer = (u16, String);
+/// A response to operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PolicyResponse {
+    /// The HTTP status.
+    pub status: u16,
+    /// A JSON document.
+    pub json: String,
+}
+
+impl PolicyResponse {
+    fn new(status: u16, json: &Value) -> PolicyResponse {
+        PolicyResponse { status, json: json.to_string() }
+    }
 
+    fn error(status: u16, reason: impl ToString) -> PolicyResponse {
+        PolicyResponse::new(status, &json!({"error": reason.to_string()}))
+    }
+}
+
+/// The body of a proposal. The names of the fields are those of its JSON.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Proposal {
@@ -26,21 +49,18 @@
     settings: Value,
 }
 
+/// The state of the policy at this process. The names of the fields are those of its JSON.
 #[derive(Serialize)]
-struct Standing {
+struct PolicyStatus {
     version: u64,
     digest: String,
     state: &'static str,
     change: Option<String>,
 }
 
-fn no(status: u16, why: impl ToString) -> Answer {
-    (status, json!({"error": why.to_string()}).to_string())
-}
-
 impl Policy {
     /// `GET /control/policy`.
-    pub fn standing(&self) -> Answer {
+    pub fn standing(&self) -> PolicyResponse {
         let (version, digest, state, change) = self.node.status();
         let state = match state {
             ConsensusStatus::Steady => "steady",
@@ -48,79 +68,92 @@
             ConsensusStatus::CatchingUp => "catching-up",
             ConsensusStatus::Fenced => "fenced",
         };
-        let digest = digest.to_string();
-        let standing = Standing { version, digest, state, change };
-        (200, serde_json::to_string(&standing).unwrap_or_default())
+        let status = PolicyStatus { version, digest: digest.to_string(), state, change };
+        // It cannot fail: all of the fields have a JSON form.
+        PolicyResponse { status: 200, json: serde_json::to_string(&status).unwrap_or_default() }
     }
 
     /// `POST /control/policy`.
-    pub fn propose(&self, body: &[u8]) -> Answer {
+    pub fn propose(&self, body: &[u8]) -> PolicyResponse {
         let proposal: Proposal = match serde_json::from_slice(body) {
             Ok(proposal) => proposal,
-            Err(error) => return no(400, format!("the body is no proposal: {error}")),
+            Err(error) => {
+                return PolicyResponse::error(400, format!("the body is no proposal: {error}"));
+            }
         };
-        let (node, id) = (Arc::clone(&self.node), proposal.id.clone());
-        let text = text::common(&proposal.settings);
-        let done = self.wait(async move { node.propose(&proposal.id, proposal.after, &text, WITHIN).await });
-        match done {
-            Some(Ok(version)) => (202, json!({"id": id, "version": version}).to_string()),
-            Some(Err(ProposalError::Check(why))) => no(400, why),
-            Some(Err(ProposalError::Conflict(why @ Conflict::Form(_)))) => no(400, why),
-            Some(Err(ProposalError::Conflict(why))) => no(409, why),
-            Some(Err(why @ ProposalError::NoMajority)) => no(503, why),
-            None => no(503, ProposalError::NoMajority),
+        let node = Arc::clone(&self.node);
+        let id = proposal.id.clone();
+        let text = text::to_policy_text(&proposal.settings);
+        let proposed = self.wait_for(async move {
+            node.propose(&proposal.id, proposal.after, &text, FOUNDERS_TIMEOUT).await
+        });
+        match proposed {
+            Some(Ok(version)) => PolicyResponse::new(202, &json!({"id": id, "version": version})),
+            Some(Err(error)) => PolicyResponse::error(proposal_error_status(&error), error),
+            None => PolicyResponse::error(503, ProposalError::NoMajority),
         }
     }
 
     /// `GET /control/drift`.
-    pub fn drift(&self) -> Answer {
-        (200, self.drift.report().to_string())
+    pub fn drift(&self) -> PolicyResponse {
+        PolicyResponse::new(200, &self.drift_monitor.to_json())
     }
 
     /// `POST /control/policy/restore`.
-    pub fn restore(&self) -> Answer {
-        match self.drift.restore() {
-            Ok(version) => (200, json!({"version": version}).to_string()),
-            Err(why) => no(409, why),
+    pub fn restore(&self) -> PolicyResponse {
+        match self.drift_monitor.restore() {
+            Ok(version) => PolicyResponse::new(200, &json!({"version": version})),
+            Err(error) => PolicyResponse::error(409, error),
         }
     }
 
     /// `GET /control/policy/changes/ID`.
-    pub fn change(&self, id: &str) -> Answer {
-        let (node, id) = (Arc::clone(&self.node), id.to_owned());
-        let seen = self.wait(async move { node.change_status(&id, WITHIN / 3).await });
-        match seen.flatten() {
-            Some(ChangeStatus { outcome, why, waiting_for }) => {
-                let outcome = match outcome {
-                    None => "open",
-                    Some(Outcome::Taken) => "taken",
-                    Some(Outcome::Rejected) => "refused",
-                    Some(Outcome::Abandoned) => "abandoned",
-                };
-                (200, json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}).to_string())
-            }
-            None => no(404, "no change of this name is known here"),
-        }
+    pub fn change(&self, id: &str) -> PolicyResponse {
+        let node = Arc::clone(&self.node);
+        let id = id.to_owned();
+        let status = self.wait_for(async move { node.change_status(&id, FOUNDER_TIMEOUT).await });
+        let Some(ChangeStatus { outcome, why, waiting_for }) = status.flatten() else {
+            return PolicyResponse::error(404, "no change of this name is known here");
+        };
+        let outcome = match outcome {
+            None => "open",
+            Some(Outcome::Taken) => "taken",
+            Some(Outcome::Rejected) => "refused",
+            Some(Outcome::Abandoned) => "abandoned",
+        };
+        PolicyResponse::new(200, &json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}))
     }
 
-    /// Waits for something that is done on the thread of the links; none if it takes too long.
-    fn wait<T: Send + 'static>(&self, done: impl Future<Output = T> + Send + 'static) -> Option<T> {
-        let (say, said) = channel();
-        self.runtime.spawn(async move {
-            // Who asked may have been answered by then.
-            let _ = say.send(done.await);
+    /// Runs a future on the policy's thread and waits for its value; none if it takes too long. It
+    /// is called in a coroutine, which must not block its thread, so that it polls.
+    ///
+    /// The task that is spawned ends with the future, also when nobody waits any more.
+    fn wait_for<T: Send + 'static>(&self, future: impl Future<Output = T> + Send + 'static) -> Option<T> {
+        let (sender, receiver) = channel();
+        self.thread.runtime().spawn(async move {
+            // The operator may have been answered by then.
+            let _ = sender.send(future.await);
         });
-        let until = Instant::now() + ANSWERED_WITHIN;
-        while Instant::now() < until {
-            if let Ok(done) = said.try_recv() {
-                return Some(done);
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        while Instant::now() < deadline {
+            if let Ok(value) = receiver.try_recv() {
+                return Some(value);
             }
-            sleep(LOOK_EVERY);
+            sleep(POLL_INTERVAL);
         }
         None
     }
 }
 
+/// The HTTP status of a proposal that was not taken.
+fn proposal_error_status(error: &ProposalError) -> u16 {
+    match error {
+        ProposalError::Check(_) | ProposalError::Conflict(Conflict::Form(_)) => 400,
+        ProposalError::Conflict(_) => 409,
+        ProposalError::NoMajority => 503,
+    }
+}
+
 #[cfg(test)]
 #[path = "admin_golden_tests.rs"]
 mod golden_tests;
--- a/src/net/policy/admin_golden_tests.rs
+++ b/src/net/policy/admin_golden_tests.rs
@@ -1,24 +1,25 @@
-//! What leaves the process: JSON by which operators propose a policy and are told how it stands.
+//! What leaves the process: JSON by which operators propose a policy and are told its state.
 //! Their tools read it by key and word. All texts were recorded before any renaming.
 
-use super::{no, Proposal, Standing};
+use super::{PolicyResponse, PolicyStatus, Proposal};
 use serde_json::json;
 
 #[test]
 fn a_refusal_is_the_recorded_text() {
-    assert_eq!(no(409, "why \"not\""), (409, r#"{"error":"why \"not\""}"#.to_owned()));
+    let refusal = PolicyResponse::error(409, "why \"not\"");
+    assert_eq!((refusal.status, refusal.json), (409, r#"{"error":"why \"not\""}"#.to_owned()));
 }
 
 #[test]
-fn a_standing_is_the_recorded_text_with_and_without_a_change() {
-    let standing = |change: Option<&str>| {
-        let (state, change) = ("steady", change.map(str::to_owned));
-        let standing = Standing { version: 7, digest: "d".into(), state, change };
-        serde_json::to_string(&standing).unwrap()
+fn the_status_is_the_recorded_text_with_and_without_a_change() {
+    let status = |change: Option<&str>| {
+        let change = change.map(str::to_owned);
+        let status = PolicyStatus { version: 7, digest: "d".into(), state: "steady", change };
+        serde_json::to_string(&status).unwrap()
     };
     let recorded = r#"{"version":7,"digest":"d","state":"steady","change":null}"#;
-    assert_eq!(standing(None), recorded);
-    assert_eq!(standing(Some("c")), recorded.replace("null", "\"c\""));
+    assert_eq!(status(None), recorded);
+    assert_eq!(status(Some("c")), recorded.replace("null", "\"c\""));
 }
 
 #[test]
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -1,153 +1,195 @@
-//! Puts versions of the policy in force at this proxy, and says of each proposal whether it could.
+//! Makes versions of the policy active at this proxy, and says of each proposal whether it could:
+//! [`ProxyPolicyApplier`].
 
-use super::{digest, text};
+use super::digest;
+use super::error::PolicyTextError;
+use super::text;
 use crate::net::backend::BackendService;
 use crate::net::config::{nearest, Rules};
 use crate::net::dispatcher::Dispatcher;
 use crate::net::log::log;
-use pinetrail_drift::ApprovedPolicy;
+use crate::settings::Settings;
+use pinetrail_drift::{ApprovedPolicy, PartDigests};
 use pinetrail_peer_transport::Process;
 use pinetrail_policy_consensus::PolicyApplier;
 use serde_json::Value;
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-/// This proxy, as far as policies are concerned.
-pub(super) struct App {
-    exchange: Arc<Dispatcher>,
-    providers: Arc<BackendService>,
-    /// What its own file says at the start.
-    own: Value,
-    /// No call may run longer than this, in ms, where the fleet shares.
-    calls: Option<u64>,
-    /// The text of the version in force.
-    text: Mutex<Option<String>>,
-    /// The longest that a class in force waits, in ms.
-    longest_wait: Mutex<Option<f64>>,
-    /// Who hears what other processes say of drift.
-    hears: OnceLock<Hears>,
+/// The channel of drift messages, among those that share the connections of policy consensus. It is
+/// part of the messages' format.
+pub(super) const DRIFT_CHANNEL: u8 = 1;
+/// The least time, in ms, after which an idle connection to a backend is closed.
+const MIN_CONNECTION_IDLE_MS: f64 = 1000.0;
+/// The most such time, in ms: one day.
+const MAX_CONNECTION_IDLE_MS: f64 = 86_400_000.0;
+
+/// Receives the drift messages of other processes.
+pub(super) type DriftMessageHandler = Box<dyn Fn(&Process, &[u8]) + Send + Sync>;
+
+/// Applies policies to the dispatcher and the backends of this proxy.
+pub(super) struct ProxyPolicyApplier {
+    dispatcher: Arc<Dispatcher>,
+    backends: Arc<BackendService>,
+    /// The settings in this process's file, of which the local keys count.
+    local_settings: Value,
+    /// No call may run longer than this, in ms, where the fleet leases quota.
+    call_limit_ms: Option<u64>,
+    /// What is active. It is not locked while the dispatcher or the backends are called.
+    active: Mutex<ActivePolicy>,
+    drift_handler: OnceLock<DriftMessageHandler>,
 }
 
-/// Takes what a process of the fleet says of drift.
-pub(super) type Hears = Box<dyn Fn(&Process, &[u8]) + Send + Sync>;
+#[derive(Default)]
+struct ActivePolicy {
+    /// Its text; none before any is active.
+    text: Option<String>,
+    /// The longest time after which a class of it gives up, in ms; none before any is active.
+    longest_give_up_ms: Option<f64>,
+}
 
-impl App {
-    /// A proxy whose file says this.
+impl ProxyPolicyApplier {
+    /// An applier for a proxy whose file has these settings; no policy is active yet.
     pub(super) fn new(
-        exchange: Arc<Dispatcher>,
-        providers: Arc<BackendService>,
-        settings: &Value,
-        calls: Option<u64>,
-    ) -> App {
-        App {
-            exchange,
-            providers,
-            own: settings.clone(),
-            calls,
-            text: Mutex::new(None),
-            longest_wait: Mutex::new(None),
-            hears: OnceLock::new(),
+        dispatcher: Arc<Dispatcher>,
+        backends: Arc<BackendService>,
+        local_settings: Value,
+        call_limit_ms: Option<u64>,
+    ) -> ProxyPolicyApplier {
+        ProxyPolicyApplier {
+            dispatcher,
+            backends,
+            local_settings,
+            call_limit_ms,
+            active: Mutex::default(),
+            drift_handler: OnceLock::new(),
         }
     }
 
-    /// Whether what its own file says could be a policy: it may have to be the first one.
-    pub(super) fn first_is_good(&self) -> Result<(), String> {
-        known_keys(&self.own).map_err(|why| format!("settings cannot be the fleet's policy: {why}"))
+    /// Checks whether the settings in the file could be the policy: they may have to be the first
+    /// one.
+    pub(super) fn check_initial_policy(&self) -> Result<(), PolicyTextError> {
+        check_known_keys(&self.local_settings)
     }
 
-    /// Whether these settings are those in force.
-    pub(super) fn is_in_force(&self, settings: &Value) -> bool {
-        self.text.lock().unwrap_or_else(PoisonError::into_inner).as_deref() == Some(&text::common(settings))
+    /// Whether these settings are those of the active policy.
+    pub(super) fn is_active(&self, settings: &Value) -> bool {
+        self.active().text.as_deref() == Some(&text::to_policy_text(settings))
     }
 
-    /// The longest that a class in force waits, in ms; none before any is.
-    pub(super) fn longest_wait(&self) -> Option<f64> {
-        *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The longest time after which a class of the active policy gives up, in ms.
+    pub(super) fn longest_give_up_ms(&self) -> Option<f64> {
+        self.active().longest_give_up_ms
     }
 
-    /// Who hears of drift from now on; the first that is told counts.
-    pub(super) fn heard_by(&self, hears: Hears) {
-        let _ = self.hears.set(hears);
+    /// Sets who receives drift messages; only the first one that is set counts.
+    pub(super) fn set_drift_handler(&self, handler: DriftMessageHandler) {
+        let _ = self.drift_handler.set(handler);
     }
 
-    /// Digests of what is in force, made anew from the objects that decide.
-    pub(super) fn in_force(&self) -> BTreeMap<String, u64> {
-        let timeout = self.providers.connect_timeout();
-        self.exchange.in_force(|settings, names| digest::parts(settings, names, timeout))
+    /// Digests of what is active, made anew from the objects that decide.
+    pub(super) fn active_digests(&self) -> PartDigests {
+        let connect_timeout = self.backends.connect_timeout();
+        self.dispatcher.in_force(|settings, names| digest::part_digests(settings, names, connect_timeout))
     }
 
-    /// A version as it would be in force here.
+    /// The digests of a version as it would be active here; none if it could not be.
     pub(super) fn approved(&self, version: u64, text: &str) -> Option<ApprovedPolicy> {
-        let given = text::with_own(&serde_json::from_str(text).ok()?, &self.own);
-        let rules = Rules::of(&given).ok()?;
-        let parts = digest::parts(&rules.settings, &rules.names, rules.connect_timeout);
-        Some(ApprovedPolicy { version, part_digests: parts })
+        let policy = serde_json::from_str(text).ok()?;
+        let settings = text::with_local_keys(&policy, &self.local_settings);
+        let rules = Rules::of(&settings).ok()?;
+        let part_digests = digest::part_digests(&rules.settings, &rules.names, rules.connect_timeout);
+        Some(ApprovedPolicy { version, part_digests })
     }
 
-    fn rules(&self, text: &str) -> Result<Rules, String> {
-        let given: Value = serde_json::from_str(text).map_err(|error| format!("settings: {error}"))?;
-        if !given.is_object() {
-            return Err("settings: no object".to_owned());
+    /// Reads and checks a policy that is to follow the active one.
+    fn read_policy(&self, text: &str) -> Result<Rules, PolicyTextError> {
+        let policy: Value = serde_json::from_str(text).map_err(PolicyTextError::Json)?;
+        if !policy.is_object() {
+            return Err(PolicyTextError::NotAnObject);
         }
-        known_keys(&given)?;
-        let given = text::with_own(&given, &self.own);
-        let before = self.text.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = before.as_deref().and_then(|text| serde_json::from_str::<Value>(text).ok());
-        let rules = match before {
-            Some(before) => Rules::after(&given, &before),
-            None => Rules::of(&given),
+        check_known_keys(&policy)?;
+        let settings = text::with_local_keys(&policy, &self.local_settings);
+        let rules = match self.active_policy() {
+            Some(active) => Rules::after(&settings, &active)?,
+            None => Rules::of(&settings)?,
         };
-        let rules = rules.map_err(|error| error.to_string())?;
-        // Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
-        let longest = rules.settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-        match self.calls.filter(|calls| (*calls as f64) < longest) {
-            Some(calls) => {
-                Err(format!("Grades: the longest GiveUp, {longest}, is over fleet.call_ms, {calls}"))
+        self.check_call_limit(&rules.settings)?;
+        Ok(rules)
+    }
+
+    /// Danger: leased quota is free one call after the lease's end; while a call that runs longer
+    /// still uses it, two would.
+    fn check_call_limit(&self, settings: &Settings) -> Result<(), PolicyTextError> {
+        let give_up_ms = longest_give_up_ms(settings);
+        match self.call_limit_ms {
+            Some(call_ms) if (call_ms as f64) < give_up_ms => {
+                Err(PolicyTextError::GiveUpOverCallLimit { give_up_ms, call_ms })
             }
-            None => Ok(rules),
+            _ => Ok(()),
         }
     }
+
+    /// The active policy, if there is one.
+    fn active_policy(&self) -> Option<Value> {
+        serde_json::from_str(self.active().text.as_deref()?).ok()
+    }
+
+    fn active(&self) -> MutexGuard<'_, ActivePolicy> {
+        self.active.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-fn known_keys(given: &Value) -> Result<(), String> {
-    let mut keys = given.as_object().into_iter().flat_map(|given| given.keys());
-    match keys.find(|key| !text::KNOWN.contains(&key.as_str())) {
-        Some(unknown) => {
-            let near = nearest(unknown, &text::KNOWN);
-            Err(format!(
-                "settings.{unknown}: this program does not know it; the nearest known one is {near:?}"
-            ))
-        }
+fn check_known_keys(settings: &Value) -> Result<(), PolicyTextError> {
+    let mut keys = settings.as_object().into_iter().flat_map(|settings| settings.keys());
+    match keys.find(|key| !text::KNOWN_KEYS.contains(&key.as_str())) {
+        Some(unknown) => Err(PolicyTextError::UnknownKey {
+            key: unknown.clone(),
+            nearest: nearest(unknown, &text::KNOWN_KEYS),
+        }),
         None => Ok(()),
     }
 }
 
-impl PolicyApplier for App {
+fn longest_give_up_ms(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max)
+}
+
+/// After which time idle connections to backends are closed under these settings.
+fn connection_idle(settings: &Settings) -> Duration {
+    let millis = settings.limits.conn_idle.clamp(MIN_CONNECTION_IDLE_MS, MAX_CONNECTION_IDLE_MS);
+    Duration::from_secs_f64(millis / 1000.0)
+}
+
+impl PolicyApplier for ProxyPolicyApplier {
     fn validate(&self, text: &str) -> Result<(), String> {
-        self.rules(text).map(drop)
+        match self.read_policy(text) {
+            Ok(_) => Ok(()),
+            Err(error) => Err(error.to_string()),
+        }
     }
 
     fn apply(&self, version: u64, text: &str) {
-        match self.rules(text) {
-            Ok(rules) => {
-                let idle = Duration::from_secs_f64(
-                    rules.settings.limits.conn_idle.clamp(1000.0, 86_400_000.0) / 1000.0,
-                );
-                self.providers.retune(rules.connect_timeout, idle);
-                let longest = rules.settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-                *self.longest_wait.lock().unwrap_or_else(PoisonError::into_inner) = Some(longest);
-                self.exchange.apply_policy(version, rules.settings, rules.names);
-                *self.text.lock().unwrap_or_else(PoisonError::into_inner) = Some(text.to_owned());
+        let rules = match self.read_policy(text) {
+            Ok(rules) => rules,
+            // It was validated before.
+            Err(error) => {
+                log(&format!("ERROR: policy: version {version} cannot be applied: {error}"));
+                return;
             }
-            // It was checked before.
-            Err(why) => log(&format!("ERROR: policy: version {version} is not in force: {why}")),
-        }
+        };
+        self.backends.retune(rules.connect_timeout, connection_idle(&rules.settings));
+        self.active().longest_give_up_ms = Some(longest_give_up_ms(&rules.settings));
+        self.dispatcher.apply_policy(version, rules.settings, rules.names);
+        self.active().text = Some(text.to_owned());
     }
 
-    fn on_peer_message(&self, from: &Process, floor: u8, body: &[u8]) {
-        if let Some(hears) = self.hears.get().filter(|_| floor == super::drift_monitor::FLOOR) {
-            hears(from, body);
+    fn on_peer_message(&self, from: &Process, channel: u8, body: &[u8]) {
+        if channel != DRIFT_CHANNEL {
+            return;
+        }
+        if let Some(handler) = self.drift_handler.get() {
+            handler(from, body);
         }
     }
 
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -1,193 +1,210 @@
-//! Who is linked where. Members of the fleet tell each other by datagrams; of two processes the one with the lower name dials. A
-//! process that does not speak in the fleet (it is being upgraded, or is the newcomer) dials all that it knows, and holds no seat.
+//! Which processes there are, and where their connections are accepted: [`PeerDirectory`].
+//!
+//! Active members of the fleet tell each other by datagrams. Of two processes the one with the
+//! lower name dials. A process that is not an active member (it is being upgraded, or is the
+//! newcomer of an upgrade) dials all that it knows, and does not vote.
 
+use super::presence::Presence;
 use crate::net::config::PolicyConfig;
 use crate::net::dispatcher::PeerAddress;
 use crate::net::fleet::{Fleet, LivePeer};
-use crate::net::log::log;
 use pinetrail_peer_transport::{Peer, Process, TcpNetwork};
-use pinetrail_policy_consensus::{ConsensusNode, FileStorage};
+use pinetrail_policy_consensus::ConsensusNode;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, TryRecvError};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// The pause between two looks at who is alive.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// What one says of its links.
+/// What a process tells another one of itself.
+///
+/// The order of the fields is the datagram's format (postcard).
 #[derive(Serialize, Deserialize)]
-struct Said {
-    /// Whether it wants to hear the same of who is told.
-    asks: bool,
+struct DirectoryMessage {
+    /// Whether the receiver is to send the same of itself.
+    wants_reply: bool,
     name: String,
+    /// When the process started, in Unix microseconds.
     start: u64,
-    place: SocketAddr,
+    /// Where it accepts connections of peers.
+    address: SocketAddr,
 }
 
-struct Known {
-    /// The start that membership had of it then.
-    member: u64,
-    neighbour: PeerAddress,
+/// A process that has told where it accepts connections.
+struct KnownPeer {
+    /// The start by which membership knew it at that time. It is not the one in `address`: each of
+    /// the two counts its own.
+    membership_start: u64,
+    address: PeerAddress,
 }
 
-/// Who is linked where.
-pub(super) struct Directory {
+#[derive(Default)]
+struct State {
+    /// By name.
+    known: BTreeMap<String, KnownPeer>,
+    /// The members that were alive when this process last looked as an active member.
+    live: Vec<LivePeer>,
+    /// Those of whom another process of this proxy told at the start, and who are not known to be
+    /// gone.
+    handed_over: Vec<PeerAddress>,
+}
+
+/// Keeps the transport's list of peers up to date.
+pub(super) struct PeerDirectory {
     config: PolicyConfig,
     fleet: Arc<Fleet>,
     node: Arc<ConsensusNode<TcpNetwork>>,
-    me: Process,
-    known: Mutex<BTreeMap<String, Known>>,
-    there: Mutex<Vec<LivePeer>>,
-    /// What another process of this proxy told at the start.
-    given: Mutex<Vec<PeerAddress>>,
+    process: Process,
+    /// Who is known. It is not locked while the fleet is called, which calls
+    /// [`PeerDirectory::on_message`] with its own lock held.
+    state: Mutex<State>,
 }
 
-impl Directory {
-    /// Nobody is known but those whom another process of this proxy told of.
+impl PeerDirectory {
+    /// A directory that knows those of whom another process of this proxy told.
     pub(super) fn new(
         config: PolicyConfig,
         fleet: Arc<Fleet>,
         node: Arc<ConsensusNode<TcpNetwork>>,
-        me: Process,
-        given: Vec<PeerAddress>,
-    ) -> Directory {
-        let (known, there) = (Mutex::default(), Mutex::default());
-        Directory { config, fleet, node, me, known, there, given: Mutex::new(given) }
+        handed_over: Vec<PeerAddress>,
+    ) -> PeerDirectory {
+        let process = node.process().clone();
+        let state = Mutex::new(State { handed_over, ..State::default() });
+        PeerDirectory { config, fleet, node, process, state }
     }
 
-    /// Keeps it true until the process ends.
-    pub(super) async fn keep(self: Arc<Self>, ended: &Receiver<()>) {
-        let hearing = Arc::clone(&self);
-        self.fleet.set_directory_handler(Box::new(move |from, body| hearing.heard(from, body)));
-        let mut listening: Option<JoinHandle<()>> = None;
-        let (mut seated, mut said) = (false, None);
-        while ended.try_recv() != Err(TryRecvError::Disconnected) {
-            let there = self.fleet.live_peers();
-            let speaks = there.is_some();
-            // Danger: two processes of one proxy must not vote with one seat: who speaks in the fleet has it.
-            if speaks && listening.is_none() {
-                match self.node.transport().listen(self.config.bind).await {
-                    Ok(listens) => listening = Some(listens),
-                    Err(error) => {
-                        self.say_once(&mut said, &format!("links at {}: {error}", self.config.bind))
-                    }
-                }
-            }
-            if speaks && !seated && listening.is_some() {
-                seated = self.take_seat(&mut said);
-            }
-            if !speaks {
-                listening.take().into_iter().for_each(|listens| listens.abort());
-                if std::mem::take(&mut seated) && self.config.seat.is_some() {
-                    self.node.resign_voter();
-                }
+    /// Keeps the transport's peers, listener and voter id as they should be, until the sender of
+    /// `stop` is dropped.
+    pub(super) async fn run(self: Arc<Self>, stop: &Receiver<()>) {
+        let receiver = Arc::clone(&self);
+        self.fleet.set_directory_handler(Box::new(move |from, body| receiver.on_message(from, body)));
+        let mut presence = Presence::new(self.config.clone(), Arc::clone(&self.node));
+        while stop.try_recv() != Err(TryRecvError::Disconnected) {
+            let live = self.fleet.live_peers();
+            presence.update(live.is_some()).await;
+            match live {
+                Some(live) => self.update_as_active_member(live),
+                None => self.dial_all_known(),
             }
-            self.meet(there);
-            sleep(LOOK_EVERY).await;
+            sleep(UPDATE_INTERVAL).await;
         }
     }
 
-    fn say_once(&self, said: &mut Option<String>, words: &str) {
-        if said.as_deref() != Some(words) {
-            log(&format!("ERROR: policy: {words}; it is tried again"));
-            *said = Some(words.to_owned());
-        }
+    /// All that are known, this process included, for a newcomer of this proxy.
+    pub(super) fn peer_addresses(&self) -> Vec<PeerAddress> {
+        let mut addresses = self.state().known_addresses();
+        addresses.push(PeerAddress {
+            name: self.process.name.to_string(),
+            start: self.process.start,
+            place: self.config.advertise,
+        });
+        addresses
     }
 
-    /// Whether this process holds what seat it is to hold.
-    fn take_seat(&self, said: &mut Option<String>) -> bool {
-        let (Some(seat), Some(path)) = (self.config.seat, &self.config.state_dir) else { return true };
-        let taken =
-            FileStorage::take(path.clone()).and_then(|disk| self.node.become_voter(seat, Box::new(disk)));
-        match taken {
-            Ok(()) => true,
-            // The process that it belongs to lets go of it soon.
-            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
-            Err(error) => {
-                self.say_once(said, &format!("this founder has no seat: {}: {error}", path.display()));
-                false
-            }
+    /// Asks live members that are not known yet where they accept connections, and dials those
+    /// with a higher name.
+    fn update_as_active_member(&self, live: Vec<LivePeer>) {
+        let unknown = self.state().set_live(live);
+        for address in unknown {
+            self.fleet.send_directory_message(address, &self.own_message(true));
         }
+        let peers = {
+            let mut state = self.state();
+            let mut peers = state.handed_over.clone();
+            let known = state.known_addresses();
+            peers.extend(known.into_iter().filter(|peer| *self.process.name < *peer.name));
+            state.forget_gone_handed_over();
+            peers
+        };
+        self.dial(peers);
     }
 
-    /// Asks members of whom it is not known where they are, and has those dialled that are to be.
-    fn meet(&self, there: Option<Vec<LivePeer>>) {
-        let speaks = there.is_some();
-        let mut peers: Vec<PeerAddress> = lock(&self.given).clone();
-        if let Some(there) = there {
-            let mut known = lock(&self.known);
-            known.retain(|name, known| {
-                there.iter().any(|(of, start, _)| **of == **name && *start == known.member)
-            });
-            let unknown: Vec<SocketAddr> = there
-                .iter()
-                .filter(|(name, ..)| !known.contains_key(&**name))
-                .map(|(_, _, place)| *place)
-                .collect();
-            drop(known);
-            *lock(&self.there) = there;
-            for place in unknown {
-                self.fleet.send_directory_message(place, &self.own(true));
-            }
-        }
-        let known = lock(&self.known);
-        let dialled = known.values().map(|known| &known.neighbour);
-        peers.extend(dialled.filter(|other| !speaks || *self.me.name < *other.name).cloned());
-        drop(known);
-        // Of those told at the start, who is a later process by now is dialled as that.
+    fn dial_all_known(&self) {
+        let peers = {
+            let state = self.state();
+            let mut peers = state.handed_over.clone();
+            peers.extend(state.known_addresses());
+            peers
+        };
+        self.dial(peers);
+    }
+
+    /// Has the transport dial these, and no others. Where one that was handed over is a later
+    /// process by now, its handshake says so, and the connection counts as that process's.
+    fn dial(&self, peers: Vec<PeerAddress>) {
         let peers = peers.into_iter().map(|peer| Peer {
             process: Process { name: peer.name.into(), start: peer.start },
             address: peer.place,
         });
         self.node.transport().set_peers(peers.collect());
-        if speaks {
-            let there: Vec<String> = lock(&self.there).iter().map(|(name, ..)| name.to_string()).collect();
-            lock(&self.given).retain(|given| there.contains(&given.name));
-        }
     }
 
-    fn own(&self, asks: bool) -> Vec<u8> {
-        let (name, start) = (self.me.name.to_string(), self.me.start);
-        postcard::to_allocvec(&Said { asks, name, start, place: self.config.advertise }).unwrap_or_default()
+    /// A member has sent where it accepts connections. It is called with the fleet locked.
+    fn on_message(&self, from: SocketAddr, body: &[u8]) {
+        let Ok(message) = postcard::from_bytes::<DirectoryMessage>(body) else { return };
+        let wants_reply = message.wants_reply;
+        self.state().record(from, message);
+        if wants_reply {
+            let fleet = Arc::clone(&self.fleet);
+            let reply = self.own_message(false);
+            // In a coroutine, since the fleet is locked here; it ends once the reply is sent.
+            may::go!(move || fleet.send_directory_message(from, &reply));
+        }
     }
 
-    fn heard(&self, from: SocketAddr, body: &[u8]) {
-        let Ok(said) = postcard::from_bytes::<Said>(body) else { return };
-        let member = {
-            let there = lock(&self.there);
-            there.iter().find(|(name, _, place)| **name == *said.name && *place == from).map(|there| there.1)
+    fn own_message(&self, wants_reply: bool) -> Vec<u8> {
+        let message = DirectoryMessage {
+            wants_reply,
+            name: self.process.name.to_string(),
+            start: self.process.start,
+            address: self.config.advertise,
         };
-        // Whom membership does not know yet asks again.
-        if let Some(member) = member {
-            let neighbour = PeerAddress { name: said.name.clone(), start: said.start, place: said.place };
-            lock(&self.known).insert(said.name, Known { member, neighbour });
-        }
-        if said.asks {
-            // Answered from elsewhere: this is called with the fleet locked.
-            let (fleet, own) = (Arc::clone(&self.fleet), self.own(false));
-            may::go!(move || fleet.send_directory_message(from, &own));
-        }
+        // It cannot fail: postcard represents all of the fields.
+        postcard::to_allocvec(&message).unwrap_or_default()
     }
 
-    /// All that are known, this process included, for a newcomer of this proxy.
-    pub(super) fn neighbours(&self) -> Vec<PeerAddress> {
-        let known = lock(&self.known);
-        let own = PeerAddress {
-            name: self.me.name.to_string(),
-            start: self.me.start,
-            place: self.config.advertise,
-        };
-        known.values().map(|known| known.neighbour.clone()).chain([own]).collect()
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
+impl State {
+    fn known_addresses(&self) -> Vec<PeerAddress> {
+        self.known.values().map(|peer| peer.address.clone()).collect()
+    }
+
+    /// Sets who is alive and forgets who is not; the addresses of those that are not known yet.
+    fn set_live(&mut self, live: Vec<LivePeer>) -> Vec<SocketAddr> {
+        self.known.retain(|known_name, peer| {
+            live.iter().any(|(name, start, _)| **name == **known_name && *start == peer.membership_start)
+        });
+        let unknown = live.iter().filter(|(name, ..)| !self.known.contains_key(&**name));
+        let addresses = unknown.map(|(_, _, address)| *address).collect();
+        self.live = live;
+        addresses
+    }
+
+    fn forget_gone_handed_over(&mut self) {
+        let live = &self.live;
+        self.handed_over.retain(|peer| live.iter().any(|(name, ..)| **name == *peer.name));
+    }
+
+    /// Takes what the member at an address sent. If membership does not know it yet, it is ignored:
+    /// it will be asked once membership does.
+    fn record(&mut self, from: SocketAddr, message: DirectoryMessage) {
+        let mut live = self.live.iter();
+        let sender = live.find(|(name, _, address)| **name == *message.name && *address == from);
+        let Some((_, membership_start, _)) = sender else { return };
+        let membership_start = *membership_start;
+        let address =
+            PeerAddress { name: message.name.clone(), start: message.start, place: message.address };
+        self.known.insert(message.name, KnownPeer { membership_start, address });
+    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/net/policy/error.rs
@@ -0,0 +1,70 @@
+//! What can go wrong with the fleet's policy at this process. Operators and other processes read
+//! the texts of [`PolicyTextError`] and [`RestoreError`].
+
+use crate::net::config::ConfigError;
+use std::io;
+use thiserror::Error;
+
+/// Why this process cannot take part in the fleet's policy.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum PolicyError {
+    /// The settings of this process's file may have to be the first policy, and cannot be.
+    #[error("settings cannot be the fleet's policy: {0}")]
+    InitialPolicy(#[from] PolicyTextError),
+    /// The thread cannot be started.
+    #[error("its thread cannot be started: {0}")]
+    Thread(#[source] io::Error),
+    /// The runtime of the thread cannot be built.
+    #[error("its runtime cannot be built: {0}")]
+    Runtime(#[source] io::Error),
+    /// The thread ended before it had begun.
+    #[error("its thread ended at its start")]
+    ThreadEnded,
+}
+
+/// Why a text cannot be the policy of this process.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum PolicyTextError {
+    /// It is not JSON.
+    #[error("settings: {0}")]
+    Json(#[source] serde_json::Error),
+    /// It is not a JSON object.
+    #[error("settings: no object")]
+    NotAnObject,
+    /// It has a key that this program does not know.
+    #[error("settings.{key}: this program does not know it; the nearest known one is {nearest:?}")]
+    UnknownKey {
+        /// The key.
+        key: String,
+        /// The known key that is most like it.
+        nearest: String,
+    },
+    /// Its settings are wrong, or cannot follow those that are active.
+    #[error(transparent)]
+    Settings(#[from] ConfigError),
+    /// A request may take longer than leased quota lasts.
+    #[error("Grades: the longest GiveUp, {give_up_ms}, is over fleet.call_ms, {call_ms}")]
+    GiveUpOverCallLimit {
+        /// The longest time after which a class gives up.
+        give_up_ms: f64,
+        /// The longest that a call may run in this fleet.
+        call_ms: u64,
+    },
+}
+
+/// Why the approved version is not applied again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum RestoreError {
+    /// This process has not learnt it.
+    #[error("what was approved is not known here")]
+    ApprovedUnknown,
+    /// This process has another version.
+    #[error("this process does not have the approved version: it catches up by itself")]
+    OtherVersion,
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/policy/golden_tests.rs
+++ b/src/net/policy/golden_tests.rs
@@ -3,7 +3,7 @@
 //! names of types and fields are part of them: a renamed one would be told of as drift of every
 //! process that runs another version. All figures were recorded before any renaming.
 
-use super::{digest, drift_monitor, text};
+use super::{applier, digest, text};
 use crate::net::config::Rules;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -38,7 +38,7 @@
 
 fn parts() -> BTreeMap<String, u64> {
     let rules = Rules::of(&settings()).unwrap();
-    digest::parts(&rules.settings, &rules.names, rules.connect_timeout)
+    digest::part_digests(&rules.settings, &rules.names, rules.connect_timeout)
 }
 
 const PARTS: [(&str, u64); 11] = [
@@ -66,8 +66,8 @@
 
 #[test]
 fn the_digest_of_the_whole_is_the_recorded_figure() {
-    assert_eq!(digest::whole(&parts()), WHOLE);
-    assert_eq!(digest::whole(&BTreeMap::new()), WHOLE_OF_NOTHING);
+    assert_eq!(digest::combined_digest(&parts()), WHOLE);
+    assert_eq!(digest::combined_digest(&BTreeMap::new()), WHOLE_OF_NOTHING);
 }
 
 /// What digests are made from: the first lines to read if one of them has changed.
@@ -110,15 +110,15 @@
         r#""Safety":{"Cold":30000.0,"FallMultiple":1.75,"MustAskIn":2000.0,"#,
         r#""StartCapacity":0.25,"TipAfter":500.0},"Tick":2.5,"Zones":["east","west"]}"#,
     );
-    assert_eq!(text::common(&settings()), recorded);
+    assert_eq!(text::to_policy_text(&settings()), recorded);
 }
 
 #[test]
 fn a_proxy_keeps_its_own_number_and_zone() {
-    let common: Value = serde_json::from_str(&text::common(&settings())).unwrap();
+    let common: Value = serde_json::from_str(&text::to_policy_text(&settings())).unwrap();
     assert_eq!(common.get("MyNumber"), None);
     assert_eq!(common.get("Zone"), None);
-    assert_eq!(text::with_own(&common, &settings()), settings());
+    assert_eq!(text::with_local_keys(&common, &settings()), settings());
 }
 
 #[test]
@@ -126,10 +126,10 @@
     let recorded = "Callers Discovery Family FamilyInfo Goal Grades GroupSize Kinds MyNumber Orgs \
                     OverShareWorth Permissions Prices Report Safety Stage Stages Tick ValueBy \
                     Weights Zone Zones";
-    assert_eq!(text::KNOWN.join(" "), recorded);
+    assert_eq!(text::KNOWN_KEYS.join(" "), recorded);
 }
 
 #[test]
-fn words_of_drift_travel_under_number_one() {
-    assert_eq!(drift_monitor::FLOOR, 1);
+fn drift_messages_travel_on_channel_one() {
+    assert_eq!(applier::DRIFT_CHANNEL, 1);
 }
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -1,138 +1,133 @@
-//! One policy for the fleet: the driver of `pinetrail-policy-consensus`. It owns a thread on which the links and the book run (tokio),
-//! and says who is linked where; what is agreed is put in force at the exchange. Without `fleet.policy` there is none of it.
+//! One policy for the fleet: the driver of `pinetrail-policy-consensus`. Read [`Policy`] first.
+//!
+//! It owns a thread with a tokio runtime, on which the connections of peers and policy consensus
+//! run; it tells the transport which processes there are, and applies to the dispatcher what was
+//! agreed. Without `fleet.policy` in the configuration there is none of it.
 
 pub mod admin;
 mod applier;
 mod digest;
 mod directory;
 mod drift_monitor;
+mod error;
 #[cfg(test)]
 mod golden_tests;
+mod presence;
 mod text;
+mod thread;
+
+pub use error::{PolicyError, PolicyTextError, RestoreError};
 
 use super::backend::BackendService;
 use super::config::PolicyConfig;
 use super::dispatcher::{Dispatcher, PeerAddress};
 use super::fleet::Fleet;
 use super::log::log;
-use applier::App;
-use directory::Directory;
-use drift_monitor::Drift;
-use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing as LinkTimes, TransportConfig};
+use applier::ProxyPolicyApplier;
+use directory::PeerDirectory;
+use drift_monitor::DriftMonitor;
+use pinetrail_peer_transport::{PeerTransport, Process, TcpNetwork, Timing, TransportConfig};
 use pinetrail_policy_consensus::{AdmissionLease, ConsensusNode, ConsensusStatus, PolicyApplier, Settings};
 use serde_json::Value;
-use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
-use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::runtime::{Builder, Handle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use thread::{PolicyTasks, PolicyThread};
+
+/// The retry-after of a request that is rejected for want of an admission lease.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The pause between two looks whether this process has caught up.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// When who is refused for want of a permit is to come back.
-const BACK: Duration = Duration::from_millis(500);
-/// While a process catches up it looks so often whether it has.
-const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// What [`Policy::start`] needs.
+pub struct PolicyParameters<'a> {
+    /// The configuration under `fleet.policy`.
+    pub config: PolicyConfig,
+    /// The fleet, whose members are the peers.
+    pub fleet: &'a Arc<Fleet>,
+    /// Policies are applied to it.
+    pub dispatcher: &'a Arc<Dispatcher>,
+    /// Policies are applied to them too.
+    pub backends: &'a Arc<BackendService>,
+    /// The settings in this process's file: the first policy, if the fleet has none yet.
+    pub settings: &'a Value,
+    /// The peers that another process of this proxy handed over.
+    pub handed_over_peers: Vec<PeerAddress>,
+    /// Seeds what is random here, together with the time of the start.
+    pub seed: u64,
+}
 
-/// This process's part in the fleet's policy.
+/// This process's part in the fleet's policy. It ends when this value is dropped.
 pub struct Policy {
     config: PolicyConfig,
     node: Arc<ConsensusNode<TcpNetwork>>,
-    app: Arc<App>,
-    directory: Arc<Directory>,
-    drift: Arc<Drift>,
-    runtime: Handle,
-    /// The thread ends with it.
-    _end: Sender<()>,
+    applier: Arc<ProxyPolicyApplier>,
+    directory: Arc<PeerDirectory>,
+    drift_monitor: Arc<DriftMonitor>,
+    thread: PolicyThread,
 }
 
 impl Policy {
-    /// Begins: links with those of whom another process of this proxy told, and with all that the fleet knows.
-    pub fn start(
-        config: PolicyConfig,
-        fleet: &Arc<Fleet>,
-        (exchange, providers): (&Arc<Dispatcher>, &Arc<BackendService>),
-        settings: &Value,
-        given: Vec<PeerAddress>,
-        seed: u64,
-    ) -> Result<Arc<Policy>, String> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
-        let (name, fleet_name) = fleet.names();
-        let me = Process { name: name.as_str().into(), start };
-        let links = PeerTransport::new(
-            TcpNetwork,
-            TransportConfig {
-                fleet: fleet_name.clone(),
-                process: me.clone(),
-                local_address: config.bind.ip(),
-                timing: LinkTimes::default(),
-                seed: seed ^ start,
-            },
+    /// Starts it: connects with the peers that were handed over, and with all that the fleet knows.
+    /// From now on the dispatcher admits requests under an admission lease only.
+    ///
+    /// # Errors
+    ///
+    /// If the settings cannot be the fleet's policy, or the thread cannot be started.
+    pub fn start(parameters: PolicyParameters<'_>) -> Result<Arc<Policy>, PolicyError> {
+        let lease = new_lease(&parameters.config);
+        parameters.dispatcher.set_admission_lease(Arc::clone(&lease));
+        let applier = Arc::new(ProxyPolicyApplier::new(
+            Arc::clone(parameters.dispatcher),
+            Arc::clone(parameters.backends),
+            parameters.settings.clone(),
+            parameters.fleet.longest_call(),
+        ));
+        let node = new_node(&parameters, &applier, lease);
+        applier.check_initial_policy()?;
+        let PolicyParameters { config, fleet, handed_over_peers, .. } = parameters;
+        let directory = Arc::new(PeerDirectory::new(
+            config.clone(),
+            Arc::clone(fleet),
+            Arc::clone(&node),
+            handed_over_peers,
+        ));
+        let drift_monitor = DriftMonitor::new(
+            Arc::clone(fleet),
+            Arc::clone(&node),
+            Arc::clone(&applier),
+            config.restore_after,
         );
-        let permit = Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, BACK));
-        exchange.set_admission_lease(Arc::clone(&permit));
-        let calls = fleet.longest_call();
-        let app = Arc::new(App::new(Arc::clone(exchange), Arc::clone(providers), settings, calls));
-        let node = ConsensusNode::new(
-            Settings {
-                process: me.clone(),
-                voters: config.seats,
-                timing: config.times,
-                lease_expiry_mode: config.when_cut,
-                initial_policy: text::common(settings),
-                seed: seed ^ start,
-            },
-            &fleet_name,
-            links,
-            Arc::clone(&app) as Arc<dyn PolicyApplier>,
-            permit,
-        );
-        app.first_is_good()?;
-        let directory =
-            Arc::new(Directory::new(config.clone(), Arc::clone(fleet), Arc::clone(&node), me, given));
-        let restore = config.restore_after;
-        let drift = Drift::new(Arc::clone(fleet), Arc::clone(&node), Arc::clone(&app), restore);
-        let looking = Arc::clone(&drift);
-        let (end, ended) = channel::<()>();
-        let (say, said) = channel();
-        let (starting, keeping) = (Arc::clone(&node), Arc::clone(&directory));
-        let run = move || {
-            let built = Builder::new_current_thread().enable_all().build();
-            let runtime = match built {
-                Ok(runtime) => runtime,
-                Err(error) => return drop(say.send(Err(error.to_string()))),
-            };
-            runtime.block_on(async move {
-                // Whoever started it waits for this.
-                let _ = say.send(Ok(Handle::current()));
-                starting.start();
-                tokio::spawn(looking.keep());
-                keeping.keep(&ended).await;
-            });
-        };
-        thread::Builder::new().name("policy".to_owned()).spawn(run).map_err(|error| error.to_string())?;
-        let runtime = said.recv().map_err(|error| error.to_string())??;
-        Ok(Arc::new(Policy { config, node, app, directory, drift, runtime, _end: end }))
+        let thread = PolicyThread::spawn(PolicyTasks {
+            node: Arc::clone(&node),
+            directory: Arc::clone(&directory),
+            drift_monitor: Arc::clone(&drift_monitor),
+        })?;
+        Ok(Arc::new(Policy { config, node, applier, directory, drift_monitor, thread }))
     }
 
-    /// Waits until this process may take clients. False if it was asked to stop before. It blocks the thread that calls.
+    /// Waits until this process may admit requests. False if it was asked to stop before. It blocks
+    /// the thread that calls.
     pub fn catch_up(&self, mut is_asked_to_stop: impl FnMut() -> bool) -> bool {
-        let begun = std::time::Instant::now();
-        let mut said = false;
+        let started_at = Instant::now();
+        let mut is_logged = false;
         while !self.admits() {
             if is_asked_to_stop() {
                 return false;
             }
-            if begun.elapsed() > self.config.catch_up && !std::mem::replace(&mut said, true) {
-                log(&format!("ERROR: policy: not ready after {:?}: {}", begun.elapsed(), self.why_not()));
+            let elapsed = started_at.elapsed();
+            if elapsed > self.config.catch_up && !is_logged {
+                is_logged = true;
+                log(&format!("ERROR: policy: not ready after {elapsed:?}: {}", self.why_not()));
             }
-            thread::sleep(LOOK_EVERY);
+            std::thread::sleep(CATCH_UP_POLL_INTERVAL);
         }
         true
     }
 
     /// Whether this process admits requests.
     pub fn admits(&self) -> bool {
-        matches!(self.node.status().2, ConsensusStatus::Steady | ConsensusStatus::Changing)
+        let (_, _, status, _) = self.node.status();
+        matches!(status, ConsensusStatus::Steady | ConsensusStatus::Changing)
     }
 
     /// Why it does not.
@@ -140,33 +135,76 @@
         self.node.not_ready_reason()
     }
 
-    /// Whether SIGHUP puts settings of the file in force.
+    /// Whether SIGHUP applies the settings of the file.
     pub fn lets_in_local_settings(&self) -> bool {
         self.config.local
     }
 
-    /// Whether the settings of a file are those in force.
+    /// Whether these settings are those of the active policy.
     pub fn is_in_force(&self, settings: &Value) -> bool {
-        self.app.is_in_force(settings)
+        self.applier.is_active(settings)
     }
 
-    /// The longest that a class in force waits, in ms; none before any is.
+    /// The longest time after which a class of the active policy gives up, in ms; none before a
+    /// policy is active.
     pub fn longest_wait(&self) -> Option<f64> {
-        self.app.longest_wait()
+        self.applier.longest_give_up_ms()
     }
 
-    /// The other processes of the fleet, for a newcomer of this proxy.
+    /// The processes of the fleet that are known, this one included, for a newcomer of this proxy.
     pub fn neighbours(&self) -> Vec<PeerAddress> {
-        self.directory.neighbours()
+        self.directory.peer_addresses()
     }
 
-    /// What was counted, by name.
+    /// The counters, by their names in `stats`.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
         vec![
             ("policy_version", self.node.status().0),
             ("policy_links", self.node.transport().connected_peers().len() as u64),
             ("policy_refused", self.node.admission_lease().rejections()),
-            ("policy_drift_alarms", self.drift.alarms()),
+            ("policy_drift_alarms", self.drift_monitor.alarms_raised()),
         ]
     }
 }
+
+fn new_lease(config: &PolicyConfig) -> Arc<AdmissionLease> {
+    Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, REJECTED_RETRY_AFTER))
+}
+
+/// The node of this process, and the transport under it.
+fn new_node(
+    parameters: &PolicyParameters<'_>,
+    applier: &Arc<ProxyPolicyApplier>,
+    lease: Arc<AdmissionLease>,
+) -> Arc<ConsensusNode<TcpNetwork>> {
+    let config = &parameters.config;
+    let start = unix_micros();
+    let seed = parameters.seed ^ start;
+    let (name, fleet_name) = parameters.fleet.names();
+    let process = Process { name: name.into(), start };
+    let transport = PeerTransport::new(
+        TcpNetwork,
+        TransportConfig {
+            fleet: fleet_name.clone(),
+            process: process.clone(),
+            local_address: config.bind.ip(),
+            timing: Timing::default(),
+            seed,
+        },
+    );
+    let settings = Settings {
+        process,
+        voters: config.seats,
+        timing: config.times,
+        lease_expiry_mode: config.when_cut,
+        initial_policy: text::to_policy_text(parameters.settings),
+        seed,
+    };
+    let applier = Arc::clone(applier) as Arc<dyn PolicyApplier>;
+    ConsensusNode::new(settings, &fleet_name, transport, applier, lease)
+}
+
+fn unix_micros() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/net/policy/text.rs
+++ b/src/net/policy/text.rs
@@ -1,11 +1,14 @@
-//! The policy as a text that all proxies have alike: the settings but for what belongs to one proxy alone.
+//! The policy as a text that is the same at all proxies: the settings without what belongs to one
+//! proxy alone.
 
 use serde_json::Value;
 
-/// What belongs to one proxy: each keeps its own.
-const OWN: [&str; 2] = ["MyNumber", "Zone"];
-/// All that this program knows of settings. Danger: a slip in a policy would take hold everywhere at once.
-pub(super) const KNOWN: [&str; 22] = [
+/// The keys that belong to one proxy: each keeps its own.
+const LOCAL_KEYS: [&str; 2] = ["MyNumber", "Zone"];
+/// All keys of settings that this program knows.
+///
+/// Danger: a slip in a policy would take hold everywhere at once, so that other keys are refused.
+pub(super) const KNOWN_KEYS: [&str; 22] = [
     "Callers",
     "Discovery",
     "Family",
@@ -30,29 +33,29 @@
     "Zones",
 ];
 
-/// What all have alike, in one form: its keys are in order.
-pub(super) fn common(settings: &Value) -> String {
-    let mut common = settings.clone();
-    if let Some(object) = common.as_object_mut() {
-        for key in &OWN {
-            drop(object.remove(*key));
+/// The text of the policy that these settings are: without local keys, and with all keys in order.
+pub(super) fn to_policy_text(settings: &Value) -> String {
+    let mut policy = settings.clone();
+    if let Some(object) = policy.as_object_mut() {
+        for key in LOCAL_KEYS {
+            object.remove(key);
         }
     }
-    common.to_string()
+    policy.to_string()
 }
 
-/// The same with what is this proxy's own.
-pub(super) fn with_own(common: &Value, own: &Value) -> Value {
-    let mut all = common.clone();
-    if let Some(object) = all.as_object_mut() {
-        for key in OWN {
+/// The settings of one proxy: the policy, with the local keys of that proxy's own settings.
+pub(super) fn with_local_keys(policy: &Value, local_settings: &Value) -> Value {
+    let mut settings = policy.clone();
+    if let Some(object) = settings.as_object_mut() {
+        for key in LOCAL_KEYS {
             object.remove(key);
-            if let Some(value) = own.get(key) {
+            if let Some(value) = local_settings.get(key) {
                 object.insert(key.to_owned(), value.clone());
             }
         }
     }
-    all
+    settings
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/net/policy/thread.rs
@@ -0,0 +1,64 @@
+//! The thread on which policy consensus runs: [`PolicyThread`].
+
+use super::directory::PeerDirectory;
+use super::drift_monitor::DriftMonitor;
+use super::error::PolicyError;
+use pinetrail_peer_transport::TcpNetwork;
+use pinetrail_policy_consensus::ConsensusNode;
+use std::io;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread;
+use tokio::runtime::{Builder, Handle};
+
+/// What runs on the thread.
+pub(super) struct PolicyTasks {
+    pub(super) node: Arc<ConsensusNode<TcpNetwork>>,
+    pub(super) directory: Arc<PeerDirectory>,
+    pub(super) drift_monitor: Arc<DriftMonitor>,
+}
+
+/// A thread with a tokio runtime. The thread ends soon after this value is dropped, and with it all
+/// tasks of the runtime.
+pub(super) struct PolicyThread {
+    runtime: Handle,
+    /// Nothing is sent: the thread watches for the end of the channel.
+    _stop: Sender<()>,
+}
+
+impl PolicyThread {
+    /// Starts the thread and waits until its runtime is up.
+    pub(super) fn spawn(tasks: PolicyTasks) -> Result<PolicyThread, PolicyError> {
+        let (stop_sender, stop) = channel();
+        let (started_sender, started) = channel();
+        thread::Builder::new()
+            .name("policy".to_owned())
+            .spawn(move || run(tasks, &started_sender, &stop))
+            .map_err(PolicyError::Thread)?;
+        let runtime = started.recv().map_err(|_| PolicyError::ThreadEnded)?.map_err(PolicyError::Runtime)?;
+        Ok(PolicyThread { runtime, _stop: stop_sender })
+    }
+
+    /// The runtime of the thread, on which other threads may spawn tasks.
+    pub(super) fn runtime(&self) -> &Handle {
+        &self.runtime
+    }
+}
+
+fn run(tasks: PolicyTasks, started: &Sender<io::Result<Handle>>, stop: &Receiver<()>) {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            // The thread that spawned this one waits for it.
+            let _ = started.send(Err(error));
+            return;
+        }
+    };
+    runtime.block_on(async {
+        let _ = started.send(Ok(Handle::current()));
+        tasks.node.start();
+        // It ends with the runtime.
+        tokio::spawn(tasks.drift_monitor.run());
+        tasks.directory.run(stop).await;
+    });
+}
