--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -158,11 +158,11 @@
             };
         }
         Call::Fleet => return report(lifecycle),
-        Call::Policy => return policy(lifecycle).map(|policy| Said::answer(policy.standing())),
-        Call::Drift => return policy(lifecycle).map(|policy| Said::answer(policy.drift())),
+        Call::Policy => return policy(lifecycle).map(|policy| Said::answer(policy.status())),
+        Call::Drift => return policy(lifecycle).map(|policy| Said::answer(policy.drift_report())),
         Call::Restore => return policy(lifecycle).map(|policy| Said::answer(policy.restore())),
         Call::Propose(body) => return policy(lifecycle).map(|policy| Said::answer(policy.propose(&body))),
-        Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change(&id))),
+        Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change_status(&id))),
         Call::Offline(id) => {
             exchange.enter_maintenance(&id).map_err(|error| refused(&error))?;
             let text = format!("{id} is out: nothing more goes there until it is called back");
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -101,8 +101,8 @@
     pub fn why_not_ready(&self) -> String {
         let serves = self.stand().serves();
         match self.policy().filter(|_| !self.is_ready()) {
-            Some(policy) if serves => format!("not ready: fenced: {}", policy.why_not()),
-            Some(policy) => format!("not ready: it catches up: {}", policy.why_not()),
+            Some(policy) if serves => format!("not ready: fenced: {}", policy.not_ready_reason()),
+            Some(policy) => format!("not ready: it catches up: {}", policy.not_ready_reason()),
             None => "not ready: starting or stopping".to_owned(),
         }
     }
@@ -174,7 +174,7 @@
         }
         self.enter(Phase::Draining);
         self.fleet().into_iter().for_each(|fleet| fleet.begin_to_leave());
-        let governed = self.policy().and_then(|policy| policy.longest_wait());
+        let governed = self.policy().and_then(|policy| policy.longest_give_up_ms());
         let longest = longest_wait(governed.unwrap_or_else(|| longest_give_up(&config.settings)));
         drain(sides, Drain::for_wait(longest), self.takeover.leave());
         self.takeover.end();
@@ -192,8 +192,8 @@
             Ok(newer) => {
                 self.counters.reloads.add();
                 let classes = newer.names.classes().join(", ");
-                match self.policy().filter(|policy| !policy.lets_in_local_settings()) {
-                    Some(policy) if policy.is_in_force(newer.given_settings()) => {
+                match self.policy().filter(|policy| !policy.allows_local_settings()) {
+                    Some(policy) if policy.is_active(newer.given_settings()) => {
                         log("reload: the settings are those of the fleet's policy in force");
                     }
                     Some(_) => log(
@@ -301,7 +301,7 @@
                 self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
             let (counted, policy) = (Arc::clone(fleet), Arc::clone(self));
             self.counters.others.are(move || {
-                let policy = policy.policy().map_or(Vec::new(), |policy| policy.list());
+                let policy = policy.policy().map_or(Vec::new(), |policy| policy.counters());
                 counted.list().into_iter().chain(policy).collect()
             });
             if given.is_none() {
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -60,7 +60,7 @@
 
 impl Policy {
     /// `GET /control/policy`.
-    pub fn standing(&self) -> PolicyResponse {
+    pub fn status(&self) -> PolicyResponse {
         let (version, digest, state, change) = self.node.status();
         let state = match state {
             ConsensusStatus::Steady => "steady",
@@ -95,7 +95,7 @@
     }
 
     /// `GET /control/drift`.
-    pub fn drift(&self) -> PolicyResponse {
+    pub fn drift_report(&self) -> PolicyResponse {
         PolicyResponse::new(200, &self.drift_monitor.to_json())
     }
 
@@ -108,7 +108,7 @@
     }
 
     /// `GET /control/policy/changes/ID`.
-    pub fn change(&self, id: &str) -> PolicyResponse {
+    pub fn change_status(&self, id: &str) -> PolicyResponse {
         let node = Arc::clone(&self.node);
         let id = id.to_owned();
         let status = self.wait_for(async move { node.change_status(&id, FOUNDER_TIMEOUT).await });
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -110,14 +110,14 @@
     pub fn catch_up(&self, mut is_asked_to_stop: impl FnMut() -> bool) -> bool {
         let started_at = Instant::now();
         let mut is_logged = false;
-        while !self.admits() {
+        while !self.is_admitting() {
             if is_asked_to_stop() {
                 return false;
             }
             let elapsed = started_at.elapsed();
             if elapsed > self.config.catch_up && !is_logged {
                 is_logged = true;
-                log(&format!("ERROR: policy: not ready after {elapsed:?}: {}", self.why_not()));
+                log(&format!("ERROR: policy: not ready after {elapsed:?}: {}", self.not_ready_reason()));
             }
             std::thread::sleep(CATCH_UP_POLL_INTERVAL);
         }
@@ -125,39 +125,39 @@
     }
 
     /// Whether this process admits requests.
-    pub fn admits(&self) -> bool {
+    pub fn is_admitting(&self) -> bool {
         let (_, _, status, _) = self.node.status();
         matches!(status, ConsensusStatus::Steady | ConsensusStatus::Changing)
     }
 
     /// Why it does not.
-    pub fn why_not(&self) -> String {
+    pub fn not_ready_reason(&self) -> String {
         self.node.not_ready_reason()
     }
 
     /// Whether SIGHUP applies the settings of the file.
-    pub fn lets_in_local_settings(&self) -> bool {
+    pub fn allows_local_settings(&self) -> bool {
         self.config.local
     }
 
     /// Whether these settings are those of the active policy.
-    pub fn is_in_force(&self, settings: &Value) -> bool {
+    pub fn is_active(&self, settings: &Value) -> bool {
         self.applier.is_active(settings)
     }
 
     /// The longest time after which a class of the active policy gives up, in ms; none before a
     /// policy is active.
-    pub fn longest_wait(&self) -> Option<f64> {
+    pub fn longest_give_up_ms(&self) -> Option<f64> {
         self.applier.longest_give_up_ms()
     }
 
     /// The processes of the fleet that are known, this one included, for a newcomer of this proxy.
-    pub fn neighbours(&self) -> Vec<PeerAddress> {
+    pub fn peer_addresses(&self) -> Vec<PeerAddress> {
         self.directory.peer_addresses()
     }
 
     /// The counters, by their names in `stats`.
-    pub fn list(&self) -> Vec<(&'static str, u64)> {
+    pub fn counters(&self) -> Vec<(&'static str, u64)> {
         vec![
             ("policy_version", self.node.status().0),
             ("policy_links", self.node.transport().connected_peers().len() as u64),
