--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -210,3 +210,5 @@
 #[cfg(test)]
 #[path = "directory_golden_tests.rs"]
 mod golden_tests;
+#[cfg(test)]
+mod tests;
--- a/src/net/policy/golden_tests.rs
+++ b/src/net/policy/golden_tests.rs
@@ -1,4 +1,4 @@
-//! What leaves the process: digests of the settings in force, and the policy as a text. Processes
+//! What leaves the process: digests of the active settings, and the policy as a text. Processes
 //! of other versions compare both. Danger: digests are made from `{:?}` of the settings, so that
 //! names of types and fields are part of them: a renamed one would be told of as drift of every
 //! process that runs another version. All figures were recorded before any renaming.
