--- a/crates/simulation/src/quota.rs
+++ b/crates/simulation/src/quota.rs
@@ -141,7 +141,7 @@
 
     /// Kills the process on a host; its calls run on.
     pub fn kill(&mut self, host: usize) {
-        let ends = self.now + self.settings.calls;
+        let ends = self.now + self.settings.longest_call;
         let this = &mut self.hosts[host];
         if this.shares.take().is_some() {
             this.calls.push((this.share, ends));
@@ -187,7 +187,7 @@
 
     /// What a host may use now.
     pub fn share(&self, host: usize) -> Parts {
-        self.at(host).map_or(0, |(shares, now)| shares.share(now))
+        self.at(host).map_or(0, |(shares, now)| shares.usable_parts(now))
     }
 
     /// Tells a host who is there.
@@ -238,7 +238,7 @@
         self.queue.insert((due, self.count), Event::Wake(host, self.count));
         for output in out {
             match output {
-                Output::QuotaEvent(news) => self.heard.push((self.now, host, news)),
+                Output::Event(news) => self.heard.push((self.now, host, news)),
                 Output::Send(to, message) => {
                     let to = (0..self.hosts.len()).find(|host| place(*host) == to).expect("a host");
                     self.messages += 1;
@@ -255,10 +255,10 @@
 
     /// Adds up what all use. A process that is stopped uses nothing, but what it would use once it goes on counts.
     fn watch(&mut self) {
-        let (now, calls) = (self.now, self.settings.calls);
+        let (now, calls) = (self.now, self.settings.longest_call);
         let (mut in_use, mut stewards) = (0, 0);
         for host in &mut self.hosts {
-            let share = host.shares.as_ref().map_or(0, |shares| shares.share(host.clock.at(now)));
+            let share = host.shares.as_ref().map_or(0, |shares| shares.usable_parts(host.clock.at(now)));
             if share < host.share {
                 host.calls.push((host.share, now + calls));
             }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -149,7 +149,7 @@
     /// Until it is granted more a process has its base.
     fn tell_base(&self) {
         if let Some(shares) = &self.config().quota {
-            let base = shares.settings.base() as f64 / pinetrail_quota::WHOLE_PARTS as f64;
+            let base = shares.settings.guaranteed_minimum() as f64 / pinetrail_quota::WHOLE_PARTS as f64;
             self.say(quota::Share { part: base, until: 0, base, whole: shares.whole });
         }
     }
@@ -243,7 +243,7 @@
 
     /// No call may run longer than this, in ms, if the fleet shares.
     pub fn longest_call(&self) -> Option<u64> {
-        self.config().quota.as_ref().map(|shares| shares.settings.calls)
+        self.config().quota.as_ref().map(|shares| shares.settings.longest_call)
     }
 
     /// The names of this member and of the fleet.
