--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A small hand-driven world for one balancer.
 #![allow(dead_code)]
 
+pub(crate) mod edited_history;
 pub(crate) mod fleet;
 pub(crate) mod recorded_events;
 
--- /dev/null
+++ b/tests/fleet/policy/configuration.rs
@@ -0,0 +1,100 @@
+//! What `fleet.policy` may say, what SIGHUP does to it, and that nothing is there without it.
+
+use super::*;
+
+#[test]
+fn sighup_compares_and_puts_nothing_in_force() {
+    let (mut fleet, watch) = under_load(4, 3);
+    let mut other = fleet.config(2, &[0, 1, 3]);
+    other["settings"] = settings(&fleet, 2);
+    other["listen"] = json!(fleet.process(2).client_address.to_string());
+    fleet.set_config(2, &other);
+    fleet.process(2).signal("HUP");
+    fleet.wait_until("it says where to propose it", |fleet| {
+        fleet.timeline.first_match("n2", "propose them by POST /control/policy", 0).is_some()
+    });
+    std::thread::sleep(ms(100));
+    assert_eq!(watch.judged()[1].1, 0, "all by the first version");
+    assert_eq!(ask(fleet.process(2).admin_address, "/control/policy")["version"], 1);
+}
+
+/// Guards against a policy that is on by a slip, or cannot be and is found out only when it is needed.
+#[test]
+fn what_is_wrong_with_a_policy_ends_the_start_with_one_line() {
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
+    let fleet = Fleet::new(options, nodes(), origin());
+    let good = fleet.config(0, &[1]);
+    let with = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = good.clone();
+        change(&mut config["fleet"]);
+        config
+    };
+    let bad = [
+        (with(&|fleet| fleet["policy"]["permitms"] = json!(5)), "nearest known one is \"permit_ms\""),
+        (with(&|fleet| drop(fleet["policy"].as_object_mut().unwrap().remove("state_dir"))), "state_dir"),
+        (with(&|fleet| drop(fleet.as_object_mut().unwrap().remove("founders"))), "needs founders"),
+        (with(&|fleet| fleet["policy"]["permit_ms"] = json!(100)), "permit_ms"),
+        (with(&|fleet| fleet["policy"]["hold_ms"] = json!(5000)), "hold_ms"),
+        (with(&|fleet| fleet["policy"]["when_cut"] = json!("hope")), "when_cut"),
+        (with(&|fleet| fleet["polcy"] = json!({})), "polcy"),
+        (with(&|fleet| fleet["size"] = json!(200)), "limits.sockets"),
+    ];
+    for (config, names) in bad {
+        let output = pinetrail_test_harness::end(pinetrail_test_harness::start(&config.to_string()));
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(names), "{names}: {said}");
+    }
+}
+
+#[test]
+fn without_a_policy_a_fleet_has_no_thread_and_no_socket_for_it() {
+    let options = Options { founders: vec![0], policy: true, ..Options::of(2) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    let mut without = fleet.config(1, &[0]);
+    without["fleet"].as_object_mut().unwrap().remove("policy");
+    fleet.set_config(1, &without);
+    fleet.start_together(&[0, 1]);
+    let threads = |member: usize| {
+        let path = format!("/proc/{}/task", fleet.process(member).id());
+        std::fs::read_dir(path).unwrap().count()
+    };
+    assert_eq!(threads(0), threads(1) + 1, "the thread of links and book");
+    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy").0, 404);
+    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/drift").0, 404);
+    let mut client = fleet.client(1);
+    client.send("stats\r\n");
+    let lines = std::iter::from_fn(|| Some(client.read_line()).filter(|line| line != "END\r\n"));
+    assert!(lines.into_iter().all(|line| !line.contains("policy")));
+}
+
+/// Guards against an example that does not start.
+#[test]
+fn the_example_of_three_proxies_with_one_policy_starts() {
+    let examples = [
+        include_str!("../../../deploy/fleet/policy/n0.json"),
+        include_str!("../../../deploy/fleet/policy/n1.json"),
+        include_str!("../../../deploy/fleet/policy/n2.json"),
+    ];
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    for (member, text) in examples.into_iter().enumerate() {
+        let example: serde_json::Value = serde_json::from_str(text).unwrap();
+        // Only its addresses and its folder are others here.
+        let mut config = fleet.config(member, &[0, 1, 2]);
+        for key in ["name", "settings", "limits", "seed"] {
+            config[key] = example[key].clone();
+        }
+        config["known"]["instances"] = json!([]);
+        let places = config["fleet"]["policy"].clone();
+        let mut policy = example["fleet"]["policy"].clone();
+        for key in ["bind", "advertise", "state_dir"] {
+            policy[key] = places[key].clone();
+        }
+        (config["fleet"]["policy"], config["fleet"]["size"]) = (policy, example["fleet"]["size"].clone());
+        config["fleet"]["call_ms"] = json!(2500);
+        fleet.set_config(member, &config);
+    }
+    fleet.start_together(&[0, 1, 2]);
+    fleet.wait_until("they agree", |fleet| has(fleet, &[0, 1, 2], 1));
+}
--- a/tests/fleet/policy.rs
+++ b/tests/fleet/policy/mod.rs
@@ -1,5 +1,8 @@
 //! One policy for a fleet of real processes, with faults between them: judged by what clients were answered.
 
+mod configuration;
+mod storage;
+
 use crate::{ms, nodes, origin};
 use pinetrail_test_harness::call_admin;
 use pinetrail_test_harness::fleet::{Fleet, Options};
@@ -25,6 +28,21 @@
     assert_eq!((status, said["version"].as_u64()), (202, Some(2)), "{said}");
 }
 
+/// A fleet in which all have the first version, and clients of it.
+fn under_load(members: usize, founders: usize) -> (Fleet, PolicyClients) {
+    let fleet = governed(members, founders);
+    let all: Vec<usize> = (0..members).collect();
+    fleet.wait_until("all have the first version", |fleet| has(fleet, &all, 1));
+    let watch = PolicyClients::all(&fleet);
+    std::thread::sleep(ms(150));
+    (fleet, watch)
+}
+
+fn ends(fleet: &Fleet, member: usize, how: &str) {
+    fleet.wait_until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
+    assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
+}
+
 #[test]
 fn a_change_takes_hold_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
@@ -45,21 +63,6 @@
     assert!(counts[0].1 > 50 && counts[1].1 > 50, "{counts:?}");
 }
 
-/// A fleet in which all have the first version, and clients of it.
-fn under_load(members: usize, founders: usize) -> (Fleet, PolicyClients) {
-    let fleet = governed(members, founders);
-    let all: Vec<usize> = (0..members).collect();
-    fleet.wait_until("all have the first version", |fleet| has(fleet, &all, 1));
-    let watch = PolicyClients::all(&fleet);
-    std::thread::sleep(ms(150));
-    (fleet, watch)
-}
-
-fn ends(fleet: &Fleet, member: usize, how: &str) {
-    fleet.wait_until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
-    assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
-}
-
 #[test]
 fn links_that_are_reset_in_the_middle_of_a_change_are_made_again() {
     let (fleet, watch) = under_load(4, 3);
@@ -252,59 +255,6 @@
     }
 }
 
-#[test]
-fn all_killed_after_the_yes_come_back_with_it() {
-    let (mut fleet, watch) = under_load(4, 3);
-    propose_second(&fleet, 3);
-    ends(&fleet, 3, "taken");
-    watch.judged();
-    (0..4).for_each(|member| fleet.kill(member));
-    fleet.start_together(&[0, 1, 2, 3]);
-    fleet.wait_until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-}
-
-#[test]
-fn a_founder_that_lost_its_disk_or_finds_it_torn_votes_again_and_knows_what_was_taken() {
-    let (mut fleet, watch) = under_load(4, 3);
-    propose_second(&fleet, 3);
-    ends(&fleet, 3, "taken");
-    for lost in [true, false] {
-        fleet.kill(1);
-        let file = fleet.state_dir(1).join("rulebook");
-        if lost {
-            std::fs::remove_dir_all(fleet.state_dir(1)).unwrap()
-        } else {
-            std::fs::write(&file, &std::fs::read(&file).unwrap()[..40]).unwrap()
-        }
-        fleet.start(1);
-        fleet.wait_until("it votes", |fleet| {
-            fleet.timeline.first_match("n1", "this founder votes", 0).is_some()
-        });
-        fleet.wait_until("it has it", |fleet| has(fleet, &[1], 2));
-    }
-    let aside = std::fs::read_dir(fleet.state_dir(1)).unwrap();
-    assert!(aside.flatten().any(|file| file.file_name().to_string_lossy().starts_with("rulebook.torn-")));
-    // What follows is a third version, which these clients cannot tell from the first.
-    watch.judged();
-    // Without the other one its vote is needed.
-    fleet.kill(0);
-    let (status, said) = propose(fleet.process(3).admin_address, "y", 2, &settings(&fleet, 1));
-    assert_eq!(status, 202, "{said}");
-    fleet.wait_until("it is taken", |fleet| has(fleet, &[1, 2, 3], 3));
-}
-
-#[test]
-fn a_founder_whose_disk_is_full_does_not_vote_and_two_others_do() {
-    let (fleet, watch) = under_load(4, 3);
-    // What is written aside cannot be: a folder is in its place.
-    std::fs::create_dir(fleet.state_dir(2).join("rulebook.new")).unwrap();
-    propose_second(&fleet, 3);
-    ends(&fleet, 3, "taken");
-    assert!(fleet.timeline.first_match("n2", "this founder cannot vote", 0).is_some());
-    fleet.wait_until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.judged();
-}
-
 #[test]
 fn an_upgrade_across_the_moment_keeps_the_promise() {
     // One that founds, whose seat and disk the newcomer takes over, and one that does not.
@@ -321,22 +271,6 @@
     }
 }
 
-#[test]
-fn sighup_compares_and_puts_nothing_in_force() {
-    let (mut fleet, watch) = under_load(4, 3);
-    let mut other = fleet.config(2, &[0, 1, 3]);
-    other["settings"] = settings(&fleet, 2);
-    other["listen"] = json!(fleet.process(2).client_address.to_string());
-    fleet.set_config(2, &other);
-    fleet.process(2).signal("HUP");
-    fleet.wait_until("it says where to propose it", |fleet| {
-        fleet.timeline.first_match("n2", "propose them by POST /control/policy", 0).is_some()
-    });
-    std::thread::sleep(ms(100));
-    assert_eq!(watch.judged()[1].1, 0, "all by the first version");
-    assert_eq!(ask(fleet.process(2).admin_address, "/control/policy")["version"], 1);
-}
-
 #[test]
 fn whatever_a_seed_brings_there_is_one_moment() {
     for seed in [1, 2, 3] {
@@ -353,84 +287,3 @@
     let played = play_hangups(Fleet::start_all(Options::of(3), nodes(), origin()), ms(150));
     assert!(played.breaches > 0 && played.overlap_ms > 150.0, "{played:?}");
 }
-
-/// Guards against a policy that is on by a slip, or cannot be and is found out only when it is needed.
-#[test]
-fn what_is_wrong_with_a_policy_ends_the_start_with_one_line() {
-    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
-    let fleet = Fleet::new(options, nodes(), origin());
-    let good = fleet.config(0, &[1]);
-    let with = |change: &dyn Fn(&mut serde_json::Value)| {
-        let mut config = good.clone();
-        change(&mut config["fleet"]);
-        config
-    };
-    let bad = [
-        (with(&|fleet| fleet["policy"]["permitms"] = json!(5)), "nearest known one is \"permit_ms\""),
-        (with(&|fleet| drop(fleet["policy"].as_object_mut().unwrap().remove("state_dir"))), "state_dir"),
-        (with(&|fleet| drop(fleet.as_object_mut().unwrap().remove("founders"))), "needs founders"),
-        (with(&|fleet| fleet["policy"]["permit_ms"] = json!(100)), "permit_ms"),
-        (with(&|fleet| fleet["policy"]["hold_ms"] = json!(5000)), "hold_ms"),
-        (with(&|fleet| fleet["policy"]["when_cut"] = json!("hope")), "when_cut"),
-        (with(&|fleet| fleet["polcy"] = json!({})), "polcy"),
-        (with(&|fleet| fleet["size"] = json!(200)), "limits.sockets"),
-    ];
-    for (config, names) in bad {
-        let output = pinetrail_test_harness::end(pinetrail_test_harness::start(&config.to_string()));
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
-        assert!(said.contains(names), "{names}: {said}");
-    }
-}
-
-#[test]
-fn without_a_policy_a_fleet_has_no_thread_and_no_socket_for_it() {
-    let options = Options { founders: vec![0], policy: true, ..Options::of(2) };
-    let mut fleet = Fleet::new(options, nodes(), origin());
-    let mut without = fleet.config(1, &[0]);
-    without["fleet"].as_object_mut().unwrap().remove("policy");
-    fleet.set_config(1, &without);
-    fleet.start_together(&[0, 1]);
-    let threads = |member: usize| {
-        let path = format!("/proc/{}/task", fleet.process(member).id());
-        std::fs::read_dir(path).unwrap().count()
-    };
-    assert_eq!(threads(0), threads(1) + 1, "the thread of links and book");
-    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy").0, 404);
-    assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/drift").0, 404);
-    let mut client = fleet.client(1);
-    client.send("stats\r\n");
-    let lines = std::iter::from_fn(|| Some(client.read_line()).filter(|line| line != "END\r\n"));
-    assert!(lines.into_iter().all(|line| !line.contains("policy")));
-}
-
-/// Guards against an example that does not start.
-#[test]
-fn the_example_of_three_proxies_with_one_policy_starts() {
-    let examples = [
-        include_str!("../../deploy/fleet/policy/n0.json"),
-        include_str!("../../deploy/fleet/policy/n1.json"),
-        include_str!("../../deploy/fleet/policy/n2.json"),
-    ];
-    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
-    let mut fleet = Fleet::new(options, nodes(), origin());
-    for (member, text) in examples.into_iter().enumerate() {
-        let example: serde_json::Value = serde_json::from_str(text).unwrap();
-        // Only its addresses and its folder are others here.
-        let mut config = fleet.config(member, &[0, 1, 2]);
-        for key in ["name", "settings", "limits", "seed"] {
-            config[key] = example[key].clone();
-        }
-        config["known"]["instances"] = json!([]);
-        let places = config["fleet"]["policy"].clone();
-        let mut policy = example["fleet"]["policy"].clone();
-        for key in ["bind", "advertise", "state_dir"] {
-            policy[key] = places[key].clone();
-        }
-        (config["fleet"]["policy"], config["fleet"]["size"]) = (policy, example["fleet"]["size"].clone());
-        config["fleet"]["call_ms"] = json!(2500);
-        fleet.set_config(member, &config);
-    }
-    fleet.start_together(&[0, 1, 2]);
-    fleet.wait_until("they agree", |fleet| has(fleet, &[0, 1, 2], 1));
-}
