--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -56,7 +56,7 @@
         may::go!(move || {
             for number in 0.. {
                 let stream = match self.listener.accept() {
-                    Ok(Some(stream)) => DeadlineStream::of(stream),
+                    Ok(Some(stream)) => DeadlineStream::new(stream),
                     Ok(None) => return,
                     Err(error) => {
                         log(&format!("door: accept: {error}"));
@@ -84,7 +84,7 @@
             return true;
         }
         if let Some((_, oldest)) = with(&self.waiting, BTreeMap::pop_first) {
-            oldest.end();
+            oldest.shutdown();
         }
         false
     }
@@ -127,7 +127,7 @@
         with(&self.door.waiting, |waiting| waiting.remove(&self.number));
         let said = asked.and_then(|call| carry_out(call, exchange, lifecycle)).unwrap_or_else(|said| said);
         link.write(&said.words(), Instant::now() + ANSWER)?;
-        link.end_writing();
+        link.shutdown_writing();
         let (until, mut lingered) = (Instant::now() + LINGER, 0);
         while lingered < MAX_LINGER {
             bytes.clear();
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -218,7 +218,7 @@
             self.counters.answers_spoilt.add();
             return Outcome::Error.into();
         }
-        source.end();
+        source.finish();
         self.counters.values_flowed.add();
         if bytes.len() == long.tail.len() {
             self.keep(call, connection, long.answered);
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -99,7 +99,7 @@
                 let rested = queue.iter().rposition(Kept::has_rested);
                 queue.remove(rested.or_else(|| queue.iter().rposition(|kept| kept.rest.hurries))?)
             })?;
-            let fits = &*kept.connection.to == address && kept.connection.link.is_quiet();
+            let fits = &*kept.connection.to == address && kept.connection.link.is_idle();
             if fits && kept.since.elapsed() < self.idle_limit() {
                 return Some(kept.connection);
             }
@@ -154,7 +154,7 @@
         // Danger: what lay elsewhere meanwhile could not be forgotten.
         self.with(|idle| {
             idle.retain(|_, queue| {
-                queue.retain(|kept| kept.since.elapsed() < idle_limit && kept.connection.link.is_quiet());
+                queue.retain(|kept| kept.since.elapsed() < idle_limit && kept.connection.link.is_idle());
                 !queue.is_empty()
             });
         });
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -1,19 +1,21 @@
-//! A value on its way from a provider to a consumer, in pieces: a window between two coroutines. A full one stops
-//! whoever fills it, so that a slow reader stops the reading at the other end.
+//! A long value on its way from a backend to a client, in pieces: a bounded window between two coroutines.
+//! [`BodyReader`] is filled with what is read from the backend, [`BodyWriter`] is emptied into the client's
+//! connection. A full window makes the filling end wait, so that a slow client slows the backend down.
 
 use may::sync::SyncFlag;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use thiserror::Error;
 
-/// Bytes that may lie between the two.
+/// Bytes that may lie in the window.
 pub const WINDOW: usize = 32 * 1024;
 
+/// What both ends share, under one lock. No wait happens under it.
 #[derive(Default)]
 struct State {
     bytes: Vec<u8>,
-    /// Whether all has been put in; whether it broke off before.
-    ended: Option<bool>,
-    /// Whether nobody takes any more.
-    left: bool,
+    progress: Progress,
+    /// Whether the writing end was dropped.
+    writer_gone: bool,
     /// Called when there is something to take.
     wake: Option<Box<dyn Fn() + Send>>,
     /// Fired when there is room again.
@@ -22,28 +24,41 @@
 
 type Shared = Arc<Mutex<State>>;
 
-/// The end that pieces are put into. Dropped before [`BodyReader::end`], it says that the value broke off.
+/// Whether more of the value is to come.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Progress {
+    /// It is.
+    #[default]
+    Open,
+    /// All has been put in.
+    Complete,
+    /// The backend's connection broke before.
+    Broken,
+}
+
+/// The end that pieces are put into. Dropped before [`BodyReader::finish`], it marks the value as broken.
 pub struct BodyReader(Shared);
 
-/// The end that pieces are taken from. Dropped, it says that nobody wants the rest.
+/// The end that pieces are taken from. Dropped, it makes the reading end stop.
 pub struct BodyWriter(Shared);
 
-/// What can be taken now.
+/// What the window has at this moment.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Taken {
-    /// These bytes; there may be more.
-    Some(Vec<u8>),
+pub enum Piece {
+    /// These bytes; more may follow.
+    Bytes(Vec<u8>),
     /// Nothing yet.
-    Nothing,
-    /// All has been taken.
+    Pending,
+    /// The whole value has been taken.
     End,
     /// The rest will never come.
     Broken,
 }
 
-/// Nobody takes what is put in.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Left;
+/// The client has gone: nobody takes what is put in.
+#[derive(Debug, PartialEq, Eq, Error)]
+#[error("the client has gone")]
+pub struct WriterGone;
 
 /// The two ends of a window.
 pub fn window() -> (BodyReader, BodyWriter) {
@@ -53,12 +68,15 @@
 
 impl BodyReader {
     /// Puts a piece in, once there is room. It waits without a time limit: the other end takes or is dropped.
-    pub fn put(&self, piece: &[u8]) -> Result<(), Left> {
+    ///
+    /// # Errors
+    /// If the other end was dropped.
+    pub fn put(&self, piece: &[u8]) -> Result<(), WriterGone> {
         loop {
             let flag = {
                 let mut state = lock(&self.0);
-                if state.left {
-                    return Err(Left);
+                if state.writer_gone {
+                    return Err(WriterGone);
                 }
                 if state.bytes.len() < WINDOW {
                     state.bytes.extend_from_slice(piece);
@@ -72,8 +90,8 @@
     }
 
     /// All has been put in.
-    pub fn end(self) {
-        lock(&self.0).ended = Some(true);
+    pub fn finish(self) {
+        lock(&self.0).progress = Progress::Complete;
         // Dropping it wakes the other end.
     }
 }
@@ -81,51 +99,58 @@
 impl Drop for BodyReader {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
-        state.ended.get_or_insert(false);
+        if state.progress == Progress::Open {
+            state.progress = Progress::Broken;
+        }
         state.wake();
     }
 }
 
 impl BodyWriter {
     /// Has `wake` called whenever there is something to take. It must not wait.
-    pub fn wake_by(&self, wake: Box<dyn Fn() + Send>) {
+    pub fn set_waker(&self, wake: Box<dyn Fn() + Send>) {
         let mut state = lock(&self.0);
         state.wake = Some(wake);
         state.wake();
     }
 
     /// Takes what is there.
-    pub fn take(&self) -> Taken {
+    pub fn take(&self) -> Piece {
         let mut state = lock(&self.0);
         if state.bytes.is_empty() {
-            return match state.ended {
-                None => Taken::Nothing,
-                Some(true) => Taken::End,
-                Some(false) => Taken::Broken,
+            return match state.progress {
+                Progress::Open => Piece::Pending,
+                Progress::Complete => Piece::End,
+                Progress::Broken => Piece::Broken,
             };
         }
         let bytes = std::mem::take(&mut state.bytes);
         state.make_room();
-        Taken::Some(bytes)
+        Piece::Bytes(bytes)
     }
 }
 
 impl Drop for BodyWriter {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
-        state.left = true;
-        (state.bytes, state.wake) = (Vec::new(), None);
+        state.writer_gone = true;
+        state.bytes = Vec::new();
+        state.wake = None;
         state.make_room();
     }
 }
 
 impl State {
     fn wake(&self) {
-        self.wake.iter().for_each(|wake| wake());
+        if let Some(wake) = &self.wake {
+            wake();
+        }
     }
 
     fn make_room(&mut self) {
-        self.room.take().iter().for_each(|room| room.fire());
+        if let Some(room) = self.room.take() {
+            room.fire();
+        }
     }
 }
 
@@ -135,7 +160,7 @@
 
 impl std::fmt::Debug for BodyWriter {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Sink")
+        f.write_str("BodyWriter")
     }
 }
 
--- a/src/net/body_stream/tests.rs
+++ b/src/net/body_stream/tests.rs
@@ -8,18 +8,18 @@
         for n in 0..1000u32 {
             source.put(&n.to_be_bytes().repeat(256)).unwrap();
         }
-        source.end();
+        source.finish();
     });
     let (mut got, mut most) = (Vec::new(), 0);
     loop {
         match sink.take() {
-            Taken::Some(bytes) => {
+            Piece::Bytes(bytes) => {
                 most = most.max(bytes.len());
                 got.extend(bytes);
             }
-            Taken::Nothing => thread::yield_now(),
-            Taken::End => break,
-            Taken::Broken => panic!("it is whole"),
+            Piece::Pending => thread::yield_now(),
+            Piece::End => break,
+            Piece::Broken => panic!("it is whole"),
         }
     }
     filler.join().unwrap();
@@ -32,10 +32,10 @@
     let (source, sink) = window();
     source.put(b"half").unwrap();
     drop(source);
-    assert_eq!((sink.take(), sink.take()), (Taken::Some(b"half".to_vec()), Taken::Broken));
+    assert_eq!((sink.take(), sink.take()), (Piece::Bytes(b"half".to_vec()), Piece::Broken));
     let (source, sink) = window();
     source.put(&[0; WINDOW]).unwrap();
     let filler = thread::spawn(move || source.put(b"more"));
     drop(sink);
-    assert_eq!(filler.join().unwrap(), Err(Left));
+    assert_eq!(filler.join().unwrap(), Err(WriterGone));
 }
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -1,7 +1,7 @@
 //! What goes out on a consumer connection: answers, in the order of their commands.
 
 use super::{Connection, INVOCATION_SIZE};
-use crate::net::body_stream::{Taken, WINDOW};
+use crate::net::body_stream::{Piece, WINDOW};
 use crate::net::codec::memcache;
 use std::io::{self, ErrorKind, Write};
 use std::sync::{Arc, PoisonError};
@@ -49,10 +49,10 @@
         while self.output.len() < WINDOW && !self.broken {
             if let Some(value) = &self.flowing {
                 match value.take() {
-                    Taken::Some(bytes) => self.output.extend(bytes),
-                    Taken::Nothing => return,
-                    Taken::Broken => self.broken = true,
-                    Taken::End => {
+                    Piece::Bytes(bytes) => self.output.extend(bytes),
+                    Piece::Pending => return,
+                    Piece::Broken => self.broken = true,
+                    Piece::End => {
                         self.output.extend_from_slice(memcache::END);
                         self.flowing = None;
                         self.end_first();
@@ -71,7 +71,7 @@
             match value {
                 Some(value) => {
                     let shared = Arc::clone(&self.shared);
-                    value.wake_by(Box::new(move || shared.waker.wakeup()));
+                    value.set_waker(Box::new(move || shared.waker.wakeup()));
                     self.flowing = Some(value);
                 }
                 None => self.end_first(),
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -1,4 +1,5 @@
-//! A TCP connection that one coroutine uses and another may end.
+//! A stream socket that one coroutine reads and writes with deadlines, and another may shut down.
+//! [`DeadlineStream`] works on any [`Socket`] of the coroutine library.
 
 use may::io::CoIo;
 use may::net::TcpStream;
@@ -9,19 +10,33 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Bytes that one read takes at the most.
 const READ_SIZE: usize = 4 * 1024;
+/// Between attempts to write to a socket whose buffer is full.
 const WRITE_RETRY: Duration = Duration::from_millis(1);
 
 /// A socket of the coroutine library, as far as a [`DeadlineStream`] uses it.
 pub trait Socket {
     /// Reads what is there at this moment.
+    ///
+    /// # Errors
+    /// Those of the socket; [`ErrorKind::WouldBlock`] if nothing is there.
     fn read_now(&self, into: &mut [u8]) -> io::Result<usize>;
     /// Writes as much as goes at this moment.
+    ///
+    /// # Errors
+    /// Those of the socket; [`ErrorKind::WouldBlock`] if its buffer is full.
     fn write_now(&self, bytes: &[u8]) -> io::Result<usize>;
     /// Waits until there is something to read.
-    fn await_bytes(&self, timeout: Duration) -> io::Result<()>;
-    /// Ends it; whoever waits on it wakes.
-    fn end(&self, how: Shutdown) -> io::Result<()>;
+    ///
+    /// # Errors
+    /// Those of the socket, also that nothing came in time.
+    fn wait_readable(&self, timeout: Duration) -> io::Result<()>;
+    /// Shuts it down; whoever waits on it wakes.
+    ///
+    /// # Errors
+    /// Those of the socket, also that it is shut down already.
+    fn shutdown(&self, how: Shutdown) -> io::Result<()>;
 }
 
 macro_rules! socket {
@@ -35,13 +50,13 @@
                 self.inner().write(bytes)
             }
 
-            fn await_bytes(&self, timeout: Duration) -> io::Result<()> {
+            fn wait_readable(&self, timeout: Duration) -> io::Result<()> {
                 // may keeps one list of timers a length of time: whole milliseconds keep these few.
                 self.set_read_timeout(Some(whole_ms(timeout)))?;
                 self.peek(&mut [0]).map(drop)
             }
 
-            fn end(&self, how: Shutdown) -> io::Result<()> {
+            fn shutdown(&self, how: Shutdown) -> io::Result<()> {
                 self.inner().shutdown(how)
             }
         }
@@ -52,7 +67,7 @@
 socket!(CoIo<net::TcpStream>);
 socket!(CoIo<UnixStream>);
 
-/// A connection.
+/// A connected stream whose reads and writes have deadlines. Clones share the connection.
 #[derive(Debug)]
 pub struct DeadlineStream<S = TcpStream>(Arc<S>);
 
@@ -63,7 +78,10 @@
 }
 
 impl DeadlineStream {
-    /// Connects within a time.
+    /// Connects within a time, without Nagle's delay.
+    ///
+    /// # Errors
+    /// Those of the connection attempt, also that it took too long.
     pub fn connect(address: &SocketAddr, timeout: Duration) -> io::Result<DeadlineStream> {
         let stream = TcpStream::connect_timeout(address, timeout)?;
         // Without this an answer waits for the acknowledgement of the one before it.
@@ -71,8 +89,8 @@
         Ok(DeadlineStream(Arc::new(stream)))
     }
 
-    /// Whether it is open with nothing to read: fit for another call.
-    pub fn is_quiet(&self) -> bool {
+    /// Whether it is open with nothing to read: fit for another request.
+    pub fn is_idle(&self) -> bool {
         matches!(self.0.inner().peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 }
@@ -84,45 +102,59 @@
 }
 
 impl<S: Socket> DeadlineStream<S> {
-    /// A link of a socket that is connected.
-    pub fn of(socket: S) -> DeadlineStream<S> {
+    /// Wraps a connected socket.
+    pub fn new(socket: S) -> DeadlineStream<S> {
         DeadlineStream(Arc::new(socket))
     }
 
-    /// Reads what is there, waiting until a point in time; 0 bytes mean the end.
-    pub fn read(&self, into: &mut Vec<u8>, until: Instant) -> io::Result<usize> {
+    /// Appends what is there, waiting for it until the deadline; 0 bytes mean the end of the stream.
+    ///
+    /// # Errors
+    /// Those of the socket; [`ErrorKind::TimedOut`] at the deadline.
+    pub fn read(&self, into: &mut Vec<u8>, deadline: Instant) -> io::Result<usize> {
         loop {
             match read_some(into, |room| self.0.read_now(room)) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    let left = until.saturating_duration_since(Instant::now());
+                    let left = deadline.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         return Err(ErrorKind::TimedOut.into());
                     }
-                    self.0.await_bytes(left)?;
+                    self.0.wait_readable(left)?;
                 }
                 done => return done,
             }
         }
     }
 
-    /// Writes all, or says that it could not before a point in time.
-    pub fn write(&self, bytes: &[u8], until: Instant) -> io::Result<()> {
-        self.write_while(bytes, until, || true)
+    /// Writes all bytes before the deadline.
+    ///
+    /// # Errors
+    /// Those of the socket; [`ErrorKind::TimedOut`] at the deadline.
+    pub fn write(&self, bytes: &[u8], deadline: Instant) -> io::Result<()> {
+        self.write_while(bytes, deadline, || true)
     }
 
-    /// The same while something holds, which is looked at before each part that had to wait.
-    pub fn write_while(&self, mut bytes: &[u8], until: Instant, holds: impl Fn() -> bool) -> io::Result<()> {
+    /// The same while a condition holds, which is checked before each part that had to wait.
+    ///
+    /// # Errors
+    /// As [`DeadlineStream::write`]; [`ErrorKind::ConnectionAborted`] if the condition holds no longer.
+    pub fn write_while(
+        &self,
+        mut bytes: &[u8],
+        deadline: Instant,
+        condition: impl Fn() -> bool,
+    ) -> io::Result<()> {
         while !bytes.is_empty() {
             match self.0.write_now(bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => bytes = &bytes[count..],
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if Instant::now() >= until {
+                    if Instant::now() >= deadline {
                         return Err(ErrorKind::TimedOut.into());
                     }
                     sleep(WRITE_RETRY);
-                    if !holds() {
+                    if !condition() {
                         return Err(ErrorKind::ConnectionAborted.into());
                     }
                 }
@@ -132,31 +164,35 @@
         Ok(())
     }
 
-    /// Ends it in both directions; whoever waits on it wakes.
-    pub fn end(&self) {
-        // An error says that it has ended already.
-        let _ = self.0.end(Shutdown::Both);
+    /// Shuts it down in both directions; whoever waits on it wakes.
+    pub fn shutdown(&self) {
+        // An error says that it is shut down already.
+        let _ = self.0.shutdown(Shutdown::Both);
     }
 
-    /// Says that nothing more is written.
-    pub fn end_writing(&self) {
-        let _ = self.0.end(Shutdown::Write);
+    /// Shuts down its sending direction.
+    pub fn shutdown_writing(&self) {
+        let _ = self.0.shutdown(Shutdown::Write);
     }
 }
 
-/// Reads what is there at this moment. The room for it is on the heap: a coroutine's stack is used again
+/// Appends what is there at this moment. The room for it is on the heap: a coroutine's stack is used again
 /// and again and keeps every page that was ever touched.
+///
+/// # Errors
+/// Those of the socket; [`ErrorKind::WouldBlock`] if nothing is there.
 pub fn read_now(mut stream: &net::TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
     read_some(into, |room| stream.read(room))
 }
 
-/// Whether the other side has ended its sending, or the connection, however much of what it sent lies unread before that.
+/// Whether the other side has shut down its sending direction, or the connection, however much of what it
+/// sent lies unread before that.
 pub fn has_hung_up(stream: &net::TcpStream) -> bool {
-    let mut seen = [PollFd::new(stream, PollFlags::RDHUP)];
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
     let now = Timespec { tv_sec: 0, tv_nsec: 0 };
     let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    // Where nothing can be seen, the end is read after what came before it.
-    poll(&mut seen, Some(&now)).is_ok() && seen[0].revents().intersects(ended)
+    // If the poll fails, the end is read after what came before it.
+    poll(&mut polled, Some(&now)).is_ok() && polled[0].revents().intersects(ended)
 }
 
 fn read_some(into: &mut Vec<u8>, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -68,7 +68,7 @@
             watched.moves += 1;
             watched.link.take()
         });
-        link.iter().for_each(DeadlineStream::end);
+        link.iter().for_each(DeadlineStream::shutdown);
         // The receiver is only gone when the program stops.
         let _ = self.subscribe.send(());
     }
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -270,7 +270,7 @@
         let waits = TimerSet::default();
         // The module sets a timer for each deadline. Should it ever lose one, no consumer waits for good.
         let exchange = Arc::clone(self);
-        waits.by(move |guard| {
+        waits.spawn(move |guard| {
             if guard.sleep(overdue) {
                 exchange.end_overdue(id);
             }
@@ -494,7 +494,7 @@
                         // It ends with its invocation: else the timers of what is long answered pile up.
                         if let Some(open) = state.records.get(&id).and_then(|record| record.open.as_ref()) {
                             let exchange = Arc::clone(self);
-                            open.waits.by(move |guard| {
+                            open.waits.spawn(move |guard| {
                                 if guard.sleep(span(delay)) {
                                     exchange.step(exchange.lock(), Event::Timer(token));
                                 }
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -143,7 +143,7 @@
     /// Joins the older process, and tells it that this one accepts. An error says that this one may not.
     pub fn join(self: &Arc<Self>, given: Handover, host: Arc<dyn Host>) -> Result<(), String> {
         let socket = CoIo::new(given.stream).map_err(|error| io::Error::from(error).to_string())?;
-        let wire = DeadlineStream::of(socket);
+        let wire = DeadlineStream::new(socket);
         self.with(|state| state.joined = Some(Joined { wire: wire.clone(), partner: PeerProcess::Serving }));
         let (side, reading) = (Arc::clone(self), wire.clone());
         let inbox = given.inbox;
@@ -364,7 +364,7 @@
     /// The link has ended: this process is alone, and all is its own.
     fn part(&self, host: &dyn Host) {
         if let Some(joined) = self.with(|state| state.joined.take()) {
-            joined.wire.end();
+            joined.wire.shutdown();
         }
         host.allow(None);
         host.partner(PeerProcess::None);
