--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -8,14 +8,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod answers;
-mod calls;
-mod cold;
-mod drains;
+mod draining;
 mod history;
-mod ledger;
 mod policies;
 mod quota;
+mod repetition;
+mod request_index;
+mod responses;
+mod slow_start;
 mod violation;
 
 pub use history::{
@@ -27,11 +27,11 @@
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
 pub fn check(history: &History) -> Result<Vec<Violation>, CheckError> {
-    let ledger = ledger::Ledger::read(history)?;
-    let mut breaches = answers::check(history, &ledger)?;
-    breaches.extend(calls::check(history, &ledger));
-    breaches.extend(drains::check(history));
-    breaches.extend(cold::check(history));
+    let ledger = request_index::Ledger::read(history)?;
+    let mut breaches = responses::check(history, &ledger)?;
+    breaches.extend(repetition::check(history, &ledger));
+    breaches.extend(draining::check(history));
+    breaches.extend(slow_start::check(history));
     breaches.extend(quota::check(history));
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     Ok(breaches)
--- a/crates/history-checker/src/calls.rs
+++ b/crates/history-checker/src/repetition.rs
@@ -1,7 +1,7 @@
 //! No effect twice: which calls and which refusals a request may have after the calls before them.
 
 use crate::history::{Answer, Effect, History, HistoryEvent, Node, Scope, Time};
-use crate::ledger::{Call, Ledger, Request};
+use crate::request_index::{Call, Ledger, Request};
 use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
--- a/crates/history-checker/src/answers.rs
+++ b/crates/history-checker/src/responses.rs
@@ -1,7 +1,7 @@
 //! One final answer for each request, in time, and given by a provider.
 
 use crate::history::{Answer, End, History};
-use crate::ledger::{Ledger, Request};
+use crate::request_index::{Ledger, Request};
 use crate::violation::{CheckError, Reason, Violation};
 
 pub(crate) fn check(history: &History, ledger: &Ledger) -> Result<Vec<Violation>, CheckError> {
