Shape the history checker's rules as small functions with named structs

Indices of events, times and ends have names in place of tuples; attempt, response, backend and quota in place of call, answer, provider and share; the reader of requests is a builder.

--- a/crates/history-checker/src/draining.rs
+++ b/crates/history-checker/src/draining.rs
@@ -1,72 +1,110 @@
-//! Nothing new to a node that drains, is gone, or was never listed.
+//! The rule that nothing new goes to a node that drains, is gone, or was never listed: [`check`].
 
 use crate::history::{Figures, History, HistoryEvent, Node, State, Time};
 use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
-/// What one proxy was told, by the names of nodes: where each is, its state, and since when.
+/// A node as a proxy knows it.
+struct ListedNode<'a> {
+    node: &'a Node,
+    state: State,
+    /// Since when it is in this state or, if it is not ready, may get nothing new.
+    since: Time,
+    /// The event that said so.
+    event: usize,
+}
+
+/// What one proxy knows of nodes.
 #[derive(Default)]
-struct Told<'a> {
-    nodes: BTreeMap<&'a str, (&'a Node, State, Time, usize)>,
+struct NodeList<'a> {
+    /// By the names of nodes.
+    nodes: BTreeMap<&'a str, ListedNode<'a>>,
+    /// So long after it learnt of a drain the proxy may still send something new.
     stop_within: Time,
 }
 
+/// Why nothing new may go to a node.
+struct Forbidden {
+    reason: Reason,
+    /// The event that said so, if one did.
+    event: Option<usize>,
+}
+
+/// Checks to which nodes the proxies sent something.
 pub(crate) fn check(history: &History) -> Vec<Violation> {
-    let mut proxies: BTreeMap<&str, Told> = BTreeMap::new();
-    let mut breaches = Vec::new();
+    let mut proxies: BTreeMap<&str, NodeList> = BTreeMap::new();
+    let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
             HistoryEvent::InForce { proxy, figures: Figures { stop_within, .. } } => {
                 proxies.entry(proxy).or_default().stop_within = *stop_within;
             }
             HistoryEvent::Told { proxy, whole, nodes } => {
-                proxies.entry(proxy).or_default().tell(*at, event, *whole, nodes);
+                let list = proxies.entry(proxy).or_default();
+                if *whole {
+                    list.mark_absent_as_gone(*at, event, nodes);
+                }
+                list.update(*at, event, nodes);
             }
-            // A process that starts anew knows its list alone.
+            // A process that starts anew knows nothing but its own list.
             HistoryEvent::Ended { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
             HistoryEvent::Received { proxy, place, first, .. } => {
-                let told = proxies.entry(proxy).or_default();
-                if let Some((reason, why)) = told.forbids(place, *first, history.clock_error) {
-                    let events = why.into_iter().chain([event]).collect();
-                    breaches.push(Violation { reason, about: place.clone(), at: *first, events });
+                let list = proxies.entry(proxy).or_default();
+                if let Some(forbidden) = list.forbids(place, *first, history.clock_error) {
+                    violations.push(Violation {
+                        reason: forbidden.reason,
+                        about: place.clone(),
+                        at: *first,
+                        events: forbidden.event.into_iter().chain([event]).collect(),
+                    });
                 }
             }
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
-impl<'a> Told<'a> {
-    fn tell(&mut self, at: Time, event: usize, whole: bool, nodes: &'a [Node]) {
-        if whole {
-            let absent = |name: &str| !nodes.iter().any(|node| node.name == name);
-            let gone = self.nodes.iter_mut().filter(|(name, _)| absent(name)).map(|(_, told)| told);
-            gone.filter(|told| told.1 != State::Gone)
-                .for_each(|told| (told.1, told.2, told.3) = (State::Gone, at, event));
+impl<'a> NodeList<'a> {
+    /// A whole list has arrived: nodes that are not in it are gone.
+    fn mark_absent_as_gone(&mut self, at: Time, event: usize, nodes: &[Node]) {
+        for (name, listed) in &mut self.nodes {
+            let is_absent = !nodes.iter().any(|node| node.name == *name);
+            if is_absent && listed.state != State::Gone {
+                listed.state = State::Gone;
+                listed.since = at;
+                listed.event = event;
+            }
         }
+    }
+
+    fn update(&mut self, at: Time, event: usize, nodes: &'a [Node]) {
         for node in nodes {
-            let (since, why) = match self.nodes.get(node.name.as_str()) {
-                // Who may not be sent to is not given more time by being told so again.
-                Some((_, state, since, why)) if *state != State::Ready && node.state != State::Ready => {
-                    (*since, *why)
+            let mut listed = ListedNode { node, state: node.state, since: at, event };
+            // A node that may get nothing new is not given more time by being listed so again.
+            if let Some(before) = self.nodes.get(node.name.as_str()) {
+                if before.state != State::Ready && node.state != State::Ready {
+                    listed.since = before.since;
+                    listed.event = before.event;
                 }
-                _ => (at, event),
-            };
-            self.nodes.insert(&node.name, (node, node.state, since, why));
+            }
+            self.nodes.insert(&node.name, listed);
         }
     }
 
-    /// Why nothing new may go to a place at a time, and the event that said so.
-    fn forbids(&self, place: &str, at: Time, clock_error: Time) -> Option<(Reason, Option<usize>)> {
-        let here: Vec<_> = self.nodes.values().filter(|told| told.0.place == place).collect();
-        if here.iter().any(|told| told.1 == State::Ready || at <= told.2 + self.stop_within + clock_error) {
+    /// Why nothing new may go to an address at a time; none if it may.
+    fn forbids(&self, address: &str, at: Time, clock_error: Time) -> Option<Forbidden> {
+        let here: Vec<&ListedNode> =
+            self.nodes.values().filter(|listed| listed.node.place == address).collect();
+        let latest = |listed: &ListedNode| listed.since + self.stop_within + clock_error;
+        if here.iter().any(|listed| listed.state == State::Ready || at <= latest(listed)) {
             return None;
         }
-        match here.first() {
-            None => Some((Reason::NeverListed, None)),
-            Some((_, State::Gone, _, why)) => Some((Reason::Gone, Some(*why))),
-            Some((.., why)) => Some((Reason::Draining, Some(*why))),
-        }
+        let Some(listed) = here.first() else {
+            return Some(Forbidden { reason: Reason::NeverListed, event: None });
+        };
+        let is_gone = listed.state == State::Gone;
+        let reason = if is_gone { Reason::Gone } else { Reason::Draining };
+        Some(Forbidden { reason, event: Some(listed.event) })
     }
 }
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -27,12 +27,12 @@
 
 /// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
 pub fn check(history: &History) -> Result<Vec<Violation>, CheckError> {
-    let ledger = request_index::Ledger::read(history)?;
-    let mut breaches = responses::check(history, &ledger)?;
-    breaches.extend(repetition::check(history, &ledger));
-    breaches.extend(draining::check(history));
-    breaches.extend(slow_start::check(history));
-    breaches.extend(quota::check(history));
-    breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
-    Ok(breaches)
+    let index = request_index::RequestIndex::read(history)?;
+    let mut violations = responses::check(history, &index)?;
+    violations.extend(repetition::check(history, &index));
+    violations.extend(draining::check(history));
+    violations.extend(slow_start::check(history));
+    violations.extend(quota::check(history));
+    violations.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(violations)
 }
--- a/crates/history-checker/src/policies.rs
+++ b/crates/history-checker/src/policies.rs
@@ -1,49 +1,59 @@
-//! One moment for each version: before it nobody admits a request under it, after it nobody does under the one before. From
-//! what clients asked and were answered alone: which version decided a request must show in its answer.
+//! The rule that each policy version becomes active at one moment: before it nobody admits a
+//! request under it, after it nobody does under the one before. See [`check_policies`].
+//!
+//! It needs only what clients sent and received: which version decided a request must show in its
+//! response.
 
 use crate::history::Time;
 use crate::violation::{CheckError, Reason, Violation};
 
-/// A request whose answer shows the version by which it was decided.
+/// A request whose response shows the policy version that decided it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PolicyDecision {
     /// When its last byte was sent.
     pub sent: Time,
-    /// When its answer was whole.
+    /// When its response was complete.
     pub answered: Time,
     /// The version.
     pub version: u64,
-    /// By which proxy.
+    /// The proxy that decided.
     pub proxy: String,
 }
 
-/// Whether there is one moment for each version. A request was admitted at some time between its sending and its answer: the moment of a
-/// version lies after the sending of each request under the one before, and before the answer of each under it. `clock_error` is how far two
-/// readings of the clock may be apart.
-pub fn check_policies(decided: &[PolicyDecision], clock_error: Time) -> Result<Vec<Violation>, CheckError> {
-    if decided.is_empty() {
+/// Checks that there is one moment for each version.
+///
+/// A request was admitted at some time between its sending and its response: the moment of a
+/// version lies after the sending of each request under the one before, and before the response of
+/// each under it. `clock_error` is how far two readings of the clock may be apart, in ms.
+///
+/// # Errors
+///
+/// There are no decisions, or one was answered before it was sent.
+pub fn check_policies(decisions: &[PolicyDecision], clock_error: Time) -> Result<Vec<Violation>, CheckError> {
+    if decisions.is_empty() {
         return Err(CheckError::Empty);
     }
-    if let Some(at) = decided.iter().position(|one| one.answered < one.sent) {
-        return Err(CheckError::OutOfOrder(at));
+    if let Some(index) = decisions.iter().position(|one| one.answered < one.sent) {
+        return Err(CheckError::OutOfOrder(index));
     }
-    let mut breaches = Vec::new();
-    for (event, late) in decided.iter().enumerate() {
-        let newer = decided.iter().enumerate().filter(|(_, one)| one.version > late.version);
+    let mut violations = Vec::new();
+    for (event, decision) in decisions.iter().enumerate() {
+        let newer = decisions.iter().enumerate().filter(|(_, one)| one.version > decision.version);
         let first = newer.min_by(|a, b| a.1.answered.total_cmp(&b.1.answered));
-        if let Some((other, first)) = first.filter(|(_, first)| first.answered + clock_error < late.sent) {
-            breaches.push(Violation {
+        let Some((first_event, first)) = first else { continue };
+        if first.answered + clock_error < decision.sent {
+            violations.push(Violation {
                 reason: Reason::TwoVersions,
                 about: format!(
                     "version {} at {}, {} at {}",
-                    late.version, late.proxy, first.version, first.proxy
+                    decision.version, decision.proxy, first.version, first.proxy
                 ),
-                at: late.sent,
-                events: vec![other, event],
+                at: decision.sent,
+                events: vec![first_event, event],
             });
         }
     }
-    Ok(breaches)
+    Ok(violations)
 }
 
 #[cfg(test)]
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -1,19 +1,24 @@
-//! Shares add up to one at the most, and calls in flight to what all may have together.
+//! The rules that quotas add up to at most one, and that backends have at most as many attempts at
+//! once as all proxies together may make: [`check_quota`].
 
 use crate::history::{History, HistoryEvent, Time};
 use crate::violation::{CheckError, Reason, Violation};
 use std::collections::BTreeMap;
 
-/// Rounding of what is said as a decimal number.
+/// Rounding of quotas that are written as decimal numbers.
 const ROUNDING: f64 = 1e-6;
 
-/// What proxies said of their shares, and what nodes had before them at once. It needs no requests, but something must have
-/// been seen of one or the other.
+/// Checks what proxies said of their quotas, and how many attempts backends had at once. It needs
+/// no requests.
+///
+/// # Errors
+///
+/// Nothing was seen of either.
 pub fn check_quota(history: &History) -> Result<Vec<Violation>, CheckError> {
-    let is_seen = |(_, seen): &(Time, HistoryEvent)| {
+    let is_about_quota = |(_, seen): &(Time, HistoryEvent)| {
         matches!(seen, HistoryEvent::Share { .. } | HistoryEvent::Bound { .. })
     };
-    if history.events.iter().any(is_seen) {
+    if history.events.iter().any(is_about_quota) {
         Ok(check(history))
     } else {
         Err(CheckError::Empty)
@@ -21,59 +26,79 @@
 }
 
 pub(crate) fn check(history: &History) -> Vec<Violation> {
-    let mut breaches = sums(history);
-    breaches.extend(in_flight(history));
-    breaches
+    let mut violations = check_sums(history);
+    violations.extend(check_in_flight(history));
+    violations
 }
 
-/// Doors are not asked at one moment. What one proxy gives up another may have only once calls that began under it have
-/// ended: within that time the most that each said must add up.
-fn sums(history: &History) -> Vec<Violation> {
-    let mut said: BTreeMap<&str, Vec<(Time, f64, usize)>> = BTreeMap::new();
-    let mut breaches = Vec::new();
+/// A quota that a proxy said that it has.
+#[derive(Clone, Copy)]
+struct StatedQuota {
+    at: Time,
+    part: f64,
+    event: usize,
+}
+
+/// Proxies are not asked at one moment. What one gives up another may have only once attempts that
+/// began under it have ended: within that time the most that each stated must add up.
+fn check_sums(history: &History) -> Vec<Violation> {
+    let mut stated: BTreeMap<&str, Vec<StatedQuota>> = BTreeMap::new();
+    let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         let HistoryEvent::Share { proxy, part, calls } = seen else { continue };
-        said.entry(proxy).or_default().push((*at, *part, event));
-        for all in said.values_mut() {
-            all.retain(|(then, ..)| then + calls - history.clock_error > *at);
+        let quota = StatedQuota { at: *at, part: *part, event };
+        stated.entry(proxy).or_default().push(quota);
+        for quotas in stated.values_mut() {
+            quotas.retain(|quota| quota.at + calls - history.clock_error > *at);
         }
-        let most = said.values().filter_map(|all| all.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1)));
-        let most: Vec<(Time, f64, usize)> = most.collect();
-        if most.iter().map(|one| one.1).sum::<f64>() > 1.0 + ROUNDING {
-            let mut events: Vec<usize> = most.iter().map(|one| one.2).collect();
+        let largest: Vec<StatedQuota> = stated.values().filter_map(|quotas| largest_of(quotas)).collect();
+        if largest.iter().map(|quota| quota.part).sum::<f64>() > 1.0 + ROUNDING {
+            let mut events: Vec<usize> = largest.iter().map(|quota| quota.event).collect();
             events.sort_unstable();
-            breaches.push(Violation { reason: Reason::OverTheWhole, about: proxy.clone(), at: *at, events });
+            let about = proxy.clone();
+            violations.push(Violation { reason: Reason::OverTheWhole, about, at: *at, events });
         }
     }
-    breaches
+    violations
+}
+
+fn largest_of(quotas: &[StatedQuota]) -> Option<StatedQuota> {
+    quotas.iter().copied().max_by(|a, b| a.part.total_cmp(&b.part))
 }
 
-fn in_flight(history: &History) -> Vec<Violation> {
-    let mut bounds: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut calls: BTreeMap<u64, (&str, usize)> = BTreeMap::new();
-    let mut breaches = Vec::new();
+/// An attempt that is in flight.
+struct InFlight<'a> {
+    address: &'a str,
+    event: usize,
+}
+
+fn check_in_flight(history: &History) -> Vec<Violation> {
+    let mut limits: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut in_flight: BTreeMap<u64, InFlight> = BTreeMap::new();
+    let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::Bound { place, calls } => drop(bounds.insert(place, *calls)),
-            HistoryEvent::Closed { call, .. } => drop(calls.remove(call)),
+            HistoryEvent::Bound { place, calls } => {
+                limits.insert(place, *calls);
+            }
+            HistoryEvent::Closed { call, .. } => {
+                in_flight.remove(call);
+            }
             HistoryEvent::Received { call, place, .. } => {
-                calls.insert(*call, (place, event));
-                let here = calls.values().filter(|(there, _)| *there == place).map(|(_, event)| *event);
-                let mut events: Vec<usize> = here.collect();
-                if bounds.get(place.as_str()).is_some_and(|bound| events.len() > *bound) {
+                in_flight.insert(*call, InFlight { address: place, event });
+                let here = in_flight.values().filter(|attempt| attempt.address == place);
+                let mut events: Vec<usize> = here.map(|attempt| attempt.event).collect();
+                if limits.get(place.as_str()).is_some_and(|limit| events.len() > *limit) {
                     events.sort_unstable();
-                    breaches.push(Violation {
-                        reason: Reason::TooManyAtOnce,
-                        about: place.clone(),
-                        at: *at,
-                        events,
-                    });
+                    let about = place.clone();
+                    let reason = Reason::TooManyAtOnce;
+                    violations.push(Violation { reason, about, at: *at, events });
                 }
             }
             _ => {}
         }
     }
-    breaches
+    violations
 }
 
 #[cfg(test)]
--- a/crates/history-checker/src/repetition.rs
+++ b/crates/history-checker/src/repetition.rs
@@ -1,87 +1,143 @@
-//! No effect twice: which calls and which refusals a request may have after the calls before them.
+//! The rule that no effect happens twice: which attempts and which rejections a request may have
+//! after its earlier attempts. See [`check`].
 
 use crate::history::{Answer, Effect, History, HistoryEvent, Node, Scope, Time};
-use crate::request_index::{Call, Ledger, Request};
+use crate::request_index::{Attempt, Request, RequestIndex};
 use crate::violation::{Reason, Violation};
 use std::collections::BTreeMap;
 
-pub(crate) fn check(history: &History, ledger: &Ledger) -> Vec<Violation> {
-    let nodes = places(history);
-    let mut breaches = Vec::new();
-    for (id, request) in &ledger.requests {
-        let mut broken = |reason, at, events| {
-            breaches.push(Violation { reason, about: (*id).to_owned(), at, events });
+/// Checks the attempts and rejections of all requests.
+pub(crate) fn check(history: &History, index: &RequestIndex) -> Vec<Violation> {
+    let nodes = nodes_by_address(history);
+    let mut violations = Vec::new();
+    for (id, request) in &index.requests {
+        let mut checker = RequestChecker {
+            id,
+            request,
+            clock_error: history.clock_error,
+            nodes: &nodes,
+            violations: &mut violations,
         };
-        for (number, call) in request.calls.iter().enumerate() {
-            let before = &request.calls[..number];
+        checker.check_attempts();
+        checker.check_rejections();
+    }
+    violations
+}
+
+struct RequestChecker<'a> {
+    id: &'a str,
+    request: &'a Request<'a>,
+    clock_error: Time,
+    nodes: &'a BTreeMap<&'a str, &'a Node>,
+    violations: &'a mut Vec<Violation>,
+}
+
+impl RequestChecker<'_> {
+    fn check_attempts(&mut self) {
+        let request = self.request;
+        for (number, attempt) in request.attempts.iter().enumerate() {
+            let earlier = &request.attempts[..number];
             if number >= request.figures.attempts {
-                broken(Reason::TooMany, call.first, vec![request.asked.0, call.event]);
+                let events = vec![request.sent.event, attempt.event];
+                self.report(Reason::TooMany, attempt.began_at, events);
+            }
+            if !request.figures.second_copies {
+                self.check_in_flight(earlier, attempt);
+            }
+            self.check_harm(earlier, attempt);
+        }
+    }
+
+    /// No earlier attempt may be in flight.
+    fn check_in_flight(&mut self, earlier: &[Attempt], attempt: &Attempt) {
+        let latest_end = attempt.began_at + self.clock_error;
+        let is_in_flight = |other: &&Attempt| other.end.as_ref().is_none_or(|end| end.at > latest_end);
+        if let Some(other) = earlier.iter().find(is_in_flight) {
+            let events = vec![other.event, attempt.event];
+            self.report(Reason::TwoAtOnce, attempt.began_at, events);
+        }
+    }
+
+    /// An attempt may not repeat the effect of any earlier one that may have run: the group and
+    /// the window of each of them bind.
+    fn check_harm(&mut self, earlier: &[Attempt], attempt: &Attempt) {
+        let known_at = attempt.began_at + self.clock_error;
+        for ran in earlier.iter().filter(|earlier| earlier.may_have_run(known_at)) {
+            if let Some(reason) = self.harm(ran, attempt) {
+                self.report(reason, attempt.began_at, vec![ran.event, attempt.event]);
+                return;
             }
-            let is_out = |earlier: &&Call| {
-                earlier.end.is_none_or(|(ended, _)| ended > call.first + history.clock_error)
-            };
-            if let Some(earlier) = before.iter().find(is_out).filter(|_| !request.figures.second_copies) {
-                broken(Reason::TwoAtOnce, call.first, vec![earlier.event, call.event]);
+        }
+    }
+
+    /// A rejection says that repeating does no harm.
+    fn check_rejections(&mut self) {
+        let request = self.request;
+        for response in &request.responses {
+            if *response.answer != Answer::Refused {
+                continue;
             }
-            // Each one that may have run binds: the group and the window are those of every earlier call.
-            let ran = before.iter().filter(|earlier| earlier.may_have_run(call.first + history.clock_error));
-            let harms = ran.map(|ran| (ran, harm(history, request, ran, call, &nodes)));
-            if let Some((ran, reason)) = harms.filter_map(|(ran, harm)| Some((ran, harm?))).next() {
-                broken(reason, call.first, vec![ran.event, call.event]);
+            let at = response.received.at;
+            let may_have_run = |attempt: &&Attempt| attempt.began_at <= at && attempt.may_have_run(at);
+            let mut ran = request.attempts.iter().filter(may_have_run);
+            if let Some(harmful) = ran.find(|ran| !self.may_reject_after(ran, at)) {
+                let events = vec![harmful.event, response.received.event];
+                self.report(Reason::Refused, at, events);
             }
         }
-        for (event, at, _) in request.answers.iter().filter(|answer| *answer.2 == Answer::Refused) {
-            let ran = request.calls.iter().filter(|call| call.first <= *at && call.may_have_run(*at));
-            let harmful = ran.into_iter().find(|ran| !may_refuse(history, request, ran, *at));
-            if let Some(ran) = harmful {
-                broken(Reason::Refused, *at, vec![ran.event, *event]);
+    }
+
+    fn may_reject_after(&self, ran: &Attempt, at: Time) -> bool {
+        let class = &self.request.class;
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed => {
+                let is_in_window = at - ran.began_at <= class.window + self.clock_error;
+                class.scope == Scope::All && is_in_window
             }
         }
     }
-    breaches
-}
 
-fn may_refuse(history: &History, request: &Request, ran: &Call, at: Time) -> bool {
-    match request.class.effect {
-        Effect::Safe => true,
-        Effect::Unsafe => false,
-        Effect::Keyed => {
-            request.class.scope == Scope::All && at - ran.first <= request.class.window + history.clock_error
+    /// Why an attempt does harm after one that may have run.
+    fn harm(&self, ran: &Attempt, attempt: &Attempt) -> Option<Reason> {
+        let class = &self.request.class;
+        let elapsed = attempt.began_at - ran.began_at;
+        match class.effect {
+            Effect::Safe => None,
+            Effect::Unsafe => Some(Reason::Effect),
+            Effect::Keyed if !self.share_a_group(ran, attempt) => Some(Reason::Scope),
+            Effect::Keyed if elapsed > class.window + self.clock_error => Some(Reason::Window),
+            Effect::Keyed => None,
         }
     }
-}
 
-/// Why a call does harm after one that may have run.
-fn harm(
-    history: &History,
-    request: &Request,
-    ran: &Call,
-    call: &Call,
-    nodes: &BTreeMap<&str, &Node>,
-) -> Option<Reason> {
-    let of = |call: &Call| nodes.get(call.place).map(|node| (node.zone, node.cell));
-    let together = match (request.class.scope, of(ran), of(call)) {
-        (Scope::All, ..) => true,
-        (Scope::Zone, Some(a), Some(b)) => a.0 == b.0,
-        (Scope::Cell, Some(a), Some(b)) => a.1 == b.1,
-        _ => false,
-    };
-    match request.class.effect {
-        Effect::Safe => None,
-        Effect::Unsafe => Some(Reason::Effect),
-        Effect::Keyed if !together => Some(Reason::Scope),
-        Effect::Keyed if call.first - ran.first > request.class.window + history.clock_error => {
-            Some(Reason::Window)
+    /// Whether the backends of two attempts drop the repeats of each other's requests.
+    fn share_a_group(&self, a: &Attempt, b: &Attempt) -> bool {
+        let scope = self.request.class.scope;
+        if scope == Scope::All {
+            return true;
+        }
+        let (Some(a), Some(b)) = (self.nodes.get(a.address), self.nodes.get(b.address)) else {
+            return false;
+        };
+        match scope {
+            Scope::All => true,
+            Scope::Zone => a.zone == b.zone,
+            Scope::Cell => a.cell == b.cell,
         }
-        Effect::Keyed => None,
+    }
+
+    fn report(&mut self, reason: Reason, at: Time, events: Vec<usize>) {
+        self.violations.push(Violation { reason, about: self.id.to_owned(), at, events });
     }
 }
 
-/// The nodes by the places at which they were last told of.
-fn places(history: &History) -> BTreeMap<&str, &Node> {
-    let told = history.events.iter().filter_map(|(_, seen)| match seen {
+/// The nodes by the addresses that discovery listed last.
+fn nodes_by_address(history: &History) -> BTreeMap<&str, &Node> {
+    let lists = history.events.iter().filter_map(|(_, seen)| match seen {
         HistoryEvent::Told { nodes, .. } => Some(nodes),
         _ => None,
     });
-    told.flatten().map(|node| (node.place.as_str(), node)).collect()
+    lists.flatten().map(|node| (node.place.as_str(), node)).collect()
 }
--- a/crates/history-checker/src/request_index.rs
+++ b/crates/history-checker/src/request_index.rs
@@ -1,137 +1,223 @@
-//! The requests of a history, each with its calls and answers.
+//! The requests of a history, each with its attempts and responses: [`RequestIndex`].
 
 use crate::history::{Answer, Class, End, Figures, History, HistoryEvent, Process, Time};
 use crate::violation::CheckError;
 use std::collections::BTreeMap;
 
-/// A request, and under which figures it was taken.
+/// An event: its index in the history, and when it was seen.
+#[derive(Clone, Copy)]
+pub(crate) struct Occurrence {
+    pub event: usize,
+    pub at: Time,
+}
+
+/// A request, and the figures that were active at its proxy when it was sent.
 pub(crate) struct Request<'a> {
-    pub asked: (usize, Time),
+    pub sent: Occurrence,
     pub proxy: &'a str,
     pub figures: &'a Figures,
     pub class: Class,
+    /// How long its client waits.
     pub budget: Time,
-    pub began: Option<Time>,
-    pub answers: Vec<(usize, Time, &'a Answer)>,
-    /// When it was no longer owed an answer: its consumer left, or its proxy was killed.
+    /// When a body stream began to arrive in response.
+    pub body_began: Option<Time>,
+    pub responses: Vec<Response<'a>>,
+    /// From when on no response was due: its client left, or its proxy was killed.
     pub excused: Option<Time>,
     /// When its proxy ended by itself, which excuses nothing.
-    pub proxy_left: Option<(usize, Time)>,
-    pub calls: Vec<Call<'a>>,
+    pub proxy_left: Option<Occurrence>,
+    pub attempts: Vec<Attempt<'a>>,
+}
+
+/// A final response that a client received.
+pub(crate) struct Response<'a> {
+    pub received: Occurrence,
+    pub answer: &'a Answer,
 }
 
-/// A call of a request.
-pub(crate) struct Call<'a> {
+/// An attempt of a request at a backend.
+pub(crate) struct Attempt<'a> {
+    /// The event of its arrival at the backend.
     pub event: usize,
-    pub place: &'a str,
-    pub first: Time,
-    pub end: Option<(Time, &'a End)>,
+    /// The address of the backend.
+    pub address: &'a str,
+    /// When its first byte arrived there.
+    pub began_at: Time,
+    /// How it ended, once it has.
+    pub end: Option<AttemptEnd<'a>>,
 }
 
-impl Call<'_> {
+/// How an attempt ended.
+pub(crate) struct AttemptEnd<'a> {
+    pub at: Time,
+    pub end: &'a End,
+}
+
+impl Attempt<'_> {
     /// Whether it may have run, by what was known at a time.
     pub(crate) fn may_have_run(&self, at: Time) -> bool {
-        !self.end.is_some_and(|(ended, end)| ended <= at && matches!(end, End::Missed | End::TurnedAway))
+        let Some(AttemptEnd { at: ended_at, end }) = &self.end else { return true };
+        let did_not_run = matches!(end, End::Missed | End::TurnedAway);
+        *ended_at > at || !did_not_run
     }
 }
 
-/// All requests by their ids, and the calls that belong to none.
+/// An attempt for which there was no request.
+pub(crate) struct StrayAttempt<'a> {
+    pub received: Occurrence,
+    /// The id of the request that it claims to be for.
+    pub request: &'a str,
+}
+
+/// All requests by their ids, and the attempts that belong to none.
 #[derive(Default)]
-pub(crate) struct Ledger<'a> {
+pub(crate) struct RequestIndex<'a> {
     pub requests: BTreeMap<&'a str, Request<'a>>,
-    pub unasked: Vec<(usize, Time, &'a str)>,
+    pub stray_attempts: Vec<StrayAttempt<'a>>,
 }
 
-impl<'a> Ledger<'a> {
+impl<'a> RequestIndex<'a> {
     /// Reads a history.
-    pub(crate) fn read(history: &'a History) -> Result<Ledger<'a>, CheckError> {
+    ///
+    /// # Errors
+    ///
+    /// Why the history cannot be judged.
+    pub(crate) fn read(history: &'a History) -> Result<RequestIndex<'a>, CheckError> {
         if history.events.is_empty() {
             return Err(CheckError::Empty);
         }
         if let Some(at) = history.events.windows(2).position(|pair| pair[1].0 < pair[0].0) {
             return Err(CheckError::OutOfOrder(at + 1));
         }
-        let mut ledger = Ledger::default();
-        let mut in_force: BTreeMap<&str, &Figures> = BTreeMap::new();
-        let mut calls: BTreeMap<u64, Option<(&str, usize)>> = BTreeMap::new();
+        let mut builder = Builder::default();
         for (event, (at, seen)) in history.events.iter().enumerate() {
-            let (at, unknown) = (*at, CheckError::Unknown(event));
-            match seen {
-                HistoryEvent::InForce { proxy, figures } => drop(in_force.insert(proxy, figures)),
-                HistoryEvent::Asked { proxy, request, class, budget } => {
-                    let figures = *in_force.get(proxy.as_str()).ok_or(unknown.clone())?;
-                    let class = *figures.classes.get(class).ok_or(unknown)?;
-                    let request_of = Request {
-                        asked: (event, at),
-                        proxy,
-                        figures,
-                        class,
-                        budget: *budget,
-                        began: None,
-                        answers: Vec::new(),
-                        excused: None,
-                        proxy_left: None,
-                        calls: Vec::new(),
-                    };
-                    if ledger.requests.insert(request, request_of).is_some() {
-                        return Err(CheckError::Again(event));
-                    }
-                }
-                HistoryEvent::Began { request } => {
-                    ledger.find(request).ok_or(unknown)?.began.get_or_insert(at);
-                }
-                HistoryEvent::Answered { request, answer } => {
-                    ledger.find(request).ok_or(unknown)?.answers.push((event, at, answer));
-                }
-                HistoryEvent::Left { request } => {
-                    ledger.find(request).ok_or(unknown)?.excused.get_or_insert(at);
+            builder.add(Occurrence { event, at: *at }, seen)?;
+        }
+        if builder.index.requests.is_empty() {
+            return Err(CheckError::NoRequest);
+        }
+        Ok(builder.index)
+    }
+}
+
+/// Where an attempt is in the index.
+#[derive(Clone, Copy)]
+struct AttemptPosition<'a> {
+    request: &'a str,
+    number: usize,
+}
+
+#[derive(Default)]
+struct Builder<'a> {
+    index: RequestIndex<'a>,
+    /// The figures that are active at each proxy.
+    active: BTreeMap<&'a str, &'a Figures>,
+    /// Attempts by their numbers; none for those that belong to no request.
+    positions: BTreeMap<u64, Option<AttemptPosition<'a>>>,
+}
+
+impl<'a> Builder<'a> {
+    fn add(&mut self, when: Occurrence, seen: &'a HistoryEvent) -> Result<(), CheckError> {
+        match seen {
+            HistoryEvent::InForce { proxy, figures } => {
+                self.active.insert(proxy, figures);
+            }
+            HistoryEvent::Asked { proxy, request, class, budget } => {
+                let sent = self.request_sent(when, proxy, class, *budget)?;
+                if self.index.requests.insert(request, sent).is_some() {
+                    return Err(CheckError::Again(when.event));
                 }
-                HistoryEvent::Ended { proxy, how } => {
-                    let held = ledger.requests.values_mut().filter(|r| r.proxy == proxy);
-                    for held in held.filter(|r| r.answers.is_empty()) {
-                        match how {
-                            Process::Killed => _ = held.excused.get_or_insert(at),
-                            Process::Left => _ = held.proxy_left.get_or_insert((event, at)),
-                        }
-                    }
+            }
+            HistoryEvent::Began { request } => {
+                self.request(when, request)?.body_began.get_or_insert(when.at);
+            }
+            HistoryEvent::Answered { request, answer } => {
+                let response = Response { received: when, answer };
+                self.request(when, request)?.responses.push(response);
+            }
+            HistoryEvent::Left { request } => {
+                self.request(when, request)?.excused.get_or_insert(when.at);
+            }
+            HistoryEvent::Ended { proxy, how } => self.proxy_ended(when, proxy, *how),
+            HistoryEvent::Received { request, call, place, first, .. } => {
+                let attempt = Attempt { event: when.event, address: place, began_at: *first, end: None };
+                let position = self.attempt_received(when, request, attempt);
+                if self.positions.insert(*call, position).is_some() {
+                    return Err(CheckError::Again(when.event));
                 }
-                HistoryEvent::Received { request, call, place, first, .. } => {
-                    let of = match ledger.find(request) {
-                        Some(of) => {
-                            of.calls.push(Call { event, place, first: *first, end: None });
-                            Some((request.as_str(), of.calls.len() - 1))
-                        }
-                        None => {
-                            ledger.unasked.push((event, at, request));
-                            None
-                        }
-                    };
-                    if calls.insert(*call, of).is_some() {
-                        return Err(CheckError::Again(event));
-                    }
+            }
+            HistoryEvent::Closed { call, end } => self.attempt_ended(when, *call, end)?,
+            HistoryEvent::Told { .. }
+            | HistoryEvent::Started { .. }
+            | HistoryEvent::Share { .. }
+            | HistoryEvent::Bound { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn request(&mut self, when: Occurrence, id: &str) -> Result<&mut Request<'a>, CheckError> {
+        self.index.requests.get_mut(id).ok_or(CheckError::Unknown(when.event))
+    }
+
+    fn request_sent(
+        &self,
+        sent: Occurrence,
+        proxy: &'a str,
+        class: &str,
+        budget: Time,
+    ) -> Result<Request<'a>, CheckError> {
+        let unknown = CheckError::Unknown(sent.event);
+        let figures = *self.active.get(proxy).ok_or(unknown.clone())?;
+        let class = *figures.classes.get(class).ok_or(unknown)?;
+        Ok(Request {
+            sent,
+            proxy,
+            figures,
+            class,
+            budget,
+            body_began: None,
+            responses: Vec::new(),
+            excused: None,
+            proxy_left: None,
+            attempts: Vec::new(),
+        })
+    }
+
+    fn proxy_ended(&mut self, when: Occurrence, proxy: &str, how: Process) {
+        let of_proxy = self.index.requests.values_mut().filter(|request| request.proxy == proxy);
+        for request in of_proxy.filter(|request| request.responses.is_empty()) {
+            match how {
+                Process::Killed => {
+                    request.excused.get_or_insert(when.at);
                 }
-                HistoryEvent::Closed { call, end } => {
-                    if let Some((request, number)) = calls.get(call).ok_or(unknown)? {
-                        let closed = ledger.find(request).and_then(|of| of.calls.get_mut(*number));
-                        if let Some(call) = closed {
-                            call.end.get_or_insert((at, end));
-                        }
-                    }
+                Process::Left => {
+                    request.proxy_left.get_or_insert(when);
                 }
-                HistoryEvent::Told { .. }
-                | HistoryEvent::Started { .. }
-                | HistoryEvent::Share { .. }
-                | HistoryEvent::Bound { .. } => {}
             }
         }
-        if ledger.requests.is_empty() {
-            Err(CheckError::NoRequest)
-        } else {
-            Ok(ledger)
-        }
     }
 
-    fn find(&mut self, request: &str) -> Option<&mut Request<'a>> {
-        self.requests.get_mut(request)
+    fn attempt_received(
+        &mut self,
+        when: Occurrence,
+        id: &'a str,
+        attempt: Attempt<'a>,
+    ) -> Option<AttemptPosition<'a>> {
+        let Some(request) = self.index.requests.get_mut(id) else {
+            self.index.stray_attempts.push(StrayAttempt { received: when, request: id });
+            return None;
+        };
+        request.attempts.push(attempt);
+        Some(AttemptPosition { request: id, number: request.attempts.len() - 1 })
+    }
+
+    fn attempt_ended(&mut self, when: Occurrence, attempt: u64, end: &'a End) -> Result<(), CheckError> {
+        let position = self.positions.get(&attempt).ok_or(CheckError::Unknown(when.event))?;
+        let Some(AttemptPosition { request, number }) = *position else { return Ok(()) };
+        let request = self.index.requests.get_mut(request);
+        if let Some(attempt) = request.and_then(|request| request.attempts.get_mut(number)) {
+            attempt.end.get_or_insert(AttemptEnd { at: when.at, end });
+        }
+        Ok(())
     }
 }
--- a/crates/history-checker/src/responses.rs
+++ b/crates/history-checker/src/responses.rs
@@ -1,50 +1,113 @@
-//! One final answer for each request, in time, and given by a provider.
+//! The rule that each request has one final response, in time, and that a backend gave it:
+//! [`check`].
 
-use crate::history::{Answer, End, History};
-use crate::request_index::{Ledger, Request};
+use crate::history::{Answer, End, History, Time};
+use crate::request_index::{Request, RequestIndex, Response};
 use crate::violation::{CheckError, Reason, Violation};
 
-pub(crate) fn check(history: &History, ledger: &Ledger) -> Result<Vec<Violation>, CheckError> {
-    let end = history.events.last().map_or(0.0, |event| event.0);
-    let mut breaches = Vec::new();
-    for (id, request) in &ledger.requests {
-        let mut broken = |reason, at, events| {
-            breaches.push(Violation { reason, about: (*id).to_owned(), at, events });
-        };
-        let (asked, from) = request.asked;
-        let due = from + request.budget + request.figures.answer_slack + history.clock_error;
-        match request.answers.as_slice() {
-            [] if request.began.is_some() || request.excused.is_some_and(|at| at <= due) => {}
-            [] => match request.proxy_left {
-                Some((left, at)) => broken(Reason::Lost, at, vec![asked, left]),
-                None if end <= due => return Err(CheckError::Unfinished((*id).to_owned())),
-                None => broken(Reason::Lost, due, vec![asked]),
-            },
-            [(event, at, answer), more @ ..] => {
-                if request.began.unwrap_or(*at) > due {
-                    broken(Reason::Late, *at, vec![asked, *event]);
-                }
-                if !given(request, answer) {
-                    broken(Reason::MadeUp, *at, vec![asked, *event]);
-                }
-                for (again, at, _) in more {
-                    broken(Reason::Twice, *at, vec![*event, *again]);
-                }
-                for call in request.calls.iter().filter(|call| call.first > *at + history.clock_error) {
-                    broken(Reason::AfterTheEnd, call.first, vec![*event, call.event]);
-                }
+/// Checks the responses of all requests.
+///
+/// # Errors
+///
+/// The history ends before a request without a response is due.
+pub(crate) fn check(history: &History, index: &RequestIndex) -> Result<Vec<Violation>, CheckError> {
+    let mut violations = Vec::new();
+    for (id, request) in &index.requests {
+        let mut checker = RequestChecker { id, request, history, violations: &mut violations };
+        checker.check()?;
+    }
+    for stray in &index.stray_attempts {
+        violations.push(Violation {
+            reason: Reason::Unasked,
+            about: stray.request.to_owned(),
+            at: stray.received.at,
+            events: vec![stray.received.event],
+        });
+    }
+    Ok(violations)
+}
+
+struct RequestChecker<'a> {
+    id: &'a str,
+    request: &'a Request<'a>,
+    history: &'a History,
+    violations: &'a mut Vec<Violation>,
+}
+
+impl RequestChecker<'_> {
+    fn check(&mut self) -> Result<(), CheckError> {
+        match self.request.responses.as_slice() {
+            [] => self.check_missing(),
+            [first, repeated @ ..] => {
+                self.check_first(first);
+                self.check_afterwards(first, repeated);
+                Ok(())
             }
         }
     }
-    for (event, at, request) in &ledger.unasked {
-        let about = (*request).to_owned();
-        breaches.push(Violation { reason: Reason::Unasked, about, at: *at, events: vec![*event] });
+
+    /// The latest time of a response.
+    fn due(&self) -> Time {
+        let Request { sent, budget, figures, .. } = self.request;
+        sent.at + budget + figures.answer_slack + self.history.clock_error
+    }
+
+    /// There is no response.
+    fn check_missing(&mut self) -> Result<(), CheckError> {
+        let due = self.due();
+        let is_excused = self.request.excused.is_some_and(|at| at <= due);
+        if self.request.body_began.is_some() || is_excused {
+            return Ok(());
+        }
+        let sent = self.request.sent.event;
+        if let Some(left) = self.request.proxy_left {
+            self.report(Reason::Lost, left.at, vec![sent, left.event]);
+            return Ok(());
+        }
+        let end = self.history.events.last().map_or(0.0, |event| event.0);
+        if end <= due {
+            return Err(CheckError::Unfinished(self.id.to_owned()));
+        }
+        self.report(Reason::Lost, due, vec![sent]);
+        Ok(())
+    }
+
+    fn check_first(&mut self, response: &Response) {
+        let received = response.received;
+        let events = vec![self.request.sent.event, received.event];
+        // Once the body has begun no deadline runs.
+        if self.request.body_began.unwrap_or(received.at) > self.due() {
+            self.report(Reason::Late, received.at, events.clone());
+        }
+        if !is_from_backend(self.request, response.answer) {
+            self.report(Reason::MadeUp, received.at, events);
+        }
+    }
+
+    /// Nothing may happen after the final response.
+    fn check_afterwards(&mut self, first: &Response, repeated: &[Response]) {
+        let first = first.received;
+        for Response { received, .. } in repeated {
+            self.report(Reason::Twice, received.at, vec![first.event, received.event]);
+        }
+        let request = self.request;
+        let end = first.at + self.history.clock_error;
+        for attempt in request.attempts.iter().filter(|attempt| attempt.began_at > end) {
+            let events = vec![first.event, attempt.event];
+            self.report(Reason::AfterTheEnd, attempt.began_at, events);
+        }
+    }
+
+    fn report(&mut self, reason: Reason, at: Time, events: Vec<usize>) {
+        self.violations.push(Violation { reason, about: self.id.to_owned(), at, events });
     }
-    Ok(breaches)
 }
 
-/// Whether what was served came from a provider, for this request.
-fn given(request: &Request, answer: &Answer) -> bool {
+/// Whether a value that was served came from a backend, for this request.
+fn is_from_backend(request: &Request, answer: &Answer) -> bool {
     let Answer::Served(value) = answer else { return true };
-    request.calls.iter().any(|call| matches!(call.end, Some((_, End::Served(given))) if given == value))
+    request.attempts.iter().any(|attempt| {
+        let end = attempt.end.as_ref().map(|end| end.end);
+        matches!(end, Some(End::Served(given)) if given == value)
+    })
 }
--- a/crates/history-checker/src/slow_start.rs
+++ b/crates/history-checker/src/slow_start.rs
@@ -1,79 +1,107 @@
-//! A cold node is sent no more than it bears, by all proxies together, over any span of the stated length.
+//! The rule that a cold node is sent no more than it bears, by all proxies together, over any span
+//! of the stated length: [`check`].
 
-use crate::history::{Figures, History, HistoryEvent, Time};
+use crate::history::{Figures, History, HistoryEvent, Node, Time};
 use crate::violation::{Reason, Violation};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Of what a node is sent beyond its budget, so much must come from proxies that were told of its start.
-const TOLD_SHARE: f64 = 2.0 / 3.0;
+/// Of the work that overloads a node, so large a share must come from proxies that knew of its
+/// start.
+const INFORMED_SHARE: f64 = 2.0 / 3.0;
+
+/// Work that was sent to a node.
+struct SentWork {
+    event: usize,
+    at: Time,
+    work: f64,
+    /// Whether the sender knew that the node had started.
+    is_informed: bool,
+}
 
 /// A process of a node, and what it was sent within the last span.
-struct Process {
+struct NodeProcess {
     started: Time,
+    /// In work a ms, once it is warm.
     capacity: f64,
-    /// Event, time, work, and whether the sender knew of the start.
-    sent: VecDeque<(usize, Time, f64, bool)>,
+    sent: VecDeque<SentWork>,
+}
+
+#[derive(Default)]
+struct Checker<'a> {
+    clock_error: Time,
+    /// The figures that became active last, at whichever proxy.
+    figures: Option<&'a Figures>,
+    /// Processes by their addresses.
+    processes: BTreeMap<&'a str, NodeProcess>,
+    /// Proxies and addresses of nodes of whose last start they know.
+    informed: BTreeSet<(&'a str, &'a str)>,
+    violations: Vec<Violation>,
 }
 
+/// Checks what all nodes were sent.
 pub(crate) fn check(history: &History) -> Vec<Violation> {
-    let mut figures: Option<&Figures> = None;
-    let mut processes: BTreeMap<&str, Process> = BTreeMap::new();
-    let mut knows: BTreeSet<(&str, &str)> = BTreeSet::new();
-    let mut breaches = Vec::new();
+    let mut checker = Checker { clock_error: history.clock_error, ..Checker::default() };
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::InForce { figures: newer, .. } => figures = Some(newer),
-            HistoryEvent::Started { place, capacity } => {
-                knows.retain(|(_, known)| known != place);
-                let process = Process { started: *at, capacity: *capacity, sent: VecDeque::new() };
-                processes.insert(place, process);
-            }
-            HistoryEvent::Told { proxy, nodes, .. } => {
-                let new = nodes.iter().filter(|node| {
-                    processes
-                        .get(node.place.as_str())
-                        .is_some_and(|of| node.started >= of.started - history.clock_error)
-                });
-                knows.extend(new.map(|node| (proxy.as_str(), node.place.as_str())));
-            }
+            HistoryEvent::InForce { figures, .. } => checker.figures = Some(figures),
+            HistoryEvent::Started { place, capacity } => checker.started(*at, place, *capacity),
+            HistoryEvent::Told { proxy, nodes, .. } => checker.listed(proxy, nodes),
             HistoryEvent::Received { proxy, place, work, .. } => {
-                let (Some(figures), Some(process)) = (figures, processes.get_mut(place.as_str())) else {
-                    continue;
-                };
-                let told = knows.contains(&(proxy.as_str(), place.as_str()));
-                process.sent.push_back((event, *at, *work, told));
-                if let Some(events) = process.overloaded(*at, figures) {
-                    breaches.push(Violation {
-                        reason: Reason::Overloaded,
-                        about: place.clone(),
-                        at: *at,
-                        events,
-                    });
-                    process.sent.clear();
-                }
+                let is_informed = checker.informed.contains(&(proxy.as_str(), place.as_str()));
+                checker.received(place, SentWork { event, at: *at, work: *work, is_informed });
             }
             _ => {}
         }
     }
-    breaches
+    checker.violations
+}
+
+impl<'a> Checker<'a> {
+    fn started(&mut self, at: Time, address: &'a str, capacity: f64) {
+        self.informed.retain(|(_, known)| *known != address);
+        let process = NodeProcess { started: at, capacity, sent: VecDeque::new() };
+        self.processes.insert(address, process);
+    }
+
+    fn listed(&mut self, proxy: &'a str, nodes: &'a [Node]) {
+        for node in nodes {
+            let process = self.processes.get(node.place.as_str());
+            if process.is_some_and(|process| node.started >= process.started - self.clock_error) {
+                self.informed.insert((proxy, &node.place));
+            }
+        }
+    }
+
+    fn received(&mut self, address: &str, sent: SentWork) {
+        let Some(figures) = self.figures else { return };
+        let Some(process) = self.processes.get_mut(address) else { return };
+        let at = sent.at;
+        process.sent.push_back(sent);
+        if let Some(events) = process.overloaded_by(at, figures) {
+            process.sent.clear();
+            let about = address.to_owned();
+            self.violations.push(Violation { reason: Reason::Overloaded, about, at, events });
+        }
+    }
 }
 
-impl Process {
+impl NodeProcess {
     /// The events of the last span, if together they are more than the process bears.
-    fn overloaded(&mut self, now: Time, figures: &Figures) -> Option<Vec<usize>> {
+    fn overloaded_by(&mut self, now: Time, figures: &Figures) -> Option<Vec<usize>> {
         let span = figures.tip_after;
-        while self.sent.front().is_some_and(|sent| sent.1 <= now - span) {
+        while self.sent.front().is_some_and(|sent| sent.at <= now - span) {
             self.sent.pop_front();
         }
-        if now - self.started >= figures.cold + span {
+        let age = now - self.started;
+        if age >= figures.cold + span {
             return None;
         }
-        let work =
-            |told: bool| self.sent.iter().filter(|sent| sent.3 || !told).map(|sent| sent.2).sum::<f64>();
-        let warmth = ((now - self.started) / figures.cold.max(1.0)).clamp(0.0, 1.0);
-        let present = figures.start_capacity + (1.0 - figures.start_capacity) * warmth;
-        let bears = figures.fall_multiple * present * self.capacity * span;
-        let is_over = work(false) > bears && work(true) >= work(false) * TOLD_SHARE;
-        is_over.then(|| self.sent.iter().map(|sent| sent.0).collect())
+        let warm_fraction = (age / figures.cold.max(1.0)).clamp(0.0, 1.0);
+        let present = figures.start_capacity + (1.0 - figures.start_capacity) * warm_fraction;
+        let bearable = figures.fall_multiple * present * self.capacity * span;
+        let work: f64 = self.sent.iter().map(|sent| sent.work).sum();
+        let informed_work: f64 = self.sent.iter().filter(|sent| sent.is_informed).map(|sent| sent.work).sum();
+        let is_overloaded = work > bearable && informed_work >= work * INFORMED_SHARE;
+        is_overloaded.then(|| self.sent.iter().map(|sent| sent.event).collect())
     }
 }
