--- a/crates/history-checker/src/history.rs
+++ b/crates/history-checker/src/history.rs
@@ -1,23 +1,24 @@
-//! What a history is made of.
+//! What a history is made of. Read [`History`] first, then [`HistoryEvent`].
 
 use std::collections::BTreeMap;
 
-/// A time in ms, from any beginning.
+/// A time in ms from any beginning, or a duration in ms.
 pub type Time = f64;
 
-/// A history: what was seen, in the order of time.
+/// What was seen of a fleet from outside, in the order of time.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
-    /// How far a recorder's times may be off: so much is added to each limit. 0 on a clock of the history's own.
+    /// How far a recorder's times may be off: so much is added to each limit. 0 if the history has a
+    /// clock of its own.
     pub clock_error: Time,
     /// When each thing was seen, and what.
     pub events: Vec<(Time, HistoryEvent)>,
 }
 
-/// One thing that was seen.
+/// Something that was seen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HistoryEvent {
-    /// A configuration was put in force at a proxy.
+    /// A configuration became active at a proxy.
     InForce {
         /// The proxy.
         proxy: String,
@@ -28,16 +29,16 @@
     Told {
         /// The proxy.
         proxy: String,
-        /// Whether this is all there are: who is not named is gone.
+        /// Whether the list is whole: a node that is not in it is gone.
         whole: bool,
         /// The nodes.
         nodes: Vec<Node>,
     },
-    /// A provider's process started; its capacity in work a ms once it is warm.
+    /// A backend's process started.
     Started {
-        /// Where it is reached.
+        /// Its address.
         place: String,
-        /// Its capacity.
+        /// Its capacity once it is warm, in work a ms.
         capacity: f64,
     },
     /// A proxy's process ended.
@@ -47,68 +48,69 @@
         /// How.
         how: Process,
     },
-    /// The last byte of a consumer's request was written.
+    /// The last byte of a client's request was written.
     Asked {
         /// The proxy.
         proxy: String,
-        /// Its id, unique in the history.
+        /// The request's id, unique in the history.
         request: String,
-        /// Its class by name.
+        /// The name of its class.
         class: String,
-        /// How long the consumer waits.
+        /// How long the client waits.
         budget: Time,
     },
-    /// A value so long that it flows began to come in answer; from then on no deadline runs.
+    /// A body stream began to arrive in response; from then on no deadline runs.
     Began {
         /// The request.
         request: String,
     },
-    /// The last byte of an answer came to the consumer.
+    /// The last byte of a response arrived at the client.
     Answered {
         /// The request.
         request: String,
-        /// What it said.
+        /// The response.
         answer: Answer,
     },
-    /// The consumer closed its connection: nothing is owed any more.
+    /// The client closed its connection: no response is due any more.
     Left {
         /// The request.
         request: String,
     },
-    /// The last byte of a call came to a provider.
+    /// The last byte of an attempt arrived at a backend.
     Received {
         /// The proxy that made it.
         proxy: String,
         /// The request that it is for.
         request: String,
-        /// The call, by a number unique in the history.
+        /// The attempt, by a number unique in the history.
         call: u64,
-        /// Where the provider is reached.
+        /// The backend's address.
         place: String,
-        /// When its first byte came.
+        /// When its first byte arrived.
         first: Time,
-        /// The work that it is.
+        /// How much work it is.
         work: f64,
     },
-    /// A proxy said what its share of the whole is, which is 1. What it gives up is in use for as long as its calls run.
+    /// A proxy said what its quota is; the whole is 1. What it gives up stays in use for as long as
+    /// its attempts run.
     Share {
         /// The proxy; each process of one is a proxy of its own here.
         proxy: String,
-        /// Its part.
+        /// Its quota, from 0 to 1.
         part: f64,
-        /// How long calls may run.
+        /// How long attempts may run.
         calls: Time,
     },
-    /// All proxies together may have so many calls at once before a provider.
+    /// All proxies together may have so many attempts in flight at a backend.
     Bound {
-        /// Where it is reached.
+        /// The backend's address.
         place: String,
-        /// How many.
+        /// How many attempts.
         calls: usize,
     },
-    /// A call ended, at the provider or by its connection.
+    /// An attempt ended, at the backend or by its connection.
     Closed {
-        /// The call.
+        /// The attempt.
         call: u64,
         /// How.
         end: End,
@@ -118,44 +120,44 @@
 /// How a proxy's process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Process {
-    /// It was killed: what it held is left to its consumers.
+    /// It was killed: its clients have to deal with the requests that it held.
     Killed,
-    /// By itself, with a clean exit: it had to answer all that it took.
+    /// It exited cleanly by itself: it had to respond to all requests that it took.
     Left,
 }
 
-/// The final answer of a request.
+/// The final response to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// Served, with this value or receipt.
     Served(String),
-    /// Refused: to ask again does no harm.
+    /// Rejected: to send the request again does no harm.
     Refused,
     /// Failed; nothing is promised.
     Failed,
 }
 
-/// How a call ended.
+/// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
     /// Served, with this value or receipt.
     Served(String),
-    /// The provider does not hold the key; nothing ran.
+    /// The backend does not hold the key; nothing ran.
     Missed,
-    /// Turned away; nothing ran.
+    /// The backend rejected it; nothing ran.
     TurnedAway,
     /// It failed; it may have run.
     Failed,
-    /// Its connection ended with no whole answer; it may have run.
+    /// Its connection ended without a whole response; it may have run.
     Broken,
 }
 
-/// Whether a node takes work.
+/// Whether a node may be sent something new.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
-    /// It does.
+    /// It may.
     Ready,
-    /// Nothing new.
+    /// It completes what it has, and gets nothing new.
     Draining,
     /// It is no longer there.
     Gone,
@@ -166,7 +168,7 @@
 pub struct Node {
     /// Its name.
     pub name: String,
-    /// Where it is reached.
+    /// Its address.
     pub place: String,
     /// Its zone.
     pub zone: u16,
@@ -174,22 +176,23 @@
     pub cell: u16,
     /// Its state.
     pub state: State,
-    /// When it last started, by the history's clock; before its beginning for long ago.
+    /// When it last started, on the history's clock; before the history's beginning if long ago.
     pub started: Time,
 }
 
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    /// As often as wanted.
+    /// Any number of times.
     Safe,
-    /// A group of providers drops repeats for some time.
+    /// Any number of times at a group of backends within the deduplication window, since they drop
+    /// repeats.
     Keyed,
     /// Once.
     Unsafe,
 }
 
-/// Which providers drop the repeats of a keyed request.
+/// Which backends drop the repeats of a request with an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     /// All.
@@ -205,31 +208,31 @@
 pub struct Class {
     /// How often it may run.
     pub effect: Effect,
-    /// Which providers drop its repeats.
+    /// Which backends drop its repeats.
     pub scope: Scope,
     /// For how long they do.
     pub window: Time,
 }
 
-/// The figures of the rules.
+/// The figures by which the rules judge.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Figures {
     /// The classes by name.
     pub classes: BTreeMap<String, Class>,
-    /// Most calls for one request.
+    /// The most attempts of one request.
     pub attempts: usize,
-    /// Whether two calls of a request may be out at once.
+    /// Whether two attempts of a request may be in flight at once.
     pub second_copies: bool,
-    /// So long after its time an answer still counts.
+    /// So long after its time a response still counts.
     pub answer_slack: Time,
     /// So long after a proxy is told of a drain something new may still go there.
     pub stop_within: Time,
     /// A node starts with this share of its capacity.
     pub start_capacity: f64,
-    /// And is warm after this time.
+    /// It is warm after this time.
     pub cold: Time,
-    /// It falls if sent more than this multiple of its present capacity.
+    /// It is overloaded by work beyond this multiple of its present capacity ...
     pub fall_multiple: f64,
-    /// For this long.
+    /// ... over a span of this length.
     pub tip_after: Time,
 }
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -1,10 +1,15 @@
-//! Judges histories: timed lists of what could be seen of a fleet from outside, by the rules that every proxy
-//! keeps. For tests only; it does no I/O, and shares no code with the decisions that it judges.
+//! Checks histories of a fleet, as far as they can be seen from outside, by the rules that every
+//! proxy keeps. For tests only; it does no I/O, and shares no code with the decisions that it
+//! judges.
 //!
-//! A [`History`] holds what consumers sent and received, what providers received and how they answered, what
-//! discovery told, which figures were in force, and which processes started and ended. Of a proxy's state, actions,
-//! counters and log it knows nothing. [`check`] names each [`Violation`] with its [`Reason`], whom it is about, when it
-//! happened and the events at fault. A history that shows no request is an error: nothing was looked at.
+//! Read [`History`] first, then [`check`]. A history holds what clients sent and received, what
+//! backends received and how they responded, what discovery listed, which figures were active, and
+//! which processes started and ended. It knows nothing of a proxy's state, decisions, counters and
+//! log. [`check`] returns each [`Violation`] with its [`Reason`], whom it is about, when it
+//! happened and the events at fault. A history without a request is an error: nothing was checked.
+//!
+//! Each rule has a module: `responses`, `repetition`, `draining`, `slow_start`, `quota` and
+//! `policies`. The first two work on the index of requests in `request_index`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -25,7 +30,11 @@
 pub use quota::check_quota;
 pub use violation::{CheckError, Reason, Rule, Violation};
 
-/// Judges a history by all rules. What it breaks, in the order of time; or why it cannot be judged.
+/// Checks a history by all rules; returns the violations in the order of time.
+///
+/// # Errors
+///
+/// Why the history cannot be judged.
 pub fn check(history: &History) -> Result<Vec<Violation>, CheckError> {
     let index = request_index::RequestIndex::read(history)?;
     let mut violations = responses::check(history, &index)?;
--- a/crates/history-checker/src/quota/tests.rs
+++ b/crates/history-checker/src/quota/tests.rs
@@ -1,31 +1,41 @@
 use super::*;
 use crate::history::End;
 
-fn share(at: Time, proxy: &str, part: f64) -> (Time, HistoryEvent) {
+fn quota_stated(at: Time, proxy: &str, part: f64) -> (Time, HistoryEvent) {
     (at, HistoryEvent::Share { proxy: proxy.into(), part, calls: 1000.0 })
 }
 
 fn reasons(events: Vec<(Time, HistoryEvent)>) -> Vec<Reason> {
-    let breaches = check_quota(&History { clock_error: 0.0, events }).unwrap();
-    breaches.iter().map(|breach| breach.reason).collect()
+    let violations = check_quota(&History { clock_error: 0.0, events }).unwrap();
+    violations.iter().map(|violation| violation.reason).collect()
 }
 
 #[test]
-fn shares_over_the_whole_are_refused_also_while_calls_of_before_run() {
-    let whole = vec![share(0.0, "a", 0.5), share(1.0, "b", 0.5), share(500.0, "a", 0.25)];
+fn quotas_over_the_whole_are_a_violation_also_while_earlier_attempts_run() {
+    let whole =
+        vec![quota_stated(0.0, "a", 0.5), quota_stated(1.0, "b", 0.5), quota_stated(500.0, "a", 0.25)];
     assert_eq!(reasons(whole.clone()), []);
     // What "a" gave up at 500 was last seen in use at 0.
-    let early = share(900.0, "b", 0.75);
+    let early = quota_stated(900.0, "b", 0.75);
     assert_eq!(reasons([whole.clone(), vec![early]].concat()), [Reason::OverTheWhole]);
-    assert_eq!(reasons([whole, vec![share(1001.0, "b", 0.75)]].concat()), []);
+    let in_time = quota_stated(1001.0, "b", 0.75);
+    assert_eq!(reasons([whole, vec![in_time]].concat()), []);
     assert_eq!(check_quota(&History::default()), Err(CheckError::Empty));
 }
 
 #[test]
-fn more_calls_at_once_than_all_may_have_are_refused() {
+fn more_attempts_at_once_than_all_proxies_may_make_are_a_violation() {
     let received = |call: u64| {
-        let (proxy, request, place) = ("p".into(), format!("O{call}"), "n".into());
-        (call as f64, HistoryEvent::Received { proxy, request, call, place, first: call as f64, work: 1.0 })
+        let at = call as f64;
+        let received = HistoryEvent::Received {
+            proxy: "p".into(),
+            request: format!("O{call}"),
+            call,
+            place: "n".into(),
+            first: at,
+            work: 1.0,
+        };
+        (at, received)
     };
     let bound = (0.0, HistoryEvent::Bound { place: "n".into(), calls: 2 });
     let closed = (2.5, HistoryEvent::Closed { call: 1, end: End::Missed });
--- a/crates/history-checker/src/violation.rs
+++ b/crates/history-checker/src/violation.rs
@@ -1,70 +1,71 @@
-//! What a history may break, and why it may not be judged.
+//! What a history may violate ([`Violation`]), and why it may not be judged ([`CheckError`]).
 
 use crate::history::Time;
 use std::fmt;
+use thiserror::Error;
 
 /// One of the rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
-    /// Each request that is taken gets exactly one final answer in time.
+    /// Each request that a proxy takes has exactly one final response in time.
     OneAnswer,
-    /// No effect happens twice, nor is that risked by a refusal; calls are limited.
+    /// No effect happens twice, nor does a rejection risk that; attempts are limited.
     NoRepeat,
     /// Nothing new goes to a node that drains, is gone, or was never listed.
     Drains,
     /// A cold node gets no more than it bears.
     Cold,
-    /// What all use together is no more than there is.
+    /// What all proxies use together is no more than there is.
     Shares,
-    /// Each version of a policy is in force from one moment on everywhere.
+    /// Each policy version becomes active at one moment everywhere.
     OneMoment,
 }
 
-/// Why a rule is broken.
+/// How a rule is violated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
-    /// A request never had its answer.
+    /// A request never had its response.
     Lost,
-    /// It had it too late.
+    /// Its response came too late.
     Late,
-    /// It had more than one.
+    /// It had more than one response.
     Twice,
-    /// No provider gave the value or receipt for this request.
+    /// No backend gave the value or receipt for this request.
     MadeUp,
-    /// A call was made after the final answer.
+    /// An attempt was made after the final response.
     AfterTheEnd,
-    /// A call was made that nobody asked for.
+    /// An attempt was made for which there was no request.
     Unasked,
-    /// A call was made though an earlier one may have run, and the effect forbids that.
+    /// An attempt was made though an earlier one may have run, and the effect forbids that.
     Effect,
-    /// The same, where only some providers drop repeats, and this is none of them.
+    /// The same, where only some backends drop repeats, and this is none of them.
     Scope,
-    /// The same, after the time for which they do.
+    /// The same, after the deduplication window.
     Window,
-    /// A refusal told the consumer to ask again, though a call may have run.
+    /// A rejection told the client that repeating does no harm, though an attempt may have run.
     Refused,
-    /// Two calls of a request were out at once.
+    /// Two attempts of a request were in flight at once.
     TwoAtOnce,
-    /// A request had more calls than are allowed.
+    /// A request had more attempts than are allowed.
     TooMany,
     /// Something new went to a node that drains.
     Draining,
-    /// To one that is gone.
+    /// Something new went to a node that is gone.
     Gone,
-    /// To one that the proxy was never told of.
+    /// Something went to a node of which the proxy was never told.
     NeverListed,
     /// A cold node was sent more than it bears.
     Overloaded,
-    /// Shares added up to more than one.
+    /// Quotas added up to more than one.
     OverTheWhole,
-    /// A provider had more calls before it at once than all may have there.
+    /// A backend had more attempts at once than all proxies together may make.
     TooManyAtOnce,
-    /// A request was decided by a version after another one was by a later version.
+    /// A request was decided by a version after another one was decided by a later version.
     TwoVersions,
 }
 
 impl Reason {
-    /// The rule that it belongs to.
+    /// The rule that it violates.
     pub fn rule(self) -> Rule {
         use Reason::*;
         match self {
@@ -78,16 +79,16 @@
     }
 }
 
-/// A broken rule.
+/// A violation of a rule.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Violation {
-    /// Why.
+    /// How the rule is violated.
     pub reason: Reason,
-    /// The request or the node that it is about.
+    /// The request, the node's address, the proxy or the versions that it is about.
     pub about: String,
-    /// When.
+    /// When it happened, in ms.
     pub at: Time,
-    /// The events at fault, by their place in the history.
+    /// The events at fault, by their indices in the history.
     pub events: Vec<usize>,
 }
 
@@ -98,19 +99,25 @@
     }
 }
 
-/// Why a history cannot be judged.
-#[derive(Clone, Debug, PartialEq)]
+/// Why a history cannot be judged. Events are given by their indices.
+#[derive(Clone, Debug, PartialEq, Error)]
 pub enum CheckError {
     /// Nothing was seen.
+    #[error("the history is empty")]
     Empty,
-    /// No request was asked.
+    /// No client sent a request.
+    #[error("the history has no request")]
     NoRequest,
-    /// An event comes before the one in front of it.
+    /// An event is earlier than the one before it.
+    #[error("event {0} is earlier than the one before it")]
     OutOfOrder(usize),
-    /// An event is about a proxy, class, request or call that was not seen before.
+    /// An event is about a proxy, class, request or attempt that was not seen before.
+    #[error("event {0} is about something that was not seen before")]
     Unknown(usize),
-    /// An id is given twice.
+    /// An event uses an id again.
+    #[error("event {0} uses an id again")]
     Again(usize),
-    /// It ends before a request's time is over.
+    /// The history ends before the response of this request is due.
+    #[error("the history ends before the response of request {0} is due")]
     Unfinished(String),
 }
