--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -368,7 +368,7 @@
     limit_after_one_request: Millis,
 }
 
-/// The recorded crowd on other numbers of descriptors; docs/connection-limits.md quotes the figures.
+/// The recorded crowd on other numbers of descriptors; docs/connection-limits.md quotes figures.
 #[test]
 fn the_recorded_crowd_is_served_on_few_descriptors_and_on_many() {
     let rates = [(Behavior::OneRequest, 250), (Behavior::Silent, 45)];
--- a/crates/history-checker/src/history.rs
+++ b/crates/history-checker/src/history.rs
@@ -8,8 +8,8 @@
 /// What was seen of a fleet from outside, in the order of time.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
-    /// How far a recorder's times may be off: so much is added to each limit. 0 if the history has a
-    /// clock of its own.
+    /// How far a recorder's times may be off: so much is added to each limit. 0 if the history has
+    /// a clock of its own.
     pub clock_error: Time,
     /// When each thing was seen, and what.
     pub events: Vec<(Time, HistoryEvent)>,
--- a/crates/membership/src/wire/tests.rs
+++ b/crates/membership/src/wire/tests.rs
@@ -15,8 +15,8 @@
         (DropReason::UnknownProtocol, DropReason::UnsupportedVersion)
     );
     // The checksum covers every other byte.
-    for index in 3..good.len() {
-        assert_eq!(reason_with(index, good[index] ^ 0x10), DropReason::Corrupt, "{index}");
+    for (index, byte) in good.iter().enumerate().skip(3) {
+        assert_eq!(reason_with(index, byte ^ 0x10), DropReason::Corrupt, "{index}");
     }
     for end in 0..good.len() {
         assert!(decode_datagram("gdynia", &good[..end]).is_err(), "{end}");
