Split the decision module into a folder by concern; name its parts by the glossary

src/logic.rs was one file of 670 non-blank lines in invented words. src/logic/ holds the same decisions by concern: requests, attempts, retry_safety, selection (HyLARD), eligibility (slow start), health, capacity (limits and quota), endpoints. src/state/ holds what it remembers, as containers and numbers that choose nothing: the balancer's fields, backends, pending requests, the queue, fetches, averages, timer tokens (their values stay).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -83,6 +83,13 @@
     Miss,
 }
 
+impl Outcome {
+    /// Whether the attempt reached its backend, so that its latency tells of it.
+    pub fn reached_backend(self) -> bool {
+        !matches!(self, Outcome::ConnectFailed | Outcome::Moot | Outcome::Cancelled)
+    }
+}
+
 /// A client request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod recent;
 pub mod rendezvous;
 pub mod settings;
+mod state;
 pub mod wire;
--- /dev/null
+++ b/src/logic/retry_safety.rs
@@ -0,0 +1,57 @@
+//! Whether one more attempt, or a client's repeat after a rejection, can have an effect twice.
+
+use super::Balancer;
+use crate::interface::{Member, Outcome};
+use crate::settings::{Effect, Scope};
+use crate::state::{Attempt, PendingRequest};
+
+impl Balancer {
+    /// Whether one more attempt may be made, wherever that is idempotent. None is in flight:
+    /// `on_attempt_end` sees to that.
+    pub(super) fn may_attempt(&self, pending: &PendingRequest) -> bool {
+        is_idempotent(pending, |first| self.is_inside_dedup_window(pending, first))
+            && pending.attempts.len() < pending.limits.max_attempts as usize
+            && self.now < pending.deadline
+    }
+
+    /// Danger: an effect twice. Whether one more attempt at this backend has no further effect.
+    pub(super) fn is_idempotent_at(&self, pending: &PendingRequest, target: &Member) -> bool {
+        is_idempotent(pending, |first| {
+            // No backend is forgotten while a request has been there (`forget_gone`); were one,
+            // nothing would be known.
+            let Some(ran) = self.backends.get(&first.backend).map(|b| b.member) else { return false };
+            match pending.class.scope {
+                Scope::All => true,
+                Scope::Zone => ran.zone == target.zone,
+                Scope::Cell => ran.cell == target.cell,
+            }
+        })
+    }
+
+    /// Danger: a rejection invites a repeat. Whether the client may repeat it anywhere.
+    pub(super) fn may_reject(&self, pending: &PendingRequest) -> bool {
+        let everywhere = pending.class.scope == Scope::All;
+        is_idempotent(pending, |first| everywhere && self.is_inside_dedup_window(pending, first))
+    }
+
+    /// Whether repeats of an attempt are still dropped; what is sent now arrives within a tick.
+    fn is_inside_dedup_window(&self, pending: &PendingRequest, first: &Attempt) -> bool {
+        self.now - first.sent < pending.class.repeat_window - self.settings.tick
+    }
+}
+
+/// Whether a repeat has no further effect: nothing ran, or its class allows it, or it is dropped.
+fn is_idempotent(pending: &PendingRequest, is_dropped: impl Fn(&Attempt) -> bool) -> bool {
+    may_have_run(pending).is_none_or(|first| match pending.class.effect {
+        Effect::Safe => true,
+        Effect::Keyed => is_dropped(first),
+        Effect::Unsafe => false,
+    })
+}
+
+/// The first attempt that may have run, if any.
+pub(super) fn may_have_run(pending: &PendingRequest) -> Option<&Attempt> {
+    use Outcome::{ConnectFailed, Full, Miss, Moot};
+    let never_ran = |a: &Attempt| matches!(a.outcome, Some(Full | ConnectFailed | Moot | Miss));
+    pending.attempts.iter().find(|attempt| !never_ran(attempt))
+}
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -1,4 +1,5 @@
-//! A table of a bounded number of entries: those used longest ago go. Each use is numbered; no clock is needed.
+//! [`Recent`], a table of a bounded number of entries: those used longest ago go. Each use is
+//! numbered, so that no clock is needed.
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/src/state/average.rs
@@ -0,0 +1,65 @@
+//! Exponentially weighted moving averages.
+
+/// An exponentially weighted moving average; 0 at first, or what it is made with.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MovingAverage(f64);
+
+impl MovingAverage {
+    /// An average that starts at a value.
+    pub(crate) fn starting_at(value: f64) -> MovingAverage {
+        MovingAverage(value)
+    }
+
+    /// The average.
+    pub(crate) fn value(self) -> f64 {
+        self.0
+    }
+
+    /// Moves the average towards a sample, by this fraction of the way.
+    pub(crate) fn update(&mut self, weight: f64, sample: f64) {
+        self.0 += weight * (sample - self.0);
+    }
+
+    /// The same, but the first sample that is not 0 becomes the average.
+    pub(crate) fn update_or_start(&mut self, weight: f64, sample: f64) {
+        self.0 += if self.0 == 0.0 { sample } else { weight * (sample - self.0) };
+    }
+}
+
+/// A quantile that runs along with the samples, in small steps; 0 before any.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunningQuantile(f64);
+
+impl RunningQuantile {
+    /// Takes in a sample; whether it is among the largest, of which there are this share.
+    pub(crate) fn exceeded_by(&mut self, sample: f64, share: f64) -> bool {
+        let threshold = if self.0 == 0.0 { sample * 2.0 } else { self.0 };
+        let is_above = sample >= threshold;
+        self.0 = threshold * (1.0 + 0.05 * if is_above { 1.0 - share } else { -share });
+        is_above
+    }
+}
+
+/// What requests and the fleet are like on average.
+#[derive(Debug)]
+pub(crate) struct Averages {
+    /// Expected work of a request, in ms.
+    pub(crate) work: MovingAverage,
+    /// Worth of a request, by its class.
+    pub(crate) worth: MovingAverage,
+    /// Relative size of a cache node.
+    pub(crate) node_size: f64,
+    /// The hint from which on a key counts as large.
+    pub(crate) large_hint: RunningQuantile,
+}
+
+impl Default for Averages {
+    fn default() -> Averages {
+        Averages {
+            work: MovingAverage::default(),
+            worth: MovingAverage::starting_at(1.0),
+            node_size: 1.0,
+            large_hint: RunningQuantile::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/state/request.rs
@@ -0,0 +1,95 @@
+//! A client request until its final response.
+
+use super::AttemptId;
+use crate::interface::{Outcome, Request, ServerId, Time};
+use crate::settings::{Class, Limits};
+
+/// What a request that is not finished does at this moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// An attempt is in flight.
+    InFlight,
+    /// It waits for a backend with capacity.
+    QueuedForBackend,
+    /// It waits for another request's fetch of its key.
+    WaitingForFetch,
+    /// It waits for capacity at the origin.
+    QueuedForOrigin,
+}
+
+/// A client request that is owed a final response.
+#[derive(Debug)]
+pub(crate) struct PendingRequest {
+    /// As it arrived.
+    pub(crate) request: Request,
+    /// Its class and limits as they were when it arrived, whatever settings come.
+    pub(crate) class: Class,
+    pub(crate) limits: Limits,
+    /// When the client gives up; infinite once its response has begun to stream.
+    pub(crate) deadline: Time,
+    /// Expected work, in ms.
+    pub(crate) work: f64,
+    /// What it does.
+    pub(crate) stage: Stage,
+    /// Its attempts in order of sending.
+    pub(crate) attempts: Vec<Attempt>,
+}
+
+impl PendingRequest {
+    /// A request that has just arrived.
+    pub(crate) fn new(request: Request, class: Class, limits: Limits, deadline: Time, work: f64) -> Self {
+        let stage = Stage::QueuedForBackend;
+        PendingRequest { request, class, limits, deadline, work, stage, attempts: Vec::new() }
+    }
+
+    /// Notes an attempt that is sent now; its name.
+    pub(crate) fn begin_attempt(&mut self, backend: ServerId, now: Time) -> AttemptId {
+        let number = self.attempts.len() as u8;
+        self.attempts.push(Attempt { backend, sent: now, outcome: None });
+        self.stage = Stage::InFlight;
+        AttemptId { request: self.request.id, number }
+    }
+
+    /// Notes how an attempt ended; a number that no attempt has is ignored.
+    pub(crate) fn end_attempt(&mut self, number: u8, outcome: Outcome) {
+        if let Some(attempt) = self.attempts.get_mut(usize::from(number)) {
+            attempt.outcome = Some(outcome);
+        }
+    }
+
+    /// Whether an attempt at this backend is in flight, or has ended otherwise than by a miss.
+    pub(crate) fn has_failed_at(&self, id: ServerId) -> bool {
+        self.attempts.iter().any(|a| a.backend == id && a.outcome != Some(Outcome::Miss))
+    }
+
+    /// Whether an attempt has ended like this.
+    pub(crate) fn has_outcome(&self, outcome: Outcome) -> bool {
+        self.attempts.iter().any(|attempt| attempt.outcome == Some(outcome))
+    }
+
+    /// Whether an attempt has not ended yet.
+    pub(crate) fn has_attempt_in_flight(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.outcome.is_none())
+    }
+
+    /// Where it was sent last.
+    pub(crate) fn last_backend(&self) -> Option<ServerId> {
+        self.attempts.last().map(|attempt| attempt.backend)
+    }
+
+    /// How its last attempt ended, if it has.
+    pub(crate) fn last_outcome(&self) -> Option<Outcome> {
+        self.attempts.last().and_then(|attempt| attempt.outcome)
+    }
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    /// The backend that it was sent to.
+    pub(crate) backend: ServerId,
+    /// When.
+    pub(crate) sent: Time,
+    /// How it ended, if it has.
+    pub(crate) outcome: Option<Outcome>,
+}
