--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -77,7 +77,7 @@
 
     fn carry_out(self: &Arc<Self>, order: BackendCommand) {
         match order {
-            BackendCommand::AttemptRequest(call) => {
+            BackendCommand::Attempt(call) => {
                 let side = Arc::clone(self);
                 may::go!(move || {
                     let mut debt = Debt { side: &side, id: call.id, end: None };
@@ -92,7 +92,7 @@
     /// the invocation never finds this one still out.
     fn make(&self, call: &AttemptRequest) -> End {
         loop {
-            let warm = self.pool.warm(call.provider, &call.address);
+            let warm = self.pool.warm(call.server, &call.address);
             let fresh = warm.is_none();
             let connection = match warm {
                 Some(connection) => connection,
@@ -105,7 +105,7 @@
                 self.keep(call, connection, Answered::Named);
                 return Outcome::Moot.into();
             }
-            let (until, wanted) = (call.until.min(call.send_by), || self.exchange.should_send(call));
+            let (until, wanted) = (call.deadline.min(call.send_by), || self.exchange.should_send(call));
             let Err(error) = connection.link.write_while(&words(call), until, wanted) else {
                 return self.await_reply(call, connection);
             };
@@ -113,14 +113,14 @@
             // connection broke while it stood idle says nothing of the provider, so a new one is tried; nothing is sent twice.
             match unwritten(error.kind()) {
                 Outcome::ConnectFailed if !fresh && wanted() => continue,
-                _ if Instant::now() < call.until && !wanted() => return Outcome::Moot.into(),
+                _ if Instant::now() < call.deadline && !wanted() => return Outcome::Moot.into(),
                 outcome => return outcome.into(),
             }
         }
     }
 
     fn connect(&self, call: &AttemptRequest) -> Result<Connection, Outcome> {
-        let left = call.until.min(call.send_by).saturating_duration_since(Instant::now());
+        let left = call.deadline.min(call.send_by).saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Outcome::Moot);
         }
@@ -134,7 +134,7 @@
             Err(ConnectFailure::Full) => Err(Outcome::Moot),
             Err(ConnectFailure::Failed(error)) => match error.kind() {
                 // Too late for this call, whatever comes of the connection.
-                ErrorKind::TimedOut if left < timeout && call.send_by < call.until => Err(Outcome::Moot),
+                ErrorKind::TimedOut if left < timeout && call.send_by < call.deadline => Err(Outcome::Moot),
                 ErrorKind::TimedOut if left < timeout => Err(Outcome::Timeout),
                 _ => Err(Outcome::ConnectFailed),
             },
@@ -145,11 +145,11 @@
         let mut bytes = Vec::new();
         loop {
             let stalled = Instant::now() + STALL;
-            let patience = if bytes.is_empty() { call.until } else { call.until.min(stalled) };
+            let patience = if bytes.is_empty() { call.deadline } else { call.deadline.min(stalled) };
             let read = connection.link.read(&mut bytes, patience);
             let at_end = match read {
                 Ok(count) => count == 0,
-                Err(error) if error.kind() == ErrorKind::TimedOut && patience < call.until => {
+                Err(error) if error.kind() == ErrorKind::TimedOut && patience < call.deadline => {
                     self.counters.answers_spoilt.add();
                     return Outcome::Error.into();
                 }
@@ -182,8 +182,8 @@
             Answered::Unnamed => Rest::LONG,
             Answered::Last => return,
         };
-        self.pool.keep(call.provider, connection, rest, || {
-            self.exchange.accepts_attempts(call.provider, call.started)
+        self.pool.keep(call.server, connection, rest, || {
+            self.exchange.accepts_attempts(call.server, call.server_started)
         });
     }
 
@@ -255,15 +255,15 @@
 
 /// A call in the protocol of its provider.
 fn words(call: &AttemptRequest) -> Vec<u8> {
-    let left = call.until.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
-    let invocation = &call.invocation;
+    let left = call.deadline.saturating_duration_since(Instant::now()).as_millis().max(1).to_string();
+    let invocation = &call.request;
     let labels: Vec<String> = invocation
         .labels
         .iter()
         .map(|(name, value)| format!("{name}={}", if name == "d" { &left } else { value }))
         .collect();
     let (labels, value) = (labels.join(","), invocation.value.as_deref());
-    if !call.at_origin {
+    if !call.is_origin {
         memcache::call(&invocation.key, &invocation.opaque, &labels, value)
     } else {
         let headers = [("X-Txn", invocation.opaque.as_str()), ("X-Labels", labels.as_str())];
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -73,16 +73,16 @@
 
 /// Reads a provider's answer in its protocol.
 pub(super) fn understand(call: &AttemptRequest, bytes: &[u8]) -> Understood {
-    if call.at_origin {
+    if call.is_origin {
         return understand_http(call, bytes);
     }
-    match memcache::reply(bytes, &call.invocation.opaque) {
+    match memcache::reply(bytes, &call.request.opaque) {
         Parsed::Incomplete => Understood::Partly,
         Parsed::Whole(reply, used) => {
             // Only values, receipts and misses carry the id.
             let is_named = !matches!(reply, Reply::Busy | Reply::Failed);
             let end = match reply {
-                Reply::Long(_) if call.invocation.value.is_some() => return Understood::Spoilt,
+                Reply::Long(_) if call.request.value.is_some() => return Understood::Spoilt,
                 Reply::Long(length) => {
                     let answered = Answered::Named;
                     return Long { from: used, length, tail: memcache::END, answered }.begun(bytes);
@@ -104,14 +104,14 @@
         Parsed::Malformed(..) => return Understood::Spoilt,
         Parsed::Whole(head, used) => (head, used),
     };
-    if head.id.as_ref().is_some_and(|id| *id != call.invocation.opaque) {
+    if head.id.as_ref().is_some_and(|id| *id != call.request.opaque) {
         return Understood::Spoilt;
     }
     let rest = &bytes[from..];
     let (body, used) = match head.body {
         Body::Length(length) if length > MAX_ANSWER => return Understood::Spoilt,
         Body::Length(length) if length > MAX_VALUE => {
-            return match (head.status, call.invocation.value.is_some()) {
+            return match (head.status, call.request.value.is_some()) {
                 (200, false) => {
                     let answered = Answered::by(head.id.is_some(), !head.closes);
                     Long { from, length, tail: b"", answered }.begun(bytes)
@@ -133,7 +133,7 @@
         },
     };
     let end = match head.status {
-        200 if call.invocation.value.is_none() => served(call, Payload::Value(body)),
+        200 if call.request.value.is_none() => served(call, Payload::Value(body)),
         200 => match String::from_utf8(body) {
             Ok(receipt) => served(call, Payload::Receipt(receipt)),
             Err(_) => return Understood::Spoilt,
@@ -148,9 +148,9 @@
 /// word for a write.
 fn served(call: &AttemptRequest, payload: Payload) -> End {
     let fits = match &payload {
-        Payload::Value(_) => call.invocation.value.is_none(),
+        Payload::Value(_) => call.request.value.is_none(),
         Payload::Receipt(receipt) => {
-            call.invocation.value.is_some()
+            call.request.value.is_some()
                 && !receipt.is_empty()
                 && receipt.bytes().all(|byte| byte.is_ascii_graphic())
         }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -6,7 +6,7 @@
 use crate::net::codec::memcache::{self, Command};
 use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::deadline_stream::{has_hung_up, read_now, sleep};
-use crate::net::dispatcher::{ClientRequest, Reply, Response, SubmitError};
+use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback, SubmitError};
 use crate::net::memory::Held;
 use pinetrail_policy_consensus::Admission;
 use std::io::{self, ErrorKind};
@@ -167,7 +167,7 @@
         let opaque = invocation.opaque.clone();
         let reply = move |answer: Response| {
             let said = memcache::answer(&opaque, &answer);
-            let value = if let Response::Flows(_, sink) = answer { Some(sink) } else { None };
+            let value = if let Response::Stream(_, sink) = answer { Some(sink) } else { None };
             *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, value));
             shared.waker.wakeup();
         };
@@ -223,14 +223,14 @@
     }
 
     /// Hands an invocation in, read once more as often as other settings come into force meanwhile.
-    fn take(&self, mut given: ClientRequest, mut reply: Reply) -> Result<RequestId, Refused> {
+    fn take(&self, mut given: ClientRequest, mut reply: ResponseCallback) -> Result<RequestId, Refused> {
         loop {
-            match self.side.exchange.take(given, reply) {
+            match self.side.exchange.submit(given, reply) {
                 Ok(id) => return Ok(id),
                 // Two answers under one id could not be told apart.
                 Err(SubmitError::IdInUse) => return Err(Refused::Bad("the id is in use")),
                 Err(SubmitError::Fenced(ms)) => return Err(Refused::Fenced(ms)),
-                Err(SubmitError::Soon(same, same_reply)) => {
+                Err(SubmitError::PolicyChanging(same, same_reply)) => {
                     let begun = Instant::now();
                     self.wait_for_policy()?;
                     (given, reply) = (*same, same_reply);
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -254,7 +254,7 @@
     fn drop(&mut self) {
         self.side.left(self.number);
         for id in self.pending.iter().filter_map(|pending| pending.id) {
-            self.side.exchange.leave(id);
+            self.side.exchange.cancel(id);
         }
     }
 }
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -136,14 +136,14 @@
 /// The words of an answer to a consumer, up to the value if that flows.
 pub fn answer(opaque: &str, answer: &Response) -> Vec<u8> {
     match answer {
-        Response::Served(Payload::Value(value)) => {
+        Response::Complete(Payload::Value(value)) => {
             let mut out = value_head(opaque, value.len());
             out.extend_from_slice(value);
             out.extend_from_slice(END);
             out
         }
-        Response::Flows(length, _) => value_head(opaque, *length),
-        Response::Served(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
+        Response::Stream(length, _) => value_head(opaque, *length),
+        Response::Complete(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
         Response::Rejected(Some(ms)) => format!("SERVER_ERROR busy {ms}\r\n").into_bytes(),
         Response::Rejected(None) => b"SERVER_ERROR busy\r\n".to_vec(),
         Response::Failed => b"SERVER_ERROR failed\r\n".to_vec(),
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -43,9 +43,9 @@
 #[derive(Debug)]
 pub enum Response {
     /// Served.
-    Served(Payload),
+    Complete(Payload),
     /// Served with a value of this length, which flows from here on.
-    Flows(usize, BodyWriter),
+    Stream(usize, BodyWriter),
     /// A rejection, with the time in ms after which to come back, if any is advised.
     Rejected(Option<u64>),
     /// Failed; nothing is promised.
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptId {
     /// The invocation's number at this proxy.
-    pub invocation: RequestId,
+    pub request: RequestId,
     /// Counted from 0 in the order of the module's sends.
     pub attempt: u8,
 }
@@ -67,17 +67,17 @@
     /// Its name.
     pub id: AttemptId,
     /// The provider.
-    pub provider: ServerId,
+    pub server: ServerId,
     /// Where the provider is reached.
     pub address: Arc<str>,
     /// Whether the provider is the origin.
-    pub at_origin: bool,
+    pub is_origin: bool,
     /// What to ask.
-    pub invocation: Arc<ClientRequest>,
+    pub request: Arc<ClientRequest>,
     /// The start of the provider's process that is meant.
-    pub started: Time,
+    pub server_started: Time,
     /// When to stop waiting.
-    pub until: Instant,
+    pub deadline: Instant,
     /// Its last byte goes out by then or never.
     pub send_by: Instant,
 }
@@ -85,24 +85,24 @@
 /// What the provider side is to do.
 #[derive(Clone, Debug)]
 pub enum BackendCommand {
-    /// Make an invoker call; its end is owed to [`Dispatcher::call_ended`].
-    AttemptRequest(AttemptRequest),
+    /// Make an invoker call; its end is owed to [`Dispatcher::attempt_finished`].
+    Attempt(AttemptRequest),
     /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
     Forget(ServerId),
 }
 
 /// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
 /// and wake whoever writes it, but never wait nor call the exchange.
-pub type Reply = Box<dyn FnOnce(Response) + Send>;
+pub type ResponseCallback = Box<dyn FnOnce(Response) + Send>;
 
 /// Why an invocation is not taken in.
 pub enum SubmitError {
     /// No two invocations may be open under one id.
     IdInUse,
     /// Other settings have come into force since it was read: it must be read by those.
-    Outdated(Box<ClientRequest>, Reply),
+    Outdated(Box<ClientRequest>, ResponseCallback),
     /// A change of the fleet's policy is being decided: it is to be handed in again within moments.
-    Soon(Box<ClientRequest>, Reply),
+    PolicyChanging(Box<ClientRequest>, ResponseCallback),
     /// This process may not admit requests; in how many ms to come back.
     Fenced(u64),
 }
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -27,7 +27,8 @@
 pub use maintenance::{EndpointSnapshot, MaintenanceError, PeerAddress};
 use may::sync::mpsc::Sender;
 pub use messages::{
-    AttemptId, AttemptRequest, BackendCommand, ClientRequest, Payload, Reply, Response, SubmitError,
+    AttemptId, AttemptRequest, BackendCommand, ClientRequest, Payload, Response, ResponseCallback,
+    SubmitError,
 };
 use pinetrail_policy_consensus::{Admission, AdmissionLease};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -51,7 +52,7 @@
 
 /// Who takes the answer, and what ends with it.
 struct Open {
-    reply: Reply,
+    reply: ResponseCallback,
     waits: TimerSet,
 }
 
@@ -166,7 +167,7 @@
     }
 
     /// Looks at what is in force: the module's own settings, and what names mean.
-    pub fn in_force<T>(&self, look: impl FnOnce(&Settings, &Names) -> T) -> T {
+    pub fn with_active_settings<T>(&self, look: impl FnOnce(&Settings, &Names) -> T) -> T {
         let state = self.lock();
         look(state.balancer.settings(), &state.names)
     }
@@ -203,16 +204,16 @@
     pub fn apply_policy(self: &Arc<Self>, version: u64, settings: Settings, names: Names) {
         let mut state = self.lock();
         state.policy = version;
-        self.put_in_force(state, settings, names);
+        self.activate(state, settings, names);
     }
 
     /// Puts other settings in force, and what names mean by them, in one step. Open invocations keep what they
     /// were taken with.
     pub fn apply_settings(self: &Arc<Self>, settings: Settings, names: Names) {
-        self.put_in_force(self.lock(), settings, names);
+        self.activate(self.lock(), settings, names);
     }
 
-    fn put_in_force(self: &Arc<Self>, mut state: MutexGuard<Inner>, settings: Settings, mut names: Names) {
+    fn activate(self: &Arc<Self>, mut state: MutexGuard<Inner>, settings: Settings, mut names: Names) {
         state.origin_kind = settings.family.origin_kind;
         state.balancer.retune(settings);
         names.version = state.names.version + 1;
@@ -224,7 +225,7 @@
 
     /// From now on this is the proxy's share of what all may have together; what it has beyond its base ends at that moment.
     /// Danger: a moment, not a duration. A process that is stopped before it comes here would count that from its waking.
-    pub fn share(self: &Arc<Self>, share: Share, ends: Instant) {
+    pub fn apply_quota(self: &Arc<Self>, share: Share, ends: Instant) {
         let until = self.clock.at(ends);
         self.step(self.lock(), Event::Share(Share { until, ..share }));
     }
@@ -235,13 +236,17 @@
     }
 
     /// Takes an invocation in. Its one answer goes to `reply`, unless the consumer leaves first.
-    pub fn take(self: &Arc<Self>, invocation: ClientRequest, reply: Reply) -> Result<RequestId, SubmitError> {
+    pub fn submit(
+        self: &Arc<Self>,
+        invocation: ClientRequest,
+        reply: ResponseCallback,
+    ) -> Result<RequestId, SubmitError> {
         let write = invocation.value.is_some();
         let overdue = span(invocation.budget) + OVERDUE;
         let mut state = self.lock();
         match self.admission(state.policy) {
             Admission::Admit => {}
-            Admission::Wait => return Err(SubmitError::Soon(Box::new(invocation), reply)),
+            Admission::Wait => return Err(SubmitError::PolicyChanging(Box::new(invocation), reply)),
             Admission::Reject(back) => {
                 self.permit.get().into_iter().for_each(|permit| permit.count_rejection());
                 return Err(SubmitError::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
@@ -272,7 +277,7 @@
         let exchange = Arc::clone(self);
         waits.by(move |guard| {
             if guard.sleep(overdue) {
-                exchange.end_overdue(id);
+                exchange.expire(id);
             }
         });
         let record = Record {
@@ -288,7 +293,7 @@
     }
 
     /// The consumer of an invocation has left.
-    pub fn leave(self: &Arc<Self>, id: RequestId) {
+    pub fn cancel(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
         // What waits on it ends with the lock released.
         let open = state.records.get_mut(&id).and_then(|record| record.open.take());
@@ -305,11 +310,11 @@
             state.records.iter().filter(|(_, record)| record.open.is_some()).map(|(id, _)| *id).collect()
         };
         for id in open {
-            self.end_overdue(id);
+            self.expire(id);
         }
     }
 
-    fn end_overdue(self: &Arc<Self>, id: RequestId) {
+    fn expire(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
         if let Some(open) = state.records.get_mut(&id).and_then(|record| record.open.take()) {
             self.counters.overdue.add();
@@ -326,10 +331,11 @@
         if Instant::now() >= call.send_by {
             return false;
         }
-        let Some(record) = state.records.get(&call.id.invocation) else { return false };
+        let Some(record) = state.records.get(&call.id.request) else { return false };
         let Some((server, _)) = record.out.get(&call.id.attempt) else { return false };
         let known = state.providers.get(server);
-        record.open.is_some() && known.is_some_and(|known| known.is_ready() && known.started == call.started)
+        record.open.is_some()
+            && known.is_some_and(|known| known.is_ready() && known.started == call.server_started)
     }
 
     /// Whether a provider takes new calls, and is still the process that started then.
@@ -343,12 +349,12 @@
     pub fn attempt_streaming(self: &Arc<Self>, call: AttemptId, length: usize, sink: BodyWriter) -> bool {
         let mut state = self.lock();
         let now = self.clock.now();
-        let Some(record) = state.records.get_mut(&call.invocation) else { return false };
+        let Some(record) = state.records.get_mut(&call.request) else { return false };
         let Some(open) = record.open.take() else { return false };
         record.began = Some(now);
         self.counters.answered_served.add();
-        open.answer(Response::Flows(length, sink));
-        self.step(state, Event::StreamBegan(call.invocation));
+        open.answer(Response::Stream(length, sink));
+        self.step(state, Event::StreamBegan(call.request));
         true
     }
 
@@ -356,15 +362,17 @@
     pub fn attempt_finished(self: &Arc<Self>, call: AttemptId, outcome: Outcome, payload: Option<Payload>) {
         let mut state = self.lock();
         let now = self.clock.now();
-        let Some(record) = state.records.get_mut(&call.invocation) else { return };
+        let Some(record) = state.records.get_mut(&call.request) else { return };
         let Some((server, sent)) = record.out.remove(&call.attempt) else { return };
         self.counters.outcome(outcome).add();
         let answer = match (outcome, payload) {
-            (Outcome::Ok, Some(payload)) => record.open.take().map(|open| (open, Response::Served(payload))),
+            (Outcome::Ok, Some(payload)) => {
+                record.open.take().map(|open| (open, Response::Complete(payload)))
+            }
             _ => None,
         };
         let end = AttemptEnd {
-            id: call.invocation,
+            id: call.request,
             attempt: call.attempt,
             server,
             // Of a value that flows only the beginning tells of the provider; the rest is the consumer's pace.
@@ -475,9 +483,7 @@
                 match action {
                     Action::Send(id, server, limit, within) => {
                         match self.send(state, now, (id, server), (limit, within)) {
-                            Ok(call) => {
-                                effects.push(Effect::BackendCommand(BackendCommand::AttemptRequest(call)))
-                            }
+                            Ok(call) => effects.push(Effect::BackendCommand(BackendCommand::Attempt(call))),
                             Err(end) => events.push_back(Event::AttemptEnd(end)),
                         }
                     }
@@ -549,13 +555,13 @@
         let limit = if limit > 0.0 { limit } else { record.invocation.budget };
         let decided = Instant::now();
         Ok(AttemptRequest {
-            id: AttemptId { invocation: id, attempt },
-            provider: server,
+            id: AttemptId { request: id, attempt },
+            server,
             address: Arc::clone(&known.address),
-            at_origin: known.origin,
-            invocation: Arc::clone(&record.invocation),
-            started: known.started,
-            until: decided + span(limit),
+            is_origin: known.origin,
+            request: Arc::clone(&record.invocation),
+            server_started: known.started,
+            deadline: decided + span(limit),
             send_by: decided + span(within),
         })
     }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -295,7 +295,7 @@
             let sharer = Arc::clone(&exchange);
             let tell = Box::new(move |told: fleet::Share| {
                 let (part, base, whole) = (told.part, told.base, told.whole);
-                sharer.share(interface::Share { part, base, whole, until: 0.0 }, told.ends);
+                sharer.apply_quota(interface::Share { part, base, whole, until: 0.0 }, told.ends);
             });
             let fleet =
                 self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -74,7 +74,7 @@
     /// Digests of what is in force, made anew from the objects that decide.
     pub(super) fn in_force(&self) -> BTreeMap<String, u64> {
         let timeout = self.providers.connect_timeout();
-        self.exchange.in_force(|settings, names| digest::parts(settings, names, timeout))
+        self.exchange.with_active_settings(|settings, names| digest::parts(settings, names, timeout))
     }
 
     /// A version as it would be in force here.
