Give responses and submit errors named fields, and a retry-after its unit

A retry-after was a bare number of ms in three places; it is a Duration now, printed in whole ms as before. The doc comments of the messages say what they are in the field's terms.

--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -167,7 +167,7 @@
         let opaque = invocation.opaque.clone();
         let reply = move |answer: Response| {
             let said = memcache::answer(&opaque, &answer);
-            let value = if let Response::Stream(_, sink) = answer { Some(sink) } else { None };
+            let value = if let Response::Stream { body, .. } = answer { Some(body) } else { None };
             *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some((said, value));
             shared.waker.wakeup();
         };
@@ -229,15 +229,18 @@
                 Ok(id) => return Ok(id),
                 // Two answers under one id could not be told apart.
                 Err(SubmitError::IdInUse) => return Err(Refused::Bad("the id is in use")),
-                Err(SubmitError::Fenced(ms)) => return Err(Refused::Fenced(ms)),
-                Err(SubmitError::PolicyChanging(same, same_reply)) => {
+                Err(SubmitError::Fenced { retry_after }) => {
+                    let ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                    return Err(Refused::Fenced(ms));
+                }
+                Err(SubmitError::PolicyChanging { request: same, respond: same_reply }) => {
                     let begun = Instant::now();
                     self.wait_for_policy()?;
                     (given, reply) = (*same, same_reply);
                     // Its consumer's time passes meanwhile.
                     given.budget = (given.budget - begun.elapsed().as_secs_f64() * 1000.0).max(0.0);
                 }
-                Err(SubmitError::Outdated(old, same)) => {
+                Err(SubmitError::Outdated { request: old, respond: same }) => {
                     let ClientRequest { key, opaque, labels, value, budget, .. } = *old;
                     given = self.read_in(key, opaque, labels, value)?;
                     // It may have waited.
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -142,10 +142,12 @@
             out.extend_from_slice(END);
             out
         }
-        Response::Stream(length, _) => value_head(opaque, *length),
+        Response::Stream { length, .. } => value_head(opaque, *length),
         Response::Complete(Payload::Receipt(receipt)) => format!("HD O{opaque} c{receipt}\r\n").into_bytes(),
-        Response::Rejected(Some(ms)) => format!("SERVER_ERROR busy {ms}\r\n").into_bytes(),
-        Response::Rejected(None) => b"SERVER_ERROR busy\r\n".to_vec(),
+        Response::Rejected { retry_after: Some(retry_after) } => {
+            format!("SERVER_ERROR busy {}\r\n", retry_after.as_millis()).into_bytes()
+        }
+        Response::Rejected { retry_after: None } => b"SERVER_ERROR busy\r\n".to_vec(),
         Response::Failed => b"SERVER_ERROR failed\r\n".to_vec(),
     }
 }
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -1,28 +1,29 @@
-//! What the sides of the proxy hand to the exchange and get from it, in no protocol's form.
+//! What clients and backends hand to the dispatcher and get from it, independent of any wire
+//! protocol. Read [`ClientRequest`] first, then [`AttemptRequest`], which is made of it.
 
 use crate::interface::{RequestId, ServerId, Time};
 use crate::net::body_stream::BodyWriter;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// A consumer's request, in no protocol's form.
+/// A client's request, independent of its wire protocol.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
-    /// Its id as the consumer gave it.
+    /// Its id as the client gave it.
     pub opaque: String,
-    /// Its key as the consumer gave it.
+    /// Its key as the client gave it.
     pub key: String,
-    /// Place of its class in the settings of `version`.
+    /// Index of its class in the settings of `version`.
     pub class: u8,
-    /// Place of its tenant there.
+    /// Index of its tenant there.
     pub tenant: u32,
-    /// By which version of the settings it was read.
+    /// The version of the names ([`Names::version`](crate::net::config::Names)) it was parsed with.
     pub version: u64,
-    /// How long the consumer waits, in ms.
+    /// How long the client waits, in ms.
     pub budget: Time,
     /// Expected work in ms.
     pub hint: Option<f64>,
-    /// Whether the consumer marked it as a repeat.
+    /// Whether the client marked it as a repeat.
     pub repeat: bool,
     /// Names and values that came along, in their order.
     pub labels: Vec<(String, String)>,
@@ -30,7 +31,7 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// What a provider gave for an invocation.
+/// What a backend returned for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Payload {
     /// The value of a read.
@@ -39,70 +40,92 @@
     Receipt(String),
 }
 
-/// The one final answer of an invocation.
+/// The one final response to a request.
 #[derive(Debug)]
 pub enum Response {
-    /// Served.
+    /// Served, with all that the backend returned.
     Complete(Payload),
-    /// Served with a value of this length, which flows from here on.
-    Stream(usize, BodyWriter),
-    /// A rejection, with the time in ms after which to come back, if any is advised.
-    Rejected(Option<u64>),
+    /// Served, with a long value that arrives in pieces from here on.
+    Stream {
+        /// Its length in bytes.
+        length: usize,
+        /// Where its pieces are taken from.
+        body: BodyWriter,
+    },
+    /// Rejected: sending it again does no harm.
+    Rejected {
+        /// After which time, in whole ms; none if no time is advised.
+        retry_after: Option<Duration>,
+    },
     /// Failed; nothing is promised.
     Failed,
 }
 
-/// Names one invoker call: its invocation, and its number there.
+/// Identifies one attempt: its request, and its number there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptId {
-    /// The invocation's number at this proxy.
+    /// The request's id at this proxy.
     pub request: RequestId,
-    /// Counted from 0 in the order of the module's sends.
+    /// Counted from 0 in the order in which the decision module asked for them.
     pub attempt: u8,
 }
 
-/// An invoker call to make.
+/// An attempt to make at a backend.
 #[derive(Clone, Debug)]
 pub struct AttemptRequest {
-    /// Its name.
+    /// Its id.
     pub id: AttemptId,
-    /// The provider.
+    /// The backend.
     pub server: ServerId,
-    /// Where the provider is reached.
+    /// Where the backend is reached.
     pub address: Arc<str>,
-    /// Whether the provider is the origin.
+    /// Whether the backend is the origin.
     pub is_origin: bool,
-    /// What to ask.
+    /// The client's request.
     pub request: Arc<ClientRequest>,
-    /// The start of the provider's process that is meant.
+    /// The start time of the backend process that is meant, in Unix ms.
     pub server_started: Time,
     /// When to stop waiting.
     pub deadline: Instant,
-    /// Its last byte goes out by then or never.
+    /// Its last byte is sent by then or never.
     pub send_by: Instant,
 }
 
-/// What the provider side is to do.
+/// What the backend service is to do.
 #[derive(Clone, Debug)]
 pub enum BackendCommand {
-    /// Make an invoker call; its end is owed to [`Dispatcher::attempt_finished`].
+    /// Make an attempt. Its outcome must be reported to
+    /// [`Dispatcher::attempt_finished`](super::Dispatcher::attempt_finished).
     Attempt(AttemptRequest),
-    /// A provider takes nothing new, or is a new process: what stands idle for it is of no more use.
+    /// A backend takes no new attempts, or is a new process: idle connections to it are useless.
     Forget(ServerId),
 }
 
-/// Takes the answer of one invocation. It is called with the exchange locked, so it may store the answer
-/// and wake whoever writes it, but never wait nor call the exchange.
+/// Takes the response to one request. It may be called while the dispatcher's lock is held, so it may
+/// store the response and wake whoever writes it, but never wait or call the dispatcher.
 pub type ResponseCallback = Box<dyn FnOnce(Response) + Send>;
 
-/// Why an invocation is not taken in.
+/// Why a request is not accepted. Where it may be submitted again, it is handed back.
 pub enum SubmitError {
-    /// No two invocations may be open under one id.
+    /// No two requests may be open under one id.
     IdInUse,
-    /// Other settings have come into force since it was read: it must be read by those.
-    Outdated(Box<ClientRequest>, ResponseCallback),
-    /// A change of the fleet's policy is being decided: it is to be handed in again within moments.
-    PolicyChanging(Box<ClientRequest>, ResponseCallback),
-    /// This process may not admit requests; in how many ms to come back.
-    Fenced(u64),
+    /// Other settings have become active since it was parsed: it must be parsed by those.
+    Outdated {
+        /// The request.
+        request: Box<ClientRequest>,
+        /// Who takes its response.
+        respond: ResponseCallback,
+    },
+    /// A change of the fleet's policy is being decided: submit it again within moments.
+    PolicyChanging {
+        /// The request.
+        request: Box<ClientRequest>,
+        /// Who takes its response.
+        respond: ResponseCallback,
+    },
+    /// This process holds no admission lease and may not admit requests.
+    Fenced {
+        /// When to come back.
+        retry_after: Duration,
+    },
 }
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -246,14 +246,16 @@
         let mut state = self.lock();
         match self.admission(state.policy) {
             Admission::Admit => {}
-            Admission::Wait => return Err(SubmitError::PolicyChanging(Box::new(invocation), reply)),
+            Admission::Wait => {
+                return Err(SubmitError::PolicyChanging { request: Box::new(invocation), respond: reply })
+            }
             Admission::Reject(back) => {
                 self.permit.get().into_iter().for_each(|permit| permit.count_rejection());
-                return Err(SubmitError::Fenced(u64::try_from(back.as_millis()).unwrap_or(u64::MAX)));
+                return Err(SubmitError::Fenced { retry_after: back });
             }
         }
         if invocation.version != state.names.version {
-            return Err(SubmitError::Outdated(Box::new(invocation), reply));
+            return Err(SubmitError::Outdated { request: Box::new(invocation), respond: reply });
         }
         if !state.open_ids.insert(invocation.opaque.clone()) {
             return Err(SubmitError::IdInUse);
@@ -353,7 +355,7 @@
         let Some(open) = record.open.take() else { return false };
         record.began = Some(now);
         self.counters.answered_served.add();
-        open.answer(Response::Stream(length, sink));
+        open.answer(Response::Stream { length, body: sink });
         self.step(state, Event::StreamBegan(call.request));
         true
     }
@@ -488,8 +490,8 @@
                         }
                     }
                     Action::Refuse(id, wait) => {
-                        let advice = (wait > 0.0).then(|| wait.ceil() as u64);
-                        effects.extend(self.finish(state, id, Response::Rejected(advice)));
+                        let retry_after = (wait > 0.0).then(|| Duration::from_millis(wait.ceil() as u64));
+                        effects.extend(self.finish(state, id, Response::Rejected { retry_after }));
                     }
                     Action::Fail(id) => effects.extend(self.finish(state, id, Response::Failed)),
                     Action::Timer(delay, token) => effects.push(Effect::Timer(span(delay), token)),
@@ -574,7 +576,7 @@
             state.forget(id);
         }
         match answer {
-            Response::Rejected(_) => self.counters.answered_rejected.add(),
+            Response::Rejected { .. } => self.counters.answered_rejected.add(),
             _ => self.counters.answered_failed.add(),
         }
         Some(Effect::Response(open, answer))
