--- a/src/net/dispatcher/golden_tests.rs
+++ b/src/net/dispatcher/golden_tests.rs
@@ -43,8 +43,8 @@
 }
 
 fn neighbour() -> PeerAddress {
-    let place = "127.0.0.1:8001".parse().unwrap();
-    PeerAddress { name: "p1".into(), start: 1_700_000_000_000_001, place }
+    let address = "127.0.0.1:8001".parse().unwrap();
+    PeerAddress { name: "p1".into(), start: 1_700_000_000_000_001, address }
 }
 
 /// Two nodes are listed, one was; `a` is held out, `b` was and is back.
@@ -91,7 +91,7 @@
 #[test]
 fn nodes_with_every_field_filled_are_the_recorded_text() {
     let mut nodes = held_out().nodes();
-    nodes.links = vec![neighbour()];
+    nodes.peers = vec![neighbour()];
     assert_eq!(serde_json::to_string(&nodes).unwrap(), recorded_nodes());
     assert_eq!(serde_json::from_str::<EndpointSnapshot>(&recorded_nodes()).unwrap(), nodes);
 }
@@ -107,7 +107,7 @@
 fn a_newer_process_holds_out_what_the_recorded_text_says() {
     let nodes: EndpointSnapshot = serde_json::from_str(&recorded_nodes()).unwrap();
     let mut newer = MaintenanceSet::default();
-    newer.told(ListForm::Full, nodes.told.clone());
+    newer.told(ListForm::Full, nodes.listed.clone());
     newer.inherit(nodes);
     assert_eq!(newer.nodes(), held_out().nodes());
 }
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -31,13 +31,17 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EndpointSnapshot {
     /// What discovery told last of each that is listed.
-    pub told: Vec<Instance>,
-    gone: Vec<String>,
-    out: BTreeMap<String, Time>,
-    back: BTreeMap<String, (Time, Time)>,
+    #[serde(rename = "told")]
+    pub listed: Vec<Instance>,
+    #[serde(rename = "gone")]
+    unlisted: Vec<String>,
+    #[serde(rename = "out")]
+    in_maintenance: BTreeMap<String, Time>,
+    #[serde(rename = "back")]
+    past_maintenance: BTreeMap<String, (Time, Time)>,
     /// Where processes of the fleet are linked, if they are.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub links: Vec<PeerAddress>,
+    #[serde(rename = "links", default, skip_serializing_if = "Vec::is_empty")]
+    pub peers: Vec<PeerAddress>,
 }
 
 /// A process of the fleet, and where its links are.
@@ -48,7 +52,8 @@
     /// When it started, in Unix microseconds.
     pub start: u64,
     /// Where its links are.
-    pub place: SocketAddr,
+    #[serde(rename = "place")]
+    pub address: SocketAddr,
 }
 
 /// What discovery told of each node, and which are held out.
@@ -67,18 +72,18 @@
     /// What another process is to know.
     pub(super) fn nodes(&self) -> EndpointSnapshot {
         EndpointSnapshot {
-            told: self.told.values().cloned().collect(),
-            gone: self.gone_in_order.iter().cloned().collect(),
-            out: self.out.clone(),
-            back: self.back.clone(),
-            links: Vec::new(),
+            listed: self.told.values().cloned().collect(),
+            unlisted: self.gone_in_order.iter().cloned().collect(),
+            in_maintenance: self.out.clone(),
+            past_maintenance: self.back.clone(),
+            peers: Vec::new(),
         }
     }
 
     /// Takes over what another process knew, but for what is listed: that is told like any list.
     pub(super) fn inherit(&mut self, nodes: EndpointSnapshot) {
-        nodes.gone.into_iter().for_each(|name| self.remember(name));
-        (self.out, self.back) = (nodes.out, nodes.back);
+        nodes.unlisted.into_iter().for_each(|name| self.remember(name));
+        (self.out, self.back) = (nodes.in_maintenance, nodes.past_maintenance);
     }
 
     /// Discovery tells of nodes; the same as the module is to hear it.
--- a/src/net/lifecycle/host.rs
+++ b/src/net/lifecycle/host.rs
@@ -11,7 +11,7 @@
     fn give(&self) -> Option<(Arc<Listener>, EndpointSnapshot)> {
         let sides = self.sides.get().filter(|_| self.is_ready())?;
         let mut nodes = sides.exchange.endpoint_snapshot();
-        nodes.links = self.policy().map_or(Vec::new(), |policy| policy.neighbours());
+        nodes.peers = self.policy().map_or(Vec::new(), |policy| policy.neighbours());
         Some((sides.consumers.listener()?, nodes))
     }
 
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -271,8 +271,8 @@
             budget.allow(Some(given.share));
             exchange.restore_snapshot(given.nodes.clone());
             // What the older process heard last is newer than what the file knows.
-            if !given.nodes.told.is_empty() {
-                known.instances.clone_from(&given.nodes.told);
+            if !given.nodes.listed.is_empty() {
+                known.instances.clone_from(&given.nodes.listed);
             }
         }
         let providers = BackendService::start(
@@ -309,7 +309,7 @@
             }
         }
         if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
-            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.links.clone());
+            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.peers.clone());
             let sides = (&exchange, &providers);
             let policy =
                 Policy::start(told.clone(), fleet, sides, config.given_settings(), links, config.seed)
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -142,7 +142,7 @@
         // Of those told at the start, who is a later process by now is dialled as that.
         let peers = peers.into_iter().map(|peer| Peer {
             process: Process { name: peer.name.into(), start: peer.start },
-            address: peer.place,
+            address: peer.address,
         });
         self.node.transport().set_peers(peers.collect());
         if speaks {
@@ -164,7 +164,7 @@
         };
         // Whom membership does not know yet asks again.
         if let Some(member) = member {
-            let neighbour = PeerAddress { name: said.name.clone(), start: said.start, place: said.place };
+            let neighbour = PeerAddress { name: said.name.clone(), start: said.start, address: said.place };
             lock(&self.known).insert(said.name, Known { member, neighbour });
         }
         if said.asks {
@@ -180,7 +180,7 @@
         let own = PeerAddress {
             name: self.me.name.to_string(),
             start: self.me.start,
-            place: self.config.advertise,
+            address: self.config.advertise,
         };
         known.values().map(|known| known.neighbour.clone()).chain([own]).collect()
     }
