--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -3,10 +3,10 @@
 //! socket and no protocol; payloads pass through it as they came.
 
 mod clock;
-mod endpoint;
+mod endpoint_ids;
 #[cfg(test)]
 mod golden_tests;
-mod ids;
+mod listed_endpoint;
 mod maintenance;
 mod messages;
 
@@ -21,8 +21,8 @@
 use crate::logic::Balancer;
 use crate::settings::Settings;
 use clock::Clock;
-use endpoint::{provider, Provider};
-use ids::{key_number, EndpointIds};
+use endpoint_ids::{key_number, EndpointIds};
+use listed_endpoint::{provider, Provider};
 use maintenance::MaintenanceSet;
 pub use maintenance::{EndpointSnapshot, MaintenanceError, PeerAddress};
 use may::sync::mpsc::Sender;
