Split the dispatcher by concern: state, submit, attempts, endpoints, settings, effects

The state that the one lock guards is a type of its own (DispatcherState, InFlightRequest, PendingResponse, Endpoint); what is done after the lock is released is a SideEffect; an attempt asked for by the module is an AttemptPlan in place of two tuples.

--- /dev/null
+++ b/src/net/dispatcher/endpoints.rs
@@ -0,0 +1,141 @@
+//! Backends: what discovery lists, and which of them operators keep in maintenance. What the module
+//! is told is derived from both. Read [`Dispatcher::update_endpoints`] first.
+
+use super::listed_endpoint::ListedEndpoint;
+use super::maintenance::MaintenanceError;
+use super::messages::BackendCommand;
+use super::snapshot::EndpointSnapshot;
+use super::state::{DispatcherState, Endpoint};
+use super::Dispatcher;
+use crate::interface::{Event, ListForm, Member, ServerId, State};
+use crate::net::config::Instance;
+use crate::net::log::log;
+use std::collections::BTreeSet;
+use std::sync::{Arc, MutexGuard};
+
+/// What a list of backends changes.
+struct EndpointChanges {
+    /// The entries as the module is to be told of them.
+    members: Vec<Member>,
+    /// Backends that take nothing new, or are other processes than before.
+    stale: Vec<ServerId>,
+}
+
+impl Dispatcher {
+    /// Discovery lists backends, or says that a watch failed.
+    pub fn update_endpoints(self: &Arc<Self>, form: ListForm, list: Vec<Instance>) {
+        let mut state = self.lock();
+        let list = state.maintenance.update(form, list);
+        self.apply_list(state, form, list);
+    }
+
+    /// What another process of this proxy is to know of backends.
+    pub fn endpoint_snapshot(&self) -> EndpointSnapshot {
+        self.lock().maintenance.snapshot()
+    }
+
+    /// Takes over what another process knew of backends, before discovery's list comes in.
+    pub fn restore_snapshot(&self, snapshot: EndpointSnapshot) {
+        self.lock().maintenance.restore(snapshot);
+    }
+
+    /// Puts a cache node in maintenance: once this returns, nothing new goes there until
+    /// [`Dispatcher::leave_maintenance`].
+    ///
+    /// # Errors
+    ///
+    /// If discovery never listed the node, if it is the origin, or if too many are in maintenance.
+    pub fn enter_maintenance(self: &Arc<Self>, name: &str) -> Result<(), MaintenanceError> {
+        let mut state = self.lock();
+        if state.is_listed_as_origin(name) {
+            return Err(MaintenanceError::Origin(name.to_owned()));
+        }
+        let listed = state.maintenance.enter(name, self.clock.now())?;
+        log(&format!("{name} enters maintenance"));
+        self.apply_list(state, ListForm::Delta, listed.into_iter().collect());
+        Ok(())
+    }
+
+    /// Lets a cache node serve again.
+    ///
+    /// # Errors
+    ///
+    /// If discovery never listed the node.
+    pub fn leave_maintenance(self: &Arc<Self>, name: &str) -> Result<(), MaintenanceError> {
+        let mut state = self.lock();
+        let listed = state.maintenance.leave(name, self.clock.now())?;
+        log(&format!("{name} leaves maintenance"));
+        self.apply_list(state, ListForm::Delta, listed.into_iter().collect());
+        Ok(())
+    }
+
+    /// Tells the module of backends, and has connections closed to those that take nothing new.
+    pub(super) fn apply_list(
+        self: &Arc<Self>,
+        mut state: MutexGuard<'_, DispatcherState>,
+        form: ListForm,
+        list: Vec<Instance>,
+    ) {
+        let changes = state.update_endpoints(form, list);
+        for server in changes.stale {
+            self.send_command(BackendCommand::Forget(server));
+        }
+        self.handle_event(state, Event::Members(form, changes.members));
+    }
+}
+
+impl DispatcherState {
+    fn is_listed_as_origin(&self, name: &str) -> bool {
+        let listed = self.maintenance.listed(name);
+        listed.is_some_and(|node| i64::from(self.names.kind(&node.machine_type)) == self.origin_kind)
+    }
+
+    /// Keeps what a list says of backends.
+    fn update_endpoints(&mut self, form: ListForm, list: Vec<Instance>) -> EndpointChanges {
+        let names = Arc::clone(&self.names);
+        let list: Vec<ListedEndpoint> =
+            list.into_iter().filter_map(|node| ListedEndpoint::from_instance(&names, node)).collect();
+        self.endpoint_ids.learn(list.iter().map(|listed| listed.name.as_str()));
+        let mut stale = Vec::new();
+        if matches!(form, ListForm::Cached | ListForm::Full) {
+            stale = self.mark_unlisted_as_gone(&list);
+        }
+        let mut members = Vec::with_capacity(list.len());
+        for listed in list {
+            let member = Member { server: self.endpoint_ids.number(&listed.name), ..listed.member };
+            if self.update_endpoint(member, listed.address) {
+                stale.push(member.server);
+            }
+            members.push(member);
+        }
+        self.forget_gone_endpoints();
+        EndpointChanges { members, stale }
+    }
+
+    /// Backends that a whole list no longer has are gone; which these are.
+    fn mark_unlisted_as_gone(&mut self, list: &[ListedEndpoint]) -> Vec<ServerId> {
+        let listed: BTreeSet<ServerId> =
+            list.iter().map(|listed| self.endpoint_ids.number(&listed.name)).collect();
+        let mut gone = Vec::new();
+        for (server, endpoint) in &mut self.endpoints {
+            if !listed.contains(server) {
+                endpoint.state = State::Gone;
+                gone.push(*server);
+            }
+        }
+        gone
+    }
+
+    /// Keeps what is listed of one backend; whether idle connections to it are useless now.
+    fn update_endpoint(&mut self, member: Member, address: String) -> bool {
+        let endpoint = Endpoint {
+            address: address.into(),
+            state: member.state,
+            started: member.started,
+            is_origin: i64::from(member.kind) == self.origin_kind,
+        };
+        let is_ready = endpoint.is_ready();
+        let before = self.endpoints.insert(member.server, endpoint.clone());
+        !is_ready || before.is_some_and(|before| !before.is_same_process(&endpoint))
+    }
+}
--- a/src/net/dispatcher/golden_tests.rs
+++ b/src/net/dispatcher/golden_tests.rs
@@ -2,7 +2,8 @@
 //! upgrade. The older process runs the released program: a key that changes here ends upgrades
 //! without a break, or loses what is held out. All texts were recorded before any renaming.
 
-use super::maintenance::{EndpointSnapshot, MaintenanceError, MaintenanceSet, PeerAddress};
+use super::maintenance::{MaintenanceError, MaintenanceSet};
+use super::snapshot::{EndpointSnapshot, PeerAddress};
 use crate::interface::ListForm;
 use crate::net::config::Instance;
 
@@ -51,11 +52,11 @@
 fn held_out() -> MaintenanceSet {
     let mut held_out = MaintenanceSet::default();
     let gone = Instance { instance_id: "old".into(), ..instance() };
-    held_out.told(ListForm::Full, vec![gone]);
-    held_out.told(ListForm::Full, vec![instance(), other()]);
-    held_out.hold("a", 10.0).unwrap();
-    held_out.hold("b", 5.0).unwrap();
-    held_out.release("b", 6.5).unwrap();
+    held_out.update(ListForm::Full, vec![gone]);
+    held_out.update(ListForm::Full, vec![instance(), other()]);
+    held_out.enter("a", 10.0).unwrap();
+    held_out.enter("b", 5.0).unwrap();
+    held_out.leave("b", 6.5).unwrap();
     held_out
 }
 
@@ -90,7 +91,7 @@
 
 #[test]
 fn nodes_with_every_field_filled_are_the_recorded_text() {
-    let mut nodes = held_out().nodes();
+    let mut nodes = held_out().snapshot();
     nodes.peers = vec![neighbour()];
     assert_eq!(serde_json::to_string(&nodes).unwrap(), recorded_nodes());
     assert_eq!(serde_json::from_str::<EndpointSnapshot>(&recorded_nodes()).unwrap(), nodes);
@@ -107,9 +108,9 @@
 fn a_newer_process_holds_out_what_the_recorded_text_says() {
     let nodes: EndpointSnapshot = serde_json::from_str(&recorded_nodes()).unwrap();
     let mut newer = MaintenanceSet::default();
-    newer.told(ListForm::Full, nodes.listed.clone());
-    newer.inherit(nodes);
-    assert_eq!(newer.nodes(), held_out().nodes());
+    newer.update(ListForm::Full, nodes.listed.clone());
+    newer.restore(nodes);
+    assert_eq!(newer.snapshot(), held_out().snapshot());
 }
 
 #[test]
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -1,175 +1,192 @@
-//! The nodes that operators hold out. What discovery told last and what is held out are kept apart; what the
-//! module hears is derived from both, so that neither overwrites the other, in whatever order they come.
+//! Which nodes operators keep in maintenance. [`MaintenanceSet`] keeps apart what discovery listed last
+//! and what is in maintenance; what the decision module is told is derived from both, so that neither
+//! overwrites the other, in whatever order they come.
 
+use super::snapshot::{EndpointSnapshot, MaintenancePeriod};
 use crate::interface::{ListForm, Time};
 use crate::net::config::Instance;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use thiserror::Error;
 
 /// Names remembered of nodes that are no longer listed, the oldest forgotten first.
-const MOST_GONE: usize = 4096;
-/// Nodes that may be held out at once.
-const MOST_OUT: usize = 4096;
+const MAX_UNLISTED: usize = 4096;
+/// Nodes that may be in maintenance at once.
+const MAX_IN_MAINTENANCE: usize = 4096;
 
-/// Why a call about a node is answered with no.
+/// Why a node cannot enter or leave maintenance.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum MaintenanceError {
-    /// Discovery has never told of it.
+    /// Discovery has never listed it.
     #[error("{0} was never listed")]
     NeverListed(String),
     /// The origin is no cache node: without it every miss and every write would fail.
     #[error("{0} is the origin, which is no cache node")]
     Origin(String),
-    /// More are held out than are remembered.
-    #[error("{MOST_OUT} nodes are held out already")]
+    /// As many are in maintenance as are remembered.
+    #[error("{MAX_IN_MAINTENANCE} nodes are held out already")]
     TooMany,
 }
 
-/// All of it, as one process tells another.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct EndpointSnapshot {
-    /// What discovery told last of each that is listed.
-    #[serde(rename = "told")]
-    pub listed: Vec<Instance>,
-    #[serde(rename = "gone")]
-    unlisted: Vec<String>,
-    #[serde(rename = "out")]
+/// What discovery listed of each node, and which are in maintenance.
+#[derive(Debug, Default)]
+pub(super) struct MaintenanceSet {
+    /// What discovery listed last, by name.
+    listed: BTreeMap<String, Instance>,
+    unlisted: UnlistedNames,
+    /// Since when each is in maintenance.
     in_maintenance: BTreeMap<String, Time>,
-    #[serde(rename = "back")]
-    past_maintenance: BTreeMap<String, (Time, Time)>,
-    /// Where processes of the fleet are linked, if they are.
-    #[serde(rename = "links", default, skip_serializing_if = "Vec::is_empty")]
-    pub peers: Vec<PeerAddress>,
+    /// The last maintenance of each that is back.
+    past_maintenance: BTreeMap<String, MaintenancePeriod>,
 }
 
-/// A process of the fleet, and where its links are.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PeerAddress {
-    /// Its proxy's name.
-    pub name: String,
-    /// When it started, in Unix microseconds.
-    pub start: u64,
-    /// Where its links are.
-    #[serde(rename = "place")]
-    pub address: SocketAddr,
+/// Names of nodes that were listed once and are no longer, each once.
+#[derive(Debug, Default)]
+struct UnlistedNames {
+    names: BTreeSet<String>,
+    oldest_first: VecDeque<String>,
 }
 
-/// What discovery told of each node, and which are held out.
-#[derive(Debug, Default)]
-pub(super) struct MaintenanceSet {
-    told: BTreeMap<String, Instance>,
-    gone: BTreeSet<String>,
-    gone_in_order: VecDeque<String>,
-    /// Since when each is held out.
-    out: BTreeMap<String, Time>,
-    /// When each that came back was taken out, and when it came back.
-    back: BTreeMap<String, (Time, Time)>,
+impl UnlistedNames {
+    /// Remembers a name, which keeps its age if it is remembered already.
+    fn insert(&mut self, name: String) {
+        if self.names.insert(name.clone()) {
+            self.oldest_first.push_back(name);
+        }
+    }
+
+    /// Forgets the oldest name if there are more than [`MAX_UNLISTED`], and returns it.
+    fn pop_excess(&mut self) -> Option<String> {
+        if self.oldest_first.len() <= MAX_UNLISTED {
+            return None;
+        }
+        let oldest = self.oldest_first.pop_front()?;
+        self.names.remove(&oldest);
+        Some(oldest)
+    }
 }
 
 impl MaintenanceSet {
     /// What another process is to know.
-    pub(super) fn nodes(&self) -> EndpointSnapshot {
+    pub(super) fn snapshot(&self) -> EndpointSnapshot {
         EndpointSnapshot {
-            listed: self.told.values().cloned().collect(),
-            unlisted: self.gone_in_order.iter().cloned().collect(),
-            in_maintenance: self.out.clone(),
-            past_maintenance: self.back.clone(),
+            listed: self.listed.values().cloned().collect(),
+            unlisted: self.unlisted.oldest_first.iter().cloned().collect(),
+            in_maintenance: self.in_maintenance.clone(),
+            past_maintenance: self.past_maintenance.clone(),
             peers: Vec::new(),
         }
     }
 
-    /// Takes over what another process knew, but for what is listed: that is told like any list.
-    pub(super) fn inherit(&mut self, nodes: EndpointSnapshot) {
-        nodes.unlisted.into_iter().for_each(|name| self.remember(name));
-        (self.out, self.back) = (nodes.in_maintenance, nodes.past_maintenance);
+    /// Takes over what another process knew, except what is listed: that comes in like any list.
+    pub(super) fn restore(&mut self, snapshot: EndpointSnapshot) {
+        for name in snapshot.unlisted {
+            self.remember_unlisted(name);
+        }
+        self.in_maintenance = snapshot.in_maintenance;
+        self.past_maintenance = snapshot.past_maintenance;
     }
 
-    /// Discovery tells of nodes; the same as the module is to hear it.
-    pub(super) fn told(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
+    /// Takes in a list of discovery's, and returns it as the module is to be told of it.
+    pub(super) fn update(&mut self, form: ListForm, list: Vec<Instance>) -> Vec<Instance> {
         if matches!(form, ListForm::Cached | ListForm::Full) {
-            let before = std::mem::take(&mut self.told);
-            let left = before.into_keys().filter(|name| !list.iter().any(|new| new.instance_id == *name));
-            left.collect::<Vec<_>>().into_iter().for_each(|name| self.remember(name));
+            self.forget_unlisted(&list);
         }
         for node in &list {
-            let name = &node.instance_id;
+            let name = node.instance_id.clone();
             if node.lifecycle == "gone" {
-                self.told.remove(name);
-                self.remember(name.clone());
+                self.listed.remove(&name);
+                self.remember_unlisted(name);
             } else {
-                drop(self.told.insert(name.clone(), node.clone()))
+                self.listed.insert(name, node.clone());
+            }
+        }
+        list.into_iter().map(|node| self.effective(node)).collect()
+    }
+
+    /// Empties what is listed before a whole list, and remembers the names that this no longer has.
+    fn forget_unlisted(&mut self, list: &[Instance]) {
+        for name in std::mem::take(&mut self.listed).into_keys() {
+            if !list.iter().any(|node| node.instance_id == name) {
+                self.remember_unlisted(name);
             }
         }
-        list.into_iter().map(|node| self.heard(node)).collect()
     }
 
-    /// All that is listed now, as the module is to hear it.
-    pub(super) fn all(&self) -> Vec<Instance> {
-        self.told.values().map(|node| self.heard(node.clone())).collect()
+    /// All that is listed now, as the module is to be told of it.
+    pub(super) fn all_listed(&self) -> Vec<Instance> {
+        self.listed.values().map(|node| self.effective(node.clone())).collect()
     }
 
-    /// What discovery told last of a node, if it is listed.
+    /// What discovery listed last of a node, if it is listed.
     pub(super) fn listed(&self, name: &str) -> Option<&Instance> {
-        self.told.get(name)
+        self.listed.get(name)
     }
 
-    /// Holds a node out; what the module is to hear of it, if it is listed. To do so twice changes nothing.
-    pub(super) fn hold(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
-        self.known(name)?;
-        if !self.out.contains_key(name) && self.out.len() >= MOST_OUT {
+    /// Puts a node in maintenance, and returns what the module is to be told of it, if it is listed. To
+    /// do so twice changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// If the node was never listed, or too many are in maintenance.
+    pub(super) fn enter(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
+        self.require_known(name)?;
+        if !self.in_maintenance.contains_key(name) && self.in_maintenance.len() >= MAX_IN_MAINTENANCE {
             return Err(MaintenanceError::TooMany);
         }
-        self.out.entry(name.to_owned()).or_insert(now);
-        Ok(self.hear(name))
+        self.in_maintenance.entry(name.to_owned()).or_insert(now);
+        Ok(self.effective_if_listed(name))
     }
 
-    /// Lets a node serve again, however often it was held out.
-    pub(super) fn release(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
-        self.known(name)?;
-        if let Some(since) = self.out.remove(name) {
-            self.back.insert(name.to_owned(), (since, now));
+    /// Lets a node serve again, however often it was put in maintenance, and returns what the module is
+    /// to be told of it, if it is listed.
+    ///
+    /// # Errors
+    ///
+    /// If the node was never listed.
+    pub(super) fn leave(&mut self, name: &str, now: Time) -> Result<Option<Instance>, MaintenanceError> {
+        self.require_known(name)?;
+        if let Some(began) = self.in_maintenance.remove(name) {
+            self.past_maintenance.insert(name.to_owned(), MaintenancePeriod { began, ended: now });
         }
-        Ok(self.hear(name))
+        Ok(self.effective_if_listed(name))
     }
 
-    fn known(&self, name: &str) -> Result<(), MaintenanceError> {
-        if self.told.contains_key(name) || self.gone.contains(name) || self.out.contains_key(name) {
+    fn require_known(&self, name: &str) -> Result<(), MaintenanceError> {
+        let is_known = self.listed.contains_key(name)
+            || self.unlisted.names.contains(name)
+            || self.in_maintenance.contains_key(name);
+        if is_known {
             Ok(())
         } else {
             Err(MaintenanceError::NeverListed(name.to_owned()))
         }
     }
 
-    fn hear(&self, name: &str) -> Option<Instance> {
-        self.told.get(name).map(|node| self.heard(node.clone()))
+    fn effective_if_listed(&self, name: &str) -> Option<Instance> {
+        self.listed.get(name).map(|node| self.effective(node.clone()))
     }
 
-    /// A node as the module is to hear of it.
-    fn heard(&self, mut node: Instance) -> Instance {
-        if self.out.contains_key(&node.instance_id) && node.lifecycle == "ready" {
+    /// A node as the module is to be told of it.
+    fn effective(&self, mut node: Instance) -> Instance {
+        if self.in_maintenance.contains_key(&node.instance_id) && node.lifecycle == "ready" {
             node.lifecycle = "draining".to_owned();
         }
-        // Danger: discovery is seconds late. A node that was restarted while it was out comes back cold before
-        // its start is told of, and falls over if it is taken for warm.
-        if let Some((out, back)) = self.back.get(&node.instance_id) {
-            if node.started_at_ms < *out {
-                node.started_at_ms = *back;
+        // Danger: discovery is seconds late. A node that was restarted while it was in maintenance comes
+        // back cold before its start is listed, and is overloaded if it is taken for warm.
+        if let Some(period) = self.past_maintenance.get(&node.instance_id) {
+            if node.started_at_ms < period.began {
+                node.started_at_ms = period.ended;
             }
         }
         node
     }
 
-    fn remember(&mut self, name: String) {
-        if self.gone.insert(name.clone()) {
-            self.gone_in_order.push_back(name);
-        }
-        while self.gone_in_order.len() > MOST_GONE {
-            let Some(oldest) = self.gone_in_order.pop_front() else { break };
-            self.gone.remove(&oldest);
-            if !self.told.contains_key(&oldest) {
-                self.back.remove(&oldest);
+    /// Remembers the name of a node that is no longer listed, and forgets the oldest beyond the limit.
+    fn remember_unlisted(&mut self, name: String) {
+        self.unlisted.insert(name);
+        while let Some(oldest) = self.unlisted.pop_excess() {
+            if !self.listed.contains_key(&oldest) {
+                self.past_maintenance.remove(&oldest);
             }
         }
     }
--- /dev/null
+++ b/src/net/dispatcher/submit.rs
@@ -0,0 +1,145 @@
+//! Client requests: how they are accepted, cancelled and ended when their time is up. Read
+//! [`Dispatcher::submit`] first.
+
+use super::endpoint_ids::key_number;
+use super::event_loop::timer_duration;
+use super::messages::{ClientRequest, Response, ResponseCallback, SubmitError};
+use super::state::{DispatcherState, InFlightRequest, PendingResponse};
+use super::Dispatcher;
+use crate::interface::{Event, Request, RequestId};
+use crate::net::timer::TimerSet;
+use pinetrail_policy_consensus::Admission;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The module must have ended a request this long after its deadline, or the dispatcher does.
+const OVERDUE: Duration = Duration::from_millis(10);
+
+impl Dispatcher {
+    /// Accepts a request. Its one response goes to `respond`, unless the client cancels first.
+    ///
+    /// # Errors
+    ///
+    /// Says why it is not accepted; `respond` is not called then.
+    pub fn submit(
+        self: &Arc<Self>,
+        request: ClientRequest,
+        respond: ResponseCallback,
+    ) -> Result<RequestId, SubmitError> {
+        let mut state = self.lock();
+        match self.admission(state.policy_version) {
+            Admission::Admit => {}
+            Admission::Wait => {
+                return Err(SubmitError::PolicyChanging { request: Box::new(request), respond });
+            }
+            Admission::Reject(retry_after) => {
+                if let Some(lease) = self.lease.get() {
+                    lease.count_rejection();
+                }
+                return Err(SubmitError::Fenced { retry_after });
+            }
+        }
+        if request.version != state.names.version {
+            return Err(SubmitError::Outdated { request: Box::new(request), respond });
+        }
+        if !state.open_ids.insert(request.opaque.clone()) {
+            return Err(SubmitError::IdInUse);
+        }
+        self.count_accepted(&request);
+        state.last_id += 1;
+        let id = state.last_id;
+        let event = Event::Request(module_request(id, &request));
+        self.insert_request(&mut state, id, request, respond);
+        self.handle_event(state, event);
+        Ok(id)
+    }
+
+    fn count_accepted(&self, request: &ClientRequest) {
+        if request.value.is_some() {
+            self.counters.taken_writes.add();
+        } else {
+            self.counters.taken_reads.add();
+        }
+    }
+
+    /// Keeps a request, and starts the timer that ends it when its deadline is long past.
+    fn insert_request(
+        self: &Arc<Self>,
+        state: &mut DispatcherState,
+        id: RequestId,
+        request: ClientRequest,
+        respond: ResponseCallback,
+    ) {
+        let overdue = timer_duration(request.budget) + OVERDUE;
+        let timers = TimerSet::default();
+        // The module sets a timer for each deadline. Should it ever lose one, no client waits forever.
+        let dispatcher = Arc::clone(self);
+        timers.by(move |guard| {
+            if guard.sleep(overdue) {
+                dispatcher.expire(id);
+            }
+        });
+        let in_flight = InFlightRequest {
+            request: Arc::new(request),
+            pending: Some(PendingResponse { respond, timers }),
+            attempts_ordered: 0,
+            attempts: BTreeMap::new(),
+            stream_began: None,
+        };
+        state.requests.insert(id, in_flight);
+    }
+
+    /// The client of a request has left: no response is owed any more.
+    pub fn cancel(self: &Arc<Self>, id: RequestId) {
+        let mut state = self.lock();
+        // It is dropped at the end of this function, with the lock released, and its timers with it.
+        let pending = state.take_pending(id);
+        if pending.is_some() {
+            self.counters.consumers_gone.add();
+            self.handle_event(state, Event::ClientGone(id));
+        }
+    }
+
+    /// Ends every request that is not responded to, as failed: the program stops.
+    pub fn abort_all(self: &Arc<Self>) {
+        let pending: Vec<RequestId> = {
+            let state = self.lock();
+            let requests = state.requests.iter();
+            requests.filter(|(_, request)| request.pending.is_some()).map(|(id, _)| *id).collect()
+        };
+        for id in pending {
+            self.expire(id);
+        }
+    }
+
+    /// Ends a request that the module has not ended in time, as failed.
+    fn expire(self: &Arc<Self>, id: RequestId) {
+        let mut state = self.lock();
+        if let Some(pending) = state.take_pending(id) {
+            self.counters.overdue.add();
+            self.counters.answered_failed.add();
+            self.handle_event(state, Event::ClientGone(id));
+            pending.send(Response::Failed);
+        }
+    }
+
+    /// How many requests are not responded to.
+    pub fn pending_count(&self) -> usize {
+        self.lock().requests.values().filter(|request| request.pending.is_some()).count()
+    }
+}
+
+/// A request in the module's terms.
+fn module_request(id: RequestId, request: &ClientRequest) -> Request {
+    Request {
+        id,
+        class: request.class,
+        tenant: request.tenant,
+        key: key_number(&request.key),
+        budget: request.budget,
+        hint: request.hint,
+        repeat: request.repeat,
+        write: request.value.is_some(),
+    }
+}
