--- a/src/net/dispatcher/endpoint_ids.rs
+++ b/src/net/dispatcher/endpoint_ids.rs
@@ -1,38 +1,55 @@
-//! Names on the sockets to numbers of the module, the same at every proxy and after a restart.
+//! Numbers of the decision module for names on the sockets, the same at every proxy and after a
+//! restart: [`key_number`] for keys, [`EndpointIds`] for backends.
 //!
-//! A name that states a number has that number, which is the one the simulator knows it by, so that a day
-//! played there puts keys where they are here: a key of sixteen hexadecimal digits, a provider whose name
-//! ends in a dash and eight of them. Any other name is hashed by 64-bit FNV-1a over its bytes, and a
-//! provider's number is the hash's two halves combined by exclusive or. A key never has 0, which means no
-//! key, but 1. Where two providers would share a number, the one learned later takes the hash of its name
-//! with a 0 byte behind it, and so on; the names of one list are learned in their order as text.
+//! A name that states a number has that number, which is the one the simulator knows it by, so that a
+//! day played there puts keys where they are here: a key of sixteen hexadecimal digits, a backend whose
+//! name ends in a dash and eight of them. Any other name is hashed by 64-bit FNV-1a over its bytes, and
+//! a backend's number is the hash's two halves combined by exclusive or. A key never has 0, which means
+//! no key, but 1. Where two backends would share a number, the one learned later takes the hash of its
+//! name with a 0 byte behind it, and so on; the names of one list are learned in their order as text.
 
 use crate::interface::{Key, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// FNV-1a of 64 bits: <http://www.isthe.com/chongo/tech/comp/fnv/>.
 fn fnv1a(bytes: impl IntoIterator<Item = u8>) -> u64 {
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    bytes.into_iter().fold(0xcbf2_9ce4_8422_2325, mix)
+    let mut hash = FNV_OFFSET_BASIS;
+    for byte in bytes {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    }
+    hash
 }
 
-/// The number that a text of so many hexadecimal digits states.
-fn stated(text: &str, digits: usize) -> Option<u64> {
-    let hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    (text.len() == digits && text.bytes().all(hex)).then(|| u64::from_str_radix(text, 16).ok())?
+/// The number that a text of exactly `digits` lower-case hexadecimal digits states.
+fn parse_hex(text: &str, digits: usize) -> Option<u64> {
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    if text.len() != digits || !text.bytes().all(is_hex) {
+        return None;
+    }
+    u64::from_str_radix(text, 16).ok()
 }
 
 /// The number of a key.
 pub(super) fn key_number(key: &str) -> Key {
-    stated(key, 16).unwrap_or_else(|| fnv1a(key.bytes())).max(1)
+    parse_hex(key, 16).unwrap_or_else(|| fnv1a(key.bytes())).max(1)
+}
+
+/// The number that a backend's name states, if it ends in a dash and eight digits.
+fn stated_endpoint_number(name: &str) -> Option<ServerId> {
+    let (_, digits) = name.rsplit_once('-')?;
+    parse_hex(digits, 8).map(|number| number as ServerId)
 }
 
-fn provider_number(name: &str, extra: usize) -> ServerId {
-    let told = name.rsplit_once('-').filter(|_| extra == 0).and_then(|(_, end)| stated(end, 8));
-    let hash = || fnv1a(name.bytes().chain(std::iter::repeat_n(0, extra)));
-    told.map_or_else(|| (hash() >> 32) as ServerId ^ hash() as ServerId, |number| number as ServerId)
+/// The number of a backend's name with `zeros` 0 bytes behind it.
+fn hashed_endpoint_number(name: &str, zeros: usize) -> ServerId {
+    let hash = fnv1a(name.bytes().chain(std::iter::repeat_n(0, zeros)));
+    (hash >> 32) as ServerId ^ hash as ServerId
 }
 
-/// The numbers of providers.
+/// The numbers of backends.
 #[derive(Debug, Default)]
 pub(super) struct EndpointIds {
     by_name: BTreeMap<String, ServerId>,
@@ -40,7 +57,7 @@
 }
 
 impl EndpointIds {
-    /// The numbers of the names of one list; new names are learned in their order as text.
+    /// Gives numbers to the names of one list; new names are learned in their order as text.
     pub(super) fn learn<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         let mut names: Vec<&str> = names.filter(|name| !self.by_name.contains_key(*name)).collect();
         names.sort_unstable();
@@ -55,15 +72,24 @@
         self.taken.retain(|id| keep(*id));
     }
 
-    /// The number of a name.
+    /// The number of a name, which it gets now if it has none.
     pub(super) fn number(&mut self, name: &str) -> ServerId {
         if let Some(id) = self.by_name.get(name) {
             return *id;
         }
-        let mut numbers = (0..).map(|extra| provider_number(name, extra));
-        let id = numbers.find(|id| !self.taken.contains(id)).unwrap_or_default();
+        let id = self.first_free_number(name);
         self.taken.insert(id);
         self.by_name.insert(name.to_owned(), id);
         id
     }
+
+    fn first_free_number(&self, name: &str) -> ServerId {
+        let first = stated_endpoint_number(name).unwrap_or_else(|| hashed_endpoint_number(name, 0));
+        let later = (1..).map(|zeros| hashed_endpoint_number(name, zeros));
+        let mut candidates = std::iter::once(first).chain(later);
+        candidates.find(|id| !self.taken.contains(id)).unwrap_or_default()
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/dispatcher/golden_tests.rs
+++ b/src/net/dispatcher/golden_tests.rs
@@ -1,6 +1,6 @@
-//! What leaves the process: all that is known of nodes, as JSON, for the newer process of an
-//! upgrade. The older process runs the released program: a key that changes here ends upgrades
-//! without a break, or loses what is held out. All texts were recorded before any renaming.
+//! What leaves the process: all that is known of nodes, as JSON, for the newer process of a hot
+//! restart. The older process runs the released program: a key that changes here ends hot restarts,
+//! or loses which nodes are in maintenance. All texts were recorded before any renaming.
 
 use super::maintenance::{MaintenanceError, MaintenanceSet};
 use super::snapshot::{EndpointSnapshot, PeerAddress};
@@ -15,7 +15,7 @@
     r#"{"instanceId":"b","hostPort":"127.0.0.1:7002","zone":"west","machineType":"large","#,
     r#""cell":4,"lifecycle":"draining","weight":2.0,"startedAtMs":0.0}"#,
 );
-const NEIGHBOUR: &str = r#"{"name":"p1","start":1700000000000001,"place":"127.0.0.1:8001"}"#;
+const PEER: &str = r#"{"name":"p1","start":1700000000000001,"place":"127.0.0.1:8001"}"#;
 
 fn instance() -> Instance {
     Instance {
@@ -43,27 +43,27 @@
     }
 }
 
-fn neighbour() -> PeerAddress {
+fn peer() -> PeerAddress {
     let address = "127.0.0.1:8001".parse().unwrap();
     PeerAddress { name: "p1".into(), start: 1_700_000_000_000_001, address }
 }
 
-/// Two nodes are listed, one was; `a` is held out, `b` was and is back.
-fn held_out() -> MaintenanceSet {
-    let mut held_out = MaintenanceSet::default();
+/// Two nodes are listed, one was; `a` is in maintenance, `b` was and is back.
+fn maintenance_set() -> MaintenanceSet {
+    let mut set = MaintenanceSet::default();
     let gone = Instance { instance_id: "old".into(), ..instance() };
-    held_out.update(ListForm::Full, vec![gone]);
-    held_out.update(ListForm::Full, vec![instance(), other()]);
-    held_out.enter("a", 10.0).unwrap();
-    held_out.enter("b", 5.0).unwrap();
-    held_out.leave("b", 6.5).unwrap();
-    held_out
+    set.update(ListForm::Full, vec![gone]);
+    set.update(ListForm::Full, vec![instance(), other()]);
+    set.enter("a", 10.0).unwrap();
+    set.enter("b", 5.0).unwrap();
+    set.leave("b", 6.5).unwrap();
+    set
 }
 
-fn recorded_nodes() -> String {
+fn recorded_snapshot() -> String {
     let told = format!(r#""told":[{INSTANCE},{OTHER}]"#);
     let held = r#""gone":["old"],"out":{"a":10.0},"back":{"b":[5.0,6.5]}"#;
-    format!(r#"{{{told},{held},"links":[{NEIGHBOUR}]}}"#)
+    format!(r#"{{{told},{held},"links":[{PEER}]}}"#)
 }
 
 #[test]
@@ -84,37 +84,37 @@
 }
 
 #[test]
-fn a_neighbour_is_the_recorded_text() {
-    assert_eq!(serde_json::to_string(&neighbour()).unwrap(), NEIGHBOUR);
-    assert_eq!(serde_json::from_str::<PeerAddress>(NEIGHBOUR).unwrap(), neighbour());
+fn a_peer_address_is_the_recorded_text() {
+    assert_eq!(serde_json::to_string(&peer()).unwrap(), PEER);
+    assert_eq!(serde_json::from_str::<PeerAddress>(PEER).unwrap(), peer());
 }
 
 #[test]
-fn nodes_with_every_field_filled_are_the_recorded_text() {
-    let mut nodes = held_out().snapshot();
-    nodes.peers = vec![neighbour()];
-    assert_eq!(serde_json::to_string(&nodes).unwrap(), recorded_nodes());
-    assert_eq!(serde_json::from_str::<EndpointSnapshot>(&recorded_nodes()).unwrap(), nodes);
+fn a_snapshot_with_every_field_filled_is_the_recorded_text() {
+    let mut snapshot = maintenance_set().snapshot();
+    snapshot.peers = vec![peer()];
+    assert_eq!(serde_json::to_string(&snapshot).unwrap(), recorded_snapshot());
+    assert_eq!(serde_json::from_str::<EndpointSnapshot>(&recorded_snapshot()).unwrap(), snapshot);
 }
 
 #[test]
-fn empty_nodes_are_the_recorded_text_without_links() {
+fn an_empty_snapshot_is_the_recorded_text_without_links() {
     let recorded = r#"{"told":[],"gone":[],"out":{},"back":{}}"#;
     assert_eq!(serde_json::to_string(&EndpointSnapshot::default()).unwrap(), recorded);
     assert_eq!(serde_json::from_str::<EndpointSnapshot>(recorded).unwrap(), EndpointSnapshot::default());
 }
 
 #[test]
-fn a_newer_process_holds_out_what_the_recorded_text_says() {
-    let nodes: EndpointSnapshot = serde_json::from_str(&recorded_nodes()).unwrap();
+fn a_newer_process_restores_what_the_recorded_text_says() {
+    let snapshot: EndpointSnapshot = serde_json::from_str(&recorded_snapshot()).unwrap();
     let mut newer = MaintenanceSet::default();
-    newer.update(ListForm::Full, nodes.listed.clone());
-    newer.restore(nodes);
-    assert_eq!(newer.snapshot(), held_out().snapshot());
+    newer.update(ListForm::Full, snapshot.listed.clone());
+    newer.restore(snapshot);
+    assert_eq!(newer.snapshot(), maintenance_set().snapshot());
 }
 
 #[test]
-fn refusals_of_calls_about_nodes_are_the_recorded_texts() {
+fn maintenance_errors_are_the_recorded_texts() {
     let text = |refusal: MaintenanceError| refusal.to_string();
     assert_eq!(text(MaintenanceError::NeverListed("a".into())), "a was never listed");
     assert_eq!(text(MaintenanceError::Origin("o".into())), "o is the origin, which is no cache node");
