--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -41,7 +41,7 @@
     }
 
     /// The settings of a member whose socket is here.
-    pub(crate) fn at(&self, bound: SocketAddr) -> Settings {
+    pub(crate) fn membership_settings(&self, bound: SocketAddr) -> Settings {
         Settings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
     }
 }
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -166,13 +166,13 @@
     let policy = config.policy().unwrap();
     same((policy.bind, policy.advertise), (at("127.0.0.1:7201"), at("127.0.0.2:7201")));
     same(policy.state_dir.clone(), Some("state".into()));
-    let times = &policy.times;
+    let times = &policy.timing;
     same((times.permit, times.renew, times.ready), (ms(2100), ms(510), ms(1510)));
     same((times.close, times.change, times.answer), (ms(310), ms(60_010), ms(210)));
-    same((policy.hold, policy.catch_up), (ms(160), ms(10_010)));
-    same((policy.when_cut, policy.local), (LeaseExpiryMode::FailOpen, true));
+    same((policy.change_wait, policy.catch_up_warning), (ms(160), ms(10_010)));
+    same((policy.lease_expiry_mode, policy.allows_local_reload), (LeaseExpiryMode::FailOpen, true));
     same(policy.restore_after, Some(ms(5000)));
-    same((policy.seats.0, policy.seat, policy.links), (3, Some(0), 5));
+    same((policy.voters.0, policy.voter_id, policy.max_peers), (3, Some(0), 5));
 }
 
 #[test]
@@ -182,7 +182,7 @@
         Config::from_json(text.as_bytes(), None).unwrap()
     };
     let refuses = with(r#""when_cut": "serve""#, r#""when_cut": "refuse""#);
-    same(refuses.policy().unwrap().when_cut, LeaseExpiryMode::FailClosed);
+    same(refuses.policy().unwrap().lease_expiry_mode, LeaseExpiryMode::FailClosed);
     let cell = with(r#""DedupScope": "zone""#, r#""DedupScope": "cell""#);
     same(cell.settings.classes[1].scope, Scope::Cell);
 }
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -11,8 +11,8 @@
 
 use crate::settings::Settings;
 pub use fleet::{FleetConfig, QuotaConfig};
-pub use policy::{nearest, PolicyConfig};
-pub use rules::Rules;
+pub use policy::{nearest_known, PolicyConfig};
+pub use rules::ParsedSettings;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -188,7 +188,7 @@
 
 impl Names {
     /// What counts of them in each part of the settings, as text.
-    pub fn in_words(&self) -> [(&'static str, String); 4] {
+    pub fn digest_parts(&self) -> [(&'static str, String); 4] {
         [
             ("Grades", format!("{:?} {:?}", self.classes, self.keyed)),
             ("Orgs", format!("{:?}", self.tenants)),
@@ -275,7 +275,7 @@
     pub fn from_json(text: &[u8], admin: Option<String>) -> Result<Config, ConfigError> {
         let given: serde_json::Value = serde_json::from_slice(text)?;
         let file: File = serde_path_to_error::deserialize(&given)?;
-        let rules = Rules::of(&file.settings).map_err(|error| error.below("settings"))?;
+        let rules = ParsedSettings::parse(&file.settings).map_err(|error| error.below("settings"))?;
         let (settings, names) = (rules.settings, rules.names);
         if file.limits.memory_mb < MIN_MEMORY_MB {
             let value = file.limits.memory_mb.to_string();
@@ -300,7 +300,8 @@
                 (MIN_SOCKETS + DOOR_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
             }
         };
-        let links = fleet.as_ref().map_or(0, |fleet| fleet.policy.as_ref().map_or(0, PolicyConfig::sockets));
+        let links =
+            fleet.as_ref().map_or(0, |fleet| fleet.policy.as_ref().map_or(0, PolicyConfig::descriptors));
         let (least, wanted) = match links {
             0 => (least, wanted),
             links => (least + links, "enough beside two for each of fleet.size, for links"),
@@ -327,7 +328,7 @@
     }
 
     /// Reads the file again. An error says why the newer configuration must not be put in force.
-    pub fn newer(&self) -> Result<Config, ConfigError> {
+    pub fn reload(&self) -> Result<Config, ConfigError> {
         let newer = Config::from_env()?;
         if let Some(key) = check::missing(&self.given, &newer.given) {
             return Err(ConfigError::Missing(key));
@@ -343,7 +344,7 @@
     }
 
     /// The settings as they came.
-    pub fn given_settings(&self) -> &serde_json::Value {
+    pub fn settings_json(&self) -> &serde_json::Value {
         &self.given["settings"]
     }
 
@@ -356,7 +357,7 @@
     }
 
     /// What a newer configuration has otherwise that a running proxy cannot change.
-    pub fn fixed_since(&self, newer: &Config) -> Vec<&'static str> {
+    pub fn changes_at_restart(&self, newer: &Config) -> Vec<&'static str> {
         let differs = [
             ("name", self.name != newer.name),
             ("listen", self.listen != newer.listen),
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -39,29 +39,29 @@
     /// Where a founder keeps what it votes for.
     pub state_dir: Option<PathBuf>,
     /// Within which times what is done.
-    pub times: Timing,
+    pub timing: Timing,
     /// How long a request waits for a change's moment at the most.
-    pub hold: Duration,
+    pub change_wait: Duration,
     /// After so long without a permit the log says why this process is not ready.
-    pub catch_up: Duration,
+    pub catch_up_warning: Duration,
     /// What is done once the permit has ended.
-    pub when_cut: LeaseExpiryMode,
+    pub lease_expiry_mode: LeaseExpiryMode,
     /// Whether SIGHUP puts settings of the file in force.
-    pub local: bool,
+    pub allows_local_reload: bool,
     /// After so long a process that drifted puts the approved version in force again by itself, if it is to.
     pub restore_after: Option<Duration>,
     /// How many found.
-    pub seats: VoterSet,
+    pub voters: VoterSet,
     /// The seat of this proxy, if it founds.
-    pub seat: Option<u8>,
+    pub voter_id: Option<u8>,
     /// The most processes that are linked.
-    pub links: usize,
+    pub max_peers: usize,
 }
 
 impl PolicyConfig {
     /// How many descriptors it takes: links each way while one takes another's place, the listener, the poller, files.
-    pub fn sockets(&self) -> usize {
-        2 * self.links + 8
+    pub fn descriptors(&self) -> usize {
+        2 * self.max_peers + 8
     }
 }
 
@@ -86,7 +86,7 @@
 }
 
 /// The known name that is nearest to one that is not known, as a hint.
-pub fn nearest(name: &str, known: &[&str]) -> String {
+pub fn nearest_known(name: &str, known: &[&str]) -> String {
     let near = known.iter().map(|known| (strsim::jaro_winkler(name, known), known));
     near.max_by(|a, b| a.0.total_cmp(&b.0)).map_or(String::new(), |(_, known)| (*known).to_owned())
 }
@@ -102,7 +102,7 @@
     let Some(founders) = founders else { return Err(bad("it needs founders".to_owned())) };
     let keys = given.as_object().into_iter().flat_map(|given| given.keys());
     if let Some(unknown) = keys.into_iter().find(|key| !KEYS.contains(&key.as_str())) {
-        let near = nearest(unknown, &KEYS);
+        let near = nearest_known(unknown, &KEYS);
         return Err(bad(format!("unknown key {unknown:?}; the nearest known one is {near:?}")));
     }
     let file: PolicyFile = serde_path_to_error::deserialize(given).map_err(|error| bad(error.to_string()))?;
@@ -134,14 +134,14 @@
         bind,
         advertise: advertise.unwrap_or(bind),
         state_dir: file.state_dir,
-        times,
-        hold: Duration::from_millis(hold),
-        catch_up: Duration::from_millis(file.catch_up_ms.unwrap_or(CATCH_UP_MS)),
-        when_cut: file.when_cut,
-        local: file.local,
+        timing: times,
+        change_wait: Duration::from_millis(hold),
+        catch_up_warning: Duration::from_millis(file.catch_up_ms.unwrap_or(CATCH_UP_MS)),
+        lease_expiry_mode: file.when_cut,
+        allows_local_reload: file.local,
         restore_after: file.restore_after_ms.map(Duration::from_millis),
-        seats: VoterSet(u8::try_from(founders.len()).unwrap_or(u8::MAX)),
-        seat,
-        links: size,
+        voters: VoterSet(u8::try_from(founders.len()).unwrap_or(u8::MAX)),
+        voter_id: seat,
+        max_peers: size,
     })
 }
--- a/src/net/config/rules.rs
+++ b/src/net/config/rules.rs
@@ -39,7 +39,7 @@
 
 /// The object, read and checked.
 #[derive(Clone, Debug)]
-pub struct Rules {
+pub struct ParsedSettings {
     /// The module's.
     pub settings: Settings,
     /// What names mean.
@@ -51,9 +51,9 @@
 /// Danger: a time beyond what the clock can hold would end a proxy that serves, at SIGHUP.
 const MAX_CONNECT_TIMEOUT_MS: f64 = 60_000.0;
 
-impl Rules {
+impl ParsedSettings {
     /// Reads the object. The error names what is wrong.
-    pub fn of(given: &Value) -> Result<Rules, ConfigError> {
+    pub fn parse(given: &Value) -> Result<ParsedSettings, ConfigError> {
         let words: Words = serde_path_to_error::deserialize(given)?;
         let settings: Settings = serde_path_to_error::deserialize(given)?;
         let name_of = |named: Vec<Named>| named.into_iter().map(|n| n.name).collect::<Vec<String>>();
@@ -76,14 +76,14 @@
             kinds: words.kinds,
             zones: words.zones,
         };
-        Ok(Rules { settings, names, connect_timeout: Duration::from_secs_f64(timeout / 1000.0) })
+        Ok(ParsedSettings { settings, names, connect_timeout: Duration::from_secs_f64(timeout / 1000.0) })
     }
 
     /// The same put in force after what is; the error says why it must not be.
-    pub fn after(given: &Value, before: &Value) -> Result<Rules, ConfigError> {
+    pub fn parse_after(given: &Value, before: &Value) -> Result<ParsedSettings, ConfigError> {
         if let Some(key) = check::missing(before, given) {
             return Err(ConfigError::Missing(key));
         }
-        Rules::of(given)
+        ParsedSettings::parse(given)
     }
 }
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -317,8 +317,9 @@
         let bound = socket.local_addr()?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
-        let members = Membership::new(config.at(bound), start, self.seed ^ start, self.now())
-            .map_err(|error| io::Error::new(ErrorKind::InvalidInput, error.to_string()))?;
+        let members =
+            Membership::new(config.membership_settings(bound), start, self.seed ^ start, self.now())
+                .map_err(|error| io::Error::new(ErrorKind::InvalidInput, error.to_string()))?;
         let socket = Arc::new(CoIo::new(socket).map_err(io::Error::from)?);
         let settings = &config.settings;
         log(&format!("fleet {}: {} is at {bound}", settings.fleet, settings.name));
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -188,12 +188,12 @@
     /// nothing: a slip in it must not end a proxy that serves.
     fn reload(&self, config: &mut Config, sides: &Sides) {
         self.change(|stand| stand.reloading = true);
-        match config.newer() {
+        match config.reload() {
             Ok(newer) => {
                 self.counters.reloads.add();
                 let classes = newer.names.classes().join(", ");
                 match self.policy().filter(|policy| !policy.lets_in_local_settings()) {
-                    Some(policy) if policy.is_in_force(newer.given_settings()) => {
+                    Some(policy) if policy.is_in_force(newer.settings_json()) => {
                         log("reload: the settings are those of the fleet's policy in force");
                     }
                     Some(_) => log(
@@ -214,7 +214,7 @@
                         log(&format!("reload: the fleet's peers stay: {error}"));
                     }
                 }
-                let waiting = config.fixed_since(&newer);
+                let waiting = config.changes_at_restart(&newer);
                 if !waiting.is_empty() {
                     log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
                 }
@@ -247,7 +247,7 @@
         let own = OWN_SOCKETS
             + door.as_ref().map_or(0, |_| descriptors::DOOR)
             + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET)
-            + config.policy().map_or(0, PolicyConfig::sockets);
+            + config.policy().map_or(0, PolicyConfig::descriptors);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
@@ -312,7 +312,7 @@
             let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.peers.clone());
             let sides = (&exchange, &providers);
             let policy =
-                Policy::start(told.clone(), fleet, sides, config.given_settings(), links, config.seed)
+                Policy::start(told.clone(), fleet, sides, config.settings_json(), links, config.seed)
                     .map_err(|error| format!("policy: {error}"))?;
             let policy = self.policy.get_or_init(|| policy);
             // Operators are answered while it catches up.
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -2,7 +2,7 @@
 
 use super::{digest, text};
 use crate::net::backend::BackendService;
-use crate::net::config::{nearest, Rules};
+use crate::net::config::{nearest_known, ParsedSettings};
 use crate::net::dispatcher::Dispatcher;
 use crate::net::log::log;
 use pinetrail_drift::Approved;
@@ -80,12 +80,12 @@
     /// A version as it would be in force here.
     pub(super) fn approved(&self, version: u64, text: &str) -> Option<Approved> {
         let given = text::with_own(&serde_json::from_str(text).ok()?, &self.own);
-        let rules = Rules::of(&given).ok()?;
+        let rules = ParsedSettings::parse(&given).ok()?;
         let parts = digest::parts(&rules.settings, &rules.names, rules.connect_timeout);
         Some(Approved { version, parts })
     }
 
-    fn rules(&self, text: &str) -> Result<Rules, String> {
+    fn rules(&self, text: &str) -> Result<ParsedSettings, String> {
         let given: Value = serde_json::from_str(text).map_err(|error| format!("settings: {error}"))?;
         if !given.is_object() {
             return Err("settings: no object".to_owned());
@@ -95,8 +95,8 @@
         let before = self.text.lock().unwrap_or_else(PoisonError::into_inner);
         let before = before.as_deref().and_then(|text| serde_json::from_str::<Value>(text).ok());
         let rules = match before {
-            Some(before) => Rules::after(&given, &before),
-            None => Rules::of(&given),
+            Some(before) => ParsedSettings::parse_after(&given, &before),
+            None => ParsedSettings::parse(&given),
         };
         let rules = rules.map_err(|error| error.to_string())?;
         // Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
@@ -114,7 +114,7 @@
     let mut keys = given.as_object().into_iter().flat_map(|given| given.keys());
     match keys.find(|key| !text::KNOWN.contains(&key.as_str())) {
         Some(unknown) => {
-            let near = nearest(unknown, &text::KNOWN);
+            let near = nearest_known(unknown, &text::KNOWN);
             Err(format!(
                 "settings.{unknown}: this program does not know it; the nearest known one is {near:?}"
             ))
--- a/src/net/policy/digest.rs
+++ b/src/net/policy/digest.rs
@@ -20,7 +20,7 @@
         ("GroupSize", group_size.to_string()),
     ];
     let mut words: BTreeMap<&str, String> = BTreeMap::new();
-    for (part, text) in decides.into_iter().chain(names.in_words()) {
+    for (part, text) in decides.into_iter().chain(names.digest_parts()) {
         words.entry(part).or_default().push_str(&text);
     }
     words.into_iter().map(|(part, text)| (part.to_owned(), xxh3_64(text.as_bytes()))).collect()
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -83,7 +83,7 @@
             }
             if !speaks {
                 listening.take().into_iter().for_each(|listens| listens.abort());
-                if std::mem::take(&mut seated) && self.config.seat.is_some() {
+                if std::mem::take(&mut seated) && self.config.voter_id.is_some() {
                     self.node.resign_voter();
                 }
             }
@@ -101,7 +101,7 @@
 
     /// Whether this process holds what seat it is to hold.
     fn take_seat(&self, said: &mut Option<String>) -> bool {
-        let (Some(seat), Some(path)) = (self.config.seat, &self.config.state_dir) else { return true };
+        let (Some(seat), Some(path)) = (self.config.voter_id, &self.config.state_dir) else { return true };
         let taken =
             FileStorage::take(path.clone()).and_then(|disk| self.node.become_voter(seat, Box::new(disk)));
         match taken {
--- a/src/net/policy/golden_tests.rs
+++ b/src/net/policy/golden_tests.rs
@@ -4,7 +4,7 @@
 //! process that runs another version. All figures were recorded before any renaming.
 
 use super::{digest, drift, text};
-use crate::net::config::Rules;
+use crate::net::config::ParsedSettings;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
@@ -37,7 +37,7 @@
 }
 
 fn parts() -> BTreeMap<String, u64> {
-    let rules = Rules::of(&settings()).unwrap();
+    let rules = ParsedSettings::parse(&settings()).unwrap();
     digest::parts(&rules.settings, &rules.names, rules.connect_timeout)
 }
 
@@ -73,7 +73,7 @@
 /// What digests are made from: the first lines to read if one of them has changed.
 #[test]
 fn settings_have_the_recorded_debug_texts() {
-    let settings = Rules::of(&settings()).unwrap().settings;
+    let settings = ParsedSettings::parse(&settings()).unwrap().settings;
     let classes = concat!(
         "[Class { aim: 10.0, give_up: 100.0, effect: Safe, scope: All, ",
         "repeat_window: 0.0, worth: 1.0 }, ",
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -66,16 +66,17 @@
             LinkTimes::default(),
             seed ^ start,
         );
-        let permit = Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, BACK));
+        let permit =
+            Arc::new(AdmissionLease::new(config.voters, config.lease_expiry_mode, config.change_wait, BACK));
         exchange.set_admission_lease(Arc::clone(&permit));
         let calls = fleet.longest_call();
         let app = Arc::new(App::new(Arc::clone(exchange), Arc::clone(providers), settings, calls));
         let node = ConsensusNode::new(
             Settings {
                 process: me.clone(),
-                voters: config.seats,
-                timing: config.times,
-                lease_expiry_mode: config.when_cut,
+                voters: config.voters,
+                timing: config.timing,
+                lease_expiry_mode: config.lease_expiry_mode,
                 initial_policy: text::common(settings),
                 seed: seed ^ start,
             },
@@ -120,7 +121,7 @@
             if is_asked_to_stop() {
                 return false;
             }
-            if begun.elapsed() > self.config.catch_up && !std::mem::replace(&mut said, true) {
+            if begun.elapsed() > self.config.catch_up_warning && !std::mem::replace(&mut said, true) {
                 log(&format!("ERROR: policy: not ready after {:?}: {}", begun.elapsed(), self.why_not()));
             }
             thread::sleep(LOOK_EVERY);
@@ -140,7 +141,7 @@
 
     /// Whether SIGHUP puts settings of the file in force.
     pub fn lets_in_local_settings(&self) -> bool {
-        self.config.local
+        self.config.allows_local_reload
     }
 
     /// Whether the settings of a file are those in force.
