Split the configuration by concern, with typed errors for fleet and policy

Each has a file now; ConfigError::Fleet keeps its source (FleetError, PolicyConfigError) in place of a text. Types whose names and number of fields are part of recorded error texts keep those names and are imported under clearer ones: serde's rename does not reach that text, and expecting drops its count.

--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -1,51 +1,40 @@
-//! What the `fleet` object of the configuration says, in the form of the core.
+//! The object `fleet` of the configuration in the form of the crates that it configures. Read
+//! [`FleetConfig`] first.
 
+use super::error::{ConfigError, FleetError};
+use super::file::parse_address;
 use super::policy::PolicyConfig;
-use super::{address, ConfigError};
-use pinetrail_membership::{Settings, Timing};
-use pinetrail_quota as shares;
+use pinetrail_membership::{Settings as MembershipSettings, Timing};
+use pinetrail_quota::Settings as QuotaSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// What it is told of shares, if anything.
+/// What it says of quota leases.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaConfig {
-    /// For the core.
-    pub settings: pinetrail_quota::Settings,
-    /// Calls in flight of all together, at one node and at the origin; infinite if not told.
+    /// For the quota leases.
+    pub settings: QuotaSettings,
+    /// Attempts that all proxies together may have in flight, at one node and at the origin; infinite
+    /// where that is not given.
     pub whole: [f64; 2],
 }
 
-/// What a fleet's member is told at its start.
+/// What the object `fleet` says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetConfig {
     /// Where its socket is.
     pub bind: SocketAddr,
-    /// What others are told instead, if anything.
+    /// The address that others are told instead, if any.
     pub advertise: Option<SocketAddr>,
-    /// The rest; its `advertise` counts once the socket is open.
-    pub settings: Settings,
-    /// Of shares; without it the share is one of `GroupSize`.
+    /// For membership; its `advertise` counts once the socket is open.
+    pub settings: MembershipSettings,
+    /// Of quota leases; without them the quota is one of `GroupSize`.
     pub quota: Option<QuotaConfig>,
     /// Of the common policy, if there is one.
     pub policy: Option<PolicyConfig>,
 }
 
-impl FleetConfig {
-    /// The same with the peers of a newer one, if there is one.
-    pub fn with_peers_of(mut self, newer: Option<FleetConfig>) -> FleetConfig {
-        if let Some(newer) = newer {
-            self.settings.peers = newer.settings.peers;
-        }
-        self
-    }
-
-    /// The settings of a member whose socket is here.
-    pub(crate) fn membership_settings(&self, bound: SocketAddr) -> Settings {
-        Settings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
-    }
-}
-
+/// The object as it is read; all times are in ms.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct FleetFile {
@@ -72,77 +61,118 @@
     policy: Option<serde_json::Value>,
 }
 
-/// Reads the object for the proxy of this name.
-pub(super) fn fleet(mut file: FleetFile, own: &str) -> Result<FleetConfig, ConfigError> {
-    let founders = file.founders.take();
-    let shares = founders.map(|founders| shares(&file, founders)).transpose()?;
-    let bind = address("fleet.bind", file.bind)?;
-    let advertise = file.advertise.map(|at| address("fleet.advertise", at)).transpose()?;
-    let founders = shares.as_ref().map(|shares| &shares.settings.founders[..]);
-    let policy = file
-        .policy
-        .map(|policy| super::policy::policy(policy, founders, advertise.unwrap_or(bind), file.size))
-        .transpose()?;
-    let peers = file.peers.into_iter().map(|at| address("fleet.peers", at)).collect::<Result<_, _>>()?;
-    let usual = Timing::default();
-    let times = Timing {
-        period: file.period_ms.unwrap_or(usual.period),
-        answer: file.answer_ms.unwrap_or(usual.answer),
-        suspicion: file.suspicion_ms.unwrap_or(usual.suspicion),
-        gossip: file.gossip_ms.unwrap_or(usual.gossip),
-        reunion: file.reunion_ms.unwrap_or(usual.reunion),
-        rejoin: file.rejoin_ms.unwrap_or(usual.rejoin),
-        forget: file.forget_ms.unwrap_or(usual.forget),
-    };
-    let settings = Settings {
-        fleet: file.name,
-        name: own.to_owned(),
-        advertise: advertise.unwrap_or(bind),
-        peers,
-        size: file.size,
-        times,
-    };
-    settings.check().map_err(|error| ConfigError::Fleet(error.to_string()))?;
-    Ok(FleetConfig { bind, advertise, settings, quota: shares, policy })
-}
+impl FleetConfig {
+    /// Reads the object for the proxy of this name.
+    ///
+    /// # Errors
+    ///
+    /// Names what is wrong.
+    pub(super) fn from_file(mut file: FleetFile, proxy_name: &str) -> Result<FleetConfig, ConfigError> {
+        let founders = file.founders.take();
+        let quota = founders.map(|founders| QuotaConfig::from_file(&file, founders)).transpose()?;
+        let timing = timing(&file);
+        let bind = parse_address("fleet.bind", file.bind)?;
+        let advertise = file.advertise.map(|at| parse_address("fleet.advertise", at)).transpose()?;
+        let advertised = advertise.unwrap_or(bind);
+        let founders = quota.as_ref().map(|quota| &quota.settings.founders[..]);
+        let policy = file
+            .policy
+            .map(|policy| PolicyConfig::from_json(policy, founders, advertised, file.size))
+            .transpose()?;
+        let settings = MembershipSettings {
+            fleet: file.name,
+            name: proxy_name.to_owned(),
+            advertise: advertised,
+            peers: parse_addresses("fleet.peers", file.peers)?,
+            size: file.size,
+            times: timing,
+        };
+        settings.check().map_err(FleetError::from)?;
+        Ok(FleetConfig { bind, advertise, settings, quota, policy })
+    }
 
-/// What it says of shares, which it does by naming the founders.
-fn shares(file: &FleetFile, founders: Vec<String>) -> Result<QuotaConfig, ConfigError> {
-    let bad = |error: String| ConfigError::Fleet(error);
-    let founders: Vec<SocketAddr> =
-        founders.into_iter().map(|at| address("fleet.founders", at)).collect::<Result<_, _>>()?;
-    let usual = shares::Settings::with_defaults(founders, file.size);
-    let settings = shares::Settings {
-        period: file.ask_ms.unwrap_or(usual.period),
-        vote: file.vote_ms.unwrap_or(usual.vote),
-        lease: file.lease_ms.unwrap_or(usual.lease),
-        calls: file.call_ms.unwrap_or(usual.calls),
-        ..usual
-    };
-    settings.check().map_err(|error| bad(error.to_string()))?;
-    // Danger: a base under one call would be none, or the bases together more than the whole.
-    let least = 2 * file.size as u64;
-    for (field, calls) in [("node_calls", file.node_calls), ("origin_calls", file.origin_calls)] {
-        if let Some(calls) = calls.filter(|calls| *calls < least) {
-            return Err(bad(format!("{field} {calls} is below 2 for each of size, {least}")));
+    /// The same with the peers of a newer one, if there is one.
+    #[must_use]
+    pub fn with_peers_of(mut self, newer: Option<FleetConfig>) -> FleetConfig {
+        if let Some(newer) = newer {
+            self.settings.peers = newer.settings.peers;
         }
+        self
+    }
+
+    /// The settings of a member whose socket is bound here.
+    pub(crate) fn membership_settings(&self, bound: SocketAddr) -> MembershipSettings {
+        MembershipSettings { advertise: self.advertise.unwrap_or(bound), ..self.settings.clone() }
+    }
+}
+
+impl QuotaConfig {
+    /// Reads what the object says of quota leases, which it does by naming the founders.
+    fn from_file(file: &FleetFile, founders: Vec<String>) -> Result<QuotaConfig, ConfigError> {
+        let founders = parse_addresses("fleet.founders", founders)?;
+        let defaults = QuotaSettings::with_defaults(founders, file.size);
+        let settings = QuotaSettings {
+            period: file.ask_ms.unwrap_or(defaults.period),
+            vote: file.vote_ms.unwrap_or(defaults.vote),
+            lease: file.lease_ms.unwrap_or(defaults.lease),
+            calls: file.call_ms.unwrap_or(defaults.calls),
+            ..defaults
+        };
+        settings.check().map_err(FleetError::from)?;
+        let least = 2 * file.size as u64;
+        check_minimum("node_calls", file.node_calls, least)?;
+        check_minimum("origin_calls", file.origin_calls, least)?;
+        let whole = [calls_or_infinite(file.node_calls), calls_or_infinite(file.origin_calls)];
+        Ok(QuotaConfig { settings, whole })
+    }
+}
+
+fn calls_or_infinite(calls: Option<u64>) -> f64 {
+    calls.map_or(f64::INFINITY, |calls| calls as f64)
+}
+
+/// Danger: a guaranteed minimum under one call would be none, or the minimums together more than the
+/// whole.
+fn check_minimum(field: &'static str, calls: Option<u64>, least: u64) -> Result<(), FleetError> {
+    match calls {
+        Some(calls) if calls < least => Err(FleetError::TooFewCalls { field, calls, least }),
+        _ => Ok(()),
     }
-    let whole =
-        [file.node_calls, file.origin_calls].map(|calls| calls.map_or(f64::INFINITY, |calls| calls as f64));
-    Ok(QuotaConfig { settings, whole })
 }
 
-/// Danger: what is leased is free a call after its end; calls that run longer would be in use by two.
+fn parse_addresses(field: &'static str, addresses: Vec<String>) -> Result<Vec<SocketAddr>, ConfigError> {
+    addresses.into_iter().map(|at| parse_address(field, at)).collect()
+}
+
+fn timing(file: &FleetFile) -> Timing {
+    let defaults = Timing::default();
+    Timing {
+        period: file.period_ms.unwrap_or(defaults.period),
+        answer: file.answer_ms.unwrap_or(defaults.answer),
+        suspicion: file.suspicion_ms.unwrap_or(defaults.suspicion),
+        gossip: file.gossip_ms.unwrap_or(defaults.gossip),
+        reunion: file.reunion_ms.unwrap_or(defaults.reunion),
+        rejoin: file.rejoin_ms.unwrap_or(defaults.rejoin),
+        forget: file.forget_ms.unwrap_or(defaults.forget),
+    }
+}
+
+/// Whether attempts end while what is leased for them is still theirs.
+///
+/// Danger: what is leased is free a call after its end; attempts that run longer would be in use by two.
+///
+/// # Errors
+///
+/// If a class waits longer than that.
 pub(super) fn check_calls(
     fleet: Option<&FleetConfig>,
     settings: &crate::settings::Settings,
 ) -> Result<(), ConfigError> {
-    let longest = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-    let calls = fleet.and_then(|fleet| fleet.quota.as_ref()).map(|shares| shares.settings.calls);
-    match calls.filter(|calls| (*calls as f64) < longest) {
-        Some(calls) => {
-            Err(ConfigError::Fleet(format!("call_ms {calls} is below the longest GiveUp, {longest}")))
-        }
-        None => Ok(()),
+    let Some(quota) = fleet.and_then(|fleet| fleet.quota.as_ref()) else { return Ok(()) };
+    let calls_ms = quota.settings.calls;
+    let longest_ms = settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
+    if (calls_ms as f64) < longest_ms {
+        return Err(FleetError::CallsOutliveLease { calls_ms, longest_ms }.into());
     }
+    Ok(())
 }
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -224,7 +224,7 @@
 /// All that was read, as text; without the file as it came.
 fn read(given: &Value) -> Option<String> {
     let mut config = Config::from_json(given.to_string().as_bytes(), None).ok()?;
-    config.given = Value::Null;
+    config.json = Value::Null;
     Some(format!("{config:?}"))
 }
 
--- a/src/net/dispatcher/listed_endpoint.rs
+++ b/src/net/dispatcher/listed_endpoint.rs
@@ -19,9 +19,9 @@
     /// Converts an entry of the list; none, and a line in the log, if its state is unknown.
     pub(super) fn from_instance(names: &Names, instance: Instance) -> Option<ListedEndpoint> {
         let state = match instance.lifecycle.as_str() {
-            "ready" => State::Ready,
-            "draining" => State::Draining,
-            "gone" => State::Gone,
+            Instance::READY => State::Ready,
+            Instance::DRAINING => State::Draining,
+            Instance::GONE => State::Gone,
             other => {
                 log(&format!("{} is in the unknown state {other:?}", instance.instance_id));
                 return None;
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -93,7 +93,7 @@
         }
         for node in &list {
             let name = node.instance_id.clone();
-            if node.lifecycle == "gone" {
+            if node.lifecycle == Instance::GONE {
                 self.listed.remove(&name);
                 self.remember_unlisted(name);
             } else {
@@ -168,8 +168,8 @@
 
     /// A node as the module is to be told of it.
     fn effective(&self, mut node: Instance) -> Instance {
-        if self.in_maintenance.contains_key(&node.instance_id) && node.lifecycle == "ready" {
-            node.lifecycle = "draining".to_owned();
+        if self.in_maintenance.contains_key(&node.instance_id) && node.lifecycle == Instance::READY {
+            node.lifecycle = Instance::DRAINING.to_owned();
         }
         // Danger: discovery is seconds late. A node that was restarted while it was in maintenance comes
         // back cold before its start is listed, and is overloaded if it is taken for warm.
