--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -188,12 +188,12 @@
     /// nothing: a slip in it must not end a proxy that serves.
     fn reload(&self, config: &mut Config, sides: &Sides) {
         self.change(|stand| stand.reloading = true);
-        match config.newer() {
+        match config.reload() {
             Ok(newer) => {
                 self.counters.reloads.add();
                 let classes = newer.names.classes().join(", ");
                 match self.policy().filter(|policy| !policy.allows_local_settings()) {
-                    Some(policy) if policy.is_active(newer.given_settings()) => {
+                    Some(policy) if policy.is_active(newer.settings_json()) => {
                         log("reload: the settings are those of the fleet's policy in force");
                     }
                     Some(_) => log(
@@ -214,7 +214,7 @@
                         log(&format!("reload: the fleet's peers stay: {error}"));
                     }
                 }
-                let waiting = config.fixed_since(&newer);
+                let waiting = config.changes_at_restart(&newer);
                 if !waiting.is_empty() {
                     log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
                 }
@@ -247,7 +247,7 @@
         let own = OWN_SOCKETS
             + door.as_ref().map_or(0, |_| descriptors::DOOR)
             + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET)
-            + config.policy().map_or(0, PolicyConfig::sockets);
+            + config.policy().map_or(0, PolicyConfig::descriptors);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
         let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
@@ -271,8 +271,8 @@
             budget.allow(Some(given.share));
             exchange.restore_snapshot(given.nodes.clone());
             // What the older process heard last is newer than what the file knows.
-            if !given.nodes.told.is_empty() {
-                known.instances.clone_from(&given.nodes.told);
+            if !given.nodes.listed.is_empty() {
+                known.instances.clone_from(&given.nodes.listed);
             }
         }
         let providers = BackendService::start(
@@ -301,7 +301,7 @@
                     guaranteed: told.base,
                     fleet_limits: interface::FleetLimits { per_node, origin },
                 };
-                sharer.share(quota, told.ends);
+                sharer.apply_quota(quota, told.ends);
             });
             let fleet =
                 self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
@@ -315,13 +315,13 @@
             }
         }
         if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
-            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.links.clone());
+            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.peers.clone());
             let policy = Policy::start(PolicyParameters {
                 config: told.clone(),
                 fleet,
                 dispatcher: &exchange,
                 backends: &providers,
-                settings: config.given_settings(),
+                settings: config.settings_json(),
                 handed_over_peers: links,
                 seed: config.seed,
             })
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -5,7 +5,7 @@
 use super::error::PolicyTextError;
 use super::text;
 use crate::net::backend::BackendService;
-use crate::net::config::{nearest, Rules};
+use crate::net::config::{nearest_known, ParsedSettings};
 use crate::net::dispatcher::Dispatcher;
 use crate::net::log::log;
 use crate::settings::Settings;
@@ -90,20 +90,21 @@
     /// Digests of what is active, made anew from the objects that decide.
     pub(super) fn active_digests(&self) -> PartDigests {
         let connect_timeout = self.backends.connect_timeout();
-        self.dispatcher.in_force(|settings, names| digest::part_digests(settings, names, connect_timeout))
+        self.dispatcher
+            .with_active_settings(|settings, names| digest::part_digests(settings, names, connect_timeout))
     }
 
     /// The digests of a version as it would be active here; none if it could not be.
     pub(super) fn approved(&self, version: u64, text: &str) -> Option<ApprovedPolicy> {
         let policy = serde_json::from_str(text).ok()?;
         let settings = text::with_local_keys(&policy, &self.local_settings);
-        let rules = Rules::of(&settings).ok()?;
+        let rules = ParsedSettings::parse(&settings).ok()?;
         let part_digests = digest::part_digests(&rules.settings, &rules.names, rules.connect_timeout);
         Some(ApprovedPolicy { version, part_digests })
     }
 
     /// Reads and checks a policy that is to follow the active one.
-    fn read_policy(&self, text: &str) -> Result<Rules, PolicyTextError> {
+    fn read_policy(&self, text: &str) -> Result<ParsedSettings, PolicyTextError> {
         let policy: Value = serde_json::from_str(text).map_err(PolicyTextError::Json)?;
         if !policy.is_object() {
             return Err(PolicyTextError::NotAnObject);
@@ -111,8 +112,8 @@
         check_known_keys(&policy)?;
         let settings = text::with_local_keys(&policy, &self.local_settings);
         let rules = match self.active_policy() {
-            Some(active) => Rules::after(&settings, &active)?,
-            None => Rules::of(&settings)?,
+            Some(active) => ParsedSettings::parse_after(&settings, &active)?,
+            None => ParsedSettings::parse(&settings)?,
         };
         self.check_call_limit(&rules.settings)?;
         Ok(rules)
@@ -145,7 +146,7 @@
     match keys.find(|key| !text::KNOWN_KEYS.contains(&key.as_str())) {
         Some(unknown) => Err(PolicyTextError::UnknownKey {
             key: unknown.clone(),
-            nearest: nearest(unknown, &text::KNOWN_KEYS),
+            nearest: nearest_known(unknown, &text::KNOWN_KEYS),
         }),
         None => Ok(()),
     }
--- a/src/net/policy/digest.rs
+++ b/src/net/policy/digest.rs
@@ -29,7 +29,7 @@
         ("GroupSize", group_size.to_string()),
     ];
     let mut texts: BTreeMap<&str, String> = BTreeMap::new();
-    for (part, text) in settings_texts.into_iter().chain(names.in_words()) {
+    for (part, text) in settings_texts.into_iter().chain(names.digest_parts()) {
         texts.entry(part).or_default().push_str(&text);
     }
     texts.into_iter().map(|(part, text)| (part.to_owned(), xxh3_64(text.as_bytes()))).collect()
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -101,7 +101,7 @@
         addresses.push(PeerAddress {
             name: self.process.name.to_string(),
             start: self.process.start,
-            place: self.config.advertise,
+            address: self.config.advertise,
         });
         addresses
     }
@@ -139,7 +139,7 @@
     fn dial(&self, peers: Vec<PeerAddress>) {
         let peers = peers.into_iter().map(|peer| Peer {
             process: Process { name: peer.name.into(), start: peer.start },
-            address: peer.place,
+            address: peer.address,
         });
         self.node.transport().set_peers(peers.collect());
     }
@@ -202,7 +202,7 @@
         let Some((_, membership_start, _)) = sender else { return };
         let membership_start = *membership_start;
         let address =
-            PeerAddress { name: message.name.clone(), start: message.start, place: message.address };
+            PeerAddress { name: message.name.clone(), start: message.start, address: message.address };
         self.known.insert(message.name, KnownPeer { membership_start, address });
     }
 }
--- a/src/net/policy/directory/tests.rs
+++ b/src/net/policy/directory/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn handed_over(name: &str) -> PeerAddress {
-    PeerAddress { name: name.to_owned(), start: 70, place: address(200) }
+    PeerAddress { name: name.to_owned(), start: 70, address: address(200) }
 }
 
 #[test]
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -115,7 +115,7 @@
                 return false;
             }
             let elapsed = started_at.elapsed();
-            if elapsed > self.config.catch_up && !is_logged {
+            if elapsed > self.config.catch_up_warning && !is_logged {
                 is_logged = true;
                 log(&format!("ERROR: policy: not ready after {elapsed:?}: {}", self.not_ready_reason()));
             }
@@ -137,7 +137,7 @@
 
     /// Whether SIGHUP applies the settings of the file.
     pub fn allows_local_settings(&self) -> bool {
-        self.config.local
+        self.config.allows_local_reload
     }
 
     /// Whether these settings are those of the active policy.
@@ -168,7 +168,12 @@
 }
 
 fn new_lease(config: &PolicyConfig) -> Arc<AdmissionLease> {
-    Arc::new(AdmissionLease::new(config.seats, config.when_cut, config.hold, REJECTED_RETRY_AFTER))
+    Arc::new(AdmissionLease::new(
+        config.voters,
+        config.lease_expiry_mode,
+        config.change_wait,
+        REJECTED_RETRY_AFTER,
+    ))
 }
 
 /// The node of this process, and the transport under it.
@@ -194,9 +199,9 @@
     );
     let settings = Settings {
         process,
-        voters: config.seats,
-        timing: config.times,
-        lease_expiry_mode: config.when_cut,
+        voters: config.voters,
+        timing: config.timing,
+        lease_expiry_mode: config.lease_expiry_mode,
         initial_policy: text::to_policy_text(parameters.settings),
         seed,
     };
--- a/src/net/policy/presence.rs
+++ b/src/net/policy/presence.rs
@@ -57,7 +57,7 @@
     }
 
     fn take_voter_id(&mut self) {
-        let (Some(voter_id), Some(state_dir)) = (self.config.seat, self.config.state_dir.clone()) else {
+        let (Some(voter_id), Some(state_dir)) = (self.config.voter_id, self.config.state_dir.clone()) else {
             self.is_settled = true;
             return;
         };
@@ -80,7 +80,7 @@
         if let Some(listener) = self.listener.take() {
             listener.abort();
         }
-        if self.is_settled && self.config.seat.is_some() {
+        if self.is_settled && self.config.voter_id.is_some() {
             self.node.resign_voter();
         }
         self.is_settled = false;
