--- a/crates/policy-consensus/src/acceptor.rs
+++ b/crates/policy-consensus/src/acceptor.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DurableState {
     /// Which memory this is: a founder that lost its disk has another one.
-    pub memory: u64,
+    pub storage_id: u64,
     /// Whether it may vote: enough others know of this memory.
     pub votes: bool,
     /// No earlier ballot gets a promise or a vote any more.
@@ -18,29 +18,29 @@
     /// The last vote.
     pub accepted: Option<(Ballot, ReplicatedState)>,
     /// The memories of founders, by their seats, as far as they are known here.
-    pub memories: BTreeMap<u8, u64>,
+    pub storage_ids: BTreeMap<u8, u64>,
 }
 
 /// What a founder says to a ballot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Vote {
+pub enum AcceptorReply {
     /// It promises; its last vote, and its memory.
     Promised(Option<(Ballot, ReplicatedState)>, u64),
     /// It votes for the book.
     Accepted,
     /// It promised a later ballot.
-    Late(Ballot),
+    Preempted(Ballot),
     /// Its memory, or one that was counted on, is another now.
-    OtherMemory,
+    StorageReplaced,
     /// Permits of another version are out: who holds them, and for how many ms at the most.
     Blocked(Vec<(String, u64)>),
     /// It may not vote yet, or its disk does not take it.
-    Unable,
+    Unavailable,
 }
 
 /// What a founder knows when another one tells it of its memory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Registered {
+pub struct AcceptorSnapshot {
     /// Whether it may vote itself.
     pub votes: bool,
     /// Its last vote.
@@ -59,7 +59,7 @@
 impl Acceptor {
     /// With what its disk has.
     pub fn new(seat: u8, mut durable: DurableState) -> Acceptor {
-        durable.memories.insert(seat, durable.memory);
+        durable.storage_ids.insert(seat, durable.storage_id);
         Acceptor { seat, durable }
     }
 
@@ -69,15 +69,15 @@
     }
 
     /// Asked for a promise. What comes second must be on the disk before the first is said.
-    pub fn promise(&self, ballot: Ballot) -> (Vote, Option<DurableState>) {
+    pub fn promise(&self, ballot: Ballot) -> (AcceptorReply, Option<DurableState>) {
         let kept = &self.durable;
         if !kept.votes {
-            return (Vote::Unable, None);
+            return (AcceptorReply::Unavailable, None);
         }
         if ballot <= kept.promised {
-            return (Vote::Late(kept.promised), None);
+            return (AcceptorReply::Preempted(kept.promised), None);
         }
-        let vote = Vote::Promised(kept.accepted.clone(), kept.memory);
+        let vote = AcceptorReply::Promised(kept.accepted.clone(), kept.storage_id);
         (vote, Some(DurableState { promised: ballot, ..kept.clone() }))
     }
 
@@ -86,35 +86,36 @@
         &self,
         ballot: Ballot,
         book: &ReplicatedState,
-        memories: &BTreeMap<u8, u64>,
-    ) -> (Vote, Option<DurableState>) {
+        storage_ids: &BTreeMap<u8, u64>,
+    ) -> (AcceptorReply, Option<DurableState>) {
         let kept = &self.durable;
         if !kept.votes {
-            return (Vote::Unable, None);
+            return (AcceptorReply::Unavailable, None);
         }
         if ballot < kept.promised {
-            return (Vote::Late(kept.promised), None);
+            return (AcceptorReply::Preempted(kept.promised), None);
         }
         // Danger: a promise of before a lost disk is no promise any more.
-        let other =
-            |(seat, memory): (&u8, &u64)| kept.memories.get(seat).is_some_and(|known| known != memory);
-        if memories.iter().any(other) {
-            return (Vote::OtherMemory, None);
+        let other = |(seat, storage_id): (&u8, &u64)| {
+            kept.storage_ids.get(seat).is_some_and(|known| known != storage_id)
+        };
+        if storage_ids.iter().any(other) {
+            return (AcceptorReply::StorageReplaced, None);
         }
         let accepted = Some((ballot, book.clone()));
-        (Vote::Accepted, Some(DurableState { promised: ballot, accepted, ..kept.clone() }))
+        (AcceptorReply::Accepted, Some(DurableState { promised: ballot, accepted, ..kept.clone() }))
     }
 
     /// A founder tells of its memory. What comes second must be on the disk before the first is said.
-    pub fn register(&self, seat: u8, memory: u64) -> (Registered, Option<DurableState>) {
+    pub fn register(&self, seat: u8, storage_id: u64) -> (AcceptorSnapshot, Option<DurableState>) {
         let kept = &self.durable;
         let known =
-            Registered { votes: kept.votes, accepted: kept.accepted.clone(), promised: kept.promised };
-        if kept.memories.get(&seat) == Some(&memory) {
+            AcceptorSnapshot { votes: kept.votes, accepted: kept.accepted.clone(), promised: kept.promised };
+        if kept.storage_ids.get(&seat) == Some(&storage_id) {
             return (known, None);
         }
         let mut newer = kept.clone();
-        newer.memories.insert(seat, memory);
+        newer.storage_ids.insert(seat, storage_id);
         (known, Some(newer))
     }
 
@@ -122,7 +123,7 @@
     /// have votes of their own, or all others none at all and no book.
     pub fn joined(
         &self,
-        told: &BTreeMap<u8, Registered>,
+        told: &BTreeMap<u8, AcceptorSnapshot>,
         seats: u8,
         blocking: usize,
     ) -> Option<DurableState> {
--- a/crates/policy-consensus/src/golden_disk_tests.rs
+++ b/crates/policy-consensus/src/golden_disk_tests.rs
@@ -3,7 +3,7 @@
 //! and the other way about, and the two must not run on one folder at once. A test that fails here
 //! says that the program has changed its format; the recorded bytes are not to be adapted.
 
-use crate::storage::{keep, load};
+use crate::storage::{load, save};
 use crate::{
     Ballot, Change, Digest, DurableState, FileStorage, FinishedChange, LoadOutcome, Outcome, ReplicatedState,
     Stage, Storage,
@@ -34,13 +34,13 @@
     let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
     let (digest, outcome) = (Digest(0xfeed_f00d), Outcome::Rejected);
     let ended = vec![FinishedChange { id, version: 8, digest, outcome, why }];
-    let book = ReplicatedState { serial: 300, version: 7, text: "grades: 2".into(), change, ended };
+    let book = ReplicatedState { revision: 300, version: 7, text: "grades: 2".into(), change, ended };
     DurableState {
-        memory: 99,
+        storage_id: 99,
         votes: true,
         promised: Ballot { round: 301, by: 6 },
         accepted: Some((Ballot { round: 300, by: 5 }, book)),
-        memories: BTreeMap::from([(0, 98), (2, 99)]),
+        storage_ids: BTreeMap::from([(0, 98), (2, 99)]),
     }
 }
 
@@ -79,7 +79,7 @@
     let scratch = Scratch::new("write");
     let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
     for (durable, recorded) in [(full(), FULL), (DurableState::default(), EMPTY)] {
-        keep(&mut folder, "gdynia", 2, &durable).expect("kept");
+        save(&mut folder, "gdynia", 2, &durable).expect("kept");
         let written = fs::read(file_in(&scratch.0)).expect("the file by its name");
         assert_eq!(hex(&written), recorded, "encoding of {durable:?}");
         assert_eq!(scratch.files(), ["rulebook", "rulebook.lock"]);
@@ -93,7 +93,7 @@
         fs::write(file_in(&scratch.0), bytes(recorded)).expect("written");
         let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
         let loaded = load(&mut folder, "gdynia", 2).expect("read");
-        assert_eq!(loaded, LoadOutcome::Kept(Box::new(durable)));
+        assert_eq!(loaded, LoadOutcome::Loaded(Box::new(durable)));
     }
 }
 
@@ -102,7 +102,7 @@
     let scratch = Scratch::new("aside");
     let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
     folder.replace(b"torn").expect("written");
-    assert_eq!(load(&mut folder, "gdynia", 2).expect("read"), LoadOutcome::Aside("torn"));
+    assert_eq!(load(&mut folder, "gdynia", 2).expect("read"), LoadOutcome::SetAside("torn"));
     let files = scratch.files();
     assert!(files.iter().any(|name| name.starts_with("rulebook.torn-")), "{files:?}");
 }
--- a/crates/policy-consensus/src/golden_tests.rs
+++ b/crates/policy-consensus/src/golden_tests.rs
@@ -4,11 +4,12 @@
 //! an old one writes. A test that fails here says that the program has changed its format; the
 //! recorded bytes are not to be adapted.
 
-use crate::messages::{read, words, Message, Reply};
+use crate::messages::{decode, encode, Message, Reply};
+use crate::{AcceptorReply, AcceptorSnapshot, Readiness, Stage};
 use crate::{
-    Ballot, Change, Digest, FinishedChange, LeaseRequest, OpenChange, Outcome, ReplicatedState, StateSummary,
+    Ballot, Change, ChangeSummary, Digest, FinishedChange, LeaseRequest, Outcome, ReplicatedState,
+    StateSummary,
 };
-use crate::{Readiness, Registered, Stage, Vote};
 use serde::{de::DeserializeOwned, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Debug;
@@ -27,8 +28,8 @@
 where
     T: Serialize + DeserializeOwned + PartialEq + Debug,
 {
-    assert_eq!(hex(&words(value)), recorded, "encoding of {value:?}");
-    assert_eq!(read(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
+    assert_eq!(hex(&encode(value)), recorded, "encoding of {value:?}");
+    assert_eq!(decode(&bytes(recorded)).as_ref(), Some(value), "decoding of {recorded}");
 }
 
 fn ballot(round: u64) -> Ballot {
@@ -46,12 +47,12 @@
 }
 
 fn book(change: Option<Change>, ended: Vec<FinishedChange>) -> ReplicatedState {
-    ReplicatedState { serial: 300, version: 7, text: "grades: 2".into(), change, ended }
+    ReplicatedState { revision: 300, version: 7, text: "grades: 2".into(), change, ended }
 }
 
 /// A book with each outcome and an open change.
 fn full_book() -> ReplicatedState {
-    let outcomes = [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned];
+    let outcomes = [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned];
     book(Some(change(Stage::Closing)), outcomes.map(ended).to_vec())
 }
 
@@ -59,12 +60,12 @@
     book(None, Vec::new())
 }
 
-fn head(change: Option<OpenChange>) -> StateSummary {
-    StateSummary { serial: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
+fn summary(change: Option<ChangeSummary>) -> StateSummary {
+    StateSummary { revision: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
 }
 
-fn open(stage: Stage) -> OpenChange {
-    OpenChange { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
+fn open(stage: Stage) -> ChangeSummary {
+    ChangeSummary { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
 }
 
 fn asked(word: Option<Readiness>) -> LeaseRequest {
@@ -72,41 +73,41 @@
     LeaseRequest { number: 300, version: 7, admits: true, word, serves_on: false }
 }
 
-fn memories() -> BTreeMap<u8, u64> {
+fn storage_ids() -> BTreeMap<u8, u64> {
     BTreeMap::from([(0, 99), (2, u64::MAX)])
 }
 
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
 fn recorded_message(message: &Message) -> &'static str {
     match message {
-        Message::Promise(_) => "00ac02ef9bafcdf8acd19101",
+        Message::Prepare(_) => "00ac02ef9bafcdf8acd19101",
         Message::Accept(..) => {
             "01ac02ef9bafcdf8acd19101ac0207096772616465733a203201026334096772616465733a20\
              330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e323a\
              206e6f026333088de0b7f70f02066e323a206e6f02006302ffffffffffffffffff01"
         }
-        Message::Register(..) => "020263",
-        Message::AdmissionLease(_) => "03ac0207010000",
-        Message::Holders(_) => "04026334",
-        Message::Whole(_) => "05ac02",
-        Message::Agreed(_) => "06ac0207cdd70200b424",
-        Message::Other(..) => "0704056f74686572",
-        Message::Waits(..) => "0802633402026e31026e32",
+        Message::RegisterStorage(..) => "020263",
+        Message::RequestLease(_) => "03ac0207010000",
+        Message::ListHolders(_) => "04026334",
+        Message::FetchState(_) => "05ac02",
+        Message::Decided(_) => "06ac0207cdd70200b424",
+        Message::Application(..) => "0704056f74686572",
+        Message::WaitingFor(..) => "0802633402026e31026e32",
     }
 }
 
 #[test]
 fn every_kind_of_message_has_recorded_bytes() {
     let messages = [
-        Message::Promise(ballot(300)),
-        Message::Accept(ballot(300), Box::new(full_book()), memories()),
-        Message::Register(2, 99),
-        Message::AdmissionLease(asked(None)),
-        Message::Holders("c4".to_owned()),
-        Message::Whole(300),
-        Message::Agreed(head(None)),
-        Message::Other(4, b"other".to_vec()),
-        Message::Waits("c4".to_owned(), vec!["n1".to_owned(), "n2".to_owned()]),
+        Message::Prepare(ballot(300)),
+        Message::Accept(ballot(300), Box::new(full_book()), storage_ids()),
+        Message::RegisterStorage(2, 99),
+        Message::RequestLease(asked(None)),
+        Message::ListHolders("c4".to_owned()),
+        Message::FetchState(300),
+        Message::Decided(summary(None)),
+        Message::Application(4, b"other".to_vec()),
+        Message::WaitingFor("c4".to_owned(), vec!["n1".to_owned(), "n2".to_owned()]),
     ];
     for message in messages {
         assert_recorded(&message, recorded_message(&message));
@@ -116,48 +117,48 @@
 /// Does not compile when a kind of reply or vote is added, until its bytes are recorded as well.
 fn recorded_reply(reply: &Reply) -> &'static str {
     match reply {
-        Reply::Vote(vote) => match vote {
-            Vote::Promised(None, _) => "00000063",
-            Vote::Promised(Some(_), _) => {
+        Reply::Acceptor(vote) => match vote {
+            AcceptorReply::Promised(None, _) => "00000063",
+            AcceptorReply::Promised(Some(_), _) => {
                 "000001ab02ef9bafcdf8acd19101ac0207096772616465733a20320102633409677261646573\
                  3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
                  323a206e6f026333088de0b7f70f02066e323a206e6f63"
             }
-            Vote::Accepted => "0001",
-            Vote::Late(_) => "0002ad02ef9bafcdf8acd19101",
-            Vote::OtherMemory => "0003",
-            Vote::Blocked(_) => "000402026e31dc0b026e3203",
-            Vote::Unable => "0005",
+            AcceptorReply::Accepted => "0001",
+            AcceptorReply::Preempted(_) => "0002ad02ef9bafcdf8acd19101",
+            AcceptorReply::StorageReplaced => "0003",
+            AcceptorReply::Blocked(_) => "000402026e31dc0b026e3203",
+            AcceptorReply::Unavailable => "0005",
         },
-        Reply::Registered(Registered { accepted: None, .. }) => "010100ac02ef9bafcdf8acd19101",
-        Reply::Registered(Registered { accepted: Some(_), .. }) => {
+        Reply::StorageRegistered(AcceptorSnapshot { accepted: None, .. }) => "010100ac02ef9bafcdf8acd19101",
+        Reply::StorageRegistered(AcceptorSnapshot { accepted: Some(_), .. }) => {
             "010101ab02ef9bafcdf8acd19101ac0207096772616465733a20320102633409677261646573\
              3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
              323a206e6f026333088de0b7f70f02066e323a206e6fac02ef9bafcdf8acd19101"
         }
-        Reply::Permitted(..) => "0201ac0207cdd70201026334edfd030102b424",
+        Reply::Lease(..) => "0201ac0207cdd70201026334edfd030102b424",
         Reply::Holders(_) => "0302026e3101dc0b026e320003",
-        Reply::Whole(_) => "04ac0207096772616465733a20320000",
+        Reply::State(_) => "04ac0207096772616465733a20320000",
     }
 }
 
 #[test]
 fn every_kind_of_reply_has_recorded_bytes() {
     let accepted = || Some((ballot(299), full_book()));
-    let registered = |accepted| Registered { votes: true, accepted, promised: ballot(300) };
+    let registered = |accepted| AcceptorSnapshot { votes: true, accepted, promised: ballot(300) };
     let replies = [
-        Reply::Vote(Vote::Promised(None, 99)),
-        Reply::Vote(Vote::Promised(accepted(), 99)),
-        Reply::Vote(Vote::Accepted),
-        Reply::Vote(Vote::Late(ballot(301))),
-        Reply::Vote(Vote::OtherMemory),
-        Reply::Vote(Vote::Blocked(vec![("n1".to_owned(), 1500), ("n2".to_owned(), 3)])),
-        Reply::Vote(Vote::Unable),
-        Reply::Registered(registered(None)),
-        Reply::Registered(registered(accepted())),
-        Reply::Permitted(true, head(Some(open(Stage::Closing)))),
+        Reply::Acceptor(AcceptorReply::Promised(None, 99)),
+        Reply::Acceptor(AcceptorReply::Promised(accepted(), 99)),
+        Reply::Acceptor(AcceptorReply::Accepted),
+        Reply::Acceptor(AcceptorReply::Preempted(ballot(301))),
+        Reply::Acceptor(AcceptorReply::StorageReplaced),
+        Reply::Acceptor(AcceptorReply::Blocked(vec![("n1".to_owned(), 1500), ("n2".to_owned(), 3)])),
+        Reply::Acceptor(AcceptorReply::Unavailable),
+        Reply::StorageRegistered(registered(None)),
+        Reply::StorageRegistered(registered(accepted())),
+        Reply::Lease(true, summary(Some(open(Stage::Closing)))),
         Reply::Holders(vec![("n1".to_owned(), true, 1500), ("n2".to_owned(), false, 3)]),
-        Reply::Whole(Box::new(plain_book())),
+        Reply::State(Box::new(plain_book())),
     ];
     for reply in replies {
         assert_recorded(&reply, recorded_reply(&reply));
@@ -185,7 +186,7 @@
     for stage in [preparing(false), preparing(true), Stage::Closing] {
         let (in_book, in_head) = recorded(stage);
         assert_recorded(&book(Some(change(stage)), Vec::new()), in_book);
-        assert_recorded(&Message::Agreed(head(Some(open(stage)))), in_head);
+        assert_recorded(&Message::Decided(summary(Some(open(stage)))), in_head);
     }
 }
 
@@ -193,11 +194,11 @@
 fn each_outcome_of_a_change_has_recorded_bytes() {
     // Does not compile when an outcome is added.
     let recorded = |outcome: Outcome| match outcome {
-        Outcome::Taken => "ac0207096772616465733a20320001026333088de0b7f70f00066e323a206e6f",
+        Outcome::Committed => "ac0207096772616465733a20320001026333088de0b7f70f00066e323a206e6f",
         Outcome::Rejected => "ac0207096772616465733a20320001026333088de0b7f70f01066e323a206e6f",
         Outcome::Abandoned => "ac0207096772616465733a20320001026333088de0b7f70f02066e323a206e6f",
     };
-    for outcome in [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned] {
+    for outcome in [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned] {
         assert_recorded(&book(None, vec![ended(outcome)]), recorded(outcome));
     }
 }
@@ -207,11 +208,11 @@
     // Does not compile when an opinion is added.
     let recorded = |word: &Readiness| match word {
         Readiness::Ready => "03ac020701010263340000",
-        Readiness::No(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
+        Readiness::Rejected(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
     };
-    for word in [Readiness::Ready, Readiness::No("grades: too many".to_owned())] {
+    for word in [Readiness::Ready, Readiness::Rejected("grades: too many".to_owned())] {
         let recorded = recorded(&word);
-        assert_recorded(&Message::AdmissionLease(asked(Some(word))), recorded);
+        assert_recorded(&Message::RequestLease(asked(Some(word))), recorded);
     }
 }
 
@@ -220,7 +221,7 @@
 #[test]
 fn the_head_of_a_book_has_the_recorded_digests() {
     let recorded = |outcome: Outcome| match outcome {
-        Outcome::Taken => {
+        Outcome::Committed => {
             "ac0207a29ecf84fdc4899def01010263349ce6c0\
              ffd0dcd49f8401010296e1b2b59cb6858e7f"
         }
@@ -233,9 +234,9 @@
              ffd0dcd49f84010102cef3b9d6fb819ddb4f"
         }
     };
-    for outcome in [Outcome::Taken, Outcome::Rejected, Outcome::Abandoned] {
+    for outcome in [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned] {
         let book = book(Some(change(Stage::Closing)), vec![ended(outcome)]);
-        assert_recorded(&book.head(), recorded(outcome));
+        assert_recorded(&book.summary(), recorded(outcome));
     }
-    assert_recorded(&ReplicatedState::first("grades: 1").head(), "0101a2f2c8f8bff6efc13c0000");
+    assert_recorded(&ReplicatedState::initial("grades: 1").summary(), "0101a2f2c8f8bff6efc13c0000");
 }
--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -32,7 +32,7 @@
     /// It could put it in force at any moment.
     Ready,
     /// It cannot: the path, and why.
-    No(String),
+    Rejected(String),
 }
 
 /// What a founder knows of a process that asks it.
@@ -138,7 +138,7 @@
     /// Who said no to this change, and why.
     pub fn no(&self, id: &str) -> Option<String> {
         self.holders.iter().find_map(|(who, holder)| match &holder.word {
-            Some((of, Readiness::No(why))) if of == id => Some(format!("{who}: {why}")),
+            Some((of, Readiness::Rejected(why))) if of == id => Some(format!("{who}: {why}")),
             _ => None,
         })
     }
--- a/crates/policy-consensus/src/lease_table/tests.rs
+++ b/crates/policy-consensus/src/lease_table/tests.rs
@@ -20,15 +20,15 @@
     let now = began + times.counted() * 2;
     let mut grants = LeaseTable::new(times, began);
     let (one, two) =
-        (ReplicatedState::first("a"), ReplicatedState { version: 2, ..ReplicatedState::first("b") });
-    assert!(grants.ask(now, &who(), asked(1, 1), &one.head(), 1));
+        (ReplicatedState::initial("a"), ReplicatedState { version: 2, ..ReplicatedState::initial("b") });
+    assert!(grants.ask(now, &who(), asked(1, 1), &one.summary(), 1));
     assert_eq!(grants.block(now, &one, 1), []);
     assert_eq!(grants.block(now, &two, 1).len(), 1);
     assert_eq!(grants.block(now + times.permit, &two, 1).len(), 1, "its holder's clock may be slower");
     assert_eq!(grants.block(now + times.counted(), &two, 1), []);
-    assert!(!grants.ask(now, &who(), LeaseRequest { admits: false, ..asked(2, 1) }, &one.head(), 1));
+    assert!(!grants.ask(now, &who(), LeaseRequest { admits: false, ..asked(2, 1) }, &one.summary(), 1));
     assert_eq!(grants.block(now, &two, 1), []);
-    assert!(!grants.ask(now, &who(), asked(2, 1), &one.head(), 1), "a late word changes nothing");
+    assert!(!grants.ask(now, &who(), asked(2, 1), &one.summary(), 1), "a late word changes nothing");
     assert_eq!(grants.block(now, &two, 1), []);
 }
 
@@ -36,17 +36,17 @@
 fn no_permit_for_what_is_not_agreed_or_is_about_to_end() {
     let now = Instant::now();
     let mut grants = LeaseTable::new(Timing::default(), now);
-    let one = ReplicatedState::first("a").open("x", 1, "b", "n0").unwrap();
-    assert!(!grants.ask(now, &who(), asked(1, 2), &one.head(), 1), "it is not in force");
-    assert!(!grants.ask(now, &who(), asked(2, 1), &one.head(), 2), "this founder voted beyond it");
-    assert!(grants.ask(now, &who(), asked(3, 1), &one.head(), 1));
+    let one = ReplicatedState::initial("a").open("x", 1, "b", "n0").unwrap();
+    assert!(!grants.ask(now, &who(), asked(1, 2), &one.summary(), 1), "it is not in force");
+    assert!(!grants.ask(now, &who(), asked(2, 1), &one.summary(), 2), "this founder voted beyond it");
+    assert!(grants.ask(now, &who(), asked(3, 1), &one.summary(), 1));
     let strict = one.at("x", 1, Stage::Preparing { strict: true }).unwrap();
-    assert!(!grants.ask(now, &who(), asked(4, 1), &strict.head(), 1), "it is not ready");
+    assert!(!grants.ask(now, &who(), asked(4, 1), &strict.summary(), 1), "it is not ready");
     let ready = LeaseRequest { word: Some(("x".into(), Readiness::Ready)), ..asked(5, 1) };
-    assert!(grants.ask(now, &who(), ready, &strict.head(), 1));
+    assert!(grants.ask(now, &who(), ready, &strict.summary(), 1));
     let closing = strict.at("x", 1, Stage::Closing).unwrap();
     let ready = LeaseRequest { word: Some(("x".into(), Readiness::Ready)), ..asked(6, 1) };
-    assert!(!grants.ask(now, &who(), ready, &closing.head(), 1));
+    assert!(!grants.ask(now, &who(), ready, &closing.summary(), 1));
     let later = now + later(2100);
     assert_eq!(grants.holders(later, "x"), []);
     assert_eq!(grants.holders(now, "x")[0], ("n1".to_owned(), true, 2041), "what it has still counts");
@@ -56,7 +56,7 @@
 fn who_goes_on_without_a_permit_is_named_unless_it_gave_it_up() {
     let now = Instant::now();
     let mut grants = LeaseTable::new(Timing::default(), now);
-    let head = ReplicatedState::first("a").head();
+    let head = ReplicatedState::initial("a").summary();
     assert!(grants.ask(now, &who(), LeaseRequest { serves_on: true, ..asked(1, 1) }, &head, 1));
     assert_eq!(grants.serving_on(now), Vec::<String>::new());
     let later = now + later(60_000);
@@ -70,7 +70,7 @@
 fn a_founder_that_has_just_started_keeps_its_vote_for_a_permits_time() {
     let now = Instant::now();
     let grants = LeaseTable::new(Timing::default(), now);
-    let two = ReplicatedState { version: 2, ..ReplicatedState::first("b") };
+    let two = ReplicatedState { version: 2, ..ReplicatedState::initial("b") };
     assert_eq!(grants.block(now, &two, 1).len(), 1);
     assert_eq!(grants.block(now, &two, 2), [], "it voted for that before");
     assert_eq!(grants.block(now + later(2100), &two, 1), []);
--- a/crates/policy-consensus/src/lib.rs
+++ b/crates/policy-consensus/src/lib.rs
@@ -21,13 +21,13 @@
 mod settings;
 mod storage;
 
-pub use acceptor::{Acceptor, DurableState, Registered, Vote};
+pub use acceptor::{Acceptor, AcceptorReply, AcceptorSnapshot, DurableState};
 pub use admission_lease::{Admission, AdmissionLease, LeaseExpiryMode};
 pub use ballot::Ballot;
 pub use lease_table::{LeaseRequest, LeaseTable, Readiness};
 pub use node::{ChangeStatus, ConsensusNode, ConsensusStatus, ProposalError};
 pub use replicated_state::{
-    Change, Conflict, Digest, FinishedChange, OpenChange, Outcome, ReplicatedState, Stage, StateSummary,
+    Change, ChangeSummary, Conflict, Digest, FinishedChange, Outcome, ReplicatedState, Stage, StateSummary,
 };
 pub use settings::{Settings, SettingsError, Timing, VoterSet};
 pub use storage::{FileStorage, LoadOutcome, Storage};
--- a/crates/policy-consensus/src/node/admin.rs
+++ b/crates/policy-consensus/src/node/admin.rs
@@ -2,7 +2,7 @@
 
 use super::proposer::{StepError, Transition};
 use super::ConsensusNode;
-use crate::messages::{words, Message, Reply};
+use crate::messages::{encode, Message, Reply};
 use crate::{Conflict, Digest, Outcome, ReplicatedState};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
@@ -80,8 +80,8 @@
         }
         for seat in 0..self.settings.voters.0 {
             let Some(holder) = self.links.voter_process(seat) else { continue };
-            let answer = self.links.request(&holder, words(&Message::Whole(0)), within).await;
-            if let Some(Reply::Whole(book)) = answer.and_then(|answer| crate::messages::read(&answer)) {
+            let answer = self.links.request(&holder, encode(&Message::FetchState(0)), within).await;
+            if let Some(Reply::State(book)) = answer.and_then(|answer| crate::messages::decode(&answer)) {
                 if let Some(seen) = in_book(&book, id, &self.known().waits) {
                     return Some(seen);
                 }
@@ -92,7 +92,7 @@
 
     /// Says something to all that are linked, for the floor of this number.
     pub fn broadcast(&self, floor: u8, body: &[u8]) {
-        self.links.broadcast(&words(&Message::Other(floor, body.to_vec())));
+        self.links.broadcast(&encode(&Message::Application(floor, body.to_vec())));
     }
 
     /// The version that is agreed and its text, if that is at hand.
@@ -128,7 +128,7 @@
     /// Why this process does not admit yet.
     pub fn not_ready_reason(&self) -> String {
         let known = self.known();
-        match (&known.unfit, known.head.serial, known.admitted) {
+        match (&known.unfit, known.head.revision, known.admitted) {
             (Some((version, why)), ..) => {
                 format!("version {version} of the policy cannot be in force here: {why}")
             }
--- a/crates/policy-consensus/src/node/catch_up.rs
+++ b/crates/policy-consensus/src/node/catch_up.rs
@@ -2,7 +2,7 @@
 
 use super::{ConsensusNode, Known};
 use crate::lease_table::Readiness;
-use crate::messages::{words, Message, Reply};
+use crate::messages::{encode, Message, Reply};
 use crate::Stage;
 use pinetrail_peer_transport::{Network, Process};
 use std::sync::Arc;
@@ -38,34 +38,34 @@
         let known = self.known();
         let open = known.head.change.as_ref().map(|open| open.digest);
         let digests = [Some(known.head.digest), open];
-        known.head.serial > 0 && digests.into_iter().flatten().any(|digest| known.text(digest).is_none())
+        known.head.revision > 0 && digests.into_iter().flatten().any(|digest| known.text(digest).is_none())
     }
 
     /// Whether a change ended of which this process knows only that.
     fn lacks_ended(&self) -> bool {
         let known = self.known();
-        let at = known.book.as_ref().map_or(0, |book| book.serial);
-        known.head.serial > at && known.head.change.is_none()
+        let at = known.book.as_ref().map_or(0, |book| book.revision);
+        known.head.revision > at && known.head.change.is_none()
     }
 
     /// Fetches the book; from version 1,000 back too it is the version that comes, not the history.
     async fn fetch(&self) -> bool {
-        let (serial, source) = {
+        let (revision, source) = {
             let known = self.known();
-            (known.head.serial, known.source.clone())
+            (known.head.revision, known.source.clone())
         };
         let founders = (0..self.settings.voters.0).filter_map(|seat| self.links.voter_process(seat));
         let from: Vec<Process> = source.into_iter().chain(founders).collect();
         for peer in from {
             // A text may be long, and a way slow.
             let within = self.settings.timing.answer * 10;
-            let answer = self.links.request(&peer, words(&Message::Whole(serial)), within).await;
-            if let Some(Reply::Whole(book)) = answer.and_then(|answer| crate::messages::read(&answer)) {
+            let answer = self.links.request(&peer, encode(&Message::FetchState(revision)), within).await;
+            if let Some(Reply::State(book)) = answer.and_then(|answer| crate::messages::decode(&answer)) {
                 let mut known = self.known();
-                if book.serial >= known.head.serial {
-                    known.head = book.head();
+                if book.revision >= known.head.revision {
+                    known.head = book.summary();
                 }
-                if known.book.as_ref().is_none_or(|before| before.serial < book.serial) {
+                if known.book.as_ref().is_none_or(|before| before.revision < book.revision) {
                     known.book = Some(*book);
                 }
                 return true;
@@ -89,8 +89,8 @@
         let looked = known.word.as_ref().is_some_and(|(id, _)| *id == open.id);
         if !looked {
             let Some(text) = known.text(open.digest) else { return };
-            let word = self.app.validate(&text).map_or_else(Readiness::No, |()| Readiness::Ready);
-            if let Readiness::No(why) = &word {
+            let word = self.app.validate(&text).map_or_else(Readiness::Rejected, |()| Readiness::Ready);
+            if let Readiness::Rejected(why) = &word {
                 self.app.log(&format!("the change {} is refused here: {why}", open.id));
             }
             known.word = Some((open.id.clone(), word));
--- a/crates/policy-consensus/src/node/join.rs
+++ b/crates/policy-consensus/src/node/join.rs
@@ -27,9 +27,9 @@
         loop {
             match self.wants(&mut before) {
                 Wants::Nothing => {}
-                Wants::Votes(own, memory) => self.register_at_all(own, memory).await,
+                Wants::Votes(own, storage_id) => self.register_at_all(own, storage_id).await,
                 Wants::ReplicatedState(may_found) => {
-                    let first = ReplicatedState::first(&self.settings.initial_policy);
+                    let first = ReplicatedState::initial(&self.settings.initial_policy);
                     let make = |before: Option<&ReplicatedState>| match before {
                         None if may_found => Transition::Next(first.clone()),
                         _ => Transition::Stay,
@@ -48,21 +48,23 @@
         let Some(seat) = &known.seat else { return Wants::Nothing };
         let durable = seat.acceptor.durable();
         if !durable.votes {
-            return Wants::Votes(seat.number, durable.memory);
+            return Wants::Votes(seat.number, durable.storage_id);
         }
-        let open = durable.accepted.as_ref().filter(|(_, book)| book.serial > known.head.serial);
+        let open = durable.accepted.as_ref().filter(|(_, book)| book.revision > known.head.revision);
         let ballot = open.map(|(ballot, _)| *ballot);
         let is_left = std::mem::replace(before, ballot) == ballot && ballot.is_some();
-        if known.head.serial > 0 && !is_left {
+        if known.head.revision > 0 && !is_left {
             return Wants::Nothing;
         }
         // Danger: a first book while a founder is away might be a second one: it may have the first.
-        Wants::ReplicatedState(durable.memories.len() == usize::from(self.settings.voters.0))
+        Wants::ReplicatedState(durable.storage_ids.len() == usize::from(self.settings.voters.0))
     }
 
-    async fn register_at_all(self: &Arc<Self>, own: u8, memory: u64) {
+    async fn register_at_all(self: &Arc<Self>, own: u8, storage_id: u64) {
         for seat in (0..self.settings.voters.0).filter(|seat| *seat != own) {
-            if let Some(Reply::Registered(told)) = self.ask(seat, &Message::Register(own, memory)).await {
+            if let Some(Reply::StorageRegistered(told)) =
+                self.ask(seat, &Message::RegisterStorage(own, storage_id)).await
+            {
                 if let Some(held) = self.known().seat.as_mut() {
                     held.told.insert(seat, told);
                 }
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -3,8 +3,8 @@
 
 use super::proposer::{StepError, Transition};
 use super::ConsensusNode;
-use crate::messages::{words, Message, Reply};
-use crate::{OpenChange, Outcome, ReplicatedState, Stage};
+use crate::messages::{encode, Message, Reply};
+use crate::{ChangeSummary, Outcome, ReplicatedState, Stage};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 
 /// What this process saw of the open change.
 struct ObservedChange {
-    open: OpenChange,
+    open: ChangeSummary,
     /// When it was first seen, and at this stage.
     since: Instant,
     at_stage: Instant,
@@ -94,7 +94,7 @@
         let mut told = Vec::new();
         let asking: Vec<_> = (0..self.settings.voters.0)
             .map(|seat| {
-                let (node, message) = (Arc::clone(self), Message::Holders(id.to_owned()));
+                let (node, message) = (Arc::clone(self), Message::ListHolders(id.to_owned()));
                 tokio::spawn(async move { node.ask(seat, &message).await })
             })
             .collect();
@@ -116,7 +116,7 @@
     }
 
     /// All have been asked to stop admitting: the version is taken once nobody may any more.
-    async fn take(self: &Arc<Self>, watched: &mut ObservedChange, open: &OpenChange) {
+    async fn take(self: &Arc<Self>, watched: &mut ObservedChange, open: &ChangeSummary) {
         let now = Instant::now();
         let holders =
             self.known().seat.as_ref().map_or(Vec::new(), |seat| seat.grants.holders(now, &open.id));
@@ -131,7 +131,7 @@
         };
         let id = open.id.clone();
         let make = |book: Option<&ReplicatedState>| match book
-            .and_then(|book| book.end(&id, Outcome::Taken, &why))
+            .and_then(|book| book.end(&id, Outcome::Committed, &why))
         {
             Some(book) => Transition::Next(book),
             None => Transition::Stay,
@@ -143,7 +143,7 @@
         }
     }
 
-    async fn put_at(self: &Arc<Self>, open: &OpenChange, stage: Stage) {
+    async fn put_at(self: &Arc<Self>, open: &ChangeSummary, stage: Stage) {
         let make = |book: Option<&ReplicatedState>| match book
             .and_then(|book| book.at(&open.id, open.attempt, stage))
         {
@@ -154,7 +154,7 @@
         let _ = self.step(self.settings.timing.answer, make).await;
     }
 
-    async fn end(self: &Arc<Self>, open: &OpenChange, outcome: Outcome, why: &str) {
+    async fn end(self: &Arc<Self>, open: &ChangeSummary, outcome: Outcome, why: &str) {
         let make =
             |book: Option<&ReplicatedState>| match book.and_then(|book| book.end(&open.id, outcome, why)) {
                 Some(book) => Transition::Next(book),
@@ -167,7 +167,7 @@
         let waits = (id.to_owned(), names.to_vec());
         let before = std::mem::replace(&mut self.known().waits, waits.clone());
         if before != waits {
-            self.links.broadcast(&words(&Message::Waits(waits.0, waits.1)));
+            self.links.broadcast(&encode(&Message::WaitingFor(waits.0, waits.1)));
         }
     }
 }
--- a/crates/policy-consensus/src/node/lease_renewal.rs
+++ b/crates/policy-consensus/src/node/lease_renewal.rs
@@ -18,9 +18,9 @@
             let begun = Instant::now();
             let word = (asked.version, asked.admits, asked.word.clone(), epoch);
             // Danger: a permit counts from before it was asked for: its holder's clock ends first.
-            let answer = self.ask(seat, &Message::AdmissionLease(asked)).await;
+            let answer = self.ask(seat, &Message::RequestLease(asked)).await;
             let was_answered = match answer {
-                Some(Reply::Permitted(permitted, head)) => {
+                Some(Reply::Lease(permitted, head)) => {
                     if permitted {
                         self.permitted(seat, epoch, begun + self.settings.timing.permit);
                     }
--- a/crates/policy-consensus/src/node/mod.rs
+++ b/crates/policy-consensus/src/node/mod.rs
@@ -12,10 +12,10 @@
 
 use crate::change_notifier::ChangeNotifier;
 use crate::lease_table::{LeaseTable, Readiness};
-use crate::messages::{words, Message, Reply};
+use crate::messages::{encode, Message, Reply};
 use crate::storage::{self, LoadOutcome, Storage};
 use crate::{
-    Acceptor, AdmissionLease, Ballot, Digest, DurableState, PolicyApplier, Registered, ReplicatedState,
+    Acceptor, AcceptorSnapshot, AdmissionLease, Ballot, Digest, DurableState, PolicyApplier, ReplicatedState,
     Settings, StateSummary,
 };
 use pinetrail_peer_transport::{Network, PeerTransport, Process};
@@ -34,7 +34,7 @@
     acceptor: Acceptor,
     grants: LeaseTable,
     disk: Box<dyn Storage>,
-    told: BTreeMap<u8, Registered>,
+    told: BTreeMap<u8, AcceptorSnapshot>,
 }
 
 #[derive(Default)]
@@ -124,14 +124,14 @@
     /// From now on it holds this founder's seat, with what that has on its disk.
     pub fn become_voter(&self, number: u8, mut disk: Box<dyn Storage>) -> io::Result<()> {
         let durable = match storage::load(&mut *disk, &self.fleet, number)? {
-            LoadOutcome::Kept(durable) => *durable,
+            LoadOutcome::Loaded(durable) => *durable,
             found => {
-                if let LoadOutcome::Aside(why) = found {
+                if let LoadOutcome::SetAside(why) = found {
                     self.app.log(&format!("ERROR: what this founder's disk had is {why}; it was put aside"));
                 }
-                let memory = self.with_rng(rand::RngExt::random);
-                let durable = DurableState { memory, ..DurableState::default() };
-                storage::keep(&mut *disk, &self.fleet, number, &durable)?;
+                let storage_id = self.with_rng(rand::RngExt::random);
+                let durable = DurableState { storage_id, ..DurableState::default() };
+                storage::save(&mut *disk, &self.fleet, number, &durable)?;
                 durable
             }
         };
@@ -171,23 +171,23 @@
             return self.answer(&self.settings.process, message.clone());
         }
         let holder = self.links.voter_process(seat)?;
-        let answer = self.links.request(&holder, words(message), self.settings.timing.answer).await?;
-        crate::messages::read(&answer)
+        let answer = self.links.request(&holder, encode(message), self.settings.timing.answer).await?;
+        crate::messages::decode(&answer)
     }
 
     /// Something is agreed.
     fn agreed(&self, book: ReplicatedState) {
-        let head = book.head();
+        let head = book.summary();
         {
             let mut known = self.known();
-            if head.serial >= known.head.serial {
+            if head.revision >= known.head.revision {
                 known.head = head.clone();
             }
-            if known.book.as_ref().is_none_or(|before| before.serial < book.serial) {
+            if known.book.as_ref().is_none_or(|before| before.revision < book.revision) {
                 known.book = Some(book);
             }
         }
-        self.links.broadcast(&words(&Message::Agreed(head)));
+        self.links.broadcast(&encode(&Message::Decided(head)));
         self.news();
     }
 
--- a/crates/policy-consensus/src/node/proposer.rs
+++ b/crates/policy-consensus/src/node/proposer.rs
@@ -3,7 +3,7 @@
 
 use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{Ballot, Conflict, ReplicatedState, Vote};
+use crate::{AcceptorReply, Ballot, Conflict, ReplicatedState};
 use pinetrail_peer_transport::Network;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -63,15 +63,15 @@
             known.ballot
         };
         let majority = self.settings.voters.majority();
-        let (mut last, mut memories) = (None, BTreeMap::new());
-        let mut votes = self.all(&Message::Promise(ballot));
-        while memories.len() < majority {
+        let (mut last, mut storage_ids) = (None, BTreeMap::new());
+        let mut votes = self.all(&Message::Prepare(ballot));
+        while storage_ids.len() < majority {
             match votes.recv().await {
-                Some((seat, Vote::Promised(accepted, memory))) => {
-                    memories.insert(seat, memory);
+                Some((seat, AcceptorReply::Promised(accepted, storage_id))) => {
+                    storage_ids.insert(seat, storage_id);
                     last = last.max_by_ballot(accepted);
                 }
-                Some((_, Vote::Late(later))) => self.known_ballot(later),
+                Some((_, AcceptorReply::Preempted(later))) => self.known_ballot(later),
                 Some(_) => {}
                 None => return Err(StepError::NoMajority),
             }
@@ -85,13 +85,13 @@
             (Transition::Not(why), None) => return Err(StepError::Conflict(why)),
             (Transition::Stay, None) => return Err(StepError::NoMajority),
         };
-        let mut votes = self.all(&Message::Accept(ballot, Box::new(book.clone()), memories));
+        let mut votes = self.all(&Message::Accept(ballot, Box::new(book.clone()), storage_ids));
         let (mut yes, mut blocked) = (0, Vec::new());
         while yes < majority {
             match votes.recv().await {
-                Some((_, Vote::Accepted)) => yes += 1,
-                Some((_, Vote::Late(later))) => self.known_ballot(later),
-                Some((_, Vote::Blocked(by))) => blocked.extend(by),
+                Some((_, AcceptorReply::Accepted)) => yes += 1,
+                Some((_, AcceptorReply::Preempted(later))) => self.known_ballot(later),
+                Some((_, AcceptorReply::Blocked(by))) => blocked.extend(by),
                 Some(_) => {}
                 None if blocked.is_empty() => return Err(StepError::NoMajority),
                 None => return Err(StepError::Blocked(blocked)),
@@ -102,12 +102,12 @@
     }
 
     /// Asks all seats; what they vote, as it comes.
-    fn all(self: &Arc<Self>, message: &Message) -> mpsc::UnboundedReceiver<(u8, Vote)> {
+    fn all(self: &Arc<Self>, message: &Message) -> mpsc::UnboundedReceiver<(u8, AcceptorReply)> {
         let (say, said) = mpsc::unbounded_channel();
         for seat in 0..self.settings.voters.0 {
             let (node, message, say) = (Arc::clone(self), message.clone(), say.clone());
             tokio::spawn(async move {
-                if let Some(Reply::Vote(vote)) = node.ask(seat, &message).await {
+                if let Some(Reply::Acceptor(vote)) = node.ask(seat, &message).await {
                     // A majority may have answered already.
                     let _ = say.send((seat, vote));
                 }
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -2,8 +2,8 @@
 
 use super::{ConsensusNode, Known, Seat};
 use crate::lease_table::Readiness;
-use crate::messages::{read, words, Message, Reply};
-use crate::{storage, Ballot, DurableState, ReplicatedState, StateSummary, Vote};
+use crate::messages::{decode, encode, Message, Reply};
+use crate::{storage, AcceptorReply, Ballot, DurableState, ReplicatedState, StateSummary};
 use pinetrail_peer_transport::{MessageHandler, Network, Process};
 use std::collections::BTreeMap;
 use std::io;
@@ -15,14 +15,14 @@
 
 impl<N: Network> MessageHandler for ConsensusNode<N> {
     fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
-        let message = read(body)?;
-        self.answer(from, message).map(|reply| words(&reply))
+        let message = decode(body)?;
+        self.answer(from, message).map(|reply| encode(&reply))
     }
 
     fn on_connected(&self, peer: &Process, _seat: Option<u8>) {
         let head = self.known().head.clone();
-        if head.serial > 0 {
-            self.links.send(peer, words(&Message::Agreed(head)));
+        if head.revision > 0 {
+            self.links.send(peer, encode(&Message::Decided(head)));
         }
         self.news();
     }
@@ -43,28 +43,30 @@
     /// What a message is answered, if it asks.
     pub(super) fn answer(&self, from: &Process, message: Message) -> Option<Reply> {
         match message {
-            Message::Promise(ballot) => self.promise(ballot).map(Reply::Vote),
-            Message::Accept(ballot, book, memories) => self.accept(ballot, &book, &memories).map(Reply::Vote),
-            Message::Register(seat, memory) => self.register(seat, memory),
-            Message::AdmissionLease(asked) => self.permits(from, asked),
-            Message::Holders(id) => {
+            Message::Prepare(ballot) => self.promise(ballot).map(Reply::Acceptor),
+            Message::Accept(ballot, book, storage_ids) => {
+                self.accept(ballot, &book, &storage_ids).map(Reply::Acceptor)
+            }
+            Message::RegisterStorage(seat, storage_id) => self.register(seat, storage_id),
+            Message::RequestLease(asked) => self.permits(from, asked),
+            Message::ListHolders(id) => {
                 let known = self.known();
                 Some(Reply::Holders(known.seat.as_ref()?.grants.holders(Instant::now(), &id)))
             }
-            Message::Whole(serial) => {
+            Message::FetchState(revision) => {
                 let known = self.known();
-                let book = known.book.as_ref().filter(|book| book.serial >= serial)?;
-                Some(Reply::Whole(Box::new(book.clone())))
+                let book = known.book.as_ref().filter(|book| book.revision >= revision)?;
+                Some(Reply::State(Box::new(book.clone())))
             }
-            Message::Agreed(head) => {
+            Message::Decided(head) => {
                 self.heard_of(from, head);
                 None
             }
-            Message::Other(floor, body) => {
+            Message::Application(floor, body) => {
                 self.app.on_peer_message(from, floor, &body);
                 None
             }
-            Message::Waits(id, names) => {
+            Message::WaitingFor(id, names) => {
                 self.known().waits = (id, names);
                 None
             }
@@ -74,12 +76,12 @@
     /// Another process knows of this.
     pub(super) fn heard_of(&self, from: &Process, head: StateSummary) {
         let mut known = self.known();
-        if head.serial <= known.head.serial {
+        if head.revision <= known.head.revision {
             return;
         }
         // A founder has at hand what it voted for.
         let voted = known.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.clone());
-        if let Some((_, book)) = voted.filter(|(_, book)| book.head() == head) {
+        if let Some((_, book)) = voted.filter(|(_, book)| book.summary() == head) {
             known.book = Some(book);
         }
         let is_founder = known.seat.is_some();
@@ -88,12 +90,12 @@
         drop(known);
         // Who proposed it may be cut off from some that this one reaches.
         if is_founder {
-            self.links.broadcast(&words(&Message::Agreed(head)));
+            self.links.broadcast(&encode(&Message::Decided(head)));
         }
         self.news();
     }
 
-    fn promise(&self, ballot: Ballot) -> Option<Vote> {
+    fn promise(&self, ballot: Ballot) -> Option<AcceptorReply> {
         let mut known = self.known();
         known.ballot = known.ballot.max(ballot);
         let seat = known.seat.as_mut()?;
@@ -101,41 +103,46 @@
         Some(self.once_kept(seat, vote, owed))
     }
 
-    fn accept(&self, ballot: Ballot, book: &ReplicatedState, memories: &BTreeMap<u8, u64>) -> Option<Vote> {
+    fn accept(
+        &self,
+        ballot: Ballot,
+        book: &ReplicatedState,
+        storage_ids: &BTreeMap<u8, u64>,
+    ) -> Option<AcceptorReply> {
         let mut known = self.known();
         known.ballot = known.ballot.max(ballot);
         let voted = voted(&known);
         let seat = known.seat.as_mut()?;
-        let (vote, owed) = seat.acceptor.accept(ballot, book, memories);
+        let (vote, owed) = seat.acceptor.accept(ballot, book, storage_ids);
         // Danger: looked at when the vote is given, not before: a founder that was stopped wakes believing the past.
         let blocks = seat.grants.block(Instant::now(), book, voted);
-        if vote == Vote::Accepted && !blocks.is_empty() {
-            return Some(Vote::Blocked(blocks));
+        if vote == AcceptorReply::Accepted && !blocks.is_empty() {
+            return Some(AcceptorReply::Blocked(blocks));
         }
         Some(self.once_kept(seat, vote, owed))
     }
 
-    fn register(&self, of: u8, memory: u64) -> Option<Reply> {
+    fn register(&self, of: u8, storage_id: u64) -> Option<Reply> {
         let mut known = self.known();
         let seat = known.seat.as_mut()?;
-        let (told, owed) = seat.acceptor.register(of, memory);
-        match self.once_kept(seat, Vote::Accepted, owed) {
-            Vote::Accepted => Some(Reply::Registered(told)),
+        let (told, owed) = seat.acceptor.register(of, storage_id);
+        match self.once_kept(seat, AcceptorReply::Accepted, owed) {
+            AcceptorReply::Accepted => Some(Reply::StorageRegistered(told)),
             _ => None,
         }
     }
 
     /// A vote that may be said once the disk has what it owes to it.
-    fn once_kept(&self, seat: &mut Seat, vote: Vote, owed: Option<DurableState>) -> Vote {
+    fn once_kept(&self, seat: &mut Seat, vote: AcceptorReply, owed: Option<DurableState>) -> AcceptorReply {
         let Some(durable) = owed else { return vote };
-        match storage::keep(&mut *seat.disk, &self.fleet, seat.number, &durable) {
+        match storage::save(&mut *seat.disk, &self.fleet, seat.number, &durable) {
             Ok(()) => {
                 seat.acceptor.synced(durable);
                 vote
             }
             Err(error) => {
                 self.app.log(&format!("ERROR: this founder cannot vote: its disk: {error}"));
-                Vote::Unable
+                AcceptorReply::Unavailable
             }
         }
     }
@@ -144,7 +151,7 @@
     pub(super) fn keep(&self, durable: DurableState) -> bool {
         let mut known = self.known();
         let Some(seat) = known.seat.as_mut() else { return false };
-        self.once_kept(seat, Vote::Accepted, Some(durable)) == Vote::Accepted
+        self.once_kept(seat, AcceptorReply::Accepted, Some(durable)) == AcceptorReply::Accepted
     }
 
     fn permits(&self, from: &Process, asked: crate::LeaseRequest) -> Option<Reply> {
@@ -152,14 +159,14 @@
             let mut known = self.known();
             let (head, voted) = (known.head.clone(), voted(&known));
             let seat = known.seat.as_mut()?;
-            let no = matches!(&asked.word, Some((_, Readiness::No(_))));
+            let no = matches!(&asked.word, Some((_, Readiness::Rejected(_))));
             let now = Instant::now();
             // Danger: who has no vote may have lost what it voted for, and would permit what is over.
             let head_here =
                 if seat.acceptor.durable().votes { head.clone() } else { StateSummary::default() };
             let permitted = seat.grants.ask(now, from, asked, &head_here, voted);
             seat.grants.forget(now, FORGET);
-            (Reply::Permitted(permitted, head), no)
+            (Reply::Lease(permitted, head), no)
         };
         if no {
             self.news();
--- a/crates/policy-consensus/src/replicated_state.rs
+++ b/crates/policy-consensus/src/replicated_state.rs
@@ -46,7 +46,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Its version came into force.
-    Taken,
+    Committed,
     /// Somebody said no.
     Rejected,
     /// It took too long.
@@ -88,7 +88,7 @@
     /// text is spelled out here and keeps the names of the first version, whatever the Rust names are.
     fn content_digest(&self) -> Digest {
         let outcome = match self.outcome {
-            Outcome::Taken => "Taken",
+            Outcome::Committed => "Taken",
             Outcome::Rejected => "Refused",
             Outcome::Abandoned => "Abandoned",
         };
@@ -104,7 +104,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicatedState {
     /// Counts the steps.
-    pub serial: u64,
+    pub revision: u64,
     /// The version in force.
     pub version: u64,
     /// Its text.
@@ -119,20 +119,20 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateSummary {
     /// Of the book.
-    pub serial: u64,
+    pub revision: u64,
     /// The version in force.
     pub version: u64,
     /// Of its text.
     pub digest: Digest,
     /// The change that is open.
-    pub change: Option<OpenChange>,
+    pub change: Option<ChangeSummary>,
     /// Of how the last change ended. Danger: two founders may end one for two reasons; only one of these is agreed.
     pub last: Digest,
 }
 
 /// An open change in short.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OpenChange {
+pub struct ChangeSummary {
     /// Its name.
     pub id: String,
     /// Of its text.
@@ -162,20 +162,20 @@
 
 impl ReplicatedState {
     /// The first book.
-    pub fn first(text: &str) -> ReplicatedState {
-        ReplicatedState { serial: 1, version: 1, text: text.into(), change: None, ended: Vec::new() }
+    pub fn initial(text: &str) -> ReplicatedState {
+        ReplicatedState { revision: 1, version: 1, text: text.into(), change: None, ended: Vec::new() }
     }
 
     /// The same in short.
-    pub fn head(&self) -> StateSummary {
-        let open = |change: &Change| OpenChange {
+    pub fn summary(&self) -> StateSummary {
+        let open = |change: &Change| ChangeSummary {
             id: change.id.clone(),
             digest: Digest::of(&change.text),
             stage: change.stage,
             attempt: change.attempt,
         };
         StateSummary {
-            serial: self.serial,
+            revision: self.revision,
             version: self.version,
             digest: Digest::of(&self.text),
             change: self.change.as_ref().map(open),
@@ -207,7 +207,7 @@
         }
         let stage = Stage::Preparing { strict: false };
         let change = Change { id: id.to_owned(), text: text.into(), stage, attempt: 1, by: by.to_owned() };
-        Ok(ReplicatedState { serial: self.serial + 1, change: Some(change), ..self.clone() })
+        Ok(ReplicatedState { revision: self.revision + 1, change: Some(change), ..self.clone() })
     }
 
     /// With an open change at another stage; none if it is not open, or is there.
@@ -219,13 +219,13 @@
         // Danger: who gave its permit up in one attempt must not pass for having done so in the next.
         let again = u32::from(change.stage == Stage::Closing);
         let change = Change { stage, attempt: attempt + again, ..change.clone() };
-        Some(ReplicatedState { serial: self.serial + 1, change: Some(change), ..self.clone() })
+        Some(ReplicatedState { revision: self.revision + 1, change: Some(change), ..self.clone() })
     }
 
     /// With a change ended; none if it is not open. Danger: it is taken only from the stage at which all stop admitting.
     pub fn end(&self, id: &str, outcome: Outcome, why: &str) -> Option<ReplicatedState> {
         let change = self.change.as_ref().filter(|change| change.id == id)?;
-        let taken = outcome == Outcome::Taken;
+        let taken = outcome == Outcome::Committed;
         if taken && change.stage != Stage::Closing {
             return None;
         }
@@ -242,7 +242,7 @@
         ended.drain(..late);
         let (version, text) =
             if taken { (version, Arc::clone(&change.text)) } else { (self.version, Arc::clone(&self.text)) };
-        Some(ReplicatedState { serial: self.serial + 1, version, text, change: None, ended })
+        Some(ReplicatedState { revision: self.revision + 1, version, text, change: None, ended })
     }
 }
 
--- a/crates/policy-consensus/src/storage/file.rs
+++ b/crates/policy-consensus/src/storage/file.rs
@@ -59,7 +59,7 @@
         File::open(&self.path)?.sync_all()
     }
 
-    fn put_aside(&mut self, why: &str) -> io::Result<()> {
+    fn set_aside(&mut self, why: &str) -> io::Result<()> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         fs::rename(self.path.join(NAME), self.path.join(format!("{NAME}.{why}-{now}")))
     }
--- a/crates/policy-consensus/src/storage/file/tests.rs
+++ b/crates/policy-consensus/src/storage/file/tests.rs
@@ -11,7 +11,7 @@
     drop(folder);
     let mut folder = FileStorage::take(path.clone()).unwrap();
     assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
-    folder.put_aside("torn").unwrap();
+    folder.set_aside("torn").unwrap();
     assert_eq!(folder.read().unwrap(), None);
     assert!(fs::read_dir(&path)
         .unwrap()
--- a/crates/policy-consensus/src/storage/format.rs
+++ b/crates/policy-consensus/src/storage/format.rs
@@ -16,7 +16,7 @@
 }
 
 /// The file.
-pub(super) fn seal(durable: &DurableState, fleet: &str, seat: u8) -> Vec<u8> {
+pub(super) fn encode(durable: &DurableState, fleet: &str, seat: u8) -> Vec<u8> {
     let body = Body { fleet: fleet.to_owned(), seat, durable: durable.clone() };
     // The types above are all representable.
     let body = postcard::to_allocvec(&body).unwrap_or_default();
@@ -30,7 +30,7 @@
 }
 
 /// What the file says; or what it is.
-pub(super) fn open(bytes: &[u8], fleet: &str, seat: u8) -> Result<DurableState, &'static str> {
+pub(super) fn decode(bytes: &[u8], fleet: &str, seat: u8) -> Result<DurableState, &'static str> {
     let Some((head, body)) = bytes.split_first_chunk::<HEAD>() else { return Err("torn") };
     if &head[..7] != MAGIC {
         return Err("foreign");
--- a/crates/policy-consensus/src/storage/mod.rs
+++ b/crates/policy-consensus/src/storage/mod.rs
@@ -15,7 +15,7 @@
     /// Has this instead, whole, once it returns; after an error it has what it had.
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()>;
     /// Puts what it has aside under a name that tells why.
-    fn put_aside(&mut self, why: &str) -> io::Result<()>;
+    fn set_aside(&mut self, why: &str) -> io::Result<()>;
 }
 
 /// What was found on a disk.
@@ -24,24 +24,24 @@
     /// Nothing.
     Nothing,
     /// What was synced last.
-    Kept(Box<DurableState>),
+    Loaded(Box<DurableState>),
     /// Something that cannot be read, which was put aside; why.
-    Aside(&'static str),
+    SetAside(&'static str),
 }
 
 /// Reads what a disk has.
 pub(crate) fn load(disk: &mut dyn Storage, fleet: &str, seat: u8) -> io::Result<LoadOutcome> {
     let Some(bytes) = disk.read()? else { return Ok(LoadOutcome::Nothing) };
-    match format::open(&bytes, fleet, seat) {
-        Ok(durable) => Ok(LoadOutcome::Kept(Box::new(durable))),
+    match format::decode(&bytes, fleet, seat) {
+        Ok(durable) => Ok(LoadOutcome::Loaded(Box::new(durable))),
         Err(why) => {
-            disk.put_aside(why)?;
-            Ok(LoadOutcome::Aside(why))
+            disk.set_aside(why)?;
+            Ok(LoadOutcome::SetAside(why))
         }
     }
 }
 
 /// Puts it on the disk.
-pub(crate) fn keep(disk: &mut dyn Storage, fleet: &str, seat: u8, durable: &DurableState) -> io::Result<()> {
-    disk.replace(&format::seal(durable, fleet, seat))
+pub(crate) fn save(disk: &mut dyn Storage, fleet: &str, seat: u8, durable: &DurableState) -> io::Result<()> {
+    disk.replace(&format::encode(durable, fleet, seat))
 }
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -44,7 +44,7 @@
         Ok(())
     }
 
-    fn put_aside(&mut self, _why: &str) -> io::Result<()> {
+    fn set_aside(&mut self, _why: &str) -> io::Result<()> {
         *lock(&self.bytes) = None;
         Ok(())
     }
--- a/crates/simulation/src/policy_consensus/judge.rs
+++ b/crates/simulation/src/policy_consensus/judge.rs
@@ -124,7 +124,7 @@
         Run {
             verdict,
             outcomes: [
-                count(Outcome::Taken),
+                count(Outcome::Committed),
                 count(Outcome::Rejected),
                 count(Outcome::Abandoned),
                 unknown as u32,
@@ -146,7 +146,7 @@
     }
     for (id, outcome) in &seen.ended {
         let text = &seen.proposed[id].0;
-        if *outcome != Outcome::Taken && seen.texts.values().any(|of| of == text) {
+        if *outcome != Outcome::Committed && seen.texts.values().any(|of| of == text) {
             return Verdict::TwoEnds(id.clone());
         }
     }
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -93,7 +93,7 @@
             Some(ChangeStatus { outcome, why, waiting_for }) => {
                 let outcome = match outcome {
                     None => "open",
-                    Some(Outcome::Taken) => "taken",
+                    Some(Outcome::Committed) => "taken",
                     Some(Outcome::Rejected) => "refused",
                     Some(Outcome::Abandoned) => "abandoned",
                 };
