--- a/crates/policy-consensus/src/acceptor.rs
+++ b/crates/policy-consensus/src/acceptor.rs
@@ -1,148 +1,215 @@
-//! A founder's votes for books: a register that is compared and set, after CASPaxos (Rystsov 2018). There is no log and no
-//! leader: each step is one round of promises and one of votes by a majority of all seats. What is kept is what a
-//! disk must have before it is said; nothing here waits.
+//! The acceptor of one voter: a register that is compared and set, after CASPaxos (Rystsov, 2018).
+//! Read [`Acceptor`] first.
+//!
+//! There is no log and no stable leader: each step is one round of promises and one of votes by a
+//! majority of the voters. Every answer that changes the state comes with what must be durable
+//! before the answer is sent; nothing here waits.
 
-use crate::{Ballot, ReplicatedState};
+use crate::{Ballot, BlockingLease, ReplicatedState, VoterId, VoterSet};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// What a founder owes its disk.
+/// Identifies the storage of a voter: a voter that lost its disk has another one from then on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StorageId(pub u64);
+
+/// The last state that a voter accepted, and in which ballot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedState {
+    /// The ballot.
+    pub ballot: Ballot,
+    /// The state.
+    pub state: ReplicatedState,
+}
+
+/// What a voter keeps on its disk.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DurableState {
-    /// Which memory this is: a founder that lost its disk has another one.
-    pub storage_id: u64,
-    /// Whether it may vote: enough others know of this memory.
-    pub votes: bool,
-    /// No earlier ballot gets a promise or a vote any more.
+    /// The identity of this storage.
+    pub storage_id: StorageId,
+    /// Whether this voter may vote: enough others know of this storage.
+    pub may_vote: bool,
+    /// Earlier ballots get no promise and no vote any more.
     pub promised: Ballot,
-    /// The last vote.
-    pub accepted: Option<(Ballot, ReplicatedState)>,
-    /// The memories of founders, by their seats, as far as they are known here.
-    pub storage_ids: BTreeMap<u8, u64>,
+    /// What it accepted last.
+    pub accepted: Option<AcceptedState>,
+    /// The storages of all voters, as far as they are known here.
+    pub storage_ids: BTreeMap<VoterId, StorageId>,
 }
 
-/// What a founder says to a ballot.
+/// The answer of a voter to a message of a ballot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AcceptorReply {
-    /// It promises; its last vote, and its memory.
-    Promised(Option<(Ballot, ReplicatedState)>, u64),
-    /// It votes for the book.
+    /// It promises to take part in no earlier ballot.
+    Promised {
+        /// What it accepted last.
+        accepted: Option<AcceptedState>,
+        /// The storage on which this promise is kept.
+        storage_id: StorageId,
+    },
+    /// It accepted the state.
     Accepted,
-    /// It promised a later ballot.
+    /// It has promised a later ballot, which is this one.
     Preempted(Ballot),
-    /// Its memory, or one that was counted on, is another now.
+    /// A promise that the state rests on was made on a storage that has been replaced.
     StorageReplaced,
-    /// Permits of another version are out: who holds them, and for how many ms at the most.
-    Blocked(Vec<(String, u64)>),
-    /// It may not vote yet, or its disk does not take it.
+    /// These leases for another version have not ended.
+    Blocked(Vec<BlockingLease>),
+    /// It may not vote yet, or its disk does not take the vote.
     Unavailable,
 }
 
-/// What a founder knows when another one tells it of its memory.
+/// What a voter knows at the moment when another one registers its storage with it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptorSnapshot {
     /// Whether it may vote itself.
-    pub votes: bool,
-    /// Its last vote.
-    pub accepted: Option<(Ballot, ReplicatedState)>,
-    /// Its last promise.
+    pub may_vote: bool,
+    /// What it accepted last.
+    pub accepted: Option<AcceptedState>,
+    /// The last ballot that it promised.
     pub promised: Ballot,
 }
 
-/// The votes of one seat.
+/// An answer, and what must be durable before it is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AcceptorDecision<R> {
+    /// The answer.
+    pub reply: R,
+    /// What is to be stored first; `None` if nothing changed.
+    pub store_first: Option<DurableState>,
+}
+
+impl<R> AcceptorDecision<R> {
+    fn unchanged(reply: R) -> AcceptorDecision<R> {
+        AcceptorDecision { reply, store_first: None }
+    }
+
+    fn once_stored(reply: R, durable: DurableState) -> AcceptorDecision<R> {
+        AcceptorDecision { reply, store_first: Some(durable) }
+    }
+}
+
+/// The acceptor of one voter.
 #[derive(Clone, Debug)]
 pub struct Acceptor {
-    seat: u8,
+    voter: VoterId,
     durable: DurableState,
 }
 
 impl Acceptor {
-    /// With what its disk has.
-    pub fn new(seat: u8, mut durable: DurableState) -> Acceptor {
-        durable.storage_ids.insert(seat, durable.storage_id);
-        Acceptor { seat, durable }
+    /// An acceptor with the state that was loaded from its disk.
+    #[must_use]
+    pub fn new(voter: VoterId, mut durable: DurableState) -> Acceptor {
+        durable.storage_ids.insert(voter, durable.storage_id);
+        Acceptor { voter, durable }
     }
 
-    /// What is owed to the disk now.
+    /// The state that its disk has.
+    #[must_use]
     pub fn durable(&self) -> &DurableState {
         &self.durable
     }
 
-    /// Asked for a promise. What comes second must be on the disk before the first is said.
-    pub fn promise(&self, ballot: Ballot) -> (AcceptorReply, Option<DurableState>) {
-        let kept = &self.durable;
-        if !kept.votes {
-            return (AcceptorReply::Unavailable, None);
+    /// Its disk has this state now.
+    pub fn mark_durable(&mut self, durable: DurableState) {
+        self.durable = durable;
+    }
+
+    /// Phase 1 of Paxos: promises a ballot if it is later than every one promised before.
+    #[must_use]
+    pub fn prepare(&self, ballot: Ballot) -> AcceptorDecision<AcceptorReply> {
+        let durable = &self.durable;
+        if !durable.may_vote {
+            return AcceptorDecision::unchanged(AcceptorReply::Unavailable);
         }
-        if ballot <= kept.promised {
-            return (AcceptorReply::Preempted(kept.promised), None);
+        if ballot <= durable.promised {
+            return AcceptorDecision::unchanged(AcceptorReply::Preempted(durable.promised));
         }
-        let vote = AcceptorReply::Promised(kept.accepted.clone(), kept.storage_id);
-        (vote, Some(DurableState { promised: ballot, ..kept.clone() }))
+        let reply =
+            AcceptorReply::Promised { accepted: durable.accepted.clone(), storage_id: durable.storage_id };
+        AcceptorDecision::once_stored(reply, DurableState { promised: ballot, ..durable.clone() })
     }
 
-    /// Asked to vote. `memories` are those of the founders whose promises the book rests on.
+    /// Phase 2 of Paxos: accepts a state unless a later ballot was promised. `storage_ids` are the
+    /// storages of the voters on whose promises the state rests.
+    #[must_use]
     pub fn accept(
         &self,
         ballot: Ballot,
-        book: &ReplicatedState,
-        storage_ids: &BTreeMap<u8, u64>,
-    ) -> (AcceptorReply, Option<DurableState>) {
-        let kept = &self.durable;
-        if !kept.votes {
-            return (AcceptorReply::Unavailable, None);
+        state: &ReplicatedState,
+        storage_ids: &BTreeMap<VoterId, StorageId>,
+    ) -> AcceptorDecision<AcceptorReply> {
+        let durable = &self.durable;
+        if !durable.may_vote {
+            return AcceptorDecision::unchanged(AcceptorReply::Unavailable);
         }
-        if ballot < kept.promised {
-            return (AcceptorReply::Preempted(kept.promised), None);
+        if ballot < durable.promised {
+            return AcceptorDecision::unchanged(AcceptorReply::Preempted(durable.promised));
         }
-        // Danger: a promise of before a lost disk is no promise any more.
-        let other = |(seat, storage_id): (&u8, &u64)| {
-            kept.storage_ids.get(seat).is_some_and(|known| known != storage_id)
+        // Danger: a promise that was made before a disk was lost is no promise any more.
+        let is_replaced = |(voter, storage_id): (&VoterId, &StorageId)| {
+            durable.storage_ids.get(voter).is_some_and(|known| known != storage_id)
         };
-        if storage_ids.iter().any(other) {
-            return (AcceptorReply::StorageReplaced, None);
+        if storage_ids.iter().any(is_replaced) {
+            return AcceptorDecision::unchanged(AcceptorReply::StorageReplaced);
         }
-        let accepted = Some((ballot, book.clone()));
-        (AcceptorReply::Accepted, Some(DurableState { promised: ballot, accepted, ..kept.clone() }))
+        let accepted = Some(AcceptedState { ballot, state: state.clone() });
+        let next = DurableState { promised: ballot, accepted, ..durable.clone() };
+        AcceptorDecision::once_stored(AcceptorReply::Accepted, next)
     }
 
-    /// A founder tells of its memory. What comes second must be on the disk before the first is said.
-    pub fn register(&self, seat: u8, storage_id: u64) -> (AcceptorSnapshot, Option<DurableState>) {
-        let kept = &self.durable;
-        let known =
-            AcceptorSnapshot { votes: kept.votes, accepted: kept.accepted.clone(), promised: kept.promised };
-        if kept.storage_ids.get(&seat) == Some(&storage_id) {
-            return (known, None);
+    /// Takes note of the storage of another voter, and tells it what this one knows.
+    #[must_use]
+    pub fn register_storage(
+        &self,
+        voter: VoterId,
+        storage_id: StorageId,
+    ) -> AcceptorDecision<AcceptorSnapshot> {
+        let durable = &self.durable;
+        let snapshot = AcceptorSnapshot {
+            may_vote: durable.may_vote,
+            accepted: durable.accepted.clone(),
+            promised: durable.promised,
+        };
+        if durable.storage_ids.get(&voter) == Some(&storage_id) {
+            return AcceptorDecision::unchanged(snapshot);
         }
-        let mut newer = kept.clone();
-        newer.storage_ids.insert(seat, storage_id);
-        (known, Some(newer))
+        let mut next = durable.clone();
+        next.storage_ids.insert(voter, storage_id);
+        AcceptorDecision::once_stored(snapshot, next)
     }
 
-    /// What this founder has once others told it what they know; none if that is not enough to vote by. `blocking` others must
-    /// have votes of their own, or all others none at all and no book.
-    pub fn joined(
+    /// The state with which a voter without a vote may vote, given what others told it when it
+    /// registered its storage; `None` if that is not enough.
+    ///
+    /// Enough is a blocking set of others that may vote; or all others, if none of them has
+    /// accepted anything.
+    #[must_use]
+    pub fn recover(
         &self,
-        told: &BTreeMap<u8, AcceptorSnapshot>,
-        seats: u8,
-        blocking: usize,
+        snapshots: &BTreeMap<VoterId, AcceptorSnapshot>,
+        voters: VoterSet,
     ) -> Option<DurableState> {
-        let others = told.iter().filter(|(seat, _)| **seat != self.seat);
-        let voters = others.clone().filter(|(_, told)| told.votes).count();
-        let no_book = others.clone().all(|(_, told)| told.accepted.is_none());
-        let all = others.clone().count() + 1 == usize::from(seats);
-        if voters < blocking && !(all && no_book) {
+        let others: Vec<&AcceptorSnapshot> = snapshots
+            .iter()
+            .filter(|(voter, _)| **voter != self.voter)
+            .map(|(_, snapshot)| snapshot)
+            .collect();
+        let voting = others.iter().filter(|snapshot| snapshot.may_vote).count();
+        let is_complete = others.len() + 1 == voters.size();
+        let is_new_fleet = is_complete && others.iter().all(|snapshot| snapshot.accepted.is_none());
+        if voting < voters.blocking() && !is_new_fleet {
             return None;
         }
-        let accepted = others.clone().filter_map(|(_, told)| told.accepted.clone()).max_by_key(|a| a.0);
-        let promised = others.map(|(_, told)| told.promised).max().unwrap_or_default();
-        let promised = promised.max(self.durable.promised);
-        Some(DurableState { votes: true, promised, accepted, ..self.durable.clone() })
-    }
-
-    /// The disk has this now.
-    pub fn synced(&mut self, durable: DurableState) {
-        self.durable = durable;
+        let accepted = others.iter().filter_map(|snapshot| snapshot.accepted.as_ref());
+        let last_accepted = accepted.max_by_key(|accepted| accepted.ballot).cloned();
+        let promised = others.iter().map(|snapshot| snapshot.promised).max().unwrap_or_default();
+        Some(DurableState {
+            may_vote: true,
+            promised: promised.max(self.durable.promised),
+            accepted: last_accepted,
+            ..self.durable.clone()
+        })
     }
 }
 
--- a/crates/policy-consensus/src/admission_lease.rs
+++ b/crates/policy-consensus/src/admission_lease.rs
@@ -1,7 +1,10 @@
-//! The permit of a process: under it alone requests are admitted. It is looked at whenever it is used, and never by a
-//! timer: a process that was stopped finds it ended when it wakes.
+//! The admission lease of a process: only while it holds one does it admit requests. Read
+//! [`AdmissionLease`] first.
+//!
+//! The lease is examined whenever it is used, and never by a timer: a process that was stopped
+//! finds it ended when it wakes.
 
-use crate::VoterSet;
+use crate::{VoterId, VoterSet};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -9,10 +12,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// What a process does once its permit has ended.
+/// What a process does once its lease has ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeaseExpiryMode {
-    /// It refuses.
+    /// It rejects requests.
     #[default]
     #[serde(rename = "refuse")]
     FailClosed,
@@ -26,134 +29,166 @@
 pub enum Admission {
     /// It is, under the version that was asked about.
     Admit,
-    /// A change is about to be decided: it is to be asked again within moments.
+    /// A change is about to be committed: the request waits, and is examined again within moments.
     Wait,
-    /// It is not; when to come back.
+    /// It is not; the client may retry after this time.
     Reject(Duration),
 }
 
+/// The lease, as granted by single voters.
 #[derive(Debug, Default)]
 struct State {
+    /// The version under which the lease admits.
     version: u64,
-    /// Until when each founder's part of it lasts.
-    parts: BTreeMap<u8, Instant>,
-    /// Whether it was ever held for this version since it was last given up.
-    held: bool,
-    /// When it was given up for a change, until it is held again.
-    given_up: Option<Instant>,
-    /// Words about permits of before that count no longer.
+    /// Until when the grant of each voter lasts.
+    grants: BTreeMap<VoterId, Instant>,
+    /// Whether the lease was held for this version since it was last released.
+    was_held: bool,
+    /// When the lease was released for a change, until it is held again.
+    released_at: Option<Instant>,
+    /// Grants that were requested in an earlier epoch do not count.
     epoch: u64,
-    /// Whether it may be gone on without.
-    serves: bool,
+    /// Whether this process may go on without the lease.
+    may_serve_expired: bool,
 }
 
-/// The permit of one process.
+/// The admission lease of one process.
 #[derive(Debug)]
 pub struct AdmissionLease {
-    seats: VoterSet,
-    when_cut: LeaseExpiryMode,
-    /// For so long requests wait for a change's moment; then they are refused.
-    hold: Duration,
-    /// When who is refused is to come back.
-    back: Duration,
+    voters: VoterSet,
+    expiry_mode: LeaseExpiryMode,
+    /// For so long after a release requests wait for the change; then they are rejected.
+    change_wait: Duration,
+    /// When clients that are rejected may retry.
+    retry_after: Duration,
+    /// Guards the lease; held for single reads and writes only.
     state: Mutex<State>,
-    refused: AtomicU64,
+    rejections: AtomicU64,
 }
 
 impl AdmissionLease {
-    /// None is held.
-    pub fn new(seats: VoterSet, when_cut: LeaseExpiryMode, hold: Duration, back: Duration) -> AdmissionLease {
-        AdmissionLease { seats, when_cut, hold, back, state: Mutex::default(), refused: AtomicU64::new(0) }
+    /// A lease that is not held. `change_wait` is for how long after a release requests wait,
+    /// `retry_after` when clients that are rejected may retry.
+    #[must_use]
+    pub fn new(
+        voters: VoterSet,
+        expiry_mode: LeaseExpiryMode,
+        change_wait: Duration,
+        retry_after: Duration,
+    ) -> AdmissionLease {
+        AdmissionLease {
+            voters,
+            expiry_mode,
+            change_wait,
+            retry_after,
+            state: Mutex::default(),
+            rejections: AtomicU64::new(0),
+        }
     }
 
-    /// Whether a request is admitted at this moment by who has this version in force.
+    /// Whether a process on which this version is active admits a request now.
+    #[must_use]
     pub fn admission(&self, version: u64, now: Instant) -> Admission {
         let state = self.state();
-        if state.version == version && self.until(&state).is_some_and(|until| now < until) {
+        let is_same_version = state.version == version;
+        if is_same_version && self.expiry(&state).is_some_and(|expiry| now < expiry) {
             return Admission::Admit;
         }
-        match state.given_up {
-            Some(since) if now < since + self.hold => return Admission::Wait,
-            Some(_) => return Admission::Reject(self.back),
-            None => {}
+        if let Some(released_at) = state.released_at {
+            if now < released_at + self.change_wait {
+                return Admission::Wait;
+            }
+            return Admission::Reject(self.retry_after);
         }
-        if self.when_cut == LeaseExpiryMode::FailOpen && state.serves && state.version == version {
+        if self.expiry_mode == LeaseExpiryMode::FailOpen && state.may_serve_expired && is_same_version {
             return Admission::Admit;
         }
-        Admission::Reject(self.back)
+        Admission::Reject(self.retry_after)
     }
 
-    /// A request was refused for want of it.
+    /// Counts a request that was rejected because the lease is not held.
     pub fn count_rejection(&self) {
-        self.refused.fetch_add(1, Ordering::Relaxed);
+        self.rejections.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Requests refused for want of it.
+    /// How many requests were rejected because the lease was not held.
+    #[must_use]
     pub fn rejections(&self) -> u64 {
-        self.refused.load(Ordering::Relaxed)
+        self.rejections.load(Ordering::Relaxed)
     }
 
-    /// Whether it lasts at this moment, and until when.
+    /// Until when the lease is held; `None` if it is not.
+    #[must_use]
     pub fn valid_until(&self, now: Instant) -> Option<Instant> {
         let state = self.state();
-        self.until(&state).filter(|until| now < *until)
+        self.expiry(&state).filter(|expiry| now < *expiry)
     }
 
-    /// From now on permits are asked for this version. What was permitted before has been given up, or has ended.
+    /// From now on the lease is for this version; returns the epoch of its requests. The lease for
+    /// the version before has been released, or has ended.
     pub fn begin(&self, version: u64) -> u64 {
         let mut state = self.state();
         if state.version != version {
-            let State { serves, given_up, .. } = *state;
-            *state = State { version, epoch: state.epoch + 1, serves, given_up, ..State::default() };
+            state.version = version;
+            state.epoch += 1;
+            state.grants.clear();
+            state.was_held = false;
         }
         state.epoch
     }
 
-    /// A founder permits, by a question that was asked in this epoch: until then.
-    pub fn granted(&self, seat: u8, epoch: u64, until: Instant) {
+    /// A voter granted the lease until `expiry`, to a request of this epoch.
+    pub fn grant(&self, voter: VoterId, epoch: u64, expiry: Instant) {
         let mut state = self.state();
-        // Danger: the answer to a question of before it was given up speaks of what is given up.
+        // Danger: a grant that was requested before a release is for what was released.
         if epoch != state.epoch {
             return;
         }
-        let part = state.parts.entry(seat).or_insert(until);
-        *part = until.max(*part);
-        let held = state.held || state.parts.values().count() >= self.seats.majority();
-        if held {
-            (state.held, state.serves, state.given_up) = (true, true, None);
+        let grant = state.grants.entry(voter).or_insert(expiry);
+        *grant = expiry.max(*grant);
+        if state.was_held || state.grants.len() >= self.voters.majority() {
+            state.was_held = true;
+            state.may_serve_expired = true;
+            state.released_at = None;
         }
     }
 
-    /// Gives it up, for a change; nothing is admitted from now on. The epoch of what is asked next.
+    /// Releases the lease for a change: nothing is admitted from now on. Returns the epoch of the
+    /// requests that follow.
     pub fn release(&self, now: Instant) -> u64 {
         let mut state = self.state();
-        state.parts.clear();
-        state.held = false;
+        state.grants.clear();
+        state.was_held = false;
         state.epoch += 1;
-        state.given_up.get_or_insert(now);
+        state.released_at.get_or_insert(now);
         state.epoch
     }
 
-    /// Which questions count.
+    /// The epoch of requests that are made now.
+    #[must_use]
     pub fn epoch(&self) -> u64 {
         self.state().epoch
     }
 
-    /// Whether it was given up and is not held again.
+    /// Whether the lease was released and is not held again.
+    #[must_use]
     pub fn is_released(&self) -> bool {
-        self.state().given_up.is_some()
+        self.state().released_at.is_some()
     }
 
-    /// A later version is in force elsewhere: this process does not go on with its own, whatever it was told.
+    /// A later version is active elsewhere: this process does not go on with its own without a
+    /// lease, whatever its configuration says.
     pub fn mark_outdated(&self) {
-        self.state().serves = false;
+        self.state().may_serve_expired = false;
     }
 
-    fn until(&self, state: &State) -> Option<Instant> {
-        let needed = if state.held { self.seats.blocking() } else { self.seats.majority() };
-        let mut parts: Vec<Instant> = state.parts.values().copied().collect();
-        parts.sort_unstable_by(|a, b| b.cmp(a));
-        parts.get(needed - 1).copied()
+    /// When the lease ends. The first time it takes grants of a majority; from then on it is held
+    /// while a blocking set of voters grants it, since no majority can act without that.
+    fn expiry(&self, state: &State) -> Option<Instant> {
+        let needed = if state.was_held { self.voters.blocking() } else { self.voters.majority() };
+        let mut expiries: Vec<Instant> = state.grants.values().copied().collect();
+        expiries.sort_unstable_by(|a, b| b.cmp(a));
+        expiries.get(needed - 1).copied()
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/policy-consensus/src/admission_lease/tests.rs
+++ b/crates/policy-consensus/src/admission_lease/tests.rs
@@ -1,47 +1,59 @@
 use super::*;
 
 const MS: Duration = Duration::from_millis(1);
+const CHANGE_WAIT: Duration = Duration::from_millis(100);
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+const REJECTED: Admission = Admission::Reject(RETRY_AFTER);
 
-fn permit(seats: u8, when_cut: LeaseExpiryMode) -> AdmissionLease {
-    AdmissionLease::new(VoterSet(seats), when_cut, 100 * MS, 500 * MS)
+fn lease(voters: u8, expiry_mode: LeaseExpiryMode) -> AdmissionLease {
+    AdmissionLease::new(VoterSet(voters), expiry_mode, CHANGE_WAIT, RETRY_AFTER)
 }
 
 #[test]
-fn it_lasts_as_long_as_no_majority_can_be_without_it() {
-    let (now, permit) = (Instant::now(), permit(4, LeaseExpiryMode::FailClosed));
-    let epoch = permit.begin(1);
-    permit.granted(0, epoch, now + 10 * MS);
-    permit.granted(1, epoch, now + 30 * MS);
-    assert_eq!(permit.admission(1, now), Admission::Reject(500 * MS), "the first one needs a majority");
-    permit.granted(2, epoch, now + 20 * MS);
-    assert_eq!(permit.admission(1, now), Admission::Admit);
-    assert_eq!(permit.admission(2, now), Admission::Reject(500 * MS));
-    assert_eq!(permit.valid_until(now), Some(now + 20 * MS), "two of four are in every majority's way");
-    assert_eq!(permit.admission(1, now + 20 * MS), Admission::Reject(500 * MS));
+fn a_lease_needs_a_majority_at_first_and_then_lasts_while_a_blocking_set_grants_it() {
+    let now = Instant::now();
+    let lease = lease(4, LeaseExpiryMode::FailClosed);
+    let epoch = lease.begin(1);
+
+    lease.grant(VoterId(0), epoch, now + 10 * MS);
+    lease.grant(VoterId(1), epoch, now + 30 * MS);
+    assert_eq!(lease.admission(1, now), REJECTED, "the first one needs a majority");
+
+    lease.grant(VoterId(2), epoch, now + 20 * MS);
+    assert_eq!(lease.admission(1, now), Admission::Admit);
+    assert_eq!(lease.admission(2, now), REJECTED);
+    assert_eq!(lease.valid_until(now), Some(now + 20 * MS), "two of four are in every majority");
+    assert_eq!(lease.admission(1, now + 20 * MS), REJECTED);
 }
 
 #[test]
-fn what_was_permitted_before_it_was_given_up_counts_no_longer() {
-    let (now, permit) = (Instant::now(), permit(1, LeaseExpiryMode::FailOpen));
-    let epoch = permit.begin(1);
-    permit.granted(0, epoch, now + 50 * MS);
-    permit.release(now);
-    permit.granted(0, epoch, now + 90 * MS);
-    assert_eq!(permit.admission(1, now), Admission::Wait);
-    assert_eq!(permit.admission(1, now + 100 * MS), Admission::Reject(500 * MS));
-    let epoch = permit.begin(2);
-    assert_eq!(permit.admission(2, now), Admission::Wait, "its moment is near");
-    permit.granted(0, epoch, now + 90 * MS);
-    assert_eq!(permit.admission(2, now), Admission::Admit);
+fn a_grant_that_was_requested_before_the_release_does_not_count() {
+    let now = Instant::now();
+    let lease = lease(1, LeaseExpiryMode::FailOpen);
+    let epoch = lease.begin(1);
+    lease.grant(VoterId(0), epoch, now + 50 * MS);
+
+    lease.release(now);
+    lease.grant(VoterId(0), epoch, now + 90 * MS);
+
+    assert_eq!(lease.admission(1, now), Admission::Wait);
+    assert_eq!(lease.admission(1, now + CHANGE_WAIT), REJECTED);
+    let epoch = lease.begin(2);
+    assert_eq!(lease.admission(2, now), Admission::Wait, "the change is about to be committed");
+    lease.grant(VoterId(0), epoch, now + 90 * MS);
+    assert_eq!(lease.admission(2, now), Admission::Admit);
 }
 
 #[test]
-fn who_serves_on_needs_to_have_been_permitted_once_and_not_to_know_better() {
-    let (now, permit) = (Instant::now(), permit(1, LeaseExpiryMode::FailOpen));
-    let epoch = permit.begin(1);
-    assert_eq!(permit.admission(1, now), Admission::Reject(500 * MS));
-    permit.granted(0, epoch, now + 50 * MS);
-    assert_eq!(permit.admission(1, now + 60 * MS), Admission::Admit);
-    permit.mark_outdated();
-    assert_eq!(permit.admission(1, now + 60 * MS), Admission::Reject(500 * MS));
+fn a_process_that_fails_open_serves_only_after_a_first_lease_and_until_it_is_outdated() {
+    let now = Instant::now();
+    let lease = lease(1, LeaseExpiryMode::FailOpen);
+    let epoch = lease.begin(1);
+    assert_eq!(lease.admission(1, now), REJECTED);
+
+    lease.grant(VoterId(0), epoch, now + 50 * MS);
+    assert_eq!(lease.admission(1, now + 60 * MS), Admission::Admit);
+
+    lease.mark_outdated();
+    assert_eq!(lease.admission(1, now + 60 * MS), REJECTED);
 }
--- a/crates/policy-consensus/src/ballot.rs
+++ b/crates/policy-consensus/src/ballot.rs
@@ -1,19 +1,21 @@
-//! Ballots: who proposes, in which round.
+//! Ballot numbers. See [`Ballot`].
 
 use serde::{Deserialize, Serialize};
 
-/// A ballot. Of two the later one wins; no two proposers have the same.
+/// A ballot number, as in Paxos: ordered by round, then by proposer; no two proposers have the
+/// same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     /// The round.
     pub round: u64,
     /// The proposer: a hash of its process.
-    pub by: u64,
+    pub proposer: u64,
 }
 
 impl Ballot {
-    /// A ballot of this proposer beyond all that are known.
-    pub fn beyond(known: Ballot, by: u64) -> Ballot {
-        Ballot { round: known.round + 1, by }
+    /// The next ballot of this proposer: greater than the highest one that it knows of.
+    #[must_use]
+    pub fn next_after(highest: Ballot, proposer: u64) -> Ballot {
+        Ballot { round: highest.round + 1, proposer }
     }
 }
--- a/crates/policy-consensus/src/change_notifier.rs
+++ b/crates/policy-consensus/src/change_notifier.rs
@@ -1,38 +1,39 @@
-//! News, for those who wait for some: a count that only grows. Who waits wakes in the order of waiting: a seed replays that.
+//! Wakes tasks when what this process knows has changed. See [`ChangeNotifier`].
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::Notify;
 
-/// The count.
+/// Counts changes. Tasks wake in the order in which they began to wait, so that a seed replays a
+/// run.
 #[derive(Debug, Default)]
 pub(crate) struct ChangeNotifier {
     count: AtomicU64,
-    more: Notify,
+    notify: Notify,
 }
 
 impl ChangeNotifier {
-    /// There is some.
-    pub(crate) fn tell(&self) {
+    /// Something has changed.
+    pub(crate) fn notify(&self) {
         self.count.fetch_add(1, Ordering::AcqRel);
-        self.more.notify_waiters();
+        self.notify.notify_waiters();
     }
 
-    /// The count now.
-    pub(crate) fn seen(&self) -> u64 {
+    /// How many changes there have been.
+    pub(crate) fn count(&self) -> u64 {
         self.count.load(Ordering::Acquire)
     }
 
-    /// Waits until there is more than was seen.
-    pub(crate) async fn since(&self, seen: u64) {
+    /// Waits until there have been more changes than this count.
+    pub(crate) async fn changed_since(&self, count: u64) {
         loop {
-            let more = self.more.notified();
-            tokio::pin!(more);
-            // Danger: told between the look and the wait, it would be waited for in vain.
-            more.as_mut().enable();
-            if self.seen() != seen {
+            let notified = self.notify.notified();
+            tokio::pin!(notified);
+            // Danger: a change between the comparison and the wait would be waited for in vain.
+            notified.as_mut().enable();
+            if self.count() != count {
                 return;
             }
-            more.await;
+            notified.await;
         }
     }
 }
--- a/crates/policy-consensus/src/golden_disk_tests.rs
+++ b/crates/policy-consensus/src/golden_disk_tests.rs
@@ -1,17 +1,19 @@
-//! The file of a founder, recorded from the program before names in it were changed: its bytes, its
+//! The file of a voter, recorded from the program before names in it were changed: its bytes, its
 //! name and that of its lock. They must not change: a new version must read what an old one wrote,
-//! and the other way about, and the two must not run on one folder at once. A test that fails here
-//! says that the program has changed its format; the recorded bytes are not to be adapted.
+//! and the other way about, and the two must not run on one directory at once. A test that fails
+//! here says that the program has changed its format; the recorded bytes are not to be adapted.
 
 use crate::storage::{load, save};
 use crate::{
-    Ballot, Change, Digest, DurableState, FileStorage, FinishedChange, LoadOutcome, Outcome, ReplicatedState,
-    Stage, Storage,
+    AcceptedState, Ballot, Change, Digest, DurableState, FileStorage, FinishedChange, LoadOutcome, Outcome,
+    ReplicatedState, Stage, Storage, StorageId, VoterId,
 };
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::{env, fs, process};
 
+const VOTER: VoterId = VoterId(2);
+
 const FULL: &str = "707472626f6f6b0100000000000000499bcfc542066764796e6961026301ad020601ac0205ac\
                     0207096772616465733a203201026334096772616465733a2033000102026e3101026333088d\
                     e0b7f70f01066e323a206e6f0200620263";
@@ -28,58 +30,72 @@
 
 /// Every field has a value of its own.
 fn full() -> DurableState {
-    let stage = Stage::Preparing { strict: true };
-    let (id, by) = ("c4".to_owned(), "n1".to_owned());
-    let change = Some(Change { id, text: "grades: 3".into(), stage, attempt: 2, by });
-    let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
-    let (digest, outcome) = (Digest(0xfeed_f00d), Outcome::Rejected);
-    let ended = vec![FinishedChange { id, version: 8, digest, outcome, why }];
-    let book = ReplicatedState { revision: 300, version: 7, text: "grades: 2".into(), change, ended };
+    let open_change = Change {
+        id: "c4".to_owned(),
+        text: "grades: 3".into(),
+        stage: Stage::Preparing { strict: true },
+        attempt: 2,
+        proposer: "n1".to_owned(),
+    };
+    let finished_change = FinishedChange {
+        id: "c3".to_owned(),
+        version: 8,
+        digest: Digest(0xfeed_f00d),
+        outcome: Outcome::Rejected,
+        reason: "n2: no".to_owned(),
+    };
+    let state = ReplicatedState {
+        revision: 300,
+        version: 7,
+        text: "grades: 2".into(),
+        open_change: Some(open_change),
+        finished_changes: vec![finished_change],
+    };
     DurableState {
-        storage_id: 99,
-        votes: true,
-        promised: Ballot { round: 301, by: 6 },
-        accepted: Some((Ballot { round: 300, by: 5 }, book)),
-        storage_ids: BTreeMap::from([(0, 98), (2, 99)]),
+        storage_id: StorageId(99),
+        may_vote: true,
+        promised: Ballot { round: 301, proposer: 6 },
+        accepted: Some(AcceptedState { ballot: Ballot { round: 300, proposer: 5 }, state }),
+        storage_ids: BTreeMap::from([(VoterId(0), StorageId(98)), (VoterId(2), StorageId(99))]),
     }
 }
 
-/// A folder of this test alone, gone at its end.
-struct Scratch(PathBuf);
+/// A directory of this test alone, gone at its end.
+struct ScratchDirectory(PathBuf);
 
-impl Scratch {
-    fn new(name: &str) -> Scratch {
+impl ScratchDirectory {
+    fn new(name: &str) -> ScratchDirectory {
         let path = env::temp_dir().join(format!("pinetrail-golden-{name}-{}", process::id()));
-        fs::create_dir_all(&path).expect("a folder");
-        Scratch(path)
+        fs::create_dir_all(&path).expect("a directory");
+        ScratchDirectory(path)
     }
 
     fn files(&self) -> Vec<String> {
         let name = |file: fs::DirEntry| file.file_name().to_string_lossy().into_owned();
-        let files = fs::read_dir(&self.0).expect("a folder");
+        let files = fs::read_dir(&self.0).expect("a directory");
         let mut names: Vec<String> = files.map(|file| name(file.expect("a file"))).collect();
         names.sort();
         names
     }
 }
 
-impl Drop for Scratch {
+impl Drop for ScratchDirectory {
     fn drop(&mut self) {
-        // What is left behind is in the folder for temporary files.
+        // What is left behind is in the directory for temporary files.
         let _ = fs::remove_dir_all(&self.0);
     }
 }
 
-fn file_in(folder: &Path) -> PathBuf {
-    folder.join("rulebook")
+fn file_in(directory: &Path) -> PathBuf {
+    directory.join("rulebook")
 }
 
 #[test]
-fn a_founders_file_has_the_recorded_name_and_bytes() {
-    let scratch = Scratch::new("write");
-    let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
+fn a_voters_file_has_the_recorded_name_and_bytes() {
+    let scratch = ScratchDirectory::new("write");
+    let mut directory = FileStorage::open(scratch.0.clone()).expect("opened");
     for (durable, recorded) in [(full(), FULL), (DurableState::default(), EMPTY)] {
-        save(&mut folder, "gdynia", 2, &durable).expect("kept");
+        save(&mut directory, "gdynia", VOTER, &durable).expect("kept");
         let written = fs::read(file_in(&scratch.0)).expect("the file by its name");
         assert_eq!(hex(&written), recorded, "encoding of {durable:?}");
         assert_eq!(scratch.files(), ["rulebook", "rulebook.lock"]);
@@ -87,33 +103,35 @@
 }
 
 #[test]
-fn a_founder_reads_the_recorded_file() {
-    let scratch = Scratch::new("read");
+fn a_voter_reads_the_recorded_file() {
+    let scratch = ScratchDirectory::new("read");
     for (durable, recorded) in [(full(), FULL), (DurableState::default(), EMPTY)] {
         fs::write(file_in(&scratch.0), bytes(recorded)).expect("written");
-        let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
-        let loaded = load(&mut folder, "gdynia", 2).expect("read");
+        let mut directory = FileStorage::open(scratch.0.clone()).expect("opened");
+        let loaded = load(&mut directory, "gdynia", VOTER).expect("read");
         assert_eq!(loaded, LoadOutcome::Loaded(Box::new(durable)));
     }
 }
 
 #[test]
-fn a_file_that_is_put_aside_has_the_recorded_name() {
-    let scratch = Scratch::new("aside");
-    let mut folder = FileStorage::take(scratch.0.clone()).expect("taken");
-    folder.replace(b"torn").expect("written");
-    assert_eq!(load(&mut folder, "gdynia", 2).expect("read"), LoadOutcome::SetAside("torn"));
+fn a_file_that_is_set_aside_has_the_recorded_name() {
+    let scratch = ScratchDirectory::new("aside");
+    let mut directory = FileStorage::open(scratch.0.clone()).expect("opened");
+    directory.replace(b"torn").expect("written");
+    let loaded = load(&mut directory, "gdynia", VOTER).expect("read");
+    let LoadOutcome::SetAside(reason) = loaded else { panic!("not set aside: {loaded:?}") };
+    assert_eq!(reason.file_suffix(), "torn");
     let files = scratch.files();
     assert!(files.iter().any(|name| name.starts_with("rulebook.torn-")), "{files:?}");
 }
 
-/// An old and a new version must not have one folder at once.
+/// An old and a new version must not have one directory at once.
 #[test]
 fn a_lock_by_the_recorded_name_keeps_others_out() {
-    let scratch = Scratch::new("lock");
+    let scratch = ScratchDirectory::new("lock");
     let path = scratch.0.join("rulebook.lock");
     let lock = fs::File::options().create(true).append(true).open(path).expect("opened");
     lock.try_lock().expect("nobody has it");
-    let taken = FileStorage::take(scratch.0.clone());
-    assert_eq!(taken.expect_err("it is held").kind(), std::io::ErrorKind::WouldBlock);
+    let opened = FileStorage::open(scratch.0.clone());
+    assert_eq!(opened.expect_err("it is held").kind(), std::io::ErrorKind::WouldBlock);
 }
--- a/crates/policy-consensus/src/golden_tests.rs
+++ b/crates/policy-consensus/src/golden_tests.rs
@@ -1,14 +1,14 @@
-//! The bytes in which processes tell and ask each other about the book, recorded from
+//! The bytes in which processes tell and ask each other about the policy, recorded from
 //! the program before names in it were changed. They must not change: processes of different
 //! versions talk to each other, so a new version must write what an old one reads, and read what
 //! an old one writes. A test that fails here says that the program has changed its format; the
 //! recorded bytes are not to be adapted.
 
 use crate::messages::{decode, encode, Message, Reply};
-use crate::{AcceptorReply, AcceptorSnapshot, Readiness, Stage};
 use crate::{
-    Ballot, Change, ChangeSummary, Digest, FinishedChange, LeaseRequest, Outcome, ReplicatedState,
-    StateSummary,
+    AcceptedState, AcceptorReply, AcceptorSnapshot, Ballot, BlockingLease, Change, ChangeReadiness,
+    ChangeSummary, Digest, FinishedChange, LeaseHolder, LeaseRequest, Outcome, Readiness, ReplicatedState,
+    Stage, StateSummary, StorageId, VoterId,
 };
 use serde::{de::DeserializeOwned, Serialize};
 use std::collections::BTreeMap;
@@ -33,66 +33,87 @@
 }
 
 fn ballot(round: u64) -> Ballot {
-    Ballot { round, by: 0x0123_4567_89ab_cdef }
+    Ballot { round, proposer: 0x0123_4567_89ab_cdef }
 }
 
 fn change(stage: Stage) -> Change {
-    let (id, by) = ("c4".to_owned(), "n1".to_owned());
-    Change { id, text: "grades: 3".into(), stage, attempt: 2, by }
+    Change { id: "c4".to_owned(), text: "grades: 3".into(), stage, attempt: 2, proposer: "n1".to_owned() }
 }
 
-fn ended(outcome: Outcome) -> FinishedChange {
-    let (id, why) = ("c3".to_owned(), "n2: no".to_owned());
-    FinishedChange { id, version: 8, digest: Digest(0xfeed_f00d), outcome, why }
+fn finished(outcome: Outcome) -> FinishedChange {
+    FinishedChange {
+        id: "c3".to_owned(),
+        version: 8,
+        digest: Digest(0xfeed_f00d),
+        outcome,
+        reason: "n2: no".to_owned(),
+    }
 }
 
-fn book(change: Option<Change>, ended: Vec<FinishedChange>) -> ReplicatedState {
-    ReplicatedState { revision: 300, version: 7, text: "grades: 2".into(), change, ended }
+fn state(open_change: Option<Change>, finished_changes: Vec<FinishedChange>) -> ReplicatedState {
+    ReplicatedState { revision: 300, version: 7, text: "grades: 2".into(), open_change, finished_changes }
 }
 
-/// A book with each outcome and an open change.
-fn full_book() -> ReplicatedState {
+/// A state with each outcome and an open change.
+fn full_state() -> ReplicatedState {
     let outcomes = [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned];
-    book(Some(change(Stage::Closing)), outcomes.map(ended).to_vec())
+    state(Some(change(Stage::Closing)), outcomes.map(finished).to_vec())
 }
 
-fn plain_book() -> ReplicatedState {
-    book(None, Vec::new())
+fn plain_state() -> ReplicatedState {
+    state(None, Vec::new())
 }
 
-fn summary(change: Option<ChangeSummary>) -> StateSummary {
-    StateSummary { revision: 300, version: 7, digest: Digest(0xabcd), change, last: Digest(0x1234) }
+fn summary(open_change: Option<ChangeSummary>) -> StateSummary {
+    StateSummary {
+        revision: 300,
+        version: 7,
+        digest: Digest(0xabcd),
+        open_change,
+        last_finished: Digest(0x1234),
+    }
 }
 
-fn open(stage: Stage) -> ChangeSummary {
+fn change_summary(stage: Stage) -> ChangeSummary {
     ChangeSummary { id: "c4".to_owned(), digest: Digest(0xfeed), stage, attempt: 2 }
 }
 
-fn asked(word: Option<Readiness>) -> LeaseRequest {
-    let word = word.map(|word| ("c4".to_owned(), word));
-    LeaseRequest { number: 300, version: 7, admits: true, word, serves_on: false }
+fn lease_request(readiness: Option<Readiness>) -> LeaseRequest {
+    let readiness = readiness.map(|readiness| ChangeReadiness { change_id: "c4".to_owned(), readiness });
+    LeaseRequest { sequence: 300, version: 7, wants_lease: true, readiness, fails_open: false }
+}
+
+fn storage_ids() -> BTreeMap<VoterId, StorageId> {
+    BTreeMap::from([(VoterId(0), StorageId(99)), (VoterId(2), StorageId(u64::MAX))])
+}
+
+fn blocking_leases() -> Vec<BlockingLease> {
+    let lease = |holder: &str, remaining_ms| BlockingLease { holder: holder.to_owned(), remaining_ms };
+    vec![lease("n1", 1500), lease("n2", 3)]
 }
 
-fn storage_ids() -> BTreeMap<u8, u64> {
-    BTreeMap::from([(0, 99), (2, u64::MAX)])
+fn holders() -> Vec<LeaseHolder> {
+    let holder =
+        |name: &str, is_ready, remaining_ms| LeaseHolder { name: name.to_owned(), is_ready, remaining_ms };
+    vec![holder("n1", true, 1500), holder("n2", false, 3)]
 }
 
 /// Does not compile when a kind of message is added, until its bytes are recorded as well.
 fn recorded_message(message: &Message) -> &'static str {
     match message {
         Message::Prepare(_) => "00ac02ef9bafcdf8acd19101",
-        Message::Accept(..) => {
+        Message::Accept { .. } => {
             "01ac02ef9bafcdf8acd19101ac0207096772616465733a203201026334096772616465733a20\
              330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e323a\
              206e6f026333088de0b7f70f02066e323a206e6f02006302ffffffffffffffffff01"
         }
-        Message::RegisterStorage(..) => "020263",
+        Message::RegisterStorage { .. } => "020263",
         Message::RequestLease(_) => "03ac0207010000",
-        Message::ListHolders(_) => "04026334",
-        Message::FetchState(_) => "05ac02",
+        Message::ListHolders { .. } => "04026334",
+        Message::FetchState { .. } => "05ac02",
         Message::Decided(_) => "06ac0207cdd70200b424",
-        Message::Application(..) => "0704056f74686572",
-        Message::WaitingFor(..) => "0802633402026e31026e32",
+        Message::Application { .. } => "0704056f74686572",
+        Message::WaitingFor { .. } => "0802633402026e31026e32",
     }
 }
 
@@ -100,14 +121,14 @@
 fn every_kind_of_message_has_recorded_bytes() {
     let messages = [
         Message::Prepare(ballot(300)),
-        Message::Accept(ballot(300), Box::new(full_book()), storage_ids()),
-        Message::RegisterStorage(2, 99),
-        Message::RequestLease(asked(None)),
-        Message::ListHolders("c4".to_owned()),
-        Message::FetchState(300),
+        Message::Accept { ballot: ballot(300), state: Box::new(full_state()), storage_ids: storage_ids() },
+        Message::RegisterStorage { voter: VoterId(2), storage_id: StorageId(99) },
+        Message::RequestLease(lease_request(None)),
+        Message::ListHolders { change_id: "c4".to_owned() },
+        Message::FetchState { min_revision: 300 },
         Message::Decided(summary(None)),
-        Message::Application(4, b"other".to_vec()),
-        Message::WaitingFor("c4".to_owned(), vec!["n1".to_owned(), "n2".to_owned()]),
+        Message::Application { channel: 4, body: b"other".to_vec() },
+        Message::WaitingFor { change_id: "c4".to_owned(), names: vec!["n1".to_owned(), "n2".to_owned()] },
     ];
     for message in messages {
         assert_recorded(&message, recorded_message(&message));
@@ -117,9 +138,9 @@
 /// Does not compile when a kind of reply or vote is added, until its bytes are recorded as well.
 fn recorded_reply(reply: &Reply) -> &'static str {
     match reply {
-        Reply::Acceptor(vote) => match vote {
-            AcceptorReply::Promised(None, _) => "00000063",
-            AcceptorReply::Promised(Some(_), _) => {
+        Reply::Acceptor(reply) => match reply {
+            AcceptorReply::Promised { accepted: None, .. } => "00000063",
+            AcceptorReply::Promised { accepted: Some(_), .. } => {
                 "000001ab02ef9bafcdf8acd19101ac0207096772616465733a20320102633409677261646573\
                  3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
                  323a206e6f026333088de0b7f70f02066e323a206e6f63"
@@ -136,7 +157,7 @@
              3a20330102026e3103026333088de0b7f70f00066e323a206e6f026333088de0b7f70f01066e\
              323a206e6f026333088de0b7f70f02066e323a206e6fac02ef9bafcdf8acd19101"
         }
-        Reply::Lease(..) => "0201ac0207cdd70201026334edfd030102b424",
+        Reply::Lease { .. } => "0201ac0207cdd70201026334edfd030102b424",
         Reply::Holders(_) => "0302026e3101dc0b026e320003",
         Reply::State(_) => "04ac0207096772616465733a20320000",
     }
@@ -144,21 +165,22 @@
 
 #[test]
 fn every_kind_of_reply_has_recorded_bytes() {
-    let accepted = || Some((ballot(299), full_book()));
-    let registered = |accepted| AcceptorSnapshot { votes: true, accepted, promised: ballot(300) };
+    let accepted = || Some(AcceptedState { ballot: ballot(299), state: full_state() });
+    let promised = |accepted| AcceptorReply::Promised { accepted, storage_id: StorageId(99) };
+    let registered = |accepted| AcceptorSnapshot { may_vote: true, accepted, promised: ballot(300) };
     let replies = [
-        Reply::Acceptor(AcceptorReply::Promised(None, 99)),
-        Reply::Acceptor(AcceptorReply::Promised(accepted(), 99)),
+        Reply::Acceptor(promised(None)),
+        Reply::Acceptor(promised(accepted())),
         Reply::Acceptor(AcceptorReply::Accepted),
         Reply::Acceptor(AcceptorReply::Preempted(ballot(301))),
         Reply::Acceptor(AcceptorReply::StorageReplaced),
-        Reply::Acceptor(AcceptorReply::Blocked(vec![("n1".to_owned(), 1500), ("n2".to_owned(), 3)])),
+        Reply::Acceptor(AcceptorReply::Blocked(blocking_leases())),
         Reply::Acceptor(AcceptorReply::Unavailable),
         Reply::StorageRegistered(registered(None)),
         Reply::StorageRegistered(registered(accepted())),
-        Reply::Lease(true, summary(Some(open(Stage::Closing)))),
-        Reply::Holders(vec![("n1".to_owned(), true, 1500), ("n2".to_owned(), false, 3)]),
-        Reply::State(Box::new(plain_book())),
+        Reply::Lease { is_granted: true, summary: summary(Some(change_summary(Stage::Closing))) },
+        Reply::Holders(holders()),
+        Reply::State(Box::new(plain_state())),
     ];
     for reply in replies {
         assert_recorded(&reply, recorded_reply(&reply));
@@ -184,9 +206,9 @@
     };
     let preparing = |strict| Stage::Preparing { strict };
     for stage in [preparing(false), preparing(true), Stage::Closing] {
-        let (in_book, in_head) = recorded(stage);
-        assert_recorded(&book(Some(change(stage)), Vec::new()), in_book);
-        assert_recorded(&Message::Decided(summary(Some(open(stage)))), in_head);
+        let (in_state, in_summary) = recorded(stage);
+        assert_recorded(&state(Some(change(stage)), Vec::new()), in_state);
+        assert_recorded(&Message::Decided(summary(Some(change_summary(stage)))), in_summary);
     }
 }
 
@@ -199,27 +221,28 @@
         Outcome::Abandoned => "ac0207096772616465733a20320001026333088de0b7f70f02066e323a206e6f",
     };
     for outcome in [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned] {
-        assert_recorded(&book(None, vec![ended(outcome)]), recorded(outcome));
+        assert_recorded(&state(None, vec![finished(outcome)]), recorded(outcome));
     }
 }
 
 #[test]
-fn each_opinion_of_a_process_about_a_change_has_recorded_bytes() {
-    // Does not compile when an opinion is added.
-    let recorded = |word: &Readiness| match word {
+fn each_readiness_of_a_process_has_recorded_bytes() {
+    // Does not compile when a readiness is added.
+    let recorded = |readiness: &Readiness| match readiness {
         Readiness::Ready => "03ac020701010263340000",
         Readiness::Rejected(_) => "03ac0207010102633401106772616465733a20746f6f206d616e7900",
     };
-    for word in [Readiness::Ready, Readiness::Rejected("grades: too many".to_owned())] {
-        let recorded = recorded(&word);
-        assert_recorded(&Message::RequestLease(asked(Some(word))), recorded);
+    for readiness in [Readiness::Ready, Readiness::Rejected("grades: too many".to_owned())] {
+        let recorded = recorded(&readiness);
+        assert_recorded(&Message::RequestLease(lease_request(Some(readiness))), recorded);
     }
 }
 
-/// Processes compare heads. Danger: its last field is a digest of how `Debug` prints [`FinishedChange`], so
-/// the names of that struct, of its fields and of [`Outcome`]'s variants are part of the format.
+/// Processes compare summaries. Danger: the last field is a digest of a text that has names of
+/// fields and outcomes as the first version of this program had them; these names are part of the
+/// format.
 #[test]
-fn the_head_of_a_book_has_the_recorded_digests() {
+fn the_summary_of_a_state_has_the_recorded_digests() {
     let recorded = |outcome: Outcome| match outcome {
         Outcome::Committed => {
             "ac0207a29ecf84fdc4899def01010263349ce6c0\
@@ -235,8 +258,8 @@
         }
     };
     for outcome in [Outcome::Committed, Outcome::Rejected, Outcome::Abandoned] {
-        let book = book(Some(change(Stage::Closing)), vec![ended(outcome)]);
-        assert_recorded(&book.summary(), recorded(outcome));
+        let state = state(Some(change(Stage::Closing)), vec![finished(outcome)]);
+        assert_recorded(&state.summary(), recorded(outcome));
     }
     assert_recorded(&ReplicatedState::initial("grades: 1").summary(), "0101a2f2c8f8bff6efc13c0000");
 }
--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -1,169 +1,228 @@
-//! The permits that a founder gave, by its own clock: while one of another version may be in force, it votes for no book.
-//! Nothing here waits.
+//! The admission leases that a voter granted, by its own clock. Read [`LeaseTable`] first.
+//!
+//! While a lease for another version may be held, the voter votes for no state. Nothing here waits.
 
-use crate::{ReplicatedState, Stage, StateSummary, Timing};
+use crate::{
+    BlockingLease, ChangeReadiness, LeaseHolder, LeaseRequest, Readiness, ReplicatedState, Stage,
+    StateSummary, Timing,
+};
 use pinetrail_peer_transport::Process;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// In place of those that the process before this one permitted.
-const UNKNOWN: &str = "who was permitted before a founder started";
-
-/// What a process says of itself when it asks for a permit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRequest {
-    /// Which of its questions to this founder this is.
-    pub number: u64,
-    /// The version that it has in force.
-    pub version: u64,
-    /// Whether it wants to admit under it; else it admits nothing any more by what it was permitted before.
-    pub admits: bool,
-    /// What it makes of the open change, if it has looked at it.
-    pub word: Option<(String, Readiness)>,
-    /// Whether it goes on without a permit.
-    pub serves_on: bool,
-}
-
-/// What a process makes of a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Readiness {
-    /// It could put it in force at any moment.
-    Ready,
-    /// It cannot: the path, and why.
-    Rejected(String),
-}
+/// Stands for the unknown holders of leases that the process before this one granted.
+const UNKNOWN_HOLDER: &str = "who was permitted before a founder started";
 
-/// What a founder knows of a process that asks it.
+/// What a voter knows of a process that requests leases.
 #[derive(Clone, Debug)]
 struct Holder {
-    number: u64,
+    /// The number of its last request.
+    sequence: u64,
+    /// The version of its lease.
     version: u64,
-    /// Until when a permit may be in force there; none if it has none.
-    until: Option<Instant>,
-    heard: Instant,
-    word: Option<(String, Readiness)>,
-    serves_on: bool,
+    /// Until when it may hold a lease; `None` if it has none, or released it.
+    lease_until: Option<Instant>,
+    /// When its last request came.
+    last_request: Instant,
+    readiness: Option<ChangeReadiness>,
+    fails_open: bool,
+}
+
+impl Holder {
+    fn new(now: Instant) -> Holder {
+        Holder {
+            sequence: 0,
+            version: 0,
+            lease_until: None,
+            last_request: now,
+            readiness: None,
+            fails_open: false,
+        }
+    }
+
+    /// Until when it may hold a lease, if that is not over.
+    fn unexpired_lease(&self, now: Instant) -> Option<Instant> {
+        self.lease_until.filter(|until| *until > now)
+    }
+
+    fn is_ready_for(&self, change_id: &str) -> bool {
+        self.readiness.as_ref().is_some_and(|readiness| readiness.is_ready_for(change_id))
+    }
+}
+
+/// What a voter knows of the agreed state when it decides about a lease.
+#[derive(Clone, Copy, Debug)]
+pub struct VoterView<'a> {
+    /// What is known to be agreed.
+    pub agreed: &'a StateSummary,
+    /// The version of the state that the voter accepted last; 0 if it accepted none.
+    pub accepted_version: u64,
+}
+
+impl VoterView<'_> {
+    /// Whether leases for this version may be granted: it is agreed, and the voter has not voted
+    /// for a later one.
+    fn allows_version(&self, version: u64) -> bool {
+        version == self.agreed.version
+            && self.accepted_version <= self.agreed.version
+            && self.agreed.version > 0
+    }
+
+    /// Whether the stage of the open change allows leases for the version before it.
+    fn stage_allows(&self, holder: &Holder) -> bool {
+        let Some(change) = &self.agreed.open_change else {
+            return true;
+        };
+        match change.stage {
+            Stage::Preparing { strict: false } => true,
+            Stage::Preparing { strict: true } => holder.is_ready_for(&change.id),
+            Stage::Closing => false,
+        }
+    }
 }
 
-/// The permits that a founder gave.
+/// The leases that a voter granted.
 #[derive(Clone, Debug)]
 pub struct LeaseTable {
-    times: Timing,
-    began: Instant,
+    timing: Timing,
+    started_at: Instant,
     holders: BTreeMap<Process, Holder>,
 }
 
 impl LeaseTable {
-    /// A founder that has just started.
-    pub fn new(times: Timing, now: Instant) -> LeaseTable {
-        LeaseTable { times, began: now, holders: BTreeMap::new() }
+    /// The table of a voter that has just started.
+    #[must_use]
+    pub fn new(timing: Timing, now: Instant) -> LeaseTable {
+        LeaseTable { timing, started_at: now, holders: BTreeMap::new() }
     }
 
-    /// A process asks. `chosen` is what is known to be agreed, `voted` the version of the last vote. Whether it may admit.
-    pub fn ask(
+    /// Decides about the request of a process. Returns whether the lease is granted.
+    pub fn request(
         &mut self,
         now: Instant,
-        who: &Process,
-        asked: LeaseRequest,
-        chosen: &StateSummary,
-        voted: u64,
+        process: &Process,
+        request: LeaseRequest,
+        view: VoterView<'_>,
     ) -> bool {
-        let entry = self.holders.entry(who.clone()).or_insert_with(|| Holder {
-            number: 0,
-            version: 0,
-            until: None,
-            heard: now,
-            word: None,
-            serves_on: false,
-        });
-        // Danger: what was said before a later word may arrive after it, and would undo it.
-        if asked.number <= entry.number {
+        let holder = self.holders.entry(process.clone()).or_insert_with(|| Holder::new(now));
+        // Danger: an earlier request may arrive after a later one, and would undo it.
+        if request.sequence <= holder.sequence {
             return false;
         }
-        let fits = asked.version == chosen.version && voted <= chosen.version && chosen.version > 0;
-        let open = chosen.change.as_ref();
-        let is_ready = open.is_some_and(|open| asked.word == Some((open.id.clone(), Readiness::Ready)));
-        let stays = match open.map(|open| open.stage) {
-            None | Some(Stage::Preparing { strict: false }) => true,
-            Some(Stage::Preparing { strict: true }) => is_ready,
-            Some(Stage::Closing) => false,
-        };
-        (entry.number, entry.heard, entry.serves_on) = (asked.number, now, asked.serves_on);
-        entry.word = asked.word;
-        if !asked.admits {
-            entry.until = None;
+        holder.sequence = request.sequence;
+        holder.last_request = now;
+        holder.fails_open = request.fails_open;
+        holder.readiness = request.readiness;
+        if !request.wants_lease {
+            holder.lease_until = None;
             return false;
         }
-        if !(fits && stays) {
+        if !view.allows_version(request.version) || !view.stage_allows(holder) {
             return false;
         }
-        (entry.version, entry.until) = (asked.version, Some(now + self.times.counted()));
+        holder.version = request.version;
+        holder.lease_until = Some(now + self.timing.lease_at_voter());
         true
     }
 
-    /// Who may still admit under another version than this book's, and for how many ms at the most: no vote for it till then.
-    pub fn block(&self, now: Instant, book: &ReplicatedState, voted: u64) -> Vec<(String, u64)> {
-        let held = self.holders.iter().filter_map(|(who, holder)| {
-            let until = holder.until.filter(|until| *until > now && holder.version != book.version)?;
-            Some((who.name.to_string(), left(until, now)))
-        });
-        let mut all: Vec<(String, u64)> = held.collect();
-        // Danger: what the process before this one permitted is not known here.
-        let unknown = self.began + self.times.counted();
-        if book.version != voted && unknown > now && voted > 0 {
-            all.push((UNKNOWN.to_owned(), left(unknown, now)));
+    /// The leases under which another version than that of this state may still be admitted. There
+    /// must be no vote for the state until they have ended.
+    #[must_use]
+    pub fn blocking_leases(
+        &self,
+        now: Instant,
+        state: &ReplicatedState,
+        accepted_version: u64,
+    ) -> Vec<BlockingLease> {
+        let mut blocking = Vec::new();
+        for (process, holder) in &self.holders {
+            if holder.version == state.version {
+                continue;
+            }
+            if let Some(until) = holder.unexpired_lease(now) {
+                let holder = process.name.to_string();
+                blocking.push(BlockingLease { holder, remaining_ms: remaining_ms(until, now) });
+            }
         }
-        all
+        // Danger: what the process before this one granted is not known here.
+        if state.version != accepted_version && accepted_version > 0 {
+            if let Some(until) = self.unknown_leases_until(now) {
+                let holder = UNKNOWN_HOLDER.to_owned();
+                blocking.push(BlockingLease { holder, remaining_ms: remaining_ms(until, now) });
+            }
+        }
+        blocking
     }
 
-    /// Who may admit now, whether it is ready for this change, and for how many ms at the most it may.
-    pub fn holders(&self, now: Instant, id: &str) -> Vec<(String, bool, u64)> {
-        let is_ready = |holder: &Holder| {
-            holder.word.as_ref().is_some_and(|(of, word)| of == id && *word == Readiness::Ready)
-        };
-        let held = self.holders.iter().filter_map(|(who, holder)| {
-            let until = holder.until.filter(|until| *until > now)?;
-            Some((who.name.to_string(), is_ready(holder), left(until, now)))
-        });
-        let mut all: Vec<_> = held.collect();
-        let unknown = self.began + self.times.counted();
-        if unknown > now {
-            all.push((UNKNOWN.to_owned(), false, left(unknown, now)));
+    /// The processes that may hold a lease now, and whether they are ready for this change.
+    #[must_use]
+    pub fn holders(&self, now: Instant, change_id: &str) -> Vec<LeaseHolder> {
+        let mut holders = Vec::new();
+        for (process, holder) in &self.holders {
+            if let Some(until) = holder.unexpired_lease(now) {
+                holders.push(LeaseHolder {
+                    name: process.name.to_string(),
+                    is_ready: holder.is_ready_for(change_id),
+                    remaining_ms: remaining_ms(until, now),
+                });
+            }
+        }
+        if let Some(until) = self.unknown_leases_until(now) {
+            holders.push(LeaseHolder {
+                name: UNKNOWN_HOLDER.to_owned(),
+                is_ready: false,
+                remaining_ms: remaining_ms(until, now),
+            });
         }
-        all
+        holders
     }
 
-    /// Who said no to this change, and why.
-    pub fn no(&self, id: &str) -> Option<String> {
-        self.holders.iter().find_map(|(who, holder)| match &holder.word {
-            Some((of, Readiness::Rejected(why))) if of == id => Some(format!("{who}: {why}")),
-            _ => None,
+    /// Which process rejected this change, and why.
+    #[must_use]
+    pub fn rejection(&self, change_id: &str) -> Option<String> {
+        self.holders.iter().find_map(|(process, holder)| {
+            let readiness = holder.readiness.as_ref().filter(|of| of.change_id == change_id)?;
+            match &readiness.readiness {
+                Readiness::Rejected(reason) => Some(format!("{process}: {reason}")),
+                Readiness::Ready => None,
+            }
         })
     }
 
-    /// Who goes on without a permit: its own has ended, and it did not give it up.
-    pub fn serving_on(&self, now: Instant) -> Vec<String> {
-        let on = |holder: &Holder| holder.serves_on && holder.until.is_some_and(|until| until <= now);
-        self.holders.iter().filter(|(_, holder)| on(holder)).map(|(who, _)| who.to_string()).collect()
+    /// The processes that go on without a lease: theirs has ended, and they did not release it.
+    #[must_use]
+    pub fn serving_without_lease(&self, now: Instant) -> Vec<String> {
+        let serves =
+            |holder: &Holder| holder.fails_open && holder.lease_until.is_some_and(|until| until <= now);
+        let serving = self.holders.iter().filter(|(_, holder)| serves(holder));
+        serving.map(|(process, _)| process.to_string()).collect()
     }
 
-    /// Forgets who was not heard for so long and holds nothing, and of each name all but the latest process. Who goes on without a permit is
-    /// remembered: a change's answer names it, however long it has been cut off.
-    pub fn forget(&mut self, now: Instant, after: Duration) {
-        let latest: BTreeMap<_, _> = self.holders.keys().map(|who| (who.name.clone(), who.start)).collect();
-        self.holders.retain(|who, holder| {
-            let holds = holder.until.is_some_and(|until| until > now);
-            let serves =
-                holder.serves_on && holder.until.is_some() && latest.get(&who.name) == Some(&who.start);
-            holds || serves || now.saturating_duration_since(holder.heard) < after
+    /// Forgets processes without a lease that made no request for `idle_time`.
+    ///
+    /// The latest process of a name that goes on without a lease is remembered: the outcome of a
+    /// change names it, however long it has been cut off.
+    pub fn forget_idle(&mut self, now: Instant, idle_time: Duration) {
+        let latest_starts: BTreeMap<_, _> =
+            self.holders.keys().map(|process| (process.name.clone(), process.start)).collect();
+        self.holders.retain(|process, holder| {
+            let is_latest = latest_starts.get(&process.name) == Some(&process.start);
+            let may_serve = holder.fails_open && holder.lease_until.is_some() && is_latest;
+            let is_recent = now.saturating_duration_since(holder.last_request) < idle_time;
+            holder.unexpired_lease(now).is_some() || may_serve || is_recent
         });
     }
+
+    /// Until when leases may be held that the process before this one granted.
+    fn unknown_leases_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.started_at + self.timing.lease_at_voter();
+        Some(until).filter(|until| *until > now)
+    }
 }
 
-/// Whole ms, at least one.
-fn left(until: Instant, now: Instant) -> u64 {
+/// The time until then in whole milliseconds, at least one.
+fn remaining_ms(until: Instant, now: Instant) -> u64 {
     u64::try_from((until - now).as_millis()).unwrap_or(u64::MAX).max(1)
 }
 
--- a/crates/policy-consensus/src/lease_table/tests.rs
+++ b/crates/policy-consensus/src/lease_table/tests.rs
@@ -1,77 +1,106 @@
 use super::*;
 use crate::ReplicatedState;
 
-fn who() -> Process {
+fn process() -> Process {
     Process { name: "n1".into(), start: 5 }
 }
 
-fn asked(number: u64, version: u64) -> LeaseRequest {
-    LeaseRequest { number, version, admits: true, word: None, serves_on: false }
+fn request(sequence: u64, version: u64) -> LeaseRequest {
+    LeaseRequest { sequence, version, wants_lease: true, readiness: None, fails_open: false }
 }
 
-fn later(ms: u64) -> Duration {
+fn ready_request(sequence: u64, version: u64) -> LeaseRequest {
+    let readiness = ChangeReadiness { change_id: "x".into(), readiness: Readiness::Ready };
+    LeaseRequest { readiness: Some(readiness), ..request(sequence, version) }
+}
+
+fn view(agreed: &StateSummary) -> VoterView<'_> {
+    VoterView { agreed, accepted_version: 1 }
+}
+
+fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+fn second_version() -> ReplicatedState {
+    ReplicatedState { version: 2, ..ReplicatedState::initial("b") }
+}
+
 #[test]
-fn a_permit_keeps_votes_back_until_it_has_ended_or_is_given_up() {
-    let times = Timing::default();
-    let began = Instant::now();
-    let now = began + times.counted() * 2;
-    let mut grants = LeaseTable::new(times, began);
-    let (one, two) =
-        (ReplicatedState::initial("a"), ReplicatedState { version: 2, ..ReplicatedState::initial("b") });
-    assert!(grants.ask(now, &who(), asked(1, 1), &one.summary(), 1));
-    assert_eq!(grants.block(now, &one, 1), []);
-    assert_eq!(grants.block(now, &two, 1).len(), 1);
-    assert_eq!(grants.block(now + times.permit, &two, 1).len(), 1, "its holder's clock may be slower");
-    assert_eq!(grants.block(now + times.counted(), &two, 1), []);
-    assert!(!grants.ask(now, &who(), LeaseRequest { admits: false, ..asked(2, 1) }, &one.summary(), 1));
-    assert_eq!(grants.block(now, &two, 1), []);
-    assert!(!grants.ask(now, &who(), asked(2, 1), &one.summary(), 1), "a late word changes nothing");
-    assert_eq!(grants.block(now, &two, 1), []);
+fn a_lease_blocks_votes_for_another_version_until_it_ended_or_was_released() {
+    let timing = Timing::default();
+    let started_at = Instant::now();
+    let now = started_at + timing.lease_at_voter() * 2;
+    let mut leases = LeaseTable::new(timing, started_at);
+    let first = ReplicatedState::initial("a");
+    let second = second_version();
+    let agreed = first.summary();
+
+    assert!(leases.request(now, &process(), request(1, 1), view(&agreed)));
+    assert_eq!(leases.blocking_leases(now, &first, 1), []);
+    assert_eq!(leases.blocking_leases(now, &second, 1).len(), 1);
+    let at_holders_end = leases.blocking_leases(now + timing.lease, &second, 1);
+    assert_eq!(at_holders_end.len(), 1, "its holder's clock may be slower");
+    assert_eq!(leases.blocking_leases(now + timing.lease_at_voter(), &second, 1), []);
+
+    let release = LeaseRequest { wants_lease: false, ..request(2, 1) };
+    assert!(!leases.request(now, &process(), release, view(&agreed)));
+    assert_eq!(leases.blocking_leases(now, &second, 1), []);
+    let is_granted = leases.request(now, &process(), request(2, 1), view(&agreed));
+    assert!(!is_granted, "a late request changes nothing");
+    assert_eq!(leases.blocking_leases(now, &second, 1), []);
 }
 
 #[test]
-fn no_permit_for_what_is_not_agreed_or_is_about_to_end() {
+fn no_lease_is_granted_for_a_version_that_is_not_agreed_or_is_about_to_end() {
     let now = Instant::now();
-    let mut grants = LeaseTable::new(Timing::default(), now);
-    let one = ReplicatedState::initial("a").open("x", 1, "b", "n0").unwrap();
-    assert!(!grants.ask(now, &who(), asked(1, 2), &one.summary(), 1), "it is not in force");
-    assert!(!grants.ask(now, &who(), asked(2, 1), &one.summary(), 2), "this founder voted beyond it");
-    assert!(grants.ask(now, &who(), asked(3, 1), &one.summary(), 1));
-    let strict = one.at("x", 1, Stage::Preparing { strict: true }).unwrap();
-    assert!(!grants.ask(now, &who(), asked(4, 1), &strict.summary(), 1), "it is not ready");
-    let ready = LeaseRequest { word: Some(("x".into(), Readiness::Ready)), ..asked(5, 1) };
-    assert!(grants.ask(now, &who(), ready, &strict.summary(), 1));
-    let closing = strict.at("x", 1, Stage::Closing).unwrap();
-    let ready = LeaseRequest { word: Some(("x".into(), Readiness::Ready)), ..asked(6, 1) };
-    assert!(!grants.ask(now, &who(), ready, &closing.summary(), 1));
-    let later = now + later(2100);
-    assert_eq!(grants.holders(later, "x"), []);
-    assert_eq!(grants.holders(now, "x")[0], ("n1".to_owned(), true, 2041), "what it has still counts");
+    let mut leases = LeaseTable::new(Timing::default(), now);
+    let open = ReplicatedState::initial("a").propose("x", 1, "b", "n0").unwrap();
+    let agreed = open.summary();
+
+    assert!(!leases.request(now, &process(), request(1, 2), view(&agreed)), "it is not active");
+    let voted_beyond = VoterView { agreed: &agreed, accepted_version: 2 };
+    let is_granted = leases.request(now, &process(), request(2, 1), voted_beyond);
+    assert!(!is_granted, "this voter voted beyond it");
+    assert!(leases.request(now, &process(), request(3, 1), view(&agreed)));
+
+    let strict = open.advance("x", 1, Stage::Preparing { strict: true }).unwrap();
+    let agreed = strict.summary();
+    assert!(!leases.request(now, &process(), request(4, 1), view(&agreed)), "it is not ready");
+    assert!(leases.request(now, &process(), ready_request(5, 1), view(&agreed)));
+
+    let agreed = strict.advance("x", 1, Stage::Closing).unwrap().summary();
+    assert!(!leases.request(now, &process(), ready_request(6, 1), view(&agreed)));
+
+    assert_eq!(leases.holders(now + ms(2100), "x"), []);
+    let unexpired = LeaseHolder { name: "n1".to_owned(), is_ready: true, remaining_ms: 2041 };
+    assert_eq!(leases.holders(now, "x")[0], unexpired, "the lease from before still counts");
 }
 
 #[test]
-fn who_goes_on_without_a_permit_is_named_unless_it_gave_it_up() {
+fn a_process_that_goes_on_without_a_lease_is_named_unless_it_released_it() {
     let now = Instant::now();
-    let mut grants = LeaseTable::new(Timing::default(), now);
-    let head = ReplicatedState::initial("a").summary();
-    assert!(grants.ask(now, &who(), LeaseRequest { serves_on: true, ..asked(1, 1) }, &head, 1));
-    assert_eq!(grants.serving_on(now), Vec::<String>::new());
-    let later = now + later(60_000);
-    grants.forget(later, Duration::from_secs(30));
-    assert_eq!(grants.serving_on(later), ["n1"]);
-    grants.ask(later, &who(), LeaseRequest { admits: false, serves_on: true, ..asked(2, 1) }, &head, 1);
-    assert_eq!(grants.serving_on(later), Vec::<String>::new());
+    let mut leases = LeaseTable::new(Timing::default(), now);
+    let agreed = ReplicatedState::initial("a").summary();
+    let fails_open = LeaseRequest { fails_open: true, ..request(1, 1) };
+    assert!(leases.request(now, &process(), fails_open, view(&agreed)));
+    assert_eq!(leases.serving_without_lease(now), Vec::<String>::new());
+
+    let later = now + ms(60_000);
+    leases.forget_idle(later, Duration::from_secs(30));
+    assert_eq!(leases.serving_without_lease(later), ["n1"]);
+
+    let release = LeaseRequest { wants_lease: false, fails_open: true, ..request(2, 1) };
+    leases.request(later, &process(), release, view(&agreed));
+    assert_eq!(leases.serving_without_lease(later), Vec::<String>::new());
 }
 
 #[test]
-fn a_founder_that_has_just_started_keeps_its_vote_for_a_permits_time() {
+fn a_voter_that_has_just_started_withholds_its_vote_for_the_time_of_a_lease() {
     let now = Instant::now();
-    let grants = LeaseTable::new(Timing::default(), now);
-    let two = ReplicatedState { version: 2, ..ReplicatedState::initial("b") };
-    assert_eq!(grants.block(now, &two, 1).len(), 1);
-    assert_eq!(grants.block(now, &two, 2), [], "it voted for that before");
-    assert_eq!(grants.block(now + later(2100), &two, 1), []);
+    let leases = LeaseTable::new(Timing::default(), now);
+    let second = second_version();
+    assert_eq!(leases.blocking_leases(now, &second, 1).len(), 1);
+    assert_eq!(leases.blocking_leases(now, &second, 2), [], "it voted for that before");
+    assert_eq!(leases.blocking_leases(now + ms(2100), &second, 1), []);
 }
--- a/crates/policy-consensus/src/lib.rs
+++ b/crates/policy-consensus/src/lib.rs
@@ -1,45 +1,44 @@
-//! One rulebook for a fleet: numbered versions of a policy, each in force from one moment on at every process, or at none.
+//! Numbered versions of a policy for a fleet: each becomes active at one moment at every process,
+//! or at none.
 //!
-//! The two types to read first are [`ReplicatedState`], what is agreed, and [`AdmissionLease`], under which alone a process may admit requests. What must
-//! be right to the letter are small functions without waits: [`ReplicatedState`]'s changes, [`Acceptor`]'s votes and
-//! [`LeaseTable`]'s permits. The tasks of [`ConsensusNode`] call them, each written from top to bottom as what it does.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! The two types to read first are [`ReplicatedState`], what the voters agree on, and
+//! [`AdmissionLease`], without which a process admits no request. What must be right to the letter
+//! are small functions that never wait: the steps of [`ReplicatedState`], the votes of [`Acceptor`]
+//! and the leases of [`LeaseTable`]. The tasks of [`ConsensusNode`] call them, and talk to other
+//! processes.
 
 mod acceptor;
 mod admission_lease;
 mod ballot;
+mod change;
 mod change_notifier;
+mod digest;
 #[cfg(test)]
 mod golden_disk_tests;
 #[cfg(test)]
 mod golden_tests;
+mod lease_request;
 mod lease_table;
 mod messages;
 mod node;
+mod policy_applier;
 mod replicated_state;
 mod settings;
 mod storage;
+mod voters;
 
-pub use acceptor::{Acceptor, AcceptorReply, AcceptorSnapshot, DurableState};
+pub use acceptor::{
+    AcceptedState, Acceptor, AcceptorDecision, AcceptorReply, AcceptorSnapshot, DurableState, StorageId,
+};
 pub use admission_lease::{Admission, AdmissionLease, LeaseExpiryMode};
 pub use ballot::Ballot;
-pub use lease_table::{LeaseRequest, LeaseTable, Readiness};
-pub use node::{ChangeStatus, ConsensusNode, ConsensusStatus, ProposalError};
-pub use replicated_state::{
-    Change, ChangeSummary, Conflict, Digest, FinishedChange, Outcome, ReplicatedState, Stage, StateSummary,
-};
-pub use settings::{Settings, SettingsError, Timing, VoterSet};
-pub use storage::{FileStorage, LoadOutcome, Storage};
-
-/// What the process that this is part of does about versions. It is called on the thread of the links, and must not wait.
-pub trait PolicyApplier: Send + Sync + 'static {
-    /// Whether this process could put this policy in force after what it has; else the path of what is wrong, and why.
-    fn validate(&self, text: &str) -> Result<(), String>;
-    /// Puts it in force; it was checked before.
-    fn apply(&self, version: u64, text: &str);
-    /// Another process says something that is no concern of the book, to the floor of this number.
-    fn on_peer_message(&self, _from: &pinetrail_peer_transport::Process, _floor: u8, _body: &[u8]) {}
-    /// A line for the log.
-    fn log(&self, line: &str);
-}
+pub use change::{Change, ChangeSummary, FinishedChange, Outcome, Stage};
+pub use digest::Digest;
+pub use lease_request::{BlockingLease, ChangeReadiness, LeaseHolder, LeaseRequest, Readiness};
+pub use lease_table::{LeaseTable, VoterView};
+pub use node::{ChangeStatus, ConsensusNode, ConsensusStatus, NodeStatus, ProposalError};
+pub use policy_applier::{PolicyApplier, PolicyRejected};
+pub use replicated_state::{Conflict, ReplicatedState, StateSummary};
+pub use settings::{Settings, Timing, TimingError};
+pub use storage::{DecodeError, FileStorage, LoadOutcome, Storage};
+pub use voters::{VoterId, VoterSet};
--- a/crates/policy-consensus/src/messages.rs
+++ b/crates/policy-consensus/src/messages.rs
@@ -1,58 +1,69 @@
-//! What processes of a fleet say to each other about the book.
+//! The messages of the processes of a fleet about the policy, and their encoding. Read [`Message`]
+//! first.
+//!
+//! The order of variants and of their fields is the format (postcard). Messages of other versions
+//! of this program are recorded in the golden tests.
 
-use crate::lease_table::LeaseRequest;
-use crate::{AcceptorReply, AcceptorSnapshot, Ballot, ReplicatedState, StateSummary};
+use crate::{
+    AcceptorReply, AcceptorSnapshot, Ballot, LeaseHolder, LeaseRequest, ReplicatedState, StateSummary,
+    StorageId, VoterId,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A word; those that are questions are answered by a [`Reply`].
+/// A message; those that ask something are answered by a [`Reply`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Message {
-    /// To a founder: promise.
+    /// To a voter, phase 1 of Paxos: asks for a promise.
     Prepare(Ballot),
-    /// To a founder: vote.
-    Accept(Ballot, Box<ReplicatedState>, BTreeMap<u8, u64>),
-    /// To a founder, by one that has no memory of before: this seat's memory.
-    RegisterStorage(u8, u64),
-    /// To a founder: may this process admit?
+    /// To a voter, phase 2 of Paxos: asks for a vote.
+    Accept {
+        ballot: Ballot,
+        state: Box<ReplicatedState>,
+        /// The storages of the voters on whose promises the state rests.
+        storage_ids: BTreeMap<VoterId, StorageId>,
+    },
+    /// To a voter, from one that has no vote yet: the storage that it has.
+    RegisterStorage { voter: VoterId, storage_id: StorageId },
+    /// To a voter: asks for an admission lease.
     RequestLease(LeaseRequest),
-    /// To a founder: who may admit, and is not ready for this change?
-    ListHolders(String),
-    /// To anybody: the whole book, if it is at this step at the least.
-    FetchState(u64),
-    /// This is agreed.
+    /// To a voter: asks who may hold a lease, and is ready for the change with this id.
+    ListHolders { change_id: String },
+    /// To any process: asks for the state, if it has this revision or a later one.
+    FetchState { min_revision: u64 },
+    /// To all: this is agreed.
     Decided(StateSummary),
-    /// Of another floor, by its number: what it says is no concern of the book.
-    Application(u8, Vec<u8>),
-    /// For whom an open change waits, as its steward sees it.
-    WaitingFor(String, Vec<String>),
+    /// To all: something of another part of the program, which the number names.
+    Application { channel: u8, body: Vec<u8> },
+    /// To all: for whom the open change waits, as its leader sees it.
+    WaitingFor { change_id: String, names: Vec<String> },
 }
 
-/// What a question is answered.
+/// The answer to a message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Reply {
-    /// To a ballot.
+    /// To a message of a ballot.
     Acceptor(AcceptorReply),
-    /// To a memory.
+    /// To the registration of a storage.
     StorageRegistered(AcceptorSnapshot),
-    /// Whether it may, and what is agreed.
-    Lease(bool, StateSummary),
-    /// Those who may admit: who, whether it is ready, and for how many ms at the most it may.
-    Holders(Vec<(String, bool, u64)>),
-    /// The book.
+    /// Whether the lease is granted, and what is agreed.
+    Lease { is_granted: bool, summary: StateSummary },
+    /// The processes that may hold a lease.
+    Holders(Vec<LeaseHolder>),
+    /// The state.
     State(Box<ReplicatedState>),
 }
 
-/// As bytes.
-pub(crate) fn encode<T: Serialize>(said: &T) -> Vec<u8> {
-    // The types above are all representable.
-    postcard::to_allocvec(said).unwrap_or_default()
+/// Encodes a message or a reply.
+pub(crate) fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    // Every value of these types can be encoded.
+    postcard::to_allocvec(message).unwrap_or_default()
 }
 
-/// What the bytes say; none if they are none.
+/// Decodes a message or a reply; `None` if the bytes are not exactly one.
 pub(crate) fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
     match postcard::take_from_bytes(bytes) {
-        Ok((said, [])) => Some(said),
+        Ok((message, [])) => Some(message),
         _ => None,
     }
 }
--- a/crates/policy-consensus/src/node/admin.rs
+++ b/crates/policy-consensus/src/node/admin.rs
@@ -1,151 +1,134 @@
-//! What operators ask.
+//! What operators ask about changes of the policy, and messages of other parts of the program.
 
 use super::proposer::{StepError, Transition};
+use super::state::WaitingFor;
 use super::ConsensusNode;
 use crate::messages::{encode, Message, Reply};
-use crate::{Conflict, Digest, Outcome, ReplicatedState};
+use crate::{Conflict, Outcome, PolicyRejected, ReplicatedState};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::Instant;
 
-/// Why a change is not opened.
+/// Why a change was not opened.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum ProposalError {
-    /// This process could not put it in force.
-    #[error("{0}")]
-    Check(String),
+    /// This process could not make its policy active.
+    #[error(transparent)]
+    Rejected(#[from] PolicyRejected),
     /// It does not follow from what is agreed.
     #[error(transparent)]
     Conflict(#[from] Conflict),
-    /// No majority of founders answers.
+    /// No majority of voters answers.
     #[error("no majority of founders answers: whether it was proposed is not known; the same id may be sent again")]
     NoMajority,
 }
 
-/// Where a process stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConsensusStatus {
-    /// It admits under the version that is agreed.
-    Steady,
-    /// The same, and a change is open.
-    Changing,
-    /// It was never permitted to admit, or cannot put in force what is agreed.
-    CatchingUp,
-    /// Its permit has ended.
-    Fenced,
+impl From<StepError> for ProposalError {
+    fn from(error: StepError) -> ProposalError {
+        match error {
+            StepError::Conflict(conflict) => ProposalError::Conflict(conflict),
+            StepError::Blocked(_) | StepError::NoMajority => ProposalError::NoMajority,
+        }
+    }
 }
 
-/// How a change stands.
+/// How far a change has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChangeStatus {
-    /// How it ended; none while it is open.
+    /// How it finished; `None` while it is open.
     pub outcome: Option<Outcome>,
-    /// Why.
-    pub why: String,
-    /// For whom it waits.
+    /// Why it finished so; may be empty.
+    pub reason: String,
+    /// The processes for which it waits.
     pub waiting_for: Vec<String>,
 }
 
+impl ChangeStatus {
+    /// The status of a change by this state; `None` if the state does not know the change.
+    fn of(change_id: &str, state: &ReplicatedState, waiting: &WaitingFor) -> Option<ChangeStatus> {
+        if state.open_change_with_id(change_id).is_some() {
+            let is_waiting = waiting.change_id == change_id;
+            let waiting_for = if is_waiting { waiting.names.clone() } else { Vec::new() };
+            return Some(ChangeStatus { outcome: None, reason: String::new(), waiting_for });
+        }
+        let finished = state.finished_change(change_id)?;
+        Some(ChangeStatus {
+            outcome: Some(finished.outcome),
+            reason: finished.reason.clone(),
+            waiting_for: Vec::new(),
+        })
+    }
+}
+
 impl<N: Network> ConsensusNode<N> {
-    /// Proposes a change; the version that it would bring.
+    /// Proposes a change of the version `base_version`. Returns the version that it makes active if
+    /// it is committed.
+    ///
+    /// # Errors
+    ///
+    /// Why the change was not opened. After [`ProposalError::NoMajority`] it may have been.
     pub async fn propose(
         self: &Arc<Self>,
         id: &str,
-        after: u64,
+        base_version: u64,
         text: &str,
-        within: Duration,
+        time_limit: Duration,
     ) -> Result<u64, ProposalError> {
-        self.app.validate(text).map_err(ProposalError::Check)?;
-        let by = self.settings.process.name.to_string();
-        let make = |book: Option<&ReplicatedState>| match book.map(|book| book.open(id, after, text, &by)) {
-            None => Transition::Stay,
-            Some(Err(why)) => Transition::Not(why),
-            Some(Ok(book)) => Transition::Next(book),
+        self.applier.validate(text)?;
+        let proposer = self.settings.process.name.to_string();
+        let transition = |state: Option<&ReplicatedState>| {
+            let Some(state) = state else {
+                return Transition::Keep;
+            };
+            match state.propose(id, base_version, text, &proposer) {
+                Ok(next) => Transition::Next(next),
+                Err(conflict) => Transition::Reject(conflict),
+            }
         };
-        let book = self.step(within, make).await.map_err(|failed| match failed {
-            StepError::Conflict(why) => ProposalError::Conflict(why),
-            StepError::Blocked(_) | StepError::NoMajority => ProposalError::NoMajority,
-        })?;
-        let ended = book.ended.iter().find(|ended| ended.id == id).map(|ended| ended.version);
-        Ok(ended.unwrap_or(book.version + 1))
+        let state = self.step(time_limit, transition).await?;
+        let finished_version = state.finished_change(id).map(|change| change.version);
+        Ok(finished_version.unwrap_or(state.version + 1))
     }
 
-    /// How a change stands; none if nobody who answers in time knows of it.
-    pub async fn change_status(&self, id: &str, within: Duration) -> Option<ChangeStatus> {
-        let own = self.seen(id);
-        if own.as_ref().is_some_and(|seen| seen.outcome.is_some()) || self.known().seat.is_some() {
-            return own;
+    /// How far a change has come; `None` if no process that answers in time knows it. Each voter
+    /// that is asked has `time_limit` to answer.
+    pub async fn change_status(&self, id: &str, time_limit: Duration) -> Option<ChangeStatus> {
+        let known = self.known_change_status(id);
+        let is_finished = known.as_ref().is_some_and(|status| status.outcome.is_some());
+        if is_finished || self.state().voter.is_some() {
+            return known;
         }
-        for seat in 0..self.settings.voters.0 {
-            let Some(holder) = self.links.voter_process(seat) else { continue };
-            let answer = self.links.request(&holder, encode(&Message::FetchState(0)), within).await;
-            if let Some(Reply::State(book)) = answer.and_then(|answer| crate::messages::decode(&answer)) {
-                if let Some(seen) = in_book(&book, id, &self.known().waits) {
-                    return Some(seen);
+        for voter in self.settings.voters.ids() {
+            let Some(process) = self.voter_process(voter) else {
+                continue;
+            };
+            let message = Message::FetchState { min_revision: 0 };
+            if let Some(Reply::State(state)) = self.ask_process(&process, &message, time_limit).await {
+                let status = ChangeStatus::of(id, &state, &self.state().waiting);
+                if status.is_some() {
+                    return status;
                 }
             }
         }
-        own
-    }
-
-    /// Says something to all that are linked, for the floor of this number.
-    pub fn broadcast(&self, floor: u8, body: &[u8]) {
-        self.links.broadcast(&encode(&Message::Application(floor, body.to_vec())));
+        known
     }
 
-    /// The version that is agreed and its text, if that is at hand.
-    pub fn approved_policy(&self) -> Option<(u64, Arc<str>)> {
-        let known = self.known();
-        Some((known.head.version, known.text(known.head.digest)?))
-    }
-
-    /// How a change ended, as far as this process knows by itself.
+    /// How a change finished, as far as this process knows by itself.
     pub fn change_outcome(&self, id: &str) -> Option<Outcome> {
-        self.seen(id)?.outcome
-    }
-
-    fn seen(&self, id: &str) -> Option<ChangeStatus> {
-        let known = self.known();
-        known.book.as_ref().and_then(|book| in_book(book, id, &known.waits))
+        self.known_change_status(id)?.outcome
     }
 
-    /// The version in force here, its text's digest as agreed, where this process stands, and the change that is open.
-    pub fn status(&self) -> (u64, Digest, ConsensusStatus, Option<String>) {
-        let lasts = self.permit.valid_until(Instant::now()).is_some();
-        let known = self.known();
-        let open = known.head.change.as_ref().map(|open| open.id.clone());
-        let state = match (known.admitted, known.in_force == known.head.version && known.unfit.is_none()) {
-            (false, _) | (_, false) => ConsensusStatus::CatchingUp,
-            _ if open.is_some() && (lasts || self.permit.is_released()) => ConsensusStatus::Changing,
-            _ if lasts => ConsensusStatus::Steady,
-            _ => ConsensusStatus::Fenced,
-        };
-        (known.in_force, known.head.digest, state, open)
+    /// Sends a message of another part of the program, which the channel names, to all connected
+    /// processes.
+    pub fn broadcast(&self, channel: u8, body: &[u8]) {
+        let message = Message::Application { channel, body: body.to_vec() };
+        self.transport.broadcast(&encode(&message));
     }
 
-    /// Why this process does not admit yet.
-    pub fn not_ready_reason(&self) -> String {
-        let known = self.known();
-        match (&known.unfit, known.head.revision, known.admitted) {
-            (Some((version, why)), ..) => {
-                format!("version {version} of the policy cannot be in force here: {why}")
-            }
-            (None, 0, _) => "no founder has told the version in force".to_owned(),
-            (None, _, false) => "no majority of founders permits it to admit".to_owned(),
-            (None, ..) => {
-                "its permit has ended: it is cut off from the founders, or they have no majority".to_owned()
-            }
-        }
-    }
-}
-
-fn in_book(book: &ReplicatedState, id: &str, waits: &(String, Vec<String>)) -> Option<ChangeStatus> {
-    if book.change.as_ref().is_some_and(|change| change.id == id) {
-        let waiting_for = if waits.0 == id { waits.1.clone() } else { Vec::new() };
-        return Some(ChangeStatus { outcome: None, why: String::new(), waiting_for });
+    fn known_change_status(&self, id: &str) -> Option<ChangeStatus> {
+        let state = self.state();
+        let full_state = state.full_state.as_ref()?;
+        ChangeStatus::of(id, full_state, &state.waiting)
     }
-    let ended = book.ended.iter().find(|ended| ended.id == id)?;
-    Some(ChangeStatus { outcome: Some(ended.outcome), why: ended.why.clone(), waiting_for: Vec::new() })
 }
--- /dev/null
+++ b/crates/policy-consensus/src/node/apply.rs
@@ -0,0 +1,87 @@
+//! Makes the agreed version active at this process, validates the open change, and releases the
+//! admission lease where all have to.
+
+use super::state::{NodeState, UnusableVersion};
+use super::ConsensusNode;
+use crate::{ChangeReadiness, ChangeSummary, Readiness, Stage};
+use pinetrail_peer_transport::Network;
+use tokio::time::Instant;
+
+impl<N: Network> ConsensusNode<N> {
+    /// Acts on what is agreed, as far as this process has the texts.
+    pub(super) fn apply_agreed(&self) {
+        let mut state = self.state();
+        let agreed_version = state.agreed.version;
+        let mut has_changed = false;
+        if agreed_version > state.active_version {
+            has_changed = self.activate(&mut state, agreed_version);
+        }
+        let Some(change) = state.agreed.open_change.clone() else {
+            return;
+        };
+        if state.active_version != agreed_version {
+            return;
+        }
+        let is_validated = state.readiness.as_ref().is_some_and(|known| known.change_id == change.id);
+        if !is_validated {
+            let Some(readiness) = self.validate_change(&state, &change) else {
+                return;
+            };
+            state.readiness = Some(readiness);
+            has_changed = true;
+        }
+        let is_ready = state.readiness.as_ref().is_some_and(|known| known.readiness == Readiness::Ready);
+        if change.stage == Stage::Closing && is_ready && !self.lease.is_released() {
+            self.lease.release(Instant::now());
+            has_changed = true;
+        }
+        drop(state);
+        if has_changed {
+            self.notify_changed();
+        }
+    }
+
+    /// What this process makes of a change; `None` if it lacks the text.
+    fn validate_change(&self, state: &NodeState, change: &ChangeSummary) -> Option<ChangeReadiness> {
+        let text = state.text_with_digest(change.digest)?;
+        let readiness = match self.applier.validate(&text) {
+            Ok(()) => Readiness::Ready,
+            Err(rejected) => {
+                self.applier.log(&format!("the change {} is rejected here: {rejected}", change.id));
+                Readiness::Rejected(rejected.to_string())
+            }
+        };
+        Some(ChangeReadiness { change_id: change.id.clone(), readiness })
+    }
+
+    /// Makes the agreed version active here; returns whether it is.
+    fn activate(&self, state: &mut NodeState, version: u64) -> bool {
+        let digest = state.agreed.digest;
+        let Some(text) = state.text_with_digest(digest) else {
+            return false;
+        };
+        // This process knows that a later version than its own is active.
+        self.lease.mark_outdated();
+        match self.applier.validate(&text) {
+            Ok(()) => {
+                self.applier.apply(version, &text);
+                self.lease.begin(version);
+                state.active_version = version;
+                state.unusable = None;
+                state.readiness = None;
+                self.applier.log(&format!("version {version} of the policy is active here, {digest}"));
+                true
+            }
+            Err(rejected) => {
+                let is_known = state.unusable.as_ref().is_some_and(|known| known.version == version);
+                if !is_known {
+                    self.applier.log(&format!(
+                        "ERROR: version {version} of the policy cannot be active here: {rejected}"
+                    ));
+                }
+                state.unusable = Some(UnusableVersion { version, reason: rejected.to_string() });
+                false
+            }
+        }
+    }
+}
--- a/crates/policy-consensus/src/node/catch_up.rs
+++ b/crates/policy-consensus/src/node/catch_up.rs
@@ -1,134 +1,73 @@
-//! Follows what is agreed: fetches the texts that are not at hand, looks at what is proposed, and puts in force what was taken.
+//! Follows what is agreed: fetches the texts that this process lacks, and has them applied.
 
-use super::{ConsensusNode, Known};
-use crate::lease_table::Readiness;
-use crate::messages::{encode, Message, Reply};
-use crate::Stage;
+use super::ConsensusNode;
+use crate::messages::{Message, Reply};
 use pinetrail_peer_transport::{Network, Process};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
-/// Between attempts to fetch what nobody gave.
-const REST: Duration = Duration::from_millis(50);
+/// The pause after nobody had what was to be fetched.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// A text may be long and a connection slow: a fetch may take so many times `timing.answer`.
+const FETCH_TIME_FACTOR: u32 = 10;
 
 impl<N: Network> ConsensusNode<N> {
-    /// Does so for as long as this process runs.
-    pub(super) async fn follow(self: Arc<Self>) {
+    /// The task of catching up. It ends with the runtime of the node.
+    pub(super) async fn catch_up(self: Arc<Self>) {
         loop {
-            let seen = self.news.seen();
+            let seen = self.changes.count();
             if self.lacks_text() {
-                if !self.fetch().await {
-                    // Perhaps there is newer news by then.
-                    let _ = timeout(self.about(REST), self.news.since(seen)).await;
+                if !self.fetch_state().await {
+                    // A change ends the pause: perhaps there is a later state by then.
+                    let pause = self.jittered(RETRY_PAUSE);
+                    let _ = timeout(pause, self.changes.changed_since(seen)).await;
                 }
                 continue;
             }
-            self.apply();
-            if self.lacks_ended() && !self.fetch().await {
-                sleep(self.about(REST)).await;
+            self.apply_agreed();
+            if self.lacks_outcome() && !self.fetch_state().await {
+                sleep(self.jittered(RETRY_PAUSE)).await;
                 continue;
             }
-            self.news.since(seen).await;
+            self.changes.changed_since(seen).await;
         }
     }
 
-    /// Whether something is agreed of which the text is not at hand.
+    /// Whether something is agreed of which this process lacks the text.
     fn lacks_text(&self) -> bool {
-        let known = self.known();
-        let open = known.head.change.as_ref().map(|open| open.digest);
-        let digests = [Some(known.head.digest), open];
-        known.head.revision > 0 && digests.into_iter().flatten().any(|digest| known.text(digest).is_none())
+        let state = self.state();
+        if state.agreed.revision == 0 {
+            return false;
+        }
+        let open_digest = state.agreed.open_change.as_ref().map(|change| change.digest);
+        let digests = [Some(state.agreed.digest), open_digest];
+        digests.into_iter().flatten().any(|digest| state.text_with_digest(digest).is_none())
     }
 
-    /// Whether a change ended of which this process knows only that.
-    fn lacks_ended(&self) -> bool {
-        let known = self.known();
-        let at = known.book.as_ref().map_or(0, |book| book.revision);
-        known.head.revision > at && known.head.change.is_none()
+    /// Whether a change finished of which this process does not know how.
+    fn lacks_outcome(&self) -> bool {
+        let state = self.state();
+        state.agreed.revision > state.full_revision() && state.agreed.open_change.is_none()
     }
 
-    /// Fetches the book; from version 1,000 back too it is the version that comes, not the history.
-    async fn fetch(&self) -> bool {
-        let (revision, source) = {
-            let known = self.known();
-            (known.head.revision, known.source.clone())
+    /// Fetches the agreed state from whoever has it; returns whether anybody answered. However far
+    /// this process is behind, the state comes as a whole, and not its history.
+    async fn fetch_state(&self) -> bool {
+        let (min_revision, source) = {
+            let state = self.state();
+            (state.agreed.revision, state.source.clone())
         };
-        let founders = (0..self.settings.voters.0).filter_map(|seat| self.links.voter_process(seat));
-        let from: Vec<Process> = source.into_iter().chain(founders).collect();
-        for peer in from {
-            // A text may be long, and a way slow.
-            let within = self.settings.timing.answer * 10;
-            let answer = self.links.request(&peer, encode(&Message::FetchState(revision)), within).await;
-            if let Some(Reply::State(book)) = answer.and_then(|answer| crate::messages::decode(&answer)) {
-                let mut known = self.known();
-                if book.revision >= known.head.revision {
-                    known.head = book.summary();
-                }
-                if known.book.as_ref().is_none_or(|before| before.revision < book.revision) {
-                    known.book = Some(*book);
-                }
+        let voters = self.settings.voters.ids().filter_map(|voter| self.voter_process(voter));
+        let processes: Vec<Process> = source.into_iter().chain(voters).collect();
+        let time_limit = self.settings.timing.answer * FETCH_TIME_FACTOR;
+        let message = Message::FetchState { min_revision };
+        for process in processes {
+            if let Some(Reply::State(fetched)) = self.ask_process(&process, &message, time_limit).await {
+                self.state().learn_state(*fetched);
                 return true;
             }
         }
         false
     }
-
-    /// Looks at what is proposed, puts in force what was taken, and gives the permit up where all have to.
-    fn apply(&self) {
-        let mut known = self.known();
-        let head = known.head.clone();
-        let mut changed = false;
-        if head.version > known.in_force {
-            changed |= self.put_in_force(&mut known, head.version);
-        }
-        let Some(open) = head.change else { return drop(known) };
-        if known.in_force != head.version {
-            return;
-        }
-        let looked = known.word.as_ref().is_some_and(|(id, _)| *id == open.id);
-        if !looked {
-            let Some(text) = known.text(open.digest) else { return };
-            let word = self.app.validate(&text).map_or_else(Readiness::Rejected, |()| Readiness::Ready);
-            if let Readiness::Rejected(why) = &word {
-                self.app.log(&format!("the change {} is refused here: {why}", open.id));
-            }
-            known.word = Some((open.id.clone(), word));
-            changed = true;
-        }
-        let is_ready = known.word.as_ref().is_some_and(|(_, word)| *word == Readiness::Ready);
-        if open.stage == Stage::Closing && is_ready && !self.permit.is_released() {
-            self.permit.release(Instant::now());
-            changed = true;
-        }
-        drop(known);
-        if changed {
-            self.news();
-        }
-    }
-
-    fn put_in_force(&self, known: &mut Known, version: u64) -> bool {
-        let Some(text) = known.text(known.head.digest) else { return false };
-        // It knows better than what it has.
-        self.permit.mark_outdated();
-        match self.app.validate(&text) {
-            Ok(()) => {
-                self.app.apply(version, &text);
-                self.permit.begin(version);
-                (known.in_force, known.unfit, known.word) = (version, None, None);
-                self.app
-                    .log(&format!("version {version} of the policy is in force here, {}", known.head.digest));
-                true
-            }
-            Err(why) => {
-                if known.unfit.as_ref().is_none_or(|(of, _)| *of != version) {
-                    self.app.log(&format!(
-                        "ERROR: version {version} of the policy cannot be in force here: {why}"
-                    ));
-                }
-                known.unfit = Some((version, why));
-                false
-            }
-        }
-    }
 }
--- a/crates/policy-consensus/src/node/join.rs
+++ b/crates/policy-consensus/src/node/join.rs
@@ -1,84 +1,111 @@
-//! A founder that has no vote yet asks the others what they know; one that knows of nothing agreed, or voted for something and
-//! never heard that it was, has it agreed once more.
+//! Gives a voter its vote, and settles what it accepted.
+//!
+//! A voter that has no vote yet asks the others what they know. One that knows of no agreed state,
+//! or that accepted a state and never heard that it was agreed, has the state agreed once more.
 
 use super::proposer::Transition;
 use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{Ballot, ReplicatedState};
+use crate::{Ballot, ReplicatedState, StorageId, VoterId};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-const REST: Duration = Duration::from_millis(60);
+const INTERVAL: Duration = Duration::from_millis(60);
 
-enum Wants {
+/// What a voter has to do next.
+enum JoinStep {
     Nothing,
-    /// To be known to the others with this memory.
-    Votes(u8, u64),
-    /// To know what is agreed; a first book may be made.
-    ReplicatedState(bool),
+    /// To register its storage with the other voters.
+    RegisterStorage {
+        voter: VoterId,
+        storage_id: StorageId,
+    },
+    /// To have the state agreed once more.
+    SettleState {
+        /// Whether it may make the first state of the fleet.
+        may_found: bool,
+    },
 }
 
 impl<N: Network> ConsensusNode<N> {
-    /// Does so for as long as this process runs.
+    /// The task of joining. It ends with the runtime of the node.
     pub(super) async fn join(self: Arc<Self>) {
-        let mut before = None;
+        let mut unsettled_ballot = None;
         loop {
-            match self.wants(&mut before) {
-                Wants::Nothing => {}
-                Wants::Votes(own, storage_id) => self.register_at_all(own, storage_id).await,
-                Wants::ReplicatedState(may_found) => {
-                    let first = ReplicatedState::initial(&self.settings.initial_policy);
-                    let make = |before: Option<&ReplicatedState>| match before {
-                        None if may_found => Transition::Next(first.clone()),
-                        _ => Transition::Stay,
-                    };
-                    // Without a majority it is tried again below.
-                    let _ = self.step(self.settings.timing.answer, make).await;
+            match self.next_join_step(&mut unsettled_ballot) {
+                JoinStep::Nothing => {}
+                JoinStep::RegisterStorage { voter, storage_id } => {
+                    self.register_with_others(voter, storage_id).await;
+                    self.recover_vote();
                 }
+                JoinStep::SettleState { may_found } => self.settle_state(may_found).await,
             }
-            sleep(self.about(REST)).await;
+            sleep(self.jittered(INTERVAL)).await;
         }
     }
 
-    /// `before` is the last vote of which it was not known at the last look that it was agreed.
-    fn wants(&self, before: &mut Option<Ballot>) -> Wants {
-        let known = self.known();
-        let Some(seat) = &known.seat else { return Wants::Nothing };
-        let durable = seat.acceptor.durable();
-        if !durable.votes {
-            return Wants::Votes(seat.number, durable.storage_id);
+    /// `unsettled_ballot` is the ballot of the last accepted state, if at the last examination it
+    /// was not known to be agreed.
+    fn next_join_step(&self, unsettled_ballot: &mut Option<Ballot>) -> JoinStep {
+        let state = self.state();
+        let Some(voter) = &state.voter else {
+            return JoinStep::Nothing;
+        };
+        let durable = voter.acceptor.durable();
+        if !durable.may_vote {
+            return JoinStep::RegisterStorage { voter: voter.id, storage_id: durable.storage_id };
         }
-        let open = durable.accepted.as_ref().filter(|(_, book)| book.revision > known.head.revision);
-        let ballot = open.map(|(ballot, _)| *ballot);
-        let is_left = std::mem::replace(before, ballot) == ballot && ballot.is_some();
-        if known.head.revision > 0 && !is_left {
-            return Wants::Nothing;
+        let accepted = durable.accepted.as_ref();
+        let unsettled = accepted.filter(|accepted| accepted.state.revision > state.agreed.revision);
+        let ballot = unsettled.map(|accepted| accepted.ballot);
+        let previous_ballot = std::mem::replace(unsettled_ballot, ballot);
+        let is_left_unsettled = ballot.is_some() && previous_ballot == ballot;
+        if state.agreed.revision > 0 && !is_left_unsettled {
+            return JoinStep::Nothing;
         }
-        // Danger: a first book while a founder is away might be a second one: it may have the first.
-        Wants::ReplicatedState(durable.storage_ids.len() == usize::from(self.settings.voters.0))
+        // Danger: a first state while a voter is away might be a second one: it may have the first.
+        let may_found = durable.storage_ids.len() == self.settings.voters.size();
+        JoinStep::SettleState { may_found }
     }
 
-    async fn register_at_all(self: &Arc<Self>, own: u8, storage_id: u64) {
-        for seat in (0..self.settings.voters.0).filter(|seat| *seat != own) {
-            if let Some(Reply::StorageRegistered(told)) =
-                self.ask(seat, &Message::RegisterStorage(own, storage_id)).await
-            {
-                if let Some(held) = self.known().seat.as_mut() {
-                    held.told.insert(seat, told);
+    async fn settle_state(self: &Arc<Self>, may_found: bool) {
+        let initial = ReplicatedState::initial(&self.settings.initial_policy);
+        let transition = |state: Option<&ReplicatedState>| {
+            if state.is_none() && may_found {
+                Transition::Next(initial.clone())
+            } else {
+                Transition::Keep
+            }
+        };
+        // Without a majority it is tried again at the next interval.
+        let _ = self.step(self.settings.timing.answer, transition).await;
+    }
+
+    async fn register_with_others(&self, own: VoterId, storage_id: StorageId) {
+        let message = Message::RegisterStorage { voter: own, storage_id };
+        for voter in self.settings.voters.ids().filter(|voter| *voter != own) {
+            if let Some(Reply::StorageRegistered(snapshot)) = self.ask_voter(voter, &message).await {
+                if let Some(own_voter) = self.state().voter.as_mut() {
+                    own_voter.snapshots.insert(voter, snapshot);
                 }
             }
         }
-        let seats = self.settings.voters;
-        let joined = {
-            let known = self.known();
-            let Some(seat) = &known.seat else { return };
-            seat.acceptor.joined(&seat.told, seats.0, seats.blocking())
+    }
+
+    /// Takes its vote, if the others told enough.
+    fn recover_vote(&self) {
+        let recovered = {
+            let state = self.state();
+            let Some(voter) = &state.voter else {
+                return;
+            };
+            voter.acceptor.recover(&voter.snapshots, self.settings.voters)
         };
-        if joined.is_some_and(|durable| self.keep(durable)) {
-            self.app.log("this founder votes");
-            self.news();
+        if recovered.is_some_and(|durable| self.store_voter_state(durable)) {
+            self.applier.log("this founder votes");
+            self.notify_changed();
         }
     }
 }
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -1,173 +1,123 @@
-//! Brings an open change to its end. Of the founders that are there the one with the lowest seat does so; if two take
-//! themselves for it that costs time and nothing else, since each step is agreed.
+//! The leader: brings an open change to its end.
+//!
+//! It is the connected voter with the lowest number. If two processes take themselves for the
+//! leader, that costs time and nothing else, since each step is agreed.
 
-use super::proposer::{StepError, Transition};
 use super::ConsensusNode;
-use crate::messages::{encode, Message, Reply};
-use crate::{ChangeSummary, Outcome, ReplicatedState, Stage};
+use crate::{ChangeSummary, Outcome, Stage};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// An open change is looked at so often at the least.
-const LOOK: Duration = Duration::from_millis(15);
+/// An open change is examined at least this often.
+const INTERVAL: Duration = Duration::from_millis(15);
 
 /// What this process saw of the open change.
-struct ObservedChange {
-    open: ChangeSummary,
-    /// When it was first seen, and at this stage.
-    since: Instant,
-    at_stage: Instant,
-    /// Not to be closed before: somebody was in the way.
-    not_before: Instant,
+pub(super) struct ObservedChange {
+    pub(super) change: ChangeSummary,
+    /// When it was first seen.
+    first_seen: Instant,
+    /// When it was first seen at its present stage.
+    stage_seen: Instant,
+    /// It is not closed before: leases were in the way.
+    pub(super) not_before: Instant,
 }
 
 impl<N: Network> ConsensusNode<N> {
-    /// Does so for as long as this process runs.
-    pub(super) async fn steward(self: Arc<Self>) {
-        let mut watched: Option<ObservedChange> = None;
+    /// The task of the leader, which every process runs. It ends with the runtime of the node.
+    pub(super) async fn lead(self: Arc<Self>) {
+        let mut observed: Option<ObservedChange> = None;
         loop {
-            let seen = self.news.seen();
-            watched = self.watch(watched);
-            match &mut watched {
-                None => self.news.since(seen).await,
-                Some(watched) => {
-                    self.advance(watched).await;
-                    let _ = timeout(LOOK, self.news.since(seen)).await;
+            let seen = self.changes.count();
+            observed = self.observe(observed);
+            match &mut observed {
+                None => self.changes.changed_since(seen).await,
+                Some(observed) => {
+                    self.handle_change(observed).await;
+                    let _ = timeout(INTERVAL, self.changes.changed_since(seen)).await;
                 }
             }
         }
     }
 
-    fn watch(&self, before: Option<ObservedChange>) -> Option<ObservedChange> {
-        let known = self.known();
-        known.seat.as_ref()?;
-        let open = known.head.change.clone()?;
+    /// The open change, if this process has a voter.
+    fn observe(&self, previous: Option<ObservedChange>) -> Option<ObservedChange> {
+        let state = self.state();
+        state.voter.as_ref()?;
+        let change = state.agreed.open_change.clone()?;
         let now = Instant::now();
-        match before.filter(|before| before.open.id == open.id) {
-            Some(before) if before.open == open => Some(before),
-            Some(before) => Some(ObservedChange { open, at_stage: now, ..before }),
-            None => Some(ObservedChange { open, since: now, at_stage: now, not_before: now }),
+        match previous.filter(|previous| previous.change.id == change.id) {
+            Some(previous) if previous.change == change => Some(previous),
+            Some(previous) => Some(ObservedChange { change, stage_seen: now, ..previous }),
+            None => Some(ObservedChange { change, first_seen: now, stage_seen: now, not_before: now }),
         }
     }
 
-    /// How many founders with lower seats are there.
-    fn before_me(&self) -> u32 {
-        let own = self.known().seat.as_ref().map_or(0, |seat| seat.number);
-        (0..own).filter(|seat| self.links.voter_process(*seat).is_some()).count() as u32
+    /// How many connected voters come before this one as leader.
+    fn leaders_before_own(&self) -> u32 {
+        let Some(own) = self.state().voter.as_ref().map(|voter| voter.id) else {
+            return 0;
+        };
+        let lower = self.settings.voters.ids().filter(|voter| *voter < own);
+        let connected = lower.filter(|voter| self.voter_process(*voter).is_some());
+        u32::try_from(connected.count()).unwrap_or(u32::MAX)
     }
 
-    async fn advance(self: &Arc<Self>, watched: &mut ObservedChange) {
-        let open = watched.open.clone();
-        let no = self.known().seat.as_ref().and_then(|seat| seat.grants.no(&open.id));
-        if let Some(why) = no {
-            return self.end(&open, Outcome::Rejected, &why).await;
+    /// Takes the step that is due, if it is this process's to take.
+    ///
+    /// A voter that is not the leader only ends what takes too long, and waits longer the more
+    /// voters come before it.
+    async fn handle_change(self: &Arc<Self>, observed: &mut ObservedChange) {
+        let change = observed.change.clone();
+        let rejection = self.state().voter.as_ref().and_then(|voter| voter.leases.rejection(&change.id));
+        if let Some(reason) = rejection {
+            return self.finish_change(&change, Outcome::Rejected, &reason).await;
         }
-        let times = &self.settings.timing;
-        let before_me = self.before_me();
-        match open.stage {
-            // Danger: while it is closed nobody admits. Whoever is steward may have died or been stopped just now.
-            Stage::Closing if watched.at_stage.elapsed() > times.close * (1 + before_me) => {
-                self.put_at(&open, Stage::Preparing { strict: true }).await;
-            }
-            Stage::Closing if before_me == 0 => self.take(watched, &open).await,
-            Stage::Preparing { .. } if watched.since.elapsed() > times.change * (1 + before_me) => {
-                let (_, names) = self.known().waits.clone();
-                self.end(&open, Outcome::Abandoned, &format!("it waited for {}", names.join(", "))).await;
-            }
-            Stage::Preparing { strict } if before_me == 0 => {
-                let waits = self.waits_for(&open.id).await;
-                self.tell_waits(&open.id, &waits);
-                if waits.is_empty() && Instant::now() >= watched.not_before {
-                    self.put_at(&open, Stage::Closing).await;
-                } else if !strict && watched.at_stage.elapsed() > times.ready {
-                    self.put_at(&open, Stage::Preparing { strict: true }).await;
+        let leaders_before = self.leaders_before_own();
+        match change.stage {
+            Stage::Closing => self.handle_closing(observed, &change, leaders_before).await,
+            Stage::Preparing { strict } => {
+                let limit = self.settings.timing.change * (1 + leaders_before);
+                if observed.first_seen.elapsed() > limit {
+                    let names = self.state().waiting.names.join(", ");
+                    let reason = format!("it waited for {names}");
+                    self.finish_change(&change, Outcome::Abandoned, &reason).await;
+                } else if leaders_before == 0 {
+                    self.handle_preparing(observed, &change, strict).await;
                 }
             }
-            Stage::Closing | Stage::Preparing { .. } => {}
         }
     }
 
-    /// Who may admit and is not ready, by what a majority of founders says; those that name fewest count.
-    async fn waits_for(self: &Arc<Self>, id: &str) -> Vec<String> {
-        let mut told = Vec::new();
-        let asking: Vec<_> = (0..self.settings.voters.0)
-            .map(|seat| {
-                let (node, message) = (Arc::clone(self), Message::ListHolders(id.to_owned()));
-                tokio::spawn(async move { node.ask(seat, &message).await })
-            })
-            .collect();
-        for asked in asking {
-            if let Ok(Some(Reply::Holders(holders))) = asked.await {
-                let waits = holders.into_iter().filter(|(_, is_ready, _)| !is_ready);
-                told.push(waits.map(|(name, ..)| name).collect::<Vec<_>>());
-            }
-        }
-        let majority = self.settings.voters.majority();
-        if told.len() < majority {
-            return vec!["a majority of founders".to_owned()];
-        }
-        told.sort_by_key(Vec::len);
-        let mut names: Vec<String> = told.into_iter().take(majority).flatten().collect();
-        names.sort();
-        names.dedup();
-        names
-    }
-
-    /// All have been asked to stop admitting: the version is taken once nobody may any more.
-    async fn take(self: &Arc<Self>, watched: &mut ObservedChange, open: &ChangeSummary) {
-        let now = Instant::now();
-        let holders =
-            self.known().seat.as_ref().map_or(Vec::new(), |seat| seat.grants.holders(now, &open.id));
-        if holders.iter().any(|(_, is_ready, _)| *is_ready) {
-            return;
+    async fn handle_closing(
+        self: &Arc<Self>,
+        observed: &mut ObservedChange,
+        change: &ChangeSummary,
+        leaders_before: u32,
+    ) {
+        // Danger: while a change is closing nobody admits. The leader may have died or been stopped
+        // just now.
+        let limit = self.settings.timing.closing * (1 + leaders_before);
+        if observed.stage_seen.elapsed() > limit {
+            self.advance_change(change, Stage::Preparing { strict: true }).await;
+        } else if leaders_before == 0 {
+            self.commit_change(observed, change).await;
         }
-        let on = self.known().seat.as_ref().map_or(Vec::new(), |seat| seat.grants.serving_on(now));
-        let why = if on.is_empty() {
-            String::new()
-        } else {
-            format!("without a permit, and perhaps still by the version before: {}", on.join(", "))
-        };
-        let id = open.id.clone();
-        let make = |book: Option<&ReplicatedState>| match book
-            .and_then(|book| book.end(&id, Outcome::Committed, &why))
-        {
-            Some(book) => Transition::Next(book),
-            None => Transition::Stay,
-        };
-        if let Err(StepError::Blocked(by)) = self.step(self.settings.timing.answer, make).await {
-            let longest = by.iter().map(|(_, ms)| *ms).max().unwrap_or_default();
-            watched.not_before = Instant::now() + Duration::from_millis(longest);
-            self.tell_waits(&open.id, &by.into_iter().map(|(name, _)| name).collect::<Vec<_>>());
-        }
-    }
-
-    async fn put_at(self: &Arc<Self>, open: &ChangeSummary, stage: Stage) {
-        let make = |book: Option<&ReplicatedState>| match book
-            .and_then(|book| book.at(&open.id, open.attempt, stage))
-        {
-            Some(book) => Transition::Next(book),
-            None => Transition::Stay,
-        };
-        // Without a majority it is tried again.
-        let _ = self.step(self.settings.timing.answer, make).await;
-    }
-
-    async fn end(self: &Arc<Self>, open: &ChangeSummary, outcome: Outcome, why: &str) {
-        let make =
-            |book: Option<&ReplicatedState>| match book.and_then(|book| book.end(&open.id, outcome, why)) {
-                Some(book) => Transition::Next(book),
-                None => Transition::Stay,
-            };
-        let _ = self.step(self.settings.timing.answer, make).await;
     }
 
-    fn tell_waits(&self, id: &str, names: &[String]) {
-        let waits = (id.to_owned(), names.to_vec());
-        let before = std::mem::replace(&mut self.known().waits, waits.clone());
-        if before != waits {
-            self.links.broadcast(&encode(&Message::WaitingFor(waits.0, waits.1)));
+    async fn handle_preparing(
+        self: &Arc<Self>,
+        observed: &ObservedChange,
+        change: &ChangeSummary,
+        strict: bool,
+    ) {
+        let waiting_for = self.unready_processes(&change.id).await;
+        self.announce_waiting(&change.id, &waiting_for);
+        if waiting_for.is_empty() && Instant::now() >= observed.not_before {
+            self.advance_change(change, Stage::Closing).await;
+        } else if !strict && observed.stage_seen.elapsed() > self.settings.timing.readiness {
+            self.advance_change(change, Stage::Preparing { strict: true }).await;
         }
     }
 }
--- a/crates/policy-consensus/src/node/lease_renewal.rs
+++ b/crates/policy-consensus/src/node/lease_renewal.rs
@@ -1,81 +1,119 @@
-//! Asks one founder for this process's permit, again and again, and tells it what this process makes of a change.
+//! Requests the admission lease of this process from one voter, again and again, and tells the
+//! voter what this process makes of the open change.
 
 use super::ConsensusNode;
 use crate::messages::{Message, Reply};
-use crate::{LeaseExpiryMode, LeaseRequest, Stage};
+use crate::{ChangeReadiness, LeaseExpiryMode, LeaseRequest, Stage, VoterId};
 use pinetrail_peer_transport::Network;
 use std::sync::Arc;
 use tokio::time::{sleep, timeout, Instant};
 
+/// A voter that did not answer is asked again after this part of the renewal interval at the
+/// earliest.
+const UNANSWERED_PAUSE_DIVISOR: u32 = 20;
+
+/// What a voter is to know. A new request is due at once when it differs from what the voter knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ReportedState {
+    version: u64,
+    wants_lease: bool,
+    readiness: Option<ChangeReadiness>,
+    /// The epoch of the lease in which an answer counts.
+    epoch: u64,
+}
+
 impl<N: Network> ConsensusNode<N> {
-    /// Does so for as long as this process runs: ask, take the answer, wait until it is time or there is news.
-    pub(super) async fn renew(self: Arc<Self>, seat: u8) {
-        let mut number = 0;
-        let mut said = None;
+    /// The task of requesting leases from one voter. It ends with the runtime of the node.
+    pub(super) async fn renew_lease(self: Arc<Self>, voter: VoterId) {
+        let mut sequence = 0;
+        let mut known_to_voter = None;
         loop {
-            number += 1;
-            let (asked, epoch) = self.question(number);
-            let begun = Instant::now();
-            let word = (asked.version, asked.admits, asked.word.clone(), epoch);
-            // Danger: a permit counts from before it was asked for: its holder's clock ends first.
-            let answer = self.ask(seat, &Message::RequestLease(asked)).await;
-            let was_answered = match answer {
-                Some(Reply::Lease(permitted, head)) => {
-                    if permitted {
-                        self.permitted(seat, epoch, begun + self.settings.timing.permit);
-                    }
-                    let from =
-                        self.links.voter_process(seat).unwrap_or_else(|| self.settings.process.clone());
-                    self.heard_of(&from, head);
-                    true
-                }
-                _ => false,
-            };
-            if was_answered {
-                said = Some(word);
-            }
-            // News of other things are no reason to ask anew.
-            let next = begun + self.settings.timing.renew;
-            loop {
-                let seen = self.news.seen();
-                let (now, epoch) = self.question(number);
-                if said != Some((now.version, now.admits, now.word, epoch)) {
-                    // A founder that is not there is not asked in a circle.
-                    if !was_answered {
-                        sleep(self.about(self.settings.timing.renew / 20)).await;
-                    }
-                    break;
-                }
-                let left = next.saturating_duration_since(Instant::now());
-                if left.is_zero() || timeout(left, self.news.since(seen)).await.is_err() {
-                    break;
-                }
+            sequence += 1;
+            let reported = self.reported_state();
+            // Danger: a lease counts from before it was requested: its holder's clock ends first.
+            let requested_at = Instant::now();
+            let is_answered = self.request_lease(voter, sequence, &reported, requested_at).await;
+            if is_answered {
+                known_to_voter = Some(reported);
             }
+            self.wait_for_renewal(requested_at, known_to_voter.as_ref(), is_answered).await;
+        }
+    }
+
+    /// What the voters are to know now.
+    fn reported_state(&self) -> ReportedState {
+        let state = self.state();
+        let open_change = state.agreed.open_change.as_ref();
+        let is_closing = open_change.is_some_and(|change| change.stage == Stage::Closing);
+        ReportedState {
+            version: state.active_version,
+            // Danger: only a process that released its lease may say so: voters vote by that.
+            wants_lease: !(is_closing && self.lease.is_released()),
+            readiness: state.readiness.clone(),
+            epoch: self.lease.epoch(),
         }
     }
 
-    /// What is to be asked now, and the epoch in which the answer counts.
-    fn question(&self, number: u64) -> (LeaseRequest, u64) {
-        let known = self.known();
-        let closing = known.head.change.as_ref().is_some_and(|open| open.stage == Stage::Closing);
-        let given_up = self.permit.is_released();
-        let asked = LeaseRequest {
-            number,
-            version: known.in_force,
-            // Danger: only who has given it up may say so: a founder votes by that.
-            admits: !(closing && given_up),
-            word: known.word.clone(),
-            serves_on: self.settings.lease_expiry_mode == LeaseExpiryMode::FailOpen,
+    /// Requests the lease once; returns whether the voter answered.
+    async fn request_lease(
+        &self,
+        voter: VoterId,
+        sequence: u64,
+        reported: &ReportedState,
+        requested_at: Instant,
+    ) -> bool {
+        let request = LeaseRequest {
+            sequence,
+            version: reported.version,
+            wants_lease: reported.wants_lease,
+            readiness: reported.readiness.clone(),
+            fails_open: self.settings.lease_expiry_mode == LeaseExpiryMode::FailOpen,
         };
-        (asked, self.permit.epoch())
+        let answer = self.ask_voter(voter, &Message::RequestLease(request)).await;
+        let Some(Reply::Lease { is_granted, summary }) = answer else {
+            return false;
+        };
+        if is_granted {
+            self.take_grant(voter, reported.epoch, requested_at + self.settings.timing.lease);
+        }
+        let source = self.voter_process(voter).unwrap_or_else(|| self.settings.process.clone());
+        self.learn_summary(&source, summary);
+        true
+    }
+
+    /// Waits until it is time to renew the lease, or the voter does not know the state of this
+    /// process. Other changes are no reason to make a request.
+    async fn wait_for_renewal(
+        &self,
+        requested_at: Instant,
+        known_to_voter: Option<&ReportedState>,
+        is_answered: bool,
+    ) {
+        let interval = self.settings.timing.renewal;
+        let next_request = requested_at + interval;
+        loop {
+            let seen = self.changes.count();
+            if known_to_voter != Some(&self.reported_state()) {
+                // A voter that is away must not be asked in a busy loop.
+                if !is_answered {
+                    sleep(self.jittered(interval / UNANSWERED_PAUSE_DIVISOR)).await;
+                }
+                return;
+            }
+            let remaining = next_request.saturating_duration_since(Instant::now());
+            if remaining.is_zero() || timeout(remaining, self.changes.changed_since(seen)).await.is_err() {
+                return;
+            }
+        }
     }
 
-    fn permitted(&self, seat: u8, epoch: u64, until: Instant) {
-        let lasted = self.permit.valid_until(Instant::now()).is_some();
-        self.permit.granted(seat, epoch, until);
-        if !lasted && self.permit.valid_until(Instant::now()).is_some() {
-            self.known().admitted = true;
-            self.news();
+    fn take_grant(&self, voter: VoterId, epoch: u64, expiry: Instant) {
+        let was_held = self.lease.valid_until(Instant::now()).is_some();
+        self.lease.grant(voter, epoch, expiry);
+        let is_held = self.lease.valid_until(Instant::now()).is_some();
+        if is_held && !was_held {
+            self.state().was_admitted = true;
+            self.notify_changed();
         }
     }
 }
--- a/crates/policy-consensus/src/node/serve.rs
+++ b/crates/policy-consensus/src/node/serve.rs
@@ -1,17 +1,11 @@
-//! What a process answers others.
+//! Takes the messages of other processes, and answers those that ask something.
 
-use super::{ConsensusNode, Known, Seat};
-use crate::lease_table::Readiness;
+use super::state::WaitingFor;
+use super::ConsensusNode;
 use crate::messages::{decode, encode, Message, Reply};
-use crate::{storage, AcceptorReply, Ballot, DurableState, ReplicatedState, StateSummary};
+use crate::StateSummary;
 use pinetrail_peer_transport::{MessageHandler, Network, Process};
-use std::collections::BTreeMap;
 use std::io;
-use std::time::Duration;
-use tokio::time::Instant;
-
-/// Who holds no permit and was not heard for so long is forgotten.
-const FORGET: Duration = Duration::from_secs(30);
 
 impl<N: Network> MessageHandler for ConsensusNode<N> {
     fn heard(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
@@ -19,164 +13,79 @@
         self.answer(from, message).map(|reply| encode(&reply))
     }
 
-    fn on_connected(&self, peer: &Process, _seat: Option<u8>) {
-        let head = self.known().head.clone();
-        if head.revision > 0 {
-            self.links.send(peer, encode(&Message::Decided(head)));
+    fn on_connected(&self, peer: &Process, _voter: Option<u8>) {
+        let summary = self.state().agreed.clone();
+        if summary.revision > 0 {
+            self.transport.send(peer, encode(&Message::Decided(summary)));
         }
-        self.news();
+        self.notify_changed();
     }
 
     fn on_disconnected(&self, _peer: &Process) {
-        self.news();
+        self.notify_changed();
     }
 
     fn on_resync_needed(&self, _peer: &Process) {
-        // What counts comes with the answer to the next question.
-        self.news();
+        // What is agreed comes with the answer to the next request for a lease.
+        self.notify_changed();
     }
 
-    fn on_connection_failed(&self, _peer: &Process, _why: &io::Error) {}
+    fn on_connection_failed(&self, _peer: &Process, _error: &io::Error) {}
 }
 
 impl<N: Network> ConsensusNode<N> {
-    /// What a message is answered, if it asks.
+    /// Takes a message; returns the answer if it asks something that this process can answer.
     pub(super) fn answer(&self, from: &Process, message: Message) -> Option<Reply> {
         match message {
-            Message::Prepare(ballot) => self.promise(ballot).map(Reply::Acceptor),
-            Message::Accept(ballot, book, storage_ids) => {
-                self.accept(ballot, &book, &storage_ids).map(Reply::Acceptor)
-            }
-            Message::RegisterStorage(seat, storage_id) => self.register(seat, storage_id),
-            Message::RequestLease(asked) => self.permits(from, asked),
-            Message::ListHolders(id) => {
-                let known = self.known();
-                Some(Reply::Holders(known.seat.as_ref()?.grants.holders(Instant::now(), &id)))
-            }
-            Message::FetchState(revision) => {
-                let known = self.known();
-                let book = known.book.as_ref().filter(|book| book.revision >= revision)?;
-                Some(Reply::State(Box::new(book.clone())))
+            Message::Prepare(ballot) => self.prepare(ballot).map(Reply::Acceptor),
+            Message::Accept { ballot, state, storage_ids } => {
+                self.accept(ballot, &state, &storage_ids).map(Reply::Acceptor)
             }
-            Message::Decided(head) => {
-                self.heard_of(from, head);
+            Message::RegisterStorage { voter, storage_id } => self.register_storage(voter, storage_id),
+            Message::RequestLease(request) => self.decide_lease(from, request),
+            Message::ListHolders { change_id } => self.list_holders(&change_id),
+            Message::FetchState { min_revision } => self.full_state_since(min_revision),
+            Message::Decided(summary) => {
+                self.learn_summary(from, summary);
                 None
             }
-            Message::Application(floor, body) => {
-                self.app.on_peer_message(from, floor, &body);
+            Message::Application { channel, body } => {
+                self.applier.on_peer_message(from, channel, &body);
                 None
             }
-            Message::WaitingFor(id, names) => {
-                self.known().waits = (id, names);
+            Message::WaitingFor { change_id, names } => {
+                self.state().waiting = WaitingFor { change_id, names };
                 None
             }
         }
     }
 
-    /// Another process knows of this.
-    pub(super) fn heard_of(&self, from: &Process, head: StateSummary) {
-        let mut known = self.known();
-        if head.revision <= known.head.revision {
-            return;
-        }
-        // A founder has at hand what it voted for.
-        let voted = known.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.clone());
-        if let Some((_, book)) = voted.filter(|(_, book)| book.summary() == head) {
-            known.book = Some(book);
-        }
-        let is_founder = known.seat.is_some();
-        known.head = head.clone();
-        known.source = Some(from.clone());
-        drop(known);
-        // Who proposed it may be cut off from some that this one reaches.
-        if is_founder {
-            self.links.broadcast(&encode(&Message::Decided(head)));
-        }
-        self.news();
-    }
-
-    fn promise(&self, ballot: Ballot) -> Option<AcceptorReply> {
-        let mut known = self.known();
-        known.ballot = known.ballot.max(ballot);
-        let seat = known.seat.as_mut()?;
-        let (vote, owed) = seat.acceptor.promise(ballot);
-        Some(self.once_kept(seat, vote, owed))
-    }
-
-    fn accept(
-        &self,
-        ballot: Ballot,
-        book: &ReplicatedState,
-        storage_ids: &BTreeMap<u8, u64>,
-    ) -> Option<AcceptorReply> {
-        let mut known = self.known();
-        known.ballot = known.ballot.max(ballot);
-        let voted = voted(&known);
-        let seat = known.seat.as_mut()?;
-        let (vote, owed) = seat.acceptor.accept(ballot, book, storage_ids);
-        // Danger: looked at when the vote is given, not before: a founder that was stopped wakes believing the past.
-        let blocks = seat.grants.block(Instant::now(), book, voted);
-        if vote == AcceptorReply::Accepted && !blocks.is_empty() {
-            return Some(AcceptorReply::Blocked(blocks));
-        }
-        Some(self.once_kept(seat, vote, owed))
-    }
-
-    fn register(&self, of: u8, storage_id: u64) -> Option<Reply> {
-        let mut known = self.known();
-        let seat = known.seat.as_mut()?;
-        let (told, owed) = seat.acceptor.register(of, storage_id);
-        match self.once_kept(seat, AcceptorReply::Accepted, owed) {
-            AcceptorReply::Accepted => Some(Reply::StorageRegistered(told)),
-            _ => None,
-        }
-    }
-
-    /// A vote that may be said once the disk has what it owes to it.
-    fn once_kept(&self, seat: &mut Seat, vote: AcceptorReply, owed: Option<DurableState>) -> AcceptorReply {
-        let Some(durable) = owed else { return vote };
-        match storage::save(&mut *seat.disk, &self.fleet, seat.number, &durable) {
-            Ok(()) => {
-                seat.acceptor.synced(durable);
-                vote
+    /// Another process knows that this is agreed.
+    pub(super) fn learn_summary(&self, from: &Process, summary: StateSummary) {
+        let is_voter = {
+            let mut state = self.state();
+            if summary.revision <= state.agreed.revision {
+                return;
             }
-            Err(error) => {
-                self.app.log(&format!("ERROR: this founder cannot vote: its disk: {error}"));
-                AcceptorReply::Unavailable
+            // A voter has what it accepted.
+            let accepted = state.voter.as_ref().and_then(|voter| voter.accepted_state());
+            if let Some(agreed) = accepted.filter(|accepted| accepted.summary() == summary).cloned() {
+                state.full_state = Some(agreed);
             }
-        }
-    }
-
-    /// Gives what a disk owes; whether it has it.
-    pub(super) fn keep(&self, durable: DurableState) -> bool {
-        let mut known = self.known();
-        let Some(seat) = known.seat.as_mut() else { return false };
-        self.once_kept(seat, AcceptorReply::Accepted, Some(durable)) == AcceptorReply::Accepted
-    }
-
-    fn permits(&self, from: &Process, asked: crate::LeaseRequest) -> Option<Reply> {
-        let (reply, no) = {
-            let mut known = self.known();
-            let (head, voted) = (known.head.clone(), voted(&known));
-            let seat = known.seat.as_mut()?;
-            let no = matches!(&asked.word, Some((_, Readiness::Rejected(_))));
-            let now = Instant::now();
-            // Danger: who has no vote may have lost what it voted for, and would permit what is over.
-            let head_here =
-                if seat.acceptor.durable().votes { head.clone() } else { StateSummary::default() };
-            let permitted = seat.grants.ask(now, from, asked, &head_here, voted);
-            seat.grants.forget(now, FORGET);
-            (Reply::Lease(permitted, head), no)
+            state.agreed = summary.clone();
+            state.source = Some(from.clone());
+            state.voter.is_some()
         };
-        if no {
-            self.news();
+        // The proposer may be cut off from some that this voter reaches.
+        if is_voter {
+            self.transport.broadcast(&encode(&Message::Decided(summary)));
         }
-        Some(reply)
+        self.notify_changed();
     }
-}
 
-/// The version that this founder voted for last.
-fn voted(known: &Known) -> u64 {
-    let accepted = known.seat.as_ref().and_then(|seat| seat.acceptor.durable().accepted.as_ref());
-    accepted.map_or(0, |(_, book)| book.version)
+    fn full_state_since(&self, min_revision: u64) -> Option<Reply> {
+        let state = self.state();
+        let full_state = state.full_state.as_ref().filter(|known| known.revision >= min_revision)?;
+        Some(Reply::State(Box::new(full_state.clone())))
+    }
 }
--- /dev/null
+++ b/crates/policy-consensus/src/node/status.rs
@@ -0,0 +1,87 @@
+//! The status of a process, for operators. Read [`NodeStatus`] first.
+
+use super::state::NodeState;
+use super::ConsensusNode;
+use crate::Digest;
+use pinetrail_peer_transport::Network;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Whether a process admits requests, and why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConsensusStatus {
+    /// It admits under the agreed version.
+    Steady,
+    /// The same, and a change is open.
+    Changing,
+    /// It never held an admission lease, or the agreed version is not active here.
+    CatchingUp,
+    /// Its admission lease has ended.
+    Fenced,
+}
+
+/// The status of a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeStatus {
+    /// The version that is active here.
+    pub active_version: u64,
+    /// The digest of the agreed version.
+    pub agreed_digest: Digest,
+    /// Whether the process admits requests.
+    pub status: ConsensusStatus,
+    /// The id of the open change.
+    pub open_change: Option<String>,
+}
+
+impl<N: Network> ConsensusNode<N> {
+    /// The status of this process now.
+    pub fn status(&self) -> NodeStatus {
+        let is_lease_held = self.lease.valid_until(Instant::now()).is_some();
+        let state = self.state();
+        NodeStatus {
+            active_version: state.active_version,
+            agreed_digest: state.agreed.digest,
+            status: self.consensus_status(&state, is_lease_held),
+            open_change: state.agreed.open_change.as_ref().map(|change| change.id.clone()),
+        }
+    }
+
+    fn consensus_status(&self, state: &NodeState, is_lease_held: bool) -> ConsensusStatus {
+        let is_current = state.active_version == state.agreed.version && state.unusable.is_none();
+        if !state.was_admitted || !is_current {
+            return ConsensusStatus::CatchingUp;
+        }
+        let is_changing = state.agreed.open_change.is_some();
+        if is_changing && (is_lease_held || self.lease.is_released()) {
+            return ConsensusStatus::Changing;
+        }
+        if is_lease_held {
+            ConsensusStatus::Steady
+        } else {
+            ConsensusStatus::Fenced
+        }
+    }
+
+    /// The agreed version and its text, if this process has the text.
+    pub fn approved_policy(&self) -> Option<(u64, Arc<str>)> {
+        let state = self.state();
+        let text = state.text_with_digest(state.agreed.digest)?;
+        Some((state.agreed.version, text))
+    }
+
+    /// Why this process does not admit requests yet, in words for the operator.
+    pub fn not_ready_reason(&self) -> String {
+        let state = self.state();
+        if let Some(unusable) = &state.unusable {
+            let (version, reason) = (unusable.version, &unusable.reason);
+            return format!("version {version} of the policy cannot be active here: {reason}");
+        }
+        if state.agreed.revision == 0 {
+            return "no founder has told the active version".to_owned();
+        }
+        if !state.was_admitted {
+            return "no majority of founders grants it an admission lease".to_owned();
+        }
+        "its admission lease has ended: it is cut off from the founders, or they have no majority".to_owned()
+    }
+}
--- a/crates/policy-consensus/src/settings.rs
+++ b/crates/policy-consensus/src/settings.rs
@@ -1,108 +1,104 @@
-//! What a process is told.
+//! What a process of the fleet is configured with. Read [`Settings`] first; [`Timing`] has the
+//! durations.
 
+use crate::{LeaseExpiryMode, VoterSet};
 use pinetrail_peer_transport::Process;
 use std::time::Duration;
 use thiserror::Error;
 
-/// No clock of two processes runs faster than the other's by more than this, in thousandths.
+/// The clocks of no two processes drift apart by more than this, in thousandths.
 pub(crate) const MAX_CLOCK_SKEW_PERMILLE: u32 = 20;
 
-/// The seats of the founders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct VoterSet(pub u8);
-
-impl VoterSet {
-    /// So many are a majority.
-    pub fn majority(self) -> usize {
-        usize::from(self.0) / 2 + 1
-    }
-
-    /// So many at the least are in every majority's way: without them no majority exists.
-    pub fn blocking(self) -> usize {
-        usize::from(self.0) + 1 - self.majority()
-    }
-}
+/// The shortest duration that may be configured.
+const SHORTEST: Duration = Duration::from_millis(10);
 
-/// Within which times what is done.
+/// How long everything may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// A permit ends so long after it was asked for, unless renewed.
-    pub permit: Duration,
-    /// Permits are asked for anew so often.
-    pub renew: Duration,
-    /// Who is not ready for a change by then gets no further permit for the version before.
-    pub ready: Duration,
-    /// If a change is not taken so long after all have been asked to stop admitting, they may again.
-    pub close: Duration,
+    /// An admission lease ends so long after it was requested, unless it is renewed.
+    pub lease: Duration,
+    /// The interval between two requests for a lease.
+    pub renewal: Duration,
+    /// Processes that are not ready for a change by then get no further lease for the version
+    /// before.
+    pub readiness: Duration,
+    /// If a change has not been committed so long after all were asked to stop admitting, they may
+    /// admit again.
+    pub closing: Duration,
     /// A change that is open for longer is abandoned.
     pub change: Duration,
-    /// One question to a founder is answered within this, or not at all.
+    /// A voter answers a request within this time, or not at all.
     pub answer: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Timing {
-        let ms = Duration::from_millis;
         Timing {
-            permit: ms(2000),
-            renew: ms(500),
-            ready: ms(4000),
-            close: ms(300),
-            change: ms(20_000),
-            answer: ms(400),
+            lease: Duration::from_millis(2000),
+            renewal: Duration::from_millis(500),
+            readiness: Duration::from_millis(4000),
+            closing: Duration::from_millis(300),
+            change: Duration::from_millis(20_000),
+            answer: Duration::from_millis(400),
         }
     }
 }
 
-/// What is wrong with what it is told.
+/// Why durations cannot be used together.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum SettingsError {
-    /// A time is too short.
-    #[error("{0} is too short: {1}")]
-    Short(&'static str, &'static str),
-    /// There are no seats, or too many.
-    #[error("1 to 15 founders are needed")]
-    VoterSet,
+#[error("{key} is too short: {required}")]
+pub struct TimingError {
+    /// The configuration key of the duration.
+    pub key: &'static str,
+    /// What its value must be.
+    pub required: &'static str,
 }
 
 impl Timing {
-    /// Whether they can be kept.
-    pub fn check(&self) -> Result<(), SettingsError> {
-        let least = Duration::from_millis(10);
-        let wanted = [
-            ("permit_ms", self.permit >= 3 * self.renew, "at least three of renew_ms"),
-            ("renew_ms", self.renew >= least, "at least 10 ms"),
-            ("close_ms", self.close >= least, "at least 10 ms"),
-            ("answer_ms", self.answer >= least, "at least 10 ms"),
-            ("ready_ms", self.ready >= self.renew, "at least renew_ms"),
-            ("change_ms", self.change >= self.permit + self.ready, "at least permit_ms and ready_ms"),
-        ];
-        let short = wanted.into_iter().find(|(_, holds, _)| !holds);
-        short.map_or(Ok(()), |(name, _, wanted)| Err(SettingsError::Short(name, wanted)))
+    /// Checks that the durations can be kept together.
+    ///
+    /// # Errors
+    ///
+    /// Names the first duration that is too short.
+    pub fn check(&self) -> Result<(), TimingError> {
+        require(self.lease >= 3 * self.renewal, "permit_ms", "at least three of renew_ms")?;
+        require(self.renewal >= SHORTEST, "renew_ms", "at least 10 ms")?;
+        require(self.closing >= SHORTEST, "close_ms", "at least 10 ms")?;
+        require(self.answer >= SHORTEST, "answer_ms", "at least 10 ms")?;
+        require(self.readiness >= self.renewal, "ready_ms", "at least renew_ms")?;
+        let shortest_change = self.lease + self.readiness;
+        require(self.change >= shortest_change, "change_ms", "at least permit_ms and ready_ms")
     }
 
-    /// How long a permit counts at who gave it: longer than at its holder, by the bound on clocks.
-    pub fn counted(&self) -> Duration {
-        self.permit * (1000 + MAX_CLOCK_SKEW_PERMILLE) / 1000 + Duration::from_millis(1)
+    /// How long a lease counts at the voter that granted it: longer than at its holder, by the
+    /// greatest difference of their clocks.
+    #[must_use]
+    pub fn lease_at_voter(&self) -> Duration {
+        self.lease * (1000 + MAX_CLOCK_SKEW_PERMILLE) / 1000 + Duration::from_millis(1)
     }
 }
 
-/// All that a process is told.
+fn require(is_kept: bool, key: &'static str, required: &'static str) -> Result<(), TimingError> {
+    if is_kept {
+        Ok(())
+    } else {
+        Err(TimingError { key, required })
+    }
+}
+
+/// The configuration of one process.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// This process.
     pub process: Process,
-    /// Founders in all.
+    /// All voters of the fleet.
     pub voters: VoterSet,
-    /// The times.
+    /// The durations.
     pub timing: Timing,
-    /// Whether it serves on with the last version once its permit has ended.
-    pub lease_expiry_mode: crate::LeaseExpiryMode,
-    /// What its own file says: the first version, if there is none yet.
+    /// What this process does once its admission lease has ended.
+    pub lease_expiry_mode: LeaseExpiryMode,
+    /// The policy of this process's own file: it becomes the first version if there is none yet.
     pub initial_policy: String,
-    /// For random numbers.
+    /// Seeds the random numbers of this process.
     pub seed: u64,
 }
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/crates/policy-consensus/src/storage/error.rs
@@ -0,0 +1,29 @@
+//! Why a state file cannot be used. See [`DecodeError`].
+
+use thiserror::Error;
+
+/// Why a voter cannot use the state that it found.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum DecodeError {
+    /// It is incomplete, or its checksum is wrong.
+    #[error("corrupt")]
+    Corrupt,
+    /// It is no state file, or belongs to another cluster or voter.
+    #[error("a file of another cluster, voter or program")]
+    OtherCluster,
+    /// A newer version of this program wrote it.
+    #[error("of a newer version of this program")]
+    NewerVersion,
+}
+
+impl DecodeError {
+    /// The word for it in the name of a file that is set aside. Operators know these words.
+    #[must_use]
+    pub fn file_suffix(self) -> &'static str {
+        match self {
+            DecodeError::Corrupt => "torn",
+            DecodeError::OtherCluster => "foreign",
+            DecodeError::NewerVersion => "future",
+        }
+    }
+}
--- a/crates/policy-consensus/src/storage/file.rs
+++ b/crates/policy-consensus/src/storage/file.rs
@@ -1,31 +1,40 @@
-//! A folder of the file system as a founder's disk: written aside, synced, renamed, the folder synced too.
+//! A directory of the file system as the storage of a voter. See [`FileStorage`].
+//!
+//! A state is written to a new file and synced, the file is renamed, and the directory is synced
+//! too.
 
-use super::Storage;
+use super::{DecodeError, Storage};
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-const NAME: &str = "rulebook";
-const ASIDE: &str = "rulebook.new";
-const LOCK: &str = "rulebook.lock";
-/// No file of a founder is longer.
-const LONGEST: u64 = 64 << 20;
+const STATE_FILE: &str = "rulebook";
+const NEW_STATE_FILE: &str = "rulebook.new";
+const LOCK_FILE: &str = "rulebook.lock";
+/// No state file is longer, in bytes.
+const MAX_FILE_LENGTH: u64 = 64 << 20;
 
-/// A folder, held by one process at a time.
+/// A directory that one process at a time has locked.
 #[derive(Debug)]
 pub struct FileStorage {
-    path: PathBuf,
+    directory: PathBuf,
+    /// Held for its lock, which ends with it.
     _lock: File,
 }
 
 impl FileStorage {
-    /// Takes a folder, which is made if it is not there. [`ErrorKind::WouldBlock`] says that another process has it.
-    pub fn take(path: PathBuf) -> io::Result<FileStorage> {
-        fs::create_dir_all(&path)?;
-        let lock = File::options().create(true).append(true).open(path.join(LOCK))?;
+    /// Opens and locks a directory, and creates it if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::WouldBlock`] if another process has locked it, otherwise what the file system
+    /// answers.
+    pub fn open(directory: PathBuf) -> io::Result<FileStorage> {
+        fs::create_dir_all(&directory)?;
+        let lock = File::options().create(true).append(true).open(directory.join(LOCK_FILE))?;
         match lock.try_lock() {
-            Ok(()) => Ok(FileStorage { path, _lock: lock }),
+            Ok(()) => Ok(FileStorage { directory, _lock: lock }),
             Err(fs::TryLockError::WouldBlock) => Err(ErrorKind::WouldBlock.into()),
             Err(fs::TryLockError::Error(error)) => Err(error),
         }
@@ -34,10 +43,10 @@
 
 impl Storage for FileStorage {
     fn read(&mut self) -> io::Result<Option<Vec<u8>>> {
-        match File::open(self.path.join(NAME)) {
+        match File::open(self.directory.join(STATE_FILE)) {
             Ok(file) => {
                 let mut bytes = Vec::new();
-                file.take(LONGEST).read_to_end(&mut bytes)?;
+                file.take(MAX_FILE_LENGTH).read_to_end(&mut bytes)?;
                 Ok(Some(bytes))
             }
             Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
@@ -46,22 +55,23 @@
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let aside = self.path.join(ASIDE);
-        let mut file = File::create(&aside)?;
+        let new_path = self.directory.join(NEW_STATE_FILE);
+        let mut file = File::create(&new_path)?;
         file.write_all(bytes)?;
         file.sync_all()?;
         drop(file);
-        // Danger: what a full disk has taken of it must not take the place of what was said.
-        if fs::metadata(&aside)?.len() != bytes.len() as u64 {
+        // Danger: what a full disk took of it must not replace the state that others were told of.
+        if fs::metadata(&new_path)?.len() != bytes.len() as u64 {
             return Err(ErrorKind::WriteZero.into());
         }
-        fs::rename(&aside, self.path.join(NAME))?;
-        File::open(&self.path)?.sync_all()
+        fs::rename(&new_path, self.directory.join(STATE_FILE))?;
+        File::open(&self.directory)?.sync_all()
     }
 
-    fn set_aside(&mut self, why: &str) -> io::Result<()> {
+    fn set_aside(&mut self, reason: DecodeError) -> io::Result<()> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        fs::rename(self.path.join(NAME), self.path.join(format!("{NAME}.{why}-{now}")))
+        let name = format!("{STATE_FILE}.{}-{now}", reason.file_suffix());
+        fs::rename(self.directory.join(STATE_FILE), self.directory.join(name))
     }
 }
 
--- a/crates/policy-consensus/src/storage/file/tests.rs
+++ b/crates/policy-consensus/src/storage/file/tests.rs
@@ -1,18 +1,20 @@
 use super::*;
 
 #[test]
-fn a_folder_keeps_what_it_was_given_and_belongs_to_one_process() {
+fn a_directory_keeps_the_last_state_and_is_locked_by_one_process() {
     let path = std::env::temp_dir().join(format!("pinetrail-policy-consensus-{}", std::process::id()));
-    let mut folder = FileStorage::take(path.clone()).unwrap();
-    assert_eq!(folder.read().unwrap(), None);
-    folder.replace(b"one").unwrap();
-    folder.replace(b"two").unwrap();
-    assert_eq!(FileStorage::take(path.clone()).unwrap_err().kind(), ErrorKind::WouldBlock);
-    drop(folder);
-    let mut folder = FileStorage::take(path.clone()).unwrap();
-    assert_eq!(folder.read().unwrap().as_deref(), Some(&b"two"[..]));
-    folder.set_aside("torn").unwrap();
-    assert_eq!(folder.read().unwrap(), None);
+    let mut storage = FileStorage::open(path.clone()).unwrap();
+    assert_eq!(storage.read().unwrap(), None);
+
+    storage.replace(b"one").unwrap();
+    storage.replace(b"two").unwrap();
+    assert_eq!(FileStorage::open(path.clone()).unwrap_err().kind(), ErrorKind::WouldBlock);
+    drop(storage);
+
+    let mut storage = FileStorage::open(path.clone()).unwrap();
+    assert_eq!(storage.read().unwrap().as_deref(), Some(&b"two"[..]));
+    storage.set_aside(DecodeError::Corrupt).unwrap();
+    assert_eq!(storage.read().unwrap(), None);
     assert!(fs::read_dir(&path)
         .unwrap()
         .any(|file| { file.unwrap().file_name().to_string_lossy().starts_with("rulebook.torn-") }));
--- a/crates/policy-consensus/src/storage/format.rs
+++ b/crates/policy-consensus/src/storage/format.rs
@@ -1,53 +1,57 @@
-//! The file of a founder: 8 bytes `ptrbook` and the version of the format, the length of the rest (8 bytes, big-endian), its CRC-32C (4
-//! bytes, big-endian), and a postcard value with the fleet's name, the seat, and what is kept.
+//! The encoding of a voter's state file.
+//!
+//! A header of 20 bytes: `ptrbook` and the version of the format (8 bytes), the length of the body
+//! (8 bytes, big-endian), and the CRC-32C of the body (4 bytes, big-endian). The body is a postcard
+//! value with the name of the cluster, the number of the voter, and its state.
 
-use crate::DurableState;
+use super::DecodeError;
+use crate::{DurableState, VoterId};
 use serde::{Deserialize, Serialize};
 
 const MAGIC: &[u8; 7] = b"ptrbook";
-const VERSION: u8 = 1;
-const HEAD: usize = 20;
+const FORMAT_VERSION: u8 = 1;
+const HEADER_LENGTH: usize = 20;
 
 #[derive(Serialize, Deserialize)]
 struct Body {
-    fleet: String,
-    seat: u8,
+    cluster: String,
+    voter: VoterId,
     durable: DurableState,
 }
 
-/// The file.
-pub(super) fn encode(durable: &DurableState, fleet: &str, seat: u8) -> Vec<u8> {
-    let body = Body { fleet: fleet.to_owned(), seat, durable: durable.clone() };
-    // The types above are all representable.
+/// Encodes a state file.
+pub(super) fn encode(durable: &DurableState, cluster: &str, voter: VoterId) -> Vec<u8> {
+    let body = Body { cluster: cluster.to_owned(), voter, durable: durable.clone() };
+    // Every value of these types can be encoded.
     let body = postcard::to_allocvec(&body).unwrap_or_default();
-    let mut out = Vec::with_capacity(HEAD + body.len());
-    out.extend_from_slice(MAGIC);
-    out.push(VERSION);
-    out.extend_from_slice(&(body.len() as u64).to_be_bytes());
-    out.extend_from_slice(&crc32c::crc32c(&body).to_be_bytes());
-    out.extend_from_slice(&body);
-    out
+    let mut file = Vec::with_capacity(HEADER_LENGTH + body.len());
+    file.extend_from_slice(MAGIC);
+    file.push(FORMAT_VERSION);
+    file.extend_from_slice(&(body.len() as u64).to_be_bytes());
+    file.extend_from_slice(&crc32c::crc32c(&body).to_be_bytes());
+    file.extend_from_slice(&body);
+    file
 }
 
-/// What the file says; or what it is.
-pub(super) fn decode(bytes: &[u8], fleet: &str, seat: u8) -> Result<DurableState, &'static str> {
-    let Some((head, body)) = bytes.split_first_chunk::<HEAD>() else { return Err("torn") };
-    if &head[..7] != MAGIC {
-        return Err("foreign");
+/// Decodes the state file of this voter of this cluster.
+pub(super) fn decode(bytes: &[u8], cluster: &str, voter: VoterId) -> Result<DurableState, DecodeError> {
+    let (header, body) = bytes.split_first_chunk::<HEADER_LENGTH>().ok_or(DecodeError::Corrupt)?;
+    if &header[..7] != MAGIC {
+        return Err(DecodeError::OtherCluster);
     }
-    if head[7] > VERSION {
-        return Err("future");
+    if header[7] > FORMAT_VERSION {
+        return Err(DecodeError::NewerVersion);
     }
-    let length = u64::from_be_bytes(head[8..16].try_into().map_err(|_| "torn")?);
-    let sum = u32::from_be_bytes(head[16..20].try_into().map_err(|_| "torn")?);
-    if length != body.len() as u64 || sum != crc32c::crc32c(body) {
-        return Err("torn");
+    let length = u64::from_be_bytes(header[8..16].try_into().map_err(|_| DecodeError::Corrupt)?);
+    let checksum = u32::from_be_bytes(header[16..20].try_into().map_err(|_| DecodeError::Corrupt)?);
+    if length != body.len() as u64 || checksum != crc32c::crc32c(body) {
+        return Err(DecodeError::Corrupt);
     }
-    match postcard::from_bytes::<Body>(body) {
-        Ok(body) if body.fleet == fleet && body.seat == seat => Ok(body.durable),
-        Ok(_) => Err("foreign"),
-        Err(_) => Err("torn"),
+    let body: Body = postcard::from_bytes(body).map_err(|_| DecodeError::Corrupt)?;
+    if body.cluster != cluster || body.voter != voter {
+        return Err(DecodeError::OtherCluster);
     }
+    Ok(body.durable)
 }
 
 #[cfg(test)]
--- a/crates/policy-consensus/src/storage/format/tests.rs
+++ b/crates/policy-consensus/src/storage/format/tests.rs
@@ -1,24 +1,39 @@
 use super::*;
-use crate::{Ballot, ReplicatedState};
+use crate::{AcceptedState, Ballot, ReplicatedState, StorageId};
+
+const VOTER: VoterId = VoterId(1);
 
 #[test]
-fn a_file_is_read_as_it_was_written_or_told_for_what_it_is() {
-    let accepted = Some((Ballot { round: 3, by: 4 }, ReplicatedState::initial("a")));
-    let durable = DurableState { storage_id: 5, votes: true, accepted, ..DurableState::default() };
-    let encoded = encode(&durable, "f", 1);
-    assert_eq!(decode(&encoded, "f", 1), Ok(durable));
-    assert_eq!(decode(&encoded, "g", 1), Err("foreign"));
-    assert_eq!(decode(&encoded, "f", 2), Err("foreign"));
+fn a_file_decodes_to_what_was_encoded_and_damage_is_named() {
+    let ballot = Ballot { round: 3, proposer: 4 };
+    let accepted = Some(AcceptedState { ballot, state: ReplicatedState::initial("a") });
+    let durable =
+        DurableState { storage_id: StorageId(5), may_vote: true, accepted, ..DurableState::default() };
+
+    let encoded = encode(&durable, "f", VOTER);
+
+    assert_eq!(decode(&encoded, "f", VOTER), Ok(durable));
+    assert_eq!(decode(&encoded, "g", VOTER), Err(DecodeError::OtherCluster));
+    assert_eq!(decode(&encoded, "f", VoterId(2)), Err(DecodeError::OtherCluster));
     for length in 0..encoded.len() {
-        assert_eq!(decode(&encoded[..length], "f", 1), Err("torn"), "{length}");
+        assert_eq!(decode(&encoded[..length], "f", VOTER), Err(DecodeError::Corrupt), "{length}");
     }
-    for at in 8..encoded.len() {
-        let mut spoilt = encoded.clone();
-        spoilt[at] ^= 1;
-        assert_eq!(decode(&spoilt, "f", 1), Err("torn"), "{at}");
+    for position in 8..encoded.len() {
+        let mut damaged = encoded.clone();
+        damaged[position] ^= 1;
+        assert_eq!(decode(&damaged, "f", VOTER), Err(DecodeError::Corrupt), "{position}");
     }
-    let mut future = encoded.clone();
-    future[7] = 2;
-    assert_eq!(decode(&future, "f", 1), Err("future"));
-    assert_eq!(decode(b"something that is longer than a head", "f", 1), Err("foreign"));
+    let mut newer = encoded.clone();
+    newer[7] = 2;
+    assert_eq!(decode(&newer, "f", VOTER), Err(DecodeError::NewerVersion));
+    let other_file = b"something that is longer than a head";
+    assert_eq!(decode(other_file, "f", VOTER), Err(DecodeError::OtherCluster));
+}
+
+/// Operators know the names of files that were set aside.
+#[test]
+fn each_error_has_its_own_word_in_the_name_of_a_file() {
+    assert_eq!(DecodeError::Corrupt.file_suffix(), "torn");
+    assert_eq!(DecodeError::OtherCluster.file_suffix(), "foreign");
+    assert_eq!(DecodeError::NewerVersion.file_suffix(), "future");
 }
--- a/crates/policy-consensus/src/storage/mod.rs
+++ b/crates/policy-consensus/src/storage/mod.rs
@@ -1,47 +1,73 @@
-//! What a founder has on its disk. What was not synced was not said.
+//! The persistent state of a voter: what it promised and accepted. It is synced before it is sent.
+//!
+//! Read [`Storage`] first; [`FileStorage`] keeps the state in a directory, `format` has its
+//! encoding.
 
+mod error;
 mod file;
 mod format;
 
+pub use error::DecodeError;
 pub use file::FileStorage;
 
-use crate::DurableState;
+use crate::{DurableState, VoterId};
 use std::io;
 
-/// A disk, as far as a founder uses one.
+/// Where a voter keeps its state.
 pub trait Storage: Send + 'static {
-    /// What it has, if anything.
+    /// Reads the state that was stored last, if there is any.
+    ///
+    /// # Errors
+    ///
+    /// What reading fails with.
     fn read(&mut self) -> io::Result<Option<Vec<u8>>>;
-    /// Has this instead, whole, once it returns; after an error it has what it had.
+
+    /// Replaces the state as a whole. It is on the disk once this returns.
+    ///
+    /// # Errors
+    ///
+    /// What writing fails with; the state from before is still there then.
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()>;
-    /// Puts what it has aside under a name that tells why.
-    fn set_aside(&mut self, why: &str) -> io::Result<()>;
+
+    /// Sets a state that cannot be decoded aside, under a name that tells why.
+    ///
+    /// # Errors
+    ///
+    /// What moving it fails with.
+    fn set_aside(&mut self, reason: DecodeError) -> io::Result<()>;
 }
 
-/// What was found on a disk.
+/// What was found when a voter loaded its state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LoadOutcome {
-    /// Nothing.
-    Nothing,
-    /// What was synced last.
+    /// There is none.
+    Empty,
+    /// The state that was stored last.
     Loaded(Box<DurableState>),
-    /// Something that cannot be read, which was put aside; why.
-    SetAside(&'static str),
+    /// Bytes that cannot be decoded, for this reason; they were set aside.
+    SetAside(DecodeError),
 }
 
-/// Reads what a disk has.
-pub(crate) fn load(disk: &mut dyn Storage, fleet: &str, seat: u8) -> io::Result<LoadOutcome> {
-    let Some(bytes) = disk.read()? else { return Ok(LoadOutcome::Nothing) };
-    match format::decode(&bytes, fleet, seat) {
+/// Loads the state of a voter.
+pub(crate) fn load(storage: &mut dyn Storage, cluster: &str, voter: VoterId) -> io::Result<LoadOutcome> {
+    let Some(bytes) = storage.read()? else {
+        return Ok(LoadOutcome::Empty);
+    };
+    match format::decode(&bytes, cluster, voter) {
         Ok(durable) => Ok(LoadOutcome::Loaded(Box::new(durable))),
-        Err(why) => {
-            disk.set_aside(why)?;
-            Ok(LoadOutcome::SetAside(why))
+        Err(reason) => {
+            storage.set_aside(reason)?;
+            Ok(LoadOutcome::SetAside(reason))
         }
     }
 }
 
-/// Puts it on the disk.
-pub(crate) fn save(disk: &mut dyn Storage, fleet: &str, seat: u8, durable: &DurableState) -> io::Result<()> {
-    disk.replace(&format::encode(durable, fleet, seat))
+/// Stores the state of a voter.
+pub(crate) fn save(
+    storage: &mut dyn Storage,
+    cluster: &str,
+    voter: VoterId,
+    durable: &DurableState,
+) -> io::Result<()> {
+    storage.replace(&format::encode(durable, cluster, voter))
 }
--- a/crates/policy-consensus/tests/simulated.rs
+++ b/crates/policy-consensus/tests/simulated.rs
@@ -1,28 +1,40 @@
-//! The tasks as they run in service, on simulated hosts and time.
+//! The tasks as they run in service, on simulated hosts, network and time.
 
-use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, Plan, Verdict};
+use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, OutcomeCounts, Plan, Run, Verdict};
 
-fn good(plan: Plan) -> pinetrail_simulation::policy_consensus::Run {
+/// When the change of a quiet plan is proposed, in ms.
+const PROPOSED_AT_MS: u64 = 4000;
+
+fn play_well(plan: Plan) -> Run {
     let run = play(plan);
     assert_eq!(run.verdict, Verdict::Good, "{}", run.log.join("\n"));
     run
 }
 
 #[test]
-fn a_quiet_fleet_takes_a_change() {
-    let run = good(Plan::quiet(1, 5, 3).with(4000, Fault::Propose(4)));
-    assert_eq!(run.outcomes, [1, 0, 0, 0], "{}", run.log.join("\n"));
-    assert!(run.took[0] < 300, "{:?}", run.took);
+fn a_quiet_fleet_commits_a_change() {
+    let plan = Plan::quiet(1, 5, 3).with_fault(PROPOSED_AT_MS, Fault::Propose(4));
+
+    let run = play_well(plan);
+
+    let one_committed = OutcomeCounts { committed: 1, ..OutcomeCounts::default() };
+    assert_eq!(run.outcomes, one_committed, "{}", run.log.join("\n"));
+    assert!(run.commit_latencies_ms[0] < 300, "{:?}", run.commit_latencies_ms);
 }
 
 #[test]
-fn one_no_is_a_no_for_all() {
-    let run = good(Plan::quiet(1, 5, 3).with(4000, Fault::ProposeBad(0, 4)));
-    assert_eq!(run.outcomes, [0, 1, 0, 0], "{}", run.log.join("\n"));
+fn a_change_that_one_host_rejects_is_rejected_for_all() {
+    let fault = Fault::ProposeRejected { host: 0, rejected_by: 4 };
+    let plan = Plan::quiet(1, 5, 3).with_fault(PROPOSED_AT_MS, fault);
+
+    let run = play_well(plan);
+
+    let one_rejected = OutcomeCounts { rejected: 1, ..OutcomeCounts::default() };
+    assert_eq!(run.outcomes, one_rejected, "{}", run.log.join("\n"));
 }
 
 #[test]
-fn seeds() {
+fn fleets_under_faults_from_many_seeds_keep_what_is_promised() {
     for seed in 0..40 {
         let run = play_seed(seed);
         assert_eq!(run.verdict, Verdict::Good, "seed {seed}\n{}", run.log.join("\n"));
@@ -30,7 +42,7 @@
 }
 
 #[test]
-fn a_seed_replays() {
+fn a_seed_replays_its_run() {
     for seed in [3, 8, 21] {
         assert_eq!(play_seed(seed).log, play_seed(seed).log);
     }
--- /dev/null
+++ b/crates/simulation/src/policy_consensus/fleet.rs
@@ -0,0 +1,141 @@
+//! All simulated hosts, from outside: adds them to the simulation, and injects faults.
+
+use super::disk::SimulatedDisk;
+use super::host::{self, host_name, Proposal};
+use super::judge::RunChecker;
+use super::lock;
+use super::plan::{DiskAtStart, Fault, Plan};
+use super::proxy::{good_policy, rejected_policy};
+use super::Run;
+use pinetrail_peer_transport::Peer;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use turmoil::Sim;
+
+/// What the hosts and their environment share.
+#[derive(Clone)]
+pub(super) struct Environment {
+    /// How many hosts are voters, from the first one on.
+    pub(super) voters: u8,
+    pub(super) checker: RunChecker,
+    pub(super) disks: Vec<SimulatedDisk>,
+    /// Guards which process runs where, by host.
+    pub(super) running: Arc<Mutex<BTreeMap<usize, Peer>>>,
+    /// Guards what is still to be proposed, by host.
+    pub(super) proposals: Arc<Mutex<Vec<Vec<Proposal>>>>,
+    pub(super) seed: u64,
+}
+
+/// All hosts.
+pub(super) struct SimulatedFleet {
+    environment: Environment,
+    proposal_count: u32,
+    /// Whether each host is up.
+    is_up: Vec<bool>,
+}
+
+impl SimulatedFleet {
+    /// The hosts of a plan, which are all up.
+    pub(super) fn new(plan: &Plan) -> SimulatedFleet {
+        let environment = Environment {
+            voters: plan.voters as u8,
+            checker: RunChecker::default(),
+            disks: (0..plan.hosts).map(|_| SimulatedDisk::default()).collect(),
+            running: Arc::default(),
+            proposals: Arc::new(Mutex::new(vec![Vec::new(); plan.hosts])),
+            seed: plan.seed,
+        };
+        SimulatedFleet { environment, proposal_count: 0, is_up: vec![true; plan.hosts] }
+    }
+
+    /// Adds a host to the simulation, which starts it now and after each crash.
+    pub(super) fn add_host(&self, sim: &mut Sim<'_>, host: usize) {
+        let environment = self.environment.clone();
+        sim.host(host_name(host), move || host::run(environment.clone(), host));
+    }
+
+    /// Does what a fault says.
+    pub(super) fn inject(&mut self, sim: &mut Sim<'_>, fault: &Fault, now_ms: u64, rng: &mut StdRng) {
+        self.environment.checker.log(format!("{now_ms} {fault:?}"));
+        match fault {
+            Fault::Crash(host) => self.crash(sim, *host),
+            Fault::Start { host, disk } => self.start(sim, *host, *disk),
+            Fault::Partition(side) => self.partition(sim, side),
+            Fault::PartitionOneWay { from, to } => {
+                if from != to {
+                    sim.partition_oneway(host_name(*from), host_name(*to));
+                }
+            }
+            Fault::Heal => self.heal(sim),
+            Fault::Slow { host, latency_ms } => self.slow_down(sim, *host, *latency_ms),
+            Fault::Propose(host) => self.propose(*host, good_policy(rng.random()), now_ms),
+            Fault::ProposeRejected { host, rejected_by } => {
+                self.propose(*host, rejected_policy(*rejected_by, rng.random()), now_ms);
+            }
+            Fault::SetDisk { host, is_full } => self.environment.disks[*host].set_full(*is_full),
+        }
+    }
+
+    /// Checks what was observed.
+    pub(super) fn check(self, plan: Plan) -> Run {
+        self.environment.checker.check(plan)
+    }
+
+    fn crash(&mut self, sim: &mut Sim<'_>, host: usize) {
+        if !self.is_up[host] {
+            return;
+        }
+        self.is_up[host] = false;
+        lock(&self.environment.running).remove(&host);
+        self.environment.checker.forget_host(host);
+        sim.crash(host_name(host));
+    }
+
+    fn start(&mut self, sim: &mut Sim<'_>, host: usize, disk: DiskAtStart) {
+        if self.is_up[host] {
+            return;
+        }
+        if disk == DiskAtStart::Lost {
+            self.environment.disks[host].erase();
+        }
+        self.is_up[host] = true;
+        sim.bounce(host_name(host));
+    }
+
+    fn partition(&self, sim: &mut Sim<'_>, side: &[usize]) {
+        for (a, b) in self.pairs() {
+            if side.contains(&a) != side.contains(&b) {
+                sim.partition(host_name(a), host_name(b));
+            }
+        }
+    }
+
+    fn heal(&self, sim: &mut Sim<'_>) {
+        for (a, b) in self.pairs() {
+            sim.repair(host_name(a), host_name(b));
+        }
+    }
+
+    fn slow_down(&self, sim: &mut Sim<'_>, host: usize, latency_ms: u64) {
+        let latency = Duration::from_millis(latency_ms.max(2));
+        for other in (0..self.is_up.len()).filter(|other| *other != host) {
+            sim.set_link_max_message_latency(host_name(host), host_name(other), latency);
+        }
+    }
+
+    fn propose(&mut self, host: usize, text: String, now_ms: u64) {
+        self.proposal_count += 1;
+        let id = format!("c{}", self.proposal_count);
+        self.environment.checker.record_proposal(&id, &text, now_ms);
+        lock(&self.environment.proposals)[host].push(Proposal { id, text });
+    }
+
+    /// All pairs of hosts.
+    fn pairs(&self) -> impl Iterator<Item = (usize, usize)> {
+        let hosts = self.is_up.len();
+        (0..hosts).flat_map(move |a| (a + 1..hosts).map(move |b| (a, b)))
+    }
+}
--- a/crates/simulation/src/policy_consensus/judge.rs
+++ b/crates/simulation/src/policy_consensus/judge.rs
@@ -1,170 +1,260 @@
-//! What was seen, and what is wrong with it. It knows the promise and nothing of the code.
+//! What was observed in a run, and what is wrong with it. Read [`Verdict`] first.
+//!
+//! It knows what is promised to operators and nothing of the code.
 
-use super::host::lock;
 use super::plan::Plan;
-use super::Run;
+use super::proxy::is_rejected_at;
+use super::{lock, OutcomeCounts, Run};
 use pinetrail_policy_consensus::Outcome;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
-/// A request was admitted.
+/// A request that was admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Admitted {
-    /// Where.
+    /// The host.
     pub host: usize,
-    /// When, in ms of the simulation: one clock for all hosts.
-    pub at: u64,
+    /// When, in ms of simulated time: one clock for all hosts.
+    pub at_ms: u64,
     /// Under which version.
     pub version: u64,
 }
 
-/// What is wrong.
+/// What is wrong with a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing.
     Good,
-    /// A request was admitted under a version after one was under the next.
-    Overlap(Admitted, Admitted),
-    /// Two hosts had different rules under one number.
-    TwoTexts(u64),
-    /// A change was told to have ended in two ways, or one that was refused came into force.
-    TwoEnds(String),
-    /// All was well for long enough, and this host does not admit, or by other rules than others.
-    Stuck(usize),
+    /// A request was admitted under a version after one was under a later version.
+    Overlap {
+        /// The last request under the earlier version.
+        last_of_earlier: Admitted,
+        /// The first request under the later version.
+        first_of_later: Admitted,
+    },
+    /// Two hosts had different policies under one version number.
+    ConflictingTexts {
+        /// That version.
+        version: u64,
+    },
+    /// A change was reported to have finished in two ways, or one that was not committed became
+    /// active.
+    ConflictingOutcomes {
+        /// The id of that change.
+        change_id: String,
+    },
+    /// Although all was well for long enough, this host does not admit, or not under the latest
+    /// version.
+    Stuck {
+        /// That host.
+        host: usize,
+    },
     /// A change is open for ever.
-    Open(String),
+    NeverFinished {
+        /// The id of that change.
+        change_id: String,
+    },
+}
+
+/// What a host reported last.
+#[derive(Clone, Debug)]
+pub(super) struct HostStatus {
+    pub(super) version: u64,
+    pub(super) is_steady: bool,
+    pub(super) open_change: Option<String>,
+}
+
+/// A change that was proposed.
+struct ProposedChange {
+    text: String,
+    at_ms: u64,
 }
 
 #[derive(Default)]
-struct Seen {
-    first: BTreeMap<u64, Admitted>,
-    last: BTreeMap<u64, Admitted>,
+struct Observations {
+    /// The first request that was admitted under each version.
+    first_admitted: BTreeMap<u64, Admitted>,
+    /// The last request that was admitted under each version.
+    last_admitted: BTreeMap<u64, Admitted>,
+    /// The text of each version that became active.
     texts: BTreeMap<u64, String>,
-    two_texts: Option<u64>,
-    proposed: BTreeMap<String, (String, u64)>,
-    ended: BTreeMap<String, Outcome>,
-    two_ends: Option<String>,
-    stands: BTreeMap<usize, (u64, bool, Option<String>)>,
-    last_admitted: BTreeMap<usize, u64>,
-    longest_gap: u64,
+    /// A version that had two texts.
+    version_with_two_texts: Option<u64>,
+    /// Changes by their ids.
+    proposed: BTreeMap<String, ProposedChange>,
+    outcomes: BTreeMap<String, Outcome>,
+    /// A change that finished in two ways.
+    change_with_two_outcomes: Option<String>,
+    /// What each host reported last.
+    statuses: BTreeMap<usize, HostStatus>,
+    /// When each host that is up admitted its last request, in ms.
+    last_admission_ms: BTreeMap<usize, u64>,
+    longest_gap_ms: u64,
     log: Vec<String>,
 }
 
-impl Seen {
-    /// Whether a host cannot have these rules in force.
-    fn refused_by(&self, version: u64, host: usize) -> bool {
-        self.texts.get(&version).is_some_and(|text| text.starts_with(&format!("bad at {host} ")))
-    }
-}
-
-/// All that was seen.
+/// Collects what is observed in a run, and checks it. Clones share their observations.
 #[derive(Clone, Default)]
-pub(super) struct RunChecker(Arc<Mutex<Seen>>);
+pub(super) struct RunChecker {
+    /// Guards what was observed.
+    observations: Arc<Mutex<Observations>>,
+}
 
 impl RunChecker {
+    /// Adds a line to the log of the run.
     pub(super) fn log(&self, line: String) {
-        lock(&self.0).log.push(line);
+        lock(&self.observations).log.push(line);
     }
 
-    pub(super) fn text(&self, version: u64, text: &str) {
-        let mut seen = lock(&self.0);
-        if seen.texts.entry(version).or_insert_with(|| text.to_owned()) != text {
-            seen.two_texts = Some(version);
+    /// A version became active at a host.
+    pub(super) fn record_text(&self, version: u64, text: &str) {
+        let mut observations = lock(&self.observations);
+        let known = observations.texts.entry(version).or_insert_with(|| text.to_owned());
+        if known != text {
+            observations.version_with_two_texts = Some(version);
         }
     }
 
-    pub(super) fn proposed(&self, id: &str, text: &str, now: u64) {
-        lock(&self.0).proposed.insert(id.to_owned(), (text.to_owned(), now));
+    /// A change is to be proposed.
+    pub(super) fn record_proposal(&self, id: &str, text: &str, now_ms: u64) {
+        let change = ProposedChange { text: text.to_owned(), at_ms: now_ms };
+        lock(&self.observations).proposed.insert(id.to_owned(), change);
     }
 
-    /// Changes of which it is not known how they ended.
-    pub(super) fn unknown(&self) -> Vec<String> {
-        let seen = lock(&self.0);
-        seen.proposed.keys().filter(|id| !seen.ended.contains_key(*id)).cloned().collect()
+    /// The changes of which it is not known how they finished.
+    pub(super) fn changes_without_outcome(&self) -> Vec<String> {
+        let observations = lock(&self.observations);
+        let ids = observations.proposed.keys();
+        ids.filter(|id| !observations.outcomes.contains_key(*id)).cloned().collect()
     }
 
-    pub(super) fn ended(&self, id: &str, outcome: Outcome) {
-        let mut seen = lock(&self.0);
-        if *seen.ended.entry(id.to_owned()).or_insert(outcome) != outcome {
-            seen.two_ends = Some(id.to_owned());
+    /// A host reports how a change finished.
+    pub(super) fn record_outcome(&self, id: &str, outcome: Outcome) {
+        let mut observations = lock(&self.observations);
+        let known = *observations.outcomes.entry(id.to_owned()).or_insert(outcome);
+        if known != outcome {
+            observations.change_with_two_outcomes = Some(id.to_owned());
         }
     }
 
-    pub(super) fn stands(&self, host: usize, version: u64, steady: bool, open: Option<String>) {
-        lock(&self.0).stands.insert(host, (version, steady, open));
+    /// A host reports its status.
+    pub(super) fn record_status(&self, host: usize, status: HostStatus) {
+        lock(&self.observations).statuses.insert(host, status);
     }
 
-    pub(super) fn is_away(&self, host: usize) {
-        let mut seen = lock(&self.0);
-        seen.last_admitted.remove(&host);
-        seen.stands.remove(&host);
+    /// A host crashed.
+    pub(super) fn forget_host(&self, host: usize) {
+        let mut observations = lock(&self.observations);
+        observations.last_admission_ms.remove(&host);
+        observations.statuses.remove(&host);
     }
 
-    pub(super) fn asked(&self, asked: Admitted, admitted: bool) {
-        let mut seen = lock(&self.0);
-        if !admitted {
-            return;
+    /// A request was admitted.
+    pub(super) fn record_admitted(&self, admitted: Admitted) {
+        let mut observations = lock(&self.observations);
+        observations.first_admitted.entry(admitted.version).or_insert(admitted);
+        observations.last_admitted.insert(admitted.version, admitted);
+        if let Some(previous_ms) = observations.last_admission_ms.insert(admitted.host, admitted.at_ms) {
+            let gap_ms = admitted.at_ms - previous_ms;
+            observations.longest_gap_ms = observations.longest_gap_ms.max(gap_ms);
         }
-        seen.first.entry(asked.version).or_insert(asked);
-        seen.last.insert(asked.version, asked);
-        let before = seen.last_admitted.insert(asked.host, asked.at);
-        let gap = before.map_or(0, |before| asked.at - before);
-        seen.longest_gap = seen.longest_gap.max(gap);
-    }
-
-    pub(super) fn judged(self, plan: Plan) -> Run {
-        let seen = std::mem::take(&mut *lock(&self.0));
-        let verdict = verdict(&seen, &plan);
-        let count = |outcome| seen.ended.values().filter(|ended| **ended == outcome).count() as u32;
-        let unknown = seen.proposed.len() - seen.ended.len();
-        let took = seen.proposed.values().filter_map(|(text, at)| {
-            let version = seen.texts.iter().find(|(_, of)| *of == text)?.0;
-            Some(seen.first.get(version)?.at - at)
-        });
+    }
+
+    /// Checks what was observed in a run that has ended.
+    pub(super) fn check(self, plan: Plan) -> Run {
+        let observations = std::mem::take(&mut *lock(&self.observations));
         Run {
-            verdict,
-            outcomes: [
-                count(Outcome::Committed),
-                count(Outcome::Rejected),
-                count(Outcome::Abandoned),
-                unknown as u32,
-            ],
-            took: took.collect(),
-            longest_gap: seen.longest_gap,
-            log: seen.log,
+            verdict: observations.verdict(&plan),
+            outcomes: observations.outcome_counts(),
+            commit_latencies_ms: observations.commit_latencies_ms(),
+            longest_gap_ms: observations.longest_gap_ms,
+            log: observations.log,
             plan,
         }
     }
 }
 
-fn verdict(seen: &Seen, plan: &Plan) -> Verdict {
-    if let Some(version) = seen.two_texts {
-        return Verdict::TwoTexts(version);
+impl Observations {
+    fn verdict(&self, plan: &Plan) -> Verdict {
+        let checks = [self.conflict(), self.overlap(), self.unfinished(plan)];
+        checks.into_iter().flatten().next().unwrap_or(Verdict::Good)
     }
-    if let Some(id) = &seen.two_ends {
-        return Verdict::TwoEnds(id.clone());
+
+    /// Two texts of one version, or two outcomes of one change.
+    fn conflict(&self) -> Option<Verdict> {
+        if let Some(version) = self.version_with_two_texts {
+            return Some(Verdict::ConflictingTexts { version });
+        }
+        if let Some(change_id) = &self.change_with_two_outcomes {
+            return Some(Verdict::ConflictingOutcomes { change_id: change_id.clone() });
+        }
+        for (id, outcome) in &self.outcomes {
+            let text = &self.proposed[id].text;
+            let became_active = self.texts.values().any(|active| active == text);
+            if *outcome != Outcome::Committed && became_active {
+                return Some(Verdict::ConflictingOutcomes { change_id: id.clone() });
+            }
+        }
+        None
     }
-    for (id, outcome) in &seen.ended {
-        let text = &seen.proposed[id].0;
-        if *outcome != Outcome::Committed && seen.texts.values().any(|of| of == text) {
-            return Verdict::TwoEnds(id.clone());
+
+    /// A request under a version after one under a later version.
+    fn overlap(&self) -> Option<Verdict> {
+        for (version, last) in &self.last_admitted {
+            let later_versions = self.first_admitted.range(version + 1..).map(|(_, first)| first);
+            let first_of_later = later_versions.min_by_key(|first| first.at_ms);
+            if let Some(first) = first_of_later.filter(|first| first.at_ms < last.at_ms) {
+                return Some(Verdict::Overlap { last_of_earlier: *last, first_of_later: *first });
+            }
         }
+        None
     }
-    for (version, last) in &seen.last {
-        let later = seen.first.iter().filter(|(other, _)| *other > version).map(|(_, first)| first);
-        if let Some(first) = later.min_by_key(|first| first.at).filter(|first| first.at < last.at) {
-            return Verdict::Overlap(*last, *first);
+
+    /// A host that has not come to rest under the latest version.
+    fn unfinished(&self, plan: &Plan) -> Option<Verdict> {
+        let latest_version = self.statuses.values().map(|status| status.version).max().unwrap_or_default();
+        for host in 0..plan.hosts {
+            let Some(status) = self.statuses.get(&host) else {
+                return Some(Verdict::Stuck { host });
+            };
+            if let Some(change_id) = &status.open_change {
+                return Some(Verdict::NeverFinished { change_id: change_id.clone() });
+            }
+            let is_settled = status.is_steady && status.version == latest_version;
+            // A host that was away when it could have rejected a version takes no clients, and says
+            // why.
+            let is_excluded = !status.is_steady
+                && status.version < latest_version
+                && self.is_version_rejected_at(latest_version, host);
+            if !is_settled && !is_excluded {
+                return Some(Verdict::Stuck { host });
+            }
         }
+        None
     }
-    let newest = seen.stands.values().map(|(version, ..)| *version).max().unwrap_or_default();
-    for host in 0..plan.hosts {
-        match seen.stands.get(&host) {
-            Some((_, _, Some(open))) => return Verdict::Open(open.clone()),
-            Some((version, true, None)) if *version == newest => {}
-            // It was away when it could have said no: it does not take clients, and says why.
-            Some((version, false, None)) if *version < newest && seen.refused_by(newest, host) => {}
-            _ => return Verdict::Stuck(host),
+
+    /// Whether a host cannot make this version active.
+    fn is_version_rejected_at(&self, version: u64, host: usize) -> bool {
+        self.texts.get(&version).is_some_and(|text| is_rejected_at(text, host))
+    }
+
+    fn outcome_counts(&self) -> OutcomeCounts {
+        let count = |outcome| self.outcomes.values().filter(|known| **known == outcome).count() as u32;
+        OutcomeCounts {
+            committed: count(Outcome::Committed),
+            rejected: count(Outcome::Rejected),
+            abandoned: count(Outcome::Abandoned),
+            unknown: (self.proposed.len() - self.outcomes.len()) as u32,
         }
     }
-    Verdict::Good
+
+    /// Of each change that became active, the time from its proposal until the first request under
+    /// it.
+    fn commit_latencies_ms(&self) -> Vec<u64> {
+        let latency = |change: &ProposedChange| {
+            let (version, _) = self.texts.iter().find(|(_, text)| **text == change.text)?;
+            Some(self.first_admitted.get(version)?.at_ms - change.at_ms)
+        };
+        self.proposed.values().filter_map(latency).collect()
+    }
 }
--- a/crates/simulation/src/policy_consensus/net.rs
+++ b/crates/simulation/src/policy_consensus/net.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use turmoil::net::{TcpListener, TcpStream};
 
+/// Connections between simulated hosts.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SimulatedNetwork;
 
@@ -12,12 +13,13 @@
     type Stream = TcpStream;
     type Listener = TcpListener;
 
-    async fn bind(&self, at: SocketAddr) -> io::Result<TcpListener> {
-        TcpListener::bind(at).await
+    async fn bind(&self, address: SocketAddr) -> io::Result<TcpListener> {
+        TcpListener::bind(address).await
     }
 
     async fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        Ok(listener.accept().await?.0)
+        let (stream, _peer) = listener.accept().await?;
+        Ok(stream)
     }
 
     async fn connect(&self, _from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
