Adapt the callers of policy-consensus to its named types

Field access and names only, in src/net/policy, src/net/config and crates/experiments: status() has fields, FileStorage::open, VoterId, PolicyRejected, Conflict's variants, Timing's fields, OutcomeCounts.

--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -3,7 +3,7 @@
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
-use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, Plan, Run, Verdict};
+use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, OutcomeCounts, Plan, Run, Verdict};
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
 use pinetrail_test_harness::policy::{play_hangups, play_seed as play_processes, PolicyRun};
 use pinetrail_test_harness::{http_200, program, StubServer};
@@ -78,15 +78,15 @@
     let runs: Vec<Run> =
         (options.seed..options.seed + options.seeds).into_par_iter().map(play_seed).collect();
     let wrong = runs.iter().filter(|run| run.verdict != Verdict::Good);
-    let sum = |of: usize| runs.iter().map(|run| run.outcomes[of]).sum();
+    let sum = |of: fn(&OutcomeCounts) -> u32| runs.iter().map(|run| of(&run.outcomes)).sum();
     let seeds = Seeds {
         first: options.seed,
         seeds: options.seeds,
         wrong: wrong.map(|run| (run.plan.seed, format!("{:?}", run.verdict))).collect(),
-        taken: sum(0),
-        refused: sum(1),
-        abandoned: sum(2),
-        unknown: sum(3),
+        taken: sum(|counts| counts.committed),
+        refused: sum(|counts| counts.rejected),
+        abandoned: sum(|counts| counts.abandoned),
+        unknown: sum(|counts| counts.unknown),
     };
     println!(
         "{} seeds from {}: {} wrong; changes taken {}, refused {}, abandoned {}, never begun {}",
@@ -160,19 +160,20 @@
     let runs: Vec<Run> = (seed..seed + changes)
         .into_par_iter()
         .map(|seed| {
-            let plan = Plan::quiet(seed, members, 5.min(members)).with(4000, Fault::Propose(members - 2));
-            play(if dead { plan.with(3950, Fault::Crash(members - 1)) } else { plan })
+            let plan =
+                Plan::quiet(seed, members, 5.min(members)).with_fault(4000, Fault::Propose(members - 2));
+            play(if dead { plan.with_fault(3950, Fault::Crash(members - 1)) } else { plan })
         })
         .collect();
     let mut times = Histogram::<u64>::new(3).expect("three digits");
-    runs.iter().flat_map(|run| &run.took).for_each(|ms| times.saturating_record(*ms));
+    runs.iter().flat_map(|run| &run.commit_latencies_ms).for_each(|ms| times.saturating_record(*ms));
     Took {
         members,
         what: if dead { "one dead" } else { "quiet" },
-        changes: runs.iter().map(|run| run.took.len()).sum(),
+        changes: runs.iter().map(|run| run.commit_latencies_ms.len()).sum(),
         p50: times.value_at_quantile(0.5),
         p99: times.value_at_quantile(0.99),
         worst: times.max(),
-        longest_gap: runs.iter().map(|run| run.longest_gap).max().unwrap_or_default(),
+        longest_gap: runs.iter().map(|run| run.longest_gap_ms).max().unwrap_or_default(),
     }
 }
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -167,8 +167,8 @@
     same((policy.bind, policy.advertise), (at("127.0.0.1:7201"), at("127.0.0.2:7201")));
     same(policy.state_dir.clone(), Some("state".into()));
     let times = &policy.times;
-    same((times.permit, times.renew, times.ready), (ms(2100), ms(510), ms(1510)));
-    same((times.close, times.change, times.answer), (ms(310), ms(60_010), ms(210)));
+    same((times.lease, times.renewal, times.readiness), (ms(2100), ms(510), ms(1510)));
+    same((times.closing, times.change, times.answer), (ms(310), ms(60_010), ms(210)));
     same((policy.hold, policy.catch_up), (ms(160), ms(10_010)));
     same((policy.when_cut, policy.local), (LeaseExpiryMode::FailOpen, true));
     same(policy.restore_after, Some(ms(5000)));
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -114,10 +114,10 @@
     let usual = Timing::default();
     let time = |ms: Option<u64>, usual: Duration| ms.map_or(usual, Duration::from_millis);
     let times = Timing {
-        permit: time(file.permit_ms, usual.permit),
-        renew: time(file.renew_ms, usual.renew),
-        ready: time(file.ready_ms, usual.ready),
-        close: time(file.close_ms, usual.close),
+        lease: time(file.permit_ms, usual.lease),
+        renewal: time(file.renew_ms, usual.renewal),
+        readiness: time(file.ready_ms, usual.readiness),
+        closing: time(file.close_ms, usual.closing),
         change: time(file.change_ms, usual.change),
         answer: time(file.answer_ms, usual.answer),
     };
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -41,15 +41,19 @@
 impl Policy {
     /// `GET /control/policy`.
     pub fn standing(&self) -> Answer {
-        let (version, digest, state, change) = self.node.status();
-        let state = match state {
+        let status = self.node.status();
+        let state = match status.status {
             ConsensusStatus::Steady => "steady",
             ConsensusStatus::Changing => "changing",
             ConsensusStatus::CatchingUp => "catching-up",
             ConsensusStatus::Fenced => "fenced",
         };
-        let digest = digest.to_string();
-        let standing = Standing { version, digest, state, change };
+        let standing = Standing {
+            version: status.active_version,
+            digest: status.agreed_digest.to_string(),
+            state,
+            change: status.open_change,
+        };
         (200, serde_json::to_string(&standing).unwrap_or_default())
     }
 
@@ -64,8 +68,10 @@
         let done = self.wait(async move { node.propose(&proposal.id, proposal.after, &text, WITHIN).await });
         match done {
             Some(Ok(version)) => (202, json!({"id": id, "version": version}).to_string()),
-            Some(Err(ProposalError::Check(why))) => no(400, why),
-            Some(Err(ProposalError::Conflict(why @ Conflict::Form(_)))) => no(400, why),
+            Some(Err(ProposalError::Rejected(why))) => no(400, why),
+            Some(Err(ProposalError::Conflict(why @ (Conflict::InvalidId | Conflict::PolicyTooLong)))) => {
+                no(400, why)
+            }
             Some(Err(ProposalError::Conflict(why))) => no(409, why),
             Some(Err(why @ ProposalError::NoMajority)) => no(503, why),
             None => no(503, ProposalError::NoMajority),
@@ -90,14 +96,14 @@
         let (node, id) = (Arc::clone(&self.node), id.to_owned());
         let seen = self.wait(async move { node.change_status(&id, WITHIN / 3).await });
         match seen.flatten() {
-            Some(ChangeStatus { outcome, why, waiting_for }) => {
+            Some(ChangeStatus { outcome, reason, waiting_for }) => {
                 let outcome = match outcome {
                     None => "open",
                     Some(Outcome::Committed) => "taken",
                     Some(Outcome::Rejected) => "refused",
                     Some(Outcome::Abandoned) => "abandoned",
                 };
-                (200, json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}).to_string())
+                (200, json!({"outcome": outcome, "why": reason, "waiting_for": waiting_for}).to_string())
             }
             None => no(404, "no change of this name is known here"),
         }
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -7,7 +7,7 @@
 use crate::net::log::log;
 use pinetrail_drift::Approved;
 use pinetrail_peer_transport::Process;
-use pinetrail_policy_consensus::PolicyApplier;
+use pinetrail_policy_consensus::{PolicyApplier, PolicyRejected};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -124,8 +124,8 @@
 }
 
 impl PolicyApplier for App {
-    fn validate(&self, text: &str) -> Result<(), String> {
-        self.rules(text).map(drop)
+    fn validate(&self, text: &str) -> Result<(), PolicyRejected> {
+        self.rules(text).map(drop).map_err(PolicyRejected::new)
     }
 
     fn apply(&self, version: u64, text: &str) {
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -6,7 +6,7 @@
 use crate::net::fleet::{Fleet, LivePeer};
 use crate::net::log::log;
 use pinetrail_peer_transport::{Peer, Process, TcpNetwork};
-use pinetrail_policy_consensus::{ConsensusNode, FileStorage};
+use pinetrail_policy_consensus::{ConsensusNode, FileStorage, VoterId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -102,8 +102,8 @@
     /// Whether this process holds what seat it is to hold.
     fn take_seat(&self, said: &mut Option<String>) -> bool {
         let (Some(seat), Some(path)) = (self.config.seat, &self.config.state_dir) else { return true };
-        let taken =
-            FileStorage::take(path.clone()).and_then(|disk| self.node.become_voter(seat, Box::new(disk)));
+        let taken = FileStorage::open(path.clone())
+            .and_then(|disk| self.node.become_voter(VoterId(seat), Box::new(disk)));
         match taken {
             Ok(()) => true,
             // The process that it belongs to lets go of it soon.
--- a/src/net/policy/drift.rs
+++ b/src/net/policy/drift.rs
@@ -92,8 +92,9 @@
 
     /// What this process has in force now.
     fn look(&self) -> Report {
-        let (version, _, state, _) = self.node.status();
-        let stands = match state {
+        let status = self.node.status();
+        let version = status.active_version;
+        let stands = match status.status {
             ConsensusStatus::Steady | ConsensusStatus::Changing => NodeStatus::Admits,
             ConsensusStatus::Fenced => NodeStatus::Fenced,
             ConsensusStatus::CatchingUp => NodeStatus::CatchesUp,
@@ -163,7 +164,7 @@
     /// Puts the approved version in force again; which.
     pub(super) fn restore(&self) -> Result<u64, &'static str> {
         let (version, text) = self.node.approved_policy().ok_or("what was approved is not known here")?;
-        if self.node.status().0 != version {
+        if self.node.status().active_version != version {
             return Err("this process does not have the approved version: it catches up by itself");
         }
         self.app.apply(version, &text);
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -130,7 +130,7 @@
 
     /// Whether this process admits requests.
     pub fn admits(&self) -> bool {
-        matches!(self.node.status().2, ConsensusStatus::Steady | ConsensusStatus::Changing)
+        matches!(self.node.status().status, ConsensusStatus::Steady | ConsensusStatus::Changing)
     }
 
     /// Why it does not.
@@ -161,7 +161,7 @@
     /// What was counted, by name.
     pub fn list(&self) -> Vec<(&'static str, u64)> {
         vec![
-            ("policy_version", self.node.status().0),
+            ("policy_version", self.node.status().active_version),
             ("policy_links", self.node.transport().connected_peers().len() as u64),
             ("policy_refused", self.node.admission_lease().rejections()),
             ("policy_drift_alarms", self.drift.alarms()),
