--- a/crates/policy-consensus/src/node/mod.rs
+++ b/crates/policy-consensus/src/node/mod.rs
@@ -7,7 +7,7 @@
 //! - `join` gives a voter its vote, `voter` answers for it;
 //! - `leader` brings open changes to their end, by the steps in `change_steps`;
 //! - `proposer` makes one step of the replicated state, `voter_requests` asks voters;
-//! - `serve` takes the messages of others, `admin` and `status` answer operators.
+//! - `message_handler` takes the messages of others, `admin` and `status` answer operators.
 
 mod admin;
 mod apply;
@@ -16,8 +16,8 @@
 mod join;
 mod leader;
 mod lease_renewal;
+mod message_handler;
 mod proposer;
-mod serve;
 mod state;
 mod status;
 mod voter;
--- a/crates/simulation/src/policy_consensus/fleet.rs
+++ b/crates/simulation/src/policy_consensus/fleet.rs
@@ -2,10 +2,10 @@
 
 use super::disk::SimulatedDisk;
 use super::host::{self, host_name, Proposal};
-use super::judge::RunChecker;
 use super::lock;
 use super::plan::{DiskAtStart, Fault, Plan};
 use super::proxy::{good_policy, rejected_policy};
+use super::run_checker::RunChecker;
 use super::Run;
 use pinetrail_peer_transport::Peer;
 use rand::rngs::StdRng;
--- a/crates/simulation/src/policy_consensus/host.rs
+++ b/crates/simulation/src/policy_consensus/host.rs
@@ -2,9 +2,9 @@
 //! operators who propose changes, and clients that send requests all the time. Read [`run`] first.
 
 use super::fleet::Environment;
-use super::judge::{Admitted, HostStatus};
-use super::net::SimulatedNetwork;
+use super::network::SimulatedNetwork;
 use super::proxy::SimulatedProxy;
+use super::run_checker::{Admitted, HostStatus};
 use super::{as_millis, lock};
 use pinetrail_peer_transport::{Peer, PeerTransport, Process, Timing as TransportTiming};
 use pinetrail_policy_consensus::{
--- a/crates/simulation/src/policy_consensus/mod.rs
+++ b/crates/simulation/src/policy_consensus/mod.rs
@@ -8,13 +8,13 @@
 mod disk;
 mod fleet;
 mod host;
-mod judge;
-mod net;
+mod network;
 mod plan;
 mod proxy;
+mod run_checker;
 
-pub use judge::{Admitted, Verdict};
 pub use plan::{DiskAtStart, Fault, Plan, ScheduledFault};
+pub use run_checker::{Admitted, Verdict};
 
 use fleet::SimulatedFleet;
 use rand::rngs::StdRng;
--- a/crates/simulation/src/policy_consensus/proxy.rs
+++ b/crates/simulation/src/policy_consensus/proxy.rs
@@ -1,8 +1,8 @@
 //! The simulated proxy of a host: which version is active there.
 
 use super::host::now_ms;
-use super::judge::RunChecker;
 use super::lock;
+use super::run_checker::RunChecker;
 use pinetrail_policy_consensus::{PolicyApplier, PolicyRejected};
 use std::sync::{Mutex, MutexGuard};
 
