--- /dev/null
+++ b/crates/policy-consensus/src/node/message_handler.rs
@@ -0,0 +1,90 @@
+//! Takes the messages of other processes, and answers those that ask something.
+
+use super::state::WaitingFor;
+use super::ConsensusNode;
+use crate::messages::{decode, encode, Message, Reply};
+use crate::StateSummary;
+use pinetrail_peer_transport::{ConnectionError, MessageHandler, Network, Process};
+
+impl<N: Network> MessageHandler for ConsensusNode<N> {
+    fn on_message(&self, from: &Process, body: &[u8]) -> Option<Vec<u8>> {
+        let message = decode(body)?;
+        self.answer(from, message).map(|reply| encode(&reply))
+    }
+
+    fn on_connected(&self, peer: &Process, _voter: Option<u8>) {
+        let summary = self.state().agreed.clone();
+        if summary.revision > 0 {
+            self.transport.send(peer, encode(&Message::Decided(summary)));
+        }
+        self.notify_changed();
+    }
+
+    fn on_disconnected(&self, _peer: &Process) {
+        self.notify_changed();
+    }
+
+    fn on_resync_needed(&self, _peer: &Process) {
+        // What is agreed comes with the answer to the next request for a lease.
+        self.notify_changed();
+    }
+
+    fn on_connection_failed(&self, _peer: &Process, _error: &ConnectionError) {}
+}
+
+impl<N: Network> ConsensusNode<N> {
+    /// Takes a message; returns the answer if it asks something that this process can answer.
+    pub(super) fn answer(&self, from: &Process, message: Message) -> Option<Reply> {
+        match message {
+            Message::Prepare(ballot) => self.prepare(ballot).map(Reply::Acceptor),
+            Message::Accept { ballot, state, storage_ids } => {
+                self.accept(ballot, &state, &storage_ids).map(Reply::Acceptor)
+            }
+            Message::RegisterStorage { voter, storage_id } => self.register_storage(voter, storage_id),
+            Message::RequestLease(request) => self.decide_lease(from, request),
+            Message::ListHolders { change_id } => self.list_holders(&change_id),
+            Message::FetchState { min_revision } => self.full_state_since(min_revision),
+            Message::Decided(summary) => {
+                self.learn_summary(from, summary);
+                None
+            }
+            Message::Application { channel, body } => {
+                self.applier.on_peer_message(from, channel, &body);
+                None
+            }
+            Message::WaitingFor { change_id, names } => {
+                self.state().waiting = WaitingFor { change_id, names };
+                None
+            }
+        }
+    }
+
+    /// Another process knows that this is agreed.
+    pub(super) fn learn_summary(&self, from: &Process, summary: StateSummary) {
+        let is_voter = {
+            let mut state = self.state();
+            if summary.revision <= state.agreed.revision {
+                return;
+            }
+            // A voter has what it accepted.
+            let accepted = state.voter.as_ref().and_then(|voter| voter.accepted_state());
+            if let Some(agreed) = accepted.filter(|accepted| accepted.summary() == summary).cloned() {
+                state.full_state = Some(agreed);
+            }
+            state.agreed = summary.clone();
+            state.source = Some(from.clone());
+            state.voter.is_some()
+        };
+        // The proposer may be cut off from some that this voter reaches.
+        if is_voter {
+            self.transport.broadcast(&encode(&Message::Decided(summary)));
+        }
+        self.notify_changed();
+    }
+
+    fn full_state_since(&self, min_revision: u64) -> Option<Reply> {
+        let state = self.state();
+        let full_state = state.full_state.as_ref().filter(|known| known.revision >= min_revision)?;
+        Some(Reply::State(Box::new(full_state.clone())))
+    }
+}
--- a/src/net/config/error.rs
+++ b/src/net/config/error.rs
@@ -127,7 +127,7 @@
     UnspecifiedAddress,
     /// Its times cannot be kept.
     #[error(transparent)]
-    Timing(#[from] pinetrail_policy_consensus::SettingsError),
+    Timing(#[from] pinetrail_policy_consensus::TimingError),
     /// Requests would wait too long for a change.
     #[error("hold_ms {hold_ms} is over {longest_ms}")]
     HoldTooLong {
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -148,10 +148,10 @@
     let or_default = |ms: Option<u64>, default: Duration| ms.map_or(default, Duration::from_millis);
     let defaults = Timing::default();
     Timing {
-        permit: or_default(file.permit_ms, defaults.permit),
-        renew: or_default(file.renew_ms, defaults.renew),
-        ready: or_default(file.ready_ms, defaults.ready),
-        close: or_default(file.close_ms, defaults.close),
+        lease: or_default(file.permit_ms, defaults.lease),
+        renewal: or_default(file.renew_ms, defaults.renewal),
+        readiness: or_default(file.ready_ms, defaults.readiness),
+        closing: or_default(file.close_ms, defaults.closing),
         change: or_default(file.change_ms, defaults.change),
         answer: or_default(file.answer_ms, defaults.answer),
     }
--- a/src/net/policy/admin.rs
+++ b/src/net/policy/admin.rs
@@ -61,14 +61,19 @@
 impl Policy {
     /// `GET /control/policy`.
     pub fn status(&self) -> PolicyResponse {
-        let (version, digest, state, change) = self.node.status();
-        let state = match state {
+        let status = self.node.status();
+        let state = match status.status {
             ConsensusStatus::Steady => "steady",
             ConsensusStatus::Changing => "changing",
             ConsensusStatus::CatchingUp => "catching-up",
             ConsensusStatus::Fenced => "fenced",
         };
-        let status = PolicyStatus { version, digest: digest.to_string(), state, change };
+        let status = PolicyStatus {
+            version: status.active_version,
+            digest: status.agreed_digest.to_string(),
+            state,
+            change: status.open_change,
+        };
         // It cannot fail: all of the fields have a JSON form.
         PolicyResponse { status: 200, json: serde_json::to_string(&status).unwrap_or_default() }
     }
@@ -112,16 +117,16 @@
         let node = Arc::clone(&self.node);
         let id = id.to_owned();
         let status = self.wait_for(async move { node.change_status(&id, FOUNDER_TIMEOUT).await });
-        let Some(ChangeStatus { outcome, why, waiting_for }) = status.flatten() else {
+        let Some(ChangeStatus { outcome, reason, waiting_for }) = status.flatten() else {
             return PolicyResponse::error(404, "no change of this name is known here");
         };
         let outcome = match outcome {
             None => "open",
-            Some(Outcome::Taken) => "taken",
+            Some(Outcome::Committed) => "taken",
             Some(Outcome::Rejected) => "refused",
             Some(Outcome::Abandoned) => "abandoned",
         };
-        PolicyResponse::new(200, &json!({"outcome": outcome, "why": why, "waiting_for": waiting_for}))
+        PolicyResponse::new(200, &json!({"outcome": outcome, "why": reason, "waiting_for": waiting_for}))
     }
 
     /// Runs a future on the policy's thread and waits for its value; none if it takes too long. It
@@ -148,7 +153,8 @@
 /// The HTTP status of a proposal that was not taken.
 fn proposal_error_status(error: &ProposalError) -> u16 {
     match error {
-        ProposalError::Check(_) | ProposalError::Conflict(Conflict::Form(_)) => 400,
+        ProposalError::Rejected(_)
+        | ProposalError::Conflict(Conflict::InvalidId | Conflict::PolicyTooLong) => 400,
         ProposalError::Conflict(_) => 409,
         ProposalError::NoMajority => 503,
     }
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -11,7 +11,7 @@
 use crate::settings::Settings;
 use pinetrail_drift::{ApprovedPolicy, PartDigests};
 use pinetrail_peer_transport::Process;
-use pinetrail_policy_consensus::PolicyApplier;
+use pinetrail_policy_consensus::{PolicyApplier, PolicyRejected};
 use serde_json::Value;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -163,10 +163,10 @@
 }
 
 impl PolicyApplier for ProxyPolicyApplier {
-    fn validate(&self, text: &str) -> Result<(), String> {
+    fn validate(&self, text: &str) -> Result<(), PolicyRejected> {
         match self.read_policy(text) {
             Ok(_) => Ok(()),
-            Err(error) => Err(error.to_string()),
+            Err(error) => Err(PolicyRejected::new(error.to_string())),
         }
     }
 
--- a/src/net/policy/drift_monitor.rs
+++ b/src/net/policy/drift_monitor.rs
@@ -110,7 +110,7 @@
     /// Brings the detector up to date with this process and with what was approved; the report of
     /// this process.
     fn refresh(&self) -> Report {
-        let (version, _, status, _) = self.node.status();
+        let node_status_now = self.node.status();
         let part_digests = self.applier.active_digests();
         let now = self.now();
         let approved =
@@ -121,8 +121,8 @@
         state.last_sequence += 1;
         let report = Report {
             sequence: state.last_sequence,
-            version,
-            status: node_status(status),
+            version: node_status_now.active_version,
+            status: node_status(node_status_now.status),
             part_digests,
             raised_alarms: state.alarms.all_raised(),
         };
@@ -202,7 +202,7 @@
     /// Applies the approved version again; which one that is.
     pub(super) fn restore(&self) -> Result<u64, RestoreError> {
         let (version, text) = self.node.approved_policy().ok_or(RestoreError::ApprovedUnknown)?;
-        if self.node.status().0 != version {
+        if self.node.status().active_version != version {
             return Err(RestoreError::OtherVersion);
         }
         self.applier.apply(version, &text);
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -126,8 +126,7 @@
 
     /// Whether this process admits requests.
     pub fn is_admitting(&self) -> bool {
-        let (_, _, status, _) = self.node.status();
-        matches!(status, ConsensusStatus::Steady | ConsensusStatus::Changing)
+        matches!(self.node.status().status, ConsensusStatus::Steady | ConsensusStatus::Changing)
     }
 
     /// Why it does not.
@@ -159,7 +158,7 @@
     /// The counters, by their names in `stats`.
     pub fn counters(&self) -> Vec<(&'static str, u64)> {
         vec![
-            ("policy_version", self.node.status().0),
+            ("policy_version", self.node.status().active_version),
             ("policy_links", self.node.transport().connected_peers().len() as u64),
             ("policy_refused", self.node.admission_lease().rejections()),
             ("policy_drift_alarms", self.drift_monitor.alarms_raised()),
--- a/src/net/policy/presence.rs
+++ b/src/net/policy/presence.rs
@@ -5,7 +5,7 @@
 use crate::net::config::PolicyConfig;
 use crate::net::log::log;
 use pinetrail_peer_transport::TcpNetwork;
-use pinetrail_policy_consensus::{ConsensusNode, FileStorage};
+use pinetrail_policy_consensus::{ConsensusNode, FileStorage, VoterId};
 use std::io::{self, ErrorKind};
 use std::path::Path;
 use std::sync::Arc;
@@ -72,8 +72,8 @@
     }
 
     fn become_voter(&self, voter_id: u8, state_dir: &Path) -> io::Result<()> {
-        let storage = FileStorage::take(state_dir.to_owned())?;
-        self.node.become_voter(voter_id, Box::new(storage))
+        let storage = FileStorage::open(state_dir.to_owned())?;
+        self.node.become_voter(VoterId(voter_id), Box::new(storage))
     }
 
     fn withdraw(&mut self) {
