--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -1,8 +1,8 @@
 //! What leaves the process: answers of the operators' door, byte by byte. Operators' scripts and
 //! probes read status, headers and words. All texts were recorded before any renaming.
 
-use super::codec::{call, Call, Said, MAX_BODY, MAX_HEAD};
 use super::refused;
+use super::request::{call, Call, Said, MAX_BODY, MAX_HEAD};
 use crate::net::dispatcher::MaintenanceError;
 
 fn written(said: &Said) -> String {
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -1,9 +1,9 @@
 //! The operators' door: a second address where they ask by HTTP/1.1, one call a connection. It decides nothing:
 //! calls are put to the exchange and the lifecycle.
 
-mod codec;
 #[cfg(test)]
 mod golden_tests;
+mod request;
 
 use super::deadline_stream::{sleep, DeadlineStream};
 use super::descriptors::DOOR_CALLS;
@@ -13,7 +13,7 @@
 use super::listener::{Listener, Stream};
 use super::log::log;
 use super::policy::Policy;
-use codec::{Call, Said};
+use request::{Call, Said};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -119,7 +119,7 @@
                 }
                 Err(error) => return Err(error),
             }
-            if let Some(asked) = codec::call(&bytes) {
+            if let Some(asked) = request::call(&bytes) {
                 break asked;
             }
         };
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -1,7 +1,7 @@
 //! The program from start to exit, as the named phases of one object.
 
 mod budget;
-mod host;
+mod peer;
 mod state;
 
 use super::admin::AdminServer;
