--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -1,22 +1,23 @@
-//! What leaves the process: answers of the operators' door, byte by byte. Operators' scripts and
-//! probes read status, headers and words. All texts were recorded before any renaming.
+//! What leaves the process: responses of the operators' endpoint, byte by byte. Operators' scripts
+//! and probes read status, headers and words. All texts were recorded before any renaming.
 
-use super::refused;
-use super::request::{call, Call, Said, MAX_BODY, MAX_HEAD};
+use super::handler::maintenance_refused;
+use super::request::{parse, AdminRequest, MAX_BODY, MAX_HEAD};
+use super::response::AdminResponse;
 use crate::net::dispatcher::MaintenanceError;
 
-fn written(said: &Said) -> String {
-    String::from_utf8(said.words()).unwrap()
+fn written(response: &AdminResponse) -> String {
+    String::from_utf8(response.encode()).unwrap()
 }
 
-fn read(request: &str) -> Result<Call, Said> {
-    call(request.as_bytes()).unwrap()
+fn read(request: &str) -> Result<AdminRequest, AdminResponse> {
+    parse(request.as_bytes()).transpose().unwrap().map_err(AdminResponse::from)
 }
 
 /// The status and the text of an answer to what is no call.
 fn wrong(request: &str) -> (u16, String) {
-    let said = read(request).unwrap_err();
-    (said.status, said.text)
+    let response = read(request).unwrap_err();
+    (response.status, response.text)
 }
 
 #[test]
@@ -25,7 +26,7 @@
         "HTTP/1.1 200 OK\r\nContent-Type: text/plain; charset=utf-8\r\n",
         "Content-Length: 6\r\nConnection: close\r\n\r\nready\n",
     );
-    assert_eq!(written(&Said::new(200, "ready")), recorded);
+    assert_eq!(written(&AdminResponse::text(200, "ready")), recorded);
 }
 
 #[test]
@@ -34,9 +35,9 @@
         "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\n",
         "Content-Length: 3\r\nConnection: close\r\n\r\n{}\n",
     );
-    assert_eq!(written(&Said::answer((202, "{}".into()))), recorded);
+    assert_eq!(written(&AdminResponse::json(202, "{}")), recorded);
     let recorded = recorded.replace("202 Accepted", "200 OK");
-    assert_eq!(written(&Said::json("{}".into())), recorded);
+    assert_eq!(written(&AdminResponse::json(200, "{}")), recorded);
 }
 
 #[test]
@@ -70,29 +71,29 @@
     ];
     for (status, reason) in recorded {
         let first = format!("HTTP/1.1 {status} {reason}\r\n");
-        assert!(written(&Said::new(status, "")).starts_with(&first), "{status}");
+        assert!(written(&AdminResponse::text(status, "")).starts_with(&first), "{status}");
     }
 }
 
 #[test]
 fn calls_are_read_by_the_recorded_methods_and_paths() {
     let recorded = [
-        ("GET /control/ready", Call::Ready),
-        ("GET /control/fleet", Call::Fleet),
-        ("GET /control/policy", Call::Policy),
-        ("GET /control/drift", Call::Drift),
-        ("POST /control/policy/restore", Call::Restore),
-        ("GET /control/policy/changes/c%201", Call::Change("c 1".into())),
-        ("POST /control/cache-nodes/a/offline", Call::Offline("a".into())),
-        ("POST /control/cache-nodes/a/online", Call::Online("a".into())),
-        ("POST /control/out-of-service", Call::OutOfService),
-        ("POST /control/in-service", Call::InService),
+        ("GET /control/ready", AdminRequest::Ready),
+        ("GET /control/fleet", AdminRequest::Fleet),
+        ("GET /control/policy", AdminRequest::Policy),
+        ("GET /control/drift", AdminRequest::Drift),
+        ("POST /control/policy/restore", AdminRequest::Restore),
+        ("GET /control/policy/changes/c%201", AdminRequest::Change("c 1".into())),
+        ("POST /control/cache-nodes/a/offline", AdminRequest::Offline("a".into())),
+        ("POST /control/cache-nodes/a/online", AdminRequest::Online("a".into())),
+        ("POST /control/out-of-service", AdminRequest::OutOfService),
+        ("POST /control/in-service", AdminRequest::InService),
     ];
     for (line, recorded) in recorded {
         assert_eq!(read(&format!("{line} HTTP/1.1\r\n\r\n")), Ok(recorded), "{line}");
     }
     let propose = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
-    assert_eq!(read(propose), Ok(Call::Propose(b"{}".to_vec())));
+    assert_eq!(read(propose), Ok(AdminRequest::Propose(b"{}".to_vec())));
 }
 
 #[test]
@@ -114,9 +115,9 @@
 
 #[test]
 fn refused_calls_about_nodes_have_the_recorded_statuses() {
-    let status = |refusal: MaintenanceError| refused(&refusal).status;
+    let status = |refusal: MaintenanceError| maintenance_refused(&refusal).status;
     assert_eq!(status(MaintenanceError::NeverListed("a".into())), 404);
     assert_eq!(status(MaintenanceError::Origin("a".into())), 409);
     assert_eq!(status(MaintenanceError::TooMany), 409);
-    assert_eq!(refused(&MaintenanceError::NeverListed("a".into())).text, "a was never listed");
+    assert_eq!(maintenance_refused(&MaintenanceError::NeverListed("a".into())).text, "a was never listed");
 }
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -1,208 +1,113 @@
-//! The operators' door: a second address where they ask by HTTP/1.1, one call a connection. It decides nothing:
-//! calls are put to the exchange and the lifecycle.
+//! The operators' HTTP endpoint: a second address that takes HTTP/1.1 requests, one a connection.
+//! Read [`AdminServer`] first. It decides nothing: `request` parses, `handler` puts requests to an
+//! [`AdminBackend`], `response` encodes what that answers.
 
+mod backend;
+mod connection;
 #[cfg(test)]
 mod golden_tests;
+mod handler;
 mod request;
+mod response;
+
+pub use backend::{AdminBackend, FleetReportError, NotReady, NotServing};
 
 use super::deadline_stream::{sleep, DeadlineStream};
-use super::descriptors::DOOR_CALLS;
-use super::dispatcher::{Dispatcher, MaintenanceError};
-use super::hot_restart::ControlCommand;
-use super::lifecycle::{Lifecycle, Stopping};
+use super::descriptors::DOOR_CALLS as MAX_CONNECTIONS;
 use super::listener::{Listener, Stream};
 use super::log::log;
-use super::policy::Policy;
-use request::{Call, Said};
+use connection::ConnectionSlot;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-/// A call must be whole within this time, unless it gives way to others sooner.
-const WHOLE_CALL: Duration = Duration::from_secs(5);
-/// An answer must be taken within this time.
-const ANSWER: Duration = Duration::from_millis(500);
-/// What still comes after the answer is thrown away for so long, and so much of it. Danger: a connection that
-/// closes on unread input is reset, and the answer may be lost with it.
-const LINGER: Duration = Duration::from_millis(200);
-const MAX_LINGER: usize = 64 * 1024;
-/// Between attempts to accept, when that fails or all calls are being answered.
-const REST: Duration = Duration::from_millis(5);
+/// Between attempts to accept, when that fails or all connections are taken.
+const ACCEPT_RETRY: Duration = Duration::from_millis(5);
 
-/// The door of one process.
+/// The operators' endpoint of one process.
 pub struct AdminServer {
     listener: Listener,
-    /// Calls that are not whole yet, in the order of their arrival.
-    waiting: Mutex<BTreeMap<u64, DeadlineStream<Stream>>>,
-    open: Mutex<usize>,
+    /// Guards the connections that are open.
+    connections: Mutex<OpenConnections>,
+}
+
+/// The connections that are open, of [`MAX_CONNECTIONS`] at the most.
+#[derive(Default)]
+struct OpenConnections {
+    count: usize,
+    /// Those whose request is incomplete, by their number in the order of arrival.
+    incomplete: BTreeMap<u64, DeadlineStream<Stream>>,
 }
 
 impl AdminServer {
-    /// Opens the door; callers wait until it is served.
+    /// Opens the endpoint. Operators wait until it is served.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
     pub fn open(address: SocketAddr) -> io::Result<Arc<AdminServer>> {
         let listener = Listener::new(super::listener::open(address)?)?;
-        Ok(Arc::new(AdminServer { listener, waiting: Mutex::default(), open: Mutex::new(0) }))
+        Ok(Arc::new(AdminServer { listener, connections: Mutex::default() }))
     }
 
-    /// Where it is.
+    /// The address it listens on.
+    ///
+    /// # Errors
+    ///
+    /// If the system does not say.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.address()
     }
 
-    /// Answers callers from now on.
-    pub fn serve(self: Arc<Self>, exchange: Arc<Dispatcher>, lifecycle: Arc<Lifecycle>) {
-        may::go!(move || {
-            for number in 0.. {
-                let stream = match self.listener.accept() {
-                    Ok(Some(stream)) => DeadlineStream::of(stream),
-                    Ok(None) => return,
-                    Err(error) => {
-                        log(&format!("door: accept: {error}"));
-                        sleep(REST);
-                        continue;
-                    }
-                };
-                while !self.has_room() {
-                    sleep(REST);
-                }
-                with(&self.waiting, |waiting| waiting.insert(number, stream.clone()));
-                let place = Place::take(&self, number);
-                let (exchange, lifecycle) = (Arc::clone(&exchange), Arc::clone(&lifecycle));
-                may::go!(move || {
-                    // An error says that the caller has gone.
-                    let _ = place.answer(&stream, &exchange, &lifecycle);
-                });
-            }
-        });
+    /// Answers operators from now on.
+    pub fn serve(self: Arc<Self>, backend: Arc<dyn AdminBackend>) {
+        // Ends with the process: nothing stops this listener before.
+        may::go!(move || self.accept_connections(&backend));
     }
 
-    /// Whether there is room for one more call. If not, who has been silent for longest gives way.
-    fn has_room(&self) -> bool {
-        if with(&self.open, |open| *open < DOOR_CALLS) {
-            return true;
-        }
-        if let Some((_, oldest)) = with(&self.waiting, BTreeMap::pop_first) {
-            oldest.end();
+    fn accept_connections(self: &Arc<Self>, backend: &Arc<dyn AdminBackend>) {
+        for number in 0.. {
+            let stream = match self.listener.accept() {
+                Ok(Some(stream)) => DeadlineStream::of(stream),
+                Ok(None) => return,
+                Err(error) => {
+                    log(&format!("admin: accept: {error}"));
+                    sleep(ACCEPT_RETRY);
+                    continue;
+                }
+            };
+            while !self.has_room() {
+                sleep(ACCEPT_RETRY);
+            }
+            let slot = ConnectionSlot::take(self, number, &stream);
+            let backend = Arc::clone(backend);
+            // Ends by itself: each step of a connection has a deadline.
+            may::go!(move || {
+                // An error says that the operator has gone.
+                let _ = slot.answer(&stream, &*backend);
+            });
         }
-        false
     }
-}
 
-/// A call's place; free again when it is dropped.
-struct Place {
-    door: Arc<AdminServer>,
-    number: u64,
-}
-
-impl Place {
-    fn take(door: &Arc<AdminServer>, number: u64) -> Place {
-        with(&door.open, |open| *open += 1);
-        Place { door: Arc::clone(door), number }
-    }
-
-    fn answer(
-        &self,
-        link: &DeadlineStream<Stream>,
-        exchange: &Arc<Dispatcher>,
-        lifecycle: &Lifecycle,
-    ) -> io::Result<()> {
-        let until = Instant::now() + WHOLE_CALL;
-        let mut bytes = Vec::new();
-        let asked = loop {
-            match link.read(&mut bytes, until) {
-                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::TimedOut => {
-                    break Err(Said::new(408, format!("no whole call within {} s", WHOLE_CALL.as_secs())));
-                }
-                Err(error) => return Err(error),
-            }
-            if let Some(asked) = request::call(&bytes) {
-                break asked;
+    /// Whether one more connection may be open. If not, the oldest one without a complete request
+    /// is closed.
+    fn has_room(&self) -> bool {
+        let oldest = {
+            let mut connections = self.connections();
+            if connections.count < MAX_CONNECTIONS {
+                return true;
             }
+            connections.incomplete.pop_first()
         };
-        // It is being answered: it gives way to nobody any more.
-        with(&self.door.waiting, |waiting| waiting.remove(&self.number));
-        let said = asked.and_then(|call| carry_out(call, exchange, lifecycle)).unwrap_or_else(|said| said);
-        link.write(&said.words(), Instant::now() + ANSWER)?;
-        link.end_writing();
-        let (until, mut lingered) = (Instant::now() + LINGER, 0);
-        while lingered < MAX_LINGER {
-            bytes.clear();
-            match link.read(&mut bytes, until)? {
-                0 => break,
-                count => lingered += count,
-            }
+        if let Some((_, stream)) = oldest {
+            stream.end();
         }
-        Ok(())
+        false
     }
-}
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        with(&self.door.waiting, |waiting| waiting.remove(&self.number));
-        with(&self.door.open, |open| *open -= 1);
+    fn connections(&self) -> MutexGuard<'_, OpenConnections> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Puts a call to whom it concerns: this process, then the other one, if there are two.
-fn carry_out(call: Call, exchange: &Arc<Dispatcher>, lifecycle: &Lifecycle) -> Result<Said, Said> {
-    let (order, text) = match call {
-        Call::Ready => {
-            return if lifecycle.is_ready() {
-                Ok(Said::new(200, "ready"))
-            } else {
-                Err(Said::new(503, lifecycle.why_not_ready()))
-            };
-        }
-        Call::Fleet => return report(lifecycle),
-        Call::Policy => return policy(lifecycle).map(|policy| Said::answer(policy.standing())),
-        Call::Drift => return policy(lifecycle).map(|policy| Said::answer(policy.drift())),
-        Call::Restore => return policy(lifecycle).map(|policy| Said::answer(policy.restore())),
-        Call::Propose(body) => return policy(lifecycle).map(|policy| Said::answer(policy.propose(&body))),
-        Call::Change(id) => return policy(lifecycle).map(|policy| Said::answer(policy.change(&id))),
-        Call::Offline(id) => {
-            exchange.enter_maintenance(&id).map_err(|error| refused(&error))?;
-            let text = format!("{id} is out: nothing more goes there until it is called back");
-            (ControlCommand::Offline(id), text)
-        }
-        Call::Online(id) => {
-            exchange.leave_maintenance(&id).map_err(|error| refused(&error))?;
-            let text = format!("{id} may serve as far as discovery lists it as ready");
-            (ControlCommand::Online(id), text)
-        }
-        Call::OutOfService => {
-            (ControlCommand::Service(false), "out of service: clients are sent away".to_owned())
-        }
-        Call::InService => (ControlCommand::Service(true), "in service".to_owned()),
-    };
-    if let ControlCommand::Service(into) = order {
-        lifecycle.serve(into).map_err(|Stopping| Said::new(409, "this process stops"))?;
-    }
-    lifecycle.takeover().relay(order).map_err(|why| Said::new(503, format!("done here only: {why}")))?;
-    Ok(Said::new(200, text))
-}
-
-fn policy(lifecycle: &Lifecycle) -> Result<&Arc<Policy>, Said> {
-    lifecycle.policy().ok_or_else(|| Said::new(404, "no common policy is configured, or it starts"))
-}
-
-fn report(lifecycle: &Lifecycle) -> Result<Said, Said> {
-    let fleet = lifecycle.fleet().ok_or_else(|| Said::new(404, "no fleet is configured"))?;
-    let report = fleet.report();
-    report.map(Said::json).ok_or_else(|| Said::new(503, "this process does not speak in the fleet: it starts or stops, or the other process of this proxy speaks"))
-}
-
-fn refused(error: &MaintenanceError) -> Said {
-    let status = match error {
-        MaintenanceError::NeverListed(_) => 404,
-        MaintenanceError::Origin(_) | MaintenanceError::TooMany => 409,
-    };
-    Said::new(status, error.to_string())
-}
-
-fn with<S, T>(state: &Mutex<S>, act: impl FnOnce(&mut S) -> T) -> T {
-    act(&mut state.lock().unwrap_or_else(PoisonError::into_inner))
-}
--- a/src/net/admin/request.rs
+++ b/src/net/admin/request.rs
@@ -1,175 +1,183 @@
-//! What operators ask, as HTTP/1.1 requests, and what they are answered: bytes in, calls out; text in, bytes out.
+//! The HTTP/1.1 requests of operators: bytes in, [`AdminRequest`] out. It does no I/O.
 
+use super::response::AdminResponse;
 use percent_encoding::percent_decode_str;
+use std::time::Duration;
+use thiserror::Error;
 
-/// The longest head of a request.
+/// The longest head of a request, in bytes.
 pub(super) const MAX_HEAD: usize = 8 * 1024;
 const MAX_HEADERS: usize = 64;
-/// The longest body.
+/// The longest body of a request, in bytes.
 pub(super) const MAX_BODY: usize = 512 * 1024;
-const NODES: &str = "/control/cache-nodes/";
-const POLICY: &str = "/control/policy";
-const CHANGES: &str = "/control/policy/changes/";
+const CACHE_NODES_PREFIX: &str = "/control/cache-nodes/";
+const POLICY_PATH: &str = "/control/policy";
+const CHANGES_PREFIX: &str = "/control/policy/changes/";
 
-/// A call of the operators.
+/// A request of the operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Call {
+pub(super) enum AdminRequest {
     /// Whether this process takes clients.
     Ready,
     /// What this process knows of its fleet.
     Fleet,
-    /// Where this process stands with the fleet's policy.
+    /// Which policy this process has active, and which change is open.
     Policy,
-    /// A change of it is proposed: the body.
+    /// Proposes a change of the common policy: the body.
     Propose(Vec<u8>),
-    /// What each process has in force against what was approved.
+    /// What each process has active against what was approved.
     Drift,
-    /// Put what was approved in force again.
+    /// Makes the approved policy active again.
     Restore,
-    /// How the change of this name stands.
+    /// The status of the change of this name.
     Change(String),
-    /// Nothing more to the cache node of this id.
+    /// Sends nothing more to the cache node of this id.
     Offline(String),
-    /// The cache node of this id may serve again.
+    /// Lets the cache node of this id serve again.
     Online(String),
-    /// Send clients away.
+    /// Directs clients to other proxies.
     OutOfService,
-    /// Take them again.
+    /// Serves clients again.
     InService,
 }
 
-/// What a call is answered: a status, the methods to use instead if the one used is wrong, and a line of text.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Said {
-    /// The status: 2xx means yes.
-    pub status: u16,
-    /// The methods that the path knows.
-    pub allow: Option<&'static str>,
-    /// What was done, or what was wrong.
-    pub text: String,
-    /// Whether the text is JSON.
-    pub json: bool,
+/// Why what was received is no request. Operators read the text.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub(super) enum RequestError {
+    /// It was not complete in time.
+    #[error("no whole call within {} s", .0.as_secs())]
+    Timeout(Duration),
+    /// It is not HTTP.
+    #[error("no HTTP request: {0}")]
+    NotHttp(#[from] httparse::Error),
+    /// Its head is longer than may be, or has more lines.
+    #[error("the head has over {MAX_HEAD} bytes or {MAX_HEADERS} lines")]
+    HeadTooLarge,
+    /// It needs a body, and does not say how long that is.
+    #[error("the call needs a body and its Content-Length")]
+    LengthRequired,
+    /// Its body is longer than may be.
+    #[error("the body has over {MAX_BODY} bytes")]
+    BodyTooLarge,
+    /// There is no such path.
+    #[error("no such call: {0:?}")]
+    UnknownPath(String),
+    /// The path is called by other methods.
+    #[error("{path} is called by {allowed}, not {method}")]
+    WrongMethod {
+        /// The path of the request.
+        path: String,
+        /// The method of the request.
+        method: String,
+        /// The methods that the path knows.
+        allowed: &'static str,
+    },
+    /// An id in the path is empty or badly escaped.
+    #[error("{0:?} is no id: empty, or badly escaped")]
+    BadId(String),
 }
 
-impl Said {
-    /// An answer with this status.
-    pub(super) fn new(status: u16, text: impl Into<String>) -> Said {
-        Said { status, allow: None, text: text.into(), json: false }
-    }
-
-    /// A status and a JSON text.
-    pub(super) fn answer((status, text): (u16, String)) -> Said {
-        Said { status, allow: None, text, json: true }
-    }
-
-    /// Yes, in JSON.
-    pub(super) fn json(text: String) -> Said {
-        Said { status: 200, allow: None, text, json: true }
-    }
-
-    /// The answer as it is written.
-    pub(super) fn words(&self) -> Vec<u8> {
-        let reason = match self.status {
-            200 => "OK",
-            202 => "Accepted",
-            400 => "Bad Request",
-            404 => "Not Found",
-            405 => "Method Not Allowed",
-            408 => "Request Timeout",
-            409 => "Conflict",
-            411 => "Length Required",
-            413 => "Content Too Large",
-            431 => "Request Header Fields Too Large",
-            503 => "Service Unavailable",
-            _ => "Error",
-        };
-        let allow = self.allow.map_or(String::new(), |methods| format!("Allow: {methods}\r\n"));
-        let length = self.text.len() + 1;
-        let kind = if self.json { "application/json" } else { "text/plain; charset=utf-8" };
-        format!(
-            "HTTP/1.1 {} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\
-             {allow}Connection: close\r\n\r\n{}\n",
-            self.status, self.text
-        )
-        .into_bytes()
+impl From<RequestError> for AdminResponse {
+    fn from(error: RequestError) -> AdminResponse {
+        let text = error.to_string();
+        match error {
+            RequestError::NotHttp(_) | RequestError::BadId(_) => AdminResponse::text(400, text),
+            RequestError::UnknownPath(_) => AdminResponse::not_found(text),
+            RequestError::WrongMethod { allowed, .. } => AdminResponse::method_not_allowed(allowed, text),
+            RequestError::Timeout(_) => AdminResponse::text(408, text),
+            RequestError::LengthRequired => AdminResponse::text(411, text),
+            RequestError::BodyTooLarge => AdminResponse::text(413, text),
+            RequestError::HeadTooLarge => AdminResponse::text(431, text),
+        }
     }
 }
 
-/// Reads a request; none while it is not whole. What follows the head is a concern of those calls only that have a body.
-pub(super) fn call(bytes: &[u8]) -> Option<Result<Call, Said>> {
+/// Parses a request; none while it is incomplete. Bytes after the head are looked at only for
+/// requests that have a body.
+///
+/// # Errors
+///
+/// [`RequestError`] if the bytes cannot become a request.
+pub(super) fn parse(bytes: &[u8]) -> Result<Option<AdminRequest>, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    match request.parse(&bytes[..bytes.len().min(MAX_HEAD)]) {
-        Ok(httparse::Status::Complete(head)) => {
-            let asked = asked(request.method.unwrap_or_default(), request.path.unwrap_or_default());
-            match asked {
-                Ok(Call::Propose(_)) => match body(request.headers, &bytes[head..]) {
-                    Ok(body) => body.map(|body| Ok(Call::Propose(body))),
-                    Err(said) => Some(Err(said)),
-                },
-                asked => Some(asked),
-            }
-        }
-        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => None,
+    let mut http = httparse::Request::new(&mut headers);
+    let head_length = match http.parse(&bytes[..bytes.len().min(MAX_HEAD)]) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD => return Ok(None),
         Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-            Some(Err(Said::new(431, format!("the head has over {MAX_HEAD} bytes or {MAX_HEADERS} lines"))))
+            return Err(RequestError::HeadTooLarge);
         }
-        Err(error) => Some(Err(Said::new(400, format!("no HTTP request: {error}")))),
+        Err(error) => return Err(RequestError::NotHttp(error)),
+    };
+    let request = route(http.method.unwrap_or_default(), http.path.unwrap_or_default())?;
+    if let AdminRequest::Propose(_) = request {
+        let body = read_body(http.headers, &bytes[head_length..])?;
+        return Ok(body.map(AdminRequest::Propose));
     }
+    Ok(Some(request))
 }
 
-/// The body of a request whose head has these headers; none while it is not whole.
-fn body(headers: &[httparse::Header], bytes: &[u8]) -> Result<Option<Vec<u8>>, Said> {
-    let length = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
-    let length =
-        length.and_then(|length| std::str::from_utf8(length.value).ok()?.trim().parse::<usize>().ok());
-    match length {
-        None => Err(Said::new(411, "the call needs a body and its Content-Length")),
-        Some(length) if length > MAX_BODY => {
-            Err(Said::new(413, format!("the body has over {MAX_BODY} bytes")))
-        }
-        Some(length) => Ok(bytes.get(..length).map(<[u8]>::to_vec)),
+/// The body of a request whose head has these headers; none while it is incomplete.
+fn read_body(headers: &[httparse::Header], bytes: &[u8]) -> Result<Option<Vec<u8>>, RequestError> {
+    let length = content_length(headers).ok_or(RequestError::LengthRequired)?;
+    if length > MAX_BODY {
+        return Err(RequestError::BodyTooLarge);
     }
+    Ok(bytes.get(..length).map(<[u8]>::to_vec))
+}
+
+fn content_length(headers: &[httparse::Header]) -> Option<usize> {
+    let header = headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"))?;
+    std::str::from_utf8(header.value).ok()?.trim().parse().ok()
 }
 
-fn asked(method: &str, target: &str) -> Result<Call, Said> {
+/// The request that a method and a target name, without its body.
+fn route(method: &str, target: &str) -> Result<AdminRequest, RequestError> {
     let path = target.split('?').next().unwrap_or_default();
-    let (wanted, call) = match path {
-        "/control/ready" => ("GET", Call::Ready),
-        "/control/fleet" => ("GET", Call::Fleet),
-        POLICY if method == "POST" => ("POST", Call::Propose(Vec::new())),
-        POLICY => ("GET", Call::Policy),
-        "/control/drift" => ("GET", Call::Drift),
-        "/control/policy/restore" => ("POST", Call::Restore),
-        _ if path.starts_with(CHANGES) => ("GET", Call::Change(decoded(&path[CHANGES.len()..])?)),
-        "/control/out-of-service" => ("POST", Call::OutOfService),
-        "/control/in-service" => ("POST", Call::InService),
-        _ => {
-            let node = path.strip_prefix(NODES).and_then(|rest| rest.split_once('/'));
-            match node {
-                Some((id, "offline")) => ("POST", Call::Offline(decoded(id)?)),
-                Some((id, "online")) => ("POST", Call::Online(decoded(id)?)),
-                _ => return Err(Said::new(404, format!("no such call: {path:?}"))),
-            }
-        }
+    let (expected, request) = match path {
+        "/control/ready" => ("GET", AdminRequest::Ready),
+        "/control/fleet" => ("GET", AdminRequest::Fleet),
+        POLICY_PATH if method == "POST" => ("POST", AdminRequest::Propose(Vec::new())),
+        POLICY_PATH => ("GET", AdminRequest::Policy),
+        "/control/drift" => ("GET", AdminRequest::Drift),
+        "/control/policy/restore" => ("POST", AdminRequest::Restore),
+        "/control/out-of-service" => ("POST", AdminRequest::OutOfService),
+        "/control/in-service" => ("POST", AdminRequest::InService),
+        _ => route_with_id(path)?,
     };
-    if method != wanted {
-        let wanted = if path == POLICY { "GET, POST" } else { wanted };
-        let text = format!("{path} is called by {wanted}, not {method}");
-        return Err(Said { allow: Some(wanted), ..Said::new(405, text) });
+    if method != expected {
+        let allowed = if path == POLICY_PATH { "GET, POST" } else { expected };
+        let (path, method) = (path.to_owned(), method.to_owned());
+        return Err(RequestError::WrongMethod { path, method, allowed });
+    }
+    Ok(request)
+}
+
+/// The request of a path that holds an id, and its method.
+fn route_with_id(path: &str) -> Result<(&'static str, AdminRequest), RequestError> {
+    if let Some(id) = path.strip_prefix(CHANGES_PREFIX) {
+        return Ok(("GET", AdminRequest::Change(decode_id(id)?)));
+    }
+    let node = path.strip_prefix(CACHE_NODES_PREFIX).and_then(|rest| rest.split_once('/'));
+    match node {
+        Some((id, "offline")) => Ok(("POST", AdminRequest::Offline(decode_id(id)?))),
+        Some((id, "online")) => Ok(("POST", AdminRequest::Online(decode_id(id)?))),
+        _ => Err(RequestError::UnknownPath(path.to_owned())),
     }
-    Ok(call)
 }
 
 /// An id in a path, its escapes resolved.
-fn decoded(id: &str) -> Result<String, Said> {
-    let bad = || Said::new(400, format!("{id:?} is no id: empty, or badly escaped"));
-    let escapes = id.split('%').skip(1);
-    let whole = |rest: &str| rest.len() >= 2 && rest.bytes().take(2).all(|byte| byte.is_ascii_hexdigit());
-    if id.is_empty() || !escapes.clone().all(whole) {
-        return Err(bad());
+fn decode_id(id: &str) -> Result<String, RequestError> {
+    let bad_id = || RequestError::BadId(id.to_owned());
+    if id.is_empty() || !id.split('%').skip(1).all(begins_with_escape) {
+        return Err(bad_id());
     }
-    percent_decode_str(id).decode_utf8().map(std::borrow::Cow::into_owned).map_err(|_| bad())
+    percent_decode_str(id).decode_utf8().map(std::borrow::Cow::into_owned).map_err(|_| bad_id())
+}
+
+/// Whether what follows a `%` are two hexadecimal digits.
+fn begins_with_escape(rest: &str) -> bool {
+    rest.len() >= 2 && rest.bytes().take(2).all(|byte| byte.is_ascii_hexdigit())
 }
 
 #[cfg(test)]
--- a/src/net/admin/request/tests.rs
+++ b/src/net/admin/request/tests.rs
@@ -1,30 +1,30 @@
 use super::*;
 
 fn status(request: &str) -> u16 {
-    match call(request.as_bytes()) {
-        Some(Err(said)) => said.status,
+    match parse(request.as_bytes()) {
+        Err(error) => AdminResponse::from(error).status,
         other => panic!("{request:?}: {other:?}"),
     }
 }
 
 #[test]
-fn calls_are_read_by_their_exact_names_and_methods() {
-    let read = |line: &str| call(format!("{line} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes());
-    assert_eq!(read("GET /control/ready"), Some(Ok(Call::Ready)));
-    assert_eq!(read("GET /control/ready?x=1"), Some(Ok(Call::Ready)));
-    assert_eq!(read("GET /control/fleet"), Some(Ok(Call::Fleet)));
-    let offline = Call::Offline("a/b %".into());
-    assert_eq!(read("POST /control/cache-nodes/a%2fb%20%25/offline"), Some(Ok(offline)));
-    assert_eq!(read("POST /control/cache-nodes/s-1/online"), Some(Ok(Call::Online("s-1".into()))));
-    assert_eq!(read("POST /control/out-of-service"), Some(Ok(Call::OutOfService)));
-    let Some(Err(wrong)) = read("GET /control/in-service") else { panic!("a wrong method") };
+fn requests_are_parsed_by_their_exact_paths_and_methods() {
+    let read = |line: &str| parse(format!("{line} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes());
+    assert_eq!(read("GET /control/ready"), Ok(Some(AdminRequest::Ready)));
+    assert_eq!(read("GET /control/ready?x=1"), Ok(Some(AdminRequest::Ready)));
+    assert_eq!(read("GET /control/fleet"), Ok(Some(AdminRequest::Fleet)));
+    let offline = AdminRequest::Offline("a/b %".into());
+    assert_eq!(read("POST /control/cache-nodes/a%2fb%20%25/offline"), Ok(Some(offline)));
+    assert_eq!(read("POST /control/cache-nodes/s-1/online"), Ok(Some(AdminRequest::Online("s-1".into()))));
+    assert_eq!(read("POST /control/out-of-service"), Ok(Some(AdminRequest::OutOfService)));
+    let wrong = AdminResponse::from(read("GET /control/in-service").unwrap_err());
     assert_eq!((wrong.status, wrong.allow), (405, Some("POST")));
-    assert!(String::from_utf8_lossy(&wrong.words()).contains("\r\nAllow: POST\r\n"));
+    assert!(String::from_utf8_lossy(&wrong.encode()).contains("\r\nAllow: POST\r\n"));
 }
 
 #[test]
-fn what_is_no_call_is_told_apart() {
-    assert_eq!(call(b"GET /control/ready HTTP/1.1\r\nHost"), None);
+fn what_is_no_request_gets_the_status_of_its_fault() {
+    assert_eq!(parse(b"GET /control/ready HTTP/1.1\r\nHost"), Ok(None));
     assert_eq!(status("GET /control HTTP/1.1\r\n\r\n"), 404);
     assert_eq!(status("POST /control/cache-nodes/a/b/offline HTTP/1.1\r\n\r\n"), 404);
     for id in ["", "%", "%2", "%zz", "%ff"] {
--- /dev/null
+++ b/src/net/hot_restart/connection.rs
@@ -0,0 +1,97 @@
+//! The connection between two processes, from the handover to the end of one of them.
+
+use super::messages::{Message, MessageReader};
+use super::socket::HandoverSocket;
+use super::{send, send_rejection, BudgetGrant, HotRestart, HotRestartHost, PeerProcess, PeerStream};
+use crate::net::log::log;
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+/// A newer process that does not accept clients within this time is rejected.
+const SERVING_TIMEOUT: Duration = Duration::from_secs(15);
+/// The longest wait for a message, after which [`SERVING_TIMEOUT`] is looked at.
+const READ_TIMEOUT: Duration = Duration::from_millis(1000);
+
+impl HotRestart {
+    /// Handles the other process's messages until the connection ends.
+    pub(super) fn follow_peer(
+        &self,
+        stream: &PeerStream,
+        mut reader: MessageReader,
+        host: &dyn HotRestartHost,
+    ) {
+        let connected = Instant::now();
+        loop {
+            match reader.next_message() {
+                Ok(Some(message)) => self.handle(message, stream, host),
+                Ok(None) => match stream.read(&mut reader.buffer, Instant::now() + READ_TIMEOUT) {
+                    Ok(0) => break,
+                    Ok(_) => {}
+                    Err(error) if error.kind() == ErrorKind::TimedOut => {
+                        if self.is_peer_starting() && connected.elapsed() > SERVING_TIMEOUT {
+                            send_rejection(stream, "it took too long");
+                            break;
+                        }
+                    }
+                    Err(_) => break,
+                },
+                Err(error) => {
+                    log(&format!("take over: {error}"));
+                    break;
+                }
+            }
+        }
+        self.end_connection(host);
+    }
+
+    fn is_peer_starting(&self) -> bool {
+        self.with_state(|state| {
+            state.connection.as_ref().is_some_and(|connection| connection.peer == PeerProcess::Starting)
+        })
+    }
+
+    fn handle(&self, message: Message, stream: &PeerStream, host: &dyn HotRestartHost) {
+        match message {
+            Message::Serving => self.set_peer(PeerProcess::Serving, host),
+            Message::Leaving => self.set_peer(PeerProcess::Leaving, host),
+            Message::Budget(budget) => host.set_budget(BudgetGrant::Part(budget)),
+            Message::Command(number, command) => {
+                let reason = host.apply_command(&command).err().map(|error| error.to_string());
+                // A command that is not confirmed counts as not applied.
+                let _ = send(stream, &Message::CommandDone(number, reason));
+            }
+            Message::CommandDone(number, reason) => {
+                self.with_state(|state| state.commands.confirm(number, reason));
+            }
+            Message::Rejection(reason) => {
+                log(&format!("take over: refused: {reason}"));
+                self.with_state(|state| state.is_rejected = true);
+            }
+            Message::HandoverRequest(_) | Message::Handover(..) => {
+                log("take over: a message out of place");
+            }
+        }
+    }
+
+    fn set_peer(&self, peer: PeerProcess, host: &dyn HotRestartHost) {
+        self.with_state(|state| {
+            if let Some(connection) = &mut state.connection {
+                connection.peer = peer;
+            }
+        });
+        host.peer_changed(peer);
+    }
+
+    /// Ends the connection: this process is alone, and has the whole budget.
+    pub(super) fn end_connection(&self, host: &dyn HotRestartHost) {
+        if let Some(connection) = self.with_state(|state| state.connection.take()) {
+            connection.stream.end();
+        }
+        host.set_budget(BudgetGrant::Whole);
+        host.peer_changed(PeerProcess::None);
+        // A newer process that died may have had the link lead to itself.
+        if let Some(Err(error)) = self.socket.get().map(HandoverSocket::claim) {
+            log(&format!("no upgrade will be possible: {error}"));
+        }
+    }
+}
--- /dev/null
+++ b/src/net/hot_restart/error.rs
@@ -0,0 +1,69 @@
+//! What can go wrong between two processes of one proxy.
+
+use super::messages::MessageError;
+use crate::net::dispatcher::MaintenanceError;
+use std::io::{self, ErrorKind};
+use thiserror::Error;
+
+/// Why this process cannot take over from the one that runs.
+#[derive(Debug, Error)]
+pub enum HandoverError {
+    /// The running process did not answer in time.
+    #[error("take over: the running process does not answer")]
+    NoAnswer(#[source] io::Error),
+    /// The running process cannot be reached.
+    #[error("take over: {0}")]
+    Connection(#[source] io::Error),
+    /// The running process belongs to another user.
+    #[error("take over: the running process is another user's")]
+    OtherUser,
+    /// The running process ended before it had answered.
+    #[error("take over: the running process ended")]
+    Ended,
+    /// The running process rejects the handover.
+    #[error("take over: the running process refuses: {0}")]
+    Rejected(String),
+    /// The running process has given up the handover that it had begun.
+    #[error("take over: the running process refuses by now")]
+    RejectedLate,
+    /// The running process sent a message that does not answer the request.
+    #[error("take over: the running process says something else")]
+    UnexpectedMessage,
+    /// The running process sent what is no message.
+    #[error(transparent)]
+    Message(#[from] MessageError),
+    /// The connection cannot be used by coroutines.
+    #[error("{0}")]
+    Coroutine(#[source] io::Error),
+}
+
+impl From<io::Error> for HandoverError {
+    fn from(error: io::Error) -> HandoverError {
+        match error.kind() {
+            ErrorKind::WouldBlock => HandoverError::NoAnswer(error),
+            _ => HandoverError::Connection(error),
+        }
+    }
+}
+
+/// Why a process does not apply a command of the operators. The other process reads the text.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CommandError {
+    /// The process starts: nothing is there yet that the command could be applied to.
+    #[error("it starts")]
+    Starting,
+    /// The node cannot be put in or out of maintenance.
+    #[error(transparent)]
+    Maintenance(#[from] MaintenanceError),
+}
+
+/// Why a command of the operators is not known to bind both processes.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum RelayError {
+    /// The other process does not apply it, for this reason.
+    #[error("{0}")]
+    Rejected(String),
+    /// The other process has not answered in time.
+    #[error("the other process of this proxy has not confirmed it")]
+    NotConfirmed,
+}
--- a/src/net/hot_restart/golden_tests.rs
+++ b/src/net/hot_restart/golden_tests.rs
@@ -2,8 +2,8 @@
 //! an upgrade. The older process runs the released program, the newer one this source: a text that
 //! changes here ends upgrades without a break. All texts were recorded before any renaming.
 
-use super::messages::{ControlCommand, Inbox, Message, Share, VERSION};
-use super::socket::Place;
+use super::messages::{ControlCommand, Message, MessageReader, ResourceBudget, ServiceState, VERSION};
+use super::socket::HandoverSocket;
 use crate::net::dispatcher::EndpointSnapshot;
 
 const NODES: &str = concat!(
@@ -13,17 +13,17 @@
     r#""links":[{"name":"p1","start":1700000000000001,"place":"127.0.0.1:8001"}]}"#,
 );
 
-fn share() -> Share {
-    Share { sockets: 7, memory: 9 }
+fn budget() -> ResourceBudget {
+    ResourceBudget { descriptors: 7, memory_bytes: 9 }
 }
 
 /// The value is written as the recorded line, and the recorded line is read as the value.
 fn assert_line(message: Message, recorded: &str) {
     let line = format!("{recorded}\n");
-    assert_eq!(String::from_utf8(message.line()).unwrap(), line);
-    let mut inbox = Inbox(line.into_bytes());
-    assert_eq!(inbox.next(), Ok(Some(message)));
-    assert_eq!(inbox.next(), Ok(None));
+    assert_eq!(String::from_utf8(message.to_line()).unwrap(), line);
+    let mut reader = MessageReader { buffer: line.into_bytes() };
+    assert_eq!(reader.next_message().unwrap(), Some(message));
+    assert_eq!(reader.next_message().unwrap(), None);
 }
 
 #[test]
@@ -33,26 +33,26 @@
 
 #[test]
 fn ask_is_the_recorded_line() {
-    assert_line(Message::Ask(1), r#"{"Ask":1}"#);
+    assert_line(Message::HandoverRequest(1), r#"{"Ask":1}"#);
 }
 
 #[test]
 fn give_with_every_field_filled_is_the_recorded_line() {
     let nodes: EndpointSnapshot = serde_json::from_str(NODES).unwrap();
     let recorded = format!(r#"{{"Give":[{NODES},{{"sockets":7,"memory":9}}]}}"#);
-    assert_line(Message::Give(nodes, share()), &recorded);
+    assert_line(Message::Handover(nodes, budget()), &recorded);
 }
 
 #[test]
 fn give_of_empty_nodes_is_the_recorded_line() {
     let nodes = r#"{"told":[],"gone":[],"out":{},"back":{}}"#;
     let recorded = format!(r#"{{"Give":[{nodes},{{"sockets":0,"memory":0}}]}}"#);
-    assert_line(Message::Give(EndpointSnapshot::default(), Share::default()), &recorded);
+    assert_line(Message::Handover(EndpointSnapshot::default(), ResourceBudget::default()), &recorded);
 }
 
 #[test]
 fn refuse_is_the_recorded_line() {
-    assert_line(Message::Refuse("no \"why\"".into()), r#"{"Refuse":"no \"why\""}"#);
+    assert_line(Message::Rejection("no \"why\"".into()), r#"{"Refuse":"no \"why\""}"#);
 }
 
 #[test]
@@ -67,28 +67,35 @@
 
 #[test]
 fn share_is_the_recorded_line() {
-    assert_line(Message::Share(share()), r#"{"Share":{"sockets":7,"memory":9}}"#);
+    assert_line(Message::Budget(budget()), r#"{"Share":{"sockets":7,"memory":9}}"#);
 }
 
 #[test]
 fn orders_are_the_recorded_lines() {
-    let order = |ordered| Message::Order(3, ordered);
-    assert_line(order(ControlCommand::Offline("a".into())), r#"{"Order":[3,{"Offline":"a"}]}"#);
-    assert_line(order(ControlCommand::Online("a".into())), r#"{"Order":[3,{"Online":"a"}]}"#);
-    assert_line(order(ControlCommand::Service(true)), r#"{"Order":[3,{"Service":true}]}"#);
-    assert_line(order(ControlCommand::Service(false)), r#"{"Order":[3,{"Service":false}]}"#);
+    let command = |command| Message::Command(3, command);
+    assert_line(command(ControlCommand::EnterMaintenance("a".into())), r#"{"Order":[3,{"Offline":"a"}]}"#);
+    assert_line(command(ControlCommand::LeaveMaintenance("a".into())), r#"{"Order":[3,{"Online":"a"}]}"#);
+    assert_line(
+        command(ControlCommand::SetService(ServiceState::InService)),
+        r#"{"Order":[3,{"Service":true}]}"#,
+    );
+    assert_line(
+        command(ControlCommand::SetService(ServiceState::OutOfService)),
+        r#"{"Order":[3,{"Service":false}]}"#,
+    );
 }
 
 #[test]
 fn done_is_the_recorded_line() {
-    assert_line(Message::Done(3, None), r#"{"Done":[3,null]}"#);
-    assert_line(Message::Done(4, Some("no".into())), r#"{"Done":[4,"no"]}"#);
+    assert_line(Message::CommandDone(3, None), r#"{"Done":[3,null]}"#);
+    assert_line(Message::CommandDone(4, Some("no".into())), r#"{"Done":[4,"no"]}"#);
 }
 
 /// Both processes look for this name in `$TMPDIR`.
 #[test]
 fn the_meeting_place_has_the_recorded_name() {
-    let shown = |clients: &str| format!("{:?}", Place::of(clients.parse().unwrap()).unwrap());
+    let shown =
+        |clients: &str| format!("{:?}", HandoverSocket::for_clients(clients.parse().unwrap()).unwrap());
     assert!(shown("127.0.0.1:7001").contains(r#""pinetrail-127.0.0.1_7001.sock""#));
     assert!(shown("[::1]:7001").contains(r#""pinetrail-___1__7001.sock""#));
 }
--- a/src/net/hot_restart/messages/tests.rs
+++ b/src/net/hot_restart/messages/tests.rs
@@ -3,17 +3,29 @@
 #[test]
 fn messages_arrive_as_they_were_sent_however_they_are_cut() {
     let sent = [
-        Message::Ask(VERSION),
-        Message::Give(EndpointSnapshot::default(), Share { sockets: 7, memory: 9 }),
-        Message::Order(3, ControlCommand::Offline("a\n\"b".into())),
-        Message::Done(3, Some("no".into())),
+        Message::HandoverRequest(VERSION),
+        Message::Handover(EndpointSnapshot::default(), ResourceBudget { descriptors: 7, memory_bytes: 9 }),
+        Message::Command(3, ControlCommand::EnterMaintenance("a\n\"b".into())),
+        Message::CommandDone(3, Some("no".into())),
     ];
-    let bytes: Vec<u8> = sent.iter().flat_map(Message::line).collect();
-    let (mut inbox, mut came) = (Inbox::default(), Vec::new());
+    let bytes: Vec<u8> = sent.iter().flat_map(Message::to_line).collect();
+    let mut reader = MessageReader::default();
+    let mut received = Vec::new();
+
     for byte in bytes {
-        inbox.0.push(byte);
-        came.extend(inbox.next().unwrap());
+        reader.buffer.push(byte);
+        received.extend(reader.next_message().unwrap());
     }
-    assert_eq!(came, sent);
-    assert!(Inbox(b"{}\n".to_vec()).next().is_err());
+
+    assert_eq!(received, sent);
+    assert!(MessageReader { buffer: b"{}\n".to_vec() }.next_message().is_err());
+}
+
+#[test]
+fn a_message_without_end_is_an_error() {
+    let mut reader = MessageReader { buffer: vec![b' '; MAX_MESSAGE] };
+
+    assert!(matches!(reader.next_message(), Ok(None)), "as long as a message may be");
+    reader.buffer.push(b' ');
+    assert!(matches!(reader.next_message(), Err(MessageError::TooLong)));
 }
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -1,50 +1,56 @@
-//! What this process may use for consumers and providers: all that the limits leave, or its part of it while
-//! two processes of the proxy run.
+//! What this process may use for clients and backends: all that the limits leave, or a part of it
+//! while two processes of the proxy run. Read [`ProcessBudget`] first.
 
 use crate::net::descriptors::Descriptors;
-use crate::net::hot_restart::Share;
+use crate::net::hot_restart::{Activity, BudgetGrant, ResourceBudget};
 use crate::net::memory::Memory;
 use std::sync::Arc;
 
-/// So many descriptors and bytes are left to a newcomer at the least. Danger: with none it could serve nobody.
-const LEAST: Share = Share { sockets: 8, memory: 512 * 1024 };
-/// One that stops needs a few more descriptors, for calls to providers.
-const SPARE_SOCKETS: usize = 8;
+/// What is left to the peer process at the least. Danger: with nothing it could serve nobody.
+const LEAST: ResourceBudget = ResourceBudget { descriptors: 8, memory_bytes: 512 * 1024 };
+/// Descriptors that a draining process needs beyond those in use, for calls to backends.
+const SPARE_DESCRIPTORS: usize = 8;
 
-/// The whole of the proxy's budget, and what it is drawn on.
-pub(super) struct Budget {
-    /// All that there is for two processes together, beside what each takes for itself.
-    pub both: Share,
-    /// All that there is for one that is alone.
-    pub alone: Share,
-    /// Descriptors of consumers and providers.
+/// The proxy's whole budget, and what it is drawn on.
+pub(super) struct ProcessBudget {
+    /// What two processes have together, without what each takes for itself.
+    pub for_two_processes: ResourceBudget,
+    /// What a process that is alone has.
+    pub for_one_process: ResourceBudget,
+    /// Descriptors of clients and backends.
     pub descriptors: Arc<Descriptors>,
     /// Memory for values.
     pub memory: Arc<Memory>,
 }
 
-impl Budget {
-    /// Makes do with half, or with what is in use if that is more; one that stops keeps only that. What is
-    /// left to the other process.
-    pub(super) fn divide(&self, leaving: bool) -> Share {
-        let least = if leaving {
-            Share { sockets: 0, memory: self.both.memory / 4 }
-        } else {
-            Share { sockets: self.both.sockets / 2, memory: self.both.memory / 2 }
+impl ProcessBudget {
+    /// Shrinks this process's part to a half, or to what is in use if that is more; a draining
+    /// process keeps only what is in use. Returns what is left to the peer process.
+    pub(super) fn shrink(&self, activity: Activity) -> ResourceBudget {
+        let total = self.for_two_processes;
+        let (descriptors, memory_bytes) = match activity {
+            Activity::Draining => {
+                (self.descriptors.shrink(0, SPARE_DESCRIPTORS), self.memory.shrink(total.memory_bytes / 4))
+            }
+            Activity::Serving => (
+                self.descriptors.shrink(total.descriptors / 2, 0),
+                self.memory.shrink(total.memory_bytes / 2),
+            ),
         };
-        let sockets = self.descriptors.shrink(least.sockets, if leaving { SPARE_SOCKETS } else { 0 });
-        let memory = self.memory.shrink(least.memory);
-        Share {
-            sockets: self.both.sockets.saturating_sub(sockets).max(LEAST.sockets),
-            memory: self.both.memory.saturating_sub(memory).max(LEAST.memory),
+        ResourceBudget {
+            descriptors: total.descriptors.saturating_sub(descriptors).max(LEAST.descriptors),
+            memory_bytes: total.memory_bytes.saturating_sub(memory_bytes).max(LEAST.memory_bytes),
         }
     }
 
-    /// From now on this process may use so much, or all.
-    pub(super) fn allow(&self, share: Option<Share>) {
-        let share = share.unwrap_or(self.alone);
-        self.descriptors.resize(share.sockets);
-        self.memory.resize(share.memory);
+    /// Sets what this process may use from now on.
+    pub(super) fn set(&self, grant: BudgetGrant) {
+        let budget = match grant {
+            BudgetGrant::Part(budget) => budget,
+            BudgetGrant::Whole => self.for_one_process,
+        };
+        self.descriptors.resize(budget.descriptors);
+        self.memory.resize(budget.memory_bytes);
     }
 }
 
--- a/src/net/lifecycle/budget/tests.rs
+++ b/src/net/lifecycle/budget/tests.rs
@@ -1,18 +1,30 @@
 use super::*;
 
+fn budget(descriptors: usize, memory_bytes: usize) -> ResourceBudget {
+    ResourceBudget { descriptors, memory_bytes }
+}
+
 #[test]
 fn two_processes_together_never_have_more_than_one() {
     let memory = Memory::of(16);
     let all = Memory::bound_of(16);
-    let (both, alone) = (Share { sockets: 100, memory: all }, Share { sockets: 120, memory: all });
-    let budget = Budget { both, alone, descriptors: Descriptors::new(120), memory: Arc::clone(&memory) };
-    assert_eq!(budget.divide(false), Share { sockets: 50, memory: all - all / 2 });
+    let process = ProcessBudget {
+        for_two_processes: budget(100, all),
+        for_one_process: budget(120, all),
+        descriptors: Descriptors::new(120),
+        memory: Arc::clone(&memory),
+    };
+
+    assert_eq!(process.shrink(Activity::Serving), budget(50, all - all / 2));
     assert!(memory.hold(all / 2 + 1).is_none(), "half is the other's");
-    budget.allow(None);
-    let taken: Vec<_> = (0..60).map(|_| budget.descriptors.provider_descriptor()).collect();
+
+    process.set(BudgetGrant::Whole);
+    let descriptors: Vec<_> = (0..60).map(|_| process.descriptors.provider_descriptor()).collect();
     let held = memory.hold(all / 4 * 3);
     // What is in use is not taken away; it goes over as it is given back.
-    assert_eq!(budget.divide(false), Share { sockets: 40, memory: all - all / 4 * 3 });
-    drop((taken, held));
-    assert_eq!(budget.divide(true), Share { sockets: 92, memory: all - all / 4 });
+    assert_eq!(process.shrink(Activity::Serving), budget(40, all - all / 4 * 3));
+
+    drop(descriptors);
+    drop(held);
+    assert_eq!(process.shrink(Activity::Draining), budget(92, all - all / 4));
 }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -1,131 +1,142 @@
-//! The program from start to exit, as the named phases of one object.
-
+//! The process from start to exit. Read [`Lifecycle`] first: it owns the phase and the running
+//! services, and every signal, operator and peer process acts through it.
+//!
+//! One file for each thing that can happen: `start` builds the services, `signals` waits on the
+//! main thread, `reload` answers SIGHUP, `shutdown` answers SIGTERM, `peer` answers the other
+//! process of a hot restart, `admin_control` answers operators. `state` decides which phase holds;
+//! its module documentation has the table of phases and events.
+
+mod admin_control;
 mod budget;
+mod error;
 mod peer;
+mod reload;
+mod shutdown;
+mod signals;
+mod start;
 mod state;
 
-use super::admin::AdminServer;
+use super::admin::{NotReady, NotServing};
 use super::backend::BackendService;
 use super::client::ClientService;
 use super::config::Config;
-use super::config::PolicyConfig;
 use super::counters::Counters;
-use super::descriptors::{self, Descriptors};
-use super::discovery::{Discovery, Target};
+use super::discovery::Target;
 use super::dispatcher::Dispatcher;
-use super::drain::{Drain, SendAway};
-use super::fleet::{self, Fleet};
-use super::hot_restart::{self, Handover, Host, HotRestart, PeerProcess, Share};
-use super::listener;
-use super::log::{log, print};
-use super::memory::Memory;
+use super::drain::SendAway;
+use super::fleet::Fleet;
+use super::hot_restart::{self, HotRestart, ServiceState};
+use super::log::log;
 use super::policy::Policy;
-use crate::interface;
 use crate::settings::Settings;
-use budget::Budget;
-use may::coroutine::sleep;
-use may::sync::mpsc::channel;
+use budget::ProcessBudget;
+use error::StartError;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use start::StartOutcome;
 pub use state::Phase;
-use state::Stand;
-use std::error::Error;
+use state::{LifecycleEvent, LifecycleState};
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
-
-/// Words, not bytes: 128 KiB a coroutine, of which only what is touched counts.
-const STACK_WORDS: usize = 16 * 1024;
-/// Coroutines kept ready: invocations' timers come and go in hundreds.
-const READY_COROUTINES: usize = 512;
-const LOOK_EVERY: Duration = Duration::from_millis(5);
-/// At the end of a drain answers that nobody waited for longer have so long to go out.
-const LAST_WRITES: Duration = Duration::from_millis(50);
-/// Descriptors that are neither a consumer's nor a provider's: files, pollers, discovery, the listener.
-const OWN_SOCKETS: usize = 24;
-
-/// Where the settings say this of discovery, lists come without being asked for.
-const PUSHED: &str = "push";
+use std::time::Duration;
 
-/// The program stops: it cannot be put in or out of service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Stopping;
+/// The exit code of a start that failed.
+const START_FAILED: u8 = 2;
 
-/// The program's phase and what it stands on.
+/// The phase of the process, and the services that it runs.
 pub struct Lifecycle {
-    stand: Mutex<Stand>,
+    /// Guards the phase and the facts that it follows from.
+    state: Mutex<LifecycleState>,
     counters: Arc<Counters>,
-    sides: OnceLock<Sides>,
-    takeover: Arc<HotRestart>,
-    /// Only if one is configured.
+    /// Set once, when all services run.
+    services: OnceLock<RunningServices>,
+    hot_restart: Arc<HotRestart>,
+    /// Set only if a fleet is configured.
     fleet: OnceLock<Arc<Fleet>>,
-    /// Only if one is configured.
+    /// Set only if a common policy is configured.
     policy: OnceLock<Arc<Policy>>,
 }
 
-/// The sides of a running proxy, as far as signals, operators and the other process reach them.
-struct Sides {
-    exchange: Arc<Dispatcher>,
-    consumers: Arc<ClientService>,
-    providers: Arc<BackendService>,
+/// The services of a running proxy, as signals, operators and the peer process reach them.
+struct RunningServices {
+    dispatcher: Arc<Dispatcher>,
+    clients: Arc<ClientService>,
+    backends: Arc<BackendService>,
     discovery: Arc<Target>,
-    budget: Budget,
+    budget: ProcessBudget,
 }
 
 /// Runs the program from start to exit.
 pub fn run() -> ExitCode {
-    let lifecycle = Arc::new(Lifecycle {
-        stand: Mutex::default(),
-        counters: Arc::default(),
-        sides: OnceLock::new(),
-        takeover: HotRestart::new(),
-        fleet: OnceLock::new(),
-        policy: OnceLock::new(),
-    });
-    match lifecycle.go() {
+    match Lifecycle::new().run_until_exit() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log(&format!("cannot start: {error}"));
-            ExitCode::from(2)
+            ExitCode::from(START_FAILED)
         }
     }
 }
 
 impl Lifecycle {
-    /// Whether this process takes clients, be it to send them on.
+    fn new() -> Arc<Lifecycle> {
+        Arc::new(Lifecycle {
+            state: Mutex::default(),
+            counters: Arc::default(),
+            services: OnceLock::new(),
+            hot_restart: HotRestart::new(),
+            fleet: OnceLock::new(),
+            policy: OnceLock::new(),
+        })
+    }
+
+    /// Whether this process takes clients, even if only to direct them to other proxies.
     pub fn is_ready(&self) -> bool {
-        self.stand().serves() && self.sides.get().is_none_or(|sides| !sides.exchange.is_fenced())
+        self.takes_clients() && !self.is_fenced()
     }
 
-    /// Why this process does not take clients.
-    pub fn why_not_ready(&self) -> String {
-        let serves = self.stand().serves();
-        match self.policy().filter(|_| !self.is_ready()) {
-            Some(policy) if serves => format!("not ready: fenced: {}", policy.why_not()),
-            Some(policy) => format!("not ready: it catches up: {}", policy.why_not()),
-            None => "not ready: starting or stopping".to_owned(),
+    /// Whether this process takes clients, with the reason if it does not.
+    ///
+    /// # Errors
+    ///
+    /// [`NotReady`] while it takes none.
+    pub fn readiness(&self) -> Result<(), NotReady> {
+        let takes_clients = self.takes_clients();
+        if takes_clients && !self.is_fenced() {
+            return Ok(());
+        }
+        match self.policy() {
+            Some(policy) if takes_clients => Err(NotReady::Fenced(policy.why_not())),
+            Some(policy) => Err(NotReady::CatchingUp(policy.why_not())),
+            None => Err(NotReady::StartingOrStopping),
         }
     }
 
-    /// Puts the proxy in service or out of it; to do so twice changes nothing.
-    pub fn serve(&self, in_service: bool) -> Result<(), Stopping> {
-        self.change(|stand| {
-            stand.away = !in_service;
-            stand.serves().then_some(()).ok_or(Stopping)
-        })?;
-        if let Some(sides) = self.sides.get() {
-            if in_service {
-                sides.consumers.welcome()
-            } else {
-                sides.consumers.send_away(SendAway::OUT_OF_SERVICE)
+    /// Puts the proxy in service or out of it. Doing so twice changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`NotServing`] while the process starts or stops.
+    pub fn set_service(&self, service: ServiceState) -> Result<(), NotServing> {
+        let takes_clients = {
+            let mut state = self.state();
+            state.apply(LifecycleEvent::ServiceSet(service));
+            state.takes_clients()
+        };
+        if !takes_clients {
+            return Err(NotServing);
+        }
+        if let Some(services) = self.services.get() {
+            match service {
+                ServiceState::InService => services.clients.welcome(),
+                ServiceState::OutOfService => services.clients.send_away(SendAway::OUT_OF_SERVICE),
             }
         }
         Ok(())
     }
 
-    /// All that the other process of this proxy is told.
-    pub fn takeover(&self) -> &HotRestart {
-        &self.takeover
+    /// The connection to the other process of this proxy.
+    pub fn hot_restart(&self) -> &HotRestart {
+        &self.hot_restart
     }
 
     /// This process's part in its fleet, if it belongs to one.
@@ -138,257 +149,46 @@
         self.policy.get()
     }
 
-    /// Changes what the phase follows from.
-    fn change<T>(&self, change: impl FnOnce(&mut Stand) -> T) -> T {
-        let mut stand = self.stand();
-        let done = change(&mut stand);
-        stand.settle();
-        done
+    fn takes_clients(&self) -> bool {
+        self.state().takes_clients()
     }
 
-    fn stand(&self) -> MutexGuard<'_, Stand> {
-        self.stand.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether the fleet's common policy forbids this process to admit requests.
+    fn is_fenced(&self) -> bool {
+        self.services.get().is_some_and(|services| services.dispatcher.is_fenced())
     }
 
-    fn enter(&self, phase: Phase) {
-        self.stand().enter(phase);
+    fn apply(&self, event: LifecycleEvent) {
+        self.state().apply(event);
     }
 
-    fn go(self: &Arc<Self>) -> Result<(), Box<dyn Error>> {
-        // Before anything listens: a signal is never answered by death.
-        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1])?;
-        let mut config = Config::from_env()?;
-        let given = hot_restart::ask(config.listen)?;
-        let Some(sides) = self.start(&config, given, &mut signals)? else {
-            log("asked to stop before it was ready");
-            self.fleet().into_iter().for_each(|fleet| fleet.leave());
-            return Ok(());
-        };
-        log(&format!("{} listens on {}", config.name, sides.consumers.address()));
-        for signal in signals.forever() {
-            match signal {
-                SIGUSR1 => print(&self.counters.line()),
-                SIGHUP => self.reload(&mut config, sides),
-                _ => break,
-            }
-        }
-        self.enter(Phase::Draining);
-        self.fleet().into_iter().for_each(|fleet| fleet.begin_to_leave());
-        let governed = self.policy().and_then(|policy| policy.longest_wait());
-        let longest = longest_wait(governed.unwrap_or_else(|| longest_give_up(&config.settings)));
-        drain(sides, Drain::for_wait(longest), self.takeover.leave());
-        self.takeover.end();
-        self.fleet().into_iter().for_each(|fleet| fleet.leave());
-        self.enter(Phase::Stopped);
-        print(&self.counters.line());
-        Ok(())
+    fn state(&self) -> MutexGuard<'_, LifecycleState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Reads the configuration again: settings and discovery are put in force at once. A bad file changes
-    /// nothing: a slip in it must not end a proxy that serves.
-    fn reload(&self, config: &mut Config, sides: &Sides) {
-        self.change(|stand| stand.reloading = true);
-        match config.newer() {
-            Ok(newer) => {
-                self.counters.reloads.add();
-                let classes = newer.names.classes().join(", ");
-                match self.policy().filter(|policy| !policy.lets_in_local_settings()) {
-                    Some(policy) if policy.is_in_force(newer.given_settings()) => {
-                        log("reload: the settings are those of the fleet's policy in force");
-                    }
-                    Some(_) => log(
-                        "reload: the settings are not put in force: the fleet has one policy; propose them by POST /control/policy",
-                    ),
-                    None => {
-                        log(&format!("reload: new settings are in force, with the classes {classes}"));
-                        sides.exchange.apply_settings(newer.settings.clone(), newer.names.clone());
-                        sides.providers.retune(newer.connect_timeout, conn_idle(&newer.settings));
-                    }
-                }
-                if newer.discovery != config.discovery {
-                    log(&format!("reload: discovery moves from {} to {}", config.discovery, newer.discovery));
-                    sides.discovery.move_to(newer.discovery);
-                }
-                if let (Some(fleet), Some(new)) = (self.fleet(), &newer.fleet) {
-                    if let Err(error) = fleet.set_peers(new.settings.peers.clone()) {
-                        log(&format!("reload: the fleet's peers stay: {error}"));
-                    }
-                }
-                let waiting = config.fixed_since(&newer);
-                if !waiting.is_empty() {
-                    log(&format!("reload: only the next start heeds the new {}", waiting.join(", ")));
+    fn run_until_exit(self: &Arc<Self>) -> Result<(), StartError> {
+        // Danger: registered before anything listens, so that a signal never kills the process.
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1]).map_err(StartError::Signals)?;
+        let mut config = Config::from_env()?;
+        let handover = hot_restart::request_handover(config.listen)?;
+        let services = match self.start(&config, handover, &mut signals)? {
+            StartOutcome::Running(services) => services,
+            StartOutcome::StopRequested => {
+                log("asked to stop before it was ready");
+                if let Some(fleet) = self.fleet() {
+                    fleet.leave();
                 }
-                config.adopt(newer);
-            }
-            Err(error) => {
-                self.counters.reloads_failed.add();
-                log(&format!("reload: the old configuration stays: {error}"));
-            }
-        }
-        self.change(|stand| stand.reloading = false);
-    }
-
-    /// Starts all sides; none if the process was asked to stop before it was ready.
-    fn start(
-        self: &Arc<Self>,
-        config: &Config,
-        given: Option<Handover>,
-        signals: &mut Signals,
-    ) -> Result<Option<&Sides>, Box<dyn Error>> {
-        // One core: a second worker could only wait. Unpinned, since the core is the platform's choice.
-        may::config().set_workers(1).set_stack_size(STACK_WORDS).set_pool_capacity(READY_COROUTINES);
-        may::config().set_worker_pin(false);
-        let door = match config.admin {
-            Some(address) => {
-                Some(AdminServer::open(address).map_err(|error| format!("door at {address}: {error}"))?)
+                return Ok(());
             }
-            None => None,
         };
-        let own = OWN_SOCKETS
-            + door.as_ref().map_or(0, |_| descriptors::DOOR)
-            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET)
-            + config.policy().map_or(0, PolicyConfig::sockets);
-        let alone = config.limits.sockets - own;
-        let descriptors = Descriptors::new(alone);
-        let ((orders, ordered), (subscribe, subscriptions)) = (channel(), channel());
-        let counters = &self.counters;
-        let exchange = Dispatcher::new(
-            config.settings.clone(),
-            config.seed,
-            config.names.clone(),
-            Arc::clone(counters),
-            orders,
-            subscribe.clone(),
-        );
-        let memory = Memory::of(config.limits.memory_mb);
-        let all = Share { sockets: alone, memory: Memory::bound_of(config.limits.memory_mb) };
-        let both = Share { sockets: alone.saturating_sub(own), ..all };
-        let (memory_of, descriptors_of) = (Arc::clone(&memory), Arc::clone(&descriptors));
-        let budget = Budget { both, alone: all, descriptors: descriptors_of, memory: memory_of };
-        let mut known = config.known.clone();
-        if let Some(given) = &given {
-            self.change(|stand| (stand.is_newcomer, stand.partner) = (true, PeerProcess::Serving));
-            budget.allow(Some(given.share));
-            exchange.restore_snapshot(given.nodes.clone());
-            // What the older process heard last is newer than what the file knows.
-            if !given.nodes.told.is_empty() {
-                known.instances.clone_from(&given.nodes.told);
-            }
-        }
-        let providers = BackendService::start(
-            Arc::clone(&exchange),
-            Arc::clone(counters),
-            ordered,
-            Arc::clone(&descriptors),
-            config.connect_timeout,
-            conn_idle(&config.settings),
-        );
-        let discovery = Discovery::start(
-            Arc::clone(&exchange),
-            Arc::clone(counters),
-            (config.discovery, config.settings.discovery == PUSHED),
-            known,
-            config.seed,
-            (subscribe, subscriptions),
-        );
-        if let Some(told) = &config.fleet {
-            let sharer = Arc::clone(&exchange);
-            let tell = Box::new(move |told: fleet::Share| {
-                let (part, base, whole) = (told.part, told.base, told.whole);
-                sharer.share(interface::Share { part, base, whole, until: 0.0 }, told.ends);
-            });
-            let fleet =
-                self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
-            let (counted, policy) = (Arc::clone(fleet), Arc::clone(self));
-            self.counters.others.are(move || {
-                let policy = policy.policy().map_or(Vec::new(), |policy| policy.list());
-                counted.list().into_iter().chain(policy).collect()
-            });
-            if given.is_none() {
-                fleet.activate()?;
-            }
-        }
-        if let (Some(told), Some(fleet)) = (config.policy(), self.fleet()) {
-            let links = given.as_ref().map_or(Vec::new(), |given| given.nodes.links.clone());
-            let sides = (&exchange, &providers);
-            let policy =
-                Policy::start(told.clone(), fleet, sides, config.given_settings(), links, config.seed)
-                    .map_err(|error| format!("policy: {error}"))?;
-            let policy = self.policy.get_or_init(|| policy);
-            // Operators are answered while it catches up.
-            if let Some(door) = &door {
-                log(&format!("operators call {}", door.address()?));
-                Arc::clone(door).serve(Arc::clone(&exchange), Arc::clone(self));
-            }
-            let mut is_asked_to_stop = || signals.pending().any(|signal| [SIGTERM, SIGINT].contains(&signal));
-            if !policy.catch_up(&mut is_asked_to_stop) {
-                return Ok(None);
-            }
-        }
-        let socket = match &given {
-            Some(given) => given.socket.try_clone()?,
-            None => listener::open(config.listen)
-                .map_err(|error| format!("listen on {}: {error}", config.listen))?,
-        };
-        let consumers =
-            ClientService::start(Arc::clone(&exchange), Arc::clone(counters), memory, descriptors, socket)?;
-        let address = consumers.address();
-        let sides = self.sides.get_or_init(|| Sides { exchange, consumers, providers, discovery, budget });
-        if let Some(door) = door.filter(|_| self.policy().is_none()) {
-            log(&format!("operators call {}", door.address()?));
-            door.serve(Arc::clone(&sides.exchange), Arc::clone(self));
-        }
-        let host: Arc<dyn Host> = Arc::clone(self) as Arc<dyn Host>;
-        let is_newcomer = given.is_some();
-        if let Some(given) = given {
-            self.takeover.join(given, Arc::clone(&host))?;
-        }
-        // The older process has the socket until it has heard that this one serves.
-        self.fleet().filter(|_| is_newcomer).into_iter().for_each(super::fleet::Fleet::activate_when_free);
-        self.change(|stand| stand.enter(Phase::Serving));
-        self.takeover.listen(address, host);
-        Ok(Some(sides))
+        log(&format!("{} listens on {}", config.name, services.clients.address()));
+        self.handle_signals_until_stop(&mut signals, &mut config, services);
+        self.shut_down(&config.settings, services);
+        Ok(())
     }
 }
 
-/// When providers close idle connections.
-fn conn_idle(settings: &Settings) -> Duration {
+/// How long a backend connection may be idle before it is closed.
+fn idle_timeout(settings: &Settings) -> Duration {
     Duration::from_secs_f64(settings.limits.conn_idle.clamp(1000.0, 86_400_000.0) / 1000.0)
 }
-
-fn longest_give_up(settings: &Settings) -> f64 {
-    settings.classes.iter().map(|class| class.give_up).fold(0.0, f64::max)
-}
-
-/// How long a client waits at the most, over all classes; none where that is not told.
-fn longest_wait(longest: f64) -> Option<Duration> {
-    (longest > 0.0).then(|| Duration::from_secs_f64(longest.min(60_000.0) / 1000.0))
-}
-
-/// Serves on while new connections may come, unless another process accepts them; then those that are held, then
-/// until everything taken is answered.
-fn drain(sides: &Sides, drain: Drain, other_accepts: bool) {
-    let begun = Instant::now();
-    let until = |time: Duration| sleep(time.saturating_sub(begun.elapsed()));
-    let held = || sides.exchange.pending_count() + sides.consumers.open();
-    // Danger: clients are short of connections until the last may come. Who is idle gives way to them till then.
-    if other_accepts {
-        sides.consumers.send_away(SendAway::for_drain(&drain))
-    } else {
-        until(drain.accepts)
-    }
-    sides.consumers.stop_listening(other_accepts);
-    sides.consumers.keep_all();
-    while begun.elapsed() < drain.serves && held() > 0 {
-        sleep(LOOK_EVERY);
-    }
-    sides.consumers.close_when_idle();
-    while held() > 0 && begun.elapsed() < drain.ends {
-        sleep(LOOK_EVERY);
-    }
-    sides.exchange.abort_all();
-    // Then the answers go out; a consumer that does not read cannot hold the exit up for long.
-    while held() > 0 && begun.elapsed() < drain.ends + LAST_WRITES {
-        sleep(LOOK_EVERY);
-    }
-}
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -1,61 +1,67 @@
-//! What the other process of this proxy may ask of this one, and is told of it.
+//! What the other process of this proxy may ask of this one during a hot restart.
 
+use super::state::LifecycleEvent;
 use super::Lifecycle;
-use crate::net::dispatcher::EndpointSnapshot;
-use crate::net::hot_restart::{ControlCommand, Host, PeerProcess, Share};
-use crate::net::listener::Listener;
+use crate::net::hot_restart::{
+    Activity, BudgetGrant, CommandError, ControlCommand, HandoverOffer, HotRestartHost, PeerProcess,
+    ResourceBudget,
+};
 use crate::net::log::log;
-use std::sync::Arc;
 
-impl Host for Lifecycle {
-    fn give(&self) -> Option<(Arc<Listener>, EndpointSnapshot)> {
-        let sides = self.sides.get().filter(|_| self.is_ready())?;
-        let mut nodes = sides.exchange.endpoint_snapshot();
-        nodes.links = self.policy().map_or(Vec::new(), |policy| policy.neighbours());
-        Some((sides.consumers.listener()?, nodes))
+impl HotRestartHost for Lifecycle {
+    fn handover_offer(&self) -> Option<HandoverOffer> {
+        if !self.is_ready() {
+            return None;
+        }
+        let services = self.services.get()?;
+        let mut endpoints = services.dispatcher.endpoint_snapshot();
+        endpoints.links = self.policy().map_or(Vec::new(), |policy| policy.neighbours());
+        let listener = services.clients.listener()?;
+        Some(HandoverOffer { listener, endpoints })
     }
 
-    fn share(&self, leaving: bool) -> Share {
-        self.sides.get().map_or(Share::default(), |sides| sides.budget.divide(leaving))
+    fn shrink_budget(&self, activity: Activity) -> ResourceBudget {
+        self.services.get().map_or(ResourceBudget::default(), |services| services.budget.shrink(activity))
     }
 
-    fn allow(&self, share: Option<Share>) {
-        self.sides.get().into_iter().for_each(|sides| sides.budget.allow(share));
+    fn set_budget(&self, grant: BudgetGrant) {
+        if let Some(services) = self.services.get() {
+            services.budget.set(grant);
+        }
     }
 
-    fn carry_out(&self, order: &ControlCommand) -> Result<(), String> {
-        let sides = self.sides.get().ok_or("it starts")?;
-        match order {
-            ControlCommand::Offline(id) => {
-                sides.exchange.enter_maintenance(id).map_err(|error| error.to_string())
-            }
-            ControlCommand::Online(id) => {
-                sides.exchange.leave_maintenance(id).map_err(|error| error.to_string())
-            }
-            // One that stops sends its clients away as it is.
-            ControlCommand::Service(into) => {
-                let _ = self.serve(*into);
-                Ok(())
+    fn apply_command(&self, command: &ControlCommand) -> Result<(), CommandError> {
+        let services = self.services.get().ok_or(CommandError::Starting)?;
+        match command {
+            ControlCommand::EnterMaintenance(id) => services.dispatcher.enter_maintenance(id)?,
+            ControlCommand::LeaveMaintenance(id) => services.dispatcher.leave_maintenance(id)?,
+            ControlCommand::SetService(service) => {
+                // A process that stops directs its clients away as it is.
+                let _ = self.set_service(*service);
             }
         }
+        Ok(())
     }
 
-    fn partner(&self, partner: PeerProcess) {
-        log(&format!("the other process: {partner:?}"));
-        let (left_it, leaves_accepting) = self.change(|stand| {
-            let left_it = stand.leaves_accepting();
-            stand.partner = partner;
-            // Who has outlived the older process is the older one for the next.
-            stand.is_newcomer &= partner != PeerProcess::None;
-            (left_it, stand.leaves_accepting())
-        });
-        self.fleet().into_iter().for_each(|fleet| fleet.set_beside(partner != PeerProcess::None));
-        // Who accepts speaks in the fleet, for both.
-        match (self.fleet(), left_it, leaves_accepting) {
-            (Some(fleet), false, true) => fleet.deactivate(),
-            (Some(fleet), true, false) => fleet.activate_when_free(),
-            _ => {}
+    fn peer_changed(&self, peer: PeerProcess) {
+        log(&format!("the other process: {peer:?}"));
+        let (was_delegated, is_delegated) = {
+            let mut state = self.state();
+            let was_delegated = state.is_accepting_delegated();
+            state.apply(LifecycleEvent::PeerChanged(peer));
+            (was_delegated, state.is_accepting_delegated())
+        };
+        if let Some(fleet) = self.fleet() {
+            fleet.set_beside(peer != PeerProcess::None);
+            // The process that accepts is the fleet's member, for both.
+            if is_delegated && !was_delegated {
+                fleet.deactivate();
+            } else if was_delegated && !is_delegated {
+                fleet.activate_when_free();
+            }
+        }
+        if let Some(services) = self.services.get() {
+            services.clients.rest_listening(is_delegated);
         }
-        self.sides.get().into_iter().for_each(|sides| sides.consumers.rest_listening(leaves_accepting));
     }
 }
--- /dev/null
+++ b/src/net/lifecycle/reload.rs
@@ -0,0 +1,63 @@
+//! SIGHUP: the configuration is read again, and what may change at run time is applied.
+
+use super::state::LifecycleEvent;
+use super::{idle_timeout, Lifecycle, RunningServices};
+use crate::net::config::Config;
+use crate::net::log::log;
+
+impl Lifecycle {
+    /// Reads the configuration again and applies its settings and its discovery address at once. A
+    /// bad file changes nothing: a slip in it must not end a proxy that serves.
+    pub(super) fn reload(&self, config: &mut Config, services: &RunningServices) {
+        self.apply(LifecycleEvent::ReloadStarted);
+        match config.newer() {
+            Ok(newer) => {
+                self.counters.reloads.add();
+                self.apply_config(config, newer, services);
+            }
+            Err(error) => {
+                self.counters.reloads_failed.add();
+                log(&format!("reload: the old configuration stays: {error}"));
+            }
+        }
+        self.apply(LifecycleEvent::ReloadFinished);
+    }
+
+    fn apply_config(&self, config: &mut Config, newer: Config, services: &RunningServices) {
+        self.apply_settings(&newer, services);
+        if newer.discovery != config.discovery {
+            log(&format!("reload: discovery moves from {} to {}", config.discovery, newer.discovery));
+            services.discovery.move_to(newer.discovery);
+        }
+        self.apply_fleet_peers(&newer);
+        let needs_restart = config.fixed_since(&newer);
+        if !needs_restart.is_empty() {
+            log(&format!("reload: only the next start heeds the new {}", needs_restart.join(", ")));
+        }
+        config.adopt(newer);
+    }
+
+    /// Applies the settings, unless the fleet's common policy decides them.
+    fn apply_settings(&self, newer: &Config, services: &RunningServices) {
+        match self.policy().filter(|policy| !policy.lets_in_local_settings()) {
+            Some(policy) if policy.is_in_force(newer.given_settings()) => {
+                log("reload: the settings are those of the fleet's active policy");
+            }
+            Some(_) => log("reload: the settings are not applied: the fleet has one policy; \
+                 propose them by POST /control/policy"),
+            None => {
+                let classes = newer.names.classes().join(", ");
+                log(&format!("reload: new settings are active, with the classes {classes}"));
+                services.dispatcher.apply_settings(newer.settings.clone(), newer.names.clone());
+                services.backends.retune(newer.connect_timeout, idle_timeout(&newer.settings));
+            }
+        }
+    }
+
+    fn apply_fleet_peers(&self, newer: &Config) {
+        let (Some(fleet), Some(config)) = (self.fleet(), &newer.fleet) else { return };
+        if let Err(error) = fleet.set_peers(config.settings.peers.clone()) {
+            log(&format!("reload: the fleet's peers stay: {error}"));
+        }
+    }
+}
--- /dev/null
+++ b/src/net/lifecycle/signals.rs
@@ -0,0 +1,32 @@
+//! The signals of a running process, on the main thread: SIGUSR1 prints the counters, SIGHUP
+//! reloads the configuration, SIGTERM and SIGINT end the wait.
+
+use super::{Lifecycle, RunningServices};
+use crate::net::config::Config;
+use crate::net::log::print;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+
+impl Lifecycle {
+    /// Handles signals, one after the other, until one asks the process to stop.
+    pub(super) fn handle_signals_until_stop(
+        &self,
+        signals: &mut Signals,
+        config: &mut Config,
+        services: &RunningServices,
+    ) {
+        for signal in signals.forever() {
+            match signal {
+                SIGUSR1 => print(&self.counters.line()),
+                SIGHUP => self.reload(config, services),
+                _ => return,
+            }
+        }
+    }
+}
+
+/// Whether a signal has come that asks the process to stop. It does not wait, and discards the
+/// other signals that have come.
+pub(super) fn is_stop_pending(signals: &mut Signals) -> bool {
+    signals.pending().any(|signal| [SIGTERM, SIGINT].contains(&signal))
+}
--- a/src/net/lifecycle/state.rs
+++ b/src/net/lifecycle/state.rs
@@ -1,85 +1,166 @@
-//! The phases of the program, as named states of one object. It decides which holds; it does nothing.
+//! The lifecycle phases as a state machine. [`LifecycleState`] decides which [`Phase`] holds; it
+//! performs nothing but a log line at each change.
+//!
+//! | phase | [`LifecycleEvent`] | next phase |
+//! | --- | --- | --- |
+//! | `Starting` | `Started` | the serving phase below that applies |
+//! | a serving phase | `ReloadStarted`, `ReloadFinished` | the serving phase below that applies |
+//! | a serving phase | `PeerChanged`, `ServiceSet` | the serving phase below that applies |
+//! | any | `StopRequested` | `Draining` |
+//! | any | `AllAnswered` | `Stopped` |
+//!
+//! Every other event only notes a fact: the phase stays. The serving phases, of which the first
+//! that applies holds:
+//!
+//! | phase | applies while |
+//! | --- | --- |
+//! | `Reloading` | the configuration is being read again |
+//! | `HandingOver` | the peer process accepts clients, and this process is the older one |
+//! | `TakingOver` | the peer process serves or drains, and this process is the newer one |
+//! | `OutOfService` | operators have put the proxy out of service |
+//! | `Serving` | nothing of the above |
 
-use crate::net::hot_restart::PeerProcess;
+use crate::net::hot_restart::{PeerProcess, ServiceState};
 use crate::net::log::log;
 
-/// Where the program stands.
+/// Where the process stands between start and exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
-    /// Reads its configuration, knows the cached list, does not listen yet.
+    /// Reads its configuration, knows the cached endpoint list, does not listen yet.
     Starting,
-    /// Accepts and serves, and so does the older process for what it holds.
+    /// Accepts and serves, while the older process still serves the connections it holds.
     TakingOver,
     /// Accepts and serves.
     Serving,
-    /// Accepts and serves, but sends clients away: operators asked for it.
+    /// Accepts and serves, but directs clients to other proxies: operators asked for it.
     OutOfService,
-    /// Another process accepts; this one serves what it holds until it is asked to stop.
+    /// The newer process accepts; this one serves the connections it holds until it is stopped.
     HandingOver,
-    /// Asked to read its configuration again, and goes on serving meanwhile.
+    /// Reads its configuration again, and goes on serving meanwhile.
     Reloading,
-    /// Asked to stop: finishes what it has taken.
+    /// Asked to stop: completes the requests that it has accepted.
     Draining,
-    /// All is answered.
+    /// Every request is answered.
     Stopped,
 }
 
-/// The phase, and what it follows from while the program serves.
+/// Which of two processes of one proxy this one is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProcessRole {
+    /// It was there first, or it is the only one.
+    Older,
+    /// It has taken over from an older process that still runs.
+    Newer,
+}
+
+/// What happens to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LifecycleEvent {
+    /// An older process of this proxy has handed over.
+    HandoverReceived,
+    /// All services run, and clients are accepted.
+    Started,
+    /// Operators put the proxy in service or out of it.
+    ServiceSet(ServiceState),
+    /// The configuration is being read again.
+    ReloadStarted,
+    /// The configuration has been read, or has been found bad.
+    ReloadFinished,
+    /// The other process of this proxy is at another point.
+    PeerChanged(PeerProcess),
+    /// The process is asked to stop.
+    StopRequested,
+    /// Every request is answered, or the drain is out of time.
+    AllAnswered,
+}
+
+/// The phase, and the facts that it follows from while the process serves.
 #[derive(Debug)]
-pub(super) struct Stand {
+pub(super) struct LifecycleState {
     phase: Phase,
-    /// Whether clients are sent away.
-    pub away: bool,
-    /// Whether the configuration is being read again.
-    pub reloading: bool,
-    /// Where the other process of this proxy stands.
-    pub partner: PeerProcess,
-    /// Whether the other process was there first.
-    pub is_newcomer: bool,
+    service: ServiceState,
+    is_reloading: bool,
+    peer: PeerProcess,
+    role: ProcessRole,
 }
 
-impl Default for Stand {
-    fn default() -> Stand {
-        Stand {
+impl Default for LifecycleState {
+    fn default() -> LifecycleState {
+        LifecycleState {
             phase: Phase::Starting,
-            away: false,
-            reloading: false,
-            partner: PeerProcess::None,
-            is_newcomer: false,
+            service: ServiceState::InService,
+            is_reloading: false,
+            peer: PeerProcess::None,
+            role: ProcessRole::Older,
         }
     }
 }
 
-impl Stand {
-    /// Whether clients are served, be it to send them on.
-    pub(super) fn serves(&self) -> bool {
+impl LifecycleState {
+    /// Whether clients are accepted or served, even if only to direct them to other proxies.
+    pub(super) fn takes_clients(&self) -> bool {
         !matches!(self.phase, Phase::Starting | Phase::Draining | Phase::Stopped)
     }
 
-    /// Whether accepting is left to the other process. Danger: with nobody to accept, clients would wait in
-    /// the queue. Whoever is alone accepts.
-    pub(super) fn leaves_accepting(&self) -> bool {
-        !self.is_newcomer && self.partner == PeerProcess::Serving
+    /// Whether accepting is left to the peer process. Danger: with no process to accept, clients
+    /// would wait in the listen queue. A process that is alone accepts.
+    pub(super) fn is_accepting_delegated(&self) -> bool {
+        self.role == ProcessRole::Older && self.peer == PeerProcess::Serving
     }
 
-    /// Moves on to a phase.
-    pub(super) fn enter(&mut self, phase: Phase) {
-        if phase != self.phase {
-            log(&format!("{:?} -> {phase:?}", self.phase));
-            self.phase = phase;
+    /// Notes what has happened, and moves to the phase that follows from it.
+    pub(super) fn apply(&mut self, event: LifecycleEvent) {
+        match event {
+            LifecycleEvent::HandoverReceived => {
+                self.role = ProcessRole::Newer;
+                self.peer = PeerProcess::Serving;
+            }
+            LifecycleEvent::Started => self.enter(Phase::Serving),
+            LifecycleEvent::ServiceSet(service) => self.service = service,
+            LifecycleEvent::ReloadStarted => self.is_reloading = true,
+            LifecycleEvent::ReloadFinished => self.is_reloading = false,
+            LifecycleEvent::PeerChanged(peer) => self.set_peer(peer),
+            LifecycleEvent::StopRequested => self.enter(Phase::Draining),
+            LifecycleEvent::AllAnswered => self.enter(Phase::Stopped),
         }
+        self.enter_serving_phase();
     }
 
-    /// Moves on to the phase that follows from what has changed.
-    pub(super) fn settle(&mut self) {
-        if self.serves() {
-            self.enter(match self.partner {
-                _ if self.reloading => Phase::Reloading,
-                _ if self.leaves_accepting() => Phase::HandingOver,
-                PeerProcess::Serving | PeerProcess::Leaving if self.is_newcomer => Phase::TakingOver,
-                _ if self.away => Phase::OutOfService,
-                _ => Phase::Serving,
-            });
+    fn set_peer(&mut self, peer: PeerProcess) {
+        self.peer = peer;
+        // A process that has outlived the older one is the older one for the next.
+        if peer == PeerProcess::None {
+            self.role = ProcessRole::Older;
+        }
+    }
+
+    /// Enters the serving phase that applies, if the process serves.
+    fn enter_serving_phase(&mut self) {
+        if self.takes_clients() {
+            self.enter(self.serving_phase());
+        }
+    }
+
+    fn serving_phase(&self) -> Phase {
+        let has_older_peer = self.role == ProcessRole::Newer
+            && matches!(self.peer, PeerProcess::Serving | PeerProcess::Leaving);
+        if self.is_reloading {
+            Phase::Reloading
+        } else if self.is_accepting_delegated() {
+            Phase::HandingOver
+        } else if has_older_peer {
+            Phase::TakingOver
+        } else if self.service == ServiceState::OutOfService {
+            Phase::OutOfService
+        } else {
+            Phase::Serving
+        }
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        if phase != self.phase {
+            log(&format!("{:?} -> {phase:?}", self.phase));
+            self.phase = phase;
         }
     }
 }
--- a/src/net/lifecycle/state/tests.rs
+++ b/src/net/lifecycle/state/tests.rs
@@ -1,20 +1,48 @@
 use super::*;
 
 #[test]
-fn the_phase_follows_from_what_holds() {
-    let mut stand = Stand::default();
-    let mut after = |change: fn(&mut Stand)| {
-        change(&mut stand);
-        stand.settle();
-        (stand.phase, stand.leaves_accepting())
+fn the_phase_follows_from_the_events_of_a_process() {
+    use LifecycleEvent::{PeerChanged, ReloadFinished, ReloadStarted, ServiceSet, Started, StopRequested};
+    let mut state = LifecycleState::default();
+    let mut after = |event| {
+        state.apply(event);
+        (state.phase, state.is_accepting_delegated())
     };
-    assert_eq!(after(|stand| stand.away = true), (Phase::Starting, false), "not before it serves");
-    assert_eq!(after(|stand| stand.enter(Phase::Serving)), (Phase::OutOfService, false));
-    assert_eq!(after(|stand| stand.reloading = true), (Phase::Reloading, false));
-    assert_eq!(after(|stand| stand.partner = PeerProcess::Serving), (Phase::Reloading, true));
-    assert_eq!(after(|stand| stand.reloading = false), (Phase::HandingOver, true));
-    assert_eq!(after(|stand| stand.partner = PeerProcess::None), (Phase::OutOfService, false));
-    assert_eq!(after(|stand| (stand.away, stand.is_newcomer) = (false, true)), (Phase::Serving, false));
-    assert_eq!(after(|stand| stand.partner = PeerProcess::Leaving), (Phase::TakingOver, false));
-    assert_eq!(after(|stand| stand.enter(Phase::Draining)), (Phase::Draining, false), "it ends once begun");
+    let out_of_service = ServiceSet(ServiceState::OutOfService);
+
+    assert_eq!(after(out_of_service), (Phase::Starting, false), "not before it serves");
+    assert_eq!(after(Started), (Phase::OutOfService, false));
+    assert_eq!(after(ReloadStarted), (Phase::Reloading, false));
+    assert_eq!(after(PeerChanged(PeerProcess::Serving)), (Phase::Reloading, true));
+    assert_eq!(after(ReloadFinished), (Phase::HandingOver, true));
+    assert_eq!(after(PeerChanged(PeerProcess::None)), (Phase::OutOfService, false));
+
+    // A newer process whose peer has gone at that moment.
+    state.service = ServiceState::InService;
+    state.role = ProcessRole::Newer;
+    state.enter_serving_phase();
+    assert_eq!((state.phase, state.is_accepting_delegated()), (Phase::Serving, false));
+
+    let mut after = |event| {
+        state.apply(event);
+        (state.phase, state.is_accepting_delegated())
+    };
+    assert_eq!(after(PeerChanged(PeerProcess::Leaving)), (Phase::TakingOver, false));
+    assert_eq!(after(StopRequested), (Phase::Draining, false), "it ends once begun");
+}
+
+#[test]
+fn a_newer_process_becomes_the_older_one_when_its_peer_has_ended() {
+    let mut state = LifecycleState::default();
+
+    state.apply(LifecycleEvent::HandoverReceived);
+    assert_eq!(state.phase, Phase::Starting, "a handover alone accepts no client");
+    state.apply(LifecycleEvent::Started);
+    assert_eq!(state.phase, Phase::TakingOver);
+    state.apply(LifecycleEvent::PeerChanged(PeerProcess::None));
+    assert_eq!(state.phase, Phase::Serving);
+    state.apply(LifecycleEvent::PeerChanged(PeerProcess::Serving));
+    assert_eq!(state.phase, Phase::HandingOver);
+    state.apply(LifecycleEvent::AllAnswered);
+    assert_eq!(state.phase, Phase::Stopped);
 }
