--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,5 @@
-//! One real proxy; what it is told comes from the environment (see the README).
+//! One proxy process. Its configuration is the file that the environment variable `LB_CONFIG`
+//! names; see the README.
 
 use std::process::ExitCode;
 
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,8 +1,10 @@
-//! The program's log: lines on standard error.
+//! The program's output, one line at a time: the log on standard error, the counters on standard
+//! output. A line that cannot be written is dropped. Danger: `eprintln!` and `println!` panic when
+//! nobody reads any more, which would end the proxy.
 
 use std::io::Write;
 
-/// Writes a line. A log that nobody reads any more must not end the proxy, as `eprintln!` would.
+/// Writes a line to the log.
 pub fn log(line: &str) {
     let _ = writeln!(std::io::stderr(), "pinetrail: {line}");
 }
