Name the steps of a drain and a listener's modes by what they do

Drain -> DrainSchedule { accept_until, serve_until, abort_at }, SendAway -> DisconnectSchedule with its times in ms private (idle_close_at, keeps_partial_command, stops_reading), the listener's Stand -> AcceptMode, leave -> release, rest(bool) -> pause and resume. The call sites in net/client and net/lifecycle follow; nothing else changes there. One more test of the schedule's limits.

--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -204,7 +204,7 @@
         let now = self.side.descriptors.now();
         let Away { since, plan } = away;
         // Danger: what has begun to come would cross the close.
-        if !self.input.is_empty() && now.saturating_sub(since) < plan.half_until {
+        if !self.input.is_empty() && plan.keeps_partial_command(now.saturating_sub(since)) {
             return false;
         }
         self.answered >= since.max(1) || away.is_due(self.number, self.shared.arrived, now)
@@ -241,7 +241,8 @@
 
     /// Whether reading rests until answers have been written.
     fn is_full(&self) -> bool {
-        let late = |away: &Away| away.plan.is_late(self.side.descriptors.now().saturating_sub(away.since));
+        let late =
+            |away: &Away| away.plan.stops_reading(self.side.descriptors.now().saturating_sub(away.since));
         self.pending.len() >= MAX_PENDING
             || self.output.len() >= MAX_OUTPUT
             // Danger: who always has a command open would never stand between two.
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -9,7 +9,7 @@
 use super::deadline_stream::sleep;
 use super::descriptors::Descriptors;
 use super::dispatcher::Dispatcher;
-use super::drain::SendAway;
+use super::drain::DisconnectSchedule;
 use super::listener::{Listener, Stream};
 use super::log::log;
 use super::memory::Memory;
@@ -48,7 +48,7 @@
 #[derive(Clone, Copy)]
 struct Away {
     since: u64,
-    plan: SendAway,
+    plan: DisconnectSchedule,
 }
 
 /// Who holds a place, and how to reach it.
@@ -78,7 +78,7 @@
     /// Whether a connection is to go by now if it is idle.
     fn is_due(&self, number: ConnectionId, arrived: u64, now: u64) -> bool {
         let passed = now.saturating_sub(self.since);
-        passed >= self.plan.idle_at(number, arrived.saturating_sub(self.since))
+        passed >= self.plan.idle_close_at(number, arrived.saturating_sub(self.since))
     }
 }
 
@@ -126,7 +126,7 @@
         // Here its socket is closed once that is done.
         if let Some(listener) = &listener {
             if to_other {
-                listener.leave()
+                listener.release()
             } else {
                 listener.close()
             };
@@ -135,7 +135,12 @@
 
     /// Leaves accepting to another process that holds the socket too, or accepts again.
     pub fn rest_listening(&self, rests: bool) {
-        self.listener().iter().for_each(|listener| listener.rest(rests));
+        let Some(listener) = self.listener() else { return };
+        if rests {
+            listener.pause();
+        } else {
+            listener.resume();
+        }
     }
 
     /// The listening socket, while it listens.
@@ -144,7 +149,7 @@
     }
 
     /// From now on `mn` says no, and connections are let go of by this plan.
-    pub fn send_away(&self, plan: SendAway) {
+    pub fn send_away(&self, plan: DisconnectSchedule) {
         let since = self.descriptors.now();
         self.away().get_or_insert(Away { since, plan });
     }
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -1,80 +1,104 @@
-//! When what happens after SIGTERM, and while clients are sent away. The platform kills no sooner than the longest time that a client waits
-//! plus 0.7 s later, and counts waits of over 3 s as 3 s.
+//! When what happens while a process drains, and while clients are directed to other proxies. Read
+//! [`DrainSchedule`] first: the steps after SIGTERM. [`DisconnectSchedule`] says when each client
+//! connection is closed. Both only compute times; they do no I/O.
+//!
+//! The platform kills a process no sooner than the longest time that a client waits plus 0.7 s
+//! after SIGTERM, and counts waits of over 3 s as 3 s.
 
 use std::time::Duration;
 
-/// New connections still come for up to 0.4 s, and are served.
-const STILL_OPEN: Duration = Duration::from_millis(500);
-/// How much later than the longest wait the kill comes at the earliest.
-const GRACE: Duration = Duration::from_millis(700);
+/// New connections still come for up to 0.4 s after SIGTERM, and are served.
+const ACCEPT_FOR: Duration = Duration::from_millis(500);
+/// How much later than the longest wait of a client the kill comes at the earliest.
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// The longest wait of a client that the platform counts.
 const LONGEST_WAIT: Duration = Duration::from_millis(3000);
-/// Before the kill, so long for what was taken last: most calls end within it.
-const LAST_CALLS: Duration = Duration::from_millis(400);
-/// And so long for answers to go out.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// Before the kill, this time is left to the requests that came last: most end within it.
+const TIME_FOR_LAST_REQUESTS: Duration = Duration::from_millis(400);
+/// Before the kill, this time is left for responses to go out.
+const TIME_FOR_LAST_RESPONSES: Duration = Duration::from_millis(100);
 
-/// The times of a drain, each since SIGTERM.
+/// The steps of a drain, each as the time since SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Drain {
+pub struct DrainSchedule {
     /// Until then connections are accepted.
-    pub accepts: Duration,
-    /// Until then invocations are taken in on those that are held. Clients use what they have for as long as it
-    /// is open, and where one proxy serves alone nobody else would answer them.
-    pub serves: Duration,
-    /// Then all that is not answered is. Danger: what the kill finds unanswered is lost.
-    pub ends: Duration,
+    pub accept_until: Duration,
+    /// Until then requests are accepted on the connections that are open. Clients use a connection
+    /// for as long as it is open, and where one proxy serves alone nobody else would answer them.
+    pub serve_until: Duration,
+    /// Then every request that is open is answered. Danger: what the kill finds unanswered is lost.
+    pub abort_at: Duration,
 }
 
-impl Drain {
-    /// A drain where clients wait for so long at the most, if that is known.
-    pub fn for_wait(longest: Option<Duration>) -> Drain {
-        let kill = longest.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT) + GRACE;
-        let serves = match longest {
-            Some(_) => kill.saturating_sub(LAST_CALLS).max(STILL_OPEN),
-            None => STILL_OPEN,
+impl DrainSchedule {
+    /// The schedule where clients wait this long at the most; none where that is not known.
+    pub fn for_longest_wait(longest_wait: Option<Duration>) -> DrainSchedule {
+        let kill_at = longest_wait.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT) + KILL_GRACE;
+        let serve_until = match longest_wait {
+            Some(_) => kill_at.saturating_sub(TIME_FOR_LAST_REQUESTS).max(ACCEPT_FOR),
+            None => ACCEPT_FOR,
         };
-        Drain { accepts: STILL_OPEN, serves, ends: kill.saturating_sub(LAST_WORDS).max(STILL_OPEN) }
+        let abort_at = kill_at.saturating_sub(TIME_FOR_LAST_RESPONSES).max(ACCEPT_FOR);
+        DrainSchedule { accept_until: ACCEPT_FOR, serve_until, abort_at }
     }
 }
 
-/// How connections are let go of while clients are sent away: each right after an answer, when its client has
-/// nothing under way; what stands idle spread over a time, lest all connect elsewhere at once. In ms.
+/// When client connections are closed while clients are directed to other proxies, in ms since that
+/// began. A connection in use is closed right after a response, when its client has nothing else
+/// open. Idle connections are closed spread over a time, so that not all clients connect elsewhere
+/// at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SendAway {
+pub struct DisconnectSchedule {
     /// Until then idle connections stay.
-    pub idle_from: u64,
-    /// By then none is left.
-    pub idle_until: u64,
-    /// From then on half a command keeps no connection.
-    pub half_until: u64,
+    idle_from_ms: u64,
+    /// By then no idle connection is left.
+    idle_until_ms: u64,
+    /// From then on a command that has come in part does not keep its connection open.
+    partial_command_until_ms: u64,
 }
 
-/// One that comes while clients are sent away is closed no sooner if it says nothing, in ms.
-const NEWCOMER: u64 = 500;
+/// A connection that comes while clients are directed elsewhere may be silent for this long, in ms.
+const NEW_CONNECTION_MS: u64 = 500;
 /// Steps over which the closes of idle connections are spread.
-const STEPS: u64 = 64;
+const SPREAD_STEPS: u64 = 64;
 
-impl SendAway {
-    /// A proxy is put out of service. By 4 s none may be idle, nor have a request of the last 2 s open.
-    pub const OUT_OF_SERVICE: SendAway = SendAway { idle_from: 400, idle_until: 1800, half_until: 3400 };
+impl DisconnectSchedule {
+    /// The proxy is put out of service. By 4 s no connection may be idle, nor have a request of the
+    /// last 2 s open.
+    pub const OUT_OF_SERVICE: DisconnectSchedule =
+        DisconnectSchedule { idle_from_ms: 400, idle_until_ms: 1800, partial_command_until_ms: 3400 };
 
-    /// Another process accepts clients by now, and this one is to end by then. Idle connections are kept for long:
-    /// the longer one has been idle, the less likely is a command that crosses its close.
-    pub fn for_drain(drain: &Drain) -> SendAway {
-        let until = u64::try_from(drain.serves.as_millis()).unwrap_or(u64::MAX);
-        SendAway { idle_from: until / 2, idle_until: until, half_until: until }
+    /// The peer process accepts clients by now, and this one drains. Idle connections are kept for
+    /// long: the longer one has been idle, the less likely is a command that crosses its close.
+    pub fn for_drain(drain: &DrainSchedule) -> DisconnectSchedule {
+        let until_ms = u64::try_from(drain.serve_until.as_millis()).unwrap_or(u64::MAX);
+        DisconnectSchedule {
+            idle_from_ms: until_ms / 2,
+            idle_until_ms: until_ms,
+            partial_command_until_ms: until_ms,
+        }
     }
 
-    /// When a connection, numbered in the order of arrival, is to close if it stands idle; in ms since the
-    /// sending away began, as is its arrival.
-    pub fn idle_at(&self, number: u64, arrived: u64) -> u64 {
-        let step = self.idle_until.saturating_sub(self.idle_from) * (number % STEPS) / STEPS;
-        (self.idle_from + step).max(if arrived > 0 { arrived + NEWCOMER } else { 0 })
+    /// When a connection is to close if it is idle, in ms. `number` is its number in the order of
+    /// arrival; `arrived_ms` is 0 for a connection that was there before.
+    pub fn idle_close_at(&self, number: u64, arrived_ms: u64) -> u64 {
+        let spread_ms = self.idle_until_ms.saturating_sub(self.idle_from_ms);
+        let close_at = self.idle_from_ms + spread_ms * (number % SPREAD_STEPS) / SPREAD_STEPS;
+        if arrived_ms > 0 {
+            close_at.max(arrived_ms + NEW_CONNECTION_MS)
+        } else {
+            close_at
+        }
     }
 
-    /// Whether nothing more is read on a connection that has commands open.
-    pub fn is_late(&self, passed: u64) -> bool {
-        passed >= self.idle_until
+    /// Whether a command that has come in part still keeps its connection open.
+    pub fn keeps_partial_command(&self, elapsed_ms: u64) -> bool {
+        elapsed_ms < self.partial_command_until_ms
+    }
+
+    /// Whether nothing more is read on a connection that has requests open.
+    pub fn stops_reading(&self, elapsed_ms: u64) -> bool {
+        elapsed_ms >= self.idle_until_ms
     }
 }
 
--- a/src/net/drain/tests.rs
+++ b/src/net/drain/tests.rs
@@ -1,23 +1,41 @@
 use super::*;
 
 #[test]
-fn idle_connections_are_let_go_of_one_after_the_other() {
-    let plan = SendAway::OUT_OF_SERVICE;
-    let mut times: Vec<u64> = (0..64).map(|number| plan.idle_at(number, 0)).collect();
+fn idle_connections_are_closed_one_after_the_other() {
+    let schedule = DisconnectSchedule::OUT_OF_SERVICE;
+
+    let mut times: Vec<u64> = (0..64).map(|number| schedule.idle_close_at(number, 0)).collect();
+
     assert!(times.iter().all(|at| (400..1800).contains(at)));
     times.dedup();
     assert!(times.len() > 60, "spread");
-    assert_eq!(plan.idle_at(0, 3000), 3500, "who comes late has time to speak");
+    assert_eq!(schedule.idle_close_at(0, 3000), 3500, "a late connection has time for a command");
+}
+
+#[test]
+fn a_partial_command_keeps_its_connection_for_a_time_and_reading_stops_before() {
+    let schedule = DisconnectSchedule::OUT_OF_SERVICE;
+
+    assert!(schedule.keeps_partial_command(3399));
+    assert!(!schedule.keeps_partial_command(3400));
+    assert!(!schedule.stops_reading(1799));
+    assert!(schedule.stops_reading(1800));
 }
 
 #[test]
 fn a_drain_ends_before_the_earliest_kill() {
     let ms = Duration::from_millis;
-    let drain = |wait| Drain::for_wait(Some(ms(wait)));
-    assert_eq!(drain(1000), Drain { accepts: ms(500), serves: ms(1300), ends: ms(1600) });
+    let schedule = |accept, serve, abort| DrainSchedule {
+        accept_until: ms(accept),
+        serve_until: ms(serve),
+        abort_at: ms(abort),
+    };
+    let drain = |wait| DrainSchedule::for_longest_wait(Some(ms(wait)));
+
+    assert_eq!(drain(1000), schedule(500, 1300, 1600));
     // Waits beyond 3 s count as 3 s.
-    assert_eq!(drain(9000), Drain { accepts: ms(500), serves: ms(3300), ends: ms(3600) });
-    assert_eq!(drain(1), Drain { accepts: ms(500), serves: ms(500), ends: ms(601) });
-    // How long clients wait is not told: nothing is taken that might be found unanswered.
-    assert_eq!(Drain::for_wait(None), Drain { accepts: ms(500), serves: ms(500), ends: ms(3600) });
+    assert_eq!(drain(9000), schedule(500, 3300, 3600));
+    assert_eq!(drain(1), schedule(500, 500, 601));
+    // How long clients wait is not known: no request is accepted that might be found unanswered.
+    assert_eq!(DrainSchedule::for_longest_wait(None), schedule(500, 500, 3600));
 }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -23,7 +23,7 @@
 use super::counters::Counters;
 use super::discovery::Target;
 use super::dispatcher::Dispatcher;
-use super::drain::SendAway;
+use super::drain::DisconnectSchedule;
 use super::fleet::Fleet;
 use super::hot_restart::{self, HotRestart, ServiceState};
 use super::log::log;
@@ -128,7 +128,7 @@
         if let Some(services) = self.services.get() {
             match service {
                 ServiceState::InService => services.clients.welcome(),
-                ServiceState::OutOfService => services.clients.send_away(SendAway::OUT_OF_SERVICE),
+                ServiceState::OutOfService => services.clients.send_away(DisconnectSchedule::OUT_OF_SERVICE),
             }
         }
         Ok(())
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -1,9 +1,9 @@
 //! SIGTERM and SIGINT: the process drains, and ends shortly before the platform would kill it. The
-//! times are those of [`Drain`].
+//! times are those of [`DrainSchedule`].
 
 use super::state::LifecycleEvent;
 use super::{Lifecycle, RunningServices};
-use crate::net::drain::{Drain, SendAway};
+use crate::net::drain::{DisconnectSchedule, DrainSchedule};
 use crate::net::log::print;
 use crate::settings::Settings;
 use may::coroutine::sleep;
@@ -32,10 +32,10 @@
         if let Some(fleet) = self.fleet() {
             fleet.begin_to_leave();
         }
-        let drain = Drain::for_wait(self.longest_client_wait(settings));
+        let schedule = DrainSchedule::for_longest_wait(self.longest_client_wait(settings));
         let acceptor =
             if self.hot_restart.begin_drain() { Acceptor::PeerProcess } else { Acceptor::ThisProcess };
-        services.drain(drain, acceptor);
+        services.drain(schedule, acceptor);
         self.hot_restart.remove_socket();
         if let Some(fleet) = self.fleet() {
             fleet.leave();
@@ -59,22 +59,22 @@
 impl RunningServices {
     /// Serves on while new connections may come, unless the peer process accepts them; then the
     /// connections that are held; then until every accepted request is answered.
-    fn drain(&self, drain: Drain, acceptor: Acceptor) {
+    fn drain(&self, schedule: DrainSchedule, acceptor: Acceptor) {
         let started = Instant::now();
         // Danger: clients are short of connections until the last may come. Idle connections give
         // way to them till then.
         match acceptor {
-            Acceptor::PeerProcess => self.clients.send_away(SendAway::for_drain(&drain)),
-            Acceptor::ThisProcess => sleep(drain.accepts.saturating_sub(started.elapsed())),
+            Acceptor::PeerProcess => self.clients.send_away(DisconnectSchedule::for_drain(&schedule)),
+            Acceptor::ThisProcess => sleep(schedule.accept_until.saturating_sub(started.elapsed())),
         }
         self.clients.stop_listening(acceptor == Acceptor::PeerProcess);
         self.clients.keep_all();
-        self.wait_until_idle(started, drain.serves);
+        self.wait_until_idle(started, schedule.serve_until);
         self.clients.close_when_idle();
-        self.wait_until_idle(started, drain.ends);
+        self.wait_until_idle(started, schedule.abort_at);
         self.dispatcher.abort_all();
         // Then the responses go out; a client that does not read cannot hold the exit up for long.
-        self.wait_until_idle(started, drain.ends + LAST_WRITES);
+        self.wait_until_idle(started, schedule.abort_at + LAST_WRITES);
     }
 
     /// Waits until no request and no connection is left, or until `limit` after `started`.
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,5 +1,6 @@
-//! Listening sockets, and the connections that come in on them, on the `may` crate. The library's own listener
-//! cannot be made of a socket that another process has opened, but its generic wrapper can.
+//! Listening sockets, and the connections that come in on them, on the `may` crate. Read
+//! [`Listener`] first. The crate's own listener cannot be made of a socket that another process has
+//! opened, but its generic wrapper can.
 
 use may::io::{CoIo, WaitIo};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -7,34 +8,39 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Connections that may wait to be accepted.
+/// Connections that may wait in the queue to be accepted.
 const BACKLOG: i32 = 1024;
 
-/// A connection that has come in.
+/// A connection that has been accepted.
 pub type Stream = CoIo<TcpStream>;
 
-/// What a listener does about those who connect.
+/// What a listener does with connections that come in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stand {
+enum AcceptMode {
     /// Accepts them.
-    Accepts,
-    /// Leaves them to another process that holds the socket too.
-    Rests,
-    /// Accepts who waits already, and ends.
-    Closes,
-    /// Ends, and leaves also those to the other process.
-    Leaves,
+    Accepting,
+    /// Leaves them to the other process that holds the socket, until it is resumed.
+    Paused,
+    /// Accepts those that wait in the queue already, and ends.
+    Closing,
+    /// Ends, and leaves also those in the queue to the other process that holds the socket.
+    Released,
 }
 
 /// A socket that accepts connections until it is told to stop.
 #[derive(Debug)]
 pub struct Listener {
     socket: CoIo<TcpListener>,
-    stand: Mutex<Stand>,
+    /// Guards the mode only. Danger: never held while a coroutine waits.
+    mode: Mutex<AcceptMode>,
 }
 
-/// Opens a listening socket. Danger: without the exclusive hold on the address a proxy started twice by
-/// mistake would take connections from the first unseen.
+/// Opens a listening socket. Danger: without the exclusive hold on the address a proxy started twice
+/// by mistake would take connections from the first unseen.
+///
+/// # Errors
+///
+/// If the address cannot be bound, for instance since another process holds it.
 pub fn open(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // Connections of a process that has ended do not keep the address from the next.
@@ -45,21 +51,30 @@
 }
 
 impl Listener {
-    /// Takes an open socket over.
+    /// Accepts on a socket that listens already.
+    ///
+    /// # Errors
+    ///
+    /// If the socket cannot be registered with the coroutines' poller.
     pub fn new(socket: TcpListener) -> io::Result<Listener> {
         let socket = CoIo::new(socket).map_err(io::Error::from)?;
-        Ok(Listener { socket, stand: Mutex::new(Stand::Accepts) })
+        Ok(Listener { socket, mode: Mutex::new(AcceptMode::Accepting) })
     }
 
-    /// The next connection; none once it has stopped.
+    /// Waits for the next connection; none once the listener has stopped.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system call, for instance since no descriptor is left. The caller may try
+    /// again.
     pub fn accept(&self) -> io::Result<Option<Stream>> {
         loop {
             // Danger: a guard that lives on through the match would be held while this waits.
-            let stand = *self.stand();
-            match stand {
-                Stand::Leaves => return Ok(None),
-                Stand::Accepts | Stand::Closes => {}
-                Stand::Rests => {
+            let mode = *self.mode();
+            match mode {
+                AcceptMode::Released => return Ok(None),
+                AcceptMode::Accepting | AcceptMode::Closing => {}
+                AcceptMode::Paused => {
                     self.socket.wait_io();
                     continue;
                 }
@@ -78,44 +93,56 @@
         }
     }
 
-    /// From now on it accepts only who waits already.
+    /// Stops for good, after the connections that wait in the queue already.
     pub fn close(&self) {
-        self.be(Stand::Closes);
+        self.set_mode(AcceptMode::Closing);
     }
 
-    /// From now on it accepts nobody: another process that holds the socket does.
-    pub fn leave(&self) {
-        self.be(Stand::Leaves);
+    /// Stops for good and at once: the other process that holds the socket accepts.
+    pub fn release(&self) {
+        self.set_mode(AcceptMode::Released);
     }
 
-    /// Has it accept nobody for a time, or accept again.
-    pub fn rest(&self, rests: bool) {
+    /// Leaves connections to the other process that holds the socket, unless it has stopped.
+    pub fn pause(&self) {
         if !self.is_stopped() {
-            self.be(if rests { Stand::Rests } else { Stand::Accepts });
+            self.set_mode(AcceptMode::Paused);
+        }
+    }
+
+    /// Accepts connections again, unless it has stopped.
+    pub fn resume(&self) {
+        if !self.is_stopped() {
+            self.set_mode(AcceptMode::Accepting);
         }
     }
 
     /// Whether it was told to stop.
     pub fn is_stopped(&self) -> bool {
-        matches!(*self.stand(), Stand::Closes | Stand::Leaves)
+        matches!(*self.mode(), AcceptMode::Closing | AcceptMode::Released)
     }
 
-    /// Where it listens.
+    /// The address it listens on.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system call.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.socket.inner().local_addr()
     }
 
-    /// The socket itself.
+    /// The socket itself, to hand over to another process.
     pub fn socket(&self) -> &TcpListener {
         self.socket.inner()
     }
 
-    fn be(&self, stand: Stand) {
-        *self.stand() = stand;
+    /// Sets the mode, and wakes the coroutine that accepts.
+    fn set_mode(&self, mode: AcceptMode) {
+        *self.mode() = mode;
         self.socket.waker().wakeup();
     }
 
-    fn stand(&self) -> MutexGuard<'_, Stand> {
-        self.stand.lock().unwrap_or_else(PoisonError::into_inner)
+    fn mode(&self) -> MutexGuard<'_, AcceptMode> {
+        self.mode.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
