--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,8 +1,8 @@
 //! Discovery: the cached list at the start, then a watch from the moment on in which the module asks for one, at the
 //! address that the newest configuration names.
 
-mod budget;
 mod lists;
+mod timing;
 mod watch;
 
 use super::config::{Catalog, Instance};
@@ -11,11 +11,11 @@
 use super::dispatcher::Dispatcher;
 use super::log::log;
 use crate::interface::ListForm;
-use budget::Waits;
 use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use timing::Waits;
 
 /// While a wait lasts it is looked so often whether discovery has moved.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -1,7 +1,7 @@
 //! One watch: from its connection to its end.
 
-use super::budget::{call_within, SILENCE};
 use super::lists::Lists;
+use super::timing::{call_within, SILENCE};
 use super::{Discovery, Ended};
 use crate::interface::ListForm;
 use crate::net::codec::http::{self, Body, Head};
