--- a/src/net/lifecycle/error.rs
+++ b/src/net/lifecycle/error.rs
@@ -23,7 +23,7 @@
     #[error(transparent)]
     Handover(#[from] HandoverError),
     /// The address of the operators' endpoint cannot be listened on.
-    #[error("admin endpoint at {address}: {source}")]
+    #[error("door at {address}: {source}")]
     AdminListen {
         /// The address.
         address: SocketAddr,
