Give discovery typed errors, named parameters and its own target file

Why: a watch ended with one of two texts, Discovery::start took two tuples among six arguments, and the times of a watch had names that said how they felt.

Ended -> WatchError and ListError, which keep their sources; the log has the same texts, but "rejected" for "turned away". Waits -> RetryDelays, its bool -> ListDelivery; call_within -> CallTimeouts; Lists -> ListReader; Target with its own file and TargetAddress instead of a count beside an address. The delays are drawn in the same order from the same seed. New tests say how long delays are.

--- /dev/null
+++ b/src/net/discovery/error.rs
@@ -0,0 +1,53 @@
+//! Why a watch ends.
+
+use super::lists::ListError;
+use std::io;
+use thiserror::Error;
+
+/// Why a watch ended, or could not begin. The log has the text.
+#[derive(Debug, Error)]
+pub(super) enum WatchError {
+    /// Discovery did not accept the connection in time.
+    #[error("no connection in time")]
+    ConnectTimeout(#[source] io::Error),
+    /// Discovery did not accept the connection.
+    #[error("no connection")]
+    Connect(#[source] io::Error),
+    /// Discovery is at another address by now.
+    #[error("moved")]
+    Moved,
+    /// The request could not be written in time.
+    #[error("the request was not written")]
+    RequestNotWritten(#[source] io::Error),
+    /// The response is not a stream of lists.
+    #[error("rejected")]
+    Rejected,
+    /// The response is not HTTP.
+    #[error("{0}")]
+    MalformedHttp(String),
+    /// What the response holds is no list.
+    #[error(transparent)]
+    List(#[from] ListError),
+    /// Discovery counts its lists from the beginning again.
+    #[error("its generation is older than the one known")]
+    OldGeneration,
+    /// Discovery ended the response.
+    #[error("ended")]
+    ResponseEnded,
+    /// Discovery closed the connection.
+    #[error("the connection ended")]
+    ConnectionEnded,
+    /// Not even an empty line came in time.
+    #[error("silent for too long")]
+    Silent(#[source] io::Error),
+    /// The connection failed.
+    #[error("the connection broke")]
+    ConnectionBroken(#[source] io::Error),
+}
+
+impl WatchError {
+    /// Whether something that had to come did not come in time.
+    pub(super) fn is_timeout(&self) -> bool {
+        matches!(self, WatchError::ConnectTimeout(_) | WatchError::Silent(_))
+    }
+}
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -1,158 +1,144 @@
-//! Discovery: the cached list at the start, then a watch from the moment on in which the module asks for one, at the
-//! address that the newest configuration names.
+//! Discovery: the cached endpoint list at the start, then a watch from the moment on in which the
+//! decision module asks for one. Read [`Discovery`] first. `target` is where discovery is, `watch`
+//! is one watch, `lists` splits its response, `timing` says when the next one begins.
 
+mod error;
 mod lists;
+mod target;
 mod timing;
 mod watch;
 
+pub use target::Target;
+pub use timing::ListDelivery;
+
 use super::config::{Catalog, Instance};
 use super::counters::Counters;
-use super::deadline_stream::{sleep, DeadlineStream};
+use super::deadline_stream::sleep;
 use super::dispatcher::Dispatcher;
 use super::log::log;
 use crate::interface::ListForm;
 use may::sync::mpsc::{Receiver, Sender};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use timing::Waits;
-
-/// While a wait lasts it is looked so often whether discovery has moved.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
+use target::TargetAddress;
+use timing::RetryDelays;
 
-/// How a call or its watch ended, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// What had to come did not.
-    TimedOut(&'static str),
-    /// It was refused or ended, or what came was no good.
-    Broke(&'static str),
-}
+/// How often a delay looks whether discovery has moved.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-impl From<&'static str> for Ended {
-    fn from(why: &'static str) -> Ended {
-        Ended::Broke(why)
-    }
+/// What discovery starts with.
+pub struct DiscoveryStart {
+    /// Who is told of endpoints.
+    pub dispatcher: Arc<Dispatcher>,
+    /// Where watches and lists are counted.
+    pub counters: Arc<Counters>,
+    /// Where discovery is.
+    pub address: SocketAddr,
+    /// How lists reach the proxy.
+    pub delivery: ListDelivery,
+    /// The endpoints known before the first watch.
+    pub cached: Catalog,
+    /// The seed of the delays between watches.
+    pub seed: u64,
+    /// The sending end of `subscriptions`.
+    pub subscribe: Sender<()>,
+    /// Each message asks for the next watch.
+    pub subscriptions: Receiver<()>,
 }
 
-/// The discovery side of one proxy.
+/// The watches of one proxy, one after the other.
 pub struct Discovery {
-    exchange: Arc<Dispatcher>,
+    dispatcher: Arc<Dispatcher>,
     counters: Arc<Counters>,
     target: Arc<Target>,
+    /// The generation of the last list.
     generation: u64,
-    waits: Waits,
-    /// When discovery last said anything on a watch.
-    heard: Option<Instant>,
-}
-
-/// Where discovery is. It may be moved while a watch is on.
-pub struct Target {
-    state: Mutex<Watched>,
-    subscribe: Sender<()>,
-}
-
-struct Watched {
-    address: SocketAddr,
-    /// How often it has moved.
-    moves: u64,
-    /// The connection of the watch that is on, to be ended by a move.
-    link: Option<DeadlineStream>,
-}
-
-impl Target {
-    /// Moves the watch: the one that is on ends, and another begins at once at the new address.
-    pub fn move_to(&self, address: SocketAddr) {
-        let link = self.with(|watched| {
-            watched.address = address;
-            watched.moves += 1;
-            watched.link.take()
-        });
-        link.iter().for_each(DeadlineStream::end);
-        // The receiver is only gone when the program stops.
-        let _ = self.subscribe.send(());
-    }
-
-    fn with<T>(&self, act: impl FnOnce(&mut Watched) -> T) -> T {
-        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
-    }
+    delays: RetryDelays,
+    /// When anything was last received on a watch.
+    last_received: Option<Instant>,
 }
 
 impl Discovery {
-    /// Tells the exchange the cached list, then watches from when it is asked to; `subscribe` is the sending end
-    /// of `subscriptions`. Danger: where lists are pushed the module asks for nothing, and what the agent has counts
-    /// as told from the first moment on: the watch is opened here.
-    pub fn start(
-        exchange: Arc<Dispatcher>,
-        counters: Arc<Counters>,
-        (address, pushed): (SocketAddr, bool),
-        known: Catalog,
-        seed: u64,
-        (subscribe, subscriptions): (Sender<()>, Receiver<()>),
-    ) -> Arc<Target> {
-        let state = Mutex::new(Watched { address, moves: 0, link: None });
-        let target = Arc::new(Target { state, subscribe });
-        let generation = known.generation;
-        let (own, waits) = (Arc::clone(&target), Waits::new(seed, pushed));
-        let mut discovery = Discovery { exchange, counters, target: own, generation, waits, heard: None };
-        discovery.tell(ListForm::Cached, known.instances);
-        if pushed {
-            // The receiver is below.
-            let _ = target.subscribe.send(());
+    /// Tells the dispatcher the cached list, then watches from when it is asked to. Danger: where
+    /// lists are pushed the decision module asks for nothing, and what the agent has counts as
+    /// notified from the first moment on: the watch is opened here.
+    pub fn start(start: DiscoveryStart) -> Arc<Target> {
+        let target = Arc::new(Target::new(start.address, start.subscribe));
+        let mut discovery = Discovery {
+            dispatcher: start.dispatcher,
+            counters: start.counters,
+            target: Arc::clone(&target),
+            generation: start.cached.generation,
+            delays: RetryDelays::new(start.seed, start.delivery),
+            last_received: None,
+        };
+        discovery.update_endpoints(ListForm::Cached, start.cached.instances);
+        if start.delivery == ListDelivery::Pushed {
+            target.subscribe();
         }
-        may::go!(move || {
-            // The first is waited for. From then on lists are watched for as long as the program runs.
-            let _ = subscriptions.recv();
-            loop {
-                let (wait, moves) = discovery.watch_on();
-                discovery.tell(ListForm::Failed, Vec::new());
-                if discovery.moves_within(wait, moves) {
-                    discovery.waits.begin_anew();
-                }
-                // What was asked for until now, the next call answers.
-                while subscriptions.try_recv().is_ok() {}
-            }
-        });
+        let subscriptions = start.subscriptions;
+        // Ends with the process.
+        may::go!(move || discovery.run(&subscriptions));
         target
     }
 
-    /// Danger: how long a proxy may go without a watch is said by when changes count as told, not by what else it has to
-    /// do: this side alone says when the next call begins. Waits so long, or until discovery has moved since; whether it has.
-    fn moves_within(&self, time: Duration, moves: u64) -> bool {
-        let until = Instant::now() + time;
+    fn run(&mut self, subscriptions: &Receiver<()>) {
+        // The first watch is waited for. From then on lists are watched while the process runs.
+        let _ = subscriptions.recv();
         loop {
-            let left = until.saturating_duration_since(Instant::now());
-            let moved = self.target.with(|watched| watched.moves != moves);
-            if moved || left.is_zero() {
-                return moved;
+            let failed = self.watch_until_failure();
+            self.update_endpoints(ListForm::Failed, Vec::new());
+            if self.sleep_unless_moved(&failed) {
+                self.delays.reset();
             }
-            sleep(left.min(LOOK_EVERY));
+            // The next call answers all that was asked for until now.
+            while subscriptions.try_recv().is_ok() {}
         }
     }
 
-    /// Watches until that fails or ends, starting anew as often as discovery moves; how long to wait then, and the move that
-    /// this was about.
-    fn watch_on(&mut self) -> (Duration, u64) {
+    /// Watches until that fails or ends, starting again as often as discovery moves.
+    fn watch_until_failure(&mut self) -> FailedWatch {
         loop {
-            let begun = Instant::now();
-            let (address, moves) = self.target.with(|watched| (watched.address, watched.moves));
+            let started = Instant::now();
+            let target = self.target.current();
             self.counters.watches.add();
-            let Err(why) = self.watch(&address, moves);
-            let moved = self.target.with(|watched| {
-                watched.link = None;
-                watched.moves != moves
-            });
-            if !moved {
+            let Err(error) = self.watch(target);
+            let has_moved = self.target.detach(target);
+            if !has_moved {
                 self.counters.watches_failed.add();
-                let (Ended::TimedOut(words) | Ended::Broke(words)) = why;
-                log(&format!("watch: {words}"));
-                return (self.waits.before_next(why, begun.elapsed()), moves);
+                log(&format!("watch: {error}"));
+                let delay = self.delays.before_next(&error, started.elapsed());
+                return FailedWatch { target, delay };
+            }
+            self.delays.reset();
+        }
+    }
+
+    /// Waits for the delay after a failed watch, or until discovery has moved since; returns
+    /// whether it has. Danger: how long a proxy may go without a watch follows from when changes count as
+    /// notified, not from what else it has to do: discovery alone says when the next call begins.
+    fn sleep_unless_moved(&self, failed: &FailedWatch) -> bool {
+        let until = Instant::now() + failed.delay;
+        loop {
+            let remaining = until.saturating_duration_since(Instant::now());
+            let has_moved = self.target.has_moved_from(failed.target);
+            if has_moved || remaining.is_zero() {
+                return has_moved;
             }
-            self.waits.begin_anew();
+            sleep(remaining.min(POLL_INTERVAL));
         }
     }
 
-    fn tell(&self, form: ListForm, instances: Vec<Instance>) {
-        self.exchange.update_endpoints(form, instances);
+    fn update_endpoints(&self, form: ListForm, instances: Vec<Instance>) {
+        self.dispatcher.update_endpoints(form, instances);
     }
 }
+
+/// A watch that has failed or ended.
+struct FailedWatch {
+    /// Where discovery was.
+    target: TargetAddress,
+    /// How long to wait before the next watch.
+    delay: Duration,
+}
--- a/src/net/discovery/timing.rs
+++ b/src/net/discovery/timing.rs
@@ -1,6 +1,9 @@
-//! By when a change of the list is known, whatever call failed: one budget, from which each wait of a watch is taken.
+//! The times of watches. A change of the endpoint list counts as notified a fixed time after
+//! discovery had it, whatever call failed before; every timeout and every delay of a watch is taken
+//! from that one budget. The constant assertions below prove that they fit. Read [`RetryDelays`]
+//! first.
 
-use super::Ended;
+use super::error::WatchError;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::ops::Range;
 use std::time::Duration;
@@ -9,88 +12,136 @@
     Duration::from_millis(ms)
 }
 
-/// A change counts as told so long after discovery had it and could be reached.
-const TOLD_AFTER: Duration = ms(6000);
+/// A change counts as notified this long after discovery had it and could be reached.
+const NOTIFIED_WITHIN: Duration = ms(6000);
 /// A line, if only an empty one, comes every 2 s: a watch that is silent for longer is dead.
-pub(super) const SILENCE: Duration = ms(2500);
-/// While what changed since the last word is not yet counted as told, a call is given up after this time if its watch has
-/// not begun: another can still come in time.
-const BRIEF: Duration = ms(1400);
-/// After that, a call is waited for. Discovery takes calls in turn, and many may wait before this one.
-const PATIENT: Duration = ms(2600);
-/// A connection that has not come up by then never will.
-const CONNECT: Duration = ms(750);
-/// What ran out of time is followed by another call after such a time.
-const SOON: Range<Duration> = ms(100)..ms(300);
-/// What was ended or refused again, so long after it began. Danger: a discovery that fails is asked again by
-/// hundreds: the sooner it fails, the longer each waits, and no two equally long.
-const LATER: Range<Duration> = ms(2000)..ms(2700);
-/// The first time, and no sooner ever: a discovery that goes ends all its watches in one moment.
-const SPREAD: Range<Duration> = ms(300)..ms(1200);
-/// Where an agent pushes lists, what it has counts as told at once. Nobody else calls that agent.
-const PUSHED: Range<Duration> = ms(200)..ms(400);
-/// After a move of discovery its news count as told sooner.
-const TOLD_AFTER_A_MOVE: Duration = ms(4000);
+pub(super) const SILENCE_TIMEOUT: Duration = ms(2500);
+/// The timeout of a call until its watch has begun, while the changes since the last line are not
+/// counted as notified yet: another call can still come in time.
+const SHORT_CALL_TIMEOUT: Duration = ms(1400);
+/// The same after that. Discovery takes calls in turn, and many may wait before this one.
+const LONG_CALL_TIMEOUT: Duration = ms(2600);
+/// A connection that is not established by then never will be.
+const CONNECT_TIMEOUT: Duration = ms(750);
+/// The delay before the next call after one that timed out.
+const AFTER_TIMEOUT: Range<Duration> = ms(100)..ms(300);
+/// From the beginning of a call that has failed again to the next call. Danger: a discovery that
+/// fails is called again by hundreds of proxies: the sooner it fails, the longer each waits, and no
+/// two equally long.
+const AFTER_REPEATED_FAILURE: Range<Duration> = ms(2000)..ms(2700);
+/// The delay after the first failure, and the least after any: a discovery that stops ends all its
+/// watches in one moment.
+const AFTER_FAILURE: Range<Duration> = ms(300)..ms(1200);
+/// Where an agent pushes lists, what it has counts as notified at once. No other proxy calls that
+/// agent.
+const AFTER_PUSH_FAILURE: Range<Duration> = ms(200)..ms(400);
+/// After a move of discovery its changes count as notified sooner.
+const NOTIFIED_AFTER_MOVE_WITHIN: Duration = ms(4000);
 
 // A watch falls silent in the moment of a change, and the next call hangs.
-const _: () = in_time(&[SILENCE, SOON.end, BRIEF, SOON.end, BRIEF]);
-// The next call is refused at once, and so is the one after that.
-const _: () = in_time(&[SILENCE, SOON.end, SPREAD.end]);
-// A move finds a connection to the old address coming up, and the first call at the new one hangs or is refused.
-const _: () = assert!(total(&[CONNECT, BRIEF, SOON.end, BRIEF]) <= TOLD_AFTER_A_MOVE.as_millis());
-const _: () = assert!(total(&[CONNECT, SPREAD.end, BRIEF]) <= TOLD_AFTER_A_MOVE.as_millis());
-// A call begins in the moment in which discovery is back, and hangs all the same; or is refused.
-const _: () = in_time(&[PATIENT, SOON.end, PATIENT]);
-const _: () = in_time(&[LATER.end, PATIENT]);
+const _: () = assert_in_time(&[
+    SILENCE_TIMEOUT,
+    AFTER_TIMEOUT.end,
+    SHORT_CALL_TIMEOUT,
+    AFTER_TIMEOUT.end,
+    SHORT_CALL_TIMEOUT,
+]);
+// The next call is rejected at once, and so is the one after that.
+const _: () = assert_in_time(&[SILENCE_TIMEOUT, AFTER_TIMEOUT.end, AFTER_FAILURE.end]);
+// A move finds a connection to the old address being established, and the first call at the new
+// one hangs or is rejected.
+const _: () = assert!(
+    total_ms(&[CONNECT_TIMEOUT, SHORT_CALL_TIMEOUT, AFTER_TIMEOUT.end, SHORT_CALL_TIMEOUT])
+        <= NOTIFIED_AFTER_MOVE_WITHIN.as_millis()
+);
+const _: () = assert!(
+    total_ms(&[CONNECT_TIMEOUT, AFTER_FAILURE.end, SHORT_CALL_TIMEOUT])
+        <= NOTIFIED_AFTER_MOVE_WITHIN.as_millis()
+);
+// A call begins in the moment in which discovery is back, and hangs all the same; or is rejected.
+const _: () = assert_in_time(&[LONG_CALL_TIMEOUT, AFTER_TIMEOUT.end, LONG_CALL_TIMEOUT]);
+const _: () = assert_in_time(&[AFTER_REPEATED_FAILURE.end, LONG_CALL_TIMEOUT]);
 
-const fn in_time(waits: &[Duration]) {
-    assert!(total(waits) <= TOLD_AFTER.as_millis());
+const fn assert_in_time(waits: &[Duration]) {
+    assert!(total_ms(waits) <= NOTIFIED_WITHIN.as_millis());
 }
 
-const fn total(waits: &[Duration]) -> u128 {
-    let (mut sum, mut at) = (0, 0);
-    while at < waits.len() {
-        sum += waits[at].as_millis();
-        at += 1;
+const fn total_ms(waits: &[Duration]) -> u128 {
+    let mut sum = 0;
+    let mut index = 0;
+    while index < waits.len() {
+        sum += waits[index].as_millis();
+        index += 1;
     }
     sum
 }
 
-/// How long a call may take until its watch has begun, and its connection to come up; nothing was heard for so long.
-pub(super) fn call_within(silent_for: Duration) -> (Duration, Duration) {
-    let call = if silent_for < TOLD_AFTER { BRIEF } else { PATIENT };
-    (call, CONNECT)
+/// The timeouts of a call, both from its beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct CallTimeouts {
+    /// Until its watch has begun.
+    pub(super) watching: Duration,
+    /// Until its connection is established.
+    pub(super) connect: Duration,
 }
 
-/// Draws how long to wait.
+impl CallTimeouts {
+    /// The timeouts of a call when nothing was received for this long.
+    pub(super) fn after_silence(silent_for: Duration) -> CallTimeouts {
+        let watching = if silent_for < NOTIFIED_WITHIN { SHORT_CALL_TIMEOUT } else { LONG_CALL_TIMEOUT };
+        CallTimeouts { watching, connect: CONNECT_TIMEOUT }
+    }
+}
+
+/// How endpoint lists reach the proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListDelivery {
+    /// Discovery answers the watches that the decision module asks for.
+    Watched,
+    /// An agent of this proxy alone sends them, from the start.
+    Pushed,
+}
+
+/// Draws the delays between the calls of one proxy.
 #[derive(Debug)]
-pub(super) struct Waits {
+pub(super) struct RetryDelays {
     rng: SmallRng,
-    pushed: bool,
-    /// Whether the last call was ended or refused before it had lasted.
-    failed: bool,
+    delivery: ListDelivery,
+    /// Whether the last call failed before it had lasted.
+    failed_before: bool,
 }
 
-impl Waits {
-    /// Those of one proxy: each has a seed of its own.
-    pub(super) fn new(seed: u64, pushed: bool) -> Waits {
-        Waits { rng: SmallRng::seed_from_u64(seed), pushed, failed: false }
+impl RetryDelays {
+    /// The delays of a proxy with this seed, which no other proxy has.
+    pub(super) fn new(seed: u64, delivery: ListDelivery) -> RetryDelays {
+        RetryDelays { rng: SmallRng::seed_from_u64(seed), delivery, failed_before: false }
     }
 
-    /// Discovery is another one from now on.
-    pub(super) fn begin_anew(&mut self) {
-        self.failed = false;
+    /// Forgets failures: discovery is at another address from now on.
+    pub(super) fn reset(&mut self) {
+        self.failed_before = false;
     }
 
-    /// How long after the end of a call, or of the watch that came of it, the next one begins; it lasted so long.
-    pub(super) fn before_next(&mut self, ended: Ended, lasted: Duration) -> Duration {
-        let failed_before = std::mem::replace(&mut self.failed, lasted < LATER.end);
-        let (spread, later) = (self.rng.gen_range(SPREAD), self.rng.gen_range(LATER));
-        match ended {
-            Ended::TimedOut(_) => self.rng.gen_range(SOON),
-            Ended::Broke(_) if self.pushed => self.rng.gen_range(PUSHED),
-            Ended::Broke(_) if failed_before && self.failed => spread.max(later.saturating_sub(lasted)),
-            Ended::Broke(_) => spread,
+    /// The delay from the end of a call, or of its watch, to the next one. `lasted` is the time
+    /// from the beginning of the call to its end.
+    pub(super) fn before_next(&mut self, error: &WatchError, lasted: Duration) -> Duration {
+        let failed_soon = lasted < AFTER_REPEATED_FAILURE.end;
+        let failed_again = self.failed_before && failed_soon;
+        self.failed_before = failed_soon;
+        // Danger: always drawn, so that one seed gives one sequence of delays.
+        let after_failure = self.rng.gen_range(AFTER_FAILURE);
+        let after_repeated_failure = self.rng.gen_range(AFTER_REPEATED_FAILURE);
+        if error.is_timeout() {
+            self.rng.gen_range(AFTER_TIMEOUT)
+        } else if self.delivery == ListDelivery::Pushed {
+            self.rng.gen_range(AFTER_PUSH_FAILURE)
+        } else if failed_again {
+            after_failure.max(after_repeated_failure.saturating_sub(lasted))
+        } else {
+            after_failure
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -1,119 +1,143 @@
 //! One watch: from its connection to its end.
 
-use super::lists::Lists;
-use super::timing::{call_within, SILENCE};
-use super::{Discovery, Ended};
+use super::error::WatchError;
+use super::lists::{ListError, ListReader};
+use super::target::TargetAddress;
+use super::timing::{CallTimeouts, SILENCE_TIMEOUT};
+use super::Discovery;
 use crate::interface::ListForm;
 use crate::net::codec::http::{self, Body, Head};
 use crate::net::codec::Parsed;
 use crate::net::config::Catalog;
 use crate::net::deadline_stream::DeadlineStream;
+use std::convert::Infallible;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The longest list of a watch.
+/// The longest list of a watch, in bytes.
 const MAX_LIST: usize = 1 << 20;
 
+/// The response of a watch, after its head.
+struct WatchStream {
+    stream: DeadlineStream,
+    /// Received, and not part of a complete chunk yet.
+    buffer: Vec<u8>,
+}
+
 impl Discovery {
     /// Watches until that fails or ends.
-    pub(super) fn watch(
-        &mut self,
-        address: &SocketAddr,
-        moves: u64,
-    ) -> Result<std::convert::Infallible, Ended> {
-        let silent_for = self.heard.map_or(Duration::MAX, |heard| heard.elapsed());
-        let (call, connect) = call_within(silent_for);
-        let begins_by = Instant::now() + call;
-        let link = DeadlineStream::connect(address, connect).map_err(|error| match error.kind() {
-            ErrorKind::TimedOut => Ended::TimedOut("no connection in time"),
-            _ => Ended::Broke("no connection"),
-        })?;
-        let current = self.target.with(|watched| {
-            watched.link = Some(link.clone());
-            watched.moves == moves
-        });
-        if !current {
-            return Err("moved".into());
-        }
-        let path = format!("/catalog/members?watch=1&after={}", self.generation);
-        let words = http::request(&path, &address.to_string(), &[], None);
-        link.write(&words, begins_by).map_err(|_| "the request was not written")?;
-        let mut bytes = Vec::new();
-        let head = head(&link, &mut bytes, begins_by)?;
-        if head.status != 200 || head.body != Body::Chunked {
-            return Err("turned away".into());
-        }
-        self.heard = Some(Instant::now());
-        let mut lists = Lists::new(MAX_LIST);
-        // When what lies there, not whole, began to come.
-        let mut begun = None;
+    pub(super) fn watch(&mut self, target: TargetAddress) -> Result<Infallible, WatchError> {
+        let mut response = self.open_watch(target)?;
+        self.last_received = Some(Instant::now());
+        let mut lists = ListReader::new(MAX_LIST);
+        // When a list that is incomplete began to come.
+        let mut incomplete_since: Option<Instant> = None;
         loop {
-            loop {
-                let used = match http::chunk(&bytes, MAX_LIST) {
-                    Parsed::Incomplete => break,
-                    Parsed::Malformed(why, _) => return Err(why.into()),
-                    Parsed::Whole([], _) => return Err("ended".into()),
-                    Parsed::Whole(part, used) => {
-                        lists.push(part)?;
-                        used
-                    }
-                };
-                bytes.drain(..used);
+            response.take_chunks(&mut lists)?;
+            while let Some(list) = lists.next_list()? {
+                incomplete_since = None;
+                self.apply_list(list)?;
             }
-            while let Some(list) = lists.next()? {
-                begun = None;
-                self.hear(list)?;
+            if response.buffer.len() > 2 * MAX_LIST {
+                return Err(ListError::TooLong.into());
             }
-            if bytes.len() > 2 * MAX_LIST {
-                return Err("a list too long".into());
-            }
-            // Danger: a list that trickles in keeps the watch from silence, and is never told.
-            if lists.is_empty() && bytes.is_empty() {
-                begun = None;
+            // Danger: a list that trickles in keeps the watch from silence, and is never complete.
+            let now = Instant::now();
+            if lists.is_empty() && response.buffer.is_empty() {
+                incomplete_since = None;
             } else {
-                begun.get_or_insert_with(Instant::now);
+                incomplete_since.get_or_insert(now);
             }
-            read(&link, &mut bytes, begun.unwrap_or_else(Instant::now) + SILENCE)?;
-            self.heard = Some(Instant::now());
+            read_some(
+                &response.stream,
+                &mut response.buffer,
+                incomplete_since.unwrap_or(now) + SILENCE_TIMEOUT,
+            )?;
+            self.last_received = Some(Instant::now());
         }
     }
 
-    fn hear(&mut self, catalog: Catalog) -> Result<(), Ended> {
-        // Danger: changes that are older than what is known would undo it, and a discovery that has begun again
-        // counts from below: all its news would go unheard. It is asked for the whole list.
-        if !catalog.reset && catalog.generation < self.generation {
+    /// Connects to discovery, and asks for all changes after the last generation.
+    fn open_watch(&self, target: TargetAddress) -> Result<WatchStream, WatchError> {
+        let silent_for = self.last_received.map_or(Duration::MAX, |received| received.elapsed());
+        let timeouts = CallTimeouts::after_silence(silent_for);
+        let watching_by = Instant::now() + timeouts.watching;
+        let stream = DeadlineStream::connect(&target.address, timeouts.connect).map_err(connect_error)?;
+        if !self.target.attach(&stream, target) {
+            return Err(WatchError::Moved);
+        }
+        let path = format!("/catalog/members?watch=1&after={}", self.generation);
+        let request = http::request(&path, &target.address.to_string(), &[], None);
+        stream.write(&request, watching_by).map_err(WatchError::RequestNotWritten)?;
+        let mut buffer = Vec::new();
+        let head = read_head(&stream, &mut buffer, watching_by)?;
+        if head.status != 200 || head.body != Body::Chunked {
+            return Err(WatchError::Rejected);
+        }
+        Ok(WatchStream { stream, buffer })
+    }
+
+    fn apply_list(&mut self, list: Catalog) -> Result<(), WatchError> {
+        // Danger: changes that are older than what is known would undo it, and a discovery that has
+        // begun again counts from below: all its changes would be ignored. The next watch asks for
+        // the whole list.
+        if !list.reset && list.generation < self.generation {
             self.generation = 0;
-            return Err("its generation is older than the one known".into());
+            return Err(WatchError::OldGeneration);
         }
-        let form = if catalog.reset { ListForm::Full } else { ListForm::Delta };
-        self.generation = catalog.generation;
+        let form = if list.reset { ListForm::Full } else { ListForm::Delta };
+        self.generation = list.generation;
         self.counters.lists.add();
-        self.tell(form, catalog.instances);
+        self.update_endpoints(form, list.instances);
         Ok(())
     }
 }
 
-/// The head of discovery's answer, which has to be whole in time.
-fn head(link: &DeadlineStream, bytes: &mut Vec<u8>, until: Instant) -> Result<Head, Ended> {
+impl WatchStream {
+    /// Moves the complete chunks of the response to the reader of lists.
+    fn take_chunks(&mut self, lists: &mut ListReader) -> Result<(), WatchError> {
+        loop {
+            let used = match http::chunk(&self.buffer, MAX_LIST) {
+                Parsed::Incomplete => return Ok(()),
+                Parsed::Malformed(reason, _) => return Err(WatchError::MalformedHttp(reason.to_string())),
+                Parsed::Whole([], _) => return Err(WatchError::ResponseEnded),
+                Parsed::Whole(part, used) => {
+                    lists.push(part)?;
+                    used
+                }
+            };
+            self.buffer.drain(..used);
+        }
+    }
+}
+
+fn connect_error(error: std::io::Error) -> WatchError {
+    match error.kind() {
+        ErrorKind::TimedOut => WatchError::ConnectTimeout(error),
+        _ => WatchError::Connect(error),
+    }
+}
+
+/// Reads the head of the response, which has to be complete in time.
+fn read_head(stream: &DeadlineStream, buffer: &mut Vec<u8>, until: Instant) -> Result<Head, WatchError> {
     loop {
-        read(link, bytes, until)?;
-        match http::head(bytes) {
+        read_some(stream, buffer, until)?;
+        match http::head(buffer) {
             Parsed::Incomplete => {}
-            Parsed::Malformed(why, _) => return Err(why.into()),
+            Parsed::Malformed(reason, _) => return Err(WatchError::MalformedHttp(reason.to_string())),
             Parsed::Whole(head, used) => {
-                bytes.drain(..used);
+                buffer.drain(..used);
                 return Ok(head);
             }
         }
     }
 }
 
-fn read(link: &DeadlineStream, bytes: &mut Vec<u8>, until: Instant) -> Result<(), Ended> {
-    match link.read(bytes, until) {
-        Ok(0) => Err(Ended::Broke("the connection ended")),
+fn read_some(stream: &DeadlineStream, buffer: &mut Vec<u8>, until: Instant) -> Result<(), WatchError> {
+    match stream.read(buffer, until) {
+        Ok(0) => Err(WatchError::ConnectionEnded),
         Ok(_) => Ok(()),
-        Err(error) if error.kind() == ErrorKind::TimedOut => Err(Ended::TimedOut("silent for too long")),
-        Err(_) => Err(Ended::Broke("the connection broke")),
+        Err(error) if error.kind() == ErrorKind::TimedOut => Err(WatchError::Silent(error)),
+        Err(error) => Err(WatchError::ConnectionBroken(error)),
     }
 }
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -16,7 +16,7 @@
 use crate::net::config::{Catalog, Config, FleetConfig, PolicyConfig};
 use crate::net::counters::Counters;
 use crate::net::descriptors::{self, Descriptors};
-use crate::net::discovery::Discovery;
+use crate::net::discovery::{Discovery, DiscoveryStart, ListDelivery};
 use crate::net::dispatcher::{BackendCommand, Dispatcher};
 use crate::net::fleet::{self, Fleet};
 use crate::net::hot_restart::{BudgetGrant, Handover, HotRestartHost, ResourceBudget};
@@ -130,14 +130,16 @@
             config.connect_timeout,
             idle_timeout(&config.settings),
         );
-        let discovery = Discovery::start(
-            Arc::clone(&dispatcher),
-            Arc::clone(&self.counters),
-            (config.discovery, config.settings.discovery == PUSHED),
+        let discovery = Discovery::start(DiscoveryStart {
+            dispatcher: Arc::clone(&dispatcher),
+            counters: Arc::clone(&self.counters),
+            address: config.discovery,
+            delivery: list_delivery(config),
             cached,
-            config.seed,
-            (foundation.subscribe, foundation.subscriptions),
-        );
+            seed: config.seed,
+            subscribe: foundation.subscribe,
+            subscriptions: foundation.subscriptions,
+        });
         self.start_fleet(config, &dispatcher, handover.as_ref())?;
         if let Some(policy) = self.start_policy(config, &dispatcher, &backends, handover.as_ref())? {
             // Operators are answered while it catches up.
@@ -271,6 +273,14 @@
     count + config.policy().map_or(0, PolicyConfig::sockets)
 }
 
+fn list_delivery(config: &Config) -> ListDelivery {
+    if config.settings.discovery == PUSHED {
+        ListDelivery::Pushed
+    } else {
+        ListDelivery::Watched
+    }
+}
+
 fn open_admin_server(config: &Config) -> Result<Option<Arc<AdminServer>>, StartError> {
     let Some(address) = config.admin else { return Ok(None) };
     match AdminServer::open(address) {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -35,8 +35,8 @@
     mode: Mutex<AcceptMode>,
 }
 
-/// Opens a listening socket. Danger: without the exclusive hold on the address a proxy started twice
-/// by mistake would take connections from the first unseen.
+/// Opens a listening socket. Danger: without the exclusive hold on the address a proxy started
+/// twice by mistake would take connections from the first unseen.
 ///
 /// # Errors
 ///
