--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -8,7 +8,7 @@
 mod timing;
 mod watch;
 
-pub use target::Target;
+pub use target::DiscoveryTarget;
 pub use timing::ListDelivery;
 
 use super::config::{Catalog, Instance};
@@ -51,7 +51,7 @@
 pub struct Discovery {
     dispatcher: Arc<Dispatcher>,
     counters: Arc<Counters>,
-    target: Arc<Target>,
+    target: Arc<DiscoveryTarget>,
     /// The generation of the last list.
     generation: u64,
     delays: RetryDelays,
@@ -63,8 +63,8 @@
     /// Tells the dispatcher the cached list, then watches from when it is asked to. Danger: where
     /// lists are pushed the decision module asks for nothing, and what the agent has counts as
     /// notified from the first moment on: the watch is opened here.
-    pub fn start(start: DiscoveryStart) -> Arc<Target> {
-        let target = Arc::new(Target::new(start.address, start.subscribe));
+    pub fn start(start: DiscoveryStart) -> Arc<DiscoveryTarget> {
+        let target = Arc::new(DiscoveryTarget::new(start.address, start.subscribe));
         let mut discovery = Discovery {
             dispatcher: start.dispatcher,
             counters: start.counters,
--- a/src/net/discovery/target.rs
+++ b/src/net/discovery/target.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, PoisonError};
 
 /// The address of discovery, which may be moved while a watch is open.
-pub struct Target {
+pub struct DiscoveryTarget {
     /// Guards the address and the stream of the watch that is open.
     state: Mutex<TargetState>,
     subscribe: Sender<()>,
@@ -28,9 +28,9 @@
     move_count: u64,
 }
 
-impl Target {
-    pub(super) fn new(address: SocketAddr, subscribe: Sender<()>) -> Target {
-        Target { state: Mutex::new(TargetState { address, move_count: 0, stream: None }), subscribe }
+impl DiscoveryTarget {
+    pub(super) fn new(address: SocketAddr, subscribe: Sender<()>) -> DiscoveryTarget {
+        DiscoveryTarget { state: Mutex::new(TargetState { address, move_count: 0, stream: None }), subscribe }
     }
 
     /// Moves the watch: the one that is open ends, and another begins at once at the new address.
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -21,7 +21,7 @@
 use super::client::ClientService;
 use super::config::Config;
 use super::counters::Counters;
-use super::discovery::Target;
+use super::discovery::DiscoveryTarget;
 use super::dispatcher::Dispatcher;
 use super::drain::DisconnectSchedule;
 use super::fleet::Fleet;
@@ -62,7 +62,7 @@
     dispatcher: Arc<Dispatcher>,
     clients: Arc<ClientService>,
     backends: Arc<BackendService>,
-    discovery: Arc<Target>,
+    discovery: Arc<DiscoveryTarget>,
     budget: ProcessBudget,
 }
 
