Handle operators' commands in one place, and test the relay to the other process

A request that binds both processes is AdminRequest::Command(ControlCommand): it is applied here, then relayed, by one function instead of four arms that did so each. Paths, statuses and texts stay. New tests of the commands that wait for the other process.

--- a/src/net/admin/golden_tests.rs
+++ b/src/net/admin/golden_tests.rs
@@ -5,6 +5,7 @@
 use super::request::{parse, AdminRequest, MAX_BODY, MAX_HEAD};
 use super::response::AdminResponse;
 use crate::net::dispatcher::MaintenanceError;
+use crate::net::hot_restart::{ControlCommand, ServiceState};
 
 fn written(response: &AdminResponse) -> String {
     String::from_utf8(response.encode()).unwrap()
@@ -77,6 +78,7 @@
 
 #[test]
 fn calls_are_read_by_the_recorded_methods_and_paths() {
+    let command = AdminRequest::Command;
     let recorded = [
         ("GET /control/ready", AdminRequest::Ready),
         ("GET /control/fleet", AdminRequest::Fleet),
@@ -84,10 +86,10 @@
         ("GET /control/drift", AdminRequest::Drift),
         ("POST /control/policy/restore", AdminRequest::Restore),
         ("GET /control/policy/changes/c%201", AdminRequest::Change("c 1".into())),
-        ("POST /control/cache-nodes/a/offline", AdminRequest::Offline("a".into())),
-        ("POST /control/cache-nodes/a/online", AdminRequest::Online("a".into())),
-        ("POST /control/out-of-service", AdminRequest::OutOfService),
-        ("POST /control/in-service", AdminRequest::InService),
+        ("POST /control/cache-nodes/a/offline", command(ControlCommand::EnterMaintenance("a".into()))),
+        ("POST /control/cache-nodes/a/online", command(ControlCommand::LeaveMaintenance("a".into()))),
+        ("POST /control/out-of-service", command(ControlCommand::SetService(ServiceState::OutOfService))),
+        ("POST /control/in-service", command(ControlCommand::SetService(ServiceState::InService))),
     ];
     for (line, recorded) in recorded {
         assert_eq!(read(&format!("{line} HTTP/1.1\r\n\r\n")), Ok(recorded), "{line}");
--- a/src/net/admin/handler.rs
+++ b/src/net/admin/handler.rs
@@ -9,22 +9,18 @@
 use crate::net::policy::Policy;
 use std::sync::Arc;
 
-/// Has the backend do what a request asks. A refusal is a response too.
+/// Has the backend do what a request asks. A request that cannot be followed gets a response too.
 pub(super) fn handle(request: AdminRequest, backend: &dyn AdminBackend) -> AdminResponse {
-    let result = match request {
-        AdminRequest::Ready => return ready(backend),
-        AdminRequest::Fleet => return fleet_report(backend),
-        AdminRequest::Policy => return with_policy(backend, |policy| policy.standing()),
-        AdminRequest::Drift => return with_policy(backend, |policy| policy.drift()),
-        AdminRequest::Restore => return with_policy(backend, |policy| policy.restore()),
-        AdminRequest::Propose(body) => return with_policy(backend, |policy| policy.propose(&body)),
-        AdminRequest::Change(id) => return with_policy(backend, |policy| policy.change(&id)),
-        AdminRequest::Offline(id) => enter_maintenance(id, backend),
-        AdminRequest::Online(id) => leave_maintenance(id, backend),
-        AdminRequest::OutOfService => set_service(ServiceState::OutOfService, backend),
-        AdminRequest::InService => set_service(ServiceState::InService, backend),
-    };
-    result.unwrap_or_else(|refusal| refusal)
+    match request {
+        AdminRequest::Ready => ready(backend),
+        AdminRequest::Fleet => fleet_report(backend),
+        AdminRequest::Policy => with_policy(backend, |policy| policy.standing()),
+        AdminRequest::Drift => with_policy(backend, |policy| policy.drift()),
+        AdminRequest::Restore => with_policy(backend, |policy| policy.restore()),
+        AdminRequest::Propose(body) => with_policy(backend, |policy| policy.propose(&body)),
+        AdminRequest::Change(id) => with_policy(backend, |policy| policy.change(&id)),
+        AdminRequest::Command(command) => run_command(command, backend),
+    }
 }
 
 fn ready(backend: &dyn AdminBackend) -> AdminResponse {
@@ -53,34 +49,50 @@
     }
 }
 
-fn enter_maintenance(id: String, backend: &dyn AdminBackend) -> Result<AdminResponse, AdminResponse> {
-    backend.enter_maintenance(&id).map_err(|error| maintenance_refused(&error))?;
-    let text = format!("{id} is out: nothing more goes there until it is called back");
-    relay(ControlCommand::EnterMaintenance(id), backend)?;
-    Ok(AdminResponse::ok(text))
-}
-
-fn leave_maintenance(id: String, backend: &dyn AdminBackend) -> Result<AdminResponse, AdminResponse> {
-    backend.leave_maintenance(&id).map_err(|error| maintenance_refused(&error))?;
-    let text = format!("{id} may serve as far as discovery lists it as ready");
-    relay(ControlCommand::LeaveMaintenance(id), backend)?;
-    Ok(AdminResponse::ok(text))
+/// Has this process apply a command, then the other one, if there is one.
+fn run_command(command: ControlCommand, backend: &dyn AdminBackend) -> AdminResponse {
+    if let Err(refusal) = apply_here(&command, backend) {
+        return refusal;
+    }
+    let text = applied_text(&command);
+    match backend.relay(command) {
+        Ok(()) => AdminResponse::ok(text),
+        Err(error) => AdminResponse::unavailable(format!("done here only: {error}")),
+    }
 }
 
-fn set_service(service: ServiceState, backend: &dyn AdminBackend) -> Result<AdminResponse, AdminResponse> {
-    backend.set_service(service).map_err(|error| AdminResponse::conflict(error.to_string()))?;
-    relay(ControlCommand::SetService(service), backend)?;
-    Ok(AdminResponse::ok(match service {
-        ServiceState::OutOfService => "out of service: clients are sent away",
-        ServiceState::InService => "in service",
-    }))
+/// Has this process apply a command; the error is the response of one that does not.
+fn apply_here(command: &ControlCommand, backend: &dyn AdminBackend) -> Result<(), AdminResponse> {
+    match command {
+        ControlCommand::EnterMaintenance(id) => {
+            backend.enter_maintenance(id).map_err(|error| maintenance_refused(&error))
+        }
+        ControlCommand::LeaveMaintenance(id) => {
+            backend.leave_maintenance(id).map_err(|error| maintenance_refused(&error))
+        }
+        ControlCommand::SetService(service) => {
+            backend.set_service(*service).map_err(|error| AdminResponse::conflict(error.to_string()))
+        }
+    }
 }
 
-/// Has the other process apply what this one has applied.
-fn relay(command: ControlCommand, backend: &dyn AdminBackend) -> Result<(), AdminResponse> {
-    backend.relay(command).map_err(|error| AdminResponse::unavailable(format!("done here only: {error}")))
+/// What operators read of a command that both processes have applied.
+fn applied_text(command: &ControlCommand) -> String {
+    match command {
+        ControlCommand::EnterMaintenance(id) => {
+            format!("{id} is out: nothing more goes there until it is called back")
+        }
+        ControlCommand::LeaveMaintenance(id) => {
+            format!("{id} may serve as far as discovery lists it as ready")
+        }
+        ControlCommand::SetService(ServiceState::OutOfService) => {
+            "out of service: clients are sent away".to_owned()
+        }
+        ControlCommand::SetService(ServiceState::InService) => "in service".to_owned(),
+    }
 }
 
+/// The response when a node cannot be put in or out of maintenance.
 pub(super) fn maintenance_refused(error: &MaintenanceError) -> AdminResponse {
     match error {
         MaintenanceError::NeverListed(_) => AdminResponse::not_found(error.to_string()),
--- a/src/net/admin/handler/tests.rs
+++ b/src/net/admin/handler/tests.rs
@@ -58,6 +58,18 @@
     }
 }
 
+fn enter_maintenance(id: &str) -> AdminRequest {
+    AdminRequest::Command(ControlCommand::EnterMaintenance(id.to_owned()))
+}
+
+fn leave_maintenance(id: &str) -> AdminRequest {
+    AdminRequest::Command(ControlCommand::LeaveMaintenance(id.to_owned()))
+}
+
+fn set_service(service: ServiceState) -> AdminRequest {
+    AdminRequest::Command(ControlCommand::SetService(service))
+}
+
 /// The status and the text of a response.
 fn handled(request: AdminRequest, backend: &StubBackend) -> (u16, String) {
     let response = handle(request, backend);
@@ -81,10 +93,10 @@
 fn a_command_of_operators_is_relayed_to_the_other_process() {
     let backend = StubBackend::default();
 
-    assert_eq!(handled(AdminRequest::Offline("a".into()), &backend).0, 200);
-    assert_eq!(handled(AdminRequest::Online("a".into()), &backend).0, 200);
-    assert_eq!(handled(AdminRequest::OutOfService, &backend).0, 200);
-    assert_eq!(handled(AdminRequest::InService, &backend), (200, "in service".into()));
+    assert_eq!(handled(enter_maintenance("a"), &backend).0, 200);
+    assert_eq!(handled(leave_maintenance("a"), &backend).0, 200);
+    assert_eq!(handled(set_service(ServiceState::OutOfService), &backend).0, 200);
+    assert_eq!(handled(set_service(ServiceState::InService), &backend), (200, "in service".into()));
 
     let relayed = [
         ControlCommand::EnterMaintenance("a".into()),
@@ -103,8 +115,8 @@
         ..Default::default()
     };
 
-    assert_eq!(handled(AdminRequest::Offline("o".into()), &backend).0, 409);
-    assert_eq!(handled(AdminRequest::InService, &backend), (409, "this process stops".into()));
+    assert_eq!(handled(enter_maintenance("o"), &backend).0, 409);
+    assert_eq!(handled(set_service(ServiceState::InService), &backend), (409, "this process stops".into()));
     assert!(backend.relayed.lock().unwrap().is_empty());
 }
 
@@ -113,7 +125,7 @@
     let backend = StubBackend { relay: Err(RelayError::NotConfirmed), ..Default::default() };
     let text = "done here only: the other process of this proxy has not confirmed it";
 
-    assert_eq!(handled(AdminRequest::OutOfService, &backend), (503, text.into()));
+    assert_eq!(handled(set_service(ServiceState::OutOfService), &backend), (503, text.into()));
 }
 
 #[test]
--- a/src/net/admin/request.rs
+++ b/src/net/admin/request.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 requests of operators: bytes in, [`AdminRequest`] out. It does no I/O.
 
 use super::response::AdminResponse;
+use crate::net::hot_restart::{ControlCommand, ServiceState};
 use percent_encoding::percent_decode_str;
 use std::time::Duration;
 use thiserror::Error;
@@ -31,14 +32,8 @@
     Restore,
     /// The status of the change of this name.
     Change(String),
-    /// Sends nothing more to the cache node of this id.
-    Offline(String),
-    /// Lets the cache node of this id serve again.
-    Online(String),
-    /// Directs clients to other proxies.
-    OutOfService,
-    /// Serves clients again.
-    InService,
+    /// A command that binds all processes of this proxy.
+    Command(ControlCommand),
 }
 
 /// Why what was received is no request. Operators read the text.
@@ -141,8 +136,8 @@
         POLICY_PATH => ("GET", AdminRequest::Policy),
         "/control/drift" => ("GET", AdminRequest::Drift),
         "/control/policy/restore" => ("POST", AdminRequest::Restore),
-        "/control/out-of-service" => ("POST", AdminRequest::OutOfService),
-        "/control/in-service" => ("POST", AdminRequest::InService),
+        "/control/out-of-service" => ("POST", set_service(ServiceState::OutOfService)),
+        "/control/in-service" => ("POST", set_service(ServiceState::InService)),
         _ => route_with_id(path)?,
     };
     if method != expected {
@@ -160,12 +155,20 @@
     }
     let node = path.strip_prefix(CACHE_NODES_PREFIX).and_then(|rest| rest.split_once('/'));
     match node {
-        Some((id, "offline")) => Ok(("POST", AdminRequest::Offline(decode_id(id)?))),
-        Some((id, "online")) => Ok(("POST", AdminRequest::Online(decode_id(id)?))),
+        Some((id, "offline")) => {
+            Ok(("POST", AdminRequest::Command(ControlCommand::EnterMaintenance(decode_id(id)?))))
+        }
+        Some((id, "online")) => {
+            Ok(("POST", AdminRequest::Command(ControlCommand::LeaveMaintenance(decode_id(id)?))))
+        }
         _ => Err(RequestError::UnknownPath(path.to_owned())),
     }
 }
 
+fn set_service(service: ServiceState) -> AdminRequest {
+    AdminRequest::Command(ControlCommand::SetService(service))
+}
+
 /// An id in a path, its escapes resolved.
 fn decode_id(id: &str) -> Result<String, RequestError> {
     let bad_id = || RequestError::BadId(id.to_owned());
--- a/src/net/admin/request/tests.rs
+++ b/src/net/admin/request/tests.rs
@@ -13,10 +13,11 @@
     assert_eq!(read("GET /control/ready"), Ok(Some(AdminRequest::Ready)));
     assert_eq!(read("GET /control/ready?x=1"), Ok(Some(AdminRequest::Ready)));
     assert_eq!(read("GET /control/fleet"), Ok(Some(AdminRequest::Fleet)));
-    let offline = AdminRequest::Offline("a/b %".into());
+    let offline = AdminRequest::Command(ControlCommand::EnterMaintenance("a/b %".into()));
+    let online = AdminRequest::Command(ControlCommand::LeaveMaintenance("s-1".into()));
     assert_eq!(read("POST /control/cache-nodes/a%2fb%20%25/offline"), Ok(Some(offline)));
-    assert_eq!(read("POST /control/cache-nodes/s-1/online"), Ok(Some(AdminRequest::Online("s-1".into()))));
-    assert_eq!(read("POST /control/out-of-service"), Ok(Some(AdminRequest::OutOfService)));
+    assert_eq!(read("POST /control/cache-nodes/s-1/online"), Ok(Some(online)));
+    assert_eq!(read("POST /control/out-of-service"), Ok(Some(set_service(ServiceState::OutOfService))));
     let wrong = AdminResponse::from(read("GET /control/in-service").unwrap_err());
     assert_eq!((wrong.status, wrong.allow), (405, Some("POST")));
     assert!(String::from_utf8_lossy(&wrong.encode()).contains("\r\nAllow: POST\r\n"));
--- a/src/net/hot_restart/relay.rs
+++ b/src/net/hot_restart/relay.rs
@@ -12,10 +12,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// What the other process has made of a command.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum CommandOutcome {
+    /// It has not answered.
     Pending,
     Applied,
+    /// It does not apply it, for this reason.
     Rejected(String),
 }
 
@@ -93,3 +95,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
