--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -49,10 +49,13 @@
 
 /// What all services stand on.
 struct Foundation {
+    counters: Arc<Counters>,
     dispatcher: Arc<Dispatcher>,
-    descriptors: Arc<Descriptors>,
-    memory: Arc<Memory>,
     budget: ProcessBudget,
+}
+
+/// The ends of the dispatcher's channels that other services have.
+struct Channels {
     /// What the dispatcher wants of backends.
     backend_commands: Receiver<BackendCommand>,
     /// Asks discovery for endpoint lists; the dispatcher has the other sender.
@@ -61,11 +64,7 @@
 }
 
 impl Foundation {
-    fn new(config: &Config, counters: &Arc<Counters>) -> Foundation {
-        let own_descriptors = own_descriptors(config);
-        let total_descriptors = config.limits.sockets - own_descriptors;
-        let descriptors = Descriptors::new(total_descriptors);
-        let memory = Memory::of(config.limits.memory_mb);
+    fn new(config: &Config, counters: &Arc<Counters>) -> (Foundation, Channels) {
         let (command_sender, backend_commands) = channel();
         let (subscribe, subscriptions) = channel();
         let dispatcher = Dispatcher::new(
@@ -76,21 +75,9 @@
             command_sender,
             subscribe.clone(),
         );
-        let for_one_process = ResourceBudget {
-            descriptors: total_descriptors,
-            memory_bytes: Memory::bound_of(config.limits.memory_mb),
-        };
-        let for_two_processes = ResourceBudget {
-            descriptors: total_descriptors.saturating_sub(own_descriptors),
-            ..for_one_process
-        };
-        let budget = ProcessBudget {
-            for_two_processes,
-            for_one_process,
-            descriptors: Arc::clone(&descriptors),
-            memory: Arc::clone(&memory),
-        };
-        Foundation { dispatcher, descriptors, memory, budget, backend_commands, subscribe, subscriptions }
+        let foundation =
+            Foundation { counters: Arc::clone(counters), dispatcher, budget: new_budget(config) };
+        (foundation, Channels { backend_commands, subscribe, subscriptions })
     }
 
     /// Takes over what the older process knows and leaves; returns the endpoints to start with.
@@ -115,21 +102,14 @@
     ) -> Result<StartOutcome<'_>, StartError> {
         configure_coroutines();
         let admin = open_admin_server(config)?;
-        let foundation = Foundation::new(config, &self.counters);
+        let (foundation, channels) = Foundation::new(config, &self.counters);
+        let dispatcher = Arc::clone(&foundation.dispatcher);
         let mut cached = config.known.clone();
         if let Some(handover) = &handover {
             self.apply(LifecycleEvent::HandoverReceived);
             cached = foundation.adopt(handover, cached);
         }
-        let dispatcher = Arc::clone(&foundation.dispatcher);
-        let backends = BackendService::start(
-            Arc::clone(&dispatcher),
-            Arc::clone(&self.counters),
-            foundation.backend_commands,
-            Arc::clone(&foundation.descriptors),
-            config.connect_timeout,
-            idle_timeout(&config.settings),
-        );
+        let backends = start_backends(config, &foundation, channels.backend_commands);
         let discovery = Discovery::start(DiscoveryStart {
             dispatcher: Arc::clone(&dispatcher),
             counters: Arc::clone(&self.counters),
@@ -137,8 +117,8 @@
             delivery: list_delivery(config),
             cached,
             seed: config.seed,
-            subscribe: foundation.subscribe,
-            subscriptions: foundation.subscriptions,
+            subscribe: channels.subscribe,
+            subscriptions: channels.subscriptions,
         });
         self.start_fleet(config, &dispatcher, handover.as_ref())?;
         if let Some(policy) = self.start_policy(config, &dispatcher, &backends, handover.as_ref())? {
@@ -148,14 +128,7 @@
                 return Ok(StartOutcome::StopRequested);
             }
         }
-        let clients = ClientService::start(
-            Arc::clone(&dispatcher),
-            Arc::clone(&self.counters),
-            foundation.memory,
-            foundation.descriptors,
-            client_socket(config.listen, handover.as_ref())?,
-        )
-        .map_err(StartError::Socket)?;
+        let clients = start_clients(&foundation, client_socket(config.listen, handover.as_ref())?)?;
         let budget = foundation.budget;
         let services = self.services.get_or_init(|| RunningServices {
             dispatcher: Arc::clone(&dispatcher),
@@ -273,6 +246,50 @@
     count + config.policy().map_or(0, PolicyConfig::sockets)
 }
 
+/// All that the limits leave to clients and backends.
+fn new_budget(config: &Config) -> ProcessBudget {
+    let own_descriptors = own_descriptors(config);
+    let total_descriptors = config.limits.sockets - own_descriptors;
+    let for_one_process = ResourceBudget {
+        descriptors: total_descriptors,
+        memory_bytes: Memory::bound_of(config.limits.memory_mb),
+    };
+    let for_two_processes =
+        ResourceBudget { descriptors: total_descriptors.saturating_sub(own_descriptors), ..for_one_process };
+    ProcessBudget {
+        for_two_processes,
+        for_one_process,
+        descriptors: Descriptors::new(total_descriptors),
+        memory: Memory::of(config.limits.memory_mb),
+    }
+}
+
+fn start_backends(
+    config: &Config,
+    foundation: &Foundation,
+    commands: Receiver<BackendCommand>,
+) -> Arc<BackendService> {
+    BackendService::start(
+        Arc::clone(&foundation.dispatcher),
+        Arc::clone(&foundation.counters),
+        commands,
+        Arc::clone(&foundation.budget.descriptors),
+        config.connect_timeout,
+        idle_timeout(&config.settings),
+    )
+}
+
+fn start_clients(foundation: &Foundation, socket: TcpListener) -> Result<Arc<ClientService>, StartError> {
+    ClientService::start(
+        Arc::clone(&foundation.dispatcher),
+        Arc::clone(&foundation.counters),
+        Arc::clone(&foundation.budget.memory),
+        Arc::clone(&foundation.budget.descriptors),
+        socket,
+    )
+    .map_err(StartError::Socket)
+}
+
 fn list_delivery(config: &Config) -> ListDelivery {
     if config.settings.discovery == PUSHED {
         ListDelivery::Pushed
