--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -239,8 +239,9 @@
         let sample = &self.queues[Queue::Sample as usize];
         let is_sampled =
             id.is_multiple_of(self.limits.sample_one_in.max(1)) && sample.len() < self.phase_capacity();
-        let queue = entry.queue_for(is_sampled);
-        if entry.reuse_kind().is_some() {
+        let has_life_table = entry.reuse_kind().is_some();
+        let queue = if is_sampled && has_life_table { Some(Queue::Sample) } else { entry.queue_of_phase() };
+        if has_life_table {
             self.interval_ends.insert((entry.since + EDGES[1], id));
         }
         if let (Some(queue), Some(entry)) = (queue, self.entries.get_mut(&id)) {
--- a/crates/connection-limits/src/connection_table/entry.rs
+++ b/crates/connection-limits/src/connection_table/entry.rs
@@ -93,15 +93,15 @@
         }
     }
 
-    /// The queue of its phase, if it may be closed in it at all.
-    pub(super) fn queue_for(&self, is_sampled: bool) -> Option<Queue> {
+    /// The queue of its phase, if it may be closed in it at all. Connections of the sample have a
+    /// queue of their own instead.
+    pub(super) fn queue_of_phase(&self) -> Option<Queue> {
         let queue = match self.phase {
             Phase::AtWork => return None,
             Phase::FirstHalf => Queue::FirstHalf,
             Phase::Half => Queue::Half,
             Phase::Unread => Queue::Unread,
             Phase::Ending => Queue::Ending,
-            Phase::Silent | Phase::Idle if is_sampled => Queue::Sample,
             Phase::Silent => Queue::Silent,
             Phase::Idle => match self.requests {
                 0 => Queue::NeverUsed,
