--- a/tests/backend_knowledge.rs
+++ b/tests/backend_knowledge.rs
@@ -21,7 +21,7 @@
 
 /// Guards against a new process that is charged with what the one before it was sent.
 #[test]
-fn calls_to_an_old_process_take_no_room_at_the_new_one() {
+fn attempts_at_an_old_process_take_no_capacity_of_the_new_one() {
     let mut world = World::new(false, 1);
     let before = fill(&mut world, 1);
     renewed(&mut world);
@@ -36,7 +36,7 @@
 
 /// Guards against a new process that is shut, suspect or slow because the one before it broke.
 #[test]
-fn late_ends_of_an_old_process_are_not_booked_on_the_new_one() {
+fn late_ends_of_an_old_process_do_not_count_against_the_new_one() {
     for outcome in [Outcome::ConnectFailed, Outcome::Reset, Outcome::Error, Outcome::Timeout, Outcome::Full] {
         let mut world = World::new(false, 1);
         let before = fill(&mut world, 1);
@@ -53,7 +53,7 @@
 
 /// Guards against one moment that counts as many: each of several connects that fail together made the time longer.
 #[test]
-fn connects_that_fail_together_shut_a_node_no_longer_than_one() {
+fn connects_that_fail_together_eject_a_node_no_longer_than_one() {
     let mut world = World::new(false, 2);
     let ids = fill(&mut world, 1);
     for id in &ids {
@@ -68,7 +68,7 @@
 
 /// Guards against a proxy that is cut off for a moment and then asks nobody for 4 s.
 #[test]
-fn when_most_of_the_fleet_is_shut_each_node_is_tried_by_one_call_at_a_time() {
+fn when_most_of_the_fleet_is_ejected_each_node_gets_one_trial_at_a_time() {
     let mut world = World::new(false, 3);
     let fail = |world: &mut World, id| {
         let mut actions = world.request(read(id, id));
@@ -99,7 +99,7 @@
 
 /// Guards against a node that returns under its old name and keeps what was held against it.
 #[test]
-fn who_returns_after_it_was_gone_is_met_as_new_whatever_its_start() {
+fn a_node_that_returns_after_it_was_gone_counts_as_new_whatever_its_start() {
     for call_out in [false, true] {
         let mut world = World::new(false, 1);
         if call_out {
@@ -131,7 +131,7 @@
 
 /// Guards against a write that a cache node takes, so that the origin never hears of it.
 #[test]
-fn a_write_goes_to_no_cache_node_when_the_origin_is_not_there() {
+fn a_write_goes_to_no_cache_node_when_the_origin_is_absent() {
     let mut world = World::new(true, 4);
     let write = |id| Request { write: true, ..read(id, id) };
     assert_eq!(sent(&world.request(write(1))), Some((1, ORIGIN)));
@@ -147,7 +147,7 @@
 
 /// Guards against a request given up though a node of its group could still take it.
 #[test]
-fn a_repeat_goes_to_a_node_of_the_group_that_drops_it() {
+fn a_retry_goes_to_a_node_of_the_same_dedup_scope() {
     for key in 1..40 {
         let mut world = World::new(false, 6);
         let request = Request { class: KEYED_ZONE, ..read(1, key) };
@@ -159,7 +159,7 @@
 
 /// Guards against a waiter sent where it failed a moment ago, though the value is there.
 #[test]
-fn a_waiter_is_not_sent_where_it_has_failed() {
+fn a_waiter_is_not_sent_to_a_node_where_it_has_failed() {
     let mut world = World::new(true, 3);
     (100..110).for_each(|id| assert_ne!(world.served(id, id), 0)); // enough for a few retries
     let (_, home) = sent(&world.request(read(1, 5))).unwrap();
@@ -174,7 +174,7 @@
 
 /// Guards against a request that is held for the origin though no call of it is left.
 #[test]
-fn a_request_without_a_call_left_is_given_up_at_once() {
+fn a_request_without_an_attempt_left_is_rejected_at_once() {
     let mut world = World::new(true, 2);
     let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
     settings.limits.max_attempts = 1;
@@ -222,7 +222,7 @@
 
 /// Guards against calls that reached nobody, taken for a sign that there is room again.
 #[test]
-fn calls_that_reach_nobody_let_no_more_in() {
+fn attempts_that_reach_no_backend_do_not_raise_admission() {
     let mut world = slowed();
     let mut let_in = 0;
     for id in 1000..1400 {
@@ -238,7 +238,7 @@
 
 /// Guards against a share let in that nothing raises again: it is only adjusted while the group is large.
 #[test]
-fn a_group_that_shrinks_lets_everybody_in_again() {
+fn a_group_that_shrinks_admits_every_request_again() {
     let mut world = slowed();
     let let_in = |world: &mut World, from: RequestId| {
         let ids = from..from + 20;
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -6,7 +6,7 @@
 use pinetrail::interface::*;
 
 #[test]
-fn a_cold_server_gets_half_of_what_tips_it_from_all_proxies_together() {
+fn a_cold_backend_gets_half_of_its_collapse_load_from_all_proxies_together() {
     // Danger: a first request that is free for each proxy is hundreds of them for the server.
     let (mut cold, mut warm) = (0, 0);
     for number in 0..300 {
@@ -64,7 +64,7 @@
 }
 
 #[test]
-fn a_restarted_proxy_with_only_its_last_list_sends_keys_where_it_did() {
+fn a_restarted_proxy_with_only_its_cached_list_sends_keys_where_it_did() {
     let (mut before, mut after) = (World::numbered(7, 20), World::numbered(7, 0));
     after.event(Event::Members { form: ListForm::Cached, members: (1..=20).map(member).collect() });
     before.learns_that_keys_are_many();
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn an_answer_overdue_by_half_the_aim_lets_fewer_in_at_once() {
+fn a_response_overdue_by_half_the_objective_lowers_admission_at_once() {
     // Danger: the end of a slow attempt tells of it seconds late, deep into a burst.
     let mut world = World::numbered(1, 10);
     let mut overdue = vec![];
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn what_is_worth_more_is_let_in_more_often() {
+fn a_request_of_higher_worth_is_admitted_more_often() {
     let mut world = World::numbered_with(1, 10, |json| json.replacen(r#""Worth":1.0"#, r#""Worth":5.0"#, 1));
     let cheap = |id| Request { class: KEYED_ALL, ..read(id, id) };
     for id in 1..=60 {
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn odd_group_sizes_and_numbers_do_no_harm() {
+fn unusual_group_sizes_and_numbers_break_nothing() {
     for (size, number) in [(0, 0), (1, 9), (u32::MAX, u32::MAX), (2, 4_000_000_000)] {
         let ids = |json: String| {
             json.replace(r#""GroupSize":200"#, &format!(r#""GroupSize":{size}"#))
@@ -134,7 +134,7 @@
 }
 
 #[test]
-fn misses_of_all_proxies_leave_a_slow_origin_alone() {
+fn misses_of_all_proxies_spare_a_slow_origin() {
     // Danger: one fetch a proxy at a time is hundreds at the origin, whatever its limits say.
     let mut fetched = [0; 2];
     for (slow, latency) in [(0, 10.0), (1, 399.0)] {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -9,7 +9,7 @@
 /// Guards against a call sent for a client that has given up: after a process stood still its timers come after what else
 /// had been waiting.
 #[test]
-fn nothing_is_sent_after_the_deadline_though_its_timer_has_not_come() {
+fn nothing_is_sent_after_the_deadline_though_its_timer_has_not_fired() {
     let mut world = World::new(false, 4);
     let (_, server) = sent(&world.request(read(1, 5))).unwrap();
     world.now += 801.0;
@@ -19,7 +19,7 @@
 
 /// Guards against two calls at once, whatever is told of a call that never was or has ended before.
 #[test]
-fn an_end_that_belongs_to_no_call_starts_no_other_beside_the_one_that_is_out() {
+fn an_end_of_an_unknown_attempt_starts_none_beside_the_one_in_flight() {
     let mut world = World::new(false, 4);
     let (_, first) = sent(&world.request(read(1, 5))).unwrap();
     for attempt in [1, 7, 255] {
@@ -34,7 +34,7 @@
 
 /// Guards against a request that is sent twice at once: an end told again while it waits for a fetch.
 #[test]
-fn an_end_told_again_of_what_waits_changes_nothing() {
+fn a_repeated_end_of_a_waiting_request_changes_nothing() {
     let mut world = World::new(true, 3);
     let (_, home) = sent(&world.request(read(1, 5))).unwrap();
     assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
@@ -45,7 +45,7 @@
 
 /// Guards against a repeat that arrives a moment after the window: what is sent within the last tick comes later.
 #[test]
-fn the_window_of_a_key_ends_a_tick_early() {
+fn the_dedup_window_ends_a_tick_early() {
     for (passed, again) in [(298.0, true), (299.5, false)] {
         let mut world = World::new(false, 4);
         let request = Request { class: KEYED_ALL, ..read(1, 5) };
@@ -59,7 +59,7 @@
 
 /// Guards against a request that runs twice by way of the origin: it is in no group but its own.
 #[test]
-fn a_miss_after_a_call_that_may_have_run_goes_to_the_origin_only_in_its_group() {
+fn a_miss_after_an_attempt_that_may_have_run_goes_to_the_origin_only_within_the_dedup_scope() {
     let mut seen = [false; 2];
     for key in 1..60 {
         let mut world = World::new(true, 6);
@@ -77,7 +77,7 @@
 
 /// Guards against a node that is left alone for good though it is well again.
 #[test]
-fn a_suspect_is_tried_and_serves_again_once_it_answers() {
+fn an_outlier_gets_trials_and_serves_again_once_it_answers() {
     let mut world = World::new(false, 6);
     let mut ill = true;
     let mut served = 0;
@@ -108,7 +108,7 @@
 
 /// Guards against quick rejections that become a hammer: at its last place a node rests after a cut.
 #[test]
-fn a_node_cut_to_its_last_place_rests_for_a_moment() {
+fn a_node_at_a_limit_of_one_rests_after_a_decrease() {
     // One of 200 has one place at each node.
     let mut world = World::numbered(1, 1);
     let (_, server) = sent(&world.request(read(1, 1))).unwrap();
@@ -122,7 +122,7 @@
 
 /// Guards against a request that waits for room when there is nothing more that may be done for it.
 #[test]
-fn what_may_not_be_repeated_any_more_is_given_up_though_no_node_has_room() {
+fn a_queued_request_past_its_dedup_window_fails_though_no_node_has_capacity() {
     let mut world = World::new(false, 1);
     let request = Request { class: KEYED_ALL, ..read(1, 5) };
     let (_, server) = sent(&world.request(request)).unwrap();
@@ -138,7 +138,7 @@
 
 /// Guards against a budget for repeats that is spent on what may not be repeated.
 #[test]
-fn what_may_not_be_repeated_costs_no_repeat() {
+fn a_request_that_is_not_idempotent_costs_no_retry_budget() {
     let mut world = World::new(false, 6);
     for id in 1..40 {
         let (_, server) = sent(&world.request(Request { class: UNSAFE, ..read(id, id) })).unwrap();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -13,7 +13,7 @@
 }
 
 #[test]
-fn a_set_grows_on_a_gap_of_m_and_then_uses_its_least_loaded_member() {
+fn a_set_grows_on_a_load_gap_of_four_and_then_uses_its_least_loaded_member() {
     let mut world = World::new(false, 6);
     let mut hosts = vec![];
     for id in 1..=5 {
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn a_quiet_set_shrinks_after_q() {
+fn a_set_that_is_unchanged_for_a_minute_drops_a_member() {
     let mut world = World::new(false, 6);
     world.learns_that_keys_are_many();
     let set = grown(&mut world, 5);
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_large_key_stays_on_one_server_whatever_its_load() {
+fn a_large_key_stays_on_one_backend_whatever_its_load() {
     let mut world = World::new(false, 6);
     (1..100).for_each(|id| assert_ne!(world.served(id, id), 0));
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
@@ -72,7 +72,7 @@
 }
 
 #[test]
-fn a_hot_large_key_spills_when_its_server_is_full_and_returns_after() {
+fn a_hot_large_key_overflows_while_its_backend_is_full_and_returns_after() {
     let mut world = World::new(false, 6);
     (1..100).for_each(|id| assert_ne!(world.served(id, id), 0));
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn no_hint_or_an_odd_one_means_small() {
+fn a_key_without_a_valid_hint_counts_as_small() {
     for hint in [None, Some(f64::NAN), Some(-1.0), Some(0.0), Some(f64::INFINITY)] {
         let mut world = World::new(false, 6);
         let odd = |id| Request { hint, ..read(id, 5) };
@@ -95,7 +95,7 @@
 }
 
 #[test]
-fn proxies_agree_on_where_a_key_lives_without_talking() {
+fn proxies_agree_on_the_home_of_a_key_without_communication() {
     let (mut one, mut other) = (World::new(false, 8), World::new(false, 8));
     other.request(read(9999, 4242));
     let same = (1..200).filter(|key| one.served(*key, *key) == other.served(*key, *key)).count();
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn a_server_twice_the_size_is_home_to_more_keys() {
+fn a_larger_backend_is_home_to_more_keys() {
     let mut world = World::new(false, 4);
     world.event(Event::Members { form: ListForm::Delta, members: vec![Member { size: 3.0, ..member(1) }] });
     let at_first = (1..600).filter(|key| world.served(*key, *key) == 1).count();
@@ -112,7 +112,7 @@
 
 /// Danger: a limit cut for each long fetch stays far under what the origin can take.
 #[test]
-fn the_origin_takes_more_at_once_until_a_quarter_of_its_answers_is_slow() {
+fn the_limit_of_the_origin_grows_until_a_quarter_of_its_responses_is_slow() {
     let room = |slow_every: u64| {
         let mut world = World::new(true, 4);
         let (mut most, mut fetched) = (0, 0);
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn when_the_leader_of_a_fetch_leaves_another_takes_over() {
+fn when_the_client_of_a_fetch_leader_leaves_a_waiter_takes_over() {
     let mut world = World::new(true, 4);
     let (_, server) = sent(&world.request(read(1, 5))).unwrap();
     world.end(1, 0, server, Outcome::Miss);
@@ -163,7 +163,7 @@
 }
 
 #[test]
-fn sets_do_not_grow_while_the_origin_has_no_room() {
+fn sets_do_not_grow_while_the_origin_has_no_capacity() {
     let mut world = World::new(true, 6);
     let home = world.served(1, 5);
     for id in 100..200 {
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn a_server_with_quick_errors_is_left_alone_but_for_trials() {
+fn a_backend_with_quick_errors_is_ejected_but_for_trials() {
     let mut world = World::new(false, 6);
     let mut taken = 0;
     for id in 1..1000 {
@@ -226,7 +226,7 @@
 }
 
 #[test]
-fn a_failing_list_service_is_asked_ever_more_slowly_and_the_old_list_stays() {
+fn a_failing_discovery_is_polled_with_backoff_and_the_old_list_stays() {
     let mut world = World::new(false, 3);
     let mut waits = vec![];
     for _ in 0..6 {
@@ -241,7 +241,7 @@
 }
 
 #[test]
-fn odd_but_legal_events_do_no_harm() {
+fn unusual_but_legal_events_break_nothing() {
     let mut world = World::new(true, 3);
     assert!(world.end(99, 3, 77, Outcome::Ok).is_empty());
     assert!(world.event(Event::Timer(u64::MAX)).is_empty());
@@ -263,7 +263,7 @@
 }
 
 #[test]
-fn the_table_is_bounded_and_forgets_what_is_used_least() {
+fn the_key_table_is_bounded_and_forgets_the_least_recently_used() {
     let mut world = World::new(false, 4);
     let (used, unused) = (400_001, 400_002);
     world.learns_that_keys_are_many();
@@ -280,7 +280,7 @@
 }
 
 #[test]
-fn many_quiet_proxies_spread_a_hot_key_but_each_keeps_to_its_place() {
+fn many_quiet_proxies_spread_a_hot_key_but_each_keeps_to_its_backend() {
     // Danger: 200 proxies with one request at a time each; no gap of M is ever seen anywhere.
     let mut by_server = std::collections::BTreeMap::new();
     let mut cold_homes = std::collections::BTreeSet::new();
@@ -306,7 +306,7 @@
 }
 
 #[test]
-fn a_server_whose_connections_are_taken_is_left_alone_ever_longer() {
+fn a_backend_that_refuses_connections_is_ejected_ever_longer() {
     let mut world = World::new(false, 6);
     let mut tries = vec![];
     for id in 1..6000 {
@@ -326,7 +326,7 @@
 }
 
 #[test]
-fn when_servers_are_slow_for_a_proxy_s_only_request_it_lets_fewer_in_and_recovers() {
+fn when_backends_are_slow_for_a_proxy_s_only_request_it_admits_fewer_and_recovers() {
     // Danger: hundreds of proxies with one request out each: no limit can be cut any further.
     let mut world = World::numbered(0, 4);
     let share = |world: &mut World, from: RequestId, latency: Time| {
@@ -349,7 +349,7 @@
 /// Guards against a limit cut for what this proxy is not the cause of: a node that stands still turns away
 /// whoever has waited there, however few they are.
 #[test]
-fn a_node_that_turns_away_one_of_few_keeps_its_keys() {
+fn a_node_that_rejects_one_of_few_requests_keeps_its_keys() {
     let mut world = World::new(false, 6);
     world.learns_that_keys_are_many();
     let home = world.served(1, 5);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn calls_in_flight_follow_the_share_and_never_exceed_its_part_of_the_whole() {
+fn attempts_in_flight_follow_the_quota_and_never_exceed_it() {
     let mut world = World::new(false, 1);
     let event = share(&world, 1.0 / 4.0, 3_000.0);
     world.event(event);
@@ -43,7 +43,7 @@
 
 /// Danger: nothing tells a process that was stopped that its lease has ended.
 #[test]
-fn a_lease_that_has_ended_is_not_used_by_one_call_though_nothing_said_so() {
+fn an_expired_lease_admits_no_attempt_though_no_event_said_so() {
     let mut world = World::new(false, 1);
     let event = share(&world, 1.0 / 2.0, 3_000.0);
     world.event(event);
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn the_origin_has_a_whole_of_its_own() {
+fn the_origin_has_a_fleet_limit_of_its_own() {
     let mut world = World::new(true, 3);
     let event = share(&world, 1.0 / 4.0, 3_000.0);
     world.event(event);
@@ -133,7 +133,7 @@
 /// Without a share all is decided as before there were any: the sums are those of the module before them. Whoever
 /// changes decisions on purpose puts the new sums here and says so.
 #[test]
-fn without_a_share_every_decision_is_what_it_was() {
+fn without_a_quota_every_decision_is_as_recorded() {
     let sums = [(false, 1), (false, 2), (true, 1), (true, 2)].map(|(aside, seed)| decided(aside, seed));
     assert_eq!(sums, [1694768337, 895297682, 3059853639, 1895939065]);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn one_final_answer_under_every_order_of_outcome_timer_and_departure() {
+fn one_final_response_under_every_order_of_outcome_deadline_and_disconnect() {
     // Each order of: the attempt's outcome, the deadline, the client leaving.
     for outcome in ALL_OUTCOMES {
         for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn the_deadline_ends_a_held_request_once() {
+fn the_deadline_ends_a_queued_request_once() {
     let mut world = World::new(true, 0);
     let arrival = world.request(read(1, 5));
     assert!(sends(&arrival).is_empty());
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn effects_against_every_outcome_in_time_and_after_the_window() {
+fn retries_respect_idempotency_after_every_outcome_inside_and_past_the_dedup_window() {
     for class in [SAFE, KEYED_ALL, KEYED_ZONE, KEYED_CELL, UNSAFE] {
         for outcome in ALL_OUTCOMES.into_iter().filter(|o| *o != Outcome::Ok) {
             for late in [false, true] {
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn an_attempt_still_out_counts_as_perhaps_run() {
+fn an_attempt_in_flight_counts_as_possibly_run() {
     for (class, refuse) in [(SAFE, true), (KEYED_ALL, false), (KEYED_ZONE, false), (UNSAFE, false)] {
         let mut world = World::new(false, 4);
         let arrival = world.request(Request { class, ..read(1, 5) });
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn a_drain_by_delta_ends_new_sends_at_once() {
+fn a_drain_in_a_delta_list_stops_new_attempts_at_once() {
     for state in [State::Draining, State::Gone] {
         let mut world = World::new(false, 4);
         (1..200).for_each(|key| assert_ne!(world.served(key, key), 0));
@@ -145,7 +145,7 @@
 }
 
 #[test]
-fn absence_from_a_whole_list_is_a_departure() {
+fn absence_from_a_complete_list_means_gone() {
     for form in [ListForm::Full, ListForm::Cached] {
         let mut world = World::new(false, 4);
         (1..200).for_each(|key| assert_ne!(world.served(key, key), 0));
@@ -155,7 +155,7 @@
 }
 
 #[test]
-fn a_restarted_proxy_keeps_the_drains_of_its_old_list_and_asks_for_news() {
+fn a_restarted_proxy_respects_the_drains_of_its_cached_list_and_subscribes() {
     let mut world = World::new(false, 0);
     let mut list: Vec<Member> = (1..=4).map(member).collect();
     list[1].state = State::Draining;
@@ -170,7 +170,7 @@
 }
 
 #[test]
-fn held_requests_do_not_go_to_a_server_that_drains_meanwhile() {
+fn queued_requests_do_not_go_to_a_backend_that_drains_meanwhile() {
     let mut world = World::new(true, 2);
     let (_, server) = sent(&world.request(read(1, 5))).unwrap();
     world.end(1, 0, server, Outcome::Miss);
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn a_cold_server_gets_no_more_than_its_budget() {
+fn a_cold_backend_gets_no_more_than_its_budget() {
     // A new id, then a restart of a known one; with retries from its rejections too.
     for (known, outcome) in [(false, Outcome::Ok), (true, Outcome::Ok), (false, Outcome::Full)] {
         let mut world = World::new(false, 4);
@@ -227,7 +227,7 @@
 }
 
 #[test]
-fn several_proxies_together_keep_a_cold_server_s_budget() {
+fn several_proxies_together_keep_the_budget_of_a_cold_backend() {
     // Four proxies that do not talk, each with its own share of the traffic and its own table.
     let (mut cold, mut warm) = (0.0, 0.0);
     for _ in 0..4 {
@@ -243,7 +243,7 @@
 }
 
 #[test]
-fn a_cold_server_gets_little_from_a_proxy_that_knows_no_load_yet() {
+fn a_cold_backend_gets_little_from_a_proxy_that_knows_no_load_yet() {
     let mut world = World::new(false, 0);
     let started = world.now;
     let cold = |id| Member { started, ..member(id) };
@@ -254,7 +254,7 @@
 }
 
 #[test]
-fn misses_at_cold_servers_stay_a_small_part_of_what_the_origin_gets() {
+fn misses_at_cold_nodes_stay_a_small_part_of_what_the_origin_gets() {
     let mut world = World::new(true, 8);
     let started = world.now;
     world.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
@@ -273,7 +273,7 @@
 }
 
 #[test]
-fn the_origin_is_never_asked_for_more_than_a_bounded_number_at_once() {
+fn attempts_in_flight_at_the_origin_are_bounded() {
     let mut world = World::new(true, 8);
     let mut at_origin = 0;
     for id in 1..500 {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn the_adapter_ends_cleanly_between_frames_and_complains_within() {
+fn the_adapter_ends_cleanly_between_frames_and_reports_an_end_within() {
     let good = adapter(&frame(0.0, 0, &[]));
     assert!(good.status.success());
     assert_eq!(good.stdout, vec![0; 8]);
@@ -168,7 +168,7 @@
 }
 
 #[test]
-fn settings_that_lack_something_are_a_fault_that_names_it() {
+fn settings_that_lack_a_field_are_a_fault_that_names_it() {
     let attach = |text: &[u8]| {
         let mut body = hex("01 00000003 0000000000000005");
         body.extend((text.len() as u32).to_be_bytes());
