Enums in place of boolean arguments in the consensus node and its simulation

A reader of a call shall see what an argument means: Answer, Founding, DiskSpace; the strict stage has a name. The stand-in for unknown lease holders is named by the present words. missing_docs stays on.

--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 /// Stands for the unknown holders of leases that the process before this one granted.
-const UNKNOWN_HOLDER: &str = "who was permitted before a founder started";
+const UNKNOWN_HOLDER: &str = "leases from before a founder's start";
 
 /// What a voter knows of a process that requests leases.
 #[derive(Clone, Debug)]
--- a/crates/policy-consensus/src/node/join.rs
+++ b/crates/policy-consensus/src/node/join.rs
@@ -23,10 +23,14 @@
         storage_id: StorageId,
     },
     /// To have the state agreed once more.
-    SettleState {
-        /// Whether it may make the first state of the fleet.
-        may_found: bool,
-    },
+    SettleState(Founding),
+}
+
+/// Whether a voter may make the first state of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Founding {
+    Allowed,
+    Forbidden,
 }
 
 impl<N: Network> ConsensusNode<N> {
@@ -40,7 +44,7 @@
                     self.register_with_others(voter, storage_id).await;
                     self.recover_vote();
                 }
-                JoinStep::SettleState { may_found } => self.settle_state(may_found).await,
+                JoinStep::SettleState(founding) => self.settle_state(founding).await,
             }
             sleep(self.jittered(INTERVAL)).await;
         }
@@ -66,14 +70,14 @@
             return JoinStep::Nothing;
         }
         // Danger: a first state while a voter is away might be a second one: it may have the first.
-        let may_found = durable.storage_ids.len() == self.settings.voters.size();
-        JoinStep::SettleState { may_found }
+        let knows_all_voters = durable.storage_ids.len() == self.settings.voters.size();
+        JoinStep::SettleState(if knows_all_voters { Founding::Allowed } else { Founding::Forbidden })
     }
 
-    async fn settle_state(self: &Arc<Self>, may_found: bool) {
+    async fn settle_state(self: &Arc<Self>, founding: Founding) {
         let initial = ReplicatedState::initial(&self.settings.initial_policy);
         let transition = |state: Option<&ReplicatedState>| {
-            if state.is_none() && may_found {
+            if state.is_none() && founding == Founding::Allowed {
                 Transition::Next(initial.clone())
             } else {
                 Transition::Keep
--- a/crates/policy-consensus/src/node/leader.rs
+++ b/crates/policy-consensus/src/node/leader.rs
@@ -13,6 +13,9 @@
 /// An open change is examined at least this often.
 const INTERVAL: Duration = Duration::from_millis(15);
 
+/// The stage at which processes that are not ready get no more leases.
+const STRICT: Stage = Stage::Preparing { strict: true };
+
 /// What this process saw of the open change.
 pub(super) struct ObservedChange {
     pub(super) change: ChangeSummary,
@@ -77,14 +80,14 @@
         let leaders_before = self.leaders_before_own();
         match change.stage {
             Stage::Closing => self.handle_closing(observed, &change, leaders_before).await,
-            Stage::Preparing { strict } => {
+            Stage::Preparing { .. } => {
                 let limit = self.settings.timing.change * (1 + leaders_before);
                 if observed.first_seen.elapsed() > limit {
                     let names = self.state().waiting.names.join(", ");
                     let reason = format!("it waited for {names}");
                     self.finish_change(&change, Outcome::Abandoned, &reason).await;
                 } else if leaders_before == 0 {
-                    self.handle_preparing(observed, &change, strict).await;
+                    self.handle_preparing(observed, &change).await;
                 }
             }
         }
@@ -100,24 +103,19 @@
         // just now.
         let limit = self.settings.timing.closing * (1 + leaders_before);
         if observed.stage_seen.elapsed() > limit {
-            self.advance_change(change, Stage::Preparing { strict: true }).await;
+            self.advance_change(change, STRICT).await;
         } else if leaders_before == 0 {
             self.commit_change(observed, change).await;
         }
     }
 
-    async fn handle_preparing(
-        self: &Arc<Self>,
-        observed: &ObservedChange,
-        change: &ChangeSummary,
-        strict: bool,
-    ) {
+    async fn handle_preparing(self: &Arc<Self>, observed: &ObservedChange, change: &ChangeSummary) {
         let waiting_for = self.unready_processes(&change.id).await;
         self.announce_waiting(&change.id, &waiting_for);
         if waiting_for.is_empty() && Instant::now() >= observed.not_before {
             self.advance_change(change, Stage::Closing).await;
-        } else if !strict && observed.stage_seen.elapsed() > self.settings.timing.readiness {
-            self.advance_change(change, Stage::Preparing { strict: true }).await;
+        } else if change.stage != STRICT && observed.stage_seen.elapsed() > self.settings.timing.readiness {
+            self.advance_change(change, STRICT).await;
         }
     }
 }
--- a/crates/policy-consensus/src/node/lease_renewal.rs
+++ b/crates/policy-consensus/src/node/lease_renewal.rs
@@ -22,6 +22,13 @@
     epoch: u64,
 }
 
+/// Whether a voter answered a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    Received,
+    Missing,
+}
+
 impl<N: Network> ConsensusNode<N> {
     /// The task of requesting leases from one voter. It ends with the runtime of the node.
     pub(super) async fn renew_lease(self: Arc<Self>, voter: VoterId) {
@@ -32,11 +39,11 @@
             let reported = self.reported_state();
             // Danger: a lease counts from before it was requested: its holder's clock ends first.
             let requested_at = Instant::now();
-            let is_answered = self.request_lease(voter, sequence, &reported, requested_at).await;
-            if is_answered {
+            let answer = self.request_lease(voter, sequence, &reported, requested_at).await;
+            if answer == Answer::Received {
                 known_to_voter = Some(reported);
             }
-            self.wait_for_renewal(requested_at, known_to_voter.as_ref(), is_answered).await;
+            self.wait_for_renewal(requested_at, known_to_voter.as_ref(), answer).await;
         }
     }
 
@@ -54,14 +61,14 @@
         }
     }
 
-    /// Requests the lease once; returns whether the voter answered.
+    /// Requests the lease once.
     async fn request_lease(
         &self,
         voter: VoterId,
         sequence: u64,
         reported: &ReportedState,
         requested_at: Instant,
-    ) -> bool {
+    ) -> Answer {
         let request = LeaseRequest {
             sequence,
             version: reported.version,
@@ -71,14 +78,14 @@
         };
         let answer = self.ask_voter(voter, &Message::RequestLease(request)).await;
         let Some(Reply::Lease { is_granted, summary }) = answer else {
-            return false;
+            return Answer::Missing;
         };
         if is_granted {
             self.take_grant(voter, reported.epoch, requested_at + self.settings.timing.lease);
         }
         let source = self.voter_process(voter).unwrap_or_else(|| self.settings.process.clone());
         self.learn_summary(&source, summary);
-        true
+        Answer::Received
     }
 
     /// Waits until it is time to renew the lease, or the voter does not know the state of this
@@ -87,7 +94,7 @@
         &self,
         requested_at: Instant,
         known_to_voter: Option<&ReportedState>,
-        is_answered: bool,
+        answer: Answer,
     ) {
         let interval = self.settings.timing.renewal;
         let next_request = requested_at + interval;
@@ -95,7 +102,7 @@
             let seen = self.changes.count();
             if known_to_voter != Some(&self.reported_state()) {
                 // A voter that is away must not be asked in a busy loop.
-                if !is_answered {
+                if answer == Answer::Missing {
                     sleep(self.jittered(interval / UNANSWERED_PAUSE_DIVISOR)).await;
                 }
                 return;
--- a/crates/policy-consensus/src/node/status.rs
+++ b/crates/policy-consensus/src/node/status.rs
@@ -1,6 +1,6 @@
 //! The status of a process, for operators. Read [`NodeStatus`] first.
 
-use super::state::NodeState;
+use super::state::{NodeState, UnusableVersion};
 use super::ConsensusNode;
 use crate::Digest;
 use pinetrail_peer_transport::Network;
@@ -36,21 +36,21 @@
 impl<N: Network> ConsensusNode<N> {
     /// The status of this process now.
     pub fn status(&self) -> NodeStatus {
-        let is_lease_held = self.lease.valid_until(Instant::now()).is_some();
         let state = self.state();
         NodeStatus {
             active_version: state.active_version,
             agreed_digest: state.agreed.digest,
-            status: self.consensus_status(&state, is_lease_held),
+            status: self.consensus_status(&state),
             open_change: state.agreed.open_change.as_ref().map(|change| change.id.clone()),
         }
     }
 
-    fn consensus_status(&self, state: &NodeState, is_lease_held: bool) -> ConsensusStatus {
+    fn consensus_status(&self, state: &NodeState) -> ConsensusStatus {
         let is_current = state.active_version == state.agreed.version && state.unusable.is_none();
         if !state.was_admitted || !is_current {
             return ConsensusStatus::CatchingUp;
         }
+        let is_lease_held = self.lease.valid_until(Instant::now()).is_some();
         let is_changing = state.agreed.open_change.is_some();
         if is_changing && (is_lease_held || self.lease.is_released()) {
             return ConsensusStatus::Changing;
@@ -73,7 +73,7 @@
     pub fn not_ready_reason(&self) -> String {
         let state = self.state();
         if let Some(unusable) = &state.unusable {
-            let (version, reason) = (unusable.version, &unusable.reason);
+            let UnusableVersion { version, reason } = unusable;
             return format!("version {version} of the policy cannot be active here: {reason}");
         }
         if state.agreed.revision == 0 {
--- a/crates/simulation/src/policy_consensus/disk.rs
+++ b/crates/simulation/src/policy_consensus/disk.rs
@@ -1,23 +1,29 @@
 //! The simulated disk of a host.
 
 use super::lock;
+use super::plan::DiskSpace;
 use pinetrail_policy_consensus::{DecodeError, Storage};
 use std::io;
 use std::sync::{Arc, Mutex};
 
 /// A disk that outlives the crashes of its host. Clones are the same disk.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct SimulatedDisk {
     /// Guards what is stored.
     bytes: Arc<Mutex<Option<Vec<u8>>>>,
-    /// Guards whether it takes nothing more.
-    is_full: Arc<Mutex<bool>>,
+    /// Guards whether it has room.
+    space: Arc<Mutex<DiskSpace>>,
 }
 
 impl SimulatedDisk {
-    /// From now on it takes nothing more, or does again.
-    pub(super) fn set_full(&self, is_full: bool) {
-        *lock(&self.is_full) = is_full;
+    /// An empty disk.
+    pub(super) fn new() -> SimulatedDisk {
+        SimulatedDisk { bytes: Arc::default(), space: Arc::new(Mutex::new(DiskSpace::Free)) }
+    }
+
+    /// From now on it has room or not.
+    pub(super) fn set_space(&self, space: DiskSpace) {
+        *lock(&self.space) = space;
     }
 
     /// Loses what is stored.
@@ -32,7 +38,7 @@
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if *lock(&self.is_full) {
+        if *lock(&self.space) == DiskSpace::Full {
             return Err(io::ErrorKind::StorageFull.into());
         }
         *lock(&self.bytes) = Some(bytes.to_vec());
--- a/crates/simulation/src/policy_consensus/fleet.rs
+++ b/crates/simulation/src/policy_consensus/fleet.rs
@@ -43,7 +43,7 @@
         let environment = Environment {
             voters: plan.voters as u8,
             checker: RunChecker::default(),
-            disks: (0..plan.hosts).map(|_| SimulatedDisk::default()).collect(),
+            disks: (0..plan.hosts).map(|_| SimulatedDisk::new()).collect(),
             running: Arc::default(),
             proposals: Arc::new(Mutex::new(vec![Vec::new(); plan.hosts])),
             seed: plan.seed,
@@ -75,7 +75,7 @@
             Fault::ProposeRejected { host, rejected_by } => {
                 self.propose(*host, rejected_policy(*rejected_by, rng.random()), now_ms);
             }
-            Fault::SetDisk { host, is_full } => self.environment.disks[*host].set_full(*is_full),
+            Fault::SetDisk { host, space } => self.environment.disks[*host].set_space(*space),
         }
     }
 
--- a/crates/simulation/src/policy_consensus/mod.rs
+++ b/crates/simulation/src/policy_consensus/mod.rs
@@ -13,7 +13,7 @@
 mod proxy;
 mod run_checker;
 
-pub use plan::{DiskAtStart, Fault, Plan, ScheduledFault};
+pub use plan::{DiskAtStart, DiskSpace, Fault, Plan, ScheduledFault};
 pub use run_checker::{Admitted, Verdict};
 
 use fleet::SimulatedFleet;
--- a/crates/simulation/src/policy_consensus/plan.rs
+++ b/crates/simulation/src/policy_consensus/plan.rs
@@ -47,11 +47,20 @@
     SetDisk {
         /// The host.
         host: usize,
-        /// Whether its disk takes nothing more.
-        is_full: bool,
+        /// Whether its disk has room.
+        space: DiskSpace,
     },
 }
 
+/// Whether a disk has room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskSpace {
+    /// It takes nothing more.
+    Full,
+    /// It has room.
+    Free,
+}
+
 /// What a host finds on its disk when it starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiskAtStart {
@@ -146,24 +155,24 @@
     let mut faults = Vec::new();
     let mut at_ms = FAULTS_BEGIN_MS;
     // Of several voters only one ever loses its disk: a majority that does has lost the state.
-    let loses_disk = rng.random_range(0..voters);
+    let disk_loser = Some(rng.random_range(0..voters)).filter(|_| voters > 2);
     while at_ms < FAULTS_END_MS {
         at_ms += rng.random_range(20..900);
         let host = rng.random_range(0..hosts);
-        let may_lose_disk = host == loses_disk && voters > 2;
-        let fault = random_fault(rng, host, hosts, may_lose_disk);
+        let fault = random_fault(rng, host, hosts, disk_loser);
         faults.push(ScheduledFault { at_ms, fault });
     }
     faults
 }
 
-fn random_fault(rng: &mut StdRng, host: usize, hosts: usize, may_lose_disk: bool) -> Fault {
+/// A fault at this host. `disk_loser` is the one host that may lose its disk.
+fn random_fault(rng: &mut StdRng, host: usize, hosts: usize, disk_loser: Option<usize>) -> Fault {
     match rng.random_range(0..20) {
         0..=5 => Fault::Propose(host),
         6 => Fault::ProposeRejected { host, rejected_by: rng.random_range(0..hosts) },
         7..=9 => Fault::Crash(host),
         10..=12 => {
-            let is_lost = may_lose_disk && rng.random_bool(0.3);
+            let is_lost = disk_loser == Some(host) && rng.random_bool(0.3);
             let disk = if is_lost { DiskAtStart::Lost } else { DiskAtStart::Kept };
             Fault::Start { host, disk }
         }
@@ -171,7 +180,10 @@
         15 => Fault::PartitionOneWay { from: host, to: rng.random_range(0..hosts) },
         16 | 17 => Fault::Heal,
         18 => Fault::Slow { host, latency_ms: rng.random_range(5..400) },
-        _ => Fault::SetDisk { host, is_full: rng.random_bool(0.5) },
+        _ => {
+            let space = if rng.random_bool(0.5) { DiskSpace::Full } else { DiskSpace::Free };
+            Fault::SetDisk { host, space }
+        }
     }
 }
 
@@ -179,7 +191,7 @@
 fn repairs(hosts: usize) -> Vec<ScheduledFault> {
     let mut repairs = vec![Fault::Heal];
     for host in 0..hosts {
-        repairs.push(Fault::SetDisk { host, is_full: false });
+        repairs.push(Fault::SetDisk { host, space: DiskSpace::Free });
         repairs.push(Fault::Slow { host, latency_ms: 3 });
         repairs.push(Fault::Start { host, disk: DiskAtStart::Kept });
     }
