--- /dev/null
+++ b/src/net/admin/handler.rs
@@ -0,0 +1,108 @@
+//! What each request does, and what its response is. A request about the whole proxy is put to this
+//! process, then to the other one, if there are two.
+
+use super::backend::{AdminBackend, FleetReportError};
+use super::request::AdminRequest;
+use super::response::AdminResponse;
+use crate::net::dispatcher::MaintenanceError;
+use crate::net::hot_restart::{ControlCommand, ServiceState};
+use crate::net::policy::admin::PolicyResponse;
+use crate::net::policy::Policy;
+use std::sync::Arc;
+
+/// Has the backend do what a request asks. A request that cannot be followed gets a response too.
+pub(super) fn handle(request: AdminRequest, backend: &dyn AdminBackend) -> AdminResponse {
+    match request {
+        AdminRequest::Ready => ready(backend),
+        AdminRequest::Fleet => fleet_report(backend),
+        AdminRequest::Policy => with_policy(backend, |policy| policy.status()),
+        AdminRequest::Drift => with_policy(backend, |policy| policy.drift_report()),
+        AdminRequest::Restore => with_policy(backend, |policy| policy.restore()),
+        AdminRequest::Propose(body) => with_policy(backend, |policy| policy.propose(&body)),
+        AdminRequest::Change(id) => with_policy(backend, |policy| policy.change_status(&id)),
+        AdminRequest::Command(command) => run_command(command, backend),
+    }
+}
+
+fn ready(backend: &dyn AdminBackend) -> AdminResponse {
+    match backend.readiness() {
+        Ok(()) => AdminResponse::ok("ready"),
+        Err(reason) => AdminResponse::unavailable(reason.to_string()),
+    }
+}
+
+fn fleet_report(backend: &dyn AdminBackend) -> AdminResponse {
+    match backend.fleet_report() {
+        Ok(report) => AdminResponse::json(200, report),
+        Err(error @ FleetReportError::NotConfigured) => AdminResponse::not_found(error.to_string()),
+        Err(error @ FleetReportError::NotActive) => AdminResponse::unavailable(error.to_string()),
+    }
+}
+
+/// The status and the JSON document that the common policy answers.
+fn with_policy(
+    backend: &dyn AdminBackend,
+    ask: impl FnOnce(&Arc<Policy>) -> PolicyResponse,
+) -> AdminResponse {
+    match backend.policy() {
+        Some(policy) => {
+            let PolicyResponse { status, json } = ask(policy);
+            AdminResponse::json(status, json)
+        }
+        None => AdminResponse::not_found("no common policy is configured, or it starts"),
+    }
+}
+
+/// Has this process apply a command, then the other one, if there is one.
+fn run_command(command: ControlCommand, backend: &dyn AdminBackend) -> AdminResponse {
+    if let Err(refusal) = apply_here(&command, backend) {
+        return refusal;
+    }
+    let text = applied_text(&command);
+    match backend.relay(command) {
+        Ok(()) => AdminResponse::ok(text),
+        Err(error) => AdminResponse::unavailable(format!("done here only: {error}")),
+    }
+}
+
+/// Has this process apply a command; the error is the response of one that does not.
+fn apply_here(command: &ControlCommand, backend: &dyn AdminBackend) -> Result<(), AdminResponse> {
+    match command {
+        ControlCommand::EnterMaintenance(id) => {
+            backend.enter_maintenance(id).map_err(|error| maintenance_refused(&error))
+        }
+        ControlCommand::LeaveMaintenance(id) => {
+            backend.leave_maintenance(id).map_err(|error| maintenance_refused(&error))
+        }
+        ControlCommand::SetService(service) => {
+            backend.set_service(*service).map_err(|error| AdminResponse::conflict(error.to_string()))
+        }
+    }
+}
+
+/// What operators read of a command that both processes have applied.
+fn applied_text(command: &ControlCommand) -> String {
+    match command {
+        ControlCommand::EnterMaintenance(id) => {
+            format!("{id} is out: nothing more goes there until it is called back")
+        }
+        ControlCommand::LeaveMaintenance(id) => {
+            format!("{id} may serve as far as discovery lists it as ready")
+        }
+        ControlCommand::SetService(ServiceState::OutOfService) => {
+            "out of service: clients are sent away".to_owned()
+        }
+        ControlCommand::SetService(ServiceState::InService) => "in service".to_owned(),
+    }
+}
+
+/// The response when a node cannot be put in or out of maintenance.
+pub(super) fn maintenance_refused(error: &MaintenanceError) -> AdminResponse {
+    match error {
+        MaintenanceError::NeverListed(_) => AdminResponse::not_found(error.to_string()),
+        MaintenanceError::Origin(_) | MaintenanceError::TooMany => AdminResponse::conflict(error.to_string()),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/lifecycle/peer.rs
@@ -0,0 +1,77 @@
+//! What the other process of this proxy may ask of this one during a hot restart.
+
+use super::state::LifecycleEvent;
+use super::Lifecycle;
+use crate::net::fleet::SecondProcess;
+use crate::net::hot_restart::{
+    Activity, BudgetGrant, CommandError, ControlCommand, HandoverOffer, HotRestartHost, PeerProcess,
+    ResourceBudget,
+};
+use crate::net::log::log;
+
+impl HotRestartHost for Lifecycle {
+    fn handover_offer(&self) -> Option<HandoverOffer> {
+        if !self.is_ready() {
+            return None;
+        }
+        let services = self.services.get()?;
+        let mut endpoints = services.dispatcher.endpoint_snapshot();
+        endpoints.peers = self.policy().map_or(Vec::new(), |policy| policy.peer_addresses());
+        let listener = services.clients.listener()?;
+        Some(HandoverOffer { listener, endpoints })
+    }
+
+    fn shrink_budget(&self, activity: Activity) -> ResourceBudget {
+        self.services.get().map_or(ResourceBudget::default(), |services| services.budget.shrink(activity))
+    }
+
+    fn set_budget(&self, grant: BudgetGrant) {
+        if let Some(services) = self.services.get() {
+            services.budget.set(grant);
+        }
+    }
+
+    fn apply_command(&self, command: &ControlCommand) -> Result<(), CommandError> {
+        let services = self.services.get().ok_or(CommandError::Starting)?;
+        match command {
+            ControlCommand::EnterMaintenance(id) => services.dispatcher.enter_maintenance(id)?,
+            ControlCommand::LeaveMaintenance(id) => services.dispatcher.leave_maintenance(id)?,
+            ControlCommand::SetService(service) => {
+                // A process that stops directs its clients away as it is.
+                let _ = self.set_service(*service);
+            }
+        }
+        Ok(())
+    }
+
+    fn peer_changed(&self, peer: PeerProcess) {
+        log(&format!("the other process: {peer:?}"));
+        let (was_delegated, is_delegated) = {
+            let mut state = self.state();
+            let was_delegated = state.is_accepting_delegated();
+            state.apply(LifecycleEvent::PeerChanged(peer));
+            (was_delegated, state.is_accepting_delegated())
+        };
+        if let Some(fleet) = self.fleet() {
+            fleet.set_second_process(second_process_of(peer));
+            // The process that accepts is the fleet's member, for both.
+            if is_delegated && !was_delegated {
+                fleet.deactivate();
+            } else if was_delegated && !is_delegated {
+                fleet.activate_when_free();
+            }
+        }
+        if let Some(services) = self.services.get() {
+            services.clients.rest_listening(is_delegated);
+        }
+    }
+}
+
+/// What the fleet has to know of the other process.
+fn second_process_of(peer: PeerProcess) -> SecondProcess {
+    if peer == PeerProcess::None {
+        SecondProcess::None
+    } else {
+        SecondProcess::Serving
+    }
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -51,7 +51,7 @@
     let batch = decode(&frame(1.5, 10, &hex(&all))).unwrap().unwrap();
     let messages: Vec<Message> = batch.messages.into_iter().map(|(_, message)| message).collect();
     let expected = [
-        Message::Attach(5, b"{}".to_vec()),
+        Message::Attach { seed: 5, settings: b"{}".to_vec() },
         Message::Event(Event::Members {
             form: ListForm::Delta,
             members: vec![Member {
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn the_adapter_ends_cleanly_between_frames_and_complains_within() {
+fn the_adapter_ends_cleanly_between_frames_and_reports_an_end_within() {
     let good = adapter(&frame(0.0, 0, &[]));
     assert!(good.status.success());
     assert_eq!(good.stdout, vec![0; 8]);
@@ -168,7 +168,7 @@
 }
 
 #[test]
-fn settings_that_lack_something_are_a_fault_that_names_it() {
+fn settings_that_lack_a_field_are_a_fault_that_names_it() {
     let attach = |text: &[u8]| {
         let mut body = hex("01 00000003 0000000000000005");
         body.extend((text.len() as u32).to_be_bytes());
