--- a/crates/quota/src/leader_term.rs
+++ b/crates/quota/src/leader_term.rs
@@ -14,6 +14,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// A voter of a view has so many heartbeat periods to vote before it is left out of the next view.
+const PERIODS_TO_RESPOND: Time = 2;
+
 /// How far a candidate has come.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Phase {
@@ -192,7 +195,8 @@
         }
         self.begin_ballot(voter);
         if self.phase == Phase::RequestingVotes {
-            // What was found in the old ballot says nothing of the new one; there it is asked again.
+            // What was found in the old ballot says nothing of the new one; there it is asked
+            // again.
             self.votes.clear();
             self.undecided = None;
         }
@@ -219,7 +223,8 @@
     fn first_proposal(&mut self, now: Time, highest_view_number: u64) -> Option<View> {
         let undecided = self.undecided.take();
         if self.view.is_some() {
-            // Danger: what an earlier leader proposed may have been decided without anybody knowing.
+            // Danger: what an earlier leader proposed may have been decided without anybody
+            // knowing.
             return undecided.map(|accepted| accepted.view);
         }
         // A view that others of this ballot accepted is void: they have left it to found a fleet.
@@ -276,7 +281,7 @@
     ) {
         let Some(view) = &self.view else { return };
         // A voter that does not respond is left out before anybody else has noticed.
-        if now >= self.view_decided_at + settings.heartbeat_period * 2 {
+        if now >= self.view_decided_at + settings.heartbeat_period * PERIODS_TO_RESPOND {
             let has_voted = |one: &Process| self.votes.get(one).is_some_and(|ends_at| now < *ends_at);
             voters.retain(|one| !view.is_voter(one) || has_voted(one));
         }
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -2,6 +2,7 @@
 
 use super::state::LifecycleEvent;
 use super::Lifecycle;
+use crate::net::fleet::SecondProcess;
 use crate::net::hot_restart::{
     Activity, BudgetGrant, CommandError, ControlCommand, HandoverOffer, HotRestartHost, PeerProcess,
     ResourceBudget,
@@ -52,7 +53,11 @@
             (was_delegated, state.is_accepting_delegated())
         };
         if let Some(fleet) = self.fleet() {
-            fleet.set_beside(peer != PeerProcess::None);
+            let second_process = match peer {
+                PeerProcess::None => SecondProcess::None,
+                _ => SecondProcess::Serving,
+            };
+            fleet.set_second_process(second_process);
             // The process that accepts is the fleet's member, for both.
             if is_delegated && !was_delegated {
                 fleet.deactivate();
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -316,18 +316,22 @@
     handover: Option<&Handover>,
 ) -> Arc<Fleet> {
     let dispatcher = Arc::clone(dispatcher);
-    let apply_quota = move |quota: fleet::Share| {
-        let [per_node, origin] = quota.whole;
-        let ends = quota.ends;
+    let apply_quota = move |quota: fleet::ProcessQuota| {
+        let (per_node, origin) = (quota.limits.per_node, quota.limits.origin);
+        let ends = quota.expires_at;
         let quota = interface::Quota {
-            fraction: quota.part,
+            fraction: quota.fraction,
             expires_at: 0.0,
-            guaranteed: quota.base,
+            guaranteed: quota.guaranteed,
             fleet_limits: interface::FleetLimits { per_node, origin },
         };
         dispatcher.apply_quota(quota, ends);
     };
-    Fleet::new(config, seed, handover.is_some(), Box::new(apply_quota))
+    let second_process = match handover {
+        Some(_) => fleet::SecondProcess::Serving,
+        None => fleet::SecondProcess::None,
+    };
+    Fleet::new(config, seed, second_process, Box::new(apply_quota))
 }
 
 /// The listening socket of the older process, or a new one.
--- a/src/net/policy/directory/tests.rs
+++ b/src/net/policy/directory/tests.rs
@@ -6,7 +6,7 @@
 
 /// A live member whose address in the fleet is given by its number.
 fn live(name: &str, start: u64, last: u8) -> LivePeer {
-    (name.into(), start, address(last))
+    LivePeer { name: name.into(), start, address: address(last) }
 }
 
 fn message(name: &str) -> DirectoryMessage {
