Keep the handed-over listener for as long as the newer process runs, and say why

The split of the hot restart dropped the older process's reference to its listener as soon as it was handed over. Until then a local variable had kept it, without a word, to the end of the connection.

may 0.3.51 drops CoIo's socket before its poller entry. epoll_ctl(DEL) then fails on the closed descriptor, and since the newer process holds the same socket, events go on arriving with a pointer to freed memory.

--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -8,6 +8,8 @@
     PeerStream, HANDOVER_TIMEOUT, WRITE_TIMEOUT,
 };
 use crate::net::deadline_stream::{sleep, DeadlineStream};
+use crate::net::dispatcher::EndpointSnapshot;
+use crate::net::listener::Listener;
 use crate::net::log::log;
 use may::io::{CoIo, WaitIo};
 use std::io::{self, ErrorKind};
@@ -79,13 +81,18 @@
             return;
         }
         match host.handover_offer() {
-            Some(offer) => {
-                if hand_over(socket, &stream, offer, &**host).is_ok() {
+            Some(HandoverOffer { listener, endpoints }) => {
+                if hand_over(socket, &stream, &listener, endpoints, &**host).is_ok() {
                     let hot_restart = Arc::clone(self);
                     let sharing_host = Arc::clone(host);
                     // Ends with the connection.
                     may::go!(move || hot_restart.share_budget(&*sharing_host));
                     self.follow_peer(&stream, reader, &**host);
+                    // Danger: the newer process holds the same socket. `may` closes a socket before
+                    // it takes it off its poller, which then fails, and the poller goes on reporting
+                    // events of the shared socket with a pointer to freed memory. So this process
+                    // keeps its listener for as long as the newer one runs.
+                    drop(listener);
                     return;
                 }
             }
@@ -147,12 +154,13 @@
 fn hand_over(
     socket: &CoIo<UnixStream>,
     stream: &PeerStream,
-    offer: HandoverOffer,
+    listener: &Listener,
+    endpoints: EndpointSnapshot,
     host: &dyn HotRestartHost,
 ) -> io::Result<()> {
     let budget = host.shrink_budget(Activity::Serving);
-    let handover = Message::Handover(offer.endpoints, budget).to_line();
-    let sent = socket::send_listener(socket.inner(), offer.listener.socket());
+    let handover = Message::Handover(endpoints, budget).to_line();
+    let sent = socket::send_listener(socket.inner(), listener.socket());
     host.peer_changed(PeerProcess::Starting);
     sent?;
     stream.write(&handover, Instant::now() + HANDOVER_TIMEOUT)
