--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -116,8 +116,9 @@
     }
 
     /// Waits for the delay after a failed watch, or until discovery has moved since; returns
-    /// whether it has. Danger: how long a proxy may go without a watch follows from when changes count as
-    /// notified, not from what else it has to do: discovery alone says when the next call begins.
+    /// whether it has. Danger: how long a proxy may go without a watch follows from when changes
+    /// count as notified, not from what else it has to do: discovery alone says when the next call
+    /// begins.
     fn sleep_unless_moved(&self, failed: &FailedWatch) -> bool {
         let until = Instant::now() + failed.delay;
         loop {
--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -89,9 +89,9 @@
                     may::go!(move || hot_restart.share_budget(&*sharing_host));
                     self.follow_peer(&stream, reader, &**host);
                     // Danger: the newer process holds the same socket. `may` closes a socket before
-                    // it takes it off its poller, which then fails, and the poller goes on reporting
-                    // events of the shared socket with a pointer to freed memory. So this process
-                    // keeps its listener for as long as the newer one runs.
+                    // it takes it off its poller, which then fails, and the poller goes on
+                    // reporting events of the shared socket with a pointer to freed memory. So this
+                    // process keeps its listener for as long as the newer one runs.
                     drop(listener);
                     return;
                 }
