--- a/crates/policy-consensus/src/admission_lease/tests.rs
+++ b/crates/policy-consensus/src/admission_lease/tests.rs
@@ -22,7 +22,7 @@
     lease.grant(VoterId(2), epoch, now + 20 * MS);
     assert_eq!(lease.admission(1, now), Admission::Admit);
     assert_eq!(lease.admission(2, now), REJECTED);
-    assert_eq!(lease.valid_until(now), Some(now + 20 * MS), "two of four are in every majority");
+    assert_eq!(lease.valid_until(now), Some(now + 20 * MS), "every majority of four includes one of two");
     assert_eq!(lease.admission(1, now + 20 * MS), REJECTED);
 }
 
--- a/crates/policy-consensus/src/lease_table.rs
+++ b/crates/policy-consensus/src/lease_table.rs
@@ -11,8 +11,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Stands for the unknown holders of leases that the process before this one granted.
-const UNKNOWN_HOLDER: &str = "leases from before a founder's start";
+/// Stands for the unknown holders of leases that the process before this one granted. Operators
+/// read it in the status of a change, so its words stay as they are.
+const UNKNOWN_HOLDER: &str = "who was permitted before a founder started";
 
 /// What a voter knows of a process that requests leases.
 #[derive(Clone, Debug)]
--- a/crates/policy-consensus/src/node/admin.rs
+++ b/crates/policy-consensus/src/node/admin.rs
@@ -20,7 +20,10 @@
     #[error(transparent)]
     Conflict(#[from] Conflict),
     /// No majority of voters answers.
-    #[error("no majority of founders answers: whether it was proposed is not known; the same id may be sent again")]
+    #[error(
+        "no majority of founders answers: whether it was proposed is not known; \
+         the same id may be sent again"
+    )]
     NoMajority,
 }
 
--- a/crates/policy-consensus/src/node/change_steps.rs
+++ b/crates/policy-consensus/src/node/change_steps.rs
@@ -98,8 +98,8 @@
     }
 
     /// With which reason a change may be committed; `None` while a process that is ready for it has
-    /// not released its lease. The reason names the processes that fail open; it is empty without
-    /// any.
+    /// not released its lease. The reason names the processes that fail open, in words that operators
+    /// know; it is empty without any.
     fn commit_reason(&self, change: &ChangeSummary) -> Option<String> {
         let now = Instant::now();
         let state = self.state();
@@ -114,7 +114,7 @@
             return Some(String::new());
         }
         let names = serving.join(", ");
-        Some(format!("without an admission lease, and perhaps still by the version before: {names}"))
+        Some(format!("without a permit, and perhaps still by the version before: {names}"))
     }
 
     async fn try_finish(
--- a/crates/policy-consensus/src/node/status.rs
+++ b/crates/policy-consensus/src/node/status.rs
@@ -69,19 +69,20 @@
         Some((state.agreed.version, text))
     }
 
-    /// Why this process does not admit requests yet, in words for the operator.
+    /// Why this process does not admit requests yet, for the operator. `/control/ready` answers
+    /// with this text, so its words stay as they are.
     pub fn not_ready_reason(&self) -> String {
         let state = self.state();
         if let Some(unusable) = &state.unusable {
             let UnusableVersion { version, reason } = unusable;
-            return format!("version {version} of the policy cannot be active here: {reason}");
+            return format!("version {version} of the policy cannot be in force here: {reason}");
         }
         if state.agreed.revision == 0 {
-            return "no founder has told the active version".to_owned();
+            return "no founder has told the version in force".to_owned();
         }
         if !state.was_admitted {
-            return "no majority of founders grants it an admission lease".to_owned();
+            return "no majority of founders permits it to admit".to_owned();
         }
-        "its admission lease has ended: it is cut off from the founders, or they have no majority".to_owned()
+        "its permit has ended: it is cut off from the founders, or they have no majority".to_owned()
     }
 }
