--- a/crates/policy-consensus/src/node/change_steps.rs
+++ b/crates/policy-consensus/src/node/change_steps.rs
@@ -98,8 +98,8 @@
     }
 
     /// With which reason a change may be committed; `None` while a process that is ready for it has
-    /// not released its lease. The reason names the processes that fail open, in words that operators
-    /// know; it is empty without any.
+    /// not released its lease. The reason names the processes that fail open, in words that
+    /// operators know; it is empty without any.
     fn commit_reason(&self, change: &ChangeSummary) -> Option<String> {
         let now = Instant::now();
         let state = self.state();
--- a/crates/policy-consensus/src/settings.rs
+++ b/crates/policy-consensus/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// The clocks of no two processes drift apart by more than this, in thousandths.
+/// No clock of a process runs faster than that of another by more than this, in thousandths.
 pub(crate) const MAX_CLOCK_SKEW_PERMILLE: u32 = 20;
 
 /// The shortest duration that may be configured.
