--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -53,7 +53,11 @@
             (was_delegated, state.is_accepting_delegated())
         };
         if let Some(fleet) = self.fleet() {
-            fleet.set_second_process(second_process_of(peer));
+            let second_process = match peer {
+                PeerProcess::None => SecondProcess::None,
+                _ => SecondProcess::Serving,
+            };
+            fleet.set_second_process(second_process);
             // The process that accepts is the fleet's member, for both.
             if is_delegated && !was_delegated {
                 fleet.deactivate();
@@ -66,12 +70,3 @@
         }
     }
 }
-
-/// What the fleet has to know of the other process.
-fn second_process_of(peer: PeerProcess) -> SecondProcess {
-    if peer == PeerProcess::None {
-        SecondProcess::None
-    } else {
-        SecondProcess::Serving
-    }
-}
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -18,7 +18,7 @@
 use crate::net::descriptors::{self, Descriptors};
 use crate::net::discovery::{Discovery, DiscoveryStart, ListDelivery};
 use crate::net::dispatcher::{BackendCommand, Dispatcher};
-use crate::net::fleet::{Fleet, FleetLimits, ProcessQuota, SecondProcess};
+use crate::net::fleet::{self, Fleet};
 use crate::net::hot_restart::{BudgetGrant, Handover, HotRestartHost, ResourceBudget};
 use crate::net::listener;
 use crate::net::log::log;
@@ -316,20 +316,20 @@
     handover: Option<&Handover>,
 ) -> Arc<Fleet> {
     let dispatcher = Arc::clone(dispatcher);
-    let apply_quota = move |quota: ProcessQuota| {
-        let FleetLimits { per_node, origin } = quota.limits;
-        let expires_at = quota.expires_at;
+    let apply_quota = move |quota: fleet::ProcessQuota| {
+        let (per_node, origin) = (quota.limits.per_node, quota.limits.origin);
+        let ends = quota.expires_at;
         let quota = interface::Quota {
             fraction: quota.fraction,
             expires_at: 0.0,
             guaranteed: quota.guaranteed,
             fleet_limits: interface::FleetLimits { per_node, origin },
         };
-        dispatcher.apply_quota(quota, expires_at);
+        dispatcher.apply_quota(quota, ends);
     };
     let second_process = match handover {
-        Some(_) => SecondProcess::Serving,
-        None => SecondProcess::None,
+        Some(_) => fleet::SecondProcess::Serving,
+        None => fleet::SecondProcess::None,
     };
     Fleet::new(config, seed, second_process, Box::new(apply_quota))
 }
--- a/src/net/policy/directory.rs
+++ b/src/net/policy/directory.rs
@@ -181,24 +181,24 @@
     /// Sets who is alive and forgets who is not; the addresses of those that are not known yet.
     fn set_live(&mut self, live: Vec<LivePeer>) -> Vec<SocketAddr> {
         self.known.retain(|known_name, peer| {
-            live.iter().any(|one| *one.name == **known_name && one.start == peer.membership_start)
+            live.iter().any(|member| *member.name == **known_name && member.start == peer.membership_start)
         });
-        let unknown = live.iter().filter(|one| !self.known.contains_key(&*one.name));
-        let addresses = unknown.map(|one| one.address).collect();
+        let unknown = live.iter().filter(|member| !self.known.contains_key(&*member.name));
+        let addresses = unknown.map(|member| member.address).collect();
         self.live = live;
         addresses
     }
 
     fn forget_gone_handed_over(&mut self) {
         let live = &self.live;
-        self.handed_over.retain(|peer| live.iter().any(|one| *one.name == *peer.name));
+        self.handed_over.retain(|peer| live.iter().any(|member| *member.name == *peer.name));
     }
 
     /// Takes what the member at an address sent. If membership does not know it yet, it is ignored:
     /// it will be asked once membership does.
     fn record(&mut self, from: SocketAddr, message: DirectoryMessage) {
         let mut live = self.live.iter();
-        let sender = live.find(|one| *one.name == *message.name && one.address == from);
+        let sender = live.find(|member| *member.name == *message.name && member.address == from);
         let Some(sender) = sender else { return };
         let membership_start = sender.start;
         let address =
