--- a/tests/backend_knowledge.rs
+++ b/tests/backend_knowledge.rs
@@ -29,7 +29,7 @@
     // The one that was held goes first.
     assert_eq!(after.len() + 1, before.len());
     for id in &before {
-        drop(world.end(*id, 0, 1, Outcome::Ok));
+        world.end(*id, 0, 1, Outcome::Ok);
     }
     assert!(sent(&world.request(read(2000, 2000))).is_none(), "nor do their ends make room there");
 }
@@ -57,10 +57,12 @@
     let mut world = World::new(false, 2);
     let ids = fill(&mut world, 1);
     for id in &ids {
-        drop(world.event(Event::ClientGone(*id)));
+        world.event(Event::ClientGone(*id));
     }
     for id in &ids {
-        (1..=2).for_each(|server| drop(world.end(*id, 0, server, Outcome::ConnectFailed)));
+        for server in 1..=2 {
+            world.end(*id, 0, server, Outcome::ConnectFailed);
+        }
     }
     world.now += 5001.0;
     assert!(fill(&mut world, 1000).len() > 10, "both are tried after 5 s at the latest");
@@ -86,7 +88,9 @@
     let trials = fill(&mut world, 100);
     assert_eq!(trials.len(), 3, "one for each");
     for id in &trials {
-        (1..=3).for_each(|server| drop(world.end(*id, 0, server, Outcome::Ok)));
+        for server in 1..=3 {
+            world.end(*id, 0, server, Outcome::Ok);
+        }
     }
     assert!(fill(&mut world, 200).len() > 20, "all serve again");
     // One of three that is shut is left alone.
@@ -161,7 +165,10 @@
 #[test]
 fn a_waiter_is_not_sent_to_a_node_where_it_has_failed() {
     let mut world = World::new(true, 3);
-    (100..110).for_each(|id| assert_ne!(world.served(id, id), 0)); // enough for a few retries
+    for id in 100..110 {
+        // enough for a few retries
+        assert_ne!(world.served(id, id), 0);
+    }
     let (_, home) = sent(&world.request(read(1, 5))).unwrap();
     assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
     let (_, other) = sent(&world.end(2, 0, home, Outcome::Error)).unwrap();
@@ -185,7 +192,9 @@
     });
     let (_, server) = sent(&world.request(read(1, 5))).unwrap();
     // The origin has no room.
-    (10..20).for_each(|id| drop(world.request(Request { write: true, ..read(id, id) })));
+    for id in 10..20 {
+        world.request(Request { write: true, ..read(id, id) });
+    }
     assert_eq!(
         finals(&world.end(1, 0, server, Outcome::Miss)),
         [&Action::Reject { request: 1, retry_after: 250.0 }]
@@ -204,7 +213,9 @@
     world.balancer.retune(sized(2));
     assert_eq!(fill(&mut world, 1000).len(), 6, "16 in all");
     world.balancer.retune(sized(30));
-    (1..=10).for_each(|id| drop(world.end(id, 0, 1, Outcome::Ok)));
+    for id in 1..=10 {
+        world.end(id, 0, 1, Outcome::Ok);
+    }
     assert!(fill(&mut world, 2000).is_empty());
 }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -106,8 +106,9 @@
         };
         let mut list: Vec<Member> = (1..=NODES).map(member).collect();
         list.extend(day.aside.then(|| member(ORIGIN)));
-        (0..play.modules.len())
-            .for_each(|at| play.feed(at, Event::Members { form: ListForm::Full, members: list.clone() }));
+        for at in 0..play.modules.len() {
+            play.feed(at, Event::Members { form: ListForm::Full, members: list.clone() });
+        }
         // Tables are full by then.
         for number in 0..day.replaced {
             let after = 8_000.0 + day.within * f64::from(number) / f64::from(day.replaced);
@@ -144,9 +145,9 @@
                     self.cold.insert(new, (started, Vec::new()));
                     let gone = Member { state: State::Gone, ..member(old) };
                     let change = vec![gone, Member { started, ..member(new) }];
-                    (0..self.modules.len()).for_each(|at| {
-                        self.feed(at, Event::Members { form: ListForm::Delta, members: change.clone() })
-                    });
+                    for at in 0..self.modules.len() {
+                        self.feed(at, Event::Members { form: ListForm::Delta, members: change.clone() });
+                    }
                 }
             }
         }
--- /dev/null
+++ b/tests/common/fleet/faults.rs
@@ -0,0 +1,48 @@
+//! Faults of the fleet, and scripts of them.
+
+use super::{NODES, PROXIES};
+use pinetrail::interface::{ServerId, Time};
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+
+/// A fault that a script makes happen at some time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// A node is replaced at its address by another process, and listed again.
+    Restart(ServerId),
+    /// It drains for good.
+    Drain(ServerId),
+    /// It is gone, and no list names it any more.
+    Gone(ServerId),
+    /// It answers nothing for a time.
+    Silent(ServerId, Time),
+    /// It refuses connections for a time.
+    Refuses(ServerId, Time),
+    /// It fails every other attempt for a time.
+    Fails(ServerId, Time),
+    /// A proxy is killed, and starts again with the complete list as it is then.
+    Kill(usize),
+    /// A proxy receives nothing from discovery for a time.
+    Deaf(usize, Time),
+}
+
+/// Faults drawn from a seed: each kind may come at any time, several at once.
+pub(crate) fn script(seed: u64, until: Time) -> Vec<(Time, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xfa17);
+    let mut draw = |_| {
+        let at = rng.gen_range(300.0..until * 0.8);
+        let (node, proxy) = (rng.gen_range(1..=NODES), rng.gen_range(0..PROXIES));
+        let (short, long) = (rng.gen_range(50.0..600.0), rng.gen_range(500.0..4000.0));
+        let fault = match rng.gen_range(0..8) {
+            0 => Fault::Restart(node),
+            1 => Fault::Drain(node),
+            2 => Fault::Gone(node),
+            3 => Fault::Silent(node, short),
+            4 => Fault::Refuses(node, short),
+            5 => Fault::Fails(node, long),
+            6 => Fault::Kill(proxy),
+            _ => Fault::Deaf(proxy, long),
+        };
+        (at, fault)
+    };
+    (0..8).map(&mut draw).collect()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -91,7 +91,9 @@
 
     /// Serves many keys once each, so that no key counts as a large share of the traffic.
     pub(crate) fn learns_that_keys_are_many(&mut self) {
-        (800_000..800_200).for_each(|id| assert_ne!(self.served(id, id), 0));
+        for id in 800_000..800_200 {
+            assert_ne!(self.served(id, id), 0);
+        }
     }
 
     pub(crate) fn event(&mut self, event: Event) -> Vec<Action> {
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -92,7 +92,7 @@
     assert_eq!(overdue.len(), 15);
     world.now += 200.0;
     for token in overdue {
-        drop(world.event(Event::Timer(token)));
+        world.event(Event::Timer(token));
     }
     let let_in = (100..300).filter(|id| finals(&world.request(read(*id, *id))).is_empty()).count();
     assert!(let_in < 40, "{let_in} of 200");
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -39,7 +39,9 @@
     let (_, home) = sent(&world.request(read(1, 5))).unwrap();
     assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
     assert_eq!(sent(&world.end(1, 0, home, Outcome::Miss)), Some((1, ORIGIN)));
-    (0..3).for_each(|_| assert!(sends(&world.end(2, 0, home, Outcome::Miss)).is_empty()));
+    for _ in 0..3 {
+        assert!(sends(&world.end(2, 0, home, Outcome::Miss)).is_empty());
+    }
     assert_eq!(sends(&world.end(1, 1, ORIGIN, Outcome::Ok)), [(2, home)]);
 }
 
@@ -126,7 +128,9 @@
     let mut world = World::new(false, 1);
     let request = Request { class: KEYED_ALL, ..read(1, 5) };
     let (_, server) = sent(&world.request(request)).unwrap();
-    (100..120).for_each(|id| drop(world.request(read(id, id))));
+    for id in 100..120 {
+        world.request(read(id, id));
+    }
     world.now += 200.0;
     // So slow an end cuts the limit: there is no room for another call.
     let end = world.end_after(1, 0, server, Outcome::Error, 200.0);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -9,7 +9,9 @@
 fn a_small_key_keeps_to_its_set_while_loads_are_close() {
     let mut world = World::new(false, 6);
     let home = world.served(1, 5);
-    (2..20).for_each(|id| assert_eq!(world.served(id, 5), home));
+    for id in 2..20 {
+        assert_eq!(world.served(id, 5), home);
+    }
 }
 
 #[test]
@@ -30,7 +32,9 @@
 fn grown(world: &mut World, key: Key) -> (ServerId, ServerId) {
     let hosts: Vec<ServerId> =
         (1..=5).map(|n| sent(&world.request(read(key * 10 + n, key))).unwrap().1).collect();
-    hosts.iter().zip(1..).for_each(|(host, n)| drop(world.end(key * 10 + n, 0, *host, Outcome::Ok)));
+    for (host, n) in hosts.iter().zip(1..) {
+        world.end(key * 10 + n, 0, *host, Outcome::Ok);
+    }
     assert_ne!(hosts[0], hosts[4]);
     (hosts[0], hosts[4])
 }
@@ -43,7 +47,9 @@
     assert_eq!(taken, second);
     let hosts: Vec<ServerId> =
         (1..=5).map(|n| sent(&world.request(read(from + 500_000 + n, key))).unwrap().1).collect();
-    hosts.iter().zip(1..).for_each(|(host, n)| drop(world.end(from + 500_000 + n, 0, *host, Outcome::Ok)));
+    for (host, n) in hosts.iter().zip(1..) {
+        world.end(from + 500_000 + n, 0, *host, Outcome::Ok);
+    }
     world.end(from, 0, second, Outcome::Ok);
     assert_eq!(hosts[..4], [home; 4]);
     hosts[4] == home
@@ -63,7 +69,9 @@
 #[test]
 fn a_large_key_stays_on_one_backend_whatever_its_load() {
     let mut world = World::new(false, 6);
-    (1..100).for_each(|id| assert_ne!(world.served(id, id), 0));
+    for id in 1..100 {
+        assert_ne!(world.served(id, id), 0);
+    }
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
     let home = sent(&world.request(large(1000))).unwrap().1;
     for id in 1001..1006 {
@@ -74,7 +82,9 @@
 #[test]
 fn a_hot_large_key_overflows_while_its_backend_is_full_and_returns_after() {
     let mut world = World::new(false, 6);
-    (1..100).for_each(|id| assert_ne!(world.served(id, id), 0));
+    for id in 1..100 {
+        assert_ne!(world.served(id, id), 0);
+    }
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
     let home = sent(&world.request(large(1000))).unwrap().1;
     let hosts: Vec<ServerId> =
@@ -123,9 +133,9 @@
                 let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
                 let fetches = !sends(&world.end(id, 0, server, Outcome::Miss)).is_empty();
                 if fetches {
-                    out.push(id)
+                    out.push(id);
                 } else {
-                    drop(world.event(Event::ClientGone(id)))
+                    world.event(Event::ClientGone(id));
                 }
             }
             most = out.len();
@@ -146,7 +156,9 @@
     let mut world = World::new(true, 4);
     let (_, server) = sent(&world.request(read(1, 5))).unwrap();
     assert_eq!(sent(&world.end(1, 0, server, Outcome::Miss)), Some((1, ORIGIN)));
-    (2..5).for_each(|id| assert!(sends(&world.request(read(id, 5))).is_empty()));
+    for id in 2..5 {
+        assert!(sends(&world.request(read(id, 5))).is_empty());
+    }
     let actions = world.end(1, 1, ORIGIN, Outcome::Ok);
     assert_eq!(sends(&actions).first(), Some(&(2, server)));
     assert!(sends(&actions).iter().all(|(_, to)| *to == server));
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -23,7 +23,9 @@
     let sends: Vec<(RequestId, ServerId)> =
         (from..from + 40).filter_map(|id| sent(&world.request(read(id, 7)))).collect();
     let count = sends.len();
-    (from..from + 40).for_each(|id| drop(world.event(Event::ClientGone(id))));
+    for id in from..from + 40 {
+        world.event(Event::ClientGone(id));
+    }
     for (id, server) in sends {
         world.end(id, 0, server, Outcome::Moot);
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -118,7 +118,10 @@
 #[test]
 fn attempts_stay_within_the_limit() {
     let mut world = World::new(false, 9);
-    (100..110).for_each(|id| assert_ne!(world.served(id, id), 0)); // enough for a few retries
+    for id in 100..110 {
+        // enough for a few retries
+        assert_ne!(world.served(id, id), 0);
+    }
     let (mut actions, mut attempts) = (world.request(read(1, 5)), 0);
     while let Some((_, server)) = sent(&actions) {
         actions = world.end(1, attempts, server, Outcome::Full);
@@ -138,7 +141,9 @@
 fn a_drain_in_a_delta_list_stops_new_attempts_at_once() {
     for state in [State::Draining, State::Gone] {
         let mut world = World::new(false, 4);
-        (1..200).for_each(|key| assert_ne!(world.served(key, key), 0));
+        for key in 1..200 {
+            assert_ne!(world.served(key, key), 0);
+        }
         world.event(Event::Members { form: ListForm::Delta, members: vec![Member { state, ..member(2) }] });
         assert_avoids(&mut world, 2);
     }
@@ -148,7 +153,9 @@
 fn absence_from_a_complete_list_means_gone() {
     for form in [ListForm::Full, ListForm::Cached] {
         let mut world = World::new(false, 4);
-        (1..200).for_each(|key| assert_ne!(world.served(key, key), 0));
+        for key in 1..200 {
+            assert_ne!(world.served(key, key), 0);
+        }
         world.event(Event::Members { form, members: [1, 3, 4].map(member).to_vec() });
         assert_avoids(&mut world, 2);
     }
@@ -266,7 +273,7 @@
         all += 1;
         from_cold += usize::from(server == 9);
         for (id, to) in sends(&fetch).iter() {
-            drop(world.end(*id, 1, *to, Outcome::Ok));
+            world.end(*id, 1, *to, Outcome::Ok);
         }
     }
     assert!(all > 100 && from_cold * 10 < all, "{from_cold} of {all}");
