--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -1,5 +1,5 @@
-//! What many proxies that do not talk send a cold node together: beyond the budget of N requests only chance is left, which
-//! is 2 x root of N + 2.
+//! What many proxies that do not communicate send a cold node together: beyond the budget of N
+//! requests only chance is left, which is twice the root of N, and two.
 
 mod common;
 
@@ -15,7 +15,7 @@
 const NODES: u32 = 10;
 
 #[derive(Clone, Copy, Debug)]
-struct Day {
+struct Scenario {
     proxies: u32,
     /// Settings of the site.
     fall_multiple: f64,
@@ -38,7 +38,7 @@
     fails: f64,
 }
 
-const DAY: Day = Day {
+const SCENARIO: Scenario = Scenario {
     proxies: 30,
     fall_multiple: 3.0,
     start_capacity: 0.13,
@@ -54,50 +54,61 @@
     fails: 0.02,
 };
 
-enum Happens {
-    Asked,
-    Ends(usize, RequestId, u8, ServerId, Time),
-    Due(usize, u64),
-    Replaced(u32),
+struct SentAttempt {
+    id: RequestId,
+    /// Its number among the request's attempts.
+    ordinal: u8,
+    server: ServerId,
+    sent: Time,
 }
 
-/// A fleet of modules; when each cold node started, and what it was sent since.
-struct Play {
-    day: Day,
+/// What happens at a time of the run's clock; proxies are named by their numbers.
+enum FleetEvent {
+    RequestArrives,
+    AttemptEnds(usize, SentAttempt),
+    /// The timer with this token.
+    TimerFires(usize, u64),
+    NodeIsReplaced(u32),
+}
+
+/// A fleet of balancers, and what they sent to cold nodes.
+struct FleetRun {
+    scenario: Scenario,
     now: Time,
     rng: SmallRng,
     hottest: Key,
-    agenda: BTreeMap<(u64, u64), Happens>,
+    agenda: BTreeMap<(u64, u64), FleetEvent>,
     order: u64,
-    modules: Vec<Balancer>,
+    balancers: Vec<Balancer>,
     attempts: BTreeMap<(usize, RequestId), u8>,
     /// The keys of those asked for, where each missed, and what each node holds.
     keys: BTreeMap<RequestId, Key>,
     missed: BTreeMap<RequestId, Vec<ServerId>>,
     holds: BTreeSet<(ServerId, Key)>,
+    /// When each cold node started, and when it was sent attempts since.
     cold: BTreeMap<ServerId, (Time, Vec<Time>)>,
 }
 
-impl Play {
-    fn of(day: Day, seed: u64) -> Play {
-        let json = settings_json(day.aside)
-            .replace(r#""GroupSize":3"#, &format!(r#""GroupSize":{}"#, day.proxies))
-            .replace(r#""StartCapacity":0.2"#, &format!(r#""StartCapacity":{}"#, day.start_capacity))
-            .replace(r#""Cold":9000.0"#, &format!(r#""Cold":{}"#, day.cold))
-            .replace(r#""FallMultiple":3.0"#, &format!(r#""FallMultiple":{}"#, day.fall_multiple))
-            .replace(r#""TipAfter":1500.0"#, &format!(r#""TipAfter":{}"#, day.tip_after));
-        let module = |number| {
+impl FleetRun {
+    fn of(scenario: Scenario, seed: u64) -> FleetRun {
+        let json = settings_json(scenario.aside)
+            .replace(r#""GroupSize":3"#, &format!(r#""GroupSize":{}"#, scenario.proxies))
+            .replace(r#""StartCapacity":0.2"#, &format!(r#""StartCapacity":{}"#, scenario.start_capacity))
+            .replace(r#""Cold":9000.0"#, &format!(r#""Cold":{}"#, scenario.cold))
+            .replace(r#""FallMultiple":3.0"#, &format!(r#""FallMultiple":{}"#, scenario.fall_multiple))
+            .replace(r#""TipAfter":1500.0"#, &format!(r#""TipAfter":{}"#, scenario.tip_after));
+        let balancer = |number| {
             let settings = Settings::from_json(json.as_bytes()).expect("the settings are legal");
             Balancer::new(Settings { my_number: number, ..settings }, seed ^ u64::from(number) << 32)
         };
-        let mut play = Play {
-            day,
+        let mut run = FleetRun {
+            scenario,
             now: 100_000.0,
             rng: SmallRng::seed_from_u64(seed),
             hottest: 1 + seed % 90,
             agenda: BTreeMap::new(),
             order: 0,
-            modules: (0..day.proxies).map(module).collect(),
+            balancers: (0..scenario.proxies).map(balancer).collect(),
             attempts: BTreeMap::new(),
             keys: BTreeMap::new(),
             missed: BTreeMap::new(),
@@ -105,47 +116,54 @@
             cold: BTreeMap::new(),
         };
         let mut list: Vec<Member> = (1..=NODES).map(member).collect();
-        list.extend(day.aside.then(|| member(ORIGIN)));
-        for at in 0..play.modules.len() {
-            play.feed(at, Event::Members { form: ListForm::Full, members: list.clone() });
+        list.extend(scenario.aside.then(|| member(ORIGIN)));
+        for at in 0..run.balancers.len() {
+            run.feed(at, Event::Members { form: ListForm::Full, members: list.clone() });
         }
         // Tables are full by then.
-        for number in 0..day.replaced {
-            let after = 8_000.0 + day.within * f64::from(number) / f64::from(day.replaced);
-            play.at(after, Happens::Replaced(number + 1));
+        for number in 0..scenario.replaced {
+            let after = 8_000.0 + scenario.within * f64::from(number) / f64::from(scenario.replaced);
+            run.at(after, FleetEvent::NodeIsReplaced(number + 1));
         }
-        play.at(0.0, Happens::Asked);
-        play.run(8_000.0 + day.within + day.cold);
-        play
+        run.at(0.0, FleetEvent::RequestArrives);
+        run.run(8_000.0 + scenario.within + scenario.cold);
+        run
     }
 
-    fn at(&mut self, after: Time, happens: Happens) {
+    fn at(&mut self, after: Time, event: FleetEvent) {
         self.order += 1;
-        self.agenda.insert((((self.now + after) * 1000.0) as u64, self.order), happens);
+        self.agenda.insert((((self.now + after) * 1000.0) as u64, self.order), event);
     }
 
     fn run(&mut self, time: Time) {
         let until = self.now + time;
-        while let Some(((at, _), happens)) = self.agenda.pop_first() {
+        while let Some(((at, _), event)) = self.agenda.pop_first() {
             self.now = self.now.max(at as f64 / 1000.0);
             if self.now > until {
                 return;
             }
-            match happens {
-                Happens::Asked => self.ask(),
-                Happens::Due(at, token) => self.feed(at, Event::Timer(token)),
-                Happens::Ends(at, id, attempt, server, sent) => {
-                    let (outcome, latency, report) = (self.outcome(id, server), self.now - sent, Vec::new());
-                    let last = outcome == Outcome::Ok;
-                    let end = AttemptEnd { id, attempt, server, latency, last, outcome, report };
+            match event {
+                FleetEvent::RequestArrives => self.ask(),
+                FleetEvent::TimerFires(at, token) => self.feed(at, Event::Timer(token)),
+                FleetEvent::AttemptEnds(at, attempt) => {
+                    let outcome = self.outcome(attempt.id, attempt.server);
+                    let end = AttemptEnd {
+                        id: attempt.id,
+                        attempt: attempt.ordinal,
+                        server: attempt.server,
+                        latency: self.now - attempt.sent,
+                        last: outcome == Outcome::Ok,
+                        outcome,
+                        report: Vec::new(),
+                    };
                     self.feed(at, Event::AttemptEnd(end));
                 }
-                Happens::Replaced(old) => {
+                FleetEvent::NodeIsReplaced(old) => {
                     let (new, started) = (NODES + old, self.now);
                     self.cold.insert(new, (started, Vec::new()));
                     let gone = Member { state: State::Gone, ..member(old) };
                     let change = vec![gone, Member { started, ..member(new) }];
-                    for at in 0..self.modules.len() {
+                    for at in 0..self.balancers.len() {
                         self.feed(at, Event::Members { form: ListForm::Delta, members: change.clone() });
                     }
                 }
@@ -154,15 +172,15 @@
     }
 
     fn ask(&mut self) {
-        let rate = CAPACITY * f64::from(NODES) * self.day.busy / 1000.0;
+        let rate = CAPACITY * f64::from(NODES) * self.scenario.busy / 1000.0;
         let wait = -(1.0 - self.rng.gen::<f64>()).ln() / rate;
-        self.at(wait, Happens::Asked);
-        let key = if self.rng.gen_bool(self.day.hot) {
-            self.hottest + self.rng.gen_range(0..self.day.hot_keys)
+        self.at(wait, FleetEvent::RequestArrives);
+        let key = if self.rng.gen_bool(self.scenario.hot) {
+            self.hottest + self.rng.gen_range(0..self.scenario.hot_keys)
         } else {
             100 + (3000.0 * self.rng.gen::<f64>().powi(3)) as Key
         };
-        let at = self.rng.gen_range(0..self.modules.len());
+        let at = self.rng.gen_range(0..self.balancers.len());
         let id = self.order;
         self.keys.insert(id, key);
         self.feed(at, Event::Request(read(id, key)));
@@ -173,11 +191,11 @@
         if server == ORIGIN {
             // The value is stored where it missed.
             self.holds.extend(self.missed.remove(&id).into_iter().flatten().map(|node| (node, key)));
-        } else if self.day.aside && !self.holds.contains(&(server, key)) {
+        } else if self.scenario.aside && !self.holds.contains(&(server, key)) {
             self.missed.entry(id).or_default().push(server);
             return Outcome::Miss;
         }
-        if self.rng.gen_bool(self.day.fails) {
+        if self.rng.gen_bool(self.scenario.fails) {
             Outcome::Error
         } else {
             Outcome::Ok
@@ -186,7 +204,7 @@
 
     fn feed(&mut self, at: usize, event: Event) {
         let mut actions = Vec::new();
-        self.modules[at].handle(self.now, event, &mut actions);
+        self.balancers[at].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
                 Action::StartAttempt { request: id, backend: server, .. } => {
@@ -196,12 +214,13 @@
                     if let Some((_, sent)) = self.cold.get_mut(&server) {
                         sent.push(self.now);
                     }
-                    let latency = self.rng.gen_range(5.0..self.day.latency);
-                    self.at(latency, Happens::Ends(at, id, number, server, self.now));
+                    let latency = self.rng.gen_range(5.0..self.scenario.latency);
+                    let attempt = SentAttempt { id, ordinal: number, server, sent: self.now };
+                    self.at(latency, FleetEvent::AttemptEnds(at, attempt));
                 }
                 Action::SetTimer { delay: wait, token }
                 | Action::SetRequestTimer { delay: wait, token, .. } => {
-                    self.at(wait.max(0.001), Happens::Due(at, token));
+                    self.at(wait.max(0.001), FleetEvent::TimerFires(at, token));
                 }
                 _ => {}
             }
@@ -210,20 +229,20 @@
 
     /// The most that any cold node was sent beyond its budget in any span, over what chance may add: above 1 is too much.
     fn worst(&self) -> f64 {
-        let day = &self.day;
+        let scenario = &self.scenario;
         let mut worst = 0.0f64;
         for (started, sent) in self.cold.values() {
             let mut from = 0;
             for (at, now) in sent.iter().enumerate() {
-                let age = (now - started) / day.cold;
+                let age = (now - started) / scenario.cold;
                 if age >= 1.0 {
                     break;
                 }
-                while sent[from] <= now - day.tip_after {
+                while sent[from] <= now - scenario.tip_after {
                     from += 1;
                 }
-                let capacity = day.start_capacity + (1.0 - day.start_capacity) * age;
-                let budget = day.fall_multiple * capacity * CAPACITY * day.tip_after / 1000.0;
+                let capacity = scenario.start_capacity + (1.0 - scenario.start_capacity) * age;
+                let budget = scenario.fall_multiple * capacity * CAPACITY * scenario.tip_after / 1000.0;
                 let count = (at - from + 1) as f64;
                 worst = worst.max((count - budget) / (2.0 * budget.sqrt() + 2.0));
             }
@@ -236,48 +255,48 @@
     }
 }
 
-/// Days over the range of the settings, each of which once sent a cold node too much or might.
-fn days() -> Vec<Day> {
+/// Scenarios over the range of the settings, each of which once sent a cold node too much or might.
+fn scenarios() -> Vec<Scenario> {
     vec![
-        DAY,
-        Day { proxies: 20, ..DAY },
-        Day { proxies: 300, ..DAY },
+        SCENARIO,
+        Scenario { proxies: 20, ..SCENARIO },
+        Scenario { proxies: 300, ..SCENARIO },
         // Few proxies see gaps between loads, and send all that looks for the least loaded to who is idle.
-        Day { proxies: 1, latency: 300.0, ..DAY },
-        Day { proxies: 3, latency: 300.0, ..DAY },
-        Day { proxies: 3, replaced: 1, latency: 300.0, busy: 0.95, ..DAY },
+        Scenario { proxies: 1, latency: 300.0, ..SCENARIO },
+        Scenario { proxies: 3, latency: 300.0, ..SCENARIO },
+        Scenario { proxies: 3, replaced: 1, latency: 300.0, busy: 0.95, ..SCENARIO },
         // Budgets of a few requests.
-        Day { tip_after: 500.0, start_capacity: 0.05, ..DAY },
-        Day { fall_multiple: 2.0, start_capacity: 0.05, tip_after: 1_000.0, ..DAY },
+        Scenario { tip_after: 500.0, start_capacity: 0.05, ..SCENARIO },
+        Scenario { fall_multiple: 2.0, start_capacity: 0.05, tip_after: 1_000.0, ..SCENARIO },
         // Fast to warm, slow to warm, and all of the fleet but one.
-        Day { cold: 6_000.0, ..DAY },
-        Day { cold: 60_000.0, ..DAY },
-        Day { replaced: 9, within: 20_000.0, ..DAY },
+        Scenario { cold: 6_000.0, ..SCENARIO },
+        Scenario { cold: 60_000.0, ..SCENARIO },
+        Scenario { replaced: 9, within: 20_000.0, ..SCENARIO },
         // Nearly all requests name a few keys.
-        Day { hot: 0.9, ..DAY },
-        Day { proxies: 1, hot: 0.9, ..DAY },
+        Scenario { hot: 0.9, ..SCENARIO },
+        Scenario { proxies: 1, hot: 0.9, ..SCENARIO },
         // More than all can take, and misses that wait for another's fetch.
-        Day { busy: 1.2, ..DAY },
-        Day { proxies: 3, busy: 1.2, fails: 0.2, latency: 300.0, ..DAY },
+        Scenario { busy: 1.2, ..SCENARIO },
+        Scenario { proxies: 3, busy: 1.2, fails: 0.2, latency: 300.0, ..SCENARIO },
         // One key of a third or of a tenth of all requests, wherever it lives.
-        Day { hot_keys: 1, ..DAY },
-        Day { hot_keys: 1, proxies: 300, ..DAY },
-        Day { hot_keys: 1, proxies: 3, latency: 300.0, ..DAY },
-        Day { hot_keys: 1, proxies: 1, latency: 300.0, ..DAY },
-        Day { hot: 0.1, hot_keys: 1, proxies: 3, ..DAY },
-        Day { hot: 0.1, hot_keys: 1, proxies: 30, busy: 1.2, latency: 300.0, ..DAY },
-        Day { aside: true, ..DAY },
-        Day { aside: true, proxies: 3, hot: 0.6, latency: 200.0, ..DAY },
+        Scenario { hot_keys: 1, ..SCENARIO },
+        Scenario { hot_keys: 1, proxies: 300, ..SCENARIO },
+        Scenario { hot_keys: 1, proxies: 3, latency: 300.0, ..SCENARIO },
+        Scenario { hot_keys: 1, proxies: 1, latency: 300.0, ..SCENARIO },
+        Scenario { hot: 0.1, hot_keys: 1, proxies: 3, ..SCENARIO },
+        Scenario { hot: 0.1, hot_keys: 1, proxies: 30, busy: 1.2, latency: 300.0, ..SCENARIO },
+        Scenario { aside: true, ..SCENARIO },
+        Scenario { aside: true, proxies: 3, hot: 0.6, latency: 200.0, ..SCENARIO },
     ]
 }
 
 #[test]
 fn beyond_its_budget_a_cold_node_gets_only_what_chance_adds() {
-    for (at, day) in days().into_iter().enumerate() {
+    for (at, scenario) in scenarios().into_iter().enumerate() {
         for seed in 0..4 {
-            let play = Play::of(day, seed + 10 * at as u64);
-            assert!(play.sent() > 10, "they get something: {} {day:?}", play.sent());
-            assert!(play.worst() <= 1.0, "seed {seed}: {:.2} {day:?}", play.worst());
+            let run = FleetRun::of(scenario, seed + 10 * at as u64);
+            assert!(run.sent() > 10, "they get something: {} {scenario:?}", run.sent());
+            assert!(run.worst() <= 1.0, "seed {seed}: {:.2} {scenario:?}", run.worst());
         }
     }
 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -8,7 +8,7 @@
 #[allow(unused_imports)]
 pub(crate) use faults::{script, Fault};
 
-use super::recorded_events::Tape;
+use super::recorded_events::EventRecorder;
 use super::*;
 use pinetrail_history_checker::{Answer, History, HistoryEvent, Process};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
@@ -41,10 +41,12 @@
     proxy: usize,
     incarnation: u32,
     id: RequestId,
-    attempt: u8,
+    /// Its number among the request's attempts.
+    ordinal: u8,
     server: ServerId,
     sent: Time,
     until: Time,
+    /// Its number among the recorded attempts.
     number: u64,
 }
 
@@ -84,7 +86,7 @@
     /// What discovery knows.
     list: BTreeMap<ServerId, Member>,
     next: RequestId,
-    tape: Tape,
+    recorder: EventRecorder,
 }
 
 /// Plays a day with these faults; what was seen of it.
@@ -95,8 +97,8 @@
     }
     fleet.run();
     // The recording goes on until everybody's time is over.
-    fleet.tape.tell(fleet.until + AFTER, "p0", false, &[]);
-    fleet.tape.history()
+    fleet.recorder.record_list(fleet.until + AFTER, "p0", false, &[]);
+    fleet.recorder.history()
 }
 
 impl Fleet {
@@ -113,7 +115,7 @@
             nodes: list.keys().map(|id| (*id, StubNode::default())).collect(),
             list,
             next: 1,
-            tape: Tape::default(),
+            recorder: EventRecorder::default(),
         };
         for number in 0..PROXIES {
             let proxy = Proxy {
@@ -155,8 +157,8 @@
             FleetEvent::TimerFires(proxy, incarnation, token) => {
                 self.feed(proxy, incarnation, Event::Timer(token))
             }
-            FleetEvent::AttemptArrives(call) => self.arrive(call),
-            FleetEvent::AttemptEnds(call, outcome) => self.end(call, outcome),
+            FleetEvent::AttemptArrives(attempt) => self.arrive(attempt),
+            FleetEvent::AttemptEnds(attempt, outcome) => self.end(attempt, outcome),
             FleetEvent::ListArrives(proxy, members) => {
                 let incarnation = self.proxies[proxy].incarnation;
                 if self.now < self.proxies[proxy].discovery_cut_until {
@@ -164,14 +166,14 @@
                     return self.at(wait, FleetEvent::ListArrives(proxy, members));
                 }
                 if self.proxies[proxy].alive {
-                    self.tape.tell(self.now, &name(proxy), false, &members);
+                    self.recorder.record_list(self.now, &name(proxy), false, &members);
                     self.feed(proxy, incarnation, Event::Members { form: ListForm::Delta, members });
                 }
             }
             FleetEvent::Fault(fault) => self.fault(fault),
             FleetEvent::ClientLeaves(proxy, id) => {
                 if self.proxies[proxy].open.remove(&id).is_some() {
-                    self.tape.write(self.now, HistoryEvent::Left { request: request(proxy, id) });
+                    self.recorder.record(self.now, HistoryEvent::Left { request: request(proxy, id) });
                     self.feed(proxy, self.proxies[proxy].incarnation, Event::ClientGone(id));
                 }
             }
@@ -197,8 +199,8 @@
         let budget = [120.0, 400.0, 800.0][self.rng.gen_range(0..3)];
         self.proxies[proxy].open.insert(id, OpenRequest { key, ..OpenRequest::default() });
         let (request, name) = (request(proxy, id), CLASSES[usize::from(class)].to_owned());
-        self.tape
-            .write(self.now, HistoryEvent::Asked { proxy: self::name(proxy), request, class: name, budget });
+        self.recorder
+            .record(self.now, HistoryEvent::Asked { proxy: self::name(proxy), request, class: name, budget });
         if self.rng.gen_bool(0.02) {
             let wait = self.rng.gen_range(1.0..budget);
             self.at(wait, FleetEvent::ClientLeaves(proxy, id));
@@ -236,32 +238,33 @@
 
     fn answer(&mut self, proxy: usize, id: RequestId, answer: Answer) {
         self.proxies[proxy].open.remove(&id);
-        self.tape.answer(self.now, &request(proxy, id), answer);
+        self.recorder.record_response(self.now, &request(proxy, id), answer);
     }
 
     fn send(&mut self, proxy: usize, id: RequestId, server: ServerId, limit: Time) {
         let incarnation = self.proxies[proxy].incarnation;
         let Some(open) = self.proxies[proxy].open.get_mut(&id) else { return };
-        let attempt = open.attempts;
+        let ordinal = open.attempts;
         open.attempts += 1;
-        let number = self.tape.call(self.now, &name(proxy), &request(proxy, id), server, WORK);
+        let number = self.recorder.record_attempt(self.now, &name(proxy), &request(proxy, id), server, WORK);
         let (sent, until) = (self.now, self.now + limit);
-        let call = SentAttempt { proxy, incarnation, id, attempt, server, sent, until, number };
-        self.at(0.3, FleetEvent::AttemptArrives(call));
+        let attempt = SentAttempt { proxy, incarnation, id, ordinal, server, sent, until, number };
+        self.at(0.3, FleetEvent::AttemptArrives(attempt));
     }
 
-    fn arrive(&mut self, call: SentAttempt) {
-        let key = self.proxies[call.proxy].open.get(&call.id).map_or(0, |open| open.key);
+    fn arrive(&mut self, attempt: SentAttempt) {
+        let key = self.proxies[attempt.proxy].open.get(&attempt.id).map_or(0, |open| open.key);
         let now = self.now;
         let luck: f64 = self.rng.gen();
-        let node = self.nodes.entry(call.server).or_default();
+        let node = self.nodes.entry(attempt.server).or_default();
         if now < node.refuses_until {
-            return self.at(0.1, FleetEvent::AttemptEnds(call, Outcome::ConnectFailed));
+            return self.at(0.1, FleetEvent::AttemptEnds(attempt, Outcome::ConnectFailed));
         }
         if now < node.silent_until {
-            return self.at((call.until - now).max(0.0), FleetEvent::AttemptEnds(call, Outcome::Timeout));
+            return self
+                .at((attempt.until - now).max(0.0), FleetEvent::AttemptEnds(attempt, Outcome::Timeout));
         }
-        let origin = call.server == ORIGIN;
+        let origin = attempt.server == ORIGIN;
         node.busy.retain(|until| *until > now);
         let outcome = if node.busy.len() >= 24 {
             Outcome::Full
@@ -281,47 +284,51 @@
             _ => 0.5,
         };
         node.busy.push(now + time);
-        if call.until - now < time {
-            self.at((call.until - now).max(0.0), FleetEvent::AttemptEnds(call, Outcome::Timeout))
+        if attempt.until - now < time {
+            self.at((attempt.until - now).max(0.0), FleetEvent::AttemptEnds(attempt, Outcome::Timeout))
         } else {
-            self.at(time, FleetEvent::AttemptEnds(call, outcome))
+            self.at(time, FleetEvent::AttemptEnds(attempt, outcome))
         }
     }
 
-    fn end(&mut self, call: SentAttempt, outcome: Outcome) {
-        let value = format!("{}-{}", call.id, call.number);
-        self.tape.close(self.now, call.number, outcome, &value);
-        let proxy = &mut self.proxies[call.proxy];
-        if proxy.incarnation != call.incarnation || !proxy.alive {
+    fn end(&mut self, attempt: SentAttempt, outcome: Outcome) {
+        let value = format!("{}-{}", attempt.id, attempt.number);
+        self.recorder.record_end(self.now, attempt.number, outcome, &value);
+        let proxy = &mut self.proxies[attempt.proxy];
+        if proxy.incarnation != attempt.incarnation || !proxy.alive {
             return;
         }
-        let mut last = !proxy.open.contains_key(&call.id);
+        let mut last = !proxy.open.contains_key(&attempt.id);
         match outcome {
             Outcome::Miss => {
-                if let Some(open) = proxy.open.get_mut(&call.id) {
-                    open.missed_at.push(call.server);
+                if let Some(open) = proxy.open.get_mut(&attempt.id) {
+                    open.missed_at.push(attempt.server);
                 }
             }
             Outcome::Ok if !last => {
                 last = true;
-                let served = proxy.open.remove(&call.id).unwrap_or_default();
+                let served = proxy.open.remove(&attempt.id).unwrap_or_default();
                 for server in &served.missed_at {
                     self.node(*server).keys.insert(served.key);
                 }
-                self.tape.answer(self.now, &request(call.proxy, call.id), Answer::Served(value));
+                self.recorder.record_response(
+                    self.now,
+                    &request(attempt.proxy, attempt.id),
+                    Answer::Served(value),
+                );
             }
             _ => {}
         }
         let end = AttemptEnd {
-            id: call.id,
-            attempt: call.attempt,
-            server: call.server,
-            latency: self.now - call.sent,
+            id: attempt.id,
+            attempt: attempt.ordinal,
+            server: attempt.server,
+            latency: self.now - attempt.sent,
             last,
             outcome,
             report: Vec::new(),
         };
-        self.feed(call.proxy, call.incarnation, Event::AttemptEnd(end));
+        self.feed(attempt.proxy, attempt.incarnation, Event::AttemptEnd(end));
     }
 
     fn fault(&mut self, fault: Fault) {
@@ -335,7 +342,7 @@
             Fault::Restart(server) => {
                 *self.node(server) = StubNode::default();
                 let place = recorded_events::place(server);
-                self.tape.write(now, HistoryEvent::Started { place, capacity: CAPACITY });
+                self.recorder.record(now, HistoryEvent::Started { place, capacity: CAPACITY });
                 self.change(Member { started: now, ..member(server) });
             }
             Fault::Kill(proxy) => {
@@ -343,7 +350,7 @@
                 state.alive = false;
                 state.incarnation += 1;
                 state.open.clear();
-                self.tape.write(now, HistoryEvent::Ended { proxy: name(proxy), how: Process::Killed });
+                self.recorder.record(now, HistoryEvent::Ended { proxy: name(proxy), how: Process::Killed });
                 self.at(400.0, FleetEvent::ProxyStarts(proxy));
             }
             Fault::Deaf(proxy, until) => self.proxies[proxy].discovery_cut_until = now + until,
@@ -368,8 +375,8 @@
         state.balancer = balancer(proxy, state.incarnation);
         state.alive = true;
         let (incarnation, figures) = (state.incarnation, recorded_events::figures());
-        self.tape.write(self.now, HistoryEvent::InForce { proxy: name(proxy), figures });
-        self.tape.tell(self.now, &name(proxy), true, &list);
+        self.recorder.record(self.now, HistoryEvent::InForce { proxy: name(proxy), figures });
+        self.recorder.record_list(self.now, &name(proxy), true, &list);
         self.feed(proxy, incarnation, Event::Members { form: ListForm::Full, members: list });
     }
 }
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -1,36 +1,50 @@
-//! What is seen of a world from outside, written down as a history for the checker.
+//! What can be seen of a proxy or a fleet from outside, recorded as a history for the checker.
 
 use super::{settings_json, CLASSES};
 use pinetrail::interface::{Member, Outcome, ServerId, State, Time};
 use pinetrail_history_checker as seen;
 use pinetrail_history_checker::{Class, Effect, End, Figures, History, HistoryEvent, Node, Scope};
 
-/// Events, in the order in which they were seen. Of a call nothing is seen where no connection came about: its
-/// place is kept until its end is known.
+/// Events, in the order in which they were seen. Of an attempt nothing is seen where no connection
+/// came about: its place is kept until its end is known.
 #[derive(Default)]
-pub(crate) struct Tape {
+pub(crate) struct EventRecorder {
     events: Vec<Option<(Time, HistoryEvent)>>,
-    calls: Vec<(usize, Option<(Time, HistoryEvent)>)>,
+    /// Each attempt's place among the events, and what comes there unless its connection fails.
+    attempts: Vec<(usize, Option<(Time, HistoryEvent)>)>,
 }
 
-impl Tape {
-    pub(crate) fn write(&mut self, at: Time, seen: HistoryEvent) {
+impl EventRecorder {
+    pub(crate) fn record(&mut self, at: Time, seen: HistoryEvent) {
         self.events.push(Some((at, seen)));
     }
 
-    /// A call is made; its number.
-    pub(crate) fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
-        let call = self.calls.len() as u64;
-        let (proxy, request) = (proxy.to_owned(), request.to_owned());
-        let received = HistoryEvent::Received { proxy, request, call, place: place(server), first: at, work };
-        self.calls.push((self.events.len(), Some((at, received))));
+    /// Records an attempt; its number.
+    pub(crate) fn record_attempt(
+        &mut self,
+        at: Time,
+        proxy: &str,
+        request: &str,
+        server: ServerId,
+        work: f64,
+    ) -> u64 {
+        let call = self.attempts.len() as u64;
+        let received = HistoryEvent::Received {
+            proxy: proxy.to_owned(),
+            request: request.to_owned(),
+            call,
+            place: place(server),
+            first: at,
+            work,
+        };
+        self.attempts.push((self.events.len(), Some((at, received))));
         self.events.push(None);
         call
     }
 
-    /// A call has ended.
-    pub(crate) fn close(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
-        let (place, received) = &mut self.calls[call as usize];
+    /// Records how an attempt ended.
+    pub(crate) fn record_end(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
+        let (place, received) = &mut self.attempts[call as usize];
         let end = match outcome {
             Outcome::ConnectFailed | Outcome::Moot => return *received = None,
             Outcome::Ok => End::Served(value.to_owned()),
@@ -40,21 +54,21 @@
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => End::Broken,
         };
         self.events[*place] = received.take();
-        self.write(at, HistoryEvent::Closed { call, end });
+        self.record(at, HistoryEvent::Closed { call, end });
     }
 
-    pub(crate) fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
+    pub(crate) fn record_list(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
         let nodes = members.iter().map(node).collect();
-        self.write(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
+        self.record(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
     }
 
-    pub(crate) fn answer(&mut self, at: Time, request: &str, answer: seen::Answer) {
-        self.write(at, HistoryEvent::Answered { request: request.to_owned(), answer });
+    pub(crate) fn record_response(&mut self, at: Time, request: &str, answer: seen::Answer) {
+        self.record(at, HistoryEvent::Answered { request: request.to_owned(), answer });
     }
 
-    /// All that was seen, by time.
+    /// All that was recorded, by time.
     pub(crate) fn history(mut self) -> History {
-        for (place, received) in &mut self.calls {
+        for (place, received) in &mut self.attempts {
             if let Some(received) = received.take() {
                 self.events[*place] = Some(received);
             }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::recorded_events::{self, Tape};
+use common::recorded_events::{self, EventRecorder};
 use common::*;
 use pinetrail::interface::*;
 use pinetrail::settings::Settings;
@@ -18,7 +18,7 @@
     End { pick: usize, outcome: u8 },
     Leave { pick: usize },
     Change { server: ServerId, state: u8, restart: bool },
-    Whole { mask: u8, form: u8 },
+    CompleteList { mask: u8, form: u8 },
     ListFailed,
     Retune { shift: u8, most: u32 },
 }
@@ -32,48 +32,73 @@
         1 => any::<usize>().prop_map(|pick| Step::Leave { pick }),
         1 => (1..6u32, 0..3u8, any::<bool>())
             .prop_map(|(server, state, restart)| Step::Change { server, state, restart }),
-        1 => (any::<u8>(), 0..2u8).prop_map(|(mask, form)| Step::Whole { mask, form }),
+        1 => (any::<u8>(), 0..2u8).prop_map(|(mask, form)| Step::CompleteList { mask, form }),
         1 => Just(Step::ListFailed),
         1 => (0..5u8, 1..5u32).prop_map(|(shift, most)| Step::Retune { shift, most }),
     ]
 }
 
-/// Plays steps and writes down what could be seen of them.
-struct Player {
+/// Applies steps to one proxy and records what could be seen of them.
+struct RecordedProxy {
     world: World,
-    tape: Tape,
-    /// The open ones, and how many calls they have had.
+    recorder: EventRecorder,
+    /// The requests without a final response, and how many attempts each has had.
     open: BTreeMap<RequestId, u8>,
-    out: Vec<(RequestId, u8, ServerId, Time, u64)>,
+    /// The attempts in flight.
+    out: Vec<SentAttempt>,
+    /// When timers fire, and their tokens.
     timers: Vec<(Time, u64)>,
     next: RequestId,
-    /// By how many places the classes have moved in the settings in force.
+    /// By how many places the classes have moved in the active settings.
     shift: u8,
 }
 
+struct SentAttempt {
+    id: RequestId,
+    /// Its number among the request's attempts.
+    ordinal: u8,
+    server: ServerId,
+    sent: Time,
+    /// Its number among the recorded attempts.
+    number: u64,
+}
+
 const PROXY: &str = "p";
 
-impl Player {
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+    Outcome::Miss,
+];
+
+impl RecordedProxy {
     fn new() -> Self {
-        let mut player = Player {
+        let mut proxy = RecordedProxy {
             world: World::new(true, 4),
-            tape: Tape::default(),
+            recorder: EventRecorder::default(),
             open: BTreeMap::new(),
             out: vec![],
             timers: vec![],
             next: 1,
             shift: 0,
         };
-        player.put_in_force(4);
+        proxy.record_active_settings(4);
         let list: Vec<Member> = (1..=4).chain([ORIGIN]).map(member).collect();
-        player.tape.tell(player.world.now, PROXY, true, &list);
-        player
+        proxy.recorder.record_list(proxy.world.now, PROXY, true, &list);
+        proxy
     }
 
-    fn put_in_force(&mut self, attempts: usize) {
-        // A proxy that is told of a drain sends nothing more there; the time that rules allow is the network's.
+    fn record_active_settings(&mut self, attempts: usize) {
+        // A proxy that knows of a drain sends nothing more there; the time that rules allow is the
+        // network's.
         let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
-        self.tape.write(self.world.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
+        self.recorder.record(self.world.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
     }
 
     fn feed(&mut self, event: Event) {
@@ -82,10 +107,12 @@
             match action {
                 Action::StartAttempt { request: id, backend: server, timeout, send_by: within } => {
                     assert!(timeout > 0.0 && within > 0.0);
-                    let call = self.tape.call(self.world.now, PROXY, &id.to_string(), server, 10.0);
-                    let number = self.open.get_mut(&id).expect("nothing is sent for a request that is over");
-                    self.out.push((id, *number, server, self.world.now, call));
-                    *number += 1;
+                    let now = self.world.now;
+                    let number = self.recorder.record_attempt(now, PROXY, &id.to_string(), server, 10.0);
+                    let attempts =
+                        self.open.get_mut(&id).expect("nothing is sent for a request that is over");
+                    self.out.push(SentAttempt { id, ordinal: *attempts, server, sent: now, number });
+                    *attempts += 1;
                 }
                 Action::Reject { request: id, .. } => self.answer(id, Answer::Refused),
                 Action::Fail(id) => self.answer(id, Answer::Failed),
@@ -99,11 +126,11 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         self.open.remove(&id);
-        self.tape.answer(self.world.now, &id.to_string(), answer);
+        self.recorder.record_response(self.world.now, &id.to_string(), answer);
     }
 
     fn tell(&mut self, form: ListForm, list: Vec<Member>) {
-        self.tape.tell(self.world.now, PROXY, form != ListForm::Delta, &list);
+        self.recorder.record_list(self.world.now, PROXY, form != ListForm::Delta, &list);
         self.feed(Event::Members { form, members: list });
         // What is sent from now on is sent later.
         self.world.now += 0.01;
@@ -123,76 +150,78 @@
         }
     }
 
-    fn play(&mut self, step: &Step) {
+    fn apply(&mut self, step: &Step) {
         match *step {
             Step::Wait(time) => self.wait(time),
-            Step::Arrive { class, key, budget, write } => {
-                let id = self.next;
-                self.next += 1;
-                self.open.insert(id, 0);
-                let name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
-                let request = id.to_string();
-                self.tape.write(
-                    self.world.now,
-                    HistoryEvent::Asked { proxy: PROXY.into(), request, class: name, budget },
-                );
-                let hint = (key % 3 != 0).then_some(10.0 * key as f64);
-                self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
-            }
-            Step::End { pick, outcome } => {
-                use Outcome::*;
-                if self.out.is_empty() {
-                    return;
-                }
-                let (id, attempt, server, sent, call) = self.out.remove(pick % self.out.len());
-                let outcome =
-                    [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Miss][outcome as usize];
-                let value = format!("{id} {attempt}");
-                self.tape.close(self.world.now, call, outcome, &value);
-                let served = outcome == Ok && self.open.contains_key(&id);
-                if served {
-                    self.answer(id, Answer::Served(value));
-                }
-                let last = !self.open.contains_key(&id);
-                let latency = self.world.now - sent;
-                self.feed(Event::AttemptEnd(AttemptEnd {
-                    id,
-                    attempt,
-                    server,
-                    latency,
-                    last,
-                    outcome,
-                    report: vec![],
-                }));
-            }
-            Step::Leave { pick } => {
-                let ids: Vec<RequestId> = self.open.keys().copied().collect();
-                if let Some(id) = ids.get(pick % ids.len().max(1)) {
-                    self.open.remove(id);
-                    self.tape.write(self.world.now, HistoryEvent::Left { request: id.to_string() });
-                    self.feed(Event::ClientGone(*id));
-                }
-            }
+            Step::Arrive { class, key, budget, write } => self.arrive(class, key, budget, write),
+            Step::End { pick, outcome } => self.end(pick, outcome),
+            Step::Leave { pick } => self.leave(pick),
             Step::Change { server, state, restart } => {
                 let state = [State::Gone, State::Ready, State::Draining][usize::from(state)];
                 let started = if restart { self.world.now } else { 0.0 };
                 self.tell(ListForm::Delta, vec![Member { state, started, ..member(server) }]);
             }
-            Step::Whole { mask, form } => {
+            Step::CompleteList { mask, form } => {
                 let list: Vec<Member> = (1..6).filter(|id| mask >> id & 1 == 1).map(member).collect();
                 self.tell([ListForm::Full, ListForm::Cached][usize::from(form)], list);
             }
-            Step::Retune { shift, most } => {
-                self.shift = shift;
-                self.put_in_force(most as usize);
-                let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
-                settings.classes.rotate_left(usize::from(shift));
-                settings.limits.max_attempts = most;
-                self.world.balancer.retune(settings);
-            }
+            Step::Retune { shift, most } => self.retune(shift, most),
             Step::ListFailed => self.feed(Event::Members { form: ListForm::Failed, members: vec![] }),
         }
     }
+
+    fn arrive(&mut self, class: u8, key: Key, budget: f64, write: bool) {
+        let id = self.next;
+        self.next += 1;
+        self.open.insert(id, 0);
+        let class_name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
+        let request = id.to_string();
+        let asked = HistoryEvent::Asked { proxy: PROXY.into(), request, class: class_name, budget };
+        self.recorder.record(self.world.now, asked);
+        let hint = (!key.is_multiple_of(3)).then_some(10.0 * key as f64);
+        self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
+    }
+
+    fn end(&mut self, pick: usize, outcome: u8) {
+        if self.out.is_empty() {
+            return;
+        }
+        let attempt = self.out.remove(pick % self.out.len());
+        let id = attempt.id;
+        let outcome = OUTCOMES[usize::from(outcome)];
+        let value = format!("{id} {}", attempt.ordinal);
+        self.recorder.record_end(self.world.now, attempt.number, outcome, &value);
+        if outcome == Outcome::Ok && self.open.contains_key(&id) {
+            self.answer(id, Answer::Served(value));
+        }
+        self.feed(Event::AttemptEnd(AttemptEnd {
+            id,
+            attempt: attempt.ordinal,
+            server: attempt.server,
+            latency: self.world.now - attempt.sent,
+            last: !self.open.contains_key(&id),
+            outcome,
+            report: vec![],
+        }));
+    }
+
+    fn leave(&mut self, pick: usize) {
+        let ids: Vec<RequestId> = self.open.keys().copied().collect();
+        if let Some(id) = ids.get(pick % ids.len().max(1)) {
+            self.open.remove(id);
+            self.recorder.record(self.world.now, HistoryEvent::Left { request: id.to_string() });
+            self.feed(Event::ClientGone(*id));
+        }
+    }
+
+    fn retune(&mut self, shift: u8, most: u32) {
+        self.shift = shift;
+        self.record_active_settings(most as usize);
+        let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
+        settings.classes.rotate_left(usize::from(shift));
+        settings.limits.max_attempts = most;
+        self.world.balancer.retune(settings);
+    }
 }
 
 #[test]
@@ -202,14 +231,14 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = prop::collection::vec(step(), 1..150);
     let result = runner.run(&steps, |steps| {
-        let mut player = Player::new();
+        let mut proxy = RecordedProxy::new();
         for step in &steps {
-            player.play(step);
+            proxy.apply(step);
         }
-        player.wait(1000.0);
+        proxy.wait(1000.0);
         // The recording goes on until everybody's time is over.
-        player.tape.tell(player.world.now, PROXY, false, &[]);
-        let history = player.tape.history();
+        proxy.recorder.record_list(proxy.world.now, PROXY, false, &[]);
+        let history = proxy.recorder.history();
         match check(&history) {
             Ok(breaches) => prop_assert!(breaches.is_empty(), "{}", breaches[0]),
             Err(error) => prop_assert_eq!(error, CheckError::NoRequest, "it is whole"),
