--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -25,16 +25,16 @@
     /// How many of ten nodes are replaced, one after the other, within how long.
     replaced: u32,
     within: Time,
-    /// The share of the fleet's capacity that is asked for.
+    /// The share of the fleet's capacity that is requested.
     busy: f64,
     /// The share of requests that name one of a few keys, and how many these are.
     hot: f64,
     hot_keys: Key,
-    /// How long a node takes for an answer at most.
+    /// How long a node takes for a response at most.
     latency: Time,
-    /// Whether nodes lack what they were not asked for before, and an origin has it.
+    /// Whether nodes miss what they were not asked for before, and an origin has it.
     aside: bool,
-    /// The share of calls that fail.
+    /// The share of attempts that fail.
     fails: f64,
 }
 
@@ -81,7 +81,7 @@
     order: u64,
     balancers: Vec<Balancer>,
     attempts: BTreeMap<(usize, RequestId), u8>,
-    /// The keys of those asked for, where each missed, and what each node holds.
+    /// The key of each request, where it missed, and what each node holds.
     keys: BTreeMap<RequestId, Key>,
     missed: BTreeMap<RequestId, Vec<ServerId>>,
     holds: BTreeSet<(ServerId, Key)>,
@@ -227,7 +227,8 @@
         }
     }
 
-    /// The most that any cold node was sent beyond its budget in any span, over what chance may add: above 1 is too much.
+    /// The most that any cold node was sent beyond its budget in any span, over what chance may
+    /// add: above 1 is too much.
     fn worst(&self) -> f64 {
         let scenario = &self.scenario;
         let mut worst = 0.0f64;
@@ -261,7 +262,8 @@
         SCENARIO,
         Scenario { proxies: 20, ..SCENARIO },
         Scenario { proxies: 300, ..SCENARIO },
-        // Few proxies see gaps between loads, and send all that looks for the least loaded to who is idle.
+        // Few proxies see gaps between loads, and send all that looks for the least loaded to an
+        // idle node.
         Scenario { proxies: 1, latency: 300.0, ..SCENARIO },
         Scenario { proxies: 3, latency: 300.0, ..SCENARIO },
         Scenario { proxies: 3, replaced: 1, latency: 300.0, busy: 0.95, ..SCENARIO },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A small hand-driven world for one balancer.
+//! A harness that drives one balancer by hand, and settings for it. Read [`BalancerHarness`] first.
 #![allow(dead_code)]
 
 pub(crate) mod fleet;
@@ -14,10 +14,10 @@
 pub(crate) const KEYED_ZONE: u8 = 2;
 pub(crate) const KEYED_CELL: u8 = 3;
 pub(crate) const UNSAFE: u8 = 4;
-/// Their names, by their numbers.
+/// The names of the classes, by their numbers.
 pub(crate) const CLASSES: [&str; 5] = ["safe", "keyed all", "keyed zone", "keyed cell", "unsafe"];
 
-pub(crate) fn settings_json(aside: bool) -> String {
+pub(crate) fn settings_json(with_origin: bool) -> String {
     let class = |effect: &str, scope: &str| {
         format!(
             r#"{{"Aim":400.0,"GiveUp":1000.0,"Worth":1.0,"Semantics":"{effect}","DedupScope":"{scope}","RepeatWindow":300.0}}"#
@@ -34,7 +34,7 @@
         class("keyed", "zone"),
         class("keyed", "cell"),
         class("unsafe", "all"),
-        if aside { 1 } else { -1 }
+        if with_origin { 1 } else { -1 }
     )
 }
 
@@ -54,39 +54,55 @@
     Request { id, class: SAFE, tenant: 0, key, budget: 800.0, hint: Some(10.0), repeat: false, write: false }
 }
 
-pub(crate) struct World {
+/// One balancer and its clock.
+pub(crate) struct BalancerHarness {
     pub balancer: Balancer,
     pub now: Time,
 }
 
-impl World {
-    /// A world with servers 1 to `servers` and, in aside mode, an origin.
-    pub(crate) fn new(aside: bool, servers: u32) -> World {
-        let settings = Settings::from_json(settings_json(aside).as_bytes()).expect("the settings are legal");
-        let mut world = World { balancer: Balancer::new(settings, 7), now: 100_000.0 };
+impl BalancerHarness {
+    /// A balancer that knows the cache nodes 1 to `servers` and an origin.
+    pub(crate) fn with_origin(servers: u32) -> BalancerHarness {
+        BalancerHarness::new(true, servers)
+    }
+
+    /// A balancer that knows the cache nodes 1 to `servers`, which fetch by themselves.
+    pub(crate) fn without_origin(servers: u32) -> BalancerHarness {
+        BalancerHarness::new(false, servers)
+    }
+
+    fn new(with_origin: bool, servers: u32) -> BalancerHarness {
+        let settings =
+            Settings::from_json(settings_json(with_origin).as_bytes()).expect("the settings are legal");
+        let mut harness = BalancerHarness { balancer: Balancer::new(settings, 7), now: 100_000.0 };
         let mut list: Vec<Member> = (1..=servers).map(member).collect();
-        if aside {
+        if with_origin {
             list.push(member(ORIGIN));
         }
-        world.event(Event::Members { form: ListForm::Full, members: list });
-        world
+        harness.event(Event::Members { form: ListForm::Full, members: list });
+        harness
     }
 
     /// One of 200 proxies, without an origin.
-    pub(crate) fn numbered(number: u32, servers: u32) -> World {
-        World::numbered_with(number, servers, |json| json)
+    pub(crate) fn numbered(number: u32, servers: u32) -> BalancerHarness {
+        BalancerHarness::numbered_with(number, servers, |json| json)
     }
 
     /// The same with its settings changed.
-    pub(crate) fn numbered_with(number: u32, servers: u32, change: impl Fn(String) -> String) -> World {
+    pub(crate) fn numbered_with(
+        number: u32,
+        servers: u32,
+        change: impl Fn(String) -> String,
+    ) -> BalancerHarness {
         let json = change(
             settings_json(false)
                 .replace(r#""GroupSize":3"#, &format!(r#""GroupSize":200,"MyNumber":{number}"#)),
         );
         let settings = Settings::from_json(json.as_bytes()).expect("the settings are legal");
-        let mut world = World { balancer: Balancer::new(settings, u64::from(number)), now: 100_000.0 };
-        world.event(Event::Members { form: ListForm::Full, members: (1..=servers).map(member).collect() });
-        world
+        let mut harness =
+            BalancerHarness { balancer: Balancer::new(settings, u64::from(number)), now: 100_000.0 };
+        harness.event(Event::Members { form: ListForm::Full, members: (1..=servers).map(member).collect() });
+        harness
     }
 
     /// Serves many keys once each, so that no key counts as a large share of the traffic.
@@ -152,7 +168,7 @@
         self.event(Event::Timer(token))
     }
 
-    /// Sends a read of `key` that is served at once; the server that took it.
+    /// Sends a read of `key` that is served at once; the backend that took it.
     pub(crate) fn served(&mut self, id: RequestId, key: Key) -> ServerId {
         let server = sent(&self.request(read(id, key))).expect("the read is sent").1;
         self.end(id, 0, server, Outcome::Ok);
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -1,4 +1,4 @@
-//! Hundreds of proxies that do not talk, each with little traffic: what they do together.
+//! Hundreds of proxies that do not communicate, each with little traffic: what they do together.
 
 mod common;
 
@@ -7,21 +7,22 @@
 
 #[test]
 fn a_cold_backend_gets_half_of_its_collapse_load_from_all_proxies_together() {
-    // Danger: a first request that is free for each proxy is hundreds of them for the server.
+    // Danger: a first request that is free for each proxy is hundreds of them for the backend.
     let (mut cold, mut warm) = (0, 0);
     for number in 0..300 {
-        let mut world = World::numbered(number, 8);
-        world.learns_that_keys_are_many();
-        let started = world.now;
-        world.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(3) }] });
+        let mut harness = BalancerHarness::numbered(number, 8);
+        harness.learns_that_keys_are_many();
+        let started = harness.now;
+        harness
+            .event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(3) }] });
         for n in 0..20 {
-            match world.served(n + 1, u64::from(number) * 100 + n + 1) {
+            match harness.served(n + 1, u64::from(number) * 100 + n + 1) {
                 3 => cold += 1,
                 _ => warm += 1,
             }
         }
     }
-    // Start capacity 0.2, multiple 3: 0.3 of a warm server's share at first.
+    // Start capacity 0.2, multiple 3: 0.3 of a warm backend's share at first.
     let share = f64::from(cold) / (f64::from(warm) / 7.0);
     assert!((0.15..0.4).contains(&share), "{cold} {warm}");
 }
@@ -30,14 +31,14 @@
 fn when_the_whole_fleet_is_cold_it_gets_no_more_than_its_share_either() {
     let mut sent_now = 0;
     for number in 0..300 {
-        let mut world = World::numbered(number, 0);
-        let started = world.now;
+        let mut harness = BalancerHarness::numbered(number, 0);
+        let started = harness.now;
         let list = (1..=8).map(|id| Member { started, ..member(id) }).collect();
-        world.event(Event::Members { form: ListForm::Full, members: list });
+        harness.event(Event::Members { form: ListForm::Full, members: list });
         for n in 1..=10 {
-            if let Some((id, server)) = sent(&world.request(read(n, u64::from(number) * 100 + n))) {
+            if let Some((id, server)) = sent(&harness.request(read(n, u64::from(number) * 100 + n))) {
                 sent_now += 1;
-                world.end(id, 0, server, Outcome::Ok);
+                harness.end(id, 0, server, Outcome::Ok);
             }
         }
     }
@@ -48,14 +49,14 @@
 fn retries_of_all_proxies_together_are_bounded_when_everything_fails() {
     let (mut first, mut again) = (0, 0);
     for number in 0..300 {
-        let mut world = World::numbered(number, 10);
+        let mut harness = BalancerHarness::numbered(number, 10);
         for id in 1..=10 {
-            world.now += 1000.0;
-            let mut actions = world.request(read(id, id));
+            harness.now += 1000.0;
+            let mut actions = harness.request(read(id, id));
             first += sends(&actions).len();
             for attempt in 0..4 {
                 let Some((_, server)) = sent(&actions) else { break };
-                actions = world.end(id, attempt, server, Outcome::Error);
+                actions = harness.end(id, attempt, server, Outcome::Error);
                 again += sends(&actions).len();
             }
         }
@@ -65,7 +66,7 @@
 
 #[test]
 fn a_restarted_proxy_with_only_its_cached_list_sends_keys_where_it_did() {
-    let (mut before, mut after) = (World::numbered(7, 20), World::numbered(7, 0));
+    let (mut before, mut after) = (BalancerHarness::numbered(7, 20), BalancerHarness::numbered(7, 0));
     after.event(Event::Members { form: ListForm::Cached, members: (1..=20).map(member).collect() });
     before.learns_that_keys_are_many();
     after.learns_that_keys_are_many();
@@ -76,10 +77,10 @@
 #[test]
 fn a_response_overdue_by_half_the_objective_lowers_admission_at_once() {
     // Danger: the end of a slow attempt tells of it seconds late, deep into a burst.
-    let mut world = World::numbered(1, 10);
+    let mut harness = BalancerHarness::numbered(1, 10);
     let mut overdue = vec![];
     for id in 1..=15 {
-        let actions = world.request(read(id, id));
+        let actions = harness.request(read(id, id));
         let patience = |a: &Action| {
             if let Action::SetRequestTimer { delay: 200.0, token, .. } = a {
                 Some(*token)
@@ -90,29 +91,31 @@
         overdue.extend(actions.iter().find_map(patience));
     }
     assert_eq!(overdue.len(), 15);
-    world.now += 200.0;
+    harness.now += 200.0;
     for token in overdue {
-        world.event(Event::Timer(token));
+        harness.event(Event::Timer(token));
     }
-    let let_in = (100..300).filter(|id| finals(&world.request(read(*id, *id))).is_empty()).count();
-    assert!(let_in < 40, "{let_in} of 200");
+    let admitted = (100..300).filter(|id| finals(&harness.request(read(*id, *id))).is_empty()).count();
+    assert!(admitted < 40, "{admitted} of 200");
 }
 
 #[test]
 fn a_request_of_higher_worth_is_admitted_more_often() {
-    let mut world = World::numbered_with(1, 10, |json| json.replacen(r#""Worth":1.0"#, r#""Worth":5.0"#, 1));
+    let mut harness =
+        BalancerHarness::numbered_with(1, 10, |json| json.replacen(r#""Worth":1.0"#, r#""Worth":5.0"#, 1));
     let cheap = |id| Request { class: KEYED_ALL, ..read(id, id) };
     for id in 1..=60 {
-        world.now += 300.0;
-        if let Some((id, server)) = sent(&world.request(read(id, id))) {
-            world.end_after(id, 0, server, Outcome::Ok, [10.0, 390.0, 390.0][id as usize % 3]);
+        harness.now += 300.0;
+        if let Some((id, server)) = sent(&harness.request(read(id, id))) {
+            harness.end_after(id, 0, server, Outcome::Ok, [10.0, 390.0, 390.0][id as usize % 3]);
         }
     }
-    // The servers answer no more: what is let in now is decided by the share alone.
+    // The backends answer no more: what is admitted now follows from the admission probability
+    // alone.
     let (mut dear, mut poor) = (0, 0);
     for id in (1000..1600).step_by(2) {
-        dear += usize::from(finals(&world.request(read(id, id))).is_empty());
-        poor += usize::from(finals(&world.request(cheap(id + 1))).is_empty());
+        dear += usize::from(finals(&harness.request(read(id, id))).is_empty());
+        poor += usize::from(finals(&harness.request(cheap(id + 1))).is_empty());
     }
     assert!(dear > poor + 30, "{dear} at worth 5, {poor} at worth 1");
 }
@@ -125,8 +128,8 @@
                 .replace(r#""MyNumber":0"#, &format!(r#""MyNumber":{number}"#))
         };
         for servers in [0, 1, 5] {
-            let mut world = World::numbered_with(0, servers, ids);
-            let arrivals: Vec<_> = (1..20).map(|id| world.request(read(id, id))).collect();
+            let mut harness = BalancerHarness::numbered_with(0, servers, ids);
+            let arrivals: Vec<_> = (1..20).map(|id| harness.request(read(id, id))).collect();
             let sent_now = arrivals.iter().filter(|actions| sent(actions).is_some()).count();
             assert_eq!(sent_now > 0, servers > 0, "{size} {number} {servers}");
         }
@@ -140,14 +143,14 @@
     for (slow, latency) in [(0, 10.0), (1, 399.0)] {
         for number in 0..100 {
             let aside = |json: String| json.replace(r#""OriginKind":-1"#, r#""OriginKind":1"#);
-            let mut world = World::numbered_with(number, 8, aside);
-            world.event(Event::Members { form: ListForm::Delta, members: vec![member(ORIGIN)] });
+            let mut harness = BalancerHarness::numbered_with(number, 8, aside);
+            harness.event(Event::Members { form: ListForm::Delta, members: vec![member(ORIGIN)] });
             for id in 1..=30 {
-                world.now += 500.0;
-                let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
-                if sent(&world.end(id, 0, server, Outcome::Miss)) == Some((id, ORIGIN)) {
+                harness.now += 500.0;
+                let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
+                if sent(&harness.end(id, 0, server, Outcome::Miss)) == Some((id, ORIGIN)) {
                     fetched[slow] += 1;
-                    world.end_after(id, 1, ORIGIN, Outcome::Ok, latency);
+                    harness.end_after(id, 1, ORIGIN, Outcome::Ok, latency);
                 }
             }
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -1,4 +1,5 @@
-//! Each condition under which the module sends, repeats or refuses, where nothing else would notice that it is gone.
+//! Each condition under which the module sends, retries or rejects, where nothing else would notice
+//! that it is gone.
 //! `docs/release-review.md` has the table.
 
 mod common;
@@ -6,69 +7,71 @@
 use common::*;
 use pinetrail::interface::*;
 
-/// Guards against a call sent for a client that has given up: after a process stood still its timers come after what else
-/// had been waiting.
+/// Guards against an attempt for a client that has given up: after a process was stopped its timers
+/// fire after what else had been waiting.
 #[test]
 fn nothing_is_sent_after_the_deadline_though_its_timer_has_not_fired() {
-    let mut world = World::new(false, 4);
-    let (_, server) = sent(&world.request(read(1, 5))).unwrap();
-    world.now += 801.0;
-    let late = world.end(1, 0, server, Outcome::Full);
+    let mut harness = BalancerHarness::without_origin(4);
+    let (_, server) = sent(&harness.request(read(1, 5))).unwrap();
+    harness.now += 801.0;
+    let late = harness.end(1, 0, server, Outcome::Full);
     assert!(sends(&late).is_empty() && finals(&late).len() == 1, "{late:?}");
 }
 
-/// Guards against two calls at once, whatever is told of a call that never was or has ended before.
+/// Guards against two attempts at once, after the end of one that never was or has ended before.
 #[test]
 fn an_end_of_an_unknown_attempt_starts_none_beside_the_one_in_flight() {
-    let mut world = World::new(false, 4);
-    let (_, first) = sent(&world.request(read(1, 5))).unwrap();
+    let mut harness = BalancerHarness::without_origin(4);
+    let (_, first) = sent(&harness.request(read(1, 5))).unwrap();
     for attempt in [1, 7, 255] {
-        assert!(world.end(1, attempt, first, Outcome::Full).is_empty(), "{attempt} never was");
+        assert!(harness.end(1, attempt, first, Outcome::Full).is_empty(), "{attempt} never was");
     }
-    let (_, second) = sent(&world.end(1, 0, first, Outcome::Full)).unwrap();
+    let (_, second) = sent(&harness.end(1, 0, first, Outcome::Full)).unwrap();
     for outcome in [Outcome::Full, Outcome::Error, Outcome::Miss] {
-        assert!(world.end(1, 0, first, outcome).is_empty(), "it has ended already");
+        assert!(harness.end(1, 0, first, outcome).is_empty(), "it has ended already");
     }
-    assert!(!world.end(1, 1, second, Outcome::Full).is_empty(), "the one that was out counts");
+    assert!(!harness.end(1, 1, second, Outcome::Full).is_empty(), "the one that was in flight counts");
 }
 
-/// Guards against a request that is sent twice at once: an end told again while it waits for a fetch.
+/// Guards against a request that is sent twice at once: a repeated end while it waits for a fetch.
 #[test]
 fn a_repeated_end_of_a_waiting_request_changes_nothing() {
-    let mut world = World::new(true, 3);
-    let (_, home) = sent(&world.request(read(1, 5))).unwrap();
-    assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
-    assert_eq!(sent(&world.end(1, 0, home, Outcome::Miss)), Some((1, ORIGIN)));
+    let mut harness = BalancerHarness::with_origin(3);
+    let (_, home) = sent(&harness.request(read(1, 5))).unwrap();
+    assert_eq!(sent(&harness.request(read(2, 5))), Some((2, home)));
+    assert_eq!(sent(&harness.end(1, 0, home, Outcome::Miss)), Some((1, ORIGIN)));
     for _ in 0..3 {
-        assert!(sends(&world.end(2, 0, home, Outcome::Miss)).is_empty());
+        assert!(sends(&harness.end(2, 0, home, Outcome::Miss)).is_empty());
     }
-    assert_eq!(sends(&world.end(1, 1, ORIGIN, Outcome::Ok)), [(2, home)]);
+    assert_eq!(sends(&harness.end(1, 1, ORIGIN, Outcome::Ok)), [(2, home)]);
 }
 
-/// Guards against a repeat that arrives a moment after the window: what is sent within the last tick comes later.
+/// Guards against a retry that arrives just after the deduplication window: what is sent within the
+/// last tick arrives later.
 #[test]
 fn the_dedup_window_ends_a_tick_early() {
     for (passed, again) in [(298.0, true), (299.5, false)] {
-        let mut world = World::new(false, 4);
+        let mut harness = BalancerHarness::without_origin(4);
         let request = Request { class: KEYED_ALL, ..read(1, 5) };
-        let (_, first) = sent(&world.request(request)).unwrap();
-        world.now += passed;
-        let end = world.end(1, 0, first, Outcome::Error);
+        let (_, first) = sent(&harness.request(request)).unwrap();
+        harness.now += passed;
+        let end = harness.end(1, 0, first, Outcome::Error);
         assert_eq!(!sends(&end).is_empty(), again, "after {passed} ms: {end:?}");
         assert_eq!(finals(&end), if again { vec![] } else { vec![&Action::Fail(1)] });
     }
 }
 
-/// Guards against a request that runs twice by way of the origin: it is in no group but its own.
+/// Guards against a request that runs twice by way of the origin: it is in no deduplication scope
+/// but its own.
 #[test]
 fn a_miss_after_an_attempt_that_may_have_run_goes_to_the_origin_only_within_the_dedup_scope() {
     let mut seen = [false; 2];
     for key in 1..60 {
-        let mut world = World::new(true, 6);
+        let mut harness = BalancerHarness::with_origin(6);
         let request = Request { class: KEYED_ZONE, ..read(1, key) };
-        let (_, first) = sent(&world.request(request)).unwrap();
-        let (_, second) = sent(&world.end(1, 0, first, Outcome::Reset)).unwrap();
-        let after = world.end(1, 1, second, Outcome::Miss);
+        let (_, first) = sent(&harness.request(request)).unwrap();
+        let (_, second) = sent(&harness.end(1, 0, first, Outcome::Reset)).unwrap();
+        let after = harness.end(1, 1, second, Outcome::Miss);
         let together = member(first).zone == member(ORIGIN).zone;
         assert_eq!(sent(&after), together.then_some((1, ORIGIN)), "key {key}: {after:?}");
         assert!(together || finals(&after) == [&Action::Fail(1)]);
@@ -77,80 +80,83 @@
     assert_eq!(seen, [true; 2], "both kinds came up");
 }
 
-/// Guards against a node that is left alone for good though it is well again.
+/// Guards against a node that stays ejected for good though it is healthy again.
 #[test]
 fn an_outlier_gets_trials_and_serves_again_once_it_answers() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     let mut ill = true;
     let mut served = 0;
     for id in 1..8000 {
-        world.now += 1.0;
+        harness.now += 1.0;
         ill &= id < 2000;
-        let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
+        let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
         let fails = server == 3 && ill;
         served += usize::from(server == 3 && !ill);
-        for (id, server) in sends(&world.end(id, 0, server, if fails { Outcome::Error } else { Outcome::Ok }))
+        for (id, server) in
+            sends(&harness.end(id, 0, server, if fails { Outcome::Error } else { Outcome::Ok }))
         {
-            world.end(id, 1, server, Outcome::Ok);
+            harness.end(id, 1, server, Outcome::Ok);
         }
     }
     assert!(served > 200, "{served} of about 1000 in the last seconds");
 }
 
-/// Guards against a waiter led past the node where the value is: that it missed there was no fault of the node.
+/// Guards against a waiter led past the node where the value is: that it missed there was no fault
+/// of the node.
 #[test]
 fn a_waiter_that_missed_at_a_node_finds_the_value_there() {
-    let mut world = World::new(true, 3);
-    let (_, home) = sent(&world.request(read(1, 5))).unwrap();
-    assert_eq!(sent(&world.request(read(2, 5))), Some((2, home)));
-    assert_eq!(sent(&world.end(1, 0, home, Outcome::Miss)), Some((1, ORIGIN)));
-    assert!(sends(&world.end(2, 0, home, Outcome::Miss)).is_empty(), "it waits for the fetch");
-    assert_eq!(sends(&world.end(1, 1, ORIGIN, Outcome::Ok)), [(2, home)]);
+    let mut harness = BalancerHarness::with_origin(3);
+    let (_, home) = sent(&harness.request(read(1, 5))).unwrap();
+    assert_eq!(sent(&harness.request(read(2, 5))), Some((2, home)));
+    assert_eq!(sent(&harness.end(1, 0, home, Outcome::Miss)), Some((1, ORIGIN)));
+    assert!(sends(&harness.end(2, 0, home, Outcome::Miss)).is_empty(), "it waits for the fetch");
+    assert_eq!(sends(&harness.end(1, 1, ORIGIN, Outcome::Ok)), [(2, home)]);
 }
 
-/// Guards against quick rejections that become a hammer: at its last place a node rests after a cut.
+/// Guards against quick rejections that become a hammer: at a limit of one a node rests after a
+/// decrease.
 #[test]
 fn a_node_at_a_limit_of_one_rests_after_a_decrease() {
-    // One of 200 has one place at each node.
-    let mut world = World::numbered(1, 1);
-    let (_, server) = sent(&world.request(read(1, 1))).unwrap();
-    world.event(Event::ClientGone(1));
-    world.end(1, 0, server, Outcome::Full);
-    world.now += 50.0;
-    assert!(sends(&world.request(read(2, 2))).is_empty());
-    world.now += 51.0;
-    assert!(!sends(&world.event(Event::Timer(4 << 60))).is_empty(), "the one that was held goes");
+    // One of 200 proxies has a limit of one at each node.
+    let mut harness = BalancerHarness::numbered(1, 1);
+    let (_, server) = sent(&harness.request(read(1, 1))).unwrap();
+    harness.event(Event::ClientGone(1));
+    harness.end(1, 0, server, Outcome::Full);
+    harness.now += 50.0;
+    assert!(sends(&harness.request(read(2, 2))).is_empty());
+    harness.now += 51.0;
+    assert!(!sends(&harness.event(Event::Timer(4 << 60))).is_empty(), "the one that was queued goes");
 }
 
-/// Guards against a request that waits for room when there is nothing more that may be done for it.
+/// Guards against a request that waits for capacity when nothing more may be done for it.
 #[test]
 fn a_queued_request_past_its_dedup_window_fails_though_no_node_has_capacity() {
-    let mut world = World::new(false, 1);
+    let mut harness = BalancerHarness::without_origin(1);
     let request = Request { class: KEYED_ALL, ..read(1, 5) };
-    let (_, server) = sent(&world.request(request)).unwrap();
+    let (_, server) = sent(&harness.request(request)).unwrap();
     for id in 100..120 {
-        world.request(read(id, id));
+        harness.request(read(id, id));
     }
-    world.now += 200.0;
-    // So slow an end cuts the limit: there is no room for another call.
-    let end = world.end_after(1, 0, server, Outcome::Error, 200.0);
-    assert!(end.iter().all(|action| matches!(action, Action::SetTimer { .. })), "held: {end:?}");
-    world.now += 110.0;
-    // The window has passed: the next look ends it.
-    assert!(finals(&world.event(Event::Timer(4 << 60))).contains(&&Action::Fail(1)));
+    harness.now += 200.0;
+    // So slow an end decreases the limit: there is no capacity for another attempt.
+    let end = harness.end_after(1, 0, server, Outcome::Error, 200.0);
+    assert!(end.iter().all(|action| matches!(action, Action::SetTimer { .. })), "queued: {end:?}");
+    harness.now += 110.0;
+    // The deduplication window has passed: the next dispatch of the queue ends it.
+    assert!(finals(&harness.event(Event::Timer(4 << 60))).contains(&&Action::Fail(1)));
 }
 
-/// Guards against a budget for repeats that is spent on what may not be repeated.
+/// Guards against a retry budget that is spent on what may not be retried.
 #[test]
 fn a_request_that_is_not_idempotent_costs_no_retry_budget() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     for id in 1..40 {
-        let (_, server) = sent(&world.request(Request { class: UNSAFE, ..read(id, id) })).unwrap();
-        assert_eq!(finals(&world.end(id, 0, server, Outcome::Error)), [&Action::Fail(id)]);
-        world.now += 300.0;
+        let (_, server) = sent(&harness.request(Request { class: UNSAFE, ..read(id, id) })).unwrap();
+        assert_eq!(finals(&harness.end(id, 0, server, Outcome::Error)), [&Action::Fail(id)]);
+        harness.now += 300.0;
     }
     for id in 100..105 {
-        let (_, server) = sent(&world.request(read(id, id))).unwrap();
-        assert_eq!(sends(&world.end(id, 0, server, Outcome::Error)).len(), 1, "{id}");
+        let (_, server) = sent(&harness.request(read(id, id))).unwrap();
+        assert_eq!(sends(&harness.end(id, 0, server, Outcome::Error)).len(), 1, "{id}");
     }
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,4 +1,4 @@
-//! The ordinary path of HyLARD, and the exceptions to it.
+//! The ordinary path of HyLARD, and the exceptions to it. The paper's M is a load gap of 4.
 
 mod common;
 
@@ -7,33 +7,34 @@
 
 #[test]
 fn a_small_key_keeps_to_its_set_while_loads_are_close() {
-    let mut world = World::new(false, 6);
-    let home = world.served(1, 5);
+    let mut harness = BalancerHarness::without_origin(6);
+    let home = harness.served(1, 5);
     for id in 2..20 {
-        assert_eq!(world.served(id, 5), home);
+        assert_eq!(harness.served(id, 5), home);
     }
 }
 
 #[test]
 fn a_set_grows_on_a_load_gap_of_four_and_then_uses_its_least_loaded_member() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     let mut hosts = vec![];
     for id in 1..=5 {
-        hosts.push(sent(&world.request(read(id, 5))).unwrap().1);
+        hosts.push(sent(&harness.request(read(id, 5))).unwrap().1);
     }
     assert_eq!(hosts[..4], [hosts[0]; 4], "three in flight are no gap of four");
     assert_ne!(hosts[4], hosts[0], "four in flight are");
-    // Home has four in flight, the second member one: under M apart, so home again, then the second.
-    assert_eq!(sent(&world.request(read(6, 5))).unwrap().1, hosts[0]);
-    assert_eq!(sent(&world.request(read(7, 5))).unwrap().1, hosts[4], "the set's least loaded member");
+    // Home has four in flight, the second member one: less than M
+    // apart, so home again, then the second.
+    assert_eq!(sent(&harness.request(read(6, 5))).unwrap().1, hosts[0]);
+    assert_eq!(sent(&harness.request(read(7, 5))).unwrap().1, hosts[4], "the set's least loaded member");
 }
 
 /// Lets a key's set grow to two members; the home and the second.
-fn grown(world: &mut World, key: Key) -> (ServerId, ServerId) {
+fn grown(harness: &mut BalancerHarness, key: Key) -> (ServerId, ServerId) {
     let hosts: Vec<ServerId> =
-        (1..=5).map(|n| sent(&world.request(read(key * 10 + n, key))).unwrap().1).collect();
+        (1..=5).map(|n| sent(&harness.request(read(key * 10 + n, key))).unwrap().1).collect();
     for (host, n) in hosts.iter().zip(1..) {
-        world.end(key * 10 + n, 0, *host, Outcome::Ok);
+        harness.end(key * 10 + n, 0, *host, Outcome::Ok);
     }
     assert_ne!(hosts[0], hosts[4]);
     (hosts[0], hosts[4])
@@ -41,72 +42,77 @@
 
 /// Whether the second member of a key's set is still known: then one request in flight there keeps
 /// the fifth of five at home, since the set's least loaded member is no gap of M above the fleet's.
-fn second_is_known(world: &mut World, key: Key, (home, second): (ServerId, ServerId), from: u64) -> bool {
-    let other = (1..).find(|n| world.served(from + n, from + n) == second).unwrap();
-    let taken = sent(&world.request(read(from, from + other))).unwrap().1;
+fn second_is_known(
+    harness: &mut BalancerHarness,
+    key: Key,
+    (home, second): (ServerId, ServerId),
+    from: u64,
+) -> bool {
+    let other = (1..).find(|n| harness.served(from + n, from + n) == second).unwrap();
+    let taken = sent(&harness.request(read(from, from + other))).unwrap().1;
     assert_eq!(taken, second);
     let hosts: Vec<ServerId> =
-        (1..=5).map(|n| sent(&world.request(read(from + 500_000 + n, key))).unwrap().1).collect();
+        (1..=5).map(|n| sent(&harness.request(read(from + 500_000 + n, key))).unwrap().1).collect();
     for (host, n) in hosts.iter().zip(1..) {
-        world.end(from + 500_000 + n, 0, *host, Outcome::Ok);
+        harness.end(from + 500_000 + n, 0, *host, Outcome::Ok);
     }
-    world.end(from, 0, second, Outcome::Ok);
+    harness.end(from, 0, second, Outcome::Ok);
     assert_eq!(hosts[..4], [home; 4]);
     hosts[4] == home
 }
 
 #[test]
 fn a_set_that_is_unchanged_for_a_minute_drops_a_member() {
-    let mut world = World::new(false, 6);
-    world.learns_that_keys_are_many();
-    let set = grown(&mut world, 5);
-    assert!(second_is_known(&mut world, 5, set, 1_000_000));
-    world.now += 60_001.0;
-    assert_eq!(world.served(900, 5), set.0);
-    assert!(!second_is_known(&mut world, 5, set, 2_000_000));
+    let mut harness = BalancerHarness::without_origin(6);
+    harness.learns_that_keys_are_many();
+    let set = grown(&mut harness, 5);
+    assert!(second_is_known(&mut harness, 5, set, 1_000_000));
+    harness.now += 60_001.0;
+    assert_eq!(harness.served(900, 5), set.0);
+    assert!(!second_is_known(&mut harness, 5, set, 2_000_000));
 }
 
 #[test]
 fn a_large_key_stays_on_one_backend_whatever_its_load() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     for id in 1..100 {
-        assert_ne!(world.served(id, id), 0);
+        assert_ne!(harness.served(id, id), 0);
     }
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
-    let home = sent(&world.request(large(1000))).unwrap().1;
+    let home = sent(&harness.request(large(1000))).unwrap().1;
     for id in 1001..1006 {
-        assert_eq!(sent(&world.request(large(id))).unwrap().1, home);
+        assert_eq!(sent(&harness.request(large(id))).unwrap().1, home);
     }
 }
 
 #[test]
 fn a_hot_large_key_overflows_while_its_backend_is_full_and_returns_after() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     for id in 1..100 {
-        assert_ne!(world.served(id, id), 0);
+        assert_ne!(harness.served(id, id), 0);
     }
     let large = |id| Request { hint: Some(500.0), ..read(id, 7777) };
-    let home = sent(&world.request(large(1000))).unwrap().1;
+    let home = sent(&harness.request(large(1000))).unwrap().1;
     let hosts: Vec<ServerId> =
-        (1001..1030).map(|id| sent(&world.request(large(id))).map_or(0, |s| s.1)).collect();
+        (1001..1030).map(|id| sent(&harness.request(large(id))).map_or(0, |s| s.1)).collect();
     assert!(hosts.iter().any(|host| *host != home && *host != 0), "{hosts:?}");
-    world.end(1000, 0, home, Outcome::Ok);
-    assert_eq!(sent(&world.request(large(2000))).unwrap().1, home);
+    harness.end(1000, 0, home, Outcome::Ok);
+    assert_eq!(sent(&harness.request(large(2000))).unwrap().1, home);
 }
 
 #[test]
 fn a_key_without_a_valid_hint_counts_as_small() {
     for hint in [None, Some(f64::NAN), Some(-1.0), Some(0.0), Some(f64::INFINITY)] {
-        let mut world = World::new(false, 6);
+        let mut harness = BalancerHarness::without_origin(6);
         let odd = |id| Request { hint, ..read(id, 5) };
-        let hosts: Vec<ServerId> = (1..=5).map(|id| sent(&world.request(odd(id))).unwrap().1).collect();
+        let hosts: Vec<ServerId> = (1..=5).map(|id| sent(&harness.request(odd(id))).unwrap().1).collect();
         assert_ne!(hosts[0], hosts[4], "{hint:?}: a small key's set grows");
     }
 }
 
 #[test]
 fn proxies_agree_on_the_home_of_a_key_without_communication() {
-    let (mut one, mut other) = (World::new(false, 8), World::new(false, 8));
+    let (mut one, mut other) = (BalancerHarness::without_origin(8), BalancerHarness::without_origin(8));
     other.request(read(9999, 4242));
     let same = (1..200).filter(|key| one.served(*key, *key) == other.served(*key, *key)).count();
     assert!(same > 190, "{same}");
@@ -114,35 +120,35 @@
 
 #[test]
 fn a_larger_backend_is_home_to_more_keys() {
-    let mut world = World::new(false, 4);
-    world.event(Event::Members { form: ListForm::Delta, members: vec![Member { size: 3.0, ..member(1) }] });
-    let at_first = (1..600).filter(|key| world.served(*key, *key) == 1).count();
+    let mut harness = BalancerHarness::without_origin(4);
+    harness.event(Event::Members { form: ListForm::Delta, members: vec![Member { size: 3.0, ..member(1) }] });
+    let at_first = (1..600).filter(|key| harness.served(*key, *key) == 1).count();
     assert!((240..360).contains(&at_first), "{at_first} of 600, half expected");
 }
 
-/// Danger: a limit cut for each long fetch stays far under what the origin can take.
+/// Danger: a limit decreased for each long fetch stays far under what the origin can take.
 #[test]
 fn the_limit_of_the_origin_grows_until_a_quarter_of_its_responses_is_slow() {
     let room = |slow_every: u64| {
-        let mut world = World::new(true, 4);
+        let mut harness = BalancerHarness::with_origin(4);
         let (mut most, mut fetched) = (0, 0);
         for round in 1..200 {
-            world.now += 1000.0;
+            harness.now += 1000.0;
             let mut out = vec![];
             for id in round * 100..round * 100 + 30 {
-                let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
-                let fetches = !sends(&world.end(id, 0, server, Outcome::Miss)).is_empty();
+                let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
+                let fetches = !sends(&harness.end(id, 0, server, Outcome::Miss)).is_empty();
                 if fetches {
                     out.push(id);
                 } else {
-                    world.event(Event::ClientGone(id));
+                    harness.event(Event::ClientGone(id));
                 }
             }
             most = out.len();
             for id in out {
                 fetched += 1;
                 let latency = if fetched % slow_every == 0 { 290.0 } else { 20.0 };
-                world.end_after(id, 1, ORIGIN, Outcome::Ok, latency);
+                harness.end_after(id, 1, ORIGIN, Outcome::Ok, latency);
             }
         }
         most
@@ -153,13 +159,13 @@
 
 #[test]
 fn misses_of_one_key_share_a_fetch_and_find_the_value_where_it_missed() {
-    let mut world = World::new(true, 4);
-    let (_, server) = sent(&world.request(read(1, 5))).unwrap();
-    assert_eq!(sent(&world.end(1, 0, server, Outcome::Miss)), Some((1, ORIGIN)));
+    let mut harness = BalancerHarness::with_origin(4);
+    let (_, server) = sent(&harness.request(read(1, 5))).unwrap();
+    assert_eq!(sent(&harness.end(1, 0, server, Outcome::Miss)), Some((1, ORIGIN)));
     for id in 2..5 {
-        assert!(sends(&world.request(read(id, 5))).is_empty());
+        assert!(sends(&harness.request(read(id, 5))).is_empty());
     }
-    let actions = world.end(1, 1, ORIGIN, Outcome::Ok);
+    let actions = harness.end(1, 1, ORIGIN, Outcome::Ok);
     assert_eq!(sends(&actions).first(), Some(&(2, server)));
     assert!(sends(&actions).iter().all(|(_, to)| *to == server));
     assert_eq!(sends(&actions).len(), 3);
@@ -167,37 +173,37 @@
 
 #[test]
 fn when_the_client_of_a_fetch_leader_leaves_a_waiter_takes_over() {
-    let mut world = World::new(true, 4);
-    let (_, server) = sent(&world.request(read(1, 5))).unwrap();
-    world.end(1, 0, server, Outcome::Miss);
-    world.request(read(2, 5));
-    assert_eq!(sent(&world.event(Event::ClientGone(1))), Some((2, server)));
+    let mut harness = BalancerHarness::with_origin(4);
+    let (_, server) = sent(&harness.request(read(1, 5))).unwrap();
+    harness.end(1, 0, server, Outcome::Miss);
+    harness.request(read(2, 5));
+    assert_eq!(sent(&harness.event(Event::ClientGone(1))), Some((2, server)));
 }
 
 #[test]
 fn sets_do_not_grow_while_the_origin_has_no_capacity() {
-    let mut world = World::new(true, 6);
-    let home = world.served(1, 5);
+    let mut harness = BalancerHarness::with_origin(6);
+    let home = harness.served(1, 5);
     for id in 100..200 {
-        if let Some((_, server)) = sent(&world.request(read(id, id))) {
-            world.end(id, 0, server, Outcome::Miss);
+        if let Some((_, server)) = sent(&harness.request(read(id, id))) {
+            harness.end(id, 0, server, Outcome::Miss);
         }
     }
-    let hosts: Vec<ServerId> = (2..6).map(|id| sent(&world.request(read(id, 5))).unwrap().1).collect();
+    let hosts: Vec<ServerId> = (2..6).map(|id| sent(&harness.request(read(id, 5))).unwrap().1).collect();
     assert!(hosts.iter().all(|host| *host == home), "{hosts:?}");
 }
 
 #[test]
 fn a_backend_with_quick_errors_is_ejected_but_for_trials() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     let mut taken = 0;
     for id in 1..1000 {
-        world.now += 1.0;
-        let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
+        harness.now += 1.0;
+        let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
         let outcome = if server == 3 { Outcome::Error } else { Outcome::Ok };
         taken += usize::from(server == 3);
-        for (id, server) in sends(&world.end(id, 0, server, outcome)) {
-            world.end(id, 1, server, Outcome::Ok);
+        for (id, server) in sends(&harness.end(id, 0, server, outcome)) {
+            harness.end(id, 1, server, Outcome::Ok);
         }
     }
     assert!((4..=12).contains(&taken), "{taken} of 1000 in a second");
@@ -205,90 +211,90 @@
 
 #[test]
 fn most_of_the_fleet_is_never_ejected() {
-    let mut world = World::new(false, 4);
+    let mut harness = BalancerHarness::without_origin(4);
     for id in 1..200 {
-        world.now += 50.0;
-        let mut actions = world.request(read(id, id));
+        harness.now += 50.0;
+        let mut actions = harness.request(read(id, id));
         for attempt in 0..4 {
             let Some((_, server)) = sent(&actions) else { break };
-            actions = world.end(id, attempt, server, Outcome::Timeout);
+            actions = harness.end(id, attempt, server, Outcome::Timeout);
         }
     }
-    world.now += 1000.0;
+    harness.now += 1000.0;
     let hosts: std::collections::BTreeSet<ServerId> =
-        (1000..1100).filter_map(|id| sent(&world.request(read(id, id)))).map(|(_, to)| to).collect();
+        (1000..1100).filter_map(|id| sent(&harness.request(read(id, id)))).map(|(_, to)| to).collect();
     assert!(hosts.len() >= 3, "{hosts:?}");
 }
 
 #[test]
 fn retries_stop_when_everything_fails() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     let (mut first, mut again) = (0, 0);
     for id in 1..500 {
-        let mut actions = world.request(read(id, id));
+        let mut actions = harness.request(read(id, id));
         first += sends(&actions).len();
         for attempt in 0..4 {
             let Some((_, server)) = sent(&actions) else { break };
-            actions = world.end(id, attempt, server, Outcome::Error);
+            actions = harness.end(id, attempt, server, Outcome::Error);
             again += sends(&actions).len();
         }
-        world.now += 20.0;
+        harness.now += 20.0;
     }
     assert!(first > 100 && again <= 10 + 500 / 5, "{first} first tries, {again} retries");
 }
 
 #[test]
 fn a_failing_discovery_is_polled_with_backoff_and_the_old_list_stays() {
-    let mut world = World::new(false, 3);
+    let mut harness = BalancerHarness::without_origin(3);
     let mut waits = vec![];
     for _ in 0..6 {
-        let actions = world.event(Event::Members { form: ListForm::Failed, members: vec![] });
+        let actions = harness.event(Event::Members { form: ListForm::Failed, members: vec![] });
         let [Action::SetTimer { delay: wait, token }] = actions[..] else { panic!("{actions:?}") };
         waits.push(wait);
-        world.now += wait;
-        assert_eq!(world.event(Event::Timer(token)), vec![Action::Subscribe]);
+        harness.now += wait;
+        assert_eq!(harness.event(Event::Timer(token)), vec![Action::Subscribe]);
     }
     assert!(waits[5] > waits[0] && waits[5] <= 12_000.0, "{waits:?}");
-    assert!(sent(&world.request(read(1, 5))).is_some());
+    assert!(sent(&harness.request(read(1, 5))).is_some());
 }
 
 #[test]
 fn unusual_but_legal_events_break_nothing() {
-    let mut world = World::new(true, 3);
-    assert!(world.end(99, 3, 77, Outcome::Ok).is_empty());
-    assert!(world.event(Event::Timer(u64::MAX)).is_empty());
-    assert!(world.event(Event::ClientGone(4)).is_empty());
-    world.event(Event::Probed { backend: 5, answered: false, report: vec![f32::NAN] });
-    world.event(Event::Peer { from: 9, payload: vec![1] });
-    assert!(finals(&world.request(Request { class: 250, ..read(1, 1) })).len() == 1);
+    let mut harness = BalancerHarness::with_origin(3);
+    assert!(harness.end(99, 3, 77, Outcome::Ok).is_empty());
+    assert!(harness.event(Event::Timer(u64::MAX)).is_empty());
+    assert!(harness.event(Event::ClientGone(4)).is_empty());
+    harness.event(Event::Probed { backend: 5, answered: false, report: vec![f32::NAN] });
+    harness.event(Event::Peer { from: 9, payload: vec![1] });
+    assert!(finals(&harness.request(Request { class: 250, ..read(1, 1) })).len() == 1);
     for (id, budget) in [(2, f64::NAN), (3, -5.0), (4, 0.0)] {
-        let actions = world.request(Request { budget, ..read(id, 0) });
-        assert_eq!(finals(&actions).len() + finals(&world.event(Event::Timer(1 << 60 | id))).len(), 1);
+        let actions = harness.request(Request { budget, ..read(id, 0) });
+        assert_eq!(finals(&actions).len() + finals(&harness.event(Event::Timer(1 << 60 | id))).len(), 1);
     }
     let odd = Member { size: f32::NAN, started: f64::NAN, ..member(2) };
-    world.event(Event::Members { form: ListForm::Delta, members: vec![odd] });
-    assert!(sent(&world.request(read(5, 0))).is_some());
-    world.event(Event::Members { form: ListForm::Full, members: vec![] });
-    let arrival = world.request(read(6, 5));
+    harness.event(Event::Members { form: ListForm::Delta, members: vec![odd] });
+    assert!(sent(&harness.request(read(5, 0))).is_some());
+    harness.event(Event::Members { form: ListForm::Full, members: vec![] });
+    let arrival = harness.request(read(6, 5));
     assert!(sends(&arrival).is_empty());
-    assert_eq!(finals(&world.deadline(&arrival)).len(), 1);
+    assert_eq!(finals(&harness.deadline(&arrival)).len(), 1);
 }
 
 #[test]
 fn the_key_table_is_bounded_and_forgets_the_least_recently_used() {
-    let mut world = World::new(false, 4);
+    let mut harness = BalancerHarness::without_origin(4);
     let (used, unused) = (400_001, 400_002);
-    world.learns_that_keys_are_many();
-    let sets = (grown(&mut world, used), grown(&mut world, unused));
+    harness.learns_that_keys_are_many();
+    let sets = (grown(&mut harness, used), grown(&mut harness, unused));
     for key in 1..=66_000 {
-        world.now += 0.1;
-        world.served(key, key);
+        harness.now += 0.1;
+        harness.served(key, key);
         if key % 1000 == 0 {
-            world.served(300_000 + key, used);
+            harness.served(300_000 + key, used);
         }
     }
-    assert!(second_is_known(&mut world, used, sets.0, 5_000_000));
-    assert!(!second_is_known(&mut world, unused, sets.1, 7_000_000));
+    assert!(second_is_known(&mut harness, used, sets.0, 5_000_000));
+    assert!(!second_is_known(&mut harness, unused, sets.1, 7_000_000));
 }
 
 #[test]
@@ -297,20 +303,20 @@
     let mut by_server = std::collections::BTreeMap::new();
     let mut cold_homes = std::collections::BTreeSet::new();
     for number in 0..200 {
-        let mut world = World::numbered(number, 10);
+        let mut harness = BalancerHarness::numbered(number, 10);
         // Every second request is for the hot key.
         let hosts: Vec<ServerId> = (0..40)
             .map(|n| {
-                world.served(1_000 + n, 1_000 + n);
-                world.served(2_000 + n, 7)
+                harness.served(1_000 + n, 1_000 + n);
+                harness.served(2_000 + n, 7)
             })
             .collect();
         let last = hosts[39];
         assert!(hosts[20..].iter().filter(|host| **host == last).count() >= 18, "{hosts:?}");
         *by_server.entry(last).or_insert(0) += 1;
         // A key seen once among many is agreed upon.
-        world.learns_that_keys_are_many();
-        cold_homes.insert(world.served(9_000, 9_999_999));
+        harness.learns_that_keys_are_many();
+        cold_homes.insert(harness.served(9_000, 9_999_999));
     }
     assert!(by_server.len() >= 7, "half of all requests are due five servers of ten: {by_server:?}");
     assert!(by_server.values().all(|n| *n <= 50), "{by_server:?}");
@@ -319,18 +325,18 @@
 
 #[test]
 fn a_backend_that_refuses_connections_is_ejected_ever_longer() {
-    let mut world = World::new(false, 6);
+    let mut harness = BalancerHarness::without_origin(6);
     let mut tries = vec![];
     for id in 1..6000 {
-        world.now += 10.0;
-        let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
+        harness.now += 10.0;
+        let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
         let outcome = if server == 3 { Outcome::ConnectFailed } else { Outcome::Ok };
         if server == 3 {
-            tries.push(world.now);
+            tries.push(harness.now);
         }
-        for (id, server) in sends(&world.end(id, 0, server, outcome)) {
+        for (id, server) in sends(&harness.end(id, 0, server, outcome)) {
             assert_ne!(server, 3);
-            world.end(id, 1, server, Outcome::Ok);
+            harness.end(id, 1, server, Outcome::Ok);
         }
     }
     assert!((2..=5).contains(&tries.len()), "{tries:?}");
@@ -339,40 +345,40 @@
 
 #[test]
 fn when_backends_are_slow_for_a_proxy_s_only_request_it_admits_fewer_and_recovers() {
-    // Danger: hundreds of proxies with one request out each: no limit can be cut any further.
-    let mut world = World::numbered(0, 4);
-    let share = |world: &mut World, from: RequestId, latency: Time| {
+    // Danger: hundreds of proxies with one request in flight each: no limit can decrease further.
+    let mut harness = BalancerHarness::numbered(0, 4);
+    let share = |harness: &mut BalancerHarness, from: RequestId, latency: Time| {
         let mut sent_now = 0;
         for id in from..from + 300 {
-            world.now += 200.0;
-            let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
+            harness.now += 200.0;
+            let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
             sent_now += 1;
-            world.end_after(id, 0, server, Outcome::Ok, latency);
+            harness.end_after(id, 0, server, Outcome::Ok, latency);
         }
         sent_now
     };
-    assert_eq!(share(&mut world, 1, 10.0), 300);
-    let slow = share(&mut world, 1_000, 390.0);
+    assert_eq!(share(&mut harness, 1, 10.0), 300);
+    let slow = share(&mut harness, 1_000, 390.0);
     assert!((5..60).contains(&slow), "{slow} of 300");
-    share(&mut world, 2_000, 10.0);
-    assert!(share(&mut world, 3_000, 10.0) > 290);
+    share(&mut harness, 2_000, 10.0);
+    assert!(share(&mut harness, 3_000, 10.0) > 290);
 }
 
-/// Guards against a limit cut for what this proxy is not the cause of: a node that stands still turns away
-/// whoever has waited there, however few they are.
+/// Guards against a limit decreased for what this proxy did not cause: a node that stands still
+/// rejects whoever has waited there, however few they are.
 #[test]
 fn a_node_that_rejects_one_of_few_requests_keeps_its_keys() {
-    let mut world = World::new(false, 6);
-    world.learns_that_keys_are_many();
-    let home = world.served(1, 5);
+    let mut harness = BalancerHarness::without_origin(6);
+    harness.learns_that_keys_are_many();
+    let home = harness.served(1, 5);
     for id in 10..20 {
-        world.now += 200.0;
-        assert_eq!(sent(&world.request(read(id, 5))).unwrap().1, home);
-        let retry = sent(&world.end_after(id, 0, home, Outcome::Full, 98.0)).unwrap().1;
+        harness.now += 200.0;
+        assert_eq!(sent(&harness.request(read(id, 5))).unwrap().1, home);
+        let retry = sent(&harness.end_after(id, 0, home, Outcome::Full, 98.0)).unwrap().1;
         assert_ne!(retry, home);
-        world.end(id, 1, retry, Outcome::Ok);
+        harness.end(id, 1, retry, Outcome::Ok);
     }
-    // Two at a time still go there; a limit cut ten times would let in one.
-    let hosts = [30, 31].map(|id| sent(&world.request(read(id, 5))).unwrap().1);
+    // Two at a time still go there; a limit decreased ten times would allow one.
+    let hosts = [30, 31].map(|id| sent(&harness.request(read(id, 5))).unwrap().1);
     assert_eq!(hosts, [home; 2]);
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -40,7 +40,7 @@
 
 /// Applies steps to one proxy and records what could be seen of them.
 struct RecordedProxy {
-    world: World,
+    harness: BalancerHarness,
     recorder: EventRecorder,
     /// The requests without a final response, and how many attempts each has had.
     open: BTreeMap<RequestId, u8>,
@@ -80,7 +80,7 @@
 impl RecordedProxy {
     fn new() -> Self {
         let mut proxy = RecordedProxy {
-            world: World::new(true, 4),
+            harness: BalancerHarness::with_origin(4),
             recorder: EventRecorder::default(),
             open: BTreeMap::new(),
             out: vec![],
@@ -90,7 +90,7 @@
         };
         proxy.record_active_settings(4);
         let list: Vec<Member> = (1..=4).chain([ORIGIN]).map(member).collect();
-        proxy.recorder.record_list(proxy.world.now, PROXY, true, &list);
+        proxy.recorder.record_list(proxy.harness.now, PROXY, true, &list);
         proxy
     }
 
@@ -98,16 +98,16 @@
         // A proxy that knows of a drain sends nothing more there; the time that rules allow is the
         // network's.
         let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
-        self.recorder.record(self.world.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
+        self.recorder.record(self.harness.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
     }
 
     fn feed(&mut self, event: Event) {
-        let actions = self.world.event(event);
+        let actions = self.harness.event(event);
         for action in actions {
             match action {
                 Action::StartAttempt { request: id, backend: server, timeout, send_by: within } => {
                     assert!(timeout > 0.0 && within > 0.0);
-                    let now = self.world.now;
+                    let now = self.harness.now;
                     let number = self.recorder.record_attempt(now, PROXY, &id.to_string(), server, 10.0);
                     let attempts =
                         self.open.get_mut(&id).expect("nothing is sent for a request that is over");
@@ -117,7 +117,7 @@
                 Action::Reject { request: id, .. } => self.answer(id, Answer::Refused),
                 Action::Fail(id) => self.answer(id, Answer::Failed),
                 Action::SetTimer { delay, token } | Action::SetRequestTimer { delay, token, .. } => {
-                    self.timers.push((self.world.now + delay.max(0.0), token));
+                    self.timers.push((self.harness.now + delay.max(0.0), token));
                 }
                 _ => {}
             }
@@ -126,22 +126,22 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         self.open.remove(&id);
-        self.recorder.record_response(self.world.now, &id.to_string(), answer);
+        self.recorder.record_response(self.harness.now, &id.to_string(), answer);
     }
 
     fn tell(&mut self, form: ListForm, list: Vec<Member>) {
-        self.recorder.record_list(self.world.now, PROXY, form != ListForm::Delta, &list);
+        self.recorder.record_list(self.harness.now, PROXY, form != ListForm::Delta, &list);
         self.feed(Event::Members { form, members: list });
         // What is sent from now on is sent later.
-        self.world.now += 0.01;
+        self.harness.now += 0.01;
     }
 
     fn wait(&mut self, time: Time) {
-        let end = self.world.now + time;
+        let end = self.harness.now + time;
         // A timer comes in the first batch at or after its time, never in the one that set it.
-        while self.world.now < end {
-            self.world.now = (self.world.now + 1.0).min(end);
-            let now = self.world.now;
+        while self.harness.now < end {
+            self.harness.now = (self.harness.now + 1.0).min(end);
+            let now = self.harness.now;
             let due: Vec<u64> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
             self.timers.retain(|t| t.0 > now);
             for token in due {
@@ -158,7 +158,7 @@
             Step::Leave { pick } => self.leave(pick),
             Step::Change { server, state, restart } => {
                 let state = [State::Gone, State::Ready, State::Draining][usize::from(state)];
-                let started = if restart { self.world.now } else { 0.0 };
+                let started = if restart { self.harness.now } else { 0.0 };
                 self.tell(ListForm::Delta, vec![Member { state, started, ..member(server) }]);
             }
             Step::CompleteList { mask, form } => {
@@ -177,7 +177,7 @@
         let class_name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
         let request = id.to_string();
         let asked = HistoryEvent::Asked { proxy: PROXY.into(), request, class: class_name, budget };
-        self.recorder.record(self.world.now, asked);
+        self.recorder.record(self.harness.now, asked);
         let hint = (!key.is_multiple_of(3)).then_some(10.0 * key as f64);
         self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
     }
@@ -190,7 +190,7 @@
         let id = attempt.id;
         let outcome = OUTCOMES[usize::from(outcome)];
         let value = format!("{id} {}", attempt.ordinal);
-        self.recorder.record_end(self.world.now, attempt.number, outcome, &value);
+        self.recorder.record_end(self.harness.now, attempt.number, outcome, &value);
         if outcome == Outcome::Ok && self.open.contains_key(&id) {
             self.answer(id, Answer::Served(value));
         }
@@ -198,7 +198,7 @@
             id,
             attempt: attempt.ordinal,
             server: attempt.server,
-            latency: self.world.now - attempt.sent,
+            latency: self.harness.now - attempt.sent,
             last: !self.open.contains_key(&id),
             outcome,
             report: vec![],
@@ -209,7 +209,7 @@
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
         if let Some(id) = ids.get(pick % ids.len().max(1)) {
             self.open.remove(id);
-            self.recorder.record(self.world.now, HistoryEvent::Left { request: id.to_string() });
+            self.recorder.record(self.harness.now, HistoryEvent::Left { request: id.to_string() });
             self.feed(Event::ClientGone(*id));
         }
     }
@@ -220,7 +220,7 @@
         let mut settings = Settings::from_json(settings_json(true).as_bytes()).unwrap();
         settings.classes.rotate_left(usize::from(shift));
         settings.limits.max_attempts = most;
-        self.world.balancer.retune(settings);
+        self.harness.balancer.retune(settings);
     }
 }
 
@@ -237,7 +237,7 @@
         }
         proxy.wait(1000.0);
         // The recording goes on until everybody's time is over.
-        proxy.recorder.record_list(proxy.world.now, PROXY, false, &[]);
+        proxy.recorder.record_list(proxy.harness.now, PROXY, false, &[]);
         let history = proxy.recorder.history();
         match check(&history) {
             Ok(breaches) => prop_assert!(breaches.is_empty(), "{}", breaches[0]),
@@ -256,13 +256,13 @@
     let keys = prop::collection::vec((0..40u64, any::<bool>()), 1..100);
     let result = runner.run(&keys, |keys| {
         let play = || {
-            let mut world = World::new(true, 5);
+            let mut harness = BalancerHarness::with_origin(5);
             let mut log = vec![];
             for (id, (key, ends)) in keys.iter().enumerate() {
-                world.now += 3.0;
-                let actions = world.request(read(id as u64, *key));
+                harness.now += 3.0;
+                let actions = harness.request(read(id as u64, *key));
                 if let (Some((id, server)), true) = (sent(&actions), *ends) {
-                    log.push(world.end(id, 0, server, Outcome::ConnectFailed));
+                    log.push(harness.end(id, 0, server, Outcome::ConnectFailed));
                 }
                 log.push(actions);
             }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,4 +1,4 @@
-//! This proxy's share of what all may have together: what it divides, and that it is looked at whenever it is used.
+//! This proxy's quota: what it divides, and that its expiry is checked at every use.
 
 mod common;
 
@@ -9,64 +9,65 @@
 
 const FLEET_LIMITS: FleetLimits = FleetLimits { per_node: 24.0, origin: 12.0 };
 
-fn share(world: &World, part: f64, lasts: Time) -> Event {
+fn quota(harness: &BalancerHarness, part: f64, lasts: Time) -> Event {
     Event::Quota(Quota {
         fraction: part,
-        expires_at: world.now + lasts,
+        expires_at: harness.now + lasts,
         guaranteed: 1.0 / 12.0,
         fleet_limits: FLEET_LIMITS,
     })
 }
 
-/// How many of 40 reads of one key are sent at once; they are ended again.
-fn sent_at_once(world: &mut World, from: RequestId) -> usize {
+/// How many of 40 reads of one key are sent at once; all of them are ended again.
+fn sent_at_once(harness: &mut BalancerHarness, from: RequestId) -> usize {
     let sends: Vec<(RequestId, ServerId)> =
-        (from..from + 40).filter_map(|id| sent(&world.request(read(id, 7)))).collect();
+        (from..from + 40).filter_map(|id| sent(&harness.request(read(id, 7)))).collect();
     let count = sends.len();
     for id in from..from + 40 {
-        world.event(Event::ClientGone(id));
+        harness.event(Event::ClientGone(id));
     }
     for (id, server) in sends {
-        world.end(id, 0, server, Outcome::Moot);
+        harness.end(id, 0, server, Outcome::Moot);
     }
     count
 }
 
 #[test]
 fn attempts_in_flight_follow_the_quota_and_never_exceed_it() {
-    let mut world = World::new(false, 1);
-    let event = share(&world, 1.0 / 4.0, 3_000.0);
-    world.event(event);
-    assert_eq!(sent_at_once(&mut world, 100), 6, "a quarter of 24");
-    let event = share(&world, 1.0 / 2.0, 3_000.0);
-    world.event(event);
-    assert_eq!(sent_at_once(&mut world, 200), 12);
+    let mut harness = BalancerHarness::without_origin(1);
+    let event = quota(&harness, 1.0 / 4.0, 3_000.0);
+    harness.event(event);
+    assert_eq!(sent_at_once(&mut harness, 100), 6, "a quarter of 24");
+    let event = quota(&harness, 1.0 / 2.0, 3_000.0);
+    harness.event(event);
+    assert_eq!(sent_at_once(&mut harness, 200), 12);
 }
 
 /// Danger: nothing tells a process that was stopped that its lease has ended.
 #[test]
 fn an_expired_lease_admits_no_attempt_though_no_event_said_so() {
-    let mut world = World::new(false, 1);
-    let event = share(&world, 1.0 / 2.0, 3_000.0);
-    world.event(event);
-    world.now += 3_000.0;
-    assert_eq!(sent_at_once(&mut world, 100), 2, "a twelfth of 24");
-    // Given anew it is as it was.
-    let event = share(&world, 1.0 / 2.0, 3_000.0);
-    world.event(event);
-    assert_eq!(sent_at_once(&mut world, 200), 12);
+    let mut harness = BalancerHarness::without_origin(1);
+    let event = quota(&harness, 1.0 / 2.0, 3_000.0);
+    harness.event(event);
+    harness.now += 3_000.0;
+    assert_eq!(sent_at_once(&mut harness, 100), 2, "a twelfth of 24");
+    // Granted again it is as it was.
+    let event = quota(&harness, 1.0 / 2.0, 3_000.0);
+    harness.event(event);
+    assert_eq!(sent_at_once(&mut harness, 200), 12);
 }
 
 #[test]
 fn the_origin_has_a_fleet_limit_of_its_own() {
-    let mut world = World::new(true, 3);
-    let event = share(&world, 1.0 / 4.0, 3_000.0);
-    world.event(event);
+    let mut harness = BalancerHarness::with_origin(3);
+    let event = quota(&harness, 1.0 / 4.0, 3_000.0);
+    harness.event(event);
     let writes = (1..=20).filter(|id| {
         let write = Request { class: KEYED_ALL, write: true, ..read(*id, *id) };
-        sent(&world.request(write)).is_some()
+        sent(&harness.request(write)).is_some()
     });
-    // The learnt limit begins at 8 for all together, and at two at the least: below a quarter of 12.
+    // The concurrency limit begins at 8 for all together, and at two at least: below a quarter of
+    // 12.
     assert_eq!(writes.count(), 2);
 }
 
@@ -88,22 +89,23 @@
 }
 
 /// All that is decided in a long run of events from a seed, as a checksum.
-fn decided(aside: bool, seed: u64) -> u32 {
-    let mut world = World::new(aside, 6);
+fn decided(with_origin: bool, seed: u64) -> u32 {
+    let mut harness =
+        if with_origin { BalancerHarness::with_origin(6) } else { BalancerHarness::without_origin(6) };
     let mut rng = SmallRng::seed_from_u64(seed);
     let (mut out, mut timers, mut sum) = (Vec::new(), Vec::new(), 0);
     for id in 1..4_000 {
-        world.now += rng.gen_range(0.0..8.0);
+        harness.now += rng.gen_range(0.0..8.0);
         let event = match rng.gen_range(0..10) {
             0..=3 => Event::Request(Request {
                 class: rng.gen_range(0..5),
-                write: aside && rng.gen_bool(0.1),
+                write: with_origin && rng.gen_bool(0.1),
                 ..read(id, rng.gen_range(0..200))
             }),
             4 if !timers.is_empty() => Event::Timer(timers.swap_remove(rng.gen_range(0..timers.len()))),
             5 if rng.gen_bool(0.02) => Event::Members {
                 form: ListForm::Delta,
-                members: vec![Member { started: world.now, ..member(rng.gen_range(1..7)) }],
+                members: vec![Member { started: harness.now, ..member(rng.gen_range(1..7)) }],
             },
             _ if !out.is_empty() => {
                 let (id, server, attempt) = out.swap_remove(rng.gen_range(0..out.len()));
@@ -116,7 +118,7 @@
             }
             _ => continue,
         };
-        let actions = world.event(event);
+        let actions = harness.event(event);
         for action in &actions {
             match action {
                 Action::StartAttempt { request: id, backend: server, .. } => {
@@ -132,10 +134,11 @@
     sum
 }
 
-/// Without a share all is decided as before there were any: the sums are those of the module before them. Whoever
-/// changes decisions on purpose puts the new sums here and says so.
+/// Without a quota every decision is as before there were any: the checksums are those of the
+/// module before them. Whoever changes decisions on purpose records the new ones here and says so.
 #[test]
 fn without_a_quota_every_decision_is_as_recorded() {
-    let sums = [(false, 1), (false, 2), (true, 1), (true, 2)].map(|(aside, seed)| decided(aside, seed));
+    let sums =
+        [(false, 1), (false, 2), (true, 1), (true, 2)].map(|(with_origin, seed)| decided(with_origin, seed));
     assert_eq!(sums, [1694768337, 895297682, 3059853639, 1895939065]);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,4 +1,4 @@
-//! The four rules, without the bench.
+//! The four rules of the data path, checked without the simulator.
 
 mod common;
 
@@ -23,18 +23,18 @@
 
 #[test]
 fn one_final_response_under_every_order_of_outcome_deadline_and_disconnect() {
-    // Each order of: the attempt's outcome, the deadline, the client leaving.
+    // Each order of: the attempt's outcome, the deadline, the client's disconnect.
     for outcome in ALL_OUTCOMES {
         for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
-            let mut world = World::new(false, 4);
-            let arrival = world.request(read(1, 5));
+            let mut harness = BalancerHarness::without_origin(4);
+            let arrival = harness.request(read(1, 5));
             let (_, server) = sent(&arrival).unwrap();
             let (mut answers, mut over) = (0, false);
             for step in order {
                 let actions = match step {
-                    0 => world.end(1, 0, server, outcome),
-                    1 => world.deadline(&arrival),
-                    _ => world.event(Event::ClientGone(1)),
+                    0 => harness.end(1, 0, server, outcome),
+                    1 => harness.deadline(&arrival),
+                    _ => harness.event(Event::ClientGone(1)),
                 };
                 if over {
                     assert!(
@@ -55,11 +55,11 @@
 
 #[test]
 fn the_deadline_ends_a_queued_request_once() {
-    let mut world = World::new(true, 0);
-    let arrival = world.request(read(1, 5));
+    let mut harness = BalancerHarness::with_origin(0);
+    let arrival = harness.request(read(1, 5));
     assert!(sends(&arrival).is_empty());
-    assert_eq!(finals(&world.deadline(&arrival)).len(), 1);
-    assert!(world.deadline(&arrival).is_empty());
+    assert_eq!(finals(&harness.deadline(&arrival)).len(), 1);
+    assert!(harness.deadline(&arrival).is_empty());
 }
 
 #[test]
@@ -67,11 +67,11 @@
     for class in [SAFE, KEYED_ALL, KEYED_ZONE, KEYED_CELL, UNSAFE] {
         for outcome in ALL_OUTCOMES.into_iter().filter(|o| *o != Outcome::Ok) {
             for late in [false, true] {
-                let mut world = World::new(false, 12);
-                let arrival = world.request(Request { class, ..read(1, 5) });
+                let mut harness = BalancerHarness::without_origin(12);
+                let arrival = harness.request(Request { class, ..read(1, 5) });
                 let (_, first) = sent(&arrival).unwrap();
-                world.now += if late { 350.0 } else { 5.0 };
-                let actions = world.end(1, 0, first, outcome);
+                harness.now += if late { 350.0 } else { 5.0 };
+                let actions = harness.end(1, 0, first, outcome);
                 let what = format!("{class} {outcome:?} late {late}: {actions:?}");
                 let free = never_ran(outcome) || class == SAFE;
                 for (_, server) in sends(&actions) {
@@ -100,113 +100,113 @@
 #[test]
 fn an_attempt_in_flight_counts_as_possibly_run() {
     for (class, refuse) in [(SAFE, true), (KEYED_ALL, false), (KEYED_ZONE, false), (UNSAFE, false)] {
-        let mut world = World::new(false, 4);
-        let arrival = world.request(Request { class, ..read(1, 5) });
-        let end = world.deadline(&arrival);
-        // At 800 ms the window of 300 ms is over: only what is safe may be refused.
+        let mut harness = BalancerHarness::without_origin(4);
+        let arrival = harness.request(Request { class, ..read(1, 5) });
+        let end = harness.deadline(&arrival);
+        // At 800 ms the window of 300 ms is over: only what is idempotent may be rejected.
         assert_eq!(matches!(finals(&end)[0], Action::Reject { .. }), refuse, "{class}");
     }
 }
 
 #[test]
 fn writes_go_straight_to_the_origin() {
-    let mut world = World::new(true, 4);
-    let arrival = world.request(Request { class: UNSAFE, write: true, ..read(1, 5) });
+    let mut harness = BalancerHarness::with_origin(4);
+    let arrival = harness.request(Request { class: UNSAFE, write: true, ..read(1, 5) });
     assert_eq!(sent(&arrival), Some((1, ORIGIN)));
 }
 
 #[test]
 fn attempts_stay_within_the_limit() {
-    let mut world = World::new(false, 9);
+    let mut harness = BalancerHarness::without_origin(9);
     for id in 100..110 {
         // enough for a few retries
-        assert_ne!(world.served(id, id), 0);
+        assert_ne!(harness.served(id, id), 0);
     }
-    let (mut actions, mut attempts) = (world.request(read(1, 5)), 0);
+    let (mut actions, mut attempts) = (harness.request(read(1, 5)), 0);
     while let Some((_, server)) = sent(&actions) {
-        actions = world.end(1, attempts, server, Outcome::Full);
+        actions = harness.end(1, attempts, server, Outcome::Full);
         attempts += 1;
     }
     assert_eq!(attempts, 4);
     assert_eq!(finals(&actions).len(), 1);
 }
 
-fn assert_avoids(world: &mut World, avoided: ServerId) {
+fn assert_avoids(harness: &mut BalancerHarness, avoided: ServerId) {
     for key in 1..200 {
-        assert_ne!(world.served(10_000 + key, key), avoided);
+        assert_ne!(harness.served(10_000 + key, key), avoided);
     }
 }
 
 #[test]
 fn a_drain_in_a_delta_list_stops_new_attempts_at_once() {
     for state in [State::Draining, State::Gone] {
-        let mut world = World::new(false, 4);
+        let mut harness = BalancerHarness::without_origin(4);
         for key in 1..200 {
-            assert_ne!(world.served(key, key), 0);
+            assert_ne!(harness.served(key, key), 0);
         }
-        world.event(Event::Members { form: ListForm::Delta, members: vec![Member { state, ..member(2) }] });
-        assert_avoids(&mut world, 2);
+        harness.event(Event::Members { form: ListForm::Delta, members: vec![Member { state, ..member(2) }] });
+        assert_avoids(&mut harness, 2);
     }
 }
 
 #[test]
 fn absence_from_a_complete_list_means_gone() {
     for form in [ListForm::Full, ListForm::Cached] {
-        let mut world = World::new(false, 4);
+        let mut harness = BalancerHarness::without_origin(4);
         for key in 1..200 {
-            assert_ne!(world.served(key, key), 0);
+            assert_ne!(harness.served(key, key), 0);
         }
-        world.event(Event::Members { form, members: [1, 3, 4].map(member).to_vec() });
-        assert_avoids(&mut world, 2);
+        harness.event(Event::Members { form, members: [1, 3, 4].map(member).to_vec() });
+        assert_avoids(&mut harness, 2);
     }
 }
 
 #[test]
 fn a_restarted_proxy_respects_the_drains_of_its_cached_list_and_subscribes() {
-    let mut world = World::new(false, 0);
+    let mut harness = BalancerHarness::without_origin(0);
     let mut list: Vec<Member> = (1..=4).map(member).collect();
     list[1].state = State::Draining;
-    let actions = world.event(Event::Members { form: ListForm::Cached, members: list });
+    let actions = harness.event(Event::Members { form: ListForm::Cached, members: list });
     assert_eq!(actions, vec![Action::Subscribe]);
-    assert_avoids(&mut world, 2);
-    world.event(Event::Members {
+    assert_avoids(&mut harness, 2);
+    harness.event(Event::Members {
         form: ListForm::Delta,
         members: vec![Member { state: State::Draining, ..member(3) }],
     });
-    assert_avoids(&mut world, 3);
+    assert_avoids(&mut harness, 3);
 }
 
 #[test]
 fn queued_requests_do_not_go_to_a_backend_that_drains_meanwhile() {
-    let mut world = World::new(true, 2);
-    let (_, server) = sent(&world.request(read(1, 5))).unwrap();
-    world.end(1, 0, server, Outcome::Miss);
-    assert!(sends(&world.request(read(2, 5))).is_empty(), "it waits for the fetch");
-    world.event(Event::Members {
+    let mut harness = BalancerHarness::with_origin(2);
+    let (_, server) = sent(&harness.request(read(1, 5))).unwrap();
+    harness.end(1, 0, server, Outcome::Miss);
+    assert!(sends(&harness.request(read(2, 5))).is_empty(), "it waits for the fetch");
+    harness.event(Event::Members {
         form: ListForm::Delta,
         members: vec![Member { state: State::Draining, ..member(server) }],
     });
-    let actions = world.end(1, 1, ORIGIN, Outcome::Ok);
+    let actions = harness.end(1, 1, ORIGIN, Outcome::Ok);
     assert!(sends(&actions).iter().all(|(_, to)| *to != server), "{actions:?}");
 }
 
-/// Plays steady traffic for 1.5 s; the work sent to server 9 and to all others.
-fn flood(world: &mut World, outcome: Outcome) -> (f64, f64) {
+/// Sends steady traffic for 1.5 s; the work sent to backend 9 and to all others.
+fn flood(harness: &mut BalancerHarness, outcome: Outcome) -> (f64, f64) {
     let (mut cold, mut warm) = (0.0, 0.0);
-    let base = world.now as u64 * 1000;
+    let base = harness.now as u64 * 1000;
     for step in 0..150u64 {
-        world.now += 10.0;
+        harness.now += 10.0;
         for n in 0..4 {
             let id = base + step * 4 + n;
-            let mut actions = world.request(read(id, id));
+            let mut actions = harness.request(read(id, id));
             for attempt in 0..3 {
                 let Some((_, server)) = sent(&actions) else { break };
                 if server == 9 {
                     cold += 10.0;
-                    actions = world.end(id, attempt, server, outcome);
+                    actions = harness.end(id, attempt, server, outcome);
                 } else {
                     warm += 10.0;
-                    world.end(id, attempt, server, Outcome::Ok);
+                    harness.end(id, attempt, server, Outcome::Ok);
                     break;
                 }
             }
@@ -219,30 +219,33 @@
 fn a_cold_backend_gets_no_more_than_its_budget() {
     // A new id, then a restart of a known one; with retries from its rejections too.
     for (known, outcome) in [(false, Outcome::Ok), (true, Outcome::Ok), (false, Outcome::Full)] {
-        let mut world = World::new(false, 4);
+        let mut harness = BalancerHarness::without_origin(4);
         if known {
-            world.event(Event::Members { form: ListForm::Delta, members: vec![member(9)] });
+            harness.event(Event::Members { form: ListForm::Delta, members: vec![member(9)] });
         }
-        flood(&mut world, Outcome::Ok);
-        let started = world.now;
-        world.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
-        let (cold, warm) = flood(&mut world, outcome);
-        // Start capacity 0.2 rising to 0.33 in the window, multiple 3: half of what tips it at most,
-        // even if warm servers are at their full capacity.
+        flood(&mut harness, Outcome::Ok);
+        let started = harness.now;
+        harness
+            .event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
+        let (cold, warm) = flood(&mut harness, outcome);
+        // Start capacity 0.2 rising to 0.33 in the time, multiple 3: at most half of what makes it
+        // collapse, even if warm backends are at their full capacity.
         assert!(cold > 0.0 && cold <= warm * 0.5 * 3.0 * 0.34, "known {known} {outcome:?}: {cold} {warm}");
     }
 }
 
 #[test]
 fn several_proxies_together_keep_the_budget_of_a_cold_backend() {
-    // Four proxies that do not talk, each with its own share of the traffic and its own table.
+    // Four proxies that do not communicate, each with its own share of the traffic and its own
+    // table.
     let (mut cold, mut warm) = (0.0, 0.0);
     for _ in 0..4 {
-        let mut world = World::new(false, 4);
-        flood(&mut world, Outcome::Ok);
-        let started = world.now;
-        world.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
-        let (to_cold, to_warm) = flood(&mut world, Outcome::Ok);
+        let mut harness = BalancerHarness::without_origin(4);
+        flood(&mut harness, Outcome::Ok);
+        let started = harness.now;
+        harness
+            .event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
+        let (to_cold, to_warm) = flood(&mut harness, Outcome::Ok);
         cold += to_cold;
         warm += to_warm;
     }
@@ -251,29 +254,29 @@
 
 #[test]
 fn a_cold_backend_gets_little_from_a_proxy_that_knows_no_load_yet() {
-    let mut world = World::new(false, 0);
-    let started = world.now;
+    let mut harness = BalancerHarness::without_origin(0);
+    let started = harness.now;
     let cold = |id| Member { started, ..member(id) };
-    world.event(Event::Members { form: ListForm::Full, members: (1..=3).map(cold).collect() });
-    let burst: usize = (1..50).map(|id| sends(&world.request(read(id, id))).len()).sum();
-    // Half of multiple 3 times start capacity 0.2 of the keys, wherever else they are turned away.
+    harness.event(Event::Members { form: ListForm::Full, members: (1..=3).map(cold).collect() });
+    let burst: usize = (1..50).map(|id| sends(&harness.request(read(id, id))).len()).sum();
+    // Half of multiple 3 times start capacity 0.2 of the keys, wherever else they are rejected.
     assert!((1..=24).contains(&burst), "{burst} of 49, about 15 expected; the others wait");
 }
 
 #[test]
 fn misses_at_cold_nodes_stay_a_small_part_of_what_the_origin_gets() {
-    let mut world = World::new(true, 8);
-    let started = world.now;
-    world.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
+    let mut harness = BalancerHarness::with_origin(8);
+    let started = harness.now;
+    harness.event(Event::Members { form: ListForm::Delta, members: vec![Member { started, ..member(9) }] });
     let (mut from_cold, mut all) = (0, 0);
     for id in 1..600 {
-        world.now += 2.5;
-        let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
-        let fetch = world.end(id, 0, server, Outcome::Miss);
+        harness.now += 2.5;
+        let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
+        let fetch = harness.end(id, 0, server, Outcome::Miss);
         all += 1;
         from_cold += usize::from(server == 9);
         for (id, to) in sends(&fetch).iter() {
-            world.end(*id, 1, *to, Outcome::Ok);
+            harness.end(*id, 1, *to, Outcome::Ok);
         }
     }
     assert!(all > 100 && from_cold * 10 < all, "{from_cold} of {all}");
@@ -281,11 +284,11 @@
 
 #[test]
 fn attempts_in_flight_at_the_origin_are_bounded() {
-    let mut world = World::new(true, 8);
+    let mut harness = BalancerHarness::with_origin(8);
     let mut at_origin = 0;
     for id in 1..500 {
-        let Some((_, server)) = sent(&world.request(read(id, id))) else { continue };
-        at_origin += world.end(id, 0, server, Outcome::Miss).iter().filter(|a| is_origin_send(a)).count();
+        let Some((_, server)) = sent(&harness.request(read(id, id))) else { continue };
+        at_origin += harness.end(id, 0, server, Outcome::Miss).iter().filter(|a| is_origin_send(a)).count();
     }
     assert!((1..=8).contains(&at_origin), "{at_origin}");
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,4 +1,4 @@
-//! The codec, on frames made by hand, and the adapter's manners on bad input.
+//! The codec, on frames made by hand, and what the adapter does with bad input.
 
 mod common;
 
