Test the decision module's containers by themselves

Timer tokens, the queue, the fetch table, key sets, averages and the table of recent keys were tested only by the decisions made with them.

--- a/src/logic/capacity.rs
+++ b/src/logic/capacity.rs
@@ -7,7 +7,7 @@
 
 const INITIAL_NODE_LIMIT: f64 = 32.0; // in flight at first, by all proxies together
 const INITIAL_ORIGIN_LIMIT: f64 = 8.0;
-const REST_MS: Time = 100.0; // of a backend at a limit of one, after a decrease
+const REST_MS: Time = 100.0; // of a backend at a limit of 1, after a decrease
 
 impl Balancer {
     /// Whether this proxy's part of a node is under [`SET_GROWTH_GAP`]: then it can see no such
@@ -40,7 +40,7 @@
         self.scale_limits(before / self.learnt_divisor);
     }
 
-    /// Danger: quick rejections become a hammer. At its last place a backend rests for a moment.
+    /// Danger: quick rejections become a hammer. At a limit of 1 a backend rests after a decrease.
     pub(super) fn has_capacity(&self, backend: &BackendState) -> bool {
         let limit = backend.concurrency_limit;
         let is_rested = limit >= 2.0 || self.now - backend.last_decrease > REST_MS;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,6 +9,8 @@
 mod key;
 mod queue;
 mod request;
+#[cfg(test)]
+mod tests;
 mod timer;
 
 pub(crate) use average::{Averages, MovingAverage};
