--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -11,11 +11,10 @@
 use crate::growth_estimator::GrowthEstimator;
 use crate::limits::Limits;
 use crate::reuse_estimator::{ReuseEstimator, EDGES};
+use crate::Millis;
 use entry::{Entry, Queue, ReuseKind, KINDS, QUEUES};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A time in milliseconds since a beginning of the driver's choice, or a duration in milliseconds.
-pub type Millis = u64;
 /// A connection, numbered by the driver in the order of arrival.
 pub type ConnectionId = u64;
 /// Counts the phases of a connection. A [`CloseOrder`] carries it: an order for a connection that
--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -20,9 +20,12 @@
 mod reuse_estimator;
 
 pub use connection_table::{
-    CloseOrder, ConnectionId, ConnectionTable, Counts, IdleLimits, Millis, Phase, Reason, Seq,
+    CloseOrder, ConnectionId, ConnectionTable, Counts, IdleLimits, Phase, Reason, Seq,
 };
 pub use descriptor_budget::DescriptorBudget;
 pub use growth_estimator::GrowthEstimator;
 pub use limits::Limits;
 pub use reuse_estimator::{ReuseEstimator, EDGES};
+
+/// A time in milliseconds since a beginning of the driver's choice, or a duration in milliseconds.
+pub type Millis = u64;
--- a/crates/connection-limits/src/limits.rs
+++ b/crates/connection-limits/src/limits.rs
@@ -1,7 +1,7 @@
 //! How long a connection may stay in a phase, and which share of the capacity each phase may take:
 //! [`Limits`].
 
-use crate::connection_table::Millis;
+use crate::Millis;
 
 /// From this pressure on, idle connections have the shorter of their two limits.
 const SHORTER_IDLE_LIMIT_FROM: f64 = 0.5;
--- a/crates/membership/src/events.rs
+++ b/crates/membership/src/events.rs
@@ -1,6 +1,6 @@
 //! What the rest of the program is told: [`MembershipEvent`].
 
-use crate::roster::{MemberRecord, PartitionSide, State};
+use crate::record::{MemberRecord, PartitionSide, State};
 use crate::Time;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -22,6 +22,7 @@
 mod identity;
 mod join_admission;
 mod membership;
+mod record;
 mod roster;
 mod settings;
 mod swim;
@@ -32,7 +33,7 @@
 pub use events::MembershipEvent;
 pub use identity::{MemberId, MAX_NAME};
 pub use membership::{Membership, Output};
-pub use roster::{MemberRecord, PartitionSide, State};
+pub use record::{MemberRecord, PartitionSide, State};
 pub use settings::{Settings, SettingsError, Timing};
 pub use wire::{decode_datagram, DatagramKind, DropReason, MAX_DATAGRAM};
 
--- a/crates/membership/src/membership/swim_effects.rs
+++ b/crates/membership/src/membership/swim_effects.rs
@@ -3,7 +3,7 @@
 use super::{Membership, Output, TimerKind};
 use crate::events::MembershipEvent;
 use crate::identity::MemberId;
-use crate::roster::{MemberRecord, PartitionSide, State};
+use crate::record::{MemberRecord, PartitionSide, State};
 use crate::swim::{SwimEvent, SwimTimer};
 use crate::wire::DatagramKind;
 
--- a/crates/peer-transport/src/config.rs
+++ b/crates/peer-transport/src/config.rs
@@ -4,6 +4,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+/// The longest frame in bytes, without its length.
+pub const MAX_FRAME_LENGTH: usize = 1 << 20;
+
 /// Timeouts and intervals of all connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
--- a/crates/peer-transport/src/error.rs
+++ b/crates/peer-transport/src/error.rs
@@ -1,6 +1,6 @@
 //! Why a connection ended ([`ConnectionError`]), and what it may have been caused by.
 
-use crate::frame::MAX_FRAME_LENGTH;
+use crate::config::MAX_FRAME_LENGTH;
 use crate::process::Process;
 use std::io;
 use std::time::Duration;
--- a/crates/peer-transport/src/frame.rs
+++ b/crates/peer-transport/src/frame.rs
@@ -4,14 +4,13 @@
 //! big-endian), and a postcard value. Reading is strict and bounded; nothing that comes in can
 //! cause a panic.
 
+use crate::config::MAX_FRAME_LENGTH;
 use crate::error::{DecodeError, EncodeError};
 use crate::process::Process;
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// The longest frame in bytes, without its length.
-pub const MAX_FRAME_LENGTH: usize = 1 << 20;
 /// The version of the format. A peer with another version is refused in the handshake.
 pub(crate) const VERSION: u16 = 1;
 /// Bytes of the checksum.
--- a/crates/peer-transport/src/lib.rs
+++ b/crates/peer-transport/src/lib.rs
@@ -30,9 +30,9 @@
 mod shared;
 mod transport;
 
-pub use config::{Peer, Timing, TransportConfig};
+pub use config::{Peer, Timing, TransportConfig, MAX_FRAME_LENGTH};
 pub use error::{ConnectionError, DecodeError, EncodeError, HandshakeError};
-pub use frame::{Handshake, MAX_FRAME_LENGTH};
+pub use frame::Handshake;
 pub use handler::MessageHandler;
 pub use network::{Network, TcpNetwork};
 pub use process::Process;
