--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -4,6 +4,7 @@
 use super::error::{ConfigError, FleetError};
 use super::file::parse_address;
 use super::policy::PolicyConfig;
+use crate::interface::FleetLimits;
 use pinetrail_membership::{Settings as MembershipSettings, Timing};
 use pinetrail_quota::Settings as QuotaSettings;
 use serde::Deserialize;
@@ -16,7 +17,7 @@
     pub settings: QuotaSettings,
     /// Attempts that all proxies together may have in flight, at one node and at the origin; infinite
     /// where that is not given.
-    pub whole: [f64; 2],
+    pub limits: FleetLimits,
 }
 
 /// What the object `fleet` says.
@@ -122,8 +123,11 @@
         let least = 2 * file.size as u64;
         check_minimum("node_calls", file.node_calls, least)?;
         check_minimum("origin_calls", file.origin_calls, least)?;
-        let whole = [calls_or_infinite(file.node_calls), calls_or_infinite(file.origin_calls)];
-        Ok(QuotaConfig { settings, whole })
+        let limits = FleetLimits {
+            per_node: calls_or_infinite(file.node_calls),
+            origin: calls_or_infinite(file.origin_calls),
+        };
+        Ok(QuotaConfig { settings, limits })
     }
 }
 
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -152,7 +152,7 @@
 #[test]
 fn the_keys_of_shares_are_read() {
     let shares = complete().fleet.unwrap().quota.unwrap();
-    same(shares.whole, [100.0, 50.0]);
+    same((shares.limits.per_node, shares.limits.origin), (100.0, 50.0));
     let settings = shares.settings;
     let founders = ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"];
     same(settings.founders, founders.map(at).to_vec());
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -6,6 +6,7 @@
 use super::event_log::log_line;
 use super::quota::{QuotaDriver, QuotaStatus};
 use super::report::report;
+use crate::interface::FleetLimits;
 use crate::net::config::QuotaConfig;
 use pinetrail_membership::{
     MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
@@ -65,7 +66,7 @@
 fn quota_config() -> QuotaConfig {
     let founders = vec![address(7101), address(7102), address(7103)];
     let settings = pinetrail_quota::Settings::with_defaults(founders, 4);
-    QuotaConfig { settings, whole: [100.0, 50.0] }
+    QuotaConfig { settings, limits: FleetLimits { per_node: 100.0, origin: 50.0 } }
 }
 
 /// A member as the report has it; its time counts from `STARTED_AT`.
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -20,7 +20,7 @@
 
 pub use active_member::LivePeer;
 pub use error::FleetError;
-pub use process_quota::{FleetLimits, ProcessQuota, QuotaHandler, SecondProcess};
+pub use process_quota::{ProcessQuota, QuotaHandler, SecondProcess};
 
 use super::config::FleetConfig;
 use super::counters::Count;
--- a/src/net/fleet/process_quota.rs
+++ b/src/net/fleet/process_quota.rs
@@ -5,18 +5,10 @@
 
 use super::quota::LocalQuota;
 use super::{Activity, Fleet};
+use crate::interface::FleetLimits;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// The limits on calls in flight of all proxies of the fleet together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetLimits {
-    /// At one cache node; infinite if not configured.
-    pub per_node: f64,
-    /// At the origin; infinite if not configured.
-    pub origin: f64,
-}
-
 /// The quota of this process: its fraction of the fleet's limits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProcessQuota {
--- a/src/net/fleet/quota.rs
+++ b/src/net/fleet/quota.rs
@@ -1,7 +1,7 @@
 //! [`QuotaDriver`]: the quota of an active member, between `pinetrail-quota` and the membership
 //! that carries its messages.
 
-use super::process_quota::FleetLimits;
+use crate::interface::FleetLimits;
 use crate::net::config::QuotaConfig;
 use crate::net::log::log;
 use pinetrail_membership::{Membership, Output as MembershipOutput, Time};
@@ -27,7 +27,7 @@
     /// What a process has that holds no lease.
     pub(super) fn guaranteed_minimum(config: &QuotaConfig) -> LocalQuota {
         let guaranteed = fraction(config.settings.guaranteed_minimum());
-        LocalQuota { fraction: guaranteed, expires_at: 0, guaranteed, limits: limits(config) }
+        LocalQuota { fraction: guaranteed, expires_at: 0, guaranteed, limits: config.limits }
     }
 }
 
@@ -155,7 +155,7 @@
             fraction: fraction(guaranteed + lease.parts_at(now)),
             expires_at: lease.expires_at,
             guaranteed: fraction(guaranteed),
-            limits: limits(&self.config),
+            limits: self.config.limits,
         }
     }
 
@@ -222,11 +222,6 @@
     parts as f64 / WHOLE_PARTS as f64
 }
 
-fn limits(config: &QuotaConfig) -> FleetLimits {
-    let [per_node, origin] = config.whole;
-    FleetLimits { per_node, origin }
-}
-
 fn sum(a: QuotaCounters, b: QuotaCounters) -> QuotaCounters {
     QuotaCounters {
         leases_granted: a.leases_granted + b.leases_granted,
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -317,13 +317,12 @@
 ) -> Arc<Fleet> {
     let dispatcher = Arc::clone(dispatcher);
     let apply_quota = move |quota: fleet::ProcessQuota| {
-        let (per_node, origin) = (quota.limits.per_node, quota.limits.origin);
         let ends = quota.expires_at;
         let quota = interface::Quota {
             fraction: quota.fraction,
             expires_at: 0.0,
             guaranteed: quota.guaranteed,
-            fleet_limits: interface::FleetLimits { per_node, origin },
+            fleet_limits: quota.limits,
         };
         dispatcher.apply_quota(quota, ends);
     };
