--- a/crates/membership/src/events.rs
+++ b/crates/membership/src/events.rs
@@ -20,9 +20,8 @@
     Forgotten(Arc<str>),
     /// This member is on another side of a partition, or the partition has healed.
     PartitionSide(PartitionSide),
-    /// Another process, at this address, has this member's name. `true`: it started later, so that
-    /// it counts in the fleet and this process does not.
-    NameConflict(SocketAddr, bool),
+    /// Another process has this member's name.
+    NameConflict(NameConflict),
     /// The other process of this member's name is gone.
     NameConflictEnded,
     /// The member at this address has reached its configured size, which is this many members, and
@@ -33,3 +32,21 @@
     /// This process did not run for so long, in ms.
     Paused(Time),
 }
+
+/// Two processes with one name: this one, and another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NameConflict {
+    /// Where the other process is reached.
+    pub other: SocketAddr,
+    /// Which of the two counts in the fleet.
+    pub holder: NameHolder,
+}
+
+/// Which of two processes with one name counts in the fleet: the one that started later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NameHolder {
+    /// This process does.
+    ThisProcess,
+    /// The other one does, and this one is out of the fleet.
+    OtherProcess,
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -30,7 +30,7 @@
 mod wire;
 
 pub use counters::MembershipCounters;
-pub use events::MembershipEvent;
+pub use events::{MembershipEvent, NameConflict, NameHolder};
 pub use identity::{MemberId, MAX_NAME};
 pub use membership::{Membership, Output};
 pub use record::{MemberRecord, PartitionSide, State};
--- a/crates/membership/src/membership/name_conflict.rs
+++ b/crates/membership/src/membership/name_conflict.rs
@@ -2,12 +2,11 @@
 //! are there, and the one that started later counts in the fleet. Read [`LocalState`] first.
 
 use super::{Membership, Output, TimerKind};
-use crate::events::MembershipEvent;
+use crate::events::{MembershipEvent, NameConflict, NameHolder};
 use crate::identity::MemberId;
 use crate::swim::{Swim, SwimParameters};
 use crate::wire::{self, DatagramKind};
 use crate::Time;
-use std::net::SocketAddr;
 
 /// How often, in ms, each of the two processes sends to the other.
 const CONFLICT_ANNOUNCE_INTERVAL: Time = 1000;
@@ -38,12 +37,15 @@
 }
 
 impl Membership {
-    /// Where another process with this member's name runs, and whether that one counts in the
-    /// fleet.
-    pub fn name_conflict(&self) -> Option<(SocketAddr, bool)> {
+    /// The conflict with another process that has this member's name, if there is one.
+    pub fn name_conflict(&self) -> Option<NameConflict> {
         match &self.local_state {
-            LocalState::Superseding { earlier, .. } => Some((earlier.address, false)),
-            LocalState::Superseded { later, .. } => Some((later.address, true)),
+            LocalState::Superseding { earlier, .. } => {
+                Some(NameConflict { other: earlier.address, holder: NameHolder::ThisProcess })
+            }
+            LocalState::Superseded { later, .. } => {
+                Some(NameConflict { other: later.address, holder: NameHolder::OtherProcess })
+            }
             LocalState::SoleHolder | LocalState::Left => None,
         }
     }
@@ -61,11 +63,12 @@
     /// Notes that another process of this name is there.
     pub(super) fn record_name_conflict(&mut self, other: MemberId, out: &mut Vec<Output>) {
         let is_later = other.start > self.local_id.start;
-        let is_new = self.name_conflict() != Some((other.address, is_later));
+        let holder = if is_later { NameHolder::OtherProcess } else { NameHolder::ThisProcess };
+        let conflict = NameConflict { other: other.address, holder };
+        let is_new = self.name_conflict() != Some(conflict);
         let was_superseded = self.is_superseded();
         if is_new {
-            let event = MembershipEvent::NameConflict(other.address, is_later);
-            out.push(Output::MembershipEvent(event));
+            out.push(Output::MembershipEvent(MembershipEvent::NameConflict(conflict)));
             self.timers.retain(|timer| !matches!(timer, TimerKind::NameConflict));
             self.timers.set(self.now, TimerKind::NameConflict);
         }
--- a/crates/membership/tests/hard_cases/names.rs
+++ b/crates/membership/tests/hard_cases/names.rs
@@ -1,7 +1,9 @@
 //! A name that moves, comes back, or is used by two processes; in simulated time with fixed seeds.
 
 use crate::{datagrams, five_members, ALL};
-use pinetrail_membership::{Membership, MembershipEvent, PartitionSide, Settings, State};
+use pinetrail_membership::{
+    Membership, MembershipEvent, NameConflict, NameHolder, PartitionSide, Settings, State,
+};
 use pinetrail_simulation::fleet::{host_address, member_settings, Fleet, ObservedEvent};
 
 /// Guards against a member that nobody reaches since they have the address that it had before.
@@ -71,12 +73,12 @@
     fleet.run(10_000);
     assert_eq!(
         fleet.member(2).unwrap().name_conflict(),
-        Some((host_address(5), true)),
+        Some(NameConflict { other: host_address(5), holder: NameHolder::OtherProcess }),
         "the earlier one knows"
     );
     assert_eq!(
         fleet.member(5).unwrap().name_conflict(),
-        Some((host_address(2), false)),
+        Some(NameConflict { other: host_address(2), holder: NameHolder::ThisProcess }),
         "so does the later one"
     );
     assert_eq!(fleet.side(2), Some(PartitionSide::Alone));
--- a/src/net/fleet/event_log.rs
+++ b/src/net/fleet/event_log.rs
@@ -1,6 +1,6 @@
 //! The lines of the log about the membership of a fleet.
 
-use pinetrail_membership::{MemberRecord, MembershipEvent, State};
+use pinetrail_membership::{MemberRecord, MembershipEvent, NameConflict, NameHolder, State};
 
 /// The line of an event.
 pub(super) fn log_line(event: &MembershipEvent) -> String {
@@ -8,11 +8,11 @@
         MembershipEvent::Member { entry, before } => member_line(entry, *before),
         MembershipEvent::Forgotten(name) => format!("{name} is remembered no longer"),
         MembershipEvent::PartitionSide(side) => format!("this is the side: {side}"),
-        MembershipEvent::NameConflict(address, true) => format!(
-            "ERROR: another process at {address} has this one's name and started later: that one counts in the fleet, this one is out of it"
+        MembershipEvent::NameConflict(NameConflict { other, holder: NameHolder::OtherProcess }) => format!(
+            "ERROR: another process at {other} has this one's name and started later: that one counts in the fleet, this one is out of it"
         ),
-        MembershipEvent::NameConflict(address, false) => {
-            format!("ERROR: another process at {address} has this one's name and started earlier: this one counts in the fleet")
+        MembershipEvent::NameConflict(NameConflict { other, holder: NameHolder::ThisProcess }) => {
+            format!("ERROR: another process at {other} has this one's name and started earlier: this one counts in the fleet")
         }
         MembershipEvent::NameConflictEnded => "the other process of this one's name is gone".to_owned(),
         MembershipEvent::FleetFull(at, size) => format!("ERROR: {at} has no room for this member: its fleet.size is {size}"),
--- a/src/net/fleet/golden_tests.rs
+++ b/src/net/fleet/golden_tests.rs
@@ -9,8 +9,8 @@
 use crate::interface::FleetLimits;
 use crate::net::config::QuotaConfig;
 use pinetrail_membership::{
-    MemberRecord, Membership, MembershipCounters, MembershipEvent, Output, PartitionSide, Settings, State,
-    Timing,
+    MemberRecord, Membership, MembershipCounters, MembershipEvent, NameConflict, NameHolder, Output,
+    PartitionSide, Settings, State, Timing,
 };
 use std::net::SocketAddr;
 
@@ -273,8 +273,9 @@
         "ERROR: another process at 127.0.0.1:7102 has this one's name and started earlier: ",
         "this one counts in the fleet",
     );
-    assert_eq!(log_line(&MembershipEvent::NameConflict(address(7102), true)), later);
-    assert_eq!(log_line(&MembershipEvent::NameConflict(address(7102), false)), earlier);
+    let conflict = |holder| MembershipEvent::NameConflict(NameConflict { other: address(7102), holder });
+    assert_eq!(log_line(&conflict(NameHolder::OtherProcess)), later);
+    assert_eq!(log_line(&conflict(NameHolder::ThisProcess)), earlier);
     assert_eq!(log_line(&MembershipEvent::NameConflictEnded), "the other process of this one's name is gone");
     let full = "ERROR: 127.0.0.1:7102 has no room for this member: its fleet.size is 4";
     assert_eq!(log_line(&MembershipEvent::FleetFull(address(7102), 4)), full);
--- a/src/net/fleet/report.rs
+++ b/src/net/fleet/report.rs
@@ -1,7 +1,7 @@
 //! What the admin server tells operators of a fleet: the JSON of `GET /control/fleet`.
 
 use super::quota::QuotaStatus;
-use pinetrail_membership::{MemberRecord, Membership};
+use pinetrail_membership::{MemberRecord, Membership, NameHolder};
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -15,7 +15,7 @@
     #[serde(flatten, skip_serializing_if = "Option::is_none")]
     quota: Option<QuotaStatus>,
     #[serde(rename = "rival", skip_serializing_if = "Option::is_none")]
-    name_conflict: Option<NameConflict>,
+    name_conflict: Option<OtherProcess>,
 }
 
 #[derive(Serialize)]
@@ -29,7 +29,7 @@
 
 /// Another process that has this one's name.
 #[derive(Serialize)]
-struct NameConflict {
+struct OtherProcess {
     address: SocketAddr,
     /// Whether it is the other process that holds the name.
     #[serde(rename = "counts")]
@@ -50,9 +50,10 @@
         side: membership.side().to_string(),
         members: membership.members().into_iter().map(member).collect(),
         quota,
-        name_conflict: membership
-            .name_conflict()
-            .map(|(address, is_name_holder)| NameConflict { address, is_name_holder }),
+        name_conflict: membership.name_conflict().map(|conflict| OtherProcess {
+            address: conflict.other,
+            is_name_holder: conflict.holder == NameHolder::OtherProcess,
+        }),
     };
     // Names and numbers have a form in JSON: nothing here fails.
     serde_json::to_string(&report).unwrap_or_default()
