Call clients, backends and attempts so in comments on counters and budgets

The comments had consumers, providers, invocations, invoker calls and the exchange for what the glossary and the rest of the code call clients, backends, requests, attempts and the dispatcher. Names of counters stay, since operators read them. Comments only.

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,4 +1,7 @@
-//! What the proxy has taken in, sent and answered, by kind.
+//! What the proxy has taken in, sent and answered, by kind. Read [`Counters`] first.
+//!
+//! Its fields are named as `stats` and the log show them. Operators read them by name, so that
+//! older words stay there: a consumer is a client, a provider a backend, a call an attempt.
 
 use crate::interface::Outcome;
 use std::fmt::Write;
@@ -24,12 +27,12 @@
 /// Names and values.
 type List = Vec<(&'static str, u64)>;
 
-/// Counts that somebody else keeps.
+/// Counters that other modules keep: those of the fleet and of its policy.
 #[derive(Default)]
 pub struct Others(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
 
 impl Others {
-    /// From now on these are counted too.
+    /// From now on these are listed too.
     pub fn are(&self, list: impl Fn() -> List + Send + Sync + 'static) {
         // Set once, at the start.
         let _ = self.0.set(Box::new(list));
@@ -48,7 +51,7 @@
         #[derive(Debug, Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
-            /// What else is counted.
+            /// The counters that other modules keep.
             pub others: Others,
         }
 
@@ -64,15 +67,15 @@
 }
 
 counters! {
-    /// Consumer connections accepted.
+    /// Client connections accepted.
     consumers_accepted,
-    /// Consumer connections closed to make room, with every place taken.
+    /// Client connections closed to make room, with every place taken.
     consumers_evicted,
-    /// Consumer connections closed while idle since hardly any of their kind come back.
+    /// Client connections closed while idle since hardly any of their kind send another request.
     consumers_hopeless,
-    /// Consumer connections closed since too many of them owed the same.
+    /// Client connections closed since too many were in their phase.
     consumers_over_budget,
-    /// Consumer connections closed since they kept a wait beyond its time.
+    /// Client connections closed since they were in their phase for too long.
     consumers_late,
     /// Reads taken in.
     taken_reads,
@@ -80,45 +83,45 @@
     taken_writes,
     /// Commands answered as unknown, malformed or too large.
     taken_malformed,
-    /// Commands turned away since there was no memory for their answers.
+    /// Commands rejected since there was no memory for them and their responses.
     rejected_for_memory,
-    /// Invocations served.
+    /// Requests served.
     answered_served,
-    /// Invocations answered with a rejection.
+    /// Requests that the decision module rejected.
     answered_rejected,
-    /// Invocations failed.
+    /// Requests failed.
     answered_failed,
-    /// Invocations whose consumer left first.
+    /// Requests whose client left first.
     consumers_gone,
-    /// Invocations the module left unanswered until the exchange ended them.
+    /// Requests that the decision module left open until the dispatcher ended them.
     overdue,
-    /// Invoker calls ordered by the module.
+    /// Attempts that the decision module asked for.
     calls_ordered,
-    /// Invoker calls that ended served.
+    /// Attempts that ended served.
     calls_ok,
-    /// Invoker calls answered as missing.
+    /// Attempts answered with a miss.
     calls_miss,
-    /// Invoker calls that failed at the provider.
+    /// Attempts that the backend answered with an error.
     calls_error,
-    /// Invoker calls turned away by the provider.
+    /// Attempts rejected by the backend since it was full.
     calls_full,
-    /// Invoker calls that ran out of time.
+    /// Attempts that timed out.
     calls_timeout,
-    /// Invoker calls that never got a connection.
+    /// Attempts for which no connection was established.
     calls_connect_failed,
-    /// Invoker calls whose connection broke.
+    /// Attempts whose connection broke.
     calls_reset,
-    /// Invoker calls called off.
+    /// Attempts cancelled by the proxy.
     calls_cancelled,
-    /// Invoker calls never sent.
+    /// Attempts that were decided and never sent.
     calls_moot,
-    /// Answers of providers that could not be understood or never came to their end.
+    /// Responses of backends that could not be understood or were not finished.
     answers_spoilt,
     /// Long values passed on in pieces, to their end.
     values_flowed,
     /// Long values that broke off on the way.
     values_broken,
-    /// Connections opened to providers.
+    /// Connections opened to backends.
     provider_connections,
     /// Watches started at discovery.
     watches,
@@ -130,7 +133,7 @@
     reloads,
     /// Configurations that were bad at SIGHUP; the old one stayed.
     reloads_failed,
-    /// Panics caught in a coroutine or the module.
+    /// Panics caught in a coroutine or the decision module.
     panics,
 }
 
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,19 +1,21 @@
-//! The descriptors that consumers and providers share, counted as they are taken. What each side may take is
-//! decided by [`pinetrail_connection_limits::DescriptorBudget`].
+//! The descriptors that clients and backends share, counted as they are taken. Read [`Descriptors`]
+//! first. What each side may take is decided by
+//! [`pinetrail_connection_limits::DescriptorBudget`].
 
 use pinetrail_connection_limits::DescriptorBudget;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// What the operators' door takes: the calls that may be open at once, its listener, and one that is being accepted.
+/// What the admin server takes: its requests that may be open at once, its listener, and one that
+/// is being accepted.
 pub const DOOR: usize = DOOR_CALLS + 2;
-/// Calls at the door that may be open at once.
+/// Requests to the admin server that may be open at once.
 pub const DOOR_CALLS: usize = 16;
 /// What a fleet takes: its socket.
 pub const FLEET: usize = 1;
 
-/// Nobody can take this share from consumers, nor the other from providers.
+/// Nobody can take this share from clients (consumers), nor the other from backends (providers).
 const CONSUMERS_LEAST: f64 = 0.5;
 const PROVIDERS_LEAST: f64 = 0.25;
 
@@ -26,7 +28,7 @@
     providers: AtomicUsize,
 }
 
-/// A provider's descriptor; given back when it is dropped.
+/// The descriptor of a connection to a backend; given back when it is dropped.
 #[derive(Debug)]
 pub struct BackendDescriptor(Arc<Descriptors>);
 
@@ -37,7 +39,7 @@
 }
 
 impl Descriptors {
-    /// So many descriptors.
+    /// This many descriptors in total.
     pub fn new(total: usize) -> Arc<Descriptors> {
         Arc::new(Descriptors {
             started: Instant::now(),
@@ -47,7 +49,8 @@
         })
     }
 
-    /// Makes do with `least`, or with what is held if that is more and `spare` on top; how many that is.
+    /// Sets the total to `least`, or to what is held and `spare` on top if that is more; returns
+    /// it.
     pub fn shrink(&self, least: usize, spare: usize) -> usize {
         let mut split = self.split();
         let held = self.consumers.load(Ordering::Acquire) + self.providers.load(Ordering::Acquire);
@@ -56,7 +59,7 @@
         total
     }
 
-    /// From now on so many.
+    /// Sets the total.
     pub fn resize(&self, total: usize) {
         self.split().resize(total);
     }
@@ -66,7 +69,7 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// A descriptor for a connection to a provider, or none now; that it was wanted is remembered.
+    /// A descriptor for a connection to a backend, or none now; that it was wanted is remembered.
     pub fn provider_descriptor(self: &Arc<Self>) -> Option<BackendDescriptor> {
         let mut split = self.split();
         let open = self.providers.load(Ordering::Acquire);
@@ -77,7 +80,8 @@
         })
     }
 
-    /// Consumers hold so many now; how many they may, and whether there is room for one more.
+    /// Notes that clients hold so many now. Returns how many they may, and whether there is room
+    /// for one more.
     pub fn consumers_hold(&self, open: usize) -> (usize, bool) {
         let split = self.split();
         self.consumers.store(open, Ordering::Release);
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -1,11 +1,11 @@
-//! A bound on the memory that consumers' commands and providers' answers may take together, drawn on
-//! before a byte of either is stored.
+//! A bound on the memory that clients' commands and backends' responses may take together, drawn on
+//! before a byte of either is stored. Read [`Memory`] first.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// The share of the memory limit for what consumers and providers send. The rest is the program's own and
-/// its stacks': measured at up to 16 MB with 384 descriptors.
+/// The share of the memory limit for what clients and backends send. The rest is the program's own
+/// and its stacks': measured at up to 16 MB with 384 descriptors.
 const SHARE: f64 = 0.22;
 
 /// The bound, and how much of it is drawn.
@@ -41,14 +41,14 @@
         Some(Held { from: Arc::clone(self), bytes })
     }
 
-    /// Makes do with `least`, or with what is drawn if that is more; how many bytes that is.
+    /// Sets the bound to `least`, or to what is drawn if that is more; returns it.
     pub fn shrink(&self, least: usize) -> usize {
         let bound = least.max(self.drawn.load(Ordering::Acquire));
         self.resize(bound);
         bound
     }
 
-    /// From now on so many bytes.
+    /// Sets the bound, in bytes. What is drawn beyond it stays drawn until it is given back.
     pub fn resize(&self, bound: usize) {
         self.bound.store(bound, Ordering::Release);
     }
