Say in the decision module's comments what to read first and who decides times

The interface's Member is a backend, not a member of the fleet; HyLARD and the comments that begin with Danger were not explained; send_by of the action is a duration. Comments only.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,5 @@
-//! The face of the decision module: [`Event`]s go in, [`Action`]s come out. Times and durations are
-//! milliseconds, on a clock of the caller's that never goes back.
+//! The interface of the decision module: [`Event`]s go in, [`Action`]s come out. Times and
+//! durations are milliseconds, on a clock of the caller's that never goes back.
 
 /// A point in time or a duration, in milliseconds.
 pub type Time = f64;
@@ -22,7 +22,8 @@
     Gone,
 }
 
-/// One entry of the list of backends.
+/// One entry of the list of backends. It has nothing to do with the members of a fleet, which are
+/// proxies.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Member {
     /// The backend.
@@ -78,7 +79,7 @@
     Reset,
     /// Cancelled by this proxy; the request may have run.
     Cancelled,
-    /// Not sent; the request never ran.
+    /// Decided and not sent; the request never ran.
     Moot,
     /// The cache node does not hold the key; the request never ran.
     Miss,
@@ -204,8 +205,8 @@
         backend: ServerId,
         /// The attempt times out after this long, in ms.
         timeout: Time,
-        /// It must not be sent any more after this long, in ms: a connection may be established
-        /// long after the decision, when what made the attempt permissible has expired.
+        /// Its last byte must be sent within this long, a duration in ms: a connection may be
+        /// established long after the decision, when what made the attempt permissible has expired.
         send_by: Time,
     },
     /// Final response: rejected; the client may safely send the request again.
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts: how they start, and what follows when one ends.
+//! Attempts: how they start and how long they may last, and what follows when one ends.
 
 use super::retry_safety::may_have_run;
 use super::Balancer;
@@ -8,8 +8,9 @@
 use rand::Rng;
 
 impl Balancer {
-    /// Starts an attempt, in this one place. The backend is ready: `eligible_backends` and `origin`
-    /// name no other.
+    /// Starts an attempt, in this one place, and decides its times: how long it may last, and how
+    /// soon its last byte must be sent. The backend is ready: `eligible_backends` and `origin` name
+    /// no other.
     pub(super) fn start_attempt(&mut self, id: RequestId, backend: ServerId, out: &mut Vec<Action>) {
         let parties = self.requests.get(&id).zip(self.backends.get(&backend));
         if !parties.is_some_and(|(p, to)| self.may_attempt(p) && self.is_idempotent_at(p, &to.member)) {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,5 +1,7 @@
-//! Every decision of pinetrail: [`Balancer`] takes events and appends actions. `docs/design.md`
-//! explains the ordinary path (HyLARD, in `selection`); each exception names its danger.
+//! Every decision of pinetrail: [`Balancer`] takes events and appends actions. Read
+//! [`Balancer::handle`] first. `docs/design.md` explains the ordinary path: HyLARD, by which a node
+//! is chosen for a key (in `selection`). Code that departs from it says what it prevents, in a
+//! comment that begins with "Danger".
 
 mod attempts;
 mod capacity;
