Say what the two ends of a body stream and TipAfter are

BodyReader is the end that is written into, which its comment did not explain; TipAfter is checked at a start and used by no decision. Comments only.

--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -1,6 +1,7 @@
-//! A long value on its way from a backend to a client, in pieces: a bounded window between two coroutines.
-//! [`BodyReader`] is filled with what is read from the backend, [`BodyWriter`] is emptied into the client's
-//! connection. A full window makes the filling end wait, so that a slow client slows the backend down.
+//! A long value on its way from a backend to a client, in pieces: a bounded window between two
+//! coroutines. [`BodyReader`] is filled with what is read from the backend, [`BodyWriter`] is
+//! emptied into the client's connection. A full window makes the filling end wait, so that a slow
+//! client slows the backend down.
 
 use may::sync::SyncFlag;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,7 +15,7 @@
 struct State {
     bytes: Vec<u8>,
     progress: Progress,
-    /// Whether the writing end was dropped.
+    /// Whether the [`BodyWriter`] was dropped.
     writer_gone: bool,
     /// Called when there is something to take.
     wake: Option<Box<dyn Fn() + Send>>,
@@ -36,10 +37,12 @@
     Broken,
 }
 
-/// The end that pieces are put into. Dropped before [`BodyReader::finish`], it marks the value as broken.
+/// The end of the coroutine that reads from the backend: pieces are put into it. Dropped before
+/// [`BodyReader::finish`], it marks the value as broken.
 pub struct BodyReader(Shared);
 
-/// The end that pieces are taken from. Dropped, it makes the reading end stop.
+/// The end of the coroutine that writes to the client: pieces are taken from it. Dropped, it makes
+/// the other end stop.
 pub struct BodyWriter(Shared);
 
 /// What the window has at this moment.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -74,9 +74,9 @@
     pub start_capacity: f64,
     /// The time after which it is warm at the latest, in ms.
     pub cold: f64,
-    /// It collapses when sent more than this multiple of its present capacity.
+    /// It collapses when sent more than this multiple of its present capacity for `tip_after`.
     pub fall_multiple: f64,
-    /// For this long, in ms.
+    /// For how long that takes, in ms. It must be above 0; no decision uses it.
     pub tip_after: f64,
     /// Without a subscription, the list is polled at least this often, in ms; 0 where that does not
     /// matter.
