Name the type to read first, and what is on a voter's disk, in module comments

Modules on starts, hot restart and the voter did not say which type or function comes first, and the voter's said that whatever it answers is stored: answers about leases are not. A SIGHUP that comes while a start catches up is lost, which the function now says. Comments only.

--- a/crates/policy-consensus/src/node/voter.rs
+++ b/crates/policy-consensus/src/node/voter.rs
@@ -1,5 +1,5 @@
-//! The voter of this process: takes office and leaves it, and answers for its acceptor and its
-//! lease table. Whatever it answers is on its disk first.
+//! The voter of this process: how it begins and ends, and what it answers for its acceptor and its
+//! lease table. What its acceptor answers is on its disk first; the lease table is not stored.
 
 use super::state::VoterState;
 use super::ConsensusNode;
--- a/crates/policy-consensus/src/storage/mod.rs
+++ b/crates/policy-consensus/src/storage/mod.rs
@@ -1,4 +1,5 @@
-//! The persistent state of a voter: what it promised and accepted. It is synced before it is sent.
+//! The persistent state of a voter: what it promised and accepted. It is on the disk before the
+//! voter sends an answer that rests on it.
 //!
 //! Read [`Storage`] first; [`FileStorage`] keeps the state in a directory, `format` has its
 //! encoding.
--- a/src/net/hot_restart/connection.rs
+++ b/src/net/hot_restart/connection.rs
@@ -1,4 +1,5 @@
-//! The connection between two processes, from the handover to the end of one of them.
+//! The connection between two processes, from the handover to the end of one of them. Both sides
+//! run [`HotRestart::follow_peer`], the function to read first.
 
 use super::messages::{Message, MessageReader};
 use super::socket::HandoverSocket;
--- a/src/net/hot_restart/error.rs
+++ b/src/net/hot_restart/error.rs
@@ -1,4 +1,5 @@
-//! What can go wrong between two processes of one proxy.
+//! What can go wrong between two processes of one proxy: [`HandoverError`] ends the start of the
+//! newer one, [`CommandError`] and [`RelayError`] are told to operators.
 
 use super::messages::MessageError;
 use crate::net::dispatcher::MaintenanceError;
--- a/src/net/lifecycle/error.rs
+++ b/src/net/lifecycle/error.rs
@@ -1,4 +1,4 @@
-//! Why a start fails.
+//! [`StartError`]: why a start fails.
 
 use crate::net::config::ConfigError;
 use crate::net::fleet::FleetError;
--- a/src/net/lifecycle/signals.rs
+++ b/src/net/lifecycle/signals.rs
@@ -26,7 +26,7 @@
 }
 
 /// Whether a signal has come that asks the process to stop. It does not wait, and discards the
-/// other signals that have come.
+/// other signals that have come: a SIGHUP during a start that catches up with the policy is lost.
 pub(super) fn is_stop_pending(signals: &mut Signals) -> bool {
     signals.pending().any(|signal| [SIGTERM, SIGINT].contains(&signal))
 }
