--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -6,7 +6,7 @@
 mod golden_tests;
 
 use super::deadline_stream::{sleep, DeadlineStream};
-use super::descriptors::DOOR_CALLS;
+use super::descriptors::MAX_ADMIN_CONNECTIONS;
 use super::dispatcher::{Dispatcher, MaintenanceError};
 use super::hot_restart::ControlCommand;
 use super::lifecycle::{Lifecycle, Stopping};
@@ -80,7 +80,7 @@
 
     /// Whether there is room for one more call. If not, who has been silent for longest gives way.
     fn has_room(&self) -> bool {
-        if with(&self.open, |open| *open < DOOR_CALLS) {
+        if with(&self.open, |open| *open < MAX_ADMIN_CONNECTIONS) {
             return true;
         }
         if let Some((_, oldest)) = with(&self.waiting, BTreeMap::pop_first) {
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -111,7 +111,7 @@
         let socket_address: SocketAddr =
             address.parse().map_err(|_| ConnectFailure::Failed(io::ErrorKind::InvalidInput.into()))?;
         let descriptor = loop {
-            if let Some(descriptor) = self.descriptors.provider_descriptor() {
+            if let Some(descriptor) = self.descriptors.try_backend_descriptor() {
                 break descriptor;
             }
             let oldest = self.with(|idle| {
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -7,7 +7,7 @@
 use crate::net::codec::{Parsed, MAX_VALUE};
 use crate::net::deadline_stream::{has_hung_up, read_now, sleep};
 use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback, SubmitError};
-use crate::net::memory::Held;
+use crate::net::memory::Reservation;
 use pinetrail_policy_consensus::Admission;
 use std::io::{self, ErrorKind};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -108,7 +108,7 @@
             return self.input_held = None;
         }
         if self.input.len() > INVOCATION_SIZE && self.input_held.is_none() {
-            self.input_held = self.side.memory.hold(MAX_VALUE);
+            self.input_held = self.side.memory.try_reserve(MAX_VALUE);
             if self.input_held.is_none() {
                 self.refuse("SERVER_ERROR out of memory");
                 (self.stage, self.input) = (Stage::Ending, Vec::new());
@@ -139,7 +139,7 @@
             Command::Quit => self.stage = Stage::Ending,
             Command::Invoke(key, opaque, labels, value) => {
                 let size = value.as_ref().map_or(0, Vec::len) + MAX_VALUE + INVOCATION_SIZE;
-                let held = self.side.memory.hold(size);
+                let held = self.side.memory.try_reserve(size);
                 if held.is_none() && !self.is_idle() {
                     return false;
                 }
@@ -161,7 +161,7 @@
         self.pending.push_back(Pending { id: None, words, held: None });
     }
 
-    fn invoke(&mut self, invocation: ClientRequest, held: Held) {
+    fn invoke(&mut self, invocation: ClientRequest, held: Reservation) {
         let words = Arc::new(Mutex::new(None));
         let (slot, shared) = (Arc::clone(&words), Arc::clone(&self.shared));
         let opaque = invocation.opaque.clone();
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -10,7 +10,7 @@
 use crate::net::codec::MAX_VALUE;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
-use crate::net::memory::Held;
+use crate::net::memory::Reservation;
 use may::io::WaitIo;
 use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
 use std::collections::VecDeque;
@@ -38,7 +38,7 @@
 struct Pending {
     id: Option<RequestId>,
     words: Arc<Mutex<Option<Said>>>,
-    held: Option<Held>,
+    held: Option<Reservation>,
 }
 
 /// Where a connection stands.
@@ -62,14 +62,14 @@
     heard: bool,
     proven: bool,
     /// What such a command holds of the memory, if it is large.
-    input_held: Option<Held>,
+    input_held: Option<Reservation>,
     output: Vec<u8>,
     /// The value of the first that is pending, while it flows.
     flowing: Option<BodyWriter>,
     /// Whether that broke off: the connection ends once what was said before has gone out.
     broken: bool,
     /// What the answers in `output` hold of the memory.
-    output_held: Vec<Held>,
+    output_held: Vec<Reservation>,
     pending: VecDeque<Pending>,
     stage: Stage,
     /// What it holds its place for, as last said, and which stay in that phase this is.
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -96,7 +96,7 @@
         socket: TcpListener,
     ) -> io::Result<Arc<ClientService>> {
         let listener = Arc::new(Listener::new(socket)?);
-        let (most, _) = descriptors.consumers_hold(0);
+        let (most, _) = descriptors.set_client_connections(0);
         let places = ConnectionTable::new(Limits::default(), most);
         let side = Arc::new(ClientService {
             exchange,
@@ -213,7 +213,7 @@
 
     fn has_room(&self) -> bool {
         self.with(|held| {
-            let (most, room) = self.descriptors.consumers_hold(held.places.open());
+            let (most, room) = self.descriptors.set_client_connections(held.places.open());
             held.places.set_capacity(most);
             room
         })
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -26,19 +26,19 @@
 
 /// Counts that somebody else keeps.
 #[derive(Default)]
-pub struct Others(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
+pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
 
-impl Others {
+impl ExternalCounters {
     /// From now on these are counted too.
-    pub fn are(&self, list: impl Fn() -> List + Send + Sync + 'static) {
+    pub fn set_source(&self, list: impl Fn() -> List + Send + Sync + 'static) {
         // Set once, at the start.
         let _ = self.0.set(Box::new(list));
     }
 }
 
-impl std::fmt::Debug for Others {
+impl std::fmt::Debug for ExternalCounters {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Others")
+        f.write_str("ExternalCounters")
     }
 }
 
@@ -49,14 +49,14 @@
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
             /// What else is counted.
-            pub others: Others,
+            pub external: ExternalCounters,
         }
 
         impl Counters {
             /// Names and values, in a fixed order.
             pub fn list(&self) -> Vec<(&'static str, u64)> {
                 let mut list = vec![$((stringify!($name), self.$name.get()),)*];
-                list.extend(self.others.0.get().into_iter().flat_map(|others| others()));
+                list.extend(self.external.0.get().into_iter().flat_map(|others| others()));
                 list
             }
         }
@@ -136,7 +136,7 @@
 
 impl Counters {
     /// The count of an outcome.
-    pub fn outcome(&self, outcome: Outcome) -> &Count {
+    pub fn for_outcome(&self, outcome: Outcome) -> &Count {
         match outcome {
             Outcome::Ok => &self.calls_ok,
             Outcome::Miss => &self.calls_miss,
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -7,11 +7,11 @@
 use std::time::Instant;
 
 /// What the operators' door takes: the calls that may be open at once, its listener, and one that is being accepted.
-pub const DOOR: usize = DOOR_CALLS + 2;
+pub const ADMIN_DESCRIPTORS: usize = MAX_ADMIN_CONNECTIONS + 2;
 /// Calls at the door that may be open at once.
-pub const DOOR_CALLS: usize = 16;
+pub const MAX_ADMIN_CONNECTIONS: usize = 16;
 /// What a fleet takes: its socket.
-pub const FLEET: usize = 1;
+pub const FLEET_DESCRIPTORS: usize = 1;
 
 /// Nobody can take this share from consumers, nor the other from providers.
 const CONSUMERS_LEAST: f64 = 0.5;
@@ -67,7 +67,7 @@
     }
 
     /// A descriptor for a connection to a provider, or none now; that it was wanted is remembered.
-    pub fn provider_descriptor(self: &Arc<Self>) -> Option<BackendDescriptor> {
+    pub fn try_backend_descriptor(self: &Arc<Self>) -> Option<BackendDescriptor> {
         let mut split = self.split();
         let open = self.providers.load(Ordering::Acquire);
         split.record_backend_need(self.now(), open + 1);
@@ -78,7 +78,7 @@
     }
 
     /// Consumers hold so many now; how many they may, and whether there is room for one more.
-    pub fn consumers_hold(&self, open: usize) -> (usize, bool) {
+    pub fn set_client_connections(&self, open: usize) -> (usize, bool) {
         let split = self.split();
         self.consumers.store(open, Ordering::Release);
         let now = self.now();
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -111,7 +111,7 @@
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(&id.request) else { return };
         let Some(attempt) = request.attempts.remove(&id.attempt) else { return };
-        self.counters.outcome(outcome).add();
+        self.counters.for_outcome(outcome).add();
         let served = match (outcome, payload) {
             (Outcome::Ok, Some(payload)) => request.pending.take().map(|pending| (pending, payload)),
             _ => None,
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -245,8 +245,8 @@
             None => None,
         };
         let own = OWN_SOCKETS
-            + door.as_ref().map_or(0, |_| descriptors::DOOR)
-            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET)
+            + door.as_ref().map_or(0, |_| descriptors::ADMIN_DESCRIPTORS)
+            + config.fleet.as_ref().map_or(0, |_| descriptors::FLEET_DESCRIPTORS)
             + config.policy().map_or(0, PolicyConfig::descriptors);
         let alone = config.limits.sockets - own;
         let descriptors = Descriptors::new(alone);
@@ -260,8 +260,8 @@
             orders,
             subscribe.clone(),
         );
-        let memory = Memory::of(config.limits.memory_mb);
-        let all = Share { sockets: alone, memory: Memory::bound_of(config.limits.memory_mb) };
+        let memory = Memory::with_limit_mb(config.limits.memory_mb);
+        let all = Share { sockets: alone, memory: Memory::value_bytes(config.limits.memory_mb) };
         let both = Share { sockets: alone.saturating_sub(own), ..all };
         let (memory_of, descriptors_of) = (Arc::clone(&memory), Arc::clone(&descriptors));
         let budget = Budget { both, alone: all, descriptors: descriptors_of, memory: memory_of };
@@ -300,7 +300,7 @@
             let fleet =
                 self.fleet.get_or_init(|| Fleet::new(told.clone(), config.seed, given.is_some(), tell));
             let (counted, policy) = (Arc::clone(fleet), Arc::clone(self));
-            self.counters.others.are(move || {
+            self.counters.external.set_source(move || {
                 let policy = policy.policy().map_or(Vec::new(), |policy| policy.list());
                 counted.list().into_iter().chain(policy).collect()
             });
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -17,28 +17,31 @@
 
 /// A part drawn from the bound, given back when dropped.
 #[derive(Debug)]
-pub struct Held {
+pub struct Reservation {
     from: Arc<Memory>,
     bytes: usize,
 }
 
 impl Memory {
     /// The bound of a program that may use so many MB in all.
-    pub fn of(limit_mb: usize) -> Arc<Memory> {
-        Arc::new(Memory { bound: AtomicUsize::new(Memory::bound_of(limit_mb)), drawn: AtomicUsize::new(0) })
+    pub fn with_limit_mb(limit_mb: usize) -> Arc<Memory> {
+        Arc::new(Memory {
+            bound: AtomicUsize::new(Memory::value_bytes(limit_mb)),
+            drawn: AtomicUsize::new(0),
+        })
     }
 
     /// How many bytes of values a program may hold that may use so many MB in all.
-    pub fn bound_of(limit_mb: usize) -> usize {
+    pub fn value_bytes(limit_mb: usize) -> usize {
         (limit_mb as f64 * SHARE * f64::from(1 << 20)) as usize
     }
 
     /// Draws so many bytes, if there are as many left.
-    pub fn hold(self: &Arc<Self>, bytes: usize) -> Option<Held> {
+    pub fn try_reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
         let bound = self.bound.load(Ordering::Acquire);
         let more = |drawn: usize| drawn.checked_add(bytes).filter(|drawn| *drawn <= bound);
         self.drawn.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).ok()?;
-        Some(Held { from: Arc::clone(self), bytes })
+        Some(Reservation { from: Arc::clone(self), bytes })
     }
 
     /// Makes do with `least`, or with what is drawn if that is more; how many bytes that is.
@@ -54,7 +57,7 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.from.drawn.fetch_sub(self.bytes, Ordering::AcqRel);
     }
