--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -96,8 +96,8 @@
         socket: TcpListener,
     ) -> io::Result<Arc<ClientService>> {
         let listener = Arc::new(Listener::new(socket)?);
-        let (most, _) = descriptors.set_client_connections(0);
-        let places = ConnectionTable::new(Limits::default(), most);
+        let allowance = descriptors.set_client_connections(0);
+        let places = ConnectionTable::new(Limits::default(), allowance.limit);
         let side = Arc::new(ClientService {
             exchange,
             counters,
@@ -213,9 +213,9 @@
 
     fn has_room(&self) -> bool {
         self.with(|held| {
-            let (most, room) = self.descriptors.set_client_connections(held.places.open());
-            held.places.set_capacity(most);
-            room
+            let allowance = self.descriptors.set_client_connections(held.places.open());
+            held.places.set_capacity(allowance.limit);
+            allowance.has_room
         })
     }
 
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,16 +1,17 @@
-//! What the proxy has taken in, sent and answered, by kind.
+//! [`Counters`]: what the proxy has accepted, sent and responded, by kind. `stats`, the log and operators'
+//! dashboards show them under the names of the fields, in their order: both are fixed.
 
 use crate::interface::Outcome;
-use std::fmt::Write;
+use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
-/// One count.
+/// One counter, which only grows.
 #[derive(Debug, Default)]
 pub struct Count(AtomicU64);
 
 impl Count {
-    /// One more.
+    /// Adds one.
     pub fn add(&self) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
@@ -21,34 +22,37 @@
     }
 }
 
-/// Names and values.
-type List = Vec<(&'static str, u64)>;
+/// Names and values, in the order in which they are shown.
+type NamedCounts = Vec<(&'static str, u64)>;
 
-/// Counts that somebody else keeps.
+/// Counters that another part of the program keeps: those of the fleet.
 #[derive(Default)]
-pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
+pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> NamedCounts + Send + Sync>>);
 
 impl ExternalCounters {
-    /// From now on these are counted too.
-    pub fn set_source(&self, list: impl Fn() -> List + Send + Sync + 'static) {
-        // Set once, at the start.
+    /// From now on what `list` returns is shown too. Called once, at the start; only the first call counts.
+    pub fn set_source(&self, list: impl Fn() -> NamedCounts + Send + Sync + 'static) {
         let _ = self.0.set(Box::new(list));
     }
+
+    fn list(&self) -> NamedCounts {
+        self.0.get().map_or(Vec::new(), |list| list())
+    }
 }
 
-impl std::fmt::Debug for ExternalCounters {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for ExternalCounters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ExternalCounters")
     }
 }
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// All counts of one proxy since its start.
+        /// All counters of one proxy since its start.
         #[derive(Debug, Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
-            /// What else is counted.
+            /// Counters that another part of the program keeps.
             pub external: ExternalCounters,
         }
 
@@ -56,7 +60,7 @@
             /// Names and values, in a fixed order.
             pub fn list(&self) -> Vec<(&'static str, u64)> {
                 let mut list = vec![$((stringify!($name), self.$name.get()),)*];
-                list.extend(self.external.0.get().into_iter().flat_map(|others| others()));
+                list.extend(self.external.list());
                 list
             }
         }
@@ -64,61 +68,61 @@
 }
 
 counters! {
-    /// Consumer connections accepted.
+    /// Client connections accepted.
     consumers_accepted,
-    /// Consumer connections closed to make room, with every place taken.
+    /// Client connections closed to make room, with the connection limit reached.
     consumers_evicted,
-    /// Consumer connections closed while idle since hardly any of their kind come back.
+    /// Client connections closed while idle since hardly any of their kind return.
     consumers_hopeless,
-    /// Consumer connections closed since too many of them owed the same.
+    /// Client connections closed since too many of them owed the same.
     consumers_over_budget,
-    /// Consumer connections closed since they kept a wait beyond its time.
+    /// Client connections closed since they stayed in a phase beyond its time.
     consumers_late,
-    /// Reads taken in.
+    /// Reads accepted.
     taken_reads,
-    /// Writes taken in.
+    /// Writes accepted.
     taken_writes,
-    /// Commands answered as unknown, malformed or too large.
+    /// Commands refused as unknown, malformed or too large.
     taken_malformed,
-    /// Commands turned away since there was no memory for their answers.
+    /// Commands rejected since there was no memory for their responses.
     rejected_for_memory,
-    /// Invocations served.
+    /// Requests served.
     answered_served,
-    /// Invocations answered with a rejection.
+    /// Requests rejected.
     answered_rejected,
-    /// Invocations failed.
+    /// Requests failed.
     answered_failed,
-    /// Invocations whose consumer left first.
+    /// Requests whose client left first.
     consumers_gone,
-    /// Invocations the module left unanswered until the exchange ended them.
+    /// Requests that the decision module left open until the dispatcher ended them.
     overdue,
-    /// Invoker calls ordered by the module.
+    /// Attempts ordered by the decision module.
     calls_ordered,
-    /// Invoker calls that ended served.
+    /// Attempts that ended served.
     calls_ok,
-    /// Invoker calls answered as missing.
+    /// Attempts that ended as a miss.
     calls_miss,
-    /// Invoker calls that failed at the provider.
+    /// Attempts that failed at the backend.
     calls_error,
-    /// Invoker calls turned away by the provider.
+    /// Attempts rejected by the backend.
     calls_full,
-    /// Invoker calls that ran out of time.
+    /// Attempts that timed out.
     calls_timeout,
-    /// Invoker calls that never got a connection.
+    /// Attempts that got no connection.
     calls_connect_failed,
-    /// Invoker calls whose connection broke.
+    /// Attempts whose connection broke.
     calls_reset,
-    /// Invoker calls called off.
+    /// Attempts cancelled.
     calls_cancelled,
-    /// Invoker calls never sent.
+    /// Attempts not sent.
     calls_moot,
-    /// Answers of providers that could not be understood or never came to their end.
+    /// Responses of backends that could not be parsed or never came to their end.
     answers_spoilt,
-    /// Long values passed on in pieces, to their end.
+    /// Long values streamed to their end.
     values_flowed,
-    /// Long values that broke off on the way.
+    /// Long values whose stream broke off.
     values_broken,
-    /// Connections opened to providers.
+    /// Connections opened to backends.
     provider_connections,
     /// Watches started at discovery.
     watches,
@@ -128,14 +132,14 @@
     lists,
     /// Configurations read again at SIGHUP.
     reloads,
-    /// Configurations that were bad at SIGHUP; the old one stayed.
+    /// Configurations refused at SIGHUP; the old one stayed.
     reloads_failed,
     /// Panics caught in a coroutine or the module.
     panics,
 }
 
 impl Counters {
-    /// The count of an outcome.
+    /// The counter of attempts that ended so.
     pub fn for_outcome(&self, outcome: Outcome) -> &Count {
         match outcome {
             Outcome::Ok => &self.calls_ok,
@@ -150,7 +154,7 @@
         }
     }
 
-    /// One line of `name=value`.
+    /// All of them in one line, as `name=value`.
     pub fn line(&self) -> String {
         let mut out = String::from("counters");
         for (name, value) in self.list() {
