--- a/src/net/config/catalog.rs
+++ b/src/net/config/catalog.rs
@@ -20,7 +20,8 @@
     /// Its cell.
     #[serde(default)]
     pub cell: u16,
-    /// [`Instance::READY`], [`Instance::DRAINING`] or [`Instance::GONE`]; discovery may send other words.
+    /// [`Instance::READY`], [`Instance::DRAINING`] or [`Instance::GONE`]; discovery may send other
+    /// words.
     pub lifecycle: String,
     /// Its relative size.
     #[serde(default = "default_weight")]
--- a/src/net/config/error.rs
+++ b/src/net/config/error.rs
@@ -1,5 +1,6 @@
-//! Why a configuration is refused: [`ConfigError`], and [`FleetError`] and [`PolicyConfigError`] for
-//! the objects `fleet` and `fleet.policy`. Their texts are what operators read at a start or a reload.
+//! Why a configuration is refused: [`ConfigError`], and [`FleetError`] and [`PolicyConfigError`]
+//! for the objects `fleet` and `fleet.policy`. Their texts are what operators read at a start or a
+//! reload.
 
 use thiserror::Error;
 
--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -1,9 +1,10 @@
-//! The configuration file as it is read: the outermost object, [`File`], and what the decision module
-//! does not use of the object `settings`, [`Words`]; their keys and defaults, and how single values are
-//! parsed.
+//! The configuration file as it is read: the outermost object, [`File`], and what the decision
+//! module does not use of the object `settings`, [`Words`]; their keys and defaults, and how single
+//! values are parsed.
 //!
-//! The names of these types and the number of their fields are part of error texts that operators know:
-//! they are imported under others (`ConfigFile`, `ProxySettings`, `NamedEntry`) rather than renamed.
+//! The names of these types and the number of their fields are part of error texts that operators
+//! know: they are imported under others (`ConfigFile`, `ProxySettings`, `NamedEntry`) rather than
+//! renamed.
 
 use super::catalog::Catalog;
 use super::error::ConfigError;
--- a/src/net/config/golden_tests.rs
+++ b/src/net/config/golden_tests.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn the_address_of_the_door_gives_way_to_the_one_of_the_environment() {
+fn the_admin_address_gives_way_to_the_one_of_the_environment() {
     let config = Config::from_json(COMPLETE.as_bytes(), Some("127.0.0.1:7004".into())).unwrap();
     same(config.admin, Some(at("127.0.0.1:7004")));
 }
@@ -150,10 +150,10 @@
 }
 
 #[test]
-fn the_keys_of_shares_are_read() {
-    let shares = complete().fleet.unwrap().quota.unwrap();
-    same(shares.whole, [100.0, 50.0]);
-    let settings = shares.settings;
+fn the_keys_of_quota_leases_are_read() {
+    let quota = complete().fleet.unwrap().quota.unwrap();
+    same(quota.whole, [100.0, 50.0]);
+    let settings = quota.settings;
     let founders = ["127.0.0.2:7101", "127.0.0.3:7101", "127.0.0.4:7101"];
     same(settings.founders, founders.map(at).to_vec());
     same((settings.size, settings.period, settings.vote), (5, 310, 1210));
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -1,6 +1,6 @@
 //! What the proxy is told at its start and at SIGHUP: the JSON object in the file that `LB_CONFIG`
-//! names, read and checked. Read [`Config`] first; [`ParsedSettings`] is its key `settings`, which a
-//! fleet's policy may give instead.
+//! names, read and checked. Read [`Config`] first; [`ParsedSettings`] is its key `settings`, which
+//! a fleet's policy may give instead.
 
 mod catalog;
 mod check;
@@ -56,8 +56,8 @@
 }
 
 impl Config {
-    /// Reads the file that `LB_CONFIG` names. `LB_ADMIN`, if it is set and not empty, stands for the
-    /// file's `admin`.
+    /// Reads the file that `LB_CONFIG` names. `LB_ADMIN`, if it is set and not empty, stands for
+    /// the file's `admin`.
     ///
     /// # Errors
     ///
@@ -65,7 +65,8 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
         let text = std::fs::read(&path).map_err(|source| ConfigError::Read { path, source })?;
-        // The variable belongs to this process alone; the file may name the next one's address already.
+        // The variable belongs to this process alone; the file may name the next one's address
+        // already.
         let admin = std::env::var("LB_ADMIN").ok().filter(|admin| !admin.is_empty());
         Config::from_json(&text, admin)
     }
--- a/src/net/config/parsed_settings.rs
+++ b/src/net/config/parsed_settings.rs
@@ -52,7 +52,8 @@
     ///
     /// # Errors
     ///
-    /// Says why it must not become active: what is wrong, or which key of the active one it leaves out.
+    /// Says why it must not become active: what is wrong, or which key of the active one it leaves
+    /// out.
     pub fn parse_after(json: &Value, active: &Value) -> Result<ParsedSettings, ConfigError> {
         if let Some(key) = first_missing_key(active, json) {
             return Err(ConfigError::Missing(key));
--- a/src/net/config/policy.rs
+++ b/src/net/config/policy.rs
@@ -1,5 +1,5 @@
-//! The object `fleet.policy` of the configuration: how the proxies of a fleet agree on one policy. Read
-//! [`PolicyConfig`] first.
+//! The object `fleet.policy` of the configuration: how the proxies of a fleet agree on one policy.
+//! Read [`PolicyConfig`] first.
 
 use super::error::{ConfigError, FleetError, PolicyConfigError};
 use super::file::parse_address;
@@ -51,8 +51,8 @@
     pub lease_expiry_mode: LeaseExpiryMode,
     /// Whether SIGHUP makes settings of the file active.
     pub allows_local_reload: bool,
-    /// After this long a process that drifted makes the approved version active again by itself, if it
-    /// is to.
+    /// After this long a process that drifted makes the approved version active again by itself, if
+    /// it is to.
     pub restore_after: Option<Duration>,
     /// The voters.
     pub voters: VoterSet,
@@ -84,13 +84,14 @@
 }
 
 impl PolicyConfig {
-    /// How many descriptors it takes: two connections to each peer while one replaces the other, and
-    /// eight for the listener, the poller and files.
+    /// How many descriptors it takes: two connections to each peer while one replaces the other,
+    /// and eight for the listener, the poller and files.
     pub fn descriptors(&self) -> usize {
         2 * self.max_peers + 8
     }
 
-    /// Reads the object for a proxy of a fleet of `size` that others know by the address `advertised`.
+    /// Reads the object for a proxy of a fleet of `size` that others know by the address
+    /// `advertised`.
     ///
     /// # Errors
     ///
--- a/src/net/config/reload.rs
+++ b/src/net/config/reload.rs
@@ -64,8 +64,8 @@
     now.as_ref() == newer
 }
 
-/// The first key that was given before and is missing now, as a path. Of a list of objects, each must
-/// have the keys that all had before.
+/// The first key that was given before and is missing now, as a path. Of a list of objects, each
+/// must have the keys that all had before.
 ///
 /// Danger: what is left out by a slip would silently fall back to a default.
 pub(super) fn first_missing_key(before: &Value, now: &Value) -> Option<String> {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,5 +1,5 @@
-//! [`Counters`]: what the proxy has accepted, sent and responded, by kind. `stats`, the log and operators'
-//! dashboards show them under the names of the fields, in their order: both are fixed.
+//! [`Counters`]: what the proxy has accepted, sent and responded, by kind. `stats`, the log and
+//! operators' dashboards show them under the names of the fields, in their order: both are fixed.
 
 use crate::interface::Outcome;
 use std::fmt::{self, Write};
@@ -30,7 +30,8 @@
 pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> NamedCounts + Send + Sync>>);
 
 impl ExternalCounters {
-    /// From now on what `list` returns is shown too. Called once, at the start; only the first call counts.
+    /// From now on what `list` returns is shown too. Called once, at the start; only the first call
+    /// counts.
     pub fn set_source(&self, list: impl Fn() -> NamedCounts + Send + Sync + 'static) {
         let _ = self.0.set(Box::new(list));
     }
--- a/src/net/counters_golden_tests.rs
+++ b/src/net/counters_golden_tests.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn counts_of_others_come_after_the_own_ones() {
+fn external_counters_come_after_the_own_ones() {
     let counters = Counters::default();
     counters.external.set_source(|| vec![("fleet_probes", 1), ("policy_version", 2)]);
     let list = counters.list();
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,5 +1,5 @@
-//! [`Descriptors`]: the file descriptors that connections to clients and backends share, counted as they
-//! are taken. What each side may take is decided by
+//! [`Descriptors`]: the file descriptors that connections to clients and backends share, counted as
+//! they are taken. What each side may take is decided by
 //! [`pinetrail_connection_limits::DescriptorBudget`].
 
 use pinetrail_connection_limits::DescriptorBudget;
@@ -63,8 +63,8 @@
         })
     }
 
-    /// Lowers the total to `least`, or to what is in use and `spare` more if that is higher. Returns the
-    /// new total.
+    /// Lowers the total to `least`, or to what is in use and `spare` more if that is higher.
+    /// Returns the new total.
     pub fn shrink(&self, least: usize, spare: usize) -> usize {
         let mut budget = self.budget();
         let in_use = self.clients.load(Ordering::Acquire) + self.backends.load(Ordering::Acquire);
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -3,7 +3,7 @@
 
 use super::event_loop::timer_duration;
 use super::messages::{AttemptId, AttemptRequest, Payload, Response};
-use super::state::{DispatcherState, Endpoint, InFlightAttempt, InFlightRequest};
+use super::state::{DispatcherState, Endpoint, InFlightAttempt, InFlightRequest, PendingResponse};
 use super::Dispatcher;
 use crate::interface::{AttemptEnd, Event, Outcome, RequestId, ServerId, Time};
 use crate::net::body_stream::BodyWriter;
@@ -25,14 +25,14 @@
 }
 
 impl AttemptPlan {
-    /// The end of an attempt that is not sent.
-    fn not_sent(&self, attempt: u8, last: bool) -> AttemptEnd {
+    /// The end of an attempt that is not sent, and the last of its request if no response is pending.
+    fn not_sent(&self, attempt: u8, pending: Option<&PendingResponse>) -> AttemptEnd {
         AttemptEnd {
             id: self.request,
             attempt,
             server: self.server,
             latency: 0.0,
-            last,
+            last: pending.is_none(),
             outcome: Outcome::Moot,
             report: Vec::new(),
         }
@@ -52,13 +52,13 @@
         plan: AttemptPlan,
     ) -> Result<AttemptRequest, AttemptEnd> {
         let Some(in_flight) = state.requests.get_mut(&plan.request) else {
-            return Err(plan.not_sent(0, true));
+            return Err(plan.not_sent(0, None));
         };
         let attempt = in_flight.attempts_ordered;
         in_flight.attempts_ordered = attempt.saturating_add(1);
         self.counters.calls_ordered.add();
-        // Danger: a second copy. The module asks for none while an attempt is in flight; should it ever,
-        // that is seen here, and it is not sent.
+        // Danger: a second copy. The module asks for none while an attempt is in flight; should it
+        // ever, that is seen here, and it is not sent.
         if !in_flight.attempts.is_empty() {
             let id = &in_flight.request.opaque;
             log(&format!("ERROR: a second attempt was ordered while one is in flight: {id}"));
@@ -67,15 +67,15 @@
         let endpoint = state.endpoints.get(&plan.server);
         let Some(endpoint) = endpoint.filter(|endpoint| endpoint.is_ready() && may_attempt) else {
             self.counters.calls_moot.add();
-            return Err(plan.not_sent(attempt, in_flight.pending.is_none()));
+            return Err(plan.not_sent(attempt, in_flight.pending.as_ref()));
         };
         in_flight.attempts.insert(attempt, InFlightAttempt { server: plan.server, sent: now });
         Ok(attempt_request(&plan, attempt, in_flight, endpoint))
     }
 
-    /// Whether an attempt may still be sent: it is not too late, its request is open, and its backend
-    /// takes attempts and is the process that was meant. Danger: asked before the first byte, and again
-    /// before each that had to wait.
+    /// Whether an attempt may still be sent: it is not too late, its request is open, and its
+    /// backend takes attempts and is the process that was meant. Danger: asked before the first
+    /// byte, and again before each that had to wait.
     pub fn should_send(&self, attempt: &AttemptRequest) -> bool {
         let state = self.lock();
         if Instant::now() >= attempt.send_by {
@@ -91,8 +91,8 @@
         self.lock().is_ready_since(server, started)
     }
 
-    /// An attempt brings a value that is too long to be read whole: the response begins here, and the
-    /// attempt goes on. False if nobody waits for it any more.
+    /// An attempt brings a value that is too long to be read whole: the response begins here, and
+    /// the attempt goes on. False if nobody waits for it any more.
     pub fn attempt_streaming(self: &Arc<Self>, id: AttemptId, length: usize, body: BodyWriter) -> bool {
         let mut state = self.lock();
         let now = self.clock.now();
@@ -120,8 +120,8 @@
             id: id.request,
             attempt: id.attempt,
             server: attempt.server,
-            // Of a value that streams only the beginning tells of the backend; the rest is the client's
-            // pace.
+            // Of a value that streams only the beginning tells of the backend; the rest is the
+            // client's pace.
             latency: request.stream_began.unwrap_or(now) - attempt.sent,
             last: request.pending.is_none(),
             outcome,
--- a/src/net/dispatcher/endpoint_ids.rs
+++ b/src/net/dispatcher/endpoint_ids.rs
@@ -1,12 +1,13 @@
 //! Numbers of the decision module for names on the sockets, the same at every proxy and after a
 //! restart: [`key_number`] for keys, [`EndpointIds`] for backends.
 //!
-//! A name that states a number has that number, which is the one the simulator knows it by, so that a
-//! day played there puts keys where they are here: a key of sixteen hexadecimal digits, a backend whose
-//! name ends in a dash and eight of them. Any other name is hashed by 64-bit FNV-1a over its bytes, and
-//! a backend's number is the hash's two halves combined by exclusive or. A key never has 0, which means
-//! no key, but 1. Where two backends would share a number, the one learned later takes the hash of its
-//! name with a 0 byte behind it, and so on; the names of one list are learned in their order as text.
+//! A name that states a number has that number, which is the one the simulator knows it by, so that
+//! a day played there puts keys where they are here: a key of sixteen hexadecimal digits, a backend
+//! whose name ends in a dash and eight of them. Any other name is hashed by 64-bit FNV-1a over its
+//! bytes, and a backend's number is the hash's two halves combined by exclusive or. A key never has
+//! 0, which means no key, but 1. Where two backends would share a number, the one learned later
+//! takes the hash of its name with a 0 byte behind it, and so on; the names of one list are learned
+//! in their order as text.
 
 use crate::interface::{Key, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -27,8 +27,8 @@
 }
 
 impl Dispatcher {
-    /// Hands the module an event and does what it asks for: changes of the state at once, side effects
-    /// once the lock is released.
+    /// Hands the module an event and does what it asks for: changes of the state at once, side
+    /// effects once the lock is released.
     pub(super) fn handle_event(self: &Arc<Self>, mut state: MutexGuard<'_, DispatcherState>, event: Event) {
         let mut step = Step {
             dispatcher: self,
@@ -113,7 +113,8 @@
         self.effects.extend(self.dispatcher.finish(self.state, id, response));
     }
 
-    /// Starts a timer that ends with its request: otherwise those of finished requests would pile up.
+    /// Starts a timer that ends with its request: otherwise those of finished requests would pile
+    /// up.
     fn start_request_timer(&self, id: RequestId, delay: Duration, token: u64) {
         let pending = self.state.requests.get(&id).and_then(|request| request.pending.as_ref());
         if let Some(pending) = pending {
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -1,6 +1,6 @@
-//! Which nodes operators keep in maintenance. [`MaintenanceSet`] keeps apart what discovery listed last
-//! and what is in maintenance; what the decision module is told is derived from both, so that neither
-//! overwrites the other, in whatever order they come.
+//! Which nodes operators keep in maintenance. [`MaintenanceSet`] keeps apart what discovery listed
+//! last and what is in maintenance; what the decision module is told is derived from both, so that
+//! neither overwrites the other, in whatever order they come.
 
 use super::snapshot::{EndpointSnapshot, MaintenancePeriod};
 use crate::interface::{ListForm, Time};
@@ -122,8 +122,8 @@
         self.listed.get(name)
     }
 
-    /// Puts a node in maintenance, and returns what the module is to be told of it, if it is listed. To
-    /// do so twice changes nothing.
+    /// Puts a node in maintenance, and returns what the module is to be told of it, if it is
+    /// listed. To do so twice changes nothing.
     ///
     /// # Errors
     ///
@@ -137,8 +137,8 @@
         Ok(self.effective_if_listed(name))
     }
 
-    /// Lets a node serve again, however often it was put in maintenance, and returns what the module is
-    /// to be told of it, if it is listed.
+    /// Lets a node serve again, however often it was put in maintenance, and returns what the
+    /// module is to be told of it, if it is listed.
     ///
     /// # Errors
     ///
@@ -171,8 +171,8 @@
         if self.in_maintenance.contains_key(&node.instance_id) && node.lifecycle == Instance::READY {
             node.lifecycle = Instance::DRAINING.to_owned();
         }
-        // Danger: discovery is seconds late. A node that was restarted while it was in maintenance comes
-        // back cold before its start is listed, and is overloaded if it is taken for warm.
+        // Danger: discovery is seconds late. A node that was restarted while it was in maintenance
+        // comes back cold before its start is listed, and is overloaded if it is taken for warm.
         if let Some(period) = self.past_maintenance.get(&node.instance_id) {
             if node.started_at_ms < period.began {
                 node.started_at_ms = period.ended;
@@ -181,7 +181,8 @@
         node
     }
 
-    /// Remembers the name of a node that is no longer listed, and forgets the oldest beyond the limit.
+    /// Remembers the name of a node that is no longer listed, and forgets the oldest beyond the
+    /// limit.
     fn remember_unlisted(&mut self, name: String) {
         self.unlisted.insert(name);
         while let Some(oldest) = self.unlisted.pop_excess() {
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -101,8 +101,8 @@
     Forget(ServerId),
 }
 
-/// Takes the response to one request. It may be called while the dispatcher's lock is held, so it may
-/// store the response and wake whoever writes it, but never wait or call the dispatcher.
+/// Takes the response to one request. It may be called while the dispatcher's lock is held, so it
+/// may store the response and wake whoever writes it, but never wait or call the dispatcher.
 pub type ResponseCallback = Box<dyn FnOnce(Response) + Send>;
 
 /// Why a request is not accepted. Where it may be submitted again, it is handed back.
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -1,7 +1,7 @@
-//! The meeting point of clients, backends and discovery. [`Dispatcher`] owns the decision module, the
-//! open requests and the clock: it turns what is reported to it into the module's events, and the
-//! module's actions into responses, commands and timers. It knows no socket and no wire protocol;
-//! payloads pass through it unchanged. Read `event_loop` next.
+//! The meeting point of clients, backends and discovery. [`Dispatcher`] owns the decision module,
+//! the open requests and the clock: it turns what is reported to it into the module's events, and
+//! the module's actions into responses, commands and timers. It knows no socket and no wire
+//! protocol; payloads pass through it unchanged. Read `event_loop` next.
 
 mod attempts;
 mod clock;
@@ -42,10 +42,11 @@
 pub struct Dispatcher {
     clock: Clock,
     counters: Arc<Counters>,
-    /// Guards the decision module and all that is known of requests and backends, so that events are
-    /// decided one after another. Nothing waits under it: callbacks that run under it only store and
-    /// wake, sends to the (unbounded) channels return at once, and side effects are applied after it
-    /// is released. The admission lease's lock is taken inside it, never the other way round.
+    /// Guards the decision module and all that is known of requests and backends, so that events
+    /// are decided one after another. Nothing waits under it: callbacks that run under it only
+    /// store and wake, sends to the (unbounded) channels return at once, and side effects are
+    /// applied after it is released. The admission lease's lock is taken inside it, never the other
+    /// way round.
     state: Mutex<DispatcherState>,
     commands: Sender<BackendCommand>,
     subscribe: Sender<()>,
@@ -54,8 +55,8 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher round a new decision module. Commands go to the backend service, subscriptions to
-    /// discovery.
+    /// A dispatcher round a new decision module. Commands go to the backend service, subscriptions
+    /// to discovery.
     pub fn new(
         settings: Settings,
         seed: u64,
--- a/src/net/dispatcher/side_effect.rs
+++ b/src/net/dispatcher/side_effect.rs
@@ -47,7 +47,8 @@
         }
     }
 
-    /// Passes a command to the backend service. It never waits, so it may be called with the lock held.
+    /// Passes a command to the backend service. It never waits, so it may be called with the lock
+    /// held.
     pub(super) fn send_command(&self, command: BackendCommand) {
         // The receiver is gone only when the program stops.
         let _ = self.commands.send(command);
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -100,8 +100,8 @@
 }
 
 impl DispatcherState {
-    /// Forgets backends that are gone and have no attempt in flight: they are replaced for as long as
-    /// the program runs.
+    /// Forgets backends that are gone and have no attempt in flight: they are replaced for as long
+    /// as the program runs.
     pub(super) fn forget_gone_endpoints(&mut self) {
         let requests = self.requests.values();
         let busy: BTreeSet<ServerId> =
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -73,7 +73,8 @@
     ) {
         let overdue = timer_duration(request.budget) + OVERDUE;
         let timers = TimerSet::default();
-        // The module sets a timer for each deadline. Should it ever lose one, no client waits forever.
+        // The module sets a timer for each deadline. Should it ever lose one, no client waits
+        // forever.
         let dispatcher = Arc::clone(self);
         timers.by(move |guard| {
             if guard.sleep(overdue) {
@@ -93,7 +94,8 @@
     /// The client of a request has left: no response is owed any more.
     pub fn cancel(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
-        // It is dropped at the end of this function, with the lock released, and its timers with it.
+        // It is dropped at the end of this function, with the lock released, and its timers with
+        // it.
         let pending = state.take_pending(id);
         if pending.is_some() {
             self.counters.consumers_gone.add();
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -1,11 +1,11 @@
-//! [`Memory`]: a bound on the memory that clients' commands and backends' responses may take together.
-//! It is reserved before a byte of either is stored.
+//! [`Memory`]: a bound on the memory that clients' commands and backends' responses may take
+//! together. It is reserved before a byte of either is stored.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// The share of the memory limit for what clients and backends send. The rest is the program's own and
-/// its stacks': measured at up to 16 MB with 384 descriptors.
+/// The share of the memory limit for what clients and backends send. The rest is the program's own
+/// and its stacks': measured at up to 16 MB with 384 descriptors.
 const VALUE_SHARE: f64 = 0.22;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
@@ -49,7 +49,8 @@
         Some(Reservation { memory: Arc::clone(self), bytes })
     }
 
-    /// Lowers the bound to `least` bytes, or to what is reserved if that is more. Returns the new bound.
+    /// Lowers the bound to `least` bytes, or to what is reserved if that is more. Returns the new
+    /// bound.
     pub fn shrink(&self, least: usize) -> usize {
         let bound = least.max(self.reserved.load(Ordering::Acquire));
         self.resize(bound);
