--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -18,6 +18,8 @@
 mod snapshot;
 mod state;
 mod submit;
+#[cfg(test)]
+mod tests;
 
 use super::config::Names;
 use super::counters::Counters;
