--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,19 +1,17 @@
-//! What the proxy has taken in, sent and answered, by kind. Read [`Counters`] first.
-//!
-//! Its fields are named as `stats` and the log show them. Operators read them by name, so that
-//! older words stay there: a consumer is a client, a provider a backend, a call an attempt.
+//! [`Counters`]: what the proxy has accepted, sent and responded, by kind. `stats`, the log and
+//! operators' dashboards show them under the names of the fields, in their order: both are fixed.
 
 use crate::interface::Outcome;
-use std::fmt::Write;
+use std::fmt::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
-/// One count.
+/// One counter, which only grows.
 #[derive(Debug, Default)]
 pub struct Count(AtomicU64);
 
 impl Count {
-    /// One more.
+    /// Adds one.
     pub fn add(&self) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
@@ -24,42 +22,46 @@
     }
 }
 
-/// Names and values.
-type List = Vec<(&'static str, u64)>;
+/// Names and values, in the order in which they are shown.
+type NamedCounts = Vec<(&'static str, u64)>;
 
-/// Counters that other modules keep: those of the fleet and of its policy.
+/// Counters that another part of the program keeps: those of the fleet.
 #[derive(Default)]
-pub struct Others(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
+pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> NamedCounts + Send + Sync>>);
 
-impl Others {
-    /// From now on these are listed too.
-    pub fn are(&self, list: impl Fn() -> List + Send + Sync + 'static) {
-        // Set once, at the start.
+impl ExternalCounters {
+    /// From now on what `list` returns is shown too. Called once, at the start; only the first call
+    /// counts.
+    pub fn set_source(&self, list: impl Fn() -> NamedCounts + Send + Sync + 'static) {
         let _ = self.0.set(Box::new(list));
     }
+
+    fn list(&self) -> NamedCounts {
+        self.0.get().map_or(Vec::new(), |list| list())
+    }
 }
 
-impl std::fmt::Debug for Others {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Others")
+impl fmt::Debug for ExternalCounters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ExternalCounters")
     }
 }
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// All counts of one proxy since its start.
+        /// All counters of one proxy since its start.
         #[derive(Debug, Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: Count,)*
-            /// The counters that other modules keep.
-            pub others: Others,
+            /// Counters that another part of the program keeps.
+            pub external: ExternalCounters,
         }
 
         impl Counters {
             /// Names and values, in a fixed order.
             pub fn list(&self) -> Vec<(&'static str, u64)> {
                 let mut list = vec![$((stringify!($name), self.$name.get()),)*];
-                list.extend(self.others.0.get().into_iter().flat_map(|others| others()));
+                list.extend(self.external.list());
                 list
             }
         }
@@ -69,25 +71,25 @@
 counters! {
     /// Client connections accepted.
     consumers_accepted,
-    /// Client connections closed to make room, with every place taken.
+    /// Client connections closed to make room, with the connection limit reached.
     consumers_evicted,
-    /// Client connections closed while idle since hardly any of their kind send another request.
+    /// Client connections closed while idle since hardly any of their kind return.
     consumers_hopeless,
-    /// Client connections closed since too many were in their phase.
+    /// Client connections closed since too many of them owed the same.
     consumers_over_budget,
-    /// Client connections closed since they were in their phase for too long.
+    /// Client connections closed since they stayed in a phase beyond its time.
     consumers_late,
-    /// Reads taken in.
+    /// Reads accepted.
     taken_reads,
-    /// Writes taken in.
+    /// Writes accepted.
     taken_writes,
-    /// Commands answered as unknown, malformed or too large.
+    /// Commands refused as unknown, malformed or too large.
     taken_malformed,
-    /// Commands rejected since there was no memory for them and their responses.
+    /// Commands rejected since there was no memory for their responses.
     rejected_for_memory,
     /// Requests served.
     answered_served,
-    /// Requests that the decision module rejected.
+    /// Requests rejected.
     answered_rejected,
     /// Requests failed.
     answered_failed,
@@ -95,31 +97,31 @@
     consumers_gone,
     /// Requests that the decision module left open until the dispatcher ended them.
     overdue,
-    /// Attempts that the decision module asked for.
+    /// Attempts ordered by the decision module.
     calls_ordered,
     /// Attempts that ended served.
     calls_ok,
-    /// Attempts answered with a miss.
+    /// Attempts that ended as a miss.
     calls_miss,
-    /// Attempts that the backend answered with an error.
+    /// Attempts that failed at the backend.
     calls_error,
-    /// Attempts rejected by the backend since it was full.
+    /// Attempts rejected by the backend.
     calls_full,
     /// Attempts that timed out.
     calls_timeout,
-    /// Attempts for which no connection was established.
+    /// Attempts that got no connection.
     calls_connect_failed,
     /// Attempts whose connection broke.
     calls_reset,
-    /// Attempts cancelled by the proxy.
+    /// Attempts cancelled.
     calls_cancelled,
-    /// Attempts that were decided and never sent.
+    /// Attempts not sent.
     calls_moot,
-    /// Responses of backends that could not be understood or were not finished.
+    /// Responses of backends that could not be parsed or never came to their end.
     answers_spoilt,
-    /// Long values passed on in pieces, to their end.
+    /// Long values streamed to their end.
     values_flowed,
-    /// Long values that broke off on the way.
+    /// Long values whose stream broke off.
     values_broken,
     /// Connections opened to backends.
     provider_connections,
@@ -131,15 +133,15 @@
     lists,
     /// Configurations read again at SIGHUP.
     reloads,
-    /// Configurations that were bad at SIGHUP; the old one stayed.
+    /// Configurations refused at SIGHUP; the old one stayed.
     reloads_failed,
-    /// Panics caught in a coroutine or the decision module.
+    /// Panics caught in a coroutine or the module.
     panics,
 }
 
 impl Counters {
-    /// The count of an outcome.
-    pub fn outcome(&self, outcome: Outcome) -> &Count {
+    /// The counter of attempts that ended so.
+    pub fn for_outcome(&self, outcome: Outcome) -> &Count {
         match outcome {
             Outcome::Ok => &self.calls_ok,
             Outcome::Miss => &self.calls_miss,
@@ -153,7 +155,7 @@
         }
     }
 
-    /// One line of `name=value`.
+    /// All of them in one line, as `name=value`.
     pub fn line(&self) -> String {
         let mut out = String::from("counters");
         for (name, value) in self.list() {
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -156,7 +156,7 @@
         let fleet =
             self.fleet.get_or_init(|| new_fleet(fleet_config.clone(), config.seed, dispatcher, handover));
         let lifecycle = Arc::clone(self);
-        self.counters.others.are(move || lifecycle.fleet_counters());
+        self.counters.external.set_source(move || lifecycle.fleet_counters());
         if handover.is_none() {
             fleet.activate()?;
         }
@@ -239,10 +239,10 @@
 fn own_descriptors(config: &Config) -> usize {
     let mut count = OWN_DESCRIPTORS;
     if config.admin.is_some() {
-        count += descriptors::DOOR;
+        count += descriptors::ADMIN_DESCRIPTORS;
     }
     if config.fleet.is_some() {
-        count += descriptors::FLEET;
+        count += descriptors::FLEET_DESCRIPTORS;
     }
     count + config.policy().map_or(0, PolicyConfig::descriptors)
 }
@@ -253,7 +253,7 @@
     let total_descriptors = config.limits.sockets - own_descriptors;
     let for_one_process = ResourceBudget {
         descriptors: total_descriptors,
-        memory_bytes: Memory::bound_of(config.limits.memory_mb),
+        memory_bytes: Memory::value_bytes(config.limits.memory_mb),
     };
     let for_two_processes =
         ResourceBudget { descriptors: total_descriptors.saturating_sub(own_descriptors), ..for_one_process };
@@ -261,7 +261,7 @@
         for_two_processes,
         for_one_process,
         descriptors: Descriptors::new(total_descriptors),
-        memory: Memory::of(config.limits.memory_mb),
+        memory: Memory::with_limit_mb(config.limits.memory_mb),
     }
 }
 
