--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -9,13 +9,11 @@
 mod discovery;
 pub mod fault_proxy;
 pub mod fleet;
-mod peer_fault_proxy;
 pub mod policy;
 mod process;
 mod proxy_fixture;
 pub mod recorder;
 pub mod script;
-mod streams;
 mod stub_server;
 mod timeline;
 
