--- a/crates/test-harness/src/fault_proxy/datagram.rs
+++ b/crates/test-harness/src/fault_proxy/datagram.rs
@@ -1,7 +1,11 @@
-//! A relay for datagrams on every directed way between the members of a fleet. A member is known to the others by the
-//! address of its relay, which tells by the sender's own address whose way a datagram takes: what members tell each
-//! other of addresses leads through the relays as well.
-
+//! Fault-injecting proxies for datagrams: one in front of each member of a fleet. [`FaultProxies`] owns
+//! their sockets and threads.
+//!
+//! A member is known to the others by the address of its proxy. The proxy tells by the sender's own
+//! address which path a datagram takes, and passes it on from the sender's proxy: so the addresses
+//! that members learn from each other lead through the proxies too.
+
+use super::path::{Path, PathCounts, PathFaults};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -11,208 +15,240 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// What happens on one way.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PathFaults {
-    /// Nothing passes.
-    pub partitioned: bool,
-    /// The share that is lost.
-    pub loss: f64,
-    /// The share that arrives twice.
-    pub duplicated: f64,
-    /// The share of which a byte arrives damaged.
-    pub corrupted: f64,
-    /// How long it takes, in ms: at least and at the most. What takes differently long is reordered.
-    pub delay: (u64, u64),
-    /// So many bytes a second pass on a connection; none for as many as come.
-    pub throttle: Option<u64>,
+/// Between two looks whether the proxies are to stop.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// When a datagram arrives, and in the order of sending where two arrive at once.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Arrival {
+    due: Instant,
+    sequence: u64,
 }
 
-const WHOLE: PathFaults = PathFaults {
-    partitioned: false,
-    loss: 0.0,
-    duplicated: 0.0,
-    corrupted: 0.0,
-    delay: (0, 0),
-    throttle: None,
-};
-
-/// How many datagrams a way has carried and swallowed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Carried {
-    /// Passed on.
-    pub passed: u64,
-    /// Lost on the way.
-    pub lost: u64,
+/// A datagram on its way.
+struct Datagram {
+    path: Path,
+    bytes: Vec<u8>,
 }
 
 struct State {
-    real: Vec<SocketAddr>,
-    ways: BTreeMap<(usize, usize), PathFaults>,
-    carried: BTreeMap<(usize, usize), Carried>,
+    /// The own socket of each member.
+    member_addresses: Vec<SocketAddr>,
+    /// The paths that were changed; every other one has no faults.
+    faults: BTreeMap<Path, PathFaults>,
+    counts: BTreeMap<Path, PathCounts>,
     rng: StdRng,
-    /// What is under way: when it arrives, in the order of sending.
-    later: BTreeMap<(Instant, u64), (usize, usize, Vec<u8>)>,
-    count: u64,
+    in_flight: BTreeMap<Arrival, Datagram>,
+    /// How many datagrams were put in flight.
+    sequence: u64,
+}
+
+impl State {
+    fn faults_of(&self, path: Path) -> PathFaults {
+        self.faults.get(&path).copied().unwrap_or(PathFaults::NONE)
+    }
+
+    fn counts_of(&mut self, path: Path) -> &mut PathCounts {
+        self.counts.entry(path).or_default()
+    }
+
+    /// Loses a datagram, or puts it in flight once or twice, by the faults of its path.
+    fn accept(&mut self, path: Path, bytes: &[u8]) {
+        let faults = self.faults_of(path);
+        if faults.partitioned || self.rng.random_bool(faults.loss) {
+            self.counts_of(path).lost += 1;
+            return;
+        }
+        let copies = if self.rng.random_bool(faults.duplicated) { 2 } else { 1 };
+        for _ in 0..copies {
+            let bytes = self.corrupt(bytes, faults.corrupted);
+            let due = Instant::now() + self.draw_delay(&faults);
+            self.sequence += 1;
+            let arrival = Arrival { due, sequence: self.sequence };
+            self.in_flight.insert(arrival, Datagram { path, bytes });
+        }
+    }
+
+    /// A copy of these bytes; with this probability one bit of it is inverted.
+    fn corrupt(&mut self, bytes: &[u8], probability: f64) -> Vec<u8> {
+        let mut bytes = bytes.to_vec();
+        if !bytes.is_empty() && self.rng.random_bool(probability) {
+            let at = self.rng.random_range(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.random_range(0..8);
+        }
+        bytes
+    }
+
+    fn draw_delay(&mut self, faults: &PathFaults) -> Duration {
+        let least = faults.min_delay.as_millis() as u64;
+        let most = faults.max_delay.as_millis() as u64;
+        Duration::from_millis(self.rng.random_range(least..=most))
+    }
+
+    /// Takes out the next datagram if it is due; a partition that came up meanwhile swallows it.
+    fn take_due(&mut self, now: Instant) -> Option<Datagram> {
+        while self.next_due().is_some_and(|due| due <= now) {
+            let (_, datagram) = self.in_flight.pop_first()?;
+            if self.faults_of(datagram.path).partitioned {
+                self.counts_of(datagram.path).lost += 1;
+                continue;
+            }
+            self.counts_of(datagram.path).delivered += 1;
+            return Some(datagram);
+        }
+        None
+    }
+
+    fn next_due(&self) -> Option<Instant> {
+        self.in_flight.keys().next().map(|arrival| arrival.due)
+    }
 }
 
+/// What the threads of the proxies share.
 struct Shared {
-    hubs: Vec<UdpSocket>,
+    /// The socket of the proxy in front of each member.
+    sockets: Vec<UdpSocket>,
+    /// Guards the faults of all paths and what is in flight on them.
     state: Mutex<State>,
-    due: Condvar,
+    /// Notified when a datagram is put in flight, and to stop.
+    in_flight_changed: Condvar,
     stop: AtomicBool,
 }
 
-/// The relays of one fleet.
+/// The proxies of one fleet. Their threads end when this is dropped.
 pub struct FaultProxies {
     shared: Arc<Shared>,
     threads: Vec<JoinHandle<()>>,
 }
 
-const LOOK: Duration = Duration::from_millis(20);
-
 impl FaultProxies {
-    /// Relays at these addresses, for members whose own sockets are at those.
-    pub fn new(at: &[SocketAddr], real: &[SocketAddr], seed: u64) -> FaultProxies {
-        let open = |at: &SocketAddr| {
-            let hub = UdpSocket::bind(at).expect("the relay's address is free");
-            hub.set_read_timeout(Some(LOOK)).unwrap();
-            hub
-        };
+    /// Proxies at the advertised addresses, for members whose own sockets are at the others. The seed
+    /// decides which datagrams are lost, duplicated, corrupted and delayed.
+    ///
+    /// # Panics
+    /// If an advertised address cannot be bound.
+    pub fn new(advertised: &[SocketAddr], members: &[SocketAddr], seed: u64) -> FaultProxies {
         let state = State {
-            real: real.to_vec(),
-            ways: BTreeMap::new(),
-            carried: BTreeMap::new(),
+            member_addresses: members.to_vec(),
+            faults: BTreeMap::new(),
+            counts: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
-            later: BTreeMap::new(),
-            count: 0,
+            in_flight: BTreeMap::new(),
+            sequence: 0,
         };
-        let hubs: Vec<UdpSocket> = at.iter().map(open).collect();
         let shared = Arc::new(Shared {
-            hubs,
+            sockets: advertised.iter().map(bind).collect(),
             state: Mutex::new(state),
-            due: Condvar::new(),
+            in_flight_changed: Condvar::new(),
             stop: AtomicBool::new(false),
         });
-        let mut threads: Vec<JoinHandle<()>> = (0..at.len())
-            .map(|to| {
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || shared.take(to))
-            })
-            .collect();
+        let mut threads = Vec::new();
+        for to in 0..advertised.len() {
+            let shared = Arc::clone(&shared);
+            threads.push(thread::spawn(move || shared.receive(to)));
+        }
         let delivering = Arc::clone(&shared);
         threads.push(thread::spawn(move || delivering.deliver()));
         FaultProxies { shared, threads }
     }
 
-    /// A member's socket is somewhere else now.
-    pub fn moved(&self, member: usize, real: SocketAddr) {
-        self.shared.state.lock().unwrap().real[member] = real;
+    /// Changes the faults of the path between two members.
+    ///
+    /// # Panics
+    /// If a thread of the proxies panicked.
+    pub fn change_path(&self, from: usize, to: usize, change: impl FnOnce(&mut PathFaults)) {
+        let mut state = self.shared.state.lock().unwrap();
+        change(state.faults.entry(Path { from, to }).or_insert(PathFaults::NONE));
     }
 
-    /// Changes a way.
-    pub fn path(&self, from: usize, to: usize, change: impl FnOnce(&mut PathFaults)) {
-        change(self.shared.state.lock().unwrap().ways.entry((from, to)).or_insert(WHOLE));
+    /// Changes the faults of every path.
+    pub fn change_all_paths(&self, change: impl Fn(&mut PathFaults)) {
+        let members = self.shared.sockets.len();
+        for from in 0..members {
+            for to in 0..members {
+                self.change_path(from, to, &change);
+            }
+        }
     }
 
-    /// Changes every way.
-    pub fn all(&self, change: impl Fn(&mut PathFaults)) {
-        let members = self.shared.hubs.len();
-        (0..members).for_each(|from| (0..members).for_each(|to| self.path(from, to, &change)));
+    /// How many datagrams the path between two members has delivered and lost.
+    ///
+    /// # Panics
+    /// If a thread of the proxies panicked.
+    pub fn counts(&self, from: usize, to: usize) -> PathCounts {
+        let state = self.shared.state.lock().unwrap();
+        state.counts.get(&Path { from, to }).copied().unwrap_or_default()
     }
 
-    /// How ways are, for connections that take them too.
-    pub(crate) fn look(&self) -> PathView {
+    /// The present faults of all paths, for connections that take the same ones.
+    pub(crate) fn path_view(&self) -> PathView {
         PathView(Arc::clone(&self.shared))
     }
+}
 
-    /// What a way has carried.
-    pub fn carried(&self, from: usize, to: usize) -> Carried {
-        self.shared.state.lock().unwrap().carried.get(&(from, to)).copied().unwrap_or_default()
+impl Drop for FaultProxies {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Release);
+        self.shared.in_flight_changed.notify_all();
+        for thread in self.threads.drain(..) {
+            // Whoever panicked has printed why.
+            let _ = thread.join();
+        }
     }
 }
 
-/// Looks at ways.
+/// Reads the faults of paths while the proxies run.
 #[derive(Clone)]
 pub(crate) struct PathView(Arc<Shared>);
 
 impl PathView {
-    /// How a way is now.
-    pub(crate) fn path(&self, from: usize, to: usize) -> PathFaults {
-        self.0.state.lock().unwrap().ways.get(&(from, to)).copied().unwrap_or(WHOLE)
+    /// The present faults of a path.
+    pub(super) fn faults(&self, path: Path) -> PathFaults {
+        self.0.state.lock().unwrap().faults_of(path)
     }
 
-    /// Whether the relays are gone.
-    pub(crate) fn is_over(&self) -> bool {
+    /// Whether the proxies have stopped.
+    pub(super) fn is_stopped(&self) -> bool {
         self.0.stop.load(Ordering::Acquire)
     }
 }
 
-impl Drop for FaultProxies {
-    fn drop(&mut self) {
-        self.shared.stop.store(true, Ordering::Release);
-        self.shared.due.notify_all();
-        self.threads.drain(..).for_each(|thread| drop(thread.join()));
-    }
-}
-
 impl Shared {
-    /// Takes what is sent to one member.
-    fn take(&self, to: usize) {
-        let mut room = vec![0; 65_536];
+    /// Receives what is sent to one member, until the proxies stop.
+    fn receive(&self, to: usize) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         while !self.stop.load(Ordering::Acquire) {
-            let Ok((count, from)) = self.hubs[to].recv_from(&mut room) else { continue };
+            let Ok((length, sender)) = self.sockets[to].recv_from(&mut buffer) else { continue };
             let mut state = self.state.lock().unwrap();
-            // A datagram from nowhere is on no way.
-            let Some(from) = state.real.iter().position(|real| *real == from) else { continue };
-            let way = state.ways.get(&(from, to)).copied().unwrap_or(WHOLE);
-            let carried = state.carried.entry((from, to)).or_default();
-            if way.partitioned {
-                carried.lost += 1;
-                continue;
-            }
-            if state.rng.random_bool(way.loss) {
-                state.carried.entry((from, to)).or_default().lost += 1;
+            // A datagram of nobody in the fleet is on no path.
+            let Some(from) = state.member_addresses.iter().position(|member| *member == sender) else {
                 continue;
-            }
-            let copies = if state.rng.random_bool(way.duplicated) { 2 } else { 1 };
-            for _ in 0..copies {
-                let mut bytes = room[..count].to_vec();
-                if count > 0 && state.rng.random_bool(way.corrupted) {
-                    let at = state.rng.random_range(0..count);
-                    bytes[at] ^= 1 << state.rng.random_range(0..8);
-                }
-                let delay = Duration::from_millis(state.rng.random_range(way.delay.0..=way.delay.1));
-                state.count += 1;
-                let at = (Instant::now() + delay, state.count);
-                state.later.insert(at, (from, to, bytes));
-            }
-            self.due.notify_all();
+            };
+            state.accept(Path { from, to }, &buffer[..length]);
+            self.in_flight_changed.notify_all();
         }
     }
 
-    /// Passes on what is due.
+    /// Delivers what is due, until the proxies stop.
     fn deliver(&self) {
         let mut state = self.state.lock().unwrap();
         while !self.stop.load(Ordering::Acquire) {
-            let next = state.later.keys().next().map(|(at, _)| *at);
             let now = Instant::now();
-            match next {
-                Some(at) if at <= now => {
-                    let Some((_, (from, to, bytes))) = state.later.pop_first() else { continue };
-                    // What was under way when the way was cut does not arrive.
-                    if state.ways.get(&(from, to)).is_some_and(|way| way.partitioned) {
-                        state.carried.entry((from, to)).or_default().lost += 1;
-                        continue;
-                    }
-                    state.carried.entry((from, to)).or_default().passed += 1;
-                    let real = state.real[to];
-                    // Who has gone does not take it; it comes from the sender's relay.
-                    let _ = self.hubs[from].send_to(&bytes, real);
-                }
-                Some(at) => state = self.due.wait_timeout(state, at - now).unwrap().0,
-                None => state = self.due.wait_timeout(state, LOOK).unwrap().0,
+            if let Some(Datagram { path, bytes }) = state.take_due(now) {
+                // A member that has gone does not take it; it comes from the sender's proxy.
+                let _ = self.sockets[path.from].send_to(&bytes, state.member_addresses[path.to]);
+                continue;
             }
+            let wait = state.next_due().map_or(POLL_INTERVAL, |due| due.saturating_duration_since(now));
+            state = self.in_flight_changed.wait_timeout(state, wait).unwrap().0;
         }
     }
 }
+
+fn bind(address: &SocketAddr) -> UdpSocket {
+    let socket = UdpSocket::bind(address).expect("the proxy's address is free");
+    socket.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
+    socket
+}
--- a/crates/test-harness/src/fault_proxy/peer.rs
+++ b/crates/test-harness/src/fault_proxy/peer.rs
@@ -1,107 +1,170 @@
-//! Relays for connections between the members of a fleet, on the same ways as their datagrams: by the sender's own address
-//! it is known whose way a connection takes.
+//! Fault-injecting proxies for the TCP connections between the members of a fleet: one listener in front
+//! of each member. The sender's own address tells which path a connection takes; the faults are those
+//! of the same path's datagrams. [`PeerFaultProxies`] starts them.
 
-use crate::fault_proxy::PathView;
-use std::io::{ErrorKind, Read, Write};
+use super::datagram::PathView;
+use super::path::Path;
+use super::{close_direction, forward, read_some, COPY_BUFFER_BYTES};
+use std::io::ErrorKind;
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-const LOOK: Duration = Duration::from_millis(5);
-/// So much passes at a time on a way that is throttled.
-const PIECE: usize = 256;
+/// Between two looks whether there is a connection, or whether a path passes again.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// So much passes at a time on a path that is throttled.
+const THROTTLED_READ_BYTES: usize = 256;
 
-/// The relays of one fleet's links.
+/// One end of a connection that is open.
+struct OpenStream {
+    path: Path,
+    stream: TcpStream,
+}
+
+/// The proxies for the connections of one fleet. Their threads end with the datagram proxies.
 pub struct PeerFaultProxies {
-    open: Arc<Mutex<Vec<(usize, usize, TcpStream)>>>,
+    /// Guards both ends of every connection that was opened.
+    open: Arc<Mutex<Vec<OpenStream>>>,
 }
 
 impl PeerFaultProxies {
-    /// Relays at these addresses, for members that listen at those.
-    pub(crate) fn new(at: &[SocketAddr], real: &[SocketAddr], look: &PathView) -> PeerFaultProxies {
-        let open: Arc<Mutex<Vec<_>>> = Arc::default();
-        for (to, place) in at.iter().enumerate() {
-            let listener = TcpListener::bind(place).expect("the relay's address is free");
+    /// Proxies at the advertised addresses, for members that listen at the others.
+    pub(crate) fn new(
+        advertised: &[SocketAddr],
+        members: &[SocketAddr],
+        paths: &PathView,
+    ) -> PeerFaultProxies {
+        let open: Arc<Mutex<Vec<OpenStream>>> = Arc::default();
+        let sources: Vec<IpAddr> = members.iter().map(SocketAddr::ip).collect();
+        for (to, address) in advertised.iter().enumerate() {
+            let listener = TcpListener::bind(address).expect("the proxy's address is free");
             listener.set_nonblocking(true).unwrap();
-            let members: Vec<IpAddr> = real.iter().map(SocketAddr::ip).collect();
-            let (target, look, open) = (real[to], look.clone(), Arc::clone(&open));
-            thread::spawn(move || {
-                while !look.is_over() {
-                    match listener.accept() {
-                        Ok((near, from)) => {
-                            let Some(from) = members.iter().position(|member| *member == from.ip()) else {
-                                continue;
-                            };
-                            let (look, open) = (look.clone(), Arc::clone(&open));
-                            thread::spawn(move || join(near, (from, to), target, &look, &open));
-                        }
-                        Err(error) if error.kind() == ErrorKind::WouldBlock => thread::sleep(LOOK),
-                        Err(_) => return,
-                    }
-                }
-            });
+            let acceptor = Acceptor {
+                to,
+                target: members[to],
+                sources: sources.clone(),
+                paths: paths.clone(),
+                open: Arc::clone(&open),
+            };
+            thread::spawn(move || acceptor.run(&listener));
         }
         PeerFaultProxies { open }
     }
 
-    /// Breaks all that is open between two members.
+    /// Breaks all connections that are open between two members.
+    ///
+    /// # Panics
+    /// If a thread of the proxies panicked.
     pub fn reset(&self, a: usize, b: usize) {
-        self.open.lock().unwrap().retain(|(from, to, stream)| {
-            let is_between = (*from, *to) == (a, b) || (*from, *to) == (b, a);
+        let path = Path { from: a, to: b };
+        self.open.lock().unwrap().retain(|open| {
+            let is_between = open.path == path || open.path == path.reversed();
             if is_between {
                 // It may have ended by itself.
-                let _ = stream.shutdown(Shutdown::Both);
+                let _ = open.stream.shutdown(Shutdown::Both);
             }
             !is_between
         });
     }
 }
 
-fn join(
-    near: TcpStream,
-    (from, to): (usize, usize),
+/// Accepts the connections to one member.
+struct Acceptor {
+    to: usize,
+    /// Where the member listens.
     target: SocketAddr,
-    look: &PathView,
-    open: &Mutex<Vec<(usize, usize, TcpStream)>>,
-) {
-    near.set_nonblocking(false).unwrap();
-    // While the way is cut no connection comes to be; who dials gives up.
-    while look.path(from, to).partitioned && !look.is_over() {
-        thread::sleep(LOOK);
+    /// The source address of each member.
+    sources: Vec<IpAddr>,
+    paths: PathView,
+    open: Arc<Mutex<Vec<OpenStream>>>,
+}
+
+impl Acceptor {
+    /// Accepts until the proxies stop.
+    fn run(&self, listener: &TcpListener) {
+        while !self.paths.is_stopped() {
+            match listener.accept() {
+                Ok((client, source)) => self.accept(client, source.ip()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => thread::sleep(POLL_INTERVAL),
+                Err(_) => return,
+            }
+        }
     }
-    let Ok(far) = TcpStream::connect(target) else { return };
-    for stream in [&near, &far] {
-        let _ = stream.set_nodelay(true);
-        open.lock().unwrap().extend(stream.try_clone().map(|stream| (from, to, stream)));
+
+    fn accept(&self, client: TcpStream, source: IpAddr) {
+        let Some(from) = self.sources.iter().position(|member| *member == source) else { return };
+        let connection = Connection {
+            path: Path { from, to: self.to },
+            target: self.target,
+            paths: self.paths.clone(),
+            open: Arc::clone(&self.open),
+        };
+        // Ends with the connection.
+        thread::spawn(move || connection.run(client));
     }
-    let (Ok(near_in), Ok(far_out)) = (near.try_clone(), far.try_clone()) else { return };
-    let there = look.clone();
-    thread::spawn(move || carry(near_in, far_out, (from, to), &there));
-    carry(far, near, (to, from), look);
 }
 
-fn carry(mut from: TcpStream, mut to: TcpStream, (a, b): (usize, usize), look: &PathView) {
-    let mut room = vec![0; 16 * 1024];
-    loop {
-        let throttled = look.path(a, b).throttle.is_some();
-        let most = if throttled { PIECE } else { room.len() };
-        let count = from.read(&mut room[..most]).unwrap_or(0);
-        let mut way = look.path(a, b);
-        while way.partitioned && !look.is_over() {
-            thread::sleep(LOOK);
-            way = look.path(a, b);
+/// One connection between two members.
+struct Connection {
+    path: Path,
+    target: SocketAddr,
+    paths: PathView,
+    open: Arc<Mutex<Vec<OpenStream>>>,
+}
+
+impl Connection {
+    fn run(self, client: TcpStream) {
+        client.set_nonblocking(false).unwrap();
+        // While the path is partitioned no connection is made; whoever dials gives up.
+        wait_for_passage(&self.paths, self.path);
+        let Ok(server) = TcpStream::connect(self.target) else { return };
+        for stream in [&client, &server] {
+            let _ = stream.set_nodelay(true);
+            let Ok(stream) = stream.try_clone() else { continue };
+            self.open.lock().unwrap().push(OpenStream { path: self.path, stream });
         }
-        let pass = way.throttle.map_or(0, |bytes| count as u64 * 1000 / bytes.max(1));
-        let wait = Duration::from_millis(way.delay.1 + pass);
+        let (Ok(client_input), Ok(server_output)) = (client.try_clone(), server.try_clone()) else { return };
+        let paths = self.paths.clone();
+        let path = self.path;
+        // Ends with the connection.
+        thread::spawn(move || copy(client_input, server_output, path, &paths));
+        copy(server, client, path.reversed(), &self.paths);
+    }
+}
+
+/// Waits until a path passes, or the proxies stop.
+fn wait_for_passage(paths: &PathView, path: Path) {
+    while paths.faults(path).partitioned && !paths.is_stopped() {
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Copies one direction of a connection until it ends or the proxies stop.
+fn copy(mut from: TcpStream, mut to: TcpStream, path: Path, paths: &PathView) {
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
+    loop {
+        let is_throttled = paths.faults(path).throttle.is_some();
+        let most = if is_throttled { THROTTLED_READ_BYTES } else { buffer.len() };
+        let length = read_some(&mut from, &mut buffer[..most]);
+        wait_for_passage(paths, path);
+        let wait = passage_time(paths, path, length);
         if !wait.is_zero() {
             thread::sleep(wait);
         }
-        if count == 0 || look.is_over() || to.write_all(&room[..count]).is_err() {
-            // Either may have ended by itself.
-            let _ = to.shutdown(Shutdown::Write);
-            let _ = from.shutdown(Shutdown::Read);
+        if paths.is_stopped() {
+            close_direction(&from, &to);
+            return;
+        }
+        if !forward(&buffer[..length], &from, &mut to) {
             return;
         }
     }
 }
+
+/// How long so many bytes take on a path.
+fn passage_time(paths: &PathView, path: Path, bytes: usize) -> Duration {
+    let faults = paths.faults(path);
+    let throttled_ms = faults.throttle.map_or(0, |limit| bytes as u64 * 1000 / limit.max(1));
+    faults.max_delay + Duration::from_millis(throttled_ms)
+}
--- a/crates/test-harness/src/fault_proxy/stream.rs
+++ b/crates/test-harness/src/fault_proxy/stream.rs
@@ -1,91 +1,118 @@
-//! A relay for connections on one directed way: from a proxy to what it calls.
+//! A fault-injecting proxy for connections, from a proxy under test to one server that it calls:
+//! [`StreamFaultProxy`].
 
-use std::io::{Read, Write};
+use super::{forward, read_some, COPY_BUFFER_BYTES};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
 
 #[derive(Default)]
 struct State {
-    cut: bool,
-    delay: Duration,
+    partitioned: bool,
+    /// Both ends of every connection that was opened since the last reset.
     open: Vec<TcpStream>,
 }
 
-/// The relay.
+#[derive(Default)]
+struct Shared {
+    /// Guards whether anything passes, and the open connections.
+    state: Mutex<State>,
+    /// Notified when a partition begins or ends.
+    partition_changed: Condvar,
+}
+
+impl Shared {
+    /// Waits while nothing passes.
+    fn wait_for_passage(&self) {
+        let mut state = self.state.lock().unwrap();
+        while state.partitioned {
+            state = self.partition_changed.wait(state).unwrap();
+        }
+    }
+}
+
+/// The proxy in front of one server. Its threads end with the test's process, those of a connection with
+/// the connection. Clones control the same proxy.
 #[derive(Clone)]
 pub struct StreamFaultProxy {
     /// Where it takes connections.
     pub address: SocketAddr,
-    state: Arc<(Mutex<State>, Condvar)>,
+    shared: Arc<Shared>,
 }
 
 impl StreamFaultProxy {
-    /// A relay to this place.
-    pub fn to(target: SocketAddr) -> StreamFaultProxy {
+    /// Starts a proxy in front of this server.
+    ///
+    /// # Panics
+    /// If it cannot listen.
+    pub fn start(target: SocketAddr) -> StreamFaultProxy {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let place = listener.local_addr().unwrap();
-        let state: Arc<(Mutex<State>, Condvar)> = Arc::default();
-        let carrying = Arc::clone(&state);
+        let address = listener.local_addr().unwrap();
+        let shared: Arc<Shared> = Arc::default();
+        let accepting = Arc::clone(&shared);
         thread::spawn(move || {
-            for near in listener.incoming().map_while(Result::ok) {
-                let state = Arc::clone(&carrying);
-                thread::spawn(move || {
-                    hold(&state);
-                    // Nobody there: the connection breaks, as it would without a relay.
-                    let Ok(far) = TcpStream::connect(target) else { return };
-                    let ends = [near.try_clone(), far.try_clone()];
-                    state.0.lock().unwrap().open.extend(ends.into_iter().flatten());
-                    let (Ok(from), Ok(to)) = (near.try_clone(), far.try_clone()) else { return };
-                    let there = Arc::clone(&state);
-                    thread::spawn(move || carry(from, to, &there));
-                    carry(far, near, &state);
-                });
+            for client in listener.incoming().map_while(Result::ok) {
+                let shared = Arc::clone(&accepting);
+                thread::spawn(move || serve(client, target, &shared));
             }
         });
-        StreamFaultProxy { address: place, state }
+        StreamFaultProxy { address, shared }
     }
 
-    /// Nothing passes any more, and nobody is told; or all that was held back passes.
-    pub fn cut(&self, cut: bool) {
-        self.state.0.lock().unwrap().cut = cut;
-        self.state.1.notify_all();
+    /// From now on nothing passes, and neither end is told.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
+    pub fn partition(&self) {
+        self.set_partitioned(true);
     }
 
-    /// What passes takes so much longer.
-    pub fn delay(&self, delay: Duration) {
-        self.state.0.lock().unwrap().delay = delay;
+    /// Everything passes again, first of all what was held back.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
+    pub fn heal(&self) {
+        self.set_partitioned(false);
     }
 
-    /// Breaks what is open.
+    fn set_partitioned(&self, partitioned: bool) {
+        self.shared.state.lock().unwrap().partitioned = partitioned;
+        self.shared.partition_changed.notify_all();
+    }
+
+    /// Breaks the connections that are open.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
     pub fn reset(&self) {
-        let open = std::mem::take(&mut self.state.0.lock().unwrap().open);
-        // They may have ended by themselves.
-        for stream in &open {
-            drop(stream.shutdown(Shutdown::Both));
+        let open = std::mem::take(&mut self.shared.state.lock().unwrap().open);
+        for stream in open {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
         }
     }
 }
 
-/// Waits while the way is cut; how much longer it takes then.
-fn hold(state: &(Mutex<State>, Condvar)) -> Duration {
-    let guard = state.1.wait_while(state.0.lock().unwrap(), |state| state.cut).unwrap();
-    guard.delay
+/// Serves one connection until either end closes it.
+fn serve(client: TcpStream, target: SocketAddr, shared: &Arc<Shared>) {
+    shared.wait_for_passage();
+    // Nobody there: the connection breaks, as it would without a proxy.
+    let Ok(server) = TcpStream::connect(target) else { return };
+    let ends = [client.try_clone(), server.try_clone()];
+    shared.state.lock().unwrap().open.extend(ends.into_iter().flatten());
+    let (Ok(client_input), Ok(server_output)) = (client.try_clone(), server.try_clone()) else { return };
+    let copying = Arc::clone(shared);
+    thread::spawn(move || copy(client_input, server_output, &copying));
+    copy(server, client, shared);
 }
 
-fn carry(mut from: TcpStream, mut to: TcpStream, state: &(Mutex<State>, Condvar)) {
-    let mut room = vec![0; 16 * 1024];
+/// Copies one direction of a connection until it ends.
+fn copy(mut from: TcpStream, mut to: TcpStream, shared: &Shared) {
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
     loop {
-        let count = from.read(&mut room).unwrap_or(0);
-        let delay = hold(state);
-        if !delay.is_zero() {
-            thread::sleep(delay);
-        }
-        if count == 0 || to.write_all(&room[..count]).is_err() {
-            // Either may have ended by itself.
-            let _ = to.shutdown(Shutdown::Write);
-            let _ = from.shutdown(Shutdown::Read);
+        let length = read_some(&mut from, &mut buffer);
+        shared.wait_for_passage();
+        if !forward(&buffer[..length], &from, &mut to) {
             return;
         }
     }
--- a/crates/test-harness/src/fleet/config.rs
+++ b/crates/test-harness/src/fleet/config.rs
@@ -3,7 +3,7 @@
 use super::{Fleet, PEER_PORT};
 use crate::config::config;
 use crate::discovery::catalog;
-use crate::process::written;
+use crate::process::write_config;
 use crate::stub_server::StubServer;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -90,7 +90,7 @@
 
     /// Writes the configuration of a member that contacts these peers first to a file of its own.
     pub(super) fn write_config(&self, member: usize, peers: &[usize]) -> PathBuf {
-        written(&self.config(member, peers).to_string())
+        write_config(&self.config(member, peers).to_string())
     }
 
     /// Replaces the configuration file of a member; a running process reads it at SIGHUP only.
--- a/crates/test-harness/src/fleet/faults.rs
+++ b/crates/test-harness/src/fleet/faults.rs
@@ -17,13 +17,15 @@
             Fault::GoOn(member) if self.runs(*member) => self.process(*member).signal("CONT"),
             Fault::Stop(_) | Fault::GoOn(_) => {}
             Fault::Upgrade(member) => self.upgrade(*member),
-            Fault::Cut(from, to) => self.datagram_faults.path(*from, *to, |path| path.partitioned = true),
+            Fault::Cut(from, to) => {
+                self.datagram_faults.change_path(*from, *to, |path| path.partitioned = true)
+            }
             Fault::Sides(sides) => {
                 self.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
             }
-            Fault::Heal => self.datagram_faults.all(|path| path.partitioned = false),
+            Fault::Heal => self.datagram_faults.change_all_paths(|path| path.partitioned = false),
             Fault::Loss(percent) => {
-                self.datagram_faults.all(|path| path.loss = f64::from(*percent) / 100.0);
+                self.datagram_faults.change_all_paths(|path| path.loss = f64::from(*percent) / 100.0);
             }
             Fault::Node(node, up) => self.set_node_reachable(*node, *up),
         }
@@ -38,7 +40,11 @@
 
     fn set_node_reachable(&self, node: usize, reachable: bool) {
         for streams in &self.streams {
-            streams[node].cut(!reachable);
+            if reachable {
+                streams[node].heal();
+            } else {
+                streams[node].partition();
+            }
             streams[node].reset();
         }
     }
@@ -55,7 +61,7 @@
     fn cut_from(&self, from: &[usize], to: &[usize]) {
         for from in from {
             for to in to {
-                self.datagram_faults.path(*from, *to, |path| path.partitioned = true);
+                self.datagram_faults.change_path(*from, *to, |path| path.partitioned = true);
             }
         }
     }
--- a/crates/test-harness/src/fleet/mod.rs
+++ b/crates/test-harness/src/fleet/mod.rs
@@ -16,9 +16,7 @@
 
 use crate::client::{call_admin, Client};
 use crate::discovery::{catalog, StaticDiscovery};
-use crate::fault_proxy::FaultProxies;
-use crate::fault_proxy::PeerFaultProxies;
-use crate::fault_proxy::StreamFaultProxy;
+use crate::fault_proxy::{FaultProxies, PeerFaultProxies, StreamFaultProxy};
 use crate::stub_server::StubServer;
 use crate::{Timeline, WAIT};
 use slot::FleetSlot;
@@ -83,14 +81,18 @@
         let real: Vec<_> = (0..members).map(|n| address(network, FIRST_MEMBER + n)).collect();
         let datagram_faults = FaultProxies::new(&advertised, &real, options.seed);
         let peer_faults = if options.policy {
-            PeerFaultProxies::new(&on_peer_port(&advertised), &on_peer_port(&real), &datagram_faults.look())
+            PeerFaultProxies::new(
+                &on_peer_port(&advertised),
+                &on_peer_port(&real),
+                &datagram_faults.path_view(),
+            )
         } else {
-            PeerFaultProxies::new(&[], &[], &datagram_faults.look())
+            PeerFaultProxies::new(&[], &[], &datagram_faults.path_view())
         };
         let discovery = StaticDiscovery::new(catalog(1, true, &endpoint_entries(&nodes, &origin)));
         let servers = nodes.iter().chain([&origin]).map(|server| server.address);
         let targets: Vec<SocketAddr> = servers.chain([discovery.address]).collect();
-        let streams_of_one = || targets.iter().map(|to| StreamFaultProxy::to(*to)).collect();
+        let streams_of_one = || targets.iter().map(|to| StreamFaultProxy::start(*to)).collect();
         let streams = (0..members).map(|_| streams_of_one()).collect();
         let temp_dir = std::env::temp_dir().join(format!("pinetrail-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&temp_dir).expect("a folder for temporary files can be made");
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -1,5 +1,6 @@
-//! Real processes of the program, and round them all that they talk to: cache nodes, origin, discovery, clients and
-//! operators, on loopback. Every wait is bounded; every process that was started is ended, also after a panic.
+//! Real processes of the program, and all that they talk to: cache nodes, origin, discovery, clients and
+//! operators, on loopback. Every wait is bounded; every process that was started is ended, also after a
+//! panic.
 //!
 //! For one proxy see [`ProxyFixture`], for several that know each other, with faults between them, [`fleet::Fleet`].
 
@@ -28,5 +29,5 @@
 
 use std::time::Duration;
 
-/// What must come comes within this.
+/// How long a test waits for what must come.
 pub const WAIT: Duration = Duration::from_secs(10);
--- a/crates/test-harness/src/process.rs
+++ b/crates/test-harness/src/process.rs
@@ -1,4 +1,7 @@
-//! The program as a process.
+//! The program as a process: how it is started, where it listens, and how it ends.
+//!
+//! Whoever starts a process ends it: [`crate::ProxyFixture`] and [`crate::fleet::Process`] do so when they
+//! are dropped.
 
 use crate::WAIT;
 use rustix::process::{Pid, Signal};
@@ -12,70 +15,100 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-static PROGRAM: OnceLock<(PathBuf, Vec<String>)> = OnceLock::new();
-static WRITTEN: AtomicUsize = AtomicUsize::new(0);
+/// Between two looks whether a process has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// What is started for the program.
+struct Program {
+    path: PathBuf,
+    arguments: Vec<String>,
+}
+
+static PROGRAM: OnceLock<Program> = OnceLock::new();
+/// Numbers the configuration files of one test program.
+static CONFIG_FILES: AtomicUsize = AtomicUsize::new(0);
+
+/// A proxy that has logged where it listens.
+pub(crate) struct StartedProcess {
+    pub(crate) child: Child,
+    pub(crate) client_address: SocketAddr,
+    pub(crate) admin_address: SocketAddr,
+}
 
 /// Writes a configuration to a file of its own.
-pub(crate) fn written(config: &str) -> PathBuf {
-    let number = WRITTEN.fetch_add(1, Ordering::SeqCst);
+pub(crate) fn write_config(config: &str) -> PathBuf {
+    let number = CONFIG_FILES.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("pinetrail-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
     path
 }
 
 /// Starts the proxy on a configuration.
+///
+/// # Panics
+/// If the configuration cannot be written or the program cannot be started.
 pub fn start(config: &str) -> Child {
-    start_on(&written(config))
+    start_in(&write_config(config), &std::env::temp_dir())
 }
 
-fn start_on(path: &Path) -> Child {
-    start_in(path, &std::env::temp_dir())
-}
-
-/// Has processes be started by this command. Without it the program beside the running test is started.
+/// Has all proxies be started by this command; only the first call counts. Without it the program beside
+/// the running test is started.
 pub fn program(path: PathBuf, arguments: &[&str]) {
-    // The first that is told counts.
-    let _ = PROGRAM.set((path, arguments.iter().map(|argument| (*argument).to_owned()).collect()));
+    let arguments = arguments.iter().map(|argument| (*argument).to_owned()).collect();
+    // A second call is ignored, as documented.
+    let _ = PROGRAM.set(Program { path, arguments });
 }
 
 fn command() -> Command {
-    let (path, arguments) = PROGRAM.get_or_init(|| {
+    let program = PROGRAM.get_or_init(|| {
         // Tests run from a folder beside it.
         let test = std::env::current_exe().expect("the test knows where it is");
         let folder = test.parent().and_then(Path::parent).expect("tests lie in a folder of their own");
-        (folder.join("pinetrail"), Vec::new())
+        Program { path: folder.join("pinetrail"), arguments: Vec::new() }
     });
-    let mut command = Command::new(path);
-    command.args(arguments);
+    let mut command = Command::new(&program.path);
+    command.args(&program.arguments);
     command
 }
 
-pub(crate) fn start_in(path: &Path, tmp: &Path) -> Child {
+/// Starts the proxy on the configuration in a file, with this folder for its `$TMPDIR`.
+pub(crate) fn start_in(config: &Path, temp_dir: &Path) -> Child {
     let mut command = command();
-    command.env("LB_CONFIG", path).env("TMPDIR", tmp).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.env("LB_CONFIG", config);
+    command.env("TMPDIR", temp_dir);
+    command.stdout(Stdio::piped());
+    command.stderr(Stdio::piped());
     command.spawn().expect("the proxy starts")
 }
 
-/// Starts the proxy and reads in its log where it listens and where its door is.
-pub(crate) fn started(config: &Path, tmp: &Path) -> (Child, SocketAddr, SocketAddr) {
-    let mut child = start_in(config, tmp);
+/// Starts the proxy and reads in its log where it listens for operators and for clients.
+pub(crate) fn start_and_find_addresses(config: &Path, temp_dir: &Path) -> StartedProcess {
+    let mut child = start_in(config, temp_dir);
     let log = BufReader::new(child.stderr.take().unwrap());
-    let (found, places) = channel::<SocketAddr>();
-    // Nobody reads the log any further: a proxy must not end for that.
+    let (sender, addresses) = channel();
+    // Ends at the second address. Nobody reads the log any further: a proxy must not end for that.
     thread::spawn(move || {
         let lines = log.lines().map_while(Result::ok);
-        let named = |line: String| {
-            let at = line.split_once(" call ").or_else(|| line.split_once(" listens on "))?;
-            at.1.parse().ok()
-        };
-        lines.filter_map(named).take(2).for_each(|place| found.send(place).unwrap_or(()));
+        for address in lines.filter_map(|line| logged_address(&line)).take(2) {
+            // Whoever gave up waiting has panicked.
+            let _ = sender.send(address);
+        }
     });
-    let next = || places.recv_timeout(WAIT).expect("the proxy says where it listens");
-    let (door, place) = (next(), next());
-    (child, place, door)
+    let admin_address = addresses.recv_timeout(WAIT).expect("the proxy logs where operators reach it");
+    let client_address = addresses.recv_timeout(WAIT).expect("the proxy logs where it listens");
+    StartedProcess { child, client_address, admin_address }
+}
+
+/// The address in a log line that says where the proxy listens.
+fn logged_address(line: &str) -> Option<SocketAddr> {
+    let (_, address) = line.split_once(" call ").or_else(|| line.split_once(" listens on "))?;
+    address.parse().ok()
 }
 
-/// Sends a signal to a process that this one started.
+/// Sends a signal, by its name without `SIG`, to a process that this one started.
+///
+/// # Panics
+/// If the tests use no signal of this name, or the process is gone.
 pub fn signal(child: &Child, name: &str) {
     let number = match name {
         "HUP" => Signal::HUP,
@@ -83,18 +116,21 @@
         "USR1" => Signal::USR1,
         "STOP" => Signal::STOP,
         "CONT" => Signal::CONT,
-        _ => panic!("no signal of these tests: {name}"),
+        _ => panic!("the tests use no signal {name}"),
     };
     let pid = Pid::from_child(child);
     rustix::process::kill_process(pid, number).expect("the process is there");
 }
 
-/// Waits for the program's end by itself.
+/// Waits until the program has ended by itself; what it printed.
+///
+/// # Panics
+/// If it does not end in time.
 pub fn end(mut child: Child) -> Output {
-    let until = Instant::now() + WAIT;
+    let deadline = Instant::now() + WAIT;
     while child.try_wait().unwrap().is_none() {
-        assert!(Instant::now() < until, "the program does not end");
-        thread::sleep(Duration::from_millis(5));
+        assert!(Instant::now() < deadline, "the program does not end");
+        thread::sleep(POLL_INTERVAL);
     }
     child.wait_with_output().unwrap()
 }
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -3,7 +3,7 @@
 use crate::client::Client;
 use crate::config::config;
 use crate::discovery::{catalog, Discovery};
-use crate::process::{end, signal, start_in, started, written};
+use crate::process::{end, signal, start_and_find_addresses, start_in, write_config, StartedProcess};
 use crate::recorder::Recorder;
 use crate::stub_server::StubServer;
 use crate::{call_admin, WAIT};
@@ -67,10 +67,11 @@
         let config = config.replace(r#""limits":{"cores":1.0,"memory_mb":192"#, &limits);
         let config = changes.iter().fold(config, |config, (from, to)| config.replace(from, to));
         Recorder::own().record_active_config(&config);
-        let config = written(&config);
+        let config = write_config(&config);
         let temp_dir = config.with_extension("tmp");
         std::fs::create_dir_all(&temp_dir).unwrap();
-        let (child, client_address, admin_address) = started(&config, &temp_dir);
+        let StartedProcess { child, client_address, admin_address } =
+            start_and_find_addresses(&config, &temp_dir);
         let fixture =
             ProxyFixture { discovery, client_address, admin_address, child: Some(child), config, temp_dir };
         assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
@@ -136,15 +137,18 @@
     /// Writes a configuration for a second process of this proxy.
     fn second_config(&self) -> PathBuf {
         let text = std::fs::read_to_string(&self.config).unwrap();
-        written(&text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.client_address)))
+        write_config(
+            &text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.client_address)),
+        )
     }
 
     /// Starts a second process of this proxy, which is ready when this returns: it and its admin endpoint.
     pub fn start_second_process(&self) -> (Child, SocketAddr) {
-        let (child, address, admin) = started(&self.second_config(), &self.temp_dir);
-        assert_eq!(address, self.client_address);
-        self.until("the second process is ready", || call_admin(admin, "GET", "/control/ready").0 == 200);
-        (child, admin)
+        let second = start_and_find_addresses(&self.second_config(), &self.temp_dir);
+        assert_eq!(second.client_address, self.client_address);
+        let is_ready = || call_admin(second.admin_address, "GET", "/control/ready").0 == 200;
+        self.until("the second process is ready", is_ready);
+        (second.child, second.admin_address)
     }
 
     /// From now on `$TMPDIR` is a folder whose path is too long for the address of a Unix socket.
@@ -165,7 +169,7 @@
     /// A second process on a configuration with some text replaced.
     pub fn start_second_process_with(&self, from: &str, to: &str) -> Child {
         let text = std::fs::read_to_string(self.second_config()).unwrap();
-        start_in(&written(&text.replace(from, to)), &self.temp_dir)
+        start_in(&write_config(&text.replace(from, to)), &self.temp_dir)
     }
 
     /// Puts a second process in the first one's place; the first.
--- a/crates/test-harness/src/timeline.rs
+++ b/crates/test-harness/src/timeline.rs
@@ -1,49 +1,72 @@
-//! What happened when, for a person to read.
+//! What happened when, for a person to read: [`Timeline`].
 
 use std::fmt;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-/// Lines with their time; clones write to the same.
+/// Something that somebody did or logged.
+#[derive(Clone)]
+struct Entry {
+    /// In ms since the beginning.
+    at: u128,
+    who: String,
+    text: String,
+}
+
+/// Entries with their time; clones write to the same.
 #[derive(Clone)]
 pub struct Timeline {
-    begun: Instant,
-    lines: Arc<Mutex<Vec<(u128, String, String)>>>,
+    start: Instant,
+    /// Guards the entries, in the order in which they were noted.
+    entries: Arc<Mutex<Vec<Entry>>>,
 }
 
 impl Timeline {
-    /// None yet; times count from now.
+    /// An empty timeline; times count from now.
     pub fn new() -> Timeline {
-        Timeline { begun: Instant::now(), lines: Arc::default() }
+        Timeline { start: Instant::now(), entries: Arc::default() }
     }
 
-    /// Somebody did or said something.
-    pub fn note(&self, who: &str, what: &str) {
-        let at = self.begun.elapsed().as_millis();
-        self.lines.lock().unwrap().push((at, who.to_owned(), what.to_owned()));
+    /// Notes that somebody did or logged something.
+    ///
+    /// # Panics
+    /// If a thread panicked while it noted something.
+    pub fn note(&self, who: &str, text: &str) {
+        let entry = Entry { at: self.now(), who: who.to_owned(), text: text.to_owned() };
+        self.entries.lock().unwrap().push(entry);
     }
 
     /// The ms since its beginning.
     pub fn now(&self) -> u128 {
-        self.begun.elapsed().as_millis()
+        self.start.elapsed().as_millis()
     }
 
-    /// When somebody first said something with these words in it, from a time on.
-    pub fn first_match(&self, who: &str, words: &str, from: u128) -> Option<u128> {
-        self.first_match_of_both(who, words, "", from)
+    /// When somebody first noted something that contains this text, from a time on, both in ms.
+    ///
+    /// # Panics
+    /// If a thread panicked while it noted something.
+    pub fn first_match(&self, who: &str, text: &str, from: u128) -> Option<u128> {
+        self.first_match_of_both(who, text, "", from)
     }
 
-    /// The same with two pieces of text in it.
-    pub fn first_match_of_both(&self, who: &str, words: &str, more: &str, from: u128) -> Option<u128> {
-        let lines = self.lines.lock().unwrap();
-        let says = |what: &str| what.contains(words) && what.contains(more);
-        lines.iter().find(|(at, by, what)| *at >= from && by == who && says(what)).map(|line| line.0)
+    /// The same for an entry that contains both texts.
+    ///
+    /// # Panics
+    /// If a thread panicked while it noted something.
+    pub fn first_match_of_both(&self, who: &str, one: &str, other: &str, from: u128) -> Option<u128> {
+        let entries = self.entries.lock().unwrap();
+        let mut of_them = entries.iter().filter(|entry| entry.at >= from && entry.who == who);
+        of_them.find(|entry| entry.text.contains(one) && entry.text.contains(other)).map(|entry| entry.at)
     }
 
-    /// How often somebody said something with these words in it, from a time on.
-    pub fn times(&self, who: &str, words: &str, from: u128) -> usize {
-        let lines = self.lines.lock().unwrap();
-        lines.iter().filter(|(at, by, what)| *at >= from && by == who && what.contains(words)).count()
+    /// How often somebody noted something that contains this text, from a time in ms on.
+    ///
+    /// # Panics
+    /// If a thread panicked while it noted something.
+    pub fn count_matches(&self, who: &str, text: &str, from: u128) -> usize {
+        let entries = self.entries.lock().unwrap();
+        let of_them = entries.iter().filter(|entry| entry.at >= from && entry.who == who);
+        of_them.filter(|entry| entry.text.contains(text)).count()
     }
 }
 
@@ -55,8 +78,11 @@
 
 impl fmt::Display for Timeline {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut lines = self.lines.lock().unwrap().clone();
-        lines.sort_by_key(|line| line.0);
-        lines.iter().try_for_each(|(at, who, what)| writeln!(f, "{at:>7} ms  {who:<5} {what}"))
+        let mut entries = self.entries.lock().unwrap().clone();
+        entries.sort_by_key(|entry| entry.at);
+        for Entry { at, who, text } in &entries {
+            writeln!(f, "{at:>7} ms  {who:<5} {text}")?;
+        }
+        Ok(())
     }
 }
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -73,7 +73,7 @@
     fleet.wait_until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
     fleet.wait_until("it knows", |fleet| seen(fleet, 3, 3).0 == "fenced" && seen(fleet, 3, 0).0 == "silent");
     assert_eq!(alarms(&fleet, 3), 0, "silence is no drift");
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("all are well", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
 }
 
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -28,13 +28,13 @@
     fleet.cut_into(&[&[0], &[1, 2]]);
     // What was on its way is swallowed as well.
     let ways = [(0, 1), (0, 2), (1, 0), (2, 0)];
-    let passed = || ways.map(|(from, to)| fleet.datagram_faults.carried(from, to).passed);
+    let passed = || ways.map(|(from, to)| fleet.datagram_faults.counts(from, to).delivered);
     let before = passed();
     let heard = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
     fleet.wait_until("it is alone", heard);
     assert_eq!(passed(), before);
     assert!(
-        ways.iter().all(|(from, to)| fleet.datagram_faults.carried(*from, *to).lost > 0),
+        ways.iter().all(|(from, to)| fleet.datagram_faults.counts(*from, *to).lost > 0),
         "they went on asking"
     );
     // Every address that a member knows of another leads through a relay.
@@ -86,11 +86,11 @@
 fn a_way_cut_in_one_direction_fails_nobody() {
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
-    fleet.datagram_faults.path(0, 1, |way| way.partitioned = true);
+    fleet.datagram_faults.change_path(0, 1, |path| path.partitioned = true);
     sleep(ms(10_000));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
-    assert!(fleet.datagram_faults.carried(0, 1).lost > 0);
-    let suspected = fleet.timeline.times("n0", "alive -> suspect", begun);
+    assert!(fleet.datagram_faults.counts(0, 1).lost > 0);
+    let suspected = fleet.timeline.count_matches("n0", "alive -> suspect", begun);
     assert!(suspected <= 2, "{}", fleet.timeline);
 }
 
@@ -114,7 +114,7 @@
     }
     fleet.wait_until("both sides are as before", |fleet| sides(fleet) == split);
     let healed = fleet.timeline.now();
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("they are one again", |fleet| fleet.all_agree(&ALL) && sides(fleet) == ["whole"; 5]);
     assert!(fleet.timeline.first_match("harness", "start", healed).is_none(), "nobody was started for that");
 }
@@ -146,8 +146,11 @@
 #[test]
 fn a_loss_of_five_in_a_hundred_and_disorder_fail_nobody() {
     let fleet = met(Options::of(5));
-    fleet.datagram_faults.all(|way| {
-        (way.loss, way.duplicated, way.corrupted, way.delay) = (0.05, 0.1, 0.01, (0, 40));
+    fleet.datagram_faults.change_all_paths(|path| {
+        path.loss = 0.05;
+        path.duplicated = 0.1;
+        path.corrupted = 0.01;
+        path.max_delay = ms(40);
     });
     sleep(ms(12_000));
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
--- a/tests/fleet/policy/mod.rs
+++ b/tests/fleet/policy/mod.rs
@@ -108,7 +108,7 @@
         assert_eq!(refused, "SERVER_ERROR busy 500\r\n", "at once, and with when to come back");
         assert_eq!(propose(fleet.process(member).admin_address, "z", 1, &settings(&fleet, 2)).0, 503);
     }
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
     fleet.wait_until("they serve by it", |_| {
         ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken))
@@ -151,7 +151,7 @@
         200,
         "it takes clients"
     );
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("it catches up", |fleet| has(fleet, &[0, 1, 2, 3], 2));
 }
 
@@ -212,8 +212,8 @@
 fn a_slow_peer_costs_only_itself() {
     let (fleet, watch) = under_load(4, 3);
     for other in 0..3 {
-        fleet.datagram_faults.path(3, other, |way| way.throttle = Some(1000));
-        fleet.datagram_faults.path(other, 3, |way| way.throttle = Some(1000));
+        fleet.datagram_faults.change_path(3, other, |path| path.throttle = Some(1000));
+        fleet.datagram_faults.change_path(other, 3, |path| path.throttle = Some(1000));
     }
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
@@ -221,7 +221,7 @@
     fleet.wait_until("the others serve", |_| {
         ["n0", "n1", "n2"].iter().all(|name| watch.decided_since(name, 2, taken))
     });
-    fleet.datagram_faults.all(|way| way.throttle = None);
+    fleet.datagram_faults.change_all_paths(|path| path.throttle = None);
     fleet.wait_until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
     watch.judged();
 }
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -64,7 +64,7 @@
     for member in ["n0", "n1"] {
         assert!(fleet.timeline.first_match(member, "its lease has ended", 0).is_some(), "{}", fleet.timeline);
     }
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     until(&fleet, &ALL, "all have theirs again", |fleet| have(fleet, &ALL, 5));
 }
 
@@ -76,7 +76,7 @@
     until(&fleet, &all, "all have their bases", |fleet| {
         all.iter().all(|member| seen(fleet, *member, "share") == seen(fleet, *member, "base"))
     });
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     until(&fleet, &all, "all have theirs again", |fleet| have(fleet, &all, 3));
 }
 
@@ -184,7 +184,7 @@
         sleep(ms(3_000));
         fleet.process(4).signal("CONT");
         fleet.kill(3);
-        fleet.datagram_faults.all(|way| way.partitioned = false);
+        fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
         fleet.start(3);
         fleet.wait_until("all have theirs again", |fleet| have(fleet, &ALL, 5));
         sleep(ms(500));
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -53,6 +53,6 @@
     fleet.wait_until("the newcomer speaks", |fleet| {
         fleet.report(1).is_some_and(|report| report.side == "alone")
     });
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("they agree", |fleet| fleet.all_agree(&[0, 1, 2]));
 }
