History checker: name the events of a history by what was seen

HistoryEvent: InForce, Told, Started, Ended, Asked, Began, Answered, Left, Received, Share, Bound and Closed become ConfigActivated, EndpointsListed, BackendStarted, ProxyEnded, RequestSent, BodyStarted, ResponseReceived, ClientDisconnected, AttemptReceived, QuotaStated, AttemptLimitSet and AttemptEnded. End::TurnedAway and Answer::Refused become Rejected, Process becomes ProxyEnd. Call sites in tests follow, also those in tests/common and tests/properties.rs. A rename only.

Run: tests of the history checker, histories, node_histories and properties.

--- a/crates/history-checker/src/draining.rs
+++ b/crates/history-checker/src/draining.rs
@@ -36,10 +36,10 @@
     let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::InForce { proxy, figures: Figures { stop_within, .. } } => {
+            HistoryEvent::ConfigActivated { proxy, figures: Figures { stop_within, .. } } => {
                 proxies.entry(proxy).or_default().stop_within = *stop_within;
             }
-            HistoryEvent::Told { proxy, whole, nodes } => {
+            HistoryEvent::EndpointsListed { proxy, whole, nodes } => {
                 let list = proxies.entry(proxy).or_default();
                 if *whole {
                     list.mark_absent_as_gone(*at, event, nodes);
@@ -47,8 +47,8 @@
                 list.update(*at, event, nodes);
             }
             // A process that starts anew knows nothing but its own list.
-            HistoryEvent::Ended { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
-            HistoryEvent::Received { proxy, place, first, .. } => {
+            HistoryEvent::ProxyEnded { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
+            HistoryEvent::AttemptReceived { proxy, place, first, .. } => {
                 let list = proxies.entry(proxy).or_default();
                 if let Some(forbidden) = list.forbids(place, *first, history.clock_error) {
                     violations.push(Violation {
--- a/crates/history-checker/src/history.rs
+++ b/crates/history-checker/src/history.rs
@@ -19,14 +19,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum HistoryEvent {
     /// A configuration became active at a proxy.
-    InForce {
+    ConfigActivated {
         /// The proxy.
         proxy: String,
         /// The figures in it.
         figures: Figures,
     },
     /// A proxy was told of nodes, by discovery or by the list in its configuration.
-    Told {
+    EndpointsListed {
         /// The proxy.
         proxy: String,
         /// Whether the list is whole: a node that is not in it is gone.
@@ -35,21 +35,21 @@
         nodes: Vec<Node>,
     },
     /// A backend's process started.
-    Started {
+    BackendStarted {
         /// Its address.
         place: String,
         /// Its capacity once it is warm, in work a ms.
         capacity: f64,
     },
     /// A proxy's process ended.
-    Ended {
+    ProxyEnded {
         /// The proxy.
         proxy: String,
         /// How.
-        how: Process,
+        how: ProxyEnd,
     },
     /// The last byte of a client's request was written.
-    Asked {
+    RequestSent {
         /// The proxy.
         proxy: String,
         /// The request's id, unique in the history.
@@ -60,24 +60,24 @@
         budget: Time,
     },
     /// A body stream began to arrive in response; from then on no deadline runs.
-    Began {
+    BodyStarted {
         /// The request.
         request: String,
     },
     /// The last byte of a response arrived at the client.
-    Answered {
+    ResponseReceived {
         /// The request.
         request: String,
         /// The response.
         answer: Answer,
     },
     /// The client closed its connection: no response is due any more.
-    Left {
+    ClientDisconnected {
         /// The request.
         request: String,
     },
     /// The last byte of an attempt arrived at a backend.
-    Received {
+    AttemptReceived {
         /// The proxy that made it.
         proxy: String,
         /// The request that it is for.
@@ -93,7 +93,7 @@
     },
     /// A proxy said what its quota is; the whole is 1. What it gives up stays in use for as long as
     /// its attempts run.
-    Share {
+    QuotaStated {
         /// The proxy; each process of one is a proxy of its own here.
         proxy: String,
         /// Its quota, from 0 to 1.
@@ -102,14 +102,14 @@
         calls: Time,
     },
     /// All proxies together may have so many attempts in flight at a backend.
-    Bound {
+    AttemptLimitSet {
         /// The backend's address.
         place: String,
         /// How many attempts.
         calls: usize,
     },
     /// An attempt ended, at the backend or by its connection.
-    Closed {
+    AttemptEnded {
         /// The attempt.
         call: u64,
         /// How.
@@ -119,11 +119,11 @@
 
 /// How a proxy's process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Process {
+pub enum ProxyEnd {
     /// It was killed: its clients have to deal with the requests that it held.
     Killed,
     /// It exited cleanly by itself: it had to respond to all requests that it took.
-    Left,
+    Exited,
 }
 
 /// The final response to a request.
@@ -132,7 +132,7 @@
     /// Served, with this value or receipt.
     Served(String),
     /// Rejected: to send the request again does no harm.
-    Refused,
+    Rejected,
     /// Failed; nothing is promised.
     Failed,
 }
@@ -145,7 +145,7 @@
     /// The backend does not hold the key; nothing ran.
     Missed,
     /// The backend rejected it; nothing ran.
-    TurnedAway,
+    Rejected,
     /// It failed; it may have run.
     Failed,
     /// Its connection ended without a whole response; it may have run.
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -24,7 +24,7 @@
 mod violation;
 
 pub use history::{
-    Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, Process, Scope, State, Time,
+    Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, ProxyEnd, Scope, State, Time,
 };
 pub use policies::{check_policies, PolicyDecision};
 pub use quota::check_quota;
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -16,7 +16,7 @@
 /// Nothing was seen of either.
 pub fn check_quota(history: &History) -> Result<Vec<Violation>, CheckError> {
     let is_about_quota = |(_, seen): &(Time, HistoryEvent)| {
-        matches!(seen, HistoryEvent::Share { .. } | HistoryEvent::Bound { .. })
+        matches!(seen, HistoryEvent::QuotaStated { .. } | HistoryEvent::AttemptLimitSet { .. })
     };
     if history.events.iter().any(is_about_quota) {
         Ok(check(history))
@@ -45,7 +45,7 @@
     let mut stated: BTreeMap<&str, Vec<StatedQuota>> = BTreeMap::new();
     let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
-        let HistoryEvent::Share { proxy, part, calls } = seen else { continue };
+        let HistoryEvent::QuotaStated { proxy, part, calls } = seen else { continue };
         let quota = StatedQuota { at: *at, part: *part, event };
         stated.entry(proxy).or_default().push(quota);
         for quotas in stated.values_mut() {
@@ -78,13 +78,13 @@
     let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::Bound { place, calls } => {
+            HistoryEvent::AttemptLimitSet { place, calls } => {
                 limits.insert(place, *calls);
             }
-            HistoryEvent::Closed { call, .. } => {
+            HistoryEvent::AttemptEnded { call, .. } => {
                 in_flight.remove(call);
             }
-            HistoryEvent::Received { call, place, .. } => {
+            HistoryEvent::AttemptReceived { call, place, .. } => {
                 in_flight.insert(*call, InFlight { address: place, event });
                 let here = in_flight.values().filter(|attempt| attempt.address == place);
                 let mut events: Vec<usize> = here.map(|attempt| attempt.event).collect();
--- a/crates/history-checker/src/repetition.rs
+++ b/crates/history-checker/src/repetition.rs
@@ -74,7 +74,7 @@
     fn check_rejections(&mut self) {
         let request = self.request;
         for response in &request.responses {
-            if *response.answer != Answer::Refused {
+            if *response.answer != Answer::Rejected {
                 continue;
             }
             let at = response.received.at;
@@ -136,7 +136,7 @@
 /// The nodes by the addresses that discovery listed last.
 fn nodes_by_address(history: &History) -> BTreeMap<&str, &Node> {
     let lists = history.events.iter().filter_map(|(_, seen)| match seen {
-        HistoryEvent::Told { nodes, .. } => Some(nodes),
+        HistoryEvent::EndpointsListed { nodes, .. } => Some(nodes),
         _ => None,
     });
     lists.flatten().map(|node| (node.place.as_str(), node)).collect()
--- a/crates/history-checker/src/request_index.rs
+++ b/crates/history-checker/src/request_index.rs
@@ -1,6 +1,6 @@
 //! The requests of a history, each with its attempts and responses: [`RequestIndex`].
 
-use crate::history::{Answer, Class, End, Figures, History, HistoryEvent, Process, Time};
+use crate::history::{Answer, Class, End, Figures, History, HistoryEvent, ProxyEnd, Time};
 use crate::violation::CheckError;
 use std::collections::BTreeMap;
 
@@ -57,7 +57,7 @@
     /// Whether it may have run, by what was known at a time.
     pub(crate) fn may_have_run(&self, at: Time) -> bool {
         let Some(AttemptEnd { at: ended_at, end }) = &self.end else { return true };
-        let did_not_run = matches!(end, End::Missed | End::TurnedAway);
+        let did_not_run = matches!(end, End::Missed | End::Rejected);
         *ended_at > at || !did_not_run
     }
 }
@@ -119,38 +119,38 @@
 impl<'a> Builder<'a> {
     fn add(&mut self, when: Occurrence, seen: &'a HistoryEvent) -> Result<(), CheckError> {
         match seen {
-            HistoryEvent::InForce { proxy, figures } => {
+            HistoryEvent::ConfigActivated { proxy, figures } => {
                 self.active.insert(proxy, figures);
             }
-            HistoryEvent::Asked { proxy, request, class, budget } => {
+            HistoryEvent::RequestSent { proxy, request, class, budget } => {
                 let sent = self.request_sent(when, proxy, class, *budget)?;
                 if self.index.requests.insert(request, sent).is_some() {
                     return Err(CheckError::Again(when.event));
                 }
             }
-            HistoryEvent::Began { request } => {
+            HistoryEvent::BodyStarted { request } => {
                 self.request(when, request)?.body_began.get_or_insert(when.at);
             }
-            HistoryEvent::Answered { request, answer } => {
+            HistoryEvent::ResponseReceived { request, answer } => {
                 let response = Response { received: when, answer };
                 self.request(when, request)?.responses.push(response);
             }
-            HistoryEvent::Left { request } => {
+            HistoryEvent::ClientDisconnected { request } => {
                 self.request(when, request)?.excused.get_or_insert(when.at);
             }
-            HistoryEvent::Ended { proxy, how } => self.proxy_ended(when, proxy, *how),
-            HistoryEvent::Received { request, call, place, first, .. } => {
+            HistoryEvent::ProxyEnded { proxy, how } => self.proxy_ended(when, proxy, *how),
+            HistoryEvent::AttemptReceived { request, call, place, first, .. } => {
                 let attempt = Attempt { event: when.event, address: place, began_at: *first, end: None };
                 let position = self.attempt_received(when, request, attempt);
                 if self.positions.insert(*call, position).is_some() {
                     return Err(CheckError::Again(when.event));
                 }
             }
-            HistoryEvent::Closed { call, end } => self.attempt_ended(when, *call, end)?,
-            HistoryEvent::Told { .. }
-            | HistoryEvent::Started { .. }
-            | HistoryEvent::Share { .. }
-            | HistoryEvent::Bound { .. } => {}
+            HistoryEvent::AttemptEnded { call, end } => self.attempt_ended(when, *call, end)?,
+            HistoryEvent::EndpointsListed { .. }
+            | HistoryEvent::BackendStarted { .. }
+            | HistoryEvent::QuotaStated { .. }
+            | HistoryEvent::AttemptLimitSet { .. } => {}
         }
         Ok(())
     }
@@ -183,14 +183,14 @@
         })
     }
 
-    fn proxy_ended(&mut self, when: Occurrence, proxy: &str, how: Process) {
+    fn proxy_ended(&mut self, when: Occurrence, proxy: &str, how: ProxyEnd) {
         let of_proxy = self.index.requests.values_mut().filter(|request| request.proxy == proxy);
         for request in of_proxy.filter(|request| request.responses.is_empty()) {
             match how {
-                Process::Killed => {
+                ProxyEnd::Killed => {
                     request.excused.get_or_insert(when.at);
                 }
-                Process::Left => {
+                ProxyEnd::Exited => {
                     request.proxy_left.get_or_insert(when);
                 }
             }
--- a/crates/history-checker/src/slow_start.rs
+++ b/crates/history-checker/src/slow_start.rs
@@ -43,10 +43,10 @@
     let mut checker = Checker { clock_error: history.clock_error, ..Checker::default() };
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::InForce { figures, .. } => checker.figures = Some(figures),
-            HistoryEvent::Started { place, capacity } => checker.started(*at, place, *capacity),
-            HistoryEvent::Told { proxy, nodes, .. } => checker.listed(proxy, nodes),
-            HistoryEvent::Received { proxy, place, work, .. } => {
+            HistoryEvent::ConfigActivated { figures, .. } => checker.figures = Some(figures),
+            HistoryEvent::BackendStarted { place, capacity } => checker.started(*at, place, *capacity),
+            HistoryEvent::EndpointsListed { proxy, nodes, .. } => checker.listed(proxy, nodes),
+            HistoryEvent::AttemptReceived { proxy, place, work, .. } => {
                 let is_informed = checker.informed.contains(&(proxy.as_str(), place.as_str()));
                 checker.received(place, SentWork { event, at: *at, work: *work, is_informed });
             }
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -2,7 +2,7 @@
 //! sent and got. Each test has its own; all that it makes writes to it.
 
 use pinetrail_history_checker::{
-    check, check_quota, Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, Process, Scope,
+    check, check_quota, Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, ProxyEnd, Scope,
     State, Time,
 };
 use serde_json::Value;
@@ -53,7 +53,7 @@
     pub fn record_active_config(&self, config: &str) {
         let config: Value = serde_json::from_str(config).unwrap();
         let figures = figures(&config["settings"]);
-        self.note(|_| (HistoryEvent::InForce { proxy: PROXY.into(), figures }, ()));
+        self.note(|_| (HistoryEvent::ConfigActivated { proxy: PROXY.into(), figures }, ()));
         self.record_endpoint_list(&config["known"].to_string());
     }
 
@@ -64,7 +64,7 @@
             let entries = list["instances"].as_array().into_iter().flatten();
             let nodes = entries.map(|entry| node(entry, notes.begun_ms)).collect();
             let whole = list["reset"].as_bool().unwrap_or(false);
-            (HistoryEvent::Told { proxy: PROXY.into(), whole, nodes }, ())
+            (HistoryEvent::EndpointsListed { proxy: PROXY.into(), whole, nodes }, ())
         });
     }
 
@@ -73,7 +73,9 @@
         let word = |name: &str| label(command, name).unwrap_or_default().to_owned();
         let request = crate::opaque(command).to_owned();
         let budget = word("d").parse().unwrap();
-        self.note(|_| (HistoryEvent::Asked { proxy: PROXY.into(), request, class: word("c"), budget }, ()));
+        self.note(|_| {
+            (HistoryEvent::RequestSent { proxy: PROXY.into(), request, class: word("c"), budget }, ())
+        });
     }
 
     /// A consumer has its answer: the line of it, and the line of the value.
@@ -82,21 +84,21 @@
         let answer = match line.split(' ').next() {
             Some("VA") => Answer::Served(value.trim_end().to_owned()),
             Some("HD") => Answer::Served(line.trim_end().rsplit_once(" c").unwrap().1.to_owned()),
-            _ if line.starts_with("SERVER_ERROR busy") => Answer::Refused,
+            _ if line.starts_with("SERVER_ERROR busy") => Answer::Rejected,
             _ => Answer::Failed,
         };
-        self.note(|_| (HistoryEvent::Answered { request, answer }, ()));
+        self.note(|_| (HistoryEvent::ResponseReceived { request, answer }, ()));
     }
 
     /// A consumer closes its connection.
     pub fn record_client_gone(&self, command: &str) {
         let request = crate::opaque(command).to_owned();
-        self.note(|_| (HistoryEvent::Left { request }, ()));
+        self.note(|_| (HistoryEvent::ClientDisconnected { request }, ()));
     }
 
     /// The process has ended by itself.
     pub fn record_exit(&self) {
-        self.note(|_| (HistoryEvent::Ended { proxy: PROXY.into(), how: Process::Left }, ()));
+        self.note(|_| (HistoryEvent::ProxyEnded { proxy: PROXY.into(), how: ProxyEnd::Exited }, ()));
     }
 
     /// A provider has read a call; its number.
@@ -107,7 +109,7 @@
             notes.calls += 1;
             let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
             let (proxy, place, call) = (PROXY.to_owned(), place.to_owned(), notes.calls);
-            (HistoryEvent::Received { proxy, request, call, place, first, work: 1.0 }, call)
+            (HistoryEvent::AttemptReceived { proxy, request, call, place, first, work: 1.0 }, call)
         })
     }
 
@@ -119,24 +121,24 @@
                 End::Served(words.lines().nth(1).unwrap_or_default().to_owned())
             }
             Some(words) if words.starts_with("EN ") => End::Missed,
-            Some(words) if words.starts_with("SERVER_ERROR busy") => End::TurnedAway,
+            Some(words) if words.starts_with("SERVER_ERROR busy") => End::Rejected,
             Some(words) if words.starts_with("HTTP/1.1 200") => {
                 End::Served(words.split_once("\r\n\r\n").unwrap().1.to_owned())
             }
-            Some(words) if words.contains("X-Turned-Away: 1") => End::TurnedAway,
+            Some(words) if words.contains("X-Turned-Away: 1") => End::Rejected,
             Some(_) => End::Failed,
         };
-        self.note(|_| (HistoryEvent::Closed { call, end }, ()));
+        self.note(|_| (HistoryEvent::AttemptEnded { call, end }, ()));
     }
 
     /// A process said at its door what its share is; its calls run for so long at the most.
     pub fn share(&self, proxy: &str, part: f64, calls: Time) {
-        self.note(|_| (HistoryEvent::Share { proxy: proxy.to_owned(), part, calls }, ()));
+        self.note(|_| (HistoryEvent::QuotaStated { proxy: proxy.to_owned(), part, calls }, ()));
     }
 
     /// All together may have so many calls at once at a provider.
     pub fn bound(&self, place: &str, calls: usize) {
-        self.note(|_| (HistoryEvent::Bound { place: place.to_owned(), calls }, ()));
+        self.note(|_| (HistoryEvent::AttemptLimitSet { place: place.to_owned(), calls }, ()));
     }
 
     /// Judges what was seen of shares alone.
--- a/tests/common/edited_history.rs
+++ b/tests/common/edited_history.rs
@@ -31,22 +31,22 @@
 pub(crate) fn served(history: &History, class: &str) -> (String, [usize; 4]) {
     let events = || history.events.iter().enumerate();
     let of_class = events().filter_map(|(at, (_, seen))| match seen {
-        HistoryEvent::Asked { request, class: of, .. } if of == class => Some((at, request)),
+        HistoryEvent::RequestSent { request, class: of, .. } if of == class => Some((at, request)),
         _ => None,
     });
     let mut found = of_class.filter_map(|(asked, id)| {
         let calls: Vec<(usize, u64)> = events()
             .filter_map(|(at, (_, seen))| match seen {
-                HistoryEvent::Received { request, call, .. } if request == id => Some((at, *call)),
+                HistoryEvent::AttemptReceived { request, call, .. } if request == id => Some((at, *call)),
                 _ => None,
             })
             .collect();
         let [(received, call)] = calls[..] else { return None };
         let closed = events().position(
-            |(_, (_, seen))| matches!(seen, HistoryEvent::Closed { call: of, end: End::Served(_) } if *of == call),
+            |(_, (_, seen))| matches!(seen, HistoryEvent::AttemptEnded { call: of, end: End::Served(_) } if *of == call),
         )?;
         let answered = events().position(|(_, (_, seen))| {
-            matches!(seen, HistoryEvent::Answered { request, answer: Answer::Served(_) } if request == id)
+            matches!(seen, HistoryEvent::ResponseReceived { request, answer: Answer::Served(_) } if request == id)
         })?;
         Some((id.clone(), [asked, received, closed, answered]))
     });
@@ -74,13 +74,14 @@
 
 /// The call at a place once more, under another number, to this node and at this time.
 pub(crate) fn again(history: &History, received: usize, place: &str, at: Time) -> History {
-    let HistoryEvent::Received { proxy, request, work, .. } = history.events[received].1.clone() else {
+    let HistoryEvent::AttemptReceived { proxy, request, work, .. } = history.events[received].1.clone()
+    else {
         panic!()
     };
     let (place, call) = (place.to_owned(), 1 << 40);
-    let closed = HistoryEvent::Closed { call, end: End::Failed };
+    let closed = HistoryEvent::AttemptEnded { call, end: End::Failed };
     with(
-        &with(history, at, HistoryEvent::Received { proxy, request, call, place, first: at, work }),
+        &with(history, at, HistoryEvent::AttemptReceived { proxy, request, call, place, first: at, work }),
         at + 0.05,
         closed,
     )
@@ -91,24 +92,27 @@
 pub(crate) fn roomy(class: &str) -> (History, usize, usize, String) {
     let history = play(5, 3000.0, &[]);
     let (id, [asked, received, _, answered]) = served(&history, class);
-    let HistoryEvent::Asked { budget, .. } = &mut history.events[asked].1.clone() else { panic!() };
+    let HistoryEvent::RequestSent { budget, .. } = &mut history.events[asked].1.clone() else { panic!() };
     let mut history = history;
-    let HistoryEvent::Asked { budget: longer, .. } = &mut history.events[asked].1 else { panic!() };
+    let HistoryEvent::RequestSent { budget: longer, .. } = &mut history.events[asked].1 else { panic!() };
     *longer = budget.max(3000.0);
     let end = history.events[answered].0 + 2000.0;
     let mut history = moved(&history, answered, end);
     let end = end + 5000.0;
-    history.events.push((end, HistoryEvent::Told { proxy: "p0".into(), whole: false, nodes: Vec::new() }));
-    kept(&history);
-    let answered = history
+    history
         .events
-        .iter()
-        .position(|event| matches!(&event.1, HistoryEvent::Answered { request, .. } if *request == id));
+        .push((end, HistoryEvent::EndpointsListed { proxy: "p0".into(), whole: false, nodes: Vec::new() }));
+    kept(&history);
+    let answered = history.events.iter().position(
+        |event| matches!(&event.1, HistoryEvent::ResponseReceived { request, .. } if *request == id),
+    );
     (history, received, answered.unwrap(), id)
 }
 
 pub(crate) fn sent_first(history: &History, received: usize) -> (Time, String) {
-    let HistoryEvent::Received { place, first, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::AttemptReceived { place, first, .. } = history.events[received].1.clone() else {
+        panic!()
+    };
     (first, place)
 }
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -3,7 +3,7 @@
 
 use super::recorded_events::Tape;
 use super::*;
-use pinetrail_history_checker::{Answer, History, HistoryEvent, Process};
+use pinetrail_history_checker::{Answer, History, HistoryEvent, ProxyEnd};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -197,7 +197,8 @@
             Happening::Fault(fault) => self.fault(fault),
             Happening::Leaves(proxy, id) => {
                 if self.proxies[proxy].open.remove(&id).is_some() {
-                    self.tape.write(self.now, HistoryEvent::Left { request: request(proxy, id) });
+                    self.tape
+                        .write(self.now, HistoryEvent::ClientDisconnected { request: request(proxy, id) });
                     self.feed(proxy, self.proxies[proxy].life, Event::ClientGone(id));
                 }
             }
@@ -223,8 +224,10 @@
         let budget = [120.0, 400.0, 800.0][self.rng.gen_range(0..3)];
         self.proxies[proxy].open.insert(id, (key, 0, Vec::new()));
         let (request, name) = (request(proxy, id), CLASSES[usize::from(class)].to_owned());
-        self.tape
-            .write(self.now, HistoryEvent::Asked { proxy: self::name(proxy), request, class: name, budget });
+        self.tape.write(
+            self.now,
+            HistoryEvent::RequestSent { proxy: self::name(proxy), request, class: name, budget },
+        );
         if self.rng.gen_bool(0.02) {
             let wait = self.rng.gen_range(1.0..budget);
             self.at(wait, Happening::Leaves(proxy, id));
@@ -249,7 +252,7 @@
                 Action::StartAttempt { request: id, backend: server, timeout: limit, .. } => {
                     self.send(proxy, id, server, limit)
                 }
-                Action::Reject { request: id, .. } => self.answer(proxy, id, Answer::Refused),
+                Action::Reject { request: id, .. } => self.answer(proxy, id, Answer::Rejected),
                 Action::Fail(id) => self.answer(proxy, id, Answer::Failed),
                 Action::SetTimer { delay: wait, token }
                 | Action::SetRequestTimer { delay: wait, token, .. } => {
@@ -355,14 +358,14 @@
             Fault::Restart(server) => {
                 *self.here(server) = Station::default();
                 let place = recorded_events::place(server);
-                self.tape.write(now, HistoryEvent::Started { place, capacity: CAPACITY });
+                self.tape.write(now, HistoryEvent::BackendStarted { place, capacity: CAPACITY });
                 self.change(Member { started: now, ..member(server) });
             }
             Fault::Kill(proxy) => {
                 let state = &mut self.proxies[proxy];
                 (state.alive, state.life) = (false, state.life + 1);
                 state.open.clear();
-                self.tape.write(now, HistoryEvent::Ended { proxy: name(proxy), how: Process::Killed });
+                self.tape.write(now, HistoryEvent::ProxyEnded { proxy: name(proxy), how: ProxyEnd::Killed });
                 self.at(400.0, Happening::Starts(proxy));
             }
             Fault::Deaf(proxy, until) => self.proxies[proxy].deaf_until = now + until,
@@ -386,7 +389,7 @@
         let state = &mut self.proxies[proxy];
         (state.balancer, state.alive) = (balancer(proxy, state.life), true);
         let (life, figures) = (state.life, recorded_events::figures());
-        self.tape.write(self.now, HistoryEvent::InForce { proxy: name(proxy), figures });
+        self.tape.write(self.now, HistoryEvent::ConfigActivated { proxy: name(proxy), figures });
         self.tape.tell(self.now, &name(proxy), true, &list);
         self.feed(proxy, life, Event::Members { form: ListForm::Full, members: list });
     }
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -22,7 +22,8 @@
     pub(crate) fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
         let call = self.calls.len() as u64;
         let (proxy, request) = (proxy.to_owned(), request.to_owned());
-        let received = HistoryEvent::Received { proxy, request, call, place: place(server), first: at, work };
+        let received =
+            HistoryEvent::AttemptReceived { proxy, request, call, place: place(server), first: at, work };
         self.calls.push((self.events.len(), Some((at, received))));
         self.events.push(None);
         call
@@ -35,21 +36,21 @@
             Outcome::ConnectFailed | Outcome::Moot => return *received = None,
             Outcome::Ok => End::Served(value.to_owned()),
             Outcome::Miss => End::Missed,
-            Outcome::Full => End::TurnedAway,
+            Outcome::Full => End::Rejected,
             Outcome::Error => End::Failed,
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => End::Broken,
         };
         self.events[*place] = received.take();
-        self.write(at, HistoryEvent::Closed { call, end });
+        self.write(at, HistoryEvent::AttemptEnded { call, end });
     }
 
     pub(crate) fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
         let nodes = members.iter().map(node).collect();
-        self.write(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
+        self.write(at, HistoryEvent::EndpointsListed { proxy: proxy.to_owned(), whole, nodes });
     }
 
     pub(crate) fn answer(&mut self, at: Time, request: &str, answer: seen::Answer) {
-        self.write(at, HistoryEvent::Answered { request: request.to_owned(), answer });
+        self.write(at, HistoryEvent::ResponseReceived { request: request.to_owned(), answer });
     }
 
     /// All that was seen, by time.
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -7,7 +7,7 @@
 use common::fleet::{play, script};
 use common::recorded_events::figures;
 use pinetrail_history_checker::{
-    check, Answer, CheckError, End, History, HistoryEvent, Process, Reason, Time,
+    check, Answer, CheckError, End, History, HistoryEvent, ProxyEnd, Reason, Time,
 };
 
 const DAY: Time = 6000.0;
@@ -17,7 +17,8 @@
     let mut asked = 0;
     for seed in 0..60 {
         let history = play(seed, DAY, &script(seed, DAY));
-        asked += history.events.iter().filter(|event| matches!(event.1, HistoryEvent::Asked { .. })).count();
+        asked +=
+            history.events.iter().filter(|event| matches!(event.1, HistoryEvent::RequestSent { .. })).count();
         let breaches = check(&history).expect("it can be judged");
         assert!(breaches.is_empty(), "seed {seed}: {} in all, first {}", breaches.len(), breaches[0]);
     }
@@ -34,7 +35,7 @@
     let (history, [asked, ..], id) = calm();
     assert_eq!(check(&History::default()), Err(CheckError::Empty));
     let silent = |event: &&(Time, HistoryEvent)| {
-        matches!(event.1, HistoryEvent::InForce { .. } | HistoryEvent::Told { .. })
+        matches!(event.1, HistoryEvent::ConfigActivated { .. } | HistoryEvent::EndpointsListed { .. })
     };
     let events: Vec<_> = history.events.iter().filter(silent).cloned().collect();
     assert_eq!(check(&History { clock_error: 0.0, events }), Err(CheckError::NoRequest));
@@ -52,14 +53,15 @@
     refused(&without(&history, answered), Reason::Lost, &id);
     let (at, answer) = history.events[answered].clone();
     refused(&with(&history, at, answer.clone()), Reason::Twice, &id);
-    let HistoryEvent::Asked { budget, .. } = history.events[asked].1 else { panic!() };
+    let HistoryEvent::RequestSent { budget, .. } = history.events[asked].1 else { panic!() };
     let due = history.events[asked].0 + budget + figures().answer_slack;
     kept(&moved(&history, answered, due));
     refused(&moved(&history, answered, due + 0.001), Reason::Late, &id);
-    let other = HistoryEvent::Answered { request: id.clone(), answer: Answer::Served("of another".into()) };
+    let other =
+        HistoryEvent::ResponseReceived { request: id.clone(), answer: Answer::Served("of another".into()) };
     refused(&with(&without(&history, answered), at, other), Reason::MadeUp, &id);
     // Who has left is owed nothing; who left after its time was.
-    let left = HistoryEvent::Left { request: id.clone() };
+    let left = HistoryEvent::ClientDisconnected { request: id.clone() };
     kept(&with(&without(&history, answered), due, left.clone()));
     refused(&with(&without(&history, answered), due + 0.001, left), Reason::Lost, &id);
 }
@@ -67,20 +69,22 @@
 #[test]
 fn what_a_process_held_that_ends_by_itself_is_lost_and_what_one_held_that_is_killed_is_not() {
     let (history, [asked, _, _, answered], id) = calm();
-    let HistoryEvent::Asked { proxy, .. } = history.events[asked].1.clone() else { panic!() };
+    let HistoryEvent::RequestSent { proxy, .. } = history.events[asked].1.clone() else { panic!() };
     let at = history.events[asked].0;
-    for (how, lost) in [(Process::Killed, false), (Process::Left, true)] {
+    for (how, lost) in [(ProxyEnd::Killed, false), (ProxyEnd::Exited, true)] {
         // Only what it is about: what else the proxy held is left out.
         let about = |seen: &HistoryEvent| match seen {
-            HistoryEvent::Asked { request, .. }
-            | HistoryEvent::Answered { request, .. }
-            | HistoryEvent::Received { request, .. } => *request == id,
-            HistoryEvent::Closed { .. } | HistoryEvent::Left { .. } | HistoryEvent::Began { .. } => false,
+            HistoryEvent::RequestSent { request, .. }
+            | HistoryEvent::ResponseReceived { request, .. }
+            | HistoryEvent::AttemptReceived { request, .. } => *request == id,
+            HistoryEvent::AttemptEnded { .. }
+            | HistoryEvent::ClientDisconnected { .. }
+            | HistoryEvent::BodyStarted { .. } => false,
             _ => true,
         };
         let mut short = without(&history, answered);
         short.events.retain(|event| about(&event.1) && event.0 <= at);
-        let ended = with(&short, at, HistoryEvent::Ended { proxy: proxy.clone(), how });
+        let ended = with(&short, at, HistoryEvent::ProxyEnded { proxy: proxy.clone(), how });
         if lost {
             refused(&ended, Reason::Lost, &id)
         } else {
@@ -92,12 +96,12 @@
 #[test]
 fn calls_nobody_asked_for_or_after_the_end_are_refused() {
     let (history, [_, received, _, answered], id) = calm();
-    let HistoryEvent::Received { place, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::AttemptReceived { place, .. } = history.events[received].1.clone() else { panic!() };
     let end = history.events[answered].0;
     kept(&again(&history, received, &place, end));
     refused(&again(&history, received, &place, end + 0.001), Reason::AfterTheEnd, &id);
     let mut unasked = history.clone();
-    let HistoryEvent::Received { request, .. } = &mut unasked.events[received].1 else { panic!() };
+    let HistoryEvent::AttemptReceived { request, .. } = &mut unasked.events[received].1 else { panic!() };
     *request = "nobody".into();
     let breaches = check(&unasked).unwrap();
     assert!(breaches.iter().any(|breach| (breach.reason, &*breach.about) == (Reason::Unasked, "nobody")));
@@ -145,7 +149,7 @@
         let (history, received, answered, id) = roomy(class);
         let first = sent_first(&history, received).0;
         for (at, harmless) in [(first + window, in_time), (first + window + 0.001, late)] {
-            let refusal = HistoryEvent::Answered { request: id.clone(), answer: Answer::Refused };
+            let refusal = HistoryEvent::ResponseReceived { request: id.clone(), answer: Answer::Rejected };
             let changed = with(&without(&history, answered), at, refusal);
             if harmless {
                 kept(&changed)
@@ -155,10 +159,12 @@
         }
         // What was turned away never ran: then every class may be refused.
         let mut turned = history.clone();
-        let HistoryEvent::Received { call, .. } = turned.events[received].1 else { panic!() };
+        let HistoryEvent::AttemptReceived { call, .. } = turned.events[received].1 else { panic!() };
         turned.events.iter_mut().for_each(|event| match &mut event.1 {
-            HistoryEvent::Closed { call: of, end } if *of == call => *end = End::TurnedAway,
-            HistoryEvent::Answered { request, answer } if *request == id => *answer = Answer::Refused,
+            HistoryEvent::AttemptEnded { call: of, end } if *of == call => *end = End::Rejected,
+            HistoryEvent::ResponseReceived { request, answer } if *request == id => {
+                *answer = Answer::Rejected
+            }
             _ => {}
         });
         kept(&turned);
@@ -173,7 +179,9 @@
         kept(&history);
         history = again(&history, received, &place, first + 100.0 * n as Time);
         let last = history.events.iter_mut().filter_map(|event| match &mut event.1 {
-            HistoryEvent::Received { call, .. } | HistoryEvent::Closed { call, .. } if *call == 1 << 40 => {
+            HistoryEvent::AttemptReceived { call, .. } | HistoryEvent::AttemptEnded { call, .. }
+                if *call == 1 << 40 =>
+            {
                 Some(call)
             }
             _ => None,
@@ -185,13 +193,12 @@
     // Where two at once are not allowed, one more must wait for the end of the one before.
     let (mut history, received, _, id) = roomy("safe");
     history.events.iter_mut().for_each(|event| {
-        if let HistoryEvent::InForce { figures, .. } = &mut event.1 {
+        if let HistoryEvent::ConfigActivated { figures, .. } = &mut event.1 {
             figures.second_copies = false;
         }
     });
-    let HistoryEvent::Received { call, .. } = history.events[received].1 else { panic!() };
-    let is_end =
-        |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::Closed { call: of, .. } if of == call);
+    let HistoryEvent::AttemptReceived { call, .. } = history.events[received].1 else { panic!() };
+    let is_end = |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::AttemptEnded { call: of, .. } if of == call);
     let end = history.events.iter().find(|event| is_end(event)).unwrap().0;
     kept(&again(&history, received, &place, end));
     refused(&again(&history, received, &place, end - 0.001), Reason::TwoAtOnce, &id);
--- a/tests/node_histories.rs
+++ b/tests/node_histories.rs
@@ -12,31 +12,31 @@
 fn what_is_sent_to_who_drains_is_gone_or_was_never_listed_is_refused() {
     let (history, received, _, _) = roomy("safe");
     let (first, place) = sent_first(&history, received);
-    let HistoryEvent::Received { proxy, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::AttemptReceived { proxy, .. } = history.events[received].1.clone() else { panic!() };
     let limit = figures().stop_within;
     let node = history.events.iter().find_map(|event| match &event.1 {
-        HistoryEvent::Told { nodes, .. } => nodes.iter().find(|node| node.place == place).cloned(),
+        HistoryEvent::EndpointsListed { nodes, .. } => nodes.iter().find(|node| node.place == place).cloned(),
         _ => None,
     });
     let node = node.unwrap();
     // Nothing else goes there: the history is kept to the one request and one proxy.
     let mut alone = history.clone();
-    let HistoryEvent::Received { request: id, call, .. } = history.events[received].1.clone() else {
+    let HistoryEvent::AttemptReceived { request: id, call, .. } = history.events[received].1.clone() else {
         panic!()
     };
     alone.events.retain(|event| match &event.1 {
-        HistoryEvent::Asked { request, .. }
-        | HistoryEvent::Answered { request, .. }
-        | HistoryEvent::Received { request, .. } => *request == id,
-        HistoryEvent::Closed { call: of, .. } => *of == call,
-        HistoryEvent::Left { .. } | HistoryEvent::Began { .. } => false,
+        HistoryEvent::RequestSent { request, .. }
+        | HistoryEvent::ResponseReceived { request, .. }
+        | HistoryEvent::AttemptReceived { request, .. } => *request == id,
+        HistoryEvent::AttemptEnded { call: of, .. } => *of == call,
+        HistoryEvent::ClientDisconnected { .. } | HistoryEvent::BodyStarted { .. } => false,
         _ => true,
     });
     kept(&alone);
     for (state, reason) in [(State::Draining, Reason::Draining), (State::Gone, Reason::Gone)] {
         let told = |at| {
             let nodes = vec![Node { state, ..node.clone() }];
-            with(&alone, at, HistoryEvent::Told { proxy: proxy.clone(), whole: false, nodes })
+            with(&alone, at, HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: false, nodes })
         };
         kept(&told(first - limit));
         refused(&told(first - limit - 0.001), reason, &place);
@@ -44,21 +44,22 @@
         let twice = with(
             &told(first - limit - 0.001),
             first - 1.0,
-            HistoryEvent::Told {
+            HistoryEvent::EndpointsListed {
                 proxy: proxy.clone(),
                 whole: false,
                 nodes: vec![Node { state, ..node.clone() }],
             },
         );
         refused(&twice, reason, &place);
-        let back = HistoryEvent::Told { proxy: proxy.clone(), whole: false, nodes: vec![node.clone()] };
+        let back =
+            HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: false, nodes: vec![node.clone()] };
         kept(&with(&told(first - limit - 0.001), first - 1.0, back));
     }
-    let absent = HistoryEvent::Told { proxy: proxy.clone(), whole: true, nodes: Vec::new() };
+    let absent = HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: true, nodes: Vec::new() };
     refused(&with(&alone, first - limit - 0.001, absent), Reason::Gone, &place);
     let mut never = alone;
     never.events.iter_mut().for_each(|event| {
-        if let HistoryEvent::Told { nodes, .. } = &mut event.1 {
+        if let HistoryEvent::EndpointsListed { nodes, .. } = &mut event.1 {
             nodes.retain(|node| node.place != place);
         }
     });
@@ -72,7 +73,7 @@
     kept(&history);
     let Figures { start_capacity, cold, fall_multiple, tip_after, .. } = figures();
     let found = history.events.iter().find_map(|(at, seen)| match seen {
-        HistoryEvent::Started { capacity, .. } => Some((*at, *capacity)),
+        HistoryEvent::BackendStarted { capacity, .. } => Some((*at, *capacity)),
         _ => None,
     });
     let (started, capacity) = found.unwrap();
@@ -84,22 +85,24 @@
     let sent: f64 =
         history.events.iter().filter(|event| event.0 <= at && event.0 >= started).fold(0.0, |sum, event| {
             match &event.1 {
-                HistoryEvent::Received { place, work, .. } if place == "n2" => sum + work,
+                HistoryEvent::AttemptReceived { place, work, .. } if place == "n2" => sum + work,
                 _ => sum,
             }
         });
     assert!(sent > 0.0 && sent < bears, "{sent} of {bears}");
     let last = |more: Time| {
         let received = history.events.iter().rposition(|event| match &event.1 {
-            HistoryEvent::Received { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::AttemptReceived { place, .. } => place == "n2" && event.0 <= at,
             _ => false,
         });
         let mut heavier = history.clone();
-        let HistoryEvent::Received { work, .. } = &mut heavier.events[received.unwrap()].1 else { panic!() };
+        let HistoryEvent::AttemptReceived { work, .. } = &mut heavier.events[received.unwrap()].1 else {
+            panic!()
+        };
         *work += more;
         // What comes after is no work, so that this is the whole of it.
         heavier.events.iter_mut().filter(|event| event.0 > at).for_each(|event| match &mut event.1 {
-            HistoryEvent::Received { place, work, .. } if place == "n2" => *work = 0.0,
+            HistoryEvent::AttemptReceived { place, work, .. } if place == "n2" => *work = 0.0,
             _ => {}
         });
         heavier
@@ -107,7 +110,7 @@
     let room = {
         // The budget is that of the moment of the last call.
         let received = history.events.iter().rfind(|event| match &event.1 {
-            HistoryEvent::Received { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::AttemptReceived { place, .. } => place == "n2" && event.0 <= at,
             _ => false,
         });
         let warmth = (received.unwrap().0 - started) / cold;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -73,7 +73,7 @@
     fn put_in_force(&mut self, attempts: usize) {
         // A proxy that is told of a drain sends nothing more there; the time that rules allow is the network's.
         let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
-        self.tape.write(self.world.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
+        self.tape.write(self.world.now, HistoryEvent::ConfigActivated { proxy: PROXY.into(), figures });
     }
 
     fn feed(&mut self, event: Event) {
@@ -87,7 +87,7 @@
                     self.out.push((id, *number, server, self.world.now, call));
                     *number += 1;
                 }
-                Action::Reject { request: id, .. } => self.answer(id, Answer::Refused),
+                Action::Reject { request: id, .. } => self.answer(id, Answer::Rejected),
                 Action::Fail(id) => self.answer(id, Answer::Failed),
                 Action::SetTimer { delay, token } | Action::SetRequestTimer { delay, token, .. } => {
                     self.timers.push((self.world.now + delay.max(0.0), token));
@@ -134,7 +134,7 @@
                 let request = id.to_string();
                 self.tape.write(
                     self.world.now,
-                    HistoryEvent::Asked { proxy: PROXY.into(), request, class: name, budget },
+                    HistoryEvent::RequestSent { proxy: PROXY.into(), request, class: name, budget },
                 );
                 let hint = (key % 3 != 0).then_some(10.0 * key as f64);
                 self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
@@ -169,7 +169,8 @@
                 let ids: Vec<RequestId> = self.open.keys().copied().collect();
                 if let Some(id) = ids.get(pick % ids.len().max(1)) {
                     self.open.remove(id);
-                    self.tape.write(self.world.now, HistoryEvent::Left { request: id.to_string() });
+                    self.tape
+                        .write(self.world.now, HistoryEvent::ClientDisconnected { request: id.to_string() });
                     self.feed(Event::ClientGone(*id));
                 }
             }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -204,13 +204,21 @@
     }
     Recorder::own().check();
     let history = Recorder::own().history();
-    let last =
-        history.events.iter().rposition(|event| matches!(event.1, HistoryEvent::Answered { .. })).unwrap();
-    let HistoryEvent::Answered { request, .. } = history.events[last].1.clone() else { unreachable!() };
+    let last = history
+        .events
+        .iter()
+        .rposition(|event| matches!(event.1, HistoryEvent::ResponseReceived { .. }))
+        .unwrap();
+    let HistoryEvent::ResponseReceived { request, .. } = history.events[last].1.clone() else {
+        unreachable!()
+    };
     // The recording goes on until everybody's time is over.
     let mut lost = history.clone();
     lost.events.remove(last);
-    lost.events.push((history.events[last].0 + 5000.0, HistoryEvent::Left { request: request.clone() }));
+    lost.events.push((
+        history.events[last].0 + 5000.0,
+        HistoryEvent::ClientDisconnected { request: request.clone() },
+    ));
     let found = check(&lost).unwrap();
     assert_eq!(
         found.iter().map(|b| (b.reason, b.about.clone())).collect::<Vec<_>>(),
@@ -219,8 +227,8 @@
     // The same calls, had the first node been told to drain from the beginning on, with no time to stop.
     let (mut drained, drains) = (History { clock_error: 0.0, ..history }, nodes[0].address.to_string());
     drained.events.iter_mut().for_each(|event| match &mut event.1 {
-        HistoryEvent::InForce { figures, .. } => figures.stop_within = 0.0,
-        HistoryEvent::Told { nodes, .. } => {
+        HistoryEvent::ConfigActivated { figures, .. } => figures.stop_within = 0.0,
+        HistoryEvent::EndpointsListed { nodes, .. } => {
             nodes
                 .iter_mut()
                 .filter(|node| node.place == drains)
