History checker: addresses, attempts and subjects in place of places, calls and about

Fields of HistoryEvent and Node: place becomes address, call becomes attempt; of a quota, calls becomes longest_attempt; of an attempt limit, calls becomes limit. Violation.about becomes subject. A rename only.

Run: tests of the history checker, histories, node_histories and properties.

--- a/crates/history-checker/src/draining.rs
+++ b/crates/history-checker/src/draining.rs
@@ -48,12 +48,12 @@
             }
             // A process that starts anew knows nothing but its own list.
             HistoryEvent::ProxyEnded { proxy, .. } => proxies.entry(proxy).or_default().nodes.clear(),
-            HistoryEvent::AttemptReceived { proxy, place, first, .. } => {
+            HistoryEvent::AttemptReceived { proxy, address, first, .. } => {
                 let list = proxies.entry(proxy).or_default();
-                if let Some(forbidden) = list.forbids(place, *first, history.clock_error) {
+                if let Some(forbidden) = list.forbids(address, *first, history.clock_error) {
                     violations.push(Violation {
                         reason: forbidden.reason,
-                        about: place.clone(),
+                        subject: address.clone(),
                         at: *first,
                         events: forbidden.event.into_iter().chain([event]).collect(),
                     });
@@ -95,7 +95,7 @@
     /// Why nothing new may go to an address at a time; none if it may.
     fn forbids(&self, address: &str, at: Time, clock_error: Time) -> Option<Forbidden> {
         let here: Vec<&ListedNode> =
-            self.nodes.values().filter(|listed| listed.node.place == address).collect();
+            self.nodes.values().filter(|listed| listed.node.address == address).collect();
         let latest = |listed: &ListedNode| listed.since + self.stop_within + clock_error;
         if here.iter().any(|listed| listed.state == State::Ready || at <= latest(listed)) {
             return None;
--- a/crates/history-checker/src/history.rs
+++ b/crates/history-checker/src/history.rs
@@ -37,7 +37,7 @@
     /// A backend's process started.
     BackendStarted {
         /// Its address.
-        place: String,
+        address: String,
         /// Its capacity once it is warm, in work a ms.
         capacity: f64,
     },
@@ -83,9 +83,9 @@
         /// The request that it is for.
         request: String,
         /// The attempt, by a number unique in the history.
-        call: u64,
+        attempt: u64,
         /// The backend's address.
-        place: String,
+        address: String,
         /// When its first byte arrived.
         first: Time,
         /// How much work it is.
@@ -99,19 +99,19 @@
         /// Its quota, from 0 to 1.
         part: f64,
         /// How long attempts may run.
-        calls: Time,
+        longest_attempt: Time,
     },
     /// All proxies together may have so many attempts in flight at a backend.
     AttemptLimitSet {
         /// The backend's address.
-        place: String,
+        address: String,
         /// How many attempts.
-        calls: usize,
+        limit: usize,
     },
     /// An attempt ended, at the backend or by its connection.
     AttemptEnded {
         /// The attempt.
-        call: u64,
+        attempt: u64,
         /// How.
         end: End,
     },
@@ -169,7 +169,7 @@
     /// Its name.
     pub name: String,
     /// Its address.
-    pub place: String,
+    pub address: String,
     /// Its zone.
     pub zone: u16,
     /// Its cell.
--- a/crates/history-checker/src/policies.rs
+++ b/crates/history-checker/src/policies.rs
@@ -44,7 +44,7 @@
         if first.answered + clock_error < decision.sent {
             violations.push(Violation {
                 reason: Reason::TwoVersions,
-                about: format!(
+                subject: format!(
                     "version {} at {}, {} at {}",
                     decision.version, decision.proxy, first.version, first.proxy
                 ),
--- a/crates/history-checker/src/quota.rs
+++ b/crates/history-checker/src/quota.rs
@@ -45,18 +45,18 @@
     let mut stated: BTreeMap<&str, Vec<StatedQuota>> = BTreeMap::new();
     let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
-        let HistoryEvent::QuotaStated { proxy, part, calls } = seen else { continue };
+        let HistoryEvent::QuotaStated { proxy, part, longest_attempt } = seen else { continue };
         let quota = StatedQuota { at: *at, part: *part, event };
         stated.entry(proxy).or_default().push(quota);
         for quotas in stated.values_mut() {
-            quotas.retain(|quota| quota.at + calls - history.clock_error > *at);
+            quotas.retain(|quota| quota.at + longest_attempt - history.clock_error > *at);
         }
         let largest: Vec<StatedQuota> = stated.values().filter_map(|quotas| largest_of(quotas)).collect();
         if largest.iter().map(|quota| quota.part).sum::<f64>() > 1.0 + ROUNDING {
             let mut events: Vec<usize> = largest.iter().map(|quota| quota.event).collect();
             events.sort_unstable();
-            let about = proxy.clone();
-            violations.push(Violation { reason: Reason::OverTheWhole, about, at: *at, events });
+            let subject = proxy.clone();
+            violations.push(Violation { reason: Reason::OverTheWhole, subject, at: *at, events });
         }
     }
     violations
@@ -78,21 +78,21 @@
     let mut violations = Vec::new();
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
-            HistoryEvent::AttemptLimitSet { place, calls } => {
-                limits.insert(place, *calls);
+            HistoryEvent::AttemptLimitSet { address, limit } => {
+                limits.insert(address, *limit);
             }
-            HistoryEvent::AttemptEnded { call, .. } => {
-                in_flight.remove(call);
+            HistoryEvent::AttemptEnded { attempt, .. } => {
+                in_flight.remove(attempt);
             }
-            HistoryEvent::AttemptReceived { call, place, .. } => {
-                in_flight.insert(*call, InFlight { address: place, event });
-                let here = in_flight.values().filter(|attempt| attempt.address == place);
+            HistoryEvent::AttemptReceived { attempt, address, .. } => {
+                in_flight.insert(*attempt, InFlight { address, event });
+                let here = in_flight.values().filter(|attempt| attempt.address == address);
                 let mut events: Vec<usize> = here.map(|attempt| attempt.event).collect();
-                if limits.get(place.as_str()).is_some_and(|limit| events.len() > *limit) {
+                if limits.get(address.as_str()).is_some_and(|limit| events.len() > *limit) {
                     events.sort_unstable();
-                    let about = place.clone();
+                    let subject = address.clone();
                     let reason = Reason::TooManyAtOnce;
-                    violations.push(Violation { reason, about, at: *at, events });
+                    violations.push(Violation { reason, subject, at: *at, events });
                 }
             }
             _ => {}
--- a/crates/history-checker/src/quota/tests.rs
+++ b/crates/history-checker/src/quota/tests.rs
@@ -2,7 +2,7 @@
 use crate::history::End;
 
 fn quota_stated(at: Time, proxy: &str, part: f64) -> (Time, HistoryEvent) {
-    (at, HistoryEvent::QuotaStated { proxy: proxy.into(), part, calls: 1000.0 })
+    (at, HistoryEvent::QuotaStated { proxy: proxy.into(), part, longest_attempt: 1000.0 })
 }
 
 fn reasons(events: Vec<(Time, HistoryEvent)>) -> Vec<Reason> {
@@ -25,20 +25,20 @@
 
 #[test]
 fn more_attempts_at_once_than_all_proxies_may_make_are_a_violation() {
-    let received = |call: u64| {
-        let at = call as f64;
+    let received = |attempt: u64| {
+        let at = attempt as f64;
         let received = HistoryEvent::AttemptReceived {
             proxy: "p".into(),
-            request: format!("O{call}"),
-            call,
-            place: "n".into(),
+            request: format!("O{attempt}"),
+            attempt,
+            address: "n".into(),
             first: at,
             work: 1.0,
         };
         (at, received)
     };
-    let bound = (0.0, HistoryEvent::AttemptLimitSet { place: "n".into(), calls: 2 });
-    let closed = (2.5, HistoryEvent::AttemptEnded { call: 1, end: End::Missed });
+    let bound = (0.0, HistoryEvent::AttemptLimitSet { address: "n".into(), limit: 2 });
+    let closed = (2.5, HistoryEvent::AttemptEnded { attempt: 1, end: End::Missed });
     assert_eq!(reasons(vec![bound.clone(), received(1), received(2), closed, received(3)]), []);
     assert_eq!(reasons(vec![bound, received(1), received(2), received(3)]), [Reason::TooManyAtOnce]);
 }
--- a/crates/history-checker/src/repetition.rs
+++ b/crates/history-checker/src/repetition.rs
@@ -129,7 +129,7 @@
     }
 
     fn report(&mut self, reason: Reason, at: Time, events: Vec<usize>) {
-        self.violations.push(Violation { reason, about: self.id.to_owned(), at, events });
+        self.violations.push(Violation { reason, subject: self.id.to_owned(), at, events });
     }
 }
 
@@ -139,5 +139,5 @@
         HistoryEvent::EndpointsListed { nodes, .. } => Some(nodes),
         _ => None,
     });
-    lists.flatten().map(|node| (node.place.as_str(), node)).collect()
+    lists.flatten().map(|node| (node.address.as_str(), node)).collect()
 }
--- a/crates/history-checker/src/request_index.rs
+++ b/crates/history-checker/src/request_index.rs
@@ -139,14 +139,14 @@
                 self.request(when, request)?.excused.get_or_insert(when.at);
             }
             HistoryEvent::ProxyEnded { proxy, how } => self.proxy_ended(when, proxy, *how),
-            HistoryEvent::AttemptReceived { request, call, place, first, .. } => {
-                let attempt = Attempt { event: when.event, address: place, began_at: *first, end: None };
+            HistoryEvent::AttemptReceived { request, attempt: number, address, first, .. } => {
+                let attempt = Attempt { event: when.event, address, began_at: *first, end: None };
                 let position = self.attempt_received(when, request, attempt);
-                if self.positions.insert(*call, position).is_some() {
+                if self.positions.insert(*number, position).is_some() {
                     return Err(CheckError::Again(when.event));
                 }
             }
-            HistoryEvent::AttemptEnded { call, end } => self.attempt_ended(when, *call, end)?,
+            HistoryEvent::AttemptEnded { attempt, end } => self.attempt_ended(when, *attempt, end)?,
             HistoryEvent::EndpointsListed { .. }
             | HistoryEvent::BackendStarted { .. }
             | HistoryEvent::QuotaStated { .. }
--- a/crates/history-checker/src/responses.rs
+++ b/crates/history-checker/src/responses.rs
@@ -19,7 +19,7 @@
     for stray in &index.stray_attempts {
         violations.push(Violation {
             reason: Reason::Unasked,
-            about: stray.request.to_owned(),
+            subject: stray.request.to_owned(),
             at: stray.received.at,
             events: vec![stray.received.event],
         });
@@ -99,7 +99,7 @@
     }
 
     fn report(&mut self, reason: Reason, at: Time, events: Vec<usize>) {
-        self.violations.push(Violation { reason, about: self.id.to_owned(), at, events });
+        self.violations.push(Violation { reason, subject: self.id.to_owned(), at, events });
     }
 }
 
--- a/crates/history-checker/src/slow_start.rs
+++ b/crates/history-checker/src/slow_start.rs
@@ -44,11 +44,11 @@
     for (event, (at, seen)) in history.events.iter().enumerate() {
         match seen {
             HistoryEvent::ConfigActivated { figures, .. } => checker.figures = Some(figures),
-            HistoryEvent::BackendStarted { place, capacity } => checker.started(*at, place, *capacity),
+            HistoryEvent::BackendStarted { address, capacity } => checker.started(*at, address, *capacity),
             HistoryEvent::EndpointsListed { proxy, nodes, .. } => checker.listed(proxy, nodes),
-            HistoryEvent::AttemptReceived { proxy, place, work, .. } => {
-                let is_informed = checker.informed.contains(&(proxy.as_str(), place.as_str()));
-                checker.received(place, SentWork { event, at: *at, work: *work, is_informed });
+            HistoryEvent::AttemptReceived { proxy, address, work, .. } => {
+                let is_informed = checker.informed.contains(&(proxy.as_str(), address.as_str()));
+                checker.received(address, SentWork { event, at: *at, work: *work, is_informed });
             }
             _ => {}
         }
@@ -65,9 +65,9 @@
 
     fn listed(&mut self, proxy: &'a str, nodes: &'a [Node]) {
         for node in nodes {
-            let process = self.processes.get(node.place.as_str());
+            let process = self.processes.get(node.address.as_str());
             if process.is_some_and(|process| node.started >= process.started - self.clock_error) {
-                self.informed.insert((proxy, &node.place));
+                self.informed.insert((proxy, &node.address));
             }
         }
     }
@@ -79,8 +79,8 @@
         process.sent.push_back(sent);
         if let Some(events) = process.overloaded_by(at, figures) {
             process.sent.clear();
-            let about = address.to_owned();
-            self.violations.push(Violation { reason: Reason::Overloaded, about, at, events });
+            let subject = address.to_owned();
+            self.violations.push(Violation { reason: Reason::Overloaded, subject, at, events });
         }
     }
 }
--- a/crates/history-checker/src/violation.rs
+++ b/crates/history-checker/src/violation.rs
@@ -85,7 +85,7 @@
     /// How the rule is violated.
     pub reason: Reason,
     /// The request, the node's address, the proxy or the versions that it is about.
-    pub about: String,
+    pub subject: String,
     /// When it happened, in ms.
     pub at: Time,
     /// The events at fault, by their indices in the history.
@@ -94,8 +94,8 @@
 
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Violation { reason, about, at, events } = self;
-        write!(f, "{:?}, {reason:?}: {about} at {at:.1} ms, events {events:?}", reason.rule())
+        let Violation { reason, subject, at, events } = self;
+        write!(f, "{:?}, {reason:?}: {subject} at {at:.1} ms, events {events:?}", reason.rule())
     }
 }
 
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -109,7 +109,17 @@
             notes.calls += 1;
             let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
             let (proxy, place, call) = (PROXY.to_owned(), place.to_owned(), notes.calls);
-            (HistoryEvent::AttemptReceived { proxy, request, call, place, first, work: 1.0 }, call)
+            (
+                HistoryEvent::AttemptReceived {
+                    proxy,
+                    request,
+                    attempt: call,
+                    address: place,
+                    first,
+                    work: 1.0,
+                },
+                call,
+            )
         })
     }
 
@@ -128,17 +138,19 @@
             Some(words) if words.contains("X-Turned-Away: 1") => End::Rejected,
             Some(_) => End::Failed,
         };
-        self.note(|_| (HistoryEvent::AttemptEnded { call, end }, ()));
+        self.note(|_| (HistoryEvent::AttemptEnded { attempt: call, end }, ()));
     }
 
     /// A process said at its door what its share is; its calls run for so long at the most.
     pub fn share(&self, proxy: &str, part: f64, calls: Time) {
-        self.note(|_| (HistoryEvent::QuotaStated { proxy: proxy.to_owned(), part, calls }, ()));
+        self.note(|_| {
+            (HistoryEvent::QuotaStated { proxy: proxy.to_owned(), part, longest_attempt: calls }, ())
+        });
     }
 
     /// All together may have so many calls at once at a provider.
     pub fn bound(&self, place: &str, calls: usize) {
-        self.note(|_| (HistoryEvent::AttemptLimitSet { place: place.to_owned(), calls }, ()));
+        self.note(|_| (HistoryEvent::AttemptLimitSet { address: place.to_owned(), limit: calls }, ()));
     }
 
     /// Judges what was seen of shares alone.
@@ -169,7 +181,7 @@
     let text = |key: &str| entry[key].as_str().unwrap().to_owned();
     Node {
         name: text("instanceId"),
-        place: text("hostPort"),
+        address: text("hostPort"),
         zone: u16::from(text("zone") != "a"),
         cell: entry["cell"].as_u64().unwrap() as u16,
         state: match &*text("lifecycle") {
--- a/tests/common/edited_history.rs
+++ b/tests/common/edited_history.rs
@@ -12,7 +12,7 @@
 pub(crate) fn refused(history: &History, reason: Reason, about: &str) {
     let breaches = check(history).expect("it can be judged");
     let reasons: Vec<(Reason, &str)> =
-        breaches.iter().map(|breach| (breach.reason, breach.about.as_str())).collect();
+        breaches.iter().map(|breach| (breach.reason, breach.subject.as_str())).collect();
     assert!(!reasons.is_empty() && reasons.iter().all(|found| *found == (reason, about)), "{reasons:?}");
     let last = breaches[0].events.last().copied();
     assert!(last.is_some_and(|event| event < history.events.len()), "it names the events at fault");
@@ -37,13 +37,13 @@
     let mut found = of_class.filter_map(|(asked, id)| {
         let calls: Vec<(usize, u64)> = events()
             .filter_map(|(at, (_, seen))| match seen {
-                HistoryEvent::AttemptReceived { request, call, .. } if request == id => Some((at, *call)),
+                HistoryEvent::AttemptReceived { request, attempt, .. } if request == id => Some((at, *attempt)),
                 _ => None,
             })
             .collect();
-        let [(received, call)] = calls[..] else { return None };
+        let [(received, attempt)] = calls[..] else { return None };
         let closed = events().position(
-            |(_, (_, seen))| matches!(seen, HistoryEvent::AttemptEnded { call: of, end: End::Served(_) } if *of == call),
+            |(_, (_, seen))| matches!(seen, HistoryEvent::AttemptEnded { attempt: of, end: End::Served(_) } if *of == attempt),
         )?;
         let answered = events().position(|(_, (_, seen))| {
             matches!(seen, HistoryEvent::ResponseReceived { request, answer: Answer::Served(_) } if request == id)
@@ -56,39 +56,43 @@
 /// The history with an event more, in its place by time.
 pub(crate) fn with(history: &History, at: Time, seen: HistoryEvent) -> History {
     let mut changed = history.clone();
-    let place = changed.events.partition_point(|event| event.0 <= at);
-    changed.events.insert(place, (at, seen));
+    let index = changed.events.partition_point(|event| event.0 <= at);
+    changed.events.insert(index, (at, seen));
     changed
 }
 
-pub(crate) fn without(history: &History, place: usize) -> History {
+pub(crate) fn without(history: &History, index: usize) -> History {
     let mut changed = history.clone();
-    changed.events.remove(place);
+    changed.events.remove(index);
     changed
 }
 
 /// The history with an event moved to another time.
-pub(crate) fn moved(history: &History, place: usize, to: Time) -> History {
-    with(&without(history, place), to, history.events[place].1.clone())
+pub(crate) fn moved(history: &History, index: usize, to: Time) -> History {
+    with(&without(history, index), to, history.events[index].1.clone())
 }
 
-/// The call at a place once more, under another number, to this node and at this time.
-pub(crate) fn again(history: &History, received: usize, place: &str, at: Time) -> History {
+/// The attempt at an index once more, under another number, to this node and at this time.
+pub(crate) fn again(history: &History, received: usize, address: &str, at: Time) -> History {
     let HistoryEvent::AttemptReceived { proxy, request, work, .. } = history.events[received].1.clone()
     else {
         panic!()
     };
-    let (place, call) = (place.to_owned(), 1 << 40);
-    let closed = HistoryEvent::AttemptEnded { call, end: End::Failed };
+    let (address, attempt) = (address.to_owned(), 1 << 40);
+    let closed = HistoryEvent::AttemptEnded { attempt, end: End::Failed };
     with(
-        &with(history, at, HistoryEvent::AttemptReceived { proxy, request, call, place, first: at, work }),
+        &with(
+            history,
+            at,
+            HistoryEvent::AttemptReceived { proxy, request, attempt, address, first: at, work },
+        ),
         at + 0.05,
         closed,
     )
 }
 
 /// A history in which a request of this class was served, with its proxy's answer taken later so that there is
-/// room for more calls: the history, the places of its call and its answer, its id.
+/// room for more attempts: the history, the indices of its attempt and its answer, its id.
 pub(crate) fn roomy(class: &str) -> (History, usize, usize, String) {
     let history = play(5, 3000.0, &[]);
     let (id, [asked, received, _, answered]) = served(&history, class);
@@ -110,15 +114,15 @@
 }
 
 pub(crate) fn sent_first(history: &History, received: usize) -> (Time, String) {
-    let HistoryEvent::AttemptReceived { place, first, .. } = history.events[received].1.clone() else {
+    let HistoryEvent::AttemptReceived { address, first, .. } = history.events[received].1.clone() else {
         panic!()
     };
-    (first, place)
+    (first, address)
 }
 
-/// A node whose place is in the same zone or cell as another's, or is not.
-pub(crate) fn neighbour(place: &str, of: fn(u32) -> u32, same: bool) -> String {
-    let number = |place: &str| place[1..].parse::<u32>().unwrap();
-    let found = (1..=super::fleet::NODES).filter(|n| *n != number(place));
-    found.map(|n| format!("n{n}")).find(|n| (of(number(n)) == of(number(place))) == same).unwrap()
+/// A node that is in the same zone or cell as another, or is not.
+pub(crate) fn neighbour(address: &str, of: fn(u32) -> u32, same: bool) -> String {
+    let number = |address: &str| address[1..].parse::<u32>().unwrap();
+    let found = (1..=super::fleet::NODES).filter(|n| *n != number(address));
+    found.map(|n| format!("n{n}")).find(|n| (of(number(n)) == of(number(address))) == same).unwrap()
 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -357,8 +357,8 @@
             Fault::Gone(server) => self.change(Member { state: State::Gone, ..member(server) }),
             Fault::Restart(server) => {
                 *self.here(server) = Station::default();
-                let place = recorded_events::place(server);
-                self.tape.write(now, HistoryEvent::BackendStarted { place, capacity: CAPACITY });
+                let address = recorded_events::address(server);
+                self.tape.write(now, HistoryEvent::BackendStarted { address, capacity: CAPACITY });
                 self.change(Member { started: now, ..member(server) });
             }
             Fault::Kill(proxy) => {
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -22,8 +22,14 @@
     pub(crate) fn call(&mut self, at: Time, proxy: &str, request: &str, server: ServerId, work: f64) -> u64 {
         let call = self.calls.len() as u64;
         let (proxy, request) = (proxy.to_owned(), request.to_owned());
-        let received =
-            HistoryEvent::AttemptReceived { proxy, request, call, place: place(server), first: at, work };
+        let received = HistoryEvent::AttemptReceived {
+            proxy,
+            request,
+            attempt: call,
+            address: address(server),
+            first: at,
+            work,
+        };
         self.calls.push((self.events.len(), Some((at, received))));
         self.events.push(None);
         call
@@ -31,7 +37,7 @@
 
     /// A call has ended.
     pub(crate) fn close(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
-        let (place, received) = &mut self.calls[call as usize];
+        let (index, received) = &mut self.calls[call as usize];
         let end = match outcome {
             Outcome::ConnectFailed | Outcome::Moot => return *received = None,
             Outcome::Ok => End::Served(value.to_owned()),
@@ -40,8 +46,8 @@
             Outcome::Error => End::Failed,
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => End::Broken,
         };
-        self.events[*place] = received.take();
-        self.write(at, HistoryEvent::AttemptEnded { call, end });
+        self.events[*index] = received.take();
+        self.write(at, HistoryEvent::AttemptEnded { attempt: call, end });
     }
 
     pub(crate) fn tell(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
@@ -55,9 +61,9 @@
 
     /// All that was seen, by time.
     pub(crate) fn history(mut self) -> History {
-        for (place, received) in &mut self.calls {
+        for (index, received) in &mut self.calls {
             if let Some(received) = received.take() {
-                self.events[*place] = Some(received);
+                self.events[*index] = Some(received);
             }
         }
         let mut events: Vec<_> = self.events.into_iter().flatten().collect();
@@ -66,14 +72,14 @@
     }
 }
 
-pub(crate) fn place(server: ServerId) -> String {
+pub(crate) fn address(server: ServerId) -> String {
     format!("n{server}")
 }
 
 fn node(member: &Member) -> Node {
     Node {
-        name: place(member.server),
-        place: place(member.server),
+        name: address(member.server),
+        address: address(member.server),
         zone: member.zone,
         cell: member.cell,
         state: match member.state {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -96,15 +96,15 @@
 #[test]
 fn calls_nobody_asked_for_or_after_the_end_are_refused() {
     let (history, [_, received, _, answered], id) = calm();
-    let HistoryEvent::AttemptReceived { place, .. } = history.events[received].1.clone() else { panic!() };
+    let HistoryEvent::AttemptReceived { address, .. } = history.events[received].1.clone() else { panic!() };
     let end = history.events[answered].0;
-    kept(&again(&history, received, &place, end));
-    refused(&again(&history, received, &place, end + 0.001), Reason::AfterTheEnd, &id);
+    kept(&again(&history, received, &address, end));
+    refused(&again(&history, received, &address, end + 0.001), Reason::AfterTheEnd, &id);
     let mut unasked = history.clone();
     let HistoryEvent::AttemptReceived { request, .. } = &mut unasked.events[received].1 else { panic!() };
     *request = "nobody".into();
     let breaches = check(&unasked).unwrap();
-    assert!(breaches.iter().any(|breach| (breach.reason, &*breach.about) == (Reason::Unasked, "nobody")));
+    assert!(breaches.iter().any(|breach| (breach.reason, &*breach.subject) == (Reason::Unasked, "nobody")));
 }
 
 #[test]
@@ -112,9 +112,9 @@
     let window = figures().classes["keyed all"].window;
     for class in ["safe", "keyed all", "keyed zone", "keyed cell", "unsafe"] {
         let (history, received, _, id) = roomy(class);
-        let (first, place) = sent_first(&history, received);
-        let within = again(&history, received, &place, first + window);
-        let beyond = again(&history, received, &place, first + window + 0.001);
+        let (first, address) = sent_first(&history, received);
+        let within = again(&history, received, &address, first + window);
+        let beyond = again(&history, received, &address, first + window + 0.001);
         match class {
             "safe" => [within, beyond].iter().for_each(kept),
             "unsafe" => [within, beyond].iter().for_each(|h| refused(h, Reason::Effect, &id)),
@@ -129,7 +129,7 @@
             _ => None,
         };
         if let Some(group) = group {
-            let elsewhere = |same| again(&history, received, &neighbour(&place, group, same), first + 50.0);
+            let elsewhere = |same| again(&history, received, &neighbour(&address, group, same), first + 50.0);
             kept(&elsewhere(true));
             refused(&elsewhere(false), Reason::Scope, &id);
         }
@@ -159,9 +159,9 @@
         }
         // What was turned away never ran: then every class may be refused.
         let mut turned = history.clone();
-        let HistoryEvent::AttemptReceived { call, .. } = turned.events[received].1 else { panic!() };
+        let HistoryEvent::AttemptReceived { attempt, .. } = turned.events[received].1 else { panic!() };
         turned.events.iter_mut().for_each(|event| match &mut event.1 {
-            HistoryEvent::AttemptEnded { call: of, end } if *of == call => *end = End::Rejected,
+            HistoryEvent::AttemptEnded { attempt: of, end } if *of == attempt => *end = End::Rejected,
             HistoryEvent::ResponseReceived { request, answer } if *request == id => {
                 *answer = Answer::Rejected
             }
@@ -174,22 +174,22 @@
 #[test]
 fn more_calls_than_allowed_or_two_at_once_are_refused() {
     let (mut history, received, _, id) = roomy("safe");
-    let (first, place) = sent_first(&history, received);
+    let (first, address) = sent_first(&history, received);
     for n in 1..figures().attempts {
         kept(&history);
-        history = again(&history, received, &place, first + 100.0 * n as Time);
+        history = again(&history, received, &address, first + 100.0 * n as Time);
         let last = history.events.iter_mut().filter_map(|event| match &mut event.1 {
-            HistoryEvent::AttemptReceived { call, .. } | HistoryEvent::AttemptEnded { call, .. }
-                if *call == 1 << 40 =>
+            HistoryEvent::AttemptReceived { attempt, .. } | HistoryEvent::AttemptEnded { attempt, .. }
+                if *attempt == 1 << 40 =>
             {
-                Some(call)
+                Some(attempt)
             }
             _ => None,
         });
-        last.for_each(|call| *call = (1 << 41) + n as u64);
+        last.for_each(|attempt| *attempt = (1 << 41) + n as u64);
     }
     kept(&history);
-    refused(&again(&history, received, &place, first + 900.0), Reason::TooMany, &id);
+    refused(&again(&history, received, &address, first + 900.0), Reason::TooMany, &id);
     // Where two at once are not allowed, one more must wait for the end of the one before.
     let (mut history, received, _, id) = roomy("safe");
     history.events.iter_mut().for_each(|event| {
@@ -197,9 +197,9 @@
             figures.second_copies = false;
         }
     });
-    let HistoryEvent::AttemptReceived { call, .. } = history.events[received].1 else { panic!() };
-    let is_end = |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::AttemptEnded { call: of, .. } if of == call);
+    let HistoryEvent::AttemptReceived { attempt, .. } = history.events[received].1 else { panic!() };
+    let is_end = |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::AttemptEnded { attempt: of, .. } if of == attempt);
     let end = history.events.iter().find(|event| is_end(event)).unwrap().0;
-    kept(&again(&history, received, &place, end));
-    refused(&again(&history, received, &place, end - 0.001), Reason::TwoAtOnce, &id);
+    kept(&again(&history, received, &address, end));
+    refused(&again(&history, received, &address, end - 0.001), Reason::TwoAtOnce, &id);
 }
--- a/tests/node_histories.rs
+++ b/tests/node_histories.rs
@@ -11,24 +11,27 @@
 #[test]
 fn what_is_sent_to_who_drains_is_gone_or_was_never_listed_is_refused() {
     let (history, received, _, _) = roomy("safe");
-    let (first, place) = sent_first(&history, received);
+    let (first, address) = sent_first(&history, received);
     let HistoryEvent::AttemptReceived { proxy, .. } = history.events[received].1.clone() else { panic!() };
     let limit = figures().stop_within;
     let node = history.events.iter().find_map(|event| match &event.1 {
-        HistoryEvent::EndpointsListed { nodes, .. } => nodes.iter().find(|node| node.place == place).cloned(),
+        HistoryEvent::EndpointsListed { nodes, .. } => {
+            nodes.iter().find(|node| node.address == address).cloned()
+        }
         _ => None,
     });
     let node = node.unwrap();
     // Nothing else goes there: the history is kept to the one request and one proxy.
     let mut alone = history.clone();
-    let HistoryEvent::AttemptReceived { request: id, call, .. } = history.events[received].1.clone() else {
+    let HistoryEvent::AttemptReceived { request: id, attempt, .. } = history.events[received].1.clone()
+    else {
         panic!()
     };
     alone.events.retain(|event| match &event.1 {
         HistoryEvent::RequestSent { request, .. }
         | HistoryEvent::ResponseReceived { request, .. }
         | HistoryEvent::AttemptReceived { request, .. } => *request == id,
-        HistoryEvent::AttemptEnded { call: of, .. } => *of == call,
+        HistoryEvent::AttemptEnded { attempt: of, .. } => *of == attempt,
         HistoryEvent::ClientDisconnected { .. } | HistoryEvent::BodyStarted { .. } => false,
         _ => true,
     });
@@ -39,7 +42,7 @@
             with(&alone, at, HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: false, nodes })
         };
         kept(&told(first - limit));
-        refused(&told(first - limit - 0.001), reason, &place);
+        refused(&told(first - limit - 0.001), reason, &address);
         // To be told so twice gives no more time; to be told that it is back does.
         let twice = with(
             &told(first - limit - 0.001),
@@ -50,20 +53,20 @@
                 nodes: vec![Node { state, ..node.clone() }],
             },
         );
-        refused(&twice, reason, &place);
+        refused(&twice, reason, &address);
         let back =
             HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: false, nodes: vec![node.clone()] };
         kept(&with(&told(first - limit - 0.001), first - 1.0, back));
     }
     let absent = HistoryEvent::EndpointsListed { proxy: proxy.clone(), whole: true, nodes: Vec::new() };
-    refused(&with(&alone, first - limit - 0.001, absent), Reason::Gone, &place);
+    refused(&with(&alone, first - limit - 0.001, absent), Reason::Gone, &address);
     let mut never = alone;
     never.events.iter_mut().for_each(|event| {
         if let HistoryEvent::EndpointsListed { nodes, .. } = &mut event.1 {
-            nodes.retain(|node| node.place != place);
+            nodes.retain(|node| node.address != address);
         }
     });
-    refused(&never, Reason::NeverListed, &place);
+    refused(&never, Reason::NeverListed, &address);
 }
 
 /// Guards against a budget counted for each proxy alone: the last straw comes from another one.
@@ -85,14 +88,14 @@
     let sent: f64 =
         history.events.iter().filter(|event| event.0 <= at && event.0 >= started).fold(0.0, |sum, event| {
             match &event.1 {
-                HistoryEvent::AttemptReceived { place, work, .. } if place == "n2" => sum + work,
+                HistoryEvent::AttemptReceived { address, work, .. } if address == "n2" => sum + work,
                 _ => sum,
             }
         });
     assert!(sent > 0.0 && sent < bears, "{sent} of {bears}");
     let last = |more: Time| {
         let received = history.events.iter().rposition(|event| match &event.1 {
-            HistoryEvent::AttemptReceived { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::AttemptReceived { address, .. } => address == "n2" && event.0 <= at,
             _ => false,
         });
         let mut heavier = history.clone();
@@ -102,15 +105,15 @@
         *work += more;
         // What comes after is no work, so that this is the whole of it.
         heavier.events.iter_mut().filter(|event| event.0 > at).for_each(|event| match &mut event.1 {
-            HistoryEvent::AttemptReceived { place, work, .. } if place == "n2" => *work = 0.0,
+            HistoryEvent::AttemptReceived { address, work, .. } if address == "n2" => *work = 0.0,
             _ => {}
         });
         heavier
     };
     let room = {
-        // The budget is that of the moment of the last call.
+        // The budget is that of the moment of the last attempt.
         let received = history.events.iter().rfind(|event| match &event.1 {
-            HistoryEvent::AttemptReceived { place, .. } => place == "n2" && event.0 <= at,
+            HistoryEvent::AttemptReceived { address, .. } => address == "n2" && event.0 <= at,
             _ => false,
         });
         let warmth = (received.unwrap().0 - started) / cold;
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -221,7 +221,7 @@
     ));
     let found = check(&lost).unwrap();
     assert_eq!(
-        found.iter().map(|b| (b.reason, b.about.clone())).collect::<Vec<_>>(),
+        found.iter().map(|b| (b.reason, b.subject.clone())).collect::<Vec<_>>(),
         [(Reason::Lost, request)]
     );
     // The same calls, had the first node been told to drain from the beginning on, with no time to stop.
@@ -231,11 +231,11 @@
         HistoryEvent::EndpointsListed { nodes, .. } => {
             nodes
                 .iter_mut()
-                .filter(|node| node.place == drains)
+                .filter(|node| node.address == drains)
                 .for_each(|node| node.state = State::Draining);
         }
         _ => {}
     });
     let found = check(&drained).unwrap();
-    assert!(found.iter().any(|b| (b.reason, &b.about) == (Reason::Draining, &drains)), "{found:?}");
+    assert!(found.iter().any(|b| (b.reason, &b.subject) == (Reason::Draining, &drains)), "{found:?}");
 }
