Test harness: a script's steps are structs, its faults one meaning each, its error typed

Script::parse returns ScriptError, which names the line; Fault::Node(_, bool) becomes NodeDown and NodeUp, GoOn, Upgrade and Sides become Continue, HotRestart and Partition. The words of a script are what they were. Parsing has a file of its own.

--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -9,7 +9,7 @@
 use pinetrail_history_checker::check;
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
 use pinetrail_test_harness::recorder::Recorder;
-use pinetrail_test_harness::script::{Fault, Script};
+use pinetrail_test_harness::script::{Fault, Script, ScriptStep};
 use pinetrail_test_harness::{http_200, opaque, program, StubAction, StubServer};
 use serde_json::{json, Value};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -119,15 +119,16 @@
 
 /// One proxy dies and returns, one way is cut and heals, one cache node is gone for a moment.
 fn script(seconds: u64) -> Script {
-    let at = |tenths: u64| seconds * 100 * tenths;
-    Script(vec![
-        (at(1), Fault::Kill(2)),
-        (at(2), Fault::Cut(0, 1)),
-        (at(5), Fault::Heal),
-        (at(6), Fault::Start(2)),
-        (at(7), Fault::Node(0, false)),
-        (at(8), Fault::Node(0, true)),
-    ])
+    let step = |tenths: u64, fault| ScriptStep { at: seconds * 100 * tenths, fault };
+    let steps = vec![
+        step(1, Fault::Kill(2)),
+        step(2, Fault::Cut(0, 1)),
+        step(5, Fault::Heal),
+        step(6, Fault::Start(2)),
+        step(7, Fault::NodeDown(0)),
+        step(8, Fault::NodeUp(0)),
+    ];
+    Script { steps }
 }
 
 /// Plays the script and waits for the end; false if it was stopped before.
@@ -136,14 +137,14 @@
     let style = ProgressStyle::with_template("{bar:40} {elapsed}  {msg}");
     bar.set_style(style.map_err(|error| error.to_string())?);
     let begun = Instant::now();
-    let mut faults = script.0.iter().peekable();
+    let mut faults = script.steps.iter().peekable();
     while begun.elapsed() < Duration::from_secs(seconds) {
         if stopped.load(Ordering::Acquire) {
             bar.abandon();
             return Ok(false);
         }
         let now = begun.elapsed().as_millis();
-        while let Some((_, fault)) = faults.next_if(|(at, _)| u128::from(*at) <= now) {
+        while let Some(ScriptStep { fault, .. }) = faults.next_if(|step| u128::from(step.at) <= now) {
             bar.set_message(fault.to_string());
             fleet.inject(fault);
         }
@@ -157,7 +158,7 @@
 /// When each member knew of each death and return: who, of whom, what, and how many ms after it happened.
 fn knew(fleet: &Fleet, script: &Script, begun: u128) -> Vec<(String, String, &'static str, Option<u128>)> {
     let mut knew = Vec::new();
-    for (at, fault) in &script.0 {
+    for ScriptStep { at, fault } in &script.steps {
         let (of, what, words) = match fault {
             Fault::Kill(member) => (*member, "dead", format!("fleet: {} at ", Fleet::name(*member))),
             Fault::Start(member) => {
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -3,7 +3,7 @@
 use crate::membership::trials::words;
 use pinetrail_membership::Membership;
 use pinetrail_simulation::fleet::Fleet;
-use pinetrail_test_harness::script::{Fault, Script};
+use pinetrail_test_harness::script::{Fault, Script, ScriptStep};
 
 /// After the last fault it is listened for so long, in ms.
 const AFTER: u64 = 15_000;
@@ -21,7 +21,7 @@
             lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.event)));
         }
     };
-    for (at, fault) in &script.0 {
+    for ScriptStep { at, fault } in &script.steps {
         fleet.run((begun + at).saturating_sub(fleet.now()));
         tell(&mut fleet, &mut lines);
         lines.push(format!("{at:>7} ms  fault  {fault}"));
@@ -50,20 +50,22 @@
         Fault::Kill(member) => fleet.kill(known(member)?),
         Fault::Start(member) => fleet.start_member(known(member)?, size, peers),
         Fault::Stop(member) => fleet.pause(known(member)?),
-        Fault::GoOn(member) => fleet.resume(known(member)?),
+        Fault::Continue(member) => fleet.resume(known(member)?),
         Fault::Cut(from, to) => fleet.network.cut(known(from)?, known(to)?),
-        Fault::Sides(sides) => {
+        Fault::Partition(sides) => {
             sides.iter().flatten().try_for_each(|member| known(member).map(drop))?;
             fleet.network.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
         }
         Fault::Heal => fleet.network.heal(),
         Fault::Loss(percent) => fleet.network.loss = f64::from(*percent) / 100.0,
-        Fault::Upgrade(member) => {
+        Fault::HotRestart(member) => {
             // Who accepts speaks, as a later start of the name.
             fleet.kill(known(member)?);
             fleet.start_member(*member, size, peers);
         }
-        Fault::Node(..) => return Err(format!("{fault}: there are no cache nodes here")),
+        Fault::NodeDown(_) | Fault::NodeUp(_) => {
+            return Err(format!("{fault}: there are no cache nodes here"))
+        }
     }
     Ok(())
 }
--- a/crates/test-harness/src/fleet/faults.rs
+++ b/crates/test-harness/src/fleet/faults.rs
@@ -1,7 +1,7 @@
 //! Faults between and in the members of a fleet.
 
 use super::Fleet;
-use crate::script::{Fault, Script};
+use crate::script::{Fault, Script, ScriptStep};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,37 +14,41 @@
             Fault::Start(member) if !self.runs(*member) => self.start(*member),
             Fault::Start(_) => {}
             Fault::Stop(member) if self.runs(*member) => self.process(*member).signal("STOP"),
-            Fault::GoOn(member) if self.runs(*member) => self.process(*member).signal("CONT"),
-            Fault::Stop(_) | Fault::GoOn(_) => {}
-            Fault::Upgrade(member) => self.upgrade(*member),
+            Fault::Continue(member) if self.runs(*member) => self.process(*member).signal("CONT"),
+            Fault::Stop(_) | Fault::Continue(_) => {}
+            Fault::HotRestart(member) => self.hot_restart(*member),
             Fault::Cut(from, to) => {
                 self.datagram_faults.change_path(*from, *to, |path| path.partitioned = true)
             }
-            Fault::Sides(sides) => {
+            Fault::Partition(sides) => {
                 self.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
             }
             Fault::Heal => self.datagram_faults.change_all_paths(|path| path.partitioned = false),
             Fault::Loss(percent) => {
                 self.datagram_faults.change_all_paths(|path| path.loss = f64::from(*percent) / 100.0);
             }
-            Fault::Node(node, up) => self.set_node_reachable(*node, *up),
+            Fault::NodeDown(node) => self.cut_node_off(*node),
+            Fault::NodeUp(node) => self.reconnect_node(*node),
         }
     }
 
-    fn upgrade(&mut self, member: usize) {
+    fn hot_restart(&mut self, member: usize) {
         let second = self.start_second_process(member);
         let first = self.replace_process(member, second);
         first.signal("TERM");
         first.end();
     }
 
-    fn set_node_reachable(&self, node: usize, reachable: bool) {
+    fn cut_node_off(&self, node: usize) {
         for streams in &self.streams {
-            if reachable {
-                streams[node].heal();
-            } else {
-                streams[node].partition();
-            }
+            streams[node].partition();
+            streams[node].reset();
+        }
+    }
+
+    fn reconnect_node(&self, node: usize) {
+        for streams in &self.streams {
+            streams[node].heal();
             streams[node].reset();
         }
     }
@@ -69,7 +73,7 @@
     /// Plays a script in real time.
     pub fn play(&mut self, script: &Script) {
         let start = Instant::now();
-        for (at, fault) in &script.0 {
+        for ScriptStep { at, fault } in &script.steps {
             thread::sleep(Duration::from_millis(*at).saturating_sub(start.elapsed()));
             self.inject(fault);
         }
--- a/crates/test-harness/src/script.rs
+++ b/crates/test-harness/src/script.rs
@@ -1,32 +1,41 @@
-//! Faults as a script: written by hand, a line each, or drawn from a seed.
+//! Scripts of faults: written by hand, a line each, or drawn from a seed. Read [`Script`] first, then
+//! [`Fault`].
+
+mod parse;
+#[cfg(test)]
+mod tests;
+
+pub use parse::ScriptError;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::fmt;
 
-/// One fault, or its end.
+/// One fault, or its end. Members and cache nodes are given by their numbers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
-    /// SIGKILL.
+    /// A member is killed by SIGKILL.
     Kill(usize),
-    /// It starts again, under its name, with only its configuration.
+    /// A member starts again, under its name, with only its configuration.
     Start(usize),
-    /// SIGSTOP.
+    /// A member is stopped by SIGSTOP.
     Stop(usize),
-    /// SIGCONT.
-    GoOn(usize),
-    /// An upgrade: a second process takes over, and the first is asked to end.
-    Upgrade(usize),
-    /// Nothing passes from one member to another.
+    /// A stopped member continues, by SIGCONT.
+    Continue(usize),
+    /// A hot restart: a second process takes over, and the first is asked to end.
+    HotRestart(usize),
+    /// Nothing passes from the first member to the second.
     Cut(usize, usize),
     /// Nothing passes between the sides, in either direction.
-    Sides(Vec<Vec<usize>>),
-    /// Every way passes again.
+    Partition(Vec<Vec<usize>>),
+    /// Every path between members passes again.
     Heal,
-    /// So many in a hundred datagrams are lost, everywhere.
+    /// So many in a hundred datagrams are lost, on every path.
     Loss(u32),
-    /// A cache node breaks its connections and answers nobody, or is back.
-    Node(usize, bool),
+    /// A cache node breaks its connections and answers nobody.
+    NodeDown(usize),
+    /// A cache node answers again.
+    NodeUp(usize),
 }
 
 impl fmt::Display for Fault {
@@ -35,97 +44,81 @@
             Fault::Kill(member) => write!(f, "kill {member}"),
             Fault::Start(member) => write!(f, "start {member}"),
             Fault::Stop(member) => write!(f, "stop {member}"),
-            Fault::GoOn(member) => write!(f, "go-on {member}"),
-            Fault::Upgrade(member) => write!(f, "upgrade {member}"),
+            Fault::Continue(member) => write!(f, "go-on {member}"),
+            Fault::HotRestart(member) => write!(f, "upgrade {member}"),
             Fault::Cut(from, to) => write!(f, "cut {from} {to}"),
-            Fault::Sides(sides) => {
-                let side =
-                    |side: &Vec<usize>| side.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-                write!(f, "sides {}", sides.iter().map(side).collect::<Vec<_>>().join("|"))
+            Fault::Partition(sides) => {
+                let sides: Vec<String> = sides.iter().map(|side| side_to_text(side)).collect();
+                write!(f, "sides {}", sides.join("|"))
             }
             Fault::Heal => f.write_str("heal"),
             Fault::Loss(percent) => write!(f, "loss {percent}"),
-            Fault::Node(node, up) => write!(f, "node {node} {}", if *up { "up" } else { "down" }),
+            Fault::NodeDown(node) => write!(f, "node {node} down"),
+            Fault::NodeUp(node) => write!(f, "node {node} up"),
         }
     }
 }
 
-/// What happens when, in ms from the beginning.
+fn side_to_text(side: &[usize]) -> String {
+    let members: Vec<String> = side.iter().map(ToString::to_string).collect();
+    members.join(",")
+}
+
+/// A fault and when it happens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScriptStep {
+    /// In ms from the beginning of the script.
+    pub at: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// What happens when, in the order of time.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Script(pub Vec<(u64, Fault)>);
+pub struct Script {
+    /// Its steps.
+    pub steps: Vec<ScriptStep>,
+}
 
 impl fmt::Display for Script {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|(at, fault)| writeln!(f, "{at} {fault}"))
+        for ScriptStep { at, fault } in &self.steps {
+            writeln!(f, "{at} {fault}")?;
+        }
+        Ok(())
     }
 }
 
 impl Script {
-    /// Reads lines of a time in ms and a fault; what follows a `#` is left aside. The error names the line.
-    pub fn parse(text: &str) -> Result<Script, String> {
-        let mut script = Script::default();
-        for (at, line) in text.lines().enumerate() {
-            let words: Vec<&str> = line.split('#').next().unwrap_or_default().split_whitespace().collect();
-            if words.is_empty() {
-                continue;
-            }
-            let fault = fault(&words).ok_or_else(|| format!("line {}: no fault: {line:?}", at + 1))?;
-            script.0.push(fault);
-        }
-        script.0.sort_by_key(|(at, _)| *at);
-        Ok(script)
-    }
-
-    /// Faults of a seed for so many members: each ends within the time, and all is whole after it.
+    /// Faults of a seed for so many members. Each ends within `ms`, and everything is whole after it.
     pub fn from_seed(seed: u64, members: usize, faults: usize, ms: u64) -> Script {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut script = Vec::new();
-        let each = ms / faults.max(1) as u64;
+        let mut script = Script::default();
+        let interval = ms / faults.max(1) as u64;
         for n in 0..faults as u64 {
-            let (from, to) = (n * each, n * each + each * 4 / 5);
-            let member = rng.random_range(0..members);
-            let other = (member + rng.random_range(1..members)) % members;
-            let (begins, ends) = match rng.random_range(0..5) {
-                0 => (Fault::Kill(member), Fault::Start(member)),
-                1 => (Fault::Stop(member), Fault::GoOn(member)),
-                2 => (Fault::Cut(member, other), Fault::Heal),
-                3 => {
-                    let first = rng.random_range(1..members);
-                    let all: Vec<usize> = (0..members).map(|n| (member + n) % members).collect();
-                    let (one, two) = all.split_at(first);
-                    (Fault::Sides(vec![one.to_vec(), two.to_vec()]), Fault::Heal)
-                }
-                _ => (Fault::Loss(rng.random_range(5..15)), Fault::Loss(0)),
-            };
-            script.extend([(from, begins), (to, ends)]);
+            let start = n * interval;
+            let (fault, end_of_fault) = draw_fault(&mut rng, members);
+            script.steps.push(ScriptStep { at: start, fault });
+            script.steps.push(ScriptStep { at: start + interval * 4 / 5, fault: end_of_fault });
         }
-        Script(script)
+        script
     }
 }
 
-fn fault(words: &[&str]) -> Option<(u64, Fault)> {
-    let (at, name) = (words.first()?.parse().ok()?, *words.get(1)?);
-    let number = |nth: usize| words.get(nth)?.parse().ok();
-    let (fault, length) = match name {
-        "kill" => (Fault::Kill(number(2)?), 3),
-        "start" => (Fault::Start(number(2)?), 3),
-        "stop" => (Fault::Stop(number(2)?), 3),
-        "go-on" => (Fault::GoOn(number(2)?), 3),
-        "upgrade" => (Fault::Upgrade(number(2)?), 3),
-        "cut" => (Fault::Cut(number(2)?, number(3)?), 4),
-        "sides" => {
-            let side = |side: &str| {
-                side.split(',').map(|member| member.parse().ok()).collect::<Option<Vec<usize>>>()
-            };
-            (Fault::Sides(words.get(2)?.split('|').map(side).collect::<Option<_>>()?), 3)
+/// A fault and what ends it.
+fn draw_fault(rng: &mut StdRng, members: usize) -> (Fault, Fault) {
+    let member = rng.random_range(0..members);
+    let other = (member + rng.random_range(1..members)) % members;
+    match rng.random_range(0..5) {
+        0 => (Fault::Kill(member), Fault::Start(member)),
+        1 => (Fault::Stop(member), Fault::Continue(member)),
+        2 => (Fault::Cut(member, other), Fault::Heal),
+        3 => {
+            let first_side = rng.random_range(1..members);
+            let all: Vec<usize> = (0..members).map(|n| (member + n) % members).collect();
+            let (one, two) = all.split_at(first_side);
+            (Fault::Partition(vec![one.to_vec(), two.to_vec()]), Fault::Heal)
         }
-        "heal" => (Fault::Heal, 2),
-        "loss" => (Fault::Loss(words.get(2)?.parse().ok().filter(|percent| *percent <= 100)?), 3),
-        "node" => (Fault::Node(number(2)?, *words.get(3)? == "up"), 4),
-        _ => return None,
-    };
-    (words.len() == length).then_some((at, fault))
+        _ => (Fault::Loss(rng.random_range(5..15)), Fault::Loss(0)),
+    }
 }
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/crates/test-harness/src/script/parse.rs
@@ -0,0 +1,73 @@
+//! Reading a [`Script`] from text.
+
+use super::{Fault, Script, ScriptStep};
+use thiserror::Error;
+
+/// Why a text is no script.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ScriptError {
+    /// A line does not have a time in ms and a fault with its arguments.
+    #[error("line {line}: no fault: {text:?}")]
+    NoFault {
+        /// The number of the line, from 1 on.
+        line: usize,
+        /// The line.
+        text: String,
+    },
+}
+
+impl Script {
+    /// Reads lines of a time in ms and a fault; what follows a `#` is ignored, and so are empty lines. The
+    /// lines need not be in the order of time.
+    ///
+    /// # Errors
+    /// The first line that is no fault.
+    pub fn parse(text: &str) -> Result<Script, ScriptError> {
+        let mut script = Script::default();
+        for (index, line) in text.lines().enumerate() {
+            let words: Vec<&str> = line.split('#').next().unwrap_or_default().split_whitespace().collect();
+            if words.is_empty() {
+                continue;
+            }
+            let no_fault = || ScriptError::NoFault { line: index + 1, text: line.to_owned() };
+            script.steps.push(parse_step(&words).ok_or_else(no_fault)?);
+        }
+        script.steps.sort_by_key(|step| step.at);
+        Ok(script)
+    }
+}
+
+fn parse_step(words: &[&str]) -> Option<ScriptStep> {
+    let [at, name, arguments @ ..] = words else { return None };
+    let at = at.parse().ok()?;
+    Some(ScriptStep { at, fault: parse_fault(name, arguments)? })
+}
+
+fn parse_fault(name: &str, arguments: &[&str]) -> Option<Fault> {
+    match (name, arguments) {
+        ("kill", [member]) => Some(Fault::Kill(parse_number(member)?)),
+        ("start", [member]) => Some(Fault::Start(parse_number(member)?)),
+        ("stop", [member]) => Some(Fault::Stop(parse_number(member)?)),
+        ("go-on", [member]) => Some(Fault::Continue(parse_number(member)?)),
+        ("upgrade", [member]) => Some(Fault::HotRestart(parse_number(member)?)),
+        ("cut", [from, to]) => Some(Fault::Cut(parse_number(from)?, parse_number(to)?)),
+        ("sides", [sides]) => Some(Fault::Partition(parse_sides(sides)?)),
+        ("heal", []) => Some(Fault::Heal),
+        ("loss", [percent]) => {
+            let percent = percent.parse().ok()?;
+            (percent <= 100).then_some(Fault::Loss(percent))
+        }
+        ("node", [node, "up"]) => Some(Fault::NodeUp(parse_number(node)?)),
+        ("node", [node, _]) => Some(Fault::NodeDown(parse_number(node)?)),
+        _ => None,
+    }
+}
+
+fn parse_number(word: &str) -> Option<usize> {
+    word.parse().ok()
+}
+
+/// Members of one side are separated by commas, and the sides by bars.
+fn parse_sides(word: &str) -> Option<Vec<Vec<usize>>> {
+    word.split('|').map(|side| side.split(',').map(parse_number).collect()).collect()
+}
