Test harness: the recorder's functions say what they record, and its parsers have a file

Recorder::share and bound become record_quota and record_attempt_limit; the state behind the lock is what the lock guards. Reading nodes and figures from JSON moves to recorder/from_json.rs unchanged.

--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -66,7 +66,7 @@
         Fleet::start_all(FleetOptions { seed: options.seed, ..FleetOptions::of(PROXIES) }, nodes, origin);
     let everybody: Vec<usize> = (0..PROXIES).collect();
     fleet.wait_until("the proxies meet", |fleet| fleet.all_agree(&everybody));
-    witness_config(&fleet);
+    record_config(&fleet);
     let script = script(options.seconds);
     let begun = fleet.timeline.now();
     let places = everybody.iter().map(|proxy| fleet.process(*proxy).client_address).collect();
@@ -107,7 +107,7 @@
 }
 
 /// The judge hears of the settings, and of the nodes by the addresses that they have themselves.
-fn witness_config(fleet: &Fleet) {
+fn record_config(fleet: &Fleet) {
     let mut config = fleet.config(0, &[]);
     if let Some(listed) = config["known"]["instances"].as_array_mut() {
         for (node, entry) in fleet.nodes.iter().chain([&fleet.origin]).zip(listed) {
--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -51,7 +51,7 @@
     seed: u64,
     begun: Instant,
     next: AtomicU64,
-    witness: Recorder,
+    recorder: Recorder,
     done: Mutex<Done>,
 }
 
@@ -72,7 +72,7 @@
             seed,
             begun: Instant::now(),
             next: AtomicU64::new(0),
-            witness: Recorder::own(),
+            recorder: Recorder::own(),
             done: Mutex::default(),
         });
         let client = |_| {
@@ -163,7 +163,7 @@
         let Some(stream) = self.connection(proxy) else { return Said::Broken };
         // Something that nobody asked for any more lies there: an answer too many.
         let is_quiet = stream.buffer().is_empty();
-        self.shared.witness.record_request(&command);
+        self.shared.recorder.record_request(&command);
         let Some(stream) = self.open.get_mut(&proxy) else { return Said::Broken };
         let answer = stream.get_mut().write_all(command.as_bytes()).and_then(|()| read(stream));
         if !is_quiet {
@@ -171,7 +171,7 @@
         }
         match answer {
             Ok((line, value)) => {
-                self.shared.witness.record_response(&command, &line, &value);
+                self.shared.recorder.record_response(&command, &line, &value);
                 if line.contains(&format!(" O{id}")) {
                     Said::Final("served")
                 } else if line.starts_with("SERVER_ERROR busy") {
@@ -183,7 +183,7 @@
                 }
             }
             Err(_) => {
-                self.shared.witness.record_client_gone(&command);
+                self.shared.recorder.record_client_gone(&command);
                 Said::Broken
             }
         }
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -1,84 +1,109 @@
-//! Writes down what the rig sees of a proxy from outside: what consumers, cache nodes, the origin and discovery
-//! sent and got. Each test has its own; all that it makes writes to it.
+//! Records what the harness sees of a proxy from outside: what clients, cache nodes, the origin and
+//! discovery sent and received. Each test has a [`Recorder`] of its own, to which all that the test makes
+//! writes.
+
+mod from_json;
 
 use pinetrail_history_checker::{
-    check, check_quota, Answer, Class, Effect, End, Figures, History, HistoryEvent, Node, ProxyEnd, Scope,
-    State, Time,
+    check, check_quota, Answer, End, History, HistoryEvent, ProxyEnd, Time, Violation,
 };
 use serde_json::Value;
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Each time limit is longer by so much: 50 ms on sockets, as the protocol has it, and what a busy machine takes to
-/// notice. The exact limits are those of the seeded histories.
-const BLUR: Time = 250.0;
-/// Of two processes of one proxy none is told apart: for the rules they are one.
+/// How far recorded times may be off, in ms: each time limit is longer by so much. 50 ms on sockets, as
+/// the protocol has it, and what a busy machine takes to notice. The exact limits are those of the seeded
+/// histories.
+const CLOCK_ERROR: Time = 250.0;
+/// Two processes of one proxy are not told apart: for the rules they are one.
 const PROXY: &str = "p";
 
 /// What was seen so far. Clones write to the same.
 #[derive(Clone)]
-pub struct Recorder(Arc<Mutex<Notes>>);
+pub struct Recorder {
+    start: Instant,
+    /// The same moment in ms since the Unix epoch.
+    start_unix_ms: f64,
+    /// Guards what was seen, in the order of time.
+    recording: Arc<Mutex<Recording>>,
+}
 
-struct Notes {
-    begun: Instant,
-    begun_ms: f64,
+#[derive(Default)]
+struct Recording {
     events: Vec<(Time, HistoryEvent)>,
-    calls: u64,
+    /// How many attempts were numbered.
+    attempts: u64,
 }
 
 thread_local! {
-    static OWN: Recorder = Recorder(Arc::new(Mutex::new(Notes {
-        begun: Instant::now(),
-        begun_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1000.0,
-        events: Vec::new(),
-        calls: 0,
-    })));
+    static OWN: Recorder = Recorder::new();
 }
 
 impl Recorder {
-    /// That of the test which this thread runs.
+    fn new() -> Recorder {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        Recorder {
+            start: Instant::now(),
+            start_unix_ms: since_epoch.as_secs_f64() * 1000.0,
+            recording: Arc::default(),
+        }
+    }
+
+    /// The recorder of the test which this thread runs.
     pub fn own() -> Recorder {
         OWN.with(Recorder::clone)
     }
 
-    fn note<T>(&self, seen: impl FnOnce(&mut Notes) -> (HistoryEvent, T)) -> T {
-        let mut notes = self.0.lock().unwrap();
-        let (seen, more) = seen(&mut notes);
-        let at = notes.begun.elapsed().as_secs_f64() * 1000.0;
-        notes.events.push((at, seen));
-        more
+    /// The ms since the recording's start.
+    fn now(&self) -> Time {
+        self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The settings of a configuration came into force, and its list is known.
+    fn record(&self, event: HistoryEvent) {
+        let mut recording = self.recording.lock().unwrap();
+        // The time is read under the lock, so that events are in the order of time.
+        let at = self.now();
+        recording.events.push((at, event));
+    }
+
+    /// Records that a configuration became active, and that its endpoint list is known.
+    ///
+    /// # Panics
+    /// If the configuration is not one that the proxy accepts.
     pub fn record_active_config(&self, config: &str) {
         let config: Value = serde_json::from_str(config).unwrap();
-        let figures = figures(&config["settings"]);
-        self.note(|_| (HistoryEvent::ConfigActivated { proxy: PROXY.into(), figures }, ()));
+        let figures = from_json::figures(&config["settings"]);
+        self.record(HistoryEvent::ConfigActivated { proxy: PROXY.into(), figures });
         self.record_endpoint_list(&config["known"].to_string());
     }
 
-    /// Discovery told a list or changes.
+    /// Records that discovery sent an endpoint list or changes to it. What is no JSON is ignored.
+    ///
+    /// # Panics
+    /// If an entry lacks a field.
     pub fn record_endpoint_list(&self, list: &str) {
         let Ok(list) = serde_json::from_str::<Value>(list) else { return };
-        self.note(|notes| {
-            let entries = list["instances"].as_array().into_iter().flatten();
-            let nodes = entries.map(|entry| node(entry, notes.begun_ms)).collect();
-            let whole = list["reset"].as_bool().unwrap_or(false);
-            (HistoryEvent::EndpointsListed { proxy: PROXY.into(), whole, nodes }, ())
-        });
+        let entries = list["instances"].as_array().into_iter().flatten();
+        let nodes = entries.map(|entry| from_json::node(entry, self.start_unix_ms)).collect();
+        let whole = list["reset"].as_bool().unwrap_or(false);
+        self.record(HistoryEvent::EndpointsListed { proxy: PROXY.into(), whole, nodes });
     }
 
-    /// A consumer's command is about to go out.
+    /// Records that a client's command is about to be sent.
+    ///
+    /// # Panics
+    /// If the command has no deadline.
     pub fn record_request(&self, command: &str) {
-        let word = |name: &str| label(command, name).unwrap_or_default().to_owned();
+        let class = label(command, "c").unwrap_or_default().to_owned();
+        let budget = label(command, "d").unwrap_or_default().parse().unwrap();
         let request = crate::opaque(command).to_owned();
-        let budget = word("d").parse().unwrap();
-        self.note(|_| {
-            (HistoryEvent::RequestSent { proxy: PROXY.into(), request, class: word("c"), budget }, ())
-        });
+        self.record(HistoryEvent::RequestSent { proxy: PROXY.into(), request, class, budget });
     }
 
-    /// A consumer has its answer: the line of it, and the line of the value.
+    /// Records that a client received its response: its line, and the line of its value.
+    ///
+    /// # Panics
+    /// If the line reports a write without a receipt.
     pub fn record_response(&self, command: &str, line: &str, value: &str) {
         let request = crate::opaque(command).to_owned();
         let answer = match line.split(' ').next() {
@@ -87,139 +112,116 @@
             _ if line.starts_with("SERVER_ERROR busy") => Answer::Rejected,
             _ => Answer::Failed,
         };
-        self.note(|_| (HistoryEvent::ResponseReceived { request, answer }, ()));
+        self.record(HistoryEvent::ResponseReceived { request, answer });
     }
 
-    /// A consumer closes its connection.
+    /// Records that a client closes its connection.
     pub fn record_client_gone(&self, command: &str) {
         let request = crate::opaque(command).to_owned();
-        self.note(|_| (HistoryEvent::ClientDisconnected { request }, ()));
+        self.record(HistoryEvent::ClientDisconnected { request });
     }
 
-    /// The process has ended by itself.
+    /// Records that the process has exited by itself.
     pub fn record_exit(&self) {
-        self.note(|_| (HistoryEvent::ProxyEnded { proxy: PROXY.into(), how: ProxyEnd::Exited }, ()));
-    }
-
-    /// A provider has read a call; its number.
-    pub fn record_backend_request(&self, place: &str, words: &str) -> u64 {
-        let id = words.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(|id| format!("O{id}")));
-        let request = id.unwrap_or_else(|| crate::opaque(words).to_owned());
-        self.note(|notes| {
-            notes.calls += 1;
-            let first = notes.begun.elapsed().as_secs_f64() * 1000.0;
-            let (proxy, place, call) = (PROXY.to_owned(), place.to_owned(), notes.calls);
-            (
-                HistoryEvent::AttemptReceived {
-                    proxy,
-                    request,
-                    attempt: call,
-                    address: place,
-                    first,
-                    work: 1.0,
-                },
-                call,
-            )
-        })
-    }
-
-    /// A provider is about to answer a call with these words; none if its connection has ended.
-    pub fn record_backend_response(&self, call: u64, words: Option<&str>) {
-        let end = match words {
-            None => End::Broken,
-            Some(words) if words.starts_with("VA ") => {
-                End::Served(words.lines().nth(1).unwrap_or_default().to_owned())
-            }
-            Some(words) if words.starts_with("EN ") => End::Missed,
-            Some(words) if words.starts_with("SERVER_ERROR busy") => End::Rejected,
-            Some(words) if words.starts_with("HTTP/1.1 200") => {
-                End::Served(words.split_once("\r\n\r\n").unwrap().1.to_owned())
-            }
-            Some(words) if words.contains("X-Turned-Away: 1") => End::Rejected,
-            Some(_) => End::Failed,
-        };
-        self.note(|_| (HistoryEvent::AttemptEnded { attempt: call, end }, ()));
+        self.record(HistoryEvent::ProxyEnded { proxy: PROXY.into(), how: ProxyEnd::Exited });
+    }
+
+    /// Records that a backend has read a request; the number of the attempt.
+    ///
+    /// # Panics
+    /// If a thread panicked while it recorded something.
+    pub fn record_backend_request(&self, address: &str, text: &str) -> u64 {
+        let transaction = text.lines().find_map(|line| line.strip_prefix("X-Txn: "));
+        let request = transaction.map_or_else(|| crate::opaque(text).to_owned(), |id| format!("O{id}"));
+        let attempt = self.next_attempt();
+        self.record(HistoryEvent::AttemptReceived {
+            proxy: PROXY.to_owned(),
+            request,
+            attempt,
+            address: address.to_owned(),
+            first: self.now(),
+            work: 1.0,
+        });
+        attempt
     }
 
-    /// A process said at its door what its share is; its calls run for so long at the most.
-    pub fn share(&self, proxy: &str, part: f64, calls: Time) {
-        self.note(|_| {
-            (HistoryEvent::QuotaStated { proxy: proxy.to_owned(), part, longest_attempt: calls }, ())
-        });
+    fn next_attempt(&self) -> u64 {
+        let mut recording = self.recording.lock().unwrap();
+        recording.attempts += 1;
+        recording.attempts
     }
 
-    /// All together may have so many calls at once at a provider.
-    pub fn bound(&self, place: &str, calls: usize) {
-        self.note(|_| (HistoryEvent::AttemptLimitSet { address: place.to_owned(), limit: calls }, ()));
+    /// Records that a backend is about to answer an attempt with this text; with none that its connection
+    /// has ended.
+    ///
+    /// # Panics
+    /// If an HTTP response has no end of its head.
+    pub fn record_backend_response(&self, attempt: u64, text: Option<&str>) {
+        let end = text.map_or(End::Broken, end_of_attempt);
+        self.record(HistoryEvent::AttemptEnded { attempt, end });
     }
 
-    /// Judges what was seen of shares alone.
-    pub fn check_quota(&self) {
-        let breaches = check_quota(&self.history()).expect("shares were seen");
-        assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
+    /// Records that a process reported its quota, from 0 to 1; its attempts run for so many ms at most.
+    pub fn record_quota(&self, proxy: &str, part: f64, longest_attempt: Time) {
+        let proxy = proxy.to_owned();
+        self.record(HistoryEvent::QuotaStated { proxy, part, longest_attempt });
+    }
+
+    /// Records how many attempts all proxies together may have in flight at a backend.
+    pub fn record_attempt_limit(&self, address: &str, limit: usize) {
+        let address = address.to_owned();
+        self.record(HistoryEvent::AttemptLimitSet { address, limit });
     }
 
     /// What was seen.
+    ///
+    /// # Panics
+    /// If a thread panicked while it recorded something.
     pub fn history(&self) -> History {
-        History { clock_error: BLUR, events: self.0.lock().unwrap().events.clone() }
+        let events = self.recording.lock().unwrap().events.clone();
+        History { clock_error: CLOCK_ERROR, events }
     }
 
-    /// Judges it: nothing may be broken.
+    /// Checks what was seen by all rules.
+    ///
+    /// # Panics
+    /// If a rule is violated, or the history cannot be judged.
     pub fn check(&self) {
-        let breaches = check(&self.history()).expect("the history is whole");
-        assert!(breaches.is_empty(), "{} in all, first {}", breaches.len(), breaches[0]);
+        assert_no_violation(&check(&self.history()).expect("the history is whole"));
+    }
+
+    /// Checks what was seen of quotas alone.
+    ///
+    /// # Panics
+    /// If quotas add up to more than one, or none was seen.
+    pub fn check_quota(&self) {
+        assert_no_violation(&check_quota(&self.history()).expect("quotas were seen"));
     }
 }
 
-/// A label of a command's list, such as `c` in `Pc=read,t=acme`.
-fn label<'a>(command: &'a str, name: &str) -> Option<&'a str> {
-    let labels = command.split_whitespace().find_map(|word| word.strip_prefix('P'))?;
-    labels.split(',').find_map(|label| label.strip_prefix(name)?.strip_prefix('='))
+fn assert_no_violation(violations: &[Violation]) {
+    assert!(violations.is_empty(), "{} in all, first {}", violations.len(), violations[0]);
 }
 
-fn node(entry: &Value, begun_ms: f64) -> Node {
-    let text = |key: &str| entry[key].as_str().unwrap().to_owned();
-    Node {
-        name: text("instanceId"),
-        address: text("hostPort"),
-        zone: u16::from(text("zone") != "a"),
-        cell: entry["cell"].as_u64().unwrap() as u16,
-        state: match &*text("lifecycle") {
-            "ready" => State::Ready,
-            "draining" => State::Draining,
-            _ => State::Gone,
-        },
-        started: entry["startedAtMs"].as_f64().unwrap() - begun_ms,
+/// How a backend ends an attempt with this response.
+fn end_of_attempt(text: &str) -> End {
+    if text.starts_with("VA ") {
+        End::Served(text.lines().nth(1).unwrap_or_default().to_owned())
+    } else if text.starts_with("EN ") {
+        End::Missed
+    } else if text.starts_with("SERVER_ERROR busy") {
+        End::Rejected
+    } else if text.starts_with("HTTP/1.1 200") {
+        End::Served(text.split_once("\r\n\r\n").unwrap().1.to_owned())
+    } else if text.contains("X-Turned-Away: 1") {
+        End::Rejected
+    } else {
+        End::Failed
     }
 }
 
-fn figures(settings: &Value) -> Figures {
-    let class = |class: &Value| {
-        let of = |key: &str| class[key].as_str().unwrap_or_default();
-        let effect = match of("Semantics") {
-            "safe" => Effect::Safe,
-            "keyed" => Effect::Keyed,
-            _ => Effect::Unsafe,
-        };
-        let scope = match of("DedupScope") {
-            "all" => Scope::All,
-            "zone" => Scope::Zone,
-            _ => Scope::Cell,
-        };
-        let window = class["RepeatWindow"].as_f64().unwrap_or(0.0);
-        (of("Name").to_owned(), Class { effect, scope, window })
-    };
-    let (allowed, safety) = (&settings["Permissions"], &settings["Safety"]);
-    let figure = |name: &str| safety[name].as_f64().unwrap();
-    Figures {
-        classes: settings["Grades"].as_array().unwrap().iter().map(class).collect(),
-        attempts: allowed["MaxAttempts"].as_u64().unwrap() as usize,
-        second_copies: allowed["SecondCopies"].as_bool().unwrap(),
-        answer_slack: 20.0,
-        stop_within: 1000.0,
-        start_capacity: figure("StartCapacity"),
-        cold: figure("Cold"),
-        fall_multiple: figure("FallMultiple"),
-        tip_after: figure("TipAfter"),
-    }
+/// A label of a command's list, such as `c` in `Pc=read,t=acme`.
+fn label<'a>(command: &'a str, name: &str) -> Option<&'a str> {
+    let labels = command.split_whitespace().find_map(|word| word.strip_prefix('P'))?;
+    labels.split(',').find_map(|label| label.strip_prefix(name)?.strip_prefix('='))
 }
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -35,14 +35,14 @@
 
 /// Waits until something holds. Meanwhile all shares are read, again and again, and written down for the judge.
 fn until(fleet: &Fleet, members: &[usize], what: &str, holds: impl Fn(&Fleet) -> bool) {
-    let witness = Recorder::own();
+    let recorder = Recorder::own();
     fleet.wait_until(what, |fleet| {
         for (member, share) in members.iter().zip(shares(fleet, members)) {
-            witness.share(&Fleet::name(*member), share, CALL_MS);
+            recorder.record_quota(&Fleet::name(*member), share, CALL_MS);
         }
         holds(fleet)
     });
-    witness.check_quota();
+    recorder.check_quota();
 }
 
 fn all_share(members: usize) -> Fleet {
@@ -151,7 +151,7 @@
     };
     let options = Options { node_calls: Some(NODE_CALLS), ..sharing(5) };
     let mut fleet = Fleet::start_all(options, vec![node()], origin());
-    Recorder::own().bound(&fleet.nodes[0].address.to_string(), NODE_CALLS);
+    Recorder::own().record_attempt_limit(&fleet.nodes[0].address.to_string(), NODE_CALLS);
     fleet.wait_until("they share", |fleet| have(fleet, &ALL, 5));
     let done = AtomicBool::new(false);
     let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).client_address).collect();
