--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use pinetrail_simulation::policy_consensus::{play, play_seed, Fault, OutcomeCounts, Plan, Run, Verdict};
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
-use pinetrail_test_harness::policy::{play_hangups, play_seed as play_processes, PolicyRun};
+use pinetrail_test_harness::policy::{run_under_faults, run_with_reloads, PolicyRun};
 use pinetrail_test_harness::{http_200, program, StubServer};
 use rayon::prelude::*;
 use serde::Serialize;
@@ -136,21 +136,22 @@
     for seed in first..first + seeds {
         let (nodes, origin) = parties();
         let options = FleetOptions { seed, founders: vec![0, 1, 2], policy: true, ..FleetOptions::of(4) };
-        all.push(play_processes(Fleet::start_all(options, nodes, origin), seed));
+        all.push(run_under_faults(Fleet::start_all(options, nodes, origin), seed));
     }
-    let wrong: Vec<u64> = all.iter().filter(|one| one.breaches > 0).map(|one| one.seed).collect();
+    let wrong: Vec<u64> = all.iter().filter(|one| one.violations > 0).map(|one| one.seed).collect();
     let sum = |of: fn(&PolicyRun) -> u64| all.iter().map(of).sum::<u64>();
     println!(
         "real processes: {seeds} seeds from {first}, wrong {wrong:?}; {} requests decided, {} refused; the change taken in {}",
         sum(|one| one.decided as u64),
-        sum(|one| one.refused),
+        sum(|one| one.rejected),
         sum(|one| u64::from(one.version == 2))
     );
     let (nodes, origin) = parties();
-    let base = play_hangups(Fleet::start_all(FleetOptions::of(4), nodes, origin), Duration::from_millis(200));
+    let base =
+        run_with_reloads(Fleet::start_all(FleetOptions::of(4), nodes, origin), Duration::from_millis(200));
     println!(
         "baseline, SIGHUP at each of four in turn, 200 ms apart: {} requests show two policies, for {:.0} ms",
-        base.breaches, base.overlap_ms
+        base.violations, base.overlap_ms
     );
     Ok(wrong.is_empty())
 }
--- /dev/null
+++ b/crates/test-harness/src/policy/clients.rs
@@ -0,0 +1,165 @@
+//! Clients that send requests to members all the time, and remember which version decided each:
+//! [`PolicyClients`].
+
+use crate::client::Client;
+use crate::fleet::Fleet;
+use pinetrail_history_checker::{check_policies, PolicyDecision};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// How many clients each member has.
+const CLIENTS_OF_A_MEMBER: usize = 2;
+/// Between two requests of a client.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(2);
+/// Numbers the requests of one test program.
+static REQUESTS: AtomicU64 = AtomicU64::new(0);
+
+/// A time of the clock that all clients read, in ms.
+pub fn now() -> f64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_secs_f64() * 1000.0
+}
+
+/// What the clients share.
+#[derive(Default)]
+struct Shared {
+    /// Guards the requests that a version decided.
+    decisions: Mutex<Vec<PolicyDecision>>,
+    rejected: AtomicU64,
+    stop: AtomicBool,
+}
+
+/// Clients that run until this is stopped or dropped.
+pub struct PolicyClients {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl PolicyClients {
+    /// Starts clients of all members that run.
+    pub fn start(fleet: &Fleet) -> PolicyClients {
+        let running = (0..fleet.options.members).filter(|member| fleet.runs(*member));
+        let members: Vec<(String, SocketAddr)> =
+            running.map(|member| (Fleet::name(member), fleet.process(member).client_address)).collect();
+        PolicyClients::start_at(&members)
+    }
+
+    /// Starts clients of members with these names and addresses.
+    pub fn start_at(members: &[(String, SocketAddr)]) -> PolicyClients {
+        let mut clients = PolicyClients { shared: Arc::default(), threads: Vec::new() };
+        for (name, address) in members {
+            for _ in 0..CLIENTS_OF_A_MEMBER {
+                let shared = Arc::clone(&clients.shared);
+                let name = name.clone();
+                let address = *address;
+                clients.threads.push(thread::spawn(move || shared.send_requests(&name, address)));
+            }
+        }
+        clients
+    }
+
+    /// How many requests were rejected so far.
+    pub fn rejected(&self) -> u64 {
+        self.shared.rejected.load(Ordering::Acquire)
+    }
+
+    /// Whether a version decided a request of this proxy that was sent after a time of [`now`].
+    ///
+    /// # Panics
+    /// If a client panicked.
+    pub fn decided_since(&self, proxy: &str, version: u64, since: f64) -> bool {
+        let decisions = self.shared.decisions.lock().unwrap();
+        let mut of_proxy = decisions.iter().filter(|decision| decision.proxy == proxy);
+        of_proxy.any(|decision| decision.version == version && decision.sent > since)
+    }
+
+    /// Stops the clients; the requests that a version decided.
+    ///
+    /// # Panics
+    /// If a client panicked.
+    pub fn stop(mut self) -> Vec<PolicyDecision> {
+        self.shared.stop.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a client does not panic");
+        }
+        std::mem::take(&mut *self.shared.decisions.lock().unwrap())
+    }
+
+    /// Stops the clients and checks that each version became active at one moment. Returns the versions 1 to 3,
+    /// each with the number of requests that it decided.
+    ///
+    /// # Panics
+    /// If two versions were active at once, or no request was decided.
+    pub fn check(self) -> Vec<(u64, usize)> {
+        let decisions = self.stop();
+        let violations = check_policies(&decisions, 0.0).expect("something was decided");
+        assert!(violations.is_empty(), "{} violations; the first: {}", violations.len(), violations[0]);
+        let count = |version| decisions.iter().filter(|decision| decision.version == version).count();
+        [1, 2, 3].map(|version| (version, count(version))).to_vec()
+    }
+}
+
+impl Drop for PolicyClients {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Release);
+    }
+}
+
+impl Shared {
+    /// One client: sends requests until it is stopped, and connects again when its connection has ended.
+    fn send_requests(&self, proxy: &str, address: SocketAddr) {
+        let mut connection = None;
+        while !self.stop.load(Ordering::Acquire) {
+            thread::sleep(REQUEST_INTERVAL);
+            if connection.is_none() {
+                connection = Client::try_connect(address);
+            }
+            let Some(client) = connection.as_mut() else { continue };
+            match send_request(client, proxy) {
+                RequestResult::Decided(decision) => self.decisions.lock().unwrap().push(decision),
+                RequestResult::Rejected => {
+                    self.rejected.fetch_add(1, Ordering::AcqRel);
+                }
+                RequestResult::Disconnected => connection = None,
+            }
+        }
+    }
+}
+
+/// What came of a request.
+enum RequestResult {
+    /// A version decided it.
+    Decided(PolicyDecision),
+    /// It was rejected or failed, by no version.
+    Rejected,
+    /// The connection has ended.
+    Disconnected,
+}
+
+/// Sends one request and waits for its response. Versions are told apart by being odd or even: the first
+/// two are what a history holds.
+fn send_request(client: &mut Client, proxy: &str) -> RequestResult {
+    let number = REQUESTS.fetch_add(1, Ordering::AcqRel);
+    let class = if number.is_multiple_of(2) { "read" } else { "scan" };
+    let sent = now();
+    if !client.try_send(&format!("mg k{} v Op{number} Pc={class},t=acme,d=3000\r\n", number % 8)) {
+        return RequestResult::Disconnected;
+    }
+    let line = client.read_line();
+    let is_served = line.starts_with("VA ");
+    if is_served {
+        client.read_line();
+    }
+    let answered = now();
+    if line.is_empty() {
+        return RequestResult::Disconnected;
+    }
+    if !is_served && !line.starts_with("CLIENT_ERROR") {
+        return RequestResult::Rejected;
+    }
+    let version = if is_served == (class == "read") { 1 } else { 2 };
+    RequestResult::Decided(PolicyDecision { sent, answered, version, proxy: proxy.to_owned() })
+}
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -2,13 +2,13 @@
 
 use crate::policy::{governed, has};
 use pinetrail_test_harness::fleet::Fleet;
-use pinetrail_test_harness::policy::{ask, settings};
+use pinetrail_test_harness::policy::{get_json, settings};
 use pinetrail_test_harness::send_to_admin;
 use serde_json::json;
 
 /// How a member's door sees another, and the parts that differ.
 fn seen(fleet: &Fleet, by: usize, whom: usize) -> (String, Vec<String>) {
-    let said = ask(fleet.process(by).admin_address, "/control/drift");
+    let said = get_json(fleet.process(by).admin_address, "/control/drift");
     let node = said["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
     let parts = node.and_then(|node| node["parts"].as_array()).into_iter().flatten();
     let state = node.and_then(|node| node["state"].as_str()).unwrap_or_default().to_owned();
--- a/tests/fleet/policy/configuration.rs
+++ b/tests/fleet/policy/configuration.rs
@@ -14,8 +14,8 @@
         fleet.timeline.first_match("n2", "propose them by POST /control/policy", 0).is_some()
     });
     std::thread::sleep(ms(100));
-    assert_eq!(watch.judged()[1].1, 0, "all by the first version");
-    assert_eq!(ask(fleet.process(2).admin_address, "/control/policy")["version"], 1);
+    assert_eq!(watch.check()[1].1, 0, "all by the first version");
+    assert_eq!(get_json(fleet.process(2).admin_address, "/control/policy")["version"], 1);
 }
 
 /// Guards against a policy that is on by a slip, or cannot be and is found out only when it is needed.
--- a/tests/fleet/policy/mod.rs
+++ b/tests/fleet/policy/mod.rs
@@ -7,7 +7,8 @@
 use pinetrail_test_harness::call_admin;
 use pinetrail_test_harness::fleet::{Fleet, Options};
 use pinetrail_test_harness::policy::{
-    ask, now, outcome, play_hangups, play_seed, propose, settings, standing, PolicyClients,
+    change_outcome, get_json, now, policy_status, propose, run_under_faults, run_with_reloads, settings,
+    PolicyClients,
 };
 use serde_json::json;
 use std::time::Instant;
@@ -19,7 +20,7 @@
 }
 
 pub(crate) fn has(fleet: &Fleet, members: &[usize], version: u64) -> bool {
-    members.iter().all(|member| standing(fleet, *member) == (version, "steady".to_owned()))
+    members.iter().all(|member| policy_status(fleet, *member) == (version, "steady".to_owned()))
 }
 
 /// Proposes the other policy at a member's door.
@@ -33,33 +34,33 @@
     let fleet = governed(members, founders);
     let all: Vec<usize> = (0..members).collect();
     fleet.wait_until("all have the first version", |fleet| has(fleet, &all, 1));
-    let watch = PolicyClients::all(&fleet);
+    let watch = PolicyClients::start(&fleet);
     std::thread::sleep(ms(150));
     (fleet, watch)
 }
 
 fn ends(fleet: &Fleet, member: usize, how: &str) {
-    fleet.wait_until("the change ends", |fleet| !outcome(fleet, member, "x").is_empty());
-    assert_eq!(outcome(fleet, member, "x"), how, "{}", fleet.timeline);
+    fleet.wait_until("the change ends", |fleet| !change_outcome(fleet, member, "x").is_empty());
+    assert_eq!(change_outcome(fleet, member, "x"), how, "{}", fleet.timeline);
 }
 
 #[test]
 fn a_change_takes_hold_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
     fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = PolicyClients::all(&fleet);
+    let watch = PolicyClients::start(&fleet);
     std::thread::sleep(ms(200));
     let begun = Instant::now();
     propose_second(&fleet, 3);
     fleet.wait_until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
     assert!(begun.elapsed() < ms(5000));
-    assert_eq!(outcome(&fleet, 3, "x"), "taken");
+    assert_eq!(change_outcome(&fleet, 3, "x"), "taken");
     // The same again changes nothing; what does not follow is refused.
     propose_second(&fleet, 0);
     assert_eq!(propose(fleet.process(1).admin_address, "y", 1, &settings(&fleet, 1)).0, 409);
     assert_eq!(propose(fleet.process(1).admin_address, "x", 2, &settings(&fleet, 1)).0, 409);
     std::thread::sleep(ms(200));
-    let counts = watch.judged();
+    let counts = watch.check();
     assert!(counts[0].1 > 50 && counts[1].1 > 50, "{counts:?}");
 }
 
@@ -75,7 +76,7 @@
     }
     ends(&fleet, 3, "taken");
     fleet.wait_until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.judged();
+    watch.check();
 }
 
 #[test]
@@ -85,11 +86,11 @@
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
     fleet.start(3);
-    assert_eq!(standing(&fleet, 3).0, 2, "it was not ready before it had it");
-    let again = PolicyClients::of(&[(Fleet::name(3), fleet.process(3).client_address)]);
+    assert_eq!(policy_status(&fleet, 3).0, 2, "it was not ready before it had it");
+    let again = PolicyClients::start_at(&[(Fleet::name(3), fleet.process(3).client_address)]);
     fleet.wait_until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
-    assert_eq!(again.judged()[0].1, 0, "none by the old one");
-    watch.judged();
+    assert_eq!(again.check()[0].1, 0, "none by the old one");
+    watch.check();
 }
 
 #[test]
@@ -99,9 +100,9 @@
     propose_second(&fleet, 1);
     ends(&fleet, 1, "taken");
     let taken = now();
-    assert_eq!(standing(&fleet, 0), (2, "steady".to_owned()));
+    assert_eq!(policy_status(&fleet, 0), (2, "steady".to_owned()));
     for member in [3, 4] {
-        assert_eq!(standing(&fleet, member), (1, "fenced".to_owned()), "its permit has ended before");
+        assert_eq!(policy_status(&fleet, member), (1, "fenced".to_owned()), "its permit has ended before");
         assert_eq!(call_admin(fleet.process(member).admin_address, "GET", "/control/ready").0, 503);
         assert_eq!(fleet.client(member).request("mn\r\n"), "SERVER_ERROR out of service\r\n");
         let refused = fleet.client(member).get("k", &format!("f{member}"), 1000).0;
@@ -113,7 +114,7 @@
     fleet.wait_until("they serve by it", |_| {
         ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken))
     });
-    watch.judged();
+    watch.check();
 }
 
 #[test]
@@ -127,7 +128,7 @@
     let woken = now();
     fleet.process(3).signal("CONT");
     fleet.wait_until("it serves by the second", |_| watch.decided_since("n3", 2, woken));
-    watch.judged();
+    watch.check();
 }
 
 #[test]
@@ -142,10 +143,10 @@
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
-    let said = ask(fleet.process(0).admin_address, "/control/policy/changes/x");
+    let said = get_json(fleet.process(0).admin_address, "/control/policy/changes/x");
     assert!(said["why"].as_str().unwrap().contains("n3"), "{said}");
     assert!(fleet.client(3).get("k", "s1", 1000).0.starts_with("VA "), "by the first version");
-    assert_eq!(standing(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
+    assert_eq!(policy_status(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
     assert_eq!(
         call_admin(fleet.process(3).admin_address, "GET", "/control/ready").0,
         200,
@@ -167,12 +168,12 @@
     }
     fleet.start_together(&[0, 1, 2, 3]);
     fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = PolicyClients::all(&fleet);
+    let watch = PolicyClients::start(&fleet);
     let mut longer = settings(&fleet, 2);
     longer["Grades"][0]["GiveUp"] = json!(2000.0);
     assert_eq!(propose(fleet.process(0).admin_address, "x", 1, &longer).0, 202, "it suits this one");
     ends(&fleet, 1, "refused");
-    let said = ask(fleet.process(1).admin_address, "/control/policy/changes/x");
+    let said = get_json(fleet.process(1).admin_address, "/control/policy/changes/x");
     let why = said["why"].as_str().unwrap();
     assert!(why.contains("n3: Grades") && why.contains("call_ms"), "{said}");
     let mut bad = settings(&fleet, 2);
@@ -185,7 +186,7 @@
     assert!(status == 400 && said["error"].as_str().unwrap().contains("\"Grades\""), "{said}");
     assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy/changes/bad").0, 404);
     fleet.wait_until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    assert_eq!(watch.judged()[1].1, 0);
+    assert_eq!(watch.check()[1].1, 0);
 }
 
 #[test]
@@ -205,7 +206,7 @@
     assert!(said.iter().filter(|status| **status == 202).count() == 1, "{said:?}");
     assert!(said.iter().all(|status| [202, 409].contains(status)), "{said:?}");
     fleet.wait_until("one is taken", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.judged();
+    watch.check();
 }
 
 #[test]
@@ -223,7 +224,7 @@
     });
     fleet.datagram_faults.change_all_paths(|path| path.throttle = None);
     fleet.wait_until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
-    watch.judged();
+    watch.check();
 }
 
 #[test]
@@ -251,7 +252,7 @@
         fleet.wait_until("all agree", |fleet| {
             [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version))
         });
-        watch.judged();
+        watch.check();
     }
 }
 
@@ -267,7 +268,7 @@
         first.end();
         fleet.wait_until("all have it", |fleet| has(fleet, &[0, 1, 2, 3], 2));
         fleet.wait_until("the newcomer serves by it", |_| watch.decided_since(&Fleet::name(member), 2, 0.0));
-        watch.judged();
+        watch.check();
     }
 }
 
@@ -276,14 +277,14 @@
     for seed in [1, 2, 3] {
         let fleet = governed(4, 3);
         let timeline = fleet.timeline.clone();
-        let played = play_seed(fleet, seed);
-        assert!(played.breaches == 0 && played.decided > 500, "{played:?}\n{timeline}");
+        let played = run_under_faults(fleet, seed);
+        assert!(played.violations == 0 && played.decided > 500, "{played:?}\n{timeline}");
     }
 }
 
 /// Guards against a judge that sees nothing: a hangup at each proxy in turn has two policies decide side by side.
 #[test]
 fn hangups_in_turn_are_no_one_moment() {
-    let played = play_hangups(Fleet::start_all(Options::of(3), nodes(), origin()), ms(150));
-    assert!(played.breaches > 0 && played.overlap_ms > 150.0, "{played:?}");
+    let played = run_with_reloads(Fleet::start_all(Options::of(3), nodes(), origin()), ms(150));
+    assert!(played.violations > 0 && played.overlap_ms > 150.0, "{played:?}");
 }
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -3,7 +3,7 @@
 use crate::door::{request, whole_answer};
 use crate::{compare, escaped, origin, without_number};
 use pinetrail_test_harness::fleet::{Fleet, Options};
-use pinetrail_test_harness::policy::{outcome, settings, standing};
+use pinetrail_test_harness::policy::{change_outcome, policy_status, settings};
 use pinetrail_test_harness::{call_admin, StubServer};
 use serde_json::{json, Value};
 
@@ -106,7 +106,7 @@
     let seen = |member| call_admin(member_door(fleet, member), "GET", "/control/drift").1;
     fleet.wait_until("all have the version", |fleet| {
         let steady = (version, "steady".to_owned());
-        (0..3).all(|member| standing(fleet, member) == steady)
+        (0..3).all(|member| policy_status(fleet, member) == steady)
             && (0..3).all(|member| same(&serde_json::from_str(&seen(member)).unwrap()))
     });
 }
@@ -117,7 +117,7 @@
     let ask = |line: &str| asked(&fleet, 1, line);
     let mut said = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
     said += &posted(&fleet, 1, "a change", &proposal("x", 1, &settings(&fleet, 2)));
-    fleet.wait_until("the change ends", |fleet| !outcome(fleet, 1, "x").is_empty());
+    fleet.wait_until("the change ends", |fleet| !change_outcome(fleet, 1, "x").is_empty());
     has(&fleet, 2);
     said += &(ask("GET /control/policy") + &ask("GET /control/policy/changes/x"));
     said += &posted(&fleet, 1, "the same", &proposal("x", 1, &settings(&fleet, 2)));
@@ -152,7 +152,7 @@
 fn a_member_that_is_cut_off_tells_that_it_is_fenced_as_recorded() {
     let fleet = governed();
     fleet.cut_into(&[&[2], &[0, 1]]);
-    fleet.wait_until("it is fenced", |fleet| standing(fleet, 2) == (1, "fenced".to_owned()));
+    fleet.wait_until("it is fenced", |fleet| policy_status(fleet, 2) == (1, "fenced".to_owned()));
     let mut said = asked(&fleet, 2, "GET /control/policy");
     said += &asked(&fleet, 2, "GET /control/ready");
     said += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
