--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -6,10 +6,10 @@
 use pinetrail_test_harness::send_to_admin;
 use serde_json::json;
 
-/// How a member's door sees another, and the parts that differ.
+/// How a member's admin server sees another, and the parts that differ.
 fn seen(fleet: &Fleet, by: usize, whom: usize) -> (String, Vec<String>) {
-    let said = get_json(fleet.process(by).admin_address, "/control/drift");
-    let node = said["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
+    let drift = get_json(fleet.process(by).admin_address, "/control/drift");
+    let node = drift["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
     let parts = node.and_then(|node| node["parts"].as_array()).into_iter().flatten();
     let state = node.and_then(|node| node["state"].as_str()).unwrap_or_default().to_owned();
     (state, parts.filter_map(|part| Some(part.as_str()?.to_owned())).collect())
@@ -52,7 +52,7 @@
 fn a_local_change_shows_at_every_door_is_one_alarm_and_can_be_undone() {
     let mut fleet = with_a_loose_one();
     drift(&mut fleet);
-    fleet.wait_until("every door shows it", |fleet| all_see(fleet, 3, "differs"));
+    fleet.wait_until("every admin server shows it", |fleet| all_see(fleet, 3, "differs"));
     assert_eq!(seen(&fleet, 0, 3).1, ["Grades"], "and in what");
     fleet.wait_until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
     std::thread::sleep(crate::ms(1000));
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -30,8 +30,8 @@
     let ways = [(0, 1), (0, 2), (1, 0), (2, 0)];
     let passed = || ways.map(|(from, to)| fleet.datagram_faults.counts(from, to).delivered);
     let before = passed();
-    let heard = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
-    fleet.wait_until("it is alone", heard);
+    let is_alone = |fleet: &Fleet| fleet.report(0).unwrap().side == "alone";
+    fleet.wait_until("it is alone", is_alone);
     assert_eq!(passed(), before);
     assert!(
         ways.iter().all(|(from, to)| fleet.datagram_faults.counts(*from, *to).lost > 0),
@@ -234,8 +234,8 @@
         fleet.set_config(3, &newer);
         fleet.process(3).signal("HUP");
         fleet.wait_until("the reload shows", |fleet| {
-            let said = fleet.timeline.to_string();
-            said.contains("reload: the old configuration stays") && fleet.report(3).unwrap().side == side
+            let log = fleet.timeline.to_string();
+            log.contains("reload: the old configuration stays") && fleet.report(3).unwrap().side == side
         });
     }
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2, 3]));
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -41,7 +41,7 @@
         std::thread::sleep(crate::ms(100));
         fleet.runs(0) && counts == [off, on].map(|id| descriptors(id).len())
     };
-    fleet.wait_until("connections to discovery and the door have settled", settled);
+    fleet.wait_until("connections to discovery and the admin server have settled", settled);
     assert_eq!((datagram_sockets(off), datagram_sockets(on)), (0, 1));
     assert_eq!(descriptors(on).len(), descriptors(off).len() + 1);
     assert_eq!(threads(on), threads(off));
@@ -95,9 +95,9 @@
     ];
     for (config, names) in bad {
         let output = end(start(&config.to_string()));
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
-        assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{names}: {said}");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{log}");
+        assert!(log.starts_with("pinetrail: cannot start: ") && log.contains(names), "{names}: {log}");
     }
     // An address that is taken.
     let taken = std::net::UdpSocket::bind(fleet.member_address(0)).unwrap();
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -46,14 +46,14 @@
     twin["name"] = "n2".into();
     fleet.set_config(3, &twin);
     fleet.start(3);
-    let told = |fleet: &Fleet| {
+    let both_log_it = |fleet: &Fleet| {
         let rival = |member: usize| fleet.report(member).unwrap().json["rival"].clone();
         rival(2)["address"] == fleet.advertised_address(3).to_string()
             && rival(2)["counts"] == true
             && rival(3)["address"] == fleet.advertised_address(2).to_string()
             && rival(3)["counts"] == false
     };
-    fleet.wait_until("both doors say so", told);
+    fleet.wait_until("both log it", both_log_it);
     assert!(fleet.timeline.first_match("n2", "ERROR: another process", 0).is_some());
     assert!(fleet.timeline.first_match("n3", "ERROR: another process", 0).is_some());
     assert_eq!(fleet.report(2).unwrap().side, "alone");
--- a/tests/fleet/policy/configuration.rs
+++ b/tests/fleet/policy/configuration.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn sighup_compares_and_puts_nothing_in_force() {
-    let (mut fleet, watch) = under_load(4, 3);
+    let (mut fleet, clients) = under_load(4, 3);
     let mut other = fleet.config(2, &[0, 1, 3]);
     other["settings"] = settings(&fleet, 2);
     other["listen"] = json!(fleet.process(2).client_address.to_string());
@@ -14,7 +14,7 @@
         fleet.timeline.first_match("n2", "propose them by POST /control/policy", 0).is_some()
     });
     std::thread::sleep(ms(100));
-    assert_eq!(watch.check()[1].1, 0, "all by the first version");
+    assert_eq!(clients.check()[1].1, 0, "all by the first version");
     assert_eq!(get_json(fleet.process(2).admin_address, "/control/policy")["version"], 1);
 }
 
@@ -41,9 +41,9 @@
     ];
     for (config, names) in bad {
         let output = pinetrail_test_harness::end(pinetrail_test_harness::start(&config.to_string()));
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
-        assert!(said.contains(names), "{names}: {said}");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{log}");
+        assert!(log.contains(names), "{names}: {log}");
     }
 }
 
@@ -86,10 +86,10 @@
             config[key] = example[key].clone();
         }
         config["known"]["instances"] = json!([]);
-        let places = config["fleet"]["policy"].clone();
+        let example_policy = config["fleet"]["policy"].clone();
         let mut policy = example["fleet"]["policy"].clone();
         for key in ["bind", "advertise", "state_dir"] {
-            policy[key] = places[key].clone();
+            policy[key] = example_policy[key].clone();
         }
         (config["fleet"]["policy"], config["fleet"]["size"]) = (policy, example["fleet"]["size"].clone());
         config["fleet"]["call_ms"] = json!(2500);
--- a/tests/fleet/policy/mod.rs
+++ b/tests/fleet/policy/mod.rs
@@ -23,10 +23,10 @@
     members.iter().all(|member| policy_status(fleet, *member) == (version, "steady".to_owned()))
 }
 
-/// Proposes the other policy at a member's door.
+/// Proposes the other policy at a member's admin server.
 fn propose_second(fleet: &Fleet, member: usize) {
-    let (status, said) = propose(fleet.process(member).admin_address, "x", 1, &settings(fleet, 2));
-    assert_eq!((status, said["version"].as_u64()), (202, Some(2)), "{said}");
+    let (status, answer) = propose(fleet.process(member).admin_address, "x", 1, &settings(fleet, 2));
+    assert_eq!((status, answer["version"].as_u64()), (202, Some(2)), "{answer}");
 }
 
 /// A fleet in which all have the first version, and clients of it.
@@ -34,9 +34,9 @@
     let fleet = governed(members, founders);
     let all: Vec<usize> = (0..members).collect();
     fleet.wait_until("all have the first version", |fleet| has(fleet, &all, 1));
-    let watch = PolicyClients::start(&fleet);
+    let clients = PolicyClients::start(&fleet);
     std::thread::sleep(ms(150));
-    (fleet, watch)
+    (fleet, clients)
 }
 
 fn ends(fleet: &Fleet, member: usize, how: &str) {
@@ -48,7 +48,7 @@
 fn a_change_takes_hold_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
     fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = PolicyClients::start(&fleet);
+    let clients = PolicyClients::start(&fleet);
     std::thread::sleep(ms(200));
     let begun = Instant::now();
     propose_second(&fleet, 3);
@@ -60,13 +60,13 @@
     assert_eq!(propose(fleet.process(1).admin_address, "y", 1, &settings(&fleet, 1)).0, 409);
     assert_eq!(propose(fleet.process(1).admin_address, "x", 2, &settings(&fleet, 1)).0, 409);
     std::thread::sleep(ms(200));
-    let counts = watch.check();
+    let counts = clients.check();
     assert!(counts[0].1 > 50 && counts[1].1 > 50, "{counts:?}");
 }
 
 #[test]
 fn links_that_are_reset_in_the_middle_of_a_change_are_made_again() {
-    let (fleet, watch) = under_load(4, 3);
+    let (fleet, clients) = under_load(4, 3);
     for turn in 0..3 {
         (1..4).for_each(|other| fleet.peer_faults.reset(0, other));
         if turn == 1 {
@@ -76,12 +76,12 @@
     }
     ends(&fleet, 3, "taken");
     fleet.wait_until("all have the second", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.check();
+    clients.check();
 }
 
 #[test]
 fn one_that_was_down_throughout_comes_back_with_what_was_taken_and_not_with_its_file() {
-    let (mut fleet, watch) = under_load(4, 3);
+    let (mut fleet, clients) = under_load(4, 3);
     fleet.kill(3);
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
@@ -90,12 +90,12 @@
     let again = PolicyClients::start_at(&[(Fleet::name(3), fleet.process(3).client_address)]);
     fleet.wait_until("it serves by it", |_| again.decided_since("n3", 2, 0.0));
     assert_eq!(again.check()[0].1, 0, "none by the old one");
-    watch.check();
+    clients.check();
 }
 
 #[test]
 fn who_is_cut_off_is_fenced_and_catches_up() {
-    let (fleet, watch) = under_load(5, 3);
+    let (fleet, clients) = under_load(5, 3);
     fleet.cut_into(&[&[3, 4], &[0, 1, 2]]);
     propose_second(&fleet, 1);
     ends(&fleet, 1, "taken");
@@ -112,14 +112,14 @@
     fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("they catch up", |fleet| has(fleet, &[0, 1, 2, 3, 4], 2));
     fleet.wait_until("they serve by it", |_| {
-        ["n3", "n4"].iter().all(|name| watch.decided_since(name, 2, taken))
+        ["n3", "n4"].iter().all(|name| clients.decided_since(name, 2, taken))
     });
-    watch.check();
+    clients.check();
 }
 
 #[test]
 fn a_process_that_was_stopped_across_the_moment_admits_nothing_by_the_old_version() {
-    let (fleet, watch) = under_load(4, 3);
+    let (fleet, clients) = under_load(4, 3);
     fleet.process(3).signal("STOP");
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
@@ -127,8 +127,8 @@
     std::thread::sleep(ms(600));
     let woken = now();
     fleet.process(3).signal("CONT");
-    fleet.wait_until("it serves by the second", |_| watch.decided_since("n3", 2, woken));
-    watch.check();
+    fleet.wait_until("it serves by the second", |_| clients.decided_since("n3", 2, woken));
+    clients.check();
 }
 
 #[test]
@@ -143,8 +143,8 @@
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
     propose_second(&fleet, 0);
     ends(&fleet, 0, "taken");
-    let said = get_json(fleet.process(0).admin_address, "/control/policy/changes/x");
-    assert!(said["why"].as_str().unwrap().contains("n3"), "{said}");
+    let change = get_json(fleet.process(0).admin_address, "/control/policy/changes/x");
+    assert!(change["why"].as_str().unwrap().contains("n3"), "{change}");
     assert!(fleet.client(3).get("k", "s1", 1000).0.starts_with("VA "), "by the first version");
     assert_eq!(policy_status(&fleet, 3), (1, "fenced".to_owned()), "and it says so");
     assert_eq!(
@@ -168,50 +168,50 @@
     }
     fleet.start_together(&[0, 1, 2, 3]);
     fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    let watch = PolicyClients::start(&fleet);
+    let clients = PolicyClients::start(&fleet);
     let mut longer = settings(&fleet, 2);
     longer["Grades"][0]["GiveUp"] = json!(2000.0);
     assert_eq!(propose(fleet.process(0).admin_address, "x", 1, &longer).0, 202, "it suits this one");
     ends(&fleet, 1, "refused");
-    let said = get_json(fleet.process(1).admin_address, "/control/policy/changes/x");
-    let why = said["why"].as_str().unwrap();
-    assert!(why.contains("n3: Grades") && why.contains("call_ms"), "{said}");
+    let change = get_json(fleet.process(1).admin_address, "/control/policy/changes/x");
+    let why = change["why"].as_str().unwrap();
+    assert!(why.contains("n3: Grades") && why.contains("call_ms"), "{change}");
     let mut bad = settings(&fleet, 2);
     bad["Grades"][0]["Aim"] = json!(0.0);
-    let (status, said) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
-    assert!(status == 400 && said["error"].as_str().unwrap().contains("Grades[scan].Aim"), "{said}");
+    let (status, answer) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
+    assert!(status == 400 && answer["error"].as_str().unwrap().contains("Grades[scan].Aim"), "{answer}");
     bad = settings(&fleet, 2);
     bad["Gradse"] = json!(1);
-    let (status, said) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
-    assert!(status == 400 && said["error"].as_str().unwrap().contains("\"Grades\""), "{said}");
+    let (status, answer) = propose(fleet.process(1).admin_address, "bad", 1, &bad);
+    assert!(status == 400 && answer["error"].as_str().unwrap().contains("\"Grades\""), "{answer}");
     assert_eq!(call_admin(fleet.process(1).admin_address, "GET", "/control/policy/changes/bad").0, 404);
     fleet.wait_until("all stay", |fleet| has(fleet, &[0, 1, 2, 3], 1));
-    assert_eq!(watch.check()[1].1, 0);
+    assert_eq!(clients.check()[1].1, 0);
 }
 
 #[test]
 fn of_two_changes_at_two_doors_one_is_taken() {
-    let (fleet, watch) = under_load(4, 3);
-    let doors = [0, 3].map(|member| fleet.process(member).admin_address);
+    let (fleet, clients) = under_load(4, 3);
+    let admins = [0, 3].map(|member| fleet.process(member).admin_address);
     let second = settings(&fleet, 2);
-    let said: Vec<u16> = std::thread::scope(|scope| {
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
         let asking: Vec<_> = ["a", "b"]
             .iter()
-            .zip(doors)
-            .map(|(id, door)| (id, door, &second))
-            .map(|(id, door, second)| scope.spawn(move || propose(door, id, 1, second).0))
+            .zip(admins)
+            .map(|(id, admin)| (id, admin, &second))
+            .map(|(id, admin, second)| scope.spawn(move || propose(admin, id, 1, second).0))
             .collect();
         asking.into_iter().map(|asked| asked.join().unwrap()).collect()
     });
-    assert!(said.iter().filter(|status| **status == 202).count() == 1, "{said:?}");
-    assert!(said.iter().all(|status| [202, 409].contains(status)), "{said:?}");
+    assert!(statuses.iter().filter(|status| **status == 202).count() == 1, "{statuses:?}");
+    assert!(statuses.iter().all(|status| [202, 409].contains(status)), "{statuses:?}");
     fleet.wait_until("one is taken", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.check();
+    clients.check();
 }
 
 #[test]
 fn a_slow_peer_costs_only_itself() {
-    let (fleet, watch) = under_load(4, 3);
+    let (fleet, clients) = under_load(4, 3);
     for other in 0..3 {
         fleet.datagram_faults.change_path(3, other, |path| path.throttle = Some(1000));
         fleet.datagram_faults.change_path(other, 3, |path| path.throttle = Some(1000));
@@ -220,24 +220,24 @@
     ends(&fleet, 0, "taken");
     let taken = now();
     fleet.wait_until("the others serve", |_| {
-        ["n0", "n1", "n2"].iter().all(|name| watch.decided_since(name, 2, taken))
+        ["n0", "n1", "n2"].iter().all(|name| clients.decided_since(name, 2, taken))
     });
     fleet.datagram_faults.change_all_paths(|path| path.throttle = None);
-    fleet.wait_until("so does the slow one", |_| watch.decided_since("n3", 2, taken));
-    watch.check();
+    fleet.wait_until("so does the slow one", |_| clients.decided_since("n3", 2, taken));
+    clients.check();
 }
 
 #[test]
 fn the_proposer_or_the_steward_may_be_killed_at_any_step() {
-    // The steward is the founder of the lowest seat that is there: n0. Steps are told by what happens after so many ms.
-    for (victim, door, after) in
+    // The leader is the founder of the lowest seat that is there: n0. Steps are told by what happens after so many ms.
+    for (victim, proposer, after) in
         [(3, 3, 0), (3, 3, 15), (0, 3, 0), (0, 3, 10), (0, 0, 25), (0, 3, 40), (0, 0, 70)]
     {
-        let (mut fleet, watch) = under_load(4, 3);
-        let (place, second) = (fleet.process(door).admin_address, settings(&fleet, 2));
-        // Its door may not be there any more to answer.
+        let (mut fleet, clients) = under_load(4, 3);
+        let (admin, second) = (fleet.process(proposer).admin_address, settings(&fleet, 2));
+        // Its admin server may not be there any more to answer.
         let proposing = std::thread::spawn(move || {
-            let _ = std::panic::catch_unwind(|| propose(place, "x", 1, &second));
+            let _ = std::panic::catch_unwind(|| propose(admin, "x", 1, &second));
         });
         std::thread::sleep(ms(after));
         fleet.kill(victim);
@@ -252,7 +252,7 @@
         fleet.wait_until("all agree", |fleet| {
             [1, 2].iter().any(|version| has(fleet, &[0, 1, 2, 3], *version))
         });
-        watch.check();
+        clients.check();
     }
 }
 
@@ -260,15 +260,16 @@
 fn an_upgrade_across_the_moment_keeps_the_promise() {
     // One that founds, whose seat and disk the newcomer takes over, and one that does not.
     for member in [3, 0] {
-        let (mut fleet, watch) = under_load(4, 3);
+        let (mut fleet, clients) = under_load(4, 3);
         let second = fleet.start_second_process(member);
         propose_second(&fleet, 1);
         let first = fleet.replace_process(member, second);
         first.signal("TERM");
         first.end();
         fleet.wait_until("all have it", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-        fleet.wait_until("the newcomer serves by it", |_| watch.decided_since(&Fleet::name(member), 2, 0.0));
-        watch.check();
+        fleet
+            .wait_until("the newcomer serves by it", |_| clients.decided_since(&Fleet::name(member), 2, 0.0));
+        clients.check();
     }
 }
 
--- a/tests/fleet/policy/storage.rs
+++ b/tests/fleet/policy/storage.rs
@@ -4,10 +4,10 @@
 
 #[test]
 fn all_killed_after_the_yes_come_back_with_it() {
-    let (mut fleet, watch) = under_load(4, 3);
+    let (mut fleet, clients) = under_load(4, 3);
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
-    watch.check();
+    clients.check();
     (0..4).for_each(|member| fleet.kill(member));
     fleet.start_together(&[0, 1, 2, 3]);
     fleet.wait_until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
@@ -15,7 +15,7 @@
 
 #[test]
 fn a_founder_that_lost_its_disk_or_finds_it_torn_votes_again_and_knows_what_was_taken() {
-    let (mut fleet, watch) = under_load(4, 3);
+    let (mut fleet, clients) = under_load(4, 3);
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
     for lost in [true, false] {
@@ -35,22 +35,22 @@
     let aside = std::fs::read_dir(fleet.state_dir(1)).unwrap();
     assert!(aside.flatten().any(|file| file.file_name().to_string_lossy().starts_with("rulebook.torn-")));
     // What follows is a third version, which these clients cannot tell from the first.
-    watch.check();
+    clients.check();
     // Without the other one its vote is needed.
     fleet.kill(0);
-    let (status, said) = propose(fleet.process(3).admin_address, "y", 2, &settings(&fleet, 1));
-    assert_eq!(status, 202, "{said}");
+    let (status, answer) = propose(fleet.process(3).admin_address, "y", 2, &settings(&fleet, 1));
+    assert_eq!(status, 202, "{answer}");
     fleet.wait_until("it is taken", |fleet| has(fleet, &[1, 2, 3], 3));
 }
 
 #[test]
 fn a_founder_whose_disk_is_full_does_not_vote_and_two_others_do() {
-    let (fleet, watch) = under_load(4, 3);
+    let (fleet, clients) = under_load(4, 3);
     // What is written aside cannot be: a folder is in its place.
     std::fs::create_dir(fleet.state_dir(2).join("rulebook.new")).unwrap();
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
     assert!(fleet.timeline.first_match("n2", "this founder cannot vote", 0).is_some());
     fleet.wait_until("it has it all the same", |fleet| has(fleet, &[0, 1, 2, 3], 2));
-    watch.check();
+    clients.check();
 }
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -1,4 +1,4 @@
-//! Shares of several real processes under faults between them: what their doors say, and what the stand-in nodes count.
+//! Shares of several real processes under faults between them: what their admin servers say, and what the stand-in nodes count.
 
 use crate::{met, ms, nodes, origin, ALL};
 use pinetrail_test_harness::fleet::{Fleet, Options};
@@ -10,7 +10,7 @@
 
 /// Calls in flight of all together at one node.
 const NODE_CALLS: usize = 24;
-/// How long calls run at the most, as the rig configures it.
+/// How long calls run at the most, as the harness configures it.
 const CALL_MS: f64 = 1000.0;
 const EPSILON: f64 = 1e-6;
 
@@ -140,7 +140,7 @@
     });
 }
 
-/// What the nodes count, whatever the doors say: through a cut, a stop and a death.
+/// What the nodes count, whatever the admin servers say: through a cut, a stop and a death.
 #[test]
 fn calls_in_flight_at_a_node_are_never_over_the_whole() {
     let node = || {
@@ -154,16 +154,16 @@
     Recorder::own().record_attempt_limit(&fleet.nodes[0].address.to_string(), NODE_CALLS);
     fleet.wait_until("they share", |fleet| have(fleet, &ALL, 5));
     let done = AtomicBool::new(false);
-    let places: Vec<_> = ALL.iter().map(|member| fleet.process(*member).client_address).collect();
+    let addresses: Vec<_> = ALL.iter().map(|member| fleet.process(*member).client_address).collect();
     thread::scope(|scope| {
-        for place in &places {
+        for address in &addresses {
             for number in 0..12 {
                 let done = &done;
                 scope.spawn(move || {
                     let mut count = 0;
                     while !done.load(Ordering::Relaxed) {
                         // The proxy may be dead or stopped: what counts is what reaches the node.
-                        let Some(mut client) = pinetrail_test_harness::Client::try_connect(*place) else {
+                        let Some(mut client) = pinetrail_test_harness::Client::try_connect(*address) else {
                             sleep(ms(50));
                             continue;
                         };
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -31,14 +31,14 @@
     format!("> {shown}\n< {}\n= {next}\n", escaped(&answer))
 }
 
-fn recorded_of(scene: &ProxyFixture, asked: &[&str]) -> String {
-    asked.iter().map(|words| exchange(&mut scene.client(), words)).collect()
+fn recorded_of(fixture: &ProxyFixture, asked: &[&str]) -> String {
+    asked.iter().map(|words| exchange(&mut fixture.client(), words)).collect()
 }
 
 #[test]
 fn each_command_is_answered_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let asked = [
         "mn\r\n",
         "version\r\n",
@@ -49,13 +49,13 @@
         "ms w 5 O3 Pc=put,t=acme,d=9000,k=5c\r\nhello\r\n",
         "ms w 0 O4 Pc=confirm,t=acme,d=9000\r\n\r\n",
     ];
-    compare("commands", include_str!("recorded/commands.txt"), &recorded_of(&scene, &asked));
+    compare("commands", include_str!("recorded/commands.txt"), &recorded_of(&fixture, &asked));
 }
 
 #[test]
 fn each_malformed_command_is_refused_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let (long, long_key) = ("x".repeat(3000), format!("mg {} v O1 Pc=read\r\n", "k".repeat(251)));
     let asked = [
         "get k\r\n",
@@ -102,19 +102,19 @@
         "ms k 1 O1 Pc=read,t=acme,d=9000\r\nx\r\n",
         "ms k 1 O1 Pc=put,t=acme,d=9000\r\nx\r\n",
     ];
-    compare("malformed", include_str!("recorded/malformed.txt"), &recorded_of(&scene, &asked));
+    compare("malformed", include_str!("recorded/malformed.txt"), &recorded_of(&fixture, &asked));
 }
 
 #[test]
 fn an_opaque_id_in_use_is_refused_as_recorded() {
     let origin = silent_origin();
-    let scene = ProxyFixture::of(&[], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[], &origin);
+    let mut client = fixture.client();
     let ask = "mg k v O1 Pc=read,t=acme,d=900\r\n";
     client.send(&format!("{ask}{ask}"));
-    let said = format!("{}\n{}\n", escaped(&client.read_line()), escaped(&client.read_line()));
-    let said = without_number(&said, "busy ", "MS");
-    compare("id in use", include_str!("recorded/id_in_use.txt"), &said);
+    let actual = format!("{}\n{}\n", escaped(&client.read_line()), escaped(&client.read_line()));
+    let actual = without_number(&actual, "busy ", "MS");
+    compare("id in use", include_str!("recorded/id_in_use.txt"), &actual);
 }
 
 #[test]
@@ -122,40 +122,40 @@
     let fails = |words: &'static str| StubServer::origin(move |_| StubAction::Reply(words.into()));
     let error = fails("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
     let busy = fails("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
-    let mut said = String::new();
+    let mut actual = String::new();
     for (name, origin) in [("error", error), ("busy", busy), ("silent", silent_origin())] {
-        let scene = ProxyFixture::of(&[], &origin);
+        let fixture = ProxyFixture::of(&[], &origin);
         let asked = [
             "mg k v O1 Pc=read,t=acme,d=300\r\n",
             "ms w 1 O2 Pc=put,t=acme,d=300,k=5c\r\nx\r\n",
             "ms w 1 O3 Pc=confirm,t=acme,d=300\r\nx\r\n",
         ];
-        let answers = recorded_of(&scene, &asked);
-        said += &format!("# origin: {name}\n{}", without_number(&answers, "busy ", "MS"));
+        let answers = recorded_of(&fixture, &asked);
+        actual += &format!("# origin: {name}\n{}", without_number(&answers, "busy ", "MS"));
     }
-    compare("failures", include_str!("recorded/failures.txt"), &said);
+    compare("failures", include_str!("recorded/failures.txt"), &actual);
 }
 
 #[test]
 fn a_proxy_out_of_service_answers_as_recorded() {
     let (node, origin) = (node(), origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200);
     let asked = ["mn\r\n", "version\r\n", "mg hit v O1 Pc=read,t=acme,d=9000\r\n"];
-    let said = recorded_of(&scene, &asked);
-    compare("out of service", include_str!("recorded/out_of_service.txt"), &said);
+    let actual = recorded_of(&fixture, &asked);
+    compare("out of service", include_str!("recorded/out_of_service.txt"), &actual);
 }
 
 #[test]
 fn half_a_command_is_refused_in_time_as_recorded() {
     let origin = silent_origin();
-    let scene = ProxyFixture::of(&[], &origin);
-    let mut said = String::new();
+    let fixture = ProxyFixture::of(&[], &origin);
+    let mut actual = String::new();
     for half in ["mg k v O1 Pc=re", "ms k 5 O1 Pc=put,t=acme,d=900,k=5c\r\nhel"] {
-        let mut client = scene.client();
+        let mut client = fixture.client();
         client.send(half);
         let (line, end) = (client.read_line(), client.read_line());
-        said += &format!("> {}\n< {}\n= {end:?}\n", escaped(half), escaped(&line));
+        actual += &format!("> {}\n< {}\n= {end:?}\n", escaped(half), escaped(&line));
     }
-    compare("half a command", include_str!("recorded/half_commands.txt"), &said);
+    compare("half a command", include_str!("recorded/half_commands.txt"), &actual);
 }
--- a/tests/golden/counters.rs
+++ b/tests/golden/counters.rs
@@ -34,24 +34,24 @@
 
 #[test]
 fn stats_without_a_fleet_are_as_recorded() {
-    let said = of_member(Options::of(1), false);
-    compare("stats", include_str!("recorded/stats.txt"), &said);
+    let actual = of_member(Options::of(1), false);
+    compare("stats", include_str!("recorded/stats.txt"), &actual);
 }
 
 #[test]
 fn stats_with_a_fleet_are_as_recorded() {
-    let said = of_member(Options::of(2), true);
-    compare("stats of a fleet", include_str!("recorded/stats_fleet.txt"), &said);
+    let actual = of_member(Options::of(2), true);
+    compare("stats of a fleet", include_str!("recorded/stats_fleet.txt"), &actual);
 }
 
 #[test]
 fn stats_with_founders_are_as_recorded() {
-    let said = of_member(Options { founders: vec![0], ..Options::of(2) }, true);
-    compare("stats with founders", include_str!("recorded/stats_founders.txt"), &said);
+    let actual = of_member(Options { founders: vec![0], ..Options::of(2) }, true);
+    compare("stats with founders", include_str!("recorded/stats_founders.txt"), &actual);
 }
 
 #[test]
 fn stats_with_a_policy_are_as_recorded() {
-    let said = of_member(Options { founders: vec![0], policy: true, ..Options::of(1) }, true);
-    compare("stats with a policy", include_str!("recorded/stats_policy.txt"), &said);
+    let actual = of_member(Options { founders: vec![0], policy: true, ..Options::of(1) }, true);
+    compare("stats with a policy", include_str!("recorded/stats_policy.txt"), &actual);
 }
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -1,4 +1,4 @@
-//! Answers of the operators' door of one proxy without a fleet: whole, head and text.
+//! Answers of the admin server of one proxy without a fleet: whole, head and text.
 
 use crate::{compare, escaped, origin, silent_origin};
 use pinetrail_test_harness::{opaque, Client, ProxyFixture, StubAction, StubServer};
@@ -7,12 +7,12 @@
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
 
-/// The whole answer of a door to these bytes.
-pub(crate) fn whole_answer(door: SocketAddr, words: &str) -> String {
-    let mut client = Client::connect(door);
+/// The whole answer of an admin server to these bytes.
+pub(crate) fn whole_answer(admin: SocketAddr, words: &str) -> String {
+    let mut client = Client::connect(admin);
     client.send(words);
     let mut answer = String::new();
-    client.reader().read_to_string(&mut answer).expect("the door answers, and closes");
+    client.reader().read_to_string(&mut answer).expect("the admin server answers, and closes");
     answer
 }
 
@@ -21,9 +21,9 @@
     format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n")
 }
 
-fn all(door: SocketAddr, lines: &[&str]) -> String {
+fn all(admin: SocketAddr, lines: &[&str]) -> String {
     let exchange = |line: &&str| {
-        let answer = whole_answer(door, &request(line));
+        let answer = whole_answer(admin, &request(line));
         format!("> {line}\n< {}\n", escaped(&answer))
     };
     lines.iter().map(exchange).collect()
@@ -32,7 +32,7 @@
 #[test]
 fn readiness_and_service_are_answered_as_recorded() {
     let (node, origin) = (StubServer::full_node("v"), origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let lines = [
         "GET /control/ready",
         "GET /control/ready?verbose=1",
@@ -43,13 +43,13 @@
         "POST /control/in-service",
         "GET /control/ready",
     ];
-    compare("service", include_str!("recorded/service.txt"), &all(scene.admin_address, &lines));
+    compare("service", include_str!("recorded/service.txt"), &all(fixture.admin_address, &lines));
 }
 
 #[test]
 fn cache_nodes_are_taken_out_and_back_as_recorded() {
     let (node, origin) = (StubServer::full_node("v"), origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let lines = [
         "POST /control/cache-nodes/s-0/offline",
         "POST /control/cache-nodes/s-0/offline",
@@ -65,13 +65,13 @@
         "GET /control/cache-nodes/s-0/offline",
         "GET /control/cache-nodes/s-0",
     ];
-    compare("nodes", include_str!("recorded/nodes.txt"), &all(scene.admin_address, &lines));
+    compare("nodes", include_str!("recorded/nodes.txt"), &all(fixture.admin_address, &lines));
 }
 
 #[test]
 fn wrong_calls_are_refused_as_recorded() {
     let origin = origin();
-    let scene = ProxyFixture::of(&[], &origin);
+    let fixture = ProxyFixture::of(&[], &origin);
     let lines = [
         "GET /",
         "GET /control",
@@ -94,13 +94,13 @@
         "POST /control/policy/restore",
         "POST /control/policy",
     ];
-    compare("wrong calls", include_str!("recorded/wrong_calls.txt"), &all(scene.admin_address, &lines));
+    compare("wrong calls", include_str!("recorded/wrong_calls.txt"), &all(fixture.admin_address, &lines));
 }
 
 #[test]
 fn what_is_no_call_is_refused_as_recorded() {
     let origin = origin();
-    let scene = ProxyFixture::of(&[], &origin);
+    let fixture = ProxyFixture::of(&[], &origin);
     let propose = "POST /control/policy HTTP/1.1\r\n";
     let asked = [
         "mn\r\n\r\n".to_owned(),
@@ -114,7 +114,7 @@
     ];
     let exchanges = asked.map(|words| {
         let shown = if words.len() < 200 { escaped(&words) } else { escaped(&words[..40]) + "..." };
-        format!("> {shown}\n< {}\n", escaped(&whole_answer(scene.admin_address, &words)))
+        format!("> {shown}\n< {}\n", escaped(&whole_answer(fixture.admin_address, &words)))
     });
     compare("no calls", include_str!("recorded/no_calls.txt"), &exchanges.concat());
 }
@@ -130,35 +130,35 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = silent_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=9000\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
-    scene.signal("TERM");
+    fixture.until("the node is asked", || node.received().len() == 1);
+    fixture.signal("TERM");
     let ready = request("GET /control/ready");
-    scene.until("it stops", || !whole_answer(scene.admin_address, &ready).starts_with("HTTP/1.1 200"));
+    fixture.until("it stops", || !whole_answer(fixture.admin_address, &ready).starts_with("HTTP/1.1 200"));
     let lines = ["GET /control/ready", "POST /control/out-of-service", "POST /control/in-service"];
-    let said = all(scene.admin_address, &lines);
+    let actual = all(fixture.admin_address, &lines);
     drop(go_on);
-    compare("stopping", include_str!("recorded/stopping.txt"), &said);
-    assert!(scene.end().status.success());
+    compare("stopping", include_str!("recorded/stopping.txt"), &actual);
+    assert!(fixture.end().status.success());
 }
 
 #[test]
 fn half_a_call_is_refused_in_time_as_recorded() {
     let origin = silent_origin();
-    let scene = ProxyFixture::of(&[], &origin);
+    let fixture = ProxyFixture::of(&[], &origin);
     let body = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{";
     let asked = ["GET /control/re", body];
-    let door = scene.admin_address;
+    let admin = fixture.admin_address;
     let answers = std::thread::scope(|scope| {
-        let asking = asked.map(|words| scope.spawn(move || whole_answer(door, words)));
+        let asking = asked.map(|words| scope.spawn(move || whole_answer(admin, words)));
         asking.map(|asked| asked.join().expect("it is answered"))
     });
     let shown = |(words, answer): (&str, String)| {
         let (words, answer) = (escaped(words), escaped(&answer));
         format!("> {words}\n< {answer}\n")
     };
-    let said: String = asked.into_iter().zip(answers).map(shown).collect();
-    compare("half a call", include_str!("recorded/half_calls.txt"), &said);
+    let actual: String = asked.into_iter().zip(answers).map(shown).collect();
+    compare("half a call", include_str!("recorded/half_calls.txt"), &actual);
 }
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -1,4 +1,4 @@
-//! Answers of the doors of a fleet: its members, its shares, its policy, and drift from that.
+//! Answers of the admin servers of a fleet: its members, its shares, its policy, and drift from that.
 
 use crate::door::{request, whole_answer};
 use crate::{compare, escaped, origin, without_number};
@@ -14,7 +14,7 @@
     vec![StubServer::full_node("v")]
 }
 
-fn member_door(fleet: &Fleet, member: usize) -> std::net::SocketAddr {
+fn admin_address_of(fleet: &Fleet, member: usize) -> std::net::SocketAddr {
     fleet.process(member).admin_address
 }
 
@@ -36,7 +36,7 @@
 }
 
 fn asked(fleet: &Fleet, member: usize, line: &str) -> String {
-    let answer = whole_answer(member_door(fleet, member), &request(line));
+    let answer = whole_answer(admin_address_of(fleet, member), &request(line));
     format!("> {line}\n< {}\n", recordable(fleet, &answer))
 }
 
@@ -46,7 +46,7 @@
         "POST /control/policy HTTP/1.1\r\nHost: door\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    let answer = whole_answer(member_door(fleet, member), &words);
+    let answer = whole_answer(admin_address_of(fleet, member), &words);
     format!("> POST /control/policy, {title}\n< {}\n", recordable(fleet, &answer))
 }
 
@@ -58,35 +58,35 @@
 fn a_fleet_of_one_and_of_two_is_told_as_recorded() {
     let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
     fleet.start(0);
-    let mut said = asked(&fleet, 0, "GET /control/fleet");
+    let mut actual = asked(&fleet, 0, "GET /control/fleet");
     fleet.start(1);
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1]));
-    said += &asked(&fleet, 0, "GET /control/fleet");
-    said += &asked(&fleet, 1, "GET /control/fleet");
-    said += &asked(&fleet, 0, "GET /control/policy");
+    actual += &asked(&fleet, 0, "GET /control/fleet");
+    actual += &asked(&fleet, 1, "GET /control/fleet");
+    actual += &asked(&fleet, 0, "GET /control/policy");
     let leaving = fleet.take_process(1);
     leaving.signal("TERM");
     assert!(leaving.end().success());
     let has_left = |fleet: &Fleet| fleet.report(0).unwrap().names("left") == ["n1"];
     fleet.wait_until("it has left", has_left);
-    said += &asked(&fleet, 0, "GET /control/fleet");
-    compare("fleet", include_str!("recorded/fleet.txt"), &said);
+    actual += &asked(&fleet, 0, "GET /control/fleet");
+    compare("fleet", include_str!("recorded/fleet.txt"), &actual);
 }
 
 #[test]
 fn shares_of_a_fleet_with_founders_are_told_as_recorded() {
     let options = Options { founders: vec![0], ..Options::of(2) };
     let mut fleet = Fleet::new(options, nodes(), origin());
-    let told = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json;
+    let report_json = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json;
     fleet.start(0);
-    fleet.wait_until("the first is the steward", |fleet| told(fleet, 0)["steward"] == true);
+    fleet.wait_until("the first is the leader", |fleet| report_json(fleet, 0)["steward"] == true);
     fleet.start(1);
     // Of 32 parts one is always its own, and half of what 16 members leave over.
-    let part = |fleet: &Fleet, member: usize| told(fleet, member)["share"] == json!(9.0 / 32.0);
+    let part = |fleet: &Fleet, member: usize| report_json(fleet, member)["share"] == json!(9.0 / 32.0);
     let all = |fleet: &Fleet| fleet.all_agree(&[0, 1]) && (0..2).all(|member| part(fleet, member));
     fleet.wait_until("each has its part", all);
-    let said = [0, 1].map(|member| asked(&fleet, member, "GET /control/fleet")).concat();
-    compare("founders", include_str!("recorded/founders.txt"), &said);
+    let actual = [0, 1].map(|member| asked(&fleet, member, "GET /control/fleet")).concat();
+    compare("founders", include_str!("recorded/founders.txt"), &actual);
 }
 
 /// Three members with one policy, of which all found.
@@ -99,11 +99,11 @@
 
 /// Waits until all have a version, and see each other have it.
 fn has(fleet: &Fleet, version: u64) {
-    let same = |said: &Value| {
-        let nodes = said["nodes"].as_array().map_or(&[][..], |nodes| nodes);
+    let same = |drift: &Value| {
+        let nodes = drift["nodes"].as_array().map_or(&[][..], |nodes| nodes);
         nodes.len() == 3 && nodes.iter().all(|node| node["state"] == "same")
     };
-    let seen = |member| call_admin(member_door(fleet, member), "GET", "/control/drift").1;
+    let seen = |member| call_admin(admin_address_of(fleet, member), "GET", "/control/drift").1;
     fleet.wait_until("all have the version", |fleet| {
         let steady = (version, "steady".to_owned());
         (0..3).all(|member| policy_status(fleet, member) == steady)
@@ -115,14 +115,14 @@
 fn a_policy_and_a_change_of_it_are_told_as_recorded() {
     let fleet = governed();
     let ask = |line: &str| asked(&fleet, 1, line);
-    let mut said = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
-    said += &posted(&fleet, 1, "a change", &proposal("x", 1, &settings(&fleet, 2)));
+    let mut actual = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
+    actual += &posted(&fleet, 1, "a change", &proposal("x", 1, &settings(&fleet, 2)));
     fleet.wait_until("the change ends", |fleet| !change_outcome(fleet, 1, "x").is_empty());
     has(&fleet, 2);
-    said += &(ask("GET /control/policy") + &ask("GET /control/policy/changes/x"));
-    said += &posted(&fleet, 1, "the same", &proposal("x", 1, &settings(&fleet, 2)));
-    said += &posted(&fleet, 1, "another of its name", &proposal("x", 2, &settings(&fleet, 1)));
-    compare("policy", include_str!("recorded/policy.txt"), &said);
+    actual += &(ask("GET /control/policy") + &ask("GET /control/policy/changes/x"));
+    actual += &posted(&fleet, 1, "the same", &proposal("x", 1, &settings(&fleet, 2)));
+    actual += &posted(&fleet, 1, "another of its name", &proposal("x", 2, &settings(&fleet, 1)));
+    compare("policy", include_str!("recorded/policy.txt"), &actual);
 }
 
 #[test]
@@ -144,8 +144,8 @@
         ("a bad value", proposal("x", 1, &no_aim)),
         ("empty settings", proposal("x", 1, &json!({}))),
     ];
-    let said: String = bodies.iter().map(|(title, body)| posted(&fleet, 0, title, body)).collect();
-    compare("proposals", include_str!("recorded/proposals.txt"), &said);
+    let actual: String = bodies.iter().map(|(title, body)| posted(&fleet, 0, title, body)).collect();
+    compare("proposals", include_str!("recorded/proposals.txt"), &actual);
 }
 
 #[test]
@@ -153,14 +153,14 @@
     let fleet = governed();
     fleet.cut_into(&[&[2], &[0, 1]]);
     fleet.wait_until("it is fenced", |fleet| policy_status(fleet, 2) == (1, "fenced".to_owned()));
-    let mut said = asked(&fleet, 2, "GET /control/policy");
-    said += &asked(&fleet, 2, "GET /control/ready");
-    said += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
+    let mut actual = asked(&fleet, 2, "GET /control/policy");
+    actual += &asked(&fleet, 2, "GET /control/ready");
+    actual += &posted(&fleet, 2, "a change", &proposal("x", 1, &settings(&fleet, 2)));
     let mut client = fleet.client(2);
-    said += &format!("> mn\n< {}\n", escaped(&client.request("mn\r\n")));
+    actual += &format!("> mn\n< {}\n", escaped(&client.request("mn\r\n")));
     let refused = fleet.client(2).get("k", "1", 1000).0;
-    said += &format!("> mg\n< {}\n", escaped(&refused));
-    compare("fenced", include_str!("recorded/fenced.txt"), &said);
+    actual += &format!("> mg\n< {}\n", escaped(&refused));
+    compare("fenced", include_str!("recorded/fenced.txt"), &actual);
 }
 
 #[test]
@@ -173,18 +173,18 @@
     fleet.set_config(2, &loose);
     fleet.start_together(&[0, 1, 2]);
     has(&fleet, 1);
-    let mut said = asked(&fleet, 0, "GET /control/drift");
-    said += &asked(&fleet, 0, "POST /control/policy/restore");
+    let mut actual = asked(&fleet, 0, "GET /control/drift");
+    actual += &asked(&fleet, 0, "POST /control/policy/restore");
     loose["listen"] = json!(fleet.process(2).client_address.to_string());
     loose["settings"] = settings(&fleet, 2);
     fleet.set_config(2, &loose);
     fleet.process(2).signal("HUP");
     fleet.wait_until("the other sees it", |fleet| {
-        call_admin(member_door(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
+        call_admin(admin_address_of(fleet, 0), "GET", "/control/drift").1.contains(r#""state":"differs""#)
     });
-    said += &asked(&fleet, 0, "GET /control/drift");
-    said += &asked(&fleet, 2, "POST /control/policy/restore");
+    actual += &asked(&fleet, 0, "GET /control/drift");
+    actual += &asked(&fleet, 2, "POST /control/policy/restore");
     has(&fleet, 1);
-    said += &asked(&fleet, 0, "GET /control/drift");
-    compare("drift", include_str!("recorded/drift.txt"), &said);
+    actual += &asked(&fleet, 0, "GET /control/drift");
+    compare("drift", include_str!("recorded/drift.txt"), &actual);
 }
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -11,20 +11,20 @@
 use pinetrail_test_harness::{http_200, StubAction, StubServer};
 
 /// Compares what was said with what was recorded.
-fn compare(name: &str, recorded: &str, said: &str) {
-    if recorded == said {
+fn compare(name: &str, recorded: &str, actual: &str) {
+    if recorded == actual {
         return;
     }
-    let lines = recorded.lines().count().max(said.lines().count());
+    let lines = recorded.lines().count().max(actual.lines().count());
     let mut differences = String::new();
     for number in 0..lines {
-        let (was, is) = (recorded.lines().nth(number), said.lines().nth(number));
+        let (was, is) = (recorded.lines().nth(number), actual.lines().nth(number));
         if was != is {
             let (was, is) = (was.unwrap_or("(no line)"), is.unwrap_or("(no line)"));
             differences += &format!("{}\n  recorded {was}\n  said     {is}\n", number + 1);
         }
     }
-    panic!("{name} differs from what was recorded:\n{differences}\nall that was said:\n{said}");
+    panic!("{name} differs from what was recorded:\n{differences}\nall that was said:\n{actual}");
 }
 
 /// Bytes as one line of a recording, in which quotes stand as they are.
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -12,8 +12,8 @@
 const WAIT: Duration = Duration::from_secs(10);
 
 /// Requests as lines of a recording; the time that is left and addresses vary.
-fn shown(heard: &[String], at: &StubServer) -> String {
-    let shown: String = heard.iter().map(|request| escaped(request) + "\n").collect();
+fn shown(received: &[String], at: &StubServer) -> String {
+    let shown: String = received.iter().map(|request| escaped(request) + "\n").collect();
     without_number(&shown, ",d=", "LEFT").replace(&at.address.to_string(), "ADDRESS")
 }
 
@@ -27,8 +27,8 @@
         }
     });
     let origin = origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     let reads = [
         "mg hit v O1 Pc=read,t=acme,d=9000\r\n",
         // What is special in a path, and labels in another order.
@@ -47,17 +47,17 @@
         assert!(client.request(words).starts_with("HD "), "{words:?}");
     }
     let (to_node, to_origin) = (shown(&node.received(), &node), shown(&origin.received(), &origin));
-    let said = format!("# to the cache node\n{to_node}# to the origin\n{to_origin}");
-    compare("calls", include_str!("recorded/calls.txt"), &said);
+    let actual = format!("# to the cache node\n{to_node}# to the origin\n{to_origin}");
+    compare("calls", include_str!("recorded/calls.txt"), &actual);
 }
 
 #[test]
 fn watches_asked_of_discovery_are_as_recorded() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let place = listener.local_addr().unwrap();
+    let address = listener.local_addr().unwrap();
     let origin = origin();
     let list = catalog(7, true, &[origin.entry("o", "origin", "ready")]);
-    let (say, said) = channel();
+    let (sender, watches) = channel();
     thread::spawn(move || {
         // Each watch is told one list, and its connection ends.
         for stream in listener.incoming() {
@@ -71,14 +71,14 @@
             );
             // Who asked may be gone, and the test at its end.
             let _ = stream.write_all(answer.as_bytes());
-            let _ = say.send(head);
+            let _ = sender.send(head);
         }
     });
     let known = catalog(3, true, &[origin.entry("o", "origin", "ready")]);
-    let mut child = start(&config("127.0.0.1:0", &place.to_string(), 256, &known));
-    let heads: Vec<_> = (0..2).map(|_| said.recv_timeout(WAIT)).collect();
+    let mut child = start(&config("127.0.0.1:0", &address.to_string(), 256, &known));
+    let heads: Vec<_> = (0..2).map(|_| watches.recv_timeout(WAIT)).collect();
     child.kill().and_then(|()| child.wait()).unwrap();
     let heads: String = heads.into_iter().map(|head| escaped(&head.unwrap()) + "\n").collect();
-    let heads = heads.replace(&place.to_string(), "ADDRESS");
+    let heads = heads.replace(&address.to_string(), "ADDRESS");
     compare("watches", include_str!("recorded/watches.txt"), &heads);
 }
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -17,10 +17,10 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     let output = child.wait_with_output().expect("it has ended");
-    let said = String::from_utf8_lossy(&output.stderr);
-    assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{title}: {said}");
-    assert!(output.stdout.is_empty() && said.ends_with('\n'), "{title}: {said}");
-    format!("# {title}\n{said}")
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{title}: {log}");
+    assert!(output.stdout.is_empty() && log.ends_with('\n'), "{title}: {log}");
+    format!("# {title}\n{log}")
 }
 
 fn started(title: &str, config: &str) -> String {
@@ -34,12 +34,12 @@
 /// What is said of good configurations in which some text is replaced.
 fn replaced(changes: &[(&str, &str)]) -> String {
     let good = good();
-    let said = |(from, to): &(&str, &str)| {
+    let output_with = |(from, to): &(&str, &str)| {
         let bad = good.replacen(from, to, 1);
         assert_ne!(bad, good, "{from}");
         started(&format!("{from} -> {to}"), &bad)
     };
-    changes.iter().map(said).collect()
+    changes.iter().map(output_with).collect()
 }
 
 #[test]
@@ -52,18 +52,18 @@
         }
         command.spawn().expect("the program starts")
     };
-    let mut said = shown("LB_CONFIG unset", run(None));
-    said += &shown("no such file", run(Some("absent/none.json")));
-    said += &started("an empty file", "");
-    said += &started("half an object", "{");
-    said += &started("an array", "[]");
-    said += &started("an empty object", "{}");
-    compare("files", include_str!("recorded/start_files.txt"), &said);
+    let mut actual = shown("LB_CONFIG unset", run(None));
+    actual += &shown("no such file", run(Some("absent/none.json")));
+    actual += &started("an empty file", "");
+    actual += &started("half an object", "{");
+    actual += &started("an array", "[]");
+    actual += &started("an empty object", "{}");
+    compare("files", include_str!("recorded/start_files.txt"), &actual);
 }
 
 #[test]
 fn a_wrong_key_or_value_ends_the_start_as_recorded() {
-    let said = replaced(&[
+    let actual = replaced(&[
         (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#),
         (r#""discovery":"127.0.0.1:1""#, r#""discovery":"there""#),
         ("8c1f30d27a5be964", "seed"),
@@ -84,7 +84,7 @@
         (r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":1e300"#),
         (r#""Cold":9000.0"#, r#""Chilly":9000.0"#),
     ]);
-    compare("values", include_str!("recorded/start_values.txt"), &said);
+    compare("values", include_str!("recorded/start_values.txt"), &actual);
 }
 
 #[test]
@@ -101,11 +101,11 @@
         ("bad address", vec![origin, node.replace("127.0.0.1:1", "there")]),
         ("no address", vec![r#"{"instanceId":"s-0","lifecycle":"ready"}"#.to_owned()]),
     ];
-    let said = bad.map(|(title, entries)| {
+    let outputs = bad.map(|(title, entries)| {
         let known = catalog(1, true, &entries);
         started(title, &config("127.0.0.1:0", "127.0.0.1:1", 256, &known))
     });
-    compare("lists", include_str!("recorded/start_lists.txt"), &said.concat());
+    compare("lists", include_str!("recorded/start_lists.txt"), &outputs.concat());
 }
 
 #[test]
@@ -137,10 +137,10 @@
         ("a short permit", |fleet| fleet["policy"]["permit_ms"] = json!(100)),
         ("cut", |fleet| fleet["policy"]["when_cut"] = json!("hope")),
     ];
-    let said = bad.map(|(title, change)| {
+    let outputs = bad.map(|(title, change)| {
         let mut config = good.clone();
         change(&mut config["fleet"]);
         started(title, &config.to_string())
     });
-    compare("fleets", include_str!("recorded/start_fleets.txt"), &said.concat());
+    compare("fleets", include_str!("recorded/start_fleets.txt"), &outputs.concat());
 }
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -1,7 +1,7 @@
 //! Responses of cache nodes and the origin: long, odd, spoilt, and with more behind them.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::time::Instant;
 
 #[test]
@@ -10,8 +10,8 @@
                    3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
     let (node, origin) =
         (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Reply(chunked.into())));
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     assert_eq!(client.get("a", "1", 900).1, "hello\r\n");
     assert_eq!(client.get("b", "2", 900).1, "hello\r\n");
     assert_eq!(origin.connected(), 2, "a connection that is to close is not used again");
@@ -24,9 +24,9 @@
         let node =
             StubServer::node(move |line| StubAction::Reply(format!("VA {length} {}\r\n", opaque(line))));
         let origin = idle_origin();
-        let scene = ProxyFixture::of(&[&node], &origin);
-        assert!(scene.client().get("k", "1", 300).0.starts_with("SERVER_ERROR "));
-        assert!(scene.counter("calls_error") >= 1);
+        let fixture = ProxyFixture::of(&[&node], &origin);
+        assert!(fixture.client().get("k", "1", 300).0.starts_with("SERVER_ERROR "));
+        assert!(fixture.counter("calls_error") >= 1);
     }
 }
 
@@ -35,23 +35,23 @@
 fn a_long_value_of_a_node_or_the_origin_arrives_whole() {
     let long = |start: &str| format!("{start}{}", "x".repeat(400_000 - start.len()));
     let (of_node, of_origin) = (long("node"), long("origin"));
-    let (said, told) = (of_node.clone(), of_origin.clone());
+    let (node_body, origin_body) = (of_node.clone(), of_origin.clone());
     let node = StubServer::node(move |line| {
         if line.contains("missing") {
             StubAction::Reply(format!("EN {}\r\n", opaque(line)))
         } else {
-            StubAction::Reply(format!("VA {} {}\r\n{said}\r\n", said.len(), opaque(line)))
+            StubAction::Reply(format!("VA {} {}\r\n{node_body}\r\n", node_body.len(), opaque(line)))
         }
     });
-    let origin = StubServer::origin(move |_| http_200(&told));
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let origin = StubServer::origin(move |_| http_200(&origin_body));
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     for (key, value) in [("k", &of_node), ("missing", &of_origin), ("k2", &of_node)] {
         let (line, got) = client.get(key, key, 5000);
         assert_eq!(line, format!("VA 400000 O{key}\r\n"));
         assert!(got.trim_end() == value.as_str(), "{} bytes", got.len());
     }
-    assert_eq!((scene.counter("answers_spoilt"), scene.counter("answered_served")), (0, 3));
+    assert_eq!((fixture.counter("answers_spoilt"), fixture.counter("answered_served")), (0, 3));
 }
 
 /// Guards against a value of another invocation reaching a consumer.
@@ -59,8 +59,8 @@
 fn an_answer_with_another_id_is_not_passed_on() {
     let (node, origin) =
         (StubServer::node(|_| StubAction::Reply("VA 5 Oother\r\nwrong\r\n".into())), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (line, _) = scene.client().get("k", "1", 300);
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (line, _) = fixture.client().get("k", "1", 300);
     assert!(line.starts_with("SERVER_ERROR "), "{line}");
     assert_eq!(node.connected(), node.received().len(), "none of those connections is used again");
 }
@@ -79,14 +79,14 @@
         "HD O1 c1 c2\r\n",
     ] {
         let (node, origin) = (StubServer::node(move |_| StubAction::Reply(spoilt.into())), idle_origin());
-        let scene = ProxyFixture::of(&[&node], &origin);
+        let fixture = ProxyFixture::of(&[&node], &origin);
         let begun = Instant::now();
-        let line = scene.client().get("k", "1", 2000).0;
+        let line = fixture.client().get("k", "1", 2000).0;
         assert!(line.starts_with("SERVER_ERROR busy "), "{spoilt:?} -> {line:?}");
         assert!(begun.elapsed() < ms(1000), "{spoilt:?}: {:?}", begun.elapsed());
         let calls = node.received().len() as u64;
         assert_eq!(
-            (scene.counter("calls_error"), scene.counter("answers_spoilt")),
+            (fixture.counter("calls_error"), fixture.counter("answers_spoilt")),
             (calls, calls),
             "{spoilt:?}"
         );
@@ -102,10 +102,10 @@
         StubAction::Reply(answer.clone() + &answer)
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     (0..10).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
-    assert_eq!((node.connected(), scene.counter("calls_error")), (10, 0));
+    assert_eq!((node.connected(), fixture.counter("calls_error")), (10, 0));
 }
 
 #[test]
@@ -133,9 +133,9 @@
         for answer in answers.iter().copied() {
             let (node, origin) =
                 (StubServer::empty_node(), StubServer::origin(move |_| StubAction::Reply(answer.into())));
-            let scene = ProxyFixture::of(&[&node], &origin);
+            let fixture = ProxyFixture::of(&[&node], &origin);
             let begun = Instant::now();
-            let (line, value) = scene.client().get("k", "1", 2000);
+            let (line, value) = fixture.client().get("k", "1", 2000);
             assert_eq!(line == "VA 1 O1\r\n" && value == "v\r\n", served, "{answer:?} -> {line:?}");
             assert!(begun.elapsed() < ms(1000), "{answer:?}: {:?}", begun.elapsed());
         }
--- a/tests/sockets/client_connections.rs
+++ b/tests/sockets/client_connections.rs
@@ -1,7 +1,7 @@
 //! Client connections: pipelines, bad input, silence, floods, and who is closed to make room.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -10,9 +10,9 @@
 #[test]
 fn a_pipeline_without_end_takes_no_memory() {
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[], &origin);
-    let before = scene.memory_mb();
-    let flood = std::net::TcpStream::connect(scene.client_address).unwrap();
+    let fixture = ProxyFixture::of(&[], &origin);
+    let before = fixture.memory_mb();
+    let flood = std::net::TcpStream::connect(fixture.client_address).unwrap();
     let mut answers = flood.try_clone().unwrap();
     let reading = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
     flood.set_write_timeout(Some(ms(100))).unwrap();
@@ -21,7 +21,7 @@
         // It may well be slower than this.
         let _ = std::io::Write::write(&mut &flood, words.as_bytes());
     }
-    let taken = scene.memory_mb() - before;
+    let taken = fixture.memory_mb() - before;
     assert!(taken < 6, "{taken} MB");
     flood.shutdown(std::net::Shutdown::Both).unwrap();
     let _ = reading.join();
@@ -32,8 +32,8 @@
 #[test]
 fn many_commands_on_one_connection_are_answered_in_order() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     let words: String = (0..300).map(|n| format!("mg k{n} v O{n} Pc=read,t=acme,d=900\r\nmn\r\n")).collect();
     client.send(&words);
     for n in 0..300 {
@@ -51,8 +51,8 @@
 #[test]
 fn bad_input_is_answered_and_harms_nobody() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     assert_eq!(client.request("flush_all\r\n"), "ERROR\r\n");
     for bad in [
         "mg\r\n",
@@ -80,7 +80,7 @@
         "ms k 1 O1 Pc=put,t=acme,d=9\r\nlong\r\n".to_owned(),
         format!("mg {}", "k".repeat(2048)),
     ] {
-        let mut client = scene.client();
+        let mut client = fixture.client();
         assert!(client.request(&closing).starts_with("CLIENT_ERROR "), "{closing:?}");
         assert_eq!(client.read_line(), "", "closed");
     }
@@ -91,9 +91,9 @@
 #[test]
 fn half_a_command_is_answered_with_an_error_and_silence_with_a_close() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
-    let (mut half, mut silent, mut value) = (scene.client(), scene.client(), scene.client());
+    let (mut half, mut silent, mut value) = (fixture.client(), fixture.client(), fixture.client());
     half.send("mg k v O1");
     value.send("ms k 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhel");
     for client in [&mut half, &mut value] {
@@ -104,15 +104,15 @@
     }
     assert_eq!(silent.read_line(), "");
     assert!(begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
-    assert_eq!((scene.counter("consumers_late"), node.received().len()), (3, 0));
+    assert_eq!((fixture.counter("consumers_late"), node.received().len()), (3, 0));
 }
 
 /// Guards against an error lost: a connection that closes on unread input is reset.
 #[test]
 fn an_error_arrives_though_more_is_being_sent() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     client.send("ms k 60000000 O1 Pc=put,t=acme,d=900,k=5c\r\n");
     client.send(&"x".repeat(700_000));
     assert_eq!(
@@ -133,10 +133,10 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (mut first, mut other) = (scene.client(), scene.client());
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (mut first, mut other) = (fixture.client(), fixture.client());
     first.send("mg k v O1 Pc=read,t=acme,d=900\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
+    fixture.until("the node is asked", || node.received().len() == 1);
     assert_eq!(other.request("mg j v O1 Pc=read,t=acme,d=900\r\n"), "CLIENT_ERROR the id is in use\r\n");
     assert_eq!((first.read_line().as_str(), first.read_line().as_str()), ("VA 1 O1\r\n", "v\r\n"));
     assert_eq!(node.received().len(), 1);
@@ -147,17 +147,17 @@
 #[test]
 fn consumers_that_send_rubbish_do_not_keep_the_worker() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let rubbish = "no such command\r\n".repeat(2000) + &"mn\r\n".repeat(20_000);
     std::thread::scope(|scope| {
         for _ in 0..8 {
-            let (mut bad, rubbish) = (scene.client(), &rubbish);
+            let (mut bad, rubbish) = (fixture.client(), &rubbish);
             scope.spawn(move || {
                 bad.send(rubbish);
                 assert_eq!(bad.read_line(), "ERROR\r\n");
             });
         }
-        let mut good = scene.client();
+        let mut good = fixture.client();
         for n in 0..50 {
             let begun = Instant::now();
             assert_eq!(good.get("k", &n.to_string(), 900).1, "v\r\n");
@@ -171,13 +171,13 @@
 fn consumers_that_send_rubbish_do_not_keep_their_places() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_sockets(&entries, 64);
-    let (place, stop) = (scene.client_address, std::sync::atomic::AtomicBool::new(false));
+    let fixture = ProxyFixture::with_sockets(&entries, 64);
+    let (address, stop) = (fixture.client_address, std::sync::atomic::AtomicBool::new(false));
     std::thread::scope(|scope| {
         for _ in 0..30 {
             scope.spawn(|| {
                 while !stop.load(Ordering::SeqCst) {
-                    let mut bad = Client::connect(place);
+                    let mut bad = Client::connect(address);
                     let mut again = || bad.try_send("no such command\r\n") && bad.read_line() == "ERROR\r\n";
                     while again() && !stop.load(Ordering::SeqCst) {
                         sleep(Duration::ZERO);
@@ -186,7 +186,8 @@
             });
         }
         sleep(ms(500));
-        let answers: Vec<String> = (0..10).map(|n| scene.client().get("k", &n.to_string(), 900).1).collect();
+        let answers: Vec<String> =
+            (0..10).map(|n| fixture.client().get("k", &n.to_string(), 900).1).collect();
         stop.store(true, Ordering::SeqCst);
         assert_eq!(answers, ["v\r\n"; 10]);
     });
@@ -199,14 +200,14 @@
     let node =
         StubServer::node(move |line| StubAction::Reply(format!("VA 65536 {}\r\n{value}\r\n", opaque(line))));
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = ProxyFixture::with_limits(&entries, 256, 32);
-    let mut clients: Vec<Client> = (0..100).map(|_| scene.client()).collect();
+    let fixture = ProxyFixture::with_limits(&entries, 256, 32);
+    let mut clients: Vec<Client> = (0..100).map(|_| fixture.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         let ask = |n| format!("mg k v O{number}.{n} Pc=read,t=acme,d=2000\r\n");
         client.send(&(0..60).map(ask).collect::<String>());
     }
     sleep(ms(2500));
-    assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
+    assert!(fixture.memory_mb() < 32, "{} MB", fixture.memory_mb());
     for client in &mut clients {
         let line = client.read_line();
         assert!(line.starts_with("VA 65536 ") || line.starts_with("SERVER_ERROR busy"), "{line:?}");
@@ -217,12 +218,12 @@
 fn connections_between_commands_make_room_for_others() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_sockets(&entries, 64);
-    let mut held: Vec<Client> = (0..60).map(|_| scene.client()).collect();
+    let fixture = ProxyFixture::with_sockets(&entries, 64);
+    let mut held: Vec<Client> = (0..60).map(|_| fixture.client()).collect();
     assert_eq!(held[59].get("k", "1", 900).1, "v\r\n");
     // 40 descriptors are left to share, 30 of them for consumers while providers need few.
     let made_room = ["consumers_evicted", "consumers_hopeless", "consumers_over_budget"];
-    let closed: u64 = made_room.into_iter().map(|name| scene.counter(name)).sum();
+    let closed: u64 = made_room.into_iter().map(|name| fixture.counter(name)).sum();
     assert!(closed >= 60 - 30, "{closed}");
 }
 
@@ -233,20 +234,20 @@
     const SOCKETS: usize = 96;
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_sockets(&entries, SOCKETS);
+    let fixture = ProxyFixture::with_sockets(&entries, SOCKETS);
     let (mut honest, mut silent): (Vec<Client>, Vec<Client>) = (Vec::new(), Vec::new());
     let (mut asked, mut served) = (0, 0);
     let begun = Instant::now();
     for round in 0..200u64 {
         sleep((begun + ms(round * 20)).saturating_duration_since(Instant::now()));
-        silent.push(scene.client());
+        silent.push(fixture.client());
         silent.retain(|client| !client.is_closed());
         honest.retain(|client| !client.is_closed());
         // What is learnt of them in the first second and a half is not held against it.
         let counts = usize::from(round >= 75);
         asked += counts;
         if honest.len() < SOCKETS / 3 {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             let served_now = client.get(&format!("k{round}"), &round.to_string(), 900).1 == "v\r\n";
             served += counts * usize::from(served_now);
             honest.push(client);
@@ -254,16 +255,16 @@
     }
     // Each kept for 2.2 s, 32 connections would carry 15 requests a second of the 50.
     assert!(served * 10 >= asked * 9, "{served} of {asked}");
-    assert!(scene.counter("consumers_hopeless") > 0);
+    assert!(fixture.counter("consumers_hopeless") > 0);
     // A planned restart comes with more: for as long as they may connect, idle ones give way to them.
-    scene.signal("TERM");
+    fixture.signal("TERM");
     let begun = Instant::now();
     let (mut asked, mut served) = (0, 0);
     while begun.elapsed() < ms(350) {
         asked += 1;
         honest.retain(|client| !client.is_closed());
         if honest.len() < SOCKETS / 3 {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             served += usize::from(client.get(&format!("t{asked}"), &format!("t{asked}"), 900).1 == "v\r\n");
             honest.push(client);
         }
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -1,36 +1,36 @@
 //! The list of endpoints: watches, their failures, and where SIGHUP moves them.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::thread::sleep;
 use std::time::Instant;
 
 #[test]
 fn discovery_is_watched_and_what_drains_gets_nothing_new() {
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
-    let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
+    let mut client = fixture.client();
     assert_eq!(client.get("k", "1", 900).1, "old\r\n");
-    let (line, tell) = scene.discovery.watch();
+    let (line, tell) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     let changes = [old.entry("s-0", "c6", "draining"), new.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &changes)).unwrap();
-    scene.until("the change is known", || scene.counter("lists") == 1);
+    fixture.until("the change is known", || fixture.counter("lists") == 1);
     (2..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "new\r\n"));
     assert_eq!(old.received().len(), 1);
     // A watch that ends is asked for again, from what is known on.
     drop(tell);
-    let (line, tell) = scene.discovery.watch();
+    let (line, tell) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=2 HTTP/1.1");
     // Guards against a change undone: older news than what is known are no news. The whole list is.
     tell.send(catalog(1, false, &[old.entry("s-0", "c6", "ready")])).unwrap();
-    let (line, tell) = scene.discovery.watch();
+    let (line, tell) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=0 HTTP/1.1");
     (20..30).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n"));
     // Guards against drains that go unheard after a discovery that began again.
     let begun_again = [old.entry("s-0", "c6", "ready"), new.entry("s-1", "c6", "draining")];
     tell.send(catalog(1, true, &begun_again)).unwrap();
-    scene.until("it has come", || scene.counter("lists") == 2);
+    fixture.until("it has come", || fixture.counter("lists") == 2);
     (30..40).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
 }
 
@@ -38,26 +38,26 @@
 #[test]
 fn an_indented_list_is_a_list() {
     let node = StubServer::full_node("s");
-    let scene = ProxyFixture::of(&[&node, &node], &idle_origin());
-    let (_, tell) = scene.discovery.watch();
+    let fixture = ProxyFixture::of(&[&node, &node], &idle_origin());
+    let (_, tell) = fixture.discovery.watch();
     let drains = catalog(2, false, &[node.entry("s-0", "c6", "draining")]);
     let list: serde_json::Value = serde_json::from_str(&drains).unwrap();
     tell.send(serde_json::to_string_pretty(&list).unwrap()).unwrap();
-    scene.until("it is heard", || scene.counter("lists") == 1);
+    fixture.until("it is heard", || fixture.counter("lists") == 1);
     let later = catalog(3, false, &[]);
     let (first, rest) = later.split_at(later.find(',').unwrap());
     tell.send(first.to_owned()).unwrap();
     tell.send(rest.to_owned()).unwrap();
-    scene.until("so is one in two parts", || scene.counter("lists") == 2);
-    assert_eq!(scene.counter("watches_failed"), 0);
+    fixture.until("so is one in two parts", || fixture.counter("lists") == 2);
+    assert_eq!(fixture.counter("watches_failed"), 0);
     // Empty lines come, but the rest of this one never does.
     tell.send("{\n".to_owned()).unwrap();
     for _ in 0..40 {
         std::thread::sleep(ms(100));
         tell.send(String::new()).unwrap_or(());
     }
-    assert!(scene.counter("watches_failed") > 0, "half a list does not keep a watch");
-    let (line, _) = scene.discovery.watch();
+    assert!(fixture.counter("watches_failed") > 0, "half a list does not keep a watch");
+    let (line, _) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=3 HTTP/1.1");
 }
 
@@ -66,28 +66,28 @@
 fn a_pushed_list_is_watched_from_the_start_and_again_after_an_outage() {
     let node = StubServer::full_node("s");
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
-    let (line, tell) = scene.discovery.watch();
+    let fixture = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
+    let (line, tell) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[node.entry("s-0", "c6", "draining")])).unwrap();
-    scene.until("it is heard", || scene.counter("lists") == 1);
+    fixture.until("it is heard", || fixture.counter("lists") == 1);
     drop(tell);
-    let (line, _) = scene.discovery.watch();
+    let (line, _) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=2 HTTP/1.1");
 }
 
 /// Guards against a cut-off discovery, whose watch stays open and says nothing.
 #[test]
 fn a_silent_watch_is_dead() {
-    let scene = ProxyFixture::new(&[]);
-    let (_, tell) = scene.discovery.watch();
+    let fixture = ProxyFixture::new(&[]);
+    let (_, tell) = fixture.discovery.watch();
     let begun = Instant::now();
     for _ in 0..3 {
         sleep(ms(900));
         tell.send(String::new()).unwrap();
     }
-    assert_eq!(scene.counter("watches_failed"), 0, "an empty line keeps it alive");
-    scene.discovery.watch();
+    assert_eq!(fixture.counter("watches_failed"), 0, "an empty line keeps it alive");
+    fixture.discovery.watch();
     assert!(begun.elapsed() > ms(2700 + 2000), "not before a heartbeat was missed");
 }
 
@@ -95,22 +95,22 @@
 #[test]
 fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
-    let scene = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
-    let (_, told_no_more) = scene.discovery.watch();
+    let fixture = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
+    let (_, told_no_more) = fixture.discovery.watch();
     let moved = Discovery::new();
-    scene.reload(&scene.discovery.address.to_string(), &moved.address.to_string());
+    fixture.reload(&fixture.discovery.address.to_string(), &moved.address.to_string());
     let begun = Instant::now();
     let (line, tell) = moved.watch();
     assert!(begun.elapsed() < ms(200), "at once, not after the rest that a failed watch calls for");
     assert_eq!(line, "GET /catalog/members?watch=1&after=1 HTTP/1.1");
     tell.send(catalog(2, false, &[old.entry("s-0", "c6", "gone"), new.entry("s-1", "c6", "ready")])).unwrap();
-    scene.until("the change is known", || scene.counter("lists") == 1);
-    assert_eq!(scene.client().get("k", "1", 900).1, "new\r\n");
+    fixture.until("the change is known", || fixture.counter("lists") == 1);
+    assert_eq!(fixture.client().get("k", "1", 900).1, "new\r\n");
     drop(told_no_more);
-    scene.reload("{", "");
-    scene.until("the bad file is noticed", || scene.counter("reloads_failed") == 1);
+    fixture.reload("{", "");
+    fixture.until("the bad file is noticed", || fixture.counter("reloads_failed") == 1);
     tell.send(catalog(3, false, &[old.entry("s-2", "c6", "ready"), new.entry("s-1", "c6", "gone")])).unwrap();
-    scene.until("the watch goes on", || scene.counter("lists") == 2);
-    assert_eq!(scene.client().get("k", "2", 900).1, "old\r\n");
-    assert_eq!((scene.counter("reloads"), scene.counter("watches")), (1, 2));
+    fixture.until("the watch goes on", || fixture.counter("lists") == 2);
+    assert_eq!(fixture.client().get("k", "2", 900).1, "old\r\n");
+    assert_eq!((fixture.counter("reloads"), fixture.counter("watches")), (1, 2));
 }
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,9 +1,9 @@
-//! Error paths, each judged by what the rig saw of the real process from outside.
+//! Error paths, each judged by what the harness saw of the real process from outside.
 
 use crate::ms;
-use crate::rig::recorder::Recorder;
-use crate::rig::*;
 use pinetrail_history_checker::{check, History, HistoryEvent, Reason, State};
+use pinetrail_test_harness::recorder::Recorder;
+use pinetrail_test_harness::*;
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, sleep};
@@ -44,13 +44,13 @@
 fn calls_that_fail_half_way_keep_the_rules_for_every_effect() {
     let (one, other) = (StubServer::node(fails_by_key(false)), StubServer::node(fails_by_key(false)));
     let origin = StubServer::origin(fails_by_key(true));
-    let scene = ProxyFixture::of(&[&one, &other], &origin);
+    let fixture = ProxyFixture::of(&[&one, &other], &origin);
     let mut number = 0;
     for warm in [false, true] {
         for how in ["breaks", "half", "silent", "fails", "full"] {
             for class in ["read", "put", "confirm"] {
                 number += 1;
-                let mut client = scene.client();
+                let mut client = fixture.client();
                 if warm {
                     assert!(client
                         .set("put", &format!("good.{number}"), &format!("w{number}"), 900)
@@ -67,9 +67,9 @@
             }
         }
     }
-    assert!(scene.client().get("good.z", "z", 900).0.starts_with("VA "), "it serves on");
+    assert!(fixture.client().get("good.z", "z", 900).0.starts_with("VA "), "it serves on");
     Recorder::own().check();
-    assert_eq!((scene.counter("overdue"), scene.counter("panics")), (0, 0));
+    assert_eq!((fixture.counter("overdue"), fixture.counter("panics")), (0, 0));
 }
 
 /// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no origin.
@@ -86,13 +86,13 @@
         1 => StubAction::Disconnect,
         _ => http_200("v"),
     });
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let leader = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let leader = fixture.client();
     let leading = thread::spawn(move || leader.request_and_disconnect("k", "lead", ms(100)));
-    scene.until("the fetch is out", || origin.received().len() == 1);
+    fixture.until("the fetch is out", || origin.received().len() == 1);
     let waiters: Vec<_> = (0..4)
         .map(|n| {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             thread::spawn(move || client.get("k", &format!("w{n}"), 1500).0)
         })
         .collect();
@@ -110,13 +110,13 @@
 #[test]
 fn with_every_node_and_the_origin_gone_all_are_told_to_come_back() {
     let (node, origin) = (StubServer::full_node("v"), StubServer::origin(|_| http_200("v")));
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (_, tell) = scene.discovery.watch();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (_, tell) = fixture.discovery.watch();
     let gone = [node.entry("s-0", "c6", "draining"), origin.entry("o", "origin", "gone")];
     tell.send(catalog(2, false, &gone)).unwrap();
-    scene.until("it is heard", || scene.counter("lists") == 1);
+    fixture.until("it is heard", || fixture.counter("lists") == 1);
     for (n, class) in ["read", "put", "confirm"].into_iter().enumerate() {
-        let (mut client, begun, id) = (scene.client(), Instant::now(), n.to_string());
+        let (mut client, begun, id) = (fixture.client(), Instant::now(), n.to_string());
         let line = match class {
             "read" => client.get("k", &id, 2000).0,
             _ => client.set(class, "k", &id, 2000),
@@ -136,19 +136,19 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = StubServer::origin(|_| http_200("v"));
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let clients: Vec<_> = (0..8)
         .map(|n| {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             thread::spawn(move || client.get(&format!("k{n}"), &n.to_string(), 900).0)
         })
         .collect();
-    scene.until("all are out", || node.received().len() == 8);
+    fixture.until("all are out", || node.received().len() == 8);
     for name in ["HUP", "HUP", "TERM", "HUP", "USR1", "TERM", "HUP"].iter() {
-        scene.signal(name);
+        fixture.signal(name);
     }
     assert!(clients.into_iter().all(|client| client.join().unwrap().starts_with("VA ")));
-    let output = scene.end();
+    let output = fixture.end();
     assert!(output.status.success(), "{output:?}");
     Recorder::own().record_exit();
     Recorder::own().check();
@@ -176,11 +176,11 @@
         9 => StubAction::Reply("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
         _ => http_200("v"),
     });
-    let scene = ProxyFixture::of(&nodes.iter().collect::<Vec<_>>(), &origin);
-    let (_, tell) = scene.discovery.watch();
+    let fixture = ProxyFixture::of(&nodes.iter().collect::<Vec<_>>(), &origin);
+    let (_, tell) = fixture.discovery.watch();
     let clients: Vec<_> = (0..8)
         .map(|c| {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             thread::spawn(move || {
                 for n in 0..60 {
                     let (id, kind) = (format!("{c}x{n}"), if n % 5 == 0 { "missing" } else { "good" });
@@ -197,7 +197,7 @@
     for (generation, changes) in [(2, entry(0, "draining")), (3, entry(1, "gone")), (4, entry(1, "ready"))] {
         sleep(ms(400));
         tell.send(catalog(generation, false, &[changes])).unwrap();
-        scene.signal("HUP");
+        fixture.signal("HUP");
     }
     for client in clients {
         client.join().unwrap();
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -1,7 +1,7 @@
 //! Values that are too long to be held whole.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::io::{Read, Write};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
@@ -18,8 +18,8 @@
         StubServer::node(move |line| StubAction::Reply(format!("VA {LONG} {}\r\n{value}\r\n", opaque(line))));
     let origin = idle_origin();
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_limits(&entries, 256, 32);
-    let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
+    let fixture = ProxyFixture::with_limits(&entries, 256, 32);
+    let mut clients: Vec<Client> = (0..12).map(|_| fixture.client()).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         client.send(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
     }
@@ -37,8 +37,12 @@
     for client in &mut clients {
         assert_eq!(client.read_line(), "\r\n");
     }
-    assert!(scene.memory_mb() < 32, "{} MB", scene.memory_mb());
-    assert_eq!((scene.counter("values_flowed"), node.received().len()), (12, 12), "none is asked for twice");
+    assert!(fixture.memory_mb() < 32, "{} MB", fixture.memory_mb());
+    assert_eq!(
+        (fixture.counter("values_flowed"), node.received().len()),
+        (12, 12),
+        "none is asked for twice"
+    );
 }
 
 /// Guards against bytes held back, and against a deadline that cuts off what a node is still giving: this one gives
@@ -60,8 +64,8 @@
         }))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     // Behind a long value answers keep their order.
     client.send("mg k v O1 Pc=read,t=acme,d=500\r\nmn\r\n");
     assert_eq!(client.read_line(), "VA 100000 O1\r\n");
@@ -73,7 +77,7 @@
     client.reader().read_exact(&mut half).unwrap();
     assert!(half.iter().all(|byte| *byte == b'b'));
     assert_eq!((client.read_line(), client.read_line()), ("\r\n".into(), "MN\r\n".into()));
-    assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (1, 1));
+    assert_eq!((fixture.counter("answered_served"), fixture.counter("calls_ok")), (1, 1));
 }
 
 /// Guards against an honest answer taken for spoilt because it comes in pieces, cut at any point.
@@ -92,9 +96,9 @@
         }))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    assert_eq!(scene.client().get("k", "1", 2000).1, "hello\r\n");
-    assert_eq!((scene.counter("answers_spoilt"), node.received().len()), (0, 1));
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    assert_eq!(fixture.client().get("k", "1", 2000).1, "hello\r\n");
+    assert_eq!((fixture.counter("answers_spoilt"), node.received().len()), (0, 1));
 }
 
 /// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
@@ -112,16 +116,16 @@
             }))
         });
         let origin = idle_origin();
-        let scene = ProxyFixture::of(&[&node], &origin);
-        let mut client = scene.client();
+        let fixture = ProxyFixture::of(&[&node], &origin);
+        let mut client = fixture.client();
         assert!(client.request("mg k v O1 Pc=read,t=acme,d=900\r\n").starts_with("VA 10000"));
         let mut rest = Vec::new();
         // A reset tells as well.
         let _ = client.reader().read_to_end(&mut rest);
         assert!(rest.len() <= 100_000, "{}", rest.len());
-        scene.until("it is counted", || scene.counter("values_broken") == 1);
+        fixture.until("it is counted", || fixture.counter("values_broken") == 1);
         assert_eq!(node.received().len(), 1);
-        assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
+        assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
     }
 }
 
@@ -141,10 +145,10 @@
         }))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     assert_eq!(client.request("mg k v O1 Pc=read,t=acme,d=900\r\n"), format!("VA {LONG} O1\r\n"));
     drop(client);
     assert!(seen.recv_timeout(WAIT).unwrap(), "the node's connection is closed");
-    scene.until("the call ends", || scene.counter("calls_cancelled") == 1);
+    fixture.until("the call ends", || fixture.counter("calls_cancelled") == 1);
 }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -13,8 +13,7 @@
 mod starts;
 mod upgrades;
 
-use pinetrail_test_harness as rig;
-use rig::*;
+use pinetrail_test_harness::*;
 use std::time::Duration;
 
 fn ms(n: u64) -> Duration {
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -1,18 +1,18 @@
-//! What operators do day by day: the door, nodes taken out, the proxy drained.
+//! What operators do day by day: the admin server, nodes taken out, the proxy drained.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Instant;
 
-/// Guards against a door that does something else than it was asked, or says nothing of why it does not.
+/// Guards against an admin server that does something else than it was asked, or says nothing of why it does not.
 #[test]
 fn the_door_says_yes_or_no_and_why() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let call = |method, path| call_admin(scene.admin_address, method, path);
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let call = |method, path| call_admin(fixture.admin_address, method, path);
     assert_eq!(call("GET", "/control/ready"), (200, "ready\n".into()));
     assert_eq!(call("POST", "/control/ready").0, 405);
     assert_eq!(call("GET", "/control/nothing").0, 404);
@@ -22,40 +22,40 @@
     assert!(status == 404 && why.contains("never listed"), "{why}");
     assert_eq!(call("POST", "/control/cache-nodes/nobody/online").0, 404);
     assert_eq!(call("POST", "/control/cache-nodes/o/offline").0, 409, "the origin is no cache node");
-    assert_eq!(send_to_admin(scene.admin_address, "mn\r\n\r\n").0, 400);
+    assert_eq!(send_to_admin(fixture.admin_address, "mn\r\n\r\n").0, 400);
     let long = format!("GET /control/ready HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(9000));
-    assert_eq!(send_to_admin(scene.admin_address, &long).0, 431);
+    assert_eq!(send_to_admin(fixture.admin_address, &long).0, 431);
     let body =
         format!("POST /control/in-service HTTP/1.1\r\nContent-Length: 30000\r\n\r\n{}", "x".repeat(30_000));
-    assert_eq!(send_to_admin(scene.admin_address, &body).0, 200, "a body is thrown away");
-    assert_eq!(scene.counter("panics"), 0);
+    assert_eq!(send_to_admin(fixture.admin_address, &body).0, 200, "a body is thrown away");
+    assert_eq!(fixture.counter("panics"), 0);
 }
 
-/// Guards against a door kept shut by callers that say nothing, or half a call.
+/// Guards against an admin server kept shut by callers that say nothing, or half a call.
 #[test]
 fn callers_that_say_nothing_keep_no_call_out() {
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[], &origin);
+    let fixture = ProxyFixture::of(&[], &origin);
     let crowd: Vec<TcpStream> = (0..60)
         .map(|n| {
-            let mut stream = TcpStream::connect(scene.admin_address).unwrap();
+            let mut stream = TcpStream::connect(fixture.admin_address).unwrap();
             let half: &[u8] = if n % 2 == 0 { b"" } else { b"GET /control/re" };
             std::io::Write::write_all(&mut stream, half).unwrap();
             stream
         })
         .collect();
-    assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200);
+    assert_eq!(call_admin(fixture.admin_address, "GET", "/control/ready").0, 200);
     drop(crowd);
 }
 
-/// Guards against a door that waits behind the clients.
+/// Guards against an admin server that waits behind the clients.
 #[test]
 fn the_door_answers_while_consumers_flood_the_proxy() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let flood: Vec<std::thread::JoinHandle<usize>> = (0..4)
         .map(|_| {
-            let mut client = scene.client();
+            let mut client = fixture.client();
             std::thread::spawn(move || {
                 (0..300).take_while(|_| client.try_send(&"mn\r\n".repeat(1000))).count()
             })
@@ -63,13 +63,13 @@
         .collect();
     for n in 0..40 {
         let path = ["offline", "online"][n % 2];
-        assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200);
+        assert_eq!(call_admin(fixture.admin_address, "GET", "/control/ready").0, 200);
         assert_eq!(
-            call_admin(scene.admin_address, "POST", &format!("/control/cache-nodes/s-0/{path}")).0,
+            call_admin(fixture.admin_address, "POST", &format!("/control/cache-nodes/s-0/{path}")).0,
             200
         );
     }
-    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
+    assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
     // Nobody reads what the flood is answered: it ends as those connections are closed.
     for flood in flood {
         assert!(flood.join().unwrap() > 0);
@@ -84,23 +84,23 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
-    scene.signal("TERM");
-    scene.until("it says no", || call_admin(scene.admin_address, "GET", "/control/ready").0 == 503);
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 409);
+    fixture.until("the node is asked", || node.received().len() == 1);
+    fixture.signal("TERM");
+    fixture.until("it says no", || call_admin(fixture.admin_address, "GET", "/control/ready").0 == 503);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 409);
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
-    assert!(scene.end().status.success());
+    assert!(fixture.end().status.success());
 }
 
 /// Guards against a slow client taken for a silent one: it may spend 2 s on a head.
 #[test]
 fn a_client_may_take_two_seconds_for_a_head() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     for id in 1..3 {
         // The first on a connection, and one behind it.
         let words = format!("mg k v O{id} Pc=read,t=acme,d=900\r\n");
@@ -115,8 +115,8 @@
 #[test]
 fn a_node_held_out_gets_nothing_until_it_is_called_back() {
     let (out, other, origin) = (StubServer::full_node("out"), StubServer::full_node("other"), idle_origin());
-    let scene = ProxyFixture::of(&[&out, &other], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&out, &other], &origin);
+    let mut client = fixture.client();
     let mut number = 0;
     let mut ask = |times: usize| {
         (0..times).for_each(|_| {
@@ -126,22 +126,22 @@
     };
     ask(20);
     assert!(!out.received().is_empty());
-    let (_, tell) = scene.discovery.watch();
+    let (_, tell) = fixture.discovery.watch();
     let of = |lifecycle| [out.entry("s-0", "c6", lifecycle), other.entry("s-1", "c6", "ready")];
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     let before = out.received().len();
     ask(20);
     // Whatever discovery lists in between.
     let lists =
         [catalog(2, true, &of("ready")), catalog(3, false, &of("gone")), catalog(4, false, &of("ready"))];
     for (n, list) in lists.into_iter().enumerate() {
-        let heard = scene.counter("lists");
+        let received = fixture.counter("lists");
         tell.send(list).unwrap();
-        scene.until("the list is heard", || scene.counter("lists") > heard);
+        fixture.until("the list is heard", || fixture.counter("lists") > received);
         ask(10 + n);
     }
     assert_eq!(out.received().len(), before, "nothing new went there");
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/online").0, 200);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-0/online").0, 200);
     ask(60);
     assert!(out.received().len() > before, "it serves again");
 }
@@ -154,16 +154,16 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     // Age alone closes none within this test.
-    scene.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
-    scene.until("it is read", || scene.counter("reloads") == 1);
-    let mut client = scene.client();
+    fixture.reload(r#""ConnIdle":1500.0"#, r#""ConnIdle":90000.0"#);
+    fixture.until("it is read", || fixture.counter("reloads") == 1);
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
+    fixture.until("the node is asked", || node.received().len() == 1);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-0/offline").0, 200);
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
-    scene.until("its connection is closed", || node.disconnected() == 1);
+    fixture.until("its connection is closed", || node.disconnected() == 1);
 }
 
 /// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
@@ -177,22 +177,22 @@
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (mut busy, mut used) = (scene.client(), scene.client());
-    let mut idle: Vec<Client> = (0..20).map(|_| scene.client()).collect();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (mut busy, mut used) = (fixture.client(), fixture.client());
+    let mut idle: Vec<Client> = (0..20).map(|_| fixture.client()).collect();
     for client in &mut idle {
         assert_eq!(client.request("mn\r\n"), "MN\r\n");
     }
     assert_eq!(used.get("k", "1", 900).1, "v\r\n");
     busy.send("mg slow v O2 Pc=read,t=acme,d=2000\r\n");
-    scene.until("the node is asked", || node.received().len() == 2);
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    fixture.until("the node is asked", || node.received().len() == 2);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200);
     let begun = Instant::now();
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
-    assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
-    assert!(scene.client().request("mn\r\n").starts_with("SERVER_ERROR "));
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
+    assert_eq!(call_admin(fixture.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
+    assert!(fixture.client().request("mn\r\n").starts_with("SERVER_ERROR "));
     // Who has a connection is served on it once more, and it closes with the answer; so does a new one.
-    for mut client in [used, scene.client()] {
+    for mut client in [used, fixture.client()] {
         assert_eq!(client.get("k", "3", 900).1, "v\r\n");
         assert_eq!(client.read_line(), "");
     }
@@ -202,15 +202,15 @@
     );
     let closed = |idle: &[Client]| idle.iter().filter(|client| client.is_closed()).count();
     let early = closed(&idle);
-    scene.until("idle connections close", || closed(&idle) == idle.len());
+    fixture.until("idle connections close", || closed(&idle) == idle.len());
     assert!(early < idle.len(), "not all at once");
     assert!(begun.elapsed() < ms(4000));
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/in-service").0, 200);
-    let mut back = scene.client();
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/in-service").0, 200);
+    let mut back = fixture.client();
     assert_eq!(back.request("mn\r\n"), "MN\r\n");
     assert_eq!((back.get("k", "4", 900).1, back.get("k", "5", 900).1), ("v\r\n".into(), "v\r\n".into()));
-    scene.signal("TERM");
-    assert!(scene.end().status.success());
+    fixture.signal("TERM");
+    assert!(fixture.end().status.success());
 }
 
 /// Guards against settings put in force in part, and against an open invocation that a reload reaches.
@@ -224,15 +224,15 @@
         }
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     let ask = |client: &mut Client, class: &str, id: &str| {
         client.request(&format!("mg k{id} v O{id} Pc={class},t=acme,d=900\r\n"))
     };
     let reload = |from: &str, to: &str| {
-        let seen = scene.counter("reloads") + scene.counter("reloads_failed");
-        scene.reload(from, to);
-        scene.until("it is read", || scene.counter("reloads") + scene.counter("reloads_failed") > seen);
+        let seen = fixture.counter("reloads") + fixture.counter("reloads_failed");
+        fixture.reload(from, to);
+        fixture.until("it is read", || fixture.counter("reloads") + fixture.counter("reloads_failed") > seen);
     };
     let class =
         r#"{"Name":"peek","Aim":300.0,"GiveUp":900.0,"Semantics":"safe","DedupScope":"all"},{"Name":"read""#;
@@ -256,10 +256,10 @@
         (r#""Orgs""#, r#""Organisations""#),
         (r#""Cold""#, r#""Chilly""#),
     ] {
-        let before = (scene.counter("reloads"), scene.counter("reloads_failed"));
+        let before = (fixture.counter("reloads"), fixture.counter("reloads_failed"));
         reload(from, to);
         assert_eq!(
-            (scene.counter("reloads"), scene.counter("reloads_failed")),
+            (fixture.counter("reloads"), fixture.counter("reloads_failed")),
             (before.0, before.1 + 1),
             "{to}"
         );
@@ -268,13 +268,13 @@
         client.read_line();
     }
     // What is open keeps its class and its deadline, though the class goes.
-    let mut slow = scene.client();
+    let mut slow = fixture.client();
     slow.send("mg slow v Oslow Pc=peek,t=acme,d=700\r\n");
-    scene.until("the node is asked", || node.received().iter().any(|line| line.contains("slow")));
+    fixture.until("the node is asked", || node.received().iter().any(|line| line.contains("slow")));
     reload(class, r#"{"Name":"read""#);
     assert_eq!(ask(&mut client, "peek", "z"), "CLIENT_ERROR unknown class\r\n");
     assert!(slow.read_line().starts_with("SERVER_ERROR "));
-    assert_eq!(scene.counter("overdue"), 0);
+    assert_eq!(fixture.counter("overdue"), 0);
 }
 
 /// Guards against an example that does not start.
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -10,15 +10,15 @@
 
 /// A node that answers nothing until it is told to.
 fn holding() -> (StubServer, Arc<AtomicBool>) {
-    let lets_go = Arc::new(AtomicBool::new(false));
-    let told = Arc::clone(&lets_go);
+    let release = Arc::new(AtomicBool::new(false));
+    let is_released = Arc::clone(&release);
     let node = StubServer::node(move |line| {
-        while !told.load(Ordering::SeqCst) {
+        while !is_released.load(Ordering::SeqCst) {
             sleep(ms(2));
         }
         StubAction::Reply(value(line, "v"))
     });
-    (node, lets_go)
+    (node, release)
 }
 
 fn reads(from: usize, to: usize) -> String {
@@ -33,14 +33,14 @@
 #[test]
 fn nothing_that_waits_is_sent_on_for_a_client_that_has_gone_with_its_connection_full() {
     for how in ["close", "close over unread answers", "half close", "reset", "quit"] {
-        let (node, lets_go) = holding();
+        let (node, release) = holding();
         let origin = StubServer::origin(|_| StubAction::Ignore);
-        let scene = ProxyFixture::with_all(
+        let fixture = ProxyFixture::with_all(
             &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
             // Nothing is given up before the client goes.
             &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
         );
-        let mut client = scene.client();
+        let mut client = fixture.client();
         if how == "close over unread answers" {
             client.send("mn\r\nversion\r\n");
         }
@@ -49,9 +49,9 @@
         if how == "quit" {
             client.send("quit\r\n");
         }
-        scene.until("its commands are taken", || scene.counter("taken_reads") == 64);
-        scene.until("the node has what it may have", || {
-            node.received().len() as u64 == scene.counter("calls_ordered")
+        fixture.until("its commands are taken", || fixture.counter("taken_reads") == 64);
+        fixture.until("the node has what it may have", || {
+            node.received().len() as u64 == fixture.counter("calls_ordered")
         });
         let before = node.received().len();
         assert!((1..64).contains(&before), "some of them wait: {before} sent");
@@ -64,35 +64,35 @@
         if how != "half close" {
             drop((client, stream));
         }
-        scene.until("it is noticed", || scene.counter("consumers_gone") == 64);
-        lets_go.store(true, Ordering::SeqCst);
+        fixture.until("it is noticed", || fixture.counter("consumers_gone") == 64);
+        release.store(true, Ordering::SeqCst);
         sleep(ARRIVES);
         assert_eq!(node.received().len(), before, "{how}");
-        assert_eq!(scene.counter("taken_reads"), 64, "{how}");
+        assert_eq!(fixture.counter("taken_reads"), 64, "{how}");
     }
 }
 
 /// Guards against the same while clients are sent away: then a connection with a command open is read no more.
 #[test]
 fn a_client_that_goes_late_in_a_drain_is_noticed() {
-    let (node, lets_go) = holding();
+    let (node, release) = holding();
     let origin = StubServer::origin(|_| StubAction::Ignore);
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::with_all(&entries, &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)]);
+    let mut client = fixture.client();
     client.send(&reads(0, 40));
-    scene.until("its commands are taken", || scene.counter("taken_reads") == 40);
-    scene.until("the node has what it may have", || {
-        node.received().len() as u64 == scene.counter("calls_ordered")
+    fixture.until("its commands are taken", || fixture.counter("taken_reads") == 40);
+    fixture.until("the node has what it may have", || {
+        node.received().len() as u64 == fixture.counter("calls_ordered")
     });
     let before = node.received().len();
     assert!((1..40).contains(&before), "some of them wait: {before} sent");
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200);
     // From then on nothing more is read on a connection that has commands open.
     sleep(ms(2000));
     drop(client);
-    scene.until("it is noticed", || scene.counter("consumers_gone") == 40);
-    lets_go.store(true, Ordering::SeqCst);
+    fixture.until("it is noticed", || fixture.counter("consumers_gone") == 40);
+    release.store(true, Ordering::SeqCst);
     sleep(ARRIVES);
     assert_eq!(node.received().len(), before);
 }
@@ -102,16 +102,16 @@
 #[test]
 fn a_request_behind_rubbish_is_not_sent_on_once_its_client_has_gone() {
     let (node, _) = holding();
-    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     // 64 of these cost a rest of 20 ms: 900 ms in all.
     let rubbish = "no such command\r\n".repeat(45 * 64);
-    let mut client = scene.client();
+    let mut client = fixture.client();
     client.send(&format!("{rubbish}mg k v O1 Pc=read,t=acme,d=20000\r\n"));
     client.reader().get_ref().shutdown(Shutdown::Write).unwrap();
-    scene.until("some of it is read", || scene.counter("taken_malformed") > 0);
+    fixture.until("some of it is read", || fixture.counter("taken_malformed") > 0);
     while !client.read_line().is_empty() {}
     // It was not obeyed before the connection ended, and nobody obeys it after.
-    assert_eq!((node.received(), scene.counter("taken_reads")), (Vec::new(), 0));
+    assert_eq!((node.received(), fixture.counter("taken_reads")), (Vec::new(), 0));
 }
 
 /// Guards against requests of clients that went while the process could not run: on a connection that it holds, and on one
@@ -119,17 +119,17 @@
 #[test]
 fn a_process_that_was_stopped_sends_nothing_on_for_clients_that_went_meanwhile() {
     let node = StubServer::full_node("v");
-    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
-    let mut held = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+    let mut held = fixture.client();
     assert_eq!(held.get("k", "0", 900).1, "v\r\n");
-    scene.signal("STOP");
-    let mut new = scene.client();
+    fixture.signal("STOP");
+    let mut new = fixture.client();
     held.send(&reads(1, 2));
     new.send(&reads(2, 3));
     drop((held, new));
-    scene.signal("CONT");
-    let accepted = scene.counter("consumers_accepted");
-    scene.until("both are read", || scene.counter("consumers_accepted") > accepted);
+    fixture.signal("CONT");
+    let accepted = fixture.counter("consumers_accepted");
+    fixture.until("both are read", || fixture.counter("consumers_accepted") > accepted);
     sleep(ARRIVES);
     assert_eq!(node.received().len(), 1, "the one from before");
 }
@@ -137,29 +137,29 @@
 /// Guards against a fetch at the origin for nobody: those that wait for room there, and for another's fetch, have gone.
 #[test]
 fn misses_that_wait_are_not_sent_on_for_clients_that_have_gone() {
-    let lets_go = Arc::new(AtomicBool::new(false));
-    let told = Arc::clone(&lets_go);
+    let release = Arc::new(AtomicBool::new(false));
+    let is_released = Arc::clone(&release);
     let node = StubServer::empty_node();
     let origin = StubServer::origin(move |_| {
-        while !told.load(Ordering::SeqCst) {
+        while !is_released.load(Ordering::SeqCst) {
             sleep(ms(2));
         }
         http_200("v")
     });
-    let scene = ProxyFixture::with_all(
+    let fixture = ProxyFixture::with_all(
         &[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")],
         &[(r#""Aim":400.0"#, r#""Aim":20000.0"#)],
     );
     // One key is asked for twice: the second waits for the fetch of the first.
-    let mut clients: Vec<Client> = (0..12).map(|_| scene.client()).collect();
+    let mut clients: Vec<Client> = (0..12).map(|_| fixture.client()).collect();
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(&format!("mg k{} v O{n} Pc=read,t=acme,d=20000\r\n", n.min(10)));
     }
-    scene.until("all that may are at the origin", || origin.received().len() == 8);
-    scene.until("all are taken", || scene.counter("taken_reads") == 12);
+    fixture.until("all that may are at the origin", || origin.received().len() == 8);
+    fixture.until("all are taken", || fixture.counter("taken_reads") == 12);
     drop(clients);
-    scene.until("it is noticed", || scene.counter("consumers_gone") == 12);
-    lets_go.store(true, Ordering::SeqCst);
+    fixture.until("it is noticed", || fixture.counter("consumers_gone") == 12);
+    release.store(true, Ordering::SeqCst);
     sleep(ARRIVES);
     assert_eq!(origin.received().len(), 8, "the others wait for nobody");
 }
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -21,26 +21,26 @@
 fn what_crosses_the_end_of_a_connection_meets_no_reset_and_is_not_taken() {
     for how in ["sigterm", "sigterm over half a command", "out of service"] {
         let node = StubServer::full_node("v");
-        let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
-        let mut client = scene.client();
+        let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+        let mut client = fixture.client();
         assert_eq!(client.get("k", "1", 900).1, "v\r\n");
         if how == "sigterm over half a command" {
             client.send("mg k v O2 Pc=re");
         }
         match how {
             "out of service" => {
-                assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200)
+                assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200)
             }
-            _ => scene.signal("TERM"),
+            _ => fixture.signal("TERM"),
         }
-        scene.until("the proxy ends it", || client.is_closed());
+        fixture.until("the proxy ends it", || client.is_closed());
         assert!(!is_reset_by(&mut client, "mg k v O3 Pc=read,t=acme,d=900\r\n", 150), "{how}");
         assert_eq!(client.read_line(), "", "{how}: nothing is answered after the end");
         assert_eq!(node.received().len(), 1, "{how}: nothing that came after the end is taken");
         // It is let go of all the same.
         assert!(is_reset_by(&mut client, "\r\n", 2000), "{how}");
         if how != "out of service" {
-            let output = scene.end();
+            let output = fixture.end();
             assert!(output.status.success(), "{how}: {:?}", output.status);
         }
     }
@@ -50,20 +50,20 @@
 #[test]
 fn signals_in_a_drain_change_nothing() {
     let (node, origin) = (AcceptBarrier::new(), StubServer::origin(|_| StubAction::Ignore));
-    let scene =
+    let fixture =
         ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")]);
-    let mut client = scene.client();
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=900\r\n");
     let mut asked = node.accept().expect("it is sent");
     let command = asked.request(false).expect("whole");
     let begun = Instant::now();
     for name in ["TERM", "HUP", "TERM", "USR1"] {
-        scene.signal(name);
+        fixture.signal(name);
     }
     assert!(asked.send(&value(&command, "v")));
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     drop((client, asked));
-    let output = scene.end();
+    let output = fixture.end();
     assert!(output.status.success(), "{:?}", output.status);
     // The longest wait is 1 s, and the kill comes 0.7 s after that.
     assert!(begun.elapsed() < ms(1700), "{:?}", begun.elapsed());
@@ -82,21 +82,21 @@
 
 /// Asks again and again, on the connection that it has for as long as that is open; on new ones until `connects`.
 fn asks_through_a_drain(
-    place: std::net::SocketAddr,
+    address: std::net::SocketAddr,
     name: usize,
     connects: Instant,
     until: Instant,
 ) -> Drained {
     let mut seen = Drained::default();
     while Instant::now() < connects {
-        let Some(mut client) = Client::try_connect(place) else { break };
+        let Some(mut client) = Client::try_connect(address) else { break };
         let before = seen.answered;
         while Instant::now() < until {
             let id = format!("{name}.{}", seen.asked);
             seen.asked += 1;
             let is_new = seen.answered == before;
-            let said = client.try_send(&format!("mg {id} v O{id} Pc=read,t=acme,d=600\r\n"));
-            let line = if said { client.read_line() } else { String::new() };
+            let is_sent = client.try_send(&format!("mg {id} v O{id} Pc=read,t=acme,d=600\r\n"));
+            let line = if is_sent { client.read_line() } else { String::new() };
             match line.as_str() {
                 "" if is_new => seen.unanswered += 1,
                 "" => seen.crossed += 1,
@@ -121,16 +121,16 @@
 #[test]
 fn a_drain_under_load_with_half_of_the_nodes_hanging_answers_all() {
     let (node, hangs) = (StubServer::full_node("v"), StubServer::node(|_| StubAction::Ignore));
-    let scene = ProxyFixture::of(&[&node, &hangs], &StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node, &hangs], &StubServer::origin(|_| StubAction::Ignore));
     let begun = Instant::now();
     let clients: Vec<_> = (0..40)
         .map(|name| {
-            let place = scene.client_address;
-            std::thread::spawn(move || asks_through_a_drain(place, name, begun + ms(800), begun + ms(5000)))
+            let address = fixture.client_address;
+            std::thread::spawn(move || asks_through_a_drain(address, name, begun + ms(800), begun + ms(5000)))
         })
         .collect();
     std::thread::sleep(ms(500));
-    scene.signal("TERM");
+    fixture.signal("TERM");
     let seen: Vec<Drained> = clients.into_iter().map(|client| client.join().unwrap()).collect();
     let sum = |of: fn(&Drained) -> usize| seen.iter().map(of).sum::<usize>();
     let (asked, answered) = (sum(|s| s.asked), sum(|s| s.answered));
@@ -138,5 +138,5 @@
     assert_eq!(sum(|s| s.unanswered), 0, "of {asked}");
     // Each connection ends once.
     assert!(sum(|s| s.crossed) <= 40 && answered + sum(|s| s.crossed) == asked, "{seen:?}");
-    assert!(scene.end().status.success());
+    assert!(fixture.end().status.success());
 }
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -10,9 +10,9 @@
 fn a_second_answer_without_an_id_does_not_answer_the_next_request() {
     let node = StubServer::empty_node();
     let origin = AcceptBarrier::new();
-    let scene =
+    let fixture =
         ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
-    let mut client = scene.client();
+    let mut client = fixture.client();
     client.send("mg a v O1 Pc=read,t=acme,d=5000\r\n");
     let mut first = origin.accept().expect("the fetch is sent");
     assert!(first.request(true).expect("whole").starts_with("GET /a "));
@@ -33,8 +33,8 @@
 #[test]
 fn a_second_refusal_does_not_answer_the_next_request() {
     let node = AcceptBarrier::new();
-    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0)]);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0)]);
+    let mut client = fixture.client();
     client.send("mg a v O1 Pc=confirm,t=acme,d=5000\r\n");
     let mut first = node.accept().expect("it is sent");
     assert!(first.request(false).is_some());
@@ -54,9 +54,9 @@
     for resets in [false, true] {
         let node = StubServer::empty_node();
         let origin = AcceptBarrier::new();
-        let scene =
+        let fixture =
             ProxyFixture::new(&[node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready", 0)]);
-        let mut client = scene.client();
+        let mut client = fixture.client();
         client.send("mg a v O1 Pc=read,t=acme,d=900\r\n");
         // Each time that it is asked.
         for _ in 0..3 {
@@ -75,25 +75,25 @@
 /// call ends only after that is known.
 #[test]
 fn a_connection_to_a_node_that_left_meanwhile_is_not_kept() {
-    let (lets_go, asked) = (Arc::new(AtomicBool::new(false)), AtomicUsize::new(0));
-    let told = Arc::clone(&lets_go);
+    let (release, asked) = (Arc::new(AtomicBool::new(false)), AtomicUsize::new(0));
+    let is_released = Arc::clone(&release);
     let node = StubServer::node(move |line| {
-        while asked.fetch_add(1, Ordering::SeqCst) == 0 && !told.load(Ordering::SeqCst) {
-            while !told.load(Ordering::SeqCst) {
+        while asked.fetch_add(1, Ordering::SeqCst) == 0 && !is_released.load(Ordering::SeqCst) {
+            while !is_released.load(Ordering::SeqCst) {
                 std::thread::sleep(ms(2));
             }
         }
         StubAction::Reply(value(line, "v"))
     });
-    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
-    let (_, tell) = scene.discovery.watch();
-    let mut client = scene.client();
+    let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
+    let (_, tell) = fixture.discovery.watch();
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
+    fixture.until("the node is asked", || node.received().len() == 1);
     let anew = node.entry("s-0", "c6", "ready").replace(r#""startedAtMs":0"#, r#""startedAtMs":1000"#);
     tell.send(catalog(2, false, &[anew])).unwrap();
-    scene.until("it is heard", || scene.counter("lists") == 1);
-    lets_go.store(true, Ordering::SeqCst);
+    fixture.until("it is heard", || fixture.counter("lists") == 1);
+    release.store(true, Ordering::SeqCst);
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
     assert_eq!(client.get("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2, "the second call is made on a connection to the new process");
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -13,15 +13,15 @@
     let mut origin = AcceptBarrier::new();
     let window = (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":700.0"#);
     let entries = [origin.entry("o", "origin", "ready", 0)];
-    let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT, window]);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::with_all(&entries, &[SLOW_CONNECT, window]);
+    let mut client = fixture.client();
     client.send("ms k 5 O1 Pc=put,t=acme,d=4000,k=1\r\nhello\r\n");
     let mut first = origin.accept().expect("the write is sent");
     assert!(first.request(true).expect("whole").starts_with("PUT /k "));
     let begun = Instant::now();
     origin.close();
     drop(first);
-    scene.until("it is tried again", || scene.counter("calls_ordered") == 2);
+    fixture.until("it is tried again", || fixture.counter("calls_ordered") == 2);
     assert!(client.read_line().starts_with("SERVER_ERROR "), "it cannot be served any more");
     assert!(begun.elapsed() < ms(2000), "told when its window is over: {:?}", begun.elapsed());
     origin.open();
@@ -39,30 +39,30 @@
         node.close();
         let origin = StubServer::origin(|_| StubAction::Ignore);
         let entries = [node.entry("s-0", "c6", "ready", 0), origin.entry("o", "origin", "ready")];
-        let scene = ProxyFixture::with_all(&entries, &[SLOW_CONNECT]);
-        let (_, tell) = scene.discovery.watch();
-        let mut client = scene.client();
+        let fixture = ProxyFixture::with_all(&entries, &[SLOW_CONNECT]);
+        let (_, tell) = fixture.discovery.watch();
+        let mut client = fixture.client();
         client.send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
-        scene.until("the call is decided", || scene.counter("calls_ordered") == 1);
+        fixture.until("the call is decided", || fixture.counter("calls_ordered") == 1);
         let change = |lifecycle, started| catalog(2, false, &[node.entry("s-0", "c6", lifecycle, started)]);
-        let told = match happens {
+        let list = match happens {
             "drains" => Some(change("draining", 0)),
             "starts anew" => Some(change("ready", 1_000_000)),
             _ => None,
         };
-        match told {
+        match list {
             Some(list) => {
                 tell.send(list).unwrap();
-                scene.until("it is heard", || scene.counter("lists") == 1);
+                fixture.until("it is heard", || fixture.counter("lists") == 1);
             }
             None => {
                 drop(client);
-                scene.until("it is noticed", || scene.counter("consumers_gone") == 1);
+                fixture.until("it is noticed", || fixture.counter("consumers_gone") == 1);
             }
         }
         node.open();
         let mut late = node.accept_within(ms(COMES_UP)).expect("the connection comes up");
         assert_eq!(late.read_all_within(ms(300)).0, b"", "{happens}");
-        scene.until("the call has ended", || scene.counter("calls_moot") >= 1);
+        fixture.until("the call has ended", || fixture.counter("calls_moot") >= 1);
     }
 }
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -14,12 +14,12 @@
 /// A proxy whose discovery is played by the test, and its first call there.
 fn moved() -> (ProxyFixture, AcceptBarrier, AcceptedConnection, StubServer) {
     let node = StubServer::full_node("v");
-    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let discovery = AcceptBarrier::new();
-    scene.reload(&scene.discovery.address.to_string(), &discovery.address.to_string());
+    fixture.reload(&fixture.discovery.address.to_string(), &discovery.address.to_string());
     let mut call = discovery.accept().expect("the watch moves");
     assert!(call.request(true).is_some());
-    (scene, discovery, call, node)
+    (fixture, discovery, call, node)
 }
 
 /// Guards against a change that counts as told before it is known: the watch falls silent just before it, and the next
@@ -27,7 +27,7 @@
 #[test]
 fn what_a_silent_watch_missed_is_asked_for_in_time_whatever_the_next_call_meets() {
     for next in ["hangs", "is refused", "ends", "trickles"] {
-        let (scene, discovery, mut watch, node) = moved();
+        let (fixture, discovery, mut watch, node) = moved();
         assert!(watch.send(HEAD) && watch.send(&chunk("")));
         let silent_since = Instant::now();
         let mut call = discovery.accept().expect("a silent watch is dead");
@@ -44,9 +44,9 @@
         assert!(
             call.send(HEAD) && call.send(&chunk(&catalog(2, false, &[node.entry("s-0", "c6", "draining")])))
         );
-        scene.until("it is heard", || scene.counter("lists") == 1);
+        fixture.until("it is heard", || fixture.counter("lists") == 1);
         assert!(silent_since.elapsed() < TOLD, "{next}: {:?}", silent_since.elapsed());
-        let line = scene.client().get("k", "1", 300).0;
+        let line = fixture.client().get("k", "1", 300).0;
         assert!(line.starts_with("SERVER_ERROR busy"), "the only node drains: {line}");
         assert_eq!(node.received(), Vec::<String>::new(), "{next}");
         drop(held);
@@ -79,9 +79,9 @@
 fn an_agent_that_is_back_is_asked_at_once() {
     let node = StubServer::full_node("v");
     let entries = [node.entry("s-0", "c6", "ready")];
-    let scene = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
+    let fixture = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
     let agent = AcceptBarrier::new();
-    scene.reload(&scene.discovery.address.to_string(), &agent.address.to_string());
+    fixture.reload(&fixture.discovery.address.to_string(), &agent.address.to_string());
     let mut last = Instant::now();
     for number in 0..8 {
         let mut call = agent.accept().expect("it is asked again");
@@ -95,14 +95,14 @@
 #[test]
 fn a_move_does_not_wait_for_a_connection_to_the_old_address() {
     let node = StubServer::full_node("v");
-    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let (mut old, new) = (AcceptBarrier::new(), AcceptBarrier::new());
     old.close();
-    let places = [scene.discovery.address, old.address, new.address].map(|place| place.to_string());
-    scene.reload(&places[0], &places[1]);
-    scene.until("it has moved", || scene.counter("watches") == 2);
+    let addresses = [fixture.discovery.address, old.address, new.address].map(|address| address.to_string());
+    fixture.reload(&addresses[0], &addresses[1]);
+    fixture.until("it has moved", || fixture.counter("watches") == 2);
     let begun = Instant::now();
-    scene.reload(&places[1], &places[2]);
+    fixture.reload(&addresses[1], &addresses[2]);
     let mut call = new.accept().expect("it moves on");
     assert!(call.request(true).is_some());
     // News of the new address count 4 s after SIGHUP; a call may take 1.4 s of them.
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -7,7 +7,7 @@
 mod lists;
 
 use crate::ms;
-use crate::rig::*;
+use pinetrail_test_harness::*;
 
 /// What a party within a test says of a key that it holds.
 fn value(command: &str, value: &str) -> String {
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -1,7 +1,7 @@
 //! Requests from a client to a cache node or the origin, and how each of their responses comes about.
 
-use crate::rig::*;
 use crate::{idle_origin, ms, origin_saying};
+use pinetrail_test_harness::*;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Instant;
@@ -9,11 +9,11 @@
 #[test]
 fn a_read_is_served_by_a_node_as_it_was_given() {
     let (node, origin) = (StubServer::full_node("hello"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (line, value) = scene.client().get("7f3a", "9b1f", 480);
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (line, value) = fixture.client().get("7f3a", "9b1f", 480);
     assert_eq!((line.as_str(), value.as_str()), ("VA 5 O9b1f\r\n", "hello\r\n"));
-    let heard = node.received();
-    let d: u32 = heard[0]
+    let received = node.received();
+    let d: u32 = received[0]
         .strip_prefix("mg 7f3a v O9b1f Pc=read,t=acme,d=")
         .and_then(|rest| rest.trim().parse().ok())
         .expect("the command passes on unchanged but for d");
@@ -24,14 +24,14 @@
 #[test]
 fn a_miss_and_a_write_go_to_the_origin() {
     let (node, origin) = (StubServer::empty_node(), origin_saying("r7"));
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     assert_eq!(client.get("a/b", "1", 900), ("VA 2 O1\r\n".into(), "r7\r\n".into()));
     assert_eq!(client.request("ms w 5 O2 Pc=put,t=acme,d=900,k=5c\r\nhello\r\n"), "HD O2 cr7\r\n");
-    let heard = origin.received();
-    assert!(heard[0].starts_with("GET /a%2Fb HTTP/1.1\r\n") && heard[0].contains("\r\nX-Txn: 1\r\n"));
-    assert!(heard[1].starts_with("PUT /w HTTP/1.1\r\n") && heard[1].ends_with("\r\n\r\nhello"));
-    assert!(heard[1].contains("\r\nX-Labels: c=put,t=acme,d=") && heard[1].contains(",k=5c\r\n"));
+    let received = origin.received();
+    assert!(received[0].starts_with("GET /a%2Fb HTTP/1.1\r\n") && received[0].contains("\r\nX-Txn: 1\r\n"));
+    assert!(received[1].starts_with("PUT /w HTTP/1.1\r\n") && received[1].ends_with("\r\n\r\nhello"));
+    assert!(received[1].contains("\r\nX-Labels: c=put,t=acme,d=") && received[1].contains(",k=5c\r\n"));
     assert_eq!(node.received().len(), 1, "the write did not pass by the node");
 }
 
@@ -43,9 +43,9 @@
         0 => StubAction::Reply(turned.into()),
         _ => http_200("r1"),
     });
-    let scene = ProxyFixture::of(&[], &origin);
-    assert_eq!(scene.client().request("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
-    assert_eq!((scene.counter("calls_full"), scene.counter("calls_ok")), (1, 1));
+    let fixture = ProxyFixture::of(&[], &origin);
+    assert_eq!(fixture.client().request("ms w 1 O2 Pc=put,t=acme,d=900,k=5c\r\nx\r\n"), "HD O2 cr1\r\n");
+    assert_eq!((fixture.counter("calls_full"), fixture.counter("calls_ok")), (1, 1));
 }
 
 /// Guards against an outcome taken for worse than it is: what never connected never ran.
@@ -53,43 +53,43 @@
 fn a_node_that_refuses_connections_is_passed_over() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let nowhere = StubServer::unreachable();
-    let scene = ProxyFixture::of(&[&nowhere, &node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&nowhere, &node], &origin);
+    let mut client = fixture.client();
     (0..20).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
-    assert!(scene.counter("calls_connect_failed") >= 1);
-    assert_eq!((scene.counter("answered_served"), scene.counter("calls_ok")), (20, 20));
+    assert!(fixture.counter("calls_connect_failed") >= 1);
+    assert_eq!((fixture.counter("answered_served"), fixture.counter("calls_ok")), (20, 20));
 }
 
 #[test]
 fn a_silent_node_costs_a_rejection_in_time_and_its_connection() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
-    let (line, _) = scene.client().get("k", "1", 300);
+    let (line, _) = fixture.client().get("k", "1", 300);
     assert!(begun.elapsed() < ms(600), "at its own deadline, not its class's: {:?}", begun.elapsed());
     assert_eq!(line, "SERVER_ERROR busy 500\r\n", "with when to come back");
-    scene.until("the call is given up", || node.disconnected() == 1);
-    assert_eq!((scene.counter("calls_timeout"), node.received().len()), (1, 1));
+    fixture.until("the call is given up", || node.disconnected() == 1);
+    assert_eq!((fixture.counter("calls_timeout"), node.received().len()), (1, 1));
 }
 
 #[test]
 fn without_any_node_a_read_is_answered_all_the_same() {
-    let scene = ProxyFixture::new(&[]);
-    let line = scene.client().get("k", "1", 200).0;
+    let fixture = ProxyFixture::new(&[]);
+    let line = fixture.client().get("k", "1", 200).0;
     assert!(line.starts_with("SERVER_ERROR busy "), "{line}");
 }
 
 #[test]
 fn a_consumer_that_leaves_is_owed_nothing() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     client.send("mg k v O1 Pc=read,t=acme,d=400\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
+    fixture.until("the node is asked", || node.received().len() == 1);
     drop(client);
-    scene.until("it is noticed", || scene.counter("consumers_gone") == 1);
-    scene.until("the call ends all the same", || scene.counter("calls_timeout") == 1);
-    assert_eq!(scene.counter("answered_failed") + scene.counter("answered_rejected"), 0);
+    fixture.until("it is noticed", || fixture.counter("consumers_gone") == 1);
+    fixture.until("the call ends all the same", || fixture.counter("calls_timeout") == 1);
+    assert_eq!(fixture.counter("answered_failed") + fixture.counter("answered_rejected"), 0);
 }
 
 /// Guards against a handshake a call, against a call on a connection that broke while it stood idle, and
@@ -104,16 +104,16 @@
         }
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     (0..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
-    assert_eq!((node.connected(), scene.counter("provider_connections")), (1, 1));
+    assert_eq!((node.connected(), fixture.counter("provider_connections")), (1, 1));
     assert!(client.get("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
-    scene.until("the rest are broken", || node.disconnected() == node.connected());
-    let resets = scene.counter("calls_reset");
+    fixture.until("the rest are broken", || node.disconnected() == node.connected());
+    let resets = fixture.counter("calls_reset");
     // The node is a suspect for about a second.
-    scene.until("it is tried again", || scene.client().get("k", "21", 900).1 == "v\r\n");
-    assert_eq!(scene.counter("calls_reset"), resets, "no call met a broken connection");
+    fixture.until("it is tried again", || fixture.client().get("k", "21", 900).1 == "v\r\n");
+    assert_eq!(fixture.counter("calls_reset"), resets, "no call met a broken connection");
     // The settings let connections stand idle for 1.5 s.
     let until = Instant::now() + ms(1400 + 1000);
     while node.disconnected() < node.connected() {
@@ -131,8 +131,8 @@
     let entries: Vec<String> =
         nodes.iter().zip(names).map(|(node, name)| node.entry(name, "c6", "ready")).collect();
     let backwards: Vec<String> = entries.iter().rev().cloned().collect();
-    let choices = |scene: ProxyFixture| -> Vec<String> {
-        let mut client = scene.client();
+    let choices = |fixture: ProxyFixture| -> Vec<String> {
+        let mut client = fixture.client();
         (0..30).map(|n| client.get(&format!("key{n}"), &n.to_string(), 900).1).collect()
     };
     let (one, other) = (choices(ProxyFixture::new(&entries)), choices(ProxyFixture::new(&backwards)));
@@ -144,8 +144,8 @@
 #[test]
 fn an_answered_invocation_leaves_no_timer_behind() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let mut client = fixture.client();
     let mut ask = |from: u32| {
         (from..from + 1000).for_each(|n| {
             assert_eq!(client.get("k", &n.to_string(), 50_000).1, "v\r\n");
@@ -153,23 +153,23 @@
         });
     };
     ask(0);
-    let before = scene.memory_mb();
+    let before = fixture.memory_mb();
     (1..4).for_each(|n| ask(n * 1000));
-    assert!(scene.memory_mb() <= before + 8, "from {before} to {} MB", scene.memory_mb());
+    assert!(fixture.memory_mb() <= before + 8, "from {before} to {} MB", fixture.memory_mb());
 }
 
 /// Guards against a connection to a machine that has gone, used for the one that has its address now.
 #[test]
 fn a_new_node_at_an_old_address_inherits_no_connection() {
     let node = StubServer::full_node("v");
-    let scene = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
-    let (_, tell) = scene.discovery.watch();
-    let mut client = scene.client();
+    let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
+    let (_, tell) = fixture.discovery.watch();
+    let mut client = fixture.client();
     assert_eq!(client.get("k", "1", 900).1, "v\r\n");
     let change = [node.entry("s-0", "c6", "gone"), node.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &change)).unwrap();
-    scene.until("the change is known", || scene.counter("lists") == 1);
-    scene.until("the old connection ends", || node.disconnected() == 1);
+    fixture.until("the change is known", || fixture.counter("lists") == 1);
+    fixture.until("the old connection ends", || node.disconnected() == 1);
     assert_eq!(client.get("k", "2", 900).1, "v\r\n");
     assert_eq!(node.connected(), 2);
 }
@@ -179,9 +179,9 @@
 #[test]
 fn waits_of_many_lengths_all_end() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
-    let scene = ProxyFixture::of(&[&node], &origin);
+    let fixture = ProxyFixture::of(&[&node], &origin);
     for round in 0..2 {
-        let mut clients: Vec<(Client, usize)> = (0..48).map(|number| (scene.client(), number)).collect();
+        let mut clients: Vec<(Client, usize)> = (0..48).map(|number| (fixture.client(), number)).collect();
         for (client, number) in &mut clients {
             let ask = |n: usize| {
                 format!(
@@ -195,5 +195,5 @@
             (0..60).for_each(|_| assert!(client.read_line().starts_with("SERVER_ERROR ")));
         }
     }
-    assert_eq!(scene.counter("overdue"), 0);
+    assert_eq!(fixture.counter("overdue"), 0);
 }
--- a/tests/sockets/settings.rs
+++ b/tests/sockets/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of other customers: what may be absent, what may be one, what may have any name.
 
 use crate::ms;
-use crate::rig::*;
+use pinetrail_test_harness::*;
 use std::time::Instant;
 
 /// Serves a read and a write by settings with these texts replaced.
@@ -9,8 +9,8 @@
     let node = StubServer::full_node("v");
     let origin = StubServer::origin(|_| http_200("r1"));
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_all(&entries, changes);
-    let mut client = scene.client();
+    let fixture = ProxyFixture::with_all(&entries, changes);
+    let mut client = fixture.client();
     let line = client.request(&format!("mg k v O1 Pc={read}{tenant},d=900\r\n"));
     assert_eq!((line.as_str(), client.read_line().as_str()), ("VA 1 O1\r\n", "v\r\n"), "{changes:?}");
     let line = client.request(&format!("ms k 2 O2 Pc={write}{tenant},d=900,k=5\r\nhi\r\n"));
@@ -69,10 +69,10 @@
 #[test]
 fn a_deadline_of_a_few_milliseconds_is_kept() {
     let node = StubServer::node(|_| StubAction::Ignore);
-    let scene = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     for (n, d) in [0, 1, 5, 30, 150].into_iter().enumerate() {
         let begun = Instant::now();
-        let line = scene.client().request(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
+        let line = fixture.client().request(&format!("mg k v O{n} Pc=read,t=acme,d={d}\r\n"));
         assert!(line.starts_with("SERVER_ERROR "), "{d}: {line}");
         assert!(begun.elapsed() < ms(d + 400), "{d}: {:?}", begun.elapsed());
     }
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -1,7 +1,7 @@
 //! What a process still does after SIGTERM.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::thread::sleep;
 use std::time::Instant;
 
@@ -12,22 +12,25 @@
         StubAction::Reply(format!("VA 4 {}\r\nlate\r\n", opaque(line)))
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (mut before, mut idle) = (scene.client(), scene.client());
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (mut before, mut idle) = (fixture.client(), fixture.client());
     assert_eq!(idle.request("mn\r\n"), "MN\r\n");
     before.send("mg k v O1 Pc=read,t=acme,d=2000\r\n");
-    scene.until("the node is asked", || node.received().len() == 1);
-    scene.signal("TERM");
+    fixture.until("the node is asked", || node.received().len() == 1);
+    fixture.signal("TERM");
     sleep(ms(100));
-    let mut after = scene.client();
+    let mut after = fixture.client();
     after.send("mg j v O2 Pc=read,t=acme,d=2000\r\n");
     assert_eq!((before.read_line(), before.read_line()), ("VA 4 O1\r\n".into(), "late\r\n".into()));
     assert_eq!((after.read_line(), after.read_line()), ("VA 4 O2\r\n".into(), "late\r\n".into()));
     assert_eq!([before.read_line(), after.read_line(), idle.read_line()], [""; 3], "closed between commands");
-    let output = scene.end();
+    let output = fixture.end();
     assert!(output.status.success());
-    let said = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(said.contains("taken_reads=2") && said.contains("answered_served=2"), "{said}");
+    let output_text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        output_text.contains("taken_reads=2") && output_text.contains("answered_served=2"),
+        "{output_text}"
+    );
 }
 
 /// Guards against clients of a proxy that serves alone, left without an answer for as long as its stop takes:
@@ -42,18 +45,18 @@
         }
     });
     let origin = idle_origin();
-    let scene = ProxyFixture::of(&[&node], &origin);
-    let (mut kept, mut slow) = (scene.client(), scene.client());
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    let (mut kept, mut slow) = (fixture.client(), fixture.client());
     assert_eq!((kept.request("mn\r\n"), slow.request("mn\r\n")), ("MN\r\n".into(), "MN\r\n".into()));
-    scene.signal("TERM");
+    fixture.signal("TERM");
     let begun = Instant::now();
     sleep(ms(800));
-    assert!(std::net::TcpStream::connect(scene.client_address).is_err(), "it still listens");
+    assert!(std::net::TcpStream::connect(fixture.client_address).is_err(), "it still listens");
     assert_eq!(kept.get("k", "1", 900).1, "v\r\n");
     // Clients wait for 1 s at the most, so that the kill may come 1.7 s after SIGTERM: this one is answered first.
     slow.send("mg slow v O2 Pc=read,t=acme,d=1000\r\n");
     assert!(slow.read_line().starts_with("SERVER_ERROR "));
     assert_eq!((kept.read_line(), slow.read_line()), (String::new(), String::new()));
-    let output = scene.end();
+    let output = fixture.end();
     assert!(output.status.success() && begun.elapsed() < ms(3000), "{:?}", begun.elapsed());
 }
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -1,7 +1,7 @@
 //! Starts and crowds while discovery is of no use.
 
 use crate::ms;
-use crate::rig::*;
+use pinetrail_test_harness::*;
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
@@ -14,28 +14,28 @@
     let node = StubServer::full_node("v");
     let (mut shut, hangs) = (AcceptBarrier::new(), TcpListener::bind("127.0.0.1:0").unwrap());
     shut.close();
-    let places =
+    let addresses =
         ["127.0.0.1:1".to_owned(), shut.address.to_string(), hangs.local_addr().unwrap().to_string()];
     let entries = [node.entry("s-0", "c6", "ready"), node.entry("o", "origin", "ready")];
     let begun = Instant::now();
     let processes: Vec<_> = (0..12)
         .map(|n| {
             let listen = format!("127.0.0.1:{}", free_port());
-            let text = config(&listen, &places[n % 3], 256, &catalog(1, true, &entries));
+            let text = config(&listen, &addresses[n % 3], 256, &catalog(1, true, &entries));
             (start(&text), listen.parse().unwrap())
         })
         .collect();
-    for (_, place) in &processes {
+    for (_, address) in &processes {
         let until = begun + READY;
-        while Client::try_connect(*place)
+        while Client::try_connect(*address)
             .is_none_or(|mut client| !client.try_send("mn\r\n") || client.read_line() != "MN\r\n")
         {
             assert!(Instant::now() < until, "not ready in time");
             std::thread::sleep(ms(20));
         }
     }
-    for (child, place) in processes {
-        assert_eq!(Client::connect(place).get("k", "1", 900).1, "v\r\n");
+    for (child, address) in processes {
+        assert_eq!(Client::connect(address).get("k", "1", 900).1, "v\r\n");
         signal(&child, "TERM");
         assert!(end(child).status.success());
     }
@@ -46,20 +46,20 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
 }
 
-/// Guards against idle clients that leave no descriptor for discovery, nodes and the door: all that there is is held by
+/// Guards against idle clients that leave no descriptor for discovery, nodes and the admin server: all that there is is held by
 /// them while discovery is down, and then it is back.
 #[test]
 fn idle_clients_do_not_keep_the_watch_from_coming_back() {
     let node = StubServer::full_node("v");
     let entries = [node.entry("s-0", "c6", "ready"), node.entry("o", "origin", "ready")];
-    let scene = ProxyFixture::with_sockets(&entries, 64);
+    let fixture = ProxyFixture::with_sockets(&entries, 64);
     let down = format!("127.0.0.1:{}", free_port());
-    scene.reload(&scene.discovery.address.to_string(), &down);
-    scene.until("the watch is lost", || scene.counter("watches_failed") > 0);
-    let mut asks = scene.client();
+    fixture.reload(&fixture.discovery.address.to_string(), &down);
+    fixture.until("the watch is lost", || fixture.counter("watches_failed") > 0);
+    let mut asks = fixture.client();
     assert_eq!(asks.get("k", "1", 900).1, "v\r\n");
     // More than there are descriptors; those beyond wait to be accepted.
-    let mut idle: Vec<Client> = (0..100).map(|_| scene.client()).collect();
+    let mut idle: Vec<Client> = (0..100).map(|_| fixture.client()).collect();
     for client in &mut idle {
         client.send("mn\r\n");
     }
@@ -70,9 +70,9 @@
         assert!(begun.elapsed() < Duration::from_secs(6), "discovery is back, and nobody asks it");
         std::thread::sleep(ms(5));
     }
-    assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200);
+    assert_eq!(call_admin(fixture.admin_address, "GET", "/control/ready").0, 200);
     // Its place may have been given to others meanwhile.
-    let answer = scene.client().get("k", "2", 2000).1;
+    let answer = fixture.client().get("k", "2", 2000).1;
     assert_eq!(answer, "v\r\n");
 }
 
@@ -122,8 +122,8 @@
     ];
     for (text, names) in bad {
         let output = end(start(&text));
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
-        assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{said}");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{log}");
+        assert!(log.starts_with("pinetrail: cannot start: ") && log.contains(names), "{log}");
     }
 }
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -1,7 +1,7 @@
 //! A second process takes over from the first while it serves.
 
-use crate::rig::*;
 use crate::{idle_origin, ms};
+use pinetrail_test_harness::*;
 use std::process::Child;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -20,13 +20,13 @@
 }
 
 impl Load {
-    fn on(scene: &ProxyFixture, clients: usize) -> Load {
+    fn on(fixture: &ProxyFixture, clients: usize) -> Load {
         let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let place = scene.client_address;
+        let address = fixture.client_address;
         let run = |number: usize| {
             let (stop, asked) = (Arc::clone(&stop), Arc::clone(&asked));
             spawn(move || {
-                let mut client = Client::connect(place);
+                let mut client = Client::connect(address);
                 for n in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
@@ -35,7 +35,7 @@
                     // A close that crosses a command leaves it unread, and it is sent once more.
                     let mut answer = client.try_get(&id);
                     if answer.is_none() {
-                        client = Client::connect(place);
+                        client = Client::connect(address);
                         answer = client.try_get(&format!("{id}r"));
                     }
                     assert_eq!(answer.as_deref(), Some("v\r\n"), "{id}");
@@ -59,17 +59,21 @@
 #[test]
 fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
     let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
-    let mut scene = ProxyFixture::of(&[&node, &out], &origin);
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
-    let load = Load::on(&scene, 8);
+    let mut fixture = ProxyFixture::of(&[&node, &out], &origin);
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+    let load = Load::on(&fixture, 8);
     for _ in 0..3 {
-        let second = scene.start_second_process();
-        // Both doors bind both processes.
+        let second = fixture.start_second_process();
+        // Both admin servers bind both processes.
         assert_eq!(call_admin(second.1, "POST", "/control/cache-nodes/s-0/online").0, 200);
-        assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
-        assert_eq!(call_admin(scene.admin_address, "GET", "/control/ready").0, 200, "the old one serves on");
+        assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
+        assert_eq!(
+            call_admin(fixture.admin_address, "GET", "/control/ready").0,
+            200,
+            "the old one serves on"
+        );
         sleep(ms(100));
-        let first = scene.replace_process(second);
+        let first = fixture.replace_process(second);
         signal(&first, "TERM");
         assert!(end(first).status.success());
         sleep(ms(100));
@@ -80,8 +84,8 @@
     assert_eq!(node.received().len(), ids.len(), "nothing runs twice");
     assert!(ids.len() >= asked && asked > 100, "{asked} of {}", ids.len());
     assert!(out.received().is_empty(), "held out before, during and after");
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
-    let mut client = scene.client();
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
+    let mut client = fixture.client();
     (0..40).for_each(|n| assert!(client.get(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
     assert!(!out.received().is_empty(), "it serves again");
 }
@@ -91,68 +95,68 @@
 #[test]
 fn a_newcomer_that_dies_or_cannot_start_leaves_the_old_one_as_it_was() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let mut scene = ProxyFixture::of(&[&node], &origin);
-    let taken = format!(r#""admin":"{}""#, scene.admin_address);
+    let mut fixture = ProxyFixture::of(&[&node], &origin);
+    let taken = format!(r#""admin":"{}""#, fixture.admin_address);
     for (from, to, names) in
         [(r#""admin":"127.0.0.1:0""#, taken.as_str(), "door"), (r#""Grades""#, r#""Grates""#, "Grades")]
     {
-        let output = end(scene.start_second_process_with(from, to));
+        let output = end(fixture.start_second_process_with(from, to));
         assert_eq!(output.status.code(), Some(2));
         assert!(String::from_utf8_lossy(&output.stderr).contains(names));
-        assert_eq!(scene.client().get("k", names, 900).1, "v\r\n");
+        assert_eq!(fixture.client().get("k", names, 900).1, "v\r\n");
     }
     // Dead before it is ready, whenever that is, and after.
     for wait in [0, 5, 20, 60] {
-        let child = scene.start_second_process_with("n0", "n0");
+        let child = fixture.start_second_process_with("n0", "n0");
         sleep(ms(wait));
         kill(child);
-        assert_eq!(scene.client().get("k", &wait.to_string(), 900).1, "v\r\n");
+        assert_eq!(fixture.client().get("k", &wait.to_string(), 900).1, "v\r\n");
     }
-    let (second, _) = scene.start_second_process();
-    let third = end(scene.start_second_process_with("n0", "n0"));
+    let (second, _) = fixture.start_second_process();
+    let third = end(fixture.start_second_process_with("n0", "n0"));
     assert_eq!(third.status.code(), Some(2), "one upgrade at a time");
     assert!(String::from_utf8_lossy(&third.stderr).contains("refuses"));
     kill(second);
-    scene.until("the old one accepts again", || scene.client().get("k", "a", 900).1 == "v\r\n");
-    let second = scene.start_second_process();
-    let first = scene.replace_process(second);
+    fixture.until("the old one accepts again", || fixture.client().get("k", "a", 900).1 == "v\r\n");
+    let second = fixture.start_second_process();
+    let first = fixture.replace_process(second);
     kill(first);
-    assert_eq!(scene.client().get("k", "b", 900).1, "v\r\n", "also if the old one is killed");
-    let second = scene.start_second_process();
-    let first = scene.replace_process(second);
+    assert_eq!(fixture.client().get("k", "b", 900).1, "v\r\n", "also if the old one is killed");
+    let second = fixture.start_second_process();
+    let first = fixture.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
-    assert_eq!(scene.client().get("k", "c", 900).1, "v\r\n");
+    assert_eq!(fixture.client().get("k", "c", 900).1, "v\r\n");
 }
 
 /// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
 #[test]
 fn a_drain_binds_both_processes_and_is_not_inherited() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let mut scene = ProxyFixture::of(&[&node], &origin);
-    let second = scene.start_second_process();
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
-    assert!(scene.client().request("mn\r\n").starts_with("SERVER_ERROR "));
+    let mut fixture = ProxyFixture::of(&[&node], &origin);
+    let second = fixture.start_second_process();
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200);
+    assert!(fixture.client().request("mn\r\n").starts_with("SERVER_ERROR "));
     assert_eq!(call_admin(second.1, "POST", "/control/in-service").0, 200);
-    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
-    kill(scene.replace_process(second));
-    assert_eq!(call_admin(scene.admin_address, "POST", "/control/out-of-service").0, 200);
-    let second = scene.start_second_process();
-    kill(scene.replace_process(second));
-    assert_eq!(scene.client().request("mn\r\n"), "MN\r\n");
+    assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
+    kill(fixture.replace_process(second));
+    assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200);
+    let second = fixture.start_second_process();
+    kill(fixture.replace_process(second));
+    assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
 }
 
 /// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
 #[test]
 fn an_upgrade_needs_no_short_path_and_no_clean_folder() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
-    let mut scene = ProxyFixture::of(&[&node], &origin);
-    scene.use_long_temp_dir();
+    let mut fixture = ProxyFixture::of(&[&node], &origin);
+    fixture.use_long_temp_dir();
     // The one that is killed leaves its name behind.
-    (0..2).for_each(|_| scene.restart());
-    let second = scene.start_second_process();
-    let first = scene.replace_process(second);
+    (0..2).for_each(|_| fixture.restart());
+    let second = fixture.start_second_process();
+    let first = fixture.replace_process(second);
     signal(&first, "TERM");
     assert!(end(first).status.success());
-    assert_eq!(scene.client().get("k", "1", 900).1, "v\r\n");
+    assert_eq!(fixture.client().get("k", "1", 900).1, "v\r\n");
 }
