--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn a_local_change_shows_at_every_door_is_one_alarm_and_can_be_undone() {
+fn a_local_change_is_reported_by_every_member_with_one_alarm_and_can_be_undone() {
     let mut fleet = with_a_loose_one();
     drift(&mut fleet);
     fleet.wait_until("every admin server shows it", |fleet| all_see(fleet, 3, "differs"));
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn who_is_cut_off_is_silent_to_others_and_fenced_to_itself_and_never_the_same() {
+fn a_partitioned_member_is_silent_to_others_and_fenced_to_itself() {
     let fleet = with_a_loose_one();
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
     fleet.wait_until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn when_the_holder_of_the_alarm_dies_another_goes_on() {
+fn another_member_goes_on_when_the_holder_of_the_alarm_dies() {
     let mut fleet = with_a_loose_one();
     let steward = |fleet: &Fleet| {
         (0..3).find(|member| {
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -9,7 +9,7 @@
 use std::thread::sleep;
 
 #[test]
-fn a_death_is_known_to_all_and_so_is_the_return() {
+fn all_members_learn_of_a_death_and_of_the_return() {
     let mut fleet = met(Options::of(5));
     assert!(ALL.iter().all(|member| fleet.report(*member).unwrap().side == "whole"));
     fleet.kill(3);
@@ -23,7 +23,7 @@
 
 /// Guards against a cut that is none: what is sent on a way that is cut must arrive by no other.
 #[test]
-fn a_way_that_is_cut_carries_nothing() {
+fn a_partitioned_path_carries_nothing() {
     let fleet = met(Options::of(3));
     fleet.cut_into(&[&[0], &[1, 2]]);
     // What was on its way is swallowed as well.
@@ -83,7 +83,7 @@
 /// Guards against a member that is taken for silent though others hear it: without those nearly each probe on the way
 /// that is cut would make it a suspect.
 #[test]
-fn a_way_cut_in_one_direction_fails_nobody() {
+fn a_path_partitioned_in_one_direction_fails_no_member() {
     let fleet = met(Options::of(5));
     let begun = fleet.timeline.now();
     fleet.datagram_faults.change_path(0, 1, |path| path.partitioned = true);
@@ -96,7 +96,7 @@
 
 /// Guards against sides that never meet again, and against a restart while cut that passes for a whole fleet.
 #[test]
-fn cut_into_three_and_two_both_sides_say_so_and_the_heal_needs_no_restart() {
+fn both_sides_of_a_partition_report_it_and_heal_without_a_restart() {
     let mut fleet = met(Options::of(5));
     fleet.cut_into(&[&[0, 1, 2], &[3, 4]]);
     let sides = |fleet: &Fleet| ALL.map(|member| fleet.report(member).unwrap().side);
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn all_that_restart_at_once_find_each_other_by_their_peers() {
+fn members_that_restart_at_once_find_each_other_by_their_peers() {
     let mut fleet = met(Options::of(5));
     for member in &ALL {
         fleet.kill(*member);
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn the_one_peer_that_everybody_joins_by_may_be_dead() {
+fn members_meet_though_the_one_peer_that_all_join_by_is_dead() {
     let mut fleet = met(Options { peers: vec![0], ..Options::of(4) });
     fleet.kill(0);
     fleet.wait_until("the others stay together", |fleet| fleet.all_agree(&[1, 2, 3]));
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn a_loss_of_five_in_a_hundred_and_disorder_fail_nobody() {
+fn five_percent_loss_and_reordering_fail_no_member() {
     let fleet = met(Options::of(5));
     fleet.datagram_faults.change_all_paths(|path| {
         path.loss = 0.05;
@@ -157,7 +157,7 @@
 }
 
 #[test]
-fn a_name_may_return_at_another_address() {
+fn a_member_may_return_at_another_address() {
     // The last place is kept for it.
     let mut fleet = Fleet::new(Options { peers: vec![0, 1, 2], ..Options::of(4) }, nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
@@ -181,7 +181,7 @@
 
 /// Guards against a flood that keeps the worker from clients, or that changes what is believed.
 #[test]
-fn a_flood_of_spoilt_datagrams_keeps_no_client_waiting() {
+fn a_flood_of_malformed_datagrams_delays_no_client() {
     let fleet = met(Options::of(3));
     let (to, begun) = (fleet.member_address(0), fleet.timeline.now());
     let flood = std::thread::spawn(move || {
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn a_hangup_with_other_peers_in_the_middle_of_a_join_leads_to_them() {
+fn a_reload_with_other_peers_during_a_join_leads_to_them() {
     let mut fleet = Fleet::new(Options::of(4), nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
     // It is told only of one that is not there.
@@ -243,7 +243,7 @@
 
 /// Discovery has no say in who belongs to the fleet.
 #[test]
-fn a_fleet_meets_and_notices_a_death_while_discovery_is_down() {
+fn members_meet_and_notice_a_death_while_discovery_is_down() {
     let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
     fleet.discovery.set_down(true);
     (0..3).for_each(|member| fleet.start(member));
@@ -255,7 +255,7 @@
 
 /// Faults of every kind from a seed: whatever they were, in the end all agree.
 #[test]
-fn whatever_a_seed_brings_all_agree_after_it() {
+fn all_members_agree_after_seeded_faults() {
     for seed in [1, 2] {
         let mut fleet = met(Options { seed, ..Options::of(5) });
         let script = Script::from_seed(seed, 5, 6, 12_000);
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -29,7 +29,7 @@
 
 /// Guards against anything that a proxy without a fleet would have because there can be one.
 #[test]
-fn without_fleet_there_is_no_socket_no_thread_and_no_counter() {
+fn a_proxy_without_a_fleet_has_no_socket_thread_or_counter_for_it() {
     let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
     let mut without = fleet.config(0, &[]);
     without.as_object_mut().unwrap().remove("fleet");
@@ -58,7 +58,7 @@
 
 /// Guards against a fleet that cannot be, found out only when it is needed.
 #[test]
-fn a_fleet_that_cannot_be_ends_the_start_with_one_line() {
+fn a_start_with_an_invalid_fleet_ends_with_one_line() {
     let fleet = Fleet::new(Options::of(2), nodes(), origin());
     let good = fleet.config(0, &[1]);
     let with = |change: &dyn Fn(&mut Value)| {
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -4,7 +4,7 @@
 use pinetrail_test_harness::fleet::{Fleet, Options};
 
 #[test]
-fn the_door_tells_of_every_member_in_the_order_of_names() {
+fn the_admin_server_lists_every_member_in_the_order_of_names() {
     let fleet = met(Options::of(3));
     let report = fleet.report(1).unwrap();
     assert_eq!((report.json["self"].as_str(), &*report.side), (Some("n1"), "whole"));
@@ -21,7 +21,7 @@
 
 /// Guards against a stop on purpose that is taken for a failure.
 #[test]
-fn sigterm_says_goodbye() {
+fn a_member_that_gets_sigterm_leaves_the_fleet() {
     let mut fleet = met(Options::of(3));
     let process = fleet.take_process(2);
     process.signal("TERM");
@@ -38,7 +38,7 @@
 
 /// Guards against two processes of one name of which one wins in silence, or which fight.
 #[test]
-fn two_that_run_under_one_name_by_mistake_are_both_told() {
+fn two_processes_under_one_name_both_log_the_conflict() {
     let mut fleet = Fleet::new(Options { peers: vec![0, 1], ..Options::of(4) }, nodes(), origin());
     (0..3).for_each(|member| fleet.start(member));
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
--- a/tests/fleet/policy/configuration.rs
+++ b/tests/fleet/policy/configuration.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 #[test]
-fn sighup_compares_and_puts_nothing_in_force() {
+fn sighup_compares_with_the_policy_and_applies_nothing() {
     let (mut fleet, clients) = under_load(4, 3);
     let mut other = fleet.config(2, &[0, 1, 3]);
     other["settings"] = settings(&fleet, 2);
@@ -20,7 +20,7 @@
 
 /// Guards against a policy that is on by a slip, or cannot be and is found out only when it is needed.
 #[test]
-fn what_is_wrong_with_a_policy_ends_the_start_with_one_line() {
+fn a_start_with_an_invalid_policy_ends_with_one_line() {
     let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
     let fleet = Fleet::new(options, nodes(), origin());
     let good = fleet.config(0, &[1]);
--- a/tests/fleet/policy/mod.rs
+++ b/tests/fleet/policy/mod.rs
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn a_change_takes_hold_at_one_moment_everywhere() {
+fn a_change_becomes_active_at_one_moment_everywhere() {
     let fleet = governed(4, 3);
     fleet.wait_until("all have the first version", |fleet| has(fleet, &[0, 1, 2, 3], 1));
     let clients = PolicyClients::start(&fleet);
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn links_that_are_reset_in_the_middle_of_a_change_are_made_again() {
+fn peer_connections_reset_during_a_change_are_opened_again() {
     let (fleet, clients) = under_load(4, 3);
     for turn in 0..3 {
         (1..4).for_each(|other| fleet.peer_faults.reset(0, other));
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn one_that_was_down_throughout_comes_back_with_what_was_taken_and_not_with_its_file() {
+fn a_member_that_was_down_during_a_change_starts_with_the_committed_version_and_not_its_file() {
     let (mut fleet, clients) = under_load(4, 3);
     fleet.kill(3);
     propose_second(&fleet, 0);
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn who_is_cut_off_is_fenced_and_catches_up() {
+fn a_partitioned_member_is_fenced_and_catches_up() {
     let (fleet, clients) = under_load(5, 3);
     fleet.cut_into(&[&[3, 4], &[0, 1, 2]]);
     propose_second(&fleet, 1);
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn a_process_that_was_stopped_across_the_moment_admits_nothing_by_the_old_version() {
+fn a_process_stopped_across_a_change_admits_nothing_by_the_old_version() {
     let (fleet, clients) = under_load(4, 3);
     fleet.process(3).signal("STOP");
     propose_second(&fleet, 0);
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn who_is_to_serve_on_does_so_when_cut_off_and_is_named_in_the_answer() {
+fn a_partitioned_member_that_fails_open_serves_on_and_is_named_in_the_outcome() {
     let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(4) };
     let mut fleet = Fleet::new(options, nodes(), origin());
     let mut config = fleet.config(3, &[0, 1, 2]);
@@ -157,7 +157,7 @@
 }
 
 #[test]
-fn one_no_is_a_no_for_all_and_is_told_with_its_path() {
+fn one_rejection_rejects_a_change_everywhere_and_names_the_key() {
     let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(4) };
     let mut fleet = Fleet::new(options, nodes(), origin());
     // One could not let calls run for longer than they do now.
@@ -190,7 +190,7 @@
 }
 
 #[test]
-fn of_two_changes_at_two_doors_one_is_taken() {
+fn one_of_two_concurrent_changes_is_committed() {
     let (fleet, clients) = under_load(4, 3);
     let admins = [0, 3].map(|member| fleet.process(member).admin_address);
     let second = settings(&fleet, 2);
@@ -210,7 +210,7 @@
 }
 
 #[test]
-fn a_slow_peer_costs_only_itself() {
+fn a_slow_peer_delays_only_itself() {
     let (fleet, clients) = under_load(4, 3);
     for other in 0..3 {
         fleet.datagram_faults.change_path(3, other, |path| path.throttle = Some(1000));
@@ -228,7 +228,7 @@
 }
 
 #[test]
-fn the_proposer_or_the_steward_may_be_killed_at_any_step() {
+fn a_change_ends_though_its_proposer_or_leader_is_killed_at_any_step() {
     // The leader is the founder of the lowest seat that is there: n0. Steps are told by what happens after so many ms.
     for (victim, proposer, after) in
         [(3, 3, 0), (3, 3, 15), (0, 3, 0), (0, 3, 10), (0, 0, 25), (0, 3, 40), (0, 0, 70)]
@@ -257,7 +257,7 @@
 }
 
 #[test]
-fn an_upgrade_across_the_moment_keeps_the_promise() {
+fn a_hot_restart_during_a_change_keeps_one_moment() {
     // One that founds, whose seat and disk the newcomer takes over, and one that does not.
     for member in [3, 0] {
         let (mut fleet, clients) = under_load(4, 3);
@@ -274,7 +274,7 @@
 }
 
 #[test]
-fn whatever_a_seed_brings_there_is_one_moment() {
+fn a_change_under_seeded_faults_becomes_active_at_one_moment() {
     for seed in [1, 2, 3] {
         let fleet = governed(4, 3);
         let timeline = fleet.timeline.clone();
@@ -285,7 +285,7 @@
 
 /// Guards against a judge that sees nothing: a hangup at each proxy in turn has two policies decide side by side.
 #[test]
-fn hangups_in_turn_are_no_one_moment() {
+fn reloads_in_turn_show_two_versions_at_once() {
     let played = run_with_reloads(Fleet::start_all(Options::of(3), nodes(), origin()), ms(150));
     assert!(played.violations > 0 && played.overlap_ms > 150.0, "{played:?}");
 }
--- a/tests/fleet/policy/storage.rs
+++ b/tests/fleet/policy/storage.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 #[test]
-fn all_killed_after_the_yes_come_back_with_it() {
+fn a_fleet_killed_after_the_commit_restarts_with_the_new_version() {
     let (mut fleet, clients) = under_load(4, 3);
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn a_founder_that_lost_its_disk_or_finds_it_torn_votes_again_and_knows_what_was_taken() {
+fn a_voter_with_a_lost_or_corrupt_disk_votes_again_and_knows_the_committed_version() {
     let (mut fleet, clients) = under_load(4, 3);
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_founder_whose_disk_is_full_does_not_vote_and_two_others_do() {
+fn a_voter_with_a_full_disk_does_not_vote_and_two_others_do() {
     let (fleet, clients) = under_load(4, 3);
     // What is written aside cannot be: a folder is in its place.
     std::fs::create_dir(fleet.state_dir(2).join("rulebook.new")).unwrap();
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn cut_into_three_and_two_the_minority_has_its_base_and_the_majority_its_part() {
+fn in_a_partition_the_minority_keeps_its_guaranteed_minimum_and_the_majority_its_leases() {
     let fleet = all_share(5);
     assert!(seen(&fleet, 0, "view") >= 1.0 && seen(&fleet, 0, "lease_ms") > 0.0);
     fleet.cut_into(&[&[0, 1], &[2, 3, 4]]);
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn cut_from_each_other_all_have_their_bases_and_come_back() {
+fn members_partitioned_from_each_other_keep_their_guaranteed_minimum_and_recover() {
     let fleet = all_share(3);
     fleet.cut_into(&[&[0], &[1], &[2]]);
     let all = [0, 1, 2];
@@ -81,7 +81,7 @@
 }
 
 #[test]
-fn a_holder_that_was_stopped_wakes_with_its_base() {
+fn a_lease_holder_that_was_stopped_continues_with_its_guaranteed_minimum() {
     let fleet = all_share(5);
     fleet.process(4).signal("STOP");
     let others = [0, 1, 2, 3];
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn all_that_restart_found_the_fleet_anew_though_one_stays_away() {
+fn restarted_members_share_the_quota_though_one_stays_away() {
     let mut fleet = all_share(5);
     for member in &ALL {
         fleet.kill(*member);
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn two_processes_in_an_upgrade_have_one_base_and_the_newcomer_no_lease() {
+fn two_processes_in_a_hot_restart_have_one_guaranteed_minimum_and_the_second_no_lease() {
     let mut fleet = all_share(3);
     let second = fleet.start_second_process(1);
     let first = fleet.replace_process(1, second);
@@ -128,7 +128,7 @@
 }
 
 #[test]
-fn who_is_told_of_other_founders_shares_with_nobody() {
+fn a_member_with_other_founders_is_left_out_of_the_quota() {
     let mut fleet = Fleet::new(sharing(4), nodes(), origin());
     let mut wrong = fleet.config(3, &[0, 1, 2]);
     wrong["fleet"]["founders"] = serde_json::json!([fleet.advertised_address(3).to_string()]);
@@ -142,7 +142,7 @@
 
 /// What the nodes count, whatever the admin servers say: through a cut, a stop and a death.
 #[test]
-fn calls_in_flight_at_a_node_are_never_over_the_whole() {
+fn attempts_in_flight_at_a_node_never_exceed_the_limit_of_the_fleet() {
     let node = || {
         StubServer::node(|line| {
             sleep(ms(40));
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn whatever_a_seed_brings_shares_add_up_and_come_back() {
+fn quotas_under_seeded_faults_add_up_and_recover() {
     for seed in [11, 12] {
         let mut fleet = met(Options { seed, ..sharing(5) });
         let script = Script::from_seed(seed, 5, 5, 10_000);
@@ -208,7 +208,7 @@
 
 /// Guards against calls that run longer than what is leased is kept free after them.
 #[test]
-fn a_hangup_with_longer_deadlines_than_calls_may_run_changes_nothing() {
+fn a_reload_with_deadlines_longer_than_call_ms_changes_nothing() {
     let mut fleet = all_share(3);
     let mut longer = fleet.config(1, &[0, 2]);
     longer["settings"]["Grades"][0]["GiveUp"] = serde_json::json!(5000.0);
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -6,7 +6,7 @@
 
 /// Guards against an upgrade that looks like a failure to the others, and against two processes that both speak.
 #[test]
-fn in_an_upgrade_the_name_passes_to_the_newcomer_and_nobody_fails() {
+fn a_hot_restart_passes_the_name_on_and_no_member_is_reported_failed() {
     let mut fleet = met(Options::of(3));
     let begun = fleet.timeline.now();
     for _ in 0..2 {
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn a_newcomer_that_dies_leaves_the_name_to_the_old_one() {
+fn a_second_process_that_dies_leaves_the_name_to_the_first() {
     let fleet = met(Options::of(3));
     let second = fleet.start_second_process(1);
     fleet.wait_until("the newcomer speaks", |fleet| fleet.report(1).is_none());
@@ -41,7 +41,7 @@
 
 /// Guards against a name that is lost since the cut hides the upgrade.
 #[test]
-fn an_upgrade_while_cut_is_known_after_the_heal() {
+fn a_hot_restart_during_a_partition_is_known_after_it() {
     let mut fleet = met(Options::of(3));
     fleet.cut_into(&[&[1], &[0, 2]]);
     let failed = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().names("failed") == ["n1"];
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn a_failed_or_rejected_invocation_is_answered_as_recorded() {
+fn a_failed_or_rejected_request_is_answered_as_recorded() {
     let fails = |words: &'static str| StubServer::origin(move |_| StubAction::Reply(words.into()));
     let error = fails("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
     let busy = fails("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
--- a/tests/golden/door.rs
+++ b/tests/golden/door.rs
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn wrong_calls_are_refused_as_recorded() {
+fn unknown_admin_requests_are_rejected_as_recorded() {
     let origin = origin();
     let fixture = ProxyFixture::of(&[], &origin);
     let lines = [
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn what_is_no_call_is_refused_as_recorded() {
+fn malformed_admin_requests_are_rejected_as_recorded() {
     let origin = origin();
     let fixture = ProxyFixture::of(&[], &origin);
     let propose = "POST /control/policy HTTP/1.1\r\n";
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn a_process_that_stops_answers_as_recorded() {
+fn a_draining_process_answers_admin_requests_as_recorded() {
     // What it is asked stays open for as long as the test wants.
     let (go_on, may_go_on) = channel::<()>();
     let may_go_on = Mutex::new(may_go_on);
@@ -145,7 +145,7 @@
 }
 
 #[test]
-fn half_a_call_is_refused_in_time_as_recorded() {
+fn half_an_admin_request_is_rejected_in_time_as_recorded() {
     let origin = silent_origin();
     let fixture = ProxyFixture::of(&[], &origin);
     let body = "POST /control/policy HTTP/1.1\r\nContent-Length: 2\r\n\r\n{";
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn a_fleet_of_one_and_of_two_is_told_as_recorded() {
+fn a_fleet_of_one_and_of_two_is_reported_as_recorded() {
     let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
     fleet.start(0);
     let mut actual = asked(&fleet, 0, "GET /control/fleet");
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn shares_of_a_fleet_with_founders_are_told_as_recorded() {
+fn quotas_of_a_fleet_with_founders_are_reported_as_recorded() {
     let options = Options { founders: vec![0], ..Options::of(2) };
     let mut fleet = Fleet::new(options, nodes(), origin());
     let report_json = |fleet: &Fleet, member: usize| fleet.report(member).unwrap().json;
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn a_policy_and_a_change_of_it_are_told_as_recorded() {
+fn a_policy_and_a_change_of_it_are_reported_as_recorded() {
     let fleet = governed();
     let ask = |line: &str| asked(&fleet, 1, line);
     let mut actual = ask("GET /control/policy") + &ask("GET /control/policy/changes/x");
@@ -126,7 +126,7 @@
 }
 
 #[test]
-fn proposals_that_cannot_be_are_refused_as_recorded() {
+fn invalid_proposals_are_rejected_as_recorded() {
     let fleet = governed();
     let good = settings(&fleet, 2);
     let mut unknown = good.clone();
@@ -149,7 +149,7 @@
 }
 
 #[test]
-fn a_member_that_is_cut_off_tells_that_it_is_fenced_as_recorded() {
+fn a_partitioned_member_reports_that_it_is_fenced_as_recorded() {
     let fleet = governed();
     fleet.cut_into(&[&[2], &[0, 1]]);
     fleet.wait_until("it is fenced", |fleet| policy_status(fleet, 2) == (1, "fenced".to_owned()));
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn drift_and_its_end_are_told_as_recorded() {
+fn drift_and_its_end_are_reported_as_recorded() {
     let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
     let mut fleet = Fleet::new(options, nodes(), origin());
     // One lets settings of its own file in, for emergencies.
--- a/tests/golden/providers.rs
+++ b/tests/golden/providers.rs
@@ -18,7 +18,7 @@
 }
 
 #[test]
-fn calls_to_a_cache_node_and_the_origin_are_as_recorded() {
+fn attempts_at_a_cache_node_and_the_origin_are_as_recorded() {
     let node = StubServer::node(|line| {
         if line.starts_with("mg absent") {
             StubAction::Reply(format!("EN {}\r\n", opaque(line)))
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn watches_asked_of_discovery_are_as_recorded() {
+fn watch_requests_to_discovery_are_as_recorded() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let origin = origin();
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -43,7 +43,7 @@
 }
 
 #[test]
-fn a_file_that_is_none_ends_the_start_as_recorded() {
+fn an_invalid_file_ends_the_start_as_recorded() {
     let run = |path: Option<&str>| {
         let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail"));
         command.env_remove("LB_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_wrong_key_or_value_ends_the_start_as_recorded() {
+fn an_invalid_key_or_value_ends_the_start_as_recorded() {
     let actual = replaced(&[
         (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#),
         (r#""discovery":"127.0.0.1:1""#, r#""discovery":"there""#),
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn a_wrong_list_ends_the_start_as_recorded() {
+fn an_invalid_endpoint_list_ends_the_start_as_recorded() {
     let nobody = || StubServer::unreachable();
     let origin = nobody().entry("o", "origin", "ready");
     let node = nobody().entry("s-0", "c6", "ready");
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn a_wrong_fleet_or_policy_ends_the_start_as_recorded() {
+fn an_invalid_fleet_or_policy_ends_the_start_as_recorded() {
     let mut good: Value = serde_json::from_str(&good()).unwrap();
     good["fleet"] = json!({
         "name": "gdynia",
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -67,7 +67,7 @@
 
 /// Guards against a spoilt answer passed on, waited for, or taken for proof that nothing ran.
 #[test]
-fn spoilt_answers_of_a_node_fail_at_once() {
+fn malformed_responses_of_a_node_fail_at_once() {
     for spoilt in [
         "\u{1}\u{2}noise without an end",
         "VA 3000000000 O1\r\nvvvv",
@@ -96,7 +96,7 @@
 
 /// Guards against a good answer lost for what comes along with it, and against that read as the next one.
 #[test]
-fn a_good_answer_with_more_behind_it_is_used_and_its_connection_is_not() {
+fn a_valid_response_with_more_behind_it_is_used_and_its_connection_closed() {
     let node = StubServer::node(|line| {
         let answer = format!("VA 1 {}\r\nv\r\n", opaque(line));
         StubAction::Reply(answer.clone() + &answer)
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn odd_answers_of_the_origin_are_used_if_they_are_whole() {
+fn unusual_responses_of_the_origin_are_used_if_they_are_complete() {
     let good = [
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
         "HTTP/1.1 200 OK\r\nX-Pressure: \u{1}\u{7f}=?\r\nContent-Length: 1\r\nX-Txn: 1\r\n\r\nv",
--- a/tests/sockets/client_connections.rs
+++ b/tests/sockets/client_connections.rs
@@ -8,7 +8,7 @@
 
 /// Guards against a pipeline of small commands that is read faster than it is obeyed, and kept in memory.
 #[test]
-fn a_pipeline_without_end_takes_no_memory() {
+fn an_endless_pipeline_takes_no_memory() {
     let origin = idle_origin();
     let fixture = ProxyFixture::of(&[], &origin);
     let before = fixture.memory_mb();
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn bad_input_is_answered_and_harms_nobody() {
+fn malformed_input_is_answered_and_harms_no_other_client() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
@@ -127,7 +127,7 @@
 
 /// Guards against two answers under one id, of which the wrong one may be taken.
 #[test]
-fn an_id_that_is_open_elsewhere_is_an_error() {
+fn an_opaque_id_that_is_in_use_elsewhere_is_an_error() {
     let node = StubServer::node(|line| {
         sleep(ms(300));
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
@@ -145,7 +145,7 @@
 
 /// Guards against a worker kept by one consumer: others are served while some send errors at full speed.
 #[test]
-fn consumers_that_send_rubbish_do_not_keep_the_worker() {
+fn clients_that_send_malformed_input_do_not_occupy_the_worker() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let rubbish = "no such command\r\n".repeat(2000) + &"mn\r\n".repeat(20_000);
@@ -168,7 +168,7 @@
 
 /// Guards against places kept by consumers that send rubbish again and again and so never stand idle.
 #[test]
-fn consumers_that_send_rubbish_do_not_keep_their_places() {
+fn clients_that_send_malformed_input_do_not_occupy_all_connections() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let fixture = ProxyFixture::with_sockets(&entries, 64);
@@ -215,7 +215,7 @@
 }
 
 #[test]
-fn connections_between_commands_make_room_for_others() {
+fn idle_client_connections_make_room_for_new_ones() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
     let fixture = ProxyFixture::with_sockets(&entries, 64);
@@ -230,7 +230,7 @@
 /// Guards against clients that are short of connections, since the proxy keeps those that nobody will use.
 /// They may hold a third of the descriptors, ask once on each and keep it; beside them a crowd says nothing.
 #[test]
-fn clients_that_ask_once_and_stay_are_let_go_in_time() {
+fn clients_that_send_one_request_and_stay_are_disconnected_in_time() {
     const SOCKETS: usize = 96;
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 #[test]
-fn discovery_is_watched_and_what_drains_gets_nothing_new() {
+fn a_draining_node_of_a_watched_list_gets_nothing_new() {
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
     let fixture = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let mut client = fixture.client();
@@ -36,7 +36,7 @@
 
 /// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against half of one that keeps the watch alive.
 #[test]
-fn an_indented_list_is_a_list() {
+fn an_indented_endpoint_list_is_accepted() {
     let node = StubServer::full_node("s");
     let fixture = ProxyFixture::of(&[&node, &node], &idle_origin());
     let (_, tell) = fixture.discovery.watch();
@@ -78,7 +78,7 @@
 
 /// Guards against a cut-off discovery, whose watch stays open and says nothing.
 #[test]
-fn a_silent_watch_is_dead() {
+fn a_silent_watch_is_replaced() {
     let fixture = ProxyFixture::new(&[]);
     let (_, tell) = fixture.discovery.watch();
     let begun = Instant::now();
@@ -93,7 +93,7 @@
 
 /// Guards against an end at SIGHUP, a watch that stays at the old address, and a bad file taken for good.
 #[test]
-fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
+fn sighup_moves_the_watch_and_an_invalid_file_changes_nothing() {
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
     let fixture = ProxyFixture::new(&[old.entry("s-0", "c6", "ready")]);
     let (_, told_no_more) = fixture.discovery.watch();
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -41,7 +41,7 @@
 /// Guards against calls that fail half way, on a new and on a warm connection, for each kind of effect: nothing is
 /// run twice, refused in vain, answered twice or late, and the proxy serves on.
 #[test]
-fn calls_that_fail_half_way_keep_the_rules_for_every_effect() {
+fn attempts_that_fail_half_way_keep_the_rules_for_every_effect() {
     let (one, other) = (StubServer::node(fails_by_key(false)), StubServer::node(fails_by_key(false)));
     let origin = StubServer::origin(fails_by_key(true));
     let fixture = ProxyFixture::of(&[&one, &other], &origin);
@@ -108,7 +108,7 @@
 /// Guards against a proxy that keeps clients waiting when nothing is left to ask: each is told at once, or when
 /// half of its aim is over, to come back.
 #[test]
-fn with_every_node_and_the_origin_gone_all_are_told_to_come_back() {
+fn with_every_node_and_the_origin_down_all_requests_are_rejected_with_a_retry_after() {
     let (node, origin) = (StubServer::full_node("v"), StubServer::origin(|_| http_200("v")));
     let fixture = ProxyFixture::of(&[&node], &origin);
     let (_, tell) = fixture.discovery.watch();
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -12,7 +12,7 @@
 /// Guards against memory that grows with what is announced: together these values are far beyond the limit, and
 /// their consumers read slowly.
 #[test]
-fn values_beyond_the_memory_flow_to_slow_readers_whole() {
+fn values_larger_than_the_memory_reach_slow_readers_complete() {
     let value = "x".repeat(LONG);
     let node =
         StubServer::node(move |line| StubAction::Reply(format!("VA {LONG} {}\r\n{value}\r\n", opaque(line))));
@@ -48,7 +48,7 @@
 /// Guards against bytes held back, and against a deadline that cuts off what a node is still giving: this one gives
 /// the second half only once the consumer has the first.
 #[test]
-fn the_first_bytes_arrive_before_the_node_has_given_the_last() {
+fn the_client_gets_the_first_bytes_before_the_node_has_sent_the_last() {
     let (go, gone) = channel::<()>();
     let gone = Arc::new(Mutex::new(gone));
     let node = StubServer::node(move |line| {
@@ -82,7 +82,7 @@
 
 /// Guards against an honest answer taken for spoilt because it comes in pieces, cut at any point.
 #[test]
-fn a_short_value_may_come_in_pieces() {
+fn a_short_value_that_arrives_in_pieces_is_served() {
     let node = StubServer::node(move |line| {
         let words = format!("VA 5 {} h1\r\nhello\r\n", opaque(line));
         StubAction::ReplyWith(Box::new(move |stream| {
@@ -103,7 +103,7 @@
 
 /// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
 #[test]
-fn a_value_that_breaks_off_ends_the_connection_and_is_not_asked_for_again() {
+fn a_value_that_breaks_off_ends_the_connection_and_is_not_retried() {
     for ending in [&b""[..], b"no end"] {
         let length = if ending.is_empty() { 100_001 } else { 100_000 };
         let node = StubServer::node(move |line| {
@@ -131,7 +131,7 @@
 
 /// Guards against a call that goes on for a consumer that has left.
 #[test]
-fn a_consumer_that_leaves_ends_the_flow() {
+fn a_client_that_disconnects_ends_the_body_stream() {
     let (written, seen): (Sender<bool>, _) = channel();
     let written = Arc::new(Mutex::new(written));
     let node = StubServer::node(move |line| {
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -9,7 +9,7 @@
 
 /// Guards against an admin server that does something else than it was asked, or says nothing of why it does not.
 #[test]
-fn the_door_says_yes_or_no_and_why() {
+fn the_admin_server_answers_whether_it_did_and_why_not() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let call = |method, path| call_admin(fixture.admin_address, method, path);
@@ -33,7 +33,7 @@
 
 /// Guards against an admin server kept shut by callers that say nothing, or half a call.
 #[test]
-fn callers_that_say_nothing_keep_no_call_out() {
+fn silent_admin_connections_keep_no_request_out() {
     let origin = idle_origin();
     let fixture = ProxyFixture::of(&[], &origin);
     let crowd: Vec<TcpStream> = (0..60)
@@ -50,7 +50,7 @@
 
 /// Guards against an admin server that waits behind the clients.
 #[test]
-fn the_door_answers_while_consumers_flood_the_proxy() {
+fn the_admin_server_answers_while_clients_flood_the_proxy() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let flood: Vec<std::thread::JoinHandle<usize>> = (0..4)
@@ -78,7 +78,7 @@
 
 /// Guards against a process that says that it takes clients while it stops.
 #[test]
-fn ready_is_no_while_the_process_stops() {
+fn a_draining_proxy_is_not_ready() {
     let node = StubServer::node(|line| {
         sleep(ms(900));
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
@@ -97,7 +97,7 @@
 
 /// Guards against a slow client taken for a silent one: it may spend 2 s on a head.
 #[test]
-fn a_client_may_take_two_seconds_for_a_head() {
+fn the_admin_server_allows_two_seconds_for_a_request_head() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn a_node_held_out_gets_nothing_until_it_is_called_back() {
+fn a_node_in_maintenance_gets_no_request_until_it_is_back_online() {
     let (out, other, origin) = (StubServer::full_node("out"), StubServer::full_node("other"), idle_origin());
     let fixture = ProxyFixture::of(&[&out, &other], &origin);
     let mut client = fixture.client();
@@ -148,7 +148,7 @@
 
 /// Guards against a connection that a call brings back after its node was held out.
 #[test]
-fn a_call_that_is_out_ends_and_leaves_no_connection_to_a_node_held_out() {
+fn an_attempt_in_flight_finishes_and_leaves_no_connection_to_a_node_in_maintenance() {
     let node = StubServer::node(|line| {
         sleep(ms(400));
         StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
@@ -169,7 +169,7 @@
 /// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
 /// between commands, and the proxy lives on.
 #[test]
-fn a_proxy_out_of_service_lets_its_clients_go_and_takes_them_again() {
+fn a_proxy_out_of_service_sends_its_clients_away_and_later_takes_them_again() {
     let node = StubServer::node(|line| {
         if line.contains("slow") {
             sleep(ms(900));
@@ -215,7 +215,7 @@
 
 /// Guards against settings put in force in part, and against an open invocation that a reload reaches.
 #[test]
-fn new_settings_bind_at_once_and_spare_what_is_open() {
+fn reloaded_settings_apply_at_once_and_spare_open_requests() {
     let node = StubServer::node(|line| {
         if line.contains("slow") {
             StubAction::Ignore
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -31,7 +31,7 @@
 /// Guards against requests that are sent on for a client that has gone: its connection is full, so that nobody reads the
 /// end that tells it, or nobody gets to it for what lies before.
 #[test]
-fn nothing_that_waits_is_sent_on_for_a_client_that_has_gone_with_its_connection_full() {
+fn no_queued_request_is_sent_for_a_disconnected_client_whose_connection_is_full() {
     for how in ["close", "close over unread answers", "half close", "reset", "quit"] {
         let (node, release) = holding();
         let origin = StubServer::origin(|_| StubAction::Ignore);
@@ -74,7 +74,7 @@
 
 /// Guards against the same while clients are sent away: then a connection with a command open is read no more.
 #[test]
-fn a_client_that_goes_late_in_a_drain_is_noticed() {
+fn a_client_that_disconnects_late_in_a_drain_is_noticed() {
     let (node, release) = holding();
     let origin = StubServer::origin(|_| StubAction::Ignore);
     let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
@@ -100,7 +100,7 @@
 /// Guards against a request obeyed long after its client ended its side: much that is no good, and is read with rests, lies
 /// before it. (A client that is wholly gone shows at the first answer to that.)
 #[test]
-fn a_request_behind_rubbish_is_not_sent_on_once_its_client_has_gone() {
+fn a_request_behind_malformed_input_is_not_sent_for_a_disconnected_client() {
     let (node, _) = holding();
     let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     // 64 of these cost a rest of 20 ms: 900 ms in all.
@@ -117,7 +117,7 @@
 /// Guards against requests of clients that went while the process could not run: on a connection that it holds, and on one
 /// that it has yet to accept.
 #[test]
-fn a_process_that_was_stopped_sends_nothing_on_for_clients_that_went_meanwhile() {
+fn a_process_that_was_stopped_sends_nothing_for_clients_that_disconnected_meanwhile() {
     let node = StubServer::full_node("v");
     let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
     let mut held = fixture.client();
@@ -136,7 +136,7 @@
 
 /// Guards against a fetch at the origin for nobody: those that wait for room there, and for another's fetch, have gone.
 #[test]
-fn misses_that_wait_are_not_sent_on_for_clients_that_have_gone() {
+fn waiting_misses_are_not_sent_for_disconnected_clients() {
     let release = Arc::new(AtomicBool::new(false));
     let is_released = Arc::clone(&release);
     let node = StubServer::empty_node();
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -18,7 +18,7 @@
 /// Guards against a reset that may destroy the answer before it: the proxy ends a connection, and more is on its way. What
 /// comes after that is thrown away, not taken; and a client that never ends its side keeps its descriptor for a moment only.
 #[test]
-fn what_crosses_the_end_of_a_connection_meets_no_reset_and_is_not_taken() {
+fn a_command_that_crosses_the_end_of_its_connection_meets_no_reset_and_is_not_taken() {
     for how in ["sigterm", "sigterm over half a command", "out of service"] {
         let node = StubServer::full_node("v");
         let fixture = ProxyFixture::of(&[&node], &StubServer::origin(|_| StubAction::Ignore));
@@ -119,7 +119,7 @@
 /// Guards against requests lost by a drain while half of the nodes hang: clients go on asking on every open connection up
 /// to the exit, and new ones come for 0.3 s. All are answered, but for what crosses the end of a connection.
 #[test]
-fn a_drain_under_load_with_half_of_the_nodes_hanging_answers_all() {
+fn a_draining_proxy_under_load_with_half_of_the_nodes_hanging_answers_all_requests() {
     let (node, hangs) = (StubServer::full_node("v"), StubServer::node(|_| StubAction::Ignore));
     let fixture = ProxyFixture::of(&[&node, &hangs], &StubServer::origin(|_| StubAction::Ignore));
     let begun = Instant::now();
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -31,7 +31,7 @@
 
 /// Guards against an effect twice, or a failure that was none: nor does a second refusal, which never has an id.
 #[test]
-fn a_second_refusal_does_not_answer_the_next_request() {
+fn a_second_rejection_does_not_answer_the_next_request() {
     let node = AcceptBarrier::new();
     let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready", 0)]);
     let mut client = fixture.client();
@@ -50,7 +50,7 @@
 
 /// Guards against a value that is not whole: an answer without a length ends with the connection, however that ends.
 #[test]
-fn an_answer_without_a_length_is_never_whole() {
+fn a_response_without_a_length_is_never_complete() {
     for resets in [false, true] {
         let node = StubServer::empty_node();
         let origin = AcceptBarrier::new();
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -9,7 +9,7 @@
 
 /// Guards against an effect twice: a repeat is decided within the window of its key, and its connection comes up after it.
 #[test]
-fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+fn a_retry_whose_connection_comes_up_after_its_window_is_not_sent() {
     let mut origin = AcceptBarrier::new();
     let window = (r#""RepeatWindow":5000.0"#, r#""RepeatWindow":700.0"#);
     let entries = [origin.entry("o", "origin", "ready", 0)];
@@ -33,7 +33,7 @@
 /// Guards against a call that is sent to a node after it began to drain, after it started anew, or for nobody: each
 /// happens while its connection comes up.
 #[test]
-fn a_connection_that_comes_up_too_late_takes_no_call() {
+fn a_connection_that_comes_up_too_late_takes_no_attempt() {
     for happens in ["drains", "starts anew", "the client leaves"] {
         let mut node = AcceptBarrier::new();
         node.close();
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -25,7 +25,7 @@
 /// Guards against a change that counts as told before it is known: the watch falls silent just before it, and the next
 /// call hangs, is refused, or breaks; the one after that would tell it.
 #[test]
-fn what_a_silent_watch_missed_is_asked_for_in_time_whatever_the_next_call_meets() {
+fn what_a_silent_watch_missed_is_fetched_in_time_whatever_the_next_watch_meets() {
     for next in ["hangs", "is refused", "ends", "trickles"] {
         let (fixture, discovery, mut watch, node) = moved();
         assert!(watch.send(HEAD) && watch.send(&chunk("")));
@@ -56,7 +56,7 @@
 /// Guards against a proxy that is still waiting when discovery has long been back: it is asked again before a change of that
 /// moment counts as told, however often it failed before, and not so often that hundreds would bring it down.
 #[test]
-fn a_discovery_that_fails_again_and_again_is_asked_often_enough_and_not_too_often() {
+fn a_failing_discovery_is_retried_often_enough_and_not_too_often() {
     let (_scene, discovery, mut call, _) = moved();
     let mut begun = Vec::new();
     for _ in 0..6 {
@@ -76,7 +76,7 @@
 /// Guards against changes that count as told at once where lists are pushed: the agent is asked again soon, however often it
 /// has failed.
 #[test]
-fn an_agent_that_is_back_is_asked_at_once() {
+fn a_discovery_that_is_back_is_asked_at_once() {
     let node = StubServer::full_node("v");
     let entries = [node.entry("s-0", "c6", "ready")];
     let fixture = ProxyFixture::with(&entries, r#""Discovery":"ask""#, r#""Discovery":"push""#);
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 #[test]
-fn a_read_is_served_by_a_node_as_it_was_given() {
+fn a_read_returns_the_value_of_the_node_unchanged() {
     let (node, origin) = (StubServer::full_node("hello"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let (line, value) = fixture.client().get("7f3a", "9b1f", 480);
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn an_origin_that_never_ran_a_write_is_asked_again() {
+fn a_write_that_the_origin_rejected_is_retried() {
     let turned = "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
     let asked = std::sync::atomic::AtomicUsize::new(0);
     let origin = StubServer::origin(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
@@ -50,7 +50,7 @@
 
 /// Guards against an outcome taken for worse than it is: what never connected never ran.
 #[test]
-fn a_node_that_refuses_connections_is_passed_over() {
+fn a_read_goes_to_another_node_if_one_refuses_connections() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let nowhere = StubServer::unreachable();
     let fixture = ProxyFixture::of(&[&nowhere, &node], &origin);
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_silent_node_costs_a_rejection_in_time_and_its_connection() {
+fn a_silent_node_leads_to_a_rejection_in_time_and_loses_its_connection() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let begun = Instant::now();
@@ -73,14 +73,14 @@
 }
 
 #[test]
-fn without_any_node_a_read_is_answered_all_the_same() {
+fn a_read_without_any_backend_is_rejected() {
     let fixture = ProxyFixture::new(&[]);
     let line = fixture.client().get("k", "1", 200).0;
     assert!(line.starts_with("SERVER_ERROR busy "), "{line}");
 }
 
 #[test]
-fn a_consumer_that_leaves_is_owed_nothing() {
+fn a_client_that_disconnects_gets_no_response() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
@@ -95,7 +95,7 @@
 /// Guards against a handshake a call, against a call on a connection that broke while it stood idle, and
 /// against one that the node is about to close for its age.
 #[test]
-fn warm_connections_are_used_again_until_they_break_or_grow_old() {
+fn open_backend_connections_are_reused_until_they_break_or_grow_old() {
     let node = StubServer::node(|line| {
         if line.starts_with("mg bye ") {
             StubAction::Disconnect
@@ -142,7 +142,7 @@
 
 /// Guards against waits that outlive what they guard: each held a stack until its deadline.
 #[test]
-fn an_answered_invocation_leaves_no_timer_behind() {
+fn an_answered_request_leaves_no_timer_behind() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
@@ -160,7 +160,7 @@
 
 /// Guards against a connection to a machine that has gone, used for the one that has its address now.
 #[test]
-fn a_new_node_at_an_old_address_inherits_no_connection() {
+fn a_new_node_at_an_old_address_gets_new_connections() {
     let node = StubServer::full_node("v");
     let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
     let (_, tell) = fixture.discovery.watch();
@@ -177,7 +177,7 @@
 /// Guards against timers lost: the timer lists of the library, one for each length of time, are unsafe to use
 /// in more than 1024 lengths.
 #[test]
-fn waits_of_many_lengths_all_end() {
+fn requests_with_many_deadlines_are_all_answered() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
     let fixture = ProxyFixture::of(&[&node], &origin);
     for round in 0..2 {
--- a/tests/sockets/shutdown.rs
+++ b/tests/sockets/shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 #[test]
-fn sigterm_finishes_what_was_taken() {
+fn the_proxy_finishes_taken_requests_after_sigterm() {
     let node = StubServer::node(|line| {
         sleep(ms(700));
         StubAction::Reply(format!("VA 4 {}\r\nlate\r\n", opaque(line)))
@@ -36,7 +36,7 @@
 /// Guards against clients of a proxy that serves alone, left without an answer for as long as its stop takes:
 /// they use the connections that they have.
 #[test]
-fn held_connections_are_served_on_until_shortly_before_the_kill() {
+fn a_draining_proxy_serves_open_connections_until_shortly_before_the_kill() {
     let node = StubServer::node(|line| {
         if line.contains("slow") {
             StubAction::Ignore
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -77,7 +77,7 @@
 }
 
 #[test]
-fn a_start_that_cannot_go_on_ends_with_one_line() {
+fn a_failed_start_ends_with_one_line() {
     let good = config("127.0.0.1:0", "127.0.0.1:1", 256, "{}");
     let node = |name: &str, lifecycle: &str, weight: &str, started: &str| {
         format!(
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -57,7 +57,7 @@
 
 /// Guards against commands lost or run twice while one process follows another, and against bans forgotten.
 #[test]
-fn three_upgrades_in_a_row_lose_nothing_and_keep_what_is_held_out() {
+fn three_hot_restarts_lose_no_request_and_keep_maintenance() {
     let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
     let mut fixture = ProxyFixture::of(&[&node, &out], &origin);
     assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-1/offline").0, 200);
@@ -93,7 +93,7 @@
 /// Guards against clients left waiting by a newcomer that dies, and against a proxy that cannot be upgraded
 /// any more after that.
 #[test]
-fn a_newcomer_that_dies_or_cannot_start_leaves_the_old_one_as_it_was() {
+fn a_second_process_that_fails_leaves_the_first_one_unchanged() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut fixture = ProxyFixture::of(&[&node], &origin);
     let taken = format!(r#""admin":"{}""#, fixture.admin_address);
@@ -131,7 +131,7 @@
 
 /// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
 #[test]
-fn a_drain_binds_both_processes_and_is_not_inherited() {
+fn going_out_of_service_binds_both_processes_and_is_not_inherited() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut fixture = ProxyFixture::of(&[&node], &origin);
     let second = fixture.start_second_process();
@@ -148,7 +148,7 @@
 
 /// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
 #[test]
-fn an_upgrade_needs_no_short_path_and_no_clean_folder() {
+fn a_hot_restart_needs_no_short_path_and_no_clean_folder() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut fixture = ProxyFixture::of(&[&node], &origin);
     fixture.use_long_temp_dir();
