Experiments: typed errors, notices in place of tuples, one place for JSON and progress bars

ExperimentError names what could not be done and keeps its source; texts on the terminal are what they were. A script is played by a struct whose functions take one step each; PlayError is its error.

--- a/crates/experiments/src/chart.rs
+++ b/crates/experiments/src/chart.rs
@@ -1,14 +1,26 @@
 //! Plots of lines: SVG files.
 
 use plotters::prelude::*;
-use std::error::Error;
+use std::io;
 use std::path::Path;
+use thiserror::Error;
+
+/// Why a plot cannot be drawn.
+#[derive(Debug, Error)]
+pub(crate) enum ChartError {
+    /// The folder cannot be made.
+    #[error("{0}")]
+    Folder(#[from] io::Error),
+    /// The plot cannot be drawn or written.
+    #[error("{0}")]
+    Drawing(#[from] DrawingAreaErrorKind<io::Error>),
+}
 
 /// A line of points, by name.
 pub(crate) type Line = (&'static str, Vec<(f64, f64)>);
 
 /// Draws up to three lines.
-pub(crate) fn lines(path: &Path, title: &str, x: &str, lines: &[Line]) -> Result<(), Box<dyn Error>> {
+pub(crate) fn lines(path: &Path, title: &str, x: &str, lines: &[Line]) -> Result<(), ChartError> {
     const COLOURS: [RGBColor; 3] = [BLUE, GREEN, RED];
     let points = || lines.iter().flat_map(|(_, points)| points);
     let right = points().map(|point| point.0).fold(1.0, f64::max);
--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -2,6 +2,7 @@
 
 mod core;
 
+use crate::error::ExperimentError;
 use crate::load::{Done, Load};
 use crate::table;
 use clap::Args;
@@ -41,9 +42,8 @@
 }
 
 /// Measures and prints.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
-    let own = std::env::current_exe()
-        .map_err(|error| format!("this program does not know where it is: {error}"))?;
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
+    let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
     program(own, &["proxy"]);
     let mut rows = Vec::new();
     for round in 0..options.rounds {
@@ -72,7 +72,7 @@
     Ok(true)
 }
 
-fn measure(options: &Options, with: bool, seed: u64) -> Result<Round, String> {
+fn measure(options: &Options, with: bool, seed: u64) -> Result<Round, ExperimentError> {
     let node = || StubServer::node(|line| StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line))));
     let members = usize::from(options.members);
     let all: Vec<usize> = (0..members).collect();
@@ -84,7 +84,7 @@
     for member in &all {
         if !with {
             let mut config = fleet.config(*member, &[]);
-            config.as_object_mut().ok_or("a configuration is an object")?.remove("fleet");
+            config.as_object_mut().ok_or(ExperimentError::ConfigIsNoObject)?.remove("fleet");
             fleet.set_config(*member, &config);
         }
         fleet.start(*member);
@@ -97,12 +97,14 @@
     let before = ticks(&fleet);
     sleep(lasts);
     let idle = ticks(&fleet) - before;
-    let places = all.iter().map(|member| fleet.process(*member).client_address).collect();
+    let addresses = all.iter().map(|member| fleet.process(*member).client_address).collect();
     let before = ticks(&fleet);
-    let done: Done = Load::begin(places, options.rate, lasts, seed).end();
+    let done: Done = Load::start(addresses, options.rate, lasts, seed).wait();
     let busy = ticks(&fleet) - before;
-    let mut histogram = Histogram::<u64>::new(3).map_err(|error| error.to_string())?;
-    done.latencies.iter().try_for_each(|us| histogram.record(*us)).map_err(|error| error.to_string())?;
+    let mut histogram = Histogram::<u64>::new(3)?;
+    for us in &done.latencies {
+        histogram.record(*us)?;
+    }
     let known = with.then(|| {
         let died = fleet.timeline.now();
         fleet.kill(members - 1);
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -1,11 +1,11 @@
 //! `pinetrail-experiments demo`: three real proxies that know each other, what they talk to, clients, and faults.
 
+use crate::error::ExperimentError;
 use crate::load::{Done, Load};
+use crate::output::{progress_bar, write_json};
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
-use indicatif::{ProgressBar, ProgressStyle};
-
 use pinetrail_history_checker::check;
 use pinetrail_test_harness::fleet::{Fleet, Options as FleetOptions};
 use pinetrail_test_harness::recorder::Recorder;
@@ -44,13 +44,12 @@
 const NODES: usize = 3;
 
 /// Runs it; whether each request had exactly one final answer and no rule was broken.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
-    let own = std::env::current_exe()
-        .map_err(|error| format!("this program does not know where it is: {error}"))?;
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
+    let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
     program(own, &["proxy"]);
     let stopped = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
-        signal_hook::flag::register(signal, Arc::clone(&stopped)).map_err(|error| error.to_string())?;
+        signal_hook::flag::register(signal, Arc::clone(&stopped)).map_err(ExperimentError::SignalHandler)?;
     }
     println!(
         "{PROXIES} proxies, {NODES} cache nodes, an origin and discovery, all on loopback; {} s",
@@ -68,25 +67,24 @@
     fleet.wait_until("the proxies meet", |fleet| fleet.all_agree(&everybody));
     record_config(&fleet);
     let script = script(options.seconds);
-    let begun = fleet.timeline.now();
-    let places = everybody.iter().map(|proxy| fleet.process(*proxy).client_address).collect();
-    let load = Load::begin(places, options.rate, Duration::from_secs(options.seconds), options.seed);
-    let whole = play(&mut fleet, &script, options.seconds, &stopped)?;
-    if !whole {
+    let start = fleet.timeline.now();
+    let addresses = everybody.iter().map(|proxy| fleet.process(*proxy).client_address).collect();
+    let load = Load::start(addresses, options.rate, Duration::from_secs(options.seconds), options.seed);
+    let is_complete = play(&mut fleet, &script, options.seconds, &stopped)?;
+    if !is_complete {
         load.cancel();
-        return Err("stopped; its processes have ended".to_owned());
+        return Err(ExperimentError::Stopped);
     }
-    let done = load.end();
+    let done = load.wait();
     fleet.wait_until("the proxies agree again", |fleet| fleet.all_agree(&everybody));
-    let knew = knew(&fleet, &script, begun);
-    let figures = figures(options, &done, &knew);
-    show(&figures, &knew);
+    let notices = notices(&fleet, &script, start);
+    let figures = figures(options, &done, &notices);
+    show(&figures, &notices);
     if options.timeline {
         println!("\n{}", fleet.timeline);
     }
     if let Some(path) = &options.json {
-        let text = serde_json::to_string_pretty(&figures).map_err(|error| error.to_string())?;
-        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+        write_json(path, &figures)?;
     }
     Ok(done.is_sound() && figures["rules_broken"].as_array().is_some_and(Vec::is_empty))
 }
@@ -106,7 +104,7 @@
     })
 }
 
-/// The judge hears of the settings, and of the nodes by the addresses that they have themselves.
+/// Records the settings for the history checker, and the nodes by the addresses that they have themselves.
 fn record_config(fleet: &Fleet) {
     let mut config = fleet.config(0, &[]);
     if let Some(listed) = config["known"]["instances"].as_array_mut() {
@@ -117,7 +115,7 @@
     Recorder::own().record_active_config(&config.to_string());
 }
 
-/// One proxy dies and returns, one way is cut and heals, one cache node is gone for a moment.
+/// One proxy dies and returns, one path is cut and heals, one cache node is gone for a moment.
 fn script(seconds: u64) -> Script {
     let step = |tenths: u64, fault| ScriptStep { at: seconds * 100 * tenths, fault };
     let steps = vec![
@@ -132,10 +130,13 @@
 }
 
 /// Plays the script and waits for the end; false if it was stopped before.
-fn play(fleet: &mut Fleet, script: &Script, seconds: u64, stopped: &AtomicBool) -> Result<bool, String> {
-    let bar = ProgressBar::new(seconds * 10);
-    let style = ProgressStyle::with_template("{bar:40} {elapsed}  {msg}");
-    bar.set_style(style.map_err(|error| error.to_string())?);
+fn play(
+    fleet: &mut Fleet,
+    script: &Script,
+    seconds: u64,
+    stopped: &AtomicBool,
+) -> Result<bool, ExperimentError> {
+    let bar = progress_bar(seconds * 10, "{bar:40} {elapsed}  {msg}")?;
     let begun = Instant::now();
     let mut faults = script.steps.iter().peekable();
     while begun.elapsed() < Duration::from_secs(seconds) {
@@ -155,43 +156,55 @@
     Ok(true)
 }
 
-/// When each member knew of each death and return: who, of whom, what, and how many ms after it happened.
-fn knew(fleet: &Fleet, script: &Script, begun: u128) -> Vec<(String, String, &'static str, Option<u128>)> {
-    let mut knew = Vec::new();
+/// When one member noticed the death or the return of another.
+struct Notice {
+    /// Who noticed.
+    member: String,
+    /// Whose death or return.
+    of: String,
+    /// `dead` or `back`.
+    what: &'static str,
+    /// In ms after it happened; none if never.
+    after_ms: Option<u128>,
+}
+
+/// When each member noticed each death and return. The script began at this time of the timeline, in ms.
+fn notices(fleet: &Fleet, script: &Script, start: u128) -> Vec<Notice> {
+    let mut notices = Vec::new();
     for ScriptStep { at, fault } in &script.steps {
-        let (of, what, words) = match fault {
-            Fault::Kill(member) => (*member, "dead", format!("fleet: {} at ", Fleet::name(*member))),
+        let (of, what, text, suffix) = match fault {
+            Fault::Kill(member) => {
+                (*member, "dead", format!("fleet: {} at ", Fleet::name(*member)), "-> failed")
+            }
             Fault::Start(member) => {
-                (*member, "back", format!("fleet: {} is a new process", Fleet::name(*member)))
+                (*member, "back", format!("fleet: {} is a new process", Fleet::name(*member)), "")
             }
             _ => continue,
         };
-        // The moment at which the rig says that it did it.
-        let words_of_rig = fault.to_string();
-        let happened =
-            fleet.timeline.first_match("harness", &words_of_rig, begun + u128::from(*at)).unwrap_or(begun);
+        // The moment at which the harness notes that it did it.
+        let injected = fleet.timeline.first_match("harness", &fault.to_string(), start + u128::from(*at));
+        let happened = injected.unwrap_or(start);
         for member in (0..PROXIES).filter(|member| *member != of) {
-            let by = Fleet::name(member);
-            let suffix = if what == "dead" { "-> failed" } else { "" };
-            let said = fleet.timeline.first_match_of_both(&by, &words, suffix, happened);
-            knew.push((by, Fleet::name(of), what, said.map(|said| said - happened)));
+            let member = Fleet::name(member);
+            let noticed = fleet.timeline.first_match_of_both(&member, &text, suffix, happened);
+            let after_ms = noticed.map(|noticed| noticed - happened);
+            notices.push(Notice { member, of: Fleet::name(of), what, after_ms });
         }
     }
-    knew
+    notices
 }
 
-fn figures(options: &Options, done: &Done, knew: &[(String, String, &'static str, Option<u128>)]) -> Value {
+fn figures(options: &Options, done: &Done, notices: &[Notice]) -> Value {
     let broken: Vec<String> = match check(&Recorder::own().history()) {
-        Ok(breaches) => breaches.iter().map(ToString::to_string).collect(),
+        Ok(violations) => violations.iter().map(ToString::to_string).collect(),
         Err(error) => vec![format!("not judged: {error:?}")],
     };
     let mut histogram = Histogram::<u64>::new(3).expect("three digits are possible");
-    done.latencies.iter().for_each(|us| histogram.record(*us).expect("it grows as needed"));
+    for us in &done.latencies {
+        histogram.record(*us).expect("it grows as needed");
+    }
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
-    let known: Vec<Value> = knew
-        .iter()
-        .map(|(member, of, what, ms)| json!({"member": member, "of": of, "what": what, "after_ms": ms.map(|ms| ms as u64)}))
-        .collect();
+    let known: Vec<Value> = notices.iter().map(notice_json).collect();
     json!({
         "seconds": options.seconds,
         "seed": options.seed,
@@ -206,7 +219,12 @@
     })
 }
 
-fn show(figures: &Value, knew: &[(String, String, &'static str, Option<u128>)]) {
+fn notice_json(notice: &Notice) -> Value {
+    let Notice { member, of, what, after_ms } = notice;
+    json!({"member": member, "of": of, "what": what, "after_ms": after_ms.map(|ms| ms as u64)})
+}
+
+fn show(figures: &Value, notices: &[Notice]) {
     let number = |name: &str| figures[name].to_string();
     let answers: BTreeMap<String, Value> = match &figures["answers"] {
         Value::Object(answers) => answers.clone().into_iter().collect(),
@@ -223,17 +241,19 @@
     }
     table::print(&["", "count"], &rows);
     println!();
-    let rows: Vec<Vec<String>> = knew
+    let rows: Vec<Vec<String>> = notices
         .iter()
-        .map(|(member, of, what, ms)| {
-            let ms = ms.map_or("never".to_owned(), |ms| ms.to_string());
+        .map(|Notice { member, of, what, after_ms }| {
+            let ms = after_ms.map_or("never".to_owned(), |ms| ms.to_string());
             vec![format!("{member} knew that {of} was {what}"), ms]
         })
         .collect();
     table::print(&["", "ms after"], &rows);
     let broken = figures["rules_broken"].as_array().map_or(&[][..], Vec::as_slice);
-    match broken {
-        [] => println!("\nNo rule was broken."),
-        _ => broken.iter().for_each(|rule| println!("\nBROKEN: {rule}")),
+    if broken.is_empty() {
+        println!("\nNo rule was broken.");
+    }
+    for rule in broken {
+        println!("\nBROKEN: {rule}");
     }
 }
--- /dev/null
+++ b/crates/experiments/src/error.rs
@@ -0,0 +1,86 @@
+//! Why an experiment cannot go on: [`ExperimentError`].
+
+use crate::chart::ChartError;
+use crate::membership::PlayError;
+use indicatif::style::TemplateError;
+use pinetrail_test_harness::script::ScriptError;
+use std::io;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why an experiment cannot go on. What was measured and did not hold is no error.
+#[derive(Debug, Error)]
+pub(crate) enum ExperimentError {
+    /// The path of this program, which is started for each proxy, is not known.
+    #[error("this program does not know where it is: {0}")]
+    OwnPath(#[source] io::Error),
+    /// A handler of signals cannot be registered.
+    #[error("{0}")]
+    SignalHandler(#[source] io::Error),
+    /// A file cannot be read or written.
+    #[error("{}: {source}", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        source: io::Error,
+    },
+    /// A file is no script of faults.
+    #[error("{}: {source}", path.display())]
+    Script {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        source: ScriptError,
+    },
+    /// A script cannot be played.
+    #[error("{}: {source}", path.display())]
+    Play {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        source: PlayError,
+    },
+    /// Plots cannot be drawn.
+    #[error("{}: {source}", folder.display())]
+    Plots {
+        /// Where they were to be.
+        folder: PathBuf,
+        /// Why not.
+        source: ChartError,
+    },
+    /// Figures cannot be written as JSON.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// The threads cannot be started.
+    #[error("{0}")]
+    Threads(#[from] rayon::ThreadPoolBuildError),
+    /// The progress bar's template is wrong.
+    #[error("{0}")]
+    ProgressBar(#[from] TemplateError),
+    /// A histogram cannot be made.
+    #[error("{0}")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// A figure does not fit into a histogram.
+    #[error("{0}")]
+    HistogramRange(#[from] hdrhistogram::RecordError),
+    /// The user stopped it.
+    #[error("stopped; its processes have ended")]
+    Stopped,
+    /// A configuration is not what the experiment can change.
+    #[error("a configuration is an object")]
+    ConfigIsNoObject,
+    /// There are not as many rates as clocks.
+    #[error("three rates are needed")]
+    RateCount,
+    /// A rate is out of its range.
+    #[error("a rate is 100 to 10000 thousandths")]
+    RateRange,
+}
+
+impl ExperimentError {
+    /// A file cannot be read or written: for `map_err`.
+    pub(crate) fn file(path: &Path) -> impl FnOnce(io::Error) -> ExperimentError + '_ {
+        |source| ExperimentError::File { path: path.to_owned(), source }
+    }
+}
--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -1,4 +1,5 @@
-//! Clients that ask at a rate of their own, whatever the answers do: what is late counts from when it was due.
+//! Clients that send requests at a fixed rate, whatever the answers do (an open loop): latencies count from when a
+//! request was due. [`Load`] runs them; [`Done`] is what came of it.
 
 use pinetrail_test_harness::recorder::Recorder;
 use std::collections::BTreeMap;
@@ -9,7 +10,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// So many requests may be open at once; more wait, and are late.
+/// How many requests may be open at once; more wait, and are late.
 const CLIENTS: u64 = 48;
 /// How long a client waits.
 const BUDGET: Duration = Duration::from_millis(900);
@@ -45,7 +46,7 @@
 }
 
 struct Shared {
-    places: Vec<SocketAddr>,
+    proxies: Vec<SocketAddr>,
     rate: u64,
     total: u64,
     seed: u64,
@@ -62,11 +63,11 @@
 }
 
 impl Load {
-    /// Clients of these proxies ask from now on, for a time.
-    pub(crate) fn begin(places: Vec<SocketAddr>, rate: u64, lasts: Duration, seed: u64) -> Load {
+    /// Starts clients of these proxies, with so many requests a second for a time.
+    pub(crate) fn start(proxies: Vec<SocketAddr>, rate: u64, lasts: Duration, seed: u64) -> Load {
         let total = rate * lasts.as_secs();
         let shared = Arc::new(Shared {
-            places,
+            proxies,
             rate,
             total,
             seed,
@@ -83,15 +84,18 @@
         Load { shared, threads }
     }
 
-    /// Asks nothing more, and waits for what is out.
+    /// Sends nothing more, and waits for what is in flight.
     pub(crate) fn cancel(self) {
         self.shared.next.store(self.shared.total, Ordering::Relaxed);
-        self.end();
+        self.wait();
     }
 
     /// Waits until all that were due are answered; what came of it.
-    pub(crate) fn end(self) -> Done {
-        self.threads.into_iter().for_each(|thread| drop(thread.join()));
+    pub(crate) fn wait(self) -> Done {
+        for thread in self.threads {
+            // A client that panicked has printed why, and has poisoned the lock.
+            let _ = thread.join();
+        }
         std::mem::take(&mut *self.shared.done.lock().expect("no client panicked"))
     }
 }
@@ -101,8 +105,11 @@
     open: BTreeMap<usize, BufReader<TcpStream>>,
 }
 
-enum Said {
+/// What came of one attempt.
+enum AttemptResult {
+    /// A final answer of this kind.
     Final(&'static str),
+    /// The connection broke without an answer.
     Broken,
 }
 
@@ -118,15 +125,15 @@
             let mixed = (n ^ self.shared.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
             let key = format!("k{}", mixed % KEYS);
             let writes = mixed.is_multiple_of(20);
-            let mut said = None;
+            let mut answer = None;
             for attempt in 0..TRIES {
-                let proxy = (n as usize + attempt) % self.shared.places.len();
+                let proxy = (n as usize + attempt) % self.shared.proxies.len();
                 match self.ask(proxy, &key, writes, n, attempt) {
-                    Said::Final(kind) => {
-                        said = Some(kind);
+                    AttemptResult::Final(kind) => {
+                        answer = Some(kind);
                         break;
                     }
-                    Said::Broken => {
+                    AttemptResult::Broken => {
                         self.open.remove(&proxy);
                         self.note(|done| done.asked_again += 1);
                         thread::sleep(Duration::from_millis(20));
@@ -136,7 +143,7 @@
             let late = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
             self.note(|done| {
                 done.requests += 1;
-                match said {
+                match answer {
                     Some(kind) => {
                         *done.answers.entry(kind).or_default() += 1;
                         done.latencies.push(late);
@@ -152,7 +159,7 @@
     }
 
     /// Asks one proxy. What breaks has no answer: the client has left, and may ask again.
-    fn ask(&mut self, proxy: usize, key: &str, writes: bool, n: u64, attempt: usize) -> Said {
+    fn ask(&mut self, proxy: usize, key: &str, writes: bool, n: u64, attempt: usize) -> AttemptResult {
         let (id, repeat) = (format!("{n}x{attempt}"), if attempt > 0 { ",r=1" } else { "" });
         let ms = BUDGET.as_millis();
         let command = if writes {
@@ -160,11 +167,11 @@
         } else {
             format!("mg {key} v O{id} Pc=read,t=acme,d={ms}{repeat}\r\n")
         };
-        let Some(stream) = self.connection(proxy) else { return Said::Broken };
+        let Some(stream) = self.connection(proxy) else { return AttemptResult::Broken };
         // Something that nobody asked for any more lies there: an answer too many.
         let is_quiet = stream.buffer().is_empty();
         self.shared.recorder.record_request(&command);
-        let Some(stream) = self.open.get_mut(&proxy) else { return Said::Broken };
+        let Some(stream) = self.open.get_mut(&proxy) else { return AttemptResult::Broken };
         let answer = stream.get_mut().write_all(command.as_bytes()).and_then(|()| read(stream));
         if !is_quiet {
             self.note(|done| done.answered_twice += 1);
@@ -173,18 +180,18 @@
             Ok((line, value)) => {
                 self.shared.recorder.record_response(&command, &line, &value);
                 if line.contains(&format!(" O{id}")) {
-                    Said::Final("served")
+                    AttemptResult::Final("served")
                 } else if line.starts_with("SERVER_ERROR busy") {
-                    Said::Final("refused")
+                    AttemptResult::Final("refused")
                 } else if line.starts_with("SERVER_ERROR") {
-                    Said::Final("failed")
+                    AttemptResult::Final("failed")
                 } else {
-                    Said::Final("unknown")
+                    AttemptResult::Final("unknown")
                 }
             }
             Err(_) => {
                 self.shared.recorder.record_client_gone(&command);
-                Said::Broken
+                AttemptResult::Broken
             }
         }
     }
@@ -192,7 +199,7 @@
     fn connection(&mut self, proxy: usize) -> Option<&mut BufReader<TcpStream>> {
         if !self.open.contains_key(&proxy) {
             let stream =
-                TcpStream::connect_timeout(&self.shared.places[proxy], Duration::from_millis(200)).ok()?;
+                TcpStream::connect_timeout(&self.shared.proxies[proxy], Duration::from_millis(200)).ok()?;
             stream.set_read_timeout(Some(BUDGET * 2)).ok()?;
             stream.set_nodelay(true).ok()?;
             self.open.insert(proxy, BufReader::new(stream));
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -3,8 +3,10 @@
 mod chart;
 mod cost;
 mod demo;
+mod error;
 mod load;
 mod membership;
+mod output;
 mod policy;
 mod quota;
 mod table;
@@ -15,7 +17,7 @@
 /// Experiments with pinetrail: real processes on loopback, and models in simulated time.
 #[derive(Parser)]
 #[command(version)]
-struct Lab {
+struct Cli {
     #[command(subcommand)]
     experiment: Experiment,
 }
@@ -40,7 +42,7 @@
 }
 
 fn main() -> ExitCode {
-    let done = match Lab::parse().experiment {
+    let passed = match Cli::parse().experiment {
         Experiment::Demo(options) => demo::run(&options),
         Experiment::Cost(options) => cost::run(&options),
         Experiment::Members(options) => membership::run(&options),
@@ -53,7 +55,7 @@
             return pinetrail::net::lifecycle::run();
         }
     };
-    match done {
+    match passed {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(error) => {
--- a/crates/experiments/src/membership/mod.rs
+++ b/crates/experiments/src/membership/mod.rs
@@ -4,12 +4,17 @@
 mod script;
 mod trials;
 
+pub(crate) use script::PlayError;
+
+use crate::error::ExperimentError;
+use crate::output::{progress_bar, write_json};
 use crate::table;
 use clap::Args;
-use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
+use indicatif::ParallelProgressIterator;
+use pinetrail_test_harness::script::Script;
 use rayon::prelude::*;
 use serde::Serialize;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use trials::{Kind, Outcome, Trial};
 
 /// What to measure.
@@ -58,25 +63,14 @@
 }
 
 /// Measures, prints and writes; an error says what could not be.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
     if let Some(path) = &options.script {
-        let told = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|error| told(&error))?;
-        let faults = pinetrail_test_harness::script::Script::parse(&text).map_err(|error| told(&error))?;
-        let members = options.members.first().copied().unwrap_or(5);
-        let lines =
-            script::play(&faults, usize::from(members), options.seed).map_err(|error| told(&error))?;
-        for line in &lines {
-            println!("{line}");
-        }
+        play_script(path, options)?;
         return Ok(true);
     }
     let trials = plan(options);
-    let pool = rayon::ThreadPoolBuilder::new().num_threads(options.threads.unwrap_or(0)).build();
-    let pool = pool.map_err(|error| error.to_string())?;
-    let bar = ProgressBar::new(trials.len() as u64);
-    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} trials, {elapsed}");
-    bar.set_style(style.map_err(|error| error.to_string())?);
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(options.threads.unwrap_or(0)).build()?;
+    let bar = progress_bar(trials.len() as u64, "{bar:40} {pos}/{len} trials, {elapsed}")?;
     let outcomes: Vec<Outcome> =
         pool.install(|| trials.par_iter().progress_with(bar.clone()).map(Trial::play).collect());
     bar.finish_and_clear();
@@ -85,15 +79,29 @@
     let figures = Figures { seed: options.seed, digest: format!("{:08x}", crc32c::crc32c(&all)), outcomes };
     show(&figures);
     if let Some(path) = &options.json {
-        let text = serde_json::to_string_pretty(&figures).map_err(|error| error.to_string())?;
-        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+        write_json(path, &figures)?;
     }
     if let Some(folder) = &options.plots {
-        plots::draw(folder, &figures.outcomes).map_err(|error| format!("{}: {error}", folder.display()))?;
+        plots::draw(folder, &figures.outcomes)
+            .map_err(|source| ExperimentError::Plots { folder: folder.clone(), source })?;
     }
     Ok(true)
 }
 
+/// Plays a script on a fleet of the first size and prints what happened.
+fn play_script(path: &Path, options: &Options) -> Result<(), ExperimentError> {
+    let text = std::fs::read_to_string(path).map_err(ExperimentError::file(path))?;
+    let script =
+        Script::parse(&text).map_err(|source| ExperimentError::Script { path: path.to_owned(), source })?;
+    let members = options.members.first().copied().unwrap_or(5);
+    let lines = script::play(&script, usize::from(members), options.seed)
+        .map_err(|source| ExperimentError::Play { path: path.to_owned(), source })?;
+    for line in &lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
 /// The trials, in a fixed order. Long ones are cut into pieces that run side by side. Of the baseline, whose datagrams grow
 /// with the square of the size, less is played in fleets of over 100, and nothing in those of over 300.
 fn plan(options: &Options) -> Vec<Trial> {
--- a/crates/experiments/src/membership/plots.rs
+++ b/crates/experiments/src/membership/plots.rs
@@ -1,12 +1,11 @@
 //! The plots: SVG files.
 
 use super::trials::Outcome;
-use crate::chart::lines;
-use std::error::Error;
+use crate::chart::{lines, ChartError};
 use std::path::Path;
 
 /// Draws the time to detect and the bytes against size, and false alarms against loss.
-pub(super) fn draw(folder: &Path, outcomes: &[Outcome]) -> Result<(), Box<dyn Error>> {
+pub(super) fn draw(folder: &Path, outcomes: &[Outcome]) -> Result<(), ChartError> {
     std::fs::create_dir_all(folder)?;
     let by_size = |heartbeats: bool, of: fn(&Outcome) -> Option<f64>| -> Vec<(f64, f64)> {
         let one = |outcome: &Outcome| Some((outcome.members as f64, of(outcome)?));
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -1,73 +1,125 @@
-//! A script of faults, played on a fleet in simulated time; what is heard of it.
+//! Plays a script of faults on a fleet in simulated time, and writes down what its members notice.
 
 use crate::membership::trials::words;
 use pinetrail_membership::Membership;
 use pinetrail_simulation::fleet::Fleet;
 use pinetrail_test_harness::script::{Fault, Script, ScriptStep};
+use thiserror::Error;
 
-/// After the last fault it is listened for so long, in ms.
+/// How long members are observed after the last fault, in ms.
 const AFTER: u64 = 15_000;
 
-/// Plays it on a fleet of so many that know each other; the lines of what happened.
-pub(super) fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, String> {
-    let peers: Vec<usize> = (0..members.min(3)).collect();
+/// How long members have to meet before the script begins, in ms.
+const MEETING: u64 = 30_000;
+/// How many members the others join by.
+const PEERS: usize = 3;
+
+/// Why a script cannot be played in simulated time.
+#[derive(Debug, Error, PartialEq)]
+pub(crate) enum PlayError {
+    /// A fault is about a member that there is not.
+    #[error("{fault}: there are {members} members only, from 0 on")]
+    NoSuchMember {
+        /// The fault.
+        fault: Fault,
+        /// How many members there are.
+        members: usize,
+    },
+    /// A fault is about a cache node.
+    #[error("{0}: there are no cache nodes here")]
+    NoCacheNodes(Fault),
+}
+
+/// Plays a script on a fleet of so many that know each other; the lines of what happened.
+pub(super) fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, PlayError> {
+    let peers: Vec<usize> = (0..members.min(PEERS)).collect();
     let size = members.max(peers.len() + 1);
     let mut fleet = Fleet::with_members(members, seed, &peers);
-    fleet.run(30_000);
+    fleet.run(MEETING);
     fleet.observed.clear();
-    let (begun, mut lines) = (fleet.now(), Vec::new());
-    let tell = |fleet: &mut Fleet<Membership>, lines: &mut Vec<String>| {
-        for heard in std::mem::take(&mut fleet.observed) {
-            lines.push(format!("{:>7} ms  n{:04}  {}", heard.at - begun, heard.host, words(&heard.event)));
-        }
-    };
+    let start = fleet.now();
+    let mut player = Player { fleet, members, size, peers, start, lines: Vec::new() };
     for ScriptStep { at, fault } in &script.steps {
-        fleet.run((begun + at).saturating_sub(fleet.now()));
-        tell(&mut fleet, &mut lines);
-        lines.push(format!("{at:>7} ms  fault  {fault}"));
-        cause(&mut fleet, fault, members, size, &peers)?;
+        player.run_until(*at);
+        player.lines.push(format!("{at:>7} ms  fault  {fault}"));
+        player.inject(fault)?;
     }
-    fleet.run(AFTER);
-    tell(&mut fleet, &mut lines);
-    Ok(lines)
+    player.fleet.run(AFTER);
+    player.write_observed();
+    Ok(player.lines)
 }
 
-fn cause(
-    fleet: &mut Fleet<Membership>,
-    fault: &Fault,
+/// A fleet to which the faults of a script happen.
+struct Player {
+    fleet: Fleet<Membership>,
     members: usize,
+    /// How many members the fleet may have.
     size: usize,
-    peers: &[usize],
-) -> Result<(), String> {
-    let known = |member: &usize| {
-        if *member < members {
-            Ok(*member)
-        } else {
-            Err(format!("{fault}: there are {members} members only, from 0 on"))
-        }
-    };
-    match fault {
-        Fault::Kill(member) => fleet.kill(known(member)?),
-        Fault::Start(member) => fleet.start_member(known(member)?, size, peers),
-        Fault::Stop(member) => fleet.pause(known(member)?),
-        Fault::Continue(member) => fleet.resume(known(member)?),
-        Fault::Cut(from, to) => fleet.network.cut(known(from)?, known(to)?),
-        Fault::Partition(sides) => {
-            sides.iter().flatten().try_for_each(|member| known(member).map(drop))?;
-            fleet.network.cut_into(&sides.iter().map(|side| &side[..]).collect::<Vec<_>>());
+    /// The members that the others join by.
+    peers: Vec<usize>,
+    /// When the script began, in ms of the fleet's clock.
+    start: u64,
+    /// What happened so far.
+    lines: Vec<String>,
+}
+
+impl Player {
+    /// Lets time pass until so many ms after the script's beginning.
+    fn run_until(&mut self, at: u64) {
+        let left = (self.start + at).saturating_sub(self.fleet.now());
+        self.fleet.run(left);
+        self.write_observed();
+    }
+
+    /// Writes down what members have noticed since the last time.
+    fn write_observed(&mut self) {
+        for observed in std::mem::take(&mut self.fleet.observed) {
+            let at = observed.at - self.start;
+            self.lines.push(format!("{at:>7} ms  n{:04}  {}", observed.host, words(&observed.event)));
         }
-        Fault::Heal => fleet.network.heal(),
-        Fault::Loss(percent) => fleet.network.loss = f64::from(*percent) / 100.0,
-        Fault::HotRestart(member) => {
-            // Who accepts speaks, as a later start of the name.
-            fleet.kill(known(member)?);
-            fleet.start_member(*member, size, peers);
+    }
+
+    fn inject(&mut self, fault: &Fault) -> Result<(), PlayError> {
+        self.check_members(fault)?;
+        match fault {
+            Fault::Kill(member) => self.fleet.kill(*member),
+            Fault::Start(member) => self.fleet.start_member(*member, self.size, &self.peers),
+            Fault::Stop(member) => self.fleet.pause(*member),
+            Fault::Continue(member) => self.fleet.resume(*member),
+            Fault::Cut(from, to) => self.fleet.network.cut(*from, *to),
+            Fault::Partition(sides) => {
+                let sides: Vec<&[usize]> = sides.iter().map(Vec::as_slice).collect();
+                self.fleet.network.cut_into(&sides);
+            }
+            Fault::Heal => self.fleet.network.heal(),
+            Fault::Loss(percent) => self.fleet.network.loss = f64::from(*percent) / 100.0,
+            Fault::HotRestart(member) => {
+                // The process that accepts connections is the member, as a later start of the name.
+                self.fleet.kill(*member);
+                self.fleet.start_member(*member, self.size, &self.peers);
+            }
+            Fault::NodeDown(_) | Fault::NodeUp(_) => return Err(PlayError::NoCacheNodes(fault.clone())),
         }
-        Fault::NodeDown(_) | Fault::NodeUp(_) => {
-            return Err(format!("{fault}: there are no cache nodes here"))
+        Ok(())
+    }
+
+    /// Checks that there are all members that a fault is about.
+    fn check_members(&self, fault: &Fault) -> Result<(), PlayError> {
+        let named = match fault {
+            Fault::Kill(member)
+            | Fault::Start(member)
+            | Fault::Stop(member)
+            | Fault::Continue(member)
+            | Fault::HotRestart(member) => vec![*member],
+            Fault::Cut(from, to) => vec![*from, *to],
+            Fault::Partition(sides) => sides.concat(),
+            Fault::Heal | Fault::Loss(_) | Fault::NodeDown(_) | Fault::NodeUp(_) => Vec::new(),
+        };
+        if named.iter().all(|member| *member < self.members) {
+            return Ok(());
         }
+        Err(PlayError::NoSuchMember { fault: fault.clone(), members: self.members })
     }
-    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -1,5 +1,7 @@
 //! `pinetrail-experiments policy`: the rulebook's own tasks under faults from many seeds, and how long a change takes without any.
 
+use crate::error::ExperimentError;
+use crate::output::write_json;
 use crate::table;
 use clap::Args;
 use hdrhistogram::Histogram;
@@ -71,9 +73,11 @@
 }
 
 /// Plays, prints and writes; an error says what could not be. False if anything was wrong.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
     if options.log {
-        play_seed(options.seed).log.iter().for_each(|line| println!("{line}"));
+        for line in &play_seed(options.seed).log {
+            println!("{line}");
+        }
     }
     let runs: Vec<Run> =
         (options.seed..options.seed + options.seeds).into_par_iter().map(play_seed).collect();
@@ -98,7 +102,9 @@
         seeds.abandoned,
         seeds.unknown
     );
-    seeds.wrong.iter().take(20).for_each(|(seed, why)| println!("seed {seed}: {why}"));
+    for (seed, why) in seeds.wrong.iter().take(20) {
+        println!("seed {seed}: {why}");
+    }
     let took: Vec<Took> = options
         .members
         .iter()
@@ -116,18 +122,17 @@
     table::print(&heading, &rows.collect::<Vec<_>>());
     let good = seeds.wrong.is_empty() & real(options.seed, options.processes)?;
     if let Some(path) = &options.json {
-        let text = serde_json::to_string_pretty(&All { seeds, took }).map_err(|error| error.to_string())?;
-        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+        write_json(path, &All { seeds, took })?;
     }
     Ok(good)
 }
 
 /// The same with four real processes, of which three found; false if anything was wrong.
-fn real(first: u64, seeds: u64) -> Result<bool, String> {
+fn real(first: u64, seeds: u64) -> Result<bool, ExperimentError> {
     if seeds == 0 {
         return Ok(true);
     }
-    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
     program(own, &["proxy"]);
     let parties = || {
         (vec![StubServer::full_node("v"), StubServer::full_node("v")], StubServer::origin(|_| http_200("v")))
@@ -167,7 +172,9 @@
         })
         .collect();
     let mut times = Histogram::<u64>::new(3).expect("three digits");
-    runs.iter().flat_map(|run| &run.commit_latencies_ms).for_each(|ms| times.saturating_record(*ms));
+    for ms in runs.iter().flat_map(|run| &run.commit_latencies_ms) {
+        times.saturating_record(*ms);
+    }
     Took {
         members,
         what: if dead { "one dead" } else { "quiet" },
--- a/crates/experiments/src/quota/mod.rs
+++ b/crates/experiments/src/quota/mod.rs
@@ -3,6 +3,9 @@
 mod day;
 pub(crate) mod proof;
 
+use crate::chart::ChartError;
+use crate::error::ExperimentError;
+use crate::output::write_json;
 use crate::{chart, table};
 use clap::Args;
 use day::{Day, Event, Outcome, Rule};
@@ -27,7 +30,7 @@
 }
 
 /// Compares, prints and writes; an error says what could not be. False if what is leased was ever over the whole.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
     let rules = [Rule::Static, Rule::Live, Rule::Leased];
     let events = [Event::Release, Event::Deaths, Event::Crash, Event::Cut, Event::Zone];
     let days: Vec<Day> = options
@@ -39,11 +42,11 @@
     let outcomes: Vec<Outcome> = days.par_iter().map(Day::play).collect();
     show(&outcomes);
     if let Some(path) = &options.json {
-        let text = serde_json::to_string_pretty(&outcomes).map_err(|error| error.to_string())?;
-        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+        write_json(path, &outcomes)?;
     }
     if let Some(folder) = &options.plots {
-        draw(folder, &outcomes).map_err(|error| format!("{}: {error}", folder.display()))?;
+        draw(folder, &outcomes)
+            .map_err(|source| ExperimentError::Plots { folder: folder.clone(), source })?;
     }
     Ok(outcomes.iter().all(|outcome| outcome.rule != Rule::Leased || outcome.sum <= 1.0 + 1e-9))
 }
@@ -68,7 +71,7 @@
     table::print(&heading, &rows.collect::<Vec<_>>());
 }
 
-fn draw(folder: &std::path::Path, outcomes: &[Outcome]) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(folder: &std::path::Path, outcomes: &[Outcome]) -> Result<(), ChartError> {
     std::fs::create_dir_all(folder)?;
     for days in outcomes.chunks(3) {
         let name = format!("shares-{}-{:?}", days[0].proxies, days[0].event).to_lowercase();
--- a/crates/experiments/src/quota/proof.rs
+++ b/crates/experiments/src/quota/proof.rs
@@ -1,7 +1,9 @@
 //! `pinetrail-experiments proof`: what shares promise, under many seeds of faults and in every order of some.
 
+use crate::error::ExperimentError;
+use crate::output::progress_bar;
 use clap::Args;
-use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
+use indicatif::ParallelProgressIterator;
 use pinetrail_simulation::model::Scope;
 use pinetrail_simulation::seeds;
 use rayon::prelude::*;
@@ -28,18 +30,14 @@
 }
 
 /// Looks, and prints what was found. False if anything did not hold.
-pub(crate) fn run(options: &Options) -> Result<bool, String> {
-    let rates =
-        <[u64; 3]>::try_from(options.rates.as_slice()).map_err(|_| "three rates are needed".to_owned())?;
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
+    let rates = <[u64; 3]>::try_from(options.rates.as_slice()).map_err(|_| ExperimentError::RateCount)?;
     if !rates.iter().all(|rate| (100..=10_000).contains(rate)) {
-        return Err("a rate is 100 to 10000 thousandths".to_owned());
+        return Err(ExperimentError::RateRange);
     }
     let threads = options.threads.unwrap_or_else(rayon::current_num_threads);
-    let pool =
-        rayon::ThreadPoolBuilder::new().num_threads(threads).build().map_err(|error| error.to_string())?;
-    let bar = ProgressBar::new(options.seeds);
-    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} seeds, {elapsed}");
-    bar.set_style(style.map_err(|error| error.to_string())?);
+    let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build()?;
+    let bar = progress_bar(options.seeds, "{bar:40} {pos}/{len} seeds, {elapsed}")?;
     let begun = Instant::now();
     let wrong: Vec<String> = pool.install(|| {
         let seeds = (0..options.seeds).into_par_iter().progress_with(bar.clone());
@@ -49,7 +47,9 @@
     });
     bar.finish_and_clear();
     println!("{} seeds in {:.1} s: {} wrong", options.seeds, begun.elapsed().as_secs_f64(), wrong.len());
-    wrong.iter().take(10).for_each(|line| println!("  {line}"));
+    for line in wrong.iter().take(10) {
+        println!("  {line}");
+    }
     let begun = Instant::now();
     let found = Scope::new(options.faults, options.ticks, rates).explore(threads);
     println!(
@@ -61,6 +61,8 @@
         begun.elapsed().as_secs_f64(),
         found.violations.len()
     );
-    found.violations.iter().for_each(|line| println!("  {line}"));
+    for line in &found.violations {
+        println!("  {line}");
+    }
     Ok(wrong.is_empty() && found.violations.is_empty())
 }
