--- a/crates/history-checker/src/repetition.rs
+++ b/crates/history-checker/src/repetition.rs
@@ -74,7 +74,7 @@
     fn check_rejections(&mut self) {
         let request = self.request;
         for response in &request.responses {
-            if *response.answer != Answer::Refused {
+            if *response.answer != Answer::Rejected {
                 continue;
             }
             let at = response.received.at;
@@ -129,15 +129,15 @@
     }
 
     fn report(&mut self, reason: Reason, at: Time, events: Vec<usize>) {
-        self.violations.push(Violation { reason, about: self.id.to_owned(), at, events });
+        self.violations.push(Violation { reason, subject: self.id.to_owned(), at, events });
     }
 }
 
 /// The nodes by the addresses that discovery listed last.
 fn nodes_by_address(history: &History) -> BTreeMap<&str, &Node> {
     let lists = history.events.iter().filter_map(|(_, seen)| match seen {
-        HistoryEvent::Told { nodes, .. } => Some(nodes),
+        HistoryEvent::EndpointsListed { nodes, .. } => Some(nodes),
         _ => None,
     });
-    lists.flatten().map(|node| (node.place.as_str(), node)).collect()
+    lists.flatten().map(|node| (node.address.as_str(), node)).collect()
 }
--- /dev/null
+++ b/crates/test-harness/src/fault_proxy/stream.rs
@@ -0,0 +1,119 @@
+//! A fault-injecting proxy for connections, from a proxy under test to one server that it calls:
+//! [`StreamFaultProxy`].
+
+use super::{forward, read_some, COPY_BUFFER_BYTES};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+
+#[derive(Default)]
+struct State {
+    partitioned: bool,
+    /// Both ends of every connection that was opened since the last reset.
+    open: Vec<TcpStream>,
+}
+
+#[derive(Default)]
+struct Shared {
+    /// Guards whether anything passes, and the open connections.
+    state: Mutex<State>,
+    /// Notified when a partition begins or ends.
+    partition_changed: Condvar,
+}
+
+impl Shared {
+    /// Waits while nothing passes.
+    fn wait_for_passage(&self) {
+        let mut state = self.state.lock().unwrap();
+        while state.partitioned {
+            state = self.partition_changed.wait(state).unwrap();
+        }
+    }
+}
+
+/// The proxy in front of one server. Its threads end with the test's process, those of a connection with
+/// the connection. Clones control the same proxy.
+#[derive(Clone)]
+pub struct StreamFaultProxy {
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl StreamFaultProxy {
+    /// Starts a proxy in front of this server.
+    ///
+    /// # Panics
+    /// If it cannot listen.
+    pub fn start(target: SocketAddr) -> StreamFaultProxy {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared: Arc<Shared> = Arc::default();
+        let accepting = Arc::clone(&shared);
+        thread::spawn(move || {
+            for client in listener.incoming().map_while(Result::ok) {
+                let shared = Arc::clone(&accepting);
+                thread::spawn(move || serve(client, target, &shared));
+            }
+        });
+        StreamFaultProxy { address, shared }
+    }
+
+    /// From now on nothing passes, and neither end is told.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
+    pub fn partition(&self) {
+        self.set_partitioned(true);
+    }
+
+    /// Everything passes again, first of all what was held back.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
+    pub fn heal(&self) {
+        self.set_partitioned(false);
+    }
+
+    fn set_partitioned(&self, partitioned: bool) {
+        self.shared.state.lock().unwrap().partitioned = partitioned;
+        self.shared.partition_changed.notify_all();
+    }
+
+    /// Breaks the connections that are open.
+    ///
+    /// # Panics
+    /// If a thread of the proxy panicked.
+    pub fn reset(&self) {
+        let open = std::mem::take(&mut self.shared.state.lock().unwrap().open);
+        for stream in open {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Serves one connection until either end closes it.
+fn serve(client: TcpStream, target: SocketAddr, shared: &Arc<Shared>) {
+    shared.wait_for_passage();
+    // Nobody there: the connection breaks, as it would without a proxy.
+    let Ok(server) = TcpStream::connect(target) else { return };
+    let ends = [client.try_clone(), server.try_clone()];
+    shared.state.lock().unwrap().open.extend(ends.into_iter().flatten());
+    let (Ok(client_input), Ok(server_output)) = (client.try_clone(), server.try_clone()) else { return };
+    let copying = Arc::clone(shared);
+    thread::spawn(move || copy(client_input, server_output, &copying));
+    copy(server, client, shared);
+}
+
+/// Copies one direction of a connection until it ends.
+fn copy(mut from: TcpStream, mut to: TcpStream, shared: &Shared) {
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
+    loop {
+        let length = read_some(&mut from, &mut buffer);
+        shared.wait_for_passage();
+        if !forward(&buffer[..length], &from, &mut to) {
+            return;
+        }
+    }
+}
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -10,7 +10,7 @@
 
 use super::recorded_events::EventRecorder;
 use super::*;
-use pinetrail_history_checker::{Answer, History, HistoryEvent, Process};
+use pinetrail_history_checker::{Answer, History, HistoryEvent, ProxyEnd};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -173,7 +173,8 @@
             FleetEvent::Fault(fault) => self.fault(fault),
             FleetEvent::ClientLeaves(proxy, id) => {
                 if self.proxies[proxy].open.remove(&id).is_some() {
-                    self.recorder.record(self.now, HistoryEvent::Left { request: request(proxy, id) });
+                    self.recorder
+                        .record(self.now, HistoryEvent::ClientDisconnected { request: request(proxy, id) });
                     self.feed(proxy, self.proxies[proxy].incarnation, Event::ClientGone(id));
                 }
             }
@@ -199,8 +200,10 @@
         let budget = [120.0, 400.0, 800.0][self.rng.gen_range(0..3)];
         self.proxies[proxy].open.insert(id, OpenRequest { key, ..OpenRequest::default() });
         let (request, name) = (request(proxy, id), CLASSES[usize::from(class)].to_owned());
-        self.recorder
-            .record(self.now, HistoryEvent::Asked { proxy: self::name(proxy), request, class: name, budget });
+        self.recorder.record(
+            self.now,
+            HistoryEvent::RequestSent { proxy: self::name(proxy), request, class: name, budget },
+        );
         if self.rng.gen_bool(0.02) {
             let wait = self.rng.gen_range(1.0..budget);
             self.at(wait, FleetEvent::ClientLeaves(proxy, id));
@@ -225,7 +228,7 @@
                 Action::StartAttempt { request: id, backend: server, timeout: limit, .. } => {
                     self.send(proxy, id, server, limit)
                 }
-                Action::Reject { request: id, .. } => self.answer(proxy, id, Answer::Refused),
+                Action::Reject { request: id, .. } => self.answer(proxy, id, Answer::Rejected),
                 Action::Fail(id) => self.answer(proxy, id, Answer::Failed),
                 Action::SetTimer { delay: wait, token }
                 | Action::SetRequestTimer { delay: wait, token, .. } => {
@@ -341,8 +344,8 @@
             Fault::Gone(server) => self.change(Member { state: State::Gone, ..member(server) }),
             Fault::Restart(server) => {
                 *self.node(server) = StubNode::default();
-                let place = recorded_events::place(server);
-                self.recorder.record(now, HistoryEvent::Started { place, capacity: CAPACITY });
+                let address = recorded_events::place(server);
+                self.recorder.record(now, HistoryEvent::BackendStarted { address, capacity: CAPACITY });
                 self.change(Member { started: now, ..member(server) });
             }
             Fault::Kill(proxy) => {
@@ -350,7 +353,8 @@
                 state.alive = false;
                 state.incarnation += 1;
                 state.open.clear();
-                self.recorder.record(now, HistoryEvent::Ended { proxy: name(proxy), how: Process::Killed });
+                self.recorder
+                    .record(now, HistoryEvent::ProxyEnded { proxy: name(proxy), how: ProxyEnd::Killed });
                 self.at(400.0, FleetEvent::ProxyStarts(proxy));
             }
             Fault::Deaf(proxy, until) => self.proxies[proxy].discovery_cut_until = now + until,
@@ -375,7 +379,7 @@
         state.balancer = balancer(proxy, state.incarnation);
         state.alive = true;
         let (incarnation, figures) = (state.incarnation, recorded_events::figures());
-        self.recorder.record(self.now, HistoryEvent::InForce { proxy: name(proxy), figures });
+        self.recorder.record(self.now, HistoryEvent::ConfigActivated { proxy: name(proxy), figures });
         self.recorder.record_list(self.now, &name(proxy), true, &list);
         self.feed(proxy, incarnation, Event::Members { form: ListForm::Full, members: list });
     }
--- a/tests/common/recorded_events.rs
+++ b/tests/common/recorded_events.rs
@@ -28,42 +28,42 @@
         server: ServerId,
         work: f64,
     ) -> u64 {
-        let call = self.attempts.len() as u64;
-        let received = HistoryEvent::Received {
+        let attempt = self.attempts.len() as u64;
+        let received = HistoryEvent::AttemptReceived {
             proxy: proxy.to_owned(),
             request: request.to_owned(),
-            call,
-            place: place(server),
+            attempt,
+            address: place(server),
             first: at,
             work,
         };
         self.attempts.push((self.events.len(), Some((at, received))));
         self.events.push(None);
-        call
+        attempt
     }
 
     /// Records how an attempt ended.
-    pub(crate) fn record_end(&mut self, at: Time, call: u64, outcome: Outcome, value: &str) {
-        let (place, received) = &mut self.attempts[call as usize];
+    pub(crate) fn record_end(&mut self, at: Time, attempt: u64, outcome: Outcome, value: &str) {
+        let (place, received) = &mut self.attempts[attempt as usize];
         let end = match outcome {
             Outcome::ConnectFailed | Outcome::Moot => return *received = None,
             Outcome::Ok => End::Served(value.to_owned()),
             Outcome::Miss => End::Missed,
-            Outcome::Full => End::TurnedAway,
+            Outcome::Full => End::Rejected,
             Outcome::Error => End::Failed,
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => End::Broken,
         };
         self.events[*place] = received.take();
-        self.record(at, HistoryEvent::Closed { call, end });
+        self.record(at, HistoryEvent::AttemptEnded { attempt, end });
     }
 
     pub(crate) fn record_list(&mut self, at: Time, proxy: &str, whole: bool, members: &[Member]) {
         let nodes = members.iter().map(node).collect();
-        self.record(at, HistoryEvent::Told { proxy: proxy.to_owned(), whole, nodes });
+        self.record(at, HistoryEvent::EndpointsListed { proxy: proxy.to_owned(), whole, nodes });
     }
 
     pub(crate) fn record_response(&mut self, at: Time, request: &str, answer: seen::Answer) {
-        self.record(at, HistoryEvent::Answered { request: request.to_owned(), answer });
+        self.record(at, HistoryEvent::ResponseReceived { request: request.to_owned(), answer });
     }
 
     /// All that was recorded, by time.
@@ -86,7 +86,7 @@
 fn node(member: &Member) -> Node {
     Node {
         name: place(member.server),
-        place: place(member.server),
+        address: place(member.server),
         zone: member.zone,
         cell: member.cell,
         state: match member.state {
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -2,14 +2,14 @@
 
 use crate::policy::{governed, has};
 use pinetrail_test_harness::fleet::Fleet;
-use pinetrail_test_harness::policy::{ask, settings};
+use pinetrail_test_harness::policy::{get_json, settings};
 use pinetrail_test_harness::send_to_admin;
 use serde_json::json;
 
-/// How a member's door sees another, and the parts that differ.
+/// How a member's admin server sees another, and the parts that differ.
 fn seen(fleet: &Fleet, by: usize, whom: usize) -> (String, Vec<String>) {
-    let said = ask(fleet.process(by).admin_address, "/control/drift");
-    let node = said["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
+    let drift = get_json(fleet.process(by).admin_address, "/control/drift");
+    let node = drift["nodes"].as_array().into_iter().flatten().find(|node| node["name"] == Fleet::name(whom));
     let parts = node.and_then(|node| node["parts"].as_array()).into_iter().flatten();
     let state = node.and_then(|node| node["state"].as_str()).unwrap_or_default().to_owned();
     (state, parts.filter_map(|part| Some(part.as_str()?.to_owned())).collect())
@@ -49,10 +49,10 @@
 }
 
 #[test]
-fn a_local_change_shows_at_every_door_is_one_alarm_and_can_be_undone() {
+fn a_local_change_is_reported_by_every_member_with_one_alarm_and_can_be_undone() {
     let mut fleet = with_a_loose_one();
     drift(&mut fleet);
-    fleet.wait_until("every door shows it", |fleet| all_see(fleet, 3, "differs"));
+    fleet.wait_until("every admin server shows it", |fleet| all_see(fleet, 3, "differs"));
     assert_eq!(seen(&fleet, 0, 3).1, ["Grades"], "and in what");
     fleet.wait_until("there is an alarm", |fleet| alarms(fleet, 3) > 0);
     std::thread::sleep(crate::ms(1000));
@@ -67,18 +67,18 @@
 }
 
 #[test]
-fn who_is_cut_off_is_silent_to_others_and_fenced_to_itself_and_never_the_same() {
+fn a_partitioned_member_is_silent_to_others_and_fenced_to_itself() {
     let fleet = with_a_loose_one();
     fleet.cut_into(&[&[3], &[0, 1, 2]]);
     fleet.wait_until("it is silent", |fleet| (0..3).all(|by| seen(fleet, by, 3).0 == "silent"));
     fleet.wait_until("it knows", |fleet| seen(fleet, 3, 3).0 == "fenced" && seen(fleet, 3, 0).0 == "silent");
     assert_eq!(alarms(&fleet, 3), 0, "silence is no drift");
-    fleet.datagram_faults.all(|way| way.partitioned = false);
+    fleet.datagram_faults.change_all_paths(|path| path.partitioned = false);
     fleet.wait_until("all are well", |fleet| (0..4).all(|whom| all_see(fleet, whom, "same")));
 }
 
 #[test]
-fn when_the_holder_of_the_alarm_dies_another_goes_on() {
+fn another_member_goes_on_when_the_holder_of_the_alarm_dies() {
     let mut fleet = with_a_loose_one();
     let steward = |fleet: &Fleet| {
         (0..3).find(|member| {
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -29,7 +29,7 @@
 
 /// Guards against anything that a proxy without a fleet would have because there can be one.
 #[test]
-fn without_fleet_there_is_no_socket_no_thread_and_no_counter() {
+fn a_proxy_without_a_fleet_has_no_socket_thread_or_counter_for_it() {
     let mut fleet = Fleet::new(Options::of(2), nodes(), origin());
     let mut without = fleet.config(0, &[]);
     without.as_object_mut().unwrap().remove("fleet");
@@ -41,7 +41,7 @@
         std::thread::sleep(crate::ms(100));
         fleet.runs(0) && counts == [off, on].map(|id| descriptors(id).len())
     };
-    fleet.wait_until("connections to discovery and the door have settled", settled);
+    fleet.wait_until("connections to discovery and the admin server have settled", settled);
     assert_eq!((datagram_sockets(off), datagram_sockets(on)), (0, 1));
     assert_eq!(descriptors(on).len(), descriptors(off).len() + 1);
     assert_eq!(threads(on), threads(off));
@@ -58,7 +58,7 @@
 
 /// Guards against a fleet that cannot be, found out only when it is needed.
 #[test]
-fn a_fleet_that_cannot_be_ends_the_start_with_one_line() {
+fn a_start_with_an_invalid_fleet_ends_with_one_line() {
     let fleet = Fleet::new(Options::of(2), nodes(), origin());
     let good = fleet.config(0, &[1]);
     let with = |change: &dyn Fn(&mut Value)| {
@@ -95,9 +95,9 @@
     ];
     for (config, names) in bad {
         let output = end(start(&config.to_string()));
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!((output.status.code(), said.lines().count()), (Some(2), 1), "{said}");
-        assert!(said.starts_with("pinetrail: cannot start: ") && said.contains(names), "{names}: {said}");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{log}");
+        assert!(log.starts_with("pinetrail: cannot start: ") && log.contains(names), "{names}: {log}");
     }
     // An address that is taken.
     let taken = std::net::UdpSocket::bind(fleet.member_address(0)).unwrap();
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -98,7 +98,8 @@
         // A proxy that knows of a drain sends nothing more there; the time that rules allow is the
         // network's.
         let figures = Figures { attempts, stop_within: 0.0, ..recorded_events::figures() };
-        self.recorder.record(self.harness.now, HistoryEvent::InForce { proxy: PROXY.into(), figures });
+        self.recorder
+            .record(self.harness.now, HistoryEvent::ConfigActivated { proxy: PROXY.into(), figures });
     }
 
     fn feed(&mut self, event: Event) {
@@ -114,7 +115,7 @@
                     self.out.push(SentAttempt { id, ordinal: *attempts, server, sent: now, number });
                     *attempts += 1;
                 }
-                Action::Reject { request: id, .. } => self.answer(id, Answer::Refused),
+                Action::Reject { request: id, .. } => self.answer(id, Answer::Rejected),
                 Action::Fail(id) => self.answer(id, Answer::Failed),
                 Action::SetTimer { delay, token } | Action::SetRequestTimer { delay, token, .. } => {
                     self.timers.push((self.harness.now + delay.max(0.0), token));
@@ -176,7 +177,7 @@
         self.open.insert(id, 0);
         let class_name = CLASSES[usize::from((class + self.shift) % 5)].to_owned();
         let request = id.to_string();
-        let asked = HistoryEvent::Asked { proxy: PROXY.into(), request, class: class_name, budget };
+        let asked = HistoryEvent::RequestSent { proxy: PROXY.into(), request, class: class_name, budget };
         self.recorder.record(self.harness.now, asked);
         let hint = (!key.is_multiple_of(3)).then_some(10.0 * key as f64);
         self.feed(Event::Request(Request { class, budget, write, hint, ..read(id, key) }));
@@ -209,7 +210,8 @@
         let ids: Vec<RequestId> = self.open.keys().copied().collect();
         if let Some(id) = ids.get(pick % ids.len().max(1)) {
             self.open.remove(id);
-            self.recorder.record(self.harness.now, HistoryEvent::Left { request: id.to_string() });
+            self.recorder
+                .record(self.harness.now, HistoryEvent::ClientDisconnected { request: id.to_string() });
             self.feed(Event::ClientGone(*id));
         }
     }
