Name the phases of a client connection by what the connection does

A rename only: Phase::{PartialFirstCommand, PartialCommand, CommandOpen, ResponseUnread, Closing}, the queues of the same names, and Reason::Evicted.

--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -28,17 +28,17 @@
     /// It has arrived and sent nothing.
     Silent,
     /// It has sent something, but no whole command yet.
-    FirstHalf,
+    PartialFirstCommand,
     /// A command is open. Such a connection is never closed.
-    AtWork,
+    CommandOpen,
     /// Every command has its response, and nothing more was sent.
     Idle,
     /// A later command has been sent in part.
-    Half,
+    PartialCommand,
     /// The client does not read a response. Each entry into this phase counts as progress.
-    Unread,
+    ResponseUnread,
     /// It is closing; what still arrives is thrown away.
-    Ending,
+    Closing,
 }
 
 /// Why a connection is to be closed.
@@ -51,7 +51,7 @@
     /// Too many connections are in its phase.
     OverBudget,
     /// The capacity was used up.
-    NoRoom,
+    Evicted,
 }
 
 /// A connection that is to be closed, unless it has entered another phase meanwhile.
@@ -171,15 +171,15 @@
     }
 
     /// A connection enters a phase; returns the count of its phases. To enter the phase that it is
-    /// in changes nothing, except for [`Phase::Unread`].
+    /// in changes nothing, except for [`Phase::ResponseUnread`].
     pub fn set_phase(&mut self, now: Millis, id: ConnectionId, phase: Phase) -> Seq {
         let Some(entry) = self.entries.get(&id) else { return 0 };
-        if entry.phase == phase && phase != Phase::Unread {
+        if entry.phase == phase && phase != Phase::ResponseUnread {
             return entry.seq;
         }
         // A connection that is closing sends nothing more that counts. One that was ordered to
         // close and was used before that counts as used.
-        if phase != Phase::Ending {
+        if phase != Phase::Closing {
             self.learn_reuse(now, id);
         }
         self.dequeue(id);
@@ -221,9 +221,9 @@
             open: self.open(),
             capacity: self.capacity,
             silent: in_phases(&[Phase::Silent]),
-            half: in_phases(&[Phase::FirstHalf, Phase::Half]),
+            half: in_phases(&[Phase::PartialFirstCommand, Phase::PartialCommand]),
             idle: in_phases(&[Phase::Idle]),
-            ending: in_phases(&[Phase::Ending]),
+            ending: in_phases(&[Phase::Closing]),
             pressure,
             limits: IdleLimits {
                 silent: self.idle_limit(ReuseKind::Silent, pressure),
--- a/crates/connection-limits/src/connection_table/entry.rs
+++ b/crates/connection-limits/src/connection_table/entry.rs
@@ -7,10 +7,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Queue {
     Silent,
-    FirstHalf,
-    Half,
-    Unread,
-    Ending,
+    PartialFirstCommand,
+    PartialCommand,
+    ResponseUnread,
+    Closing,
     /// Idle, and never brought a request: only commands like a greeting or a ping.
     NeverUsed,
     /// Idle after one request.
@@ -79,7 +79,7 @@
         self.is_ordered = false;
         // Danger: a byte now and then would make a connection young for ever. The time for its
         // first command counts from its arrival on.
-        self.since = if phase == Phase::FirstHalf { self.arrived_at } else { now };
+        self.since = if phase == Phase::PartialFirstCommand { self.arrived_at } else { now };
     }
 
     /// Which life table it belongs to, if any.
@@ -97,11 +97,11 @@
     /// queue of their own instead.
     pub(super) fn queue_of_phase(&self) -> Option<Queue> {
         let queue = match self.phase {
-            Phase::AtWork => return None,
-            Phase::FirstHalf => Queue::FirstHalf,
-            Phase::Half => Queue::Half,
-            Phase::Unread => Queue::Unread,
-            Phase::Ending => Queue::Ending,
+            Phase::CommandOpen => return None,
+            Phase::PartialFirstCommand => Queue::PartialFirstCommand,
+            Phase::PartialCommand => Queue::PartialCommand,
+            Phase::ResponseUnread => Queue::ResponseUnread,
+            Phase::Closing => Queue::Closing,
             Phase::Silent => Queue::Silent,
             Phase::Idle => match self.requests {
                 0 => Queue::NeverUsed,
--- a/crates/connection-limits/src/connection_table/eviction.rs
+++ b/crates/connection-limits/src/connection_table/eviction.rs
@@ -34,19 +34,19 @@
         let mut orders = Vec::new();
         for (queue, floor) in [
             (Queue::Silent, self.limits.silent_floor),
-            (Queue::Ending, self.limits.linger_floor),
-            (Queue::FirstHalf, self.limits.partial_command_floor),
-            (Queue::Half, self.limits.partial_command_floor),
+            (Queue::Closing, self.limits.linger_floor),
+            (Queue::PartialFirstCommand, self.limits.partial_command_floor),
+            (Queue::PartialCommand, self.limits.partial_command_floor),
         ] {
             while orders.len() < count {
-                let order = self.order_oldest(now, queue, floor, Reason::NoRoom);
+                let order = self.order_oldest(now, queue, floor, Reason::Evicted);
                 let Some(order) = order else { break };
                 orders.push(order);
             }
         }
         while orders.len() < count {
             let candidate = self.least_likely_to_return();
-            let order = candidate.and_then(|id| self.order(id, Reason::NoRoom));
+            let order = candidate.and_then(|id| self.order(id, Reason::Evicted));
             let Some(order) = order else { break };
             orders.push(order);
         }
@@ -61,10 +61,10 @@
         let sample = if is_low { limits.idle_at_low_pressure } else { limits.idle };
         for (queue, limit) in [
             (Queue::Silent, limits.whole_command),
-            (Queue::FirstHalf, limits.whole_command),
-            (Queue::Half, limits.whole_command),
-            (Queue::Unread, limits.unread),
-            (Queue::Ending, limits.linger),
+            (Queue::PartialFirstCommand, limits.whole_command),
+            (Queue::PartialCommand, limits.whole_command),
+            (Queue::ResponseUnread, limits.unread),
+            (Queue::Closing, limits.linger),
             (Queue::NeverUsed, idle),
             (Queue::UsedOnce, idle),
             (Queue::UsedAgain, idle),
@@ -107,9 +107,9 @@
         let budget = self.phase_capacity();
         for (queue, floor) in [
             (Queue::Silent, self.limits.silent_floor),
-            (Queue::FirstHalf, self.limits.partial_command_floor),
-            (Queue::Half, self.limits.partial_command_floor),
-            (Queue::Ending, self.limits.linger_floor),
+            (Queue::PartialFirstCommand, self.limits.partial_command_floor),
+            (Queue::PartialCommand, self.limits.partial_command_floor),
+            (Queue::Closing, self.limits.linger_floor),
         ] {
             while self.queues[queue as usize].len() > budget {
                 let order = self.order_oldest(now, queue, floor, Reason::OverBudget);
--- a/crates/connection-limits/tests/crowds.rs
+++ b/crates/connection-limits/tests/crowds.rs
@@ -112,7 +112,7 @@
             Behavior::Silent => {}
             Behavior::Drips => self.schedule(0, id, Action::SendByte),
             Behavior::Greets => {
-                self.table.set_phase(self.now, id, Phase::AtWork);
+                self.table.set_phase(self.now, id, Phase::CommandOpen);
                 self.table.set_phase(self.now, id, Phase::Idle);
             }
             Behavior::OneRequest | Behavior::OneRequestAndCloses | Behavior::RequestEvery(_) => {
@@ -164,12 +164,12 @@
     fn act(&mut self, id: ConnectionId, action: Action, behavior: Behavior) {
         match (action, behavior) {
             (Action::SendByte, _) => {
-                self.table.set_phase(self.now, id, Phase::FirstHalf);
+                self.table.set_phase(self.now, id, Phase::PartialFirstCommand);
                 self.schedule(DRIP_INTERVAL, id, Action::SendByte);
             }
             (Action::SendRequest, _) => {
                 self.table.record_request(id);
-                self.table.set_phase(self.now, id, Phase::AtWork);
+                self.table.set_phase(self.now, id, Phase::CommandOpen);
                 self.schedule(RESPONSE_TIME, id, Action::ReceiveResponse);
             }
             (Action::ReceiveResponse, Behavior::RequestEvery(interval)) => {
@@ -244,7 +244,7 @@
     crowd.rejected_per_thousand();
     crowd.run(5000, &[(Behavior::OneRequestAndCloses, 250), (Behavior::Silent, 50)]);
     assert_eq!(crowd.rejected_per_thousand(), 0);
-    assert_eq!(crowd.closed.keys().filter(|reason| **reason == Reason::NoRoom).count(), 0);
+    assert_eq!(crowd.closed.keys().filter(|reason| **reason == Reason::Evicted).count(), 0);
 }
 
 /// As recorded: for 1.5 s after the second start 576 a second send a greeting and stay, beside the
--- a/crates/connection-limits/tests/orders.rs
+++ b/crates/connection-limits/tests/orders.rs
@@ -20,16 +20,16 @@
     for (id, at) in [(1, 0), (2, 10), (3, 20), (4, 30), (5, 40)] {
         table.insert(at, id);
     }
-    table.set_phase(50, 1, Phase::AtWork);
+    table.set_phase(50, 1, Phase::CommandOpen);
     table.record_request(1);
-    table.set_phase(60, 2, Phase::AtWork);
+    table.set_phase(60, 2, Phase::CommandOpen);
     table.set_phase(70, 2, Phase::Idle);
-    table.set_phase(80, 3, Phase::FirstHalf);
-    assert_eq!(ids_and_reasons(table.make_room(500, 1)), [(4, Reason::NoRoom)]);
-    assert_eq!(ids_and_reasons(table.make_room(500, 1)), [(5, Reason::NoRoom)]);
+    table.set_phase(80, 3, Phase::PartialFirstCommand);
+    assert_eq!(ids_and_reasons(table.make_room(500, 1)), [(4, Reason::Evicted)]);
+    assert_eq!(ids_and_reasons(table.make_room(500, 1)), [(5, Reason::Evicted)]);
     // A command that is not whole is spared for 600 ms from the connection's arrival on.
-    assert_eq!(ids_and_reasons(table.make_room(500, 9)), [(2, Reason::NoRoom)]);
-    assert_eq!(ids_and_reasons(table.make_room(620, 9)), [(3, Reason::NoRoom)]);
+    assert_eq!(ids_and_reasons(table.make_room(500, 9)), [(2, Reason::Evicted)]);
+    assert_eq!(ids_and_reasons(table.make_room(620, 9)), [(3, Reason::Evicted)]);
     assert_eq!(ids_and_reasons(table.make_room(9000, 9)), []);
 }
 
@@ -43,7 +43,7 @@
     assert_eq!((first.phase, first.reason), (Phase::Silent, Reason::Overdue));
     assert_eq!(table.expired(2550), []);
     // It was used before it was closed: it may stay again, and the order is outdated.
-    let seq = table.set_phase(2600, 1, Phase::AtWork);
+    let seq = table.set_phase(2600, 1, Phase::CommandOpen);
     assert_ne!(seq, first.seq);
     assert_eq!(table.expired(9000), []);
     let idle = table.set_phase(9000, 1, Phase::Idle);
@@ -55,9 +55,9 @@
 fn a_response_that_is_read_bit_by_bit_may_take_long() {
     let mut table = table_of(10);
     table.insert(0, 1);
-    table.set_phase(0, 1, Phase::AtWork);
+    table.set_phase(0, 1, Phase::CommandOpen);
     for at in [100, 4100, 8100] {
-        table.set_phase(at, 1, Phase::Unread);
+        table.set_phase(at, 1, Phase::ResponseUnread);
         assert_eq!(table.expired(at + 4900), []);
     }
     assert_eq!(ids_and_reasons(table.expired(13_100)), [(1, Reason::Overdue)]);
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -162,14 +162,14 @@
         if let Some(reason) = self.shared.order_about(self.stay.1) {
             match self.stay.0 {
                 // Half a command is owed an error.
-                Phase::FirstHalf | Phase::Half if self.stage == Stage::Open => {
+                Phase::PartialFirstCommand | Phase::PartialCommand if self.stage == Stage::Open => {
                     self.side.count(reason);
                     self.refuse("CLIENT_ERROR no whole command in time");
                     // What does not go out at once is not waited for.
                     let _ = self.write();
                     self.stage = Stage::Ending;
                 }
-                Phase::AtWork => {}
+                Phase::CommandOpen => {}
                 // Danger: what crosses the order would be lost by it, and the close would be a reset. It is heard first.
                 Phase::Silent | Phase::Idle if self.stage == Stage::Open && self.has_unread() => {}
                 // Nobody waits for the descriptor.
@@ -213,21 +213,21 @@
     /// Says what it holds its place for. `active` tells whether anything came or went.
     fn settle(&mut self, active: bool) {
         let phase = self.phase();
-        if phase != self.stay.0 || (active && phase == Phase::Unread) {
+        if phase != self.stay.0 || (active && phase == Phase::ResponseUnread) {
             self.stay = (phase, self.side.enter(self.number, phase));
         }
     }
 
     fn phase(&self) -> Phase {
         match self.stage {
-            Stage::Lingering => Phase::Ending,
-            _ if !self.output.is_empty() => Phase::Unread,
-            _ if !self.pending.is_empty() => Phase::AtWork,
-            Stage::Ending => Phase::Ending,
+            Stage::Lingering => Phase::Closing,
+            _ if !self.output.is_empty() => Phase::ResponseUnread,
+            _ if !self.pending.is_empty() => Phase::CommandOpen,
+            Stage::Ending => Phase::Closing,
             Stage::Open if !self.heard => Phase::Silent,
-            Stage::Open if !self.proven => Phase::FirstHalf,
+            Stage::Open if !self.proven => Phase::PartialFirstCommand,
             Stage::Open if self.input.is_empty() => Phase::Idle,
-            Stage::Open => Phase::Half,
+            Stage::Open => Phase::PartialCommand,
         }
     }
 
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -69,7 +69,7 @@
     /// Why it is to close, if that was said of this stay.
     fn order_about(&self, stay: Seq) -> Option<Reason> {
         let order = self.order.load(Ordering::Acquire);
-        let reasons = [Reason::Overdue, Reason::UnlikelyToReturn, Reason::OverBudget, Reason::NoRoom];
+        let reasons = [Reason::Overdue, Reason::UnlikelyToReturn, Reason::OverBudget, Reason::Evicted];
         reasons.into_iter().find(|reason| order == encode(stay, *reason))
     }
 }
@@ -292,7 +292,7 @@
             Reason::Overdue => &self.counters.consumers_late,
             Reason::UnlikelyToReturn => &self.counters.consumers_hopeless,
             Reason::OverBudget => &self.counters.consumers_over_budget,
-            Reason::NoRoom => &self.counters.consumers_evicted,
+            Reason::Evicted => &self.counters.consumers_evicted,
         }
         .add();
     }
