Client connections: named states, a connection registry, typed rejections

The service is now split by concern (accept, registry, disconnecting), a connection by step (input, commands, submit, output, close). Its state, what it has received and the phase it reports are named types; why a request is not accepted is a typed error whose text clients are told as before. ClientService::start takes a parameter struct, and two methods with a boolean argument became four plain verbs; their few callers in net/lifecycle follow. mg and ms are one struct in the memcache codec.

Fields are dropped in the order they had.

--- /dev/null
+++ b/src/net/client/connection/commands.rs
@@ -0,0 +1,123 @@
+//! The commands of a client: what each does, and the response that it is owed. Read
+//! [`Connection::execute`] first.
+
+use super::submit::Rejection;
+use super::{Connection, EncodedResponse, PendingCommand, ResponseSlot, State, REQUEST_OVERHEAD};
+use crate::net::codec::memcache::{self, Command, RequestCommand};
+use crate::net::codec::MAX_VALUE;
+use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback};
+use crate::net::memory::Held;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// What became of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Execution {
+    /// It was executed, and its response is pending.
+    Done,
+    /// There is no memory for it now: it is to be executed again later.
+    NoMemory,
+}
+
+impl Connection<'_> {
+    /// Executes a command.
+    pub(super) fn execute(&mut self, command: Command) -> Execution {
+        match command {
+            Command::Noop => self.respond_to_noop(),
+            Command::Version => {
+                self.respond(format!("VERSION pinetrail {}\r\n", env!("CARGO_PKG_VERSION")));
+            }
+            Command::Stats => self.respond_with_counters(),
+            Command::Quit => self.state = State::Finishing,
+            Command::Request(command) => return self.execute_request(command),
+        }
+        Execution::Done
+    }
+
+    /// Responds to `mn`, by which clients learn whether they are welcome.
+    fn respond_to_noop(&mut self) {
+        let is_out_of_service = self.service.disconnecting().is_some() || self.service.dispatcher.is_fenced();
+        let text = if is_out_of_service { "SERVER_ERROR out of service\r\n" } else { "MN\r\n" };
+        self.respond(text.to_owned());
+    }
+
+    fn respond_with_counters(&mut self) {
+        let list = self.service.counters.list();
+        let lines: String = list.iter().map(|(name, count)| format!("STAT {name} {count}\r\n")).collect();
+        self.respond(lines + "END\r\n");
+    }
+
+    fn execute_request(&mut self, command: RequestCommand) -> Execution {
+        let value_size = command.value.as_ref().map_or(0, Vec::len);
+        let memory = self.service.memory.hold(value_size + MAX_VALUE + REQUEST_OVERHEAD);
+        if memory.is_none() && !self.is_idle() {
+            return Execution::NoMemory;
+        }
+        match (self.parse_by_active_policy(command), memory) {
+            (Err(rejection), _) => self.respond_rejected(rejection),
+            (Ok(_), None) => {
+                self.service.counters.rejected_for_memory.add();
+                self.respond("SERVER_ERROR busy\r\n".to_owned());
+            }
+            (Ok(request), Some(memory)) => self.submit_request(request, memory),
+        }
+        Execution::Done
+    }
+
+    /// Submits a request. Its response is put into a slot, and wakes the connection to write it.
+    fn submit_request(&mut self, request: ClientRequest, memory: Held) {
+        let slot = ResponseSlot::default();
+        let respond = self.response_callback(&request, Arc::clone(&slot));
+        self.service.record_request(self.id);
+        match self.submit(request, respond) {
+            Ok(id) => {
+                self.pending.push_back(PendingCommand {
+                    request: Some(id),
+                    response: slot,
+                    memory: Some(memory),
+                });
+            }
+            Err(rejection) => self.respond_rejected(rejection),
+        }
+    }
+
+    fn response_callback(&self, request: &ClientRequest, slot: ResponseSlot) -> ResponseCallback {
+        let handle = Arc::clone(&self.handle);
+        let opaque = request.opaque.clone();
+        Box::new(move |response: Response| {
+            let bytes = memcache::answer(&opaque, &response);
+            let body = match response {
+                Response::Stream { body, .. } => Some(body),
+                _ => None,
+            };
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(EncodedResponse { bytes, body });
+            handle.wake();
+        })
+    }
+
+    /// Responds to a malformed command with an error.
+    pub(super) fn respond_malformed(&mut self, error: &str) {
+        self.service.counters.taken_malformed.add();
+        self.had_errors = true;
+        self.respond(format!("{error}\r\n"));
+    }
+
+    fn respond_rejected(&mut self, rejection: Rejection) {
+        match rejection {
+            Rejection::Malformed(error) => self.respond_malformed(&format!("CLIENT_ERROR {error}")),
+            Rejection::Fenced { retry_after } => {
+                self.respond(format!("SERVER_ERROR busy {}\r\n", retry_after.as_millis()));
+            }
+            Rejection::ClientGone => {}
+        }
+    }
+
+    /// Appends a response that is there at once.
+    fn respond(&mut self, text: String) {
+        let response = EncodedResponse { bytes: text.into_bytes(), body: None };
+        self.pending.push_back(PendingCommand {
+            request: None,
+            response: Arc::new(Mutex::new(Some(response))),
+            memory: None,
+        });
+    }
+}
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -1,261 +1,271 @@
-//! One consumer connection: reads commands, hands invocations in and writes answers, in the order of the
-//! commands.
+//! One client connection: reads commands, submits requests and writes responses, in the order of the
+//! commands. Read [`Connection::serve`] first.
+//!
+//! `input` reads and parses, `commands` executes, `submit` hands requests to the dispatcher, `output`
+//! writes, `close` moves the connection on to its end.
 
+mod close;
+mod commands;
 mod input;
 mod output;
+mod submit;
 
-use super::{Away, ClientService, Shared};
+use super::registry::ConnectionHandle;
+use super::ClientService;
 use crate::interface::RequestId;
 use crate::net::body_stream::BodyWriter;
 use crate::net::codec::MAX_VALUE;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
 use crate::net::memory::Held;
+use close::Progress;
 use may::io::WaitIo;
-use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
+use pinetrail_connection_limits::{ConnectionId, Millis, Phase, Seq};
 use std::collections::VecDeque;
 use std::io;
-use std::net::Shutdown;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Commands that may wait for their answers on one connection; beyond, reading stops.
+/// Commands that may wait for their responses on one connection; beyond, reading stops.
 const MAX_PENDING: usize = 64;
-/// Bytes of answers that a consumer may leave unread; beyond, reading stops too.
+/// Bytes of responses that a client may leave unread; beyond, reading stops too.
 const MAX_OUTPUT: usize = MAX_VALUE;
-/// What an invocation takes beside the values of its command and its answer.
-const INVOCATION_SIZE: usize = 4 * 1024;
-/// Reads at a stretch. Then others get their turn: one that sends at full speed must not keep the worker.
-const TURN: usize = 8;
+/// What a request takes beside the values of its command and its response, in bytes.
+const REQUEST_OVERHEAD: usize = 4 * 1024;
+/// Rounds at a stretch. Then others get their turn: a client that sends at full speed must not keep
+/// the worker.
+const ROUNDS_PER_TURN: usize = 8;
+/// How long others have their turn.
 const BETWEEN_TURNS: Duration = Duration::from_millis(1);
-/// How long a connection rests after commands that were no good, lest sending them again at once pay.
-const AFTER_ERRORS: Duration = Duration::from_millis(20);
+/// How long a connection pauses after malformed commands, lest sending them again at once pay.
+const PAUSE_AFTER_ERRORS: Duration = Duration::from_millis(20);
 
-/// An answer in the consumer's protocol, and the value behind it if that flows.
-type Said = (Vec<u8>, Option<BodyWriter>);
+/// A response in the client's protocol.
+struct EncodedResponse {
+    /// All of it, or what comes before a value that streams.
+    bytes: Vec<u8>,
+    /// The value, if it streams.
+    body: Option<BodyWriter>,
+}
+
+/// Where a response is put once it is there. Locked only to put it in or take it out.
+type ResponseSlot = Arc<Mutex<Option<EncodedResponse>>>;
 
-/// A command whose answer has not been written.
-struct Pending {
-    id: Option<RequestId>,
-    words: Arc<Mutex<Option<Said>>>,
-    held: Option<Held>,
+/// A command whose response has not been written.
+struct PendingCommand {
+    /// The request, if it was submitted.
+    request: Option<RequestId>,
+    response: ResponseSlot,
+    /// What its values may take of the memory.
+    memory: Option<Held>,
 }
 
-/// Where a connection stands.
+/// The states of a connection, in their order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Commands are read and answered.
+enum State {
+    /// Commands are read and executed.
     Open,
-    /// Nothing more is understood; it closes once all is answered.
-    Ending,
-    /// All is said, and no more will be; what still comes is thrown away.
+    /// No more commands are executed; open ones are responded to.
+    Finishing,
+    /// Everything is written, and the client was told so. What still arrives is thrown away.
     Lingering,
 }
 
+/// What the client has sent so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Received {
+    /// Nothing.
+    Nothing,
+    /// Something, but no whole command.
+    PartialCommand,
+    /// At least one whole command.
+    WholeCommand,
+}
+
+/// Whether bytes were read or written, or may still be to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    None,
+    Transferred,
+}
+
+/// The phase that the connection table knows.
+#[derive(Clone, Copy, Debug)]
+struct ReportedPhase {
+    phase: Phase,
+    /// The count of the connection's phases; an order to close names it.
+    seq: Seq,
+}
+
+/// One client connection and all that is open on it. Fields are dropped in this order: the socket
+/// is closed before what waits on it is given up.
 pub(super) struct Connection<'a> {
-    side: &'a Arc<ClientService>,
-    number: ConnectionId,
-    shared: Arc<Shared>,
+    service: &'a Arc<ClientService>,
+    id: ConnectionId,
+    handle: Arc<ConnectionHandle>,
     stream: Stream,
+    state: State,
+    reported: ReportedPhase,
+    /// What was read and not yet executed.
     input: Vec<u8>,
-    /// Whether anything came, and whether a whole command did.
-    heard: bool,
-    proven: bool,
-    /// What such a command holds of the memory, if it is large.
-    input_held: Option<Held>,
+    /// What a large command in `input` may take of the memory.
+    input_memory: Option<Held>,
+    received: Received,
+    /// Whether the next command waits for memory.
+    waits_for_memory: bool,
+    /// Whether `input` may hold whole commands that are not executed, for want of room.
+    has_unexecuted_input: bool,
+    /// Whether a command was malformed since the last pause.
+    had_errors: bool,
+    /// How many bytes were thrown away while lingering.
+    discarded: usize,
+    /// What is to be written next.
     output: Vec<u8>,
-    /// The value of the first that is pending, while it flows.
-    flowing: Option<BodyWriter>,
-    /// Whether that broke off: the connection ends once what was said before has gone out.
-    broken: bool,
-    /// What the answers in `output` hold of the memory.
-    output_held: Vec<Held>,
-    pending: VecDeque<Pending>,
-    stage: Stage,
-    /// What it holds its place for, as last said, and which stay in that phase this is.
-    stay: (Phase, Seq),
-    /// How much of what came was thrown away.
-    lingered: usize,
-    /// Whether a command waits for memory.
-    short: bool,
-    /// Whether whole commands that have come may still have to be obeyed.
-    behind: bool,
-    /// Whether a command was no good since the last rest.
-    errors: bool,
-    /// When the last answer had gone out, by the clock of the places.
-    answered: u64,
+    /// The value of the first pending command, while it streams.
+    body: Option<BodyWriter>,
+    /// Whether that broke off: the connection ends once what came before has been written.
+    body_broken: bool,
+    /// What the responses in `output` hold of the memory.
+    output_memory: Vec<Held>,
+    /// Commands without a written response, in their order.
+    pending: VecDeque<PendingCommand>,
+    /// When the last response was written, by the clock of the connection table; 0 before.
+    last_response_at: Millis,
 }
 
 impl<'a> Connection<'a> {
     pub(super) fn new(
-        side: &'a Arc<ClientService>,
-        number: ConnectionId,
-        shared: Arc<Shared>,
+        service: &'a Arc<ClientService>,
+        id: ConnectionId,
+        handle: Arc<ConnectionHandle>,
         stream: Stream,
     ) -> Self {
         Connection {
-            side,
-            number,
-            shared,
+            service,
+            id,
+            handle,
             stream,
+            state: State::Open,
+            reported: ReportedPhase { phase: Phase::Silent, seq: 0 },
             input: Vec::new(),
-            heard: false,
-            proven: false,
-            input_held: None,
+            input_memory: None,
+            received: Received::Nothing,
+            waits_for_memory: false,
+            has_unexecuted_input: false,
+            had_errors: false,
+            discarded: 0,
             output: Vec::new(),
-            flowing: None,
-            broken: false,
-            output_held: Vec::new(),
+            body: None,
+            body_broken: false,
+            output_memory: Vec::new(),
             pending: VecDeque::new(),
-            stage: Stage::Open,
-            stay: (Phase::Silent, 0),
-            lingered: 0,
-            short: false,
-            behind: false,
-            errors: false,
-            answered: 0,
+            last_response_at: 0,
         }
     }
 
-    /// Serves it until it is over; an error says that the consumer has gone.
+    /// Serves the connection until it is over.
+    ///
+    /// # Errors
+    ///
+    /// Says that the client has gone.
     pub(super) fn serve(&mut self) -> io::Result<()> {
         loop {
-            let mut turn = 0;
-            loop {
-                let was_full = self.is_full() || self.short;
-                let more = self.read()?;
-                self.understand();
-                let active = self.write()? || more;
-                // What was left unread for want of room is not told of again by the poller.
-                let is_full = self.is_full() || (self.short && !self.is_idle());
-                let has_room_again = was_full && !is_full;
-                turn += 1;
-                if std::mem::take(&mut self.errors) {
-                    sleep(AFTER_ERRORS);
-                    self.must_be_there()?;
-                } else if !more && !has_room_again {
-                    self.settle(active);
-                    break;
-                } else if turn % TURN == 0 {
-                    sleep(BETWEEN_TURNS);
-                    self.must_be_there()?;
-                }
-                // Who never stops sending would never give its place up.
-                self.settle(active);
-                if self.must_close() && self.is_over() {
-                    return Ok(());
-                }
+            if self.serve_without_waiting()? == Progress::Over {
+                return Ok(());
             }
-            let before = self.stage;
-            if self.is_over() {
+            let before = self.state;
+            if self.advance() == Progress::Over {
                 return Ok(());
             }
-            // What came meanwhile is not told of again either.
-            if self.stage == before {
+            // What came before a change of state is not reported by the poller again.
+            if self.state == before {
                 self.stream.wait_io();
             }
         }
     }
 
-    /// Whether nothing is left to do; moves it on to its next stage.
-    fn is_over(&mut self) -> bool {
-        if let Some(reason) = self.shared.order_about(self.stay.1) {
-            match self.stay.0 {
-                // Half a command is owed an error.
-                Phase::PartialFirstCommand | Phase::PartialCommand if self.stage == Stage::Open => {
-                    self.side.count(reason);
-                    self.refuse("CLIENT_ERROR no whole command in time");
-                    // What does not go out at once is not waited for.
-                    let _ = self.write();
-                    self.stage = Stage::Ending;
-                }
-                Phase::CommandOpen => {}
-                // Danger: what crosses the order would be lost by it, and the close would be a reset. It is heard first.
-                Phase::Silent | Phase::Idle if self.stage == Stage::Open && self.has_unread() => {}
-                // Nobody waits for the descriptor.
-                Phase::Silent | Phase::Idle if self.stage == Stage::Open && reason == Reason::Overdue => {
-                    self.side.count(reason);
-                    self.stage = Stage::Ending;
-                }
-                _ => {
-                    self.side.count(reason);
-                    return true;
-                }
+    /// Reads, executes and writes until nothing more can be done without waiting for the socket.
+    fn serve_without_waiting(&mut self) -> io::Result<Progress> {
+        let mut rounds = 0;
+        loop {
+            let was_full = self.is_full() || self.waits_for_memory;
+            let may_have_more = self.read()?;
+            self.execute_input();
+            let has_written = self.write()?;
+            let activity = if has_written || may_have_more { Activity::Transferred } else { Activity::None };
+            // What was left unread for want of room is not reported by the poller again.
+            let is_full = self.is_full() || (self.waits_for_memory && !self.is_idle());
+            let has_room_again = was_full && !is_full;
+            rounds += 1;
+            if std::mem::take(&mut self.had_errors) {
+                sleep(PAUSE_AFTER_ERRORS);
+                self.check_client_present()?;
+            } else if !may_have_more && !has_room_again {
+                self.report_phase(activity);
+                return Ok(Progress::Continues);
+            } else if rounds % ROUNDS_PER_TURN == 0 {
+                sleep(BETWEEN_TURNS);
+                self.check_client_present()?;
+            }
+            // A client that never stops sending would never be closed otherwise.
+            self.report_phase(activity);
+            if self.must_close() && self.advance() == Progress::Over {
+                return Ok(Progress::Over);
             }
         }
-        // Half a command has not been taken: it does not keep a connection of a proxy that stops.
-        if self.stage == Stage::Open && self.is_idle() && (self.side.is_closing() || self.is_to_go()) {
-            self.stage = Stage::Ending;
-        }
-        // Danger: a close over bytes that are not read resets the connection, and the last answer may go with it. Its end
-        // is told, and what still comes is thrown away until the consumer has ended it too.
-        if self.is_idle() && self.stage == Stage::Ending {
-            // An error says that the consumer has gone.
-            let _ = self.stream.inner().shutdown(Shutdown::Write);
-            self.stage = Stage::Lingering;
-        }
-        self.settle(false);
-        false
-    }
-
-    /// Whether clients are sent away and it is this one's turn.
-    fn is_to_go(&self) -> bool {
-        let Some(away) = *self.side.away() else { return false };
-        let now = self.side.descriptors.now();
-        let Away { since, plan } = away;
-        // Danger: what has begun to come would cross the close.
-        if !self.input.is_empty() && plan.keeps_partial_command(now.saturating_sub(since)) {
-            return false;
-        }
-        self.answered >= since.max(1) || away.is_due(self.number, self.shared.arrived, now)
     }
 
-    /// Says what it holds its place for. `active` tells whether anything came or went.
-    fn settle(&mut self, active: bool) {
+    /// Reports the phase to the connection table if it has changed.
+    fn report_phase(&mut self, activity: Activity) {
         let phase = self.phase();
-        if phase != self.stay.0 || (active && phase == Phase::ResponseUnread) {
-            self.stay = (phase, self.side.enter(self.number, phase));
+        let has_progress = activity == Activity::Transferred && phase == Phase::ResponseUnread;
+        if phase != self.reported.phase || has_progress {
+            self.reported = ReportedPhase { phase, seq: self.service.set_phase(self.id, phase) };
         }
     }
 
     fn phase(&self) -> Phase {
-        match self.stage {
-            Stage::Lingering => Phase::Closing,
+        match (self.state, self.received) {
+            (State::Lingering, _) => Phase::Closing,
             _ if !self.output.is_empty() => Phase::ResponseUnread,
             _ if !self.pending.is_empty() => Phase::CommandOpen,
-            Stage::Ending => Phase::Closing,
-            Stage::Open if !self.heard => Phase::Silent,
-            Stage::Open if !self.proven => Phase::PartialFirstCommand,
-            Stage::Open if self.input.is_empty() => Phase::Idle,
-            Stage::Open => Phase::PartialCommand,
+            (State::Finishing, _) => Phase::Closing,
+            (State::Open, Received::Nothing) => Phase::Silent,
+            (State::Open, Received::PartialCommand) => Phase::PartialFirstCommand,
+            (State::Open, Received::WholeCommand) if self.input.is_empty() => Phase::Idle,
+            (State::Open, Received::WholeCommand) => Phase::PartialCommand,
         }
     }
 
+    /// Whether every command is responded to.
     fn is_idle(&self) -> bool {
         self.pending.is_empty() && self.output.is_empty()
     }
 
-    fn must_close(&self) -> bool {
-        self.side.is_closing() || self.is_to_go() || self.shared.order_about(self.stay.1).is_some()
-    }
-
-    /// Whether reading rests until answers have been written.
+    /// Whether reading pauses until responses have been written.
     fn is_full(&self) -> bool {
-        let late =
-            |away: &Away| away.plan.stops_reading(self.side.descriptors.now().saturating_sub(away.since));
         self.pending.len() >= MAX_PENDING
             || self.output.len() >= MAX_OUTPUT
-            // Danger: who always has a command open would never stand between two.
-            || (!self.pending.is_empty() && self.side.away().as_ref().is_some_and(late))
+            // Danger: a client that always has a command open would never stand between two.
+            || (!self.pending.is_empty() && self.is_reading_stopped())
+    }
+
+    /// Whether clients are directed to other proxies, and for so long that reading stops while
+    /// commands are open.
+    fn is_reading_stopped(&self) -> bool {
+        let Some(disconnecting) = self.service.disconnecting() else { return false };
+        let elapsed_ms = disconnecting.elapsed_ms(self.service.descriptors.now());
+        disconnecting.schedule.stops_reading(elapsed_ms)
     }
 }
 
 impl Drop for Connection<'_> {
-    /// Also when its coroutine panics: nobody waits for what is still out, and its place is free.
+    /// Also when its coroutine panics: it leaves the registry, and requests that are open are
+    /// cancelled.
     fn drop(&mut self) {
-        self.side.left(self.number);
-        for id in self.pending.iter().filter_map(|pending| pending.id) {
-            self.side.exchange.cancel(id);
+        self.service.remove(self.id);
+        for request in self.pending.iter().filter_map(|pending| pending.request) {
+            self.service.dispatcher.cancel(request);
         }
     }
 }
--- /dev/null
+++ b/src/net/client/connection/submit.rs
@@ -0,0 +1,99 @@
+//! How a request gets to the dispatcher while settings and the fleet's policy change. Read
+//! [`Connection::submit`] first.
+
+use super::Connection;
+use crate::interface::RequestId;
+use crate::net::client::request::{parse_request, RequestError};
+use crate::net::codec::memcache::RequestCommand;
+use crate::net::deadline_stream::sleep;
+use crate::net::dispatcher::{ClientRequest, ResponseCallback, SubmitError};
+use pinetrail_policy_consensus::Admission;
+use std::time::{Duration, Instant};
+
+/// While a change of the fleet's policy is decided, a request is submitted again at this interval.
+const POLICY_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Why a request is not accepted.
+#[derive(Debug)]
+pub(super) enum Rejection {
+    /// It is malformed.
+    Malformed(RequestError),
+    /// This process may not admit requests now.
+    Fenced {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Its client has gone.
+    ClientGone,
+}
+
+impl Connection<'_> {
+    /// Parses a command. Danger: also that it is malformed is said by a policy, which must be active
+    /// at that moment.
+    pub(super) fn parse_by_active_policy(&self, command: RequestCommand) -> Result<ClientRequest, Rejection> {
+        let dispatcher = &self.service.dispatcher;
+        if !dispatcher.requires_lease() {
+            return parse_request(dispatcher, command).map_err(Rejection::Malformed);
+        }
+        loop {
+            let version = dispatcher.names().version;
+            let error = match parse_request(dispatcher, command.clone()) {
+                Ok(request) => return Ok(request),
+                Err(error) => error,
+            };
+            match dispatcher.admission_for(version) {
+                Some(Admission::Admit) => return Err(Rejection::Malformed(error)),
+                Some(Admission::Reject(retry_after)) => return Err(Rejection::Fenced { retry_after }),
+                Some(Admission::Wait) => self.wait_for_policy()?,
+                // The names have changed meanwhile: it is parsed again.
+                None => {}
+            }
+        }
+    }
+
+    /// Waits a little for the policy change that is being decided.
+    fn wait_for_policy(&self) -> Result<(), Rejection> {
+        sleep(POLICY_POLL_INTERVAL);
+        self.check_client_present().map_err(|_| Rejection::ClientGone)
+    }
+
+    /// Submits a request, parsed once more as often as other settings become active meanwhile.
+    pub(super) fn submit(
+        &self,
+        mut request: ClientRequest,
+        mut respond: ResponseCallback,
+    ) -> Result<RequestId, Rejection> {
+        loop {
+            match self.service.dispatcher.submit(request, respond) {
+                Ok(id) => return Ok(id),
+                Err(SubmitError::IdInUse) => return Err(Rejection::Malformed(RequestError::IdInUse)),
+                Err(SubmitError::Fenced { retry_after }) => return Err(Rejection::Fenced { retry_after }),
+                Err(SubmitError::PolicyChanging { request: returned, respond: callback }) => {
+                    request = self.wait_with(*returned)?;
+                    respond = callback;
+                }
+                Err(SubmitError::Outdated { request: outdated, respond: callback }) => {
+                    request = self.parse_again(*outdated)?;
+                    respond = callback;
+                }
+            }
+        }
+    }
+
+    /// Waits with a request for the policy. Its client's time passes meanwhile.
+    fn wait_with(&self, mut request: ClientRequest) -> Result<ClientRequest, Rejection> {
+        let started = Instant::now();
+        self.wait_for_policy()?;
+        request.budget = (request.budget - started.elapsed().as_secs_f64() * 1000.0).max(0.0);
+        Ok(request)
+    }
+
+    /// Parses a request by the settings that are active now. It may have waited: it gets no more time
+    /// than it had left.
+    fn parse_again(&self, outdated: ClientRequest) -> Result<ClientRequest, Rejection> {
+        let ClientRequest { key, opaque, labels, value, budget, .. } = outdated;
+        let mut request = self.parse_by_active_policy(RequestCommand { key, opaque, labels, value })?;
+        request.budget = request.budget.min(budget);
+        Ok(request)
+    }
+}
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -1,8 +1,15 @@
-//! The consumer side: accepts connections, takes invocations in and answers them, in the order of each
-//! connection's commands. One coroutine a connection both reads and writes. Who keeps its place, and for how
-//! long, is decided by [`pinetrail_connection_limits::ConnectionTable`].
-
+//! Client connections: they are accepted, their requests are read and submitted, and responses are
+//! written in the order of each connection's commands. Read [`ClientService`] first, then
+//! [`connection::Connection`]: one coroutine per connection both reads and writes.
+//!
+//! `accept` accepts, `registry` knows who is connected and which connections are to be closed (what
+//! [`pinetrail_connection_limits::ConnectionTable`] decides), `disconnecting` closes connections by
+//! a schedule while clients are directed to other proxies.
+
+mod accept;
 mod connection;
+mod disconnecting;
+mod registry;
 mod request;
 
 use super::counters::Counters;
@@ -10,294 +17,212 @@
 use super::descriptors::Descriptors;
 use super::dispatcher::Dispatcher;
 use super::drain::DisconnectSchedule;
-use super::listener::{Listener, Stream};
-use super::log::log;
+use super::listener::Listener;
 use super::memory::Memory;
-use connection::Connection;
-use may::io::{WaitIo, WaitIoWaker};
-use pinetrail_connection_limits::{CloseOrder, ConnectionId, ConnectionTable, Limits, Phase, Reason, Seq};
-use std::collections::BTreeMap;
+use disconnecting::Disconnecting;
+use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
+use registry::ConnectionRegistry;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// How long accepting rests when it fails or every place is taken.
-const REST: Duration = Duration::from_millis(2);
-/// Places freed at a time once all are taken.
-const EVICTED_AT_ONCE: usize = 8;
-/// How often it is looked who has held a place for too long.
-const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How often connections are checked for limits that they have reached.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a [`ClientService`] is started with.
+pub struct ClientServiceParameters {
+    /// Where requests are submitted.
+    pub dispatcher: Arc<Dispatcher>,
+    /// What is counted.
+    pub counters: Arc<Counters>,
+    /// The memory that commands and responses are taken from.
+    pub memory: Arc<Memory>,
+    /// The descriptors that client connections share with backend connections.
+    pub descriptors: Arc<Descriptors>,
+    /// The socket that clients connect to; it listens already.
+    pub socket: TcpListener,
+}
 
-/// The consumer side of one proxy.
+/// The clients of one proxy.
 pub struct ClientService {
-    exchange: Arc<Dispatcher>,
+    dispatcher: Arc<Dispatcher>,
     counters: Arc<Counters>,
     memory: Arc<Memory>,
     descriptors: Arc<Descriptors>,
-    /// Until it listens no more.
+    /// Guards the listener only; none once the service has stopped listening.
     listener: Mutex<Option<Arc<Listener>>>,
     address: SocketAddr,
-    held: Mutex<HeldPlaces>,
-    closing: AtomicBool,
-    away: Mutex<Option<Away>>,
-}
-
-/// Clients are sent away by a plan, since a time.
-#[derive(Clone, Copy)]
-struct Away {
-    since: u64,
-    plan: DisconnectSchedule,
-}
-
-/// Who holds a place, and how to reach it.
-struct HeldPlaces {
-    places: ConnectionTable,
-    connections: BTreeMap<ConnectionId, Arc<Shared>>,
-}
-
-/// What others may do of a connection.
-struct Shared {
-    waker: WaitIoWaker,
-    arrived: u64,
-    /// The last order to close: the stay that it is about and its reason, as [`encode`] puts them; 0 for none.
-    order: AtomicU64,
-}
-
-impl Shared {
-    /// Why it is to close, if that was said of this stay.
-    fn order_about(&self, stay: Seq) -> Option<Reason> {
-        let order = self.order.load(Ordering::Acquire);
-        let reasons = [Reason::Overdue, Reason::UnlikelyToReturn, Reason::OverBudget, Reason::Evicted];
-        reasons.into_iter().find(|reason| order == encode(stay, *reason))
-    }
-}
-
-impl Away {
-    /// Whether a connection is to go by now if it is idle.
-    fn is_due(&self, number: ConnectionId, arrived: u64, now: u64) -> bool {
-        let passed = now.saturating_sub(self.since);
-        passed >= self.plan.idle_close_at(number, arrived.saturating_sub(self.since))
-    }
-}
-
-fn encode(stay: Seq, reason: Reason) -> u64 {
-    u64::from(stay) << 8 | (reason as u64 + 1)
+    /// Guards who is connected. Nothing waits under it.
+    registry: Mutex<ConnectionRegistry>,
+    /// Whether connections close as soon as they are idle.
+    closes_when_idle: AtomicBool,
+    /// Guards the schedule only; none while clients are welcome. No other lock is taken under it.
+    disconnecting: Mutex<Option<Disconnecting>>,
 }
 
 impl ClientService {
-    /// Accepts on a listening socket, and holds as many connections as the descriptors allow.
-    pub fn start(
-        exchange: Arc<Dispatcher>,
-        counters: Arc<Counters>,
-        memory: Arc<Memory>,
-        descriptors: Arc<Descriptors>,
-        socket: TcpListener,
-    ) -> io::Result<Arc<ClientService>> {
+    /// Accepts on a listening socket, and holds as many connections as the descriptors allow. The
+    /// coroutine that accepts ends once the service has stopped listening; the one that checks limits
+    /// runs until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// If the socket cannot be registered with the coroutines' poller, or has no address.
+    pub fn start(parameters: ClientServiceParameters) -> io::Result<Arc<ClientService>> {
+        let ClientServiceParameters { dispatcher, counters, memory, descriptors, socket } = parameters;
         let listener = Arc::new(Listener::new(socket)?);
-        let (most, _) = descriptors.consumers_hold(0);
-        let places = ConnectionTable::new(Limits::default(), most);
-        let side = Arc::new(ClientService {
-            exchange,
+        let (capacity, _) = descriptors.consumers_hold(0);
+        let service = Arc::new(ClientService {
+            dispatcher,
             counters,
             memory,
             descriptors,
             address: listener.address()?,
             listener: Mutex::new(Some(Arc::clone(&listener))),
-            held: Mutex::new(HeldPlaces { places, connections: BTreeMap::new() }),
-            closing: AtomicBool::new(false),
-            away: Mutex::new(None),
+            registry: Mutex::new(ConnectionRegistry::new(capacity)),
+            closes_when_idle: AtomicBool::new(false),
+            disconnecting: Mutex::new(None),
         });
-        let accepting = Arc::clone(&side);
-        may::go!(move || accepting.accept(&listener));
-        let looking = Arc::clone(&side);
+        let acceptor = Arc::clone(&service);
+        may::go!(move || acceptor.accept_until_stopped(&listener));
+        let checker = Arc::clone(&service);
         may::go!(move || loop {
-            sleep(LOOK_EVERY);
-            looking.look();
+            sleep(CHECK_INTERVAL);
+            checker.check_limits();
         });
-        Ok(side)
+        Ok(service)
     }
 
-    /// From now on none is accepted but who waits already; those held are served on. If another process holds
-    /// the socket too, also those are left to it.
-    pub fn stop_listening(&self, to_other: bool) {
-        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
-        // Here its socket is closed once that is done.
-        if let Some(listener) = &listener {
-            if to_other {
-                listener.release()
-            } else {
-                listener.close()
-            };
+    /// Stops listening, after the connections that wait in the queue already. Those that are held are
+    /// served on.
+    pub fn stop_listening(&self) {
+        // Once the acceptor is done too, the socket is closed.
+        if let Some(listener) = self.take_listener() {
+            listener.close();
         }
     }
 
-    /// Leaves accepting to another process that holds the socket too, or accepts again.
-    pub fn rest_listening(&self, rests: bool) {
-        let Some(listener) = self.listener() else { return };
-        if rests {
+    /// Stops listening at once: also the connections in the queue are left to the other process that
+    /// holds the socket. Those that are held are served on.
+    pub fn release_listener(&self) {
+        if let Some(listener) = self.take_listener() {
+            listener.release();
+        }
+    }
+
+    /// Leaves connections to the other process that holds the socket.
+    pub fn pause_listening(&self) {
+        if let Some(listener) = self.listener() {
             listener.pause();
-        } else {
+        }
+    }
+
+    /// Accepts connections again.
+    pub fn resume_listening(&self) {
+        if let Some(listener) = self.listener() {
             listener.resume();
         }
     }
 
-    /// The listening socket, while it listens.
+    /// The listener, until the service stops listening.
     pub fn listener(&self) -> Option<Arc<Listener>> {
         self.listener.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// From now on `mn` says no, and connections are let go of by this plan.
-    pub fn send_away(&self, plan: DisconnectSchedule) {
-        let since = self.descriptors.now();
-        self.away().get_or_insert(Away { since, plan });
+    fn take_listener(&self) -> Option<Arc<Listener>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    /// Clients are welcome again.
-    pub fn welcome(&self) {
-        *self.away() = None;
-    }
-
-    /// Connections that are to go, if they are idle now.
-    fn let_go(&self) {
-        let Some(away) = *self.away() else { return };
-        let now = self.descriptors.now();
-        self.with(|held| {
-            let due = held.connections.iter().filter(|(id, shared)| away.is_due(**id, shared.arrived, now));
-            due.for_each(|(_, shared)| shared.waker.wakeup());
-        });
+    /// Directs clients to other proxies from now on: `mn` is answered with an error, and connections
+    /// are closed by this schedule. A schedule that has begun goes on.
+    pub fn start_disconnecting(&self, schedule: DisconnectSchedule) {
+        let started_ms = self.descriptors.now();
+        self.disconnecting_guard().get_or_insert(Disconnecting { started_ms, schedule });
     }
 
-    fn away(&self) -> MutexGuard<'_, Option<Away>> {
-        self.away.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Clients are welcome again.
+    pub fn stop_disconnecting(&self) {
+        *self.disconnecting_guard() = None;
     }
 
-    /// From now on connections are no longer closed to make room for others.
-    pub fn keep_all(&self) {
-        self.with(|held| held.places.stop_accepting());
+    /// Connections are no longer closed from now on to make room for others.
+    pub fn stop_evicting(&self) {
+        self.with_registry(ConnectionRegistry::stop_evicting);
     }
 
-    /// From now on connections close as soon as they stand between commands.
+    /// Connections close from now on as soon as they stand between two commands.
     pub fn close_when_idle(&self) {
-        self.closing.store(true, Ordering::Release);
-        self.with(|held| held.connections.values().for_each(|shared| shared.waker.wakeup()));
+        self.closes_when_idle.store(true, Ordering::Release);
+        self.with_registry(|registry| registry.wake_all());
     }
 
-    /// Where it listens.
+    /// The address it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Connections held.
+    /// How many connections are open.
     pub fn open(&self) -> usize {
-        self.with(|held| held.places.open())
+        self.with_registry(|registry| registry.open())
     }
 
-    fn accept(self: &Arc<Self>, listener: &Listener) {
-        let mut number = 0;
-        loop {
-            match listener.accept() {
-                Ok(Some(stream)) => {
-                    number += 1;
-                    self.counters.consumers_accepted.add();
-                    self.hold(number, stream);
-                }
-                Ok(None) => return,
-                Err(error) => {
-                    log(&format!("accept: {error}"));
-                    sleep(REST);
-                }
-            }
-            while !self.has_room() && !listener.is_stopped() {
-                self.make_room();
-                sleep(REST);
-            }
-        }
-    }
-
-    fn has_room(&self) -> bool {
-        self.with(|held| {
-            let (most, room) = self.descriptors.consumers_hold(held.places.open());
-            held.places.set_capacity(most);
-            room
-        })
+    /// Closes connections that have reached a limit, or are to be disconnected by now.
+    fn check_limits(&self) {
+        let now = self.descriptors.now();
+        self.update_capacity();
+        self.issue_close_orders(|registry| registry.expired(now));
+        self.wake_connections_to_disconnect();
     }
 
-    fn make_room(&self) {
+    /// Wakes connections that are to be disconnected if they are idle now.
+    fn wake_connections_to_disconnect(&self) {
+        let Some(disconnecting) = self.disconnecting() else { return };
         let now = self.descriptors.now();
-        self.give(|held| held.places.make_room(now, EVICTED_AT_ONCE));
+        self.with_registry(|registry| {
+            registry.wake_where(|id, arrived| disconnecting.is_due(id, arrived, now));
+        });
     }
 
-    fn look(&self) {
-        let now = self.descriptors.now();
-        self.has_room();
-        self.give(|held| held.places.expired(now));
-        self.let_go();
+    /// How clients are directed to other proxies, if they are.
+    fn disconnecting(&self) -> Option<Disconnecting> {
+        *self.disconnecting_guard()
     }
 
-    /// Passes orders on to the connections that they are for.
-    fn give(&self, decide: impl FnOnce(&mut HeldPlaces) -> Vec<CloseOrder>) {
-        let given = self.with(|held| {
-            let orders = decide(held);
-            let reach =
-                |order: CloseOrder| held.connections.get(&order.id).map(|shared| (order, Arc::clone(shared)));
-            orders.into_iter().filter_map(reach).collect::<Vec<_>>()
-        });
-        for (order, shared) in given {
-            shared.order.store(encode(order.seq, order.reason), Ordering::Release);
-            shared.waker.wakeup();
-        }
+    fn disconnecting_guard(&self) -> MutexGuard<'_, Option<Disconnecting>> {
+        self.disconnecting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn hold(self: &Arc<Self>, number: ConnectionId, stream: Stream) {
-        // A consumer that has gone already is noticed when it is read from.
-        let _ = stream.inner().set_nodelay(true);
-        let now = self.descriptors.now();
-        let shared = Arc::new(Shared { waker: stream.waker(), arrived: now, order: AtomicU64::new(0) });
-        self.with(|held| {
-            held.places.insert(now, number);
-            held.connections.insert(number, Arc::clone(&shared));
-        });
-        let side = Arc::clone(self);
-        may::go!(move || {
-            // An error says that the consumer has gone; what it left behind ends with the connection.
-            let _ = Connection::new(&side, number, shared, stream).serve();
-        });
+    fn closes_when_idle(&self) -> bool {
+        self.closes_when_idle.load(Ordering::Acquire)
     }
 
-    fn enter(&self, number: ConnectionId, phase: Phase) -> Seq {
+    fn set_phase(&self, id: ConnectionId, phase: Phase) -> Seq {
         let now = self.descriptors.now();
-        self.with(|held| held.places.set_phase(now, number, phase))
+        self.with_registry(|registry| registry.set_phase(now, id, phase))
     }
 
-    fn asked(&self, number: ConnectionId) {
-        self.with(|held| held.places.record_request(number));
+    fn record_request(&self, id: ConnectionId) {
+        self.with_registry(|registry| registry.record_request(id));
     }
 
-    fn left(&self, number: ConnectionId) {
+    fn remove(&self, id: ConnectionId) {
         let now = self.descriptors.now();
-        self.with(|held| {
-            held.places.remove(now, number);
-            held.connections.remove(&number);
-        });
+        self.with_registry(|registry| registry.remove(now, id));
     }
 
-    fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Acquire)
-    }
-
-    fn count(&self, reason: Reason) {
-        match reason {
+    fn count_close(&self, reason: Reason) {
+        let counter = match reason {
             Reason::Overdue => &self.counters.consumers_late,
             Reason::UnlikelyToReturn => &self.counters.consumers_hopeless,
             Reason::OverBudget => &self.counters.consumers_over_budget,
             Reason::Evicted => &self.counters.consumers_evicted,
-        }
-        .add();
+        };
+        counter.add();
     }
 
-    fn with<T>(&self, act: impl FnOnce(&mut HeldPlaces) -> T) -> T {
-        act(&mut self.held.lock().unwrap_or_else(PoisonError::into_inner))
+    fn with_registry<T>(&self, act: impl FnOnce(&mut ConnectionRegistry) -> T) -> T {
+        act(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/src/net/codec/memcache.rs
+++ b/src/net/codec/memcache.rs
@@ -14,8 +14,8 @@
 /// What a consumer asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
-    /// `mg` or `ms`: key, opaque id, names and values, and the value of a write.
-    Invoke(String, String, Vec<(String, String)>, Option<Vec<u8>>),
+    /// `mg` or `ms`.
+    Request(RequestCommand),
     /// `mn`.
     Noop,
     /// `stats`.
@@ -26,6 +26,19 @@
     Quit,
 }
 
+/// A read (`mg`) or a write (`ms`) as a client sends it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestCommand {
+    /// The key.
+    pub key: String,
+    /// The opaque id, which the response repeats.
+    pub opaque: String,
+    /// Names and values of the flag `P`, in their order.
+    pub labels: Vec<(String, String)>,
+    /// The value of a write.
+    pub value: Option<Vec<u8>>,
+}
+
 /// A line without its end, and its length with it.
 fn line(bytes: &[u8]) -> Parsed<&str> {
     let window = &bytes[..bytes.len().min(MAX_LINE)];
@@ -71,7 +84,10 @@
     };
     match words.next() {
         Some("mg") => match invoke(words, false) {
-            Some((key, opaque, labels)) => Whole(Command::Invoke(key, opaque, labels, None), used),
+            Some((key, opaque, labels)) => {
+                let value = None;
+                Whole(Command::Request(RequestCommand { key, opaque, labels, value }), used)
+            }
             None => Malformed("CLIENT_ERROR bad command line format", Some(used)),
         },
         Some("ms") => {
@@ -89,7 +105,8 @@
                 (_, Malformed(why, skip)) => Malformed(why, skip),
                 (None, Whole(_, used)) => Malformed("CLIENT_ERROR bad command line format", Some(used)),
                 (Some((key, opaque, labels)), Whole(value, used)) => {
-                    Whole(Command::Invoke(key, opaque, labels, Some(value)), used)
+                    let value = Some(value);
+                    Whole(Command::Request(RequestCommand { key, opaque, labels, value }), used)
                 }
             }
         }
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -127,8 +127,10 @@
         }
         if let Some(services) = self.services.get() {
             match service {
-                ServiceState::InService => services.clients.welcome(),
-                ServiceState::OutOfService => services.clients.send_away(DisconnectSchedule::OUT_OF_SERVICE),
+                ServiceState::InService => services.clients.stop_disconnecting(),
+                ServiceState::OutOfService => {
+                    services.clients.start_disconnecting(DisconnectSchedule::OUT_OF_SERVICE);
+                }
             }
         }
         Ok(())
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -66,7 +66,11 @@
             }
         }
         if let Some(services) = self.services.get() {
-            services.clients.rest_listening(is_delegated);
+            if is_delegated {
+                services.clients.pause_listening();
+            } else {
+                services.clients.resume_listening();
+            }
         }
     }
 }
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -64,11 +64,16 @@
         // Danger: clients are short of connections until the last may come. Idle connections give
         // way to them till then.
         match acceptor {
-            Acceptor::PeerProcess => self.clients.send_away(DisconnectSchedule::for_drain(&schedule)),
+            Acceptor::PeerProcess => {
+                self.clients.start_disconnecting(DisconnectSchedule::for_drain(&schedule));
+            }
             Acceptor::ThisProcess => sleep(schedule.accept_until.saturating_sub(started.elapsed())),
         }
-        self.clients.stop_listening(acceptor == Acceptor::PeerProcess);
-        self.clients.keep_all();
+        match acceptor {
+            Acceptor::PeerProcess => self.clients.release_listener(),
+            Acceptor::ThisProcess => self.clients.stop_listening(),
+        }
+        self.clients.stop_evicting();
         self.wait_until_idle(started, schedule.serve_until);
         self.clients.close_when_idle();
         self.wait_until_idle(started, schedule.abort_at);
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -12,7 +12,7 @@
 use crate::interface;
 use crate::net::admin::{AdminBackend, AdminServer};
 use crate::net::backend::BackendService;
-use crate::net::client::ClientService;
+use crate::net::client::{ClientService, ClientServiceParameters};
 use crate::net::config::{Catalog, Config, FleetConfig, PolicyConfig};
 use crate::net::counters::Counters;
 use crate::net::descriptors::{self, Descriptors};
@@ -281,13 +281,13 @@
 }
 
 fn start_clients(foundation: &Foundation, socket: TcpListener) -> Result<Arc<ClientService>, StartError> {
-    ClientService::start(
-        Arc::clone(&foundation.dispatcher),
-        Arc::clone(&foundation.counters),
-        Arc::clone(&foundation.budget.memory),
-        Arc::clone(&foundation.budget.descriptors),
+    ClientService::start(ClientServiceParameters {
+        dispatcher: Arc::clone(&foundation.dispatcher),
+        counters: Arc::clone(&foundation.counters),
+        memory: Arc::clone(&foundation.budget.memory),
+        descriptors: Arc::clone(&foundation.budget.descriptors),
         socket,
-    )
+    })
     .map_err(StartError::Socket)
 }
 
