--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -27,9 +27,9 @@
         if self.state == State::Open && self.is_idle() && must_finish {
             self.state = State::Finishing;
         }
-        // Danger: a close with unread bytes resets the connection, and the last response may be lost
-        // with it. The end is sent first, and what still arrives is thrown away until the client has
-        // ended the connection too.
+        // Danger: a close with unread bytes resets the connection, and the last response may be
+        // lost with it. The end is sent first, and what still arrives is thrown away until the
+        // client has ended the connection too.
         if self.is_idle() && self.state == State::Finishing {
             // An error says that the client has gone.
             let _ = self.stream.inner().shutdown(Shutdown::Write);
@@ -52,8 +52,8 @@
                 self.state = State::Finishing;
             }
             Phase::CommandOpen => {}
-            // Danger: what crosses the order would be lost by a close, which would be a reset. It is
-            // read first.
+            // Danger: what crosses the order would be lost by a close, which would be a reset. It
+            // is read first.
             Phase::Silent | Phase::Idle if is_open && self.has_unread_input() => {}
             // Nobody waits for the descriptor.
             Phase::Silent | Phase::Idle if is_open && reason == Reason::Overdue => {
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -1,5 +1,5 @@
-//! What comes in on a client connection: commands, in their order, until there is no room for more or
-//! the client has gone. Read [`Connection::read`] first, then [`Connection::execute_input`].
+//! What comes in on a client connection: commands, in their order, until there is no room for more
+//! or the client has gone. Read [`Connection::read`] first, then [`Connection::execute_input`].
 
 use super::commands::Execution;
 use super::{Connection, Received, State, REQUEST_OVERHEAD};
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -1,8 +1,8 @@
-//! One client connection: reads commands, submits requests and writes responses, in the order of the
-//! commands. Read [`Connection::serve`] first.
+//! One client connection: reads commands, submits requests and writes responses, in the order of
+//! the commands. Read [`Connection::serve`] first.
 //!
-//! `input` reads and parses, `commands` executes, `submit` hands requests to the dispatcher, `output`
-//! writes, `close` moves the connection on to its end.
+//! `input` reads and parses, `commands` executes, `submit` hands requests to the dispatcher,
+//! `output` writes, `close` moves the connection on to its end.
 
 mod close;
 mod commands;
--- a/src/net/client/connection/submit.rs
+++ b/src/net/client/connection/submit.rs
@@ -28,8 +28,8 @@
 }
 
 impl Connection<'_> {
-    /// Parses a command. Danger: also that it is malformed is said by a policy, which must be active
-    /// at that moment.
+    /// Parses a command. Danger: also that it is malformed is said by a policy, which must be
+    /// active at that moment.
     pub(super) fn parse_by_active_policy(&self, command: RequestCommand) -> Result<ClientRequest, Rejection> {
         let dispatcher = &self.service.dispatcher;
         if !dispatcher.requires_lease() {
@@ -88,8 +88,8 @@
         Ok(request)
     }
 
-    /// Parses a request by the settings that are active now. It may have waited: it gets no more time
-    /// than it had left.
+    /// Parses a request by the settings that are active now. It may have waited: it gets no more
+    /// time than it had left.
     fn parse_again(&self, outdated: ClientRequest) -> Result<ClientRequest, Rejection> {
         let ClientRequest { key, opaque, labels, value, budget, .. } = outdated;
         let mut request = self.parse_by_active_policy(RequestCommand { key, opaque, labels, value })?;
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -64,8 +64,8 @@
 
 impl ClientService {
     /// Accepts on a listening socket, and holds as many connections as the descriptors allow. The
-    /// coroutine that accepts ends once the service has stopped listening; the one that checks limits
-    /// runs until the process ends.
+    /// coroutine that accepts ends once the service has stopped listening; the one that checks
+    /// limits runs until the process ends.
     ///
     /// # Errors
     ///
@@ -95,8 +95,8 @@
         Ok(service)
     }
 
-    /// Stops listening, after the connections that wait in the queue already. Those that are held are
-    /// served on.
+    /// Stops listening, after the connections that wait in the queue already. Those that are held
+    /// are served on.
     pub fn stop_listening(&self) {
         // Once the acceptor is done too, the socket is closed.
         if let Some(listener) = self.take_listener() {
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Stops listening at once: also the connections in the queue are left to the other process that
-    /// holds the socket. Those that are held are served on.
+    /// Stops listening at once: also the connections in the queue are left to the other process
+    /// that holds the socket. Those that are held are served on.
     pub fn release_listener(&self) {
         if let Some(listener) = self.take_listener() {
             listener.release();
@@ -135,8 +135,8 @@
         self.listener.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    /// Directs clients to other proxies from now on: `mn` is answered with an error, and connections
-    /// are closed by this schedule. A schedule that has begun goes on.
+    /// Directs clients to other proxies from now on: `mn` is answered with an error, and
+    /// connections are closed by this schedule. A schedule that has begun goes on.
     pub fn start_disconnecting(&self, schedule: DisconnectSchedule) {
         let started_ms = self.descriptors.now();
         self.disconnecting_guard().get_or_insert(Disconnecting { started_ms, schedule });
