--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -1,162 +1,222 @@
-//! What a provider's answer to a call says, in its protocol: bytes in, how the call ended out.
+//! What a backend's response says, in its protocol: bytes in, the result of the attempt out. Read
+//! [`parse_response`] first, then [`ParsedResponse`].
 
 use crate::interface::Outcome;
-use crate::net::codec::http::{self, Body};
+use crate::net::codec::http::{self, Body, Head};
 use crate::net::codec::memcache::{self, Reply};
 use crate::net::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
 use crate::net::dispatcher::{AttemptRequest, Payload};
 
-/// A long value flows once so many bytes of it have come.
-const FLOWS_FROM: usize = 4 * 1024;
+/// A long value streams once so many bytes of it have come.
+const STREAMS_FROM: usize = 4 * 1024;
 
-/// How a call ended, and what it brought.
-pub(super) struct End {
+/// How an attempt ended, and what it returned.
+pub(super) struct AttemptResult {
+    /// How it ended.
     pub outcome: Outcome,
+    /// What the backend returned, if it served the request.
     pub payload: Option<Payload>,
 }
 
-impl From<Outcome> for End {
-    fn from(outcome: Outcome) -> End {
-        End { outcome, payload: None }
+impl From<Outcome> for AttemptResult {
+    fn from(outcome: Outcome) -> AttemptResult {
+        AttemptResult { outcome, payload: None }
     }
 }
 
-/// A value too long to be read whole: where it begins in the answer, and what follows it.
-pub(super) struct Long {
-    pub from: usize,
+/// A value too long to be read whole.
+pub(super) struct LongValue {
+    /// Where it begins in the response.
+    pub starts_at: usize,
+    /// Its length in bytes.
     pub length: usize,
-    pub tail: &'static [u8],
-    pub answered: Answered,
+    /// What follows it.
+    pub terminator: &'static [u8],
+    /// What the response means for its connection.
+    pub reuse: ConnectionReuse,
 }
 
-/// What an answer means for its connection.
+/// What a response means for its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Answered {
-    /// It names its call: should a copy of it follow, that cannot pass for the answer to the next one.
-    Named,
+pub(super) enum ConnectionReuse {
+    /// The response names its attempt: should a copy of it follow, that cannot pass for the
+    /// response to the next one.
+    AfterShortRest,
     /// It does not.
+    AfterLongRest,
+    /// The connection takes no other attempt.
+    Never,
+}
+
+/// Whether a response names the request that it is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Identification {
+    Named,
     Unnamed,
-    /// The connection takes no other call.
-    Last,
 }
 
-impl Answered {
-    fn by(names_it: bool, takes_more: bool) -> Answered {
-        match (takes_more, names_it) {
-            (false, _) => Answered::Last,
-            (true, true) => Answered::Named,
-            (true, false) => Answered::Unnamed,
+/// Whether a connection takes another request after a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Persistence {
+    StaysOpen,
+    Ends,
+}
+
+impl ConnectionReuse {
+    fn after(identification: Identification, persistence: Persistence) -> ConnectionReuse {
+        match (persistence, identification) {
+            (Persistence::Ends, _) => ConnectionReuse::Never,
+            (Persistence::StaysOpen, Identification::Named) => ConnectionReuse::AfterShortRest,
+            (Persistence::StaysOpen, Identification::Unnamed) => ConnectionReuse::AfterLongRest,
         }
     }
 }
 
-pub(super) enum Understood {
-    Partly,
-    /// It ran, as far as anyone can tell, and the connection is of no further use.
-    Spoilt,
-    /// A long value has begun to come.
-    Long(Long),
-    /// How the call ended, and what that means for the connection.
-    Whole(End, Answered),
+/// What the bytes of a response say so far.
+pub(super) enum ParsedResponse {
+    /// Not enough.
+    Incomplete,
+    /// The request ran, as far as anyone can tell, and the connection is of no further use.
+    Malformed,
+    /// A long value has begun to arrive.
+    LongValue(LongValue),
+    /// The whole response.
+    Complete {
+        /// How the attempt ended.
+        result: AttemptResult,
+        /// What that means for the connection.
+        reuse: ConnectionReuse,
+    },
 }
 
-impl Long {
-    /// It has begun once so much of it has come. Danger: one that only announces a length, and is spoilt, is retried.
-    fn begun(self, bytes: &[u8]) -> Understood {
-        if bytes.len() >= self.from + FLOWS_FROM {
-            Understood::Long(self)
+impl LongValue {
+    /// It begins to stream once enough of it has arrived. Danger: one that only announces a length,
+    /// and is malformed, is retried.
+    fn into_response(self, bytes: &[u8]) -> ParsedResponse {
+        if bytes.len() >= self.starts_at + STREAMS_FROM {
+            ParsedResponse::LongValue(self)
         } else {
-            Understood::Partly
+            ParsedResponse::Incomplete
         }
     }
 }
 
-/// Reads a provider's answer in its protocol.
-pub(super) fn understand(call: &AttemptRequest, bytes: &[u8]) -> Understood {
-    if call.is_origin {
-        return understand_http(call, bytes);
+/// Parses a backend's response in its protocol.
+pub(super) fn parse_response(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
+    if attempt.is_origin {
+        parse_http(attempt, bytes)
+    } else {
+        parse_memcache(attempt, bytes)
     }
-    match memcache::reply(bytes, &call.request.opaque) {
-        Parsed::Incomplete => Understood::Partly,
-        Parsed::Whole(reply, used) => {
-            // Only values, receipts and misses carry the id.
-            let is_named = !matches!(reply, Reply::Busy | Reply::Failed);
-            let end = match reply {
-                Reply::Long(_) if call.request.value.is_some() => return Understood::Spoilt,
-                Reply::Long(length) => {
-                    let answered = Answered::Named;
-                    return Long { from: used, length, tail: memcache::END, answered }.begun(bytes);
-                }
-                Reply::Served(payload) => served(call, payload),
-                Reply::Miss => Outcome::Miss.into(),
-                Reply::Busy => Outcome::Full.into(),
-                Reply::Failed => Outcome::Error.into(),
-            };
-            Understood::Whole(end, Answered::by(is_named, used == bytes.len()))
+}
+
+fn parse_memcache(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
+    let (reply, used) = match memcache::reply(bytes, &attempt.request.opaque) {
+        Parsed::Incomplete => return ParsedResponse::Incomplete,
+        Parsed::Malformed(..) => return ParsedResponse::Malformed,
+        Parsed::Whole(reply, used) => (reply, used),
+    };
+    // Only values, receipts and misses carry the id.
+    let identification = match reply {
+        Reply::Busy | Reply::Failed => Identification::Unnamed,
+        _ => Identification::Named,
+    };
+    let result = match reply {
+        Reply::Long(_) if attempt.request.value.is_some() => return ParsedResponse::Malformed,
+        Reply::Long(length) => {
+            let reuse = ConnectionReuse::AfterShortRest;
+            let value = LongValue { starts_at: used, length, terminator: memcache::END, reuse };
+            return value.into_response(bytes);
         }
-        Parsed::Malformed(..) => Understood::Spoilt,
-    }
+        Reply::Served(payload) => served(attempt, payload),
+        Reply::Miss => Outcome::Miss.into(),
+        Reply::Busy => Outcome::Full.into(),
+        Reply::Failed => Outcome::Error.into(),
+    };
+    let persistence = if used == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
+    ParsedResponse::Complete { result, reuse: ConnectionReuse::after(identification, persistence) }
 }
 
-fn understand_http(call: &AttemptRequest, bytes: &[u8]) -> Understood {
-    let (head, from) = match http::final_head(bytes) {
-        Parsed::Incomplete => return Understood::Partly,
-        Parsed::Malformed(..) => return Understood::Spoilt,
+fn parse_http(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
+    let (head, body_at) = match http::final_head(bytes) {
+        Parsed::Incomplete => return ParsedResponse::Incomplete,
+        Parsed::Malformed(..) => return ParsedResponse::Malformed,
         Parsed::Whole(head, used) => (head, used),
     };
-    if head.id.as_ref().is_some_and(|id| *id != call.request.opaque) {
-        return Understood::Spoilt;
+    if head.id.as_ref().is_some_and(|id| *id != attempt.request.opaque) {
+        return ParsedResponse::Malformed;
     }
-    let rest = &bytes[from..];
+    let rest = &bytes[body_at..];
     let (body, used) = match head.body {
-        Body::Length(length) if length > MAX_ANSWER => return Understood::Spoilt,
+        Body::Length(length) if length > MAX_ANSWER => return ParsedResponse::Malformed,
         Body::Length(length) if length > MAX_VALUE => {
-            return match (head.status, call.request.value.is_some()) {
-                (200, false) => {
-                    let answered = Answered::by(head.id.is_some(), !head.closes);
-                    Long { from, length, tail: b"", answered }.begun(bytes)
-                }
-                (200, true) => Understood::Spoilt,
-                // What a failure has to say is not read.
-                _ => Understood::Whole(Outcome::Error.into(), Answered::Last),
-            };
+            let reuse = http_reuse(&head, Persistence::StaysOpen);
+            let value = LongValue { starts_at: body_at, length, terminator: b"", reuse };
+            return long_http_response(attempt, &head, value, bytes);
         }
-        Body::Length(length) if rest.len() < length => return Understood::Partly,
-        Body::Length(length) => (rest[..length].to_vec(), from + length),
+        Body::Length(length) if rest.len() < length => return ParsedResponse::Incomplete,
+        Body::Length(length) => (rest[..length].to_vec(), body_at + length),
         // A value that was cut short would pass for a whole one.
-        Body::UntilClose => return Understood::Spoilt,
-        // How long it is must be told to the consumer before its first byte.
+        Body::UntilClose => return ParsedResponse::Malformed,
+        // How long it is must be told to the client before its first byte.
         Body::Chunked => match http::chunks(rest, MAX_VALUE) {
-            Parsed::Incomplete => return Understood::Partly,
-            Parsed::Malformed(..) => return Understood::Spoilt,
-            Parsed::Whole(body, used) => (body, from + used),
+            Parsed::Incomplete => return ParsedResponse::Incomplete,
+            Parsed::Malformed(..) => return ParsedResponse::Malformed,
+            Parsed::Whole(body, used) => (body, body_at + used),
         },
     };
-    let end = match head.status {
-        200 if call.request.value.is_none() => served(call, Payload::Value(body)),
-        200 => match String::from_utf8(body) {
-            Ok(receipt) => served(call, Payload::Receipt(receipt)),
-            Err(_) => return Understood::Spoilt,
-        },
+    let persistence = if used == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
+    match http_result(attempt, &head, body) {
+        Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(&head, persistence) },
+        None => ParsedResponse::Malformed,
+    }
+}
+
+/// What a response with a body too long to be read whole says.
+fn long_http_response(
+    attempt: &AttemptRequest,
+    head: &Head,
+    value: LongValue,
+    bytes: &[u8],
+) -> ParsedResponse {
+    match (head.status, &attempt.request.value) {
+        (200, None) => value.into_response(bytes),
+        (200, Some(_)) => ParsedResponse::Malformed,
+        // What a failure has to say is not read.
+        _ => ParsedResponse::Complete { result: Outcome::Error.into(), reuse: ConnectionReuse::Never },
+    }
+}
+
+/// What a whole response says; none if that cannot be.
+fn http_result(attempt: &AttemptRequest, head: &Head, body: Vec<u8>) -> Option<AttemptResult> {
+    let result = match head.status {
+        200 if attempt.request.value.is_none() => served(attempt, Payload::Value(body)),
+        200 => served(attempt, Payload::Receipt(String::from_utf8(body).ok()?)),
         503 | 504 if head.turned_away => Outcome::Full.into(),
         _ => Outcome::Error.into(),
     };
-    Understood::Whole(end, Answered::by(head.id.is_some(), used == bytes.len() && !head.closes))
+    Some(result)
+}
+
+/// What a response with this head means for its connection, if its bytes allow another request.
+fn http_reuse(head: &Head, persistence: Persistence) -> ConnectionReuse {
+    let identification = if head.id.is_some() { Identification::Named } else { Identification::Unnamed };
+    let persistence = if head.closes { Persistence::Ends } else { persistence };
+    ConnectionReuse::after(identification, persistence)
 }
 
-/// What was given counts if it is what the invocation asked for: a value for a read, a receipt of one
-/// word for a write.
-fn served(call: &AttemptRequest, payload: Payload) -> End {
+/// What was returned counts if it is what the request asked for: a value for a read, a receipt of
+/// one word for a write.
+fn served(attempt: &AttemptRequest, payload: Payload) -> AttemptResult {
+    let is_write = attempt.request.value.is_some();
     let fits = match &payload {
-        Payload::Value(_) => call.request.value.is_none(),
+        Payload::Value(_) => !is_write,
         Payload::Receipt(receipt) => {
-            call.request.value.is_some()
-                && !receipt.is_empty()
-                && receipt.bytes().all(|byte| byte.is_ascii_graphic())
+            is_write && !receipt.is_empty() && receipt.bytes().all(|byte| byte.is_ascii_graphic())
         }
     };
     if fits {
-        End { outcome: Outcome::Ok, payload: Some(payload) }
+        AttemptResult { outcome: Outcome::Ok, payload: Some(payload) }
     } else {
         Outcome::Error.into()
     }
--- a/src/net/lifecycle/reload.rs
+++ b/src/net/lifecycle/reload.rs
@@ -49,7 +49,7 @@
                 let classes = newer.names.classes().join(", ");
                 log(&format!("reload: new settings are active, with the classes {classes}"));
                 services.dispatcher.apply_settings(newer.settings.clone(), newer.names.clone());
-                services.backends.retune(newer.connect_timeout, idle_timeout(&newer.settings));
+                services.backends.set_timeouts(newer.connect_timeout, idle_timeout(&newer.settings));
             }
         }
     }
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -11,7 +11,7 @@
 use super::{idle_timeout, Lifecycle, RunningServices};
 use crate::interface;
 use crate::net::admin::{AdminBackend, AdminServer};
-use crate::net::backend::BackendService;
+use crate::net::backend::{BackendService, BackendServiceParameters};
 use crate::net::client::{ClientService, ClientServiceParameters};
 use crate::net::config::{Catalog, Config, FleetConfig, PolicyConfig};
 use crate::net::counters::Counters;
@@ -270,14 +270,14 @@
     foundation: &Foundation,
     commands: Receiver<BackendCommand>,
 ) -> Arc<BackendService> {
-    BackendService::start(
-        Arc::clone(&foundation.dispatcher),
-        Arc::clone(&foundation.counters),
+    BackendService::start(BackendServiceParameters {
+        dispatcher: Arc::clone(&foundation.dispatcher),
+        counters: Arc::clone(&foundation.counters),
         commands,
-        Arc::clone(&foundation.budget.descriptors),
-        config.connect_timeout,
-        idle_timeout(&config.settings),
-    )
+        descriptors: Arc::clone(&foundation.budget.descriptors),
+        connect_timeout: config.connect_timeout,
+        idle_timeout: idle_timeout(&config.settings),
+    })
 }
 
 fn start_clients(foundation: &Foundation, socket: TcpListener) -> Result<Arc<ClientService>, StartError> {
--- a/src/net/policy/applier.rs
+++ b/src/net/policy/applier.rs
@@ -179,7 +179,7 @@
                 return;
             }
         };
-        self.backends.retune(rules.connect_timeout, connection_idle(&rules.settings));
+        self.backends.set_timeouts(rules.connect_timeout, connection_idle(&rules.settings));
         self.active().longest_give_up_ms = Some(longest_give_up_ms(&rules.settings));
         self.dispatcher.apply_policy(version, rules.settings, rules.names);
         self.active().text = Some(text.to_owned());
