Codecs: parse results with ?, typed errors, a file for each direction

Parsed had positional fields and &'static str reasons, and every caller passed two of its three variants on by hand. A parser now returns Result<Parsed, Unparsed>: a message with its length, or incomplete, or malformed with a typed error and what to skip. The texts of MemcacheError are those that clients are sent; HttpError's are those in discovery's log, which keeps the error as a source now. Functions are named parse_* and encode_*; commands, responses and the cache nodes' side of memcache have a file each. Call sites in net/discovery follow.

--- a/src/net/backend/encode.rs
+++ b/src/net/backend/encode.rs
@@ -14,9 +14,9 @@
     let value = request.value.as_deref();
     if attempt.is_origin {
         let headers = [("X-Txn", request.opaque.as_str()), ("X-Labels", labels.as_str())];
-        http::request(&http::path_of(&request.key), &attempt.address, &headers, value)
+        http::encode_request(&http::encode_path(&request.key), &attempt.address, &headers, value)
     } else {
-        memcache::call(&request.key, &request.opaque, &labels, value)
+        memcache::encode_request(&request.key, &request.opaque, &labels, value)
     }
 }
 
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -3,8 +3,8 @@
 
 use crate::interface::Outcome;
 use crate::net::codec::http::{self, Body, Head};
-use crate::net::codec::memcache::{self, Reply};
-use crate::net::codec::{Parsed, MAX_ANSWER, MAX_VALUE};
+use crate::net::codec::memcache::{self, BackendResponse};
+use crate::net::codec::{Parsed, Unparsed, MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::net::dispatcher::{AttemptRequest, Payload};
 
 /// A long value streams once so many bytes of it have come.
@@ -89,6 +89,15 @@
     },
 }
 
+impl<E> From<Unparsed<E>> for ParsedResponse {
+    fn from(unparsed: Unparsed<E>) -> ParsedResponse {
+        match unparsed {
+            Unparsed::Incomplete => ParsedResponse::Incomplete,
+            Unparsed::Malformed { .. } => ParsedResponse::Malformed,
+        }
+    }
+}
+
 impl LongValue {
     /// It begins to stream once enough of it has arrived. Danger: one that only announces a length,
     /// and is malformed, is retried.
@@ -111,44 +120,46 @@
 }
 
 fn parse_memcache(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
-    let (reply, used) = match memcache::reply(bytes, &attempt.request.opaque) {
-        Parsed::Incomplete => return ParsedResponse::Incomplete,
-        Parsed::Malformed(..) => return ParsedResponse::Malformed,
-        Parsed::Whole(reply, used) => (reply, used),
+    let Parsed { message, length } = match memcache::parse_response(bytes, &attempt.request.opaque) {
+        Ok(parsed) => parsed,
+        Err(unparsed) => return unparsed.into(),
     };
     // Only values, receipts and misses carry the id.
-    let identification = match reply {
-        Reply::Busy | Reply::Failed => Identification::Unnamed,
+    let identification = match message {
+        BackendResponse::Busy | BackendResponse::Failed => Identification::Unnamed,
         _ => Identification::Named,
     };
-    let result = match reply {
-        Reply::Long(_) if attempt.request.value.is_some() => return ParsedResponse::Malformed,
-        Reply::Long(length) => {
-            let reuse = ConnectionReuse::AfterShortRest;
-            let value = LongValue { starts_at: used, length, terminator: memcache::END, reuse };
+    let result = match message {
+        BackendResponse::LongValue(_) if attempt.request.value.is_some() => return ParsedResponse::Malformed,
+        BackendResponse::LongValue(value_length) => {
+            let value = LongValue {
+                starts_at: length,
+                length: value_length,
+                terminator: memcache::LINE_END,
+                reuse: ConnectionReuse::AfterShortRest,
+            };
             return value.into_response(bytes);
         }
-        Reply::Served(payload) => served(attempt, payload),
-        Reply::Miss => Outcome::Miss.into(),
-        Reply::Busy => Outcome::Full.into(),
-        Reply::Failed => Outcome::Error.into(),
+        BackendResponse::Served(payload) => served(attempt, payload),
+        BackendResponse::Miss => Outcome::Miss.into(),
+        BackendResponse::Busy => Outcome::Full.into(),
+        BackendResponse::Failed => Outcome::Error.into(),
     };
-    let persistence = if used == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
+    let persistence = if length == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
     ParsedResponse::Complete { result, reuse: ConnectionReuse::after(identification, persistence) }
 }
 
 fn parse_http(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
-    let (head, body_at) = match http::final_head(bytes) {
-        Parsed::Incomplete => return ParsedResponse::Incomplete,
-        Parsed::Malformed(..) => return ParsedResponse::Malformed,
-        Parsed::Whole(head, used) => (head, used),
+    let Parsed { message: head, length: body_at } = match http::parse_final_head(bytes) {
+        Ok(parsed) => parsed,
+        Err(unparsed) => return unparsed.into(),
     };
     if head.id.as_ref().is_some_and(|id| *id != attempt.request.opaque) {
         return ParsedResponse::Malformed;
     }
     let rest = &bytes[body_at..];
     let (body, used) = match head.body {
-        Body::Length(length) if length > MAX_ANSWER => return ParsedResponse::Malformed,
+        Body::Length(length) if length > MAX_STREAMED_VALUE => return ParsedResponse::Malformed,
         Body::Length(length) if length > MAX_VALUE => {
             let reuse = http_reuse(&head, Persistence::StaysOpen);
             let value = LongValue { starts_at: body_at, length, terminator: b"", reuse };
@@ -159,10 +170,9 @@
         // A value that was cut short would pass for a whole one.
         Body::UntilClose => return ParsedResponse::Malformed,
         // How long it is must be told to the client before its first byte.
-        Body::Chunked => match http::chunks(rest, MAX_VALUE) {
-            Parsed::Incomplete => return ParsedResponse::Incomplete,
-            Parsed::Malformed(..) => return ParsedResponse::Malformed,
-            Parsed::Whole(body, used) => (body, body_at + used),
+        Body::Chunked => match http::parse_chunked_body(rest, MAX_VALUE) {
+            Ok(Parsed { message: body, length }) => (body, body_at + length),
+            Err(unparsed) => return unparsed.into(),
         },
     };
     let persistence = if used == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -7,6 +7,7 @@
 use crate::net::codec::MAX_VALUE;
 use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback};
 use crate::net::memory::Held;
+use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// What became of a command.
@@ -84,7 +85,7 @@
         let handle = Arc::clone(&self.handle);
         let opaque = request.opaque.clone();
         Box::new(move |response: Response| {
-            let bytes = memcache::answer(&opaque, &response);
+            let bytes = memcache::encode_response(&opaque, &response);
             let body = match response {
                 Response::Stream { body, .. } => Some(body),
                 _ => None,
@@ -95,7 +96,7 @@
     }
 
     /// Responds to a malformed command with an error.
-    pub(super) fn respond_malformed(&mut self, error: &str) {
+    pub(super) fn respond_malformed(&mut self, error: impl Display) {
         self.service.counters.taken_malformed.add();
         self.had_errors = true;
         self.respond(format!("{error}\r\n"));
@@ -103,7 +104,7 @@
 
     fn respond_rejected(&mut self, rejection: Rejection) {
         match rejection {
-            Rejection::Malformed(error) => self.respond_malformed(&format!("CLIENT_ERROR {error}")),
+            Rejection::Malformed(error) => self.respond_malformed(format_args!("CLIENT_ERROR {error}")),
             Rejection::Fenced { retry_after } => {
                 self.respond(format!("SERVER_ERROR busy {}\r\n", retry_after.as_millis()));
             }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -4,7 +4,7 @@
 use super::commands::Execution;
 use super::{Connection, Received, State, REQUEST_OVERHEAD};
 use crate::net::codec::memcache;
-use crate::net::codec::{Parsed, MAX_VALUE};
+use crate::net::codec::{Parsed, Unparsed, MAX_VALUE};
 use crate::net::deadline_stream::{has_hung_up, read_now};
 use std::io::{self, ErrorKind};
 
@@ -93,9 +93,9 @@
     fn execute_whole_commands(&mut self) -> usize {
         let mut used = 0;
         while self.state == State::Open && !self.is_full() {
-            match memcache::command(&self.input[used..]) {
-                Parsed::Incomplete => break,
-                Parsed::Whole(command, length) => {
+            match memcache::parse_command(&self.input[used..]) {
+                Err(Unparsed::Incomplete) => break,
+                Ok(Parsed { message: command, length }) => {
                     // A pipeline waits while memory is short: its own responses make room.
                     self.waits_for_memory = self.execute(command) == Execution::NoMemory;
                     if self.waits_for_memory {
@@ -104,8 +104,8 @@
                     used += length;
                     self.received = Received::WholeCommand;
                 }
-                Parsed::Malformed(why, skip) => {
-                    self.respond_malformed(why);
+                Err(Unparsed::Malformed { error, skip }) => {
+                    self.respond_malformed(error);
                     match skip {
                         Some(length) => used += length,
                         None => self.state = State::Finishing,
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -80,7 +80,7 @@
             Piece::Pending => return false,
             Piece::Broken => self.body_broken = true,
             Piece::End => {
-                self.output.extend_from_slice(memcache::END);
+                self.output.extend_from_slice(memcache::LINE_END);
                 self.body = None;
                 self.finish_first();
             }
--- a/src/net/discovery/error.rs
+++ b/src/net/discovery/error.rs
@@ -1,6 +1,7 @@
 //! Why a watch ends.
 
 use super::lists::ListError;
+use crate::net::codec::http::HttpError;
 use std::io;
 use thiserror::Error;
 
@@ -23,8 +24,8 @@
     #[error("rejected")]
     Rejected,
     /// The response is not HTTP.
-    #[error("{0}")]
-    MalformedHttp(String),
+    #[error(transparent)]
+    MalformedHttp(#[from] HttpError),
     /// What the response holds is no list.
     #[error(transparent)]
     List(#[from] ListError),
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -7,7 +7,7 @@
 use super::Discovery;
 use crate::interface::ListForm;
 use crate::net::codec::http::{self, Body, Head};
-use crate::net::codec::Parsed;
+use crate::net::codec::{Parsed, Unparsed};
 use crate::net::config::Catalog;
 use crate::net::deadline_stream::DeadlineStream;
 use std::convert::Infallible;
@@ -67,7 +67,7 @@
             return Err(WatchError::Moved);
         }
         let path = format!("/catalog/members?watch=1&after={}", self.generation);
-        let request = http::request(&path, &target.address.to_string(), &[], None);
+        let request = http::encode_request(&path, &target.address.to_string(), &[], None);
         stream.write(&request, watching_by).map_err(WatchError::RequestNotWritten)?;
         let mut buffer = Vec::new();
         let head = read_head(&stream, &mut buffer, watching_by)?;
@@ -97,13 +97,13 @@
     /// Moves the complete chunks of the response to the reader of lists.
     fn take_chunks(&mut self, lists: &mut ListReader) -> Result<(), WatchError> {
         loop {
-            let used = match http::chunk(&self.buffer, MAX_LIST) {
-                Parsed::Incomplete => return Ok(()),
-                Parsed::Malformed(reason, _) => return Err(WatchError::MalformedHttp(reason.to_string())),
-                Parsed::Whole([], _) => return Err(WatchError::ResponseEnded),
-                Parsed::Whole(part, used) => {
+            let used = match http::parse_chunk(&self.buffer, MAX_LIST) {
+                Err(Unparsed::Incomplete) => return Ok(()),
+                Err(Unparsed::Malformed { error, .. }) => return Err(error.into()),
+                Ok(Parsed { message: [], .. }) => return Err(WatchError::ResponseEnded),
+                Ok(Parsed { message: part, length }) => {
                     lists.push(part)?;
-                    used
+                    length
                 }
             };
             self.buffer.drain(..used);
@@ -122,11 +122,11 @@
 fn read_head(stream: &DeadlineStream, buffer: &mut Vec<u8>, until: Instant) -> Result<Head, WatchError> {
     loop {
         read_some(stream, buffer, until)?;
-        match http::head(buffer) {
-            Parsed::Incomplete => {}
-            Parsed::Malformed(reason, _) => return Err(WatchError::MalformedHttp(reason.to_string())),
-            Parsed::Whole(head, used) => {
-                buffer.drain(..used);
+        match http::parse_head(buffer) {
+            Err(Unparsed::Incomplete) => {}
+            Err(Unparsed::Malformed { error, .. }) => return Err(error.into()),
+            Ok(Parsed { message: head, length }) => {
+                buffer.drain(..length);
                 return Ok(head);
             }
         }
