Descriptors and memory: budgets, reservations and capacities in place of holds and shares

What clients may hold was a pair of a number and a bool, and a part drawn from the memory was Held. Descriptors::update_clients now returns a ClientCapacity, MemoryBudget::reserve a MemoryReservation, and the constants say whose descriptors they count. The clock of the connection table says its unit. Call sites in net/lifecycle, net/admin and net/config follow.

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -13,7 +13,7 @@
 pub use backend::{AdminBackend, FleetReportError, NotReady, NotServing};
 
 use super::deadline_stream::{sleep, DeadlineStream};
-use super::descriptors::DOOR_CALLS as MAX_CONNECTIONS;
+use super::descriptors::MAX_ADMIN_CONNECTIONS;
 use super::listener::{Listener, Stream};
 use super::log::log;
 use connection::ConnectionSlot;
@@ -33,7 +33,7 @@
     connections: Mutex<OpenConnections>,
 }
 
-/// The connections that are open, of [`MAX_CONNECTIONS`] at the most.
+/// The connections that are open, of [`MAX_ADMIN_CONNECTIONS`] at the most.
 #[derive(Default)]
 struct OpenConnections {
     count: usize,
@@ -96,7 +96,7 @@
     fn has_room(&self) -> bool {
         let oldest = {
             let mut connections = self.connections();
-            if connections.count < MAX_CONNECTIONS {
+            if connections.count < MAX_ADMIN_CONNECTIONS {
                 return true;
             }
             connections.incomplete.pop_first()
--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -49,9 +49,9 @@
     /// Takes over how many connections the descriptors allow now.
     pub(super) fn update_capacity(&self) -> Room {
         self.with_registry(|registry| {
-            let (capacity, has_room) = self.descriptors.consumers_hold(registry.open());
-            registry.set_capacity(capacity);
-            if has_room {
+            let capacity = self.descriptors.update_clients(registry.open());
+            registry.set_capacity(capacity.limit);
+            if capacity.has_room {
                 Room::Available
             } else {
                 Room::Exhausted
@@ -60,7 +60,7 @@
     }
 
     fn make_room(&self) {
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         self.issue_close_orders(|registry| registry.make_room(now));
     }
 
@@ -79,7 +79,7 @@
     fn serve_connection(self: &Arc<Self>, id: ConnectionId, stream: Stream) {
         // A client that has gone already is noticed when it is read from.
         let _ = stream.inner().set_nodelay(true);
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         let handle = Arc::new(ConnectionHandle::new(stream.waker(), now));
         self.with_registry(|registry| registry.insert(now, id, Arc::clone(&handle)));
         let service = Arc::clone(self);
--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -71,7 +71,7 @@
     /// Whether clients are directed to other proxies, and it is this one's turn.
     fn is_due_to_disconnect(&self) -> bool {
         let Some(disconnecting) = self.service.disconnecting() else { return false };
-        let now = self.service.descriptors.now();
+        let now = self.service.descriptors.now_ms();
         let elapsed_ms = disconnecting.elapsed_ms(now);
         // Danger: what has begun to arrive would cross the close.
         if !self.input.is_empty() && disconnecting.schedule.keeps_partial_command(elapsed_ms) {
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -6,7 +6,7 @@
 use crate::net::codec::memcache::{self, Command, RequestCommand};
 use crate::net::codec::MAX_VALUE;
 use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback};
-use crate::net::memory::Held;
+use crate::net::memory::MemoryReservation;
 use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -49,7 +49,7 @@
 
     fn execute_request(&mut self, command: RequestCommand) -> Execution {
         let value_size = command.value.as_ref().map_or(0, Vec::len);
-        let memory = self.service.memory.hold(value_size + MAX_VALUE + REQUEST_OVERHEAD);
+        let memory = self.service.memory.reserve(value_size + MAX_VALUE + REQUEST_OVERHEAD);
         if memory.is_none() && !self.is_idle() {
             return Execution::NoMemory;
         }
@@ -65,7 +65,7 @@
     }
 
     /// Submits a request. Its response is put into a slot, and wakes the connection to write it.
-    fn submit_request(&mut self, request: ClientRequest, memory: Held) {
+    fn submit_request(&mut self, request: ClientRequest, memory: MemoryReservation) {
         let slot = ResponseSlot::default();
         let respond = self.response_callback(&request, Arc::clone(&slot));
         self.service.record_request(self.id);
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -118,7 +118,7 @@
 
     /// Takes memory for a large command before the rest of it is read.
     fn reserve_input_memory(&mut self) {
-        self.input_memory = self.service.memory.hold(MAX_VALUE);
+        self.input_memory = self.service.memory.reserve(MAX_VALUE);
         if self.input_memory.is_none() {
             self.respond_malformed("SERVER_ERROR out of memory");
             self.state = State::Finishing;
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -17,7 +17,7 @@
 use crate::net::codec::MAX_VALUE;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
-use crate::net::memory::Held;
+use crate::net::memory::MemoryReservation;
 use close::Progress;
 use may::io::WaitIo;
 use pinetrail_connection_limits::{ConnectionId, Millis, Phase, Seq};
@@ -57,7 +57,7 @@
     request: Option<RequestId>,
     response: ResponseSlot,
     /// What its values may take of the memory.
-    memory: Option<Held>,
+    memory: Option<MemoryReservation>,
 }
 
 /// The states of a connection, in their order.
@@ -109,7 +109,7 @@
     /// What was read and not yet executed.
     input: Vec<u8>,
     /// What a large command in `input` may take of the memory.
-    input_memory: Option<Held>,
+    input_memory: Option<MemoryReservation>,
     received: Received,
     /// Whether the next command waits for memory.
     waits_for_memory: bool,
@@ -126,7 +126,7 @@
     /// Whether that broke off: the connection ends once what came before has been written.
     body_broken: bool,
     /// What the responses in `output` hold of the memory.
-    output_memory: Vec<Held>,
+    output_memory: Vec<MemoryReservation>,
     /// Commands without a written response, in their order.
     pending: VecDeque<PendingCommand>,
     /// When the last response was written, by the clock of the connection table; 0 before.
@@ -254,7 +254,7 @@
     /// commands are open.
     fn is_reading_stopped(&self) -> bool {
         let Some(disconnecting) = self.service.disconnecting() else { return false };
-        let elapsed_ms = disconnecting.elapsed_ms(self.service.descriptors.now());
+        let elapsed_ms = disconnecting.elapsed_ms(self.service.descriptors.now_ms());
         disconnecting.schedule.stops_reading(elapsed_ms)
     }
 }
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -36,7 +36,7 @@
         }
         self.output_memory.clear();
         if has_written {
-            self.last_response_at = self.service.descriptors.now();
+            self.last_response_at = self.service.descriptors.now_ms();
         }
         if self.output.capacity() > REQUEST_OVERHEAD {
             self.output = Vec::new();
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -18,7 +18,7 @@
 use super::dispatcher::Dispatcher;
 use super::drain::DisconnectSchedule;
 use super::listener::Listener;
-use super::memory::Memory;
+use super::memory::MemoryBudget;
 use disconnecting::Disconnecting;
 use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
 use registry::ConnectionRegistry;
@@ -38,7 +38,7 @@
     /// What is counted.
     pub counters: Arc<Counters>,
     /// The memory that commands and responses are taken from.
-    pub memory: Arc<Memory>,
+    pub memory: Arc<MemoryBudget>,
     /// The descriptors that client connections share with backend connections.
     pub descriptors: Arc<Descriptors>,
     /// The socket that clients connect to; it listens already.
@@ -49,7 +49,7 @@
 pub struct ClientService {
     dispatcher: Arc<Dispatcher>,
     counters: Arc<Counters>,
-    memory: Arc<Memory>,
+    memory: Arc<MemoryBudget>,
     descriptors: Arc<Descriptors>,
     /// Guards the listener only; none once the service has stopped listening.
     listener: Mutex<Option<Arc<Listener>>>,
@@ -73,7 +73,7 @@
     pub fn start(parameters: ClientServiceParameters) -> io::Result<Arc<ClientService>> {
         let ClientServiceParameters { dispatcher, counters, memory, descriptors, socket } = parameters;
         let listener = Arc::new(Listener::new(socket)?);
-        let (capacity, _) = descriptors.consumers_hold(0);
+        let capacity = descriptors.update_clients(0);
         let service = Arc::new(ClientService {
             dispatcher,
             counters,
@@ -81,7 +81,7 @@
             descriptors,
             address: listener.address()?,
             listener: Mutex::new(Some(Arc::clone(&listener))),
-            registry: Mutex::new(ConnectionRegistry::new(capacity)),
+            registry: Mutex::new(ConnectionRegistry::new(capacity.limit)),
             closes_when_idle: AtomicBool::new(false),
             disconnecting: Mutex::new(None),
         });
@@ -138,7 +138,7 @@
     /// Directs clients to other proxies from now on: `mn` is answered with an error, and
     /// connections are closed by this schedule. A schedule that has begun goes on.
     pub fn start_disconnecting(&self, schedule: DisconnectSchedule) {
-        let started_ms = self.descriptors.now();
+        let started_ms = self.descriptors.now_ms();
         self.disconnecting_guard().get_or_insert(Disconnecting { started_ms, schedule });
     }
 
@@ -170,7 +170,7 @@
 
     /// Closes connections that have reached a limit, or are to be disconnected by now.
     fn check_limits(&self) {
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         self.update_capacity();
         self.issue_close_orders(|registry| registry.expired(now));
         self.wake_connections_to_disconnect();
@@ -179,7 +179,7 @@
     /// Wakes connections that are to be disconnected if they are idle now.
     fn wake_connections_to_disconnect(&self) {
         let Some(disconnecting) = self.disconnecting() else { return };
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         self.with_registry(|registry| {
             registry.wake_where(|id, arrived| disconnecting.is_due(id, arrived, now));
         });
@@ -199,7 +199,7 @@
     }
 
     fn set_phase(&self, id: ConnectionId, phase: Phase) -> Seq {
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         self.with_registry(|registry| registry.set_phase(now, id, phase))
     }
 
@@ -208,7 +208,7 @@
     }
 
     fn remove(&self, id: ConnectionId) {
-        let now = self.descriptors.now();
+        let now = self.descriptors.now_ms();
         self.with_registry(|registry| registry.remove(now, id));
     }
 
--- a/src/net/config/check.rs
+++ b/src/net/config/check.rs
@@ -7,7 +7,7 @@
 use super::fleet::FleetConfig;
 use super::names::Names;
 use super::policy::PolicyConfig;
-use crate::net::descriptors::{DOOR as ADMIN_SOCKETS, FLEET as FLEET_SOCKETS};
+use crate::net::descriptors::{ADMIN_DESCRIPTORS, FLEET_DESCRIPTORS};
 use crate::settings::{Class, Effect, Settings};
 use std::net::SocketAddr;
 
@@ -86,10 +86,10 @@
 ) -> Result<(), ConfigError> {
     let (mut least, mut wanted) = match (admin, fleet) {
         (None, None) => (MIN_SOCKETS, "at least 32"),
-        (Some(_), None) => (MIN_SOCKETS + ADMIN_SOCKETS, "at least 50 with a door for operators"),
-        (None, Some(_)) => (MIN_SOCKETS + FLEET_SOCKETS, "at least 33 in a fleet"),
+        (Some(_), None) => (MIN_SOCKETS + ADMIN_DESCRIPTORS, "at least 50 with a door for operators"),
+        (None, Some(_)) => (MIN_SOCKETS + FLEET_DESCRIPTORS, "at least 33 in a fleet"),
         (Some(_), Some(_)) => {
-            (MIN_SOCKETS + ADMIN_SOCKETS + FLEET_SOCKETS, "at least 51 with a door and a fleet")
+            (MIN_SOCKETS + ADMIN_DESCRIPTORS + FLEET_DESCRIPTORS, "at least 51 with a door and a fleet")
         }
     };
     let policy = fleet.and_then(|fleet| fleet.policy.as_ref());
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -3,7 +3,7 @@
 
 use crate::net::descriptors::Descriptors;
 use crate::net::hot_restart::{Activity, BudgetGrant, ResourceBudget};
-use crate::net::memory::Memory;
+use crate::net::memory::MemoryBudget;
 use std::sync::Arc;
 
 /// What is left to the peer process at the least. Danger: with nothing it could serve nobody.
@@ -20,7 +20,7 @@
     /// Descriptors of clients and backends.
     pub descriptors: Arc<Descriptors>,
     /// Memory for values.
-    pub memory: Arc<Memory>,
+    pub memory: Arc<MemoryBudget>,
 }
 
 impl ProcessBudget {
--- a/src/net/lifecycle/budget/tests.rs
+++ b/src/net/lifecycle/budget/tests.rs
@@ -6,8 +6,8 @@
 
 #[test]
 fn two_processes_together_never_have_more_than_one() {
-    let memory = Memory::of(16);
-    let all = Memory::bound_of(16);
+    let memory = MemoryBudget::new(16);
+    let all = MemoryBudget::bytes_within(16);
     let process = ProcessBudget {
         for_two_processes: budget(100, all),
         for_one_process: budget(120, all),
@@ -16,11 +16,11 @@
     };
 
     assert_eq!(process.shrink(Activity::Serving), budget(50, all - all / 2));
-    assert!(memory.hold(all / 2 + 1).is_none(), "half is the other's");
+    assert!(memory.reserve(all / 2 + 1).is_none(), "half is the other's");
 
     process.set(BudgetGrant::Whole);
-    let descriptors: Vec<_> = (0..60).map(|_| process.descriptors.provider_descriptor()).collect();
-    let held = memory.hold(all / 4 * 3);
+    let descriptors: Vec<_> = (0..60).map(|_| process.descriptors.take_for_backend()).collect();
+    let held = memory.reserve(all / 4 * 3);
     // What is in use is not taken away; it goes over as it is given back.
     assert_eq!(process.shrink(Activity::Serving), budget(40, all - all / 4 * 3));
 
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -22,7 +22,7 @@
 use crate::net::hot_restart::{BudgetGrant, Handover, HotRestartHost, ResourceBudget};
 use crate::net::listener;
 use crate::net::log::log;
-use crate::net::memory::Memory;
+use crate::net::memory::MemoryBudget;
 use crate::net::policy::{Policy, PolicyParameters};
 use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::iterator::Signals;
@@ -239,10 +239,10 @@
 fn own_descriptors(config: &Config) -> usize {
     let mut count = OWN_DESCRIPTORS;
     if config.admin.is_some() {
-        count += descriptors::DOOR;
+        count += descriptors::ADMIN_DESCRIPTORS;
     }
     if config.fleet.is_some() {
-        count += descriptors::FLEET;
+        count += descriptors::FLEET_DESCRIPTORS;
     }
     count + config.policy().map_or(0, PolicyConfig::descriptors)
 }
@@ -253,7 +253,7 @@
     let total_descriptors = config.limits.sockets - own_descriptors;
     let for_one_process = ResourceBudget {
         descriptors: total_descriptors,
-        memory_bytes: Memory::bound_of(config.limits.memory_mb),
+        memory_bytes: MemoryBudget::bytes_within(config.limits.memory_mb),
     };
     let for_two_processes =
         ResourceBudget { descriptors: total_descriptors.saturating_sub(own_descriptors), ..for_one_process };
@@ -261,7 +261,7 @@
         for_two_processes,
         for_one_process,
         descriptors: Descriptors::new(total_descriptors),
-        memory: Memory::of(config.limits.memory_mb),
+        memory: MemoryBudget::new(config.limits.memory_mb),
     }
 }
 
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -1,61 +1,66 @@
-//! A bound on the memory that consumers' commands and providers' answers may take together, drawn on
-//! before a byte of either is stored.
+//! A bound on the memory that clients' commands and backends' responses may take together, reserved
+//! before a byte of either is stored. Read [`MemoryBudget`] first.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// The share of the memory limit for what consumers and providers send. The rest is the program's own and
-/// its stacks': measured at up to 16 MB with 384 descriptors.
+/// The share of the memory limit for what clients and backends send. The rest is for the program
+/// itself and its stacks: measured at up to 16 MB with 384 descriptors.
 const SHARE: f64 = 0.22;
+const BYTES_PER_MB: u32 = 1 << 20;
 
-/// The bound, and how much of it is drawn.
+/// The bound, and how much of it is reserved.
 #[derive(Debug)]
-pub struct Memory {
+pub struct MemoryBudget {
+    /// In bytes.
     bound: AtomicUsize,
-    drawn: AtomicUsize,
+    /// In bytes. Above the bound only after that was lowered.
+    reserved: AtomicUsize,
 }
 
-/// A part drawn from the bound, given back when dropped.
+/// A part of the budget, given back when it is dropped.
 #[derive(Debug)]
-pub struct Held {
-    from: Arc<Memory>,
+pub struct MemoryReservation {
+    budget: Arc<MemoryBudget>,
     bytes: usize,
 }
 
-impl Memory {
-    /// The bound of a program that may use so many MB in all.
-    pub fn of(limit_mb: usize) -> Arc<Memory> {
-        Arc::new(Memory { bound: AtomicUsize::new(Memory::bound_of(limit_mb)), drawn: AtomicUsize::new(0) })
+impl MemoryBudget {
+    /// The budget of a program that may use so many MB in all.
+    pub fn new(limit_mb: usize) -> Arc<MemoryBudget> {
+        let bound = AtomicUsize::new(MemoryBudget::bytes_within(limit_mb));
+        Arc::new(MemoryBudget { bound, reserved: AtomicUsize::new(0) })
     }
 
     /// How many bytes of values a program may hold that may use so many MB in all.
-    pub fn bound_of(limit_mb: usize) -> usize {
-        (limit_mb as f64 * SHARE * f64::from(1 << 20)) as usize
+    pub fn bytes_within(limit_mb: usize) -> usize {
+        (limit_mb as f64 * SHARE * f64::from(BYTES_PER_MB)) as usize
     }
 
-    /// Draws so many bytes, if there are as many left.
-    pub fn hold(self: &Arc<Self>, bytes: usize) -> Option<Held> {
+    /// Reserves so many bytes, if as many are left.
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<MemoryReservation> {
         let bound = self.bound.load(Ordering::Acquire);
-        let more = |drawn: usize| drawn.checked_add(bytes).filter(|drawn| *drawn <= bound);
-        self.drawn.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).ok()?;
-        Some(Held { from: Arc::clone(self), bytes })
+        let add = |reserved: usize| reserved.checked_add(bytes).filter(|sum| *sum <= bound);
+        self.reserved.fetch_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
+        Some(MemoryReservation { budget: Arc::clone(self), bytes })
     }
 
-    /// Makes do with `least`, or with what is drawn if that is more; how many bytes that is.
+    /// Shrinks the bound to `least`, or to what is reserved if that is more; returns the bound in
+    /// bytes.
     pub fn shrink(&self, least: usize) -> usize {
-        let bound = least.max(self.drawn.load(Ordering::Acquire));
+        let bound = least.max(self.reserved.load(Ordering::Acquire));
         self.resize(bound);
         bound
     }
 
-    /// From now on so many bytes.
+    /// Changes the bound, in bytes.
     pub fn resize(&self, bound: usize) {
         self.bound.store(bound, Ordering::Release);
     }
 }
 
-impl Drop for Held {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.from.drawn.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.budget.reserved.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
