Counters: Counter, increment and ExternalCounters; the names that leave the process stay

The fields keep their names, since stats and the log are made of them; the module says so and what the old words in them mean. Call sites follow. One test's name speaks of external counters; what it asserts is the same.

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -66,7 +66,7 @@
         let timeout = self.connect_timeout();
         match self.pool.open(&attempt.address, timeout.min(left)) {
             Ok(connection) => {
-                self.counters.provider_connections.add();
+                self.counters.provider_connections.increment();
                 Ok(connection)
             }
             // No fault of the backend: the limit on sockets is this proxy's own.
@@ -114,7 +114,7 @@
     }
 
     fn malformed(&self) -> AttemptResult {
-        self.counters.answers_spoilt.add();
+        self.counters.answers_spoilt.increment();
         Outcome::Error.into()
     }
 
@@ -159,17 +159,17 @@
             match connection.stream.read(&mut bytes, Instant::now() + STREAM_STALL_TIMEOUT) {
                 Ok(count) if count > 0 => {}
                 _ => {
-                    self.counters.values_broken.add();
+                    self.counters.values_broken.increment();
                     return Outcome::Reset.into();
                 }
             }
         }
         if !bytes.starts_with(value.terminator) {
-            self.counters.values_broken.add();
+            self.counters.values_broken.increment();
             return self.malformed();
         }
         reader.finish();
-        self.counters.values_flowed.add();
+        self.counters.values_flowed.increment();
         if bytes.len() == value.terminator.len() {
             self.release(attempt, connection, value.reuse);
         }
@@ -195,7 +195,7 @@
 impl Drop for OutcomeReporter<'_> {
     fn drop(&mut self) {
         let result = self.result.take().unwrap_or_else(|| {
-            self.service.counters.panics.add();
+            self.service.counters.panics.increment();
             Outcome::Reset.into()
         });
         self.service.dispatcher.attempt_finished(self.id, result.outcome, result.payload);
--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -30,7 +30,7 @@
             match listener.accept() {
                 Ok(Some(stream)) => {
                     last_id += 1;
-                    self.counters.consumers_accepted.add();
+                    self.counters.consumers_accepted.increment();
                     self.serve_connection(last_id, stream);
                 }
                 Ok(None) => return,
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -56,7 +56,7 @@
         match (self.parse_by_active_policy(command), memory) {
             (Err(rejection), _) => self.respond_rejected(rejection),
             (Ok(_), None) => {
-                self.service.counters.rejected_for_memory.add();
+                self.service.counters.rejected_for_memory.increment();
                 self.respond("SERVER_ERROR busy\r\n".to_owned());
             }
             (Ok(request), Some(memory)) => self.submit_request(request, memory),
@@ -97,7 +97,7 @@
 
     /// Responds to a malformed command with an error.
     pub(super) fn respond_malformed(&mut self, error: impl Display) {
-        self.service.counters.taken_malformed.add();
+        self.service.counters.taken_malformed.increment();
         self.had_errors = true;
         self.respond(format!("{error}\r\n"));
     }
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -219,7 +219,7 @@
             Reason::OverBudget => &self.counters.consumers_over_budget,
             Reason::Evicted => &self.counters.consumers_evicted,
         };
-        counter.add();
+        counter.increment();
     }
 
     fn with_registry<T>(&self, act: impl FnOnce(&mut ConnectionRegistry) -> T) -> T {
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,17 +1,21 @@
-//! What the proxy has taken in, sent and answered, by kind.
+//! What the proxy has accepted, sent and answered, by kind. Read [`Counters`] first.
+//!
+//! Danger: the names of its fields leave the process in `stats` and in the log, where dashboards and
+//! alarms read them. They are older than the terms used elsewhere: a *consumer* there is a client, a
+//! *provider* a backend, a *call* an attempt.
 
 use crate::interface::Outcome;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
-/// One count.
+/// One counter.
 #[derive(Debug, Default)]
-pub struct Count(AtomicU64);
+pub struct Counter(AtomicU64);
 
-impl Count {
-    /// One more.
-    pub fn add(&self) {
+impl Counter {
+    /// Counts one more.
+    pub fn increment(&self) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -22,41 +26,46 @@
 }
 
 /// Names and values.
-type List = Vec<(&'static str, u64)>;
+pub type CounterList = Vec<(&'static str, u64)>;
 
-/// Counts that somebody else keeps.
+/// Counters that another part of the program keeps.
 #[derive(Default)]
-pub struct Others(OnceLock<Box<dyn Fn() -> List + Send + Sync>>);
+pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> CounterList + Send + Sync>>);
 
-impl Others {
-    /// From now on these are counted too.
-    pub fn are(&self, list: impl Fn() -> List + Send + Sync + 'static) {
+impl ExternalCounters {
+    /// Sets where they are read from; only the first source that is set counts.
+    pub fn set_source(&self, list: impl Fn() -> CounterList + Send + Sync + 'static) {
         // Set once, at the start.
         let _ = self.0.set(Box::new(list));
     }
+
+    /// Names and values; none while there is no source.
+    fn list(&self) -> CounterList {
+        self.0.get().map_or(CounterList::new(), |list| list())
+    }
 }
 
-impl std::fmt::Debug for Others {
+impl std::fmt::Debug for ExternalCounters {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Others")
+        f.write_str("ExternalCounters")
     }
 }
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// All counts of one proxy since its start.
+        /// All counters of one proxy, from 0 at its start.
         #[derive(Debug, Default)]
         pub struct Counters {
-            $($(#[$doc])* pub $name: Count,)*
-            /// What else is counted.
-            pub others: Others,
+            $($(#[$doc])* pub $name: Counter,)*
+            /// What the fleet and the common policy count.
+            pub external: ExternalCounters,
         }
 
         impl Counters {
-            /// Names and values, in a fixed order.
-            pub fn list(&self) -> Vec<(&'static str, u64)> {
+            /// Names and values, in a fixed order; those kept elsewhere come last.
+            pub fn list(&self) -> CounterList {
                 let mut list = vec![$((stringify!($name), self.$name.get()),)*];
-                list.extend(self.others.0.get().into_iter().flat_map(|others| others()));
+                list.extend(self.external.list());
                 list
             }
         }
@@ -64,61 +73,61 @@
 }
 
 counters! {
-    /// Consumer connections accepted.
+    /// Client connections accepted.
     consumers_accepted,
-    /// Consumer connections closed to make room, with every place taken.
+    /// Client connections closed to make room, with the capacity used up.
     consumers_evicted,
-    /// Consumer connections closed while idle since hardly any of their kind come back.
+    /// Client connections closed while idle since hardly any of their kind are used again.
     consumers_hopeless,
-    /// Consumer connections closed since too many of them owed the same.
+    /// Client connections closed since too many of them were in the same phase.
     consumers_over_budget,
-    /// Consumer connections closed since they kept a wait beyond its time.
+    /// Client connections closed since they were in a phase for too long.
     consumers_late,
-    /// Reads taken in.
+    /// Reads accepted.
     taken_reads,
-    /// Writes taken in.
+    /// Writes accepted.
     taken_writes,
     /// Commands answered as unknown, malformed or too large.
     taken_malformed,
-    /// Commands turned away since there was no memory for their answers.
+    /// Requests rejected since there was no memory for their responses.
     rejected_for_memory,
-    /// Invocations served.
+    /// Requests served.
     answered_served,
-    /// Invocations answered with a rejection.
+    /// Requests rejected.
     answered_rejected,
-    /// Invocations failed.
+    /// Requests failed.
     answered_failed,
-    /// Invocations whose consumer left first.
+    /// Requests cancelled since their client left.
     consumers_gone,
-    /// Invocations the module left unanswered until the exchange ended them.
+    /// Requests that the decision module left open until the dispatcher ended them.
     overdue,
-    /// Invoker calls ordered by the module.
+    /// Attempts that the decision module asked for.
     calls_ordered,
-    /// Invoker calls that ended served.
+    /// Attempts that were served.
     calls_ok,
-    /// Invoker calls answered as missing.
+    /// Attempts at a cache node that did not hold the key.
     calls_miss,
-    /// Invoker calls that failed at the provider.
+    /// Attempts that failed at the backend.
     calls_error,
-    /// Invoker calls turned away by the provider.
+    /// Attempts that the backend rejected.
     calls_full,
-    /// Invoker calls that ran out of time.
+    /// Attempts that ran out of time.
     calls_timeout,
-    /// Invoker calls that never got a connection.
+    /// Attempts that got no connection.
     calls_connect_failed,
-    /// Invoker calls whose connection broke.
+    /// Attempts whose connection broke.
     calls_reset,
-    /// Invoker calls called off.
+    /// Attempts cancelled.
     calls_cancelled,
-    /// Invoker calls never sent.
+    /// Attempts not sent.
     calls_moot,
-    /// Answers of providers that could not be understood or never came to their end.
+    /// Responses of backends that were malformed or did not come to their end.
     answers_spoilt,
-    /// Long values passed on in pieces, to their end.
+    /// Long values streamed to their end.
     values_flowed,
-    /// Long values that broke off on the way.
+    /// Long values that broke off while they streamed.
     values_broken,
-    /// Connections opened to providers.
+    /// Connections opened to backends.
     provider_connections,
     /// Watches started at discovery.
     watches,
@@ -126,17 +135,17 @@
     watches_failed,
     /// Lists and changes received from discovery.
     lists,
-    /// Configurations read again at SIGHUP.
+    /// Reloads of the configuration at SIGHUP.
     reloads,
-    /// Configurations that were bad at SIGHUP; the old one stayed.
+    /// Reloads that found a bad configuration; the old one stayed active.
     reloads_failed,
-    /// Panics caught in a coroutine or the module.
+    /// Panics caught in a coroutine or the decision module.
     panics,
 }
 
 impl Counters {
-    /// The count of an outcome.
-    pub fn outcome(&self, outcome: Outcome) -> &Count {
+    /// The counter of an outcome.
+    pub fn outcome(&self, outcome: Outcome) -> &Counter {
         match outcome {
             Outcome::Ok => &self.calls_ok,
             Outcome::Miss => &self.calls_miss,
@@ -150,13 +159,13 @@
         }
     }
 
-    /// One line of `name=value`.
+    /// All counters as one line of `name=value`, for the log.
     pub fn line(&self) -> String {
-        let mut out = String::from("counters");
+        let mut line = String::from("counters");
         for (name, value) in self.list() {
-            let _ = write!(out, " {name}={value}");
+            let _ = write!(line, " {name}={value}");
         }
-        out
+        line
     }
 }
 
--- a/src/net/counters_golden_tests.rs
+++ b/src/net/counters_golden_tests.rs
@@ -50,9 +50,9 @@
 }
 
 #[test]
-fn counts_of_others_come_after_the_own_ones() {
+fn external_counters_come_after_the_own_ones() {
     let counters = Counters::default();
-    counters.others.are(|| vec![("fleet_probes", 1), ("policy_version", 2)]);
+    counters.external.set_source(|| vec![("fleet_probes", 1), ("policy_version", 2)]);
     let list = counters.list();
     assert_eq!(list.len(), NAMES.len() + 2);
     assert_eq!(list[NAMES.len()..], [("fleet_probes", 1), ("policy_version", 2)]);
@@ -61,7 +61,7 @@
 #[test]
 fn the_line_of_the_log_is_the_recorded_text() {
     let counters = Counters::default();
-    counters.panics.add();
+    counters.panics.increment();
     let zeros: String = NAMES[..33].iter().map(|name| format!(" {name}=0")).collect();
     assert_eq!(counters.line(), format!("counters{zeros} panics=1"));
 }
@@ -81,7 +81,7 @@
     ];
     for (outcome, recorded) in recorded {
         let counters = Counters::default();
-        counters.outcome(outcome).add();
+        counters.outcome(outcome).increment();
         let counted: Vec<_> = counters.list().into_iter().filter(|(_, count)| *count > 0).collect();
         assert_eq!(counted, [(recorded, 1)]);
     }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -102,11 +102,11 @@
         loop {
             let started = Instant::now();
             let target = self.target.current();
-            self.counters.watches.add();
+            self.counters.watches.increment();
             let Err(error) = self.watch(target);
             let has_moved = self.target.detach(target);
             if !has_moved {
-                self.counters.watches_failed.add();
+                self.counters.watches_failed.increment();
                 log(&format!("watch: {error}"));
                 let delay = self.delays.before_next(&error, started.elapsed());
                 return FailedWatch { target, delay };
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -56,7 +56,7 @@
         };
         let attempt = in_flight.attempts_ordered;
         in_flight.attempts_ordered = attempt.saturating_add(1);
-        self.counters.calls_ordered.add();
+        self.counters.calls_ordered.increment();
         // Danger: a second copy. The module asks for none while an attempt is in flight; should it ever,
         // that is seen here, and it is not sent.
         if !in_flight.attempts.is_empty() {
@@ -66,7 +66,7 @@
         let may_attempt = in_flight.pending.is_some() && in_flight.attempts.is_empty();
         let endpoint = state.endpoints.get(&plan.server);
         let Some(endpoint) = endpoint.filter(|endpoint| endpoint.is_ready() && may_attempt) else {
-            self.counters.calls_moot.add();
+            self.counters.calls_moot.increment();
             return Err(plan.not_sent(attempt, in_flight.pending.is_none()));
         };
         in_flight.attempts.insert(attempt, InFlightAttempt { server: plan.server, sent: now });
@@ -99,7 +99,7 @@
         let Some(request) = state.requests.get_mut(&id.request) else { return false };
         let Some(pending) = request.pending.take() else { return false };
         request.stream_began = Some(now);
-        self.counters.answered_served.add();
+        self.counters.answered_served.increment();
         pending.send(Response::Stream { length, body });
         self.handle_event(state, Event::StreamBegan(id.request));
         true
@@ -111,7 +111,7 @@
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(&id.request) else { return };
         let Some(attempt) = request.attempts.remove(&id.attempt) else { return };
-        self.counters.outcome(outcome).add();
+        self.counters.outcome(outcome).increment();
         let served = match (outcome, payload) {
             (Outcome::Ok, Some(payload)) => request.pending.take().map(|pending| (pending, payload)),
             _ => None,
@@ -129,7 +129,7 @@
         };
         // The client need not wait for what the module makes of it.
         if let Some((pending, payload)) = served {
-            self.counters.answered_served.add();
+            self.counters.answered_served.increment();
             pending.send(Response::Complete(payload));
         }
         self.handle_event(state, Event::AttemptEnd(end));
--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -50,8 +50,8 @@
         let pending = state.take_pending(id)?;
         state.forget_if_over(id);
         match response {
-            Response::Rejected { .. } => self.counters.answered_rejected.add(),
-            _ => self.counters.answered_failed.add(),
+            Response::Rejected { .. } => self.counters.answered_rejected.increment(),
+            _ => self.counters.answered_failed.increment(),
         }
         Some(SideEffect::Respond(pending, response))
     }
@@ -80,7 +80,7 @@
         let handled = catch_unwind(AssertUnwindSafe(|| balancer.handle(self.now, event, actions)));
         if handled.is_err() {
             // The module panicked over this event: nothing more can be expected for its request.
-            self.dispatcher.counters.panics.add();
+            self.dispatcher.counters.panics.increment();
             actions.clear();
             actions.extend(request.map(Action::Fail));
         }
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -57,9 +57,9 @@
 
     fn count_accepted(&self, request: &ClientRequest) {
         if request.value.is_some() {
-            self.counters.taken_writes.add();
+            self.counters.taken_writes.increment();
         } else {
-            self.counters.taken_reads.add();
+            self.counters.taken_reads.increment();
         }
     }
 
@@ -96,7 +96,7 @@
         // It is dropped at the end of this function, with the lock released, and its timers with it.
         let pending = state.take_pending(id);
         if pending.is_some() {
-            self.counters.consumers_gone.add();
+            self.counters.consumers_gone.increment();
             self.handle_event(state, Event::ClientGone(id));
         }
     }
@@ -117,8 +117,8 @@
     fn expire(self: &Arc<Self>, id: RequestId) {
         let mut state = self.lock();
         if let Some(pending) = state.take_pending(id) {
-            self.counters.overdue.add();
-            self.counters.answered_failed.add();
+            self.counters.overdue.increment();
+            self.counters.answered_failed.increment();
             self.handle_event(state, Event::ClientGone(id));
             pending.send(Response::Failed);
         }
--- a/src/net/fleet/event_loop.rs
+++ b/src/net/fleet/event_loop.rs
@@ -104,7 +104,7 @@
                 // What cannot be sent is lost like any datagram.
                 Output::Send(to, datagram) => {
                     if socket.inner().send_to(&datagram, to).is_err() {
-                        self.send_failures.add();
+                        self.send_failures.increment();
                     }
                 }
                 // The quota has taken its messages already; without one they are dropped.
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -23,7 +23,7 @@
 pub use process_quota::{FleetLimits, ProcessQuota, QuotaHandler, SecondProcess};
 
 use super::config::FleetConfig;
-use super::counters::Count;
+use super::counters::Counter;
 use active_member::ActiveMember;
 use pinetrail_membership::{MembershipCounters, Time};
 use quota::{QuotaDriver, QuotaStatus};
@@ -60,7 +60,7 @@
     activations: AtomicU64,
     /// Guards the counters of memberships that have ended.
     earlier_counters: Mutex<MembershipCounters>,
-    send_failures: Count,
+    send_failures: Counter,
     quota_handler: QuotaHandler,
     /// Whether the other process of this proxy serves as well: they have one guaranteed minimum
     /// between them.
@@ -85,7 +85,7 @@
             activity: Mutex::new(Activity::Inactive),
             activations: AtomicU64::new(0),
             earlier_counters: Mutex::default(),
-            send_failures: Count::default(),
+            send_failures: Counter::default(),
             quota_handler,
             shares_minimum: AtomicBool::new(second_process == SecondProcess::Serving),
             directory_handler: OnceLock::new(),
--- a/src/net/lifecycle/reload.rs
+++ b/src/net/lifecycle/reload.rs
@@ -12,11 +12,11 @@
         self.apply(LifecycleEvent::ReloadStarted);
         match config.reload() {
             Ok(newer) => {
-                self.counters.reloads.add();
+                self.counters.reloads.increment();
                 self.apply_config(config, newer, services);
             }
             Err(error) => {
-                self.counters.reloads_failed.add();
+                self.counters.reloads_failed.increment();
                 log(&format!("reload: the old configuration stays: {error}"));
             }
         }
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -156,7 +156,7 @@
         let fleet =
             self.fleet.get_or_init(|| new_fleet(fleet_config.clone(), config.seed, dispatcher, handover));
         let lifecycle = Arc::clone(self);
-        self.counters.others.are(move || lifecycle.fleet_counters());
+        self.counters.external.set_source(move || lifecycle.fleet_counters());
         if handover.is_none() {
             fleet.activate()?;
         }
