--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,18 +1,21 @@
-//! [`Counters`]: what the proxy has accepted, sent and responded, by kind. `stats`, the log and
-//! operators' dashboards show them under the names of the fields, in their order: both are fixed.
+//! What the proxy has accepted, sent and answered, by kind. Read [`Counters`] first.
+//!
+//! Danger: the names of its fields leave the process in `stats` and in the log, where dashboards and
+//! alarms read them. They are older than the terms used elsewhere: a *consumer* there is a client, a
+//! *provider* a backend, a *call* an attempt.
 
 use crate::interface::Outcome;
-use std::fmt::{self, Write};
+use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
-/// One counter, which only grows.
+/// One counter.
 #[derive(Debug, Default)]
-pub struct Count(AtomicU64);
+pub struct Counter(AtomicU64);
 
-impl Count {
-    /// Adds one.
-    pub fn add(&self) {
+impl Counter {
+    /// Counts one more.
+    pub fn increment(&self) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -22,44 +25,45 @@
     }
 }
 
-/// Names and values, in the order in which they are shown.
-type NamedCounts = Vec<(&'static str, u64)>;
+/// Names and values.
+pub type CounterList = Vec<(&'static str, u64)>;
 
-/// Counters that another part of the program keeps: those of the fleet.
+/// Counters that another part of the program keeps.
 #[derive(Default)]
-pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> NamedCounts + Send + Sync>>);
+pub struct ExternalCounters(OnceLock<Box<dyn Fn() -> CounterList + Send + Sync>>);
 
 impl ExternalCounters {
-    /// From now on what `list` returns is shown too. Called once, at the start; only the first call
-    /// counts.
-    pub fn set_source(&self, list: impl Fn() -> NamedCounts + Send + Sync + 'static) {
+    /// Sets where they are read from; only the first source that is set counts.
+    pub fn set_source(&self, list: impl Fn() -> CounterList + Send + Sync + 'static) {
+        // Set once, at the start.
         let _ = self.0.set(Box::new(list));
     }
 
-    fn list(&self) -> NamedCounts {
-        self.0.get().map_or(Vec::new(), |list| list())
+    /// Names and values; none while there is no source.
+    fn list(&self) -> CounterList {
+        self.0.get().map_or(CounterList::new(), |list| list())
     }
 }
 
-impl fmt::Debug for ExternalCounters {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl std::fmt::Debug for ExternalCounters {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("ExternalCounters")
     }
 }
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// All counters of one proxy since its start.
+        /// All counters of one proxy, from 0 at its start.
         #[derive(Debug, Default)]
         pub struct Counters {
-            $($(#[$doc])* pub $name: Count,)*
-            /// Counters that another part of the program keeps.
+            $($(#[$doc])* pub $name: Counter,)*
+            /// What the fleet and the common policy count.
             pub external: ExternalCounters,
         }
 
         impl Counters {
-            /// Names and values, in a fixed order.
-            pub fn list(&self) -> Vec<(&'static str, u64)> {
+            /// Names and values, in a fixed order; those kept elsewhere come last.
+            pub fn list(&self) -> CounterList {
                 let mut list = vec![$((stringify!($name), self.$name.get()),)*];
                 list.extend(self.external.list());
                 list
@@ -71,21 +75,21 @@
 counters! {
     /// Client connections accepted.
     consumers_accepted,
-    /// Client connections closed to make room, with the connection limit reached.
+    /// Client connections closed to make room, with the capacity used up.
     consumers_evicted,
-    /// Client connections closed while idle since hardly any of their kind return.
+    /// Client connections closed while idle since hardly any of their kind are used again.
     consumers_hopeless,
-    /// Client connections closed since too many of them owed the same.
+    /// Client connections closed since too many of them were in the same phase.
     consumers_over_budget,
-    /// Client connections closed since they stayed in a phase beyond its time.
+    /// Client connections closed since they were in a phase for too long.
     consumers_late,
     /// Reads accepted.
     taken_reads,
     /// Writes accepted.
     taken_writes,
-    /// Commands refused as unknown, malformed or too large.
+    /// Commands answered as unknown, malformed or too large.
     taken_malformed,
-    /// Commands rejected since there was no memory for their responses.
+    /// Requests rejected since there was no memory for their responses.
     rejected_for_memory,
     /// Requests served.
     answered_served,
@@ -93,21 +97,21 @@
     answered_rejected,
     /// Requests failed.
     answered_failed,
-    /// Requests whose client left first.
+    /// Requests cancelled since their client left.
     consumers_gone,
     /// Requests that the decision module left open until the dispatcher ended them.
     overdue,
-    /// Attempts ordered by the decision module.
+    /// Attempts that the decision module asked for.
     calls_ordered,
-    /// Attempts that ended served.
+    /// Attempts that were served.
     calls_ok,
-    /// Attempts that ended as a miss.
+    /// Attempts at a cache node that did not hold the key.
     calls_miss,
     /// Attempts that failed at the backend.
     calls_error,
-    /// Attempts rejected by the backend.
+    /// Attempts that the backend rejected.
     calls_full,
-    /// Attempts that timed out.
+    /// Attempts that ran out of time.
     calls_timeout,
     /// Attempts that got no connection.
     calls_connect_failed,
@@ -117,11 +121,11 @@
     calls_cancelled,
     /// Attempts not sent.
     calls_moot,
-    /// Responses of backends that could not be parsed or never came to their end.
+    /// Responses of backends that were malformed or did not come to their end.
     answers_spoilt,
     /// Long values streamed to their end.
     values_flowed,
-    /// Long values whose stream broke off.
+    /// Long values that broke off while they streamed.
     values_broken,
     /// Connections opened to backends.
     provider_connections,
@@ -131,17 +135,17 @@
     watches_failed,
     /// Lists and changes received from discovery.
     lists,
-    /// Configurations read again at SIGHUP.
+    /// Reloads of the configuration at SIGHUP.
     reloads,
-    /// Configurations refused at SIGHUP; the old one stayed.
+    /// Reloads that found a bad configuration; the old one stayed active.
     reloads_failed,
-    /// Panics caught in a coroutine or the module.
+    /// Panics caught in a coroutine or the decision module.
     panics,
 }
 
 impl Counters {
-    /// The counter of attempts that ended so.
-    pub fn for_outcome(&self, outcome: Outcome) -> &Count {
+    /// The counter of an outcome.
+    pub fn outcome(&self, outcome: Outcome) -> &Counter {
         match outcome {
             Outcome::Ok => &self.calls_ok,
             Outcome::Miss => &self.calls_miss,
@@ -155,13 +159,13 @@
         }
     }
 
-    /// All of them in one line, as `name=value`.
+    /// All counters as one line of `name=value`, for the log.
     pub fn line(&self) -> String {
-        let mut out = String::from("counters");
+        let mut line = String::from("counters");
         for (name, value) in self.list() {
-            let _ = write!(out, " {name}={value}");
+            let _ = write!(line, " {name}={value}");
         }
-        out
+        line
     }
 }
 
--- a/src/net/counters_golden_tests.rs
+++ b/src/net/counters_golden_tests.rs
@@ -61,7 +61,7 @@
 #[test]
 fn the_line_of_the_log_is_the_recorded_text() {
     let counters = Counters::default();
-    counters.panics.add();
+    counters.panics.increment();
     let zeros: String = NAMES[..33].iter().map(|name| format!(" {name}=0")).collect();
     assert_eq!(counters.line(), format!("counters{zeros} panics=1"));
 }
@@ -81,7 +81,7 @@
     ];
     for (outcome, recorded) in recorded {
         let counters = Counters::default();
-        counters.for_outcome(outcome).add();
+        counters.outcome(outcome).increment();
         let counted: Vec<_> = counters.list().into_iter().filter(|(_, count)| *count > 0).collect();
         assert_eq!(counted, [(recorded, 1)]);
     }
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,38 +1,45 @@
-//! [`Descriptors`]: the file descriptors that connections to clients and backends share, counted as
-//! they are taken. What each side may take is decided by
-//! [`pinetrail_connection_limits::DescriptorBudget`].
+//! The file descriptors that clients and backends share, counted as they are taken. What each side
+//! may take is decided by [`pinetrail_connection_limits::DescriptorBudget`]. Read [`Descriptors`].
 
-use pinetrail_connection_limits::DescriptorBudget;
+use pinetrail_connection_limits::{DescriptorBudget, Millis};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// What the admin server takes: its connections, its listener, and one that is being accepted.
-pub const ADMIN_DESCRIPTORS: usize = MAX_ADMIN_CONNECTIONS + 2;
-/// Connections to the admin server that may be open at once.
+/// Connections to the operators' endpoint that may be open at once.
 pub const MAX_ADMIN_CONNECTIONS: usize = 16;
+/// What the operators' endpoint takes: its connections, its listener, and one connection that is
+/// being accepted.
+pub const ADMIN_DESCRIPTORS: usize = MAX_ADMIN_CONNECTIONS + 2;
 /// What a fleet takes: its socket.
 pub const FLEET_DESCRIPTORS: usize = 1;
 
-/// The share of all descriptors that backends cannot take from clients.
-const CLIENT_MINIMUM_SHARE: f64 = 0.5;
-/// The share of all descriptors that clients cannot take from backends.
-const BACKEND_MINIMUM_SHARE: f64 = 0.25;
+/// Backends cannot take this share of all descriptors from clients.
+const RESERVED_FOR_CLIENTS: f64 = 0.5;
+/// Clients cannot take this share of all descriptors from backends.
+const RESERVED_FOR_BACKENDS: f64 = 0.25;
 
-/// The descriptors of one proxy, less those for its own use.
+/// The descriptors of one proxy, without those for its own use.
 #[derive(Debug)]
 pub struct Descriptors {
     started: Instant,
-    /// Guards the division between clients and backends, and each decision by it together with the
-    /// counts below. Nothing waits under it.
+    /// Guards the budget, and that counts are compared with it and changed in one step. Nothing
+    /// waits under it, and no other lock is taken.
     budget: Mutex<DescriptorBudget>,
-    /// Connections to clients, as the client service said last.
     clients: AtomicUsize,
-    /// Connections to backends; lowered without the lock when one closes.
     backends: AtomicUsize,
 }
 
-/// The descriptor of a connection to a backend; given back when it is dropped.
+/// How many client connections there may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientCapacity {
+    /// The most that there may be now.
+    pub limit: usize,
+    /// Whether one more can be accepted.
+    pub has_room: bool,
+}
+
+/// A backend connection's descriptor; given back when it is dropped.
 #[derive(Debug)]
 pub struct BackendDescriptor(Arc<Descriptors>);
 
@@ -42,19 +49,10 @@
     }
 }
 
-/// What the client service may hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClientAllowance {
-    /// How many connections.
-    pub limit: usize,
-    /// Whether there is a descriptor for one more now.
-    pub has_room: bool,
-}
-
 impl Descriptors {
-    /// So many descriptors.
+    /// So many descriptors, none of them taken.
     pub fn new(total: usize) -> Arc<Descriptors> {
-        let budget = DescriptorBudget::new(total, CLIENT_MINIMUM_SHARE, BACKEND_MINIMUM_SHARE);
+        let budget = DescriptorBudget::new(total, RESERVED_FOR_CLIENTS, RESERVED_FOR_BACKENDS);
         Arc::new(Descriptors {
             started: Instant::now(),
             budget: Mutex::new(budget),
@@ -63,45 +61,48 @@
         })
     }
 
-    /// Lowers the total to `least`, or to what is in use and `spare` more if that is higher.
-    /// Returns the new total.
+    /// Shrinks the total to `least`, or to what is taken and `spare` on top if that is more; returns
+    /// the total.
     pub fn shrink(&self, least: usize, spare: usize) -> usize {
         let mut budget = self.budget();
-        let in_use = self.clients.load(Ordering::Acquire) + self.backends.load(Ordering::Acquire);
-        let total = least.max(in_use + spare);
+        let taken = self.clients.load(Ordering::Acquire) + self.backends.load(Ordering::Acquire);
+        let total = least.max(taken + spare);
         budget.resize(total);
         total
     }
 
-    /// Sets the total.
+    /// Changes the total.
     pub fn resize(&self, total: usize) {
         self.budget().resize(total);
     }
 
-    /// Milliseconds since the start.
-    pub fn now(&self) -> u64 {
+    /// The clock of the descriptors and of the client connections: milliseconds since the start.
+    pub fn now_ms(&self) -> Millis {
         self.started.elapsed().as_millis() as u64
     }
 
-    /// A descriptor for a connection to a backend, or none now; that it was wanted is remembered.
-    pub fn try_backend_descriptor(self: &Arc<Self>) -> Option<BackendDescriptor> {
+    /// Takes a descriptor for a backend connection, if there is one for it now. That it was wanted is
+    /// remembered either way.
+    pub fn take_for_backend(self: &Arc<Self>) -> Option<BackendDescriptor> {
         let mut budget = self.budget();
-        let open = self.backends.load(Ordering::Acquire);
-        budget.record_backend_need(self.now(), open + 1);
-        if open >= budget.backend_limit(self.clients.load(Ordering::Acquire)) {
+        let taken = self.backends.load(Ordering::Acquire);
+        budget.record_backend_need(self.now_ms(), taken + 1);
+        if taken >= budget.backend_limit(self.clients.load(Ordering::Acquire)) {
             return None;
         }
         self.backends.fetch_add(1, Ordering::AcqRel);
         Some(BackendDescriptor(Arc::clone(self)))
     }
 
-    /// Takes in how many connections to clients are open, and returns what is allowed.
-    pub fn set_client_connections(&self, open: usize) -> ClientAllowance {
+    /// Notes how many client connections are open; returns how many there may be.
+    pub fn update_clients(&self, open: usize) -> ClientCapacity {
         let budget = self.budget();
         self.clients.store(open, Ordering::Release);
-        let now = self.now();
-        let backends = self.backends.load(Ordering::Acquire);
-        ClientAllowance { limit: budget.client_limit(now), has_room: budget.has_room(now, open, backends) }
+        let now = self.now_ms();
+        ClientCapacity {
+            limit: budget.client_limit(now),
+            has_room: budget.has_room(now, open, self.backends.load(Ordering::Acquire)),
+        }
     }
 
     fn budget(&self) -> MutexGuard<'_, DescriptorBudget> {
--- a/src/net/lifecycle/reload.rs
+++ b/src/net/lifecycle/reload.rs
@@ -12,11 +12,11 @@
         self.apply(LifecycleEvent::ReloadStarted);
         match config.reload() {
             Ok(newer) => {
-                self.counters.reloads.add();
+                self.counters.reloads.increment();
                 self.apply_config(config, newer, services);
             }
             Err(error) => {
-                self.counters.reloads_failed.add();
+                self.counters.reloads_failed.increment();
                 log(&format!("reload: the old configuration stays: {error}"));
             }
         }
@@ -49,7 +49,7 @@
                 let classes = newer.names.classes().join(", ");
                 log(&format!("reload: new settings are active, with the classes {classes}"));
                 services.dispatcher.apply_settings(newer.settings.clone(), newer.names.clone());
-                services.backends.retune(newer.connect_timeout, idle_timeout(&newer.settings));
+                services.backends.set_timeouts(newer.connect_timeout, idle_timeout(&newer.settings));
             }
         }
     }
--- a/src/net/lifecycle/start.rs
+++ b/src/net/lifecycle/start.rs
@@ -11,8 +11,8 @@
 use super::{idle_timeout, Lifecycle, RunningServices};
 use crate::interface;
 use crate::net::admin::{AdminBackend, AdminServer};
-use crate::net::backend::BackendService;
-use crate::net::client::ClientService;
+use crate::net::backend::{BackendService, BackendServiceParameters};
+use crate::net::client::{ClientService, ClientServiceParameters};
 use crate::net::config::{Catalog, Config, FleetConfig, PolicyConfig};
 use crate::net::counters::Counters;
 use crate::net::descriptors::{self, Descriptors};
@@ -22,7 +22,7 @@
 use crate::net::hot_restart::{BudgetGrant, Handover, HotRestartHost, ResourceBudget};
 use crate::net::listener;
 use crate::net::log::log;
-use crate::net::memory::Memory;
+use crate::net::memory::MemoryBudget;
 use crate::net::policy::{Policy, PolicyParameters};
 use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::iterator::Signals;
@@ -253,7 +253,7 @@
     let total_descriptors = config.limits.sockets - own_descriptors;
     let for_one_process = ResourceBudget {
         descriptors: total_descriptors,
-        memory_bytes: Memory::value_bytes(config.limits.memory_mb),
+        memory_bytes: MemoryBudget::bytes_within(config.limits.memory_mb),
     };
     let for_two_processes =
         ResourceBudget { descriptors: total_descriptors.saturating_sub(own_descriptors), ..for_one_process };
@@ -261,7 +261,7 @@
         for_two_processes,
         for_one_process,
         descriptors: Descriptors::new(total_descriptors),
-        memory: Memory::with_limit_mb(config.limits.memory_mb),
+        memory: MemoryBudget::new(config.limits.memory_mb),
     }
 }
 
@@ -270,24 +270,24 @@
     foundation: &Foundation,
     commands: Receiver<BackendCommand>,
 ) -> Arc<BackendService> {
-    BackendService::start(
-        Arc::clone(&foundation.dispatcher),
-        Arc::clone(&foundation.counters),
+    BackendService::start(BackendServiceParameters {
+        dispatcher: Arc::clone(&foundation.dispatcher),
+        counters: Arc::clone(&foundation.counters),
         commands,
-        Arc::clone(&foundation.budget.descriptors),
-        config.connect_timeout,
-        idle_timeout(&config.settings),
-    )
+        descriptors: Arc::clone(&foundation.budget.descriptors),
+        connect_timeout: config.connect_timeout,
+        idle_timeout: idle_timeout(&config.settings),
+    })
 }
 
 fn start_clients(foundation: &Foundation, socket: TcpListener) -> Result<Arc<ClientService>, StartError> {
-    ClientService::start(
-        Arc::clone(&foundation.dispatcher),
-        Arc::clone(&foundation.counters),
-        Arc::clone(&foundation.budget.memory),
-        Arc::clone(&foundation.budget.descriptors),
+    ClientService::start(ClientServiceParameters {
+        dispatcher: Arc::clone(&foundation.dispatcher),
+        counters: Arc::clone(&foundation.counters),
+        memory: Arc::clone(&foundation.budget.memory),
+        descriptors: Arc::clone(&foundation.budget.descriptors),
         socket,
-    )
+    })
     .map_err(StartError::Socket)
 }
 
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -1,70 +1,66 @@
-//! [`Memory`]: a bound on the memory that clients' commands and backends' responses may take
-//! together. It is reserved before a byte of either is stored.
+//! A bound on the memory that clients' commands and backends' responses may take together, reserved
+//! before a byte of either is stored. Read [`MemoryBudget`] first.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// The share of the memory limit for what clients and backends send. The rest is the program's own
-/// and its stacks': measured at up to 16 MB with 384 descriptors.
-const VALUE_SHARE: f64 = 0.22;
-const BYTES_PER_MB: f64 = 1_048_576.0;
+/// The share of the memory limit for what clients and backends send. The rest is for the program
+/// itself and its stacks: measured at up to 16 MB with 384 descriptors.
+const SHARE: f64 = 0.22;
+const BYTES_PER_MB: u32 = 1 << 20;
 
-/// The bound, and how much of it is reserved; both in bytes.
+/// The bound, and how much of it is reserved.
 #[derive(Debug)]
-pub struct Memory {
+pub struct MemoryBudget {
+    /// In bytes.
     bound: AtomicUsize,
-    /// May be above the bound for a while, after that was lowered.
+    /// In bytes. Above the bound only after that was lowered.
     reserved: AtomicUsize,
 }
 
-/// A part of the bound, given back when dropped.
+/// A part of the budget, given back when it is dropped.
 #[derive(Debug)]
-pub struct Reservation {
-    memory: Arc<Memory>,
+pub struct MemoryReservation {
+    budget: Arc<MemoryBudget>,
     bytes: usize,
 }
 
-impl Memory {
-    /// The bound of a program that may use `limit_mb` MB in all.
-    pub fn with_limit_mb(limit_mb: usize) -> Arc<Memory> {
-        Arc::new(Memory {
-            bound: AtomicUsize::new(Memory::value_bytes(limit_mb)),
-            reserved: AtomicUsize::new(0),
-        })
+impl MemoryBudget {
+    /// The budget of a program that may use so many MB in all.
+    pub fn new(limit_mb: usize) -> Arc<MemoryBudget> {
+        let bound = AtomicUsize::new(MemoryBudget::bytes_within(limit_mb));
+        Arc::new(MemoryBudget { bound, reserved: AtomicUsize::new(0) })
     }
 
-    /// How many bytes of values a program may hold that may use `limit_mb` MB in all.
-    pub fn value_bytes(limit_mb: usize) -> usize {
-        (limit_mb as f64 * VALUE_SHARE * BYTES_PER_MB) as usize
+    /// How many bytes of values a program may hold that may use so many MB in all.
+    pub fn bytes_within(limit_mb: usize) -> usize {
+        (limit_mb as f64 * SHARE * f64::from(BYTES_PER_MB)) as usize
     }
 
     /// Reserves so many bytes, if as many are left.
-    pub fn try_reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<MemoryReservation> {
         let bound = self.bound.load(Ordering::Acquire);
-        let within_bound = |reserved: usize| {
-            let total = reserved.checked_add(bytes)?;
-            (total <= bound).then_some(total)
-        };
-        self.reserved.fetch_update(Ordering::AcqRel, Ordering::Acquire, within_bound).ok()?;
-        Some(Reservation { memory: Arc::clone(self), bytes })
+        let add = |reserved: usize| reserved.checked_add(bytes).filter(|sum| *sum <= bound);
+        self.reserved.fetch_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
+        Some(MemoryReservation { budget: Arc::clone(self), bytes })
     }
 
-    /// Lowers the bound to `least` bytes, or to what is reserved if that is more. Returns the new
-    /// bound.
+    /// Shrinks the bound to `least`, or to what is reserved if that is more; returns the bound in
+    /// bytes.
     pub fn shrink(&self, least: usize) -> usize {
         let bound = least.max(self.reserved.load(Ordering::Acquire));
         self.resize(bound);
         bound
     }
 
-    /// Sets the bound in bytes.
+    /// Changes the bound, in bytes.
     pub fn resize(&self, bound: usize) {
         self.bound.store(bound, Ordering::Release);
     }
 }
 
-impl Drop for Reservation {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.memory.reserved.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.budget.reserved.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
