--- /dev/null
+++ b/crates/experiments/src/quota/day/tally.rs
@@ -0,0 +1,114 @@
+//! Adds up what is seen of a day: [`Tally`].
+
+use super::script::{Fault, ScriptStep};
+use super::world::World;
+use super::{take_due, Day, Outcome, CALL_LASTS, START_OF_EVENT, STEP};
+use std::collections::VecDeque;
+
+/// Between two points of the plot, in ms.
+const PLOT_INTERVAL: u64 = 200;
+/// Over which time the rate of fetches counts, in ms.
+const RATE_WINDOW: u64 = 1_000;
+/// Which fraction of what is theirs the survivors must have.
+const GROWN: f64 = 0.99;
+
+/// The fetches that began in one step.
+struct Begun {
+    at: u64,
+    fetches: u64,
+}
+
+/// What was seen so far.
+pub(super) struct Tally {
+    day: Day,
+    last_death: Option<u64>,
+    wanted: u64,
+    served: u64,
+    over_ms: u64,
+    largest_quota_sum: f64,
+    grown_ms: Option<u64>,
+    quota_sums: Vec<(f64, f64)>,
+    /// What began within the last second.
+    begun: VecDeque<Begun>,
+    fetches_in_window: u64,
+    most_fetches_in_window: u64,
+}
+
+impl Tally {
+    pub(super) fn new(day: Day, steps: &VecDeque<ScriptStep>) -> Tally {
+        let deaths = steps.iter().filter(|step| matches!(step.fault, Fault::Die(_)));
+        Tally {
+            day,
+            last_death: deaths.map(|step| step.at).max(),
+            wanted: 0,
+            served: 0,
+            over_ms: 0,
+            largest_quota_sum: 0.0,
+            grown_ms: None,
+            quota_sums: Vec::new(),
+            begun: VecDeque::new(),
+            fetches_in_window: 0,
+            most_fetches_in_window: 0,
+        }
+    }
+
+    /// Lets the fetches of one step end, be wanted and begin, and counts them.
+    pub(super) fn add_step(&mut self, now: u64, world: &mut World) {
+        let in_time = world.end_fetches();
+        let wanted = world.want_fetches();
+        if (START_OF_EVENT..self.day.end_of_event()).contains(&now) {
+            self.served += in_time;
+            self.wanted += wanted;
+        }
+        self.add_begun(now, world.begin_fetches());
+        if world.origin.calls_in_flight() > world.origin.capacity {
+            self.over_ms += STEP;
+        }
+        self.add_quota_sum(now, world);
+    }
+
+    fn add_begun(&mut self, now: u64, fetches: u64) {
+        self.begun.push_back(Begun { at: now, fetches });
+        self.fetches_in_window += fetches;
+        while let Some(old) = take_due(&mut self.begun, |begun| begun.at + RATE_WINDOW <= now) {
+            self.fetches_in_window -= old.fetches;
+        }
+        self.most_fetches_in_window = self.most_fetches_in_window.max(self.fetches_in_window);
+    }
+
+    fn add_quota_sum(&mut self, now: u64, world: &World) {
+        let sum = world.quota_sum();
+        self.largest_quota_sum = self.largest_quota_sum.max(sum);
+        if now.is_multiple_of(PLOT_INTERVAL) {
+            self.quota_sums.push((now as f64 / 1000.0, sum));
+        }
+        let Some(last_death) = self.last_death else { return };
+        if self.grown_ms.is_some() || now <= last_death || now >= self.day.end_of_event() {
+            return;
+        }
+        // Guaranteed minimum and lease of those who are left; a part of an attempt is nobody's.
+        if sum >= GROWN * (0.5 + 0.5 * world.living_fraction()) {
+            self.grown_ms = Some(now - last_death);
+        }
+    }
+
+    pub(super) fn outcome(self, world: &World) -> Outcome {
+        let largest_in_use = world.largest_quota_in_use().unwrap_or(self.largest_quota_sum);
+        let capacity = world.origin.capacity as f64;
+        let fetches_a_second = capacity * 1000.0 / CALL_LASTS as f64;
+        Outcome {
+            proxies: self.day.proxies,
+            event: self.day.event,
+            rule: self.day.rule,
+            wanted: self.wanted,
+            served_percent: 100.0 * self.served as f64 / self.wanted.max(1) as f64,
+            most: world.origin.max_calls as f64 / capacity,
+            over_ms: self.over_ms,
+            falls: world.origin.outages,
+            fetches: self.most_fetches_in_window as f64 / fetches_a_second,
+            sum: self.largest_quota_sum.max(largest_in_use),
+            grown_ms: self.grown_ms,
+            shares: self.quota_sums,
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/quota/day/world.rs
@@ -0,0 +1,231 @@
+//! The proxies of a day, the origin from which they fetch, and what each may use: [`World`].
+
+use super::script::Fault;
+use super::{take_due, Day, Rule, CALLS_PER_PROXY, CALL_LASTS, DEADLINE, STEP};
+use pinetrail_quota::WHOLE_PARTS;
+use pinetrail_simulation::origin::Origin;
+use pinetrail_simulation::quota::QuotaSimulation;
+use rand::rngs::StdRng;
+use rand::RngExt;
+use std::collections::VecDeque;
+
+/// How long it takes until others know that one is there no longer, or again, in ms.
+const NOTICE_LASTS: u64 = 2_500;
+/// How long the origin is away after it fell, in ms.
+const OUTAGE_LASTS: u64 = 3_000;
+/// The most founders that a fleet has here.
+const FOUNDERS: usize = 15;
+
+/// Who is there, as it is or as proxies know it.
+#[derive(Clone)]
+struct Liveness {
+    alive: Vec<bool>,
+    /// On which side of a partition each is.
+    side: Vec<u8>,
+}
+
+impl Liveness {
+    /// The living that one proxy reaches, itself among them if it is alive.
+    fn reached_by(&self, proxy: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..self.alive.len()).filter(move |other| self.alive[*other] && self.side[*other] == self.side[proxy])
+    }
+}
+
+/// A change that proxies notice later.
+struct Notice {
+    at: u64,
+    liveness: Liveness,
+}
+
+/// The proxies of a day at one moment of it.
+pub(super) struct World {
+    day: Day,
+    now: u64,
+    rng: StdRng,
+    actual: Liveness,
+    /// What proxies take for the truth.
+    noticed: Liveness,
+    notices: VecDeque<Notice>,
+    /// For each proxy when its fetches that wait were wanted.
+    waiting: Vec<VecDeque<u64>>,
+    /// For each proxy when its fetches that are at the origin were wanted.
+    in_flight: Vec<VecDeque<u64>>,
+    pub(super) origin: Origin,
+    /// The quota as it runs in service, where the rule is that.
+    quota: Option<QuotaSimulation>,
+}
+
+impl World {
+    pub(super) fn new(day: Day, rng: StdRng) -> World {
+        let count = day.proxies;
+        let everybody = Liveness { alive: vec![true; count], side: vec![0; count] };
+        World {
+            day,
+            now: 0,
+            rng,
+            actual: everybody.clone(),
+            noticed: everybody,
+            notices: VecDeque::new(),
+            waiting: vec![VecDeque::new(); count],
+            in_flight: vec![VecDeque::new(); count],
+            origin: Origin::new(CALLS_PER_PROXY * count, CALL_LASTS, OUTAGE_LASTS),
+            quota: (day.rule == Rule::Leased).then(|| start_quota(&day)),
+        }
+    }
+
+    /// Lets time pass up to this moment, in ms, after the faults of this step.
+    pub(super) fn advance(&mut self, now: u64, faults: &[Fault]) {
+        self.now = now;
+        for fault in faults {
+            self.inject(*fault);
+        }
+        while let Some(notice) = take_due(&mut self.notices, |notice| notice.at <= now) {
+            self.notice(notice.liveness);
+        }
+        if let Some(quota) = &mut self.quota {
+            quota.run(STEP);
+        }
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::Leave(proxy) => {
+                if let Some(quota) = &mut self.quota {
+                    quota.leave(proxy);
+                }
+            }
+            Fault::Die(proxy) => {
+                self.actual.alive[proxy] = false;
+                self.waiting[proxy].clear();
+                self.in_flight[proxy].clear();
+                if let Some(quota) = &mut self.quota {
+                    quota.kill(proxy);
+                }
+            }
+            Fault::Return(proxy) => {
+                self.actual.alive[proxy] = true;
+                if let Some(quota) = &mut self.quota {
+                    quota.start(proxy);
+                }
+            }
+            Fault::Partition => self.partition(),
+            Fault::Heal => {
+                self.actual.side.fill(0);
+                if let Some(quota) = &mut self.quota {
+                    quota.network.heal();
+                }
+            }
+        }
+        self.notices.push_back(Notice { at: self.now + NOTICE_LASTS, liveness: self.actual.clone() });
+    }
+
+    fn partition(&mut self) {
+        let count = self.day.proxies;
+        let (even, odd): (Vec<usize>, Vec<usize>) = (0..count).partition(|proxy| proxy % 2 == 0);
+        for proxy in &even {
+            self.actual.side[*proxy] = 1;
+        }
+        if let Some(quota) = &mut self.quota {
+            quota.network.cut_into(&[&even, &odd]);
+        }
+    }
+
+    /// Proxies notice who is there.
+    fn notice(&mut self, liveness: Liveness) {
+        self.noticed = liveness;
+        let Some(quota) = &mut self.quota else { return };
+        for proxy in 0..self.day.proxies {
+            let known = self.noticed.reached_by(proxy).map(|other| quota.process(other)).collect();
+            quota.set_live_processes(proxy, known);
+        }
+    }
+
+    /// The quota of one proxy, from 0 to 1.
+    fn quota_of(&self, proxy: usize) -> f64 {
+        match self.day.rule {
+            Rule::Static => 1.0 / self.day.proxies as f64,
+            Rule::Live => {
+                let others = self.noticed.reached_by(proxy).filter(|other| *other != proxy);
+                1.0 / (others.count() + 1) as f64
+            }
+            Rule::Leased => {
+                let parts = self.quota.as_ref().map_or(0, |quota| quota.usable_parts(proxy));
+                parts as f64 / WHOLE_PARTS as f64
+            }
+        }
+    }
+
+    /// What the quotas of all that are alive add up to.
+    pub(super) fn quota_sum(&self) -> f64 {
+        self.living().into_iter().map(|proxy| self.quota_of(proxy)).sum()
+    }
+
+    /// The most that leased quotas added up to, with what attempts of before still used.
+    pub(super) fn largest_quota_in_use(&self) -> Option<f64> {
+        let quota = self.quota.as_ref()?;
+        Some(quota.max_parts_in_use as f64 / WHOLE_PARTS as f64)
+    }
+
+    fn living(&self) -> Vec<usize> {
+        (0..self.day.proxies).filter(|proxy| self.actual.alive[*proxy]).collect()
+    }
+
+    /// The fraction of proxies that are alive.
+    pub(super) fn living_fraction(&self) -> f64 {
+        self.living().len() as f64 / self.day.proxies as f64
+    }
+
+    /// Clients want fetches of those that are alive; how many.
+    pub(super) fn want_fetches(&mut self) -> u64 {
+        let living = self.living();
+        let capacity = self.origin.capacity as f64;
+        let wanted = self.day.demand(self.now) * capacity * STEP as f64 / CALL_LASTS as f64;
+        let one_more = self.rng.random_bool(wanted.fract());
+        let count = wanted as u64 + u64::from(one_more);
+        for _ in 0..count {
+            let proxy = living[self.rng.random_range(0..living.len())];
+            self.waiting[proxy].push_back(self.now);
+        }
+        count
+    }
+
+    /// Fetches end; how many of them in time.
+    pub(super) fn end_fetches(&mut self) -> u64 {
+        let mut in_time = 0;
+        for proxy in self.origin.take_ended(self.now) {
+            let wanted_at = self.in_flight[proxy].pop_front();
+            in_time += u64::from(wanted_at.is_some_and(|at| at + DEADLINE >= self.now));
+        }
+        in_time
+    }
+
+    /// Each proxy begins what its quota allows; how many fetches.
+    pub(super) fn begin_fetches(&mut self) -> u64 {
+        let mut begun = 0;
+        for proxy in self.living() {
+            // What would be answered too late is given up at once.
+            self.waiting[proxy].retain(|wanted_at| wanted_at + DEADLINE >= self.now + CALL_LASTS);
+            let allowed = (self.quota_of(proxy) * self.origin.capacity as f64 + 1e-9).floor() as usize;
+            while self.in_flight[proxy].len() < allowed {
+                let Some(wanted_at) = self.waiting[proxy].pop_front() else { break };
+                self.in_flight[proxy].push_back(wanted_at);
+                begun += 1;
+                for lost in self.origin.begin_call(self.now, proxy) {
+                    self.in_flight[lost].pop_front();
+                }
+            }
+        }
+        begun
+    }
+}
+
+fn start_quota(day: &Day) -> QuotaSimulation {
+    let count = day.proxies;
+    let mut quota = QuotaSimulation::new(count, FOUNDERS.min(count), count, day.seed);
+    quota.settings.longest_call = DEADLINE;
+    for proxy in 0..count {
+        quota.start(proxy);
+    }
+    quota.update_all_live_processes();
+    quota
+}
