--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -73,6 +73,36 @@
 /// Times of the baseline, chosen so that it notices a death about as fast at five members.
 const BEAT: Time = 500;
 const SILENCE: Time = 2_000;
+/// Within this time, in ms, reports of one member's failure are one alarm.
+const SAME_ALARM: Time = 20_000;
+
+/// What all members have received so far.
+#[derive(Clone, Copy)]
+struct Traffic {
+    at: Time,
+    datagrams: u64,
+    bytes: u64,
+}
+
+impl Traffic {
+    fn of<M: Member>(fleet: &Fleet<M>) -> Traffic {
+        let mut traffic = Traffic { at: fleet.now(), datagrams: 0, bytes: 0 };
+        for (datagrams, bytes) in &fleet.received {
+            traffic.datagrams += *datagrams;
+            traffic.bytes += *bytes;
+        }
+        traffic
+    }
+}
+
+/// What was seen of a fleet that has met.
+struct Observation {
+    before: Traffic,
+    after: Traffic,
+    known: Option<Known>,
+    alarms: Option<Alarms>,
+    digest: u32,
+}
 
 impl Trial {
     /// Plays it.
@@ -80,134 +110,135 @@
         let heartbeats = match self.kind {
             Kind::Deaths { heartbeats, .. } | Kind::Alarms { heartbeats, .. } => heartbeats,
         };
-        let (members, seed) = (self.members, self.seed);
         if heartbeats {
-            let mut fleet = Fleet::new(members, seed);
-            for host in 0..members {
-                fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
-            }
-            fleet.run(5_000);
-            self.watch(fleet, true, |host, fleet| {
-                fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
-            })
+            self.play_heartbeats()
         } else {
-            let peers = &SEEDS[..SEEDS.len().min(members)];
-            let mut fleet: Fleet<Membership> = Fleet::new(members, seed);
-            for host in 0..members {
-                fleet.start_member_with(host, member_settings(host, members.max(peers.len() + 1), peers));
-                // A release starts them one after the other.
-                fleet.run(10);
-            }
-            let all: Vec<usize> = (0..members).collect();
-            let begun = fleet.now();
-            // Asked rarely: the question costs more than the fleet does.
-            while !fleet.all_agree(&all) && fleet.now() < begun + MEETING {
-                fleet.run(1_000);
-            }
-            let met = fleet.all_agree(&all).then(|| fleet.now() - begun);
-            Outcome {
-                met_within_ms: met,
-                ..self.watch(fleet, false, |host, fleet| {
-                    fleet.start_member_with(host, member_settings(host, members.max(peers.len() + 1), peers));
-                })
-            }
+            self.play_membership()
         }
     }
 
-    fn watch<M: Member>(
-        &self,
-        mut fleet: Fleet<M>,
-        heartbeats: bool,
-        restart: impl Fn(usize, &mut Fleet<M>),
-    ) -> Outcome {
+    /// Plays it with the baseline: heartbeats from everybody to everybody.
+    fn play_heartbeats(&self) -> Outcome {
+        let members = self.members;
+        let start = |host: usize, fleet: &mut Fleet<Heartbeats>| {
+            fleet.start(host, |_, _, now| Heartbeats::new(host, members, BEAT, SILENCE, now));
+        };
+        let mut fleet = Fleet::new(members, self.seed);
+        for host in 0..members {
+            start(host, &mut fleet);
+        }
+        fleet.run(5_000);
+        let observation = self.observe(fleet, start);
+        self.outcome(true, None, observation)
+    }
+
+    /// Plays it with the membership as it runs in service.
+    fn play_membership(&self) -> Outcome {
+        let peers = &SEEDS[..SEEDS.len().min(self.members)];
+        let size = self.members.max(peers.len() + 1);
+        let start = |host: usize, fleet: &mut Fleet<Membership>| {
+            fleet.start_member_with(host, member_settings(host, size, peers));
+        };
+        let mut fleet: Fleet<Membership> = Fleet::new(self.members, self.seed);
+        for host in 0..self.members {
+            start(host, &mut fleet);
+            // A release starts them one after the other.
+            fleet.run(10);
+        }
+        let met_within_ms = self.wait_until_met(&mut fleet);
+        let observation = self.observe(fleet, start);
+        self.outcome(false, met_within_ms, observation)
+    }
+
+    /// How long it took until all knew of all; none if they did not in time.
+    fn wait_until_met(&self, fleet: &mut Fleet<Membership>) -> Option<u64> {
+        let all: Vec<usize> = (0..self.members).collect();
+        let start = fleet.now();
+        // Asked rarely: the question costs more than the fleet does.
+        while !fleet.all_agree(&all) && fleet.now() < start + MEETING {
+            fleet.run(1_000);
+        }
+        fleet.all_agree(&all).then(|| fleet.now() - start)
+    }
+
+    fn outcome(&self, heartbeats: bool, met_within_ms: Option<u64>, observation: Observation) -> Outcome {
+        let Observation { before, after, known, alarms, digest } = observation;
+        let seconds = (after.at - before.at) as f64 / 1000.0 * self.members as f64;
+        Outcome {
+            members: self.members,
+            heartbeats,
+            met_within_ms,
+            known,
+            alarms,
+            bytes_per_s: (after.bytes - before.bytes) as f64 / seconds,
+            datagrams_per_s: (after.datagrams - before.datagrams) as f64 / seconds,
+            digest,
+        }
+    }
+
+    fn observe<M: Member>(&self, mut fleet: Fleet<M>, restart: impl Fn(usize, &mut Fleet<M>)) -> Observation {
         fleet.run(15_000);
         fleet.observed.clear();
+        let before = Traffic::of(&fleet);
         let mut digest = 0;
-        let (mut known, mut alarms) = (None, None);
-        let sent =
-            |fleet: &Fleet<M>| fleet.received.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        let (before, from) = (sent(&fleet), fleet.now());
         match self.kind {
             Kind::Deaths { deaths, .. } => {
                 // What a quiet fleet sends, before anybody dies.
                 fleet.run(30_000);
-                let quiet = (sent(&fleet), fleet.now());
-                known = Some(self.deaths(&mut fleet, deaths, &mut digest, &restart));
-                let seconds = (quiet.1 - from) as f64 / 1000.0 * self.members as f64;
-                return Outcome {
-                    members: self.members,
-                    heartbeats,
-                    met_within_ms: None,
-                    known,
-                    alarms,
-                    bytes_per_s: (quiet.0 .1 - before.1) as f64 / seconds,
-                    datagrams_per_s: (quiet.0 .0 - before.0) as f64 / seconds,
-                    digest,
-                };
+                let after = Traffic::of(&fleet);
+                let known = self.observe_deaths(&mut fleet, deaths, &mut digest, &restart);
+                Observation { before, after, known: Some(known), alarms: None, digest }
             }
             Kind::Alarms { loss, minutes, .. } => {
-                fleet.network.loss = f64::from(loss) / 100.0;
-                fleet.pauses = Some(BRIEF_PAUSES);
-                fleet.start_pauses();
-                let mut members_failed = 0;
-                let mut failed_at = vec![None; self.members];
-                for _ in 0..minutes * 6 {
-                    fleet.run(10_000);
-                    digest = fold(digest, &fleet.observed);
-                    for heard in std::mem::take(&mut fleet.observed) {
-                        let Some(of) = failed(&heard) else { continue };
-                        // Of one false alarm all the others hear: it counts once.
-                        let is_new = failed_at[of].is_none_or(|at| at + 20_000 < heard.at);
-                        members_failed += usize::from(is_new);
-                        failed_at[of] = Some(heard.at);
-                    }
-                }
-                alarms = Some(Alarms { loss, hours: minutes as f64 / 60.0, members_failed });
+                let members_failed = self.observe_alarms(&mut fleet, loss, minutes, &mut digest);
+                let after = Traffic::of(&fleet);
+                let alarms = Alarms { loss, hours: minutes as f64 / 60.0, members_failed };
+                Observation { before, after, known: None, alarms: Some(alarms), digest }
             }
         }
-        let after = sent(&fleet);
-        let seconds = (fleet.now() - from) as f64 / 1000.0 * self.members as f64;
-        Outcome {
-            members: self.members,
-            heartbeats,
-            met_within_ms: None,
-            known,
-            alarms,
-            bytes_per_s: (after.1 - before.1) as f64 / seconds,
-            datagrams_per_s: (after.0 - before.0) as f64 / seconds,
-            digest,
+    }
+
+    /// How often members that were alive were taken for failed, under loss and brief pauses.
+    fn observe_alarms<M: Member>(
+        &self,
+        fleet: &mut Fleet<M>,
+        loss: u8,
+        minutes: u64,
+        digest: &mut u32,
+    ) -> usize {
+        fleet.network.loss = f64::from(loss) / 100.0;
+        fleet.pauses = Some(BRIEF_PAUSES);
+        fleet.start_pauses();
+        let mut members_failed = 0;
+        let mut failed_at = vec![None; self.members];
+        for _ in 0..minutes * 6 {
+            fleet.run(10_000);
+            *digest = fold(*digest, &fleet.observed);
+            for observed in std::mem::take(&mut fleet.observed) {
+                let Some(member) = failed(&observed) else { continue };
+                // All the others learn of one false alarm: it counts once.
+                let is_new = failed_at[member].is_none_or(|at| at + SAME_ALARM < observed.at);
+                members_failed += usize::from(is_new);
+                failed_at[member] = Some(observed.at);
+            }
         }
+        members_failed
     }
 
-    fn deaths<M: Member>(
+    fn observe_deaths<M: Member>(
         &self,
         fleet: &mut Fleet<M>,
         deaths: usize,
         digest: &mut u32,
         restart: &impl Fn(usize, &mut Fleet<M>),
     ) -> Known {
-        let (mut first, mut last) = (Vec::new(), Vec::new());
+        let mut first = Vec::new();
+        let mut last = Vec::new();
         let mut missed = 0;
         for n in 0..deaths {
             // Everybody's turn comes, those by whom the others joined among them.
             let dead = (n * 7 + 1) % self.members;
-            fleet.observed.clear();
-            let died = fleet.now();
-            fleet.kill(dead);
-            let mut knows = vec![None; self.members];
-            for _ in 0..600 {
-                fleet.run(100);
-                *digest = fold(*digest, &fleet.observed);
-                for heard in std::mem::take(&mut fleet.observed) {
-                    if failed(&heard) == Some(dead) {
-                        knows[heard.host].get_or_insert(heard.at - died);
-                    }
-                }
-                if knows.iter().flatten().count() == self.members - 1 {
-                    break;
-                }
-            }
-            let times: Vec<u64> = knows.iter().flatten().copied().collect();
+            let times = self.observe_death(fleet, dead, digest);
             missed += usize::from(times.len() < self.members - 1);
             first.extend(times.iter().min());
             last.extend(times.iter().max());
@@ -217,11 +248,32 @@
         }
         Known { first: summary(&first), last: summary(&last), missed }
     }
+
+    /// How many ms after the death of one member each of the others knew of it, for those that did.
+    fn observe_death<M: Member>(&self, fleet: &mut Fleet<M>, dead: usize, digest: &mut u32) -> Vec<u64> {
+        fleet.observed.clear();
+        let died = fleet.now();
+        fleet.kill(dead);
+        let mut known_after = vec![None; self.members];
+        for _ in 0..600 {
+            fleet.run(100);
+            *digest = fold(*digest, &fleet.observed);
+            for observed in std::mem::take(&mut fleet.observed) {
+                if failed(&observed) == Some(dead) {
+                    known_after[observed.host].get_or_insert(observed.at - died);
+                }
+            }
+            if known_after.iter().flatten().count() == self.members - 1 {
+                break;
+            }
+        }
+        known_after.into_iter().flatten().collect()
+    }
 }
 
-/// What was heard, in words.
-pub(super) fn words(news: &MembershipEvent) -> String {
-    match news {
+/// An event in words.
+pub(super) fn words(event: &MembershipEvent) -> String {
+    match event {
         MembershipEvent::Member { entry, .. } => {
             format!("{} {} (incarnation {})", entry.name, entry.state, entry.incarnation)
         }
@@ -231,8 +283,8 @@
 }
 
 /// Whom somebody took for failed.
-fn failed(heard: &ObservedEvent) -> Option<usize> {
-    match &heard.event {
+fn failed(observed: &ObservedEvent) -> Option<usize> {
+    match &observed.event {
         MembershipEvent::Member { entry, .. } if entry.state == State::Failed => {
             entry.name.trim_start_matches('n').parse().ok()
         }
@@ -240,8 +292,12 @@
     }
 }
 
-fn fold(digest: u32, heard: &[ObservedEvent]) -> u32 {
-    heard.iter().fold(digest, |digest, heard| crc32c::crc32c_append(digest, format!("{heard:?}").as_bytes()))
+/// Carries a digest on over what was observed.
+fn fold(mut digest: u32, observed: &[ObservedEvent]) -> u32 {
+    for event in observed {
+        digest = crc32c::crc32c_append(digest, format!("{event:?}").as_bytes());
+    }
+    digest
 }
 
 fn summary(times: &[u64]) -> Times {
