--- a/crates/experiments/src/cost.rs
+++ b/crates/experiments/src/cost.rs
@@ -1,4 +1,5 @@
-//! `pinetrail-experiments cost`: what a fleet costs real processes and their clients, with it and without it in turn.
+//! `pinetrail-experiments cost`: what a fleet costs real processes and their clients. Rounds with a fleet
+//! and without it alternate.
 
 mod core;
 
--- a/crates/experiments/src/cost/core.rs
+++ b/crates/experiments/src/cost/core.rs
@@ -34,7 +34,8 @@
     }
 }
 
-/// What the core costs in a fleet of this size: processor time for a datagram and for what is due, memory for a member.
+/// What the core costs in a fleet of this size: processor time for a datagram and for what is due,
+/// memory for a member.
 pub(super) fn print(members: u16) {
     const SECONDS: u64 = 60;
     let members = usize::from(members);
--- a/crates/experiments/src/demo.rs
+++ b/crates/experiments/src/demo.rs
@@ -1,4 +1,5 @@
-//! `pinetrail-experiments demo`: three real proxies that know each other, what they talk to, clients, and faults.
+//! `pinetrail-experiments demo`: three real proxies that know each other, the servers they call, clients,
+//! and faults.
 
 use crate::error::ExperimentError;
 use crate::load::{Done, Load};
@@ -104,7 +105,8 @@
     })
 }
 
-/// Records the settings for the history checker, and the nodes by the addresses that they have themselves.
+/// Records the settings for the history checker, and the nodes by the addresses that they have
+/// themselves.
 fn record_config(fleet: &Fleet) {
     let mut config = fleet.config(0, &[]);
     if let Some(listed) = config["known"]["instances"].as_array_mut() {
@@ -168,7 +170,8 @@
     after_ms: Option<u128>,
 }
 
-/// When each member noticed each death and return. The script began at this time of the timeline, in ms.
+/// When each member noticed each death and return. The script began at this time of the timeline,
+/// in ms.
 fn notices(fleet: &Fleet, script: &Script, start: u128) -> Vec<Notice> {
     let mut notices = Vec::new();
     for ScriptStep { at, fault } in &script.steps {
--- a/crates/experiments/src/load.rs
+++ b/crates/experiments/src/load.rs
@@ -1,5 +1,5 @@
-//! Clients that send requests at a fixed rate, whatever the answers do (an open loop): latencies count from when a
-//! request was due. [`Load`] runs them; [`Done`] is what came of it.
+//! Clients that send requests at a fixed rate, whatever the answers do (an open loop): latencies
+//! count from when a request was due. [`Load`] runs them; [`Done`] is what came of it.
 
 use pinetrail_test_harness::recorder::Recorder;
 use std::collections::BTreeMap;
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -24,11 +24,14 @@
 
 #[derive(Subcommand)]
 enum Experiment {
-    /// Three proxies that know each other, with what they talk to, under load and faults: real processes on loopback.
+    /// Three proxies that know each other, with what they talk to, under load and faults: real
+    /// processes on loopback.
     Demo(demo::Options),
-    /// The membership of 3 to 1,000 proxies in simulated time, beside heartbeats from everybody to everybody.
+    /// The membership of 3 to 1,000 proxies in simulated time, beside heartbeats from everybody to
+    /// everybody.
     Members(membership::Options),
-    /// Shares of an origin by three rules, in simulated time: static, divided by the living, leased.
+    /// Shares of an origin by three rules, in simulated time: static, divided by the living,
+    /// leased.
     Shares(quota::Options),
     /// What shares promise, under many seeds of faults and in every order of some.
     Proof(quota::proof::Options),
@@ -50,7 +53,8 @@
         Experiment::Proof(options) => quota::proof::run(&options),
         Experiment::Shares(options) => quota::run(&options),
         Experiment::Proxy => {
-            // Danger: an end of the demo that nothing can be done about would leave its processes behind.
+            // Danger: an end of the demo that nothing can be done about would leave its processes
+            // behind.
             let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
             return pinetrail::net::lifecycle::run();
         }
--- a/crates/experiments/src/membership/mod.rs
+++ b/crates/experiments/src/membership/mod.rs
@@ -1,4 +1,5 @@
-//! `pinetrail-experiments members`: the membership as it runs in service, in simulated time over a modelled network.
+//! `pinetrail-experiments members`: the membership as it runs in service, in simulated time over a
+//! simulated network.
 
 mod plots;
 mod script;
@@ -32,15 +33,16 @@
     /// Shares of datagrams lost while false alarms are counted, in percent.
     #[arg(long, value_delimiter = ',', default_values_t = [0, 5, 20], value_parser = clap::value_parser!(u8).range(0..=90))]
     loss: Vec<u8>,
-    /// Simulated minutes in which false alarms are counted, for each size and loss; every member stands still for 200 to
-    /// 450 ms every 1.7 to 6 s meanwhile.
+    /// Simulated minutes in which false alarms are counted, for each size and loss; every member
+    /// stands still for 200 to 450 ms every 1.7 to 6 s meanwhile.
     #[arg(long, default_value_t = 10)]
     minutes: u64,
     /// Leaves the baseline out.
     #[arg(long)]
     no_baseline: bool,
-    /// Instead of measuring, plays a script of faults on the first of the sizes and prints what each member hears. A line of it is
-    /// a time in ms and a fault: kill N, start N, stop N, go-on N, upgrade N, cut N N, sides N,N|N,N, heal, loss PERCENT.
+    /// Instead of measuring, plays a script of faults on the first of the sizes and prints what
+    /// each member hears. A line of it is a time in ms and a fault: kill N, start N, stop N, go-on
+    /// N, upgrade N, cut N N, sides N,N|N,N, heal, loss PERCENT.
     #[arg(long)]
     script: Option<PathBuf>,
     /// Threads; as many as there are cores if not given.
@@ -102,10 +104,12 @@
     Ok(())
 }
 
-/// The trials, in a fixed order. Long ones are cut into pieces that run side by side. Of the baseline, whose datagrams grow
-/// with the square of the size, less is played in fleets of over 100, and nothing in those of over 300.
+/// The trials, in a fixed order. Long ones are cut into pieces that run side by side. Of the
+/// baseline, whose datagrams grow with the square of the size, less is played in fleets of over
+/// 100, and nothing in those of over 300.
 fn plan(options: &Options) -> Vec<Trial> {
-    // Danger: each piece begins with a fleet that meets, which costs at 300 as much as an hour of calm.
+    // Danger: each piece begins with a fleet that meets, which costs at 300 as much as an hour of
+    // calm.
     const PIECE: u64 = 60;
     let mut trials = Vec::new();
     let mut seed = options.seed.wrapping_mul(1_000_003);
--- a/crates/experiments/src/membership/trials.rs
+++ b/crates/experiments/src/membership/trials.rs
@@ -55,7 +55,8 @@
 pub(super) struct Outcome {
     pub members: usize,
     pub heartbeats: bool,
-    /// How long after the last start all knew of all, to the second; none if they did not in three minutes.
+    /// How long after the last start all knew of all, to the second; none if they did not in three
+    /// minutes.
     pub met_within_ms: Option<u64>,
     pub known: Option<Known>,
     pub alarms: Option<Alarms>,
--- a/crates/experiments/src/quota/day/mod.rs
+++ b/crates/experiments/src/quota/day/mod.rs
@@ -1,5 +1,5 @@
-//! One day in simulated time: proxies that fetch from one origin, each within its quota, and what happens
-//! to them. [`Day`] says what is played, [`Outcome`] what was seen.
+//! One day in simulated time: proxies that fetch from one origin, each within its quota, and what
+//! happens to them. [`Day`] says what is played, [`Outcome`] what was seen.
 
 mod script;
 mod tally;
@@ -30,7 +30,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub(super) enum Event {
-    /// Seven in ten are asked to end, one after the other within 20 s, and have ended 2 s later; they return 23 s after that.
+    /// Seven in ten are asked to end, one after the other within 20 s, and have ended 2 s later;
+    /// they return 23 s after that.
     Release,
     /// The same, but they are killed.
     Deaths,
@@ -57,7 +58,8 @@
     pub proxies: usize,
     pub event: Event,
     pub rule: Rule,
-    /// Fetches that were wanted, and the percentage that was served in time, from the event on until its end.
+    /// Fetches that were wanted, and the percentage that was served in time, from the event on
+    /// until its end.
     pub wanted: u64,
     pub served_percent: f64,
     /// The most calls at the origin at once, over what it bears.
--- a/crates/experiments/src/quota/mod.rs
+++ b/crates/experiments/src/quota/mod.rs
@@ -1,4 +1,5 @@
-//! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each may use, side by side.
+//! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each may
+//! use, side by side.
 
 mod day;
 pub(crate) mod proof;
@@ -29,7 +30,8 @@
     plots: Option<PathBuf>,
 }
 
-/// Compares, prints and writes; an error says what could not be. False if what is leased was ever over the whole.
+/// Compares, prints and writes; an error says what could not be. False if what is leased was ever
+/// over the whole.
 pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
     let rules = [Rule::Static, Rule::Live, Rule::Leased];
     let events = [Event::Release, Event::Deaths, Event::Crash, Event::Cut, Event::Zone];
--- a/crates/test-harness/src/barrier.rs
+++ b/crates/test-harness/src/barrier.rs
@@ -1,5 +1,6 @@
-//! A server whose every step the test takes itself: when a connection comes up, what is read on it and
-//! what is written. [`AcceptBarrier`] lets connections in; [`AcceptedConnection`] is one of them.
+//! A server whose every step the test takes itself: when a connection comes up, what is read on it
+//! and what is written. [`AcceptBarrier`] lets connections in; [`AcceptedConnection`] is one of
+//! them.
 
 use crate::stub_server::read_request;
 use crate::WAIT;
@@ -42,8 +43,8 @@
         AcceptBarrier { address: listener.local_addr().unwrap(), listener, fillers: Vec::new() }
     }
 
-    /// From now on no connection comes up, since the queue is full. Clients of the kernel retry about every
-    /// second.
+    /// From now on no connection comes up, since the queue is full. Clients of the kernel retry
+    /// about every second.
     pub fn close(&mut self) {
         while let Ok(filler) = TcpStream::connect_timeout(&self.address, QUEUE_FULL_AFTER) {
             self.fillers.push(filler);
--- a/crates/test-harness/src/client.rs
+++ b/crates/test-harness/src/client.rs
@@ -10,8 +10,8 @@
 /// Reading ends with one of these when the connection is over, or nothing came in time.
 const GONE: [ErrorKind; 2] = [ErrorKind::ConnectionReset, ErrorKind::WouldBlock];
 
-/// A client's connection. Requests made by [`Client::get`] and [`Client::set`] are recorded for the history
-/// checker.
+/// A client's connection. Requests made by [`Client::get`] and [`Client::set`] are recorded for the
+/// history checker.
 pub struct Client {
     reader: BufReader<TcpStream>,
     recorder: Recorder,
@@ -90,7 +90,8 @@
         (!line.is_empty()).then(|| if line.starts_with("VA ") { self.read_line() } else { line })
     }
 
-    /// Gets a key with a deadline in milliseconds; the response's line, and the value's line if there is one.
+    /// Gets a key with a deadline in milliseconds; the response's line, and the value's line if
+    /// there is one.
     pub fn get(&mut self, key: &str, id: &str, ms: u32) -> (String, String) {
         self.perform(&format!("mg {key} v O{id} Pc=read,t=acme,d={ms}\r\n"))
     }
--- a/crates/test-harness/src/config.rs
+++ b/crates/test-harness/src/config.rs
@@ -9,8 +9,8 @@
                    "ConnIdle":1500.0,"ConnectTimeout":250.0},
     "Safety":{"StartCapacity":0.2,"Cold":9000.0,"FallMultiple":3.0,"TipAfter":1500.0,"MustAskIn":10000.0}}"#;
 
-/// A configuration that the proxy accepts: where it listens, its discovery, how many descriptors it may use,
-/// and its cached endpoint list as JSON.
+/// A configuration that the proxy accepts: where it listens, its discovery, how many descriptors it
+/// may use, and its cached endpoint list as JSON.
 pub fn config(listen: &str, discovery: &str, sockets: usize, known: &str) -> String {
     format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::Duration;
 
-/// Discovery whose watches a test feeds itself, through [`Discovery::watch`]. A watch ends when its sender
-/// is dropped.
+/// Discovery whose watches a test feeds itself, through [`Discovery::watch`]. A watch ends when its
+/// sender is dropped.
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
@@ -53,7 +53,8 @@
         Discovery { address, watches }
     }
 
-    /// The next watch that the proxy opens: its request line, and a sender for the lines of its response.
+    /// The next watch that the proxy opens: its request line, and a sender for the lines of its
+    /// response.
     ///
     /// # Panics
     /// If the proxy opens none in time.
--- a/crates/test-harness/src/fault_proxy/datagram.rs
+++ b/crates/test-harness/src/fault_proxy/datagram.rs
@@ -1,5 +1,5 @@
-//! Fault-injecting proxies for datagrams: one in front of each member of a fleet. [`FaultProxies`] owns
-//! their sockets and threads.
+//! Fault-injecting proxies for datagrams: one in front of each member of a fleet. [`FaultProxies`]
+//! owns their sockets and threads.
 //!
 //! A member is known to the others by the address of its proxy. The proxy tells by the sender's own
 //! address which path a datagram takes, and passes it on from the sender's proxy: so the addresses
@@ -124,8 +124,8 @@
 }
 
 impl FaultProxies {
-    /// Proxies at the advertised addresses, for members whose own sockets are at the others. The seed
-    /// decides which datagrams are lost, duplicated, corrupted and delayed.
+    /// Proxies at the advertised addresses, for members whose own sockets are at the others. The
+    /// seed decides which datagrams are lost, duplicated, corrupted and delayed.
     ///
     /// # Panics
     /// If an advertised address cannot be bound.
--- a/crates/test-harness/src/fault_proxy/mod.rs
+++ b/crates/test-harness/src/fault_proxy/mod.rs
@@ -1,7 +1,7 @@
-//! Fault-injecting proxies, which run inside the test's process. [`FaultProxies`] stand on every directed
-//! path between the members of a fleet and decide the faults of a path ([`PathFaults`]); the
-//! [`PeerFaultProxies`] apply the same faults to the members' TCP connections. A [`StreamFaultProxy`]
-//! stands between one member and one server that it calls.
+//! Fault-injecting proxies, which run inside the test's process. [`FaultProxies`] stand on every
+//! directed path between the members of a fleet and decide the faults of a path ([`PathFaults`]);
+//! the [`PeerFaultProxies`] apply the same faults to the members' TCP connections. A
+//! [`StreamFaultProxy`] stands between one member and one server that it calls.
 
 mod datagram;
 mod path;
@@ -24,8 +24,8 @@
     stream.read(buffer).unwrap_or(0)
 }
 
-/// Passes bytes on; no bytes, or a broken connection, end this direction of both connections. Returns
-/// whether the direction is still open.
+/// Passes bytes on; no bytes, or a broken connection, end this direction of both connections.
+/// Returns whether the direction is still open.
 fn forward(bytes: &[u8], from: &TcpStream, to: &mut TcpStream) -> bool {
     if !bytes.is_empty() && to.write_all(bytes).is_ok() {
         return true;
--- a/crates/test-harness/src/fault_proxy/path.rs
+++ b/crates/test-harness/src/fault_proxy/path.rs
@@ -29,8 +29,8 @@
     pub corrupted: f64,
     /// How long a datagram takes at the least.
     pub min_delay: Duration,
-    /// How long it takes at the most. Datagrams with different delays are reordered. On a connection
-    /// every read takes this long.
+    /// How long it takes at the most. Datagrams with different delays are reordered. On a
+    /// connection every read takes this long.
     pub max_delay: Duration,
     /// So many bytes a second pass on a connection; none for no limit.
     pub throttle: Option<u64>,
--- a/crates/test-harness/src/fault_proxy/peer.rs
+++ b/crates/test-harness/src/fault_proxy/peer.rs
@@ -1,6 +1,6 @@
-//! Fault-injecting proxies for the TCP connections between the members of a fleet: one listener in front
-//! of each member. The sender's own address tells which path a connection takes; the faults are those
-//! of the same path's datagrams. [`PeerFaultProxies`] starts them.
+//! Fault-injecting proxies for the TCP connections between the members of a fleet: one listener in
+//! front of each member. The sender's own address tells which path a connection takes; the faults
+//! are those of the same path's datagrams. [`PeerFaultProxies`] starts them.
 
 use super::datagram::PathView;
 use super::path::Path;
--- a/crates/test-harness/src/fault_proxy/stream.rs
+++ b/crates/test-harness/src/fault_proxy/stream.rs
@@ -31,8 +31,8 @@
     }
 }
 
-/// The proxy in front of one server. Its threads end with the test's process, those of a connection with
-/// the connection. Clones control the same proxy.
+/// The proxy in front of one server. Its threads end with the test's process, those of a connection
+/// with the connection. Clones control the same proxy.
 #[derive(Clone)]
 pub struct StreamFaultProxy {
     /// Where it takes connections.
--- a/crates/test-harness/src/fleet/config.rs
+++ b/crates/test-harness/src/fleet/config.rs
@@ -18,8 +18,8 @@
         let discovery = self.streams[member][self.nodes.len() + 1].address.to_string();
         let text = config("127.0.0.1:0", &discovery, SOCKETS, &catalog(1, true, &self.endpoints(member)));
         let mut config: Value = serde_json::from_str(&text).expect("the harness writes JSON");
-        // Danger: who dials a free port of the address that it dials from may reach itself, and has the
-        // port then.
+        // Danger: who dials a free port of the address that it dials from may reach itself, and has
+        // the port then.
         let free = SocketAddr::new(self.member_address(member).ip(), 0);
         let listen = self.client_addresses[member].unwrap_or(free);
         config["name"] = json!(Fleet::name(member));
@@ -32,7 +32,8 @@
         config
     }
 
-    /// The list of endpoints, with the addresses at which this member's fault proxies take connections.
+    /// The list of endpoints, with the addresses at which this member's fault proxies take
+    /// connections.
     fn endpoints(&self, member: usize) -> Vec<String> {
         let relayed = |server: &StubServer, name: &str, kind: &str, stream: usize| {
             let entry = server.entry(name, kind, "ready");
--- a/crates/test-harness/src/fleet/launch.rs
+++ b/crates/test-harness/src/fleet/launch.rs
@@ -74,8 +74,8 @@
         process
     }
 
-    /// Puts each line of a process's log into the timeline, and hands it on. The threads end with the
-    /// process's output.
+    /// Puts each line of a process's log into the timeline, and hands it on. The threads end with
+    /// the process's output.
     fn follow_log(&self, child: &mut Child, member: usize) -> Receiver<String> {
         let log = BufReader::new(child.stderr.take().expect("standard error is piped"));
         let (sender, lines) = channel();
--- a/crates/test-harness/src/fleet/mod.rs
+++ b/crates/test-harness/src/fleet/mod.rs
@@ -1,6 +1,6 @@
-//! Several real proxies that know each other, with a fault-injecting proxy on every path between them and
-//! from each of them to the servers that it calls. [`Fleet`] owns the processes, the paths and the servers;
-//! [`Options`] says how many there are and what their configurations have.
+//! Several real proxies that know each other, with a fault-injecting proxy on every path between
+//! them and from each of them to the servers that it calls. [`Fleet`] owns the processes, the paths
+//! and the servers; [`Options`] says how many there are and what their configurations have.
 
 mod config;
 mod faults;
@@ -50,7 +50,8 @@
     pub datagram_faults: FaultProxies,
     /// The fault proxies for the connections of the peer transport.
     pub peer_faults: PeerFaultProxies,
-    /// The fault proxies from each member to each cache node, the origin and discovery, in this order.
+    /// The fault proxies from each member to each cache node, the origin and discovery, in this
+    /// order.
     pub streams: Vec<Vec<StreamFaultProxy>>,
     /// The cache nodes.
     pub nodes: Vec<StubServer>,
@@ -72,8 +73,8 @@
     pub fn new(options: Options, nodes: Vec<StubServer>, origin: StubServer) -> Fleet {
         let slot = FleetSlot::acquire();
         let number = FLEETS.fetch_add(1, Ordering::SeqCst);
-        // Addresses that no other run has: ports of one address could be taken between a death and a
-        // restart.
+        // Addresses that no other run has: ports of one address could be taken between a death and
+        // a restart.
         let mixed = std::process::id().wrapping_mul(97).wrapping_add(number);
         let network = [(mixed >> 8) as u8 | 0x40, mixed as u8];
         let members = options.members;
@@ -176,7 +177,8 @@
         Some(Report::from(json))
     }
 
-    /// Whether each of these members takes all of these for alive, and nobody else for alive or suspect.
+    /// Whether each of these members takes all of these for alive, and nobody else for alive or
+    /// suspect.
     pub fn all_agree(&self, members: &[usize]) -> bool {
         let names: Vec<String> = members.iter().map(|member| Fleet::name(*member)).collect();
         members.iter().all(|member| {
--- a/crates/test-harness/src/fleet/slot.rs
+++ b/crates/test-harness/src/fleet/slot.rs
@@ -1,4 +1,5 @@
-//! Bounds how many fleets run at once: more would only wait for the processor, and look slow to each other.
+//! Bounds how many fleets run at once: more would only wait for the processor, and look slow to
+//! each other.
 
 use std::sync::{Condvar, Mutex, PoisonError};
 
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -1,8 +1,9 @@
-//! Real processes of the program, and all that they talk to: cache nodes, origin, discovery, clients and
-//! operators, on loopback. Every wait is bounded; every process that was started is ended, also after a
-//! panic.
+//! Real processes of the program, and all that they talk to: cache nodes, origin, discovery,
+//! clients and operators, on loopback. Every wait is bounded; every process that was started is
+//! ended, also after a panic.
 //!
-//! For one proxy see [`ProxyFixture`], for several that know each other, with faults between them, [`fleet::Fleet`].
+//! For one proxy see [`ProxyFixture`], for several that know each other, with faults between them,
+//! [`fleet::Fleet`].
 
 mod barrier;
 mod client;
--- a/crates/test-harness/src/policy/clients.rs
+++ b/crates/test-harness/src/policy/clients.rs
@@ -88,8 +88,8 @@
         std::mem::take(&mut *self.shared.decisions.lock().unwrap())
     }
 
-    /// Stops the clients and checks that each version became active at one moment. Returns the versions 1 to 3,
-    /// each with the number of requests that it decided.
+    /// Stops the clients and checks that each version became active at one moment. Returns the
+    /// versions 1 to 3, each with the number of requests that it decided.
     ///
     /// # Panics
     /// If two versions were active at once, or no request was decided.
@@ -109,7 +109,8 @@
 }
 
 impl Shared {
-    /// One client: sends requests until it is stopped, and connects again when its connection has ended.
+    /// One client: sends requests until it is stopped, and connects again when its connection has
+    /// ended.
     fn send_requests(&self, proxy: &str, address: SocketAddr) {
         let mut connection = None;
         while !self.stop.load(Ordering::Acquire) {
@@ -139,8 +140,8 @@
     Disconnected,
 }
 
-/// Sends one request and waits for its response. Versions are told apart by being odd or even: the first
-/// two are what a history holds.
+/// Sends one request and waits for its response. Versions are told apart by being odd or even: the
+/// first two are what a history holds.
 fn send_request(client: &mut Client, proxy: &str) -> RequestResult {
     let number = REQUESTS.fetch_add(1, Ordering::AcqRel);
     let class = if number.is_multiple_of(2) { "read" } else { "scan" };
--- a/crates/test-harness/src/policy/mod.rs
+++ b/crates/test-harness/src/policy/mod.rs
@@ -1,9 +1,9 @@
-//! A fleet with one policy: what its members report of it ([`policy_status`], [`change_outcome`]), clients
-//! that see which version decided each request ([`PolicyClients`]), and whole runs under faults
-//! ([`run_under_faults`]).
+//! A fleet with one policy: what its members report of it ([`policy_status`], [`change_outcome`]),
+//! clients that see which version decided each request ([`PolicyClients`]), and whole runs under
+//! faults ([`run_under_faults`]).
 //!
-//! Two policies alternate: the class `read` of one is called `scan` by the other. So an odd version serves
-//! `read` and does not know `scan`, and an even one the other way round.
+//! Two policies alternate: the class `read` of one is called `scan` by the other. So an odd version
+//! serves `read` and does not know `scan`, and an even one the other way round.
 
 mod clients;
 mod run;
--- a/crates/test-harness/src/policy/run.rs
+++ b/crates/test-harness/src/policy/run.rs
@@ -18,7 +18,8 @@
 pub struct PolicyRun {
     /// The seed; 0 for a run with reloads.
     pub seed: u64,
-    /// How many requests show that there was no one moment; the greatest number if none was decided.
+    /// How many requests show that there was no one moment; the greatest number if none was
+    /// decided.
     pub violations: usize,
     /// For how long two versions decided requests, in ms.
     pub overlap_ms: f64,
@@ -49,7 +50,8 @@
     }
 }
 
-/// Proposes a change while faults of a seed happen to a fleet that has one policy, and waits until all agree.
+/// Proposes a change while faults of a seed happen to a fleet that has one policy, and waits until
+/// all agree.
 ///
 /// # Panics
 /// If they do not agree in time.
@@ -70,7 +72,8 @@
     first.1 == "steady" && (0..fleet.options.members).all(|member| policy_status(fleet, member) == first)
 }
 
-/// Proposes the second version at a member and a moment that the seed decides. The thread ends after it.
+/// Proposes the second version at a member and a moment that the seed decides. The thread ends
+/// after it.
 fn propose_in_background(fleet: &Fleet, seed: u64) -> JoinHandle<()> {
     let delay = Duration::from_millis(200 + seed * 379 % 4000);
     let admin = fleet.process(seed as usize % fleet.options.members).admin_address;
@@ -82,8 +85,8 @@
     })
 }
 
-/// Makes the same change by SIGHUP at each proxy in turn, in a fleet without a common policy; a pause follows
-/// each.
+/// Makes the same change by SIGHUP at each proxy in turn, in a fleet without a common policy; a
+/// pause follows each.
 ///
 /// # Panics
 /// If a proxy does not run.
--- a/crates/test-harness/src/process.rs
+++ b/crates/test-harness/src/process.rs
@@ -1,7 +1,7 @@
 //! The program as a process: how it is started, where it listens, and how it ends.
 //!
-//! Whoever starts a process ends it: [`crate::ProxyFixture`] and [`crate::fleet::Process`] do so when they
-//! are dropped.
+//! Whoever starts a process ends it: [`crate::ProxyFixture`] and [`crate::fleet::Process`] do so
+//! when they are dropped.
 
 use crate::WAIT;
 use rustix::process::{Pid, Signal};
@@ -51,8 +51,8 @@
     start_in(&write_config(config), &std::env::temp_dir())
 }
 
-/// Has all proxies be started by this command; only the first call counts. Without it the program beside
-/// the running test is started.
+/// Has all proxies be started by this command; only the first call counts. Without it the program
+/// beside the running test is started.
 pub fn program(path: PathBuf, arguments: &[&str]) {
     let arguments = arguments.iter().map(|argument| (*argument).to_owned()).collect();
     // A second call is ignored, as documented.
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -56,7 +56,8 @@
     fn start(entries: &[String], sockets: usize, memory_mb: usize, changes: &[(&str, &str)]) -> ProxyFixture {
         let discovery = Discovery::new();
         let mut entries = entries.to_vec();
-        // A list without the origin is none; where a test has none of its own, nobody answers for it.
+        // A list without the origin is none; where a test has none of its own, nobody answers for
+        // it.
         if !entries.is_empty() && !entries.iter().any(|entry| entry.contains(r#""origin""#)) {
             let nobody = StubServer::unreachable();
             entries.push(nobody.entry("o", "origin", "ready"));
@@ -142,7 +143,8 @@
         )
     }
 
-    /// Starts a second process of this proxy, which is ready when this returns: it and its admin endpoint.
+    /// Starts a second process of this proxy, which is ready when this returns: it and its admin
+    /// endpoint.
     pub fn start_second_process(&self) -> (Child, SocketAddr) {
         let second = start_and_find_addresses(&self.second_config(), &self.temp_dir);
         assert_eq!(second.client_address, self.client_address);
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -1,6 +1,6 @@
 //! Records what the harness sees of a proxy from outside: what clients, cache nodes, the origin and
-//! discovery sent and received. Each test has a [`Recorder`] of its own, to which all that the test makes
-//! writes.
+//! discovery sent and received. Each test has a [`Recorder`] of its own, to which all that the test
+//! makes writes.
 
 mod from_json;
 
@@ -11,9 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// How far recorded times may be off, in ms: each time limit is longer by so much. 50 ms on sockets, as
-/// the protocol has it, and what a busy machine takes to notice. The exact limits are those of the seeded
-/// histories.
+/// How far recorded times may be off, in ms: each time limit is longer by so much. 50 ms on
+/// sockets, as the protocol has it, and what a busy machine takes to notice. The exact limits are
+/// those of the seeded histories.
 const CLOCK_ERROR: Time = 250.0;
 /// Two processes of one proxy are not told apart: for the rules they are one.
 const PROXY: &str = "p";
@@ -151,8 +151,8 @@
         recording.attempts
     }
 
-    /// Records that a backend is about to answer an attempt with this text; with none that its connection
-    /// has ended.
+    /// Records that a backend is about to answer an attempt with this text; with none that its
+    /// connection has ended.
     ///
     /// # Panics
     /// If an HTTP response has no end of its head.
@@ -161,7 +161,8 @@
         self.record(HistoryEvent::AttemptEnded { attempt, end });
     }
 
-    /// Records that a process reported its quota, from 0 to 1; its attempts run for so many ms at most.
+    /// Records that a process reported its quota, from 0 to 1; its attempts run for so many ms at
+    /// most.
     pub fn record_quota(&self, proxy: &str, part: f64, longest_attempt: Time) {
         let proxy = proxy.to_owned();
         self.record(HistoryEvent::QuotaStated { proxy, part, longest_attempt });
--- a/crates/test-harness/src/recorder/from_json.rs
+++ b/crates/test-harness/src/recorder/from_json.rs
@@ -3,7 +3,8 @@
 use pinetrail_history_checker::{Class, Effect, Figures, Node, Scope, State};
 use serde_json::Value;
 
-/// A node from its entry in an endpoint list. Its start counts from this moment, in ms since the Unix epoch.
+/// A node from its entry in an endpoint list. Its start counts from this moment, in ms since the
+/// Unix epoch.
 pub(super) fn node(entry: &Value, start_unix_ms: f64) -> Node {
     let text = |key: &str| entry[key].as_str().unwrap().to_owned();
     Node {
--- a/crates/test-harness/src/script.rs
+++ b/crates/test-harness/src/script.rs
@@ -1,5 +1,5 @@
-//! Scripts of faults: written by hand, a line each, or drawn from a seed. Read [`Script`] first, then
-//! [`Fault`].
+//! Scripts of faults: written by hand, a line each, or drawn from a seed. Read [`Script`] first,
+//! then [`Fault`].
 
 mod parse;
 #[cfg(test)]
@@ -90,7 +90,8 @@
 }
 
 impl Script {
-    /// Faults of a seed for so many members. Each ends within `ms`, and everything is whole after it.
+    /// Faults of a seed for so many members. Each ends within `ms`, and everything is whole after
+    /// it.
     pub fn from_seed(seed: u64, members: usize, faults: usize, ms: u64) -> Script {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut script = Script::default();
--- a/crates/test-harness/src/script/parse.rs
+++ b/crates/test-harness/src/script/parse.rs
@@ -17,8 +17,8 @@
 }
 
 impl Script {
-    /// Reads lines of a time in ms and a fault; what follows a `#` is ignored, and so are empty lines. The
-    /// lines need not be in the order of time.
+    /// Reads lines of a time in ms and a fault; what follows a `#` is ignored, and so are empty
+    /// lines. The lines need not be in the order of time.
     ///
     /// # Errors
     /// The first line that is no fault.
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -1,7 +1,7 @@
 //! What a proxy calls: stub servers for cache nodes and the origin, on ephemeral loopback ports.
 //!
-//! A test hands [`StubServer`] a function from each request to a [`StubAction`]. Every request and reply
-//! is also noted by the test's [`Recorder`].
+//! A test hands [`StubServer`] a function from each request to a [`StubAction`]. Every request and
+//! reply is also noted by the test's [`Recorder`].
 
 use crate::recorder::Recorder;
 use std::io::{BufRead, BufReader, Write};
@@ -171,8 +171,8 @@
     }
 }
 
-/// The next request of a connection: a head and its body where `http`, else a line and a write's value.
-/// None at the end of the connection.
+/// The next request of a connection: a head and its body where `http`, else a line and a write's
+/// value. None at the end of the connection.
 pub(crate) fn read_request(reader: &mut impl BufRead, http: bool) -> Option<String> {
     let mut text = String::new();
     while reader.read_line(&mut text).ok()? > 0 {
--- a/tests/fleet/drift.rs
+++ b/tests/fleet/drift.rs
@@ -1,4 +1,5 @@
-//! What each of several real processes has in force against what was approved, under faults between them.
+//! What each of several real processes has in force against what was approved, under faults between
+//! them.
 
 use crate::policy::{governed, has};
 use pinetrail_test_harness::fleet::Fleet;
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -1,5 +1,5 @@
-//! The hard cases of a membership, with real processes. The same in simulated time, over many seeds, are in
-//! `crates/membership/tests/hard_cases.rs`.
+//! The hard cases of a membership, with real processes. The same in simulated time, over many
+//! seeds, are in `crates/membership/tests/hard_cases.rs`.
 
 use crate::{failures, met, ms, nodes, origin, ALL};
 use pinetrail_test_harness::fleet::{Fleet, Options};
@@ -58,8 +58,8 @@
     assert_eq!(failures(&fleet), 0, "{}", fleet.timeline);
 }
 
-/// Guards against a process that wakes and takes its own absence for the death of others: it is stopped while it suspects
-/// one, and that one's objection lies unread when it wakes.
+/// Guards against a process that wakes and takes its own absence for the death of others: it is
+/// stopped while it suspects one, and that one's objection lies unread when it wakes.
 #[test]
 fn a_member_stopped_for_10_s_comes_back_and_takes_nobody_for_failed() {
     let fleet = met(Options::of(5));
@@ -80,8 +80,8 @@
     assert!(fleet.timeline.first_match("n2", "-> failed", woke).is_none(), "{}", fleet.timeline);
 }
 
-/// Guards against a member that is taken for silent though others hear it: without those nearly each probe on the way
-/// that is cut would make it a suspect.
+/// Guards against a member that is taken for silent though others hear it: without those nearly
+/// each probe on the way that is cut would make it a suspect.
 #[test]
 fn a_path_partitioned_in_one_direction_fails_no_member() {
     let fleet = met(Options::of(5));
@@ -94,7 +94,8 @@
     assert!(suspected <= 2, "{}", fleet.timeline);
 }
 
-/// Guards against sides that never meet again, and against a restart while cut that passes for a whole fleet.
+/// Guards against sides that never meet again, and against a restart while cut that passes for a
+/// whole fleet.
 #[test]
 fn both_sides_of_a_partition_report_it_and_heal_without_a_restart() {
     let mut fleet = met(Options::of(5));
@@ -160,7 +161,9 @@
 fn a_member_may_return_at_another_address() {
     // The last place is kept for it.
     let mut fleet = Fleet::new(Options { peers: vec![0, 1, 2], ..Options::of(4) }, nodes(), origin());
-    (0..3).for_each(|member| fleet.start(member));
+    for member in 0..3 {
+        fleet.start(member);
+    }
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.kill(2);
     let mut moved = fleet.config(3, &[0, 1]);
@@ -216,7 +219,9 @@
 #[test]
 fn a_reload_with_other_peers_during_a_join_leads_to_them() {
     let mut fleet = Fleet::new(Options::of(4), nodes(), origin());
-    (0..3).for_each(|member| fleet.start(member));
+    for member in 0..3 {
+        fleet.start(member);
+    }
     // It is told only of one that is not there.
     let lost = fleet.config(3, &[]);
     let mut wrong = lost.clone();
@@ -246,7 +251,9 @@
 fn members_meet_and_notice_a_death_while_discovery_is_down() {
     let mut fleet = Fleet::new(Options::of(3), nodes(), origin());
     fleet.discovery.set_down(true);
-    (0..3).for_each(|member| fleet.start(member));
+    for member in 0..3 {
+        fleet.start(member);
+    }
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.kill(1);
     fleet.wait_until("the others know", |fleet| fleet.all_agree(&[0, 2]));
--- a/tests/fleet/off.rs
+++ b/tests/fleet/off.rs
@@ -34,7 +34,9 @@
     let mut without = fleet.config(0, &[]);
     without.as_object_mut().unwrap().remove("fleet");
     fleet.set_config(0, &without);
-    (0..2).for_each(|member| fleet.start(member));
+    for member in 0..2 {
+        fleet.start(member);
+    }
     let (off, on) = (fleet.process(0).id(), fleet.process(1).id());
     let settled = |fleet: &Fleet| {
         let counts = [off, on].map(|id| descriptors(id).len());
@@ -91,7 +93,12 @@
             }),
             "advertise",
         ),
-        (with(&|fleet| drop(fleet.as_object_mut().unwrap().remove("size"))), "size"),
+        (
+            with(&|fleet| {
+                fleet.as_object_mut().unwrap().remove("size");
+            }),
+            "size",
+        ),
     ];
     for (config, names) in bad {
         let output = end(start(&config.to_string()));
--- a/tests/fleet/operators.rs
+++ b/tests/fleet/operators.rs
@@ -40,7 +40,9 @@
 #[test]
 fn two_processes_under_one_name_both_log_the_conflict() {
     let mut fleet = Fleet::new(Options { peers: vec![0, 1], ..Options::of(4) }, nodes(), origin());
-    (0..3).for_each(|member| fleet.start(member));
+    for member in 0..3 {
+        fleet.start(member);
+    }
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     let mut twin = fleet.config(3, &[0, 1]);
     twin["name"] = "n2".into();
@@ -70,7 +72,9 @@
 #[test]
 fn a_member_beyond_the_size_is_refused_and_says_why() {
     let mut fleet = Fleet::new(Options { size: 3, peers: vec![0, 1], ..Options::of(4) }, nodes(), origin());
-    (0..3).for_each(|member| fleet.start(member));
+    for member in 0..3 {
+        fleet.start(member);
+    }
     fleet.wait_until("they meet", |fleet| fleet.all_agree(&[0, 1, 2]));
     fleet.start(3);
     fleet.wait_until("it is told", |fleet| {
--- a/tests/fleet/policy/configuration.rs
+++ b/tests/fleet/policy/configuration.rs
@@ -18,7 +18,8 @@
     assert_eq!(get_json(fleet.process(2).admin_address, "/control/policy")["version"], 1);
 }
 
-/// Guards against a policy that is on by a slip, or cannot be and is found out only when it is needed.
+/// Guards against a policy that is on by a slip, or cannot be and is found out only when it is
+/// needed.
 #[test]
 fn a_start_with_an_invalid_policy_ends_with_one_line() {
     let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
@@ -31,8 +32,18 @@
     };
     let bad = [
         (with(&|fleet| fleet["policy"]["permitms"] = json!(5)), "nearest known one is \"permit_ms\""),
-        (with(&|fleet| drop(fleet["policy"].as_object_mut().unwrap().remove("state_dir"))), "state_dir"),
-        (with(&|fleet| drop(fleet.as_object_mut().unwrap().remove("founders"))), "needs founders"),
+        (
+            with(&|fleet| {
+                fleet["policy"].as_object_mut().unwrap().remove("state_dir");
+            }),
+            "state_dir",
+        ),
+        (
+            with(&|fleet| {
+                fleet.as_object_mut().unwrap().remove("founders");
+            }),
+            "needs founders",
+        ),
         (with(&|fleet| fleet["policy"]["permit_ms"] = json!(100)), "permit_ms"),
         (with(&|fleet| fleet["policy"]["hold_ms"] = json!(5000)), "hold_ms"),
         (with(&|fleet| fleet["policy"]["when_cut"] = json!("hope")), "when_cut"),
@@ -91,7 +102,8 @@
         for key in ["bind", "advertise", "state_dir"] {
             policy[key] = example_policy[key].clone();
         }
-        (config["fleet"]["policy"], config["fleet"]["size"]) = (policy, example["fleet"]["size"].clone());
+        config["fleet"]["policy"] = policy;
+        config["fleet"]["size"] = example["fleet"]["size"].clone();
         config["fleet"]["call_ms"] = json!(2500);
         fleet.set_config(member, &config);
     }
--- a/tests/fleet/policy/mod.rs
+++ b/tests/fleet/policy/mod.rs
@@ -1,4 +1,5 @@
-//! One policy for a fleet of real processes, with faults between them: judged by what clients were answered.
+//! One policy for a fleet of real processes, with faults between them: judged by what clients were
+//! answered.
 
 mod configuration;
 mod storage;
@@ -68,7 +69,9 @@
 fn peer_connections_reset_during_a_change_are_opened_again() {
     let (fleet, clients) = under_load(4, 3);
     for turn in 0..3 {
-        (1..4).for_each(|other| fleet.peer_faults.reset(0, other));
+        for other in 1..4 {
+            fleet.peer_faults.reset(0, other);
+        }
         if turn == 1 {
             propose_second(&fleet, 3);
         }
@@ -229,7 +232,8 @@
 
 #[test]
 fn a_change_ends_though_its_proposer_or_leader_is_killed_at_any_step() {
-    // The leader is the founder of the lowest seat that is there: n0. Steps are told by what happens after so many ms.
+    // The leader is the founder of the lowest seat that is there: n0. Steps are told by what
+    // happens after so many ms.
     for (victim, proposer, after) in
         [(3, 3, 0), (3, 3, 15), (0, 3, 0), (0, 3, 10), (0, 0, 25), (0, 3, 40), (0, 0, 70)]
     {
@@ -243,7 +247,8 @@
         fleet.kill(victim);
         proposing.join().unwrap();
         let rest: Vec<usize> = (0..4).filter(|member| *member != victim).collect();
-        // It was never heard of, or it is taken: nobody said no, and nobody is away for long enough.
+        // It was never heard of, or it is taken: nobody said no, and nobody is away for long
+        // enough.
         fleet.wait_until("those that are left are steady", |fleet| {
             [1, 2].iter().any(|version| has(fleet, &rest, *version))
         });
@@ -283,7 +288,8 @@
     }
 }
 
-/// Guards against a judge that sees nothing: a hangup at each proxy in turn has two policies decide side by side.
+/// Guards against a judge that sees nothing: a SIGHUP at each proxy in turn has two policies decide
+/// side by side.
 #[test]
 fn reloads_in_turn_show_two_versions_at_once() {
     let played = run_with_reloads(Fleet::start_all(Options::of(3), nodes(), origin()), ms(150));
--- a/tests/fleet/policy/storage.rs
+++ b/tests/fleet/policy/storage.rs
@@ -8,7 +8,9 @@
     propose_second(&fleet, 3);
     ends(&fleet, 3, "taken");
     clients.check();
-    (0..4).for_each(|member| fleet.kill(member));
+    for member in 0..4 {
+        fleet.kill(member);
+    }
     fleet.start_together(&[0, 1, 2, 3]);
     fleet.wait_until("it is in force", |fleet| has(fleet, &[0, 1, 2, 3], 2));
 }
--- a/tests/fleet/quota.rs
+++ b/tests/fleet/quota.rs
@@ -1,4 +1,5 @@
-//! Shares of several real processes under faults between them: what their admin servers say, and what the stand-in nodes count.
+//! Shares of several real processes under faults between them: what their admin servers say, and
+//! what the stand-in nodes count.
 
 use crate::{met, ms, nodes, origin, ALL};
 use pinetrail_test_harness::fleet::{Fleet, Options};
@@ -33,7 +34,8 @@
     shares(fleet, members).iter().all(|share| (share - base - 0.5 / of as f64).abs() < EPSILON)
 }
 
-/// Waits until something holds. Meanwhile all shares are read, again and again, and written down for the judge.
+/// Waits until something holds. Meanwhile all shares are read, again and again, and written down
+/// for the judge.
 fn until(fleet: &Fleet, members: &[usize], what: &str, holds: impl Fn(&Fleet) -> bool) {
     let recorder = Recorder::own();
     fleet.wait_until(what, |fleet| {
@@ -133,7 +135,9 @@
     let mut wrong = fleet.config(3, &[0, 1, 2]);
     wrong["fleet"]["founders"] = serde_json::json!([fleet.advertised_address(3).to_string()]);
     fleet.set_config(3, &wrong);
-    (0..4).for_each(|member| fleet.start(member));
+    for member in 0..4 {
+        fleet.start(member);
+    }
     until(&fleet, &[0, 1, 2], "the others share", |fleet| have(fleet, &[0, 1, 2], 3));
     fleet.wait_until("it is said", |fleet| {
         fleet.timeline.first_match("n3", "ERROR: a member has other founders", 0).is_some()
--- a/tests/fleet/upgrades.rs
+++ b/tests/fleet/upgrades.rs
@@ -4,7 +4,8 @@
 use pinetrail_test_harness::call_admin;
 use pinetrail_test_harness::fleet::{Fleet, Options};
 
-/// Guards against an upgrade that looks like a failure to the others, and against two processes that both speak.
+/// Guards against an upgrade that looks like a failure to the others, and against two processes
+/// that both speak.
 #[test]
 fn a_hot_restart_passes_the_name_on_and_no_member_is_reported_failed() {
     let mut fleet = met(Options::of(3));
--- a/tests/golden/consumers.rs
+++ b/tests/golden/consumers.rs
@@ -1,4 +1,4 @@
-//! Answers on a consumer's connection to each form of the protocol, and to what is none.
+//! Answers on a client's connection to each form of the protocol, and to what is none.
 
 use crate::{compare, escaped, origin, silent_origin, without_number};
 use pinetrail_test_harness::{call_admin, opaque, Client, ProxyFixture, StubAction, StubServer};
--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -1,4 +1,5 @@
-//! Answers of the admin servers of a fleet: its members, its shares, its policy, and drift from that.
+//! Answers of the admin servers of a fleet: its members, its shares, its policy, and drift from
+//! that.
 
 use crate::door::{request, whole_answer};
 use crate::{compare, escaped, origin, without_number};
--- a/tests/golden/starts.rs
+++ b/tests/golden/starts.rs
@@ -122,7 +122,9 @@
     type Change = fn(&mut Value);
     let bad: [(&str, Change); 15] = [
         ("bind", |fleet| fleet["bind"] = json!("nowhere")),
-        ("no size", |fleet| drop(fleet.as_object_mut().unwrap().remove("size"))),
+        ("no size", |fleet| {
+            fleet.as_object_mut().unwrap().remove("size");
+        }),
         ("size 1", |fleet| fleet["size"] = json!(1)),
         ("size 5000", |fleet| fleet["size"] = json!(5000)),
         ("no name", |fleet| fleet["name"] = json!("")),
@@ -131,8 +133,12 @@
         ("unknown field", |fleet| fleet["perio_ms"] = json!(500)),
         ("period", |fleet| fleet["period_ms"] = json!(1)),
         ("a founder twice", |fleet| fleet["founders"][2] = json!("127.0.0.1:7946")),
-        ("policy alone", |fleet| drop(fleet.as_object_mut().unwrap().remove("founders"))),
-        ("no folder", |fleet| drop(fleet["policy"].as_object_mut().unwrap().remove("state_dir"))),
+        ("policy alone", |fleet| {
+            fleet.as_object_mut().unwrap().remove("founders");
+        }),
+        ("no folder", |fleet| {
+            fleet["policy"].as_object_mut().unwrap().remove("state_dir");
+        }),
         ("a slip", |fleet| fleet["policy"]["permitms"] = json!(5)),
         ("a short permit", |fleet| fleet["policy"]["permit_ms"] = json!(100)),
         ("cut", |fleet| fleet["policy"]["when_cut"] = json!("hope")),
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -30,7 +30,8 @@
     }
 }
 
-/// Guards against good answers taken for spoilt: providers send values several times as long as 64 KiB.
+/// Guards against good answers taken for spoilt: backends send values several times as long as 64
+/// KiB.
 #[test]
 fn a_long_value_of_a_node_or_the_origin_arrives_whole() {
     let long = |start: &str| format!("{start}{}", "x".repeat(400_000 - start.len()));
@@ -54,7 +55,7 @@
     assert_eq!((fixture.counter("answers_spoilt"), fixture.counter("answered_served")), (0, 3));
 }
 
-/// Guards against a value of another invocation reaching a consumer.
+/// Guards against a value of another request reaching a client.
 #[test]
 fn an_answer_with_another_id_is_not_passed_on() {
     let (node, origin) =
@@ -94,7 +95,8 @@
     }
 }
 
-/// Guards against a good answer lost for what comes along with it, and against that read as the next one.
+/// Guards against a good answer lost for what comes along with it, and against that read as the
+/// next one.
 #[test]
 fn a_valid_response_with_more_behind_it_is_used_and_its_connection_closed() {
     let node = StubServer::node(|line| {
@@ -104,7 +106,9 @@
     let origin = idle_origin();
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
-    (0..10).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
+    for n in 0..10 {
+        assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n");
+    }
     assert_eq!((node.connected(), fixture.counter("calls_error")), (10, 0));
 }
 
--- a/tests/sockets/client_connections.rs
+++ b/tests/sockets/client_connections.rs
@@ -6,7 +6,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// Guards against a pipeline of small commands that is read faster than it is obeyed, and kept in memory.
+/// Guards against a pipeline of small commands that is read faster than it is obeyed, and kept in
+/// memory.
 #[test]
 fn an_endless_pipeline_takes_no_memory() {
     let origin = idle_origin();
@@ -27,8 +28,8 @@
     let _ = reading.join();
 }
 
-/// Guards against a stall: commands beyond those that may wait are in the proxy's hands already, so the
-/// poller tells of them no more.
+/// Guards against a stall: commands beyond those that may wait are in the proxy's hands already, so
+/// the poller tells of them no more.
 #[test]
 fn many_commands_on_one_connection_are_answered_in_order() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -87,7 +88,7 @@
     assert_eq!(node.received().len(), 1, "nothing malformed was passed on");
 }
 
-/// Guards against places held by consumers that have nothing whole to say.
+/// Guards against places held by clients that have nothing whole to say.
 #[test]
 fn half_a_command_is_answered_with_an_error_and_silence_with_a_close() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -143,7 +144,8 @@
     assert_eq!(other.get("j", "1", 900).1, "v\r\n", "it may be used again");
 }
 
-/// Guards against a worker kept by one consumer: others are served while some send errors at full speed.
+/// Guards against a worker kept by one client: others are served while some send errors at full
+/// speed.
 #[test]
 fn clients_that_send_malformed_input_do_not_occupy_the_worker() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -166,7 +168,8 @@
     });
 }
 
-/// Guards against places kept by consumers that send rubbish again and again and so never stand idle.
+/// Guards against places kept by clients that send rubbish again and again and so never stand
+/// idle.
 #[test]
 fn clients_that_send_malformed_input_do_not_occupy_all_connections() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -193,7 +196,7 @@
     });
 }
 
-/// Guards against memory that grows with what consumers ask for and do not read.
+/// Guards against memory that grows with what clients ask for and do not read.
 #[test]
 fn memory_stays_within_its_limit() {
     let value = "v".repeat(65_536);
@@ -221,14 +224,15 @@
     let fixture = ProxyFixture::with_sockets(&entries, 64);
     let mut held: Vec<Client> = (0..60).map(|_| fixture.client()).collect();
     assert_eq!(held[59].get("k", "1", 900).1, "v\r\n");
-    // 40 descriptors are left to share, 30 of them for consumers while providers need few.
+    // 40 descriptors are left to share, 30 of them for clients while backends need few.
     let made_room = ["consumers_evicted", "consumers_hopeless", "consumers_over_budget"];
     let closed: u64 = made_room.into_iter().map(|name| fixture.counter(name)).sum();
     assert!(closed >= 60 - 30, "{closed}");
 }
 
-/// Guards against clients that are short of connections, since the proxy keeps those that nobody will use.
-/// They may hold a third of the descriptors, ask once on each and keep it; beside them a crowd says nothing.
+/// Guards against clients that are short of connections, since the proxy keeps those that nobody
+/// will use. They may hold a third of the descriptors, ask once on each and keep it; beside them a
+/// crowd says nothing.
 #[test]
 fn clients_that_send_one_request_and_stay_are_disconnected_in_time() {
     const SOCKETS: usize = 96;
@@ -256,7 +260,8 @@
     // Each kept for 2.2 s, 32 connections would carry 15 requests a second of the 50.
     assert!(served * 10 >= asked * 9, "{served} of {asked}");
     assert!(fixture.counter("consumers_hopeless") > 0);
-    // A planned restart comes with more: for as long as they may connect, idle ones give way to them.
+    // A planned restart comes with more: for as long as they may connect, idle ones give way to
+    // them.
     fixture.signal("TERM");
     let begun = Instant::now();
     let (mut asked, mut served) = (0, 0);
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -16,7 +16,9 @@
     let changes = [old.entry("s-0", "c6", "draining"), new.entry("s-1", "c6", "ready")];
     tell.send(catalog(2, false, &changes)).unwrap();
     fixture.until("the change is known", || fixture.counter("lists") == 1);
-    (2..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "new\r\n"));
+    for n in 2..20 {
+        assert_eq!(client.get("k", &n.to_string(), 900).1, "new\r\n");
+    }
     assert_eq!(old.received().len(), 1);
     // A watch that ends is asked for again, from what is known on.
     drop(tell);
@@ -26,15 +28,20 @@
     tell.send(catalog(1, false, &[old.entry("s-0", "c6", "ready")])).unwrap();
     let (line, tell) = fixture.discovery.watch();
     assert_eq!(line, "GET /catalog/members?watch=1&after=0 HTTP/1.1");
-    (20..30).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n"));
+    for n in 20..30 {
+        assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "new\r\n");
+    }
     // Guards against drains that go unheard after a discovery that began again.
     let begun_again = [old.entry("s-0", "c6", "ready"), new.entry("s-1", "c6", "draining")];
     tell.send(catalog(1, true, &begun_again)).unwrap();
     fixture.until("it has come", || fixture.counter("lists") == 2);
-    (30..40).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n"));
+    for n in 30..40 {
+        assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "old\r\n");
+    }
 }
 
-/// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against half of one that keeps the watch alive.
+/// Guards against a list that is indented, or cut anywhere, being taken for spoilt; and against
+/// half of one that keeps the watch alive.
 #[test]
 fn an_indented_endpoint_list_is_accepted() {
     let node = StubServer::full_node("s");
@@ -61,7 +68,8 @@
     assert_eq!(line, "GET /catalog/members?watch=1&after=3 HTTP/1.1");
 }
 
-/// Guards against a proxy that hears of no change at all where lists are pushed: there nobody asks for a watch.
+/// Guards against a proxy that hears of no change at all where lists are pushed: there nobody asks
+/// for a watch.
 #[test]
 fn a_pushed_list_is_watched_from_the_start_and_again_after_an_outage() {
     let node = StubServer::full_node("s");
@@ -91,7 +99,8 @@
     assert!(begun.elapsed() > ms(2700 + 2000), "not before a heartbeat was missed");
 }
 
-/// Guards against an end at SIGHUP, a watch that stays at the old address, and a bad file taken for good.
+/// Guards against an end at SIGHUP, a watch that stays at the old address, and a bad file taken for
+/// good.
 #[test]
 fn sighup_moves_the_watch_and_an_invalid_file_changes_nothing() {
     let (old, new) = (StubServer::full_node("old"), StubServer::full_node("new"));
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -1,7 +1,7 @@
 //! Error paths, each judged by what the harness saw of the real process from outside.
 
 use crate::ms;
-use pinetrail_history_checker::{check, History, HistoryEvent, Reason, State};
+use pinetrail_history_checker::{check, History, HistoryEvent, Reason, State, Time};
 use pinetrail_test_harness::recorder::Recorder;
 use pinetrail_test_harness::*;
 use std::io::Write;
@@ -38,8 +38,8 @@
     }
 }
 
-/// Guards against calls that fail half way, on a new and on a warm connection, for each kind of effect: nothing is
-/// run twice, refused in vain, answered twice or late, and the proxy serves on.
+/// Guards against calls that fail half way, on a new and on a warm connection, for each kind of
+/// effect: nothing is run twice, refused in vain, answered twice or late, and the proxy serves on.
 #[test]
 fn attempts_that_fail_half_way_keep_the_rules_for_every_effect() {
     let (one, other) = (StubServer::node(fails_by_key(false)), StubServer::node(fails_by_key(false)));
@@ -72,7 +72,8 @@
     assert_eq!((fixture.counter("overdue"), fixture.counter("panics")), (0, 0));
 }
 
-/// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no origin.
+/// Guards against misses left waiting for a fetch whose leader has gone, or which fails, or has no
+/// origin.
 #[test]
 fn misses_that_wait_for_a_fetch_are_answered_whatever_becomes_of_it() {
     let node = StubServer::empty_node();
@@ -105,8 +106,8 @@
     Recorder::own().check();
 }
 
-/// Guards against a proxy that keeps clients waiting when nothing is left to ask: each is told at once, or when
-/// half of its aim is over, to come back.
+/// Guards against a proxy that keeps clients waiting when nothing is left to ask: each is told at
+/// once, or when half of its aim is over, to come back.
 #[test]
 fn with_every_node_and_the_origin_down_all_requests_are_rejected_with_a_retry_after() {
     let (node, origin) = (StubServer::full_node("v"), StubServer::origin(|_| http_200("v")));
@@ -128,7 +129,8 @@
     Recorder::own().check();
 }
 
-/// Guards against a stop that another signal disturbs, and against a reload while a reload or a stop is under way.
+/// Guards against a stop that another signal disturbs, and against a reload while a reload or a
+/// stop is under way.
 #[test]
 fn signals_at_awkward_times_lose_nothing() {
     let node = StubServer::node(|line| {
@@ -154,88 +156,117 @@
     Recorder::own().check();
 }
 
-/// A recorded day on the real process: faults of every kind, a node that drains, one that is removed and returns,
-/// settings read again. The rules hold; the recording less one answer, or with a call too late, is refused.
-#[test]
-fn a_day_of_faults_on_sockets_keeps_the_rules() {
-    let moody = || {
-        let calls = AtomicUsize::new(0);
-        let good = fails_by_key(false);
-        StubServer::node(move |line| match calls.fetch_add(1, Ordering::SeqCst) % 23 {
-            3 => StubAction::Disconnect,
-            7 => StubAction::Ignore,
-            11 => StubAction::Reply("SERVER_ERROR busy\r\n".into()),
-            17 => StubAction::Reply("SERVER_ERROR failed\r\n".into()),
-            _ => good(line),
-        })
-    };
-    let nodes = [moody(), moody(), moody()];
-    let calls = AtomicUsize::new(0);
-    let origin = StubServer::origin(move |_| match calls.fetch_add(1, Ordering::SeqCst) % 19 {
+/// A cache node that fails now and then, in every way.
+fn unreliable_node() -> StubServer {
+    let requests = AtomicUsize::new(0);
+    let good = fails_by_key(false);
+    StubServer::node(move |line| match requests.fetch_add(1, Ordering::SeqCst) % 23 {
+        3 => StubAction::Disconnect,
+        7 => StubAction::Ignore,
+        11 => StubAction::Reply("SERVER_ERROR busy\r\n".into()),
+        17 => StubAction::Reply("SERVER_ERROR failed\r\n".into()),
+        _ => good(line),
+    })
+}
+
+/// An origin that fails now and then.
+fn unreliable_origin() -> StubServer {
+    let requests = AtomicUsize::new(0);
+    StubServer::origin(move |_| match requests.fetch_add(1, Ordering::SeqCst) % 19 {
         5 => StubAction::Disconnect,
         9 => StubAction::Reply("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into()),
         _ => http_200("v"),
-    });
-    let fixture = ProxyFixture::of(&nodes.iter().collect::<Vec<_>>(), &origin);
-    let (_, tell) = fixture.discovery.watch();
-    let clients: Vec<_> = (0..8)
-        .map(|c| {
-            let mut client = fixture.client();
-            thread::spawn(move || {
-                for n in 0..60 {
-                    let (id, kind) = (format!("{c}x{n}"), if n % 5 == 0 { "missing" } else { "good" });
-                    match n % 10 {
-                        4 => drop(client.set("put", &format!("w.{id}"), &id, 400)),
-                        9 => drop(client.set("confirm", &format!("w.{id}"), &id, 400)),
-                        _ => drop(client.get(&format!("{kind}.{}", n % 30), &id, 400)),
-                    }
-                }
-            })
-        })
-        .collect();
-    let entry = |n: usize, lifecycle| nodes[n].entry(&format!("s-{n}"), "c6", lifecycle);
-    for (generation, changes) in [(2, entry(0, "draining")), (3, entry(1, "gone")), (4, entry(1, "ready"))] {
-        sleep(ms(400));
-        tell.send(catalog(generation, false, &[changes])).unwrap();
-        fixture.signal("HUP");
-    }
-    for client in clients {
-        client.join().unwrap();
+    })
+}
+
+/// Sends 60 requests of all classes, one after the other. The recorder sees the responses.
+fn send_requests_of_all_classes(client: &mut Client, client_number: usize) {
+    for n in 0..60 {
+        let id = format!("{client_number}x{n}");
+        let kind = if n % 5 == 0 { "missing" } else { "good" };
+        match n % 10 {
+            4 => {
+                client.set("put", &format!("w.{id}"), &id, 400);
+            }
+            9 => {
+                client.set("confirm", &format!("w.{id}"), &id, 400);
+            }
+            _ => {
+                client.get(&format!("{kind}.{}", n % 30), &id, 400);
+            }
+        }
     }
-    Recorder::own().check();
-    let history = Recorder::own().history();
-    let last = history
-        .events
-        .iter()
-        .rposition(|event| matches!(event.1, HistoryEvent::ResponseReceived { .. }))
-        .unwrap();
+}
+
+/// Checks that the checker refuses the recording without its last response.
+fn assert_a_missing_response_is_found(history: &History) {
+    let is_response = |event: &(Time, HistoryEvent)| matches!(event.1, HistoryEvent::ResponseReceived { .. });
+    let last = history.events.iter().rposition(is_response).unwrap();
     let HistoryEvent::ResponseReceived { request, .. } = history.events[last].1.clone() else {
         unreachable!()
     };
     // The recording goes on until everybody's time is over.
+    let end = history.events[last].0 + 5000.0;
     let mut lost = history.clone();
     lost.events.remove(last);
-    lost.events.push((
-        history.events[last].0 + 5000.0,
-        HistoryEvent::ClientDisconnected { request: request.clone() },
-    ));
+    lost.events.push((end, HistoryEvent::ClientDisconnected { request: request.clone() }));
+
     let found = check(&lost).unwrap();
+
     assert_eq!(
         found.iter().map(|b| (b.reason, b.subject.clone())).collect::<Vec<_>>(),
         [(Reason::Lost, request)]
     );
-    // The same calls, had the first node been told to drain from the beginning on, with no time to stop.
-    let (mut drained, drains) = (History { clock_error: 0.0, ..history }, nodes[0].address.to_string());
-    drained.events.iter_mut().for_each(|event| match &mut event.1 {
-        HistoryEvent::ConfigActivated { figures, .. } => figures.stop_within = 0.0,
-        HistoryEvent::EndpointsListed { nodes, .. } => {
-            nodes
-                .iter_mut()
-                .filter(|node| node.address == drains)
-                .for_each(|node| node.state = State::Draining);
+}
+
+/// Checks that the checker refuses the same attempts, had this node been listed as draining from the
+/// beginning on, with no time to stop.
+fn assert_an_attempt_at_a_draining_node_is_found(history: History, draining: &str) {
+    let mut drained = History { clock_error: 0.0, ..history };
+    for (_, event) in &mut drained.events {
+        match event {
+            HistoryEvent::ConfigActivated { figures, .. } => figures.stop_within = 0.0,
+            HistoryEvent::EndpointsListed { nodes, .. } => {
+                for node in nodes.iter_mut().filter(|node| node.address == draining) {
+                    node.state = State::Draining;
+                }
+            }
+            _ => {}
         }
-        _ => {}
-    });
+    }
+
     let found = check(&drained).unwrap();
-    assert!(found.iter().any(|b| (b.reason, &b.subject) == (Reason::Draining, &drains)), "{found:?}");
+
+    assert!(found.iter().any(|b| (b.reason, &*b.subject) == (Reason::Draining, draining)), "{found:?}");
+}
+
+/// A recorded day on the real process: faults of every kind, a node that drains, one that is
+/// removed and returns, settings read again. The rules hold; the recording less one answer, or with
+/// an attempt too late, is refused.
+#[test]
+fn a_day_of_faults_on_sockets_keeps_the_rules() {
+    let nodes = [unreliable_node(), unreliable_node(), unreliable_node()];
+    let origin = unreliable_origin();
+    let fixture = ProxyFixture::of(&nodes.iter().collect::<Vec<_>>(), &origin);
+    let (_, watch) = fixture.discovery.watch();
+    let mut clients = Vec::new();
+    for number in 0..8 {
+        let mut client = fixture.client();
+        clients.push(thread::spawn(move || send_requests_of_all_classes(&mut client, number)));
+    }
+
+    let entry = |n: usize, lifecycle| nodes[n].entry(&format!("s-{n}"), "c6", lifecycle);
+    for (generation, changes) in [(2, entry(0, "draining")), (3, entry(1, "gone")), (4, entry(1, "ready"))] {
+        sleep(ms(400));
+        watch.send(catalog(generation, false, &[changes])).unwrap();
+        fixture.signal("HUP");
+    }
+    for client in clients {
+        client.join().unwrap();
+    }
+
+    Recorder::own().check();
+    let history = Recorder::own().history();
+    assert_a_missing_response_is_found(&history);
+    assert_an_attempt_at_a_draining_node_is_found(history, &nodes[0].address.to_string());
 }
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -9,8 +9,8 @@
 
 const LONG: usize = 4 * 1024 * 1024;
 
-/// Guards against memory that grows with what is announced: together these values are far beyond the limit, and
-/// their consumers read slowly.
+/// Guards against memory that grows with what is announced: together these values are far beyond
+/// the limit, and their clients read slowly.
 #[test]
 fn values_larger_than_the_memory_reach_slow_readers_complete() {
     let value = "x".repeat(LONG);
@@ -45,8 +45,8 @@
     );
 }
 
-/// Guards against bytes held back, and against a deadline that cuts off what a node is still giving: this one gives
-/// the second half only once the consumer has the first.
+/// Guards against bytes held back, and against a deadline that cuts off what a node is still
+/// giving: this one gives the second half only once the client has the first.
 #[test]
 fn the_client_gets_the_first_bytes_before_the_node_has_sent_the_last() {
     let (go, gone) = channel::<()>();
@@ -101,7 +101,8 @@
     assert_eq!((fixture.counter("answers_spoilt"), node.received().len()), (0, 1));
 }
 
-/// Guards against half a value that passes for a whole one, and against a second call for what has begun to flow.
+/// Guards against half a value that passes for a whole one, and against a second call for what has
+/// begun to flow.
 #[test]
 fn a_value_that_breaks_off_ends_the_connection_and_is_not_retried() {
     for ending in [&b""[..], b"no end"] {
@@ -129,7 +130,7 @@
     }
 }
 
-/// Guards against a call that goes on for a consumer that has left.
+/// Guards against a call that goes on for a client that has left.
 #[test]
 fn a_client_that_disconnects_ends_the_body_stream() {
     let (written, seen): (Sender<bool>, _) = channel();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,4 +1,5 @@
-//! The real program as a process, spoken to as consumers, cache nodes, the origin and discovery speak.
+//! The real program as a process, spoken to as clients, cache nodes, the origin and discovery
+//! speak.
 
 mod backend_responses;
 mod client_connections;
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -7,7 +7,8 @@
 use std::thread::sleep;
 use std::time::Instant;
 
-/// Guards against an admin server that does something else than it was asked, or says nothing of why it does not.
+/// Guards against an admin server that does something else than it was asked, or says nothing of
+/// why it does not.
 #[test]
 fn the_admin_server_answers_whether_it_did_and_why_not() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -119,10 +120,10 @@
     let mut client = fixture.client();
     let mut number = 0;
     let mut ask = |times: usize| {
-        (0..times).for_each(|_| {
+        for _ in 0..times {
             number += 1;
             assert!(client.get(&format!("k{number}"), &number.to_string(), 900).0.starts_with("VA "));
-        });
+        }
     };
     ask(20);
     assert!(!out.received().is_empty());
@@ -166,8 +167,8 @@
     fixture.until("its connection is closed", || node.disconnected() == 1);
 }
 
-/// Guards against clients lost by a proxy that sends them away: what was taken is answered, connections close
-/// between commands, and the proxy lives on.
+/// Guards against clients lost by a proxy that sends them away: what was taken is answered,
+/// connections close between commands, and the proxy lives on.
 #[test]
 fn a_proxy_out_of_service_sends_its_clients_away_and_later_takes_them_again() {
     let node = StubServer::node(|line| {
@@ -191,7 +192,8 @@
     assert_eq!(call_admin(fixture.admin_address, "POST", "/control/out-of-service").0, 200, "twice is once");
     assert_eq!(call_admin(fixture.admin_address, "GET", "/control/ready").0, 200, "it still takes who comes");
     assert!(fixture.client().request("mn\r\n").starts_with("SERVER_ERROR "));
-    // Who has a connection is served on it once more, and it closes with the answer; so does a new one.
+    // Who has a connection is served on it once more, and it closes with the answer; so does a new
+    // one.
     for mut client in [used, fixture.client()] {
         assert_eq!(client.get("k", "3", 900).1, "v\r\n");
         assert_eq!(client.read_line(), "");
@@ -213,7 +215,8 @@
     assert!(fixture.end().status.success());
 }
 
-/// Guards against settings put in force in part, and against an open invocation that a reload reaches.
+/// Guards against settings put in force in part, and against an open request that a reload
+/// reaches.
 #[test]
 fn reloaded_settings_apply_at_once_and_spare_open_requests() {
     let node = StubServer::node(|line| {
--- a/tests/sockets/races/cancelled_requests.rs
+++ b/tests/sockets/races/cancelled_requests.rs
@@ -28,8 +28,8 @@
 /// Long enough for what is sent on to arrive.
 const ARRIVES: Duration = Duration::from_millis(400);
 
-/// Guards against requests that are sent on for a client that has gone: its connection is full, so that nobody reads the
-/// end that tells it, or nobody gets to it for what lies before.
+/// Guards against requests that are sent on for a client that has gone: its connection is full, so
+/// that nobody reads the end that tells it, or nobody gets to it for what lies before.
 #[test]
 fn no_queued_request_is_sent_for_a_disconnected_client_whose_connection_is_full() {
     for how in ["close", "close over unread answers", "half close", "reset", "quit"] {
@@ -72,7 +72,8 @@
     }
 }
 
-/// Guards against the same while clients are sent away: then a connection with a command open is read no more.
+/// Guards against the same while clients are sent away: then a connection with a command open is
+/// read no more.
 #[test]
 fn a_client_that_disconnects_late_in_a_drain_is_noticed() {
     let (node, release) = holding();
@@ -97,8 +98,9 @@
     assert_eq!(node.received().len(), before);
 }
 
-/// Guards against a request obeyed long after its client ended its side: much that is no good, and is read with rests, lies
-/// before it. (A client that is wholly gone shows at the first answer to that.)
+/// Guards against a request obeyed long after its client ended its side: much that is no good, and
+/// is read with rests, lies before it. (A client that is wholly gone shows at the first answer to
+/// that.)
 #[test]
 fn a_request_behind_malformed_input_is_not_sent_for_a_disconnected_client() {
     let (node, _) = holding();
@@ -114,8 +116,8 @@
     assert_eq!((node.received(), fixture.counter("taken_reads")), (Vec::new(), 0));
 }
 
-/// Guards against requests of clients that went while the process could not run: on a connection that it holds, and on one
-/// that it has yet to accept.
+/// Guards against requests of clients that went while the process could not run: on a connection
+/// that it holds, and on one that it has yet to accept.
 #[test]
 fn a_process_that_was_stopped_sends_nothing_for_clients_that_disconnected_meanwhile() {
     let node = StubServer::full_node("v");
@@ -134,7 +136,8 @@
     assert_eq!(node.received().len(), 1, "the one from before");
 }
 
-/// Guards against a fetch at the origin for nobody: those that wait for room there, and for another's fetch, have gone.
+/// Guards against a fetch at the origin for nobody: those that wait for room there, and for
+/// another's fetch, have gone.
 #[test]
 fn waiting_misses_are_not_sent_for_disconnected_clients() {
     let release = Arc::new(AtomicBool::new(false));
--- a/tests/sockets/races/closes.rs
+++ b/tests/sockets/races/closes.rs
@@ -3,7 +3,8 @@
 use super::*;
 use std::time::Instant;
 
-/// Says something again and again on a connection that the proxy has ended, for a time; whether that was a reset.
+/// Says something again and again on a connection that the proxy has ended, for a time; whether
+/// that was a reset.
 fn is_reset_by(client: &mut Client, words: &str, time: u64) -> bool {
     let until = Instant::now() + ms(time);
     while Instant::now() < until {
@@ -15,8 +16,9 @@
     false
 }
 
-/// Guards against a reset that may destroy the answer before it: the proxy ends a connection, and more is on its way. What
-/// comes after that is thrown away, not taken; and a client that never ends its side keeps its descriptor for a moment only.
+/// Guards against a reset that may destroy the answer before it: the proxy ends a connection, and
+/// more is on its way. What comes after that is thrown away, not taken; and a client that never
+/// ends its side keeps its descriptor for a moment only.
 #[test]
 fn a_command_that_crosses_the_end_of_its_connection_meets_no_reset_and_is_not_taken() {
     for how in ["sigterm", "sigterm over half a command", "out of service"] {
@@ -80,7 +82,8 @@
     unanswered: usize,
 }
 
-/// Asks again and again, on the connection that it has for as long as that is open; on new ones until `connects`.
+/// Asks again and again, on the connection that it has for as long as that is open; on new ones
+/// until `connects`.
 fn asks_through_a_drain(
     address: std::net::SocketAddr,
     name: usize,
@@ -116,8 +119,9 @@
     seen
 }
 
-/// Guards against requests lost by a drain while half of the nodes hang: clients go on asking on every open connection up
-/// to the exit, and new ones come for 0.3 s. All are answered, but for what crosses the end of a connection.
+/// Guards against requests lost by a drain while half of the nodes hang: clients go on asking on
+/// every open connection up to the exit, and new ones come for 0.3 s. All are answered, but for
+/// what crosses the end of a connection.
 #[test]
 fn a_draining_proxy_under_load_with_half_of_the_nodes_hanging_answers_all_requests() {
     let (node, hangs) = (StubServer::full_node("v"), StubServer::node(|_| StubAction::Ignore));
--- a/tests/sockets/races/kept.rs
+++ b/tests/sockets/races/kept.rs
@@ -1,11 +1,12 @@
-//! A connection to a provider is kept for the next call, and something of the last one is still to come.
+//! A connection to a backend is kept for the next call, and something of the last one is still to
+//! come.
 
 use super::*;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// Guards against a value of another request: an answer without an id comes twice, the second time on a connection that
-/// has the next request already.
+/// Guards against a value of another request: an answer without an id comes twice, the second time
+/// on a connection that has the next request already.
 #[test]
 fn a_second_answer_without_an_id_does_not_answer_the_next_request() {
     let node = StubServer::empty_node();
@@ -20,7 +21,8 @@
     assert!(first.send(&says("a")));
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "a\r\n".into()));
     client.send("mg b v O2 Pc=read,t=acme,d=5000\r\n");
-    // On whichever connection the request comes, the first one's second answer is there before its own.
+    // On whichever connection the request comes, the first one's second answer is there before its
+    // own.
     let mut second = origin.accept_within(ms(1000));
     first.send(&says("a"));
     let asked = second.as_mut().unwrap_or(&mut first);
@@ -29,7 +31,8 @@
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O2\r\n".into(), "b\r\n".into()));
 }
 
-/// Guards against an effect twice, or a failure that was none: nor does a second refusal, which never has an id.
+/// Guards against an effect twice, or a failure that was none: nor does a second refusal, which
+/// never has an id.
 #[test]
 fn a_second_rejection_does_not_answer_the_next_request() {
     let node = AcceptBarrier::new();
@@ -48,7 +51,8 @@
     assert_eq!((client.read_line(), client.read_line()), ("VA 1 O1\r\n".into(), "v\r\n".into()));
 }
 
-/// Guards against a value that is not whole: an answer without a length ends with the connection, however that ends.
+/// Guards against a value that is not whole: an answer without a length ends with the connection,
+/// however that ends.
 #[test]
 fn a_response_without_a_length_is_never_complete() {
     for resets in [false, true] {
@@ -71,8 +75,8 @@
     }
 }
 
-/// Guards against a connection to a process that is no more: its node starts anew, or drains, while a call is out, and the
-/// call ends only after that is known.
+/// Guards against a connection to a process that is no more: its node starts anew, or drains, while
+/// a call is out, and the call ends only after that is known.
 #[test]
 fn a_connection_to_a_node_that_left_meanwhile_is_not_kept() {
     let (release, asked) = (Arc::new(AtomicBool::new(false)), AtomicUsize::new(0));
--- a/tests/sockets/races/late.rs
+++ b/tests/sockets/races/late.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 const SLOW_CONNECT: (&str, &str) = (r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":5000.0"#);
-/// A connection that was held back comes up within this time of being let in: the system tries again each second.
+/// A connection that was held back comes up within this time of being let in: the system tries
+/// again each second.
 const COMES_UP: u64 = 2500;
 
-/// Guards against an effect twice: a repeat is decided within the window of its key, and its connection comes up after it.
+/// Guards against an effect twice: a repeat is decided within the window of its key, and its
+/// connection comes up after it.
 #[test]
 fn a_retry_whose_connection_comes_up_after_its_window_is_not_sent() {
     let mut origin = AcceptBarrier::new();
@@ -30,8 +32,8 @@
     }
 }
 
-/// Guards against a call that is sent to a node after it began to drain, after it started anew, or for nobody: each
-/// happens while its connection comes up.
+/// Guards against a call that is sent to a node after it began to drain, after it started anew, or
+/// for nobody: each happens while its connection comes up.
 #[test]
 fn a_connection_that_comes_up_too_late_takes_no_attempt() {
     for happens in ["drains", "starts anew", "the client leaves"] {
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -22,8 +22,8 @@
     (fixture, discovery, call, node)
 }
 
-/// Guards against a change that counts as told before it is known: the watch falls silent just before it, and the next
-/// call hangs, is refused, or breaks; the one after that would tell it.
+/// Guards against a change that counts as told before it is known: the watch falls silent just
+/// before it, and the next call hangs, is refused, or breaks; the one after that would tell it.
 #[test]
 fn what_a_silent_watch_missed_is_fetched_in_time_whatever_the_next_watch_meets() {
     for next in ["hangs", "is refused", "ends", "trickles"] {
@@ -33,9 +33,13 @@
         let mut call = discovery.accept().expect("a silent watch is dead");
         assert!(call.request(true).is_some());
         match next {
-            "is refused" => drop(call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
+            "is refused" => {
+                let _ = call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            }
             // A head that never ends.
-            "trickles" => drop(call.send("HTTP/1.1 200 OK\r\nTransfer-")),
+            "trickles" => {
+                let _ = call.send("HTTP/1.1 200 OK\r\nTransfer-");
+            }
             _ => {}
         }
         let held = (next != "ends").then_some(call);
@@ -53,8 +57,9 @@
     }
 }
 
-/// Guards against a proxy that is still waiting when discovery has long been back: it is asked again before a change of that
-/// moment counts as told, however often it failed before, and not so often that hundreds would bring it down.
+/// Guards against a proxy that is still waiting when discovery has long been back: it is asked
+/// again before a change of that moment counts as told, however often it failed before, and not so
+/// often that hundreds would bring it down.
 #[test]
 fn a_failing_discovery_is_retried_often_enough_and_not_too_often() {
     let (_scene, discovery, mut call, _) = moved();
@@ -73,8 +78,8 @@
     assert!(gaps[1..].iter().all(|gap| *gap > ms(1900)), "{gaps:?}");
 }
 
-/// Guards against changes that count as told at once where lists are pushed: the agent is asked again soon, however often it
-/// has failed.
+/// Guards against changes that count as told at once where lists are pushed: the agent is asked
+/// again soon, however often it has failed.
 #[test]
 fn a_discovery_that_is_back_is_asked_at_once() {
     let node = StubServer::full_node("v");
@@ -91,7 +96,8 @@
     }
 }
 
-/// Guards against an old address that holds the new one up: its connection does not come up while the watch moves on.
+/// Guards against an old address that holds the new one up: its connection does not come up while
+/// the watch moves on.
 #[test]
 fn a_move_does_not_wait_for_a_connection_to_the_old_address() {
     let node = StubServer::full_node("v");
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -1,4 +1,5 @@
-//! Two events that cross, each in the order that does harm, every time: the parties hold back what the test lets go.
+//! Two events that cross, each in the order that does harm, every time: the parties hold back what
+//! the test lets go.
 
 mod cancelled_requests;
 mod closes;
--- a/tests/sockets/requests.rs
+++ b/tests/sockets/requests.rs
@@ -1,4 +1,5 @@
-//! Requests from a client to a cache node or the origin, and how each of their responses comes about.
+//! Requests from a client to a cache node or the origin, and how each of their responses comes
+//! about.
 
 use crate::{idle_origin, ms, origin_saying};
 use pinetrail_test_harness::*;
@@ -55,7 +56,9 @@
     let nowhere = StubServer::unreachable();
     let fixture = ProxyFixture::of(&[&nowhere, &node], &origin);
     let mut client = fixture.client();
-    (0..20).for_each(|n| assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n"));
+    for n in 0..20 {
+        assert_eq!(client.get(&format!("k{n}"), &n.to_string(), 900).1, "v\r\n");
+    }
     assert!(fixture.counter("calls_connect_failed") >= 1);
     assert_eq!((fixture.counter("answered_served"), fixture.counter("calls_ok")), (20, 20));
 }
@@ -92,8 +95,8 @@
     assert_eq!(fixture.counter("answered_failed") + fixture.counter("answered_rejected"), 0);
 }
 
-/// Guards against a handshake a call, against a call on a connection that broke while it stood idle, and
-/// against one that the node is about to close for its age.
+/// Guards against a handshake a call, against a call on a connection that broke while it stood
+/// idle, and against one that the node is about to close for its age.
 #[test]
 fn open_backend_connections_are_reused_until_they_break_or_grow_old() {
     let node = StubServer::node(|line| {
@@ -106,7 +109,9 @@
     let origin = idle_origin();
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
-    (0..20).for_each(|n| assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n"));
+    for n in 0..20 {
+        assert_eq!(client.get("k", &n.to_string(), 900).1, "v\r\n");
+    }
     assert_eq!((node.connected(), fixture.counter("provider_connections")), (1, 1));
     assert!(client.get("bye", "20", 300).0.starts_with("SERVER_ERROR "), "reset, as often as it was tried");
     fixture.until("the rest are broken", || node.disconnected() == node.connected());
@@ -122,8 +127,8 @@
     }
 }
 
-/// Guards against tables that drift apart: numbers of keys and nodes must not depend on the order of a
-/// list, nor on the process. The last two nodes' names lay claim to one number.
+/// Guards against tables that drift apart: numbers of keys and nodes must not depend on the order
+/// of a list, nor on the process. The last two nodes' names lay claim to one number.
 #[test]
 fn two_proxies_choose_the_same_node_for_a_key() {
     let nodes = [StubServer::full_node("0"), StubServer::full_node("1"), StubServer::full_node("2")];
@@ -147,18 +152,21 @@
     let fixture = ProxyFixture::of(&[&node], &origin);
     let mut client = fixture.client();
     let mut ask = |from: u32| {
-        (from..from + 1000).for_each(|n| {
+        for n in from..from + 1000 {
             assert_eq!(client.get("k", &n.to_string(), 50_000).1, "v\r\n");
             sleep(ms(1));
-        });
+        }
     };
     ask(0);
     let before = fixture.memory_mb();
-    (1..4).for_each(|n| ask(n * 1000));
+    for n in 1..4 {
+        ask(n * 1000);
+    }
     assert!(fixture.memory_mb() <= before + 8, "from {before} to {} MB", fixture.memory_mb());
 }
 
-/// Guards against a connection to a machine that has gone, used for the one that has its address now.
+/// Guards against a connection to a machine that has gone, used for the one that has its address
+/// now.
 #[test]
 fn a_new_node_at_an_old_address_gets_new_connections() {
     let node = StubServer::full_node("v");
@@ -174,8 +182,8 @@
     assert_eq!(node.connected(), 2);
 }
 
-/// Guards against timers lost: the timer lists of the library, one for each length of time, are unsafe to use
-/// in more than 1024 lengths.
+/// Guards against timers lost: the timer lists of the library, one for each length of time, are
+/// unsafe to use in more than 1024 lengths.
 #[test]
 fn requests_with_many_deadlines_are_all_answered() {
     let (node, origin) = (StubServer::node(|_| StubAction::Ignore), idle_origin());
@@ -192,7 +200,9 @@
             client.send(&(0..60).map(ask).collect::<String>());
         }
         for (client, _) in &mut clients {
-            (0..60).for_each(|_| assert!(client.read_line().starts_with("SERVER_ERROR ")));
+            for _ in 0..60 {
+                assert!(client.read_line().starts_with("SERVER_ERROR "));
+            }
         }
     }
     assert_eq!(fixture.counter("overdue"), 0);
--- a/tests/sockets/settings.rs
+++ b/tests/sockets/settings.rs
@@ -33,7 +33,8 @@
         "書く",
         ",t=ł#/%",
     );
-    // No tenants, zones or kinds of machines but the origin's; a zone and kinds that no setting names.
+    // No tenants, zones or kinds of machines but the origin's; a zone and kinds that no setting
+    // names.
     serves(
         &[
             (r#""Orgs":[{"Name":"acme"}],"#, ""),
@@ -65,7 +66,8 @@
     );
 }
 
-/// Guards against a request that hangs since its time is shorter than any timer: it is answered when that is over.
+/// Guards against a request that hangs since its time is shorter than any timer: it is answered
+/// when that is over.
 #[test]
 fn a_deadline_of_a_few_milliseconds_is_kept() {
     let node = StubServer::node(|_| StubAction::Ignore);
--- a/tests/sockets/starts.rs
+++ b/tests/sockets/starts.rs
@@ -8,7 +8,8 @@
 /// A restarted process is ready within this time.
 const READY: Duration = Duration::from_secs(10);
 
-/// Guards against a start that waits for discovery: it refuses, or its connections never come up, or it hangs.
+/// Guards against a start that waits for discovery: it refuses, or its connections never come up,
+/// or it hangs.
 #[test]
 fn processes_that_start_at_once_are_ready_whatever_discovery_does() {
     let node = StubServer::full_node("v");
@@ -46,8 +47,8 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
 }
 
-/// Guards against idle clients that leave no descriptor for discovery, nodes and the admin server: all that there is is held by
-/// them while discovery is down, and then it is back.
+/// Guards against idle clients that leave no descriptor for discovery, nodes and the admin server:
+/// all that there is is held by them while discovery is down, and then it is back.
 #[test]
 fn idle_clients_do_not_keep_the_watch_from_coming_back() {
     let node = StubServer::full_node("v");
@@ -106,7 +107,8 @@
             good.replace(r#""MaxAttempts":3"#, r#""MaxAttempts":256"#),
             r#"settings.Permissions.MaxAttempts "256""#,
         ),
-        // Danger: no duration holds it, so that it ended the process, a start and one that serves alike.
+        // Danger: no duration holds it, so that it ended the process, a start and one that serves
+        // alike.
         (good.replace(r#""ConnectTimeout":250.0"#, r#""ConnectTimeout":1e300"#), "ConnectTimeout"),
         (
             known(&[node("s-0", "ready", "1.0", "0"), node("s-0", "ready", "1.0", "0"), origin()]),
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -50,12 +50,15 @@
 
     fn end(self) -> usize {
         self.stop.store(true, Ordering::SeqCst);
-        self.clients.into_iter().for_each(|client| client.join().expect("every command is answered"));
+        for client in self.clients {
+            client.join().expect("every command is answered");
+        }
         self.asked.load(Ordering::SeqCst)
     }
 }
 
-/// Guards against commands lost or run twice while one process follows another, and against bans forgotten.
+/// Guards against commands lost or run twice while one process follows another, and against bans
+/// forgotten.
 #[test]
 fn three_hot_restarts_lose_no_request_and_keep_maintenance() {
     let (node, out, origin) = (StubServer::full_node("v"), StubServer::full_node("out"), idle_origin());
@@ -86,12 +89,14 @@
     assert!(out.received().is_empty(), "held out before, during and after");
     assert_eq!(call_admin(fixture.admin_address, "POST", "/control/cache-nodes/s-1/online").0, 200);
     let mut client = fixture.client();
-    (0..40).for_each(|n| assert!(client.get(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA ")));
+    for n in 0..40 {
+        assert!(client.get(&format!("j{n}"), &format!("j{n}"), 900).0.starts_with("VA "));
+    }
     assert!(!out.received().is_empty(), "it serves again");
 }
 
-/// Guards against clients left waiting by a newcomer that dies, and against a proxy that cannot be upgraded
-/// any more after that.
+/// Guards against clients left waiting by a newcomer that dies, and against a proxy that cannot be
+/// upgraded any more after that.
 #[test]
 fn a_second_process_that_fails_leaves_the_first_one_unchanged() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -129,7 +134,8 @@
     assert_eq!(fixture.client().get("k", "c", 900).1, "v\r\n");
 }
 
-/// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade carries over.
+/// Guards against a drain that half of the proxy does not hear of, and against one that an upgrade
+/// carries over.
 #[test]
 fn going_out_of_service_binds_both_processes_and_is_not_inherited() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
@@ -146,14 +152,17 @@
     assert_eq!(fixture.client().request("mn\r\n"), "MN\r\n");
 }
 
-/// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed process left there.
+/// Guards against a `$TMPDIR` whose path is too long for a Unix socket, and against what a killed
+/// process left there.
 #[test]
 fn a_hot_restart_needs_no_short_path_and_no_clean_folder() {
     let (node, origin) = (StubServer::full_node("v"), idle_origin());
     let mut fixture = ProxyFixture::of(&[&node], &origin);
     fixture.use_long_temp_dir();
     // The one that is killed leaves its name behind.
-    (0..2).for_each(|_| fixture.restart());
+    for _ in 0..2 {
+        fixture.restart();
+    }
     let second = fixture.start_second_process();
     let first = fixture.replace_process(second);
     signal(&first, "TERM");
