--- a/tests/golden/fleet.rs
+++ b/tests/golden/fleet.rs
@@ -1,7 +1,7 @@
 //! Answers of the admin servers of a fleet: its members, its shares, its policy, and drift from
 //! that.
 
-use crate::door::{request, whole_answer};
+use crate::admin::{request, whole_answer};
 use crate::{compare, escaped, origin, without_number};
 use pinetrail_test_harness::fleet::{Fleet, Options};
 use pinetrail_test_harness::policy::{change_outcome, policy_status, settings};
--- a/tests/golden/main.rs
+++ b/tests/golden/main.rs
@@ -1,11 +1,11 @@
 //! What the running program says, byte for byte, as it was recorded from it: whoever renames or
 //! moves its code must leave all of this as it is. A difference is shown line by line.
 
-mod consumers;
+mod admin;
+mod backends;
+mod clients;
 mod counters;
-mod door;
 mod fleet;
-mod providers;
 mod starts;
 
 use pinetrail_test_harness::{http_200, StubAction, StubServer};
