--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -148,7 +148,7 @@
         let mut left = value.length;
         loop {
             let part = bytes.len().min(left);
-            if reader.put(&bytes[..part]).is_err() {
+            if reader.send(&bytes[..part]).is_err() {
                 return Outcome::Cancelled.into();
             }
             left -= part;
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -1,5 +1,5 @@
 //! A long value on its way from a backend to a client, in pieces: a bounded window between two
-//! coroutines. [`BodyReader`] is filled with what is read from the backend, [`BodyWriter`] is
+//! coroutines. [`BodySender`] is filled with what is read from the backend, [`BodyReceiver`] is
 //! emptied into the client's connection. A full window makes the filling end wait, so that a slow
 //! client slows the backend down.
 
@@ -15,8 +15,8 @@
 struct State {
     bytes: Vec<u8>,
     progress: Progress,
-    /// Whether the [`BodyWriter`] was dropped.
-    writer_gone: bool,
+    /// Whether the [`BodyReceiver`] was dropped.
+    receiver_gone: bool,
     /// Called when there is something to take.
     wake: Option<Box<dyn Fn() + Send>>,
     /// Fired when there is room again.
@@ -38,12 +38,12 @@
 }
 
 /// The end of the coroutine that reads from the backend: pieces are put into it. Dropped before
-/// [`BodyReader::finish`], it marks the value as broken.
-pub struct BodyReader(Shared);
+/// [`BodySender::finish`], it marks the value as broken.
+pub struct BodySender(Shared);
 
 /// The end of the coroutine that writes to the client: pieces are taken from it. Dropped, it makes
 /// the other end stop.
-pub struct BodyWriter(Shared);
+pub struct BodyReceiver(Shared);
 
 /// What the window has at this moment.
 #[derive(Debug, PartialEq, Eq)]
@@ -61,25 +61,25 @@
 /// The client has gone: nobody takes what is put in.
 #[derive(Debug, PartialEq, Eq, Error)]
 #[error("the client has gone")]
-pub struct WriterGone;
+pub struct ReceiverGone;
 
 /// The two ends of a window.
-pub fn window() -> (BodyReader, BodyWriter) {
+pub fn window() -> (BodySender, BodyReceiver) {
     let shared = Shared::default();
-    (BodyReader(Arc::clone(&shared)), BodyWriter(shared))
+    (BodySender(Arc::clone(&shared)), BodyReceiver(shared))
 }
 
-impl BodyReader {
+impl BodySender {
     /// Puts a piece in, once there is room. It waits without a time limit: the other end takes or is dropped.
     ///
     /// # Errors
     /// If the other end was dropped.
-    pub fn put(&self, piece: &[u8]) -> Result<(), WriterGone> {
+    pub fn send(&self, piece: &[u8]) -> Result<(), ReceiverGone> {
         loop {
             let flag = {
                 let mut state = lock(&self.0);
-                if state.writer_gone {
-                    return Err(WriterGone);
+                if state.receiver_gone {
+                    return Err(ReceiverGone);
                 }
                 if state.bytes.len() < WINDOW {
                     state.bytes.extend_from_slice(piece);
@@ -99,7 +99,7 @@
     }
 }
 
-impl Drop for BodyReader {
+impl Drop for BodySender {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
         if state.progress == Progress::Open {
@@ -109,7 +109,7 @@
     }
 }
 
-impl BodyWriter {
+impl BodyReceiver {
     /// Has `wake` called whenever there is something to take. It must not wait.
     pub fn set_waker(&self, wake: Box<dyn Fn() + Send>) {
         let mut state = lock(&self.0);
@@ -118,7 +118,7 @@
     }
 
     /// Takes what is there.
-    pub fn take(&self) -> Piece {
+    pub fn receive(&self) -> Piece {
         let mut state = lock(&self.0);
         if state.bytes.is_empty() {
             return match state.progress {
@@ -133,10 +133,10 @@
     }
 }
 
-impl Drop for BodyWriter {
+impl Drop for BodyReceiver {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
-        state.writer_gone = true;
+        state.receiver_gone = true;
         state.bytes = Vec::new();
         state.wake = None;
         state.make_room();
@@ -161,9 +161,9 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl std::fmt::Debug for BodyWriter {
+impl std::fmt::Debug for BodyReceiver {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("BodyWriter")
+        f.write_str("BodyReceiver")
     }
 }
 
--- a/src/net/body_stream/tests.rs
+++ b/src/net/body_stream/tests.rs
@@ -6,13 +6,13 @@
     let (source, sink) = window();
     let filler = thread::spawn(move || {
         for n in 0..1000u32 {
-            source.put(&n.to_be_bytes().repeat(256)).unwrap();
+            source.send(&n.to_be_bytes().repeat(256)).unwrap();
         }
         source.finish();
     });
     let (mut got, mut most) = (Vec::new(), 0);
     loop {
-        match sink.take() {
+        match sink.receive() {
             Piece::Bytes(bytes) => {
                 most = most.max(bytes.len());
                 got.extend(bytes);
@@ -30,12 +30,12 @@
 #[test]
 fn either_end_learns_that_the_other_has_gone() {
     let (source, sink) = window();
-    source.put(b"half").unwrap();
+    source.send(b"half").unwrap();
     drop(source);
-    assert_eq!((sink.take(), sink.take()), (Piece::Bytes(b"half".to_vec()), Piece::Broken));
+    assert_eq!((sink.receive(), sink.receive()), (Piece::Bytes(b"half".to_vec()), Piece::Broken));
     let (source, sink) = window();
-    source.put(&[0; WINDOW]).unwrap();
-    let filler = thread::spawn(move || source.put(b"more"));
+    source.send(&[0; WINDOW]).unwrap();
+    let filler = thread::spawn(move || source.send(b"more"));
     drop(sink);
-    assert_eq!(filler.join().unwrap(), Err(WriterGone));
+    assert_eq!(filler.join().unwrap(), Err(ReceiverGone));
 }
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -13,7 +13,7 @@
 use super::registry::ConnectionHandle;
 use super::ClientService;
 use crate::interface::RequestId;
-use crate::net::body_stream::BodyWriter;
+use crate::net::body_stream::BodyReceiver;
 use crate::net::codec::MAX_VALUE;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
@@ -45,7 +45,7 @@
     /// All of it, or what comes before a value that streams.
     bytes: Vec<u8>,
     /// The value, if it streams.
-    body: Option<BodyWriter>,
+    body: Option<BodyReceiver>,
 }
 
 /// Where a response is put once it is there. Locked only to put it in or take it out.
@@ -122,7 +122,7 @@
     /// What is to be written next.
     output: Vec<u8>,
     /// The value of the first pending command, while it streams.
-    body: Option<BodyWriter>,
+    body: Option<BodyReceiver>,
     /// Whether that broke off: the connection ends once what came before has been written.
     body_broken: bool,
     /// What the responses in `output` hold of the memory.
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -75,7 +75,7 @@
     /// Takes the next piece of the value that streams; returns whether there may be more to take.
     fn take_piece(&mut self) -> bool {
         let Some(body) = &self.body else { return true };
-        match body.take() {
+        match body.receive() {
             Piece::Bytes(bytes) => self.output.extend(bytes),
             Piece::Pending => return false,
             Piece::Broken => self.body_broken = true,
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -6,7 +6,7 @@
 use super::state::{DispatcherState, Endpoint, InFlightAttempt, InFlightRequest, PendingResponse};
 use super::Dispatcher;
 use crate::interface::{AttemptEnd, Event, Outcome, RequestId, ServerId, Time};
-use crate::net::body_stream::BodyWriter;
+use crate::net::body_stream::BodyReceiver;
 use crate::net::log::log;
 use std::sync::Arc;
 use std::time::Instant;
@@ -93,7 +93,7 @@
 
     /// An attempt brings a value that is too long to be read whole: the response begins here, and
     /// the attempt goes on. False if nobody waits for it any more.
-    pub fn attempt_streaming(self: &Arc<Self>, id: AttemptId, length: usize, body: BodyWriter) -> bool {
+    pub fn attempt_streaming(self: &Arc<Self>, id: AttemptId, length: usize, body: BodyReceiver) -> bool {
         let mut state = self.lock();
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(&id.request) else { return false };
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -2,7 +2,7 @@
 //! protocol. Read [`ClientRequest`] first, then [`AttemptRequest`], which is made of it.
 
 use crate::interface::{RequestId, ServerId, Time};
-use crate::net::body_stream::BodyWriter;
+use crate::net::body_stream::BodyReceiver;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -50,7 +50,7 @@
         /// Its length in bytes.
         length: usize,
         /// Where its pieces are taken from.
-        body: BodyWriter,
+        body: BodyReceiver,
     },
     /// Rejected: sending it again does no harm.
     Rejected {
