--- a/crates/connection-limits/src/lib.rs
+++ b/crates/connection-limits/src/lib.rs
@@ -10,8 +10,6 @@
 //! of the capacity that is used or soon will be. At low pressure every limit is generous. As it
 //! rises, idle connections are closed at the age from which on hardly any of their kind was seen to
 //! send another request ([`ReuseEstimator`]), and those that the server waits for have a budget.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod connection_table;
 mod descriptor_budget;
--- a/crates/drift/src/lib.rs
+++ b/crates/drift/src/lib.rs
@@ -5,8 +5,6 @@
 //!
 //! Nothing here waits, sends or reads a clock: the caller passes the time in, and raises the alarms
 //! that are due.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod alarm;
 mod detector;
--- a/crates/experiments/src/cost/mod.rs
+++ b/crates/experiments/src/cost/mod.rs
@@ -1,5 +1,5 @@
-//! `pinetrail-experiments cost`: what a fleet costs real processes and their clients. Rounds with a fleet
-//! and without it alternate.
+//! `pinetrail-experiments cost`: what a fleet costs real processes and their clients. Rounds with a
+//! fleet and without it alternate.
 
 mod core;
 
--- a/crates/experiments/src/demo/mod.rs
+++ b/crates/experiments/src/demo/mod.rs
@@ -1,5 +1,5 @@
-//! `pinetrail-experiments demo`: three real proxies that know each other, the servers they call, clients,
-//! and faults.
+//! `pinetrail-experiments demo`: three real proxies that know each other, the servers they call,
+//! clients, and faults.
 
 use crate::error::ExperimentError;
 use crate::load::{Done, Load};
--- a/crates/experiments/src/policy/mod.rs
+++ b/crates/experiments/src/policy/mod.rs
@@ -1,5 +1,5 @@
-//! `pinetrail-experiments policy`: policy consensus under faults from many seeds, and how long a change
-//! takes without any.
+//! `pinetrail-experiments policy`: policy consensus under faults from many seeds, and how long a
+//! change takes without any.
 
 use crate::error::ExperimentError;
 use crate::output::write_json;
--- a/crates/experiments/src/quota/mod.rs
+++ b/crates/experiments/src/quota/mod.rs
@@ -1,5 +1,5 @@
-//! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each may
-//! use, side by side.
+//! `pinetrail-experiments shares`: proxies that fetch from one origin, by three rules of what each
+//! may use, side by side.
 
 mod day;
 pub(crate) mod proof;
--- a/crates/experiments/src/quota/proof.rs
+++ b/crates/experiments/src/quota/proof.rs
@@ -1,5 +1,5 @@
-//! `pinetrail-experiments proof`: whether quotas keep their promises under many seeds of faults, and in
-//! every order of some.
+//! `pinetrail-experiments proof`: whether quotas keep their promises under many seeds of faults,
+//! and in every order of some.
 
 use crate::error::ExperimentError;
 use crate::output::progress_bar;
--- a/crates/history-checker/src/lib.rs
+++ b/crates/history-checker/src/lib.rs
@@ -10,8 +10,6 @@
 //!
 //! Each rule has a module: `responses`, `repetition`, `draining`, `slow_start`, `quota` and
 //! `policies`. The first two work on the index of requests in `request_index`.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod draining;
 mod history;
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -1,5 +1,5 @@
-//! What is believed of one member and since when ([`MemberRecord`]), and on which side of a partition this
-//! member is.
+//! What is believed of one member and since when ([`MemberRecord`]), and on which side of a
+//! partition this member is.
 
 use crate::Time;
 use std::fmt;
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,5 +1,5 @@
-//! The records of all members, kept in step with what SWIM believes, and the side of a partition that
-//! follows from them.
+//! The records of all members, kept in step with what SWIM believes, and the side of a partition
+//! that follows from them.
 
 use crate::events::MembershipEvent;
 use crate::identity::{MemberId, LEAVE_GENERATION};
--- a/crates/peer-transport/src/lib.rs
+++ b/crates/peer-transport/src/lib.rs
@@ -11,8 +11,6 @@
 //! Modules, from the bottom up: `process`, `network` and `config` (who and where), `frame` (the
 //! format), `send_queue` and `connection` (one connection's state), `shared` (the state of all
 //! connections), `session`, `accept` and `dial` (the tasks), `transport` (what starts them).
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod accept;
 mod config;
--- a/crates/policy-consensus/src/lib.rs
+++ b/crates/policy-consensus/src/lib.rs
@@ -6,7 +6,6 @@
 //! are small functions that never wait: the steps of [`ReplicatedState`], the votes of [`Acceptor`]
 //! and the leases of [`LeaseTable`]. The tasks of [`ConsensusNode`] call them, and talk to other
 //! processes.
-#![warn(missing_docs)]
 
 mod acceptor;
 mod admission_lease;
--- a/crates/policy-consensus/src/node/status.rs
+++ b/crates/policy-consensus/src/node/status.rs
@@ -69,8 +69,8 @@
         Some((state.agreed.version, text))
     }
 
-    /// Why this process does not admit requests yet. `GET /control/ready` answers with it, so that the
-    /// texts keep the words that operators know.
+    /// Why this process does not admit requests yet. `GET /control/ready` answers with it, so that
+    /// the texts keep the words that operators know.
     pub fn not_ready_reason(&self) -> String {
         let state = self.state();
         if let Some(unusable) = &state.unusable {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,7 +1,8 @@
-//! Models of what a proxy talks to, as state machines in simulated time: no socket, clock or thread. Equal seeds give
-//! equal runs. For tests and measurements; no proxy depends on it.
+//! Models of what a proxy talks to, as state machines in simulated time: no socket, clock or
+//! thread. Equal seeds give equal runs. For tests and measurements; no proxy depends on it.
 //!
-//! Read [`fleet::Fleet`] first: members of a fleet over a modelled [`network::Network`], with faults as its verbs.
+//! Read [`fleet::Fleet`] first: members of a fleet over a modelled [`network::Network`], with
+//! faults as its verbs.
 
 pub mod fleet;
 pub mod heartbeats;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,8 @@
 //! pinetrail is a proxy for fleets of cache nodes, round a decision module that does no I/O.
 //!
 //! The decisions are [`logic::Balancer`]'s, the type to read first: feed it [`interface::Event`]s
-//! with the time they happened, carry out the [`interface::Action`]s it appends. It reads no clock and
-//! shares nothing. [`wire`] puts it on the simulator's pipe, [`net`] on real sockets.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! with the time they happened, carry out the [`interface::Action`]s it appends. It reads no clock
+//! and shares nothing. [`wire`] puts it on the simulator's pipe, [`net`] on real sockets.
 
 pub mod interface;
 pub mod logic;
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -70,7 +70,8 @@
 }
 
 impl BodySender {
-    /// Puts a piece in, once there is room. It waits without a time limit: the other end takes or is dropped.
+    /// Puts a piece in, once there is room. It waits without a time limit: the other end takes or
+    /// is dropped.
     ///
     /// # Errors
     /// If the other end was dropped.
--- a/src/net/config/fleet.rs
+++ b/src/net/config/fleet.rs
@@ -15,8 +15,8 @@
 pub struct QuotaConfig {
     /// For the quota leases.
     pub settings: QuotaSettings,
-    /// Attempts that all proxies together may have in flight, at one node and at the origin; infinite
-    /// where that is not given.
+    /// Attempts that all proxies together may have in flight, at one node and at the origin;
+    /// infinite where that is not given.
     pub limits: FleetLimits,
 }
 
@@ -135,8 +135,8 @@
     calls.map_or(f64::INFINITY, |calls| calls as f64)
 }
 
-/// Danger: a guaranteed minimum under one call would be none, or the minimums together more than the
-/// whole.
+/// Danger: a guaranteed minimum under one call would be none, or the minimums together more than
+/// the whole.
 fn check_minimum(field: &'static str, calls: Option<u64>, least: u64) -> Result<(), FleetError> {
     match calls {
         Some(calls) if calls < least => Err(FleetError::TooFewCalls { field, calls, least }),
@@ -163,7 +163,8 @@
 
 /// Whether attempts end while what is leased for them is still theirs.
 ///
-/// Danger: what is leased is free a call after its end; attempts that run longer would be in use by two.
+/// Danger: what is leased is free a call after its end; attempts that run longer would be in use by
+/// two.
 ///
 /// # Errors
 ///
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -107,7 +107,8 @@
         DeadlineStream(Arc::new(socket))
     }
 
-    /// Appends what is there, waiting for it until the deadline; 0 bytes mean the end of the stream.
+    /// Appends what is there, waiting for it until the deadline; 0 bytes mean the end of the
+    /// stream.
     ///
     /// # Errors
     /// Those of the socket; [`ErrorKind::TimedOut`] at the deadline.
@@ -137,7 +138,8 @@
     /// The same while a condition holds, which is checked before each part that had to wait.
     ///
     /// # Errors
-    /// As [`DeadlineStream::write`]; [`ErrorKind::ConnectionAborted`] if the condition holds no longer.
+    /// As [`DeadlineStream::write`]; [`ErrorKind::ConnectionAborted`] if the condition holds no
+    /// longer.
     pub fn write_while(
         &self,
         mut bytes: &[u8],
@@ -176,8 +178,8 @@
     }
 }
 
-/// Appends what is there at this moment. The room for it is on the heap: a coroutine's stack is used again
-/// and again and keeps every page that was ever touched.
+/// Appends what is there at this moment. The room for it is on the heap: a coroutine's stack is
+/// used again and again and keeps every page that was ever touched.
 ///
 /// # Errors
 /// Those of the socket; [`ErrorKind::WouldBlock`] if nothing is there.
@@ -185,8 +187,8 @@
     read_some(into, |room| stream.read(room))
 }
 
-/// Whether the other side has shut down its sending direction, or the connection, however much of what it
-/// sent lies unread before that.
+/// Whether the other side has shut down its sending direction, or the connection, however much of
+/// what it sent lies unread before that.
 pub fn has_hung_up(stream: &net::TcpStream) -> bool {
     let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
     let now = Timespec { tv_sec: 0, tv_nsec: 0 };
@@ -213,8 +215,8 @@
     Duration::from_millis(u64::try_from(time.as_micros().div_ceil(1000)).unwrap_or(u64::MAX).max(1))
 }
 
-/// Sleeps, then goes on at the worker: may wakes sleepers on its timer thread, where a time limit on a
-/// socket that runs out at once would be lost.
+/// Sleeps, then goes on at the worker: may wakes sleepers on its timer thread, where a time limit
+/// on a socket that runs out at once would be lost.
 pub fn sleep(time: Duration) {
     may::coroutine::sleep(time);
     may::coroutine::yield_now();
--- a/src/net/deadline_stream/tests.rs
+++ b/src/net/deadline_stream/tests.rs
@@ -24,8 +24,8 @@
     all.len()
 }
 
-/// Guards against a value whose last byte goes out when what allowed it is over: it goes out in pieces, and is looked after
-/// before each that had to wait.
+/// Guards against a value whose last byte goes out when what allowed it is over: it goes out in
+/// pieces, and is looked after before each that had to wait.
 #[test]
 fn what_waits_to_go_out_is_given_up_once_it_is_not_wanted() {
     let value = vec![b'x'; 1 << 20];
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -25,7 +25,8 @@
 }
 
 impl AttemptPlan {
-    /// The end of an attempt that is not sent, and the last of its request if no response is pending.
+    /// The end of an attempt that is not sent, and the last of its request if no response is
+    /// pending.
     fn not_sent(&self, attempt: u8, pending: Option<&PendingResponse>) -> AttemptEnd {
         AttemptEnd {
             id: self.request,
--- a/src/net/dispatcher/settings.rs
+++ b/src/net/dispatcher/settings.rs
@@ -16,8 +16,8 @@
         Arc::clone(&self.lock().names)
     }
 
-    /// Calls `read` with the active settings and names. It runs with the dispatcher locked, and must
-    /// neither wait nor call the dispatcher.
+    /// Calls `read` with the active settings and names. It runs with the dispatcher locked, and
+    /// must neither wait nor call the dispatcher.
     pub fn with_active_settings<T>(&self, read: impl FnOnce(&Settings, &Names) -> T) -> T {
         let state = self.lock();
         read(state.balancer.settings(), &state.names)
@@ -66,8 +66,8 @@
         self.activate(state, settings, names);
     }
 
-    /// Makes other settings active, and what names mean by them, in one step. Open requests keep those
-    /// that they were submitted with.
+    /// Makes other settings active, and what names mean by them, in one step. Open requests keep
+    /// those that they were submitted with.
     pub fn apply_settings(self: &Arc<Self>, settings: Settings, names: Names) {
         self.activate(self.lock(), settings, names);
     }
@@ -87,11 +87,11 @@
         self.apply_list(state, ListForm::Delta, listed);
     }
 
-    /// From now on this is the proxy's quota of what all proxies may use together; what it has beyond
-    /// its guaranteed minimum ends at `ends`.
+    /// From now on this is the proxy's quota of what all proxies may use together; what it has
+    /// beyond its guaranteed minimum ends at `ends`.
     ///
-    /// Danger: a moment, not a duration. A process that is stopped before it comes here would count a
-    /// duration from its waking.
+    /// Danger: a moment, not a duration. A process that is stopped before it comes here would count
+    /// a duration from its waking.
     pub fn apply_quota(self: &Arc<Self>, quota: Quota, ends: Instant) {
         let expires_at = self.clock.at(ends);
         self.handle_event(self.lock(), Event::Quota(Quota { expires_at, ..quota }));
--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -1,5 +1,5 @@
-//! Tests of the dispatcher with a client and a backend service that are this test: what each is owed,
-//! and what it is refused.
+//! Tests of the dispatcher with a client and a backend service that are this test: what each is
+//! owed, and what it is refused.
 
 use super::*;
 use crate::interface::{ListForm, Outcome};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,10 @@
 //! The proxy on real sockets. Clients ([`client`]) and backends ([`backend`]) meet only in the
-//! [`dispatcher`], which alone asks the decision module. [`codec`] has the pure codecs of the protocols.
-//! [`lifecycle`] starts and ends all of it; [`fleet`] and [`policy`] drive the control plane, and are
-//! off unless configured.
+//! [`dispatcher`], which alone asks the decision module. [`codec`] has the pure codecs of the
+//! protocols. [`lifecycle`] starts and ends all of it; [`fleet`] and [`policy`] drive the control
+//! plane, and are off unless configured.
 //!
-//! Terms: a *backend* is a cache node or the origin, a *request* a client's command until its one response,
-//! an *attempt* one try of it at one backend. `docs/glossary.md` has the others.
+//! Terms: a *backend* is a cache node or the origin, a *request* a client's command until its one
+//! response, an *attempt* one try of it at one backend. `docs/glossary.md` has the others.
 
 pub mod admin;
 pub mod backend;
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -1,7 +1,7 @@
 //! Cancellable timers, and sleeps that the coroutine library can bear.
 //!
-//! Whoever needs timers owns a [`TimerSet`]; each timer runs as a coroutine with a [`Timer`], and ends at
-//! most [`MAX_OVERRUN`] after its set is dropped.
+//! Whoever needs timers owns a [`TimerSet`]; each timer runs as a coroutine with a [`Timer`], and
+//! ends at most [`MAX_OVERRUN`] after its set is dropped.
 
 use super::deadline_stream::whole_ms;
 use may::coroutine;
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long a timer may outlive its set. A library timer that is ended early proved unsafe (a day of many
-/// connections lost all timers), so waits are slept through in parts, and each part runs to its end.
+/// How long a timer may outlive its set. A library timer that is ended early proved unsafe (a day
+/// of many connections lost all timers), so waits are slept through in parts, and each part runs to
+/// its end.
 pub const MAX_OVERRUN: Duration = Duration::from_millis(100);
 
 /// The owner of a number of timers. They are cancelled when it is dropped.
@@ -26,7 +27,8 @@
 }
 
 impl TimerSet {
-    /// Runs a coroutine with a timer of this set. It ends by itself: its waits return once the set is gone.
+    /// Runs a coroutine with a timer of this set. It ends by itself: its waits return once the set
+    /// is gone.
     pub fn spawn(&self, run: impl FnOnce(Timer) + Send + 'static) {
         let timer = Timer { cancelled: Arc::clone(&self.cancelled) };
         may::go!(move || run(timer));
@@ -56,9 +58,9 @@
     }
 }
 
-/// The longest part of a wait that has one of a few hundred lengths: whole milliseconds of at most six
-/// significant bits. may keeps a list of timers for each length: whole waits, in all their lengths, would
-/// keep thousands.
+/// The longest part of a wait that has one of a few hundred lengths: whole milliseconds of at most
+/// six significant bits. may keeps a list of timers for each length: whole waits, in all their
+/// lengths, would keep thousands.
 pub fn sleep_part(wait: Duration) -> Duration {
     const SIGNIFICANT_BITS: u32 = 6;
     let ms = u64::try_from(whole_ms(wait).as_millis()).unwrap_or(u64::MAX);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,6 @@
 //! The binary frames of the users' simulator: [`read_batch`] reads events, [`Reply`] writes
-//! actions. No decision is made here. Numbers are big-endian; record codes and layout are the simulator's.
+//! actions. No decision is made here. Numbers are big-endian; record codes and layout are the
+//! simulator's.
 
 use crate::interface::{Action, AttemptEnd, Event, ListForm, Member, Outcome, Request, State};
 use std::io::{self, Read};
--- a/tests/common/edited_history.rs
+++ b/tests/common/edited_history.rs
@@ -1,4 +1,5 @@
-//! Histories of short simulated days, and edits of them: one event added, removed, moved or repeated.
+//! Histories of short simulated days, and edits of them: one event added, removed, moved or
+//! repeated.
 
 use super::fleet::{play, Fault};
 use pinetrail_history_checker::{check, Answer, End, History, HistoryEvent, Reason, Time};
@@ -18,8 +19,8 @@
     assert!(last.is_some_and(|event| event < history.events.len()), "it names the events at fault");
 }
 
-/// A short day without faults, and one of its requests that a node served at once: the places in the history of
-/// when it was asked, received, closed and answered, and its id.
+/// A short day without faults, and one of its requests that a node served at once: the places in
+/// the history of when it was asked, received, closed and answered, and its id.
 pub(crate) fn calm() -> (History, [usize; 4], String) {
     let history = play(3, 1200.0, &[(300.0, Fault::Drain(2))]);
     kept(&history);
@@ -91,8 +92,9 @@
     )
 }
 
-/// A history in which a request of this class was served, with its proxy's answer taken later so that there is
-/// room for more attempts: the history, the indices of its attempt and its answer, its id.
+/// A history in which a request of this class was served, with its proxy's answer taken later so
+/// that there is room for more attempts: the history, the indices of its attempt and its answer,
+/// its id.
 pub(crate) fn roomy(class: &str) -> (History, usize, usize, String) {
     let history = play(5, 3000.0, &[]);
     let (id, [asked, received, _, answered]) = served(&history, class);
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -1,5 +1,6 @@
-//! The rules, judged by what can be seen from outside of fleets under faults from seeds. For each rule the smallest
-//! change to a history that keeps it is refused, and its neighbour within the limit is not.
+//! The rules, judged by what can be seen from outside of fleets under faults from seeds. For each
+//! rule the smallest change to a history that keeps it is refused, and its neighbour within the
+//! limit is not.
 
 mod common;
 
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -1,4 +1,5 @@
-//! What CI makes of a run of the tests with and without a list of known failures: the script on logs of such runs.
+//! What CI makes of a run of the tests with and without a list of known failures: the script on
+//! logs of such runs.
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
--- a/tests/node_histories.rs
+++ b/tests/node_histories.rs
@@ -1,5 +1,5 @@
-//! The rules on draining and cold nodes: the smallest change to a history that breaks one is refused, and its neighbour
-//! within the limit is not.
+//! The rules on draining and cold nodes: the smallest change to a history that breaks one is
+//! refused, and its neighbour within the limit is not.
 
 mod common;
 
--- a/tests/sockets/faults.rs
+++ b/tests/sockets/faults.rs
@@ -219,8 +219,8 @@
     );
 }
 
-/// Checks that the checker refuses the same attempts, had this node been listed as draining from the
-/// beginning on, with no time to stop.
+/// Checks that the checker refuses the same attempts, had this node been listed as draining from
+/// the beginning on, with no time to stop.
 fn assert_an_attempt_at_a_draining_node_is_found(history: History, draining: &str) {
     let mut drained = History { clock_error: 0.0, ..history };
     for (_, event) in &mut drained.events {
