--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -8,9 +8,8 @@
 use rand::Rng;
 
 impl Balancer {
-    /// Starts an attempt, in this one place, and decides its times: how long it may last, and how
-    /// soon its last byte must be sent. The backend is ready: `eligible_backends` and `origin` name
-    /// no other.
+    /// Starts an attempt, in this one place, and decides its times. The backend is ready:
+    /// `eligible_backends` and `origin` name no other.
     pub(super) fn start_attempt(&mut self, id: RequestId, backend: ServerId, out: &mut Vec<Action>) {
         let parties = self.requests.get(&id).zip(self.backends.get(&backend));
         if !parties.is_some_and(|(p, to)| self.may_attempt(p) && self.is_idempotent_at(p, &to.member)) {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,7 +1,5 @@
-//! Every decision of pinetrail: [`Balancer`] takes events and appends actions. Read
-//! [`Balancer::handle`] first. `docs/design.md` explains the ordinary path: HyLARD, by which a node
-//! is chosen for a key (in `selection`). Code that departs from it says what it prevents, in a
-//! comment that begins with "Danger".
+//! Every decision of pinetrail. Read [`Balancer::handle`] first. `docs/design.md` explains the
+//! ordinary path (HyLARD, in `selection`); each "Danger" says what an exception prevents.
 
 mod attempts;
 mod capacity;
