--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -1,6 +1,6 @@
 //! Client connections: they are accepted, their requests are read and submitted, and responses are
 //! written in the order of each connection's commands. Read [`ClientService`] first, then
-//! [`connection::Connection`]: one coroutine per connection both reads and writes.
+//! `connection::Connection`: one coroutine per connection both reads and writes.
 //!
 //! `accept` accepts, `registry` knows who is connected and which connections are to be closed (what
 //! [`pinetrail_connection_limits::ConnectionTable`] decides), `disconnecting` closes connections by
--- a/src/net/codec/http.rs
+++ b/src/net/codec/http.rs
@@ -296,3 +296,6 @@
     }
     path
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/codec/http/tests.rs
@@ -0,0 +1,56 @@
+//! Tests of the HTTP codec: which heads are taken, and how bodies end.
+
+use super::*;
+
+fn head(bytes: &str) -> Head {
+    match parse_final_head(bytes.as_bytes()) {
+        Ok(Parsed { message, length }) if length == bytes.len() => message,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_malformed_load_report_is_passed_over_and_any_other_malformed_header_is_not() {
+    let reported = "HTTP/1.1 200 OK\r\nX-Pressure: \u{1}\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(head(reported).body, Body::Length(3));
+
+    let other = "HTTP/1.1 200 OK\r\nX-Other: \u{1}\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(parse_head(other.as_bytes()), Err(Unparsed::fatal(HttpError::NoHead)));
+}
+
+#[test]
+fn interim_responses_are_passed_over_but_not_without_end() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let last = "HTTP/1.1 204 No Content\r\nX-Txn: 7\r\n\r\n";
+    let parsed = head(&format!("{interim}{last}"));
+    assert_eq!((parsed.status, parsed.body, parsed.id.as_deref()), (204, Body::Length(0), Some("7")));
+
+    let endless = interim.repeat(MAX_INTERIM);
+    let expected = Unparsed::fatal(HttpError::TooManyInterim);
+    assert_eq!(parse_final_head(endless.as_bytes()), Err(expected));
+}
+
+#[test]
+fn headers_that_disagree_on_the_body_are_malformed() {
+    let expected = [
+        ("Content-Length: 3\r\nContent-Length: 4\r\n", HttpError::BadLength),
+        ("Content-Length: +3\r\n", HttpError::BadLength),
+        ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", HttpError::LengthAndChunks),
+        ("Transfer-Encoding: gzip\r\n", HttpError::UnknownTransferEncoding),
+    ];
+    for (headers, error) in expected {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{headers}\r\n");
+        assert_eq!(parse_head(bytes.as_bytes()), Err(Unparsed::fatal(error)), "{headers:?}");
+    }
+}
+
+#[test]
+fn a_chunked_body_ends_with_its_trailers() {
+    let bytes = b"2\r\nab\r\n1\r\nc\r\n0\r\nX-Digest: 1\r\n\r\n";
+    for end in 0..bytes.len() {
+        assert_eq!(parse_chunked_body(&bytes[..end], 3), Err(Unparsed::Incomplete), "{end}");
+    }
+    let whole = Parsed { message: b"abc".to_vec(), length: bytes.len() };
+    assert_eq!(parse_chunked_body(bytes, 3), Ok(whole));
+    assert_eq!(parse_chunked_body(bytes, 2), Err(Unparsed::fatal(HttpError::BadChunk)));
+}
--- a/src/net/codec/memcache/mod.rs
+++ b/src/net/codec/memcache/mod.rs
@@ -5,6 +5,8 @@
 mod backend;
 mod command;
 mod response;
+#[cfg(test)]
+mod tests;
 
 pub use backend::{encode_request, parse_response, BackendResponse};
 pub use command::{parse_command, Command, RequestCommand};
--- /dev/null
+++ b/src/net/codec/memcache/tests.rs
@@ -0,0 +1,85 @@
+//! Tests of the memcache codec: what clients are told of malformed commands, and which responses of
+//! cache nodes are taken for the one to a request.
+
+use super::*;
+use crate::net::codec::MAX_VALUE;
+use crate::net::dispatcher::Payload;
+
+/// What a client is sent for a malformed command, and how many bytes are skipped.
+fn refusal(bytes: &[u8]) -> (String, Option<usize>) {
+    match parse_command(bytes) {
+        Err(Unparsed::Malformed { error, skip }) => (error.to_string(), skip),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_malformed_command_is_skipped_where_the_next_one_can_be_found() {
+    let expected = [
+        ("get k\r\n", "ERROR"),
+        ("mn 1\r\n", "CLIENT_ERROR bad command line format"),
+        ("mg k O1 Pc=a\r\n", "CLIENT_ERROR bad command line format"),
+        ("ms k 1 v O1 Pc=a\r\nx\r\n", "CLIENT_ERROR bad command line format"),
+        ("mn\n", "CLIENT_ERROR bad line"),
+    ];
+    for (bytes, text) in expected {
+        assert_eq!(refusal(bytes.as_bytes()), (text.to_owned(), Some(bytes.len())), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_malformed_command_ends_the_connection_where_the_next_one_cannot_be_found() {
+    let too_large = format!("ms k {} O1 Pc=a\r\n", MAX_VALUE + 1);
+    let too_long = "m".repeat(MAX_LINE);
+    let expected = [
+        ("ms k x O1 Pc=a\r\n", "CLIENT_ERROR bad data length"),
+        ("ms k 1 O1 Pc=a\r\nxyz", "CLIENT_ERROR bad data chunk"),
+        (too_large.as_str(), "CLIENT_ERROR value too large"),
+        (too_long.as_str(), "CLIENT_ERROR line too long"),
+    ];
+    for (bytes, text) in expected {
+        assert_eq!(refusal(bytes.as_bytes()), (text.to_owned(), None), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_write_is_parsed_once_its_value_and_line_end_are_there() {
+    let bytes = b"ms k 2 O1 Pc=a,k=\r\nxy\r\nmn\r\n";
+    let length = bytes.len() - 4;
+    for end in 0..length {
+        assert_eq!(parse_command(&bytes[..end]), Err(Unparsed::Incomplete), "{end}");
+    }
+
+    let message = Command::Request(RequestCommand {
+        key: "k".to_owned(),
+        opaque: "1".to_owned(),
+        labels: vec![("c".to_owned(), "a".to_owned()), ("k".to_owned(), String::new())],
+        value: Some(b"xy".to_vec()),
+    });
+    assert_eq!(parse_command(bytes), Ok(Parsed { message, length }));
+}
+
+#[test]
+fn only_a_response_that_names_the_request_is_taken_for_its_response() {
+    let value = BackendResponse::Served(Payload::Value(b"xy".to_vec()));
+    assert_eq!(parse_response(b"VA 2 O1\r\nxy\r\n", "1"), Ok(Parsed { message: value, length: 13 }));
+    let receipt = BackendResponse::Served(Payload::Receipt("r".to_owned()));
+    assert_eq!(parse_response(b"HD O1 cr\r\n", "1"), Ok(Parsed { message: receipt, length: 10 }));
+
+    let others: [&[u8]; 6] =
+        [b"VA 2 O2\r\nxy\r\n", b"VA 2\r\nxy\r\n", b"HD O1 O1 cr\r\n", b"HD O1\r\n", b"EN O2\r\n", b"noise"];
+    for bytes in others {
+        let expected = Unparsed::fatal(MemcacheError::OtherResponse);
+        assert_eq!(parse_response(bytes, "1"), Err(expected), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_response_without_id_counts_only_in_its_exact_words() {
+    let busy = parse_response(b"SERVER_ERROR busy\r\n", "1");
+    assert_eq!(busy, Ok(Parsed { message: BackendResponse::Busy, length: 19 }));
+    let failed = parse_response(b"SERVER_ERROR failed\r\n", "1");
+    assert_eq!(failed, Ok(Parsed { message: BackendResponse::Failed, length: 21 }));
+    let longer = parse_response(b"SERVER_ERROR busy 5\r\n", "1");
+    assert_eq!(longer, Err(Unparsed::fatal(MemcacheError::OtherResponse)));
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,8 +1,8 @@
 //! What the proxy has accepted, sent and answered, by kind. Read [`Counters`] first.
 //!
-//! Danger: the names of its fields leave the process in `stats` and in the log, where dashboards and
-//! alarms read them. They are older than the terms used elsewhere: a *consumer* there is a client, a
-//! *provider* a backend, a *call* an attempt.
+//! Danger: the names of its fields leave the process in `stats` and in the log, where dashboards
+//! and alarms read them. They are older than the terms used elsewhere: there a consumer is a
+//! client, a provider a backend, and a call an attempt.
 
 use crate::interface::Outcome;
 use std::fmt::Write;
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -61,8 +61,8 @@
         })
     }
 
-    /// Shrinks the total to `least`, or to what is taken and `spare` on top if that is more; returns
-    /// the total.
+    /// Shrinks the total to `least`, or to what is taken and `spare` on top if that is more;
+    /// returns the total.
     pub fn shrink(&self, least: usize, spare: usize) -> usize {
         let mut budget = self.budget();
         let taken = self.clients.load(Ordering::Acquire) + self.backends.load(Ordering::Acquire);
@@ -81,8 +81,8 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Takes a descriptor for a backend connection, if there is one for it now. That it was wanted is
-    /// remembered either way.
+    /// Takes a descriptor for a backend connection, if there is one for it now. That it was wanted
+    /// is remembered either way.
     pub fn take_for_backend(self: &Arc<Self>) -> Option<BackendDescriptor> {
         let mut budget = self.budget();
         let taken = self.backends.load(Ordering::Acquire);
