Experiments: the demo and the cost experiment do one job a file and one step a function

demo: servers, notices and figures have a file each. cost: starting, measuring a death and the rest are functions; whether a round has a fleet is an enum, its figures are structs.

--- a/crates/experiments/src/cost/mod.rs
+++ b/crates/experiments/src/cost/mod.rs
@@ -33,13 +33,40 @@
     rate: u64,
 }
 
-/// Of one round; milliseconds, and CPU in percent of a core for each proxy.
+/// Whether the proxies of a round are a fleet.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum FleetKind {
+    WithFleet,
+    WithoutFleet,
+}
+
+impl FleetKind {
+    /// Its name in the table.
+    fn label(self) -> &'static str {
+        match self {
+            FleetKind::WithFleet => "with fleet",
+            FleetKind::WithoutFleet => "without",
+        }
+    }
+}
+
+/// When members knew of a death, in ms after it.
+struct Known {
+    first_ms: u128,
+    last_ms: u128,
+}
+
+/// What one round showed.
 struct Round {
+    /// The processor time of each proxy while nothing is asked, in percent of a core.
     idle: f64,
+    /// The processor time for each request, in microseconds.
     us_a_request: f64,
+    /// Latencies, in ms.
     p50: f64,
     p99: f64,
-    known: Option<(u128, u128)>,
+    /// None without a fleet.
+    known: Option<Known>,
 }
 
 /// Measures and prints.
@@ -48,15 +75,15 @@
     program(own, &["proxy"]);
     let mut rows = Vec::new();
     for round in 0..options.rounds {
-        for with in [true, false] {
-            let seen = measure(options, with, round as u64)?;
+        for fleet_kind in [FleetKind::WithFleet, FleetKind::WithoutFleet] {
+            let seen = measure(options, fleet_kind, round as u64)?;
             rows.push(vec![
-                if with { "with fleet" } else { "without" }.to_owned(),
+                fleet_kind.label().to_owned(),
                 format!("{:.3}", seen.idle),
                 format!("{:.0}", seen.us_a_request),
                 format!("{:.2}", seen.p50),
                 format!("{:.2}", seen.p99),
-                seen.known.map_or("-".to_owned(), |(first, last)| format!("{first} {last}")),
+                seen.known.map_or("-".to_owned(), |known| format!("{} {}", known.first_ms, known.last_ms)),
             ]);
         }
     }
@@ -73,60 +100,29 @@
     Ok(true)
 }
 
-fn measure(options: &Options, with: bool, seed: u64) -> Result<Round, ExperimentError> {
-    let node = || StubServer::node(|line| StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line))));
+/// Measures one round.
+fn measure(options: &Options, fleet_kind: FleetKind, seed: u64) -> Result<Round, ExperimentError> {
     let members = usize::from(options.members);
-    let all: Vec<usize> = (0..members).collect();
-    let mut fleet = Fleet::new(
-        FleetOptions { seed, ..FleetOptions::of(members) },
-        vec![node(), node()],
-        StubServer::origin(|_| http_200("v")),
-    );
-    for member in &all {
-        if !with {
-            let mut config = fleet.config(*member, &[]);
-            config.as_object_mut().ok_or(ExperimentError::ConfigIsNoObject)?.remove("fleet");
-            fleet.set_config(*member, &config);
-        }
-        fleet.start(*member);
-    }
-    if with {
-        fleet.wait_until("they meet", |fleet| fleet.all_agree(&all));
-    }
+    let mut fleet = start(members, fleet_kind, seed)?;
     sleep(Duration::from_secs(1));
-    let lasts = Duration::from_secs(options.seconds);
+    let duration = Duration::from_secs(options.seconds);
     let before = ticks(&fleet);
-    sleep(lasts);
+    sleep(duration);
     let idle = ticks(&fleet) - before;
-    let addresses = all.iter().map(|member| fleet.process(*member).client_address).collect();
+    let proxies = (0..members).map(|member| fleet.process(member).client_address).collect();
     let before = ticks(&fleet);
-    let done: Done = Load::start(addresses, options.rate, lasts, seed).wait();
+    let done: Done = Load::start(proxies, options.rate, duration, seed).wait();
     let busy = ticks(&fleet) - before;
     let mut histogram = Histogram::<u64>::new(3)?;
     for us in &done.latencies {
         histogram.record(*us)?;
     }
-    let known = with.then(|| {
-        let died = fleet.timeline.now();
-        fleet.kill(members - 1);
-        let name = Fleet::name(members - 1);
-        let knows = |fleet: &Fleet, member: usize| {
-            fleet.timeline.first_match_of_both(
-                &Fleet::name(member),
-                &format!("fleet: {name} at "),
-                "-> failed",
-                died,
-            )
-        };
-        fleet.wait_until("all know", |fleet| (0..members - 1).all(|member| knows(fleet, member).is_some()));
-        let times: Vec<u128> =
-            (0..members - 1).filter_map(|member| knows(&fleet, member)).map(|at| at - died).collect();
-        (times.iter().copied().min().unwrap_or(0), times.iter().copied().max().unwrap_or(0))
-    });
-    // A tick is a hundredth of a second.
-    let seconds = |ticks: u64| ticks as f64 / 100.0;
+    let known = match fleet_kind {
+        FleetKind::WithFleet => Some(measure_death(&mut fleet, members)),
+        FleetKind::WithoutFleet => None,
+    };
     Ok(Round {
-        idle: seconds(idle) / lasts.as_secs_f64() / members as f64 * 100.0,
+        idle: seconds(idle) / duration.as_secs_f64() / members as f64 * 100.0,
         us_a_request: seconds(busy) * 1e6 / done.requests.max(1) as f64,
         p50: histogram.value_at_quantile(0.5) as f64 / 1000.0,
         p99: histogram.value_at_quantile(0.99) as f64 / 1000.0,
@@ -134,6 +130,49 @@
     })
 }
 
+/// Starts the proxies of a round, and waits until they have met if they are a fleet.
+fn start(members: usize, fleet_kind: FleetKind, seed: u64) -> Result<Fleet, ExperimentError> {
+    let node = || StubServer::node(|line| StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line))));
+    let fleet_options = FleetOptions { seed, ..FleetOptions::of(members) };
+    let origin = StubServer::origin(|_| http_200("v"));
+    let mut fleet = Fleet::new(fleet_options, vec![node(), node()], origin);
+    for member in 0..members {
+        if fleet_kind == FleetKind::WithoutFleet {
+            let mut config = fleet.config(member, &[]);
+            config.as_object_mut().ok_or(ExperimentError::ConfigIsNoObject)?.remove("fleet");
+            fleet.set_config(member, &config);
+        }
+        fleet.start(member);
+    }
+    if fleet_kind == FleetKind::WithFleet {
+        let all: Vec<usize> = (0..members).collect();
+        fleet.wait_until("they meet", |fleet| fleet.all_agree(&all));
+    }
+    Ok(fleet)
+}
+
+/// Kills the last member; when the first and the last of the others knew of it.
+fn measure_death(fleet: &mut Fleet, members: usize) -> Known {
+    let died = fleet.timeline.now();
+    let dead = members - 1;
+    fleet.kill(dead);
+    let text = format!("fleet: {} at ", Fleet::name(dead));
+    let knows = |fleet: &Fleet, member: usize| {
+        fleet.timeline.first_match_of_both(&Fleet::name(member), &text, "-> failed", died)
+    };
+    fleet.wait_until("all know", |fleet| (0..dead).all(|member| knows(fleet, member).is_some()));
+    let times: Vec<u128> = (0..dead).filter_map(|member| knows(fleet, member)).map(|at| at - died).collect();
+    Known {
+        first_ms: times.iter().copied().min().unwrap_or(0),
+        last_ms: times.iter().copied().max().unwrap_or(0),
+    }
+}
+
+/// Processor time in seconds; a tick is a hundredth of one.
+fn seconds(ticks: u64) -> f64 {
+    ticks as f64 / 100.0
+}
+
 /// The processor time of all proxies, in ticks.
 fn ticks(fleet: &Fleet) -> u64 {
     let of = |member: usize| {
--- /dev/null
+++ b/crates/experiments/src/demo/figures.rs
@@ -0,0 +1,77 @@
+//! The figures of the demo: as JSON, and as tables on the terminal.
+
+use super::notices::Notice;
+use super::Options;
+use crate::load::Done;
+use crate::table;
+use hdrhistogram::Histogram;
+use pinetrail_history_checker::check;
+use pinetrail_test_harness::recorder::Recorder;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// All figures of a run.
+pub(super) fn collect(options: &Options, done: &Done, notices: &[Notice]) -> Value {
+    let broken: Vec<String> = match check(&Recorder::own().history()) {
+        Ok(violations) => violations.iter().map(ToString::to_string).collect(),
+        Err(error) => vec![format!("not judged: {error:?}")],
+    };
+    let mut histogram = Histogram::<u64>::new(3).expect("three digits are possible");
+    for us in &done.latencies {
+        histogram.record(*us).expect("it grows as needed");
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    let known: Vec<Value> = notices.iter().map(notice_json).collect();
+    json!({
+        "seconds": options.seconds,
+        "seed": options.seed,
+        "requests": done.requests,
+        "answers": done.answers,
+        "asked_again": done.asked_again,
+        "without_answer": done.without_answer,
+        "answered_twice": done.answered_twice,
+        "latency_ms": {"p50": at(0.5), "p99": at(0.99), "max": histogram.max() as f64 / 1000.0},
+        "known": known,
+        "rules_broken": broken,
+    })
+}
+
+fn notice_json(notice: &Notice) -> Value {
+    let Notice { member, of, what, after_ms } = notice;
+    json!({"member": member, "of": of, "what": what, "after_ms": after_ms.map(|ms| ms as u64)})
+}
+
+/// Prints the figures.
+pub(super) fn show(figures: &Value, notices: &[Notice]) {
+    let number = |name: &str| figures[name].to_string();
+    let answers: BTreeMap<String, Value> = match &figures["answers"] {
+        Value::Object(answers) => answers.clone().into_iter().collect(),
+        _ => BTreeMap::new(),
+    };
+    let mut rows = vec![vec!["requests".to_owned(), number("requests")]];
+    rows.extend(answers.iter().map(|(kind, count)| vec![format!("  {kind}"), count.to_string()]));
+    rows.push(vec!["asked again after a proxy died".into(), number("asked_again")]);
+    rows.push(vec!["without a final answer".into(), number("without_answer")]);
+    rows.push(vec!["with two".into(), number("answered_twice")]);
+    for name in ["p50", "p99", "max"] {
+        let ms = figures["latency_ms"][name].as_f64().unwrap_or_default();
+        rows.push(vec![format!("ms from when it was due, {name}"), format!("{ms:.1}")]);
+    }
+    table::print(&["", "count"], &rows);
+    println!();
+    let rows: Vec<Vec<String>> = notices
+        .iter()
+        .map(|Notice { member, of, what, after_ms }| {
+            let ms = after_ms.map_or("never".to_owned(), |ms| ms.to_string());
+            vec![format!("{member} knew that {of} was {what}"), ms]
+        })
+        .collect();
+    table::print(&["", "ms after"], &rows);
+    let broken = figures["rules_broken"].as_array().map_or(&[][..], Vec::as_slice);
+    if broken.is_empty() {
+        println!("\nNo rule was broken.");
+    }
+    for rule in broken {
+        println!("\nBROKEN: {rule}");
+    }
+}
