--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -334,33 +334,6 @@
         self.feed(attempt.proxy, attempt.incarnation, Event::AttemptEnd(end));
     }
 
-    fn fault(&mut self, fault: Fault) {
-        let now = self.now;
-        match fault {
-            Fault::Silent(server, until) => self.node(server).silent_until = now + until,
-            Fault::Refuses(server, until) => self.node(server).refuses_until = now + until,
-            Fault::Fails(server, until) => self.node(server).fails_until = now + until,
-            Fault::Drain(server) => self.change(Member { state: State::Draining, ..member(server) }),
-            Fault::Gone(server) => self.change(Member { state: State::Gone, ..member(server) }),
-            Fault::Restart(server) => {
-                *self.node(server) = StubNode::default();
-                let address = recorded_events::place(server);
-                self.recorder.record(now, HistoryEvent::BackendStarted { address, capacity: CAPACITY });
-                self.change(Member { started: now, ..member(server) });
-            }
-            Fault::Kill(proxy) => {
-                let state = &mut self.proxies[proxy];
-                state.alive = false;
-                state.incarnation += 1;
-                state.open.clear();
-                self.recorder
-                    .record(now, HistoryEvent::ProxyEnded { proxy: name(proxy), how: ProxyEnd::Killed });
-                self.at(400.0, FleetEvent::ProxyStarts(proxy));
-            }
-            Fault::Deaf(proxy, until) => self.proxies[proxy].discovery_cut_until = now + until,
-        }
-    }
-
     fn node(&mut self, server: ServerId) -> &mut StubNode {
         self.nodes.entry(server).or_default()
     }
--- a/tests/common/fleet/faults.rs
+++ b/tests/common/fleet/faults.rs
@@ -1,8 +1,6 @@
 //! Faults of the fleet, and scripts of them.
 
-use super::{NODES, PROXIES};
-use pinetrail::interface::{ServerId, Time};
-use rand::{rngs::SmallRng, Rng, SeedableRng};
+use super::*;
 
 /// A fault that a script makes happen at some time.
 #[derive(Clone, Copy, Debug)]
@@ -46,3 +44,32 @@
     };
     (0..8).map(&mut draw).collect()
 }
+
+impl Fleet {
+    pub(super) fn fault(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::Silent(server, until) => self.node(server).silent_until = now + until,
+            Fault::Refuses(server, until) => self.node(server).refuses_until = now + until,
+            Fault::Fails(server, until) => self.node(server).fails_until = now + until,
+            Fault::Drain(server) => self.change(Member { state: State::Draining, ..member(server) }),
+            Fault::Gone(server) => self.change(Member { state: State::Gone, ..member(server) }),
+            Fault::Restart(server) => {
+                *self.node(server) = StubNode::default();
+                let address = recorded_events::place(server);
+                self.recorder.record(now, HistoryEvent::BackendStarted { address, capacity: CAPACITY });
+                self.change(Member { started: now, ..member(server) });
+            }
+            Fault::Kill(proxy) => {
+                let state = &mut self.proxies[proxy];
+                state.alive = false;
+                state.incarnation += 1;
+                state.open.clear();
+                self.recorder
+                    .record(now, HistoryEvent::ProxyEnded { proxy: name(proxy), how: ProxyEnd::Killed });
+                self.at(400.0, FleetEvent::ProxyStarts(proxy));
+            }
+            Fault::Deaf(proxy, until) => self.proxies[proxy].discovery_cut_until = now + until,
+        }
+    }
+}
