--- a/crates/experiments/src/error.rs
+++ b/crates/experiments/src/error.rs
@@ -1,9 +1,8 @@
 //! Why an experiment cannot go on: [`ExperimentError`].
 
 use crate::chart::ChartError;
-use crate::membership::PlayError;
 use indicatif::style::TemplateError;
-use pinetrail_test_harness::script::ScriptError;
+use pinetrail_test_harness::script::{Fault, ScriptError};
 use std::io;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -84,3 +83,19 @@
         |source| ExperimentError::File { path: path.to_owned(), source }
     }
 }
+
+/// Why a script cannot be played in simulated time.
+#[derive(Debug, Error, PartialEq)]
+pub(crate) enum PlayError {
+    /// A fault is about a member that there is not.
+    #[error("{fault}: there are {members} members only, from 0 on")]
+    NoSuchMember {
+        /// The fault.
+        fault: Fault,
+        /// How many members there are.
+        members: usize,
+    },
+    /// A fault is about a cache node.
+    #[error("{0}: there are no cache nodes here")]
+    NoCacheNodes(Fault),
+}
--- a/crates/experiments/src/membership/mod.rs
+++ b/crates/experiments/src/membership/mod.rs
@@ -5,8 +5,6 @@
 mod script;
 mod trials;
 
-pub(crate) use script::PlayError;
-
 use crate::error::ExperimentError;
 use crate::output::{progress_bar, write_json};
 use crate::table;
--- a/crates/experiments/src/membership/script.rs
+++ b/crates/experiments/src/membership/script.rs
@@ -1,10 +1,10 @@
 //! Plays a script of faults on a fleet in simulated time, and writes down what its members notice.
 
+use crate::error::PlayError;
 use crate::membership::trials::words;
 use pinetrail_membership::Membership;
 use pinetrail_simulation::fleet::Fleet;
 use pinetrail_test_harness::script::{Fault, Script, ScriptStep};
-use thiserror::Error;
 
 /// How long members are observed after the last fault, in ms.
 const AFTER: u64 = 15_000;
@@ -14,22 +14,6 @@
 /// How many members the others join by.
 const PEERS: usize = 3;
 
-/// Why a script cannot be played in simulated time.
-#[derive(Debug, Error, PartialEq)]
-pub(crate) enum PlayError {
-    /// A fault is about a member that there is not.
-    #[error("{fault}: there are {members} members only, from 0 on")]
-    NoSuchMember {
-        /// The fault.
-        fault: Fault,
-        /// How many members there are.
-        members: usize,
-    },
-    /// A fault is about a cache node.
-    #[error("{0}: there are no cache nodes here")]
-    NoCacheNodes(Fault),
-}
-
 /// Plays a script on a fleet of so many that know each other; the lines of what happened.
 pub(super) fn play(script: &Script, members: usize, seed: u64) -> Result<Vec<String>, PlayError> {
     let peers: Vec<usize> = (0..members.min(PEERS)).collect();
