--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,6 +9,19 @@
 use pinetrail::logic::Balancer;
 use pinetrail::settings::Settings;
 
+/// Every outcome that an attempt may have.
+pub(crate) const ALL_OUTCOMES: [Outcome; 9] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+    Outcome::Miss,
+];
+
 pub(crate) const ORIGIN: ServerId = 1000;
 pub(crate) const SAFE: u8 = 0;
 pub(crate) const KEYED_ALL: u8 = 1;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -65,18 +65,6 @@
 
 const PROXY: &str = "p";
 
-const OUTCOMES: [Outcome; 9] = [
-    Outcome::Ok,
-    Outcome::Error,
-    Outcome::Full,
-    Outcome::Timeout,
-    Outcome::ConnectFailed,
-    Outcome::Reset,
-    Outcome::Cancelled,
-    Outcome::Moot,
-    Outcome::Miss,
-];
-
 impl RecordedProxy {
     fn new() -> Self {
         let mut proxy = RecordedProxy {
@@ -189,7 +177,7 @@
         }
         let attempt = self.out.remove(pick % self.out.len());
         let id = attempt.id;
-        let outcome = OUTCOMES[usize::from(outcome)];
+        let outcome = ALL_OUTCOMES[usize::from(outcome)];
         let value = format!("{id} {}", attempt.ordinal);
         self.recorder.record_end(self.harness.now, attempt.number, outcome, &value);
         if outcome == Outcome::Ok && self.open.contains_key(&id) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,18 +5,6 @@
 use common::*;
 use pinetrail::interface::*;
 
-const ALL_OUTCOMES: [Outcome; 9] = [
-    Outcome::Ok,
-    Outcome::Error,
-    Outcome::Full,
-    Outcome::Timeout,
-    Outcome::ConnectFailed,
-    Outcome::Reset,
-    Outcome::Cancelled,
-    Outcome::Moot,
-    Outcome::Miss,
-];
-
 fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
 }
