Log each step of a request with its reason, and count what the incident could not show

Cause: the proxies' logs had no line about any request, timer or close, and the counter of overdue requests also counted those that the end of a drain answers. Change: a request log on tracing (LB_LOG; off without it: no thread, no line), a closed reason for every final response that no backend gave, for every close and for attempts that are not sent; counters for each reason, for answers that are late, for moments in which the whole process was held up, and for bytes thrown away; fault lines, ten a second at the most. Tests that compared a final failure now name its reason as well. The recorded names of stats gain the new ones at their end; those that were there are unchanged. Nothing is decided otherwise.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -194,6 +194,32 @@
     Quota(Quota),
 }
 
+/// Why a request gets a final response that no backend gave. It is for logs and counters: nothing
+/// is decided by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUpReason {
+    /// The settings have no such class.
+    UnknownClass,
+    /// The fleet is overloaded, and this request was not among those admitted.
+    FleetOverloaded,
+    /// It missed, and the origin is overloaded.
+    OriginOverloaded,
+    /// It was queued for so long that it would hardly succeed.
+    QueuedTooLong,
+    /// Its time is over.
+    DeadlineReached,
+    /// It has made as many attempts as are allowed.
+    AttemptsUsedUp,
+    /// Another attempt could have an effect twice.
+    RepeatUnsafe,
+    /// Too many attempts failed lately: retries would feed an outage.
+    RetryBudgetEmpty,
+    /// The backend that was chosen is not there.
+    BackendUnknown,
+    /// The decision module panicked.
+    Panicked,
+}
+
 /// What a balancer wants done, in the order in which the actions are appended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -215,9 +241,16 @@
         request: RequestId,
         /// How long the client should wait before that, in ms; 0 gives no advice.
         retry_after: Time,
+        /// Why.
+        reason: GiveUpReason,
     },
     /// Final response: failed; whether the request ran is unknown.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: GiveUpReason,
+    },
     /// Set a timer.
     SetTimer {
         /// When it fires, in ms from now.
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::retry_safety::may_have_run;
 use super::Balancer;
-use crate::interface::{Action, AttemptEnd, Outcome, RequestId, ServerId};
+use crate::interface::{Action, AttemptEnd, GiveUpReason, Outcome, RequestId, ServerId};
 use crate::settings::Effect;
 use crate::state::Stage;
 use rand::Rng;
@@ -11,9 +11,8 @@
     /// Starts an attempt, in this one place, and decides its times. The backend is ready:
     /// `eligible_backends` and `origin` name no other.
     pub(super) fn start_attempt(&mut self, id: RequestId, backend: ServerId, out: &mut Vec<Action>) {
-        let parties = self.requests.get(&id).zip(self.backends.get(&backend));
-        if !parties.is_some_and(|(p, to)| self.may_attempt(p) && self.is_idempotent_at(p, &to.member)) {
-            return self.reject_or_fail(id, out);
+        if let Some(reason) = self.obstacle_at(id, backend) {
+            return self.reject_or_fail(id, reason, out);
         }
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let Some(target) = self.backends.get_mut(&backend) else { return };
@@ -42,7 +41,9 @@
         match end.outcome {
             _ if end.last || end.outcome == Outcome::Ok => self.close(id, out),
             _ if must_wait => {}
-            Outcome::Miss if self.rng.gen::<f64>() >= self.admission.origin => self.reject_or_fail(id, out),
+            Outcome::Miss if self.rng.gen::<f64>() >= self.admission.origin => {
+                self.reject_or_fail(id, GiveUpReason::OriginOverloaded, out);
+            }
             Outcome::Miss if self.origin().is_some() => self.fetch(&end, key, out),
             _ => self.retry(id, out),
         }
@@ -55,8 +56,11 @@
         let missed = pending.has_outcome(Outcome::Miss) && self.origin().is_some();
         let to_origin = missed || pending.request.write && self.has_origin();
         let is_free = pending.last_outcome() == Some(Outcome::ConnectFailed);
-        if !self.may_attempt(pending) || !is_free && self.retry_budget < 1.0 {
-            return self.reject_or_fail(id, out);
+        if let Some(reason) = self.obstacle(pending) {
+            return self.reject_or_fail(id, reason, out);
+        }
+        if !is_free && self.retry_budget < 1.0 {
+            return self.reject_or_fail(id, GiveUpReason::RetryBudgetEmpty, out);
         }
         self.retry_budget -= if is_free { 0.0 } else { 1.0 };
         if to_origin {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -10,7 +10,7 @@
 mod retry_safety;
 mod selection;
 
-use crate::interface::{Action, Event, Time};
+use crate::interface::{Action, Event, GiveUpReason, Time};
 use crate::settings::Settings;
 pub use crate::state::Balancer;
 use crate::state::{Admission, Pace, Stage, Tier, TimerKind};
@@ -60,8 +60,12 @@
         use TimerKind::{Deadline, DispatchQueued, HalfObjective, Resubscribe};
         let Some((kind, id)) = TimerKind::decode(token) else { return };
         match (kind, self.requests.get(&id)) {
-            (Deadline, Some(p)) if p.deadline < f64::MAX => self.reject_or_fail(id, out),
-            (HalfObjective, Some(p)) if p.stage != Stage::InFlight => self.reject_or_fail(id, out),
+            (Deadline, Some(p)) if p.deadline < f64::MAX => {
+                self.reject_or_fail(id, GiveUpReason::DeadlineReached, out);
+            }
+            (HalfObjective, Some(p)) if p.stage != Stage::InFlight => {
+                self.reject_or_fail(id, GiveUpReason::QueuedTooLong, out);
+            }
             (HalfObjective, Some(p)) if p.last_backend() != self.origin() => {
                 self.adjust_admission(Tier::Fleet, Pace::Slow);
             }
--- a/src/logic/requests.rs
+++ b/src/logic/requests.rs
@@ -1,7 +1,7 @@
 //! A request from its arrival to its final response: admission, queue, fetches from the origin.
 
 use super::Balancer;
-use crate::interface::{Action, AttemptEnd, Key, Request, RequestId, ServerId};
+use crate::interface::{Action, AttemptEnd, GiveUpReason, Key, Request, RequestId, ServerId};
 use crate::state::{OriginFetch, PendingRequest, Stage, TimerKind};
 use rand::Rng;
 
@@ -12,7 +12,8 @@
     pub(super) fn on_request(&mut self, mut request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let Some(class) = self.settings.classes.get(usize::from(request.class)).copied() else {
-            return out.push(Action::Reject { request: id, retry_after: 0.0 });
+            let reason = GiveUpReason::UnknownClass;
+            return out.push(Action::Reject { request: id, retry_after: 0.0, reason });
         };
         let budget = if request.budget.is_finite() { request.budget.max(0.0) } else { 0.0 };
         request.hint = request.hint.filter(|hint| hint.is_finite() && *hint > 0.0);
@@ -31,7 +32,7 @@
         if request.write && self.has_origin() {
             self.ask_origin(id, out);
         } else if self.rng.gen::<f64>() >= self.admission.fleet.powf(relative_worth) {
-            self.reject_or_fail(id, out);
+            self.reject_or_fail(id, GiveUpReason::FleetOverloaded, out);
         } else {
             self.route(id, out);
         }
@@ -40,8 +41,8 @@
     /// Sends a request to the backend that HyLARD selects, or lets it wait.
     pub(super) fn route(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
-        if !self.may_attempt(pending) {
-            return self.reject_or_fail(id, out);
+        if let Some(reason) = self.obstacle(pending) {
+            return self.reject_or_fail(id, reason, out);
         }
         let request = pending.request;
         let eligible = self.eligible_backends(pending);
@@ -83,12 +84,11 @@
     }
 
     pub(super) fn ask_origin(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        match self.origin_with_capacity() {
-            Some(origin) => self.start_attempt(id, origin, out),
-            None if self.requests.get(&id).is_some_and(|p| !self.may_attempt(p)) => {
-                self.reject_or_fail(id, out);
-            }
-            None => self.enqueue(id, Stage::QueuedForOrigin),
+        let obstacle = self.requests.get(&id).and_then(|pending| self.obstacle(pending));
+        match (self.origin_with_capacity(), obstacle) {
+            (Some(origin), _) => self.start_attempt(id, origin, out),
+            (None, Some(reason)) => self.reject_or_fail(id, reason, out),
+            (None, None) => self.enqueue(id, Stage::QueuedForOrigin),
         }
     }
 
@@ -114,13 +114,13 @@
     }
 
     /// The final response that is no success: a rejection where a repeat is safe, else a failure.
-    pub(super) fn reject_or_fail(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(super) fn reject_or_fail(&mut self, id: RequestId, reason: GiveUpReason, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
         let retry_after = pending.limits.max_retry_after / 4.0;
         if self.may_reject(pending) {
-            out.push(Action::Reject { request: id, retry_after });
+            out.push(Action::Reject { request: id, retry_after, reason });
         } else {
-            out.push(Action::Fail(id));
+            out.push(Action::Fail { request: id, reason });
         }
         self.close(id, out);
     }
--- a/src/logic/retry_safety.rs
+++ b/src/logic/retry_safety.rs
@@ -1,17 +1,31 @@
 //! Whether one more attempt, or a client's repeat after a rejection, can have an effect twice.
 
 use super::Balancer;
-use crate::interface::{Member, Outcome};
+use crate::interface::{GiveUpReason, Member, Outcome, RequestId, ServerId};
 use crate::settings::{Effect, Scope};
 use crate::state::{Attempt, PendingRequest};
 
 impl Balancer {
-    /// Whether one more attempt may be made, wherever that is idempotent. None is in flight:
-    /// `on_attempt_end` sees to that.
-    pub(super) fn may_attempt(&self, pending: &PendingRequest) -> bool {
-        is_idempotent(pending, |first| self.is_inside_dedup_window(pending, first))
-            && pending.attempts.len() < pending.limits.max_attempts as usize
-            && self.now < pending.deadline
+    /// What forbids one more attempt, wherever that is idempotent; none if it may be made. None is
+    /// in flight: `on_attempt_end` sees to that.
+    pub(super) fn obstacle(&self, pending: &PendingRequest) -> Option<GiveUpReason> {
+        if !is_idempotent(pending, |first| self.is_inside_dedup_window(pending, first)) {
+            Some(GiveUpReason::RepeatUnsafe)
+        } else if pending.attempts.len() >= pending.limits.max_attempts as usize {
+            Some(GiveUpReason::AttemptsUsedUp)
+        } else if self.now >= pending.deadline {
+            Some(GiveUpReason::DeadlineReached)
+        } else {
+            None
+        }
+    }
+
+    /// What forbids an attempt at this backend; none if it may be made.
+    pub(super) fn obstacle_at(&self, id: RequestId, backend: ServerId) -> Option<GiveUpReason> {
+        let Some(pending) = self.requests.get(&id) else { return Some(GiveUpReason::BackendUnknown) };
+        let Some(target) = self.backends.get(&backend) else { return Some(GiveUpReason::BackendUnknown) };
+        let may_repeat_here = self.is_idempotent_at(pending, &target.member);
+        self.obstacle(pending).or((!may_repeat_here).then_some(GiveUpReason::RepeatUnsafe))
     }
 
     /// Danger: an effect twice. Whether one more attempt at this backend has no further effect.
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -8,6 +8,7 @@
 use crate::interface::Outcome;
 use crate::net::body_stream;
 use crate::net::dispatcher::{AttemptId, AttemptRequest};
+use crate::net::request_log;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,12 +35,18 @@
             };
             if !self.dispatcher.should_send(attempt) {
                 self.release(attempt, connection, ConnectionReuse::AfterShortRest);
+                request_log::attempt_withheld(
+                    attempt.id,
+                    &attempt.request.opaque,
+                    "it may not be sent any more",
+                );
                 return Outcome::Moot.into();
             }
             let send_until = attempt.deadline.min(attempt.send_by);
             let should_send = || self.dispatcher.should_send(attempt);
             let sent = connection.stream.write_while(&encode_request(attempt), send_until, should_send);
             let Err(error) = sent else {
+                request_log::attempt_sent(attempt.id, &attempt.request.opaque, is_new);
                 return self.await_response(attempt, connection);
             };
             // Its last byte was not sent, and with the connection closed it never will be: the
--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -7,6 +7,7 @@
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::{Listener, Stream};
 use crate::net::log::log;
+use crate::net::request_log;
 use may::io::WaitIo;
 use pinetrail_connection_limits::{CloseOrder, ConnectionId};
 use std::sync::Arc;
@@ -82,10 +83,14 @@
         let now = self.descriptors.now_ms();
         let handle = Arc::new(ConnectionHandle::new(stream.waker(), now));
         self.with_registry(|registry| registry.insert(now, id, Arc::clone(&handle)));
+        request_log::connection_accepted(id);
         let service = Arc::clone(self);
         may::go!(move || {
-            // An error says that the client has gone; what it left behind ends with the connection.
-            let _ = Connection::new(&service, id, handle, stream).serve();
+            let mut connection = Connection::new(&service, id, handle, stream);
+            // What the client left behind ends with the connection.
+            if connection.serve().is_err() {
+                connection.note_client_gone();
+            }
         });
     }
 }
--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -2,6 +2,7 @@
 //! [`Connection::advance`] first.
 
 use super::{Activity, Connection, State};
+use crate::net::request_log::CloseReason;
 use pinetrail_connection_limits::{Phase, Reason};
 use std::net::Shutdown;
 
@@ -25,6 +26,9 @@
         // A partial command was not accepted: it does not keep a connection of a proxy that stops.
         let must_finish = self.service.closes_when_idle() || self.is_due_to_disconnect();
         if self.state == State::Open && self.is_idle() && must_finish {
+            let is_stopping = self.service.closes_when_idle();
+            self.close_reason =
+                Some(if is_stopping { CloseReason::Stopping } else { CloseReason::Disconnecting });
             self.state = State::Finishing;
         }
         // Danger: a close with unread bytes resets the connection, and the last response may be
@@ -45,7 +49,7 @@
         match self.reported.phase {
             // A partial command is owed an error.
             Phase::PartialFirstCommand | Phase::PartialCommand if is_open => {
-                self.service.count_close(reason);
+                self.count_close(reason);
                 self.respond_malformed("CLIENT_ERROR no whole command in time");
                 // What cannot be written at once is not waited for.
                 let _ = self.write();
@@ -57,17 +61,27 @@
             Phase::Silent | Phase::Idle if is_open && self.has_unread_input() => {}
             // Nobody waits for the descriptor.
             Phase::Silent | Phase::Idle if is_open && reason == Reason::Overdue => {
-                self.service.count_close(reason);
+                self.count_close(reason);
                 self.state = State::Finishing;
             }
             _ => {
-                self.service.count_close(reason);
+                self.count_close(reason);
                 return Progress::Over;
             }
         }
         Progress::Continues
     }
 
+    fn count_close(&mut self, reason: Reason) {
+        self.service.count_close(reason);
+        self.close_reason = Some(match reason {
+            Reason::Overdue => CloseReason::Overdue,
+            Reason::UnlikelyToReturn => CloseReason::UnlikelyToReturn,
+            Reason::OverBudget => CloseReason::OverBudget,
+            Reason::Evicted => CloseReason::Evicted,
+        });
+    }
+
     /// Whether clients are directed to other proxies, and it is this one's turn.
     fn is_due_to_disconnect(&self) -> bool {
         let Some(disconnecting) = self.service.disconnecting() else { return false };
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -9,6 +9,7 @@
 use crate::net::memory::MemoryReservation;
 use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 /// What became of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +68,7 @@
     /// Submits a request. Its response is put into a slot, and wakes the connection to write it.
     fn submit_request(&mut self, request: ClientRequest, memory: MemoryReservation) {
         let slot = ResponseSlot::default();
+        let due = Instant::now() + Duration::from_secs_f64(request.budget / 1000.0);
         let respond = self.response_callback(&request, Arc::clone(&slot));
         self.service.record_request(self.id);
         match self.submit(request, respond) {
@@ -74,6 +76,7 @@
                 self.pending.push_back(PendingCommand {
                     request: Some(id),
                     response: slot,
+                    due: Some(due),
                     memory: Some(memory),
                 });
             }
@@ -118,6 +121,7 @@
         self.pending.push_back(PendingCommand {
             request: None,
             response: Arc::new(Mutex::new(Some(response))),
+            due: None,
             memory: None,
         });
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -64,6 +64,7 @@
     fn note_read(&mut self, count: usize) {
         if self.state == State::Lingering {
             self.discarded += count;
+            self.service.counters.bytes_discarded.add(count);
             self.input.clear();
         } else if self.received == Received::Nothing {
             self.received = Received::PartialCommand;
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -18,13 +18,14 @@
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
+use crate::net::request_log::{self, CloseReason};
 use close::Progress;
 use may::io::WaitIo;
 use pinetrail_connection_limits::{ConnectionId, Millis, Phase, Seq};
 use std::collections::VecDeque;
 use std::io;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Commands that may wait for their responses on one connection; beyond, reading stops.
 const MAX_PENDING: usize = 64;
@@ -56,6 +57,8 @@
     /// The request, if it was submitted.
     request: Option<RequestId>,
     response: ResponseSlot,
+    /// When its client gives up; none if it was not submitted.
+    due: Option<Instant>,
     /// What its values may take of the memory.
     memory: Option<MemoryReservation>,
 }
@@ -131,6 +134,8 @@
     pending: VecDeque<PendingCommand>,
     /// When the last response was written, by the clock of the connection table; 0 before.
     last_response_at: Millis,
+    /// Why it ends, once that is known; for the log.
+    close_reason: Option<CloseReason>,
 }
 
 impl<'a> Connection<'a> {
@@ -160,9 +165,16 @@
             output_memory: Vec::new(),
             pending: VecDeque::new(),
             last_response_at: 0,
+            close_reason: None,
         }
     }
 
+    /// The client has gone, or can be told nothing any more.
+    pub(super) fn note_client_gone(&mut self) {
+        let reason = if self.body_broken { CloseReason::BodyBroken } else { CloseReason::ClientGone };
+        self.close_reason.get_or_insert(reason);
+    }
+
     /// Serves the connection until it is over.
     ///
     /// # Errors
@@ -264,6 +276,8 @@
     /// cancelled.
     fn drop(&mut self) {
         self.service.remove(self.id);
+        let reason = self.close_reason.unwrap_or(CloseReason::Finished);
+        request_log::connection_closed(self.id, reason, self.pending.len(), self.discarded);
         for request in self.pending.iter().filter_map(|pending| pending.request) {
             self.service.dispatcher.cancel(request);
         }
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -18,6 +18,7 @@
 use super::dispatcher::Dispatcher;
 use super::drain::DisconnectSchedule;
 use super::listener::Listener;
+use super::log::log_fault;
 use super::memory::MemoryBudget;
 use disconnecting::Disconnecting;
 use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
@@ -26,11 +27,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often connections are checked for limits that they have reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// A check that comes so much too late is counted and logged: the whole process was held up.
+const NOTED_HOLD_UP: Duration = Duration::from_millis(50);
+
 /// What a [`ClientService`] is started with.
 pub struct ClientServiceParameters {
     /// Where requests are submitted.
@@ -89,7 +93,9 @@
         may::go!(move || acceptor.accept_until_stopped(&listener));
         let checker = Arc::clone(&service);
         may::go!(move || loop {
+            let slept_from = Instant::now();
             sleep(CHECK_INTERVAL);
+            checker.note_hold_up(slept_from.elapsed().saturating_sub(CHECK_INTERVAL));
             checker.check_limits();
         });
         Ok(service)
@@ -168,6 +174,14 @@
         self.with_registry(|registry| registry.open())
     }
 
+    /// Notes how much longer than asked for a sleep lasted. Nothing else of the process ran then.
+    fn note_hold_up(&self, late: Duration) {
+        if late >= NOTED_HOLD_UP {
+            self.counters.held_up.increment();
+            log_fault(&format!("the process was held up for {} ms", late.as_millis()));
+        }
+    }
+
     /// Closes connections that have reached a limit, or are to be disconnected by now.
     fn check_limits(&self) {
         let now = self.descriptors.now_ms();
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -4,7 +4,7 @@
 //! and alarms read them. They are older than the terms used elsewhere: a *consumer* there is a
 //! client, a *provider* a backend, a *call* an attempt.
 
-use crate::interface::Outcome;
+use crate::interface::{GiveUpReason, Outcome};
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
@@ -19,6 +19,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts so many more.
+    pub fn add(&self, count: usize) {
+        self.0.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
     /// The count so far.
     pub fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
@@ -141,6 +146,34 @@
     reloads_failed,
     /// Panics caught in a coroutine or the decision module.
     panics,
+    /// Requests that the end of a drain answered as failed.
+    answered_at_stop,
+    /// Final responses that were ready to be written only after the client's deadline.
+    answered_late,
+    /// Moments in which the whole process had been held up.
+    held_up,
+    /// Bytes thrown away that arrived after a connection's end was announced.
+    bytes_discarded,
+    /// Requests given up whose class the settings do not have.
+    given_up_unknown_class,
+    /// Requests given up not admitted to an overloaded fleet.
+    given_up_fleet_overloaded,
+    /// Requests given up that missed, with the origin overloaded.
+    given_up_origin_overloaded,
+    /// Requests given up queued for too long.
+    given_up_queued_too_long,
+    /// Requests given up whose time was over.
+    given_up_deadline,
+    /// Requests given up with no attempt left.
+    given_up_attempts_used_up,
+    /// Requests given up of which another attempt could have an effect twice.
+    given_up_repeat_unsafe,
+    /// Requests given up for which there was no retry budget.
+    given_up_retry_budget,
+    /// Requests given up whose backend had gone.
+    given_up_backend_unknown,
+    /// Requests given up over which the decision module panicked.
+    given_up_panicked,
 }
 
 impl Counters {
@@ -159,6 +192,22 @@
         }
     }
 
+    /// The counter of a reason to give a request up.
+    pub fn given_up(&self, reason: GiveUpReason) -> &Counter {
+        match reason {
+            GiveUpReason::UnknownClass => &self.given_up_unknown_class,
+            GiveUpReason::FleetOverloaded => &self.given_up_fleet_overloaded,
+            GiveUpReason::OriginOverloaded => &self.given_up_origin_overloaded,
+            GiveUpReason::QueuedTooLong => &self.given_up_queued_too_long,
+            GiveUpReason::DeadlineReached => &self.given_up_deadline,
+            GiveUpReason::AttemptsUsedUp => &self.given_up_attempts_used_up,
+            GiveUpReason::RepeatUnsafe => &self.given_up_repeat_unsafe,
+            GiveUpReason::RetryBudgetEmpty => &self.given_up_retry_budget,
+            GiveUpReason::BackendUnknown => &self.given_up_backend_unknown,
+            GiveUpReason::Panicked => &self.given_up_panicked,
+        }
+    }
+
     /// All counters as one line of `name=value`, for the log.
     pub fn line(&self) -> String {
         let mut line = String::from("counters");
--- a/src/net/counters_golden_tests.rs
+++ b/src/net/counters_golden_tests.rs
@@ -5,7 +5,7 @@
 use super::Counters;
 use crate::interface::Outcome;
 
-const NAMES: [&str; 34] = [
+const NAMES: [&str; 48] = [
     "consumers_accepted",
     "consumers_evicted",
     "consumers_hopeless",
@@ -40,6 +40,20 @@
     "reloads",
     "reloads_failed",
     "panics",
+    "answered_at_stop",
+    "answered_late",
+    "held_up",
+    "bytes_discarded",
+    "given_up_unknown_class",
+    "given_up_fleet_overloaded",
+    "given_up_origin_overloaded",
+    "given_up_queued_too_long",
+    "given_up_deadline",
+    "given_up_attempts_used_up",
+    "given_up_repeat_unsafe",
+    "given_up_retry_budget",
+    "given_up_backend_unknown",
+    "given_up_panicked",
 ];
 
 #[test]
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -8,6 +8,7 @@
 use crate::interface::{AttemptEnd, Event, Outcome, RequestId, ServerId, Time};
 use crate::net::body_stream::BodyReceiver;
 use crate::net::log::log;
+use crate::net::request_log;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -71,7 +72,10 @@
             return Err(plan.not_sent(attempt, in_flight.pending.as_ref()));
         };
         in_flight.attempts.insert(attempt, InFlightAttempt { server: plan.server, sent: now });
-        Ok(attempt_request(&plan, attempt, in_flight, endpoint))
+        let order = attempt_request(&plan, attempt, in_flight, endpoint);
+        let time_left = order.deadline.saturating_duration_since(Instant::now());
+        request_log::attempt_ordered(order.id, &order.request.opaque, &order.address, time_left);
+        Ok(order)
     }
 
     /// Whether an attempt may still be sent: it is not too late, its request is open, and its
@@ -101,6 +105,7 @@
         let Some(pending) = request.pending.take() else { return false };
         request.stream_began = Some(now);
         self.counters.answered_served.increment();
+        request_log::request_streams(id.request, &request.request.opaque, length);
         pending.send(Response::Stream { length, body });
         self.handle_event(state, Event::StreamBegan(id.request));
         true
@@ -113,6 +118,7 @@
         let Some(request) = state.requests.get_mut(&id.request) else { return };
         let Some(attempt) = request.attempts.remove(&id.attempt) else { return };
         self.counters.outcome(outcome).increment();
+        request_log::attempt_ended(id, &request.request.opaque, outcome, now - attempt.sent);
         let served = match (outcome, payload) {
             (Outcome::Ok, Some(payload)) => request.pending.take().map(|pending| (pending, payload)),
             _ => None,
@@ -131,6 +137,7 @@
         // The client need not wait for what the module makes of it.
         if let Some((pending, payload)) = served {
             self.counters.answered_served.increment();
+            request_log::request_served(id.request, state.opaque(id.request));
             pending.send(Response::Complete(payload));
         }
         self.handle_event(state, Event::AttemptEnd(end));
--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -6,7 +6,8 @@
 use super::side_effect::SideEffect;
 use super::state::DispatcherState;
 use super::Dispatcher;
-use crate::interface::{Action, Event, RequestId, Time};
+use crate::interface::{Action, Event, GiveUpReason, RequestId, Time};
+use crate::net::request_log;
 use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, MutexGuard};
@@ -46,8 +47,17 @@
     }
 
     /// Ends a request with a response that no backend gave. The response is owed to the client.
-    fn finish(&self, state: &mut DispatcherState, id: RequestId, response: Response) -> Option<SideEffect> {
+    fn finish(
+        &self,
+        state: &mut DispatcherState,
+        id: RequestId,
+        response: Response,
+        reason: GiveUpReason,
+    ) -> Option<SideEffect> {
         let pending = state.take_pending(id)?;
+        let is_rejected = matches!(response, Response::Rejected { .. });
+        request_log::request_given_up(id, state.opaque(id), is_rejected, reason);
+        self.counters.given_up(reason).increment();
         state.forget_if_over(id);
         match response {
             Response::Rejected { .. } => self.counters.answered_rejected.increment(),
@@ -82,7 +92,8 @@
             // The module panicked over this event: nothing more can be expected for its request.
             self.dispatcher.counters.panics.increment();
             actions.clear();
-            actions.extend(request.map(Action::Fail));
+            let reason = GiveUpReason::Panicked;
+            actions.extend(request.map(|request| Action::Fail { request, reason }));
         }
     }
 
@@ -96,11 +107,11 @@
                     Err(end) => self.events.push_back(Event::AttemptEnd(end)),
                 }
             }
-            Action::Reject { request: id, retry_after: wait } => {
+            Action::Reject { request: id, retry_after: wait, reason } => {
                 let retry_after = (wait > 0.0).then(|| Duration::from_millis(wait.ceil() as u64));
-                self.finish(id, Response::Rejected { retry_after });
+                self.finish(id, Response::Rejected { retry_after }, reason);
             }
-            Action::Fail(id) => self.finish(id, Response::Failed),
+            Action::Fail { request: id, reason } => self.finish(id, Response::Failed, reason),
             Action::SetTimer { delay, token } => {
                 self.effects.push(SideEffect::StartTimer { delay: timer_duration(delay), token });
             }
@@ -111,8 +122,8 @@
         }
     }
 
-    fn finish(&mut self, id: RequestId, response: Response) {
-        self.effects.extend(self.dispatcher.finish(self.state, id, response));
+    fn finish(&mut self, id: RequestId, response: Response, reason: GiveUpReason) {
+        self.effects.extend(self.dispatcher.finish(self.state, id, response, reason));
     }
 
     /// Starts a timer that ends with its request: otherwise those of finished requests would pile
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -111,6 +111,11 @@
         self.endpoint_ids.retain(|server| endpoints.contains_key(&server));
     }
 
+    /// The client's id of a request; empty if it is not known any more.
+    pub(super) fn opaque(&self, id: RequestId) -> &str {
+        self.requests.get(&id).map_or("", |in_flight| &in_flight.request.opaque)
+    }
+
     /// Forgets a request.
     pub(super) fn forget_request(&mut self, id: RequestId) {
         if let Some(request) = self.requests.remove(&id) {
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -7,6 +7,8 @@
 use super::state::{DispatcherState, InFlightRequest, PendingResponse};
 use super::Dispatcher;
 use crate::interface::{Event, Request, RequestId};
+use crate::net::log::log_fault;
+use crate::net::request_log;
 use crate::net::timer::TimerSet;
 use pinetrail_policy_consensus::Admission;
 use std::collections::BTreeMap;
@@ -16,6 +18,15 @@
 /// The module must have ended a request this long after its deadline, or the dispatcher does.
 const OVERDUE: Duration = Duration::from_millis(10);
 
+/// Why a request is ended without the decision module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Abort {
+    /// The process stops.
+    Stopping,
+    /// It is open after its time: a fault.
+    Overdue,
+}
+
 impl Dispatcher {
     /// Accepts a request. Its one response goes to `respond`, unless the client cancels first.
     ///
@@ -49,6 +60,7 @@
         self.count_accepted(&request);
         state.last_id += 1;
         let id = state.last_id;
+        request_log::request_accepted(id, &request.opaque, request.class, request.budget);
         let event = Event::Request(module_request(id, &request));
         self.insert_request(&mut state, id, request, respond);
         self.handle_event(state, event);
@@ -78,7 +90,7 @@
         let dispatcher = Arc::clone(self);
         timers.spawn(move |timer| {
             if timer.sleep(overdue) {
-                dispatcher.expire(id);
+                dispatcher.abort(id, Abort::Overdue);
             }
         });
         let in_flight = InFlightRequest {
@@ -99,6 +111,7 @@
         let pending = state.take_pending(id);
         if pending.is_some() {
             self.counters.consumers_gone.increment();
+            request_log::request_cancelled(id, state.opaque(id));
             self.handle_event(state, Event::ClientGone(id));
         }
     }
@@ -111,19 +124,31 @@
             requests.filter(|(_, request)| request.pending.is_some()).map(|(id, _)| *id).collect()
         };
         for id in pending {
-            self.expire(id);
+            self.abort(id, Abort::Stopping);
         }
     }
 
-    /// Ends a request that the module has not ended in time, as failed.
-    fn expire(self: &Arc<Self>, id: RequestId) {
+    /// Ends a request that is still open, as failed.
+    fn abort(self: &Arc<Self>, id: RequestId, why: Abort) {
         let mut state = self.lock();
-        if let Some(pending) = state.take_pending(id) {
-            self.counters.overdue.increment();
-            self.counters.answered_failed.increment();
-            self.handle_event(state, Event::ClientGone(id));
-            pending.send(Response::Failed);
+        let Some(pending) = state.take_pending(id) else { return };
+        match why {
+            Abort::Stopping => {
+                self.counters.answered_at_stop.increment();
+                request_log::request_stopped(id, state.opaque(id));
+            }
+            Abort::Overdue => {
+                self.counters.overdue.increment();
+                request_log::request_expired(id, state.opaque(id));
+                log_fault(&format!(
+                    "request {} was open after its time: its timer is lost or late",
+                    state.opaque(id)
+                ));
+            }
         }
+        self.counters.answered_failed.increment();
+        self.handle_event(state, Event::ClientGone(id));
+        pending.send(Response::Failed);
     }
 
     /// How many requests are not responded to.
--- a/src/net/lifecycle/error.rs
+++ b/src/net/lifecycle/error.rs
@@ -3,6 +3,7 @@
 use crate::net::config::ConfigError;
 use crate::net::fleet::FleetError;
 use crate::net::hot_restart::HandoverError;
+use crate::net::request_log::RequestLogError;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -20,6 +21,9 @@
     /// The configuration cannot be read, or holds no legal value somewhere.
     #[error(transparent)]
     Config(#[from] ConfigError),
+    /// The request log is asked for in a form that is none.
+    #[error(transparent)]
+    RequestLog(#[from] RequestLogError),
     /// The running process of this proxy does not hand over.
     #[error(transparent)]
     Handover(#[from] HandoverError),
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -28,6 +28,7 @@
 use super::hot_restart::{self, HotRestart, ServiceState};
 use super::log::log;
 use super::policy::Policy;
+use super::request_log;
 use crate::settings::Settings;
 use budget::ProcessBudget;
 use error::StartError;
@@ -171,6 +172,8 @@
     fn run_until_exit(self: &Arc<Self>) -> Result<(), StartError> {
         // Danger: registered before anything listens, so that a signal never kills the process.
         let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT, SIGUSR1]).map_err(StartError::Signals)?;
+        // Written out when this function returns.
+        let _request_log = request_log::init()?;
         let mut config = Config::from_env()?;
         let handover = hot_restart::request_handover(config.listen)?;
         let services = match self.start(&config, handover, &mut signals)? {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,4 +25,5 @@
 pub mod log;
 pub mod memory;
 pub mod policy;
+pub mod request_log;
 pub mod timer;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -314,12 +314,12 @@
                 self.body.extend(backend.to_be_bytes());
                 self.body.extend(timeout.to_be_bytes());
             }
-            Action::Reject { request, retry_after } => {
+            Action::Reject { request, retry_after, .. } => {
                 self.record(7, instance);
                 self.body.extend(request.to_be_bytes());
                 self.body.extend(retry_after.to_be_bytes());
             }
-            Action::Fail(request) => {
+            Action::Fail { request, .. } => {
                 self.record(6, instance);
                 self.body.extend(request.to_be_bytes());
             }
--- a/tests/backend_knowledge.rs
+++ b/tests/backend_knowledge.rs
@@ -149,7 +149,10 @@
     assert!(sends(&harness.end(1, 0, ORIGIN, Outcome::Full)).is_empty());
     let arrival = harness.request(write(2));
     assert!(sends(&arrival).is_empty());
-    assert_eq!(finals(&harness.deadline(&arrival)), [&Action::Reject { request: 2, retry_after: 250.0 }]);
+    assert_eq!(
+        finals(&harness.deadline(&arrival)),
+        [&Action::Reject { request: 2, retry_after: 250.0, reason: GiveUpReason::DeadlineReached }]
+    );
 }
 
 /// Guards against a request that fails though a node of its scope could still take it.
@@ -200,7 +203,7 @@
     }
     assert_eq!(
         finals(&harness.end(1, 0, server, Outcome::Miss)),
-        [&Action::Reject { request: 1, retry_after: 250.0 }]
+        [&Action::Reject { request: 1, retry_after: 250.0, reason: GiveUpReason::AttemptsUsedUp }]
     );
 }
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -229,7 +229,7 @@
                     self.send(proxy, id, server, limit)
                 }
                 Action::Reject { request: id, .. } => self.answer(proxy, id, Answer::Rejected),
-                Action::Fail(id) => self.answer(proxy, id, Answer::Failed),
+                Action::Fail { request: id, .. } => self.answer(proxy, id, Answer::Failed),
                 Action::SetTimer { delay: wait, token }
                 | Action::SetRequestTimer { delay: wait, token, .. } => {
                     self.at(wait.max(0.001), FleetEvent::TimerFires(proxy, incarnation, token));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -207,6 +207,11 @@
     sends(actions).first().copied()
 }
 
+/// The response to a request of which another attempt could have an effect twice.
+pub(crate) fn unsafe_to_repeat(request: RequestId) -> Action {
+    Action::Fail { request, reason: GiveUpReason::RepeatUnsafe }
+}
+
 pub(crate) fn finals(actions: &[Action]) -> Vec<&Action> {
-    actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail(_))).collect()
+    actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).collect()
 }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -57,7 +57,8 @@
         harness.now += passed;
         let end = harness.end(1, 0, first, Outcome::Error);
         assert_eq!(!sends(&end).is_empty(), again, "after {passed} ms: {end:?}");
-        assert_eq!(finals(&end), if again { vec![] } else { vec![&Action::Fail(1)] });
+        let failure = unsafe_to_repeat(1);
+        assert_eq!(finals(&end), if again { vec![] } else { vec![&failure] });
     }
 }
 
@@ -74,7 +75,7 @@
         let after = harness.end(1, 1, second, Outcome::Miss);
         let together = member(first).zone == member(ORIGIN).zone;
         assert_eq!(sent(&after), together.then_some((1, ORIGIN)), "key {key}: {after:?}");
-        assert!(together || finals(&after) == [&Action::Fail(1)]);
+        assert!(together || finals(&after) == [&unsafe_to_repeat(1)]);
         seen[usize::from(together)] = true;
     }
     assert_eq!(seen, [true; 2], "both kinds came up");
@@ -143,7 +144,7 @@
     assert!(end.iter().all(|action| matches!(action, Action::SetTimer { .. })), "queued: {end:?}");
     harness.now += 110.0;
     // The deduplication window has passed: the next dispatch of the queue ends it.
-    assert!(finals(&harness.event(Event::Timer(4 << 60))).contains(&&Action::Fail(1)));
+    assert!(finals(&harness.event(Event::Timer(4 << 60))).contains(&&unsafe_to_repeat(1)));
 }
 
 /// Guards against a retry budget that is spent on what may not be retried.
@@ -152,7 +153,7 @@
     let mut harness = BalancerHarness::without_origin(6);
     for id in 1..40 {
         let (_, server) = sent(&harness.request(Request { class: UNSAFE, ..read(id, id) })).unwrap();
-        assert_eq!(finals(&harness.end(id, 0, server, Outcome::Error)), [&Action::Fail(id)]);
+        assert_eq!(finals(&harness.end(id, 0, server, Outcome::Error)), [&unsafe_to_repeat(id)]);
         harness.now += 300.0;
     }
     for id in 100..105 {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -104,7 +104,7 @@
                     *attempts += 1;
                 }
                 Action::Reject { request: id, .. } => self.answer(id, Answer::Rejected),
-                Action::Fail(id) => self.answer(id, Answer::Failed),
+                Action::Fail { request: id, .. } => self.answer(id, Answer::Failed),
                 Action::SetTimer { delay, token } | Action::SetRequestTimer { delay, token, .. } => {
                     self.timers.push((self.harness.now + delay.max(0.0), token));
                 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -77,8 +77,8 @@
         Action::StartAttempt { request, backend, timeout, send_by } => {
             format!("Send({request}, {backend}, {timeout:?}, {send_by:?})")
         }
-        Action::Reject { request, retry_after } => format!("Refuse({request}, {retry_after:?})"),
-        Action::Fail(request) => format!("Fail({request})"),
+        Action::Reject { request, retry_after, .. } => format!("Refuse({request}, {retry_after:?})"),
+        Action::Fail { request, .. } => format!("Fail({request})"),
         Action::SetTimer { delay, token } => format!("Timer({delay:?}, {token})"),
         Action::SetRequestTimer { request, delay, token } => {
             format!("TimerFor({request}, {delay:?}, {token})")
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -78,7 +78,7 @@
                     assert_eq!(sends(&actions).len(), 1, "{what}");
                 }
                 if class == UNSAFE && !free {
-                    assert_eq!(finals(&actions), vec![&Action::Fail(1)], "{what}");
+                    assert_eq!(finals(&actions), vec![&unsafe_to_repeat(1)], "{what}");
                 }
             }
         }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -98,8 +98,8 @@
     let mut reply = Reply::default();
     let actions = [
         Action::StartAttempt { request: 0x11, backend: 9, timeout: 80.0, send_by: 60.0 },
-        Action::Reject { request: 0x11, retry_after: 250.0 },
-        Action::Fail(0x11),
+        Action::Reject { request: 0x11, retry_after: 250.0, reason: GiveUpReason::QueuedTooLong },
+        Action::Fail { request: 0x11, reason: GiveUpReason::RepeatUnsafe },
         Action::SetTimer { delay: 500.0, token: 0x4d },
         Action::Subscribe,
     ];
