--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod client_connections;
 mod discovery;
 mod faults;
+mod hold_ups;
 mod large;
 mod operations;
 mod races;
