Plan final responses, windows and the last writes before SIGKILL early enough for a hold-up

Cause: the answer to a request whose backend hangs was planned for the deadline itself (one tick before it, in the decision module), its guard for 10 ms after it. The class: a moment planned for the very limit, with no allowance between a decision and its effect. The deduplication window and the last responses before SIGKILL (0.1 s before it) were planned the same way. Change: src/net/time_limits.rs has the allowances and every limit: the module is given 110 ms less than the client waits (half of waits under 220 ms), the window ends as much earlier (half of a short one), a drain ends what is open 0.35 s before SIGKILL. The per-request guard timer is replaced by one look each 10 ms of a coroutine that has no part in those timers; it fires 50 ms after the response was due and is logged as a fault.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -14,12 +14,14 @@
         if let Some(reason) = self.obstacle_at(id, backend) {
             return self.reject_or_fail(id, reason, out);
         }
+        let Some(class) = self.requests.get(&id).map(|pending| pending.class) else { return };
+        let write_delay = self.write_delay(&class);
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let Some(target) = self.backends.get_mut(&backend) else { return };
         let time_left = pending.deadline - self.now;
         // Danger: a connection may come up only when repeats are no longer dropped.
         let keyed = may_have_run(pending).filter(|_| pending.class.effect == Effect::Keyed);
-        let window_left = keyed.map_or(time_left, |a| a.sent + pending.class.repeat_window - self.now);
+        let window_left = keyed.map_or(time_left, |a| a.sent + class.repeat_window - self.now - write_delay);
         let send_by = time_left.min(window_left - self.settings.tick).max(1.0);
         target.in_flight.insert(pending.begin_attempt(backend, self.now));
         out.push(Action::StartAttempt { request: id, backend, timeout: time_left.max(1.0), send_by });
--- a/src/logic/retry_safety.rs
+++ b/src/logic/retry_safety.rs
@@ -1,8 +1,8 @@
 //! Whether one more attempt, or a client's repeat after a rejection, can have an effect twice.
 
 use super::Balancer;
-use crate::interface::{GiveUpReason, Member, Outcome, RequestId, ServerId};
-use crate::settings::{Effect, Scope};
+use crate::interface::{GiveUpReason, Member, Outcome, RequestId, ServerId, Time};
+use crate::settings::{Class, Effect, Scope};
 use crate::state::{Attempt, PendingRequest};
 
 impl Balancer {
@@ -48,9 +48,16 @@
         is_idempotent(pending, |first| everywhere && self.is_inside_dedup_window(pending, first))
     }
 
-    /// Whether repeats of an attempt are still dropped; what is sent now arrives within a tick.
+    /// Whether repeats of an attempt are still dropped when what is sent now arrives.
     fn is_inside_dedup_window(&self, pending: &PendingRequest, first: &Attempt) -> bool {
-        self.now - first.sent < pending.class.repeat_window - self.settings.tick
+        let usable_window = pending.class.repeat_window - self.write_delay(&pending.class);
+        self.now - first.sent < usable_window - self.settings.tick
+    }
+
+    /// How long after its decision an attempt may be written, where its class has a deduplication
+    /// window. A short window keeps half of its length.
+    pub(super) fn write_delay(&self, class: &Class) -> Time {
+        self.settings.write_delay.min(class.repeat_window / 2.0)
     }
 }
 
--- a/src/net/backend/encode.rs
+++ b/src/net/backend/encode.rs
@@ -2,6 +2,7 @@
 
 use crate::net::codec::{http, memcache};
 use crate::net::dispatcher::AttemptRequest;
+use crate::net::time_limits::told_deadline_ms;
 use std::time::Instant;
 
 /// The label that tells how long the client still waits, in ms.
@@ -22,8 +23,7 @@
 
 /// The labels as the client gave them, but with the time that is left now, of at least 1 ms.
 fn encode_labels(attempt: &AttemptRequest) -> String {
-    let left = attempt.deadline.saturating_duration_since(Instant::now());
-    let left_ms = left.as_millis().max(1).to_string();
+    let left_ms = told_deadline_ms(attempt, Instant::now()).to_string();
     let encode_label = |(name, value): &(String, String)| {
         let value = if name == DEADLINE_LABEL { &left_ms } else { value };
         format!("{name}={value}")
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -6,6 +6,7 @@
 use crate::net::codec::memcache::{self, Command, RequestCommand};
 use crate::net::codec::MAX_VALUE;
 use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback};
+use crate::net::log::log_fault;
 use crate::net::memory::MemoryReservation;
 use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -68,7 +69,6 @@
     /// Submits a request. Its response is put into a slot, and wakes the connection to write it.
     fn submit_request(&mut self, request: ClientRequest, memory: MemoryReservation) {
         let slot = ResponseSlot::default();
-        let due = Instant::now() + Duration::from_secs_f64(request.budget / 1000.0);
         let respond = self.response_callback(&request, Arc::clone(&slot));
         self.service.record_request(self.id);
         match self.submit(request, respond) {
@@ -76,7 +76,6 @@
                 self.pending.push_back(PendingCommand {
                     request: Some(id),
                     response: slot,
-                    due: Some(due),
                     memory: Some(memory),
                 });
             }
@@ -87,7 +86,16 @@
     fn response_callback(&self, request: &ClientRequest, slot: ResponseSlot) -> ResponseCallback {
         let handle = Arc::clone(&self.handle);
         let opaque = request.opaque.clone();
+        let counters = Arc::clone(&self.service.counters);
+        let deadline = Instant::now() + Duration::from_secs_f64(request.budget / 1000.0);
         Box::new(move |response: Response| {
+            if let Some(late) = Instant::now().checked_duration_since(deadline) {
+                counters.answered_late.increment();
+                log_fault(&format!(
+                    "the response to {opaque} comes {} ms after its deadline",
+                    late.as_millis()
+                ));
+            }
             let bytes = memcache::encode_response(&opaque, &response);
             let body = match response {
                 Response::Stream { body, .. } => Some(body),
@@ -121,7 +129,6 @@
         self.pending.push_back(PendingCommand {
             request: None,
             response: Arc::new(Mutex::new(Some(response))),
-            due: None,
             memory: None,
         });
     }
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -25,7 +25,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Commands that may wait for their responses on one connection; beyond, reading stops.
 const MAX_PENDING: usize = 64;
@@ -57,8 +57,6 @@
     /// The request, if it was submitted.
     request: Option<RequestId>,
     response: ResponseSlot,
-    /// When its client gives up; none if it was not submitted.
-    due: Option<Instant>,
     /// What its values may take of the memory.
     memory: Option<MemoryReservation>,
 }
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -4,10 +4,8 @@
 use super::{Connection, EncodedResponse, REQUEST_OVERHEAD};
 use crate::net::body_stream::{Piece, WINDOW};
 use crate::net::codec::memcache;
-use crate::net::log::log_fault;
 use std::io::{self, ErrorKind, Write};
 use std::sync::{Arc, PoisonError};
-use std::time::Instant;
 
 /// How far the output was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,10 +93,6 @@
         let Some(first) = self.pending.front() else { return false };
         let response = first.response.lock().unwrap_or_else(PoisonError::into_inner).take();
         let Some(EncodedResponse { bytes, body }) = response else { return false };
-        if let Some(late) = first.due.and_then(|due| Instant::now().checked_duration_since(due)) {
-            self.service.counters.answered_late.increment();
-            log_fault(&format!("a final response is written {} ms after its deadline", late.as_millis()));
-        }
         if self.output.is_empty() {
             self.output = bytes;
         } else {
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -20,6 +20,7 @@
 use super::listener::Listener;
 use super::log::log_fault;
 use super::memory::MemoryBudget;
+use super::time_limits::TIMER_GRANULARITY;
 use disconnecting::Disconnecting;
 use pinetrail_connection_limits::{ConnectionId, Phase, Reason, Seq};
 use registry::ConnectionRegistry;
@@ -95,8 +96,13 @@
         may::go!(move || loop {
             let slept_from = Instant::now();
             sleep(CHECK_INTERVAL);
-            checker.note_hold_up(slept_from.elapsed().saturating_sub(CHECK_INTERVAL));
+            let late = slept_from.elapsed().saturating_sub(CHECK_INTERVAL);
+            checker.note_hold_up(late);
             checker.check_limits();
+            // After a hold-up the requests' own timers are only about to run.
+            if late < TIMER_GRANULARITY {
+                checker.dispatcher.abort_overdue();
+            }
         });
         Ok(service)
     }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -157,7 +157,7 @@
     /// Requests given up whose class the settings do not have.
     given_up_unknown_class,
     /// Requests given up not admitted to an overloaded fleet.
-    given_up_fleet_overloaded,
+    given_up_overloaded,
     /// Requests given up that missed, with the origin overloaded.
     given_up_origin_overloaded,
     /// Requests given up queued for too long.
@@ -196,7 +196,7 @@
     pub fn given_up(&self, reason: GiveUpReason) -> &Counter {
         match reason {
             GiveUpReason::UnknownClass => &self.given_up_unknown_class,
-            GiveUpReason::FleetOverloaded => &self.given_up_fleet_overloaded,
+            GiveUpReason::FleetOverloaded => &self.given_up_overloaded,
             GiveUpReason::OriginOverloaded => &self.given_up_origin_overloaded,
             GiveUpReason::QueuedTooLong => &self.given_up_queued_too_long,
             GiveUpReason::DeadlineReached => &self.given_up_deadline,
--- a/src/net/counters_golden_tests.rs
+++ b/src/net/counters_golden_tests.rs
@@ -45,7 +45,7 @@
     "held_up",
     "bytes_discarded",
     "given_up_unknown_class",
-    "given_up_fleet_overloaded",
+    "given_up_overloaded",
     "given_up_origin_overloaded",
     "given_up_queued_too_long",
     "given_up_deadline",
@@ -76,8 +76,9 @@
 fn the_line_of_the_log_is_the_recorded_text() {
     let counters = Counters::default();
     counters.panics.increment();
-    let zeros: String = NAMES[..33].iter().map(|name| format!(" {name}=0")).collect();
-    assert_eq!(counters.line(), format!("counters{zeros} panics=1"));
+    let zeros = |names: &[&str]| names.iter().map(|name| format!(" {name}=0")).collect::<String>();
+    let expected = format!("counters{} panics=1{}", zeros(&NAMES[..33]), zeros(&NAMES[34..]));
+    assert_eq!(counters.line(), expected);
 }
 
 #[test]
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -9,6 +9,7 @@
 use crate::net::body_stream::BodyReceiver;
 use crate::net::log::log;
 use crate::net::request_log;
+use crate::net::time_limits::response_budget_ms;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -101,11 +102,12 @@
     pub fn attempt_streaming(self: &Arc<Self>, id: AttemptId, length: usize, body: BodyReceiver) -> bool {
         let mut state = self.lock();
         let now = self.clock.now();
-        let Some(request) = state.requests.get_mut(&id.request) else { return false };
-        let Some(pending) = request.pending.take() else { return false };
-        request.stream_began = Some(now);
+        let Some(pending) = state.take_pending(id.request) else { return false };
+        if let Some(request) = state.requests.get_mut(&id.request) {
+            request.stream_began = Some(now);
+        }
         self.counters.answered_served.increment();
-        request_log::request_streams(id.request, &request.request.opaque, length);
+        request_log::request_streams(id.request, state.opaque(id.request), length);
         pending.send(Response::Stream { length, body });
         self.handle_event(state, Event::StreamBegan(id.request));
         true
@@ -120,9 +122,10 @@
         self.counters.outcome(outcome).increment();
         request_log::attempt_ended(id, &request.request.opaque, outcome, now - attempt.sent);
         let served = match (outcome, payload) {
-            (Outcome::Ok, Some(payload)) => request.pending.take().map(|pending| (pending, payload)),
+            (Outcome::Ok, Some(payload)) => state.take_pending(id.request).map(|pending| (pending, payload)),
             _ => None,
         };
+        let Some(request) = state.requests.get(&id.request) else { return };
         let end = AttemptEnd {
             id: id.request,
             attempt: id.attempt,
@@ -159,7 +162,8 @@
     in_flight: &InFlightRequest,
     endpoint: &Endpoint,
 ) -> AttemptRequest {
-    let timeout = if plan.timeout > 0.0 { plan.timeout } else { in_flight.request.budget };
+    let whole_time = response_budget_ms(in_flight.request.budget);
+    let timeout = if plan.timeout > 0.0 { plan.timeout } else { whole_time };
     let now = Instant::now();
     AttemptRequest {
         id: AttemptId { request: plan.request, attempt },
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -23,6 +23,7 @@
 
 use super::config::Names;
 use super::counters::Counters;
+use super::time_limits::write_delay_ms;
 use crate::logic::Balancer;
 use crate::settings::Settings;
 use clock::Clock;
@@ -67,11 +68,13 @@
         commands: Sender<BackendCommand>,
         subscribe: Sender<()>,
     ) -> Arc<Dispatcher> {
+        let settings = Settings { write_delay: write_delay_ms(), ..settings };
         let state = DispatcherState {
             names: Arc::new(names),
             origin_kind: settings.family.origin_kind,
             balancer: Balancer::new(settings, seed),
             requests: BTreeMap::new(),
+            due: BTreeSet::new(),
             open_ids: BTreeSet::new(),
             last_id: 0,
             endpoints: BTreeMap::new(),
--- a/src/net/dispatcher/settings.rs
+++ b/src/net/dispatcher/settings.rs
@@ -5,6 +5,7 @@
 use super::Dispatcher;
 use crate::interface::{Event, ListForm, Quota};
 use crate::net::config::Names;
+use crate::net::time_limits::write_delay_ms;
 use crate::settings::Settings;
 use pinetrail_policy_consensus::{Admission, AdmissionLease};
 use std::sync::{Arc, MutexGuard};
@@ -79,7 +80,7 @@
         mut names: Names,
     ) {
         state.origin_kind = settings.family.origin_kind;
-        state.balancer.retune(settings);
+        state.balancer.retune(Settings { write_delay: write_delay_ms(), ..settings });
         names.version = state.names.version + 1;
         state.names = Arc::new(names);
         // Kinds and zones may have other numbers now.
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -10,6 +10,7 @@
 use crate::net::timer::TimerSet;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Instant;
 
 /// All that changes while the dispatcher runs.
 pub(super) struct DispatcherState {
@@ -21,6 +22,8 @@
     pub origin_kind: i64,
     /// Requests that are not responded to, or still have an attempt in flight.
     pub requests: BTreeMap<RequestId, InFlightRequest>,
+    /// When responses that are pending are due, the earliest first.
+    pub due: BTreeSet<(Instant, RequestId)>,
     /// The clients' ids of `requests`: no two may be open under one.
     pub open_ids: BTreeSet<String>,
     /// The request id given last.
@@ -39,8 +42,10 @@
 pub(super) struct InFlightRequest {
     /// What the client asked.
     pub request: Arc<ClientRequest>,
-    /// Until it is responded to.
+    /// Until it is responded to; taken by [`DispatcherState::take_pending`] only.
     pub pending: Option<PendingResponse>,
+    /// When its response is due.
+    pub due: Instant,
     /// How many attempts the module has asked for, including those that were not sent.
     pub attempts_ordered: u8,
     /// The attempts in flight by their number.
@@ -134,6 +139,9 @@
     /// Takes the response that is owed to a request, if it still is: whoever has it must send it or
     /// drop it.
     pub(super) fn take_pending(&mut self, id: RequestId) -> Option<PendingResponse> {
-        self.requests.get_mut(&id)?.pending.take()
+        let request = self.requests.get_mut(&id)?;
+        let pending = request.pending.take()?;
+        self.due.remove(&(request.due, id));
+        Some(pending)
     }
 }
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -9,14 +9,12 @@
 use crate::interface::{Event, Request, RequestId};
 use crate::net::log::log_fault;
 use crate::net::request_log;
+use crate::net::time_limits::{response_budget_ms, GUARD_DELAY};
 use crate::net::timer::TimerSet;
 use pinetrail_policy_consensus::Admission;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// The module must have ended a request this long after its deadline, or the dispatcher does.
-const OVERDUE: Duration = Duration::from_millis(10);
+use std::time::Instant;
 
 /// Why a request is ended without the decision module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,27 +73,20 @@
         }
     }
 
-    /// Keeps a request, and starts the timer that ends it when its deadline is long past.
+    /// Keeps a request, and when its response is due.
     fn insert_request(
-        self: &Arc<Self>,
+        &self,
         state: &mut DispatcherState,
         id: RequestId,
         request: ClientRequest,
         respond: ResponseCallback,
     ) {
-        let overdue = timer_duration(request.budget) + OVERDUE;
-        let timers = TimerSet::default();
-        // The module sets a timer for each deadline. Should it ever lose one, no client waits
-        // forever.
-        let dispatcher = Arc::clone(self);
-        timers.spawn(move |timer| {
-            if timer.sleep(overdue) {
-                dispatcher.abort(id, Abort::Overdue);
-            }
-        });
+        let due = Instant::now() + timer_duration(response_budget_ms(request.budget));
+        state.due.insert((due, id));
         let in_flight = InFlightRequest {
             request: Arc::new(request),
-            pending: Some(PendingResponse { respond, timers }),
+            pending: Some(PendingResponse { respond, timers: TimerSet::default() }),
+            due,
             attempts_ordered: 0,
             attempts: BTreeMap::new(),
             stream_began: None,
@@ -128,6 +119,21 @@
         }
     }
 
+    /// Ends the requests that are open though their responses were due a while ago. The module sets
+    /// a timer for each deadline; should one ever be lost, no client waits for it. Called again and
+    /// again by a coroutine that has no part in those timers.
+    pub fn abort_overdue(self: &Arc<Self>) {
+        while let Some(id) = self.first_overdue() {
+            self.abort(id, Abort::Overdue);
+        }
+    }
+
+    fn first_overdue(&self) -> Option<RequestId> {
+        let state = self.lock();
+        let (due, id) = state.due.first()?;
+        (due.elapsed() >= GUARD_DELAY).then_some(*id)
+    }
+
     /// Ends a request that is still open, as failed.
     fn abort(self: &Arc<Self>, id: RequestId, why: Abort) {
         let mut state = self.lock();
@@ -164,7 +170,7 @@
         class: request.class,
         tenant: request.tenant,
         key: key_number(&request.key),
-        budget: request.budget,
+        budget: response_budget_ms(request.budget),
         hint: request.hint,
         repeat: request.repeat,
         write: request.value.is_some(),
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -5,6 +5,7 @@
 //! The platform kills a process no sooner than the longest time that a client waits plus 0.7 s
 //! after SIGTERM, and counts waits of over 3 s as 3 s.
 
+use super::time_limits::BEFORE_KILL;
 use std::time::Duration;
 
 /// New connections still come for up to 0.4 s after SIGTERM, and are served.
@@ -13,10 +14,9 @@
 const KILL_GRACE: Duration = Duration::from_millis(700);
 /// The longest wait of a client that the platform counts.
 const LONGEST_WAIT: Duration = Duration::from_millis(3000);
-/// Before the kill, this time is left to the requests that came last: most end within it.
-const TIME_FOR_LAST_REQUESTS: Duration = Duration::from_millis(400);
-/// Before the kill, this time is left for responses to go out.
-const TIME_FOR_LAST_RESPONSES: Duration = Duration::from_millis(100);
+/// Before the last responses go out, this time is left to the requests that came last: most end
+/// within it.
+const TIME_FOR_LAST_REQUESTS: Duration = Duration::from_millis(300);
 
 /// The steps of a drain, each as the time since SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,10 +35,10 @@
     pub fn for_longest_wait(longest_wait: Option<Duration>) -> DrainSchedule {
         let kill_at = longest_wait.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT) + KILL_GRACE;
         let serve_until = match longest_wait {
-            Some(_) => kill_at.saturating_sub(TIME_FOR_LAST_REQUESTS).max(ACCEPT_FOR),
+            Some(_) => kill_at.saturating_sub(BEFORE_KILL + TIME_FOR_LAST_REQUESTS).max(ACCEPT_FOR),
             None => ACCEPT_FOR,
         };
-        let abort_at = kill_at.saturating_sub(TIME_FOR_LAST_RESPONSES).max(ACCEPT_FOR);
+        let abort_at = kill_at.saturating_sub(BEFORE_KILL).max(ACCEPT_FOR);
         DrainSchedule { accept_until: ACCEPT_FOR, serve_until, abort_at }
     }
 }
--- a/src/net/drain/tests.rs
+++ b/src/net/drain/tests.rs
@@ -32,10 +32,10 @@
     };
     let drain = |wait| DrainSchedule::for_longest_wait(Some(ms(wait)));
 
-    assert_eq!(drain(1000), schedule(500, 1300, 1600));
+    assert_eq!(drain(1000), schedule(500, 1050, 1350));
     // Waits beyond 3 s count as 3 s.
-    assert_eq!(drain(9000), schedule(500, 3300, 3600));
-    assert_eq!(drain(1), schedule(500, 500, 601));
+    assert_eq!(drain(9000), schedule(500, 3050, 3350));
+    assert_eq!(drain(1), schedule(500, 500, 500));
     // How long clients wait is not known: no request is accepted that might be found unanswered.
-    assert_eq!(DrainSchedule::for_longest_wait(None), schedule(500, 500, 3600));
+    assert_eq!(DrainSchedule::for_longest_wait(None), schedule(500, 500, 3350));
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,4 +26,5 @@
 pub mod memory;
 pub mod policy;
 pub mod request_log;
+pub mod time_limits;
 pub mod timer;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -136,6 +136,10 @@
     /// This proxy's zone.
     #[serde(default)]
     pub zone: u16,
+    /// How long after a decision its effect may come, in ms: 0 in simulations. No setting of the
+    /// operators: whoever carries decisions out says it.
+    #[serde(skip)]
+    pub write_delay: f64,
     /// Shortest time between two batches of events, in ms.
     #[serde(default = "one")]
     pub tick: f64,
