Ask for the client at the write, read responses without a length, keep starts on the own clock

Related paths of the incident's class, each a fact that is old when it is acted on: - An attempt was sent if its client's connection had not been read as ended yet. After a hold-up the attempt's coroutine may run first. The client's socket is asked now, as the last thing before the write (one poll an attempt). With a clock set back a restarted node was taken for the old process, and for warm. Starts are kept on the process's own clock now; what cannot be is a start at this moment. clippy keeps SystemTime::now out elsewhere. - A response without a length was an error at once. A response that never ends is bounded to 256 KiB, and its deadline is looked at after each read.

--- a/crates/policy-consensus/src/storage/file.rs
+++ b/crates/policy-consensus/src/storage/file.rs
@@ -68,6 +68,7 @@
         File::open(&self.directory)?.sync_all()
     }
 
+    #[allow(clippy::disallowed_methods, reason = "names a file")]
     fn set_aside(&mut self, reason: DecodeError) -> io::Result<()> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let name = format!("{STATE_FILE}.{}-{now}", reason.file_suffix());
--- a/crates/test-harness/src/recorder.rs
+++ b/crates/test-harness/src/recorder.rs
@@ -40,6 +40,7 @@
 }
 
 impl Recorder {
+    #[allow(clippy::disallowed_methods, reason = "compared with start times that are told as Unix time")]
     fn new() -> Recorder {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         Recorder {
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -3,7 +3,9 @@
 
 use super::encode::encode_request;
 use super::pool::{ConnectError, Connection, RestPolicy};
-use super::response::{parse_response, AttemptResult, ConnectionReuse, LongValue, ParsedResponse};
+use super::response::{
+    parse_response, AttemptResult, ConnectionEnd, ConnectionReuse, LongValue, ParsedResponse,
+};
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::body_stream;
@@ -33,6 +35,8 @@
                     Err(outcome) => return outcome.into(),
                 },
             };
+            // Danger: encoded before the last check, since it reads the clock.
+            let bytes = encode_request(attempt);
             if !self.dispatcher.should_send(attempt) {
                 self.release(attempt, connection, ConnectionReuse::AfterShortRest);
                 request_log::attempt_withheld(
@@ -44,7 +48,7 @@
             }
             let send_until = attempt.deadline.min(attempt.send_by);
             let should_send = || self.dispatcher.should_send(attempt);
-            let sent = connection.stream.write_while(&encode_request(attempt), send_until, should_send);
+            let sent = connection.stream.write_while(&bytes, send_until, should_send);
             let Err(error) = sent else {
                 request_log::attempt_sent(attempt.id, &attempt.request.opaque, is_new);
                 return self.await_response(attempt, connection);
@@ -95,23 +99,26 @@
             let stalled_at = Instant::now() + STALL_TIMEOUT;
             let read_until =
                 if bytes.is_empty() { attempt.deadline } else { attempt.deadline.min(stalled_at) };
-            let has_ended = match connection.stream.read(&mut bytes, read_until) {
-                Ok(count) => count == 0,
+            let end = match connection.stream.read(&mut bytes, read_until) {
+                Ok(0) => ConnectionEnd::Closed,
+                // A backend that sends without a pause keeps no attempt beyond its deadline.
+                Ok(_) if Instant::now() >= attempt.deadline => return Outcome::Timeout.into(),
+                Ok(_) => ConnectionEnd::Open,
                 Err(error) if error.kind() == ErrorKind::TimedOut && read_until < attempt.deadline => {
                     return self.malformed();
                 }
                 Err(error) if error.kind() == ErrorKind::TimedOut => return Outcome::Timeout.into(),
-                Err(_) => true,
+                Err(_) => return Outcome::Reset.into(),
             };
-            match parse_response(attempt, &bytes) {
-                ParsedResponse::Incomplete if has_ended => return Outcome::Reset.into(),
+            match parse_response(attempt, &bytes, end) {
+                ParsedResponse::Incomplete if end == ConnectionEnd::Closed => return Outcome::Reset.into(),
                 ParsedResponse::Incomplete => {}
                 ParsedResponse::Malformed => return self.malformed(),
                 ParsedResponse::LongValue(value) => {
                     return self.stream_value(attempt, connection, bytes, &value);
                 }
                 ParsedResponse::Complete { result, reuse } => {
-                    if !has_ended {
+                    if end == ConnectionEnd::Open {
                         self.release(attempt, connection, reuse);
                     }
                     return result;
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -7,6 +7,9 @@
 use crate::net::codec::{Parsed, Unparsed, MAX_STREAMED_VALUE, MAX_VALUE};
 use crate::net::dispatcher::{AttemptRequest, Payload};
 
+/// The longest response that is read whole, in bytes: a value, its head and what chunks add to it.
+/// Danger: it is parsed anew with each piece, and one that never ends would keep the worker.
+const MAX_RESPONSE: usize = 4 * MAX_VALUE;
 /// A long value streams once so many bytes of it have come.
 const STREAMS_FROM: usize = 4 * 1024;
 
@@ -110,10 +113,22 @@
     }
 }
 
+/// Whether more of a response may come on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionEnd {
+    /// It may.
+    Open,
+    /// The backend has ended it in an orderly way. A reset is no end.
+    Closed,
+}
+
 /// Parses a backend's response in its protocol.
-pub(super) fn parse_response(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
+pub(super) fn parse_response(attempt: &AttemptRequest, bytes: &[u8], end: ConnectionEnd) -> ParsedResponse {
+    if bytes.len() > MAX_RESPONSE {
+        return ParsedResponse::Malformed;
+    }
     if attempt.is_origin {
-        parse_http(attempt, bytes)
+        parse_http(attempt, bytes, end)
     } else {
         parse_memcache(attempt, bytes)
     }
@@ -149,7 +164,7 @@
     ParsedResponse::Complete { result, reuse: ConnectionReuse::after(identification, persistence) }
 }
 
-fn parse_http(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
+fn parse_http(attempt: &AttemptRequest, bytes: &[u8], end: ConnectionEnd) -> ParsedResponse {
     let Parsed { message: head, length: body_at } = match http::parse_final_head(bytes) {
         Ok(parsed) => parsed,
         Err(unparsed) => return unparsed.into(),
@@ -167,15 +182,17 @@
         }
         Body::Length(length) if rest.len() < length => return ParsedResponse::Incomplete,
         Body::Length(length) => (rest[..length].to_vec(), body_at + length),
-        // A value that was cut short would pass for a whole one.
-        Body::UntilClose => return ParsedResponse::Malformed,
+        Body::UntilClose if rest.len() > MAX_VALUE => return ParsedResponse::Malformed,
+        Body::UntilClose if end == ConnectionEnd::Open => return ParsedResponse::Incomplete,
+        Body::UntilClose => (rest.to_vec(), bytes.len()),
         // How long it is must be told to the client before its first byte.
         Body::Chunked => match http::parse_chunked_body(rest, MAX_VALUE) {
             Ok(Parsed { message: body, length }) => (body, body_at + length),
             Err(unparsed) => return unparsed.into(),
         },
     };
-    let persistence = if used == bytes.len() { Persistence::StaysOpen } else { Persistence::Ends };
+    let is_whole = used == bytes.len() && head.body != Body::UntilClose;
+    let persistence = if is_whole { Persistence::StaysOpen } else { Persistence::Ends };
     match http_result(attempt, &head, body) {
         Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(&head, persistence) },
         None => ParsedResponse::Malformed,
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -10,12 +10,14 @@
 mod output;
 mod submit;
 
+use super::presence::SocketPresence;
 use super::registry::ConnectionHandle;
 use super::ClientService;
 use crate::interface::RequestId;
 use crate::net::body_stream::BodyReceiver;
 use crate::net::codec::MAX_VALUE;
 use crate::net::deadline_stream::sleep;
+use crate::net::dispatcher::ClientPresence;
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
 use crate::net::request_log::{self, CloseReason};
@@ -104,7 +106,8 @@
     service: &'a Arc<ClientService>,
     id: ConnectionId,
     handle: Arc<ConnectionHandle>,
-    stream: Stream,
+    stream: Arc<Stream>,
+    presence: Arc<dyn ClientPresence>,
     state: State,
     reported: ReportedPhase,
     /// What was read and not yet executed.
@@ -143,7 +146,9 @@
         handle: Arc<ConnectionHandle>,
         stream: Stream,
     ) -> Self {
+        let stream = Arc::new(stream);
         Connection {
+            presence: Arc::new(SocketPresence::of(&stream)),
             service,
             id,
             handle,
--- a/src/net/client/connection/submit.rs
+++ b/src/net/client/connection/submit.rs
@@ -6,8 +6,9 @@
 use crate::net::client::request::{parse_request, RequestError};
 use crate::net::codec::memcache::RequestCommand;
 use crate::net::deadline_stream::sleep;
-use crate::net::dispatcher::{ClientRequest, ResponseCallback, SubmitError};
+use crate::net::dispatcher::{ClientPresence, ClientRequest, ResponseCallback, SubmitError};
 use pinetrail_policy_consensus::Admission;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// While a change of the fleet's policy is decided, a request is submitted again at this interval.
@@ -33,11 +34,11 @@
     pub(super) fn parse_by_active_policy(&self, command: RequestCommand) -> Result<ClientRequest, Rejection> {
         let dispatcher = &self.service.dispatcher;
         if !dispatcher.requires_lease() {
-            return parse_request(dispatcher, command).map_err(Rejection::Malformed);
+            return parse_request(dispatcher, self.presence(), command).map_err(Rejection::Malformed);
         }
         loop {
             let version = dispatcher.names().version;
-            let error = match parse_request(dispatcher, command.clone()) {
+            let error = match parse_request(dispatcher, self.presence(), command.clone()) {
                 Ok(request) => return Ok(request),
                 Err(error) => error,
             };
@@ -51,6 +52,10 @@
         }
     }
 
+    fn presence(&self) -> Arc<dyn ClientPresence> {
+        Arc::clone(&self.presence)
+    }
+
     /// Waits a little for the policy change that is being decided.
     fn wait_for_policy(&self) -> Result<(), Rejection> {
         sleep(POLICY_POLL_INTERVAL);
--- /dev/null
+++ b/src/net/client/presence.rs
@@ -0,0 +1,24 @@
+//! Whether a client is still there, asked at the moment in which something is sent for it:
+//! [`SocketPresence`].
+
+use crate::net::deadline_stream::has_hung_up;
+use crate::net::dispatcher::ClientPresence;
+use crate::net::listener::Stream;
+use std::sync::{Arc, Weak};
+
+/// The presence of the client at the other end of a connection. It does not keep the connection
+/// open.
+#[derive(Debug)]
+pub(super) struct SocketPresence(Weak<Stream>);
+
+impl SocketPresence {
+    pub(super) fn of(stream: &Arc<Stream>) -> SocketPresence {
+        SocketPresence(Arc::downgrade(stream))
+    }
+}
+
+impl ClientPresence for SocketPresence {
+    fn is_gone(&self) -> bool {
+        self.0.upgrade().is_none_or(|stream| has_hung_up(stream.inner()))
+    }
+}
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -1,7 +1,8 @@
 //! A client's command in the dispatcher's terms: [`parse_request`].
 
 use crate::net::codec::memcache::RequestCommand;
-use crate::net::dispatcher::{ClientRequest, Dispatcher};
+use crate::net::dispatcher::{ClientPresence, ClientRequest, Dispatcher};
+use std::sync::Arc;
 use thiserror::Error;
 
 /// A client that would wait for longer is answered within this time all the same, in ms.
@@ -33,13 +34,14 @@
     IdInUse,
 }
 
-/// Reads a command's labels by the names of the active settings.
+/// Reads a client's command and its labels by the names of the active settings.
 ///
 /// # Errors
 ///
 /// Says what is wrong with the command.
 pub(super) fn parse_request(
     dispatcher: &Dispatcher,
+    client: Arc<dyn ClientPresence>,
     command: RequestCommand,
 ) -> Result<ClientRequest, RequestError> {
     let labels = &command.labels;
@@ -63,6 +65,7 @@
     };
     let repeat = label(labels, "r") == Some("1");
     Ok(ClientRequest {
+        client,
         opaque: command.opaque,
         key: command.key,
         class,
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -79,10 +79,15 @@
         Ok(order)
     }
 
-    /// Whether an attempt may still be sent: it is not too late, its request is open, and its
-    /// backend takes attempts and is the process that was meant. Danger: asked before the first
-    /// byte, and again before each that had to wait.
+    /// Whether an attempt may still be sent: it is not too late, its request is open, its backend
+    /// takes attempts and is the process that was meant, and its client is there. Danger: asked
+    /// before the first byte, and again before each that had to wait. The client comes last: a
+    /// process that is held up after it read its clock still sees that the client has gone.
     pub fn should_send(&self, attempt: &AttemptRequest) -> bool {
+        self.is_still_meant(attempt) && !attempt.request.client.is_gone()
+    }
+
+    fn is_still_meant(&self, attempt: &AttemptRequest) -> bool {
         let state = self.lock();
         if Instant::now() >= attempt.send_by {
             return false;
--- a/src/net/dispatcher/endpoints.rs
+++ b/src/net/dispatcher/endpoints.rs
@@ -5,6 +5,7 @@
 use super::maintenance::MaintenanceError;
 use super::messages::BackendCommand;
 use super::snapshot::EndpointSnapshot;
+use super::start_times::ClockReading;
 use super::state::{DispatcherState, Endpoint};
 use super::Dispatcher;
 use crate::interface::{Event, ListForm, Member, ServerId, State};
@@ -76,7 +77,7 @@
         form: ListForm,
         list: Vec<Instance>,
     ) {
-        let changes = state.update_endpoints(form, list);
+        let changes = state.update_endpoints(form, list, self.clock.read());
         for server in changes.stale {
             self.send_command(BackendCommand::Forget(server));
         }
@@ -91,7 +92,12 @@
     }
 
     /// Keeps what a list says of backends.
-    fn update_endpoints(&mut self, form: ListForm, list: Vec<Instance>) -> EndpointChanges {
+    fn update_endpoints(
+        &mut self,
+        form: ListForm,
+        list: Vec<Instance>,
+        clocks: ClockReading,
+    ) -> EndpointChanges {
         let names = Arc::clone(&self.names);
         let list: Vec<ListedEndpoint> =
             list.into_iter().filter_map(|node| ListedEndpoint::from_instance(&names, node)).collect();
@@ -102,13 +108,17 @@
         }
         let mut members = Vec::with_capacity(list.len());
         for listed in list {
-            let member = Member { server: self.endpoint_ids.number(&listed.name), ..listed.member };
+            let server = self.endpoint_ids.number(&listed.name);
+            let started = self.start_times.translate(server, listed.member.started, clocks);
+            let member = Member { server, started, ..listed.member };
             if self.update_endpoint(member, listed.address) {
                 stale.push(member.server);
             }
             members.push(member);
         }
         self.forget_gone_endpoints();
+        let endpoints = &self.endpoints;
+        self.start_times.finish_list(form, clocks, |server| endpoints.contains_key(&server));
         EndpointChanges { members, stale }
     }
 
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -6,9 +6,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Whether a client is still there.
+pub trait ClientPresence: std::fmt::Debug + Send + Sync {
+    /// Whether it has closed its connection or its sending direction, as of this moment, though
+    /// nobody may have read that yet. It does not wait.
+    fn is_gone(&self) -> bool;
+}
+
 /// A client's request, independent of its wire protocol.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
+    /// The client that asked.
+    pub client: Arc<dyn ClientPresence>,
     /// Its id as the client gave it.
     pub opaque: String,
     /// Its key as the client gave it.
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 mod settings;
 mod side_effect;
 mod snapshot;
+mod start_times;
 mod state;
 mod submit;
 #[cfg(test)]
@@ -32,11 +33,12 @@
 use maintenance::MaintenanceSet;
 use may::sync::mpsc::Sender;
 pub use messages::{
-    AttemptId, AttemptRequest, BackendCommand, ClientRequest, Payload, Response, ResponseCallback,
-    SubmitError,
+    AttemptId, AttemptRequest, BackendCommand, ClientPresence, ClientRequest, Payload, Response,
+    ResponseCallback, SubmitError,
 };
 use pinetrail_policy_consensus::AdmissionLease;
 pub use snapshot::{EndpointSnapshot, PeerAddress};
+use start_times::StartTimes;
 use state::DispatcherState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -79,6 +81,7 @@
             last_id: 0,
             endpoints: BTreeMap::new(),
             endpoint_ids: EndpointIds::default(),
+            start_times: StartTimes::default(),
             maintenance: MaintenanceSet::default(),
             policy_version: 0,
         };
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -4,6 +4,7 @@
 use super::endpoint_ids::EndpointIds;
 use super::maintenance::MaintenanceSet;
 use super::messages::{ClientRequest, Response, ResponseCallback};
+use super::start_times::StartTimes;
 use crate::interface::{RequestId, ServerId, State, Time};
 use crate::logic::Balancer;
 use crate::net::config::Names;
@@ -32,6 +33,8 @@
     pub endpoints: BTreeMap<ServerId, Endpoint>,
     /// The numbers of backends' names.
     pub endpoint_ids: EndpointIds,
+    /// When the processes of listed backends started.
+    pub start_times: StartTimes,
     /// What discovery listed, and what operators keep out of service.
     pub maintenance: MaintenanceSet,
     /// Which version of the fleet's policy the settings are; 0 for this proxy's own.
@@ -86,7 +89,7 @@
     pub address: Arc<str>,
     /// Whether it takes attempts.
     pub state: State,
-    /// When its process started, in Unix ms.
+    /// When its process started, in ms on this process's clock.
     pub started: Time,
     /// Whether it is the origin.
     pub is_origin: bool,
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -74,7 +74,7 @@
     }
 
     /// Keeps a request, and when its response is due.
-    fn insert_request(
+    pub(super) fn insert_request(
         &self,
         state: &mut DispatcherState,
         id: RequestId,
--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -4,7 +4,9 @@
 use super::*;
 use crate::interface::{ListForm, Outcome};
 use crate::net::config::{Instance, ParsedSettings};
+use crate::net::time_limits::GUARD_DELAY;
 use may::sync::mpsc::{channel, Receiver};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// How long a command that is to come may take.
@@ -55,8 +57,19 @@
     }
 }
 
+/// A client that stays until it is told to go, which nobody reads.
+#[derive(Debug, Default)]
+struct FakeClient(AtomicBool);
+
+impl ClientPresence for FakeClient {
+    fn is_gone(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 fn request(opaque: &str) -> ClientRequest {
     ClientRequest {
+        client: Arc::<FakeClient>::default(),
         opaque: opaque.to_owned(),
         key: "k".to_owned(),
         class: 0,
@@ -173,3 +186,37 @@
     );
     assert_eq!(refused, Err(MaintenanceError::Origin("o".to_owned())));
 }
+
+/// Guards against an attempt for a client that has gone while the process was held up: its end is
+/// there, and nobody has read it.
+#[test]
+fn no_attempt_is_sent_for_a_client_whose_end_nobody_has_read() {
+    let fixture = fixture();
+    let presence = Arc::<FakeClient>::default();
+    let asked = ClientRequest { client: Arc::clone(&presence) as Arc<dyn ClientPresence>, ..request("a") };
+    fixture.dispatcher.submit(asked, client().0).ok().unwrap();
+    let attempt = fixture.ordered_attempt();
+    assert!(fixture.dispatcher.should_send(&attempt));
+
+    presence.0.store(true, Ordering::SeqCst);
+
+    assert!(!fixture.dispatcher.should_send(&attempt));
+}
+
+/// Guards against a request whose timer is lost: the module never hears that its time is over.
+#[test]
+fn the_guard_ends_a_request_whose_timer_is_lost() {
+    let fixture = fixture();
+    let (respond, responses) = client();
+    // Kept, but never told to the module, which therefore sets no timer.
+    let lost = ClientRequest { budget: 0.0, ..request("a") };
+    fixture.dispatcher.insert_request(&mut fixture.dispatcher.lock(), 1, lost, respond);
+    fixture.dispatcher.abort_overdue();
+    assert!(responses.lock().unwrap().is_empty(), "the timer may only be late");
+
+    std::thread::sleep(GUARD_DELAY);
+    fixture.dispatcher.abort_overdue();
+
+    assert!(matches!(responses.lock().unwrap()[..], [Response::Failed]));
+    assert_eq!(fixture.dispatcher.counters.overdue.get(), 1);
+}
--- a/src/net/fleet/activation.rs
+++ b/src/net/fleet/activation.rs
@@ -94,6 +94,7 @@
         Ok(())
     }
 
+    #[allow(clippy::disallowed_methods, reason = "names a start of this process; no span is measured by it")]
     fn new_membership(&self, config: &FleetConfig, bound: SocketAddr) -> Result<Membership, FleetError> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -70,6 +70,7 @@
 
 impl Fleet {
     /// An inactive part, which has its guaranteed minimum.
+    #[allow(clippy::disallowed_methods, reason = "shown to operators")]
     pub fn new(
         config: FleetConfig,
         seed: u64,
--- a/src/net/policy/drift_monitor.rs
+++ b/src/net/policy/drift_monitor.rs
@@ -276,6 +276,7 @@
     format!("{digest:016x}")
 }
 
+#[allow(clippy::disallowed_methods, reason = "shown to operators")]
 fn unix_millis() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -208,6 +208,7 @@
     ConsensusNode::new(settings, &fleet_name, transport, applier, lease)
 }
 
+#[allow(clippy::disallowed_methods, reason = "names a start of this process; no span is measured by it")]
 fn unix_micros() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
--- a/tests/sockets/backend_responses.rs
+++ b/tests/sockets/backend_responses.rs
@@ -2,7 +2,11 @@
 
 use crate::{idle_origin, ms};
 use pinetrail_test_harness::*;
-use std::time::Instant;
+use socket2::SockRef;
+use std::io::Write;
+use std::net::Shutdown;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 #[test]
 fn an_origin_may_answer_in_chunks_and_close() {
@@ -145,3 +149,30 @@
         }
     }
 }
+
+/// Guards against a value lost since its response tells no length, and against one passed on that
+/// was cut short: an orderly end of the connection ends it, a reset does not.
+#[test]
+fn a_response_without_a_length_is_whole_at_the_end_of_its_connection_and_not_at_a_reset() {
+    for (is_reset, expected) in [(false, "VA 5 O1\r\n"), (true, "SERVER_ERROR ")] {
+        let origin = StubServer::origin(move |_| {
+            StubAction::ReplyWith(Box::new(move |stream| {
+                stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nval").unwrap();
+                sleep(ms(50));
+                stream.write_all(b"ue").unwrap();
+                if is_reset {
+                    sleep(ms(50));
+                    SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                // With the last descriptor of the connection it closes, or is reset.
+                stream.shutdown(if is_reset { Shutdown::Read } else { Shutdown::Both }).unwrap();
+            }))
+        });
+        let fixture = ProxyFixture::of(&[&StubServer::empty_node()], &origin);
+
+        let (line, value) = fixture.client().get("k", "1", 2000);
+
+        assert!(line.starts_with(expected), "reset: {is_reset}, {line:?}");
+        assert_eq!(value, if is_reset { "" } else { "value\r\n" });
+    }
+}
