Count a deadline from when its request can have arrived, not from when it is read

Root cause of the incident: a request that comes in while the whole process is held up is read up to 0.15 s later, and its time was counted from then; its response, planned for the end of that time, came that much too late. Change: the coroutine that wakes each 10 ms tells a monitor; what is read in or right after a hold-up, or on a connection that waited to be accepted, is taken to have come at its beginning, 160 ms before at the most. Without a hold-up nothing changes.

--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -11,7 +11,7 @@
 use may::io::WaitIo;
 use pinetrail_connection_limits::{CloseOrder, ConnectionId};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Between attempts to accept, when that fails or the capacity is used up.
 const ACCEPT_RETRY: Duration = Duration::from_millis(2);
@@ -27,12 +27,13 @@
     /// Accepts connections, each served by a coroutine of its own, until the listener stops.
     pub(super) fn accept_until_stopped(self: &Arc<Self>, listener: &Listener) {
         let mut last_id = 0;
+        let mut out_of_room_for = Duration::ZERO;
         loop {
             match listener.accept() {
                 Ok(Some(stream)) => {
                     last_id += 1;
                     self.counters.consumers_accepted.increment();
-                    self.serve_connection(last_id, stream);
+                    self.serve_connection(last_id, stream, out_of_room_for);
                 }
                 Ok(None) => return,
                 Err(error) => {
@@ -40,11 +41,18 @@
                     sleep(ACCEPT_RETRY);
                 }
             }
-            while self.update_capacity() == Room::Exhausted && !listener.is_stopped() {
-                self.make_room();
-                sleep(ACCEPT_RETRY);
-            }
+            out_of_room_for = self.wait_for_room(listener);
+        }
+    }
+
+    /// Waits until one more connection can be accepted; returns how long that took.
+    fn wait_for_room(&self, listener: &Listener) -> Duration {
+        let began = Instant::now();
+        while self.update_capacity() == Room::Exhausted && !listener.is_stopped() {
+            self.make_room();
+            sleep(ACCEPT_RETRY);
         }
+        began.elapsed()
     }
 
     /// Takes over how many connections the descriptors allow now.
@@ -76,8 +84,9 @@
         }
     }
 
-    /// Serves a connection. Its coroutine ends with the connection.
-    fn serve_connection(self: &Arc<Self>, id: ConnectionId, stream: Stream) {
+    /// Serves a connection, which may have waited to be accepted for `queued_for`. Its coroutine ends
+    /// with the connection.
+    fn serve_connection(self: &Arc<Self>, id: ConnectionId, stream: Stream, queued_for: Duration) {
         // A client that has gone already is noticed when it is read from.
         let _ = stream.inner().set_nodelay(true);
         let now = self.descriptors.now_ms();
@@ -86,7 +95,7 @@
         request_log::connection_accepted(id);
         let service = Arc::clone(self);
         may::go!(move || {
-            let mut connection = Connection::new(&service, id, handle, stream);
+            let mut connection = Connection::new(&service, id, handle, stream, queued_for);
             // What the client left behind ends with the connection.
             if connection.serve().is_err() {
                 connection.note_client_gone();
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -61,7 +61,11 @@
                 self.service.counters.rejected_for_memory.increment();
                 self.respond("SERVER_ERROR busy\r\n".to_owned());
             }
-            (Ok(request), Some(memory)) => self.submit_request(request, memory),
+            (Ok(mut request), Some(memory)) => {
+                let unread_ms = self.unread_for.as_secs_f64() * 1000.0;
+                request.budget = (request.budget - unread_ms).max(0.0);
+                self.submit_request(request, memory);
+            }
         }
         Execution::Done
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -6,7 +6,9 @@
 use crate::net::codec::memcache;
 use crate::net::codec::{Parsed, Unparsed, MAX_VALUE};
 use crate::net::deadline_stream::{has_hung_up, read_now};
+use crate::net::hold_up::LONGEST_UNREAD;
 use std::io::{self, ErrorKind};
+use std::time::{Duration, Instant};
 
 /// After an error that ends a connection, so many bytes of what still arrives are thrown away. A
 /// connection that closes with unread input is reset, and the error may be lost with it.
@@ -33,6 +35,8 @@
 
     /// Reads what is there; returns whether there may be more.
     pub(super) fn read(&mut self) -> io::Result<bool> {
+        // What waits for responses before it has its time from now on.
+        self.unread_for = Duration::ZERO;
         if self.is_reading_paused() {
             self.check_client_present()?;
             return Ok(false);
@@ -62,6 +66,8 @@
     }
 
     fn note_read(&mut self, count: usize) {
+        let queued_for = std::mem::take(&mut self.queued_for).min(LONGEST_UNREAD);
+        self.unread_for = self.service.hold_ups.unread_for(Instant::now()).max(queued_for);
         if self.state == State::Lingering {
             self.discarded += count;
             self.service.counters.bytes_discarded.add(count);
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -112,6 +112,11 @@
     reported: ReportedPhase,
     /// What was read and not yet executed.
     input: Vec<u8>,
+    /// For how long the connection may have waited to be accepted; none after its first bytes.
+    queued_for: Duration,
+    /// For how long what was read last may have lain unread, since the process was
+    /// held up or the connection was not accepted.
+    unread_for: Duration,
     /// What a large command in `input` may take of the memory.
     input_memory: Option<MemoryReservation>,
     received: Received,
@@ -145,6 +150,7 @@
         id: ConnectionId,
         handle: Arc<ConnectionHandle>,
         stream: Stream,
+        queued_for: Duration,
     ) -> Self {
         let stream = Arc::new(stream);
         Connection {
@@ -156,6 +162,8 @@
             state: State::Open,
             reported: ReportedPhase { phase: Phase::Silent, seq: 0 },
             input: Vec::new(),
+            queued_for,
+            unread_for: Duration::ZERO,
             input_memory: None,
             received: Received::Nothing,
             waits_for_memory: false,
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -18,6 +18,7 @@
 use super::descriptors::Descriptors;
 use super::dispatcher::Dispatcher;
 use super::drain::DisconnectSchedule;
+use super::hold_up::HoldUpMonitor;
 use super::listener::Listener;
 use super::log::log_fault;
 use super::memory::MemoryBudget;
@@ -57,6 +58,8 @@
     counters: Arc<Counters>,
     memory: Arc<MemoryBudget>,
     descriptors: Arc<Descriptors>,
+    /// When the whole process was held up.
+    hold_ups: HoldUpMonitor,
     /// Guards the listener only; none once the service has stopped listening.
     listener: Mutex<Option<Arc<Listener>>>,
     address: SocketAddr,
@@ -86,6 +89,7 @@
             memory,
             descriptors,
             address: listener.address()?,
+            hold_ups: HoldUpMonitor::new(CHECK_INTERVAL, Instant::now()),
             listener: Mutex::new(Some(Arc::clone(&listener))),
             registry: Mutex::new(ConnectionRegistry::new(capacity.limit)),
             closes_when_idle: AtomicBool::new(false),
@@ -95,9 +99,8 @@
         may::go!(move || acceptor.accept_until_stopped(&listener));
         let checker = Arc::clone(&service);
         may::go!(move || loop {
-            let slept_from = Instant::now();
             sleep(CHECK_INTERVAL);
-            let late = slept_from.elapsed().saturating_sub(CHECK_INTERVAL);
+            let late = checker.hold_ups.tick(Instant::now());
             checker.note_hold_up(late);
             checker.check_limits();
             // After a hold-up the requests' own timers are only about to run.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 pub mod dispatcher;
 pub mod drain;
 pub mod fleet;
+pub mod hold_up;
 pub mod hot_restart;
 pub mod lifecycle;
 pub mod listener;
