Hear a list that comes with the end of its watch

A change that discovery wrote counts as told; with discovery down after it the drain would go unheard. The lists are taken out first now. Test with a discovery that is gone after that, seen failing without the code.

--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -33,11 +33,13 @@
         // When a list that is incomplete began to come.
         let mut incomplete_since: Option<Instant> = None;
         loop {
-            response.take_chunks(&mut lists)?;
+            let chunks = response.take_chunks(&mut lists);
+            // Danger: what came before the end of the response was told, and counts.
             while let Some(list) = lists.next_list()? {
                 incomplete_since = None;
                 self.apply_list(list)?;
             }
+            chunks?;
             if response.buffer.len() > 2 * MAX_LIST {
                 return Err(ListError::TooLong.into());
             }
--- a/tests/sockets/races/lists.rs
+++ b/tests/sockets/races/lists.rs
@@ -114,3 +114,24 @@
     // News of the new address count 4 s after SIGHUP; a call may take 1.4 s of them.
     assert!(begun.elapsed() < ms(2000), "{:?}", begun.elapsed());
 }
+
+/// Guards against a change that was told and is not heard: it comes in one piece with the end of its
+/// watch, and nobody answers after that.
+#[test]
+fn a_list_that_comes_with_the_end_of_its_watch_is_heard() {
+    let node = StubServer::full_node("v");
+    let fixture = ProxyFixture::new(&[node.entry("s-0", "c6", "ready")]);
+    let mut discovery = AcceptBarrier::new();
+    fixture.reload(&fixture.discovery.address.to_string(), &discovery.address.to_string());
+    let mut watch = discovery.accept().expect("the watch moves");
+    assert!(watch.request(true).is_some());
+    let list = catalog(2, false, &[node.entry("s-0", "c6", "draining")]);
+    let chunk = format!("{:x}\r\n{list}\r\n", list.len());
+    discovery.close();
+    watch.send(&format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}0\r\n\r\n"));
+    drop(watch);
+
+    fixture.until("the list is heard", || fixture.counter("lists") == 1);
+    assert!(fixture.client().get("k", "1", 900).0.starts_with("SERVER_ERROR "), "the node drains");
+    assert_eq!(node.received().len(), 0);
+}
