A soak of real processes under seeded mixes of faults, judged from outside

pinetrail-experiments soak: three to five processes, clients that use open connections until SIGKILL at the earliest moment, hold-ups, signals in series, reloads with a broken file among them, kills, drains, outages of discovery, crowds; backends that hang, trickle, stall, break off, answer twice. Twelve rules, judged from what clients and backends saw; limits are longer by this program's own measured delays. Seen on the way, and no fault of the proxy: two hold-ups without a break are one of 0.3 s, and a drain that was listed during an outage of discovery is not told; the plan and the judge know both now.

--- a/crates/experiments/src/error.rs
+++ b/crates/experiments/src/error.rs
@@ -13,6 +13,9 @@
     /// The path of this program, which is started for each proxy, is not known.
     #[error("this program does not know where it is: {0}")]
     OwnPath(#[source] io::Error),
+    /// A backend of the soak cannot listen.
+    #[error("soak: {0}")]
+    Soak(#[source] io::Error),
     /// A handler of signals cannot be registered.
     #[error("{0}")]
     SignalHandler(#[source] io::Error),
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -9,6 +9,7 @@
 mod output;
 mod policy;
 mod quota;
+mod soak;
 mod table;
 
 use clap::{Parser, Subcommand};
@@ -39,6 +40,8 @@
     Policy(policy::Options),
     /// What a fleet costs real processes and their clients: with it and without it, in turn.
     Cost(cost::Options),
+    /// Several real processes under mixes of faults from seeds, judged by the rules.
+    Soak(soak::Options),
     /// One proxy, as the program `pinetrail` is: how the demo starts its processes.
     #[command(hide = true)]
     Proxy,
@@ -52,6 +55,7 @@
         Experiment::Policy(options) => policy::run(&options),
         Experiment::Proof(options) => quota::proof::run(&options),
         Experiment::Shares(options) => quota::run(&options),
+        Experiment::Soak(options) => soak::run(&options),
         Experiment::Proxy => {
             // Danger: an end of the demo that nothing can be done about would leave its processes
             // behind.
--- /dev/null
+++ b/crates/experiments/src/soak/clients.rs
@@ -0,0 +1,155 @@
+//! The clients of a soak. Each keeps its connection for as long as the proxy leaves it open, also
+//! while the proxy drains, and asks one request after the other. Read [`Client::work`] first.
+
+use super::record::{Answer, Class, Record, Seen};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long clients wait, in ms.
+const WAITS_MS: [u64; 6] = [40, 90, 250, 480, 800, 900];
+/// Of so many requests one client leaves during one.
+const LEAVES_ONE_IN: u32 = 25;
+/// A response that has not come by then will never come.
+const LONGEST_READ: Duration = Duration::from_millis(2500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// One client of one proxy.
+pub(super) struct Client {
+    /// The proxy's number.
+    pub proxy: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// This client's number among all.
+    pub number: usize,
+    /// Its random choices follow from this.
+    pub seed: u64,
+    /// It begins no request after this.
+    pub ends: Instant,
+    /// Where it notes what it sees.
+    pub record: Arc<Record>,
+}
+
+/// A request that is to be sent.
+struct Request {
+    id: String,
+    class: Class,
+    wait_ms: u64,
+    command: String,
+}
+
+/// An open connection.
+struct Connection {
+    stream: BufReader<TcpStream>,
+    requests: usize,
+}
+
+impl Client {
+    /// Asks until its time is over.
+    pub(super) fn work(&self) {
+        let mut random = StdRng::seed_from_u64(self.seed ^ ((self.number as u64) << 32));
+        let mut connection = None;
+        let mut count = 0;
+        while Instant::now() < self.ends {
+            thread::sleep(Duration::from_millis(random.random_range(0..40)));
+            let Some(mut open) = connection.take().or_else(|| self.connect()) else {
+                thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            count += 1;
+            let request = self.request(count, &mut random);
+            let leaves_after = random
+                .random_ratio(1, LEAVES_ONE_IN)
+                .then(|| Duration::from_millis(random.random_range(0..request.wait_ms)));
+            if self.ask(&mut open, &request, leaves_after) {
+                connection = Some(open);
+            }
+        }
+    }
+
+    fn connect(&self) -> Option<Connection> {
+        let stream = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Connection { stream: BufReader::new(stream), requests: 0 })
+    }
+
+    fn request(&self, count: usize, random: &mut StdRng) -> Request {
+        let id = format!("O{}.{}.{count}", self.proxy, self.number);
+        let wait_ms = WAITS_MS[random.random_range(0..WAITS_MS.len())];
+        let key = format!("k{}", random.random_range(0..60));
+        let class = match random.random_range(0..10) {
+            0..=6 => Class::Read,
+            7..=8 => Class::Put,
+            _ => Class::Confirm,
+        };
+        let command = match class {
+            Class::Read => format!("mg {key} v {id} Pc=read,t=acme,d={wait_ms}\r\n"),
+            Class::Put => format!("ms {key} 5 {id} Pc=put,t=acme,d={wait_ms},k={id}\r\nhello\r\n"),
+            Class::Confirm => format!("ms {key} 5 {id} Pc=confirm,t=acme,d={wait_ms},k={id}\r\nhello\r\n"),
+        };
+        Request { id, class, wait_ms, command }
+    }
+
+    /// Sends a request and reads its response; whether the connection is of further use.
+    fn ask(&self, open: &mut Connection, request: &Request, leaves_after: Option<Duration>) -> bool {
+        // Its last byte is written before this is noted: its time counts from the earlier moment.
+        let sent_at = Instant::now();
+        if open.stream.get_mut().write_all(request.command.as_bytes()).is_err() {
+            return false;
+        }
+        open.requests += 1;
+        let sent = Seen::Sent {
+            proxy: self.proxy,
+            class: request.class,
+            wait_ms: request.wait_ms,
+            is_first_on_connection: open.requests == 1,
+        };
+        self.record.note(sent_at, &request.id, sent);
+        let read_until = sent_at + leaves_after.unwrap_or(LONGEST_READ);
+        match read_response(&mut open.stream, read_until) {
+            Ok(answer) => {
+                self.record.note(Instant::now(), &request.id, Seen::Answered(answer));
+                true
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock && leaves_after.is_some() => {
+                self.record.note(Instant::now(), &request.id, Seen::Left);
+                false
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
+            Err(_) => {
+                self.record.note(Instant::now(), &request.id, Seen::Ended);
+                false
+            }
+        }
+    }
+}
+
+/// Reads one response.
+///
+/// # Errors
+/// [`ErrorKind::WouldBlock`] if it is not whole in time, others if the connection ended.
+fn read_response(stream: &mut BufReader<TcpStream>, until: Instant) -> std::io::Result<Answer> {
+    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    stream.get_ref().set_read_timeout(Some(left))?;
+    let mut line = String::new();
+    if stream.read_line(&mut line)? == 0 {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    if let Some(rest) = line.strip_prefix("VA ") {
+        let length: usize = rest.split(' ').next().and_then(|length| length.parse().ok()).unwrap_or(0);
+        let mut value = vec![0; length + 2];
+        stream.read_exact(&mut value)?;
+        return Ok(Answer::Served(String::from_utf8_lossy(&value[..length]).into_owned()));
+    }
+    if let Some((_, receipt)) = line.trim_end().split_once(" c").filter(|_| line.starts_with("HD ")) {
+        return Ok(Answer::Served(receipt.to_owned()));
+    }
+    if line.starts_with("SERVER_ERROR busy") {
+        return Ok(Answer::Rejected);
+    }
+    Ok(Answer::Failed)
+}
--- /dev/null
+++ b/crates/experiments/src/soak/judge.rs
@@ -0,0 +1,349 @@
+//! The rules of a soak, judged from what clients and backends saw: [`judge`]. It knows nothing of
+//! the proxies' state or decisions.
+//!
+//! Times of this program are off by its own delays, which it measures: each limit is longer by them.
+
+use super::record::{Answer, AttemptEnd, Change, Class, Record, Seen};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+/// What a limit is longer by in any case.
+const TOLERANCE: Duration = Duration::from_millis(25);
+/// The time before a moment in which this program's delays blur what was seen then.
+const DELAYS_COUNT_FOR: Duration = Duration::from_millis(400);
+/// So much later than its deadline a final response is still in time.
+const ANSWER_SLACK: Duration = Duration::from_millis(60);
+/// Only waits from this on leave room for a hold-up at their end; shorter ones are judged by
+/// [`LATEST_ANSWER`].
+const WAIT_WITH_ROOM_MS: u64 = 734;
+/// A final response that comes later than this after its deadline is lost; until then it only earns
+/// nothing.
+const LATEST_ANSWER: Duration = Duration::from_millis(500);
+/// An attempt may begin this long after its client left.
+const AFTER_CLIENT_LEFT: Duration = Duration::from_millis(100);
+/// What a backend is told may be more than what the client has left by this.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// The deduplication window in the configuration, and its slack on sockets.
+pub(super) const WINDOW: Duration = Duration::from_millis(300);
+const WINDOW_SLACK: Duration = Duration::from_millis(50);
+/// Nothing new goes to a backend this long after it was listed as draining.
+const DRAIN_GRACE: Duration = Duration::from_millis(2200);
+/// A change counts as told this long after discovery is back.
+const TOLD_AFTER_OUTAGE: Duration = Duration::from_secs(6);
+/// Requests that come this long after SIGTERM, and are not answered at SIGKILL, are lost.
+const KILL_EXCUSES: Duration = Duration::from_millis(700);
+
+/// A rule of the soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Rule {
+    /// No final response, or one that is too late.
+    Unanswered,
+    /// A final response after the slack of a long wait.
+    Late,
+    /// A connection was closed over a request that a backend had seen, or that was its first.
+    ClosedUnanswered,
+    /// A value that no backend gave for this request.
+    MadeUp,
+    /// An attempt after the client had left.
+    AfterClientLeft,
+    /// An attempt after the final response.
+    AfterResponse,
+    /// A backend was told more time than the client had left.
+    ToldTooLong,
+    /// Two attempts at once.
+    SecondCopy,
+    /// Another attempt though an earlier one may have run.
+    UnsafeRepeat,
+    /// The same, after the deduplication window.
+    AfterWindow,
+    /// A rejection though an attempt may have run.
+    RejectedAfterRun,
+    /// An attempt at a backend that drains.
+    Draining,
+}
+
+/// How a rule was broken.
+#[derive(Clone, Debug)]
+pub(super) struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// The request's id.
+    pub request: String,
+    /// All that was seen of it, a line each.
+    pub timeline: String,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Verdict {
+    /// Requests that were sent.
+    pub requests: usize,
+    /// Of them, those served.
+    pub served: usize,
+    /// Final responses to short waits that came after the slack, and earned nothing.
+    pub late_after_short_waits: usize,
+    /// What was broken.
+    pub violations: Vec<Violation>,
+}
+
+struct Attempt {
+    backend: usize,
+    arrived: Instant,
+    over: Option<(Instant, AttemptEnd)>,
+}
+
+/// One request as it was seen.
+struct Request {
+    sent: Instant,
+    proxy: usize,
+    class: Class,
+    wait: Duration,
+    is_first_on_connection: bool,
+    answered: Option<(Instant, Answer)>,
+    ended: Option<Instant>,
+    left: Option<Instant>,
+    attempts: BTreeMap<u64, Attempt>,
+}
+
+struct Judge<'a> {
+    began: Instant,
+    ended: Instant,
+    changes: &'a [(Instant, Change)],
+    delays: &'a [(Instant, Duration)],
+    seen: &'a [(Instant, String, Seen)],
+    verdict: Verdict,
+}
+
+/// Judges a run that lasted from `began` to `ended`.
+pub(super) fn judge(record: &Record, began: Instant, ended: Instant) -> Verdict {
+    let (seen, changes, delays) = (record.requests(), record.changes(), record.delays());
+    let requests = index(&seen);
+    let mut judge = Judge {
+        began,
+        ended,
+        changes: &changes,
+        delays: &delays,
+        seen: &seen,
+        verdict: Verdict { requests: requests.len(), ..Verdict::default() },
+    };
+    for (id, request) in &requests {
+        judge.judge(id, request);
+    }
+    judge.verdict
+}
+
+fn index(seen: &[(Instant, String, Seen)]) -> BTreeMap<String, Request> {
+    let mut requests: BTreeMap<String, Request> = BTreeMap::new();
+    for (at, id, seen) in seen {
+        if let Seen::Sent { proxy, class, wait_ms, is_first_on_connection } = seen {
+            let request = Request {
+                sent: *at,
+                proxy: *proxy,
+                class: *class,
+                wait: Duration::from_millis(*wait_ms),
+                is_first_on_connection: *is_first_on_connection,
+                answered: None,
+                ended: None,
+                left: None,
+                attempts: BTreeMap::new(),
+            };
+            requests.insert(id.clone(), request);
+        }
+    }
+    for (at, id, seen) in seen {
+        let Some(request) = requests.get_mut(id) else { continue };
+        match seen {
+            Seen::Sent { .. } => {}
+            Seen::Answered(answer) => request.answered = Some((*at, answer.clone())),
+            Seen::Ended => request.ended = Some(*at),
+            Seen::Left => request.left = Some(*at),
+            Seen::Arrived { attempt, backend, .. } => {
+                request.attempts.insert(*attempt, Attempt { backend: *backend, arrived: *at, over: None });
+            }
+            Seen::AttemptOver { attempt, end } => {
+                if let Some(attempt) = request.attempts.get_mut(attempt) {
+                    attempt.over = Some((*at, end.clone()));
+                }
+            }
+        }
+    }
+    requests
+}
+
+impl Judge<'_> {
+    fn judge(&mut self, id: &str, request: &Request) {
+        self.judge_response(id, request);
+        self.judge_repeats(id, request);
+        for attempt in request.attempts.values() {
+            self.judge_attempt(id, request, attempt);
+        }
+    }
+
+    fn judge_response(&mut self, id: &str, request: &Request) {
+        let deadline = request.sent + request.wait;
+        match (&request.answered, request.ended) {
+            (Some((at, answer)), _) => {
+                self.judge_answer(id, request, answer);
+                let late = at.saturating_duration_since(deadline).saturating_sub(self.tolerance(*at));
+                let has_room = request.wait.as_millis() >= u128::from(WAIT_WITH_ROOM_MS);
+                if late > LATEST_ANSWER {
+                    self.report(Rule::Unanswered, id);
+                } else if late > ANSWER_SLACK && has_room {
+                    self.report(Rule::Late, id);
+                } else if late > ANSWER_SLACK {
+                    self.verdict.late_after_short_waits += 1;
+                }
+            }
+            (None, Some(at)) => self.judge_end(id, request, at),
+            (None, None) if request.left.is_some() => {}
+            // The run ended before it was due.
+            (None, None) if deadline + LATEST_ANSWER > self.ended => {}
+            (None, None) => self.report(Rule::Unanswered, id),
+        }
+    }
+
+    fn judge_answer(&mut self, id: &str, request: &Request, answer: &Answer) {
+        match answer {
+            Answer::Served(value) => {
+                self.verdict.served += 1;
+                let is_from_backend = |attempt: &Attempt| matches!(&attempt.over, Some((_, AttemptEnd::Served(given))) if given == value);
+                // A backend notes the end of its response only once it is written.
+                let is_open = |attempt: &Attempt| attempt.over.is_none();
+                if !request.attempts.values().any(|attempt| is_from_backend(attempt) || is_open(attempt)) {
+                    self.report(Rule::MadeUp, id);
+                }
+            }
+            Answer::Rejected if request.class == Class::Confirm => {
+                let may_have_run =
+                    |attempt: &Attempt| !matches!(attempt.over, Some((_, AttemptEnd::NeverRan)));
+                if request.attempts.values().any(may_have_run) {
+                    self.report(Rule::RejectedAfterRun, id);
+                }
+            }
+            Answer::Rejected | Answer::Failed => {}
+        }
+    }
+
+    /// A connection ended without a response. A request that the proxy has not read is sent once more
+    /// by its client, and is not lost.
+    fn judge_end(&mut self, id: &str, request: &Request, at: Instant) {
+        let tolerance = self.tolerance(at);
+        let proxy = request.proxy;
+        let killed = self
+            .changes_of(Change::Killed(proxy))
+            .find(|killed| *killed + tolerance >= request.sent && *killed <= at + tolerance);
+        let terminated =
+            self.changes_of(Change::Terminated(proxy)).filter(|term| *term <= request.sent).last();
+        let started = self.changes_of(Change::Started(proxy)).filter(|start| *start <= request.sent).last();
+        let is_draining = terminated.is_some() && started.is_none_or(|start| Some(start) < terminated);
+        if let Some(killed) = killed {
+            // What was there before the kill could be seen coming; what came early may be lost.
+            let came_late = terminated.is_some_and(|term| is_draining && request.sent > term + KILL_EXCUSES);
+            if !came_late || killed < request.sent {
+                return;
+            }
+        }
+        let is_crowded = self.changes_of(Change::Crowd(proxy)).next().is_some();
+        let was_read = !request.attempts.is_empty();
+        let is_new = request.is_first_on_connection && !is_draining && !is_crowded && killed.is_none();
+        if was_read || is_new {
+            self.report(Rule::ClosedUnanswered, id);
+        }
+    }
+
+    fn judge_attempt(&mut self, id: &str, request: &Request, attempt: &Attempt) {
+        let tolerance = self.tolerance(attempt.arrived);
+        if request.left.is_some_and(|left| attempt.arrived > left + AFTER_CLIENT_LEFT + tolerance) {
+            self.report(Rule::AfterClientLeft, id);
+        }
+        let answered = request.answered.as_ref().map(|(at, _)| *at);
+        if answered.is_some_and(|answered| attempt.arrived > answered + tolerance) {
+            self.report(Rule::AfterResponse, id);
+        }
+        let told = self.told_of_drain(request.proxy, attempt.backend, attempt.arrived);
+        if told.is_some_and(|told| attempt.arrived > told + DRAIN_GRACE + tolerance) {
+            self.report(Rule::Draining, id);
+        }
+        let told_ms = self.told_ms(id, attempt.arrived);
+        let left = (request.sent + request.wait).saturating_duration_since(attempt.arrived);
+        if told_ms.is_some_and(|told| Duration::from_millis(told) > left + TOLD_SLACK + tolerance) {
+            self.report(Rule::ToldTooLong, id);
+        }
+    }
+
+    fn judge_repeats(&mut self, id: &str, request: &Request) {
+        let attempts: Vec<&Attempt> = request.attempts.values().collect();
+        for (number, later) in attempts.iter().enumerate().skip(1) {
+            let tolerance = self.tolerance(later.arrived);
+            let earlier = &attempts[..number];
+            let is_out = |attempt: &&&Attempt| {
+                attempt.over.as_ref().is_none_or(|(over, _)| *over > later.arrived + tolerance)
+            };
+            if earlier.iter().any(|attempt| is_out(&attempt)) {
+                self.report(Rule::SecondCopy, id);
+            }
+            let may_have_run = |attempt: &&&Attempt| !matches!(attempt.over, Some((_, AttemptEnd::NeverRan)));
+            let Some(first) = earlier.iter().find(|attempt| may_have_run(attempt)) else { continue };
+            if request.class == Class::Confirm {
+                self.report(Rule::UnsafeRepeat, id);
+            }
+            let window_ends = first.arrived + WINDOW + WINDOW_SLACK + tolerance;
+            if request.class == Class::Put && later.arrived > window_ends {
+                self.report(Rule::AfterWindow, id);
+            }
+        }
+    }
+
+    /// When a proxy was told at the latest that a backend drains, if it does at this moment. A process
+    /// that has started since is told by its first watch. Where discovery could not be reached since,
+    /// the change counts as told some seconds after its return.
+    fn told_of_drain(&self, proxy: usize, backend: usize, at: Instant) -> Option<Instant> {
+        let since = self.drains_since(backend, at)?;
+        let last = |change| self.changes_of(change).filter(|changed| *changed <= at).last();
+        let started = last(Change::Started(proxy)).map_or(since, |started| started.max(since));
+        match (last(Change::DiscoveryDown), last(Change::DiscoveryUp)) {
+            (None, _) => Some(started),
+            (Some(down), Some(up)) if up > down && up < since => Some(started),
+            (Some(down), Some(up)) if up > down => Some(started.max(up + TOLD_AFTER_OUTAGE)),
+            _ => None,
+        }
+    }
+
+    /// Since when a backend was listed as draining, if it was at this moment.
+    fn drains_since(&self, backend: usize, at: Instant) -> Option<Instant> {
+        let is_state = |change: &Change| [Change::Draining(backend), Change::Ready(backend)].contains(change);
+        let last = self.changes.iter().rfind(|(changed, change)| *changed <= at && is_state(change))?;
+        (last.1 == Change::Draining(backend)).then_some(last.0)
+    }
+
+    fn changes_of(&self, wanted: Change) -> impl Iterator<Item = Instant> + '_ {
+        self.changes.iter().filter(move |(_, change)| *change == wanted).map(|(at, _)| *at)
+    }
+
+    fn told_ms(&self, id: &str, arrived: Instant) -> Option<u64> {
+        self.seen.iter().find_map(|(at, seen_id, seen)| match seen {
+            Seen::Arrived { told_ms, .. } if *at == arrived && seen_id == id => Some(*told_ms),
+            _ => None,
+        })
+    }
+
+    /// How far times round a moment may be off.
+    fn tolerance(&self, at: Instant) -> Duration {
+        let from = at.checked_sub(DELAYS_COUNT_FOR).unwrap_or(self.began);
+        let first = self.delays.partition_point(|(delayed, _)| *delayed < from);
+        let until = at + DELAYS_COUNT_FOR;
+        let near = self.delays[first..].iter().take_while(|(delayed, _)| *delayed <= until);
+        TOLERANCE + near.map(|(_, delay)| *delay).max().unwrap_or_default()
+    }
+
+    fn report(&mut self, rule: Rule, id: &str) {
+        let mut timeline = String::new();
+        for (at, _, seen) in self.seen.iter().filter(|(_, seen_id, _)| seen_id == id) {
+            let at = at.saturating_duration_since(self.began).as_secs_f64();
+            // Writing to a string does not fail.
+            let _ = writeln!(timeline, "    {at:8.3} {seen:?}");
+        }
+        self.verdict.violations.push(Violation { rule, request: id.to_owned(), timeline });
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/soak/mod.rs
@@ -0,0 +1,235 @@
+//! `pinetrail-experiments soak`: several real processes under seeded mixes of faults, judged by the
+//! rules from what clients and backends see. Read [`run`] first.
+//!
+//! `plan` says from a seed what happens when, `clients` and `backends` make traffic and note what
+//! they see in a `record`, `judge` compares that with the rules.
+
+mod backends;
+mod clients;
+mod judge;
+mod plan;
+mod record;
+
+use crate::error::ExperimentError;
+use backends::{Backend, Kind};
+use clap::Args;
+use clients::Client;
+use judge::{Verdict, Violation, WINDOW};
+use pinetrail_test_harness::{catalog, program, ProxyFixture, StaticDiscovery};
+use plan::{Fault, Plan};
+use record::{Change, Record};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What to play.
+#[derive(Args)]
+pub(crate) struct Options {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// The last seed.
+    #[arg(long, default_value_t = 3)]
+    last: u64,
+    /// How long each seed is played, in seconds.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(5..=600))]
+    seconds: u64,
+}
+
+/// Violations of one seed that are shown with their timelines.
+const SHOWN_VIOLATIONS: usize = 5;
+const NODES: usize = 4;
+/// The number of the origin among the backends.
+const ORIGIN: usize = NODES;
+const CLIENTS_OF_A_PROXY: usize = 6;
+/// The longest wait of the configuration's classes, and what the platform adds until SIGKILL.
+const KILL_AFTER: Duration = Duration::from_millis(1700);
+/// How long the process is held up.
+const HOLD_UP: Duration = Duration::from_millis(150);
+/// After the last fault, so long is waited for what is open.
+const WIND_DOWN: Duration = Duration::from_secs(3);
+/// Idle connections of a crowd: more than a proxy's descriptors allow.
+const CROWD: usize = 220;
+/// The class without repeats does not say how long its window is; the others have this one.
+const LONG_WINDOW: &str = r#""RepeatWindow":5000.0"#;
+
+/// Runs it; whether no rule was broken.
+pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
+    let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
+    program(own, &["proxy"]);
+    let mut passed = true;
+    for seed in options.first..=options.last {
+        let plan = Plan::of(seed, Duration::from_secs(options.seconds));
+        let verdict = play(&plan)?;
+        print_verdict(&plan, &verdict, options.seconds);
+        passed &= verdict.violations.is_empty();
+    }
+    Ok(passed)
+}
+
+fn print_verdict(plan: &Plan, verdict: &Verdict, seconds: u64) {
+    let broken = verdict.violations.len();
+    let (requests, served, late) = (verdict.requests, verdict.served, verdict.late_after_short_waits);
+    println!(
+        "seed {:3}: {}: {requests} requests, {served} served, {late} late after short waits, {broken} violations",
+        plan.seed, plan.summary
+    );
+    for Violation { rule, request, timeline } in verdict.violations.iter().take(SHOWN_VIOLATIONS) {
+        println!("  {rule:?} by request {request}\n{timeline}");
+    }
+    if broken > 0 {
+        let seed = plan.seed;
+        println!("  again: pinetrail-experiments soak --first {seed} --last {seed} --seconds {seconds}");
+    }
+}
+
+/// The processes of a run and what they talk to.
+struct Stage {
+    proxies: Vec<ProxyFixture>,
+    backends: Vec<Backend>,
+    discovery: StaticDiscovery,
+    record: Arc<Record>,
+    generation: u64,
+}
+
+fn play(plan: &Plan) -> Result<Verdict, ExperimentError> {
+    let record = Arc::<Record>::default();
+    let mut stage = Stage::new(plan, &record)?;
+    let began = Instant::now();
+    let ends = began + plan.lasts;
+    let watcher = {
+        let record = Arc::clone(&record);
+        thread::spawn(move || record.watch_own_delays(ends + WIND_DOWN))
+    };
+    let clients = stage.start_clients(plan, ends);
+    for (at, fault) in &plan.faults {
+        thread::sleep((began + *at).saturating_duration_since(Instant::now()));
+        stage.apply(*fault);
+    }
+    for client in clients {
+        // A client that panicked has printed why.
+        let _ = client.join();
+    }
+    thread::sleep(WIND_DOWN.saturating_sub(ends.elapsed()));
+    let _ = watcher.join();
+    Ok(judge::judge(&record, began, Instant::now()))
+}
+
+fn entry(backend: &Backend, number: usize, lifecycle: &str) -> String {
+    let (name, kind) =
+        if number == ORIGIN { ("o".to_owned(), "origin") } else { (format!("s-{number}"), "c6") };
+    format!(
+        r#"{{"instanceId":"{name}","hostPort":"{}","zone":"a","machineType":"{kind}","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#,
+        backend.address
+    )
+}
+
+impl Stage {
+    fn new(plan: &Plan, record: &Arc<Record>) -> Result<Stage, ExperimentError> {
+        let kind = |number| if number == ORIGIN { Kind::Origin } else { Kind::Node };
+        let backends = (0..=NODES).map(|number| Backend::start(kind(number), number, plan.seed, record));
+        let backends: Vec<Backend> = backends.collect::<Result<_, _>>().map_err(ExperimentError::Soak)?;
+        let entries: Vec<String> =
+            backends.iter().enumerate().map(|(number, backend)| entry(backend, number, "ready")).collect();
+        let window = format!(r#""RepeatWindow":{}.0"#, WINDOW.as_millis());
+        let changes = [(LONG_WINDOW, window.as_str())];
+        let proxies: Vec<ProxyFixture> =
+            (0..plan.proxies).map(|_| ProxyFixture::with_all(&entries, &changes)).collect();
+        let discovery = StaticDiscovery::new(catalog(2, true, &entries));
+        for proxy in &proxies {
+            proxy.reload(&proxy.discovery.address.to_string(), &discovery.address.to_string());
+        }
+        Ok(Stage { proxies, backends, discovery, record: Arc::clone(record), generation: 2 })
+    }
+
+    fn start_clients(&self, plan: &Plan, ends: Instant) -> Vec<thread::JoinHandle<()>> {
+        let mut threads = Vec::new();
+        for (proxy, fixture) in self.proxies.iter().enumerate() {
+            for number in 0..CLIENTS_OF_A_PROXY {
+                let client = Client {
+                    proxy,
+                    address: fixture.client_address,
+                    number,
+                    seed: plan.seed ^ ((proxy as u64) << 48),
+                    ends,
+                    record: Arc::clone(&self.record),
+                };
+                threads.push(thread::spawn(move || client.work()));
+            }
+        }
+        threads
+    }
+
+    fn apply(&mut self, fault: Fault) {
+        match fault {
+            Fault::HoldUp(proxy) => {
+                self.proxies[proxy].signal("STOP");
+                thread::sleep(HOLD_UP);
+                self.proxies[proxy].signal("CONT");
+            }
+            Fault::Reload(proxy) => {
+                let fixture = &self.proxies[proxy];
+                fixture.reload(r#""Aim":400.0"#, r#""Aim":401.0"#);
+                fixture.reload(r#""Aim":401.0"#, r#""Aim":"#);
+                fixture.reload(r#""Aim":,"#, r#""Aim":400.0,"#);
+            }
+            Fault::Restart(proxy) => self.restart(proxy),
+            Fault::Kill(proxy) => self.kill(proxy),
+            Fault::Drain(node) => self.publish(node, "draining", Change::Draining(node)),
+            Fault::Return(node) => self.publish(node, "ready", Change::Ready(node)),
+            Fault::DiscoveryDown => {
+                self.record.note_change(Change::DiscoveryDown);
+                self.discovery.set_down(true);
+            }
+            Fault::DiscoveryUp => {
+                self.discovery.set_down(false);
+                self.record.note_change(Change::DiscoveryUp);
+            }
+            Fault::Crowd(proxy) => self.crowd(proxy),
+        }
+    }
+
+    /// SIGTERM, signals after it, and SIGKILL at the earliest moment that the platform allows.
+    fn restart(&mut self, proxy: usize) {
+        self.record.note_change(Change::Terminated(proxy));
+        let terminated = Instant::now();
+        let fixture = &self.proxies[proxy];
+        for signal in ["TERM", "TERM", "HUP"] {
+            fixture.signal(signal);
+            thread::sleep(Duration::from_millis(20));
+        }
+        thread::sleep(KILL_AFTER.saturating_sub(HOLD_UP * 2).saturating_sub(terminated.elapsed()));
+        // The last responses have to be out in spite of it.
+        fixture.signal("STOP");
+        thread::sleep(HOLD_UP);
+        fixture.signal("CONT");
+        thread::sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
+        self.kill(proxy);
+    }
+
+    fn kill(&mut self, proxy: usize) {
+        self.record.note_change(Change::Killed(proxy));
+        self.proxies[proxy].restart();
+        self.record.note_change(Change::Started(proxy));
+    }
+
+    fn publish(&mut self, node: usize, lifecycle: &str, change: Change) {
+        self.generation += 1;
+        let state = |number| if number == node { lifecycle } else { "ready" };
+        let entries: Vec<String> = (0..).zip(&self.backends).map(|(n, b)| entry(b, n, state(n))).collect();
+        self.record.note_change(change);
+        self.discovery.publish(catalog(self.generation, true, &entries));
+    }
+
+    /// Idle clients that fill a proxy's descriptors, and go after a while.
+    fn crowd(&self, proxy: usize) {
+        self.record.note_change(Change::Crowd(proxy));
+        let address = self.proxies[proxy].client_address;
+        thread::spawn(move || {
+            let crowd: Vec<TcpStream> = (0..CROWD).map_while(|_| TcpStream::connect(address).ok()).collect();
+            thread::sleep(Duration::from_secs(2));
+            drop(crowd);
+        });
+    }
+}
