--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -15,7 +15,7 @@
 use super::deadline_stream::{sleep, DeadlineStream};
 use super::descriptors::MAX_ADMIN_CONNECTIONS;
 use super::listener::{Listener, Stream};
-use super::log::log;
+use super::log::log_fault;
 use connection::ConnectionSlot;
 use std::collections::BTreeMap;
 use std::io;
@@ -73,7 +73,7 @@
                 Ok(Some(stream)) => DeadlineStream::new(stream),
                 Ok(None) => return,
                 Err(error) => {
-                    log(&format!("admin: accept: {error}"));
+                    log_fault(&format!("admin: accept: {error}"));
                     sleep(ACCEPT_RETRY);
                     continue;
                 }
--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -6,12 +6,12 @@
 use super::ClientService;
 use crate::net::deadline_stream::sleep;
 use crate::net::listener::{Listener, Stream};
-use crate::net::log::log;
+use crate::net::log::log_fault;
 use crate::net::request_log;
 use may::io::WaitIo;
 use pinetrail_connection_limits::{CloseOrder, ConnectionId};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Between attempts to accept, when that fails or the capacity is used up.
 const ACCEPT_RETRY: Duration = Duration::from_millis(2);
@@ -27,32 +27,29 @@
     /// Accepts connections, each served by a coroutine of its own, until the listener stops.
     pub(super) fn accept_until_stopped(self: &Arc<Self>, listener: &Listener) {
         let mut last_id = 0;
-        let mut out_of_room_for = Duration::ZERO;
         loop {
             match listener.accept() {
                 Ok(Some(stream)) => {
                     last_id += 1;
                     self.counters.consumers_accepted.increment();
-                    self.serve_connection(last_id, stream, out_of_room_for);
+                    self.serve_connection(last_id, stream, listener.queued_for());
                 }
                 Ok(None) => return,
                 Err(error) => {
-                    log(&format!("accept: {error}"));
+                    log_fault(&format!("accept: {error}"));
                     sleep(ACCEPT_RETRY);
                 }
             }
-            out_of_room_for = self.wait_for_room(listener);
+            self.wait_for_room(listener);
         }
     }
 
-    /// Waits until one more connection can be accepted; returns how long that took.
-    fn wait_for_room(&self, listener: &Listener) -> Duration {
-        let began = Instant::now();
+    /// Waits until one more connection can be accepted.
+    fn wait_for_room(&self, listener: &Listener) {
         while self.update_capacity() == Room::Exhausted && !listener.is_stopped() {
             self.make_room();
             sleep(ACCEPT_RETRY);
         }
-        began.elapsed()
     }
 
     /// Takes over how many connections the descriptors allow now.
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -6,7 +6,6 @@
 use crate::net::codec::memcache;
 use crate::net::codec::{Parsed, Unparsed, MAX_VALUE};
 use crate::net::deadline_stream::{has_hung_up, read_now};
-use crate::net::hold_up::LONGEST_UNREAD;
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant};
 
@@ -14,6 +13,10 @@
 /// connection that closes with unread input is reset, and the error may be lost with it.
 const MAX_LINGER: usize = 1 << 20;
 
+/// No more than this is taken off a deadline for the time in the queue of connections. While a crowd
+/// keeps the queue from getting empty, how long one connection was in it is not known.
+const LONGEST_QUEUED: Duration = Duration::from_millis(250);
+
 impl Connection<'_> {
     /// Fails if the client has gone.
     ///
@@ -66,7 +69,7 @@
     }
 
     fn note_read(&mut self, count: usize) {
-        let queued_for = std::mem::take(&mut self.queued_for).min(LONGEST_UNREAD);
+        let queued_for = std::mem::take(&mut self.queued_for).min(LONGEST_QUEUED);
         self.unread_for = self.service.hold_ups.unread_for(Instant::now()).max(queued_for);
         if self.state == State::Lingering {
             self.discarded += count;
--- a/src/net/hold_up.rs
+++ b/src/net/hold_up.rs
@@ -12,7 +12,7 @@
 const CATCH_UP: Duration = Duration::from_millis(30);
 /// No more than this is taken off a deadline. After a longer stop everything that came in would be
 /// late, and also what has just arrived would be turned away.
-pub const LONGEST_UNREAD: Duration = HOLD_UP.saturating_add(TIMER_GRANULARITY);
+const LONGEST_UNREAD: Duration = HOLD_UP.saturating_add(TIMER_GRANULARITY);
 
 /// A time in which nothing ran.
 #[derive(Clone, Copy, Debug)]
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -7,6 +7,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Connections that may wait in the queue to be accepted.
 const BACKLOG: i32 = 1024;
@@ -33,6 +34,8 @@
     socket: CoIo<TcpListener>,
     /// Guards the mode only. Danger: never held while a coroutine waits.
     mode: Mutex<AcceptMode>,
+    /// Since when there may have been connections in the queue. Guards this time only.
+    queued_since: Mutex<Instant>,
 }
 
 /// Opens a listening socket. Danger: without the exclusive hold on the address a proxy started
@@ -58,7 +61,11 @@
     /// If the socket cannot be registered with the coroutines' poller.
     pub fn new(socket: TcpListener) -> io::Result<Listener> {
         let socket = CoIo::new(socket).map_err(io::Error::from)?;
-        Ok(Listener { socket, mode: Mutex::new(AcceptMode::Accepting) })
+        Ok(Listener {
+            socket,
+            mode: Mutex::new(AcceptMode::Accepting),
+            queued_since: Mutex::new(Instant::now()),
+        })
     }
 
     /// Waits for the next connection; none once the listener has stopped.
@@ -75,7 +82,7 @@
                 AcceptMode::Released => return Ok(None),
                 AcceptMode::Accepting | AcceptMode::Closing => {}
                 AcceptMode::Paused => {
-                    self.socket.wait_io();
+                    self.wait();
                     continue;
                 }
             }
@@ -86,13 +93,25 @@
                     if self.is_stopped() {
                         return Ok(None);
                     }
-                    self.socket.wait_io();
+                    self.wait();
                 }
                 Err(error) => return Err(error),
             }
         }
     }
 
+    /// Waits for connections, or to be told something.
+    fn wait(&self) {
+        self.socket.wait_io();
+        *self.queued_since.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    /// For how long the connection that was accepted last may have been in the queue: since the
+    /// queue was last seen empty.
+    pub fn queued_for(&self) -> Duration {
+        self.queued_since.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+    }
+
     /// Stops for good, after the connections that wait in the queue already.
     pub fn close(&self) {
         self.set_mode(AcceptMode::Closing);
