A library that lets system calls fail and sets the wall clock of real processes under test

crates/fault-shim, preloaded into a proxy: accept and connect fail with an error of the test's choice, CLOCK_REALTIME is off by a step. Tests: after each of six errors of accept new connections are answered within 1 s and held ones throughout; requests are answered while connect fails and served after it; deadlines hold while the clock is set by -1 h, -3 s, 3 s and 1 h; a node that restarts after a step back of an hour is cold.

--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -199,11 +199,9 @@
             fixture.signal(signal);
             thread::sleep(Duration::from_millis(20));
         }
-        thread::sleep(KILL_AFTER.saturating_sub(HOLD_UP * 2).saturating_sub(terminated.elapsed()));
-        // The last responses have to be out in spite of it.
+        thread::sleep(KILL_AFTER.saturating_sub(HOLD_UP).saturating_sub(terminated.elapsed()));
+        // The last responses have to be out before a hold-up that lasts until SIGKILL.
         fixture.signal("STOP");
-        thread::sleep(HOLD_UP);
-        fixture.signal("CONT");
         thread::sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
         self.kill(proxy);
     }
--- /dev/null
+++ b/crates/fault-shim/tests/system_faults.rs
@@ -0,0 +1,153 @@
+//! Real proxies whose system calls fail and whose wall clock is set.
+
+use pinetrail_fault_shim::{Control, CONTROL_VARIABLE};
+use pinetrail_test_harness::*;
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The service is back so long after the end of a fault.
+const BACK_WITHIN: Duration = Duration::from_secs(1);
+const HOUR_MS: i64 = 3_600_000;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Has proxies started with the library preloaded. All tests of this program share one control file:
+/// they run one after the other.
+fn control() -> MutexGuard<'static, Control> {
+    static CONTROL: OnceLock<Mutex<Control>> = OnceLock::new();
+    let control = CONTROL.get_or_init(|| {
+        let file = std::env::temp_dir().join(format!("pinetrail-faults-{}", std::process::id()));
+        let control = Control::create(&file).unwrap();
+        let test = std::env::current_exe().unwrap();
+        let folder = test.parent().and_then(Path::parent).unwrap();
+        // Uplifted beside the programs by a build, left among the dependencies by a test.
+        let library = test.with_file_name("libpinetrail_fault_shim.so");
+        assert!(library.exists(), "{} is built with this test", library.display());
+        let preload = format!("LD_PRELOAD={}", library.display());
+        let faults = format!("{CONTROL_VARIABLE}={}", file.display());
+        let proxy = folder.join("pinetrail").display().to_string();
+        program(PathBuf::from("/usr/bin/env"), &[&preload, &faults, &proxy]);
+        Mutex::new(control)
+    });
+    // A test that failed has left its fault behind.
+    let control = control.lock().unwrap_or_else(PoisonError::into_inner);
+    control.end_all();
+    control
+}
+
+/// Whether a new connection is answered within a time.
+fn answers_new_connections_within(fixture: &ProxyFixture, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        let client = Client::try_connect(fixture.client_address);
+        if client.is_some_and(|mut client| client.try_send("mn\r\n") && client.read_line() == "MN\r\n") {
+            return true;
+        }
+        sleep(ms(10));
+    }
+    false
+}
+
+/// Guards against a listener that is lost when `accept` fails.
+#[test]
+fn a_proxy_accepts_again_after_each_error_of_accept() {
+    let control = control();
+    let origin = StubServer::origin(|_| StubAction::Ignore);
+    let fixture = ProxyFixture::of(&[&StubServer::full_node("v")], &origin);
+    let mut held = fixture.client();
+    assert_eq!(held.request("mn\r\n"), "MN\r\n", "it is accepted");
+    for error in [libc::ECONNABORTED, libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::EINTR, libc::EPROTO] {
+        control.fail_accept(error);
+        // It comes to the queue, and wakes the one that accepts.
+        let waiting = Client::try_connect(fixture.client_address);
+        sleep(ms(200));
+        assert_eq!(held.get("k", &format!("held{error}"), 900).1, "v\r\n", "error {error}");
+        control.fail_accept(0);
+        assert!(answers_new_connections_within(&fixture, BACK_WITHIN), "error {error}");
+        drop(waiting);
+    }
+}
+
+/// Guards against requests without a response, and nodes given up for good, when no connection can
+/// be made.
+#[test]
+fn requests_are_answered_while_connect_fails_and_served_after_it() {
+    let control = control();
+    for error in [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EHOSTUNREACH, libc::ETIMEDOUT] {
+        let (node, origin) = (StubServer::full_node("v"), StubServer::origin(|_| StubAction::Ignore));
+        let fixture = ProxyFixture::of(&[&node], &origin);
+        control.fail_connect(error);
+        let mut client = fixture.client();
+        for number in 0..2 {
+            let begun = Instant::now();
+            let (line, _) = client.get("k", &format!("failing{number}"), 700);
+            assert!(line.starts_with("SERVER_ERROR "), "error {error}: {line:?}");
+            assert!(begun.elapsed() < ms(2000), "error {error}: {:?}", begun.elapsed());
+        }
+        control.fail_connect(0);
+        let until = Instant::now() + WAIT;
+        let mut number = 0;
+        while client.get("k", &format!("after{number}"), 900).1 != "v\r\n" {
+            number += 1;
+            assert!(Instant::now() < until, "error {error}: the node is not used again");
+            sleep(ms(20));
+        }
+    }
+}
+
+/// Guards against spans that are measured by a wall clock: requests keep their deadlines while it is
+/// set.
+#[test]
+fn deadlines_hold_while_the_wall_clock_is_set() {
+    let control = control();
+    let (node, origin) =
+        (StubServer::node(|_| StubAction::Ignore), StubServer::origin(|_| StubAction::Ignore));
+    let fixture = ProxyFixture::of(&[&node], &origin);
+    for (number, step) in [-HOUR_MS, -3000, 3000, HOUR_MS].into_iter().enumerate() {
+        let mut client = fixture.client();
+        let begun = Instant::now();
+        client.send(&format!("mg k v O{number} Pc=read,t=acme,d=600\r\n"));
+        sleep(ms(100));
+        control.step_wall_clock(step);
+        assert!(client.read_line().starts_with("SERVER_ERROR "));
+        let took = begun.elapsed();
+        assert!(took >= ms(400) && took < ms(5000), "step {step}: {took:?}");
+        control.step_wall_clock(0);
+    }
+    assert_eq!(fixture.counter("overdue"), 0, "no guard was needed");
+}
+
+/// Guards against a cold node that passes for a warm one: it restarts after all wall clocks were
+/// set back.
+#[test]
+fn a_node_that_restarts_after_a_step_back_is_cold() {
+    let control = control();
+    let nodes = [StubServer::full_node("v"), StubServer::full_node("v")];
+    let origin = StubServer::origin(|_| StubAction::Ignore);
+    let fixture = ProxyFixture::of(&[&nodes[0], &nodes[1]], &origin);
+    let (_, tell) = fixture.discovery.watch();
+    let mut client = fixture.client();
+    for number in 0..100 {
+        assert_eq!(client.get(&format!("k{number}"), &format!("warm{number}"), 900).1, "v\r\n");
+    }
+    control.step_wall_clock(-HOUR_MS);
+    let unix = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis();
+    let started = unix - u128::try_from(HOUR_MS).unwrap();
+    let entry = nodes[0].entry("s-0", "c6", "ready");
+    let restarted = entry.replace(r#""startedAtMs":0"#, &format!(r#""startedAtMs":{started}"#));
+    tell.send(catalog(2, false, &[restarted])).unwrap();
+    fixture.until("the restart is heard", || fixture.counter("lists") == 1);
+    let before = nodes.each_ref().map(|node| node.received().len());
+
+    for number in 0..200 {
+        assert_eq!(client.get(&format!("c{number}"), &format!("cold{number}"), 900).1, "v\r\n");
+    }
+    control.step_wall_clock(0);
+
+    let [cold, warm] = [0, 1].map(|node| nodes[node].received().len() - before[node]);
+    assert!(cold * 3 < warm, "the cold node got {cold}, the warm one {warm}");
+}
