Tests: wait for the vote after the restart, not for the one before it

Cause, from its timeline: the wait for the line "this founder votes" was met by the line of the first start, 183 ms, in both rounds; the second restart had not its vote back when the other voter was killed and a version was proposed, which is then rightly not decided. The wait counts from the kill now, which is stricter.

--- a/tests/fleet/policy/storage.rs
+++ b/tests/fleet/policy/storage.rs
@@ -22,6 +22,7 @@
     ends(&fleet, 3, "taken");
     for lost in [true, false] {
         fleet.kill(1);
+        let killed_at = fleet.timeline.now();
         let file = fleet.state_dir(1).join("rulebook");
         if lost {
             std::fs::remove_dir_all(fleet.state_dir(1)).unwrap()
@@ -30,7 +31,7 @@
         }
         fleet.start(1);
         fleet.wait_until("it votes", |fleet| {
-            fleet.timeline.first_match("n1", "this founder votes", 0).is_some()
+            fleet.timeline.first_match("n1", "this founder votes", killed_at).is_some()
         });
         fleet.wait_until("it has it", |fleet| has(fleet, &[1], 2));
     }
