Test harness: a connection that ends early is no error of a stub

Cause: the stub took the head of the request for certain. Its siblings took each accepted connection for certain.

Change: a watch whose request never comes ends quietly; stubs pass over a connection that ends before it is accepted.

--- a/crates/test-harness/src/discovery.rs
+++ b/crates/test-harness/src/discovery.rs
@@ -33,26 +33,36 @@
         let (watch_sender, watches) = channel();
         let recorder = Recorder::own();
         thread::spawn(move || {
-            for stream in listener.incoming() {
-                let mut stream = stream.unwrap();
+            for stream in listener.incoming().filter_map(Result::ok) {
                 let (watch_sender, recorder) = (watch_sender.clone(), recorder.clone());
-                thread::spawn(move || {
-                    let head = read_request(&mut BufReader::new(stream.try_clone().unwrap()), true).unwrap();
-                    let (line_sender, lines) = channel::<String>();
-                    // The test may have ended.
-                    let _ = watch_sender.send((head.lines().next().unwrap().to_owned(), line_sender));
-                    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap_or(());
-                    for line in lines {
-                        recorder.record_endpoint_list(&line);
-                        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-                        stream.write_all(chunk.as_bytes()).unwrap_or(());
-                    }
-                });
+                // A proxy that is killed ends its connection at any moment.
+                thread::spawn(move || drop(Discovery::serve(stream, &watch_sender, &recorder)));
             }
         });
         Discovery { address, watches }
     }
 
+    /// Serves one watch.
+    fn serve(
+        mut stream: TcpStream,
+        watch_sender: &Sender<(String, Sender<String>)>,
+        recorder: &Recorder,
+    ) -> std::io::Result<()> {
+        let head = read_request(&mut BufReader::new(stream.try_clone()?), true);
+        let head = head.ok_or(ErrorKind::UnexpectedEof)?;
+        let request_line = head.lines().next().unwrap_or_default().to_owned();
+        let (line_sender, lines) = channel::<String>();
+        // The test may have ended.
+        let _ = watch_sender.send((request_line, line_sender));
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap_or(());
+        for line in lines {
+            recorder.record_endpoint_list(&line);
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            stream.write_all(chunk.as_bytes()).unwrap_or(());
+        }
+        Ok(())
+    }
+
     /// The next watch that the proxy opens: its request line, and a sender for the lines of its
     /// response.
     ///
@@ -93,8 +103,8 @@
         let state = Arc::new((Mutex::new(PublishedList { list, version: 1, down: false }), Condvar::new()));
         let serving = Arc::clone(&state);
         thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (stream, state) = (stream.unwrap(), Arc::clone(&serving));
+            for stream in listener.incoming().filter_map(Result::ok) {
+                let state = Arc::clone(&serving);
                 thread::spawn(move || drop(StaticDiscovery::watch(stream, &state)));
             }
         });
--- a/crates/test-harness/src/stub_server.rs
+++ b/crates/test-harness/src/stub_server.rs
@@ -62,10 +62,11 @@
             act,
         });
         thread::spawn(move || {
-            for stream in listener.incoming() {
+            // A connection may end before it is accepted.
+            for stream in listener.incoming().filter_map(Result::ok) {
                 handler.activity.connected.fetch_add(1, Ordering::SeqCst);
                 let handler = Arc::clone(&handler);
-                thread::spawn(move || handler.serve(stream.unwrap()));
+                thread::spawn(move || handler.serve(stream));
             }
         });
         StubServer { address, activity }
