Test harness: arrivals as the kernel records them, request logs, one folder a run

Need: the soak could not tell a proxy that writes late from a stub that reads late, and a run that was ended from outside left its files in the temporary folder.

Change: ArrivalStream returns the kernel's receive time of what was read (SO_TIMESTAMPNS), and for the end of a stream the time of the read less what the thread had waited for a processor. keep_request_logs has every proxy write its request log into a file. Faults appear in the request log too, with their time.

--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -13,6 +13,7 @@
 mod table;
 
 use clap::{Parser, Subcommand};
+use pinetrail_test_harness::remove_run_folder;
 use std::process::ExitCode;
 
 /// Experiments with pinetrail: real processes on loopback, and models in simulated time.
@@ -62,6 +63,7 @@
             return pinetrail::net::lifecycle::run();
         }
     };
+    remove_run_folder();
     match passed {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
--- /dev/null
+++ b/crates/test-harness/src/arrival.rs
@@ -0,0 +1,167 @@
+//! A TCP stream that reports when the bytes that were read arrived: [`ArrivalStream`].
+//!
+//! A stub that reads its clock after a read measures its own delay too: its thread may have waited
+//! for a processor. The kernel records the arrival of a segment when its sender writes it.
+
+use nix::errno::Errno;
+use nix::sys::socket::{recv, recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
+use nix::sys::time::TimeSpec;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::io::{self, IoSliceMut, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The time that a thread has waited for a processor is in this file.
+const SCHEDULER_STATISTICS: &str = "/proc/thread-self/schedstat";
+/// How long the kernel may take to begin recording.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
+/// The most that is discarded by one read.
+const DISCARD_SIZE_BYTES: usize = 256;
+/// How often the two clocks are read together. An interruption between the two falsifies a reading,
+/// so the shortest counts.
+const CLOCK_READINGS: usize = 3;
+
+/// A TCP stream that reports when the bytes that were read last, or its end, arrived.
+#[derive(Debug)]
+pub struct ArrivalStream {
+    stream: TcpStream,
+    last_arrival: Instant,
+    /// Whether the kernel told the time of the last arrival.
+    is_stamped: bool,
+}
+
+/// Has the kernel record arrivals on all connections that a listener accepts, also of bytes that
+/// arrive before a connection is accepted. It does so when this returns.
+///
+/// # Errors
+/// If the kernel does not support it, or does not begin in time.
+pub fn record_arrivals(listener: &TcpListener) -> io::Result<()> {
+    setsockopt(listener, sockopt::ReceiveTimestampns, &true)?;
+    let until = Instant::now() + START_TIMEOUT;
+    // The kernel begins some time after the first socket has asked for it.
+    while !stamps_arrivals()? {
+        if Instant::now() > until {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+    }
+    Ok(())
+}
+
+/// Whether the kernel records the arrival of a byte.
+fn stamps_arrivals() -> io::Result<bool> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let mut writer = TcpStream::connect(listener.local_addr()?)?;
+    let mut reader = ArrivalStream::new(listener.accept()?.0)?;
+    writer.write_all(&[0])?;
+    reader.read_exact(&mut [0])?;
+    Ok(reader.is_stamped)
+}
+
+impl ArrivalStream {
+    /// Wraps a connected stream.
+    ///
+    /// # Errors
+    /// If the kernel does not record arrivals.
+    pub fn new(stream: TcpStream) -> io::Result<ArrivalStream> {
+        setsockopt(&stream, sockopt::ReceiveTimestampns, &true)?;
+        Ok(ArrivalStream { stream, last_arrival: Instant::now(), is_stamped: false })
+    }
+
+    /// When the bytes that the last read returned arrived. If it found the end of the stream or an
+    /// error: when this thread was woken for it.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival
+    }
+
+    /// Waits for a time, or until the end of the stream arrives; returns when it arrived. Bytes that
+    /// arrive meanwhile are discarded.
+    pub fn wait_for_end(&mut self, time: Duration) -> Option<Instant> {
+        let until = Instant::now() + time;
+        loop {
+            let waited_before = processor_wait();
+            let left = until.saturating_duration_since(Instant::now());
+            if !self.is_readable_within(left) {
+                return None;
+            }
+            let woken_at = Instant::now().checked_sub(processor_wait().saturating_sub(waited_before));
+            match self.stream.read(&mut [0; DISCARD_SIZE_BYTES]) {
+                Ok(count) if count > 0 => {}
+                _ => return Some(woken_at.unwrap_or_else(Instant::now)),
+            }
+        }
+    }
+
+    /// Whether something to read, or the end, arrives within a time.
+    fn is_readable_within(&self, time: Duration) -> bool {
+        let timeout = Timespec {
+            tv_sec: i64::try_from(time.as_secs()).unwrap_or(i64::MAX),
+            tv_nsec: i64::from(time.subsec_nanos()),
+        };
+        let mut polled = [PollFd::new(&self.stream, PollFlags::IN)];
+        // An interruption by a signal counts as nothing to read; tests have no handlers.
+        poll(&mut polled, Some(&timeout)).is_ok_and(|ready| ready > 0)
+    }
+
+    /// Whether the peer's end of the stream has not arrived, as far as that can be told behind unread
+    /// bytes. It does not wait.
+    pub fn is_open(&self) -> bool {
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        match recv(self.stream.as_raw_fd(), &mut [0], flags) {
+            Ok(count) => count > 0,
+            Err(error) => error == Errno::EAGAIN,
+        }
+    }
+
+    /// The stream.
+    pub fn get_ref(&self) -> &TcpStream {
+        &self.stream
+    }
+}
+
+impl Read for ArrivalStream {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        let waited_before = processor_wait();
+        let mut control = nix::cmsg_space!(TimeSpec);
+        let mut buffers = [IoSliceMut::new(into)];
+        let received =
+            recvmsg::<()>(self.stream.as_raw_fd(), &mut buffers, Some(&mut control), MsgFlags::empty());
+        let now = Instant::now();
+        let waited = processor_wait().saturating_sub(waited_before);
+        self.last_arrival = now.checked_sub(waited).unwrap_or(now);
+        let message = received?;
+        if message.bytes > 0 {
+            let stamped = message.cmsgs()?.find_map(|control| match control {
+                ControlMessageOwned::ScmTimestampns(time) => Some(Duration::from(time)),
+                _ => None,
+            });
+            self.is_stamped = stamped.is_some();
+            self.last_arrival = stamped.map_or(self.last_arrival, instant_of);
+        }
+        Ok(message.bytes)
+    }
+}
+
+/// How long this thread has waited for a processor since its start; zero if the kernel does not
+/// tell.
+fn processor_wait() -> Duration {
+    let statistics = std::fs::read_to_string(SCHEDULER_STATISTICS).unwrap_or_default();
+    let wait_ns = statistics.split_whitespace().nth(1).and_then(|field| field.parse().ok());
+    Duration::from_nanos(wait_ns.unwrap_or(0))
+}
+
+/// The moment of a Unix time in the recent past.
+#[allow(clippy::disallowed_methods, reason = "the kernel stamps arrivals by the wall clock")]
+fn instant_of(unix: Duration) -> Instant {
+    let readings = (0..CLOCK_READINGS).map(|_| {
+        let before = Instant::now();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (before.elapsed(), before, wall)
+    });
+    let shortest = readings.min_by_key(|(took, _, _)| *took);
+    let moment = shortest.and_then(|(_, read_at, wall)| read_at.checked_sub(wall.saturating_sub(unix)));
+    moment.unwrap_or_else(Instant::now)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/test-harness/src/fleet/mod.rs
+++ b/crates/test-harness/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use crate::client::{call_admin, Client};
 use crate::discovery::{catalog, StaticDiscovery};
 use crate::fault_proxy::{FaultProxies, PeerFaultProxies, StreamFaultProxy};
+use crate::run_folder::run_folder;
 use crate::stub_server::StubServer;
 use crate::{Timeline, WAIT};
 use slot::FleetSlot;
@@ -97,7 +98,7 @@
         let targets: Vec<SocketAddr> = servers.chain([discovery.address]).collect();
         let streams_of_one = || targets.iter().map(|to| StreamFaultProxy::start(*to)).collect();
         let streams = (0..members).map(|_| streams_of_one()).collect();
-        let temp_dir = std::env::temp_dir().join(format!("pinetrail-fleet-{}-{number}", std::process::id()));
+        let temp_dir = run_folder().join(format!("fleet-{number}"));
         std::fs::create_dir_all(&temp_dir).expect("a folder for temporary files can be made");
         let mut fleet = Fleet {
             options,
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -5,6 +5,7 @@
 //! For one proxy see [`ProxyFixture`], for several that know each other, with faults between them,
 //! [`fleet::Fleet`].
 
+mod arrival;
 mod barrier;
 mod client;
 mod config;
@@ -15,16 +16,19 @@
 mod process;
 mod proxy_fixture;
 pub mod recorder;
+mod run_folder;
 pub mod script;
 mod stub_server;
 mod timeline;
 
+pub use arrival::{record_arrivals, ArrivalStream};
 pub use barrier::{AcceptBarrier, AcceptedConnection};
 pub use client::{call_admin, send_to_admin, Client};
 pub use config::config;
 pub use discovery::{catalog, Discovery, StaticDiscovery};
-pub use process::{end, program, signal, start};
+pub use process::{end, keep_request_logs, program, signal, start};
 pub use proxy_fixture::ProxyFixture;
+pub use run_folder::{remove_run_folder, run_folder};
 pub use stub_server::{http_200, opaque, StubAction, StubServer};
 pub use timeline::Timeline;
 
--- a/crates/test-harness/src/process.rs
+++ b/crates/test-harness/src/process.rs
@@ -3,9 +3,11 @@
 //! The owner of a process ends it: [`crate::ProxyFixture`] and [`crate::fleet::Process`] do so when
 //! they are dropped.
 
+use crate::run_folder::run_folder;
 use crate::WAIT;
 use rustix::process::{Pid, Signal};
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, LineWriter, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -25,6 +27,8 @@
 }
 
 static PROGRAM: OnceLock<Program> = OnceLock::new();
+/// Where the logs of processes are kept; none unless [`keep_request_logs`] was called.
+static LOG_FOLDER: OnceLock<PathBuf> = OnceLock::new();
 /// Numbers the configuration files of one test program.
 static CONFIG_FILES: AtomicUsize = AtomicUsize::new(0);
 
@@ -38,7 +42,7 @@
 /// Writes a configuration to a file of its own.
 pub(crate) fn write_config(config: &str) -> PathBuf {
     let number = CONFIG_FILES.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("pinetrail-{}-{number}.json", std::process::id()));
+    let path = run_folder().join(format!("{number}.json"));
     std::fs::write(&path, config).unwrap();
     path
 }
@@ -48,7 +52,7 @@
 /// # Panics
 /// If the configuration cannot be written or the program cannot be started.
 pub fn start(config: &str) -> Child {
-    start_in(&write_config(config), &std::env::temp_dir())
+    start_in(&write_config(config), run_folder())
 }
 
 /// Starts all proxies with this command from now on; only the first call counts. The default is the
@@ -59,6 +63,12 @@
     let _ = PROGRAM.set(Program { path, arguments });
 }
 
+/// Has all proxies that [`crate::ProxyFixture`] starts from now on write their request logs, each
+/// into a file of its own in this folder; only the first call counts.
+pub fn keep_request_logs(folder: PathBuf) {
+    let _ = LOG_FOLDER.set(folder);
+}
+
 fn command() -> Command {
     let program = PROGRAM.get_or_init(|| {
         // Tests run from a folder beside it.
@@ -76,6 +86,9 @@
     let mut command = command();
     command.env("LB_CONFIG", config);
     command.env("TMPDIR", temp_dir);
+    if LOG_FOLDER.get().is_some() {
+        command.env("LB_LOG", "debug");
+    }
     command.stdout(Stdio::piped());
     command.stderr(Stdio::piped());
     command.spawn().expect("the proxy starts")
@@ -85,14 +98,24 @@
 pub(crate) fn start_and_find_addresses(config: &Path, temp_dir: &Path) -> StartedProcess {
     let mut child = start_in(config, temp_dir);
     let log = BufReader::new(child.stderr.take().unwrap());
+    let mut log_file = log_file(&child);
     let (sender, addresses) = channel();
-    // Ends at the second address. The rest of the log is not read, and the proxy must not end for
-    // that.
+    // Ends at the second address if no log is kept. The rest of the log is not read then, and the
+    // proxy must not end for that.
     thread::spawn(move || {
-        let lines = log.lines().map_while(Result::ok);
-        for address in lines.filter_map(|line| logged_address(&line)).take(2) {
-            // The receiver is gone only after a panic in the test.
-            let _ = sender.send(address);
+        let mut missing = 2;
+        for line in log.lines().map_while(Result::ok) {
+            if let Some(address) = logged_address(&line) {
+                missing -= 1;
+                // The receiver is gone only after a panic in the test.
+                let _ = sender.send(address);
+            }
+            match &mut log_file {
+                // A log that cannot be kept is no fault of the proxy.
+                Some(file) => drop(writeln!(file, "{line}")),
+                None if missing == 0 => return,
+                None => {}
+            }
         }
     });
     let admin_address = addresses.recv_timeout(WAIT).expect("the proxy logs where operators reach it");
@@ -100,6 +123,12 @@
     StartedProcess { child, client_address, admin_address }
 }
 
+/// The file that keeps the log of a process, if logs are kept.
+fn log_file(child: &Child) -> Option<LineWriter<File>> {
+    let path = LOG_FOLDER.get()?.join(format!("{}.log", child.id()));
+    File::create(path).ok().map(LineWriter::new)
+}
+
 /// The address in a log line that says where the proxy listens.
 fn logged_address(line: &str) -> Option<SocketAddr> {
     let (_, address) = line.split_once(" call ").or_else(|| line.split_once(" listens on "))?;
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -168,8 +168,21 @@
 
     /// Kills the proxy and starts it anew at the same addresses.
     pub fn restart(&mut self) {
-        let mut child = self.child.take().unwrap();
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the proxy; it has ended when this returns.
+    ///
+    /// # Panics
+    /// If it was killed before.
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().expect("it is killed once");
         child.kill().and_then(|()| child.wait()).unwrap();
+    }
+
+    /// Starts a proxy that was killed anew at the same addresses.
+    pub fn start_again(&mut self) {
         let (child, admin) = self.start_second_process();
         self.child = Some(child);
         self.admin_address = admin;
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -30,6 +30,8 @@
         log(&format!("FAULT: {suppressed} more lines were suppressed"));
     }
     log(&format!("FAULT: {line}"));
+    // With its time, where the request log is on.
+    tracing::warn!(target: "fault", "{line}");
 }
 
 impl FaultLines {
