Soak: what arrives is timed by the kernel, not by the thread that reads it

What callers saw: nothing, as far as evidence goes.

Cause: a backend of the soak read its clock after it had taken a mutex that all backends share. A thread that lost its processor while it held the mutex made attempts at several backends "arrive" in one moment, late. The measure of the program's own delay is a thread of its own that needs neither that mutex nor much processor, so it saw nothing.

Evidence: in the recorded violations attempts of several proxies arrive at several backends in the same millisecond, each with the budget of a write that was on time (33 of 40 ms).

Change: arrivals and responses have the kernel's receive time; an attempt is over no earlier than a moment at which its connection was seen open; a client's close counts from after the close; a request's time from its last byte. Each violation shows the proxies' request logs, the changes and the stops around it.

--- a/crates/experiments/src/soak/backends.rs
+++ b/crates/experiments/src/soak/backends.rs
@@ -2,9 +2,10 @@
 //! [`Backend`] first.
 
 use super::record::{AttemptEnd, Record, Seen};
+use pinetrail_test_harness::{record_arrivals, ArrivalStream};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -79,6 +80,7 @@
         record: &Arc<Record>,
     ) -> std::io::Result<Backend> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
+        record_arrivals(&listener)?;
         let address = listener.local_addr()?;
         let record = Arc::clone(record);
         let server = Arc::new(Server { kind, number, seed, record, connections: AtomicU64::new(0) });
@@ -86,7 +88,7 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 let server = Arc::clone(&server);
                 // An error ends the connection, as it would at a real backend.
-                thread::spawn(move || drop(server.serve(&stream)));
+                thread::spawn(move || drop(server.serve(stream)));
             }
         });
         Ok(Backend { address })
@@ -94,22 +96,27 @@
 }
 
 impl Server {
-    fn serve(&self, stream: &TcpStream) -> std::io::Result<()> {
-        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let connection = self.connections.fetch_add(1, Ordering::Relaxed);
         let mut random = StdRng::seed_from_u64(self.seed ^ (connection << 16) ^ self.number as u64);
-        let mut reader = BufReader::new(stream);
+        let mut reader = BufReader::new(ArrivalStream::new(stream)?);
         while let Some(received) = self.read(&mut reader)? {
             let attempt = self.record.next_attempt();
-            let arrived = Seen::Arrived { attempt, backend: self.number, budget_ms: received.budget_ms };
-            self.record.note(Instant::now(), &received.id, arrived);
+            let arrived_at = reader.get_ref().last_arrival();
+            let arrived = Seen::Arrived {
+                attempt,
+                backend: self.number,
+                budget_ms: received.budget_ms,
+                read_late: arrived_at.elapsed(),
+            };
+            self.record.note(arrived_at, &received.id, arrived);
             let behaviour = self.choose(&mut random);
-            let end = self.respond(stream, &mut reader, &received, behaviour, &mut random);
+            let (over_at, end) = self.respond(&mut reader, &received, behaviour, &mut random);
             let is_over = !matches!(end, AttemptEnd::Served(_) | AttemptEnd::NeverRan);
-            self.record.note(Instant::now(), &received.id, Seen::AttemptOver { attempt, end });
+            self.record.note(over_at, &received.id, Seen::AttemptOver { attempt, end });
             if is_over {
-                return stream.shutdown(Shutdown::Both);
+                return reader.get_ref().get_ref().shutdown(Shutdown::Both);
             }
         }
         Ok(())
@@ -129,37 +136,49 @@
         }
     }
 
+    /// Responds; returns how the attempt ended, and a moment before which it had not ended.
     fn respond(
         &self,
-        mut stream: &TcpStream,
-        reader: &mut impl Read,
+        reader: &mut BufReader<ArrivalStream>,
         received: &Received,
         behaviour: Behaviour,
         random: &mut StdRng,
-    ) -> AttemptEnd {
-        thread::sleep(Duration::from_millis(random.random_range(0..25)));
+    ) -> (Instant, AttemptEnd) {
+        let work = Duration::from_millis(random.random_range(0..25));
         let value = format!("{}-{}", self.number, random.random_range(0..1_000_000));
+        let received_at = Instant::now();
+        if let Some(ended_at) = reader.get_mut().wait_for_end(work) {
+            return (ended_at, AttemptEnd::MayHaveRun);
+        }
+        let open_at = Instant::now();
+        if !reader.get_ref().is_open() {
+            return (received_at, AttemptEnd::MayHaveRun);
+        }
         let complete = self.complete_response(received, &value);
         let half = &complete.as_bytes()[..complete.len() / 2];
         // A failed write ends the attempt as well.
-        let written = match behaviour {
-            Behaviour::Serve => stream.write_all(complete.as_bytes()),
-            Behaviour::Twice => stream.write_all((complete.clone() + &complete).as_bytes()),
-            Behaviour::Miss => stream.write_all(format!("EN {}\r\n", received.id).as_bytes()),
-            Behaviour::Busy => stream.write_all(self.rejection().as_bytes()),
-            Behaviour::Fail => stream.write_all(self.failure().as_bytes()),
-            Behaviour::Trickle => write_slowly(stream, complete.as_bytes()),
-            Behaviour::BreakOff => stream.write_all(half),
-            Behaviour::Stall => stream.write_all(half).and_then(|()| wait_for_end(reader)),
-            Behaviour::Hang => wait_for_end(reader),
+        let write = |bytes: &[u8]| reader.get_ref().get_ref().write_all(bytes).is_ok();
+        let (over_at, is_written) = match behaviour {
+            Behaviour::Serve => (open_at, write(complete.as_bytes())),
+            Behaviour::Twice => (open_at, write((complete.clone() + &complete).as_bytes())),
+            Behaviour::Miss => (open_at, write(format!("EN {}\r\n", received.id).as_bytes())),
+            Behaviour::Busy => (open_at, write(self.rejection().as_bytes())),
+            Behaviour::Fail => (open_at, write(self.failure().as_bytes())),
+            Behaviour::Trickle => write_slowly(reader, complete.as_bytes()),
+            Behaviour::BreakOff => (open_at, write(half)),
+            Behaviour::Stall if !write(half) => (open_at, false),
+            Behaviour::Stall | Behaviour::Hang => {
+                (reader.get_mut().wait_for_end(READ_TIMEOUT).unwrap_or_else(Instant::now), false)
+            }
         };
-        match behaviour {
-            Behaviour::Miss | Behaviour::Busy if written.is_ok() => AttemptEnd::NeverRan,
-            Behaviour::Serve | Behaviour::Trickle | Behaviour::Twice if written.is_ok() => {
+        let end = match behaviour {
+            Behaviour::Miss | Behaviour::Busy if is_written => AttemptEnd::NeverRan,
+            Behaviour::Serve | Behaviour::Trickle | Behaviour::Twice if is_written => {
                 AttemptEnd::Served(value)
             }
             _ => AttemptEnd::MayHaveRun,
-        }
+        };
+        (over_at, end)
     }
 
     fn complete_response(&self, received: &Received, value: &str) -> String {
@@ -185,7 +204,8 @@
     }
 
     /// The next request; none at the end of the connection.
-    fn read(&self, reader: &mut impl BufRead) -> std::io::Result<Option<Received>> {
+    fn read(&self, reader: &mut BufReader<ArrivalStream>) -> std::io::Result<Option<Received>> {
+        reader.get_ref().get_ref().set_read_timeout(Some(READ_TIMEOUT))?;
         let mut head = String::new();
         while reader.read_line(&mut head)? > 0 {
             if self.kind == Kind::Origin && !head.ends_with("\r\n\r\n") {
@@ -219,17 +239,23 @@
     head.lines().find_map(|line| line.strip_prefix(begins)).map(str::to_owned)
 }
 
-fn write_slowly(mut stream: &TcpStream, bytes: &[u8]) -> std::io::Result<()> {
-    for byte in bytes {
-        stream.write_all(std::slice::from_ref(byte))?;
-        thread::sleep(TRICKLE_INTERVAL);
+/// Writes a response byte by byte; returns a moment before its end, and whether it is complete.
+fn write_slowly(reader: &mut BufReader<ArrivalStream>, bytes: &[u8]) -> (Instant, bool) {
+    let mut open_at = Instant::now();
+    for (number, byte) in bytes.iter().enumerate() {
+        if number > 0 {
+            if let Some(ended_at) = reader.get_mut().wait_for_end(TRICKLE_INTERVAL) {
+                return (ended_at, false);
+            }
+            let checked_at = Instant::now();
+            if !reader.get_ref().is_open() {
+                return (open_at, false);
+            }
+            open_at = checked_at;
+        }
+        if reader.get_ref().get_ref().write_all(std::slice::from_ref(byte)).is_err() {
+            return (open_at, false);
+        }
     }
-    Ok(())
-}
-
-/// Reads until the proxy ends the connection.
-fn wait_for_end(reader: &mut impl Read) -> std::io::Result<()> {
-    let mut bytes = [0; 256];
-    while reader.read(&mut bytes)? > 0 {}
-    Err(ErrorKind::UnexpectedEof.into())
+    (open_at, true)
 }
--- a/crates/experiments/src/soak/clients.rs
+++ b/crates/experiments/src/soak/clients.rs
@@ -2,6 +2,7 @@
 //! drains, and sends one request after the other. Read [`Client::run`] first.
 
 use super::record::{Answer, Class, Record, Seen};
+use pinetrail_test_harness::ArrivalStream;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -46,7 +47,7 @@
 
 /// An open connection.
 struct Connection {
-    stream: BufReader<TcpStream>,
+    stream: BufReader<ArrivalStream>,
     requests: usize,
 }
 
@@ -58,7 +59,7 @@
         let mut count = 0;
         while Instant::now() < self.ends {
             thread::sleep(Duration::from_millis(random.random_range(0..40)));
-            let Some(mut open) = connection.take().or_else(|| self.connect()) else {
+            let Some(open) = connection.take().or_else(|| self.connect()) else {
                 thread::sleep(RECONNECT_DELAY);
                 continue;
             };
@@ -67,16 +68,14 @@
             let disconnects_after = random
                 .random_ratio(1, DISCONNECTS_ONE_IN)
                 .then(|| Duration::from_millis(random.random_range(0..request.wait_ms)));
-            if self.send(&mut open, &request, disconnects_after) {
-                connection = Some(open);
-            }
+            connection = self.send(open, &request, disconnects_after);
         }
     }
 
     fn connect(&self) -> Option<Connection> {
         let stream = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Connection { stream: BufReader::new(stream), requests: 0 })
+        Some(Connection { stream: BufReader::new(ArrivalStream::new(stream).ok()?), requests: 0 })
     }
 
     fn request(&self, count: usize, random: &mut StdRng) -> Request {
@@ -96,35 +95,42 @@
         Request { id, class, wait_ms, command }
     }
 
-    /// Sends a request and reads its response; returns whether the connection is still usable.
-    fn send(&self, open: &mut Connection, request: &Request, disconnects_after: Option<Duration>) -> bool {
-        // The time of a request counts from before its last byte is written.
+    /// Sends a request and reads its response; returns the connection if it is still usable.
+    fn send(
+        &self,
+        mut open: Connection,
+        request: &Request,
+        disconnects_after: Option<Duration>,
+    ) -> Option<Connection> {
         let sent_at = Instant::now();
-        if open.stream.get_mut().write_all(request.command.as_bytes()).is_err() {
-            return false;
-        }
+        open.stream.get_ref().get_ref().write_all(request.command.as_bytes()).ok()?;
         open.requests += 1;
         let sent = Seen::Sent {
             proxy: self.proxy,
             class: request.class,
             wait_ms: request.wait_ms,
             is_first_on_connection: open.requests == 1,
+            write_time: sent_at.elapsed(),
         };
         self.record.note(sent_at, &request.id, sent);
         let read_until = sent_at + disconnects_after.unwrap_or(READ_TIMEOUT);
-        match read_response(&mut open.stream, read_until) {
+        let response = read_response(&mut open.stream, read_until);
+        let arrived = open.stream.get_ref().last_arrival();
+        match response {
             Ok(answer) => {
-                self.record.note(Instant::now(), &request.id, Seen::Answered(answer));
-                true
+                self.record.note(arrived, &request.id, Seen::Answered(answer));
+                Some(open)
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock && disconnects_after.is_some() => {
-                self.record.note(Instant::now(), &request.id, Seen::Left);
-                false
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                drop(open);
+                if disconnects_after.is_some() {
+                    self.record.note(Instant::now(), &request.id, Seen::Left);
+                }
+                None
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
             Err(_) => {
-                self.record.note(Instant::now(), &request.id, Seen::Ended);
-                false
+                self.record.note(arrived, &request.id, Seen::Ended);
+                None
             }
         }
     }
@@ -134,9 +140,9 @@
 ///
 /// # Errors
 /// [`ErrorKind::WouldBlock`] if it is not complete in time, others if the connection ended.
-fn read_response(stream: &mut BufReader<TcpStream>, until: Instant) -> std::io::Result<Answer> {
+fn read_response(stream: &mut BufReader<ArrivalStream>, until: Instant) -> std::io::Result<Answer> {
     let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    stream.get_ref().set_read_timeout(Some(left))?;
+    stream.get_ref().get_ref().set_read_timeout(Some(left))?;
     let mut line = String::new();
     if stream.read_line(&mut line)? == 0 {
         return Err(ErrorKind::UnexpectedEof.into());
--- a/crates/experiments/src/soak/judge.rs
+++ b/crates/experiments/src/soak/judge.rs
@@ -1,10 +1,14 @@
 //! The rules of a soak, checked on the observations of clients and backends: [`judge`]. It does not
 //! use the proxies' state or decisions.
 //!
-//! Recorded times have an error of this program's own delays, which it measures and adds to each
-//! limit.
+//! Arrivals are as the kernel recorded them, and each other time is on the side that a proxy cannot
+//! be blamed for. Two errors are measured and added to the limits that they concern: the delays of
+//! this program, where it signals or publishes, and the time by which it stopped a proxy for longer
+//! than a proxy must tolerate.
 
-use super::record::{Answer, AttemptEnd, Change, Class, Record, Seen};
+use super::record::{Answer, AttemptEnd, Change, Class, Record, Seen, Stop};
+use super::request_logs::RequestLogs;
+use super::HOLD_UP_DURATION;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::{Duration, Instant};
@@ -35,6 +39,9 @@
 /// A SIGKILL excuses missing responses only to requests sent up to this long after SIGTERM.
 const KILL_EXCUSES_UNTIL: Duration = Duration::from_millis(700);
 
+/// Changes of proxies, backends and discovery are shown from this long before a request.
+const CHANGES_SHOWN_BEFORE: Duration = Duration::from_secs(8);
+
 /// A rule of the soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Rule {
@@ -84,19 +91,25 @@
     pub served: usize,
     /// Final responses after the slack of a short timeout.
     pub late_after_short_waits: usize,
+    /// The longest time between the arrival of an attempt and its read by a backend of this program.
+    pub longest_read_delay: Duration,
     /// The violations.
     pub violations: Vec<Violation>,
 }
 
 struct Attempt {
     backend: usize,
+    budget_ms: u64,
     arrived: Instant,
     over: Option<(Instant, AttemptEnd)>,
 }
 
 /// The observations of one request.
 struct Request {
+    /// Before its first byte was written.
     sent: Instant,
+    /// After its last byte was written. Its time counts from some moment between the two.
+    written: Instant,
     proxy: usize,
     class: Class,
     wait: Duration,
@@ -107,18 +120,28 @@
     attempts: BTreeMap<u64, Attempt>,
 }
 
+impl Request {
+    /// The latest moment at which its client's wait ended.
+    fn deadline(&self) -> Instant {
+        self.written + self.wait
+    }
+}
+
 struct Judge<'a> {
     began: Instant,
     ended: Instant,
     changes: &'a [(Instant, Change)],
     delays: &'a [(Instant, Duration)],
     seen: &'a [(Instant, String, Seen)],
+    stops: &'a [Stop],
+    logs: &'a RequestLogs,
     verdict: Verdict,
 }
 
 /// Judges a run that lasted from `began` to `ended`.
-pub(super) fn judge(record: &Record, began: Instant, ended: Instant) -> Verdict {
-    let (seen, changes, delays) = (record.requests(), record.changes(), record.delays());
+pub(super) fn judge(record: &Record, logs: &RequestLogs, began: Instant, ended: Instant) -> Verdict {
+    let (seen, changes, delays, stops) =
+        (record.requests(), record.changes(), record.delays(), record.stops());
     let requests = index(&seen);
     let mut judge = Judge {
         began,
@@ -126,20 +149,28 @@
         changes: &changes,
         delays: &delays,
         seen: &seen,
+        stops: &stops,
+        logs,
         verdict: Verdict { requests: requests.len(), ..Verdict::default() },
     };
     for (id, request) in &requests {
         judge.judge(id, request);
     }
+    let read_delay = |(_, _, seen): &(Instant, String, Seen)| match seen {
+        Seen::Arrived { read_late, .. } => Some(*read_late),
+        _ => None,
+    };
+    judge.verdict.longest_read_delay = seen.iter().filter_map(read_delay).max().unwrap_or_default();
     judge.verdict
 }
 
 fn index(seen: &[(Instant, String, Seen)]) -> BTreeMap<String, Request> {
     let mut requests: BTreeMap<String, Request> = BTreeMap::new();
     for (at, id, seen) in seen {
-        if let Seen::Sent { proxy, class, wait_ms, is_first_on_connection } = seen {
+        if let Seen::Sent { proxy, class, wait_ms, is_first_on_connection, write_time } = seen {
             let request = Request {
                 sent: *at,
+                written: *at + *write_time,
                 proxy: *proxy,
                 class: *class,
                 wait: Duration::from_millis(*wait_ms),
@@ -159,8 +190,9 @@
             Seen::Answered(answer) => request.answered = Some((*at, answer.clone())),
             Seen::Ended => request.ended = Some(*at),
             Seen::Left => request.left = Some(*at),
-            Seen::Arrived { attempt, backend, .. } => {
-                request.attempts.insert(*attempt, Attempt { backend: *backend, arrived: *at, over: None });
+            Seen::Arrived { attempt, backend, budget_ms, .. } => {
+                let (backend, budget_ms) = (*backend, *budget_ms);
+                request.attempts.insert(*attempt, Attempt { backend, budget_ms, arrived: *at, over: None });
             }
             Seen::AttemptOver { attempt, end } => {
                 if let Some(attempt) = request.attempts.get_mut(attempt) {
@@ -182,11 +214,12 @@
     }
 
     fn judge_response(&mut self, id: &str, request: &Request) {
-        let deadline = request.sent + request.wait;
+        let deadline = request.deadline();
         match (&request.answered, request.ended) {
             (Some((at, answer)), _) => {
                 self.judge_answer(id, request, answer);
-                let late = at.saturating_duration_since(deadline).saturating_sub(self.tolerance(*at));
+                let excess = self.excess_stop(request.proxy, request.sent, *at);
+                let late = at.saturating_duration_since(deadline).saturating_sub(CLOCK_TOLERANCE + excess);
                 let has_room = request.wait.as_millis() >= u128::from(LONG_WAIT_MS);
                 if late > LOST_AFTER {
                     self.report(Rule::Unanswered, id);
@@ -229,11 +262,13 @@
     /// A connection ended without a response. A request that the proxy did not read can be sent
     /// again by its client, and is not lost.
     fn judge_end(&mut self, id: &str, request: &Request, at: Instant) {
-        let tolerance = self.tolerance(at);
         let proxy = request.proxy;
-        let killed = self
-            .changes_of(Change::Killed(proxy))
-            .find(|killed| *killed + tolerance >= request.sent && *killed <= at + tolerance);
+        // The process ended at some moment between the two.
+        let kills = self.changes_of(Change::Killed(proxy)).zip(self.changes_of(Change::Ended(proxy)));
+        let killed = kills
+            .filter(|(killed, ended)| *ended >= request.sent && *killed <= at)
+            .map(|(killed, _)| killed)
+            .next();
         let terminated =
             self.changes_of(Change::Terminated(proxy)).filter(|term| *term <= request.sent).last();
         let started = self.changes_of(Change::Started(proxy)).filter(|start| *start <= request.sent).last();
@@ -255,34 +290,33 @@
     }
 
     fn judge_attempt(&mut self, id: &str, request: &Request, attempt: &Attempt) {
-        let tolerance = self.tolerance(attempt.arrived);
-        if request.left.is_some_and(|left| attempt.arrived > left + CANCEL_GRACE + tolerance) {
+        let excess = self.excess_stop(request.proxy, request.sent, attempt.arrived);
+        if request.left.is_some_and(|left| attempt.arrived > left + CANCEL_GRACE + CLOCK_TOLERANCE + excess) {
             self.report(Rule::AfterClientLeft, id);
         }
         let answered = request.answered.as_ref().map(|(at, _)| *at);
-        if answered.is_some_and(|answered| attempt.arrived > answered + tolerance) {
+        if answered.is_some_and(|answered| attempt.arrived > answered + CLOCK_TOLERANCE) {
             self.report(Rule::AfterResponse, id);
         }
+        let tolerance = self.tolerance(attempt.arrived);
         let listed_at = self.drain_listed_at(request.proxy, attempt.backend, attempt.arrived);
         if listed_at.is_some_and(|listed_at| attempt.arrived > listed_at + DRAIN_GRACE + tolerance) {
             self.report(Rule::Draining, id);
         }
-        let budget_ms = self.budget_ms(id, attempt.arrived);
-        let left = (request.sent + request.wait).saturating_duration_since(attempt.arrived);
-        if budget_ms
-            .is_some_and(|budget_ms| Duration::from_millis(budget_ms) > left + BUDGET_SLACK + tolerance)
-        {
+        let left = request.deadline().saturating_duration_since(attempt.arrived);
+        if Duration::from_millis(attempt.budget_ms) > left + BUDGET_SLACK + CLOCK_TOLERANCE + excess {
             self.report(Rule::BudgetTooLong, id);
         }
     }
 
     fn judge_repeats(&mut self, id: &str, request: &Request) {
-        let attempts: Vec<&Attempt> = request.attempts.values().collect();
+        let mut attempts: Vec<&Attempt> = request.attempts.values().collect();
+        // The numbers of attempts are in the order in which threads of different backends read them.
+        attempts.sort_by_key(|attempt| attempt.arrived);
         for (number, later) in attempts.iter().enumerate().skip(1) {
-            let tolerance = self.tolerance(later.arrived);
             let earlier = &attempts[..number];
             let is_out = |attempt: &&&Attempt| {
-                attempt.over.as_ref().is_none_or(|(over, _)| *over > later.arrived + tolerance)
+                attempt.over.as_ref().is_none_or(|(over, _)| *over > later.arrived + CLOCK_TOLERANCE)
             };
             if earlier.iter().any(|attempt| is_out(&attempt)) {
                 self.report(Rule::ConcurrentAttempts, id);
@@ -292,7 +326,8 @@
             if request.class == Class::Confirm {
                 self.report(Rule::UnsafeRepeat, id);
             }
-            let window_ends = first.arrived + DEDUPLICATION_WINDOW + WINDOW_SLACK + tolerance;
+            let excess = self.excess_stop(request.proxy, first.arrived, later.arrived);
+            let window_ends = first.arrived + DEDUPLICATION_WINDOW + WINDOW_SLACK + CLOCK_TOLERANCE + excess;
             if request.class == Class::Put && later.arrived > window_ends {
                 self.report(Rule::AfterWindow, id);
             }
@@ -300,12 +335,14 @@
     }
 
     /// The latest time at which a proxy received the drain of a backend, if it is draining at this
-    /// moment. A process that has started since receives it with its first watch. After an outage
-    /// of discovery a proxy has [`LISTED_AFTER_OUTAGE`].
+    /// moment. A process that has started since receives it with its first watch, and may serve
+    /// before this program knows that it is ready. After an outage of discovery a proxy has
+    /// [`LISTED_AFTER_OUTAGE`].
     fn drain_listed_at(&self, proxy: usize, backend: usize, at: Instant) -> Option<Instant> {
         let since = self.drains_since(backend, at)?;
         let last = |change| self.changes_of(change).filter(|changed| *changed <= at).last();
-        let started = last(Change::Started(proxy)).map_or(since, |started| started.max(since));
+        let process_since = last(Change::Started(proxy)).max(last(Change::Ended(proxy)));
+        let started = process_since.map_or(since, |started| started.max(since));
         match (last(Change::DiscoveryDown), last(Change::DiscoveryUp)) {
             (None, _) => Some(started),
             (Some(down), Some(up)) if up > down && up < since => Some(started),
@@ -325,14 +362,15 @@
         self.changes.iter().filter(move |(_, change)| *change == wanted).map(|(at, _)| *at)
     }
 
-    fn budget_ms(&self, id: &str, arrived: Instant) -> Option<u64> {
-        self.seen.iter().find_map(|(at, seen_id, seen)| match seen {
-            Seen::Arrived { budget_ms, .. } if *at == arrived && seen_id == id => Some(*budget_ms),
-            _ => None,
-        })
+    /// By how much this program stopped a proxy for longer than a proxy must tolerate, in stops that
+    /// fall into a span.
+    fn excess_stop(&self, proxy: usize, from: Instant, until: Instant) -> Duration {
+        let meets = |stop: &&Stop| stop.proxy == proxy && stop.began <= until && stop.ended >= from;
+        let stops = self.stops.iter().filter(meets);
+        stops.map(|stop| stop.ended.duration_since(stop.began).saturating_sub(HOLD_UP_DURATION)).sum()
     }
 
-    /// The error of the times around a moment.
+    /// The error of a time at which this program signalled or published something.
     fn tolerance(&self, at: Instant) -> Duration {
         let from = at.checked_sub(DELAY_WINDOW).unwrap_or(self.began);
         let first = self.delays.partition_point(|(delayed, _)| *delayed < from);
@@ -342,12 +380,37 @@
     }
 
     fn report(&mut self, rule: Rule, id: &str) {
+        let timeline = self.timeline(id);
+        self.verdict.violations.push(Violation { rule, request: id.to_owned(), timeline });
+    }
+
+    /// All that is known of a request in the order of time: observations, the proxy's log, and the
+    /// changes and stops around them.
+    fn timeline(&self, id: &str) -> String {
+        let own = self.seen.iter().filter(|(_, seen_id, _)| seen_id == id);
+        let mut lines: Vec<(Instant, String)> = own.map(|(at, _, seen)| (*at, format!("{seen:?}"))).collect();
+        lines.extend(self.logs.lines_of(id).into_iter().map(|line| (line.at, format!("log: {}", line.text))));
+        let first = lines.iter().map(|(at, _)| *at).min().unwrap_or(self.began);
+        let last = lines.iter().map(|(at, _)| *at).max().unwrap_or(self.ended);
+        let from = first.checked_sub(CHANGES_SHOWN_BEFORE).unwrap_or(first);
+        let changes = self.changes.iter().filter(|(at, _)| *at >= from && *at <= last);
+        lines.extend(changes.map(|(at, change)| (*at, format!("change: {change:?}"))));
+        let stops = self.stops.iter().filter(|stop| stop.ended >= first && stop.began <= last);
+        lines.extend(stops.map(|stop| {
+            let lasted = stop.ended.duration_since(stop.began);
+            (stop.began, format!("proxy {} is stopped for {lasted:?}", stop.proxy))
+        }));
+        lines.sort_by_key(|(at, _)| *at);
+        let began = self.began;
         let mut timeline = String::new();
-        for (at, _, seen) in self.seen.iter().filter(|(_, seen_id, _)| seen_id == id) {
-            let at = at.saturating_duration_since(self.began).as_secs_f64();
+        for (at, line) in lines {
+            let at = at.saturating_duration_since(began).as_secs_f64();
             // Writing to a string does not fail.
-            let _ = writeln!(timeline, "    {at:8.3} {seen:?}");
+            let _ = writeln!(timeline, "    {at:8.4} {line}");
         }
-        self.verdict.violations.push(Violation { rule, request: id.to_owned(), timeline });
+        timeline
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/experiments/src/soak/judge/tests.rs
@@ -0,0 +1,147 @@
+use super::*;
+use std::path::PathBuf;
+
+const ID: &str = "O0.0.1";
+const PROXY: usize = 0;
+const NODE: usize = 1;
+/// How long the client of these tests waits.
+const WAIT_MS: u64 = 40;
+
+/// Observations of one request, at times after its beginning.
+struct Case {
+    began: Instant,
+    record: Record,
+}
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+impl Case {
+    fn new() -> Case {
+        Case { began: Instant::now(), record: Record::default() }
+    }
+
+    fn seen(&self, at_ms: u64, seen: Seen) {
+        self.record.note(self.began + ms(at_ms), ID, seen);
+    }
+
+    fn sent(&self, at_ms: u64) {
+        let write_time = Duration::ZERO;
+        let (proxy, class, wait_ms) = (PROXY, Class::Read, WAIT_MS);
+        self.seen(at_ms, Seen::Sent { proxy, class, wait_ms, is_first_on_connection: true, write_time });
+    }
+
+    fn arrived(&self, at_ms: u64, attempt: u64, budget_ms: u64) {
+        let read_late = Duration::ZERO;
+        self.seen(at_ms, Seen::Arrived { attempt, backend: NODE, budget_ms, read_late });
+    }
+
+    fn over(&self, at_ms: u64, attempt: u64) {
+        self.seen(at_ms, Seen::AttemptOver { attempt, end: AttemptEnd::NeverRan });
+    }
+
+    fn changed(&self, at_ms: u64, change: Change) {
+        self.record.note_change_at(self.began + ms(at_ms), change);
+    }
+
+    fn broken_rules(&self) -> Vec<Rule> {
+        let logs = RequestLogs::in_folder(PathBuf::from("/nonexistent"));
+        let verdict = judge(&self.record, &logs, self.began, self.began + Duration::from_secs(20));
+        verdict.violations.iter().map(|violation| violation.rule).collect()
+    }
+}
+
+/// Guards against a proxy that still writes an attempt after its client has its response.
+#[test]
+fn an_attempt_60_ms_after_the_response_is_a_violation() {
+    let case = Case::new();
+    case.sent(0);
+    case.seen(34, Seen::Answered(Answer::Rejected));
+    case.arrived(94, 1, 1);
+    case.over(95, 1);
+
+    assert_eq!(case.broken_rules(), [Rule::AfterResponse]);
+}
+
+#[test]
+fn attempts_are_ordered_by_their_arrival() {
+    let case = Case::new();
+    case.sent(0);
+    // The thread that read the first one was late, so that the second has the lower number.
+    case.arrived(1, 2, 34);
+    case.over(5, 2);
+    case.arrived(6, 1, 28);
+    case.over(9, 1);
+    case.seen(10, Seen::Answered(Answer::Rejected));
+
+    assert_eq!(case.broken_rules(), []);
+}
+
+#[test]
+fn two_attempts_at_once_are_a_violation() {
+    let case = Case::new();
+    case.sent(0);
+    case.arrived(1, 1, 34);
+    case.arrived(2, 2, 33);
+    case.over(30, 1);
+    case.over(5, 2);
+    case.seen(6, Seen::Answered(Answer::Rejected));
+
+    assert_eq!(case.broken_rules(), [Rule::ConcurrentAttempts]);
+}
+
+#[test]
+fn a_longer_stop_than_a_proxy_must_tolerate_excuses_its_excess_only() {
+    for (arrived_ms, broken) in [(170, vec![]), (330, vec![Rule::BudgetTooLong])] {
+        let case = Case::new();
+        case.sent(0);
+        let stop = Stop { proxy: PROXY, began: case.began, ended: case.began + ms(180) };
+        case.record.note_stop(stop);
+        // 34 ms were left when it was encoded.
+        let budget_ms = if broken.is_empty() { 34 } else { 210 };
+        case.arrived(arrived_ms, 1, budget_ms);
+        case.over(arrived_ms + 1, 1);
+        case.seen(arrived_ms + 1, Seen::Answered(Answer::Rejected));
+
+        assert_eq!(case.broken_rules(), broken, "at {arrived_ms} ms");
+    }
+}
+
+/// Seed 81036 beside load: the new process served before this program knew that it was ready.
+#[test]
+fn a_new_process_may_use_a_draining_node_until_its_grace_is_over() {
+    let drained_and_restarted = |sent_ms| {
+        let case = Case::new();
+        case.changed(0, Change::Draining(NODE));
+        case.changed(3290, Change::Killed(PROXY));
+        case.changed(3300, Change::Ended(PROXY));
+        case.changed(3350, Change::Started(PROXY));
+        case.sent(sent_ms);
+        case.arrived(sent_ms + 1, 1, 34);
+        case.over(sent_ms + 2, 1);
+        case.seen(sent_ms + 3, Seen::Answered(Answer::Rejected));
+        case.broken_rules()
+    };
+
+    assert_eq!(drained_and_restarted(3280), [Rule::Draining], "by the old process");
+    assert_eq!(drained_and_restarted(3330), [], "by the new one, before it was known to be ready");
+    assert_eq!(drained_and_restarted(3400), [], "by the new one");
+    assert_eq!(drained_and_restarted(5600), [Rule::Draining], "by the new one, too late");
+}
+
+/// Seed 81036 beside load: SIGKILL took effect 30 ms after this program had noted it.
+#[test]
+fn a_kill_excuses_what_was_sent_until_the_process_had_ended() {
+    let cut_off = |sent_ms| {
+        let case = Case::new();
+        case.changed(0, Change::Killed(PROXY));
+        case.changed(35, Change::Ended(PROXY));
+        case.sent(sent_ms);
+        case.seen(sent_ms + 1, Seen::Ended);
+        case.broken_rules()
+    };
+
+    assert_eq!(cut_off(31), []);
+    assert_eq!(cut_off(40), [Rule::ClosedUnanswered]);
+}
--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -2,13 +2,15 @@
 //! checked on what clients and backends observe. Read [`run`] first.
 //!
 //! `plan` derives the faults from a seed, `clients` and `backends` make traffic and record their
-//! observations in a `record`, `judge` checks these against the rules.
+//! observations in a `record`, `judge` checks these against the rules, `request_logs` has what the
+//! proxies logged.
 
 mod backends;
 mod clients;
 mod judge;
 mod plan;
 mod record;
+mod request_logs;
 
 use crate::error::ExperimentError;
 use backends::{Backend, Kind};
@@ -17,7 +19,8 @@
 use judge::{Verdict, Violation, DEDUPLICATION_WINDOW};
 use pinetrail_test_harness::{catalog, program, ProxyFixture, StaticDiscovery};
 use plan::{Fault, Plan};
-use record::{Change, Record};
+use record::{Change, Record, Stop};
+use request_logs::RequestLogs;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
@@ -63,10 +66,12 @@
 pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
     let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
     program(own, &["proxy"]);
+    let logs = RequestLogs::keep().map_err(ExperimentError::Soak)?;
     let mut passed = true;
     for seed in options.first..=options.last {
         let plan = Plan::from_seed(seed, Duration::from_secs(options.seconds));
-        let verdict = play(&plan)?;
+        logs.clear();
+        let verdict = play(&plan, &logs)?;
         print_verdict(&plan, &verdict, options.seconds);
         passed &= verdict.violations.is_empty();
     }
@@ -77,8 +82,8 @@
     let broken = verdict.violations.len();
     let (requests, served, late) = (verdict.requests, verdict.served, verdict.late_after_short_waits);
     println!(
-        "seed {:3}: {}: {requests} requests, {served} served, {late} late after short waits, {broken} violations",
-        plan.seed, plan.summary
+        "seed {:3}: {}: {requests} requests, {served} served, {late} late after short waits, {broken} violations; backends read up to {} ms late",
+        plan.seed, plan.summary, verdict.longest_read_delay.as_millis()
     );
     for Violation { rule, request, timeline } in verdict.violations.iter().take(SHOWN_VIOLATIONS) {
         println!("  {rule:?} by request {request}\n{timeline}");
@@ -98,7 +103,7 @@
     generation: u64,
 }
 
-fn play(plan: &Plan) -> Result<Verdict, ExperimentError> {
+fn play(plan: &Plan, logs: &RequestLogs) -> Result<Verdict, ExperimentError> {
     let record = Arc::<Record>::default();
     let mut stage = Stage::new(plan, &record)?;
     let began = Instant::now();
@@ -118,7 +123,7 @@
     }
     thread::sleep(WIND_DOWN_TIME.saturating_sub(ends.elapsed()));
     let _ = watcher.join();
-    Ok(judge::judge(&record, began, Instant::now()))
+    Ok(judge::judge(&record, logs, began, Instant::now()))
 }
 
 fn entry(backend: &Backend, number: usize, lifecycle: &str) -> String {
@@ -169,9 +174,11 @@
     fn inject(&mut self, fault: Fault) {
         match fault {
             Fault::HoldUp(proxy) => {
+                let began = Instant::now();
                 self.proxies[proxy].signal("STOP");
                 thread::sleep(HOLD_UP_DURATION);
                 self.proxies[proxy].signal("CONT");
+                self.record.note_stop(Stop { proxy, began, ended: Instant::now() });
             }
             Fault::Reload(proxy) => {
                 let fixture = &self.proxies[proxy];
@@ -206,14 +213,18 @@
         }
         thread::sleep(TERM_TO_KILL.saturating_sub(HOLD_UP_DURATION).saturating_sub(terminated.elapsed()));
         // The last responses must be written before a hold-up that lasts until SIGKILL.
+        let began = Instant::now();
         fixture.signal("STOP");
         thread::sleep(TERM_TO_KILL.saturating_sub(terminated.elapsed()));
+        self.record.note_stop(Stop { proxy, began, ended: Instant::now() });
         self.kill(proxy);
     }
 
     fn kill(&mut self, proxy: usize) {
         self.record.note_change(Change::Killed(proxy));
-        self.proxies[proxy].restart();
+        self.proxies[proxy].kill();
+        self.record.note_change(Change::Ended(proxy));
+        self.proxies[proxy].start_again();
         self.record.note_change(Change::Started(proxy));
     }
 
--- a/crates/experiments/src/soak/record.rs
+++ b/crates/experiments/src/soak/record.rs
@@ -40,17 +40,18 @@
 /// One observation.
 #[derive(Clone, Debug)]
 pub(super) enum Seen {
-    /// The last byte of a request was written.
-    Sent { proxy: usize, class: Class, wait_ms: u64, is_first_on_connection: bool },
-    /// Its final response was read completely.
+    /// A client began to write a request, and had written its last byte after `write_time`.
+    Sent { proxy: usize, class: Class, wait_ms: u64, is_first_on_connection: bool, write_time: Duration },
+    /// The last byte of its final response arrived.
     Answered(Answer),
     /// Its connection ended without one.
     Ended,
-    /// Its client closed the connection.
+    /// Its client has closed the connection.
     Left,
     /// The last byte of an attempt arrived at a backend.
-    Arrived { attempt: u64, backend: usize, budget_ms: u64 },
-    /// An attempt is over.
+    Arrived { attempt: u64, backend: usize, budget_ms: u64, read_late: Duration },
+    /// An attempt ended at this moment or later: the backend began to write the end of its
+    /// response, or the end of the connection arrived.
     AttemptOver { attempt: u64, end: AttemptEnd },
 }
 
@@ -59,8 +60,10 @@
 pub(super) enum Change {
     /// A proxy was sent SIGTERM.
     Terminated(usize),
-    /// A proxy was sent SIGKILL.
+    /// A proxy is about to be sent SIGKILL.
     Killed(usize),
+    /// A proxy that was killed has ended. From now on another process has its place.
+    Ended(usize),
     /// A proxy that was killed is ready again.
     Started(usize),
     /// A backend is listed as draining.
@@ -75,6 +78,17 @@
     Crowd(usize),
 }
 
+/// A time for which this program stopped a proxy.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stop {
+    /// The proxy.
+    pub proxy: usize,
+    /// Before it was sent SIGSTOP.
+    pub began: Instant,
+    /// After it was sent SIGCONT, or SIGKILL.
+    pub ended: Instant,
+}
+
 /// All observations of one run.
 #[derive(Debug, Default)]
 pub(super) struct Record {
@@ -82,6 +96,8 @@
     requests: Mutex<Vec<(Instant, String, Seen)>>,
     /// Guards the changes.
     changes: Mutex<Vec<(Instant, Change)>>,
+    /// Guards the times for which proxies were stopped.
+    stops: Mutex<Vec<Stop>>,
     /// Guards by how much the sleeps of this program were too long.
     delays: Mutex<Vec<(Instant, Duration)>>,
     /// Guards the number of attempts.
@@ -99,7 +115,17 @@
 
     /// Records a change at the present time.
     pub(super) fn note_change(&self, change: Change) {
-        self.changes.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), change));
+        self.note_change_at(Instant::now(), change);
+    }
+
+    /// Records a change at a time.
+    pub(super) fn note_change_at(&self, at: Instant, change: Change) {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner).push((at, change));
+    }
+
+    /// Records a time for which a proxy was stopped.
+    pub(super) fn note_stop(&self, stop: Stop) {
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner).push(stop);
     }
 
     /// A number for an attempt.
@@ -132,6 +158,11 @@
         self.changes.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The times for which proxies were stopped.
+    pub(super) fn stops(&self) -> Vec<Stop> {
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The delays of this program, in the order of time.
     pub(super) fn delays(&self) -> Vec<(Instant, Duration)> {
         self.delays.lock().unwrap_or_else(PoisonError::into_inner).clone()
