Timers count from the decision, not from when the worker gets to them

What callers saw: in a burst, final responses later than planned by as long as the burst kept the worker; from 50 ms on the guard ended the request, and its client got a failure in place of a rejection that is safe to send again.

Cause: a timer's coroutine counted its delay from its first run, which waits in the worker's queue.

Fix: timers take the moment at which they are due, fixed when the decision is applied. The same fault in the timers that belong to no request is mended with it.

--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::{Arc, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One event and the events that follow from it, handled with the dispatcher locked.
 struct EventRun<'a> {
@@ -114,10 +114,11 @@
             }
             Action::Fail { request, reason } => self.give_up(request, Response::Failed, reason),
             Action::SetTimer { delay, token } => {
-                self.effects.push(SideEffect::StartTimer { delay: timer_duration(delay), token });
+                let due = Instant::now() + timer_duration(delay);
+                self.effects.push(SideEffect::StartTimer { due, token });
             }
             Action::SetRequestTimer { request, delay, token } => {
-                self.start_request_timer(request, timer_duration(delay), token);
+                self.start_request_timer(request, Instant::now() + timer_duration(delay), token);
             }
             Action::Subscribe => self.effects.push(SideEffect::Subscribe),
         }
@@ -129,14 +130,12 @@
 
     /// Starts a timer that is cancelled with its request, so that timers of finished requests do
     /// not accumulate.
-    fn start_request_timer(&self, id: RequestId, delay: Duration, token: u64) {
+    fn start_request_timer(&self, id: RequestId, due: Instant, token: u64) {
         let pending = self.state.requests.get(&id).and_then(|request| request.pending.as_ref());
         if let Some(pending) = pending {
             let dispatcher = Arc::clone(self.dispatcher);
-            pending.timers.spawn(move |timer| {
-                if timer.sleep(delay) {
-                    dispatcher.handle_event(dispatcher.lock(), Event::Timer(token));
-                }
+            pending.timers.run_at(due, move || {
+                dispatcher.handle_event(dispatcher.lock(), Event::Timer(token));
             });
         }
     }
--- a/src/net/dispatcher/side_effect.rs
+++ b/src/net/dispatcher/side_effect.rs
@@ -7,7 +7,7 @@
 use crate::interface::Event;
 use crate::net::timer;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::Instant;
 
 /// An effect to apply once the dispatcher's lock is released.
 pub(super) enum SideEffect {
@@ -15,10 +15,10 @@
     Respond(PendingResponse, Response),
     /// Pass a command to the backend service.
     Command(BackendCommand),
-    /// Hand the module a timer event after this delay.
+    /// Hand the module a timer event.
     StartTimer {
-        /// The time until the event.
-        delay: Duration,
+        /// When.
+        due: Instant,
         /// The module's token for the timer.
         token: u64,
     },
@@ -36,11 +36,9 @@
                 // The receiver is dropped only when the process stops.
                 let _ = self.subscriptions.send(());
             }
-            SideEffect::StartTimer { delay, token } => {
+            SideEffect::StartTimer { due, token } => {
                 let dispatcher = Arc::clone(self);
-                // This coroutine ends after the delay.
-                may::go!(move || {
-                    timer::sleep(delay);
+                timer::run_at(due, move || {
                     dispatcher.handle_event(dispatcher.lock(), Event::Timer(token));
                 });
             }
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -14,7 +14,7 @@
 use pinetrail_policy_consensus::Admission;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Why a request fails without the decision module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -144,9 +144,11 @@
             AbortReason::Expired => {
                 self.counters.requests_expired.increment();
                 request_log::request_expired(id, state.opaque(id));
+                let late = state.requests.get(&id).map_or(Duration::ZERO, |request| request.due.elapsed());
                 log_fault(&format!(
-                    "request {} was open after its time: its timer is lost or late",
-                    state.opaque(id)
+                    "request {} was open {} ms after its time: its timer is lost or late",
+                    state.opaque(id),
+                    late.as_millis()
                 ));
             }
         }
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -1,7 +1,7 @@
 //! Cancellable timers, and sleeps whose lengths suit the coroutine library's timer lists.
 //!
-//! The owner of timers holds a [`TimerSet`]. Each timer runs as a coroutine with a [`Timer`], and
-//! ends at most [`MAX_OVERRUN`] after its set is dropped.
+//! The owner of timers holds a [`TimerSet`]. Each timer runs as a coroutine, and ends at most
+//! [`MAX_OVERRUN`] after its set is dropped.
 
 use super::deadline_stream::round_up_to_ms;
 use may::coroutine;
@@ -21,18 +21,18 @@
     cancelled: Arc<AtomicBool>,
 }
 
-/// One timer of a set.
-#[derive(Debug)]
-pub struct Timer {
-    cancelled: Arc<AtomicBool>,
-}
-
 impl TimerSet {
-    /// Runs a coroutine with a timer of this set. The coroutine ends by itself, since its sleeps
-    /// return once the set is dropped.
-    pub fn spawn(&self, run: impl FnOnce(Timer) + Send + 'static) {
-        let timer = Timer { cancelled: Arc::clone(&self.cancelled) };
-        may::go!(move || run(timer));
+    /// Runs an action at a moment, unless the set was dropped before.
+    ///
+    /// Note: the moment is fixed by the caller. The timer's coroutine may begin long after this
+    /// returns, behind other work of the worker, so a delay that it counted itself would be longer.
+    pub fn run_at(&self, due: Instant, action: impl FnOnce() + Send + 'static) {
+        let cancelled = Arc::clone(&self.cancelled);
+        may::go!(move || {
+            if sleep_until(due, MAX_OVERRUN, || cancelled.load(Ordering::Acquire)) {
+                action();
+            }
+        });
     }
 }
 
@@ -42,20 +42,31 @@
     }
 }
 
-impl Timer {
-    /// Sleeps for a duration; returns false if the set was dropped meanwhile.
-    pub fn sleep(&self, duration: Duration) -> bool {
-        let deadline = Instant::now() + duration;
-        loop {
-            if self.cancelled.load(Ordering::Acquire) {
-                return false;
-            }
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                return true;
-            }
-            coroutine::sleep(sleep_part(remaining.min(MAX_OVERRUN)));
+/// Runs an action at a moment. As with [`TimerSet::run_at`], the caller fixes the moment.
+pub fn run_at(due: Instant, action: impl FnOnce() + Send + 'static) {
+    may::go!(move || {
+        sleep_until(due, Duration::MAX, || false);
+        action();
+    });
+}
+
+/// Sleeps for a duration, in parts of [`sleep_part`].
+pub fn sleep(duration: Duration) {
+    sleep_until(Instant::now() + duration, Duration::MAX, || false);
+}
+
+/// Sleeps until a moment, in parts of at most `longest_part`; returns false if it was cancelled
+/// meanwhile.
+fn sleep_until(due: Instant, longest_part: Duration, is_cancelled: impl Fn() -> bool) -> bool {
+    loop {
+        if is_cancelled() {
+            return false;
+        }
+        let remaining = due.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return true;
         }
+        coroutine::sleep(sleep_part(remaining.min(longest_part)));
     }
 }
 
@@ -69,15 +80,3 @@
     let dropped_bits = (u64::BITS - ms.leading_zeros()).saturating_sub(SIGNIFICANT_BITS);
     Duration::from_millis(ms >> dropped_bits << dropped_bits)
 }
-
-/// Sleeps for a duration, in parts of [`sleep_part`].
-pub fn sleep(duration: Duration) {
-    let deadline = Instant::now() + duration;
-    loop {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        if remaining.is_zero() {
-            return;
-        }
-        coroutine::sleep(sleep_part(remaining));
-    }
-}
