--- a/crates/membership/tests/hard_cases/main.rs
+++ b/crates/membership/tests/hard_cases/main.rs
@@ -6,6 +6,7 @@
 mod names;
 mod partitions;
 mod pauses;
+mod suspicions;
 
 use pinetrail_membership::{Membership, Output, PartitionSide};
 use pinetrail_simulation::fleet::Fleet;
--- /dev/null
+++ b/crates/membership/tests/hard_cases/suspicions.rs
@@ -0,0 +1,81 @@
+//! Every suspicion ends once the network is whole: faults from seeds, several within the time of
+//! one suspicion.
+
+use crate::{five_members, ALL};
+use pinetrail_membership::{Membership, State};
+use pinetrail_simulation::fleet::Fleet;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Each plays other faults.
+const SEEDS: u64 = 2_000;
+/// The faults of one seed.
+const FAULTS: usize = 12;
+/// The longest time between two faults, in ms: less than a suspicion lasts.
+const LONGEST_BREAK_MS: u64 = 700;
+/// How long a suspicion may last once the network is whole and all members run, in ms.
+const SUSPICION_BOUND_MS: u64 = 5_000;
+/// By then all members must agree, in ms: one that had failed must rejoin too.
+const RECOVERY_BOUND_MS: u64 = 15_000;
+
+fn inject_fault(fleet: &mut Fleet<Membership>, random: &mut StdRng) {
+    let host = random.random_range(0..ALL.len());
+    match random.random_range(0..8) {
+        0 => fleet.network.cut_into(&[&[host], &others(host)]),
+        1 => {
+            let (side, rest) = ALL.split_at(random.random_range(1..ALL.len()));
+            fleet.network.cut_into(&[side, rest]);
+        }
+        2 => fleet.network.cut(host, random.random_range(0..ALL.len())),
+        3 | 4 => fleet.network.heal(),
+        5 => fleet.pause(host),
+        6 => fleet.resume(host),
+        _ => {
+            fleet.kill(host);
+            fleet.start_member(host, ALL.len(), &ALL);
+        }
+    }
+}
+
+fn others(host: usize) -> Vec<usize> {
+    ALL.into_iter().filter(|other| *other != host).collect()
+}
+
+fn end_faults(fleet: &mut Fleet<Membership>) {
+    fleet.network.heal();
+    for host in ALL {
+        fleet.resume(host);
+    }
+}
+
+fn is_any_suspected(fleet: &Fleet<Membership>) -> bool {
+    let suspects = |observer: usize| {
+        ALL.iter().any(|other| fleet.state_seen_by(observer, *other) == Some(State::Suspect))
+    };
+    ALL.iter().any(|observer| suspects(*observer))
+}
+
+/// Guards against a member that others suspect for ever: each of them waits for another to end the
+/// suspicion, and the suspected member never hears of it.
+#[test]
+fn every_suspicion_ends_once_the_network_is_whole() {
+    let mut endless = Vec::new();
+    let mut divided = Vec::new();
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut fleet = five_members(seed);
+        for _ in 0..FAULTS {
+            inject_fault(&mut fleet, &mut random);
+            fleet.run(random.random_range(1..=LONGEST_BREAK_MS));
+        }
+        end_faults(&mut fleet);
+        if !fleet.run_until(SUSPICION_BOUND_MS, |fleet| !is_any_suspected(fleet)) {
+            endless.push(seed);
+        }
+        if !fleet.run_until(RECOVERY_BOUND_MS - SUSPICION_BOUND_MS, |fleet| fleet.all_agree(&ALL)) {
+            divided.push(seed);
+        }
+    }
+    assert!(endless.is_empty(), "suspicions that last in {} seeds: {endless:?}", endless.len());
+    assert!(divided.is_empty(), "members that do not agree in {} seeds: {divided:?}", divided.len());
+}
