Membership: every suspicion ends, whoever began it

What operators saw: a member shown as suspect for ever although it serves, with no line about an end. Clients saw nothing: a suspected member counts as live.

Cause: the library for SWIM ends a suspicion only at the member whose probe had failed, and not if that member rejoins or restarts meanwhile. Others wait for it. A suspected member that no gossip reached never refutes, and its probes' acknowledgements do not lift the suspicion.

Fix: a member tells the suspected one after one suspicion timeout, so that it refutes, and declares it failed after three. That needs no other member, so it cannot be lost with one. The message is gossip of the present format.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,6 +13,7 @@
 //! | states, [`MemberRecord`], and partitions, [`PartitionSide`] | `record`, `roster` |
 //! | finding peers at first, and again after a partition | `membership::discovery` |
 //! | suspicion and refutation | `swim::config`, `swim::runtime` |
+//! | the end of a suspicion that another member began | `suspicions`, `membership::suspicion_end` |
 //! | local health, pauses of this process | `health`, `membership::process_pause` |
 //! | the format of datagrams | `wire`, `swim::codec` |
 //!
@@ -30,6 +31,7 @@
 mod record;
 mod roster;
 mod settings;
+mod suspicions;
 mod swim;
 mod timers;
 mod wire;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -6,6 +6,7 @@
 //! - `name_conflict`: two processes with one name;
 //! - `process_pause`: time in which this process did not run;
 //! - `swim_effects`: the outputs of SWIM, and the changes that they cause;
+//! - `suspicion_end`: the end of each suspicion;
 //! - `departure`: leaving the fleet by request.
 
 mod datagrams;
@@ -13,6 +14,7 @@
 mod discovery;
 mod name_conflict;
 mod process_pause;
+mod suspicion_end;
 mod swim_effects;
 
 use crate::counters::MembershipCounters;
@@ -23,6 +25,7 @@
 use crate::record::{MemberRecord, PartitionSide, State};
 use crate::roster::Roster;
 use crate::settings::{Settings, SettingsError};
+use crate::suspicions::{Suspicion, Suspicions};
 use crate::swim::{Swim, SwimParameters};
 use crate::timers::Timers;
 use crate::wire;
@@ -59,6 +62,10 @@
     Refresh,
     /// Send to the other process of this name.
     NameConflict,
+    /// Tell a member that it is suspected.
+    NotifySuspect(Suspicion),
+    /// Declare a suspected member failed.
+    EndSuspicion(Suspicion),
 }
 
 /// The membership of a fleet as one of its members sees it.
@@ -76,6 +83,7 @@
     timers: Timers<TimerKind>,
     health: LocalHealth,
     roster: Roster,
+    suspicions: Suspicions,
     side: PartitionSide,
     local_state: LocalState,
     started_at: Timestamp,
@@ -124,6 +132,7 @@
             health: LocalHealth::default(),
             side: roster.side(unseen_peers.len()),
             roster,
+            suspicions: Suspicions::default(),
             local_state: LocalState::SoleHolder,
             started_at: now,
             now,
@@ -153,6 +162,8 @@
                     self.timers.set(now + REFRESH_INTERVAL, TimerKind::Refresh);
                 }
                 TimerKind::NameConflict => self.handle_name_conflict_timer(out),
+                TimerKind::NotifySuspect(suspicion) => self.notify_suspect(suspicion, out),
+                TimerKind::EndSuspicion(suspicion) => self.end_suspicion(suspicion, out),
             }
         }
     }
--- a/crates/membership/src/membership/process_pause.rs
+++ b/crates/membership/src/membership/process_pause.rs
@@ -40,5 +40,5 @@
 }
 
 fn is_suspicion(timer: &TimerKind) -> bool {
-    matches!(timer, TimerKind::Swim(foca::Timer::ChangeSuspectToDown { .. }))
+    matches!(timer, TimerKind::Swim(foca::Timer::ChangeSuspectToDown { .. }) | TimerKind::EndSuspicion(_))
 }
--- a/crates/membership/src/membership/swim_effects.rs
+++ b/crates/membership/src/membership/swim_effects.rs
@@ -61,6 +61,7 @@
 
     /// Compares the roster with the state of SWIM now, and reports the changes.
     pub(super) fn refresh_roster(&mut self, out: &mut Vec<Output>) {
+        self.track_suspicions();
         let events = self.roster.update(self.now, self.swim.members());
         let has_changed = !events.is_empty();
         for event in events {
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -6,15 +6,18 @@
 mod config;
 mod runtime;
 
+use runtime::SwimMessage;
 pub(crate) use runtime::{SwimEvent, SwimOutput, SwimTimer};
 
 use crate::identity::MemberId;
 use crate::join_admission::JoinAdmission;
 use crate::settings::Timing;
+use crate::suspicions::Suspicion;
 use codec::SwimCodec;
 use foca::{Foca, NoCustomBroadcast, Timer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
+use std::time::Duration;
 
 /// What [`Swim`] needs to start.
 pub(crate) struct SwimParameters {
@@ -76,6 +79,26 @@
         let _ = self.foca.apply_many(std::iter::once(member), true, &mut self.output);
     }
 
+    /// Sends a member the suspicion of it. If it has not refuted it yet, it does so.
+    pub(crate) fn notify_suspect(&mut self, suspicion: &Suspicion) {
+        let header = foca::Header {
+            src: self.foca.identity().clone(),
+            src_incarnation: self.incarnation(),
+            dst: suspicion.id.clone(),
+            message: foca::Message::Gossip,
+        };
+        let update = foca::Member::new(suspicion.id.clone(), suspicion.incarnation, foca::State::Suspect);
+        // Two members fit into each datagram: a fleet's name and its members' names are bounded.
+        if let Ok(bytes) = codec::encode_gossip(&header, &update) {
+            self.output.messages.push(SwimMessage { to: suspicion.id.clone(), bytes });
+        }
+    }
+
+    /// How long a suspected member has to refute, in a fleet of the present size.
+    pub(crate) fn suspicion_timeout(&self) -> Duration {
+        config::suspicion_timeout(&self.timing, self.active_count() + 1)
+    }
+
     /// Announces that this member leaves, under its last identity.
     pub(crate) fn leave(&mut self, last_id: MemberId) {
         let _ = self.foca.change_identity(last_id, &mut self.output);
--- a/crates/membership/src/swim/codec.rs
+++ b/crates/membership/src/swim/codec.rs
@@ -60,6 +60,24 @@
     Ok(value)
 }
 
+/// Encodes a message of gossip with one update, as the library does: the header, the number of
+/// updates, the updates.
+///
+/// # Errors
+///
+/// If it does not fit.
+pub(super) fn encode_gossip(
+    header: &Header<MemberId>,
+    update: &foca::Member<MemberId>,
+) -> Result<Vec<u8>, SwimCodecError> {
+    const UPDATES: u16 = 1;
+    let mut bytes = Vec::new();
+    encode(header, &mut bytes)?;
+    bytes.extend_from_slice(&UPDATES.to_be_bytes());
+    encode(update, &mut bytes)?;
+    Ok(bytes)
+}
+
 impl Codec<MemberId> for SwimCodec {
     type Error = SwimCodecError;
 
--- a/crates/membership/src/swim/config.rs
+++ b/crates/membership/src/swim/config.rs
@@ -48,7 +48,7 @@
 /// Reason: gossip takes longer in a larger fleet, and the suspicion and its refutation must reach
 /// all members in time.
 /// Source: SWIM (Das, Gupta and Motivala, 2002), section 4.2; Lifeguard for the logarithm.
-fn suspicion_timeout(timing: &Timing, members: usize) -> Duration {
+pub(super) fn suspicion_timeout(timing: &Timing, members: usize) -> Duration {
     let factor = (members as f64).log10().max(MIN_SUSPICION_FACTOR);
     let millis = whole_millis(timing.suspicion_timeout) as f64 * factor;
     Duration::from_millis(millis as u64)
