Peer transport: a closed queue says that it drops a frame

What callers saw: a request to a peer whose connection had just ended waited for its whole limit (a policy change, a lease renewal or an operator's request), and a message was reported as sent.

Cause: SendQueue::push returned whether there was capacity, also when the queue was closed. PeerConnection::close ends the requests in flight; one that was queued right after it found no error and had nobody to end it.

Fix: push returns whether the frame is queued. PeerConnection::request then ends the request at once, as it does for a full queue.

Test: a_closed_queue_reports_that_it_drops_frames; it failed on the code before ("assertion failed: !queue.push").

--- a/crates/peer-transport/src/send_queue.rs
+++ b/crates/peer-transport/src/send_queue.rs
@@ -32,28 +32,27 @@
 }
 
 impl SendQueue {
-    /// Decides: whether a frame is queued or dropped. Returns false if it is too long or exceeds the
-    /// capacity of the queue.
-    /// Inputs: the encoded length of the frame in bytes; the frames and bytes in the queue.
+    /// Decides: whether a frame is queued or dropped. Returns false if it is dropped: it is too long,
+    /// exceeds the capacity of the queue, or the queue is closed.
+    /// Inputs: the encoded length of the frame in bytes; the frames and bytes in the queue; whether
+    /// the queue is closed.
     /// Reason: a peer that does not read must not exhaust the memory of this process. It gets one
     /// [`Frame::Resync`] for all dropped frames.
-    ///
-    /// Note: a closed queue drops each frame, also if this returns true.
     pub(crate) fn push(&self, frame: &Frame) -> bool {
         let Ok(encoded) = frame::encode(frame) else { return false };
-        let has_capacity = {
+        let is_queued = {
             let mut state = self.lock();
-            let has_capacity = state.has_capacity_for(encoded.len());
-            if has_capacity && !state.closed {
+            let is_queued = !state.closed && state.has_capacity_for(encoded.len());
+            if is_queued {
                 state.bytes += encoded.len();
                 state.frames.push_back(encoded);
             } else {
                 state.needs_resync = true;
             }
-            has_capacity
+            is_queued
         };
         self.changed.notify_one();
-        has_capacity
+        is_queued
     }
 
     /// Waits for the next encoded frame; `None` when the queue is closed. [`Frame::Resync`] comes
--- a/crates/peer-transport/src/send_queue/tests.rs
+++ b/crates/peer-transport/src/send_queue/tests.rs
@@ -17,3 +17,12 @@
     queue.close();
     assert_eq!(queue.pop().await, None);
 }
+
+/// Guards against a message that is reported as sent and is never written.
+#[test]
+fn a_closed_queue_reports_that_it_drops_frames() {
+    let queue = SendQueue::default();
+    queue.close();
+
+    assert!(!queue.push(&Frame::Heartbeat));
+}
