Sockets leave the poller before they are closed; a stopped newer process no longer crashes

What callers saw: the newer process of an upgrade that was sent SIGTERM while the older one ran ended by SIGABRT at the next connection of any client; all of its open requests were lost without a response.

Cause: the coroutine library's CoIo closes a socket before it removes it from its poller. The removal fails, and for a socket that another process holds too the poller goes on reporting events with a pointer to freed memory.

Fix: PolledSocket holds the socket until the library's wrapper has left the poller. All sockets that were wrapped by CoIo use it, also those whose number another thread might have reused between close and removal.

--- a/src/net/client/accept.rs
+++ b/src/net/client/accept.rs
@@ -8,7 +8,6 @@
 use crate::net::listener::{Listener, Stream};
 use crate::net::log::log_fault;
 use crate::net::request_log;
-use may::io::WaitIo;
 use pinetrail_connection_limits::{CloseOrder, ConnectionId};
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -21,7 +21,6 @@
 use crate::net::memory::MemoryReservation;
 use crate::net::request_log::{self, CloseReason};
 use close::Progress;
-use may::io::WaitIo;
 use pinetrail_codec::MAX_VALUE_BYTES;
 use pinetrail_connection_limits::{ConnectionId, Phase, Seq, Timestamp};
 use std::collections::VecDeque;
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -1,7 +1,7 @@
 //! Stream sockets with deadlines for reads and writes, which another coroutine may shut down. Read
 //! [`DeadlineStream`] first; it works on any [`Socket`] of the coroutine library.
 
-use may::io::CoIo;
+use super::polled_socket::PolledSocket;
 use may::net::TcpStream;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Read, Write};
@@ -44,7 +44,7 @@
 }
 
 macro_rules! socket {
-    ($kind:ty) => {
+    ($kind:ty, $wait_readable:expr) => {
         impl Socket for $kind {
             fn read_now(&self, into: &mut [u8]) -> io::Result<usize> {
                 self.inner().read(into)
@@ -57,8 +57,7 @@
             fn wait_readable(&self, timeout: Duration) -> io::Result<()> {
                 // may keeps a list of timers for each timeout. Whole milliseconds limit their
                 // number.
-                self.set_read_timeout(Some(round_up_to_ms(timeout)))?;
-                self.peek(&mut [0]).map(drop)
+                $wait_readable(self, round_up_to_ms(timeout))
             }
 
             fn shutdown(&self, how: Shutdown) -> io::Result<()> {
@@ -68,9 +67,12 @@
     };
 }
 
-socket!(TcpStream);
-socket!(CoIo<net::TcpStream>);
-socket!(CoIo<UnixStream>);
+socket!(TcpStream, |stream: &TcpStream, timeout| {
+    stream.set_read_timeout(Some(timeout))?;
+    stream.peek(&mut [0]).map(drop)
+});
+socket!(PolledSocket<net::TcpStream>, PolledSocket::wait_readable);
+socket!(PolledSocket<UnixStream>, PolledSocket::wait_readable);
 
 /// A connected stream whose reads and writes have deadlines. Clones share the connection.
 #[derive(Debug)]
--- a/src/net/fleet/active_member.rs
+++ b/src/net/fleet/active_member.rs
@@ -1,7 +1,7 @@
 //! [`ActiveMember`]: a member with an open socket.
 
 use super::quota::{LocalQuota, QuotaDriver};
-use may::io::CoIo;
+use crate::net::polled_socket::PolledSocket;
 use pinetrail_clock::Timestamp;
 use pinetrail_membership::{Membership, Output, State};
 use std::net::{SocketAddr, UdpSocket};
@@ -25,7 +25,7 @@
 /// A member with its socket, its view of the fleet, and its quota.
 pub(super) struct ActiveMember {
     pub activation: ActivationId,
-    pub socket: Arc<CoIo<UdpSocket>>,
+    pub socket: Arc<PolledSocket<UdpSocket>>,
     pub membership: Membership,
     /// None if the fleet has no quota.
     pub quota: Option<QuotaDriver>,
--- a/src/net/fleet/event_loop.rs
+++ b/src/net/fleet/event_loop.rs
@@ -6,8 +6,8 @@
 use super::{Activity, Fleet};
 use crate::net::deadline_stream::sleep;
 use crate::net::log::log;
+use crate::net::polled_socket::PolledSocket;
 use crate::net::timer;
-use may::io::{CoIo, WaitIo};
 use pinetrail_clock::Timestamp;
 use pinetrail_membership::{Membership, Output, MAX_DATAGRAM};
 use std::io::ErrorKind;
@@ -24,7 +24,7 @@
 
 impl Fleet {
     /// Receives datagrams. Ends once this process is inactive, or active anew.
-    pub(super) fn receive_datagrams(&self, activation: ActivationId, socket: &CoIo<UdpSocket>) {
+    pub(super) fn receive_datagrams(&self, activation: ActivationId, socket: &PolledSocket<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM + 1];
         let mut received = 0;
         while self.is_active(activation) {
@@ -98,7 +98,7 @@
     }
 
     /// Sends datagrams, passes messages of the peer directory on, and logs events.
-    pub(super) fn apply(&self, outputs: Vec<Output>, socket: &CoIo<UdpSocket>) {
+    pub(super) fn apply(&self, outputs: Vec<Output>, socket: &PolledSocket<UdpSocket>) {
         for output in outputs {
             match output {
                 // A datagram that cannot be sent is lost like any other.
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -23,7 +23,7 @@
 use super::deadline_stream::DeadlineStream;
 use super::dispatcher::EndpointSnapshot;
 use super::listener::Listener;
-use may::io::CoIo;
+use super::polled_socket::PolledSocket;
 use messages::Message;
 use relay::PendingCommands;
 use socket::HandoverSocket;
@@ -104,7 +104,7 @@
     fn peer_changed(&self, peer: PeerProcess);
 }
 
-type PeerStream = DeadlineStream<CoIo<UnixStream>>;
+type PeerStream = DeadlineStream<PolledSocket<UnixStream>>;
 
 /// The connection to the other process.
 struct PeerConnection {
--- a/src/net/hot_restart/newer.rs
+++ b/src/net/hot_restart/newer.rs
@@ -6,8 +6,8 @@
 use super::{send, HandoverError, HotRestart, HotRestartHost, PeerConnection, PeerProcess, HANDOVER_TIMEOUT};
 use crate::net::deadline_stream::DeadlineStream;
 use crate::net::dispatcher::EndpointSnapshot;
-use may::io::CoIo;
-use std::io::{self, Read, Write};
+use crate::net::polled_socket::PolledSocket;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
@@ -81,8 +81,7 @@
         handover: Handover,
         host: Arc<dyn HotRestartHost>,
     ) -> Result<(), HandoverError> {
-        let socket =
-            CoIo::new(handover.stream).map_err(|error| HandoverError::Coroutine(io::Error::from(error)))?;
+        let socket = PolledSocket::new(handover.stream).map_err(HandoverError::Coroutine)?;
         let stream = DeadlineStream::new(socket);
         self.with_state(|state| {
             state.connection = Some(PeerConnection { stream: stream.clone(), peer: PeerProcess::Serving });
--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -11,7 +11,7 @@
 use crate::net::dispatcher::EndpointSnapshot;
 use crate::net::listener::Listener;
 use crate::net::log::log;
-use may::io::{CoIo, WaitIo};
+use crate::net::polled_socket::PolledSocket;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -43,13 +43,13 @@
 
     fn accept_newer_processes(
         self: &Arc<Self>,
-        listener: &CoIo<UnixListener>,
+        listener: &PolledSocket<UnixListener>,
         host: &Arc<dyn HotRestartHost>,
     ) {
         loop {
             match listener.inner().accept() {
                 Ok((stream, _)) if socket::is_trusted(&stream) => {
-                    let Ok(socket) = CoIo::new(stream) else { continue };
+                    let Ok(socket) = PolledSocket::new(stream) else { continue };
                     let hot_restart = Arc::clone(self);
                     let host = Arc::clone(host);
                     // It ends with the connection: after a rejection, or when the newer process
@@ -69,12 +69,11 @@
     }
 
     /// Handles a newer process from its request to its end.
-    ///
-    /// Invariant: this process keeps its listener for as long as the newer one runs, which has the
-    /// same socket. `may` closes a socket before it removes it from its poller; the removal then
-    /// fails, and the poller continues to report events of the shared socket with a pointer to
-    /// freed memory.
-    fn serve_newer_process(self: &Arc<Self>, socket: &Arc<CoIo<UnixStream>>, host: &Arc<dyn HotRestartHost>) {
+    fn serve_newer_process(
+        self: &Arc<Self>,
+        socket: &Arc<PolledSocket<UnixStream>>,
+        host: &Arc<dyn HotRestartHost>,
+    ) {
         let stream = DeadlineStream::from(Arc::clone(socket));
         let mut reader = MessageReader::default();
         let Some(request) = read_request(&stream, &mut reader) else { return };
@@ -94,8 +93,6 @@
                     // It ends with the connection.
                     may::go!(move || hot_restart.update_peer_budget(&*budget_host));
                     self.handle_messages(&stream, reader, &**host);
-                    // Not before this: see the invariant above.
-                    drop(listener);
                     return;
                 }
             }
@@ -139,9 +136,9 @@
     }
 }
 
-fn open_socket(clients: SocketAddr) -> io::Result<(HandoverSocket, CoIo<UnixListener>)> {
+fn open_socket(clients: SocketAddr) -> io::Result<(HandoverSocket, PolledSocket<UnixListener>)> {
     let socket = HandoverSocket::for_clients(clients)?;
-    let listener = CoIo::new(socket.listen()?)?;
+    let listener = PolledSocket::new(socket.listen()?)?;
     socket.claim_link()?;
     Ok((socket, listener))
 }
@@ -161,7 +158,7 @@
 
 /// Sends the listening socket, then the handover message.
 fn hand_over(
-    socket: &CoIo<UnixStream>,
+    socket: &PolledSocket<UnixStream>,
     stream: &PeerStream,
     listener: &Listener,
     endpoints: EndpointSnapshot,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -2,7 +2,7 @@
 //! first. The crate's own listener cannot take over a socket that another process has opened; its
 //! generic wrapper can.
 
-use may::io::{CoIo, WaitIo};
+use super::polled_socket::PolledSocket;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -13,7 +13,7 @@
 const LISTEN_BACKLOG: i32 = 1024;
 
 /// An accepted connection.
-pub type Stream = CoIo<TcpStream>;
+pub type Stream = PolledSocket<TcpStream>;
 
 /// How a listener treats new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +31,7 @@
 /// A socket that accepts connections until it is closed or released.
 #[derive(Debug)]
 pub struct Listener {
-    socket: CoIo<TcpListener>,
+    socket: PolledSocket<TcpListener>,
     /// Guards the mode only.
     ///
     /// Invariant: no coroutine waits while it holds this lock.
@@ -64,7 +64,7 @@
     ///
     /// If the socket cannot be registered with the coroutines' poller.
     pub fn new(socket: TcpListener) -> io::Result<Listener> {
-        let socket = CoIo::new(socket).map_err(io::Error::from)?;
+        let socket = PolledSocket::new(socket)?;
         Ok(Listener {
             socket,
             mode: Mutex::new(AcceptMode::Accepting),
@@ -91,7 +91,7 @@
                 }
             }
             match self.socket.inner().accept() {
-                Ok((stream, _)) => return CoIo::new(stream).map(Some).map_err(io::Error::from),
+                Ok((stream, _)) => return PolledSocket::new(stream).map(Some),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     if self.is_stopped() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 pub mod log;
 pub mod memory;
 pub mod policy;
+pub mod polled_socket;
 pub mod request_log;
 pub mod time_limits;
 pub mod timer;
--- a/tests/sockets/upgrades.rs
+++ b/tests/sockets/upgrades.rs
@@ -168,3 +168,34 @@
     assert!(end(first).status.success());
     assert_eq!(fixture.client().get("k", "1", 900).1, "v\r\n");
 }
+
+/// Guards against a crash while draining: a process that had closed the listening socket which
+/// another one still holds got events of it, with a pointer to freed memory.
+#[test]
+fn a_newer_process_that_is_stopped_first_ends_in_order_while_clients_connect() {
+    let node = StubServer::node(|line| {
+        if line.starts_with("mg slow") {
+            StubAction::Ignore
+        } else {
+            StubAction::Reply(format!("VA 1 {}\r\nv\r\n", opaque(line)))
+        }
+    });
+    let fixture = ProxyFixture::of(&[&node], &idle_origin());
+    for round in 0..4 {
+        let (newer, _) = fixture.start_second_process();
+        // Some of these are the newer process's, which lives until they have their responses.
+        let mut waiting: Vec<Client> = (0..16).map(|_| fixture.client()).collect();
+        for (number, client) in waiting.iter_mut().enumerate() {
+            client.send(&format!("mg slow{number} v O{round}w{number} Pc=read,t=acme,d=900\r\n"));
+        }
+        sleep(ms(50));
+        signal(&newer, "TERM");
+        for n in 0..200 {
+            assert_eq!(fixture.client().get("k", &format!("{round}.{n}"), 900).1, "v\r\n");
+        }
+        let responses: Vec<String> = waiting.iter_mut().map(Client::read_line).collect();
+        let status = end(newer).status;
+        assert!(status.success(), "round {round}: {status}, {responses:?}");
+        assert!(responses.iter().all(|line| line.starts_with("SERVER_ERROR ")), "{responses:?}");
+    }
+}
