Hot restart: a newer process that the older one has rejected does not serve

Cause: the newer process looked whether it was rejected before the coroutine that reads the message had run; a rejection that came later was noted and never looked at.

Evidence: with the rejection in the socket before the newcomer joins, join returned Ok (the new test without the fix).

Fix: what has arrived is read before the newcomer joins, and a rejection ends the start; a later one stops the process as SIGTERM does, so that what it has accepted is answered.

Tests: a_process_that_was_rejected_while_it_started_does_not_join failed before; ..._while_it_joins_stops.

--- a/src/net/hot_restart/connection.rs
+++ b/src/net/hot_restart/connection.rs
@@ -75,7 +75,7 @@
             }
             Message::Rejection(reason) => {
                 log(&format!("take over: refused: {reason}"));
-                self.with_state(|state| state.is_rejected = true);
+                host.handover_rejected();
             }
             Message::HandoverRequest(_) | Message::Handover(..) => {
                 log("take over: unexpected message");
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -102,6 +102,8 @@
     fn apply_command(&self, command: &ControlCommand) -> Result<(), CommandError>;
     /// Handles a change of the other process's state.
     fn peer_changed(&self, peer: PeerProcess);
+    /// Stops this process: the older one has abandoned the handover and serves on.
+    fn handover_rejected(&self);
 }
 
 type PeerStream = DeadlineStream<PolledSocket<UnixStream>>;
@@ -119,8 +121,6 @@
     commands: PendingCommands,
     /// Whether this process serves or drains.
     activity: Activity,
-    /// Whether the older process has rejected this one after the handover.
-    is_rejected: bool,
 }
 
 impl State {
--- a/src/net/hot_restart/newer.rs
+++ b/src/net/hot_restart/newer.rs
@@ -7,7 +7,7 @@
 use crate::net::deadline_stream::DeadlineStream;
 use crate::net::dispatcher::EndpointSnapshot;
 use crate::net::polled_socket::PolledSocket;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
@@ -70,7 +70,8 @@
 }
 
 impl HotRestart {
-    /// Joins the older process, and notifies it that this one accepts clients.
+    /// Joins the older process, and notifies it that this one accepts clients. A rejection that the
+    /// older process sends at the same time goes to [`HotRestartHost::handover_rejected`].
     ///
     /// # Errors
     ///
@@ -78,9 +79,13 @@
     /// [`HandoverError::Coroutine`] if the connection cannot be used.
     pub fn join(
         self: &Arc<Self>,
-        handover: Handover,
+        mut handover: Handover,
         host: Arc<dyn HotRestartHost>,
     ) -> Result<(), HandoverError> {
+        receive_pending(&mut handover.stream, &mut handover.reader)?;
+        if contains_rejection(&handover.reader) {
+            return Err(HandoverError::RejectedLate);
+        }
         let socket = PolledSocket::new(handover.stream).map_err(HandoverError::Coroutine)?;
         let stream = DeadlineStream::new(socket);
         self.with_state(|state| {
@@ -93,9 +98,36 @@
         may::go!(move || hot_restart.handle_messages(&reading, reader, &*host));
         // If this fails, the older process has ended, and this one serves alone.
         let _ = send(&stream, &Message::Serving);
-        if self.with_state(|state| state.is_rejected) {
-            return Err(HandoverError::RejectedLate);
-        }
         Ok(())
     }
 }
+
+/// Reads what the older process has sent already. The end of the connection is left to the
+/// coroutine that reads on.
+fn receive_pending(stream: &mut UnixStream, reader: &mut MessageReader) -> Result<(), HandoverError> {
+    stream.set_nonblocking(true)?;
+    let mut chunk = [0; READ_CHUNK_BYTES];
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(0) => return Ok(()),
+            Ok(count) => reader.buffer.extend_from_slice(&chunk[..count]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(HandoverError::Connection(error)),
+        }
+    }
+}
+
+/// Whether the older process has sent a rejection, behind messages that are still to be handled.
+fn contains_rejection(reader: &MessageReader) -> bool {
+    let mut ahead = MessageReader { buffer: reader.buffer.clone() };
+    while let Ok(Some(message)) = ahead.next_message() {
+        if matches!(message, Message::Rejection(_)) {
+            return true;
+        }
+    }
+    false
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/hot_restart/newer/tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::net::hot_restart::{Activity, BudgetGrant, CommandError, ControlCommand, HandoverOffer};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long a test waits for what must happen.
+const WAIT: Duration = Duration::from_secs(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A newer process that records whether it was told to stop.
+#[derive(Default)]
+struct Host {
+    rejected: AtomicBool,
+}
+
+impl HotRestartHost for Host {
+    fn handover_offer(&self) -> Option<HandoverOffer> {
+        None
+    }
+    fn shrink_budget(&self, _activity: Activity) -> ResourceBudget {
+        ResourceBudget::default()
+    }
+    fn set_budget(&self, _grant: BudgetGrant) {}
+    fn apply_command(&self, _command: &ControlCommand) -> Result<(), CommandError> {
+        Ok(())
+    }
+    fn peer_changed(&self, _peer: PeerProcess) {}
+    fn handover_rejected(&self) {
+        self.rejected.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A handover, and the older process's end of its connection.
+fn handover() -> (Handover, UnixStream) {
+    let (stream, older) = UnixStream::pair().unwrap();
+    let handover = Handover {
+        socket: TcpListener::bind("127.0.0.1:0").unwrap(),
+        endpoints: EndpointSnapshot::default(),
+        budget: ResourceBudget::default(),
+        stream,
+        reader: MessageReader::default(),
+    };
+    (handover, older)
+}
+
+fn overdue() -> Vec<u8> {
+    Message::Rejection("it took too long".to_owned()).to_line()
+}
+
+/// Guards against a newcomer that serves beside the older process, which has abandoned it.
+#[test]
+fn a_process_that_was_rejected_while_it_started_does_not_join() {
+    let (handover, mut older) = handover();
+    older.write_all(&Message::Budget(ResourceBudget::default()).to_line()).unwrap();
+    older.write_all(&overdue()).unwrap();
+    drop(older);
+
+    let joined = HotRestart::new().join(handover, Arc::new(Host::default()));
+
+    assert!(matches!(joined, Err(HandoverError::RejectedLate)), "{joined:?}");
+}
+
+/// The rejection crosses the message that the newcomer serves.
+#[test]
+fn a_process_that_is_rejected_while_it_joins_stops() {
+    let (handover, mut older) = handover();
+    let host = Arc::new(Host::default());
+
+    HotRestart::new().join(handover, Arc::clone(&host) as Arc<dyn HotRestartHost>).unwrap();
+    assert!(!host.rejected.load(Ordering::SeqCst));
+    older.write_all(&overdue()).unwrap();
+
+    let until = Instant::now() + WAIT;
+    while !host.rejected.load(Ordering::SeqCst) {
+        assert!(Instant::now() < until, "it serves on");
+        sleep(POLL_INTERVAL);
+    }
+}
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -9,6 +9,7 @@
     ResourceBudget,
 };
 use crate::net::log::log;
+use signal_hook::consts::SIGTERM;
 
 /// Which process accepts clients before and after the peer process changed its state.
 struct AcceptingChange {
@@ -51,6 +52,13 @@
         Ok(())
     }
 
+    fn handover_rejected(&self) {
+        // Two processes that each take themselves for the only one would use twice the budget.
+        if let Err(error) = signal_hook::low_level::raise(SIGTERM) {
+            log(&format!("take over: this process cannot stop itself: {error}"));
+        }
+    }
+
     fn peer_changed(&self, peer: PeerProcess) {
         log(&format!("the other process: {peer:?}"));
         let change = self.apply_peer_change(peer);
