A SIGHUP while a process waits for the fleet's policy is handled after its start

What operators saw: a reload that was asked for while a process caught up with the policy was lost without a line.

Cause: the wait looked for SIGTERM among the pending signals and discarded the others.

Fix: they are kept, and sent to the process again once it has started.

Test: sighup_during_the_catch_up_is_handled_after_it; without the repetition it waits in vain for the line of the reload.

--- a/crates/test-harness/src/fleet/process.rs
+++ b/crates/test-harness/src/fleet/process.rs
@@ -62,6 +62,16 @@
     pub(super) lines: Receiver<String>,
 }
 
+impl StartingProcess {
+    /// Sends it a signal.
+    ///
+    /// # Panics
+    /// If it has been waited for already.
+    pub fn signal(&self, name: &str) {
+        signal(self.child.as_ref().expect("it is not ready yet"), name);
+    }
+}
+
 impl Drop for StartingProcess {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/src/net/lifecycle/signals.rs
+++ b/src/net/lifecycle/signals.rs
@@ -2,10 +2,12 @@
 //! reloads the configuration, SIGTERM and SIGINT end the wait.
 
 use super::{Lifecycle, RunningServices};
-use crate::net::log::print;
+use crate::net::log::{log, print};
 use pinetrail_config::Config;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use std::collections::BTreeSet;
+use std::ffi::c_int;
 
 impl Lifecycle {
     /// Handles signals in their order, until one asks the process to stop.
@@ -25,10 +27,24 @@
     }
 }
 
-/// Whether SIGTERM or SIGINT is pending. It does not block.
-///
-/// Note: it discards the other pending signals: a SIGHUP during a start that catches up with the
-/// policy is lost.
-pub(super) fn is_stop_pending(signals: &mut Signals) -> bool {
-    signals.pending().any(|signal| [SIGTERM, SIGINT].contains(&signal))
+/// The signals that came while the process was starting, and could not be handled yet.
+#[derive(Debug, Default)]
+pub(super) struct DeferredSignals(BTreeSet<c_int>);
+
+impl DeferredSignals {
+    /// Takes the pending signals; returns whether one of them asks the process to stop. It does not
+    /// block.
+    pub(super) fn collect(&mut self, signals: &mut Signals) -> bool {
+        self.0.extend(signals.pending());
+        self.0.contains(&SIGTERM) || self.0.contains(&SIGINT)
+    }
+
+    /// Sends them to this process again, which can handle them now.
+    pub(super) fn send_again(self) {
+        for signal in self.0 {
+            if let Err(error) = signal_hook::low_level::raise(signal) {
+                log(&format!("signal {signal} came during the start, and is lost: {error}"));
+            }
+        }
+    }
 }
--- a/src/net/lifecycle/start/fleet.rs
+++ b/src/net/lifecycle/start/fleet.rs
@@ -1,7 +1,7 @@
 //! This process's part in its fleet and in the fleet's common policy.
 
 use super::super::error::StartError;
-use super::super::signals::is_stop_pending;
+use super::super::signals::DeferredSignals;
 use super::super::Lifecycle;
 use crate::interface;
 use crate::net::backend::BackendService;
@@ -76,9 +76,12 @@
     }
 }
 
-/// Blocks until the active policy version is applied, or a signal asks the process to stop.
+/// Blocks until the active policy version is applied, or a signal asks the process to stop. Other
+/// signals are handled after it.
 pub(super) fn catch_up(policy: &Policy, signals: &mut Signals) -> CatchUp {
-    if policy.catch_up(&mut || is_stop_pending(signals)) {
+    let mut deferred = DeferredSignals::default();
+    if policy.catch_up(&mut || deferred.collect(signals)) {
+        deferred.send_again();
         CatchUp::Complete
     } else {
         CatchUp::StopRequested
--- a/tests/fleet/policy/configuration.rs
+++ b/tests/fleet/policy/configuration.rs
@@ -18,6 +18,25 @@
     assert_eq!(get_json(fleet.process(2).admin_address, "/control/policy")["version"], 1);
 }
 
+/// Guards against a reload that is lost while a process waits for the policy at its start.
+#[test]
+fn sighup_during_the_catch_up_is_handled_after_it() {
+    let options = Options { founders: vec![0, 1, 2], policy: true, ..Options::of(3) };
+    let mut fleet = Fleet::new(options, nodes(), origin());
+    let waiting = fleet.start_process(0);
+    fleet.wait_until("it has started", |fleet| fleet.timeline.first_match("n0", " call ", 0).is_some());
+    std::thread::sleep(ms(300));
+    waiting.signal("HUP");
+    std::thread::sleep(ms(300));
+    let is_reloaded = |fleet: &Fleet| fleet.timeline.first_match("n0", "reload: ", 0).is_some();
+    assert!(!is_reloaded(&fleet), "it waits for a majority");
+
+    fleet.start_together(&[1, 2]);
+    let _ready = fleet.wait_until_ready(0, waiting);
+
+    fleet.wait_until("the reload is handled", is_reloaded);
+}
+
 /// An invalid policy section is an error at the start, not only when the policy is needed.
 #[test]
 fn a_start_with_an_invalid_policy_ends_with_one_line() {
