--- a/crates/experiments/src/error.rs
+++ b/crates/experiments/src/error.rs
@@ -16,6 +16,14 @@
     /// A backend of the soak cannot listen.
     #[error("soak: {0}")]
     Soak(#[source] io::Error),
+    /// The range of seeds is empty.
+    #[error("--first {first} --last {last}: no seed to play; the last seed must not be below the first")]
+    EmptySeedRange {
+        /// The first seed.
+        first: u64,
+        /// The last seed.
+        last: u64,
+    },
     /// A signal handler cannot be registered.
     #[error("{0}")]
     SignalHandler(#[source] io::Error),
--- a/crates/experiments/src/soak/judge.rs
+++ b/crates/experiments/src/soak/judge.rs
@@ -39,6 +39,10 @@
 /// A SIGKILL excuses missing responses only to requests sent up to this long after SIGTERM.
 const KILL_EXCUSES_UNTIL: Duration = Duration::from_millis(700);
 
+/// A proxy plans the response to a short wait for this part of it.
+const PLANNED_FRACTION: f64 = 0.85;
+/// A proxy that was stopped writes what is due within this time.
+const CATCH_UP_TIME: Duration = Duration::from_millis(10);
 /// Changes of proxies, backends and discovery are shown from this long before a request.
 const CHANGES_SHOWN_BEFORE: Duration = Duration::from_secs(8);
 
@@ -82,6 +86,15 @@
     pub timeline: String,
 }
 
+/// A final response after the slack of a short timeout, although the proxy ran.
+#[derive(Clone, Debug)]
+pub(super) struct LateResponse {
+    /// The request's id.
+    pub request: String,
+    /// All that is known of it.
+    pub timeline: String,
+}
+
 /// The result of a run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Verdict {
@@ -91,6 +104,8 @@
     pub served: usize,
     /// Final responses after the slack of a short timeout.
     pub late_after_short_waits: usize,
+    /// Those of them that no stop of the proxy explains, with their timelines.
+    pub unexplained: Vec<LateResponse>,
     /// The longest time between the arrival of an attempt and its read by a backend of this program.
     pub longest_read_delay: Duration,
     /// The violations.
@@ -227,6 +242,10 @@
                     self.report(Rule::Late, id);
                 } else if late > ANSWER_SLACK {
                     self.verdict.late_after_short_waits += 1;
+                    if !self.is_explained_by_stop(request, *at) {
+                        let timeline = self.timeline(id);
+                        self.verdict.unexplained.push(LateResponse { request: id.to_owned(), timeline });
+                    }
                 }
             }
             (None, Some(at)) => self.judge_end(id, request, at),
@@ -341,7 +360,8 @@
     fn drain_listed_at(&self, proxy: usize, backend: usize, at: Instant) -> Option<Instant> {
         let since = self.drains_since(backend, at)?;
         let last = |change| self.changes_of(change).filter(|changed| *changed <= at).last();
-        let process_since = last(Change::Started(proxy)).max(last(Change::Ended(proxy)));
+        let process_since =
+            last(Change::Started(proxy)).max(last(Change::Ended(proxy))).max(last(Change::Exited(proxy)));
         let started = process_since.map_or(since, |started| started.max(since));
         match (last(Change::DiscoveryDown), last(Change::DiscoveryUp)) {
             (None, _) => Some(started),
@@ -362,6 +382,16 @@
         self.changes.iter().filter(move |(_, change)| *change == wanted).map(|(at, _)| *at)
     }
 
+    /// Whether a proxy was stopped when it planned the response to a short wait, and wrote it as soon
+    /// as it went on. No proxy can do better without answering all requests earlier.
+    fn is_explained_by_stop(&self, request: &Request, answered: Instant) -> bool {
+        let planned = request.sent + request.wait.mul_f64(PLANNED_FRACTION);
+        let explains = |stop: &Stop| {
+            stop.proxy == request.proxy && stop.began <= planned && answered <= stop.ended + CATCH_UP_TIME
+        };
+        self.stops.iter().any(explains)
+    }
+
     /// By how much this program stopped a proxy for longer than a proxy must tolerate, in stops that
     /// fall into a span.
     fn excess_stop(&self, proxy: usize, from: Instant, until: Instant) -> Duration {
--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -14,11 +14,11 @@
 
 use crate::error::ExperimentError;
 use backends::{Backend, Kind};
-use clap::Args;
+use clap::{Args, ValueEnum};
 use clients::Client;
-use judge::{Verdict, Violation, DEDUPLICATION_WINDOW};
+use judge::{LateResponse, Verdict, Violation, DEDUPLICATION_WINDOW};
 use pinetrail_test_harness::{catalog, program, ProxyFixture, StaticDiscovery};
-use plan::{Fault, Plan};
+use plan::{Fault, FaultMix, Plan};
 use record::{Change, Record, Stop};
 use request_logs::RequestLogs;
 use std::net::TcpStream;
@@ -38,6 +38,12 @@
     /// How long each seed is played, in seconds.
     #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(5..=600))]
     seconds: u64,
+    /// Late responses after short waits that no stop explains: so many are shown for each seed.
+    #[arg(long, default_value_t = 0)]
+    show_late: usize,
+    /// Which faults are played.
+    #[arg(long, value_enum, default_value_t = FaultMix::Standard)]
+    faults: FaultMix,
 }
 
 /// How long a crowd stays.
@@ -64,33 +70,47 @@
 
 /// Runs the soak; returns whether no rule was violated.
 pub(crate) fn run(options: &Options) -> Result<bool, ExperimentError> {
+    if options.first > options.last {
+        return Err(ExperimentError::EmptySeedRange { first: options.first, last: options.last });
+    }
     let own = std::env::current_exe().map_err(ExperimentError::OwnPath)?;
     program(own, &["proxy"]);
     let logs = RequestLogs::keep().map_err(ExperimentError::Soak)?;
     let mut passed = true;
     for seed in options.first..=options.last {
-        let plan = Plan::from_seed(seed, Duration::from_secs(options.seconds));
+        let plan = Plan::from_seed(seed, Duration::from_secs(options.seconds), options.faults);
         logs.clear();
         let verdict = play(&plan, &logs)?;
-        print_verdict(&plan, &verdict, options.seconds);
+        print_verdict(&plan, &verdict, options);
         passed &= verdict.violations.is_empty();
     }
     Ok(passed)
 }
 
-fn print_verdict(plan: &Plan, verdict: &Verdict, seconds: u64) {
+fn print_verdict(plan: &Plan, verdict: &Verdict, options: &Options) {
     let broken = verdict.violations.len();
     let (requests, served, late) = (verdict.requests, verdict.served, verdict.late_after_short_waits);
     println!(
-        "seed {:3}: {}: {requests} requests, {served} served, {late} late after short waits, {broken} violations; backends read up to {} ms late",
-        plan.seed, plan.summary, verdict.longest_read_delay.as_millis()
+        "seed {:3}: {}: {requests} requests, {served} served, {late} late after short waits ({} without a stop), \
+         {broken} violations; backends read up to {} ms late",
+        plan.seed,
+        plan.summary,
+        verdict.unexplained.len(),
+        verdict.longest_read_delay.as_millis()
     );
     for Violation { rule, request, timeline } in verdict.violations.iter().take(SHOWN_VIOLATIONS) {
         println!("  {rule:?} by request {request}\n{timeline}");
     }
+    for LateResponse { request, timeline } in verdict.unexplained.iter().take(options.show_late) {
+        println!("  late response to request {request}\n{timeline}");
+    }
     if broken > 0 {
-        let seed = plan.seed;
-        println!("  to repeat: pinetrail-experiments soak --first {seed} --last {seed} --seconds {seconds}");
+        let (seed, seconds) = (plan.seed, options.seconds);
+        let faults =
+            options.faults.to_possible_value().map_or(String::new(), |mix| mix.get_name().to_owned());
+        println!(
+            "  to repeat: pinetrail-experiments soak --first {seed} --last {seed} --seconds {seconds} --faults {faults}"
+        );
     }
 }
 
@@ -188,6 +208,7 @@
             }
             Fault::Restart(proxy) => self.restart(proxy),
             Fault::Kill(proxy) => self.kill(proxy),
+            Fault::SignalSeries(proxy) => self.end_by_signals(proxy),
             Fault::Drain(node) => self.publish(node, "draining", Change::Draining(node)),
             Fault::Return(node) => self.publish(node, "ready", Change::Ready(node)),
             Fault::DiscoveryDown => {
@@ -220,6 +241,26 @@
         self.kill(proxy);
     }
 
+    /// Signals in series, SIGTERM while a reload is under way; the process has the same time as
+    /// before a SIGKILL to end by itself.
+    fn end_by_signals(&mut self, proxy: usize) {
+        let fixture = &self.proxies[proxy];
+        for signal in ["HUP", "USR1", "HUP"] {
+            fixture.signal(signal);
+            thread::sleep(SIGNAL_INTERVAL);
+        }
+        fixture.signal("HUP");
+        self.record.note_change(Change::Terminated(proxy));
+        fixture.signal("TERM");
+        if !self.proxies[proxy].ends_within(TERM_TO_KILL) {
+            self.kill(proxy);
+            return;
+        }
+        self.record.note_change(Change::Exited(proxy));
+        self.proxies[proxy].start_again();
+        self.record.note_change(Change::Started(proxy));
+    }
+
     fn kill(&mut self, proxy: usize) {
         self.record.note_change(Change::Killed(proxy));
         self.proxies[proxy].kill();
--- a/crates/experiments/src/soak/plan.rs
+++ b/crates/experiments/src/soak/plan.rs
@@ -1,10 +1,20 @@
 //! The faults of a soak, from a seed: [`Plan`].
 
 use super::{HOLD_UP_DURATION, NODES, TERM_TO_KILL};
+use clap::ValueEnum;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
+/// Which faults are played. The standard ones are those of CI, whose seeds must not change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(super) enum FaultMix {
+    /// Hold-ups, reloads, restarts, kills, drains, outages of discovery; crowds in some seeds.
+    Standard,
+    /// Also signals in series after which a process ends by itself, and a crowd in one seed of four.
+    Wide,
+}
+
 /// A fault of a proxy, by its number, of a node or of discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -16,6 +26,8 @@
     Restart(usize),
     /// SIGKILL without SIGTERM, and a new start.
     Kill(usize),
+    /// Signals in series, SIGTERM the last; the process ends by itself, and is started anew.
+    SignalSeries(usize),
     /// A node is listed as draining.
     Drain(usize),
     /// It is listed as ready again.
@@ -34,7 +46,7 @@
     fn duration(self) -> Duration {
         match self {
             Fault::HoldUp(_) => HOLD_UP_DURATION,
-            Fault::Restart(_) => TERM_TO_KILL,
+            Fault::Restart(_) | Fault::SignalSeries(_) => TERM_TO_KILL,
             _ => Duration::ZERO,
         }
     }
@@ -66,7 +78,7 @@
 
 impl Plan {
     /// The plan of a seed.
-    pub(super) fn from_seed(seed: u64, duration: Duration) -> Plan {
+    pub(super) fn from_seed(seed: u64, duration: Duration, mix: FaultMix) -> Plan {
         let mut random = StdRng::seed_from_u64(seed);
         let proxies = random.random_range(3..=5);
         let has_crowd = random.random_ratio(1, 4);
@@ -99,16 +111,37 @@
                 drained = None;
             }
         }
+        if mix == FaultMix::Wide {
+            // Drawn after the standard faults, so that those of a seed are the same in both mixes.
+            widen(&mut faults, &mut random, proxies);
+        }
         faults.sort_by_key(|(at, _)| *at);
         let summary = summarize(proxies, &faults);
         Plan { seed, proxies, duration, faults, summary }
     }
 }
 
+/// Has every second restart end a process by signals in series, and adds a crowd in one
+/// seed of four.
+fn widen(faults: &mut Vec<(Duration, Fault)>, random: &mut StdRng, proxies: usize) {
+    for (_, fault) in faults.iter_mut() {
+        if let Fault::Restart(proxy) = *fault {
+            if random.random_bool(0.5) {
+                *fault = Fault::SignalSeries(proxy);
+            }
+        }
+    }
+    if random.random_ratio(1, 4) {
+        let last = faults.last().map_or(QUIET_BEGINNING, |(at, _)| *at);
+        let at = random.random_range(QUIET_BEGINNING..=last.max(QUIET_BEGINNING));
+        faults.push((at, Fault::Crowd(random.random_range(0..proxies))));
+    }
+}
+
 fn summarize(proxies: usize, faults: &[(Duration, Fault)]) -> String {
     let count = |is_kind: fn(&Fault) -> bool| faults.iter().filter(|(_, fault)| is_kind(fault)).count();
     format!(
-        "{proxies} proxies, {} hold-ups, {} reloads, {} restarts, {} kills, {} drains, {} outages, {} crowds",
+        "{proxies} proxies, {} hold-ups, {} reloads, {} restarts, {} kills, {} drains, {} outages, {} crowds, {} signal series",
         count(|fault| matches!(fault, Fault::HoldUp(_))),
         count(|fault| matches!(fault, Fault::Reload(_))),
         count(|fault| matches!(fault, Fault::Restart(_))),
@@ -116,5 +149,6 @@
         count(|fault| matches!(fault, Fault::Drain(_))),
         count(|fault| matches!(fault, Fault::DiscoveryDown)),
         count(|fault| matches!(fault, Fault::Crowd(_))),
+        count(|fault| matches!(fault, Fault::SignalSeries(_))),
     )
 }
--- a/crates/experiments/src/soak/record.rs
+++ b/crates/experiments/src/soak/record.rs
@@ -64,7 +64,9 @@
     Killed(usize),
     /// A proxy that was killed has ended. From now on another process has its place.
     Ended(usize),
-    /// A proxy that was killed is ready again.
+    /// A proxy that was sent SIGTERM has ended by itself.
+    Exited(usize),
+    /// A proxy that was started anew is ready.
     Started(usize),
     /// A backend is listed as draining.
     Draining(usize),
--- a/crates/experiments/tests/soak.rs
+++ b/crates/experiments/tests/soak.rs
@@ -18,3 +18,16 @@
         assert!(text.contains(", 0 violations"), "{text}");
     }
 }
+
+/// Guards against a run that plays nothing and passes.
+#[test]
+fn an_empty_range_of_seeds_is_an_error() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pinetrail-experiments"));
+    command.args(["soak", "--first", "9", "--last", "1"]);
+
+    let output = command.output().expect("the soak starts");
+
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{error}");
+    assert!(error.contains("--first 9 --last 1: no seed to play"), "{error}");
+}
--- a/crates/test-harness/src/proxy_fixture.rs
+++ b/crates/test-harness/src/proxy_fixture.rs
@@ -181,7 +181,25 @@
         child.kill().and_then(|()| child.wait()).unwrap();
     }
 
-    /// Starts a proxy that was killed anew at the same addresses.
+    /// Waits for the end of the process, which it was asked for before; returns whether it ended in
+    /// time.
+    ///
+    /// # Panics
+    /// If it has ended before.
+    pub fn ends_within(&mut self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        let child = self.child.as_mut().expect("it ends once");
+        while child.try_wait().unwrap().is_none() {
+            if Instant::now() >= until {
+                return false;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        self.child = None;
+        true
+    }
+
+    /// Starts a proxy that has ended anew at the same addresses.
     pub fn start_again(&mut self) {
         let (child, admin) = self.start_second_process();
         self.child = Some(child);
