--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -14,6 +14,8 @@
 const MAX_CLASSES: usize = 255;
 /// The most attempts of a request: an attempt is numbered by one byte.
 const MAX_ATTEMPTS: u32 = 255;
+/// How discovery may deliver the endpoint list. Left out, it is asked for.
+const DISCOVERY_FORMS: [&str; 3] = ["", "ask", "push"];
 /// The least sockets of a proxy without admin server and fleet.
 const MIN_SOCKETS: usize = 32;
 /// The least memory, in MB.
@@ -45,6 +47,9 @@
     if settings.group_size == 0 {
         return Err(ConfigError::field("GroupSize", 0, "above 0"));
     }
+    if !DISCOVERY_FORMS.contains(&settings.discovery.as_str()) {
+        return Err(ConfigError::field("Discovery", &settings.discovery, "ask or push"));
+    }
     check_positive("Tick", settings.tick.as_ms())?;
     check_positive("Safety.StartCapacity", safety.start_capacity)?;
     check_positive("Safety.FallMultiple", safety.overload_multiple)?;
--- a/crates/config/src/error_text_tests.rs
+++ b/crates/config/src/error_text_tests.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Guards against a misspelt form of discovery, which would pass for `ask` without a word.
+#[test]
+fn an_unknown_form_of_discovery_is_rejected() {
+    let error = settings_error(&settings_with("Discovery", json!("guess")));
+    assert_eq!(error, "configuration: Discovery \"guess\" is not ask or push");
+}
+
 #[test]
 fn settings_of_another_type_are_rejected_with_the_recorded_name_of_the_type() {
     let recorded = [
