Test of the form of Discovery: with settings that are valid but for it

With complete settings the error is the one of Discovery; without the check the settings are accepted (seen).

--- a/crates/config/src/error_text_tests.rs
+++ b/crates/config/src/error_text_tests.rs
@@ -71,7 +71,14 @@
 /// Guards against a misspelt form of discovery, which would pass for `ask` without a word.
 #[test]
 fn an_unknown_form_of_discovery_is_rejected() {
-    let error = settings_error(&settings_with("Discovery", json!("guess")));
+    let mut settings = settings_with("Discovery", json!("guess"));
+    settings["Safety"] =
+        json!({"StartCapacity": 0.1, "Cold": 1, "FallMultiple": 1, "TipAfter": 1, "MustAskIn": 1});
+    settings["Tick"] = json!(1);
+    settings["Grades"][0]["GiveUp"] = json!(1);
+
+    let error = settings_error(&settings);
+
     assert_eq!(error, "configuration: Discovery \"guess\" is not ask or push");
 }
 
