Soak: hold-ups in pairs, so that time before a read that is not counted is found

Need: of the planted faults the soak missed one: "time before the read not counted". A single hold-up leaves the response within its margin.

Two hold-ups of one proxy have 60 ms between them.

--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -61,6 +61,8 @@
 const TERM_TO_KILL: Duration = Duration::from_millis(1700);
 /// How long a process is stopped.
 const HOLD_UP_DURATION: Duration = Duration::from_millis(150);
+/// Two hold-ups without a break would be one that is longer than a proxy must tolerate.
+const TIME_BETWEEN_HOLD_UPS: Duration = Duration::from_millis(60);
 /// How long open requests have after the end of the load.
 const WIND_DOWN_TIME: Duration = Duration::from_secs(3);
 /// Idle connections of a crowd: more than a proxy's descriptors allow.
@@ -193,13 +195,7 @@
 
     fn inject(&mut self, fault: Fault) {
         match fault {
-            Fault::HoldUp(proxy) => {
-                let began = Instant::now();
-                self.proxies[proxy].signal("STOP");
-                thread::sleep(HOLD_UP_DURATION);
-                self.proxies[proxy].signal("CONT");
-                self.record.note_stop(Stop { proxy, began, ended: Instant::now() });
-            }
+            Fault::HoldUp(proxy) => self.hold_up(proxy),
             Fault::Reload(proxy) => {
                 let fixture = &self.proxies[proxy];
                 fixture.reload(r#""Aim":400.0"#, r#""Aim":401.0"#);
@@ -241,6 +237,18 @@
         self.kill(proxy);
     }
 
+    /// Stops a proxy for a while. It has run for some time since it was stopped last.
+    fn hold_up(&self, proxy: usize) {
+        if let Some(last) = self.record.stops().iter().rfind(|stop| stop.proxy == proxy) {
+            thread::sleep(TIME_BETWEEN_HOLD_UPS.saturating_sub(last.ended.elapsed()));
+        }
+        let began = Instant::now();
+        self.proxies[proxy].signal("STOP");
+        thread::sleep(HOLD_UP_DURATION);
+        self.proxies[proxy].signal("CONT");
+        self.record.note_stop(Stop { proxy, began, ended: Instant::now() });
+    }
+
     /// Signals in series, SIGTERM while a reload is under way; the process has the same time as
     /// before a SIGKILL to end by itself.
     fn end_by_signals(&mut self, proxy: usize) {
--- a/crates/experiments/src/soak/plan.rs
+++ b/crates/experiments/src/soak/plan.rs
@@ -11,7 +11,8 @@
 pub(super) enum FaultMix {
     /// Hold-ups, reloads, restarts, kills, drains, outages of discovery; crowds in some seeds.
     Standard,
-    /// Also signals in series after which a process ends by itself, and a crowd in one seed of four.
+    /// Also signals in series after which a process ends by itself, a crowd in one seed of four, and
+    /// hold-ups in pairs: at the arrival of long requests, and when their responses are planned.
     Wide,
 }
 
@@ -121,8 +122,12 @@
     }
 }
 
-/// Has every second restart end a process by signals in series, and adds a crowd in one
-/// seed of four.
+/// The second hold-up of a pair begins this long after the first one did, in ms: when the responses
+/// to waits of 800 and 900 ms that arrived in the first are planned.
+const PAIRED_AFTER_MS: std::ops::RangeInclusive<u64> = 600..=820;
+
+/// Has every second restart end a process by signals in series, adds hold-ups that
+/// follow others, and a crowd in one seed of four.
 fn widen(faults: &mut Vec<(Duration, Fault)>, random: &mut StdRng, proxies: usize) {
     for (_, fault) in faults.iter_mut() {
         if let Fault::Restart(proxy) = *fault {
@@ -131,6 +136,13 @@
             }
         }
     }
+    let hold_ups: Vec<(Duration, Fault)> =
+        faults.iter().filter(|(_, fault)| matches!(fault, Fault::HoldUp(_))).copied().collect();
+    for (at, fault) in hold_ups {
+        if random.random_bool(0.5) {
+            faults.push((at + Duration::from_millis(random.random_range(PAIRED_AFTER_MS)), fault));
+        }
+    }
     if random.random_ratio(1, 4) {
         let last = faults.last().map_or(QUIET_BEGINNING, |(at, _)| *at);
         let at = random.random_range(QUIET_BEGINNING..=last.max(QUIET_BEGINNING));
