--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -14,7 +14,7 @@
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(10);
 
 const SETTINGS: &str = r#"{
-    "GroupSize": 1, "MyNumber": 0, "Zone": 0, "Discovery": "poll", "Tick": 10,
+    "GroupSize": 1, "MyNumber": 0, "Zone": 0, "Discovery": "ask", "Tick": 10,
     "Grades": [{"Name": "read", "Aim": 1000, "GiveUp": 5000, "Semantics": "safe", "DedupScope": "all",
                 "RepeatWindow": 1, "Worth": 1}],
     "Kinds": ["origin", "node"], "Zones": ["z"],
