--- /dev/null
+++ b/review/standin/lib.rs
@@ -0,0 +1,432 @@
+//! Stand-ins for cache nodes, the origin, discovery and clients, and the proxy as a process. They use the
+//! standard library only and follow the operators' protocol page.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Returns a duration in milliseconds.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// The record of a run: one line for each thing that was sent, answered or run.
+#[derive(Clone)]
+pub struct Record {
+    began: Instant,
+    file: Arc<Mutex<File>>,
+}
+
+impl Record {
+    pub fn create(path: &Path) -> Record {
+        let file = File::create(path).expect("the record can be created");
+        Record { began: Instant::now(), file: Arc::new(Mutex::new(file)) }
+    }
+
+    /// Returns the time since the beginning of the record, in milliseconds.
+    pub fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Adds a line with the time in milliseconds.
+    pub fn line(&self, text: &str) {
+        let mut file = self.file.lock().unwrap();
+        let _ = writeln!(file, "{:>7} {text}", self.began.elapsed().as_millis());
+    }
+}
+
+/// A request as a cache node or the origin received it.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// The time at which the last byte had come, in milliseconds of the record.
+    pub at: u64,
+    pub id: String,
+    pub key: String,
+    pub is_write: bool,
+    /// The idempotency key, if there is one.
+    pub repeat_key: Option<String>,
+}
+
+/// What a backend does with a request: it writes the answer to the stream. An error ends the connection.
+pub type Serve = Arc<dyn Fn(&Received, &mut TcpStream) -> io::Result<()> + Send + Sync>;
+
+/// A stand-in that listens on a loopback address.
+#[derive(Clone)]
+pub struct Backend {
+    pub address: SocketAddr,
+    pub received: Arc<Mutex<Vec<Received>>>,
+}
+
+impl Backend {
+    pub fn count(&self) -> usize {
+        self.received.lock().unwrap().len()
+    }
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a loopback port is free");
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Returns a loopback address whose port was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    listen().1
+}
+
+fn accept_forever(listener: TcpListener, serve: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let _ = stream.set_nodelay(true);
+            let serve = Arc::clone(&serve);
+            thread::spawn(move || serve(stream));
+        }
+    });
+}
+
+/// Starts a cache node: the meta commands, one connection a thread, answers in order.
+pub fn start_node(name: &str, record: &Record, serve: Serve) -> Backend {
+    let (listener, address) = listen();
+    let backend = Backend { address, received: Arc::default() };
+    let (received, record, name) = (Arc::clone(&backend.received), record.clone(), name.to_owned());
+    accept_forever(listener, move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut writer = stream;
+        while let Ok(Some(line)) = read_line(&mut reader) {
+            if line == "mn" {
+                let _ = writer.write_all(b"MN\r\n");
+                continue;
+            }
+            let tokens: Vec<&str> = line.split(' ').collect();
+            let is_write = tokens[0] == "ms";
+            if !(is_write || tokens[0] == "mg") || tokens.len() < 3 {
+                let _ = writer.write_all(b"ERROR\r\n");
+                continue;
+            }
+            if is_write {
+                let length: usize = tokens[2].parse().unwrap_or(0);
+                let mut value = vec![0; length + 2];
+                if reader.read_exact(&mut value).is_err() {
+                    return;
+                }
+            }
+            let id = flag(&tokens, 'O');
+            let repeat_key = label(&flag(&tokens, 'P'), "k");
+            let request = Received { at: record.now(), id, key: tokens[1].to_owned(), is_write, repeat_key };
+            record.line(&format!("{name} received: {line}"));
+            received.lock().unwrap().push(request.clone());
+            if let Err(error) = serve(&request, &mut writer) {
+                record.line(&format!("{name}: the connection of O{} ended: {error}", request.id));
+                return;
+            }
+        }
+    });
+    backend
+}
+
+/// Starts the origin: HTTP/1.1, connections stay open.
+pub fn start_origin(record: &Record, serve: Serve) -> Backend {
+    let (listener, address) = listen();
+    let backend = Backend { address, received: Arc::default() };
+    let (received, record) = (Arc::clone(&backend.received), record.clone());
+    accept_forever(listener, move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut writer = stream;
+        while let Ok(Some(first)) = read_line(&mut reader) {
+            let Some(headers) = read_headers(&mut reader) else { return };
+            let length: usize = headers.get("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+            let mut body = vec![0; length];
+            if reader.read_exact(&mut body).is_err() {
+                return;
+            }
+            let mut words = first.split(' ');
+            let is_write = words.next() == Some("PUT");
+            let key = words.next().unwrap_or_default().trim_start_matches('/').to_owned();
+            let id = headers.get("x-txn").cloned().unwrap_or_default();
+            let labels = headers.get("x-labels").cloned().unwrap_or_default();
+            let repeat_key = label(&labels, "k");
+            let request = Received { at: record.now(), id, key, is_write, repeat_key };
+            record.line(&format!("origin received: {first} X-Txn {} X-Labels {labels}", request.id));
+            received.lock().unwrap().push(request.clone());
+            if let Err(error) = serve(&request, &mut writer) {
+                record.line(&format!("origin: the connection of {} ended: {error}", request.id));
+                return;
+            }
+        }
+    });
+    backend
+}
+
+/// Writes an answer of the origin with status 200.
+pub fn write_ok(stream: &mut TcpStream, id: &str, body: &[u8]) -> io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Txn: {id}\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body)
+}
+
+/// Writes a value of a cache node.
+pub fn write_value(stream: &mut TcpStream, id: &str, value: &[u8]) -> io::Result<()> {
+    stream.write_all(format!("VA {} O{id} h1\r\n", value.len()).as_bytes())?;
+    stream.write_all(value)?;
+    stream.write_all(b"\r\n")
+}
+
+/// An entry of the list of cache nodes.
+pub fn entry(name: &str, address: SocketAddr, kind: &str, zone: &str, lifecycle: &str) -> String {
+    format!(
+        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"{zone}","machineType":"{kind}","cell":1,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+    )
+}
+
+/// Returns a list in discovery's form.
+pub fn list(generation: u64, entries: &[String]) -> String {
+    format!(r#"{{"generation":{generation},"reset":true,"instances":[{}]}}"#, entries.join(","))
+}
+
+/// The stand-in of discovery: the whole list, and watches, in turn.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<Mutex<(u64, Vec<String>)>>,
+}
+
+impl Discovery {
+    /// Starts discovery. A call is answered `wait` after it came.
+    pub fn start(record: &Record, entries: Vec<String>, wait: Arc<dyn Fn() -> Duration + Send + Sync>) -> Discovery {
+        let (listener, address) = listen();
+        let state = Arc::new(Mutex::new((1, entries)));
+        let discovery = Discovery { address, state: Arc::clone(&state) };
+        let record = record.clone();
+        accept_forever(listener, move |stream| {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut writer = stream;
+            while let Ok(Some(first)) = read_line(&mut reader) {
+                if read_headers(&mut reader).is_none() {
+                    return;
+                }
+                let waits = wait();
+                record.line(&format!("discovery was called: {first}; it answers after {} ms", waits.as_millis()));
+                thread::sleep(waits);
+                let path = first.split(' ').nth(1).unwrap_or_default();
+                let result = if path.contains("watch=1") {
+                    serve_watch(&record, &state, &mut writer, path)
+                } else {
+                    let (generation, entries) = state.lock().unwrap().clone();
+                    write_ok(&mut writer, "", list(generation, &entries).as_bytes())
+                };
+                if let Err(error) = result {
+                    record.line(&format!("discovery: the call {path} ended: {error}"));
+                    return;
+                }
+            }
+        });
+        discovery
+    }
+
+    /// Replaces the list.
+    pub fn publish(&self, entries: Vec<String>) {
+        let mut state = self.state.lock().unwrap();
+        state.0 += 1;
+        state.1 = entries;
+    }
+}
+
+/// Answers a watch: the whole list, then each new list, and an empty line every 2 s.
+fn serve_watch(
+    record: &Record,
+    state: &Mutex<(u64, Vec<String>)>,
+    writer: &mut TcpStream,
+    path: &str,
+) -> io::Result<()> {
+    writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    let mut known: Option<u64> = None;
+    let mut last_write = Instant::now();
+    loop {
+        let (generation, entries) = state.lock().unwrap().clone();
+        if known != Some(generation) {
+            write_chunk(writer, &format!("{}\n", list(generation, &entries)))?;
+            record.line(&format!("discovery wrote the list of generation {generation} for {path}"));
+            known = Some(generation);
+            last_write = Instant::now();
+        } else if last_write.elapsed() >= ms(2000) {
+            write_chunk(writer, "\n")?;
+            last_write = Instant::now();
+        }
+        thread::sleep(ms(5));
+    }
+}
+
+fn write_chunk(writer: &mut TcpStream, text: &str) -> io::Result<()> {
+    writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
+
+fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
+    let mut line = Vec::new();
+    if reader.read_until(b'\n', &mut line)? == 0 {
+        return Ok(None);
+    }
+    Ok(Some(String::from_utf8_lossy(&line).trim_end().to_owned()))
+}
+
+fn read_headers(reader: &mut impl BufRead) -> Option<BTreeMap<String, String>> {
+    let mut headers = BTreeMap::new();
+    loop {
+        let line = read_line(reader).ok()??;
+        if line.is_empty() {
+            return Some(headers);
+        }
+        let (name, value) = line.split_once(':')?;
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+}
+
+/// Returns the argument of a flag.
+fn flag(tokens: &[&str], name: char) -> String {
+    tokens.iter().skip(2).find_map(|token| token.strip_prefix(name)).unwrap_or_default().to_owned()
+}
+
+/// Returns the value of a label.
+fn label(labels: &str, name: &str) -> Option<String> {
+    labels.split(',').find_map(|label| label.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+}
+
+/// A client connection.
+pub struct Client {
+    pub stream: TcpStream,
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> io::Result<Client> {
+        let stream = TcpStream::connect_timeout(&address, ms(2000))?;
+        stream.set_nodelay(true)?;
+        let reader = BufReader::new(stream.try_clone()?);
+        Ok(Client { stream, reader })
+    }
+
+    pub fn send(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes())
+    }
+
+    pub fn set_timeout(&self, timeout: Duration) {
+        let _ = self.stream.set_read_timeout(Some(timeout));
+    }
+
+    /// Reads a line; `None` at the end of the connection.
+    pub fn line(&mut self) -> io::Result<Option<String>> {
+        read_line(&mut self.reader)
+    }
+
+    /// Sends a command and reads the first line of its answer.
+    pub fn call(&mut self, text: &str) -> io::Result<Option<String>> {
+        self.send(text)?;
+        self.line()
+    }
+}
+
+/// Reads one answer after its first line: the value, if there is one.
+pub fn read_rest(client: &mut Client, first: &str) -> io::Result<Vec<u8>> {
+    let Some(length) = first.strip_prefix("VA ").and_then(|rest| rest.split(' ').next()?.parse().ok()) else {
+        return Ok(Vec::new());
+    };
+    let mut value = vec![0; length + 2];
+    client.reader.read_exact(&mut value)?;
+    value.truncate(length);
+    Ok(value)
+}
+
+/// A proxy, started with the command of the deploy file.
+pub struct Proxy {
+    child: Child,
+    pub log: PathBuf,
+}
+
+impl Proxy {
+    pub fn start(root: &Path, folder: &Path, number: usize, listen: SocketAddr, admin: SocketAddr, config: &str) -> Proxy {
+        let path = folder.join(format!("config-{number}.json"));
+        fs::write(&path, config).expect("the configuration can be written");
+        let log = folder.join(format!("proxy-{number}.log"));
+        let output = File::create(&log).unwrap();
+        let temporary = folder.join("tmp");
+        fs::create_dir_all(&temporary).unwrap();
+        let child = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(run_command(root))
+            .current_dir(root)
+            .env("LB_CONFIG", &path)
+            .env("LB_LISTEN", listen.to_string())
+            .env("LB_ADMIN", admin.to_string())
+            .env("TMPDIR", &temporary)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().unwrap())
+            .stderr(output)
+            .spawn()
+            .expect("the proxy's command can be started");
+        Proxy { child, log }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the command `run` of the deploy file.
+fn run_command(root: &Path) -> String {
+    let text = fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file can be read");
+    let value = text.lines().find_map(|line| line.strip_prefix("run = \"")).expect("the deploy file has a command");
+    value.split('"').next().unwrap_or_default().to_owned()
+}
+
+/// Waits until the proxy answers `mn` with `MN`; returns whether it did in time.
+pub fn wait_until_ready(listen: SocketAddr, timeout: Duration) -> bool {
+    let until = Instant::now() + timeout;
+    while Instant::now() < until {
+        if let Ok(mut client) = Client::connect(listen) {
+            client.set_timeout(ms(500));
+            if matches!(client.call("mn\r\n"), Ok(Some(line)) if line == "MN") {
+                return true;
+            }
+        }
+        thread::sleep(ms(20));
+    }
+    false
+}
+
+/// Calls the operators' door; returns the status.
+pub fn call_admin(admin: SocketAddr, method: &str, path: &str) -> io::Result<u16> {
+    let mut client = Client::connect(admin)?;
+    client.set_timeout(ms(1500));
+    client.send(&format!("{method} {path} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n"))?;
+    let line = client.line()?.unwrap_or_default();
+    line.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData.into())
+}
+
+/// Returns a new empty folder, outside the repository.
+pub fn temporary_folder() -> PathBuf {
+    let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
+    let folder = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a temporary folder can be created");
+    folder
+}
