--- a/review/standin/lib.rs
+++ b/review/standin/standin.rs
@@ -29,11 +29,6 @@
         Record { began: Instant::now(), file: Arc::new(Mutex::new(file)) }
     }
 
-    /// Returns the time since the beginning of the record, in milliseconds.
-    pub fn now(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
-    }
-
     /// Adds a line with the time in milliseconds.
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
@@ -44,31 +39,41 @@
 /// A request as a cache node or the origin received it.
 #[derive(Clone, Debug)]
 pub struct Received {
-    /// The time at which the last byte had come, in milliseconds of the record.
-    pub at: u64,
     pub id: String,
     pub key: String,
     pub is_write: bool,
-    /// The idempotency key, if there is one.
-    pub repeat_key: Option<String>,
+    /// How many requests of this id this backend has received, with this one.
+    pub count: usize,
 }
 
 /// What a backend does with a request: it writes the answer to the stream. An error ends the connection.
 pub type Serve = Arc<dyn Fn(&Received, &mut TcpStream) -> io::Result<()> + Send + Sync>;
 
-/// A stand-in that listens on a loopback address.
-#[derive(Clone)]
+/// A stand-in of a cache node or of the origin.
 pub struct Backend {
     pub address: SocketAddr,
-    pub received: Arc<Mutex<Vec<Received>>>,
+    log: Log,
 }
 
+/// The requests that a backend has received.
+type Log = Arc<Mutex<Vec<Received>>>;
+
 impl Backend {
-    pub fn count(&self) -> usize {
-        self.received.lock().unwrap().len()
+    /// Returns the requests that were received so far.
+    pub fn received(&self) -> Vec<Received> {
+        self.log.lock().unwrap().clone()
     }
 }
 
+/// Adds a request to those that were received.
+fn add(log: &Log, id: String, key: &str, is_write: bool) -> Received {
+    let mut log = log.lock().unwrap();
+    let count = log.iter().filter(|request| request.id == id).count() + 1;
+    let request = Received { id, key: key.to_owned(), is_write, count };
+    log.push(request.clone());
+    request
+}
+
 fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a loopback port is free");
     let address = listener.local_addr().unwrap();
@@ -91,11 +96,11 @@
     });
 }
 
-/// Starts a cache node: the meta commands, one connection a thread, answers in order.
+/// Starts a cache node: the meta commands, one thread for each connection, answers in order.
 pub fn start_node(name: &str, record: &Record, serve: Serve) -> Backend {
     let (listener, address) = listen();
-    let backend = Backend { address, received: Arc::default() };
-    let (received, record, name) = (Arc::clone(&backend.received), record.clone(), name.to_owned());
+    let backend = Backend { address, log: Log::default() };
+    let (received, record, name) = (Arc::clone(&backend.log), record.clone(), name.to_owned());
     accept_forever(listener, move |stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut writer = stream;
@@ -118,14 +123,13 @@
                 }
             }
             let id = flag(&tokens, 'O');
-            let repeat_key = label(&flag(&tokens, 'P'), "k");
-            let request = Received { at: record.now(), id, key: tokens[1].to_owned(), is_write, repeat_key };
             record.line(&format!("{name} received: {line}"));
-            received.lock().unwrap().push(request.clone());
+            let request = add(&received, id, tokens[1], is_write);
             if let Err(error) = serve(&request, &mut writer) {
-                record.line(&format!("{name}: the connection of O{} ended: {error}", request.id));
+                record.line(&format!("{name} ended the connection of O{}: {error}", request.id));
                 return;
             }
+            record.line(&format!("{name} has answered O{}", request.id));
         }
     });
     backend
@@ -134,8 +138,8 @@
 /// Starts the origin: HTTP/1.1, connections stay open.
 pub fn start_origin(record: &Record, serve: Serve) -> Backend {
     let (listener, address) = listen();
-    let backend = Backend { address, received: Arc::default() };
-    let (received, record) = (Arc::clone(&backend.received), record.clone());
+    let backend = Backend { address, log: Log::default() };
+    let (received, record) = (Arc::clone(&backend.log), record.clone());
     accept_forever(listener, move |stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut writer = stream;
@@ -151,14 +155,13 @@
             let key = words.next().unwrap_or_default().trim_start_matches('/').to_owned();
             let id = headers.get("x-txn").cloned().unwrap_or_default();
             let labels = headers.get("x-labels").cloned().unwrap_or_default();
-            let repeat_key = label(&labels, "k");
-            let request = Received { at: record.now(), id, key, is_write, repeat_key };
-            record.line(&format!("origin received: {first} X-Txn {} X-Labels {labels}", request.id));
-            received.lock().unwrap().push(request.clone());
+            record.line(&format!("the origin received: {first}, X-Txn {id}, X-Labels {labels}"));
+            let request = add(&received, id, &key, is_write);
             if let Err(error) = serve(&request, &mut writer) {
-                record.line(&format!("origin: the connection of {} ended: {error}", request.id));
+                record.line(&format!("the origin ended the connection of {}: {error}", request.id));
                 return;
             }
+            record.line(&format!("the origin has answered {}", request.id));
         }
     });
     backend
@@ -171,6 +174,11 @@
     stream.write_all(body)
 }
 
+/// Writes a miss of a cache node.
+pub fn write_miss(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+    stream.write_all(format!("EN O{id}\r\n").as_bytes())
+}
+
 /// Writes a value of a cache node.
 pub fn write_value(stream: &mut TcpStream, id: &str, value: &[u8]) -> io::Result<()> {
     stream.write_all(format!("VA {} O{id} h1\r\n", value.len()).as_bytes())?;
@@ -178,10 +186,10 @@
     stream.write_all(b"\r\n")
 }
 
-/// An entry of the list of cache nodes.
-pub fn entry(name: &str, address: SocketAddr, kind: &str, zone: &str, lifecycle: &str) -> String {
+/// Returns an entry of the list of cache nodes.
+pub fn entry(name: &str, address: SocketAddr, kind: &str, zone: &str) -> String {
     format!(
-        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"{zone}","machineType":"{kind}","cell":1,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"{zone}","machineType":"{kind}","cell":1,"lifecycle":"ready","weight":1.0,"startedAtMs":0}}"#
     )
 }
 
@@ -190,19 +198,15 @@
     format!(r#"{{"generation":{generation},"reset":true,"instances":[{}]}}"#, entries.join(","))
 }
 
-/// The stand-in of discovery: the whole list, and watches, in turn.
-#[derive(Clone)]
+/// The stand-in of discovery: one list that does not change, and watches of it.
 pub struct Discovery {
     pub address: SocketAddr,
-    state: Arc<Mutex<(u64, Vec<String>)>>,
 }
 
 impl Discovery {
-    /// Starts discovery. A call is answered `wait` after it came.
-    pub fn start(record: &Record, entries: Vec<String>, wait: Arc<dyn Fn() -> Duration + Send + Sync>) -> Discovery {
+    /// Starts discovery with this list.
+    pub fn start(record: &Record, list: String) -> Discovery {
         let (listener, address) = listen();
-        let state = Arc::new(Mutex::new((1, entries)));
-        let discovery = Discovery { address, state: Arc::clone(&state) };
         let record = record.clone();
         accept_forever(listener, move |stream| {
             let mut reader = BufReader::new(stream.try_clone().unwrap());
@@ -211,55 +215,28 @@
                 if read_headers(&mut reader).is_none() {
                     return;
                 }
-                let waits = wait();
-                record.line(&format!("discovery was called: {first}; it answers after {} ms", waits.as_millis()));
-                thread::sleep(waits);
-                let path = first.split(' ').nth(1).unwrap_or_default();
-                let result = if path.contains("watch=1") {
-                    serve_watch(&record, &state, &mut writer, path)
+                record.line(&format!("discovery was called: {first}"));
+                let result = if first.contains("watch=1") {
+                    serve_watch(&list, &mut writer)
                 } else {
-                    let (generation, entries) = state.lock().unwrap().clone();
-                    write_ok(&mut writer, "", list(generation, &entries).as_bytes())
+                    write_ok(&mut writer, "", list.as_bytes())
                 };
-                if let Err(error) = result {
-                    record.line(&format!("discovery: the call {path} ended: {error}"));
+                if result.is_err() {
                     return;
                 }
             }
         });
-        discovery
-    }
-
-    /// Replaces the list.
-    pub fn publish(&self, entries: Vec<String>) {
-        let mut state = self.state.lock().unwrap();
-        state.0 += 1;
-        state.1 = entries;
+        Discovery { address }
     }
 }
 
-/// Answers a watch: the whole list, then each new list, and an empty line every 2 s.
-fn serve_watch(
-    record: &Record,
-    state: &Mutex<(u64, Vec<String>)>,
-    writer: &mut TcpStream,
-    path: &str,
-) -> io::Result<()> {
+/// Answers a watch: the whole list, then an empty line every 2 s.
+fn serve_watch(list: &str, writer: &mut TcpStream) -> io::Result<()> {
     writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-    let mut known: Option<u64> = None;
-    let mut last_write = Instant::now();
+    write_chunk(writer, &format!("{list}\n"))?;
     loop {
-        let (generation, entries) = state.lock().unwrap().clone();
-        if known != Some(generation) {
-            write_chunk(writer, &format!("{}\n", list(generation, &entries)))?;
-            record.line(&format!("discovery wrote the list of generation {generation} for {path}"));
-            known = Some(generation);
-            last_write = Instant::now();
-        } else if last_write.elapsed() >= ms(2000) {
-            write_chunk(writer, "\n")?;
-            last_write = Instant::now();
-        }
-        thread::sleep(ms(5));
+        thread::sleep(ms(2000));
+        write_chunk(writer, "\n")?;
     }
 }
 
@@ -292,11 +269,6 @@
     tokens.iter().skip(2).find_map(|token| token.strip_prefix(name)).unwrap_or_default().to_owned()
 }
 
-/// Returns the value of a label.
-fn label(labels: &str, name: &str) -> Option<String> {
-    labels.split(',').find_map(|label| label.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
-}
-
 /// A client connection.
 pub struct Client {
     pub stream: TcpStream,
@@ -342,53 +314,60 @@
     Ok(value)
 }
 
+/// The processes that were started and have not been waited for.
+static STARTED: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started, and waits for them.
+pub fn kill_started() {
+    for mut child in STARTED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 /// A proxy, started with the command of the deploy file.
 pub struct Proxy {
-    child: Child,
+    id: u32,
     pub log: PathBuf,
 }
 
 impl Proxy {
-    pub fn start(root: &Path, folder: &Path, number: usize, listen: SocketAddr, admin: SocketAddr, config: &str) -> Proxy {
-        let path = folder.join(format!("config-{number}.json"));
-        fs::write(&path, config).expect("the configuration can be written");
-        let log = folder.join(format!("proxy-{number}.log"));
-        let output = File::create(&log).unwrap();
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        config: &Path,
+        listen: SocketAddr,
+        admin: SocketAddr,
+        discovery: SocketAddr,
+    ) -> Proxy {
+        let log = folder.join("proxy.log");
+        let output = File::create(&log).expect("the log can be created");
         let temporary = folder.join("tmp");
-        fs::create_dir_all(&temporary).unwrap();
+        fs::create_dir_all(&temporary).expect("a temporary folder can be created");
+        // The command ends in `exec`, so that the child is the proxy itself.
         let child = Command::new("/bin/sh")
             .arg("-c")
             .arg(run_command(root))
             .current_dir(root)
-            .env("LB_CONFIG", &path)
+            .env("LB_NAME", "n0")
+            .env("LB_CONFIG", config)
             .env("LB_LISTEN", listen.to_string())
             .env("LB_ADMIN", admin.to_string())
+            .env("LB_DISCOVERY", discovery.to_string())
             .env("TMPDIR", &temporary)
             .stdin(Stdio::null())
-            .stdout(output.try_clone().unwrap())
+            .stdout(output.try_clone().expect("the log can be shared"))
             .stderr(output)
             .spawn()
             .expect("the proxy's command can be started");
-        Proxy { child, log }
+        let id = child.id();
+        STARTED.lock().unwrap().push(child);
+        Proxy { id, log }
     }
 
+    /// Sends a signal, by its name without `SIG`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
-    }
-
-    pub fn has_exited(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.id)).status();
     }
 }
 
@@ -414,15 +393,6 @@
     false
 }
 
-/// Calls the operators' door; returns the status.
-pub fn call_admin(admin: SocketAddr, method: &str, path: &str) -> io::Result<u16> {
-    let mut client = Client::connect(admin)?;
-    client.set_timeout(ms(1500));
-    client.send(&format!("{method} {path} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n"))?;
-    let line = client.line()?.unwrap_or_default();
-    line.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData.into())
-}
-
 /// Returns a new empty folder, outside the repository.
 pub fn temporary_folder() -> PathBuf {
     let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
