--- a/review/standin/cases/stop_in_pipeline.rs
+++ b/review/standin/cases/stop_in_pipeline.rs
@@ -11,7 +11,7 @@
 /// The time from SIGTERM to the commands. The longest deadline is 2.5 s, so that SIGKILL comes after 3.2 s at the
 /// earliest.
 const SENT_AFTER_MS: u64 = 2300;
-/// The time that the slow origin takes.
+/// The time that the slow origin takes. The site lets a request wait there for 0.67 to 2.6 s.
 const ORIGIN_MS: u64 = 400;
 
 pub fn run(case: &Case) -> Result<Verdict, String> {
@@ -40,21 +40,24 @@
         "{} of {COMMANDS} commands got their answer, {answered_again} more on a new connection",
         seen.answers
     ));
-    let lost = COMMANDS - seen.answers - answered_again;
-    if lost == 0 {
+    let answered = seen.answers + answered_again;
+    let Some(read) = seen.commands_read else {
+        return Err("what the proxy had read cannot be told".to_owned());
+    };
+    // The page excuses a close that crosses a request that the proxy has not read.
+    if answered >= COMMANDS || answered >= read {
         Ok(Verdict::Held)
-    } else if seen.answers == 0 || seen.unread_bytes != Some(0) {
-        Err("the proxy had not read all commands when it ended the connection".to_owned())
     } else {
-        Ok(Verdict::Broken(format!("{lost} commands that the proxy had read got no answer")))
+        Ok(Verdict::Broken(format!("{} commands that the proxy had read got no answer", read - answered)))
     }
 }
 
 /// What the client saw.
 struct Seen {
     answers: usize,
-    /// The bytes of the commands that the proxy had not read 100 ms after they were sent.
-    unread_bytes: Option<u64>,
+    /// The commands that the proxy had read wholly 100 ms after they were sent, while the connection was open in both
+    /// directions.
+    commands_read: Option<usize>,
 }
 
 /// Sends the commands in one piece on a connection that is open since before SIGTERM, and reads the answers.
@@ -74,8 +77,12 @@
     thread::sleep(ms(100));
     let unread_bytes = unread_bytes(deployment.listen, client.stream.local_addr()?);
     record.line(&format!("bytes of them that the proxy has not read: {unread_bytes:?}"));
+    let commands_read = unread_bytes.map(|unread| {
+        let read = commands.len().saturating_sub(unread);
+        commands[..read].matches("\r\n").count()
+    });
     let answers = read_answers(case, &mut client, COMMANDS);
-    Ok(Seen { answers, unread_bytes })
+    Ok(Seen { answers, commands_read })
 }
 
 /// Sends the commands without an answer once more, on a new connection, and returns how many were answered.
@@ -96,7 +103,7 @@
 
 /// Returns the commands from this number on.
 fn pipeline(first: usize) -> String {
-    (first..COMMANDS).map(|number| format!("mg k{number} v O{number} Pc=lookup,d=1500\r\n")).collect()
+    (first..COMMANDS).map(|number| format!("mg k{number} v O{number} Pc=lookup,t=hel-gdynia,d=1500\r\n")).collect()
 }
 
 /// Reads answers until there are so many or the connection ends, and returns their number.
@@ -118,13 +125,18 @@
 }
 
 /// Returns how many bytes the process that has this end of a connection has not read, as the system's table of
-/// connections says.
-fn unread_bytes(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
+/// connections says. Returns `None` unless the connection is open in both directions: what is read after a shutdown
+/// does not count as read.
+fn unread_bytes(local: SocketAddr, remote: SocketAddr) -> Option<usize> {
+    const ESTABLISHED: &str = "01";
     let (local, remote) = (in_table(local)?, in_table(remote)?);
     let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
     let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<&str>>());
     let row = rows.into_iter().find(|row| row.get(1) == Some(&local.as_str()) && row.get(2) == Some(&remote.as_str()))?;
-    u64::from_str_radix(row.get(4)?.split(':').nth(1)?, 16).ok()
+    if row.get(3) != Some(&ESTABLISHED) {
+        return None;
+    }
+    usize::from_str_radix(row.get(4)?.split(':').nth(1)?, 16).ok()
 }
 
 fn in_table(address: SocketAddr) -> Option<String> {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 
 use deployment::{Case, Verdict};
 use standin::{kill_started, ms, temporary_folder, Record};
+use std::panic::AssertUnwindSafe;
 use std::path::PathBuf;
 use std::process::exit;
 use std::thread;
@@ -23,7 +24,10 @@
         eprintln!("usage: standin CASE FOLDER");
         exit(2);
     };
-    let record = Record::create(&PathBuf::from(target).join("record.txt"));
+    let Ok(record) = Record::create(&PathBuf::from(target).join("record.txt")) else {
+        eprintln!("the record cannot be created in {target}");
+        exit(2);
+    };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let root = std::env::current_dir().expect("the current folder can be read");
     let folder = temporary_folder();
@@ -36,7 +40,8 @@
         kill_started();
         exit(2);
     });
-    let verdict = cases::run(name, &case);
+    let verdict = std::panic::catch_unwind(AssertUnwindSafe(|| cases::run(name, &case)))
+        .unwrap_or_else(|_| Err("the case panicked".to_owned()));
     kill_started();
     let _ = std::fs::remove_dir_all(&folder);
     let (text, code) = match verdict {
--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -5,6 +5,8 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -24,9 +26,9 @@
 }
 
 impl Record {
-    pub fn create(path: &Path) -> Record {
-        let file = File::create(path).expect("the record can be created");
-        Record { began: Instant::now(), file: Arc::new(Mutex::new(file)) }
+    pub fn create(path: &Path) -> io::Result<Record> {
+        let file = File::create(path)?;
+        Ok(Record { began: Instant::now(), file: Arc::new(Mutex::new(file)) })
     }
 
     /// Adds a line with the time in milliseconds.
@@ -109,6 +111,11 @@
                 let _ = writer.write_all(b"MN\r\n");
                 continue;
             }
+            if line == "stats load" {
+                // The settings' report has no fields.
+                let _ = writer.write_all(b"END\r\n");
+                continue;
+            }
             let tokens: Vec<&str> = line.split(' ').collect();
             let is_write = tokens[0] == "ms";
             if !(is_write || tokens[0] == "mg") || tokens.len() < 3 {
@@ -155,6 +162,11 @@
             let key = words.next().unwrap_or_default().trim_start_matches('/').to_owned();
             let id = headers.get("x-txn").cloned().unwrap_or_default();
             let labels = headers.get("x-labels").cloned().unwrap_or_default();
+            if id.is_empty() {
+                // A probe has no id.
+                let _ = write_ok(&mut writer, "", b"");
+                continue;
+            }
             record.line(&format!("the origin received: {first}, X-Txn {id}, X-Labels {labels}"));
             let request = add(&received, id, &key, is_write);
             if let Err(error) = serve(&request, &mut writer) {
@@ -314,6 +326,21 @@
     Ok(value)
 }
 
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn prctl(option: i32, argument: u64, unused3: u64, unused4: u64, unused5: u64) -> i32;
+}
+
+/// Makes the close of a connection a reset.
+pub fn reset_at_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // On, for 0 s.
+    let linger = [1_i32, 0];
+    // SAFETY: the descriptor is open, and the option's value is two integers.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
+
 /// The processes that were started and have not been waited for.
 static STARTED: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
@@ -344,8 +371,18 @@
         let output = File::create(&log).expect("the log can be created");
         let temporary = folder.join("tmp");
         fs::create_dir_all(&temporary).expect("a temporary folder can be created");
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: the call only asks the system to kill the child when this program ends, however it ends.
+        unsafe {
+            command.pre_exec(|| {
+                const PR_SET_PDEATHSIG: i32 = 1;
+                const SIGKILL: u64 = 9;
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
         // The command ends in `exec`, so that the child is the proxy itself.
-        let child = Command::new("/bin/sh")
+        let child = command
             .arg("-c")
             .arg(run_command(root))
             .current_dir(root)
