--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -91,6 +91,7 @@
         self.input.drain(..used);
         self.has_unexecuted_input = self.state == State::Open && self.is_full() && !self.input.is_empty();
         if self.state != State::Open {
+            self.unexecuted_bytes += self.input.len();
             self.input = Vec::new();
         }
         if self.input.is_empty() {
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -19,7 +19,7 @@
 use crate::net::dispatcher::ClientPresence;
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
-use crate::net::request_log::{self, CloseReason};
+use crate::net::request_log::{self, CloseReason, ConnectionRemains};
 use close::Progress;
 use pinetrail_codec::MAX_VALUE_BYTES;
 use pinetrail_connection_limits::{ConnectionId, Phase, PhaseNumber, Timestamp};
@@ -130,6 +130,8 @@
     has_unexecuted_input: bool,
     /// Whether a command was malformed since the last pause.
     had_errors: bool,
+    /// The number of bytes that were read and will never be executed.
+    unexecuted_bytes: usize,
     /// The number of bytes that were discarded while lingering.
     discarded_bytes: usize,
     /// The bytes to write next.
@@ -175,6 +177,7 @@
             waits_for_memory: false,
             has_unexecuted_input: false,
             had_errors: false,
+            unexecuted_bytes: 0,
             discarded_bytes: 0,
             output: Vec::new(),
             body: None,
@@ -305,7 +308,12 @@
     fn drop(&mut self) {
         self.service.remove(self.id);
         let reason = self.close_reason.unwrap_or(CloseReason::Finished);
-        request_log::connection_closed(self.id, reason, self.pending.len(), self.discarded_bytes);
+        let remains = ConnectionRemains {
+            unanswered_commands: self.pending.len(),
+            unexecuted_bytes: self.unexecuted_bytes,
+            discarded_bytes: self.discarded_bytes,
+        };
+        request_log::connection_closed(self.id, reason, remains);
         for request in self.pending.iter().filter_map(|pending| pending.request) {
             self.service.dispatcher.cancel(request);
         }
--- a/src/net/request_log.rs
+++ b/src/net/request_log.rs
@@ -148,9 +148,27 @@
     debug!(target: "connection", connection, "accepted");
 }
 
-/// Logs that a client connection was closed. `unanswered` is the number of commands whose response
-/// was not written, `discarded` the number of bytes that were discarded after the end of the
-/// connection was announced.
-pub(super) fn connection_closed(connection: u64, reason: CloseReason, unanswered: usize, discarded: usize) {
-    debug!(target: "connection", connection, ?reason, unanswered, discarded, "closed");
+/// What a client connection left behind when it was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ConnectionRemains {
+    /// The number of executed commands whose response was not written.
+    pub unanswered_commands: usize,
+    /// The number of bytes that were read and not executed.
+    pub unexecuted_bytes: usize,
+    /// The number of bytes that were discarded after the end of the connection was announced.
+    pub discarded_bytes: usize,
+}
+
+/// Logs that a client connection was closed.
+pub(super) fn connection_closed(connection: u64, reason: CloseReason, remains: ConnectionRemains) {
+    let ConnectionRemains { unanswered_commands, unexecuted_bytes, discarded_bytes } = remains;
+    debug!(
+        target: "connection",
+        connection,
+        ?reason,
+        unanswered = unanswered_commands,
+        unexecuted = unexecuted_bytes,
+        discarded = discarded_bytes,
+        "closed"
+    );
 }
