Answer requests behind a long value that breaks off

What callers saw: a client sends a read and, behind it, a write; the value of the read is over 64 KiB and breaks off at its cache node. Reads and other commands behind such a value were lost alike.

Cause: a value that streams can break off, which only the end of the connection shows to a client, yet requests behind it were executed at once. Evidence: the log of a failing run has 'served number=2' 250 ms before 'closed reason=BodyBroken unanswered=2', which rules out a failed attempt, a close order and a cancelled request.

Fix: before a further request is executed, the connection and the attempt agree on how the value before it is delivered (ValueDelivery). With nothing behind it, it streams, and what arrives later stays unread in the socket, so that the client can send it elsewhere; with requests behind it, it is collected within the memory budget and by the attempt's deadline, so that a break is the end of the attempt only. Commands are taken from the socket only when they are executed. A connection that ends with a broken value is shut down in its sending direction first: unread commands would otherwise turn the close into a reset, which may discard earlier responses.

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -3,13 +3,10 @@
 
 use super::encode::encode_request;
 use super::pool::{ConnectError, Connection, ReuseDelay};
-use super::response::{
-    parse_response, AttemptResult, ConnectionReuse, InputState, LongValue, ParsedResponse,
-};
+use super::response::{parse_response, AttemptResult, ConnectionReuse, InputState, ParsedResponse};
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::attempt_id::AttemptId;
-use crate::net::body_stream;
 use crate::net::dispatcher::AttemptRequest;
 use crate::net::request_log;
 use std::io::ErrorKind;
@@ -19,8 +16,6 @@
 /// The longest pause within a response. Backends write a response without pauses, so a response
 /// that pauses for longer after its beginning counts as malformed.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// The longest pause of a backend between two pieces of a streamed value.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(5000);
 
 /// The source of an attempt's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,7 +135,7 @@
                 ParsedResponse::Incomplete => {}
                 ParsedResponse::Malformed => return self.malformed(),
                 ParsedResponse::LongValue(value) => {
-                    return self.stream_value(attempt, connection, bytes, &value);
+                    return self.pass_on_value(attempt, connection, bytes, &value);
                 }
                 ParsedResponse::Complete { result, reuse } => {
                     if input == InputState::Open {
@@ -152,7 +147,7 @@
         }
     }
 
-    fn malformed(&self) -> AttemptResult {
+    pub(super) fn malformed(&self) -> AttemptResult {
         self.counters.responses_malformed.increment();
         Outcome::Error.into()
     }
@@ -162,7 +157,7 @@
     /// Invariant: the pool checks with its lock held that the backend is still the same ready
     /// process. If the backend drains or restarts later, its idle connections are closed after that
     /// check.
-    fn release(&self, attempt: &AttemptRequest, connection: Connection, reuse: ConnectionReuse) {
+    pub(super) fn release(&self, attempt: &AttemptRequest, connection: Connection, reuse: ConnectionReuse) {
         let delay = match reuse {
             ConnectionReuse::AfterShortDelay => ReuseDelay::Short,
             ConnectionReuse::AfterLongDelay => ReuseDelay::Long,
@@ -172,51 +167,6 @@
             self.dispatcher.accepts_attempts(attempt.backend, attempt.backend_started)
         });
     }
-
-    /// Forwards a long value to the client in pieces. `bytes` holds the head of the response and
-    /// the beginning of the value.
-    fn stream_value(
-        &self,
-        attempt: &AttemptRequest,
-        connection: Connection,
-        mut bytes: Vec<u8>,
-        value: &LongValue,
-    ) -> AttemptResult {
-        let (sender, receiver) = body_stream::channel();
-        if !self.dispatcher.attempt_streaming(attempt.id, value.length, receiver) {
-            return Outcome::Cancelled.into();
-        }
-        bytes.drain(..value.starts_at);
-        let mut remaining = value.length;
-        loop {
-            let part = bytes.len().min(remaining);
-            if sender.send(&bytes[..part]).is_err() {
-                return Outcome::Cancelled.into();
-            }
-            remaining -= part;
-            bytes.drain(..part);
-            if remaining == 0 && bytes.len() >= value.terminator.len() {
-                break;
-            }
-            match connection.stream.read(&mut bytes, Instant::now() + STREAM_STALL_TIMEOUT) {
-                Ok(count) if count > 0 => {}
-                _ => {
-                    self.counters.values_broken.increment();
-                    return Outcome::Reset.into();
-                }
-            }
-        }
-        if !bytes.starts_with(value.terminator) {
-            self.counters.values_broken.increment();
-            return self.malformed();
-        }
-        sender.finish();
-        self.counters.values_streamed.increment();
-        if bytes.len() == value.terminator.len() {
-            self.release(attempt, connection, value.reuse);
-        }
-        Outcome::Ok.into()
-    }
 }
 
 /// Reports the result of an attempt when the reporter is dropped, also if the attempt's coroutine
--- /dev/null
+++ b/src/net/backend/long_value.rs
@@ -0,0 +1,216 @@
+//! Passes on values that are too long for a complete response: streams them to the client, or
+//! collects them first if the client's connection must not end with them. Read
+//! [`BackendService::pass_on_value`] first.
+
+use super::pool::Connection;
+use super::response::{AttemptResult, LongValue};
+use super::BackendService;
+use crate::interface::Outcome;
+use crate::net::body_stream::{self, BodyReceiver};
+use crate::net::deadline_stream::sleep;
+use crate::net::dispatcher::AttemptRequest;
+use crate::net::memory::MemoryReservation;
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+/// The longest pause of a backend between two pieces of a long value.
+const STALL_TIMEOUT: Duration = Duration::from_millis(5000);
+/// The interval between attempts to reserve the memory for a value that is collected.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A long value while it is read from its backend.
+struct ValueReader<'a> {
+    connection: &'a Connection,
+    value: &'a LongValue,
+    /// Bytes that were read and not passed on.
+    bytes: Vec<u8>,
+    /// The time until which the value must be complete, if there is one.
+    deadline: Option<Instant>,
+}
+
+/// The reason why a long value is not passed on completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ValueFailure {
+    /// The connection ended, or the backend stopped sending.
+    BrokenOff,
+    /// The value does not have the announced length.
+    WrongLength,
+    /// The value is collected, and was not complete by the attempt's deadline.
+    Late,
+    /// The value is collected, and is longer than the memory for values.
+    TooLong,
+    /// The request no longer waits for its response.
+    NotAwaited,
+}
+
+/// Whether the backend has sent more after a value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Excess {
+    None,
+    Bytes,
+}
+
+impl ValueReader<'_> {
+    /// Reads the value to its end, and passes its pieces to `accept`, which may end the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not passed on completely.
+    fn read(
+        mut self,
+        mut accept: impl FnMut(&[u8]) -> Result<(), ValueFailure>,
+    ) -> Result<Excess, ValueFailure> {
+        let mut remaining = self.value.length;
+        let terminator = self.value.terminator;
+        loop {
+            let part = self.bytes.len().min(remaining);
+            accept(&self.bytes[..part])?;
+            remaining -= part;
+            self.bytes.drain(..part);
+            if remaining == 0 && self.bytes.len() >= terminator.len() {
+                break;
+            }
+            self.read_more()?;
+        }
+        match self.bytes.strip_prefix(terminator) {
+            Some([]) => Ok(Excess::None),
+            Some(_) => Ok(Excess::Bytes),
+            None => Err(ValueFailure::WrongLength),
+        }
+    }
+
+    fn read_more(&mut self) -> Result<(), ValueFailure> {
+        let stall_deadline = Instant::now() + STALL_TIMEOUT;
+        let read_deadline = self.deadline.map_or(stall_deadline, |deadline| deadline.min(stall_deadline));
+        match self.connection.stream.read(&mut self.bytes, read_deadline) {
+            Ok(count) if count > 0 => Ok(()),
+            Err(error) if error.kind() == ErrorKind::TimedOut && Some(read_deadline) == self.deadline => {
+                Err(ValueFailure::Late)
+            }
+            _ => Err(ValueFailure::BrokenOff),
+        }
+    }
+}
+
+impl BackendService {
+    /// Passes on a long value. `bytes` holds the head of the response and the beginning of the
+    /// value.
+    ///
+    /// Decides whether the value is streamed, or collected and passed on once it is complete.
+    ///
+    /// Inputs: whether the client's connection has requests behind this one.
+    /// Reason: a streamed value that breaks off ends the connection, whose later responses would be
+    /// lost. A value that breaks off while it is collected is the end of the attempt only.
+    /// Source: docs/incidents/2026-12-04-write-behind-a-broken-value.md.
+    pub(super) fn pass_on_value(
+        &self,
+        attempt: &AttemptRequest,
+        connection: Connection,
+        mut bytes: Vec<u8>,
+        value: &LongValue,
+    ) -> AttemptResult {
+        bytes.drain(..value.starts_at);
+        let is_streamed = attempt.request.delivery.begin_stream();
+        let deadline = (!is_streamed).then_some(attempt.deadline);
+        let reader = ValueReader { connection: &connection, value, bytes, deadline };
+        let result = if is_streamed {
+            self.stream_value(attempt, reader)
+        } else {
+            self.collect_value(attempt, reader)
+        };
+        match result {
+            Ok(excess) => {
+                self.counters.values_streamed.increment();
+                if excess == Excess::None {
+                    self.release(attempt, connection, value.reuse);
+                }
+                Outcome::Ok.into()
+            }
+            Err(failure) => self.outcome_of_failure(failure),
+        }
+    }
+
+    /// Returns the outcome of an attempt whose value is not passed on completely, and counts it.
+    fn outcome_of_failure(&self, failure: ValueFailure) -> AttemptResult {
+        match failure {
+            ValueFailure::BrokenOff => {
+                self.counters.values_broken.increment();
+                Outcome::Reset.into()
+            }
+            ValueFailure::WrongLength => {
+                self.counters.values_broken.increment();
+                self.malformed()
+            }
+            ValueFailure::Late => Outcome::Timeout.into(),
+            ValueFailure::TooLong | ValueFailure::NotAwaited => Outcome::Cancelled.into(),
+        }
+    }
+
+    /// Forwards a value to the client in pieces.
+    fn stream_value(&self, attempt: &AttemptRequest, reader: ValueReader) -> Result<Excess, ValueFailure> {
+        let (sender, receiver) = body_stream::channel();
+        self.begin_response(attempt, reader.value, receiver)?;
+        let excess = reader.read(|piece| sender.send(piece).map_err(|_| ValueFailure::NotAwaited))?;
+        sender.finish();
+        Ok(excess)
+    }
+
+    /// Reads a value to its end by the attempt's deadline, then responds with it.
+    fn collect_value(&self, attempt: &AttemptRequest, reader: ValueReader) -> Result<Excess, ValueFailure> {
+        let value = reader.value;
+        let memory = self.reserve_for_value(attempt, value.length)?;
+        let mut pieces = Vec::new();
+        let excess = reader.read(|piece| {
+            if !self.dispatcher.awaits_response(attempt.id) {
+                return Err(ValueFailure::NotAwaited);
+            }
+            pieces.push(piece.to_vec());
+            Ok(())
+        })?;
+        self.begin_response(attempt, value, body_stream::complete(pieces, memory))?;
+        Ok(excess)
+    }
+
+    fn begin_response(
+        &self,
+        attempt: &AttemptRequest,
+        value: &LongValue,
+        body: BodyReceiver,
+    ) -> Result<(), ValueFailure> {
+        if self.dispatcher.attempt_streaming(attempt.id, value.length, body) {
+            Ok(())
+        } else {
+            Err(ValueFailure::NotAwaited)
+        }
+    }
+
+    /// Reserves the memory for a value that is collected, once enough is free.
+    ///
+    /// Inputs: the length of the value, in bytes, the free memory, and the attempt's deadline.
+    /// Reason: the process must not exceed its memory limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory in time.
+    fn reserve_for_value(
+        &self,
+        attempt: &AttemptRequest,
+        length: usize,
+    ) -> Result<MemoryReservation, ValueFailure> {
+        if !self.memory.can_hold(length) {
+            return Err(ValueFailure::TooLong);
+        }
+        loop {
+            if let Some(memory) = self.memory.reserve(length) {
+                return Ok(memory);
+            }
+            if Instant::now() >= attempt.deadline {
+                return Err(ValueFailure::Late);
+            }
+            if !self.dispatcher.awaits_response(attempt.id) {
+                return Err(ValueFailure::NotAwaited);
+            }
+            sleep(MEMORY_RETRY_INTERVAL);
+        }
+    }
+}
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -3,10 +3,11 @@
 //! then `attempt`.
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
-//! parses its responses.
+//! parses its responses, `long_value` passes on values that are too long for that.
 
 mod attempt;
 mod encode;
+mod long_value;
 mod pool;
 mod response;
 #[cfg(test)]
@@ -16,6 +17,7 @@
 use super::deadline_stream::sleep;
 use super::descriptors::Descriptors;
 use super::dispatcher::{BackendCommand, Dispatcher};
+use super::memory::MemoryBudget;
 use attempt::OutcomeReporter;
 use may::sync::mpsc::Receiver;
 use pool::Pool;
@@ -35,6 +37,8 @@
     pub commands: Receiver<BackendCommand>,
     /// The descriptors that backend connections share with client connections.
     pub descriptors: Arc<Descriptors>,
+    /// The memory budget of commands and responses.
+    pub memory: Arc<MemoryBudget>,
     /// The timeout for establishing a connection.
     pub connect_timeout: Duration,
     /// The time after which backends close idle connections.
@@ -46,6 +50,7 @@
     dispatcher: Arc<Dispatcher>,
     counters: Arc<Counters>,
     pool: Pool,
+    memory: Arc<MemoryBudget>,
     /// The timeout for establishing a connection. The lock guards only this value.
     connect_timeout: Mutex<Duration>,
 }
@@ -60,6 +65,7 @@
             dispatcher: parameters.dispatcher,
             counters: parameters.counters,
             pool: Pool::new(parameters.descriptors, parameters.idle_timeout),
+            memory: parameters.memory,
             connect_timeout: Mutex::new(parameters.connect_timeout),
         });
         let closer = Arc::clone(&service);
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -3,7 +3,9 @@
 //! [`BodyReceiver`]. A full window makes the sender wait, which applies back-pressure to the
 //! backend of a slow client. Read [`channel`] first.
 
+use super::memory::MemoryReservation;
 use may::sync::SyncFlag;
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use thiserror::Error;
 
@@ -16,8 +18,12 @@
 /// Invariant: no coroutine waits while it holds the lock.
 #[derive(Default)]
 struct State {
-    bytes: Vec<u8>,
+    pieces: VecDeque<Vec<u8>>,
+    /// The length of the pieces together, in bytes.
+    length: usize,
     progress: Progress,
+    /// The memory that is reserved for a value beyond the window.
+    memory: Option<MemoryReservation>,
     /// Whether the [`BodyReceiver`] was dropped.
     is_receiver_dropped: bool,
     /// The function that is called when the receiver has something to read.
@@ -71,6 +77,19 @@
     (BodySender(Arc::clone(&shared)), BodyReceiver(shared))
 }
 
+/// Returns the receiving end of a value that has arrived completely. `memory` is reserved for the
+/// pieces, and released once the value is dropped.
+pub fn complete(pieces: Vec<Vec<u8>>, memory: MemoryReservation) -> BodyReceiver {
+    let state = State {
+        length: pieces.iter().map(Vec::len).sum(),
+        pieces: pieces.into(),
+        progress: Progress::Complete,
+        memory: Some(memory),
+        ..State::default()
+    };
+    BodyReceiver(Arc::new(Mutex::new(state)))
+}
+
 impl BodySender {
     /// Sends a piece once the window has space. The wait has no timeout, since the receiver either
     /// reads or is dropped.
@@ -85,8 +104,9 @@
                 if state.is_receiver_dropped {
                     return Err(ReceiverDropped);
                 }
-                if state.bytes.len() < WINDOW_BYTES {
-                    state.bytes.extend_from_slice(piece);
+                if state.length < WINDOW_BYTES {
+                    state.length += piece.len();
+                    state.pieces.push_back(piece.to_vec());
                     state.wake();
                     return Ok(());
                 }
@@ -122,33 +142,50 @@
         state.wake();
     }
 
-    /// Takes all bytes from the window, or reports why it is empty.
+    /// Takes the bytes from the window, or reports why it is empty.
     pub fn receive(&self) -> ReceiveOutcome {
         let mut state = lock(&self.0);
-        if state.bytes.is_empty() {
+        if state.pieces.is_empty() {
             return match state.progress {
                 Progress::Open => ReceiveOutcome::Pending,
                 Progress::Complete => ReceiveOutcome::End,
                 Progress::Broken => ReceiveOutcome::Broken,
             };
         }
-        let bytes = std::mem::take(&mut state.bytes);
+        let bytes = state.take_window();
         state.signal_space();
         ReceiveOutcome::Bytes(bytes)
     }
+
+    /// Returns whether the whole value has arrived, so that it cannot break off any more.
+    pub fn is_complete(&self) -> bool {
+        lock(&self.0).progress == Progress::Complete
+    }
 }
 
 impl Drop for BodyReceiver {
     fn drop(&mut self) {
         let mut state = lock(&self.0);
         state.is_receiver_dropped = true;
-        state.bytes = Vec::new();
+        state.pieces = VecDeque::new();
+        state.memory = None;
         state.waker = None;
         state.signal_space();
     }
 }
 
 impl State {
+    /// Takes pieces until their length reaches that of the window.
+    fn take_window(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while bytes.len() < WINDOW_BYTES {
+            let Some(piece) = self.pieces.pop_front() else { break };
+            bytes.extend_from_slice(&piece);
+        }
+        self.length -= bytes.len();
+        bytes
+    }
+
     fn wake(&self) {
         if let Some(waker) = &self.waker {
             waker();
--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -35,7 +35,7 @@
                 Some(if is_stopping { CloseReason::Stopping } else { CloseReason::Disconnecting });
             self.state = State::Finishing;
         }
-        if self.is_idle() && self.state == State::Finishing {
+        if self.state == State::Finishing && self.has_written_last_response() {
             // An error means that the client has disconnected.
             let _ = self.stream.inner().shutdown(Shutdown::Write);
             self.state = State::Lingering;
@@ -44,6 +44,12 @@
         Progress::Continues
     }
 
+    /// Returns whether nothing more will be written: every response, or the part that arrived of a
+    /// value that broke off. No command behind such a value was executed.
+    fn has_written_last_response(&self) -> bool {
+        self.output.is_empty() && (self.pending.is_empty() || self.body_broken)
+    }
+
     /// Applies a close order: decides whether the connection closes at once, closes after an error
     /// response, or stays open.
     ///
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -84,6 +84,8 @@
     /// write it.
     fn submit_request(&mut self, request: ClientRequest, memory: MemoryReservation) {
         let slot = ResponseSlot::default();
+        // The response to a write is never streamed.
+        let delivery = request.value.is_none().then(|| Arc::clone(&request.delivery));
         let respond = self.response_callback(&request, Arc::clone(&slot));
         self.service.record_request(self.id);
         match self.submit(request, respond) {
@@ -91,6 +93,7 @@
                 self.pending.push_back(PendingCommand {
                     request: Some(id),
                     response: slot,
+                    delivery,
                     memory: Some(memory),
                 });
             }
@@ -148,6 +151,7 @@
         self.pending.push_back(PendingCommand {
             request: None,
             response: Arc::new(Mutex::new(Some(response))),
+            delivery: None,
             memory: None,
         });
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -1,13 +1,12 @@
-//! Reads the input of a client connection, and executes its commands in order until a limit is
-//! reached or the client disconnects. Read [`Connection::read`] first, then
-//! [`Connection::execute_input`].
+//! Executes the commands of a client connection in order until a limit is reached or the client
+//! disconnects, and takes from the socket what was executed. Read [`Connection::receive`] first.
 
 use super::commands::Execution;
 use super::{Connection, Received, State, REQUEST_OVERHEAD_BYTES};
-use crate::net::deadline_stream::{has_hung_up, try_read};
-use pinetrail_codec::memcache;
+use crate::net::deadline_stream::{has_hung_up, try_peek, try_read};
+use pinetrail_codec::memcache::{self, Command};
 use pinetrail_codec::{ParseError, Parsed, MAX_VALUE_BYTES};
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read};
 use std::time::{Duration, Instant};
 
 /// The maximum number of bytes that are discarded after the sending direction was shut down.
@@ -20,6 +19,21 @@
 /// connection was in the queue is unknown while others keep the queue from becoming empty.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(250);
 
+/// The commands of the input buffer that were executed at a time.
+struct Executed {
+    /// The length of these commands in bytes.
+    used: usize,
+    stop: StopReason,
+}
+
+/// The reason why no further command was executed.
+enum StopReason {
+    /// The rest of the next command has not arrived.
+    PartialCommand,
+    /// A limit was reached, or the connection is ending.
+    Limit,
+}
+
 impl Connection<'_> {
     /// Returns an error if the client has disconnected.
     ///
@@ -39,60 +53,75 @@
         self.stream.inner().peek(&mut [0]).is_ok_and(|count| count > 0)
     }
 
-    /// Reads the input that is available; returns whether there may be more.
+    /// Executes the commands that the client has sent, as far as limits allow; returns whether there
+    /// may be more of them.
     ///
-    /// Invariant: nothing is read while commands wait for execution. Otherwise the input of a
-    /// pipeline of small commands would be buffered without a limit.
-    pub(super) fn read(&mut self) -> io::Result<bool> {
-        // The budget of commands that waited for earlier responses starts now.
-        self.unread_time = Duration::ZERO;
-        if self.is_reading_paused() {
-            self.check_client_present()?;
-            return Ok(false);
-        }
-        if self.has_unexecuted_input {
-            self.check_client_present()?;
-            return Ok(true);
-        }
-        match try_read(self.stream.inner(), &mut self.input) {
-            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
-            Ok(count) => {
-                self.record_read(count);
-                Ok(true)
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(false),
-            Err(error) => Err(error),
+    /// Invariant: a command stays in the socket until it is executed. If the connection ends first,
+    /// the proxy has not read the command, and its client can send it on another connection.
+    /// Besides, the input of a pipeline of small commands is not buffered without a limit.
+    pub(super) fn receive(&mut self) -> io::Result<bool> {
+        match self.state {
+            State::Open if self.is_full() => self.check_client_present().map(|()| false),
+            State::Open => self.execute_available(),
+            State::Finishing => self.check_client_present().map(|()| false),
+            State::Lingering => self.discard_available(),
         }
     }
 
-    fn is_reading_paused(&self) -> bool {
-        self.state == State::Finishing
-            || self.is_full()
-            || self.waits_for_memory
-            || self.discarded_bytes > MAX_DISCARDED_BYTES
+    /// Discards the input that is available; returns whether there may be more.
+    fn discard_available(&mut self) -> io::Result<bool> {
+        if self.discarded_bytes > MAX_DISCARDED_BYTES {
+            return self.check_client_present().map(|()| false);
+        }
+        let Some(count) = bytes_available(try_read(self.stream.inner(), &mut self.input))? else {
+            return Ok(false);
+        };
+        self.discarded_bytes += count;
+        self.service.counters.bytes_discarded.add(count);
+        self.input.clear();
+        Ok(true)
     }
 
-    /// Records bytes that were read, and how long they may have been unread.
-    fn record_read(&mut self, count: usize) {
-        let queue_time = std::mem::take(&mut self.queue_time).min(MAX_QUEUE_TIME);
-        self.unread_time = self.service.hold_up_monitor.unread_time(Instant::now()).max(queue_time);
-        if self.state == State::Lingering {
-            self.discarded_bytes += count;
-            self.service.counters.bytes_discarded.add(count);
-            self.input.clear();
-        } else if self.received == Received::Nothing {
+    /// Executes the complete commands that are available, and takes them from the socket. The part
+    /// of a command is taken too, since a long command does not fit into the socket's buffer.
+    fn execute_available(&mut self) -> io::Result<bool> {
+        let partial_length = self.input.len();
+        let Some(count) = bytes_available(try_peek(self.stream.inner(), &mut self.input))? else {
+            return Ok(false);
+        };
+        self.update_unread_time();
+        if self.received == Received::Nothing {
             self.received = Received::PartialCommand;
         }
+        let Executed { used, stop } = self.execute_complete_commands();
+        let taken = match stop {
+            StopReason::PartialCommand => count,
+            StopReason::Limit => used.saturating_sub(partial_length),
+        };
+        self.has_waiting_input = taken < count;
+        self.input.truncate(partial_length + taken);
+        self.stream.inner().read_exact(&mut self.input[partial_length..])?;
+        self.input.drain(..used);
+        self.limit_input();
+        Ok(used > 0 || taken > 0)
     }
 
-    /// Executes the complete commands in the input buffer, as far as limits allow more responses.
-    pub(super) fn execute_input(&mut self) {
-        let used = self.execute_complete_commands();
-        self.input.drain(..used);
-        self.has_unexecuted_input = self.state == State::Open && self.is_full() && !self.input.is_empty();
+    /// Updates how long the available input may have been unread. The budget of commands that
+    /// waited for earlier responses starts now.
+    fn update_unread_time(&mut self) {
+        let queue_time = std::mem::take(&mut self.queue_time).min(MAX_QUEUE_TIME);
+        self.unread_time = if self.has_waiting_input {
+            Duration::ZERO
+        } else {
+            self.service.hold_up_monitor.unread_time(Instant::now()).max(queue_time)
+        };
+    }
+
+    /// Keeps the memory of the input buffer, which contains at most a part of a command, within its
+    /// limits.
+    fn limit_input(&mut self) {
         if self.state != State::Open {
-            self.unexecuted_bytes += self.input.len();
-            self.input = Vec::new();
+            self.drop_input();
         }
         if self.input.is_empty() {
             // Many connections are open at a time, so none keeps the allocation of a large value.
@@ -105,13 +134,25 @@
         }
     }
 
-    /// Executes complete commands; returns how many bytes of input they used.
-    fn execute_complete_commands(&mut self) -> usize {
+    fn drop_input(&mut self) {
+        self.unexecuted_bytes += self.input.len();
+        self.input = Vec::new();
+    }
+
+    /// Executes the complete commands in the input buffer, as far as limits allow more responses.
+    fn execute_complete_commands(&mut self) -> Executed {
         let mut used = 0;
+        self.waits_for_memory = false;
+        self.waits_for_response = false;
         while self.state == State::Open && !self.is_full() {
             match memcache::parse_command(&self.input[used..]) {
-                Err(ParseError::Incomplete) => break,
+                Err(ParseError::Incomplete) => return Executed { used, stop: StopReason::PartialCommand },
                 Ok(Parsed { message: command, length }) => {
+                    let is_request = matches!(command, Command::Request(_));
+                    self.waits_for_response = !self.may_execute_next(is_request);
+                    if self.waits_for_response {
+                        break;
+                    }
                     // A pipeline waits while memory is short, since its own responses will free
                     // some.
                     self.waits_for_memory = self.execute(command) == Execution::NoMemory;
@@ -122,6 +163,10 @@
                     self.received = Received::CompleteCommand;
                 }
                 Err(ParseError::Malformed { error, skip }) => {
+                    self.waits_for_response = !self.may_execute_next(false);
+                    if self.waits_for_response {
+                        break;
+                    }
                     self.respond_malformed(error);
                     match skip {
                         Some(length) => used += length,
@@ -130,7 +175,23 @@
                 }
             }
         }
-        used
+        Executed { used, stop: StopReason::Limit }
+    }
+
+    /// Decides whether the next command may be executed, or waits for the response before it.
+    ///
+    /// Inputs: whether the command is a request, and the response before it.
+    /// Reason: a response that breaks off ends the connection, and with it the responses behind it.
+    /// A request makes the response before it be collected, so that both run at the same time. What
+    /// needs no backend loses nothing by waiting.
+    /// Source: docs/incidents/2026-12-04-write-behind-a-broken-value.md.
+    fn may_execute_next(&self, is_request: bool) -> bool {
+        let Some(last) = self.pending.back() else { return true };
+        if is_request {
+            last.keep_whole()
+        } else {
+            !last.may_break_off()
+        }
     }
 
     /// Reserves memory for a large command before the rest of the command is read. Without memory
@@ -143,7 +204,21 @@
         if self.input_memory.is_none() {
             self.respond_malformed("SERVER_ERROR out of memory");
             self.state = State::Finishing;
-            self.input = Vec::new();
+            self.drop_input();
         }
     }
 }
+
+/// Returns how many bytes a read without waiting found; `None` if nothing is available now.
+///
+/// # Errors
+///
+/// Returns the socket's errors, or [`ErrorKind::UnexpectedEof`] at the end of the stream.
+fn bytes_available(result: io::Result<usize>) -> io::Result<Option<usize>> {
+    match result {
+        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+        Ok(count) => Ok(Some(count)),
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -16,7 +16,7 @@
 use crate::interface::RequestId;
 use crate::net::body_stream::BodyReceiver;
 use crate::net::deadline_stream::sleep;
-use crate::net::dispatcher::ClientPresence;
+use crate::net::dispatcher::{ClientPresence, ValueDelivery};
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
 use crate::net::request_log::{self, CloseReason, ConnectionRemains};
@@ -25,7 +25,7 @@
 use pinetrail_connection_limits::{ConnectionId, Phase, PhaseNumber, Timestamp};
 use std::collections::VecDeque;
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// The number of commands without a written response at which reading pauses.
@@ -60,10 +60,33 @@
     /// The request, if it was submitted.
     request: Option<RequestId>,
     response: ResponseSlot,
+    /// How a long value of the response is delivered; `None` if the response is no value.
+    delivery: Option<Arc<ValueDelivery>>,
     /// The memory that is reserved for the values of the command and its response.
     memory: Option<MemoryReservation>,
 }
 
+impl PendingCommand {
+    /// Returns whether the response can break off, which would end the connection: it may be a long
+    /// value, and is not known to be complete.
+    fn may_break_off(&self) -> bool {
+        self.delivery.is_some() && !self.has_complete_response()
+    }
+
+    /// Ensures that the response cannot break off, so that a request may be executed behind it.
+    /// Returns false if a long value is already streamed.
+    fn keep_whole(&self) -> bool {
+        let is_kept_whole = self.delivery.as_ref().is_none_or(|delivery| delivery.require_complete());
+        is_kept_whole || self.has_complete_response()
+    }
+
+    fn has_complete_response(&self) -> bool {
+        let response = self.response.lock().unwrap_or_else(PoisonError::into_inner);
+        let body = response.as_ref().map(|response| response.body.as_ref());
+        body.is_some_and(|body| body.is_none_or(BodyReceiver::is_complete))
+    }
+}
+
 /// The states of a connection, in their order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -113,7 +136,8 @@
     presence: Arc<dyn ClientPresence>,
     state: State,
     reported: ReportedPhase,
-    /// Input that is not executed yet.
+    /// The part of a command that has arrived. Complete commands that wait for a limit stay in the
+    /// socket.
     input: Vec<u8>,
     /// The longest time for which the connection may have been in the accept queue; zero after its
     /// first input.
@@ -126,8 +150,10 @@
     received: Received,
     /// Whether the next command waits for memory.
     waits_for_memory: bool,
-    /// Whether `input` may contain complete commands that wait for a limit.
-    has_unexecuted_input: bool,
+    /// Whether the next command waits until the response before it cannot break off.
+    waits_for_response: bool,
+    /// Whether a limit has left input in the socket.
+    has_waiting_input: bool,
     /// Whether a command was malformed since the last pause.
     had_errors: bool,
     /// The number of bytes that were read and will never be executed.
@@ -138,8 +164,8 @@
     output: Vec<u8>,
     /// The streamed value of the first pending command.
     body: Option<BodyReceiver>,
-    /// Whether the streamed value ended before it was complete. The connection ends once `output`
-    /// is written.
+    /// Whether the streamed value ended before it was complete. Only the end of the connection can
+    /// signal that to the client.
     body_broken: bool,
     /// The memory that is reserved for the responses in `output`.
     output_memory: Vec<MemoryReservation>,
@@ -175,7 +201,8 @@
             input_memory: None,
             received: Received::Nothing,
             waits_for_memory: false,
-            has_unexecuted_input: false,
+            waits_for_response: false,
+            has_waiting_input: false,
             had_errors: false,
             unexecuted_bytes: 0,
             discarded_bytes: 0,
@@ -189,19 +216,16 @@
         }
     }
 
-    /// Records that the connection closes because the client has disconnected, or because a
-    /// response cannot be completed.
+    /// Records that the connection closes because the client has disconnected.
     pub(super) fn record_disconnect(&mut self) {
-        let reason = if self.body_broken { CloseReason::BodyBroken } else { CloseReason::ClientGone };
-        self.close_reason.get_or_insert(reason);
+        self.close_reason.get_or_insert(CloseReason::ClientGone);
     }
 
     /// Serves the connection until it ends.
     ///
     /// # Errors
     ///
-    /// Returns an error if the client has disconnected, or a streamed value ended before it was
-    /// complete.
+    /// Returns an error if the client has disconnected.
     pub(super) fn serve(&mut self) -> io::Result<()> {
         loop {
             if self.serve_without_waiting()? == Progress::Finished {
@@ -223,9 +247,8 @@
     fn serve_without_waiting(&mut self) -> io::Result<Progress> {
         let mut rounds = 0;
         loop {
+            let may_have_more = self.receive()?;
             let was_full = self.is_full() || self.waits_for_memory;
-            let may_have_more = self.read()?;
-            self.execute_input();
             let has_written = self.write()?;
             let activity =
                 if has_written || may_have_more { IoActivity::Transferred } else { IoActivity::None };
@@ -282,14 +305,16 @@
 
     /// Decides whether reading and executing commands pauses until responses have been written.
     ///
-    /// Inputs: the number of pending commands, the size of unwritten responses in bytes, and the
-    /// schedule while clients are directed to other proxies.
-    /// Reason: the memory of a connection is bounded, and a client that always has a command open
-    /// would never be idle, and so never disconnect.
+    /// Inputs: the number of pending commands, the size of unwritten responses in bytes, whether the
+    /// next command waits for the response before it, and the schedule while clients are directed to
+    /// other proxies.
+    /// Reason: the memory of a connection is bounded. A client that always has a command open would
+    /// never be idle, and so never disconnect.
     /// Source: docs/daily-operation.md.
     fn is_full(&self) -> bool {
         self.pending.len() >= MAX_PENDING_COMMANDS
             || self.output.len() >= MAX_OUTPUT_BYTES
+            || (self.waits_for_response && self.pending.back().is_some_and(PendingCommand::may_break_off))
             || (!self.pending.is_empty() && self.is_reading_stopped())
     }
 
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -1,8 +1,9 @@
 //! Writes the responses of a client connection in the order of their commands. Read
 //! [`Connection::write`] first.
 
-use super::{Connection, EncodedResponse, REQUEST_OVERHEAD_BYTES};
+use super::{Connection, EncodedResponse, State, REQUEST_OVERHEAD_BYTES};
 use crate::net::body_stream::{ReceiveOutcome, WINDOW_BYTES};
+use crate::net::request_log::CloseReason;
 use pinetrail_codec::memcache;
 use std::io::{self, ErrorKind, Write};
 use std::sync::{Arc, PoisonError};
@@ -34,10 +35,9 @@
                 Flush::Blocked => return Ok(has_written),
             }
         }
-        // The rest of the value will never arrive, and only closing the connection can signal that
-        // to the client.
-        if self.body_broken {
-            return Err(ErrorKind::ConnectionAborted.into());
+        if self.body_broken && self.state == State::Open {
+            self.close_reason = Some(CloseReason::BodyBroken);
+            self.state = State::Finishing;
         }
         self.output_memory.clear();
         if has_written {
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -101,6 +101,7 @@
         repeat,
         labels: command.labels,
         value: command.value,
+        delivery: Arc::default(),
     })
 }
 
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -204,6 +204,15 @@
     read_some(into, |room| stream.read(room))
 }
 
+/// Appends the bytes that are available, and leaves them in the socket; see [`try_read`].
+///
+/// # Errors
+///
+/// Returns the errors of [`try_read`].
+pub fn try_peek(stream: &net::TcpStream, into: &mut Vec<u8>) -> io::Result<usize> {
+    read_some(into, |room| stream.peek(room))
+}
+
 /// Returns whether the peer has closed its sending direction or the connection, even if unread
 /// input precedes that.
 pub fn has_hung_up(stream: &net::TcpStream) -> bool {
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -116,8 +116,13 @@
         self.lock().accepts_attempts(backend, started)
     }
 
-    /// Begins the response to a request with a value that is too long to be buffered. The attempt
-    /// continues while the value streams. Returns false if the request's response is no longer
+    /// Returns whether an attempt's request still waits for its response.
+    pub fn awaits_response(&self, id: AttemptId) -> bool {
+        self.lock().requests.get(&id.request).is_some_and(|request| request.pending.is_some())
+    }
+
+    /// Begins the response to a request with a value that is too long for a complete response.
+    /// The attempt continues while the value streams. Returns false if the request's response is no longer
     /// pending.
     pub fn attempt_streaming(self: &Arc<Self>, id: AttemptId, length: usize, body: BodyReceiver) -> bool {
         let mut state = self.lock();
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -1,6 +1,7 @@
 //! The messages between clients, the dispatcher and backends, independent of any wire protocol.
 //! Read [`ClientRequest`] first, then [`AttemptRequest`], which is created from a client's request.
 
+use super::value_delivery::ValueDelivery;
 use crate::interface::BackendId;
 use crate::net::attempt_id::AttemptId;
 use crate::net::body_stream::BodyReceiver;
@@ -41,6 +42,8 @@
     pub labels: Vec<(String, String)>,
     /// The value to store, for a write.
     pub value: Option<Vec<u8>>,
+    /// How a long value of the response reaches the client.
+    pub delivery: Arc<ValueDelivery>,
 }
 
 /// The content of a backend's response to a request.
@@ -57,7 +60,7 @@
 pub enum Response {
     /// The request was served, and the payload is complete.
     Complete(Payload),
-    /// The request was served with a long value that arrives in pieces.
+    /// The request was served with a long value, which arrives in pieces or has arrived.
     Stream {
         /// The length of the value in bytes.
         length: usize,
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -24,6 +24,7 @@
 mod submit;
 #[cfg(test)]
 mod tests;
+mod value_delivery;
 
 use super::counters::Counters;
 use super::time_limits::write_delay;
@@ -46,6 +47,7 @@
 use state::DispatcherState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+pub use value_delivery::ValueDelivery;
 
 /// The parameters of a new [`Dispatcher`].
 pub struct DispatcherParameters {
--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -82,6 +82,7 @@
         repeat: false,
         labels: Vec::new(),
         value: None,
+        delivery: Arc::default(),
     }
 }
 
--- a/src/net/lifecycle/start/services.rs
+++ b/src/net/lifecycle/start/services.rs
@@ -81,6 +81,7 @@
             counters: Arc::clone(&self.counters),
             commands,
             descriptors: Arc::clone(&self.budget.descriptors),
+            memory: Arc::clone(&self.budget.memory),
             connect_timeout: config.connect_timeout,
             idle_timeout: config.settings.idle_connection_timeout(),
         })
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -48,6 +48,11 @@
         Some(MemoryReservation { budget: Arc::clone(self), bytes })
     }
 
+    /// Returns whether so many bytes could be reserved if no others were.
+    pub fn can_hold(&self, bytes: usize) -> bool {
+        bytes <= self.limit_bytes.load(Ordering::Acquire)
+    }
+
     /// Lowers the limit to the larger of `min_bytes` and the reserved memory, and returns the new
     /// limit in bytes.
     pub fn shrink(&self, min_bytes: usize) -> usize {
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
+use std::time::Instant;
 
 const LONG_VALUE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -155,3 +156,59 @@
     assert!(closed_receiver.recv_timeout(WAIT_TIMEOUT).unwrap(), "the node's connection is closed");
     fixture.wait_until("the attempt is cancelled", || fixture.counter("calls_cancelled") == 1);
 }
+
+/// Starts a node whose values are all of `LONG_VALUE_BYTES`.
+fn long_value_node() -> StubServer {
+    let value = "x".repeat(LONG_VALUE_BYTES);
+    StubServer::node(move |line| {
+        StubAction::Reply(format!("VA {LONG_VALUE_BYTES} {}\r\n{value}\r\n", opaque(line)))
+    })
+}
+
+/// Reads the response to a read of a long value; returns whether it was served.
+fn read_long_response(client: &mut Client) -> bool {
+    let line = client.read_line();
+    if line.starts_with("VA 4194304 ") {
+        assert_eq!(client.read_line().len(), LONG_VALUE_BYTES + 2);
+        return true;
+    }
+    assert!(line.starts_with("SERVER_ERROR "), "{line:?}");
+    false
+}
+
+/// Guards against memory that grows with values that are collected because requests are behind
+/// them.
+#[test]
+fn values_with_requests_behind_them_stay_within_the_memory_limit() {
+    let (node, origin) = (long_value_node(), idle_origin());
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let fixture = ProxyFixture::with_limits(&entries, 256, 32);
+    let mut clients: Vec<Client> = (0..8).map(|_| fixture.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let reads: String =
+            (0..3).map(|n| format!("mg k{number} v O{number}.{n} Pc=read,t=acme,d=900\r\n")).collect();
+        client.send(&reads);
+    }
+    let mut served = 0;
+    for client in &mut clients {
+        served += (0..3).filter(|_| read_long_response(client)).count();
+    }
+    assert!(served > 0, "none of 24 values is served");
+    assert!(fixture.memory_mb() < 32, "{} MB", fixture.memory_mb());
+}
+
+/// Guards against a request that waits for its deadline although its value can never be collected:
+/// the memory for values is shorter than the value.
+#[test]
+fn a_value_that_cannot_be_collected_is_given_up_at_once() {
+    let (node, origin) = (long_value_node(), idle_origin());
+    let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+    let fixture = ProxyFixture::with_limits(&entries, 256, 16);
+    let mut client = fixture.client();
+    let started_at = Instant::now();
+    client.send("mg k v O1 Pc=read,t=acme,d=4000\r\nmg j v O2 Pc=read,t=acme,d=4000\r\n");
+    assert!(!read_long_response(&mut client));
+    assert!(started_at.elapsed() < ms(2000), "{:?}", started_at.elapsed());
+    // No request is behind this one, so its value is streamed.
+    assert!(read_long_response(&mut client));
+}
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -1,6 +1,7 @@
 //! Race conditions: two events happen in the harmful order at every run, since the stubs hold one
 //! event back until the test releases it.
 
+mod broken_values;
 mod cancelled_requests;
 mod closes;
 mod kept;
