Answer the commands that have arrived before a connection closes in a drain

Out of service for 3.4 s, a new connection with three commands gets one response.

Cause: a connection that is due to close was idle as soon as no response was pending; commands that a limit had kept from being executed did not count.

Fix: a connection that is due and idle first executes what has arrived by then (64 KiB at the most, fixed once, so that a client that never pauses does not delay the close). Once the process has aborted the open requests it rejects further ones at once, since nothing but the exit would end them. The drain's schedule is unchanged.

--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -27,9 +27,12 @@
                 return Progress::Finished;
             }
         }
+        let is_due = self.is_due_to_close();
+        if !is_due {
+            self.final_input_bytes = None;
+        }
         // A partial command was not accepted, so it does not delay the close.
-        let must_finish = self.service.closes_when_idle() || self.is_due_to_disconnect();
-        if self.state == State::Open && self.is_idle() && must_finish {
+        if is_due && self.state == State::Open && self.is_idle() && !self.has_final_input() {
             let is_stopping = self.service.closes_when_idle();
             self.close_reason =
                 Some(if is_stopping { CloseReason::Stopping } else { CloseReason::Disconnecting });
@@ -44,6 +47,40 @@
         Progress::Continues
     }
 
+    /// Returns whether the connection closes as soon as it is idle.
+    fn is_due_to_close(&self) -> bool {
+        self.service.closes_when_idle() || self.is_due_to_disconnect()
+    }
+
+    /// Decides whether the connection, which is idle and due to close, first executes further
+    /// input: what had arrived when it was idle for the first time. Input that arrives later
+    /// crosses the close.
+    ///
+    /// Inputs: the bytes that are unread now, or were left at the last call.
+    /// Reason: commands that had to wait for a limit are not lost by the close, and a client that
+    /// sends continuously does not delay it.
+    /// Source: docs/incidents/2026-12-04-commands-dropped-late-in-a-drain.md.
+    fn has_final_input(&mut self) -> bool {
+        let unread = match self.final_input_bytes {
+            Some(bytes) => bytes,
+            None => self.unread_input_bytes(),
+        };
+        self.final_input_bytes = Some(unread);
+        unread > 0
+    }
+
+    /// Decides whether further requests are rejected: the connection is due to close, and clients
+    /// have been directed to other proxies for so long that no request may be begun.
+    ///
+    /// Inputs: the schedule by which clients are directed to other proxies.
+    /// Reason: a request needs time for an attempt.
+    /// Source: docs/daily-operation.md.
+    pub(super) fn rejects_requests(&self) -> bool {
+        let Some(disconnecting) = self.service.disconnecting() else { return false };
+        let elapsed = disconnecting.elapsed(self.service.descriptors.now());
+        !disconnecting.schedule.keeps_partial_command(elapsed) && self.is_due_to_disconnect()
+    }
+
     /// Returns whether nothing more will be written: every response, or the part that arrived of a
     /// value that broke off. No command behind such a value was executed.
     fn has_written_last_response(&self) -> bool {
@@ -117,8 +154,6 @@
 
     /// Returns whether the connection is to close, for any reason.
     pub(super) fn must_close(&self) -> bool {
-        self.service.closes_when_idle()
-            || self.is_due_to_disconnect()
-            || self.handle.close_reason(self.reported.phase_number).is_some()
+        self.is_due_to_close() || self.handle.close_reason(self.reported.phase_number).is_some()
     }
 }
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -88,7 +88,9 @@
         let delivery = request.value.is_none().then(|| Arc::clone(&request.delivery));
         let respond = self.response_callback(&request, Arc::clone(&slot));
         self.service.record_request(self.id);
-        match self.submit(request, respond) {
+        let result =
+            if self.rejects_requests() { Err(Rejection::Stopping) } else { self.submit(request, respond) };
+        match result {
             Ok(id) => {
                 self.pending.push_back(PendingCommand {
                     request: Some(id),
@@ -141,6 +143,7 @@
             Rejection::Fenced { retry_after } => {
                 self.respond(format!("SERVER_ERROR busy {}\r\n", retry_after.as_millis()));
             }
+            Rejection::Stopping => self.respond("SERVER_ERROR busy\r\n".to_owned()),
             Rejection::ClientDisconnected => {}
         }
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -15,6 +15,9 @@
 /// last response.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
+/// The most input that a connection still executes when it is due to close.
+const MAX_FINAL_INPUT_BYTES: usize = 64 * 1024;
+
 /// The most time in the accept queue that is subtracted from a request's budget. How long a single
 /// connection was in the queue is unknown while others keep the queue from becoming empty.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(250);
@@ -53,6 +56,15 @@
         self.stream.inner().peek(&mut [0]).is_ok_and(|count| count > 0)
     }
 
+    /// Returns how many bytes of input the socket has, at most [`MAX_FINAL_INPUT_BYTES`].
+    pub(super) fn unread_input_bytes(&self) -> usize {
+        if !self.has_unread_input() {
+            return 0;
+        }
+        let mut input = vec![0; MAX_FINAL_INPUT_BYTES];
+        self.stream.inner().peek(&mut input).unwrap_or(0)
+    }
+
     /// Executes the commands that the client has sent, as far as limits allow; returns whether there
     /// may be more of them.
     ///
@@ -99,6 +111,7 @@
             StopReason::Limit => used.saturating_sub(partial_length),
         };
         self.has_waiting_input = taken < count;
+        self.final_input_bytes = self.final_input_bytes.map(|bytes| bytes.saturating_sub(taken));
         self.input.truncate(partial_length + taken);
         self.stream.inner().read_exact(&mut self.input[partial_length..])?;
         self.input.drain(..used);
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -154,6 +154,9 @@
     waits_for_response: bool,
     /// Whether a limit has left input in the socket.
     has_waiting_input: bool,
+    /// The input that is still executed before the connection closes, which is due; `None` until it
+    /// was idle.
+    final_input_bytes: Option<usize>,
     /// Whether a command was malformed since the last pause.
     had_errors: bool,
     /// The number of bytes that were read and will never be executed.
@@ -203,6 +206,7 @@
             waits_for_memory: false,
             waits_for_response: false,
             has_waiting_input: false,
+            final_input_bytes: None,
             had_errors: false,
             unexecuted_bytes: 0,
             discarded_bytes: 0,
--- a/src/net/client/connection/submit.rs
+++ b/src/net/client/connection/submit.rs
@@ -27,6 +27,8 @@
         /// The time that the client should wait before it sends the request again.
         retry_after: Duration,
     },
+    /// The process stops, or the connection is about to end.
+    Stopping,
     /// The client has disconnected.
     ClientDisconnected,
 }
@@ -80,6 +82,7 @@
         loop {
             match self.service.dispatcher.submit(request, respond) {
                 Ok(id) => return Ok(id),
+                Err(SubmitError::Stopping) => return Err(Rejection::Stopping),
                 Err(SubmitError::IdInUse) => return Err(Rejection::Malformed(RequestError::IdInUse)),
                 Err(SubmitError::Fenced { retry_after }) => return Err(Rejection::Fenced { retry_after }),
                 Err(SubmitError::PolicyChanging { request: returned, respond: callback }) => {
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -136,6 +136,8 @@
         /// The callback that was submitted with the request.
         respond: ResponseCallback,
     },
+    /// The process stops, and has already ended its open requests.
+    Stopping,
     /// This process holds no admission lease and may not admit requests.
     Fenced {
         /// The time that the client should wait before it sends the request again.
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -100,6 +100,7 @@
             endpoint_ids: EndpointIds::default(),
             start_times: StartTimes::default(),
             maintenance: MaintenanceSet::default(),
+            is_stopping: false,
             policy_version: 0,
         };
         Arc::new(Dispatcher {
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -38,6 +38,8 @@
     pub start_times: StartTimes,
     /// The endpoint list as discovery sent it, and the nodes in maintenance.
     pub maintenance: MaintenanceSet,
+    /// Whether the process stops and has ended its open requests, so that none is accepted.
+    pub is_stopping: bool,
     /// The version of the fleet's policy that the settings belong to; 0 for the proxy's own
     /// settings.
     pub policy_version: u64,
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -36,6 +36,9 @@
         respond: ResponseCallback,
     ) -> Result<RequestId, SubmitError> {
         let mut state = self.lock();
+        if state.is_stopping {
+            return Err(SubmitError::Stopping);
+        }
         match self.admission(state.policy_version) {
             Admission::Admit => {}
             Admission::Wait => {
@@ -105,10 +108,12 @@
         }
     }
 
-    /// Fails every request without a response, because the process stops.
+    /// Fails every request without a response, because the process stops, and accepts no further
+    /// one, which would find no time for an attempt.
     pub fn abort_all(self: &Arc<Self>) {
         let pending: Vec<RequestId> = {
-            let state = self.lock();
+            let mut state = self.lock();
+            state.is_stopping = true;
             let requests = state.requests.iter();
             requests.filter(|(_, request)| request.pending.is_some()).map(|(id, _)| *id).collect()
         };
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -8,8 +8,8 @@
 //! | --- | --- | --- | --- |
 //! | `accept_until` | accepted | accepted | in progress |
 //! | `serve_until` | not accepted | accepted | in progress |
-//! | `abort_at` | not accepted | connections close once they are idle | in progress |
-//! | `exit_at` | not accepted | not accepted | failed; the responses are written |
+//! | `abort_at` | not accepted | connections close once they are idle, after what has arrived by then | in progress |
+//! | `exit_at` | not accepted | rejected | failed; the responses are written |
 //!
 //! If a peer process accepts clients, the draining process accepts no new connections from the
 //! beginning, and directs its clients away by [`DisconnectSchedule::for_drain`].
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -7,6 +7,7 @@
 mod kept;
 mod late;
 mod lists;
+mod pipelines;
 
 use crate::ms;
 use pinetrail_test_harness::*;
