Accept new settings that leave out a key that may be absent

What callers saw: SIGHUP brings settings that add a class without AimStretch, which may be absent, and make another class unsafe.

Cause: a newer file was incomplete if it left out any key that the active one had, in a list any key that all entries had; so an optional key, or one that the program does not know, became required by its presence. Evidence: the log of a failing run has 'Serving -> Reloading' and 'reload: the old configuration stays: ... the key settings.Grades.[2].AimStretch is missing'. That rules out a lost signal, settings that were applied in part, and requests that went on by the old class.

Fix: the keys of the settings that must stay are listed (required_keys.rs); others may come and go. Outside of the settings nothing has changed.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,6 +18,7 @@
 mod parsed_settings;
 mod policy;
 mod reload;
+mod required_keys;
 mod values;
 
 pub use catalog::{Catalog, Instance};
--- a/crates/config/src/parsed_settings.rs
+++ b/crates/config/src/parsed_settings.rs
@@ -6,6 +6,7 @@
 use super::file::{NamedEntry, ProxySettings};
 use super::missing_keys::first_missing_key;
 use super::names::Names;
+use super::required_keys::ComparedObject;
 use pinetrail_settings::settings::{Idempotency, Settings};
 use serde_json::Value;
 use std::time::Duration;
@@ -59,10 +60,10 @@
     ///
     /// # Errors
     ///
-    /// The error names the first value that is not valid, or the first key of the active object
-    /// that is missing.
+    /// The error names the first value that is not valid, or the first required key of the active
+    /// object that is missing.
     pub fn parse_after(json: &Value, active: &Value) -> Result<ParsedSettings, ConfigError> {
-        if let Some(key) = first_missing_key(active, json) {
+        if let Some(key) = first_missing_key(active, json, ComparedObject::Settings) {
             return Err(ConfigError::MissingKey(key));
         }
         ParsedSettings::parse(json)
--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -1,9 +1,10 @@
 //! Replaces the configuration at SIGHUP: [`Config::reload`] rejects a newer configuration that
-//! leaves out keys, and [`Config::adopt`] keeps the values that only the next start can change.
+//! leaves out required keys, and [`Config::adopt`] keeps the values that only the next start can change.
 
 use super::error::ConfigError;
 use super::fleet::{check_longest_attempt, FleetConfig};
 use super::missing_keys::first_missing_key;
+use super::required_keys::ComparedObject;
 use super::Config;
 
 impl Config {
@@ -11,10 +12,10 @@
     ///
     /// # Errors
     ///
-    /// If the newer configuration cannot be read, is not valid, or leaves out a key.
+    /// If the newer configuration cannot be read, is not valid, or leaves out a required key.
     pub fn reload(&self) -> Result<Config, ConfigError> {
         let newer = Config::from_env()?;
-        if let Some(key) = first_missing_key(&self.json, &newer.json) {
+        if let Some(key) = first_missing_key(&self.json, &newer.json, ComparedObject::Configuration) {
             return Err(ConfigError::MissingKey(key));
         }
         // The active `call_ms` is the limit, because a newer value applies only at the next start.
--- a/tests/sockets/operations.rs
+++ b/tests/sockets/operations.rs
@@ -300,6 +300,49 @@
     assert_eq!(fixture.counter("overdue"), 0);
 }
 
+/// Guards against an unsafe write that runs twice: the new settings, by which its class is unsafe,
+/// were rejected as a whole because a class left out a key that may be absent.
+#[test]
+fn new_settings_apply_although_a_class_leaves_out_an_optional_key() {
+    const CLASS: &str =
+        r#"{"Name":"put","Aim":400.0,"AimStretch":2.0,"Colour":1,"GiveUp":1000.0,"Semantics":"#;
+    let with_optional_keys = [
+        (r#""Aim":400.0"#, r#""Aim":400.0,"AimStretch":2.0,"Colour":1"#),
+        (r#""Semantics":"keyed""#, r#""Semantics":"safe""#),
+    ];
+    let added = |keys: &str| {
+        format!(
+            r#"{{"Name":"quote","Aim":300.0{keys},"GiveUp":900.0,"Semantics":"safe","DedupScope":"all"}},"#
+        )
+    };
+    // The class that is added, and the text that the class of the write has after its objective.
+    let reloads = [
+        (added(r#","Colour":1"#), r#","AimStretch":2.0,"Colour":1"#),
+        (added(r#","AimStretch":2.0"#), r#","AimStretch":2.0,"Colour":1"#),
+        (added(r#","AimStretch":2.0,"Colour":1"#), ""),
+    ];
+    for (added, keys) in reloads {
+        let node = StubServer::hit_node("v");
+        let origin = StubServer::origin(|_| {
+            StubAction::Reply("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned())
+        });
+        let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+        let fixture = ProxyFixture::with_config_changes(&entries, &with_optional_keys);
+        let unsafe_class =
+            format!(r#"{added}{{"Name":"put","Aim":400.0{keys},"GiveUp":1000.0,"Semantics":"unsafe""#);
+        fixture.reload(&format!(r#"{CLASS}"safe""#), &unsafe_class);
+        fixture.wait_until("the file is read", || {
+            fixture.counter("reloads") + fixture.counter("reloads_failed") == 1
+        });
+        let mut client = fixture.client();
+        assert!(client.request("mg k v O1 Pc=quote,t=acme,d=900\r\n").starts_with("VA 1 O1"), "{added}");
+        client.read_line();
+        assert!(client.set("put", "seat", "2", 900).starts_with("SERVER_ERROR "));
+        let writes = origin.received().iter().filter(|request| request.starts_with("PUT ")).count();
+        assert_eq!(writes, 1, "{added}: the unsafe write runs once");
+    }
+}
+
 /// Guards against an example in the repository that is not a valid configuration.
 #[test]
 fn the_example_configuration_is_accepted() {
