--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -1,5 +1,6 @@
 //! Replaces the configuration at SIGHUP: [`Config::reload`] rejects a newer configuration that
-//! leaves out required keys, and [`Config::adopt`] keeps the values that only the next start can change.
+//! leaves out required keys, and [`Config::adopt`] keeps the values that only the next start can
+//! change.
 
 use super::error::ConfigError;
 use super::fleet::{check_longest_attempt, FleetConfig};
--- a/src/net/body_stream/tests.rs
+++ b/src/net/body_stream/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the window between the sender and the receiver of a streamed value.
 
 use super::*;
+use crate::net::memory::MemoryBudget;
 use std::thread;
 
 #[test]
@@ -45,3 +46,36 @@
     drop(receiver);
     assert_eq!(sending.join().unwrap(), Err(ReceiverDropped));
 }
+
+#[test]
+fn a_complete_value_is_received_by_windows_and_keeps_its_memory_until_it_is_dropped() {
+    const PIECE_BYTES: usize = 4096;
+    const PIECES: usize = 20;
+    let budget = MemoryBudget::new(16);
+    let limit = MemoryBudget::bytes_within(16);
+    let memory = budget.reserve(limit).unwrap();
+    let receiver = complete(vec![vec![7; PIECE_BYTES]; PIECES], memory);
+    assert!(receiver.is_complete());
+    let mut lengths = Vec::new();
+    while let ReceiveOutcome::Bytes(bytes) = receiver.receive() {
+        assert!(bytes.iter().all(|byte| *byte == 7));
+        lengths.push(bytes.len());
+    }
+    assert_eq!(lengths, [WINDOW_BYTES, WINDOW_BYTES, PIECES * PIECE_BYTES - 2 * WINDOW_BYTES]);
+    assert_eq!(receiver.receive(), ReceiveOutcome::End);
+    assert!(budget.reserve(1).is_none());
+    drop(receiver);
+    assert!(budget.reserve(limit).is_some());
+}
+
+#[test]
+fn a_value_is_complete_only_once_its_sender_has_finished() {
+    let (sender, receiver) = channel();
+    sender.send(b"all").unwrap();
+    assert!(!receiver.is_complete());
+    sender.finish();
+    assert!(receiver.is_complete());
+    let (sender, receiver) = channel();
+    drop(sender);
+    assert!(!receiver.is_complete());
+}
--- a/src/net/dispatcher/value_delivery.rs
+++ b/src/net/dispatcher/value_delivery.rs
@@ -34,3 +34,6 @@
         decided.map_or_else(|earlier| earlier == delivery, |_| true)
     }
 }
+
+#[cfg(test)]
+mod tests;
