Count what arrived before the last response as the input before a close

Cause: the fix of the commands dropped late in a drain looked at the unread input after the last response was written. A command that a client sends in reaction to that response could already be there, and was answered, where the connection is recorded to close after a response.

Change: what counts is the input that was unread before that response was written. It holds the commands that waited for a limit, and none that react to the response.

--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -53,20 +53,26 @@
     }
 
     /// Decides whether the connection, which is idle and due to close, first executes further
-    /// input: what had arrived when it was idle for the first time. Input that arrives later
-    /// crosses the close.
+    /// input: what had arrived before the response that made it idle for the first time. Input that
+    /// arrives later crosses the close.
     ///
-    /// Inputs: the bytes that are unread now, or were left at the last call.
+    /// Inputs: the bytes that were unread before that response was written, less those executed
+    /// since.
     /// Reason: commands that had to wait for a limit are not lost by the close, and a client that
-    /// sends continuously does not delay it.
+    /// sends continuously, or a command for each response, does not delay it.
     /// Source: docs/incidents/2026-12-04-commands-dropped-late-in-a-drain.md.
     fn has_final_input(&mut self) -> bool {
-        let unread = match self.final_input_bytes {
-            Some(bytes) => bytes,
-            None => self.unread_input_bytes(),
-        };
-        self.final_input_bytes = Some(unread);
-        unread > 0
+        let arrived = self.final_input_bytes.or(self.input_before_write);
+        let bytes = arrived.unwrap_or_else(|| self.unread_input_bytes());
+        self.final_input_bytes = Some(bytes);
+        bytes > 0
+    }
+
+    /// Returns how many bytes of input wait in the socket, if the connection may be due to close
+    /// once responses are written.
+    pub(super) fn unread_input_before_close(&self) -> Option<usize> {
+        let may_close = self.service.closes_when_idle() || self.service.disconnecting().is_some();
+        may_close.then(|| self.unread_input_bytes())
     }
 
     /// Decides whether further requests are rejected: the connection is due to close, and clients
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -154,6 +154,9 @@
     waits_for_response: bool,
     /// Whether a limit has left input in the socket.
     has_waiting_input: bool,
+    /// The input that was unread before responses were last written, in bytes; `None` if no close
+    /// was possible then.
+    input_before_write: Option<usize>,
     /// The input that is still executed before the connection closes, which is due; `None` until it
     /// was idle.
     final_input_bytes: Option<usize>,
@@ -206,6 +209,7 @@
             waits_for_memory: false,
             waits_for_response: false,
             has_waiting_input: false,
+            input_before_write: None,
             final_input_bytes: None,
             had_errors: false,
             unexecuted_bytes: 0,
@@ -253,6 +257,7 @@
         loop {
             let may_have_more = self.receive()?;
             let was_full = self.is_full() || self.waits_for_memory;
+            self.input_before_write = self.unread_input_before_close();
             let has_written = self.write()?;
             let activity =
                 if has_written || may_have_more { IoActivity::Transferred } else { IoActivity::None };
