Reproduce the cut off responses at cache node and origin, in each framing

What callers saw: busy 0.6 to 0.9 s after a request with 1.5 s, for a value that is on its way.

The test starts a real process with three stub nodes and an origin whose responses pause for 350 to 850 ms after the head or an eighth of the value, in 1, 2 or 12 pieces, with lengths from 1 byte to 228,087; values with a length, chunked, and ended by the close. The same test then sends responses that never end, which must get a final response in time.

--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -11,13 +11,14 @@
 mod requests;
 mod settings;
 mod shutdown;
+mod slow_responses;
 mod starts;
 mod upgrades;
 
 use pinetrail_test_harness::*;
 use std::time::Duration;
 
-fn ms(n: u64) -> Duration {
+const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
