Log why an attempt that was written has no complete response

Need: the request log had the outcome of an attempt, but not why the proxy closed its connection. 'Error' stood for a malformed response and for one that paused.

Change: one enum of reasons (malformed, late, stalled, ended, too long, not awaited), used by short and long values, replaces two ways of ending an attempt; the log line has the reason and the number of bytes received. No behaviour changes.

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -4,6 +4,7 @@
 use super::encode::encode_request;
 use super::pool::{ConnectError, Connection, ReuseDelay};
 use super::response::{parse_response, AttemptResult, ConnectionReuse, InputState, ParsedResponse};
+use super::response_failure::ResponseFailure;
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::attempt_id::AttemptId;
@@ -116,24 +117,18 @@
     fn await_response(&self, attempt: &AttemptRequest, connection: Connection) -> AttemptResult {
         let mut bytes = Vec::new();
         loop {
-            let stall_deadline = Instant::now() + RESPONSE_STALL_TIMEOUT;
-            let read_deadline =
-                if bytes.is_empty() { attempt.deadline } else { attempt.deadline.min(stall_deadline) };
-            let input = match connection.stream.read(&mut bytes, read_deadline) {
-                Ok(0) => InputState::Closed,
-                // A backend that sends continuously must not prolong the attempt.
-                Ok(_) if Instant::now() >= attempt.deadline => return Outcome::Timeout.into(),
-                Ok(_) => InputState::Open,
-                Err(error) if error.kind() == ErrorKind::TimedOut && read_deadline < attempt.deadline => {
-                    return self.malformed();
-                }
-                Err(error) if error.kind() == ErrorKind::TimedOut => return Outcome::Timeout.into(),
-                Err(_) => return Outcome::Reset.into(),
+            let input = match read_response(attempt, &connection, &mut bytes) {
+                Ok(input) => input,
+                Err(failure) => return self.end_without_response(attempt, failure, bytes.len()),
             };
             match parse_response(attempt, &bytes, input) {
-                ParsedResponse::Incomplete if input == InputState::Closed => return Outcome::Reset.into(),
+                ParsedResponse::Incomplete if input == InputState::Closed => {
+                    return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
+                }
                 ParsedResponse::Incomplete => {}
-                ParsedResponse::Malformed => return self.malformed(),
+                ParsedResponse::Malformed => {
+                    return self.end_without_response(attempt, ResponseFailure::Malformed, bytes.len());
+                }
                 ParsedResponse::LongValue(value) => {
                     return self.pass_on_value(attempt, connection, bytes, &value);
                 }
@@ -147,11 +142,6 @@
         }
     }
 
-    pub(super) fn malformed(&self) -> AttemptResult {
-        self.counters.responses_malformed.increment();
-        Outcome::Error.into()
-    }
-
     /// Returns a connection to the pool, if it may be reused.
     ///
     /// Invariant: the pool checks with its lock held that the backend is still the same ready
@@ -169,6 +159,32 @@
     }
 }
 
+/// Reads more of a response, and returns whether the connection is still open.
+///
+/// # Errors
+///
+/// Returns the reason why the response cannot be complete.
+fn read_response(
+    attempt: &AttemptRequest,
+    connection: &Connection,
+    bytes: &mut Vec<u8>,
+) -> Result<InputState, ResponseFailure> {
+    let stall_deadline = Instant::now() + RESPONSE_STALL_TIMEOUT;
+    let read_deadline =
+        if bytes.is_empty() { attempt.deadline } else { attempt.deadline.min(stall_deadline) };
+    match connection.stream.read(bytes, read_deadline) {
+        Ok(0) => Ok(InputState::Closed),
+        // A backend that sends continuously must not prolong the attempt.
+        Ok(_) if Instant::now() >= attempt.deadline => Err(ResponseFailure::Late),
+        Ok(_) => Ok(InputState::Open),
+        Err(error) if error.kind() == ErrorKind::TimedOut && read_deadline < attempt.deadline => {
+            Err(ResponseFailure::Stalled)
+        }
+        Err(error) if error.kind() == ErrorKind::TimedOut => Err(ResponseFailure::Late),
+        Err(_) => Err(ResponseFailure::Ended),
+    }
+}
+
 /// Reports the result of an attempt when the reporter is dropped, also if the attempt's coroutine
 /// panics.
 ///
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -4,6 +4,7 @@
 
 use super::pool::Connection;
 use super::response::{AttemptResult, LongValue};
+use super::response_failure::ResponseFailure;
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::body_stream::{self, BodyReceiver};
@@ -24,25 +25,12 @@
     value: &'a LongValue,
     /// Bytes that were read and not passed on.
     bytes: Vec<u8>,
+    /// The number of bytes of the value that were received.
+    received: usize,
     /// The time until which the value must be complete, if there is one.
     deadline: Option<Instant>,
 }
 
-/// The reason why a long value is not passed on completely.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ValueFailure {
-    /// The connection ended, or the backend stopped sending.
-    BrokenOff,
-    /// The value does not have the announced length.
-    WrongLength,
-    /// The value is collected, and was not complete by the attempt's deadline.
-    Late,
-    /// The value is collected, and is longer than the memory for values.
-    TooLong,
-    /// The request no longer waits for its response.
-    NotAwaited,
-}
-
 /// Whether the backend has sent more after a value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Excess {
@@ -57,9 +45,9 @@
     ///
     /// Returns an error if the value is not passed on completely.
     fn read(
-        mut self,
-        mut accept: impl FnMut(&[u8]) -> Result<(), ValueFailure>,
-    ) -> Result<Excess, ValueFailure> {
+        &mut self,
+        mut accept: impl FnMut(&[u8]) -> Result<(), ResponseFailure>,
+    ) -> Result<Excess, ResponseFailure> {
         let mut remaining = self.value.length;
         let terminator = self.value.terminator;
         loop {
@@ -75,19 +63,22 @@
         match self.bytes.strip_prefix(terminator) {
             Some([]) => Ok(Excess::None),
             Some(_) => Ok(Excess::Bytes),
-            None => Err(ValueFailure::WrongLength),
+            None => Err(ResponseFailure::Malformed),
         }
     }
 
-    fn read_more(&mut self) -> Result<(), ValueFailure> {
+    fn read_more(&mut self) -> Result<(), ResponseFailure> {
         let stall_deadline = Instant::now() + STALL_TIMEOUT;
         let read_deadline = self.deadline.map_or(stall_deadline, |deadline| deadline.min(stall_deadline));
         match self.connection.stream.read(&mut self.bytes, read_deadline) {
-            Ok(count) if count > 0 => Ok(()),
+            Ok(count) if count > 0 => {
+                self.received += count;
+                Ok(())
+            }
             Err(error) if error.kind() == ErrorKind::TimedOut && Some(read_deadline) == self.deadline => {
-                Err(ValueFailure::Late)
+                Err(ResponseFailure::Late)
             }
-            _ => Err(ValueFailure::BrokenOff),
+            _ => Err(ResponseFailure::Ended),
         }
     }
 }
@@ -112,11 +103,12 @@
         bytes.drain(..value.starts_at);
         let is_streamed = attempt.request.delivery.begin_stream();
         let deadline = (!is_streamed).then_some(attempt.deadline);
-        let reader = ValueReader { connection: &connection, value, bytes, deadline };
+        let received = bytes.len();
+        let mut reader = ValueReader { connection: &connection, value, bytes, received, deadline };
         let result = if is_streamed {
-            self.stream_value(attempt, reader)
+            self.stream_value(attempt, &mut reader)
         } else {
-            self.collect_value(attempt, reader)
+            self.collect_value(attempt, &mut reader)
         };
         match result {
             Ok(excess) => {
@@ -126,43 +118,49 @@
                 }
                 Outcome::Ok.into()
             }
-            Err(failure) => self.outcome_of_failure(failure),
+            Err(failure) => self.end_value(attempt, failure, reader.received),
         }
     }
 
-    /// Returns the outcome of an attempt whose value is not passed on completely, and counts it.
-    fn outcome_of_failure(&self, failure: ValueFailure) -> AttemptResult {
-        match failure {
-            ValueFailure::BrokenOff => {
-                self.counters.values_broken.increment();
-                Outcome::Reset.into()
-            }
-            ValueFailure::WrongLength => {
-                self.counters.values_broken.increment();
-                self.malformed()
-            }
-            ValueFailure::Late => Outcome::Timeout.into(),
-            ValueFailure::TooLong | ValueFailure::NotAwaited => Outcome::Cancelled.into(),
+    /// Ends an attempt whose value is not passed on completely.
+    fn end_value(
+        &self,
+        attempt: &AttemptRequest,
+        failure: ResponseFailure,
+        received: usize,
+    ) -> AttemptResult {
+        let is_broken = matches!(failure, ResponseFailure::Ended | ResponseFailure::Malformed);
+        if is_broken {
+            self.counters.values_broken.increment();
         }
+        self.end_without_response(attempt, failure, received)
     }
 
     /// Forwards a value to the client in pieces.
-    fn stream_value(&self, attempt: &AttemptRequest, reader: ValueReader) -> Result<Excess, ValueFailure> {
+    fn stream_value(
+        &self,
+        attempt: &AttemptRequest,
+        reader: &mut ValueReader,
+    ) -> Result<Excess, ResponseFailure> {
         let (sender, receiver) = body_stream::channel();
         self.begin_response(attempt, reader.value, receiver)?;
-        let excess = reader.read(|piece| sender.send(piece).map_err(|_| ValueFailure::NotAwaited))?;
+        let excess = reader.read(|piece| sender.send(piece).map_err(|_| ResponseFailure::NotAwaited))?;
         sender.finish();
         Ok(excess)
     }
 
     /// Reads a value to its end by the attempt's deadline, then responds with it.
-    fn collect_value(&self, attempt: &AttemptRequest, reader: ValueReader) -> Result<Excess, ValueFailure> {
+    fn collect_value(
+        &self,
+        attempt: &AttemptRequest,
+        reader: &mut ValueReader,
+    ) -> Result<Excess, ResponseFailure> {
         let value = reader.value;
         let memory = self.reserve_for_value(attempt, value.length)?;
         let mut pieces = Vec::new();
         let excess = reader.read(|piece| {
             if !self.dispatcher.awaits_response(attempt.id) {
-                return Err(ValueFailure::NotAwaited);
+                return Err(ResponseFailure::NotAwaited);
             }
             pieces.push(piece.to_vec());
             Ok(())
@@ -176,11 +174,11 @@
         attempt: &AttemptRequest,
         value: &LongValue,
         body: BodyReceiver,
-    ) -> Result<(), ValueFailure> {
+    ) -> Result<(), ResponseFailure> {
         if self.dispatcher.attempt_streaming(attempt.id, value.length, body) {
             Ok(())
         } else {
-            Err(ValueFailure::NotAwaited)
+            Err(ResponseFailure::NotAwaited)
         }
     }
 
@@ -196,19 +194,19 @@
         &self,
         attempt: &AttemptRequest,
         length: usize,
-    ) -> Result<MemoryReservation, ValueFailure> {
+    ) -> Result<MemoryReservation, ResponseFailure> {
         if !self.memory.can_hold(length) {
-            return Err(ValueFailure::TooLong);
+            return Err(ResponseFailure::TooLong);
         }
         loop {
             if let Some(memory) = self.memory.reserve(length) {
                 return Ok(memory);
             }
             if Instant::now() >= attempt.deadline {
-                return Err(ValueFailure::Late);
+                return Err(ResponseFailure::Late);
             }
             if !self.dispatcher.awaits_response(attempt.id) {
-                return Err(ValueFailure::NotAwaited);
+                return Err(ResponseFailure::NotAwaited);
             }
             sleep(MEMORY_RETRY_INTERVAL);
         }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -3,13 +3,15 @@
 //! then `attempt`.
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
-//! parses its responses, `long_value` passes on values that are too long for that.
+//! parses its responses, `long_value` passes on values that are too long for that, and
+//! `response_failure` has the reasons why a response is not complete.
 
 mod attempt;
 mod encode;
 mod long_value;
 mod pool;
 mod response;
+mod response_failure;
 #[cfg(test)]
 mod tests;
 
@@ -21,6 +23,7 @@
 use attempt::OutcomeReporter;
 use may::sync::mpsc::Receiver;
 use pool::Pool;
+pub(in crate::net) use response_failure::ResponseFailure;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
--- a/src/net/request_log.rs
+++ b/src/net/request_log.rs
@@ -8,6 +8,7 @@
 //! do not fit into the queue are dropped.
 
 use super::attempt_id::AttemptId;
+use super::backend::ResponseFailure;
 use crate::interface::{GiveUpReason, Outcome, RequestId};
 use std::time::Duration;
 use thiserror::Error;
@@ -143,6 +144,13 @@
     debug!(target: "attempt", number = request.0, id, attempt, ?outcome, latency_ms, "ended");
 }
 
+/// Logs why an attempt that was written has no complete response, and how many bytes of it were
+/// received. Its connection is closed.
+pub(super) fn response_incomplete(attempt: AttemptId, id: &str, reason: ResponseFailure, received: usize) {
+    let AttemptId { request, attempt } = attempt;
+    debug!(target: "attempt", number = request.0, id, attempt, ?reason, received, "response incomplete");
+}
+
 /// Logs that a client connection was accepted.
 pub(super) fn connection_accepted(connection: u64) {
     debug!(target: "connection", connection, "accepted");
