Wait for the rest of a begun response until its attempt's deadline

Cause: a response that paused for 300 ms after its first byte counted as malformed, by a constant of ours that no page gives. Each attempt began the pause again, so that retries could not help. The class of bug: a bound of the proxy's own that is shorter than what pages and settings leave to a sound peer.

Why this works: the attempt's deadline already bounds what never ends. A response may pause until then. A value that streams may pause for as long as its client waits for a response, 5 s at the least. The status of an error response of the origin ends the attempt before its body has arrived, which no longer ends by the 300 ms.

What cannot be the beginning of a response still fails at once.

Evidence: 20 of 20 incomplete responses had reason=Stalled in the log before.

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -5,6 +5,7 @@
 use super::pool::{ConnectError, Connection, ReuseDelay};
 use super::response::{parse_response, AttemptResult, ConnectionReuse, InputState, ParsedResponse};
 use super::response_failure::ResponseFailure;
+use super::stream_start::StreamStart;
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::attempt_id::AttemptId;
@@ -12,11 +13,7 @@
 use crate::net::request_log;
 use std::io::ErrorKind;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// The longest pause within a response. Backends write a response without pauses, so a response
-/// that pauses for longer after its beginning counts as malformed.
-const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
+use std::time::Instant;
 
 /// The source of an attempt's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,13 +110,19 @@
         }
     }
 
-    /// Reads the response to an attempt that was written.
+    /// Reads the response to an attempt that was written. A response may pause until the attempt's
+    /// deadline.
     fn await_response(&self, attempt: &AttemptRequest, connection: Connection) -> AttemptResult {
         let mut bytes = Vec::new();
+        let mut stream_start = StreamStart::default();
         loop {
-            let input = match read_response(attempt, &connection, &mut bytes) {
+            let deadline = stream_start.due().map_or(attempt.deadline, |due| due.min(attempt.deadline));
+            let input = match read_response(&connection, &mut bytes, deadline, attempt.deadline) {
                 Ok(input) => input,
-                Err(failure) => return self.end_without_response(attempt, failure, bytes.len()),
+                Err(failure) => match stream_start.take_due_value(failure) {
+                    Some(value) => return self.pass_on_value(attempt, connection, bytes, &value),
+                    None => return self.end_without_response(attempt, failure, bytes.len()),
+                },
             };
             match parse_response(attempt, &bytes, input) {
                 ParsedResponse::Incomplete if input == InputState::Closed => {
@@ -129,9 +132,15 @@
                 ParsedResponse::Malformed => {
                     return self.end_without_response(attempt, ResponseFailure::Malformed, bytes.len());
                 }
-                ParsedResponse::LongValue(value) => {
+                ParsedResponse::LongValue(value) if value.has_stream_threshold(bytes.len()) => {
                     return self.pass_on_value(attempt, connection, bytes, &value);
                 }
+                ParsedResponse::LongValue(_) if input == InputState::Closed => {
+                    return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
+                }
+                ParsedResponse::LongValue(value) => {
+                    stream_start.update(value, bytes.len(), attempt.deadline);
+                }
                 ParsedResponse::Complete { result, reuse } => {
                     if input == InputState::Open {
                         self.release(attempt, connection, reuse);
@@ -159,27 +168,22 @@
     }
 }
 
-/// Reads more of a response, and returns whether the connection is still open.
+/// Reads more of a response until `read_deadline`, and returns whether the connection is still open.
 ///
 /// # Errors
 ///
-/// Returns the reason why the response cannot be complete.
+/// Returns the reason why the response is not complete.
 fn read_response(
-    attempt: &AttemptRequest,
     connection: &Connection,
     bytes: &mut Vec<u8>,
+    read_deadline: Instant,
+    attempt_deadline: Instant,
 ) -> Result<InputState, ResponseFailure> {
-    let stall_deadline = Instant::now() + RESPONSE_STALL_TIMEOUT;
-    let read_deadline =
-        if bytes.is_empty() { attempt.deadline } else { attempt.deadline.min(stall_deadline) };
     match connection.stream.read(bytes, read_deadline) {
         Ok(0) => Ok(InputState::Closed),
         // A backend that sends continuously must not prolong the attempt.
-        Ok(_) if Instant::now() >= attempt.deadline => Err(ResponseFailure::Late),
+        Ok(_) if Instant::now() >= attempt_deadline => Err(ResponseFailure::Late),
         Ok(_) => Ok(InputState::Open),
-        Err(error) if error.kind() == ErrorKind::TimedOut && read_deadline < attempt.deadline => {
-            Err(ResponseFailure::Stalled)
-        }
         Err(error) if error.kind() == ErrorKind::TimedOut => Err(ResponseFailure::Late),
         Err(_) => Err(ResponseFailure::Ended),
     }
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -11,11 +11,14 @@
 use crate::net::deadline_stream::sleep;
 use crate::net::dispatcher::AttemptRequest;
 use crate::net::memory::MemoryReservation;
+use crate::net::time_limits::timer_duration;
+use crate::time::TimeSpan;
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-/// The longest pause of a backend between two pieces of a long value.
-const STALL_TIMEOUT: Duration = Duration::from_millis(5000);
+/// The longest pause within a value that streams, if its client did not wait for longer than that
+/// for the whole response.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// The interval between attempts to reserve the memory for a value that is collected.
 const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -27,8 +30,36 @@
     bytes: Vec<u8>,
     /// The number of bytes of the value that were received.
     received: usize,
-    /// The time until which the value must be complete, if there is one.
-    deadline: Option<Instant>,
+    limit: ReadLimit,
+}
+
+/// The limit of the reads of a long value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadLimit {
+    /// The value is collected, and must be complete by this time.
+    Complete(Instant),
+    /// The value streams, and may pause for this time.
+    Pause(Duration),
+}
+
+impl ReadLimit {
+    /// Decides the limit for a value that streams: how long its backend may pause.
+    ///
+    /// Inputs: how long the client waits for the response, as a time span.
+    /// Reason: a value that has begun to stream has no deadline, but its client must learn that the
+    /// rest will not arrive.
+    /// Source: docs/incidents/2026-12-05-sound-slow-responses-cut-off.md.
+    fn of_stream(client_wait: TimeSpan) -> ReadLimit {
+        ReadLimit::Pause(timer_duration(client_wait).max(MIN_STALL_TIMEOUT))
+    }
+
+    /// Returns the deadline of a read that begins now, and why the value fails if it is reached.
+    fn next_read(self) -> (Instant, ResponseFailure) {
+        match self {
+            ReadLimit::Complete(deadline) => (deadline, ResponseFailure::Late),
+            ReadLimit::Pause(pause) => (Instant::now() + pause, ResponseFailure::Stalled),
+        }
+    }
 }
 
 /// Whether the backend has sent more after a value.
@@ -68,17 +99,15 @@
     }
 
     fn read_more(&mut self) -> Result<(), ResponseFailure> {
-        let stall_deadline = Instant::now() + STALL_TIMEOUT;
-        let read_deadline = self.deadline.map_or(stall_deadline, |deadline| deadline.min(stall_deadline));
-        match self.connection.stream.read(&mut self.bytes, read_deadline) {
-            Ok(count) if count > 0 => {
+        let (deadline, failure) = self.limit.next_read();
+        match self.connection.stream.read(&mut self.bytes, deadline) {
+            Ok(0) => Err(ResponseFailure::Ended),
+            Ok(count) => {
                 self.received += count;
                 Ok(())
             }
-            Err(error) if error.kind() == ErrorKind::TimedOut && Some(read_deadline) == self.deadline => {
-                Err(ResponseFailure::Late)
-            }
-            _ => Err(ResponseFailure::Ended),
+            Err(error) if error.kind() == ErrorKind::TimedOut => Err(failure),
+            Err(_) => Err(ResponseFailure::Ended),
         }
     }
 }
@@ -102,9 +131,13 @@
     ) -> AttemptResult {
         bytes.drain(..value.starts_at);
         let is_streamed = attempt.request.delivery.begin_stream();
-        let deadline = (!is_streamed).then_some(attempt.deadline);
+        let limit = if is_streamed {
+            ReadLimit::of_stream(attempt.request.budget)
+        } else {
+            ReadLimit::Complete(attempt.deadline)
+        };
         let received = bytes.len();
-        let mut reader = ValueReader { connection: &connection, value, bytes, received, deadline };
+        let mut reader = ValueReader { connection: &connection, value, bytes, received, limit };
         let result = if is_streamed {
             self.stream_value(attempt, &mut reader)
         } else {
@@ -129,7 +162,8 @@
         failure: ResponseFailure,
         received: usize,
     ) -> AttemptResult {
-        let is_broken = matches!(failure, ResponseFailure::Ended | ResponseFailure::Malformed);
+        let is_broken =
+            matches!(failure, ResponseFailure::Ended | ResponseFailure::Stalled | ResponseFailure::Malformed);
         if is_broken {
             self.counters.values_broken.increment();
         }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -3,8 +3,9 @@
 //! then `attempt`.
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
-//! parses its responses, `long_value` passes on values that are too long for that, and
-//! `response_failure` has the reasons why a response is not complete.
+//! parses its responses, `long_value` passes on values that are too long for that,
+//! `stream_start` decides when such a value begins to stream, and `response_failure` has the reasons
+//! why a response is not complete.
 
 mod attempt;
 mod encode;
@@ -12,6 +13,7 @@
 mod pool;
 mod response;
 mod response_failure;
+mod stream_start;
 #[cfg(test)]
 mod tests;
 
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -113,15 +113,11 @@
 }
 
 impl LongValue {
-    /// Returns the value for streaming once enough of it has arrived. Until then the client
-    /// receives nothing, so the request can still be retried if the response announces a length but
-    /// is malformed.
-    fn into_response(self, bytes: &[u8]) -> ParsedResponse {
-        if bytes.len() >= self.starts_at + STREAM_THRESHOLD_BYTES {
-            ParsedResponse::LongValue(self)
-        } else {
-            ParsedResponse::Incomplete
-        }
+    /// Returns whether so much of the value has arrived, of a response of `received` bytes, that the
+    /// value may stream. Until then the client receives nothing, so that the request can still be
+    /// retried if the response announces a length but is malformed.
+    pub(super) fn has_stream_threshold(&self, received: usize) -> bool {
+        received >= self.starts_at + STREAM_THRESHOLD_BYTES
     }
 }
 
@@ -167,7 +163,7 @@
                 terminator: memcache::LINE_END,
                 reuse: ConnectionReuse::AfterShortDelay,
             };
-            return value.into_response(bytes);
+            return ParsedResponse::LongValue(value);
         }
         BackendResponse::Value(value) => served(attempt, Payload::Value(value)),
         BackendResponse::Receipt(receipt) => served(attempt, Payload::Receipt(receipt)),
@@ -188,12 +184,15 @@
         return ParsedResponse::Malformed;
     }
     let rest = &bytes[body_at..];
+    if head.status != STATUS_OK {
+        return http_error(&head, rest);
+    }
     let (body, used) = match head.body {
         Body::Length(length) if length > MAX_STREAMED_VALUE_BYTES => return ParsedResponse::Malformed,
         Body::Length(length) if length > MAX_VALUE_BYTES => {
             let reuse = http_reuse(&head, Persistence::KeepAlive);
             let value = LongValue { starts_at: body_at, length, terminator: b"", reuse };
-            return long_http_response(attempt, &head, value, bytes);
+            return long_http_response(attempt, value);
         }
         Body::Length(length) if rest.len() < length => return ParsedResponse::Incomplete,
         Body::Length(length) => (rest[..length].to_vec(), body_at + length),
@@ -208,41 +207,52 @@
     };
     let is_complete = used == bytes.len() && head.body != Body::UntilClose;
     let persistence = if is_complete { Persistence::KeepAlive } else { Persistence::Close };
-    match http_result(attempt, &head, body) {
+    match http_result(attempt, body) {
         Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(&head, persistence) },
         None => ParsedResponse::Malformed,
     }
 }
 
-/// Returns the result of a response whose body is too long to be buffered.
-fn long_http_response(
-    attempt: &AttemptRequest,
-    head: &Head,
-    value: LongValue,
-    bytes: &[u8],
-) -> ParsedResponse {
-    match (head.status, &attempt.request.value) {
-        (STATUS_OK, None) => value.into_response(bytes),
-        (STATUS_OK, Some(_)) => ParsedResponse::Malformed,
-        // The body of an error response is not read.
-        _ => ParsedResponse::Complete { result: Outcome::Error.into(), reuse: ConnectionReuse::Never },
+/// Returns the result of a response with status 200 whose body is too long to be buffered.
+fn long_http_response(attempt: &AttemptRequest, value: LongValue) -> ParsedResponse {
+    if attempt.request.value.is_some() {
+        ParsedResponse::Malformed
+    } else {
+        ParsedResponse::LongValue(value)
     }
 }
 
-/// Decides the result of an attempt at the origin from the complete response. Returns `None` if the
-/// response is malformed.
+/// Decides the result of a response with another status than 200, from its head alone, and whether
+/// its connection may be reused, which needs the complete body.
 ///
-/// Inputs: the HTTP status, the body, and whether the request was a write.
-/// Reason: only a marked rejection guarantees that the request never ran.
+/// Inputs: the status and the marks of the head, and the part of the body that has arrived.
+/// Reason: the body of an error says nothing, so the request does not wait for it. Only a marked
+/// rejection guarantees that the request never ran.
 /// Source: RFC 9110, section 15.
-fn http_result(attempt: &AttemptRequest, head: &Head, body: Vec<u8>) -> Option<AttemptResult> {
-    let result = match head.status {
-        STATUS_OK if attempt.request.value.is_none() => served(attempt, Payload::Value(body)),
-        STATUS_OK => served(attempt, Payload::Receipt(String::from_utf8(body).ok()?)),
-        STATUS_SERVICE_UNAVAILABLE | STATUS_GATEWAY_TIMEOUT if head.is_rejected => Outcome::Full.into(),
-        _ => Outcome::Error.into(),
+fn http_error(head: &Head, body: &[u8]) -> ParsedResponse {
+    let outcome = match head.status {
+        STATUS_SERVICE_UNAVAILABLE | STATUS_GATEWAY_TIMEOUT if head.is_rejected => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    let is_complete = match head.body {
+        Body::Length(length) => body.len() == length,
+        Body::Chunked => {
+            let parsed = http::parse_chunked_body(body, MAX_VALUE_BYTES);
+            parsed.is_ok_and(|parsed| parsed.length == body.len())
+        }
+        Body::UntilClose => false,
     };
-    Some(result)
+    let persistence = if is_complete { Persistence::KeepAlive } else { Persistence::Close };
+    ParsedResponse::Complete { result: outcome.into(), reuse: http_reuse(head, persistence) }
+}
+
+/// Returns the result of an attempt at the origin from a complete response with status 200, or
+/// `None` if the response is malformed.
+fn http_result(attempt: &AttemptRequest, body: Vec<u8>) -> Option<AttemptResult> {
+    if attempt.request.value.is_none() {
+        return Some(served(attempt, Payload::Value(body)));
+    }
+    Some(served(attempt, Payload::Receipt(String::from_utf8(body).ok()?)))
 }
 
 /// Returns whether the connection may be reused after a response with this head.
--- a/src/net/backend/response_failure.rs
+++ b/src/net/backend/response_failure.rs
@@ -14,7 +14,7 @@
     Malformed,
     /// The response was not complete by the attempt's deadline.
     Late,
-    /// The response paused for too long.
+    /// A value that streams paused for too long.
     Stalled,
     /// The backend ended the connection within the response, or before it.
     Ended,
@@ -32,9 +32,9 @@
     /// Reason: only a backend at fault counts as such.
     fn outcome(self) -> Outcome {
         match self {
-            ResponseFailure::Malformed | ResponseFailure::Stalled => Outcome::Error,
+            ResponseFailure::Malformed => Outcome::Error,
             ResponseFailure::Late => Outcome::Timeout,
-            ResponseFailure::Ended => Outcome::Reset,
+            ResponseFailure::Stalled | ResponseFailure::Ended => Outcome::Reset,
             ResponseFailure::TooLong | ResponseFailure::NotAwaited => Outcome::Cancelled,
         }
     }
@@ -49,7 +49,7 @@
         failure: ResponseFailure,
         received: usize,
     ) -> AttemptResult {
-        if matches!(failure, ResponseFailure::Malformed | ResponseFailure::Stalled) {
+        if failure == ResponseFailure::Malformed {
             self.counters.responses_malformed.increment();
         }
         request_log::response_incomplete(attempt.id, &attempt.request.opaque, failure, received);
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -7,13 +7,13 @@
 use crate::net::dispatcher::{ClientRequest, Response, ResponseCallback};
 use crate::net::log::log_fault;
 use crate::net::memory::MemoryReservation;
-use crate::net::time_limits::{time_span, MS_PER_SECOND};
+use crate::net::time_limits::{time_span, timer_duration};
 use crate::time::TimeSpan;
 use pinetrail_codec::memcache::{Command, RequestCommand};
 use pinetrail_codec::MAX_VALUE_BYTES;
 use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The result of executing a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,7 +111,7 @@
         let handle = Arc::clone(&self.handle);
         let opaque = request.opaque.clone();
         let counters = Arc::clone(&self.service.counters);
-        let deadline = Instant::now() + Duration::from_secs_f64(request.budget.as_ms() / MS_PER_SECOND);
+        let deadline = Instant::now() + timer_duration(request.budget);
         Box::new(move |response: Response| {
             if let Some(late) = Instant::now().checked_duration_since(deadline) {
                 counters.responses_late.increment();
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -1,7 +1,6 @@
 //! Starts attempts at backends, decides whether they may still be written, and applies their
 //! outcomes to their requests. Read [`AttemptPlan`] first, then [`Dispatcher::permits_write`].
 
-use super::clock::timer_duration;
 use super::messages::{AttemptRequest, Payload, Response};
 use super::state::{DispatcherState, Endpoint, InFlightAttempt, InFlightRequest, PendingResponse};
 use super::Dispatcher;
@@ -10,7 +9,7 @@
 use crate::net::body_stream::BodyReceiver;
 use crate::net::log::log;
 use crate::net::request_log;
-use crate::net::time_limits::response_budget;
+use crate::net::time_limits::{response_budget, timer_duration};
 use crate::time::{TimeSpan, Timestamp};
 use std::sync::Arc;
 use std::time::Instant;
--- a/src/net/dispatcher/clock.rs
+++ b/src/net/dispatcher/clock.rs
@@ -1,13 +1,10 @@
 //! [`Clock`]: the process's own Unix time, which is read from the wall clock once and then advanced
-//! by the monotonic clock alone. [`timer_duration`] converts the decision module's time spans.
+//! by the monotonic clock alone.
 
 use super::start_times::ClockReading;
 use crate::net::time_limits::{time_span, MS_PER_SECOND};
 use crate::time::{TimeSpan, Timestamp};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-/// The longest duration of a timer in ms. The decision module requests only shorter ones.
-const MAX_TIMER_MS: f64 = 4_260_000.0;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A clock of Unix time that can be compared with the start times in discovery's lists, and that
 /// never steps back.
@@ -49,10 +46,5 @@
     Timestamp::ZERO + time_span(since_epoch)
 }
 
-/// Converts a time span of the decision module to a duration of at most [`MAX_TIMER_MS`].
-pub(super) fn timer_duration(span: TimeSpan) -> Duration {
-    Duration::from_secs_f64(span.as_ms().clamp(0.0, MAX_TIMER_MS) / MS_PER_SECOND)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -2,13 +2,13 @@
 //! [`Dispatcher::handle_event`] first; each call uses one [`EventRun`].
 
 use super::attempts::AttemptPlan;
-use super::clock::timer_duration;
 use super::messages::{BackendCommand, Response};
 use super::side_effect::SideEffect;
 use super::state::DispatcherState;
 use super::Dispatcher;
 use crate::interface::{Action, Event, GiveUpReason, RequestId};
 use crate::net::request_log;
+use crate::net::time_limits::timer_duration;
 use crate::time::{TimeSpan, Timestamp};
 use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -1,6 +1,5 @@
 //! Accepts, cancels, aborts and expires client requests. Read [`Dispatcher::submit`] first.
 
-use super::clock::timer_duration;
 use super::endpoint_ids::key_number;
 use super::messages::{ClientRequest, Response, ResponseCallback, SubmitError};
 use super::state::{DispatcherState, InFlightRequest, PendingResponse};
@@ -8,7 +7,7 @@
 use crate::interface::{Event, Request, RequestId};
 use crate::net::log::log_fault;
 use crate::net::request_log;
-use crate::net::time_limits::{response_budget, GUARD_DELAY};
+use crate::net::time_limits::{response_budget, timer_duration, GUARD_DELAY};
 use crate::net::timer::TimerSet;
 use pinetrail_policy_consensus::Admission;
 use std::collections::BTreeMap;
--- a/src/net/time_limits.rs
+++ b/src/net/time_limits.rs
@@ -23,6 +23,8 @@
 /// The largest margin of a limit, as a fraction of the limit. With the whole margin, short limits
 /// would cost more requests their response than hold-ups do.
 const MAX_MARGIN_FRACTION: f64 = 0.15;
+/// The longest duration of a timer in ms. The decision module requests only shorter ones.
+const MAX_TIMER_MS: f64 = 4_260_000.0;
 /// The milliseconds in a second, for the conversion of the decision module's [`TimeSpan`]s.
 pub const MS_PER_SECOND: f64 = 1000.0;
 
@@ -49,6 +51,11 @@
     TimeSpan::from_ms(duration.as_secs_f64() * MS_PER_SECOND)
 }
 
+/// Converts a time span of the decision module to a duration of at most [`MAX_TIMER_MS`].
+pub fn timer_duration(span: TimeSpan) -> Duration {
+    Duration::from_secs_f64(span.as_ms().clamp(0.0, MAX_TIMER_MS) / MS_PER_SECOND)
+}
+
 /// Decides how long before a time limit an effect is planned: the margin for a hold-up.
 ///
 /// Inputs: the length of the limit, as a time span.
