Serve values of the origin over 64 KiB that have no length

What callers saw: busy for a value over 64 KiB that is chunked or ends with its connection, although it came whole and in time; each attempt ended as an error.

Cause: such a body was buffered up to 64 KiB, and a longer one counted as malformed. It was also parsed again from its beginning after each read.

Change: a body without a length is decoded as it arrives, in blocks of 64 KiB, each reserved from the memory budget (the first belongs to the request), and passed on once it is complete, with its length.

A decoder fed in parts of any length gives what it gives for the whole.

--- a/crates/codec/src/http/mod.rs
+++ b/crates/codec/src/http/mod.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use chunked::{parse_chunk, parse_chunked_body};
+pub use chunked::{parse_chunk, parse_chunked_body, ChunkedDecoder};
 pub use head::{parse_final_head, parse_head, Body, Head};
 pub use request::{encode_path, encode_request};
 
--- a/crates/codec/src/http/tests.rs
+++ b/crates/codec/src/http/tests.rs
@@ -55,3 +55,20 @@
     assert_eq!(parse_chunked_body(bytes, 3), Ok(complete));
     assert_eq!(parse_chunked_body(bytes, 2), Err(ParseError::fatal(HttpError::BadChunk)));
 }
+
+#[test]
+fn a_chunked_body_that_arrives_in_parts_is_decoded_like_a_whole_one() {
+    let bytes = b"5;a=b\r\nhello\r\n1\r\n!\r\n0\r\n\r\nnext";
+    for part in 1..bytes.len() {
+        let (mut decoder, mut data, mut buffer) = (ChunkedDecoder::new(6), Vec::new(), Vec::new());
+        for piece in bytes.chunks(part) {
+            buffer.extend_from_slice(piece);
+            let used = decoder.decode(&buffer, &mut data).unwrap();
+            buffer.drain(..used);
+        }
+        assert!(decoder.is_complete(), "parts of {part}");
+        assert_eq!((&data[..], &buffer[..]), (&b"hello!"[..], &b"next"[..]), "parts of {part}");
+    }
+    let too_long = ChunkedDecoder::new(5).decode(bytes, &mut Vec::new());
+    assert_eq!(too_long, Err(HttpError::BadChunk));
+}
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -3,7 +3,7 @@
 
 use super::encode::encode_request;
 use super::pool::{ConnectError, Connection, ReuseDelay};
-use super::response::{parse_response, AttemptResult, ConnectionReuse, InputState, ParsedResponse};
+use super::response::{parse_response, AttemptResult, ConnectionReuse, ParsedResponse};
 use super::response_failure::ResponseFailure;
 use super::stream_start::StreamStart;
 use super::BackendService;
@@ -124,7 +124,7 @@
                     None => return self.end_without_response(attempt, failure, bytes.len()),
                 },
             };
-            match parse_response(attempt, &bytes, input) {
+            match parse_response(attempt, &bytes) {
                 ParsedResponse::Incomplete if input == InputState::Closed => {
                     return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
                 }
@@ -141,6 +141,9 @@
                 ParsedResponse::LongValue(value) => {
                     stream_start.update(value, bytes.len(), attempt.deadline);
                 }
+                ParsedResponse::UnsizedBody(body) => {
+                    return self.collect_unsized_body(attempt, connection, bytes, &body);
+                }
                 ParsedResponse::Complete { result, reuse } => {
                     if input == InputState::Open {
                         self.release(attempt, connection, reuse);
@@ -168,12 +171,21 @@
     }
 }
 
+/// Whether more bytes of a response may arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum InputState {
+    /// The connection is open.
+    Open,
+    /// The backend has closed the connection without a reset.
+    Closed,
+}
+
 /// Reads more of a response until `read_deadline`, and returns whether the connection is still open.
 ///
 /// # Errors
 ///
 /// Returns the reason why the response is not complete.
-fn read_response(
+pub(super) fn read_response(
     connection: &Connection,
     bytes: &mut Vec<u8>,
     read_deadline: Instant,
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -156,7 +156,7 @@
     }
 
     /// Ends an attempt whose value is not passed on completely.
-    fn end_value(
+    pub(super) fn end_value(
         &self,
         attempt: &AttemptRequest,
         failure: ResponseFailure,
@@ -177,7 +177,7 @@
         reader: &mut ValueReader,
     ) -> Result<Excess, ResponseFailure> {
         let (sender, receiver) = body_stream::channel();
-        self.begin_response(attempt, reader.value, receiver)?;
+        self.begin_response(attempt, reader.value.length, receiver)?;
         let excess = reader.read(|piece| sender.send(piece).map_err(|_| ResponseFailure::NotAwaited))?;
         sender.finish();
         Ok(excess)
@@ -199,17 +199,22 @@
             pieces.push(piece.to_vec());
             Ok(())
         })?;
-        self.begin_response(attempt, value, body_stream::complete(pieces, memory))?;
+        self.begin_response(attempt, value.length, body_stream::complete(pieces, memory))?;
         Ok(excess)
     }
 
-    fn begin_response(
+    /// Begins the response to the client with a value of this length, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request no longer waits for its response.
+    pub(super) fn begin_response(
         &self,
         attempt: &AttemptRequest,
-        value: &LongValue,
+        length: usize,
         body: BodyReceiver,
     ) -> Result<(), ResponseFailure> {
-        if self.dispatcher.attempt_streaming(attempt.id, value.length, body) {
+        if self.dispatcher.attempt_streaming(attempt.id, length, body) {
             Ok(())
         } else {
             Err(ResponseFailure::NotAwaited)
@@ -232,10 +237,25 @@
         if !self.memory.can_hold(length) {
             return Err(ResponseFailure::TooLong);
         }
-        loop {
-            if let Some(memory) = self.memory.reserve(length) {
-                return Ok(memory);
-            }
+        let mut memory = None;
+        self.wait_for_memory(attempt, || {
+            memory = self.memory.reserve(length);
+            memory.is_some()
+        })?;
+        memory.ok_or(ResponseFailure::TooLong)
+    }
+
+    /// Calls `reserve` until it returns that memory was reserved, or the response is too late.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no memory in time.
+    pub(super) fn wait_for_memory(
+        &self,
+        attempt: &AttemptRequest,
+        mut reserve: impl FnMut() -> bool,
+    ) -> Result<(), ResponseFailure> {
+        while !reserve() {
             if Instant::now() >= attempt.deadline {
                 return Err(ResponseFailure::Late);
             }
@@ -244,5 +264,6 @@
             }
             sleep(MEMORY_RETRY_INTERVAL);
         }
+        Ok(())
     }
 }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -3,9 +3,9 @@
 //! then `attempt`.
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
-//! parses its responses, `long_value` passes on values that are too long for that,
-//! `stream_start` decides when such a value begins to stream, and `response_failure` has the reasons
-//! why a response is not complete.
+//! parses its responses, `long_value` passes on values that are too long for that, and
+//! `unsized_body` bodies whose length is known only at their end. `stream_start` decides when a long
+//! value begins to stream, and `response_failure` has the reasons why a response is not complete.
 
 mod attempt;
 mod encode;
@@ -16,6 +16,7 @@
 mod stream_start;
 #[cfg(test)]
 mod tests;
+mod unsized_body;
 
 use super::counters::Counters;
 use super::deadline_stream::sleep;
@@ -26,6 +27,7 @@
 use may::sync::mpsc::Receiver;
 use pool::Pool;
 pub(in crate::net) use response_failure::ResponseFailure;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -56,6 +58,8 @@
     counters: Arc<Counters>,
     pool: Pool,
     memory: Arc<MemoryBudget>,
+    /// Whether a body that is collected without a known length waits for memory.
+    body_waits_for_memory: AtomicBool,
     /// The timeout for establishing a connection. The lock guards only this value.
     connect_timeout: Mutex<Duration>,
 }
@@ -71,6 +75,7 @@
             counters: parameters.counters,
             pool: Pool::new(parameters.descriptors, parameters.idle_timeout),
             memory: parameters.memory,
+            body_waits_for_memory: AtomicBool::new(false),
             connect_timeout: Mutex::new(parameters.connect_timeout),
         });
         let closer = Arc::clone(&service);
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -45,6 +45,25 @@
     pub reuse: ConnectionReuse,
 }
 
+/// A body of a response with status 200 whose length is known only at its end.
+pub(super) struct UnsizedBody {
+    /// The offset in the response at which the body begins.
+    pub starts_at: usize,
+    /// How the end of the body is marked.
+    pub framing: UnsizedFraming,
+    /// Whether the connection may be reused if nothing follows the body.
+    pub reuse: ConnectionReuse,
+}
+
+/// How the end of a body without a length is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnsizedFraming {
+    /// The last chunk ends the body.
+    Chunked,
+    /// The end of the connection ends the body.
+    UntilClose,
+}
+
 /// Whether a connection may be reused after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionReuse {
@@ -94,6 +113,8 @@
     Malformed,
     /// The bytes contain the beginning of a long value, which is streamed.
     LongValue(LongValue),
+    /// The bytes contain the head of a response whose body has no length.
+    UnsizedBody(UnsizedBody),
     /// The response is complete.
     Complete {
         /// The result of the attempt.
@@ -121,22 +142,13 @@
     }
 }
 
-/// Whether more bytes of a response may arrive.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum InputState {
-    /// The connection is open.
-    Open,
-    /// The backend has closed the connection without a reset.
-    Closed,
-}
-
 /// Parses a backend's response in its protocol.
-pub(super) fn parse_response(attempt: &AttemptRequest, bytes: &[u8], input: InputState) -> ParsedResponse {
+pub(super) fn parse_response(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
     if bytes.len() > MAX_RESPONSE_BYTES {
         return ParsedResponse::Malformed;
     }
     if attempt.is_origin {
-        parse_http(attempt, bytes, input)
+        parse_http(attempt, bytes)
     } else {
         parse_memcache(attempt, bytes)
     }
@@ -175,7 +187,7 @@
     ParsedResponse::Complete { result, reuse: ConnectionReuse::after(identification, persistence) }
 }
 
-fn parse_http(attempt: &AttemptRequest, bytes: &[u8], input: InputState) -> ParsedResponse {
+fn parse_http(attempt: &AttemptRequest, bytes: &[u8]) -> ParsedResponse {
     let Parsed { message: head, length: body_at } = match http::parse_final_head(bytes) {
         Ok(parsed) => parsed,
         Err(error) => return error.into(),
@@ -196,17 +208,18 @@
         }
         Body::Length(length) if rest.len() < length => return ParsedResponse::Incomplete,
         Body::Length(length) => (rest[..length].to_vec(), body_at + length),
-        Body::UntilClose if rest.len() > MAX_VALUE_BYTES => return ParsedResponse::Malformed,
-        Body::UntilClose if input == InputState::Open => return ParsedResponse::Incomplete,
-        Body::UntilClose => (rest.to_vec(), bytes.len()),
-        // A chunked body is buffered, since the client needs its length before the first byte.
-        Body::Chunked => match http::parse_chunked_body(rest, MAX_VALUE_BYTES) {
-            Ok(Parsed { message: body, length }) => (body, body_at + length),
-            Err(error) => return error.into(),
-        },
+        Body::UntilClose => {
+            let framing = UnsizedFraming::UntilClose;
+            let reuse = ConnectionReuse::Never;
+            return ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse });
+        }
+        Body::Chunked => {
+            let framing = UnsizedFraming::Chunked;
+            let reuse = http_reuse(&head, Persistence::KeepAlive);
+            return ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse });
+        }
     };
-    let is_complete = used == bytes.len() && head.body != Body::UntilClose;
-    let persistence = if is_complete { Persistence::KeepAlive } else { Persistence::Close };
+    let persistence = if used == bytes.len() { Persistence::KeepAlive } else { Persistence::Close };
     match http_result(attempt, body) {
         Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(&head, persistence) },
         None => ParsedResponse::Malformed,
@@ -248,7 +261,7 @@
 
 /// Returns the result of an attempt at the origin from a complete response with status 200, or
 /// `None` if the response is malformed.
-fn http_result(attempt: &AttemptRequest, body: Vec<u8>) -> Option<AttemptResult> {
+pub(super) fn http_result(attempt: &AttemptRequest, body: Vec<u8>) -> Option<AttemptResult> {
     if attempt.request.value.is_none() {
         return Some(served(attempt, Payload::Value(body)));
     }
--- a/src/net/backend/response_failure.rs
+++ b/src/net/backend/response_failure.rs
@@ -20,6 +20,8 @@
     Ended,
     /// The value is longer than the memory for values.
     TooLong,
+    /// The memory for values is used up, and another value waits for it already.
+    NoMemory,
     /// The request no longer waits for its response.
     NotAwaited,
 }
@@ -35,7 +37,9 @@
             ResponseFailure::Malformed => Outcome::Error,
             ResponseFailure::Late => Outcome::Timeout,
             ResponseFailure::Stalled | ResponseFailure::Ended => Outcome::Reset,
-            ResponseFailure::TooLong | ResponseFailure::NotAwaited => Outcome::Cancelled,
+            ResponseFailure::TooLong | ResponseFailure::NoMemory | ResponseFailure::NotAwaited => {
+                Outcome::Cancelled
+            }
         }
     }
 }
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -67,6 +67,20 @@
     }
 }
 
+impl MemoryReservation {
+    /// Reserves further bytes; returns whether enough memory was free.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let Some(mut more) = self.budget.reserve(bytes) else { return false };
+        self.bytes += std::mem::take(&mut more.bytes);
+        true
+    }
+
+    /// Returns the number of reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.budget.reserved_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
--- a/tests/sockets/large.rs
+++ b/tests/sockets/large.rs
@@ -212,3 +212,43 @@
     // No request is behind this one, so its value is streamed.
     assert!(read_long_response(&mut client));
 }
+
+/// Guards against long values of the origin that fail because they have no length, and against
+/// memory that grows with them.
+#[test]
+fn long_values_without_a_length_are_served_within_the_memory_limit() {
+    for framing in [Framing::HttpChunked, Framing::HttpUntilClose] {
+        let response = PacedResponse {
+            framing,
+            value: vec![b'x'; LONG_VALUE_BYTES],
+            first_bytes: LONG_VALUE_BYTES / 8,
+            duration: ms(200),
+            pieces: 4,
+            completion: Completion::Whole,
+        };
+        let deliveries = Deliveries::default();
+        let origin = StubServer::origin(move |request| {
+            let (response, deliveries) = (response.clone(), deliveries.clone());
+            let request = request.to_owned();
+            StubAction::ReplyWith(Box::new(move |stream| response.write(&request, stream, &deliveries)))
+        });
+        let node = StubServer::miss_node();
+        let entries = [node.entry("s-0", "c6", "ready"), origin.entry("o", "origin", "ready")];
+        let fixture = ProxyFixture::with_limits(&entries, 256, 48);
+        let mut clients: Vec<Client> = (0..8).map(|_| fixture.client()).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&format!("mg k{number} v O{number} Pc=read,t=acme,d=900\r\n"));
+        }
+        let served = clients.iter_mut().filter_map(|client| read_long_response(client).then_some(())).count();
+        assert!(served > 0, "{framing:?}: none of 8 values is served");
+        assert!(fixture.memory_mb() < 48, "{framing:?}: {} MB", fixture.memory_mb());
+        assert!(read_long_response_alone(&fixture), "{framing:?}");
+    }
+}
+
+/// Reads a long value that no other request competes with; returns whether it was served.
+fn read_long_response_alone(fixture: &ProxyFixture) -> bool {
+    let mut client = fixture.client();
+    client.send("mg alone v Oalone Pc=read,t=acme,d=2500\r\n");
+    read_long_response(&mut client)
+}
--- a/tests/sockets/slow_responses.rs
+++ b/tests/sockets/slow_responses.rs
@@ -27,9 +27,9 @@
 const CONCURRENT_REQUESTS: usize = 6;
 /// Number of cache nodes.
 const NODES: usize = 3;
-/// Lengths of values that are buffered, in bytes.
+/// Lengths of values within the protocol's limit, in bytes.
 const SHORT_LENGTHS: [usize; 5] = [1, 120, 5_000, 40_000, 65_536];
-/// Lengths of values that are streamed, in bytes.
+/// Lengths of values above the protocol's limit, in bytes.
 const LONG_LENGTHS: [usize; 3] = [65_537, 104_777, 228_087];
 
 /// The response that a client received.
@@ -151,9 +151,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut responses = Vec::new();
     for framing in FRAMINGS {
-        let has_length = matches!(framing, Framing::Memcache | Framing::HttpLength);
-        let long: &[usize] = if has_length { &LONG_LENGTHS } else { &[] };
-        for length in SHORT_LENGTHS.iter().chain(long) {
+        for length in SHORT_LENGTHS.iter().chain(&LONG_LENGTHS) {
             let first_bytes = if rng.gen() { 0 } else { length / 8 };
             responses.push(PacedResponse {
                 framing,
