--- a/src/net/dispatcher/event_loop.rs
+++ b/src/net/dispatcher/event_loop.rs
@@ -133,8 +133,8 @@
 
     /// Starts a timer that is cancelled when its request has its response, so that timers of
     /// finished requests do not accumulate.
-    fn start_request_timer(&self, id: RequestId, due: Instant, token: u64) {
-        let pending = self.state.requests.get(&id).and_then(|request| request.pending.as_ref());
+    fn start_request_timer(&mut self, id: RequestId, due: Instant, token: u64) {
+        let pending = self.state.requests.get_mut(&id).and_then(|request| request.pending.as_mut());
         if let Some(pending) = pending {
             let dispatcher = Arc::clone(self.dispatcher);
             pending.timers.run_at(due, move || {
--- a/src/net/lifecycle/start/resources.rs
+++ b/src/net/lifecycle/start/resources.rs
@@ -12,8 +12,8 @@
 /// The size of a coroutine's stack, in words of 8 bytes: 128 KiB, of which only touched pages use
 /// memory.
 const STACK_WORDS: usize = 16 * 1024;
-/// The number of coroutines kept for reuse, because request timers start and end by the hundred.
-const POOLED_COROUTINES: usize = 512;
+/// The number of coroutines kept for reuse after their connection or attempt has ended.
+const POOLED_COROUTINES: usize = 128;
 /// The number of descriptors that belong neither to a client nor to a backend: files, pollers,
 /// discovery, the listener.
 const BASE_DESCRIPTORS: usize = 24;
