Leave time to other clients while connections send without a pause

What was seen: with 30 connections of pipelined reads another client waited 4 to 10 s, or got no answer at all, and a watch of discovery failed; with one such connection, under strace, 2 s.

Cause: the coroutine library polls sockets only when no coroutine is ready. A connection that had more to do yielded for 1 ms, whatever it and others had used; and one whose backends respond at once began a new turn with each response, so that it never yielded. strace: no epoll_wait in 2 s, 20,000 reads. Excluded: a hold-up (counter held_up 0), the queue of requests (the answer was a rejection, which needs no backend), the load of the machine.

Change: a turn counts on across short waits, and a connection that has more to do rests behind those that rest already, for twice the time of its turn, so that all of them together leave half of the worker to others. Connections with fewer commands than a turn or the limit of open commands never rest.

--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -12,10 +12,10 @@
 
 use super::presence::SocketPresence;
 use super::registry::ConnectionHandle;
+use super::turns::Turn;
 use super::ClientService;
 use crate::interface::RequestId;
 use crate::net::body_stream::BodyReceiver;
-use crate::net::deadline_stream::sleep;
 use crate::net::dispatcher::{ClientPresence, ValueDelivery};
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
@@ -34,11 +34,6 @@
 const MAX_OUTPUT_BYTES: usize = MAX_VALUE_BYTES;
 /// The memory of a request in addition to the values of its command and its response.
 const REQUEST_OVERHEAD_BYTES: usize = 4 * 1024;
-/// The number of rounds of reading and writing before a connection yields, so that a client which
-/// sends continuously does not occupy the worker.
-const ROUNDS_PER_TURN: usize = 8;
-/// The duration of the sleep by which a connection yields to others.
-const YIELD_TIME: Duration = Duration::from_millis(1);
 /// The pause of a connection after malformed commands, which limits the rate at which a client can
 /// resend them.
 const PAUSE_AFTER_ERRORS: Duration = Duration::from_millis(20);
@@ -135,6 +130,8 @@
     stream: Arc<Stream>,
     presence: Arc<dyn ClientPresence>,
     state: State,
+    /// The present turn of the connection on the worker.
+    turn: Turn,
     reported: ReportedPhase,
     /// The part of a command that has arrived. Complete commands that wait for a limit stay in the
     /// socket.
@@ -200,6 +197,7 @@
             handle,
             stream,
             state: State::Open,
+            turn: Turn::begin(),
             reported: ReportedPhase { phase: Phase::Silent, phase_number: 0 },
             input: Vec::new(),
             queue_time,
@@ -253,7 +251,7 @@
 
     /// Reads, executes and writes until the connection would have to wait for the socket.
     fn serve_without_waiting(&mut self) -> io::Result<Progress> {
-        let mut rounds = 0;
+        self.turn.resume();
         loop {
             let may_have_more = self.receive()?;
             let was_full = self.is_full() || self.waits_for_memory;
@@ -265,16 +263,17 @@
             // read as soon as the limit allows it.
             let is_full = self.is_full() || (self.waits_for_memory && !self.is_idle());
             let may_read_again = was_full && !is_full;
-            rounds += 1;
+            let is_turn_over = self.turn.end_round();
             if std::mem::take(&mut self.had_errors) {
-                sleep(PAUSE_AFTER_ERRORS);
+                self.service.turns.rest(&mut self.turn, PAUSE_AFTER_ERRORS);
+                self.check_client_present()?;
+            } else if is_turn_over && (may_have_more || may_read_again || is_full) {
+                self.service.turns.rest(&mut self.turn, Duration::ZERO);
                 self.check_client_present()?;
             } else if !may_have_more && !may_read_again {
                 self.report_phase(activity);
+                self.turn.pause();
                 return Ok(Progress::Continues);
-            } else if rounds % ROUNDS_PER_TURN == 0 {
-                sleep(YIELD_TIME);
-                self.check_client_present()?;
             }
             // Without this check, the connection of a client that sends continuously would never be
             // closed.
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -4,7 +4,8 @@
 //!
 //! `accept` accepts connections, `registry` keeps the open ones and passes on the close orders of
 //! [`pinetrail_connection_limits::ConnectionTable`], `disconnecting` decides which connections are
-//! due to close while clients are directed to other proxies.
+//! due to close while clients are directed to other proxies, and `turns` divides the worker between
+//! connections whose clients send without a pause.
 
 mod accept;
 mod connection;
@@ -13,6 +14,7 @@
 mod presence;
 mod registry;
 mod request;
+mod turns;
 
 use super::counters::Counters;
 use super::deadline_stream::sleep;
@@ -32,6 +34,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use turns::TurnPacer;
 
 /// The interval between checks of the connection limits and of overdue requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -60,6 +63,7 @@
     memory: Arc<MemoryBudget>,
     descriptors: Arc<Descriptors>,
     hold_up_monitor: HoldUpMonitor,
+    turns: TurnPacer,
     /// The listener; `None` once the service has stopped listening. The lock guards only this
     /// value.
     listener: Mutex<Option<Arc<Listener>>>,
@@ -96,6 +100,7 @@
             descriptors,
             address: listener.address()?,
             hold_up_monitor: HoldUpMonitor::new(CHECK_INTERVAL, Instant::now()),
+            turns: TurnPacer::default(),
             listener: Mutex::new(Some(Arc::clone(&listener))),
             registry: Mutex::new(ConnectionRegistry::new(capacity.limit)),
             closes_when_idle: AtomicBool::new(false),
