Let clients write values and read responses slowly

What callers saw: a command whose value took more than 2.5 s to arrive was answered 'no whole command in time' and its connection closed, although its client went on writing; a response whose client paused twice 5 s between two windows of the system's buffers was cut off.

Change: the line of a command has 2.5 s as before. The value behind it counts from its last byte, so that a client that stops still has its error in time. The age by which crowded phases are thinned out does not restart with each byte. A response may go unread for 20 s; above low pressure, the unread responses beyond an eighth of the limit have 5 s.

--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -198,6 +198,29 @@
         phase_number
     }
 
+    /// Restarts the time of a connection's phase at `progressed_at`, because its client has made
+    /// progress in the phase then. Returns the new number of the phase, or `None` if that was so long
+    /// ago that the connection is overdue all the same.
+    ///
+    /// Note: progress counts only where a connection would close as overdue. If it counted at once, a
+    /// client that sends one byte at a time would never be among the oldest of its phase.
+    pub fn restart_phase(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        progressed_at: Timestamp,
+    ) -> Option<PhaseNumber> {
+        if now.saturating_duration_since(progressed_at) >= self.limits.command_timeout {
+            return None;
+        }
+        self.dequeue(id);
+        let entry = self.entries.get_mut(&id)?;
+        entry.restart(progressed_at);
+        let phase_number = entry.phase_number;
+        self.enqueue(id);
+        Some(phase_number)
+    }
+
     /// Removes a connection that the client or the server has closed.
     pub fn remove(&mut self, now: Timestamp, id: ConnectionId) {
         // If the server closed the connection, it is unknown what the client would have done.
--- a/crates/connection-limits/src/connection_table/entry.rs
+++ b/crates/connection-limits/src/connection_table/entry.rs
@@ -86,6 +86,13 @@
         self.since = if phase == Phase::PartialFirstCommand { self.arrived_at } else { now };
     }
 
+    /// Enters the present phase again, whose limits count from `since`. The entry must not be in a
+    /// queue.
+    pub(super) fn restart(&mut self, since: Timestamp) {
+        self.enter(since, self.phase);
+        self.since = since;
+    }
+
     /// Returns the kind of the connection, if it has a life table in its present phase.
     pub(super) fn reuse_kind(&self) -> Option<ReuseKind> {
         match (self.phase, self.requests) {
--- a/crates/connection-limits/src/connection_table/eviction.rs
+++ b/crates/connection-limits/src/connection_table/eviction.rs
@@ -139,6 +139,7 @@
             (Queue::Silent, self.limits.silent_floor),
             (Queue::PartialFirstCommand, self.limits.partial_command_floor),
             (Queue::PartialCommand, self.limits.partial_command_floor),
+            (Queue::ResponseUnread, self.limits.unread_response_floor),
             (Queue::Closing, self.limits.linger_floor),
         ] {
             while self.queues[queue as usize].len() > budget {
--- a/crates/connection-limits/src/limits.rs
+++ b/crates/connection-limits/src/limits.rs
@@ -11,14 +11,19 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// The maximum time until a command is complete: from the arrival of the connection for the
-    /// first command, and from its first byte for each later command.
+    /// first command, and from its first byte for each later command. While the value of a command
+    /// arrives, it counts from the last byte ([`crate::ConnectionTable::restart_phase`]).
     pub command_timeout: Duration,
     /// The maximum idle time of any connection at a pressure of one half or more.
     pub idle_timeout: Duration,
     /// The maximum idle time of any connection below a pressure of one half.
     pub idle_timeout_at_low_pressure: Duration,
-    /// The time within which the client must read a part of a response.
+    /// The time within which the client must read a part of a response. A system announces space in
+    /// a full buffer only in steps, so that a slow reader shows no progress for a while.
     pub unread_response_timeout: Duration,
+    /// The time without progress for which a connection with an unread response stays open at any
+    /// pressure.
+    pub unread_response_floor: Duration,
     /// The maximum time for which input of a closing connection is discarded.
     pub linger_timeout: Duration,
     /// The time, from a connection's arrival, for which a connection that has sent nothing yet
@@ -42,7 +47,7 @@
     pub required_reuse_probability: f64,
     /// The share of the capacity that, above low pressure, connections in each of these phases may
     /// use once they are older than their floor: silent, partial first command, partial later
-    /// command, closing.
+    /// command, response unread, closing.
     pub phase_budget_share: f64,
     /// The time for which the growth of the number of connections is estimated. The estimate is
     /// part of the pressure.
@@ -59,7 +64,8 @@
             command_timeout: Duration::from_millis(2_500),
             idle_timeout: Duration::from_millis(2_200),
             idle_timeout_at_low_pressure: Duration::from_millis(11_000),
-            unread_response_timeout: Duration::from_millis(5_000),
+            unread_response_timeout: Duration::from_millis(20_000),
+            unread_response_floor: Duration::from_millis(5_000),
             linger_timeout: Duration::from_millis(500),
             silent_floor: Duration::from_millis(250),
             idle_floor: Duration::from_millis(100),
--- a/src/net/client/connection/close.rs
+++ b/src/net/client/connection/close.rs
@@ -102,6 +102,9 @@
     /// Source: docs/connection-limits.md.
     fn apply_close_order(&mut self, reason: CloseOrderReason) -> Progress {
         let is_open = self.state == State::Open;
+        if is_open && reason == CloseOrderReason::Overdue && self.continues_value() {
+            return Progress::Continues;
+        }
         match self.reported.phase {
             // A partial command gets an error as its response.
             Phase::PartialFirstCommand | Phase::PartialCommand if is_open => {
@@ -127,6 +130,27 @@
         Progress::Continues
     }
 
+    /// Decides whether a partial command may go on: the value of the command is arriving, and the
+    /// client has not stopped. Its time is counted from its last byte then.
+    ///
+    /// Inputs: whether the line of the command is complete, and the time of the last input, on the
+    /// connection table's clock.
+    /// Reason: a value may be written slowly, while a client that has stopped is owed an error.
+    /// Source: docs/connection-limits.md, "Slow writers and readers".
+    fn continues_value(&mut self) -> bool {
+        let is_partial = matches!(self.reported.phase, Phase::PartialFirstCommand | Phase::PartialCommand);
+        if !is_partial || !self.input.contains(&b'\n') {
+            return false;
+        }
+        let now = self.service.descriptors.now();
+        let restarted =
+            self.service.with_registry(|registry| registry.restart_phase(now, self.id, self.last_input_at));
+        if let Some(phase_number) = restarted {
+            self.reported.phase_number = phase_number;
+        }
+        restarted.is_some()
+    }
+
     /// Counts a close order, and records its reason for the request log.
     fn count_close(&mut self, reason: CloseOrderReason) {
         self.service.count_close(reason);
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -111,6 +111,9 @@
             StopReason::Limit => used.saturating_sub(partial_length),
         };
         self.has_waiting_input = taken < count;
+        if taken > 0 {
+            self.last_input_at = self.service.descriptors.now();
+        }
         self.final_input_bytes = self.final_input_bytes.map(|bytes| bytes.saturating_sub(taken));
         self.input.truncate(partial_length + taken);
         self.stream.inner().read_exact(&mut self.input[partial_length..])?;
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -145,6 +145,8 @@
     /// The memory that is reserved for a large command in `input`.
     input_memory: Option<MemoryReservation>,
     received: Received,
+    /// The time at which input was last taken from the socket, by the clock of the connection table.
+    last_input_at: Timestamp,
     /// Whether the next command waits for memory.
     waits_for_memory: bool,
     /// Whether the next command waits until the response before it cannot break off.
@@ -204,6 +206,7 @@
             unread_time: Duration::ZERO,
             input_memory: None,
             received: Received::Nothing,
+            last_input_at: Timestamp::ZERO,
             waits_for_memory: false,
             waits_for_response: false,
             has_waiting_input: false,
--- a/src/net/client/registry.rs
+++ b/src/net/client/registry.rs
@@ -100,6 +100,17 @@
         self.table.set_phase(now, id, phase)
     }
 
+    /// Restarts the time of a connection's phase at the client's last progress; see
+    /// [`ConnectionTable::restart_phase`].
+    pub(super) fn restart_phase(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        progressed_at: Timestamp,
+    ) -> Option<PhaseNumber> {
+        self.table.restart_phase(now, id, progressed_at)
+    }
+
     /// Records a request of a connection.
     pub(super) fn record_request(&mut self, id: ConnectionId) {
         self.table.record_request(id);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod settings;
 mod shutdown;
+mod slow_clients;
 mod slow_responses;
 mod starts;
 mod upgrades;
