Do not run a write again whose id comes back after its client has left

Cause: an id was known only while its request was open. Once the attempt of a client that had left ended, or at the other process, the id was new again.

Change: the ids of requests that may have been executed and may not be repeated are remembered, as hashes, for 60 s (a class may be repeated if it is safe). One table bounds their memory to 1 % of memory_mb. When it is full, an id is kept for 5 s at the least; until the oldest reaches that, further such requests are rejected with the time to come again: not executed rather than twice. The processes of an upgrade send each other the ids that they accept, before an attempt is written, and all that they know at the beginning. The message is sent only to a process that has shown that it understands it, by a field of the handover that earlier releases ignore.

Golden lines unchanged.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -123,6 +123,11 @@
 }
 
 impl Outcome {
+    /// Returns whether the outcome proves that the attempt did not execute the request.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
+    }
+
     /// Returns whether the outcome and the latency of the attempt describe the backend. They do not
     /// if the attempt was never sent or was cancelled by this proxy.
     pub fn reached_backend(self) -> bool {
--- a/src/logic/retry/idempotency.rs
+++ b/src/logic/retry/idempotency.rs
@@ -100,8 +100,7 @@
 
 /// Returns whether an attempt with this outcome, or with none yet, may have executed.
 fn may_have_executed(outcome: Option<Outcome>) -> bool {
-    use Outcome::{ConnectFailed, Full, Miss, Moot};
-    !matches!(outcome, Some(ConnectFailed | Full | Miss | Moot))
+    !outcome.is_some_and(Outcome::proves_not_run)
 }
 
 /// Returns whether the backends will still drop a repeat of an attempt when a repeat that is sent
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -140,7 +140,7 @@
     fn respond_rejected(&mut self, rejection: Rejection) {
         match rejection {
             Rejection::Malformed(error) => self.respond_malformed(format_args!("CLIENT_ERROR {error}")),
-            Rejection::Fenced { retry_after } => {
+            Rejection::RetryLater { retry_after } => {
                 self.respond(format!("SERVER_ERROR busy {}\r\n", retry_after.as_millis()));
             }
             Rejection::Stopping => self.respond("SERVER_ERROR busy\r\n".to_owned()),
--- a/src/net/client/connection/submit.rs
+++ b/src/net/client/connection/submit.rs
@@ -22,8 +22,8 @@
 pub(super) enum Rejection {
     /// The request is malformed.
     Malformed(RequestError),
-    /// This process is fenced, so it may not admit requests now.
-    Fenced {
+    /// This process may not admit the request now: it is fenced, or has no room for the id.
+    RetryLater {
         /// The time that the client should wait before it sends the request again.
         retry_after: Duration,
     },
@@ -54,7 +54,7 @@
             };
             match dispatcher.admission_for(version) {
                 Some(Admission::Admit) => return Err(Rejection::Malformed(error)),
-                Some(Admission::Reject { retry_after }) => return Err(Rejection::Fenced { retry_after }),
+                Some(Admission::Reject { retry_after }) => return Err(Rejection::RetryLater { retry_after }),
                 Some(Admission::Wait) => self.wait_for_policy()?,
                 // The names have changed, so the command is parsed again.
                 None => {}
@@ -79,12 +79,15 @@
         mut request: ClientRequest,
         mut respond: ResponseCallback,
     ) -> Result<RequestId, Rejection> {
+        self.service.dispatcher.announce_id(&request);
         loop {
             match self.service.dispatcher.submit(request, respond) {
                 Ok(id) => return Ok(id),
                 Err(SubmitError::Stopping) => return Err(Rejection::Stopping),
                 Err(SubmitError::IdInUse) => return Err(Rejection::Malformed(RequestError::IdInUse)),
-                Err(SubmitError::Fenced { retry_after }) => return Err(Rejection::Fenced { retry_after }),
+                Err(SubmitError::Fenced { retry_after } | SubmitError::NoRoomForId { retry_after }) => {
+                    return Err(Rejection::RetryLater { retry_after });
+                }
                 Err(SubmitError::PolicyChanging { request: returned, respond: callback }) => {
                     request = self.wait_for_policy_with(*returned)?;
                     respond = callback;
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -143,6 +143,7 @@
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(&id.request) else { return };
         let Some(attempt) = request.attempts.remove(&id.attempt) else { return };
+        request.may_have_run |= !outcome.proves_not_run();
         self.counters.outcome(outcome).increment();
         request_log::attempt_ended(id, &request.request.opaque, outcome, (now - attempt.sent).as_ms());
         let served = match (outcome, payload) {
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -76,6 +76,7 @@
             in_maintenance: self.in_maintenance.clone(),
             past_maintenance: self.past_maintenance.clone(),
             peers: Vec::new(),
+            shares_ids: false,
         }
     }
 
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -118,8 +118,14 @@
 /// The reason why a request is not accepted. A request that the caller may submit again is
 /// returned.
 pub enum SubmitError {
-    /// The id of the request is that of another open request.
+    /// The id of the request is that of another open request, or of a request that may have been
+    /// executed and may not be repeated.
     IdInUse,
+    /// The request may not be repeated, and there is no room to remember its id.
+    NoRoomForId {
+        /// The time that the client should wait before it sends the request again.
+        retry_after: Duration,
+    },
     /// Other settings have become active since the request was parsed, so the caller must parse it
     /// again.
     Outdated {
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_ids;
 mod endpoints;
 mod event_loop;
+mod executed_ids;
 #[cfg(test)]
 mod golden_tests;
 mod listed_endpoint;
@@ -24,6 +25,7 @@
 mod submit;
 #[cfg(test)]
 mod tests;
+mod unrepeatable_ids;
 mod value_delivery;
 
 use super::counters::Counters;
@@ -33,6 +35,8 @@
 use crate::settings::Settings;
 use clock::Clock;
 use endpoint_ids::EndpointIds;
+use executed_ids::ExecutedIds;
+pub use executed_ids::IdHash;
 pub use maintenance::MaintenanceError;
 use maintenance::MaintenanceSet;
 use may::sync::mpsc::Sender;
@@ -47,6 +51,7 @@
 use state::DispatcherState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+pub use unrepeatable_ids::IdObserver;
 pub use value_delivery::ValueDelivery;
 
 /// The parameters of a new [`Dispatcher`].
@@ -63,6 +68,8 @@
     pub commands: Sender<BackendCommand>,
     /// The channel to discovery; each message asks it to watch the endpoint list.
     pub subscriptions: Sender<()>,
+    /// The memory limit of the process, in MB.
+    pub memory_mb: usize,
 }
 
 /// The only caller of the decision module, which it connects with clients, backends and discovery.
@@ -81,12 +88,15 @@
     subscriptions: Sender<()>,
     /// The lease that admits requests; set only in a fleet with a common policy.
     lease: OnceLock<Arc<AdmissionLease>>,
+    /// The receiver of the ids of requests that may not be repeated.
+    id_observer: OnceLock<IdObserver>,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher with a new decision module.
     pub fn new(parameters: DispatcherParameters) -> Arc<Dispatcher> {
-        let DispatcherParameters { settings, seed, names, counters, commands, subscriptions } = parameters;
+        let DispatcherParameters { settings, seed, names, counters, commands, subscriptions, memory_mb } =
+            parameters;
         let settings = Settings { write_delay: write_delay(), ..settings };
         let state = DispatcherState {
             names: Arc::new(names),
@@ -95,6 +105,7 @@
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
             open_ids: BTreeSet::new(),
+            executed_ids: ExecutedIds::new(ExecutedIds::capacity_within(memory_mb)),
             last_id: RequestId(0),
             endpoints: BTreeMap::new(),
             endpoint_ids: EndpointIds::default(),
@@ -110,6 +121,7 @@
             commands,
             subscriptions,
             lease: OnceLock::new(),
+            id_observer: OnceLock::new(),
         })
     }
 
--- a/src/net/dispatcher/snapshot.rs
+++ b/src/net/dispatcher/snapshot.rs
@@ -26,6 +26,10 @@
     /// The processes of the fleet; empty without a fleet.
     #[serde(rename = "links", default, skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<PeerAddress>,
+    /// Whether the process exchanges the ids of requests that may not be repeated, which earlier
+    /// releases do not.
+    #[serde(rename = "ids", default, skip_serializing_if = "std::ops::Not::not")]
+    pub shares_ids: bool,
 }
 
 /// A finished maintenance period. In JSON it is an array of the beginning and the end.
--- a/src/net/dispatcher/state.rs
+++ b/src/net/dispatcher/state.rs
@@ -2,12 +2,14 @@
 //! ([`InFlightRequest`]) and every listed backend ([`Endpoint`]). Read [`DispatcherState`] first.
 
 use super::endpoint_ids::EndpointIds;
+use super::executed_ids::{hash_id, ExecutedIds};
 use super::maintenance::MaintenanceSet;
 use super::messages::{ClientRequest, Response, ResponseCallback};
 use super::start_times::StartTimes;
 use crate::interface::{BackendId, EndpointState, RequestId};
 use crate::logic::Balancer;
 use crate::net::timer::TimerSet;
+use crate::settings::Idempotency;
 use crate::time::Timestamp;
 use pinetrail_config::Names;
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +30,8 @@
     pub due: BTreeSet<(Instant, RequestId)>,
     /// The ids that clients gave to `requests`. An id identifies at most one open request.
     pub open_ids: BTreeSet<String>,
+    /// The ids of ended requests that may have been executed and may not be repeated.
+    pub executed_ids: ExecutedIds,
     /// The request id that was assigned last.
     pub last_id: RequestId,
     /// The backends in the endpoint list, and removed ones with an attempt in flight.
@@ -61,6 +65,10 @@
     pub attempts: BTreeMap<u8, InFlightAttempt>,
     /// The time at which the response began to stream, in Unix ms.
     pub stream_began: Option<Timestamp>,
+    /// Whether the request may run any number of times.
+    pub is_idempotent: bool,
+    /// Whether an attempt that has ended may have executed the request.
+    pub may_have_run: bool,
 }
 
 /// An attempt that the backend service has received and that has not ended.
@@ -132,10 +140,20 @@
         self.requests.get(&id).map_or("", |in_flight| &in_flight.request.opaque)
     }
 
-    /// Removes a request, and frees the id that its client gave to it.
+    /// Returns whether a request of a class may run any number of times.
+    pub(super) fn is_idempotent(&self, class: u8) -> bool {
+        let class = self.balancer.settings().classes.get(usize::from(class));
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
+    /// Removes a request, and frees the id that its client gave to it, or remembers the id if the
+    /// request may not run again.
     fn remove_request(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.remove(&id) {
-            self.open_ids.remove(&request.request.opaque);
+        let Some(request) = self.requests.remove(&id) else { return };
+        let opaque = &request.request.opaque;
+        self.open_ids.remove(opaque);
+        if request.may_have_run && !request.is_idempotent {
+            self.executed_ids.insert(hash_id(opaque), Instant::now());
         }
     }
 
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -1,6 +1,7 @@
 //! Accepts, cancels, aborts and expires client requests. Read [`Dispatcher::submit`] first.
 
 use super::endpoint_ids::key_number;
+use super::executed_ids::IdStatus;
 use super::messages::{ClientRequest, Response, ResponseCallback, SubmitError};
 use super::state::{DispatcherState, InFlightRequest, PendingResponse};
 use super::Dispatcher;
@@ -53,6 +54,13 @@
         if request.version != state.names.version {
             return Err(SubmitError::Outdated { request: Box::new(request), respond });
         }
+        if !state.is_idempotent(request.class) {
+            match state.executed_ids.status(&request.opaque, Instant::now()) {
+                IdStatus::Unknown => {}
+                IdStatus::Executed => return Err(SubmitError::IdInUse),
+                IdStatus::NoRoom { retry_after } => return Err(SubmitError::NoRoomForId { retry_after }),
+            }
+        }
         if !state.open_ids.insert(request.opaque.clone()) {
             return Err(SubmitError::IdInUse);
         }
@@ -83,6 +91,7 @@
         respond: ResponseCallback,
     ) {
         let due = Instant::now() + timer_duration(response_budget(request.budget));
+        let is_idempotent = state.is_idempotent(request.class);
         state.due.insert((due, id));
         let in_flight = InFlightRequest {
             request: Arc::new(request),
@@ -91,6 +100,8 @@
             attempts_requested: 0,
             attempts: BTreeMap::new(),
             stream_began: None,
+            is_idempotent,
+            may_have_run: false,
         };
         state.requests.insert(id, in_flight);
     }
--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -40,8 +40,15 @@
     let (subscriptions, received_subscriptions) = channel();
     let ParsedSettings { settings, names, .. } = settings();
     let counters = Arc::new(Counters::default());
-    let dispatcher =
-        Dispatcher::new(DispatcherParameters { settings, seed: 1, names, counters, commands, subscriptions });
+    let dispatcher = Dispatcher::new(DispatcherParameters {
+        settings,
+        seed: 1,
+        names,
+        counters,
+        commands,
+        subscriptions,
+        memory_mb: 32,
+    });
     dispatcher.update_endpoints(ListForm::Full, vec![instance("o", "origin"), instance("n", "node")]);
     Fixture { dispatcher, commands: received, _subscriptions: received_subscriptions }
 }
--- a/src/net/hot_restart/connection.rs
+++ b/src/net/hot_restart/connection.rs
@@ -10,6 +10,8 @@
 
 /// The time within which a newer process must accept clients.
 const PEER_START_TIMEOUT: Duration = Duration::from_secs(15);
+/// The number of ids of requests in one message.
+const IDS_PER_MESSAGE: usize = 1000;
 /// The longest wait for a message, after which [`PEER_START_TIMEOUT`] is checked.
 const READ_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -73,6 +75,10 @@
             Message::CommandDone(number, reason) => {
                 self.with_state(|state| state.commands.confirm(number, reason));
             }
+            Message::UnrepeatableIds(ids) => {
+                host.remember_ids(&ids);
+                self.share_ids(stream, host);
+            }
             Message::Rejection(reason) => {
                 log(&format!(
                     "hot restart: the older process refuses the handover, so this one stops: {reason}"
@@ -85,6 +91,20 @@
         }
     }
 
+    /// Sends the ids of this process, once the other one has shown that it understands them.
+    fn share_ids(&self, stream: &PeerStream, host: &dyn HotRestartHost) {
+        let shared_before = self.with_state(|state| {
+            let connection = state.connection.as_mut();
+            connection.is_none_or(|connection| std::mem::replace(&mut connection.shares_ids, true))
+        });
+        if !shared_before {
+            for ids in host.unrepeatable_ids().chunks(IDS_PER_MESSAGE) {
+                // If they cannot be sent, the other process has ended.
+                let _ = send(stream, &Message::UnrepeatableIds(ids.to_vec()));
+            }
+        }
+    }
+
     fn set_peer(&self, peer: PeerProcessState, host: &dyn HotRestartHost) {
         self.with_state(|state| {
             if let Some(connection) = &mut state.connection {
--- a/src/net/hot_restart/golden_tests.rs
+++ b/src/net/hot_restart/golden_tests.rs
@@ -52,6 +52,16 @@
     assert_line(Message::Handover(EndpointSnapshot::default(), ResourceBudget::default()), &recorded);
 }
 
+#[test]
+fn the_exchange_of_ids_is_announced_by_a_field_that_earlier_releases_ignore() {
+    let mut nodes = EndpointSnapshot::default();
+    nodes.shares_ids = true;
+    let recorded =
+        r#"{"Give":[{"told":[],"gone":[],"out":{},"back":{},"ids":true},{"sockets":0,"memory":0}]}"#;
+    assert_line(Message::Handover(nodes, ResourceBudget::default()), recorded);
+    assert_line(Message::UnrepeatableIds(vec![7, u64::MAX]), r#"{"Ids":[7,18446744073709551615]}"#);
+}
+
 #[test]
 fn refuse_is_the_recorded_line() {
     assert_line(Message::Rejection("no \"why\"".into()), r#"{"Refuse":"no \"why\""}"#);
--- a/src/net/hot_restart/messages.rs
+++ b/src/net/hot_restart/messages.rs
@@ -3,7 +3,7 @@
 //! Invariant: the two processes may be of different releases. The `rename` attributes fix the JSON
 //! names, and the values of a variant are a JSON array in the order of their declaration.
 
-use crate::net::dispatcher::EndpointSnapshot;
+use crate::net::dispatcher::{EndpointSnapshot, IdHash};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -89,6 +89,10 @@
     /// The command of this number is applied, or is rejected for this reason.
     #[serde(rename = "Done")]
     CommandDone(u64, Option<String>),
+    /// Ids of requests that may not be repeated, which the sender has accepted. A process sends this
+    /// only to one that is known to understand it.
+    #[serde(rename = "Ids")]
+    UnrepeatableIds(Vec<IdHash>),
 }
 
 impl Message {
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -21,7 +21,7 @@
 pub use newer::{request_handover, Handover};
 
 use super::deadline_stream::DeadlineStream;
-use super::dispatcher::EndpointSnapshot;
+use super::dispatcher::{EndpointSnapshot, IdHash};
 use super::listener::Listener;
 use super::polled_socket::PolledSocket;
 use messages::Message;
@@ -101,6 +101,10 @@
     ///
     /// Returns [`CommandError`] if the command cannot be applied here.
     fn apply_command(&self, command: &ControlCommand) -> Result<(), CommandError>;
+    /// Returns the ids of this process's requests that may not be repeated.
+    fn unrepeatable_ids(&self) -> Vec<IdHash>;
+    /// Remembers ids of the other process's requests that may not be repeated.
+    fn remember_ids(&self, ids: &[IdHash]);
     /// Handles a change of the other process's state.
     fn peer_changed(&self, peer: PeerProcessState);
     /// Stops this process, because the older one has abandoned the handover and continues to serve.
@@ -113,6 +117,8 @@
 struct PeerConnection {
     stream: PeerStream,
     peer: PeerProcessState,
+    /// Whether the other process exchanges ids of requests that may not be repeated.
+    shares_ids: bool,
 }
 
 #[derive(Default)]
@@ -169,6 +175,18 @@
         }
     }
 
+    /// Passes the id of a request that may not be repeated to the other process, if there is one.
+    pub fn announce_id(&self, id: IdHash) {
+        let stream = self.with_state(|state| {
+            let connection = state.connection.as_ref().filter(|connection| connection.shares_ids);
+            connection.map(|connection| connection.stream.clone())
+        });
+        if let Some(stream) = stream {
+            // If it cannot be sent, the other process has ended.
+            let _ = send(&stream, &Message::UnrepeatableIds(vec![id]));
+        }
+    }
+
     /// Removes this process's socket, at the end of the process.
     pub fn remove_socket(&self) {
         if let Some(socket) = self.socket.get() {
--- a/src/net/hot_restart/newer.rs
+++ b/src/net/hot_restart/newer.rs
@@ -90,10 +90,15 @@
         }
         let socket = PolledSocket::new(handover.stream).map_err(HandoverError::Coroutine)?;
         let stream = DeadlineStream::new(socket);
+        let shares_ids = handover.endpoints.shares_ids;
         self.with_state(|state| {
-            state.connection =
-                Some(PeerConnection { stream: stream.clone(), peer: PeerProcessState::Serving });
+            let peer = PeerProcessState::Serving;
+            state.connection = Some(PeerConnection { stream: stream.clone(), peer, shares_ids });
         });
+        if shares_ids {
+            // The older process sends its ids in turn. If this cannot be sent, it has ended.
+            let _ = send(&stream, &Message::UnrepeatableIds(host.unrepeatable_ids()));
+        }
         let hot_restart = Arc::clone(self);
         let reading = stream.clone();
         let reader = handover.reader;
--- a/src/net/hot_restart/newer/tests.rs
+++ b/src/net/hot_restart/newer/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::net::dispatcher::IdHash;
 use crate::net::hot_restart::{BudgetGrant, CommandError, ControlCommand, DrainState, HandoverOffer};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
@@ -25,6 +26,10 @@
     fn apply_command(&self, _command: &ControlCommand) -> Result<(), CommandError> {
         Ok(())
     }
+    fn unrepeatable_ids(&self) -> Vec<IdHash> {
+        Vec::new()
+    }
+    fn remember_ids(&self, _ids: &[IdHash]) {}
     fn peer_changed(&self, _peer: PeerProcessState) {}
     fn handover_rejected(&self) {
         self.rejected.store(true, Ordering::SeqCst);
--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -117,8 +117,10 @@
         self.with_state(|state| {
             let is_free = state.connection.is_none() && state.drain_state == DrainState::Serving;
             if is_free {
-                state.connection =
-                    Some(PeerConnection { stream: stream.clone(), peer: PeerProcessState::Starting });
+                let peer = PeerProcessState::Starting;
+                // It has sent no ids yet.
+                let shares_ids = false;
+                state.connection = Some(PeerConnection { stream: stream.clone(), peer, shares_ids });
             }
             is_free
         })
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -3,6 +3,7 @@
 
 use super::state::LifecycleEvent;
 use super::Lifecycle;
+use crate::net::dispatcher::IdHash;
 use crate::net::fleet::SecondProcess;
 use crate::net::hot_restart::{
     BudgetGrant, CommandError, ControlCommand, DrainState, HandoverOffer, HotRestartHost, PeerProcessState,
@@ -26,6 +27,7 @@
         let services = self.services.get()?;
         let mut endpoints = services.dispatcher.endpoint_snapshot();
         endpoints.peers = self.policy().map_or(Vec::new(), |policy| policy.peer_addresses());
+        endpoints.shares_ids = true;
         let listener = services.clients.listener()?;
         Some(HandoverOffer { listener, endpoints })
     }
@@ -53,6 +55,16 @@
         Ok(())
     }
 
+    fn unrepeatable_ids(&self) -> Vec<IdHash> {
+        self.services.get().map_or(Vec::new(), |services| services.dispatcher.unrepeatable_ids())
+    }
+
+    fn remember_ids(&self, ids: &[IdHash]) {
+        if let Some(services) = self.services.get() {
+            services.dispatcher.remember_ids(ids);
+        }
+    }
+
     fn handover_rejected(&self) {
         // If both processes counted as the only one, they would use twice the budget together.
         if let Err(error) = signal_hook::low_level::raise(SIGTERM) {
--- a/src/net/lifecycle/start/mod.rs
+++ b/src/net/lifecycle/start/mod.rs
@@ -57,6 +57,8 @@
             }
         }
         let socket = services::client_socket(config.listen, handover.as_ref())?;
+        let hot_restart = Arc::clone(&self.hot_restart);
+        dispatcher.observe_ids(Box::new(move |id| hot_restart.announce_id(id)));
         let clients = shared.start_clients(socket)?;
         let budget = shared.budget;
         let services = self.services.get_or_init(|| RunningServices {
--- a/src/net/lifecycle/start/services.rs
+++ b/src/net/lifecycle/start/services.rs
@@ -52,6 +52,7 @@
             counters: Arc::clone(counters),
             commands: command_sender,
             subscriptions: sender.clone(),
+            memory_mb: config.limits.memory_mb,
         });
         let shared =
             SharedComponents { counters: Arc::clone(counters), dispatcher, budget: new_budget(config) };
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -8,6 +8,7 @@
 mod late;
 mod lists;
 mod pipelines;
+mod repeated_ids;
 
 use crate::ms;
 use pinetrail_test_harness::*;
