--- a/crates/experiments/src/soak/judge.rs
+++ b/crates/experiments/src/soak/judge.rs
@@ -40,6 +40,12 @@
 /// response.
 const KILL_EXCUSE_WINDOW: Duration = Duration::from_millis(700);
 
+/// The longest budget of a request of the soak, in ms.
+const MAX_BUDGET_MS: u64 = 60_000;
+/// The time before the end of its budget at which an attempt may end.
+const TIMER_TOLERANCE: Duration = Duration::from_millis(10);
+/// The longest time from SIGTERM or SIGKILL to the end of a process.
+const ENDING_TIME: Duration = Duration::from_millis(2000);
 /// The fraction of a short timeout at which a proxy plans to respond.
 const PLANNED_FRACTION: f64 = 0.85;
 /// The time within which a proxy writes responses that became due while it was stopped.
@@ -76,6 +82,8 @@
     RejectedAfterRun,
     /// A backend got an attempt too long after it was listed as draining.
     Draining,
+    /// A response that a backend was still sending was cut off, although its time was not over.
+    CutOff,
 }
 
 /// A violation of a rule.
@@ -319,7 +327,23 @@
         }
     }
 
+    /// Checks an attempt whose connection ended while its backend paused within the response.
+    fn judge_cut_off(&mut self, id: &str, request: &Request, attempt: &Attempt) {
+        let Some((at, AttemptEnd::CutOff)) = attempt.end else { return };
+        let budget_over = attempt.arrived + Duration::from_millis(attempt.budget_ms.min(MAX_BUDGET_MS));
+        let is_over = at + CLOCK_TOLERANCE + TIMER_TOLERANCE >= budget_over;
+        let has_left = request.disconnected_at.is_some_and(|left| left <= at);
+        let proxy = request.proxy;
+        let is_ending = [Change::Terminated(proxy), Change::Killed(proxy)].into_iter().any(|change| {
+            self.changes_of(change).any(|ending| ending <= at && ending + ENDING_TIME >= request.sent)
+        });
+        if !(is_over || has_left || is_ending) {
+            self.report(Rule::CutOff, id);
+        }
+    }
+
     fn judge_attempt(&mut self, id: &str, request: &Request, attempt: &Attempt) {
+        self.judge_cut_off(id, request, attempt);
         let excess = self.excess_stop(request.proxy, request.sent, attempt.arrived);
         if request
             .disconnected_at
--- a/crates/experiments/src/soak/record.rs
+++ b/crates/experiments/src/soak/record.rs
@@ -36,6 +36,8 @@
     /// The attempt may have had an effect, because the connection ended, or the response was
     /// incomplete or a failure.
     MayHaveRun,
+    /// The connection ended while the backend paused within a response that it would have completed.
+    CutOff,
 }
 
 /// An observation of a request by its client, or of one of its attempts by a backend.
