--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -13,7 +13,9 @@
 mod shutdown;
 mod slow_clients;
 mod slow_responses;
+mod slow_servers;
 mod starts;
+mod successors;
 mod upgrades;
 
 use pinetrail_test_harness::*;
