--- a/src/net/time_limits.rs
+++ b/src/net/time_limits.rs
@@ -51,7 +51,7 @@
     TimeSpan::from_ms(duration.as_secs_f64() * MS_PER_SECOND)
 }
 
-/// Converts a time span of the decision module to a duration of at most [`MAX_TIMER_MS`].
+/// Converts a time span of the decision module to a duration, of 71 minutes at the most.
 pub fn timer_duration(span: TimeSpan) -> Duration {
     Duration::from_secs_f64(span.as_ms().clamp(0.0, MAX_TIMER_MS) / MS_PER_SECOND)
 }
