--- a/crates/experiments/src/soak/judge/tests.rs
+++ b/crates/experiments/src/soak/judge/tests.rs
@@ -150,3 +150,22 @@
     assert_eq!(cut_off(31), []);
     assert_eq!(cut_off(40), [Rule::ClosedUnanswered]);
 }
+
+/// Guards against a response that is cut off by a bound of the proxy while its client waits, and
+/// against reports of those that the proxy has to end.
+#[test]
+fn a_response_that_is_cut_off_before_its_budget_is_over_is_a_violation() {
+    let cut_off_at = |at_ms| {
+        let case = Case::new();
+        case.sent(0);
+        case.attempt_arrived(1, 1, 800);
+        case.observe(at_ms, Observation::AttemptEnded { attempt: 1, end: AttemptEnd::CutOff });
+        case.observe(at_ms + 1, Observation::Answered(FinalResponse::Rejected));
+        case
+    };
+    assert!(cut_off_at(301).broken_rules().contains(&Rule::CutOff));
+    assert!(!cut_off_at(795).broken_rules().contains(&Rule::CutOff));
+    let ending = cut_off_at(301);
+    ending.changed(250, Change::Killed(PROXY));
+    assert!(!ending.broken_rules().contains(&Rule::CutOff));
+}
