--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! it was broken, 2 if the case could not run.
 
 mod behind;
+mod drained;
 mod kit;
 mod lengths;
 mod restart;
@@ -26,6 +27,7 @@
     };
     let run: fn(&Record) -> Outcome = match name.as_str() {
         "behind" => behind::run,
+        "drained" => drained::run,
         "lengths" => lengths::run,
         "restart" => restart::run,
         _ => |_| Err("no such case".to_owned()),
