--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod drained;
 mod kit;
 mod lengths;
+mod memory;
 mod restart;
 
 use kit::{Outcome, Record, Verdict};
@@ -29,6 +30,7 @@
         "behind" => behind::run,
         "drained" => drained::run,
         "lengths" => lengths::run,
+        "memory" => memory::run,
         "restart" => restart::run,
         _ => |_| Err("no such case".to_owned()),
     };
