--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -3,7 +3,6 @@
 
 #![allow(dead_code)]
 
-use std::collections::HashSet;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -130,7 +129,9 @@
 }
 
 /// Starts a cache node, whose commands `answer` answers one after another.
-pub fn node(answer: impl Fn(&NodeCommand, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static) -> SocketAddr {
+pub fn node(
+    answer: impl Fn(&NodeCommand, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> SocketAddr {
     serve(move |stream| {
         let Ok(mut output) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -165,7 +166,8 @@
     let mut words = first.split_whitespace();
     let method = words.next()?.to_owned();
     let key = words.next()?.trim_start_matches('/').to_owned();
-    let mut request = OriginRequest { method, key, id: String::new(), labels: String::new(), body: Vec::new() };
+    let mut request =
+        OriginRequest { method, key, id: String::new(), labels: String::new(), body: Vec::new() };
     let mut length = 0;
     loop {
         let mut line = String::new();
@@ -191,7 +193,9 @@
 }
 
 /// Starts an origin, whose requests `answer` answers.
-pub fn origin(answer: impl Fn(&OriginRequest, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static) -> SocketAddr {
+pub fn origin(
+    answer: impl Fn(&OriginRequest, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> SocketAddr {
     serve(move |stream| {
         let Ok(mut output) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -350,7 +354,8 @@
     /// Starts a proxy with the command of the deploy file, and waits until it answers `mn`.
     pub fn start(setup: &ProxySetup, record: &Record) -> Result<Proxy, String> {
         let number = std::process::id();
-        let folder = std::env::temp_dir().join(format!("pinetrail-review-2-{number}-{}", free_address().port()));
+        let folder =
+            std::env::temp_dir().join(format!("pinetrail-review-2-{number}-{}", free_address().port()));
         fs::create_dir_all(&folder).map_err(|error| format!("no temporary folder: {error}"))?;
         let (listen, admin) = (free_address(), free_address());
         let config = folder.join("config.json");
@@ -360,9 +365,11 @@
         let ended = Arc::default();
         let mut proxy = Proxy { listen, admin, folder, config, processes: Vec::new(), ended };
         proxy.spawn(admin, record)?;
-        wait_until(ms(15_000), || Client::connect(listen).and_then(|mut client| client.noop()).is_ok_and(|line| line == "MN"))
-            .then_some(())
-            .ok_or("the proxy did not become ready")?;
+        wait_until(ms(15_000), || {
+            Client::connect(listen).and_then(|mut client| client.noop()).is_ok_and(|line| line == "MN")
+        })
+        .then_some(())
+        .ok_or("the proxy did not become ready")?;
         record.line(&format!("proxy {} is ready at {listen}", proxy.pid()));
         Ok(proxy)
     }
@@ -411,18 +418,6 @@
     pub fn exit_of(&mut self, index: usize) -> Option<String> {
         self.processes[index].try_wait().ok().flatten().map(|status| status.to_string())
     }
-
-    /// Returns the resident memory of a process in KiB: the field of `/proc/PID/status`.
-    pub fn memory_kib(&self, index: usize, field: &str) -> Option<u64> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.processes[index].id())).ok()?;
-        let line = text.lines().find(|line| line.starts_with(field))?;
-        line.split_whitespace().nth(1)?.parse().ok()
-    }
-
-    pub fn log_lines(&self, index: usize) -> Vec<String> {
-        let text = fs::read_to_string(self.folder.join(format!("log-{index}.txt"))).unwrap_or_default();
-        text.lines().map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Proxy {
@@ -436,7 +431,12 @@
     }
 }
 
-pub fn config_json(setup: &ProxySetup, listen: SocketAddr, admin: SocketAddr, discovery: SocketAddr) -> String {
+pub fn config_json(
+    setup: &ProxySetup,
+    listen: SocketAddr,
+    admin: SocketAddr,
+    discovery: SocketAddr,
+) -> String {
     format!(
         "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"admin\":\"{admin}\",\"discovery\":\"{discovery}\",\
          \"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\
@@ -450,7 +450,8 @@
 
 /// Returns the command by which the deploy file starts the proxy.
 fn run_command() -> Result<String, String> {
-    let text = fs::read_to_string("deploy/balancer.toml").map_err(|error| format!("no deploy file: {error}"))?;
+    let text =
+        fs::read_to_string("deploy/balancer.toml").map_err(|error| format!("no deploy file: {error}"))?;
     let line = text.lines().find(|line| line.starts_with("run = ")).ok_or("no run line")?;
     Ok(line.trim_start_matches("run = ").trim().trim_matches('"').to_owned())
 }
@@ -470,10 +471,15 @@
 pub fn operator_call(admin: SocketAddr, method: &str, path: &str) -> io::Result<u16> {
     let mut stream = TcpStream::connect(admin)?;
     stream.set_read_timeout(Some(ms(3000)))?;
-    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n").as_bytes())?;
+    stream.write_all(
+        format!("{method} {path} HTTP/1.1\r\nHost: {admin}\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+    )?;
     let mut text = String::new();
     let _ = stream.read_to_string(&mut text);
-    text.split_whitespace().nth(1).and_then(|code| code.parse().ok()).ok_or_else(|| io::Error::other("no status"))
+    text.split_whitespace()
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .ok_or_else(|| io::Error::other("no status"))
 }
 
 /// A client connection.
@@ -563,7 +569,9 @@
         const SOL_SOCKET: i32 = 1;
         const SO_RCVBUF: i32 = 8;
         // SAFETY: the descriptor is open, and the value is an int of the given length.
-        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, bytes.to_ne_bytes().as_ptr(), 4) };
+        unsafe {
+            setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, bytes.to_ne_bytes().as_ptr(), 4)
+        };
     }
 }
 
@@ -576,7 +584,7 @@
     }
 }
 
-/// The ids that were sent, so that none is sent twice.
+/// Returns the id with this number; no two numbers have the same.
 pub fn new_id(number: u64) -> String {
     format!("{:016x}", number.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ 0x5bd1_e995)
 }
@@ -585,14 +593,6 @@
     format!("mg {key} v O{id} Pc={class},t=hel-gdynia,d={wait_ms}\r\n")
 }
 
-pub fn distinct(texts: &[String]) -> usize {
-    texts.iter().collect::<HashSet<_>>().len()
-}
-
-pub fn shared<T>(value: T) -> Arc<Mutex<T>> {
-    Arc::new(Mutex::new(value))
-}
-
 pub fn is_set(flag: &AtomicBool) -> bool {
     flag.load(Ordering::Acquire)
 }
--- a/review/standin-2/lengths.rs
+++ b/review/standin-2/lengths.rs
@@ -31,12 +31,18 @@
             (true, "PUT") => 12,
             (true, _) => STATED,
         };
-        log.line(&format!("origin: {} {} ran; Content-Length {stated}, brings {}", request.method, request.id, body.len()));
+        log.line(&format!(
+            "origin: {} {} ran; Content-Length {stated}, brings {}",
+            request.method,
+            request.id,
+            body.len()
+        ));
         let mut bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {stated}\r\n\r\n").into_bytes();
         bytes.extend(body);
         output.write_all(&bytes)
     });
-    let members = vec![member(1, node(miss), "c6-std"), member(2, node(miss), "c6-fast"), member(3, origin, "origin")];
+    let members =
+        vec![member(1, node(miss), "c6-std"), member(2, node(miss), "c6-fast"), member(3, origin, "origin")];
     let proxy = Proxy::start(&ProxySetup::new(members), record)?;
     let mut client = Client::connect(proxy.listen).map_err(|error| error.to_string())?;
     let mut wrong = 0;
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -55,7 +55,10 @@
         spawn(move || {
             let mut id = (number + 1) * 1_000_000;
             while !is_set(&stop) {
-                let Ok(mut client) = Client::connect(listen) else { thread::sleep(ms(50)); continue };
+                let Ok(mut client) = Client::connect(listen) else {
+                    thread::sleep(ms(50));
+                    continue;
+                };
                 client.set_receive_buffer(8192);
                 while !is_set(&stop) {
                     id += 1;
@@ -77,12 +80,18 @@
         let stop = Arc::clone(&stop);
         spawn(move || {
             while !is_set(&stop) {
-                let Ok(mut client) = Client::connect(listen) else { thread::sleep(ms(100)); continue };
+                let Ok(mut client) = Client::connect(listen) else {
+                    thread::sleep(ms(100));
+                    continue;
+                };
                 let _ = client.send(b"mn\r\n");
                 let _ = client.answer(ms(2000));
                 if number % 2 == 0 {
                     let id = new_id(number + 7);
-                    let _ = client.send(format!("ms {number:016x} 60000 O{id} Pc=hold,t=sopot-hel,d=2000,k={id}\r\n").as_bytes());
+                    let _ = client.send(
+                        format!("ms {number:016x} 60000 O{id} Pc=hold,t=sopot-hel,d=2000,k={id}\r\n")
+                            .as_bytes(),
+                    );
                     let _ = client.send(&[b'x'; 3900]);
                 }
                 let _ = client.answer(ms(6000));
--- a/review/standin-2/restart.rs
+++ b/review/standin-2/restart.rs
@@ -55,6 +55,9 @@
     for client in clients {
         whole += usize::from(client.join().map_err(|_| "a client panicked")??);
     }
-    record.line(&format!("{whole} of {CLIENTS} values arrived whole; nodes gave {}", given.load(Ordering::Acquire)));
+    record.line(&format!(
+        "{whole} of {CLIENTS} values arrived whole; nodes gave {}",
+        given.load(Ordering::Acquire)
+    ));
     Ok(if whole == CLIENTS { Verdict::Held } else { Verdict::Broken })
 }
--- a/review/standin-2/twice.rs
+++ b/review/standin-2/twice.rs
@@ -2,9 +2,9 @@
 
 use crate::kit::*;
 use std::collections::HashMap;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -88,7 +88,8 @@
         .collect();
     let answers: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
     for number in 0..BAD {
-        let (stop, open, answers, log) = (Arc::clone(&stop), Arc::clone(&open), Arc::clone(&answers), record.clone());
+        let (stop, open, answers, log) =
+            (Arc::clone(&stop), Arc::clone(&open), Arc::clone(&answers), record.clone());
         thread::spawn(move || {
             let mut turn = number;
             while !is_set(&stop) {
@@ -147,7 +148,10 @@
     let runs = runs.lock().unwrap().clone();
     let twice = runs.values().filter(|times| **times > 1).count();
     let served = served_usual.load(Ordering::Acquire);
-    record.line(&format!("{} writes ran, {twice} of them more than once; usual clients served: {served}", runs.len()));
+    record.line(&format!(
+        "{} writes ran, {twice} of them more than once; usual clients served: {served}",
+        runs.len()
+    ));
     record.line(&format!("bad clients got: {:?}", answers.lock().unwrap().clone()));
     if served == 0 {
         return Err("no usual client was served".to_owned());
