Do not serve a response of the origin whose body is longer than its length

Cause: what follows a response only decided whether its connection is used again. That is right where the end of a response is marked (line end, last chunk); a body with Content-Length has no mark. Hypotheses and the postmortem: docs/incidents/2026-12-06-values-cut-by-a-short-length.md.

Change: what follows a body with a length is compared with the response. A second copy is told by at least its whole head and stays served; anything else ends the attempt as malformed, which may have run. A value that streams lacks its line end then. A receipt is one printable word, so that another byte behind it shows its end. What has arrived is read before a response counts as complete, since a read may end with the stated length.

Why it works: no value with a length is passed on as whole over bytes that have arrived and are no copy. Not covered: a rest that is written later than the response is complete (open, in the postmortem).

Without the fix four of the eight new tests fail (`30 of 120: served 30 bytes`, `HD O1 cb`, `VA 70000 O1`, and noise that is served); with it all pass.

--- a/crates/codec/src/http/head.rs
+++ b/crates/codec/src/http/head.rs
@@ -44,6 +44,8 @@
     pub id: Option<String>,
     /// Whether the connection closes after this response.
     pub closes: bool,
+    /// The offset of this head: the length of the interim responses before it, in bytes.
+    pub starts_at: usize,
 }
 
 /// Parses the head of a response. A malformed load report is ignored, but any other line that is
@@ -151,7 +153,14 @@
     let status = response.code.unwrap_or(0);
     let is_http_1_0 = response.version == Some(0);
     let mut framing = FramingHeaders::default();
-    let mut head = Head { status, body: Body::UntilClose, is_rejected: false, id: None, closes: is_http_1_0 };
+    let mut head = Head {
+        status,
+        body: Body::UntilClose,
+        is_rejected: false,
+        id: None,
+        closes: is_http_1_0,
+        starts_at: 0,
+    };
     for header in response.headers.iter() {
         // The placeholder is safe because every valid value of the headers below is UTF-8.
         let value = std::str::from_utf8(header.value).map_or(NON_UTF8_PLACEHOLDER, str::trim);
@@ -181,11 +190,12 @@
     let mut start = 0;
     for _ in 0..MAX_INTERIM_RESPONSES {
         let Parsed { message: head, length } = parse_head(&bytes[start..])?;
-        start += length;
         let is_interim = INTERIM_STATUSES.contains(&head.status) && head.status != SWITCHING_PROTOCOLS;
         if !is_interim {
-            return Ok(Parsed { message: head, length: start });
+            let message = Head { starts_at: start, ..head };
+            return Ok(Parsed { message, length: start + length });
         }
+        start += length;
     }
     Err(ParseError::fatal(HttpError::TooManyInterimResponses))
 }
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -124,7 +124,7 @@
                     None => return self.end_without_response(attempt, failure, bytes.len()),
                 },
             };
-            match parse_response(attempt, &bytes) {
+            match parse_arrived(attempt, &connection, &mut bytes) {
                 ParsedResponse::Incomplete if input == InputState::Closed => {
                     return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
                 }
@@ -171,6 +171,18 @@
     }
 }
 
+/// Parses the bytes of a response that have arrived. Before a response of the origin counts as
+/// complete, the bytes behind it that have arrived are read too, since they may show that its length
+/// is wrong.
+fn parse_arrived(attempt: &AttemptRequest, connection: &Connection, bytes: &mut Vec<u8>) -> ParsedResponse {
+    let parsed = parse_response(attempt, bytes);
+    let is_complete = matches!(parsed, ParsedResponse::Complete { .. });
+    if is_complete && attempt.is_origin && connection.stream.read_available(bytes) > 0 {
+        return parse_response(attempt, bytes);
+    }
+    parsed
+}
+
 /// Whether more bytes of a response may arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum InputState {
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -3,8 +3,9 @@
 //! [`BackendService::pass_on_value`] first.
 
 use super::pool::Connection;
-use super::response::{AttemptResult, LongValue};
+use super::response::{AttemptResult, LongValue, ValueEnd};
 use super::response_failure::ResponseFailure;
+use super::surplus::Surplus;
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::body_stream::{self, BodyReceiver};
@@ -80,21 +81,49 @@
         mut accept: impl FnMut(&[u8]) -> Result<(), ResponseFailure>,
     ) -> Result<Excess, ResponseFailure> {
         let mut remaining = self.value.length;
-        let terminator = self.value.terminator;
         loop {
             let part = self.bytes.len().min(remaining);
             accept(&self.bytes[..part])?;
             remaining -= part;
             self.bytes.drain(..part);
-            if remaining == 0 && self.bytes.len() >= terminator.len() {
-                break;
+            if remaining == 0 {
+                return self.read_end();
             }
             self.read_more()?;
         }
-        match self.bytes.strip_prefix(terminator) {
-            Some([]) => Ok(Excess::None),
-            Some(_) => Ok(Excess::Bytes),
-            None => Err(ResponseFailure::Malformed),
+    }
+
+    /// Decides whether the value has ended where its length says, from what follows it.
+    ///
+    /// Inputs: how the end is marked, and the bytes behind the value that have arrived.
+    /// Reason: bytes behind an unmarked end may be the rest of a value whose length is wrong. The
+    /// client must not take the value for complete then.
+    /// Source: docs/incidents/2026-12-06-values-cut-by-a-short-length.md.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value has not ended there.
+    fn read_end(&mut self) -> Result<Excess, ResponseFailure> {
+        match &self.value.end {
+            ValueEnd::Terminator(terminator) => {
+                while self.bytes.len() < terminator.len() {
+                    self.read_more()?;
+                }
+                match self.bytes.strip_prefix(*terminator) {
+                    Some([]) => Ok(Excess::None),
+                    Some(_) => Ok(Excess::Bytes),
+                    None => Err(ResponseFailure::Malformed),
+                }
+            }
+            ValueEnd::Unmarked(head) => loop {
+                self.connection.stream.read_available(&mut self.bytes);
+                match head.classify(&self.bytes) {
+                    Surplus::None => return Ok(Excess::None),
+                    Surplus::Duplicate => return Ok(Excess::Bytes),
+                    Surplus::Unknown => return Err(ResponseFailure::Malformed),
+                    Surplus::Undecided => self.read_more()?,
+                }
+            },
         }
     }
 
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -4,7 +4,8 @@
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
 //! parses its responses, `long_value` passes on values that are too long for that, and
-//! `unsized_body` bodies whose length is known only at their end. `stream_start` decides when a long
+//! `unsized_body` bodies whose length is known only at their end. `surplus` tells a second copy of a
+//! response from the rest of one whose length is wrong. `stream_start` decides when a long
 //! value begins to stream, and `response_failure` has the reasons why a response is not complete.
 
 mod attempt;
@@ -14,6 +15,7 @@
 mod response;
 mod response_failure;
 mod stream_start;
+mod surplus;
 #[cfg(test)]
 mod tests;
 mod unsized_body;
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -1,6 +1,7 @@
 //! Parses the received bytes of a backend's response, in memcache or HTTP, into the result of the
 //! attempt. Read [`parse_response`] first, then [`ParsedResponse`].
 
+use super::surplus::{self, OriginalHead, Surplus};
 use crate::interface::Outcome;
 use crate::net::dispatcher::{AttemptRequest, Payload};
 use pinetrail_codec::http::{self, Body, Head};
@@ -39,12 +40,20 @@
     pub starts_at: usize,
     /// The length of the value in bytes.
     pub length: usize,
-    /// The bytes that must follow the value.
-    pub terminator: &'static [u8],
+    /// How the end of the value is marked.
+    pub end: ValueEnd,
     /// Whether the connection may be reused after the value.
     pub reuse: ConnectionReuse,
 }
 
+/// How the end of a value with a length is marked.
+pub(super) enum ValueEnd {
+    /// These bytes follow the value.
+    Terminator(&'static [u8]),
+    /// Nothing follows the value, so that bytes behind it may belong to a longer value.
+    Unmarked(OriginalHead),
+}
+
 /// A body of a response with status 200 whose length is known only at its end.
 pub(super) struct UnsizedBody {
     /// The offset in the response at which the body begins.
@@ -172,7 +181,7 @@
             let value = LongValue {
                 starts_at: length,
                 length: value_length,
-                terminator: memcache::LINE_END,
+                end: ValueEnd::Terminator(memcache::LINE_END),
                 reuse: ConnectionReuse::AfterShortDelay,
             };
             return ParsedResponse::LongValue(value);
@@ -199,29 +208,52 @@
     if head.status != STATUS_OK {
         return http_error(&head, rest);
     }
-    let (body, used) = match head.body {
-        Body::Length(length) if length > MAX_STREAMED_VALUE_BYTES => return ParsedResponse::Malformed,
+    match head.body {
+        Body::Length(length) if length > MAX_STREAMED_VALUE_BYTES => ParsedResponse::Malformed,
         Body::Length(length) if length > MAX_VALUE_BYTES => {
             let reuse = http_reuse(&head, Persistence::KeepAlive);
-            let value = LongValue { starts_at: body_at, length, terminator: b"", reuse };
-            return long_http_response(attempt, value);
+            let end = ValueEnd::Unmarked(OriginalHead::new(&bytes[..body_at], head.starts_at));
+            long_http_response(attempt, LongValue { starts_at: body_at, length, end, reuse })
         }
-        Body::Length(length) if rest.len() < length => return ParsedResponse::Incomplete,
-        Body::Length(length) => (rest[..length].to_vec(), body_at + length),
+        Body::Length(length) if rest.len() < length => ParsedResponse::Incomplete,
+        Body::Length(length) => sized_http_response(attempt, &head, bytes, body_at, length),
         Body::UntilClose => {
             let framing = UnsizedFraming::UntilClose;
             let reuse = ConnectionReuse::Never;
-            return ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse });
+            ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse })
         }
         Body::Chunked => {
             let framing = UnsizedFraming::Chunked;
             let reuse = http_reuse(&head, Persistence::KeepAlive);
-            return ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse });
+            ParsedResponse::UnsizedBody(UnsizedBody { starts_at: body_at, framing, reuse })
         }
+    }
+}
+
+/// Decides whether a complete response with status 200 and a length is used, from what follows it.
+///
+/// Inputs: the received bytes, and where the body begins and how long it is by its head.
+/// Reason: bytes behind the length may be the rest of a value whose length is wrong, and a value
+/// that is cut short must not be served.
+/// Source: docs/incidents/2026-12-06-values-cut-by-a-short-length.md.
+fn sized_http_response(
+    attempt: &AttemptRequest,
+    head: &Head,
+    bytes: &[u8],
+    body_at: usize,
+    body_length: usize,
+) -> ParsedResponse {
+    let (response, excess) = bytes.split_at(body_at + body_length);
+    let is_receipt = attempt.request.value.is_some();
+    let persistence = match Surplus::of_response(response, body_at, head.starts_at, excess) {
+        Surplus::None => Persistence::KeepAlive,
+        Surplus::Duplicate => Persistence::Close,
+        Surplus::Unknown if is_receipt && surplus::ends_receipt(excess) => Persistence::Close,
+        Surplus::Undecided => return ParsedResponse::Incomplete,
+        Surplus::Unknown => return ParsedResponse::Malformed,
     };
-    let persistence = if used == bytes.len() { Persistence::KeepAlive } else { Persistence::Close };
-    match http_result(attempt, body) {
-        Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(&head, persistence) },
+    match http_result(attempt, response[body_at..].to_vec()) {
+        Some(result) => ParsedResponse::Complete { result, reuse: http_reuse(head, persistence) },
         None => ParsedResponse::Malformed,
     }
 }
--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Appends the bytes that are available, without waiting; returns their number. The end of the
+    /// stream and errors are left to the next read.
+    pub fn read_available(&self, into: &mut Vec<u8>) -> usize {
+        read_some(into, |room| self.0.try_read(room)).unwrap_or(0)
+    }
+
     /// Writes all bytes before the deadline.
     ///
     /// # Errors
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod starts;
 mod successors;
 mod upgrades;
+mod wrong_lengths;
 
 use pinetrail_test_harness::*;
 use std::time::Duration;
