Pass on long values that arrive slowly with commands behind them

Hypotheses: docs/incidents/2026-12-06-slow-long-values-cut-off-in-pipelines.md.

Change: a process expects long values from its start and for 128 short values after each long one. While it does, a command waits unread for the values before it, and each value streams. Otherwise commands run at once as before; a value that is collected then streams 1 s after its first byte, 20 ms before its deadline or if it cannot be collected, unless a write has run behind it, which always gets its response. Collecting is a module of its own.

Time: pipelines are serial where long values occur. Memory: none, less is collected. Lost writes: none; open is the first long value after 128 short ones (postmortem).

Tests: of five new ones four fail on (debug build), the fifth guards pipelines that run at once. Changed: tests that need commands to run at once serve 128 short values first (a_write_that_ran_behind..., two of cancelled_requests); a value that cannot be collected is given up at once only before a write, and is streamed before reads (two tests for one).

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -120,7 +120,10 @@
             let input = match read_response(&connection, &mut bytes, deadline, attempt.deadline) {
                 Ok(input) => input,
                 Err(failure) => match stream_start.take_due_value(failure) {
-                    Some(value) => return self.pass_on_value(attempt, connection, bytes, &value),
+                    Some(value) => {
+                        let start_by = stream_start.latest_start(attempt.deadline);
+                        return self.pass_on_value(attempt, connection, bytes, &value, start_by);
+                    }
                     None => return self.end_without_response(attempt, failure, bytes.len()),
                 },
             };
@@ -133,7 +136,8 @@
                     return self.end_without_response(attempt, ResponseFailure::Malformed, bytes.len());
                 }
                 ParsedResponse::LongValue(value) if value.has_stream_threshold(bytes.len()) => {
-                    return self.pass_on_value(attempt, connection, bytes, &value);
+                    let start_by = stream_start.latest_start(attempt.deadline);
+                    return self.pass_on_value(attempt, connection, bytes, &value, start_by);
                 }
                 ParsedResponse::LongValue(_) if input == InputState::Closed => {
                     return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -1,7 +1,8 @@
 //! Passes on values that are too long for a complete response: streams them to the client, or
-//! collects them first if the client's connection must not end with them. Read
+//! collects them first (`collected_value`) if the client's connection must not end with them. Read
 //! [`BackendService::pass_on_value`] first.
 
+use super::collected_value::CollectedPart;
 use super::pool::Connection;
 use super::response::{AttemptResult, LongValue, ValueEnd};
 use super::response_failure::ResponseFailure;
@@ -9,9 +10,7 @@
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::body_stream::{self, BodyReceiver};
-use crate::net::deadline_stream::sleep;
 use crate::net::dispatcher::AttemptRequest;
-use crate::net::memory::MemoryReservation;
 use crate::net::time_limits::timer_duration;
 use crate::time::TimeSpan;
 use std::io::ErrorKind;
@@ -20,23 +19,25 @@
 /// The longest pause within a value that streams, if its client did not wait for longer than that
 /// for the whole response.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// The interval between attempts to reserve the memory for a value that is collected.
-const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A long value while it is read from its backend.
-struct ValueReader<'a> {
+pub(super) struct ValueReader<'a> {
     connection: &'a Connection,
-    value: &'a LongValue,
+    /// The value that is read.
+    pub value: &'a LongValue,
     /// Bytes that were read and not passed on.
     bytes: Vec<u8>,
+    /// The number of bytes of the value that were not passed on.
+    remaining: usize,
     /// The number of bytes of the value that were received.
     received: usize,
-    limit: ReadLimit,
+    /// The limit of the next reads.
+    pub limit: ReadLimit,
 }
 
 /// The limit of the reads of a long value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadLimit {
+pub(super) enum ReadLimit {
     /// The value is collected, and must be complete by this time.
     Complete(Instant),
     /// The value streams, and may pause for this time.
@@ -65,28 +66,40 @@
 
 /// Whether the backend has sent more after a value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Excess {
+pub(super) enum Excess {
     None,
     Bytes,
 }
 
-impl ValueReader<'_> {
-    /// Reads the value to its end, and passes its pieces to `accept`, which may end the attempt.
+impl<'a> ValueReader<'a> {
+    /// Creates the reader of a value of which `bytes` have arrived.
+    fn new(
+        connection: &'a Connection,
+        value: &'a LongValue,
+        bytes: Vec<u8>,
+        attempt: &AttemptRequest,
+    ) -> ValueReader<'a> {
+        let limit = ReadLimit::Complete(attempt.deadline);
+        let received = bytes.len();
+        ValueReader { connection, value, bytes, remaining: value.length, received, limit }
+    }
+
+    /// Reads the value to its end, and passes its pieces to `accept`, which may end the attempt. May
+    /// be called again after [`ResponseFailure::Late`], and continues where it was.
     ///
     /// # Errors
     ///
     /// Returns an error if the value is not passed on completely.
-    fn read(
+    pub(super) fn read(
         &mut self,
         mut accept: impl FnMut(&[u8]) -> Result<(), ResponseFailure>,
     ) -> Result<Excess, ResponseFailure> {
-        let mut remaining = self.value.length;
         loop {
-            let part = self.bytes.len().min(remaining);
+            let part = self.bytes.len().min(self.remaining);
             accept(&self.bytes[..part])?;
-            remaining -= part;
+            self.remaining -= part;
             self.bytes.drain(..part);
-            if remaining == 0 {
+            if self.remaining == 0 {
                 return self.read_end();
             }
             self.read_more()?;
@@ -129,6 +142,10 @@
 
     fn read_more(&mut self) -> Result<(), ResponseFailure> {
         let (deadline, failure) = self.limit.next_read();
+        // A backend that sends continuously must not prolong the attempt.
+        if Instant::now() >= deadline {
+            return Err(failure);
+        }
         match self.connection.stream.read(&mut self.bytes, deadline) {
             Ok(0) => Err(ResponseFailure::Ended),
             Ok(count) => {
@@ -145,7 +162,8 @@
     /// Passes on a long value. `bytes` holds the head of the response and the beginning of the
     /// value.
     ///
-    /// Decides whether the value is streamed, or collected and passed on once it is complete.
+    /// Decides whether the value is streamed, or collected and passed on once it is complete, or at
+    /// `start_by`.
     ///
     /// Inputs: whether the client's connection has requests behind this one.
     /// Reason: a streamed value that breaks off ends the connection, whose later responses would be
@@ -157,20 +175,15 @@
         connection: Connection,
         mut bytes: Vec<u8>,
         value: &LongValue,
+        start_by: Instant,
     ) -> AttemptResult {
+        self.dispatcher.value_history().record_long();
         bytes.drain(..value.starts_at);
-        let is_streamed = attempt.request.delivery.begin_stream();
-        let limit = if is_streamed {
-            ReadLimit::of_stream(attempt.request.budget)
+        let mut reader = ValueReader::new(&connection, value, bytes, attempt);
+        let result = if attempt.request.delivery.begin_stream() {
+            self.stream_value(attempt, &mut reader, CollectedPart::default())
         } else {
-            ReadLimit::Complete(attempt.deadline)
-        };
-        let received = bytes.len();
-        let mut reader = ValueReader { connection: &connection, value, bytes, received, limit };
-        let result = if is_streamed {
-            self.stream_value(attempt, &mut reader)
-        } else {
-            self.collect_value(attempt, &mut reader)
+            self.collect_value(attempt, &mut reader, start_by)
         };
         match result {
             Ok(excess) => {
@@ -199,13 +212,18 @@
         self.end_without_response(attempt, failure, received)
     }
 
-    /// Forwards a value to the client in pieces.
-    fn stream_value(
+    /// Forwards a value to the client in pieces, after the part that was collected.
+    pub(super) fn stream_value(
         &self,
         attempt: &AttemptRequest,
         reader: &mut ValueReader,
+        part: CollectedPart,
     ) -> Result<Excess, ResponseFailure> {
-        let (sender, receiver) = body_stream::channel();
+        reader.limit = ReadLimit::of_stream(attempt.request.budget);
+        let (sender, receiver) = match part.memory {
+            Some(memory) => body_stream::channel_after(part.pieces, memory),
+            None => body_stream::channel(),
+        };
         self.begin_response(attempt, reader.value.length, receiver)?;
         let excess = reader.read(|piece| {
             let window_bytes = self.memory.stream_window_bytes();
@@ -215,26 +233,6 @@
         Ok(excess)
     }
 
-    /// Reads a value to its end by the attempt's deadline, then responds with it.
-    fn collect_value(
-        &self,
-        attempt: &AttemptRequest,
-        reader: &mut ValueReader,
-    ) -> Result<Excess, ResponseFailure> {
-        let value = reader.value;
-        let memory = self.reserve_for_value(attempt, value.length)?;
-        let mut pieces = Vec::new();
-        let excess = reader.read(|piece| {
-            if !self.dispatcher.awaits_response(attempt.id) {
-                return Err(ResponseFailure::NotAwaited);
-            }
-            pieces.push(piece.to_vec());
-            Ok(())
-        })?;
-        self.begin_response(attempt, value.length, body_stream::complete(pieces, memory))?;
-        Ok(excess)
-    }
-
     /// Begins the response to the client with a value of this length, in bytes.
     ///
     /// # Errors
@@ -252,50 +250,4 @@
             Err(ResponseFailure::NotAwaited)
         }
     }
-
-    /// Reserves the memory for a value that is collected, once enough is free.
-    ///
-    /// Inputs: the length of the value, in bytes, the free memory, and the attempt's deadline.
-    /// Reason: the process must not exceed its memory limit.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if there is no memory in time.
-    fn reserve_for_value(
-        &self,
-        attempt: &AttemptRequest,
-        length: usize,
-    ) -> Result<MemoryReservation, ResponseFailure> {
-        if !self.memory.can_hold(length) {
-            return Err(ResponseFailure::TooLong);
-        }
-        let mut memory = None;
-        self.wait_for_memory(attempt, || {
-            memory = self.memory.reserve(length);
-            memory.is_some()
-        })?;
-        memory.ok_or(ResponseFailure::TooLong)
-    }
-
-    /// Calls `reserve` until it returns that memory was reserved, or the response is too late.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if there is no memory in time.
-    pub(super) fn wait_for_memory(
-        &self,
-        attempt: &AttemptRequest,
-        mut reserve: impl FnMut() -> bool,
-    ) -> Result<(), ResponseFailure> {
-        while !reserve() {
-            if Instant::now() >= attempt.deadline {
-                return Err(ResponseFailure::Late);
-            }
-            if !self.dispatcher.awaits_response(attempt.id) {
-                return Err(ResponseFailure::NotAwaited);
-            }
-            sleep(MEMORY_RETRY_INTERVAL);
-        }
-        Ok(())
-    }
 }
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -3,12 +3,14 @@
 //! then `attempt`.
 //!
 //! `pool` holds idle connections, `encode` encodes requests in the backend's protocol, `response`
-//! parses its responses, `long_value` passes on values that are too long for that, and
+//! parses its responses, `long_value` passes on values that are too long for that,
+//! `collected_value` collects those with requests behind them, and
 //! `unsized_body` bodies whose length is known only at their end. `surplus` tells a second copy of a
 //! response from the rest of one whose length is wrong. `stream_start` decides when a long
 //! value begins to stream, and `response_failure` has the reasons why a response is not complete.
 
 mod attempt;
+mod collected_value;
 mod encode;
 mod long_value;
 mod pool;
--- a/src/net/backend/stream_start.rs
+++ b/src/net/backend/stream_start.rs
@@ -1,4 +1,4 @@
-//! [`StreamStart`]: when a long value of which little has arrived begins to stream all the same.
+//! [`StreamStart`]: when a long value that is held back begins to stream all the same.
 
 use super::response::LongValue;
 use super::response_failure::ResponseFailure;
@@ -30,8 +30,7 @@
     /// Source: docs/incidents/2026-12-05-sound-slow-responses-cut-off.md.
     pub(super) fn update(&mut self, value: LongValue, received: usize, attempt_deadline: Instant) {
         if received > value.starts_at && self.due.is_none() {
-            let latest = attempt_deadline.checked_sub(DEADLINE_LEAD).unwrap_or(attempt_deadline);
-            self.due = Some(latest.min(Instant::now() + MAX_HOLD_BACK));
+            self.due = Some(latest_start(Instant::now(), attempt_deadline));
         }
         self.value = Some(value);
     }
@@ -41,9 +40,20 @@
         self.due
     }
 
+    /// Returns the time at which a value that is collected begins to stream if it is not complete.
+    pub(super) fn latest_start(&self, attempt_deadline: Instant) -> Instant {
+        self.due.unwrap_or_else(|| latest_start(Instant::now(), attempt_deadline))
+    }
+
     /// Takes the value if it is to stream now that a read has ended for this reason.
     pub(super) fn take_due_value(&mut self, failure: ResponseFailure) -> Option<LongValue> {
         let is_due = failure == ResponseFailure::Late && self.due.is_some();
         self.value.take().filter(|_| is_due)
     }
 }
+
+/// Returns when a value begins to stream at the latest whose first byte arrived at `began`.
+fn latest_start(began: Instant, attempt_deadline: Instant) -> Instant {
+    let before_deadline = attempt_deadline.checked_sub(DEADLINE_LEAD).unwrap_or(attempt_deadline);
+    before_deadline.min(began + MAX_HOLD_BACK)
+}
--- a/src/net/backend/unsized_body.rs
+++ b/src/net/backend/unsized_body.rs
@@ -205,7 +205,8 @@
         if self.body_waits_for_memory.swap(true, Ordering::AcqRel) {
             return Err(ResponseFailure::NoMemory);
         }
-        let result = self.wait_for_memory(attempt, || collector.reserve_block(&self.memory));
+        let result =
+            self.wait_for_memory(attempt, attempt.deadline, || collector.reserve_block(&self.memory));
         self.body_waits_for_memory.store(false, Ordering::Release);
         result
     }
--- a/src/net/body_stream.rs
+++ b/src/net/body_stream.rs
@@ -73,6 +73,15 @@
     (BodySender(Arc::clone(&shared)), BodyReceiver(shared))
 }
 
+/// Creates a window that begins with these pieces, and returns its ends. `memory` is reserved for the
+/// pieces, and released once they are received.
+pub fn channel_after(pieces: Vec<Vec<u8>>, memory: MemoryReservation) -> (BodySender, BodyReceiver) {
+    let length = pieces.iter().map(Vec::len).sum();
+    let state = State { length, pieces: pieces.into(), memory: Some(memory), ..State::default() };
+    let shared = Arc::new(Mutex::new(state));
+    (BodySender(Arc::clone(&shared)), BodyReceiver(shared))
+}
+
 /// Returns the receiving end of a value that has arrived completely. `memory` is reserved for the
 /// pieces, and released once the value is dropped.
 pub fn complete(pieces: Vec<Vec<u8>>, memory: MemoryReservation) -> BodyReceiver {
@@ -149,6 +158,9 @@
             };
         }
         let bytes = state.take_window(window_bytes);
+        if state.pieces.is_empty() && state.progress == Progress::Open {
+            state.memory = None;
+        }
         state.signal_space();
         ReceiveOutcome::Bytes(bytes)
     }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -2,8 +2,9 @@
 //! disconnects, and takes from the socket what was executed. Read [`Connection::receive`] first.
 
 use super::commands::Execution;
-use super::{Connection, Received, State, REQUEST_OVERHEAD_BYTES};
+use super::{Connection, PendingCommand, Received, State, REQUEST_OVERHEAD_BYTES};
 use crate::net::deadline_stream::{has_hung_up, try_peek, try_read};
+use crate::net::dispatcher::RequestBehind;
 use pinetrail_codec::memcache::{self, Command};
 use pinetrail_codec::{ParseError, Parsed, MAX_VALUE_BYTES};
 use std::io::{self, ErrorKind, Read};
@@ -165,8 +166,7 @@
             match memcache::parse_command(&self.input[used..]) {
                 Err(ParseError::Incomplete) => return Executed { used, stop: StopReason::PartialCommand },
                 Ok(Parsed { message: command, length }) => {
-                    let is_request = matches!(command, Command::Request(_));
-                    self.waits_for_response = !self.may_execute_next(is_request);
+                    self.waits_for_response = !self.may_execute_next(request_behind(&command));
                     if self.waits_for_response {
                         break;
                     }
@@ -180,7 +180,7 @@
                     self.received = Received::CompleteCommand;
                 }
                 Err(ParseError::Malformed { error, skip }) => {
-                    self.waits_for_response = !self.may_execute_next(false);
+                    self.waits_for_response = !self.may_execute_next(None);
                     if self.waits_for_response {
                         break;
                     }
@@ -195,19 +195,22 @@
         Executed { used, stop: StopReason::Limit }
     }
 
-    /// Decides whether the next command may be executed, or waits for the response before it.
+    /// Decides whether the next command may be executed, or waits for the responses before it.
     ///
-    /// Inputs: whether the command is a request, and the response before it.
+    /// Inputs: the kind of the request, or `None` for a command that needs no backend; the responses
+    /// before it; and whether long values are expected.
     /// Reason: a response that breaks off ends the connection, and with it the responses behind it.
-    /// A request makes the response before it be collected, so that both run at the same time. What
+    /// Where long values are expected, a command waits for the values before it, so that each can be
+    /// streamed. Elsewhere a request makes them be collected, so that all run at the same time. What
     /// needs no backend loses nothing by waiting.
-    /// Source: docs/incidents/2026-12-04-write-behind-a-broken-value.md.
-    fn may_execute_next(&self, is_request: bool) -> bool {
-        let Some(last) = self.pending.back() else { return true };
-        if is_request {
-            last.keep_whole()
-        } else {
-            !last.may_break_off()
+    /// Source: docs/incidents/2026-12-06-slow-long-values-cut-off-in-pipelines.md.
+    fn may_execute_next(&self, request: Option<RequestBehind>) -> bool {
+        let expects_long_values = self.service.dispatcher.value_history().expects_long_values();
+        match request {
+            Some(request) if !expects_long_values => {
+                self.pending.iter().all(|pending| pending.keep_whole(request))
+            }
+            _ => !self.pending.iter().any(PendingCommand::may_break_off),
         }
     }
 
@@ -226,6 +229,15 @@
     }
 }
 
+/// Returns the kind of a request; `None` for a command that needs no backend.
+fn request_behind(command: &Command) -> Option<RequestBehind> {
+    match command {
+        Command::Request(request) if request.value.is_some() => Some(RequestBehind::Write),
+        Command::Request(_) => Some(RequestBehind::Read),
+        _ => None,
+    }
+}
+
 /// Returns how many bytes a read without waiting found; `None` if nothing is available now.
 ///
 /// # Errors
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -16,7 +16,7 @@
 use super::ClientService;
 use crate::interface::RequestId;
 use crate::net::body_stream::BodyReceiver;
-use crate::net::dispatcher::{ClientPresence, ValueDelivery};
+use crate::net::dispatcher::{ClientPresence, RequestBehind, ValueDelivery};
 use crate::net::listener::Stream;
 use crate::net::memory::MemoryReservation;
 use crate::net::request_log::{self, CloseReason, ConnectionRemains};
@@ -70,8 +70,8 @@
 
     /// Ensures that the response cannot break off, so that a request may be executed behind it.
     /// Returns false if a long value is already streamed.
-    fn keep_whole(&self) -> bool {
-        let is_kept_whole = self.delivery.as_ref().is_none_or(|delivery| delivery.require_complete());
+    fn keep_whole(&self, behind: RequestBehind) -> bool {
+        let is_kept_whole = self.delivery.as_ref().is_none_or(|delivery| delivery.require_complete(behind));
         is_kept_whole || self.has_complete_response()
     }
 
@@ -149,7 +149,7 @@
     last_input_at: Timestamp,
     /// Whether the next command waits for memory.
     waits_for_memory: bool,
-    /// Whether the next command waits until the response before it cannot break off.
+    /// Whether the next command waits until no response before it can break off.
     waits_for_response: bool,
     /// Whether a limit has left input in the socket.
     has_waiting_input: bool,
@@ -317,7 +317,7 @@
     /// Decides whether reading and executing commands pauses until responses have been written.
     ///
     /// Inputs: the number of pending commands, the size of unwritten responses in bytes, whether the
-    /// next command waits for the response before it, and the schedule while clients are directed to
+    /// next command waits for the responses before it, and the schedule while clients are directed to
     /// other proxies.
     /// Reason: the memory of a connection is bounded. A client that always has a command open would
     /// never be idle, and so never disconnect.
@@ -325,7 +325,7 @@
     fn is_full(&self) -> bool {
         self.pending.len() >= MAX_PENDING_COMMANDS
             || self.output.len() >= MAX_OUTPUT_BYTES
-            || (self.waits_for_response && self.pending.back().is_some_and(PendingCommand::may_break_off))
+            || (self.waits_for_response && self.pending.iter().any(PendingCommand::may_break_off))
             || (!self.pending.is_empty() && self.is_reading_stopped())
     }
 
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -164,6 +164,9 @@
         };
         // The response does not depend on what the decision module decides, so it is sent first.
         if let Some((pending, payload)) = served {
+            if matches!(payload, Payload::Value(_)) {
+                self.value_history.record_short();
+            }
             self.counters.requests_served.increment();
             request_log::request_served(id.request, state.opaque(id.request));
             pending.send(Response::Complete(payload));
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -27,6 +27,7 @@
 mod tests;
 mod unrepeatable_ids;
 mod value_delivery;
+mod value_history;
 
 use super::counters::Counters;
 use super::time_limits::write_delay;
@@ -52,7 +53,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 pub use unrepeatable_ids::IdObserver;
-pub use value_delivery::ValueDelivery;
+pub use value_delivery::{RequestBehind, ValueDelivery};
+pub use value_history::ValueHistory;
 
 /// The parameters of a new [`Dispatcher`].
 pub struct DispatcherParameters {
@@ -90,6 +92,7 @@
     lease: OnceLock<Arc<AdmissionLease>>,
     /// The receiver of the ids of requests that may not be repeated.
     id_observer: OnceLock<IdObserver>,
+    value_history: ValueHistory,
 }
 
 impl Dispatcher {
@@ -122,9 +125,15 @@
             subscriptions,
             lease: OnceLock::new(),
             id_observer: OnceLock::new(),
+            value_history: ValueHistory::default(),
         })
     }
 
+    /// Returns the record of short and long values.
+    pub fn value_history(&self) -> &ValueHistory {
+        &self.value_history
+    }
+
     /// Locks the state. A poisoned lock is still usable, since panics of the decision module are
     /// caught while the lock is held.
     fn lock(&self) -> MutexGuard<'_, DispatcherState> {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -35,3 +35,15 @@
 fn origin_with_body(body: &'static str) -> StubServer {
     StubServer::origin(move |_| http_200(body))
 }
+
+/// The number of reads of [`serve_short_values`].
+const SHORT_VALUES: usize = 128;
+
+/// Reads the key `short`, whose value is short, so often that the proxy expects no long values.
+fn serve_short_values(fixture: &ProxyFixture) {
+    let mut client = fixture.client();
+    for number in 0..SHORT_VALUES {
+        let (line, _) = client.get("short", &format!("s{number}"), 900);
+        assert!(line.starts_with("VA 1 "), "{line:?}");
+    }
+}
--- a/tests/sockets/races/mod.rs
+++ b/tests/sockets/races/mod.rs
@@ -9,8 +9,9 @@
 mod lists;
 mod pipelines;
 mod repeated_ids;
+mod slow_values;
 
-use crate::ms;
+use crate::{ms, serve_short_values, SHORT_VALUES};
 use pinetrail_test_harness::*;
 
 /// Returns the response of a cache node that has the key.
--- a/tests/sockets/wrong_lengths.rs
+++ b/tests/sockets/wrong_lengths.rs
@@ -1,7 +1,7 @@
 //! Responses of cache nodes and the origin whose stated length is shorter than what they bring, and
 //! good responses with more behind them.
 
-use crate::{idle_origin, ms};
+use crate::{idle_origin, ms, serve_short_values};
 use pinetrail_test_harness::*;
 use std::io::{Read, Write};
 use std::time::Instant;
@@ -98,6 +98,7 @@
         StubAction::Reply(if is_long { cut } else { http_with_length(1, "v") })
     });
     let fixture = ProxyFixture::with_backends(&[&StubServer::miss_node()], &origin);
+    serve_short_values(&fixture);
     let mut client = fixture.client();
     client.send("mg long v O1 Pc=read,t=acme,d=900\r\nmg short v O2 Pc=read,t=acme,d=900\r\n");
     let line = client.read_line();
