Know the open ids of the older process before the newer one accepts clients

Cause: the newer process asked for the ids after it accepted clients, and did not wait. Announcements were handled by one coroutine for which requests did not wait, in both directions.

Change: ids are received before the first client, until the mark of their end, the end of the connection, 1.5 s, or 0.4 s for an older release without the mark. Each request that may not be repeated announces its id first and looks among what has arrived after that; known ids are not announced. If an announcement cannot be written, no further one waits.

Why it works: an id is announced before its request is executed, and looked for after the own announcement.

--- a/src/net/deadline_stream.rs
+++ b/src/net/deadline_stream.rs
@@ -125,7 +125,7 @@
     /// Returns the socket's errors, or [`ErrorKind::TimedOut`] at the deadline.
     pub fn read(&self, into: &mut Vec<u8>, deadline: Instant) -> io::Result<usize> {
         loop {
-            match read_some(into, |room| self.0.try_read(room)) {
+            match self.try_read(into) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     let remaining = deadline.saturating_duration_since(Instant::now());
                     if remaining.is_zero() {
@@ -141,7 +141,26 @@
     /// Appends the bytes that are available, without waiting; returns their number. The end of the
     /// stream and errors are left to the next read.
     pub fn read_available(&self, into: &mut Vec<u8>) -> usize {
-        read_some(into, |room| self.0.try_read(room)).unwrap_or(0)
+        self.try_read(into).unwrap_or(0)
+    }
+
+    /// Appends the bytes that are available, without waiting; returns their number. 0 means the end of
+    /// the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket's errors, or [`ErrorKind::WouldBlock`] if nothing is available.
+    pub fn try_read(&self, into: &mut Vec<u8>) -> io::Result<usize> {
+        read_some(into, |room| self.0.try_read(room))
+    }
+
+    /// Waits until there may be something to read.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket's errors, also if nothing arrives within the timeout.
+    pub fn wait_readable(&self, timeout: Duration) -> io::Result<()> {
+        self.0.wait_readable(timeout)
     }
 
     /// Writes all bytes before the deadline.
--- a/src/net/dispatcher/executed_ids.rs
+++ b/src/net/dispatcher/executed_ids.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Returns whether a request with this id may have been executed.
+    pub(super) fn contains(&self, hash: IdHash) -> bool {
+        self.hashes.contains(&hash)
+    }
+
     /// Remembers the id of a request that has ended and may have been executed.
     pub(super) fn insert(&mut self, hash: IdHash, now: Instant) {
         if self.hashes.insert(hash) {
--- a/src/net/dispatcher/maintenance.rs
+++ b/src/net/dispatcher/maintenance.rs
@@ -77,6 +77,7 @@
             past_maintenance: self.past_maintenance.clone(),
             peers: Vec::new(),
             shares_ids: false,
+            ends_ids: false,
         }
     }
 
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -52,7 +52,7 @@
 use state::DispatcherState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-pub use unrepeatable_ids::IdObserver;
+pub use unrepeatable_ids::IdExchange;
 pub use value_delivery::{RequestBehind, ValueDelivery};
 pub use value_history::ValueHistory;
 
@@ -90,8 +90,8 @@
     subscriptions: Sender<()>,
     /// The lease that admits requests; set only in a fleet with a common policy.
     lease: OnceLock<Arc<AdmissionLease>>,
-    /// The receiver of the ids of requests that may not be repeated.
-    id_observer: OnceLock<IdObserver>,
+    /// The exchange of ids of requests that may not be repeated with the other process of an upgrade.
+    id_exchange: OnceLock<IdExchange>,
     value_history: ValueHistory,
 }
 
@@ -124,7 +124,7 @@
             commands,
             subscriptions,
             lease: OnceLock::new(),
-            id_observer: OnceLock::new(),
+            id_exchange: OnceLock::new(),
             value_history: ValueHistory::default(),
         })
     }
--- a/src/net/dispatcher/snapshot.rs
+++ b/src/net/dispatcher/snapshot.rs
@@ -30,6 +30,9 @@
     /// releases do not.
     #[serde(rename = "ids", default, skip_serializing_if = "std::ops::Not::not")]
     pub shares_ids: bool,
+    /// Whether the process marks the end of its ids, which earlier releases do not.
+    #[serde(rename = "idsEnd", default, skip_serializing_if = "std::ops::Not::not")]
+    pub ends_ids: bool,
 }
 
 /// A finished maintenance period. In JSON it is an array of the beginning and the end.
--- a/src/net/dispatcher/unrepeatable_ids.rs
+++ b/src/net/dispatcher/unrepeatable_ids.rs
@@ -7,23 +7,30 @@
 use super::Dispatcher;
 use std::time::Instant;
 
-/// Receives the id of each request that may not be repeated before the request is submitted.
-pub type IdObserver = Box<dyn Fn(IdHash) + Send + Sync>;
+/// Announces the id of a request to the other process, and returns the ids that the other process has
+/// announced.
+pub type IdExchange = Box<dyn Fn(IdHash) -> Vec<IdHash> + Send + Sync>;
 
 impl Dispatcher {
-    /// Sets the receiver of ids. Only the first call has an effect.
-    pub fn observe_ids(&self, observer: IdObserver) {
-        // A later observer is dropped, as documented.
-        let _ = self.id_observer.set(observer);
+    /// Sets the exchange of ids. Only the first call has an effect.
+    pub fn exchange_ids(&self, exchange: IdExchange) {
+        // A later exchange is dropped, as documented.
+        let _ = self.id_exchange.set(exchange);
     }
 
-    /// Passes the id of a request that may not be repeated to the observer. The caller submits the
-    /// request after that, so that the other process knows the id before an attempt is written.
+    /// Announces the id of a request that may not be repeated, unless the id is known already, and
+    /// remembers the ids that the other process has announced. The caller submits the request after
+    /// that, so that each process knows an id before the other one writes an attempt.
     pub fn announce_id(&self, request: &ClientRequest) {
-        let Some(observer) = self.id_observer.get() else { return };
-        let is_idempotent = self.lock().is_idempotent(request.class);
-        if !is_idempotent {
-            observer(hash_id(&request.opaque));
+        let Some(exchange) = self.id_exchange.get() else { return };
+        let id = hash_id(&request.opaque);
+        let needs_exchange = {
+            let state = self.lock();
+            let is_known = state.open_ids.contains(&request.opaque) || state.executed_ids.contains(id);
+            !state.is_idempotent(request.class) && !is_known
+        };
+        if needs_exchange {
+            self.remember_ids(&exchange(id));
         }
     }
 
@@ -38,6 +45,9 @@
 
     /// Remembers ids of the other process like those of this one.
     pub fn remember_ids(&self, ids: &[IdHash]) {
+        if ids.is_empty() {
+            return;
+        }
         let now = Instant::now();
         let mut state = self.lock();
         for id in ids {
--- a/src/net/hot_restart/connection.rs
+++ b/src/net/hot_restart/connection.rs
@@ -1,44 +1,73 @@
 //! The connection between two processes, from the handover to the end of one of them. Read
 //! [`HotRestart::handle_messages`] first, which both sides run.
 
-use super::messages::{Message, MessageReader};
+use super::inbox::Inbox;
+use super::messages::{Message, MessageError};
 use super::socket::HandoverSocket;
 use super::{send, send_rejection, BudgetGrant, HotRestart, HotRestartHost, PeerProcessState, PeerStream};
 use crate::net::log::log;
 use std::io::ErrorKind;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The time within which a newer process must accept clients.
 const PEER_START_TIMEOUT: Duration = Duration::from_secs(15);
-/// The number of ids of requests in one message.
-const IDS_PER_MESSAGE: usize = 1000;
 /// The longest wait for a message, after which [`PEER_START_TIMEOUT`] is checked.
 const READ_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The reason why there is no message to handle.
+#[derive(Debug)]
+enum ReceiveError {
+    /// No complete message has arrived.
+    Nothing,
+    /// The connection has ended.
+    Ended,
+    /// The received bytes are not a message.
+    Malformed(MessageError),
+}
+
+/// Takes the next message of the other process, without waiting.
+///
+/// # Errors
+///
+/// Returns the reason why there is none.
+fn next_message(stream: &PeerStream, inbox: &Mutex<Inbox>) -> Result<Message, ReceiveError> {
+    let mut inbox = inbox.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        if let Some(message) = inbox.next_message().map_err(ReceiveError::Malformed)? {
+            return Ok(message);
+        }
+        match inbox.receive(stream) {
+            Ok(0) => return Err(ReceiveError::Ended),
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Err(ReceiveError::Nothing),
+            Err(_) => return Err(ReceiveError::Ended),
+        }
+    }
+}
+
 impl HotRestart {
     /// Handles the other process's messages until the connection ends.
     pub(super) fn handle_messages(
         &self,
         stream: &PeerStream,
-        mut reader: MessageReader,
+        inbox: &Mutex<Inbox>,
         host: &dyn HotRestartHost,
     ) {
         let connected = Instant::now();
         loop {
-            match reader.next_message() {
-                Ok(Some(message)) => self.handle(message, stream, host),
-                Ok(None) => match stream.read(&mut reader.buffer, Instant::now() + READ_TIMEOUT) {
-                    Ok(0) => break,
-                    Ok(_) => {}
-                    Err(error) if error.kind() == ErrorKind::TimedOut => {
-                        if self.is_start_overdue(connected) {
-                            send_rejection(stream, "it took too long");
-                            break;
-                        }
+            match next_message(stream, inbox) {
+                Ok(message) => self.handle(message, stream, host),
+                Err(ReceiveError::Nothing) => {
+                    // The error of a wait that ends early is found by the next read.
+                    let _ = stream.wait_readable(READ_TIMEOUT);
+                    if self.is_start_overdue(connected) {
+                        send_rejection(stream, "it took too long");
+                        break;
                     }
-                    Err(_) => break,
-                },
-                Err(error) => {
+                }
+                Err(ReceiveError::Ended) => break,
+                Err(ReceiveError::Malformed(error)) => {
                     log(&format!("hot restart: closing the connection to the other process: {error}"));
                     break;
                 }
@@ -91,20 +120,6 @@
         }
     }
 
-    /// Sends the ids of this process, once the other one has shown that it understands them.
-    fn share_ids(&self, stream: &PeerStream, host: &dyn HotRestartHost) {
-        let shared_before = self.with_state(|state| {
-            let connection = state.connection.as_mut();
-            connection.is_none_or(|connection| std::mem::replace(&mut connection.shares_ids, true))
-        });
-        if !shared_before {
-            for ids in host.unrepeatable_ids().chunks(IDS_PER_MESSAGE) {
-                // If they cannot be sent, the other process has ended.
-                let _ = send(stream, &Message::UnrepeatableIds(ids.to_vec()));
-            }
-        }
-    }
-
     fn set_peer(&self, peer: PeerProcessState, host: &dyn HotRestartHost) {
         self.with_state(|state| {
             if let Some(connection) = &mut state.connection {
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -4,12 +4,15 @@
 //! The newer process calls [`request_handover`] (`newer`). The older one
 //! (`older`) sends its listening socket, an endpoint snapshot, and a part of its budget. Their
 //! connection lasts as long as both processes do (`connection`): a process whose connection has
-//! ended is alone. While it lasts, operators' commands are relayed to the other process (`relay`).
+//! ended is alone. While it lasts, operators' commands are relayed to the other process (`relay`), and
+//! the ids of requests that may not be repeated are exchanged (`id_exchange`).
 
 mod connection;
 mod error;
 #[cfg(test)]
 mod golden_tests;
+mod id_exchange;
+mod inbox;
 mod messages;
 mod newer;
 mod older;
@@ -18,12 +21,13 @@
 
 pub use error::{CommandError, HandoverError, RelayError};
 pub use messages::{ControlCommand, MessageError, ResourceBudget, ServiceState};
-pub use newer::{request_handover, Handover};
+pub use newer::{request_handover, Handover, JoinedPeer};
 
 use super::deadline_stream::DeadlineStream;
 use super::dispatcher::{EndpointSnapshot, IdHash};
 use super::listener::Listener;
 use super::polled_socket::PolledSocket;
+use inbox::Inbox;
 use messages::Message;
 use relay::PendingCommands;
 use socket::HandoverSocket;
@@ -119,6 +123,8 @@
     peer: PeerProcessState,
     /// Whether the other process exchanges ids of requests that may not be repeated.
     shares_ids: bool,
+    /// The messages that were not handled yet. The lock is held only to receive and take messages.
+    inbox: Arc<Mutex<Inbox>>,
 }
 
 #[derive(Default)]
@@ -175,18 +181,6 @@
         }
     }
 
-    /// Passes the id of a request that may not be repeated to the other process, if there is one.
-    pub fn announce_id(&self, id: IdHash) {
-        let stream = self.with_state(|state| {
-            let connection = state.connection.as_ref().filter(|connection| connection.shares_ids);
-            connection.map(|connection| connection.stream.clone())
-        });
-        if let Some(stream) = stream {
-            // If it cannot be sent, the other process has ended.
-            let _ = send(&stream, &Message::UnrepeatableIds(vec![id]));
-        }
-    }
-
     /// Returns whether another process of this proxy runs.
     pub fn has_peer(&self) -> bool {
         self.with_state(|state| state.connection.is_some())
--- a/src/net/hot_restart/newer.rs
+++ b/src/net/hot_restart/newer.rs
@@ -1,10 +1,12 @@
 //! The newer process's side of a hot restart: requests the handover before any service starts, and
 //! joins the older process once the newer one accepts clients.
 
+use super::inbox::Inbox;
 use super::messages::{Message, MessageReader, ResourceBudget, PROTOCOL_VERSION};
 use super::socket::{self, FirstByte, HandoverSocket};
 use super::{
-    send, HandoverError, HotRestart, HotRestartHost, PeerConnection, PeerProcessState, HANDOVER_TIMEOUT,
+    send, HandoverError, HotRestart, HotRestartHost, PeerConnection, PeerProcessState, PeerStream,
+    HANDOVER_TIMEOUT,
 };
 use crate::net::deadline_stream::DeadlineStream;
 use crate::net::dispatcher::EndpointSnapshot;
@@ -12,7 +14,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// The maximum number of bytes that are read at once.
 const READ_CHUNK_BYTES: usize = 4096;
@@ -25,8 +27,15 @@
     pub endpoints: EndpointSnapshot,
     /// The budget of the newer process.
     pub budget: ResourceBudget,
-    stream: UnixStream,
-    reader: MessageReader,
+    pub(super) stream: UnixStream,
+    pub(super) reader: MessageReader,
+}
+
+/// The connection to an older process whose messages are not handled yet.
+#[derive(Debug)]
+pub struct JoinedPeer {
+    stream: PeerStream,
+    inbox: Arc<Mutex<Inbox>>,
 }
 
 /// Requests the handover from the process that serves this address. Returns `None` if there is
@@ -72,41 +81,41 @@
 }
 
 impl HotRestart {
-    /// Joins the older process, and notifies it that this one accepts clients. A rejection that the
-    /// older process sends at the same time goes to [`HotRestartHost::handover_rejected`].
+    /// Joins the older process: from now on ids are exchanged with it. Its messages are handled by
+    /// [`HotRestart::begin_serving`].
     ///
     /// # Errors
     ///
     /// Returns [`HandoverError::RejectedLate`] if the older process has abandoned the handover, or
     /// [`HandoverError::Coroutine`] if the connection cannot be used.
-    pub fn join(
-        self: &Arc<Self>,
-        mut handover: Handover,
-        host: Arc<dyn HotRestartHost>,
-    ) -> Result<(), HandoverError> {
+    pub fn join(self: &Arc<Self>, mut handover: Handover) -> Result<JoinedPeer, HandoverError> {
         receive_pending(&mut handover.stream, &mut handover.reader)?;
         if contains_rejection(&handover.reader) {
             return Err(HandoverError::RejectedLate);
         }
         let socket = PolledSocket::new(handover.stream).map_err(HandoverError::Coroutine)?;
         let stream = DeadlineStream::new(socket);
-        let shares_ids = handover.endpoints.shares_ids;
-        self.with_state(|state| {
-            let peer = PeerProcessState::Serving;
-            state.connection = Some(PeerConnection { stream: stream.clone(), peer, shares_ids });
-        });
-        if shares_ids {
-            // The older process sends its ids in turn. If this cannot be sent, it has ended.
-            let _ = send(&stream, &Message::UnrepeatableIds(host.unrepeatable_ids()));
-        }
+        let inbox = Arc::new(Mutex::new(Inbox::new(handover.reader)));
+        let connection = PeerConnection {
+            stream: stream.clone(),
+            peer: PeerProcessState::Serving,
+            shares_ids: handover.endpoints.shares_ids,
+            inbox: Arc::clone(&inbox),
+        };
+        self.with_state(|state| state.connection = Some(connection));
+        Ok(JoinedPeer { stream, inbox })
+    }
+
+    /// Notifies the older process that this one accepts clients, and handles its messages. A rejection
+    /// that the older process sends at the same time goes to [`HotRestartHost::handover_rejected`].
+    pub fn begin_serving(self: &Arc<Self>, peer: JoinedPeer, host: Arc<dyn HotRestartHost>) {
+        let JoinedPeer { stream, inbox } = peer;
         let hot_restart = Arc::clone(self);
         let reading = stream.clone();
-        let reader = handover.reader;
         // The coroutine ends with the connection, at the latest when the older process ends.
-        may::go!(move || hot_restart.handle_messages(&reading, reader, &*host));
+        may::go!(move || hot_restart.handle_messages(&reading, &inbox, &*host));
         // If the message cannot be sent, the older process has ended, and this one serves alone.
         let _ = send(&stream, &Message::Serving);
-        Ok(())
     }
 }
 
--- a/src/net/hot_restart/newer/tests.rs
+++ b/src/net/hot_restart/newer/tests.rs
@@ -62,7 +62,7 @@
     older.write_all(&start_timeout_rejection()).unwrap();
     drop(older);
 
-    let joined = HotRestart::new().join(handover, Arc::new(Host::default()));
+    let joined = HotRestart::new().join(handover);
 
     assert!(matches!(joined, Err(HandoverError::RejectedLate)), "{joined:?}");
 }
@@ -73,7 +73,9 @@
     let (handover, mut older) = handover();
     let host = Arc::new(Host::default());
 
-    HotRestart::new().join(handover, Arc::clone(&host) as Arc<dyn HotRestartHost>).unwrap();
+    let hot_restart = HotRestart::new();
+    let peer = hot_restart.join(handover).unwrap();
+    hot_restart.begin_serving(peer, Arc::clone(&host) as Arc<dyn HotRestartHost>);
     assert!(!host.rejected.load(Ordering::SeqCst));
     older.write_all(&start_timeout_rejection()).unwrap();
 
@@ -83,3 +85,55 @@
         sleep(POLL_INTERVAL);
     }
 }
+
+/// Receives the ids of an older process that sends these messages at once; returns the ids and the
+/// time that it took. The older process stays unless `is_gone`.
+fn receive_ids(
+    (shares_ids, ends_ids): (bool, bool),
+    messages: &[Message],
+    is_gone: bool,
+) -> (Vec<IdHash>, Duration, Handover) {
+    let (mut handover, mut older) = handover();
+    handover.endpoints.shares_ids = shares_ids;
+    handover.endpoints.ends_ids = ends_ids;
+    for message in messages {
+        older.write_all(&message.to_line()).unwrap();
+    }
+    let older = (!is_gone).then_some(older);
+    let received = std::cell::RefCell::new(Vec::new());
+    let began = Instant::now();
+    handover.receive_ids(|ids| received.borrow_mut().extend_from_slice(ids)).unwrap();
+    let time = began.elapsed();
+    drop(older);
+    (received.into_inner(), time, handover)
+}
+
+const AT_ONCE: Duration = Duration::from_millis(300);
+/// The newer process must be ready within 6 s, of which the handover may take 4 s.
+const MAX_WAIT: Duration = Duration::from_millis(1900);
+
+/// Guards against clients that are accepted before the ids of the older process are known, and against
+/// a wait for an older process that has ended, is stopped, or is of an earlier release.
+#[test]
+fn the_ids_of_the_older_process_are_awaited_until_their_end_and_no_longer() {
+    let ids = |ids: &[IdHash]| Message::UnrepeatableIds(ids.to_vec());
+    let budget = Message::Budget(ResourceBudget::default());
+    let (received, time, handover) =
+        receive_ids((true, true), &[ids(&[1, 2]), budget.clone(), ids(&[3]), ids(&[]), ids(&[4])], false);
+    assert_eq!(received, [1, 2, 3]);
+    assert!(time < AT_ONCE, "{time:?}");
+    let mut rest = handover.reader;
+    assert_eq!(rest.next_message().unwrap(), Some(budget), "other messages are handled later");
+    assert_eq!(rest.next_message().unwrap(), Some(ids(&[4])));
+
+    for (case, is_gone, min, max) in [
+        ((true, true), false, AT_ONCE, MAX_WAIT),
+        ((true, false), false, AT_ONCE, Duration::from_millis(800)),
+        ((true, true), true, Duration::ZERO, AT_ONCE),
+        ((false, false), false, Duration::ZERO, AT_ONCE),
+    ] {
+        let (received, time, _) = receive_ids(case, &[ids(&[5])], is_gone);
+        assert_eq!(received, if case.0 { vec![5] } else { Vec::new() }, "{case:?}, gone: {is_gone}");
+        assert!((min..max).contains(&time), "{case:?}, gone: {is_gone}: {time:?}");
+    }
+}
--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -1,6 +1,7 @@
 //! The older process's side of a hot restart: listens for newer processes, hands over to the first
 //! one, and grants that process the budget that the older one does not need.
 
+use super::inbox::Inbox;
 use super::messages::{Message, MessageReader, PROTOCOL_VERSION};
 use super::socket::{self, HandoverSocket};
 use super::{
@@ -15,7 +16,7 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The interval at which the older process updates the budget of the newer one.
@@ -85,7 +86,8 @@
             send_rejection(&stream, "another version");
             return;
         }
-        if !self.reserve_connection(&stream) {
+        let inbox = Arc::new(Mutex::new(Inbox::new(reader)));
+        if !self.reserve_connection(&stream, &inbox) {
             send_rejection(&stream, "an upgrade or a stop is under way");
             return;
         }
@@ -96,7 +98,7 @@
                     let budget_host = Arc::clone(host);
                     // The coroutine ends with the connection.
                     may::go!(move || hot_restart.update_peer_budget(&*budget_host));
-                    self.handle_messages(&stream, reader, &**host);
+                    self.handle_messages(&stream, &inbox, &**host);
                     return;
                 }
             }
@@ -113,14 +115,15 @@
     /// Reason: of two newer processes only the first may accept clients.
     ///
     /// Invariant: the connection is reserved before the handover is sent.
-    fn reserve_connection(&self, stream: &PeerStream) -> bool {
+    fn reserve_connection(&self, stream: &PeerStream, inbox: &Arc<Mutex<Inbox>>) -> bool {
         self.with_state(|state| {
             let is_free = state.connection.is_none() && state.drain_state == DrainState::Serving;
             if is_free {
                 let peer = PeerProcessState::Starting;
                 // It has sent no ids yet.
                 let shares_ids = false;
-                state.connection = Some(PeerConnection { stream: stream.clone(), peer, shares_ids });
+                let (stream, inbox) = (stream.clone(), Arc::clone(inbox));
+                state.connection = Some(PeerConnection { stream, peer, shares_ids, inbox });
             }
             is_free
         })
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -28,6 +28,7 @@
         let mut endpoints = services.dispatcher.endpoint_snapshot();
         endpoints.peers = self.policy().map_or(Vec::new(), |policy| policy.peer_addresses());
         endpoints.shares_ids = true;
+        endpoints.ends_ids = true;
         let listener = services.clients.listener()?;
         Some(HandoverOffer { listener, endpoints })
     }
--- a/src/net/lifecycle/start/mod.rs
+++ b/src/net/lifecycle/start/mod.rs
@@ -15,7 +15,7 @@
 use super::{Lifecycle, RunningServices};
 use crate::net::admin::{AdminBackend, AdminServer};
 use crate::net::dispatcher::Dispatcher;
-use crate::net::hot_restart::{Handover, HotRestartHost};
+use crate::net::hot_restart::{Handover, HotRestartHost, JoinedPeer};
 use crate::net::log::log;
 use fleet::CatchUp;
 use pinetrail_config::{Catalog, Config};
@@ -38,7 +38,7 @@
     pub(super) fn start(
         self: &Arc<Self>,
         config: &Config,
-        handover: Option<Handover>,
+        mut handover: Option<Handover>,
         signals: &mut Signals,
     ) -> Result<StartOutcome<'_>, StartError> {
         resources::configure_coroutines();
@@ -58,7 +58,8 @@
         }
         let socket = services::client_socket(config.listen, handover.as_ref())?;
         let hot_restart = Arc::clone(&self.hot_restart);
-        dispatcher.observe_ids(Box::new(move |id| hot_restart.announce_id(id)));
+        dispatcher.exchange_ids(Box::new(move |id| hot_restart.exchange_id(id)));
+        let peer = self.join_older_process(&dispatcher, handover.take())?;
         let clients = shared.start_clients(socket)?;
         let budget = shared.budget;
         let services = self.services.get_or_init(|| RunningServices {
@@ -71,7 +72,7 @@
         if self.policy().is_none() {
             self.serve_admin(admin.as_ref(), &dispatcher)?;
         }
-        self.begin_serving(handover, services.clients.address())?;
+        self.begin_serving(peer, services.clients.address());
         Ok(StartOutcome::Running(services))
     }
 
@@ -101,16 +102,26 @@
         Ok(())
     }
 
+    /// Receives the ids of the older process's requests, if there is one, and joins it.
+    ///
+    /// Invariant: this precedes the first client, which may send the id of a request that is open at
+    /// the older process.
+    fn join_older_process(
+        &self,
+        dispatcher: &Dispatcher,
+        handover: Option<Handover>,
+    ) -> Result<Option<JoinedPeer>, StartError> {
+        let Some(mut handover) = handover else { return Ok(None) };
+        handover.receive_ids(|ids| dispatcher.remember_ids(ids))?;
+        Ok(Some(self.hot_restart.join(handover)?))
+    }
+
     /// Notifies the older process, if there is one, that this one serves. Then listens for newer
     /// processes.
-    fn begin_serving(
-        self: &Arc<Self>,
-        handover: Option<Handover>,
-        client_address: SocketAddr,
-    ) -> Result<(), StartError> {
+    fn begin_serving(self: &Arc<Self>, peer: Option<JoinedPeer>, client_address: SocketAddr) {
         let host = Arc::clone(self) as Arc<dyn HotRestartHost>;
-        if let Some(handover) = handover {
-            self.hot_restart.join(handover, Arc::clone(&host))?;
+        if let Some(peer) = peer {
+            self.hot_restart.begin_serving(peer, Arc::clone(&host));
             // The older process holds the fleet's socket until it knows that this one serves.
             if let Some(fleet) = self.fleet() {
                 fleet.activate_when_free();
@@ -119,6 +130,5 @@
         self.release_memory_in_upgrades();
         self.apply(LifecycleEvent::Started);
         self.hot_restart.listen(client_address, host);
-        Ok(())
     }
 }
