Make room for the ids of all writes that a process accepts within 6 s

Cause: 1 % of memory_mb at 64 bytes for each id of 8; each is kept for 5 s at the least, so that the table was full after 3 s at 2,500 a second. The bound was chosen by memory and never loaded with sound work. Postmortem: docs/incidents/2026-12-06-sound-writes-rejected-for-a-full-table.md.

Change: ids are kept by the second in which they were added and forgotten together, 20 bytes each, in 5 % of memory_mb.

--- a/src/net/dispatcher/executed_ids.rs
+++ b/src/net/dispatcher/executed_ids.rs
@@ -8,10 +8,13 @@
 const MAX_RETENTION: Duration = Duration::from_secs(60);
 /// The time for which an id is kept even if there is no room for further ones.
 const MIN_RETENTION: Duration = Duration::from_secs(5);
-/// The fraction of the process's memory limit that ids may use.
-const MEMORY_FRACTION: f64 = 0.01;
-/// The memory of an id in both collections, with their spare capacity, in bytes.
-const BYTES_PER_ID: f64 = 64.0;
+/// The time within which ids are added to one generation, which is forgotten as a whole.
+const GENERATION_TIME: Duration = Duration::from_secs(1);
+/// The fraction of the process's memory limit that ids may use: enough for the writes that a process
+/// with one core accepts within [`MIN_RETENTION`], at the smallest limits.
+const MEMORY_FRACTION: f64 = 0.05;
+/// The memory of an id, with the spare capacity of its collection, in bytes.
+const BYTES_PER_ID: f64 = 20.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// The hash of an id. Ids are of any length, hashes are not. Both processes of an upgrade compute the
@@ -23,16 +26,30 @@
     xxh3_64(id.as_bytes())
 }
 
-/// The ids of requests that have ended and may have been executed. This is the one bound on their
-/// memory.
+/// The ids of requests that have ended and may have been executed, and those that the other process of
+/// an upgrade has announced. New requests are accepted only while there is room; announced ids are
+/// kept also without, at most as many as the other process accepts.
 #[derive(Debug)]
 pub(super) struct ExecutedIds {
-    hashes: HashSet<IdHash>,
-    /// The hashes by the time at which their requests ended, the oldest first.
-    by_age: VecDeque<(Instant, IdHash)>,
+    /// The ids by the second in which they were added, the oldest first.
+    generations: VecDeque<Generation>,
     capacity: usize,
 }
 
+/// The ids that were added within [`GENERATION_TIME`].
+#[derive(Debug)]
+struct Generation {
+    began: Instant,
+    hashes: HashSet<IdHash>,
+}
+
+impl Generation {
+    /// Returns the time at which all ids of the generation have been kept for `retention`.
+    fn expires(&self, retention: Duration) -> Instant {
+        self.began + GENERATION_TIME + retention
+    }
+}
+
 /// Whether a request may be executed by what is known of its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum IdStatus {
@@ -54,7 +71,7 @@
     }
 
     pub(super) fn new(capacity: usize) -> ExecutedIds {
-        ExecutedIds { hashes: HashSet::new(), by_age: VecDeque::new(), capacity: capacity.max(1) }
+        ExecutedIds { generations: VecDeque::new(), capacity: capacity.max(1) }
     }
 
     /// Decides whether a request that may not be repeated is executed, is rejected for good, or is
@@ -63,53 +80,64 @@
     /// Inputs: the ids of requests that may have been executed, with the times at which they ended,
     /// on the monotonic clock.
     /// Reason: a request that could run twice is worse than one that is not executed now.
-    /// Source: docs/incidents/2026-12-05-sound-slow-responses-cut-off.md.
+    /// Source: docs/incidents/2026-12-06-sound-writes-rejected-for-a-full-table.md.
     pub(super) fn status(&mut self, id: &str, now: Instant) -> IdStatus {
-        self.forget_older_than(MAX_RETENTION, now);
-        if self.hashes.contains(&hash_id(id)) {
+        self.forget_expired(MAX_RETENTION, now);
+        if self.contains(hash_id(id)) {
             return IdStatus::Executed;
         }
-        let oldest = self.by_age.front().filter(|_| self.by_age.len() >= self.capacity);
-        let age = oldest.map_or(MIN_RETENTION, |(ended, _)| now.saturating_duration_since(*ended));
-        let retry_after = MIN_RETENTION.saturating_sub(age);
-        if retry_after.is_zero() {
-            IdStatus::Unknown
-        } else {
-            IdStatus::NoRoom { retry_after }
+        if self.len() >= self.capacity {
+            self.forget_oldest(MIN_RETENTION, now);
+        }
+        let oldest = self.generations.front().filter(|_| self.len() >= self.capacity);
+        match oldest {
+            Some(oldest) => {
+                let retry_after = oldest.expires(MIN_RETENTION).saturating_duration_since(now);
+                IdStatus::NoRoom { retry_after }
+            }
+            None => IdStatus::Unknown,
         }
     }
 
     /// Returns whether a request with this id may have been executed.
     pub(super) fn contains(&self, hash: IdHash) -> bool {
-        self.hashes.contains(&hash)
+        self.generations.iter().any(|generation| generation.hashes.contains(&hash))
     }
 
     /// Remembers the id of a request that has ended and may have been executed.
     pub(super) fn insert(&mut self, hash: IdHash, now: Instant) {
-        if self.hashes.insert(hash) {
-            self.by_age.push_back((now, hash));
+        if self.contains(hash) {
+            return;
+        }
+        let newest = self.generations.back();
+        if newest.is_none_or(|newest| now.saturating_duration_since(newest.began) >= GENERATION_TIME) {
+            self.generations.push_back(Generation { began: now, hashes: HashSet::new() });
+        }
+        if let Some(newest) = self.generations.back_mut() {
+            newest.hashes.insert(hash);
         }
-        while self.by_age.len() > self.capacity && self.forget_oldest_from(MIN_RETENTION, now) {}
     }
 
     /// Returns the hashes of all ids.
     pub(super) fn hashes(&self) -> impl Iterator<Item = IdHash> + '_ {
-        self.hashes.iter().copied()
+        self.generations.iter().flat_map(|generation| generation.hashes.iter().copied())
+    }
+
+    fn len(&self) -> usize {
+        self.generations.iter().map(|generation| generation.hashes.len()).sum()
     }
 
-    fn forget_older_than(&mut self, age: Duration, now: Instant) {
-        while self.forget_oldest_from(age, now) {}
+    fn forget_expired(&mut self, retention: Duration, now: Instant) {
+        while self.forget_oldest(retention, now) {}
     }
 
-    /// Forgets the oldest id if it has reached this age; returns whether it has.
-    fn forget_oldest_from(&mut self, age: Duration, now: Instant) -> bool {
-        let Some((ended, hash)) = self.by_age.front().copied() else { return false };
-        let is_old = now.saturating_duration_since(ended) >= age;
-        if is_old {
-            self.by_age.pop_front();
-            self.hashes.remove(&hash);
+    /// Forgets the oldest ids if all of them have been kept for `retention`; returns whether they have.
+    fn forget_oldest(&mut self, retention: Duration, now: Instant) -> bool {
+        let is_expired = self.generations.front().is_some_and(|oldest| oldest.expires(retention) <= now);
+        if is_expired {
+            self.generations.pop_front();
         }
-        is_old
+        is_expired
     }
 }
 
