--- a/crates/experiments/src/soak/judge/tests.rs
+++ b/crates/experiments/src/soak/judge/tests.rs
@@ -177,7 +177,7 @@
     let cut_off = || {
         let case = Case::new();
         case.sent(0);
-        case.attempt_arrived(1, 1, 300);
+        case.attempt_arrived(1, 1, TIMEOUT_MS);
         case.observe(795, Observation::AttemptEnded { attempt: 1, end: AttemptEnd::LongValueCutOff });
         case
     };
