Soak: tell attempts for other clients' repeated ids from those of the request itself

Change: repeated ids are sent with a key of their own. Attempts for them count for repeats, which is what they are for, and not as attempts for the request's own client.

--- a/crates/experiments/src/soak/judge/tests.rs
+++ b/crates/experiments/src/soak/judge/tests.rs
@@ -37,7 +37,16 @@
 
     fn attempt_arrived(&self, at_ms: u64, attempt: u64, budget_ms: u64) {
         let read_delay = Duration::ZERO;
-        self.observe(at_ms, Observation::AttemptArrived { attempt, backend: NODE, budget_ms, read_delay });
+        self.observe(
+            at_ms,
+            Observation::AttemptArrived {
+                attempt,
+                backend: NODE,
+                budget_ms,
+                read_delay,
+                is_of_other_client: false,
+            },
+        );
     }
 
     fn attempt_ended(&self, at_ms: u64, attempt: u64) {
--- a/crates/experiments/src/soak/record.rs
+++ b/crates/experiments/src/soak/record.rs
@@ -56,7 +56,14 @@
     /// The client disconnected without waiting for the response.
     Disconnected,
     /// The last byte of an attempt arrived at a backend, which read it after `read_delay`.
-    AttemptArrived { attempt: u64, backend: usize, budget_ms: u64, read_delay: Duration },
+    AttemptArrived {
+        attempt: u64,
+        backend: usize,
+        budget_ms: u64,
+        read_delay: Duration,
+        /// Whether the attempt is for another client, which sent the id of the request again.
+        is_of_other_client: bool,
+    },
     /// An attempt ended at this time or later: the backend began to write the end of the response,
     /// or the end of the connection arrived.
     AttemptEnded { attempt: u64, end: AttemptEnd },
--- a/crates/experiments/src/soak/upgrade.rs
+++ b/crates/experiments/src/soak/upgrade.rs
@@ -12,6 +12,8 @@
 
 /// The time from the start of the second process to the first hold-up of the first one.
 const FIRST_HOLD_UP: Duration = Duration::from_millis(30);
+/// The key with which other clients send the ids of open writes, so that their attempts are told apart.
+pub(super) const REPEATED_KEY: &str = "repeated";
 /// The number of clients that send the ids of open writes.
 const REPEATING_CLIENTS: usize = 12;
 /// The time for which both processes serve before the older one is sent SIGTERM.
@@ -75,11 +77,20 @@
         }
         for command in commands {
             // The proxy may close the connection, and answers with an error.
-            let _ = send_and_read(address, &command);
+            let _ = send_and_read(address, &with_repeated_key(&command));
         }
     }
 }
 
+/// Returns a write with the key by which it is told apart.
+fn with_repeated_key(command: &str) -> String {
+    let mut words: Vec<&str> = command.split(' ').collect();
+    if let Some(key) = words.get_mut(1) {
+        *key = REPEATED_KEY;
+    }
+    words.join(" ")
+}
+
 fn send_and_read(address: SocketAddr, command: &str) -> std::io::Result<usize> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
