Send the id that is in use on a second connection in its recorded test

Change: the id is sent on another connection while the first request is open, as the rule is about open requests. The recorded text is the same.

--- a/tests/golden/clients.rs
+++ b/tests/golden/clients.rs
@@ -110,10 +110,13 @@
 fn an_opaque_id_in_use_is_rejected_as_recorded() {
     let origin = silent_origin();
     let fixture = ProxyFixture::with_backends(&[], &origin);
-    let mut client = fixture.client();
+    let (mut client, mut other) = (fixture.client(), fixture.client());
     let command = "mg k v O1 Pc=read,t=acme,d=900\r\n";
-    client.send(&format!("{command}{command}"));
-    let actual = format!("{}\n{}\n", escaped(&client.read_line()), escaped(&client.read_line()));
+    client.send(command);
+    fixture.wait_until("the request is open", || fixture.counter("taken_reads") == 1);
+    // The rejection comes while the request is open; the request's own response comes first in the text.
+    let rejection = escaped(&other.request(command));
+    let actual = format!("{}\n{rejection}\n", escaped(&client.read_line()));
     let actual = without_number(&actual, "busy ", "MS");
     compare("id in use", include_str!("recorded/id_in_use.txt"), &actual);
 }
