Pass on long values to their end after a drain, and begin none that a kill would lose

Cause: the drain waited for open connections until 50 ms after the open requests failed, then exited under the streams. Change: at that moment the process gives up its addresses, the hand-over socket, membership, voter, leases and idle backend connections, prints its counters, and passes on what has begun until it ends; the bounds on pauses (5 s) and on clients without progress (20 s) stay, and the exit is at 60 s at the latest. A request that comes over 0.55 s after SIGTERM (0.7 s less a hold-up) begins a long value only if its pace shows that it is whole 0.35 s before the earliest kill; else it is rejected at once with the time of the kill. What had arrived before counts as early, also unread behind a value. In an upgrade the older process says that it finishes: the newer one has the quota and may be upgraded; memory and descriptors stay shared until the end. An older process that stops does not point the link to itself when the newer one ends. Golden: one message more between the processes, Finishing; an earlier release ends the connection at it.

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -29,7 +29,8 @@
 
 /// The operators' HTTP endpoint of one process.
 pub struct AdminServer {
-    listener: Listener,
+    /// The listener; `None` once the endpoint is closed. The lock guards only this value.
+    listener: Mutex<Option<Arc<Listener>>>,
     connections: Mutex<OpenConnections>,
 }
 
@@ -48,7 +49,8 @@
     ///
     /// Returns an error if the address cannot be listened on.
     pub fn open(address: SocketAddr) -> io::Result<Arc<AdminServer>> {
-        let listener = Listener::new(super::listener::open(address)?)?;
+        let listener = Arc::new(Listener::new(super::listener::open(address)?)?);
+        let listener = Mutex::new(Some(listener));
         Ok(Arc::new(AdminServer { listener, connections: Mutex::default() }))
     }
 
@@ -56,20 +58,37 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the system call.
+    /// Returns the error of the system call, or [`io::ErrorKind::NotConnected`] once the endpoint is
+    /// closed.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.address()
+        let listener = self.listener().clone();
+        listener.ok_or(io::ErrorKind::NotConnected)?.address()
     }
 
     /// Starts to accept connections, and executes operators' requests on this backend.
-    pub fn serve(self: Arc<Self>, backend: Arc<dyn AdminBackend>) {
-        // The coroutine ends with the process, because nothing stops this listener earlier.
-        may::go!(move || self.accept_connections(&backend));
+    pub fn serve(self: &Arc<Self>, backend: Arc<dyn AdminBackend>) {
+        let Some(listener) = self.listener().clone() else { return };
+        let server = Arc::clone(self);
+        // The coroutine ends when the endpoint is closed.
+        may::go!(move || server.accept_connections(&listener, &backend));
     }
 
-    fn accept_connections(self: &Arc<Self>, backend: &Arc<dyn AdminBackend>) {
+    /// Gives the address up, so that another process can listen on it. Open connections are still
+    /// served.
+    pub fn close(&self) {
+        // The socket is closed once the accepting coroutine has ended too.
+        if let Some(listener) = self.listener().take() {
+            listener.release();
+        }
+    }
+
+    fn listener(&self) -> MutexGuard<'_, Option<Arc<Listener>>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn accept_connections(self: &Arc<Self>, listener: &Listener, backend: &Arc<dyn AdminBackend>) {
         for number in 0.. {
-            let stream = match self.listener.accept() {
+            let stream = match listener.accept() {
                 Ok(Some(stream)) => DeadlineStream::new(stream),
                 Ok(None) => return,
                 Err(error) => {
@@ -80,7 +99,7 @@
                     continue;
                 }
             };
-            while !self.make_room() {
+            while !self.make_room() && !listener.is_stopped() {
                 sleep(ACCEPT_RETRY_DELAY);
             }
             let slot = ConnectionSlot::acquire(self, number, &stream);
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -121,8 +121,8 @@
                 Ok(input) => input,
                 Err(failure) => match stream_start.take_due_value(failure) {
                     Some(value) => {
-                        let start_by = stream_start.latest_start(attempt.deadline);
-                        return self.pass_on_value(attempt, connection, bytes, &value, start_by);
+                        let beginning = stream_start.beginning(bytes.len() - value.starts_at, attempt);
+                        return self.pass_on_value(attempt, connection, bytes, &value, beginning);
                     }
                     None => return self.end_without_response(attempt, failure, bytes.len()),
                 },
@@ -135,15 +135,15 @@
                 ParsedResponse::Malformed => {
                     return self.end_without_response(attempt, ResponseFailure::Malformed, bytes.len());
                 }
-                ParsedResponse::LongValue(value) if value.has_stream_threshold(bytes.len()) => {
-                    let start_by = stream_start.latest_start(attempt.deadline);
-                    return self.pass_on_value(attempt, connection, bytes, &value, start_by);
+                ParsedResponse::LongValue(value) if value.has_stream_threshold(attempt, bytes.len()) => {
+                    let beginning = stream_start.beginning(bytes.len() - value.starts_at, attempt);
+                    return self.pass_on_value(attempt, connection, bytes, &value, beginning);
                 }
                 ParsedResponse::LongValue(_) if input == InputState::Closed => {
                     return self.end_without_response(attempt, ResponseFailure::Ended, bytes.len());
                 }
                 ParsedResponse::LongValue(value) => {
-                    stream_start.update(value, bytes.len(), attempt.deadline);
+                    stream_start.update(value, bytes.len(), attempt);
                 }
                 ParsedResponse::UnsizedBody(body) => {
                     return self.collect_unsized_body(attempt, connection, bytes, &body);
--- a/src/net/backend/collected_value.rs
+++ b/src/net/backend/collected_value.rs
@@ -23,8 +23,8 @@
 }
 
 impl BackendService {
-    /// Reads a value to its end, then responds with it. A value that is not complete at `start_by`
-    /// begins to stream, or is read until the attempt's deadline.
+    /// Reads a value to its end, then responds with it. A value that is not complete at its time to
+    /// start begins to stream, or is read until the attempt's deadline.
     ///
     /// # Errors
     ///
@@ -33,10 +33,9 @@
         &self,
         attempt: &AttemptRequest,
         reader: &mut ValueReader,
-        start_by: Instant,
     ) -> Result<Excess, ResponseFailure> {
         let mut part = CollectedPart::default();
-        for limit in [start_by, attempt.deadline] {
+        for limit in [reader.beginning.start_by, attempt.deadline] {
             match self.collect_until(attempt, reader, &mut part, limit) {
                 Err(ResponseFailure::Late | ResponseFailure::TooLong)
                     if attempt.request.delivery.stream_incomplete() =>
--- a/src/net/backend/long_value.rs
+++ b/src/net/backend/long_value.rs
@@ -6,11 +6,13 @@
 use super::pool::Connection;
 use super::response::{AttemptResult, LongValue, ValueEnd};
 use super::response_failure::ResponseFailure;
+use super::stream_start::Beginning;
 use super::surplus::Surplus;
 use super::BackendService;
 use crate::interface::Outcome;
 use crate::net::body_stream::{self, BodyReceiver};
 use crate::net::dispatcher::AttemptRequest;
+use crate::net::drain::is_whole_in_time;
 use crate::net::time_limits::timer_duration;
 use crate::time::TimeSpan;
 use std::io::ErrorKind;
@@ -31,6 +33,8 @@
     remaining: usize,
     /// The number of bytes of the value that were received.
     received: usize,
+    /// The beginning of the value.
+    pub beginning: Beginning,
     /// The limit of the next reads.
     pub limit: ReadLimit,
 }
@@ -78,10 +82,17 @@
         value: &'a LongValue,
         bytes: Vec<u8>,
         attempt: &AttemptRequest,
+        beginning: Beginning,
     ) -> ValueReader<'a> {
         let limit = ReadLimit::Complete(attempt.deadline);
         let received = bytes.len();
-        ValueReader { connection, value, bytes, remaining: value.length, received, limit }
+        ValueReader { connection, value, bytes, remaining: value.length, received, beginning, limit }
+    }
+
+    /// Returns whether the value will be whole before the process may be killed, at `kill_at`.
+    fn is_whole_in_time(&self, kill_at: Instant) -> bool {
+        let progress = self.beginning.progress(self.received, self.value.length);
+        is_whole_in_time(progress, Instant::now(), kill_at)
     }
 
     /// Reads the value to its end, and passes its pieces to `accept`, which may end the attempt. May
@@ -163,7 +174,7 @@
     /// value.
     ///
     /// Decides whether the value is streamed, or collected and passed on once it is complete, or at
-    /// `start_by`.
+    /// its time to start.
     ///
     /// Inputs: whether the client's connection has requests behind this one.
     /// Reason: a streamed value that breaks off ends the connection, whose later responses would be
@@ -175,15 +186,15 @@
         connection: Connection,
         mut bytes: Vec<u8>,
         value: &LongValue,
-        start_by: Instant,
+        beginning: Beginning,
     ) -> AttemptResult {
         self.dispatcher.value_history().record_long();
         bytes.drain(..value.starts_at);
-        let mut reader = ValueReader::new(&connection, value, bytes, attempt);
+        let mut reader = ValueReader::new(&connection, value, bytes, attempt, beginning);
         let result = if attempt.request.delivery.begin_stream() {
             self.stream_value(attempt, &mut reader, CollectedPart::default())
         } else {
-            self.collect_value(attempt, &mut reader, start_by)
+            self.collect_value(attempt, &mut reader)
         };
         match result {
             Ok(excess) => {
@@ -212,13 +223,18 @@
         self.end_without_response(attempt, failure, received)
     }
 
-    /// Forwards a value to the client in pieces, after the part that was collected.
+    /// Forwards a value to the client in pieces, after the part that was collected. A value that would
+    /// come too late for the stop of the process does not begin, and its request is rejected.
     pub(super) fn stream_value(
         &self,
         attempt: &AttemptRequest,
         reader: &mut ValueReader,
         part: CollectedPart,
     ) -> Result<Excess, ResponseFailure> {
+        if let Some(lost_at) = attempt.request.lost_at.filter(|lost_at| !reader.is_whole_in_time(*lost_at)) {
+            self.dispatcher.reject_late_value(attempt.id.request, lost_at);
+            return Err(ResponseFailure::NotAwaited);
+        }
         reader.limit = ReadLimit::of_stream(attempt.request.budget);
         let (sender, receiver) = match part.memory {
             Some(memory) => body_stream::channel_after(part.pieces, memory),
--- a/src/net/backend/mod.rs
+++ b/src/net/backend/mod.rs
@@ -108,6 +108,11 @@
         self.pool.set_idle_timeout(idle_timeout);
     }
 
+    /// Closes all idle connections to backends.
+    pub fn close_idle_connections(&self) {
+        self.pool.close_all_idle();
+    }
+
     fn apply(self: &Arc<Self>, command: BackendCommand) {
         match command {
             BackendCommand::Attempt(attempt) => {
--- a/src/net/backend/pool.rs
+++ b/src/net/backend/pool.rs
@@ -197,6 +197,13 @@
         drop(closed);
     }
 
+    /// Closes all idle connections.
+    pub(super) fn close_all_idle(&self) {
+        let closed = self.with_idle(std::mem::take);
+        // The connections are closed with the pool unlocked.
+        drop(closed);
+    }
+
     /// Closes connections that have been idle for too long, or were closed by their backend.
     ///
     /// Invariant: connections are checked with the pool locked, because `close_idle` would miss one
--- a/src/net/backend/response.rs
+++ b/src/net/backend/response.rs
@@ -15,6 +15,8 @@
 const MAX_RESPONSE_BYTES: usize = 4 * MAX_VALUE_BYTES;
 /// The number of bytes of a long value after whose arrival the value is streamed.
 const STREAM_THRESHOLD_BYTES: usize = 4 * 1024;
+/// The same for a late request in a drain, whose value must show how fast it arrives.
+const LATE_STREAM_THRESHOLD_BYTES: usize = 64 * 1024;
 
 const STATUS_OK: u16 = 200;
 const STATUS_SERVICE_UNAVAILABLE: u16 = 503;
@@ -145,9 +147,12 @@
 impl LongValue {
     /// Returns whether so much of the value has arrived, of a response of `received` bytes, that the
     /// value may stream. Until then the client receives nothing, so that the request can still be
-    /// retried if the response announces a length but is malformed.
-    pub(super) fn has_stream_threshold(&self, received: usize) -> bool {
-        received >= self.starts_at + STREAM_THRESHOLD_BYTES
+    /// retried if the response announces a length but is malformed, or rejected if the value is too
+    /// slow for a late request.
+    pub(super) fn has_stream_threshold(&self, attempt: &AttemptRequest, received: usize) -> bool {
+        let is_late = attempt.request.lost_at.is_some();
+        let threshold = if is_late { LATE_STREAM_THRESHOLD_BYTES } else { STREAM_THRESHOLD_BYTES };
+        received >= self.starts_at + threshold.min(self.length)
     }
 }
 
--- a/src/net/backend/stream_start.rs
+++ b/src/net/backend/stream_start.rs
@@ -2,10 +2,15 @@
 
 use super::response::LongValue;
 use super::response_failure::ResponseFailure;
+use crate::net::dispatcher::AttemptRequest;
+use crate::net::drain::ValueProgress;
 use std::time::{Duration, Instant};
 
 /// The longest time for which the beginning of a long value is held back.
 const MAX_HOLD_BACK: Duration = Duration::from_secs(1);
+/// The longest time for which the beginning of a long value is held back that a late request in a
+/// drain asks for. It shows how fast the value arrives.
+const MAX_LATE_HOLD_BACK: Duration = Duration::from_millis(250);
 /// The time before the attempt's deadline at which a long value begins to stream at the latest.
 /// The timer that fails the request is due at the deadline.
 const DEADLINE_LEAD: Duration = Duration::from_millis(20);
@@ -14,23 +19,39 @@
 #[derive(Default)]
 pub(super) struct StreamStart {
     value: Option<LongValue>,
+    beginning: Option<Beginning>,
     /// The time at which the value begins to stream; `None` while only the head has arrived.
     due: Option<Instant>,
 }
 
+/// The beginning of a long value.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Beginning {
+    /// The time of the first byte of the value.
+    pub at: Instant,
+    /// The bytes of the value that arrived at that time.
+    first_bytes: usize,
+    /// The time at which the value begins to stream if it is collected and not complete.
+    pub start_by: Instant,
+}
+
 impl StreamStart {
     /// Records that `received` bytes of the response have arrived, and decides when the value
     /// begins to stream: a while after the first byte of the value, and before the attempt's
     /// deadline.
     ///
-    /// Inputs: the time of the first byte of the value, and the attempt's deadline, on the monotonic
-    /// clock.
+    /// Inputs: the time of the first byte of the value, whether the request is late in a drain, and
+    /// the attempt's deadline, on the monotonic clock.
     /// Reason: a backend that sends slowly has not failed, and the client of a long value waits for
     /// its first bytes only.
     /// Source: docs/incidents/2026-12-05-sound-slow-responses-cut-off.md.
-    pub(super) fn update(&mut self, value: LongValue, received: usize, attempt_deadline: Instant) {
-        if received > value.starts_at && self.due.is_none() {
-            self.due = Some(latest_start(Instant::now(), attempt_deadline));
+    pub(super) fn update(&mut self, value: LongValue, received: usize, attempt: &AttemptRequest) {
+        let value_bytes = received.saturating_sub(value.starts_at);
+        if value_bytes > 0 && self.beginning.is_none() {
+            let beginning = Beginning::now(value_bytes, attempt);
+            let late_limit = attempt.request.lost_at.map(|_| beginning.at + MAX_LATE_HOLD_BACK);
+            self.due = Some(late_limit.map_or(beginning.start_by, |limit| limit.min(beginning.start_by)));
+            self.beginning = Some(beginning);
         }
         self.value = Some(value);
     }
@@ -40,9 +61,9 @@
         self.due
     }
 
-    /// Returns the time at which a value that is collected begins to stream if it is not complete.
-    pub(super) fn latest_start(&self, attempt_deadline: Instant) -> Instant {
-        self.due.unwrap_or_else(|| latest_start(Instant::now(), attempt_deadline))
+    /// Returns the beginning of the value, of which `received` bytes have arrived by now.
+    pub(super) fn beginning(&self, received: usize, attempt: &AttemptRequest) -> Beginning {
+        self.beginning.unwrap_or_else(|| Beginning::now(received, attempt))
     }
 
     /// Takes the value if it is to stream now that a read has ended for this reason.
@@ -52,8 +73,22 @@
     }
 }
 
-/// Returns when a value begins to stream at the latest whose first byte arrived at `began`.
-fn latest_start(began: Instant, attempt_deadline: Instant) -> Instant {
-    let before_deadline = attempt_deadline.checked_sub(DEADLINE_LEAD).unwrap_or(attempt_deadline);
-    before_deadline.min(began + MAX_HOLD_BACK)
+impl Beginning {
+    /// Returns the beginning of a value whose first bytes arrive now.
+    fn now(first_bytes: usize, attempt: &AttemptRequest) -> Beginning {
+        let at = Instant::now();
+        let before_deadline = attempt.deadline.checked_sub(DEADLINE_LEAD).unwrap_or(attempt.deadline);
+        Beginning { at, first_bytes, start_by: before_deadline.min(at + MAX_HOLD_BACK) }
+    }
+
+    /// Returns the progress of the value since its beginning. Its pace does not count the first bytes,
+    /// which may have been sent all at once, unless they are all that has arrived.
+    pub(super) fn progress(&self, received: usize, length: usize) -> ValueProgress {
+        let later_bytes = received.saturating_sub(self.first_bytes);
+        ValueProgress {
+            paced_bytes: if later_bytes > 0 { later_bytes } else { received },
+            remaining_bytes: length.saturating_sub(received),
+            elapsed: self.at.elapsed(),
+        }
+    }
 }
--- a/src/net/client/connection/commands.rs
+++ b/src/net/client/connection/commands.rs
@@ -26,8 +26,9 @@
 }
 
 impl Connection<'_> {
-    /// Executes a command, or leaves it for later while there is no memory for it.
-    pub(super) fn execute(&mut self, command: Command) -> Execution {
+    /// Executes a command, or leaves it for later while there is no memory for it. `lost_at` is the time
+    /// of the earliest SIGKILL, if it would lose an incomplete response to the command.
+    pub(super) fn execute(&mut self, command: Command, lost_at: Option<Instant>) -> Execution {
         match command {
             Command::Noop => self.respond_to_noop(),
             Command::Version => {
@@ -35,7 +36,7 @@
             }
             Command::Stats => self.respond_with_counters(),
             Command::Quit => self.state = State::Finishing,
-            Command::Request(command) => return self.execute_request(command),
+            Command::Request(command) => return self.execute_request(command, lost_at),
         }
         Execution::Done
     }
@@ -60,7 +61,7 @@
     /// Inputs: the size of the request's value in bytes, the free memory, whether other commands
     /// are pending, and how long the request was unread, a duration.
     /// Reason: pending responses free memory, so only an idle connection is rejected.
-    fn execute_request(&mut self, command: RequestCommand) -> Execution {
+    fn execute_request(&mut self, command: RequestCommand, lost_at: Option<Instant>) -> Execution {
         let value_size = command.value.as_ref().map_or(0, Vec::len);
         let memory = self.service.memory.reserve(value_size + MAX_VALUE_BYTES + REQUEST_OVERHEAD_BYTES);
         if memory.is_none() && !self.is_idle() {
@@ -74,6 +75,7 @@
             }
             (Ok(mut request), Some(memory)) => {
                 request.budget = (request.budget - time_span(self.unread_time)).max(TimeSpan::ZERO);
+                request.lost_at = lost_at;
                 self.submit_request(request, memory);
             }
         }
--- a/src/net/client/connection/input.rs
+++ b/src/net/client/connection/input.rs
@@ -73,6 +73,7 @@
     /// the proxy has not read the command, and its client can send it on another connection.
     /// Besides, the input of a pipeline of small commands is not buffered without a limit.
     pub(super) fn receive(&mut self) -> io::Result<bool> {
+        self.note_early_input();
         match self.state {
             State::Open if self.is_full() => self.check_client_present().map(|()| false),
             State::Open => self.execute_available(),
@@ -81,6 +82,13 @@
         }
     }
 
+    /// Notes how much input has arrived, once, when requests begin to count as late.
+    fn note_early_input(&mut self) {
+        if self.early_input_bytes.is_none() && self.service.late_requests_lost_at.get().is_some() {
+            self.early_input_bytes = Some(self.unread_input_bytes());
+        }
+    }
+
     /// Discards the input that is available; returns whether there may be more.
     fn discard_available(&mut self) -> io::Result<bool> {
         if self.discarded_bytes > MAX_DISCARDED_BYTES {
@@ -106,7 +114,7 @@
         if self.received == Received::Nothing {
             self.received = Received::PartialCommand;
         }
-        let Executed { used, stop } = self.execute_complete_commands();
+        let Executed { used, stop } = self.execute_complete_commands(partial_length);
         let taken = match stop {
             StopReason::PartialCommand => count,
             StopReason::Limit => used.saturating_sub(partial_length),
@@ -116,6 +124,7 @@
             self.last_input_at = self.service.descriptors.now();
         }
         self.final_input_bytes = self.final_input_bytes.map(|bytes| bytes.saturating_sub(taken));
+        self.early_input_bytes = self.early_input_bytes.map(|bytes| bytes.saturating_sub(taken));
         self.input.truncate(partial_length + taken);
         self.stream.inner().read_exact(&mut self.input[partial_length..])?;
         self.input.drain(..used);
@@ -157,8 +166,17 @@
         self.input = Vec::new();
     }
 
-    /// Executes the complete commands in the input buffer, as far as limits allow more responses.
-    fn execute_complete_commands(&mut self) -> Executed {
+    /// Returns the time of the earliest SIGKILL if it would lose an incomplete response to the command
+    /// that ends at `end` in the input buffer. The first `partial_length` bytes of the buffer were read
+    /// before.
+    fn lost_at(&self, end: usize, partial_length: usize) -> Option<Instant> {
+        let is_late = self.early_input_bytes.is_some_and(|early| end > partial_length + early);
+        self.service.late_requests_lost_at.get().copied().filter(|_| is_late)
+    }
+
+    /// Executes the complete commands in the input buffer, as far as limits allow more responses. The
+    /// first `partial_length` bytes of the buffer were read before.
+    fn execute_complete_commands(&mut self, partial_length: usize) -> Executed {
         let mut used = 0;
         self.waits_for_memory = false;
         self.waits_for_response = false;
@@ -172,7 +190,8 @@
                     }
                     // A pipeline waits while memory is short, since its own responses will free
                     // some.
-                    self.waits_for_memory = self.execute(command) == Execution::NoMemory;
+                    let lost_at = self.lost_at(used + length, partial_length);
+                    self.waits_for_memory = self.execute(command, lost_at) == Execution::NoMemory;
                     if self.waits_for_memory {
                         break;
                     }
--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -159,6 +159,9 @@
     /// The input that is still executed before the connection closes, which is due; `None` until it
     /// was idle.
     final_input_bytes: Option<usize>,
+    /// The input that had arrived before requests began to count as late and is not executed yet;
+    /// `None` before that.
+    early_input_bytes: Option<usize>,
     /// Whether a command was malformed since the last pause.
     had_errors: bool,
     /// The number of bytes that were read and will never be executed.
@@ -212,6 +215,7 @@
             has_waiting_input: false,
             input_before_write: None,
             final_input_bytes: None,
+            early_input_bytes: None,
             had_errors: false,
             unexecuted_bytes: 0,
             discarded_bytes: 0,
--- a/src/net/client/connection/submit.rs
+++ b/src/net/client/connection/submit.rs
@@ -111,10 +111,11 @@
     /// Parses a request by the settings that are active now. The budget does not increase, since
     /// the request may have waited.
     fn parse_again(&self, outdated: ClientRequest) -> Result<ClientRequest, Rejection> {
-        let ClientRequest { key, opaque, labels, value, budget, delivery, .. } = outdated;
+        let ClientRequest { key, opaque, labels, value, budget, delivery, lost_at, .. } = outdated;
         let mut request = self.parse_by_active_policy(RequestCommand { key, opaque, labels, value })?;
         request.budget = request.budget.min(budget);
         request.delivery = delivery;
+        request.lost_at = lost_at;
         Ok(request)
     }
 }
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -32,7 +32,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use turns::TurnPacer;
 
@@ -74,6 +74,8 @@
     registry: Mutex<ConnectionRegistry>,
     /// Whether connections close as soon as they are idle.
     closes_when_idle: AtomicBool,
+    /// The time of the earliest SIGKILL, set once it would lose an incomplete response to a new request.
+    late_requests_lost_at: OnceLock<Instant>,
     /// The schedule by which clients are directed to other proxies, if they are.
     ///
     /// Invariant: no other lock is taken while this one is held.
@@ -104,6 +106,7 @@
             listener: Mutex::new(Some(Arc::clone(&listener))),
             registry: Mutex::new(ConnectionRegistry::new(capacity.limit)),
             closes_when_idle: AtomicBool::new(false),
+            late_requests_lost_at: OnceLock::new(),
             disconnecting: Mutex::new(None),
         });
         let acceptor = Arc::clone(&service);
@@ -180,6 +183,15 @@
         self.with_registry(ConnectionRegistry::stop_evicting);
     }
 
+    /// From now on, new requests count as late: SIGKILL, at `kill_at` at the earliest, would lose an
+    /// incomplete response to them.
+    pub fn begin_late_requests(&self, kill_at: Instant) {
+        // Set once, by the one drain of the process.
+        let _ = self.late_requests_lost_at.set(kill_at);
+        // Each connection takes note of the input that has arrived.
+        self.with_registry(|registry| registry.wake_all());
+    }
+
     /// Closes each connection as soon as it is idle.
     pub fn close_when_idle(&self) {
         self.closes_when_idle.store(true, Ordering::Release);
--- a/src/net/client/request.rs
+++ b/src/net/client/request.rs
@@ -103,6 +103,7 @@
         labels: command.labels,
         value: command.value,
         delivery: Arc::default(),
+        lost_at: None,
     })
 }
 
--- a/src/net/dispatcher/attempts.rs
+++ b/src/net/dispatcher/attempts.rs
@@ -109,10 +109,11 @@
         request.pending.is_some() && state.accepts_attempts(in_flight.backend, attempt.backend_started)
     }
 
-    /// Returns whether a backend takes new attempts and is still the process that started at
-    /// `started`, in Unix ms.
+    /// Returns whether this process still begins attempts, and a backend takes them and is still the
+    /// process that started at `started`, in Unix ms.
     pub fn accepts_attempts(&self, backend: BackendId, started: Timestamp) -> bool {
-        self.lock().accepts_attempts(backend, started)
+        let state = self.lock();
+        !state.is_stopping && state.accepts_attempts(backend, started)
     }
 
     /// Returns whether an attempt's request still waits for its response.
--- a/src/net/dispatcher/messages.rs
+++ b/src/net/dispatcher/messages.rs
@@ -45,6 +45,8 @@
     pub value: Option<Vec<u8>>,
     /// How a long value of the response reaches the client.
     pub delivery: Arc<ValueDelivery>,
+    /// The time of the earliest SIGKILL, if it would lose an incomplete response to this request.
+    pub lost_at: Option<Instant>,
 }
 
 /// The content of a backend's response to a request.
--- a/src/net/dispatcher/submit.rs
+++ b/src/net/dispatcher/submit.rs
@@ -22,6 +22,11 @@
     Stopping,
     /// The request is still open although its response was due, so its timer was lost or late.
     Expired,
+    /// The response is a long value that would not be whole before the process may be killed.
+    ValueTooLate {
+        /// The time after which another process serves.
+        retry_after: Duration,
+    },
 }
 
 impl Dispatcher {
@@ -147,14 +152,28 @@
         is_expired(*due).then_some(*id)
     }
 
-    /// Fails a request if it has no response yet.
+    /// Rejects a request whose response is a long value that would not be whole at `lost_at`, when the
+    /// process may be killed.
+    pub fn reject_late_value(self: &Arc<Self>, id: RequestId, lost_at: Instant) {
+        let retry_after = lost_at.saturating_duration_since(Instant::now());
+        self.abort(id, AbortReason::ValueTooLate { retry_after });
+    }
+
+    /// Fails or rejects a request if it has no response yet.
     fn abort(self: &Arc<Self>, id: RequestId, reason: AbortReason) {
         let mut state = self.lock();
         let Some(pending) = state.take_pending(id) else { return };
-        match reason {
+        let response = match reason {
             AbortReason::Stopping => {
                 self.counters.requests_failed_at_stop.increment();
+                self.counters.requests_failed.increment();
                 request_log::request_stopped(id, state.opaque(id));
+                Response::Failed
+            }
+            AbortReason::ValueTooLate { retry_after } => {
+                self.counters.requests_rejected.increment();
+                request_log::request_rejected_at_stop(id, state.opaque(id));
+                Response::Rejected { retry_after: Some(retry_after) }
             }
             AbortReason::Expired => {
                 self.counters.requests_expired.increment();
@@ -165,11 +184,12 @@
                     state.opaque(id),
                     late.as_millis()
                 ));
+                self.counters.requests_failed.increment();
+                Response::Failed
             }
-        }
-        self.counters.requests_failed.increment();
+        };
         self.handle_event(state, Event::ClientGone(id));
-        pending.send(Response::Failed);
+        pending.send(response);
     }
 
     /// Returns the number of requests without a response.
--- a/src/net/dispatcher/tests.rs
+++ b/src/net/dispatcher/tests.rs
@@ -90,6 +90,7 @@
         labels: pinetrail_codec::memcache::Labels::default(),
         value: None,
         delivery: Arc::default(),
+        lost_at: None,
     }
 }
 
--- a/src/net/hot_restart/connection.rs
+++ b/src/net/hot_restart/connection.rs
@@ -4,7 +4,9 @@
 use super::inbox::Inbox;
 use super::messages::{Message, MessageError};
 use super::socket::HandoverSocket;
-use super::{send, send_rejection, BudgetGrant, HotRestart, HotRestartHost, PeerProcessState, PeerStream};
+use super::{
+    send, send_rejection, BudgetGrant, DrainState, HotRestart, HotRestartHost, PeerProcessState, PeerStream,
+};
 use crate::net::log::log;
 use std::io::ErrorKind;
 use std::sync::{Mutex, PoisonError};
@@ -57,7 +59,7 @@
         let connected = Instant::now();
         loop {
             match next_message(stream, inbox) {
-                Ok(message) => self.handle(message, stream, host),
+                Ok(message) => self.handle(message, stream, inbox, host),
                 Err(ReceiveError::Nothing) => {
                     // The error of a wait that ends early is found by the next read.
                     let _ = stream.wait_readable(READ_TIMEOUT);
@@ -73,7 +75,7 @@
                 }
             }
         }
-        self.end_connection(host);
+        self.end_connection(inbox, host);
     }
 
     /// Decides whether the newer process has been starting for too long, so that the handover is
@@ -91,10 +93,13 @@
         })
     }
 
-    fn handle(&self, message: Message, stream: &PeerStream, host: &dyn HotRestartHost) {
+    fn handle(&self, message: Message, stream: &PeerStream, inbox: &Mutex<Inbox>, host: &dyn HotRestartHost) {
         match message {
-            Message::Serving => self.set_peer(PeerProcessState::Serving, host),
-            Message::Leaving => self.set_peer(PeerProcessState::Leaving, host),
+            Message::Serving => self.set_peer(PeerProcessState::Serving, inbox, host),
+            Message::Leaving => self.set_peer(PeerProcessState::Leaving, inbox, host),
+            Message::FinishingResponses => {
+                self.set_peer(PeerProcessState::FinishingResponses, inbox, host);
+            }
             Message::Budget(budget) => host.set_budget(BudgetGrant::Part(budget)),
             Message::Command(number, command) => {
                 let reason = host.apply_command(&command).err().map(|error| error.to_string());
@@ -120,22 +125,29 @@
         }
     }
 
-    fn set_peer(&self, peer: PeerProcessState, host: &dyn HotRestartHost) {
-        self.with_state(|state| {
-            if let Some(connection) = &mut state.connection {
-                connection.peer = peer;
-            }
+    fn set_peer(&self, peer: PeerProcessState, inbox: &Mutex<Inbox>, host: &dyn HotRestartHost) {
+        let is_current = self.with_state(|state| {
+            let connection = state.connection.as_mut().filter(|connection| connection.has_inbox(inbox));
+            connection.map(|connection| connection.peer = peer).is_some()
         });
-        host.peer_changed(peer);
+        if is_current {
+            host.peer_changed(peer);
+        }
     }
 
-    /// Ends the connection. This process is alone then, and gets the whole budget.
-    pub(super) fn end_connection(&self, host: &dyn HotRestartHost) {
-        if let Some(connection) = self.with_state(|state| state.connection.take()) {
-            connection.stream.shutdown();
-        }
+    /// Ends the connection with this inbox, unless another one has replaced it. This process is alone
+    /// then, and gets the whole budget.
+    pub(super) fn end_connection(&self, inbox: &Mutex<Inbox>, host: &dyn HotRestartHost) {
+        let (ended, drain_state) = self.with_state(|state| {
+            (state.connection.take_if(|connection| connection.has_inbox(inbox)), state.drain_state)
+        });
+        let Some(connection) = ended else { return };
+        connection.stream.shutdown();
         host.set_budget(BudgetGrant::Full);
         host.peer_changed(PeerProcessState::None);
+        if drain_state != DrainState::Serving {
+            return;
+        }
         // The link may still point to a newer process that has ended.
         if let Some(Err(error)) = self.socket.get().map(HandoverSocket::claim_link) {
             log(&format!("hot restart is not possible: the link cannot be pointed to this process: {error}"));
--- a/src/net/hot_restart/golden_tests.rs
+++ b/src/net/hot_restart/golden_tests.rs
@@ -77,6 +77,11 @@
     assert_line(Message::Leaving, r#""Leaving""#);
 }
 
+#[test]
+fn finishing_is_the_recorded_line() {
+    assert_line(Message::FinishingResponses, r#""Finishing""#);
+}
+
 #[test]
 fn share_is_the_recorded_line() {
     assert_line(Message::Budget(budget()), r#"{"Share":{"sockets":7,"memory":9}}"#);
--- a/src/net/hot_restart/id_exchange.rs
+++ b/src/net/hot_restart/id_exchange.rs
@@ -87,7 +87,9 @@
     /// returns the ids that the other process has announced by then.
     pub fn exchange_id(&self, id: IdHash) -> Vec<IdHash> {
         let connection = self.with_state(|state| {
-            let connection = state.connection.as_ref().filter(|connection| connection.shares_ids);
+            let connection = state.connection.as_ref();
+            let connection =
+                connection.filter(|connection| connection.shares_ids && connection.peer.serves());
             connection.map(|connection| (connection.stream.clone(), connection.inbox.clone()))
         });
         let Some((stream, inbox)) = connection else { return Vec::new() };
--- a/src/net/hot_restart/messages.rs
+++ b/src/net/hot_restart/messages.rs
@@ -80,6 +80,10 @@
     Serving,
     /// The sender has been asked to stop.
     Leaving,
+    /// The sender begins no attempt any more, and passes on the responses that have begun. A process of
+    /// an earlier release ends the connection at this message, as if the sender had ended.
+    #[serde(rename = "Finishing")]
+    FinishingResponses,
     /// The new budget of the newer process.
     #[serde(rename = "Share")]
     Budget(ResourceBudget),
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -53,6 +53,15 @@
     Serving,
     /// The other process has been asked to stop.
     Leaving,
+    /// The other process begins no attempt any more, and passes on the responses that have begun.
+    FinishingResponses,
+}
+
+impl PeerProcessState {
+    /// Returns whether the other process has, or is about to have, requests of its own.
+    pub fn serves(self) -> bool {
+        !matches!(self, PeerProcessState::None | PeerProcessState::FinishingResponses)
+    }
 }
 
 /// Whether a process serves, or has been asked to stop.
@@ -63,6 +72,8 @@
     Serving,
     /// The process has been asked to stop.
     Draining,
+    /// The process begins no attempt any more, and passes on the responses that have begun.
+    FinishingResponses,
 }
 
 /// The budget that a process may use.
@@ -127,6 +138,13 @@
     inbox: Arc<Mutex<Inbox>>,
 }
 
+impl PeerConnection {
+    /// Returns whether the messages of this connection arrive in `inbox`.
+    fn has_inbox(&self, inbox: &Mutex<Inbox>) -> bool {
+        std::ptr::eq(Arc::as_ptr(&self.inbox), inbox)
+    }
+}
+
 #[derive(Default)]
 struct State {
     /// The connection to the other process, or `None` while this process is alone.
@@ -186,11 +204,20 @@
         self.with_state(|state| state.connection.is_some())
     }
 
-    /// Removes this process's socket, at the end of the process.
-    pub fn remove_socket(&self) {
+    /// Removes this process's socket, and notifies the other process that this one begins no attempt
+    /// any more. The connection stays, since both still share one budget.
+    pub fn finish_serving(&self) {
         if let Some(socket) = self.socket.get() {
             socket.remove();
         }
+        let stream = self.with_state(|state| {
+            state.drain_state = DrainState::FinishingResponses;
+            state.stream_to_peer(|_| true)
+        });
+        if let Some(stream) = stream {
+            // If this cannot be sent, the other process has ended.
+            let _ = send(&stream, &Message::FinishingResponses);
+        }
     }
 
     fn with_state<T>(&self, operation: impl FnOnce(&mut State) -> T) -> T {
--- a/src/net/hot_restart/older.rs
+++ b/src/net/hot_restart/older.rs
@@ -104,21 +104,28 @@
             }
             None => send_rejection(&stream, "it does not serve"),
         }
-        self.end_connection(&**host);
+        self.end_connection(&inbox, &**host);
     }
 
     /// Decides whether a newer process gets the handover, and reserves the connection for it. The
     /// handover requires that no other newer process has the connection and that this process does
-    /// not drain.
+    /// not drain. An older process that only finishes its responses loses the connection to the newer
+    /// one, since it may take long, and needs nothing of this process.
     ///
-    /// Inputs: whether there is a connection to a newer process, and whether this process serves.
+    /// Inputs: the state of the process at the other end of the connection, if there is one, and whether
+    /// this process serves.
     /// Reason: of two newer processes only the first may accept clients.
     ///
     /// Invariant: the connection is reserved before the handover is sent.
     fn reserve_connection(&self, stream: &PeerStream, inbox: &Arc<Mutex<Inbox>>) -> bool {
         self.with_state(|state| {
-            let is_free = state.connection.is_none() && state.drain_state == DrainState::Serving;
+            let has_serving_peer =
+                state.connection.as_ref().is_some_and(|connection| connection.peer.serves());
+            let is_free = !has_serving_peer && state.drain_state == DrainState::Serving;
             if is_free {
+                if let Some(replaced) = state.connection.take() {
+                    replaced.stream.shutdown();
+                }
                 let peer = PeerProcessState::Starting;
                 // It has sent no ids yet.
                 let shares_ids = false;
--- a/src/net/hot_restart/relay.rs
+++ b/src/net/hot_restart/relay.rs
@@ -76,7 +76,7 @@
     /// process is alone.
     fn register_command(&self) -> Option<(u64, PeerStream)> {
         self.with_state(|state| {
-            let stream = state.stream_to_peer(|peer| peer != PeerProcessState::None)?;
+            let stream = state.stream_to_peer(PeerProcessState::serves)?;
             Some((state.commands.add(), stream))
         })
     }
--- a/src/net/lifecycle/budget.rs
+++ b/src/net/lifecycle/budget.rs
@@ -33,14 +33,16 @@
     /// Decides how two processes of a hot restart divide descriptors and memory: shrinks this
     /// process's part, and returns the part of the peer process.
     ///
-    /// Inputs: whether this process serves or drains; descriptors and bytes in use.
+    /// Inputs: whether this process serves, drains or finishes; descriptors and bytes in use.
     /// Reason: a serving process needs half of the budget; a draining one needs what is in use, a
-    /// few descriptors for attempts, and a quarter of the memory.
+    /// few descriptors for attempts, and a quarter of the memory; one that only finishes its responses
+    /// needs what is in use.
     ///
     /// Invariant: resources in use are never taken away, even if they exceed this process's part.
     pub(super) fn shrink(&self, drain_state: DrainState) -> ResourceBudget {
         let total = self.for_two_processes;
         let (descriptors, memory_bytes) = match drain_state {
+            DrainState::FinishingResponses => (self.descriptors.shrink(0, 0), self.memory.shrink(0)),
             DrainState::Draining => (
                 self.descriptors.shrink(0, SPARE_DESCRIPTORS),
                 self.memory.shrink(total.memory_bytes / DRAINING_MEMORY_DIVISOR),
--- a/src/net/lifecycle/free_memory.rs
+++ b/src/net/lifecycle/free_memory.rs
@@ -1,4 +1,4 @@
-//! Gives memory back while two processes of the proxy share its memory limit. Read
+//! Gives memory back while two processes of the proxy may share its memory limit. Read
 //! [`Lifecycle::release_memory_in_upgrades`] first.
 
 use super::Lifecycle;
@@ -11,8 +11,8 @@
 const RELEASE_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Lifecycle {
-    /// Starts the coroutine that gives freed memory back while another process of this proxy runs.
-    /// It runs until the process ends.
+    /// Starts the coroutine that gives freed memory back while another process of this proxy runs, or
+    /// may have been started because this one serves no more. It runs until the process ends.
     ///
     /// A process that has served many clients keeps what it needed at its peak, and the other
     /// process needs that memory for the same clients.
@@ -20,7 +20,7 @@
         let lifecycle = Arc::clone(self);
         may::go!(move || loop {
             sleep(RELEASE_INTERVAL);
-            if lifecycle.hot_restart.has_peer() {
+            if lifecycle.hot_restart.has_peer() || lifecycle.state().has_finished_serving() {
                 release_free_memory();
             }
         });
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -17,7 +17,7 @@
 mod start;
 mod state;
 
-use super::admin::{NotReady, NotServing};
+use super::admin::{AdminServer, NotReady, NotServing};
 use super::backend::BackendService;
 use super::client::ClientService;
 use super::counters::Counters;
@@ -51,6 +51,8 @@
     /// The running services. Set once, when all of them run.
     services: OnceLock<RunningServices>,
     hot_restart: Arc<HotRestart>,
+    /// The operators' endpoint. Set only if one is configured.
+    admin: OnceLock<Arc<AdminServer>>,
     /// This process's part in its fleet. Set only if a fleet is configured.
     fleet: OnceLock<Arc<Fleet>>,
     /// This process's part in the common policy. Set only if a common policy is configured.
@@ -84,6 +86,7 @@
             counters: Arc::default(),
             services: OnceLock::new(),
             hot_restart: HotRestart::new(),
+            admin: OnceLock::new(),
             fleet: OnceLock::new(),
             policy: OnceLock::new(),
         })
--- a/src/net/lifecycle/peer.rs
+++ b/src/net/lifecycle/peer.rs
@@ -98,10 +98,10 @@
     /// Makes the process that accepts clients the member of the fleet on behalf of both processes.
     fn update_fleet_membership(&self, peer: PeerProcessState, change: &AcceptorChange) {
         let Some(fleet) = self.fleet() else { return };
-        let second_process = match peer {
-            PeerProcessState::None => SecondProcess::None,
-            _ => SecondProcess::Serving,
-        };
+        if self.state().has_finished_serving() {
+            return;
+        }
+        let second_process = if peer.serves() { SecondProcess::Serving } else { SecondProcess::None };
         fleet.set_second_process(second_process);
         if change.peer_accepts_now && !change.peer_accepted_before {
             fleet.deactivate();
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -1,5 +1,6 @@
-//! The graceful shutdown at SIGTERM and SIGINT: the process drains, and exits shortly before the
-//! platform kills it. [`DrainSchedule`] decides the times of the steps.
+//! The graceful shutdown at SIGTERM and SIGINT: the process drains, gives up what the next process of
+//! the proxy needs, and passes on the responses that have begun until they end. [`DrainSchedule`]
+//! decides the times of the steps. Further signals change nothing.
 
 use super::state::LifecycleEvent;
 use super::{Lifecycle, RunningServices};
@@ -18,20 +19,38 @@
 const MS_PER_SECOND: f64 = 1_000.0;
 
 impl Lifecycle {
-    /// Drains the services, leaves the fleet, and prints the counters for the last time.
+    /// Drains the services, leaves the fleet, prints the counters for the last time, and passes on the
+    /// responses that are still incomplete.
     pub(super) fn shut_down(&self, settings: &Settings, services: &RunningServices) {
+        let started = Instant::now();
         self.apply(LifecycleEvent::StopRequested);
         if let Some(fleet) = self.fleet() {
             fleet.begin_shutdown();
         }
         let schedule = DrainSchedule::for_longest_wait(self.longest_client_wait(settings));
         let acceptor = self.hot_restart.begin_drain();
-        services.drain(schedule, acceptor);
-        self.hot_restart.remove_socket();
+        services.drain(started, schedule, acceptor);
+        self.release(services);
+        services.wait_until_idle(started, schedule.exit_at);
+        self.apply(LifecycleEvent::DrainFinished);
+    }
+
+    /// Gives up what the next process of the proxy needs: the addresses, the membership, the voter and
+    /// the leases. From now on this process begins no attempt, so that it needs none of them.
+    fn release(&self, services: &RunningServices) {
+        self.apply(LifecycleEvent::ServingFinished);
+        self.hot_restart.finish_serving();
         if let Some(fleet) = self.fleet() {
             fleet.leave();
         }
-        self.apply(LifecycleEvent::DrainFinished);
+        if let Some(policy) = self.policy() {
+            policy.stop();
+        }
+        if let Some(admin) = self.admin.get() {
+            admin.close();
+        }
+        services.backends.close_idle_connections();
+        // SIGKILL may come from now on.
         print(&self.counters.line());
     }
 
@@ -44,9 +63,8 @@
 }
 
 impl RunningServices {
-    /// Drains the services in the steps of the schedule.
-    fn drain(&self, schedule: DrainSchedule, acceptor: Acceptor) {
-        let started = Instant::now();
+    /// Drains the services in the steps of the schedule, until no request is open.
+    fn drain(&self, started: Instant, schedule: DrainSchedule, acceptor: Acceptor) {
         match acceptor {
             Acceptor::PeerProcess => {
                 self.clients.start_disconnecting(DisconnectSchedule::for_drain(&schedule));
@@ -59,12 +77,14 @@
             }
         }
         self.clients.stop_evicting();
+        self.wait_until_idle(started, schedule.late_from);
+        self.clients.begin_late_requests(started + schedule.kill_at);
         self.wait_until_idle(started, schedule.serve_until);
         self.clients.close_when_idle();
         self.wait_until_idle(started, schedule.abort_at);
         self.dispatcher.abort_all();
-        // A client that does not read its response delays the exit until this time at most.
-        self.wait_until_idle(started, schedule.exit_at);
+        // The final responses are written until this time.
+        self.wait_until_idle(started, schedule.release_at);
     }
 
     /// Waits until no request and no connection is open, or until `limit` after `started`.
--- a/src/net/lifecycle/start/mod.rs
+++ b/src/net/lifecycle/start/mod.rs
@@ -98,7 +98,9 @@
         let Some(admin) = admin else { return Ok(()) };
         log(&format!("operators call {}", admin.address().map_err(StartError::Socket)?));
         let control = AdminControl { dispatcher: Arc::clone(dispatcher), lifecycle: Arc::clone(self) };
-        Arc::clone(admin).serve(Arc::new(control) as Arc<dyn AdminBackend>);
+        // Served once.
+        let _ = self.admin.set(Arc::clone(admin));
+        admin.serve(Arc::new(control) as Arc<dyn AdminBackend>);
         Ok(())
     }
 
--- a/src/net/lifecycle/state.rs
+++ b/src/net/lifecycle/state.rs
@@ -7,6 +7,7 @@
 //! | a serving phase | `ReloadStarted`, `ReloadFinished` | the serving phase below that applies |
 //! | a serving phase | `PeerChanged`, `ServiceSet` | the serving phase below that applies |
 //! | any | `StopRequested` | `Draining` |
+//! | any | `ServingFinished` | `FinishingResponses` |
 //! | any | `DrainFinished` | `Stopped` |
 //!
 //! Every other event is only recorded, and the phase stays. Of the serving phases, the first that
@@ -43,7 +44,9 @@
     Reloading,
     /// The process has been asked to stop, and completes the requests that it has accepted.
     Draining,
-    /// Every request has its response, or the time for the drain is over.
+    /// The process has given up its addresses and leases, and passes on the responses that have begun.
+    FinishingResponses,
+    /// Every response is complete, or the time for the drain is over.
     Stopped,
 }
 
@@ -73,7 +76,9 @@
     PeerChanged(PeerProcessState),
     /// The process is asked to stop.
     StopRequested,
-    /// Every request has its response, or the time for the drain is over.
+    /// Every request has its response, which may still be incomplete.
+    ServingFinished,
+    /// Every response is complete, or the time for the drain is over.
     DrainFinished,
 }
 
@@ -103,7 +108,12 @@
     /// Returns whether clients are accepted or served, even if only to direct them to other
     /// proxies.
     pub(super) fn accepts_clients(&self) -> bool {
-        !matches!(self.phase, Phase::Starting | Phase::Draining | Phase::Stopped)
+        !matches!(self.phase, Phase::Starting | Phase::Draining | Phase::FinishingResponses | Phase::Stopped)
+    }
+
+    /// Returns whether this process has given up its addresses, its membership and its leases.
+    pub(super) fn has_finished_serving(&self) -> bool {
+        matches!(self.phase, Phase::FinishingResponses | Phase::Stopped)
     }
 
     /// Decides which of two processes of one proxy accepts clients: returns whether the peer
@@ -131,6 +141,7 @@
             LifecycleEvent::ReloadFinished => self.is_reloading = false,
             LifecycleEvent::PeerChanged(peer) => self.set_peer(peer),
             LifecycleEvent::StopRequested => self.enter(Phase::Draining),
+            LifecycleEvent::ServingFinished => self.enter(Phase::FinishingResponses),
             LifecycleEvent::DrainFinished => self.enter(Phase::Stopped),
         }
         self.enter_serving_phase();
@@ -138,8 +149,8 @@
 
     fn set_peer(&mut self, peer: PeerProcessState) {
         self.peer = peer;
-        // A process whose older peer has ended is the older one in the next hot restart.
-        if peer == PeerProcessState::None {
+        // A process whose older peer serves no more is the older one in the next hot restart.
+        if !peer.serves() {
             self.role = ProcessRole::Older;
         }
     }
--- a/src/net/policy/directory/mod.rs
+++ b/src/net/policy/directory/mod.rs
@@ -76,6 +76,7 @@
             }
             sleep(UPDATE_INTERVAL).await;
         }
+        presence.update(Activity::Inactive).await;
     }
 
     /// Returns the addresses of the peers and of this process, to hand over to the next process of
--- a/src/net/policy/mod.rs
+++ b/src/net/policy/mod.rs
@@ -132,6 +132,12 @@
         true
     }
 
+    /// Ends this process's part: within a moment it has no connection to peers, no listener and no
+    /// voter, so that another process of the proxy can have them.
+    pub fn stop(&self) {
+        self.thread.stop();
+    }
+
     /// Returns whether this process admits requests.
     pub fn is_admitting(&self) -> bool {
         matches!(self.node.status().status, ConsensusStatus::Steady | ConsensusStatus::Changing)
--- a/src/net/policy/thread.rs
+++ b/src/net/policy/thread.rs
@@ -7,7 +7,7 @@
 use pinetrail_policy_consensus::ConsensusNode;
 use std::io;
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use tokio::runtime::{Builder, Handle};
 
@@ -22,9 +22,9 @@
 /// tasks of the runtime.
 pub(super) struct PolicyThread {
     runtime: Handle,
-    /// The sending end of a channel. Dropping it closes the channel, which signals the thread to
-    /// stop.
-    _stop: Sender<()>,
+    /// The sending end of a channel; `None` once the thread was stopped. Dropping it closes the channel,
+    /// which signals the thread to stop.
+    stop: Mutex<Option<Sender<()>>>,
 }
 
 impl PolicyThread {
@@ -37,7 +37,12 @@
             .spawn(move || run(tasks, &started_sender, &stop))
             .map_err(PolicyError::Thread)?;
         let runtime = started.recv().map_err(|_| PolicyError::ThreadEnded)?.map_err(PolicyError::Runtime)?;
-        Ok(PolicyThread { runtime, _stop: stop_sender })
+        Ok(PolicyThread { runtime, stop: Mutex::new(Some(stop_sender)) })
+    }
+
+    /// Signals the thread to stop, which ends all tasks of the runtime.
+    pub(super) fn stop(&self) {
+        self.stop.lock().unwrap_or_else(PoisonError::into_inner).take();
     }
 
     /// Returns a handle to the runtime of the thread, on which other threads may spawn tasks.
--- a/src/net/request_log.rs
+++ b/src/net/request_log.rs
@@ -119,6 +119,12 @@
     debug!(target: "request", number = number.0, id, "failed: the process stops");
 }
 
+/// Logs that a request was rejected because its value would not be whole before the process may be
+/// killed.
+pub(super) fn request_rejected_at_stop(number: RequestId, id: &str) {
+    debug!(target: "request", number = number.0, id, "rejected: its value is too late for the stop");
+}
+
 /// Logs that an attempt was handed to the backend service.
 pub(super) fn attempt_dispatched(attempt: AttemptId, id: &str, address: &str, time_left: Duration) {
     let AttemptId { request, attempt } = attempt;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod starts;
 mod successors;
 mod upgrades;
+mod values_at_stop;
 mod wrong_lengths;
 
 use pinetrail_test_harness::*;
