Soak: a value that is cut off at an exit is a violation again

Change: the rule CutOffAtExit reports them, also values that SIGKILL finds incomplete although their request came over 0.7 s after SIGTERM.

--- a/crates/experiments/src/soak/judge.rs
+++ b/crates/experiments/src/soak/judge.rs
@@ -84,6 +84,9 @@
     Draining,
     /// A response that a backend was still sending was cut off, although its time was not over.
     CutOff,
+    /// A long value was cut off because its process ended after SIGTERM, or because SIGKILL found it
+    /// incomplete although its request was sent late in a drain.
+    CutOffAtExit,
 }
 
 /// A violation of a rule.
@@ -120,9 +123,6 @@
     /// The longest time between the arrival of an attempt and its read by a backend of this
     /// program.
     pub longest_read_delay: Duration,
-    /// The number of long values that a proxy cut off because its process ended after SIGTERM. They
-    /// are a known fault (`review/9`), and counted apart from the violations.
-    pub values_cut_at_exit: usize,
     /// The violations of rules.
     pub violations: Vec<Violation>,
 }
@@ -335,7 +335,7 @@
             }
         }
         if is_long_value_cut_off(request) && self.is_ending(request, at) {
-            self.verdict.values_cut_at_exit += 1;
+            self.report(Rule::CutOffAtExit, id);
             return;
         }
         let is_crowded = self.changes_of(Change::Crowd(proxy)).next().is_some();
--- a/crates/experiments/src/soak/judge/tests.rs
+++ b/crates/experiments/src/soak/judge/tests.rs
@@ -179,25 +179,36 @@
     assert!(!ending.broken_rules().contains(&Rule::CutOff));
 }
 
-/// Guards against a judge that takes a slow long value for one whose time is over, and against one
-/// that reports the known fault of values that an exit cuts off.
+/// Guards against a judge that takes a slow long value for one whose time is over, or excuses an exit
+/// that cuts it off; and against one that reports what a kill excuses.
 #[test]
-fn a_long_value_has_no_time_limit_and_one_that_an_exit_cuts_off_is_counted_apart() {
-    let cut_off = || {
+fn a_long_value_has_no_time_limit_and_may_be_cut_off_only_by_an_excused_kill() {
+    let cut_off = |sent_ms| {
         let case = Case::new();
-        case.sent(0);
-        case.attempt_arrived(1, 1, TIMEOUT_MS);
-        case.observe(795, Observation::AttemptEnded { attempt: 1, end: AttemptEnd::LongValueCutOff });
+        case.sent(sent_ms);
+        case.attempt_arrived(sent_ms + 1, 1, TIMEOUT_MS);
+        let end = AttemptEnd::LongValueCutOff;
+        case.observe(sent_ms + 795, Observation::AttemptEnded { attempt: 1, end });
         case
     };
-    let answered = cut_off();
+    let answered = cut_off(0);
     answered.observe(796, Observation::Answered(FinalResponse::Rejected));
     assert!(answered.broken_rules().contains(&Rule::CutOff));
-    let ended = cut_off();
+    let ended = cut_off(0);
     ended.observe(796, Observation::ConnectionEnded);
     assert!(ended.broken_rules().contains(&Rule::ClosedUnanswered));
-    let exited = cut_off();
+    let exited = cut_off(0);
     exited.changed(250, Change::Terminated(PROXY));
     exited.observe(796, Observation::ConnectionEnded);
-    assert_eq!(exited.broken_rules(), []);
+    assert_eq!(exited.broken_rules(), [Rule::CutOffAtExit]);
+    let killed = |sent_ms| {
+        let case = cut_off(sent_ms);
+        case.changed(250, Change::Terminated(PROXY));
+        case.changed(sent_ms + 780, Change::Killed(PROXY));
+        case.changed(sent_ms + 790, Change::Ended(PROXY));
+        case.observe(sent_ms + 796, Observation::ConnectionEnded);
+        case.broken_rules()
+    };
+    assert_eq!(killed(900), [], "sent 0.65 s after SIGTERM");
+    assert_eq!(killed(1000), [Rule::CutOffAtExit], "sent 0.75 s after SIGTERM");
 }
--- a/crates/experiments/src/soak/mod.rs
+++ b/crates/experiments/src/soak/mod.rs
@@ -105,11 +105,10 @@
     let (requests, served, late) = (verdict.requests, verdict.served, verdict.late_after_short_timeouts);
     println!(
         "seed {:3}: {}: {requests} requests, {served} served, {late} late responses after short timeouts ({} without a stop of the proxy), \
-         {violations} violations, {} values cut off at an exit; backends read up to {} ms late",
+         {violations} violations; backends read up to {} ms late",
         plan.seed,
         plan.summary,
         verdict.unexplained_late.len(),
-        verdict.values_cut_at_exit,
         verdict.longest_read_delay.as_millis()
     );
     for (rule, count) in count_by_rule(&verdict.violations) {
