--- a/tests/sockets/values_at_stop.rs
+++ b/tests/sockets/values_at_stop.rs
@@ -255,3 +255,21 @@
     signal(&third, "TERM");
     assert!(wait_for_exit(third).status.success());
 }
+
+/// Guards against an older process that finishes values and takes part again when the newer one dies:
+/// it must leave the addresses to the next process.
+#[test]
+fn a_newer_process_that_dies_leaves_the_addresses_to_the_next_one() {
+    let mut rig = Rig::start();
+    let reader = rig.value_reader(&read("slow1", "1"), ms(0));
+    let second = rig.fixture.start_second_process();
+    let first = rig.fixture.replace_process(second);
+    signal(&first, "TERM");
+    sleep(EARLIEST_KILL - ms(200));
+    rig.fixture.restart();
+    assert_eq!(rig.fixture.client().get("k", "2", 900).1, "v\r\n");
+    assert!(!reader.is_finished(), "the first process still gives its value");
+    assert_eq!(reader.join().unwrap().0, Ok(()));
+    assert!(wait_for_exit(first).status.success());
+    assert_eq!(rig.fixture.client().get("k", "3", 900).1, "v\r\n");
+}
