Leave memory of finished work to the process that has replaced a stopping one

Each streamed value keeps the reservation of its request, 68 KiB, to its end. An older process of an upgrade that finishes many values so kept most of the budget that both share, and the newer one rejected sound requests for lack of memory until the last value had ended. Change: from the moment at which no response begins any more, a streamed value keeps 48 KiB, for the short windows.

--- a/src/net/client/connection/mod.rs
+++ b/src/net/client/connection/mod.rs
@@ -259,6 +259,7 @@
     /// Reads, executes and writes until the connection would have to wait for the socket.
     fn serve_without_waiting(&mut self) -> io::Result<Progress> {
         self.turn.resume();
+        self.release_spare_memory();
         loop {
             let may_have_more = self.receive()?;
             let was_full = self.is_full() || self.waits_for_memory;
--- a/src/net/client/connection/output.rs
+++ b/src/net/client/connection/output.rs
@@ -3,9 +3,11 @@
 
 use super::{Connection, EncodedResponse, State};
 use crate::net::body_stream::ReceiveOutcome;
+use crate::net::memory::SHORT_STREAM_BYTES;
 use crate::net::request_log::CloseReason;
 use pinetrail_codec::memcache;
 use std::io::{self, ErrorKind, Write};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
 /// The part of the output that was written.
@@ -48,6 +50,17 @@
         Ok(has_written)
     }
 
+    /// Releases memory that a streamed value does not need, if no further response begins: the process
+    /// leaves as much as possible to the one that has replaced it.
+    pub(super) fn release_spare_memory(&mut self) {
+        if self.body.is_none() || !self.service.finishes_responses.load(Ordering::Acquire) {
+            return;
+        }
+        if let Some(memory) = self.pending.front_mut().and_then(|first| first.memory.as_mut()) {
+            memory.shrink_to(SHORT_STREAM_BYTES);
+        }
+    }
+
     /// Writes `output`, which is not empty, as far as the socket takes it.
     fn flush_output(&mut self) -> io::Result<Flush> {
         let mut result_if_blocked = Flush::Blocked;
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -74,6 +74,8 @@
     registry: Mutex<ConnectionRegistry>,
     /// Whether connections close as soon as they are idle.
     closes_when_idle: AtomicBool,
+    /// Whether the process begins no response any more.
+    finishes_responses: AtomicBool,
     /// The time of the earliest SIGKILL, set once it would lose an incomplete response to a new request.
     late_requests_lost_at: OnceLock<Instant>,
     /// The schedule by which clients are directed to other proxies, if they are.
@@ -106,6 +108,7 @@
             listener: Mutex::new(Some(Arc::clone(&listener))),
             registry: Mutex::new(ConnectionRegistry::new(capacity.limit)),
             closes_when_idle: AtomicBool::new(false),
+            finishes_responses: AtomicBool::new(false),
             late_requests_lost_at: OnceLock::new(),
             disconnecting: Mutex::new(None),
         });
@@ -192,6 +195,12 @@
         self.with_registry(|registry| registry.wake_all());
     }
 
+    /// Keeps only the memory that the responses which have begun need, since no further one begins.
+    pub fn finish_responses(&self) {
+        self.finishes_responses.store(true, Ordering::Release);
+        self.with_registry(|registry| registry.wake_all());
+    }
+
     /// Closes each connection as soon as it is idle.
     pub fn close_when_idle(&self) {
         self.closes_when_idle.store(true, Ordering::Release);
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -50,6 +50,7 @@
             admin.close();
         }
         services.backends.close_idle_connections();
+        services.clients.finish_responses();
         // SIGKILL may come from now on.
         print(&self.counters.line());
     }
--- a/src/net/memory.rs
+++ b/src/net/memory.rs
@@ -13,6 +13,8 @@
 const WINDOW_BYTES: usize = 32 * 1024;
 /// The same while memory is short.
 const SHORT_WINDOW_BYTES: usize = 16 * 1024;
+/// The memory of a streamed value while memory is short: both sides, which may each exceed the window.
+pub const SHORT_STREAM_BYTES: usize = 3 * SHORT_WINDOW_BYTES;
 /// The divisor of the limit that gives the reserved memory from which memory is short.
 const SHORT_DIVISOR: usize = 2;
 
@@ -97,6 +99,13 @@
         true
     }
 
+    /// Releases what is reserved beyond `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let released = self.bytes.saturating_sub(bytes);
+        self.bytes -= released;
+        self.budget.reserved_bytes.fetch_sub(released, Ordering::AcqRel);
+    }
+
     /// Returns the number of reserved bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
