Exit at the end of a drain if no response is incomplete, as before

Change: only responses that are incomplete or not written keep a process beyond the end of its drain. Once some do, closes are waited for too, so that unread input does not reset a connection whose client still reads the end of a value.

--- a/crates/connection-limits/src/connection_table.rs
+++ b/crates/connection-limits/src/connection_table.rs
@@ -159,6 +159,11 @@
         self.entries.len()
     }
 
+    /// Returns the number of connections with a response that is not complete, or not written.
+    pub fn responding_connections(&self) -> usize {
+        self.count_in_phases(&[Phase::CommandOpen, Phase::ResponseUnread])
+    }
+
     /// Returns whether the capacity is used up.
     pub fn is_full(&self) -> bool {
         self.open_connections() >= self.capacity
@@ -246,16 +251,14 @@
 
     /// Returns the state of the table at this moment.
     pub fn counts(&self, now: Timestamp) -> Counts {
-        let in_phases =
-            |phases: &[Phase]| self.entries.values().filter(|entry| phases.contains(&entry.phase)).count();
         let pressure = self.pressure(now);
         Counts {
             open_connections: self.open_connections(),
             capacity: self.capacity,
-            silent: in_phases(&[Phase::Silent]),
-            partial_command: in_phases(&[Phase::PartialFirstCommand, Phase::PartialCommand]),
-            idle: in_phases(&[Phase::Idle]),
-            closing: in_phases(&[Phase::Closing]),
+            silent: self.count_in_phases(&[Phase::Silent]),
+            partial_command: self.count_in_phases(&[Phase::PartialFirstCommand, Phase::PartialCommand]),
+            idle: self.count_in_phases(&[Phase::Idle]),
+            closing: self.count_in_phases(&[Phase::Closing]),
             pressure,
             idle_limits: IdleLimits {
                 silent: self.idle_limit(ReuseKind::Silent, pressure),
@@ -265,6 +268,10 @@
         }
     }
 
+    fn count_in_phases(&self, phases: &[Phase]) -> usize {
+        self.entries.values().filter(|entry| phases.contains(&entry.phase)).count()
+    }
+
     /// Adds a connection to the queue of its phase or of the sample, and schedules the end of its
     /// first interval.
     fn enqueue(&mut self, id: ConnectionId) {
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -217,6 +217,11 @@
         self.with_registry(|registry| registry.open_connections())
     }
 
+    /// Returns the number of connections with a response that is not complete, or not written.
+    pub fn responding_connections(&self) -> usize {
+        self.with_registry(|registry| registry.responding_connections())
+    }
+
     /// Decides whether a hold-up of the whole process is reported, that is, counted and logged as a
     /// fault.
     ///
--- a/src/net/client/registry.rs
+++ b/src/net/client/registry.rs
@@ -85,6 +85,11 @@
         self.table.open_connections()
     }
 
+    /// Returns the number of connections with a response that is not complete, or not written.
+    pub(super) fn responding_connections(&self) -> usize {
+        self.table.responding_connections()
+    }
+
     pub(super) fn insert(&mut self, now: Timestamp, id: ConnectionId, handle: Arc<ConnectionHandle>) {
         self.table.insert(now, id);
         self.handles.insert(id, handle);
--- a/src/net/lifecycle/shutdown.rs
+++ b/src/net/lifecycle/shutdown.rs
@@ -31,7 +31,7 @@
         let acceptor = self.hot_restart.begin_drain();
         services.drain(started, schedule, acceptor);
         self.release(services);
-        services.wait_until_idle(started, schedule.exit_at);
+        services.finish_responses(started, schedule.exit_at);
         self.apply(LifecycleEvent::DrainFinished);
     }
 
@@ -88,6 +88,14 @@
         self.wait_until_idle(started, schedule.release_at);
     }
 
+    /// Passes on the responses that have begun, until `exit_at` after `started` at the latest. Then the
+    /// connections are closed in an orderly way. If there are no such responses, returns at once.
+    fn finish_responses(&self, started: Instant, exit_at: Duration) {
+        if self.clients.responding_connections() > 0 {
+            self.wait_until_idle(started, exit_at);
+        }
+    }
+
     /// Waits until no request and no connection is open, or until `limit` after `started`.
     fn wait_until_idle(&self, started: Instant, limit: Duration) {
         while started.elapsed() < limit && self.in_use() > 0 {
