Soak: split the judge into requests, circumstances and verdict

Change: what was observed of a request, what happened around it, and the verdict with its rules are modules of their own; code and texts are the same. Measured: the 8 tests of the judge pass.

--- a/crates/experiments/src/soak/judge.rs
+++ b/crates/experiments/src/soak/judge.rs
@@ -6,12 +6,16 @@
 //! program where it sends signals or publishes endpoint lists, and the time by which it stopped a
 //! proxy for longer than a proxy must tolerate.
 
+mod circumstances;
+mod request;
+mod verdict;
+
 use super::record::{AttemptEnd, Change, Class, FinalResponse, Observation, Record, Stop};
 use super::request_logs::RequestLogs;
 use super::HOLD_UP_DURATION;
-use std::collections::BTreeMap;
-use std::fmt::Write;
+use request::{group_by_request, Attempt, Request};
 use std::time::{Duration, Instant};
+pub(super) use verdict::{LateResponse, Rule, Verdict, Violation};
 
 /// The tolerance that is added to every limit.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(25);
@@ -53,119 +57,6 @@
 /// The time before a request from which changes of proxies, backends and discovery are shown.
 const CHANGES_SHOWN_BEFORE: Duration = Duration::from_secs(8);
 
-/// A rule of the soak.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Rule {
-    /// A request has no final response, or one that comes so late that it counts as missing.
-    Unanswered,
-    /// The final response to a request with a long timeout is late.
-    Late,
-    /// A connection was closed without a response to a request that had reached a backend, or that
-    /// was the first on the connection.
-    ClosedUnanswered,
-    /// A response has a value that no backend returned for this request.
-    UnknownValue,
-    /// An attempt began after the client had disconnected.
-    AfterDisconnect,
-    /// An attempt began after the final response.
-    AfterResponse,
-    /// The budget of an attempt was longer than the time that the client still waited.
-    BudgetTooLong,
-    /// Two attempts of a request ran at once.
-    ConcurrentAttempts,
-    /// A request that is not idempotent was repeated although an earlier attempt may have run.
-    UnsafeRepeat,
-    /// A request with an idempotency key was repeated after the deduplication window although an
-    /// earlier attempt may have run.
-    RepeatAfterWindow,
-    /// A request that is not idempotent was rejected although an attempt may have run.
-    RejectedAfterRun,
-    /// A backend got an attempt too long after it was listed as draining.
-    Draining,
-    /// A response that a backend was still sending was cut off, although its time was not over.
-    CutOff,
-    /// A long value was cut off because its process ended after SIGTERM, or because SIGKILL found it
-    /// incomplete although its request was sent late in a drain.
-    CutOffAtExit,
-}
-
-/// A violation of a rule.
-#[derive(Clone, Debug)]
-pub(super) struct Violation {
-    /// The violated rule.
-    pub rule: Rule,
-    /// The request's id.
-    pub request: String,
-    /// All that is known of the request in the order of time, a line each.
-    pub timeline: String,
-}
-
-/// A late final response to a request with a short timeout that no stop of the proxy explains.
-#[derive(Clone, Debug)]
-pub(super) struct LateResponse {
-    /// The request's id.
-    pub request: String,
-    /// All that is known of the request in the order of time, a line each.
-    pub timeline: String,
-}
-
-/// The result of a run.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Verdict {
-    /// The number of requests that were sent.
-    pub requests: usize,
-    /// The number of requests that were served.
-    pub served: usize,
-    /// The number of late final responses to requests with short timeouts.
-    pub late_after_short_timeouts: usize,
-    /// The late final responses to requests with short timeouts that no stop of the proxy explains.
-    pub unexplained_late: Vec<LateResponse>,
-    /// The longest time between the arrival of an attempt and its read by a backend of this
-    /// program.
-    pub longest_read_delay: Duration,
-    /// The violations of rules.
-    pub violations: Vec<Violation>,
-}
-
-/// An attempt, as its backend observed it.
-struct Attempt {
-    backend: usize,
-    budget_ms: u64,
-    arrived: Instant,
-    end: Option<(Instant, AttemptEnd)>,
-    is_of_other_client: bool,
-}
-
-/// The observations of one request.
-struct Request {
-    /// The time before the first byte was written.
-    sent: Instant,
-    /// The time after the last byte was written. The timeout counts from a time between
-    /// [`Request::sent`] and this one.
-    written: Instant,
-    proxy: usize,
-    class: Class,
-    timeout: Duration,
-    is_first_on_connection: bool,
-    answered: Option<(Instant, FinalResponse)>,
-    /// The time at which the connection ended without a response.
-    ended: Option<Instant>,
-    disconnected_at: Option<Instant>,
-    attempts: BTreeMap<u64, Attempt>,
-}
-
-impl Request {
-    /// Returns the attempts for the request's own client.
-    fn own_attempts(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.values().filter(|attempt| !attempt.is_of_other_client)
-    }
-
-    /// Returns the latest time at which the client's timeout may have ended.
-    fn deadline(&self) -> Instant {
-        self.written + self.timeout
-    }
-}
-
 /// The observations of a run, and the verdict so far.
 struct Judge<'a> {
     began: Instant,
@@ -178,11 +69,6 @@
     verdict: Verdict,
 }
 
-fn is_long_value_cut_off(request: &Request) -> bool {
-    let is_cut_off = |attempt: &Attempt| matches!(attempt.end, Some((_, AttemptEnd::LongValueCutOff)));
-    request.own_attempts().any(is_cut_off)
-}
-
 /// Checks a run that lasted from `began` to `ended` against the rules.
 pub(super) fn judge(record: &Record, logs: &RequestLogs, began: Instant, ended: Instant) -> Verdict {
     let (observations, changes, delays, stops) =
@@ -209,49 +95,6 @@
     judge.verdict
 }
 
-fn group_by_request(observations: &[(Instant, String, Observation)]) -> BTreeMap<String, Request> {
-    let mut requests: BTreeMap<String, Request> = BTreeMap::new();
-    for (at, id, observation) in observations {
-        if let Observation::Sent { proxy, class, timeout_ms, is_first_on_connection, write_time } =
-            observation
-        {
-            let request = Request {
-                sent: *at,
-                written: *at + *write_time,
-                proxy: *proxy,
-                class: *class,
-                timeout: Duration::from_millis(*timeout_ms),
-                is_first_on_connection: *is_first_on_connection,
-                answered: None,
-                ended: None,
-                disconnected_at: None,
-                attempts: BTreeMap::new(),
-            };
-            requests.insert(id.clone(), request);
-        }
-    }
-    for (at, id, observation) in observations {
-        let Some(request) = requests.get_mut(id) else { continue };
-        match observation {
-            Observation::Sent { .. } => {}
-            Observation::Answered(answer) => request.answered = Some((*at, answer.clone())),
-            Observation::ConnectionEnded => request.ended = Some(*at),
-            Observation::Disconnected => request.disconnected_at = Some(*at),
-            Observation::AttemptArrived { attempt, backend, budget_ms, is_of_other_client, .. } => {
-                let (backend, budget_ms, is_of_other_client) = (*backend, *budget_ms, *is_of_other_client);
-                let arrived = Attempt { backend, budget_ms, arrived: *at, end: None, is_of_other_client };
-                request.attempts.insert(*attempt, arrived);
-            }
-            Observation::AttemptEnded { attempt, end } => {
-                if let Some(attempt) = request.attempts.get_mut(attempt) {
-                    attempt.end = Some((*at, end.clone()));
-                }
-            }
-        }
-    }
-    requests
-}
-
 impl Judge<'_> {
     fn judge(&mut self, id: &str, request: &Request) {
         self.judge_response(id, request);
@@ -334,7 +177,7 @@
                 return;
             }
         }
-        if is_long_value_cut_off(request) && self.is_ending(request, at) {
+        if request.is_long_value_cut_off() && self.is_ending(request, at) {
             self.report(Rule::CutOffAtExit, id);
             return;
         }
@@ -418,97 +261,10 @@
         }
     }
 
-    /// Returns the latest time at which a proxy learned that a backend is draining, if the backend
-    /// is draining at `at`. A process that has started since learns it with its first watch, and
-    /// may serve before this program knows that it is ready. After an outage of discovery a proxy
-    /// has [`OUTAGE_RECOVERY_TIME`].
-    fn drain_listed_at(&self, proxy: usize, backend: usize, at: Instant) -> Option<Instant> {
-        let since = self.draining_since(backend, at)?;
-        let last = |change| self.changes_of(change).filter(|changed| *changed <= at).last();
-        let process_since =
-            last(Change::Started(proxy)).max(last(Change::Ended(proxy))).max(last(Change::Exited(proxy)));
-        let started = process_since.map_or(since, |started| started.max(since));
-        match (last(Change::DiscoveryDown), last(Change::DiscoveryUp)) {
-            (None, _) => Some(started),
-            (Some(down), Some(up)) if up > down && up < since => Some(started),
-            (Some(down), Some(up)) if up > down => Some(started.max(up + OUTAGE_RECOVERY_TIME)),
-            _ => None,
-        }
-    }
-
-    /// Returns the time at which a backend was listed as draining, if it is still listed so at
-    /// `at`.
-    fn draining_since(&self, backend: usize, at: Instant) -> Option<Instant> {
-        let is_state = |change: &Change| [Change::Draining(backend), Change::Ready(backend)].contains(change);
-        let last = self.changes.iter().rfind(|(changed, change)| *changed <= at && is_state(change))?;
-        (last.1 == Change::Draining(backend)).then_some(last.0)
-    }
-
-    fn changes_of(&self, wanted: Change) -> impl Iterator<Item = Instant> + '_ {
-        self.changes.iter().filter(move |(_, change)| *change == wanted).map(|(at, _)| *at)
-    }
-
-    /// Returns whether a proxy was stopped at the time at which it planned a response to a request
-    /// with a short timeout, and wrote the response as soon as it continued. A proxy could only do
-    /// better if it responded earlier to all requests.
-    fn is_explained_by_stop(&self, request: &Request, answered: Instant) -> bool {
-        let planned = request.sent + request.timeout.mul_f64(PLANNED_FRACTION);
-        let explains = |stop: &Stop| {
-            stop.proxy == request.proxy && stop.began <= planned && answered <= stop.ended + CATCH_UP_TIME
-        };
-        self.stops.iter().any(explains)
-    }
-
-    /// Returns the time beyond [`HOLD_UP_DURATION`] for which this program stopped a proxy, as the
-    /// sum over the stops that overlap a period.
-    fn excess_stop(&self, proxy: usize, from: Instant, until: Instant) -> Duration {
-        let overlaps = |stop: &&Stop| stop.proxy == proxy && stop.began <= until && stop.ended >= from;
-        let stops = self.stops.iter().filter(overlaps);
-        stops.map(|stop| stop.ended.duration_since(stop.began).saturating_sub(HOLD_UP_DURATION)).sum()
-    }
-
-    /// Returns the error of a time at which this program sent a signal or published an endpoint
-    /// list.
-    fn tolerance(&self, at: Instant) -> Duration {
-        let from = at.checked_sub(DELAY_WINDOW).unwrap_or(self.began);
-        let first = self.delays.partition_point(|(delayed, _)| *delayed < from);
-        let until = at + DELAY_WINDOW;
-        let near = self.delays[first..].iter().take_while(|(delayed, _)| *delayed <= until);
-        CLOCK_TOLERANCE + near.map(|(_, delay)| *delay).max().unwrap_or_default()
-    }
-
     fn report(&mut self, rule: Rule, id: &str) {
         let timeline = self.timeline(id);
         self.verdict.violations.push(Violation { rule, request: id.to_owned(), timeline });
     }
-
-    /// Returns all that is known of a request in the order of time: observations, log lines of the
-    /// proxy, and the changes and stops around them.
-    fn timeline(&self, id: &str) -> String {
-        let own = self.observations.iter().filter(|(_, seen_id, _)| seen_id == id);
-        let mut lines: Vec<(Instant, String)> =
-            own.map(|(at, _, observation)| (*at, format!("{observation:?}"))).collect();
-        lines.extend(self.logs.lines_of(id).into_iter().map(|line| (line.at, format!("log: {}", line.text))));
-        let first = lines.iter().map(|(at, _)| *at).min().unwrap_or(self.began);
-        let last = lines.iter().map(|(at, _)| *at).max().unwrap_or(self.ended);
-        let from = first.checked_sub(CHANGES_SHOWN_BEFORE).unwrap_or(first);
-        let changes = self.changes.iter().filter(|(at, _)| *at >= from && *at <= last);
-        lines.extend(changes.map(|(at, change)| (*at, format!("change: {change:?}"))));
-        let stops = self.stops.iter().filter(|stop| stop.ended >= first && stop.began <= last);
-        lines.extend(stops.map(|stop| {
-            let lasted = stop.ended.duration_since(stop.began);
-            (stop.began, format!("proxy {} is stopped for {lasted:?}", stop.proxy))
-        }));
-        lines.sort_by_key(|(at, _)| *at);
-        let began = self.began;
-        let mut timeline = String::new();
-        for (at, line) in lines {
-            let at = at.saturating_duration_since(began).as_secs_f64();
-            // Writing to a string does not fail.
-            let _ = writeln!(timeline, "    {at:8.4} {line}");
-        }
-        timeline
-    }
 }
 
 #[cfg(test)]
