Judge the pace of a late value without its first burst

Until 20 ms before its deadline only the first piece of the value had arrived, which counted as its pace; the value of 1.0 to 1.4 s began and SIGKILL cut it off. Change: what arrives within 5 ms of the first byte does not count. If nothing follows by the time to begin, the request is rejected at once.

--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -121,7 +121,7 @@
                 Ok(input) => input,
                 Err(failure) => match stream_start.take_due_value(failure) {
                     Some(value) => {
-                        let beginning = stream_start.beginning(bytes.len() - value.starts_at, attempt);
+                        let beginning = stream_start.beginning(attempt);
                         return self.pass_on_value(attempt, connection, bytes, &value, beginning);
                     }
                     None => return self.end_without_response(attempt, failure, bytes.len()),
@@ -136,7 +136,7 @@
                     return self.end_without_response(attempt, ResponseFailure::Malformed, bytes.len());
                 }
                 ParsedResponse::LongValue(value) if value.has_stream_threshold(attempt, bytes.len()) => {
-                    let beginning = stream_start.beginning(bytes.len() - value.starts_at, attempt);
+                    let beginning = stream_start.beginning(attempt);
                     return self.pass_on_value(attempt, connection, bytes, &value, beginning);
                 }
                 ParsedResponse::LongValue(_) if input == InputState::Closed => {
--- a/src/net/backend/stream_start.rs
+++ b/src/net/backend/stream_start.rs
@@ -11,6 +11,9 @@
 /// The longest time for which the beginning of a long value is held back that a late request in a
 /// drain asks for. It shows how fast the value arrives.
 const MAX_LATE_HOLD_BACK: Duration = Duration::from_millis(250);
+/// The time after the first byte of a value within which what arrives does not show its pace: a backend
+/// may send the first bytes all at once.
+const BURST_DURATION: Duration = Duration::from_millis(5);
 /// The time before the attempt's deadline at which a long value begins to stream at the latest.
 /// The timer that fails the request is due at the deadline.
 const DEADLINE_LEAD: Duration = Duration::from_millis(20);
@@ -28,9 +31,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Beginning {
     /// The time of the first byte of the value.
-    pub at: Instant,
-    /// The bytes of the value that arrived at that time.
-    first_bytes: usize,
+    at: Instant,
+    /// The bytes of the first burst, which do not count for the pace of the value.
+    burst_bytes: usize,
+    /// The time from which the pace of the value counts.
+    paced_from: Instant,
     /// The time at which the value begins to stream if it is collected and not complete.
     pub start_by: Instant,
 }
@@ -47,7 +52,9 @@
     /// Source: docs/incidents/2026-12-05-sound-slow-responses-cut-off.md.
     pub(super) fn update(&mut self, value: LongValue, received: usize, attempt: &AttemptRequest) {
         let value_bytes = received.saturating_sub(value.starts_at);
-        if value_bytes > 0 && self.beginning.is_none() {
+        if let Some(beginning) = &mut self.beginning {
+            beginning.extend_burst(value_bytes);
+        } else if value_bytes > 0 {
             let beginning = Beginning::now(value_bytes, attempt);
             let late_limit = attempt.request.lost_at.map(|_| beginning.at + MAX_LATE_HOLD_BACK);
             self.due = Some(late_limit.map_or(beginning.start_by, |limit| limit.min(beginning.start_by)));
@@ -61,9 +68,9 @@
         self.due
     }
 
-    /// Returns the beginning of the value, of which `received` bytes have arrived by now.
-    pub(super) fn beginning(&self, received: usize, attempt: &AttemptRequest) -> Beginning {
-        self.beginning.unwrap_or_else(|| Beginning::now(received, attempt))
+    /// Returns the beginning of the value, of which enough has arrived by now.
+    pub(super) fn beginning(&self, attempt: &AttemptRequest) -> Beginning {
+        self.beginning.unwrap_or_else(|| Beginning::now(0, attempt))
     }
 
     /// Takes the value if it is to stream now that a read has ended for this reason.
@@ -75,20 +82,27 @@
 
 impl Beginning {
     /// Returns the beginning of a value whose first bytes arrive now.
-    fn now(first_bytes: usize, attempt: &AttemptRequest) -> Beginning {
+    fn now(burst_bytes: usize, attempt: &AttemptRequest) -> Beginning {
         let at = Instant::now();
         let before_deadline = attempt.deadline.checked_sub(DEADLINE_LEAD).unwrap_or(attempt.deadline);
-        Beginning { at, first_bytes, start_by: before_deadline.min(at + MAX_HOLD_BACK) }
+        Beginning { at, burst_bytes, paced_from: at, start_by: before_deadline.min(at + MAX_HOLD_BACK) }
     }
 
-    /// Returns the progress of the value since its beginning. Its pace does not count the first bytes,
-    /// which may have been sent all at once, unless they are all that has arrived.
+    /// Counts the bytes that have arrived by now as those of the first burst, if they are.
+    fn extend_burst(&mut self, value_bytes: usize) {
+        if self.at.elapsed() < BURST_DURATION {
+            self.burst_bytes = value_bytes;
+            self.paced_from = Instant::now();
+        }
+    }
+
+    /// Returns the progress of the value since its first burst. A value of which no more arrives has no
+    /// pace.
     pub(super) fn progress(&self, received: usize, length: usize) -> ValueProgress {
-        let later_bytes = received.saturating_sub(self.first_bytes);
         ValueProgress {
-            paced_bytes: if later_bytes > 0 { later_bytes } else { received },
+            paced_bytes: received.saturating_sub(self.burst_bytes),
             remaining_bytes: length.saturating_sub(received),
-            elapsed: self.at.elapsed(),
+            elapsed: self.paced_from.elapsed(),
         }
     }
 }
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -110,9 +110,9 @@
 /// How fast a long value arrives, and how much of it is missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ValueProgress {
-    /// The bytes that have arrived since the beginning.
+    /// The bytes that have arrived since the first burst.
     pub paced_bytes: usize,
-    /// The time since the beginning.
+    /// The time since the first burst.
     pub elapsed: Duration,
     /// The bytes that have not arrived.
     pub remaining_bytes: usize,
--- a/tests/sockets/values_at_stop.rs
+++ b/tests/sockets/values_at_stop.rs
@@ -10,6 +10,8 @@
 const VALUE_BYTES: usize = 384 * 1024;
 /// The time that a slow value takes: it ends long after the earliest kill.
 const SLOW_VALUE: Duration = ms(3000);
+/// The bytes that a value with a burst begins with.
+const BURST_BYTES: usize = 48 * 1024;
 /// The time after SIGTERM of the earliest kill.
 const EARLIEST_KILL: Duration = ms(1700);
 
@@ -38,7 +40,9 @@
         if is_node && request.contains("origin") {
             return StubAction::Reply(format!("EN {}\r\n", opaque(request)));
         }
-        response.first_bytes = response.first_bytes.min(VALUE_BYTES);
+        if request.contains("burst") {
+            response.first_bytes = BURST_BYTES;
+        }
         let (request, deliveries) = (request.to_owned(), deliveries.clone());
         StubAction::ReplyWith(Box::new(move |stream| response.write(&request, stream, &deliveries)))
     };
@@ -132,7 +136,7 @@
 #[test]
 fn a_long_value_that_is_asked_for_late_is_served_whole_before_the_kill_or_rejected() {
     let rig = Rig::start();
-    let mut clients: Vec<Client> = (0..4).map(|_| rig.fixture.client()).collect();
+    let mut clients: Vec<Client> = (0..5).map(|_| rig.fixture.client()).collect();
     for client in &mut clients {
         assert_eq!(client.request("mn\r\n"), "MN\r\n");
     }
@@ -144,14 +148,18 @@
         read("slow-origin", "3"),
         read("fast4", "4"),
         read("fast-origin", "5") + &read("short", "6"),
+        // Its time ends before anything shows how slow it is after its first bytes.
+        "mg burst-slow7 v O7 Pc=read,t=acme,d=60\r\n".to_owned(),
     ];
     for (client, command) in clients.iter_mut().zip(&commands) {
         client.send(command);
     }
-    let [slow, slow_origin, fast, fast_origin] = &mut clients[..] else { unreachable!("four clients") };
+    let [slow, slow_origin, fast, fast_origin, burst] = &mut clients[..] else {
+        unreachable!("five clients")
+    };
     assert_eq!((read_value(fast, ms(0)), read_value(fast_origin, ms(0))), (Ok(()), Ok(())));
     assert_eq!((fast_origin.read_line(), fast_origin.read_line()), ("VA 1 O6\r\n".into(), "v\r\n".into()));
-    for client in [&mut *slow, slow_origin] {
+    for client in [burst, &mut *slow, slow_origin] {
         let line = client.read_line();
         let retry_after = line.strip_prefix("SERVER_ERROR busy ").and_then(|rest| rest.trim().parse().ok());
         let retry_at =
